--- /dev/null
+++ b/lagoonlever/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, one module a benchmark."""
--- /dev/null
+++ b/lagoonlever/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module per command of the command line."""
--- /dev/null
+++ b/lagoonlever/config/__init__.py
@@ -0,0 +1,1 @@
+"""Typed options and the settings file of one VM."""
--- /dev/null
+++ b/lagoonlever/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks of the entry daemon."""
--- /dev/null
+++ b/lagoonlever/history/__init__.py
@@ -0,0 +1,1 @@
+"""What was seen in a run, and a checker for each promise."""
--- /dev/null
+++ b/lagoonlever/http/client.py
@@ -0,0 +1,224 @@
+"""The client side of HTTP: one connection, its requests, and a pool of idle connections.
+
+The errors tell what the peer can have seen: ``ConnectFailed`` proves that it
+received nothing; ``ConnectionBroken`` and ``PeerTimeout`` prove nothing.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import AsyncIterator
+
+import attrs
+import h11
+import trio
+
+from lagoonlever.exceptions import BadResponse, ConnectFailed, ConnectionBroken, PeerTimeout
+from lagoonlever.http.messages import Address, Headers
+
+RECEIVE_BYTES = 64 * 1024
+CONNECT_TIMEOUT_S = 1.0
+POOL_IDLE_S = 4.0
+"""Far below the idle timeout of usual servers, so that reuse seldom meets a closing socket."""
+
+
+@attrs.frozen(kw_only=True)
+class Response:
+    """A whole response."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class ClientConnection:
+    """One connection to a peer; carries one request at a time."""
+
+    def __init__(self, *, stream: trio.SocketStream, address: Address) -> None:
+        self._stream = stream
+        self._address = address
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._step = "connect"
+        self.idle_since = 0.0
+
+    @property
+    def address(self) -> Address:
+        """The peer's address."""
+        return self._address
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the last response was read whole and the peer keeps the connection.
+
+        Guards against crossed answers: after a timeout or a cut the next caller
+        would read the former caller's answer. Only a connection whose response
+        ended by its own framing is ever used again.
+        """
+        return self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+
+    @classmethod
+    async def open(
+        cls, address: Address, *, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> ClientConnection:
+        """Connect; raises ``ConnectFailed``, which proves that the peer received nothing."""
+        try:
+            with trio.fail_after(timeout_s):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+        except (OSError, trio.TooSlowError) as error:
+            raise ConnectFailed(
+                str(error) or "timed out", step="connect", peer=str(address)
+            ) from error
+        return cls(stream=stream, address=address)
+
+    async def start(
+        self,
+        *,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        step: str,
+    ) -> None:
+        """Write a whole request; raises ``ConnectionBroken``."""
+        self._step = step
+        if self.reusable:
+            self._h11.start_next_cycle()
+        all_headers = (headers or Headers()).with_field("Host", str(self._address))
+        if body or method != "GET":
+            all_headers = all_headers.with_field("Content-Length", str(len(body)))
+        request = h11.Request(method=method, target=path, headers=all_headers.raw())
+        pieces = [self._h11.send(request)]
+        if body:
+            pieces.append(self._h11.send(h11.Data(data=body)))
+        pieces.append(self._h11.send(h11.EndOfMessage()))
+        await self._send(b"".join(piece or b"" for piece in pieces))
+
+    async def read_head(self) -> Response:
+        """Read the head of the response; its body is empty and read by ``iter_body``."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response):
+                headers = Headers.from_raw(event.headers)
+                return Response(status=event.status_code, headers=headers, body=b"")
+            raise self._broken("closed before it answered")
+
+    async def iter_body(self) -> AsyncIterator[bytes]:
+        """Give the pieces of the body as they arrive; raises ``ConnectionBroken`` if cut."""
+        while True:
+            piece = await self.next_piece()
+            if piece is None:
+                return
+            yield piece
+
+    async def next_piece(self) -> bytes | None:
+        """Give the next piece of the body, or None at its end."""
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise self._broken("closed within its answer")
+
+    async def aclose(self) -> None:
+        """Close at once, without a word to the peer."""
+        await trio.aclose_forcefully(self._stream)
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise self._broken(str(error)) from error
+
+    async def _next_event(self) -> object:
+        try:
+            while True:
+                event = self._h11.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._h11.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise self._broken(str(error)) from error
+        except h11.RemoteProtocolError as error:
+            if self._h11.their_state is h11.ERROR and "closed" in str(error):
+                raise self._broken(str(error)) from error
+            raise BadResponse(str(error), step=self._step, peer=str(self._address)) from error
+
+    def _broken(self, message: str) -> ConnectionBroken:
+        return ConnectionBroken(
+            message or "connection broke", step=self._step, peer=str(self._address)
+        )
+
+
+class Pool:
+    """Idle connections by address, for requests that may safely be sent twice."""
+
+    def __init__(self, *, idle_s: float = POOL_IDLE_S, per_address: int = 8) -> None:
+        self._idle: dict[Address, deque[ClientConnection]] = {}
+        self._idle_s = idle_s
+        self._per_address = per_address
+
+    async def take(
+        self, address: Address, *, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> ClientConnection:
+        """Give an idle connection, or a new one; raises ``ConnectFailed``."""
+        idle = self._idle.get(address, deque())
+        while idle:
+            connection = idle.pop()
+            if trio.current_time() - connection.idle_since < self._idle_s:
+                return connection
+            await connection.aclose()
+        return await ClientConnection.open(address, timeout_s=timeout_s)
+
+    async def put_back(self, connection: ClientConnection) -> None:
+        """Keep a connection whose response was read whole; close any other."""
+        idle = self._idle.setdefault(connection.address, deque())
+        if not connection.reusable or len(idle) >= self._per_address:
+            await connection.aclose()
+            return
+        connection.idle_since = trio.current_time()
+        idle.append(connection)
+
+    async def aclose(self) -> None:
+        """Close every idle connection."""
+        for idle in self._idle.values():
+            while idle:
+                await idle.pop().aclose()
+
+
+async def fetch(
+    address: Address,
+    *,
+    method: str = "GET",
+    path: str,
+    headers: Headers | None = None,
+    body: bytes = b"",
+    step: str,
+    timeout_s: float,
+    pool: Pool | None = None,
+) -> Response:
+    """Send one request and read its whole response.
+
+    Raises ``ConnectFailed``, ``ConnectionBroken``, ``PeerTimeout`` or
+    ``BadResponse``. Without a pool the connection is fresh and closed after.
+    """
+    connection = await (
+        pool.take(address) if pool else ClientConnection.open(address, timeout_s=timeout_s)
+    )
+    try:
+        with trio.fail_after(timeout_s):
+            await connection.start(method=method, path=path, headers=headers, body=body, step=step)
+            head = await connection.read_head()
+            pieces = [piece async for piece in connection.iter_body()]
+    except trio.TooSlowError as error:
+        raise PeerTimeout(
+            f"no whole answer within {timeout_s:g} s", step=step, peer=str(address)
+        ) from error
+    finally:
+        with trio.CancelScope(shield=True):
+            if pool is None:
+                await connection.aclose()
+            else:
+                await pool.put_back(connection)
+    return attrs.evolve(head, body=b"".join(pieces))
--- /dev/null
+++ b/lagoonlever/http/messages.py
@@ -0,0 +1,66 @@
+"""Typed HTTP messages shared by the server and the client side."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+
+@attrs.frozen
+class Headers:
+    """Header fields in their order; names compare without case."""
+
+    pairs: tuple[tuple[str, str], ...] = ()
+
+    def get(self, name: str, default: str | None = None) -> str | None:
+        """Give the first value of a field, or ``default``."""
+        wanted = name.lower()
+        for key, value in self.pairs:
+            if key.lower() == wanted:
+                return value
+        return default
+
+    def with_field(self, name: str, value: str) -> Headers:
+        """Give these headers with one more field."""
+        return Headers((*self.pairs, (name, value)))
+
+    def raw(self) -> list[tuple[bytes, bytes]]:
+        """Give the form that h11 takes."""
+        return [(key.encode("ascii"), value.encode("latin-1")) for key, value in self.pairs]
+
+    @classmethod
+    def from_raw(cls, raw: Iterable[tuple[bytes, bytes]]) -> Headers:
+        """Read the form that h11 gives."""
+        return cls(tuple((key.decode("ascii"), value.decode("latin-1")) for key, value in raw))
+
+
+@attrs.frozen(kw_only=True)
+class Address:
+    """An IP number and a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Read ``host:port``; raises ``ValueError``."""
+        host, separator, port = text.rpartition(":")
+        if not separator or not host:
+            raise ValueError(f"{text!r} is not HOST:PORT")
+        return cls(host=host.strip("[]"), port=int(port))
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """A whole request as the server read it."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: Headers
+    body: bytes
+    peer: str
--- /dev/null
+++ b/lagoonlever/http/server.py
@@ -0,0 +1,289 @@
+"""The server side of HTTP: h11 over trio, one task a connection."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from urllib.parse import parse_qsl, urlsplit
+
+import attrs
+import h11
+import trio
+
+from lagoonlever.exceptions import RequestRefused
+from lagoonlever.http.messages import Headers, Request
+from lagoonlever.outcomes import OUTCOME_HEADER, OutcomeTag
+
+RECEIVE_BYTES = 64 * 1024
+JSON_TYPE = "application/json"
+
+
+@attrs.frozen(kw_only=True)
+class ServerLimits:
+    """Bounds that keep one caller from harming another; sizes in bytes, times in seconds."""
+
+    body_bytes: int = 4 * 1024 * 1024
+    header_bytes: int = 32 * 1024
+    request_timeout_s: float = 30.0
+    idle_timeout_s: float = 75.0
+    write_timeout_s: float = 30.0
+    connections: int = 4096
+
+
+class CallerGone(Exception):
+    """The caller's connection ended while its answer was being written."""
+
+
+@attrs.define(kw_only=True)
+class ServerState:
+    """What the server does now; a planned stop sets ``closing``."""
+
+    closing: bool = False
+    """Each response tells the caller to close the connection after it."""
+    open_connections: int = 0
+    open_exchanges: int = 0
+
+
+class Exchange:
+    """One request and the response to it."""
+
+    def __init__(self, *, request: Request, connection: _Connection) -> None:
+        self.request = request
+        self._connection = connection
+        self._responded = False
+
+    @property
+    def responded(self) -> bool:
+        """Whether a response was started."""
+        return self._responded
+
+    async def respond(self, *, status: int, headers: Headers, body: bytes) -> None:
+        """Answer with a whole body."""
+        self._responded = True
+        sized = headers.with_field("Content-Length", str(len(body)))
+        await self._connection.send(
+            self._connection.response(status=status, headers=sized),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+
+    async def respond_json(
+        self, *, status: int, payload: object, headers: Headers | None = None
+    ) -> None:
+        """Answer with a JSON document."""
+        typed = (headers or Headers()).with_field("Content-Type", JSON_TYPE)
+        await self.respond(status=status, headers=typed, body=json.dumps(payload).encode())
+
+    async def start_stream(self, *, status: int, headers: Headers) -> None:
+        """Start a response whose body is written piece by piece."""
+        self._responded = True
+        await self._connection.send(self._connection.response(status=status, headers=headers))
+
+    async def write(self, data: bytes) -> None:
+        """Write one piece of the body; raises ``CallerGone``."""
+        await self._connection.send(h11.Data(data=data))
+
+    async def finish(self, *, trailers: Headers | None = None) -> None:
+        """End the body, with trailers where the stream announced them."""
+        await self._connection.send(h11.EndOfMessage(headers=(trailers or Headers()).raw()))
+
+    async def wait_gone(self) -> None:
+        """Return when the caller has closed its side of the connection."""
+        await self._connection.wait_gone()
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class _Connection:
+    """One caller's connection: h11's state machine and the socket under it."""
+
+    def __init__(
+        self, *, stream: trio.abc.Stream, peer: str, limits: ServerLimits, state: ServerState
+    ) -> None:
+        self._stream = stream
+        self._peer = peer
+        self._limits = limits
+        self._state = state
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._received_anything = False
+
+    async def serve(self, handler: Handler) -> None:
+        """Serve requests one after the other until either side closes."""
+        while True:
+            exchange = await self._next_exchange()
+            if exchange is None:
+                return
+            self._state.open_exchanges += 1
+            try:
+                await handler(exchange)
+            finally:
+                self._state.open_exchanges -= 1
+            if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+                return
+            self._h11.start_next_cycle()
+
+    async def _next_exchange(self) -> Exchange | None:
+        request = await self._read_head()
+        if request is None:
+            return None
+        with trio.move_on_after(self._limits.request_timeout_s) as scope:
+            body = await self._read_body()
+        if scope.cancelled_caught:
+            raise RequestRefused(status=408, field="body", message="did not arrive in time")
+        target = urlsplit(request.target.decode("latin-1"))
+        return Exchange(
+            request=Request(
+                method=request.method.decode("ascii"),
+                path=target.path,
+                query=dict(parse_qsl(target.query)),
+                headers=Headers.from_raw(request.headers),
+                body=body,
+                peer=self._peer,
+            ),
+            connection=self,
+        )
+
+    async def _read_head(self) -> h11.Request | None:
+        with trio.move_on_after(self._limits.idle_timeout_s):
+            event = await self._next_event()
+            if isinstance(event, h11.Request):
+                return event
+        return None
+
+    async def _read_body(self) -> bytes:
+        pieces: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(pieces)
+            if not isinstance(event, h11.Data):
+                raise CallerGone
+            size += len(event.data)
+            if size > self._limits.body_bytes:
+                raise RequestRefused(
+                    status=413,
+                    field="body",
+                    message=f"is larger than {self._limits.body_bytes} bytes",
+                )
+            pieces.append(bytes(event.data))
+
+    async def _next_event(self) -> object:
+        while True:
+            event = self._h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._h11.they_are_waiting_for_100_continue:
+                await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            self._h11.receive_data(bytes(data))
+
+    def response(self, *, status: int, headers: Headers) -> h11.Response:
+        """Give the head of a response, closing the connection where the server is stopping."""
+        if self._state.closing:
+            headers = headers.with_field("Connection", "close")
+        return h11.Response(status_code=status, headers=headers.raw())
+
+    async def send(self, *events: h11.Event) -> None:
+        """Write events in one go; raises ``CallerGone``, also when the caller reads too slowly."""
+        try:
+            data = b"".join(self._h11.send(event) or b"" for event in events)
+        except h11.LocalProtocolError as error:
+            raise CallerGone from error
+        with trio.move_on_after(self._limits.write_timeout_s) as scope:
+            try:
+                await self._stream.send_all(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise CallerGone from error
+        if scope.cancelled_caught:
+            raise CallerGone
+
+    async def refuse(self, refused: RequestRefused) -> None:
+        """Answer a request that could not be read whole, and close."""
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        body = json.dumps(error_payload(refused)).encode()
+        headers = Headers(
+            (
+                ("Content-Type", JSON_TYPE),
+                ("Content-Length", str(len(body))),
+                ("Connection", "close"),
+                (OUTCOME_HEADER, OutcomeTag.NOT_RUN.value),
+            )
+        )
+        head = h11.Response(status_code=refused.status, headers=headers.raw())
+        await self.send(head, h11.Data(data=body), h11.EndOfMessage())
+
+    async def wait_gone(self) -> None:
+        """Return at the end of the caller's side; what it sends meanwhile waits in h11."""
+        while True:
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            self._h11.receive_data(bytes(data))
+            if not data:
+                return
+
+
+def error_payload(refused: RequestRefused) -> dict[str, object]:
+    """Give the JSON error that clients of completions know, with the field's name."""
+    return {
+        "error": {
+            "message": f"{refused.field}: {refused}" if refused.field else str(refused),
+            "type": "invalid_request_error",
+            "param": refused.field,
+            "code": refused.status,
+        }
+    }
+
+
+async def _serve_connection(
+    stream: trio.SocketStream, *, handler: Handler, limits: ServerLimits, state: ServerState
+) -> None:
+    host, port = stream.socket.getpeername()[:2]
+    connection = _Connection(stream=stream, peer=f"{host}:{port}", limits=limits, state=state)
+    try:
+        await connection.serve(handler)
+    except RequestRefused as refused:
+        await connection.refuse(refused)
+    except h11.RemoteProtocolError as error:
+        await connection.refuse(
+            RequestRefused(status=error.error_status_hint, field="request", message=str(error))
+        )
+
+
+async def serve_http(
+    *,
+    handler: Handler,
+    listeners: list[trio.SocketListener],
+    limits: ServerLimits,
+    state: ServerState,
+) -> None:
+    """Serve until cancelled; one caller's error ends only its own connection."""
+
+    async def serve_one(stream: trio.SocketStream) -> None:
+        if state.open_connections >= limits.connections:
+            await stream.aclose()
+            return
+        state.open_connections += 1
+        try:
+            await _serve_connection(stream, handler=handler, limits=limits, state=state)
+        except (CallerGone, OSError):
+            return
+        finally:
+            state.open_connections -= 1
+            with trio.move_on_after(1) as scope:
+                scope.shield = True
+                await trio.aclose_forcefully(stream)
+
+    await trio.serve_listeners(serve_one, listeners)
+
+
+async def open_listeners(*, host: str, port: int) -> list[trio.SocketListener]:
+    """Open a listening socket on an IP number; port 0 takes a free one."""
+    return await trio.open_tcp_listeners(port, host=host, backlog=512)
--- /dev/null
+++ b/lagoonlever/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the entry VMs."""
--- /dev/null
+++ b/lagoonlever/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the engines and application services behind the system."""
--- /dev/null
+++ b/lagoonlever/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, named after the module that they test."""
--- /dev/null
+++ b/lagoonlever/timers.py
@@ -0,0 +1,89 @@
+"""The timer service: the one place that reads the clock and tells the time to parts.
+
+A jump between two ticks means that this process was paused: subscribers are
+told, so that leases count as void and pending dispatches are checked again.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator
+
+import attrs
+import trio
+
+TICK_S = 0.05
+PAUSE_THRESHOLD_S = 1.0
+"""A tick later than this by the monotonic clock was a pause, not a busy loop."""
+
+
+@attrs.frozen(kw_only=True)
+class Tick:
+    """The time now in seconds of the monotonic clock; ``paused_s`` is 0 but after a pause."""
+
+    now: float
+    paused_s: float = 0.0
+
+
+Subscriber = Callable[[Tick], None]
+
+
+@attrs.define(kw_only=True)
+class _Subscription:
+    period_s: float
+    due: float
+    notify: Subscriber
+
+
+@attrs.define(kw_only=True)
+class TimerService:
+    """Tells subscribers the time, each at its own period; subscribers must not block."""
+
+    _clock: Callable[[], float] = attrs.field(default=trio.current_time)
+    _tick_s: float = TICK_S
+    _pause_threshold_s: float = PAUSE_THRESHOLD_S
+    _last: float | None = None
+    _subscriptions: list[_Subscription] = attrs.field(factory=list)
+
+    @property
+    def now(self) -> float:
+        """The monotonic time in seconds."""
+        return self._clock()
+
+    @contextlib.contextmanager
+    def subscribed(self, notify: Subscriber, *, period_s: float = TICK_S) -> Iterator[None]:
+        """Call ``notify`` every ``period_s`` seconds, and at once after a pause."""
+        subscription = _Subscription(period_s=period_s, due=self.now, notify=notify)
+        self._subscriptions.append(subscription)
+        try:
+            yield
+        finally:
+            self._subscriptions.remove(subscription)
+
+    def pause_since_last_tick(self) -> float:
+        """Seconds that this process seems to have been paused since its last tick, or 0.
+
+        A dispatch asks this right before it writes: after SIGCONT the dispatching
+        task may run before the timer's own task has noticed the pause.
+        """
+        if self._last is None:
+            return 0.0
+        late = self.now - self._last - self._tick_s
+        return late if late > self._pause_threshold_s else 0.0
+
+    def tick(self) -> None:
+        """Tell the time to every subscriber that is due."""
+        paused_s = self.pause_since_last_tick()
+        now = self.now
+        self._last = now
+        for subscription in list(self._subscriptions):
+            if now < subscription.due and not paused_s:
+                continue
+            subscription.due = now + subscription.period_s
+            subscription.notify(Tick(now=now, paused_s=paused_s))
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.tick()
+            await trio.sleep(self._tick_s)
