--- /dev/null
+++ b/lagoonlever/decisions/targets.py
@@ -0,0 +1,111 @@
+"""The targets as one VM sees them now: what they serve, their state and their load."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from lagoonlever.http.messages import Address
+
+
+class TargetKind(enum.Enum):
+    """What stands behind a target's address."""
+
+    ENGINE = "engine"
+    APPLICATION = "application"
+
+
+class TargetState(enum.Enum):
+    """Whether a target may be given new work; only ``LIVE`` may."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@attrs.frozen(kw_only=True)
+class ModelKey:
+    """A model that a request can ask for: exactly one version, with or without an adapter."""
+
+    name: str
+    version: str
+    adapter: str | None = None
+
+    @property
+    def model_field(self) -> str:
+        """The ``model`` field of an engine's request: ``name`` or ``name:adapter``."""
+        return self.name if self.adapter is None else f"{self.name}:{self.adapter}"
+
+
+@attrs.frozen(kw_only=True)
+class TargetLoad:
+    """A load report: requests running and waiting, and slots, as the target counted them.
+
+    ``received_at`` is our monotonic time in seconds; the report was already
+    older than that by the target's lag, which is not known.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    cached_tokens: int = 0
+    received_at: float = 0.0
+
+    def age_s(self, now: float) -> float:
+        """Give the seconds since the report came in."""
+        return max(0.0, now - self.received_at)
+
+
+@attrs.frozen(kw_only=True)
+class Target:
+    """One target; ``impaired`` asks to prefer others for a while after a failed connect.
+
+    ``load`` is None when no report is fresh enough to be believed.
+    """
+
+    name: str
+    address: Address
+    kind: TargetKind
+    models: tuple[ModelKey, ...] = ()
+    state: TargetState = TargetState.LIVE
+    load: TargetLoad | None = None
+    data_center: str = ""
+    impaired: bool = False
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether new work may be given to it."""
+        return self.state is TargetState.LIVE
+
+
+@attrs.frozen(kw_only=True)
+class TargetView:
+    """An immutable snapshot of the targets that this VM knows of."""
+
+    targets: tuple[Target, ...] = ()
+
+    def find(self, name: str) -> Target | None:
+        """Give the target of this name, in any state, or None."""
+        return next((target for target in self.targets if target.name == name), None)
+
+    def live(self, kind: TargetKind) -> tuple[Target, ...]:
+        """Give the targets of this kind that may be given new work."""
+        return tuple(target for target in self.targets if target.kind is kind and target.takes_work)
+
+    def engines_of(self, model: ModelKey) -> tuple[Target, ...]:
+        """Give the live engines that serve exactly this model, version and adapter."""
+        return tuple(target for target in self.live(TargetKind.ENGINE) if model in target.models)
+
+    def application(self) -> tuple[Target, ...]:
+        """Give the live application services."""
+        return self.live(TargetKind.APPLICATION)
+
+    def models(self) -> tuple[ModelKey, ...]:
+        """Give every model that some live engine serves, in order."""
+        engines = self.live(TargetKind.ENGINE)
+        return tuple(sorted({model for engine in engines for model in engine.models}, key=_order))
+
+
+def _order(model: ModelKey) -> str:
+    return f"{model.name}\0{model.version}\0{model.adapter or ''}"
