Read a VM's settings file and tell all its faults together

Sections in lists, maps and optionals were converted without their checks; they are loaded as sections now, and faults between options are told with the others. Strict checks count what is allowed but seldom meant as a fault.

--- a/lagoonlever/config/options.py
+++ b/lagoonlever/config/options.py
@@ -2,12 +2,17 @@
 
 ``option`` declares a field with its bounds and its documentation; ``load`` reads
 a parsed document into such a class and gathers every fault, told by its path.
+Sections may stand in lists, tuples, maps by name, and be optional. A section may
+have a static method ``faults_between(values)`` that gives the faults that show only
+between its options; it gets those options that are given and right by themselves.
 """
 
 from __future__ import annotations
 
 import difflib
-from collections.abc import Callable
+import types
+import typing
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, TypeVar, get_type_hints
 
 import attrs
@@ -77,6 +82,26 @@
     return value
 
 
+def walk(section: Any, *, path: str = "") -> Iterator[tuple[str, attrs.Attribute[Any], Any]]:
+    """Give path, field and value of every option of a section and of those within it."""
+    for field in attrs.fields(type(section)):
+        value = getattr(section, field.name)
+        here = _join(path, field.name)
+        yield here, field, value
+        for name, part in _sections_in(value):
+            yield from walk(part, path=f"{here}{name}")
+
+
+def _sections_in(value: Any) -> Iterable[tuple[str, Any]]:
+    if attrs.has(type(value)):
+        return [("", value)]
+    if isinstance(value, list | tuple):
+        return [(f"[{place}]", item) for place, item in enumerate(value) if attrs.has(type(item))]
+    if isinstance(value, dict):
+        return [(f".{name}", item) for name, item in value.items() if attrs.has(type(item))]
+    return []
+
+
 def _load_section(cls: type[Any], document: object, path: str, faults: list[Fault]) -> Any:
     if not isinstance(document, dict):
         faults.append(Fault(path=path or "document", message="give an object of options"))
@@ -91,10 +116,21 @@
             if field.default is attrs.NOTHING:
                 faults.append(Fault(path=here, message="is required; add it"))
             continue
-        values[name] = _load_value(hints[name], field, document[name], here, faults)
+        known = len(faults)
+        value = _load_option(hints[name], field, document[name], here, faults)
+        if len(faults) == known:
+            values[name] = value
+    faults.extend(_faults_between(cls, values, path))
     return None if faults else cls(**values)
 
 
+def _faults_between(cls: type[Any], values: dict[str, Any], path: str) -> list[Fault]:
+    check = getattr(cls, "faults_between", None)
+    if check is None:
+        return []
+    return [attrs.evolve(fault, path=_join(path, fault.path)) for fault in check(values)]
+
+
 def _check_names(known: Any, document: dict[str, Any], path: str, faults: list[Fault]) -> None:
     for name in document:
         if name in known:
@@ -104,15 +140,12 @@
         faults.append(Fault(path=_join(path, name), message=f"is no known option{hint}"))
 
 
-def _load_value(
+def _load_option(
     hint: Any, field: attrs.Attribute[Any], raw: object, path: str, faults: list[Fault]
 ) -> Any:
-    if isinstance(hint, type) and attrs.has(hint):
-        return _load_section(hint, raw, path, faults)
-    try:
-        value = msgspec.convert(raw, hint, strict=True)
-    except msgspec.ValidationError as error:
-        faults.append(Fault(path=path, message=str(error)))
+    known = len(faults)
+    value = _load_value(hint, raw, path, faults)
+    if len(faults) > known:
         return None
     fault = spec_of(field).fault_of(value)
     if fault is not None:
@@ -120,5 +153,55 @@
     return value
 
 
+def _load_value(hint: Any, raw: object, path: str, faults: list[Fault]) -> Any:
+    if not _holds_section(hint):
+        return _convert(hint, raw, path, faults)
+    if attrs.has(hint):
+        return _load_section(hint, raw, path, faults)
+    origin, arguments = typing.get_origin(hint), typing.get_args(hint)
+    if origin in (typing.Union, types.UnionType):
+        if raw is None and type(None) in arguments:
+            return None
+        return _load_value(_section_of_union(arguments), raw, path, faults)
+    if origin is dict:
+        return _load_map(arguments[1], raw, path, faults)
+    return _load_items(origin, arguments[0], raw, path, faults)
+
+
+def _load_map(hint: Any, raw: object, path: str, faults: list[Fault]) -> Any:
+    if not isinstance(raw, dict):
+        faults.append(Fault(path=path, message="give an object of sections by name"))
+        return None
+    return {
+        name: _load_value(hint, item, _join(path, str(name)), faults) for name, item in raw.items()
+    }
+
+
+def _load_items(origin: Any, hint: Any, raw: object, path: str, faults: list[Fault]) -> Any:
+    if not isinstance(raw, list):
+        faults.append(Fault(path=path, message="give a list of sections"))
+        return None
+    items = [_load_value(hint, item, f"{path}[{place}]", faults) for place, item in enumerate(raw)]
+    return origin(items)
+
+
+def _holds_section(hint: Any) -> bool:
+    if isinstance(hint, type) and attrs.has(hint):
+        return True
+    return any(_holds_section(argument) for argument in typing.get_args(hint))
+
+
+def _section_of_union(arguments: tuple[Any, ...]) -> Any:
+    return next(argument for argument in arguments if _holds_section(argument))
+
+
+def _convert(hint: Any, raw: object, path: str, faults: list[Fault]) -> Any:
+    try:
+        return msgspec.convert(raw, hint, strict=True)
+    except msgspec.ValidationError as error:
+        faults.append(Fault(path=path, message=str(error)))
+        return None
+
+
 def _join(path: str, name: str) -> str:
     return f"{path}.{name}" if path else name
--- /dev/null
+++ b/lagoonlever/config/vm.py
@@ -0,0 +1,128 @@
+"""The settings of one VM: where it listens, its platform, and a section for each part."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from lagoonlever.config.checks import (
+    check_address,
+    check_addresses,
+    check_name,
+    is_loopback,
+    is_wildcard,
+)
+from lagoonlever.config.files import load_file
+from lagoonlever.config.options import option
+from lagoonlever.exceptions import Fault, FaultsError
+from lagoonlever.http.messages import Address
+
+
+def _check_platform_addresses(texts: tuple[str, ...]) -> str | None:
+    if not texts:
+        return "is empty; give the address of at least one server of the platform"
+    return check_addresses(texts)
+
+
+@attrs.frozen(kw_only=True)
+class PlatformSettings:
+    """How the VM reaches the platform's key-value service."""
+
+    addresses: tuple[str, ...] = option(
+        doc="Servers of the platform, each an IP number and a port; tried in turn.",
+        check=_check_platform_addresses,
+    )
+    adapter: str = option(
+        doc="The protocol that the platform speaks.", default="etcd-json", one_of=("etcd-json",)
+    )
+
+
+@attrs.frozen(kw_only=True)
+class VmSettings:
+    """Everything that one VM learns from its settings file."""
+
+    name: str = option(doc="The VM's name, unique among the entry VMs.", check=check_name)
+    data_center: str = option(doc="The data centre that the VM stands in.", check=check_name)
+    listen: str = option(doc="IP number and port for callers and operators.", check=check_address)
+    peer_listen: str = option(
+        doc="IP number and port for the other entry VMs.", check=check_address
+    )
+    platform: PlatformSettings = option(doc="The platform's key-value service.")
+    advertise: str | None = option(
+        doc="The address that callers are told to use; without it, `listen`.",
+        default=None,
+        check=check_address,
+    )
+    seeds: tuple[str, ...] = option(
+        doc="Peer addresses of some other entry VMs, asked at the start for the rest.",
+        default=(),
+        check=check_addresses,
+    )
+    history_file: str | None = option(
+        doc="Where to append a history of events for checking; for tests, as VMs keep nothing.",
+        default=None,
+    )
+
+    @property
+    def advertised(self) -> Address:
+        """The address that callers are told to use."""
+        return Address.parse(self.advertise or self.listen)
+
+    @staticmethod
+    def faults_between(values: Mapping[str, Any]) -> Iterator[Fault]:
+        """Give the faults that show only between options."""
+        listen, peer_listen = values.get("listen"), values.get("peer_listen")
+        if listen is not None and listen == peer_listen and not listen.endswith(":0"):
+            yield Fault(path="peer_listen", message="equals `listen`; give it another port")
+        if listen is not None and not values.get("advertise") and is_wildcard(listen):
+            yield Fault(
+                path="advertise",
+                message=f"is missing while `listen` is {listen}; give the IP number and port "
+                "that callers can reach",
+            )
+        if values.get("advertise") and is_wildcard(values["advertise"]):
+            yield Fault(
+                path="advertise",
+                message="is no address that callers can reach; give the VM's own IP number",
+            )
+
+
+def warnings_of(settings: VmSettings) -> list[Fault]:
+    """Give what is allowed but seldom meant; strict checks count these as faults."""
+    return list(_warnings(settings))
+
+
+def _warnings(settings: VmSettings) -> Iterator[Fault]:
+    others = [seed for seed in settings.seeds if seed != settings.peer_listen]
+    if not others:
+        yield Fault(
+            path="seeds",
+            message="names no other VM, so this VM finds its peers only through the platform; "
+            "give the peer addresses of two or three others",
+        )
+    if settings.history_file is not None:
+        yield Fault(
+            path="history_file",
+            message="is set, and the file grows without bound; remove it outside tests",
+        )
+    if settings.advertise and is_loopback(settings.advertise) != is_loopback(settings.listen):
+        yield Fault(
+            path="advertise",
+            message=f"is {settings.advertise} while `listen` is {settings.listen}: one is a "
+            "loopback address; give both on the same network",
+        )
+
+
+def load_vm_settings(file: Path, *, strict: bool = False) -> VmSettings:
+    """Read a VM's settings file; raises ``FaultsError`` with every fault.
+
+    With ``strict`` the warnings count as faults.
+    """
+    settings = load_file(VmSettings, file)
+    warnings = warnings_of(settings) if strict else []
+    if warnings:
+        raise FaultsError(warnings)
+    return settings
