--- a/lagoonlever/decisions/suspicion.py
+++ b/lagoonlever/decisions/suspicion.py
@@ -102,7 +102,8 @@
             slow = self._slow_since is not None
             engine.spacing.observe(gap_s, streams=engine.flowing, slow=slow)
         track.tokens += 1
-        track.last_at = engine.last_at = now
+        track.last_at = now
+        engine.moved(now)
 
     def stream_closed(self, stream: str) -> None:
         """Stop watching a stream, however it ended."""
--- a/lagoonlever/decisions/suspicion_detectors.py
+++ b/lagoonlever/decisions/suspicion_detectors.py
@@ -17,7 +17,9 @@
 
 NEIGHBOUR_DEVIATIONS = 4.0
 NEIGHBOUR_AT_LEAST_S = 0.1
-"""How far behind its neighbours' last token a stream must be to count as the only silent one."""
+"""How long its neighbours must have moved for a silent stream to count as the only one."""
+ENGINE_SILENCE_S = 0.05
+"""A pause of the whole engine that is kept in mind."""
 
 
 class SuspicionReason(enum.Enum):
@@ -49,9 +51,24 @@
     prefill: Prefill = attrs.field(factory=Prefill)
     last_at: float = float("-inf")
     """When any stream of the engine last gave a token."""
+    silent_from: float = float("-inf")
+    silent_until: float = float("-inf")
+    """The bounds of the last silence of the whole engine."""
     flowing: int = 0
     """Open streams that have given a token."""
 
+    def moved(self, now: float) -> None:
+        """Take note of a token of any stream.
+
+        The bounds of a silence are kept because the first token after it must not
+        make the other streams, whose tokens follow in the same step, look like the
+        only silent ones.
+        """
+        if now - self.last_at > ENGINE_SILENCE_S:
+            self.silent_from = self.last_at
+            self.silent_until = now
+        self.last_at = now
+
 
 @attrs.frozen(kw_only=True)
 class Allowance:
@@ -200,4 +217,8 @@
     def _neighbours_moved(self, stream: StreamTrack, engine: EngineTrack) -> bool:
         spacing = engine.spacing
         step_s = NEIGHBOUR_DEVIATIONS * (spacing.mean_s + spacing.deviation_s)
-        return engine.last_at - stream.last_at > max(step_s, NEIGHBOUR_AT_LEAST_S)
+        moved_s = max(
+            engine.silent_from - stream.last_at,
+            engine.last_at - max(stream.last_at, engine.silent_until),
+        )
+        return moved_s > max(step_s, NEIGHBOUR_AT_LEAST_S)
