Watch the targets: list, peers' news, freshness by round trip, probes

A list that lags, a replica that lags more, a VM cut from the platform and a VM that wakes from a pause each could give a leaving target new work. Evidence of leaving outlives an older list; the list counts as fresh only by a call or a peer's answer that began at a known time, and most peers being silent stops new work. A push of 'fresh' by peers was ruled out: a message held up in a buffer through a cut or a pause would look fresh.

--- /dev/null
+++ b/lagoonlever/decisions/target_freshness.py
@@ -0,0 +1,154 @@
+"""Whether this VM may still believe its list of targets, also when cut from the platform.
+
+A list is as fresh as the newest reading of it by any VM that this VM can prove.
+The proof is a round trip: the age that a peer answers counts from when it was
+asked, so an answer that was held up in a buffer or by a pause only looks older.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections import deque
+
+import attrs
+
+from lagoonlever.http.messages import Address
+
+FRESH_S = 2.5
+"""New work stops this long after the last proof, so that 3 s hold from the listing."""
+ASK_AFTER_S = 1.2
+"""Peers are asked once the list was not read for longer than the usual period of reading."""
+ANSWER_GRACE_S = 0.4
+"""An ask younger than this doesn't count as unanswered."""
+ASK_FANOUT = 3
+
+
+@attrs.frozen(kw_only=True)
+class PeerRoster:
+    """The peers' addresses: those that count, and those on a planned stop, which don't."""
+
+    staying: tuple[Address, ...] = ()
+    leaving: tuple[Address, ...] = ()
+
+
+class Belief(enum.Enum):
+    """Why the list of targets is believed, or that it is not."""
+
+    FRESH = "fresh"
+    PLATFORM_OUTAGE = "platform outage"
+    ISOLATED = "isolated"
+
+    @property
+    def allows_work(self) -> bool:
+        """Whether new work may be given to targets on the strength of the list."""
+        return self is not Belief.ISOLATED
+
+
+@attrs.define(kw_only=True)
+class _Ask:
+    number: int
+    peer: Address
+    at: float
+    answered: bool = False
+
+
+@attrs.define(kw_only=True)
+class ListFreshness:
+    """How old the list is, and which of the peers answer; times are monotonic seconds."""
+
+    _fresh_s: float = FRESH_S
+    _ask_after_s: float = ASK_AFTER_S
+    _fanout: int = ASK_FANOUT
+    _read_at: float | None = None
+    _peers: set[Address] = attrs.field(factory=set)
+    _asks: deque[_Ask] = attrs.field(factory=deque)
+    _next_number: int = 0
+    _turn: list[Address] = attrs.field(factory=list)
+
+    @property
+    def read_at(self) -> float | None:
+        """When the list was last read by any VM, as far as proved, or None."""
+        return self._read_at
+
+    def age_s(self, now: float) -> float:
+        """Give the age of the list in seconds; endless when none was ever read."""
+        return float("inf") if self._read_at is None else now - self._read_at
+
+    def belief(self, now: float) -> Belief:
+        """Tell whether the list may be believed.
+
+        A VM that lost the platform can't tell an outage for all from a cut
+        around itself, save by its peers: with most of them answering that they
+        can't read the list either, nobody can know better, and service goes on.
+        With most of them silent, some VM beyond the cut may have read that a
+        target leaves, so this one gives no new work.
+        """
+        if self.age_s(now) <= self._fresh_s:
+            return Belief.FRESH
+        if not self._peers:
+            return Belief.PLATFORM_OUTAGE
+        return Belief.PLATFORM_OUTAGE if self._most_answer(now) else Belief.ISOLATED
+
+    def read(self, at: float) -> None:
+        """Take that the list was read, by a call that began at ``at``."""
+        self._read_at = at if self._read_at is None else max(self._read_at, at)
+
+    def peers_known(self, roster: PeerRoster, now: float) -> None:
+        """Take the peers that count; while the list is stale only a planned stop takes one out.
+
+        Otherwise the smaller side of a cut would in time declare the others
+        dead, count only itself, and believe a list that is minutes old.
+        """
+        staying = set(roster.staying)
+        fresh = self.age_s(now) <= self._fresh_s
+        self._peers = staying if fresh else (self._peers | staying) - set(roster.leaving)
+
+    def asks_due(self, now: float, rng: random.Random) -> tuple[tuple[int, Address], ...]:
+        """Give the numbered asks to send now: none while the list is read in time."""
+        if self.age_s(now) <= self._ask_after_s or not self._peers:
+            return ()
+        self._drop_old(now)
+        asks = [self._ask(peer, now) for peer in self._next_peers(rng)]
+        self._asks.extend(asks)
+        return tuple((ask.number, ask.peer) for ask in asks)
+
+    def answered(self, number: int, list_age_s: float | None) -> None:
+        """Take a peer's answer: the age of its list when it answered, or None."""
+        ask = next((ask for ask in self._asks if ask.number == number), None)
+        if ask is None:
+            return
+        ask.answered = True
+        if list_age_s is not None:
+            self.read(ask.at - max(0.0, list_age_s))
+
+    def _ask(self, peer: Address, now: float) -> _Ask:
+        self._next_number += 1
+        return _Ask(number=self._next_number, peer=peer, at=now)
+
+    def _next_peers(self, rng: random.Random) -> list[Address]:
+        """Take turns over all peers in random order, so that few asks reach each of them."""
+        chosen: list[Address] = []
+        for _ in range(min(self._fanout, len(self._peers))):
+            self._turn = [peer for peer in self._turn if peer in self._peers]
+            if not self._turn:
+                self._turn = sorted(self._peers - set(chosen), key=str)
+                rng.shuffle(self._turn)
+            chosen.append(self._turn.pop())
+        return chosen
+
+    def _drop_old(self, now: float) -> None:
+        while self._asks and now - self._asks[0].at > self._fresh_s:
+            self._asks.popleft()
+
+    def _most_answer(self, now: float) -> bool:
+        """Tell by the last answer of each peer asked lately, this VM counted as answering."""
+        latest: dict[Address, bool] = {}
+        for ask in self._asks:
+            if ask.peer not in self._peers or now - ask.at > self._fresh_s:
+                continue
+            if not ask.answered and now - ask.at < ANSWER_GRACE_S:
+                continue
+            latest[ask.peer] = ask.answered
+        answered = sum(latest.values())
+        return answered > 0 and (answered + 1) * 2 > len(latest) + 1
--- /dev/null
+++ b/lagoonlever/decisions/target_load.py
@@ -0,0 +1,85 @@
+"""What probes and dispatches taught about each target: models, load, failed connects."""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad
+from lagoonlever.http.messages import Address
+
+LOAD_STALE_S = 15.0
+"""An older report says less than the mean of the others, so it is dropped."""
+IMPAIRED_FIRST_S = 2.0
+IMPAIRED_LONGEST_S = 30.0
+
+
+@attrs.define(kw_only=True)
+class _Report:
+    address: Address
+    models: tuple[ModelKey, ...] | None = None
+    load: TargetLoad | None = None
+    failures: int = 0
+    impaired_until: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class TargetReports:
+    """The latest report of each target by name; one of another address starts anew."""
+
+    _stale_s: float = LOAD_STALE_S
+    _reports: dict[str, _Report] = attrs.field(factory=dict)
+
+    def needs_models(self, target: Target) -> bool:
+        """Tell whether an engine has not yet told which models it serves."""
+        if target.kind is TargetKind.APPLICATION:
+            return False
+        report = self._reports.get(target.name)
+        return report is None or report.address != target.address or report.models is None
+
+    def described(self, target: Target, now: float) -> Target:
+        """Give the target with its models, its load if fresh, and whether it is impaired."""
+        report = self._reports.get(target.name)
+        if report is None or report.address != target.address:
+            return target
+        load = report.load
+        if load is not None and load.age_s(now) > self._stale_s:
+            load = None
+        return attrs.evolve(
+            target,
+            models=report.models or (),
+            load=load,
+            impaired=now < report.impaired_until,
+        )
+
+    def models_read(self, target: Target, models: tuple[ModelKey, ...]) -> None:
+        """Take the models that an engine serves."""
+        self._of(target).models = models
+
+    def load_read(self, target: Target, load: TargetLoad) -> None:
+        """Take a load report, which also shows that the target answers."""
+        self._of(target).load = load
+        self.connected(target)
+
+    def connected(self, target: Target) -> None:
+        """Take that the target was reached."""
+        report = self._of(target)
+        report.failures = 0
+        report.impaired_until = 0.0
+
+    def connect_failed(self, target: Target, now: float) -> None:
+        """Prefer others for a while, longer with each failure in a row."""
+        report = self._of(target)
+        doubled_s: float = IMPAIRED_FIRST_S * 2.0**report.failures
+        report.impaired_until = now + min(IMPAIRED_LONGEST_S, doubled_s)
+        report.failures = min(report.failures + 1, 8)
+
+    def keep_only(self, names: frozenset[str]) -> None:
+        """Forget every target that is not among these."""
+        self._reports = {name: r for name, r in self._reports.items() if name in names}
+
+    def _of(self, target: Target) -> _Report:
+        report = self._reports.get(target.name)
+        if report is None or report.address != target.address:
+            report = _Report(address=target.address)
+            self._reports[target.name] = report
+        return report
--- /dev/null
+++ b/lagoonlever/entry/targets.py
@@ -0,0 +1,265 @@
+"""The targets' watch of a VM: publishes the view of the targets, and guards each dispatch.
+
+It reads the platform's list as membership publishes it, hears from peers which
+targets leave, asks peers how fresh their list is while its own is stale, and
+takes in what the probes learn.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+import attrs
+import logbook
+import trio
+
+from lagoonlever.config.options import option
+from lagoonlever.decisions.target_freshness import Belief, ListFreshness, PeerRoster
+from lagoonlever.decisions.target_listing import (
+    LeavingEvidence,
+    TargetListing,
+    TargetListReading,
+)
+from lagoonlever.decisions.target_load import LOAD_STALE_S, TargetReports
+from lagoonlever.decisions.targets import (
+    ModelKey,
+    Target,
+    TargetLoad,
+    TargetState,
+    TargetView,
+)
+from lagoonlever.entry.published import Published
+from lagoonlever.events import event
+from lagoonlever.peers.interface import Bus
+from lagoonlever.peers.messages_targets import (
+    TargetLeavingNews,
+    TargetListAnswer,
+    TargetListAsk,
+)
+from lagoonlever.timers import Tick, TimerService
+
+log = logbook.Logger(__name__)
+
+TARGET_LEAVING = event(
+    700,
+    "target-leaving",
+    "notice",
+    "Target {target} at {address} leaves; it gets no new work.",
+    "The platform's list, or a peer that read it, says that the target leaves. Nothing to do.",
+)
+TARGET_GONE = event(
+    701,
+    "target-gone",
+    "notice",
+    "Target {target} at {address} is no longer listed.",
+    "The platform's list no longer names the target. Nothing to do if it was taken out.",
+)
+TARGETS_ISOLATED = event(
+    702,
+    "targets-isolated",
+    "error",
+    "No new work to any target: the list is {age_s:.1f} s old and most peers do not answer.",
+    "This VM reaches neither the platform nor most of its peers, so it can't know which targets "
+    "leave. Requests are answered not-run with the reason isolated. Check this VM's network.",
+)
+TARGETS_LIST_OUTAGE = event(
+    703,
+    "targets-list-outage",
+    "warning",
+    "The platform's list is {age_s:.1f} s old at this VM and at its peers; it is still used.",
+    "No VM that answers can read the list. Take no target out until the platform is back: "
+    "nobody would be told.",
+)
+TARGETS_LIST_FRESH = event(
+    704,
+    "targets-list-fresh",
+    "notice",
+    "The platform's list of targets is read in time again.",
+    "The end of event 702 or 703.",
+)
+_BELIEF_EVENTS = {
+    Belief.ISOLATED: TARGETS_ISOLATED,
+    Belief.PLATFORM_OUTAGE: TARGETS_LIST_OUTAGE,
+    Belief.FRESH: TARGETS_LIST_FRESH,
+}
+
+ASK_PERIOD_S = 0.4
+REFRESH_PERIOD_S = 0.5
+NEWS_FANOUT = 8
+"""Reaches every VM of a fleet of nine at once, and 400 in three steps."""
+
+
+@attrs.frozen(kw_only=True)
+class TargetSettings:
+    """The section ``targets`` of a VM's settings."""
+
+    probe_rate: float = option(
+        default=6.0, at_least=0.1, at_most=1000, doc="Load probes a second over all targets."
+    )
+    cache_event_rate: float = option(
+        default=1.0, at_least=0, at_most=100, doc="Reads of engines' cache events a second."
+    )
+    probe_timeout_s: float = option(
+        default=2.0, at_least=0.05, at_most=60, doc="Seconds until a probe counts as failed."
+    )
+    subset_size: int = option(
+        default=48, at_least=1, at_most=10000, doc="Targets that this VM uses of a large fleet."
+    )
+    load_stale_s: float = option(
+        default=LOAD_STALE_S, at_least=0.5, at_most=600, doc="Age at which a load is dropped."
+    )
+
+
+@attrs.define(kw_only=True, eq=False)
+class TargetWatch:
+    """Owns what this VM knows of the targets; tasks of ``run`` are the only writers."""
+
+    _readings: Published[TargetListReading | None]
+    _roster: Published[PeerRoster]
+    _bus: Bus
+    _timers: TimerService
+    _random: random.Random
+    _settings: TargetSettings = attrs.field(factory=TargetSettings)
+    _listing: TargetListing = attrs.field(factory=TargetListing, init=False)
+    _freshness: ListFreshness = attrs.field(factory=ListFreshness, init=False)
+    _reports: TargetReports = attrs.field(init=False)
+    _belief: Belief = attrs.field(default=Belief.FRESH, init=False)
+    _seen: dict[str, Target] = attrs.field(factory=dict, init=False)
+    view: Published[TargetView] = attrs.field(init=False)
+    """The latest view; while this VM is isolated it still names the targets."""
+
+    def __attrs_post_init__(self) -> None:
+        self._reports = TargetReports(stale_s=self._settings.load_stale_s)
+        self.view = Published(TargetView())
+
+    @property
+    def belief(self) -> Belief:
+        """Whether the list of targets may be believed now."""
+        return self._freshness.belief(self._timers.now)
+
+    def check_before_dispatch(self, target: Target) -> bool:
+        """Tell whether work may be written to a target now; ask right before each write.
+
+        Guards against the time between choosing and writing: in a queue, behind
+        a hedge's delay, in a connect, or in a pause of this process the target
+        may have begun to leave. Ages count by the clock, so a process that
+        wakes from a pause finds its list stale and refuses until it is read or
+        peers have answered.
+        """
+        if not self.belief.allows_work:
+            return False
+        return self._listing.state_of(target.name, target.address) is TargetState.LIVE
+
+    def needs_models(self, target: Target) -> bool:
+        """Tell whether an engine has not yet told which models it serves."""
+        return self._reports.needs_models(target)
+
+    def models_read(self, target: Target, models: tuple[ModelKey, ...]) -> None:
+        """Take the models that an engine serves."""
+        self._reports.models_read(target, models)
+        self._publish()
+
+    def load_read(self, target: Target, load: TargetLoad) -> None:
+        """Take a load report."""
+        self._reports.load_read(target, load)
+        self._publish()
+
+    def connected(self, target: Target) -> None:
+        """Take that a target answered."""
+        self._reports.connected(target)
+
+    def connect_failed(self, target: Target) -> None:
+        """Take that a target was not reached or stayed silent: others are preferred."""
+        self._reports.connect_failed(target, self._timers.now)
+        self._publish()
+
+    async def run(self) -> None:
+        """Follow the list, the peers and the clock until cancelled."""
+        async with trio.open_nursery() as nursery:
+            with (
+                self._timers.subscribed(self._ask_peers, period_s=ASK_PERIOD_S),
+                self._timers.subscribed(self._refresh, period_s=REFRESH_PERIOD_S),
+            ):
+                nursery.start_soon(self._follow_list)
+                nursery.start_soon(self._hear_news)
+                nursery.start_soon(self._answer_asks)
+                nursery.start_soon(self._hear_answers)
+                await trio.sleep_forever()
+
+    async def _follow_list(self) -> None:
+        reading = self._readings.value
+        while True:
+            if reading is not None:
+                self._freshness.read(reading.read_at)
+                self._tell(self._listing.read_list(reading))
+                self._publish()
+            reading = await self._readings.wait_change()
+
+    async def _hear_news(self) -> None:
+        async for received in self._bus.subscribe(TargetLeavingNews):
+            self._hear(received.message.evidence)
+
+    async def _answer_asks(self) -> None:
+        async for received in self._bus.subscribe(TargetListAsk):
+            ask = received.message
+            now = self._timers.now
+            known = self._freshness.read_at is not None
+            answer = TargetListAnswer(
+                number=ask.number,
+                list_age_s=self._freshness.age_s(now) if known else None,
+                evidence=self._listing.evidence(now),
+            )
+            self._bus.send(ask.reply_to, answer)
+
+    async def _hear_answers(self) -> None:
+        async for received in self._bus.subscribe(TargetListAnswer):
+            answer = received.message
+            self._hear(answer.evidence)
+            self._freshness.answered(answer.number, answer.list_age_s)
+
+    def _hear(self, evidence: Iterable[LeavingEvidence]) -> None:
+        news = self._listing.hear(evidence, self._timers.now)
+        self._tell(news)
+        if news:
+            self._publish()
+
+    def _tell(self, news: tuple[LeavingEvidence, ...]) -> None:
+        """Tell some peers at once; each of them tells on what is new to it."""
+        if not news:
+            return
+        peers = self._roster.value.staying + self._roster.value.leaving
+        for peer in self._random.sample(peers, min(NEWS_FANOUT, len(peers))):
+            self._bus.send(peer, TargetLeavingNews(evidence=news))
+
+    def _ask_peers(self, tick: Tick) -> None:
+        self._freshness.peers_known(self._roster.value, tick.now)
+        for number, peer in self._freshness.asks_due(tick.now, self._random):
+            self._bus.send(peer, TargetListAsk(number=number, reply_to=self._bus.address))
+
+    def _refresh(self, tick: Tick) -> None:
+        belief = self._freshness.belief(tick.now)
+        if belief is not self._belief and self._freshness.read_at is not None:
+            self._belief = belief
+            _BELIEF_EVENTS[belief].log(log, age_s=self._freshness.age_s(tick.now))
+        self._publish()
+
+    def _publish(self) -> None:
+        now = self._timers.now
+        targets = tuple(self._reports.described(t, now) for t in self._listing.targets())
+        if targets == self.view.value.targets:
+            return
+        self._log_changes(targets)
+        self._reports.keep_only(frozenset(target.name for target in targets))
+        self.view.publish(TargetView(targets=targets))
+
+    def _log_changes(self, targets: tuple[Target, ...]) -> None:
+        for target in targets:
+            before = self._seen.get(target.name)
+            if before is not None and before.state is target.state:
+                continue
+            if target.state is TargetState.LEAVING:
+                TARGET_LEAVING.log(log, target=target.name, address=str(target.address))
+            if target.state is TargetState.GONE:
+                TARGET_GONE.log(log, target=target.name, address=str(target.address))
+        self._seen = {target.name: target for target in targets}
