--- /dev/null
+++ b/lagoonlever/report/status_tables.py
@@ -0,0 +1,119 @@
+"""The status of a VM as tables for a terminal."""
+
+from __future__ import annotations
+
+from rich.table import Table
+
+from lagoonlever.report.status import StatusReport
+
+ABSENT = "-"
+
+
+def status_tables(report: StatusReport) -> list[Table]:
+    """Give one table for each kind of thing: VM, members, targets, shares, queues."""
+    return [
+        _vm_table(report),
+        _member_table(report),
+        _target_table(report),
+        _share_table(report),
+        _queue_table(report),
+    ]
+
+
+def _table(title: str, *columns: str) -> Table:
+    table = Table(title=title, title_justify="left")
+    for column in columns:
+        table.add_column(column, overflow="fold")
+    return table
+
+
+def _vm_table(report: StatusReport) -> Table:
+    vm = report.vm
+    table = _table("This VM", "property", "value")
+    table.add_row("name", vm.name)
+    table.add_row("data centre", vm.data_center)
+    table.add_row("address", vm.address)
+    table.add_row("phase", vm.phase)
+    table.add_row("up for", _seconds(vm.uptime_s))
+    table.add_row("settings version", str(vm.settings_version))
+    table.add_row("platform", "reachable" if vm.platform_reachable else "unreachable")
+    table.add_row("open streams", str(vm.open_streams))
+    table.add_row("open connections", str(vm.open_connections))
+    return table
+
+
+def _member_table(report: StatusReport) -> Table:
+    table = _table("VMs", "name", "data centre", "address", "state", "load", "settings")
+    for member in report.members:
+        table.add_row(
+            member.name,
+            member.data_center,
+            member.address,
+            member.state,
+            _number(member.load),
+            _whole(member.settings_version),
+        )
+    return table
+
+
+def _target_table(report: StatusReport) -> Table:
+    table = _table(
+        "Targets", "name", "kind", "address", "state", "models", "running/slots", "waiting", "age"
+    )
+    for target in report.targets:
+        table.add_row(
+            target.name,
+            target.kind,
+            target.address,
+            target.state,
+            ", ".join(target.models),
+            f"{_whole(target.running)}/{_whole(target.slots)}",
+            _whole(target.waiting),
+            _seconds(target.load_age_s),
+        )
+    return table
+
+
+def _share_table(report: StatusReport) -> Table:
+    table = _table("Shares", "organisation", "weight", "entitled", "used", "running")
+    for share in report.shares:
+        table.add_row(
+            share.path,
+            f"{share.weight:g}",
+            _percent(share.entitled),
+            _percent(share.used),
+            str(share.running),
+        )
+    return table
+
+
+def _queue_table(report: StatusReport) -> Table:
+    table = _table(
+        "Queues and waits", "organisation", "waiting", "bound", "oldest", "median", "95 in 100"
+    )
+    for queue in report.queues:
+        table.add_row(
+            queue.path,
+            str(queue.waiting),
+            str(queue.bound),
+            _seconds(queue.oldest_wait_s),
+            _seconds(queue.wait_p50_s),
+            _seconds(queue.wait_p95_s),
+        )
+    return table
+
+
+def _whole(value: int | None) -> str:
+    return ABSENT if value is None else str(value)
+
+
+def _number(value: float | None) -> str:
+    return ABSENT if value is None else f"{value:.2f}"
+
+
+def _percent(value: float) -> str:
+    return f"{100 * value:.1f}%"
+
+
+def _seconds(value: float | None) -> str:
+    return ABSENT if value is None else f"{value:.2f} s"
