--- /dev/null
+++ b/lagoonlever/decisions/generation.py
@@ -0,0 +1,444 @@
+"""The life of one request for a generation: attempts, releases, resumes, outcome.
+
+Pure: messages in, decisions out. A token is released only if its generation and
+its attempt are the current ones and its offset is the next. Continuing on
+another engine starts from the prompt plus exactly the released token ids.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+
+import attrs
+
+from lagoonlever.decisions.answer import Answer, ReleasedPiece
+from lagoonlever.decisions.release import ReleaseBuffer
+from lagoonlever.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
+
+ATTEMPT_RANDOM_BITS = 20
+"""Low bits of an attempt's number: two VMs that both resume never use one number."""
+
+QUICK_ATTEMPTS = 3
+FIRST_BACKOFF_S = 0.1
+MOST_BACKOFF_S = 2.0
+
+SEED_BITS = 31
+
+
+@attrs.frozen(kw_only=True)
+class GenerationSpec:
+    """What the caller asked for; the same on whichever VM it is resumed."""
+
+    request_id: str
+    organisation: str
+    model: str
+    prompt: str | tuple[int, ...]
+    max_tokens: int
+    seed: int | None = None
+    temperature: float = 1.0
+    stop: tuple[str, ...] = ()
+    priority: int = 0
+    sampling_json: str = "{}"
+    """Further sampling options, passed to the engine as the caller gave them."""
+    deadline_s: float | None = None
+    accepts_restart: bool = False
+    """The caller can tell a new generation from the one it holds part of."""
+
+
+class BreakCause(enum.Enum):
+    """Why an attempt ended without its answer's end."""
+
+    CONNECT_FAILED = "connect-failed"
+    NO_TARGET = "no-target"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    SILENT = "silent"
+    WRONG_VERSION = "wrong-version"
+    OUT_OF_ORDER = "out-of-order"
+    NOT_THERE = "not-there"
+    """The engine no longer has the stream that should be taken up; it may take new work."""
+
+
+NOTHING_SENT = frozenset({BreakCause.CONNECT_FAILED, BreakCause.NO_TARGET})
+"""Causes that prove that the engine received nothing."""
+
+NOTHING_TO_CANCEL = NOTHING_SENT | {BreakCause.REFUSED, BreakCause.NOT_THERE}
+
+
+@attrs.frozen(kw_only=True)
+class Dispatch:
+    """Start an attempt: prompt plus ``prefix`` to an engine other than ``avoid``."""
+
+    attempt: int
+    generation: int
+    prefix: tuple[int, ...]
+    prompt_token_ids: tuple[int, ...] | None
+    max_tokens: int
+    seed: int
+    model_version: str | None
+    avoid: frozenset[str]
+    hedge: bool = False
+    resume: bool = False
+    delay_s: float = 0.0
+    """Wait so long first: attempts that break one after the other must not spin."""
+    reattach_to: int | None = None
+    """Take up the engine's own stream of this earlier attempt, if it is still there."""
+    reattach_target: str | None = None
+    reattach_after: int = 0
+    """How many output tokens of that stream are released already."""
+
+
+@attrs.frozen(kw_only=True)
+class Release:
+    """Give these pieces to the caller."""
+
+    pieces: tuple[ReleasedPiece, ...]
+
+
+@attrs.frozen(kw_only=True)
+class CancelAttempt:
+    """Drop an attempt, and tell its engine."""
+
+    attempt: int
+
+
+@attrs.frozen(kw_only=True)
+class Restart:
+    """Tell the caller that what it holds is void and a new generation begins."""
+
+    generation: int
+
+
+@attrs.frozen(kw_only=True)
+class Finish:
+    """The request is over."""
+
+    outcome: Outcome
+    finish_reason: str | None = None
+
+
+Decision = Dispatch | Release | CancelAttempt | Restart | Finish
+
+
+@attrs.frozen(kw_only=True)
+class GenerationLimits:
+    """Bounds on one request's resumes."""
+
+    attempts: int = 8
+    resumes_within_hedge: int = 1
+
+
+@attrs.define(kw_only=True)
+class _Attempt:
+    number: int
+    generation: int
+    start: int
+    buffer: ReleaseBuffer
+    target: str = ""
+    received: int = 0
+    ended: bool = False
+    answered: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class ResumePoint:
+    """What is known of a request that another VM began: enough to go on without a splice."""
+
+    generation: int
+    attempt: int
+    attempt_start: int
+    """The offset of that attempt's first token."""
+    target: str
+    seed: int
+    model_version: str
+    prompt_token_ids: tuple[int, ...]
+    pieces: tuple[ReleasedPiece, ...]
+
+
+class GenerationLife:
+    """One request's state; the front door is one method a message."""
+
+    def __init__(
+        self,
+        *,
+        spec: GenerationSpec,
+        limits: GenerationLimits,
+        rng: random.Random,
+        resume_point: ResumePoint | None = None,
+        first_generation: int = 1,
+    ) -> None:
+        self._spec = spec
+        self._limits = limits
+        self._rng = rng
+        self._generation = first_generation
+        self._counter = 0
+        self._seed = self._draw_seed()
+        self._answer: Answer | None = None
+        self._prompt_token_ids: tuple[int, ...] | None = None
+        self._live: dict[int, _Attempt] = {}
+        self._avoid: set[str] = set()
+        self._attempts_started = 0
+        self._anything_sent = False
+        self._finished: Finish | None = None
+        self._resume_point = resume_point
+        if resume_point is not None:
+            self._adopt(resume_point)
+
+    @property
+    def spec(self) -> GenerationSpec:
+        """What the caller asked for."""
+        return self._spec
+
+    @property
+    def generation(self) -> int:
+        """The current generation, from 1."""
+        return self._generation
+
+    @property
+    def answer(self) -> Answer | None:
+        """What is released of the current generation; None before an engine's first word."""
+        return self._answer
+
+    @property
+    def finished(self) -> Finish | None:
+        """The end, once it is decided."""
+        return self._finished
+
+    @property
+    def seed(self) -> int:
+        """The seed of the current generation."""
+        return self._seed
+
+    @property
+    def prompt_token_ids(self) -> tuple[int, ...] | None:
+        """The prompt's tokens as the first engine gave them."""
+        return self._prompt_token_ids
+
+    @property
+    def live_attempts(self) -> tuple[int, ...]:
+        """The attempts that may still answer."""
+        return tuple(self._live)
+
+    @property
+    def released(self) -> int:
+        """How many tokens are released."""
+        return self._answer.offset if self._answer else 0
+
+    def start(self) -> list[Decision]:
+        """Begin, or go on from the resume point."""
+        if self._is_full():
+            return self._finish(Done(), "length")
+        point = self._resume_point
+        if point is None:
+            return [self._dispatch()]
+        first = self._dispatch(resume=True)
+        return [
+            attrs.evolve(
+                first,
+                reattach_to=point.attempt,
+                reattach_target=point.target,
+                reattach_after=self.released - point.attempt_start,
+            )
+        ]
+
+    def dispatched(self, *, attempt: int, target: str) -> None:
+        """Note which engine took an attempt."""
+        if attempt in self._live:
+            self._live[attempt].target = target
+            self._anything_sent = True
+
+    def opened(
+        self, *, attempt: int, model_version: str, prompt_token_ids: tuple[int, ...]
+    ) -> list[Decision]:
+        """Take an engine's first word: its model's version and the prompt's tokens."""
+        current = self._live.get(attempt)
+        if current is None:
+            return []
+        current.answered = True
+        if self._answer is None:
+            self._answer = self._new_answer(model_version)
+            self._prompt_token_ids = prompt_token_ids
+        if self._answer.model_version != model_version:
+            return self.broken(attempt=attempt, cause=BreakCause.WRONG_VERSION)
+        return []
+
+    def chunk(
+        self,
+        *,
+        attempt: int,
+        token_ids: tuple[int, ...],
+        text: str,
+        finish_reason: str | None = None,
+    ) -> list[Decision]:
+        """Take tokens of an attempt; those of any but a live attempt are dropped.
+
+        Guards against a frozen engine that thaws after its stream was continued
+        elsewhere: its late tokens would be appended to the other engine's.
+        """
+        current = self._live.get(attempt)
+        answer = self._answer
+        if current is None or answer is None or self._finished or current.ended:
+            return []
+        if current.start + current.received != answer.offset + current.buffer.held_tokens:
+            return self.broken(attempt=attempt, cause=BreakCause.OUT_OF_ORDER)
+        current.received += len(token_ids)
+        pieces = current.buffer.push(token_ids=token_ids, text=text)
+        if finish_reason is not None:
+            current.ended = True
+            pieces += current.buffer.flush()
+        decisions = self._cancel_others(attempt) if pieces or current.ended else []
+        if pieces:
+            released = tuple(
+                answer.append(piece, attempt=attempt, target=current.target) for piece in pieces
+            )
+            decisions.append(Release(pieces=released))
+        if current.buffer.stopped:
+            return decisions + self._cancel(attempt) + self._finish(Done(), "stop")
+        if current.ended:
+            return decisions + self._finish(Done(), finish_reason)
+        return decisions
+
+    def broken(self, *, attempt: int, cause: BreakCause) -> list[Decision]:
+        """Take the end of an attempt that did not finish its answer."""
+        current = self._live.pop(attempt, None)
+        if current is None or self._finished:
+            return []
+        if current.target and cause is not BreakCause.NOT_THERE:
+            self._avoid.add(current.target)
+        decisions: list[Decision] = []
+        if cause not in NOTHING_TO_CANCEL:
+            decisions.append(CancelAttempt(attempt=attempt))
+        if self._live:
+            return decisions
+        if cause is BreakCause.NO_TARGET:
+            return decisions + self._without_target()
+        if self._attempts_started >= self._limits.attempts:
+            return decisions + self._give_up(Reason.ATTEMPTS_EXHAUSTED, "every attempt broke")
+        return [*decisions, self._dispatch(resume=True)]
+
+    def suspected(self, *, attempt: int) -> list[Decision]:
+        """Start a hedge for an attempt whose engine seems dead; the first to go on wins."""
+        current = self._live.get(attempt)
+        if current is None or self._finished or len(self._live) > self._limits.resumes_within_hedge:
+            return []
+        if self._attempts_started >= self._limits.attempts:
+            return []
+        return [self._dispatch(hedge=True, resume=True, avoid=frozenset({current.target}))]
+
+    def declared_dead(self, *, attempt: int) -> list[Decision]:
+        """Drop an attempt whose engine is taken for dead, and go on elsewhere."""
+        return self.broken(attempt=attempt, cause=BreakCause.SILENT)
+
+    def abandon(self, *, reason: Reason, message: str) -> list[Decision]:
+        """Give the request up: its caller left, its time is over, or another VM has it."""
+        if self._finished:
+            return []
+        decisions: list[Decision] = [CancelAttempt(attempt=number) for number in self._live]
+        self._live.clear()
+        return decisions + self._give_up(reason, message)
+
+    def _adopt(self, point: ResumePoint) -> None:
+        self._generation = point.generation
+        self._counter = point.attempt >> ATTEMPT_RANDOM_BITS
+        self._seed = point.seed
+        self._prompt_token_ids = point.prompt_token_ids
+        self._answer = self._new_answer(point.model_version)
+        self._anything_sent = True
+        for piece in point.pieces:
+            self._answer.adopt(piece)
+
+    def _new_answer(self, model_version: str) -> Answer:
+        return Answer(
+            request_id=self._spec.request_id,
+            generation=self._generation,
+            model_version=model_version,
+        )
+
+    def _draw_seed(self) -> int:
+        if self._spec.seed is None or self._generation > 1:
+            return self._rng.getrandbits(SEED_BITS)
+        return self._spec.seed
+
+    def _is_full(self) -> bool:
+        return self.released >= self._spec.max_tokens
+
+    def _dispatch(
+        self, *, hedge: bool = False, resume: bool = False, avoid: frozenset[str] = frozenset()
+    ) -> Dispatch:
+        self._counter += 1
+        self._attempts_started += 1
+        number = (self._counter << ATTEMPT_RANDOM_BITS) | self._rng.getrandbits(ATTEMPT_RANDOM_BITS)
+        prefix = self._answer.token_ids if self._answer else ()
+        self._live[number] = _Attempt(
+            number=number,
+            generation=self._generation,
+            start=len(prefix),
+            buffer=ReleaseBuffer(stop=self._spec.stop),
+        )
+        return Dispatch(
+            attempt=number,
+            generation=self._generation,
+            prefix=prefix,
+            prompt_token_ids=self._prompt_token_ids,
+            max_tokens=self._spec.max_tokens - len(prefix),
+            seed=self._seed,
+            model_version=self._answer.model_version if prefix and self._answer else None,
+            avoid=frozenset(self._avoid) | avoid,
+            hedge=hedge,
+            resume=resume,
+            delay_s=self._backoff_s(),
+        )
+
+    def _backoff_s(self) -> float:
+        beyond = self._attempts_started - QUICK_ATTEMPTS
+        if beyond <= 0:
+            return 0.0
+        return min(MOST_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** (beyond - 1))
+
+    def _cancel(self, attempt: int) -> list[Decision]:
+        del self._live[attempt]
+        return [CancelAttempt(attempt=attempt)]
+
+    def _cancel_others(self, winner: int) -> list[Decision]:
+        if len(self._live) < 2:
+            return []
+        losers = [number for number in self._live if number != winner]
+        for number in losers:
+            del self._live[number]
+        return [CancelAttempt(attempt=number) for number in losers]
+
+    def _without_target(self) -> list[Decision]:
+        """No engine can go on: begin anew where that is honest, else give up."""
+        if self._avoid:
+            self._avoid.clear()
+            if self._attempts_started < self._limits.attempts:
+                return [self._dispatch(resume=True)]
+        if self.released and not self._spec.accepts_restart:
+            return self._give_up(Reason.NO_TARGET, "no engine has the answer's model version")
+        if self._answer is not None and self._attempts_started < self._limits.attempts:
+            return self._restart()
+        return self._give_up(Reason.NO_TARGET, "no engine serves the model")
+
+    def _restart(self) -> list[Decision]:
+        had_released = self.released > 0
+        self._generation += 1
+        self._seed = self._draw_seed()
+        self._answer = None
+        self._prompt_token_ids = None
+        decisions: list[Decision] = []
+        if had_released:
+            decisions.append(Restart(generation=self._generation))
+        return [*decisions, self._dispatch()]
+
+    def _give_up(self, reason: Reason, message: str) -> list[Decision]:
+        if not self._anything_sent:
+            return self._finish(NotRun(reason=reason, message=message, retry_after_s=1.0))
+        if self.released:
+            return self._finish(Failed(reason=reason, message=message))
+        return self._finish(Unknown(reason=reason, message=message))
+
+    def _finish(self, outcome: Outcome, finish_reason: str | None = None) -> list[Decision]:
+        self._live.clear()
+        self._finished = Finish(outcome=outcome, finish_reason=finish_reason)
+        return [self._finished]
--- /dev/null
+++ b/lagoonlever/entry/caller_stream.py
@@ -0,0 +1,272 @@
+"""Gives a caller its answer: as a stream from the offset it holds, or whole."""
+
+from __future__ import annotations
+
+import math
+import random
+import time
+from collections.abc import Callable
+
+import attrs
+import msgspec
+import trio
+
+from lagoonlever.decisions.answer import Answer, ReleasedPiece
+from lagoonlever.entry.completions_api import (
+    CallerUsage,
+    ChunkWriter,
+    CompletionCall,
+    GenerationNote,
+)
+from lagoonlever.entry.generation_task import GenerationTask
+from lagoonlever.http.messages import Headers
+from lagoonlever.http.server import CallerGone, Exchange
+from lagoonlever.http.sse import EVENT_STREAM_TYPE, ServerEvent, encode_event
+from lagoonlever.identity import EventId
+from lagoonlever.outcomes import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    RETRY_AFTER_HEADER,
+    Done,
+    NotRun,
+    Outcome,
+    Unknown,
+)
+
+RESTART_EVENT = "restart"
+MOVED_EVENT = "moved"
+STREAM_HEADERS = Headers(
+    (
+        ("Content-Type", EVENT_STREAM_TYPE),
+        ("Cache-Control", "no-store"),
+        ("Trailer", f"{OUTCOME_HEADER}, {REASON_HEADER}"),
+    )
+)
+RETRY_JITTER = 0.5
+"""Callers are told to come back at a time spread by this share, so as not to come together."""
+
+
+@attrs.frozen(kw_only=True)
+class RestartNote:
+    """Tells a caller that what it holds is void: a new generation begins."""
+
+    generation: int
+
+
+@attrs.frozen(kw_only=True)
+class MovedNote:
+    """Tells a caller to come back for the rest of its answer at one of these addresses."""
+
+    addresses: tuple[str, ...]
+
+
+def outcome_headers(outcome: Outcome, *, rng: random.Random) -> Headers:
+    """Give the header fields that tell an outcome, with when to come back."""
+    pairs = [(OUTCOME_HEADER, outcome.tag.value)]
+    if not isinstance(outcome, Done):
+        pairs.append((REASON_HEADER, outcome.reason.value))
+    if isinstance(outcome, NotRun | Unknown) and outcome.retry_after_s is not None:
+        spread = outcome.retry_after_s * (1 + RETRY_JITTER * rng.random())
+        pairs.append((RETRY_AFTER_HEADER, str(max(1, math.ceil(spread)))))
+    return Headers(tuple(pairs))
+
+
+def outcome_error(outcome: NotRun | Unknown | Outcome) -> dict[str, object]:
+    """Give the error object that clients of completions know."""
+    if isinstance(outcome, Done):
+        raise ValueError("a done request has no error")
+    return {
+        "error": {
+            "message": outcome.message,
+            "type": outcome.tag.value,
+            "code": outcome.reason.value,
+        }
+    }
+
+
+async def respond_outcome(exchange: Exchange, outcome: Outcome, *, rng: random.Random) -> None:
+    """Answer a request that has no answer to give, with its outcome."""
+    await exchange.respond_json(
+        status=outcome.status,
+        payload=outcome_error(outcome),
+        headers=outcome_headers(outcome, rng=rng),
+    )
+
+
+def _usage(task: GenerationTask) -> CallerUsage:
+    prompt = len(task.life.prompt_token_ids or ())
+    completion = task.life.released
+    return CallerUsage(
+        prompt_tokens=prompt, completion_tokens=completion, total_tokens=prompt + completion
+    )
+
+
+@attrs.define(kw_only=True)
+class CallerStream:
+    """Writes one request's answer to one exchange; a later exchange supersedes it."""
+
+    _exchange: Exchange
+    _task: GenerationTask
+    _call: CompletionCall
+    _rng: random.Random
+    _moved_to: Callable[[], tuple[str, ...] | None]
+    """Gives where callers shall go instead, while this VM is leaving."""
+    _index: int = 0
+    _generation: int | None = None
+    _started: bool = False
+    _attempt: int | None = None
+    _writer: ChunkWriter = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._writer = ChunkWriter(spec=self._task.spec, created=int(time.time()))
+
+    async def run(self) -> None:
+        """Give the answer until its end; raises ``CallerGone``."""
+        self._task.reader = self._exchange
+        self._task.wake()
+        if self._call.stream:
+            await self._stream()
+        else:
+            await self._whole()
+
+    async def _whole(self) -> None:
+        while self._task.finished is None:
+            await self._task.wait_change()
+            self._check_superseded()
+        finish = self._task.finished
+        answer = self._task.life.answer
+        if answer is None or not isinstance(finish.outcome, Done):
+            await respond_outcome(self._exchange, finish.outcome, rng=self._rng)
+            return
+        body = self._writer.whole(
+            text=answer.text,
+            model_version=answer.model_version,
+            finish_reason=finish.finish_reason,
+            usage=_usage(self._task),
+        )
+        headers = outcome_headers(finish.outcome, rng=self._rng)
+        typed = headers.with_field("Content-Type", "application/json")
+        await self._exchange.respond(status=finish.outcome.status, headers=typed, body=body)
+
+    async def _stream(self) -> None:
+        last = self._call.last_event_id
+        if last is not None:
+            await self._begin_after(EventId.parse(last))
+        while True:
+            await self._write_new()
+            if self._task.finished is not None:
+                await self._end()
+                return
+            moved_to = self._moved_to()
+            if moved_to is not None and self._started:
+                await self._move(moved_to)
+                return
+            await self._task.wait_change()
+            self._check_superseded()
+
+    def _check_superseded(self) -> None:
+        if self._task.reader is not self._exchange:
+            raise CallerGone
+
+    async def _begin_after(self, last: EventId) -> None:
+        while self._task.life.answer is None and self._task.finished is None:
+            await self._task.wait_change()
+            self._check_superseded()
+        answer = self._task.life.answer
+        index = answer.index_after(last) if answer is not None else None
+        if index is None:
+            await self._restart()
+            return
+        self._index = index
+        self._generation = last.generation
+
+    async def _restart(self) -> None:
+        await self._start()
+        self._index = 0
+        self._generation = self._task.life.generation
+        note = msgspec.json.encode(RestartNote(generation=self._generation))
+        await self._exchange.write(encode_event(ServerEvent(event=RESTART_EVENT, data=note)))
+
+    async def _write_new(self) -> None:
+        answer = self._task.life.answer
+        if self._generation not in (None, self._task.life.generation) and self._started:
+            await self._restart()
+        if answer is None or self._index >= len(answer.pieces):
+            return
+        self._generation = answer.generation
+        await self._start()
+        pieces = answer.pieces[self._index :]
+        self._index += len(pieces)
+        await self._exchange.write(b"".join(self._events(answer, pieces)))
+
+    def _events(self, answer: Answer, pieces: list[ReleasedPiece]) -> list[bytes]:
+        return [
+            self._writer.piece(
+                piece,
+                model_version=answer.model_version,
+                note=self._note(answer, piece.event_id.attempt),
+            )
+            for piece in pieces
+        ]
+
+    def _note(self, answer: Answer, attempt: int) -> GenerationNote | None:
+        if "resume" not in self._call.accepts or attempt == self._attempt:
+            return None
+        self._attempt = attempt
+        return GenerationNote(
+            generation=answer.generation,
+            seed=self._task.life.seed,
+            model_version=answer.model_version,
+            attempt_start=self._task.attempt_start(attempt),
+            prompt_token_ids=self._task.life.prompt_token_ids or (),
+        )
+
+    async def _start(self) -> None:
+        if self._started:
+            return
+        self._started = True
+        await self._exchange.start_stream(status=200, headers=STREAM_HEADERS)
+
+    async def _end(self) -> None:
+        finish = self._task.finished
+        assert finish is not None
+        if not self._started and not isinstance(finish.outcome, Done):
+            await respond_outcome(self._exchange, finish.outcome, rng=self._rng)
+            return
+        await self._start()
+        answer = self._task.life.answer
+        if isinstance(finish.outcome, Done) and answer is not None:
+            data = self._writer.end(
+                model_version=answer.model_version,
+                finish_reason=finish.finish_reason,
+                usage=_usage(self._task),
+            )
+        else:
+            payload = msgspec.json.encode(outcome_error(finish.outcome))
+            data = encode_event(ServerEvent(data=payload))
+        await self._exchange.write(data)
+        await self._exchange.finish(trailers=outcome_headers(finish.outcome, rng=self._rng))
+
+    async def _move(self, addresses: tuple[str, ...]) -> None:
+        note = msgspec.json.encode(MovedNote(addresses=addresses))
+        await self._exchange.write(encode_event(ServerEvent(event=MOVED_EVENT, data=note)))
+        await self._exchange.finish()
+
+
+async def stream_while_present(stream: CallerStream, exchange: Exchange) -> bool:
+    """Give the answer as long as the caller is there; gives whether it took all of it."""
+    whole = False
+    async with trio.open_nursery() as nursery:
+
+        async def watch() -> None:
+            await exchange.wait_gone()
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(watch)
+        try:
+            await stream.run()
+            whole = True
+        except CallerGone:
+            whole = False
+        nursery.cancel_scope.cancel()
+    return whole
--- /dev/null
+++ b/lagoonlever/entry/completions_api.py
@@ -0,0 +1,267 @@
+"""The callers' side of streaming completions: checked requests in, chunks out."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import attrs
+import msgspec
+
+from lagoonlever.config.options import load, option
+from lagoonlever.decisions.answer import ReleasedPiece
+from lagoonlever.decisions.generation import GenerationSpec
+from lagoonlever.decisions.resume import HeldAnswer
+from lagoonlever.exceptions import FaultsError, RequestRefused
+from lagoonlever.http.messages import Headers, Request
+from lagoonlever.http.sse import ServerEvent, encode_event
+from lagoonlever.identity import REQUEST_ID
+
+ACCEPT_HEADER = "Lagoonlever-Accept"
+"""What a caller can do beyond the usual format: ``resume``, ``restart``, ``moved``."""
+DEADLINE_HEADER = "Lagoonlever-Deadline-S"
+LAST_EVENT_HEADER = "Last-Event-ID"
+REQUEST_ID_HEADERS = ("Idempotency-Key", "X-Request-Id")
+MINTED_ID_BITS = 96
+NOT_SUPPORTED = frozenset({"echo", "best_of", "logprobs", "suffix"})
+"""Published options that would change what a resume must continue."""
+MAX_STOP_STRINGS = 16
+MAX_STOP_LENGTH = 256
+
+
+def _check_stop(value: str | tuple[str, ...] | None) -> str | None:
+    strings = (value,) if isinstance(value, str) else (value or ())
+    if len(strings) > MAX_STOP_STRINGS:
+        return f"has {len(strings)} strings; give at most {MAX_STOP_STRINGS}"
+    if any(not 0 < len(string) <= MAX_STOP_LENGTH for string in strings):
+        return f"has a string of a wrong length; give 1 to {MAX_STOP_LENGTH} characters each"
+    return None
+
+
+@attrs.frozen(kw_only=True)
+class CompletionBody:
+    """The fields of a completion request that the system takes."""
+
+    model: str = option(doc="The model, or model:adapter.")
+    prompt: str | tuple[int, ...] = option(doc="The prompt, as text or as token ids.")
+    max_tokens: int = option(default=256, at_least=1, doc="The longest answer, in tokens.")
+    stream: bool = option(default=False, doc="Whether to stream the answer.")
+    seed: int | None = option(default=None, doc="The seed of sampling.")
+    temperature: float = option(default=1.0, at_least=0, at_most=2, doc="Of sampling.")
+    stop: str | tuple[str, ...] | None = option(
+        default=None, check=_check_stop, doc="Strings that end the answer."
+    )
+    n: int = option(default=1, at_least=1, at_most=1, doc="One answer a request.")
+    stream_options: dict[str, Any] | None = option(default=None, doc="Taken; usage always comes.")
+    user: str | None = option(default=None, doc="Taken and not used.")
+    return_token_ids: bool = option(default=False, doc="Taken; token ids always come.")
+    lagoonlever_held: HeldAnswer | None = option(default=None, doc="Of a returning caller.")
+
+
+KNOWN_FIELDS = frozenset(field.name for field in attrs.fields(CompletionBody))
+
+
+@attrs.frozen(kw_only=True)
+class CompletionCall:
+    """A checked request, and what its caller can do."""
+
+    spec: GenerationSpec
+    stream: bool
+    accepts: frozenset[str]
+    resumable: bool
+    """The caller brought its own id, so it may come back for its answer."""
+    last_event_id: str | None
+    held: HeldAnswer | None
+
+
+def read_call(request: Request, *, organisation: str, rng: random.Random) -> CompletionCall:
+    """Check a request; raises ``RequestRefused`` naming the field."""
+    body = _read_body(request.body)
+    accepts = _tokens(request.headers.get(ACCEPT_HEADER, "") or "")
+    request_id = _request_id(request.headers)
+    stop = (body.stop,) if isinstance(body.stop, str) else (body.stop or ())
+    spec = GenerationSpec(
+        request_id=request_id or f"{rng.getrandbits(MINTED_ID_BITS):024x}",
+        organisation=organisation,
+        model=body.model,
+        prompt=body.prompt,
+        max_tokens=body.max_tokens,
+        seed=body.seed,
+        temperature=body.temperature,
+        stop=stop,
+        sampling_json=_sampling_json(request.body),
+        deadline_s=read_deadline(request.headers),
+        accepts_restart="restart" in accepts or not body.stream,
+    )
+    return CompletionCall(
+        spec=spec,
+        stream=body.stream,
+        accepts=accepts,
+        resumable=request_id is not None,
+        last_event_id=request.headers.get(LAST_EVENT_HEADER),
+        held=body.lagoonlever_held,
+    )
+
+
+def read_deadline(headers: Headers) -> float | None:
+    """Give the remaining time that a caller allows, in seconds."""
+    text = headers.get(DEADLINE_HEADER)
+    if text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0 < seconds < float("inf"):
+        raise RequestRefused(
+            status=400, field=DEADLINE_HEADER, message="give the remaining seconds, above 0"
+        )
+    return seconds
+
+
+def _read_body(raw: bytes) -> CompletionBody:
+    document = _read_document(raw)
+    _check_supported(document)
+    known = {name: value for name, value in document.items() if name in KNOWN_FIELDS}
+    try:
+        return load(CompletionBody, known)
+    except FaultsError as error:
+        fault = error.faults[0]
+        raise RequestRefused(status=400, field=fault.path, message=str(error)) from error
+
+
+def _check_supported(document: dict[str, Any]) -> None:
+    for name in NOT_SUPPORTED & document.keys():
+        if document[name] not in (None, False, 1):
+            raise RequestRefused(status=400, field=name, message="is not supported; leave it out")
+
+
+def _sampling_json(raw: bytes) -> str:
+    """Give the options that only the engine reads, as JSON with a stable order."""
+    rest = {
+        name: value
+        for name, value in _read_document(raw).items()
+        if name not in KNOWN_FIELDS and name not in NOT_SUPPORTED
+    }
+    return msgspec.json.encode(rest, order="sorted").decode()
+
+
+def _read_document(raw: bytes) -> dict[str, Any]:
+    try:
+        document = msgspec.json.decode(raw)
+    except msgspec.DecodeError as error:
+        raise RequestRefused(status=400, field="body", message=f"is not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise RequestRefused(status=400, field="body", message="give a JSON object")
+    return document
+
+
+def _tokens(text: str) -> frozenset[str]:
+    return frozenset(part.strip() for part in text.split(",") if part.strip())
+
+
+def _request_id(headers: Headers) -> str | None:
+    for name in REQUEST_ID_HEADERS:
+        value = headers.get(name)
+        if value is None:
+            continue
+        if REQUEST_ID.match(value) is None:
+            raise RequestRefused(
+                status=400, field=name, message="give 1 to 80 letters, digits, '-', '_' or '.'"
+            )
+        return value
+    return None
+
+
+@attrs.frozen(kw_only=True)
+class CallerChoice:
+    """One choice of a chunk, as callers get it."""
+
+    index: int = 0
+    text: str = ""
+    token_ids: tuple[int, ...] = ()
+    finish_reason: str | None = None
+
+
+@attrs.frozen(kw_only=True)
+class CallerUsage:
+    """The token counts of a finished answer."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class GenerationNote:
+    """What a caller keeps to be able to come back at any VM, whatever has died."""
+
+    generation: int
+    seed: int
+    model_version: str
+    attempt_start: int
+    prompt_token_ids: tuple[int, ...]
+
+
+@attrs.frozen(kw_only=True)
+class CallerChunk:
+    """One event of a caller's stream, in the format of completions."""
+
+    id: str
+    object: str = "text_completion"
+    created: int
+    model: str
+    system_fingerprint: str
+    choices: tuple[CallerChoice, ...]
+    usage: CallerUsage | None = None
+    lagoonlever: GenerationNote | None = None
+
+
+class ChunkWriter:
+    """Writes the events of one request's stream."""
+
+    def __init__(self, *, spec: GenerationSpec, created: int) -> None:
+        self._spec = spec
+        self._created = created
+
+    def piece(
+        self, piece: ReleasedPiece, *, model_version: str, note: GenerationNote | None = None
+    ) -> bytes:
+        """Give the event of one released piece."""
+        choice = CallerChoice(text=piece.text, token_ids=piece.token_ids)
+        chunk = self._chunk(model_version, (choice,), note=note)
+        return encode_event(ServerEvent(id=str(piece.event_id), data=msgspec.json.encode(chunk)))
+
+    def end(self, *, model_version: str, finish_reason: str | None, usage: CallerUsage) -> bytes:
+        """Give the events that end a whole answer."""
+        last = self._chunk(model_version, (CallerChoice(finish_reason=finish_reason),))
+        counted = self._chunk(model_version, (), usage=usage)
+        return b"".join(
+            encode_event(ServerEvent(data=data))
+            for data in (msgspec.json.encode(last), msgspec.json.encode(counted), b"[DONE]")
+        )
+
+    def whole(
+        self, *, text: str, model_version: str, finish_reason: str | None, usage: CallerUsage
+    ) -> bytes:
+        """Give the body of an answer that is not streamed."""
+        choice = CallerChoice(text=text, finish_reason=finish_reason)
+        return msgspec.json.encode(self._chunk(model_version, (choice,), usage=usage))
+
+    def _chunk(
+        self,
+        model_version: str,
+        choices: tuple[CallerChoice, ...],
+        *,
+        usage: CallerUsage | None = None,
+        note: GenerationNote | None = None,
+    ) -> CallerChunk:
+        return CallerChunk(
+            id=self._spec.request_id,
+            created=self._created,
+            model=self._spec.model,
+            system_fingerprint=model_version,
+            choices=choices,
+            usage=usage,
+            lagoonlever=note,
+        )
--- /dev/null
+++ b/lagoonlever/entry/engine_watch.py
@@ -0,0 +1,55 @@
+"""Watches the streams that this VM has at engines, and says which seem dead."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from lagoonlever.decisions.suspicion import EngineSuspicion, StreamVerdict, SuspicionLevel
+from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.timers import Tick
+
+VerdictHandler = Callable[[int, SuspicionLevel], None]
+"""Takes an attempt's number and its engine's new level."""
+
+
+@attrs.define(kw_only=True)
+class EngineWatch:
+    """One suspicion state an engine; streams are known by their attempt's number."""
+
+    _settings: DetectionSettings
+    _on_verdict: VerdictHandler
+    _now: Callable[[], float]
+    _engines: dict[str, EngineSuspicion] = attrs.field(factory=dict)
+
+    def opened(self, *, engine: str, attempt: int, prompt_tokens: int) -> None:
+        """Begin to watch an attempt whose request is being written."""
+        suspicion = self._engines.get(engine)
+        if suspicion is None:
+            suspicion = EngineSuspicion(settings=self._settings)
+            self._engines[engine] = suspicion
+        suspicion.stream_opened(str(attempt), now=self._now(), prompt_tokens=prompt_tokens)
+
+    def token(self, *, engine: str, attempt: int) -> None:
+        """Take note that an attempt's engine sent something."""
+        self._engines[engine].token(str(attempt), now=self._now())
+
+    def closed(self, *, engine: str, attempt: int) -> None:
+        """Stop watching an attempt."""
+        suspicion = self._engines.get(engine)
+        if suspicion is not None:
+            suspicion.stream_closed(str(attempt))
+
+    def on_tick(self, tick: Tick) -> None:
+        """Judge every engine whose next check is due."""
+        for suspicion in list(self._engines.values()):
+            if tick.paused_s:
+                suspicion.paused(tick.paused_s, now=tick.now)
+            if tick.now >= suspicion.next_check_at:
+                self._tell(suspicion.assess(tick.now))
+
+    def _tell(self, verdicts: tuple[StreamVerdict, ...]) -> None:
+        for verdict in verdicts:
+            if verdict.level is not SuspicionLevel.HEALTHY:
+                self._on_verdict(int(verdict.stream), verdict.level)
--- /dev/null
+++ b/lagoonlever/entry/generation_task.py
@@ -0,0 +1,242 @@
+"""The task of one generation: it owns the request's state and runs its attempts."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import attrs
+import logbook
+import trio
+
+from lagoonlever.decisions.generation import (
+    BreakCause,
+    CancelAttempt,
+    Decision,
+    Dispatch,
+    Finish,
+    GenerationLife,
+    GenerationSpec,
+    Release,
+    Restart,
+)
+from lagoonlever.decisions.targets import Target
+from lagoonlever.entry.attempt import EngineAttempt, EngineRefused
+from lagoonlever.exceptions import ConnectFailed, PeerError
+from lagoonlever.outcomes import Reason
+from lagoonlever.targets.completions import EngineChunk
+
+log = logbook.Logger(__name__)
+
+
+class EngineSide(Protocol):
+    """What a generation's task needs of the rest of the VM for its attempts."""
+
+    async def place(self, spec: GenerationSpec, dispatch: Dispatch) -> Target | None:
+        """Choose an engine, waiting for a share of it if need be; None if no engine serves it."""
+
+    def sent(self, spec: GenerationSpec, dispatch: Dispatch, target: Target) -> None:
+        """Note that a request was written."""
+
+    def token(self, dispatch: Dispatch, target: Target, count: int) -> None:
+        """Note that tokens came."""
+
+    def ended(
+        self, spec: GenerationSpec, dispatch: Dispatch, target: Target, cause: BreakCause | None
+    ) -> None:
+        """Note that an attempt is over; ``cause`` is None at an answer's proper end."""
+
+    def cancel(self, spec: GenerationSpec, attempt: int, target: Target) -> None:
+        """Have an attempt cancelled at its engine, in the background."""
+
+
+@attrs.define(kw_only=True)
+class _RunningAttempt:
+    dispatch: Dispatch
+    scope: trio.CancelScope
+    target: Target | None = None
+    opened: bool = False
+    cancelled: bool = False
+
+
+@attrs.define(kw_only=True, eq=False)
+class GenerationTask:
+    """Runs one request to its end, whether or not its caller is there."""
+
+    _life: GenerationLife
+    _engines: EngineSide
+    _running: dict[int, _RunningAttempt] = attrs.field(factory=dict)
+    _changed: trio.lowlevel.ParkingLot = attrs.field(factory=trio.lowlevel.ParkingLot)
+    _done: trio.Event = attrs.field(factory=trio.Event)
+    _nursery: trio.Nursery | None = None
+    _attempt_starts: dict[int, int] = attrs.field(factory=dict)
+    reader: object | None = None
+    """The exchange that the answer goes to now; a later one supersedes it."""
+    reader_left_at: float | None = None
+    ended_at: float | None = None
+
+    @property
+    def life(self) -> GenerationLife:
+        """The state, for reading only."""
+        return self._life
+
+    @property
+    def spec(self) -> GenerationSpec:
+        """What the caller asked for."""
+        return self._life.spec
+
+    @property
+    def finished(self) -> Finish | None:
+        """The end, once it is decided."""
+        return self._life.finished
+
+    def attempt_start(self, attempt: int) -> int:
+        """Give the offset at which an attempt went on."""
+        return self._attempt_starts.get(attempt, 0)
+
+    async def wait_change(self) -> None:
+        """Wait until more is released, or the request is over."""
+        await self._changed.park()
+
+    def wake(self) -> None:
+        """Wake whoever reads the answer."""
+        self._changed.unpark_all()
+
+    async def run(self) -> None:
+        """Run until the request is over."""
+        try:
+            await self._run()
+        finally:
+            self.ended_at = trio.current_time()
+            self.wake()
+
+    async def _run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._carry_out(self._life.start())
+            with trio.move_on_after(self.spec.deadline_s or float("inf")) as scope:
+                await self._done.wait()
+            if scope.cancelled_caught:
+                self.abandon(reason=Reason.DEADLINE, message="the caller's time is over")
+            nursery.cancel_scope.cancel()
+
+    def suspected(self, attempt: int) -> None:
+        """Take the word that an attempt's engine seems dead."""
+        self._carry_out(self._life.suspected(attempt=attempt))
+
+    def declared_dead(self, attempt: int) -> None:
+        """Take the word that an attempt's engine counts as dead."""
+        self._stop_attempt(attempt)
+        self._carry_out(self._life.declared_dead(attempt=attempt))
+
+    def hand_over(self) -> None:
+        """Stop without a word to the engines: another VM takes up their streams."""
+        self._done.set()
+
+    def abandon(self, *, reason: Reason, message: str) -> None:
+        """Give the request up."""
+        self._carry_out(self._life.abandon(reason=reason, message=message))
+
+    def _carry_out(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            match decision:
+                case Dispatch():
+                    self._start_attempt(decision)
+                case CancelAttempt(attempt=attempt):
+                    self._cancel_attempt(attempt)
+                case Finish():
+                    self._done.set()
+                    self.wake()
+                case Release() | Restart():
+                    self.wake()
+
+    def _start_attempt(self, dispatch: Dispatch) -> None:
+        if self._nursery is None:
+            return
+        self._attempt_starts[dispatch.attempt] = len(dispatch.prefix)
+        running = _RunningAttempt(dispatch=dispatch, scope=trio.CancelScope())
+        self._running[dispatch.attempt] = running
+        self._nursery.start_soon(self._run_attempt, running)
+
+    def _stop_attempt(self, attempt: int) -> None:
+        running = self._running.get(attempt)
+        if running is not None:
+            running.scope.cancel()
+
+    def _cancel_attempt(self, attempt: int) -> None:
+        running = self._running.get(attempt)
+        if running is None:
+            return
+        running.cancelled = True
+        running.scope.cancel()
+        if running.target is not None:
+            self._engines.cancel(self.spec, attempt, running.target)
+
+    async def _run_attempt(self, running: _RunningAttempt) -> None:
+        cause: BreakCause | None = None
+        dispatch = running.dispatch
+        with running.scope:
+            await trio.sleep(dispatch.delay_s)
+            target = await self._engines.place(self.spec, dispatch)
+            if target is None:
+                del self._running[dispatch.attempt]
+                self._carry_out(
+                    self._life.broken(attempt=dispatch.attempt, cause=BreakCause.NO_TARGET)
+                )
+                return
+            running.target = target
+            try:
+                cause = await self._attempt(running, target)
+            finally:
+                if running.scope.cancel_called:
+                    cause = BreakCause.SILENT
+                self._engines.ended(self.spec, dispatch, target, cause)
+        if cause is not None:
+            self._carry_out(self._life.broken(attempt=dispatch.attempt, cause=cause))
+        self._running.pop(dispatch.attempt, None)
+
+    async def _attempt(self, running: _RunningAttempt, target: Target) -> BreakCause | None:
+        dispatch = running.dispatch
+
+        def on_sent() -> None:
+            self._engines.sent(self.spec, dispatch, target)
+            self._life.dispatched(attempt=dispatch.attempt, target=target.name)
+
+        attempt = EngineAttempt(
+            spec=self.spec,
+            dispatch=dispatch,
+            address=target.address,
+            on_chunk=lambda chunk: self._take_chunk(running, target, chunk),
+            on_sent=on_sent,
+        )
+        try:
+            await attempt.run()
+        except ConnectFailed:
+            return BreakCause.CONNECT_FAILED
+        except EngineRefused:
+            return BreakCause.REFUSED if dispatch.reattach_to is None else BreakCause.NOT_THERE
+        except PeerError:
+            return BreakCause.BROKEN
+        return BreakCause.BROKEN if self._life.finished is None else None
+
+    def _take_chunk(self, running: _RunningAttempt, target: Target, chunk: EngineChunk) -> None:
+        attempt = running.dispatch.attempt
+        for choice in chunk.choices:
+            if not running.opened:
+                running.opened = True
+                self._carry_out(
+                    self._life.opened(
+                        attempt=attempt,
+                        model_version=chunk.system_fingerprint,
+                        prompt_token_ids=choice.prompt_token_ids or (),
+                    )
+                )
+            if choice.token_ids:
+                self._engines.token(running.dispatch, target, len(choice.token_ids))
+            self._carry_out(
+                self._life.chunk(
+                    attempt=attempt,
+                    token_ids=choice.token_ids,
+                    text=choice.text,
+                    finish_reason=choice.finish_reason,
+                )
+            )
--- /dev/null
+++ b/lagoonlever/entry/generations.py
@@ -0,0 +1,230 @@
+"""The generations of this VM: new ones, callers that come back, and finished answers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+import trio
+
+from lagoonlever.config.options import option
+from lagoonlever.decisions.generation import (
+    GenerationLife,
+    GenerationLimits,
+    GenerationSpec,
+    ResumePoint,
+)
+from lagoonlever.decisions.resume import point_of_held
+from lagoonlever.entry.caller_stream import CallerStream, respond_outcome, stream_while_present
+from lagoonlever.entry.completions_api import CompletionCall, read_call
+from lagoonlever.entry.engines import Engines
+from lagoonlever.entry.generation_task import GenerationTask
+from lagoonlever.exceptions import RequestRefused
+from lagoonlever.http.server import Exchange
+from lagoonlever.identity import EventId
+from lagoonlever.outcomes import NotRun, Outcome, Reason, Unknown
+from lagoonlever.timers import Tick
+
+RequestKey = tuple[str, str]
+"""An organisation and one of its request ids."""
+
+
+@attrs.frozen(kw_only=True)
+class GenerationSettings:
+    """Bounds on the generations of one VM."""
+
+    caller_return_s: float = option(
+        default=15.0,
+        at_least=0,
+        doc="How long a generation goes on after its caller's connection was lost.",
+    )
+    answer_kept_s: float = option(
+        default=120.0, at_least=0, doc="How long a finished answer can be fetched again."
+    )
+    answers_kept: int = option(
+        default=2000, at_least=1, doc="How many finished answers are kept at most."
+    )
+    attempts: int = option(default=8, at_least=1, doc="Attempts at engines for one request.")
+    running: int = option(
+        default=2000, at_least=1, doc="Generations of this VM at one time, queued ones included."
+    )
+
+
+class Callers(Protocol):
+    """Who calls: from an exchange's credentials to an organisation."""
+
+    def organisation_of(self, exchange: Exchange) -> str:
+        """Give the path of the caller's organisation; raises ``RequestRefused``."""
+
+
+class ResumePoints(Protocol):
+    """Where else a request's released tokens may be known."""
+
+    async def find(self, spec: GenerationSpec, last: EventId) -> ResumePoint | None:
+        """Give what is known of a request that another VM began."""
+
+
+@attrs.define(kw_only=True)
+class GenerationService:
+    """Answers the completion requests of callers; owns one task a request."""
+
+    _settings: GenerationSettings
+    _callers: Callers
+    _engines: Engines
+    _rng: random.Random
+    _background: trio.Nursery
+    _resume_points: ResumePoints
+    _refusal: Callable[[], Outcome | None]
+    """Gives why this VM takes no new work now, or None."""
+    _moved_to: Callable[[], tuple[str, ...] | None]
+    _observer: Callable[[GenerationTask], None] = lambda task: None
+    """Told of every task that begins, to keep copies of it."""
+    _tasks: dict[RequestKey, GenerationTask] = attrs.field(factory=dict)
+
+    @property
+    def tasks(self) -> tuple[GenerationTask, ...]:
+        """The requests that are running or whose answers are kept."""
+        return tuple(self._tasks.values())
+
+    @property
+    def running(self) -> int:
+        """How many requests are not over."""
+        return sum(1 for task in self._tasks.values() if task.finished is None)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer ``POST /v1/completions``; raises ``RequestRefused`` for a wrong request."""
+        organisation = self._callers.organisation_of(exchange)
+        call = read_call(exchange.request, organisation=organisation, rng=self._rng)
+        refusal = self._refusal()
+        task = self._tasks.get((organisation, call.spec.request_id))
+        if task is None and refusal is not None:
+            await respond_outcome(exchange, refusal, rng=self._rng)
+            return
+        if task is not None:
+            _check_same(task.spec, call.spec)
+        else:
+            task = await self._begin(exchange, call)
+        if task is not None:
+            await self._give(exchange, call, task)
+
+    def find(self, organisation: str, request_id: str) -> GenerationTask | None:
+        """Give the task of a request, running or kept."""
+        return self._tasks.get((organisation, request_id))
+
+    def forget(self, task: GenerationTask) -> None:
+        """Drop a request that another VM has taken over; its engine's stream is left alone."""
+        self._tasks.pop((task.spec.organisation, task.spec.request_id), None)
+        task.hand_over()
+
+    def on_tick(self, tick: Tick) -> None:
+        """Give up requests whose caller stayed away, and drop answers kept long enough."""
+        for key, task in list(self._tasks.items()):
+            if task.ended_at is not None and self._is_old(task, tick.now):
+                del self._tasks[key]
+            elif self._is_orphan(task, tick.now):
+                task.abandon(reason=Reason.CANCELLED, message="the caller did not come back")
+        self._drop_beyond_bound()
+
+    async def _begin(self, exchange: Exchange, call: CompletionCall) -> GenerationTask | None:
+        self._check_model(call.spec)
+        if self.running >= self._settings.running:
+            outcome = NotRun(
+                reason=Reason.OVERLOADED,
+                message="this VM has as many requests as it may",
+                retry_after_s=1.0,
+                status=429,
+            )
+            await respond_outcome(exchange, outcome, rng=self._rng)
+            return None
+        if call.last_event_id is None:
+            return self._start(call.spec)
+        last = EventId.parse(call.last_event_id)
+        if last.request_id != call.spec.request_id:
+            raise RequestRefused(status=400, field="Last-Event-ID", message="is of another request")
+        point = point_of_held(call.spec, call.held, last)
+        if point is None:
+            point = await self._resume_points.find(call.spec, last)
+        if point is None and last.offset and not call.spec.accepts_restart:
+            await respond_outcome(exchange, _nothing_known(), rng=self._rng)
+            return None
+        current = self.find(call.spec.organisation, call.spec.request_id)
+        if current is not None:
+            return current
+        first_generation = last.generation + 1 if last.offset else last.generation
+        return self._start(call.spec, point=point, first_generation=first_generation)
+
+    def _start(
+        self,
+        spec: GenerationSpec,
+        *,
+        point: ResumePoint | None = None,
+        first_generation: int = 1,
+    ) -> GenerationTask:
+        life = GenerationLife(
+            spec=spec,
+            limits=GenerationLimits(attempts=self._settings.attempts),
+            rng=self._rng,
+            resume_point=point,
+            first_generation=first_generation,
+        )
+        task = GenerationTask(life=life, engines=self._engines.side_of(lambda: task))
+        self._tasks[spec.organisation, spec.request_id] = task
+        self._observer(task)
+        self._background.start_soon(task.run)
+        return task
+
+    async def _give(self, exchange: Exchange, call: CompletionCall, task: GenerationTask) -> None:
+        stream = CallerStream(
+            exchange=exchange, task=task, call=call, rng=self._rng, moved_to=self._moved_to
+        )
+        task.reader_left_at = None
+        whole = await stream_while_present(stream, exchange)
+        if task.reader is not exchange:
+            return
+        task.reader = None
+        task.reader_left_at = trio.current_time()
+        if not whole and not call.resumable and task.finished is None:
+            task.abandon(reason=Reason.CANCELLED, message="the caller left")
+
+    def _check_model(self, spec: GenerationSpec) -> None:
+        known = self._engines.models()
+        if known and spec.model not in known:
+            raise RequestRefused(
+                status=404,
+                field="model",
+                message=f"{spec.model!r} is not served; give one of: {', '.join(sorted(known))}",
+            )
+
+    def _is_old(self, task: GenerationTask, now: float) -> bool:
+        if task.reader is not None or task.ended_at is None:
+            return False
+        return now - max(task.ended_at, task.reader_left_at or 0) > self._settings.answer_kept_s
+
+    def _is_orphan(self, task: GenerationTask, now: float) -> bool:
+        if task.finished is not None or task.reader is not None or task.reader_left_at is None:
+            return False
+        return now - task.reader_left_at > self._settings.caller_return_s
+
+    def _drop_beyond_bound(self) -> None:
+        kept = [key for key, task in self._tasks.items() if task.ended_at is not None]
+        for key in kept[: max(0, len(kept) - self._settings.answers_kept)]:
+            del self._tasks[key]
+
+
+def _check_same(known: GenerationSpec, asked: GenerationSpec) -> None:
+    """Refuse another request under a known id: its caller would get a foreign answer."""
+    volatile = {"deadline_s": None, "accepts_restart": False, "priority": 0}
+    if attrs.evolve(known, **volatile) != attrs.evolve(asked, **volatile):  # type: ignore[arg-type]
+        raise RequestRefused(
+            status=422, field="Idempotency-Key", message="was used for another request; take a new"
+        )
+
+
+def _nothing_known() -> Unknown:
+    return Unknown(
+        reason=Reason.SUPERSEDED,
+        message="the released part is not known here; ask without Last-Event-ID for a new answer",
+        status=409,
+    )
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qsl, urlsplit
 
@@ -84,8 +85,17 @@
         await self._connection.send(h11.Data(data=data))
 
     async def finish(self, *, trailers: Headers | None = None) -> None:
-        """End the body, with trailers where the stream announced them."""
-        await self._connection.send(h11.EndOfMessage(headers=(trailers or Headers()).raw()))
+        """End the body, with trailers where the caller's version of HTTP knows them."""
+        known = trailers if trailers and self._connection.takes_trailers else Headers()
+        await self._connection.send(h11.EndOfMessage(headers=known.raw()))
+
+    def caller_present(self) -> bool:
+        """Tell whether the caller's connection is still open, by a look at the socket itself.
+
+        Guards a VM that wakes after a pause: the caller may have left and be
+        served elsewhere, and no task here has had its turn to see that yet.
+        """
+        return self._connection.caller_present()
 
     async def wait_gone(self) -> None:
         """Return when the caller has closed its side of the connection."""
@@ -99,7 +109,7 @@
     """One caller's connection: h11's state machine and the socket under it."""
 
     def __init__(
-        self, *, stream: trio.abc.Stream, peer: str, limits: ServerLimits, state: ServerState
+        self, *, stream: trio.SocketStream, peer: str, limits: ServerLimits, state: ServerState
     ) -> None:
         self._stream = stream
         self._peer = peer
@@ -108,6 +118,23 @@
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         self._received_anything = False
 
+    @property
+    def takes_trailers(self) -> bool:
+        """Whether the response is in chunks, which alone carry trailers."""
+        return bool(self._h11.their_http_version and self._h11.their_http_version >= b"1.1")
+
+    def caller_present(self) -> bool:
+        """Tell whether the peer's end of the socket is open, without taking bytes from it."""
+        trio_socket = self._stream.socket
+        with socket.fromfd(trio_socket.fileno(), trio_socket.family, trio_socket.type) as peeked:
+            peeked.setblocking(False)
+            try:
+                return peeked.recv(1, socket.MSG_PEEK) != b""
+            except BlockingIOError:
+                return True
+            except OSError:
+                return False
+
     async def serve(self, handler: Handler) -> None:
         """Serve requests one after the other until either side closes."""
         while True:
