--- /dev/null
+++ b/lagoonlever/tests/placement_tests.py
@@ -0,0 +1,112 @@
+"""Tests of the placement of copies, and of the addresses that callers are told."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lagoonlever.decisions.addresses import AddressesSettings, entry_addresses
+from lagoonlever.decisions.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.placement import holders, holders_to_ask
+from lagoonlever.http.messages import Address
+from lagoonlever.identity import Incarnation
+
+
+def member(
+    index: int,
+    data_center: str = "dc-0",
+    state: MemberState = MemberState.ALIVE,
+    load: float = 0.0,
+) -> Member:
+    return Member(
+        incarnation=Incarnation(name=f"vm-{index}", started_ms=1, nonce=index),
+        data_center=data_center,
+        http=Address(host="10.0.0.1", port=1000 + index),
+        peers=Address(host="10.0.0.1", port=2000 + index),
+        state=state,
+        load=load,
+    )
+
+
+def view(members: list[Member], own: int = 0) -> MemberView:
+    return MemberView(members=tuple(members), own=members[own].incarnation)
+
+
+fleets = st.lists(st.integers(0, 3), min_size=1, max_size=14).map(
+    lambda centers: [member(i, f"dc-{center}") for i, center in enumerate(centers)]
+)
+
+
+@given(fleets, st.data(), st.integers(1, 3), st.text("abc", min_size=1))
+def test_a_reader_asks_every_holder_of_any_writer(
+    fleet: list[Member], data: st.DataObject, count: int, request_id: str
+) -> None:
+    """A caller comes back at another VM after its router's death and loses its place.
+
+    The router had copied the released tokens to two peers. The VM that the caller
+    comes back to sees one member more, or one less, than the router did. If it
+    does not ask the holders, the answer starts anew.
+    """
+    writer = data.draw(st.integers(0, len(fleet) - 1))
+    reader = data.draw(st.integers(0, len(fleet) - 1))
+    unseen = data.draw(st.integers(0, len(fleet) - 1))
+    written = holders(request_id, view(fleet, writer), count=count)
+    seen = [m for i, m in enumerate(fleet) if i != unseen or i == reader]
+    asked = holders_to_ask(request_id, view(seen, seen.index(fleet[reader])), count=count)
+
+    assert fleet[writer] not in written
+    assert len(set(written)) == len(written) == min(count, len(fleet) - 1)
+    missing = {fleet[reader], fleet[unseen]}
+    assert set(written) - missing <= set(asked)
+
+
+def test_copies_stand_in_other_data_centers_and_the_reader_asks_few() -> None:
+    fleet = [member(i, f"dc-{i % 3}") for i in range(9)]
+    for request in range(50):
+        written = holders(f"r{request}", view(fleet), count=2)
+        assert {m.data_center for m in written} == {"dc-1", "dc-2"}
+        assert len(holders_to_ask(f"r{request}", view(fleet), count=2)) <= 6
+
+
+@given(
+    st.lists(st.sampled_from(list(MemberState)), min_size=1, max_size=12),
+    st.integers(0, 2**32),
+)
+def test_an_answer_never_names_a_leaving_or_dead_vm(states: list[MemberState], seed: int) -> None:
+    members = [member(i, f"dc-{i % 3}", state) for i, state in enumerate(states)]
+    answer = entry_addresses(view(members), settings=AddressesSettings(), random=Random(seed))
+    by_address = {m.http: m for m in members}
+    told = [by_address[address] for address in answer.addresses]
+
+    assert all(m.state in (MemberState.ALIVE, MemberState.SUSPECT) for m in told)
+    if any(m.state is MemberState.ALIVE for m in members):
+        assert all(m.state is MemberState.ALIVE for m in told)
+    assert len(set(told)) == len(told) <= 3
+    assert answer.key_home == (told[0].incarnation if told else None)
+
+
+def test_answers_are_spread_by_spare_capacity_and_data_center() -> None:
+    loads = [0.0, 0.5, 1.0] * 3
+    members = [member(i, f"dc-{i // 3}", load=load) for i, load in enumerate(loads)]
+    first: Counter[float] = Counter()
+    random = Random(1)
+    for _ in range(3000):
+        answer = entry_addresses(view(members), settings=AddressesSettings(), random=random)
+        told = [m for a in answer.addresses for m in members if m.http == a]
+        assert len({m.data_center for m in told}) == 3
+        first[told[0].load] += 1
+
+    assert 0.60 < first[0.0] / 3000 < 0.69
+    assert 0.28 < first[0.5] / 3000 < 0.37
+    assert first[1.0] > 0
+
+
+def test_a_lone_leaving_vm_names_no_home() -> None:
+    lone = [attrs.evolve(member(0), state=MemberState.LEAVING)]
+    answer = entry_addresses(view(lone), settings=AddressesSettings(), random=Random(0))
+    assert answer.addresses == ()
+    assert answer.key_home is None
