--- a/lagoonlever/decisions/target_freshness.py
+++ b/lagoonlever/decisions/target_freshness.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from lagoonlever.decisions.membership import MemberState, MemberView
 from lagoonlever.http.messages import Address
 
 FRESH_S = 2.5
@@ -24,14 +25,6 @@
 ASK_FANOUT = 3
 
 
-@attrs.frozen(kw_only=True)
-class PeerRoster:
-    """The peers' addresses: those that count, and those on a planned stop, which don't."""
-
-    staying: tuple[Address, ...] = ()
-    leaving: tuple[Address, ...] = ()
-
-
 class Belief(enum.Enum):
     """Why the list of targets is believed, or that it is not."""
 
@@ -94,15 +87,16 @@
         """Take that the list was read, by a call that began at ``at``."""
         self._read_at = at if self._read_at is None else max(self._read_at, at)
 
-    def peers_known(self, roster: PeerRoster, now: float) -> None:
+    def members_known(self, members: MemberView, now: float) -> None:
         """Take the peers that count; while the list is stale only a planned stop takes one out.
 
         Otherwise the smaller side of a cut would in time declare the others
         dead, count only itself, and believe a list that is minutes old.
         """
-        staying = set(roster.staying)
-        fresh = self.age_s(now) <= self._fresh_s
-        self._peers = staying if fresh else (self._peers | staying) - set(roster.leaving)
+        staying = {m.peers for m in members.alive if m.incarnation != members.own}
+        leaving = {m.peers for m in members.members if m.state is MemberState.LEAVING}
+        in_time = self.age_s(now) <= self._ask_after_s
+        self._peers = staying if in_time else (self._peers | staying) - leaving
 
     def asks_due(self, now: float, rng: random.Random) -> tuple[tuple[int, Address], ...]:
         """Give the numbered asks to send now: none while the list is read in time."""
--- a/lagoonlever/decisions/targets.py
+++ b/lagoonlever/decisions/targets.py
@@ -17,9 +17,13 @@
 
 
 class TargetState(enum.Enum):
-    """Whether a target may be given new work; only ``LIVE`` may."""
+    """Whether a target may be given new work; only ``LIVE`` may.
+
+    ``UNSURE`` is listed as live in a list too old to be believed.
+    """
 
     LIVE = "live"
+    UNSURE = "unsure"
     LEAVING = "leaving"
     GONE = "gone"
 
--- a/lagoonlever/entry/targets.py
+++ b/lagoonlever/entry/targets.py
@@ -15,7 +15,8 @@
 import trio
 
 from lagoonlever.config.options import option
-from lagoonlever.decisions.target_freshness import Belief, ListFreshness, PeerRoster
+from lagoonlever.decisions.membership import MemberView
+from lagoonlever.decisions.target_freshness import Belief, ListFreshness
 from lagoonlever.decisions.target_listing import (
     LeavingEvidence,
     TargetListing,
@@ -85,7 +86,9 @@
 }
 
 ASK_PERIOD_S = 0.4
-REFRESH_PERIOD_S = 0.5
+BELIEF_PERIOD_S = 0.1
+REFRESH_PERIOD_S = 1.0
+"""Loads and impairments age without any news."""
 NEWS_FANOUT = 8
 """Reaches every VM of a fleet of nine at once, and 400 in three steps."""
 
@@ -116,7 +119,7 @@
     """Owns what this VM knows of the targets; tasks of ``run`` are the only writers."""
 
     _readings: Published[TargetListReading | None]
-    _roster: Published[PeerRoster]
+    _members: Published[MemberView]
     _bus: Bus
     _timers: TimerService
     _random: random.Random
@@ -127,7 +130,7 @@
     _belief: Belief = attrs.field(default=Belief.FRESH, init=False)
     _seen: dict[str, Target] = attrs.field(factory=dict, init=False)
     view: Published[TargetView] = attrs.field(init=False)
-    """The latest view; while this VM is isolated it still names the targets."""
+    """The latest view; while this VM is isolated every live target in it is ``UNSURE``."""
 
     def __attrs_post_init__(self) -> None:
         self._reports = TargetReports(stale_s=self._settings.load_stale_s)
@@ -179,7 +182,8 @@
         async with trio.open_nursery() as nursery:
             with (
                 self._timers.subscribed(self._ask_peers, period_s=ASK_PERIOD_S),
-                self._timers.subscribed(self._refresh, period_s=REFRESH_PERIOD_S),
+                self._timers.subscribed(self._reconsider, period_s=BELIEF_PERIOD_S),
+                self._timers.subscribed(lambda _: self._publish(), period_s=REFRESH_PERIOD_S),
             ):
                 nursery.start_soon(self._follow_list)
                 nursery.start_soon(self._hear_news)
@@ -228,25 +232,31 @@
         """Tell some peers at once; each of them tells on what is new to it."""
         if not news:
             return
-        peers = self._roster.value.staying + self._roster.value.leaving
+        members = self._members.value
+        peers = [m.peers for m in members.reachable if m.incarnation != members.own]
         for peer in self._random.sample(peers, min(NEWS_FANOUT, len(peers))):
             self._bus.send(peer, TargetLeavingNews(evidence=news))
 
     def _ask_peers(self, tick: Tick) -> None:
-        self._freshness.peers_known(self._roster.value, tick.now)
+        self._freshness.members_known(self._members.value, tick.now)
         for number, peer in self._freshness.asks_due(tick.now, self._random):
             self._bus.send(peer, TargetListAsk(number=number, reply_to=self._bus.address))
 
-    def _refresh(self, tick: Tick) -> None:
+    def _reconsider(self, tick: Tick) -> None:
         belief = self._freshness.belief(tick.now)
-        if belief is not self._belief and self._freshness.read_at is not None:
-            self._belief = belief
-            _BELIEF_EVENTS[belief].log(log, age_s=self._freshness.age_s(tick.now))
+        if belief is self._belief or self._freshness.read_at is None:
+            return
+        self._belief = belief
+        _BELIEF_EVENTS[belief].log(log, age_s=self._freshness.age_s(tick.now))
         self._publish()
 
     def _publish(self) -> None:
         now = self._timers.now
-        targets = tuple(self._reports.described(t, now) for t in self._listing.targets())
+        believed = self._freshness.belief(now).allows_work
+        targets = tuple(
+            self._reports.described(target if believed else _unsure(target), now)
+            for target in self._listing.targets()
+        )
         if targets == self.view.value.targets:
             return
         self._log_changes(targets)
@@ -263,3 +273,9 @@
             if target.state is TargetState.GONE:
                 TARGET_GONE.log(log, target=target.name, address=str(target.address))
         self._seen = {target.name: target for target in targets}
+
+
+def _unsure(target: Target) -> Target:
+    if target.state is not TargetState.LIVE:
+        return target
+    return attrs.evolve(target, state=TargetState.UNSURE)
