--- a/lagoonlever/decisions/suspicion_settings.py
+++ b/lagoonlever/decisions/suspicion_settings.py
@@ -7,7 +7,6 @@
 from lagoonlever.config.options import option
 
 HEDGE_OFF = "off"
-HEDGE_WARM = "warm"
 HEDGE_RACE = "race"
 
 
@@ -80,9 +79,9 @@
         default=1.5, at_least=0, doc="How long an engine must be slow before it is left."
     )
     hedge: str = option(
-        default=HEDGE_WARM,
-        one_of=(HEDGE_OFF, HEDGE_WARM, HEDGE_RACE),
-        doc="On suspicion: nothing, fill another engine's cache, or take whichever goes on first.",
+        default=HEDGE_RACE,
+        one_of=(HEDGE_OFF, HEDGE_RACE),
+        doc="On suspicion: nothing, or a second attempt elsewhere; whichever goes on first wins.",
     )
     hedge_budget: float = option(
         default=0.01,
