Add at-most-once keys, claims, hedged lookups and the service router

Cause: calls such as bids may not be repeated, and lookups must not stall. A key names (or is bound by one claim in the platform to) the one incarnation that may dispatch it; its records admit each key to run once and keep what was told. Ruled out: a claim per VM with takeover, since no VM can prove what a silent holder has done; a 'not run' for plain keys while the platform is down, since an earlier copy may have run elsewhere.

--- /dev/null
+++ b/lagoonlever/decisions/hedging.py
@@ -0,0 +1,276 @@
+"""Idempotent calls: which runner to ask, when to ask a second one, when to stop asking.
+
+A hedge is sent after a delay learnt from answers, and paid for out of the
+budgets of the organisation and of the runner that it goes to.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import attrs
+
+from lagoonlever.decisions.budgets import RetryBudget, take_extra
+
+HEDGE_QUANTILE = 0.95
+LEAST_DELAY_S = 0.005
+MOST_DELAY_S = 1.0
+FIRST_DELAY_S = 0.05
+"""Until enough answers have been seen."""
+SAMPLES = 256
+SAMPLES_NEEDED = 16
+SORT_EVERY = 16
+
+STALLED_AFTER_LOSSES = 2
+FIRST_AVOID_S = 0.5
+MOST_AVOID_S = 8.0
+MAX_ATTEMPTS = 3
+RECHECK_S = 0.05
+"""A call that waits while the budget is empty looks again after this time."""
+
+
+@attrs.define(kw_only=True)
+class HedgeDelay:
+    """How long answers take, learnt from the last ``SAMPLES`` of them."""
+
+    _latencies: deque[float] = attrs.field(factory=lambda: deque(maxlen=SAMPLES))
+    _delay_s: float = FIRST_DELAY_S
+    _unsorted: int = 0
+
+    @property
+    def delay_s(self) -> float:
+        """The seconds after which a hedge is worth its cost."""
+        return self._delay_s
+
+    def on_answer(self, latency_s: float) -> None:
+        """Learn from an answer's time since its own attempt was sent.
+
+        Attempts that were given up are no samples: with them a stalled runner
+        would push the delay up for all, until nothing is hedged any more.
+        """
+        self._latencies.append(latency_s)
+        self._unsorted += 1
+        if len(self._latencies) < SAMPLES_NEEDED or self._unsorted < SORT_EVERY:
+            return
+        self._unsorted = 0
+        ordered = sorted(self._latencies)
+        learnt = ordered[int(HEDGE_QUANTILE * (len(ordered) - 1))]
+        self._delay_s = min(MOST_DELAY_S, max(LEAST_DELAY_S, learnt))
+
+
+@attrs.define(kw_only=True)
+class RunnerState:
+    """What this VM has learnt of one runner."""
+
+    budget: RetryBudget = attrs.field(factory=RetryBudget)
+    outstanding: int = 0
+    losses: int = 0
+    avoid_s: float = FIRST_AVOID_S
+    avoid_until: float = 0.0
+
+    @property
+    def stalled(self) -> bool:
+        """Whether the runner has let several attempts wait and answered none since."""
+        return self.losses >= STALLED_AFTER_LOSSES
+
+
+@attrs.define(kw_only=True)
+class Runners:
+    """The runners of a service by name: chosen by what is outstanding, stalled ones avoided.
+
+    A stalled runner is probed by one real call at a time, at growing intervals;
+    that call is hedged like any other, so its caller waits the hedge delay.
+    """
+
+    _rng: random.Random
+    _max_outstanding: int
+    _states: dict[str, RunnerState] = attrs.field(factory=dict)
+
+    def state(self, name: str) -> RunnerState:
+        """Give what is known of a runner."""
+        return self._states.setdefault(name, RunnerState())
+
+    def choose(self, names: Iterable[str], *, now: float, probe: bool = True) -> str | None:
+        """Choose a runner for an attempt, or None when each is stalled or full.
+
+        Only a first attempt may ``probe``; a hedge goes where an answer is likely.
+        """
+        free = [name for name in names if self.state(name).outstanding < self._max_outstanding]
+        stalled = [name for name in free if self.state(name).stalled]
+        due = [name for name in stalled if self._probe_due(name, now)]
+        if probe and due:
+            self._postpone_probe(due[0], now)
+            return due[0]
+        healthy = [name for name in free if name not in stalled]
+        return self._less_busy(healthy or (stalled if probe else []))
+
+    def retain(self, names: Iterable[str]) -> None:
+        """Forget runners that are gone."""
+        known = set(names)
+        for name in [name for name in self._states if name not in known]:
+            del self._states[name]
+
+    def on_sent(self, name: str) -> None:
+        """Note an attempt on its way."""
+        self.state(name).outstanding += 1
+
+    def on_answer(self, name: str) -> None:
+        """Note a whole answer: the runner is well."""
+        state = self.state(name)
+        state.outstanding = max(0, state.outstanding - 1)
+        state.losses = 0
+        state.avoid_s = FIRST_AVOID_S
+        state.avoid_until = 0.0
+        state.budget.on_success()
+
+    def on_failure(self, name: str, *, now: float) -> None:
+        """Note a broken or refused attempt."""
+        self.state(name).budget.on_overload()
+        self.on_loss(name, now=now)
+
+    def on_loss(self, name: str, *, now: float) -> None:
+        """Note an attempt given up because another runner was faster, or time was over."""
+        state = self.state(name)
+        state.outstanding = max(0, state.outstanding - 1)
+        state.losses += 1
+        if state.losses == STALLED_AFTER_LOSSES:
+            state.avoid_until = now + state.avoid_s
+
+    def _probe_due(self, name: str, now: float) -> bool:
+        state = self.state(name)
+        return now >= state.avoid_until and state.outstanding == 0
+
+    def _postpone_probe(self, name: str, now: float) -> None:
+        state = self.state(name)
+        state.avoid_s = min(MOST_AVOID_S, state.avoid_s * 2)
+        state.avoid_until = now + state.avoid_s
+
+    def _less_busy(self, names: list[str]) -> str | None:
+        """Take the less busy of two: the least busy of all would draw every VM at once."""
+        if not names:
+            return None
+        pair = self._rng.sample(names, min(2, len(names)))
+        return min(pair, key=lambda name: self.state(name).outstanding)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Send:
+    """Send an attempt to this runner now."""
+
+    runner: str
+    number: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Wait:
+    """Wait for news until this time, then ask again."""
+
+    until: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Stop:
+    """No answer is to be had; ``sent`` says whether any attempt was sent."""
+
+    sent: bool
+    timed_out: bool
+
+
+CallDecision = Send | Wait | Stop
+LiveNames = Callable[[], tuple[str, ...]]
+
+
+@attrs.define(kw_only=True)
+class HedgedCall:
+    """One idempotent call: its attempts, and what to do next.
+
+    ``live_names`` is asked at each decision, so that a hedge that was pending
+    when its runner began to leave goes elsewhere.
+    """
+
+    _live_names: LiveNames
+    _runners: Runners
+    _delay: HedgeDelay
+    _budget: RetryBudget
+    _deadline: float
+    _hedge: bool = True
+    _sent_at: dict[str, float] = attrs.field(factory=dict)
+    _open: set[str] = attrs.field(factory=set)
+    _hedge_at: float = 0.0
+
+    @property
+    def attempts(self) -> int:
+        """The number of attempts sent."""
+        return len(self._sent_at)
+
+    def decide(self, now: float) -> CallDecision:
+        """Give the next step; a ``Send`` counts as sent."""
+        if now >= self._deadline:
+            return Stop(sent=self.attempts > 0, timed_out=True)
+        if not self._sent_at:
+            return self._first(now)
+        if now < self._hedge_at and self._open:
+            return Wait(until=min(self._hedge_at, self._deadline))
+        extra = self._extra(now)
+        if extra is not None:
+            return extra
+        if self._open:
+            return Wait(until=min(self._deadline, now + RECHECK_S))
+        return Stop(sent=True, timed_out=False)
+
+    def on_answer(self, runner: str, now: float) -> None:
+        """Take a whole answer: the call is over, other attempts are given up."""
+        self._open.discard(runner)
+        self._runners.on_answer(runner)
+        self._delay.on_answer(now - self._sent_at[runner])
+        self._budget.on_success()
+        self.give_up(now)
+
+    def on_failure(self, runner: str, now: float, *, overloaded: bool) -> None:
+        """Take the failure of an attempt; a refusal for load shrinks the budget."""
+        self._open.discard(runner)
+        self._runners.on_failure(runner, now=now)
+        if overloaded:
+            self._budget.on_overload()
+
+    def give_up(self, now: float) -> None:
+        """End the attempts that are still open; those older than the delay count as losses."""
+        for runner in self._open:
+            if now - self._sent_at[runner] >= self._delay.delay_s:
+                self._runners.on_loss(runner, now=now)
+            else:
+                state = self._runners.state(runner)
+                state.outstanding = max(0, state.outstanding - 1)
+        self._open.clear()
+
+    def on_timeout(self, now: float) -> None:
+        """Note that the deadline passed without an answer: a sign of overload."""
+        self._budget.on_overload()
+        self.give_up(now)
+
+    def _first(self, now: float) -> CallDecision:
+        runner = self._runners.choose(self._live_names(), now=now)
+        if runner is None:
+            return Stop(sent=False, timed_out=False)
+        return self._send(runner, now)
+
+    def _extra(self, now: float) -> Send | None:
+        if self.attempts >= MAX_ATTEMPTS or (self._open and not self._hedge):
+            return None
+        others = [name for name in self._live_names() if name not in self._sent_at]
+        runner = self._runners.choose(others, now=now, probe=False)
+        if runner is None:
+            return None
+        if not take_extra(self._budget, self._runners.state(runner).budget):
+            return None
+        return self._send(runner, now)
+
+    def _send(self, runner: str, now: float) -> Send:
+        self._sent_at[runner] = now
+        self._open.add(runner)
+        self._hedge_at = now + self._delay.delay_s * len(self._sent_at)
+        self._runners.on_sent(runner)
+        return Send(runner=runner, number=len(self._sent_at))
--- /dev/null
+++ b/lagoonlever/entry/services.py
@@ -0,0 +1,235 @@
+"""Routes calls under ``/services/<name>/...`` to the application services.
+
+Idempotent calls are looked up with hedges. The others run at most once: under
+a key at the key's home, and without a key in one dispatch.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import logbook
+import trio
+
+from lagoonlever.decisions.claims import HomeTable, StoredAnswer
+from lagoonlever.decisions.claims_group import ClaimResult, Unbound
+from lagoonlever.decisions.claims_keys import (
+    KEY_HEADER,
+    HomedKey,
+    KeyHome,
+    PlainKey,
+    parse_homed,
+    parse_key,
+    scope_of,
+)
+from lagoonlever.decisions.hedging import Runners
+from lagoonlever.decisions.membership import MemberView
+from lagoonlever.decisions.targets import Target, TargetView
+from lagoonlever.entry.claims import Claims
+from lagoonlever.entry.published import Published
+from lagoonlever.entry.services_answers import not_run, tell, unknown
+from lagoonlever.entry.services_call import HOMED_KEY_HEADER, ServiceCall, remaining_s
+from lagoonlever.entry.services_dispatch import Dispatcher
+from lagoonlever.entry.services_events import ANSWER_UNKNOWN
+from lagoonlever.entry.services_forward import Forwarder
+from lagoonlever.entry.services_keyed import KeyedCalls
+from lagoonlever.entry.services_lookups import LookupCounts, Lookups
+from lagoonlever.entry.services_pauses import PauseWatch
+from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.exceptions import RequestRefused
+from lagoonlever.history.events_services import DispatchWritten
+from lagoonlever.history.recorder import Recorder
+from lagoonlever.http.messages import Request
+from lagoonlever.http.server import Exchange
+from lagoonlever.identity import Incarnation
+from lagoonlever.outcomes import Reason, Unknown
+from lagoonlever.platform.port import Platform
+from lagoonlever.timers import TimerService
+
+SERVICES_PATH = "/services/"
+NOBODY = "-"
+"""The organisation of callers without a known API key."""
+
+OrganisationOf = Callable[[Request], str | None]
+
+log = logbook.Logger("services")
+
+
+def _nobody(request: Request) -> str | None:
+    return None
+
+
+class ServiceRouter:
+    """The part of the daemon that serves application services."""
+
+    def __init__(
+        self,
+        *,
+        own: Incarnation,
+        targets: Published[TargetView],
+        members: Published[MemberView],
+        platform: Platform,
+        timers: TimerService,
+        settings: ServiceSettings,
+        rng: random.Random,
+        organisation_of: OrganisationOf = _nobody,
+        recorder: Recorder | None = None,
+    ) -> None:
+        self._own = own
+        self._targets = targets
+        self._timers = timers
+        self._settings = settings
+        self._organisation_of = organisation_of
+        self._recorder = recorder
+        self._pauses = PauseWatch(timers=timers)
+        self._runners = Runners(rng=rng, max_outstanding=settings.max_outstanding)
+        table = HomeTable(
+            own=own,
+            born_at=timers.now,
+            limit_bytes=settings.home_bytes,
+            lifetime_s=settings.key_lifetime_s,
+        )
+        self._claims = Claims(platform=platform, table=table, timers=timers, settings=settings)
+        self._dispatcher = Dispatcher(
+            targets=targets,
+            runners=self._runners,
+            timers=timers,
+            pauses=self._pauses,
+            settings=settings,
+            rng=rng,
+        )
+        self._keyed = KeyedCalls(
+            table=table,
+            dispatcher=self._dispatcher,
+            timers=timers,
+            settings=settings,
+            recorder=recorder,
+        )
+        self._lookups = Lookups(
+            targets=targets, runners=self._runners, timers=timers, settings=settings, rng=rng
+        )
+        self._forwarder = Forwarder(members=members, timers=timers, settings=settings)
+
+    @property
+    def key_home(self) -> KeyHome:
+        """What callers need to mint keys whose home is this VM."""
+        return self._claims.key_home
+
+    @property
+    def open_keys(self) -> int:
+        """The number of keyed requests that are being run here."""
+        return self._keyed.open_keys
+
+    @property
+    def lookup_counts(self) -> LookupCounts:
+        """What lookups have cost so far."""
+        return self._lookups.counts
+
+    async def run(self) -> None:
+        """Run keyed requests and claims until cancelled."""
+        try:
+            with self._pauses.watching():
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._keyed.run)
+                    nursery.start_soon(self._claims.run)
+                    nursery.start_soon(self._forget_gone_runners)
+        finally:
+            with trio.CancelScope(shield=True):
+                await self._lookups.aclose()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call with exactly one outcome."""
+        try:
+            call = self._call(exchange.request)
+            answer = await self._answer(call)
+        except RequestRefused as refused:
+            message = f"{refused.field}: {refused}" if refused.field else str(refused)
+            answer = not_run(Reason.BAD_REQUEST, message, status=refused.status)
+        if isinstance(answer.outcome, Unknown):
+            ANSWER_UNKNOWN.log(
+                log, service=exchange.request.path, reason=answer.outcome.reason.value
+            )
+        await tell(exchange, answer)
+
+    def _call(self, request: Request) -> ServiceCall:
+        name, _, rest = request.path.removeprefix(SERVICES_PATH).partition("/")
+        service = self._settings.service(name)
+        if service is None:
+            raise RequestRefused(status=404, field="path", message=f"no service is named {name!r}")
+        left_s = remaining_s(request.headers)
+        arrived_at = self._pauses.arrival_of(self._timers.now)
+        return ServiceCall(
+            service=service,
+            request=request,
+            path=f"/{rest}",
+            organisation=self._organisation_of(request) or NOBODY,
+            deadline=None if left_s is None else arrived_at + left_s,
+        )
+
+    async def _answer(self, call: ServiceCall) -> StoredAnswer:
+        if call.idempotent:
+            return await self._lookups.call(call)
+        homed_text = call.request.headers.get(HOMED_KEY_HEADER)
+        if homed_text is not None:
+            return await self._forwarded(call, homed_text)
+        if not call.key_text:
+            return await self._without_key(call)
+        key = parse_key(call.key_text)
+        if isinstance(key, PlainKey):
+            return await self._plain(call, key)
+        return await self._homed(call, key)
+
+    async def _homed(self, call: ServiceCall, key: HomedKey) -> StoredAnswer:
+        if key.home == self._own:
+            return await self._keyed.call(call, key)
+        return await self._forwarder.forward(call, key)
+
+    async def _forwarded(self, call: ServiceCall, homed_text: str) -> StoredAnswer:
+        """Run what another VM forwarded; never forward it on, so that none goes in circles."""
+        key = parse_homed(homed_text)
+        if key is None:
+            raise RequestRefused(
+                status=400, field=HOMED_KEY_HEADER, message="is no key with a home"
+            )
+        return await self._keyed.call(call, key)
+
+    async def _plain(self, call: ServiceCall, key: PlainKey) -> StoredAnswer:
+        """Bind the key to a home first; without a binding nothing runs.
+
+        The answer is "unknown" all the same: an earlier copy of the request may
+        have been bound and run through another VM, which can't be looked up now.
+        """
+        credential = call.request.headers.get("Authorization", "") or ""
+        scope = scope_of(key, service=call.service.name, credential=credential)
+        bound: ClaimResult = Unbound()
+        with trio.move_on_after(call.left_s(self._timers.now)):
+            bound = await self._claims.bind(scope)
+        if isinstance(bound, Unbound):
+            return unknown(
+                Reason.PLATFORM_DOWN,
+                f"this copy was not run, but whether another one was can't be found out now;"
+                f" ask again with the same {KEY_HEADER}: it is never run twice",
+                retry_after_s=self._settings.retry_after_s,
+            )
+        return await self._homed(call, bound.home)
+
+    async def _without_key(self, call: ServiceCall) -> StoredAnswer:
+        def on_write(target: Target) -> bool:
+            if self._recorder is not None:
+                self._recorder.record(
+                    DispatchWritten(
+                        at=self._recorder.now,
+                        process=self._recorder.process,
+                        key="",
+                        target=target.name,
+                    )
+                )
+            return True
+
+        return await self._dispatcher.dispatch(call, key_expires_at=None, on_write=on_write)
+
+    async def _forget_gone_runners(self) -> None:
+        while True:
+            view = await self._targets.wait_change()
+            self._runners.retain(target.name for target in view.targets)
--- /dev/null
+++ b/lagoonlever/entry/services_keyed.py
@@ -0,0 +1,177 @@
+"""Runs requests under their keys: each at most once, its answer kept and repeated."""
+
+from __future__ import annotations
+
+import attrs
+import trio
+
+from lagoonlever.decisions.claims import (
+    Expired,
+    Full,
+    HomeTable,
+    InProgress,
+    KeyRecord,
+    KeyState,
+    Mismatch,
+    NotMine,
+    Repeat,
+    Run,
+    StoredAnswer,
+    TooFar,
+)
+from lagoonlever.decisions.claims_keys import KEY_HEADER, HomedKey, fingerprint_of
+from lagoonlever.decisions.targets import Target
+from lagoonlever.entry.services_answers import not_run, unknown
+from lagoonlever.entry.services_call import ServiceCall
+from lagoonlever.entry.services_dispatch import Dispatcher
+from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.history.events_services import DispatchWritten
+from lagoonlever.history.recorder import Recorder
+from lagoonlever.outcomes import Reason
+from lagoonlever.timers import TimerService
+
+RETRY_SAME_KEY = "ask again with the same key: it is never run twice"
+RETRY_NEW_KEY = "send it again under a new key"
+
+
+@attrs.define(kw_only=True)
+class KeyedCalls:
+    """Owns the keys of this incarnation and the tasks that run their requests.
+
+    A request runs in a task of its own, so that its answer is kept for a repeat
+    also when the caller that sent it has gone.
+    """
+
+    _table: HomeTable
+    _dispatcher: Dispatcher
+    _timers: TimerService
+    _settings: ServiceSettings
+    _recorder: Recorder | None = None
+    _nursery: trio.Nursery | None = None
+    _settled: dict[HomedKey, trio.Event] = attrs.field(factory=dict)
+
+    @property
+    def open_keys(self) -> int:
+        """The number of requests that are being run; a planned stop waits for none."""
+        return len(self._settled)
+
+    async def run(self) -> None:
+        """Run requests until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._nursery = None
+
+    async def call(self, call: ServiceCall, key: HomedKey) -> StoredAnswer:
+        """Run a request under a key of this home, or tell what has become of it."""
+        admission = self._table.admit(
+            key, fingerprint=fingerprint_of(call.request), now=self._timers.now
+        )
+        match admission:
+            case Run(record=record):
+                return await self._start(call, record)
+            case InProgress(record=record):
+                return await self._wait(call, record)
+            case Repeat(answer=answer):
+                return answer
+            case Mismatch():
+                return not_run(
+                    Reason.BAD_REQUEST,
+                    f"{KEY_HEADER}: was used for another request; {RETRY_NEW_KEY}",
+                    status=422,
+                )
+            case NotMine():
+                return unknown(
+                    Reason.HOME_UNREACHABLE,
+                    "the VM that held this key has ended; look up the request's effect",
+                )
+            case Expired():
+                return unknown(
+                    Reason.KEY_EXPIRED,
+                    "the key has expired: it will not run, and whether it ran is no longer kept",
+                )
+            case TooFar():
+                return unknown(
+                    Reason.BAD_REQUEST,
+                    f"{KEY_HEADER}: expires later than keys may live; {RETRY_NEW_KEY}",
+                )
+            case Full():
+                return not_run(
+                    Reason.OVERLOADED,
+                    f"no memory for another key; {RETRY_NEW_KEY}",
+                    retry_after_s=self._settings.retry_after_s,
+                )
+
+    async def _start(self, call: ServiceCall, record: KeyRecord) -> StoredAnswer:
+        if self._nursery is None:
+            self._settle(record, not_run(Reason.STARTING, f"not serving yet; {RETRY_NEW_KEY}"))
+        else:
+            self._settled[record.key] = trio.Event()
+            self._nursery.start_soon(self._run, call, record)
+        return await self._wait(call, record)
+
+    async def _run(self, call: ServiceCall, record: KeyRecord) -> None:
+        def on_write(target: Target) -> bool:
+            if record.state is not KeyState.ADMITTED:
+                return False
+            self._table.mark_written(record)
+            self._note_written(call, record, target)
+            return True
+
+        life_left_s = record.key.expires_life_s - self._table.life_s(self._timers.now)
+        answer: StoredAnswer | None = None
+        try:
+            answer = await self._dispatcher.dispatch(
+                call, key_expires_at=self._timers.now + life_left_s, on_write=on_write
+            )
+        finally:
+            if record.answer is None:
+                self._settle(record, answer or self._interrupted(record))
+
+    def _interrupted(self, record: KeyRecord) -> StoredAnswer:
+        if record.state is KeyState.ADMITTED:
+            return not_run(Reason.CANCELLED, f"stopped before it was sent; {RETRY_NEW_KEY}")
+        return unknown(Reason.CANCELLED, "stopped after it was sent; look up its effect")
+
+    def _settle(self, record: KeyRecord, answer: StoredAnswer) -> None:
+        self._table.settle(record, answer)
+        event = self._settled.pop(record.key, None)
+        if event is not None:
+            event.set()
+
+    async def _wait(self, call: ServiceCall, record: KeyRecord) -> StoredAnswer:
+        """Wait for the answer until the caller's deadline."""
+        event = self._settled.get(record.key)
+        if event is not None:
+            with trio.move_on_after(self._patience_s(call)):
+                await event.wait()
+        if record.answer is None and record.state is KeyState.ADMITTED and self._late(call):
+            self._settle(record, not_run(Reason.DEADLINE, "its deadline passed before it was sent"))
+        if record.answer is not None:
+            return record.answer
+        return unknown(
+            Reason.IN_PROGRESS,
+            f"it is being run; {RETRY_SAME_KEY}",
+            retry_after_s=self._settings.retry_after_s,
+        )
+
+    def _late(self, call: ServiceCall) -> bool:
+        return call.left_s(self._timers.now) <= 0
+
+    def _patience_s(self, call: ServiceCall) -> float:
+        return min(self._settings.call_timeout_s, call.left_s(self._timers.now))
+
+    def _note_written(self, call: ServiceCall, record: KeyRecord, target: Target) -> None:
+        if self._recorder is None:
+            return
+        self._recorder.record(
+            DispatchWritten(
+                at=self._recorder.now,
+                process=self._recorder.process,
+                key=call.key_text,
+                home=str(record.key.home),
+                target=target.name,
+            )
+        )
--- /dev/null
+++ b/lagoonlever/entry/services_lookups.py
@@ -0,0 +1,198 @@
+"""Runs idempotent calls: hedged and retried out of budgets, over pooled connections."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import trio
+
+from lagoonlever.decisions.budgets import RetryBudget, retry_after_s
+from lagoonlever.decisions.claims import StoredAnswer
+from lagoonlever.decisions.hedging import (
+    HedgedCall,
+    HedgeDelay,
+    Runners,
+    Send,
+    Stop,
+    Wait,
+)
+from lagoonlever.decisions.targets import TargetView
+from lagoonlever.entry.published import Published
+from lagoonlever.entry.services_answers import not_run, unknown
+from lagoonlever.entry.services_call import ServiceCall, service_answer
+from lagoonlever.entry.services_dispatch import runners_of
+from lagoonlever.entry.services_exchange import exchange_on
+from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.exceptions import PeerError
+from lagoonlever.http.client import Pool, Response
+from lagoonlever.http.messages import Address
+from lagoonlever.outcomes import Reason
+from lagoonlever.timers import TimerService
+
+REFUSED_FOR_LOAD = frozenset({429, 503})
+MAX_ORGANISATIONS = 1024
+
+
+@attrs.frozen(kw_only=True)
+class AttemptEnded:
+    """What became of one attempt: a response, or None for a failure."""
+
+    runner: str
+    response: Response | None
+
+
+@attrs.define(kw_only=True)
+class LookupCounts:
+    """Counts of what lookups cost: calls, attempts beyond the first, calls without an answer."""
+
+    calls: int = 0
+    extra_attempts: int = 0
+    unanswered: int = 0
+
+
+@attrs.define(kw_only=True)
+class Lookups:
+    """Runs idempotent calls; owns the pool of connections to the runners."""
+
+    _targets: Published[TargetView]
+    _runners: Runners
+    _timers: TimerService
+    _settings: ServiceSettings
+    _rng: random.Random
+    _pool: Pool = attrs.field(factory=Pool)
+    _delays: dict[str, HedgeDelay] = attrs.field(factory=dict)
+    _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+    counts: LookupCounts = attrs.field(factory=LookupCounts)
+
+    async def call(self, call: ServiceCall) -> StoredAnswer:
+        """Give the first whole answer of any runner, or tell at once that there is none."""
+        hedged = self._hedged(call)
+        send, receive = trio.open_memory_channel[AttemptEnded](0)
+        async with trio.open_nursery() as nursery:
+            answer = await self._drive(call, hedged, nursery, send, receive)
+            nursery.cancel_scope.cancel()
+        self.counts.calls += 1
+        self.counts.extra_attempts += max(0, hedged.attempts - 1)
+        return answer
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        await self._pool.aclose()
+
+    def _hedged(self, call: ServiceCall) -> HedgedCall:
+        now = self._timers.now
+        deadline = now + self._settings.lookup_timeout_s
+        if call.deadline is not None:
+            deadline = min(deadline, call.deadline)
+
+        def live_names() -> tuple[str, ...]:
+            return tuple(t.name for t in runners_of(call.service, self._targets.value))
+
+        return HedgedCall(
+            live_names=live_names,
+            runners=self._runners,
+            delay=self._delays.setdefault(call.service.name, HedgeDelay()),
+            budget=self._budget(call.organisation),
+            deadline=deadline,
+            hedge=self._settings.hedge,
+        )
+
+    def _budget(self, organisation: str) -> RetryBudget:
+        if organisation not in self._budgets and len(self._budgets) >= MAX_ORGANISATIONS:
+            self._budgets.pop(next(iter(self._budgets)))
+        return self._budgets.setdefault(organisation, RetryBudget())
+
+    async def _drive(
+        self,
+        call: ServiceCall,
+        hedged: HedgedCall,
+        nursery: trio.Nursery,
+        send: trio.MemorySendChannel[AttemptEnded],
+        receive: trio.MemoryReceiveChannel[AttemptEnded],
+    ) -> StoredAnswer:
+        while True:
+            decision = hedged.decide(self._timers.now)
+            if isinstance(decision, Stop):
+                return self._stopped(hedged, decision)
+            if isinstance(decision, Send):
+                address = self._address(decision.runner)
+                nursery.start_soon(self._attempt, call, decision.runner, address, send)
+                continue
+            answer = await self._wait(call, hedged, decision, receive)
+            if answer is not None:
+                return answer
+
+    async def _wait(
+        self,
+        call: ServiceCall,
+        hedged: HedgedCall,
+        wait: Wait,
+        receive: trio.MemoryReceiveChannel[AttemptEnded],
+    ) -> StoredAnswer | None:
+        ended: AttemptEnded | None = None
+        with trio.move_on_after(max(0.0, wait.until - self._timers.now)):
+            ended = await receive.receive()
+        if ended is None:
+            return None
+        now = self._timers.now
+        if ended.response is None:
+            hedged.on_failure(ended.runner, now, overloaded=False)
+            return None
+        if ended.response.status in REFUSED_FOR_LOAD:
+            hedged.on_failure(ended.runner, now, overloaded=True)
+            return None
+        hedged.on_answer(ended.runner, now)
+        return service_answer(ended.response, service=call.service, idempotent=True)
+
+    def _address(self, runner: str) -> Address | None:
+        target = self._targets.value.find(runner)
+        return target.address if target else None
+
+    async def _attempt(
+        self,
+        call: ServiceCall,
+        runner: str,
+        address: Address | None,
+        send: trio.MemorySendChannel[AttemptEnded],
+    ) -> None:
+        response: Response | None = None
+        if address is not None:
+            try:
+                response = await self._exchange(call, address)
+            except PeerError:
+                response = None
+        await send.send(AttemptEnded(runner=runner, response=response))
+
+    async def _exchange(self, call: ServiceCall, address: Address) -> Response:
+        connection = await self._pool.take(address)
+        try:
+            return await exchange_on(
+                connection,
+                method=call.request.method,
+                target=call.target,
+                headers=call.headers(),
+                body=call.request.body,
+                step="look up",
+                max_bytes=self._settings.max_answer_bytes,
+            )
+        finally:
+            with trio.CancelScope(shield=True):
+                await self._pool.put_back(connection)
+
+    def _stopped(self, hedged: HedgedCall, stop: Stop) -> StoredAnswer:
+        self.counts.unanswered += 1
+        after_s = retry_after_s(base_s=self._settings.retry_after_s, rng=self._rng)
+        if stop.timed_out:
+            hedged.on_timeout(self._timers.now)
+        if stop.sent:
+            return unknown(
+                Reason.ATTEMPTS_EXHAUSTED,
+                "no runner answered; the call changes nothing and may be sent again",
+                retry_after_s=after_s,
+            )
+        if stop.timed_out:
+            return not_run(Reason.DEADLINE, "its deadline passed before it was sent")
+        live = self._targets.value.application()
+        reason = Reason.OVERLOADED if live else Reason.NO_TARGET
+        return not_run(reason, "no runner can take it now", retry_after_s=after_s)
