--- /dev/null
+++ b/lagoonlever/client/caller.py
@@ -0,0 +1,242 @@
+"""A caller that finds an entry VM, sends, and comes back by itself after a loss."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import attrs
+import msgspec
+import trio
+
+from lagoonlever.client.answers import HeldStream
+from lagoonlever.exceptions import LagoonleverException, PeerError
+from lagoonlever.http.client import ClientConnection, fetch
+from lagoonlever.http.messages import Address, Headers
+from lagoonlever.http.sse import EventParser
+from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER, RETRY_AFTER_HEADER
+
+STATUS_OK = 200
+STATUS_RETRY = frozenset({429, 503})
+ENTRY_PATH = "/v1/entry"
+DISCOVER_TIMEOUT_S = 1.0
+FIRST_RETRY_S = 0.05
+MOST_RETRY_S = 1.0
+REQUEST_ID_BITS = 96
+SEED_BITS = 31
+ABILITIES = "resume, restart, moved"
+
+
+class NoAnswer(LagoonleverException):
+    """The request ended without its whole answer; tells the outcome."""
+
+    def __init__(self, message: str, *, outcome: str, reason: str) -> None:
+        self.outcome = outcome
+        self.reason = reason
+        super().__init__(message)
+
+
+@attrs.frozen(kw_only=True)
+class CompletionRequest:
+    """What to ask for; ``seed`` makes an answer repeatable on one model version."""
+
+    model: str
+    prompt: str
+    max_tokens: int = 256
+    seed: int | None = None
+    stop: tuple[str, ...] = ()
+    api_key: str | None = None
+    deadline_s: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class EntryAnswer:
+    """Which entry VMs to use, and for how long to believe it."""
+
+    addresses: tuple[str, ...]
+    lifetime_s: float
+    key_home: str = ""
+
+
+@attrs.define(kw_only=True)
+class Arrival:
+    """When a piece of the answer came, by the monotonic clock, and what it added."""
+
+    at: float
+    text: str
+    offset: int
+
+
+ArrivalHandler = Callable[[Arrival], None]
+
+
+@attrs.define(kw_only=True)
+class Caller:
+    """Asks the system for completions by any of its addresses."""
+
+    _addresses: list[Address]
+    _rng: random.Random = attrs.field(factory=random.SystemRandom)
+    _give_up_after_s: float = 30.0
+    _known: list[Address] = attrs.field(factory=list)
+    _known_until: float = 0.0
+
+    async def discover(self) -> EntryAnswer:
+        """Ask any known address which entry VMs to use now; raises the last ``PeerError``."""
+        error: PeerError | None = None
+        for address in self._candidates():
+            try:
+                response = await fetch(
+                    address, path=ENTRY_PATH, step="find an entry VM", timeout_s=DISCOVER_TIMEOUT_S
+                )
+                answer = msgspec.json.decode(response.body, type=EntryAnswer)
+            except PeerError as failed:
+                error = failed
+                continue
+            except msgspec.MsgspecError:
+                continue
+            self._known = [Address.parse(text) for text in answer.addresses]
+            self._known_until = trio.current_time() + answer.lifetime_s
+            return answer
+        if error is None:
+            raise NoAnswer("no entry VM answered", outcome="not-run", reason="no-entry")
+        raise error
+
+    async def complete(
+        self,
+        request: CompletionRequest,
+        *,
+        on_arrival: ArrivalHandler,
+        request_id: str | None = None,
+    ) -> HeldStream:
+        """Give the whole answer, coming back to other VMs as often as needed.
+
+        Raises ``NoAnswer`` with the outcome when the system gave the request up,
+        or when no VM could be reached for the time allowed.
+        """
+        stream = HeldStream()
+        identity = request_id or f"{self._rng.getrandbits(REQUEST_ID_BITS):024x}"
+        last_progress = trio.current_time()
+        delay_s = 0.0
+        while not stream.whole:
+            await trio.sleep(delay_s)
+            before = len(stream.token_ids)
+            address = await self._next_address()
+            try:
+                await self._exchange(address, request, identity, stream, on_arrival)
+            except PeerError:
+                self._forget(address)
+            now = trio.current_time()
+            progressed = len(stream.token_ids) > before
+            last_progress = now if progressed else last_progress
+            delay_s = 0.0 if progressed else min(MOST_RETRY_S, max(FIRST_RETRY_S, 2 * delay_s))
+            self._check_error(stream)
+            if now - last_progress > self._give_up_after_s:
+                raise NoAnswer("no progress at any VM", outcome="unknown", reason="unreachable")
+        return stream
+
+    def _check_error(self, stream: HeldStream) -> None:
+        if stream.error is not None:
+            raise NoAnswer(
+                stream.error.message, outcome=stream.error.outcome, reason=stream.error.reason
+            )
+
+    async def _exchange(
+        self,
+        address: Address,
+        request: CompletionRequest,
+        identity: str,
+        stream: HeldStream,
+        on_arrival: ArrivalHandler,
+    ) -> None:
+        connection = await ClientConnection.open(address)
+        try:
+            await connection.start(
+                method="POST",
+                path="/v1/completions",
+                headers=self._headers(request, identity, stream),
+                body=_body(request, stream),
+                step="ask for a completion",
+            )
+            head = await connection.read_head()
+            if head.status != STATUS_OK:
+                await self._refused(connection, head.status, head.headers)
+                return
+            await self._read(connection, stream, on_arrival)
+        finally:
+            with trio.CancelScope(shield=True):
+                await connection.aclose()
+        moved = stream.take_moved()
+        if moved is not None:
+            self._known = [Address.parse(text) for text in moved if text != str(address)]
+
+    async def _read(
+        self, connection: ClientConnection, stream: HeldStream, on_arrival: ArrivalHandler
+    ) -> None:
+        parser = EventParser()
+        async for piece in connection.iter_body():
+            for event in parser.feed(piece):
+                text = stream.feed(event, peer=str(connection.address))
+                if text:
+                    arrival = Arrival(
+                        at=trio.current_time(), text=text, offset=len(stream.token_ids)
+                    )
+                    on_arrival(arrival)
+
+    async def _refused(self, connection: ClientConnection, status: int, headers: Headers) -> None:
+        outcome = headers.get(OUTCOME_HEADER, "unknown") or "unknown"
+        reason = headers.get(REASON_HEADER, "") or ""
+        if status in STATUS_RETRY:
+            self._forget(connection.address)
+            await trio.sleep(float(headers.get(RETRY_AFTER_HEADER, "1") or 1))
+            return
+        body = b"".join([piece async for piece in connection.iter_body()])
+        raise NoAnswer(body.decode("utf-8", "replace"), outcome=outcome, reason=reason)
+
+    def _headers(self, request: CompletionRequest, identity: str, stream: HeldStream) -> Headers:
+        headers = Headers(
+            (
+                ("Content-Type", "application/json"),
+                ("Idempotency-Key", identity),
+                ("Lagoonlever-Accept", ABILITIES),
+            )
+        )
+        if request.api_key is not None:
+            headers = headers.with_field("Authorization", f"Bearer {request.api_key}")
+        if request.deadline_s is not None:
+            headers = headers.with_field("Lagoonlever-Deadline-S", f"{request.deadline_s:g}")
+        if stream.last_event_id is not None:
+            headers = headers.with_field("Last-Event-ID", str(stream.last_event_id))
+        return headers
+
+    async def _next_address(self) -> Address:
+        if not self._known or trio.current_time() > self._known_until:
+            try:
+                await self.discover()
+            except (PeerError, NoAnswer):
+                self._known = []
+        candidates = self._known or self._addresses
+        return self._rng.choice(candidates)
+
+    def _candidates(self) -> list[Address]:
+        shuffled = list(self._addresses)
+        self._rng.shuffle(shuffled)
+        return self._known + [address for address in shuffled if address not in self._known]
+
+    def _forget(self, address: Address) -> None:
+        self._known = [known for known in self._known if known != address]
+
+
+def _body(request: CompletionRequest, stream: HeldStream) -> bytes:
+    document: dict[str, object] = {
+        "model": request.model,
+        "prompt": request.prompt,
+        "max_tokens": request.max_tokens,
+        "stream": True,
+        "stop": list(request.stop),
+    }
+    if request.seed is not None:
+        document["seed"] = request.seed
+    held = stream.held()
+    if held is not None:
+        document["lagoonlever_held"] = held
+    return msgspec.json.encode(document)
--- /dev/null
+++ b/lagoonlever/entry/routes.py
@@ -0,0 +1,93 @@
+"""The routes of an entry VM: which part answers which path, and how errors are told."""
+
+from __future__ import annotations
+
+import attrs
+import logbook
+
+from lagoonlever.events import event
+from lagoonlever.exceptions import RequestRefused
+from lagoonlever.http.messages import Headers
+from lagoonlever.http.server import CallerGone, Exchange, Handler, error_payload
+from lagoonlever.outcomes import OUTCOME_HEADER, OutcomeTag
+
+log = logbook.Logger(__name__)
+
+HANDLER_FAILED = event(
+    110,
+    "handler-failed",
+    "error",
+    "{method} {path} failed within this VM.",
+    "A fault of the system itself. The caller was told unknown. Report it with the lines around.",
+)
+
+INTERNAL_ERROR = 500
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """A method and a path, or with ``prefix`` every path below it."""
+
+    method: str
+    path: str
+    handler: Handler
+    prefix: bool = False
+
+    def matches(self, method: str, path: str) -> bool:
+        """Tell whether a request is for this route."""
+        if self.method not in ("*", method):
+            return False
+        return path.startswith(self.path) if self.prefix else path == self.path
+
+
+@attrs.define(kw_only=True)
+class Routes:
+    """Hands each exchange to its part; one request's error harms no other."""
+
+    _routes: list[Route] = attrs.field(factory=list)
+
+    def add(self, method: str, path: str, handler: Handler, *, prefix: bool = False) -> None:
+        """Add a route."""
+        self._routes.append(Route(method=method, path=path, handler=handler, prefix=prefix))
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one exchange."""
+        try:
+            await self._handler(exchange)(exchange)
+        except RequestRefused as refused:
+            await self._refuse(exchange, refused)
+        except CallerGone:
+            raise
+        except Exception:
+            request = exchange.request
+            HANDLER_FAILED.log(log, method=request.method, path=request.path, exc_info=True)
+            await self._fail(exchange)
+
+    def _handler(self, exchange: Exchange) -> Handler:
+        request = exchange.request
+        for route in self._routes:
+            if route.matches(request.method, request.path):
+                return route.handler
+        known = [route for route in self._routes if route.matches(route.method, request.path)]
+        if known:
+            methods = ", ".join(sorted({route.method for route in known}))
+            raise RequestRefused(status=405, field="method", message=f"use {methods}")
+        raise RequestRefused(status=404, field="path", message=f"there is no {request.path}")
+
+    async def _refuse(self, exchange: Exchange, refused: RequestRefused) -> None:
+        if exchange.responded:
+            raise CallerGone
+        await exchange.respond_json(
+            status=refused.status,
+            payload=error_payload(refused),
+            headers=Headers(((OUTCOME_HEADER, OutcomeTag.NOT_RUN.value),)),
+        )
+
+    async def _fail(self, exchange: Exchange) -> None:
+        if exchange.responded:
+            raise CallerGone
+        await exchange.respond_json(
+            status=INTERNAL_ERROR,
+            payload={"error": {"message": "a fault within the system", "type": "unknown"}},
+            headers=Headers(((OUTCOME_HEADER, OutcomeTag.UNKNOWN.value),)),
+        )
