--- a/lagoonlever/config/vm.py
+++ b/lagoonlever/config/vm.py
@@ -19,6 +19,7 @@
 from lagoonlever.config.options import option
 from lagoonlever.exceptions import Fault, FaultsError
 from lagoonlever.http.messages import Address
+from lagoonlever.report.objectives import ObjectiveSettings
 
 
 def _check_platform_addresses(texts: tuple[str, ...]) -> str | None:
@@ -66,6 +67,11 @@
         default=None,
     )
 
+    objectives: ObjectiveSettings = option(
+        doc="The service-level objectives that the metrics count towards.",
+        factory=ObjectiveSettings,
+    )
+
     @property
     def advertised(self) -> Address:
         """The address that callers are told to use."""
