--- /dev/null
+++ b/lagoonlever/decisions/shares_exchange.py
@@ -0,0 +1,192 @@
+"""The sums that VMs tell each other about their use of the pool, kept as soft state.
+
+Every VM says for each leaf how much work it has committed since it started, and
+how many requests run and wait there now. The sums are cumulative, so a lost
+message costs freshness and nothing else, and a repeated one charges nothing.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonlever.identity import Incarnation
+
+PERIOD_S = 1.0
+"""Every VM speaks this often, also when it has nothing new: silence means it is gone."""
+URGENT_GAP_S = 0.25
+"""A leaf that begins or ceases to wait is told this soon."""
+REPEAT_S = 2.5
+"""A changed leaf is told again for this long, so that one lost message does no harm."""
+FULL_PERIOD_S = 10.0
+STALE_AFTER_S = 4.0
+"""A peer silent for this long no longer counts as having demand."""
+FORGET_AFTER_S = 600.0
+"""A peer silent for this long loses its sums; should it return, they start anew."""
+
+
+@attrs.frozen(kw_only=True)
+class LeafSum:
+    """One leaf at one VM: work committed since the VM started, requests running and waiting."""
+
+    key: int
+    committed: int
+    running: int
+    waiting: int
+
+
+@attrs.frozen(kw_only=True)
+class LeafChange:
+    """What a peer's news changes for one leaf."""
+
+    key: int
+    work: float
+    running: int
+    waiting: int
+
+
+@attrs.frozen(kw_only=True)
+class SumsNews:
+    """News of one VM: the leaves that changed, or, if ``full``, all that it ever used."""
+
+    sequence: int
+    full: bool
+    leaves: tuple[LeafSum, ...]
+
+
+@attrs.define(kw_only=True)
+class _Own:
+    sum: LeafSum
+    changed_at: float
+
+
+class OwnSums:
+    """The sums of this VM, and when to tell them."""
+
+    def __init__(self) -> None:
+        self._leaves: dict[int, _Own] = {}
+        self._sequence = 0
+        self._sent_at = -FULL_PERIOD_S
+        self._full_at = -FULL_PERIOD_S
+        self._urgent = False
+
+    def ask_full(self) -> None:
+        """Tell everything next time, because a peer is new."""
+        self._full_at = -FULL_PERIOD_S
+
+    def update(self, leaf: LeafSum, now: float) -> None:
+        """Take on a leaf's sums."""
+        known = self._leaves.get(leaf.key)
+        if known is not None and known.sum == leaf:
+            return
+        waited = known is not None and known.sum.waiting > 0
+        if waited != (leaf.waiting > 0):
+            self._urgent = True
+        self._leaves[leaf.key] = _Own(sum=leaf, changed_at=now)
+
+    def due_news(self, now: float) -> SumsNews | None:
+        """Give the news that is due now, or None."""
+        if now < self._sent_at + (URGENT_GAP_S if self._urgent else PERIOD_S):
+            return None
+        full = now >= self._full_at + FULL_PERIOD_S
+        if full:
+            self._full_at = now
+        self._sent_at = now
+        self._urgent = False
+        self._sequence += 1
+        leaves = tuple(
+            own.sum for own in self._leaves.values() if full or own.changed_at > now - REPEAT_S
+        )
+        return SumsNews(sequence=self._sequence, full=full, leaves=leaves)
+
+
+@attrs.define(kw_only=True)
+class _Peer:
+    heard_at: float
+    sequence: int = 0
+    complete: bool = False
+    """Whether a full message came, so that a leaf not heard of before is new at the peer."""
+    leaves: dict[int, LeafSum] = attrs.field(factory=dict)
+    silent_running: int | None = None
+    """Requests running when it fell silent; None while it is heard."""
+
+    def merge(self, leaf: LeafSum) -> LeafChange:
+        """Take on one leaf; gives the difference."""
+        start = LeafSum(
+            key=leaf.key,
+            # What a peer used before we heard of it was shared out without us.
+            committed=0 if self.complete else leaf.committed,
+            running=0,
+            waiting=0,
+        )
+        former = self.leaves.get(leaf.key, start)
+        self.leaves[leaf.key] = leaf
+        return LeafChange(
+            key=leaf.key,
+            work=leaf.committed - former.committed,
+            running=leaf.running - former.running,
+            waiting=leaf.waiting - former.waiting,
+        )
+
+    def fall_silent(self) -> list[LeafChange]:
+        """Give up its demand; its committed work stays known, in case it comes back."""
+        self.silent_running = sum(leaf.running for leaf in self.leaves.values())
+        idle = [attrs.evolve(leaf, running=0, waiting=0) for leaf in self.leaves.values()]
+        return [self.merge(leaf) for leaf in idle]
+
+
+class PeerSums:
+    """What the peers have said, by incarnation."""
+
+    def __init__(self) -> None:
+        self._peers: dict[Incarnation, _Peer] = {}
+
+    @property
+    def live_count(self) -> int:
+        """How many peers were heard of late."""
+        return sum(peer.silent_running is None for peer in self._peers.values())
+
+    def silent_running(self, *, heard_after: float) -> int:
+        """Count requests that peers, now silent, ran when last heard; they may still run."""
+        return sum(
+            peer.silent_running or 0 for peer in self._peers.values() if peer.heard_at > heard_after
+        )
+
+    def receive(self, sender: Incarnation, news: SumsNews, now: float) -> list[LeafChange]:
+        """Take on a peer's news; gives what it changes, nothing if it is late."""
+        if any(_is_later_life(other, sender) for other in self._peers):
+            return []
+        changes = self._retire_former_lives(sender)
+        peer = self._peers.setdefault(sender, _Peer(heard_at=now))
+        if news.sequence <= peer.sequence:
+            return changes
+        peer.sequence = news.sequence
+        peer.heard_at = now
+        peer.silent_running = None
+        changes.extend(peer.merge(leaf) for leaf in news.leaves)
+        peer.complete = peer.complete or news.full
+        return changes
+
+    def retire(self, sender: Incarnation) -> list[LeafChange]:
+        """Give up the demand of a peer that is said to be dead or gone."""
+        peer = self._peers.get(sender)
+        if peer is None or peer.silent_running is not None:
+            return []
+        return peer.fall_silent()
+
+    def age(self, now: float) -> list[LeafChange]:
+        """Give up the demand of peers that fell silent, and forget those long gone."""
+        changes: list[LeafChange] = []
+        for sender, peer in list(self._peers.items()):
+            if now > peer.heard_at + STALE_AFTER_S:
+                changes.extend(self.retire(sender))
+            if now > peer.heard_at + FORGET_AFTER_S:
+                del self._peers[sender]
+        return changes
+
+    def _retire_former_lives(self, sender: Incarnation) -> list[LeafChange]:
+        former = [other for other in self._peers if _is_later_life(sender, other)]
+        return [change for other in former for change in self.retire(other)]
+
+
+def _is_later_life(one: Incarnation, other: Incarnation) -> bool:
+    return one.name == other.name and one > other
--- /dev/null
+++ b/lagoonlever/decisions/shares_slots.py
@@ -0,0 +1,108 @@
+"""How many of a pool's slots this VM may use now, worked out alike at every VM.
+
+Each VM knows the demand of all (a little late) and divides the same slots by the
+same rule: first over the tree by weight, then each leaf's part over the VMs by
+their demand for that leaf. No VM asks another for a slot.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from lagoonlever.decisions.shares import ShareTree
+
+CORRECTION_S = 4.0
+"""A node this many seconds behind its share gets e times the slots of its weight alone."""
+MAX_CORRECTION = 3.0
+"""Largest exponent of the correction."""
+
+
+@attrs.frozen(kw_only=True)
+class PoolReport:
+    """The slots of a pool's live engines and, as they report late, how many run there."""
+
+    slots: int
+    running: int | None = None
+
+
+@attrs.frozen(kw_only=True)
+class LeafDemand:
+    """Requests of one leaf that run or wait, on all VMs and on this one."""
+
+    total: int
+    own: int
+
+
+def divide_slots(
+    *,
+    tree: ShareTree,
+    demand: Mapping[str, LeafDemand],
+    slots: float,
+    lag_s: Callable[[str], float],
+    max_running: Mapping[str, float],
+) -> dict[str, float]:
+    """Divide slots over the leaves by weight, lending what a node has no demand for."""
+    wanted: dict[str, float] = {}
+    for leaf, leaf_demand in demand.items():
+        for path in (tree.root, *tree.chain(leaf)):
+            wanted[path] = wanted.get(path, 0.0) + leaf_demand.total
+    for path, limit in max_running.items():
+        if path in wanted:
+            wanted[path] = min(wanted[path], limit)
+    result: dict[str, float] = {}
+    _divide(tree, tree.root, min(slots, wanted.get(tree.root, 0.0)), wanted, lag_s, result)
+    return result
+
+
+def own_part(*, divided: Mapping[str, float], demand: Mapping[str, LeafDemand]) -> dict[str, float]:
+    """Give this VM's part of each leaf's slots, by its part of the leaf's demand."""
+    return {
+        leaf: divided.get(leaf, 0.0) * one.own / one.total
+        for leaf, one in demand.items()
+        if one.own > 0
+    }
+
+
+def usable_slots(*, report: PoolReport, known_running: int, silent_running: float) -> float:
+    """Give the slots that are not held by peers that fell silent.
+
+    A peer that is cut off goes on using engines. Only the engines tell so: what
+    runs there beyond what the peers still heard say is the silent ones', up to
+    what these last said. A dead peer's streams end, the reports show it, and
+    its slots come back; a late or wrong report can take no more than that.
+    """
+    if report.running is None:
+        return max(0.0, report.slots - silent_running)
+    unexplained = max(0, report.running - known_running)
+    return max(0.0, report.slots - min(unexplained, silent_running))
+
+
+def _divide(
+    tree: ShareTree,
+    here: str,
+    amount: float,
+    wanted: Mapping[str, float],
+    lag_s: Callable[[str], float],
+    result: dict[str, float],
+) -> None:
+    children = [path for path in tree.children(here) if wanted.get(path, 0.0) > 0]
+    if not children:
+        result[here] = amount
+        return
+    pull = {path: tree.weight(path) * _correction(lag_s(path)) for path in children}
+    # Those that need least for their weight are filled first; the rest share what is left.
+    children.sort(key=lambda path: wanted[path] / pull[path])
+    left_pull = sum(pull.values())
+    for path in children:
+        part = min(wanted[path], amount * pull[path] / left_pull)
+        amount -= part
+        left_pull -= pull[path]
+        _divide(tree, path, part, wanted, lag_s, result)
+
+
+def _correction(lag_s: float) -> float:
+    exponent = -lag_s / CORRECTION_S
+    return math.exp(min(max(exponent, -MAX_CORRECTION), MAX_CORRECTION))
