Tell a connection that closed early from a bad response

A reused connection that the peer had closed while idle raised BadResponse, because h11's text says ConnectionClosed and the check looked for 'closed'. The end of the stream is now noted when it is read.

--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -39,6 +39,7 @@
         self._address = address
         self._h11 = h11.Connection(h11.CLIENT)
         self._step = "connect"
+        self._ended = False
         self.idle_since = 0.0
 
     @property
@@ -137,11 +138,13 @@
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._h11.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                self._ended = not data
+                self._h11.receive_data(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise self._broken(str(error)) from error
         except h11.RemoteProtocolError as error:
-            if self._h11.their_state is h11.ERROR and "closed" in str(error):
+            if self._ended:
                 raise self._broken(str(error)) from error
             raise BadResponse(str(error), step=self._step, peer=str(self._address)) from error
 
--- /dev/null
+++ b/lagoonlever/tests/http_client_tests.py
@@ -0,0 +1,42 @@
+"""The client side of HTTP: what its errors tell of a connection that ended early."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from lagoonlever.exceptions import BadResponse, ConnectionBroken
+from lagoonlever.http.client import fetch
+from lagoonlever.http.messages import Address
+from lagoonlever.http.server import open_listeners
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        (b"", ConnectionBroken),
+        (HEAD[:20], ConnectionBroken),
+        (HEAD + b"he", ConnectionBroken),
+        (b"no HTTP at all\r\n\r\n", BadResponse),
+    ],
+)
+def test_an_early_end_is_a_broken_connection_and_no_bad_response(answer, error):
+    """A peer closes before or within its answer, as an idle connection does when it is reused."""
+
+    async def main():
+        async def serve(stream):
+            await stream.receive_some(65536)
+            await stream.send_all(answer)
+            await stream.aclose()
+
+        listeners = await open_listeners(host="127.0.0.1", port=0)
+        address = Address(host="127.0.0.1", port=listeners[0].socket.getsockname()[1])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            with pytest.raises(error):
+                await fetch(address, path="/", step="test", timeout_s=20)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
