--- /dev/null
+++ b/lagoonlever/platform/port.py
@@ -0,0 +1,230 @@
+"""The narrow port to the platform: typed reads, changes, leases, watches and the list of VMs.
+
+A change that fails tells what is known of it: ``PlatformUnavailable`` proves that
+it was not applied, ``PlatformAnswerLost`` proves nothing. A caller that meets the
+latter reads back, and knows its own change by what it wrote.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+import attrs
+
+from lagoonlever.exceptions import PlatformError
+from lagoonlever.http.messages import Address
+
+ABSENT = 0
+"""The expected revision of a key that must not exist."""
+NO_LEASE = 0
+MAX_VALUE_BYTES = 1024 * 1024
+
+
+class LeaseLapsed(PlatformError):
+    """The change names a lease that has lapsed: it has not been applied."""
+
+
+class ChangeRefused(PlatformError):
+    """The platform refuses the change as it stands, as a value too large: not applied."""
+
+
+class WatchCompacted(PlatformError):
+    """Changes after the watch's revision are gone: read the prefix anew and watch from there."""
+
+
+@attrs.frozen(kw_only=True)
+class KeyValue:
+    """One key; ``revision`` is that of its last change, ``lease`` 0 without one."""
+
+    key: str
+    value: bytes
+    revision: int
+    created_revision: int
+    lease: int = NO_LEASE
+
+
+@attrs.frozen(kw_only=True)
+class KeyRead:
+    """A key as of the platform's ``revision``, or None where it is absent."""
+
+    revision: int
+    entry: KeyValue | None
+
+
+@attrs.frozen(kw_only=True)
+class PrefixRead:
+    """All keys under a prefix as of the platform's ``revision``, in order of their names."""
+
+    revision: int
+    entries: tuple[KeyValue, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Swapped:
+    """The change was applied, at this revision."""
+
+    revision: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Conflict:
+    """The change was not applied: the key has another revision, or None where it is absent."""
+
+    revision: int
+    current: KeyValue | None
+
+
+SwapResult = Swapped | Conflict
+
+
+@attrs.frozen(kw_only=True)
+class ClaimedKey:
+    """One key of a claim; ``holder`` is the entry that existed before, None if we created it."""
+
+    key: str
+    holder: KeyValue | None
+
+    @property
+    def created(self) -> bool:
+        """Whether this claim created the key."""
+        return self.holder is None
+
+
+@attrs.frozen(kw_only=True)
+class ClaimResult:
+    """What became of each key of a claim, in the order they were given."""
+
+    revision: int
+    keys: tuple[ClaimedKey, ...]
+
+
+@attrs.frozen(kw_only=True)
+class NewKey:
+    """A key to create only if it is absent."""
+
+    key: str
+    value: bytes
+    lease: int = NO_LEASE
+
+
+@attrs.frozen(kw_only=True)
+class Lease:
+    """A lease; its holder counts ``ttl_s`` from before it sent the call that gave it."""
+
+    id: int
+    ttl_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Renewed:
+    """The lease holds for ``ttl_s`` seconds from before the call was sent."""
+
+    ttl_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Lapsed:
+    """The lease is gone, and its keys with it."""
+
+
+RenewalResult = Renewed | Lapsed
+
+
+@attrs.frozen(kw_only=True)
+class KeyChange:
+    """One change seen by a watch; ``entry`` is None where the key was deleted."""
+
+    key: str
+    revision: int
+    entry: KeyValue | None
+
+
+@attrs.frozen(kw_only=True)
+class WatchBatch:
+    """Changes in order, up to ``revision``; none means that the platform was heard from."""
+
+    revision: int
+    changes: tuple[KeyChange, ...] = ()
+
+
+class VmRole(enum.Enum):
+    """What runs on a VM of the platform's list."""
+
+    ENTRY = "entry"
+    ENGINE = "engine"
+    APPLICATION = "application"
+
+
+class VmState(enum.Enum):
+    """Whether the platform keeps a VM or is taking it away."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@attrs.frozen(kw_only=True)
+class VmEntry:
+    """One VM of the platform's list, which lags."""
+
+    name: str
+    address: Address
+    peer_address: Address | None
+    data_center: str
+    role: VmRole
+    state: VmState
+
+
+class Watch(Protocol):
+    """Changes under a prefix from one revision on, with none left out; owned by one task."""
+
+    async def next(self) -> WatchBatch:
+        """Wait for changes; after ``PlatformUnavailable`` the next call goes on from there.
+
+        Raises ``WatchCompacted`` for good when changes were lost.
+        """
+
+    async def aclose(self) -> None:
+        """Stop watching."""
+
+
+class Platform(Protocol):
+    """The platform's services as the system uses them; every method but ``watch`` is one call.
+
+    All raise ``PlatformUnavailable``; those that change something also raise
+    ``PlatformAnswerLost``, ``LeaseLapsed`` and ``ChangeRefused``.
+    """
+
+    async def get(self, key: str) -> KeyRead:
+        """Read one key."""
+
+    async def get_prefix(self, prefix: str) -> PrefixRead:
+        """Read all keys under a prefix."""
+
+    async def compare_and_swap(
+        self, key: str, *, expected_revision: int, value: bytes | None, lease: int = NO_LEASE
+    ) -> SwapResult:
+        """Write a key, or delete it by None, if its revision is the expected one."""
+
+    async def claim(self, keys: Sequence[NewKey]) -> ClaimResult:
+        """Create each key that is absent, all in one transaction, and read the others."""
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """Take a lease; keys written under it vanish when it lapses."""
+
+    async def keep_alive(self, lease: Lease) -> RenewalResult:
+        """Renew a lease."""
+
+    async def revoke(self, lease: Lease) -> None:
+        """Give a lease up, with its keys; one that has lapsed is no error."""
+
+    def watch(self, prefix: str, *, after_revision: int) -> Watch:
+        """Watch the changes after a revision; each connection it opens is one call."""
+
+    async def list_vms(self) -> tuple[VmEntry, ...]:
+        """Read the list of live and leaving VMs."""
+
+    async def aclose(self) -> None:
+        """Close idle connections."""
