--- a/lagoonlever/decisions/admission.py
+++ b/lagoonlever/decisions/admission.py
@@ -209,6 +209,22 @@
         """Take on a peer's sums."""
         self._book.receive(sender, news, now)
 
+    def retire(self, sender: Incarnation) -> None:
+        """Give up the demand of a peer that membership says is dead or gone."""
+        self._book.retire(sender)
+
+    def excuse(self, paused_s: float) -> None:
+        """Count no silence of peers for a time in which this VM itself was paused."""
+        self._book.excuse(paused_s)
+
+    def greet(self) -> None:
+        """Tell everything next time, because a peer is new."""
+        self._book.greet()
+
+    def due_news(self, now: float) -> SumsNews | None:
+        """Give what is to be told to the peers now, or None."""
+        return self._book.due_news(now)
+
     def replace_tree(self, tree: ShareTree, limits: Mapping[str, NodeLimits], now: float) -> None:
         """Take on another version of the settings; what waits or runs moves to its new leaf."""
         moving = [leaf for leaf in self._queues if not tree.is_leaf(leaf)]
--- a/lagoonlever/decisions/shares.py
+++ b/lagoonlever/decisions/shares.py
@@ -41,7 +41,7 @@
     """The nodes by path, each with its children; every node but the root has a known parent.
 
     Callers may belong to a node that has children; their requests then count
-    for a leaf of weight 1 beside these children.
+    for a leaf beside these children, which inherits the node's weight.
     """
 
     def __init__(self, nodes: Iterable[ShareNode]) -> None:
@@ -52,7 +52,8 @@
         self._root = roots[0]
         inner = {node.parent for node in self._nodes.values() if node.parent is not None}
         for parent in inner | {self._root}:
-            own = ShareNode(path=f"{parent}/{OWN_CHILD}", parent=parent)
+            weight = self._nodes[parent].weight
+            own = ShareNode(path=f"{parent}/{OWN_CHILD}", weight=weight, parent=parent)
             self._nodes[own.path] = own
         self._children: dict[str, list[str]] = {path: [] for path in self._nodes}
         for node in self._nodes.values():
--- a/lagoonlever/decisions/shares_book.py
+++ b/lagoonlever/decisions/shares_book.py
@@ -16,6 +16,7 @@
     SumsNews,
 )
 from lagoonlever.decisions.shares_ledger import ShareLedger
+from lagoonlever.decisions.shares_meter import OrganisationStanding, ShareMeter
 from lagoonlever.decisions.shares_slots import (
     LeafDemand,
     PoolReport,
@@ -61,6 +62,8 @@
         self._report = PoolReport(slots=0)
         self._quota = 0.0
         self._parts: dict[str, float] = {}
+        self._divided: dict[str, float] = {}
+        self._meter = ShareMeter()
         self._quota_known = False
         self._ticked_at = -math.inf
 
@@ -138,6 +141,21 @@
         self._report = report
         self._quota_known = False
 
+    def standing(self) -> list[OrganisationStanding]:
+        """Give how each organisation stands, for reports."""
+        used = self._meter.parts()
+        entitled = self._entitled()
+        return [
+            OrganisationStanding(
+                path=path,
+                lag_s=self._ledger.lag_s(path),
+                used=used.get(path, 0.0),
+                entitled=entitled.get(path, 0.0),
+                waiting_here=self.own_waiting(path),
+            )
+            for path in self._tree.children(self._tree.root)
+        ]
+
     def add_own(
         self, leaf: str, *, now: float, work: float = 0.0, running: int = 0, waiting: int = 0
     ) -> None:
@@ -167,6 +185,10 @@
         """Give up the demand of a peer that membership says is dead or gone."""
         self._apply_all(self._peers.retire(sender))
 
+    def excuse(self, paused_s: float) -> None:
+        """Count no silence of peers for a time in which this VM itself was paused."""
+        self._peers.excuse(paused_s)
+
     def greet(self) -> None:
         """Tell everything next time, because a peer is new."""
         self._own_sums.ask_full()
@@ -181,20 +203,21 @@
             self._ticked_at = now
             self._apply_all(self._peers.age(now))
             self._ledger.tick(now)
+            self._meter.tick(now)
             self._quota_known = False
         if self._quota_known:
             return
         demand = self._demand()
         slots = self._usable_slots(now)
-        divided = divide_slots(
+        self._divided = divide_slots(
             tree=self._tree,
             demand=demand,
             slots=slots,
             lag_s=self._ledger.lag_s,
             max_running=self._max_running,
         )
-        self._parts = own_part(divided=divided, demand=demand)
-        spare = max(0.0, slots - sum(divided.values()))
+        self._parts = own_part(divided=self._divided, demand=demand)
+        spare = max(0.0, slots - sum(self._divided.values()))
         self._quota = sum(self._parts.values()) + spare / (self._peers.live_count + 1)
         self._quota_known = True
 
@@ -206,6 +229,14 @@
         known = sum(leaf.total.running for leaf in self._leaves.values())
         return usable_slots(report=self._report, known_running=known, silent_running=silent)
 
+    def _entitled(self) -> dict[str, float]:
+        slots = sum(self._divided.values())
+        entitled: dict[str, float] = {}
+        for leaf, part in self._divided.items():
+            organisation = self._tree.chain(leaf)[0]
+            entitled[organisation] = entitled.get(organisation, 0.0) + part / slots
+        return entitled
+
     def _demand(self) -> dict[str, LeafDemand]:
         demand: dict[str, LeafDemand] = {}
         for key, leaf in self._leaves.items():
@@ -238,6 +269,7 @@
         if path is None:
             return
         if change.work:
+            self._meter.add(self._tree.chain(path)[0], change.work)
             self._ledger.commit(path, change.work)
         if change.running or change.waiting:
             self._ledger.add_demand(path, running=change.running, waiting=change.waiting)
--- a/lagoonlever/decisions/shares_exchange.py
+++ b/lagoonlever/decisions/shares_exchange.py
@@ -173,6 +173,11 @@
             return []
         return peer.fall_silent()
 
+    def excuse(self, paused_s: float) -> None:
+        """Count no silence for a time in which this VM itself was paused."""
+        for peer in self._peers.values():
+            peer.heard_at += paused_s
+
     def age(self, now: float) -> list[LeafChange]:
         """Give up the demand of peers that fell silent, and forget those long gone."""
         changes: list[LeafChange] = []
