--- /dev/null
+++ b/.ci/known_red.py
@@ -0,0 +1,101 @@
+"""Runs the tests, with those of KNOWN-RED.txt apart; also the pytest plugin that leaves them out.
+
+A line of KNOWN-RED.txt is ``test, cause, issue``, the test by its pytest id. A
+listed test that fails is printed and doesn't fail the run; one that passes is
+told, so that its line goes. More than three lines, a malformed one, or one that
+names no test fail the run.
+"""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+LIST_FILE = ROOT / "KNOWN-RED.txt"
+MAX_LINES = 3
+PARTS = 3
+PASSED = 0
+FAILED = 1
+WRONG_LIST = 2
+PYTEST = (sys.executable, "-m", "pytest", "--hypothesis-profile=ci")
+
+
+class WrongList(Exception):
+    """KNOWN-RED.txt is not as its rules say."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class KnownRed:
+    """A test that fails for a fault which is known and not yet mended."""
+
+    test: str
+    cause: str
+    issue: str
+
+
+def read_list(file: Path) -> list[KnownRed]:
+    """Read the list, empty if there is no file; raises ``WrongList``."""
+    if not file.exists():
+        return []
+    lines = [line.strip() for line in file.read_text(encoding="utf-8").splitlines()]
+    entries = [_parse(line) for line in lines if line]
+    if len(entries) > MAX_LINES:
+        raise WrongList(f"{file.name} has {len(entries)} lines; at most {MAX_LINES} may be red")
+    return entries
+
+
+def _parse(line: str) -> KnownRed:
+    test, _, rest = line.partition(", ")
+    cause, _, issue = rest.rpartition(", ")
+    if not (test and cause and issue):
+        raise WrongList(f"{line!r} is not 'test, cause, issue'")
+    return KnownRed(test=test, cause=cause, issue=issue)
+
+
+def pytest_collection_modifyitems(config, items):
+    """Leave out exactly the listed tests; pytest's own option leaves out by prefix."""
+    listed = {entry.test for entry in read_list(LIST_FILE)}
+    left_out = [item for item in items if item.nodeid in listed]
+    items[:] = [item for item in items if item.nodeid not in listed]
+    config.hook.pytest_deselected(items=left_out)
+
+
+def run_others() -> int:
+    """Run every test that is not listed; give pytest's exit code."""
+    paths = [str(Path(__file__).parent), os.environ.get("PYTHONPATH", "")]
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, paths))}
+    command = (*PYTEST, "-n", "4", "-p", "known_red")
+    return subprocess.run(command, cwd=ROOT, env=environment, check=False).returncode
+
+
+def run_listed(entry: KnownRed) -> bool:
+    """Run one listed test and tell its result; False if it could not be run."""
+    code = subprocess.run((*PYTEST, entry.test), cwd=ROOT, check=False).returncode
+    if code == FAILED:
+        print(f"KNOWN RED: {entry.test}: {entry.cause} ({entry.issue})", flush=True)
+        return True
+    if code == PASSED:
+        print(f"KNOWN RED PASSES: {entry.test}: take its line out", flush=True)
+        return True
+    print(f"KNOWN RED NOT RUN: {entry.test}: pytest ended with {code}", flush=True)
+    return False
+
+
+def main() -> int:
+    """Run all tests; give 0 if every test passed but for the listed ones."""
+    try:
+        entries = read_list(LIST_FILE)
+    except WrongList as error:
+        print(error, file=sys.stderr)
+        return WRONG_LIST
+    code = run_others()
+    listed_run = [run_listed(entry) for entry in entries]
+    return code or (PASSED if all(listed_run) else WRONG_LIST)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
