--- a/lagoonlever/decisions/generation.py
+++ b/lagoonlever/decisions/generation.py
@@ -63,6 +63,8 @@
 NOTHING_SENT = frozenset({BreakCause.CONNECT_FAILED, BreakCause.NO_TARGET})
 """Causes that prove that the engine received nothing."""
 
+TARGET_NOT_TO_BLAME = frozenset({BreakCause.NO_TARGET, BreakCause.NOT_THERE})
+
 NOTHING_TO_CANCEL = NOTHING_SENT | {BreakCause.REFUSED, BreakCause.NOT_THERE}
 
 
@@ -178,6 +180,7 @@
         self._prompt_token_ids: tuple[int, ...] | None = None
         self._live: dict[int, _Attempt] = {}
         self._avoid: set[str] = set()
+        self._tried_all_again = False
         self._attempts_started = 0
         self._anything_sent = False
         self._finished: Finish | None = None
@@ -293,6 +296,7 @@
                 answer.append(piece, attempt=attempt, target=current.target) for piece in pieces
             )
             decisions.append(Release(pieces=released))
+            self._tried_all_again = False
         if current.buffer.stopped:
             return decisions + self._cancel(attempt) + self._finish(Done(), "stop")
         if current.ended:
@@ -304,7 +308,7 @@
         current = self._live.pop(attempt, None)
         if current is None or self._finished:
             return []
-        if current.target and cause is not BreakCause.NOT_THERE:
+        if current.target and cause not in TARGET_NOT_TO_BLAME:
             self._avoid.add(current.target)
         decisions: list[Decision] = []
         if cause not in NOTHING_TO_CANCEL:
@@ -410,8 +414,9 @@
 
     def _without_target(self) -> list[Decision]:
         """No engine can go on: begin anew where that is honest, else give up."""
-        if self._avoid:
+        if self._avoid and not self._tried_all_again:
             self._avoid.clear()
+            self._tried_all_again = True
             if self._attempts_started < self._limits.attempts:
                 return [self._dispatch(resume=True)]
         if self.released and not self._spec.accepts_restart:
@@ -426,6 +431,8 @@
         self._seed = self._draw_seed()
         self._answer = None
         self._prompt_token_ids = None
+        self._avoid.clear()
+        self._tried_all_again = False
         decisions: list[Decision] = []
         if had_released:
             decisions.append(Restart(generation=self._generation))
