--- a/lagoonlever/fakes/engine.py
+++ b/lagoonlever/fakes/engine.py
@@ -12,7 +12,7 @@
 import contextlib
 import random
 import time
-from collections import OrderedDict, defaultdict, deque
+from collections import OrderedDict, defaultdict
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -21,18 +21,13 @@
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.fakes import wire
 from lagoonlever.fakes.batch import Batch, Generation, ServedModel, Work
+from lagoonlever.fakes.engine_orders import EngineOrders
 from lagoonlever.fakes.engine_stream import EngineStream, StreamWriter
 from lagoonlever.fakes.faults import FaultOrder, Faults
 from lagoonlever.fakes.prefix_cache import CacheEvent, PrefixCache
+from lagoonlever.fakes.serving import LateReports, answer_with_faults, serve_until_death
 from lagoonlever.fakes.tokens import encode_prompt, token_bytes
-from lagoonlever.http.server import (
-    CallerGone,
-    Exchange,
-    ServerLimits,
-    ServerState,
-    error_payload,
-    serve_http,
-)
+from lagoonlever.http.server import CallerGone, Exchange
 
 KEPT_STREAMS = 4096
 MAX_TOKENS = 1_000_000
@@ -89,28 +84,17 @@
         self._faults.inject(order)
 
     async def run(self, listeners: list[trio.SocketListener]) -> None:
-        """Serve until cancelled or told to die; then nothing listens and every socket is shut."""
+        """Serve until cancelled or told to die; a second run begins a new, empty life."""
         if self._faults.dead:
             self._reset()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._serve, listeners)
             nursery.start_soon(self._decode)
-            await self._faults.wait_death()
+            await serve_until_death(handler=self.handle, listeners=listeners, faults=self._faults)
             nursery.cancel_scope.cancel()
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer one request; only faults are taken while frozen."""
-        request = exchange.request
-        if request.path == "/fault":
-            order = wire.read_body(request, FaultOrder)
-            await wire.respond(exchange, wire.Acknowledged())
-            self.inject(order)
-            return
-        await self._faults.moving()
-        try:
-            await self._route(exchange)
-        except RequestRefused as refused:
-            await exchange.respond_json(status=refused.status, payload=error_payload(refused))
+        """Answer one request."""
+        await answer_with_faults(exchange, faults=self._faults, route=self._route)
 
     def _reset(self) -> None:
         self._faults = Faults()
@@ -124,17 +108,11 @@
         self._streams: OrderedDict[str, EngineStream] = OrderedDict()
         self._live: dict[str, EngineStream] = {}
         self._arrived = trio.Event()
-        self._reports: deque[wire.LoadReport] = deque()
-        self._models = self._options.models
-        self._order = wire.Order(fencing=0, wanted=_wanted(self._models))
-        self._order_at = 0.0
-
-    async def _serve(self, listeners: list[trio.SocketListener]) -> None:
-        await serve_http(
-            handler=self.handle,
-            listeners=listeners,
-            limits=ServerLimits(),
-            state=ServerState(),
+        self._reports = LateReports(lag_s=self._options.load_lag_s)
+        self._orders = EngineOrders(
+            models=self._options.models,
+            checks_fencing=self._options.checks_fencing,
+            model_load_s=self._options.model_load_s,
         )
 
     async def _decode(self) -> None:
@@ -161,17 +139,14 @@
                 del self._live[name]
 
     def _note_load(self) -> None:
-        now = trio.current_time()
         report = wire.LoadReport(
             running=self._batch.running,
             waiting=self._batch.waiting,
             slots=self._options.slots,
             cached_tokens=self._cache.cached_tokens,
-            at=now,
+            at=trio.current_time(),
         )
-        self._reports.append(report)
-        while len(self._reports) > 1 and self._reports[1].at <= now - self._options.load_lag_s:
-            self._reports.popleft()
+        self._reports.note(report)
 
     async def _route(self, exchange: Exchange) -> None:
         request = exchange.request
@@ -207,7 +182,8 @@
 
     def _new_generation(self, request: wire.CompletionRequest) -> Generation:
         name, _, adapter = request.model.partition(":")
-        model = next((each for each in self._models if each.name == name), None)
+        loaded = self._orders.models(now=trio.current_time())
+        model = next((each for each in loaded if each.name == name), None)
         if model is None or (adapter and adapter not in model.adapters):
             raise RequestRefused(status=404, field="model", message=f"{request.model!r} not loaded")
         if not 1 <= request.max_tokens <= MAX_TOKENS:
@@ -285,13 +261,13 @@
     async def _list_models(self, exchange: Exchange) -> None:
         entries = [
             wire.ModelEntry(id=model.name, version=model.version, adapters=list(model.adapters))
-            for model in self._models
+            for model in self._orders.models(now=trio.current_time())
         ]
         await wire.respond(exchange, wire.ModelList(data=entries))
 
     async def _report_load(self, exchange: Exchange) -> None:
         self._note_load()
-        await wire.respond(exchange, self._reports[0])
+        await wire.respond(exchange, self._reports.visible())
 
     async def _report_cache_events(self, exchange: Exchange) -> None:
         after = wire.read_number(exchange.request, "after")
@@ -303,27 +279,11 @@
 
     async def _take_order(self, exchange: Exchange) -> None:
         order = wire.read_body(exchange.request, wire.Order)
-        if self._options.checks_fencing and order.fencing < self._order.fencing:
-            raise RequestRefused(
-                status=409, field="fencing", message=f"is older than {self._order.fencing}"
-            )
-        self._apply_order()
-        self._order = order
-        self._order_at = trio.current_time()
+        self._orders.take(order, now=trio.current_time())
         await self._report_order(exchange)
 
     async def _report_order(self, exchange: Exchange) -> None:
-        self._apply_order()
-        actual = attrs.evolve(self._order.wanted, models=_wanted(self._models).models)
-        report = wire.OrderReport(
-            fencing=self._order.fencing, wanted=self._order.wanted, actual=actual
-        )
-        await wire.respond(exchange, report)
-
-    def _apply_order(self) -> None:
-        if trio.current_time() < self._order_at + self._options.model_load_s:
-            return
-        self._models = _served(self._order.wanted)
+        await wire.respond(exchange, self._orders.report(now=trio.current_time()))
 
 
 @attrs.frozen(kw_only=True)
@@ -347,25 +307,3 @@
     except ValueError as error:
         raise RequestRefused(status=400, field="prompt", message=str(error)) from None
     return tokens
-
-
-def _wanted(models: tuple[ServedModel, ...]) -> wire.WantedState:
-    ordered = [wire.OrderedModel(name=model.name, version=model.version) for model in models]
-    ordered += [
-        wire.OrderedModel(name=model.name, version=model.version, adapter=adapter)
-        for model in models
-        for adapter in model.adapters
-    ]
-    return wire.WantedState(models=ordered)
-
-
-def _served(wanted: wire.WantedState) -> tuple[ServedModel, ...]:
-    adapters: dict[tuple[str, str], list[str]] = {}
-    for model in wanted.models:
-        own = adapters.setdefault((model.name, model.version), [])
-        if model.adapter is not None:
-            own.append(model.adapter)
-    return tuple(
-        ServedModel(name=name, version=version, adapters=tuple(own))
-        for (name, version), own in adapters.items()
-    )
--- a/lagoonlever/tests/fakes_engine_tests.py
+++ b/lagoonlever/tests/fakes_engine_tests.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 import trio
+import trio.testing
 
 from lagoonlever.exceptions import ConnectFailed, ConnectionBroken
 from lagoonlever.fakes.batch import ServedModel
@@ -146,9 +147,12 @@
     async def scenario(running):
         running.engine.inject(FaultOrder(kind=FaultKind.FREEZE, after_tokens=10))
         tokens = []
-        with trio.move_on_after(0.3) as scope:
-            await collect(running.complete(request_id="a", background=True), tokens)
-        assert scope.cancelled_caught
+        async with trio.open_nursery() as nursery:
+            stream = running.complete(request_id="a", background=True)
+            nursery.start_soon(collect, stream, tokens)
+            await until(lambda: len(tokens) == 10)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            nursery.cancel_scope.cancel()
         assert tuple(tokens) == EXPECTED.token_ids[:10]
         with trio.move_on_after(0.1) as scope:
             await running.call("GET", "/load")
--- a/lagoonlever/tests/platform_etcd_tests.py
+++ b/lagoonlever/tests/platform_etcd_tests.py
@@ -172,8 +172,8 @@
     async def scenario(running):
         watch = running.port.watch("/", after_revision=running.fake.store.revision)
         await watch.next()
-        running.fault("slow", delay_s=0.5)
-        impatient = EtcdPlatform(addresses=[running.address], timeout_s=0.05)
+        running.fault("slow", delay_s=2)
+        impatient = EtcdPlatform(addresses=[running.address], timeout_s=0.3)
         with pytest.raises(PlatformAnswerLost):
             await impatient.compare_and_swap("/a", expected_revision=ABSENT, value=b"late")
         assert running.stored() == {}
