--- /dev/null
+++ b/lagoonlever/decisions/membership_roster.py
@@ -0,0 +1,196 @@
+"""What one VM knows of the members, and what it does with news of them.
+
+The roster joins news into the table, answers a suspicion of the own life, runs
+the suspicions of others, and notes which changes are still to be passed on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from lagoonlever.decisions.membership import Member, MemberView
+from lagoonlever.decisions.membership_news import NewsQueue
+from lagoonlever.decisions.membership_probe import LocalHealth
+from lagoonlever.decisions.membership_rings import Neighbours, neighbours
+from lagoonlever.decisions.membership_settings import MembershipSettings
+from lagoonlever.decisions.membership_table import MemberTable, Record, record_of
+from lagoonlever.peers.messages_membership import MemberNews, Status
+
+
+@attrs.define(kw_only=True, eq=False)
+class Roster:
+    """The members as this VM knows them; times in seconds of its monotonic clock."""
+
+    _own: Member
+    _settings: MembershipSettings
+    _started_at: float
+    table: MemberTable = attrs.field(factory=MemberTable, init=False)
+    queue: NewsQueue = attrs.field(factory=NewsQueue, init=False)
+    health: LocalHealth = attrs.field(factory=LocalHealth, init=False)
+    own: Record = attrs.field(init=False)
+    changed: bool = attrs.field(default=True, init=False)
+    superseded: bool = attrs.field(default=False, init=False)
+    _overlay: Neighbours | None = attrs.field(default=None, init=False)
+    _fill_turn: int = attrs.field(default=0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.own = Record(
+            incarnation=self._own.incarnation,
+            data_center=self._own.data_center,
+            http=self._own.http,
+            peers=self._own.peers,
+            known_since=self._started_at,
+        )
+        self.table.put(self.own)
+
+    @property
+    def others(self) -> list[Record]:
+        """The other members that are not dead."""
+        return [record for record in self.table if record.live and record is not self.own]
+
+    @property
+    def neighbours(self) -> Neighbours:
+        """The neighbours on the overlay of the members that are not dead."""
+        if self._overlay is None:
+            names = (record.incarnation.name for record in self.others)
+            self._overlay = neighbours(self._own.incarnation.name, names)
+        return self._overlay
+
+    @property
+    def watched(self) -> list[Record]:
+        """The members that this one probes in turn."""
+        return self._records(self.neighbours.watched)
+
+    @property
+    def adjacent(self) -> list[Record]:
+        """The members that this one passes changes to."""
+        return self._records(self.neighbours.adjacent)
+
+    def view(self, now: float) -> MemberView:
+        """Give the members as others may read them."""
+        members = sorted((r.member(now) for r in self.table), key=lambda member: member.name)
+        return MemberView(members=tuple(members), own=self._own.incarnation)
+
+    def own_news(self, now: float) -> MemberNews:
+        """Give the news of this VM, whose load is as of now."""
+        self.own.load_at = now
+        return self.own.news(now)
+
+    def take_riding_news(
+        self, now: float, *, about: Record | None = None
+    ) -> tuple[MemberNews, ...]:
+        """Give the news for one message: recent changes, and one member for its load.
+
+        A receiver that is suspected is told so, since only it can answer.
+        """
+        names = dict.fromkeys(self.queue.take_piggyback())
+        if about is not None and about.status is not Status.ALIVE:
+            names[about.incarnation.name] = None
+        fill = self._next_fill()
+        if fill is not None:
+            names[fill] = None
+        names.pop(self._own.incarnation.name, None)
+        return tuple(record.news(now) for record in self._records(names))
+
+    def correction(self, news: MemberNews, now: float) -> tuple[MemberNews, ...]:
+        """Give what a sender must hear of itself: a suspicion, its death, its newer life."""
+        record = self.table.named(news.name)
+        if record is None:
+            return ()
+        same = record.incarnation == news.incarnation
+        if same and record.status is Status.ALIVE and record.leaving == news.leaving:
+            return ()
+        return (record.news(now),)
+
+    def merge_all(self, news: Iterable[MemberNews], now: float) -> None:
+        """Join news of members."""
+        for one in news:
+            self._merge(one, now)
+
+    def suspect(self, record: Record, now: float) -> None:
+        """Start to suspect a member."""
+        record.set_status(version=record.version, status=Status.SUSPECT, now=now)
+        self.note_change(record)
+        self._start_suspicion(record, now)
+
+    def end_suspicions(self, now: float) -> None:
+        """Count as dead whoever has not answered its suspicion in time."""
+        for record in self.table:
+            if record.suspect_until is None or now < record.suspect_until:
+                continue
+            record.set_status(version=record.version, status=Status.DEAD, now=now)
+            self.note_change(record)
+
+    def restart_suspicions(self, now: float) -> None:
+        """Give every suspected member its full time again."""
+        for record in self.table:
+            if record.suspect_until is not None:
+                self._start_suspicion(record, now)
+
+    def mark_leaving(self, record: Record) -> None:
+        """Mark a life as leaving; there is no way back."""
+        if record.leaving:
+            return
+        record.set_leaving()
+        self.note_change(record)
+
+    def note_change(self, record: Record) -> None:
+        """Note that peers must hear of a member, and readers see a new view."""
+        self.queue.add(record.incarnation.name)
+        self.changed = True
+        self._overlay = None
+
+    def _merge(self, news: MemberNews, now: float) -> None:
+        record = self.table.named(news.name)
+        if record is None or news.incarnation > record.incarnation:
+            self._learn(news, record, now)
+        elif news.incarnation < record.incarnation:
+            return
+        elif record is self.own:
+            self._answer(news)
+        elif record.merge(news, now):
+            self.note_change(record)
+            if record.status is Status.SUSPECT and record.suspect_until is None:
+                self._start_suspicion(record, now)
+
+    def _learn(self, news: MemberNews, former: Record | None, now: float) -> None:
+        """Take a life heard of for the first time.
+
+        The death of a name never heard of is not kept: each VM forgets its dead at
+        its own time, and they would learn them from one another for ever.
+        """
+        if former is None and news.status is Status.DEAD:
+            return
+        record = record_of(news, now)
+        self.table.put(record)
+        self.superseded = self.superseded or former is self.own
+        self.note_change(record)
+        if record.status is Status.SUSPECT:
+            self._start_suspicion(record, now)
+
+    def _answer(self, news: MemberNews) -> None:
+        """Answer news of the own life: leaving is taken over, a suspicion is refuted."""
+        if news.leaving:
+            self.mark_leaving(self.own)
+        if news.status is Status.ALIVE or news.version < self.own.version:
+            return
+        self.health.note_own_fault()
+        self.own.set_version(news.version + 1)
+        self.note_change(self.own)
+
+    def _start_suspicion(self, record: Record, now: float) -> None:
+        patience_s = self._settings.suspicion_periods * self._settings.period_s
+        record.suspect_until = now + patience_s * self.health.factor
+
+    def _next_fill(self) -> str | None:
+        others = self.others
+        if not others:
+            return None
+        self._fill_turn = (self._fill_turn + 1) % len(others)
+        return others[self._fill_turn].incarnation.name
+
+    def _records(self, names: Iterable[str]) -> list[Record]:
+        found = (self.table.named(name) for name in names)
+        return [record for record in found if record is not None]
--- /dev/null
+++ b/lagoonlever/peers/messages_membership.py
@@ -0,0 +1,124 @@
+"""The messages of the membership protocol.
+
+They are arrays on the wire and not maps: every VM sends some each second, and
+field names would make up more than half of their bytes.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from lagoonlever.http.messages import Address
+from lagoonlever.identity import Incarnation
+from lagoonlever.peers.messages import PEER
+
+
+class Status(enum.IntEnum):
+    """What is believed of a member; the greater one wins within one version."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+
+
+class MemberNews(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """All that one VM tells another of a member.
+
+    ``version`` is raised by the member alone, to answer a suspicion. ``load_age_s``
+    is how long ago the member reported its load, since clocks are not compared.
+    """
+
+    name: str
+    started_ms: int
+    nonce: int
+    data_center: str
+    http: str
+    peers: str
+    status: Status
+    version: int
+    leaving: bool
+    load_percent: int
+    load_age_s: int
+
+    def __post_init__(self) -> None:
+        """Refuse an address that cannot be read, so that no later step meets it."""
+        Address.parse(self.http)
+        Address.parse(self.peers)
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The incarnation that the news is of."""
+        return Incarnation(name=self.name, started_ms=self.started_ms, nonce=self.nonce)
+
+    @property
+    def http_address(self) -> Address:
+        """The address for callers."""
+        return Address.parse(self.http)
+
+    @property
+    def peer_address(self) -> Address:
+        """The address for peers."""
+        return Address.parse(self.peers)
+
+
+@PEER.message("mp")
+class Ping(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Asks for a sign of life; ``digest`` sums up the sender's view."""
+
+    sequence: int
+    own: MemberNews
+    digest: int
+    news: tuple[MemberNews, ...]
+
+
+@PEER.message("ma")
+class Ack(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Answers a ping, or passes on that a helper's ping was answered."""
+
+    sequence: int
+    own: MemberNews
+    digest: int
+    news: tuple[MemberNews, ...]
+
+
+@PEER.message("mr")
+class PingRequest(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Asks a helper to ping a member that did not answer directly."""
+
+    sequence: int
+    own: MemberNews
+    target: MemberNews
+
+
+@PEER.message("mn")
+class Nack(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Tells that the helper got no answer either, but that the asker itself is reachable."""
+
+    sequence: int
+
+
+@PEER.message("mg")
+class Gossip(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Passes changes on at once."""
+
+    news: tuple[MemberNews, ...]
+
+
+@PEER.message("ms")
+class SyncRequest(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Asks for the members in which two views differ: one digest a bucket of names."""
+
+    own: MemberNews
+    buckets: tuple[int, ...]
+
+
+@PEER.message("mt")
+class SyncReply(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """Gives the members of the buckets that differ."""
+
+    news: tuple[MemberNews, ...]
+
+
+MembershipMessage = Ping | Ack | PingRequest | Nack | Gossip | SyncRequest | SyncReply
