Place generations by share and routing, and let go of streams taken over elsewhere

An event id names the VM that released it, so the VM that a caller comes back at can tell the former one to let go. After a pause nothing is written for a caller whose connection is gone. A stream that an engine ends by an abort is a broken attempt, not an answer's end.

--- a/lagoonlever/decisions/answer.py
+++ b/lagoonlever/decisions/answer.py
@@ -26,10 +26,13 @@
 class Answer:
     """The released tokens of one generation of one request; only ever grows."""
 
-    def __init__(self, *, request_id: str, generation: int, model_version: str) -> None:
+    def __init__(
+        self, *, request_id: str, generation: int, model_version: str, vm: str = ""
+    ) -> None:
         self._request_id = request_id
         self._generation = generation
         self._model_version = model_version
+        self._vm = vm
         self._digest = initial_digest(
             request_id=request_id, generation=generation, model_version=model_version
         )
@@ -89,6 +92,7 @@
                 offset=self.offset,
                 digest=self._digest,
                 target=target,
+                vm=self._vm,
             ),
         )
         self._pieces.append(released)
--- a/lagoonlever/decisions/generation.py
+++ b/lagoonlever/decisions/generation.py
@@ -16,6 +16,9 @@
 from lagoonlever.decisions.release import ReleaseBuffer
 from lagoonlever.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
 
+WHOLE_ANSWER = frozenset({"stop", "length"})
+"""Finish reasons of an engine that mean that its answer is whole."""
+
 ATTEMPT_RANDOM_BITS = 20
 """Low bits of an attempt's number: two VMs that both resume never use one number."""
 
@@ -38,7 +41,6 @@
     seed: int | None = None
     temperature: float = 1.0
     stop: tuple[str, ...] = ()
-    priority: int = 0
     sampling_json: str = "{}"
     """Further sampling options, passed to the engine as the caller gave them."""
     deadline_s: float | None = None
@@ -56,6 +58,8 @@
     SILENT = "silent"
     WRONG_VERSION = "wrong-version"
     OUT_OF_ORDER = "out-of-order"
+    ABORTED = "aborted"
+    """The engine ended the stream without the answer's end, as after a cancel."""
     NOT_THERE = "not-there"
     """The engine no longer has the stream that should be taken up; it may take new work."""
 
@@ -169,10 +173,12 @@
         rng: random.Random,
         resume_point: ResumePoint | None = None,
         first_generation: int = 1,
+        vm: str = "",
     ) -> None:
         self._spec = spec
         self._limits = limits
         self._rng = rng
+        self._vm = vm
         self._generation = first_generation
         self._counter = 0
         self._seed = self._draw_seed()
@@ -285,6 +291,8 @@
             return []
         if current.start + current.received != answer.offset + current.buffer.held_tokens:
             return self.broken(attempt=attempt, cause=BreakCause.OUT_OF_ORDER)
+        if finish_reason is not None and finish_reason not in WHOLE_ANSWER:
+            return self.broken(attempt=attempt, cause=BreakCause.ABORTED)
         current.received += len(token_ids)
         pieces = current.buffer.push(token_ids=token_ids, text=text)
         if finish_reason is not None:
@@ -321,6 +329,20 @@
             return decisions + self._give_up(Reason.ATTEMPTS_EXHAUSTED, "every attempt broke")
         return [*decisions, self._dispatch(resume=True)]
 
+    def not_admitted(self, *, attempt: int, answer: NotRun) -> list[Decision]:
+        """Take that an attempt got no share of the engines in its time.
+
+        A request of which nothing was sent ends with that answer at once; one that
+        is to be resumed tries again, as its released part would be lost.
+        """
+        if self._live.pop(attempt, None) is None or self._finished or self._live:
+            return []
+        if not self._anything_sent:
+            return self._finish(answer)
+        if self._attempts_started >= self._limits.attempts:
+            return self._give_up(answer.reason, answer.message)
+        return [self._dispatch(resume=True)]
+
     def suspected(self, *, attempt: int) -> list[Decision]:
         """Start a hedge for an attempt whose engine seems dead; the first to go on wins."""
         current = self._live.get(attempt)
@@ -357,6 +379,7 @@
             request_id=self._spec.request_id,
             generation=self._generation,
             model_version=model_version,
+            vm=self._vm,
         )
 
     def _draw_seed(self) -> int:
--- a/lagoonlever/entry/admission.py
+++ b/lagoonlever/entry/admission.py
@@ -17,7 +17,6 @@
 from lagoonlever.decisions.admission import Admission, AdmissionRequest, Decision, Granted
 from lagoonlever.decisions.limits import retry_after_s
 from lagoonlever.decisions.membership import MemberState, MemberView
-from lagoonlever.decisions.shares_exchange import LeafSum, SumsNews
 from lagoonlever.decisions.shares_meter import OrganisationStanding
 from lagoonlever.decisions.shares_settings import pool_reports, share_settings
 from lagoonlever.decisions.shares_slots import PoolReport
@@ -29,7 +28,7 @@
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages import Received
-from lagoonlever.peers.messages_shares import SharesNews
+from lagoonlever.peers.messages_shares import SharesNews, message_of, news_of
 from lagoonlever.timers import Tick, TimerService
 from lagoonlever.tree.nodes import TreeView, lineage
 
@@ -189,7 +188,7 @@
         pool = self._pools.get(message.pool)
         if pool is None:
             return
-        pool.receive(received.sender, _news_of(message), self._timers.now)
+        pool.receive(received.sender, news_of(message), self._timers.now)
 
     def _take_in(self) -> None:
         """Take in the settings, targets and members that were published meanwhile."""
@@ -266,7 +265,7 @@
         news = pool.due_news(now)
         if news is None:
             return
-        message = _message_of(name, news)
+        message = message_of(name, news)
         view = self._members.value
         for member in view.reachable:
             if member.incarnation != view.own:
@@ -307,27 +306,3 @@
 def _organisation_of(path: str) -> str:
     names = lineage(path)
     return names[1] if len(names) > 1 else names[0]
-
-
-def _message_of(pool: str, news: SumsNews) -> SharesNews:
-    return SharesNews(
-        pool=pool,
-        sequence=news.sequence,
-        full=news.full,
-        keys=tuple(leaf.key for leaf in news.leaves),
-        work=tuple(leaf.committed for leaf in news.leaves),
-        running=tuple(leaf.running for leaf in news.leaves),
-        waiting=tuple(leaf.waiting for leaf in news.leaves),
-    )
-
-
-def _news_of(message: SharesNews) -> SumsNews:
-    columns = zip(message.keys, message.work, message.running, message.waiting, strict=False)
-    return SumsNews(
-        sequence=message.sequence,
-        full=message.full,
-        leaves=tuple(
-            LeafSum(key=key, committed=work, running=running, waiting=waiting)
-            for key, work, running, waiting in columns
-        ),
-    )
--- a/lagoonlever/entry/attempt.py
+++ b/lagoonlever/entry/attempt.py
@@ -56,7 +56,9 @@
     _dispatch: Dispatch
     _address: Address
     _on_chunk: ChunkHandler
-    _on_sent: Callable[[], None]
+    _before_write: Callable[[], bool]
+    """Asked on the open connection; False means that nothing may be written any more."""
+    _priority: int = 0
 
     async def run(self) -> None:
         """Return at the stream's proper end; raise a ``PeerError`` at any other.
@@ -67,6 +69,8 @@
         """
         connection = await ClientConnection.open(self._address)
         try:
+            if not self._before_write():
+                raise ConnectFailed("takes no new work", step=STREAM_STEP, peer=str(self._address))
             if self._dispatch.reattach_to is None:
                 await self._start(connection)
             else:
@@ -77,17 +81,15 @@
                 await connection.aclose()
 
     async def _start(self, connection: ClientConnection) -> None:
-        self._on_sent()
         await connection.start(
             method="POST",
             path=COMPLETIONS_PATH,
             headers=JSON_HEADERS,
-            body=completion_body(self._spec, self._dispatch),
+            body=completion_body(self._spec, self._dispatch, priority=self._priority),
             step=STREAM_STEP,
         )
 
     async def _reattach(self, connection: ClientConnection, attempt: int) -> None:
-        self._on_sent()
         path = reattach_path(self._spec, attempt, starting_after=self._dispatch.reattach_after)
         await connection.start(method="GET", path=path, step=REATTACH_STEP)
 
--- a/lagoonlever/entry/engine_watch.py
+++ b/lagoonlever/entry/engine_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 
@@ -10,8 +11,15 @@
 from lagoonlever.decisions.suspicion_settings import DetectionSettings
 from lagoonlever.timers import Tick
 
-VerdictHandler = Callable[[int, SuspicionLevel], None]
-"""Takes an attempt's number and its engine's new level."""
+
+class VerdictTaker(Protocol):
+    """The task that an attempt belongs to."""
+
+    def suspected(self, attempt: int) -> None:
+        """Take the word that an attempt's engine seems dead."""
+
+    def declared_dead(self, attempt: int) -> None:
+        """Take the word that an attempt's engine counts as dead."""
 
 
 @attrs.define(kw_only=True)
@@ -19,16 +27,17 @@
     """One suspicion state an engine; streams are known by their attempt's number."""
 
     _settings: DetectionSettings
-    _on_verdict: VerdictHandler
     _now: Callable[[], float]
     _engines: dict[str, EngineSuspicion] = attrs.field(factory=dict)
+    _takers: dict[str, VerdictTaker] = attrs.field(factory=dict)
 
-    def opened(self, *, engine: str, attempt: int, prompt_tokens: int) -> None:
+    def opened(self, *, taker: VerdictTaker, engine: str, attempt: int, prompt_tokens: int) -> None:
         """Begin to watch an attempt whose request is being written."""
         suspicion = self._engines.get(engine)
         if suspicion is None:
             suspicion = EngineSuspicion(settings=self._settings)
             self._engines[engine] = suspicion
+        self._takers[str(attempt)] = taker
         suspicion.stream_opened(str(attempt), now=self._now(), prompt_tokens=prompt_tokens)
 
     def token(self, *, engine: str, attempt: int) -> None:
@@ -37,6 +46,7 @@
 
     def closed(self, *, engine: str, attempt: int) -> None:
         """Stop watching an attempt."""
+        self._takers.pop(str(attempt), None)
         suspicion = self._engines.get(engine)
         if suspicion is not None:
             suspicion.stream_closed(str(attempt))
@@ -51,5 +61,10 @@
 
     def _tell(self, verdicts: tuple[StreamVerdict, ...]) -> None:
         for verdict in verdicts:
-            if verdict.level is not SuspicionLevel.HEALTHY:
-                self._on_verdict(int(verdict.stream), verdict.level)
+            taker = self._takers.get(verdict.stream)
+            if taker is None:
+                continue
+            if verdict.level is SuspicionLevel.SUSPECT:
+                taker.suspected(int(verdict.stream))
+            elif verdict.level is SuspicionLevel.DEAD:
+                taker.declared_dead(int(verdict.stream))
--- a/lagoonlever/entry/engines.py
+++ b/lagoonlever/entry/engines.py
@@ -2,150 +2,208 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 import trio
 
+from lagoonlever.decisions.admission import AdmissionRequest
 from lagoonlever.decisions.generation import BreakCause, Dispatch, GenerationSpec
-from lagoonlever.decisions.suspicion import SuspicionLevel
-from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.decisions.routing import Choice, ModelQuery, RequestFeatures, Router
+from lagoonlever.decisions.shares import work_of
 from lagoonlever.decisions.targets import Target, TargetView
+from lagoonlever.entry.admission import Admitted
 from lagoonlever.entry.attempt import cancel_at_engine
-from lagoonlever.entry.engine_watch import EngineWatch
-from lagoonlever.entry.generation_task import GenerationTask
+from lagoonlever.entry.engine_watch import EngineWatch, VerdictTaker
 from lagoonlever.entry.published import Published
+from lagoonlever.outcomes import NotRun
 from lagoonlever.timers import TimerService
 
-CHARACTERS_A_TOKEN = 4
-"""A rough measure of a text's tokens, for the time that a prefill may take."""
+CHARGE_TOKENS = 8
+"""Decoded tokens are charged in lots: a charge for each would cost more than it tells."""
+DEFAULT_DEADLINE_S = 900.0
 
 
-def prompt_tokens(spec: GenerationSpec, dispatch: Dispatch) -> int:
-    """Give about how many tokens the engine must take in before its first own."""
-    if dispatch.prompt_token_ids is not None:
-        return len(dispatch.prompt_token_ids) + len(dispatch.prefix)
-    if isinstance(spec.prompt, tuple):
-        return len(spec.prompt)
-    return len(spec.prompt) // CHARACTERS_A_TOKEN + 1
+class TargetGuard(Protocol):
+    """What is known of the targets, and the last check before a write."""
 
+    @property
+    def view(self) -> Published[TargetView]:
+        """The latest view."""
+
+    def check_before_dispatch(self, target: Target) -> bool:
+        """Tell whether work may be written to a target now."""
+
+    def connected(self, target: Target) -> None:
+        """Take that a target answered."""
+
+    def connect_failed(self, target: Target) -> None:
+        """Take that a target was not reached or stayed silent."""
+
+
+class AdmissionDesk(Protocol):
+    """Hands out slots of the pool by share."""
+
+    async def admit(self, ask: AdmissionRequest) -> Admitted | NotRun:
+        """Wait for a slot."""
 
-def serves(target: Target, *, model: str, version: str | None) -> bool:
-    """Tell whether a target serves a request's model, at the version it is bound to."""
-    return any(key.model_field == model and version in (None, key.version) for key in target.models)
+    def charge(self, grant: Admitted, work: float) -> None:
+        """Charge engine work as it is used."""
+
+    def release(self, grant: Admitted) -> None:
+        """Give a slot back."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Placement:
+    """An engine chosen for a dispatch, with the slot that was granted for it."""
+
+    target: Target
+    grant: Admitted
+    features: RequestFeatures
+    started_at: float
+    uncharged_tokens: int = 0
+    tokens: int = 0
 
 
 @attrs.define(kw_only=True)
 class Engines:
-    """Chooses an engine for each dispatch and knows which task each attempt belongs to."""
+    """Finds a slot and an engine for each dispatch, and follows the attempt to its end."""
 
-    _view: Published[TargetView]
+    _guard: TargetGuard
+    _router: Router
+    _admission: AdmissionDesk
     _timers: TimerService
-    _rng: random.Random
-    _detection: DetectionSettings
+    _watch: EngineWatch
     _background: trio.Nursery
-    _tasks: dict[int, GenerationTask] = attrs.field(factory=dict)
-    _watch: EngineWatch = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self._watch = EngineWatch(
-            settings=self._detection, on_verdict=self._on_verdict, now=lambda: self._timers.now
-        )
+    _observe: Callable[[GenerationSpec, Dispatch, Target], None] = lambda *_: None
+    """Told of each dispatch right before it is written, for histories."""
 
     @property
     def watch(self) -> EngineWatch:
-        """The watch, to be subscribed to the timer service."""
+        """The watch over the streams, to be subscribed to the timer service."""
         return self._watch
 
-    def side_of(self, task_of: Callable[[], GenerationTask]) -> TaskEngines:
-        """Give one task's view of the engines."""
-        return TaskEngines(engines=self, task_of=task_of)
-
     def models(self) -> frozenset[str]:
         """Give the models that callers can ask for now, as a request names them."""
-        return frozenset(key.model_field for key in self._view.value.models())
-
-    async def place(self, spec: GenerationSpec, dispatch: Dispatch) -> Target | None:
-        """Choose an engine; None if none serves the request."""
-        view = self._view.value
-        if dispatch.reattach_target is not None:
-            return view.find(dispatch.reattach_target) or self._choose(spec, dispatch)
-        return self._choose(spec, dispatch)
-
-    def _choose(self, spec: GenerationSpec, dispatch: Dispatch) -> Target | None:
-        candidates = [
-            target
-            for target in self._view.value.targets
-            if target.takes_work
-            and target.name not in dispatch.avoid
-            and serves(target, model=spec.model, version=dispatch.model_version)
-        ]
-        return self._rng.choice(candidates) if candidates else None
+        return frozenset(key.model_field for key in self._guard.view.value.models())
+
+    async def place(self, spec: GenerationSpec, dispatch: Dispatch) -> Placement | NotRun | None:
+        """Wait for a slot and choose an engine; None if no engine serves the request.
+
+        The engine is chosen after the wait: one chosen before it may be leaving
+        or dead by the time that the slot is granted.
+        """
+        query = ModelQuery.parse(spec.model, version=dispatch.model_version)
+        if not self._serving(query):
+            return None
+        grant = await self._admission.admit(self._ask(spec, dispatch, query))
+        if isinstance(grant, NotRun):
+            return grant
+        placement = self._choose(spec, dispatch, query, grant)
+        if placement is None:
+            self._admission.release(grant)
+        return placement
+
+    def may_write(self, placement: Placement) -> bool:
+        """Tell whether the request may be written to its engine now."""
+        return self._guard.check_before_dispatch(placement.target)
 
     def sent(
-        self, task: GenerationTask, spec: GenerationSpec, dispatch: Dispatch, target: Target
+        self,
+        task: VerdictTaker,
+        spec: GenerationSpec,
+        dispatch: Dispatch,
+        placement: Placement,
     ) -> None:
         """Note that a request is being written."""
-        self._tasks[dispatch.attempt] = task
+        self._observe(spec, dispatch, placement.target)
+        self._router.dispatched(placement.features, placement.target.name)
         self._watch.opened(
-            engine=target.name,
+            taker=task,
+            engine=placement.target.name,
             attempt=dispatch.attempt,
-            prompt_tokens=prompt_tokens(spec, dispatch),
+            prompt_tokens=placement.features.prompt_tokens,
         )
+        if dispatch.reattach_to is None:
+            work = work_of(prefill_tokens=placement.features.prompt_tokens)
+            self._admission.charge(placement.grant, work)
 
-    def token(self, dispatch: Dispatch, target: Target, count: int) -> None:
+    def token(self, dispatch: Dispatch, placement: Placement, count: int) -> None:
         """Note that tokens came."""
-        self._watch.token(engine=target.name, attempt=dispatch.attempt)
-
-    def ended(self, dispatch: Dispatch, target: Target, cause: BreakCause | None) -> None:
-        """Note that an attempt is over."""
+        if not placement.tokens:
+            self._guard.connected(placement.target)
+        placement.tokens += count
+        placement.uncharged_tokens += count
+        self._watch.token(engine=placement.target.name, attempt=dispatch.attempt)
+        if placement.uncharged_tokens >= CHARGE_TOKENS:
+            self._charge(placement)
+
+    def ended(self, dispatch: Dispatch, placement: Placement, cause: BreakCause | None) -> None:
+        """Note that an attempt is over; ``cause`` is None at an answer's proper end."""
+        now = self._timers.now
+        target = placement.target
         self._watch.closed(engine=target.name, attempt=dispatch.attempt)
-        self._tasks.pop(dispatch.attempt, None)
+        self._charge(placement)
+        self._admission.release(placement.grant)
+        took_s = now - placement.started_at if cause is None else None
+        self._router.ended(target.name, now=now, took_s=took_s)
+        if cause in (BreakCause.CONNECT_FAILED, BreakCause.SILENT):
+            self._guard.connect_failed(target)
 
     def cancel(self, spec: GenerationSpec, attempt: int, target: Target) -> None:
-        """Have an attempt cancelled at its engine."""
+        """Have an attempt cancelled at its engine, in the background."""
 
         async def cancel() -> None:
             await cancel_at_engine(spec=spec, attempt=attempt, address=target.address)
 
         self._background.start_soon(cancel)
 
-    def _on_verdict(self, attempt: int, level: SuspicionLevel) -> None:
-        task = self._tasks.get(attempt)
-        if task is None:
-            return
-        if level is SuspicionLevel.SUSPECT:
-            task.suspected(attempt)
-        elif level is SuspicionLevel.DEAD:
-            task.declared_dead(attempt)
-
-
-@attrs.define(kw_only=True)
-class TaskEngines:
-    """One task's side of the engines, as ``EngineSide`` asks for it."""
-
-    _engines: Engines
-    _task_of: Callable[[], GenerationTask]
-
-    async def place(self, spec: GenerationSpec, dispatch: Dispatch) -> Target | None:
-        """Choose an engine; None if none serves the request."""
-        return await self._engines.place(spec, dispatch)
-
-    def sent(self, spec: GenerationSpec, dispatch: Dispatch, target: Target) -> None:
-        """Note that a request is being written."""
-        self._engines.sent(self._task_of(), spec, dispatch, target)
-
-    def token(self, dispatch: Dispatch, target: Target, count: int) -> None:
-        """Note that tokens came."""
-        self._engines.token(dispatch, target, count)
+    def _serving(self, query: ModelQuery) -> bool:
+        view = self._guard.view.value
+        return any(query.key_at(target) for target in view.targets if target.takes_work)
+
+    def _ask(self, spec: GenerationSpec, dispatch: Dispatch, query: ModelQuery) -> AdmissionRequest:
+        return AdmissionRequest(
+            path=spec.organisation,
+            pool=query.name,
+            prompt_tokens=self._features(spec, dispatch, query).prompt_tokens,
+            max_tokens=dispatch.max_tokens,
+            deadline_s=spec.deadline_s or DEFAULT_DEADLINE_S,
+            resume=dispatch.resume,
+        )
 
-    def ended(
-        self, spec: GenerationSpec, dispatch: Dispatch, target: Target, cause: BreakCause | None
-    ) -> None:
-        """Note that an attempt is over."""
-        self._engines.ended(dispatch, target, cause)
+    def _choose(
+        self, spec: GenerationSpec, dispatch: Dispatch, query: ModelQuery, grant: Admitted
+    ) -> Placement | None:
+        view = self._guard.view.value
+        features = self._features(spec, dispatch, query)
+        target = view.find(dispatch.reattach_target) if dispatch.reattach_target else None
+        if target is None:
+            choice = self._router.choose(features, view)
+            if not isinstance(choice, Choice):
+                return None
+            target = choice.target
+        return Placement(target=target, grant=grant, features=features, started_at=self._timers.now)
+
+    def _features(
+        self, spec: GenerationSpec, dispatch: Dispatch, query: ModelQuery
+    ) -> RequestFeatures:
+        prompt: str | tuple[int, ...] = spec.prompt
+        if dispatch.prompt_token_ids is not None:
+            prompt = dispatch.prompt_token_ids + dispatch.prefix
+        return self._router.features(
+            query=query,
+            prompt=prompt,
+            view=self._guard.view.value,
+            now=self._timers.now,
+            output_tokens=dispatch.max_tokens,
+            avoid=dispatch.avoid,
+        )
 
-    def cancel(self, spec: GenerationSpec, attempt: int, target: Target) -> None:
-        """Have an attempt cancelled at its engine."""
-        self._engines.cancel(spec, attempt, target)
+    def _charge(self, placement: Placement) -> None:
+        if placement.uncharged_tokens:
+            work = work_of(decode_tokens=placement.uncharged_tokens)
+            self._admission.charge(placement.grant, work)
+            placement.uncharged_tokens = 0
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from collections.abc import Callable
 
 import attrs
 import logbook
@@ -19,41 +19,21 @@
     Release,
     Restart,
 )
-from lagoonlever.decisions.targets import Target
 from lagoonlever.entry.attempt import EngineAttempt, EngineRefused
+from lagoonlever.entry.engines import Engines, Placement
 from lagoonlever.exceptions import ConnectFailed, PeerError
-from lagoonlever.outcomes import Reason
+from lagoonlever.http.server import Exchange
+from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.targets.completions import EngineChunk
 
 log = logbook.Logger(__name__)
 
 
-class EngineSide(Protocol):
-    """What a generation's task needs of the rest of the VM for its attempts."""
-
-    async def place(self, spec: GenerationSpec, dispatch: Dispatch) -> Target | None:
-        """Choose an engine, waiting for a share of it if need be; None if no engine serves it."""
-
-    def sent(self, spec: GenerationSpec, dispatch: Dispatch, target: Target) -> None:
-        """Note that a request was written."""
-
-    def token(self, dispatch: Dispatch, target: Target, count: int) -> None:
-        """Note that tokens came."""
-
-    def ended(
-        self, spec: GenerationSpec, dispatch: Dispatch, target: Target, cause: BreakCause | None
-    ) -> None:
-        """Note that an attempt is over; ``cause`` is None at an answer's proper end."""
-
-    def cancel(self, spec: GenerationSpec, attempt: int, target: Target) -> None:
-        """Have an attempt cancelled at its engine, in the background."""
-
-
 @attrs.define(kw_only=True)
 class _RunningAttempt:
     dispatch: Dispatch
     scope: trio.CancelScope
-    target: Target | None = None
+    placement: Placement | None = None
     opened: bool = False
     cancelled: bool = False
 
@@ -63,13 +43,15 @@
     """Runs one request to its end, whether or not its caller is there."""
 
     _life: GenerationLife
-    _engines: EngineSide
+    _engines: Engines
+    _may_begin: Callable[[], bool] = lambda: True
+    """Asked right before each write: whether this VM may still act for the caller."""
     _running: dict[int, _RunningAttempt] = attrs.field(factory=dict)
     _changed: trio.lowlevel.ParkingLot = attrs.field(factory=trio.lowlevel.ParkingLot)
     _done: trio.Event = attrs.field(factory=trio.Event)
     _nursery: trio.Nursery | None = None
     _attempt_starts: dict[int, int] = attrs.field(factory=dict)
-    reader: object | None = None
+    reader: Exchange | None = None
     """The exchange that the answer goes to now; a later one supersedes it."""
     reader_left_at: float | None = None
     ended_at: float | None = None
@@ -132,6 +114,13 @@
         """Stop without a word to the engines: another VM takes up their streams."""
         self._done.set()
 
+    def taken_over(self, attempt: int) -> None:
+        """Stop, as another VM serves the caller; it reads on the stream of ``attempt`` itself."""
+        for number in list(self._running):
+            if number != attempt:
+                self._cancel_attempt(number)
+        self._done.set()
+
     def abandon(self, *, reason: Reason, message: str) -> None:
         """Give the request up."""
         self._carry_out(self._life.abandon(reason=reason, message=message))
@@ -168,45 +157,54 @@
             return
         running.cancelled = True
         running.scope.cancel()
-        if running.target is not None:
-            self._engines.cancel(self.spec, attempt, running.target)
+        if running.placement is not None:
+            self._engines.cancel(self.spec, attempt, running.placement.target)
 
     async def _run_attempt(self, running: _RunningAttempt) -> None:
-        cause: BreakCause | None = None
         dispatch = running.dispatch
+        cause: BreakCause | None = None
         with running.scope:
             await trio.sleep(dispatch.delay_s)
-            target = await self._engines.place(self.spec, dispatch)
-            if target is None:
-                del self._running[dispatch.attempt]
-                self._carry_out(
-                    self._life.broken(attempt=dispatch.attempt, cause=BreakCause.NO_TARGET)
-                )
+            placement = await self._engines.place(self.spec, dispatch)
+            if not isinstance(placement, Placement):
+                self._not_placed(dispatch, placement)
                 return
-            running.target = target
+            running.placement = placement
             try:
-                cause = await self._attempt(running, target)
+                cause = await self._attempt(running, placement)
             finally:
                 if running.scope.cancel_called:
                     cause = BreakCause.SILENT
-                self._engines.ended(self.spec, dispatch, target, cause)
+                self._engines.ended(dispatch, placement, cause)
         if cause is not None:
             self._carry_out(self._life.broken(attempt=dispatch.attempt, cause=cause))
         self._running.pop(dispatch.attempt, None)
 
-    async def _attempt(self, running: _RunningAttempt, target: Target) -> BreakCause | None:
+    def _not_placed(self, dispatch: Dispatch, answer: NotRun | None) -> None:
+        del self._running[dispatch.attempt]
+        attempt = dispatch.attempt
+        if answer is None:
+            self._carry_out(self._life.broken(attempt=attempt, cause=BreakCause.NO_TARGET))
+        else:
+            self._carry_out(self._life.not_admitted(attempt=attempt, answer=answer))
+
+    async def _attempt(self, running: _RunningAttempt, placement: Placement) -> BreakCause | None:
         dispatch = running.dispatch
 
-        def on_sent() -> None:
-            self._engines.sent(self.spec, dispatch, target)
-            self._life.dispatched(attempt=dispatch.attempt, target=target.name)
+        def before_write() -> bool:
+            if not (self._may_begin() and self._engines.may_write(placement)):
+                return False
+            self._engines.sent(self, self.spec, dispatch, placement)
+            self._life.dispatched(attempt=dispatch.attempt, target=placement.target.name)
+            return True
 
         attempt = EngineAttempt(
             spec=self.spec,
             dispatch=dispatch,
-            address=target.address,
-            on_chunk=lambda chunk: self._take_chunk(running, target, chunk),
-            on_sent=on_sent,
+            address=placement.target.address,
+            priority=placement.grant.priority,
+            on_chunk=lambda chunk: self._take_chunk(running, placement, chunk),
+            before_write=before_write,
         )
         try:
             await attempt.run()
@@ -218,7 +216,9 @@
             return BreakCause.BROKEN
         return BreakCause.BROKEN if self._life.finished is None else None
 
-    def _take_chunk(self, running: _RunningAttempt, target: Target, chunk: EngineChunk) -> None:
+    def _take_chunk(
+        self, running: _RunningAttempt, placement: Placement, chunk: EngineChunk
+    ) -> None:
         attempt = running.dispatch.attempt
         for choice in chunk.choices:
             if not running.opened:
@@ -231,7 +231,7 @@
                     )
                 )
             if choice.token_ids:
-                self._engines.token(running.dispatch, target, len(choice.token_ids))
+                self._engines.token(running.dispatch, placement, len(choice.token_ids))
             self._carry_out(
                 self._life.chunk(
                     attempt=attempt,
--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -18,6 +18,7 @@
 )
 from lagoonlever.decisions.resume import point_of_held
 from lagoonlever.entry.caller_stream import CallerStream, respond_outcome, stream_while_present
+from lagoonlever.entry.callers import CallerDirectory
 from lagoonlever.entry.completions_api import CompletionCall, read_call
 from lagoonlever.entry.engines import Engines
 from lagoonlever.entry.generation_task import GenerationTask
@@ -52,11 +53,11 @@
     )
 
 
-class Callers(Protocol):
-    """Who calls: from an exchange's credentials to an organisation."""
+class Peers(Protocol):
+    """The other VMs, as far as generations need them."""
 
-    def organisation_of(self, exchange: Exchange) -> str:
-        """Give the path of the caller's organisation; raises ``RequestRefused``."""
+    def taken_over(self, vm: str, *, organisation: str, request_id: str, attempt: int) -> None:
+        """Tell the VM that served a caller before that this one does so now."""
 
 
 class ResumePoints(Protocol):
@@ -71,16 +72,17 @@
     """Answers the completion requests of callers; owns one task a request."""
 
     _settings: GenerationSettings
-    _callers: Callers
+    _callers: CallerDirectory
     _engines: Engines
     _rng: random.Random
     _background: trio.Nursery
     _resume_points: ResumePoints
+    _peers: Peers
     _refusal: Callable[[], Outcome | None]
     """Gives why this VM takes no new work now, or None."""
     _moved_to: Callable[[], tuple[str, ...] | None]
-    _observer: Callable[[GenerationTask], None] = lambda task: None
-    """Told of every task that begins, to keep copies of it."""
+    _pause_since_last_tick: Callable[[], float]
+    _vm: str = ""
     _tasks: dict[RequestKey, GenerationTask] = attrs.field(factory=dict)
 
     @property
@@ -95,7 +97,7 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer ``POST /v1/completions``; raises ``RequestRefused`` for a wrong request."""
-        organisation = self._callers.organisation_of(exchange)
+        organisation = self._callers.organisation_of(exchange.request.headers)
         call = read_call(exchange.request, organisation=organisation, rng=self._rng)
         refusal = self._refusal()
         task = self._tasks.get((organisation, call.spec.request_id))
@@ -113,13 +115,16 @@
         """Give the task of a request, running or kept."""
         return self._tasks.get((organisation, request_id))
 
-    def forget(self, task: GenerationTask) -> None:
-        """Drop a request that another VM has taken over; its engine's stream is left alone."""
-        self._tasks.pop((task.spec.organisation, task.spec.request_id), None)
-        task.hand_over()
+    def taken_over(self, *, organisation: str, request_id: str, attempt: int) -> None:
+        """Let go of a request whose caller another VM serves now."""
+        task = self._tasks.pop((organisation, request_id), None)
+        if task is not None:
+            task.taken_over(attempt)
 
     def on_tick(self, tick: Tick) -> None:
         """Give up requests whose caller stayed away, and drop answers kept long enough."""
+        if tick.paused_s:
+            self._let_go_of_absent()
         for key, task in list(self._tasks.items()):
             if task.ended_at is not None and self._is_old(task, tick.now):
                 del self._tasks[key]
@@ -128,7 +133,7 @@
         self._drop_beyond_bound()
 
     async def _begin(self, exchange: Exchange, call: CompletionCall) -> GenerationTask | None:
-        self._check_model(call.spec)
+        self._check_allowed(call.spec)
         if self.running >= self._settings.running:
             outcome = NotRun(
                 reason=Reason.OVERLOADED,
@@ -152,6 +157,12 @@
         current = self.find(call.spec.organisation, call.spec.request_id)
         if current is not None:
             return current
+        self._peers.taken_over(
+            last.vm,
+            organisation=call.spec.organisation,
+            request_id=call.spec.request_id,
+            attempt=last.attempt,
+        )
         first_generation = last.generation + 1 if last.offset else last.generation
         return self._start(call.spec, point=point, first_generation=first_generation)
 
@@ -162,16 +173,20 @@
         point: ResumePoint | None = None,
         first_generation: int = 1,
     ) -> GenerationTask:
+        allowed_s = self._callers.settings_of(spec.organisation).deadline_s
+        spec = attrs.evolve(spec, deadline_s=min(allowed_s, spec.deadline_s or allowed_s))
         life = GenerationLife(
             spec=spec,
             limits=GenerationLimits(attempts=self._settings.attempts),
             rng=self._rng,
             resume_point=point,
             first_generation=first_generation,
+            vm=self._vm,
+        )
+        task = GenerationTask(
+            life=life, engines=self._engines, may_begin=lambda: self._may_begin(task)
         )
-        task = GenerationTask(life=life, engines=self._engines.side_of(lambda: task))
         self._tasks[spec.organisation, spec.request_id] = task
-        self._observer(task)
         self._background.start_soon(task.run)
         return task
 
@@ -188,7 +203,41 @@
         if not whole and not call.resumable and task.finished is None:
             task.abandon(reason=Reason.CANCELLED, message="the caller left")
 
-    def _check_model(self, spec: GenerationSpec) -> None:
+    def _may_begin(self, task: GenerationTask) -> bool:
+        """Tell whether an attempt may still be written.
+
+        Guards against a VM that was paused between a decision and its write: the
+        caller has gone to another VM, which has its stream, and a second attempt
+        would do its work again for nobody. Its closed connection shows that.
+        """
+        if not self._pause_since_last_tick():
+            return True
+        reader = task.reader
+        return reader is not None and reader.caller_present()
+
+    def _let_go_of_absent(self) -> None:
+        """After a pause: leave the streams of callers that have gone, uncancelled.
+
+        Another VM may read on these very streams. Where none does, the stream ends
+        by its length.
+        """
+        for key, task in list(self._tasks.items()):
+            if task.finished is None and (task.reader is None or not task.reader.caller_present()):
+                del self._tasks[key]
+                task.hand_over()
+
+    def _check_allowed(self, spec: GenerationSpec) -> None:
+        settings = self._callers.settings_of(spec.organisation)
+        if settings.models and spec.model not in settings.models:
+            raise RequestRefused(
+                status=403,
+                field="model",
+                message=f"{spec.organisation} may ask for: {', '.join(settings.models)}",
+            )
+        if spec.max_tokens > settings.max_tokens:
+            raise RequestRefused(
+                status=400, field="max_tokens", message=f"give at most {settings.max_tokens}"
+            )
         known = self._engines.models()
         if known and spec.model not in known:
             raise RequestRefused(
@@ -215,7 +264,7 @@
 
 def _check_same(known: GenerationSpec, asked: GenerationSpec) -> None:
     """Refuse another request under a known id: its caller would get a foreign answer."""
-    volatile = {"deadline_s": None, "accepts_restart": False, "priority": 0}
+    volatile = {"deadline_s": None, "accepts_restart": False}
     if attrs.evolve(known, **volatile) != attrs.evolve(asked, **volatile):  # type: ignore[arg-type]
         raise RequestRefused(
             status=422, field="Idempotency-Key", message="was used for another request; take a new"
--- /dev/null
+++ b/lagoonlever/entry/serving.py
@@ -0,0 +1,102 @@
+"""Wires the parts that serve generations: engines, their watch, routing, callers' requests."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from lagoonlever.config.options import option
+from lagoonlever.decisions.generation import Dispatch, GenerationSpec
+from lagoonlever.decisions.routing import POLICIES, Router, make_policy
+from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.decisions.targets import Target
+from lagoonlever.entry.callers import CallerDirectory
+from lagoonlever.entry.engine_watch import EngineWatch
+from lagoonlever.entry.engines import AdmissionDesk, Engines, TargetGuard
+from lagoonlever.entry.generations import GenerationService, GenerationSettings, Peers
+from lagoonlever.entry.recovery import EngineRecovery
+from lagoonlever.outcomes import Outcome
+from lagoonlever.timers import TimerService
+
+WATCH_PERIOD_S = 0.05
+ORPHAN_PERIOD_S = 0.5
+OWN_POLICY = "affinity"
+
+
+@attrs.frozen(kw_only=True)
+class RoutingSettings:
+    """The section ``routing`` of a VM's settings."""
+
+    policy: str = option(
+        default=OWN_POLICY,
+        check=lambda name: None if name in POLICIES else f"give one of: {', '.join(POLICIES)}",
+        doc="How an engine is chosen.",
+    )
+
+
+@attrs.define(kw_only=True, eq=False)
+class GenerationServing:
+    """The generation side of one VM; the daemon and the benchmarks both build it."""
+
+    vm: str
+    guard: TargetGuard
+    admission: AdmissionDesk
+    callers: CallerDirectory
+    timers: TimerService
+    rng: random.Random
+    background: trio.Nursery
+    peers: Peers
+    generation: GenerationSettings
+    detection: DetectionSettings
+    routing: RoutingSettings
+    subset_size: int
+    refusal: Callable[[], Outcome | None]
+    moved_to: Callable[[], tuple[str, ...] | None]
+    observe: Callable[[GenerationSpec, Dispatch, Target], None] = lambda *_: None
+    router: Router = attrs.field(init=False)
+    engines: Engines = attrs.field(init=False)
+    service: GenerationService = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.router = Router(
+            node=self.vm,
+            policy=make_policy(self.routing.policy),
+            rng=self.rng,
+            subset_size=self.subset_size,
+        )
+        self.engines = Engines(
+            guard=self.guard,
+            router=self.router,
+            admission=self.admission,
+            timers=self.timers,
+            watch=EngineWatch(settings=self.detection, now=lambda: self.timers.now),
+            background=self.background,
+            observe=self.observe,
+        )
+        self.service = GenerationService(
+            settings=self.generation,
+            callers=self.callers,
+            engines=self.engines,
+            rng=self.rng,
+            background=self.background,
+            resume_points=EngineRecovery(view=self.guard.view),
+            peers=self.peers,
+            refusal=self.refusal,
+            moved_to=self.moved_to,
+            pause_since_last_tick=self.timers.pause_since_last_tick,
+            vm=self.vm,
+        )
+
+    async def run(self) -> None:
+        """Watch the streams and the callers until cancelled."""
+        with (
+            self.timers.subscribed(self.engines.watch.on_tick, period_s=WATCH_PERIOD_S),
+            self.timers.subscribed(self.service.on_tick, period_s=ORPHAN_PERIOD_S),
+        ):
+            view = self.guard.view.value
+            while True:
+                self.router.targets_changed(view, (self.vm,))
+                view = await self.guard.view.wait_change()
--- a/lagoonlever/entry/targets.py
+++ b/lagoonlever/entry/targets.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
 
 import attrs
 import logbook
@@ -16,13 +15,10 @@
 
 from lagoonlever.config.options import option
 from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.target_freshness import Belief, ListFreshness
-from lagoonlever.decisions.target_listing import (
-    LeavingEvidence,
-    TargetListing,
-    TargetListReading,
-)
+from lagoonlever.decisions.target_freshness import Belief
+from lagoonlever.decisions.target_listing import TargetListReading
 from lagoonlever.decisions.target_load import LOAD_STALE_S, TargetReports
+from lagoonlever.decisions.target_watch import Send, TargetKnowledge
 from lagoonlever.decisions.targets import (
     ModelKey,
     Target,
@@ -84,13 +80,12 @@
     Belief.PLATFORM_OUTAGE: TARGETS_LIST_OUTAGE,
     Belief.FRESH: TARGETS_LIST_FRESH,
 }
+_STATE_EVENTS = {TargetState.LEAVING: TARGET_LEAVING, TargetState.GONE: TARGET_GONE}
 
 ASK_PERIOD_S = 0.4
 BELIEF_PERIOD_S = 0.1
 REFRESH_PERIOD_S = 1.0
 """Loads and impairments age without any news."""
-NEWS_FANOUT = 8
-"""Reaches every VM of a fleet of nine at once, and 400 in three steps."""
 
 
 @attrs.frozen(kw_only=True)
@@ -124,22 +119,24 @@
     _timers: TimerService
     _random: random.Random
     _settings: TargetSettings = attrs.field(factory=TargetSettings)
-    _listing: TargetListing = attrs.field(factory=TargetListing, init=False)
-    _freshness: ListFreshness = attrs.field(factory=ListFreshness, init=False)
+    _knowledge: TargetKnowledge = attrs.field(init=False)
     _reports: TargetReports = attrs.field(init=False)
     _belief: Belief = attrs.field(default=Belief.FRESH, init=False)
-    _seen: dict[str, Target] = attrs.field(factory=dict, init=False)
+    _states: dict[str, TargetState] = attrs.field(factory=dict, init=False)
     view: Published[TargetView] = attrs.field(init=False)
     """The latest view; while this VM is isolated every live target in it is ``UNSURE``."""
 
     def __attrs_post_init__(self) -> None:
+        self._knowledge = TargetKnowledge(
+            own=self._bus.address, rng=self._random, members=self._members.value
+        )
         self._reports = TargetReports(stale_s=self._settings.load_stale_s)
         self.view = Published(TargetView())
 
     @property
     def belief(self) -> Belief:
         """Whether the list of targets may be believed now."""
-        return self._freshness.belief(self._timers.now)
+        return self._knowledge.belief(self._timers.now)
 
     def check_before_dispatch(self, target: Target) -> bool:
         """Tell whether work may be written to a target now; ask right before each write.
@@ -150,9 +147,7 @@
         wakes from a pause finds its list stale and refuses until it is read or
         peers have answered.
         """
-        if not self.belief.allows_work:
-            return False
-        return self._listing.state_of(target.name, target.address) is TargetState.LIVE
+        return self._knowledge.may_dispatch(target.name, target.address, self._timers.now)
 
     def needs_models(self, target: Target) -> bool:
         """Tell whether an engine has not yet told which models it serves."""
@@ -186,6 +181,7 @@
                 self._timers.subscribed(lambda _: self._publish(), period_s=REFRESH_PERIOD_S),
             ):
                 nursery.start_soon(self._follow_list)
+                nursery.start_soon(self._follow_members)
                 nursery.start_soon(self._hear_news)
                 nursery.start_soon(self._answer_asks)
                 nursery.start_soon(self._hear_answers)
@@ -195,67 +191,54 @@
         reading = self._readings.value
         while True:
             if reading is not None:
-                self._freshness.read(reading.read_at)
-                self._tell(self._listing.read_list(reading))
+                self._send(self._knowledge.read(reading))
                 self._publish()
             reading = await self._readings.wait_change()
 
+    async def _follow_members(self) -> None:
+        members = self._members.value
+        while True:
+            self._knowledge.members_changed(members)
+            members = await self._members.wait_change()
+
     async def _hear_news(self) -> None:
         async for received in self._bus.subscribe(TargetLeavingNews):
-            self._hear(received.message.evidence)
+            self._take(self._knowledge.heard(received.message, self._timers.now))
 
     async def _answer_asks(self) -> None:
         async for received in self._bus.subscribe(TargetListAsk):
-            ask = received.message
-            now = self._timers.now
-            known = self._freshness.read_at is not None
-            answer = TargetListAnswer(
-                number=ask.number,
-                list_age_s=self._freshness.age_s(now) if known else None,
-                evidence=self._listing.evidence(now),
-            )
-            self._bus.send(ask.reply_to, answer)
+            self._send(self._knowledge.asked(received.message, self._timers.now))
 
     async def _hear_answers(self) -> None:
         async for received in self._bus.subscribe(TargetListAnswer):
-            answer = received.message
-            self._hear(answer.evidence)
-            self._freshness.answered(answer.number, answer.list_age_s)
-
-    def _hear(self, evidence: Iterable[LeavingEvidence]) -> None:
-        news = self._listing.hear(evidence, self._timers.now)
-        self._tell(news)
-        if news:
+            self._take(self._knowledge.answered(received.message, self._timers.now))
+
+    def _take(self, sends: list[Send]) -> None:
+        """Send news on; that there is any means that the view changed."""
+        self._send(sends)
+        if sends:
             self._publish()
 
-    def _tell(self, news: tuple[LeavingEvidence, ...]) -> None:
-        """Tell some peers at once; each of them tells on what is new to it."""
-        if not news:
-            return
-        members = self._members.value
-        peers = [m.peers for m in members.reachable if m.incarnation != members.own]
-        for peer in self._random.sample(peers, min(NEWS_FANOUT, len(peers))):
-            self._bus.send(peer, TargetLeavingNews(evidence=news))
+    def _send(self, sends: list[Send]) -> None:
+        for send in sends:
+            self._bus.send(send.to, send.message)
 
     def _ask_peers(self, tick: Tick) -> None:
-        self._freshness.members_known(self._members.value, tick.now)
-        for number, peer in self._freshness.asks_due(tick.now, self._random):
-            self._bus.send(peer, TargetListAsk(number=number, reply_to=self._bus.address))
+        self._send(self._knowledge.tick(tick.now))
 
     def _reconsider(self, tick: Tick) -> None:
-        belief = self._freshness.belief(tick.now)
-        if belief is self._belief or self._freshness.read_at is None:
+        belief = self._knowledge.belief(tick.now)
+        age_s = self._knowledge.list_age_s(tick.now)
+        if belief is self._belief or age_s is None:
             return
         self._belief = belief
-        _BELIEF_EVENTS[belief].log(log, age_s=self._freshness.age_s(tick.now))
+        _BELIEF_EVENTS[belief].log(log, age_s=age_s)
         self._publish()
 
     def _publish(self) -> None:
         now = self._timers.now
-        believed = self._freshness.belief(now).allows_work
         targets = tuple(
-            self._reports.described(target if believed else _unsure(target), now)
-            for target in self._listing.targets()
+            self._reports.described(target, now) for target in self._knowledge.targets(now)
         )
         if targets == self.view.value.targets:
             return
@@ -265,17 +248,7 @@
 
     def _log_changes(self, targets: tuple[Target, ...]) -> None:
         for target in targets:
-            before = self._seen.get(target.name)
-            if before is not None and before.state is target.state:
-                continue
-            if target.state is TargetState.LEAVING:
-                TARGET_LEAVING.log(log, target=target.name, address=str(target.address))
-            if target.state is TargetState.GONE:
-                TARGET_GONE.log(log, target=target.name, address=str(target.address))
-        self._seen = {target.name: target for target in targets}
-
-
-def _unsure(target: Target) -> Target:
-    if target.state is not TargetState.LIVE:
-        return target
-    return attrs.evolve(target, state=TargetState.UNSURE)
+            log_event = _STATE_EVENTS.get(target.state)
+            if log_event is not None and self._states.get(target.name) is not target.state:
+                log_event.log(log, target=target.name, address=str(target.address))
+        self._states = {target.name: target.state for target in targets}
--- a/lagoonlever/identity.py
+++ b/lagoonlever/identity.py
@@ -18,7 +18,7 @@
 NAME = re.compile(r"[a-z0-9][a-z0-9\-]{0,62}\Z")
 """Names of VMs, targets, organisations and data centres."""
 
-EVENT_ID_PARTS = 6
+EVENT_ID_PARTS = 7
 _TOKEN = struct.Struct("<q")
 
 
@@ -62,7 +62,8 @@
 
     ``offset`` counts the tokens released so far, ``digest`` is theirs, and
     ``target`` names the engine that held the attempt, so that a VM that has
-    never seen the request can fetch the stream from that engine again.
+    never seen the request can fetch the stream from that engine again; ``vm``
+    names the VM that released the tokens, so that it can be told to let go.
     """
 
     request_id: str
@@ -71,11 +72,12 @@
     offset: int
     digest: int
     target: str
+    vm: str = ""
 
     def __str__(self) -> str:
         return (
             f"{self.request_id}/{self.generation}/{self.attempt}"
-            f"/{self.offset}/{self.digest:016x}/{self.target}"
+            f"/{self.offset}/{self.digest:016x}/{self.target}/{self.vm}"
         )
 
     @classmethod
@@ -94,6 +96,7 @@
                 offset=int(parts[3]),
                 digest=int(parts[4], 16),
                 target=parts[5],
+                vm=parts[6],
             )
         except ValueError:
             raise RequestRefused(
--- /dev/null
+++ b/lagoonlever/peers/messages_generations.py
@@ -0,0 +1,21 @@
+"""What entry VMs tell each other about the streams of callers."""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonlever.peers.messages import PEER
+
+
+@PEER.message("taken-over")
+@attrs.frozen(kw_only=True)
+class TakenOver:
+    """The sender serves this request's caller now; the receiver shall let it go.
+
+    ``attempt`` is the engine's stream that the sender reads on; any other attempt
+    of the receiver is to be cancelled. Losing this message costs engine work only.
+    """
+
+    organisation: str
+    request_id: str
+    attempt: int
--- a/lagoonlever/targets/completions.py
+++ b/lagoonlever/targets/completions.py
@@ -64,7 +64,7 @@
     return f"{spec.request_id}-{organisation}-{attempt:x}"
 
 
-def completion_body(spec: GenerationSpec, dispatch: Dispatch) -> bytes:
+def completion_body(spec: GenerationSpec, dispatch: Dispatch, *, priority: int) -> bytes:
     """Give the body of the request that starts an attempt.
 
     A resume sends token ids, never text: text would be tokenised differently
@@ -85,7 +85,7 @@
             "seed": dispatch.seed,
             "temperature": spec.temperature,
             "stop": list(spec.stop),
-            "priority": spec.priority,
+            "priority": priority,
             "request_id": stream_id(spec, dispatch.attempt),
             "return_token_ids": True,
             "background": True,
