Log an outage of the platform once, and begin each engine's life with an empty cache

An adapter that logged each failed call would flood the log in a long outage; it now tells the begin, the end, and each lost answer. The engine's cache events begin anew after a death, which a reader could not tell from a gap: the first event of a life now says cleared.

56 tests pass (pytest platform_* fakes_*).

--- a/lagoonlever/fakes/prefix_cache.py
+++ b/lagoonlever/fakes/prefix_cache.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import OrderedDict, deque
 from collections.abc import Sequence
@@ -23,7 +24,10 @@
 
 
 class PrefixCache:
-    """Blocks of tokens in limited memory; the least recently used one goes first."""
+    """Blocks of tokens in limited memory; the least recently used one goes first.
+
+    The first event of each life tells that the cache is empty.
+    """
 
     def __init__(
         self, *, capacity_blocks: int, event_lag_s: float, event_gap: float, rng: random.Random
@@ -33,8 +37,10 @@
         self._event_gap = event_gap
         self._rng = rng
         self._blocks: OrderedDict[int, None] = OrderedDict()
+        cleared = CacheEvent(sequence=1, kind="cleared", blocks=[])
         self._events: deque[tuple[float, CacheEvent]] = deque(maxlen=KEPT_EVENTS)
-        self._sequence = 0
+        self._events.append((-math.inf, cleared))
+        self._sequence = cleared.sequence
 
     @property
     def cached_tokens(self) -> int:
--- a/lagoonlever/platform/etcd_servers.py
+++ b/lagoonlever/platform/etcd_servers.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator, Sequence
 
+import logbook
 import msgspec
 
 from lagoonlever.exceptions import (
@@ -21,8 +22,15 @@
 from lagoonlever.instruments import Metrics
 from lagoonlever.metrics import PLATFORM_CALLS
 from lagoonlever.platform.etcd_wire import NOT_FOUND, ErrorResponse, encode
+from lagoonlever.platform.events import (
+    PLATFORM_ANSWER_LOST,
+    PLATFORM_REACHED,
+    PLATFORM_UNREACHABLE,
+)
 from lagoonlever.platform.port import ChangeRefused, LeaseLapsed
 
+log = logbook.Logger(__name__)
+
 CALL_TIMEOUT_S = 1.0
 JSON_HEADERS = Headers((("Content-Type", JSON_TYPE),))
 TOO_MANY_REQUESTS = 429
@@ -45,6 +53,7 @@
         self._metrics = metrics
         self._timeout_s = timeout_s
         self._pool = Pool()
+        self._reached = True
 
     @property
     def timeout_s(self) -> float:
@@ -76,7 +85,7 @@
                 errors.append(str(error))
             except (PlatformUnavailable, PlatformAnswerLost) as error:
                 errors.append(str(error))
-        raise PlatformUnavailable("; ".join(errors), step=step, peer="platform")
+        raise self.unavailable(errors, step=step)
 
     async def change(self, path: str, message: object, *, step: str) -> bytes:
         """Make a call that changes something, at one server.
@@ -92,9 +101,25 @@
                 return self._body(response, step, address)
             except (ConnectFailed, PlatformUnavailable) as error:
                 errors.append(str(error))
-            except (PeerTimeout, ConnectionBroken, BadResponse) as error:
-                raise PlatformAnswerLost(str(error), step=step, peer=str(address)) from error
-        raise PlatformUnavailable("; ".join(errors), step=step, peer="platform")
+            except (PeerTimeout, ConnectionBroken, BadResponse, PlatformAnswerLost) as error:
+                peer = str(address)
+                PLATFORM_ANSWER_LOST.log(log, step=step, peer=peer, error=str(error))
+                raise PlatformAnswerLost(str(error), step=step, peer=peer) from error
+        raise self.unavailable(errors, step=step)
+
+    def unavailable(self, errors: list[str], *, step: str) -> PlatformUnavailable:
+        """Note that no server took a call, and give the error that says so."""
+        error = PlatformUnavailable("; ".join(errors), step=step, peer="platform")
+        if self._reached:
+            PLATFORM_UNREACHABLE.log(log, step=step, error=str(error))
+        self._reached = False
+        return error
+
+    def reached(self, address: Address) -> None:
+        """Note that a server answered."""
+        if not self._reached:
+            PLATFORM_REACHED.log(log, peer=str(address))
+        self._reached = True
 
     async def aclose(self) -> None:
         """Close idle connections."""
@@ -137,6 +162,7 @@
 
     def _body(self, response: Response, step: str, address: Address) -> bytes:
         if response.status == 200:
+            self.reached(address)
             return response.body
         raise error_of(response, step=step, peer=str(address))
 
--- a/lagoonlever/platform/etcd_watch.py
+++ b/lagoonlever/platform/etcd_watch.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 
+import logbook
 import msgspec
 import trio
 
@@ -12,8 +13,11 @@
 from lagoonlever.http.messages import Address
 from lagoonlever.platform import etcd_wire as wire
 from lagoonlever.platform.etcd_servers import JSON_HEADERS, EtcdServers
+from lagoonlever.platform.events import WATCH_SILENT
 from lagoonlever.platform.port import KeyChange, WatchBatch, WatchCompacted
 
+log = logbook.Logger(__name__)
+
 SILENCE_S = 20.0
 """A watch that was silent for so long is opened anew."""
 
@@ -51,6 +55,8 @@
             with trio.move_on_after(self._silence_s):
                 return await self._next_batch(self._connection)
             await self.aclose()
+            prefix = self._prefix.decode()
+            WATCH_SILENT.log(log, prefix=prefix, silence_s=self._silence_s)
 
     async def aclose(self) -> None:
         """Stop watching."""
@@ -70,8 +76,9 @@
                 errors.append(str(error))
                 continue
             self._servers.count("watch", "ok")
+            self._servers.reached(address)
             return connection
-        raise PlatformUnavailable("; ".join(errors), step="watch", peer="platform")
+        raise self._servers.unavailable(errors, step="watch")
 
     async def _open_at(self, address: Address) -> ClientConnection:
         create = wire.WatchCreateRequest(
--- /dev/null
+++ b/lagoonlever/platform/events.py
@@ -0,0 +1,37 @@
+"""The log events of the platform's adapters."""
+
+from __future__ import annotations
+
+from lagoonlever.events import event
+
+PLATFORM_UNREACHABLE = event(
+    800,
+    "platform-unreachable",
+    "error",
+    "No server of the platform took {step}: {error}",
+    "Told once, until a call succeeds again. This VM goes on with the settings and the targets "
+    "that it has; changes of settings and claims of plain keys fail meanwhile. Look at the "
+    "platform's key-value service and at `platform.addresses`.",
+)
+PLATFORM_REACHED = event(
+    801,
+    "platform-reached",
+    "notice",
+    "{peer} of the platform answers again.",
+    "The outage that event 800 told of is over for this VM. Nothing to do.",
+)
+PLATFORM_ANSWER_LOST = event(
+    802,
+    "platform-answer-lost",
+    "warning",
+    "The answer to {step} from {peer} was lost: {error}",
+    "The change may have been applied. The part that made it finds out by reading back.",
+)
+WATCH_SILENT = event(
+    803,
+    "watch-silent",
+    "debug",
+    "The watch of {prefix} was silent for {silence_s:g} s and is opened anew.",
+    "Usual where nothing changes; it keeps a watch that was lost without a word from going "
+    "unnoticed.",
+)
--- a/lagoonlever/tests/fakes_engine_tests.py
+++ b/lagoonlever/tests/fakes_engine_tests.py
@@ -117,7 +117,8 @@
         assert running.engine.work["b"].decode_tokens == LENGTH - 9
         assert running.engine.work["b"].prefill_tokens < 32
         _, events = await running.call("GET", "/cache_events?after=0")
-        assert events["events"][0]["kind"] == "stored"
+        kinds = [event["kind"] for event in events["events"]]
+        assert kinds == ["cleared", "stored", "stored"]  # the second stream has no new block
 
     with_engine(scenario)
 
--- a/lagoonlever/tests/platform_etcd_tests.py
+++ b/lagoonlever/tests/platform_etcd_tests.py
@@ -5,6 +5,7 @@
 import contextlib
 
 import attrs
+import logbook
 import pytest
 import trio
 from hypothesis import given, settings
@@ -18,6 +19,7 @@
 from lagoonlever.platform.etcd_servers import EtcdServers
 from lagoonlever.platform.etcd_watch import EtcdWatch
 from lagoonlever.platform.etcd_wire import TXN_PATH, WATCH_PATH, WireVm
+from lagoonlever.platform.events import PLATFORM_REACHED, PLATFORM_UNREACHABLE
 from lagoonlever.platform.port import (
     ABSENT,
     MAX_VALUE_BYTES,
@@ -296,6 +298,19 @@
     with_platform(scenario)
 
 
+def test_an_outage_is_logged_once_and_so_is_its_end():
+    async def scenario(running):
+        with logbook.TestHandler() as logged:
+            for fault in ("down", "down", "up", "up"):
+                running.fault(fault)
+                with contextlib.suppress(PlatformUnavailable):
+                    await running.port.get("/a")
+        events = [record.extra["event"] for record in logged.records]
+        assert events == [PLATFORM_UNREACHABLE, PLATFORM_REACHED]
+
+    with_platform(scenario)
+
+
 def test_a_read_survives_idle_connections_that_a_restart_closed():
     async def scenario(running):
         async with trio.open_nursery() as nursery:
