Take an unheralded death as a suspicion, and prove the membership under failures

Cause: at the end of a cut each side hears that its own members are dead and drops them until they answer. Now such a verdict starts a suspicion. The state machine kills, pauses, cuts, restarts and disturbs six VMs; three guards are turned off in tests and turn them red.

--- a/lagoonlever/decisions/membership_table.py
+++ b/lagoonlever/decisions/membership_table.py
@@ -1,8 +1,8 @@
 """The members that a VM knows, and the rule by which news of them is merged.
 
-Merging is a join: it gives the same result in any order and for repeated news.
 The newest life of a name wins; within a life ``leaving`` never goes back, and
-the highest (version, status) wins, where only the member raises its version.
+the highest (version, status) wins, where only the member raises its version. So
+late, repeated and reordered news does no harm.
 """
 
 from __future__ import annotations
@@ -104,8 +104,9 @@
         if news.leaving and not self.leaving:
             self.leaving = True
             changed = True
-        if (news.version, news.status) > (self.version, self.status):
-            self.set_status(version=news.version, status=news.status, now=now)
+        status = self._status_to_take(news)
+        if (news.version, status) > (self.version, self.status):
+            self.set_status(version=news.version, status=status, now=now)
             changed = True
         if changed:
             self._digest = None
@@ -129,6 +130,16 @@
         self.version = version
         self._digest = None
 
+    def _status_to_take(self, news: MemberNews) -> Status:
+        """Take a death that comes without a suspicion before it as a suspicion.
+
+        Guards against the false deaths of a cut: when it heals, each side hears
+        that its own members are dead, and would drop them all at once. So they
+        get the time to answer; a member that left has nothing to answer.
+        """
+        unheralded = news.status is Status.DEAD and self.status is Status.ALIVE
+        return Status.SUSPECT if unheralded and not news.leaving else news.status
+
     def _merge_load(self, news: MemberNews, now: float) -> None:
         reported_at = now - news.load_age_s
         if news.load_age_s <= MAX_LOAD_AGE_S and reported_at > self.load_at:
--- /dev/null
+++ b/lagoonlever/tests/membership_tests.py
@@ -0,0 +1,300 @@
+"""Tests of the membership protocol: a state machine of failures, and each guard turned off."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lagoonlever.bench.membership_network import Network, Node, node_address, node_name
+from lagoonlever.decisions.membership import MemberState
+from lagoonlever.decisions.membership_protocol import ListedVm, MembershipProtocol
+from lagoonlever.decisions.membership_table import Record
+from lagoonlever.identity import Incarnation
+from lagoonlever.peers.messages_membership import Status
+
+NODES = 6
+SETTLE_S = 120
+GONE_STATES = (MemberState.LEAVING, MemberState.DEAD)
+
+
+def states(network: Network, observer: int) -> dict[str, MemberState]:
+    view = network.nodes[observer].protocol.take_view(network.now)
+    return {member.name: member.state for member in view.members}
+
+
+def fleet(size: int, *, seed: int = 1) -> Network:
+    network = Network(random=Random(seed))
+    for index in range(size):
+        network.start(index)
+    network.run(15)
+    for index in range(size):
+        assert set(states(network, index).values()) == {MemberState.ALIVE}
+        assert len(states(network, index)) == size
+    return network
+
+
+@pytest.fixture
+def deaths(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Give the list that names each member as any VM takes it for dead."""
+    names: list[str] = []
+    set_status = Record.set_status
+
+    def note(record: Record, *, version: int, status: Status, now: float) -> None:
+        if status is Status.DEAD:
+            names.append(record.incarnation.name)
+        set_status(record, version=version, status=status, now=now)
+
+    monkeypatch.setattr(Record, "set_status", note)
+    return names
+
+
+class Failures(RuleBasedStateMachine):
+    """Anything fails, in any order; what a VM believes must stay within the promises."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.network = Network(random=Random(7))
+        self.leaving: set[Incarnation] = set()
+        self.seen_leaving: dict[tuple[Incarnation, Incarnation], bool] = {}
+        self.newest: dict[tuple[Incarnation, str], Incarnation] = {}
+        for index in range(NODES):
+            self.network.start(index, seeds=range(NODES))
+
+    def node(self, index: int) -> Node | None:
+        return self.network.nodes.get(index)
+
+    @rule(index=st.integers(0, NODES - 1))
+    def kill(self, index: int) -> None:
+        if self.node(index) is not None:
+            self.network.kill(index)
+
+    @rule(index=st.integers(0, NODES - 1))
+    def start(self, index: int) -> None:
+        if self.node(index) is None:
+            self.network.start(index, seeds=range(NODES))
+
+    @rule(index=st.integers(0, NODES - 1))
+    def restart(self, index: int) -> None:
+        if self.node(index) is not None:
+            self.network.kill(index)
+            self.network.start(index, seeds=range(NODES))
+
+    @rule(index=st.integers(0, NODES - 1), duration_s=st.sampled_from([0.7, 3.0, 40.0]))
+    def pause(self, index: int, duration_s: float) -> None:
+        if self.node(index) is not None:
+            self.network.pause(index, duration_s)
+
+    @rule(index=st.integers(0, NODES - 1))
+    def leave(self, index: int) -> None:
+        node = self.node(index)
+        if node is not None:
+            node.protocol.leave(self.network.now)
+            self.leaving.add(node.incarnation)
+
+    @rule(index=st.integers(0, NODES - 1))
+    def stop(self, index: int) -> None:
+        if self.node(index) is not None:
+            self.network.stop(index)
+
+    @rule(observer=st.integers(0, NODES - 1), index=st.integers(0, NODES - 1))
+    def listed_as_leaving(self, observer: int, index: int) -> None:
+        node = self.node(observer)
+        listed = self.node(index)
+        if node is None or listed is None:
+            return
+        vm = ListedVm(name=node_name(index), peers=node_address(index), leaving=True)
+        node.protocol.set_listed((vm,), self.network.now)
+        node.protocol.set_listed((), self.network.now)
+
+    @rule(side=st.sets(st.integers(0, NODES - 1), min_size=1, max_size=NODES - 1))
+    def cut(self, side: set[int]) -> None:
+        self.network.cut_off(side)
+
+    @rule()
+    def heal(self) -> None:
+        self.network.heal()
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.1, 0.4]),
+        duplication=st.sampled_from([0.0, 0.2]),
+        late_s=st.sampled_from([0.0, 0.5, 8.0]),
+    )
+    def disturb(self, loss: float, duplication: float, late_s: float) -> None:
+        self.network.loss = loss
+        self.network.duplication = duplication
+        self.network.late_s = late_s
+
+    @rule(duration_s=st.sampled_from([0.3, 2.0, 10.0, 40.0]))
+    def pass_time(self, duration_s: float) -> None:
+        self.network.run(duration_s)
+
+    @invariant()
+    def leaving_and_replaced_lives_never_come_back(self) -> None:
+        for node in self.network.nodes.values():
+            for member in node.protocol.take_view(self.network.now).members:
+                key = (node.incarnation, member.incarnation)
+                gone = member.state is MemberState.LEAVING
+                assert member.state in GONE_STATES or not self.seen_leaving.get(key, False)
+                self.seen_leaving[key] = gone or self.seen_leaving.get(key, False)
+                name_key = (node.incarnation, member.name)
+                newest = self.newest.get(name_key, member.incarnation)
+                assert member.incarnation >= newest
+                self.newest[name_key] = member.incarnation
+
+    @precondition(lambda self: self.network.nodes)
+    @rule()
+    def settle(self) -> None:
+        """Once all is well again, every VM sees exactly the lives that there are."""
+        self.network.heal()
+        self.disturb(0.0, 0.0, 0.0)
+        self.network.run(SETTLE_S)
+        lives = {node.incarnation for node in self.network.nodes.values()}
+        for node in self.network.nodes.values():
+            view = node.protocol.take_view(self.network.now)
+            seen = {m.incarnation for m in view.members if m.state is not MemberState.DEAD}
+            assert seen == lives
+            assert MemberState.SUSPECT not in {m.state for m in view.members}
+            for member in view.members:
+                if member.incarnation in self.leaving & lives:
+                    assert member.state is MemberState.LEAVING
+
+    def teardown(self) -> None:
+        if self.network.nodes:
+            self.settle()
+
+
+TestFailures = Failures.TestCase
+TestFailures.settings = settings(
+    max_examples=25,
+    stateful_step_count=20,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_two_sides_of_a_healed_cut_find_each_other(
+    guarded: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Half of the VMs stay unused after the regions' link is back.
+
+    The cut lasts until each side takes the other for dead. Nobody probes the
+    dead, so when the cut heals no side ever speaks to the other.
+    """
+    network = fleet(6)
+    if not guarded:
+        monkeypatch.setattr(MembershipProtocol, "_strangers", lambda _: [])
+    network.cut_off({0, 1, 2})
+    network.run(60)
+    assert states(network, 0)[node_name(5)] is MemberState.DEAD
+    assert states(network, 5)[node_name(0)] is MemberState.DEAD
+
+    network.heal()
+    network.run(60)
+    everyone = {state for index in range(6) for state in states(network, index).values()}
+    assert (everyone == {MemberState.ALIVE}) is guarded
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_a_healed_cut_makes_nobody_dead(
+    guarded: bool, monkeypatch: pytest.MonkeyPatch, deaths: list[str]
+) -> None:
+    """The end of a cut costs more VMs than the cut did.
+
+    Each side hears from the other that its own members are dead. Taken over at
+    once, the verdicts empty the member list, and callers are turned away.
+    """
+    if not guarded:
+        monkeypatch.setattr(Record, "_status_to_take", lambda _, news: news.status)
+    network = fleet(9)
+    network.cut_off({0, 1, 2, 3})
+    network.run(60)
+    network.heal()
+    deaths.clear()
+    network.run(60)
+    assert (deaths == []) is guarded
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_a_paused_vm_wakes_without_declaring_others_dead(
+    guarded: bool, monkeypatch: pytest.MonkeyPatch, deaths: list[str]
+) -> None:
+    """A VM that was frozen for a minute tells the world that everybody died.
+
+    It suspected a member when it was frozen. On waking the suspicion's time is
+    over, and the member's answer was lost meanwhile: it floods a false death.
+    """
+    if not guarded:
+        monkeypatch.setattr(MembershipProtocol, "_distrust", lambda _self, _now: None)
+    network = fleet(5)
+    network.cut_off({0})
+    for _ in range(100):
+        network.run(0.1)
+        if MemberState.SUSPECT in states(network, 0).values():
+            break
+    network.heal()
+    network.pause(0, 60)
+    network.run(70)
+    assert (set(deaths) == {node_name(0)}) is guarded
+
+
+def test_a_thawed_twin_learns_that_it_was_replaced() -> None:
+    """Two processes act under one VM's name after a replacement.
+
+    A VM freezes, is replaced by a new life of the same name, and thaws. It must
+    learn that it is over and fall silent; the new life must not be disturbed.
+    """
+    network = fleet(4)
+    former = network.nodes[3]
+    network.kill(3)
+    network.run(10)
+    replacement = network.start(3)
+    network.run(20)
+
+    late = former.protocol
+    late.tick(network.now, paused_s=30)
+    for _ in range(30):
+        network.run(0.5)
+        late.tick(network.now)
+        for send in late.take_sends():
+            target = next(n for n in network.nodes.values() if n.address == send.to)
+            target.protocol.receive(send.message, network.now)
+            for answer in target.protocol.take_sends():
+                late.receive(answer.message, network.now)
+    assert late.silent
+    assert late.take_view(network.now).superseded
+    for index in range(4):
+        view = network.nodes[index].protocol.take_view(network.now)
+        assert view.find(replacement.incarnation) is not None
+        assert view.is_over(former.incarnation)
+
+
+def test_a_listing_marks_only_a_life_that_is_old_enough() -> None:
+    """A new VM gets no work because the list still tells of its predecessor.
+
+    The list lags: it names the former life at this address as leaving. Leaving
+    has no way back, so a mark on the new life would never be lifted.
+    """
+    network = fleet(3)
+    listed = ListedVm(name=node_name(2), peers=node_address(2), leaving=True)
+    network.nodes[0].protocol.set_listed((listed,), network.now)
+    network.run(2)
+    assert states(network, 1)[node_name(2)] is MemberState.ALIVE
+
+    network.run(30)
+    network.nodes[0].protocol.set_listed((listed,), network.now)
+    network.run(1)
+    for index in range(3):
+        assert states(network, index)[node_name(2)] is MemberState.LEAVING
+
+
+def test_leaving_is_known_everywhere_within_three_seconds_despite_loss() -> None:
+    network = fleet(27)
+    network.loss = 0.1
+    network.nodes[5].protocol.leave(network.now)
+    network.run(3)
+    assert {states(network, i)[node_name(5)] for i in range(27)} == {MemberState.LEAVING}
