--- a/lagoonlever/tests/platform_etcd_tests.py
+++ b/lagoonlever/tests/platform_etcd_tests.py
@@ -233,6 +233,56 @@
     with_platform(scenario)
 
 
+WATCH_STEPS = st.one_of(
+    st.tuples(st.just("put"), st.sampled_from(KEYS)),
+    st.tuples(st.just("delete"), st.sampled_from(KEYS)),
+    st.tuples(st.sampled_from(["cut_watches", "down", "silence_watches"]), st.none()),
+)
+
+
+@settings(max_examples=20, deadline=None)
+@given(st.lists(WATCH_STEPS, max_size=20))
+def test_whoever_applies_a_watch_ends_with_what_is_stored(steps):
+    """Writers go on while the watch is cut, silenced and refused; its reader follows along."""
+
+    async def scenario(running):
+        copy = {}
+        revisions = []
+        done = trio.Event()
+        servers = EtcdServers(addresses=[running.address])
+        watch = EtcdWatch(servers=servers, prefix="/", after_revision=0, silence_s=0.1)
+
+        async def follow():
+            while "/end" not in copy:
+                with contextlib.suppress(PlatformUnavailable):
+                    for change in (await watch.next()).changes:
+                        revisions.append(change.revision)
+                        copy[change.key] = change.entry and change.entry.value
+                await trio.lowlevel.checkpoint()
+            done.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follow)
+            for number, (step, key) in enumerate(steps):
+                if step == "put":
+                    await running.put(key, b"%d" % number)
+                elif step == "delete":
+                    entry = (await running.port.get(key)).entry
+                    expected = entry.revision if entry else ABSENT
+                    await running.port.compare_and_swap(key, expected_revision=expected, value=None)
+                else:
+                    running.fault(step)
+                    await trio.sleep(0.01)
+                    running.fault("up")
+            await running.put("/end", b"")
+            await done.wait()
+        assert {key: value for key, value in copy.items() if value is not None} == running.stored()
+        assert revisions == sorted(set(revisions))
+        await watch.aclose()
+
+    with_platform(scenario)
+
+
 def test_without_the_guard_against_silence_a_watch_stops_for_good():
     """The same silence, with the guard off: the change is stored and never told."""
 
