--- a/lagoonlever/config/vm.py
+++ b/lagoonlever/config/vm.py
@@ -17,8 +17,16 @@
 )
 from lagoonlever.config.files import load_file
 from lagoonlever.config.options import option
+from lagoonlever.decisions.addresses import AddressesSettings
+from lagoonlever.decisions.membership_settings import MembershipSettings
+from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.entry.generations import GenerationSettings
+from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.entry.serving import RoutingSettings
+from lagoonlever.entry.targets import TargetSettings
 from lagoonlever.exceptions import Fault, FaultsError
 from lagoonlever.http.messages import Address
+from lagoonlever.platform.registry import adapter_names
 from lagoonlever.report.objectives import ObjectiveSettings
 
 
@@ -28,6 +36,11 @@
     return check_addresses(texts)
 
 
+def _check_adapter(name: str) -> str | None:
+    known = adapter_names()
+    return None if name in known else f"is {name!r}; give one of: {', '.join(known)}"
+
+
 @attrs.frozen(kw_only=True)
 class PlatformSettings:
     """How the VM reaches the platform's key-value service."""
@@ -37,7 +50,7 @@
         check=_check_platform_addresses,
     )
     adapter: str = option(
-        doc="The protocol that the platform speaks.", default="etcd-json", one_of=("etcd-json",)
+        doc="The protocol that the platform speaks.", default="etcd-json", check=_check_adapter
     )
 
 
@@ -67,6 +80,25 @@
         default=None,
     )
 
+    addresses: AddressesSettings = option(
+        doc="The answer that tells callers which VMs to use.", factory=AddressesSettings
+    )
+    membership: MembershipSettings = option(
+        doc="How the entry VMs watch each other.", factory=MembershipSettings
+    )
+    targets: TargetSettings = option(doc="How this VM watches the targets.", factory=TargetSettings)
+    generation: GenerationSettings = option(
+        doc="Bounds on the generations of this VM.", factory=GenerationSettings
+    )
+    routing: RoutingSettings = option(
+        doc="How a target is chosen for a generation.", factory=RoutingSettings
+    )
+    detection: DetectionSettings = option(
+        doc="How the silence of an engine is judged.", factory=DetectionSettings
+    )
+    services: ServiceSettings = option(
+        doc="The application services that this VM routes to.", factory=ServiceSettings
+    )
     objectives: ObjectiveSettings = option(
         doc="The service-level objectives that the metrics count towards.",
         factory=ObjectiveSettings,
