--- a/lagoonlever/commands/bench.py
+++ b/lagoonlever/commands/bench.py
@@ -16,6 +16,9 @@
     print_result,
 )
 
+FILE_WIDTH = 160
+"""Columns of a table that goes to a file or a pipe."""
+
 
 def bench(
     name: Annotated[str | None, typer.Argument(help="The benchmark; none lists them.")] = None,
@@ -39,4 +42,5 @@
     if json:
         sys.stdout.buffer.write(encode_result(result) + b"\n")
         return
-    print_result(result, Console())
+    console = Console()
+    print_result(result, console if console.is_terminal else Console(width=FILE_WIDTH))
--- a/lagoonlever/decisions/suspicion_settings.py
+++ b/lagoonlever/decisions/suspicion_settings.py
@@ -23,13 +23,13 @@
         default=2.0, at_least=0.05, at_most=600, doc="`fixed`: silence that counts as death."
     )
     suspect_share: float = option(
-        default=0.4,
+        default=0.6,
         at_least=0.05,
         at_most=1,
         doc="The share of the silence that counts as death after which a stream is suspect.",
     )
     dead_at_least_s: float = option(
-        default=0.8,
+        default=1.3,
         at_least=0.05,
         at_most=60,
         doc="`gap`, `pooled`: silence that never counts as death, whatever was learnt.",
@@ -84,11 +84,17 @@
         doc="On suspicion: nothing, or a second attempt elsewhere; whichever goes on first wins.",
     )
     hedge_budget: float = option(
-        default=0.01,
+        default=0.005,
         at_least=0,
         at_most=1,
         doc="Engine tokens that hedges may cost, as a share of the tokens that were served.",
     )
     hedge_burst_tokens: float = option(
-        default=50_000.0, at_least=0, doc="Unused hedge budget that is kept, in engine tokens."
+        default=16_000.0, at_least=0, doc="Unused hedge budget that is kept, in engine tokens."
     )
+
+
+LOW_LATENCY = DetectionSettings()
+"""Hedges on suspicion, within the budget; the default, and Sembrani's place on the curve."""
+LEAST_EXTRA_USE = DetectionSettings(hedge=HEDGE_OFF)
+"""Waits for certainty; Motus's place on the curve."""
--- a/lagoonlever/tests/suspicion_tests.py
+++ b/lagoonlever/tests/suspicion_tests.py
@@ -78,7 +78,7 @@
     """
     dead = {}
     for method in ("gap", "pooled"):
-        watched = engine(method=method)
+        watched = engine(method=method, dead_at_least_s=0.8)
         watched.open("a", "b", "c")
         watched.run("a", "b", "c", steps=200)
         watched.run("b", "c", steps=120)
