--- a/lagoonlever/history/events_services.py
+++ b/lagoonlever/history/events_services.py
@@ -1,7 +1,6 @@
-"""What callers asked of application services, and what VMs wrote to them.
+"""What callers asked of application services, what they were told, and what VMs wrote.
 
-A caller's outcome is a ``CallerGotOutcome`` with the body in ``text``; what a
-service did is a ``ServiceExecuted``.
+What a service did is a ``ServiceExecuted``.
 """
 
 from __future__ import annotations
@@ -9,12 +8,19 @@
 import attrs
 
 from lagoonlever.history.events import HISTORY, HistoryEvent
-from lagoonlever.history.events_callers import CallerEvent
+
+
+@attrs.frozen(kw_only=True)
+class ServiceCallEvent(HistoryEvent):
+    """Base: what one caller saw of one request; copies of a request share its name."""
+
+    caller: str
+    request: str
 
 
 @HISTORY.message("caller-called-service")
 @attrs.frozen(kw_only=True)
-class CallerCalledService(CallerEvent):
+class CallerCalledService(ServiceCallEvent):
     """A caller sent one copy of a request; ``key`` is empty where it gave none."""
 
     vm: str
@@ -23,6 +29,17 @@
     deadline_s: float | None = None
 
 
+@HISTORY.message("caller-told-of-call")
+@attrs.frozen(kw_only=True)
+class CallerToldOfCall(ServiceCallEvent):
+    """A caller got the final answer to one copy of a request."""
+
+    tag: str
+    status: int
+    reason: str | None = None
+    body: str = ""
+
+
 @HISTORY.message("dispatch-written")
 @attrs.frozen(kw_only=True)
 class DispatchWritten(HistoryEvent):
