Pay for hedges out of a budget, in the daemon's watch too

The watch started a hedge at every suspicion, also with hedge off, so false suspicions had no bound. Hedges are now paid for, and paid back only if the engine stays silent: a won race alone does not prove a death. The watch also tells each engine's judge its peers' spacing, once a second.

--- a/lagoonlever/bench/resume_model.py
+++ b/lagoonlever/bench/resume_model.py
@@ -19,6 +19,8 @@
 from lagoonlever.decisions.suspicion_settings import HEDGE_OFF, DetectionSettings
 from lagoonlever.timers import TICK_S
 
+ENGINE = "engine"
+
 
 class FaultKind(enum.Enum):
     """What happens to the engine at the fault's time."""
@@ -135,6 +137,7 @@
             self._now = self._next_tick
             self._next_tick += TICK_S
             self._take_ready_hedges()
+            self._budget.settle(self._now)
             if self._now >= self._suspicion.next_check_at:
                 self._assess()
         self._now = until
@@ -159,7 +162,7 @@
         cost = self._model.prompt_tokens + stream.tokens
         if self._settings.hedge == HEDGE_OFF or stream.hedge_cost:
             return
-        if not self._budget.try_spend(cost):
+        if not self._budget.try_spend(engine=ENGINE, tokens=cost, now=self._now):
             return
         stream.hedge_cost = cost
         stream.hedge_ready_at = self._now + self._prefill_s(stream) + self._model.step_s
@@ -180,7 +183,6 @@
 
     def _switch(self, stream: _Stream, *, at: float) -> None:
         if self._faulty:
-            self._budget.pay_back(stream.hedge_cost)
             self.tally.resume_s.append(at - self._fault_s - self._prefill_s(stream))
         else:
             self.tally.false_switches += 1
@@ -225,7 +227,7 @@
     def _token(self, stream: _Stream) -> None:
         stream.tokens += 1
         self.tally.needed_tokens += 1
-        self._budget.served(1)
+        self._budget.served(engine=ENGINE, tokens=1)
         self._suspicion.token(stream.name, now=self._now)
         if stream.hedge_cost:
             self._drop_hedge(stream)
--- a/lagoonlever/decisions/suspicion.py
+++ b/lagoonlever/decisions/suspicion.py
@@ -46,6 +46,8 @@
     level: SuspicionLevel
     reason: SuspicionReason
     silence_s: float
+    work_tokens: int
+    """What another engine computes to take the stream over: its prompt and its tokens."""
 
 
 @attrs.define(kw_only=True)
@@ -159,7 +161,13 @@
             level, reason = SuspicionLevel.DEAD, SuspicionReason.SLOW
         elif silence_s >= allowed.suspect_s:
             level, reason = SuspicionLevel.SUSPECT, allowed.reason
-        return StreamVerdict(stream=track.stream, level=level, reason=reason, silence_s=silence_s)
+        return StreamVerdict(
+            stream=track.stream,
+            level=level,
+            reason=reason,
+            silence_s=silence_s,
+            work_tokens=track.prompt_tokens + track.tokens,
+        )
 
     def _slow_long(self, now: float) -> bool:
         return self._slow_since is not None and now - self._slow_since >= self._settings.slow_for_s
--- a/lagoonlever/entry/engine_watch.py
+++ b/lagoonlever/entry/engine_watch.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Callable
 from typing import Protocol
 
 import attrs
 
 from lagoonlever.decisions.suspicion import EngineSuspicion, StreamVerdict, SuspicionLevel
-from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.decisions.suspicion_budget import HedgeBudget
+from lagoonlever.decisions.suspicion_settings import HEDGE_OFF, DetectionSettings
 from lagoonlever.timers import Tick
 
+COMPARE_PERIOD_S = 1.0
+
 
 class VerdictTaker(Protocol):
     """The task that an attempt belongs to."""
@@ -30,6 +34,11 @@
     _now: Callable[[], float]
     _engines: dict[str, EngineSuspicion] = attrs.field(factory=dict)
     _takers: dict[str, VerdictTaker] = attrs.field(factory=dict)
+    _budget: HedgeBudget = attrs.field(init=False)
+    _compare_at: float = attrs.field(default=0.0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._budget = HedgeBudget(settings=self._settings)
 
     def opened(self, *, taker: VerdictTaker, engine: str, attempt: int, prompt_tokens: int) -> None:
         """Begin to watch an attempt whose request is being written."""
@@ -43,6 +52,7 @@
     def token(self, *, engine: str, attempt: int) -> None:
         """Take note that an attempt's engine sent something."""
         self._engines[engine].token(str(attempt), now=self._now())
+        self._budget.served(engine=engine, tokens=1)
 
     def closed(self, *, engine: str, attempt: int) -> None:
         """Stop watching an attempt."""
@@ -53,18 +63,34 @@
 
     def on_tick(self, tick: Tick) -> None:
         """Judge every engine whose next check is due."""
-        for suspicion in list(self._engines.values()):
+        self._budget.settle(tick.now)
+        if tick.now >= self._compare_at:
+            self._compare_at = tick.now + COMPARE_PERIOD_S
+            self._compare()
+        for engine, suspicion in list(self._engines.items()):
             if tick.paused_s:
                 suspicion.paused(tick.paused_s, now=tick.now)
             if tick.now >= suspicion.next_check_at:
-                self._tell(suspicion.assess(tick.now))
+                self._tell(engine, suspicion.assess(tick.now))
 
-    def _tell(self, verdicts: tuple[StreamVerdict, ...]) -> None:
+    def _compare(self) -> None:
+        """Tell each engine's judge the usual spacing, so that a general slowness is no fault."""
+        spacings = [s.spacing_s for s in self._engines.values() if s.spacing_s is not None]
+        usual_s = statistics.median_low(spacings) if len(spacings) > 1 else None
+        for suspicion in self._engines.values():
+            suspicion.peers_spacing_s = usual_s
+
+    def _tell(self, engine: str, verdicts: tuple[StreamVerdict, ...]) -> None:
         for verdict in verdicts:
             taker = self._takers.get(verdict.stream)
             if taker is None:
                 continue
-            if verdict.level is SuspicionLevel.SUSPECT:
+            if verdict.level is SuspicionLevel.SUSPECT and self._may_hedge(engine, verdict):
                 taker.suspected(int(verdict.stream))
             elif verdict.level is SuspicionLevel.DEAD:
                 taker.declared_dead(int(verdict.stream))
+
+    def _may_hedge(self, engine: str, verdict: StreamVerdict) -> bool:
+        if self._settings.hedge == HEDGE_OFF:
+            return False
+        return self._budget.try_spend(engine=engine, tokens=verdict.work_tokens, now=self._now())
--- a/lagoonlever/tests/suspicion_tests.py
+++ b/lagoonlever/tests/suspicion_tests.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from lagoonlever.decisions.suspicion import EngineSuspicion, StreamVerdict, SuspicionLevel
-from lagoonlever.decisions.suspicion_budget import HedgeBudget
+from lagoonlever.decisions.suspicion_budget import SETTLED_AFTER, HedgeBudget
 from lagoonlever.decisions.suspicion_detectors import DETECTORS, SuspicionReason
 from lagoonlever.decisions.suspicion_settings import DetectionSettings
 
@@ -168,20 +168,36 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(hedges=st.lists(st.tuples(st.integers(1, 5000), st.booleans()), max_size=200))
+@given(
+    hedges=st.lists(
+        st.tuples(st.sampled_from("abc"), st.integers(1, 5000), st.booleans()), max_size=200
+    )
+)
 def test_false_hedges_cost_at_most_the_share_and_one_burst(
-    hedges: list[tuple[int, bool]],
+    hedges: list[tuple[str, int, bool]],
 ) -> None:
+    """Engines are suspected again and again; some proved dead, the others went on."""
     chosen = DetectionSettings(hedge_burst_tokens=3000.0)
     budget = HedgeBudget(settings=chosen)
+    now = 0.0
     served = wasted = 0
-    for tokens, proved_dead in hedges:
-        budget.served(tokens)
-        served += tokens
-        if not budget.try_spend(tokens):
-            continue
+    for engine_name, tokens, proved_dead in hedges:
+        now += 1.0
+        spent = budget.try_spend(engine=engine_name, tokens=tokens, now=now)
         if proved_dead:
-            budget.pay_back(tokens)
-        else:
-            wasted += tokens
+            now += 2 * SETTLED_AFTER * chosen.dead_at_most_s
+            budget.settle(now)
+            continue
+        budget.served(engine=engine_name, tokens=tokens)
+        served += tokens
+        wasted += tokens if spent else 0
     assert wasted <= chosen.hedge_budget * served + chosen.hedge_burst_tokens + 1e-6
+
+
+def test_the_hedges_of_a_dead_engine_are_paid_back() -> None:
+    chosen = DetectionSettings(hedge_burst_tokens=3000.0)
+    budget = HedgeBudget(settings=chosen)
+    assert budget.try_spend(engine="a", tokens=2000, now=1.0)
+    assert not budget.try_spend(engine="b", tokens=2000, now=1.0)
+    budget.settle(1.0 + SETTLED_AFTER * chosen.dead_at_most_s)
+    assert budget.left_tokens == 3000.0
