--- a/lagoonlever/decisions/claims_keys.py
+++ b/lagoonlever/decisions/claims_keys.py
@@ -9,7 +9,6 @@
 
 import hashlib
 import re
-from urllib.parse import quote
 
 import attrs
 
@@ -101,6 +100,5 @@
     caller's answer by guessing its key.
     """
     credential = request.headers.get("Authorization", "") or ""
-    query = "&".join(f"{quote(k)}={quote(v)}" for k, v in request.query.items())
-    head = "\0".join((request.method, request.path, query, credential, ""))
+    head = "\0".join((request.method, request.path, request.raw_query, credential, ""))
     return hashlib.sha256(head.encode() + request.body).digest()
--- a/lagoonlever/entry/services.py
+++ b/lagoonlever/entry/services.py
@@ -25,8 +25,9 @@
 )
 from lagoonlever.decisions.hedging import Runners
 from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.targets import Target, TargetView
+from lagoonlever.decisions.targets import Target
 from lagoonlever.entry.claims import Claims
+from lagoonlever.entry.engines import TargetGuard
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.services_answers import not_run, tell, unknown
 from lagoonlever.entry.services_call import HOMED_KEY_HEADER, ServiceCall, remaining_s
@@ -67,7 +68,7 @@
         self,
         *,
         own: Incarnation,
-        targets: Published[TargetView],
+        guard: TargetGuard,
         members: Published[MemberView],
         platform: Platform,
         timers: TimerService,
@@ -77,7 +78,7 @@
         recorder: Recorder | None = None,
     ) -> None:
         self._own = own
-        self._targets = targets
+        self._guard = guard
         self._timers = timers
         self._settings = settings
         self._organisation_of = organisation_of
@@ -92,7 +93,7 @@
         )
         self._claims = Claims(platform=platform, table=table, timers=timers, settings=settings)
         self._dispatcher = Dispatcher(
-            targets=targets,
+            guard=guard,
             runners=self._runners,
             timers=timers,
             pauses=self._pauses,
@@ -107,7 +108,7 @@
             recorder=recorder,
         )
         self._lookups = Lookups(
-            targets=targets, runners=self._runners, timers=timers, settings=settings, rng=rng
+            guard=guard, runners=self._runners, timers=timers, settings=settings, rng=rng
         )
         self._forwarder = Forwarder(members=members, timers=timers, settings=settings)
 
@@ -231,5 +232,5 @@
 
     async def _forget_gone_runners(self) -> None:
         while True:
-            view = await self._targets.wait_change()
+            view = await self._guard.view.wait_change()
             self._runners.retain(target.name for target in view.targets)
--- a/lagoonlever/entry/services_call.py
+++ b/lagoonlever/entry/services_call.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from urllib.parse import urlencode
 
 import attrs
 
@@ -96,8 +95,8 @@
         return end_to_end(self.request.headers)
 
     def _with_query(self, path: str) -> str:
-        query = self.request.query
-        return f"{path}?{urlencode(query)}" if query else path
+        query = self.request.raw_query
+        return f"{path}?{query}" if query else path
 
 
 def end_to_end(headers: Headers) -> Headers:
--- a/lagoonlever/entry/services_dispatch.py
+++ b/lagoonlever/entry/services_dispatch.py
@@ -20,8 +20,8 @@
     decide_write,
 )
 from lagoonlever.decisions.hedging import Runners
-from lagoonlever.decisions.targets import Target, TargetView
-from lagoonlever.entry.published import Published
+from lagoonlever.decisions.targets import Target, TargetState, TargetView
+from lagoonlever.entry.engines import TargetGuard
 from lagoonlever.entry.services_answers import not_run, unknown
 from lagoonlever.entry.services_call import ServiceCall, service_answer
 from lagoonlever.entry.services_exchange import exchange_on
@@ -43,11 +43,19 @@
     return tuple(t for t in view.application() if t.name.startswith(service.targets))
 
 
+def absence_reason(service: Service, view: TargetView) -> Reason:
+    """Tell why no runner of a service was chosen."""
+    if runners_of(service, view):
+        return Reason.OVERLOADED
+    unsure = any(target.state is TargetState.UNSURE for target in view.targets)
+    return Reason.ISOLATED if unsure else Reason.NO_TARGET
+
+
 @attrs.define(kw_only=True)
 class Dispatcher:
     """Writes requests to runners, each at most once."""
 
-    _targets: Published[TargetView]
+    _guard: TargetGuard
     _runners: Runners
     _timers: TimerService
     _pauses: PauseWatch
@@ -71,10 +79,10 @@
             answer = await self._try(call, target, key_expires_at, on_write)
             if answer is not None:
                 return answer
-        return self._no_target(tried)
+        return self._no_target(call, tried)
 
     def _choose(self, service: Service, tried: set[str]) -> Target | None:
-        live = {t.name: t for t in runners_of(service, self._targets.value)}
+        live = {t.name: t for t in runners_of(service, self._guard.view.value)}
         names = [name for name in live if name not in tried]
         name = self._runners.choose(names, now=self._timers.now, probe=False)
         if name is None:
@@ -88,7 +96,9 @@
             connection = await ClientConnection.open(target.address)
         except ConnectFailed:
             self._runners.on_failure(target.name, now=self._timers.now)
+            self._guard.connect_failed(target)
             return None
+        self._guard.connected(target)
         try:
             decision = await self._check(call, target, key_expires_at)
             if isinstance(decision, ChooseAgain):
@@ -119,13 +129,12 @@
     def _decide(
         self, call: ServiceCall, target: Target, key_expires_at: float | None
     ) -> WriteDecision:
-        known = self._targets.value.find(target.name)
         return decide_write(
             WriteFacts(
                 now=self._timers.now,
                 deadline=call.deadline,
                 key_expires_at=key_expires_at,
-                target_live=known is not None and known.takes_work,
+                target_live=self._guard.check_before_dispatch(target),
                 paused_s=self._pauses.recent_pause_s,
             )
         )
@@ -161,14 +170,11 @@
     def _refused(self, refused: Refuse) -> StoredAnswer:
         return not_run(refused.reason, refused.message)
 
-    def _no_target(self, tried: set[str]) -> StoredAnswer:
+    def _no_target(self, call: ServiceCall, tried: set[str]) -> StoredAnswer:
         after_s = retry_after_s(base_s=self._settings.retry_after_s, rng=self._rng)
         if tried:
             return not_run(
                 Reason.NO_TARGET, "no runner accepted a connection", retry_after_s=after_s
             )
-        if self._targets.value.application():
-            return not_run(
-                Reason.OVERLOADED, "each runner has as many calls as allowed", retry_after_s=after_s
-            )
-        return not_run(Reason.NO_TARGET, "no runner is live", retry_after_s=after_s)
+        reason = absence_reason(call.service, self._guard.view.value)
+        return not_run(reason, "no runner can take it now", retry_after_s=after_s)
--- a/lagoonlever/entry/services_lookups.py
+++ b/lagoonlever/entry/services_lookups.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 
 import attrs
@@ -17,16 +18,15 @@
     Stop,
     Wait,
 )
-from lagoonlever.decisions.targets import TargetView
-from lagoonlever.entry.published import Published
+from lagoonlever.decisions.targets import Target
+from lagoonlever.entry.engines import TargetGuard
 from lagoonlever.entry.services_answers import not_run, unknown
 from lagoonlever.entry.services_call import ServiceCall, service_answer
-from lagoonlever.entry.services_dispatch import runners_of
+from lagoonlever.entry.services_dispatch import absence_reason, runners_of
 from lagoonlever.entry.services_exchange import exchange_on
-from lagoonlever.entry.services_settings import ServiceSettings
-from lagoonlever.exceptions import PeerError
+from lagoonlever.entry.services_settings import Service, ServiceSettings
+from lagoonlever.exceptions import ConnectFailed, PeerError
 from lagoonlever.http.client import Pool, Response
-from lagoonlever.http.messages import Address
 from lagoonlever.outcomes import Reason
 from lagoonlever.timers import TimerService
 
@@ -55,7 +55,7 @@
 class Lookups:
     """Runs idempotent calls; owns the pool of connections to the runners."""
 
-    _targets: Published[TargetView]
+    _guard: TargetGuard
     _runners: Runners
     _timers: TimerService
     _settings: ServiceSettings
@@ -87,7 +87,7 @@
             deadline = min(deadline, call.deadline)
 
         def live_names() -> tuple[str, ...]:
-            return tuple(t.name for t in runners_of(call.service, self._targets.value))
+            return tuple(t.name for t in runners_of(call.service, self._guard.view.value))
 
         return HedgedCall(
             live_names=live_names,
@@ -114,10 +114,9 @@
         while True:
             decision = hedged.decide(self._timers.now)
             if isinstance(decision, Stop):
-                return self._stopped(hedged, decision)
+                return self._stopped(call.service, hedged, decision)
             if isinstance(decision, Send):
-                address = self._address(decision.runner)
-                nursery.start_soon(self._attempt, call, decision.runner, address, send)
+                nursery.start_soon(self._attempt, call, decision.runner, send)
                 continue
             answer = await self._wait(call, hedged, decision, receive)
             if answer is not None:
@@ -145,28 +144,29 @@
         hedged.on_answer(ended.runner, now)
         return service_answer(ended.response, service=call.service, idempotent=True)
 
-    def _address(self, runner: str) -> Address | None:
-        target = self._targets.value.find(runner)
-        return target.address if target else None
-
     async def _attempt(
         self,
         call: ServiceCall,
         runner: str,
-        address: Address | None,
         send: trio.MemorySendChannel[AttemptEnded],
     ) -> None:
         response: Response | None = None
-        if address is not None:
-            try:
-                response = await self._exchange(call, address)
-            except PeerError:
-                response = None
+        target = self._guard.view.value.find(runner)
+        if target is not None:
+            with contextlib.suppress(PeerError):
+                response = await self._exchange(call, target)
         await send.send(AttemptEnded(runner=runner, response=response))
 
-    async def _exchange(self, call: ServiceCall, address: Address) -> Response:
-        connection = await self._pool.take(address)
+    async def _exchange(self, call: ServiceCall, target: Target) -> Response | None:
+        """Send one attempt, unless its runner began to leave since it was chosen."""
+        try:
+            connection = await self._pool.take(target.address)
+        except ConnectFailed:
+            self._guard.connect_failed(target)
+            raise
         try:
+            if not self._guard.check_before_dispatch(target):
+                return None
             return await exchange_on(
                 connection,
                 method=call.request.method,
@@ -180,7 +180,7 @@
             with trio.CancelScope(shield=True):
                 await self._pool.put_back(connection)
 
-    def _stopped(self, hedged: HedgedCall, stop: Stop) -> StoredAnswer:
+    def _stopped(self, service: Service, hedged: HedgedCall, stop: Stop) -> StoredAnswer:
         self.counts.unanswered += 1
         after_s = retry_after_s(base_s=self._settings.retry_after_s, rng=self._rng)
         if stop.timed_out:
@@ -193,6 +193,5 @@
             )
         if stop.timed_out:
             return not_run(Reason.DEADLINE, "its deadline passed before it was sent")
-        live = self._targets.value.application()
-        reason = Reason.OVERLOADED if live else Reason.NO_TARGET
+        reason = absence_reason(service, self._guard.view.value)
         return not_run(reason, "no runner can take it now", retry_after_s=after_s)
--- a/lagoonlever/http/messages.py
+++ b/lagoonlever/http/messages.py
@@ -64,3 +64,5 @@
     headers: Headers
     body: bytes
     peer: str
+    raw_query: str = ""
+    """The query as it was sent: ``query`` keeps one value a name, and none that is empty."""
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -164,6 +164,7 @@
                 method=request.method.decode("ascii"),
                 path=target.path,
                 query=dict(parse_qsl(target.query)),
+                raw_query=target.query,
                 headers=Headers.from_raw(request.headers),
                 body=body,
                 peer=self._peer,
--- /dev/null
+++ b/lagoonlever/tests/hedging_tests.py
@@ -0,0 +1,184 @@
+"""State machine over lookups: runners that answer, fail, stall, leave; budgets that run out."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import run_state_machine_as_test as run_machine
+
+from lagoonlever.decisions.budgets import (
+    FULL_RATIO,
+    RESERVE_TOKENS,
+    RetryBudget,
+    retry_after_s,
+    take_extra,
+)
+from lagoonlever.decisions.hedging import (
+    MAX_ATTEMPTS,
+    SAMPLES_NEEDED,
+    HedgedCall,
+    HedgeDelay,
+    Runners,
+    Send,
+    Stop,
+    Wait,
+)
+
+NAMES = ("a", "b", "c")
+TIMEOUT_S = 2.0
+MAX_OUTSTANDING = 4
+
+
+class HedgingMachine(RuleBasedStateMachine):
+    """Several calls over three runners, one event a rule."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.live = list(NAMES)
+        self.runners = Runners(rng=random.Random(1), max_outstanding=MAX_OUTSTANDING)
+        self.delay = HedgeDelay()
+        self.budget = RetryBudget()
+        self.calls: list[tuple[HedgedCall, dict[str, float]]] = []
+        self.first_attempts = 0
+        self.extra_attempts = 0
+        self.successes = 0
+
+    @precondition(lambda self: len(self.calls) < 5)
+    @rule()
+    def begin(self) -> None:
+        call = HedgedCall(
+            live_names=lambda: tuple(self.live),
+            runners=self.runners,
+            delay=self.delay,
+            budget=self.budget,
+            deadline=self.now + TIMEOUT_S,
+        )
+        self.calls.append((call, {}))
+
+    @precondition(lambda self: self.calls)
+    @rule(index=st.integers(0, 4))
+    def decide(self, index: int) -> None:
+        call, open_ = self.calls[index % len(self.calls)]
+        decision = call.decide(self.now)
+        if isinstance(decision, Send):
+            assert decision.runner in self.live
+            assert decision.runner not in open_
+            assert decision.number <= MAX_ATTEMPTS
+            open_[decision.runner] = self.now
+            self.first_attempts += decision.number == 1
+            self.extra_attempts += decision.number > 1
+        elif isinstance(decision, Stop):
+            assert decision.timed_out or not open_
+            call.on_timeout(self.now) if decision.timed_out else call.give_up(self.now)
+            self.calls.remove((call, open_))
+        else:
+            assert isinstance(decision, Wait)
+            assert decision.until > self.now
+
+    @precondition(lambda self: any(open_ for _, open_ in self.calls))
+    @rule(index=st.integers(0, 4), answered=st.booleans(), overloaded=st.booleans())
+    def attempt_ends(self, index: int, answered: bool, overloaded: bool) -> None:
+        busy = [pair for pair in self.calls if pair[1]]
+        call, open_ = busy[index % len(busy)]
+        runner = next(iter(open_))
+        if answered:
+            call.on_answer(runner, self.now)
+            self.successes += 1
+            self.calls.remove((call, open_))
+            return
+        del open_[runner]
+        call.on_failure(runner, self.now, overloaded=overloaded)
+
+    @rule(name=st.sampled_from(NAMES))
+    def leave_or_join(self, name: str) -> None:
+        if name in self.live:
+            self.live.remove(name)
+        else:
+            self.live.append(name)
+
+    @rule(seconds=st.sampled_from([0.001, 0.06, 0.7, 3.0]))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @invariant()
+    def extra_attempts_are_paid_for(self) -> None:
+        allowed = RESERVE_TOKENS + FULL_RATIO * self.successes
+        assert self.extra_attempts <= allowed + 1e-9
+
+    @invariant()
+    def outstanding_is_what_is_open(self) -> None:
+        for name in NAMES:
+            open_ = sum(name in attempts for _, attempts in self.calls)
+            assert self.runners.state(name).outstanding == open_
+            assert open_ <= MAX_OUTSTANDING
+
+
+def test_lookups_are_hedged_within_their_budget() -> None:
+    """Runners stall, fail, leave and come back while clerks look up prices.
+
+    A naive hedge would go to a runner that leaves, send twice to one runner, or
+    double the load of runners that are slow because they are overloaded.
+    """
+    run_machine(
+        HedgingMachine,
+        settings=settings(
+            max_examples=100,
+            stateful_step_count=60,
+            deadline=None,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def test_a_stalled_runner_is_avoided_and_probed_again() -> None:
+    """A runner freezes, and later thaws: it is left out soon, and comes back by itself."""
+    runners = Runners(rng=random.Random(1), max_outstanding=MAX_OUTSTANDING)
+    for _ in range(2):
+        runners.on_sent("a")
+        runners.on_loss("a", now=1.0)
+    chosen = {runners.choose(NAMES, now=1.1) for _ in range(50)}
+    assert chosen == {"b", "c"}
+    assert runners.choose(NAMES, now=9.0) == "a"
+    assert "a" not in {runners.choose(NAMES, now=9.1) for _ in range(50)}
+    runners.on_sent("a")
+    runners.on_answer("a")
+    assert "a" in {runners.choose(NAMES, now=9.2) for _ in range(50)}
+
+
+def test_the_delay_is_learnt_from_answers() -> None:
+    delay = HedgeDelay()
+    for number in range(SAMPLES_NEEDED * 2):
+        delay.on_answer(0.010 + 0.0001 * (number % 10))
+    assert 0.010 <= delay.delay_s <= 0.011
+
+
+def test_overload_shrinks_a_budget_and_success_mends_it() -> None:
+    budget = RetryBudget()
+    for _ in range(5):
+        budget.on_overload()
+    assert not budget.allows
+    assert budget.ratio < FULL_RATIO / 10
+    for _ in range(2000):
+        budget.on_success()
+    assert budget.allows
+    assert budget.ratio == pytest.approx(FULL_RATIO)
+
+
+def test_an_extra_attempt_is_paid_by_all_budgets_or_by_none() -> None:
+    full, empty = RetryBudget(), RetryBudget(tokens=0.5)
+    assert not take_extra(full, empty)
+    assert full.tokens == RESERVE_TOKENS
+
+
+@given(seed=st.integers(), base_s=st.floats(0.1, 60.0))
+def test_callers_are_told_to_come_back_apart_from_each_other(seed: int, base_s: float) -> None:
+    rng = random.Random(seed)
+    times = {retry_after_s(base_s=base_s, rng=rng) for _ in range(20)}
+    assert all(base_s <= time <= 1.5 * base_s for time in times)
+    assert len(times) > 10
