Show that an opened and cut watch is asked again from the same revision

A scripted server now cuts in between; with the guard off the second request asks from 10 in place of 4. The stand-in takes a start revision of 0 as 'from now on', which before sent a reader into a loop of compaction errors at revision 0.

--- a/lagoonlever/fakes/platform.py
+++ b/lagoonlever/fakes/platform.py
@@ -222,7 +222,8 @@
         header = self._gateway.header
         await _write_piece(exchange, wire.WatchResponse(header=header, created=True))
         key, end = wire.from_base64(create.key), wire.from_base64(create.range_end)
-        seen = int(create.start_revision) - 1
+        start = int(create.start_revision)
+        seen = start - 1 if start > 0 else self._store.revision
         while True:
             try:
                 changes = self._store.changes_after(seen, key, end)
--- a/lagoonlever/tests/platform_etcd_tests.py
+++ b/lagoonlever/tests/platform_etcd_tests.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 
 import attrs
 import logbook
+import msgspec
 import pytest
 import trio
 from hypothesis import given, settings
@@ -13,12 +15,21 @@
 
 from lagoonlever.exceptions import ConfigurationError, PlatformAnswerLost, PlatformUnavailable
 from lagoonlever.fakes.platform import FakePlatform, PlatformFault, PlatformFaultKind
-from lagoonlever.http.messages import Address
-from lagoonlever.http.server import open_listeners
+from lagoonlever.http.messages import Address, Headers
+from lagoonlever.http.server import ServerLimits, ServerState, open_listeners, serve_http
 from lagoonlever.platform.etcd_json import EtcdPlatform
 from lagoonlever.platform.etcd_servers import EtcdServers
 from lagoonlever.platform.etcd_watch import EtcdWatch
-from lagoonlever.platform.etcd_wire import TXN_PATH, WATCH_PATH, WireVm
+from lagoonlever.platform.etcd_wire import (
+    TXN_PATH,
+    WATCH_PATH,
+    Header,
+    WatchPiece,
+    WatchRequest,
+    WatchResponse,
+    WireVm,
+    encode,
+)
 from lagoonlever.platform.events import PLATFORM_REACHED, PLATFORM_UNREACHABLE
 from lagoonlever.platform.port import (
     ABSENT,
@@ -283,6 +294,46 @@
     with_platform(scenario)
 
 
+def test_a_watch_that_was_opened_and_cut_has_seen_nothing_yet():
+    """A server opens the watch at its revision 9 and dies before it tells of changes 4 to 9.
+
+    The next server must be asked from 4 on, or these changes are lost for good.
+    """
+
+    async def main():
+        asked = []
+
+        async def serve(exchange):
+            request = msgspec.json.decode(exchange.request.body, type=WatchRequest)
+            asked.append(request.create_request.start_revision)
+            await exchange.start_stream(status=200, headers=Headers())
+            opened = WatchResponse(header=Header(revision="9"), created=True)
+            await exchange.write(encode(WatchPiece(result=opened)) + b"\n")
+
+        listeners = await open_listeners(host="127.0.0.1", port=0)
+        address = Address(host="127.0.0.1", port=listeners[0].socket.getsockname()[1])
+        server = functools.partial(
+            serve_http,
+            handler=serve,
+            listeners=listeners,
+            limits=ServerLimits(),
+            state=ServerState(),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server)
+            servers = EtcdServers(addresses=[address])
+            watch = EtcdWatch(servers=servers, prefix="/", after_revision=3)
+            with pytest.raises(PlatformUnavailable):
+                while True:
+                    await watch.next()
+            await watch.next()
+            assert asked == ["4", "4"]
+            await watch.aclose()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_without_the_guard_against_silence_a_watch_stops_for_good():
     """The same silence, with the guard off: the change is stored and never told."""
 
