Divide nothing where no leaf gets a slot, and run resume through the real entry code

A VM without demand ended with IndexError a second after its start: the division gave the root no slots, and the entitlements took the root's organisation. With demand and no engine left they divided by zero. Ruled out: the open tree (an organisation with a key failed alike).

--- /dev/null
+++ b/lagoonlever/bench/entry_vm.py
@@ -0,0 +1,209 @@
+"""One VM's generation side and its stand-in engines in this process, on loopback sockets.
+
+The entry code is the daemon's own, with fixed views of targets, members and
+settings in place of the parts that learn them.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import trio
+
+from lagoonlever.client.caller import EntryAnswer
+from lagoonlever.decisions.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad, TargetView
+from lagoonlever.entry.admission import AdmissionPart
+from lagoonlever.entry.callers import CallerDirectory
+from lagoonlever.entry.generations import GenerationSettings
+from lagoonlever.entry.published import Published
+from lagoonlever.entry.routes import Routes
+from lagoonlever.entry.serving import GenerationServing, RoutingSettings
+from lagoonlever.fakes.batch import ServedModel
+from lagoonlever.fakes.engine import EngineOptions, FakeEngine
+from lagoonlever.http.messages import Address
+from lagoonlever.http.server import (
+    Exchange,
+    Handler,
+    ServerLimits,
+    ServerState,
+    open_listeners,
+    serve_http,
+)
+from lagoonlever.identity import Incarnation
+from lagoonlever.instruments import Metrics
+from lagoonlever.peers.local_bus import LocalBus, LocalNetwork
+from lagoonlever.timers import TimerService
+from lagoonlever.tree.nodes import ROOT, Node, Override, TreeView
+from lagoonlever.tree.options import api_key_digest
+
+LOOPBACK = "127.0.0.1"
+MODEL = ServedModel(name="base", version="v1")
+VM_NAME = "vm1"
+ENTRY_LIFETIME_S = 3600.0
+ORGANISATION = "/bench"
+API_KEY = "bench-key"
+"""Every caller of the benchmarks brings it."""
+
+
+@attrs.define(kw_only=True)
+class FixedTargets:
+    """A view of the targets that changes only by failed and successful connects."""
+
+    view: Published[TargetView]
+
+    def check_before_dispatch(self, target: Target) -> bool:
+        """Let every dispatch pass: no target leaves."""
+        return True
+
+    def connected(self, target: Target) -> None:
+        """Prefer the target as before."""
+        self._set_impaired(target.name, False)
+
+    def connect_failed(self, target: Target) -> None:
+        """Prefer other targets to this one."""
+        self._set_impaired(target.name, True)
+
+    def _set_impaired(self, name: str, impaired: bool) -> None:
+        current = self.view.value.find(name)
+        if current is None or current.impaired == impaired:
+            return
+        targets = tuple(
+            attrs.evolve(target, impaired=impaired) if target.name == name else target
+            for target in self.view.value.targets
+        )
+        self.view.publish(TargetView(targets=targets))
+
+
+@attrs.define(kw_only=True)
+class NoPeers:
+    """The only VM: nobody takes over from another."""
+
+    def taken_over(self, vm: str, *, organisation: str, request_id: str, attempt: int) -> None:
+        """Tell nobody."""
+
+
+@attrs.frozen(kw_only=True)
+class RunningEngine:
+    """A stand-in engine and where it listens."""
+
+    name: str
+    engine: FakeEngine
+    address: Address
+
+
+async def start_engine(
+    nursery: trio.Nursery, *, name: str, options: EngineOptions
+) -> RunningEngine:
+    """Start a stand-in engine in this process."""
+    engine = FakeEngine(options=options)
+    listeners = await open_listeners(host=LOOPBACK, port=0)
+    nursery.start_soon(engine.run, listeners)
+    return RunningEngine(name=name, engine=engine, address=address_of(listeners))
+
+
+def address_of(listeners: list[trio.SocketListener]) -> Address:
+    """Give where a listener listens."""
+    host, port = listeners[0].socket.getsockname()[:2]
+    return Address(host=host, port=port)
+
+
+def engine_target(name: str, address: Address, *, slots: int) -> Target:
+    """Give the target of an idle engine that serves ``MODEL``."""
+    return Target(
+        name=name,
+        address=address,
+        kind=TargetKind.ENGINE,
+        models=(ModelKey(name=MODEL.name, version=MODEL.version),),
+        load=TargetLoad(running=0, waiting=0, slots=slots),
+    )
+
+
+async def start_vm(
+    nursery: trio.Nursery,
+    *,
+    targets: tuple[Target, ...],
+    detection: DetectionSettings,
+    seed: int,
+    limits: ServerLimits | None = None,
+) -> Address:
+    """Start the generation side of one VM and give the address of its callers."""
+    listeners = await open_listeners(host=LOOPBACK, port=0)
+    address = address_of(listeners)
+    view = Published(TargetView(targets=targets))
+    timers = TimerService()
+    rng = random.Random(seed)
+    keys = Override(option="api_keys", value=(api_key_digest(API_KEY),))
+    organisation = Node(path=ORGANISATION, overrides=(keys,))
+    tree = Published(TreeView(version=0, nodes=(Node(path=ROOT), organisation)))
+    admission = _admission(tree=tree, view=view, address=address, timers=timers, rng=rng)
+    serving = GenerationServing(
+        vm=VM_NAME,
+        guard=FixedTargets(view=view),
+        admission=admission,
+        callers=CallerDirectory(tree=tree),
+        timers=timers,
+        rng=rng,
+        background=nursery,
+        peers=NoPeers(),
+        generation=GenerationSettings(),
+        detection=detection,
+        routing=RoutingSettings(),
+        subset_size=len(targets),
+        refusal=lambda: None,
+        moved_to=lambda: None,
+    )
+    routes = Routes()
+    routes.add("POST", "/v1/completions", serving.service.handle)
+    routes.add("GET", "/v1/entry", _entry_handler(address))
+    for part in (timers.run, admission.run, serving.run):
+        nursery.start_soon(part)
+
+    async def serve() -> None:
+        await serve_http(
+            handler=routes.handle,
+            listeners=listeners,
+            limits=limits or ServerLimits(),
+            state=ServerState(),
+        )
+
+    nursery.start_soon(serve)
+    return address
+
+
+def _entry_handler(address: Address) -> Handler:
+    async def handle(exchange: Exchange) -> None:
+        answer = EntryAnswer(addresses=(str(address),), lifetime_s=ENTRY_LIFETIME_S)
+        await exchange.respond_json(status=200, payload=attrs.asdict(answer))
+
+    return handle
+
+
+def _admission(
+    *,
+    tree: Published[TreeView],
+    view: Published[TargetView],
+    address: Address,
+    timers: TimerService,
+    rng: random.Random,
+) -> AdmissionPart:
+    own = Incarnation(name=VM_NAME, started_ms=1, nonce=1)
+    member = Member(
+        incarnation=own,
+        data_center="dc1",
+        http=address,
+        peers=address,
+        state=MemberState.ALIVE,
+    )
+    bus = LocalBus(network=LocalNetwork(random=rng), address=address, own=own)
+    return AdmissionPart(
+        tree=tree,
+        targets=view,
+        members=Published(MemberView(members=(member,), own=own)),
+        bus=bus,
+        timers=timers,
+        metrics=Metrics(),
+        random=rng,
+    )
--- a/lagoonlever/decisions/shares_slots.py
+++ b/lagoonlever/decisions/shares_slots.py
@@ -14,9 +14,12 @@
 
 from lagoonlever.decisions.shares import ShareTree
 
-CORRECTION_S = 4.0
-"""A node this many seconds behind its share gets e times the slots of its weight alone."""
-MAX_CORRECTION = 3.0
+CORRECTION_S = 30.0
+"""A node this many seconds behind its share gets e times the slots of its weight alone.
+
+Slots held for minutes answer late: with 4 s the parts swung between nothing and double.
+"""
+MAX_CORRECTION = 1.0
 """Largest exponent of the correction."""
 
 
@@ -36,15 +39,30 @@
     own: int
 
 
+def slot_pull(*, weight: float, pace: float, lag_s: float) -> float:
+    """Give what a node's slots are divided by: shares are of work, so slow slots count less.
+
+    ``pace`` is the work a second of one of its slots; what is left of the difference
+    shows as being behind or ahead, and is put right slowly.
+    """
+    exponent = -lag_s / CORRECTION_S
+    return weight / pace * math.exp(min(max(exponent, -MAX_CORRECTION), MAX_CORRECTION))
+
+
 def divide_slots(
     *,
     tree: ShareTree,
     demand: Mapping[str, LeafDemand],
     slots: float,
-    lag_s: Callable[[str], float],
+    pull: Callable[[str], float],
     max_running: Mapping[str, float],
 ) -> dict[str, float]:
-    """Divide slots over the leaves by weight, lending what a node has no demand for."""
+    """Divide slots over the leaves by their pull, lending what a node has no demand for.
+
+    A node's pull counts against that of its siblings.
+    A leaf that gets nothing is left out: without demand, or without slots, the
+    result is empty.
+    """
     wanted: dict[str, float] = {}
     for leaf, leaf_demand in demand.items():
         for path in (tree.root, *tree.chain(leaf)):
@@ -53,8 +71,8 @@
         if path in wanted:
             wanted[path] = min(wanted[path], limit)
     result: dict[str, float] = {}
-    _divide(tree, tree.root, min(slots, wanted.get(tree.root, 0.0)), wanted, lag_s, result)
-    return result
+    _divide(tree, tree.root, min(slots, wanted.get(tree.root, 0.0)), wanted, pull, result)
+    return {leaf: part for leaf, part in result.items() if part > 0}
 
 
 def own_part(*, divided: Mapping[str, float], demand: Mapping[str, LeafDemand]) -> dict[str, float]:
@@ -85,24 +103,19 @@
     here: str,
     amount: float,
     wanted: Mapping[str, float],
-    lag_s: Callable[[str], float],
+    pull: Callable[[str], float],
     result: dict[str, float],
 ) -> None:
     children = [path for path in tree.children(here) if wanted.get(path, 0.0) > 0]
     if not children:
         result[here] = amount
         return
-    pull = {path: tree.weight(path) * _correction(lag_s(path)) for path in children}
+    pulls = {path: pull(path) for path in children}
     # Those that need least for their weight are filled first; the rest share what is left.
-    children.sort(key=lambda path: wanted[path] / pull[path])
-    left_pull = sum(pull.values())
+    children.sort(key=lambda path: wanted[path] / pulls[path])
+    left_pull = sum(pulls.values())
     for path in children:
-        part = min(wanted[path], amount * pull[path] / left_pull)
+        part = min(wanted[path], amount * pulls[path] / left_pull)
         amount -= part
-        left_pull -= pull[path]
-        _divide(tree, path, part, wanted, lag_s, result)
-
-
-def _correction(lag_s: float) -> float:
-    exponent = -lag_s / CORRECTION_S
-    return math.exp(min(max(exponent, -MAX_CORRECTION), MAX_CORRECTION))
+        left_pull -= pulls[path]
+        _divide(tree, path, part, wanted, pull, result)
