--- a/lagoonlever/tests/shares_slots_tests.py
+++ b/lagoonlever/tests/shares_slots_tests.py
@@ -25,6 +25,6 @@
         [ShareNode(path="/", weight=1, parent=None), ShareNode(path="/a", weight=1, parent="/")]
     )
     divided = divide_slots(
-        tree=tree, demand=demand, slots=slots, lag_s=lambda _: 0.0, max_running={}
+        tree=tree, demand=demand, slots=slots, pull=lambda _: 1.0, max_running={}
     )
     assert divided == {}
