Count requests, resumes and extra work, and report what a VM sees

An observer follows the decisions about each request: the gap before another attempt's first token is the resume latency, the prefill of a resume or a hedge the extra work. The reporting part answers /admin/status and /metrics from what the other parts publish.

--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -46,6 +46,8 @@
     _engines: Engines
     _may_begin: Callable[[], bool] = lambda: True
     """Asked right before each write: whether this VM may still act for the caller."""
+    _observe: Callable[[Decision], None] = lambda decision: None
+    """Told of each decision, for metrics."""
     _running: dict[int, _RunningAttempt] = attrs.field(factory=dict)
     _changed: trio.lowlevel.ParkingLot = attrs.field(factory=trio.lowlevel.ParkingLot)
     _done: trio.Event = attrs.field(factory=trio.Event)
@@ -127,6 +129,7 @@
 
     def _carry_out(self, decisions: list[Decision]) -> None:
         for decision in decisions:
+            self._observe(decision)
             match decision:
                 case Dispatch():
                     self._start_attempt(decision)
--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -22,6 +22,7 @@
 from lagoonlever.entry.completions_api import CompletionCall, read_call
 from lagoonlever.entry.engines import Engines
 from lagoonlever.entry.generation_task import GenerationTask
+from lagoonlever.entry.request_metrics import RequestMetrics
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.server import Exchange
 from lagoonlever.identity import EventId
@@ -82,6 +83,7 @@
     """Gives why this VM takes no new work now, or None."""
     _moved_to: Callable[[], tuple[str, ...] | None]
     _pause_since_last_tick: Callable[[], float]
+    _metrics: RequestMetrics
     _vm: str = ""
     _tasks: dict[RequestKey, GenerationTask] = attrs.field(factory=dict)
 
@@ -102,7 +104,7 @@
         refusal = self._refusal()
         task = self._tasks.get((organisation, call.spec.request_id))
         if task is None and refusal is not None:
-            await respond_outcome(exchange, refusal, rng=self._rng)
+            await self._refuse(exchange, organisation, refusal)
             return
         if task is not None:
             _check_same(task.spec, call.spec)
@@ -141,7 +143,7 @@
                 retry_after_s=1.0,
                 status=429,
             )
-            await respond_outcome(exchange, outcome, rng=self._rng)
+            await self._refuse(exchange, call.spec.organisation, outcome)
             return None
         if call.last_event_id is None:
             return self._start(call.spec)
@@ -152,7 +154,7 @@
         if point is None:
             point = await self._resume_points.find(call.spec, last)
         if point is None and last.offset and not call.spec.accepts_restart:
-            await respond_outcome(exchange, _nothing_known(), rng=self._rng)
+            await self._refuse(exchange, call.spec.organisation, _nothing_known())
             return None
         current = self.find(call.spec.organisation, call.spec.request_id)
         if current is not None:
@@ -166,6 +168,10 @@
         first_generation = last.generation + 1 if last.offset else last.generation
         return self._start(call.spec, point=point, first_generation=first_generation)
 
+    async def _refuse(self, exchange: Exchange, organisation: str, outcome: Outcome) -> None:
+        self._metrics.refused(organisation, outcome)
+        await respond_outcome(exchange, outcome, rng=self._rng)
+
     def _start(
         self,
         spec: GenerationSpec,
@@ -184,7 +190,10 @@
             vm=self._vm,
         )
         task = GenerationTask(
-            life=life, engines=self._engines, may_begin=lambda: self._may_begin(task)
+            life=life,
+            engines=self._engines,
+            may_begin=lambda: self._may_begin(task),
+            observe=self._metrics.observer_of(spec, continues=point is not None),
         )
         self._tasks[spec.organisation, spec.request_id] = task
         self._background.start_soon(task.run)
--- a/lagoonlever/entry/serving.py
+++ b/lagoonlever/entry/serving.py
@@ -18,6 +18,7 @@
 from lagoonlever.entry.engines import AdmissionDesk, Engines, TargetGuard
 from lagoonlever.entry.generations import GenerationService, GenerationSettings, Peers
 from lagoonlever.entry.recovery import EngineRecovery
+from lagoonlever.entry.request_metrics import RequestMetrics, unscraped_metrics
 from lagoonlever.outcomes import Outcome
 from lagoonlever.timers import TimerService
 
@@ -55,6 +56,7 @@
     subset_size: int
     refusal: Callable[[], Outcome | None]
     moved_to: Callable[[], tuple[str, ...] | None]
+    metrics: RequestMetrics = attrs.field(factory=unscraped_metrics)
     observe: Callable[[GenerationSpec, Dispatch, Target], None] = lambda *_: None
     router: Router = attrs.field(init=False)
     engines: Engines = attrs.field(init=False)
@@ -86,6 +88,7 @@
             peers=self.peers,
             refusal=self.refusal,
             moved_to=self.moved_to,
+            metrics=self.metrics,
             pause_since_last_tick=self.timers.pause_since_last_tick,
             vm=self.vm,
         )
--- a/lagoonlever/instruments.py
+++ b/lagoonlever/instruments.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -23,6 +24,8 @@
 from lagoonlever.metrics import CATALOGUE, InstrumentKind, InstrumentSpec
 
 EXPOSITION_TYPE = CONTENT_TYPE_LATEST
+RECENT_DURATIONS = 64
+"""Durations of each distribution that are kept as they are, for the status of a VM."""
 
 
 class Metrics:
@@ -34,6 +37,7 @@
     def __init__(self) -> None:
         self._values: dict[str, dict[tuple[str, ...], float]] = {}
         self._histograms: dict[str, Any] = {}
+        self._recent: dict[tuple[str, tuple[str, ...]], deque[float]] = {}
         self._registry = CollectorRegistry()
         ProcessCollector(registry=self._registry)
         reader = PrometheusMetricReader(
@@ -46,6 +50,10 @@
         """Give the present value of a counter or a gauge; 0 if never set."""
         return self._values[spec.name].get(labels, 0)
 
+    def recent(self, spec: InstrumentSpec, *labels: str) -> tuple[float, ...]:
+        """Give the last durations recorded in a distribution, oldest first."""
+        return tuple(self._recent.get((spec.name, labels), ()))
+
     def exposition(self) -> bytes:
         """Give all metrics in the text format that scrapers read."""
         return generate_latest(self._registry)
@@ -73,7 +81,11 @@
 
     def record(self, spec: InstrumentSpec, duration_s: float, *labels: str) -> None:
         """Record one duration of a distribution."""
-        _check_labels(spec, labels)
+        key = (spec.name, labels)
+        if key not in self._recent:
+            _check_labels(spec, labels)
+            self._recent[key] = deque(maxlen=RECENT_DURATIONS)
+        self._recent[key].append(duration_s)
         self._histograms[spec.name].record(duration_s, _attributes(spec, labels))
 
     def shutdown(self) -> None:
--- a/lagoonlever/metrics.py
+++ b/lagoonlever/metrics.py
@@ -137,8 +137,9 @@
 )
 RESUME_LATENCY = latency(
     "lagoonlever.resume.latency",
-    labels=("organisation", "cause"),
-    doc="From the loss of an engine or VM, as it shows on this VM, to the next released token.",
+    labels=("organisation",),
+    doc="The gap that a loss makes in an answer: between the last token of one attempt and the "
+    "first of the next; for a caller that comes from a lost VM, from its arrival here.",
 )
 LOOKUP_LATENCY = latency(
     "lagoonlever.lookup.latency",
@@ -149,14 +150,15 @@
     "lagoonlever.extra_work",
     unit="{token}",
     labels=("organisation", "cause"),
-    doc="Engine work that a run without failures would not have needed, in prefilled and "
-    "decoded tokens, by cause.",
+    doc="Tokens that are prefilled again because an answer is continued (`resume`) or tried "
+    "on a second engine (`hedge`); a run without failures needs none.",
 )
 RETRIES = counter(
     "lagoonlever.retries",
     unit="{attempt}",
-    labels=("organisation", "kind", "verdict"),
-    doc="Retries, resumes and hedges that were wanted, and whether the budget allowed them.",
+    labels=("organisation", "kind"),
+    doc="Attempts beyond a request's first: `resume`, `hedge`, and `lookup` for second sendings "
+    "of idempotent service calls.",
 )
 PLATFORM_CALLS = counter(
     "lagoonlever.platform.calls",
--- a/lagoonlever/report/status.py
+++ b/lagoonlever/report/status.py
@@ -38,7 +38,6 @@
     address: str
     state: str
     load: float | None = None
-    settings_version: int | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -57,25 +56,35 @@
     load_age_s: float | None = None
 
 
+@attrs.frozen(kw_only=True)
+class PoolStatus:
+    """The engines of one model: slots in all, and what the answering VM may use and uses."""
+
+    pool: str
+    slots: int
+    quota: float
+    running: int
+    waiting: int
+    vms_heard: int
+
+
 @attrs.frozen(kw_only=True)
 class ShareStatus:
-    """The part of all engine work that one node of the settings tree uses, from 0 to 1."""
+    """The part of all engine work that an organisation uses and is entitled to, from 0 to 1."""
 
     path: str
     weight: float
     entitled: float
     used: float
-    running: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class QueueStatus:
-    """The requests of one node that wait on the answering VM, and how long they waited of late."""
+    """An organisation's requests that wait on the answering VM, and how long the last ones did."""
 
     path: str
     waiting: int
     bound: int
-    oldest_wait_s: float = 0.0
     wait_p50_s: float | None = None
     wait_p95_s: float | None = None
 
@@ -87,6 +96,7 @@
     vm: VmStatus
     members: tuple[MemberStatus, ...] = ()
     targets: tuple[TargetStatus, ...] = ()
+    pools: tuple[PoolStatus, ...] = ()
     shares: tuple[ShareStatus, ...] = ()
     queues: tuple[QueueStatus, ...] = ()
 
--- a/lagoonlever/report/status_tables.py
+++ b/lagoonlever/report/status_tables.py
@@ -10,11 +10,12 @@
 
 
 def status_tables(report: StatusReport) -> list[Table]:
-    """Give one table for each kind of thing: VM, members, targets, shares, queues."""
+    """Give one table for each kind of thing: VM, members, targets, pools, shares, queues."""
     return [
         _vm_table(report),
         _member_table(report),
         _target_table(report),
+        _pool_table(report),
         _share_table(report),
         _queue_table(report),
     ]
@@ -43,7 +44,7 @@
 
 
 def _member_table(report: StatusReport) -> Table:
-    table = _table("VMs", "name", "data centre", "address", "state", "load", "settings")
+    table = _table("VMs", "name", "data centre", "address", "state", "load")
     for member in report.members:
         table.add_row(
             member.name,
@@ -51,7 +52,6 @@
             member.address,
             member.state,
             _number(member.load),
-            _whole(member.settings_version),
         )
     return table
 
@@ -74,29 +74,36 @@
     return table
 
 
+def _pool_table(report: StatusReport) -> Table:
+    table = _table("Pools", "model", "slots", "ours now", "running", "waiting", "VMs heard")
+    for pool in report.pools:
+        table.add_row(
+            pool.pool,
+            str(pool.slots),
+            f"{pool.quota:.1f}",
+            str(pool.running),
+            str(pool.waiting),
+            str(pool.vms_heard),
+        )
+    return table
+
+
 def _share_table(report: StatusReport) -> Table:
-    table = _table("Shares", "organisation", "weight", "entitled", "used", "running")
+    table = _table("Shares", "organisation", "weight", "entitled", "used")
     for share in report.shares:
         table.add_row(
-            share.path,
-            f"{share.weight:g}",
-            _percent(share.entitled),
-            _percent(share.used),
-            str(share.running),
+            share.path, f"{share.weight:g}", _percent(share.entitled), _percent(share.used)
         )
     return table
 
 
 def _queue_table(report: StatusReport) -> Table:
-    table = _table(
-        "Queues and waits", "organisation", "waiting", "bound", "oldest", "median", "95 in 100"
-    )
+    table = _table("Queues and waits", "organisation", "waiting", "bound", "median", "95 in 100")
     for queue in report.queues:
         table.add_row(
             queue.path,
             str(queue.waiting),
             str(queue.bound),
-            _seconds(queue.oldest_wait_s),
             _seconds(queue.wait_p50_s),
             _seconds(queue.wait_p95_s),
         )
