Never choose again at once an engine that refused a connection

Cause: the target of an attempt was noted only when the request was written, so a failed connect put nothing on the list of engines to avoid; with one dead and one frozen engine of three, 8 attempts in a row went to the dead one and the generation failed. Found by a trial run on loopback; ruled out: detection and routing. The target is noted when it is chosen. The test was red before. Also: callers record histories, and a seed is the same at whichever VM goes on.

--- a/lagoonlever/client/answers.py
+++ b/lagoonlever/client/answers.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from lagoonlever.client.history import CallerHistory
 from lagoonlever.decisions.resume import HeldAnswer
 from lagoonlever.entry.caller_stream import MOVED_EVENT, RESTART_EVENT, MovedNote
 from lagoonlever.entry.completions_api import CallerChunk, GenerationNote
@@ -100,7 +101,6 @@
             return None
         return HeldAnswer(
             model_version=self._note.model_version,
-            seed=self._note.seed,
             attempt_start=self._note.attempt_start,
             prompt_token_ids=self._note.prompt_token_ids,
             token_ids=self.token_ids,
@@ -111,7 +111,7 @@
         moved, self._moved = self._moved, None
         return moved
 
-    def feed(self, event: ServerEvent, *, peer: str) -> str:
+    def feed(self, event: ServerEvent, *, peer: str, history: CallerHistory | None = None) -> str:
         """Take one event and give the text that it adds; raises ``BadResponse`` for a splice."""
         if event.event == RESTART_EVENT:
             self._restart()
@@ -128,7 +128,7 @@
                 outcome=error.type, reason=str(error.code), message=error.message
             )
             return ""
-        return self._take_chunk(_CHUNK.decode(event.data), event.id, peer)
+        return self._take_chunk(_CHUNK.decode(event.data), event.id, peer, history)
 
     def _restart(self) -> None:
         self._restarts += 1
@@ -136,9 +136,13 @@
         self._token_ids.clear()
         self._texts.clear()
 
-    def _take_chunk(self, chunk: CallerChunk, event_id: str | None, peer: str) -> str:
+    def _take_chunk(
+        self, chunk: CallerChunk, event_id: str | None, peer: str, history: CallerHistory | None
+    ) -> str:
         if chunk.lagoonlever is not None:
             self._note = chunk.lagoonlever
+            if history is not None:
+                history.told_generation(chunk.lagoonlever)
         if not chunk.choices:
             return ""
         choice = chunk.choices[0]
@@ -153,6 +157,8 @@
                 step="read the answer",
                 peer=peer,
             )
+        if history is not None:
+            history.received(last=last, token_ids=choice.token_ids, text=choice.text)
         self._last = last
         self._token_ids.extend(choice.token_ids)
         self._texts.append(choice.text)
--- a/lagoonlever/client/caller.py
+++ b/lagoonlever/client/caller.py
@@ -10,7 +10,9 @@
 import trio
 
 from lagoonlever.client.answers import HeldStream
+from lagoonlever.client.history import CallerHistory
 from lagoonlever.exceptions import LagoonleverException, PeerError
+from lagoonlever.history.recorder import Recorder
 from lagoonlever.http.client import ClientConnection, fetch
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.sse import EventParser
@@ -30,9 +32,10 @@
 class NoAnswer(LagoonleverException):
     """The request ended without its whole answer; tells the outcome."""
 
-    def __init__(self, message: str, *, outcome: str, reason: str) -> None:
+    def __init__(self, message: str, *, outcome: str, reason: str, status: int = 0) -> None:
         self.outcome = outcome
         self.reason = reason
+        self.status = status
         super().__init__(message)
 
 
@@ -65,11 +68,37 @@
     at: float
     text: str
     offset: int
+    restarted: bool = False
+    """What came before is void: a new generation begins with this piece."""
+    vm: str = ""
 
 
 ArrivalHandler = Callable[[Arrival], None]
 
 
+@attrs.define(kw_only=True)
+class _Visit:
+    """One request on its way through the VMs that it is asked at."""
+
+    request: CompletionRequest
+    identity: str
+    stream: HeldStream
+    on_arrival: ArrivalHandler
+    history: CallerHistory | None
+
+    def record_asked(self, address: Address) -> None:
+        """Record that the request is sent to a VM."""
+        if self.history is not None:
+            self.history.asked(
+                vm=str(address),
+                model=self.request.model,
+                prompt=self.request.prompt,
+                max_tokens=self.request.max_tokens,
+                stop=self.request.stop,
+                last=self.stream.last_event_id,
+            )
+
+
 @attrs.define(kw_only=True)
 class Caller:
     """Asks the system for completions by any of its addresses."""
@@ -79,6 +108,8 @@
     _give_up_after_s: float = 30.0
     _known: list[Address] = attrs.field(factory=list)
     _known_until: float = 0.0
+    _name: str = "caller"
+    _recorder: Recorder | None = None
 
     async def discover(self) -> EntryAnswer:
         """Ask any known address which entry VMs to use now; raises the last ``PeerError``."""
@@ -115,6 +146,31 @@
         """
         stream = HeldStream()
         identity = request_id or f"{self._rng.getrandbits(REQUEST_ID_BITS):024x}"
+        history = self._history(identity)
+        visit = _Visit(
+            request=request,
+            identity=identity,
+            stream=stream,
+            on_arrival=on_arrival,
+            history=history,
+        )
+        try:
+            await self._come_until_whole(visit)
+        except NoAnswer as error:
+            if history is not None:
+                history.got_outcome(tag=error.outcome, status=error.status, reason=error.reason)
+            raise
+        if history is not None:
+            history.got_outcome(
+                tag="done",
+                status=STATUS_OK,
+                finish_reason=stream.finish_reason,
+                completion_tokens=len(stream.token_ids),
+            )
+        return stream
+
+    async def _come_until_whole(self, visit: _Visit) -> None:
+        stream = visit.stream
         last_progress = trio.current_time()
         delay_s = 0.0
         while not stream.whole:
@@ -122,7 +178,7 @@
             before = len(stream.token_ids)
             address = await self._next_address()
             try:
-                await self._exchange(address, request, identity, stream, on_arrival)
+                await self._exchange(address, visit)
             except PeerError:
                 self._forget(address)
             now = trio.current_time()
@@ -132,7 +188,11 @@
             self._check_error(stream)
             if now - last_progress > self._give_up_after_s:
                 raise NoAnswer("no progress at any VM", outcome="unknown", reason="unreachable")
-        return stream
+
+    def _history(self, identity: str) -> CallerHistory | None:
+        if self._recorder is None:
+            return None
+        return CallerHistory(recorder=self._recorder, caller=self._name, request=identity)
 
     def _check_error(self, stream: HeldStream) -> None:
         if stream.error is not None:
@@ -140,47 +200,46 @@
                 stream.error.message, outcome=stream.error.outcome, reason=stream.error.reason
             )
 
-    async def _exchange(
-        self,
-        address: Address,
-        request: CompletionRequest,
-        identity: str,
-        stream: HeldStream,
-        on_arrival: ArrivalHandler,
-    ) -> None:
+    async def _exchange(self, address: Address, visit: _Visit) -> None:
         connection = await ClientConnection.open(address)
         try:
+            visit.record_asked(address)
             await connection.start(
                 method="POST",
                 path="/v1/completions",
-                headers=self._headers(request, identity, stream),
-                body=_body(request, stream),
+                headers=self._headers(visit),
+                body=_body(visit.request, visit.stream),
                 step="ask for a completion",
             )
             head = await connection.read_head()
             if head.status != STATUS_OK:
                 await self._refused(connection, head.status, head.headers)
                 return
-            await self._read(connection, stream, on_arrival)
+            await self._read(connection, visit)
         finally:
             with trio.CancelScope(shield=True):
                 await connection.aclose()
-        moved = stream.take_moved()
+        moved = visit.stream.take_moved()
         if moved is not None:
             self._known = [Address.parse(text) for text in moved if text != str(address)]
 
-    async def _read(
-        self, connection: ClientConnection, stream: HeldStream, on_arrival: ArrivalHandler
-    ) -> None:
+    async def _read(self, connection: ClientConnection, visit: _Visit) -> None:
         parser = EventParser()
+        stream = visit.stream
+        vm = str(connection.address)
         async for piece in connection.iter_body():
             for event in parser.feed(piece):
-                text = stream.feed(event, peer=str(connection.address))
-                if text:
+                restarts = stream.restarts
+                text = stream.feed(event, peer=vm, history=visit.history)
+                if text or stream.restarts > restarts:
                     arrival = Arrival(
-                        at=trio.current_time(), text=text, offset=len(stream.token_ids)
+                        at=trio.current_time(),
+                        text=text,
+                        offset=len(stream.token_ids),
+                        restarted=stream.restarts > restarts,
+                        vm=vm,
                     )
-                    on_arrival(arrival)
+                    visit.on_arrival(arrival)
 
     async def _refused(self, connection: ClientConnection, status: int, headers: Headers) -> None:
         outcome = headers.get(OUTCOME_HEADER, "unknown") or "unknown"
@@ -190,13 +249,15 @@
             await trio.sleep(float(headers.get(RETRY_AFTER_HEADER, "1") or 1))
             return
         body = b"".join([piece async for piece in connection.iter_body()])
-        raise NoAnswer(body.decode("utf-8", "replace"), outcome=outcome, reason=reason)
+        message = body.decode("utf-8", "replace")
+        raise NoAnswer(message, outcome=outcome, reason=reason, status=status)
 
-    def _headers(self, request: CompletionRequest, identity: str, stream: HeldStream) -> Headers:
+    def _headers(self, visit: _Visit) -> Headers:
+        request, stream = visit.request, visit.stream
         headers = Headers(
             (
                 ("Content-Type", "application/json"),
-                ("Idempotency-Key", identity),
+                ("Idempotency-Key", visit.identity),
                 ("Lagoonlever-Accept", ABILITIES),
             )
         )
--- a/lagoonlever/decisions/generation.py
+++ b/lagoonlever/decisions/generation.py
@@ -11,6 +11,7 @@
 import random
 
 import attrs
+import xxhash
 
 from lagoonlever.decisions.answer import Answer, ReleasedPiece
 from lagoonlever.decisions.release import ReleaseBuffer
@@ -48,6 +49,14 @@
     """The caller can tell a new generation from the one it holds part of."""
 
 
+def seed_of(spec: GenerationSpec, generation: int) -> int:
+    """Give the seed of a generation: the caller's for the first, else one any VM derives alike."""
+    if spec.seed is not None and generation == 1:
+        return spec.seed
+    name = f"{spec.organisation}|{spec.request_id}|{generation}"
+    return xxhash.xxh3_64_intdigest(name.encode()) >> (64 - SEED_BITS)
+
+
 class BreakCause(enum.Enum):
     """Why an attempt ended without its answer's end."""
 
@@ -156,7 +165,6 @@
     attempt_start: int
     """The offset of that attempt's first token."""
     target: str
-    seed: int
     model_version: str
     prompt_token_ids: tuple[int, ...]
     pieces: tuple[ReleasedPiece, ...]
@@ -181,7 +189,7 @@
         self._vm = vm
         self._generation = first_generation
         self._counter = 0
-        self._seed = self._draw_seed()
+        self._seed = seed_of(self._spec, self._generation)
         self._answer: Answer | None = None
         self._prompt_token_ids: tuple[int, ...] | None = None
         self._live: dict[int, _Attempt] = {}
@@ -251,10 +259,14 @@
             )
         ]
 
-    def dispatched(self, *, attempt: int, target: str) -> None:
-        """Note which engine took an attempt."""
+    def placed(self, *, attempt: int, target: str) -> None:
+        """Note which engine an attempt goes to; nothing was written yet."""
         if attempt in self._live:
             self._live[attempt].target = target
+
+    def dispatched(self, *, attempt: int) -> None:
+        """Note that an attempt is being written: from now on it may have run."""
+        if attempt in self._live:
             self._anything_sent = True
 
     def opened(
@@ -367,7 +379,7 @@
     def _adopt(self, point: ResumePoint) -> None:
         self._generation = point.generation
         self._counter = point.attempt >> ATTEMPT_RANDOM_BITS
-        self._seed = point.seed
+        self._seed = seed_of(self._spec, point.generation)
         self._prompt_token_ids = point.prompt_token_ids
         self._answer = self._new_answer(point.model_version)
         self._anything_sent = True
@@ -382,11 +394,6 @@
             vm=self._vm,
         )
 
-    def _draw_seed(self) -> int:
-        if self._spec.seed is None or self._generation > 1:
-            return self._rng.getrandbits(SEED_BITS)
-        return self._spec.seed
-
     def _is_full(self) -> bool:
         return self.released >= self._spec.max_tokens
 
@@ -451,7 +458,7 @@
     def _restart(self) -> list[Decision]:
         had_released = self.released > 0
         self._generation += 1
-        self._seed = self._draw_seed()
+        self._seed = seed_of(self._spec, self._generation)
         self._answer = None
         self._prompt_token_ids = None
         self._avoid.clear()
--- a/lagoonlever/decisions/resume.py
+++ b/lagoonlever/decisions/resume.py
@@ -14,7 +14,6 @@
     """What a returning caller holds of its answer; sent along so that any VM can go on."""
 
     model_version: str
-    seed: int
     attempt_start: int
     prompt_token_ids: tuple[int, ...]
     token_ids: tuple[int, ...]
@@ -45,7 +44,6 @@
         attempt=last.attempt,
         attempt_start=min(held.attempt_start, last.offset),
         target=last.target,
-        seed=held.seed,
         model_version=held.model_version,
         prompt_token_ids=held.prompt_token_ids,
         pieces=(piece,) if held.token_ids else (),
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -173,6 +173,7 @@
                 self._not_placed(dispatch, placement)
                 return
             running.placement = placement
+            self._life.placed(attempt=dispatch.attempt, target=placement.target.name)
             try:
                 cause = await self._attempt(running, placement)
             finally:
@@ -198,7 +199,7 @@
             if not (self._may_begin() and self._engines.may_write(placement)):
                 return False
             self._engines.sent(self, self.spec, dispatch, placement)
-            self._life.dispatched(attempt=dispatch.attempt, target=placement.target.name)
+            self._life.dispatched(attempt=dispatch.attempt)
             return True
 
         attempt = EngineAttempt(
--- a/lagoonlever/entry/recovery.py
+++ b/lagoonlever/entry/recovery.py
@@ -105,7 +105,6 @@
 def _point(spec: GenerationSpec, last: EventId, head: _StreamHead) -> ResumePoint | None:
     held = HeldAnswer(
         model_version=head.model_version,
-        seed=spec.seed if spec.seed is not None else 0,
         attempt_start=0,
         prompt_token_ids=head.prompt_token_ids,
         token_ids=tuple(head.token_ids[: last.offset]),
--- a/lagoonlever/tests/generation_tests.py
+++ b/lagoonlever/tests/generation_tests.py
@@ -115,7 +115,8 @@
                     version = self.versions[len(self.streams) % len(self.versions)]
                     self.streams[decision.attempt] = EngineStream(decision, version)
                     name = f"engine-{len(self.streams)}"
-                    self.life.dispatched(attempt=decision.attempt, target=name)
+                    self.life.placed(attempt=decision.attempt, target=name)
+                    self.life.dispatched(attempt=decision.attempt)
                 case Release(pieces=pieces):
                     for piece in pieces:
                         assert piece.start == len(self.released)
@@ -301,6 +302,21 @@
     assert isinstance(end, Finish) and isinstance(end.outcome, Unknown)
 
 
+def test_an_engine_that_refused_a_connection_is_not_chosen_again() -> None:
+    """A digest fails although a healthy engine stands beside the dead ones.
+
+    The stream's engine froze; the next choice fell on a dead engine that is still
+    listed. Its connects failed one after the other until the attempts were used up.
+    """
+    life_ = life()
+    (first,) = life_.start()
+    assert isinstance(first, Dispatch)
+    life_.placed(attempt=first.attempt, target="dead")
+    (second,) = life_.broken(attempt=first.attempt, cause=BreakCause.CONNECT_FAILED)
+    assert isinstance(second, Dispatch)
+    assert second.avoid == {"dead"}
+
+
 def test_a_stop_string_across_the_resume_point_still_stops() -> None:
     """A summary runs on past its end marker because the engine died within the marker."""
     whole = expected_output(model_version="v1", prompt=PROMPT, max_tokens=LENGTH, seed=SEED)
@@ -361,7 +377,6 @@
         last = answer.pieces[-1]
         held = HeldAnswer(
             model_version=answer.model_version,
-            seed=self.harness.life.seed,
             attempt_start=0,
             prompt_token_ids=PROMPT,
             token_ids=answer.token_ids,
