--- a/lagoonlever/entry/request_metrics.py
+++ b/lagoonlever/entry/request_metrics.py
@@ -12,6 +12,7 @@
 from lagoonlever.metrics import (
     EXTRA_WORK,
     FIRST_TOKEN_LATENCY,
+    LOOKUP_LATENCY,
     REQUESTS,
     RESUME_LATENCY,
     RETRIES,
@@ -54,6 +55,16 @@
             continues=continues,
         )
 
+    def service_ended(
+        self, path: str, outcome: Outcome, *, latency_s: float, idempotent: bool
+    ) -> None:
+        """Count a call of an application service that was answered."""
+        organisation = organisation_of(path)
+        _count_end(organisation, outcome, self._metrics, self._objectives)
+        if idempotent and isinstance(outcome, Done):
+            self._metrics.record(LOOKUP_LATENCY, latency_s, organisation)
+            self._objectives.lookup_ended(organisation, latency_s)
+
     def refused(self, path: str, outcome: Outcome) -> None:
         """Count a request that was not begun."""
         _count_end(organisation_of(path), outcome, self._metrics, self._objectives)
--- a/lagoonlever/entry/services.py
+++ b/lagoonlever/entry/services.py
@@ -29,6 +29,7 @@
 from lagoonlever.entry.claims import Claims
 from lagoonlever.entry.engines import TargetGuard
 from lagoonlever.entry.published import Published
+from lagoonlever.entry.request_metrics import RequestMetrics, unscraped_metrics
 from lagoonlever.entry.services_answers import not_run, tell, unknown
 from lagoonlever.entry.services_call import HOMED_KEY_HEADER, ServiceCall, remaining_s
 from lagoonlever.entry.services_dispatch import Dispatcher
@@ -76,8 +77,10 @@
         rng: random.Random,
         organisation_of: OrganisationOf = _nobody,
         recorder: Recorder | None = None,
+        metrics: RequestMetrics | None = None,
     ) -> None:
         self._own = own
+        self._metrics = metrics or unscraped_metrics()
         self._guard = guard
         self._timers = timers
         self._settings = settings
@@ -141,9 +144,11 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call with exactly one outcome."""
+        began_at = self._timers.now
         try:
             call = self._call(exchange.request)
             answer = await self._answer(call)
+            self._count(call, answer, latency_s=self._timers.now - began_at)
         except RequestRefused as refused:
             message = f"{refused.field}: {refused}" if refused.field else str(refused)
             answer = not_run(Reason.BAD_REQUEST, message, status=refused.status)
@@ -153,6 +158,17 @@
             )
         await tell(exchange, answer)
 
+    def _count(self, call: ServiceCall, answer: StoredAnswer, *, latency_s: float) -> None:
+        """Count a call where its caller sent it, not again at its key's home."""
+        if call.request.headers.get(HOMED_KEY_HEADER) is not None:
+            return
+        self._metrics.service_ended(
+            call.organisation,
+            answer.outcome,
+            latency_s=latency_s,
+            idempotent=call.idempotent,
+        )
+
     def _call(self, request: Request) -> ServiceCall:
         name, _, rest = request.path.removeprefix(SERVICES_PATH).partition("/")
         service = self._settings.service(name)
--- a/lagoonlever/metrics.py
+++ b/lagoonlever/metrics.py
@@ -157,8 +157,7 @@
     "lagoonlever.retries",
     unit="{attempt}",
     labels=("organisation", "kind"),
-    doc="Attempts beyond a request's first: `resume`, `hedge`, and `lookup` for second sendings "
-    "of idempotent service calls.",
+    doc="Attempts of generations beyond the first, `resume` or `hedge`.",
 )
 PLATFORM_CALLS = counter(
     "lagoonlever.platform.calls",
--- a/lagoonlever/tests/reporting_tests.py
+++ b/lagoonlever/tests/reporting_tests.py
@@ -20,6 +20,7 @@
     CONTROL_BYTES,
     EXTRA_WORK,
     FIRST_TOKEN_LATENCY,
+    LOOKUP_LATENCY,
     MEMBERS,
     OBJECTIVE_EVENTS,
     OPEN_STREAMS,
@@ -136,6 +137,17 @@
     assert metrics.value(OBJECTIVE_EVENTS, MOTUS, "whole-answers", "bad") == 1
 
 
+def test_a_lookup_counts_towards_its_objective_and_a_bid_does_not() -> None:
+    metrics = Metrics()
+    objectives = ObjectiveRecorder(metrics=metrics, settings=ObjectiveSettings())
+    requests = RequestMetrics(metrics=metrics, objectives=objectives, clock=_Clock())
+    requests.service_ended(MOTUS, Done(), latency_s=0.2, idempotent=True)
+    requests.service_ended(MOTUS, Done(), latency_s=9.0, idempotent=False)
+    assert metrics.recent(LOOKUP_LATENCY, MOTUS) == (0.2,)
+    assert metrics.value(OBJECTIVE_EVENTS, MOTUS, "lookup-latency", "good") == 1
+    assert metrics.value(REQUESTS, MOTUS, "done", "") == 2
+
+
 def _reporting(metrics: Metrics, traffic: Traffic) -> Reporting:
     address = Address(host="10.0.0.1", port=1)
     own = Incarnation(name="e1", started_ms=1, nonce=2)
