Make the stand-in engine easier to read, and publish only what was cancelled

A cancel showed the readers of every other stream the tokens of the step under way, a step early; it now publishes its own stream alone.

--- a/lagoonlever/fakes/engine.py
+++ b/lagoonlever/fakes/engine.py
@@ -20,17 +20,16 @@
 
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.fakes import wire
-from lagoonlever.fakes.batch import Batch, Generation, ServedModel, Work
+from lagoonlever.fakes.batch import Batch, ServedModel, Work
 from lagoonlever.fakes.engine_orders import EngineOrders
+from lagoonlever.fakes.engine_requests import new_generation
 from lagoonlever.fakes.engine_stream import EngineStream, StreamWriter
 from lagoonlever.fakes.faults import FaultOrder, Faults
 from lagoonlever.fakes.prefix_cache import CacheEvent, PrefixCache
 from lagoonlever.fakes.serving import LateReports, answer_with_faults, serve_until_death
-from lagoonlever.fakes.tokens import encode_prompt, token_bytes
 from lagoonlever.http.server import CallerGone, Exchange
 
 KEPT_STREAMS = 4096
-MAX_TOKENS = 1_000_000
 RESPONSES = "/v1/responses/"
 
 
@@ -133,10 +132,13 @@
 
     def _publish(self) -> None:
         self._note_load()
-        for name, stream in list(self._live.items()):
-            stream.publish()
-            if stream.finish_reason is not None:
-                del self._live[name]
+        for stream in list(self._live.values()):
+            self._publish_stream(stream)
+
+    def _publish_stream(self, stream: EngineStream) -> None:
+        stream.publish()
+        if stream.finish_reason is not None:
+            self._live.pop(stream.generation.request_id, None)
 
     def _note_load(self) -> None:
         report = wire.LoadReport(
@@ -169,7 +171,11 @@
 
     async def _complete(self, exchange: Exchange) -> None:
         request = wire.read_body(exchange.request, wire.CompletionRequest)
-        generation = self._new_generation(request)
+        loaded = self._orders.models(now=trio.current_time())
+        generation = new_generation(request, models=loaded)
+        if generation.request_id in self._live:
+            message = f"{generation.request_id!r} is running"
+            raise RequestRefused(status=409, field="request_id", message=message)
         stream = EngineStream(generation=generation, created=int(time.time()))
         self._streams.pop(generation.request_id, None)
         self._streams[generation.request_id] = stream
@@ -180,42 +186,12 @@
         self._arrived.set()
         await self._attend(exchange, stream, start=0, whole=not request.stream)
 
-    def _new_generation(self, request: wire.CompletionRequest) -> Generation:
-        name, _, adapter = request.model.partition(":")
-        loaded = self._orders.models(now=trio.current_time())
-        model = next((each for each in loaded if each.name == name), None)
-        if model is None or (adapter and adapter not in model.adapters):
-            raise RequestRefused(status=404, field="model", message=f"{request.model!r} not loaded")
-        if not 1 <= request.max_tokens <= MAX_TOKENS:
-            raise RequestRefused(
-                status=400, field="max_tokens", message=f"give 1 to {MAX_TOKENS} tokens"
-            )
-        request_id = request.request_id or f"cmpl-{time.monotonic_ns():x}"
-        existing = self._streams.get(request_id)
-        if existing is not None and existing.finish_reason is None:
-            raise RequestRefused(
-                status=409, field="request_id", message=f"{request_id!r} is running"
-            )
-        stop = [request.stop] if isinstance(request.stop, str) else request.stop or []
-        return Generation(
-            request_id=request_id,
-            model=request.model,
-            version=model.version,
-            adapter=adapter or None,
-            prompt=_prompt_tokens(request.prompt),
-            max_tokens=request.max_tokens,
-            seed=request.seed or 0,
-            stop=tuple(stop),
-            priority=request.priority,
-            background=request.background,
-        )
-
     def _forget_finished(self) -> None:
-        for name, stream in list(self._streams.items()):
-            if len(self._streams) <= KEPT_STREAMS:
-                return
-            if stream.finish_reason is not None:
-                del self._streams[name]
+        if len(self._streams) <= KEPT_STREAMS:
+            return
+        oldest = next((name for name in self._streams if name not in self._live), None)
+        if oldest is not None:
+            del self._streams[oldest]
 
     async def _route_stream(self, exchange: Exchange) -> None:
         request = exchange.request
@@ -255,8 +231,11 @@
         scope.cancel()
 
     def _cancel(self, stream: EngineStream) -> None:
+        if stream.finish_reason is not None:
+            return
         self._batch.cancel(stream.generation)
-        self._publish()
+        self._publish_stream(stream)
+        self._note_load()
 
     async def _list_models(self, exchange: Exchange) -> None:
         entries = [
@@ -295,15 +274,3 @@
 class _WorkReport:
     total: Work
     requests: dict[str, Work]
-
-
-def _prompt_tokens(prompt: str | list[int]) -> list[int]:
-    tokens = encode_prompt(prompt) if isinstance(prompt, str) else prompt
-    if not tokens:
-        raise RequestRefused(status=400, field="prompt", message="is empty")
-    try:
-        for token_id in tokens:
-            token_bytes(token_id)
-    except ValueError as error:
-        raise RequestRefused(status=400, field="prompt", message=str(error)) from None
-    return tokens
--- a/lagoonlever/fakes/tokens.py
+++ b/lagoonlever/fakes/tokens.py
@@ -22,13 +22,14 @@
 
 BYTE_TOKENS = 256
 """Token ids below this are single bytes; those from it on are words."""
-WORDS = tuple(
-    " the a lot price car chili shallot market district digest engine mileage paint tyre report "
-    "inspector dealer bid auction sold wet dry season kilo tonne trader clerk stall harbour road "
-    "north south east west morning evening today week rose fell held steady scratch dent clean "
-    "service history owner first second third good fair poor new old red blue white per from to "
-    "and with without".replace(" ", "| ").split("|")[1:]
-)
+WORD_LIST = """
+the a lot price car chili shallot market district digest engine mileage paint tyre report
+inspector dealer bid auction sold wet dry season kilo tonne trader clerk stall harbour road
+north south east west morning evening today week rose fell held steady scratch dent clean
+service history owner first second third good fair poor new old red blue white per from to
+and with without
+"""
+WORDS = tuple(f" {word}" for word in WORD_LIST.split())
 MULTI_BYTE = tuple(character.encode() for character in "čž€🌶")
 """Characters that take a token a byte; their first bytes differ."""
 MULTI_BYTE_ONE_IN = 8
