--- a/lagoonlever/tree/changes.py
+++ b/lagoonlever/tree/changes.py
@@ -70,13 +70,48 @@
 
 
 def conflicts_of(tree: TreeView, edits: Iterable[Edit]) -> tuple[KeyConflict, ...]:
-    """Give the options of a change that stand neither as its author saw nor as wanted."""
-    found = ((edit, value_at(tree, edit.path, edit.option)) for edit in edits)
-    return tuple(
-        KeyConflict(key=edit.key, expected=edit.before, found=value, wanted=edit.after)
-        for edit, value in found
-        if value not in (edit.before, edit.after)
-    )
+    """Give the options that someone else changed since the author of a change read them."""
+    edits = tuple(edits)
+    direct = [_conflict_of(tree, edit) for edit in edits]
+    conflicts = [conflict for conflict in direct if conflict is not None]
+    conflicts += _vanished_nodes(tree, edits)
+    for edit in edits:
+        if edit.option == NODE and edit.after is None and edit.path in tree:
+            conflicts += _kept_below(tree, edit.path, edits)
+    return tuple(conflicts)
+
+
+def _conflict_of(tree: TreeView, edit: Edit) -> KeyConflict | None:
+    found = value_at(tree, edit.path, edit.option)
+    if found in (edit.before, edit.after):
+        return None
+    return KeyConflict(key=edit.key, expected=edit.before, found=found, wanted=edit.after)
+
+
+def _vanished_nodes(tree: TreeView, edits: tuple[Edit, ...]) -> list[KeyConflict]:
+    # One operator removes a node while another states an option of it. The second
+    # change alone would bring the node back with only that option, and the removal
+    # would be lost; a change that means to add the node says so by an edit of its own.
+    added = {edit.path for edit in edits if edit.option == NODE and edit.after}
+    stated = {edit.path for edit in edits if edit.option != NODE and edit.after is not None}
+    return [
+        KeyConflict(key=f"{path}.{NODE}", expected=True, found=None, wanted=True)
+        for path in sorted(stated - added)
+        if path not in tree
+    ]
+
+
+def _kept_below(tree: TreeView, path: str, edits: tuple[Edit, ...]) -> list[KeyConflict]:
+    # The reverse race: an option or a child was added to a node after its remover
+    # read the tree, and would vanish with the node although nobody asked for that.
+    removed = {edit.key for edit in edits if edit.after is None}
+    options = [(f"{path}.{item.option}", item.value) for item in tree.node(path).overrides]
+    children = [(f"{child}.{NODE}", True) for child in tree.children(path)]
+    return [
+        KeyConflict(key=key, expected=None, found=value, wanted=None)
+        for key, value in (*options, *children)
+        if key not in removed
+    ]
 
 
 def apply(tree: TreeView, edits: Iterable[Edit]) -> TreeView:
--- a/lagoonlever/tree/document.py
+++ b/lagoonlever/tree/document.py
@@ -19,7 +19,7 @@
 from lagoonlever.config.options import load
 from lagoonlever.exceptions import Fault, FaultsError
 from lagoonlever.tree.nodes import ROOT, Node, Override, TreeView, is_path, parent_of
-from lagoonlever.tree.options import EffectiveSettings, OptionValue
+from lagoonlever.tree.options import OPTION_NAMES, EffectiveSettings, OptionValue
 
 EMPTY_TEXT = '{\n  "/": {}\n}\n'
 """The document that operators see where nothing was stored yet."""
@@ -83,12 +83,20 @@
 
 
 def parse_canonical(data: bytes, *, version: int) -> TreeView:
-    """Read the canonical form; raises ``FaultsError``."""
+    """Read the canonical form; raises ``FaultsError``.
+
+    An option that only a later release knows is left out, so that VMs of two
+    releases can run side by side; writers check every name strictly.
+    """
     try:
-        document = msgspec.json.decode(data)
-    except msgspec.DecodeError as error:
+        document = msgspec.json.decode(data, type=dict[str, dict[str, Any]])
+    except msgspec.MsgspecError as error:
         raise FaultsError([Fault(path="document", message=str(error))]) from error
-    return attrs.evolve(check_document(document), version=version)
+    known = {
+        path: {name: value for name, value in options.items() if name in OPTION_NAMES}
+        for path, options in document.items()
+    }
+    return attrs.evolve(check_document(known), version=version)
 
 
 def render(tree: TreeView) -> str:
