Look for stop strings at the VM alone

An engine with a stop string holds back text that may begin one, after its token was sent. Dying then, it would take released tokens' text along.

--- a/lagoonlever/targets/completions.py
+++ b/lagoonlever/targets/completions.py
@@ -69,6 +69,10 @@
 
     A resume sends token ids, never text: text would be tokenised differently
     where a released token ended within a word.
+
+    Stop strings stay with this VM. An engine that looks for them holds back text
+    that may begin one while its token is sent; if it died then, the next engine
+    would go on after the token, and the held text would be missing.
     """
     prompt: str | tuple[int, ...] = spec.prompt
     if dispatch.prefix:
@@ -84,7 +88,6 @@
             "stream_options": {"include_usage": True},
             "seed": dispatch.seed,
             "temperature": spec.temperature,
-            "stop": list(spec.stop),
             "priority": priority,
             "request_id": stream_id(spec, dispatch.attempt),
             "return_token_ids": True,
