--- a/lagoonlever/decisions/membership_protocol.py
+++ b/lagoonlever/decisions/membership_protocol.py
@@ -101,6 +101,10 @@
         self._roster.changed = False
         return self._roster.view(now)
 
+    def own_news(self, now: float) -> MemberNews:
+        """Give what peers are told of this VM."""
+        return self._roster.own_news(now)
+
     def take_sends(self) -> list[Send]:
         """Give the messages to send, and forget them."""
         return self._outbox.take()
