Divide slots by work, not by count, and hold a cut peer's part while engines show it

An organisation whose few requests all lay at the engines lost what it was owed each time its queue ran empty. With 4 s of correction the parts of slots swung between nothing and double. After a cut one side's organisations were shut out. Now: least tag among those that may start; what is owed fades instead of vanishing; slots are divided by measured pace; a silent peer's sums go on as far as engines still show it. Ruled out: more overcommit (it only moved the wait to the engines).

--- a/lagoonlever/decisions/admission.py
+++ b/lagoonlever/decisions/admission.py
@@ -37,6 +37,8 @@
 PRIORITY_PER_S = 10.0
 """Steps of engine priority for a second ahead of or behind the organisation's share."""
 MAX_PRIORITY_LAG_S = 20.0
+FILL_PRIORITY = 200.0
+"""Steps of engine priority that a leaf is ahead with none of its slots, against all of them."""
 RESUME_PRIORITY = -1000
 """Engine priority of resumed generations, before all new work."""
 
@@ -209,10 +211,6 @@
         """Take on a peer's sums."""
         self._book.receive(sender, news, now)
 
-    def retire(self, sender: Incarnation) -> None:
-        """Give up the demand of a peer that membership says is dead or gone."""
-        self._book.retire(sender)
-
     def excuse(self, paused_s: float) -> None:
         """Count no silence of peers for a time in which this VM itself was paused."""
         self._book.excuse(paused_s)
@@ -291,12 +289,14 @@
 
     def _start(self, leaf: str, waiting: Waiting, now: float) -> Granted:
         lag_s = self._book.lag_s(self._tree.chain(leaf)[0])
+        filled = self._book.filled(leaf)
         ask = self._leave_queue(waiting.ticket, now)
         running = _Running(leaf=leaf, started_at=now, estimate=self._estimate(leaf, ask))
         self._running[waiting.ticket] = running
         self._book.add_own(leaf, now=now, work=running.committed, running=1)
         bounded_s = min(max(lag_s, -MAX_PRIORITY_LAG_S), MAX_PRIORITY_LAG_S)
-        priority = RESUME_PRIORITY if ask.resume else round(bounded_s * PRIORITY_PER_S)
+        fair = PRIORITY_PER_S * bounded_s - FILL_PRIORITY * (1.0 - filled)
+        priority = RESUME_PRIORITY if ask.resume else round(fair)
         return Granted(ticket=waiting.ticket, waited_s=now - waiting.queued_at, priority=priority)
 
     def _estimate(self, leaf: str, ask: AdmissionRequest) -> float:
@@ -328,8 +328,10 @@
 
     def _learn_rate(self, leaf: str) -> None:
         ended = self._means.get(leaf)
-        if ended is not None and ended.duration_s > 0:
-            self._queue(leaf).entitled_rate = self._book.own_slots(leaf) / ended.duration_s
+        slots = self._book.own_slots(leaf)
+        # A leaf without demand has no slots yet; that must not read as a queue that is stuck.
+        known = ended is not None and ended.duration_s > 0 and slots > 0
+        self._queue(leaf).entitled_rate = slots / ended.duration_s if ended and known else None
 
     def _queue(self, leaf: str) -> LeafQueue:
         return self._queues.setdefault(leaf, LeafQueue())
--- a/lagoonlever/decisions/shares_book.py
+++ b/lagoonlever/decisions/shares_book.py
@@ -22,15 +22,21 @@
     PoolReport,
     divide_slots,
     own_part,
-    usable_slots,
+    silent_part,
+    slot_pull,
 )
 from lagoonlever.identity import Incarnation
 
 LEDGER_PERIOD_S = 0.25
 SILENT_HOLD_S = 30.0
 """Without reports from engines, a silent peer is taken to use its slots for this long."""
-ENTRY_MARGIN = 1.0
-"""Slots beyond its quota that a VM may use for an organisation behind its share."""
+ENTRY_PART = 0.05
+"""Requests that may queue at the engines, as a part of the slots."""
+MIN_ENTRY_SLOTS = 1.0
+SMALL_FILL = 0.5
+"""A leaf with less than this of its slots may queue at the engines in a second such band."""
+EXCESS_WINDOW_S = 3.0
+"""Time constant over which reports of engines are compared with what peers say."""
 
 
 @attrs.define(kw_only=True)
@@ -59,6 +65,11 @@
         self._paths = {leaf_key(leaf): leaf for leaf in tree.leaves}
         self._own_waiting: dict[str, int] = {}
         self._own_running = 0
+        self._heard_running = 0
+        self._silent: list[LeafSum] = []
+        self._silent_part = 0.0
+        self._excess = 0.0
+        self._weighed_at = -math.inf
         self._report = PoolReport(slots=0)
         self._quota = 0.0
         self._parts: dict[str, float] = {}
@@ -107,20 +118,28 @@
         """Give the leaf whose request is to start here now, or None."""
         if not self._ledger.has_room(self._tree.root):
             return None
-        leaf = self._ledger.choose(self._may_serve)
-        if leaf is None or not self.may_start(leaf):
-            return None
-        return leaf
+        return self._ledger.choose(self._may_serve)
 
     def may_start(self, leaf: str) -> bool:
         """Tell whether this VM may use one more slot for a leaf."""
-        if self._own_running < self._quota:
+        running = self._seen_running
+        slots = self._report.slots
+        if running < slots and self._own_running < self._quota:
             return True
-        # The quota of a VM whose only caller belongs to a small organisation is less than
-        # one slot and never reached; what is behind its share may enter, engines order it.
-        organisation = self._tree.chain(leaf)[0]
-        within_margin = self._own_running < self._quota + ENTRY_MARGIN
-        return self.slots > 0 and within_margin and self._ledger.lag_s(organisation) <= 0
+        # While others hold its slots with generations of minutes, an organisation that is
+        # behind its share may queue at the engines, which start it first: its wait is then
+        # the time until any slot of any VM falls free, not until one of this VM does.
+        behind = self._ledger.lag_s(self._tree.chain(leaf)[0]) <= 0
+        own_running = self._leaf(leaf_key(leaf)).own.running
+        bands = 1 if self.filled(leaf) >= SMALL_FILL else 2
+        limit = slots + bands * max(MIN_ENTRY_SLOTS, ENTRY_PART * slots)
+        return behind and own_running < self.own_slots(leaf) and running < limit
+
+    def filled(self, leaf: str) -> float:
+        """Give the part of the slots meant for a leaf, on all VMs, that it has running."""
+        running = self._leaf(leaf_key(leaf)).total.running
+        meant = self._divided.get(leaf, 0.0)
+        return min(1.0, running / meant) if meant > 0 else 1.0
 
     def replace_tree(self, tree: ShareTree, *, max_running: Mapping[str, float]) -> None:
         """Take on another version of the tree; the caller moves its requests itself."""
@@ -143,7 +162,7 @@
 
     def standing(self) -> list[OrganisationStanding]:
         """Give how each organisation stands, for reports."""
-        used = self._meter.parts()
+        used = self._meter.parts(self._tree.children(self._tree.root))
         entitled = self._entitled()
         return [
             OrganisationStanding(
@@ -181,10 +200,6 @@
         """Take on a peer's sums."""
         self._apply_all(self._peers.receive(sender, news, now))
 
-    def retire(self, sender: Incarnation) -> None:
-        """Give up the demand of a peer that membership says is dead or gone."""
-        self._apply_all(self._peers.retire(sender))
-
     def excuse(self, paused_s: float) -> None:
         """Count no silence of peers for a time in which this VM itself was paused."""
         self._peers.excuse(paused_s)
@@ -201,19 +216,20 @@
         """Age what was heard, and work out the quota anew if anything changed."""
         if now >= self._ticked_at + LEDGER_PERIOD_S:
             self._ticked_at = now
-            self._apply_all(self._peers.age(now))
+            self._weigh_silence(now)
+            self._apply_all(self._peers.age(now, silent_part=self._silent_part))
             self._ledger.tick(now)
-            self._meter.tick(now)
+            self._meter.tick(now, self._running_by_path())
             self._quota_known = False
         if self._quota_known:
             return
         demand = self._demand()
-        slots = self._usable_slots(now)
+        slots = self._report.slots
         self._divided = divide_slots(
             tree=self._tree,
             demand=demand,
             slots=slots,
-            lag_s=self._ledger.lag_s,
+            pull=self._pull,
             max_running=self._max_running,
         )
         self._parts = own_part(divided=self._divided, demand=demand)
@@ -221,13 +237,41 @@
         self._quota = sum(self._parts.values()) + spare / (self._peers.live_count + 1)
         self._quota_known = True
 
-    def _usable_slots(self, now: float) -> float:
-        reported = self._report.running is not None
-        silent = self._peers.silent_running(
-            heard_after=-math.inf if reported else now - SILENT_HOLD_S
+    def _weigh_silence(self, now: float) -> None:
+        """Judge by the engines' reports how much of the silent peers' use goes on."""
+        elapsed_s = min(now - self._weighed_at, EXCESS_WINDOW_S)
+        self._weighed_at = now
+        reported = self._report.running
+        horizon = now - SILENT_HOLD_S if reported is None else -math.inf
+        self._silent = self._peers.silent_leaves(heard_after=horizon)
+        running = sum(leaf.running for leaf in self._silent)
+        if reported is None:
+            self._silent_part = 1.0 if running else 0.0
+            return
+        # Reports are late, so a single difference is as often too high as too low.
+        keep = math.exp(-elapsed_s / EXCESS_WINDOW_S)
+        self._excess = keep * self._excess + (1.0 - keep) * (reported - self._heard_running)
+        self._silent_part = silent_part(excess=self._excess, silent_running=running)
+
+    @property
+    def _seen_running(self) -> float:
+        silent = sum(leaf.running for leaf in self._silent)
+        return self._heard_running + self._silent_part * silent
+
+    def _pull(self, path: str) -> float:
+        above = self._tree.parent(path) or self._tree.root
+        return slot_pull(
+            weight=self._tree.weight(path),
+            pace=self._meter.pace(path, above=above),
+            lag_s=self._ledger.lag_s(path),
         )
-        known = sum(leaf.total.running for leaf in self._leaves.values())
-        return usable_slots(report=self._report, known_running=known, silent_running=silent)
+
+    def _running_by_path(self) -> dict[str, int]:
+        running: dict[str, int] = {}
+        for key, leaf in self._leaves.items():
+            for path in self._line(self._paths[key]) if key in self._paths else ():
+                running[path] = running.get(path, 0) + leaf.total.running
+        return running
 
     def _entitled(self) -> dict[str, float]:
         slots = sum(self._divided.values())
@@ -238,17 +282,23 @@
         return entitled
 
     def _demand(self) -> dict[str, LeafDemand]:
+        silent: dict[int, float] = {}
+        for one in self._silent:
+            count = self._silent_part * (one.running + one.waiting)
+            silent[one.key] = silent.get(one.key, 0.0) + count
         demand: dict[str, LeafDemand] = {}
         for key, leaf in self._leaves.items():
             path = self._paths.get(key)
-            total = leaf.total.running + leaf.total.waiting
+            total = leaf.total.running + leaf.total.waiting + silent.get(key, 0.0)
             if path is not None and total > 0:
                 own = leaf.own.running + leaf.own.waiting
                 demand[path] = LeafDemand(total=total, own=own)
         return demand
 
     def _may_serve(self, path: str) -> bool:
-        return self.own_waiting(path) > 0 and self._ledger.has_room(path)
+        if self.own_waiting(path) == 0 or not self._ledger.has_room(path):
+            return False
+        return not self._tree.is_leaf(path) or self.may_start(path)
 
     def _line(self, leaf: str) -> tuple[str, ...]:
         return (self._tree.root, *self._tree.chain(leaf))
@@ -264,12 +314,13 @@
         total = self._leaf(change.key).total
         total.committed += change.work
         total.running += change.running
+        self._heard_running += change.running
         total.waiting += change.waiting
         path = self._paths.get(change.key)
         if path is None:
             return
         if change.work:
-            self._meter.add(self._tree.chain(path)[0], change.work)
+            self._meter.add(self._line(path), change.work)
             self._ledger.commit(path, change.work)
         if change.running or change.waiting:
             self._ledger.add_demand(path, running=change.running, waiting=change.waiting)
--- a/lagoonlever/decisions/shares_exchange.py
+++ b/lagoonlever/decisions/shares_exchange.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from lagoonlever.identity import Incarnation
@@ -20,6 +22,8 @@
 FULL_PERIOD_S = 10.0
 STALE_AFTER_S = 4.0
 """A peer silent for this long no longer counts as having demand."""
+RATE_WINDOW_S = 5.0
+"""Time constant of the rate at which a peer uses each leaf's share."""
 FORGET_AFTER_S = 600.0
 """A peer silent for this long loses its sums; should it return, they start anew."""
 
@@ -105,9 +109,10 @@
     sequence: int = 0
     complete: bool = False
     """Whether a full message came, so that a leaf not heard of before is new at the peer."""
+    silent: bool = False
     leaves: dict[int, LeafSum] = attrs.field(factory=dict)
-    silent_running: int | None = None
-    """Requests running when it fell silent; None while it is heard."""
+    rates: dict[int, float] = attrs.field(factory=dict)
+    """Work a second by leaf, of late."""
 
     def merge(self, leaf: LeafSum) -> LeafChange:
         """Take on one leaf; gives the difference."""
@@ -127,11 +132,37 @@
             waiting=leaf.waiting - former.waiting,
         )
 
+    def learn_rates(self, changes: list[LeafChange], elapsed_s: float) -> None:
+        """Learn how fast the peer uses each leaf's share."""
+        if elapsed_s <= 0:
+            return
+        keep = math.exp(-elapsed_s / RATE_WINDOW_S)
+        for key in self.rates:
+            self.rates[key] *= keep
+        for change in changes:
+            gain = (1.0 - keep) * change.work / elapsed_s
+            self.rates[change.key] = self.rates.get(change.key, 0.0) + gain
+
     def fall_silent(self) -> list[LeafChange]:
-        """Give up its demand; its committed work stays known, in case it comes back."""
-        self.silent_running = sum(leaf.running for leaf in self.leaves.values())
-        idle = [attrs.evolve(leaf, running=0, waiting=0) for leaf in self.leaves.values()]
-        return [self.merge(leaf) for leaf in idle]
+        """Cease to count its demand as heard."""
+        self.silent = True
+        return [
+            LeafChange(key=leaf.key, work=0, running=-leaf.running, waiting=-leaf.waiting)
+            for leaf in self.leaves.values()
+        ]
+
+    def return_from_silence(self, news: SumsNews) -> None:
+        """Charge nothing that it used while it was not heard.
+
+        Its use was estimated meanwhile. Charging what differs all at once, as a cut
+        ends, would shut out for minutes whoever was served over there.
+        """
+        self.silent = False
+        self.leaves = {
+            key: attrs.evolve(leaf, running=0, waiting=0) for key, leaf in self.leaves.items()
+        }
+        for leaf in news.leaves:
+            self.leaves[leaf.key] = attrs.evolve(leaf, running=0, waiting=0)
 
 
 class PeerSums:
@@ -139,58 +170,78 @@
 
     def __init__(self) -> None:
         self._peers: dict[Incarnation, _Peer] = {}
+        self._aged_at: float | None = None
 
     @property
     def live_count(self) -> int:
         """How many peers were heard of late."""
-        return sum(peer.silent_running is None for peer in self._peers.values())
+        return sum(not peer.silent for peer in self._peers.values())
 
-    def silent_running(self, *, heard_after: float) -> int:
-        """Count requests that peers, now silent, ran when last heard; they may still run."""
-        return sum(
-            peer.silent_running or 0 for peer in self._peers.values() if peer.heard_at > heard_after
-        )
+    def silent_leaves(self, *, heard_after: float) -> list[LeafSum]:
+        """Give the demand of silent peers as last heard; it may still be there."""
+        return [
+            leaf
+            for peer in self._peers.values()
+            if peer.silent and peer.heard_at > heard_after
+            for leaf in peer.leaves.values()
+        ]
 
     def receive(self, sender: Incarnation, news: SumsNews, now: float) -> list[LeafChange]:
         """Take on a peer's news; gives what it changes, nothing if it is late."""
         if any(_is_later_life(other, sender) for other in self._peers):
             return []
-        changes = self._retire_former_lives(sender)
+        changes = self._drop_former_lives(sender)
         peer = self._peers.setdefault(sender, _Peer(heard_at=now))
         if news.sequence <= peer.sequence:
             return changes
+        if peer.silent:
+            peer.return_from_silence(news)
+            peer.heard_at = now
+        merged = [peer.merge(leaf) for leaf in news.leaves]
+        peer.learn_rates(merged, now - peer.heard_at)
         peer.sequence = news.sequence
         peer.heard_at = now
-        peer.silent_running = None
-        changes.extend(peer.merge(leaf) for leaf in news.leaves)
         peer.complete = peer.complete or news.full
-        return changes
-
-    def retire(self, sender: Incarnation) -> list[LeafChange]:
-        """Give up the demand of a peer that is said to be dead or gone."""
-        peer = self._peers.get(sender)
-        if peer is None or peer.silent_running is not None:
-            return []
-        return peer.fall_silent()
+        return [*changes, *merged]
 
     def excuse(self, paused_s: float) -> None:
         """Count no silence for a time in which this VM itself was paused."""
         for peer in self._peers.values():
             peer.heard_at += paused_s
 
-    def age(self, now: float) -> list[LeafChange]:
-        """Give up the demand of peers that fell silent, and forget those long gone."""
+    def age(self, now: float, *, silent_part: float) -> list[LeafChange]:
+        """Cease to count peers that fell silent, and charge what they still seem to use.
+
+        ``silent_part`` (0..1) says how much of what they used the engines still show.
+        """
+        elapsed_s = 0.0 if self._aged_at is None else max(0.0, now - self._aged_at)
+        self._aged_at = now
         changes: list[LeafChange] = []
         for sender, peer in list(self._peers.items()):
-            if now > peer.heard_at + STALE_AFTER_S:
-                changes.extend(self.retire(sender))
+            if not peer.silent and now > peer.heard_at + STALE_AFTER_S:
+                changes.extend(peer.fall_silent())
+            if peer.silent and silent_part > 0:
+                changes.extend(_projected(peer, elapsed_s * silent_part))
             if now > peer.heard_at + FORGET_AFTER_S:
                 del self._peers[sender]
         return changes
 
-    def _retire_former_lives(self, sender: Incarnation) -> list[LeafChange]:
+    def _drop_former_lives(self, sender: Incarnation) -> list[LeafChange]:
         former = [other for other in self._peers if _is_later_life(sender, other)]
-        return [change for other in former for change in self.retire(other)]
+        changes: list[LeafChange] = []
+        for other in former:
+            peer = self._peers.pop(other)
+            if not peer.silent:
+                changes.extend(peer.fall_silent())
+        return changes
+
+
+def _projected(peer: _Peer, elapsed_s: float) -> list[LeafChange]:
+    return [
+        LeafChange(key=key, work=rate * elapsed_s, running=0, waiting=0)
+        for key, rate in peer.rates.items()
+        if rate > 0
+    ]
 
 
 def _is_later_life(one: Incarnation, other: Incarnation) -> bool:
--- a/lagoonlever/decisions/shares_ledger.py
+++ b/lagoonlever/decisions/shares_ledger.py
@@ -36,6 +36,10 @@
     running: int = 0
     waiting: int = 0
     max_running: float = math.inf
+    owed: float = 0.0
+    """How far it was behind the virtual time when it last ceased to wait."""
+    owed_at: float = 0.0
+    """The virtual time when it last ceased to wait."""
 
     @property
     def has_room(self) -> bool:
@@ -69,6 +73,7 @@
         self._accounts = {path: old.get(path) or _Account() for path in tree.paths}
         for path, account in self._accounts.items():
             account.running = account.waiting = 0
+            account.owed = 0.0
             account.max_running = max_running.get(path, math.inf)
             parent = tree.parent(path)
             if parent is None:
@@ -104,21 +109,19 @@
             account.waiting += waiting
             if account.contends and not contended:
                 self._begin_waiting(path)
+            elif contended and not account.contends:
+                self._cease_waiting(path)
 
     def has_room(self, path: str) -> bool:
         """Tell whether another request below a node may run by its limit."""
         return self._accounts[path].has_room
 
     def choose(self, eligible: Callable[[str], bool]) -> str | None:
-        """Give the leaf to serve next: from the root down, the child with the least tag."""
-        here = self._tree.root
-        while children := self._tree.children(here):
-            candidates = [path for path in children if eligible(path)]
-            if not candidates:
-                return None
-            self._advance(here)
-            here = min(candidates, key=lambda path: (self._accounts[path].tag, path))
-        return here
+        """Give the leaf to serve next: from the root down, the least tag first.
+
+        ``eligible`` is asked for inner nodes too, before what is below them.
+        """
+        return self._choose_below(self._tree.root, eligible)
 
     def tick(self, now: float) -> None:
         """Bring virtual times and their rates up to now, and bound every standing."""
@@ -131,15 +134,38 @@
             self._measure(self._accounts[path], elapsed_s)
             self._bound_children(path)
 
+    def _choose_below(self, here: str, eligible: Callable[[str], bool]) -> str | None:
+        children = self._tree.children(here)
+        if not children:
+            return here
+        candidates = [path for path in children if eligible(path)]
+        candidates.sort(key=lambda path: (self._accounts[path].tag, path))
+        for path in candidates:
+            leaf = self._choose_below(path, eligible)
+            if leaf is not None:
+                return leaf
+        return None
+
     def _begin_waiting(self, path: str) -> None:
         parent = self._tree.parent(path)
         if parent is None:
             return
-        account = self._accounts[path]
         self._advance(parent)
+        account = self._accounts[path]
+        now = self._accounts[parent].virtual_time
         # An organisation that was idle must not come back with the share it left unused:
-        # it would shut out all others until it had caught up.
-        account.tag = max(account.tag, self._accounts[parent].virtual_time)
+        # it would shut out all others until it had caught up. What it was owed before it
+        # ceased to wait fades as fast as the others were served meanwhile.
+        owed = max(0.0, account.owed - (now - account.owed_at))
+        account.tag = max(account.tag, now - owed)
+
+    def _cease_waiting(self, path: str) -> None:
+        parent = self._tree.parent(path)
+        if parent is None:
+            return
+        account = self._accounts[path]
+        account.owed_at = self._accounts[parent].virtual_time
+        account.owed = max(0.0, account.owed_at - account.tag)
 
     def _advance(self, parent: str | None) -> None:
         if parent is None:
--- a/lagoonlever/decisions/shares_meter.py
+++ b/lagoonlever/decisions/shares_meter.py
@@ -1,13 +1,16 @@
-"""What part of a pool's work each organisation takes of late, for reports."""
+"""How much work each node of the tree takes of late, and how much a slot of it does."""
 
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable, Mapping
 
 import attrs
 
-WINDOW_S = 10.0
-"""Time constant over which work is averaged."""
+WINDOW_S = 15.0
+"""Time constant over which work and running time are averaged."""
+MIN_SLOT_S = 5.0
+"""Running time below which a node's own pace is not known."""
 
 
 @attrs.frozen(kw_only=True)
@@ -24,27 +27,49 @@
     waiting_here: int
 
 
+@attrs.define(kw_only=True)
+class _Use:
+    work: float = 0.0
+    slot_s: float = 0.0
+
+    @property
+    def pace(self) -> float | None:
+        """Work a second in one slot, or None where too little has run."""
+        if self.slot_s < MIN_SLOT_S or self.work <= 0:
+            return None
+        return self.work / self.slot_s
+
+
 class ShareMeter:
-    """Work by organisation, fading with time."""
+    """Work and running time by node, fading with time."""
 
     def __init__(self) -> None:
-        self._work: dict[str, float] = {}
+        self._uses: dict[str, _Use] = {}
         self._faded_at: float | None = None
 
-    def parts(self) -> dict[str, float]:
-        """Give each organisation's part of the work of late."""
-        total = sum(max(work, 0.0) for work in self._work.values())
-        if total <= 0:
-            return {}
-        return {path: max(work, 0.0) / total for path, work in self._work.items()}
+    def parts(self, paths: Iterable[str]) -> dict[str, float]:
+        """Give the part of each of some nodes in the work that they all took of late."""
+        work = {path: max(0.0, self._use(path).work) for path in paths}
+        total = sum(work.values())
+        return {path: one / total for path, one in work.items()} if total > 0 else {}
 
-    def add(self, organisation: str, work: float) -> None:
-        """Count work (negative: given back)."""
-        self._work[organisation] = self._work.get(organisation, 0.0) + work
+    def pace(self, path: str, *, above: str) -> float:
+        """Give the work a second of a node's slots; where not known that of the node above."""
+        return self._use(path).pace or self._use(above).pace or 1.0
 
-    def tick(self, now: float) -> None:
-        """Let what was counted fade."""
+    def add(self, paths: Iterable[str], work: float) -> None:
+        """Count work (negative: given back) for some nodes."""
+        for path in paths:
+            self._use(path).work += work
+
+    def tick(self, now: float, running: Mapping[str, int]) -> None:
+        """Let what was counted fade, and count the time that requests ran."""
         elapsed_s = 0.0 if self._faded_at is None else now - self._faded_at
         self._faded_at = now
         fade = math.exp(-elapsed_s / WINDOW_S)
-        self._work = {path: work * fade for path, work in self._work.items()}
+        for path, use in self._uses.items():
+            use.work *= fade
+            use.slot_s = use.slot_s * fade + running.get(path, 0) * elapsed_s
+
+    def _use(self, path: str) -> _Use:
+        return self._uses.setdefault(path, _Use())
--- a/lagoonlever/decisions/shares_slots.py
+++ b/lagoonlever/decisions/shares_slots.py
@@ -35,7 +35,7 @@
 class LeafDemand:
     """Requests of one leaf that run or wait, on all VMs and on this one."""
 
-    total: int
+    total: float
     own: int
 
 
@@ -84,18 +84,16 @@
     }
 
 
-def usable_slots(*, report: PoolReport, known_running: int, silent_running: float) -> float:
-    """Give the slots that are not held by peers that fell silent.
+def silent_part(*, excess: float, silent_running: float) -> float:
+    """Give the part (0..1) of what silent peers ran that the engines still show.
 
-    A peer that is cut off goes on using engines. Only the engines tell so: what
-    runs there beyond what the peers still heard say is the silent ones', up to
-    what these last said. A dead peer's streams end, the reports show it, and
-    its slots come back; a late or wrong report can take no more than that.
+    A peer that is cut off goes on using engines, and only the engines tell so:
+    ``excess`` is what runs there beyond what the peers still heard say, averaged.
+    A dead peer's streams end, the reports show it, and its slots come back.
     """
-    if report.running is None:
-        return max(0.0, report.slots - silent_running)
-    unexplained = max(0, report.running - known_running)
-    return max(0.0, report.slots - min(unexplained, silent_running))
+    if silent_running <= 0:
+        return 0.0
+    return min(max(excess / silent_running, 0.0), 1.0)
 
 
 def _divide(
--- a/lagoonlever/entry/admission.py
+++ b/lagoonlever/entry/admission.py
@@ -16,7 +16,7 @@
 
 from lagoonlever.decisions.admission import Admission, AdmissionRequest, Decision, Granted
 from lagoonlever.decisions.limits import retry_after_s
-from lagoonlever.decisions.membership import MemberState, MemberView
+from lagoonlever.decisions.membership import MemberView
 from lagoonlever.decisions.shares_meter import OrganisationStanding
 from lagoonlever.decisions.shares_settings import pool_reports, share_settings
 from lagoonlever.decisions.shares_slots import PoolReport
@@ -219,13 +219,10 @@
     def _take_in_members(self, former: MemberView | None, view: MemberView) -> None:
         known = () if former is None else former.members
         heard = {member.incarnation for member in known}
-        dead = {member.incarnation for member in known if member.state is MemberState.DEAD}
-        for member in view.members:
-            for pool in self._pools.values():
-                if member.incarnation not in heard:
-                    pool.greet()
-                if member.state is MemberState.DEAD and member.incarnation not in dead:
-                    pool.retire(member.incarnation)
+        if all(member.incarnation in heard for member in view.members):
+            return
+        for pool in self._pools.values():
+            pool.greet()
 
     def _poll(self, name: str, pool: Admission) -> None:
         for decision in pool.poll(self._timers.now):
