--- a/lagoonlever/config/vm.py
+++ b/lagoonlever/config/vm.py
@@ -19,6 +19,7 @@
 from lagoonlever.config.options import option
 from lagoonlever.decisions.addresses import AddressesSettings
 from lagoonlever.decisions.membership_settings import MembershipSettings
+from lagoonlever.decisions.settings_version import SettingsVersionOptions
 from lagoonlever.decisions.suspicion_settings import DetectionSettings
 from lagoonlever.entry.generations import GenerationSettings
 from lagoonlever.entry.services_settings import ServiceSettings
@@ -86,6 +87,10 @@
     membership: MembershipSettings = option(
         doc="How the entry VMs watch each other.", factory=MembershipSettings
     )
+    settings: SettingsVersionOptions = option(
+        doc="How long this VM relies on the settings tree that it knows.",
+        factory=SettingsVersionOptions,
+    )
     targets: TargetSettings = option(doc="How this VM watches the targets.", factory=TargetSettings)
     generation: GenerationSettings = option(
         doc="Bounds on the generations of this VM.", factory=GenerationSettings
