--- a/lagoonlever/client/caller.py
+++ b/lagoonlever/client/caller.py
@@ -11,6 +11,7 @@
 
 from lagoonlever.client.answers import HeldStream
 from lagoonlever.client.history import CallerHistory
+from lagoonlever.entry.addresses import EntryAnswer
 from lagoonlever.exceptions import LagoonleverException, PeerError
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.http.client import ClientConnection, fetch
@@ -52,15 +53,6 @@
     deadline_s: float | None = None
 
 
-@attrs.frozen(kw_only=True)
-class EntryAnswer:
-    """Which entry VMs to use, and for how long to believe it."""
-
-    addresses: tuple[str, ...]
-    lifetime_s: float
-    key_home: str = ""
-
-
 @attrs.define(kw_only=True)
 class Arrival:
     """When a piece of the answer came, by the monotonic clock, and what it added."""
--- a/lagoonlever/decisions/generation.py
+++ b/lagoonlever/decisions/generation.py
@@ -97,8 +97,8 @@
     resume: bool = False
     delay_s: float = 0.0
     """Wait so long first: attempts that break one after the other must not spin."""
-    reattach_to: int | None = None
-    """Take up the engine's own stream of this earlier attempt, if it is still there."""
+    reattach: bool = False
+    """Take up the engine's own stream, which another VM began under this attempt's number."""
     reattach_target: str | None = None
     reattach_after: int = 0
     """How many output tokens of that stream are released already."""
@@ -249,11 +249,11 @@
         point = self._resume_point
         if point is None:
             return [self._dispatch()]
-        first = self._dispatch(resume=True)
+        first = self._dispatch(resume=True, number=point.attempt)
         return [
             attrs.evolve(
                 first,
-                reattach_to=point.attempt,
+                reattach=True,
                 reattach_target=point.target,
                 reattach_after=self.released - point.attempt_start,
             )
@@ -397,12 +397,21 @@
     def _is_full(self) -> bool:
         return self.released >= self._spec.max_tokens
 
+    def _next_number(self) -> int:
+        self._counter += 1
+        drawn = self._rng.getrandbits(ATTEMPT_RANDOM_BITS)
+        return (self._counter << ATTEMPT_RANDOM_BITS) | drawn
+
     def _dispatch(
-        self, *, hedge: bool = False, resume: bool = False, avoid: frozenset[str] = frozenset()
+        self,
+        *,
+        hedge: bool = False,
+        resume: bool = False,
+        avoid: frozenset[str] = frozenset(),
+        number: int | None = None,
     ) -> Dispatch:
-        self._counter += 1
         self._attempts_started += 1
-        number = (self._counter << ATTEMPT_RANDOM_BITS) | self._rng.getrandbits(ATTEMPT_RANDOM_BITS)
+        number = self._next_number() if number is None else number
         prefix = self._answer.token_ids if self._answer else ()
         self._live[number] = _Attempt(
             number=number,
--- a/lagoonlever/entry/attempt.py
+++ b/lagoonlever/entry/attempt.py
@@ -71,10 +71,10 @@
         try:
             if not self._before_write():
                 raise ConnectFailed("takes no new work", step=STREAM_STEP, peer=str(self._address))
-            if self._dispatch.reattach_to is None:
-                await self._start(connection)
+            if self._dispatch.reattach:
+                await self._reattach(connection)
             else:
-                await self._reattach(connection, self._dispatch.reattach_to)
+                await self._start(connection)
             await self._read(connection)
         finally:
             with trio.CancelScope(shield=True):
@@ -89,8 +89,10 @@
             step=STREAM_STEP,
         )
 
-    async def _reattach(self, connection: ClientConnection, attempt: int) -> None:
-        path = reattach_path(self._spec, attempt, starting_after=self._dispatch.reattach_after)
+    async def _reattach(self, connection: ClientConnection) -> None:
+        path = reattach_path(
+            self._spec, self._dispatch.attempt, starting_after=self._dispatch.reattach_after
+        )
         await connection.start(method="GET", path=path, step=REATTACH_STEP)
 
     async def _read(self, connection: ClientConnection) -> None:
@@ -117,8 +119,8 @@
             raise BadResponse(str(error), step=STREAM_STEP, peer=str(self._address)) from error
 
 
-async def cancel_at_engine(*, spec: GenerationSpec, attempt: int, address: Address) -> bool:
-    """Cancel an attempt at its engine; gives whether the engine answered.
+async def cancel_stream(engine: Address, name: str) -> bool:
+    """Cancel a stream at its engine; gives whether the engine answered.
 
     Tried again for a while: a frozen engine that thaws would go on generating
     an answer that nobody reads, up to its full length.
@@ -128,9 +130,9 @@
             await trio.sleep(CANCEL_RETRY_S)
         try:
             await fetch(
-                address,
+                engine,
                 method="POST",
-                path=cancel_path(spec, attempt),
+                path=cancel_path(name),
                 step=CANCEL_STEP,
                 timeout_s=CANCEL_TIMEOUT_S,
             )
--- a/lagoonlever/entry/engines.py
+++ b/lagoonlever/entry/engines.py
@@ -14,10 +14,12 @@
 from lagoonlever.decisions.shares import work_of
 from lagoonlever.decisions.targets import Target, TargetView
 from lagoonlever.entry.admission import Admitted
-from lagoonlever.entry.attempt import cancel_at_engine
+from lagoonlever.entry.attempt import cancel_stream
 from lagoonlever.entry.engine_watch import EngineWatch, VerdictTaker
 from lagoonlever.entry.published import Published
+from lagoonlever.http.messages import Address
 from lagoonlever.outcomes import NotRun
+from lagoonlever.targets.completions import stream_id
 from lagoonlever.timers import TimerService
 
 CHARGE_TOKENS = 8
@@ -67,6 +69,15 @@
     tokens: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class OpenStream:
+    """A stream at an engine that this VM reads, for the peer that would cancel it."""
+
+    request_id: str
+    engine: Address
+    since: float
+
+
 @attrs.define(kw_only=True)
 class Engines:
     """Finds a slot and an engine for each dispatch, and follows the attempt to its end."""
@@ -79,12 +90,18 @@
     _background: trio.Nursery
     _observe: Callable[[GenerationSpec, Dispatch, Target], None] = lambda *_: None
     """Told of each dispatch right before it is written, for histories."""
+    _open: dict[str, OpenStream] = attrs.field(factory=dict)
 
     @property
     def watch(self) -> EngineWatch:
         """The watch over the streams, to be subscribed to the timer service."""
         return self._watch
 
+    @property
+    def open_streams(self) -> dict[str, OpenStream]:
+        """The streams that this VM reads now, by the engines' ids of them."""
+        return self._open
+
     def models(self) -> frozenset[str]:
         """Give the models that callers can ask for now, as a request names them."""
         return frozenset(key.model_field for key in self._guard.view.value.models())
@@ -120,13 +137,18 @@
         """Note that a request is being written."""
         self._observe(spec, dispatch, placement.target)
         self._router.dispatched(placement.features, placement.target.name)
+        self._open[stream_id(spec, dispatch.attempt)] = OpenStream(
+            request_id=spec.request_id,
+            engine=placement.target.address,
+            since=self._timers.now,
+        )
         self._watch.opened(
             taker=task,
             engine=placement.target.name,
             attempt=dispatch.attempt,
             prompt_tokens=placement.features.prompt_tokens,
         )
-        if dispatch.reattach_to is None:
+        if not dispatch.reattach:
             work = work_of(prefill_tokens=placement.features.prompt_tokens)
             self._admission.charge(placement.grant, work)
 
@@ -140,10 +162,17 @@
         if placement.uncharged_tokens >= CHARGE_TOKENS:
             self._charge(placement)
 
-    def ended(self, dispatch: Dispatch, placement: Placement, cause: BreakCause | None) -> None:
+    def ended(
+        self,
+        spec: GenerationSpec,
+        dispatch: Dispatch,
+        placement: Placement,
+        cause: BreakCause | None,
+    ) -> None:
         """Note that an attempt is over; ``cause`` is None at an answer's proper end."""
         now = self._timers.now
         target = placement.target
+        self._open.pop(stream_id(spec, dispatch.attempt), None)
         self._watch.closed(engine=target.name, attempt=dispatch.attempt)
         self._charge(placement)
         self._admission.release(placement.grant)
@@ -152,13 +181,10 @@
         if cause in (BreakCause.CONNECT_FAILED, BreakCause.SILENT):
             self._guard.connect_failed(target)
 
-    def cancel(self, spec: GenerationSpec, attempt: int, target: Target) -> None:
+    def cancel(self, spec: GenerationSpec, dispatch: Dispatch, target: Target) -> None:
         """Have an attempt cancelled at its engine, in the background."""
-
-        async def cancel() -> None:
-            await cancel_at_engine(spec=spec, attempt=attempt, address=target.address)
-
-        self._background.start_soon(cancel)
+        name = stream_id(spec, dispatch.attempt)
+        self._background.start_soon(cancel_stream, target.address, name)
 
     def _serving(self, query: ModelQuery) -> bool:
         view = self._guard.view.value
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -144,7 +144,7 @@
     def _start_attempt(self, dispatch: Dispatch) -> None:
         if self._nursery is None:
             return
-        self._attempt_starts[dispatch.attempt] = len(dispatch.prefix)
+        self._attempt_starts[dispatch.attempt] = len(dispatch.prefix) - dispatch.reattach_after
         running = _RunningAttempt(dispatch=dispatch, scope=trio.CancelScope())
         self._running[dispatch.attempt] = running
         self._nursery.start_soon(self._run_attempt, running)
@@ -161,7 +161,7 @@
         running.cancelled = True
         running.scope.cancel()
         if running.placement is not None:
-            self._engines.cancel(self.spec, attempt, running.placement.target)
+            self._engines.cancel(self.spec, running.dispatch, running.placement.target)
 
     async def _run_attempt(self, running: _RunningAttempt) -> None:
         dispatch = running.dispatch
@@ -179,7 +179,7 @@
             finally:
                 if running.scope.cancel_called:
                     cause = BreakCause.SILENT
-                self._engines.ended(dispatch, placement, cause)
+                self._engines.ended(self.spec, dispatch, placement, cause)
         if cause is not None:
             self._carry_out(self._life.broken(attempt=dispatch.attempt, cause=cause))
         self._running.pop(dispatch.attempt, None)
@@ -215,7 +215,7 @@
         except ConnectFailed:
             return BreakCause.CONNECT_FAILED
         except EngineRefused:
-            return BreakCause.REFUSED if dispatch.reattach_to is None else BreakCause.NOT_THERE
+            return BreakCause.NOT_THERE if dispatch.reattach else BreakCause.REFUSED
         except PeerError:
             return BreakCause.BROKEN
         return BreakCause.BROKEN if self._life.finished is None else None
--- a/lagoonlever/entry/request_metrics.py
+++ b/lagoonlever/entry/request_metrics.py
@@ -123,7 +123,7 @@
             return
         kind = "hedge" if dispatch.hedge else "resume"
         self._metrics.add(RETRIES, 1, self._organisation, kind)
-        if dispatch.reattach_to is None:
+        if not dispatch.reattach:
             tokens = len(dispatch.prompt_token_ids or ()) + len(dispatch.prefix)
             self._metrics.add(EXTRA_WORK, tokens, self._organisation, kind)
 
--- a/lagoonlever/peers/messages_generations.py
+++ b/lagoonlever/peers/messages_generations.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lagoonlever.decisions.orphans import StreamRecord
 from lagoonlever.peers.messages import PEER
 
 
@@ -19,3 +20,19 @@
     organisation: str
     request_id: str
     attempt: int
+
+
+@PEER.message("streams-opened")
+@attrs.frozen(kw_only=True)
+class StreamsOpened:
+    """The sender reads on these streams; the receiver cancels them should the sender die."""
+
+    records: tuple[StreamRecord, ...]
+
+
+@PEER.message("streams-closed")
+@attrs.frozen(kw_only=True)
+class StreamsClosed:
+    """The sender has ended its reading of these streams."""
+
+    stream_ids: tuple[str, ...]
--- a/lagoonlever/targets/completions.py
+++ b/lagoonlever/targets/completions.py
@@ -101,6 +101,6 @@
     return f"/v1/responses/{stream_id(spec, attempt)}?stream=true&starting_after={starting_after}"
 
 
-def cancel_path(spec: GenerationSpec, attempt: int) -> str:
-    """Give the path that cancels an attempt at its engine."""
-    return f"/v1/responses/{stream_id(spec, attempt)}/cancel"
+def cancel_path(name: str) -> str:
+    """Give the path that cancels a stream of this id at its engine."""
+    return f"/v1/responses/{name}/cancel"
