--- a/lagoonlever/decisions/membership_prober.py
+++ b/lagoonlever/decisions/membership_prober.py
@@ -53,7 +53,7 @@
         ack = Ack(
             sequence=ping.sequence,
             own=self._roster.own_news(now),
-            digest=self._roster.table.digest,
+            digest=self._roster.digest,
             news=(
                 *self._roster.correction(ping.own, now),
                 *self._roster.take_riding_news(now),
@@ -71,7 +71,7 @@
         passed_on = Ack(
             sequence=relay.sequence,
             own=self._roster.own_news(now),
-            digest=self._roster.table.digest,
+            digest=self._roster.digest,
             news=(ack.own,),
         )
         self._outbox.send(relay.asker_address, passed_on, expected=relay.asker)
@@ -132,15 +132,17 @@
         ping = Ping(
             sequence=sequence,
             own=self._roster.own_news(now),
-            digest=self._roster.table.digest,
+            digest=self._roster.digest,
             news=self._roster.take_riding_news(now, about=target),
         )
         self._outbox.send(target.peers, ping, expected=target.incarnation)
 
     def _ask_helpers(self, now: float) -> None:
         for sequence, probe in self._book.probes.items():
+            if probe.helpers_asked or now < probe.ask_helpers_at:
+                continue
             target = self._roster.table.find(probe.target)
-            if probe.helpers_asked or now < probe.ask_helpers_at or target is None:
+            if target is None:
                 continue
             helpers = self._choose_helpers(target)
             probe.helpers_asked = True
--- a/lagoonlever/decisions/membership_protocol.py
+++ b/lagoonlever/decisions/membership_protocol.py
@@ -146,7 +146,6 @@
             return
         if paused_s > 0:
             self._distrust(now)
-        self._roster.table.forget_old_dead(now)
         self._prober.tick(now)
         self._roster.end_suspicions(now)
         self._contact_strangers(now)
@@ -199,6 +198,7 @@
         alone = not self._roster.others
         wait_s = self._settings.period_s if alone else self._settings.contact_interval_s
         self._contact_due = now + wait_s * self._random.uniform(0.5, 1.5)
+        self._roster.table.forget_old_dead(now)
         strangers = self._strangers()
         count = min(len(strangers), CONTACTS_AT_ONCE if alone else 1)
         for address in self._random.sample(strangers, count):
@@ -215,14 +215,14 @@
         ping = Ping(
             sequence=0,
             own=self._roster.own_news(now),
-            digest=self._roster.table.digest,
+            digest=self._roster.digest,
             news=tuple(record.news(now) for record in told),
         )
         self._outbox.send(address, ping)
 
     def _sync_if_different(self, peer: MemberNews, digest: int, now: float) -> None:
         """Ask for what a peer knows otherwise, at a bounded rate."""
-        if digest == self._roster.table.digest or now < self._sync_due:
+        if digest == self._roster.digest or now < self._sync_due:
             return
         self._sync_due = now + SYNC_INTERVAL_S
         request = SyncRequest(own=self._roster.own_news(now), buckets=self._roster.table.buckets)
--- a/lagoonlever/decisions/membership_roster.py
+++ b/lagoonlever/decisions/membership_roster.py
@@ -19,6 +19,15 @@
 from lagoonlever.peers.messages_membership import MemberNews, Status
 
 
+@attrs.frozen(kw_only=True)
+class _Summary:
+    """What follows from the table; made anew after a change, not for each message."""
+
+    others: tuple[Record, ...]
+    digest: int
+    neighbours: Neighbours
+
+
 @attrs.define(kw_only=True, eq=False)
 class Roster:
     """The members as this VM knows them; times in seconds of its monotonic clock."""
@@ -32,7 +41,8 @@
     own: Record = attrs.field(init=False)
     changed: bool = attrs.field(default=True, init=False)
     superseded: bool = attrs.field(default=False, init=False)
-    _overlay: Neighbours | None = attrs.field(default=None, init=False)
+    _summary: _Summary | None = attrs.field(default=None, init=False)
+    _suspected: set[str] = attrs.field(factory=set, init=False)
     _fill_turn: int = attrs.field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -46,17 +56,19 @@
         self.table.put(self.own)
 
     @property
-    def others(self) -> list[Record]:
+    def others(self) -> tuple[Record, ...]:
         """The other members that are not dead."""
-        return [record for record in self.table if record.live and record is not self.own]
+        return self._summed_up.others
+
+    @property
+    def digest(self) -> int:
+        """A digest of all members that are not dead."""
+        return self._summed_up.digest
 
     @property
     def neighbours(self) -> Neighbours:
         """The neighbours on the overlay of the members that are not dead."""
-        if self._overlay is None:
-            names = (record.incarnation.name for record in self.others)
-            self._overlay = neighbours(self._own.incarnation.name, names)
-        return self._overlay
+        return self._summed_up.neighbours
 
     @property
     def watched(self) -> list[Record]:
@@ -68,6 +80,18 @@
         """The members that this one passes changes to."""
         return self._records(self.neighbours.adjacent)
 
+    @property
+    def _summed_up(self) -> _Summary:
+        if self._summary is None:
+            others = tuple(r for r in self.table if r.live and r is not self.own)
+            names = (record.incarnation.name for record in others)
+            self._summary = _Summary(
+                others=others,
+                digest=self.table.digest,
+                neighbours=neighbours(self._own.incarnation.name, names),
+            )
+        return self._summary
+
     def view(self, now: float) -> MemberView:
         """Give the members as others may read them."""
         members = sorted((r.member(now) for r in self.table), key=lambda member: member.name)
@@ -117,17 +141,15 @@
 
     def end_suspicions(self, now: float) -> None:
         """Count as dead whoever has not answered its suspicion in time."""
-        for record in self.table:
-            if record.suspect_until is None or now < record.suspect_until:
-                continue
-            record.set_status(version=record.version, status=Status.DEAD, now=now)
-            self.note_change(record)
+        for record in self._under_suspicion():
+            if record.suspect_until is not None and now >= record.suspect_until:
+                record.set_status(version=record.version, status=Status.DEAD, now=now)
+                self.note_change(record)
 
     def restart_suspicions(self, now: float) -> None:
         """Give every suspected member its full time again."""
-        for record in self.table:
-            if record.suspect_until is not None:
-                self._start_suspicion(record, now)
+        for record in self._under_suspicion():
+            self._start_suspicion(record, now)
 
     def mark_leaving(self, record: Record) -> None:
         """Mark a life as leaving; there is no way back."""
@@ -140,7 +162,7 @@
         """Note that peers must hear of a member, and readers see a new view."""
         self.queue.add(record.incarnation.name)
         self.changed = True
-        self._overlay = None
+        self._summary = None
 
     def _merge(self, news: MemberNews, now: float) -> None:
         record = self.table.named(news.name)
@@ -183,6 +205,13 @@
     def _start_suspicion(self, record: Record, now: float) -> None:
         patience_s = self._settings.suspicion_periods * self._settings.period_s
         record.suspect_until = now + patience_s * self.health.factor
+        self._suspected.add(record.incarnation.name)
+
+    def _under_suspicion(self) -> list[Record]:
+        records = self._records(sorted(self._suspected))
+        running = [record for record in records if record.suspect_until is not None]
+        self._suspected = {record.incarnation.name for record in running}
+        return running
 
     def _next_fill(self) -> str | None:
         others = self.others
