--- a/lagoonlever/decisions/hedging.py
+++ b/lagoonlever/decisions/hedging.py
@@ -24,10 +24,15 @@
 SAMPLES_NEEDED = 16
 SORT_EVERY = 16
 
+TARGET_S = 0.25
+"""Answers slower than this mean that a runner has more calls than it should."""
+LIMIT_CUT = 0.7
+
 STALLED_AFTER_LOSSES = 2
 FIRST_AVOID_S = 0.5
 MOST_AVOID_S = 8.0
 MAX_ATTEMPTS = 3
+LATE_TURN_S = 0.005
 RECHECK_S = 0.05
 """A call that waits while the budget is empty looks again after this time."""
 
@@ -65,8 +70,10 @@
 class RunnerState:
     """What this VM has learnt of one runner."""
 
+    limit: float
     budget: RetryBudget = attrs.field(factory=RetryBudget)
     outstanding: int = 0
+    limit_cut_at: float = float("-inf")
     losses: int = 0
     avoid_s: float = FIRST_AVOID_S
     avoid_until: float = 0.0
@@ -87,18 +94,22 @@
 
     _rng: random.Random
     _max_outstanding: int
+    _target_s: float = TARGET_S
+    _new_budget: Callable[[], RetryBudget] = RetryBudget
     _states: dict[str, RunnerState] = attrs.field(factory=dict)
 
     def state(self, name: str) -> RunnerState:
         """Give what is known of a runner."""
-        return self._states.setdefault(name, RunnerState())
+        if name not in self._states:
+            self._states[name] = RunnerState(limit=self._max_outstanding, budget=self._new_budget())
+        return self._states[name]
 
     def choose(self, names: Iterable[str], *, now: float, probe: bool = True) -> str | None:
         """Choose a runner for an attempt, or None when each is stalled or full.
 
         Only a first attempt may ``probe``; a hedge goes where an answer is likely.
         """
-        free = [name for name in names if self.state(name).outstanding < self._max_outstanding]
+        free = [name for name in names if self._has_room(name)]
         stalled = [name for name in free if self.state(name).stalled]
         due = [name for name in stalled if self._probe_due(name, now)]
         if probe and due:
@@ -117,9 +128,17 @@
         """Note an attempt on its way."""
         self.state(name).outstanding += 1
 
-    def on_answer(self, name: str) -> None:
-        """Note a whole answer: the runner is well."""
+    def on_answer(self, name: str, *, now: float, latency_s: float) -> None:
+        """Note a whole answer: the runner is well, if it was in time.
+
+        Answers that take longer than the target mean a queue at the runner.
+        Calls that would only lengthen it are refused at once instead.
+        """
         state = self.state(name)
+        if latency_s > self._target_s:
+            self._cut_limit(state, now)
+        else:
+            state.limit = min(self._max_outstanding, state.limit + 1.0 / state.limit)
         state.outstanding = max(0, state.outstanding - 1)
         state.losses = 0
         state.avoid_s = FIRST_AVOID_S
@@ -127,8 +146,10 @@
         state.budget.on_success()
 
     def on_failure(self, name: str, *, now: float) -> None:
-        """Note a broken or refused attempt."""
-        self.state(name).budget.on_overload()
+        """Note an attempt that was broken, refused, or not answered in its time."""
+        state = self.state(name)
+        state.budget.on_overload()
+        self._cut_limit(state, now)
         self.on_loss(name, now=now)
 
     def on_loss(self, name: str, *, now: float) -> None:
@@ -139,6 +160,17 @@
         if state.losses == STALLED_AFTER_LOSSES:
             state.avoid_until = now + state.avoid_s
 
+    def _has_room(self, name: str) -> bool:
+        state = self.state(name)
+        return state.outstanding < int(state.limit)
+
+    def _cut_limit(self, state: RunnerState, now: float) -> None:
+        """Allow fewer calls; once in ``target_s``, as the calls now open tell the same story."""
+        if now - state.limit_cut_at < self._target_s:
+            return
+        state.limit_cut_at = now
+        state.limit = max(1.0, state.limit * LIMIT_CUT)
+
     def _probe_due(self, name: str, now: float) -> bool:
         state = self.state(name)
         return now >= state.avoid_until and state.outstanding == 0
@@ -212,20 +244,22 @@
             return Stop(sent=self.attempts > 0, timed_out=True)
         if not self._sent_at:
             return self._first(now)
-        if now < self._hedge_at and self._open:
+        if self._open and not self._due(now):
             return Wait(until=min(self._hedge_at, self._deadline))
         extra = self._extra(now)
         if extra is not None:
             return extra
-        if self._open:
-            return Wait(until=min(self._deadline, now + RECHECK_S))
-        return Stop(sent=True, timed_out=False)
+        if not self._open:
+            return Stop(sent=True, timed_out=False)
+        self._hedge_at = now + RECHECK_S
+        return Wait(until=min(self._hedge_at, self._deadline))
 
     def on_answer(self, runner: str, now: float) -> None:
         """Take a whole answer: the call is over, other attempts are given up."""
         self._open.discard(runner)
-        self._runners.on_answer(runner)
-        self._delay.on_answer(now - self._sent_at[runner])
+        latency_s = now - self._sent_at[runner]
+        self._runners.on_answer(runner, now=now, latency_s=latency_s)
+        self._delay.on_answer(latency_s)
         self._budget.on_success()
         self.give_up(now)
 
@@ -249,7 +283,20 @@
     def on_timeout(self, now: float) -> None:
         """Note that the deadline passed without an answer: a sign of overload."""
         self._budget.on_overload()
-        self.give_up(now)
+        for runner in self._open:
+            self._runners.on_failure(runner, now=now)
+        self._open.clear()
+
+    def _due(self, now: float) -> bool:
+        """Tell whether a hedge is due; once more later if this process was late itself.
+
+        A process that gets its turn late finds every call late, with the
+        answers waiting in its sockets. Hedging them all would double the load
+        just when there is no time for it.
+        """
+        if now - self._hedge_at > LATE_TURN_S:
+            self._hedge_at = now + self._delay.delay_s
+        return now >= self._hedge_at
 
     def _first(self, now: float) -> CallDecision:
         runner = self._runners.choose(self._live_names(), now=now)
--- a/lagoonlever/entry/services.py
+++ b/lagoonlever/entry/services.py
@@ -87,7 +87,11 @@
         self._organisation_of = organisation_of
         self._recorder = recorder
         self._pauses = PauseWatch(timers=timers)
-        self._runners = Runners(rng=rng, max_outstanding=settings.max_outstanding)
+        self._runners = Runners(
+            rng=rng,
+            max_outstanding=settings.max_outstanding,
+            target_s=settings.lookup_target_s,
+        )
         table = HomeTable(
             own=own,
             born_at=timers.now,
--- a/lagoonlever/entry/services_dispatch.py
+++ b/lagoonlever/entry/services_dispatch.py
@@ -145,6 +145,7 @@
         """Write and read; whatever goes wrong from here on is "unknown"."""
         name = target.name
         self._runners.on_sent(name)
+        sent_at = self._timers.now
         try:
             with trio.fail_after(self._settings.call_timeout_s):
                 response = await exchange_on(
@@ -164,7 +165,8 @@
                 f" ({error or 'timed out'}); it will not be sent again."
                 " Look up its effect before sending it under a new key",
             )
-        self._runners.on_answer(name)
+        now = self._timers.now
+        self._runners.on_answer(name, now=now, latency_s=now - sent_at)
         return service_answer(response, service=call.service, idempotent=False)
 
     def _refused(self, refused: Refuse) -> StoredAnswer:
--- a/lagoonlever/entry/services_lookups.py
+++ b/lagoonlever/entry/services_lookups.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import random
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -44,9 +45,10 @@
 
 @attrs.define(kw_only=True)
 class LookupCounts:
-    """Counts of what lookups cost: calls, attempts beyond the first, calls without an answer."""
+    """What lookups cost: calls, those sent at all, attempts beyond the first, unanswered."""
 
     calls: int = 0
+    sent: int = 0
     extra_attempts: int = 0
     unanswered: int = 0
 
@@ -60,6 +62,7 @@
     _timers: TimerService
     _settings: ServiceSettings
     _rng: random.Random
+    _new_budget: Callable[[], RetryBudget] = RetryBudget
     _pool: Pool = attrs.field(factory=Pool)
     _delays: dict[str, HedgeDelay] = attrs.field(factory=dict)
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
@@ -73,6 +76,7 @@
             answer = await self._drive(call, hedged, nursery, send, receive)
             nursery.cancel_scope.cancel()
         self.counts.calls += 1
+        self.counts.sent += min(1, hedged.attempts)
         self.counts.extra_attempts += max(0, hedged.attempts - 1)
         return answer
 
@@ -101,7 +105,9 @@
     def _budget(self, organisation: str) -> RetryBudget:
         if organisation not in self._budgets and len(self._budgets) >= MAX_ORGANISATIONS:
             self._budgets.pop(next(iter(self._budgets)))
-        return self._budgets.setdefault(organisation, RetryBudget())
+        if organisation not in self._budgets:
+            self._budgets[organisation] = self._new_budget()
+        return self._budgets[organisation]
 
     async def _drive(
         self,
--- a/lagoonlever/entry/services_settings.py
+++ b/lagoonlever/entry/services_settings.py
@@ -44,6 +44,12 @@
     lookup_timeout_s: float = option(
         default=2.0, at_least=0.01, at_most=60, doc="Time for an idempotent call in all."
     )
+    lookup_target_s: float = option(
+        default=0.25,
+        at_least=0.005,
+        at_most=60,
+        doc="Answers slower than this show a queue; fewer calls are then sent to that runner.",
+    )
     call_timeout_s: float = option(
         default=10.0, at_least=0.1, at_most=300, doc="Time for a call that may not be repeated."
     )
--- a/lagoonlever/tests/hedging_tests.py
+++ b/lagoonlever/tests/hedging_tests.py
@@ -147,7 +147,7 @@
     assert runners.choose(NAMES, now=9.0) == "a"
     assert "a" not in {runners.choose(NAMES, now=9.1) for _ in range(50)}
     runners.on_sent("a")
-    runners.on_answer("a")
+    runners.on_answer("a", now=9.2, latency_s=0.01)
     assert "a" in {runners.choose(NAMES, now=9.2) for _ in range(50)}
 
 
