--- a/lagoonlever/bench/entry_vm.py
+++ b/lagoonlever/bench/entry_vm.py
@@ -11,10 +11,10 @@
 import attrs
 import trio
 
-from lagoonlever.client.caller import EntryAnswer
 from lagoonlever.decisions.membership import Member, MemberState, MemberView
 from lagoonlever.decisions.suspicion_settings import DetectionSettings
 from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad, TargetView
+from lagoonlever.entry.addresses import EntryAnswer
 from lagoonlever.entry.admission import AdmissionPart
 from lagoonlever.entry.callers import CallerDirectory
 from lagoonlever.entry.generations import GenerationSettings
