Freeze a real process in the bus test; close connections of vanished peers

Cause: the receiving socket never writes, so a peer that vanishes without a word left its connection open until the process ended; keepalives once a minute end it.

--- a/lagoonlever/peers/bus.py
+++ b/lagoonlever/peers/bus.py
@@ -27,6 +27,8 @@
 T = TypeVar("T")
 
 RECEIVE_HWM = 256
+KEEPALIVE_S = 60
+KEEPALIVE_PROBES = 3
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 RECEIVE_BATCH = 64
 """Messages that are read before other tasks get their turn."""
@@ -66,6 +68,12 @@
         router.setsockopt(zmq.LINGER, 0)
         router.setsockopt(zmq.RCVHWM, RECEIVE_HWM)
         router.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        # This socket only reads, so without keepalives the connection of a VM that
+        # vanished without a word would stay open for ever.
+        router.setsockopt(zmq.TCP_KEEPALIVE, 1)
+        router.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_S)
+        router.setsockopt(zmq.TCP_KEEPALIVE_INTVL, KEEPALIVE_S)
+        router.setsockopt(zmq.TCP_KEEPALIVE_CNT, KEEPALIVE_PROBES)
         router.setsockopt(zmq.IPV6, int(":" in self._listen.host))
         router.bind(endpoint(self._listen))
         bound = router.getsockopt_string(zmq.LAST_ENDPOINT).removeprefix("tcp://")
--- a/lagoonlever/tests/bus_tests.py
+++ b/lagoonlever/tests/bus_tests.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import signal
+import subprocess
+import sys
 from collections.abc import Callable
 
 import attrs
@@ -153,3 +156,77 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_a_frozen_process_that_thaws_drops_the_frames_of_its_freeze(guarded: bool) -> None:
+    """A VM that thaws acts on what was said to it before the others gave it up.
+
+    A real process is stopped by a signal, frames go on being sent to it, and it
+    is continued when they are long out of date. Without the age guard it takes
+    them for new.
+    """
+
+    async def main() -> None:
+        command = [sys.executable, "-m", "lagoonlever.tests.bus_receiver"]
+        process = await trio.lowlevel.open_process(
+            command if guarded else [*command, "unguarded"], stdout=subprocess.PIPE
+        )
+        assert process.stdout is not None
+        lines = Lines(process.stdout)
+        sender = bus("vm-1")
+        try:
+            with trio.fail_after(PATIENCE_S * 2):
+                port = int(await lines.next())
+                seen = await freeze_and_thaw(sender, process, port, lines)
+        finally:
+            process.kill()
+            with trio.CancelScope(shield=True):
+                await process.wait()
+        assert seen == ({3} if guarded else {2, 3})
+
+    trio.run(main)
+
+
+async def freeze_and_thaw(
+    sender: PeerBus, process: trio.Process, port: int, lines: Lines
+) -> set[int]:
+    """Give the numbers that the process took after it was frozen."""
+    to = Address(host="127.0.0.1", port=port)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(sender.run)
+        await trio.testing.wait_all_tasks_blocked()
+        await say_until_heard(sender, to, 1, lines)
+        process.send_signal(signal.SIGSTOP)
+        before = handled(sender)
+        for _ in range(5):
+            sender.send(to, Numbered(number=2), ttl_s=0.5)
+        await until(lambda: handled(sender) == before + 5)
+        await trio.sleep(1.5)  # the frames grow old: this is the freeze
+        process.send_signal(signal.SIGCONT)
+        seen = await say_until_heard(sender, to, 3, lines)
+        nursery.cancel_scope.cancel()
+    return seen - {1}
+
+
+async def say_until_heard(sender: PeerBus, to: Address, number: int, lines: Lines) -> set[int]:
+    seen: set[int] = set()
+    while number not in seen:
+        sender.send(to, Numbered(number=number))
+        with trio.move_on_after(0.2):
+            seen.add(int(await lines.next()))
+    return seen
+
+
+class Lines:
+    """Cuts what a process prints into lines; a cancelled wait loses nothing."""
+
+    def __init__(self, stream: trio.abc.ReceiveStream) -> None:
+        self._stream = stream
+        self._buffer = b""
+
+    async def next(self) -> bytes:
+        while b"\n" not in self._buffer:
+            self._buffer += await self._stream.receive_some()
+        line, _, self._buffer = self._buffer.partition(b"\n")
+        return line
