Leave the key's home to the part that answers callers

The answer of GET /v1/entry takes it from the service router, and the choice of addresses gave another one that nobody read; the two asserts on it go with it.

--- a/lagoonlever/decisions/addresses.py
+++ b/lagoonlever/decisions/addresses.py
@@ -9,7 +9,6 @@
 from lagoonlever.config.options import option
 from lagoonlever.decisions.membership import Member, MemberState, MemberView
 from lagoonlever.http.messages import Address
-from lagoonlever.identity import Incarnation
 
 LEAST_SPARE = 0.05
 """The weight of a member that reports itself full: loads lag, so none is left out."""
@@ -32,15 +31,10 @@
 
 @attrs.frozen(kw_only=True)
 class EntryAddresses:
-    """The addresses to use, best first, for ``lifetime_s`` seconds.
-
-    ``key_home`` is the incarnation behind the first address: the home to name in
-    the key of a request that must not run twice. None when no VM takes new work.
-    """
+    """The addresses to use, best first, for ``lifetime_s`` seconds."""
 
     addresses: tuple[Address, ...]
     lifetime_s: float
-    key_home: Incarnation | None
 
 
 def entry_addresses(
@@ -56,7 +50,6 @@
     return EntryAddresses(
         addresses=tuple(member.http for member in chosen),
         lifetime_s=settings.lifetime_s + random.uniform(-spread_s, spread_s),
-        key_home=chosen[0].incarnation if chosen else None,
     )
 
 
--- a/lagoonlever/tests/placement_tests.py
+++ b/lagoonlever/tests/placement_tests.py
@@ -86,7 +86,6 @@
     if any(m.state is MemberState.ALIVE for m in members):
         assert all(m.state is MemberState.ALIVE for m in told)
     assert len(set(told)) == len(told) <= 3
-    assert answer.key_home == (told[0].incarnation if told else None)
 
 
 def test_answers_are_spread_by_spare_capacity_and_data_center() -> None:
@@ -105,8 +104,7 @@
     assert first[1.0] > 0
 
 
-def test_a_lone_leaving_vm_names_no_home() -> None:
+def test_a_lone_leaving_vm_names_no_address() -> None:
     lone = [attrs.evolve(member(0), state=MemberState.LEAVING)]
     answer = entry_addresses(view(lone), settings=AddressesSettings(), random=Random(0))
     assert answer.addresses == ()
-    assert answer.key_home is None
