--- a/lagoonlever/client/caller.py
+++ b/lagoonlever/client/caller.py
@@ -63,6 +63,7 @@
     restarted: bool = False
     """What came before is void: a new generation begins with this piece."""
     vm: str = ""
+    target: str = ""
 
 
 ArrivalHandler = Callable[[Arrival], None]
@@ -230,6 +231,7 @@
                         offset=len(stream.token_ids),
                         restarted=stream.restarts > restarts,
                         vm=vm,
+                        target=stream.last_event_id.target if stream.last_event_id else "",
                     )
                     visit.on_arrival(arrival)
 
--- /dev/null
+++ b/lagoonlever/commands/entry.py
@@ -0,0 +1,61 @@
+"""``lagoonlever entry``: the entry daemon of a VM."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+from typing import Annotated
+
+import trio
+import typer
+
+from lagoonlever.commands.exit_codes import ExitCode
+from lagoonlever.config.vm import VmSettings, load_vm_settings
+from lagoonlever.entry.daemon import EntryDaemon
+from lagoonlever.exceptions import FaultsError
+from lagoonlever.logs import LogFormat, LogLevel, set_up_logs
+
+
+def entry(
+    settings: Annotated[Path, typer.Option(help="The VM's settings file: JSON with comments.")],
+    log_format: Annotated[LogFormat, typer.Option(help="Lines for people, or JSON.")] = (
+        LogFormat.HUMAN
+    ),
+    log_level: Annotated[LogLevel, typer.Option(help="The least level to log.")] = LogLevel.INFO,
+) -> None:
+    """Run the entry daemon of a VM until it is told to stop.
+
+    SIGTERM or SIGINT begins a planned stop: callers are sent elsewhere, whoever
+    still comes is served, and the process ends by itself once nothing is held.
+    """
+    set_up_logs(format=log_format, level=log_level)
+    try:
+        loaded = load_vm_settings(settings)
+    except FaultsError as error:
+        for fault in error.faults:
+            typer.echo(f"fault: {fault}", err=True)
+        raise typer.Exit(ExitCode.FAULTS) from error
+    trio.run(_run, loaded)
+
+
+async def _run(settings: VmSettings) -> None:
+    daemon = EntryDaemon(settings=settings)
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+
+            async def stop_on_signal() -> None:
+                async for _ in signals:
+                    daemon.stop()
+
+            nursery.start_soon(stop_on_signal)
+            await nursery.start(_announce, daemon)
+            await daemon.run()
+            nursery.cancel_scope.cancel()
+
+
+async def _announce(
+    daemon: EntryDaemon, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+) -> None:
+    task_status.started()
+    await daemon.wait_started()
+    typer.echo(f"listening on {daemon.address}, peers on {daemon.peer_address}")
--- a/lagoonlever/entry/caller_stream.py
+++ b/lagoonlever/entry/caller_stream.py
@@ -153,17 +153,21 @@
         if last is not None:
             await self._begin_after(EventId.parse(last))
         while True:
-            await self._write_new()
+            if await self._write_new():
+                continue
             if self._task.finished is not None:
                 await self._end()
                 return
             moved_to = self._moved_to()
-            if moved_to is not None and self._started:
+            if moved_to and self._started and self._may_move():
                 await self._move(moved_to)
                 return
             await self._task.wait_change()
             self._check_superseded()
 
+    def _may_move(self) -> bool:
+        return self._call.resumable and MOVED_EVENT in self._call.accepts
+
     def _check_superseded(self) -> None:
         if self._task.reader is not self._exchange:
             raise CallerGone
@@ -187,17 +191,25 @@
         note = msgspec.json.encode(RestartNote(generation=self._generation))
         await self._exchange.write(encode_event(ServerEvent(event=RESTART_EVENT, data=note)))
 
-    async def _write_new(self) -> None:
-        answer = self._task.life.answer
+    async def _write_new(self) -> bool:
+        """Write what is released and not written yet; give whether there was any.
+
+        Guards against tokens that a slow caller would miss: while one write waits
+        for the caller, the engine sends more and may end. So whoever looks for the
+        end does so only after a call that found nothing to write.
+        """
         if self._generation not in (None, self._task.life.generation) and self._started:
             await self._restart()
+            return True
+        answer = self._task.life.answer
         if answer is None or self._index >= len(answer.pieces):
-            return
+            return False
         self._generation = answer.generation
         await self._start()
         pieces = answer.pieces[self._index :]
         self._index += len(pieces)
         await self._exchange.write(b"".join(self._events(answer, pieces)))
+        return True
 
     def _events(self, answer: Answer, pieces: list[ReleasedPiece]) -> list[bytes]:
         return [
--- /dev/null
+++ b/lagoonlever/entry/daemon.py
@@ -0,0 +1,151 @@
+"""The entry daemon: opens the sockets of one VM and runs its parts until it may end."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import attrs
+import logbook
+import trio
+
+from lagoonlever.config.vm import VmSettings
+from lagoonlever.decisions.membership import Member, MemberState
+from lagoonlever.entry.parts import HTTP_LIMITS, Parts, build_parts
+from lagoonlever.events import event
+from lagoonlever.http.messages import Address
+from lagoonlever.http.server import ServerState, open_listeners, serve_http
+from lagoonlever.identity import Incarnation
+from lagoonlever.instruments import Metrics
+from lagoonlever.peers.bus import PeerBus
+from lagoonlever.timers import Tick, TimerService
+
+log = logbook.Logger(__name__)
+
+INCARNATION_BITS = 32
+MILLISECONDS = 1000
+DEPART_S = 0.5
+"""Time for the word of this VM's end to leave before its sockets close."""
+
+STARTED = event(
+    100,
+    "started",
+    "notice",
+    "Entry VM {vm} listens on {address} for callers and on {peers} for the other VMs.",
+    "The daemon is up; it serves once it knows its settings and its targets.",
+)
+
+
+def new_incarnation(name: str, rng: random.Random) -> Incarnation:
+    """Give the identity of a process that starts now."""
+    return Incarnation(
+        name=name,
+        started_ms=int(time.time() * MILLISECONDS),
+        nonce=rng.getrandbits(INCARNATION_BITS),
+    )
+
+
+@attrs.define(kw_only=True, eq=False)
+class EntryDaemon:
+    """One entry VM; ``run`` returns when a planned stop is over."""
+
+    _settings: VmSettings
+    _rng: random.Random = attrs.field(factory=random.SystemRandom)
+    _timers: TimerService = attrs.field(factory=TimerService)
+    _metrics: Metrics = attrs.field(factory=Metrics)
+    _http: ServerState = attrs.field(factory=ServerState)
+    _address: Address | None = None
+    _peer_address: Address | None = None
+    _parts: Parts | None = None
+    _started: trio.Event = attrs.field(factory=trio.Event)
+
+    @property
+    def address(self) -> Address:
+        """The callers' address; known once ``run`` has started."""
+        return self._address or self._settings.advertised
+
+    @property
+    def peer_address(self) -> Address:
+        """The other VMs' address; known once ``run`` has started."""
+        return self._peer_address or Address.parse(self._settings.peer_listen)
+
+    @property
+    def parts(self) -> Parts:
+        """The parts, for tests and the demonstration; known once ``run`` has started."""
+        if self._parts is None:
+            raise RuntimeError("the daemon was not started")
+        return self._parts
+
+    def stop(self) -> None:
+        """Begin the planned stop; again, nothing changes."""
+        if self._parts is not None:
+            self._parts.stopping.begin()
+
+    async def wait_started(self) -> None:
+        """Wait until the sockets are open."""
+        await self._started.wait()
+
+    async def wait_serving(self, *, members: int = 1, targets: int = 0) -> None:
+        """Wait until this VM knows so many members and live targets."""
+        parts = self.parts
+        ready = trio.Event()
+
+        def look(_: Tick) -> None:
+            if parts.serves(members=members, targets=targets):
+                ready.set()
+
+        with self._timers.subscribed(look):
+            await ready.wait()
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until a planned stop is over, or cancelled."""
+        listen = Address.parse(self._settings.listen)
+        listeners = await open_listeners(host=listen.host, port=listen.port)
+        port = listeners[0].socket.getsockname()[1]
+        self._address = attrs.evolve(self._settings.advertised, port=port)
+        async with trio.open_nursery() as nursery:
+            parts = self._build(nursery)
+            self._parts = parts
+            for part in parts.runnable():
+                nursery.start_soon(part)
+            nursery.start_soon(self._serve, parts, listeners)
+            STARTED.log(log, vm=self._settings.name, address=self.address, peers=self.peer_address)
+            self._started.set()
+            task_status.started()
+            await parts.stopping.wait_ended()
+            await self._depart(parts)
+            nursery.cancel_scope.cancel()
+        await parts.platform.aclose()
+
+    async def _serve(self, parts: Parts, listeners: list[trio.SocketListener]) -> None:
+        await serve_http(
+            handler=parts.routes.handle, listeners=listeners, limits=HTTP_LIMITS, state=self._http
+        )
+
+    async def _depart(self, parts: Parts) -> None:
+        parts.record_stop_ended(self._settings.name)
+        parts.membership.depart()
+        await trio.sleep(DEPART_S)
+
+    def _build(self, nursery: trio.Nursery) -> Parts:
+        settings = self._settings
+        own = new_incarnation(settings.name, self._rng)
+        bus = PeerBus(own=own, listen=Address.parse(settings.peer_listen))
+        self._peer_address = bus.bind()
+        member = Member(
+            incarnation=own,
+            data_center=settings.data_center,
+            http=self.address,
+            peers=self._peer_address,
+            state=MemberState.ALIVE,
+        )
+        return build_parts(
+            settings=settings,
+            own=member,
+            bus=bus,
+            rng=self._rng,
+            timers=self._timers,
+            metrics=self._metrics,
+            http=self._http,
+            nursery=nursery,
+        )
--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -113,6 +113,17 @@
         if task is not None:
             await self._give(exchange, call, task)
 
+    async def handle_models(self, exchange: Exchange) -> None:
+        """Answer ``GET /v1/models`` in the format that clients of completions know."""
+        models = sorted(self._engines.models())
+        data = [{"id": name, "object": "model", "owned_by": "lagoonlever"} for name in models]
+        await exchange.respond_json(status=200, payload={"object": "list", "data": data})
+
+    def wake_callers(self) -> None:
+        """Have every caller's stream look again whether it should move."""
+        for task in self._tasks.values():
+            task.wake()
+
     def find(self, organisation: str, request_id: str) -> GenerationTask | None:
         """Give the task of a request, running or kept."""
         return self._tasks.get((organisation, request_id))
--- a/lagoonlever/entry/membership.py
+++ b/lagoonlever/entry/membership.py
@@ -162,6 +162,11 @@
         self.vm_list = Published(None)
         self.target_list = Published(None)
 
+    @property
+    def list_readable(self) -> bool:
+        """Whether the platform's list could be read the last time."""
+        return self._list_readable
+
     def leave(self) -> None:
         """Tell everyone that this VM takes no new work."""
         self._protocol.leave(self._timers.now)
