--- /dev/null
+++ b/lagoonlever/tests/caller_stream_tests.py
@@ -0,0 +1,105 @@
+"""A caller's stream while the answer goes on during its writes."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import trio
+
+from lagoonlever.decisions.generation import (
+    Dispatch,
+    GenerationLife,
+    GenerationLimits,
+    GenerationSpec,
+)
+from lagoonlever.entry.caller_stream import CallerStream
+from lagoonlever.entry.completions_api import CompletionCall
+from lagoonlever.http.messages import Headers
+from lagoonlever.http.sse import EventParser
+from lagoonlever.targets.completions import decode_chunk
+
+SPEC = GenerationSpec(request_id="r", organisation="/a", model="base", prompt="p", max_tokens=4)
+
+
+@attrs.define
+class Task:
+    """A generation's task whose engine sends while a write to the caller waits."""
+
+    life: GenerationLife
+    attempt: int = 0
+    reader: object | None = None
+
+    @property
+    def spec(self) -> GenerationSpec:
+        return SPEC
+
+    @property
+    def finished(self) -> object | None:
+        return self.life.finished
+
+    def wake(self) -> None:
+        pass
+
+    async def wait_change(self) -> None:
+        raise AssertionError("waits though the answer is over")
+
+    def engine_sends(self, *token_ids: int, finish_reason: str | None = None) -> None:
+        self.life.chunk(
+            attempt=self.attempt, token_ids=token_ids, text="x", finish_reason=finish_reason
+        )
+
+
+@attrs.define
+class SlowExchange:
+    """The caller's side: the first write takes so long that the engine ends meanwhile."""
+
+    task: Task
+    written: bytes = b""
+    writes: int = 0
+
+    async def start_stream(self, *, status: int, headers: Headers) -> None:
+        pass
+
+    async def write(self, data: bytes) -> None:
+        self.written += data
+        self.writes += 1
+        if self.writes == 1:
+            self.task.engine_sends(301, 302)
+            self.task.engine_sends(303, finish_reason="length")
+
+    async def finish(self, *, trailers: Headers) -> None:
+        pass
+
+
+def test_tokens_that_come_during_the_last_write_reach_a_slow_caller() -> None:
+    """A dealer on a slow line gets a summary whose last words are missing, told as done.
+
+    The write of one token waits for the caller. Meanwhile the engine sends the
+    rest and the end. The stream saw the end and closed, and never wrote the rest.
+    """
+    life = GenerationLife(spec=SPEC, limits=GenerationLimits(), rng=random.Random(1))
+    task = Task(life=life)
+    dispatch = life.start()[0]
+    assert isinstance(dispatch, Dispatch)
+    task.attempt = dispatch.attempt
+    life.dispatched(attempt=dispatch.attempt)
+    life.opened(attempt=dispatch.attempt, model_version="v1", prompt_token_ids=(300,))
+    task.engine_sends(300)
+    exchange = SlowExchange(task)
+    call = CompletionCall(
+        spec=SPEC,
+        stream=True,
+        accepts=frozenset(),
+        resumable=False,
+        last_event_id=None,
+        held=None,
+    )
+    stream = CallerStream(
+        exchange=exchange, task=task, call=call, rng=random.Random(1), moved_to=lambda: None
+    )
+    trio.run(stream.run)
+    events = EventParser().feed(exchange.written)
+    chunks = [decode_chunk(event.data) for event in events[:-1]]
+    received = [token for chunk in chunks for choice in chunk.choices for token in choice.token_ids]
+    assert received == [300, 301, 302, 303]
