--- a/lagoonlever/entry/caller_stream.py
+++ b/lagoonlever/entry/caller_stream.py
@@ -159,12 +159,15 @@
                 await self._end()
                 return
             moved_to = self._moved_to()
-            if moved_to is not None and self._started:
+            if moved_to and self._started and self._may_move():
                 await self._move(moved_to)
                 return
             await self._task.wait_change()
             self._check_superseded()
 
+    def _may_move(self) -> bool:
+        return self._call.resumable and MOVED_EVENT in self._call.accepts
+
     def _check_superseded(self) -> None:
         if self._task.reader is not self._exchange:
             raise CallerGone
