--- a/lagoonlever/entry/daemon.py
+++ b/lagoonlever/entry/daemon.py
@@ -11,7 +11,8 @@
 
 from lagoonlever.config.vm import VmSettings
 from lagoonlever.decisions.membership import Member, MemberState
-from lagoonlever.entry.parts import HTTP_LIMITS, Parts, build_parts
+from lagoonlever.entry.foundation import Foundation
+from lagoonlever.entry.parts import HTTP_LIMITS, Parts
 from lagoonlever.events import event
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import ServerState, open_listeners, serve_http
@@ -115,7 +116,7 @@
             await parts.stopping.wait_ended()
             await self._depart(parts)
             nursery.cancel_scope.cancel()
-        await parts.platform.aclose()
+        await parts.base.platform.aclose()
 
     async def _serve(self, parts: Parts, listeners: list[trio.SocketListener]) -> None:
         await serve_http(
@@ -123,7 +124,7 @@
         )
 
     async def _depart(self, parts: Parts) -> None:
-        parts.record_stop_ended(self._settings.name)
+        parts.record_ended()
         parts.membership.depart()
         await trio.sleep(DEPART_S)
 
@@ -139,7 +140,7 @@
             peers=self._peer_address,
             state=MemberState.ALIVE,
         )
-        return build_parts(
+        base = Foundation(
             settings=settings,
             own=member,
             bus=bus,
@@ -147,5 +148,6 @@
             timers=self._timers,
             metrics=self._metrics,
             http=self._http,
-            nursery=nursery,
+            background=nursery,
         )
+        return Parts(base=base)
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -1,29 +1,23 @@
-"""Builds the parts of one entry VM and wires them to each other."""
+"""The parts of one entry VM, wired to each other; the daemon starts what ``runnable`` gives."""
 
 from __future__ import annotations
 
-import random
-from collections.abc import Awaitable, Callable
-from pathlib import Path
+from collections.abc import Awaitable, Callable, Iterator
 
 import attrs
-import trio
 
-from lagoonlever.config.vm import VmSettings
-from lagoonlever.decisions.generation import Dispatch, GenerationSpec
-from lagoonlever.decisions.membership import Member
 from lagoonlever.decisions.planned_stop import Held
-from lagoonlever.decisions.targets import Target
 from lagoonlever.entry.addresses import EntryAddressesPart
 from lagoonlever.entry.admission import AdmissionPart
 from lagoonlever.entry.cache_events import CacheEventSink
 from lagoonlever.entry.callers import CallerDirectory
+from lagoonlever.entry.foundation import Foundation
+from lagoonlever.entry.histories import dispatch_recorder, record_stop_began, record_stop_ended
 from lagoonlever.entry.membership import MembershipPart
 from lagoonlever.entry.orphans import OrphanPart
 from lagoonlever.entry.peer_streams import PeerStreams
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.reporting import Reporting
-from lagoonlever.entry.request_metrics import RequestMetrics
 from lagoonlever.entry.routes import Routes
 from lagoonlever.entry.services import SERVICES_PATH, ServiceRouter
 from lagoonlever.entry.serving import GenerationServing
@@ -31,58 +25,195 @@
 from lagoonlever.entry.target_probes import TargetProber
 from lagoonlever.entry.targets import TargetWatch
 from lagoonlever.exceptions import RequestRefused
-from lagoonlever.history.events_vms import AttemptDispatched, VmStopBegan, VmStopEnded
-from lagoonlever.history.recorder import Recorder
 from lagoonlever.http.messages import Address, Request
-from lagoonlever.http.server import ServerLimits, ServerState
-from lagoonlever.instruments import Metrics
+from lagoonlever.http.server import ServerLimits
 from lagoonlever.outcomes import NotRun, Outcome, Reason
-from lagoonlever.peers.bus import PeerBus
-from lagoonlever.platform.port import Platform
-from lagoonlever.platform.registry import open_platform
-from lagoonlever.report.objective_recorder import ObjectiveRecorder
 from lagoonlever.report.status import VmStatus
-from lagoonlever.timers import TimerService
 from lagoonlever.tree.nodes import TreeView, default_tree
 
 HTTP_LIMITS = ServerLimits()
-STARTING_RETRY_S = 1.0
+COME_BACK_S = 1.0
 
 Run = Callable[[], Awaitable[None]]
 
 
 @attrs.define(kw_only=True, eq=False)
 class Parts:
-    """The parts of one VM, wired; ``runnable`` gives what is to be started."""
-
-    settings: VmSettings
-    own: Member
-    bus: PeerBus
-    timers: TimerService
-    metrics: Metrics
-    http: ServerState
-    recorder: Recorder | None
-    platform: Platform
-    tree: Published[TreeView]
-    membership: MembershipPart
-    targets: TargetWatch
-    prober: TargetProber
-    admission: AdmissionPart
-    generations: GenerationServing
-    peer_streams: PeerStreams
-    orphans: OrphanPart
-    services: ServiceRouter
-    addresses: EntryAddressesPart
-    stopping: Stopping
-    reporting: Reporting
-    routes: Routes
-    started_at: float
+    """Each part is made by the method of its name, from the parts above it."""
+
+    base: Foundation
+    tree: Published[TreeView] = attrs.field(init=False)
+    callers: CallerDirectory = attrs.field(init=False)
+    membership: MembershipPart = attrs.field(init=False)
+    targets: TargetWatch = attrs.field(init=False)
+    admission: AdmissionPart = attrs.field(init=False)
+    peer_streams: PeerStreams = attrs.field(init=False)
+    generations: GenerationServing = attrs.field(init=False)
+    services: ServiceRouter = attrs.field(init=False)
+    addresses: EntryAddressesPart = attrs.field(init=False)
+    orphans: OrphanPart = attrs.field(init=False)
+    prober: TargetProber = attrs.field(init=False)
+    stopping: Stopping = attrs.field(init=False)
+    reporting: Reporting = attrs.field(init=False)
+    routes: Routes = attrs.field(init=False)
+
+    @tree.default
+    def _make_tree(self) -> Published[TreeView]:
+        return Published(default_tree())
+
+    @callers.default
+    def _make_callers(self) -> CallerDirectory:
+        return CallerDirectory(tree=self.tree)
+
+    @membership.default
+    def _make_membership(self) -> MembershipPart:
+        return MembershipPart(
+            own=self.base.own,
+            bus=self.base.bus,
+            platform=self.base.platform,
+            timers=self.base.timers,
+            random=self.base.rng,
+            settings=self.base.settings.membership,
+            seeds=tuple(Address.parse(seed) for seed in self.base.settings.seeds),
+            load=self._load,
+        )
+
+    @targets.default
+    def _make_targets(self) -> TargetWatch:
+        return TargetWatch(
+            readings=self.membership.target_list,
+            members=self.membership.members,
+            bus=self.base.bus,
+            timers=self.base.timers,
+            random=self.base.rng,
+            settings=self.base.settings.targets,
+        )
+
+    @admission.default
+    def _make_admission(self) -> AdmissionPart:
+        return AdmissionPart(
+            tree=self.tree,
+            targets=self.targets.view,
+            members=self.membership.members,
+            bus=self.base.bus,
+            timers=self.base.timers,
+            metrics=self.base.metrics,
+            random=self.base.rng,
+        )
+
+    @peer_streams.default
+    def _make_peer_streams(self) -> PeerStreams:
+        return PeerStreams(bus=self.base.bus, members=self.membership.members)
+
+    @generations.default
+    def _make_generations(self) -> GenerationServing:
+        settings = self.base.settings
+        return GenerationServing(
+            vm=settings.name,
+            guard=self.targets,
+            admission=self.admission,
+            callers=self.callers,
+            timers=self.base.timers,
+            rng=self.base.rng,
+            background=self.base.background,
+            peers=self.peer_streams,
+            generation=settings.generation,
+            detection=settings.detection,
+            routing=settings.routing,
+            subset_size=settings.targets.subset_size,
+            refusal=self.refusal,
+            moved_to=self._moved_to,
+            metrics=self.base.request_metrics,
+            observe=dispatch_recorder(self.base.recorder),
+        )
+
+    @services.default
+    def _make_services(self) -> ServiceRouter:
+        return ServiceRouter(
+            own=self.base.own.incarnation,
+            guard=self.targets,
+            members=self.membership.members,
+            platform=self.base.platform,
+            timers=self.base.timers,
+            settings=self.base.settings.services,
+            rng=self.base.rng,
+            organisation_of=self._organisation_of,
+            recorder=self.base.recorder,
+            metrics=self.base.request_metrics,
+        )
+
+    @addresses.default
+    def _make_addresses(self) -> EntryAddressesPart:
+        return EntryAddressesPart(
+            members=self.membership.members,
+            settings=self.base.settings.addresses,
+            random=self.base.rng,
+            key_home=lambda: self.services.key_home,
+        )
+
+    @orphans.default
+    def _make_orphans(self) -> OrphanPart:
+        return OrphanPart(
+            engines=self.generations.engines,
+            members=self.membership.members,
+            bus=self.base.bus,
+            timers=self.base.timers,
+            background=self.base.background,
+        )
+
+    @prober.default
+    def _make_prober(self) -> TargetProber:
+        router = self.generations.router
+        return TargetProber(
+            watch=self.targets,
+            subset_of=router.subset_of,
+            cache_sink=CacheEventSink(router=router).take,
+            timers=self.base.timers,
+            random=self.base.rng,
+            settings=self.base.settings.targets,
+        )
+
+    @stopping.default
+    def _make_stopping(self) -> Stopping:
+        return Stopping(
+            timers=self.base.timers,
+            address_lifetime_s=self.base.settings.addresses.lifetime_s,
+            held=self._held,
+            on_leaving=self._begin_leaving,
+        )
+
+    @reporting.default
+    def _make_reporting(self) -> Reporting:
+        return Reporting(
+            vm=self._vm_status,
+            members=self.membership.members,
+            targets=self.targets.view,
+            tree=self.tree,
+            admission=self.admission.state,
+            traffic=self.base.bus.traffic,
+            open_streams=self._open_streams,
+            timers=self.base.timers,
+            metrics=self.base.metrics,
+            objectives=self.base.objectives,
+        )
+
+    @routes.default
+    def _make_routes(self) -> Routes:
+        routes = Routes()
+        service = self.generations.service
+        routes.add("POST", "/v1/completions", service.handle)
+        routes.add("GET", "/v1/models", service.handle_models)
+        routes.add("GET", "/v1/entry", self.addresses.handle)
+        routes.add("*", SERVICES_PATH, self.services.handle, prefix=True)
+        routes.add("GET", "/admin/status", self.reporting.handle_status)
+        routes.add("GET", "/metrics", self.reporting.handle_metrics)
+        return routes
 
     def runnable(self) -> tuple[Run, ...]:
         """Give what runs as long as the VM does."""
         return (
-            self.timers.run,
-            self.bus.run,
+            self.base.timers.run,
+            self.base.bus.run,
             self.membership.run,
             self.targets.run,
             self.prober.run,
@@ -100,316 +231,81 @@
         ready = [t for t in view.targets if t.takes_work and not self.targets.needs_models(t)]
         return len(self.membership.members.value.alive) >= members and len(ready) >= targets
 
-    def record_stop_ended(self, vm: str) -> None:
-        """Record the end of a planned stop in the history."""
-        if self.recorder is not None:
-            self.recorder.record(
-                VmStopEnded(
-                    at=self.recorder.now,
-                    process=self.recorder.process,
-                    vm=vm,
-                    open_requests=self.generations.service.running + self.services.open_keys,
-                )
+    def refusal(self) -> Outcome | None:
+        """Give why this VM takes no new work now, or None."""
+        if self.membership.members.value.superseded:
+            return NotRun(
+                reason=Reason.SUPERSEDED,
+                message="a newer life of this VM serves; use another address",
+                retry_after_s=COME_BACK_S,
+            )
+        if not self.targets.belief.allows_work:
+            return NotRun(
+                reason=Reason.ISOLATED,
+                message="this VM cannot tell which targets may be given work; use another",
+                retry_after_s=COME_BACK_S,
             )
+        return None
+
+    def record_ended(self) -> None:
+        """Record the end of a planned stop, with what would be cut."""
+        held = self._held()
+        record_stop_ended(
+            self.base.recorder,
+            vm=self.base.settings.name,
+            open_requests=held.generations + held.keyed_requests,
+        )
 
     async def _hear_taken_over(self) -> None:
         await self.peer_streams.run(self.generations.service)
 
+    def _load(self) -> float:
+        """Give the share of this VM's capacity in use, by its open connections."""
+        return min(1.0, self.base.http.open_connections / HTTP_LIMITS.connections)
 
-@attrs.define(kw_only=True, eq=False)
-class _Builder:
-    """What several parts need; each method builds one part."""
-
-    settings: VmSettings
-    own: Member
-    bus: PeerBus
-    rng: random.Random
-    timers: TimerService
-    metrics: Metrics
-    http: ServerState
-    nursery: trio.Nursery
-
-    def recorder(self) -> Recorder | None:
-        """Give the recorder of the history, if the settings want one."""
-        file = self.settings.history_file
-        return Recorder(process=self.settings.name, path=Path(file)) if file else None
-
-    def platform(self) -> Platform:
-        """Open the platform's port."""
-        options = self.settings.platform
-        return open_platform(
-            options.adapter,
-            addresses=[Address.parse(text) for text in options.addresses],
-            metrics=self.metrics,
-        )
-
-    def membership(self, platform: Platform, load: Callable[[], float]) -> MembershipPart:
-        """Build the membership part."""
-        return MembershipPart(
-            own=self.own,
-            bus=self.bus,
-            platform=platform,
-            timers=self.timers,
-            random=self.rng,
-            settings=self.settings.membership,
-            seeds=tuple(Address.parse(seed) for seed in self.settings.seeds),
-            load=load,
-        )
-
-    def targets(self, membership: MembershipPart) -> TargetWatch:
-        """Build the targets' watch."""
-        return TargetWatch(
-            readings=membership.target_list,
-            members=membership.members,
-            bus=self.bus,
-            timers=self.timers,
-            random=self.rng,
-            settings=self.settings.targets,
-        )
+    def _moved_to(self) -> tuple[str, ...] | None:
+        return self.addresses.others() if self.stopping.leaving else None
 
-    def admission(
-        self, tree: Published[TreeView], targets: TargetWatch, membership: MembershipPart
-    ) -> AdmissionPart:
-        """Build the admission part."""
-        return AdmissionPart(
-            tree=tree,
-            targets=targets.view,
-            members=membership.members,
-            bus=self.bus,
-            timers=self.timers,
-            metrics=self.metrics,
-            random=self.rng,
-        )
+    def _organisation_of(self, request: Request) -> str | None:
+        try:
+            return self.callers.organisation_of(request.headers)
+        except RequestRefused:
+            return None
 
+    def _open_streams(self) -> Iterator[str]:
+        for task in self.generations.service.tasks:
+            if task.finished is None:
+                yield task.spec.organisation
 
-def build_parts(
-    *,
-    settings: VmSettings,
-    own: Member,
-    bus: PeerBus,
-    rng: random.Random,
-    timers: TimerService,
-    metrics: Metrics,
-    http: ServerState,
-    nursery: trio.Nursery,
-) -> Parts:
-    """Build and wire every part of one VM."""
-    builder = _Builder(
-        settings=settings,
-        own=own,
-        bus=bus,
-        rng=rng,
-        timers=timers,
-        metrics=metrics,
-        http=http,
-        nursery=nursery,
-    )
-    recorder = builder.recorder()
-    objectives = ObjectiveRecorder(metrics=metrics, settings=settings.objectives, recorder=recorder)
-    request_metrics = RequestMetrics(
-        metrics=metrics, objectives=objectives, clock=lambda: timers.now
-    )
-    platform = builder.platform()
-    tree = Published(default_tree())
-    callers = CallerDirectory(tree=tree)
-    membership = builder.membership(platform, lambda: _load_of(http))
-    targets = builder.targets(membership)
-    admission = builder.admission(tree, targets, membership)
-    peer_streams = PeerStreams(bus=bus, members=membership.members)
-
-    def refusal() -> Outcome | None:
-        return _refusal(membership, targets)
-
-    def moved_to() -> tuple[str, ...] | None:
-        return addresses.others() if stopping.leaving else None
-
-    generations = GenerationServing(
-        vm=settings.name,
-        guard=targets,
-        admission=admission,
-        callers=callers,
-        timers=timers,
-        rng=rng,
-        background=nursery,
-        peers=peer_streams,
-        generation=settings.generation,
-        detection=settings.detection,
-        routing=settings.routing,
-        subset_size=settings.targets.subset_size,
-        refusal=refusal,
-        moved_to=moved_to,
-        metrics=request_metrics,
-        observe=_dispatch_recorder(recorder),
-    )
-    services = ServiceRouter(
-        own=own.incarnation,
-        guard=targets,
-        members=membership.members,
-        platform=platform,
-        timers=timers,
-        settings=settings.services,
-        rng=rng,
-        organisation_of=lambda request: _organisation_of(callers, request),
-        recorder=recorder,
-        metrics=request_metrics,
-    )
-    addresses = EntryAddressesPart(
-        members=membership.members,
-        settings=settings.addresses,
-        random=rng,
-        key_home=lambda: services.key_home,
-    )
-
-    def held() -> Held:
+    def _held(self) -> Held:
         return Held(
-            generations=generations.service.running,
-            keyed_requests=services.open_keys,
-            exchanges=http.open_exchanges,
-            connections=http.open_connections,
+            generations=self.generations.service.running,
+            keyed_requests=self.services.open_keys,
+            exchanges=self.base.http.open_exchanges,
+            connections=self.base.http.open_connections,
         )
 
-    def on_leaving() -> None:
-        http.closing = True
-        membership.leave()
-        generations.service.wake_callers()
-        if recorder is not None:
-            recorder.record(
-                VmStopBegan(at=recorder.now, process=recorder.process, vm=settings.name)
-            )
+    def _begin_leaving(self) -> None:
+        self.base.http.closing = True
+        self.membership.leave()
+        self.generations.service.wake_callers()
+        record_stop_began(self.base.recorder, vm=self.base.settings.name)
 
-    stopping = Stopping(
-        timers=timers,
-        address_lifetime_s=settings.addresses.lifetime_s,
-        held=held,
-        on_leaving=on_leaving,
-    )
-    started_at = timers.now
+    def _phase(self) -> str:
+        if self.stopping.leaving:
+            return "leaving"
+        return "starting" if self.refusal() else "serving"
 
-    def vm_status() -> VmStatus:
+    def _vm_status(self) -> VmStatus:
         return VmStatus(
-            name=settings.name,
-            incarnation=str(own.incarnation),
-            data_center=settings.data_center,
-            address=str(own.http),
-            phase="leaving" if stopping.leaving else "serving" if not refusal() else "starting",
-            uptime_s=timers.now - started_at,
-            settings_version=tree.value.version,
-            platform_reachable=membership.list_readable,
-            open_streams=generations.service.running,
-            open_connections=http.open_connections,
-        )
-
-    reporting = Reporting(
-        vm=vm_status,
-        members=membership.members,
-        targets=targets.view,
-        tree=tree,
-        admission=admission.state,
-        traffic=bus.traffic,
-        open_streams=lambda: (
-            task.spec.organisation for task in generations.service.tasks if task.finished is None
-        ),
-        timers=timers,
-        metrics=metrics,
-        objectives=objectives,
-    )
-    prober = TargetProber(
-        watch=targets,
-        subset_of=generations.router.subset_of,
-        cache_sink=CacheEventSink(router=generations.router).take,
-        timers=timers,
-        random=rng,
-        settings=settings.targets,
-    )
-    orphans = OrphanPart(
-        engines=generations.engines,
-        members=membership.members,
-        bus=bus,
-        timers=timers,
-        background=nursery,
-    )
-    routes = Routes()
-    routes.add("POST", "/v1/completions", generations.service.handle)
-    routes.add("GET", "/v1/entry", addresses.handle)
-    routes.add("GET", "/v1/models", generations.service.handle_models)
-    routes.add("*", SERVICES_PATH, services.handle, prefix=True)
-    routes.add("GET", "/admin/status", reporting.handle_status)
-    routes.add("GET", "/metrics", reporting.handle_metrics)
-    return Parts(
-        settings=settings,
-        own=own,
-        bus=bus,
-        timers=timers,
-        metrics=metrics,
-        http=http,
-        recorder=recorder,
-        platform=platform,
-        tree=tree,
-        membership=membership,
-        targets=targets,
-        prober=prober,
-        admission=admission,
-        generations=generations,
-        peer_streams=peer_streams,
-        orphans=orphans,
-        services=services,
-        addresses=addresses,
-        stopping=stopping,
-        reporting=reporting,
-        routes=routes,
-        started_at=started_at,
-    )
-
-
-def _load_of(http: ServerState) -> float:
-    """Give the share of this VM's capacity in use, by its open connections."""
-    return min(1.0, http.open_connections / HTTP_LIMITS.connections)
-
-
-def _refusal(membership: MembershipPart, targets: TargetWatch) -> Outcome | None:
-    if membership.members.value.superseded:
-        return NotRun(
-            reason=Reason.SUPERSEDED,
-            message="a newer life of this VM serves; use another address",
-            retry_after_s=STARTING_RETRY_S,
-        )
-    if not targets.belief.allows_work:
-        return NotRun(
-            reason=Reason.ISOLATED,
-            message="this VM cannot tell which targets may be given work; use another",
-            retry_after_s=STARTING_RETRY_S,
-        )
-    return None
-
-
-def _organisation_of(callers: CallerDirectory, request: Request) -> str | None:
-    try:
-        return callers.organisation_of(request.headers)
-    except RequestRefused:
-        return None
-
-
-def _dispatch_recorder(
-    recorder: Recorder | None,
-) -> Callable[[GenerationSpec, Dispatch, Target], None]:
-    """Give what records each dispatch right before it is written."""
-    if recorder is None:
-        return lambda *_: None
-
-    def record(spec: GenerationSpec, dispatch: Dispatch, target: Target) -> None:
-        recorder.record(
-            AttemptDispatched(
-                at=recorder.now,
-                process=recorder.process,
-                request=spec.request_id,
-                generation=dispatch.generation,
-                attempt=dispatch.attempt,
-                target=target.name,
-                seed=dispatch.seed,
-                model_version=dispatch.model_version,
-                prefix_tokens=len(dispatch.prefix),
-                hedge=dispatch.hedge,
-            )
+            name=self.base.settings.name,
+            incarnation=str(self.base.own.incarnation),
+            data_center=self.base.settings.data_center,
+            address=str(self.base.own.http),
+            phase=self._phase(),
+            uptime_s=self.base.timers.now - self.base.started_at,
+            settings_version=self.tree.value.version,
+            platform_reachable=self.membership.list_readable,
+            open_streams=self.generations.service.running,
+            open_connections=self.base.http.open_connections,
         )
-
-    return record
