--- a/lagoonlever/decisions/target_freshness.py
+++ b/lagoonlever/decisions/target_freshness.py
@@ -23,6 +23,8 @@
 ANSWER_GRACE_S = 0.4
 """An ask younger than this doesn't count as unanswered."""
 ASK_FANOUT = 3
+STEADY_ASK_S = 2.0
+"""One peer is asked this often also while the list is read in time: a push may get lost."""
 
 
 class Belief(enum.Enum):
@@ -57,6 +59,7 @@
     _peers: set[Address] = attrs.field(factory=set)
     _asks: deque[_Ask] = attrs.field(factory=deque)
     _next_number: int = 0
+    _asked_at: float | None = None
     _turn: list[Address] = attrs.field(factory=list)
 
     @property
@@ -93,17 +96,26 @@
         Otherwise the smaller side of a cut would in time declare the others
         dead, count only itself, and believe a list that is minutes old.
         """
-        staying = {m.peers for m in members.alive if m.incarnation != members.own}
         leaving = {m.peers for m in members.members if m.state is MemberState.LEAVING}
+        others = {m.peers for m in members.reachable if m.incarnation != members.own}
+        staying = others - leaving
         in_time = self.age_s(now) <= self._ask_after_s
         self._peers = staying if in_time else (self._peers | staying) - leaving
 
     def asks_due(self, now: float, rng: random.Random) -> tuple[tuple[int, Address], ...]:
-        """Give the numbered asks to send now: none while the list is read in time."""
-        if self.age_s(now) <= self._ask_after_s or not self._peers:
+        """Give the numbered asks to send now: few while the list is read in time.
+
+        After a pause or a start several are sent, so that what peers told
+        meanwhile is learnt at once.
+        """
+        steady = self.age_s(now) <= self._ask_after_s
+        if steady and self._asked_at is not None and now - self._asked_at < STEADY_ASK_S:
             return ()
+        late = self._asked_at is None or now - self._asked_at > 2 * STEADY_ASK_S
+        self._asked_at = now
         self._drop_old(now)
-        asks = [self._ask(peer, now) for peer in self._next_peers(rng)]
+        fanout = 1 if steady and not late else self._fanout
+        asks = [self._ask(peer, now) for peer in self._next_peers(fanout, rng)]
         self._asks.extend(asks)
         return tuple((ask.number, ask.peer) for ask in asks)
 
@@ -120,10 +132,10 @@
         self._next_number += 1
         return _Ask(number=self._next_number, peer=peer, at=now)
 
-    def _next_peers(self, rng: random.Random) -> list[Address]:
+    def _next_peers(self, fanout: int, rng: random.Random) -> list[Address]:
         """Take turns over all peers in random order, so that few asks reach each of them."""
         chosen: list[Address] = []
-        for _ in range(min(self._fanout, len(self._peers))):
+        for _ in range(min(fanout, len(self._peers))):
             self._turn = [peer for peer in self._turn if peer in self._peers]
             if not self._turn:
                 self._turn = sorted(self._peers - set(chosen), key=str)
