Write to the socket at once where it takes all, without a turn of the scheduler

Each token's write opened a cancel scope and yielded, though it nearly always fits the socket's buffer. Ruled out as the main cost: h11's framing (about a fifth of the write's time in a profile). Processor time a token at an entry VM, paired trials of 4 s under a load of 8 on 12 cores: 64 streams 301 and 305 us before, 228 and 224 after; 512 streams 336 and 346 before, 218 and 222 after; the stand-in engine's own cost fell from 150 to 83 us.

--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qsl, urlsplit
@@ -222,14 +223,31 @@
             data = b"".join(self._h11.send(event) or b"" for event in events)
         except h11.LocalProtocolError as error:
             raise CallerGone from error
+        rest = self._write_at_once(data)
+        if not rest:
+            return
         with trio.move_on_after(self._limits.write_timeout_s) as scope:
             try:
-                await self._stream.send_all(data)
+                await self._stream.send_all(rest)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise CallerGone from error
         if scope.cancelled_caught:
             raise CallerGone
 
+    def _write_at_once(self, data: bytes) -> bytes:
+        """Write what the socket takes without waiting, and give the rest.
+
+        A token's event nearly always fits: it then costs one system call, without
+        a cancel scope and a turn of the scheduler.
+        """
+        try:
+            written = os.write(self._stream.socket.fileno(), data)
+        except BlockingIOError:
+            return data
+        except OSError as error:
+            raise CallerGone from error
+        return data[written:]
+
     async def refuse(self, refused: RequestRefused) -> None:
         """Answer a request that could not be read whole, and close."""
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
