--- /dev/null
+++ b/lagoonlever/entry/admin.py
@@ -0,0 +1,221 @@
+"""The administration API of a VM: reads, checks and changes the settings over HTTP."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import attrs
+import logbook
+import msgspec
+
+from lagoonlever.config.options import option
+from lagoonlever.entry import settings_events as events
+from lagoonlever.entry.admin_messages import (
+    CHANGE_PATH,
+    CHECK_PATH,
+    FROM_PLATFORM,
+    FROM_VM,
+    HISTORY_PATH,
+    IN_FORCE_PATH,
+    NODE_PATH,
+    SETTINGS_PATH,
+    ChangeTold,
+    CheckAsked,
+    CheckTold,
+    SettingsShown,
+    change_told,
+    history_shown,
+    node_shown,
+)
+from lagoonlever.entry.settings import SettingsPart
+from lagoonlever.exceptions import Fault, FaultsError, PlatformError, RequestRefused
+from lagoonlever.http.messages import Address, Headers, Request
+from lagoonlever.http.server import JSON_TYPE, Exchange
+from lagoonlever.tree.change_plan import ChangeRequest, Stored
+from lagoonlever.tree.document import parse_text, render
+from lagoonlever.tree.nodes import ROOT, UnknownNode
+from lagoonlever.tree.options import API_KEY_DIGEST, api_key_digest
+
+log = logbook.Logger(__name__)
+
+T = TypeVar("T")
+
+AUTHORIZATION = "Authorization"
+BEARER = "bearer "
+MAX_WAIT_S = 25.0
+"""Below the time that usual clients wait for an answer."""
+OK, UNAUTHORIZED, FORBIDDEN, NOT_FOUND = 200, 401, 403, 404
+BAD_REQUEST, METHOD_NOT_ALLOWED, UNAVAILABLE = 400, 405, 503
+STATUS_BY_TAG = {
+    "stored": 200,
+    "conflict": 409,
+    "invalid": 422,
+    "not-stored": 503,
+    "undetermined": 504,
+}
+
+
+def _check_digests(digests: tuple[str, ...]) -> str | None:
+    if all(API_KEY_DIGEST.match(digest) for digest in digests):
+        return None
+    return "holds something that is no 'sha256:<64 hex digits>'; never store the key itself"
+
+
+@attrs.frozen(kw_only=True)
+class AdminSettings:
+    """The section ``admin`` of a VM's settings."""
+
+    api_keys: tuple[str, ...] = option(
+        default=(),
+        check=_check_digests,
+        doc="Digests of the operators' keys; without any, only callers on the VM itself are heard.",
+    )
+
+
+@attrs.define(kw_only=True, eq=False)
+class SettingsAdmin:
+    """Answers every path below ``/admin/settings``."""
+
+    _part: SettingsPart
+    _settings: AdminSettings = attrs.field(factory=AdminSettings)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one exchange; raises ``RequestRefused``."""
+        request = exchange.request
+        self._check_operator(request)
+        handler = self._handler(request)
+        try:
+            await handler(exchange)
+        except PlatformError as error:
+            raise RequestRefused(
+                status=UNAVAILABLE, field="platform", message=str(error)
+            ) from error
+
+    def _handler(self, request: Request) -> Callable[[Exchange], Awaitable[None]]:
+        routes = {
+            SETTINGS_PATH: ("GET", self._show),
+            NODE_PATH: ("GET", self._node),
+            HISTORY_PATH: ("GET", self._history),
+            IN_FORCE_PATH: ("GET", self._in_force),
+            CHECK_PATH: ("POST", self._check),
+            CHANGE_PATH: ("POST", self._change),
+        }
+        if request.path not in routes:
+            raise RequestRefused(
+                status=NOT_FOUND, field="path", message=f"give one of: {', '.join(routes)}"
+            )
+        method, handler = routes[request.path]
+        if request.method != method:
+            raise RequestRefused(status=METHOD_NOT_ALLOWED, field="method", message=f"use {method}")
+        return handler
+
+    def _check_operator(self, request: Request) -> None:
+        if not self._settings.api_keys:
+            if ipaddress.ip_address(Address.parse(request.peer).host).is_loopback:
+                return
+            raise RequestRefused(
+                status=FORBIDDEN,
+                field="admin.api_keys",
+                message="is empty on this VM, so only callers on the VM itself are heard",
+            )
+        value = request.headers.get(AUTHORIZATION) or ""
+        key = value[len(BEARER) :].strip() if value.lower().startswith(BEARER) else ""
+        if api_key_digest(key) not in self._settings.api_keys:
+            raise RequestRefused(
+                status=UNAUTHORIZED,
+                field=AUTHORIZATION,
+                message="give 'Bearer' and an operator's key",
+            )
+
+    async def _show(self, exchange: Exchange) -> None:
+        try:
+            head = (await self._part.store.read()).head
+        except PlatformError:
+            # While the platform is down operators still see what is in force here.
+            tree = self._part.view.value
+            version, text, source = tree.version, render(tree), FROM_VM
+        else:
+            version, text, source = head.version, head.stored.text, FROM_PLATFORM
+        shown = SettingsShown(
+            version=version,
+            text=text,
+            source=source,
+            vm_version=self._part.version,
+            vm_age_s=self._part.age_s,
+        )
+        await _respond(exchange, shown)
+
+    async def _node(self, exchange: Exchange) -> None:
+        path = exchange.request.query.get("path", ROOT)
+        try:
+            shown = node_shown(self._part.view.value, path)
+        except UnknownNode as error:
+            raise RequestRefused(status=NOT_FOUND, field="path", message=str(error)) from error
+        await _respond(exchange, shown)
+
+    async def _history(self, exchange: Exchange) -> None:
+        head = (await self._part.store.read()).head
+        await _respond(exchange, history_shown(head))
+
+    async def _check(self, exchange: Exchange) -> None:
+        asked = _read_body(exchange.request, CheckAsked)
+        faults: tuple[Fault, ...] = ()
+        try:
+            parse_text(asked.text)
+        except FaultsError as error:
+            faults = tuple(error.faults)
+        await _respond(exchange, CheckTold(faults=faults))
+
+    async def _change(self, exchange: Exchange) -> None:
+        asked = _read_body(exchange.request, ChangeRequest)
+        wait_s = _number(exchange.request, "wait_s", default=0.0)
+        outcome = await self._part.store.change(asked)
+        told = change_told(asked.change_id, outcome)
+        _log(asked, told)
+        if isinstance(outcome, Stored):
+            in_force = await self._part.wait_in_force(
+                outcome.version, timeout_s=min(wait_s, MAX_WAIT_S)
+            )
+            told = attrs.evolve(told, in_force=in_force)
+        await _respond(exchange, told, status=STATUS_BY_TAG[told.tag])
+
+    async def _in_force(self, exchange: Exchange) -> None:
+        version = int(_number(exchange.request, "version", default=self._part.version or 0))
+        wait_s = _number(exchange.request, "wait_s", default=0.0)
+        told = await self._part.wait_in_force(version, timeout_s=min(wait_s, MAX_WAIT_S))
+        await _respond(exchange, told)
+
+
+def _log(asked: ChangeRequest, told: ChangeTold) -> None:
+    if told.tag != Stored.tag:
+        message = told.message or "; ".join(str(fault) for fault in told.faults)
+        events.REFUSED.log(log, change_id=asked.change_id, author=asked.author, message=message)
+        return
+    keys = ", ".join(edit.key for edit in told.edits) or "nothing but comments"
+    events.STORED.log(
+        log, change_id=asked.change_id, author=asked.author, version=told.version, keys=keys
+    )
+
+
+def _read_body(request: Request, cls: type[T]) -> T:
+    try:
+        return msgspec.json.decode(request.body, type=cls)
+    except msgspec.MsgspecError as error:
+        raise RequestRefused(status=BAD_REQUEST, field="body", message=str(error)) from error
+
+
+def _number(request: Request, name: str, *, default: float) -> float:
+    text = request.query.get(name)
+    if text is None:
+        return default
+    try:
+        return float(text)
+    except ValueError:
+        raise RequestRefused(status=BAD_REQUEST, field=name, message="is no number") from None
+
+
+async def _respond(exchange: Exchange, payload: Any, *, status: int = OK) -> None:
+    headers = Headers((("Content-Type", JSON_TYPE),))
+    await exchange.respond(status=status, headers=headers, body=msgspec.json.encode(payload))
--- a/lagoonlever/tests/settings_version_tests.py
+++ b/lagoonlever/tests/settings_version_tests.py
@@ -141,6 +141,17 @@
             vm.version.on_pause(self.now)
             self._begin_round(vm)
 
+    @rule(name=st.sampled_from(VMS), late=st.booleans())
+    def wake(self, name: str, late: bool) -> None:
+        """Wake from a short freeze, and find an answer that waited in the socket."""
+        waiting = [each for each in self.flying if each.vm == name]
+        self.freeze(name)
+        self.now += 2.0
+        self.thaw(name)
+        if late and waiting:
+            self.flying.remove(waiting[-1])
+            self._deliver(waiting[-1])
+
     @rule(name=st.sampled_from(VMS))
     def restart(self, name: str) -> None:
         self.lives += 1
