Keep copies of settled answers at two other VMs

Cause: a repeat of a finished bid got 'unknown' once its home had gone, also after a planned stop. A settled answer never changes, so it goes as soft state to two members by rendezvous of the home's name, other data centres first; a lost copy costs an 'unknown' as before. Ruled out: handing the table over at a planned stop only, which does nothing for a death; copies of unsettled keys, which would have to be agreed on.

--- a/lagoonlever/entry/services.py
+++ b/lagoonlever/entry/services.py
@@ -13,15 +13,8 @@
 import trio
 
 from lagoonlever.decisions.claims import HomeTable, StoredAnswer
-from lagoonlever.decisions.claims_group import ClaimResult, Unbound
 from lagoonlever.decisions.claims_keys import (
-    KEY_HEADER,
-    HomedKey,
     KeyHome,
-    PlainKey,
-    parse_homed,
-    parse_key,
-    scope_of,
 )
 from lagoonlever.decisions.hedging import Runners
 from lagoonlever.decisions.membership import MemberView
@@ -30,12 +23,14 @@
 from lagoonlever.entry.engines import TargetGuard
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.request_metrics import RequestMetrics, unscraped_metrics
-from lagoonlever.entry.services_answers import not_run, tell, unknown
+from lagoonlever.entry.services_answers import not_run, tell
 from lagoonlever.entry.services_call import HOMED_KEY_HEADER, ServiceCall, remaining_s
+from lagoonlever.entry.services_copies import AnswerCopier
 from lagoonlever.entry.services_dispatch import Dispatcher
 from lagoonlever.entry.services_events import ANSWER_UNKNOWN
 from lagoonlever.entry.services_forward import Forwarder
 from lagoonlever.entry.services_keyed import KeyedCalls
+from lagoonlever.entry.services_keys import KeyRouter
 from lagoonlever.entry.services_lookups import LookupCounts, Lookups
 from lagoonlever.entry.services_pauses import PauseWatch
 from lagoonlever.entry.services_settings import ServiceSettings
@@ -46,6 +41,7 @@
 from lagoonlever.http.server import Exchange
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import Reason, Unknown
+from lagoonlever.peers.interface import Bus
 from lagoonlever.platform.port import Platform
 from lagoonlever.timers import TimerService
 
@@ -77,6 +73,7 @@
         rng: random.Random,
         organisation_of: OrganisationOf = _nobody,
         recorder: Recorder | None = None,
+        bus: Bus | None = None,
         metrics: RequestMetrics | None = None,
     ) -> None:
         self._own = own
@@ -107,17 +104,28 @@
             settings=settings,
             rng=rng,
         )
+        self._copier = AnswerCopier(members=members, bus=bus)
         self._keyed = KeyedCalls(
             table=table,
             dispatcher=self._dispatcher,
             timers=timers,
             settings=settings,
+            on_settled=self._copier.send,
             recorder=recorder,
         )
         self._lookups = Lookups(
             guard=guard, runners=self._runners, timers=timers, settings=settings, rng=rng
         )
-        self._forwarder = Forwarder(members=members, timers=timers, settings=settings)
+        self._keys = KeyRouter(
+            own=own,
+            members=members,
+            claims=self._claims,
+            keyed=self._keyed,
+            forwarder=Forwarder(members=members, timers=timers, settings=settings),
+            copier=self._copier,
+            timers=timers,
+            settings=settings,
+        )
 
     @property
     def key_home(self) -> KeyHome:
@@ -141,6 +149,7 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._keyed.run)
                     nursery.start_soon(self._claims.run)
+                    nursery.start_soon(self._copier.run)
                     nursery.start_soon(self._forget_gone_runners)
         finally:
             with trio.CancelScope(shield=True):
@@ -191,49 +200,9 @@
     async def _answer(self, call: ServiceCall) -> StoredAnswer:
         if call.idempotent:
             return await self._lookups.call(call)
-        homed_text = call.request.headers.get(HOMED_KEY_HEADER)
-        if homed_text is not None:
-            return await self._forwarded(call, homed_text)
         if not call.key_text:
             return await self._without_key(call)
-        key = parse_key(call.key_text)
-        if isinstance(key, PlainKey):
-            return await self._plain(call, key)
-        return await self._homed(call, key)
-
-    async def _homed(self, call: ServiceCall, key: HomedKey) -> StoredAnswer:
-        if key.home == self._own:
-            return await self._keyed.call(call, key)
-        return await self._forwarder.forward(call, key)
-
-    async def _forwarded(self, call: ServiceCall, homed_text: str) -> StoredAnswer:
-        """Run what another VM forwarded; never forward it on, so that none goes in circles."""
-        key = parse_homed(homed_text)
-        if key is None:
-            raise RequestRefused(
-                status=400, field=HOMED_KEY_HEADER, message="is no key with a home"
-            )
-        return await self._keyed.call(call, key)
-
-    async def _plain(self, call: ServiceCall, key: PlainKey) -> StoredAnswer:
-        """Bind the key to a home first; without a binding nothing runs.
-
-        The answer is "unknown" all the same: an earlier copy of the request may
-        have been bound and run through another VM, which can't be looked up now.
-        """
-        credential = call.request.headers.get("Authorization", "") or ""
-        scope = scope_of(key, service=call.service.name, credential=credential)
-        bound: ClaimResult = Unbound()
-        with trio.move_on_after(call.left_s(self._timers.now)):
-            bound = await self._claims.bind(scope)
-        if isinstance(bound, Unbound):
-            return unknown(
-                Reason.PLATFORM_DOWN,
-                f"this copy was not run, but whether another one was can't be found out now;"
-                f" ask again with the same {KEY_HEADER}: it is never run twice",
-                retry_after_s=self._settings.retry_after_s,
-            )
-        return await self._homed(call, bound.home)
+        return await self._keys.answer(call)
 
     async def _without_key(self, call: ServiceCall) -> StoredAnswer:
         def on_write(target: Target) -> bool:
--- a/lagoonlever/entry/services_call.py
+++ b/lagoonlever/entry/services_call.py
@@ -158,17 +158,19 @@
     except ValueError:
         return None
     return StoredAnswer(
-        outcome=_outcome_from(tag, reason=reason, response=response),
+        outcome=outcome_of_tag(
+            tag, reason=reason, status=response.status, retry_after_s=_retry_after_s(response)
+        ),
         status=response.status,
         headers=end_to_end(response.headers),
         body=response.body,
     )
 
 
-def _outcome_from(tag: OutcomeTag, *, reason: Reason, response: Response) -> Outcome:
-    status = response.status
-    after = response.headers.get(RETRY_AFTER_HEADER)
-    retry_after_s = float(after) if after and after.isdigit() else None
+def outcome_of_tag(
+    tag: OutcomeTag, *, reason: Reason, status: int, retry_after_s: float | None = None
+) -> Outcome:
+    """Give the outcome that another VM told by its tag; its message is in the answer's body."""
     if tag is OutcomeTag.DONE:
         return Done(status=status)
     if tag is OutcomeTag.FAILED:
@@ -176,3 +178,8 @@
     if tag is OutcomeTag.NOT_RUN:
         return NotRun(reason=reason, message="", status=status, retry_after_s=retry_after_s)
     return Unknown(reason=reason, message="", status=status, retry_after_s=retry_after_s)
+
+
+def _retry_after_s(response: Response) -> float | None:
+    text = response.headers.get(RETRY_AFTER_HEADER)
+    return float(text) if text and text.isdigit() else None
--- a/lagoonlever/entry/services_forward.py
+++ b/lagoonlever/entry/services_forward.py
@@ -7,7 +7,7 @@
 
 from lagoonlever.decisions.claims import StoredAnswer
 from lagoonlever.decisions.claims_keys import HomedKey
-from lagoonlever.decisions.membership import MemberView
+from lagoonlever.decisions.membership import Member, MemberView
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.services_answers import unknown
 from lagoonlever.entry.services_call import (
@@ -45,6 +45,13 @@
         member = self._members.value.find(key.home)
         if member is None:
             return self._unreachable("the VM that holds this key is not known here")
+        left_s = min(self._settings.call_timeout_s, call.left_s(self._timers.now))
+        return await self.ask(call, key, member, timeout_s=left_s + MARGIN_S)
+
+    async def ask(
+        self, call: ServiceCall, key: HomedKey, member: Member, *, timeout_s: float
+    ) -> StoredAnswer:
+        """Ask a member for a key's answer: its home, or one that may keep a copy."""
         try:
             connection = await ClientConnection.open(
                 member.http, timeout_s=self._settings.forward_timeout_s
@@ -52,17 +59,16 @@
         except ConnectFailed:
             return self._unreachable(f"{key.home.name}, which holds this key, can't be reached")
         try:
-            return await self._ask(call, key, connection)
+            return await self._ask(call, key, connection, timeout_s)
         finally:
             with trio.CancelScope(shield=True):
                 await connection.aclose()
 
     async def _ask(
-        self, call: ServiceCall, key: HomedKey, connection: ClientConnection
+        self, call: ServiceCall, key: HomedKey, connection: ClientConnection, timeout_s: float
     ) -> StoredAnswer:
-        left_s = min(self._settings.call_timeout_s, call.left_s(self._timers.now))
         try:
-            with trio.fail_after(left_s + MARGIN_S):
+            with trio.fail_after(timeout_s):
                 response = await exchange_on(
                     connection,
                     method=call.request.method,
--- a/lagoonlever/entry/services_keyed.py
+++ b/lagoonlever/entry/services_keyed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 import trio
 
@@ -34,6 +36,15 @@
 RETRY_NEW_KEY = "send it again under a new key"
 
 
+def used_for_another() -> StoredAnswer:
+    """Give the answer for a key that another request has used: this one never runs."""
+    return not_run(
+        Reason.BAD_REQUEST,
+        f"{KEY_HEADER}: was used for another request; {RETRY_NEW_KEY}",
+        status=422,
+    )
+
+
 @attrs.define(kw_only=True)
 class KeyedCalls:
     """Owns the keys of this incarnation and the tasks that run their requests.
@@ -46,6 +57,7 @@
     _dispatcher: Dispatcher
     _timers: TimerService
     _settings: ServiceSettings
+    _on_settled: Callable[[KeyRecord], None]
     _recorder: Recorder | None = None
     _nursery: trio.Nursery | None = None
     _settled: dict[HomedKey, trio.Event] = attrs.field(factory=dict)
@@ -77,11 +89,7 @@
             case Repeat(answer=answer):
                 return answer
             case Mismatch():
-                return not_run(
-                    Reason.BAD_REQUEST,
-                    f"{KEY_HEADER}: was used for another request; {RETRY_NEW_KEY}",
-                    status=422,
-                )
+                return used_for_another()
             case NotMine():
                 return unknown(
                     Reason.HOME_UNREACHABLE,
@@ -137,6 +145,7 @@
 
     def _settle(self, record: KeyRecord, answer: StoredAnswer) -> None:
         self._table.settle(record, answer)
+        self._on_settled(record)
         event = self._settled.pop(record.key, None)
         if event is not None:
             event.set()
