Prove whole answers in a deployment whose engines and VMs die; refuse echo and logprobs

Engines die after each token, freeze and thaw; VMs die, with an engine, twice, before the first token; callers come back with an id alone, late, elsewhere; wrong requests name their field beside a running neighbour.

Cause of the fix: options that a resume cannot honour were let through, because True equals 1 in Python: 'echo': true and 'logprobs': 1 were taken for harmless. Ruled out: the decoder of JSON, which keeps the types apart. Before: status 200 and no echo; after: 400 naming the field.

--- a/lagoonlever/entry/completions_api.py
+++ b/lagoonlever/entry/completions_api.py
@@ -23,8 +23,13 @@
 LAST_EVENT_HEADER = "Last-Event-ID"
 REQUEST_ID_HEADERS = ("Idempotency-Key", "X-Request-Id")
 MINTED_ID_BITS = 96
-NOT_SUPPORTED = frozenset({"echo", "best_of", "logprobs", "suffix"})
-"""Published options that would change what a resume must continue."""
+NOT_SUPPORTED: dict[str, tuple[object, ...]] = {
+    "echo": (None, False),
+    "best_of": (None, 1),
+    "logprobs": (None, False),
+    "suffix": (None, ""),
+}
+"""Published options that would change what a resume must continue, with what leaves them off."""
 MAX_STOP_STRINGS = 16
 MAX_STOP_LENGTH = 256
 
@@ -131,8 +136,10 @@
 
 
 def _check_supported(document: dict[str, Any]) -> None:
-    for name in NOT_SUPPORTED & document.keys():
-        if document[name] not in (None, False, 1):
+    for name, harmless in NOT_SUPPORTED.items():
+        value = document.get(name)
+        # By type as well: in Python True equals 1, and False equals 0.
+        if not any(value == off and type(value) is type(off) for off in harmless):
             raise RequestRefused(status=400, field=name, message="is not supported; leave it out")
 
 
--- /dev/null
+++ b/lagoonlever/tests/cluster_tests.py
@@ -0,0 +1,403 @@
+"""Whole deployments in one process: engines and entry VMs die, freeze, come back; callers win."""
+
+from __future__ import annotations
+
+import attrs
+import msgspec
+import pytest
+import trio
+
+from lagoonlever.client.answers import HeldStream
+from lagoonlever.decisions import orphans
+from lagoonlever.fakes.batch import ServedModel
+from lagoonlever.fakes.cluster import DATA_CENTERS, MODEL
+from lagoonlever.fakes.engine import EngineOptions, FakeEngine
+from lagoonlever.fakes.faults import FaultKind, FaultOrder
+from lagoonlever.tests.base import (
+    Scene,
+    document,
+    expected_text,
+    post,
+    run_scene,
+    until,
+)
+from lagoonlever.tree.nodes import Node, Override, TreeView
+from lagoonlever.tree.options import api_key_digest
+
+SHORT = 7
+MULTI_BYTE_SEED = next(
+    seed
+    for seed in range(1000)
+    if any(ord(character) > 255 for character in expected_text(length=SHORT - 1, seed=seed)[4:])
+)
+"""A seed whose short answer has a character of several tokens in its middle."""
+LONG = 150
+
+
+def arm(scene: Scene, kind: FaultKind, after_tokens: int) -> None:
+    """Have the engine that first sends so many tokens of a stream fail, and no other."""
+    fired = False
+    for engine in scene.cluster.engines.values():
+
+        def sent(_: str, tokens: int, engine: FakeEngine = engine) -> None:
+            nonlocal fired
+            if not fired and tokens == after_tokens:
+                fired = True
+                engine.inject(FaultOrder(kind=kind))
+
+        engine._faults.sent = sent
+
+
+def is_hit(engine: FakeEngine) -> bool:
+    return engine._faults.dead or engine._faults.frozen
+
+
+def hit(scene: Scene) -> list[str]:
+    return [name for name, engine in scene.cluster.engines.items() if is_hit(engine)]
+
+
+def engine_of(scene: Scene) -> str:
+    """Give the engine that has a stream."""
+    return next(name for name, engine in scene.cluster.engines.items() if engine.live_streams)
+
+
+def decoded(scene: Scene) -> int:
+    return sum(engine.total_work.decode_tokens for engine in scene.cluster.engines.values())
+
+
+def live_streams(scene: Scene) -> list[str]:
+    return [name for engine in scene.cluster.engines.values() for name in engine.live_streams]
+
+
+def stop_string(seed: int) -> str:
+    """Give a stop string that begins in the middle of a token and ends in another."""
+    text = expected_text(length=SHORT, seed=seed)
+    return text[-9:-3]
+
+
+@pytest.mark.parametrize("with_stop", [False, True])
+def test_an_engine_dies_after_each_token(tmp_path, with_stop):
+    """A dealer reads a summary while the engine under it dies.
+
+    The engine dies after each token in turn: before the first, within a character
+    of several tokens, within a stop string, between the last one and the end
+    marker. The answer goes on elsewhere and equals the undisturbed one.
+    """
+    stop = (stop_string(MULTI_BYTE_SEED),) if with_stop else ()
+    expected = expected_text(length=SHORT, seed=MULTI_BYTE_SEED, stop=stop)
+
+    async def story(scene: Scene) -> None:
+        for offset in range(SHORT + 1):
+            arm(scene, FaultKind.DIE, offset)
+            held = await scene.ask(
+                name=f"caller {offset}", length=SHORT, seed=MULTI_BYTE_SEED, stop=stop
+            )
+            assert held.text == expected
+            assert held.restarts == 0
+            assert with_stop or len(hit(scene)) == offset + 1
+
+    run_scene(story, tmp_path, engines=SHORT + 4, vms=2)
+
+
+@pytest.mark.parametrize("offset", [0, 3, SHORT - 1])
+def test_an_engine_freezes_and_thaws(tmp_path, offset):
+    """An answer stalls, goes on, and must not get the frozen engine's tokens later.
+
+    The engine freezes after some tokens; another one finishes the answer. The
+    first thaws and sends the rest of its own, which nobody takes.
+    """
+
+    async def story(scene: Scene) -> None:
+        arm(scene, FaultKind.FREEZE, offset)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(bystander, scene)
+            held = await scene.ask(length=SHORT, seed=MULTI_BYTE_SEED)
+        assert held.text == expected_text(length=SHORT, seed=MULTI_BYTE_SEED)
+        for name in hit(scene):
+            scene.cluster.engines[name].inject(FaultOrder(kind=FaultKind.THAW))
+        await until(lambda: not live_streams(scene))
+
+    async def bystander(scene: Scene) -> None:
+        held = await scene.ask(name="bystander", length=LONG, seed=2, prompt="price of chili")
+        assert held.text == expected_text(length=LONG, seed=2, prompt="price of chili")
+
+    run_scene(story, tmp_path, engines=3, vms=2)
+
+
+@pytest.mark.parametrize("deaths", [("vm",), ("vm", "engine"), ("vm", "engine", "vm", "engine")])
+def test_an_entry_vm_dies_within_an_answer(tmp_path, deaths):
+    """A dealer's connection breaks in the middle of a summary; it goes on by itself.
+
+    The entry VM dies, alone, together with the engine, or both twice. The caller
+    comes back at another VM with what it holds, and gets exactly the rest.
+    """
+
+    async def story(scene: Scene) -> None:
+        left = list(deaths)
+
+        def arrived(arrival) -> None:
+            if not left or arrival.offset < 10 + 20 * (len(deaths) - len(left)) // 2:
+                return
+            if left.pop(0) == "vm":
+                scene.cluster.kill_vm(scene.vm_at(arrival.vm))
+            if left and left[0] == "engine":
+                left.pop(0)
+                scene.cluster.kill_target(arrival.target)
+
+        held = await scene.ask(length=60, seed=5, on_arrival=arrived)
+        assert not left
+        assert held.text == expected_text(length=60, seed=5)
+        assert held.restarts == 0
+
+    run_scene(story, tmp_path, engines=4, vms=4)
+
+
+def test_an_entry_vm_dies_before_the_first_token(tmp_path):
+    """A caller waits for its first word when its VM dies; it is answered by another."""
+
+    async def story(scene: Scene) -> None:
+        async with trio.open_nursery() as nursery:
+
+            async def caller() -> None:
+                held = await scene.ask(length=10, seed=5, vm="vm-1")
+                assert held.text == expected_text(length=10, seed=5)
+
+            nursery.start_soon(caller)
+            await until(lambda: live_streams(scene))
+            addresses = scene.cluster.addresses()
+            scene.cluster.kill_vm("vm-1")
+            assert len(addresses) == 2
+
+    run_scene(story, tmp_path, engines=1, vms=2, prefill_s_per_token=0.05)
+
+
+def test_a_caller_comes_back_with_the_last_event_id_alone(tmp_path):
+    """An ordinary client of event streams loses its VM and reconnects with Last-Event-ID.
+
+    It brings no tokens. The new VM fetches them from the engine that the id names,
+    or, when that engine is gone too, tells that a new generation begins.
+    """
+
+    async def story(scene: Scene) -> None:
+        for number, engine_dies in enumerate((False, True)):
+            name = f"back-{number}"
+            stream = HeldStream()
+            first = f"vm-{number + 1}"
+            await scene.visit(first, stream, request=name, length=80, seed=5, stop_at=12)
+            last = stream.last_event_id
+            scene.cluster.kill_vm(first)
+            if engine_dies:
+                scene.cluster.kill_target(last.target)
+            await scene.visit("vm-3", stream, request=name, length=80, seed=5, last=last)
+            assert stream.whole
+            assert stream.restarts == int(engine_dies)
+            if not engine_dies:
+                assert stream.text == expected_text(length=80, seed=5)
+
+    run_scene(story, tmp_path, engines=2, vms=3)
+
+
+def test_a_plain_client_is_told_instead_of_getting_a_second_generation(tmp_path):
+    """A client that cannot tell a new generation from the old one gets none spliced on."""
+
+    async def story(scene: Scene) -> None:
+        stream = HeldStream()
+        await scene.visit("vm-1", stream, request="r", length=80, seed=5, stop_at=12)
+        last = stream.last_event_id
+        scene.cluster.kill_vm("vm-1")
+        scene.cluster.kill_target(last.target)
+        status = await scene.visit(
+            "vm-2", stream, request="r", length=80, seed=5, last=last, accept=""
+        )
+        assert status == 409
+        assert len(stream.token_ids) == 12
+        scene.recorder.events.clear()
+
+    run_scene(story, tmp_path, engines=2, vms=2)
+
+
+def test_a_finished_answer_is_fetched_late(tmp_path):
+    """The answer is finished while its caller is away, which then comes back for it.
+
+    At the same VM it costs no engine work, whether the caller holds a part or
+    nothing. At another VM the part that it lacks comes from the engine.
+    """
+
+    async def story(scene: Scene) -> None:
+        for back in ("vm-1", "vm-2"):
+            asked = {"request": f"late-{back}", "length": 30, "seed": 5}
+            part, whole = HeldStream(), HeldStream()
+            await scene.visit("vm-1", part, **asked, stop_at=12)
+            await until(lambda: not live_streams(scene))
+            work = decoded(scene)
+            await scene.visit("vm-1", whole, **asked, caller="holds nothing")
+            await scene.visit(back, part, **asked, last=part.last_event_id)
+            for each in (part, whole):
+                assert each.text == expected_text(length=30, seed=5)
+                assert each.restarts == 0
+            assert decoded(scene) == work
+
+    run_scene(story, tmp_path, engines=2, vms=2)
+
+
+def test_no_engine_of_the_version_is_left(tmp_path):
+    """The model was replaced by a new version when the last engine of the old one dies.
+
+    Tokens of two versions must not stand in one answer: a caller that can tell is
+    told that a new generation begins; for a plain client the request has failed.
+    """
+
+    async def story(scene: Scene) -> None:
+        scene.cluster._engine_options = EngineOptions(
+            models=(ServedModel(name=MODEL, version="v2"),), token_interval_s=0.01
+        )
+        results = {}
+
+        async def plain() -> None:
+            results["plain"] = await post(scene.address("vm-1"), document(length=LONG, seed=5))
+
+        def arrived(arrival) -> None:
+            if arrival.offset == 20 and arrival.target == "engine-1":
+                scene.cluster.kill_target("engine-1")
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(plain)
+            await until(lambda: live_streams(scene))
+            await scene.cluster.start_engine("engine-2", DATA_CENTERS[0])
+            scene.cluster.publish_list()
+            for vm in scene.cluster.vms.values():
+                nursery.start_soon(
+                    until, lambda vm=vm: vm.daemon.parts.serves(members=2, targets=3)
+                )
+            held = await scene.ask(length=LONG, seed=5, on_arrival=arrived)
+        if held.restarts:
+            assert held.text == expected_text(length=LONG, seed=held.note.seed, version="v2")
+        assert held.restarts == 1
+        assert b'"type":"failed"' in results["plain"].body
+
+    run_scene(story, tmp_path, engines=1, vms=2)
+
+
+WRONG = [
+    (b"{", (), 400, "body"),
+    (b"[]", (), 400, "body"),
+    ({"prompt": "p"}, (), 400, "model"),
+    ({"model": "none", "prompt": "p"}, (), 404, "model"),
+    ({"model": MODEL, "prompt": 3}, (), 400, "prompt"),
+    ({"model": MODEL, "prompt": "p", "max_tokens": 0}, (), 400, "max_tokens"),
+    ({"model": MODEL, "prompt": "p", "max_tokens": 10**9}, (), 400, "max_tokens"),
+    ({"model": MODEL, "prompt": "p", "stop": [""]}, (), 400, "stop"),
+    ({"model": MODEL, "prompt": "p", "n": 2}, (), 400, "n"),
+    ({"model": MODEL, "prompt": "p", "echo": True}, (), 400, "echo"),
+    ({"model": MODEL, "prompt": "p", "logprobs": 1}, (), 400, "logprobs"),
+    ({"model": MODEL, "prompt": "p"}, (("Idempotency-Key", "a b"),), 400, "Idempotency-Key"),
+    (
+        {"model": MODEL, "prompt": "p"},
+        (("Lagoonlever-Deadline-S", "soon"),),
+        400,
+        "Lagoonlever-Deadline-S",
+    ),
+    (
+        {"model": MODEL, "prompt": "p"},
+        (("Idempotency-Key", "x"), ("Last-Event-ID", "7")),
+        400,
+        "Last-Event-ID",
+    ),
+    (b"x" * (5 * 1024 * 1024), (), 413, "body"),
+    (b"{}", (("X-Large", "x" * 100_000),), 431, "request"),
+]
+
+
+def test_wrong_requests_are_told_the_field_and_harm_nobody(tmp_path):
+    """A client with a fault asks all the while that a dealer's summary streams at the same VM."""
+
+    async def story(scene: Scene) -> None:
+        address = scene.address("vm-1")
+        async with trio.open_nursery() as nursery:
+
+            async def neighbour() -> None:
+                held = await scene.ask(length=LONG, seed=5, vm="vm-1")
+                assert held.text == expected_text(length=LONG, seed=5)
+
+            nursery.start_soon(neighbour)
+            await until(lambda: live_streams(scene))
+            for body, headers, status, field in WRONG:
+                answer = await post(address, body, headers=headers)
+                assert answer.status == status, (field, answer)
+                assert answer.error["param"] == field
+                assert answer.headers.get("Lagoonlever-Outcome") == "not-run"
+            assert (await post(address, {}, path="/v1/none")).error["param"] == "path"
+            assert (await post(address, {}, method="PUT")).error["param"] == "method"
+
+    run_scene(story, tmp_path, engines=1, vms=1)
+
+
+def test_an_unknown_key_is_refused(tmp_path):
+    """A caller with a mistyped key is told the header, and its neighbour's answer goes on."""
+
+    async def story(scene: Scene) -> None:
+        tree = scene.cluster.vms["vm-1"].daemon.parts.tree
+        keys = Override(option="api_keys", value=(api_key_digest("k1"),))
+        tree.publish(
+            TreeView(version=1, nodes=(Node(path="/"), Node(path="/a", overrides=(keys,))))
+        )
+        address = scene.address("vm-1")
+        for headers in ((), (("Authorization", "Bearer k2"),)):
+            answer = await post(address, document(length=5, seed=5), headers=headers)
+            assert (answer.status, answer.error["param"]) == (401, "Authorization")
+        right = await post(
+            address, document(length=5, seed=5), headers=(("Authorization", "Bearer k1"),)
+        )
+        assert right.text == expected_text(length=5, seed=5)
+
+    run_scene(story, tmp_path, engines=1, vms=1)
+
+
+def test_a_plain_client_needs_only_the_address(tmp_path):
+    """A client of streaming completions sends what it always sent, streamed and not."""
+
+    async def story(scene: Scene) -> None:
+        address = scene.address("vm-1")
+        streamed = await post(address, document(length=20, seed=5))
+        assert streamed.text == expected_text(length=20, seed=5)
+        whole = await post(address, document(length=20, seed=5, stream=False))
+        choice = msgspec.json.decode(whole.body)["choices"][0]
+        assert choice["text"] == expected_text(length=20, seed=5)
+        assert whole.headers.get("Lagoonlever-Outcome") == "done"
+
+    run_scene(story, tmp_path, engines=1, vms=1)
+
+
+def test_streams_end_at_the_engine_when_nobody_will_read_them(tmp_path, monkeypatch):
+    """Engines must not write long answers for callers that left, nor for VMs that died.
+
+    A plain client, which cannot come back, leaves: its stream is cancelled at once.
+    A VM dies with a long stream and its caller stays away: a peer cancels it.
+    """
+    monkeypatch.setattr(orphans, "GRACE_S", 0.5)
+    monkeypatch.setattr(orphans, "RECORD_AFTER_S", 0.2)
+
+    async def story(scene: Scene) -> None:
+        with trio.CancelScope() as scope:
+            await post(
+                scene.address("vm-1"),
+                document(length=2000, seed=5),
+                on_piece=lambda _: scope.cancel(),
+            )
+        await until(lambda: not live_streams(scene))
+        assert decoded(scene) < 1000
+        stream = HeldStream()
+        await scene.visit("vm-1", stream, request="r", length=4000, seed=5, stop_at=40)
+        parts = [vm.daemon.parts for vm in scene.cluster.vms.values()]
+        await until(lambda: any(part.orphans._holder.records for part in parts))
+        scene.cluster.kill_vm("vm-1")
+        await until(lambda: not live_streams(scene))
+        assert decoded(scene) < 3000
+        scene.recorder.events.clear()
+
+    run_scene(story, tmp_path, engines=1, vms=3, adjust=quick_membership)
+
+
+def quick_membership(settings):
+    membership = attrs.evolve(settings.membership, period_s=0.2, ack_timeout_s=0.1)
+    return attrs.evolve(settings, membership=membership)
