--- a/lagoonlever/report/status_tables.py
+++ b/lagoonlever/report/status_tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from rich import box
 from rich.table import Table
 
 from lagoonlever.report.status import StatusReport
@@ -21,10 +22,14 @@
     ]
 
 
+FOLDED_COLUMNS = frozenset({"models", "value"})
+"""Columns of any length; the others are copied into commands, so they are never folded."""
+
+
 def _table(title: str, *columns: str) -> Table:
-    table = Table(title=title, title_justify="left")
+    table = Table(title=title, title_justify="left", box=box.SIMPLE_HEAD, pad_edge=False)
     for column in columns:
-        table.add_column(column, overflow="fold")
+        table.add_column(column, overflow="fold", no_wrap=column not in FOLDED_COLUMNS)
     return table
 
 
@@ -58,7 +63,7 @@
 
 def _target_table(report: StatusReport) -> Table:
     table = _table(
-        "Targets", "name", "kind", "address", "state", "models", "running/slots", "waiting", "age"
+        "Targets", "name", "kind", "address", "state", "models", "in use", "waiting", "age"
     )
     for target in report.targets:
         table.add_row(
