--- a/lagoonlever/report/status_tables.py
+++ b/lagoonlever/report/status_tables.py
@@ -22,7 +22,7 @@
     ]
 
 
-FOLDED_COLUMNS = frozenset({"models", "value"})
+FOLDED_COLUMNS = frozenset({"serves", "value"})
 """Columns of any length; the others are copied into commands, so they are never folded."""
 
 
@@ -62,16 +62,13 @@
 
 
 def _target_table(report: StatusReport) -> Table:
-    table = _table(
-        "Targets", "name", "kind", "address", "state", "models", "in use", "waiting", "age"
-    )
+    table = _table("Targets", "name", "address", "state", "serves", "in use", "waiting", "age")
     for target in report.targets:
         table.add_row(
             target.name,
-            target.kind,
             target.address,
             target.state,
-            ", ".join(target.models),
+            ", ".join(target.models) or target.kind,
             f"{_whole(target.running)}/{_whole(target.slots)}",
             _whole(target.waiting),
             _seconds(target.load_age_s),
