--- a/lagoonlever/entry/reporting.py
+++ b/lagoonlever/entry/reporting.py
@@ -13,6 +13,7 @@
 from lagoonlever.decisions.targets import Target, TargetView
 from lagoonlever.entry.admission import AdmissionState, PoolState
 from lagoonlever.entry.published import Published
+from lagoonlever.entry.request_metrics import organisation_of
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import JSON_TYPE, Exchange
 from lagoonlever.instruments import EXPOSITION_TYPE, Metrics
@@ -50,7 +51,7 @@
 """Twentieths: the last cut point is that of 95 in 100."""
 
 OpenStreams = Callable[[], Iterable[str]]
-"""Gives the organisation of each generation that runs on this VM."""
+"""Gives the node of the settings tree of each generation that runs on this VM."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -106,7 +107,7 @@
             self._metrics.add(PAUSES, 1)
         members = Counter(member.state.value for member in self._members.value.members)
         targets = Counter(target.state.value for target in self._targets.value.targets)
-        streams = Counter(self._open_streams())
+        streams = Counter(organisation_of(path) for path in self._open_streams())
         self._metrics.replace(MEMBERS, _labelled(members))
         self._metrics.replace(TARGETS, _labelled(targets))
         self._metrics.replace(OPEN_STREAMS, _labelled(streams))
--- a/lagoonlever/tests/reporting_tests.py
+++ b/lagoonlever/tests/reporting_tests.py
@@ -195,7 +195,7 @@
         tree=Published(tree),
         admission=Published(AdmissionState(pools=(pool,))),
         traffic=traffic,
-        open_streams=lambda: [MOTUS, MOTUS],
+        open_streams=lambda: [MOTUS, "/motus/desk"],
         timers=TimerService(clock=lambda: 100.0),
         metrics=metrics,
         objectives=ObjectiveRecorder(metrics=metrics, settings=ObjectiveSettings()),
