Spread the times to come back in whole seconds

Cause: the header takes whole seconds and times were rounded up, so each caller was told the same second; some answers carried no jitter at all. Times are now drawn by the one function of the limits and rounded by chance.

--- a/lagoonlever/decisions/budgets.py
+++ b/lagoonlever/decisions/budgets.py
@@ -1,9 +1,7 @@
-"""Budgets for attempts beyond the first: retries and hedges, and when to come back."""
+"""Budgets for attempts beyond the first: retries and hedges."""
 
 from __future__ import annotations
 
-import random
-
 import attrs
 
 FULL_RATIO = 0.1
@@ -14,8 +12,6 @@
 RESERVE_TOKENS = 10.0
 """What a quiet budget holds, so that a first failure after a calm can be hedged."""
 
-RETRY_AFTER_SPREAD = 0.5
-
 
 @attrs.define(kw_only=True)
 class RetryBudget:
@@ -70,8 +66,3 @@
     for budget in budgets:
         budget.withdraw()
     return True
-
-
-def retry_after_s(*, base_s: float, rng: random.Random) -> float:
-    """Give when to come back, spread so that callers do not come back together."""
-    return base_s * (1.0 + RETRY_AFTER_SPREAD * rng.random())
--- a/lagoonlever/entry/services.py
+++ b/lagoonlever/entry/services.py
@@ -23,7 +23,7 @@
 from lagoonlever.entry.engines import TargetGuard
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.request_metrics import RequestMetrics, unscraped_metrics
-from lagoonlever.entry.services_answers import not_run, tell
+from lagoonlever.entry.services_answers import ComeBack, not_run, tell
 from lagoonlever.entry.services_call import HOMED_KEY_HEADER, ServiceCall, remaining_s
 from lagoonlever.entry.services_copies import AnswerCopier
 from lagoonlever.entry.services_dispatch import Dispatcher
@@ -95,6 +95,7 @@
             limit_bytes=settings.home_bytes,
             lifetime_s=settings.key_lifetime_s,
         )
+        come_back = ComeBack(base_s=settings.retry_after_s, rng=rng)
         self._claims = Claims(platform=platform, table=table, timers=timers, settings=settings)
         self._dispatcher = Dispatcher(
             guard=guard,
@@ -102,7 +103,7 @@
             timers=timers,
             pauses=self._pauses,
             settings=settings,
-            rng=rng,
+            come_back=come_back,
         )
         self._copier = AnswerCopier(members=members, bus=bus)
         self._keyed = KeyedCalls(
@@ -110,21 +111,29 @@
             dispatcher=self._dispatcher,
             timers=timers,
             settings=settings,
+            come_back=come_back,
             on_settled=self._copier.send,
             recorder=recorder,
         )
         self._lookups = Lookups(
-            guard=guard, runners=self._runners, timers=timers, settings=settings, rng=rng
+            guard=guard,
+            runners=self._runners,
+            timers=timers,
+            settings=settings,
+            come_back=come_back,
         )
         self._keys = KeyRouter(
             own=own,
             members=members,
             claims=self._claims,
             keyed=self._keyed,
-            forwarder=Forwarder(members=members, timers=timers, settings=settings),
+            forwarder=Forwarder(
+                members=members, timers=timers, settings=settings, come_back=come_back
+            ),
             copier=self._copier,
             timers=timers,
             settings=settings,
+            come_back=come_back,
         )
 
     @property
--- a/lagoonlever/entry/services_answers.py
+++ b/lagoonlever/entry/services_answers.py
@@ -4,8 +4,12 @@
 
 import json
 import math
+import random
+
+import attrs
 
 from lagoonlever.decisions.claims import StoredAnswer
+from lagoonlever.decisions.limits import retry_after_s
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import JSON_TYPE, Exchange
 from lagoonlever.outcomes import (
@@ -20,6 +24,22 @@
     Unknown,
 )
 
+RETRY_SAME_KEY = "ask again with the same key: it is never run twice"
+RETRY_NEW_KEY = "send it again under a new key"
+
+
+@attrs.define(kw_only=True)
+class ComeBack:
+    """Gives times to come back, in whole seconds as HTTP has them, spread by chance."""
+
+    _base_s: float
+    _rng: random.Random
+
+    def after_s(self) -> float:
+        """Give a time; rounded by chance, as rounding up would bring callers back together."""
+        spread_s = retry_after_s(self._base_s, self._rng)
+        return float(max(1, math.floor(spread_s + self._rng.random())))
+
 
 def answer_of(outcome: NotRun | Unknown | Failed) -> StoredAnswer:
     """Give the answer for an outcome that this system made itself."""
--- a/lagoonlever/entry/services_dispatch.py
+++ b/lagoonlever/entry/services_dispatch.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 
 import attrs
 import trio
 
-from lagoonlever.decisions.budgets import retry_after_s
 from lagoonlever.decisions.claims import StoredAnswer
 from lagoonlever.decisions.claims_dispatch import (
     CheckAgain,
@@ -22,7 +20,7 @@
 from lagoonlever.decisions.hedging import Runners
 from lagoonlever.decisions.targets import Target, TargetState, TargetView
 from lagoonlever.entry.engines import TargetGuard
-from lagoonlever.entry.services_answers import not_run, unknown
+from lagoonlever.entry.services_answers import RETRY_NEW_KEY, ComeBack, not_run, unknown
 from lagoonlever.entry.services_call import ServiceCall, service_answer
 from lagoonlever.entry.services_exchange import exchange_on
 from lagoonlever.entry.services_pauses import PauseWatch
@@ -60,7 +58,7 @@
     _timers: TimerService
     _pauses: PauseWatch
     _settings: ServiceSettings
-    _rng: random.Random
+    _come_back: ComeBack
 
     async def dispatch(
         self, call: ServiceCall, *, key_expires_at: float | None, on_write: OnWrite
@@ -173,10 +171,12 @@
         return not_run(refused.reason, refused.message)
 
     def _no_target(self, call: ServiceCall, tried: set[str]) -> StoredAnswer:
-        after_s = retry_after_s(base_s=self._settings.retry_after_s, rng=self._rng)
+        after_s = self._come_back.after_s()
         if tried:
-            return not_run(
-                Reason.NO_TARGET, "no runner accepted a connection", retry_after_s=after_s
-            )
-        reason = absence_reason(call.service, self._guard.view.value)
-        return not_run(reason, "no runner can take it now", retry_after_s=after_s)
+            reason, message = Reason.NO_TARGET, "no runner accepted it"
+        else:
+            reason = absence_reason(call.service, self._guard.view.value)
+            message = "no runner can take it now"
+        if call.key_text:
+            message = f"{message}; {RETRY_NEW_KEY}"
+        return not_run(reason, message, retry_after_s=after_s)
--- a/lagoonlever/entry/services_forward.py
+++ b/lagoonlever/entry/services_forward.py
@@ -9,7 +9,7 @@
 from lagoonlever.decisions.claims_keys import HomedKey
 from lagoonlever.decisions.membership import Member, MemberView
 from lagoonlever.entry.published import Published
-from lagoonlever.entry.services_answers import unknown
+from lagoonlever.entry.services_answers import ComeBack, unknown
 from lagoonlever.entry.services_call import (
     DEADLINE_HEADER,
     HOMED_KEY_HEADER,
@@ -39,6 +39,7 @@
     _members: Published[MemberView]
     _timers: TimerService
     _settings: ServiceSettings
+    _come_back: ComeBack
 
     async def forward(self, call: ServiceCall, key: HomedKey) -> StoredAnswer:
         """Give the home's answer, or tell that the home can't be asked."""
@@ -94,5 +95,5 @@
             Reason.HOME_UNREACHABLE,
             f"{message}; ask again with the same key (it is never run twice),"
             " and look up the request's effect before sending it under a new one",
-            retry_after_s=self._settings.retry_after_s,
+            retry_after_s=self._come_back.after_s(),
         )
--- a/lagoonlever/entry/services_keyed.py
+++ b/lagoonlever/entry/services_keyed.py
@@ -23,7 +23,13 @@
 )
 from lagoonlever.decisions.claims_keys import KEY_HEADER, HomedKey, fingerprint_of
 from lagoonlever.decisions.targets import Target
-from lagoonlever.entry.services_answers import not_run, unknown
+from lagoonlever.entry.services_answers import (
+    RETRY_NEW_KEY,
+    RETRY_SAME_KEY,
+    ComeBack,
+    not_run,
+    unknown,
+)
 from lagoonlever.entry.services_call import ServiceCall
 from lagoonlever.entry.services_dispatch import Dispatcher
 from lagoonlever.entry.services_settings import ServiceSettings
@@ -32,9 +38,6 @@
 from lagoonlever.outcomes import Reason
 from lagoonlever.timers import TimerService
 
-RETRY_SAME_KEY = "ask again with the same key: it is never run twice"
-RETRY_NEW_KEY = "send it again under a new key"
-
 
 def used_for_another() -> StoredAnswer:
     """Give the answer for a key that another request has used: this one never runs."""
@@ -57,6 +60,7 @@
     _dispatcher: Dispatcher
     _timers: TimerService
     _settings: ServiceSettings
+    _come_back: ComeBack
     _on_settled: Callable[[KeyRecord], None]
     _recorder: Recorder | None = None
     _nursery: trio.Nursery | None = None
@@ -109,7 +113,7 @@
                 return not_run(
                     Reason.OVERLOADED,
                     f"no memory for another key; {RETRY_NEW_KEY}",
-                    retry_after_s=self._settings.retry_after_s,
+                    retry_after_s=self._come_back.after_s(),
                 )
 
     async def _start(self, call: ServiceCall, record: KeyRecord) -> StoredAnswer:
@@ -163,7 +167,7 @@
         return unknown(
             Reason.IN_PROGRESS,
             f"it is being run; {RETRY_SAME_KEY}",
-            retry_after_s=self._settings.retry_after_s,
+            retry_after_s=self._come_back.after_s(),
         )
 
     def _late(self, call: ServiceCall) -> bool:
--- a/lagoonlever/entry/services_keys.py
+++ b/lagoonlever/entry/services_keys.py
@@ -20,7 +20,7 @@
 from lagoonlever.decisions.membership import MemberState, MemberView
 from lagoonlever.entry.claims import Claims
 from lagoonlever.entry.published import Published
-from lagoonlever.entry.services_answers import unknown
+from lagoonlever.entry.services_answers import ComeBack, unknown
 from lagoonlever.entry.services_call import HOMED_KEY_HEADER, ServiceCall
 from lagoonlever.entry.services_copies import AnswerCopier
 from lagoonlever.entry.services_forward import Forwarder
@@ -46,6 +46,7 @@
     _copier: AnswerCopier
     _timers: TimerService
     _settings: ServiceSettings
+    _come_back: ComeBack
 
     async def answer(self, call: ServiceCall) -> StoredAnswer:
         """Answer a call with a key, also one that another VM forwarded."""
@@ -83,7 +84,7 @@
                 Reason.PLATFORM_DOWN,
                 "this copy was not run, but whether another one was can't be found out now;"
                 f" ask again with the same {KEY_HEADER}: it is never run twice",
-                retry_after_s=self._settings.retry_after_s,
+                retry_after_s=self._come_back.after_s(),
             )
         return await self._homed(call, bound.home)
 
--- a/lagoonlever/entry/services_lookups.py
+++ b/lagoonlever/entry/services_lookups.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import contextlib
-import random
 from collections.abc import Callable
 
 import attrs
 import trio
 
-from lagoonlever.decisions.budgets import RetryBudget, retry_after_s
+from lagoonlever.decisions.budgets import RetryBudget
 from lagoonlever.decisions.claims import StoredAnswer
 from lagoonlever.decisions.hedging import (
     HedgedCall,
@@ -21,7 +20,7 @@
 )
 from lagoonlever.decisions.targets import Target
 from lagoonlever.entry.engines import TargetGuard
-from lagoonlever.entry.services_answers import not_run, unknown
+from lagoonlever.entry.services_answers import ComeBack, not_run, unknown
 from lagoonlever.entry.services_call import ServiceCall, service_answer
 from lagoonlever.entry.services_dispatch import absence_reason, runners_of
 from lagoonlever.entry.services_exchange import exchange_on
@@ -61,7 +60,7 @@
     _runners: Runners
     _timers: TimerService
     _settings: ServiceSettings
-    _rng: random.Random
+    _come_back: ComeBack
     _new_budget: Callable[[], RetryBudget] = RetryBudget
     _pool: Pool = attrs.field(factory=Pool)
     _delays: dict[str, HedgeDelay] = attrs.field(factory=dict)
@@ -188,7 +187,7 @@
 
     def _stopped(self, service: Service, hedged: HedgedCall, stop: Stop) -> StoredAnswer:
         self.counts.unanswered += 1
-        after_s = retry_after_s(base_s=self._settings.retry_after_s, rng=self._rng)
+        after_s = self._come_back.after_s()
         if stop.timed_out:
             hedged.on_timeout(self._timers.now)
         if stop.sent:
--- a/lagoonlever/entry/services_settings.py
+++ b/lagoonlever/entry/services_settings.py
@@ -78,7 +78,7 @@
         default=0.5, at_least=0.05, at_most=10, doc="Time to connect to a key's home."
     )
     retry_after_s: float = option(
-        default=1.0, at_least=0.1, at_most=600, doc="When callers are told to come back, at least."
+        default=2.0, at_least=0.5, at_most=60, doc="When callers are told to come back, about."
     )
 
     def service(self, name: str) -> Service | None:
