Ask a request again that was not run, under its key

Cause: a finished task is kept as the answer to its key, a refusal as well. A caller that came back when it was told to got the old 'not run' for 120 s. Ruled out: the target watch (it knew the new engine) and admission. Before: second try refused; after: it gets its answer. Other outcomes are kept.

--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -102,7 +102,7 @@
         organisation = self._callers.organisation_of(exchange.request.headers)
         call = read_call(exchange.request, organisation=organisation, rng=self._rng)
         refusal = self._refusal()
-        task = self._tasks.get((organisation, call.spec.request_id))
+        task = self._known(organisation, call.spec.request_id)
         if task is None and refusal is not None:
             await self._refuse(exchange, organisation, refusal)
             return
@@ -145,6 +145,20 @@
                 task.abandon(reason=Reason.CANCELLED, message="the caller did not come back")
         self._drop_beyond_bound()
 
+    def _known(self, organisation: str, request_id: str) -> GenerationTask | None:
+        """Give the task that answers a request, dropping one that was not run.
+
+        Guards against an old refusal: its caller was told when to come back, and
+        would get the kept refusal again under its key for as long as answers are kept.
+        """
+        task = self.find(organisation, request_id)
+        if task is None or task.finished is None:
+            return task
+        if not isinstance(task.finished.outcome, NotRun):
+            return task
+        del self._tasks[organisation, request_id]
+        return None
+
     async def _begin(self, exchange: Exchange, call: CompletionCall) -> GenerationTask | None:
         self._check_allowed(call.spec)
         if self.running >= self._settings.running:
--- a/lagoonlever/tests/cluster_tests.py
+++ b/lagoonlever/tests/cluster_tests.py
@@ -278,6 +278,32 @@
     run_scene(story, tmp_path, engines=1, vms=2)
 
 
+def test_a_request_that_was_not_run_can_be_asked_again_under_its_key(tmp_path):
+    """A caller is told "not run", comes back as it was told to, and must get its answer.
+
+    The engine is gone when the request first comes. The caller repeats it under the
+    same key once another engine is there; the kept refusal must not answer it.
+    """
+
+    async def story(scene: Scene) -> None:
+        scene.cluster.kill_target("engine-1")
+        key = (("Idempotency-Key", "again"),)
+        address = scene.address("vm-1")
+        first = await post(address, document(length=5, seed=5), headers=key)
+        assert first.headers.get("Lagoonlever-Outcome") == "not-run"
+        assert first.headers.get("Retry-After")
+        await scene.cluster.start_engine("engine-2", DATA_CENTERS[0])
+        scene.cluster.publish_list()
+        parts = scene.cluster.vms["vm-1"].daemon.parts
+        await until(
+            lambda: any(t.name == "engine-2" and t.models for t in parts.targets.view.value.targets)
+        )
+        second = await post(address, document(length=5, seed=5), headers=key)
+        assert second.text == expected_text(length=5, seed=5)
+
+    run_scene(story, tmp_path, engines=1, vms=1)
+
+
 WRONG = [
     (b"{", (), 400, "body"),
     (b"[]", (), 400, "body"),
