Tell the end of a planned stop as such and not as a death

Each planned stop logged the warning member-dead (505) at every VM, as the state goes from leaving to dead; seen in a trial deployment of three processes.

--- a/lagoonlever/decisions/membership_changes.py
+++ b/lagoonlever/decisions/membership_changes.py
@@ -17,6 +17,7 @@
     RETURNED = "returned"
     SUSPECTED = "suspected"
     LEAVING = "leaving"
+    LEFT = "left"
     DEAD = "dead"
 
 
@@ -36,6 +37,12 @@
 }
 
 
+def _kind(former: Member, member: Member) -> ChangeKind:
+    if former.state is MemberState.LEAVING and member.state is MemberState.DEAD:
+        return ChangeKind.LEFT
+    return _KINDS[member.state]
+
+
 def changes_between(before: MemberView, after: MemberView) -> list[MemberChange]:
     """Give the changes of state and of lives, in the order of names."""
     changes: list[MemberChange] = []
@@ -43,7 +50,7 @@
         former = before.named(member.name)
         if former is not None and former.incarnation == member.incarnation:
             if former.state is not member.state:
-                changes.append(MemberChange(kind=_KINDS[member.state], member=member))
+                changes.append(MemberChange(kind=_kind(former, member), member=member))
             continue
         kind = ChangeKind.JOINED if former is None else ChangeKind.REPLACED
         changes.append(MemberChange(kind=kind, member=member))
--- a/lagoonlever/entry/membership.py
+++ b/lagoonlever/entry/membership.py
@@ -113,12 +113,20 @@
     "The platform's list of VMs is read again.",
     "The end of event 507.",
 )
+MEMBER_LEFT = event(
+    509,
+    "member-left",
+    "info",
+    "Entry VM {vm} has left.",
+    "The end of a planned stop. Nothing to do.",
+)
 _CHANGE_EVENTS = {
     ChangeKind.JOINED: MEMBER_JOINED,
     ChangeKind.REPLACED: MEMBER_REPLACED,
     ChangeKind.RETURNED: MEMBER_RETURNED,
     ChangeKind.SUSPECTED: MEMBER_SUSPECTED,
     ChangeKind.LEAVING: MEMBER_LEAVING,
+    ChangeKind.LEFT: MEMBER_LEFT,
     ChangeKind.DEAD: MEMBER_DEAD,
 }
 
