Give orders to engines from one lease holder, as state wanted, fenced

A holder that is paused between its check and its write may order late. Engines that compare numbers refuse that; for the others every engine is read again every 2 s and put right. The state machine found a starved engine: one whose order was always lost used up the rate of loads; the longest waiting is first.

--- /dev/null
+++ b/lagoonlever/decisions/orders.py
@@ -0,0 +1,215 @@
+"""Orders to engines: which to give now, by the holder of one lease, as state wanted.
+
+An order names the whole state wanted of one engine, never a step, and carries
+the lease's fencing number. Engines that compare numbers refuse an old holder's.
+For those that ignore the number the order is safe by its shape: it is given
+only on a state just read, only while the lease holds with a margin, and every
+engine is read again and again, so that an old holder's late order is put right.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+import attrs
+
+from lagoonlever.decisions.targets import ModelKey
+
+ORDER_TIMEOUT_S = 1.0
+LEASE_MARGIN_S = 1.0
+"""Beyond an order's own time: what two clocks may differ by over one lease."""
+READ_PERIOD_S = 2.0
+"""An engine is read this often, also when nothing is to be ordered."""
+READ_FRESH_S = 1.0
+"""An order rests on a state that was read no longer ago."""
+RETRY_S = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class WantedState:
+    """The state wanted of an engine; models in no order."""
+
+    models: tuple[ModelKey, ...] = ()
+    role: str = "both"
+    draining: bool = False
+
+    def same_as(self, other: WantedState) -> bool:
+        """Tell whether two states want the same."""
+        return (
+            set(self.models) == set(other.models)
+            and self.role == other.role
+            and self.draining == other.draining
+        )
+
+
+@attrs.frozen(kw_only=True)
+class OrderReport:
+    """What an engine tells: the last order it took, its number, and what it has by now."""
+
+    fencing: int
+    wanted: WantedState
+    actual: WantedState
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReadEngine:
+    """Read an engine's order."""
+
+    engine: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class GiveOrder:
+    """Give an engine an order, after ``may_write`` was asked once more."""
+
+    engine: str
+    fencing: int
+    wanted: WantedState
+
+
+OrderAction = ReadEngine | GiveOrder
+
+
+@attrs.define(kw_only=True)
+class LoadBudget:
+    """Spreads loads of models under the weight store's rate; starts empty.
+
+    A new holder can't know how many loads the former began in the last moment,
+    so it waits for its first one as long as between any two.
+    """
+
+    _loads_per_s: float
+    _burst: int = 1
+    _tokens: float = 0.0
+    _at: float | None = None
+
+    def take(self, loads: int, now: float) -> bool:
+        """Take so many loads if the rate allows; more than the burst wait for a whole burst."""
+        if self._at is not None:
+            grown = self._tokens + (now - self._at) * self._loads_per_s
+            self._tokens = min(float(self._burst), grown)
+        self._at = now
+        if loads and self._tokens < min(loads, self._burst):
+            return False
+        self._tokens -= loads
+        return True
+
+
+@attrs.define
+class _Duty:
+    """What the holder knows of one engine."""
+
+    wanted: WantedState
+    report: OrderReport | None = None
+    read_at: float = float("-inf")
+    retry_at: float = float("-inf")
+    ordered_at: float = float("-inf")
+    busy: bool = False
+
+
+@attrs.define(kw_only=True)
+class OrderHolder:
+    """One VM's side of the orders; times are monotonic seconds of that VM."""
+
+    _budget: LoadBudget
+    _read_period_s: float = READ_PERIOD_S
+    _fencing: int | None = None
+    _valid_until: float = float("-inf")
+    _duties: dict[str, _Duty] = attrs.field(factory=dict)
+
+    @property
+    def fencing(self) -> int | None:
+        """The fencing number while the lease is thought to be held, or None."""
+        return self._fencing
+
+    def may_write(self, fencing: int, now: float) -> bool:
+        """Tell whether an order may be written now; ask right before the write.
+
+        Guards against a holder that was paused and wakes after its lease has
+        lapsed: the clock went on meanwhile, so the lease counts as void even if
+        nobody told. The margin covers the order's own time on its way.
+        """
+        return self._fencing == fencing and now + ORDER_TIMEOUT_S <= self._valid_until
+
+    def acquired(self, *, fencing: int, sent_at: float, ttl_s: float) -> None:
+        """Take that the lease is held; ``sent_at`` is before the call that granted it.
+
+        What was wanted under an earlier lease is forgotten: it may have changed.
+        """
+        self._fencing = fencing
+        self._valid_until = sent_at + ttl_s - LEASE_MARGIN_S
+        self._duties.clear()
+
+    def renewed(self, *, sent_at: float, ttl_s: float) -> None:
+        """Take that the lease was renewed by a call sent then."""
+        self._valid_until = max(self._valid_until, sent_at + ttl_s - LEASE_MARGIN_S)
+
+    def step_down(self) -> None:
+        """Take that the lease is lost; it counts only once acquired anew."""
+        self._fencing = None
+        self._valid_until = float("-inf")
+
+    def wanted_read(self, wanted: Mapping[str, WantedState]) -> None:
+        """Take the states that operators want, read from the platform under this lease."""
+        for name in self._duties.keys() - wanted.keys():
+            del self._duties[name]
+        for name, state in wanted.items():
+            self._duties.setdefault(name, _Duty(state)).wanted = state
+
+    def next_actions(self, engines: Iterable[str], now: float) -> list[OrderAction]:
+        """Give what to do now, at most one thing for each engine at a time.
+
+        Whoever was ordered longest ago comes first: an engine whose answers are
+        always lost must not use up the rate of loads alone.
+        """
+        if self._fencing is None or not self.may_write(self._fencing, now):
+            return []
+        actions: list[OrderAction] = []
+        names = set(engines) & self._duties.keys()
+        for name in sorted(names, key=lambda name: (self._duties[name].ordered_at, name)):
+            action = self._next(name, self._duties[name], self._fencing, now)
+            if action is not None:
+                self._duties[name].busy = True
+                actions.append(action)
+        return actions
+
+    def observed(self, engine: str, report: OrderReport, now: float) -> None:
+        """Take what an engine told; a greater number than ours ends our holding."""
+        if self._fencing is not None and report.fencing > self._fencing:
+            self.step_down()
+        duty = self._duties.get(engine)
+        if duty is not None:
+            duty.report, duty.read_at, duty.busy = report, now, False
+
+    def ordered(self, engine: str) -> None:
+        """Take that an order was written, whatever came back: it is read again at once."""
+        duty = self._duties.get(engine)
+        if duty is not None:
+            duty.report, duty.busy = None, False
+
+    def failed(self, engine: str, now: float) -> None:
+        """Take that an engine was not reached."""
+        duty = self._duties.get(engine)
+        if duty is not None:
+            duty.report, duty.busy, duty.retry_at = None, False, now + RETRY_S
+
+    def _next(self, name: str, duty: _Duty, fencing: int, now: float) -> OrderAction | None:
+        if duty.busy or now < duty.retry_at:
+            return None
+        report = duty.report
+        if report is None or now - duty.read_at >= self._read_period_s:
+            return ReadEngine(engine=name)
+        if report.fencing == fencing and report.wanted.same_as(duty.wanted):
+            return None
+        if now - duty.read_at > READ_FRESH_S:
+            return ReadEngine(engine=name)
+        if not self._budget.take(_loads(report, duty.wanted), now):
+            return None
+        duty.ordered_at = now
+        return GiveOrder(engine=name, fencing=fencing, wanted=duty.wanted)
+
+
+def _loads(report: OrderReport, wanted: WantedState) -> int:
+    """Count the models that an order would newly load; a mere new number loads none."""
+    return len(set(wanted.models) - set(report.actual.models) - set(report.wanted.models))
--- /dev/null
+++ b/lagoonlever/targets/orders.py
@@ -0,0 +1,81 @@
+"""The order calls of an engine, as typed messages."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+
+import attrs
+import msgspec
+import trio
+
+from lagoonlever.decisions.orders import GiveOrder, OrderReport, WantedState
+from lagoonlever.exceptions import BadResponse, PeerTimeout
+from lagoonlever.http.client import ClientConnection, fetch
+from lagoonlever.http.messages import Address, Headers
+
+ORDERS_PATH = "/orders"
+OK = 200
+CONFLICT = 409
+GIVE_STEP = "give an order"
+_HEADERS = Headers((("Content-Type", "application/json"),))
+
+
+class OrderAnswer(enum.Enum):
+    """What became of an order."""
+
+    TAKEN = "taken"
+    REFUSED = "refused"
+    NOT_SENT = "not sent"
+
+
+@attrs.frozen(kw_only=True)
+class _Order:
+    fencing: int
+    wanted: WantedState
+
+
+async def read_order(address: Address, *, timeout_s: float) -> OrderReport:
+    """Read an engine's order and state; raises ``PeerError``."""
+    step = "read an order"
+    response = await fetch(address, path=ORDERS_PATH, step=step, timeout_s=timeout_s)
+    if response.status != OK:
+        raise BadResponse(f"status {response.status}", step=step, peer=str(address))
+    try:
+        return msgspec.json.decode(response.body, type=OrderReport)
+    except msgspec.MsgspecError as error:
+        raise BadResponse(str(error), step=step, peer=str(address)) from error
+
+
+async def give_order(
+    address: Address, order: GiveOrder, *, timeout_s: float, may_write: Callable[[], bool]
+) -> OrderAnswer:
+    """Give an order; ``may_write`` is asked when connected, right before the write.
+
+    Raises ``PeerError``; all but ``ConnectFailed`` leave open whether it was taken.
+    """
+    connection = await ClientConnection.open(address, timeout_s=timeout_s)
+    try:
+        if not may_write():
+            return OrderAnswer.NOT_SENT
+        with trio.fail_after(timeout_s):
+            status = await _exchange(connection, order)
+    except trio.TooSlowError as error:
+        message = f"no answer within {timeout_s:g} s"
+        raise PeerTimeout(message, step=GIVE_STEP, peer=str(address)) from error
+    finally:
+        with trio.CancelScope(shield=True):
+            await connection.aclose()
+    if status == CONFLICT:
+        return OrderAnswer.REFUSED
+    if status != OK:
+        raise BadResponse(f"status {status}", step=GIVE_STEP, peer=str(address))
+    return OrderAnswer.TAKEN
+
+
+async def _exchange(connection: ClientConnection, order: GiveOrder) -> int:
+    body = msgspec.json.encode(_Order(fencing=order.fencing, wanted=order.wanted))
+    await connection.start(
+        method="POST", path=ORDERS_PATH, headers=_HEADERS, body=body, step=GIVE_STEP
+    )
+    return (await connection.read_head()).status
