--- a/lagoonlever/config/options.py
+++ b/lagoonlever/config/options.py
@@ -12,7 +12,7 @@
 import difflib
 import types
 import typing
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable
 from typing import Any, TypeVar, get_type_hints
 
 import attrs
@@ -82,26 +82,6 @@
     return value
 
 
-def walk(section: Any, *, path: str = "") -> Iterator[tuple[str, attrs.Attribute[Any], Any]]:
-    """Give path, field and value of every option of a section and of those within it."""
-    for field in attrs.fields(type(section)):
-        value = getattr(section, field.name)
-        here = _join(path, field.name)
-        yield here, field, value
-        for name, part in _sections_in(value):
-            yield from walk(part, path=f"{here}{name}")
-
-
-def _sections_in(value: Any) -> Iterable[tuple[str, Any]]:
-    if attrs.has(type(value)):
-        return [("", value)]
-    if isinstance(value, list | tuple):
-        return [(f"[{place}]", item) for place, item in enumerate(value) if attrs.has(type(item))]
-    if isinstance(value, dict):
-        return [(f".{name}", item) for name, item in value.items() if attrs.has(type(item))]
-    return []
-
-
 def _load_section(cls: type[Any], document: object, path: str, faults: list[Fault]) -> Any:
     if not isinstance(document, dict):
         faults.append(Fault(path=path or "document", message="give an object of options"))
--- a/lagoonlever/tests/config_tests.py
+++ b/lagoonlever/tests/config_tests.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from lagoonlever.config.options import load, option, walk
+from lagoonlever.config.options import load, option
 from lagoonlever.config.vm import VmSettings, load_vm_settings, warnings_of
 from lagoonlever.exceptions import FaultsError
 
@@ -76,8 +76,6 @@
     document = {"one": None, "many": [{"size": 1}], "fixed": [{"size": 2}], "named": {}}
     loaded = load(Outer, document)
     assert loaded == Outer(one=None, many=[Inner(size=1)], fixed=(Inner(size=2),), named={})
-    paths = [path for path, _, _ in walk(loaded)]
-    assert paths == ["one", "many", "many[0].size", "fixed", "fixed[0].size", "named"]
 
 
 def test_a_list_in_place_of_a_section_is_a_fault_and_no_crash() -> None:
