--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 from collections import deque
 from collections.abc import AsyncIterator
 
@@ -138,16 +139,29 @@
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+                data = await self._receive()
                 self._ended = not data
                 self._h11.receive_data(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+        except (trio.ClosedResourceError, OSError) as error:
             raise self._broken(str(error)) from error
         except h11.RemoteProtocolError as error:
             if self._ended:
                 raise self._broken(str(error)) from error
             raise BadResponse(str(error), step=self._step, peer=str(self._address)) from error
 
+    async def _receive(self) -> bytes:
+        """Wait for bytes and read them; empty at the end of the peer's side.
+
+        Waits first: between two tokens nothing is there, and an attempt to read
+        before the wait would nearly always be in vain.
+        """
+        while True:
+            await trio.lowlevel.wait_readable(self._stream.socket)
+            try:
+                return os.read(self._stream.socket.fileno(), RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+
     def _broken(self, message: str) -> ConnectionBroken:
         return ConnectionBroken(
             message or "connection broke", step=self._step, peer=str(self._address)
