Postpone a hedge for a late turn only once; show the hedging guards needed

Cause: found by writing the stories that switch a guard off: a process whose turns are always more than 5 ms late put each hedge off for ever. Two guards, the budgets and the fresh look at the runners, are switched off and shown to break their promise.

--- a/lagoonlever/decisions/hedging.py
+++ b/lagoonlever/decisions/hedging.py
@@ -232,6 +232,7 @@
     _sent_at: dict[str, float] = attrs.field(factory=dict)
     _open: set[str] = attrs.field(factory=set)
     _hedge_at: float = 0.0
+    _postponed: bool = False
 
     @property
     def attempts(self) -> int:
@@ -292,9 +293,11 @@
 
         A process that gets its turn late finds every call late, with the
         answers waiting in its sockets. Hedging them all would double the load
-        just when there is no time for it.
+        just when there is no time for it. Only once a call, or a process that
+        is always a little late would never hedge.
         """
-        if now - self._hedge_at > LATE_TURN_S:
+        if now - self._hedge_at > LATE_TURN_S and not self._postponed:
+            self._postponed = True
             self._hedge_at = now + self._delay.delay_s
         return now >= self._hedge_at
 
--- a/lagoonlever/tests/hedging_tests.py
+++ b/lagoonlever/tests/hedging_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import pytest
 from hypothesis import HealthCheck, given, settings
@@ -36,13 +37,18 @@
 class HedgingMachine(RuleBasedStateMachine):
     """Several calls over three runners, one event a rule."""
 
+    budget_class: type[RetryBudget] = RetryBudget
+    asks_again = True
+
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
         self.live = list(NAMES)
-        self.runners = Runners(rng=random.Random(1), max_outstanding=MAX_OUTSTANDING)
+        self.runners = Runners(
+            rng=random.Random(1), max_outstanding=MAX_OUTSTANDING, new_budget=self.budget_class
+        )
         self.delay = HedgeDelay()
-        self.budget = RetryBudget()
+        self.budget = self.budget_class()
         self.calls: list[tuple[HedgedCall, dict[str, float]]] = []
         self.first_attempts = 0
         self.extra_attempts = 0
@@ -51,8 +57,9 @@
     @precondition(lambda self: len(self.calls) < 5)
     @rule()
     def begin(self) -> None:
+        names = tuple(self.live)
         call = HedgedCall(
-            live_names=lambda: tuple(self.live),
+            live_names=lambda: tuple(self.live) if self.asks_again else names,
             runners=self.runners,
             delay=self.delay,
             budget=self.budget,
@@ -136,6 +143,68 @@
     )
 
 
+class EndlessBudget(RetryBudget):
+    """Guard off: every extra attempt is allowed."""
+
+    @property
+    def allows(self) -> bool:
+        return True
+
+
+class UnpaidMachine(HedgingMachine):
+    budget_class = EndlessBudget
+
+
+class StaleNamesMachine(HedgingMachine):
+    """Guard off: a call keeps the runners that it saw when it began."""
+
+    asks_again = False
+
+
+def every_runner_slow(machine: HedgingMachine) -> None:
+    """Let all runners answer later than any hedge delay, as in an overload."""
+    for _ in range(40):
+        machine.begin()
+        for _ in range(3):
+            machine.decide(0)
+            machine.wait(0.6)
+        machine.attempt_ends(0, answered=True, overloaded=False)
+
+
+def runners_leave_with_hedges_pending(machine: HedgingMachine) -> None:
+    """Let two of three runners leave while a call waits for its hedge."""
+    machine.begin()
+    machine.decide(0)
+    first = next(iter(machine.calls[0][1]))
+    for name in NAMES:
+        if name != first:
+            machine.leave_or_join(name)
+    for _ in range(4):
+        machine.wait(0.06)
+        machine.decide(0)
+
+
+@pytest.mark.parametrize(
+    ("story", "guard_off"),
+    [
+        (every_runner_slow, UnpaidMachine),
+        (runners_leave_with_hedges_pending, StaleNamesMachine),
+    ],
+)
+def test_each_guard_is_needed(
+    story: Callable[[HedgingMachine], None], guard_off: type[HedgingMachine]
+) -> None:
+    """Without budgets an overload is doubled; without a fresh look a leaving runner gets work."""
+
+    def play(machine: HedgingMachine) -> None:
+        story(machine)
+        machine.extra_attempts_are_paid_for()
+
+    play(HedgingMachine())
+    with pytest.raises(AssertionError):
+        play(guard_off())
+
+
 def test_a_stalled_runner_is_avoided_and_probed_again() -> None:
     """A runner freezes, and later thaws: it is left out soon, and comes back by itself."""
     runners = Runners(rng=random.Random(1), max_outstanding=MAX_OUTSTANDING)
