Keep one call's fault from ending the tasks of the others

Cause: found by reading: a fault within one dispatch, a foreign value under a claim, or a copy of an answer from a later release ended the part's nursery and with it the daemon. Bindings are bounded to 4,096, as 16,384 would take about a third of a node's memory for control.

--- a/lagoonlever/decisions/claims_group.py
+++ b/lagoonlever/decisions/claims_group.py
@@ -74,7 +74,7 @@
 class Bindings:
     """Bindings that this VM has learnt, bounded; they never change, so a copy is never wrong."""
 
-    _limit: int = 16384
+    _limit: int = 4096
     _homes: dict[str, HomedKey] = attrs.field(factory=dict)
 
     def get(self, scope: str) -> HomedKey | None:
--- a/lagoonlever/entry/claims.py
+++ b/lagoonlever/entry/claims.py
@@ -128,7 +128,11 @@
         homes: dict[str, HomedKey] = {}
         for claim, claimed in zip(group, result.keys, strict=True):
             found = claimed.holder
-            home = claim.proposed if found is None else parse_homed(found.value.decode())
+            home = (
+                claim.proposed
+                if found is None
+                else parse_homed(found.value.decode("utf-8", "replace"))
+            )
             if home is not None:
                 homes[claim.scope] = home
         return homes
--- a/lagoonlever/entry/services_copies.py
+++ b/lagoonlever/entry/services_copies.py
@@ -16,7 +16,7 @@
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.services_call import outcome_of_tag
 from lagoonlever.http.messages import Headers
-from lagoonlever.outcomes import Done, OutcomeTag, Reason
+from lagoonlever.outcomes import Done, Outcome, OutcomeTag, Reason
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_services import HeaderField, KeyAnswer
 
@@ -59,11 +59,11 @@
 
     def _keep(self, message: KeyAnswer) -> None:
         key = parse_homed(message.key)
-        if key is None:
+        outcome = _outcome_of(message)
+        if key is None or outcome is None:
             return
-        reason = Reason(message.reason) if message.reason else Reason.TARGET_FAILED
         answer = StoredAnswer(
-            outcome=outcome_of_tag(OutcomeTag(message.tag), reason=reason, status=message.status),
+            outcome=outcome,
             status=message.status,
             headers=Headers(tuple((field.name, field.value) for field in message.headers)),
             body=message.body,
@@ -71,6 +71,16 @@
         self._copies.keep(key, fingerprint=message.fingerprint, answer=answer)
 
 
+def _outcome_of(message: KeyAnswer) -> Outcome | None:
+    """Read the outcome; None for one of a later release, whose copy is as good as lost."""
+    try:
+        tag = OutcomeTag(message.tag)
+        reason = Reason(message.reason) if message.reason else Reason.TARGET_FAILED
+    except ValueError:
+        return None
+    return outcome_of_tag(tag, reason=reason, status=message.status)
+
+
 def _message_of(record: KeyRecord, answer: StoredAnswer) -> KeyAnswer:
     outcome = answer.outcome
     return KeyAnswer(
--- a/lagoonlever/entry/services_events.py
+++ b/lagoonlever/entry/services_events.py
@@ -12,6 +12,14 @@
     "Calls with plain idempotency keys are told 'unknown' until the platform answers again; "
     "calls whose keys name their home go on.",
 )
+CALL_FAILED = event(
+    302,
+    "call-failed",
+    "error",
+    "A call of {path} failed within this VM.",
+    "A fault of the system itself. The caller was told unknown, or not run where nothing was "
+    "sent. Report it with the lines around.",
+)
 ANSWER_UNKNOWN = event(
     301,
     "answer-unknown",
--- a/lagoonlever/entry/services_keyed.py
+++ b/lagoonlever/entry/services_keyed.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import attrs
+import logbook
 import trio
 
 from lagoonlever.decisions.claims import (
@@ -32,6 +33,7 @@
 )
 from lagoonlever.entry.services_call import ServiceCall
 from lagoonlever.entry.services_dispatch import Dispatcher
+from lagoonlever.entry.services_events import CALL_FAILED
 from lagoonlever.entry.services_settings import ServiceSettings
 from lagoonlever.history.events_services import DispatchWritten
 from lagoonlever.history.recorder import Recorder
@@ -48,6 +50,9 @@
     )
 
 
+log = logbook.Logger("services")
+
+
 @attrs.define(kw_only=True)
 class KeyedCalls:
     """Owns the keys of this incarnation and the tasks that run their requests.
@@ -125,6 +130,8 @@
         return await self._wait(call, record)
 
     async def _run(self, call: ServiceCall, record: KeyRecord) -> None:
+        """Run one request; its failure must not end the others' tasks."""
+
         def on_write(target: Target) -> bool:
             if record.state is not KeyState.ADMITTED:
                 return False
@@ -138,6 +145,8 @@
             answer = await self._dispatcher.dispatch(
                 call, key_expires_at=self._timers.now + life_left_s, on_write=on_write
             )
+        except Exception:
+            CALL_FAILED.log(log, path=call.request.path, exc_info=True)
         finally:
             if record.answer is None:
                 self._settle(record, answer or self._interrupted(record))
