--- a/lagoonlever/__main__.py
+++ b/lagoonlever/__main__.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from lagoonlever.commands import ask, bench, check, demo, entry, fake, report, status
+from lagoonlever.commands import ask, bench, check, demo, entry, fake, report, settings, status
 
 app = typer.Typer(
     name="lagoonlever",
@@ -19,6 +19,7 @@
 app.command()(status.status)
 app.command()(bench.bench)
 app.add_typer(report.app, name="report")
+app.add_typer(settings.app, name="settings")
 app.add_typer(fake.app, name="fake")
 
 
--- a/lagoonlever/config/vm.py
+++ b/lagoonlever/config/vm.py
@@ -21,7 +21,9 @@
 from lagoonlever.decisions.membership_settings import MembershipSettings
 from lagoonlever.decisions.settings_version import SettingsVersionOptions
 from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.entry.admin import AdminSettings
 from lagoonlever.entry.generations import GenerationSettings
+from lagoonlever.entry.orders import OrderSettings
 from lagoonlever.entry.services_settings import ServiceSettings
 from lagoonlever.entry.serving import RoutingSettings
 from lagoonlever.entry.targets import TargetSettings
@@ -104,6 +106,8 @@
     services: ServiceSettings = option(
         doc="The application services that this VM routes to.", factory=ServiceSettings
     )
+    admin: AdminSettings = option(doc="Who may use the administration API.", factory=AdminSettings)
+    orders: OrderSettings = option(doc="How engines are given orders.", factory=OrderSettings)
     objectives: ObjectiveSettings = option(
         doc="The service-level objectives that the metrics count towards.",
         factory=ObjectiveSettings,
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -8,12 +8,15 @@
 
 from lagoonlever.decisions.planned_stop import Held
 from lagoonlever.entry.addresses import EntryAddressesPart
+from lagoonlever.entry.admin import SettingsAdmin
+from lagoonlever.entry.admin_messages import SETTINGS_PATH
 from lagoonlever.entry.admission import AdmissionPart
 from lagoonlever.entry.cache_events import CacheEventSink
 from lagoonlever.entry.callers import CallerDirectory
 from lagoonlever.entry.foundation import Foundation
 from lagoonlever.entry.histories import dispatch_recorder, record_stop_began, record_stop_ended
 from lagoonlever.entry.membership import MembershipPart
+from lagoonlever.entry.orders import OrdersPart
 from lagoonlever.entry.orphans import OrphanPart
 from lagoonlever.entry.peer_streams import PeerStreams
 from lagoonlever.entry.published import Published
@@ -21,6 +24,7 @@
 from lagoonlever.entry.routes import Routes
 from lagoonlever.entry.services import SERVICES_PATH, ServiceRouter
 from lagoonlever.entry.serving import GenerationServing
+from lagoonlever.entry.settings import SettingsPart
 from lagoonlever.entry.stopping import Stopping
 from lagoonlever.entry.target_probes import TargetProber
 from lagoonlever.entry.targets import TargetWatch
@@ -43,8 +47,10 @@
 
     base: Foundation
     tree: Published[TreeView] = attrs.field(init=False)
+    """The settings tree in force; the settings part is its owner."""
     callers: CallerDirectory = attrs.field(init=False)
     membership: MembershipPart = attrs.field(init=False)
+    settings: SettingsPart = attrs.field(init=False)
     targets: TargetWatch = attrs.field(init=False)
     admission: AdmissionPart = attrs.field(init=False)
     peer_streams: PeerStreams = attrs.field(init=False)
@@ -53,6 +59,7 @@
     addresses: EntryAddressesPart = attrs.field(init=False)
     orphans: OrphanPart = attrs.field(init=False)
     prober: TargetProber = attrs.field(init=False)
+    orders: OrdersPart = attrs.field(init=False)
     stopping: Stopping = attrs.field(init=False)
     reporting: Reporting = attrs.field(init=False)
     routes: Routes = attrs.field(init=False)
@@ -78,6 +85,19 @@
             load=self._load,
         )
 
+    @settings.default
+    def _make_settings(self) -> SettingsPart:
+        return SettingsPart(
+            platform=self.base.platform,
+            bus=self.base.bus,
+            members=self.membership.members,
+            timers=self.base.timers,
+            random=self.base.rng,
+            view=self.tree,
+            options=self.base.settings.settings,
+            recorder=self.base.recorder,
+        )
+
     @targets.default
     def _make_targets(self) -> TargetWatch:
         return TargetWatch(
@@ -173,6 +193,18 @@
             settings=self.base.settings.targets,
         )
 
+    @orders.default
+    def _make_orders(self) -> OrdersPart:
+        return OrdersPart(
+            own_name=self.base.settings.name,
+            platform=self.base.platform,
+            members=self.membership.members,
+            targets=self.targets.view,
+            timers=self.base.timers,
+            random=self.base.rng,
+            settings=self.base.settings.orders,
+        )
+
     @stopping.default
     def _make_stopping(self) -> Stopping:
         return Stopping(
@@ -205,6 +237,8 @@
         routes.add("GET", "/v1/models", service.handle_models)
         routes.add("GET", "/v1/entry", self.addresses.handle)
         routes.add("*", SERVICES_PATH, self.services.handle, prefix=True)
+        admin = SettingsAdmin(part=self.settings, settings=self.base.settings.admin)
+        routes.add("*", SETTINGS_PATH, admin.handle, prefix=True)
         routes.add("GET", "/admin/status", self.reporting.handle_status)
         routes.add("GET", "/metrics", self.reporting.handle_metrics)
         return routes
@@ -215,6 +249,7 @@
             self.base.timers.run,
             self.base.bus.run,
             self.membership.run,
+            self.settings.run,
             self.targets.run,
             self.prober.run,
             self.admission.run,
@@ -223,13 +258,15 @@
             self.orphans.run,
             self.services.run,
             self.reporting.run,
+            self.orders.run,
         )
 
     def serves(self, *, members: int, targets: int) -> bool:
         """Tell whether so many members and live targets are known, engines with their models."""
         view = self.targets.view.value
         ready = [t for t in view.targets if t.takes_work and not self.targets.needs_models(t)]
-        return len(self.membership.members.value.alive) >= members and len(ready) >= targets
+        known = len(self.membership.members.value.alive) >= members and len(ready) >= targets
+        return known and self.refusal() is None
 
     def refusal(self) -> Outcome | None:
         """Give why this VM takes no new work now, or None."""
@@ -239,6 +276,9 @@
                 message="a newer life of this VM serves; use another address",
                 retry_after_s=COME_BACK_S,
             )
+        not_in_force = self.settings.refusal()
+        if not_in_force is not None:
+            return not_in_force
         if not self.targets.belief.allows_work:
             return NotRun(
                 reason=Reason.ISOLATED,
