Flood verdicts in place of whole news of lives that receivers know

Cause: when a third of 100 VMs comes back from a cut, each change was passed on with addresses and load, six times, and rode whole on pings: 1738 B/s a node over the minute after the heal. Ruled out: a limit on the rate of floods; it would hold up refutations and so make false deaths.

--- a/lagoonlever/bench/membership_runs.py
+++ b/lagoonlever/bench/membership_runs.py
@@ -20,6 +20,8 @@
 
 STEP_S = 0.1
 JOIN_S = 30.0
+JOIN_S_PER_NODE = 0.4
+"""After all nodes start at once, so long does news of the start ride on their messages."""
 SETTLE_LIMIT_S = 120.0
 
 
@@ -75,7 +77,7 @@
     network = Network(random=Random(seed))
     for index in range(nodes):
         network.start(index)
-    network.run(JOIN_S)
+    network.run(max(JOIN_S, JOIN_S_PER_NODE * nodes))
     return network
 
 
--- a/lagoonlever/decisions/membership_news.py
+++ b/lagoonlever/decisions/membership_news.py
@@ -13,28 +13,34 @@
 FLOOD_INTERVAL_S = 0.1
 
 
+@attrs.frozen(kw_only=True)
+class Change:
+    """A change to flood; ``whole`` if the receivers may not know the life at all."""
+
+    name: str
+    whole: bool
+
+
 @attrs.define(kw_only=True)
 class NewsQueue:
     """Names of changed members: to flood to the neighbours at once, and to piggyback."""
 
-    _to_flood: dict[str, None] = attrs.field(factory=dict, init=False)
+    _to_flood: dict[str, bool] = attrs.field(factory=dict, init=False)
     _to_piggyback: dict[str, int] = attrs.field(factory=dict, init=False)
     _flooded_at: float = attrs.field(default=float("-inf"), init=False)
 
-    def add(self, name: str) -> None:
-        """Note a change of a member."""
-        self._to_flood[name] = None
+    def add(self, name: str, *, whole: bool) -> None:
+        """Note a change of a member; ``whole`` if its life has just been heard of."""
+        self._to_flood[name] = whole or self._to_flood.get(name, False)
         self._to_piggyback[name] = REPEATS
 
-    def take_flood(self, now: float) -> list[str]:
-        """Give the names to flood now, oldest first, and forget them."""
+    def take_flood(self, now: float) -> list[Change]:
+        """Give the changes to flood now, oldest first, and forget them."""
         if not self._to_flood or now - self._flooded_at < FLOOD_INTERVAL_S:
             return []
         self._flooded_at = now
         names = list(self._to_flood)[:FLOOD_NEWS]
-        for name in names:
-            del self._to_flood[name]
-        return names
+        return [Change(name=name, whole=self._to_flood.pop(name)) for name in names]
 
     def take_piggyback(self) -> list[str]:
         """Give the names that ride on the next message, least told first."""
--- a/lagoonlever/decisions/membership_prober.py
+++ b/lagoonlever/decisions/membership_prober.py
@@ -54,10 +54,8 @@
             sequence=ping.sequence,
             own=self._roster.own_news(now),
             digest=self._roster.digest,
-            news=(
-                *self._roster.correction(ping.own, now),
-                *self._roster.take_riding_news(now),
-            ),
+            news=(*self._roster.correction(ping.own, now), *self._roster.take_fill(now)),
+            verdicts=self._roster.take_riding_verdicts(),
         )
         self._outbox.send(ping.own.peer_address, ack, expected=ping.own.incarnation)
 
@@ -133,7 +131,8 @@
             sequence=sequence,
             own=self._roster.own_news(now),
             digest=self._roster.digest,
-            news=self._roster.take_riding_news(now, about=target),
+            news=self._roster.take_fill(now, about=target),
+            verdicts=self._roster.take_riding_verdicts(),
         )
         self._outbox.send(target.peers, ping, expected=target.incarnation)
 
--- a/lagoonlever/decisions/membership_protocol.py
+++ b/lagoonlever/decisions/membership_protocol.py
@@ -17,7 +17,6 @@
 from lagoonlever.decisions.membership_prober import Prober
 from lagoonlever.decisions.membership_roster import Roster
 from lagoonlever.decisions.membership_settings import MembershipSettings
-from lagoonlever.decisions.membership_table import Record
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.messages_membership import (
     Ack,
@@ -138,7 +137,7 @@
         self._roster.mark_leaving(own)
         own.set_status(version=own.version, status=Status.DEAD, now=now)
         self._departed = True
-        self._gossip([own], now)
+        self._gossip(Gossip(news=(own.news(now),)))
 
     def tick(self, now: float, *, paused_s: float = 0.0) -> None:
         """Let time pass; ``paused_s`` tells that this process stood still before."""
@@ -156,6 +155,8 @@
         if self.silent:
             return
         self._roster.merge_all(_news_of(message), now)
+        if isinstance(message, Ping | Ack | Gossip):
+            self._roster.merge_verdicts(message.verdicts, now)
         if not self.silent:
             self._act_on(message, now)
         self._flood(now)
@@ -235,14 +236,11 @@
             self._outbox.send(request.own.peer_address, reply, expected=request.own.incarnation)
 
     def _flood(self, now: float) -> None:
-        names = self._roster.queue.take_flood(now)
-        found = (self._roster.table.named(name) for name in names)
-        self._gossip([record for record in found if record is not None], now)
+        gossip = self._roster.take_flood(now)
+        if gossip is not None:
+            self._gossip(gossip)
 
-    def _gossip(self, records: list[Record], now: float) -> None:
-        if not records:
-            return
-        gossip = Gossip(news=tuple(record.news(now) for record in records))
+    def _gossip(self, gossip: Gossip) -> None:
         for neighbour in self._roster.adjacent:
             self._outbox.send(neighbour.peers, gossip, expected=neighbour.incarnation)
 
--- a/lagoonlever/decisions/membership_roster.py
+++ b/lagoonlever/decisions/membership_roster.py
@@ -16,7 +16,7 @@
 from lagoonlever.decisions.membership_rings import Neighbours, neighbours
 from lagoonlever.decisions.membership_settings import MembershipSettings
 from lagoonlever.decisions.membership_table import MemberTable, Record, record_of
-from lagoonlever.peers.messages_membership import MemberNews, Status
+from lagoonlever.peers.messages_membership import Gossip, MemberNews, Status, Verdict
 
 
 @attrs.frozen(kw_only=True)
@@ -102,22 +102,23 @@
         self.own.load_at = now
         return self.own.news(now)
 
-    def take_riding_news(
-        self, now: float, *, about: Record | None = None
-    ) -> tuple[MemberNews, ...]:
-        """Give the news for one message: recent changes, and one member for its load.
+    def take_fill(self, now: float, *, about: Record | None = None) -> tuple[MemberNews, ...]:
+        """Give the news for one message: of one member in turn, for its load.
 
         A receiver that is suspected is told so, since only it can answer.
         """
-        names = dict.fromkeys(self.queue.take_piggyback())
+        names: dict[str, None] = {}
         if about is not None and about.status is not Status.ALIVE:
             names[about.incarnation.name] = None
         fill = self._next_fill()
         if fill is not None:
             names[fill] = None
-        names.pop(self._own.incarnation.name, None)
         return tuple(record.news(now) for record in self._records(names))
 
+    def take_riding_verdicts(self) -> tuple[Verdict, ...]:
+        """Give the recent changes that ride on one message."""
+        return tuple(record.verdict for record in self._records(self.queue.take_piggyback()))
+
     def correction(self, news: MemberNews, now: float) -> tuple[MemberNews, ...]:
         """Give what a sender must hear of itself: a suspicion, its death, its newer life."""
         record = self.table.named(news.name)
@@ -133,6 +134,23 @@
         for one in news:
             self._merge(one, now)
 
+    def merge_verdicts(self, verdicts: Iterable[Verdict], now: float) -> None:
+        """Join verdicts on members."""
+        for verdict in verdicts:
+            self._merge_verdict(verdict, now)
+
+    def take_flood(self, now: float) -> Gossip | None:
+        """Give the changes to pass on to the neighbours now, or None."""
+        changes = self.queue.take_flood(now)
+        whole = self._records(change.name for change in changes if change.whole)
+        known = self._records(change.name for change in changes if not change.whole)
+        if not whole and not known:
+            return None
+        return Gossip(
+            news=tuple(record.news(now) for record in whole),
+            verdicts=tuple(record.verdict for record in known),
+        )
+
     def suspect(self, record: Record, now: float) -> None:
         """Start to suspect a member."""
         record.set_status(version=record.version, status=Status.SUSPECT, now=now)
@@ -158,9 +176,9 @@
         record.set_leaving()
         self.note_change(record)
 
-    def note_change(self, record: Record) -> None:
+    def note_change(self, record: Record, *, whole: bool = False) -> None:
         """Note that peers must hear of a member, and readers see a new view."""
-        self.queue.add(record.incarnation.name)
+        self.queue.add(record.incarnation.name, whole=whole)
         self.changed = True
         self._summary = None
 
@@ -171,11 +189,24 @@
         elif news.incarnation < record.incarnation:
             return
         elif record is self.own:
-            self._answer(news)
+            self._answer(news.verdict)
         elif record.merge(news, now):
-            self.note_change(record)
-            if record.status is Status.SUSPECT and record.suspect_until is None:
-                self._start_suspicion(record, now)
+            self._note_merged(record, now)
+
+    def _merge_verdict(self, verdict: Verdict, now: float) -> None:
+        """Join a verdict; one on a life not known here is left to the digests."""
+        record = self.table.named(verdict.name)
+        if record is None or record.incarnation.nonce != verdict.nonce:
+            return
+        if record is self.own:
+            self._answer(verdict)
+        elif record.merge_verdict(verdict, now):
+            self._note_merged(record, now)
+
+    def _note_merged(self, record: Record, now: float) -> None:
+        self.note_change(record)
+        if record.status is Status.SUSPECT and record.suspect_until is None:
+            self._start_suspicion(record, now)
 
     def _learn(self, news: MemberNews, former: Record | None, now: float) -> None:
         """Take a life heard of for the first time.
@@ -188,18 +219,18 @@
         record = record_of(news, now)
         self.table.put(record)
         self.superseded = self.superseded or former is self.own
-        self.note_change(record)
+        self.note_change(record, whole=True)
         if record.status is Status.SUSPECT:
             self._start_suspicion(record, now)
 
-    def _answer(self, news: MemberNews) -> None:
-        """Answer news of the own life: leaving is taken over, a suspicion is refuted."""
-        if news.leaving:
+    def _answer(self, verdict: Verdict) -> None:
+        """Answer a verdict on the own life: leaving is taken over, a suspicion is refuted."""
+        if verdict.leaving:
             self.mark_leaving(self.own)
-        if news.status is Status.ALIVE or news.version < self.own.version:
+        if verdict.status is Status.ALIVE or verdict.version < self.own.version:
             return
         self.health.note_own_fault()
-        self.own.set_version(news.version + 1)
+        self.own.set_version(verdict.version + 1)
         self.note_change(self.own)
 
     def _start_suspicion(self, record: Record, now: float) -> None:
--- a/lagoonlever/decisions/membership_table.py
+++ b/lagoonlever/decisions/membership_table.py
@@ -15,7 +15,7 @@
 from lagoonlever.decisions.membership import Member, MemberState
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
-from lagoonlever.peers.messages_membership import MemberNews, Status
+from lagoonlever.peers.messages_membership import MemberNews, Status, Verdict
 
 BUCKETS = 16
 MAX_LOAD_AGE_S = 120
@@ -69,6 +69,17 @@
             self._digest = xxhash.xxh32_intdigest(text.encode())
         return self._digest
 
+    @property
+    def verdict(self) -> Verdict:
+        """What peers that know the life are told of it."""
+        return Verdict(
+            name=self.incarnation.name,
+            nonce=self.incarnation.nonce,
+            status=self.status,
+            version=self.version,
+            leaving=self.leaving,
+        )
+
     def member(self, now: float) -> Member:
         """Give the entry of the view; a stale load counts as none."""
         fresh = now - self.load_at <= MAX_LOAD_AGE_S
@@ -100,16 +111,18 @@
     def merge(self, news: MemberNews, now: float) -> bool:
         """Join news of the same life; tells whether peers should hear of it."""
         self._merge_load(news, now)
+        return self.merge_verdict(news.verdict, now)
+
+    def merge_verdict(self, verdict: Verdict, now: float) -> bool:
+        """Join a verdict on the same life; tells whether peers should hear of it."""
         changed = False
-        if news.leaving and not self.leaving:
-            self.leaving = True
+        if verdict.leaving and not self.leaving:
+            self.set_leaving()
             changed = True
-        status = self._status_to_take(news)
-        if (news.version, status) > (self.version, self.status):
-            self.set_status(version=news.version, status=status, now=now)
+        status = self._status_to_take(verdict)
+        if (verdict.version, status) > (self.version, self.status):
+            self.set_status(version=verdict.version, status=status, now=now)
             changed = True
-        if changed:
-            self._digest = None
         return changed
 
     def set_status(self, *, version: int, status: Status, now: float) -> None:
@@ -130,15 +143,15 @@
         self.version = version
         self._digest = None
 
-    def _status_to_take(self, news: MemberNews) -> Status:
+    def _status_to_take(self, verdict: Verdict) -> Status:
         """Take a death that comes without a suspicion before it as a suspicion.
 
         Guards against the false deaths of a cut: when it heals, each side hears
         that its own members are dead, and would drop them all at once. So they
         get the time to answer; a member that left has nothing to answer.
         """
-        unheralded = news.status is Status.DEAD and self.status is Status.ALIVE
-        return Status.SUSPECT if unheralded and not news.leaving else news.status
+        unheralded = verdict.status is Status.DEAD and self.status is Status.ALIVE
+        return Status.SUSPECT if unheralded and not verdict.leaving else verdict.status
 
     def _merge_load(self, news: MemberNews, now: float) -> None:
         reported_at = now - news.load_age_s
--- a/lagoonlever/peers/messages_membership.py
+++ b/lagoonlever/peers/messages_membership.py
@@ -23,11 +23,24 @@
     DEAD = 2
 
 
+class Verdict(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """What is believed of a life that the receiver knows: a fraction of the bytes of its news.
+
+    ``version`` is raised by the member alone, to answer a suspicion.
+    """
+
+    name: str
+    nonce: int
+    status: Status
+    version: int
+    leaving: bool
+
+
 class MemberNews(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """All that one VM tells another of a member.
 
-    ``version`` is raised by the member alone, to answer a suspicion. ``load_age_s``
-    is how long ago the member reported its load, since clocks are not compared.
+    ``load_age_s`` is how long ago the member reported its load, since clocks are
+    not compared.
     """
 
     name: str
@@ -52,6 +65,17 @@
         """The incarnation that the news is of."""
         return Incarnation(name=self.name, started_ms=self.started_ms, nonce=self.nonce)
 
+    @property
+    def verdict(self) -> Verdict:
+        """The part of the news that changes in the course of a life."""
+        return Verdict(
+            name=self.name,
+            nonce=self.nonce,
+            status=self.status,
+            version=self.version,
+            leaving=self.leaving,
+        )
+
     @property
     def http_address(self) -> Address:
         """The address for callers."""
@@ -70,7 +94,8 @@
     sequence: int
     own: MemberNews
     digest: int
-    news: tuple[MemberNews, ...]
+    news: tuple[MemberNews, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
 
 
 @PEER.message("ma")
@@ -80,7 +105,8 @@
     sequence: int
     own: MemberNews
     digest: int
-    news: tuple[MemberNews, ...]
+    news: tuple[MemberNews, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
 
 
 @PEER.message("mr")
@@ -101,9 +127,10 @@
 
 @PEER.message("mg")
 class Gossip(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """Passes changes on at once."""
+    """Passes changes on at once: news of lives just heard of, verdicts on the others."""
 
-    news: tuple[MemberNews, ...]
+    news: tuple[MemberNews, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
 
 
 @PEER.message("ms")
