Keep a fault in one connection or generation from ending the others

Cause: a path that the URL library refuses raised in the connection's task, and any fault of our own in a generation's task went up to the nursery that all share; either ended every connection of the VM. Both are caught at their task's edge now, logged, and told.

--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -21,6 +21,7 @@
 )
 from lagoonlever.entry.attempt import EngineAttempt, EngineRefused
 from lagoonlever.entry.engines import Engines, Placement
+from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed, PeerError
 from lagoonlever.http.server import Exchange
 from lagoonlever.outcomes import NotRun, Reason
@@ -28,6 +29,14 @@
 
 log = logbook.Logger(__name__)
 
+GENERATION_FAULT = event(
+    201,
+    "generation-fault",
+    "error",
+    "Request {request} met a fault within this VM and was given up.",
+    "A fault of the system itself; other requests go on. Report it with the lines around.",
+)
+
 
 @attrs.define(kw_only=True)
 class _RunningAttempt:
@@ -89,6 +98,11 @@
         """Run until the request is over."""
         try:
             await self._run()
+        except Exception:
+            # A fault of ours in one request's task would end the VM's background
+            # nursery, and with it every other request.
+            GENERATION_FAULT.log(log, request=self.spec.request_id, exc_info=True)
+            self.abandon(reason=Reason.INTERNAL, message="a fault within the system")
         finally:
             self.ended_at = trio.current_time()
             self.wake()
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -6,16 +6,28 @@
 import os
 import socket
 from collections.abc import Awaitable, Callable
-from urllib.parse import parse_qsl, urlsplit
+from urllib.parse import SplitResult, parse_qsl, urlsplit
 
 import attrs
 import h11
+import logbook
 import trio
 
+from lagoonlever.events import event
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.messages import Headers, Request
 from lagoonlever.outcomes import OUTCOME_HEADER, OutcomeTag
 
+log = logbook.Logger(__name__)
+
+CONNECTION_FAULT = event(
+    111,
+    "connection-fault",
+    "error",
+    "The connection {peer} met a fault within this process and was closed.",
+    "A fault of the system itself; other connections go on. Report it with the lines around.",
+)
+
 RECEIVE_BYTES = 64 * 1024
 JSON_TYPE = "application/json"
 LINGER_S = 2.0
@@ -161,7 +173,7 @@
             body = await self._read_body()
         if scope.cancelled_caught:
             raise RequestRefused(status=408, field="body", message="did not arrive in time")
-        target = urlsplit(request.target.decode("latin-1"))
+        target = _split_target(request.target)
         return Exchange(
             request=Request(
                 method=request.method.decode("ascii"),
@@ -300,6 +312,13 @@
                 return
 
 
+def _split_target(raw: bytes) -> SplitResult:
+    try:
+        return urlsplit(raw.decode("latin-1"))
+    except ValueError as error:
+        raise RequestRefused(status=400, field="path", message=str(error)) from error
+
+
 def error_payload(refused: RequestRefused) -> dict[str, object]:
     """Give the JSON error that clients of completions know, with the field's name."""
     return {
@@ -345,6 +364,10 @@
             await _serve_connection(stream, handler=handler, limits=limits, state=state)
         except (CallerGone, OSError):
             return
+        except Exception:
+            # A fault of ours in one connection's task would end the server, and with
+            # it every other caller's connection.
+            CONNECTION_FAULT.log(log, peer=str(stream.socket), exc_info=True)
         finally:
             state.open_connections -= 1
             with trio.move_on_after(1) as scope:
