--- a/lagoonlever/client/caller.py
+++ b/lagoonlever/client/caller.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import attrs
 import msgspec
@@ -12,7 +13,7 @@
 from lagoonlever.client.answers import HeldStream
 from lagoonlever.client.history import CallerHistory
 from lagoonlever.entry.addresses import EntryAnswer
-from lagoonlever.exceptions import LagoonleverException, PeerError
+from lagoonlever.exceptions import LagoonleverException, PeerError, PeerTimeout
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.http.client import ClientConnection, fetch
 from lagoonlever.http.messages import Address, Headers
@@ -29,6 +30,8 @@
 SEED_BITS = 31
 ABILITIES = "resume, restart, moved"
 
+T = TypeVar("T")
+
 
 class NoAnswer(LagoonleverException):
     """The request ended without its whole answer; tells the outcome."""
@@ -99,6 +102,13 @@
     _addresses: list[Address]
     _rng: random.Random = attrs.field(factory=random.SystemRandom)
     _give_up_after_s: float = 30.0
+    _silence_s: float = 3.0
+    """After so long without a word a VM is asked whether it lives."""
+    _silence_at_most_s: float = 15.0
+    """After so long without a word another VM is gone to, though this one lives."""
+    _first_silence_at_most_s: float = 120.0
+    """The same before the first token: a long prompt takes its engine a while."""
+    _lost: Address | None = None
     _known: list[Address] = attrs.field(factory=list)
     _known_until: float = 0.0
     _name: str = "caller"
@@ -173,6 +183,7 @@
             try:
                 await self._exchange(address, visit)
             except PeerError:
+                self._lost = address
                 self._forget(address)
             now = trio.current_time()
             progressed = len(stream.token_ids) > before
@@ -204,7 +215,9 @@
                 body=_body(visit.request, visit.stream),
                 step="ask for a completion",
             )
-            head = await connection.read_head()
+            head = await self._hear(
+                connection, connection.read_head, at_most_s=self._first_silence_at_most_s
+            )
             if head.status != STATUS_OK:
                 await self._refused(connection, head.status, head.headers)
                 return
@@ -220,7 +233,12 @@
         parser = EventParser()
         stream = visit.stream
         vm = str(connection.address)
-        async for piece in connection.iter_body():
+        while True:
+            piece = await self._hear(
+                connection, connection.next_piece, at_most_s=self._silence_at_most_s
+            )
+            if piece is None:
+                return
             for event in parser.feed(piece):
                 restarts = stream.restarts
                 text = stream.feed(event, peer=vm, history=visit.history)
@@ -235,6 +253,29 @@
                     )
                     visit.on_arrival(arrival)
 
+    async def _hear(
+        self,
+        connection: ClientConnection,
+        next_word: Callable[[], Awaitable[T]],
+        *,
+        at_most_s: float,
+    ) -> T:
+        """Wait for a VM's next word for as long as it lives; raises a ``PeerError``.
+
+        Guards against a VM that is paused: its connection stays open and silent, so
+        a caller that only waits for an end would wait for ever. A VM that waits for
+        an engine is silent too, but answers when it is asked.
+        """
+        give_up_at = trio.current_time() + at_most_s
+        while True:
+            with trio.move_on_after(self._silence_s):
+                return await next_word()
+            address = connection.address
+            step = "wait for the answer"
+            if trio.current_time() > give_up_at:
+                raise PeerTimeout(f"silent for {at_most_s:g} s", step=step, peer=str(address))
+            await fetch(address, path=ENTRY_PATH, step=step, timeout_s=DISCOVER_TIMEOUT_S)
+
     async def _refused(self, connection: ClientConnection, status: int, headers: Headers) -> None:
         outcome = headers.get(OUTCOME_HEADER, "unknown") or "unknown"
         reason = headers.get(REASON_HEADER, "") or ""
@@ -270,7 +311,8 @@
             except (PeerError, NoAnswer):
                 self._known = []
         candidates = self._known or self._addresses
-        return self._rng.choice(candidates)
+        others = [address for address in candidates if address != self._lost]
+        return self._rng.choice(others or candidates)
 
     def _candidates(self) -> list[Address]:
         shuffled = list(self._addresses)
--- a/lagoonlever/tests/base.py
+++ b/lagoonlever/tests/base.py
@@ -39,6 +39,14 @@
         await trio.sleep(POLL_S)
 
 
+async def until_answer(question: Callable[[], Awaitable[object]]) -> None:
+    """Wait until another process answers a question with yes."""
+    while True:
+        if await question():
+            return
+        await trio.sleep(POLL_S)
+
+
 def expected_text(
     *, prompt: str = PROMPT, length: int, seed: int, stop: tuple[str, ...] = (), version=VERSION
 ) -> str:
