--- a/lagoonlever/client/caller.py
+++ b/lagoonlever/client/caller.py
@@ -11,7 +11,7 @@
 import trio
 
 from lagoonlever.client.answers import HeldStream
-from lagoonlever.client.history import CallerHistory
+from lagoonlever.client.history import CallerHistory, record_told_addresses
 from lagoonlever.entry.addresses import EntryAnswer
 from lagoonlever.exceptions import LagoonleverException, PeerError, PeerTimeout
 from lagoonlever.history.recorder import Recorder
@@ -81,6 +81,7 @@
     stream: HeldStream
     on_arrival: ArrivalHandler
     history: CallerHistory | None
+    connected: bool = False
 
     def record_asked(self, address: Address) -> None:
         """Record that the request is sent to a VM."""
@@ -94,6 +95,11 @@
                 last=self.stream.last_event_id,
             )
 
+    def record_lost(self, address: Address) -> None:
+        """Record that a VM was not reached, or was lost before its answer's end."""
+        if self.history is not None:
+            self.history.lost(address=str(address), connected=self.connected)
+
 
 @attrs.define(kw_only=True)
 class Caller:
@@ -130,6 +136,8 @@
                 continue
             self._known = [Address.parse(text) for text in answer.addresses]
             self._known_until = trio.current_time() + answer.lifetime_s
+            if self._recorder is not None:
+                record_told_addresses(self._recorder, caller=self._name, answer=answer)
             return answer
         if error is None:
             raise NoAnswer("no entry VM answered", outcome="not-run", reason="no-entry")
@@ -183,6 +191,7 @@
             try:
                 await self._exchange(address, visit)
             except PeerError:
+                visit.record_lost(address)
                 self._lost = address
                 self._forget(address)
             now = trio.current_time()
@@ -205,7 +214,9 @@
             )
 
     async def _exchange(self, address: Address, visit: _Visit) -> None:
+        visit.connected = False
         connection = await ClientConnection.open(address)
+        visit.connected = True
         try:
             visit.record_asked(address)
             await connection.start(
--- a/lagoonlever/client/history.py
+++ b/lagoonlever/client/history.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lagoonlever.entry.addresses import EntryAnswer
 from lagoonlever.entry.completions_api import GenerationNote
 from lagoonlever.history.events_callers import (
     CallerAsked,
@@ -11,10 +12,24 @@
     CallerReceived,
     CallerToldGeneration,
 )
+from lagoonlever.history.events_stops import CallerCut, CallerNotConnected, CallerToldAddresses
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.identity import EventId
 
 
+def record_told_addresses(recorder: Recorder, *, caller: str, answer: EntryAnswer) -> None:
+    """Record which VMs a caller was told to use."""
+    recorder.record(
+        CallerToldAddresses(
+            at=recorder.now,
+            process=recorder.process,
+            caller=caller,
+            addresses=answer.addresses,
+            lifetime_s=answer.lifetime_s,
+        )
+    )
+
+
 @attrs.define(kw_only=True)
 class CallerHistory:
     """The events of one request as its caller sees them."""
@@ -82,6 +97,19 @@
             )
         )
 
+    def lost(self, *, address: str, connected: bool) -> None:
+        """Record that a VM was not reached, or was lost before its answer's end."""
+        event = CallerCut if connected else CallerNotConnected
+        self._recorder.record(
+            event(
+                at=self._recorder.now,
+                process=self._recorder.process,
+                caller=self._caller,
+                request=self._request,
+                address=address,
+            )
+        )
+
     def got_outcome(
         self,
         *,
--- a/lagoonlever/entry/histories.py
+++ b/lagoonlever/entry/histories.py
@@ -36,10 +36,12 @@
     return record
 
 
-def record_stop_began(recorder: Recorder | None, *, vm: str) -> None:
-    """Record that a planned stop begins."""
+def record_stop_began(recorder: Recorder | None, *, vm: str, address: str) -> None:
+    """Record that the planned stop of a VM at a callers' address begins."""
     if recorder is not None:
-        recorder.record(VmStopBegan(at=recorder.now, process=recorder.process, vm=vm))
+        recorder.record(
+            VmStopBegan(at=recorder.now, process=recorder.process, vm=vm, address=address)
+        )
 
 
 def record_stop_ended(recorder: Recorder | None, *, vm: str, open_requests: int) -> None:
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -329,7 +329,9 @@
         self.base.http.closing = True
         self.membership.leave()
         self.generations.service.wake_callers()
-        record_stop_began(self.base.recorder, vm=self.base.settings.name)
+        record_stop_began(
+            self.base.recorder, vm=self.base.settings.name, address=str(self.base.own.http)
+        )
 
     def _phase(self) -> str:
         if self.stopping.leaving:
--- a/lagoonlever/history/events_vms.py
+++ b/lagoonlever/history/events_vms.py
@@ -39,6 +39,8 @@
     """A VM was told to stop; its planned stop cuts no request."""
 
     vm: str
+    address: str = ""
+    """Where its callers connect."""
 
 
 @HISTORY.message("vm-stop-ended")
