--- a/lagoonlever/decisions/suspicion.py
+++ b/lagoonlever/decisions/suspicion.py
@@ -61,6 +61,7 @@
     _levels: dict[str, SuspicionLevel] = attrs.field(factory=dict, init=False)
     _slow_since: float | None = attrs.field(default=None, init=False)
     _next_check_at: float = attrs.field(default=math.inf, init=False)
+    _untold_tokens: int = attrs.field(default=0, init=False)
     peers_spacing_s: float | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -103,10 +104,16 @@
         elif self._detector.learns_from(track, engine):
             slow = self._slow_since is not None
             engine.spacing.observe(gap_s, streams=engine.flowing, slow=slow)
+        self._untold_tokens += 1
         track.tokens += 1
         track.last_at = now
         engine.moved(now)
 
+    def take_token_count(self) -> int:
+        """Give the tokens noted since the last call."""
+        count, self._untold_tokens = self._untold_tokens, 0
+        return count
+
     def stream_closed(self, stream: str) -> None:
         """Stop watching a stream, however it ended."""
         track = self._streams.pop(stream, None)
--- a/lagoonlever/decisions/suspicion_detectors.py
+++ b/lagoonlever/decisions/suspicion_detectors.py
@@ -215,6 +215,8 @@
         return _shared(settings, dead, SuspicionReason.ENGINE_SILENT)
 
     def _neighbours_moved(self, stream: StreamTrack, engine: EngineTrack) -> bool:
+        if engine.last_at - stream.last_at <= NEIGHBOUR_AT_LEAST_S:
+            return False
         spacing = engine.spacing
         step_s = NEIGHBOUR_DEVIATIONS * (spacing.mean_s + spacing.deviation_s)
         moved_s = max(
--- a/lagoonlever/entry/engine_watch.py
+++ b/lagoonlever/entry/engine_watch.py
@@ -52,7 +52,6 @@
     def token(self, *, engine: str, attempt: int) -> None:
         """Take note that an attempt's engine sent something."""
         self._engines[engine].token(str(attempt), now=self._now())
-        self._budget.served(engine=engine, tokens=1)
 
     def closed(self, *, engine: str, attempt: int) -> None:
         """Stop watching an attempt."""
@@ -63,7 +62,7 @@
 
     def on_tick(self, tick: Tick) -> None:
         """Judge every engine whose next check is due."""
-        self._budget.settle(tick.now)
+        self._earn(tick.now)
         if tick.now >= self._compare_at:
             self._compare_at = tick.now + COMPARE_PERIOD_S
             self._compare()
@@ -73,6 +72,14 @@
             if tick.now >= suspicion.next_check_at:
                 self._tell(engine, suspicion.assess(tick.now))
 
+    def _earn(self, now: float) -> None:
+        """Tell the budget what was served, in lots: it need not know of each token."""
+        for engine, suspicion in self._engines.items():
+            tokens = suspicion.take_token_count()
+            if tokens:
+                self._budget.served(engine=engine, tokens=tokens)
+        self._budget.settle(now)
+
     def _compare(self) -> None:
         """Tell each engine's judge the usual spacing, so that a general slowness is no fault."""
         spacings = [s.spacing_s for s in self._engines.values() if s.spacing_s is not None]
