--- a/lagoonlever/decisions/resume.py
+++ b/lagoonlever/decisions/resume.py
@@ -5,7 +5,7 @@
 import attrs
 
 from lagoonlever.decisions.answer import ReleasedPiece
-from lagoonlever.decisions.generation import GenerationSpec, ResumePoint
+from lagoonlever.decisions.generation_messages import GenerationSpec, ResumePoint
 from lagoonlever.identity import EventId, extend_digest, initial_digest
 
 
--- a/lagoonlever/entry/attempt.py
+++ b/lagoonlever/entry/attempt.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from lagoonlever.decisions.generation import Dispatch, GenerationSpec
+from lagoonlever.decisions.generation_messages import Dispatch, GenerationSpec
 from lagoonlever.exceptions import BadResponse, ConnectFailed, PeerError
 from lagoonlever.http.client import ClientConnection, fetch
 from lagoonlever.http.messages import Address
--- a/lagoonlever/entry/completions_api.py
+++ b/lagoonlever/entry/completions_api.py
@@ -10,7 +10,7 @@
 
 from lagoonlever.config.options import load, option
 from lagoonlever.decisions.answer import ReleasedPiece
-from lagoonlever.decisions.generation import GenerationSpec
+from lagoonlever.decisions.generation_messages import GenerationSpec
 from lagoonlever.decisions.resume import HeldAnswer
 from lagoonlever.exceptions import FaultsError, RequestRefused
 from lagoonlever.http.messages import Headers, Request
--- a/lagoonlever/entry/engines.py
+++ b/lagoonlever/entry/engines.py
@@ -9,7 +9,7 @@
 import trio
 
 from lagoonlever.decisions.admission import AdmissionRequest
-from lagoonlever.decisions.generation import BreakCause, Dispatch, GenerationSpec
+from lagoonlever.decisions.generation_messages import BreakCause, Dispatch, GenerationSpec
 from lagoonlever.decisions.routing import Choice, ModelQuery, RequestFeatures, Router
 from lagoonlever.decisions.shares import work_of
 from lagoonlever.decisions.targets import Target, TargetView
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -8,13 +8,13 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.generation import (
+from lagoonlever.decisions.generation import GenerationLife
+from lagoonlever.decisions.generation_messages import (
     BreakCause,
     CancelAttempt,
     Decision,
     Dispatch,
     Finish,
-    GenerationLife,
     GenerationSpec,
     Release,
     Restart,
--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -10,12 +10,8 @@
 import trio
 
 from lagoonlever.config.options import option
-from lagoonlever.decisions.generation import (
-    GenerationLife,
-    GenerationLimits,
-    GenerationSpec,
-    ResumePoint,
-)
+from lagoonlever.decisions.generation import GenerationLife
+from lagoonlever.decisions.generation_messages import GenerationLimits, GenerationSpec, ResumePoint
 from lagoonlever.decisions.resume import point_of_held
 from lagoonlever.entry.caller_stream import CallerStream, respond_outcome, stream_while_present
 from lagoonlever.entry.callers import CallerDirectory
--- a/lagoonlever/entry/histories.py
+++ b/lagoonlever/entry/histories.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from lagoonlever.decisions.generation import Dispatch, GenerationSpec
+from lagoonlever.decisions.generation_messages import Dispatch, GenerationSpec
 from lagoonlever.decisions.targets import Target
 from lagoonlever.history.events_vms import AttemptDispatched, VmStopBegan, VmStopEnded
 from lagoonlever.history.recorder import Recorder
--- a/lagoonlever/entry/recovery.py
+++ b/lagoonlever/entry/recovery.py
@@ -12,7 +12,7 @@
 import msgspec
 import trio
 
-from lagoonlever.decisions.generation import GenerationSpec, ResumePoint
+from lagoonlever.decisions.generation_messages import GenerationSpec, ResumePoint
 from lagoonlever.decisions.resume import HeldAnswer, point_of_held
 from lagoonlever.decisions.targets import TargetView
 from lagoonlever.entry.published import Published
--- a/lagoonlever/entry/request_metrics.py
+++ b/lagoonlever/entry/request_metrics.py
@@ -7,7 +7,13 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.generation import Decision, Dispatch, Finish, GenerationSpec, Release
+from lagoonlever.decisions.generation_messages import (
+    Decision,
+    Dispatch,
+    Finish,
+    GenerationSpec,
+    Release,
+)
 from lagoonlever.instruments import Metrics
 from lagoonlever.metrics import (
     EXTRA_WORK,
--- a/lagoonlever/entry/serving.py
+++ b/lagoonlever/entry/serving.py
@@ -9,7 +9,7 @@
 import trio
 
 from lagoonlever.config.options import option
-from lagoonlever.decisions.generation import Dispatch, GenerationSpec
+from lagoonlever.decisions.generation_messages import Dispatch, GenerationSpec
 from lagoonlever.decisions.routing import POLICIES, Router, make_policy
 from lagoonlever.decisions.suspicion_settings import DetectionSettings
 from lagoonlever.decisions.targets import Target
--- a/lagoonlever/tests/caller_stream_tests.py
+++ b/lagoonlever/tests/caller_stream_tests.py
@@ -7,12 +7,8 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.generation import (
-    Dispatch,
-    GenerationLife,
-    GenerationLimits,
-    GenerationSpec,
-)
+from lagoonlever.decisions.generation import GenerationLife
+from lagoonlever.decisions.generation_messages import Dispatch, GenerationLimits, GenerationSpec
 from lagoonlever.entry.caller_stream import CallerStream
 from lagoonlever.entry.completions_api import CompletionCall
 from lagoonlever.http.messages import Headers
--- a/lagoonlever/tests/faulty_requests_tests.py
+++ b/lagoonlever/tests/faulty_requests_tests.py
@@ -7,7 +7,8 @@
 import pytest
 import trio
 
-from lagoonlever.decisions.generation import GenerationLife, GenerationLimits, GenerationSpec
+from lagoonlever.decisions.generation import GenerationLife
+from lagoonlever.decisions.generation_messages import GenerationLimits, GenerationSpec
 from lagoonlever.entry.generation_task import GenerationTask
 from lagoonlever.http.client import fetch
 from lagoonlever.http.messages import Address
--- a/lagoonlever/tests/generation_tests.py
+++ b/lagoonlever/tests/generation_tests.py
@@ -10,13 +10,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from lagoonlever.decisions.generation import (
+from lagoonlever.decisions.generation import GenerationLife
+from lagoonlever.decisions.generation_messages import (
     BreakCause,
     CancelAttempt,
     Decision,
     Dispatch,
     Finish,
-    GenerationLife,
     GenerationLimits,
     GenerationSpec,
     Release,
--- a/lagoonlever/tests/reporting_tests.py
+++ b/lagoonlever/tests/reporting_tests.py
@@ -5,7 +5,13 @@
 import attrs
 
 from lagoonlever.decisions.answer import ReleasedPiece
-from lagoonlever.decisions.generation import Decision, Dispatch, Finish, GenerationSpec, Release
+from lagoonlever.decisions.generation_messages import (
+    Decision,
+    Dispatch,
+    Finish,
+    GenerationSpec,
+    Release,
+)
 from lagoonlever.decisions.membership import Member, MemberState, MemberView
 from lagoonlever.decisions.shares_meter import OrganisationStanding
 from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad, TargetView
