--- a/lagoonlever/bench/settings_vms.py
+++ b/lagoonlever/bench/settings_vms.py
@@ -22,12 +22,15 @@
 from lagoonlever.peers.local_bus import LocalBus, LocalNetwork
 from lagoonlever.platform.etcd_json import EtcdPlatform
 from lagoonlever.platform.port import KeyRead, SwapResult, Watch, WatchBatch
-from lagoonlever.timers import TimerService
+from lagoonlever.timers import TICK_S, TimerService
 from lagoonlever.tree.nodes import TreeView, default_tree
 
 DATA_CENTERS = ("dc-a", "dc-b", "dc-c")
 HOST = "127.0.0.1"
 PEER_PORT = 7000
+NEVER_PAUSED_S = 3600.0
+BATCH = 25
+"""VMs that start at once; one process can't carry the start of hundreds."""
 
 
 @attrs.define(kw_only=True)
@@ -92,6 +95,7 @@
 
     member: Member
     part: SettingsPart
+    bus: LocalBus
     platform: CutPlatform
     clock: SettableClock
     timers: TimerService
@@ -116,6 +120,7 @@
     _nursery: trio.Nursery
     _random: random.Random
     options: SettingsVersionOptions = attrs.field(factory=SettingsVersionOptions)
+    tick_s: float = TICK_S
     network: LocalNetwork = attrs.field(init=False)
     recorder: Recorder = attrs.field(factory=lambda: Recorder(process="operators"))
     vms: list[SettingsVm] = attrs.field(factory=list, init=False)
@@ -132,8 +137,9 @@
         count: int,
         seed: int = 1,
         options: SettingsVersionOptions | None = None,
+        tick_s: float = TICK_S,
     ) -> SettingsVms:
-        """Start a stand-in platform and some VMs that know each other."""
+        """Start a stand-in platform and some VMs that know each other and their settings."""
         platform = FakePlatform()
         listeners = await open_listeners(host=HOST, port=0)
         port = listeners[0].socket.getsockname()[1]
@@ -144,9 +150,13 @@
             nursery=nursery,
             random=random.Random(seed),
             options=options or SettingsVersionOptions(),
+            tick_s=tick_s,
         )
-        for _ in range(count):
-            vms.start()
+        while len(vms.vms) < count:
+            for _ in range(min(BATCH, count - len(vms.vms))):
+                vms.start(publish=False)
+            vms.publish_members()
+            await vms.wait_version(0)
         return vms
 
     @property
@@ -154,8 +164,8 @@
         """What was recorded so far."""
         return self.recorder.events
 
-    def start(self) -> SettingsVm:
-        """Start one more VM, known to all at once."""
+    def start(self, *, publish: bool = True) -> SettingsVm:
+        """Start one more VM, known to all at once unless ``publish_members`` follows."""
         index = len(self.vms)
         address = Address(host=f"10.0.{index // 250}.{index % 250 + 1}", port=PEER_PORT)
         incarnation = Incarnation(
@@ -168,14 +178,14 @@
             peers=address,
             state=MemberState.ALIVE,
         )
-        members = tuple(sorted((*self._members(), member), key=lambda each: each.name))
-        view = Published(MemberView(members=members, own=incarnation))
+        view = Published(MemberView(members=(member,), own=incarnation))
         clock = SettableClock()
-        timers = TimerService(clock=clock)
+        timers = self._timers(clock)
         platform = CutPlatform(addresses=[self.address], timeout_s=1.0)
+        bus = LocalBus(own=incarnation, address=address, network=self.network)
         part = SettingsPart(
             platform=platform,
-            bus=LocalBus(own=incarnation, address=address, network=self.network),
+            bus=bus,
             members=view,
             timers=timers,
             random=random.Random(self._random.getrandbits(32)),
@@ -186,6 +196,7 @@
         vm = SettingsVm(
             member=member,
             part=part,
+            bus=bus,
             platform=platform,
             clock=clock,
             timers=timers,
@@ -193,7 +204,8 @@
         )
         self.vms.append(vm)
         self._views.append(view)
-        self._publish(members)
+        if publish:
+            self.publish_members()
         self._nursery.start_soon(self._run, vm)
         return vm
 
@@ -209,10 +221,15 @@
             while vm.part.version is None or vm.part.version < version:
                 await vm.part.view.wait_change()
 
-    def _members(self) -> tuple[Member, ...]:
-        return tuple(vm.member for vm in self.vms)
+    def _timers(self, clock: SettableClock) -> TimerService:
+        # Many VMs in one process make each other late, which is no pause.
+        if self.tick_s == TICK_S:
+            return TimerService(clock=clock)
+        return TimerService(clock=clock, tick_s=self.tick_s, pause_threshold_s=NEVER_PAUSED_S)
 
-    def _publish(self, members: tuple[Member, ...]) -> None:
+    def publish_members(self) -> None:
+        """Let every VM know of all that were started."""
+        members = tuple(sorted((vm.member for vm in self.vms), key=lambda each: each.name))
         for view in self._views:
             view.publish(MemberView(members=members, own=view.value.own))
 
--- a/lagoonlever/entry/settings.py
+++ b/lagoonlever/entry/settings.py
@@ -149,4 +149,4 @@
     def _count_known_peers(self) -> int:
         # The dead count as known: a VM that is cut off sees all others as dead,
         # and would otherwise go on as if it were the only one there is.
-        return len(self._peers.others())
+        return len(self._members.value.members) - 1
--- a/lagoonlever/entry/settings_peers.py
+++ b/lagoonlever/entry/settings_peers.py
@@ -23,7 +23,7 @@
 from lagoonlever.tree.head import unpack_tree
 
 ROUND_ASK_PERIOD_S = 0.25
-"""How often a VM that starts or wakes asks its peers."""
+"""How soon a VM that starts or wakes asks its peers again; doubles up to the usual period."""
 ROUND_PEERS = 8
 ASKS_KEPT = 512
 
@@ -66,12 +66,17 @@
             self._tell(version)
 
     async def _ask_in_turn(self) -> None:
+        usual_s = self._options.ask_period_s
+        round_s = ROUND_ASK_PERIOD_S
         while True:
             in_round = self._state.in_round
             for member in self._sample(ROUND_PEERS if in_round else 1):
                 self._ask(member.peers)
-            period_s = ROUND_ASK_PERIOD_S if in_round else self._options.ask_period_s
-            await self._state.sleep(period_s * self._random.uniform(0.8, 1.2))
+            await self._state.sleep(
+                self._random.uniform(0.8, 1.2) * (round_s if in_round else usual_s)
+            )
+            # A whole fleet that starts in an outage must not drown in its asks.
+            round_s = min(2 * round_s, usual_s) if in_round else ROUND_ASK_PERIOD_S
 
     async def _take_news(self, news: trio.MemoryReceiveChannel[Received[SettingsNews]]) -> None:
         async for received in news:
--- a/lagoonlever/entry/settings_watch.py
+++ b/lagoonlever/entry/settings_watch.py
@@ -30,6 +30,8 @@
 """How long a VM watches before it looks again whether it is still a watcher."""
 WATCH_LATE_S = 0.5
 """A change that a read has found and the watch has not told for so long was missed."""
+LOOK_S = 5.0
+"""How often a VM that does not watch looks whether it has become a watcher."""
 RETRY_S = 0.5
 STALE_POLL_S = 10.0
 """How often a VM that does not watch reads all the same while nobody confirms its version."""
@@ -77,7 +79,10 @@
 
     async def _watch(self) -> None:
         while True:
-            read = await self._read() if self._is_watcher else None
+            if not self._is_watcher:
+                await trio.sleep(self._jittered(LOOK_S))
+                continue
+            read = await self._read()
             if read is None:
                 await self._state.sleep(self._jittered(RETRY_S))
                 continue
--- a/lagoonlever/tests/commands_settings_tests.py
+++ b/lagoonlever/tests/commands_settings_tests.py
@@ -40,7 +40,6 @@
         with trio.fail_after(TIMEOUT_S):
             async with trio.open_nursery() as nursery:
                 vms = await SettingsVms.open(nursery, count=3)
-                await vms.wait_version(0)
                 address = await serve(nursery, vms, admin or AdminSettings())
 
                 def cli(*arguments: str, key: str | None = None) -> Result:
--- a/lagoonlever/tests/entry_settings_tests.py
+++ b/lagoonlever/tests/entry_settings_tests.py
@@ -121,7 +121,6 @@
     """
 
     async def scenario(vms: SettingsVms) -> None:
-        await vms.wait_version(0)
         await until(lambda: vms.platform.open_watches == len(vms.vms))
         vms.platform.inject(PlatformFault(kind=PlatformFaultKind.SILENCE_WATCHES))
         version = await store(vms, vms.vms[0], weight("/motus", 3.0))
@@ -135,7 +134,6 @@
 
 def test_changes_that_were_compacted_away_are_read_anew() -> None:
     async def scenario(vms: SettingsVms) -> None:
-        await vms.wait_version(0)
         vms.platform.inject(PlatformFault(kind=PlatformFaultKind.DOWN))
         vms.platform.inject(PlatformFault(kind=PlatformFaultKind.UP))
         version = await store(vms, vms.vms[0], weight("/motus", 3.0))
@@ -166,7 +164,6 @@
 
 def test_a_vm_cut_from_the_platform_but_not_from_peers_follows() -> None:
     async def scenario(vms: SettingsVms) -> None:
-        await vms.wait_version(0)
         cut, *others = vms.vms
         cut.platform.cut = True
         version = await store(vms, others[0], weight("/motus", 3.0))
@@ -180,7 +177,6 @@
     """Story: a VM behind a broken link admits work for an hour under limits of yesterday."""
 
     async def scenario(vms: SettingsVms) -> None:
-        await vms.wait_version(0)
         cut, other, _ = vms.vms
         await standing(cut, SettingsStanding.SERVING)
         cut.platform.cut = True
@@ -204,7 +200,6 @@
     """Story: a frozen VM wakes and admits, under a withdrawn key, what waited in its socket."""
 
     async def scenario(vms: SettingsVms) -> None:
-        await vms.wait_version(0)
         frozen, other, _ = vms.vms
         await standing(frozen, SettingsStanding.SERVING)
         frozen.platform.cut = True
@@ -223,7 +218,6 @@
 
 def test_a_lost_answer_is_found_out_and_the_change_made_once() -> None:
     async def scenario(vms: SettingsVms) -> None:
-        await vms.wait_version(0)
         lose = PlatformFault(kind=PlatformFaultKind.LOSE_ANSWERS, count=1)
         vms.platform.inject(lose)
         version = await store(vms, vms.vms[0], weight("/motus", 3.0))
@@ -249,7 +243,6 @@
     """Story: the operator is told that nothing was stored, and the change is in force."""
 
     async def scenario(vms: SettingsVms) -> None:
-        await vms.wait_version(0)
         vms.platform.inject(PlatformFault(kind=PlatformFaultKind.LOSE_ANSWERS, count=1))
         platform = CutByItsSwap(addresses=[vms.address])
         store_ = SettingsStore(platform=platform, wall_clock_ms=lambda: 0, read_back_limit_s=0.3)
@@ -272,7 +265,6 @@
 
 def test_of_racing_operators_one_wins_and_the_other_is_told_the_key() -> None:
     async def scenario(vms: SettingsVms) -> None:
-        await vms.wait_version(0)
         outcomes: list[ChangeOutcome] = []
 
         async def change(vm: SettingsVm, request: ChangeRequest) -> None:
