--- a/lagoonlever/commands/demo.py
+++ b/lagoonlever/commands/demo.py
@@ -36,7 +36,7 @@
     Everything runs in this process on loopback. Exits with 1 unless every answer
     was whole.
     """
-    set_up_logs(level=LogLevel.ERROR)
+    set_up_logs(level=LogLevel.CRITICAL)
     result = _run_quietly() if json else _run_live()
     if json:
         sys.stdout.buffer.write(msgspec.json.encode(result) + b"\n")
--- a/lagoonlever/decisions/routing.py
+++ b/lagoonlever/decisions/routing.py
@@ -110,7 +110,7 @@
             query=query,
             now=now,
             blocks=self._blocks(query, prompt, view),
-            prompt_tokens=_count_tokens(prompt),
+            prompt_tokens=prompt_size(prompt),
             output_tokens=output_tokens,
             avoid=frozenset(avoid),
         )
@@ -180,7 +180,8 @@
     return None
 
 
-def _count_tokens(prompt: Prompt) -> int:
+def prompt_size(prompt: Prompt) -> int:
+    """Give a prompt's tokens; those of a text are a rough measure."""
     if isinstance(prompt, str):
         return len(prompt) // CHARACTERS_A_TOKEN + 1
     return len(prompt)
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -53,6 +53,10 @@
 
     _life: GenerationLife
     _engines: Engines
+    _hedges: bool = True
+    """Whether to begin elsewhere at the first suspicion."""
+    _priority: int = 0
+    """Added to the priority that admission gives; engines run lower ones first."""
     _may_begin: Callable[[], bool] = lambda: True
     """Asked right before each write: whether this VM may still act for the caller."""
     _observe: Callable[[Decision], None] = lambda decision: None
@@ -119,7 +123,8 @@
 
     def suspected(self, attempt: int) -> None:
         """Take the word that an attempt's engine seems dead."""
-        self._carry_out(self._life.suspected(attempt=attempt))
+        if self._hedges:
+            self._carry_out(self._life.suspected(attempt=attempt))
 
     def declared_dead(self, attempt: int) -> None:
         """Take the word that an attempt's engine counts as dead."""
@@ -220,7 +225,7 @@
             spec=self.spec,
             dispatch=dispatch,
             address=placement.target.address,
-            priority=placement.grant.priority,
+            priority=placement.grant.priority + self._priority,
             on_chunk=lambda chunk: self._take_chunk(running, placement, chunk),
             before_write=before_write,
         )
--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -13,6 +13,7 @@
 from lagoonlever.decisions.generation import GenerationLife
 from lagoonlever.decisions.generation_messages import GenerationLimits, GenerationSpec, ResumePoint
 from lagoonlever.decisions.resume import point_of_held
+from lagoonlever.decisions.routing import prompt_size
 from lagoonlever.entry.caller_stream import CallerStream, respond_outcome, stream_while_present
 from lagoonlever.entry.callers import CallerDirectory
 from lagoonlever.entry.completions_api import CompletionCall, read_call
@@ -200,7 +201,8 @@
         point: ResumePoint | None = None,
         first_generation: int = 1,
     ) -> GenerationTask:
-        allowed_s = self._callers.settings_of(spec.organisation).deadline_s
+        options = self._callers.settings_of(spec.organisation)
+        allowed_s = options.deadline_s
         spec = attrs.evolve(spec, deadline_s=min(allowed_s, spec.deadline_s or allowed_s))
         life = GenerationLife(
             spec=spec,
@@ -213,6 +215,8 @@
         task = GenerationTask(
             life=life,
             engines=self._engines,
+            hedges=options.hedge_resumes,
+            priority=options.priority,
             may_begin=lambda: self._may_begin(task),
             observe=self._metrics.observer_of(spec, continues=point is not None),
         )
@@ -264,6 +268,12 @@
                 field="model",
                 message=f"{spec.organisation} may ask for: {', '.join(settings.models)}",
             )
+        if prompt_size(spec.prompt) > settings.max_prompt_tokens:
+            raise RequestRefused(
+                status=400,
+                field="prompt",
+                message=f"give at most {settings.max_prompt_tokens} tokens",
+            )
         if spec.max_tokens > settings.max_tokens:
             raise RequestRefused(
                 status=400, field="max_tokens", message=f"give at most {settings.max_tokens}"
--- a/lagoonlever/tests/tree_tests.py
+++ b/lagoonlever/tests/tree_tests.py
@@ -33,7 +33,7 @@
         "weight": st.floats(0.5, 9),
         "priority": st.integers(0, 9),
         "models": st.lists(st.sampled_from("pqr"), max_size=2).map(tuple),
-        "detection": st.sampled_from(("eager", "patient")),
+        "hedge_resumes": st.booleans(),
     },
 )
 
@@ -67,7 +67,7 @@
 
 def test_every_fault_is_told_by_path_and_name() -> None:
     text = """{"/": {"weigth": 2}, "/a": {"weight": "3", "max_tokens": 0}, "/b/c": {},
-      "/K": {}, "/d": 4, "/e": {"api_keys": ["plain"]}, "/f": {"detection": "soon"}}"""
+      "/K": {}, "/d": 4, "/e": {"api_keys": ["plain"]}, "/f": {"hedge_resumes": "soon"}}"""
     with pytest.raises(FaultsError) as told:
         parse_text(text)
     paths = [fault.path for fault in told.value.faults]
@@ -79,7 +79,7 @@
         "/K",
         "/d",
         "/e.api_keys",
-        "/f.detection",
+        "/f.hedge_resumes",
     }
     assert len(paths) == 8
     assert "did you mean 'weight'" in str(told.value)
@@ -123,7 +123,7 @@
     edits = [
         Edit(path="/motus", option="weight", before=3.0, after=2.5),
         Edit(path="/motus/desk", option="priority", before=5, after=None),
-        Edit(path="/sembrani/clerks", option="resume_weight", before=None, after=0.9),
+        Edit(path="/sembrani/clerks", option="hedge_budget", before=None, after=0.9),
     ]
     edited = edit_text(TEXT, edits)
     for comment in ("// the pool", "// agreed in May", "/* rotated */", "// dealers' questions"):
--- a/lagoonlever/tree/options.py
+++ b/lagoonlever/tree/options.py
@@ -14,7 +14,6 @@
 from lagoonlever.config.options import option
 
 API_KEY_DIGEST = re.compile(r"sha256:[0-9a-f]{64}\Z")
-DETECTION_PRESETS = ("eager", "balanced", "patient")
 OWN_OPTIONS = frozenset({"api_keys"})
 """Options that children do not inherit."""
 
@@ -61,16 +60,10 @@
     priority: int = option(
         default=100, at_least=0, at_most=1_000, doc="Order within the engines; lower runs first."
     )
-    resume_weight: float = option(
-        default=0.5,
-        at_least=0.0,
-        at_most=1.0,
-        doc="What counts after an engine's death: 1 is resume latency, 0 is extra resource use.",
-    )
-    detection: str = option(
-        default="balanced",
-        one_of=DETECTION_PRESETS,
-        doc="How soon a silent engine is suspected.",
+    hedge_resumes: bool = option(
+        default=True,
+        doc="Begin elsewhere as soon as an engine is suspected: resumes sooner, for some "
+        "extra engine work.",
     )
     models: tuple[str, ...] = option(
         default=(), doc="Models that may be asked for; an empty list allows every model."
@@ -79,7 +72,10 @@
         default=16_384, at_least=1, at_most=10_000_000, doc="Longest answer in tokens."
     )
     max_prompt_tokens: int = option(
-        default=131_072, at_least=1, at_most=10_000_000, doc="Longest prompt in tokens."
+        default=131_072,
+        at_least=1,
+        at_most=10_000_000,
+        doc="Longest prompt in tokens; four characters of text count as one.",
     )
     fencing_checked: tuple[str, ...] = option(
         default=(), doc="Targets that refuse an order with an old fencing number."
