--- a/lagoonlever/decisions/routing.py
+++ b/lagoonlever/decisions/routing.py
@@ -85,6 +85,7 @@
     _state: RoutingState = attrs.field(factory=RoutingState)
     _texts: TextTokenMap = attrs.field(factory=TextTokenMap)
     _lives: dict[str, Address] = attrs.field(factory=dict)
+    _nodes: frozenset[str] = frozenset()
 
     @property
     def state(self) -> RoutingState:
@@ -122,13 +123,17 @@
     def targets_changed(self, view: TargetView, nodes: Iterable[str]) -> None:
         """Take a changed view of the targets, or a changed list of the VMs."""
         lives = {target.name: target.address for target in view.targets if target.takes_work}
+        known_nodes = frozenset(nodes)
+        if lives == self._lives and known_nodes == self._nodes:
+            return
         for name, address in self._lives.items():
             if lives.get(name) != address:
                 self._state.forget(name)
         self._lives = lives
+        self._nodes = known_nodes
         self._state.use_subset(
             grouped_subset(
-                node=self._node, nodes=nodes, targets=lives.keys(), size=self._subset_size
+                node=self._node, nodes=known_nodes, targets=lives, size=self._subset_size
             )
         )
 
