--- a/lagoonlever/decisions/target_load.py
+++ b/lagoonlever/decisions/target_load.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import attrs
 
 from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad
@@ -13,9 +15,14 @@
 IMPAIRED_LONGEST_S = 30.0
 
 
+@attrs.frozen
+class _Life:
+    name: str
+    address: Address
+
+
 @attrs.define(kw_only=True)
 class _Report:
-    address: Address
     models: tuple[ModelKey, ...] | None = None
     load: TargetLoad | None = None
     failures: int = 0
@@ -24,22 +31,26 @@
 
 @attrs.define(kw_only=True)
 class TargetReports:
-    """The latest report of each target by name; one of another address starts anew."""
+    """The latest report of each target, by name and address.
+
+    A late answer of a target's former life at another address says nothing of
+    the present one.
+    """
 
     _stale_s: float = LOAD_STALE_S
-    _reports: dict[str, _Report] = attrs.field(factory=dict)
+    _reports: dict[_Life, _Report] = attrs.field(factory=dict)
 
     def needs_models(self, target: Target) -> bool:
         """Tell whether an engine has not yet told which models it serves."""
         if target.kind is TargetKind.APPLICATION:
             return False
-        report = self._reports.get(target.name)
-        return report is None or report.address != target.address or report.models is None
+        report = self._reports.get(_life(target))
+        return report is None or report.models is None
 
     def described(self, target: Target, now: float) -> Target:
         """Give the target with its models, its load if fresh, and whether it is impaired."""
-        report = self._reports.get(target.name)
-        if report is None or report.address != target.address:
+        report = self._reports.get(_life(target))
+        if report is None:
             return target
         load = report.load
         if load is not None and load.age_s(now) > self._stale_s:
@@ -73,13 +84,14 @@
         report.impaired_until = now + min(IMPAIRED_LONGEST_S, doubled_s)
         report.failures = min(report.failures + 1, 8)
 
-    def keep_only(self, names: frozenset[str]) -> None:
-        """Forget every target that is not among these."""
-        self._reports = {name: r for name, r in self._reports.items() if name in names}
+    def keep_only(self, targets: Iterable[Target]) -> None:
+        """Forget every life of a target that is not among these."""
+        lives = {_life(target) for target in targets}
+        self._reports = {life: r for life, r in self._reports.items() if life in lives}
 
     def _of(self, target: Target) -> _Report:
-        report = self._reports.get(target.name)
-        if report is None or report.address != target.address:
-            report = _Report(address=target.address)
-            self._reports[target.name] = report
-        return report
+        return self._reports.setdefault(_life(target), _Report())
+
+
+def _life(target: Target) -> _Life:
+    return _Life(target.name, target.address)
