--- a/lagoonlever/decisions/budgets.py
+++ b/lagoonlever/decisions/budgets.py
@@ -49,9 +49,17 @@
 
     def on_overload(self) -> None:
         """Note a refusal or a timeout: a sign that there is too much load already."""
+        if not self._full_ratio:
+            return
         self._ratio = max(LEAST_RATIO, self._ratio * RATIO_CUT)
         self._tokens = min(self._tokens, self._reserve * self._ratio / self._full_ratio)
 
+    @classmethod
+    def of_ratio(cls, ratio: float) -> RetryBudget:
+        """Give a budget of so many extra attempts for each success; 0 allows none at all."""
+        reserve = RESERVE_TOKENS if ratio else 0.0
+        return cls(full_ratio=ratio, ratio=ratio, reserve=reserve, tokens=reserve)
+
     def withdraw(self) -> None:
         """Take one extra attempt; only after ``allows``."""
         if not self.allows:
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -158,6 +158,7 @@
             settings=self.base.settings.services,
             rng=self.base.rng,
             organisation_of=self._organisation_of,
+            retry_ratio_of=lambda path: self.callers.settings_of(path).retry_budget,
             recorder=self.base.recorder,
             metrics=self.base.request_metrics,
         )
@@ -209,7 +210,7 @@
     def _make_stopping(self) -> Stopping:
         return Stopping(
             timers=self.base.timers,
-            address_lifetime_s=self.base.settings.addresses.lifetime_s,
+            address_lifetime_s=self.base.settings.addresses.served_after_leaving_s,
             held=self._held,
             on_leaving=self._begin_leaving,
         )
--- a/lagoonlever/entry/services.py
+++ b/lagoonlever/entry/services.py
@@ -12,6 +12,7 @@
 import logbook
 import trio
 
+from lagoonlever.decisions.budgets import FULL_RATIO
 from lagoonlever.decisions.claims import HomeTable, StoredAnswer
 from lagoonlever.decisions.claims_keys import (
     KeyHome,
@@ -72,6 +73,7 @@
         settings: ServiceSettings,
         rng: random.Random,
         organisation_of: OrganisationOf = _nobody,
+        retry_ratio_of: Callable[[str], float] = lambda organisation: FULL_RATIO,
         recorder: Recorder | None = None,
         bus: Bus | None = None,
         metrics: RequestMetrics | None = None,
@@ -121,6 +123,7 @@
             timers=timers,
             settings=settings,
             come_back=come_back,
+            retry_ratio_of=retry_ratio_of,
         )
         self._keys = KeyRouter(
             own=own,
--- a/lagoonlever/entry/services_lookups.py
+++ b/lagoonlever/entry/services_lookups.py
@@ -8,7 +8,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.budgets import RetryBudget
+from lagoonlever.decisions.budgets import FULL_RATIO, RetryBudget
 from lagoonlever.decisions.claims import StoredAnswer
 from lagoonlever.decisions.hedging import (
     HedgedCall,
@@ -52,6 +52,14 @@
     unanswered: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class _BudgetKey:
+    """A change of an organisation's ratio begins a new budget."""
+
+    organisation: str
+    ratio: float
+
+
 @attrs.define(kw_only=True)
 class Lookups:
     """Runs idempotent calls; owns the pool of connections to the runners."""
@@ -61,10 +69,11 @@
     _timers: TimerService
     _settings: ServiceSettings
     _come_back: ComeBack
-    _new_budget: Callable[[], RetryBudget] = RetryBudget
+    _retry_ratio_of: Callable[[str], float] = lambda organisation: FULL_RATIO
+    """Gives an organisation's extra attempts for each success, as settings allow now."""
     _pool: Pool = attrs.field(factory=Pool)
     _delays: dict[str, HedgeDelay] = attrs.field(factory=dict)
-    _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+    _budgets: dict[_BudgetKey, RetryBudget] = attrs.field(factory=dict)
     counts: LookupCounts = attrs.field(factory=LookupCounts)
 
     async def call(self, call: ServiceCall) -> StoredAnswer:
@@ -102,11 +111,13 @@
         )
 
     def _budget(self, organisation: str) -> RetryBudget:
-        if organisation not in self._budgets and len(self._budgets) >= MAX_ORGANISATIONS:
+        ratio = self._retry_ratio_of(organisation)
+        key = _BudgetKey(organisation=organisation, ratio=ratio)
+        if key not in self._budgets and len(self._budgets) >= MAX_ORGANISATIONS:
             self._budgets.pop(next(iter(self._budgets)))
-        if organisation not in self._budgets:
-            self._budgets[organisation] = self._new_budget()
-        return self._budgets[organisation]
+        if key not in self._budgets:
+            self._budgets[key] = RetryBudget.of_ratio(ratio)
+        return self._budgets[key]
 
     async def _drive(
         self,
--- a/lagoonlever/logs.py
+++ b/lagoonlever/logs.py
@@ -34,6 +34,7 @@
     NOTICE = "notice"
     WARNING = "warning"
     ERROR = "error"
+    CRITICAL = "critical"
 
 
 def format_human(record: logbook.LogRecord, handler: logbook.Handler) -> str:
--- a/lagoonlever/tests/hedging_tests.py
+++ b/lagoonlever/tests/hedging_tests.py
@@ -252,3 +252,12 @@
     assert all(0.75 * base_s - 1 <= time <= 1.25 * base_s + 1 for time in times)
     assert all(time >= 1 and time == int(time) for time in times)
     assert len(set(times)) >= 2
+
+
+def test_an_organisation_without_a_budget_gets_no_extra_attempt() -> None:
+    """An operator sets the retry budget to 0, and lookups stop with a fault of our own."""
+    budget = RetryBudget.of_ratio(0.0)
+    for _ in range(50):
+        budget.on_success()
+    budget.on_overload()
+    assert not budget.allows
--- a/lagoonlever/tests/tree_tests.py
+++ b/lagoonlever/tests/tree_tests.py
@@ -123,7 +123,7 @@
     edits = [
         Edit(path="/motus", option="weight", before=3.0, after=2.5),
         Edit(path="/motus/desk", option="priority", before=5, after=None),
-        Edit(path="/sembrani/clerks", option="hedge_budget", before=None, after=0.9),
+        Edit(path="/sembrani/clerks", option="retry_budget", before=None, after=0.9),
     ]
     edited = edit_text(TEXT, edits)
     for comment in ("// the pool", "// agreed in May", "/* rotated */", "// dealers' questions"):
--- a/lagoonlever/tree/options.py
+++ b/lagoonlever/tree/options.py
@@ -49,10 +49,10 @@
         default=10.0, at_least=0.0, at_most=3600.0, doc="Longest wait before 'not run' is told."
     )
     retry_budget: float = option(
-        default=0.1, at_least=0.0, at_most=1.0, doc="Retries for each request, on average."
-    )
-    hedge_budget: float = option(
-        default=0.05, at_least=0.0, at_most=1.0, doc="Hedges for each request, on average."
+        default=0.1,
+        at_least=0.0,
+        at_most=1.0,
+        doc="Retries and hedges that each lookup that went well allows, on average.",
     )
     deadline_s: float = option(
         default=900.0, at_least=0.1, at_most=86_400.0, doc="Time for a whole request."
