Never restart a caller that knows no restart, and end streams let go elsewhere

A plain caller that came back with an event id of another answer was sent a restart event, which it skips, and then the other answer's text. It is told unknown (409) now. A stream whose task was taken over by another VM waited for ever and would have held up a planned stop; it ends as a departed caller's.

--- a/lagoonlever/entry/caller_stream.py
+++ b/lagoonlever/entry/caller_stream.py
@@ -30,6 +30,7 @@
     Done,
     NotRun,
     Outcome,
+    Reason,
     Unknown,
 )
 
@@ -46,6 +47,17 @@
 """Callers are told to come back at a time spread by this share, so as not to come together."""
 
 
+HELD_IS_VOID = Unknown(
+    reason=Reason.SUPERSEDED,
+    message="what you hold is not part of the answer here; ask anew without Last-Event-ID",
+    status=409,
+)
+
+
+class _HeldIsVoid(Exception):
+    """The caller holds a part of another generation, and knows no restart."""
+
+
 @attrs.frozen(kw_only=True)
 class RestartNote:
     """Tells a caller that what it holds is void: a new generation begins."""
@@ -124,10 +136,10 @@
         """Give the answer until its end; raises ``CallerGone``."""
         self._task.reader = self._exchange
         self._task.wake()
-        if self._call.stream:
-            await self._stream()
-        else:
-            await self._whole()
+        try:
+            await (self._stream() if self._call.stream else self._whole())
+        except _HeldIsVoid:
+            await self._tell_void()
 
     async def _whole(self) -> None:
         while self._task.finished is None:
@@ -169,7 +181,8 @@
         return self._call.resumable and MOVED_EVENT in self._call.accepts
 
     def _check_superseded(self) -> None:
-        if self._task.reader is not self._exchange:
+        """Raise ``CallerGone`` where another exchange, or another VM, has the answer now."""
+        if self._task.reader is not self._exchange or self._task.let_go:
             raise CallerGone
 
     async def _begin_after(self, last: EventId) -> None:
@@ -185,6 +198,13 @@
         self._generation = last.generation
 
     async def _restart(self) -> None:
+        """Tell the caller that a new generation begins.
+
+        Guards against a splice: a caller that does not know restarts would put the
+        new generation's text behind the part that it holds.
+        """
+        if not self._call.spec.accepts_restart:
+            raise _HeldIsVoid
         await self._start()
         self._index = 0
         self._generation = self._task.life.generation
@@ -216,7 +236,7 @@
             self._writer.piece(
                 piece,
                 model_version=answer.model_version,
-                note=self._note(answer, piece.event_id.attempt),
+                note=self._note(answer, piece.source.attempt),
             )
             for piece in pieces
         ]
@@ -259,6 +279,14 @@
         await self._exchange.write(data)
         await self._exchange.finish(trailers=outcome_headers(finish.outcome, rng=self._rng))
 
+    async def _tell_void(self) -> None:
+        if not self._started:
+            await respond_outcome(self._exchange, HELD_IS_VOID, rng=self._rng)
+            return
+        payload = msgspec.json.encode(outcome_error(HELD_IS_VOID))
+        await self._exchange.write(encode_event(ServerEvent(data=payload)))
+        await self._exchange.finish(trailers=outcome_headers(HELD_IS_VOID, rng=self._rng))
+
     async def _move(self, addresses: tuple[str, ...]) -> None:
         note = msgspec.json.encode(MovedNote(addresses=addresses))
         await self._exchange.write(encode_event(ServerEvent(event=MOVED_EVENT, data=note)))
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -86,6 +86,11 @@
         """The end, once it is decided."""
         return self._life.finished
 
+    @property
+    def let_go(self) -> bool:
+        """Whether this VM stopped before the end, because another one serves the caller."""
+        return self.ended_at is not None and self._life.finished is None
+
     def attempt_start(self, attempt: int) -> int:
         """Give the offset at which an attempt went on."""
         return self._attempt_starts.get(attempt, 0)
--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -14,7 +14,12 @@
 from lagoonlever.decisions.generation_messages import GenerationLimits, GenerationSpec, ResumePoint
 from lagoonlever.decisions.resume import point_of_held
 from lagoonlever.decisions.routing import prompt_size
-from lagoonlever.entry.caller_stream import CallerStream, respond_outcome, stream_while_present
+from lagoonlever.entry.caller_stream import (
+    HELD_IS_VOID,
+    CallerStream,
+    respond_outcome,
+    stream_while_present,
+)
 from lagoonlever.entry.callers import CallerDirectory
 from lagoonlever.entry.completions_api import CompletionCall, read_call
 from lagoonlever.entry.engines import Engines
@@ -23,7 +28,7 @@
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.server import Exchange
 from lagoonlever.identity import EventId
-from lagoonlever.outcomes import NotRun, Outcome, Reason, Unknown
+from lagoonlever.outcomes import NotRun, Outcome, Reason
 from lagoonlever.timers import Tick
 
 RequestKey = tuple[str, str]
@@ -176,7 +181,7 @@
         if point is None:
             point = await self._resume_points.find(call.spec, last)
         if point is None and last.offset and not call.spec.accepts_restart:
-            await self._refuse(exchange, call.spec.organisation, _nothing_known())
+            await self._refuse(exchange, call.spec.organisation, HELD_IS_VOID)
             return None
         current = self.find(call.spec.organisation, call.spec.request_id)
         if current is not None:
@@ -309,11 +314,3 @@
         raise RequestRefused(
             status=422, field="Idempotency-Key", message="was used for another request; take a new"
         )
-
-
-def _nothing_known() -> Unknown:
-    return Unknown(
-        reason=Reason.SUPERSEDED,
-        message="the released part is not known here; ask without Last-Event-ID for a new answer",
-        status=409,
-    )
--- a/lagoonlever/tests/caller_stream_tests.py
+++ b/lagoonlever/tests/caller_stream_tests.py
@@ -99,3 +99,69 @@
     chunks = [decode_chunk(event.data) for event in events[:-1]]
     received = [token for chunk in chunks for choice in chunk.choices for token in choice.token_ids]
     assert received == [300, 301, 302, 303]
+
+
+@attrs.define
+class PlainExchange:
+    """Keeps what a caller was told."""
+
+    status: int = 0
+    written: bytes = b""
+
+    async def respond_json(self, *, status: int, payload: object, headers: Headers) -> None:
+        self.status = status
+
+    async def start_stream(self, *, status: int, headers: Headers) -> None:
+        self.status = status
+
+    async def write(self, data: bytes) -> None:
+        self.written += data
+
+    async def finish(self, *, trailers: Headers) -> None:
+        pass
+
+
+def come_back_with_another_answer(*, accepts_restart: bool) -> PlainExchange:
+    spec = attrs.evolve(SPEC, accepts_restart=accepts_restart)
+    life = GenerationLife(spec=spec, limits=GenerationLimits(), rng=random.Random(1))
+    task = Task(life=life)
+    dispatch = life.start()[0]
+    assert isinstance(dispatch, Dispatch)
+    task.attempt = dispatch.attempt
+    life.opened(attempt=task.attempt, model_version="v1", prompt_token_ids=(1,))
+    task.engine_sends(300, 301)
+    task.engine_sends(302, finish_reason="length")
+    call = CompletionCall(
+        spec=spec,
+        stream=True,
+        accepts=frozenset(),
+        resumable=True,
+        last_event_id="r/1/7/2/00000000000000aa/e1/vm",
+        held=None,
+    )
+    exchange = PlainExchange()
+    stream = CallerStream(
+        exchange=exchange,  # type: ignore[arg-type]
+        task=task,  # type: ignore[arg-type]
+        call=call,
+        rng=random.Random(2),
+        moved_to=lambda: None,
+    )
+    trio.run(stream.run)
+    return exchange
+
+
+def test_a_plain_caller_that_holds_another_answer_is_never_continued() -> None:
+    """A clerk's page shows half of one digest followed by the whole of another.
+
+    It came back with the id of an event that this VM never gave. It knows nothing
+    of restarts, so a restart event would be skipped and the text appended.
+    """
+    exchange = come_back_with_another_answer(accepts_restart=False)
+    assert exchange.status == 409
+    assert exchange.written == b""
+
+
+def test_a_caller_that_knows_restarts_is_told_of_one() -> None:
+    exchange = come_back_with_another_answer(accepts_restart=True)
+    assert exchange.written.startswith(b"event: restart\n")
