Take a peer that falls silent to go on using its slots until reports show otherwise

A test of a cut between routers found 1.65 requests a slot at the engines: the average of what runs beyond what peers say began at nothing, so for some seconds both sides took the whole pool. Ruled out: a shorter average alone, which follows the reports' lag.

--- a/lagoonlever/decisions/shares_book.py
+++ b/lagoonlever/decisions/shares_book.py
@@ -68,6 +68,7 @@
         self._heard_running = 0
         self._silent: list[LeafSum] = []
         self._silent_part = 0.0
+        self._silent_running = 0
         self._excess = 0.0
         self._weighed_at = -math.inf
         self._report = PoolReport(slots=0)
@@ -216,8 +217,8 @@
         """Age what was heard, and work out the quota anew if anything changed."""
         if now >= self._ticked_at + LEDGER_PERIOD_S:
             self._ticked_at = now
-            self._weigh_silence(now)
             self._apply_all(self._peers.age(now, silent_part=self._silent_part))
+            self._weigh_silence(now)
             self._ledger.tick(now)
             self._meter.tick(now, self._running_by_path())
             self._quota_known = False
@@ -245,6 +246,10 @@
         horizon = now - SILENT_HOLD_S if reported is None else -math.inf
         self._silent = self._peers.silent_leaves(heard_after=horizon)
         running = sum(leaf.running for leaf in self._silent)
+        # A peer that falls silent is taken to go on, until reports show otherwise: to wait
+        # for them first would let both sides of a cut take the whole pool meanwhile.
+        self._excess += running - self._silent_running
+        self._silent_running = running
         if reported is None:
             self._silent_part = 1.0 if running else 0.0
             return
@@ -255,8 +260,7 @@
 
     @property
     def _seen_running(self) -> float:
-        silent = sum(leaf.running for leaf in self._silent)
-        return self._heard_running + self._silent_part * silent
+        return self._heard_running + self._silent_part * self._silent_running
 
     def _pull(self, path: str) -> float:
         above = self._tree.parent(path) or self._tree.root
