Keep a released piece without its event id

A long answer keeps all its pieces, each with an event id whose other fields are the same for a whole attempt. The piece's constructor changes in one test.

--- a/lagoonlever/decisions/answer.py
+++ b/lagoonlever/decisions/answer.py
@@ -8,20 +8,66 @@
 from lagoonlever.identity import EventId, extend_digest, initial_digest
 
 
+@attrs.frozen(kw_only=True)
+class Source:
+    """Where pieces come from: one for all pieces of an attempt, as a long answer has many."""
+
+    request_id: str
+    generation: int
+    attempt: int
+    target: str
+    vm: str
+
+
 @attrs.frozen(kw_only=True)
 class ReleasedPiece:
-    """Released tokens with the id that a caller comes back with; ``start`` is their offset."""
+    """Released tokens; ``start`` is their offset, ``digest`` that of all up to their end."""
 
     start: int
     token_ids: tuple[int, ...]
     text: str
-    event_id: EventId
+    digest: int
+    source: Source
 
     @property
     def end(self) -> int:
         """The offset of the token after these."""
         return self.start + len(self.token_ids)
 
+    @property
+    def event_id(self) -> EventId:
+        """The id that a caller comes back with; made anew each time, as pieces are kept."""
+        source = self.source
+        return EventId(
+            request_id=source.request_id,
+            generation=source.generation,
+            attempt=source.attempt,
+            offset=self.end,
+            digest=self.digest,
+            target=source.target,
+            vm=source.vm,
+        )
+
+    @classmethod
+    def ending_at(
+        cls, event_id: EventId, *, token_ids: tuple[int, ...], text: str
+    ) -> ReleasedPiece:
+        """Give the piece of these tokens that has this event id."""
+        source = Source(
+            request_id=event_id.request_id,
+            generation=event_id.generation,
+            attempt=event_id.attempt,
+            target=event_id.target,
+            vm=event_id.vm,
+        )
+        return cls(
+            start=event_id.offset - len(token_ids),
+            token_ids=token_ids,
+            text=text,
+            digest=event_id.digest,
+            source=source,
+        )
+
 
 class Answer:
     """The released tokens of one generation of one request; only ever grows."""
@@ -39,6 +85,7 @@
         self._initial = self._digest
         self._pieces: list[ReleasedPiece] = []
         self._token_ids: list[int] = []
+        self._source: Source | None = None
 
     @property
     def generation(self) -> int:
@@ -85,25 +132,30 @@
             start=start,
             token_ids=piece.token_ids,
             text=piece.text,
-            event_id=EventId(
+            digest=self._digest,
+            source=self._source_of(attempt, target),
+        )
+        self._pieces.append(released)
+        return released
+
+    def _source_of(self, attempt: int, target: str) -> Source:
+        source = self._source
+        if source is None or source.attempt != attempt or source.target != target:
+            source = self._source = Source(
                 request_id=self._request_id,
                 generation=self._generation,
                 attempt=attempt,
-                offset=self.offset,
-                digest=self._digest,
                 target=target,
                 vm=self._vm,
-            ),
-        )
-        self._pieces.append(released)
-        return released
+            )
+        return source
 
     def adopt(self, piece: ReleasedPiece) -> None:
         """Take a piece that another VM released; raises ``ValueError`` unless it fits exactly."""
         digest = self._digest
         for token_id in piece.token_ids:
             digest = extend_digest(digest, token_id)
-        if piece.start != self.offset or piece.event_id.digest != digest:
+        if piece.start != self.offset or piece.digest != digest:
             raise ValueError("the piece does not continue this answer")
         self._digest = digest
         self._token_ids.extend(piece.token_ids)
@@ -122,5 +174,5 @@
             return 0 if last.digest == self._initial else None
         for index, piece in enumerate(self._pieces):
             if piece.end == last.offset:
-                return index + 1 if piece.event_id.digest == last.digest else None
+                return index + 1 if piece.digest == last.digest else None
         return None
--- a/lagoonlever/decisions/resume.py
+++ b/lagoonlever/decisions/resume.py
@@ -38,7 +38,7 @@
         digest = extend_digest(digest, token_id)
     if digest != last.digest:
         return None
-    piece = ReleasedPiece(start=0, token_ids=held.token_ids, text="", event_id=last)
+    piece = ReleasedPiece.ending_at(last, token_ids=held.token_ids, text="")
     return ResumePoint(
         generation=last.generation,
         attempt=last.attempt,
--- a/lagoonlever/entry/request_metrics.py
+++ b/lagoonlever/entry/request_metrics.py
@@ -110,7 +110,7 @@
         now = self._clock()
         for piece in release.pieces:
             self._metrics.add(TOKENS_RELAYED, len(piece.token_ids), self._organisation)
-            self._took_turn(piece.event_id.attempt, now)
+            self._took_turn(piece.source.attempt, now)
         self._released_at = now
 
     def _took_turn(self, attempt: int, now: float) -> None:
--- a/lagoonlever/tests/reporting_tests.py
+++ b/lagoonlever/tests/reporting_tests.py
@@ -71,7 +71,7 @@
         target="engine-1",
         vm="e1",
     )
-    piece = ReleasedPiece(start=start, token_ids=(7,) * tokens, text="", event_id=event_id)
+    piece = ReleasedPiece.ending_at(event_id, token_ids=(7,) * tokens, text="")
     return Release(pieces=(piece,))
 
 
