--- a/lagoonlever/client/caller.py
+++ b/lagoonlever/client/caller.py
@@ -108,6 +108,8 @@
     _addresses: list[Address]
     _rng: random.Random = attrs.field(factory=random.SystemRandom)
     _give_up_after_s: float = 30.0
+    _brings_tokens: bool = True
+    """Whether to send along what is held when coming back; without it the engine is asked."""
     _silence_s: float = 3.0
     """After so long without a word a VM is asked whether it lives."""
     _silence_at_most_s: float = 15.0
@@ -223,7 +225,7 @@
                 method="POST",
                 path="/v1/completions",
                 headers=self._headers(visit),
-                body=_body(visit.request, visit.stream),
+                body=_body(visit.request, visit.stream if self._brings_tokens else None),
                 step="ask for a completion",
             )
             head = await self._hear(
@@ -334,7 +336,7 @@
         self._known = [known for known in self._known if known != address]
 
 
-def _body(request: CompletionRequest, stream: HeldStream) -> bytes:
+def _body(request: CompletionRequest, stream: HeldStream | None) -> bytes:
     document: dict[str, object] = {
         "model": request.model,
         "prompt": request.prompt,
@@ -344,7 +346,7 @@
     }
     if request.seed is not None:
         document["seed"] = request.seed
-    held = stream.held()
+    held = stream.held() if stream is not None else None
     if held is not None:
         document["lagoonlever_held"] = held
     return msgspec.json.encode(document)
