--- a/lagoonlever/bench/membership.py
+++ b/lagoonlever/bench/membership.py
@@ -9,7 +9,7 @@
 SIZES = (3, 9, 27, 100, 400)
 QUICK_SIZES = (3, 9, 27)
 LARGEST_SEARCHED = 100
-"""Deaths and cuts are measured up to this size; the spread grows with its logarithm."""
+"""Single deaths are measured up to this size; the spread grows with its logarithm."""
 STEADY_S = 30.0
 BYTES_AIM_S = 3000.0
 CPU_AIM_PERCENT = 3.7
@@ -27,7 +27,7 @@
     searched = [n for n in sizes if 9 <= n <= LARGEST_SEARCHED]
     kills = 4 if options.quick else 12
     spread = [membership_runs.deaths(n, kills=kills, seed=seed) for n in searched]
-    cuts = [membership_runs.cut(n, seed=seed) for n in searched]
+    cuts = [membership_runs.cut(n, seed=seed) for n in sizes if n >= searched[0]]
     real = membership_real.measure(nodes=9, duration_s=duration_s, seed=seed)
     return BenchResult(
         name="membership",
--- a/lagoonlever/bench/membership_runs.py
+++ b/lagoonlever/bench/membership_runs.py
@@ -299,7 +299,7 @@
     table = MemberTable()
     for index in range(nodes):
         table.put(record_of(_news(index), 0.0))
-    view = tuple(record.member(0.0) for record in table)
+    view = tuple(record.member(0.0, usual_load=0.0) for record in table)
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert len(view) == nodes
--- a/lagoonlever/decisions/membership_protocol.py
+++ b/lagoonlever/decisions/membership_protocol.py
@@ -90,11 +90,6 @@
         """By how much this VM stretches its timeouts: 1 when it trusts itself."""
         return self._roster.health.factor
 
-    @property
-    def overlay(self) -> tuple[Member, ...]:
-        """The members to which changes of any kind are passed on at once."""
-        return tuple(record.member(0.0) for record in self._roster.adjacent)
-
     def take_view(self, now: float) -> MemberView:
         """Give the view, and note that it is known."""
         self._roster.changed = False
@@ -143,6 +138,7 @@
         """Let time pass; ``paused_s`` tells that this process stood still before."""
         if self.silent:
             return
+        self._roster.own.load_at = now
         if paused_s > 0:
             self._distrust(now)
         self._prober.tick(now)
@@ -154,7 +150,7 @@
         """Take a message from a peer."""
         if self.silent:
             return
-        self._roster.merge_all(_news_of(message), now)
+        self._roster.merge_news(_news_of(message), now)
         if isinstance(message, Ping | Ack | Gossip):
             self._roster.merge_verdicts(message.verdicts, now)
         if not self.silent:
--- a/lagoonlever/decisions/membership_roster.py
+++ b/lagoonlever/decisions/membership_roster.py
@@ -94,12 +94,13 @@
 
     def view(self, now: float) -> MemberView:
         """Give the members as others may read them."""
-        members = sorted((r.member(now) for r in self.table), key=lambda member: member.name)
+        usual = self._usual_load(now)
+        entries = (record.member(now, usual_load=usual) for record in self.table)
+        members = sorted(entries, key=lambda member: member.name)
         return MemberView(members=tuple(members), own=self._own.incarnation)
 
     def own_news(self, now: float) -> MemberNews:
-        """Give the news of this VM, whose load is as of now."""
-        self.own.load_at = now
+        """Give the news of this VM."""
         return self.own.news(now)
 
     def take_fill(self, now: float, *, about: Record | None = None) -> tuple[MemberNews, ...]:
@@ -129,7 +130,7 @@
             return ()
         return (record.news(now),)
 
-    def merge_all(self, news: Iterable[MemberNews], now: float) -> None:
+    def merge_news(self, news: Iterable[MemberNews], now: float) -> None:
         """Join news of members."""
         for one in news:
             self._merge(one, now)
@@ -244,6 +245,15 @@
         self._suspected = {record.incarnation.name for record in running}
         return running
 
+    def _usual_load(self, now: float) -> float:
+        """Give the mean of the known loads.
+
+        In a large fleet most loads are not known; counted as idle, those members
+        would draw the callers away from the few that are known to have room.
+        """
+        known = [r.load for r in self.table if r.live and r.load_known(now)]
+        return sum(known) / len(known) if known else 0.0
+
     def _next_fill(self) -> str | None:
         others = self.others
         if not others:
--- a/lagoonlever/decisions/membership_table.py
+++ b/lagoonlever/decisions/membership_table.py
@@ -80,16 +80,19 @@
             leaving=self.leaving,
         )
 
-    def member(self, now: float) -> Member:
-        """Give the entry of the view; a stale load counts as none."""
-        fresh = now - self.load_at <= MAX_LOAD_AGE_S
+    def load_known(self, now: float) -> bool:
+        """Tell whether the load was reported lately."""
+        return now - self.load_at <= MAX_LOAD_AGE_S
+
+    def member(self, now: float, *, usual_load: float) -> Member:
+        """Give the entry of the view; a load that is not known counts as the usual one."""
         return Member(
             incarnation=self.incarnation,
             data_center=self.data_center,
             http=self.http,
             peers=self.peers,
             state=self.state,
-            load=self.load if fresh else 0.0,
+            load=self.load if self.load_known(now) else usual_load,
         )
 
     def news(self, now: float) -> MemberNews:
--- a/lagoonlever/tests/membership_tests.py
+++ b/lagoonlever/tests/membership_tests.py
@@ -324,3 +324,18 @@
     view = observer.take_view(network.now)
     assert view.find(replacement.incarnation) is not None
     assert view.is_over(other.incarnation)
+
+
+def test_a_member_whose_load_is_not_known_counts_as_the_usual_one() -> None:
+    network = fleet(4)
+    loads = [0.2, 0.4, 0.6, 0.8]
+    for index, load in enumerate(loads):
+        network.nodes[index].protocol.set_load(load)
+    network.run(20)
+    view = network.nodes[0].protocol.take_view(network.now)
+    assert [round(member.load, 2) for member in view.members] == loads
+
+    later = network.now + 1000
+    network.nodes[0].protocol.tick(later)
+    view = network.nodes[0].protocol.take_view(later)
+    assert {round(member.load, 2) for member in view.members} == {0.2}
