--- a/lagoonlever/entry/routes.py
+++ b/lagoonlever/entry/routes.py
@@ -9,7 +9,7 @@
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import CallerGone, Exchange, Handler, error_payload
-from lagoonlever.outcomes import OUTCOME_HEADER, OutcomeTag
+from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER, OutcomeTag, Reason
 
 log = logbook.Logger(__name__)
 
@@ -80,7 +80,7 @@
         await exchange.respond_json(
             status=refused.status,
             payload=error_payload(refused),
-            headers=Headers(((OUTCOME_HEADER, OutcomeTag.NOT_RUN.value),)),
+            headers=_headers_of(refused),
         )
 
     async def _fail(self, exchange: Exchange) -> None:
@@ -91,3 +91,10 @@
             payload={"error": {"message": "a fault within the system", "type": "unknown"}},
             headers=Headers(((OUTCOME_HEADER, OutcomeTag.UNKNOWN.value),)),
         )
+
+
+def _headers_of(refused: RequestRefused) -> Headers:
+    headers = Headers(((OUTCOME_HEADER, OutcomeTag.NOT_RUN.value),))
+    if refused.status >= INTERNAL_ERROR:
+        return headers
+    return headers.with_field(REASON_HEADER, Reason.BAD_REQUEST.value)
