Serve a leaving VM's address for as long as any caller was told it

Cause: a stop waited for the mean lifetime of an address. Lifetimes are spread by 20%, and other VMs go on telling the address until they hear of the stop, so a caller with a valid address could find nobody: at 30 s, up to 6 s too early. Ruled out: the quiet time (1 s, covers the listener's backlog only). The new option addresses.news_s bounds the news.

--- a/lagoonlever/decisions/addresses.py
+++ b/lagoonlever/decisions/addresses.py
@@ -27,6 +27,17 @@
         at_least=1.0,
         at_most=3600.0,
     )
+    news_s: float = option(
+        doc="Seconds for which other VMs may go on telling the address of one that leaves.",
+        default=5.0,
+        at_least=0.1,
+        at_most=300.0,
+    )
+
+    @property
+    def served_after_leaving_s(self) -> float:
+        """How long callers may still come to a VM that leaves, with an address told in time."""
+        return self.news_s + self.lifetime_s * (1 + JITTER)
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/tests/processes.py
+++ b/lagoonlever/tests/processes.py
@@ -187,7 +187,7 @@
         for process in list(running.processes.values()):
             running.read_ready(process)
         for number in range(vms):
-            lifetime = {"lifetime_s": address_lifetime_s}
+            lifetime = {"lifetime_s": address_lifetime_s, "news_s": 1.0}
             vm = running.start_vm(f"vm-{number + 1}", number, addresses=lifetime)
             if not number:
                 running.read_ready(vm)
