--- a/lagoonlever/entry/daemon.py
+++ b/lagoonlever/entry/daemon.py
@@ -59,6 +59,7 @@
     _peer_address: Address | None = None
     _parts: Parts | None = None
     _started: trio.Event = attrs.field(factory=trio.Event)
+    _served: trio.Event = attrs.field(factory=trio.Event)
 
     @property
     def address(self) -> Address:
@@ -114,6 +115,7 @@
             self._started.set()
             task_status.started()
             await parts.stopping.wait_ended()
+            await self._close(listeners)
             await self._depart(parts)
             nursery.cancel_scope.cancel()
         await parts.base.platform.aclose()
@@ -122,6 +124,17 @@
         await serve_http(
             handler=parts.routes.handle, listeners=listeners, limits=HTTP_LIMITS, state=self._http
         )
+        self._served.set()
+
+    async def _close(self, listeners: list[trio.SocketListener]) -> None:
+        """Take no connection any more, and serve those taken to their ends.
+
+        Guards against a caller with a very old address: between the look that found
+        nothing held and the process's end, its request would be taken and then cut.
+        """
+        for listener in listeners:
+            await listener.aclose()
+        await self._served.wait()
 
     async def _depart(self, parts: Parts) -> None:
         parts.record_ended()
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -353,7 +353,10 @@
     limits: ServerLimits,
     state: ServerState,
 ) -> None:
-    """Serve until cancelled; one caller's error ends only its own connection."""
+    """Serve until cancelled; one caller's error ends only its own connection.
+
+    Once the listeners are closed, connections are served to their ends.
+    """
 
     async def serve_one(stream: trio.SocketStream) -> None:
         if state.open_connections >= limits.connections:
@@ -374,7 +377,11 @@
                 scope.shield = True
                 await trio.aclose_forcefully(stream)
 
-    await trio.serve_listeners(serve_one, listeners)
+    async with trio.open_nursery() as connections:
+        try:
+            await trio.serve_listeners(serve_one, listeners, handler_nursery=connections)
+        except* trio.ClosedResourceError:
+            pass
 
 
 async def open_listeners(*, host: str, port: int) -> list[trio.SocketListener]:
