--- a/lagoonlever/decisions/admission.py
+++ b/lagoonlever/decisions/admission.py
@@ -29,6 +29,8 @@
 MIN_RESUMES_PER_S = 2.0
 COMMIT_AHEAD = 128.0
 """Work charged ahead of use, at most: bounds the error that a dead VM leaves behind."""
+CHARGE_STEP = 16.0
+"""Use is passed on in steps of this work: a charge for each token would cost too much."""
 DEFAULT_WORK = 128.0
 """Work expected of a request of a leaf that has ended none yet."""
 MEAN_WEIGHT = 0.1
@@ -81,10 +83,11 @@
     started_at: float
     estimate: float
     used: float = 0.0
+    charged: float = 0.0
 
     @property
     def committed(self) -> float:
-        """The work charged: what was used, and a bounded part of what is still expected."""
+        """The work to charge: what was used, and a bounded part of what is still expected."""
         return self.used + min(max(self.estimate - self.used, 0.0), COMMIT_AHEAD)
 
 
@@ -192,17 +195,19 @@
         running = self._running.get(ticket)
         if running is None:
             return
-        before = running.committed
         running.used += work
-        if running.committed != before:
-            self._book.add_own(running.leaf, now=now, work=running.committed - before)
+        due = running.committed - running.charged
+        if abs(due) < CHARGE_STEP:
+            return
+        running.charged += due
+        self._book.add_own(running.leaf, now=now, work=due)
 
     def release(self, ticket: int, now: float) -> bool:
         """End a running request, giving back what was charged ahead; false if it has ended."""
         running = self._running.pop(ticket, None)
         if running is None:
             return False
-        self._book.add_own(running.leaf, now=now, work=running.used - running.committed, running=-1)
+        self._book.add_own(running.leaf, now=now, work=running.used - running.charged, running=-1)
         ended = _Ended(work=running.used, duration_s=now - running.started_at)
         self._means[running.leaf] = ended.averaged_into(self._means.get(running.leaf))
         return True
@@ -300,8 +305,9 @@
         filled = self._book.filled(leaf)
         ask = self._leave_queue(waiting.ticket, now)
         running = _Running(leaf=leaf, started_at=now, estimate=self._estimate(leaf, ask))
+        running.charged = running.committed
         self._running[waiting.ticket] = running
-        self._book.add_own(leaf, now=now, work=running.committed, running=1)
+        self._book.add_own(leaf, now=now, work=running.charged, running=1)
         bounded_s = min(max(lag_s, -MAX_PRIORITY_LAG_S), MAX_PRIORITY_LAG_S)
         fair = PRIORITY_PER_S * bounded_s - FILL_PRIORITY * (1.0 - filled)
         priority = RESUME_PRIORITY if ask.resume else round(fair)
--- a/lagoonlever/tests/admission_tests.py
+++ b/lagoonlever/tests/admission_tests.py
@@ -321,3 +321,17 @@
         queue.push(Waiting(ticket=ticket, queued_at=0.0, give_up_at=4.0))
     hopeless = queue.remove_hopeless(0.1, patience=2.0)
     assert [waiting.ticket for waiting in hopeless] == [3, 4, 5, 6, 7, 8, 9]
+
+
+def test_what_peers_are_told_is_what_was_used() -> None:
+    """Charges go ahead of use and in steps; at its end a request has cost what it used."""
+    admission = one_vm()
+    ticket = admission.submit(ask("/small"), 0.0)
+    assert isinstance(ticket, int)
+    admission.poll(0.0)
+    for step in range(333):
+        admission.charge(ticket, 1.0, step * 0.1)
+    admission.release(ticket, 34.0)
+    news = admission.due_news(40.0)
+    assert news is not None
+    assert [leaf.committed for leaf in news.leaves] == [333]
