Let a VM that boots go by the engines' reports until its peers have spoken

Red first: with eight slots all in use it started eight more requests, as it had heard of none. Now at most two, which may queue at the engines by the rule for all. Ruled out: to wait until peers speak, which holds back a VM that has none.

--- a/lagoonlever/decisions/shares_book.py
+++ b/lagoonlever/decisions/shares_book.py
@@ -37,6 +37,8 @@
 MIN_ENTRY_SLOTS = 1.0
 SMALL_FILL = 0.5
 """A leaf with less than this of its slots may queue at the engines in a second such band."""
+SETTLE_S = 3.0
+"""A VM that started less than this ago goes by the engines' reports: peers have yet to speak."""
 EXCESS_WINDOW_S = 3.0
 """Time constant over which reports of engines are compared with what peers say."""
 
@@ -71,6 +73,8 @@
         self._silent: list[LeafSum] = []
         self._silent_part = 0.0
         self._silent_running = 0
+        self._unheard_running = 0
+        self._started_at: float | None = None
         self._excess = 0.0
         self._weighed_at = -math.inf
         self._report = PoolReport(slots=0)
@@ -218,6 +222,8 @@
 
     def refresh(self, now: float) -> None:
         """Age what was heard, and work out the quota anew if anything changed."""
+        if self._started_at is None:
+            self._started_at = now
         if now >= self._ticked_at + LEDGER_PERIOD_S:
             self._ticked_at = now
             self._apply_all(self._peers.age(now, silent_part=self._silent_part))
@@ -250,6 +256,9 @@
         horizon = now - SILENT_HOLD_S if reported is None else -math.inf
         self._silent = self._peers.silent_leaves(heard_after=horizon)
         running = sum(leaf.running for leaf in self._silent)
+        # A VM that has just started has heard of nobody: the pool would seem idle to it.
+        settling = self._started_at is not None and now < self._started_at + SETTLE_S
+        self._unheard_running = max(0, (reported or 0) - self._own_running) if settling else 0
         # A peer that falls silent is taken to go on, until reports show otherwise: to wait
         # for them first would let both sides of a cut take the whole pool meanwhile.
         self._excess += running - self._silent_running
@@ -264,7 +273,8 @@
 
     @property
     def _seen_running(self) -> float:
-        return self._heard_running + self._silent_part * self._silent_running
+        seen = self._heard_running + self._silent_part * self._silent_running
+        return max(seen, self._own_running + self._unheard_running)
 
     def _pull(self, path: str) -> float:
         above = self._tree.parent(path) or self._tree.root
--- a/lagoonlever/tests/admission_tests.py
+++ b/lagoonlever/tests/admission_tests.py
@@ -335,3 +335,20 @@
     news = admission.due_news(40.0)
     assert news is not None
     assert [leaf.committed for leaf in news.leaves] == [333]
+
+
+def test_a_vm_that_boots_in_a_flood_does_not_take_the_pool_for_free() -> None:
+    """A VM restarts in a busy hour, and for a second the engines get twice their slots.
+
+    Order: it starts, callers come at once, and no peer has told its sums yet; by what
+    it has heard the pool is idle. Only the engines' reports say that it is not.
+    """
+    admission = one_vm(slots=8)
+    admission.set_report(PoolReport(slots=8, running=8))
+    for leaf in LEAVES:
+        for _ in range(4):
+            admission.submit(ask(leaf), 0.0)
+    granted = [one for one in admission.poll(0.0) if isinstance(one, Granted)]
+    assert len(granted) <= 2
+    later = [one for one in admission.poll(4.0) if isinstance(one, Granted)]
+    assert len(later) >= 6
