--- a/lagoonlever/tests/membership_tests.py
+++ b/lagoonlever/tests/membership_tests.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from lagoonlever.bench.membership_network import Network, Node, node_address, node_name
 from lagoonlever.decisions.membership import MemberState
@@ -58,12 +58,18 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.network = Network(random=Random(7))
+        self.network = Network(random=Random(0))
         self.leaving: set[Incarnation] = set()
         self.seen_leaving: dict[tuple[Incarnation, Incarnation], bool] = {}
         self.newest: dict[tuple[Incarnation, str], Incarnation] = {}
+
+    @initialize(seed=st.integers(0, 2**32), late_s=st.sampled_from([0.0, 8.0]))
+    def begin(self, seed: int, late_s: float) -> None:
+        self.network = Network(random=Random(seed))
         for index in range(NODES):
             self.network.start(index, seeds=range(NODES))
+        self.network.run(5)
+        self.network.late_s = late_s
 
     def node(self, index: int) -> Node | None:
         return self.network.nodes.get(index)
