--- a/lagoonlever/decisions/shares_book.py
+++ b/lagoonlever/decisions/shares_book.py
@@ -206,6 +206,9 @@
 
     def receive(self, sender: Incarnation, news: SumsNews, now: float) -> None:
         """Take on a peer's sums."""
+        if not self._peers.hears(sender):
+            # It is new, or back after a cut, and has not heard of us for as long.
+            self._own_sums.ask_full()
         self._apply_all(self._peers.receive(sender, news, now))
 
     def excuse(self, paused_s: float) -> None:
--- a/lagoonlever/decisions/shares_exchange.py
+++ b/lagoonlever/decisions/shares_exchange.py
@@ -177,6 +177,11 @@
         """How many peers were heard of late."""
         return sum(not peer.silent for peer in self._peers.values())
 
+    def hears(self, sender: Incarnation) -> bool:
+        """Tell whether a peer was heard of late."""
+        peer = self._peers.get(sender)
+        return peer is not None and not peer.silent
+
     def silent_leaves(self, *, heard_after: float) -> list[LeafSum]:
         """Give the demand of silent peers as last heard; it may still be there."""
         return [
