--- a/lagoonlever/entry/completions_api.py
+++ b/lagoonlever/entry/completions_api.py
@@ -131,8 +131,9 @@
     try:
         return load(CompletionBody, known)
     except FaultsError as error:
-        fault = error.faults[0]
-        raise RequestRefused(status=400, field=fault.path, message=str(error)) from error
+        first, *others = error.faults
+        message = "; ".join([first.message, *map(str, others)])
+        raise RequestRefused(status=400, field=first.path, message=message) from error
 
 
 def _check_supported(document: dict[str, Any]) -> None:
