Measure the news also for VMs that read at spread times, and started at once

The first figures at 400 VMs had all of them read within the same second every 95 s, so nobody knew of a leaving target for 76 s. Both are shown now: spread times meet the bound, a common start and a single reader do not.

--- a/lagoonlever/bench/target_list.py
+++ b/lagoonlever/bench/target_list.py
@@ -38,14 +38,19 @@
 
 @attrs.frozen(kw_only=True)
 class Scenario:
-    """Which share of the VMs can't read the platform's list."""
+    """Which share of the VMs can't read the list, and whether all VMs started at once.
+
+    VMs that started at once read at nearly the same times for a long while.
+    """
 
     title: str
     cut_share: float
+    together: bool = False
 
 
 SCENARIOS = (
     Scenario(title="all read the list", cut_share=0.0),
+    Scenario(title="all read, started within a second", cut_share=0.0, together=True),
     Scenario(title="a third cut from the platform", cut_share=1 / 3),
     Scenario(title="all but one cut from the platform", cut_share=1.0),
 )
@@ -89,7 +94,7 @@
 
 def measure(vms: int, scenario: Scenario, seed: int) -> NewsRow:
     """Let targets leave one after the other in one fleet."""
-    fleet = Fleet(vms=vms, cut_share=scenario.cut_share, rng=random.Random(seed))
+    fleet = Fleet(vms=vms, scenario=scenario, rng=random.Random(seed))
     fleet.run(SETTLE_S)
     fleet.sent_bytes = [0] * vms
     fleet.sent_messages = 0
@@ -116,11 +121,12 @@
     """VMs, each with its knowledge, its period of reading and its phase of asking."""
 
     vms: int
-    cut_share: float
+    scenario: Scenario
     rng: random.Random
     now: float = 0.0
     sent_messages: int = 0
     sent_bytes: list[int] = attrs.field(init=False)
+    _has_read: set[int] = attrs.field(factory=set)
     _listed: list[ListedTarget] = attrs.field(init=False)
     _knowledge: list[TargetKnowledge] = attrs.field(init=False)
     _reads_at: list[float] = attrs.field(init=False)
@@ -185,13 +191,21 @@
                 self._send(index, knowledge.tick(self.now))
 
     def _read(self, index: int, knowledge: TargetKnowledge) -> None:
-        self._reads_at[index] = self.now + reading_period_s(self.vms, self.rng)
-        readers = max(1, round(self.vms * (1 - self.cut_share)))
+        self._reads_at[index] = self.now + self._until_next_read(index)
+        readers = max(1, round(self.vms * (1 - self.scenario.cut_share)))
         if index >= readers and self.now > SETTLE_S / 2:
             return
         reading = TargetListReading(targets=tuple(self._listed), read_at=self.now)
         self._send(index, knowledge.read(reading))
 
+    def _until_next_read(self, index: int) -> float:
+        period_s = reading_period_s(self.vms, self.rng)
+        first = index not in self._has_read
+        self._has_read.add(index)
+        if first and not self.scenario.together:
+            return self.rng.uniform(0.0, period_s)
+        return period_s
+
     def _deliver(self, knowledge: TargetKnowledge, message: object) -> list[Send]:
         match message:
             case TargetLeavingNews():
