Give a home that is held to be dead one second; keep what a test's processes say

Cause: a paused home accepts connections and answers nothing, so each call for its keys waited the whole call timeout. Of 17 runs of the process tests around this change two failed: once a process ended before its first line, once an application was gone at the end; both left no trace, as their errors were thrown away.

--- a/lagoonlever/bench/lookups.py
+++ b/lagoonlever/bench/lookups.py
@@ -14,7 +14,7 @@
 import trio
 
 from lagoonlever.bench.report import Aim, BenchOptions, BenchResult, Rows, benchmark, column
-from lagoonlever.decisions.budgets import RetryBudget
+from lagoonlever.decisions.budgets import FULL_RATIO, RetryBudget
 from lagoonlever.decisions.hedging import TARGET_S, Runners
 from lagoonlever.decisions.targets import Target, TargetKind
 from lagoonlever.entry.services_answers import ComeBack
@@ -33,6 +33,8 @@
 RUNNERS = 3
 VMS = 9
 ITEMS = 1000
+ENDLESS_RATIO = 1000.0
+"""One success fills the whole budget of an organisation."""
 NEVER_S = 60.0
 WARM_UP_S = 2.0
 AMPLIFICATION_BOUND = 1.1
@@ -103,7 +105,9 @@
 def _lookups(
     way: Way, targets: FixedTargets, settings: ServiceSettings, rng: random.Random
 ) -> Lookups:
-    new_budget: Callable[[], RetryBudget] = EndlessBudget if way is Way.UNBOUNDED else RetryBudget
+    unbounded = way is Way.UNBOUNDED
+    new_budget: Callable[[], RetryBudget] = EndlessBudget if unbounded else RetryBudget
+    ratio = ENDLESS_RATIO if unbounded else FULL_RATIO
     return Lookups(
         guard=targets,
         runners=Runners(
@@ -115,7 +119,7 @@
         timers=TimerService(),
         settings=settings,
         come_back=ComeBack(base_s=settings.retry_after_s, rng=rng),
-        new_budget=new_budget,
+        retry_ratio_of=lambda organisation: ratio,
     )
 
 
--- a/lagoonlever/entry/services_forward.py
+++ b/lagoonlever/entry/services_forward.py
@@ -7,7 +7,7 @@
 
 from lagoonlever.decisions.claims import StoredAnswer
 from lagoonlever.decisions.claims_keys import HomedKey
-from lagoonlever.decisions.membership import Member, MemberView
+from lagoonlever.decisions.membership import Member, MemberState, MemberView
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.services_answers import ComeBack, unknown
 from lagoonlever.entry.services_call import (
@@ -24,6 +24,9 @@
 from lagoonlever.outcomes import Reason
 from lagoonlever.timers import TimerService
 
+WELL = (MemberState.ALIVE, MemberState.LEAVING)
+"""Members in other states may still answer, but it is not to be expected."""
+PAUSED_HOME_S = 1.0
 MARGIN_S = 0.25
 """What a forward waits longer than the home does, so that the home's answer is the one told."""
 
@@ -42,11 +45,17 @@
     _come_back: ComeBack
 
     async def forward(self, call: ServiceCall, key: HomedKey) -> StoredAnswer:
-        """Give the home's answer, or tell that the home can't be asked."""
+        """Give the home's answer, or tell that the home can't be asked.
+
+        A home that others hold to be dead may be paused: its sockets accept and
+        nothing answers, so it gets little time.
+        """
         member = self._members.value.find(key.home)
         if member is None:
             return self._unreachable("the VM that holds this key is not known here")
-        left_s = min(self._settings.call_timeout_s, call.left_s(self._timers.now))
+        well = member.state in WELL
+        longest_s = self._settings.call_timeout_s if well else PAUSED_HOME_S
+        left_s = min(longest_s, call.left_s(self._timers.now))
         return await self.ask(call, key, member, timeout_s=left_s + MARGIN_S)
 
     async def ask(
--- a/lagoonlever/entry/services_keys.py
+++ b/lagoonlever/entry/services_keys.py
@@ -17,13 +17,13 @@
     parse_key,
     scope_of,
 )
-from lagoonlever.decisions.membership import MemberState, MemberView
+from lagoonlever.decisions.membership import MemberView
 from lagoonlever.entry.claims import Claims
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.services_answers import ComeBack, unknown
 from lagoonlever.entry.services_call import HOMED_KEY_HEADER, ServiceCall
 from lagoonlever.entry.services_copies import AnswerCopier
-from lagoonlever.entry.services_forward import Forwarder
+from lagoonlever.entry.services_forward import WELL, Forwarder
 from lagoonlever.entry.services_keyed import KeyedCalls, used_for_another
 from lagoonlever.entry.services_settings import ServiceSettings
 from lagoonlever.exceptions import RequestRefused
@@ -31,8 +31,6 @@
 from lagoonlever.outcomes import Reason, Unknown
 from lagoonlever.timers import TimerService
 
-REACHED = (MemberState.ALIVE, MemberState.LEAVING)
-
 
 @attrs.define(kw_only=True)
 class KeyRouter:
@@ -93,7 +91,7 @@
         if key.home == self._own:
             return await self._keyed.call(call, key)
         home = self._members.value.find(key.home)
-        well = home is not None and home.state in REACHED
+        well = home is not None and home.state in WELL
         copy = self._own_copy(call, key) if well else await self._copied(call, key)
         if copy is not None:
             return copy
--- a/lagoonlever/tests/at_most_once_tests.py
+++ b/lagoonlever/tests/at_most_once_tests.py
@@ -101,12 +101,15 @@
         return f"{given['home']}:{given['life_s'] + given['lifetime_s']}:{random}"
 
 
-def start(*arguments: str) -> Process:
+def start(*arguments: str, directory: Path) -> Process:
+    """Start a process; what it says of its own faults is kept for a failed test."""
     command = [sys.executable, "-m", "lagoonlever", *arguments]
-    popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+    said = directory / f"{'-'.join(arguments[:2]).replace('/', '-')}-{time.monotonic_ns()}.log"
+    with said.open("w") as errors:
+        popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=errors, text=True)
     assert popen.stdout is not None
     line = popen.stdout.readline().strip()
-    assert line.startswith(READY), line
+    assert line.startswith(READY), said.read_text()
     address, _, peers = line.removeprefix(READY).partition(", peers on ")
     return Process(
         popen=popen,
@@ -127,7 +130,7 @@
     }
     path = directory / f"{name}.json"
     path.write_text(json.dumps(settings))
-    return start("entry", "--settings", str(path))
+    return start("entry", "--settings", str(path), directory=directory)
 
 
 @contextlib.contextmanager
@@ -135,9 +138,11 @@
     """Run a deployment until the block ends; wait first until both VMs serve each other's keys."""
     started: list[Process] = []
     try:
-        platform = start("fake", "platform")
+        platform = start("fake", "platform", directory=directory)
         started.append(platform)
-        application = start("fake", "application", "--service-s", str(service_s))
+        application = start(
+            "fake", "application", "--service-s", str(service_s), directory=directory
+        )
         started.append(application)
         first = start_vm("vm-1", platform.address, [], directory)
         started.append(first)
@@ -153,6 +158,8 @@
         for process in started:
             process.popen.kill()
             process.popen.wait()
+        for said in sorted(directory.glob("*.log")):
+            print(said.name, said.read_text(), sep="\n")
 
 
 def publish_list(site: Deployment) -> None:
