--- a/lagoonlever/entry/target_probes.py
+++ b/lagoonlever/entry/target_probes.py
@@ -32,6 +32,17 @@
 """Takes an engine's cache events."""
 
 
+@attrs.define
+class _Probed:
+    """When one life of a target was last asked for what, in monotonic seconds."""
+
+    load_at: float = float("-inf")
+    models_at: float = float("-inf")
+    cache_at: float = float("-inf")
+    cache_sequence: int = 0
+    busy: bool = False
+
+
 @attrs.define(kw_only=True, eq=False)
 class TargetProber:
     """Probes at a bounded rate over all targets, the one asked longest ago first."""
@@ -43,11 +54,7 @@
     _random: random.Random
     _settings: TargetSettings = attrs.field(factory=TargetSettings)
     _pool: Pool = attrs.field(factory=Pool, init=False)
-    _load_at: dict[str, float] = attrs.field(factory=dict, init=False)
-    _models_at: dict[str, float] = attrs.field(factory=dict, init=False)
-    _cache_at: dict[str, float] = attrs.field(factory=dict, init=False)
-    _cache_sequence: dict[str, int] = attrs.field(factory=dict, init=False)
-    _busy: set[str] = attrs.field(factory=set, init=False)
+    _probed: dict[str, _Probed] = attrs.field(factory=dict, init=False)
 
     @property
     def _view(self) -> Published[TargetView]:
@@ -67,9 +74,15 @@
                 await self._pool.aclose()
 
     async def _probe_new_targets(self) -> None:
-        """Ask a new engine for its models at once: until then it gets no work."""
+        """Ask a new engine for its models at once: until then it gets no work.
+
+        The one asked longest ago comes first, or a few that never answer would
+        keep all others from being asked.
+        """
         while True:
+            self._forget_old_lives()
             new = [target for target in self._used() if self._watch.needs_models(target)]
+            new.sort(key=lambda target: self._of(target).models_at)
             async with trio.open_nursery() as nursery:
                 for target in new[:MODELS_AT_ONCE]:
                     nursery.start_soon(self._guarded, target, self._read_models)
@@ -83,40 +96,45 @@
                 await trio.sleep(self._jittered(1.0 / rate))
 
     def _probe_next(self, nursery: trio.Nursery) -> None:
-        target = self._oldest(self._load_at, self._used())
-        if target is None:
+        free = [target for target in self._used() if not self._of(target).busy]
+        if not free:
             return
+        target = min(free, key=lambda target: self._of(target).load_at)
+        self._of(target).load_at = self._timers.now
         nursery.start_soon(self._guarded, target, self._probe)
 
     def _read_next_cache_events(self, nursery: trio.Nursery) -> None:
         engines = [t for t in self._used() if t.kind is TargetKind.ENGINE and not t.impaired]
-        target = self._oldest(self._cache_at, engines)
-        if target is None:
+        free = [target for target in engines if not self._of(target).busy]
+        if not free:
             return
+        target = min(free, key=lambda target: self._of(target).cache_at)
+        self._of(target).cache_at = self._timers.now
         nursery.start_soon(self._guarded, target, self._read_cache_events)
 
     def _used(self) -> list[Target]:
         return [target for target in self._subset_of(self._view.value) if target.takes_work]
 
-    def _oldest(self, asked_at: dict[str, float], targets: Iterable[Target]) -> Target | None:
-        free = [target for target in targets if target.name not in self._busy]
-        if not free:
-            return None
-        oldest = min(free, key=lambda target: asked_at.get(target.name, float("-inf")))
-        asked_at[oldest.name] = self._timers.now
-        return oldest
+    def _of(self, target: Target) -> _Probed:
+        return self._probed.setdefault(_life(target), _Probed())
+
+    def _forget_old_lives(self) -> None:
+        lives = {_life(target) for target in self._view.value.targets}
+        for life in self._probed.keys() - lives:
+            del self._probed[life]
 
     async def _guarded(self, target: Target, probe: Callable[[Target], Awaitable[None]]) -> None:
         """Run one probe; a failure only lowers the target's standing."""
-        if target.name in self._busy:
+        probed = self._of(target)
+        if probed.busy:
             return
-        self._busy.add(target.name)
+        probed.busy = True
         try:
             await probe(target)
         except PeerError:
             self._watch.connect_failed(target)
         finally:
-            self._busy.discard(target.name)
+            probed.busy = False
 
     async def _probe(self, target: Target) -> None:
         now = self._timers.now
@@ -128,27 +146,31 @@
             await self._read_models(target)
 
     def _models_due(self, target: Target, now: float) -> bool:
-        return now - self._models_at.get(target.name, float("-inf")) >= MODELS_PERIOD_S
+        return now - self._of(target).models_at >= MODELS_PERIOD_S
 
     async def _read_models(self, target: Target) -> None:
-        self._models_at[target.name] = self._timers.now
+        self._of(target).models_at = self._timers.now
         models = await fetch_models(
             target.address, timeout_s=self._settings.probe_timeout_s, pool=self._pool
         )
         self._watch.models_read(target, models)
 
     async def _read_cache_events(self, target: Target) -> None:
-        life = f"{target.name}@{target.address}"
+        probed = self._of(target)
         events = await fetch_cache_events(
             target.address,
-            after=self._cache_sequence.get(life, 0),
+            after=probed.cache_sequence,
             timeout_s=self._settings.probe_timeout_s,
             pool=self._pool,
         )
         if not events:
             return
-        self._cache_sequence[life] = events[-1].sequence
+        probed.cache_sequence = events[-1].sequence
         self._cache_sink(target, events)
 
     def _jittered(self, period_s: float) -> float:
         return period_s * self._random.uniform(1.0 - JITTER, 1.0 + JITTER)
+
+
+def _life(target: Target) -> str:
+    return f"{target.name}@{target.address}"
