--- a/lagoonlever/tests/processes.py
+++ b/lagoonlever/tests/processes.py
@@ -39,8 +39,10 @@
     popen: subprocess.Popen[str]
     address: Address
     peers: Address | None = None
+    signalled: bool = False
 
     def send(self, number: signal.Signals) -> None:
+        self.signalled = True
         self.popen.send_signal(number)
 
     def listed(self) -> dict[str, str | None]:
@@ -68,6 +70,11 @@
     def addresses(self) -> list[Address]:
         return [vm.address for vm in self.vms]
 
+    def exit_codes(self) -> dict[str, int]:
+        """Give how each process ended that has ended, for the reader of a failure."""
+        codes = {name: each.popen.poll() for name, each in self.processes.items()}
+        return {name: code for name, code in codes.items() if code is not None}
+
     def recorder(self) -> Recorder:
         return Recorder(process="callers", path=self.directory / "callers.history")
 
@@ -194,10 +201,16 @@
         for vm in running.vms[1:]:
             running.read_ready(vm)
         yield running
+    except BaseException as error:
+        error.add_note(f"exit codes: {running.exit_codes()}")
+        raise
     finally:
+        ended = running.exit_codes()
         for process in running.processes.values():
             process.popen.kill()
             process.popen.wait()
+    unasked = [name for name in ended if not running.processes[name].signalled]
+    assert not unasked, f"ended unasked: {unasked} of {ended}"
 
 
 def run_fleet(story: Callable[[Fleet], object], directory: Path, **options: float) -> None:
