--- /dev/null
+++ b/lagoonlever/tests/orphans_tests.py
@@ -0,0 +1,145 @@
+"""Streams of VMs that died: cancelled once and in time, and never under a VM that lives."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+
+from lagoonlever.decisions import orphans
+from lagoonlever.decisions.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.orphans import (
+    GRACE_S,
+    RECORD_AFTER_S,
+    OrphanHolder,
+    StreamRecord,
+    StreamReporter,
+)
+from lagoonlever.http.messages import Address
+from lagoonlever.identity import Incarnation
+
+ADDRESS = Address(host="127.0.0.1", port=1)
+NAMES = ("a", "b", "c")
+STREAMS = ("s1", "s2", "s3")
+
+
+def incarnation(name: str, life: int = 1) -> Incarnation:
+    return Incarnation(name=name, started_ms=life, nonce=1)
+
+
+def view(states: dict[Incarnation, MemberState]) -> MemberView:
+    members = tuple(
+        Member(incarnation=each, data_center="d", http=ADDRESS, peers=ADDRESS, state=state)
+        for each, state in states.items()
+    )
+    return MemberView(members=members, own=incarnation("holder"))
+
+
+class OrphanMachine(RuleBasedStateMachine):
+    """Owners die and are replaced, streams move between owners, the holder pauses."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.lives = dict.fromkeys(NAMES, 1)
+        self.states = {incarnation(name): MemberState.ALIVE for name in NAMES}
+        self.lost_since: dict[Incarnation, float] = {}
+        self.owners: dict[str, Incarnation] = {}
+        self.holder = OrphanHolder()
+
+    @rule(stream=st.sampled_from(STREAMS), name=st.sampled_from(NAMES))
+    def open(self, stream: str, name: str) -> None:
+        owner = incarnation(name, self.lives[name])
+        if self.states[owner] is MemberState.DEAD:
+            return
+        self.owners[stream] = owner
+        record = StreamRecord(stream_id=stream, engine=ADDRESS)
+        self.holder.opened(record, owner=owner, now=self.now)
+
+    @rule(stream=st.sampled_from(STREAMS), name=st.sampled_from(NAMES))
+    def close(self, stream: str, name: str) -> None:
+        owner = incarnation(name, self.lives[name])
+        self.holder.closed([stream], owner=owner)
+        if self.owners.get(stream) == owner:
+            del self.owners[stream]
+
+    @rule(name=st.sampled_from(NAMES), state=st.sampled_from(MemberState))
+    def change(self, name: str, state: MemberState) -> None:
+        owner = incarnation(name, self.lives[name])
+        self.states[owner] = state
+        if state is MemberState.DEAD:
+            self.lost_since.setdefault(owner, self.now)
+        else:
+            self.lost_since.pop(owner, None)
+        self.look()
+
+    @rule(name=st.sampled_from(NAMES))
+    def replace(self, name: str) -> None:
+        """Start a new life of a VM: the old one is over, whatever was heard of it."""
+        old = incarnation(name, self.lives[name])
+        self.lives[name] += 1
+        del self.states[old]
+        self.states[incarnation(name, self.lives[name])] = MemberState.ALIVE
+        self.lost_since.setdefault(old, self.now)
+        self.look()
+
+    @rule(seconds=st.floats(0.5, GRACE_S))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        self.look()
+
+    @rule(seconds=st.floats(1.0, 100.0))
+    def pause(self, seconds: float) -> None:
+        """Pause the holder, which does not hear meanwhile whether owners came back."""
+        self.now += seconds
+        self.holder.paused(seconds)
+        self.lost_since = {owner: at + seconds for owner, at in self.lost_since.items()}
+        self.look()
+
+    def look(self) -> None:
+        due = self.holder.due(view(self.states), self.now)
+        for record in due:
+            owner = self.owners.pop(record.stream_id)
+            assert owner in self.lost_since, "the stream of a VM that lives was cancelled"
+            assert self.now - self.lost_since[owner] >= GRACE_S - 0.001, "before its time"
+        for stream, owner in self.owners.items():
+            lost_s = self.now - self.lost_since.get(owner, self.now)
+            assert lost_s < GRACE_S + 0.001, f"{stream} was not cancelled"
+        assert self.holder.records == len(self.owners)
+
+
+LIMITS = settings(max_examples=150, stateful_step_count=25)
+
+
+def test_orphans_are_cancelled_in_time_and_nothing_else_is() -> None:
+    run_state_machine_as_test(OrphanMachine, settings=LIMITS)
+
+
+def test_without_the_check_of_the_last_owner_a_stream_is_forgotten(monkeypatch) -> None:
+    """A former owner ends its reading and says so; the stream goes on under the next one."""
+
+    def closed(self, stream_ids, *, owner) -> None:
+        for stream_id in stream_ids:
+            self._kept.pop(stream_id, None)
+
+    monkeypatch.setattr(OrphanHolder, "closed", closed)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(OrphanMachine, settings=LIMITS)
+
+
+def test_without_the_grace_time_a_returning_caller_loses_its_stream(monkeypatch) -> None:
+    monkeypatch.setattr(orphans, "GRACE_S", 0.0)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(OrphanMachine, settings=LIMITS)
+
+
+def test_only_long_streams_are_told_of_and_each_end_once() -> None:
+    reporter = StreamReporter()
+    open_since = {"short": 10.0, "long": 5.0}
+    now = 5.0 + RECORD_AFTER_S
+    assert reporter.due(open_since, now) == ["long"]
+    reporter.told("long", incarnation("holder"))
+    assert reporter.due(open_since, now) == []
+    assert reporter.ended({"short": 10.0}) == [("long", incarnation("holder"))]
+    assert reporter.ended({}) == []
