--- a/lagoonlever/tests/base.py
+++ b/lagoonlever/tests/base.py
@@ -13,6 +13,7 @@
 from lagoonlever.client.caller import Arrival, Caller, CompletionRequest
 from lagoonlever.client.history import CallerHistory
 from lagoonlever.config.vm import VmSettings
+from lagoonlever.exceptions import PeerError
 from lagoonlever.fakes.batch import ServedModel
 from lagoonlever.fakes.cluster import MODEL, VERSION, EmbeddedCluster
 from lagoonlever.fakes.engine import EngineOptions
@@ -189,6 +190,9 @@
                     stream.feed(event, peer=vm, history=history)
                     if stop_at is not None and len(stream.token_ids) >= stop_at:
                         return head.status
+        except PeerError:
+            history.lost(address=str(address), connected=True)
+            raise
         finally:
             await connection.aclose()
         if stream.whole:
