Wait for a stream that a returning caller is ahead of, instead of starting over

Cause: a caller that comes back to a VM may hold more tokens than that VM has read of the same engine's stream. The VM took that for another answer and told the caller to start over, or to a plain client that nothing is known. Ruled out: the digest check; it is not reached before the offset is. Before: restart (test red); after: the VM waits until it has read as much, and the digest decides then.

--- a/lagoonlever/entry/caller_stream.py
+++ b/lagoonlever/entry/caller_stream.py
@@ -186,7 +186,7 @@
             raise CallerGone
 
     async def _begin_after(self, last: EventId) -> None:
-        while self._task.life.answer is None and self._task.finished is None:
+        while self._is_behind(last) and self._task.finished is None:
             await self._task.wait_change()
             self._check_superseded()
         answer = self._task.life.answer
@@ -197,6 +197,17 @@
         self._index = index
         self._generation = last.generation
 
+    def _is_behind(self, last: EventId) -> bool:
+        """Tell whether the answer may still come to the point that the caller holds.
+
+        A caller that was at another VM meanwhile can hold more than this VM has read
+        of the same engine's stream; once it has read as much, the digest decides.
+        """
+        answer = self._task.life.answer
+        if answer is None:
+            return True
+        return answer.generation == last.generation and answer.offset < last.offset
+
     async def _restart(self) -> None:
         """Tell the caller that a new generation begins.
 
--- a/lagoonlever/tests/caller_stream_tests.py
+++ b/lagoonlever/tests/caller_stream_tests.py
@@ -7,8 +7,10 @@
 import attrs
 import trio
 
+from lagoonlever.decisions.answer import Answer
 from lagoonlever.decisions.generation import GenerationLife
 from lagoonlever.decisions.generation_messages import Dispatch, GenerationLimits, GenerationSpec
+from lagoonlever.decisions.release import Piece
 from lagoonlever.entry.caller_stream import CallerStream
 from lagoonlever.entry.completions_api import CompletionCall
 from lagoonlever.http.messages import Headers
@@ -18,13 +20,14 @@
 SPEC = GenerationSpec(request_id="r", organisation="/a", model="base", prompt="p", max_tokens=4)
 
 
-@attrs.define
+@attrs.define(slots=False)
 class Task:
     """A generation's task whose engine sends while a write to the caller waits."""
 
     life: GenerationLife
     attempt: int = 0
     reader: object | None = None
+    let_go: bool = False
 
     @property
     def spec(self) -> GenerationSpec:
@@ -165,3 +168,44 @@
 def test_a_caller_that_knows_restarts_is_told_of_one() -> None:
     exchange = come_back_with_another_answer(accepts_restart=True)
     assert exchange.written.startswith(b"event: restart\n")
+
+
+def test_a_caller_that_is_ahead_of_its_vm_waits_and_does_not_begin_anew() -> None:
+    """A caller goes to another VM and back; the first VM reads the stream a little behind.
+
+    What the caller holds is the beginning of this very answer. Telling it to start
+    over would show it words that vanish and come again.
+    """
+    life = GenerationLife(spec=SPEC, limits=GenerationLimits(), rng=random.Random(1))
+    task = Task(life=life)
+    dispatch = life.start()[0]
+    assert isinstance(dispatch, Dispatch)
+    task.attempt = dispatch.attempt
+    life.opened(attempt=dispatch.attempt, model_version="v1", prompt_token_ids=(300,))
+    task.engine_sends(300)
+    ahead = Answer(request_id="r", generation=1, model_version="v1")
+    for token_id in (300, 301):
+        last = ahead.append(Piece(token_ids=(token_id,), text="x"), attempt=1, target="e")
+    more = [(301,), (302,)]
+
+    async def wait_change() -> None:
+        task.engine_sends(*more.pop(0), finish_reason=None if more else "length")
+
+    task.wait_change = wait_change
+    exchange = SlowExchange(task, writes=1)
+    call = CompletionCall(
+        spec=SPEC,
+        stream=True,
+        accepts=frozenset({"restart"}),
+        resumable=True,
+        last_event_id=str(last.event_id),
+        held=None,
+    )
+    stream = CallerStream(
+        exchange=exchange, task=task, call=call, rng=random.Random(1), moved_to=lambda: None
+    )
+    trio.run(stream.run)
+    events = EventParser().feed(exchange.written)
+    assert not [event for event in events if event.event == "restart"]
+    first = decode_chunk(events[0].data).choices[0]
+    assert first.token_ids == (302,)
