Count a dispatch when it is placed; tell routing of members and of prompts' tokens

The resumes of a dead engine were all placed by the same loads, as each counted only at its write; a failed connect took back what had never been counted. The subset was cut for one VM alone, and text prompts never met the engines' cache events. A stream is taken up at a leaving engine too: that is no new work.

--- a/lagoonlever/bench/entry_vm.py
+++ b/lagoonlever/bench/entry_vm.py
@@ -145,7 +145,10 @@
     keys = Override(option="api_keys", value=(api_key_digest(API_KEY),))
     organisation = Node(path=ORGANISATION, overrides=(keys,))
     tree = Published(TreeView(version=0, nodes=(Node(path=ROOT), organisation)))
-    admission = _admission(tree=tree, view=view, address=address, timers=timers, rng=rng)
+    members = _lone_member(address)
+    admission = _admission(
+        tree=tree, view=view, members=members, address=address, timers=timers, rng=rng
+    )
     serving = GenerationServing(
         vm=VM_NAME,
         guard=FixedTargets(view=view, nursery=nursery),
@@ -155,6 +158,7 @@
         rng=rng,
         background=nursery,
         peers=NoPeers(),
+        members=members,
         generation=GenerationSettings(),
         detection=detection,
         routing=RoutingSettings(),
@@ -188,27 +192,32 @@
     return handle
 
 
+def _lone_member(address: Address) -> Published[MemberView]:
+    member = Member(
+        incarnation=Incarnation(name=VM_NAME, started_ms=1, nonce=1),
+        data_center="dc1",
+        http=address,
+        peers=address,
+        state=MemberState.ALIVE,
+    )
+    return Published(MemberView(members=(member,), own=member.incarnation))
+
+
 def _admission(
     *,
     tree: Published[TreeView],
     view: Published[TargetView],
+    members: Published[MemberView],
     address: Address,
     timers: TimerService,
     rng: random.Random,
 ) -> AdmissionPart:
-    own = Incarnation(name=VM_NAME, started_ms=1, nonce=1)
-    member = Member(
-        incarnation=own,
-        data_center="dc1",
-        http=address,
-        peers=address,
-        state=MemberState.ALIVE,
-    )
+    own = members.value.own
     bus = LocalBus(network=LocalNetwork(random=rng), address=address, own=own)
     return AdmissionPart(
         tree=tree,
         targets=view,
-        members=Published(MemberView(members=(member,), own=own)),
+        members=members,
         bus=bus,
         timers=timers,
         metrics=Metrics(),
--- a/lagoonlever/entry/engines.py
+++ b/lagoonlever/entry/engines.py
@@ -12,7 +12,7 @@
 from lagoonlever.decisions.generation_messages import BreakCause, Dispatch, GenerationSpec
 from lagoonlever.decisions.routing import Choice, ModelQuery, RequestFeatures, Router
 from lagoonlever.decisions.shares import work_of
-from lagoonlever.decisions.targets import Target, TargetView
+from lagoonlever.decisions.targets import ModelKey, Target, TargetView
 from lagoonlever.entry.admission import Admitted
 from lagoonlever.entry.attempt import cancel_stream
 from lagoonlever.entry.engine_watch import EngineWatch, VerdictTaker
@@ -123,9 +123,13 @@
             self._admission.release(grant)
         return placement
 
-    def may_write(self, placement: Placement) -> bool:
-        """Tell whether the request may be written to its engine now."""
-        return self._guard.check_before_dispatch(placement.target)
+    def may_write(self, dispatch: Dispatch, placement: Placement) -> bool:
+        """Tell whether the request may be written to its engine now.
+
+        Taking up a stream that runs there already is no new work: an engine that
+        is leaving ends it.
+        """
+        return dispatch.reattach or self._guard.check_before_dispatch(placement.target)
 
     def sent(
         self,
@@ -136,7 +140,6 @@
     ) -> None:
         """Note that a request is being written."""
         self._observe(spec, dispatch, placement.target)
-        self._router.dispatched(placement.features, placement.target.name)
         self._open[stream_id(spec, dispatch.attempt)] = OpenStream(
             request_id=spec.request_id,
             engine=placement.target.address,
@@ -152,6 +155,25 @@
             work = work_of(prefill_tokens=placement.features.prompt_tokens)
             self._admission.charge(placement.grant, work)
 
+    def prompt_tokenised(
+        self,
+        spec: GenerationSpec,
+        placement: Placement,
+        *,
+        version: str,
+        token_ids: tuple[int, ...],
+    ) -> None:
+        """Take the tokens of a text prompt, by which routing reads the engines' cache events."""
+        if not isinstance(spec.prompt, str) or not token_ids:
+            return
+        query = ModelQuery.parse(spec.model)
+        self._router.prompt_tokenised(
+            model=ModelKey(name=query.name, version=version, adapter=query.adapter),
+            text=spec.prompt,
+            token_ids=token_ids,
+            target=placement.target.name,
+        )
+
     def token(self, dispatch: Dispatch, placement: Placement, count: int) -> None:
         """Note that tokens came."""
         if not placement.tokens:
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -220,7 +220,7 @@
         dispatch = running.dispatch
 
         def before_write() -> bool:
-            if not (self._may_begin() and self._engines.may_write(placement)):
+            if not (self._may_begin() and self._engines.may_write(dispatch, placement)):
                 return False
             self._engines.sent(self, self.spec, dispatch, placement)
             self._life.dispatched(attempt=dispatch.attempt)
@@ -251,6 +251,12 @@
         for choice in chunk.choices:
             if not running.opened:
                 running.opened = True
+                self._engines.prompt_tokenised(
+                    self.spec,
+                    placement,
+                    version=chunk.system_fingerprint,
+                    token_ids=choice.prompt_token_ids or (),
+                )
                 self._carry_out(
                     self._life.opened(
                         attempt=attempt,
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -137,6 +137,7 @@
             rng=self.base.rng,
             background=self.base.background,
             peers=self.peer_streams,
+            members=self.membership.members,
             generation=settings.generation,
             detection=settings.detection,
             routing=settings.routing,
--- a/lagoonlever/entry/serving.py
+++ b/lagoonlever/entry/serving.py
@@ -10,13 +10,15 @@
 
 from lagoonlever.config.options import option
 from lagoonlever.decisions.generation_messages import Dispatch, GenerationSpec
+from lagoonlever.decisions.membership import MemberView
 from lagoonlever.decisions.routing import POLICIES, Router, make_policy
 from lagoonlever.decisions.suspicion_settings import DetectionSettings
-from lagoonlever.decisions.targets import Target
+from lagoonlever.decisions.targets import Target, TargetView
 from lagoonlever.entry.callers import CallerDirectory
 from lagoonlever.entry.engine_watch import EngineWatch
 from lagoonlever.entry.engines import AdmissionDesk, Engines, TargetGuard
 from lagoonlever.entry.generations import GenerationService, GenerationSettings, Peers
+from lagoonlever.entry.published import Published
 from lagoonlever.entry.recovery import EngineRecovery
 from lagoonlever.entry.request_metrics import RequestMetrics, unscraped_metrics
 from lagoonlever.outcomes import Outcome
@@ -50,6 +52,7 @@
     rng: random.Random
     background: trio.Nursery
     peers: Peers
+    members: Published[MemberView]
     generation: GenerationSettings
     detection: DetectionSettings
     routing: RoutingSettings
@@ -99,7 +102,13 @@
             self.timers.subscribed(self.engines.watch.on_tick, period_s=WATCH_PERIOD_S),
             self.timers.subscribed(self.service.on_tick, period_s=ORPHAN_PERIOD_S),
         ):
-            view = self.guard.view.value
-            while True:
-                self.router.targets_changed(view, (self.vm,))
-                view = await self.guard.view.wait_change()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._follow, self.guard.view)
+                nursery.start_soon(self._follow, self.members)
+
+    async def _follow(self, published: Published[TargetView] | Published[MemberView]) -> None:
+        """Let routing choose this VM's subset anew whenever targets or members change."""
+        while True:
+            names = [member.name for member in self.members.value.reachable]
+            self.router.targets_changed(self.guard.view.value, names)
+            await published.wait_change()
