--- a/lagoonlever/tests/membership_tests.py
+++ b/lagoonlever/tests/membership_tests.py
@@ -345,3 +345,22 @@
     network.nodes[0].protocol.tick(later)
     view = network.nodes[0].protocol.take_view(later)
     assert {round(member.load, 2) for member in view.members} == {0.2}
+
+
+def test_a_vm_that_not_even_helpers_answer_doubts_itself() -> None:
+    """A VM with a broken link takes everybody for dead as fast as if they were.
+
+    Its probes fail, and so do those that it asks helpers for. That no helper
+    says anything points at its own link; another VM, whose helpers say that a
+    member is silent, has no cause to doubt itself.
+    """
+    network = fleet(6)
+    network.kill(5)
+    network.cut_off({0})
+    network.run(8)
+    assert network.nodes[0].protocol.health_factor > 1
+    assert {network.nodes[index].protocol.health_factor for index in range(1, 5)} == {1}
+
+    network.heal()
+    network.run(60)
+    assert network.nodes[0].protocol.health_factor == 1
