Check the VMs' own writes too, and share the harness of processes

The checker now also sees a key that two VMs wrote, or one VM twice, before any service counts it; the process tests run on the shared fleet and check the histories that its VMs wrote.

--- a/lagoonlever/entry/services_keyed.py
+++ b/lagoonlever/entry/services_keyed.py
@@ -193,7 +193,7 @@
                 at=self._recorder.now,
                 process=self._recorder.process,
                 key=call.key_text,
-                home=str(record.key.home),
+                homed_key=str(record.key),
                 target=target.name,
             )
         )
--- a/lagoonlever/history/checkers/at_most_once.py
+++ b/lagoonlever/history/checkers/at_most_once.py
@@ -6,7 +6,7 @@
 
 from lagoonlever.history.checkers import Violation, checker
 from lagoonlever.history.events import HistoryEvent
-from lagoonlever.history.events_services import CallerToldOfCall
+from lagoonlever.history.events_services import CallerToldOfCall, DispatchWritten
 from lagoonlever.history.events_targets import ServiceExecuted
 from lagoonlever.outcomes import OutcomeTag
 
@@ -21,8 +21,8 @@
 
 @checker(NAME)
 def check(events: Sequence[HistoryEvent]) -> list[Violation]:
-    """Check the executions of each request, and the answers of those told "done"."""
-    return [*_executed_again(events), *_answered_otherwise(events)]
+    """Check each request's executions and writes, and the answers of those told "done"."""
+    return [*_executed_again(events), *_written_again(events), *_answered_otherwise(events)]
 
 
 def _executed_again(events: Sequence[HistoryEvent]) -> list[Violation]:
@@ -42,6 +42,20 @@
     return violations
 
 
+def _written_again(events: Sequence[HistoryEvent]) -> list[Violation]:
+    first: dict[str, DispatchWritten] = {}
+    violations: list[Violation] = []
+    for event in events:
+        if not isinstance(event, DispatchWritten) or not event.homed_key:
+            continue
+        earlier = first.setdefault(event.homed_key, event)
+        if earlier is event:
+            continue
+        message = f"written by {earlier.process} and again by {event.process}"
+        violations.append(Violation(checker=NAME, subject=event.key, at=event.at, message=message))
+    return violations
+
+
 def _answered_otherwise(events: Sequence[HistoryEvent]) -> list[Violation]:
     first: dict[str, CallerToldOfCall] = {}
     violations: list[Violation] = []
--- a/lagoonlever/history/events_services.py
+++ b/lagoonlever/history/events_services.py
@@ -43,8 +43,11 @@
 @HISTORY.message("dispatch-written")
 @attrs.frozen(kw_only=True)
 class DispatchWritten(HistoryEvent):
-    """A VM is about to write a request that may not be repeated; recorded before the write."""
+    """A VM is about to write a request that may not be repeated; recorded before the write.
+
+    ``homed_key`` is empty for a request without a key; no two requests share one.
+    """
 
     key: str
     target: str
-    home: str = ""
+    homed_key: str = ""
--- a/lagoonlever/tests/at_most_once_tests.py
+++ b/lagoonlever/tests/at_most_once_tests.py
@@ -5,8 +5,6 @@
 import contextlib
 import json
 import signal
-import subprocess
-import sys
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -19,8 +17,9 @@
 from lagoonlever.http.client import Response, fetch
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER
+from lagoonlever.tests.processes import Fleet, Process, fleet
 
-READY = "listening on "
+RUNNER = "application-1"
 PATIENCE_S = 60.0
 PAUSE_S = 3.0
 """Longer than any pause threshold; the time that a process stays stopped."""
@@ -29,25 +28,15 @@
 BIDS = "/services/application/bids"
 
 
-@attrs.define(kw_only=True)
-class Process:
-    """One process with its addresses, as it told them on its first line."""
-
-    popen: subprocess.Popen[str]
-    address: Address
-    peers: Address | None
-
-    def send(self, number: signal.Signals) -> None:
-        self.popen.send_signal(number)
-
-
 @attrs.define(kw_only=True)
 class Deployment:
-    """A platform, an application runner and two entry VMs."""
+    """A platform, an application runner and two entry VMs, each a process."""
+
+    fleet: Fleet
 
-    platform: Process
-    application: Process
-    vms: list[Process]
+    @property
+    def vms(self) -> list[Process]:
+        return self.fleet.vms
 
     def request(
         self,
@@ -89,7 +78,7 @@
             self.bid(vm, key, left_s=left_s, timeout_s=0.5)
 
     def executions(self) -> dict[str, int]:
-        body = self.request(self.application.address, "/executions").body
+        body = self.request(self.fleet.processes[RUNNER].address, "/executions").body
         return dict(json.loads(body)["by_key"])
 
     def mint(self, vm: int, random: str) -> str:
@@ -101,91 +90,18 @@
         return f"{given['home']}:{given['life_s'] + given['lifetime_s']}:{random}"
 
 
-def start(*arguments: str, directory: Path) -> Process:
-    """Start a process; what it says of its own faults is kept for a failed test."""
-    command = [sys.executable, "-m", "lagoonlever", *arguments]
-    said = directory / f"{'-'.join(arguments[:2]).replace('/', '-')}-{time.monotonic_ns()}.log"
-    with said.open("w") as errors:
-        popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=errors, text=True)
-    assert popen.stdout is not None
-    line = popen.stdout.readline().strip()
-    assert line.startswith(READY), said.read_text()
-    address, _, peers = line.removeprefix(READY).partition(", peers on ")
-    return Process(
-        popen=popen,
-        address=Address.parse(address),
-        peers=Address.parse(peers) if peers else None,
-    )
-
-
-def start_vm(name: str, platform: Address, seeds: list[Address], directory: Path) -> Process:
-    settings = {
-        "name": name,
-        "data_center": "dc-a",
-        "listen": "127.0.0.1:0",
-        "peer_listen": "127.0.0.1:0",
-        "platform": {"addresses": [str(platform)]},
-        "seeds": [str(seed) for seed in seeds],
-        "services": {"call_timeout_s": 2.0},
-    }
-    path = directory / f"{name}.json"
-    path.write_text(json.dumps(settings))
-    return start("entry", "--settings", str(path), directory=directory)
-
-
 @contextlib.contextmanager
 def deployment(directory: Path, *, service_s: float = 0.005) -> Iterator[Deployment]:
     """Run a deployment until the block ends; wait first until both VMs serve each other's keys."""
-    started: list[Process] = []
-    try:
-        platform = start("fake", "platform", directory=directory)
-        started.append(platform)
-        application = start(
-            "fake", "application", "--service-s", str(service_s), directory=directory
-        )
-        started.append(application)
-        first = start_vm("vm-1", platform.address, [], directory)
-        started.append(first)
-        assert first.peers is not None
-        second = start_vm("vm-2", platform.address, [first.peers], directory)
-        started.append(second)
-        site = Deployment(platform=platform, application=application, vms=[first, second])
-        publish_list(site)
+    with fleet(directory, engines=0, vms=2) as running:
+        arguments = ("fake", "application", "--service-s", str(service_s))
+        running.read_ready(running.start(RUNNER, "application", *arguments))
+        trio.run(running.publish_list)
+        site = Deployment(fleet=running)
         for number in range(2):
             wait_until_forwarded(site, number)
         yield site
-    finally:
-        for process in started:
-            process.popen.kill()
-            process.popen.wait()
-        for said in sorted(directory.glob("*.log")):
-            print(said.name, said.read_text(), sep="\n")
-
-
-def publish_list(site: Deployment) -> None:
-    listed = [
-        {
-            "name": f"vm-{number + 1}",
-            "address": str(vm.address),
-            "peer_address": str(vm.peers),
-            "data_center": "dc-a",
-            "role": "entry",
-            "state": "live",
-        }
-        for number, vm in enumerate(site.vms)
-    ]
-    listed.append(
-        {
-            "name": "application-1",
-            "address": str(site.application.address),
-            "data_center": "dc-a",
-            "role": "application",
-            "state": "live",
-        }
-    )
-    body = json.dumps({"vms": listed}).encode()
-    response = site.request(site.platform.address, "/vms", method="POST", body=body)
-    assert response.status == 200
+        running.check()
 
 
 def wait_until_forwarded(site: Deployment, home: int) -> None:
--- a/lagoonlever/tests/claims_tests.py
+++ b/lagoonlever/tests/claims_tests.py
@@ -37,7 +37,7 @@
 from lagoonlever.history.checkers import at_most_once, not_run
 from lagoonlever.history.events import HistoryEvent
 from lagoonlever.history.events_callers import CallerAsked, CallerGotOutcome, CallerReceived
-from lagoonlever.history.events_services import CallerToldOfCall
+from lagoonlever.history.events_services import CallerToldOfCall, DispatchWritten
 from lagoonlever.history.events_targets import ServiceExecuted
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import Done, NotRun, Outcome, Reason, Unknown
@@ -516,6 +516,14 @@
     assert at_most_once.check([looked_up, *same, told("done", "lot 8")]) == []
 
 
+def test_a_key_that_is_written_twice_is_seen() -> None:
+    first = DispatchWritten(at=1.0, process="vm1", key="k", target="a1", homed_key="vm1~1~2:9:k")
+    without_key = DispatchWritten(at=1.0, process="vm1", key="", target="a1")
+    assert at_most_once.check([first, without_key, without_key]) == []
+    again = attrs.evolve(first, process="vm2", target="a2")
+    assert len(at_most_once.check([first, again])) == 1
+
+
 def test_a_generation_told_not_run_after_its_tokens_is_seen() -> None:
     common = {"process": "caller", "caller": "c", "request": "r"}
     asked = CallerAsked(at=1.0, vm="vm1", model="m", prompt="p", max_tokens=2, **common)
