--- a/lagoonlever/tests/cluster_tests.py
+++ b/lagoonlever/tests/cluster_tests.py
@@ -13,6 +13,7 @@
 from lagoonlever.fakes.cluster import DATA_CENTERS, MODEL
 from lagoonlever.fakes.engine import EngineOptions, FakeEngine
 from lagoonlever.fakes.faults import FaultKind, FaultOrder
+from lagoonlever.history.events_vms import AttemptDispatched
 from lagoonlever.tests.base import (
     Scene,
     document,
@@ -197,6 +198,33 @@
     run_scene(story, tmp_path, engines=2, vms=3)
 
 
+@pytest.mark.parametrize("guarded", [True, False])
+def test_a_vm_that_was_paused_begins_no_attempt_for_a_caller_that_left(tmp_path, guarded):
+    """A VM wakes from a pause, finds its engine's stream broken, and would begin it again.
+
+    Its caller has gone to another VM in the meantime. Before a write the VM asks
+    whether it was paused, and looks whether the caller is there; with the answer
+    forced to "not paused" it writes the attempt that nobody wants.
+    """
+
+    async def story(scene: Scene) -> None:
+        service = scene.cluster.vms["vm-1"].daemon.parts.generations.service
+        await scene.visit("vm-1", HeldStream(), request="r", length=400, seed=5, stop_at=12)
+        service._pause_since_last_tick = lambda: 5.0 if guarded else 0.0
+        scene.cluster.kill_target(engine_of(scene))
+        task = service.find("/", "r")
+        before = dispatches(scene)
+        await until(lambda: task.finished or dispatches(scene) > before)
+        assert (dispatches(scene) == before) == guarded
+        scene.recorder.events.clear()
+
+    run_scene(story, tmp_path, engines=2, vms=1)
+
+
+def dispatches(scene: Scene) -> int:
+    return sum(isinstance(event, AttemptDispatched) for event in scene.history())
+
+
 def test_a_plain_client_is_told_instead_of_getting_a_second_generation(tmp_path):
     """A client that cannot tell a new generation from the old one gets none spliced on."""
 
--- a/lagoonlever/tests/process_tests.py
+++ b/lagoonlever/tests/process_tests.py
@@ -8,6 +8,7 @@
 from functools import partial
 from pathlib import Path
 
+import pytest
 import trio
 
 from lagoonlever.client.caller import Arrival, CompletionRequest
@@ -57,12 +58,13 @@
     run_fleet(story, tmp_path, engines=4, vms=4)
 
 
-def test_a_vm_is_stopped_and_continued_within_an_answer(tmp_path):
+@pytest.mark.parametrize("engine_dies", [False, True])
+def test_a_vm_is_stopped_and_continued_within_an_answer(tmp_path, engine_dies):
     """A dealer's summary stops in the middle: the entry VM is paused, its connection stays open.
 
     The caller notices the silence and comes back at another VM, which reads on the
-    same engine stream. The paused VM wakes later: it writes no attempt, and the
-    engine computes no token twice.
+    same engine stream, or begins an attempt elsewhere if that engine died too. The
+    paused VM wakes, finds its stream broken, and must write no attempt of its own.
     """
 
     async def story(fleet: Fleet) -> None:
@@ -73,6 +75,8 @@
             if not stopped and arrival.offset >= 20:
                 stopped.append(fleet.at(arrival.vm))
                 stopped[0].send(signal.SIGSTOP)
+                if engine_dies:
+                    fleet.processes[arrival.target].send(signal.SIGKILL)
 
         caller = fleet.caller(recorder)
         held = await caller.complete(request(5), on_arrival=arrived, request_id="paused")
@@ -85,8 +89,10 @@
         whole = await again.complete(request(6, 10), on_arrival=lambda _: None)
         assert whole.text == expected_text(length=10, seed=6)
         assert fleet.dispatched("paused") == before
-        work = [await fleet.get(name, "/work") for name in fleet.processes if "engine" in name]
-        assert sum(each["total"]["decode_tokens"] for each in work) == LENGTH + 10
+        if not engine_dies:
+            names = [name for name in fleet.processes if "engine" in name]
+            work = [(await fleet.get(name, "/work"))["total"] for name in names]
+            assert sum(each["decode_tokens"] for each in work) == LENGTH + 10
 
     run_fleet(story, tmp_path, engines=2, vms=3)
 
