Refuse service calls without a known key, and keep keys from the services

A call whose key was unknown went on as nobody's, though the settings name the callers' keys; the test was red with the former wiring. The key itself was passed on to the service; it gets the organisation's name instead.

--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -28,7 +28,6 @@
 from lagoonlever.entry.stopping import Stopping
 from lagoonlever.entry.target_probes import TargetProber
 from lagoonlever.entry.targets import TargetWatch
-from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.messages import Address, Request
 from lagoonlever.http.server import ServerLimits
 from lagoonlever.outcomes import NotRun, Outcome, Reason
@@ -308,11 +307,8 @@
     def _moved_to(self) -> tuple[str, ...] | None:
         return self.addresses.others() if self.stopping.leaving else None
 
-    def _organisation_of(self, request: Request) -> str | None:
-        try:
-            return self.callers.organisation_of(request.headers)
-        except RequestRefused:
-            return None
+    def _organisation_of(self, request: Request) -> str:
+        return self.callers.organisation_of(request.headers)
 
     def _open_streams(self) -> Iterator[str]:
         for task in self.generations.service.tasks:
--- a/lagoonlever/entry/services_call.py
+++ b/lagoonlever/entry/services_call.py
@@ -34,6 +34,9 @@
 MAYBE_RUN_STATUSES = frozenset({502, 503, 504})
 """Given by whatever stands between as well: they say nothing about what ran."""
 
+AUTHORIZATION = "Authorization"
+ORGANISATION_HEADER = "Lagoonlever-Organisation"
+"""Tells a service whose call it gets."""
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -91,9 +94,17 @@
         return math.inf if self.deadline is None else max(0.0, self.deadline - now)
 
     def headers(self) -> Headers:
-        """Give the header fields that are passed on to the service."""
+        """Give the header fields that are passed on to another VM, which checks the caller too."""
         return end_to_end(self.request.headers)
 
+    def target_headers(self) -> Headers:
+        """Give the header fields for the service: who calls, in place of the caller's key.
+
+        The key is this system's; a service that logs its requests must not hold it.
+        """
+        passed_on = end_to_end(self.request.headers).without(AUTHORIZATION)
+        return passed_on.with_field(ORGANISATION_HEADER, self.organisation)
+
     def _with_query(self, path: str) -> str:
         query = self.request.raw_query
         return f"{path}?{query}" if query else path
--- a/lagoonlever/entry/services_dispatch.py
+++ b/lagoonlever/entry/services_dispatch.py
@@ -150,7 +150,7 @@
                     connection,
                     method=call.request.method,
                     target=call.target,
-                    headers=call.headers(),
+                    headers=call.target_headers(),
                     body=call.request.body,
                     step="call service",
                     max_bytes=self._settings.max_answer_bytes,
--- a/lagoonlever/entry/services_lookups.py
+++ b/lagoonlever/entry/services_lookups.py
@@ -187,7 +187,7 @@
                 connection,
                 method=call.request.method,
                 target=call.target,
-                headers=call.headers(),
+                headers=call.target_headers(),
                 body=call.request.body,
                 step="look up",
                 max_bytes=self._settings.max_answer_bytes,
--- a/lagoonlever/http/messages.py
+++ b/lagoonlever/http/messages.py
@@ -25,6 +25,11 @@
         """Give these headers with one more field."""
         return Headers((*self.pairs, (name, value)))
 
+    def without(self, name: str) -> Headers:
+        """Give these headers less every value of a field."""
+        unwanted = name.lower()
+        return Headers(tuple(pair for pair in self.pairs if pair[0].lower() != unwanted))
+
     def raw(self) -> list[tuple[bytes, bytes]]:
         """Give the form that h11 takes."""
         return [(key.encode("ascii"), value.encode("latin-1")) for key, value in self.pairs]
