--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -50,6 +50,9 @@
     answers_kept: int = option(
         default=2000, at_least=1, doc="How many finished answers are kept at most."
     )
+    tokens_kept: int = option(
+        default=1_000_000, at_least=0, doc="Tokens of finished answers that are kept at most."
+    )
     attempts: int = option(default=8, at_least=1, doc="Attempts at engines for one request.")
     running: int = option(
         default=2000, at_least=1, doc="Generations of this VM at one time, queued ones included."
@@ -302,9 +305,13 @@
         return now - task.reader_left_at > self._settings.caller_return_s
 
     def _drop_beyond_bound(self) -> None:
+        """Drop the oldest kept answers, so that few long ones take no more than many short."""
         kept = [key for key, task in self._tasks.items() if task.ended_at is not None]
-        for key in kept[: max(0, len(kept) - self._settings.answers_kept)]:
-            del self._tasks[key]
+        tokens = sum(self._tasks[key].life.released for key in kept)
+        for left, key in zip(range(len(kept), 0, -1), kept, strict=True):
+            if left <= self._settings.answers_kept and tokens <= self._settings.tokens_kept:
+                return
+            tokens -= self._tasks.pop(key).life.released
 
 
 def _check_same(known: GenerationSpec, asked: GenerationSpec) -> None:
--- a/lagoonlever/tests/faulty_requests_tests.py
+++ b/lagoonlever/tests/faulty_requests_tests.py
@@ -8,12 +8,14 @@
 import trio
 
 from lagoonlever.decisions.generation import GenerationLife
-from lagoonlever.decisions.generation_messages import GenerationLimits, GenerationSpec
+from lagoonlever.decisions.generation_messages import Dispatch, GenerationLimits, GenerationSpec
 from lagoonlever.entry.generation_task import GenerationTask
+from lagoonlever.entry.generations import GenerationService, GenerationSettings
 from lagoonlever.http.client import fetch
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import Exchange, ServerLimits, ServerState, open_listeners, serve_http
 from lagoonlever.outcomes import NotRun
+from lagoonlever.timers import Tick
 
 TIMEOUT_S = 20
 
@@ -73,3 +75,60 @@
         assert isinstance(task.finished.outcome, NotRun)
 
     trio.run(main)
+
+
+def kept_tokens(*, answers_kept: int, tokens_kept: int) -> list[int]:
+    """Give the lengths of the answers that are kept of three with 4, 2 and 1 tokens."""
+    kept: list[int] = []
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            service = GenerationService(
+                settings=GenerationSettings(answers_kept=answers_kept, tokens_kept=tokens_kept),
+                callers=None,  # type: ignore[arg-type]
+                engines=None,  # type: ignore[arg-type]
+                rng=random.Random(1),
+                background=nursery,
+                resume_points=None,  # type: ignore[arg-type]
+                peers=None,  # type: ignore[arg-type]
+                refusal=lambda: None,
+                moved_to=lambda: None,
+                pause_since_last_tick=lambda: 0.0,
+                metrics=None,  # type: ignore[arg-type]
+                tasks={("/", str(length)): finished_task(length) for length in (4, 2, 1)},
+            )
+            service.on_tick(Tick(now=0.0))
+            kept.extend(task.life.released for task in service.tasks)
+
+    trio.run(main)
+    return kept
+
+
+def finished_task(length: int) -> GenerationTask:
+    spec = GenerationSpec(
+        request_id=str(length), organisation="/", model="m", prompt="p", max_tokens=length
+    )
+    life = GenerationLife(spec=spec, limits=GenerationLimits(), rng=random.Random(1))
+    (dispatch,) = life.start()
+    assert isinstance(dispatch, Dispatch)
+    life.opened(attempt=dispatch.attempt, model_version="v1", prompt_token_ids=(1,))
+    life.chunk(
+        attempt=dispatch.attempt,
+        token_ids=tuple(range(300, 300 + length)),
+        text="x",
+        finish_reason="length",
+    )
+    task = GenerationTask(life=life, engines=FaultyEngines())  # type: ignore[arg-type]
+    task.ended_at = 0.0
+    return task
+
+
+def test_long_answers_are_kept_within_a_bound_of_tokens() -> None:
+    """A VM of 32 MB is killed for its memory after a morning of long digests.
+
+    Finished answers were bounded by their number alone, however long they were.
+    """
+    assert kept_tokens(answers_kept=3, tokens_kept=7) == [4, 2, 1]
+    assert kept_tokens(answers_kept=3, tokens_kept=3) == [2, 1]
+    assert kept_tokens(answers_kept=1, tokens_kept=7) == [1]
+    assert kept_tokens(answers_kept=3, tokens_kept=0) == []
