Ask every operator's command for the key, the status too

/admin/status answered anybody who reached the port, with the organisations and their use; only /admin/settings asked for the key. The calls and options that these commands share moved out of the settings' modules.

VMs without keys hear callers over loopback only, now for the status as well.

--- a/lagoonlever/commands/settings.py
+++ b/lagoonlever/commands/settings.py
@@ -12,15 +12,12 @@
 
 from lagoonlever.commands import settings_changes
 from lagoonlever.commands import settings_print as printing
+from lagoonlever.commands.admin_calls import AddressOption, JsonOption, KeyOption, print_json
 from lagoonlever.commands.exit_codes import ExitCode
 from lagoonlever.commands.settings_calls import (
-    AddressOption,
     FileArgument,
-    JsonOption,
-    KeyOption,
     WaitOption,
     ask_vm,
-    print_json,
     read_file,
     read_tree,
     tell_in_force,
--- a/lagoonlever/commands/settings_changes.py
+++ b/lagoonlever/commands/settings_changes.py
@@ -9,18 +9,15 @@
 import typer
 
 from lagoonlever.commands import settings_print as printing
+from lagoonlever.commands.admin_calls import AddressOption, JsonOption, KeyOption, print_json
 from lagoonlever.commands.exit_codes import ExitCode
 from lagoonlever.commands.settings_calls import (
-    AddressOption,
     AuthorOption,
     FileArgument,
-    JsonOption,
-    KeyOption,
     NoteOption,
     WaitOption,
     ask_vm,
     fail_with_faults,
-    print_json,
     read_file,
     read_tree,
     tell_in_force,
--- a/lagoonlever/config/vm.py
+++ b/lagoonlever/config/vm.py
@@ -21,8 +21,8 @@
 from lagoonlever.decisions.membership_settings import MembershipSettings
 from lagoonlever.decisions.settings_version import SettingsVersionOptions
 from lagoonlever.decisions.suspicion_settings import DetectionSettings
-from lagoonlever.entry.admin import AdminSettings
 from lagoonlever.entry.generations import GenerationSettings
+from lagoonlever.entry.operators import AdminSettings
 from lagoonlever.entry.orders import OrderSettings
 from lagoonlever.entry.services_settings import ServiceSettings
 from lagoonlever.entry.serving import RoutingSettings
@@ -130,6 +130,11 @@
                 message=f"is missing while `listen` is {listen}; give the IP number and port "
                 "that callers can reach",
             )
+        if peer_listen is not None and is_wildcard(peer_listen):
+            yield Fault(
+                path="peer_listen",
+                message="is no address that the other VMs can reach; give the VM's own IP number",
+            )
         if values.get("advertise") and is_wildcard(values["advertise"]):
             yield Fault(
                 path="advertise",
--- a/lagoonlever/entry/admin.py
+++ b/lagoonlever/entry/admin.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
@@ -11,7 +10,6 @@
 import msgspec
 import trio
 
-from lagoonlever.config.options import option
 from lagoonlever.entry import settings_events as events
 from lagoonlever.entry.admin_messages import (
     CHANGE_PATH,
@@ -30,26 +28,24 @@
     history_shown,
     node_shown,
 )
+from lagoonlever.entry.operators import Operators
 from lagoonlever.entry.settings import SettingsPart
 from lagoonlever.exceptions import Fault, FaultsError, PlatformError, RequestRefused
-from lagoonlever.http.messages import Address, Headers, Request
+from lagoonlever.http.messages import Headers, Request
 from lagoonlever.http.server import JSON_TYPE, Exchange
 from lagoonlever.identity import REQUEST_ID
 from lagoonlever.tree.change_plan import ChangeRequest, Stored
 from lagoonlever.tree.document import parse_text, render
 from lagoonlever.tree.nodes import ROOT, UnknownNode
-from lagoonlever.tree.options import API_KEY_DIGEST, api_key_digest
 
 log = logbook.Logger(__name__)
 
 T = TypeVar("T")
 
-AUTHORIZATION = "Authorization"
-BEARER = "bearer "
 MAX_RECORD_TEXT = 500
 MAX_WAIT_S = 25.0
 """Below the time that usual clients wait for an answer."""
-OK, UNAUTHORIZED, FORBIDDEN, NOT_FOUND = 200, 401, 403, 404
+OK, NOT_FOUND = 200, 404
 BAD_REQUEST, METHOD_NOT_ALLOWED, UNAVAILABLE = 400, 405, 503
 STATUS_BY_TAG = {
     "stored": 200,
@@ -60,34 +56,17 @@
 }
 
 
-def _check_digests(digests: tuple[str, ...]) -> str | None:
-    if all(API_KEY_DIGEST.match(digest) for digest in digests):
-        return None
-    return "holds something that is no 'sha256:<64 hex digits>'; never store the key itself"
-
-
-@attrs.frozen(kw_only=True)
-class AdminSettings:
-    """The section ``admin`` of a VM's settings."""
-
-    api_keys: tuple[str, ...] = option(
-        default=(),
-        check=_check_digests,
-        doc="Digests of the operators' keys; without any, only callers on the VM itself are heard.",
-    )
-
-
 @attrs.define(kw_only=True, eq=False)
 class SettingsAdmin:
     """Answers every path below ``/admin/settings``."""
 
     _part: SettingsPart
-    _settings: AdminSettings = attrs.field(factory=AdminSettings)
+    _operators: Operators = attrs.field(factory=Operators)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one exchange; raises ``RequestRefused``."""
         request = exchange.request
-        self._check_operator(request)
+        self._operators.check(request)
         handler = self._handler(request)
         try:
             await handler(exchange)
@@ -114,24 +93,6 @@
             raise RequestRefused(status=METHOD_NOT_ALLOWED, field="method", message=f"use {method}")
         return handler
 
-    def _check_operator(self, request: Request) -> None:
-        if not self._settings.api_keys:
-            if ipaddress.ip_address(Address.parse(request.peer).host).is_loopback:
-                return
-            raise RequestRefused(
-                status=FORBIDDEN,
-                field="admin.api_keys",
-                message="is empty on this VM, so only callers on the VM itself are heard",
-            )
-        value = request.headers.get(AUTHORIZATION) or ""
-        key = value[len(BEARER) :].strip() if value.lower().startswith(BEARER) else ""
-        if api_key_digest(key) not in self._settings.api_keys:
-            raise RequestRefused(
-                status=UNAUTHORIZED,
-                field=AUTHORIZATION,
-                message="give 'Bearer' and an operator's key",
-            )
-
     async def _show(self, exchange: Exchange) -> None:
         try:
             head = (await self._part.store.read()).head
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from lagoonlever.decisions.membership import MemberState
 from lagoonlever.decisions.planned_stop import Held
 from lagoonlever.entry.addresses import EntryAddressesPart
 from lagoonlever.entry.admin import SettingsAdmin
@@ -16,6 +17,7 @@
 from lagoonlever.entry.foundation import Foundation
 from lagoonlever.entry.histories import dispatch_recorder, record_stop_began, record_stop_ended
 from lagoonlever.entry.membership import MembershipPart
+from lagoonlever.entry.operators import Operators
 from lagoonlever.entry.orders import OrdersPart
 from lagoonlever.entry.orphans import OrphanPart
 from lagoonlever.entry.peer_streams import PeerStreams
@@ -45,6 +47,7 @@
     """Each part is made by the method of its name, from the parts above it."""
 
     base: Foundation
+    operators: Operators = attrs.field(init=False)
     tree: Published[TreeView] = attrs.field(init=False)
     """The settings tree in force; the settings part is its owner."""
     callers: CallerDirectory = attrs.field(init=False)
@@ -63,6 +66,10 @@
     reporting: Reporting = attrs.field(init=False)
     routes: Routes = attrs.field(init=False)
 
+    @operators.default
+    def _make_operators(self) -> Operators:
+        return Operators(settings=self.base.settings.admin)
+
     @tree.default
     def _make_tree(self) -> Published[TreeView]:
         return Published(default_tree())
@@ -218,6 +225,7 @@
     @reporting.default
     def _make_reporting(self) -> Reporting:
         return Reporting(
+            operators=self.operators,
             vm=self._vm_status,
             members=self.membership.members,
             targets=self.targets.view,
@@ -238,7 +246,7 @@
         routes.add("GET", "/v1/models", service.handle_models)
         routes.add("GET", "/v1/entry", self.addresses.handle)
         routes.add("*", SERVICES_PATH, self.services.handle, prefix=True)
-        admin = SettingsAdmin(part=self.settings, settings=self.base.settings.admin)
+        admin = SettingsAdmin(part=self.settings, operators=self.operators)
         routes.add("*", SETTINGS_PATH, admin.handle, prefix=True)
         routes.add("GET", "/admin/status", self.reporting.handle_status)
         routes.add("GET", "/metrics", self.reporting.handle_metrics)
@@ -256,6 +264,7 @@
             self.admission.run,
             self.generations.run,
             self._hear_taken_over,
+            self._leave_when_told,
             self.orphans.run,
             self.services.run,
             self.reporting.run,
@@ -300,6 +309,14 @@
     async def _hear_taken_over(self) -> None:
         await self.peer_streams.run(self.generations.service)
 
+    async def _leave_when_told(self) -> None:
+        """Begin the planned stop when the platform lists this VM as leaving, or as replaced."""
+        members = self.membership.members
+        view = members.value
+        while not view.superseded and view.own_state is not MemberState.LEAVING:
+            view = await members.wait_change()
+        self.stopping.begin()
+
     def _load(self) -> float:
         """Give the share of this VM's capacity in use, by its open connections."""
         return min(1.0, self.base.http.open_connections / HTTP_LIMITS.connections)
--- a/lagoonlever/entry/reporting.py
+++ b/lagoonlever/entry/reporting.py
@@ -12,6 +12,7 @@
 from lagoonlever.decisions.membership import Member, MemberView
 from lagoonlever.decisions.targets import Target, TargetView
 from lagoonlever.entry.admission import AdmissionState, PoolState
+from lagoonlever.entry.operators import Operators
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.request_metrics import organisation_of
 from lagoonlever.http.messages import Headers
@@ -68,6 +69,7 @@
     _timers: TimerService
     _metrics: Metrics
     _objectives: ObjectiveRecorder
+    _operators: Operators = attrs.field(factory=Operators)
     _shares_sampled_at: float = 0.0
 
     def status(self) -> StatusReport:
@@ -85,7 +87,8 @@
         )
 
     async def handle_status(self, exchange: Exchange) -> None:
-        """Answer ``GET /admin/status``."""
+        """Answer ``GET /admin/status``; raises ``RequestRefused`` for whoever is no operator."""
+        self._operators.check(exchange.request)
         headers = Headers((("Content-Type", JSON_TYPE),))
         body = encode_status(self.status())
         await exchange.respond(status=HTTP_OK, headers=headers, body=body)
--- a/lagoonlever/tests/commands_settings_tests.py
+++ b/lagoonlever/tests/commands_settings_tests.py
@@ -13,7 +13,8 @@
 from lagoonlever.bench.settings_vms import SettingsVms
 from lagoonlever.commands.exit_codes import ExitCode
 from lagoonlever.commands.settings import app
-from lagoonlever.entry.admin import AdminSettings, SettingsAdmin
+from lagoonlever.entry.admin import SettingsAdmin
+from lagoonlever.entry.operators import AdminSettings, Operators
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.fakes.platform import PlatformFault, PlatformFaultKind
 from lagoonlever.http.messages import Address
@@ -53,7 +54,7 @@
 
 
 async def serve(nursery: trio.Nursery, vms: SettingsVms, admin: AdminSettings) -> Address:
-    api = SettingsAdmin(part=vms.vms[0].part, settings=admin)
+    api = SettingsAdmin(part=vms.vms[0].part, operators=Operators(settings=admin))
 
     async def handle(exchange: Exchange) -> None:
         try:
