Call no stream slow by the figures of an engine's former slow time

An engine left for slowness kept its slow spacing until its next tokens; streams that opened after its recovery were called slow while they waited for their first token. The new test is red with the guards off.

--- a/lagoonlever/decisions/suspicion.py
+++ b/lagoonlever/decisions/suspicion.py
@@ -125,6 +125,7 @@
         if not self._streams:
             self._next_check_at = math.inf
             self._slow_since = None
+            self._engine.spacing.forget_slowness()
 
     def paused(self, seconds: float, *, now: float) -> None:
         """Count this process's own pause as no silence of the engine.
@@ -164,7 +165,7 @@
         reason = SuspicionReason.NONE
         if silence_s >= allowed.dead_s:
             level, reason = SuspicionLevel.DEAD, allowed.reason
-        elif self._slow_long(now):
+        elif track.tokens and self._slow_long(now):
             level, reason = SuspicionLevel.DEAD, SuspicionReason.SLOW
         elif silence_s >= allowed.suspect_s:
             level, reason = SuspicionLevel.SUSPECT, allowed.reason
--- a/lagoonlever/decisions/suspicion_spacing.py
+++ b/lagoonlever/decisions/suspicion_spacing.py
@@ -51,6 +51,10 @@
         if not slow:
             self.usual_s += USUAL_WEIGHT * share * (gap_s - self.usual_s)
 
+    def forget_slowness(self) -> None:
+        """Take the engine for as fast as usual: it may have recovered while it was left."""
+        self.fast_s = self.usual_s
+
 
 @attrs.define(kw_only=True)
 class Prefill:
--- a/lagoonlever/tests/suspicion_tests.py
+++ b/lagoonlever/tests/suspicion_tests.py
@@ -137,6 +137,26 @@
         assert dead == expected
 
 
+def test_a_slow_engine_that_recovered_is_not_left_again_by_old_figures() -> None:
+    """An engine is slow for a while; a prompt that it takes up later is moved for nothing.
+
+    The spacing of its slow time was still the latest known when the next stream
+    opened, and the stream was called slow before it had a token.
+    """
+    watched = engine()
+    watched.open("a", "b")
+    watched.run("a", "b", steps=600)
+    watched.run("a", "b", steps=8, gap_s=20 * GAP_S)
+    watched.suspicion.stream_closed("a")
+    watched.suspicion.stream_closed("b")
+    watched.verdicts.clear()
+    watched.suspicion.stream_opened("c", now=watched.now, prompt_tokens=2000)
+    watched.silent(1.6)
+    watched.suspicion.stream_opened("d", now=watched.now, prompt_tokens=2000)
+    watched.silent(2.8)
+    assert SuspicionReason.SLOW not in {v.reason for v in watched.verdicts}
+
+
 def test_a_long_prefill_is_no_death_and_a_first_token_that_never_comes_is() -> None:
     watched = engine()
     watched.suspicion.stream_opened("long", now=watched.now, prompt_tokens=4000)
