Give room in the engines' queues by how far behind an organisation is

An organisation back from idle, 5 s behind, had 70 requests waiting while others a little behind took the room; and the first charges ahead of use read as a fast pace, so that its slots were put at 5 in place of 44.

--- a/lagoonlever/decisions/admission.py
+++ b/lagoonlever/decisions/admission.py
@@ -27,7 +27,7 @@
 RESUME_PART = 0.25
 """Part of this VM's slots that resumes may take anew in a second, ahead of new work."""
 MIN_RESUMES_PER_S = 2.0
-COMMIT_AHEAD = 128.0
+COMMIT_AHEAD = 64.0
 """Work charged ahead of use, at most: bounds the error that a dead VM leaves behind."""
 CHARGE_STEP = 16.0
 """Use is passed on in steps of this work: a charge for each token would cost too much."""
--- a/lagoonlever/decisions/shares_book.py
+++ b/lagoonlever/decisions/shares_book.py
@@ -32,11 +32,11 @@
 """Slots are divided anew at most this often: with 200 organisations it takes milliseconds."""
 SILENT_HOLD_S = 30.0
 """Without reports from engines, a silent peer is taken to use its slots for this long."""
-ENTRY_PART = 0.05
+ENTRY_PART = 0.1
 """Requests that may queue at the engines, as a part of the slots."""
 MIN_ENTRY_SLOTS = 1.0
-SMALL_FILL = 0.5
-"""A leaf with less than this of its slots may queue at the engines in a second such band."""
+URGENT_LAG_S = 2.0
+"""An organisation this far behind its share may fill all of that room."""
 SETTLE_S = 3.0
 """A VM that started less than this ago goes by the engines' reports: peers have yet to speak."""
 EXCESS_WINDOW_S = 3.0
@@ -139,8 +139,7 @@
         # the time until any slot of any VM falls free, not until one of this VM does.
         behind = self._ledger.lag_s(self._tree.chain(leaf)[0]) <= 0
         own_running = self._leaf(leaf_key(leaf)).own.running
-        bands = 1 if self.filled(leaf) >= SMALL_FILL else 2
-        limit = slots + bands * max(MIN_ENTRY_SLOTS, ENTRY_PART * slots)
+        limit = slots + self._urgency(leaf) * max(MIN_ENTRY_SLOTS, ENTRY_PART * slots)
         return behind and own_running < self.own_slots(leaf) and running < limit
 
     def filled(self, leaf: str) -> float:
@@ -251,6 +250,15 @@
         self._quota = sum(self._parts.values()) + spare / (self._peers.live_count + 1)
         self._quota_known = True
 
+    def _urgency(self, leaf: str) -> float:
+        """Give how much of the engines' queues a leaf may fill, from 0 to 1.
+
+        Were it the same for all that are behind, those a little behind would take the
+        room as fast as those far behind, and these would need long to catch up.
+        """
+        behind_s = -self._ledger.lag_s(self._tree.chain(leaf)[0])
+        return min(1.0, max(behind_s / URGENT_LAG_S, 1.0 - self.filled(leaf)))
+
     def _weigh_silence(self, now: float) -> None:
         """Judge by the engines' reports how much of the silent peers' use goes on."""
         elapsed_s = min(now - self._weighed_at, EXCESS_WINDOW_S)
--- a/lagoonlever/decisions/shares_meter.py
+++ b/lagoonlever/decisions/shares_meter.py
@@ -9,8 +9,8 @@
 
 WINDOW_S = 15.0
 """Time constant over which work and running time are averaged."""
-MIN_SLOT_S = 5.0
-"""Running time below which a node's own pace is not known."""
+PRIOR_SLOT_S = 100.0
+"""Running time for which a node is taken to go at the pace of the node above."""
 
 
 @attrs.frozen(kw_only=True)
@@ -32,13 +32,6 @@
     work: float = 0.0
     slot_s: float = 0.0
 
-    @property
-    def pace(self) -> float | None:
-        """Work a second in one slot, or None where too little has run."""
-        if self.slot_s < MIN_SLOT_S or self.work <= 0:
-            return None
-        return self.work / self.slot_s
-
 
 class ShareMeter:
     """Work and running time by node, fading with time."""
@@ -54,8 +47,12 @@
         return {path: one / total for path, one in work.items()} if total > 0 else {}
 
     def pace(self, path: str, *, above: str) -> float:
-        """Give the work a second of a node's slots; where not known that of the node above."""
-        return self._use(path).pace or self._use(above).pace or 1.0
+        """Give the work a second of a node's slots, at first that of the node above."""
+        general = self._use(above)
+        prior = general.work / general.slot_s if min(general.work, general.slot_s) > 0 else 1.0
+        own = self._use(path)
+        # Work is charged ahead, so the first starts of a node look like a fast pace.
+        return (max(own.work, 0.0) + prior * PRIOR_SLOT_S) / (own.slot_s + PRIOR_SLOT_S)
 
     def add(self, paths: Iterable[str], work: float) -> None:
         """Count work (negative: given back) for some nodes."""
