--- a/lagoonlever/entry/services.py
+++ b/lagoonlever/entry/services.py
@@ -15,6 +15,7 @@
 from lagoonlever.decisions.budgets import FULL_RATIO
 from lagoonlever.decisions.claims import HomeTable, StoredAnswer
 from lagoonlever.decisions.claims_keys import (
+    KEY_HEADER,
     KeyHome,
 )
 from lagoonlever.decisions.hedging import Runners
@@ -24,8 +25,13 @@
 from lagoonlever.entry.engines import TargetGuard
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.request_metrics import RequestMetrics, unscraped_metrics
-from lagoonlever.entry.services_answers import ComeBack, not_run, tell
-from lagoonlever.entry.services_call import HOMED_KEY_HEADER, ServiceCall, remaining_s
+from lagoonlever.entry.services_answers import ComeBack, answer_of, not_run, tell
+from lagoonlever.entry.services_call import (
+    DEADLINE_HEADER,
+    HOMED_KEY_HEADER,
+    ServiceCall,
+    remaining_s,
+)
 from lagoonlever.entry.services_copies import AnswerCopier
 from lagoonlever.entry.services_dispatch import Dispatcher
 from lagoonlever.entry.services_events import ANSWER_UNKNOWN
@@ -59,6 +65,18 @@
     return None
 
 
+def _refused(request: Request, refused: RequestRefused) -> StoredAnswer:
+    """Give the answer to a copy of a request that is wrong as it stands.
+
+    A wrong deadline says nothing about the request under the copy's key: an
+    earlier copy with a right one may have run, so the outcome is "unknown".
+    """
+    message = f"{refused.field}: {refused}" if refused.field else str(refused)
+    if refused.field == DEADLINE_HEADER and request.headers.get(KEY_HEADER):
+        return answer_of(Unknown(reason=Reason.BAD_REQUEST, message=message, status=refused.status))
+    return not_run(Reason.BAD_REQUEST, message, status=refused.status)
+
+
 class ServiceRouter:
     """The part of the daemon that serves application services."""
 
@@ -175,8 +193,7 @@
             answer = await self._answer(call)
             self._count(call, answer, latency_s=self._timers.now - began_at)
         except RequestRefused as refused:
-            message = f"{refused.field}: {refused}" if refused.field else str(refused)
-            answer = not_run(Reason.BAD_REQUEST, message, status=refused.status)
+            answer = _refused(exchange.request, refused)
         if isinstance(answer.outcome, Unknown):
             ANSWER_UNKNOWN.log(
                 log, service=exchange.request.path, reason=answer.outcome.reason.value
--- a/lagoonlever/tests/services_tests.py
+++ b/lagoonlever/tests/services_tests.py
@@ -462,6 +462,20 @@
     run_site(scenario)
 
 
+def test_a_wrong_deadline_says_nothing_of_an_earlier_copy() -> None:
+    """A bid has run; a copy of it with a broken deadline must not be told "not run"."""
+
+    async def scenario(site: Site) -> None:
+        key = site.mint(0)
+        assert outcome(await site.bid(0, key=key)) == "done"
+        response = await site.bid(1, key=key, left_s=float("nan"))
+        assert (response.status, outcome(response)) == (400, "unknown")
+        assert (await site.bid(1, key=None, left_s=float("nan"))).status == 400
+        assert site.violations() == []
+
+    run_site(scenario)
+
+
 def test_another_body_under_a_used_key_is_refused() -> None:
     async def scenario(site: Site) -> None:
         key = site.mint(0)
