Add the command call, and stop a VM that the platform lists as leaving

A VM that was listed as leaving sent its callers elsewhere but never began its own planned stop, and neither did one that was replaced under its name.

--- a/lagoonlever/__main__.py
+++ b/lagoonlever/__main__.py
@@ -4,7 +4,18 @@
 
 import typer
 
-from lagoonlever.commands import ask, bench, check, demo, entry, fake, report, settings, status
+from lagoonlever.commands import (
+    ask,
+    bench,
+    call,
+    check,
+    demo,
+    entry,
+    fake,
+    report,
+    settings,
+    status,
+)
 
 app = typer.Typer(
     name="lagoonlever",
@@ -14,6 +25,7 @@
 )
 app.command()(entry.entry)
 app.command()(ask.ask)
+app.command()(call.call)
 app.command()(demo.demo)
 app.command()(check.check)
 app.command()(status.status)
--- a/lagoonlever/decisions/membership.py
+++ b/lagoonlever/decisions/membership.py
@@ -68,6 +68,12 @@
         """The own entry in the view; None when a newer life of its name is known."""
         return self.find(self.own)
 
+    @property
+    def own_state(self) -> MemberState | None:
+        """The state of the own entry; None when a newer life of its name is known."""
+        own = self.own_member
+        return own.state if own is not None else None
+
     @property
     def superseded(self) -> bool:
         """Whether a newer life of this VM's name is known, so that this process must end."""
--- a/lagoonlever/entry/daemon.py
+++ b/lagoonlever/entry/daemon.py
@@ -87,6 +87,10 @@
         """Wait until the sockets are open."""
         await self._started.wait()
 
+    async def wait_ended(self) -> None:
+        """Wait until a planned stop is over."""
+        await self.parts.stopping.wait_ended()
+
     async def wait_serving(self, *, members: int = 1, targets: int = 0) -> None:
         """Wait until this VM knows so many members and live targets."""
         parts = self.parts
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -208,6 +208,7 @@
             platform=self.base.platform,
             members=self.membership.members,
             targets=self.targets.view,
+            tree=self.tree,
             timers=self.base.timers,
             random=self.base.rng,
             settings=self.base.settings.orders,
--- a/lagoonlever/fakes/cluster.py
+++ b/lagoonlever/fakes/cluster.py
@@ -51,6 +51,7 @@
     data_center: str
     daemon: EntryDaemon
     scope: trio.CancelScope
+    state: VmState = VmState.LIVE
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -131,8 +132,9 @@
         self.targets[name].scope.cancel()
 
     def set_leaving(self, name: str) -> None:
-        """Have the platform list a target as leaving."""
-        self.targets[name].state = VmState.LEAVING
+        """Have the platform list a target or an entry VM as leaving."""
+        running = self.targets.get(name) or self.vms[name]
+        running.state = VmState.LEAVING
         self.publish_list()
 
     def publish_list(self) -> None:
@@ -154,6 +156,7 @@
                 peer_address=str(vm.daemon.peer_address),
                 data_center=vm.data_center,
                 role=VmRole.ENTRY.value,
+                state=vm.state.value,
             )
             for vm in self.vms.values()
         ]
--- /dev/null
+++ b/lagoonlever/tests/listed_leaving_tests.py
@@ -0,0 +1,35 @@
+"""An entry VM that the platform takes away stops as if it had been told to."""
+
+from __future__ import annotations
+
+import attrs
+import trio
+
+from lagoonlever.config.vm import VmSettings
+from lagoonlever.decisions.addresses import AddressesSettings
+from lagoonlever.fakes.cluster import EmbeddedCluster
+
+TIMEOUT_S = 40
+
+
+def test_a_vm_that_is_listed_as_leaving_ends_by_itself() -> None:
+    """Callers' streams are cut when the platform removes a VM that it had announced to.
+
+    The list said for a minute that the VM leaves. It sent callers elsewhere, but
+    never began its own planned stop, and was still serving when it was taken away.
+    """
+
+    def short_lifetime(settings: VmSettings) -> VmSettings:
+        return attrs.evolve(settings, addresses=AddressesSettings(lifetime_s=1.0))
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            cluster = EmbeddedCluster(nursery=nursery, adjust=short_lifetime)
+            with trio.fail_after(TIMEOUT_S):
+                await cluster.start(engines=1, vms=2)
+                vm = cluster.vms["vm-1"]
+                cluster.set_leaving("vm-1")
+                await vm.daemon.wait_ended()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
