Hear peers for a while before relying on them, also when all known ones answered

A VM that starts in an outage knows of one peer first; it relied on that peer's version at once, although the next peer could tell a higher one.

--- a/lagoonlever/decisions/settings_version.py
+++ b/lagoonlever/decisions/settings_version.py
@@ -90,7 +90,6 @@
     _round_done: bool = False
     _platform_failed: bool = False
     _first_peer_answer_at: float | None = None
-    _answered: set[str] = attrs.field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._reached_at = self._round_began
@@ -147,7 +146,7 @@
             self._platform_failed = True
 
     def on_peer_answer(
-        self, *, peer: str, version: int | None, age_s: float | None, asked_at: float, now: float
+        self, *, version: int | None, age_s: float | None, asked_at: float, now: float
     ) -> None:
         """Take note of a peer's answer, after ``on_version``; ``age_s`` is as the peer told it."""
         self._reached_at = max(self._reached_at, asked_at)
@@ -155,7 +154,6 @@
             self._confirm(asked_at - age_s)
         if asked_at < self._round_began:
             return
-        self._answered.add(peer)
         if self._first_peer_answer_at is None:
             self._first_peer_answer_at = now
 
@@ -172,7 +170,6 @@
         self._round_done = False
         self._platform_failed = False
         self._first_peer_answer_at = None
-        self._answered.clear()
 
     def _confirm(self, at: float) -> None:
         self._confirmed_at = at if self._confirmed_at is None else max(self._confirmed_at, at)
@@ -182,7 +179,7 @@
             return True
         if known_peers == 0:
             return self._platform_failed
-        if len(self._answered) >= known_peers:
-            return True
+        # Not as soon as all known peers have answered: a VM that starts knows of
+        # one peer first, which may be the one that lags.
         first = self._first_peer_answer_at
         return first is not None and now - first >= self._options.settle_s
--- a/lagoonlever/entry/settings_peers.py
+++ b/lagoonlever/entry/settings_peers.py
@@ -118,7 +118,6 @@
         if answer.version is not None and answer.tree is not None:
             self._take_tree(answer.version, answer.tree, source=received.sender.name)
         self._state.decision.on_peer_answer(
-            peer=received.sender.name,
             version=answer.version,
             age_s=answer.age_s,
             asked_at=asked_at,
