--- a/lagoonlever/bench/resume_live.py
+++ b/lagoonlever/bench/resume_live.py
@@ -40,8 +40,11 @@
 P99 = 0.99
 FIRST_FAULT_S = 5.0
 """Long enough that each engine's spacing was learnt."""
-FAULT_PERIOD_S = 4.0
 FAULT_LASTS_S = 2.5
+SLOW_LASTS_S = 6.0
+"""Slowness takes longer to tell than silence."""
+RECOVERY_S = 1.5
+"""Between the end of one fault and the next."""
 
 
 @attrs.frozen(kw_only=True)
@@ -172,7 +175,7 @@
                 await self._have_fault(nursery, running)
             else:
                 await trio.sleep(FAULT_LASTS_S)
-            await trio.sleep(FAULT_PERIOD_S - FAULT_LASTS_S)
+            await trio.sleep(RECOVERY_S)
 
     async def _have_fault(self, nursery: trio.Nursery, running: RunningEngine) -> None:
         self._faulty.add(running.name)
@@ -184,7 +187,7 @@
         else:
             slow = FaultOrder(kind=EngineFault.SLOW, factor=self._model.slow_factor)
             running.engine.inject(slow)
-        await trio.sleep(FAULT_LASTS_S)
+        await trio.sleep(SLOW_LASTS_S if self._fault is FaultKind.SLOW else FAULT_LASTS_S)
         if self._fault is FaultKind.KILL:
             address = running.address
             listeners = await open_listeners(host=address.host, port=address.port)
