--- a/lagoonlever/decisions/targets.py
+++ b/lagoonlever/decisions/targets.py
@@ -97,10 +97,6 @@
         """Give the targets of this kind that may be given new work."""
         return tuple(target for target in self.targets if target.kind is kind and target.takes_work)
 
-    def engines_of(self, model: ModelKey) -> tuple[Target, ...]:
-        """Give the live engines that serve exactly this model, version and adapter."""
-        return tuple(target for target in self.live(TargetKind.ENGINE) if model in target.models)
-
     def application(self) -> tuple[Target, ...]:
         """Give the live application services."""
         return self.live(TargetKind.APPLICATION)
--- a/lagoonlever/peers/local_bus.py
+++ b/lagoonlever/peers/local_bus.py
@@ -32,10 +32,6 @@
         """Connect a bus; one that comes back at an address replaces the former."""
         self._buses[bus.address] = bus
 
-    def detach(self, address: Address) -> None:
-        """Disconnect a bus, as if its VM had died."""
-        self._buses.pop(address, None)
-
     def cut(self, one: Address, other: Address) -> None:
         """Lose every message between two addresses."""
         self._cuts.add(frozenset((one, other)))
--- a/lagoonlever/tests/placement_tests.py
+++ b/lagoonlever/tests/placement_tests.py
@@ -11,7 +11,7 @@
 
 from lagoonlever.decisions.addresses import AddressesSettings, entry_addresses
 from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.placement import holders, holders_to_ask
+from lagoonlever.decisions.placement import holders
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 
@@ -42,34 +42,31 @@
 
 
 @given(fleets, st.data(), st.integers(1, 3), st.text("abc", min_size=1))
-def test_a_reader_asks_every_holder_of_any_writer(
+def test_two_views_differ_in_the_holders_only_by_the_member_that_one_lacks(
     fleet: list[Member], data: st.DataObject, count: int, request_id: str
 ) -> None:
-    """A caller comes back at another VM after its router's death and loses its place.
+    """An engine goes on with a stream that nobody reads, long after its VM has died.
 
-    The router had copied the released tokens to two peers. The VM that the caller
-    comes back to sees one member more, or one less, than the router did. If it
-    does not ask the holders, the answer starts anew.
+    The VM told one peer of the stream, and another of its end, because a third
+    member had appeared between. Only that member may change whom it tells.
     """
     writer = data.draw(st.integers(0, len(fleet) - 1))
-    reader = data.draw(st.integers(0, len(fleet) - 1))
-    unseen = data.draw(st.integers(0, len(fleet) - 1))
-    written = holders(request_id, view(fleet, writer), count=count)
-    seen = [m for i, m in enumerate(fleet) if i != unseen or i == reader]
-    asked = holders_to_ask(request_id, view(seen, seen.index(fleet[reader])), count=count)
+    unseen = data.draw(st.integers(0, len(fleet) - 1).filter(lambda i: i != writer))
+    chosen = holders(request_id, view(fleet, writer), count=count)
+    seen = [m for i, m in enumerate(fleet) if i != unseen]
+    chosen_with_fewer = holders(request_id, view(seen, seen.index(fleet[writer])), count=count)
 
-    assert fleet[writer] not in written
-    assert len(set(written)) == len(written) == min(count, len(fleet) - 1)
-    missing = {fleet[reader], fleet[unseen]}
-    assert set(written) - missing <= set(asked)
+    assert fleet[writer] not in chosen
+    assert len(set(chosen)) == len(chosen) == min(count, len(fleet) - 1)
+    if fleet[unseen] not in chosen:
+        assert chosen_with_fewer == chosen
 
 
-def test_copies_stand_in_other_data_centers_and_the_reader_asks_few() -> None:
+def test_records_stand_in_other_data_centers() -> None:
     fleet = [member(i, f"dc-{i % 3}") for i in range(9)]
     for request in range(50):
-        written = holders(f"r{request}", view(fleet), count=2)
-        assert {m.data_center for m in written} == {"dc-1", "dc-2"}
-        assert len(holders_to_ask(f"r{request}", view(fleet), count=2)) <= 6
+        chosen = holders(f"r{request}", view(fleet), count=2)
+        assert {m.data_center for m in chosen} == {"dc-1", "dc-2"}
 
 
 @given(
