Tell a caller beyond the bound on connections that it was not run

Cause: with every connection taken the server closed a new one without a word, so its caller could not tell 'not run' from 'unknown', nor when to come back. Ruled out: not accepting; callers would wait in the backlog without an answer. Before: connection closed (test red); after: 503, not-run, a spread Retry-After.

--- a/lagoonlever/entry/reporting.py
+++ b/lagoonlever/entry/reporting.py
@@ -16,7 +16,8 @@
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.request_metrics import organisation_of
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import JSON_TYPE, Exchange
+from lagoonlever.http.refusals import JSON_TYPE
+from lagoonlever.http.server import Exchange
 from lagoonlever.instruments import EXPOSITION_TYPE, Metrics
 from lagoonlever.metrics import (
     CONTROL_BYTES,
--- a/lagoonlever/entry/services_answers.py
+++ b/lagoonlever/entry/services_answers.py
@@ -11,7 +11,8 @@
 from lagoonlever.decisions.claims import StoredAnswer
 from lagoonlever.decisions.limits import retry_after_s
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import JSON_TYPE, Exchange
+from lagoonlever.http.refusals import JSON_TYPE
+from lagoonlever.http.server import Exchange
 from lagoonlever.outcomes import (
     OUTCOME_HEADER,
     REASON_HEADER,
--- a/lagoonlever/fakes/application.py
+++ b/lagoonlever/fakes/application.py
@@ -18,7 +18,8 @@
 from lagoonlever.fakes.faults import FaultKind, FaultOrder, Faults
 from lagoonlever.fakes.serving import LateReports, answer_with_faults, serve_until_death
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import JSON_TYPE, CallerGone, Exchange
+from lagoonlever.http.refusals import JSON_TYPE
+from lagoonlever.http.server import CallerGone, Exchange
 
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 LOOKUPS = ("lots", "prices")
--- a/lagoonlever/fakes/platform.py
+++ b/lagoonlever/fakes/platform.py
@@ -15,15 +15,8 @@
 from lagoonlever.fakes.kv_store import Compacted, KeyValueStore, Stored
 from lagoonlever.fakes.wire import Acknowledged, read_body, respond
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import (
-    JSON_TYPE,
-    CallerGone,
-    Exchange,
-    ServerLimits,
-    ServerState,
-    error_payload,
-    serve_http,
-)
+from lagoonlever.http.refusals import JSON_TYPE, error_payload
+from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
 from lagoonlever.platform import etcd_wire as wire
 
 EXPIRY_INTERVAL_S = 0.05
--- a/lagoonlever/fakes/serving.py
+++ b/lagoonlever/fakes/serving.py
@@ -10,14 +10,8 @@
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.fakes import wire
 from lagoonlever.fakes.faults import FaultOrder, Faults
-from lagoonlever.http.server import (
-    Exchange,
-    Handler,
-    ServerLimits,
-    ServerState,
-    error_payload,
-    serve_http,
-)
+from lagoonlever.http.refusals import error_payload
+from lagoonlever.http.server import Exchange, Handler, ServerLimits, ServerState, serve_http
 
 
 class LateReports:
--- a/lagoonlever/fakes/wire.py
+++ b/lagoonlever/fakes/wire.py
@@ -10,7 +10,8 @@
 
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.messages import Headers, Request
-from lagoonlever.http.server import JSON_TYPE, Exchange
+from lagoonlever.http.refusals import JSON_TYPE
+from lagoonlever.http.server import Exchange
 
 T = TypeVar("T")
 _AT_FIELD = re.compile(r"`\$\.?([^`]*)`")
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -16,7 +16,7 @@
 from lagoonlever.events import event
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.messages import Headers, Request
-from lagoonlever.outcomes import OUTCOME_HEADER, OutcomeTag
+from lagoonlever.http.refusals import JSON_TYPE, OVERLOADED, error_payload, refusal_headers
 
 log = logbook.Logger(__name__)
 
@@ -29,7 +29,6 @@
 )
 
 RECEIVE_BYTES = 64 * 1024
-JSON_TYPE = "application/json"
 LINGER_S = 2.0
 """How long a refused caller's remaining bytes are read and dropped."""
 
@@ -267,14 +266,8 @@
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         body = json.dumps(error_payload(refused)).encode()
-        headers = Headers(
-            (
-                ("Content-Type", JSON_TYPE),
-                ("Content-Length", str(len(body))),
-                ("Connection", "close"),
-                (OUTCOME_HEADER, OutcomeTag.NOT_RUN.value),
-            )
-        )
+        port = int(self._peer.rpartition(":")[2])
+        headers = refusal_headers(refused, length=len(body), peer_port=port)
         head = h11.Response(status_code=refused.status, headers=headers.raw())
         await self.send(head, h11.Data(data=body), h11.EndOfMessage())
         await self._linger()
@@ -319,18 +312,6 @@
         raise RequestRefused(status=400, field="path", message=str(error)) from error
 
 
-def error_payload(refused: RequestRefused) -> dict[str, object]:
-    """Give the JSON error that clients of completions know, with the field's name."""
-    return {
-        "error": {
-            "message": f"{refused.field}: {refused}" if refused.field else str(refused),
-            "type": "invalid_request_error",
-            "param": refused.field,
-            "code": refused.status,
-        }
-    }
-
-
 async def _serve_connection(
     stream: trio.SocketStream, *, handler: Handler, limits: ServerLimits, state: ServerState
 ) -> None:
@@ -346,6 +327,17 @@
         )
 
 
+async def _turn_away(
+    stream: trio.SocketStream, *, limits: ServerLimits, state: ServerState
+) -> None:
+    """Tell a caller beyond the bound that nothing of its request was run."""
+    host, port = stream.socket.getpeername()[:2]
+    connection = _Connection(stream=stream, peer=f"{host}:{port}", limits=limits, state=state)
+    await connection.refuse(
+        RequestRefused(status=OVERLOADED, message="this VM has as many connections as it may")
+    )
+
+
 async def serve_http(
     *,
     handler: Handler,
@@ -359,12 +351,13 @@
     """
 
     async def serve_one(stream: trio.SocketStream) -> None:
-        if state.open_connections >= limits.connections:
-            await stream.aclose()
-            return
-        state.open_connections += 1
+        full = state.open_connections >= limits.connections
+        state.open_connections += not full
         try:
-            await _serve_connection(stream, handler=handler, limits=limits, state=state)
+            if full:
+                await _turn_away(stream, limits=limits, state=state)
+            else:
+                await _serve_connection(stream, handler=handler, limits=limits, state=state)
         except (CallerGone, OSError):
             return
         except Exception:
@@ -372,7 +365,7 @@
             # it every other caller's connection.
             CONNECTION_FAULT.log(log, peer=str(stream.socket), exc_info=True)
         finally:
-            state.open_connections -= 1
+            state.open_connections -= not full
             with trio.move_on_after(1) as scope:
                 scope.shield = True
                 await trio.aclose_forcefully(stream)
--- a/lagoonlever/platform/etcd_servers.py
+++ b/lagoonlever/platform/etcd_servers.py
@@ -18,7 +18,7 @@
 )
 from lagoonlever.http.client import Pool, Response, fetch
 from lagoonlever.http.messages import Address, Headers
-from lagoonlever.http.server import JSON_TYPE
+from lagoonlever.http.refusals import JSON_TYPE
 from lagoonlever.instruments import Metrics
 from lagoonlever.metrics import PLATFORM_CALLS
 from lagoonlever.platform.etcd_wire import NOT_FOUND, ErrorResponse, encode
--- a/lagoonlever/tests/commands_settings_tests.py
+++ b/lagoonlever/tests/commands_settings_tests.py
@@ -18,14 +18,8 @@
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.fakes.platform import PlatformFault, PlatformFaultKind
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import (
-    Exchange,
-    ServerLimits,
-    ServerState,
-    error_payload,
-    open_listeners,
-    serve_http,
-)
+from lagoonlever.http.refusals import error_payload
+from lagoonlever.http.server import Exchange, ServerLimits, ServerState, open_listeners, serve_http
 from lagoonlever.tree.options import api_key_digest
 
 KEY = "operators-key"
--- a/lagoonlever/tests/http_server_tests.py
+++ b/lagoonlever/tests/http_server_tests.py
@@ -21,7 +21,7 @@
 )
 from lagoonlever.tests.base import until
 
-LIMITS = ServerLimits(body_bytes=100_000, header_bytes=8_000, write_timeout_s=0.3)
+LIMITS = ServerLimits(body_bytes=100_000, header_bytes=8_000, write_timeout_s=0.3, connections=3)
 LIMIT_S = 30
 
 
@@ -157,3 +157,22 @@
         assert taken[0] <= LIMITS.header_bytes + 2 * 65536
 
     serving(handler, story)
+
+
+def test_a_caller_beyond_the_bound_on_connections_is_told_not_run():
+    """A VM with every connection taken told a new caller nothing: the connection just ended."""
+
+    async def story(address: Address, state: ServerState) -> None:
+        taken = [await ClientConnection.open(address) for _ in range(LIMITS.connections)]
+        await until(lambda: state.open_connections == LIMITS.connections)
+        response = await fetch(address, method="POST", path="/", body=b"a", step="t", timeout_s=20)
+        assert response.status == 503
+        assert response.headers.get("Lagoonlever-Outcome") == "not-run"
+        assert int(response.headers.get("Retry-After")) >= 1
+        await taken.pop().aclose()
+        await until(lambda: state.open_connections < LIMITS.connections)
+        assert (await get(address, "/")).status == 200
+        for connection in taken:
+            await connection.aclose()
+
+    serving(echo, story)
