Show the orders to engines and set what is wanted of them, by command and over HTTP

Nothing wrote the wanted states but an operator's own tool. `lagoonlever orders show` tells for each engine what is wanted, what it reports now, and which VM gives the orders by which number; `set` changes the wanted states through /admin/orders, which asks for the operators' key as the settings do.

A change names the state that its author saw of each engine, so that of two who race for one engine the second is told, and changes of different engines are both kept. A lost answer is found out by reading back, without an id on record: the document holds states, and says by itself whether the wanted one stands. What cannot be found out is told as undetermined, with exit code 5.

An engine of which nothing is wanted yet can't be set without models: its order would unload what it serves.

--- a/lagoonlever/__main__.py
+++ b/lagoonlever/__main__.py
@@ -12,6 +12,7 @@
     demo,
     entry,
     fake,
+    orders,
     report,
     settings,
     status,
@@ -32,6 +33,7 @@
 app.command()(bench.bench)
 app.add_typer(report.app, name="report")
 app.add_typer(settings.app, name="settings")
+app.add_typer(orders.app, name="orders")
 app.add_typer(fake.app, name="fake")
 
 
--- a/lagoonlever/entry/admin.py
+++ b/lagoonlever/entry/admin.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import Any, TypeVar
 
 import attrs
 import logbook
-import msgspec
 import trio
 
+from lagoonlever.entry import admin_http as http
 from lagoonlever.entry import settings_events as events
 from lagoonlever.entry.admin_messages import (
     CHANGE_PATH,
@@ -31,8 +30,8 @@
 from lagoonlever.entry.operators import Operators
 from lagoonlever.entry.settings import SettingsPart
 from lagoonlever.exceptions import Fault, FaultsError, PlatformError, RequestRefused
-from lagoonlever.http.messages import Headers, Request
-from lagoonlever.http.server import JSON_TYPE, Exchange
+from lagoonlever.http.messages import Request
+from lagoonlever.http.server import Exchange
 from lagoonlever.identity import REQUEST_ID
 from lagoonlever.tree.change_plan import ChangeRequest, Stored
 from lagoonlever.tree.document import parse_text, render
@@ -40,20 +39,9 @@
 
 log = logbook.Logger(__name__)
 
-T = TypeVar("T")
-
 MAX_RECORD_TEXT = 500
 MAX_WAIT_S = 25.0
 """Below the time that usual clients wait for an answer."""
-OK, NOT_FOUND = 200, 404
-BAD_REQUEST, METHOD_NOT_ALLOWED, UNAVAILABLE = 400, 405, 503
-STATUS_BY_TAG = {
-    "stored": 200,
-    "conflict": 409,
-    "invalid": 422,
-    "not-stored": 503,
-    "undetermined": 504,
-}
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -72,7 +60,7 @@
             await handler(exchange)
         except PlatformError as error:
             raise RequestRefused(
-                status=UNAVAILABLE, field="platform", message=str(error)
+                status=http.UNAVAILABLE, field="platform", message=str(error)
             ) from error
 
     def _handler(self, request: Request) -> Callable[[Exchange], Awaitable[None]]:
@@ -86,11 +74,13 @@
         }
         if request.path not in routes:
             raise RequestRefused(
-                status=NOT_FOUND, field="path", message=f"give one of: {', '.join(routes)}"
+                status=http.NOT_FOUND, field="path", message=f"give one of: {', '.join(routes)}"
             )
         method, handler = routes[request.path]
         if request.method != method:
-            raise RequestRefused(status=METHOD_NOT_ALLOWED, field="method", message=f"use {method}")
+            raise RequestRefused(
+                status=http.METHOD_NOT_ALLOWED, field="method", message=f"use {method}"
+            )
         return handler
 
     async def _show(self, exchange: Exchange) -> None:
@@ -109,31 +99,31 @@
             vm_version=self._part.version,
             vm_age_s=self._part.age_s,
         )
-        await _respond(exchange, shown)
+        await http.respond(exchange, shown)
 
     async def _node(self, exchange: Exchange) -> None:
         path = exchange.request.query.get("path", ROOT)
         try:
             shown = node_shown(self._part.view.value, path)
         except UnknownNode as error:
-            raise RequestRefused(status=NOT_FOUND, field="path", message=str(error)) from error
-        await _respond(exchange, shown)
+            raise RequestRefused(status=http.NOT_FOUND, field="path", message=str(error)) from error
+        await http.respond(exchange, shown)
 
     async def _history(self, exchange: Exchange) -> None:
         head = (await self._part.store.read()).head
-        await _respond(exchange, history_shown(head))
+        await http.respond(exchange, history_shown(head))
 
     async def _check(self, exchange: Exchange) -> None:
-        asked = _read_body(exchange.request, CheckAsked)
+        asked = http.read_body(exchange.request, CheckAsked)
         # A text that is more than JSON with comments takes hundreds of
         # milliseconds to read, during which the callers' streams must go on.
         faults = await trio.to_thread.run_sync(_faults_of, asked.text)
-        await _respond(exchange, CheckTold(faults=faults))
+        await http.respond(exchange, CheckTold(faults=faults))
 
     async def _change(self, exchange: Exchange) -> None:
-        asked = _read_body(exchange.request, ChangeRequest)
+        asked = http.read_body(exchange.request, ChangeRequest)
         _check_change(asked)
-        wait_s = _number(exchange.request, "wait_s", default=0.0)
+        wait_s = http.read_number(exchange.request, "wait_s", default=0.0)
         outcome = await self._part.store.change(asked)
         told = change_told(asked.change_id, outcome)
         _log(asked, told)
@@ -142,13 +132,15 @@
                 outcome.version, timeout_s=min(wait_s, MAX_WAIT_S)
             )
             told = attrs.evolve(told, in_force=in_force)
-        await _respond(exchange, told, status=STATUS_BY_TAG[told.tag])
+        await http.respond(exchange, told, status=http.STATUS_BY_TAG[told.tag])
 
     async def _in_force(self, exchange: Exchange) -> None:
-        version = int(_number(exchange.request, "version", default=self._part.version or 0))
-        wait_s = _number(exchange.request, "wait_s", default=0.0)
+        version = int(
+            http.read_number(exchange.request, "version", default=self._part.version or 0)
+        )
+        wait_s = http.read_number(exchange.request, "wait_s", default=0.0)
         told = await self._part.wait_in_force(version, timeout_s=min(wait_s, MAX_WAIT_S))
-        await _respond(exchange, told)
+        await http.respond(exchange, told)
 
 
 def _faults_of(text: str) -> tuple[Fault, ...]:
@@ -162,12 +154,12 @@
 def _check_change(asked: ChangeRequest) -> None:
     if REQUEST_ID.match(asked.change_id) is None:
         message = "is no id; give 1 to 80 letters, digits, hyphens, dots or underscores"
-        raise RequestRefused(status=BAD_REQUEST, field="change_id", message=message)
+        raise RequestRefused(status=http.BAD_REQUEST, field="change_id", message=message)
     for name, text in (("author", asked.author), ("note", asked.note)):
         # Records share one value on the platform: a long one would push out others.
         if len(text) > MAX_RECORD_TEXT:
             message = f"has {len(text)} characters; at most {MAX_RECORD_TEXT} are kept"
-            raise RequestRefused(status=BAD_REQUEST, field=name, message=message)
+            raise RequestRefused(status=http.BAD_REQUEST, field=name, message=message)
 
 
 def _log(asked: ChangeRequest, told: ChangeTold) -> None:
@@ -179,25 +171,3 @@
     events.STORED.log(
         log, change_id=asked.change_id, author=asked.author, version=told.version, keys=keys
     )
-
-
-def _read_body(request: Request, cls: type[T]) -> T:
-    try:
-        return msgspec.json.decode(request.body, type=cls)
-    except msgspec.MsgspecError as error:
-        raise RequestRefused(status=BAD_REQUEST, field="body", message=str(error)) from error
-
-
-def _number(request: Request, name: str, *, default: float) -> float:
-    text = request.query.get(name)
-    if text is None:
-        return default
-    try:
-        return float(text)
-    except ValueError:
-        raise RequestRefused(status=BAD_REQUEST, field=name, message="is no number") from None
-
-
-async def _respond(exchange: Exchange, payload: Any, *, status: int = OK) -> None:
-    headers = Headers((("Content-Type", JSON_TYPE),))
-    await exchange.respond(status=status, headers=headers, body=msgspec.json.encode(payload))
--- a/lagoonlever/entry/orders.py
+++ b/lagoonlever/entry/orders.py
@@ -6,7 +6,6 @@
 
 import attrs
 import logbook
-import msgspec
 import trio
 
 from lagoonlever.config.options import option
@@ -17,9 +16,9 @@
     LoadBudget,
     OrderHolder,
     ReadEngine,
-    WantedState,
 )
 from lagoonlever.decisions.targets import TargetKind, TargetView
+from lagoonlever.entry.orders_store import WantedStore, WantedUnreadable
 from lagoonlever.entry.published import Published
 from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed, PeerError, PlatformError
@@ -31,7 +30,6 @@
 log = logbook.Logger(__name__)
 
 HOLDER_KEY = "lagoonlever/orders/holder"
-WANTED_KEY = "lagoonlever/orders/wanted"
 CANDIDATES = 3
 """VMs that try for the lease: more would only add calls on the platform."""
 STEP_S = 0.25
@@ -81,13 +79,6 @@
     )
 
 
-@attrs.frozen(kw_only=True)
-class WantedEngines:
-    """The document under ``WANTED_KEY``: the state wanted of each engine by name."""
-
-    engines: dict[str, WantedState]
-
-
 @attrs.define(kw_only=True, eq=False)
 class OrdersPart:
     """Owns the lease and the orders of one VM."""
@@ -176,16 +167,15 @@
             self._holder.renewed(sent_at=sent_at, ttl_s=renewal.ttl_s)
 
     async def _read_wanted(self) -> None:
+        store = WantedStore(platform=self._platform)
         while True:
             try:
-                read = await self._platform.get(WANTED_KEY)
-                document = read.entry.value if read.entry else b'{"engines":{}}'
-                wanted = msgspec.json.decode(document, type=WantedEngines)
-                self._holder.wanted_read(wanted.engines)
+                read = await store.read()
+                self._holder.wanted_read(read.document.engines)
+            except WantedUnreadable as error:
+                ORDERS_WANTED_BAD.log(log, error=str(error))
             except PlatformError:
                 pass
-            except msgspec.MsgspecError as error:
-                ORDERS_WANTED_BAD.log(log, error=str(error))
             await trio.sleep(self._settings.wanted_period_s)
 
     async def _give_orders(self) -> None:
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -11,6 +11,8 @@
 from lagoonlever.entry.addresses import EntryAddressesPart
 from lagoonlever.entry.admin import SettingsAdmin
 from lagoonlever.entry.admin_messages import SETTINGS_PATH
+from lagoonlever.entry.admin_orders import OrdersAdmin
+from lagoonlever.entry.admin_orders_messages import ORDERS_PATH
 from lagoonlever.entry.admission import AdmissionPart
 from lagoonlever.entry.cache_events import CacheEventSink
 from lagoonlever.entry.callers import CallerDirectory
@@ -249,6 +251,10 @@
         routes.add("*", SERVICES_PATH, self.services.handle, prefix=True)
         admin = SettingsAdmin(part=self.settings, operators=self.operators)
         routes.add("*", SETTINGS_PATH, admin.handle, prefix=True)
+        orders = OrdersAdmin(
+            platform=self.base.platform, targets=self.targets.view, operators=self.operators
+        )
+        routes.add("*", ORDERS_PATH, orders.handle, prefix=True)
         routes.add("GET", "/admin/status", self.reporting.handle_status)
         routes.add("GET", "/metrics", self.reporting.handle_metrics)
         return routes
--- a/lagoonlever/tests/operators_tests.py
+++ b/lagoonlever/tests/operators_tests.py
@@ -50,7 +50,7 @@
     assert refused.value.status == status
 
 
-@pytest.mark.parametrize("command", [("status",), ("settings", "show")])
+@pytest.mark.parametrize("command", [("status",), ("settings", "show"), ("orders", "show")])
 def test_every_command_of_operators_needs_the_key(command: tuple[str, ...]) -> None:
     """Story: a caller in the deployment's network reads who uses the pool, and drains an engine.
 
--- a/lagoonlever/tests/orders_part_tests.py
+++ b/lagoonlever/tests/orders_part_tests.py
@@ -11,8 +11,10 @@
 
 from lagoonlever.decisions.membership import Member, MemberState, MemberView
 from lagoonlever.decisions.orders import GiveOrder, WantedState
+from lagoonlever.decisions.orders_wanted import WantedEngines
 from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetView
-from lagoonlever.entry.orders import WANTED_KEY, OrderSettings, OrdersPart, WantedEngines
+from lagoonlever.entry.orders import OrderSettings, OrdersPart
+from lagoonlever.entry.orders_store import WANTED_KEY
 from lagoonlever.entry.published import Published
 from lagoonlever.fakes.batch import ServedModel
 from lagoonlever.fakes.engine import EngineOptions, FakeEngine
