--- a/lagoonlever/entry/settings_peers.py
+++ b/lagoonlever/entry/settings_peers.py
@@ -25,6 +25,8 @@
 ROUND_ASK_PERIOD_S = 0.25
 """How soon a VM that starts or wakes asks its peers again; doubles up to the usual period."""
 ROUND_PEERS = 8
+FETCH_S = 0.25
+"""How long one peer is given to send a version before another is asked for it."""
 ASKS_KEPT = 512
 
 
@@ -39,6 +41,8 @@
     _random: random.Random
     _new: trio.MemoryReceiveChannel[int]
     _asks: dict[int, float] = attrs.field(factory=dict, init=False)
+    _fetched_version: int = attrs.field(default=-1, init=False)
+    _fetch_until: float = attrs.field(default=0.0, init=False)
     _last_ask: int = attrs.field(default=0, init=False)
 
     def others(self) -> list[Member]:
@@ -82,16 +86,15 @@
         async for received in news:
             message = received.message
             self._state.table.note(received.sender, message.version)
-            if self._state.decision.is_newer(message.version):
-                self._ask(message.reply_to)
+            self._fetch(message.version, message.reply_to)
 
     async def _take_asks(self, asks: trio.MemoryReceiveChannel[Received[SettingsAsk]]) -> None:
         async for received in asks:
             ask = received.message
             self._state.table.note(received.sender, ask.version)
             self._bus.send(ask.reply_to, self._answer_to(ask), expected=received.sender)
-            if ask.version is not None and self._state.decision.is_newer(ask.version):
-                self._ask(ask.reply_to)
+            if ask.version is not None:
+                self._fetch(ask.version, ask.reply_to)
 
     async def _take_answers(
         self, answers: trio.MemoryReceiveChannel[Received[SettingsAnswer]]
@@ -139,6 +142,20 @@
         for member in self._sample(self._options.fanout):
             self._bus.send(member.peers, news)
 
+    def _fetch(self, version: int, to: Address) -> None:
+        """Ask a peer for a version that is new here, unless that was just asked for.
+
+        News of one change come from many peers at once, and each answer holds
+        the whole tree.
+        """
+        if not self._state.decision.is_newer(version):
+            return
+        if version <= self._fetched_version and self._state.now < self._fetch_until:
+            return
+        self._fetched_version = version
+        self._fetch_until = self._state.now + FETCH_S
+        self._ask(to)
+
     def _ask(self, to: Address) -> None:
         self._last_ask += 1
         self._asks[self._last_ask] = self._state.now
