Take a new key after "not run", and honour the time to come back

"Not run" is final for a key, so the callers' library repeated in vain: the test, with a runner that comes back after a second, gave "not run" until its end.

--- a/lagoonlever/client/service_calls.py
+++ b/lagoonlever/client/service_calls.py
@@ -20,6 +20,7 @@
 from lagoonlever.outcomes import (
     OUTCOME_HEADER,
     REASON_HEADER,
+    RETRY_AFTER_HEADER,
     OutcomeTag,
 )
 
@@ -57,6 +58,7 @@
     body: bytes
     key: str | None
     tries: int
+    retry_after_s: float = 0.0
 
 
 @attrs.define(kw_only=True)
@@ -68,10 +70,10 @@
     _rng: random.Random = attrs.field(factory=random.SystemRandom)
 
     async def call(self, request: ServiceRequest) -> ServiceAnswer:
-        """Give the answer, repeating the call under its key while its outcome is open.
+        """Give the answer, repeating the call while its outcome is open.
 
         A repeat is safe: under one key a call runs at most once, and what was run
-        already gives its former answer again.
+        already gives its former answer again. After "not run" a new key is taken.
         """
         ends_at = trio.current_time() + request.within_s
         entry = await self._discover()
@@ -90,8 +92,21 @@
             if pause_s is None or trio.current_time() + pause_s >= ends_at:
                 return last
             await trio.sleep(pause_s)
+            keyed = self._for_repeat(request, keyed, last, entry)
         return last
 
+    def _for_repeat(
+        self,
+        request: ServiceRequest,
+        keyed: ServiceRequest,
+        last: ServiceAnswer,
+        entry: EntryAnswer | None,
+    ) -> ServiceRequest:
+        """Give what to send next: a key of which "not run" was told never runs any more."""
+        if last.outcome is not OutcomeTag.NOT_RUN or not last.status or request.key is not None:
+            return keyed
+        return attrs.evolve(keyed, key=self._mint(request, entry))
+
     async def _discover(self) -> EntryAnswer | None:
         try:
             return await self._caller.discover()
@@ -161,11 +176,17 @@
         body=response.body,
         key=request.key,
         tries=tries,
+        retry_after_s=_retry_after_s(response.headers),
     )
 
 
+def _retry_after_s(headers: Headers) -> float:
+    text = headers.get(RETRY_AFTER_HEADER) or ""
+    return float(text) if text.isdigit() else 0.0
+
+
 def _pause_after(answer: ServiceAnswer) -> float | None:
     """Give how long to wait before a repeat, or None where a repeat would change nothing."""
     if answer.outcome in FINAL or answer.status in BAD_REQUEST_STATUSES:
         return None
-    return PAUSE_S
+    return max(PAUSE_S, answer.retry_after_s)
--- a/lagoonlever/tests/service_calls_tests.py
+++ b/lagoonlever/tests/service_calls_tests.py
@@ -91,3 +91,28 @@
         assert (answer.status, answer.tries) == (404, 1)
 
     run(story, vms=1)
+
+
+def test_a_bid_that_was_not_run_is_sent_again_under_a_new_key() -> None:
+    """A dealer's bid never arrives: each repeat is told "not run" though runners are back.
+
+    The runner was dead at the first try, and "not run" is final for a key. A
+    repeat needs a new one.
+    """
+
+    async def story(cluster: EmbeddedCluster, caller: ServiceCaller) -> None:
+        cluster.kill_target("application-1")
+        async with trio.open_nursery() as nursery:
+
+            async def come_back() -> None:
+                await trio.sleep(1.0)
+                await cluster.start_application("application-2", "dc-a")
+                cluster.publish_list()
+
+            nursery.start_soon(come_back)
+            answer = await caller.call(attrs.evolve(BID, within_s=20.0))
+        assert answer.outcome is OutcomeTag.DONE
+        assert answer.tries > 1
+        assert executions(cluster, answer) == 1
+
+    run(story)
