Tell unknown, not 'not run', for a generation that was begun at another VM

Cause: a caller that came back with its last event id to a VM that was cut off, full, or without an engine was told 'not run': that VM had sent nothing. The id proves that another one had. Ruled out: the life of a resumed request, which already counts as sent; the refusals before it and the new generation after a lost one did not. Before: 3 of 3 told not-run; after: unknown with the same reason and time to come back. A new request at the same VM is told 'not run' as before.

--- a/lagoonlever/decisions/generation.py
+++ b/lagoonlever/decisions/generation.py
@@ -79,7 +79,7 @@
         self._avoid: set[str] = set()
         self._tried_all_again = False
         self._attempts_started = 0
-        self._anything_sent = False
+        self._anything_sent = first_generation > 1
         self._finished: Finish | None = None
         self._resume_point = resume_point
         if resume_point is not None:
--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -28,7 +28,7 @@
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.server import Exchange
 from lagoonlever.identity import EventId
-from lagoonlever.outcomes import NotRun, Outcome, Reason
+from lagoonlever.outcomes import NotRun, Outcome, Reason, Unknown
 from lagoonlever.timers import Tick
 
 RequestKey = tuple[str, str]
@@ -109,7 +109,7 @@
         refusal = self._refusal()
         task = self._known(organisation, call.spec.request_id)
         if task is None and refusal is not None:
-            await self._refuse(exchange, organisation, refusal)
+            await self._refuse(exchange, call, refusal)
             return
         if task is not None:
             _check_same(task.spec, call.spec)
@@ -173,7 +173,7 @@
                 retry_after_s=1.0,
                 status=429,
             )
-            await self._refuse(exchange, call.spec.organisation, outcome)
+            await self._refuse(exchange, call, outcome)
             return None
         if call.last_event_id is None:
             return self._start(call.spec)
@@ -184,7 +184,7 @@
         if point is None:
             point = await self._resume_points.find(call.spec, last)
         if point is None and last.offset and not call.spec.accepts_restart:
-            await self._refuse(exchange, call.spec.organisation, HELD_IS_VOID)
+            await self._refuse(exchange, call, HELD_IS_VOID)
             return None
         current = self.find(call.spec.organisation, call.spec.request_id)
         if current is not None:
@@ -198,8 +198,16 @@
         first_generation = last.generation + 1 if last.offset else last.generation
         return self._start(call.spec, point=point, first_generation=first_generation)
 
-    async def _refuse(self, exchange: Exchange, organisation: str, outcome: Outcome) -> None:
-        self._metrics.refused(organisation, outcome)
+    async def _refuse(self, exchange: Exchange, call: CompletionCall, outcome: Outcome) -> None:
+        """Refuse a request; one that was begun at another VM is never told "not run"."""
+        if isinstance(outcome, NotRun) and call.last_event_id is not None:
+            outcome = Unknown(
+                reason=outcome.reason,
+                message=outcome.message,
+                retry_after_s=outcome.retry_after_s,
+                status=outcome.status,
+            )
+        self._metrics.refused(call.spec.organisation, outcome)
         await respond_outcome(exchange, outcome, rng=self._rng)
 
     def _start(
--- a/lagoonlever/tests/cluster_tests.py
+++ b/lagoonlever/tests/cluster_tests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import attrs
 import msgspec
 import pytest
@@ -9,11 +11,13 @@
 
 from lagoonlever.client.answers import HeldStream
 from lagoonlever.decisions import orphans
+from lagoonlever.entry.generations import GenerationSettings
 from lagoonlever.fakes.batch import ServedModel
 from lagoonlever.fakes.cluster import DATA_CENTERS, MODEL
 from lagoonlever.fakes.engine import EngineOptions, FakeEngine
 from lagoonlever.fakes.faults import FaultKind, FaultOrder
 from lagoonlever.history.events_vms import AttemptDispatched
+from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.tests.base import (
     Scene,
     document,
@@ -332,6 +336,51 @@
     run_scene(story, tmp_path, engines=1, vms=1)
 
 
+@pytest.mark.parametrize(
+    ("why", "code"),
+    [
+        ("takes no new work", b"isolated"),
+        ("is full", b"overloaded"),
+        ("has no engine", b"no-target"),
+    ],
+)
+def test_a_request_that_was_begun_elsewhere_is_never_told_not_run(tmp_path, why, code):
+    """A caller that holds part of its answer comes to a VM that cannot serve it now.
+
+    That VM has run nothing of it, but another one has, as the caller's event id
+    says. "Not run" would be untrue; a new request is told so at the same VM.
+    """
+
+    async def story(scene: Scene) -> None:
+        stream = HeldStream()
+        await scene.visit("vm-1", stream, request="r", length=400, seed=5, stop_at=12)
+        service = scene.cluster.vms["vm-2"].daemon.parts.generations.service
+        scene.cluster.kill_vm("vm-1")
+        if why == "takes no new work":
+            service._refusal = lambda: NotRun(reason=Reason.ISOLATED, message="cut off")
+        elif why == "is full":
+            service._settings = GenerationSettings(running=1)
+            scene.cluster._nursery.start_soon(partial(fill, scene))
+            await until(lambda: service.running)
+        else:
+            scene.cluster.kill_target("engine-1")
+        headers = (("Idempotency-Key", "r"), ("Lagoonlever-Accept", "resume, restart"))
+        back = (*headers, ("Last-Event-ID", str(stream.last_event_id)))
+        known = await post(scene.address("vm-2"), document(length=400, seed=5), headers=back)
+        error = known.body.replace(b": ", b":").replace(b", ", b",")
+        assert b'"type":"unknown","code":"' + code in error
+        new = (("Idempotency-Key", "new"),)
+        fresh = await post(scene.address("vm-2"), document(length=400, seed=5), headers=new)
+        assert fresh.headers.get("Lagoonlever-Outcome") == "not-run"
+        scene.recorder.events.clear()
+
+    run_scene(story, tmp_path, engines=1, vms=2)
+
+
+async def fill(scene: Scene) -> None:
+    await post(scene.address("vm-2"), document(length=4000, seed=1))
+
+
 WRONG = [
     (b"{", (), 400, "body"),
     (b"[]", (), 400, "body"),
