--- a/lagoonlever/http/refusals.py
+++ b/lagoonlever/http/refusals.py
@@ -29,16 +29,21 @@
     }
 
 
-def refusal_headers(refused: RequestRefused, *, length: int, peer_port: int) -> Headers:
+def refusal_headers(
+    refused: RequestRefused, *, length: int, peer_port: int, keyed: bool
+) -> Headers:
     """Give the header fields of a refusal that closes its connection.
 
-    ``peer_port`` spreads the times to come back: kernels draw it at random.
+    ``peer_port`` spreads the times to come back: kernels draw it at random. A
+    request under a key (``keyed``) that could not be read whole is "unknown": a
+    former copy of it may have run, and here nothing is known of that.
     """
+    outcome = OutcomeTag.UNKNOWN if keyed else OutcomeTag.NOT_RUN
     pairs = [
         ("Content-Type", JSON_TYPE),
         ("Content-Length", str(length)),
         ("Connection", "close"),
-        (OUTCOME_HEADER, OutcomeTag.NOT_RUN.value),
+        (OUTCOME_HEADER, outcome.value),
     ]
     if refused.status == OVERLOADED:
         pairs.append((REASON_HEADER, Reason.OVERLOADED.value))
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -28,6 +28,7 @@
     "A fault of the system itself; other connections go on. Report it with the lines around.",
 )
 
+KEY_FIELD = b"idempotency-key"
 RECEIVE_BYTES = 64 * 1024
 LINGER_S = 2.0
 """How long a refused caller's remaining bytes are read and dropped."""
@@ -130,7 +131,7 @@
         self._limits = limits
         self._state = state
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
-        self._received_anything = False
+        self._reading_keyed = False
 
     @property
     def takes_trailers(self) -> bool:
@@ -168,6 +169,7 @@
         request = await self._read_head()
         if request is None:
             return None
+        self._reading_keyed = any(name == KEY_FIELD for name, _ in request.headers)
         with trio.move_on_after(self._limits.request_timeout_s) as scope:
             body = await self._read_body()
         if scope.cancelled_caught:
@@ -267,7 +269,9 @@
             return
         body = json.dumps(error_payload(refused)).encode()
         port = int(self._peer.rpartition(":")[2])
-        headers = refusal_headers(refused, length=len(body), peer_port=port)
+        headers = refusal_headers(
+            refused, length=len(body), peer_port=port, keyed=self._reading_keyed
+        )
         head = h11.Response(status_code=refused.status, headers=headers.raw())
         await self.send(head, h11.Data(data=body), h11.EndOfMessage())
         await self._linger()
--- a/lagoonlever/tests/http_server_tests.py
+++ b/lagoonlever/tests/http_server_tests.py
@@ -80,6 +80,30 @@
     serving(echo, story)
 
 
+def test_a_keyed_request_that_was_not_read_whole_is_unknown() -> None:
+    """A dealer is told "not run", bids anew under another key, and has two bids.
+
+    The first copy of the bid ran and its answer was lost. The repeat was cut short
+    on its way; the VM that could not read it knows nothing of the first copy.
+    """
+    headers = Headers((("Idempotency-Key", "bid-4711"),))
+
+    async def story(address: Address, state: ServerState) -> None:
+        response = await fetch(
+            address,
+            method="POST",
+            path="/",
+            headers=headers,
+            body=b"x" * 200_000,
+            step="t",
+            timeout_s=20,
+        )
+        assert response.status == 413
+        assert response.headers.get("Lagoonlever-Outcome") == "unknown"
+
+    serving(echo, story)
+
+
 def test_a_pooled_connection_is_not_used_again_after_a_timeout():
     """A clerk's lookup times out; the next clerk must not read the first one's late answer."""
     late = trio.Event()
