Read engines' streams in one place, and tell an oversized event as the engine's fault

Two tasks read an engine's stream by loops of their own (an attempt, and the recovery of a returning caller's tokens), the caller's library by a third. They differed where they should not: recovery read an error status in silence and logged 'the tokens there are others', and none of them caught the ValueError of an event beyond 1 MB. In an attempt that ended the request as 'a fault within the system', though another engine could have gone on.

EventReader (http/) reads the events of a response, EngineStream (entry/) the chunks of an engine; both raise only PeerErrors, with step and peer. A connection now closes with its 'async with' block, which was written out three times. EngineRefused loses status and busy, which nobody read. An attempt that takes up a running stream names that step in its errors.

--- a/lagoonlever/client/caller.py
+++ b/lagoonlever/client/caller.py
@@ -16,13 +16,15 @@
 from lagoonlever.exceptions import LagoonleverException, PeerError, PeerTimeout
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.http.client import ClientConnection, fetch
+from lagoonlever.http.event_reader import EventReader
 from lagoonlever.http.messages import Address, Headers
-from lagoonlever.http.sse import EventParser
+from lagoonlever.http.sse import ServerEvent
 from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER, RETRY_AFTER_HEADER
 
 STATUS_OK = 200
 STATUS_RETRY = frozenset({429, 503})
 ENTRY_PATH = "/v1/entry"
+READ_STEP = "read the answer"
 DISCOVER_TIMEOUT_S = 1.0
 FIRST_RETRY_S = 0.05
 MOST_RETRY_S = 1.0
@@ -217,9 +219,8 @@
 
     async def _exchange(self, address: Address, visit: _Visit) -> None:
         visit.connected = False
-        connection = await ClientConnection.open(address)
-        visit.connected = True
-        try:
+        async with await ClientConnection.open(address) as connection:
+            visit.connected = True
             visit.record_asked(address)
             await connection.start(
                 method="POST",
@@ -235,36 +236,37 @@
                 await self._refused(connection, head.status, head.headers)
                 return
             await self._read(connection, visit)
-        finally:
-            with trio.CancelScope(shield=True):
-                await connection.aclose()
         moved = visit.stream.take_moved()
         if moved is not None:
             self._known = [Address.parse(text) for text in moved if text != str(address)]
 
     async def _read(self, connection: ClientConnection, visit: _Visit) -> None:
-        parser = EventParser()
-        stream = visit.stream
+        events = EventReader(connection=connection, step=READ_STEP)
         vm = str(connection.address)
         while True:
-            piece = await self._hear(
-                connection, connection.next_piece, at_most_s=self._silence_at_most_s
+            event = await self._hear(
+                connection, events.next_event, at_most_s=self._silence_at_most_s
             )
-            if piece is None:
+            if event is None:
                 return
-            for event in parser.feed(piece):
-                restarts = stream.restarts
-                text = stream.feed(event, peer=vm, history=visit.history)
-                if text or stream.restarts > restarts:
-                    arrival = Arrival(
-                        at=trio.current_time(),
-                        text=text,
-                        offset=len(stream.token_ids),
-                        restarted=stream.restarts > restarts,
-                        vm=vm,
-                        target=stream.last_event_id.target if stream.last_event_id else "",
-                    )
-                    visit.on_arrival(arrival)
+            self._take_event(event, visit, vm=vm)
+
+    def _take_event(self, event: ServerEvent, visit: _Visit, *, vm: str) -> None:
+        stream = visit.stream
+        restarts_before = stream.restarts
+        text = stream.feed(event, peer=vm, history=visit.history)
+        restarted = stream.restarts > restarts_before
+        if not text and not restarted:
+            return
+        arrival = Arrival(
+            at=trio.current_time(),
+            text=text,
+            offset=len(stream.token_ids),
+            restarted=restarted,
+            vm=vm,
+            target=stream.last_event_id.target if stream.last_event_id else "",
+        )
+        visit.on_arrival(arrival)
 
     async def _hear(
         self,
@@ -284,10 +286,9 @@
             with trio.move_on_after(self._silence_s):
                 return await next_word()
             address = connection.address
-            step = "wait for the answer"
             if trio.current_time() > give_up_at:
-                raise PeerTimeout(f"silent for {at_most_s:g} s", step=step, peer=str(address))
-            await fetch(address, path=ENTRY_PATH, step=step, timeout_s=DISCOVER_TIMEOUT_S)
+                raise PeerTimeout(f"silent for {at_most_s:g} s", step=READ_STEP, peer=str(address))
+            await fetch(address, path=ENTRY_PATH, step=READ_STEP, timeout_s=DISCOVER_TIMEOUT_S)
 
     async def _refused(self, connection: ClientConnection, status: int, headers: Headers) -> None:
         outcome = headers.get(OUTCOME_HEADER, "unknown") or "unknown"
--- a/lagoonlever/entry/attempt.py
+++ b/lagoonlever/entry/attempt.py
@@ -5,26 +5,22 @@
 from collections.abc import Callable
 
 import attrs
-import msgspec
 import trio
 
 from lagoonlever.decisions.generation_messages import Dispatch, GenerationSpec
-from lagoonlever.exceptions import BadResponse, ConnectFailed, PeerError
+from lagoonlever.entry.engine_stream import EngineStream
+from lagoonlever.exceptions import ConnectFailed, PeerError
 from lagoonlever.http.client import ClientConnection, fetch
 from lagoonlever.http.messages import Address
-from lagoonlever.http.sse import DONE_DATA, EventParser
 from lagoonlever.targets.completions import (
     COMPLETIONS_PATH,
     JSON_HEADERS,
     EngineChunk,
     cancel_path,
     completion_body,
-    decode_chunk,
     reattach_path,
 )
 
-STATUS_OK = 200
-STATUS_BUSY = frozenset({429, 503})
 STREAM_STEP = "stream a completion"
 REATTACH_STEP = "take up a stream"
 CANCEL_STEP = "cancel a stream"
@@ -35,19 +31,6 @@
 ChunkHandler = Callable[[EngineChunk], None]
 
 
-class EngineRefused(BadResponse):
-    """The engine answered with an error status; ``busy`` where it may take the work later."""
-
-    def __init__(self, message: str, *, step: str, peer: str, status: int) -> None:
-        self.status = status
-        super().__init__(message, step=step, peer=peer)
-
-    @property
-    def busy(self) -> bool:
-        """Whether the engine only lacked room."""
-        return self.status in STATUS_BUSY
-
-
 @attrs.define(kw_only=True)
 class EngineAttempt:
     """Runs one dispatch; every chunk goes to ``on_chunk`` in its order."""
@@ -60,6 +43,10 @@
     """Asked on the open connection; False means that nothing may be written any more."""
     _priority: int = 0
 
+    @property
+    def _step(self) -> str:
+        return REATTACH_STEP if self._dispatch.reattach else STREAM_STEP
+
     async def run(self) -> None:
         """Return at the stream's proper end; raise a ``PeerError`` at any other.
 
@@ -67,18 +54,14 @@
         fresh: on a reused one, a close that crosses the request leaves in doubt
         whether the engine began.
         """
-        connection = await ClientConnection.open(self._address)
-        try:
+        async with await ClientConnection.open(self._address) as connection:
             if not self._before_write():
-                raise ConnectFailed("takes no new work", step=STREAM_STEP, peer=str(self._address))
+                raise ConnectFailed("takes no new work", step=self._step, peer=str(self._address))
             if self._dispatch.reattach:
                 await self._reattach(connection)
             else:
                 await self._start(connection)
             await self._read(connection)
-        finally:
-            with trio.CancelScope(shield=True):
-                await connection.aclose()
 
     async def _start(self, connection: ClientConnection) -> None:
         await connection.start(
@@ -86,37 +69,20 @@
             path=COMPLETIONS_PATH,
             headers=JSON_HEADERS,
             body=completion_body(self._spec, self._dispatch, priority=self._priority),
-            step=STREAM_STEP,
+            step=self._step,
         )
 
     async def _reattach(self, connection: ClientConnection) -> None:
         path = reattach_path(
             self._spec, self._dispatch.attempt, starting_after=self._dispatch.reattach_after
         )
-        await connection.start(method="GET", path=path, step=REATTACH_STEP)
+        await connection.start(method="GET", path=path, step=self._step)
 
     async def _read(self, connection: ClientConnection) -> None:
-        head = await connection.read_head()
-        if head.status != STATUS_OK:
-            raise EngineRefused(
-                f"status {head.status}",
-                step=STREAM_STEP,
-                peer=str(self._address),
-                status=head.status,
-            )
-        parser = EventParser()
-        while (piece := await connection.next_piece()) is not None:
-            for event in parser.feed(piece):
-                if event.data == DONE_DATA:
-                    return
-                self._on_chunk(self._decode(event.data))
-        raise BadResponse("ended without its end marker", step=STREAM_STEP, peer=str(self._address))
-
-    def _decode(self, data: bytes) -> EngineChunk:
-        try:
-            return decode_chunk(data)
-        except msgspec.MsgspecError as error:
-            raise BadResponse(str(error), step=STREAM_STEP, peer=str(self._address)) from error
+        stream = EngineStream(connection=connection, step=self._step)
+        await stream.read_head()
+        while (chunk := await stream.next_chunk()) is not None:
+            self._on_chunk(chunk)
 
 
 async def cancel_stream(engine: Address, name: str) -> bool:
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -19,7 +19,8 @@
     Release,
     Restart,
 )
-from lagoonlever.entry.attempt import EngineAttempt, EngineRefused
+from lagoonlever.entry.attempt import EngineAttempt
+from lagoonlever.entry.engine_stream import EngineRefused
 from lagoonlever.entry.engines import Engines, Placement
 from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed, PeerError
--- a/lagoonlever/entry/recovery.py
+++ b/lagoonlever/entry/recovery.py
@@ -9,25 +9,24 @@
 
 import attrs
 import logbook
-import msgspec
 import trio
 
 from lagoonlever.decisions.generation_messages import GenerationSpec, ResumePoint
 from lagoonlever.decisions.resume import HeldAnswer, point_of_held
 from lagoonlever.decisions.targets import TargetView
+from lagoonlever.entry.engine_stream import EngineStream
 from lagoonlever.entry.published import Published
 from lagoonlever.events import event
 from lagoonlever.exceptions import PeerError
 from lagoonlever.http.client import ClientConnection
 from lagoonlever.http.messages import Address
-from lagoonlever.http.sse import DONE_DATA, EventParser
 from lagoonlever.identity import EventId
-from lagoonlever.targets.completions import EngineChunk, decode_chunk, reattach_path
+from lagoonlever.targets.completions import EngineChunk, reattach_path
 
 log = logbook.Logger(__name__)
 
 RECOVERY_TIMEOUT_S = 2.0
-STATUS_OK = 200
+RECOVERY_STEP = "recover an answer"
 
 RECOVERED = event(
     210,
@@ -84,7 +83,7 @@
         with trio.move_on_after(RECOVERY_TIMEOUT_S) as scope:
             try:
                 await _read_head(spec, last, target.address, head)
-            except (PeerError, msgspec.MsgspecError) as error:
+            except PeerError as error:
                 reason = str(error)
         if scope.cancelled_caught:
             reason = "it did not answer in time"
@@ -115,18 +114,10 @@
 async def _read_head(
     spec: GenerationSpec, last: EventId, address: Address, head: _StreamHead
 ) -> None:
-    connection = await ClientConnection.open(address)
-    try:
+    async with await ClientConnection.open(address) as connection:
         path = reattach_path(spec, last.attempt, starting_after=0)
-        await connection.start(method="GET", path=path, step="recover an answer")
-        response = await connection.read_head()
-        if response.status != STATUS_OK:
-            return
-        parser = EventParser()
-        while not head.whole and (piece := await connection.next_piece()) is not None:
-            for event_ in parser.feed(piece):
-                if event_.data != DONE_DATA:
-                    head.take(decode_chunk(event_.data))
-    finally:
-        with trio.CancelScope(shield=True):
-            await connection.aclose()
+        await connection.start(method="GET", path=path, step=RECOVERY_STEP)
+        stream = EngineStream(connection=connection, step=RECOVERY_STEP)
+        await stream.read_head()
+        while not head.whole and (chunk := await stream.next_chunk()) is not None:
+            head.take(chunk)
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -9,6 +9,7 @@
 import os
 from collections import deque
 from collections.abc import AsyncIterator
+from types import TracebackType
 
 import attrs
 import h11
@@ -33,7 +34,7 @@
 
 
 class ClientConnection:
-    """One connection to a peer; carries one request at a time."""
+    """One connection to a peer; carries one request at a time, and closes with its block."""
 
     def __init__(self, *, stream: trio.SocketStream, address: Address) -> None:
         self._stream = stream
@@ -72,6 +73,18 @@
             ) from error
         return cls(stream=stream, address=address)
 
+    async def __aenter__(self) -> ClientConnection:
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        with trio.CancelScope(shield=True):
+            await self.aclose()
+
     async def start(
         self,
         *,
