--- a/lagoonlever/tests/cluster_tests.py
+++ b/lagoonlever/tests/cluster_tests.py
@@ -272,6 +272,20 @@
     run_scene(story, tmp_path, engines=2, vms=2)
 
 
+def test_kept_answers_are_bounded_in_number_and_age(tmp_path):
+    """A VM that kept every finished answer would run out of memory within days."""
+
+    async def story(scene: Scene) -> None:
+        service = scene.cluster.vms["vm-1"].daemon.parts.generations.service
+        service._settings = GenerationSettings(answers_kept=2, answer_kept_s=3.0)
+        for seed in range(4):
+            await post(scene.address("vm-1"), document(length=2, seed=seed))
+        await until(lambda: len(service.tasks) == 2)
+        await until(lambda: not service.tasks)
+
+    run_scene(story, tmp_path, engines=1, vms=1)
+
+
 def test_no_engine_of_the_version_is_left(tmp_path):
     """The model was replaced by a new version when the last engine of the old one dies.
 
--- a/lagoonlever/tests/stop_tests.py
+++ b/lagoonlever/tests/stop_tests.py
@@ -17,6 +17,7 @@
 from lagoonlever.entry.daemon import EntryDaemon
 from lagoonlever.exceptions import ConnectFailed, ConnectionBroken
 from lagoonlever.fakes.cluster import MODEL
+from lagoonlever.fakes.faults import FaultKind, FaultOrder
 from lagoonlever.fakes.platform import PlatformFault, PlatformFaultKind
 from lagoonlever.history.checkers.planned_stop import check
 from lagoonlever.history.events_stops import CallerToldAddresses
@@ -89,6 +90,15 @@
     await connection.aclose()
 
 
+async def bid(scene: Scene, key: str) -> None:
+    """Send a bid to the VM that stops, which takes its service a second."""
+    headers = (("Idempotency-Key", key),)
+    path = "/services/application/bids"
+    answer = await post(scene.address("vm-1"), {}, path=path, headers=headers)
+    assert answer.headers.get("Lagoonlever-Outcome") == "done"
+    assert scene.cluster.applications["application-1"].executions.by_key[key] == 1
+
+
 def disturb(scene: Scene, disturbance: str) -> None:
     if disturbance == "engine dies":
         name = next(name for name, e in scene.cluster.engines.items() if e.live_streams)
@@ -106,8 +116,9 @@
     """An operator replaces a VM at noon, while summaries stream from it.
 
     Callers that can are sent elsewhere; a plain client's answer finishes; callers
-    with the old address and a kept-alive connection are served; a second signal
-    changes nothing. Meanwhile an engine, the platform or another VM fails.
+    with the old address and a kept-alive connection are served; bids on their way are
+    answered; a second signal changes nothing. Meanwhile an engine, the platform or
+    another VM fails.
     """
 
     async def story(scene: Scene) -> None:
@@ -120,6 +131,11 @@
             service = vm.daemon.parts.generations.service
             await until(lambda: service.running >= 4)
             await until(lambda: all(task.life.released >= 10 for task in service.tasks))
+            slow = FaultOrder(kind=FaultKind.SLOW, factor=200)
+            scene.cluster.applications["application-1"].inject(slow)
+            for number in range(2):
+                nursery.start_soon(bid, scene, f"bid-{number}")
+            await until(lambda: vm.daemon.parts.services.open_keys == 2)
             for number in range(3):
                 nursery.start_soon(old_address, scene, number)
             vm.daemon.stop()
