--- a/lagoonlever/entry/orders.py
+++ b/lagoonlever/entry/orders.py
@@ -53,8 +53,9 @@
     752,
     "orders-wanted-bad",
     "error",
-    "The wanted states of engines can't be read: {error}; nothing is ordered.",
-    "The document under lagoonlever/orders/wanted is malformed. Put it right.",
+    "The wanted states of engines can't be read: {error}; those read before stand.",
+    "The document under lagoonlever/orders/wanted is malformed. Put it right; until then "
+    "a VM that takes over gives no orders.",
 )
 ORDER_REFUSED = event(
     753,
