Take the checks of a completion request out of the generation service

entry/completion_checks.py has the checks as functions of what they read; _begin checks and bounds, _resume continues what another VM began and says so, and the second look for a task says which race it is for. Statuses are http.HTTPStatus. No behaviour changes.

--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Protocol
 
 import attrs
@@ -13,7 +14,6 @@
 from lagoonlever.decisions.generation import GenerationLife
 from lagoonlever.decisions.generation_messages import GenerationLimits, GenerationSpec, ResumePoint
 from lagoonlever.decisions.resume import point_of_held
-from lagoonlever.decisions.routing import prompt_size
 from lagoonlever.entry.caller_stream import (
     HELD_IS_VOID,
     CallerStream,
@@ -21,16 +21,27 @@
     stream_while_present,
 )
 from lagoonlever.entry.callers import CallerDirectory
+from lagoonlever.entry.completion_checks import (
+    check_allowed,
+    check_event_of,
+    check_same_request,
+)
 from lagoonlever.entry.completions_api import CompletionCall, read_call
 from lagoonlever.entry.engines import Engines
 from lagoonlever.entry.generation_task import GenerationTask
 from lagoonlever.entry.request_metrics import RequestMetrics
-from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.server import Exchange
 from lagoonlever.identity import EventId
 from lagoonlever.outcomes import NotRun, Outcome, Reason, Unknown
 from lagoonlever.timers import Tick
 
+AT_CAPACITY = NotRun(
+    reason=Reason.OVERLOADED,
+    message="this VM has as many requests as it may",
+    retry_after_s=1.0,
+    status=HTTPStatus.TOO_MANY_REQUESTS,
+)
+
 RequestKey = tuple[str, str]
 """An organisation and one of its request ids."""
 
@@ -112,7 +123,7 @@
             await self._refuse(exchange, call, refusal)
             return
         if task is not None:
-            _check_same(task.spec, call.spec)
+            check_same_request(task.spec, call.spec)
         else:
             task = await self._begin(exchange, call)
         if task is not None:
@@ -122,7 +133,7 @@
         """Answer ``GET /v1/models`` in the format that clients of completions know."""
         models = sorted(self._engines.models())
         data = [{"id": name, "object": "model", "owned_by": "lagoonlever"} for name in models]
-        await exchange.respond_json(status=200, payload={"object": "list", "data": data})
+        await exchange.respond_json(status=HTTPStatus.OK, payload={"object": "list", "data": data})
 
     def wake_callers(self) -> None:
         """Have every caller's stream look again whether it should move."""
@@ -165,27 +176,36 @@
         return None
 
     async def _begin(self, exchange: Exchange, call: CompletionCall) -> GenerationTask | None:
-        self._check_allowed(call.spec)
+        """Give the task of a request that this VM does not know; None where it was refused."""
+        check_allowed(
+            call.spec,
+            settings=self._callers.settings_of(call.spec.organisation),
+            served_models=self._engines.models(),
+        )
         if self.running >= self._settings.running:
-            outcome = NotRun(
-                reason=Reason.OVERLOADED,
-                message="this VM has as many requests as it may",
-                retry_after_s=1.0,
-                status=429,
-            )
-            await self._refuse(exchange, call, outcome)
+            await self._refuse(exchange, call, AT_CAPACITY)
             return None
         if call.last_event_id is None:
             return self._start(call.spec)
         last = EventId.parse(call.last_event_id)
-        if last.request_id != call.spec.request_id:
-            raise RequestRefused(status=400, field="Last-Event-ID", message="is of another request")
+        check_event_of(call.spec, last)
+        return await self._resume(exchange, call, last)
+
+    async def _resume(
+        self, exchange: Exchange, call: CompletionCall, last: EventId
+    ) -> GenerationTask | None:
+        """Continue a request that another VM began, or refuse it and give None.
+
+        Where its tokens are lost, a new generation begins if the caller can tell
+        it from the one it holds.
+        """
         point = point_of_held(call.spec, call.held, last)
         if point is None:
             point = await self._resume_points.find(call.spec, last)
         if point is None and last.offset and not call.spec.accepts_restart:
             await self._refuse(exchange, call, HELD_IS_VOID)
             return None
+        # While the tokens were fetched, the caller may have connected once more.
         current = self.find(call.spec.organisation, call.spec.request_id)
         if current is not None:
             return current
@@ -276,32 +296,6 @@
                 del self._tasks[key]
                 task.hand_over()
 
-    def _check_allowed(self, spec: GenerationSpec) -> None:
-        settings = self._callers.settings_of(spec.organisation)
-        if settings.models and spec.model not in settings.models:
-            raise RequestRefused(
-                status=403,
-                field="model",
-                message=f"{spec.organisation} may ask for: {', '.join(settings.models)}",
-            )
-        if prompt_size(spec.prompt) > settings.max_prompt_tokens:
-            raise RequestRefused(
-                status=400,
-                field="prompt",
-                message=f"give at most {settings.max_prompt_tokens} tokens",
-            )
-        if spec.max_tokens > settings.max_tokens:
-            raise RequestRefused(
-                status=400, field="max_tokens", message=f"give at most {settings.max_tokens}"
-            )
-        known = self._engines.models()
-        if known and spec.model not in known:
-            raise RequestRefused(
-                status=404,
-                field="model",
-                message=f"{spec.model!r} is not served; give one of: {', '.join(sorted(known))}",
-            )
-
     def _is_old(self, task: GenerationTask, now: float) -> bool:
         if task.reader is not None or task.ended_at is None:
             return False
@@ -320,12 +314,3 @@
             if left <= self._settings.answers_kept and tokens <= self._settings.tokens_kept:
                 return
             tokens -= self._tasks.pop(key).life.released
-
-
-def _check_same(known: GenerationSpec, asked: GenerationSpec) -> None:
-    """Refuse another request under a known id: its caller would get a foreign answer."""
-    volatile = {"deadline_s": None, "accepts_restart": False}
-    if attrs.evolve(known, **volatile) != attrs.evolve(asked, **volatile):  # type: ignore[arg-type]
-        raise RequestRefused(
-            status=422, field="Idempotency-Key", message="was used for another request; take a new"
-        )
