Bound the holder's reads of engines that have all they are to have

Each engine was read every 2 s however many there are. All these reads together now keep to 6 a second, by stretching every engine's period alike; listed engines leave the others more.

The test with 600 engines is red without the bound. Not bounded yet: the reads by which a new holder stamps all engines.

--- a/lagoonlever/decisions/orders.py
+++ b/lagoonlever/decisions/orders.py
@@ -25,6 +25,8 @@
 """An engine is read this often, also when nothing is to be ordered."""
 CHECKED_READ_PERIOD_S = 30.0
 """The same for an engine that checks numbers: no old holder's order can stand there."""
+READS_PER_S = 6.0
+"""All reads that find nothing to order; a larger fleet's engines are read less often."""
 READ_FRESH_S = 1.0
 """An order rests on a state that was read no longer ago."""
 RETRY_S = 1.0
@@ -119,6 +121,7 @@
     _budget: LoadBudget
     _read_period_s: float = READ_PERIOD_S
     _checked_read_period_s: float = CHECKED_READ_PERIOD_S
+    _reads_per_s: float = READS_PER_S
     _fencing: int | None = None
     _valid_until: float = float("-inf")
     _duties: dict[str, _Duty] = attrs.field(factory=dict)
@@ -175,9 +178,9 @@
             return []
         actions: list[OrderAction] = []
         names = set(engines) & self._duties.keys()
+        periods_s = self._read_periods_s(names, checked)
         for name in sorted(names, key=lambda name: (self._duties[name].ordered_at, name)):
-            period_s = self._checked_read_period_s if name in checked else self._read_period_s
-            action = self._next(name, self._duties[name], self._fencing, now, period_s)
+            action = self._next(name, self._duties[name], self._fencing, now, periods_s[name])
             if action is not None:
                 self._duties[name].busy = True
                 actions.append(action)
@@ -203,6 +206,17 @@
         if duty is not None:
             duty.report, duty.busy, duty.retry_at = None, False, now + RETRY_S
 
+    def _read_periods_s(self, names: Collection[str], checked: Collection[str]) -> dict[str, float]:
+        """Give how often to read each engine, all stretched alike to keep to the rate of reads."""
+        known = frozenset(checked)
+        periods_s = {
+            name: self._checked_read_period_s if name in known else self._read_period_s
+            for name in names
+        }
+        reads_per_s = sum(1.0 / period_s for period_s in periods_s.values())
+        stretch = max(1.0, reads_per_s / self._reads_per_s)
+        return {name: period_s * stretch for name, period_s in periods_s.items()}
+
     def _next(
         self, name: str, duty: _Duty, fencing: int, now: float, read_period_s: float
     ) -> OrderAction | None:
--- a/lagoonlever/entry/orders.py
+++ b/lagoonlever/entry/orders.py
@@ -12,6 +12,7 @@
 from lagoonlever.decisions.membership import MemberView
 from lagoonlever.decisions.orders import (
     ORDER_TIMEOUT_S,
+    READS_PER_S,
     GiveOrder,
     LoadBudget,
     OrderHolder,
@@ -78,6 +79,12 @@
     loads_per_minute: float = option(
         default=6.0, at_least=0.01, at_most=10000, doc="Loads that the weight store can feed."
     )
+    reads_per_s: float = option(
+        default=READS_PER_S,
+        at_least=0.1,
+        at_most=1000,
+        doc="Reads of engines that have all they are to have, a second, over all engines.",
+    )
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -97,7 +104,7 @@
 
     def __attrs_post_init__(self) -> None:
         budget = LoadBudget(loads_per_s=self._settings.loads_per_minute / 60.0)
-        self._holder = OrderHolder(budget=budget)
+        self._holder = OrderHolder(budget=budget, reads_per_s=self._settings.reads_per_s)
 
     @property
     def fencing(self) -> int | None:
--- a/lagoonlever/tests/orders_tests.py
+++ b/lagoonlever/tests/orders_tests.py
@@ -259,6 +259,30 @@
     assert world.settled()
 
 
+def test_the_reads_of_a_large_fleet_stay_within_their_rate() -> None:
+    """Story: the VM that gives the orders serves its callers late, in a fleet of hundreds.
+
+    Cause: each engine is read every 2 s, however many there are.
+    """
+    names = [f"engine-{number}" for number in range(600)]
+    state = WantedState()
+    holder = OrderHolder(budget=LoadBudget(loads_per_s=LOADS_PER_S))
+    holder.acquired(fencing=1, sent_at=0.0, ttl_s=10_000.0)
+    holder.wanted_read(dict.fromkeys(names, state))
+    last_read = dict.fromkeys(names, 0.0)
+    reads, seconds = 0, 180
+    for step in range(round(seconds / STEP_S)):
+        now = step * STEP_S
+        for action in holder.next_actions(names, now):
+            assert isinstance(action, ReadEngine)
+            report = OrderReport(fencing=1, wanted=state, actual=state)
+            holder.observed(action.engine, report, now)
+            last_read[action.engine] = now
+            reads += 1
+    assert reads <= len(names) + seconds * orders.READS_PER_S
+    assert min(last_read.values()) > seconds - 2 * len(names) / orders.READS_PER_S
+
+
 def test_a_late_order_does_not_stand_where_the_settings_are_wrong() -> None:
     """Story: an operator lists an engine as one that checks, and it ignores the number."""
     for period_s, put_right in ((orders.CHECKED_READ_PERIOD_S, True), (float("inf"), False)):
