Take silent peers for dead once engines show less than a quarter of their use

The error of late reports went on being charged as the dead router's use. Ruled out: its own demand, which its callers bring to the others in both runs.

--- a/lagoonlever/decisions/shares_book.py
+++ b/lagoonlever/decisions/shares_book.py
@@ -39,6 +39,8 @@
 """An organisation this far behind its share may fill all of that room."""
 SETTLE_S = 3.0
 """A VM that started less than this ago goes by the engines' reports: peers have yet to speak."""
+GONE_PART = 0.25
+"""Silent peers of which the engines show less than this are taken to be dead."""
 EXCESS_WINDOW_S = 3.0
 """Time constant over which reports of engines are compared with what peers say."""
 
@@ -281,6 +283,10 @@
         keep = math.exp(-elapsed_s / EXCESS_WINDOW_S)
         self._excess = keep * self._excess + (1.0 - keep) * (reported - self._heard_running)
         self._silent_part = silent_part(excess=self._excess, silent_running=running)
+        if running and self._silent_part < GONE_PART:
+            # What is left is the error of late reports: to charge that on as a dead
+            # peer's use would put its organisations in debt for work that nobody did.
+            self._peers.give_up_silent()
 
     @property
     def _seen_running(self) -> float:
--- a/lagoonlever/decisions/shares_exchange.py
+++ b/lagoonlever/decisions/shares_exchange.py
@@ -110,6 +110,8 @@
     complete: bool = False
     """Whether a full message came, so that a leaf not heard of before is new at the peer."""
     silent: bool = False
+    gone: bool = False
+    """Silent, and the engines no longer show what it ran."""
     leaves: dict[int, LeafSum] = attrs.field(factory=dict)
     rates: dict[int, float] = attrs.field(factory=dict)
     """Work a second by leaf, of late."""
@@ -157,7 +159,7 @@
         Its use was estimated meanwhile. Charging what differs all at once, as a cut
         ends, would shut out for minutes whoever was served over there.
         """
-        self.silent = False
+        self.silent = self.gone = False
         self.leaves = {
             key: attrs.evolve(leaf, running=0, waiting=0) for key, leaf in self.leaves.items()
         }
@@ -187,10 +189,15 @@
         return [
             leaf
             for peer in self._peers.values()
-            if peer.silent and peer.heard_at > heard_after
+            if peer.silent and not peer.gone and peer.heard_at > heard_after
             for leaf in peer.leaves.values()
         ]
 
+    def give_up_silent(self) -> None:
+        """Count no use of the peers that are silent now any more, until they are heard again."""
+        for peer in self._peers.values():
+            peer.gone = peer.gone or peer.silent
+
     def receive(self, sender: Incarnation, news: SumsNews, now: float) -> list[LeafChange]:
         """Take on a peer's news; gives what it changes, nothing if it is late."""
         if any(_is_later_life(other, sender) for other in self._peers):
@@ -225,7 +232,7 @@
         for sender, peer in list(self._peers.items()):
             if not peer.silent and now > peer.heard_at + STALE_AFTER_S:
                 changes.extend(peer.fall_silent())
-            if peer.silent and silent_part > 0:
+            if peer.silent and not peer.gone and silent_part > 0:
                 changes.extend(_projected(peer, elapsed_s * silent_part))
             if now > peer.heard_at + FORGET_AFTER_S:
                 del self._peers[sender]
