Part a caller's stream, its events and its outcomes from each other

entry/caller_stream.py told outcomes by HTTP, declared the notes of a stream and wrote the stream; entry/completions_api.py checked requests and encoded chunks. Whoever read the caller's library had to open both to learn what an event holds.

completion_chunks.py now has all that a caller's stream can hold (chunks, restart and moved notes, the end marker by its name), completion_outcomes.py how an outcome is told, completions_api.py the requests, caller_stream.py the writing.

--- a/lagoonlever/client/answers.py
+++ b/lagoonlever/client/answers.py
@@ -7,8 +7,13 @@
 
 from lagoonlever.client.history import CallerHistory
 from lagoonlever.decisions.resume import HeldAnswer
-from lagoonlever.entry.caller_stream import MOVED_EVENT, RESTART_EVENT, MovedNote
-from lagoonlever.entry.completions_api import CallerChunk, GenerationNote
+from lagoonlever.entry.completion_chunks import (
+    MOVED_EVENT,
+    RESTART_EVENT,
+    CallerChunk,
+    GenerationNote,
+    MovedNote,
+)
 from lagoonlever.exceptions import BadResponse
 from lagoonlever.http.sse import DONE_DATA, ServerEvent
 from lagoonlever.identity import EventId
--- a/lagoonlever/client/history.py
+++ b/lagoonlever/client/history.py
@@ -5,7 +5,7 @@
 import attrs
 
 from lagoonlever.entry.addresses import EntryAnswer
-from lagoonlever.entry.completions_api import GenerationNote
+from lagoonlever.entry.completion_chunks import GenerationNote
 from lagoonlever.history.events_callers import (
     CallerAsked,
     CallerGotOutcome,
--- a/lagoonlever/entry/caller_stream.py
+++ b/lagoonlever/entry/caller_stream.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 import time
 from collections.abc import Callable
@@ -12,12 +11,21 @@
 import trio
 
 from lagoonlever.decisions.answer import Answer, ReleasedPiece
-from lagoonlever.entry.completions_api import (
+from lagoonlever.entry.completion_chunks import (
+    MOVED_EVENT,
+    RESTART_EVENT,
     CallerUsage,
     ChunkWriter,
-    CompletionCall,
     GenerationNote,
+    MovedNote,
+    RestartNote,
 )
+from lagoonlever.entry.completion_outcomes import (
+    outcome_error,
+    outcome_headers,
+    respond_outcome,
+)
+from lagoonlever.entry.completions_api import CompletionCall
 from lagoonlever.entry.generation_task import GenerationTask
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import CallerGone, Exchange
@@ -26,16 +34,11 @@
 from lagoonlever.outcomes import (
     OUTCOME_HEADER,
     REASON_HEADER,
-    RETRY_AFTER_HEADER,
     Done,
-    NotRun,
-    Outcome,
     Reason,
     Unknown,
 )
 
-RESTART_EVENT = "restart"
-MOVED_EVENT = "moved"
 STREAM_HEADERS = Headers(
     (
         ("Content-Type", EVENT_STREAM_TYPE),
@@ -43,9 +46,6 @@
         ("Trailer", f"{OUTCOME_HEADER}, {REASON_HEADER}"),
     )
 )
-RETRY_JITTER = 0.5
-"""Callers are told to come back at a time spread by this share, so as not to come together."""
-
 
 HELD_IS_VOID = Unknown(
     reason=Reason.SUPERSEDED,
@@ -58,53 +58,6 @@
     """The caller holds a part of another generation, and knows no restart."""
 
 
-@attrs.frozen(kw_only=True)
-class RestartNote:
-    """Tells a caller that what it holds is void: a new generation begins."""
-
-    generation: int
-
-
-@attrs.frozen(kw_only=True)
-class MovedNote:
-    """Tells a caller to come back for the rest of its answer at one of these addresses."""
-
-    addresses: tuple[str, ...]
-
-
-def outcome_headers(outcome: Outcome, *, rng: random.Random) -> Headers:
-    """Give the header fields that tell an outcome, with when to come back."""
-    pairs = [(OUTCOME_HEADER, outcome.tag.value)]
-    if not isinstance(outcome, Done):
-        pairs.append((REASON_HEADER, outcome.reason.value))
-    if isinstance(outcome, NotRun | Unknown) and outcome.retry_after_s is not None:
-        spread = outcome.retry_after_s * (1 + RETRY_JITTER * rng.random())
-        pairs.append((RETRY_AFTER_HEADER, str(max(1, math.ceil(spread)))))
-    return Headers(tuple(pairs))
-
-
-def outcome_error(outcome: NotRun | Unknown | Outcome) -> dict[str, object]:
-    """Give the error object that clients of completions know."""
-    if isinstance(outcome, Done):
-        raise ValueError("a done request has no error")
-    return {
-        "error": {
-            "message": outcome.message,
-            "type": outcome.tag.value,
-            "code": outcome.reason.value,
-        }
-    }
-
-
-async def respond_outcome(exchange: Exchange, outcome: Outcome, *, rng: random.Random) -> None:
-    """Answer a request that has no answer to give, with its outcome."""
-    await exchange.respond_json(
-        status=outcome.status,
-        payload=outcome_error(outcome),
-        headers=outcome_headers(outcome, rng=rng),
-    )
-
-
 def _usage(task: GenerationTask) -> CallerUsage:
     prompt = len(task.life.prompt_token_ids or ())
     completion = task.life.released
--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -17,7 +17,6 @@
 from lagoonlever.entry.caller_stream import (
     HELD_IS_VOID,
     CallerStream,
-    respond_outcome,
     stream_while_present,
 )
 from lagoonlever.entry.callers import CallerDirectory
@@ -26,6 +25,7 @@
     check_event_of,
     check_same_request,
 )
+from lagoonlever.entry.completion_outcomes import respond_outcome
 from lagoonlever.entry.completions_api import CompletionCall, read_call
 from lagoonlever.entry.engines import Engines
 from lagoonlever.entry.generation_task import GenerationTask
