Name the roles around engines by the field's terms

AdmissionDesk and VerdictTaker needed explaining: they are AdmissionControl and SuspicionListener. Docstrings that spoke in riddles ('take the word that', 'an engine's first word', 'the front door is one method a message') say what is called when, and what follows from it. Names and docstrings only.

--- a/lagoonlever/decisions/generation.py
+++ b/lagoonlever/decisions/generation.py
@@ -54,7 +54,7 @@
 
 
 class GenerationLife:
-    """One request's state; the front door is one method a message."""
+    """The state machine of one request: each method takes one message and gives the decisions."""
 
     def __init__(
         self,
@@ -97,7 +97,7 @@
 
     @property
     def answer(self) -> Answer | None:
-        """What is released of the current generation; None before an engine's first word."""
+        """What is released of the current generation; None before an engine's first chunk."""
         return self._answer
 
     @property
@@ -155,7 +155,7 @@
     def opened(
         self, *, attempt: int, model_version: str, prompt_token_ids: tuple[int, ...]
     ) -> list[Decision]:
-        """Take an engine's first word: its model's version and the prompt's tokens."""
+        """Take the facts of an engine's first chunk: its model's version, the prompt's tokens."""
         current = self._live.get(attempt)
         if current is None:
             return []
@@ -225,7 +225,7 @@
         return [*decisions, self._dispatch(resume=True)]
 
     def not_admitted(self, *, attempt: int, answer: NotRun) -> list[Decision]:
-        """Take that an attempt got no share of the engines in its time.
+        """Handle an attempt that was refused admission: no slot came free in its time.
 
         A request of which nothing was sent ends with that answer at once; one that
         is to be resumed tries again, as its released part would be lost.
--- a/lagoonlever/decisions/prefixes.py
+++ b/lagoonlever/decisions/prefixes.py
@@ -106,7 +106,7 @@
         return {name: depths[bit] for name, bit in self._bits.items() if depths.get(bit, 0) > 0}
 
     def stored(self, target: str, blocks: Iterable[int]) -> None:
-        """Take that a target holds blocks, by its word or because it was given the prompt."""
+        """Note that a target holds blocks: it reported them, or was given their prompt."""
         flag = 1 << self._bit(target)
         for block in blocks:
             self._holders[block] = self._holders.get(block, 0) | flag
@@ -115,7 +115,7 @@
             self._holders.popitem(last=False)
 
     def removed(self, target: str, blocks: Iterable[int]) -> None:
-        """Take that a target dropped blocks."""
+        """Note that a target dropped blocks."""
         flag = 1 << self._bit(target)
         for block in blocks:
             holders = self._holders.get(block)
@@ -127,7 +127,7 @@
                 del self._holders[block]
 
     def forget(self, target: str) -> None:
-        """Take that a target holds nothing: it cleared its cache, or is a new life."""
+        """Note that a target holds nothing: it cleared its cache, or is a new life."""
         if target in self._bits:
             self.removed(target, list(self._holders))
             del self._bits[target]
--- a/lagoonlever/decisions/routing.py
+++ b/lagoonlever/decisions/routing.py
@@ -1,4 +1,4 @@
-"""The front door of routing: choose a target, and tell what became of the dispatch."""
+"""Routing: chooses a target for each dispatch, and learns from how it ended."""
 
 from __future__ import annotations
 
@@ -138,11 +138,11 @@
         )
 
     def dispatched(self, features: RequestFeatures, target: str) -> None:
-        """Take that a request is being written to a target."""
+        """Note that a request is being written to a target."""
         self._state.dispatched(target, features.blocks, features.now)
 
     def ended(self, target: str, *, now: float, took_s: float | None = None) -> None:
-        """Take that a dispatch is over; ``took_s`` only for an answer's proper end."""
+        """Note that a dispatch is over; ``took_s`` only for an answer's proper end."""
         self._state.ended(target, now, took_s=took_s)
 
     def prompt_tokenised(
@@ -155,15 +155,15 @@
         self._state.prefixes.stored(target, tokens)
 
     def cache_stored(self, target: str, blocks: Iterable[int]) -> None:
-        """Take an engine's word that it cached blocks."""
+        """Note that an engine reports blocks as cached."""
         self._state.prefixes.stored(target, blocks)
 
     def cache_removed(self, target: str, blocks: Iterable[int]) -> None:
-        """Take an engine's word that it dropped blocks."""
+        """Note that an engine reports blocks as dropped."""
         self._state.prefixes.removed(target, blocks)
 
     def cache_cleared(self, target: str) -> None:
-        """Take an engine's word that its cache is empty."""
+        """Note that an engine reports its cache as empty."""
         self._state.prefixes.forget(target)
 
     def _blocks(self, query: ModelQuery, prompt: Prompt, view: TargetView) -> tuple[int, ...]:
--- a/lagoonlever/decisions/routing_state.py
+++ b/lagoonlever/decisions/routing_state.py
@@ -120,12 +120,12 @@
         return self._turns
 
     def dispatched(self, target: str, blocks: Sequence[int], now: float) -> None:
-        """Take that a request is being written to a target, which will cache its prompt."""
+        """Note that a request is being written to a target, which will cache its prompt."""
         self._ledgers.setdefault(target, _Ledger()).change(+1, now)
         self.prefixes.stored(target, blocks)
 
     def ended(self, target: str, now: float, *, took_s: float | None = None) -> None:
-        """Take that a request is over; ``took_s`` is None when the target failed."""
+        """Note that a request is over; ``took_s`` is None when the target failed."""
         ledger = self._ledgers.get(target)
         if ledger is not None:
             ledger.change(-1, now)
@@ -133,7 +133,7 @@
             self._service_s += SERVICE_WEIGHT * (took_s - self._service_s)
 
     def forget(self, target: str) -> None:
-        """Take that a life of a target is over: its cache is lost."""
+        """Note that a life of a target is over: its cache is lost."""
         self.prefixes.forget(target)
         ledger = self._ledgers.get(target)
         if ledger is not None and not ledger.in_flight:
--- a/lagoonlever/decisions/target_freshness.py
+++ b/lagoonlever/decisions/target_freshness.py
@@ -88,7 +88,7 @@
         return Belief.PLATFORM_OUTAGE if self._most_answer(now) else Belief.ISOLATED
 
     def read(self, at: float) -> None:
-        """Take that the list was read, by a call that began at ``at``."""
+        """Note that the list was read, by a call that began at ``at``."""
         self._read_at = at if self._read_at is None else max(self._read_at, at)
 
     def members_changed(self, members: MemberView, now: float) -> None:
--- a/lagoonlever/decisions/target_load.py
+++ b/lagoonlever/decisions/target_load.py
@@ -72,7 +72,7 @@
         self.connected(target)
 
     def connected(self, target: Target) -> None:
-        """Take that the target was reached."""
+        """Note that the target was reached."""
         report = self._of(target)
         report.failures = 0
         report.impaired_until = 0.0
--- a/lagoonlever/entry/engine_watch.py
+++ b/lagoonlever/entry/engine_watch.py
@@ -16,14 +16,14 @@
 COMPARE_PERIOD_S = 1.0
 
 
-class VerdictTaker(Protocol):
-    """The task that an attempt belongs to."""
+class SuspicionListener(Protocol):
+    """The task that an attempt belongs to: told what its engine's silence means."""
 
     def suspected(self, attempt: int) -> None:
-        """Take the word that an attempt's engine seems dead."""
+        """Begin a hedge: the engine of this attempt seems dead."""
 
     def declared_dead(self, attempt: int) -> None:
-        """Take the word that an attempt's engine counts as dead."""
+        """Resume elsewhere: the engine of this attempt counts as dead."""
 
 
 @attrs.define(kw_only=True)
@@ -33,20 +33,22 @@
     _settings: DetectionSettings
     _now: Callable[[], float]
     _engines: dict[str, EngineSuspicion] = attrs.field(factory=dict)
-    _takers: dict[str, VerdictTaker] = attrs.field(factory=dict)
+    _listeners: dict[str, SuspicionListener] = attrs.field(factory=dict)
     _budget: HedgeBudget = attrs.field(init=False)
     _compare_at: float = attrs.field(default=0.0, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._budget = HedgeBudget(settings=self._settings)
 
-    def opened(self, *, taker: VerdictTaker, engine: str, attempt: int, prompt_tokens: int) -> None:
+    def opened(
+        self, *, listener: SuspicionListener, engine: str, attempt: int, prompt_tokens: int
+    ) -> None:
         """Begin to watch an attempt whose request is being written."""
         suspicion = self._engines.get(engine)
         if suspicion is None:
             suspicion = EngineSuspicion(settings=self._settings)
             self._engines[engine] = suspicion
-        self._takers[str(attempt)] = taker
+        self._listeners[str(attempt)] = listener
         suspicion.stream_opened(str(attempt), now=self._now(), prompt_tokens=prompt_tokens)
 
     def token(self, *, engine: str, attempt: int) -> None:
@@ -55,7 +57,7 @@
 
     def closed(self, *, engine: str, attempt: int) -> None:
         """Stop watching an attempt."""
-        self._takers.pop(str(attempt), None)
+        self._listeners.pop(str(attempt), None)
         suspicion = self._engines.get(engine)
         if suspicion is not None:
             suspicion.stream_closed(str(attempt))
@@ -89,13 +91,13 @@
 
     def _tell(self, engine: str, verdicts: tuple[StreamVerdict, ...]) -> None:
         for verdict in verdicts:
-            taker = self._takers.get(verdict.stream)
-            if taker is None:
+            listener = self._listeners.get(verdict.stream)
+            if listener is None:
                 continue
             if verdict.level is SuspicionLevel.SUSPECT and self._may_hedge(engine, verdict):
-                taker.suspected(int(verdict.stream))
+                listener.suspected(int(verdict.stream))
             elif verdict.level is SuspicionLevel.DEAD:
-                taker.declared_dead(int(verdict.stream))
+                listener.declared_dead(int(verdict.stream))
 
     def _may_hedge(self, engine: str, verdict: StreamVerdict) -> bool:
         if self._settings.hedge == HEDGE_OFF:
--- a/lagoonlever/entry/engines.py
+++ b/lagoonlever/entry/engines.py
@@ -15,7 +15,7 @@
 from lagoonlever.decisions.targets import ModelKey, Target, TargetView
 from lagoonlever.entry.admission import Admitted
 from lagoonlever.entry.attempt import cancel_stream
-from lagoonlever.entry.engine_watch import EngineWatch, VerdictTaker
+from lagoonlever.entry.engine_watch import EngineWatch, SuspicionListener
 from lagoonlever.entry.published import Published
 from lagoonlever.http.messages import Address
 from lagoonlever.outcomes import NotRun
@@ -38,20 +38,20 @@
         """Tell whether work may be written to a target now."""
 
     def connected(self, target: Target) -> None:
-        """Take that a target answered."""
+        """Note that a target answered."""
 
     def connect_failed(self, target: Target) -> None:
-        """Take that a target was not reached or stayed silent."""
+        """Note that a target was not reached or stayed silent."""
 
 
-class AdmissionDesk(Protocol):
-    """Hands out slots of the pool by share."""
+class AdmissionControl(Protocol):
+    """Admits requests to the pool of engines, each organisation up to its share."""
 
     async def admit(self, ask: AdmissionRequest) -> Admitted | NotRun:
-        """Wait for a slot."""
+        """Wait for a slot; gives ``NotRun`` where none is free in the request's time."""
 
     def charge(self, grant: Admitted, work: float) -> None:
-        """Charge engine work as it is used."""
+        """Charge engine work as it is used, in weighted tokens."""
 
     def release(self, grant: Admitted) -> None:
         """Give a slot back."""
@@ -84,7 +84,7 @@
 
     _guard: TargetGuard
     _router: Router
-    _admission: AdmissionDesk
+    _admission: AdmissionControl
     _timers: TimerService
     _watch: EngineWatch
     _background: trio.Nursery
@@ -133,7 +133,7 @@
 
     def sent(
         self,
-        task: VerdictTaker,
+        listener: SuspicionListener,
         spec: GenerationSpec,
         dispatch: Dispatch,
         placement: Placement,
@@ -146,7 +146,7 @@
             since=self._timers.now,
         )
         self._watch.opened(
-            taker=task,
+            listener=listener,
             engine=placement.target.name,
             attempt=dispatch.attempt,
             prompt_tokens=placement.features.prompt_tokens,
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -128,17 +128,17 @@
             nursery.cancel_scope.cancel()
 
     def suspected(self, attempt: int) -> None:
-        """Take the word that an attempt's engine seems dead."""
+        """Begin a hedge, where the organisation allows it: an attempt's engine seems dead."""
         if self._hedges:
             self._carry_out(self._life.suspected(attempt=attempt))
 
     def declared_dead(self, attempt: int) -> None:
-        """Take the word that an attempt's engine counts as dead."""
+        """Drop an attempt and resume elsewhere: its engine counts as dead."""
         self._stop_attempt(attempt)
         self._carry_out(self._life.declared_dead(attempt=attempt))
 
     def hand_over(self) -> None:
-        """Stop without a word to the engines: another VM takes up their streams."""
+        """Stop and cancel nothing at the engines: another VM takes up their streams."""
         self._done.set()
 
     def taken_over(self, attempt: int) -> None:
--- a/lagoonlever/entry/serving.py
+++ b/lagoonlever/entry/serving.py
@@ -16,7 +16,7 @@
 from lagoonlever.decisions.targets import Target, TargetView
 from lagoonlever.entry.callers import CallerDirectory
 from lagoonlever.entry.engine_watch import EngineWatch
-from lagoonlever.entry.engines import AdmissionDesk, Engines, TargetGuard
+from lagoonlever.entry.engines import AdmissionControl, Engines, TargetGuard
 from lagoonlever.entry.generations import GenerationService, GenerationSettings, Peers
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.recovery import EngineRecovery
@@ -46,7 +46,7 @@
 
     vm: str
     guard: TargetGuard
-    admission: AdmissionDesk
+    admission: AdmissionControl
     callers: CallerDirectory
     timers: TimerService
     rng: random.Random
--- a/lagoonlever/entry/targets.py
+++ b/lagoonlever/entry/targets.py
@@ -164,11 +164,11 @@
         self._publish()
 
     def connected(self, target: Target) -> None:
-        """Take that a target answered."""
+        """Note that a target answered."""
         self._reports.connected(target)
 
     def connect_failed(self, target: Target) -> None:
-        """Take that a target was not reached or stayed silent: others are preferred."""
+        """Note that a target was not reached or stayed silent: others are preferred."""
         self._reports.connect_failed(target, self._timers.now)
         self._publish()
 
