--- a/lagoonlever/entry/histories.py
+++ b/lagoonlever/entry/histories.py
@@ -6,14 +6,17 @@
 
 from lagoonlever.decisions.generation_messages import Dispatch, GenerationSpec
 from lagoonlever.decisions.targets import Target
+from lagoonlever.history.events_settings import SettingsWorkTaken
 from lagoonlever.history.events_vms import AttemptDispatched, VmStopBegan, VmStopEnded
 from lagoonlever.history.recorder import Recorder
 
 DispatchObserver = Callable[[GenerationSpec, Dispatch, Target], None]
 
 
-def dispatch_recorder(recorder: Recorder | None) -> DispatchObserver:
-    """Give what records each dispatch right before it is written."""
+def dispatch_recorder(
+    recorder: Recorder | None, *, vm: str, settings_version: Callable[[], int]
+) -> DispatchObserver:
+    """Give what records each dispatch, and the settings it is made under, before its write."""
     if recorder is None:
         return lambda *_: None
 
@@ -32,6 +35,16 @@
                 hedge=dispatch.hedge,
             )
         )
+        if dispatch.resume or not settings_version():
+            return
+        recorder.record(
+            SettingsWorkTaken(
+                at=recorder.now,
+                process=recorder.process,
+                vm=vm,
+                version=settings_version(),
+            )
+        )
 
     return record
 
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -153,7 +153,11 @@
             refusal=self.refusal,
             moved_to=self._moved_to,
             metrics=self.base.request_metrics,
-            observe=dispatch_recorder(self.base.recorder),
+            observe=dispatch_recorder(
+                self.base.recorder,
+                vm=settings.name,
+                settings_version=lambda: self.tree.value.version,
+            ),
         )
 
     @services.default
@@ -168,6 +172,7 @@
             rng=self.base.rng,
             organisation_of=self._organisation_of,
             retry_ratio_of=lambda path: self.callers.settings_of(path).retry_budget,
+            bus=self.base.bus,
             recorder=self.base.recorder,
             metrics=self.base.request_metrics,
         )
