--- a/lagoonlever/bench/control_vms.py
+++ b/lagoonlever/bench/control_vms.py
@@ -69,7 +69,8 @@
         for family in text_string_to_metric_families(response.body.decode()):
             for sample in family.samples:
                 direction = sample.labels.get("direction", "")
-                values[sample.name + direction] = sample.value
+                key = sample.name + direction
+                values[key] = values.get(key, 0.0) + sample.value
         return VmCost(
             cpu_s=values["process_cpu_seconds_total"],
             resident_bytes=values["process_resident_memory_bytes"],
--- a/lagoonlever/entry/reporting.py
+++ b/lagoonlever/entry/reporting.py
@@ -4,7 +4,7 @@
 
 import statistics
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 import trio
@@ -116,12 +116,16 @@
         self._metrics.replace(TARGETS, _labelled(targets))
         self._metrics.replace(OPEN_STREAMS, _labelled(streams))
         self._metrics.set(SETTINGS_VERSION, self._tree.value.version)
-        self._metrics.set(CONTROL_BYTES, _bytes(self._traffic.sent.values()), "sent")
-        self._metrics.set(CONTROL_BYTES, _bytes(self._traffic.received.values()), "received")
+        self._count_control("sent", self._traffic.sent)
+        self._count_control("received", self._traffic.received)
         if tick.now >= self._shares_sampled_at + SHARE_SAMPLE_PERIOD_S:
             self._shares_sampled_at = tick.now
             self._sample_shares()
 
+    def _count_control(self, direction: str, counts: Mapping[str, Count]) -> None:
+        for tag, count in counts.items():
+            self._metrics.set(CONTROL_BYTES, count.bytes, direction, tag)
+
     def _sample_shares(self) -> None:
         """Judge the share of each organisation that waits: one without demand lacks nothing."""
         for path in self._organisations():
@@ -196,7 +200,3 @@
 
 def _labelled(counts: Counter[str]) -> dict[tuple[str, ...], float]:
     return {(label,): float(count) for label, count in counts.items()}
-
-
-def _bytes(counts: Iterable[Count]) -> int:
-    return sum(count.bytes for count in counts)
--- a/lagoonlever/metrics.py
+++ b/lagoonlever/metrics.py
@@ -168,8 +168,9 @@
 CONTROL_BYTES = counter(
     "lagoonlever.control.bytes",
     unit="By",
-    labels=("direction",),
-    doc="Bytes of messages between the entry VMs, `sent` and `received`.",
+    labels=("direction", "message"),
+    doc="Bytes of messages between the entry VMs, `sent` and `received`, by the tag of the "
+    "message (`shares`: sums of use; `mp`, `ma`: probes of members and their answers).",
 )
 MEMBERS = gauge(
     "lagoonlever.members",
--- a/lagoonlever/tests/reporting_tests.py
+++ b/lagoonlever/tests/reporting_tests.py
@@ -236,6 +236,6 @@
     reporting.on_tick(Tick(now=101.0))
     assert metrics.value(MEMBERS, "alive") == 1
     assert metrics.value(OPEN_STREAMS, MOTUS) == 2
-    assert metrics.value(CONTROL_BYTES, "sent") == 40
+    assert metrics.value(CONTROL_BYTES, "sent", "ping") == 40
     assert metrics.value(PAUSES) == 1
     assert metrics.value(OBJECTIVE_EVENTS, MOTUS, "share", "bad") == 1
