Pace the holder's reads when it takes over and while engines wait for loads

A new holder read all engines in one step; now 16 begin in a step, the longest untried first, so that dead ones hold up no others.

Found beside it: a VM that held the lease before had saved up a load by the time it held it again. Its budget now starts empty with each lease.

Each new test was red without its guard: without the order of tries, dead engines hold up the rest; without the empty start, two loads go out at once.

--- a/lagoonlever/decisions/orders.py
+++ b/lagoonlever/decisions/orders.py
@@ -27,6 +27,8 @@
 """The same for an engine that checks numbers: no old holder's order can stand there."""
 READS_PER_S = 6.0
 """All reads that find nothing to order; a larger fleet's engines are read less often."""
+READS_AT_ONCE = 16
+"""Reads begun in one step: a new holder stamps hundreds of engines one after the other."""
 READ_FRESH_S = 1.0
 """An order rests on a state that was read no longer ago."""
 RETRY_S = 1.0
@@ -79,27 +81,36 @@
 
 @attrs.define(kw_only=True)
 class LoadBudget:
-    """Spreads loads of models under the weight store's rate; starts empty.
-
-    A new holder can't know how many loads the former began in the last moment,
-    so it waits for its first one as long as between any two.
-    """
+    """Spreads loads of models under the weight store's rate."""
 
     _loads_per_s: float
     _burst: int = 1
     _tokens: float = 0.0
-    _at: float | None = None
+    _at: float = 0.0
+
+    def covers(self, loads: int, now: float) -> bool:
+        """Tell whether so many loads could be taken now; more than the burst need a whole one."""
+        return not loads or self._grown(now) >= min(loads, self._burst)
+
+    def start_empty(self, now: float) -> None:
+        """Begin without any load to give.
+
+        A new holder can't know how many loads the former began in the last moment,
+        so it waits for its first one as long as between any two.
+        """
+        self._tokens, self._at = 0.0, now
 
     def take(self, loads: int, now: float) -> bool:
-        """Take so many loads if the rate allows; more than the burst wait for a whole burst."""
-        if self._at is not None:
-            grown = self._tokens + (now - self._at) * self._loads_per_s
-            self._tokens = min(float(self._burst), grown)
-        self._at = now
-        if loads and self._tokens < min(loads, self._burst):
-            return False
-        self._tokens -= loads
-        return True
+        """Take so many loads if the rate allows."""
+        covered = self.covers(loads, now)
+        self._tokens, self._at = self._grown(now), now
+        if covered:
+            self._tokens -= loads
+        return covered
+
+    def _grown(self, now: float) -> float:
+        grown = self._tokens + (now - self._at) * self._loads_per_s
+        return min(float(self._burst), grown)
 
 
 @attrs.define
@@ -111,6 +122,8 @@
     read_at: float = float("-inf")
     retry_at: float = float("-inf")
     ordered_at: float = float("-inf")
+    tried_at: float = float("-inf")
+    """When it was last read or ordered."""
     busy: bool = False
 
 
@@ -148,6 +161,7 @@
         self._fencing = fencing
         self._valid_until = sent_at + ttl_s - LEASE_MARGIN_S
         self._duties.clear()
+        self._budget.start_empty(sent_at)
 
     def renewed(self, *, sent_at: float, ttl_s: float) -> None:
         """Take that the lease was renewed by a call sent then."""
@@ -176,14 +190,20 @@
         """
         if self._fencing is None or not self.may_write(self._fencing, now):
             return []
-        actions: list[OrderAction] = []
         names = set(engines) & self._duties.keys()
         periods_s = self._read_periods_s(names, checked)
+        actions: list[OrderAction] = []
+        reads: list[OrderAction] = []
         for name in sorted(names, key=lambda name: (self._duties[name].ordered_at, name)):
             action = self._next(name, self._duties[name], self._fencing, now, periods_s[name])
             if action is not None:
-                self._duties[name].busy = True
-                actions.append(action)
+                (reads if isinstance(action, ReadEngine) else actions).append(action)
+        # Engines that never answer are due at every step: the longest untried come first.
+        reads.sort(key=lambda action: self._duties[action.engine].tried_at)
+        actions += reads[:READS_AT_ONCE]
+        for action in actions:
+            duty = self._duties[action.engine]
+            duty.busy, duty.tried_at = True, now
         return actions
 
     def observed(self, engine: str, report: OrderReport, now: float) -> None:
@@ -227,9 +247,12 @@
             return ReadEngine(engine=name)
         if report.fencing == fencing and report.wanted.same_as(duty.wanted):
             return None
+        loads = _loads(report, duty.wanted)
+        if not self._budget.covers(loads, now):
+            return None
         if now - duty.read_at > READ_FRESH_S:
             return ReadEngine(engine=name)
-        if not self._budget.take(_loads(report, duty.wanted), now):
+        if not self._budget.take(loads, now):
             return None
         duty.ordered_at = now
         return GiveOrder(engine=name, fencing=fencing, wanted=duty.wanted)
