Give the caller's library a directory of entry VMs of its own

client/caller.py did two jobs in 350 lines: finding an entry VM, and getting an answer through however many of them. Tests reached into _known and _known_until to choose a VM.

EntryDirectory keeps the addresses, asks for them and forgets lost ones; its use() is what tests and a move to other VMs call. _Visit, _come_until_whole and _hear are _PendingCompletion, _retry_until_whole and _read_unless_silent, complete() no longer records histories itself, and NoAnswer has a module that both can import.

One change of behaviour: an address whose answer is not that of an entry VM was skipped in silence, and where it was the only one the error said that no VM answered. It now is a BadResponse with step and peer; its test fails on the former code.

--- a/lagoonlever/client/caller.py
+++ b/lagoonlever/client/caller.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import TypeVar
 
 import attrs
@@ -11,38 +12,28 @@
 import trio
 
 from lagoonlever.client.answers import HeldStream
-from lagoonlever.client.history import CallerHistory, record_told_addresses
+from lagoonlever.client.entry_directory import EntryDirectory, fetch_entry
+from lagoonlever.client.exceptions import NoAnswer
+from lagoonlever.client.history import CallerHistory
 from lagoonlever.entry.addresses import EntryAnswer
-from lagoonlever.exceptions import LagoonleverException, PeerError, PeerTimeout
+from lagoonlever.exceptions import PeerError, PeerTimeout
 from lagoonlever.history.recorder import Recorder
-from lagoonlever.http.client import ClientConnection, fetch
+from lagoonlever.http.client import ClientConnection
 from lagoonlever.http.event_reader import EventReader
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.sse import ServerEvent
-from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER, RETRY_AFTER_HEADER
+from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER, RETRY_AFTER_HEADER, OutcomeTag
 
-STATUS_OK = 200
-STATUS_RETRY = frozenset({429, 503})
-ENTRY_PATH = "/v1/entry"
+RETRY_STATUSES = frozenset({HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE})
 READ_STEP = "read the answer"
-DISCOVER_TIMEOUT_S = 1.0
 FIRST_RETRY_S = 0.05
 MOST_RETRY_S = 1.0
 REQUEST_ID_BITS = 96
-SEED_BITS = 31
 ABILITIES = "resume, restart, moved"
 
 T = TypeVar("T")
 
-
-class NoAnswer(LagoonleverException):
-    """The request ended without its whole answer; tells the outcome."""
-
-    def __init__(self, message: str, *, outcome: str, reason: str, status: int = 0) -> None:
-        self.outcome = outcome
-        self.reason = reason
-        self.status = status
-        super().__init__(message)
+__all__ = ["Arrival", "ArrivalHandler", "Caller", "CompletionRequest", "NoAnswer"]
 
 
 @attrs.frozen(kw_only=True)
@@ -75,14 +66,14 @@
 
 
 @attrs.define(kw_only=True)
-class _Visit:
-    """One request on its way through the VMs that it is asked at."""
+class _PendingCompletion:
+    """One request from its first try to its whole answer, at however many VMs."""
 
     request: CompletionRequest
     identity: str
-    stream: HeldStream
     on_arrival: ArrivalHandler
     history: CallerHistory | None
+    stream: HeldStream = attrs.field(factory=HeldStream)
     connected: bool = False
 
     def record_asked(self, address: Address) -> None:
@@ -102,6 +93,21 @@
         if self.history is not None:
             self.history.lost(address=str(address), connected=self.connected)
 
+    def record_no_answer(self, error: NoAnswer) -> None:
+        """Record that the request ended without its answer."""
+        if self.history is not None:
+            self.history.got_outcome(tag=error.outcome, status=error.status, reason=error.reason)
+
+    def record_whole(self) -> None:
+        """Record that the whole answer has come."""
+        if self.history is not None:
+            self.history.got_outcome(
+                tag=OutcomeTag.DONE.value,
+                status=HTTPStatus.OK,
+                finish_reason=self.stream.finish_reason,
+                completion_tokens=len(self.stream.token_ids),
+            )
+
 
 @attrs.define(kw_only=True)
 class Caller:
@@ -113,39 +119,31 @@
     _brings_tokens: bool = True
     """Whether to send along what is held when coming back; without it the engine is asked."""
     _silence_s: float = 3.0
-    """After so long without a word a VM is asked whether it lives."""
+    """After so long without data a VM is asked whether it lives."""
     _silence_at_most_s: float = 15.0
-    """After so long without a word another VM is gone to, though this one lives."""
+    """After so long without data another VM is tried, though this one lives."""
     _first_silence_at_most_s: float = 120.0
     """The same before the first token: a long prompt takes its engine a while."""
-    _lost: Address | None = None
-    _known: list[Address] = attrs.field(factory=list)
-    _known_until: float = 0.0
     _name: str = "caller"
     _recorder: Recorder | None = None
+    _entries: EntryDirectory = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._entries = EntryDirectory(
+            configured=tuple(self._addresses),
+            rng=self._rng,
+            caller=self._name,
+            recorder=self._recorder,
+        )
+
+    @property
+    def entries(self) -> EntryDirectory:
+        """The entry VMs that this caller uses."""
+        return self._entries
 
     async def discover(self) -> EntryAnswer:
         """Ask any known address which entry VMs to use now; raises the last ``PeerError``."""
-        error: PeerError | None = None
-        for address in self._candidates():
-            try:
-                response = await fetch(
-                    address, path=ENTRY_PATH, step="find an entry VM", timeout_s=DISCOVER_TIMEOUT_S
-                )
-                answer = msgspec.json.decode(response.body, type=EntryAnswer)
-            except PeerError as failed:
-                error = failed
-                continue
-            except msgspec.MsgspecError:
-                continue
-            self._known = [Address.parse(text) for text in answer.addresses]
-            self._known_until = trio.current_time() + answer.lifetime_s
-            if self._recorder is not None:
-                record_told_addresses(self._recorder, caller=self._name, answer=answer)
-            return answer
-        if error is None:
-            raise NoAnswer("no entry VM answered", outcome="not-run", reason="no-entry")
-        raise error
+        return await self._entries.discover()
 
     async def complete(
         self,
@@ -159,45 +157,34 @@
         Raises ``NoAnswer`` with the outcome when the system gave the request up,
         or when no VM could be reached for the time allowed.
         """
-        stream = HeldStream()
         identity = request_id or f"{self._rng.getrandbits(REQUEST_ID_BITS):024x}"
-        history = self._history(identity)
-        visit = _Visit(
+        pending = _PendingCompletion(
             request=request,
             identity=identity,
-            stream=stream,
             on_arrival=on_arrival,
-            history=history,
+            history=self._history(identity),
         )
         try:
-            await self._come_until_whole(visit)
+            await self._retry_until_whole(pending)
         except NoAnswer as error:
-            if history is not None:
-                history.got_outcome(tag=error.outcome, status=error.status, reason=error.reason)
+            pending.record_no_answer(error)
             raise
-        if history is not None:
-            history.got_outcome(
-                tag="done",
-                status=STATUS_OK,
-                finish_reason=stream.finish_reason,
-                completion_tokens=len(stream.token_ids),
-            )
-        return stream
+        pending.record_whole()
+        return pending.stream
 
-    async def _come_until_whole(self, visit: _Visit) -> None:
-        stream = visit.stream
+    async def _retry_until_whole(self, pending: _PendingCompletion) -> None:
+        stream = pending.stream
         last_progress = trio.current_time()
         delay_s = 0.0
         while not stream.whole:
             await trio.sleep(delay_s)
             before = len(stream.token_ids)
-            address = await self._next_address()
+            address = await self._entries.next_address()
             try:
-                await self._exchange(address, visit)
+                await self._exchange(address, pending)
             except PeerError:
-                visit.record_lost(address)
-                self._lost = address
-                self._forget(address)
+                pending.record_lost(address)
+                self._entries.lose(address)
             now = trio.current_time()
             progressed = len(stream.token_ids) > before
             last_progress = now if progressed else last_progress
@@ -217,44 +204,44 @@
                 stream.error.message, outcome=stream.error.outcome, reason=stream.error.reason
             )
 
-    async def _exchange(self, address: Address, visit: _Visit) -> None:
-        visit.connected = False
+    async def _exchange(self, address: Address, pending: _PendingCompletion) -> None:
+        pending.connected = False
         async with await ClientConnection.open(address) as connection:
-            visit.connected = True
-            visit.record_asked(address)
+            pending.connected = True
+            pending.record_asked(address)
             await connection.start(
                 method="POST",
                 path="/v1/completions",
-                headers=self._headers(visit),
-                body=_body(visit.request, visit.stream if self._brings_tokens else None),
+                headers=self._headers(pending),
+                body=_body(pending.request, pending.stream if self._brings_tokens else None),
                 step="ask for a completion",
             )
-            head = await self._hear(
+            head = await self._read_unless_silent(
                 connection, connection.read_head, at_most_s=self._first_silence_at_most_s
             )
-            if head.status != STATUS_OK:
-                await self._refused(connection, head.status, head.headers)
+            if head.status != HTTPStatus.OK:
+                await self._handle_refusal(connection, head.status, head.headers)
                 return
-            await self._read(connection, visit)
-        moved = visit.stream.take_moved()
+            await self._read(connection, pending)
+        moved = pending.stream.take_moved()
         if moved is not None:
-            self._known = [Address.parse(text) for text in moved if text != str(address)]
+            self._entries.use(Address.parse(text) for text in moved if text != str(address))
 
-    async def _read(self, connection: ClientConnection, visit: _Visit) -> None:
+    async def _read(self, connection: ClientConnection, pending: _PendingCompletion) -> None:
         events = EventReader(connection=connection, step=READ_STEP)
         vm = str(connection.address)
         while True:
-            event = await self._hear(
+            event = await self._read_unless_silent(
                 connection, events.next_event, at_most_s=self._silence_at_most_s
             )
             if event is None:
                 return
-            self._take_event(event, visit, vm=vm)
+            self._take_event(event, pending, vm=vm)
 
-    def _take_event(self, event: ServerEvent, visit: _Visit, *, vm: str) -> None:
-        stream = visit.stream
+    def _take_event(self, event: ServerEvent, pending: _PendingCompletion, *, vm: str) -> None:
+        stream = pending.stream
         restarts_before = stream.restarts
-        text = stream.feed(event, peer=vm, history=visit.history)
+        text = stream.feed(event, peer=vm, history=pending.history)
         restarted = stream.restarts > restarts_before
         if not text and not restarted:
             return
@@ -266,16 +253,16 @@
             vm=vm,
             target=stream.last_event_id.target if stream.last_event_id else "",
         )
-        visit.on_arrival(arrival)
+        pending.on_arrival(arrival)
 
-    async def _hear(
+    async def _read_unless_silent(
         self,
         connection: ClientConnection,
-        next_word: Callable[[], Awaitable[T]],
+        read: Callable[[], Awaitable[T]],
         *,
         at_most_s: float,
     ) -> T:
-        """Wait for a VM's next word for as long as it lives; raises a ``PeerError``.
+        """Read on for as long as the VM lives; raises a ``PeerError``, also the VM's own.
 
         Guards against a VM that is paused: its connection stays open and silent, so
         a caller that only waits for an end would wait for ever. A VM that waits for
@@ -284,29 +271,32 @@
         give_up_at = trio.current_time() + at_most_s
         while True:
             with trio.move_on_after(self._silence_s):
-                return await next_word()
+                return await read()
             address = connection.address
             if trio.current_time() > give_up_at:
                 raise PeerTimeout(f"silent for {at_most_s:g} s", step=READ_STEP, peer=str(address))
-            await fetch(address, path=ENTRY_PATH, step=READ_STEP, timeout_s=DISCOVER_TIMEOUT_S)
+            await fetch_entry(address, step=READ_STEP)
 
-    async def _refused(self, connection: ClientConnection, status: int, headers: Headers) -> None:
+    async def _handle_refusal(
+        self, connection: ClientConnection, status: int, headers: Headers
+    ) -> None:
+        """Wait where the VM said when to come back; raise ``NoAnswer`` at any other refusal."""
         outcome = headers.get(OUTCOME_HEADER, "unknown") or "unknown"
         reason = headers.get(REASON_HEADER, "") or ""
-        if status in STATUS_RETRY:
-            self._forget(connection.address)
+        if status in RETRY_STATUSES:
+            self._entries.forget(connection.address)
             await trio.sleep(float(headers.get(RETRY_AFTER_HEADER, "1") or 1))
             return
         body = b"".join([piece async for piece in connection.iter_body()])
         message = body.decode("utf-8", "replace")
         raise NoAnswer(message, outcome=outcome, reason=reason, status=status)
 
-    def _headers(self, visit: _Visit) -> Headers:
-        request, stream = visit.request, visit.stream
+    def _headers(self, pending: _PendingCompletion) -> Headers:
+        request, stream = pending.request, pending.stream
         headers = Headers(
             (
                 ("Content-Type", "application/json"),
-                ("Idempotency-Key", visit.identity),
+                ("Idempotency-Key", pending.identity),
                 ("Lagoonlever-Accept", ABILITIES),
             )
         )
@@ -318,24 +308,6 @@
             headers = headers.with_field("Last-Event-ID", str(stream.last_event_id))
         return headers
 
-    async def _next_address(self) -> Address:
-        if not self._known or trio.current_time() > self._known_until:
-            try:
-                await self.discover()
-            except (PeerError, NoAnswer):
-                self._known = []
-        candidates = self._known or self._addresses
-        others = [address for address in candidates if address != self._lost]
-        return self._rng.choice(others or candidates)
-
-    def _candidates(self) -> list[Address]:
-        shuffled = list(self._addresses)
-        self._rng.shuffle(shuffled)
-        return self._known + [address for address in shuffled if address not in self._known]
-
-    def _forget(self, address: Address) -> None:
-        self._known = [known for known in self._known if known != address]
-
 
 def _body(request: CompletionRequest, stream: HeldStream | None) -> bytes:
     document: dict[str, object] = {
--- a/lagoonlever/tests/base.py
+++ b/lagoonlever/tests/base.py
@@ -148,7 +148,7 @@
         """Ask by the caller's library, which comes back by itself; first at a VM if named."""
         caller = Caller(addresses=self.cluster.addresses(), name=name, recorder=self.recorder)
         if vm is not None:
-            caller._known, caller._known_until = [self.address(vm)], float("inf")
+            caller.entries.use([self.address(vm)], until=float("inf"))
         request = CompletionRequest(
             model=MODEL, prompt=prompt, max_tokens=length, seed=seed, stop=stop
         )
--- a/lagoonlever/tests/caller_tests.py
+++ b/lagoonlever/tests/caller_tests.py
@@ -6,9 +6,10 @@
 import trio
 
 from lagoonlever.client.caller import Caller, CompletionRequest
+from lagoonlever.exceptions import BadResponse
 from lagoonlever.fakes.cluster import MODEL
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import open_listeners
+from lagoonlever.http.server import Exchange, ServerLimits, ServerState, open_listeners, serve_http
 from lagoonlever.tests.base import PROMPT, Scene, expected_text, run_scene
 
 
@@ -24,7 +25,7 @@
         listeners = await open_listeners(host="127.0.0.1", port=0)
         silent = Address(host="127.0.0.1", port=listeners[0].socket.getsockname()[1])
         caller = Caller(addresses=[silent, scene.address("vm-1")], silence_s=silence_s)
-        caller._known, caller._known_until = [silent], float("inf")
+        caller.entries.use([silent], until=float("inf"))
         request = CompletionRequest(model=MODEL, prompt=PROMPT, max_tokens=5, seed=5)
         held = None
         with trio.move_on_after(60 if finds_another else 2):
@@ -47,3 +48,26 @@
         assert len(streams) == 1
 
     run_scene(story, tmp_path, engines=2, vms=2, prefill_s_per_token=0.06)
+
+
+def test_an_address_that_is_no_entry_vm_is_named():
+    """A caller's only address is that of another server; the error must say which one."""
+
+    async def answer(exchange: Exchange) -> None:
+        await exchange.respond_json(status=200, payload="welcome")
+
+    async def main() -> None:
+        listeners = await open_listeners(host="127.0.0.1", port=0)
+        address = Address(host="127.0.0.1", port=listeners[0].socket.getsockname()[1])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                lambda: serve_http(
+                    handler=answer, listeners=listeners, limits=ServerLimits(), state=ServerState()
+                )
+            )
+            with pytest.raises(BadResponse) as caught:
+                await Caller(addresses=[address]).discover()
+            assert (caught.value.peer, caught.value.step) == (str(address), "find an entry VM")
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- a/lagoonlever/tests/processes.py
+++ b/lagoonlever/tests/processes.py
@@ -82,7 +82,7 @@
         """Give a caller; one that goes to a certain VM first if named."""
         caller = Caller(addresses=self.addresses, name=name, recorder=recorder)
         if at is not None:
-            caller._known, caller._known_until = [self.processes[at].address], float("inf")
+            caller.entries.use([self.processes[at].address], until=float("inf"))
         return caller
 
     def at(self, address: str) -> Process:
--- a/lagoonlever/tests/stop_tests.py
+++ b/lagoonlever/tests/stop_tests.py
@@ -71,9 +71,9 @@
     )
     vm = scene.address("vm-1")
     await caller.discover()
-    known_until = caller._known_until
+    known_until = caller.entries.known_until
     while trio.current_time() < known_until - 0.1:
-        caller._known = [vm]
+        caller.entries.use([vm])
         request = CompletionRequest(model=MODEL, prompt=PROMPT, max_tokens=3, seed=number)
         held = await caller.complete(request, on_arrival=lambda _: None)
         assert held.text == expected_text(length=3, seed=number)
