Tell that a peer closed before it answered in words of its own

Ruled out: a fault of the classification, as the error was ConnectionBroken all along.

Before: two cases of http_client_tests red once they look at the message. After: all four green.

--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -20,6 +20,7 @@
 
 RECEIVE_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
+BEFORE_ANSWER = "closed before it answered"
 POOL_IDLE_S = 4.0
 """Far below the idle timeout of usual servers, so that reuse seldom meets a closing socket."""
 
@@ -42,6 +43,7 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._step = "connect"
         self._ended = False
+        self._head_read = False
         self.idle_since = 0.0
 
     @property
@@ -96,6 +98,7 @@
     ) -> None:
         """Write a whole request; raises ``ConnectionBroken``."""
         self._step = step
+        self._head_read = False
         if self.reusable:
             self._h11.start_next_cycle()
         all_headers = (headers or Headers()).with_field("Host", str(self._address))
@@ -115,9 +118,10 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                self._head_read = True
                 headers = Headers.from_raw(event.headers)
                 return Response(status=event.status_code, headers=headers, body=b"")
-            raise self._broken("closed before it answered")
+            raise self._broken(BEFORE_ANSWER)
 
     async def iter_body(self) -> AsyncIterator[bytes]:
         """Give the pieces of the body as they arrive; raises ``ConnectionBroken`` if cut."""
@@ -159,7 +163,7 @@
             raise self._broken(str(error)) from error
         except h11.RemoteProtocolError as error:
             if self._ended:
-                raise self._broken(str(error)) from error
+                raise self._broken(self._early_end(error)) from error
             raise BadResponse(str(error), step=self._step, peer=str(self._address)) from error
 
     async def _receive(self) -> bytes:
@@ -175,6 +179,10 @@
             except BlockingIOError:
                 continue
 
+    def _early_end(self, error: h11.RemoteProtocolError) -> str:
+        """Tell where the peer closed; h11 tells it only of an end within a body."""
+        return str(error) if self._head_read else BEFORE_ANSWER
+
     def _broken(self, message: str) -> ConnectionBroken:
         return ConnectionBroken(
             message or "connection broke", step=self._step, peer=str(self._address)
--- a/lagoonlever/tests/http_client_tests.py
+++ b/lagoonlever/tests/http_client_tests.py
@@ -14,16 +14,19 @@
 
 
 @pytest.mark.parametrize(
-    ("answer", "error"),
+    ("answer", "error", "message"),
     [
-        (b"", ConnectionBroken),
-        (HEAD[:20], ConnectionBroken),
-        (HEAD + b"he", ConnectionBroken),
-        (b"no HTTP at all\r\n\r\n", BadResponse),
+        (b"", ConnectionBroken, "closed before it answered"),
+        (HEAD[:20], ConnectionBroken, "closed before it answered"),
+        (HEAD + b"he", ConnectionBroken, "without sending complete message body"),
+        (b"no HTTP at all\r\n\r\n", BadResponse, "illegal"),
     ],
 )
-def test_an_early_end_is_a_broken_connection_and_no_bad_response(answer, error):
-    """A peer closes before or within its answer, as an idle connection does when it is reused."""
+def test_an_early_end_is_a_broken_connection_and_no_bad_response(answer, error, message):
+    """A peer closes before or within its answer, as an idle connection does when it is reused.
+
+    An operator reads the message in the log, so it tells what the peer did.
+    """
 
     async def main():
         async def serve(stream):
@@ -35,7 +38,7 @@
         address = Address(host="127.0.0.1", port=listeners[0].socket.getsockname()[1])
         async with trio.open_nursery() as nursery:
             nursery.start_soon(trio.serve_listeners, serve, listeners)
-            with pytest.raises(error):
+            with pytest.raises(error, match=message):
                 await fetch(address, path="/", step="test", timeout_s=20)
             nursery.cancel_scope.cancel()
 
