Let a resume wait while its VM cannot tell which targets leave

Cause: a VM whose list of targets is too old, with most peers silent, gives no new work, and its view names no engine that takes any. A generation whose engine died in that moment was told 'no engine serves the model' at once: a caller lost its answer though engines were there. Ruled out: the engine's detection, and the refusal at the door, which says 'isolated' and is retried elsewhere. Before: no-target within the second (test red); after: the answer goes on once the list is read, within 10 s. A new request is refused at once as before.

--- a/lagoonlever/entry/engines.py
+++ b/lagoonlever/entry/engines.py
@@ -12,7 +12,7 @@
 from lagoonlever.decisions.generation_messages import BreakCause, Dispatch, GenerationSpec
 from lagoonlever.decisions.routing import Choice, ModelQuery, RequestFeatures, Router
 from lagoonlever.decisions.shares import work_of
-from lagoonlever.decisions.targets import ModelKey, Target, TargetView
+from lagoonlever.decisions.targets import ModelKey, Target, TargetState, TargetView
 from lagoonlever.entry.admission import Admitted
 from lagoonlever.entry.attempt import cancel_stream
 from lagoonlever.entry.engine_watch import EngineWatch, SuspicionListener
@@ -25,6 +25,8 @@
 CHARGE_TOKENS = 8
 """Decoded tokens are charged in lots: a charge for each would cost more than it tells."""
 DEFAULT_DEADLINE_S = 900.0
+UNSURE_WAIT_S = 10.0
+"""How long a resume waits for engines that this VM knows of and may not use just now."""
 
 
 class TargetGuard(Protocol):
@@ -113,7 +115,7 @@
         or dead by the time that the slot is granted.
         """
         query = ModelQuery.parse(spec.model, version=dispatch.model_version)
-        if not self._serving(query):
+        if not await self._wait_serving(query, dispatch):
             return None
         grant = await self._admission.admit(self._ask(spec, dispatch, query))
         if isinstance(grant, NotRun):
@@ -208,9 +210,27 @@
         name = stream_id(spec, dispatch.attempt)
         self._background.start_soon(cancel_stream, target.address, name)
 
-    def _serving(self, query: ModelQuery) -> bool:
+    async def _wait_serving(self, query: ModelQuery, dispatch: Dispatch) -> bool:
+        """Tell whether an engine serves the request; a resume waits for the list of them.
+
+        Guards against an answer that is given up because its engine died while this
+        VM could not tell for a moment which targets leave: the engines are there,
+        and work may be given to them again once the list is read in time. A new
+        request does not wait: nothing of it is lost, and another VM may take it.
+        """
+        state = self._serving(query)
+        with trio.move_on_after(UNSURE_WAIT_S if dispatch.resume else 0):
+            while state is TargetState.UNSURE:
+                await self._guard.view.wait_change()
+                state = self._serving(query)
+        return state is TargetState.LIVE
+
+    def _serving(self, query: ModelQuery) -> TargetState:
+        """Give the best state of an engine that has the model: ``GONE`` where none has it."""
         view = self._guard.view.value
-        return any(query.key_at(target) for target in view.targets if target.takes_work)
+        states = {target.state for target in view.targets if query.key_at(target)}
+        known = (TargetState.LIVE, TargetState.UNSURE)
+        return next((state for state in known if state in states), TargetState.GONE)
 
     def _ask(self, spec: GenerationSpec, dispatch: Dispatch, query: ModelQuery) -> AdmissionRequest:
         return AdmissionRequest(
--- a/lagoonlever/tests/cluster_tests.py
+++ b/lagoonlever/tests/cluster_tests.py
@@ -11,6 +11,7 @@
 
 from lagoonlever.client.answers import HeldStream
 from lagoonlever.decisions import orphans
+from lagoonlever.decisions.target_freshness import Belief, ListFreshness
 from lagoonlever.entry.generations import GenerationSettings
 from lagoonlever.fakes.batch import ServedModel
 from lagoonlever.fakes.cluster import DATA_CENTERS, MODEL
@@ -272,6 +273,46 @@
     run_scene(story, tmp_path, engines=2, vms=2)
 
 
+def test_an_engine_dies_while_its_vm_cannot_tell_which_targets_leave(tmp_path):
+    """A summary is half written when its VM loses the list of targets for a moment.
+
+    The VM that read the list for all has died, say, and its place is not taken yet.
+    The engine dies just then. Other engines are there, but none may be given work
+    until the list is read again; the answer waits for that and is not given up.
+    """
+
+    async def story(scene: Scene) -> None:
+        knowledge = scene.cluster.vms["vm-1"].daemon.parts.targets._knowledge
+        cut = []
+
+        def arrived(arrival) -> None:
+            if arrival.offset >= 20 and not cut:
+                cut.append(arrival)
+                knowledge._freshness = Isolated()
+                scene.cluster._nursery.start_soon(die_then_heal, arrival.target)
+
+        async def die_then_heal(engine: str) -> None:
+            view = scene.cluster.vms["vm-1"].daemon.parts.targets.view
+            await until(lambda: not any(target.takes_work for target in view.value.targets))
+            scene.cluster.kill_target(engine)
+            await trio.sleep(1.0)
+            knowledge._freshness = healthy
+
+        healthy = knowledge._freshness
+        held = await scene.ask(length=LONG, seed=5, vm="vm-1", on_arrival=arrived)
+        assert held.text == expected_text(length=LONG, seed=5)
+        assert held.restarts == 0
+
+    run_scene(story, tmp_path, engines=2, vms=1, token_interval_s=0.02)
+
+
+class Isolated(ListFreshness):
+    """What a VM believes that reaches neither the platform nor its peers."""
+
+    def belief(self, now: float) -> Belief:
+        return Belief.ISOLATED
+
+
 def test_kept_answers_are_bounded_in_number_and_age(tmp_path):
     """A VM that kept every finished answer would run out of memory within days."""
 
