--- a/lagoonlever/tests/process_tests.py
+++ b/lagoonlever/tests/process_tests.py
@@ -144,6 +144,7 @@
             for vm in fleet.vms:
                 if (await fleet.get(vm.name, "/admin/status"))["vm"]["open_streams"]:
                     vm.send(signal.SIGKILL)
+                    break
             await until(lambda: ask.poll() is not None)
         finally:
             ask.kill()
