Tell a taken port by its option in place of a traceback

A VM whose port another process held ended with the libraries' traceback: OSError for callers' port, ZMQError for the peers', both within a group. The test failed for both before.

--- a/lagoonlever/commands/entry.py
+++ b/lagoonlever/commands/entry.py
@@ -32,10 +32,25 @@
     try:
         loaded = load_vm_settings(settings)
     except FaultsError as error:
+        _tell(error)
+        raise typer.Exit(ExitCode.FAULTS) from error
+    try:
+        trio.run(_run, loaded)
+    except BaseExceptionGroup as group:
+        faults = group.subgroup(FaultsError)
+        if faults is None:
+            raise
+        _tell(faults)
+        raise typer.Exit(ExitCode.FAULTS) from group
+
+
+def _tell(error: BaseException) -> None:
+    if isinstance(error, BaseExceptionGroup):
+        for each in error.exceptions:
+            _tell(each)
+    if isinstance(error, FaultsError):
         for fault in error.faults:
             typer.echo(f"fault: {fault}", err=True)
-        raise typer.Exit(ExitCode.FAULTS) from error
-    trio.run(_run, loaded)
 
 
 async def _run(settings: VmSettings) -> None:
--- a/lagoonlever/entry/daemon.py
+++ b/lagoonlever/entry/daemon.py
@@ -8,12 +8,14 @@
 import attrs
 import logbook
 import trio
+import zmq
 
 from lagoonlever.config.vm import VmSettings
 from lagoonlever.decisions.membership import Member, MemberState
 from lagoonlever.entry.foundation import Foundation
 from lagoonlever.entry.parts import HTTP_LIMITS, Parts
 from lagoonlever.events import event
+from lagoonlever.exceptions import Fault, FaultsError
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import ServerState, open_listeners, serve_http
 from lagoonlever.identity import Incarnation
@@ -106,7 +108,7 @@
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until a planned stop is over, or cancelled."""
         listen = Address.parse(self._settings.listen)
-        listeners = await open_listeners(host=listen.host, port=listen.port)
+        listeners = await _open_listeners(listen)
         port = listeners[0].socket.getsockname()[1]
         self._address = attrs.evolve(self._settings.advertised, port=port)
         async with trio.open_nursery() as nursery:
@@ -149,7 +151,7 @@
         settings = self._settings
         own = new_incarnation(settings.name, self._rng)
         bus = PeerBus(own=own, listen=Address.parse(settings.peer_listen))
-        self._peer_address = bus.bind()
+        self._peer_address = _bind(bus, settings.peer_listen)
         member = Member(
             incarnation=own,
             data_center=settings.data_center,
@@ -168,3 +170,22 @@
             background=nursery,
         )
         return Parts(base=base)
+
+
+async def _open_listeners(listen: Address) -> list[trio.SocketListener]:
+    try:
+        return await open_listeners(host=listen.host, port=listen.port)
+    except OSError as error:
+        raise _cannot_listen("listen", str(listen), error) from error
+
+
+def _bind(bus: PeerBus, peer_listen: str) -> Address:
+    try:
+        return bus.bind()
+    except zmq.ZMQError as error:
+        raise _cannot_listen("peer_listen", peer_listen, error) from error
+
+
+def _cannot_listen(option: str, address: str, error: Exception) -> FaultsError:
+    message = f"{address} can't be listened on ({error}); give a free port of this VM"
+    return FaultsError([Fault(path=option, message=message)])
