--- a/lagoonlever/tests/at_most_once_tests.py
+++ b/lagoonlever/tests/at_most_once_tests.py
@@ -172,3 +172,19 @@
             assert (outcome(site.bid(1, key))) == "unknown"
         executions = site.executions()
         assert all(executions.get(key, 0) <= 1 for key in keys)
+
+
+def test_a_repeat_outlives_its_killed_home(tmp_path: Path) -> None:
+    """A bid was answered and its VM is killed before the dealer, who heard nothing, asks again.
+
+    The other VM holds a copy of the answer, and gives it.
+    """
+    with deployment(tmp_path) as site:
+        keys = ["bid-1", site.mint(0, "random-12345678")]
+        answers = [site.bid(0, key) for key in keys]
+        site.vms[0].send(signal.SIGKILL)
+        for key, answer in zip(keys, answers, strict=True):
+            repeat = site.bid(1, key)
+            assert (outcome(repeat), repeat.body) == ("done", answer.body)
+        executions = site.executions()
+        assert [executions[key] for key in keys] == [1, 1]
