Call what a stop waits for open work, and statuses by their standard names

'Held' meant three things: what a caller holds, what a lease holder holds, and what a VM still serves during a planned stop. The last is OpenWork. 'again, nothing changes' is said as what a repeated call does. HTTP statuses of four modules come from http.HTTPStatus in place of numbers and constants of their own; placement's score is private, as nothing else uses it. No behaviour changes.

--- a/lagoonlever/decisions/placement.py
+++ b/lagoonlever/decisions/placement.py
@@ -13,7 +13,7 @@
 from lagoonlever.decisions.membership import Member, MemberView
 
 
-def score(request_id: str, name: str) -> int:
+def _score(request_id: str, name: str) -> int:
     """Give the rendezvous score of a VM's name for a request; the highest holds."""
     return xxhash.xxh3_64_intdigest(f"{request_id}|{name}".encode())
 
@@ -34,7 +34,7 @@
 
 def _rounds(request_id: str, members: Iterable[Member]) -> list[list[Member]]:
     """Give the best of each data centre, then the second best of each, and so on."""
-    ranked = sorted(members, key=lambda m: (score(request_id, m.name), m.name), reverse=True)
+    ranked = sorted(members, key=lambda m: (_score(request_id, m.name), m.name), reverse=True)
     rounds: list[list[Member]] = []
     taken: dict[str, int] = {}
     for member in ranked:
--- a/lagoonlever/decisions/planned_stop.py
+++ b/lagoonlever/decisions/planned_stop.py
@@ -23,8 +23,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class Held:
-    """What a VM still holds."""
+class OpenWork:
+    """Counts of what a VM still serves, by kind."""
 
     generations: int = 0
     keyed_requests: int = 0
@@ -62,8 +62,8 @@
         self._busy_at = now
         return True
 
-    def observe(self, held: Held, now: float) -> StopPhase:
-        """Take what is held now and give the phase.
+    def observe(self, open_work: OpenWork, now: float) -> StopPhase:
+        """Take the work that is open now and give the phase.
 
         The quiet time guards against a request that sits in the listener's
         backlog: it was accepted by the kernel, shows in no count yet, and would
@@ -71,7 +71,7 @@
         """
         if self._began_at is None or self._ended:
             return self.phase
-        if held.anything:
+        if open_work.anything:
             self._busy_at = now
         lifetime_over = now - self._began_at >= self._address_lifetime_s
         if lifetime_over and now - self._busy_at >= self._quiet_s:
--- a/lagoonlever/entry/addresses.py
+++ b/lagoonlever/entry/addresses.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from http import HTTPStatus
 
 import attrs
 
@@ -13,8 +14,6 @@
 from lagoonlever.entry.published import Published
 from lagoonlever.http.server import Exchange
 
-HTTP_OK = 200
-
 
 @attrs.frozen(kw_only=True)
 class KeyHomeAnswer:
@@ -61,7 +60,7 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer a caller."""
-        await exchange.respond_json(status=HTTP_OK, payload=attrs.asdict(self.answer()))
+        await exchange.respond_json(status=HTTPStatus.OK, payload=attrs.asdict(self.answer()))
 
     def _home(self, view: MemberView) -> KeyHomeAnswer | None:
         own = view.own_member
--- a/lagoonlever/entry/caller_stream.py
+++ b/lagoonlever/entry/caller_stream.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Callable
+from http import HTTPStatus
 
 import attrs
 import msgspec
@@ -50,7 +51,7 @@
 HELD_IS_VOID = Unknown(
     reason=Reason.SUPERSEDED,
     message="what you hold is not part of the answer here; ask anew without Last-Event-ID",
-    status=409,
+    status=HTTPStatus.CONFLICT,
 )
 
 
@@ -221,7 +222,7 @@
         if self._started:
             return
         self._started = True
-        await self._exchange.start_stream(status=200, headers=STREAM_HEADERS)
+        await self._exchange.start_stream(status=HTTPStatus.OK, headers=STREAM_HEADERS)
 
     async def _end(self) -> None:
         finish = self._task.finished
--- a/lagoonlever/entry/callers.py
+++ b/lagoonlever/entry/callers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
 import attrs
 
 from lagoonlever.entry.published import Published
@@ -12,7 +14,6 @@
 
 AUTHORIZATION = "Authorization"
 BEARER = "bearer "
-UNAUTHORIZED = 401
 
 
 @attrs.define(kw_only=True)
@@ -29,12 +30,16 @@
         value = headers.get(AUTHORIZATION) or ""
         if not value.lower().startswith(BEARER):
             raise RequestRefused(
-                status=UNAUTHORIZED, field=AUTHORIZATION, message="give 'Bearer' and an API key"
+                status=HTTPStatus.UNAUTHORIZED,
+                field=AUTHORIZATION,
+                message="give 'Bearer' and an API key",
             )
         path = tree.organisation_of_key(value[len(BEARER) :].strip())
         if path is None:
             raise RequestRefused(
-                status=UNAUTHORIZED, field=AUTHORIZATION, message="holds no key of an organisation"
+                status=HTTPStatus.UNAUTHORIZED,
+                field=AUTHORIZATION,
+                message="holds no key of an organisation",
             )
         return path
 
--- a/lagoonlever/entry/daemon.py
+++ b/lagoonlever/entry/daemon.py
@@ -81,7 +81,7 @@
         return self._parts
 
     def stop(self) -> None:
-        """Begin the planned stop; again, nothing changes."""
+        """Begin the planned stop; a repeated call has no effect."""
         if self._parts is not None:
             self._parts.stopping.begin()
 
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -7,7 +7,7 @@
 import attrs
 
 from lagoonlever.decisions.membership import MemberState
-from lagoonlever.decisions.planned_stop import Held
+from lagoonlever.decisions.planned_stop import OpenWork
 from lagoonlever.entry.addresses import EntryAddressesPart
 from lagoonlever.entry.admin import SettingsAdmin
 from lagoonlever.entry.admin_messages import SETTINGS_PATH
@@ -226,7 +226,7 @@
         return Stopping(
             timers=self.base.timers,
             address_lifetime_s=self.base.settings.addresses.served_after_leaving_s,
-            held=self._held,
+            open_work=self._open_work,
             on_leaving=self._begin_leaving,
         )
 
@@ -311,11 +311,11 @@
 
     def record_ended(self) -> None:
         """Record the end of a planned stop, with what would be cut."""
-        held = self._held()
+        open_work = self._open_work()
         record_stop_ended(
             self.base.recorder,
             vm=self.base.settings.name,
-            open_requests=held.generations + held.keyed_requests,
+            open_requests=open_work.generations + open_work.keyed_requests,
         )
 
     async def _hear_taken_over(self) -> None:
@@ -344,8 +344,8 @@
             if task.finished is None:
                 yield task.spec.organisation
 
-    def _held(self) -> Held:
-        return Held(
+    def _open_work(self) -> OpenWork:
+        return OpenWork(
             generations=self.generations.service.running,
             keyed_requests=self.services.open_keys,
             exchanges=self.base.http.open_exchanges,
--- a/lagoonlever/entry/stopping.py
+++ b/lagoonlever/entry/stopping.py
@@ -8,7 +8,7 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.planned_stop import Held, PlannedStop, StopPhase
+from lagoonlever.decisions.planned_stop import OpenWork, PlannedStop, StopPhase
 from lagoonlever.events import event
 from lagoonlever.timers import Tick, TimerService
 
@@ -43,11 +43,11 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Stopping:
-    """Watches what is held during a planned stop."""
+    """Ends a planned stop once no work is open and callers' addresses have expired."""
 
     _timers: TimerService
     _address_lifetime_s: float
-    _held: Callable[[], Held]
+    _open_work: Callable[[], OpenWork]
     _on_leaving: Callable[[], None]
     _stop: PlannedStop = attrs.field(init=False)
     _ended: trio.Event = attrs.field(factory=trio.Event)
@@ -62,14 +62,14 @@
         return self._stop.phase is not StopPhase.SERVING
 
     def begin(self) -> None:
-        """Begin to leave; again, nothing changes."""
+        """Begin to leave; a repeated call is only logged."""
         now = self._timers.now
         if not self._stop.begin(now):
             STOP_REPEATED.log(log)
             return
-        held = self._held()
+        open_work = self._open_work()
         self._began_at = now
-        STOP_BEGAN.log(log, generations=held.generations, connections=held.connections)
+        STOP_BEGAN.log(log, generations=open_work.generations, connections=open_work.connections)
         self._on_leaving()
 
     async def wait_ended(self) -> None:
@@ -78,7 +78,7 @@
             await self._ended.wait()
 
     def _check(self, tick: Tick) -> None:
-        if self._stop.observe(self._held(), tick.now) is StopPhase.ENDED:
+        if self._stop.observe(self._open_work(), tick.now) is StopPhase.ENDED:
             if not self._ended.is_set():
                 STOP_ENDED.log(log, seconds=tick.now - self._began_at)
             self._ended.set()
--- a/lagoonlever/tests/planned_stop_tests.py
+++ b/lagoonlever/tests/planned_stop_tests.py
@@ -17,7 +17,7 @@
 
 from lagoonlever.decisions.addresses import AddressesSettings, entry_addresses
 from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.planned_stop import Held, PlannedStop, StopPhase
+from lagoonlever.decisions.planned_stop import OpenWork, PlannedStop, StopPhase
 from lagoonlever.entry.stopping import QUIET_S
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
@@ -76,7 +76,7 @@
             accepted = [at for at in self.backlog if self.now - at > LOOK_S]
             self.backlog = [at for at in self.backlog if at not in accepted]
             self.held += len(accepted)
-            self.stop.observe(Held(exchanges=self.held), self.now)
+            self.stop.observe(OpenWork(exchanges=self.held), self.now)
 
     @invariant()
     def nothing_is_cut(self) -> None:
@@ -90,7 +90,7 @@
             self.held, self.backlog = 0, []
             for _ in range(100):
                 self.now += LOOK_S
-                self.stop.observe(Held(), self.now)
+                self.stop.observe(OpenWork(), self.now)
             assert self.stop.phase is StopPhase.ENDED
 
 
--- a/lagoonlever/tests/stop_tests.py
+++ b/lagoonlever/tests/stop_tests.py
@@ -12,7 +12,7 @@
 from lagoonlever.client.answers import HeldStream
 from lagoonlever.client.caller import Arrival, Caller, CompletionRequest
 from lagoonlever.decisions.addresses import AddressesSettings
-from lagoonlever.decisions.planned_stop import Held, PlannedStop
+from lagoonlever.decisions.planned_stop import OpenWork, PlannedStop
 from lagoonlever.entry import stopping
 from lagoonlever.entry.daemon import EntryDaemon
 from lagoonlever.exceptions import ConnectFailed, ConnectionBroken
@@ -163,7 +163,7 @@
     if broken == "cuts what is held":
         observe = PlannedStop.observe
         monkeypatch.setattr(
-            PlannedStop, "observe", lambda self, _, now: observe(self, Held(), now + 1000)
+            PlannedStop, "observe", lambda self, _, now: observe(self, OpenWork(), now + 1000)
         )
         monkeypatch.setattr(EntryDaemon, "_close", no_wait)
     if broken == "forgets old addresses":
