Name the reader of chunks apart from the stand-in's stream

Two classes were called EngineStream: the stand-in engine's own stream, and what reads a response at an entry VM, which is ChunkReader now. A rename and nothing else.

--- a/lagoonlever/entry/attempt.py
+++ b/lagoonlever/entry/attempt.py
@@ -8,7 +8,7 @@
 import trio
 
 from lagoonlever.decisions.generation_messages import Dispatch, GenerationSpec
-from lagoonlever.entry.engine_stream import EngineStream
+from lagoonlever.entry.chunk_reader import ChunkReader
 from lagoonlever.exceptions import ConnectFailed, PeerError
 from lagoonlever.http.client import ClientConnection, fetch
 from lagoonlever.http.messages import Address
@@ -79,9 +79,9 @@
         await connection.start(method="GET", path=path, step=self._step)
 
     async def _read(self, connection: ClientConnection) -> None:
-        stream = EngineStream(connection=connection, step=self._step)
-        await stream.read_head()
-        while (chunk := await stream.next_chunk()) is not None:
+        reader = ChunkReader(connection=connection, step=self._step)
+        await reader.read_head()
+        while (chunk := await reader.next_chunk()) is not None:
             self._on_chunk(chunk)
 
 
--- a/lagoonlever/entry/engine_stream.py
+++ b/lagoonlever/entry/chunk_reader.py
@@ -17,7 +17,7 @@
     """The engine answered with an error status, before any chunk."""
 
 
-class EngineStream:
+class ChunkReader:
     """The chunks of one response; the request has been written on ``connection``."""
 
     def __init__(self, *, connection: ClientConnection, step: str) -> None:
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -20,7 +20,7 @@
     Restart,
 )
 from lagoonlever.entry.attempt import EngineAttempt
-from lagoonlever.entry.engine_stream import EngineRefused
+from lagoonlever.entry.chunk_reader import EngineRefused
 from lagoonlever.entry.engines import Engines, Placement
 from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed, PeerError
--- a/lagoonlever/entry/recovery.py
+++ b/lagoonlever/entry/recovery.py
@@ -14,7 +14,7 @@
 from lagoonlever.decisions.generation_messages import GenerationSpec, ResumePoint
 from lagoonlever.decisions.resume import HeldAnswer, point_of_held
 from lagoonlever.decisions.targets import TargetView
-from lagoonlever.entry.engine_stream import EngineStream
+from lagoonlever.entry.chunk_reader import ChunkReader
 from lagoonlever.entry.published import Published
 from lagoonlever.events import event
 from lagoonlever.exceptions import PeerError
@@ -117,7 +117,7 @@
     async with await ClientConnection.open(address) as connection:
         path = reattach_path(spec, last.attempt, starting_after=0)
         await connection.start(method="GET", path=path, step=RECOVERY_STEP)
-        stream = EngineStream(connection=connection, step=RECOVERY_STEP)
-        await stream.read_head()
-        while not head.whole and (chunk := await stream.next_chunk()) is not None:
+        reader = ChunkReader(connection=connection, step=RECOVERY_STEP)
+        await reader.read_head()
+        while not head.whole and (chunk := await reader.next_chunk()) is not None:
             head.take(chunk)
