Record a VM's work and stop under the life that has its settings

Cause: versions in force were recorded under the incarnation, everything else under the VM's name. The checker of settings looks work and ended stops up by the life that has a version, so it passed over every SettingsWorkTaken of a real VM, and called a VM late that had ended its planned stop before.

No reader compares the process of these events with a VM's name; those that need the name read the field vm.

Before: the new test red with two processes for one life. After: green, and the checker sees that VM's work on an old version.

--- a/lagoonlever/entry/foundation.py
+++ b/lagoonlever/entry/foundation.py
@@ -43,7 +43,9 @@
     @recorder.default
     def _make_recorder(self) -> Recorder | None:
         file = self.settings.history_file
-        return Recorder(process=self.settings.name, path=Path(file)) if file else None
+        if file is None:
+            return None
+        return Recorder(process=str(self.own.incarnation), path=Path(file))
 
     @platform.default
     def _make_platform(self) -> Platform:
--- a/lagoonlever/tests/settings_process_tests.py
+++ b/lagoonlever/tests/settings_process_tests.py
@@ -6,15 +6,20 @@
 from functools import partial
 from pathlib import Path
 
+from lagoonlever.client.caller import CompletionRequest
 from lagoonlever.commands.settings_client import SettingsClient
+from lagoonlever.fakes.cluster import MODEL
+from lagoonlever.history.checkers.settings_in_force import LIMIT_S, check
 from lagoonlever.history.events_settings import (
     SettingsAccepted,
     SettingsInForce,
     SettingsReachable,
     SettingsUnreachable,
+    SettingsWorkTaken,
 )
-from lagoonlever.tests.base import until_answer
-from lagoonlever.tests.processes import Fleet, run_fleet
+from lagoonlever.history.events_vms import VmStopBegan, VmStopEnded
+from lagoonlever.tests.base import PROMPT, until_answer
+from lagoonlever.tests.processes import Fleet, run_fleet, wait_ended
 from lagoonlever.tree.change_plan import ChangeRequest
 from lagoonlever.tree.changes import diff
 from lagoonlever.tree.document import parse_text
@@ -104,3 +109,33 @@
         assert options["queue_bound"] == 500
 
     run_fleet(story, tmp_path, engines=1)
+
+
+def test_a_vm_records_its_work_and_its_stop_under_the_life_that_has_the_settings(
+    tmp_path: Path,
+) -> None:
+    """Story: a VM takes work on an old version, and the checker of the run says nothing.
+
+    It looks work and stops up by the life that has a version in force. Recorded under
+    the VM's name, they were passed over, and a VM that had ended was called late.
+    """
+    kinds = (SettingsInForce, SettingsWorkTaken, VmStopBegan, VmStopEnded)
+
+    async def story(fleet: Fleet) -> None:
+        version = await store(fleet, "vm-1", '{"/": {"queue_bound": 500}}')
+        await until_answer(partial(in_force, fleet, "vm-1", version))
+        request = CompletionRequest(model=MODEL, prompt=PROMPT, max_tokens=3, seed=1)
+        await fleet.caller(fleet.recorder(), at="vm-1").complete(request, on_arrival=lambda _: None)
+        fleet.processes["vm-1"].send(signal.SIGTERM)
+        assert await wait_ended(fleet.processes["vm-1"]) == 0
+        events = fleet.history()
+        own = [each for each in events if isinstance(each, kinds) and each.vm == "vm-1"]
+        assert {type(each) for each in own} == set(kinds)
+        assert len({each.process for each in own}) == 1
+        taken = next(each for each in own if isinstance(each, SettingsWorkTaken))
+        accepted = SettingsAccepted(
+            at=taken.at - LIMIT_S - 1, process="ana", version=version + 1, change="missed"
+        )
+        assert any("took work" in each.message for each in check([accepted, *events]))
+
+    run_fleet(story, tmp_path, engines=1, vms=2, address_lifetime_s=1.0)
