Read the platform's answers where the server is known

A call of the gateway was five parameters by position, its answer bytes, and two functions elsewhere read them: by then nobody knew which server had answered, so the error named 'platform' as its peer. EtcdCall says what is sent and what the answer is read as; EtcdServers reads it and names the server.

What changes with it: a read whose answer is no answer goes on to the next server (it failed before), and a change is still never tried elsewhere, but its lost answer is logged with the server's address. The new test fails on the former code, which named 'platform'.

--- a/lagoonlever/platform/etcd_json.py
+++ b/lagoonlever/platform/etcd_json.py
@@ -5,15 +5,12 @@
 import contextlib
 import math
 from collections.abc import Sequence
-from typing import TypeVar
-
-import msgspec
 
 from lagoonlever.exceptions import PlatformAnswerLost, PlatformUnavailable
 from lagoonlever.http.messages import Address
 from lagoonlever.instruments import Metrics
 from lagoonlever.platform import etcd_wire as wire
-from lagoonlever.platform.etcd_servers import CALL_TIMEOUT_S, EtcdServers
+from lagoonlever.platform.etcd_servers import CALL_TIMEOUT_S, EtcdCall, EtcdServers
 from lagoonlever.platform.etcd_watch import EtcdWatch
 from lagoonlever.platform.port import (
     ABSENT,
@@ -41,8 +38,6 @@
 )
 from lagoonlever.platform.registry import adapter
 
-T = TypeVar("T")
-
 
 @adapter("etcd-json")
 class EtcdPlatform:
@@ -115,23 +110,42 @@
     async def grant_lease(self, ttl_s: float) -> Lease:
         """Take a lease of at least ``ttl_s``, in whole seconds as the protocol has it."""
         request = wire.GrantRequest(TTL=str(math.ceil(ttl_s)))
-        body = await self._servers.change(wire.GRANT_PATH, request, step="grant-lease")
-        response = _decode_change(body, wire.LeaseResponse, step="grant-lease")
+        response = await self._servers.change(
+            EtcdCall(
+                step="grant-lease",
+                path=wire.GRANT_PATH,
+                message=request,
+                answer=wire.LeaseResponse,
+            )
+        )
         return Lease(id=int(response.ID), ttl_s=float(response.TTL))
 
     async def keep_alive(self, lease: Lease) -> RenewalResult:
         """Renew a lease."""
         request = wire.LeaseRequest(ID=str(lease.id))
-        body = await self._servers.read(wire.KEEP_ALIVE_PATH, request, step="keep-alive")
-        response = _decode_read(body, wire.KeepAliveResponse, step="keep-alive").result
-        ttl_s = float(response.TTL)
+        response = await self._servers.read(
+            EtcdCall(
+                step="keep-alive",
+                path=wire.KEEP_ALIVE_PATH,
+                message=request,
+                answer=wire.KeepAliveResponse,
+            )
+        )
+        ttl_s = float(response.result.TTL)
         return Renewed(ttl_s=ttl_s) if ttl_s > 0 else Lapsed()
 
     async def revoke(self, lease: Lease) -> None:
         """Give a lease up, with its keys; one that has lapsed is no error."""
         request = wire.LeaseRequest(ID=str(lease.id))
         with contextlib.suppress(LeaseLapsed):
-            await self._servers.read(wire.REVOKE_PATH, request, step="revoke")
+            await self._servers.read(
+                EtcdCall(
+                    step="revoke",
+                    path=wire.REVOKE_PATH,
+                    message=request,
+                    answer=wire.WriteResponse,
+                )
+            )
 
     def watch(self, prefix: str, *, after_revision: int) -> Watch:
         """Watch the changes after a revision."""
@@ -139,10 +153,11 @@
 
     async def list_vms(self) -> tuple[VmEntry, ...]:
         """Read the list of live and leaving VMs."""
-        body = await self._servers.read(wire.VMS_PATH, None, step="list-vms", method="GET")
-        listed = _decode_read(body, wire.VmList, step="list-vms").vms
+        listed = await self._servers.read(
+            EtcdCall(step="list-vms", path=wire.VMS_PATH, method="GET", answer=wire.VmList)
+        )
         try:
-            return tuple(_vm_entry(each) for each in listed)
+            return tuple(_vm_entry(each) for each in listed.vms)
         except ValueError as error:
             raise PlatformUnavailable(str(error), step="list-vms", peer="platform") from error
 
@@ -151,26 +166,14 @@
         await self._servers.aclose()
 
     async def _range(self, request: wire.RangeRequest, *, step: str) -> wire.RangeResponse:
-        body = await self._servers.read(wire.RANGE_PATH, request, step=step)
-        return _decode_read(body, wire.RangeResponse, step=step)
+        return await self._servers.read(
+            EtcdCall(step=step, path=wire.RANGE_PATH, message=request, answer=wire.RangeResponse)
+        )
 
     async def _txn(self, request: wire.TxnRequest, *, step: str) -> wire.TxnResponse:
-        body = await self._servers.change(wire.TXN_PATH, request, step=step)
-        return _decode_change(body, wire.TxnResponse, step=step)
-
-
-def _decode_read(body: bytes, cls: type[T], *, step: str) -> T:
-    try:
-        return msgspec.json.decode(body, type=cls)
-    except msgspec.MsgspecError as error:
-        raise PlatformUnavailable(str(error), step=step, peer="platform") from error
-
-
-def _decode_change(body: bytes, cls: type[T], *, step: str) -> T:
-    try:
-        return msgspec.json.decode(body, type=cls)
-    except msgspec.MsgspecError as error:
-        raise PlatformAnswerLost(str(error), step=step, peer="platform") from error
+        return await self._servers.change(
+            EtcdCall(step=step, path=wire.TXN_PATH, message=request, answer=wire.TxnResponse)
+        )
 
 
 def _key(key: str) -> str:
--- a/lagoonlever/platform/etcd_servers.py
+++ b/lagoonlever/platform/etcd_servers.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
+from http import HTTPStatus
+from typing import Generic, TypeVar
 
+import attrs
 import logbook
 import msgspec
 
@@ -33,10 +36,24 @@
 
 CALL_TIMEOUT_S = 1.0
 JSON_HEADERS = Headers((("Content-Type", JSON_TYPE),))
-TOO_MANY_REQUESTS = 429
-REFUSED_STATUSES = (400, 413)
+REFUSED_STATUSES = (HTTPStatus.BAD_REQUEST, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 NOT_APPLIED = ("no leader", "too many requests", "space exceeded")
 """Words of those errors of a server that prove that it did not take a change."""
+UNANSWERED = (ConnectFailed, PeerTimeout, ConnectionBroken, BadResponse)
+"""What a call raises that got no readable answer; only the first proves that nothing was sent."""
+
+T = TypeVar("T")
+
+
+@attrs.frozen(kw_only=True)
+class EtcdCall(Generic[T]):
+    """One call of the gateway: what is sent, and the class that its answer is read as."""
+
+    step: str
+    path: str
+    answer: type[T]
+    message: object | None = None
+    method: str = "POST"
 
 
 class EtcdServers:
@@ -72,22 +89,17 @@
         if self._metrics is not None:
             self._metrics.add(PLATFORM_CALLS, 1, step, result)
 
-    async def read(
-        self, path: str, message: object | None, *, step: str, method: str = "POST"
-    ) -> bytes:
+    async def read(self, call: EtcdCall[T]) -> T:
         """Make a call that is harmless to repeat, at each server until one answers."""
         errors: list[str] = []
         for address in self.in_turn():
             try:
-                response = await self._fetch_pooled(address, path, message, step, method)
-                return self._body(response, step, address)
-            except (PeerTimeout, ConnectionBroken, ConnectFailed, BadResponse) as error:
-                errors.append(str(error))
-            except (PlatformUnavailable, PlatformAnswerLost) as error:
+                return self._answer(call, address, await self._fetch_pooled(call, address))
+            except (*UNANSWERED, PlatformUnavailable, PlatformAnswerLost) as error:
                 errors.append(str(error))
-        raise self.unavailable(errors, step=step)
+        raise self.unavailable(errors, step=call.step)
 
-    async def change(self, path: str, message: object, *, step: str) -> bytes:
+    async def change(self, call: EtcdCall[T]) -> T:
         """Make a call that changes something, at one server.
 
         Guards against a change that is applied twice: only a server that provably
@@ -97,15 +109,14 @@
         errors: list[str] = []
         for address in self.in_turn():
             try:
-                response = await self._fetch(address, path, message, step, "POST", None)
-                return self._body(response, step, address)
+                return self._answer(call, address, await self._fetch(call, address))
             except (ConnectFailed, PlatformUnavailable) as error:
                 errors.append(str(error))
-            except (PeerTimeout, ConnectionBroken, BadResponse, PlatformAnswerLost) as error:
+            except (*UNANSWERED, PlatformAnswerLost) as error:
                 peer = str(address)
-                PLATFORM_ANSWER_LOST.log(log, step=step, peer=peer, error=str(error))
-                raise PlatformAnswerLost(str(error), step=step, peer=peer) from error
-        raise self.unavailable(errors, step=step)
+                PLATFORM_ANSWER_LOST.log(log, step=call.step, peer=peer, error=str(error))
+                raise PlatformAnswerLost(str(error), step=call.step, peer=peer) from error
+        raise self.unavailable(errors, step=call.step)
 
     def unavailable(self, errors: list[str], *, step: str) -> PlatformUnavailable:
         """Note that no server took a call, and give the error that says so."""
@@ -125,46 +136,43 @@
         """Close idle connections."""
         await self._pool.aclose()
 
-    async def _fetch_pooled(
-        self, address: Address, path: str, message: object | None, step: str, method: str
-    ) -> Response:
+    async def _fetch_pooled(self, call: EtcdCall[T], address: Address) -> Response:
         """Fetch by an idle connection, and once more by a fresh one where that had closed."""
         try:
-            return await self._fetch(address, path, message, step, method, self._pool)
+            return await self._fetch(call, address, pool=self._pool)
         except ConnectionBroken:
-            return await self._fetch(address, path, message, step, method, None)
+            return await self._fetch(call, address)
 
     async def _fetch(
-        self,
-        address: Address,
-        path: str,
-        message: object | None,
-        step: str,
-        method: str,
-        pool: Pool | None,
+        self, call: EtcdCall[T], address: Address, *, pool: Pool | None = None
     ) -> Response:
         try:
             response = await fetch(
                 address,
-                method=method,
-                path=path,
+                method=call.method,
+                path=call.path,
                 headers=JSON_HEADERS,
-                body=b"" if message is None else encode(message),
-                step=step,
+                body=b"" if call.message is None else encode(call.message),
+                step=call.step,
                 timeout_s=self._timeout_s,
                 pool=pool,
             )
         except PeerError:
-            self.count(step, "error")
+            self.count(call.step, "error")
             raise
-        self.count(step, "ok" if response.status == 200 else "error")
+        self.count(call.step, "ok" if response.status == HTTPStatus.OK else "error")
         return response
 
-    def _body(self, response: Response, step: str, address: Address) -> bytes:
-        if response.status == 200:
-            self.reached(address)
-            return response.body
-        raise error_of(response, step=step, peer=str(address))
+    def _answer(self, call: EtcdCall[T], address: Address, response: Response) -> T:
+        peer = str(address)
+        if response.status != HTTPStatus.OK:
+            raise error_of(response, step=call.step, peer=peer)
+        try:
+            answer = msgspec.json.decode(response.body, type=call.answer)
+        except msgspec.MsgspecError as error:
+            raise BadResponse(str(error), step=call.step, peer=peer) from error
+        self.reached(address)
+        return answer
 
 
 def error_of(response: Response, *, step: str, peer: str) -> PeerError:
@@ -177,6 +185,12 @@
         return LeaseLapsed(error.message, step=step, peer=peer)
     if response.status in REFUSED_STATUSES:
         return ChangeRefused(error.message, step=step, peer=peer)
-    if response.status == TOO_MANY_REQUESTS or any(word in error.message for word in NOT_APPLIED):
+    if _proves_not_applied(response, error):
         return PlatformUnavailable(error.message, step=step, peer=peer)
     return PlatformAnswerLost(error.message, step=step, peer=peer)
+
+
+def _proves_not_applied(response: Response, error: ErrorResponse) -> bool:
+    if response.status == HTTPStatus.TOO_MANY_REQUESTS:
+        return True
+    return any(word in error.message for word in NOT_APPLIED)
--- a/lagoonlever/tests/platform_etcd_tests.py
+++ b/lagoonlever/tests/platform_etcd_tests.py
@@ -12,7 +12,7 @@
 
 from lagoonlever.exceptions import ConfigurationError, PlatformAnswerLost, PlatformUnavailable
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import open_listeners
+from lagoonlever.http.server import ServerLimits, ServerState, open_listeners, serve_http
 from lagoonlever.platform.etcd_json import EtcdPlatform
 from lagoonlever.platform.etcd_wire import (
     TXN_PATH,
@@ -228,3 +228,34 @@
 def test_an_unknown_adapter_names_the_known_ones():
     with pytest.raises(ConfigurationError, match="etcd-json"):
         open_platform("other", addresses=[])
+
+
+def test_an_unreadable_answer_is_told_of_its_server_and_another_is_read():
+    """A proxy before one of the platform's servers answers every call with its own page.
+
+    A read goes on to the next server. A change may have been applied behind that
+    page: it must not be tried elsewhere, and the operator needs the server's address.
+    """
+
+    async def page(exchange):
+        await exchange.respond_json(status=200, payload="welcome")
+
+    async def scenario(running):
+        listeners = await open_listeners(host="127.0.0.1", port=0)
+        strange = Address(host="127.0.0.1", port=listeners[0].socket.getsockname()[1])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                lambda: serve_http(
+                    handler=page, listeners=listeners, limits=ServerLimits(), state=ServerState()
+                )
+            )
+            port = EtcdPlatform(addresses=[strange, running.address], timeout_s=30.0)
+            with pytest.raises(PlatformAnswerLost) as caught:
+                await port.compare_and_swap("/a", expected_revision=ABSENT, value=b"1")
+            assert caught.value.peer == str(strange)
+            assert running.stored() == {}
+            assert (await port.get("/a")).entry is None
+            await port.aclose()
+            nursery.cancel_scope.cancel()
+
+    with_platform(scenario)
