Say step and peer once in the errors of the platform's watch and changes

An error made of another repeated it whole: 'watch with A: watch with A: closed within its answer', and a watch that ended named 'platform' as its peer. PeerError keeps its message apart from step and peer, for the error that is made of it; the watch lets PlatformErrors through as they are. The two broad excepts without a reason (an opening watch, a route's handler) now give it.

--- a/lagoonlever/entry/routes.py
+++ b/lagoonlever/entry/routes.py
@@ -60,6 +60,8 @@
         except CallerGone:
             raise
         except Exception:
+            # A fault of ours in one handler would close the connection without an answer,
+            # and the caller could not tell it from a VM that died.
             request = exchange.request
             HANDLER_FAILED.log(log, method=request.method, path=request.path, exc_info=True)
             await self._fail(exchange)
--- a/lagoonlever/exceptions.py
+++ b/lagoonlever/exceptions.py
@@ -42,9 +42,13 @@
 
 
 class PeerError(LagoonleverException):
-    """Talking to another process failed; carries the step and the peer."""
+    """Talking to another process failed; carries the step and the peer.
+
+    ``message`` is the text without them, for an error of another kind made of this one.
+    """
 
     def __init__(self, message: str, *, step: str, peer: str) -> None:
+        self.message = message
         self.step = step
         self.peer = peer
         super().__init__(f"{step} with {peer}: {message}")
--- a/lagoonlever/platform/etcd_servers.py
+++ b/lagoonlever/platform/etcd_servers.py
@@ -114,8 +114,8 @@
                 errors.append(str(error))
             except (*UNANSWERED, PlatformAnswerLost) as error:
                 peer = str(address)
-                PLATFORM_ANSWER_LOST.log(log, step=call.step, peer=peer, error=str(error))
-                raise PlatformAnswerLost(str(error), step=call.step, peer=peer) from error
+                PLATFORM_ANSWER_LOST.log(log, step=call.step, peer=peer, error=error.message)
+                raise PlatformAnswerLost(error.message, step=call.step, peer=peer) from error
         raise self.unavailable(errors, step=call.step)
 
     def unavailable(self, errors: list[str], *, step: str) -> PlatformUnavailable:
--- a/lagoonlever/platform/etcd_watch.py
+++ b/lagoonlever/platform/etcd_watch.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
+from http import HTTPStatus
 
 import logbook
 import msgspec
 import trio
 
-from lagoonlever.exceptions import PeerError, PlatformUnavailable
+from lagoonlever.exceptions import PeerError, PlatformError, PlatformUnavailable
 from lagoonlever.http.client import ClientConnection
 from lagoonlever.http.messages import Address
 from lagoonlever.platform import etcd_wire as wire
@@ -98,35 +99,38 @@
                     body=body,
                     step="watch",
                 )
-                if (await connection.read_head()).status == 200:
+                if (await connection.read_head()).status == HTTPStatus.OK:
                     return connection
             except BaseException:
+                # A cancellation too must not leave the connection open: the caller
+                # gets it only once the watch is open.
                 await connection.aclose()
                 raise
         await connection.aclose()
         raise PlatformUnavailable("did not open the watch", step="watch", peer=str(address))
 
     async def _next_batch(self, connection: ClientConnection) -> WatchBatch:
+        peer = str(connection.address)
         try:
             while not self._lines:
-                self._feed(await connection.next_piece())
+                self._feed(await connection.next_piece(), peer=peer)
             piece = msgspec.json.decode(self._lines.popleft(), type=wire.WatchPiece).result
-            return self._batch(piece, connection)
+            return self._batch(piece, peer=peer)
+        except PlatformError:
+            await self.aclose()
+            raise
         except (PeerError, msgspec.MsgspecError) as error:
             await self.aclose()
-            if isinstance(error, WatchCompacted):
-                raise
-            peer = str(connection.address)
-            raise PlatformUnavailable(str(error), step="watch", peer=peer) from error
+            message = error.message if isinstance(error, PeerError) else str(error)
+            raise PlatformUnavailable(message, step="watch", peer=peer) from error
 
-    def _feed(self, piece: bytes | None) -> None:
+    def _feed(self, piece: bytes | None, *, peer: str) -> None:
         if piece is None:
-            raise PlatformUnavailable("ended the watch", step="watch", peer="platform")
+            raise PlatformUnavailable("ended the watch", step="watch", peer=peer)
         *lines, self._buffer = (self._buffer + piece).split(b"\n")
         self._lines.extend(line for line in lines if line.strip())
 
-    def _batch(self, piece: wire.WatchResponse, connection: ClientConnection) -> WatchBatch:
-        peer = str(connection.address)
+    def _batch(self, piece: wire.WatchResponse, *, peer: str) -> WatchBatch:
         if int(piece.compact_revision):
             text = f"changes up to {piece.compact_revision} are gone"
             raise WatchCompacted(text, step="watch", peer=peer)
--- a/lagoonlever/tests/platform_watch_tests.py
+++ b/lagoonlever/tests/platform_watch_tests.py
@@ -134,9 +134,11 @@
             nursery.start_soon(server)
             servers = EtcdServers(addresses=[address])
             watch = EtcdWatch(servers=servers, prefix="/", after_revision=3)
-            with pytest.raises(PlatformUnavailable):
+            with pytest.raises(PlatformUnavailable) as caught:
                 while True:
                     await watch.next()
+            assert str(caught.value).startswith(f"watch with {address}: ")
+            assert str(caught.value).count(str(address)) == 1
             await watch.next()
             assert asked == ["4", "4"]
             await watch.aclose()
