Publish the platform's list once

The membership part published each reading of the list twice, whole and as targets, and nothing but a test read the whole one. The test looks at the same time of reading in the targets' one. _put_out says what it does: _send_and_publish.

--- a/lagoonlever/entry/membership.py
+++ b/lagoonlever/entry/membership.py
@@ -153,10 +153,8 @@
     _list_readable: bool = attrs.field(default=True, init=False)
     members: Published[MemberView] = attrs.field(init=False)
     """The latest view; it has this VM alone at the start."""
-    vm_list: Published[VmListReading | None] = attrs.field(init=False)
-    """The latest reading of the platform's list of VMs; None until there is one."""
     target_list: Published[TargetListReading | None] = attrs.field(init=False)
-    """The targets of that reading."""
+    """The targets of the latest reading of the platform's list; None until there is one."""
 
     def __attrs_post_init__(self) -> None:
         self._protocol = MembershipProtocol(
@@ -167,7 +165,6 @@
             seeds=self._seeds,
         )
         self.members = Published(self._protocol.take_view(self._timers.now))
-        self.vm_list = Published(None)
         self.target_list = Published(None)
 
     @property
@@ -178,12 +175,12 @@
     def leave(self) -> None:
         """Tell everyone that this VM takes no new work."""
         self._protocol.leave(self._timers.now)
-        self._put_out()
+        self._send_and_publish()
 
     def depart(self) -> None:
         """Tell everyone that this VM ends now; the bus must run a little longer."""
         self._protocol.depart(self._timers.now)
-        self._put_out()
+        self._send_and_publish()
 
     async def run(self) -> None:
         """Take part until cancelled."""
@@ -197,14 +194,14 @@
     async def _receive(self, message_class: type[T]) -> None:
         async for received in self._bus.subscribe(message_class):
             self._protocol.receive(received.message, self._timers.now)
-            self._put_out()
+            self._send_and_publish()
 
     def _tick(self, tick: Tick) -> None:
         self._protocol.set_load(self._load())
         self._protocol.tick(tick.now, paused_s=tick.paused_s)
-        self._put_out()
+        self._send_and_publish()
 
-    def _put_out(self) -> None:
+    def _send_and_publish(self) -> None:
         """Send what the protocol wants sent, and publish the view where it changed."""
         for send in self._protocol.take_sends():
             self._bus.send(send.to, send.message, expected=send.expected)
@@ -250,6 +247,5 @@
         self._list_readable = True
         reading = VmListReading(vms=vms, read_at=read_at)
         self._protocol.set_listed(reading.entry_vms, self._timers.now)
-        self._put_out()
-        self.vm_list.publish(reading)
+        self._send_and_publish()
         self.target_list.publish(reading.targets)
--- a/lagoonlever/tests/entry_membership_tests.py
+++ b/lagoonlever/tests/entry_membership_tests.py
@@ -85,7 +85,7 @@
                 nursery.start_soon(each.run)
             await trio.sleep(10)
             assert all(len(p.members.value.alive) == 4 for p in parts)
-            reading = parts[0].vm_list.value
+            reading = parts[0].target_list.value
             assert reading is not None
             assert reading.read_at > trio.current_time() - 2
 
