--- a/lagoonlever/tests/base.py
+++ b/lagoonlever/tests/base.py
@@ -250,3 +250,12 @@
                 nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+LONG = 150
+"""Tokens of an answer that is still running while a story goes on."""
+
+
+def live_streams(scene: Scene) -> list[str]:
+    """Give the streams that run at any engine."""
+    return [name for engine in scene.cluster.engines.values() for name in engine.live_streams]
--- a/lagoonlever/tests/generation_tests.py
+++ b/lagoonlever/tests/generation_tests.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import random
-
 import attrs
 import pytest
 from hypothesis import settings
@@ -13,137 +11,25 @@
 from lagoonlever.decisions.generation import GenerationLife
 from lagoonlever.decisions.generation_messages import (
     BreakCause,
-    CancelAttempt,
     Decision,
     Dispatch,
     Finish,
-    GenerationLimits,
-    GenerationSpec,
-    Release,
-    Restart,
     ResumePoint,
 )
 from lagoonlever.decisions.resume import HeldAnswer, point_of_held
 from lagoonlever.fakes.tokens import (
-    TextDecoder,
-    TokenState,
-    encode_prompt,
     expected_output,
-    next_token,
 )
 from lagoonlever.outcomes import Done, Failed, NotRun, Reason, Unknown
-
-PROMPT = tuple(encode_prompt("the market digest of Jávor"))
-LENGTH = 30
-SEED = 11
-
-
-def spec(**changes: object) -> GenerationSpec:
-    base = GenerationSpec(
-        request_id="r", organisation="/motus", model="m", prompt="p", max_tokens=LENGTH, seed=SEED
-    )
-    return attrs.evolve(base, **changes)
-
-
-def life(cls: type[GenerationLife] = GenerationLife, **options: object) -> GenerationLife:
-    given = {"spec": spec(), "limits": GenerationLimits(attempts=50), "rng": random.Random(3)}
-    return cls(**{**given, **options})
-
-
-def expected(
-    *, version: str = "v1", seed: int = SEED, stop: tuple[str, ...] = ()
-) -> tuple[int, ...]:
-    return expected_output(
-        model_version=version, prompt=PROMPT, max_tokens=LENGTH, seed=seed, stop=stop
-    ).token_ids
-
-
-@attrs.define
-class EngineStream:
-    """What an engine makes of one dispatch, token by token."""
-
-    dispatch: Dispatch
-    version: str = "v1"
-    state: TokenState = attrs.field(init=False)
-    decoder: TextDecoder = attrs.field(init=False)
-    sent: int = 0
-    opened: bool = False
-
-    def __attrs_post_init__(self) -> None:
-        start = PROMPT + self.dispatch.prefix
-        self.state = TokenState.start(
-            model_version=self.version, adapter=None, seed=self.dispatch.seed, prompt=start
-        )
-        self.decoder = TextDecoder(prompt=start)
-
-    def step(self, life: GenerationLife) -> list[Decision]:
-        """Send the next token."""
-        attempt = self.dispatch.attempt
-        decisions: list[Decision] = []
-        if not self.opened:
-            self.opened = True
-            decisions += life.opened(
-                attempt=attempt, model_version=self.version, prompt_token_ids=PROMPT
-            )
-        token_id = next_token(self.state)
-        self.state = self.state.extended(token_id)
-        self.sent += 1
-        done = self.sent >= self.dispatch.max_tokens
-        return decisions + life.chunk(
-            attempt=attempt,
-            token_ids=(token_id,),
-            text=self.decoder.feed(token_id),
-            finish_reason="length" if done else None,
-        )
-
-
-@attrs.define
-class Harness:
-    """Carries out decisions on engines that never forget a stream, even a cancelled one."""
-
-    life: GenerationLife
-    streams: dict[int, EngineStream] = attrs.field(factory=dict)
-    released: list[int] = attrs.field(factory=list)
-    restarts: int = 0
-    finish: Finish | None = None
-    versions: list[str] = attrs.field(factory=lambda: ["v1"])
-
-    def carry_out(self, decisions: list[Decision]) -> None:
-        for decision in decisions:
-            match decision:
-                case Dispatch():
-                    version = self.versions[len(self.streams) % len(self.versions)]
-                    self.streams[decision.attempt] = EngineStream(decision, version)
-                    name = f"engine-{len(self.streams)}"
-                    self.life.placed(attempt=decision.attempt, target=name)
-                    self.life.dispatched(attempt=decision.attempt)
-                case Release(pieces=pieces):
-                    for piece in pieces:
-                        assert piece.start == len(self.released)
-                        self.released.extend(piece.token_ids)
-                case Restart():
-                    self.restarts += 1
-                    self.released.clear()
-                case Finish():
-                    self.finish = decision
-                case CancelAttempt():
-                    pass
-
-    def begin(self) -> Harness:
-        self.carry_out(self.life.start())
-        return self
-
-    def newest(self) -> EngineStream:
-        return list(self.streams.values())[-1]
-
-    def step(self, stream: EngineStream, times: int = 1) -> None:
-        for _ in range(times):
-            if stream.sent < stream.dispatch.max_tokens:
-                self.carry_out(stream.step(self.life))
-
-    def run_out(self) -> None:
-        while self.finish is None:
-            self.step(self.newest())
+from lagoonlever.tests.generation_harness import (
+    LENGTH,
+    PROMPT,
+    SEED,
+    Harness,
+    expected,
+    life,
+    spec,
+)
 
 
 class KeepsLateTokens(GenerationLife):
