--- /dev/null
+++ b/lagoonlever/tests/claims_keys_tests.py
@@ -0,0 +1,90 @@
+"""Keys, the table of a home, the last check before the write, and groups of claims."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonlever.decisions.claims import Full, Mismatch, Run
+from lagoonlever.decisions.claims_dispatch import (
+    CheckAgain,
+    ChooseAgain,
+    Refuse,
+    Write,
+    WriteFacts,
+    decide_write,
+)
+from lagoonlever.decisions.claims_group import GROUP_KEYS, Bindings, Claim, ClaimQueue
+from lagoonlever.decisions.claims_keys import KeyHome, PlainKey, parse_key
+from lagoonlever.exceptions import RequestRefused
+from lagoonlever.identity import Incarnation
+from lagoonlever.outcomes import Done
+from lagoonlever.tests.claims_machine import LIFETIME_S, PRINT, ROOM_KEYS, answer, table_of
+
+OWN = Incarnation(name="vm1", started_ms=1, nonce=2)
+
+
+def test_another_body_under_the_same_key_is_no_repeat() -> None:
+    table = table_of(OWN, 0.0)
+    key = table.key_home(5.0).mint(random="12345678")
+    assert isinstance(table.admit(key, fingerprint=b"a", now=6.0), Run)
+    assert isinstance(table.admit(key, fingerprint=b"b", now=7.0), Mismatch)
+
+
+def test_keys_minted_after_a_refusal_are_taken_again() -> None:
+    table = table_of(OWN, 0.0)
+    for number in range(ROOM_KEYS):
+        key = table.key_home(1.0).mint(random=f"random-{number}")
+        admission = table.admit(key, fingerprint=PRINT, now=1.0)
+        assert isinstance(admission, Run)
+        table.settle(admission.record, answer(Done()))
+    refused = table.key_home(2.0).mint(random="refused-1")
+    assert isinstance(table.admit(refused, fingerprint=PRINT, now=2.0), Full)
+    later = 3.0 + LIFETIME_S
+    minted_later = table.key_home(later).mint(random="later-123")
+    assert isinstance(table.admit(minted_later, fingerprint=PRINT, now=later), Run)
+
+
+@pytest.mark.parametrize(
+    ("facts", "decision"),
+    [
+        (WriteFacts(now=1.0, target_live=True), Write),
+        (WriteFacts(now=1.0, target_live=False), ChooseAgain),
+        (WriteFacts(now=1.0, target_live=True, paused_s=5.0), CheckAgain),
+        (WriteFacts(now=9.0, target_live=True, deadline=8.0, paused_s=5.0), Refuse),
+        (WriteFacts(now=9.0, target_live=True, key_expires_at=8.0), Refuse),
+    ],
+)
+def test_the_last_check_before_the_write(facts: WriteFacts, decision: type[object]) -> None:
+    assert isinstance(decide_write(facts), decision)
+
+
+@pytest.mark.parametrize("text", ["", "with space", "x" * 201, "caf\u00e9"])
+def test_a_wrong_key_names_the_header(text: str) -> None:
+    with pytest.raises(RequestRefused) as refused:
+        parse_key(text)
+    assert refused.value.field == "Idempotency-Key"
+
+
+def test_keys_read_as_they_were_minted() -> None:
+    key = KeyHome(home=OWN, life_s=7).mint(random="a-b_c1234")
+    assert parse_key(str(key)) == key
+    assert parse_key("bid-17") == PlainKey(text="bid-17")
+
+
+def test_copies_of_one_key_share_a_claim_and_groups_are_bounded() -> None:
+    queue = ClaimQueue()
+    home = KeyHome(home=OWN, life_s=0)
+    for number in range(GROUP_KEYS + 5):
+        claim = Claim(scope=f"s{number}", proposed=home.mint(random=f"random-{number}"))
+        assert queue.add(claim) and queue.add(claim)
+    assert len(queue.take_group()) == GROUP_KEYS
+    assert len(queue.take_group()) == 5
+    assert queue.take_group() == ()
+
+
+def test_a_forgotten_binding_is_only_read_again() -> None:
+    bindings = Bindings(limit=2)
+    for number in range(3):
+        bindings.learn(f"s{number}", KeyHome(home=OWN, life_s=0).mint(random=f"random-{number}"))
+    assert bindings.get("s0") is None
+    assert bindings.get("s2") is not None
