Fetch and read JSON answers by one function

The probes of targets, the read of an engine's order and the caller's search for entry VMs each fetched a document, checked its status and wrapped what msgspec refused. fetch_json does it, with one statement of its errors. The caller's look whether a silent VM lives is check_alive, as any answer does. give_order closes its connection by the block. No behaviour changes but one message: an entry answer of another status than 200 is told as that status.

--- a/lagoonlever/client/caller.py
+++ b/lagoonlever/client/caller.py
@@ -12,7 +12,7 @@
 import trio
 
 from lagoonlever.client.answers import HeldStream
-from lagoonlever.client.entry_directory import EntryDirectory, fetch_entry
+from lagoonlever.client.entry_directory import EntryDirectory, check_alive
 from lagoonlever.client.exceptions import NoAnswer
 from lagoonlever.client.history import CallerHistory
 from lagoonlever.entry.addresses import EntryAnswer
@@ -275,7 +275,7 @@
             address = connection.address
             if trio.current_time() > give_up_at:
                 raise PeerTimeout(f"silent for {at_most_s:g} s", step=READ_STEP, peer=str(address))
-            await fetch_entry(address, step=READ_STEP)
+            await check_alive(address, step=READ_STEP)
 
     async def _handle_refusal(
         self, connection: ClientConnection, status: int, headers: Headers
--- a/lagoonlever/client/entry_directory.py
+++ b/lagoonlever/client/entry_directory.py
@@ -6,15 +6,15 @@
 from collections.abc import Iterable
 
 import attrs
-import msgspec
 import trio
 
 from lagoonlever.client.exceptions import NoAnswer
 from lagoonlever.client.history import record_told_addresses
 from lagoonlever.entry.addresses import EntryAnswer
-from lagoonlever.exceptions import BadResponse, PeerError
+from lagoonlever.exceptions import PeerError
 from lagoonlever.history.recorder import Recorder
-from lagoonlever.http.client import Response, fetch
+from lagoonlever.http.client import fetch
+from lagoonlever.http.json_client import fetch_json
 from lagoonlever.http.messages import Address
 
 ENTRY_PATH = "/v1/entry"
@@ -47,7 +47,13 @@
         error: PeerError | None = None
         for address in self._addresses_to_ask():
             try:
-                answer = await _ask(address)
+                answer = await fetch_json(
+                    address,
+                    path=ENTRY_PATH,
+                    answer=EntryAnswer,
+                    step=DISCOVER_STEP,
+                    timeout_s=DISCOVER_TIMEOUT_S,
+                )
             except PeerError as failed:
                 error = failed
                 continue
@@ -94,14 +100,6 @@
         return self._known + [address for address in shuffled if address not in self._known]
 
 
-async def _ask(address: Address) -> EntryAnswer:
-    response = await fetch_entry(address, step=DISCOVER_STEP)
-    try:
-        return msgspec.json.decode(response.body, type=EntryAnswer)
-    except msgspec.MsgspecError as error:
-        raise BadResponse(str(error), step=DISCOVER_STEP, peer=str(address)) from error
-
-
-async def fetch_entry(address: Address, *, step: str) -> Response:
-    """Ask a VM which VMs to use, which also shows that it lives; raises a ``PeerError``."""
-    return await fetch(address, path=ENTRY_PATH, step=step, timeout_s=DISCOVER_TIMEOUT_S)
+async def check_alive(address: Address, *, step: str) -> None:
+    """Raise a ``PeerError`` unless a VM answers at once; any answer shows that it lives."""
+    await fetch(address, path=ENTRY_PATH, step=step, timeout_s=DISCOVER_TIMEOUT_S)
--- a/lagoonlever/targets/orders.py
+++ b/lagoonlever/targets/orders.py
@@ -4,6 +4,7 @@
 
 import enum
 from collections.abc import Callable
+from http import HTTPStatus
 
 import attrs
 import msgspec
@@ -11,12 +12,12 @@
 
 from lagoonlever.decisions.orders import GiveOrder, OrderReport, WantedState
 from lagoonlever.exceptions import BadResponse, PeerTimeout
-from lagoonlever.http.client import ClientConnection, fetch
+from lagoonlever.http.client import ClientConnection
+from lagoonlever.http.json_client import fetch_json
 from lagoonlever.http.messages import Address, Headers
 
 ORDERS_PATH = "/orders"
-OK = 200
-CONFLICT = 409
+READ_STEP = "read an order"
 GIVE_STEP = "give an order"
 _HEADERS = Headers((("Content-Type", "application/json"),))
 
@@ -37,14 +38,9 @@
 
 async def read_order(address: Address, *, timeout_s: float) -> OrderReport:
     """Read an engine's order and state; raises ``PeerError``."""
-    step = "read an order"
-    response = await fetch(address, path=ORDERS_PATH, step=step, timeout_s=timeout_s)
-    if response.status != OK:
-        raise BadResponse(f"status {response.status}", step=step, peer=str(address))
-    try:
-        return msgspec.json.decode(response.body, type=OrderReport)
-    except msgspec.MsgspecError as error:
-        raise BadResponse(str(error), step=step, peer=str(address)) from error
+    return await fetch_json(
+        address, path=ORDERS_PATH, answer=OrderReport, step=READ_STEP, timeout_s=timeout_s
+    )
 
 
 async def give_order(
@@ -54,21 +50,18 @@
 
     Raises ``PeerError``; all but ``ConnectFailed`` leave open whether it was taken.
     """
-    connection = await ClientConnection.open(address, timeout_s=timeout_s)
-    try:
+    async with await ClientConnection.open(address, timeout_s=timeout_s) as connection:
         if not may_write():
             return OrderAnswer.NOT_SENT
-        with trio.fail_after(timeout_s):
-            status = await _exchange(connection, order)
-    except trio.TooSlowError as error:
-        message = f"no answer within {timeout_s:g} s"
-        raise PeerTimeout(message, step=GIVE_STEP, peer=str(address)) from error
-    finally:
-        with trio.CancelScope(shield=True):
-            await connection.aclose()
-    if status == CONFLICT:
+        try:
+            with trio.fail_after(timeout_s):
+                status = await _exchange(connection, order)
+        except trio.TooSlowError as error:
+            message = f"no answer within {timeout_s:g} s"
+            raise PeerTimeout(message, step=GIVE_STEP, peer=str(address)) from error
+    if status == HTTPStatus.CONFLICT:
         return OrderAnswer.REFUSED
-    if status != OK:
+    if status != HTTPStatus.OK:
         raise BadResponse(f"status {status}", step=GIVE_STEP, peer=str(address))
     return OrderAnswer.TAKEN
 
--- a/lagoonlever/targets/probes.py
+++ b/lagoonlever/targets/probes.py
@@ -5,17 +5,14 @@
 from typing import TypeVar
 
 import attrs
-import msgspec
 
 from lagoonlever.decisions.targets import ModelKey, TargetLoad
-from lagoonlever.exceptions import BadResponse
-from lagoonlever.http.client import Pool, Response, fetch
+from lagoonlever.http.client import Pool
+from lagoonlever.http.json_client import fetch_json
 from lagoonlever.http.messages import Address
 
 T = TypeVar("T")
 
-OK = 200
-
 
 @attrs.frozen(kw_only=True)
 class _Model:
@@ -81,16 +78,9 @@
     return (await _fetch(address, path, _CacheEvents, timeout_s=timeout_s, pool=pool)).events
 
 
-async def _fetch(address: Address, path: str, shape: type[T], *, timeout_s: float, pool: Pool) -> T:
-    step = f"GET {path}"
-    response = await fetch(address, path=path, step=step, timeout_s=timeout_s, pool=pool)
-    return _decode(response, shape, step=step, address=address)
-
-
-def _decode(response: Response, shape: type[T], *, step: str, address: Address) -> T:
-    if response.status != OK:
-        raise BadResponse(f"status {response.status}", step=step, peer=str(address))
-    try:
-        return msgspec.json.decode(response.body, type=shape)
-    except msgspec.MsgspecError as error:
-        raise BadResponse(str(error), step=step, peer=str(address)) from error
+async def _fetch(
+    address: Address, path: str, answer: type[T], *, timeout_s: float, pool: Pool
+) -> T:
+    return await fetch_json(
+        address, path=path, answer=answer, step=f"GET {path}", timeout_s=timeout_s, pool=pool
+    )
