--- a/lagoonlever/decisions/shares.py
+++ b/lagoonlever/decisions/shares.py
@@ -18,6 +18,11 @@
 """Name of the leaf that stands for the requests of an inner node itself."""
 
 
+def node_of(path: str) -> str:
+    """Give the settings node whose requests a path of the shares stands for."""
+    return path.removesuffix(f"/{OWN_CHILD}")
+
+
 @attrs.frozen(kw_only=True)
 class ShareNode:
     """One node of the settings tree as shares need it; the root has no parent."""
--- a/lagoonlever/decisions/shares_book.py
+++ b/lagoonlever/decisions/shares_book.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lagoonlever.decisions.shares import ShareTree, leaf_key
+from lagoonlever.decisions.shares import ShareTree, leaf_key, node_of
 from lagoonlever.decisions.shares_exchange import (
     LeafChange,
     LeafSum,
@@ -175,7 +175,7 @@
         entitled = self._entitled()
         return [
             OrganisationStanding(
-                path=path,
+                path=node_of(path),
                 lag_s=self._ledger.lag_s(path),
                 used=used.get(path, 0.0),
                 entitled=entitled.get(path, 0.0),
--- a/lagoonlever/entry/reporting.py
+++ b/lagoonlever/entry/reporting.py
@@ -44,7 +44,7 @@
     encode_status,
 )
 from lagoonlever.timers import Tick, TimerService
-from lagoonlever.tree.nodes import TreeView
+from lagoonlever.tree.nodes import ROOT, TreeView
 
 HTTP_OK = 200
 SAMPLE_PERIOD_S = 1.0
@@ -138,7 +138,11 @@
             )
 
     def _organisations(self) -> tuple[str, ...]:
-        return self._tree.value.organisations
+        """Give the organisations, and the root where requests are its own."""
+        organisations = self._tree.value.organisations
+        return (
+            organisations if self._metrics.value(SHARE_USED, ROOT) == 0 else (ROOT, *organisations)
+        )
 
     def _share(self, path: str) -> ShareStatus:
         return ShareStatus(
--- a/lagoonlever/tests/shares_tests.py
+++ b/lagoonlever/tests/shares_tests.py
@@ -10,7 +10,7 @@
 from lagoonlever.bench.shares_model import SHARES, Organisation
 from lagoonlever.bench.shares_run import SharesRun, entitlements, worst_error
 from lagoonlever.decisions import shares_book
-from lagoonlever.decisions.shares import ShareNode, ShareTree
+from lagoonlever.decisions.shares import ShareNode, ShareTree, node_of
 from lagoonlever.decisions.shares_exchange import LeafSum, OwnSums, PeerSums, SumsNews
 from lagoonlever.decisions.shares_ledger import ShareLedger
 from lagoonlever.identity import Incarnation
@@ -197,3 +197,13 @@
     ):
         with pytest.raises(ValueError):
             ShareTree(wrong)
+
+
+def test_the_roots_own_requests_are_told_under_the_root() -> None:
+    """An operator's gauges name an organisation "//." that no settings know."""
+    tree = ShareTree(
+        [ShareNode(path="/", weight=1.0), ShareNode(path="/a", weight=1.0, parent="/")]
+    )
+    assert {node_of(path) for path in tree.children("/")} == {"/", "/a"}
+    assert node_of(tree.leaf_of("/")) == "/"
+    assert node_of("/a") == "/a"
