--- a/lagoonlever/bench/shares.py
+++ b/lagoonlever/bench/shares.py
@@ -14,7 +14,12 @@
     benchmark,
     column,
 )
-from lagoonlever.bench.shares_costs import measure_costs, measure_slopes, ways_at_scale
+from lagoonlever.bench.shares_costs import (
+    measure_costs,
+    measure_memory,
+    measure_slopes,
+    ways_at_scale,
+)
 from lagoonlever.bench.shares_model import POLICIES, SHARES, PolicyKind
 from lagoonlever.bench.shares_scenarios import (
     QUICK,
@@ -79,6 +84,7 @@
             Rows(title="failures, shares by work", rows=tuple(failures)),
             Rows(title="400 routers, 200 organisations", rows=tuple(ways_at_scale(slopes))),
             Rows(title="processor time", rows=tuple(measure_costs())),
+            Rows(title="memory of one pool", rows=tuple(measure_memory())),
         ),
         aims=tuple(_aims(policies[0], control)),
         notes=(
--- a/lagoonlever/bench/shares_costs.py
+++ b/lagoonlever/bench/shares_costs.py
@@ -4,7 +4,8 @@
 
 import random
 import time
-from collections.abc import Callable
+import tracemalloc
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -26,6 +27,8 @@
 """Frames and packet headers of a small message, assumed."""
 GRID_SIDE = 20
 TREE_CHILDREN = 4
+MEMORY_PEERS = (0, 8, 32, 128)
+BYTES_A_MEGABYTE = 1_000_000
 
 
 @attrs.frozen(kw_only=True)
@@ -47,6 +50,14 @@
     microseconds: float = column("microseconds", digits=0)
 
 
+@attrs.frozen(kw_only=True)
+class MemoryRow:
+    """Memory of one pool's admission with the sums of some peers, as traced."""
+
+    peers: int = column("peers heard, 200 organisations", digits=0)
+    megabytes: float = column("MB", digits=2)
+
+
 @attrs.frozen(kw_only=True)
 class Slopes:
     """Bytes of a message: fixed, and for each leaf."""
@@ -94,17 +105,38 @@
     )
 
 
-def measure_costs() -> list[CostRow]:
-    """Time the steps of the decision with 200 organisations in demand at this VM and a peer."""
+def measure_memory(peers: Sequence[int] = MEMORY_PEERS) -> list[MemoryRow]:
+    """Trace the memory of an admission that has heard so many peers, each with every leaf."""
+    return [MemoryRow(peers=count, megabytes=_traced_megabytes(count)) for count in peers]
+
+
+def _traced_megabytes(peers: int) -> float:
+    tracemalloc.start()
+    admission = _busy_admission()
+    for number in range(peers):
+        peer = Incarnation(name=f"peer-{number}", started_ms=1, nonce=number)
+        _receive(admission, peer, 1.0)
+    kept_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return kept_bytes / BYTES_A_MEGABYTE
+
+
+def _busy_admission() -> Admission:
     nodes = [ShareNode(path="/")]
     paths = [f"/organisation-{number}" for number in range(ORGANISATIONS)]
     nodes.extend(ShareNode(path=path, weight=1.0, parent="/") for path in paths)
     admission = Admission(tree=ShareTree(nodes), limits={}, rng=random.Random(1))
     admission.set_report(PoolReport(slots=ORGANISATIONS, running=0))
-    peer = Incarnation(name="peer", started_ms=1, nonce=1)
     for path in paths * 2:
         admission.submit(_ask(path), 0.0)
     admission.poll(0.0)
+    return admission
+
+
+def measure_costs() -> list[CostRow]:
+    """Time the steps of the decision with 200 organisations in demand at this VM and a peer."""
+    admission = _busy_admission()
+    peer = Incarnation(name="peer", started_ms=1, nonce=1)
     return [
         _timed("quota and ledger brought up to date", lambda now: admission.book.refresh(now)),
         _timed("news of a peer taken in", lambda now: _receive(admission, peer, now)),
