--- a/lagoonlever/decisions/target_load.py
+++ b/lagoonlever/decisions/target_load.py
@@ -6,8 +6,7 @@
 
 import attrs
 
-from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad
-from lagoonlever.http.messages import Address
+from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLife, TargetLoad
 
 LOAD_STALE_S = 15.0
 """An older report says less than the mean of the others, so it is dropped."""
@@ -15,12 +14,6 @@
 IMPAIRED_LONGEST_S = 30.0
 
 
-@attrs.frozen
-class _Life:
-    name: str
-    address: Address
-
-
 @attrs.define(kw_only=True)
 class _Report:
     models: tuple[ModelKey, ...] | None = None
@@ -38,18 +31,18 @@
     """
 
     _stale_s: float = LOAD_STALE_S
-    _reports: dict[_Life, _Report] = attrs.field(factory=dict)
+    _reports: dict[TargetLife, _Report] = attrs.field(factory=dict)
 
     def needs_models(self, target: Target) -> bool:
         """Tell whether an engine has not yet told which models it serves."""
         if target.kind is TargetKind.APPLICATION:
             return False
-        report = self._reports.get(_life(target))
+        report = self._reports.get(target.life)
         return report is None or report.models is None
 
     def described(self, target: Target, now: float) -> Target:
         """Give the target with its models, its load if fresh, and whether it is impaired."""
-        report = self._reports.get(_life(target))
+        report = self._reports.get(target.life)
         if report is None:
             return target
         load = report.load
@@ -86,12 +79,8 @@
 
     def keep_only(self, targets: Iterable[Target]) -> None:
         """Forget every life of a target that is not among these."""
-        lives = {_life(target) for target in targets}
+        lives = {target.life for target in targets}
         self._reports = {life: r for life, r in self._reports.items() if life in lives}
 
     def _of(self, target: Target) -> _Report:
-        return self._reports.setdefault(_life(target), _Report())
-
-
-def _life(target: Target) -> _Life:
-    return _Life(target.name, target.address)
+        return self._reports.setdefault(target.life, _Report())
--- a/lagoonlever/decisions/targets.py
+++ b/lagoonlever/decisions/targets.py
@@ -61,6 +61,14 @@
         return max(0.0, now - self.received_at)
 
 
+@attrs.frozen
+class TargetLife:
+    """A target's name at one address: at another address it is another process."""
+
+    name: str
+    address: Address
+
+
 @attrs.frozen(kw_only=True)
 class Target:
     """One target; ``impaired`` asks to prefer others for a while after a failed connect.
@@ -77,6 +85,11 @@
     data_center: str = ""
     impaired: bool = False
 
+    @property
+    def life(self) -> TargetLife:
+        """The life of the target that this snapshot is of."""
+        return TargetLife(self.name, self.address)
+
     @property
     def takes_work(self) -> bool:
         """Whether new work may be given to it."""
--- a/lagoonlever/entry/target_probes.py
+++ b/lagoonlever/entry/target_probes.py
@@ -8,7 +8,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.targets import Target, TargetKind, TargetView
+from lagoonlever.decisions.targets import Target, TargetKind, TargetLife, TargetView
 from lagoonlever.entry.published import Published
 from lagoonlever.entry.targets import TargetSettings, TargetWatch
 from lagoonlever.exceptions import PeerError
@@ -54,7 +54,7 @@
     _random: random.Random
     _settings: TargetSettings = attrs.field(factory=TargetSettings)
     _pool: Pool = attrs.field(factory=Pool, init=False)
-    _probed: dict[str, _Probed] = attrs.field(factory=dict, init=False)
+    _probed: dict[TargetLife, _Probed] = attrs.field(factory=dict, init=False)
 
     @property
     def _view(self) -> Published[TargetView]:
@@ -116,10 +116,10 @@
         return [target for target in self._subset_of(self._view.value) if target.takes_work]
 
     def _of(self, target: Target) -> _Probed:
-        return self._probed.setdefault(_life(target), _Probed())
+        return self._probed.setdefault(target.life, _Probed())
 
     def _forget_old_lives(self) -> None:
-        lives = {_life(target) for target in self._view.value.targets}
+        lives = {target.life for target in self._view.value.targets}
         for life in self._probed.keys() - lives:
             del self._probed[life]
 
@@ -170,7 +170,3 @@
 
     def _jittered(self, period_s: float) -> float:
         return period_s * self._random.uniform(1.0 - JITTER, 1.0 + JITTER)
-
-
-def _life(target: Target) -> str:
-    return f"{target.name}@{target.address}"
