--- a/lagoonlever/decisions/addresses.py
+++ b/lagoonlever/decisions/addresses.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lagoonlever.config.options import option
+from lagoonlever.decisions.data_centers import spread_over_data_centers
 from lagoonlever.decisions.membership import Member, MemberState, MemberView
 from lagoonlever.http.messages import Address
 
@@ -56,7 +57,7 @@
     Each answer is drawn by spare capacity and not ranked by it: loads lag, and a
     ranking would send every caller to the same VM at once.
     """
-    chosen = _spread(_drawn(_candidates(view), random))[: settings.count]
+    chosen = spread_over_data_centers(_drawn(_candidates(view), random))[: settings.count]
     spread_s = settings.lifetime_s * JITTER
     return EntryAddresses(
         addresses=tuple(member.http for member in chosen),
@@ -75,15 +76,3 @@
     """Order members at random, weighted by spare capacity, without replacement."""
     keyed = [(random.expovariate(max(LEAST_SPARE, 1.0 - m.load)), m.name, m) for m in members]
     return [member for _, _, member in sorted(keyed, key=lambda entry: entry[:2])]
-
-
-def _spread(members: list[Member]) -> list[Member]:
-    """Put the first member of each data centre ahead of the second of any."""
-    seen: set[str] = set()
-    first: list[Member] = []
-    rest: list[Member] = []
-    for member in members:
-        group = rest if member.data_center in seen else first
-        seen.add(member.data_center)
-        group.append(member)
-    return first + rest
--- a/lagoonlever/decisions/membership_prober.py
+++ b/lagoonlever/decisions/membership_prober.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from lagoonlever.decisions.data_centers import spread_over_data_centers
 from lagoonlever.decisions.membership_outbox import Outbox
 from lagoonlever.decisions.membership_probe import Probe, ProbeBook, Relay
 from lagoonlever.decisions.membership_roster import Roster
@@ -160,14 +161,7 @@
             if record.status is Status.ALIVE and record is not target
         ]
         self._random.shuffle(candidates)
-        seen: set[str] = set()
-        first: list[Record] = []
-        rest: list[Record] = []
-        for record in candidates:
-            group = rest if record.data_center in seen else first
-            seen.add(record.data_center)
-            group.append(record)
-        return (first + rest)[: self._settings.helpers]
+        return spread_over_data_centers(candidates)[: self._settings.helpers]
 
     def _end_probes(self, now: float) -> None:
         for probe in self._book.take_ended_probes(now):
