--- a/lagoonlever/client/answers.py
+++ b/lagoonlever/client/answers.py
@@ -117,7 +117,17 @@
         return moved
 
     def feed(self, event: ServerEvent, *, peer: str, history: CallerHistory | None = None) -> str:
-        """Take one event and give the text that it adds; raises ``BadResponse`` for a splice."""
+        """Take one event and give the text that it adds.
+
+        Raises ``BadResponse`` for an event that does not go on from what is held,
+        or that can't be read.
+        """
+        try:
+            return self._take(event, peer=peer, history=history)
+        except msgspec.MsgspecError as error:
+            raise BadResponse(str(error), step="read the answer", peer=peer) from error
+
+    def _take(self, event: ServerEvent, *, peer: str, history: CallerHistory | None) -> str:
         if event.event == RESTART_EVENT:
             self._restart()
             return ""
--- a/lagoonlever/tests/caller_tests.py
+++ b/lagoonlever/tests/caller_tests.py
@@ -5,11 +5,13 @@
 import pytest
 import trio
 
+from lagoonlever.client.answers import HeldStream
 from lagoonlever.client.caller import Caller, CompletionRequest
 from lagoonlever.exceptions import BadResponse
 from lagoonlever.fakes.cluster import MODEL
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import Exchange, ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.sse import ServerEvent
 from lagoonlever.tests.base import PROMPT, Scene, expected_text, run_scene
 
 
@@ -71,3 +73,9 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_an_event_that_cannot_be_read_tells_step_and_peer() -> None:
+    """`lagoonlever ask` ends with a traceback because something else answers at an old address."""
+    with pytest.raises(BadResponse, match=r"read the answer with 10\.0\.0\.1:80"):
+        HeldStream().feed(ServerEvent(data=b"<html>"), peer="10.0.0.1:80")
