Move the port to a key-value store and its etcd client out of platform/

Cause: lagoonlever/platform/ is to hold only what translates between the users' platform and the product; the generic port and its published-protocol client are neither.

--- a/lagoonlever/bench/claims.py
+++ b/lagoonlever/bench/claims.py
@@ -21,9 +21,9 @@
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import open_listeners
 from lagoonlever.identity import Incarnation
-from lagoonlever.platform import etcd_wire
-from lagoonlever.platform.etcd_json import EtcdPlatform
-from lagoonlever.platform.port import NewKey
+from lagoonlever.store import etcd_wire
+from lagoonlever.store.etcd_json import EtcdPlatform
+from lagoonlever.store.port import NewKey
 from lagoonlever.timers import TimerService
 
 HOST = "127.0.0.1"
--- a/lagoonlever/bench/control_vms.py
+++ b/lagoonlever/bench/control_vms.py
@@ -23,8 +23,8 @@
 from lagoonlever.fakes.engine import EngineOptions
 from lagoonlever.http.client import fetch
 from lagoonlever.http.messages import Address
-from lagoonlever.platform.etcd_wire import WireVm
 from lagoonlever.report.status import decode_status
+from lagoonlever.store.etcd_wire import WireVm
 from lagoonlever.tree.change_plan import ChangeRequest
 from lagoonlever.tree.changes import diff
 from lagoonlever.tree.document import parse_text
--- a/lagoonlever/bench/membership_real.py
+++ b/lagoonlever/bench/membership_real.py
@@ -16,7 +16,7 @@
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.bus import PeerBus
-from lagoonlever.platform.port import Platform, VmEntry
+from lagoonlever.store.port import Platform, VmEntry
 from lagoonlever.timers import TimerService
 
 JOIN_LIMIT_S = 20.0
--- a/lagoonlever/bench/settings.py
+++ b/lagoonlever/bench/settings.py
@@ -21,8 +21,8 @@
 from lagoonlever.bench.settings_vms import SettingsVms
 from lagoonlever.fakes.platform import PlatformFault, PlatformFaultKind
 from lagoonlever.history.events_settings import SettingsInForce
-from lagoonlever.platform.etcd_json import EtcdPlatform
-from lagoonlever.platform.etcd_wire import RANGE_PATH, WATCH_PATH
+from lagoonlever.store.etcd_json import EtcdPlatform
+from lagoonlever.store.etcd_wire import RANGE_PATH, WATCH_PATH
 from lagoonlever.timers import TICK_S
 from lagoonlever.tree.change_plan import ChangeRequest, Stored
 from lagoonlever.tree.changes import NODE, Edit, value_at
--- a/lagoonlever/bench/settings_vms.py
+++ b/lagoonlever/bench/settings_vms.py
@@ -20,8 +20,8 @@
 from lagoonlever.http.server import open_listeners
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.local_bus import LocalBus, LocalNetwork
-from lagoonlever.platform.etcd_json import EtcdPlatform
-from lagoonlever.platform.port import KeyRead, SwapResult, Watch, WatchBatch
+from lagoonlever.store.etcd_json import EtcdPlatform
+from lagoonlever.store.port import KeyRead, SwapResult, Watch, WatchBatch
 from lagoonlever.timers import TICK_S, TimerService
 from lagoonlever.tree.nodes import TreeView, default_tree
 
--- a/lagoonlever/config/vm.py
+++ b/lagoonlever/config/vm.py
@@ -29,8 +29,8 @@
 from lagoonlever.entry.targets import TargetSettings
 from lagoonlever.exceptions import Fault, FaultsError
 from lagoonlever.http.messages import Address
-from lagoonlever.platform.registry import adapter_names
 from lagoonlever.report.objectives import ObjectiveSettings
+from lagoonlever.store.registry import adapter_names
 
 
 def _check_platform_addresses(texts: tuple[str, ...]) -> str | None:
--- a/lagoonlever/decisions/membership_listing.py
+++ b/lagoonlever/decisions/membership_listing.py
@@ -11,7 +11,7 @@
 from lagoonlever.decisions.membership_protocol import ListedVm
 from lagoonlever.decisions.target_listing import ListedTarget, TargetListReading
 from lagoonlever.decisions.targets import TargetKind
-from lagoonlever.platform.port import VmEntry, VmRole, VmState
+from lagoonlever.store.port import VmEntry, VmRole, VmState
 
 PERIOD_S = 1.0
 FULL_RATE_MEMBERS = 9
--- a/lagoonlever/entry/admin_orders.py
+++ b/lagoonlever/entry/admin_orders.py
@@ -27,7 +27,7 @@
 from lagoonlever.events import event
 from lagoonlever.exceptions import PeerError, PlatformError, RequestRefused
 from lagoonlever.http.server import Exchange
-from lagoonlever.platform.port import KeyValue, Platform
+from lagoonlever.store.port import KeyValue, Platform
 from lagoonlever.targets.orders import read_order
 
 log = logbook.Logger(__name__)
--- a/lagoonlever/entry/claims.py
+++ b/lagoonlever/entry/claims.py
@@ -24,7 +24,7 @@
 from lagoonlever.entry.services_events import CLAIMS_FAIL
 from lagoonlever.entry.services_settings import ServiceSettings
 from lagoonlever.exceptions import PlatformAnswerLost, PlatformError
-from lagoonlever.platform.port import Lease, LeaseLapsed, NewKey, Platform
+from lagoonlever.store.port import Lease, LeaseLapsed, NewKey, Platform
 from lagoonlever.timers import TimerService
 
 CLAIMS_PREFIX = "lagoonlever/claims/"
--- a/lagoonlever/entry/foundation.py
+++ b/lagoonlever/entry/foundation.py
@@ -16,9 +16,9 @@
 from lagoonlever.http.server import ServerState
 from lagoonlever.instruments import Metrics
 from lagoonlever.peers.bus import PeerBus
-from lagoonlever.platform.port import Platform
-from lagoonlever.platform.registry import open_platform
 from lagoonlever.report.objective_recorder import ObjectiveRecorder
+from lagoonlever.store.port import Platform
+from lagoonlever.store.registry import open_platform
 from lagoonlever.timers import TimerService
 
 
--- a/lagoonlever/entry/membership.py
+++ b/lagoonlever/entry/membership.py
@@ -35,7 +35,7 @@
     SyncReply,
     SyncRequest,
 )
-from lagoonlever.platform.port import Platform
+from lagoonlever.store.port import Platform
 from lagoonlever.timers import Tick, TimerService
 
 T = TypeVar("T", bound=MembershipMessage)
--- a/lagoonlever/entry/orders.py
+++ b/lagoonlever/entry/orders.py
@@ -23,7 +23,7 @@
 from lagoonlever.entry.published import Published
 from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed, PeerError, PlatformError
-from lagoonlever.platform.port import Lapsed, Lease, NewKey, Platform
+from lagoonlever.store.port import Lapsed, Lease, NewKey, Platform
 from lagoonlever.targets.orders import OrderAnswer, give_order, read_order
 from lagoonlever.timers import TimerService
 from lagoonlever.tree.nodes import ROOT, TreeView
--- a/lagoonlever/entry/orders_store.py
+++ b/lagoonlever/entry/orders_store.py
@@ -21,7 +21,7 @@
     stands,
 )
 from lagoonlever.exceptions import PlatformAnswerLost, PlatformError, PlatformUnavailable
-from lagoonlever.platform.port import ABSENT, ChangeRefused, Platform, Swapped
+from lagoonlever.store.port import ABSENT, ChangeRefused, Platform, Swapped
 
 WANTED_KEY = "lagoonlever/orders/wanted"
 CHANGE_ATTEMPTS = 8
--- a/lagoonlever/entry/services.py
+++ b/lagoonlever/entry/services.py
@@ -49,7 +49,7 @@
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import Reason, Unknown
 from lagoonlever.peers.interface import Bus
-from lagoonlever.platform.port import Platform
+from lagoonlever.store.port import Platform
 from lagoonlever.timers import TimerService
 
 SERVICES_PATH = "/services/"
--- a/lagoonlever/entry/settings.py
+++ b/lagoonlever/entry/settings.py
@@ -24,7 +24,7 @@
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.interface import Bus
-from lagoonlever.platform.port import Platform
+from lagoonlever.store.port import Platform
 from lagoonlever.timers import Tick, TimerService
 from lagoonlever.tree.nodes import TreeView
 
--- a/lagoonlever/entry/settings_store.py
+++ b/lagoonlever/entry/settings_store.py
@@ -9,7 +9,7 @@
 
 from lagoonlever.codec import UnknownMessage
 from lagoonlever.exceptions import PlatformAnswerLost, PlatformError, PlatformUnavailable
-from lagoonlever.platform.port import ChangeRefused, KeyRead, KeyValue, Platform, Swapped
+from lagoonlever.store.port import ChangeRefused, KeyRead, KeyValue, Platform, Swapped
 from lagoonlever.tree.change_plan import (
     ChangeOutcome,
     ChangeRequest,
--- a/lagoonlever/entry/settings_watch.py
+++ b/lagoonlever/entry/settings_watch.py
@@ -21,7 +21,7 @@
     head_of_entry,
 )
 from lagoonlever.exceptions import PlatformError, PlatformUnavailable
-from lagoonlever.platform.port import KeyValue, Platform, Watch, WatchCompacted
+from lagoonlever.store.port import KeyValue, Platform, Watch, WatchCompacted
 from lagoonlever.tree.head import HEAD_KEY, Head
 
 log = logbook.Logger(__name__)
--- a/lagoonlever/fakes/cluster.py
+++ b/lagoonlever/fakes/cluster.py
@@ -19,8 +19,8 @@
 from lagoonlever.fakes.platform import FakePlatform
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import open_listeners
-from lagoonlever.platform.etcd_wire import WireVm
-from lagoonlever.platform.port import VmRole, VmState
+from lagoonlever.store.etcd_wire import WireVm
+from lagoonlever.store.port import VmRole, VmState
 
 HOST = "127.0.0.1"
 FREE_PORT = f"{HOST}:0"
--- a/lagoonlever/fakes/kv_gateway.py
+++ b/lagoonlever/fakes/kv_gateway.py
@@ -8,8 +8,8 @@
 
 from lagoonlever.exceptions import LagoonleverException
 from lagoonlever.fakes.kv_store import KeyValueStore, LeaseNotFound, Stored
-from lagoonlever.platform import etcd_wire as wire
-from lagoonlever.platform.port import MAX_VALUE_BYTES
+from lagoonlever.store import etcd_wire as wire
+from lagoonlever.store.port import MAX_VALUE_BYTES
 
 T = TypeVar("T")
 MAX_TXN_OPERATIONS = 128
--- a/lagoonlever/fakes/platform.py
+++ b/lagoonlever/fakes/platform.py
@@ -17,7 +17,7 @@
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE, error_payload
 from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
-from lagoonlever.platform import etcd_wire as wire
+from lagoonlever.store import etcd_wire as wire
 
 EXPIRY_INTERVAL_S = 0.05
 UNAVAILABLE = 14
--- a/lagoonlever/platform/__init__.py
+++ b/lagoonlever/store/__init__.py
@@ -3,6 +3,6 @@
 from __future__ import annotations
 
 # Importing an adapter fills the registry.
-from lagoonlever.platform import etcd_json
+from lagoonlever.store import etcd_json
 
 __all__ = ("etcd_json",)
--- a/lagoonlever/platform/etcd_json.py
+++ b/lagoonlever/store/etcd_json.py
@@ -9,10 +9,10 @@
 from lagoonlever.exceptions import PlatformAnswerLost, PlatformUnavailable
 from lagoonlever.http.messages import Address
 from lagoonlever.instruments import Metrics
-from lagoonlever.platform import etcd_wire as wire
-from lagoonlever.platform.etcd_servers import CALL_TIMEOUT_S, EtcdCall, EtcdServers
-from lagoonlever.platform.etcd_watch import EtcdWatch
-from lagoonlever.platform.port import (
+from lagoonlever.store import etcd_wire as wire
+from lagoonlever.store.etcd_servers import CALL_TIMEOUT_S, EtcdCall, EtcdServers
+from lagoonlever.store.etcd_watch import EtcdWatch
+from lagoonlever.store.port import (
     ABSENT,
     MAX_VALUE_BYTES,
     NO_LEASE,
@@ -36,7 +36,7 @@
     VmState,
     Watch,
 )
-from lagoonlever.platform.registry import adapter
+from lagoonlever.store.registry import adapter
 
 
 @adapter("etcd-json")
--- a/lagoonlever/platform/etcd_servers.py
+++ b/lagoonlever/store/etcd_servers.py
@@ -24,13 +24,13 @@
 from lagoonlever.http.refusals import JSON_TYPE
 from lagoonlever.instruments import Metrics
 from lagoonlever.metrics import PLATFORM_CALLS
-from lagoonlever.platform.etcd_wire import NOT_FOUND, ErrorResponse, encode
-from lagoonlever.platform.events import (
+from lagoonlever.store.etcd_wire import NOT_FOUND, ErrorResponse, encode
+from lagoonlever.store.events import (
     PLATFORM_ANSWER_LOST,
     PLATFORM_REACHED,
     PLATFORM_UNREACHABLE,
 )
-from lagoonlever.platform.port import ChangeRefused, LeaseLapsed
+from lagoonlever.store.port import ChangeRefused, LeaseLapsed
 
 log = logbook.Logger(__name__)
 
--- a/lagoonlever/platform/etcd_watch.py
+++ b/lagoonlever/store/etcd_watch.py
@@ -12,10 +12,10 @@
 from lagoonlever.exceptions import PeerError, PlatformError, PlatformUnavailable
 from lagoonlever.http.client import ClientConnection
 from lagoonlever.http.messages import Address
-from lagoonlever.platform import etcd_wire as wire
-from lagoonlever.platform.etcd_servers import JSON_HEADERS, EtcdServers
-from lagoonlever.platform.events import WATCH_SILENT
-from lagoonlever.platform.port import KeyChange, WatchBatch, WatchCompacted
+from lagoonlever.store import etcd_wire as wire
+from lagoonlever.store.etcd_servers import JSON_HEADERS, EtcdServers
+from lagoonlever.store.events import WATCH_SILENT
+from lagoonlever.store.port import KeyChange, WatchBatch, WatchCompacted
 
 log = logbook.Logger(__name__)
 
--- a/lagoonlever/platform/etcd_wire.py
+++ b/lagoonlever/store/etcd_wire.py
@@ -12,7 +12,7 @@
 import attrs
 import msgspec
 
-from lagoonlever.platform.port import KeyValue
+from lagoonlever.store.port import KeyValue
 
 RANGE_PATH = "/v3/kv/range"
 TXN_PATH = "/v3/kv/txn"
--- a/lagoonlever/platform/registry.py
+++ b/lagoonlever/store/registry.py
@@ -8,7 +8,7 @@
 from lagoonlever.exceptions import ConfigurationError
 from lagoonlever.http.messages import Address
 from lagoonlever.instruments import Metrics
-from lagoonlever.platform.port import Platform
+from lagoonlever.store.port import Platform
 
 
 class PlatformFactory(Protocol):
--- a/lagoonlever/tests/commands_orders_tests.py
+++ b/lagoonlever/tests/commands_orders_tests.py
@@ -34,7 +34,7 @@
 from lagoonlever.fakes.platform import FakePlatform, PlatformFault, PlatformFaultKind
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import open_listeners
-from lagoonlever.platform.etcd_json import EtcdPlatform
+from lagoonlever.store.etcd_json import EtcdPlatform
 from lagoonlever.tests.base import LIMIT_S, POLL_S
 
 SOON = OrderSettings(lease_s=4.0, wanted_period_s=0.2, loads_per_minute=10_000.0)
--- a/lagoonlever/tests/entry_membership_tests.py
+++ b/lagoonlever/tests/entry_membership_tests.py
@@ -15,7 +15,7 @@
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.local_bus import LocalBus, LocalNetwork
-from lagoonlever.platform.port import VmEntry, VmRole, VmState
+from lagoonlever.store.port import VmEntry, VmRole, VmState
 from lagoonlever.timers import TimerService
 
 
--- a/lagoonlever/tests/entry_settings_tests.py
+++ b/lagoonlever/tests/entry_settings_tests.py
@@ -17,7 +17,7 @@
 from lagoonlever.history.events import RunEnded
 from lagoonlever.history.events_settings import SettingsAccepted, SettingsInForce
 from lagoonlever.outcomes import Reason
-from lagoonlever.platform.port import SwapResult
+from lagoonlever.store.port import SwapResult
 from lagoonlever.tree.change_plan import (
     ChangeOutcome,
     ChangeRequest,
--- a/lagoonlever/tests/orders_part_tests.py
+++ b/lagoonlever/tests/orders_part_tests.py
@@ -22,7 +22,7 @@
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import open_listeners
 from lagoonlever.identity import Incarnation
-from lagoonlever.platform.etcd_json import EtcdPlatform
+from lagoonlever.store.etcd_json import EtcdPlatform
 from lagoonlever.targets.orders import OrderAnswer, give_order, read_order
 from lagoonlever.tests.base import until
 from lagoonlever.timers import TimerService
--- a/lagoonlever/tests/orders_store_tests.py
+++ b/lagoonlever/tests/orders_store_tests.py
@@ -24,7 +24,7 @@
 from lagoonlever.entry import orders_store
 from lagoonlever.entry.orders_store import WANTED_KEY, WantedStore
 from lagoonlever.exceptions import PlatformAnswerLost, PlatformError, PlatformUnavailable
-from lagoonlever.platform.port import Conflict, KeyRead, KeyValue, Swapped, SwapResult
+from lagoonlever.store.port import Conflict, KeyRead, KeyValue, Swapped, SwapResult
 
 ENGINES = ("a", "b")
 FATES = ("taken", "taken", "lost after it took effect", "late", "down")
--- a/lagoonlever/tests/services_keys_tests.py
+++ b/lagoonlever/tests/services_keys_tests.py
@@ -11,7 +11,7 @@
 from lagoonlever.fakes.platform import PlatformFault, PlatformFaultKind
 from lagoonlever.http.client import Response
 from lagoonlever.outcomes import RETRY_AFTER_HEADER
-from lagoonlever.platform import etcd_wire
+from lagoonlever.store import etcd_wire
 from lagoonlever.tests.services_site import Site, outcome, reason, run_site
 
 
--- a/lagoonlever/tests/services_site.py
+++ b/lagoonlever/tests/services_site.py
@@ -27,7 +27,7 @@
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER
 from lagoonlever.peers.local_bus import LocalBus, LocalNetwork
-from lagoonlever.platform.etcd_json import EtcdPlatform
+from lagoonlever.store.etcd_json import EtcdPlatform
 from lagoonlever.timers import TimerService
 
 TEST_TIMEOUT_S = 60.0
--- a/lagoonlever/tests/platform_base.py
+++ b/lagoonlever/tests/store_base.py
@@ -8,8 +8,8 @@
 from lagoonlever.fakes.platform import FakePlatform, PlatformFault, PlatformFaultKind
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import open_listeners
-from lagoonlever.platform.etcd_json import EtcdPlatform
-from lagoonlever.platform.port import ABSENT
+from lagoonlever.store.etcd_json import EtcdPlatform
+from lagoonlever.store.port import ABSENT
 
 KEYS = ("/a", "/b", "/c")
 
--- a/lagoonlever/tests/platform_etcd_tests.py
+++ b/lagoonlever/tests/store_etcd_tests.py
@@ -13,13 +13,13 @@
 from lagoonlever.exceptions import ConfigurationError, PlatformAnswerLost, PlatformUnavailable
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import ServerLimits, ServerState, open_listeners, serve_http
-from lagoonlever.platform.etcd_json import EtcdPlatform
-from lagoonlever.platform.etcd_wire import (
+from lagoonlever.store.etcd_json import EtcdPlatform
+from lagoonlever.store.etcd_wire import (
     TXN_PATH,
     WireVm,
 )
-from lagoonlever.platform.events import PLATFORM_REACHED, PLATFORM_UNREACHABLE
-from lagoonlever.platform.port import (
+from lagoonlever.store.events import PLATFORM_REACHED, PLATFORM_UNREACHABLE
+from lagoonlever.store.port import (
     ABSENT,
     MAX_VALUE_BYTES,
     ChangeRefused,
@@ -32,8 +32,8 @@
     VmRole,
     VmState,
 )
-from lagoonlever.platform.registry import open_platform
-from lagoonlever.tests.platform_base import KEYS, next_changes, with_platform
+from lagoonlever.store.registry import open_platform
+from lagoonlever.tests.store_base import KEYS, next_changes, with_platform
 
 
 def test_compare_and_swap_applies_only_at_the_expected_revision():
--- a/lagoonlever/tests/platform_watch_tests.py
+++ b/lagoonlever/tests/store_watch_tests.py
@@ -14,9 +14,9 @@
 from lagoonlever.exceptions import PlatformUnavailable
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.server import ServerLimits, ServerState, open_listeners, serve_http
-from lagoonlever.platform.etcd_servers import EtcdServers
-from lagoonlever.platform.etcd_watch import EtcdWatch
-from lagoonlever.platform.etcd_wire import (
+from lagoonlever.store.etcd_servers import EtcdServers
+from lagoonlever.store.etcd_watch import EtcdWatch
+from lagoonlever.store.etcd_wire import (
     WATCH_PATH,
     Header,
     WatchPiece,
@@ -24,11 +24,11 @@
     WatchResponse,
     encode,
 )
-from lagoonlever.platform.port import (
+from lagoonlever.store.port import (
     ABSENT,
     WatchCompacted,
 )
-from lagoonlever.tests.platform_base import KEYS, next_changes, with_platform
+from lagoonlever.tests.store_base import KEYS, next_changes, with_platform
 
 
 def test_a_watch_misses_nothing_over_cuts_and_silence():
