Serve the users' platform by a thin gateway role

Cause: the product had no way in for the platform's callers: host and prefix routes, opaque event streams, the platform's store, list of targets and configuration. Change: lagoonlever/platform/ decodes the platform's wire into the product's types; lagoonlever/gateway/ forwards calls and streams, resumes a stream from a copy of its run at another engine, registers the VM under a lease, tells callers addresses. deploy/system.toml runs it on every front VM.

--- a/lagoonlever/__main__.py
+++ b/lagoonlever/__main__.py
@@ -12,6 +12,7 @@
     demo,
     entry,
     fake,
+    gateway,
     orders,
     report,
     settings,
@@ -25,6 +26,7 @@
     pretty_exceptions_enable=False,
 )
 app.command()(entry.entry)
+app.command()(gateway.gateway)
 app.command()(ask.ask)
 app.command()(call.call)
 app.command()(demo.demo)
--- a/lagoonlever/events.py
+++ b/lagoonlever/events.py
@@ -53,6 +53,7 @@
     EventRange(first=700, part="Targets"),
     EventRange(first=800, part="Platform"),
     EventRange(first=900, part="Stand-ins"),
+    EventRange(first=1000, part="Gateway"),
 )
 
 
--- /dev/null
+++ b/lagoonlever/gateway/accepted.py
@@ -0,0 +1,50 @@
+"""A request that a gateway has read whole and decided to serve."""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonlever.decisions.configuration import ServiceRoute
+from lagoonlever.gateway.messages import CallerHead
+from lagoonlever.http.messages import Request
+from lagoonlever.http.server import Exchange
+
+EARLY_S = 0.02
+"""Before the end of a request's time: the answer still has to travel."""
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class Accepted:
+    """A request with its route; times are seconds of the monotonic clock."""
+
+    exchange: Exchange
+    caller: CallerHead
+    route: ServiceRoute
+    service: str
+    organisation: str | None
+    priority: int
+    arrived: float
+    deadline: float
+    """When its final answer is due, by the caller's deadline and the route's timeout."""
+
+    @property
+    def request(self) -> Request:
+        """The request as it was read."""
+        return self.exchange.request
+
+    @property
+    def request_id(self) -> str:
+        """The id of this attempt of the caller."""
+        return self.caller.request_id
+
+    def left_s(self, now: float) -> float:
+        """Give the time that is left; 0 or less when it is over."""
+        return self.deadline - now
+
+
+def deadline_of(*, arrived: float, caller: CallerHead, route: ServiceRoute) -> float:
+    """Give when the final answer to a request is due."""
+    allowed_s = route.timeout_s
+    if caller.deadline_s is not None:
+        allowed_s = min(allowed_s, caller.deadline_s)
+    return arrived + max(0.0, allowed_s - EARLY_S)
--- /dev/null
+++ b/lagoonlever/gateway/directory.py
@@ -0,0 +1,61 @@
+"""Tells callers which VMs to use, and the platform whether this one takes callers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from lagoonlever.gateway.beliefs import Beliefs, FellowVm
+from lagoonlever.http.messages import Address, Headers
+from lagoonlever.http.refusals import JSON_TYPE
+from lagoonlever.http.server import Exchange
+from lagoonlever.platform.entry_calls import READY_PATH, RESOLVE_PATH, addresses_answer
+
+MOST_ADDRESSES = 64
+TTL_S = 1.0
+"""Short, as some callers keep an answer three times as long, and a VM stops within seconds."""
+OK = 200
+NOT_READY = 503
+NOT_FOUND = 404
+
+
+@attrs.define(kw_only=True, eq=False)
+class Directory:
+    """The handler of the addresses for readiness and for the directory."""
+
+    _beliefs: Beliefs
+    _rng: random.Random
+    _own: Address
+    _own_name: str
+    _ready: Callable[[], bool]
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer a question about readiness or addresses."""
+        path = exchange.request.path
+        if path == READY_PATH:
+            status = OK if self._ready() else NOT_READY
+            await exchange.respond(status=status, headers=Headers(), body=b"")
+            return
+        if path != RESOLVE_PATH:
+            await exchange.respond(status=NOT_FOUND, headers=Headers(), body=b"")
+            return
+        addresses = self._addresses()
+        if not addresses:
+            await exchange.respond(status=NOT_READY, headers=Headers(), body=b"")
+            return
+        await exchange.respond(
+            status=OK,
+            headers=Headers((("Content-Type", JSON_TYPE),)),
+            body=addresses_answer(addresses, ttl_s=TTL_S),
+        )
+
+    def _addresses(self) -> tuple[Address, ...]:
+        fellows = [f for f in self._beliefs.fellows.value if f.name != self._own_name]
+        addresses = [self._own] if self._ready() else []
+        addresses += [fellow.address for fellow in self._spread(fellows)]
+        return tuple(addresses[:MOST_ADDRESSES])
+
+    def _spread(self, fellows: list[FellowVm]) -> list[FellowVm]:
+        return self._rng.sample(fellows, len(fellows))
--- /dev/null
+++ b/lagoonlever/gateway/front.py
@@ -0,0 +1,118 @@
+"""Reads a caller's request, finds its route and organisation, and hands it on."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from urllib.parse import urlsplit
+
+import attrs
+import logbook
+
+from lagoonlever.decisions.configuration import Configuration, RouteKind, ServiceRoute
+from lagoonlever.exceptions import RequestRefused
+from lagoonlever.gateway import events
+from lagoonlever.gateway.accepted import Accepted, deadline_of
+from lagoonlever.gateway.answers import NO_ROUTE, UNKNOWN_KEY, tell
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.messages import CallerHead
+from lagoonlever.http.server import CallerGone, Exchange
+from lagoonlever.outcomes import NotRun, Reason
+from lagoonlever.platform.headers import read_caller
+from lagoonlever.timers import TimerService
+
+log = logbook.Logger(__name__)
+
+STARTING_RETRY_S = 0.3
+"""A VM that has just started knows its configuration within a few store calls."""
+
+Serve = Callable[[Accepted], Awaitable[None]]
+
+
+@attrs.define(kw_only=True, eq=False)
+class Front:
+    """The handler of callers' requests."""
+
+    _beliefs: Beliefs
+    _timers: TimerService
+    _rng: random.Random
+    _serve: dict[RouteKind, Serve]
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one exchange; one request's fault harms no other."""
+        arrived = self._timers.now
+        configuration = self._beliefs.configuration.value
+        if configuration is None:
+            await self._refuse(exchange, self._starting())
+            return
+        try:
+            caller = read_caller(exchange.request.headers)
+        except RequestRefused as refused:
+            await self._refuse(exchange, _bad_request(refused))
+            return
+        accepted = self._accept(exchange, configuration, caller, arrived)
+        if isinstance(accepted, NotRun):
+            await self._refuse(exchange, accepted)
+            return
+        await self._serve[accepted.route.kind](accepted)
+
+    def _accept(
+        self, exchange: Exchange, configuration: Configuration, caller: CallerHead, arrived: float
+    ) -> Accepted | NotRun:
+        route = configuration.route_of(caller.host, _path_of(exchange.request.target))
+        if route is None:
+            return NO_ROUTE
+        organisation = configuration.organisations.get(caller.api_key or "")
+        if organisation is None and configuration.requires_key and not route.anonymous:
+            return UNKNOWN_KEY
+        return Accepted(
+            exchange=exchange,
+            caller=caller,
+            route=route,
+            service=route.choose_service(self._rng),
+            organisation=organisation.name if organisation else None,
+            priority=_priority(route, organisation.priority if organisation else None),
+            arrived=arrived,
+            deadline=deadline_of(arrived=arrived, caller=caller, route=route),
+        )
+
+    def _starting(self) -> NotRun:
+        return NotRun(
+            reason=Reason.STARTING,
+            message="this VM knows no configuration yet",
+            retry_after_s=STARTING_RETRY_S,
+        )
+
+    async def _refuse(self, exchange: Exchange, outcome: NotRun) -> None:
+        request = exchange.request
+        events.REQUEST_ENDED.log(
+            log,
+            request=request.headers.get("Request-Id"),
+            route=request.target,
+            organisation=None,
+            status=int(outcome.status),
+            outcome=outcome.tag.value,
+            seconds=0.0,
+            attempts=0,
+            target=None,
+            detail=outcome.message,
+        )
+        if exchange.responded:
+            raise CallerGone
+        await tell(exchange, outcome)
+
+
+def _bad_request(refused: RequestRefused) -> NotRun:
+    return NotRun(
+        reason=Reason.BAD_REQUEST, message=f"{refused.field}: {refused}", status=refused.status
+    )
+
+
+def _path_of(target: str) -> str:
+    if target.startswith("/"):
+        return target.partition("?")[0]
+    return urlsplit(target).path
+
+
+def _priority(route: ServiceRoute, of_organisation: int | None) -> int:
+    return route.priority if of_organisation is None else of_organisation
--- /dev/null
+++ b/lagoonlever/gateway/messages.py
@@ -0,0 +1,121 @@
+"""What a request and an answer say beside their bytes, in the product's own terms."""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonlever.http.messages import Address
+
+
+@attrs.frozen(kw_only=True)
+class PromptPart:
+    """A part of a prompt that other requests may share; the last one is the request's own."""
+
+    id: str
+    tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class GenerationAsk:
+    """What a request for a stream asks of an engine; sizes in tokens."""
+
+    model: str
+    prompt_tokens: int
+    output_tokens: int
+    """At most; the answer may be shorter."""
+    parts: tuple[PromptPart, ...] = ()
+
+    @property
+    def own_part(self) -> str | None:
+        """The id of the part that only this request, or its session, has."""
+        return self.parts[-1].id if self.parts else None
+
+
+@attrs.frozen(kw_only=True)
+class CallerHead:
+    """What the head of a caller's request says; ``deadline_s`` counts from its arrival."""
+
+    request_id: str
+    host: str
+    api_key: str | None
+    deadline_s: float | None
+    last_event_id: int | None
+    """The last event that the caller has got whole, if it goes on after a loss."""
+    ask: GenerationAsk | None
+
+
+@attrs.frozen(kw_only=True)
+class CopyOfRun:
+    """A copy of a run's memory: the engine that holds it, and the request of the run."""
+
+    holder: Address
+    request_id: str
+
+
+@attrs.frozen(kw_only=True)
+class Hop:
+    """What this system tells a target beside the caller's request."""
+
+    target_id: str
+    """Another process at the target's address refuses the request unread."""
+    deadline_s: float
+    organisation: str | None
+    priority: int | None = None
+    last_event_id: int | None = None
+    copy_to: Address | None = None
+    """The engine that is to hold a copy of the run's memory."""
+    copy_from: CopyOfRun | None = None
+    """The copy that the run goes on from."""
+
+
+@attrs.frozen(kw_only=True)
+class TargetLoad:
+    """How busy a target is by its own word."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@attrs.frozen(kw_only=True)
+class AnswerHead:
+    """What the head of a target's answer says."""
+
+    status: int
+    request_id: str | None
+    sealed: bool
+    """A target has signed it; an answer without that is none of a target."""
+    refused: bool
+    """The target says that it has not run the request, and never will."""
+    target_id: str | None
+    """The process that answers, where it says so."""
+    load: TargetLoad | None
+    idle_s: float | None
+    """How long the target keeps the connection open, where it says so."""
+    closes: bool
+    """The connection ends with this answer."""
+
+
+@attrs.frozen(kw_only=True)
+class RunReport:
+    """One run as its engine reports it."""
+
+    request_id: str
+    tokens: int
+    events: int
+
+
+@attrs.frozen(kw_only=True)
+class EngineReport:
+    """What an engine says of itself, some hundred milliseconds old."""
+
+    running: int
+    waiting: int
+    memory_used: int
+    """Tokens that cannot yield."""
+    memory_total: int
+    runs: tuple[RunReport, ...] = ()
+
+    def run(self, request_id: str) -> RunReport | None:
+        """Give the run of a request, or None where the engine has none."""
+        return next((run for run in self.runs if run.request_id == request_id), None)
--- /dev/null
+++ b/lagoonlever/gateway/registration.py
@@ -0,0 +1,76 @@
+"""Registers this VM in the store under a lease, and keeps the lease alive."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import logbook
+import msgspec
+import trio
+
+from lagoonlever.exceptions import PlatformError
+from lagoonlever.gateway import events
+from lagoonlever.gateway.fellows import FellowEntry, fellow_key
+from lagoonlever.gateway.settings import GatewaySettings
+from lagoonlever.identity import Incarnation
+from lagoonlever.store.port import ABSENT, KeyValueStore, Lapsed, Lease
+
+log = logbook.Logger(__name__)
+
+LEASE_S = 4.0
+"""A VM that died is told to callers at most so long; a renewal costs a tenth of a read."""
+RENEW_S = 1.3
+RETRY_S = 0.5
+
+
+@attrs.define(kw_only=True, eq=False)
+class Registration:
+    """Owns this VM's entry in the register."""
+
+    _store: KeyValueStore
+    _settings: GatewaySettings
+    _own: Incarnation
+    _rng: random.Random
+    _lease: Lease | None = None
+    _leaving: bool = False
+
+    async def run(self) -> None:
+        """Register and renew until cancelled, or until this VM leaves."""
+        while not self._leaving:
+            try:
+                if self._lease is None:
+                    await self._register()
+                elif isinstance(await self._store.keep_alive(self._lease), Lapsed):
+                    self._lease = None
+                    continue
+                await trio.sleep(RENEW_S * self._rng.uniform(0.9, 1.1))
+            except PlatformError:
+                # The store's client has logged it; the entry may have lapsed meanwhile.
+                await trio.sleep(RETRY_S * self._rng.uniform(0.7, 1.3))
+
+    async def leave(self) -> None:
+        """Take this VM out of the register."""
+        self._leaving = True
+        lease, self._lease = self._lease, None
+        if lease is None:
+            return
+        try:
+            await self._store.revoke(lease)
+        except PlatformError:
+            # The store's client has logged it; the lease lapses by itself.
+            return
+
+    async def _register(self) -> None:
+        lease = await self._store.grant_lease(LEASE_S)
+        entry = FellowEntry(
+            address=str(self._settings.listen), data_center=self._settings.data_center
+        )
+        await self._store.compare_and_swap(
+            fellow_key(self._own),
+            expected_revision=ABSENT,
+            value=msgspec.json.encode(entry),
+            lease=lease.id,
+        )
+        self._lease = lease
+        events.REGISTERED.log(log, lease=lease.id, ttl_s=lease.ttl_s)
--- /dev/null
+++ b/lagoonlever/gateway/target_client.py
@@ -0,0 +1,154 @@
+"""Sends requests to targets and reads the heads of their answers.
+
+The outcome of an attempt says what is known of it: whether anything was sent, and
+whether the target can have run it. Everything else follows from that.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import attrs
+import trio
+
+from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.exceptions import BadResponse, ConnectFailed, ConnectionBroken
+from lagoonlever.gateway.messages import AnswerHead, Hop
+from lagoonlever.http.client import ClientConnection, Pool, Response
+from lagoonlever.http.messages import Request
+from lagoonlever.platform.headers import read_answer, to_target
+
+CONNECT_TIMEOUT_S = 0.3
+"""A target accepts within a few milliseconds; one that does not is passed over."""
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+@attrs.frozen(kw_only=True)
+class OpenAnswer:
+    """An answer whose head was read and whose body is still to come."""
+
+    connection: ClientConnection
+    response: Response
+    head: AnswerHead
+
+
+@dataclass(frozen=True, kw_only=True)
+class NotSent:
+    """Nothing reached the target."""
+
+    detail: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Refused:
+    """The target says that it has not run the request."""
+
+    head: AnswerHead
+
+
+@dataclass(frozen=True, kw_only=True)
+class Lost:
+    """The request was sent, and no answer came that is one: it may have run."""
+
+    detail: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answered:
+    """A whole answer of the target."""
+
+    head: AnswerHead
+    response: Response
+
+
+AttemptResult = NotSent | Refused | Lost | Answered
+
+
+@attrs.define(kw_only=True)
+class TargetClient:
+    """Owns the connections to targets."""
+
+    _pool: Pool = attrs.field(factory=Pool)
+
+    async def connect(
+        self, target: ListedTarget, *, rested_at_most_s: float
+    ) -> ClientConnection | NotSent:
+        """Give a kept connection that rested no longer, or a new one."""
+        try:
+            return await self._pool.take(
+                target.address, timeout_s=CONNECT_TIMEOUT_S, rested_at_most_s=rested_at_most_s
+            )
+        except ConnectFailed as error:
+            return NotSent(detail=error.message)
+
+    async def open(
+        self, connection: ClientConnection, request: Request, hop: Hop, *, request_id: str
+    ) -> OpenAnswer | Refused | Lost:
+        """Write a request and read the head of its answer.
+
+        Guards against crossed answers on a kept connection: an answer with another
+        request's id came late or is one too many, and the connection is given up.
+        """
+        try:
+            await connection.start(
+                method=request.method,
+                path=request.target,
+                headers=to_target(request.headers, hop),
+                body=request.body,
+                step="forward",
+            )
+            response = await connection.read_head()
+        except (ConnectionBroken, BadResponse) as error:
+            return Lost(detail=error.message)
+        head = read_answer(response.status, response.headers)
+        if head.refused:
+            await self._drain(connection, head)
+            return Refused(head=head)
+        if head.request_id != request_id:
+            return Lost(detail=f"the answer is for request {head.request_id}")
+        return OpenAnswer(connection=connection, response=response, head=head)
+
+    async def read_whole(self, answer: OpenAnswer) -> Answered | Lost:
+        """Read the rest of an answer and keep its connection where that is safe."""
+        pieces: list[bytes] = []
+        size = 0
+        try:
+            while (piece := await answer.connection.next_piece()) is not None:
+                pieces.append(piece)
+                size += len(piece)
+                if size > MAX_BODY_BYTES:
+                    return Lost(detail=f"answered more than {MAX_BODY_BYTES} bytes")
+        except (ConnectionBroken, BadResponse) as error:
+            return Lost(detail=error.message)
+        response = attrs.evolve(answer.response, body=b"".join(pieces))
+        return Answered(head=answer.head, response=response)
+
+    async def release(self, connection: ClientConnection, head: AnswerHead | None) -> None:
+        """Keep a connection whose answer was read whole; close any other."""
+        with trio.CancelScope(shield=True):
+            if head is None or head.closes:
+                await connection.aclose()
+                return
+            await self._pool.put_back(connection, idle_s=_safe_idle_s(head))
+
+    async def forget(self, target: ListedTarget) -> None:
+        """Close the kept connections to a target that does not answer any more."""
+        await self._pool.drop(target.address)
+
+    async def aclose(self) -> None:
+        """Close every kept connection."""
+        await self._pool.aclose()
+
+    async def _drain(self, connection: ClientConnection, head: AnswerHead) -> None:
+        """Read the body of a refusal, so that its connection may be kept."""
+        try:
+            while await connection.next_piece() is not None:
+                pass
+        except (ConnectionBroken, BadResponse):
+            # Nothing hangs on the body; the connection is not reusable and gets closed.
+            return
+
+
+def _safe_idle_s(head: AnswerHead) -> float | None:
+    """Give how long a connection may rest: well below what the target says it keeps it."""
+    return None if head.idle_s is None else head.idle_s / 2
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+import math
 import os
+import select
+import socket
 from collections import deque
 from collections.abc import AsyncIterator
 from types import TracebackType
@@ -23,6 +26,8 @@
 BEFORE_ANSWER = "closed before it answered"
 POOL_IDLE_S = 4.0
 """Far below the idle timeout of usual servers, so that reuse seldom meets a closing socket."""
+KEEPALIVE_PROBES = 2
+"""Unanswered TCP keep-alive probes after which a connection counts as broken."""
 
 
 @attrs.frozen(kw_only=True)
@@ -45,6 +50,7 @@
         self._ended = False
         self._head_read = False
         self.idle_since = 0.0
+        self.idle_s = POOL_IDLE_S
 
     @property
     def address(self) -> Address:
@@ -57,15 +63,36 @@
 
         Guards against crossed answers: after a timeout or a cut the next caller
         would read the former caller's answer. Only a connection whose response
-        ended by its own framing is ever used again.
+        ended by its own framing, with nothing behind it, is ever used again.
         """
-        return self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        return done and not self._h11.trailing_data[0]
+
+    @property
+    def quiet(self) -> bool:
+        """Whether the peer has sent nothing, nor closed, since the last response.
+
+        Guards a reused connection against a close that already arrived, and against
+        a second response that came late: either would be met only after the next
+        request was written, which may then have run.
+        """
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
 
     @classmethod
     async def open(
-        cls, address: Address, *, timeout_s: float = CONNECT_TIMEOUT_S
+        cls,
+        address: Address,
+        *,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+        keepalive_s: int | None = None,
     ) -> ClientConnection:
-        """Connect; raises ``ConnectFailed``, which proves that the peer received nothing."""
+        """Connect; raises ``ConnectFailed``, which proves that the peer received nothing.
+
+        With ``keepalive_s`` a connection that carries nothing is probed by TCP at that
+        pace, so that a peer that vanished without a word breaks it.
+        """
         try:
             with trio.fail_after(timeout_s):
                 stream = await trio.open_tcp_stream(address.host, address.port)
@@ -73,6 +100,8 @@
             raise ConnectFailed(
                 str(error) or "timed out", step="connect", peer=str(address)
             ) from error
+        if keepalive_s is not None:
+            _probe_idle(stream, keepalive_s)
         return cls(stream=stream, address=address)
 
     async def __aenter__(self) -> ClientConnection:
@@ -101,7 +130,9 @@
         self._head_read = False
         if self.reusable:
             self._h11.start_next_cycle()
-        all_headers = (headers or Headers()).with_field("Host", str(self._address))
+        all_headers = headers or Headers()
+        if all_headers.get("Host") is None:
+            all_headers = all_headers.with_field("Host", str(self._address))
         if body or method != "GET":
             all_headers = all_headers.with_field("Content-Length", str(len(body)))
         request = h11.Request(method=method, target=path, headers=all_headers.raw())
@@ -189,6 +220,13 @@
         )
 
 
+def _probe_idle(stream: trio.SocketStream, keepalive_s: int) -> None:
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, keepalive_s)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, keepalive_s)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
 class Pool:
     """Idle connections by address, for requests that may safely be sent twice."""
 
@@ -198,26 +236,44 @@
         self._per_address = per_address
 
     async def take(
-        self, address: Address, *, timeout_s: float = CONNECT_TIMEOUT_S
+        self,
+        address: Address,
+        *,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+        rested_at_most_s: float = math.inf,
     ) -> ClientConnection:
         """Give an idle connection, or a new one; raises ``ConnectFailed``."""
+        kept = await self.take_kept(address, rested_at_most_s=rested_at_most_s)
+        return kept or await ClientConnection.open(address, timeout_s=timeout_s)
+
+    async def take_kept(
+        self, address: Address, *, rested_at_most_s: float = math.inf
+    ) -> ClientConnection | None:
+        """Give the connection that was used last, if it may still be used, or None."""
         idle = self._idle.get(address, deque())
         while idle:
             connection = idle.pop()
-            if trio.current_time() - connection.idle_since < self._idle_s:
+            rested_s = trio.current_time() - connection.idle_since
+            if rested_s < min(connection.idle_s, rested_at_most_s) and connection.quiet:
                 return connection
             await connection.aclose()
-        return await ClientConnection.open(address, timeout_s=timeout_s)
+        return None
 
-    async def put_back(self, connection: ClientConnection) -> None:
-        """Keep a connection whose response was read whole; close any other."""
+    async def put_back(self, connection: ClientConnection, *, idle_s: float | None = None) -> None:
+        """Keep a connection whose response was read whole, for ``idle_s``; close any other."""
         idle = self._idle.setdefault(connection.address, deque())
         if not connection.reusable or len(idle) >= self._per_address:
             await connection.aclose()
             return
         connection.idle_since = trio.current_time()
+        connection.idle_s = self._idle_s if idle_s is None else min(idle_s, self._idle_s)
         idle.append(connection)
 
+    async def drop(self, address: Address) -> None:
+        """Close every idle connection to one address."""
+        for connection in self._idle.pop(address, ()):
+            await connection.aclose()
+
     async def aclose(self) -> None:
         """Close every idle connection."""
         for idle in self._idle.values():
@@ -235,6 +291,7 @@
     step: str,
     timeout_s: float,
     pool: Pool | None = None,
+    keepalive_s: int | None = None,
 ) -> Response:
     """Send one request and read its whole response.
 
@@ -242,7 +299,9 @@
     ``BadResponse``. Without a pool the connection is fresh and closed after.
     """
     connection = await (
-        pool.take(address) if pool else ClientConnection.open(address, timeout_s=timeout_s)
+        pool.take(address)
+        if pool
+        else ClientConnection.open(address, timeout_s=timeout_s, keepalive_s=keepalive_s)
     )
     try:
         with trio.fail_after(timeout_s):
--- a/lagoonlever/http/messages.py
+++ b/lagoonlever/http/messages.py
@@ -71,3 +71,5 @@
     peer: str
     raw_query: str = ""
     """The query as it was sent: ``query`` keeps one value a name, and none that is empty."""
+    target: str = ""
+    """Path and query as they were sent, for a request that is passed on unchanged."""
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -40,7 +40,10 @@
 
     body_bytes: int = 4 * 1024 * 1024
     header_bytes: int = 32 * 1024
+    header_timeout_s: float = 30.0
+    """From the first byte of a request until its head is whole."""
     request_timeout_s: float = 30.0
+    """For the body."""
     idle_timeout_s: float = 75.0
     write_timeout_s: float = 30.0
     connections: int = 4096
@@ -118,6 +121,8 @@
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
+LimitsSource = Callable[[], ServerLimits]
+"""Gives the limits in force; a connection keeps those that held as it was opened."""
 
 
 class _Connection:
@@ -181,6 +186,7 @@
                 path=target.path,
                 query=dict(parse_qsl(target.query)),
                 raw_query=target.query,
+                target=request.target.decode("latin-1"),
                 headers=Headers.from_raw(request.headers),
                 body=body,
                 peer=self._peer,
@@ -190,11 +196,32 @@
 
     async def _read_head(self) -> h11.Request | None:
         with trio.move_on_after(self._limits.idle_timeout_s):
-            event = await self._next_event()
-            if isinstance(event, h11.Request):
-                return event
+            if not await self._wait_begun():
+                return None
+            with trio.move_on_after(self._limits.header_timeout_s) as scope:
+                event = await self._next_event()
+            if scope.cancelled_caught:
+                raise RequestRefused(status=408, field="head", message="did not arrive in time")
+            if not isinstance(event, h11.Request):
+                return None
+            _check_framing(event)
+            return event
         return None
 
+    async def _wait_begun(self) -> bool:
+        """Wait for the first bytes of a request; false at the end of the connection."""
+        if self._h11.trailing_data[0]:
+            return True
+        data = await self._receive()
+        self._h11.receive_data(data)
+        return bool(data)
+
+    async def _receive(self) -> bytes:
+        try:
+            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return b""
+
     async def _read_body(self) -> bytes:
         pieces: list[bytes] = []
         size = 0
@@ -220,11 +247,7 @@
                 return event
             if self._h11.they_are_waiting_for_100_continue:
                 await self.send(h11.InformationalResponse(status_code=100, headers=[]))
-            try:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                data = b""
-            self._h11.receive_data(bytes(data))
+            self._h11.receive_data(await self._receive())
 
     def response(self, *, status: int, headers: Headers) -> h11.Response:
         """Give the head of a response, closing the connection where the server is stopping."""
@@ -299,16 +322,26 @@
         """
         waiting_bytes = 0
         while True:
-            try:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
-            self._h11.receive_data(bytes(data))
+            data = await self._receive()
+            self._h11.receive_data(data)
             waiting_bytes += len(data)
             if not data or waiting_bytes > self._limits.header_bytes:
                 return
 
 
+def _check_framing(request: h11.Request) -> None:
+    """Refuse a request that tells its length in two ways.
+
+    Guards against smuggling: the next hop may believe the other one, and would then
+    read the end of this body as a request of its own.
+    """
+    names = [name for name, _ in request.headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        raise RequestRefused(
+            status=400, field="Content-Length", message="stands beside Transfer-Encoding"
+        )
+
+
 def _split_target(raw: bytes) -> SplitResult:
     try:
         return urlsplit(raw.decode("latin-1"))
@@ -346,7 +379,7 @@
     *,
     handler: Handler,
     listeners: list[trio.SocketListener],
-    limits: ServerLimits,
+    limits: ServerLimits | LimitsSource,
     state: ServerState,
 ) -> None:
     """Serve until cancelled; one caller's error ends only its own connection.
@@ -355,13 +388,14 @@
     """
 
     async def serve_one(stream: trio.SocketStream) -> None:
-        full = state.open_connections >= limits.connections
+        in_force = limits if isinstance(limits, ServerLimits) else limits()
+        full = state.open_connections >= in_force.connections
         state.open_connections += not full
         try:
             if full:
-                await _turn_away(stream, limits=limits, state=state)
+                await _turn_away(stream, limits=in_force, state=state)
             else:
-                await _serve_connection(stream, handler=handler, limits=limits, state=state)
+                await _serve_connection(stream, handler=handler, limits=in_force, state=state)
         except (CallerGone, OSError):
             return
         except Exception:
--- a/lagoonlever/http/sse.py
+++ b/lagoonlever/http/sse.py
@@ -61,3 +61,50 @@
     if not data and name is None:
         return None
     return ServerEvent(data=b"\n".join(data), id=id_, event=name)
+
+
+@attrs.frozen(kw_only=True)
+class RawEvent:
+    """One event as it was received, with its end; ``id`` where it has a numeric one."""
+
+    data: bytes
+    id: int | None
+
+
+class RawEventSplitter:
+    """Cuts the pieces of a body after each event without changing a byte.
+
+    Raises ``ValueError`` for an oversized event.
+    """
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    @property
+    def partial(self) -> bool:
+        """Whether an event has begun and is not whole."""
+        return bool(self._buffer)
+
+    def feed(self, piece: bytes) -> list[RawEvent]:
+        """Take a piece of the body and give the events that are whole now."""
+        self._buffer += piece
+        events: list[RawEvent] = []
+        while (end := _event_end(self._buffer)) is not None:
+            data, self._buffer = self._buffer[:end], self._buffer[end:]
+            events.append(RawEvent(data=data, id=_raw_id(data)))
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise ValueError("an event is larger than the allowed size")
+        return events
+
+
+def _event_end(buffer: bytes) -> int | None:
+    ends = [buffer.find(mark) + len(mark) for mark in (b"\n\n", b"\r\n\r\n") if mark in buffer]
+    return min(ends) if ends else None
+
+
+def _raw_id(data: bytes) -> int | None:
+    for line in data.splitlines():
+        field, _, value = line.partition(b":")
+        if field == b"id" and value.strip().isdigit():
+            return int(value)
+    return None
--- /dev/null
+++ b/lagoonlever/platform/engine_calls.py
@@ -0,0 +1,31 @@
+"""The calls on an engine beside requests: its report of itself."""
+
+from __future__ import annotations
+
+import msgspec
+
+from lagoonlever.gateway.messages import EngineReport, RunReport
+
+REPORT_PATH = "/-/report"
+
+
+class Report(msgspec.Struct, rename="pascal", kw_only=True):
+    """``kv_used`` is the memory that cannot yield to other requests, in tokens."""
+
+    queued: int = 0
+    running: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
+    runs: list[tuple[str, int, int, int]] = []
+    """Each run: its request, tokens in memory, events made, priority."""
+
+
+def read_report(raw: Report) -> EngineReport:
+    """Give the product's form of a report."""
+    return EngineReport(
+        running=raw.running,
+        waiting=raw.queued,
+        memory_used=raw.kv_used,
+        memory_total=raw.kv_total,
+        runs=tuple(RunReport(request_id=r[0], tokens=r[1], events=r[2]) for r in raw.runs),
+    )
--- /dev/null
+++ b/lagoonlever/platform/headers.py
@@ -0,0 +1,185 @@
+"""The header fields of requests and answers on the platform's wire."""
+
+from __future__ import annotations
+
+from lagoonlever.exceptions import RequestRefused
+from lagoonlever.gateway.messages import (
+    AnswerHead,
+    CallerHead,
+    GenerationAsk,
+    Hop,
+    PromptPart,
+    TargetLoad,
+)
+from lagoonlever.http.messages import Headers
+
+REQUEST_ID = "Request-Id"
+DEADLINE = "Deadline-Ms"
+LAST_EVENT_ID = "Last-Event-Id"
+INSTANCE = "Instance-Id"
+MS = 1000.0
+BAD_REQUEST = 400
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "trailers",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Fields that concern one connection (RFC 9110, 7.6.1), whatever ``Connection`` names."""
+
+SET_BY_SYSTEM = frozenset(
+    {
+        "authorization",
+        "content-length",
+        "deadline-ms",
+        "expect",
+        "expect-instance",
+        "expect-version",
+        "hold",
+        "kv-backup",
+        "kv-fetch",
+        "kv-from",
+        "last-event-id",
+        "pin-ms",
+        "request-priority",
+        "tenant",
+    }
+)
+"""Fields of a caller that never reach a target as the caller sent them.
+
+Guards against a caller that names another organisation, takes over another run's
+memory, or reserves an engine's memory: those fields are this system's to set.
+"""
+
+
+def read_caller(headers: Headers) -> CallerHead:
+    """Decode the head of a caller's request; raises ``RequestRefused`` for a malformed field."""
+    request_id = headers.get(REQUEST_ID)
+    if not request_id:
+        raise RequestRefused(status=BAD_REQUEST, field=REQUEST_ID, message="is required")
+    deadline_ms = _number(headers, DEADLINE)
+    last_event_id = _number(headers, LAST_EVENT_ID)
+    return CallerHead(
+        request_id=request_id,
+        host=(headers.get("Host") or "").partition(":")[0].lower(),
+        api_key=_api_key(headers),
+        deadline_s=None if deadline_ms is None else deadline_ms / MS,
+        last_event_id=None if last_event_id is None else int(last_event_id),
+        ask=_ask(headers),
+    )
+
+
+def to_target(headers: Headers, hop: Hop) -> Headers:
+    """Give the fields of a caller's request as a target gets them."""
+    dropped = HOP_BY_HOP | SET_BY_SYSTEM | _named_by_connection(headers)
+    pairs = [pair for pair in headers.pairs if pair[0].lower() not in dropped]
+    pairs.append((DEADLINE, str(max(0, int(hop.deadline_s * MS)))))
+    pairs.append(("Expect-Instance", hop.target_id))
+    if hop.organisation is not None:
+        pairs.append(("Tenant", hop.organisation))
+    if hop.priority is not None:
+        pairs.append(("Request-Priority", str(hop.priority)))
+    if hop.last_event_id is not None:
+        pairs.append((LAST_EVENT_ID, str(hop.last_event_id)))
+    if hop.copy_to is not None:
+        pairs.append(("Kv-Backup", str(hop.copy_to)))
+    if hop.copy_from is not None:
+        pairs.append(("Kv-From", f"{hop.copy_from.holder}/{hop.copy_from.request_id}"))
+    return Headers(tuple(pairs))
+
+
+def read_answer(status: int, headers: Headers) -> AnswerHead:
+    """Decode the head of a target's answer; odd values count as absent."""
+    connection = (headers.get("Connection") or "").lower()
+    return AnswerHead(
+        status=status,
+        request_id=headers.get(REQUEST_ID),
+        sealed=headers.get("Response-Seal") is not None,
+        refused=headers.get("Not-Executed") is not None or status == 421,
+        target_id=headers.get(INSTANCE),
+        load=_load(headers.get("Server-Load")),
+        idle_s=_idle_s(headers.get("Keep-Alive")),
+        closes="close" in connection,
+    )
+
+
+def to_caller(headers: Headers) -> Headers:
+    """Give the fields of a target's answer as the caller gets them, without its framing."""
+    dropped = HOP_BY_HOP | _named_by_connection(headers) | {"content-length"}
+    return Headers(tuple(pair for pair in headers.pairs if pair[0].lower() not in dropped))
+
+
+def _named_by_connection(headers: Headers) -> frozenset[str]:
+    names = [value for name, value in headers.pairs if name.lower() == "connection"]
+    return frozenset(part.strip().lower() for value in names for part in value.split(","))
+
+
+def _api_key(headers: Headers) -> str | None:
+    scheme, _, key = (headers.get("Authorization") or "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" and key.strip() else None
+
+
+def _number(headers: Headers, name: str) -> float | None:
+    value = headers.get(name)
+    if value is None:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number < float("inf"):
+        raise RequestRefused(status=BAD_REQUEST, field=name, message=f"is {value!r}; give a number")
+    return number
+
+
+def _ask(headers: Headers) -> GenerationAsk | None:
+    counts = headers.get("Token-Count")
+    if counts is None:
+        return None
+    prompt, _, output = counts.partition(",")
+    try:
+        return GenerationAsk(
+            model=headers.get("Model") or "",
+            prompt_tokens=int(prompt),
+            output_tokens=int(output or 0),
+            parts=_parts(headers.get("Prompt-Prefix") or ""),
+        )
+    except ValueError as error:
+        raise RequestRefused(
+            status=BAD_REQUEST, field="Token-Count", message=f"can't be read: {error}"
+        ) from error
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in filter(None, text.split(",")):
+        part_id, _, tokens = entry.strip().partition(":")
+        parts.append(PromptPart(id=part_id, tokens=int(tokens)))
+    return tuple(parts)
+
+
+def _load(text: str | None) -> TargetLoad | None:
+    if text is None:
+        return None
+    try:
+        running, waiting, slots = (int(part) for part in text.split(","))
+    except ValueError:
+        return None
+    return TargetLoad(running=running, waiting=waiting, slots=slots)
+
+
+def _idle_s(text: str | None) -> float | None:
+    for part in (text or "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return float(value)
+    return None
--- a/lagoonlever/store/port.py
+++ b/lagoonlever/store/port.py
@@ -190,8 +190,8 @@
         """Stop watching."""
 
 
-class Platform(Protocol):
-    """The platform's services as the system uses them; every method but ``watch`` is one call.
+class KeyValueStore(Protocol):
+    """A linearizable key-value service with leases and watches; all but ``watch`` are one call.
 
     All raise ``PlatformUnavailable``; those that change something also raise
     ``PlatformAnswerLost``, ``LeaseLapsed`` and ``ChangeRefused``.
@@ -208,9 +208,6 @@
     ) -> SwapResult:
         """Write a key, or delete it by None, if its revision is the expected one."""
 
-    async def claim(self, keys: Sequence[NewKey]) -> ClaimResult:
-        """Create each key that is absent, all in one transaction, and read the others."""
-
     async def grant_lease(self, ttl_s: float) -> Lease:
         """Take a lease; keys written under it vanish when it lapses."""
 
@@ -223,8 +220,15 @@
     def watch(self, prefix: str, *, after_revision: int) -> Watch:
         """Watch the changes after a revision; each connection it opens is one call."""
 
-    async def list_vms(self) -> tuple[VmEntry, ...]:
-        """Read the list of live and leaving VMs."""
-
     async def aclose(self) -> None:
         """Close idle connections."""
+
+
+class Platform(KeyValueStore, Protocol):
+    """The key-value service of the entry daemon, with claims in groups and a list of VMs."""
+
+    async def claim(self, keys: Sequence[NewKey]) -> ClaimResult:
+        """Create each key that is absent, all in one transaction, and read the others."""
+
+    async def list_vms(self) -> tuple[VmEntry, ...]:
+        """Read the list of live and leaving VMs."""
