--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engine_book.py
@@ -1,9 +1,11 @@
-"""Which runs each engine has, as far as this VM knows, and where the next one goes.
+"""Which runs each engine has, on all VMs as far as heard, and where the next one goes.
 
 The load that is answered: prompts of several thousand tokens arrive at many VMs at
-once, and an engine reads one prompt after the other while the runs beside it slow
-down. So a run goes where the fewest prompt tokens are still to be read, and where
-there is memory for its prompt and its longest answer.
+once, each VM sees a few of them, and engines' own reports are old when they arrive.
+An engine reads a prompt in a second, and until then the runs beside it make tokens at
+an eighth of their pace; two prompts at once, and pauses grow beyond what callers
+allow. So VMs tell each other each placement, and a run goes where the fewest prompt
+tokens are still to be read, and where there is memory for its longest answer.
 """
 
 from __future__ import annotations
@@ -17,38 +19,71 @@
 from lagoonlever.decisions.target_registry import ListedTarget
 
 PREFILL_TOKENS_PER_S = 5000.0
-"""How fast an engine reads a prompt; until it is learnt, the operators' figure."""
-RUN_COST_S = 0.05
-"""What each running request adds to the wait: its tokens are made between the chunks."""
+"""How fast an engine reads a prompt: the operators' figure for their engines."""
+BEHIND_PROMPT_S = 0.3
+"""What each prompt that is being read costs beside its tokens: the pauses it makes."""
+FLOWING_COST_S = 0.05
+"""What each run that makes tokens adds to the wait of another."""
+COPY_COST_S = 0.03
+"""What each copy adds: its run comes here if its engine is lost."""
 OTHER_DATA_CENTER_S = 0.02
 """Below any real difference in load; it decides between engines that are alike."""
 FULL_S = 5.0
 """What an engine without room costs: beyond any wait that another one may have."""
-AVOID_S = 1.0
-"""How long an engine is passed over after an attempt on it failed."""
+FIRST_AVOID_S = 1.0
+MOST_AVOID_S = 8.0
+"""How long an engine is passed over after it failed; doubled each time, up to this."""
+LEAST_LEFT = 0.1
+"""The part of a prompt that counts as unread until its run gives an event."""
 
 
-@attrs.define(kw_only=True)
+@attrs.frozen(kw_only=True)
 class BookedRun:
     """One run at an engine; sizes in tokens."""
 
+    request: str
+    vm: str
+    """The VM that relays it."""
     engine: str
     prompt_tokens: int
-    output_tokens: int
+    """What the engine has to read: little for a run that goes on from a copy."""
+    memory_tokens: int
+    """What the run needs at its longest."""
+    part: str | None = None
+    """The id of the prompt's own part, by which a caller that returns is known."""
     copy_at: str | None = None
-    started_at: float = 0.0
     flowing: bool = False
     """It has given its first event."""
 
-    @property
-    def memory_tokens(self) -> int:
-        """What the run needs at its longest."""
-        return self.prompt_tokens + self.output_tokens
+
+@attrs.define(kw_only=True)
+class _Record:
+    run: BookedRun
+    since: float
+    ended_at: float | None = None
+    whole: bool = False
+
+
+@attrs.define(kw_only=True)
+class _Load:
+    """What one engine has."""
+
+    to_read_s: float = 0.0
+    prompts: int = 0
+    flowing: int = 0
+    copies: int = 0
+    memory: int = 0
+
+
+@attrs.define(kw_only=True)
+class _Avoided:
+    until: float
+    for_s: float
 
 
 @attrs.frozen(kw_only=True)
 class Placement:
-    """Where a run goes, and the wait that was expected there."""
+    """Where a run goes, the wait expected there until its first event, and why."""
 
     engine: ListedTarget
     expected_s: float
@@ -60,12 +95,23 @@
 
     _rng: random.Random
     _data_center: str
-    _runs: dict[str, BookedRun] = attrs.field(factory=dict)
-    _avoid: dict[str, float] = attrs.field(factory=dict)
+    _keep_s: float = 10.0
+    """How long an ended run is remembered: as long as its prompt may still be cached."""
+    _records: dict[str, _Record] = attrs.field(factory=dict)
+    _by_part: dict[str, str] = attrs.field(factory=dict)
+    _avoided: dict[str, _Avoided] = attrs.field(factory=dict)
+
+    @property
+    def open_runs(self) -> tuple[BookedRun, ...]:
+        """Every run that is not known to have ended."""
+        return tuple(r.run for r in self._records.values() if r.ended_at is None)
 
-    def run(self, key: str) -> BookedRun | None:
-        """Give a known run, or None."""
-        return self._runs.get(key)
+    def last_run_of(self, part: str) -> BookedRun | None:
+        """Give the last run of a prompt's own part that did not end whole, or None."""
+        record = self._records.get(self._by_part.get(part, ""))
+        if record is None or record.whole:
+            return None
+        return record.run
 
     def place(
         self,
@@ -73,24 +119,22 @@
         *,
         limits: EngineLimits,
         prompt_tokens: int,
-        output_tokens: int,
+        memory_tokens: int,
         now: float,
         avoid: frozenset[str] = frozenset(),
     ) -> Placement | None:
         """Choose an engine for a run, or None where there is none at all."""
         usable = [engine for engine in engines if engine.id not in avoid]
-        calm = [engine for engine in usable if now >= self._avoid.get(engine.id, 0.0)]
-        need = prompt_tokens + output_tokens
-        costs = [
-            Placement(engine=engine, expected_s=self._cost_s(engine, limits, need))
-            for engine in calm or usable
-        ]
-        if not costs:
+        calm = [engine for engine in usable if not self.is_avoided(engine.id, now)]
+        candidates = calm or usable
+        if not candidates:
             return None
-        self._rng.shuffle(costs)
-        best = min(costs, key=lambda placement: placement.expected_s)
+        loads = self._loads(now)
+        self._rng.shuffle(candidates)
+        costs = {e.id: self._cost_s(e, loads, limits, memory_tokens) for e in candidates}
+        best = min(candidates, key=lambda engine: costs[engine.id])
         own_s = prompt_tokens / PREFILL_TOKENS_PER_S
-        return attrs.evolve(best, expected_s=best.expected_s + own_s)
+        return Placement(engine=best, expected_s=costs[best.id] + own_s)
 
     def place_copy(
         self,
@@ -100,49 +144,116 @@
         beside: ListedTarget,
         memory_tokens: int,
         now: float,
+        avoid: frozenset[str] = frozenset(),
     ) -> ListedTarget | None:
         """Choose the engine that holds the copy of a run, in another data centre if there is one.
 
         Engines of a data centre fail together, so a copy beside its run would go with it.
         """
-        others = [e for e in engines if e.id != beside.id and now >= self._avoid.get(e.id, 0.0)]
+        others = [
+            engine
+            for engine in engines
+            if engine.id != beside.id
+            and engine.id not in avoid
+            and not self.is_avoided(engine.id, now)
+        ]
         apart = [engine for engine in others if engine.data_center != beside.data_center]
-        costs = [(self._cost_s(e, limits, memory_tokens), e) for e in apart or others]
-        roomy = [(cost, engine) for cost, engine in costs if cost < FULL_S]
+        loads = self._loads(now)
+        costs = {e.id: self._cost_s(e, loads, limits, memory_tokens) for e in apart or others}
+        roomy = [engine for engine in apart or others if costs[engine.id] < FULL_S]
         if not roomy:
             return None
         self._rng.shuffle(roomy)
-        return min(roomy, key=lambda each: each[0])[1]
+        return min(roomy, key=lambda engine: costs[engine.id])
+
+    def is_avoided(self, engine: str, now: float) -> bool:
+        """Tell whether an engine is passed over now."""
+        avoided = self._avoided.get(engine)
+        return avoided is not None and now < avoided.until
 
-    def begin(self, key: str, run: BookedRun) -> None:
+    def begin(self, run: BookedRun, now: float) -> None:
         """Book a run; one that goes on elsewhere replaces what was booked before."""
-        self._runs[key] = run
+        self._records[run.request] = _Record(run=run, since=now)
+        if run.part is not None:
+            self._by_part[run.part] = run.request
 
-    def flows(self, key: str) -> None:
+    def flows(self, request: str) -> None:
         """Note that a run has given its first event: its prompt is read."""
-        if key in self._runs:
-            self._runs[key].flowing = True
+        record = self._records.get(request)
+        if record is not None:
+            record.run = attrs.evolve(record.run, flowing=True)
 
-    def end(self, key: str) -> None:
+    def end(self, request: str, now: float, *, whole: bool) -> None:
         """Note the end of a run."""
-        self._runs.pop(key, None)
+        record = self._records.get(request)
+        if record is not None and record.ended_at is None:
+            record.ended_at = now
+            record.whole = whole
+
+    def vm_lost(self, vm: str, now: float) -> None:
+        """Note that a VM is gone: engines drop its runs as its connections close."""
+        for record in self._records.values():
+            if record.run.vm == vm and record.ended_at is None:
+                record.ended_at = now
 
     def failed(self, engine: str, now: float) -> None:
-        """Pass an engine over for a while after an attempt on it failed."""
-        self._avoid[engine] = now + AVOID_S
+        """Pass an engine over for a while, longer each time it fails again."""
+        known = self._avoided.get(engine)
+        if known is not None and now < known.until:
+            return
+        for_s = min(MOST_AVOID_S, known.for_s * 2) if known else FIRST_AVOID_S
+        self._avoided[engine] = _Avoided(until=now + for_s, for_s=for_s)
 
     def served(self, engine: str) -> None:
         """Note that an engine works: it is passed over no longer."""
-        self._avoid.pop(engine, None)
-
-    def _cost_s(self, engine: ListedTarget, limits: EngineLimits, need: int) -> float:
-        runs = [run for run in self._runs.values() if run.engine == engine.id]
-        copies = [run for run in self._runs.values() if run.copy_at == engine.id]
-        to_read = sum(run.prompt_tokens for run in runs if not run.flowing)
-        memory = sum(run.memory_tokens for run in (*runs, *copies))
-        cost_s = to_read / PREFILL_TOKENS_PER_S + RUN_COST_S * len(runs)
+        self._avoided.pop(engine, None)
+
+    def expire(self, now: float) -> None:
+        """Forget what ended so long ago that nothing of it can be cached any more."""
+        for request, record in list(self._records.items()):
+            if record.ended_at is None or now - record.ended_at <= self._keep_s:
+                continue
+            del self._records[request]
+            part = record.run.part
+            if part is not None and self._by_part.get(part) == request:
+                del self._by_part[part]
+        for engine, avoided in list(self._avoided.items()):
+            if now - avoided.until > MOST_AVOID_S:
+                del self._avoided[engine]
+
+    def _loads(self, now: float) -> dict[str, _Load]:
+        loads: dict[str, _Load] = {}
+        for record in self._records.values():
+            if record.ended_at is not None:
+                continue
+            run = record.run
+            load = loads.setdefault(run.engine, _Load())
+            load.memory += run.memory_tokens
+            if run.flowing:
+                load.flowing += 1
+            else:
+                load.prompts += 1
+                load.to_read_s += _left_to_read_s(run, now - record.since)
+            if run.copy_at is not None:
+                holder = loads.setdefault(run.copy_at, _Load())
+                holder.copies += 1
+                holder.memory += run.memory_tokens
+        return loads
+
+    def _cost_s(
+        self, engine: ListedTarget, loads: dict[str, _Load], limits: EngineLimits, need: int
+    ) -> float:
+        load = loads.get(engine.id, _Load())
+        cost_s = load.to_read_s + BEHIND_PROMPT_S * load.prompts
+        cost_s += FLOWING_COST_S * load.flowing + COPY_COST_S * load.copies
         if engine.data_center != self._data_center:
             cost_s += OTHER_DATA_CENTER_S
-        if len(runs) >= limits.slots or memory + need > limits.memory_tokens:
+        full = load.prompts + load.flowing >= limits.slots
+        if full or load.memory + need > limits.memory_tokens:
             cost_s += FULL_S
         return cost_s
+
+
+def _left_to_read_s(run: BookedRun, elapsed_s: float) -> float:
+    whole_s = run.prompt_tokens / PREFILL_TOKENS_PER_S
+    return max(whole_s * LEAST_LEFT, whole_s - elapsed_s)
--- /dev/null
+++ b/lagoonlever/decisions/retry_window.py
@@ -0,0 +1,47 @@
+"""How many attempts beyond the first this VM may send to a service.
+
+The load that is answered: a service fails many requests at once, every VM sends each
+of them again, and the repeats bury the targets that are left. All VMs together may
+send a part of the requests of a window again, and a little more. A VM does not know
+what the others send, so it keeps to that part of its own requests, and to its share
+of the rest.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+import attrs
+
+SAFETY = 0.8
+"""Of the allowed ratio: windows of the VM and of the whole don't begin together."""
+
+
+@attrs.define(kw_only=True)
+class RetryWindow:
+    """Counts requests and repeats of one service over a sliding window, in seconds."""
+
+    _ratio: float
+    _window_s: float
+    _slack: float
+    _requests: deque[float] = attrs.field(factory=deque)
+    _repeats: deque[float] = attrs.field(factory=deque)
+
+    def request(self, now: float) -> None:
+        """Count a request of a caller."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def take(self, now: float, *, vms: int) -> bool:
+        """Take one repeat if the window allows it; ``vms`` share the slack."""
+        self._forget(now)
+        allowed = SAFETY * (self._ratio * len(self._requests) + self._slack / max(1, vms))
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        for times in (self._requests, self._repeats):
+            while times and now - times[0] > self._window_s:
+                times.popleft()
--- /dev/null
+++ b/lagoonlever/decisions/stream_life.py
@@ -0,0 +1,179 @@
+"""The life of one stream whose events are not interpreted: attempts, position, resumes.
+
+Pure: what happened goes in, the next step comes out. The same rules hold as for a
+generation of tokens: an event goes out only if it is the next one, an attempt that was
+given up gives nothing any more, and a stream is whole only when its engine ended it.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+import attrs
+
+NO_ENGINE_RETRY_S = 0.1
+"""While no engine is known, a stream that has begun looks again this often."""
+MOST_REFUSALS = 12
+"""Engines that refuse are passed over; beyond this many, all of them are full."""
+
+
+@attrs.frozen(kw_only=True)
+class RunCopy:
+    """A copy of a run's memory: the engine that holds it, and the request it ran under."""
+
+    engine: str
+    request: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Place:
+    """Choose an engine other than ``avoid`` and send the request there."""
+
+    avoid: frozenset[str]
+
+
+@dataclass(frozen=True, kw_only=True)
+class ResumeFrom:
+    """Send the request to the engine that holds this copy, if it still takes work."""
+
+    copy: RunCopy
+
+
+@dataclass(frozen=True, kw_only=True)
+class WaitForEngine:
+    """No engine is known: look again after ``seconds``."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class GiveUp:
+    """Nothing more is to be had; ``may_have_run`` says what the caller can be told."""
+
+    may_have_run: bool
+    detail: str
+
+
+Step = Place | ResumeFrom | WaitForEngine | GiveUp
+
+
+class EventVerdict(enum.Enum):
+    """What to do with an event of an engine."""
+
+    FORWARD = "forward"
+    REPEATED = "repeated"
+    """The caller has it already; it is dropped."""
+    OUT_OF_ORDER = "out-of-order"
+    """An event before it is missing: this attempt can't be used."""
+
+
+@attrs.define(kw_only=True)
+class StreamLife:
+    """One request for a stream; ``position`` is the last event that the caller has whole."""
+
+    _request: str
+    _repeatable: bool
+    _max_attempts: int
+    position: int | None = None
+    begun: bool = False
+    """The head of an answer has gone to the caller."""
+    whole: bool = False
+    runs: int = 0
+    """Attempts that may have run."""
+    sent: int = 0
+    """Attempts that reached an engine."""
+    _refusals: int = 0
+    _avoid: set[str] = attrs.field(factory=set)
+    _copy: RunCopy | None = None
+    _detail: str = ""
+    _no_engine: bool = False
+
+    @classmethod
+    def returning(
+        cls,
+        *,
+        request: str,
+        repeatable: bool,
+        max_attempts: int,
+        position: int | None,
+        copy: RunCopy | None,
+    ) -> StreamLife:
+        """Begin a stream whose caller may have a part of it, and whose run left a copy."""
+        return cls(
+            request=request,
+            repeatable=repeatable,
+            max_attempts=max_attempts,
+            position=position,
+            copy=copy,
+        )
+
+    @property
+    def detail(self) -> str:
+        """What ended the last attempt."""
+        return self._detail
+
+    def next_step(self) -> Step:
+        """Give what to do now that no attempt is open."""
+        if self.runs and not self._repeatable:
+            return self._give_up()
+        if self.runs >= self._max_attempts or self._refusals >= MOST_REFUSALS:
+            return self._give_up()
+        if self._no_engine:
+            if not self.begun:
+                return self._give_up()
+            self._no_engine = False
+            return WaitForEngine(seconds=NO_ENGINE_RETRY_S)
+        if self._copy is not None:
+            return ResumeFrom(copy=self._copy)
+        return Place(avoid=frozenset(self._avoid))
+
+    def copy_unusable(self) -> None:
+        """Note that the engine with the copy takes no work."""
+        self._copy = None
+
+    def no_engine(self) -> None:
+        """Note that there is no engine to choose: those that failed may be tried again."""
+        self._no_engine = not self._avoid
+        self._avoid.clear()
+
+    def unreachable(self, engine: str, detail: str) -> None:
+        """Note that nothing could be sent to an engine."""
+        self._avoid.add(engine)
+        self._copy = None
+        self._refusals += 1
+        self._detail = detail
+
+    def was_sent(self, *, copy_at: str | None) -> None:
+        """Note that a request is being written: from now on it may have run."""
+        self.sent += 1
+        self.runs += 1
+        self._copy = RunCopy(engine=copy_at, request=self._request) if copy_at else None
+
+    def refused(self, engine: str, detail: str) -> None:
+        """Note that an engine says that it has not run the request."""
+        self.runs -= 1
+        self._refusals += 1
+        self._avoid.add(engine)
+        self._copy = None
+        self._detail = detail
+
+    def lost(self, engine: str, detail: str) -> None:
+        """Note that an attempt broke off; its run may be gone on from a copy."""
+        self._avoid.add(engine)
+        self._detail = detail
+
+    def event(self, event_id: int | None) -> EventVerdict:
+        """Judge an event; one without a number goes along with the others."""
+        if event_id is None:
+            return EventVerdict.FORWARD
+        expected = (self.position or 0) + 1
+        if event_id < expected:
+            return EventVerdict.REPEATED
+        if event_id > expected:
+            return EventVerdict.OUT_OF_ORDER
+        self.position = event_id
+        return EventVerdict.FORWARD
+
+    def _give_up(self) -> GiveUp:
+        return GiveUp(may_have_run=self.runs > 0, detail=self._detail or "no engine takes it now")
--- /dev/null
+++ b/lagoonlever/decisions/stream_silence.py
@@ -0,0 +1,130 @@
+"""Whether the silence of one attempt means that its engine is lost.
+
+An engine that crashes with its sockets closed is seen at once. One that goes dark, or
+loses an answer, is only silent, and a VM has too few streams on one engine to judge by
+the others. So a silence beyond the usual spacing is a reason to ask the engine for its
+report: a question costs next to nothing beside a stream that pauses too long, and an
+engine that lives answers in a few milliseconds and says whether the run goes on.
+
+The load pattern: engines make an event every 30 ms alone, and every 230 ms while they
+read a prompt for somebody else. A silence that the last events have shown is not asked
+about again.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+import attrs
+
+LEAST_SUSPECT_S = 0.12
+"""Four events of an idle engine."""
+MOST_SUSPECT_S = 0.35
+"""Half of the pause that callers allow: the other half is for the question and the resume."""
+SPACINGS = 2.5
+FADE = 0.3
+"""Weight of a new gap in the mean spacing."""
+FIRST_ASK_S = 0.4
+"""An engine takes about a second to read a usual prompt, silent all the while."""
+FIRST_ASK_AGAIN_S = 0.6
+FLOWING_ASK_AGAIN_S = 0.25
+UNLISTED_S = 0.5
+"""Reports are some hundred milliseconds old; a run that is not listed after this is lost."""
+HELD_BACK_EVENTS = 3
+HELD_BACK_S = 0.6
+"""An engine that made this many events more than arrived, for so long, doesn't send them."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class WaitUntil:
+    """Nothing to do before this time."""
+
+    at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class AskEngine:
+    """Ask the engine for its report."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Lost:
+    """The attempt is lost, and why."""
+
+    reason: str
+
+
+SilenceStep = WaitUntil | AskEngine | Lost
+
+
+class Answer(enum.Enum):
+    """What an engine's report says of a run."""
+
+    NONE = "none"
+    """No report came."""
+    RUNNING = "running"
+    NOT_THERE = "not-there"
+    QUEUED = "queued"
+    """The engine has requests that wait; the run may be one of them."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class StreamSilence:
+    """Judges one attempt; times are seconds of the monotonic clock."""
+
+    _sent_at: float
+    _last_at: float = attrs.field(default=attrs.Factory(lambda self: self._sent_at, True))
+    _ask_at: float = attrs.field(
+        default=attrs.Factory(lambda self: self._sent_at + FIRST_ASK_S, True)
+    )
+    _flowing: bool = False
+    _spacing_s: float = 0.05
+    _unanswered: int = 0
+    _verdict: str | None = None
+
+    def silence_s(self, now: float) -> float:
+        """Give how long the attempt has given nothing."""
+        return now - self._last_at
+
+    def event(self, now: float) -> None:
+        """Note an event."""
+        if self._flowing:
+            self._spacing_s += FADE * (now - self._last_at - self._spacing_s)
+        self._flowing = True
+        self._last_at = now
+        self._unanswered = 0
+        self._ask_at = now + self._suspect_s
+
+    def suspect(self, now: float) -> None:
+        """Take another VM's word that the engine is lost as a reason to ask at once."""
+        self._ask_at = min(self._ask_at, now)
+
+    def decide(self, now: float) -> SilenceStep:
+        """Give the next step."""
+        if self._verdict is not None:
+            return Lost(reason=self._verdict)
+        if now < self._ask_at:
+            return WaitUntil(at=self._ask_at)
+        return AskEngine()
+
+    def answered(self, answer: Answer, now: float, *, events_ahead: int = 0) -> None:
+        """Take what the engine said; ``events_ahead`` it has made and we have not got."""
+        silent_s = now - self._last_at
+        if answer is Answer.NONE:
+            self._unanswered += 1
+            if self._flowing or self._unanswered > 1:
+                self._verdict = f"silent for {silent_s:.2f} s and does not answer"
+            self._ask_at = now
+            return
+        self._unanswered = 0
+        if answer is Answer.NOT_THERE and silent_s >= UNLISTED_S:
+            self._verdict = f"silent for {silent_s:.2f} s and does not run it"
+        elif events_ahead >= HELD_BACK_EVENTS and silent_s >= HELD_BACK_S:
+            self._verdict = f"silent for {silent_s:.2f} s with {events_ahead} events made"
+        again_s = FLOWING_ASK_AGAIN_S if self._flowing else FIRST_ASK_AGAIN_S
+        self._ask_at = now + again_s
+
+    @property
+    def _suspect_s(self) -> float:
+        return min(MOST_SUSPECT_S, max(LEAST_SUSPECT_S, SPACINGS * self._spacing_s))
--- a/lagoonlever/decisions/target_registry.py
+++ b/lagoonlever/decisions/target_registry.py
@@ -41,12 +41,18 @@
     _held: dict[str, float] = attrs.field(factory=dict)
     """Removals that count from the given time, unless the entry is back before."""
     _replaced: dict[str, float] = attrs.field(factory=dict)
-    _revision: int = 0
+    _as_of: int = 0
+    _changed_at: int = 0
 
     @property
-    def revision(self) -> int:
-        """The store's revision that the list is of."""
-        return self._revision
+    def as_of(self) -> int:
+        """The store's revision up to which every change is in the list."""
+        return self._as_of
+
+    @property
+    def changed_at(self) -> int:
+        """The store's revision of the last change that was seen; another VM may lack it."""
+        return self._changed_at
 
     @property
     def targets(self) -> tuple[ListedTarget, ...]:
@@ -79,7 +85,7 @@
             self._remove(missing, now, settled)
         for target in listed.values():
             self._put(target)
-        self._revision = revision
+        self._as_of = revision
 
     def change(
         self,
@@ -90,12 +96,19 @@
         now: float,
         settled: bool,
     ) -> None:
-        """Take one change of the list; None for a removal."""
+        """Take one change of the list, None for a removal; an old one changes nothing."""
+        if revision <= self._as_of:
+            return
         if target is None:
             self._remove(target_id, now, settled)
         else:
             self._put(target)
-        self._revision = max(self._revision, revision)
+        self._as_of = revision
+        self._changed_at = revision
+
+    def seen_up_to(self, revision: int) -> None:
+        """Note that there was no further change up to a revision of the store."""
+        self._as_of = max(self._as_of, revision)
 
     def replaced(self, target_id: str, now: float) -> None:
         """Note that another process answers at a target's address: this one is gone."""
--- a/lagoonlever/gateway/beliefs.py
+++ b/lagoonlever/gateway/beliefs.py
@@ -1,34 +1,31 @@
-"""What a gateway believes of its surroundings: configuration, targets, fellow VMs."""
+"""What a gateway believes of its surroundings: configuration, targets, fellow VMs, runs."""
 
 from __future__ import annotations
 
 import attrs
 
 from lagoonlever.decisions.configuration import Configuration
+from lagoonlever.decisions.engine_book import EngineBook
+from lagoonlever.decisions.fellows import FellowTable
 from lagoonlever.decisions.target_registry import TargetRegistry
 from lagoonlever.entry.published import Published
-from lagoonlever.http.messages import Address
-
-
-@attrs.frozen(kw_only=True)
-class FellowVm:
-    """Another gateway, or this one, as it is registered."""
-
-    name: str
-    incarnation: str
-    data_center: str
-    address: Address
-    """For callers."""
 
 
 @attrs.define(kw_only=True, eq=False)
 class Beliefs:
-    """Each part has one owner that changes it; everyone else only reads."""
+    """Changed by the parts that follow the store and the peers; everyone else only reads."""
 
+    fellows: FellowTable
+    book: EngineBook
     configuration: Published[Configuration | None] = attrs.field(
         factory=lambda: Published[Configuration | None](None)
     )
+    configuration_value: bytes | None = None
+    """The configuration as it is stored, to pass on to a VM that can't read the store."""
     targets: TargetRegistry = attrs.field(factory=TargetRegistry)
-    fellows: Published[tuple[FellowVm, ...]] = attrs.field(
-        factory=lambda: Published[tuple[FellowVm, ...]](())
-    )
+
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force; 0 for none."""
+        configuration = self.configuration.value
+        return configuration.version if configuration else 0
--- a/lagoonlever/gateway/calls.py
+++ b/lagoonlever/gateway/calls.py
@@ -13,6 +13,7 @@
 from lagoonlever.gateway.answers import tell
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.messages import Hop
+from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.target_client import (
     Answered,
     AttemptResult,
@@ -60,6 +61,7 @@
     """Sends each call to one target after the other, as far as its route allows."""
 
     _beliefs: Beliefs
+    _peers: PeerExchange
     _timers: TimerService
     _client: TargetClient
     _runners: Runners
@@ -162,8 +164,7 @@
 
     def _note_replaced(self, target: ListedTarget, refused: Refused) -> None:
         if refused.head.target_id not in (None, target.id):
-            events.TARGET_REPLACED.log(log, target=target.id)
-            self._beliefs.targets.replaced(target.id, self._timers.now)
+            self._peers.engine_lost(target.id, replaced=True)
 
     def _outcome(self, call: _Call) -> NotRun | Unknown:
         if call.may_have_run:
--- a/lagoonlever/gateway/directory.py
+++ b/lagoonlever/gateway/directory.py
@@ -7,11 +7,12 @@
 
 import attrs
 
-from lagoonlever.gateway.beliefs import Beliefs, FellowVm
+from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.refusals import JSON_TYPE
 from lagoonlever.http.server import Exchange
 from lagoonlever.platform.entry_calls import READY_PATH, RESOLVE_PATH, addresses_answer
+from lagoonlever.timers import TimerService
 
 MOST_ADDRESSES = 64
 TTL_S = 1.0
@@ -26,9 +27,9 @@
     """The handler of the addresses for readiness and for the directory."""
 
     _beliefs: Beliefs
+    _timers: TimerService
     _rng: random.Random
     _own: Address
-    _own_name: str
     _ready: Callable[[], bool]
 
     async def handle(self, exchange: Exchange) -> None:
@@ -52,10 +53,8 @@
         )
 
     def _addresses(self) -> tuple[Address, ...]:
-        fellows = [f for f in self._beliefs.fellows.value if f.name != self._own_name]
+        offered = self._beliefs.fellows.offered(self._timers.now)
+        others = self._rng.sample(offered, len(offered))
         addresses = [self._own] if self._ready() else []
-        addresses += [fellow.address for fellow in self._spread(fellows)]
+        addresses += [fellow.callers for fellow in others]
         return tuple(addresses[:MOST_ADDRESSES])
-
-    def _spread(self, fellows: list[FellowVm]) -> list[FellowVm]:
-        return self._rng.sample(fellows, len(fellows))
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -57,15 +57,50 @@
     1022,
     "target-replaced",
     "info",
-    "Another process answers at the address of {target}.",
+    "Another process answers at the address of {target}, by {source}.",
     "The target has restarted or its address was given away; its entry is ignored.",
 )
+TARGETS_READ = event(
+    1023,
+    "targets-read",
+    "info",
+    "The list of {targets} targets was read at revision {revision}, from {source}.",
+    "Told at the start, after changes were lost, and where a peer knew a newer list.",
+)
+WATCH_COMPACTED = event(
+    1024,
+    "gateway-watch-compacted",
+    "warning",
+    "The store has forgotten the changes after revision {revision}; all is read anew.",
+    "Usual after an outage or a long pause.",
+)
 FELLOW_LISTED = event(
     1030,
     "fellow-listed",
     "info",
-    "Gateway {vm} ({incarnation}) is {state}.",
-    "Its address is told to callers while it is registered.",
+    "Gateway {vm} ({life}) is {state}.",
+    "`registered` and `gone` are of the store's register, `heard` is its own word.",
+)
+FELLOW_UNREADABLE = event(
+    1032,
+    "fellow-unreadable",
+    "error",
+    "An entry of the register of gateways can't be read: {error}",
+    "That VM is known only by its own word.",
+)
+FELLOW_SILENT = event(
+    1033,
+    "fellow-silent",
+    "info",
+    "Gateway {vm} has fallen silent; callers are not sent there.",
+    "It is dead, paused or cut off from this VM.",
+)
+FELLOW_HEARD = event(
+    1034,
+    "fellow-heard",
+    "info",
+    "Gateway {vm} is heard again.",
+    "Its address is told to callers again.",
 )
 REGISTERED = event(
     1031,
@@ -86,13 +121,35 @@
     1041,
     "attempt-sent",
     "info",
-    "{request} goes to {target} as attempt {attempt}: {reason}",
+    "{request} goes to {target} as attempt {attempt} after event {position}, copy at {copy}:"
+    " {reason}",
     "Where a request was placed, and by which inputs.",
 )
 ATTEMPT_ENDED = event(
     1042,
     "attempt-ended",
     "info",
-    "{request} at {target} ended after {seconds:.3f} s: {outcome}",
+    "{request} at {target} ended after {seconds:.3f} s and event {position}: {outcome}",
     "What became of an attempt that did not give the whole answer.",
 )
+FIRST_EVENT = event(
+    1043,
+    "first-event",
+    "info",
+    "{request} at {target} gave its first event, {position}, after {seconds:.3f} s",
+    "How long an attempt took to begin: prompt, queue and connection.",
+)
+PAUSE = event(
+    1044,
+    "pause",
+    "info",
+    "{request} at {target} paused for {seconds:.3f} s before event {position}",
+    "A pause within an attempt. Several prompts that are read at once make such pauses.",
+)
+ENGINE_ASKED = event(
+    1045,
+    "engine-asked",
+    "info",
+    "{request} is silent for {silent_s:.3f} s; {target} says {answer}: {report}",
+    "A stream was late, and its engine was asked whether it runs it. `none` is no answer.",
+)
--- /dev/null
+++ b/lagoonlever/gateway/parts.py
@@ -0,0 +1,185 @@
+"""The parts of one gateway, wired to each other; the daemon starts what ``runnable`` gives."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from lagoonlever.decisions.configuration import ClientLimits, RouteKind
+from lagoonlever.decisions.engine_book import EngineBook
+from lagoonlever.decisions.fellows import FellowState, FellowTable
+from lagoonlever.decisions.hedging import Runners
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.calls import Calls
+from lagoonlever.gateway.directory import Directory
+from lagoonlever.gateway.front import Front
+from lagoonlever.gateway.learner import Learner
+from lagoonlever.gateway.peers import PeerExchange
+from lagoonlever.gateway.prober import EngineProber
+from lagoonlever.gateway.register import Register
+from lagoonlever.gateway.registration import Registration
+from lagoonlever.gateway.settings import GatewaySettings
+from lagoonlever.gateway.store_follower import StoreFollower
+from lagoonlever.gateway.stream_attempt import AttemptTools
+from lagoonlever.gateway.streams import Streams
+from lagoonlever.gateway.target_client import TargetClient
+from lagoonlever.http.server import ServerLimits
+from lagoonlever.identity import Incarnation
+from lagoonlever.peers.bus import PeerBus
+from lagoonlever.platform.store import MetadataStore
+from lagoonlever.timers import TimerService
+
+MOST_OUTSTANDING = 64
+"""Calls that one VM has open at one runner."""
+
+Run = Callable[[], Awaitable[None]]
+
+
+@attrs.define(kw_only=True, eq=False)
+class GatewayParts:
+    """Each part is made by the method of its name, from the parts above it."""
+
+    settings: GatewaySettings
+    life: Incarnation
+    rng: random.Random
+    timers: TimerService
+    stopping: Callable[[], bool]
+    store: MetadataStore = attrs.field(init=False)
+    beliefs: Beliefs = attrs.field(init=False)
+    learner: Learner = attrs.field(init=False)
+    follower: StoreFollower = attrs.field(init=False)
+    registration: Registration = attrs.field(init=False)
+    bus: PeerBus = attrs.field(init=False)
+    peers: PeerExchange = attrs.field(init=False)
+    client: TargetClient = attrs.field(factory=TargetClient, init=False)
+    prober: EngineProber = attrs.field(factory=EngineProber, init=False)
+    front: Front = attrs.field(init=False)
+    directory: Directory = attrs.field(init=False)
+
+    @store.default
+    def _make_store(self) -> MetadataStore:
+        return MetadataStore(address=self.settings.store.address)
+
+    @beliefs.default
+    def _make_beliefs(self) -> Beliefs:
+        return Beliefs(
+            fellows=FellowTable(own=self.life),
+            book=EngineBook(
+                rng=self.rng,
+                data_center=self.settings.data_center,
+                keep_s=self.settings.bounds.cache_s,
+            ),
+        )
+
+    @learner.default
+    def _make_learner(self) -> Learner:
+        return Learner(beliefs=self.beliefs, timers=self.timers)
+
+    @follower.default
+    def _make_follower(self) -> StoreFollower:
+        return StoreFollower(
+            store=self.store,
+            beliefs=self.beliefs,
+            learner=self.learner,
+            register=Register(fellows=self.beliefs.fellows, timers=self.timers),
+            timers=self.timers,
+            rng=self.rng,
+        )
+
+    @registration.default
+    def _make_registration(self) -> Registration:
+        return Registration(store=self.store, own=self.own_state(), rng=self.rng)
+
+    @bus.default
+    def _make_bus(self) -> PeerBus:
+        return PeerBus(own=self.life, listen=self.settings.bus)
+
+    @peers.default
+    def _make_peers(self) -> PeerExchange:
+        return PeerExchange(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            learner=self.learner,
+            timers=self.timers,
+            rng=self.rng,
+            own_state=self.own_state,
+            seeds=self.settings.seeds,
+        )
+
+    @front.default
+    def _make_front(self) -> Front:
+        runners = Runners(rng=self.rng, max_outstanding=MOST_OUTSTANDING)
+        calls = Calls(
+            beliefs=self.beliefs,
+            peers=self.peers,
+            timers=self.timers,
+            client=self.client,
+            runners=runners,
+        )
+        tools = AttemptTools(
+            beliefs=self.beliefs, timers=self.timers, client=self.client, prober=self.prober
+        )
+        self.peers.on_engine_lost(tools.suspect)
+        streams = Streams(
+            vm=self.settings.name, beliefs=self.beliefs, peers=self.peers, tools=tools
+        )
+        return Front(
+            beliefs=self.beliefs,
+            timers=self.timers,
+            rng=self.rng,
+            serve={
+                RouteKind.IDEMPOTENT: calls.serve,
+                RouteKind.NON_IDEMPOTENT: calls.serve,
+                RouteKind.STREAM: streams.serve,
+            },
+        )
+
+    @directory.default
+    def _make_directory(self) -> Directory:
+        return Directory(
+            beliefs=self.beliefs,
+            timers=self.timers,
+            rng=self.rng,
+            own=self.settings.listen,
+            ready=self.ready,
+        )
+
+    def runnable(self) -> tuple[Run, ...]:
+        """Give what runs for the life of the daemon."""
+        return (
+            self.timers.run,
+            self.bus.run,
+            self.peers.run,
+            self.follower.run,
+            self.registration.run,
+        )
+
+    def ready(self) -> bool:
+        """Tell whether this VM takes callers."""
+        return self.beliefs.version > 0 and not self.stopping()
+
+    def own_state(self) -> FellowState:
+        """Give what this VM says of itself."""
+        return FellowState(
+            life=self.life,
+            data_center=self.settings.data_center,
+            callers=self.settings.listen,
+            bus=self.settings.bus,
+            takes_callers=self.ready(),
+            leaving=self.stopping(),
+            configuration=self.beliefs.version,
+            list_revision=self.beliefs.targets.changed_at,
+        )
+
+    def server_limits(self) -> ServerLimits:
+        """Give the limits of callers' connections by the configuration in force."""
+        configuration = self.beliefs.configuration.value
+        limits = configuration.limits if configuration else ClientLimits()
+        return ServerLimits(
+            body_bytes=limits.body_bytes,
+            header_bytes=limits.header_bytes,
+            header_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
--- a/lagoonlever/gateway/registration.py
+++ b/lagoonlever/gateway/registration.py
@@ -6,22 +6,21 @@
 
 import attrs
 import logbook
-import msgspec
 import trio
 
+from lagoonlever.decisions.fellows import FellowState
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
-from lagoonlever.gateway.fellows import FellowEntry, fellow_key
-from lagoonlever.gateway.settings import GatewaySettings
-from lagoonlever.identity import Incarnation
+from lagoonlever.gateway.register import encode_entry, register_key
 from lagoonlever.store.port import ABSENT, KeyValueStore, Lapsed, Lease
 
 log = logbook.Logger(__name__)
 
-LEASE_S = 4.0
-"""A VM that died is told to callers at most so long; a renewal costs a tenth of a read."""
-RENEW_S = 1.3
-RETRY_S = 0.5
+LEASE_S = 10.0
+"""Only tells who exists: that a VM died, its silence on the bus tells much sooner."""
+RENEW_S = 3.0
+"""Two renewals may fail before the lease lapses."""
+RETRY_S = 0.7
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -29,8 +28,7 @@
     """Owns this VM's entry in the register."""
 
     _store: KeyValueStore
-    _settings: GatewaySettings
-    _own: Incarnation
+    _own: FellowState
     _rng: random.Random
     _lease: Lease | None = None
     _leaving: bool = False
@@ -63,13 +61,10 @@
 
     async def _register(self) -> None:
         lease = await self._store.grant_lease(LEASE_S)
-        entry = FellowEntry(
-            address=str(self._settings.listen), data_center=self._settings.data_center
-        )
         await self._store.compare_and_swap(
-            fellow_key(self._own),
+            register_key(self._own.life),
             expected_revision=ABSENT,
-            value=msgspec.json.encode(entry),
+            value=encode_entry(self._own),
             lease=lease.id,
         )
         self._lease = lease
--- a/lagoonlever/gateway/settings.py
+++ b/lagoonlever/gateway/settings.py
@@ -53,7 +53,7 @@
 
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
-    """Everything that one gateway is told; ``ports`` are free for traffic between VMs."""
+    """Everything that one gateway is told."""
 
     name: str
     data_center: str
@@ -64,8 +64,11 @@
     """Where the platform asks whether this VM takes callers."""
     directory: Address | None
     """Where callers ask for addresses."""
-    ports: tuple[int, int] | None
+    bus: Address
+    """For the other VMs."""
     store: StoreLimits
+    seeds: tuple[Address, ...] = ()
+    """Where the bus of some VMs listens; they may be down or gone."""
     bounds: Bounds = Bounds()
     retry_budget: RetryBudgetBounds = RetryBudgetBounds()
     machine: MachineLimits = MachineLimits()
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -8,18 +8,15 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.configuration import newer
+from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.exceptions import PlatformError, PlatformUnavailable
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
-from lagoonlever.gateway.fellows import FELLOWS_PREFIX, Fellows
-from lagoonlever.platform.configuration import (
-    CONFIGURATION_KEY,
-    UnreadableConfiguration,
-    read_configuration,
-)
+from lagoonlever.gateway.learner import Learner
+from lagoonlever.gateway.register import REGISTER_PREFIX, Register
+from lagoonlever.platform.configuration import CONFIGURATION_KEY
 from lagoonlever.platform.targets import TARGETS_PREFIX, UnreadableTarget, read_target
-from lagoonlever.store.port import KeyChange, KeyValueStore, WatchCompacted
+from lagoonlever.store.port import KeyChange, KeyValue, KeyValueStore, WatchCompacted
 from lagoonlever.timers import Tick, TimerService
 
 log = logbook.Logger(__name__)
@@ -31,55 +28,56 @@
 """Refused calls are paid for too, and a change must be in force within 2 s."""
 SETTLED_AFTER_S = 3.0
 """This long after the last failed call the store's removals are believed at once."""
+EXPIRE_PERIOD_S = 0.2
 
 
 @attrs.define(kw_only=True, eq=False)
 class StoreFollower:
-    """Owns the beliefs that come from the store."""
+    """Reads everything once, and then what changes."""
 
     _store: KeyValueStore
     _beliefs: Beliefs
-    _fellows: Fellows
+    _learner: Learner
+    _register: Register
     _timers: TimerService
     _rng: random.Random
     _failed_at: float | None = None
     _retry_s: float = FIRST_RETRY_S
-    _listed_revision: int = 0
-    """Changes of the lists up to this revision are in what was read."""
 
     async def run(self) -> None:
         """Read everything, and follow the changes; again from the start when some were lost."""
-        with self._timers.subscribed(self._expire, period_s=0.2):
+        with self._timers.subscribed(self._expire, period_s=EXPIRE_PERIOD_S):
             while True:
                 try:
                     after = await self._read()
                     await self._follow(after)
                 except WatchCompacted:
-                    continue
+                    events.WATCH_COMPACTED.log(log, revision=self._beliefs.targets.as_of)
                 except PlatformError:
                     await self._wait_retry()
 
+    @property
+    def _settled(self) -> bool:
+        failed_at = self._failed_at
+        return failed_at is None or self._timers.now - failed_at > SETTLED_AFTER_S
+
     def _expire(self, tick: Tick) -> None:
         self._beliefs.targets.expire(tick.now)
+        self._beliefs.book.expire(tick.now)
+        self._beliefs.fellows.expire(tick.now)
 
     async def _read(self) -> int:
         """Read the three parts and give the revision from which a watch misses nothing."""
         configuration = await self._store.get(CONFIGURATION_KEY)
         if configuration.entry is not None:
-            self._take_configuration(configuration.entry.value, source="read")
+            self._learner.take_configuration(configuration.entry.value, source="store")
         listed = await self._store.get_prefix(TARGETS_PREFIX)
-        targets = []
-        for entry in listed.entries:
-            try:
-                targets.append(read_target(entry.key, entry.value))
-            except UnreadableTarget as error:
-                events.TARGET_UNREADABLE.log(log, error=str(error))
-        self._beliefs.targets.read(
-            targets, revision=listed.revision, now=self._timers.now, settled=self._settled
+        targets = [target for entry in listed.entries if (target := _target(entry)) is not None]
+        self._learner.take_list(
+            targets, revision=listed.revision, settled=self._settled, source="store"
         )
-        fellows = await self._store.get_prefix(FELLOWS_PREFIX)
-        self._fellows.read(fellows.entries)
-        self._listed_revision = listed.revision
+        registered = await self._store.get_prefix(REGISTER_PREFIX)
+        self._register.read(registered.entries)
         self._retry_s = FIRST_RETRY_S
         return min(configuration.revision, listed.revision)
 
@@ -94,64 +92,32 @@
             self._retry_s = FIRST_RETRY_S
             for change in batch.changes:
                 self._take(change)
+            self._beliefs.targets.seen_up_to(batch.revision)
 
     async def _wait_retry(self) -> None:
         self._failed_at = self._timers.now
         await trio.sleep(self._retry_s * self._rng.uniform(0.7, 1.3))
         self._retry_s = min(MOST_RETRY_S, self._retry_s * 2)
 
-    @property
-    def _settled(self) -> bool:
-        failed_at = self._failed_at
-        return failed_at is None or self._timers.now - failed_at > SETTLED_AFTER_S
-
     def _take(self, change: KeyChange) -> None:
-        if change.key == CONFIGURATION_KEY and change.entry is not None:
-            self._take_configuration(change.entry.value, source="watch")
-        elif change.key.startswith(FELLOWS_PREFIX):
-            self._fellows.change(change)
-        elif change.key.startswith(TARGETS_PREFIX) and change.revision > self._listed_revision:
-            self._take_target(change)
-
-    def _take_target(self, change: KeyChange) -> None:
-        try:
-            target = read_target(change.key, change.entry.value) if change.entry else None
-        except UnreadableTarget as error:
-            events.TARGET_UNREADABLE.log(log, error=str(error))
-            return
-        target_id = change.key.removeprefix(TARGETS_PREFIX)
-        known = target or self._beliefs.targets.find(target_id)
-        self._beliefs.targets.change(
-            target_id,
-            target,
-            revision=change.revision,
-            now=self._timers.now,
-            settled=self._settled,
-        )
-        if known is not None:
-            state = "removed" if target is None else "draining" if target.draining else "ready"
-            events.TARGET_LISTED.log(
-                log,
-                target=target_id,
-                service=known.service,
-                address=str(known.address),
-                state=state,
+        if change.key == CONFIGURATION_KEY:
+            if change.entry is not None:
+                self._learner.take_configuration(change.entry.value, source="watch")
+        elif change.key.startswith(REGISTER_PREFIX):
+            self._register.change(change)
+        elif change.key.startswith(TARGETS_PREFIX):
+            target = _target(change.entry) if change.entry else None
+            self._learner.take_target(
+                change.key.removeprefix(TARGETS_PREFIX),
+                target,
                 revision=change.revision,
+                settled=self._settled,
             )
 
-    def _take_configuration(self, value: bytes, *, source: str) -> None:
-        try:
-            offered = read_configuration(value)
-        except UnreadableConfiguration as error:
-            events.CONFIGURATION_UNREADABLE.log(log, error=str(error))
-            return
-        known = self._beliefs.configuration.value
-        if newer(known, offered) is known:
-            return
-        events.CONFIGURATION.log(
-            log,
-            version=offered.version,
-            source=source,
-            former=known.version if known else None,
-        )
-        self._beliefs.configuration.publish(offered)
+
+def _target(entry: KeyValue) -> ListedTarget | None:
+    try:
+        return read_target(entry.key, entry.value)
+    except UnreadableTarget as error:
+        events.TARGET_UNREADABLE.log(log, error=str(error))
+        return None
--- /dev/null
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -0,0 +1,300 @@
+"""One attempt of a stream: writes the request to an engine and passes its events on."""
+
+from __future__ import annotations
+
+import attrs
+import logbook
+import trio
+
+from lagoonlever.decisions.engine_book import BookedRun
+from lagoonlever.decisions.stream_life import EventVerdict, RunCopy, StreamLife
+from lagoonlever.decisions.stream_silence import (
+    Answer,
+    AskEngine,
+    StreamSilence,
+    WaitUntil,
+)
+from lagoonlever.decisions.stream_silence import Lost as SilenceLost
+from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.exceptions import BadResponse, ConnectionBroken
+from lagoonlever.gateway import events
+from lagoonlever.gateway.accepted import Accepted
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.messages import AnswerHead, CopyOfRun, EngineReport, Hop, RunReport
+from lagoonlever.gateway.peers import PeerExchange
+from lagoonlever.gateway.prober import EngineProber
+from lagoonlever.gateway.target_client import NotSent, TargetClient
+from lagoonlever.http.client import ClientConnection, Response
+from lagoonlever.http.sse import RawEvent, RawEventSplitter
+from lagoonlever.platform.headers import read_answer, to_caller, to_target
+from lagoonlever.timers import TimerService
+
+log = logbook.Logger(__name__)
+
+OK = 200
+KEPT_REST_S = 1.0
+PAUSE_TOLD_S = 0.3
+"""Pauses between events that are worth a word in the log."""
+
+
+@attrs.frozen(kw_only=True)
+class AttemptPlan:
+    """Where an attempt goes; ``copy_from`` is what it goes on from."""
+
+    engine: ListedTarget
+    run: BookedRun
+    copy_to: ListedTarget | None
+    copy_from: RunCopy | None
+    reason: str
+
+
+@attrs.define(kw_only=True, eq=False)
+class AttemptTools:
+    """What every attempt works with."""
+
+    beliefs: Beliefs
+    timers: TimerService
+    client: TargetClient
+    prober: EngineProber
+    watched: dict[str, set[StreamSilence]] = attrs.field(factory=dict)
+    """The open attempts by engine, to be looked at when another VM loses the engine."""
+
+    def suspect(self, engine: str) -> None:
+        """Have the open attempts on an engine ask it at once."""
+        for silence in self.watched.get(engine, ()):
+            silence.suspect(self.timers.now)
+
+
+class _Ended(Exception):
+    """The attempt ended before its answer was whole; the message says why."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class StreamAttempt:
+    """Runs once; what became of it is told to the life of the stream."""
+
+    _accepted: Accepted
+    _life: StreamLife
+    _plan: AttemptPlan
+    _tools: AttemptTools
+    _peers: PeerExchange
+    _splitter: RawEventSplitter = attrs.field(factory=RawEventSplitter)
+    _started: float = 0.0
+    _flowing: bool = False
+    _longest_pause_s: float = 0.0
+
+    async def run(self) -> None:
+        """Send the request and relay the answer, until its end or its loss."""
+        engine = self._plan.engine
+        self._started = self._now
+        connection = await self._tools.client.connect(engine, rested_at_most_s=KEPT_REST_S)
+        if isinstance(connection, NotSent):
+            self._life.unreachable(engine.id, connection.detail)
+            self._peers.engine_lost(engine.id, replaced=False)
+            self._log_end(connection.detail)
+            return
+        head: AnswerHead | None = None
+        try:
+            if not self._may_write():
+                self._life.unreachable(engine.id, "it leaves, or the time is over")
+                return
+            head = await self._exchange(connection)
+        except _Ended as ended:
+            self._life.lost(engine.id, str(ended))
+            self._log_end(str(ended))
+        finally:
+            await self._tools.client.release(connection, head)
+
+    @property
+    def _now(self) -> float:
+        return self._tools.timers.now
+
+    def _may_write(self) -> bool:
+        """Look once more at what may have changed while the connection was made."""
+        in_time = self._accepted.left_s(self._now) > 0
+        return in_time and self._tools.beliefs.targets.takes_work(self._plan.engine.id)
+
+    async def _exchange(self, connection: ClientConnection) -> AnswerHead | None:
+        """Write and relay; gives the head if the connection may be kept."""
+        plan = self._plan
+        self._life.was_sent(copy_at=plan.copy_to.id if plan.copy_to else None)
+        self._peers.begin(plan.run)
+        self._log_sent()
+        silence = StreamSilence(sent_at=self._now)
+        watched = self._tools.watched.setdefault(plan.engine.id, set())
+        watched.add(silence)
+        try:
+            return await self._relay(connection, silence)
+        finally:
+            watched.discard(silence)
+            if not watched:
+                self._tools.watched.pop(plan.engine.id, None)
+
+    async def _relay(
+        self, connection: ClientConnection, silence: StreamSilence
+    ) -> AnswerHead | None:
+        request = self._accepted.request
+        try:
+            await connection.start(
+                method=request.method,
+                path=request.target,
+                headers=to_target(request.headers, self._hop()),
+                body=request.body,
+                step="forward",
+            )
+            response = await self._next(connection, silence, head=True)
+            assert isinstance(response, Response)
+            head = read_answer(response.status, response.headers)
+            if not await self._accept_head(response, head):
+                return None
+            while (piece := await self._next(connection, silence, head=False)) is not None:
+                assert isinstance(piece, bytes)
+                await self._pass_on(self._splitter.feed(piece), silence)
+        except (ConnectionBroken, BadResponse) as error:
+            self._peers.engine_lost(self._plan.engine.id, replaced=False)
+            raise _Ended(error.message) from error
+        except ValueError as error:
+            raise _Ended(str(error)) from error
+        if self._splitter.partial:
+            raise _Ended("ended within an event")
+        await self._accepted.exchange.finish()
+        self._life.whole = True
+        self._tools.beliefs.book.served(self._plan.engine.id)
+        return head
+
+    async def _next(
+        self, connection: ClientConnection, silence: StreamSilence, *, head: bool
+    ) -> Response | bytes | None:
+        """Wait for the next bytes, and ask the engine when they are late."""
+        while True:
+            step = silence.decide(self._now)
+            if isinstance(step, SilenceLost):
+                self._peers.engine_lost(self._plan.engine.id, replaced=False)
+                raise _Ended(step.reason)
+            if isinstance(step, AskEngine):
+                await self._ask(connection, silence)
+                continue
+            assert isinstance(step, WaitUntil)
+            with trio.move_on_at(step.at):
+                return await (connection.read_head() if head else connection.next_piece())
+
+    async def _ask(self, connection: ClientConnection, silence: StreamSilence) -> None:
+        report = await self._tools.prober.ask(self._plan.engine)
+        if not connection.quiet:
+            # Something has arrived meanwhile: that says more than any report.
+            silence.answered(Answer.RUNNING, self._now)
+            return
+        run = report.run(self._accepted.request_id) if report else None
+        answer = _answer_of(report, run, flowing=self._flowing)
+        ahead = run.events - (self._life.position or 0) if run else 0
+        events.ENGINE_ASKED.log(
+            log,
+            request=self._accepted.request_id,
+            target=self._plan.engine.id,
+            silent_s=silence.silence_s(self._now),
+            answer=answer.value,
+            report=str(report),
+        )
+        silence.answered(answer, self._now, events_ahead=ahead)
+
+    async def _accept_head(self, response: Response, head: AnswerHead) -> bool:
+        """Judge the head of an answer; begins the caller's answer with a first good one."""
+        engine = self._plan.engine
+        if head.refused:
+            detail = f"refused with {head.status}"
+            replaced = head.target_id not in (None, engine.id)
+            self._life.refused(engine.id, detail)
+            if replaced:
+                self._peers.engine_lost(engine.id, replaced=True)
+            self._log_end(detail)
+            return False
+        if head.request_id != self._accepted.request_id:
+            raise _Ended(f"the answer is for request {head.request_id}")
+        if head.status != OK or not head.sealed:
+            raise _Ended(f"answered {head.status}")
+        if not self._life.begun:
+            self._life.begun = True
+            await self._accepted.exchange.start_stream(
+                status=head.status, headers=to_caller(response.headers)
+            )
+        return True
+
+    async def _pass_on(self, arrived: list[RawEvent], silence: StreamSilence) -> None:
+        for event in arrived:
+            verdict = self._life.event(event.id)
+            if verdict is EventVerdict.OUT_OF_ORDER:
+                raise _Ended(f"event {event.id} came after {self._life.position}")
+            if verdict is EventVerdict.FORWARD:
+                await self._accepted.exchange.write(event.data)
+            self._note_event(silence)
+
+    def _note_event(self, silence: StreamSilence) -> None:
+        now = self._now
+        if not self._flowing:
+            self._flowing = True
+            self._peers.flows(self._accepted.request_id)
+            events.FIRST_EVENT.log(
+                log,
+                request=self._accepted.request_id,
+                target=self._plan.engine.id,
+                seconds=now - self._started,
+                position=self._life.position,
+            )
+        elif silence.silence_s(now) > PAUSE_TOLD_S:
+            events.PAUSE.log(
+                log,
+                request=self._accepted.request_id,
+                target=self._plan.engine.id,
+                seconds=silence.silence_s(now),
+                position=self._life.position,
+            )
+        silence.event(now)
+
+    def _hop(self) -> Hop:
+        accepted, plan = self._accepted, self._plan
+        return Hop(
+            target_id=plan.engine.id,
+            deadline_s=accepted.left_s(self._now),
+            organisation=accepted.organisation,
+            last_event_id=self._life.position,
+            copy_to=plan.copy_to.address if plan.copy_to else None,
+            copy_from=(
+                CopyOfRun(holder=plan.engine.address, request_id=plan.copy_from.request)
+                if plan.copy_from
+                else None
+            ),
+        )
+
+    def _log_sent(self) -> None:
+        plan = self._plan
+        events.ATTEMPT_SENT.log(
+            log,
+            request=self._accepted.request_id,
+            target=plan.engine.id,
+            attempt=self._life.sent,
+            position=self._life.position,
+            copy=plan.run.copy_at,
+            reason=plan.reason,
+        )
+
+    def _log_end(self, detail: str) -> None:
+        events.ATTEMPT_ENDED.log(
+            log,
+            request=self._accepted.request_id,
+            target=self._plan.engine.id,
+            seconds=self._now - self._started,
+            position=self._life.position,
+            outcome=detail,
+        )
+
+
+def _answer_of(report: EngineReport | None, run: RunReport | None, *, flowing: bool) -> Answer:
+    """Read a report; an engine lists a run by name only once it has made a token."""
+    if report is None:
+        return Answer.NONE
+    if run is not None:
+        return Answer.RUNNING
+    unnamed = report.waiting + max(0, report.running - len(report.runs))
+    if report.waiting or (unnamed and not flowing):
+        return Answer.QUEUED
+    return Answer.NOT_THERE
--- a/lagoonlever/platform/settings_file.py
+++ b/lagoonlever/platform/settings_file.py
@@ -95,17 +95,14 @@
             self._fault(name, f"is {value!r}; give IP:PORT")
             return None
 
-    def port_range(self, name: str) -> tuple[int, int] | None:
-        """Give the first and the last port of a range, or None where the field is absent."""
-        value = self._values.get(name)
-        if not value:
-            return None
-        first, _, last = value.partition(",")
+    def addresses(self, name: str) -> tuple[Address, ...]:
+        """Give the addresses of a list; empty where the field is absent."""
+        texts = [text for text in self._values.get(name, "").split(",") if text]
         try:
-            return int(first), int(last or first)
-        except ValueError:
-            self._fault(name, f"is {value!r}; give FIRST,LAST")
-            return None
+            return tuple(Address.parse(text) for text in texts)
+        except ValueError as error:
+            self._fault(name, f"{error}; give IP:PORT,IP:PORT")
+            return ()
 
     def _fault(self, path: str, message: str) -> None:
         self.faults.append(Fault(path=path, message=message))
@@ -116,7 +113,8 @@
     zone = fields.text("Zone")
     listen = fields.address("Listen.Front", required=True)
     store = fields.address("Platform.Address", required=True)
-    if listen is None or store is None:
+    bus = fields.address("Listen.Control", required=True)
+    if listen is None or store is None or bus is None:
         return None
     zones = [key for key in fields.values if key.startswith(ZONES_PREFIX)]
     return GatewaySettings(
@@ -126,8 +124,9 @@
         listen=listen,
         readiness=fields.address("Listen.Ready"),
         directory=fields.address("Listen.Directory"),
-        ports=fields.port_range("PortRange"),
+        bus=bus,
         store=_store(fields, store),
+        seeds=fields.addresses("Seeds"),
         bounds=_bounds(fields),
         retry_budget=_retry_budget(fields),
         machine=MachineLimits(
