Start lean, and listen before the rest is loaded

Cause: after a kill of all VMs a gateway took 0.94 s from its start to its first served request, nearly all of it imports of the whole command line, metrics and the entry daemon; callers found no listener and gave up. Change: python3 -m lagoonlever.gateway opens its sockets with the standard library alone, then loads only what the gateway uses; the store's adapters load at first use; Published and new_incarnation moved out of entry/.

--- a/lagoonlever/bench/entry_vm.py
+++ b/lagoonlever/bench/entry_vm.py
@@ -18,7 +18,6 @@
 from lagoonlever.entry.admission import AdmissionPart
 from lagoonlever.entry.callers import CallerDirectory
 from lagoonlever.entry.generations import GenerationSettings
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.routes import Routes
 from lagoonlever.entry.serving import GenerationServing, RoutingSettings
 from lagoonlever.fakes.batch import ServedModel
@@ -35,6 +34,7 @@
 from lagoonlever.identity import Incarnation
 from lagoonlever.instruments import Metrics
 from lagoonlever.peers.local_bus import LocalBus, LocalNetwork
+from lagoonlever.published import Published
 from lagoonlever.timers import TimerService
 from lagoonlever.tree.nodes import ROOT, Node, Override, TreeView
 from lagoonlever.tree.options import api_key_digest
--- a/lagoonlever/bench/settings_vms.py
+++ b/lagoonlever/bench/settings_vms.py
@@ -10,7 +10,6 @@
 
 from lagoonlever.decisions.membership import Member, MemberState, MemberView
 from lagoonlever.decisions.settings_version import SettingsVersionOptions
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.settings import SettingsPart
 from lagoonlever.exceptions import PlatformUnavailable
 from lagoonlever.fakes.platform import FakePlatform
@@ -20,6 +19,7 @@
 from lagoonlever.http.server import open_listeners
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.local_bus import LocalBus, LocalNetwork
+from lagoonlever.published import Published
 from lagoonlever.store.etcd_json import EtcdPlatform
 from lagoonlever.store.port import KeyRead, SwapResult, Watch, WatchBatch
 from lagoonlever.timers import TICK_S, TimerService
--- a/lagoonlever/entry/addresses.py
+++ b/lagoonlever/entry/addresses.py
@@ -11,8 +11,8 @@
 from lagoonlever.decisions.addresses import AddressesSettings, entry_addresses
 from lagoonlever.decisions.claims_keys import KeyHome
 from lagoonlever.decisions.membership import MemberState, MemberView
-from lagoonlever.entry.published import Published
 from lagoonlever.http.server import Exchange
+from lagoonlever.published import Published
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/entry/admin_orders.py
+++ b/lagoonlever/entry/admin_orders.py
@@ -23,10 +23,10 @@
 from lagoonlever.entry.operators import Operators
 from lagoonlever.entry.orders import HOLDER_KEY
 from lagoonlever.entry.orders_store import WantedStore
-from lagoonlever.entry.published import Published
 from lagoonlever.events import event
 from lagoonlever.exceptions import PeerError, PlatformError, RequestRefused
 from lagoonlever.http.server import Exchange
+from lagoonlever.published import Published
 from lagoonlever.store.port import KeyValue, Platform
 from lagoonlever.targets.orders import read_order
 
--- a/lagoonlever/entry/admission.py
+++ b/lagoonlever/entry/admission.py
@@ -21,7 +21,6 @@
 from lagoonlever.decisions.shares_settings import pool_reports, share_settings
 from lagoonlever.decisions.shares_slots import PoolReport
 from lagoonlever.decisions.targets import TargetView
-from lagoonlever.entry.published import Published
 from lagoonlever.events import event
 from lagoonlever.instruments import Metrics
 from lagoonlever.metrics import QUEUE_DEPTH, QUEUE_WAIT, SHARE_ENTITLED, SHARE_USED
@@ -29,6 +28,7 @@
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages import Received
 from lagoonlever.peers.messages_shares import SharesNews, message_of, news_of
+from lagoonlever.published import Published
 from lagoonlever.timers import Tick, TimerService
 from lagoonlever.tree.nodes import TreeView, lineage
 
--- a/lagoonlever/entry/callers.py
+++ b/lagoonlever/entry/callers.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from lagoonlever.entry.published import Published
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.messages import Headers
+from lagoonlever.published import Published
 from lagoonlever.tree.nodes import ROOT, TreeView
 from lagoonlever.tree.options import EffectiveSettings
 
--- a/lagoonlever/entry/daemon.py
+++ b/lagoonlever/entry/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 
 import attrs
 import logbook
@@ -18,15 +17,13 @@
 from lagoonlever.exceptions import Fault, FaultsError
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import ServerState, open_listeners, serve_http
-from lagoonlever.identity import Incarnation
+from lagoonlever.identity import new_incarnation
 from lagoonlever.instruments import Metrics
 from lagoonlever.peers.bus import PeerBus
 from lagoonlever.timers import Tick, TimerService
 
 log = logbook.Logger(__name__)
 
-INCARNATION_BITS = 32
-MILLISECONDS = 1000
 DEPART_S = 0.5
 """Time for the word of this VM's end to leave before its sockets close."""
 
@@ -39,15 +36,6 @@
 )
 
 
-def new_incarnation(name: str, rng: random.Random) -> Incarnation:
-    """Give the identity of a process that starts now."""
-    return Incarnation(
-        name=name,
-        started_ms=int(time.time() * MILLISECONDS),
-        nonce=rng.getrandbits(INCARNATION_BITS),
-    )
-
-
 @attrs.define(kw_only=True, eq=False)
 class EntryDaemon:
     """One entry VM; ``run`` returns when a planned stop is over."""
--- a/lagoonlever/entry/engines.py
+++ b/lagoonlever/entry/engines.py
@@ -16,9 +16,9 @@
 from lagoonlever.entry.admission import Admitted
 from lagoonlever.entry.attempt import cancel_stream
 from lagoonlever.entry.engine_watch import EngineWatch, SuspicionListener
-from lagoonlever.entry.published import Published
 from lagoonlever.http.messages import Address
 from lagoonlever.outcomes import NotRun
+from lagoonlever.published import Published
 from lagoonlever.targets.completions import stream_id
 from lagoonlever.timers import TimerService
 
--- a/lagoonlever/entry/membership.py
+++ b/lagoonlever/entry/membership.py
@@ -20,7 +20,6 @@
 from lagoonlever.decisions.membership_protocol import MembershipProtocol
 from lagoonlever.decisions.membership_settings import MembershipSettings
 from lagoonlever.decisions.target_listing import TargetListReading
-from lagoonlever.entry.published import Published
 from lagoonlever.events import event
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.http.messages import Address
@@ -35,6 +34,7 @@
     SyncReply,
     SyncRequest,
 )
+from lagoonlever.published import Published
 from lagoonlever.store.port import Platform
 from lagoonlever.timers import Tick, TimerService
 
--- a/lagoonlever/entry/orders.py
+++ b/lagoonlever/entry/orders.py
@@ -20,9 +20,9 @@
 )
 from lagoonlever.decisions.targets import TargetKind, TargetView
 from lagoonlever.entry.orders_store import WantedStore, WantedUnreadable
-from lagoonlever.entry.published import Published
 from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed, PeerError, PlatformError
+from lagoonlever.published import Published
 from lagoonlever.store.port import Lapsed, Lease, NewKey, Platform
 from lagoonlever.targets.orders import OrderAnswer, give_order, read_order
 from lagoonlever.timers import TimerService
--- a/lagoonlever/entry/orphans.py
+++ b/lagoonlever/entry/orphans.py
@@ -13,10 +13,10 @@
 from lagoonlever.decisions.placement import holders
 from lagoonlever.entry.attempt import cancel_stream
 from lagoonlever.entry.engines import Engines
-from lagoonlever.entry.published import Published
 from lagoonlever.events import event
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_generations import StreamsClosed, StreamsOpened
+from lagoonlever.published import Published
 from lagoonlever.timers import Tick, TimerService
 
 log = logbook.Logger(__name__)
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -23,7 +23,6 @@
 from lagoonlever.entry.orders import OrdersPart
 from lagoonlever.entry.orphans import OrphanPart
 from lagoonlever.entry.peer_streams import PeerStreams
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.reporting import Reporting
 from lagoonlever.entry.routes import Routes
 from lagoonlever.entry.services import SERVICES_PATH, ServiceRouter
@@ -35,6 +34,7 @@
 from lagoonlever.http.messages import Address, Request
 from lagoonlever.http.server import ServerLimits
 from lagoonlever.outcomes import NotRun, Outcome, Reason
+from lagoonlever.published import Published
 from lagoonlever.report.status import VmStatus
 from lagoonlever.tree.nodes import TreeView, default_tree
 
--- a/lagoonlever/entry/peer_streams.py
+++ b/lagoonlever/entry/peer_streams.py
@@ -6,9 +6,9 @@
 
 from lagoonlever.decisions.membership import MemberView
 from lagoonlever.entry.generations import GenerationService
-from lagoonlever.entry.published import Published
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_generations import TakenOver
+from lagoonlever.published import Published
 
 
 @attrs.define(kw_only=True)
--- a/lagoonlever/entry/recovery.py
+++ b/lagoonlever/entry/recovery.py
@@ -15,12 +15,12 @@
 from lagoonlever.decisions.resume import HeldAnswer, point_of_held
 from lagoonlever.decisions.targets import TargetView
 from lagoonlever.entry.chunk_reader import ChunkReader
-from lagoonlever.entry.published import Published
 from lagoonlever.events import event
 from lagoonlever.exceptions import PeerError
 from lagoonlever.http.client import ClientConnection
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import EventId
+from lagoonlever.published import Published
 from lagoonlever.targets.completions import EngineChunk, reattach_path
 
 log = logbook.Logger(__name__)
--- a/lagoonlever/entry/reporting.py
+++ b/lagoonlever/entry/reporting.py
@@ -13,7 +13,6 @@
 from lagoonlever.decisions.targets import Target, TargetView
 from lagoonlever.entry.admission import AdmissionState, PoolState
 from lagoonlever.entry.operators import Operators
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.request_metrics import organisation_of
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE
@@ -32,6 +31,7 @@
     TARGETS,
 )
 from lagoonlever.peers.traffic import Count, Traffic
+from lagoonlever.published import Published
 from lagoonlever.report.objective_recorder import ObjectiveRecorder
 from lagoonlever.report.status import (
     MemberStatus,
--- a/lagoonlever/entry/services.py
+++ b/lagoonlever/entry/services.py
@@ -23,7 +23,6 @@
 from lagoonlever.decisions.targets import Target
 from lagoonlever.entry.claims import Claims
 from lagoonlever.entry.engines import TargetGuard
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.request_metrics import RequestMetrics, unscraped_metrics
 from lagoonlever.entry.services_answers import ComeBack, answer_of, not_run, tell
 from lagoonlever.entry.services_call import (
@@ -49,6 +48,7 @@
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import Reason, Unknown
 from lagoonlever.peers.interface import Bus
+from lagoonlever.published import Published
 from lagoonlever.store.port import Platform
 from lagoonlever.timers import TimerService
 
--- a/lagoonlever/entry/services_copies.py
+++ b/lagoonlever/entry/services_copies.py
@@ -13,12 +13,12 @@
 )
 from lagoonlever.decisions.claims_keys import HomedKey, parse_homed
 from lagoonlever.decisions.membership import Member, MemberView
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.services_call import outcome_of_tag
 from lagoonlever.http.messages import Headers
 from lagoonlever.outcomes import Done, Outcome, OutcomeTag, Reason
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_services import HeaderField, KeyAnswer
+from lagoonlever.published import Published
 
 
 @attrs.define(kw_only=True)
--- a/lagoonlever/entry/services_forward.py
+++ b/lagoonlever/entry/services_forward.py
@@ -8,7 +8,6 @@
 from lagoonlever.decisions.claims import StoredAnswer
 from lagoonlever.decisions.claims_keys import HomedKey
 from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.services_answers import ComeBack, unknown
 from lagoonlever.entry.services_call import (
     DEADLINE_HEADER,
@@ -22,6 +21,7 @@
 from lagoonlever.http.client import ClientConnection
 from lagoonlever.http.messages import Headers
 from lagoonlever.outcomes import Reason
+from lagoonlever.published import Published
 from lagoonlever.timers import TimerService
 
 WELL = (MemberState.ALIVE, MemberState.LEAVING)
--- a/lagoonlever/entry/services_keys.py
+++ b/lagoonlever/entry/services_keys.py
@@ -19,7 +19,6 @@
 )
 from lagoonlever.decisions.membership import MemberView
 from lagoonlever.entry.claims import Claims
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.services_answers import ComeBack, unknown
 from lagoonlever.entry.services_call import HOMED_KEY_HEADER, ServiceCall
 from lagoonlever.entry.services_copies import AnswerCopier
@@ -29,6 +28,7 @@
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import Reason, Unknown
+from lagoonlever.published import Published
 from lagoonlever.timers import TimerService
 
 
--- a/lagoonlever/entry/serving.py
+++ b/lagoonlever/entry/serving.py
@@ -18,10 +18,10 @@
 from lagoonlever.entry.engine_watch import EngineWatch
 from lagoonlever.entry.engines import AdmissionControl, Engines, TargetGuard
 from lagoonlever.entry.generations import GenerationService, GenerationSettings, Peers
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.recovery import EngineRecovery
 from lagoonlever.entry.request_metrics import RequestMetrics, unscraped_metrics
 from lagoonlever.outcomes import Outcome
+from lagoonlever.published import Published
 from lagoonlever.timers import TimerService
 
 WATCH_PERIOD_S = 0.05
--- a/lagoonlever/entry/settings.py
+++ b/lagoonlever/entry/settings.py
@@ -16,7 +16,6 @@
 from lagoonlever.decisions.membership import MemberView
 from lagoonlever.decisions.settings_version import SettingsStanding, SettingsVersionOptions
 from lagoonlever.decisions.settings_watchers import InForce
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.settings_peers import SettingsPeers
 from lagoonlever.entry.settings_state import SettingsState
 from lagoonlever.entry.settings_store import SettingsStore
@@ -24,6 +23,7 @@
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.interface import Bus
+from lagoonlever.published import Published
 from lagoonlever.store.port import Platform
 from lagoonlever.timers import Tick, TimerService
 from lagoonlever.tree.nodes import TreeView
--- a/lagoonlever/entry/settings_peers.py
+++ b/lagoonlever/entry/settings_peers.py
@@ -14,12 +14,12 @@
 from lagoonlever.codec import UnknownMessage
 from lagoonlever.decisions.membership import Member, MemberView
 from lagoonlever.decisions.settings_version import SettingsVersionOptions
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.settings_state import SettingsState
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages import Received
 from lagoonlever.peers.messages_settings import SettingsAnswer, SettingsAsk, SettingsNews
+from lagoonlever.published import Published
 from lagoonlever.tree.head import unpack_tree
 
 ROUND_ASK_PERIOD_S = 0.25
--- a/lagoonlever/entry/settings_state.py
+++ b/lagoonlever/entry/settings_state.py
@@ -15,11 +15,11 @@
 )
 from lagoonlever.decisions.settings_watchers import InForceTable
 from lagoonlever.entry import settings_events as events
-from lagoonlever.entry.published import Published
 from lagoonlever.exceptions import FaultsError
 from lagoonlever.history.events_settings import SettingsInForce
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.identity import Incarnation
+from lagoonlever.published import Published
 from lagoonlever.timers import TimerService
 from lagoonlever.tree.document import digest_of, parse_canonical
 from lagoonlever.tree.head import pack_tree
--- a/lagoonlever/entry/settings_watch.py
+++ b/lagoonlever/entry/settings_watch.py
@@ -12,7 +12,6 @@
 from lagoonlever.decisions.settings_version import SettingsVersionOptions
 from lagoonlever.decisions.settings_watchers import is_watcher
 from lagoonlever.entry import settings_events as events
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.settings_state import SettingsState
 from lagoonlever.entry.settings_store import (
     ReadHead,
@@ -21,6 +20,7 @@
     head_of_entry,
 )
 from lagoonlever.exceptions import PlatformError, PlatformUnavailable
+from lagoonlever.published import Published
 from lagoonlever.store.port import KeyValue, Platform, Watch, WatchCompacted
 from lagoonlever.tree.head import HEAD_KEY, Head
 
--- a/lagoonlever/entry/target_probes.py
+++ b/lagoonlever/entry/target_probes.py
@@ -9,10 +9,10 @@
 import trio
 
 from lagoonlever.decisions.targets import Target, TargetKind, TargetLife, TargetView
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.targets import TargetSettings, TargetWatch
 from lagoonlever.exceptions import PeerError
 from lagoonlever.http.client import Pool
+from lagoonlever.published import Published
 from lagoonlever.targets.probes import (
     CacheEvent,
     fetch_cache_events,
--- a/lagoonlever/entry/targets.py
+++ b/lagoonlever/entry/targets.py
@@ -26,7 +26,6 @@
     TargetState,
     TargetView,
 )
-from lagoonlever.entry.published import Published
 from lagoonlever.events import event
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_targets import (
@@ -34,6 +33,7 @@
     TargetListAnswer,
     TargetListAsk,
 )
+from lagoonlever.published import Published
 from lagoonlever.timers import Tick, TimerService
 
 log = logbook.Logger(__name__)
--- a/lagoonlever/fakes/engine_stream.py
+++ b/lagoonlever/fakes/engine_stream.py
@@ -5,13 +5,13 @@
 import attrs
 import msgspec
 
-from lagoonlever.entry.published import Published
 from lagoonlever.fakes import wire
 from lagoonlever.fakes.batch import ABORTED, Generation, OutputToken
 from lagoonlever.fakes.faults import Faults
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import Exchange
 from lagoonlever.http.sse import DONE_DATA, EVENT_STREAM_TYPE, ServerEvent, encode_event
+from lagoonlever.published import Published
 
 STREAM_HEADERS = Headers((("Content-Type", EVENT_STREAM_TYPE), ("Cache-Control", "no-store")))
 
--- a/lagoonlever/fakes/entry_parts.py
+++ b/lagoonlever/fakes/entry_parts.py
@@ -9,8 +9,8 @@
 from lagoonlever.decisions.admission import AdmissionRequest
 from lagoonlever.decisions.targets import Target, TargetView
 from lagoonlever.entry.admission import Admitted
-from lagoonlever.entry.published import Published
 from lagoonlever.outcomes import NotRun
+from lagoonlever.published import Published
 
 
 @attrs.define(kw_only=True)
--- a/lagoonlever/fakes/platform.py
+++ b/lagoonlever/fakes/platform.py
@@ -9,7 +9,6 @@
 import attrs
 import trio
 
-from lagoonlever.entry.published import Published
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.fakes.kv_gateway import Gateway, GatewayError, wire_of
 from lagoonlever.fakes.kv_store import Compacted, KeyValueStore, Stored
@@ -17,6 +16,7 @@
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE, error_payload
 from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
+from lagoonlever.published import Published
 from lagoonlever.store import etcd_wire as wire
 
 EXPIRY_INTERVAL_S = 0.05
--- a/lagoonlever/gateway/beliefs.py
+++ b/lagoonlever/gateway/beliefs.py
@@ -8,7 +8,7 @@
 from lagoonlever.decisions.engine_book import EngineBook
 from lagoonlever.decisions.fellows import FellowTable
 from lagoonlever.decisions.target_registry import TargetRegistry
-from lagoonlever.entry.published import Published
+from lagoonlever.published import Published
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/lagoonlever/gateway/daemon.py
+++ b/lagoonlever/gateway/daemon.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import random
+import socket
+from collections.abc import Mapping
 
 import attrs
 import logbook
 import trio
 
-from lagoonlever.entry.daemon import new_incarnation
 from lagoonlever.gateway import events
 from lagoonlever.gateway.parts import GatewayParts
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.identity import new_incarnation
 from lagoonlever.timers import TimerService
 
 log = logbook.Logger(__name__)
@@ -33,6 +35,8 @@
     _rng: random.Random = attrs.field(factory=random.SystemRandom)
     _timers: TimerService = attrs.field(factory=TimerService)
     _http: ServerState = attrs.field(factory=ServerState)
+    _sockets: Mapping[str, socket.socket] = attrs.field(factory=dict)
+    """Sockets that listen already, by their addresses."""
     _stop: trio.Event = attrs.field(factory=trio.Event)
 
     def stop(self) -> None:
@@ -42,7 +46,7 @@
     async def run(self) -> None:
         """Serve until a planned stop is over, or cancelled."""
         settings = self._settings
-        listeners = await _open(settings.listen)
+        listeners = await self._open(settings.listen)
         parts = GatewayParts(
             settings=settings,
             life=new_incarnation(settings.name, self._rng),
@@ -82,6 +86,12 @@
         seconds = self._timers.now - began
         events.STOPPED.log(log, seconds=seconds, open=self._http.open_exchanges)
 
+    async def _open(self, address: Address) -> list[trio.SocketListener]:
+        listening = self._sockets.get(str(address))
+        if listening is None:
+            return await open_listeners(host=address.host, port=address.port)
+        return [trio.SocketListener(trio.socket.from_stdlib_socket(listening))]
+
     async def _serve_front(self, parts: GatewayParts, listeners: list[trio.SocketListener]) -> None:
         await serve_http(
             handler=parts.front.handle,
@@ -93,11 +103,7 @@
     async def _serve_directory(self, parts: GatewayParts, address: Address) -> None:
         await serve_http(
             handler=parts.directory.handle,
-            listeners=await _open(address),
+            listeners=await self._open(address),
             limits=ServerLimits(),
             state=ServerState(),
         )
-
-
-async def _open(address: Address) -> list[trio.SocketListener]:
-    return await open_listeners(host=address.host, port=address.port)
--- a/lagoonlever/identity.py
+++ b/lagoonlever/identity.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import random
 import re
 import struct
+import time
 
 import attrs
 import xxhash
@@ -19,6 +21,8 @@
 """Names of VMs, targets, organisations and data centres."""
 
 EVENT_ID_PARTS = 8
+INCARNATION_BITS = 32
+MILLISECONDS = 1000
 _TOKEN = struct.Struct("<q")
 
 
@@ -46,6 +50,15 @@
         return cls(name=name, started_ms=int(started, 16), nonce=int(nonce, 16))
 
 
+def new_incarnation(name: str, rng: random.Random) -> Incarnation:
+    """Give the identity of a process that starts now."""
+    return Incarnation(
+        name=name,
+        started_ms=int(time.time() * MILLISECONDS),
+        nonce=rng.getrandbits(INCARNATION_BITS),
+    )
+
+
 def initial_digest(*, request_id: str, generation: int, model_version: str) -> int:
     """Digest of the empty prefix of one generation."""
     return xxhash.xxh3_64_intdigest(f"{request_id}|{generation}|{model_version}".encode())
--- a/lagoonlever/platform/settings_file.py
+++ b/lagoonlever/platform/settings_file.py
@@ -15,8 +15,6 @@
 )
 from lagoonlever.http.messages import Address
 
-PATH_VARIABLE = "LAGOONLEVER_NODE_FILE"
-"""The environment variable that names the file."""
 MS = 1000.0
 ZONES_PREFIX = "Zones."
 
--- a/lagoonlever/store/registry.py
+++ b/lagoonlever/store/registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 from collections.abc import Callable, Sequence
 from typing import Protocol, TypeVar
 
@@ -36,6 +37,7 @@
 
 def adapter_names() -> tuple[str, ...]:
     """Give the names that settings may use."""
+    _load()
     return tuple(sorted(_ADAPTERS))
 
 
@@ -43,8 +45,14 @@
     name: str, *, addresses: Sequence[Address], metrics: Metrics | None = None
 ) -> Platform:
     """Make the adapter of a name; raises ``ConfigurationError`` for an unknown one."""
+    _load()
     factory = _ADAPTERS.get(name)
     if factory is None:
         known = ", ".join(adapter_names())
         raise ConfigurationError(f"platform.adapter: is {name!r}; give one of: {known}")
     return factory(addresses=addresses, metrics=metrics)
+
+
+def _load() -> None:
+    """Fill the registry at its first use: a process that names no adapter loads none."""
+    importlib.import_module("lagoonlever.store.adapters")
--- a/lagoonlever/tests/entry_admission_tests.py
+++ b/lagoonlever/tests/entry_admission_tests.py
@@ -13,12 +13,12 @@
 from lagoonlever.decisions.membership import Member, MemberState, MemberView
 from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad, TargetView
 from lagoonlever.entry.admission import AdmissionPart, Admitted
-from lagoonlever.entry.published import Published
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 from lagoonlever.instruments import Metrics
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.local_bus import LocalBus, LocalNetwork
+from lagoonlever.published import Published
 from lagoonlever.timers import TimerService
 from lagoonlever.tree.nodes import Node, Override, TreeView
 
--- a/lagoonlever/tests/orders_part_tests.py
+++ b/lagoonlever/tests/orders_part_tests.py
@@ -15,13 +15,13 @@
 from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetView
 from lagoonlever.entry.orders import OrderSettings, OrdersPart
 from lagoonlever.entry.orders_store import WANTED_KEY
-from lagoonlever.entry.published import Published
 from lagoonlever.fakes.batch import ServedModel
 from lagoonlever.fakes.engine import EngineOptions, FakeEngine
 from lagoonlever.fakes.platform import FakePlatform
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import open_listeners
 from lagoonlever.identity import Incarnation
+from lagoonlever.published import Published
 from lagoonlever.store.etcd_json import EtcdPlatform
 from lagoonlever.targets.orders import OrderAnswer, give_order, read_order
 from lagoonlever.tests.base import until
--- a/lagoonlever/tests/reporting_tests.py
+++ b/lagoonlever/tests/reporting_tests.py
@@ -16,7 +16,6 @@
 from lagoonlever.decisions.shares_meter import OrganisationStanding
 from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad, TargetView
 from lagoonlever.entry.admission import AdmissionState, PoolState
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.reporting import Reporting
 from lagoonlever.entry.request_metrics import DecisionObserver, RequestMetrics
 from lagoonlever.http.messages import Address
@@ -41,6 +40,7 @@
 )
 from lagoonlever.outcomes import Done, NotRun, Reason
 from lagoonlever.peers.traffic import Traffic
+from lagoonlever.published import Published
 from lagoonlever.report.objective_recorder import ObjectiveRecorder
 from lagoonlever.report.objectives import ObjectiveSettings
 from lagoonlever.report.status import VmStatus
--- a/lagoonlever/tests/services_site.py
+++ b/lagoonlever/tests/services_site.py
@@ -11,7 +11,6 @@
 from lagoonlever.decisions.claims_keys import KEY_HEADER
 from lagoonlever.decisions.membership import Member, MemberState, MemberView
 from lagoonlever.decisions.targets import Target, TargetKind
-from lagoonlever.entry.published import Published
 from lagoonlever.entry.services import ServiceRouter
 from lagoonlever.entry.services_settings import ServiceSettings
 from lagoonlever.fakes.application import ApplicationOptions, FakeApplication
@@ -27,6 +26,7 @@
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER
 from lagoonlever.peers.local_bus import LocalBus, LocalNetwork
+from lagoonlever.published import Published
 from lagoonlever.store.etcd_json import EtcdPlatform
 from lagoonlever.timers import TimerService
 
