Send returning callers where their prompt was read, and hold requests during a start

Change: a return whose part no VM remembers has every engine asked once what it keeps; a start holds requests until configuration and targets are known, 0.6 s at most; the three reads of the store go out together.

--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engine_book.py
@@ -122,8 +122,12 @@
         memory_tokens: int,
         now: float,
         avoid: frozenset[str] = frozenset(),
+        prefer: str | None = None,
     ) -> Placement | None:
-        """Choose an engine for a run, or None where there is none at all."""
+        """Choose an engine for a run, or None where there is none at all.
+
+        One that has read the prompt (``prefer``) is spared that part of the wait.
+        """
         usable = [engine for engine in engines if engine.id not in avoid]
         calm = [engine for engine in usable if not self.is_avoided(engine.id, now)]
         candidates = calm or usable
@@ -132,9 +136,11 @@
         loads = self._loads(now)
         self._rng.shuffle(candidates)
         costs = {e.id: self._cost_s(e, loads, limits, memory_tokens) for e in candidates}
-        best = min(candidates, key=lambda engine: costs[engine.id])
         own_s = prompt_tokens / PREFILL_TOKENS_PER_S
-        return Placement(engine=best, expected_s=costs[best.id] + own_s)
+        for engine in candidates:
+            costs[engine.id] += 0.0 if engine.id == prefer else own_s
+        best = min(candidates, key=lambda engine: costs[engine.id])
+        return Placement(engine=best, expected_s=costs[best.id])
 
     def place_copy(
         self,
--- a/lagoonlever/decisions/stream_life.py
+++ b/lagoonlever/decisions/stream_life.py
@@ -31,6 +31,8 @@
     """Choose an engine other than ``avoid`` and send the request there."""
 
     avoid: frozenset[str]
+    prefer: str | None = None
+    """An engine that has read the prompt, or a part of it."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -86,6 +88,10 @@
     _refusals: int = 0
     _avoid: set[str] = attrs.field(factory=set)
     _copy: RunCopy | None = None
+    """The copy that the next attempt goes on from."""
+    _growing: RunCopy | None = None
+    """The copy of the open attempt; there is none before its first event."""
+    _prefer: str | None = None
     _detail: str = ""
     _no_engine: bool = False
 
@@ -98,14 +104,19 @@
         max_attempts: int,
         position: int | None,
         copy: RunCopy | None,
+        prefer: str | None,
     ) -> StreamLife:
-        """Begin a stream whose caller may have a part of it, and whose run left a copy."""
+        """Begin a stream whose caller may have a part of it already.
+
+        Its former run may have left a copy, and an engine that has read its prompt.
+        """
         return cls(
             request=request,
             repeatable=repeatable,
             max_attempts=max_attempts,
             position=position,
             copy=copy,
+            prefer=prefer,
         )
 
     @property
@@ -126,7 +137,7 @@
             return WaitForEngine(seconds=NO_ENGINE_RETRY_S)
         if self._copy is not None:
             return ResumeFrom(copy=self._copy)
-        return Place(avoid=frozenset(self._avoid))
+        return Place(avoid=frozenset(self._avoid), prefer=self._prefer)
 
     def copy_unusable(self) -> None:
         """Note that the engine with the copy takes no work."""
@@ -148,7 +159,13 @@
         """Note that a request is being written: from now on it may have run."""
         self.sent += 1
         self.runs += 1
-        self._copy = RunCopy(engine=copy_at, request=self._request) if copy_at else None
+        self._copy = None
+        self._prefer = None
+        self._growing = RunCopy(engine=copy_at, request=self._request) if copy_at else None
+
+    def flows(self) -> None:
+        """Note the first event of the open attempt: from now on its copy can be used."""
+        self._copy = self._growing
 
     def refused(self, engine: str, detail: str) -> None:
         """Note that an engine says that it has not run the request."""
--- a/lagoonlever/gateway/beliefs.py
+++ b/lagoonlever/gateway/beliefs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import trio
 
 from lagoonlever.decisions.configuration import Configuration
 from lagoonlever.decisions.engine_book import EngineBook
@@ -23,6 +24,8 @@
     configuration_value: bytes | None = None
     """The configuration as it is stored, to pass on to a VM that can't read the store."""
     targets: TargetRegistry = attrs.field(factory=TargetRegistry)
+    known: trio.Event = attrs.field(factory=trio.Event)
+    """Set once both a configuration and a list of targets are known."""
 
     @property
     def version(self) -> int:
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -8,6 +8,7 @@
 
 import attrs
 import logbook
+import trio
 
 from lagoonlever.decisions.configuration import Configuration, RouteKind, ServiceRoute
 from lagoonlever.exceptions import RequestRefused
@@ -23,8 +24,13 @@
 
 log = logbook.Logger(__name__)
 
+STARTING_S = 0.6
+"""A VM that starts knows its configuration within a few store calls, some 15 ms.
+
+Until then requests are held: one that is refused right after a crash of all VMs comes
+back only once. A VM that knows nothing after this time meets an outage, and tells so.
+"""
 STARTING_RETRY_S = 0.3
-"""A VM that has just started knows its configuration within a few store calls."""
 
 Serve = Callable[[Accepted], Awaitable[None]]
 
@@ -37,11 +43,12 @@
     _timers: TimerService
     _rng: random.Random
     _serve: dict[RouteKind, Serve]
+    _started: float = attrs.field(factory=trio.current_time)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one exchange; one request's fault harms no other."""
         arrived = self._timers.now
-        configuration = self._beliefs.configuration.value
+        configuration = await self._configuration()
         if configuration is None:
             await self._refuse(exchange, self._starting())
             return
@@ -56,6 +63,12 @@
             return
         await self._serve[accepted.route.kind](accepted)
 
+    async def _configuration(self) -> Configuration | None:
+        """Give the configuration in force, once the targets are known too."""
+        with trio.move_on_at(self._started + STARTING_S):
+            await self._beliefs.known.wait()
+        return self._beliefs.configuration.value
+
     def _accept(
         self, exchange: Exchange, configuration: Configuration, caller: CallerHead, arrived: float
     ) -> Accepted | NotRun:
--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -38,6 +38,7 @@
         events.CONFIGURATION.log(log, version=offered.version, source=source, former=former)
         self._beliefs.configuration_value = value
         self._beliefs.configuration.publish(offered)
+        self._note_known()
 
     def take_list(
         self, targets: Iterable[ListedTarget], *, revision: int, settled: bool, source: str
@@ -49,6 +50,7 @@
         registry.read(targets, revision=revision, now=self._timers.now, settled=settled)
         known = len(registry.targets)
         events.TARGETS_READ.log(log, targets=known, revision=revision, source=source)
+        self._note_known()
 
     def take_target(
         self, target_id: str, target: ListedTarget | None, *, revision: int, settled: bool
@@ -76,3 +78,7 @@
             return
         events.TARGET_REPLACED.log(log, target=target_id, source=source)
         registry.replaced(target_id, self._timers.now)
+
+    def _note_known(self) -> None:
+        if self._beliefs.version and self._beliefs.targets.as_of:
+            self._beliefs.known.set()
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -158,7 +158,7 @@
 
     def ready(self) -> bool:
         """Tell whether this VM takes callers."""
-        return self.beliefs.version > 0 and not self.stopping()
+        return self.beliefs.known.is_set() and not self.stopping()
 
     def own_state(self) -> FellowState:
         """Give what this VM says of itself."""
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -67,19 +67,35 @@
         self._beliefs.fellows.expire(tick.now)
 
     async def _read(self) -> int:
-        """Read the three parts and give the revision from which a watch misses nothing."""
-        configuration = await self._store.get(CONFIGURATION_KEY)
-        if configuration.entry is not None:
-            self._learner.take_configuration(configuration.entry.value, source="store")
-        listed = await self._store.get_prefix(TARGETS_PREFIX)
-        targets = [target for entry in listed.entries if (target := _target(entry)) is not None]
+        """Read the three parts together; gives the revision from which a watch misses nothing."""
+        revisions: list[int] = []
+        try:
+            async with trio.open_nursery() as nursery:
+                for read in (self._read_configuration, self._read_targets, self._read_register):
+                    nursery.start_soon(read, revisions)
+        except* PlatformError as errors:
+            raise _first_of(errors) from errors
+        self._retry_s = FIRST_RETRY_S
+        return min(revisions)
+
+    async def _read_configuration(self, revisions: list[int]) -> None:
+        read = await self._store.get(CONFIGURATION_KEY)
+        if read.entry is not None:
+            self._learner.take_configuration(read.entry.value, source="store")
+        revisions.append(read.revision)
+
+    async def _read_targets(self, revisions: list[int]) -> None:
+        read = await self._store.get_prefix(TARGETS_PREFIX)
+        targets = [target for entry in read.entries if (target := _target(entry)) is not None]
         self._learner.take_list(
-            targets, revision=listed.revision, settled=self._settled, source="store"
+            targets, revision=read.revision, settled=self._settled, source="store"
         )
-        registered = await self._store.get_prefix(REGISTER_PREFIX)
-        self._register.read(registered.entries)
-        self._retry_s = FIRST_RETRY_S
-        return min(configuration.revision, listed.revision)
+        revisions.append(read.revision)
+
+    async def _read_register(self, revisions: list[int]) -> None:
+        read = await self._store.get_prefix(REGISTER_PREFIX)
+        self._register.read(read.entries)
+        revisions.append(read.revision)
 
     async def _follow(self, after: int) -> None:
         watch = self._store.watch(EVERYTHING, after_revision=after)
@@ -121,3 +137,13 @@
     except UnreadableTarget as error:
         events.TARGET_UNREADABLE.log(log, error=str(error))
         return None
+
+
+def _first_of(errors: BaseExceptionGroup[PlatformError]) -> PlatformError:
+    """Give one error of a group; the store's client has logged each."""
+    for error in errors.exceptions:
+        if isinstance(error, PlatformError):
+            return error
+        if isinstance(error, BaseExceptionGroup):
+            return _first_of(error)
+    raise errors
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -232,6 +232,7 @@
         now = self._now
         if not self._flowing:
             self._flowing = True
+            self._life.flows()
             self._peers.flows(self._accepted.request_id)
             events.FIRST_EVENT.log(
                 log,
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -21,6 +21,7 @@
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.cache_locator import CacheLocator
 from lagoonlever.gateway.messages import GenerationAsk
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.stream_attempt import AttemptPlan, AttemptTools, StreamAttempt
@@ -45,10 +46,11 @@
     _beliefs: Beliefs
     _peers: PeerExchange
     _tools: AttemptTools
+    _locator: CacheLocator = attrs.field(factory=CacheLocator)
 
     async def serve(self, accepted: Accepted) -> None:
         """Give the caller the events of an engine until the last, or tell why there are none."""
-        life = self._new_life(accepted)
+        life = await self._new_life(accepted)
         whole = False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_when_gone, accepted, life, nursery.cancel_scope)
@@ -60,20 +62,25 @@
                     self._peers.end(accepted.request_id, whole=whole)
             nursery.cancel_scope.cancel()
 
-    def _new_life(self, accepted: Accepted) -> StreamLife:
+    async def _new_life(self, accepted: Accepted) -> StreamLife:
         """Begin a stream; a caller that returns goes on where its last run left a copy."""
-        position = accepted.caller.last_event_id
         part = _ask(accepted).own_part
         former = self._beliefs.book.last_run_of(part) if part else None
-        copy = None
-        if former is not None and former.copy_at is not None:
-            copy = RunCopy(engine=former.copy_at, request=former.request)
+        copy: RunCopy | None = None
+        prefer: str | None = None
+        if former is not None and former.flowing:
+            prefer = former.engine
+            if former.copy_at is not None:
+                copy = RunCopy(engine=former.copy_at, request=former.request)
+        elif part is not None and accepted.caller.last_event_id is not None:
+            prefer = await self._locator.find(part, self._serving(accepted.service))
         return StreamLife.returning(
             request=accepted.request_id,
             repeatable=accepted.route.repeatable,
             max_attempts=accepted.route.max_attempts,
-            position=position,
+            position=accepted.caller.last_event_id,
             copy=copy,
+            prefer=prefer,
         )
 
     async def _cancel_when_gone(
@@ -133,6 +140,7 @@
                 memory_tokens=ask.prompt_tokens + ask.output_tokens,
                 now=self._now,
                 avoid=step.avoid,
+                prefer=step.prefer,
             )
             if placement is None:
                 life.no_engine()
--- a/lagoonlever/platform/engine_calls.py
+++ b/lagoonlever/platform/engine_calls.py
@@ -1,4 +1,4 @@
-"""The calls on an engine beside requests: its report of itself."""
+"""The calls on an engine beside requests: its report of itself, the prompts that it keeps."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from lagoonlever.gateway.messages import EngineReport, RunReport
 
 REPORT_PATH = "/-/report"
+KEPT_PATH = "/-/kv-list"
 
 
 class Report(msgspec.Struct, rename="pascal", kw_only=True):
@@ -20,6 +21,18 @@
     """Each run: its request, tokens in memory, events made, priority."""
 
 
+class Kept(msgspec.Struct, kw_only=True):
+    """The parts of prompts in an engine's memory; an entry begins with a text that is empty."""
+
+    held: list[tuple[str, str, int, str]] = []
+    """Each part: nothing, its id, its tokens that are kept, its model."""
+
+
+def read_kept(raw: Kept) -> dict[str, int]:
+    """Give the tokens that an engine keeps, by the id of the part."""
+    return {part: tokens for _, part, tokens, _ in raw.held}
+
+
 def read_report(raw: Report) -> EngineReport:
     """Give the product's form of a report."""
     return EngineReport(
