--- a/lagoonlever/decisions/stream_life.py
+++ b/lagoonlever/decisions/stream_life.py
@@ -70,6 +70,23 @@
     """An event before it is missing: this attempt can't be used."""
 
 
+@attrs.define(kw_only=True)
+class StreamPace:
+    """What the caller sees of a stream's time, over all attempts; in monotonic seconds."""
+
+    first_at: float | None = None
+    longest_pause_s: float = 0.0
+    _last_at: float = 0.0
+
+    def event(self, now: float) -> None:
+        """Note an event that goes to the caller."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now - self._last_at)
+        self._last_at = now
+
+
 @attrs.define(kw_only=True)
 class StreamLife:
     """One request for a stream; ``position`` is the last event that the caller has whole."""
@@ -85,6 +102,7 @@
     """Attempts that may have run."""
     sent: int = 0
     """Attempts that reached an engine."""
+    pace: StreamPace = attrs.field(factory=StreamPace)
     _refusals: int = 0
     _avoid: set[str] = attrs.field(factory=set)
     _copy: RunCopy | None = None
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -153,3 +153,12 @@
     "{request} is silent for {silent_s:.3f} s; {target} says {answer}: {report}",
     "A stream was late, and its engine was asked whether it runs it. `none` is no answer.",
 )
+STREAM_ENDED = event(
+    1046,
+    "stream-ended",
+    "info",
+    "{request} on {route} of {organisation}: {status} {outcome} after {seconds:.3f} s and event"
+    " {position}, {attempts} attempts, first event after {first_s} s, longest pause"
+    " {pause_s:.3f} s: {detail}",
+    "One line for each stream. The pause counts over all attempts of this VM.",
+)
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -209,7 +209,8 @@
     def _log(
         self, accepted: Accepted, life: StreamLife, status: int, outcome: str, detail: str
     ) -> None:
-        events.REQUEST_ENDED.log(
+        first_at = life.pace.first_at
+        events.STREAM_ENDED.log(
             log,
             request=accepted.request_id,
             route=accepted.route.name,
@@ -218,7 +219,9 @@
             outcome=outcome,
             seconds=self._now - accepted.arrived,
             attempts=life.sent,
-            target=None,
+            position=life.position,
+            first_s=None if first_at is None else first_at - accepted.arrived,
+            pause_s=life.pace.longest_pause_s,
             detail=detail,
         )
 
