Stand-ins of the users' platform, and tests of streams through gateways

The stand-ins speak the platform's calls with the adapter's own names: a store with watches, leases and faults, engines with prompts, events, copies and reports, runners with answers gone wrong.

--- /dev/null
+++ b/lagoonlever/fakes/platform_engine.py
@@ -0,0 +1,227 @@
+"""The stand-in of an engine on the users' platform: prompts, events, copies of runs, reports.
+
+Its events depend on the prompt's own part and their number only, so that a splice of
+two answers shows in their text.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter, deque
+
+import attrs
+import msgspec
+import trio
+
+from lagoonlever.http.messages import Headers
+from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
+from lagoonlever.http.sse import EVENT_STREAM_TYPE
+from lagoonlever.platform import engine_calls
+from lagoonlever.platform.headers import (
+    COPY_FROM,
+    COPY_TO,
+    EXPECTED_TARGET,
+    LAST_EVENT_ID,
+    MISDIRECTED,
+    PROMPT_PARTS,
+    REFUSED,
+    REQUEST_ID,
+    SEAL,
+    TARGET_ID,
+    TOKEN_COUNT,
+)
+
+OK = 200
+BUSY = 503
+EVENT_TOKENS = 8
+
+
+class EngineConduct(enum.Enum):
+    """What an engine does with one run."""
+
+    SERVE = "serve"
+    LOSE_ANSWER = "lose-answer"
+    """Begins the run and closes the connection."""
+    STAY_SILENT = "stay-silent"
+    """Begins the run and never answers; its report tells the run."""
+    HALF_EVENT = "half-event"
+    """Closes in the middle of its third event."""
+    SKIP_EVENT = "skip-event"
+    """Leaves its third event out."""
+
+
+@attrs.define(kw_only=True)
+class EngineRun:
+    """One run: how many events it has made, its prompt's tokens."""
+
+    request_id: str
+    part: str
+    prompt_tokens: int
+    events: int = 0
+    flowing: bool = False
+
+
+class FakeEngine:
+    """One engine; those of a test share ``fleet``, by address, to hold each other's copies."""
+
+    def __init__(
+        self,
+        *,
+        target_id: str,
+        fleet: dict[str, FakeEngine],
+        prefill_tokens_per_s: float = 100_000.0,
+        event_s: float = 0.005,
+    ) -> None:
+        self.target_id = target_id
+        self.prefill_tokens_per_s = prefill_tokens_per_s
+        self.event_s = event_s
+        self.conducts: deque[EngineConduct] = deque()
+        self.frozen = trio.Event()
+        """Set once the engine stands still for good: it accepts and answers nothing."""
+        self.runs: dict[str, EngineRun] = {}
+        self.copies: dict[str, EngineRun] = {}
+        self.kept: dict[str, int] = {}
+        self.read_tokens: Counter[str] = Counter()
+        """Prompt tokens read, by the prompt's own part."""
+        self.seen: list[Headers] = []
+        self.cancelled: list[str] = []
+        self.questions: Counter[str] = Counter()
+        self._fleet = fleet
+
+    async def run(self, listeners: list[trio.SocketListener]) -> None:
+        """Serve until cancelled."""
+        await serve_http(
+            handler=self.handle,
+            listeners=listeners,
+            limits=ServerLimits(),
+            state=ServerState(),
+        )
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer a request or a question."""
+        if self.frozen.is_set():
+            await trio.sleep_forever()
+        path = exchange.request.path
+        if path == engine_calls.REPORT_PATH:
+            await self._report(exchange)
+        elif path == engine_calls.KEPT_PATH:
+            await self._list_kept(exchange)
+        else:
+            await self._serve(exchange)
+
+    async def _report(self, exchange: Exchange) -> None:
+        self.questions["report"] += 1
+        flowing = [run for run in self.runs.values() if run.flowing]
+        report = engine_calls.Report(
+            running=len(self.runs),
+            kv_total=55_000,
+            runs=[(r.request_id, r.prompt_tokens, r.events, 5) for r in flowing],
+        )
+        await exchange.respond(status=OK, headers=Headers(), body=msgspec.json.encode(report))
+
+    async def _list_kept(self, exchange: Exchange) -> None:
+        self.questions["kept"] += 1
+        held = [("", part, tokens, "m") for part, tokens in self.kept.items()]
+        body = msgspec.json.encode(engine_calls.Kept(held=held))
+        await exchange.respond(status=OK, headers=Headers(), body=body)
+
+    async def _serve(self, exchange: Exchange) -> None:
+        headers = exchange.request.headers
+        self.seen.append(headers)
+        if headers.get(EXPECTED_TARGET) != self.target_id:
+            other = Headers(((TARGET_ID, self.target_id),))
+            await exchange.respond(status=MISDIRECTED, headers=other, body=b"")
+            return
+        run = self._begin(headers)
+        if run is None:
+            await exchange.respond(status=BUSY, headers=Headers(((REFUSED, "1"),)), body=b"")
+            return
+        self.runs[run.request_id] = run
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._cancel_when_gone, exchange, run, nursery.cancel_scope)
+                await self._generate(exchange, run)
+                nursery.cancel_scope.cancel()
+        finally:
+            self.runs.pop(run.request_id, None)
+
+    def _begin(self, headers: Headers) -> EngineRun | None:
+        """Give the run of a request, or None where it names a copy that is not here."""
+        request_id = headers.get(REQUEST_ID) or ""
+        last_part = (headers.get(PROMPT_PARTS) or "p:100").split(",")[-1]
+        part, _, _ = last_part.partition(":")
+        prompt_tokens = int((headers.get(TOKEN_COUNT) or "100,80").partition(",")[0])
+        run = EngineRun(request_id=request_id, part=part, prompt_tokens=prompt_tokens)
+        run.events = int(headers.get(LAST_EVENT_ID) or 0)
+        copy_from = headers.get(COPY_FROM)
+        if copy_from is None:
+            return run
+        copy = self.copies.pop(copy_from.partition("/")[2], None)
+        if copy is None or copy.part != part:
+            return None
+        self.kept[part] = prompt_tokens
+        return run
+
+    async def _cancel_when_gone(
+        self, exchange: Exchange, run: EngineRun, scope: trio.CancelScope
+    ) -> None:
+        await exchange.wait_gone()
+        self.cancelled.append(run.request_id)
+        scope.cancel()
+
+    async def _generate(self, exchange: Exchange, run: EngineRun) -> None:
+        headers = exchange.request.headers
+        conduct = self.conducts.popleft() if self.conducts else EngineConduct.SERVE
+        if run.part not in self.kept:
+            self.read_tokens[run.part] += run.prompt_tokens
+            await trio.sleep(run.prompt_tokens / self.prefill_tokens_per_s)
+        run.flowing = True
+        self.kept[run.part] = run.prompt_tokens
+        if conduct is EngineConduct.LOSE_ANSWER:
+            raise CallerGone
+        if conduct is EngineConduct.STAY_SILENT:
+            run.events += 10
+            await trio.sleep_forever()
+        fields = (
+            ("Content-Type", EVENT_STREAM_TYPE),
+            (REQUEST_ID, run.request_id),
+            (SEAL, f"seal-{self.target_id}"),
+        )
+        await exchange.start_stream(status=OK, headers=Headers(fields))
+        holder = self._fleet.get(headers.get(COPY_TO) or "")
+        output = int((headers.get(TOKEN_COUNT) or "100,80").partition(",")[2] or 80)
+        await self._emit(exchange, run, holder, conduct, last=max(1, output // EVENT_TOKENS))
+        await exchange.finish()
+        if holder is not None:
+            holder.copies.pop(run.request_id, None)
+
+    async def _emit(
+        self,
+        exchange: Exchange,
+        run: EngineRun,
+        holder: FakeEngine | None,
+        conduct: EngineConduct,
+        *,
+        last: int,
+    ) -> None:
+        made = 0
+        while run.events < last:
+            await trio.sleep(self.event_s)
+            if self.frozen.is_set():
+                await trio.sleep_forever()
+            made += 1
+            run.events += 1
+            event = event_bytes(run.part, run.events)
+            if made == 3 and conduct is EngineConduct.SKIP_EVENT:
+                continue
+            if made == 3 and conduct is EngineConduct.HALF_EVENT:
+                await exchange.write(event[: len(event) // 2])
+                raise CallerGone
+            await exchange.write(event)
+            if holder is not None:
+                holder.copies[run.request_id] = attrs.evolve(run)
+
+
+def event_bytes(part: str, number: int) -> bytes:
+    """Give the event of a prompt with this number, alike on every engine."""
+    return f"id: {number}\ndata: {part} {number}\n\n".encode()
--- /dev/null
+++ b/lagoonlever/fakes/platform_runner.py
@@ -0,0 +1,106 @@
+"""The stand-in of an application runner on the users' platform, with faults to order."""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter, deque
+
+import trio
+
+from lagoonlever.http.messages import Headers
+from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
+from lagoonlever.platform.headers import (
+    EXPECTED_TARGET,
+    LOAD,
+    MISDIRECTED,
+    REFUSED,
+    REQUEST_ID,
+    SEAL,
+    TARGET_ID,
+)
+
+OK = 200
+FAILED = 500
+BUSY = 503
+
+
+class Conduct(enum.Enum):
+    """What a runner does with one request."""
+
+    SERVE = "serve"
+    FAIL = "fail"
+    """Runs it and answers 500."""
+    REFUSE = "refuse"
+    """Says that it has not run it."""
+    LOSE_ANSWER = "lose-answer"
+    """Runs it and closes the connection."""
+    STAY_SILENT = "stay-silent"
+    """Runs it and never answers."""
+    CUT_ANSWER = "cut-answer"
+    """Runs it and closes within its answer."""
+    FOREIGN_ANSWER = "foreign-answer"
+    """Runs it and answers with another request's id."""
+    GARBAGE = "garbage"
+    """Runs it and sends bytes that are no answer."""
+
+
+class FakeRunner:
+    """One runner; ``conducts`` are taken in turn, and it serves when there is none."""
+
+    def __init__(self, *, target_id: str, work_s: float = 0.0) -> None:
+        self.target_id = target_id
+        self.work_s = work_s
+        self.conducts: deque[Conduct] = deque()
+        self.runs: Counter[str] = Counter()
+        self.seen: list[Headers] = []
+        self.arrivals: list[str] = []
+        self._state = ServerState()
+
+    @property
+    def connections(self) -> int:
+        """Connections that are open now."""
+        return self._state.open_connections
+
+    async def run(self, listeners: list[trio.SocketListener]) -> None:
+        """Serve until cancelled."""
+        await serve_http(
+            handler=self.handle, listeners=listeners, limits=ServerLimits(), state=self._state
+        )
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        headers = exchange.request.headers
+        request_id = headers.get(REQUEST_ID) or ""
+        self.seen.append(headers)
+        self.arrivals.append(request_id)
+        if headers.get(EXPECTED_TARGET) not in (None, self.target_id):
+            other = Headers(((TARGET_ID, self.target_id),))
+            await exchange.respond(status=MISDIRECTED, headers=other, body=b"")
+            return
+        conduct = self.conducts.popleft() if self.conducts else Conduct.SERVE
+        if conduct is Conduct.REFUSE:
+            await exchange.respond(status=BUSY, headers=Headers(((REFUSED, "1"),)), body=b"")
+            return
+        self.runs[request_id] += 1
+        await trio.sleep(self.work_s)
+        await self._answer(exchange, request_id, conduct)
+
+    async def _answer(self, exchange: Exchange, request_id: str, conduct: Conduct) -> None:
+        body = b"answer to " + request_id.encode()
+        fields = [(REQUEST_ID, request_id), (SEAL, f"seal-{request_id}"), (LOAD, "1,0,6")]
+        if conduct is Conduct.LOSE_ANSWER:
+            raise CallerGone
+        if conduct is Conduct.STAY_SILENT:
+            await trio.sleep_forever()
+        if conduct is Conduct.GARBAGE:
+            await exchange.write_raw(b"\x00\x01 not HTTP at all\r\n\r\n")
+            raise CallerGone
+        if conduct is Conduct.CUT_ANSWER:
+            sized = Headers((*fields, ("Content-Length", str(len(body) + 10))))
+            await exchange.start_stream(status=OK, headers=sized)
+            await exchange.write(body)
+            raise CallerGone
+        if conduct is Conduct.FOREIGN_ANSWER:
+            fields[0] = (REQUEST_ID, "somebody-else")
+        status = FAILED if conduct is Conduct.FAIL else OK
+        await exchange.respond(status=status, headers=Headers(tuple(fields)), body=body)
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -102,6 +102,11 @@
         """Write one piece of the body; raises ``CallerGone``."""
         await self._connection.send(h11.Data(data=data))
 
+    async def write_raw(self, data: bytes) -> None:
+        """Write bytes that are no HTTP, for stand-ins of broken servers."""
+        self._responded = True
+        await self._connection.write_raw(data)
+
     async def finish(self, *, trailers: Headers | None = None) -> None:
         """End the body, with trailers where the caller's version of HTTP knows them."""
         known = trailers if trailers and self._connection.takes_trailers else Headers()
@@ -261,6 +266,10 @@
             data = b"".join(self._h11.send(event) or b"" for event in events)
         except h11.LocalProtocolError as error:
             raise CallerGone from error
+        await self.write_raw(data)
+
+    async def write_raw(self, data: bytes) -> None:
+        """Write bytes as they are; raises ``CallerGone``, also when the caller is too slow."""
         rest = self._write_at_once(data)
         if not rest:
             return
--- a/lagoonlever/platform/headers.py
+++ b/lagoonlever/platform/headers.py
@@ -16,7 +16,21 @@
 REQUEST_ID = "Request-Id"
 DEADLINE = "Deadline-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
-INSTANCE = "Instance-Id"
+MODEL = "Model"
+TOKEN_COUNT = "Token-Count"
+"""Of the prompt, and at most of the answer."""
+PROMPT_PARTS = "Prompt-Prefix"
+"""All parts of the prompt, not only those that it shares."""
+SEAL = "Response-Seal"
+REFUSED = "Not-Executed"
+LOAD = "Server-Load"
+TARGET_ID = "Instance-Id"
+EXPECTED_TARGET = "Expect-Instance"
+ORGANISATION = "Tenant"
+PRIORITY = "Request-Priority"
+COPY_TO = "Kv-Backup"
+COPY_FROM = "Kv-From"
+MISDIRECTED = 421
 MS = 1000.0
 BAD_REQUEST = 400
 
@@ -83,17 +97,17 @@
     dropped = HOP_BY_HOP | SET_BY_SYSTEM | _named_by_connection(headers)
     pairs = [pair for pair in headers.pairs if pair[0].lower() not in dropped]
     pairs.append((DEADLINE, str(max(0, int(hop.deadline_s * MS)))))
-    pairs.append(("Expect-Instance", hop.target_id))
+    pairs.append((EXPECTED_TARGET, hop.target_id))
     if hop.organisation is not None:
-        pairs.append(("Tenant", hop.organisation))
+        pairs.append((ORGANISATION, hop.organisation))
     if hop.priority is not None:
-        pairs.append(("Request-Priority", str(hop.priority)))
+        pairs.append((PRIORITY, str(hop.priority)))
     if hop.last_event_id is not None:
         pairs.append((LAST_EVENT_ID, str(hop.last_event_id)))
     if hop.copy_to is not None:
-        pairs.append(("Kv-Backup", str(hop.copy_to)))
+        pairs.append((COPY_TO, str(hop.copy_to)))
     if hop.copy_from is not None:
-        pairs.append(("Kv-From", f"{hop.copy_from.holder}/{hop.copy_from.request_id}"))
+        pairs.append((COPY_FROM, f"{hop.copy_from.holder}/{hop.copy_from.request_id}"))
     return Headers(tuple(pairs))
 
 
@@ -103,10 +117,10 @@
     return AnswerHead(
         status=status,
         request_id=headers.get(REQUEST_ID),
-        sealed=headers.get("Response-Seal") is not None,
-        refused=headers.get("Not-Executed") is not None or status == 421,
-        target_id=headers.get(INSTANCE),
-        load=_load(headers.get("Server-Load")),
+        sealed=headers.get(SEAL) is not None,
+        refused=headers.get(REFUSED) is not None or status == MISDIRECTED,
+        target_id=headers.get(TARGET_ID),
+        load=_load(headers.get(LOAD)),
         idle_s=_idle_s(headers.get("Keep-Alive")),
         closes="close" in connection,
     )
@@ -142,20 +156,20 @@
 
 
 def _ask(headers: Headers) -> GenerationAsk | None:
-    counts = headers.get("Token-Count")
+    counts = headers.get(TOKEN_COUNT)
     if counts is None:
         return None
     prompt, _, output = counts.partition(",")
     try:
         return GenerationAsk(
-            model=headers.get("Model") or "",
+            model=headers.get(MODEL) or "",
             prompt_tokens=int(prompt),
             output_tokens=int(output or 0),
-            parts=_parts(headers.get("Prompt-Prefix") or ""),
+            parts=_parts(headers.get(PROMPT_PARTS) or ""),
         )
     except ValueError as error:
         raise RequestRefused(
-            status=BAD_REQUEST, field="Token-Count", message=f"can't be read: {error}"
+            status=BAD_REQUEST, field=TOKEN_COUNT, message=f"can't be read: {error}"
         ) from error
 
 
--- a/lagoonlever/platform/store.py
+++ b/lagoonlever/platform/store.py
@@ -99,7 +99,7 @@
 
     async def get(self, key: str) -> KeyRead:
         """Read one key."""
-        call = _Call(step="get", method="GET", path=_path("kv-key", Key=key))
+        call = _Call(step="get", method="GET", path=_path(wire.READ_KEY, Key=key))
         response = await self._send(call)
         if response.status == HTTPStatus.NOT_FOUND:
             absent = self._decoded(response, call, wire.Absent)
@@ -136,7 +136,7 @@
         call = _Call(
             step="compare-and-swap",
             method="POST",
-            path=_path("kv-txn"),
+            path=_path(wire.TRANSACTION),
             body=msgspec.json.encode(change),
             changes=True,
         )
@@ -152,14 +152,14 @@
         """Take a lease."""
         body = msgspec.json.encode(wire.LeaseAsk(ttl_ms=round(ttl_s * MS)))
         call = _Call(
-            step="grant-lease", method="POST", path=_path("kv-lease"), body=body, changes=True
+            step="grant-lease", method="POST", path=_path(wire.GRANT_LEASE), body=body, changes=True
         )
         granted = self._checked(await self._send(call), call, wire.LeaseGranted)
         return Lease(id=granted.lease, ttl_s=granted.ttl_ms / MS)
 
     async def keep_alive(self, lease: Lease) -> RenewalResult:
         """Renew a lease."""
-        call = _Call(step="keep-alive", method="POST", path=_path(f"kv-keep/{lease.id}"))
+        call = _Call(step="keep-alive", method="POST", path=_path(f"{wire.RENEW_LEASE}/{lease.id}"))
         response = await self._send(call)
         if response.status == HTTPStatus.NOT_FOUND:
             return Lapsed()
@@ -167,7 +167,7 @@
 
     async def revoke(self, lease: Lease) -> None:
         """Give a lease up, with its keys; one that has lapsed is no error."""
-        call = _Call(step="revoke", method="DELETE", path=_path(f"kv-lease-end/{lease.id}"))
+        call = _Call(step="revoke", method="DELETE", path=_path(f"{wire.END_LEASE}/{lease.id}"))
         response = await self._send(call)
         if response.status != HTTPStatus.NOT_FOUND:
             self._checked(response, call, wire.Nothing)
@@ -179,7 +179,7 @@
     async def wait_changes(self, prefix: str, *, after_revision: int) -> WatchBatch:
         """Wait for changes of a prefix once; raises ``WatchCompacted``."""
         wait_ms = round(WATCH_WAIT_S * MS)
-        path = _path("kv-watch", Prefix=prefix, After=after_revision, WaitMs=wait_ms)
+        path = _path(wire.WATCH, Prefix=prefix, After=after_revision, WaitMs=wait_ms)
         call = _Call(step="watch", method="GET", path=path)
         response = await self._send(
             call, timeout_s=WATCH_WAIT_S + WATCH_MARGIN_S, keepalive_s=WATCH_KEEPALIVE_S
@@ -198,7 +198,9 @@
 
     async def _page(self, prefix: str, after: str | None) -> wire.RangePage:
         page = {} if after is None else {"After": after}
-        call = _Call(step="get-prefix", method="GET", path=_path("kv-range", Prefix=prefix, **page))
+        call = _Call(
+            step="get-prefix", method="GET", path=_path(wire.READ_RANGE, Prefix=prefix, **page)
+        )
         return self._checked(await self._send(call), call, wire.RangePage)
 
     async def _send(
@@ -297,4 +299,4 @@
 
 
 def _path(call: str, **query: str | int) -> str:
-    return f"/-/{call}?{urlencode(query)}" if query else f"/-/{call}"
+    return f"{wire.CALLS}{call}?{urlencode(query)}" if query else f"{wire.CALLS}{call}"
--- a/lagoonlever/platform/store_wire.py
+++ b/lagoonlever/platform/store_wire.py
@@ -8,6 +8,15 @@
 
 from lagoonlever.store.port import NO_LEASE, KeyChange, KeyValue
 
+CALLS = "/-/"
+READ_KEY = "kv-key"
+READ_RANGE = "kv-range"
+WATCH = "kv-watch"
+TRANSACTION = "kv-txn"
+GRANT_LEASE = "kv-lease"
+RENEW_LEASE = "kv-keep"
+END_LEASE = "kv-lease-end"
+
 
 class Item(msgspec.Struct, rename="pascal", kw_only=True):
     """A key as the store has it, or as a watch tells it; ``removed`` only in a watch."""
--- /dev/null
+++ b/lagoonlever/tests/gateway_site.py
@@ -0,0 +1,344 @@
+"""A deployment of the users' platform in one process: store, engines, runners, gateways."""
+
+from __future__ import annotations
+
+import json
+import random
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+import attrs
+import trio
+
+from lagoonlever.fakes.metadata_store import FakeMetadataStore
+from lagoonlever.fakes.platform_engine import FakeEngine, event_bytes
+from lagoonlever.fakes.platform_runner import FakeRunner
+from lagoonlever.gateway.daemon import GatewayDaemon
+from lagoonlever.gateway.settings import Bounds, GatewaySettings, StoreLimits
+from lagoonlever.http.client import ClientConnection, Response
+from lagoonlever.http.messages import Address, Headers
+from lagoonlever.http.server import open_listeners
+from lagoonlever.platform.configuration import CONFIGURATION_KEY
+from lagoonlever.platform.targets import TARGETS_PREFIX
+
+HOST = "shop.example"
+KEY = "key-1"
+ORGANISATION = "org-1"
+LIMIT_S = 60.0
+"""Generous: no test may depend on the machine's speed."""
+POLL_S = 0.01
+
+
+def free_address() -> Address:
+    """Give a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address(host="127.0.0.1", port=probe.getsockname()[1])
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Wait until a condition of another part holds; bounded by the run's limit."""
+    while True:
+        if condition():
+            return
+        await trio.sleep(POLL_S)
+
+
+def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """Give a route as operators write it."""
+    return {
+        "Name": name,
+        "Host": HOST,
+        "Prefix": prefix,
+        "RouteType": kind,
+        "TimeoutMs": 5_000,
+        "TargetLatencyMs": 200,
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": 1,
+        "AllowAnonymous": False,
+        **more,
+    }
+
+
+def configuration(version: int = 1, **more: Any) -> dict[str, Any]:
+    """Give a configuration with a stream, a repeatable call and one that runs at most once."""
+    return {
+        "Version": version,
+        "Routes": [
+            route(
+                "stream",
+                "/stream/",
+                "streaming",
+                "engines",
+                MaxAttempts=5,
+                ResumeStreams=True,
+                StickySessions=True,
+                GapAimMs=700,
+                TargetLatencyMs=4_500,
+                TimeoutMs=25_000,
+            ),
+            route("bid", "/bid/", "non_idempotent", "apps"),
+            route("look", "/look/", "idempotent", "apps", MaxAttempts=2),
+        ],
+        "Services": [
+            {
+                "Name": "engines",
+                "HealthPath": "/healthz",
+                "MaxConnections": 100,
+                "Engine": {
+                    "Slots": 12,
+                    "KvCapacity": 55_000,
+                    "KvTokenBytes": 18_432,
+                    "Moves": True,
+                    "Backups": True,
+                    "HandleS": 4.0,
+                    "Stride": 8,
+                },
+            },
+            {"Name": "apps", "HealthPath": "/healthz", "MaxConnections": 100},
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 16_384,
+            "MaxBodyBytes": 100_000,
+            "HeaderTimeoutMs": 3_000,
+            "IdleTimeoutMs": 15_000,
+        },
+        "Tenants": [{"Name": ORGANISATION, "ApiKeys": [KEY], "Priority": 1}],
+        **more,
+    }
+
+
+@attrs.define(kw_only=True)
+class Stream:
+    """What a caller got of a stream: its status, its bytes, and whether its end was told."""
+
+    status: int
+    headers: Headers
+    body: bytes = b""
+    whole: bool = False
+
+    def is_events(self, part: str, first: int, last: int) -> bool:
+        """Tell whether the body is exactly these events of a prompt."""
+        return self.body == b"".join(event_bytes(part, n) for n in range(first, last + 1))
+
+
+@attrs.define(kw_only=True, eq=False)
+class Vm:
+    """One gateway of the site."""
+
+    settings: GatewaySettings
+    daemon: GatewayDaemon
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+    def kill(self) -> None:
+        """End it at once, with its connections."""
+        self.scope.cancel()
+
+
+@attrs.define(kw_only=True, eq=False)
+class GatewaySite:
+    """Starts what a story needs; everything ends with its nursery."""
+
+    nursery: trio.Nursery
+    store: FakeMetadataStore = attrs.field(factory=FakeMetadataStore)
+    store_address: Address = attrs.field(factory=free_address)
+    engines: dict[str, FakeEngine] = attrs.field(factory=dict)
+    runners: dict[str, FakeRunner] = attrs.field(factory=dict)
+    addresses: dict[str, Address] = attrs.field(factory=dict)
+    scopes: dict[str, trio.CancelScope] = attrs.field(factory=dict)
+    vms: dict[str, Vm] = attrs.field(factory=dict)
+    _fleet: dict[str, FakeEngine] = attrs.field(factory=dict)
+    _ids: Iterator[int] = attrs.field(factory=lambda: iter(range(1, 1_000_000)))
+
+    async def start(self, *, engines: int = 3, runners: int = 2, vms: int = 2) -> None:
+        """Start the store with a configuration, targets, and gateways that take callers."""
+        listeners = await self._listen(self.store_address)
+        self.nursery.start_soon(self.store.run, listeners)
+        self.configure(configuration())
+        for number in range(engines):
+            await self.start_engine(f"engine-{number}", data_center=f"dc-{number % 3}")
+        for number in range(runners):
+            await self.start_runner(f"runner-{number}", data_center=f"dc-{number % 3}")
+        for number in range(vms):
+            await self.start_vm(f"vm-{number}", data_center=f"dc-{number % 3}")
+        for vm in self.vms.values():
+            await self.wait_ready(vm)
+
+    def configure(self, document: dict[str, Any]) -> None:
+        """Have the operator write a configuration."""
+        self.store.put(CONFIGURATION_KEY, json.dumps(document).encode())
+
+    async def start_engine(self, name: str, *, data_center: str = "dc-0") -> FakeEngine:
+        """Start an engine and list it."""
+        address = free_address()
+        engine = FakeEngine(target_id=name, fleet=self._fleet)
+        self._fleet[str(address)] = engine
+        self.engines[name] = engine
+        await self._start_target(name, address, engine.run)
+        self.list_target(name, service="engines", data_center=data_center)
+        return engine
+
+    async def start_runner(self, name: str, *, data_center: str = "dc-0") -> FakeRunner:
+        """Start an application runner and list it."""
+        runner = FakeRunner(target_id=name)
+        self.runners[name] = runner
+        await self._start_target(name, free_address(), runner.run)
+        self.list_target(name, service="apps", data_center=data_center)
+        return runner
+
+    def list_target(
+        self, name: str, *, service: str, data_center: str = "dc-0", state: str = "ready"
+    ) -> None:
+        """Write a target's entry."""
+        entry = {
+            "Service": service,
+            "Address": str(self.addresses[name]),
+            "Zone": data_center,
+            "Slots": 12,
+            "State": state,
+        }
+        self.store.put(f"{TARGETS_PREFIX}{name}", json.dumps(entry).encode())
+
+    def unlist_target(self, name: str) -> None:
+        """Remove a target's entry."""
+        self.store.delete(f"{TARGETS_PREFIX}{name}")
+
+    def crash(self, name: str) -> None:
+        """End a target with its sockets; its entry stays."""
+        self.scopes[name].cancel()
+
+    async def start_vm(self, name: str, *, data_center: str = "dc-0") -> Vm:
+        """Start a gateway; one of the same name comes back at the same addresses."""
+        former = self.vms.get(name)
+        settings = former.settings if former else self._settings(name, data_center)
+        daemon = GatewayDaemon(settings=settings, rng=random.Random(name))
+        vm = self.vms[name] = Vm(settings=settings, daemon=daemon)
+        self.nursery.start_soon(self._run_vm, vm)
+        return vm
+
+    async def wait_ready(self, vm: Vm) -> None:
+        """Wait until a gateway says that it takes callers."""
+        while True:
+            try:
+                connection = await ClientConnection.open(vm.settings.readiness)
+                async with connection:
+                    await connection.start(method="GET", path="/-/ready", step="test")
+                    if (await connection.read_head()).status == 200:
+                        return
+            except Exception:
+                pass
+            await trio.sleep(POLL_S)
+
+    def headers(self, request_id: str | None = None, **more: str) -> Headers:
+        """Give the head fields of a proper request; ``_`` in names stands for ``-``."""
+        fields = {
+            "Host": HOST,
+            "Request-Id": request_id or f"r-{next(self._ids)}",
+            "Deadline-Ms": "5000",
+            "Authorization": f"Bearer {KEY}",
+        }
+        fields.update({name.replace("_", "-"): value for name, value in more.items()})
+        return Headers(tuple((name, value) for name, value in fields.items() if value))
+
+    async def call(
+        self,
+        path: str,
+        *,
+        vm: str = "vm-0",
+        method: str = "POST",
+        body: bytes = b"",
+        headers: Headers | None = None,
+    ) -> Response:
+        """Send a request on a connection of its own, and read the whole answer."""
+        async with await ClientConnection.open(self.vms[vm].settings.listen) as connection:
+            await connection.start(
+                method=method, path=path, headers=headers or self.headers(), body=body, step="test"
+            )
+            head = await connection.read_head()
+            pieces = [piece async for piece in connection.iter_body()]
+            return attrs.evolve(head, body=b"".join(pieces))
+
+    async def stream(
+        self,
+        part: str,
+        *,
+        vm: str = "vm-0",
+        events: int = 10,
+        prompt_tokens: int = 100,
+        on_event: Callable[[int], Any] = lambda count: None,
+        **more: str,
+    ) -> Stream:
+        """Ask for a stream and read it until its end or its break."""
+        headers = self.headers(
+            Token_Count=f"{prompt_tokens},{events * 8}",
+            Prompt_Prefix=f"shared:10,{part}:{prompt_tokens - 10}",
+            Model="m",
+            Deadline_Ms=more.pop("Deadline_Ms", "25000"),
+            **more,
+        )
+        async with await ClientConnection.open(self.vms[vm].settings.listen) as connection:
+            await connection.start(
+                method="POST", path="/stream/1", headers=headers, body=b"{}", step="test"
+            )
+            head = await connection.read_head()
+            got = Stream(status=head.status, headers=head.headers)
+            try:
+                while (piece := await connection.next_piece()) is not None:
+                    got.body += piece
+                    on_event(got.body.count(b"\n\n"))
+                got.whole = True
+            except Exception:
+                got.whole = False
+            return got
+
+    def _settings(self, name: str, data_center: str) -> GatewaySettings:
+        return GatewaySettings(
+            name=name,
+            data_center=data_center,
+            region="r",
+            listen=free_address(),
+            readiness=free_address(),
+            directory=free_address(),
+            bus=free_address(),
+            store=StoreLimits(address=self.store_address),
+            seeds=tuple(vm.settings.bus for vm in self.vms.values()),
+            bounds=Bounds(grace_s=3.0),
+        )
+
+    async def _run_vm(self, vm: Vm) -> None:
+        with vm.scope:
+            await vm.daemon.run()
+
+    async def _start_target(
+        self, name: str, address: Address, run: Callable[[list[Any]], Awaitable[None]]
+    ) -> None:
+        self.addresses[name] = address
+        listeners = await self._listen(address)
+        scope = self.scopes[name] = trio.CancelScope()
+
+        async def serve() -> None:
+            with scope:
+                await run(listeners)
+            for listener in listeners:
+                await listener.aclose()
+
+        self.nursery.start_soon(serve)
+
+    async def _listen(self, address: Address) -> list[trio.SocketListener]:
+        return await open_listeners(host=address.host, port=address.port)
+
+
+def run_site(story: Callable[[GatewaySite], Awaitable[None]], **sizes: int) -> None:
+    """Run a story on a fresh deployment."""
+
+    async def main() -> None:
+        with trio.fail_after(LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                site = GatewaySite(nursery=nursery)
+                await site.start(**sizes)
+                await story(site)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- /dev/null
+++ b/lagoonlever/tests/target_registry_tests.py
@@ -0,0 +1,75 @@
+"""The list of targets: who may be given work while the store's word lags or lapses."""
+
+from __future__ import annotations
+
+from lagoonlever.decisions.target_registry import LAPSED_BACK_S, ListedTarget, TargetRegistry
+from lagoonlever.http.messages import Address
+
+
+def target(name: str, *, draining: bool = False, service: str = "engines") -> ListedTarget:
+    return ListedTarget(
+        id=name,
+        service=service,
+        address=Address(host="10.0.0.1", port=80),
+        data_center="a",
+        draining=draining,
+    )
+
+
+def registry(*names: str) -> TargetRegistry:
+    made = TargetRegistry()
+    made.read([target(name) for name in names], revision=10, now=0.0, store_back_at=None)
+    return made
+
+
+def test_a_target_that_drains_or_was_replaced_takes_no_work() -> None:
+    listed = registry("e1", "e2", "e3")
+    listed.change("e1", target("e1", draining=True), revision=11, now=1.0, store_back_at=None)
+    listed.replaced("e2", 1.0)
+    assert [t.id for t in listed.serving("engines")] == ["e3"]
+
+
+def test_a_removal_counts_at_once_while_the_store_was_always_there() -> None:
+    listed = registry("e1")
+    listed.change("e1", None, revision=11, now=1.0, store_back_at=None)
+    assert not listed.takes_work("e1")
+
+
+def test_a_lapse_in_an_outage_is_held_until_the_target_had_time_to_return() -> None:
+    """The store was away, and the entry of a target that lives lapsed meanwhile.
+
+    The target writes it again within two seconds; until then it is used on.
+    """
+    listed = registry("e1", "e2")
+    listed.read([target("e2")], revision=20, now=50.0, store_back_at=50.0)
+    assert listed.takes_work("e1")
+    listed.change("e1", target("e1"), revision=21, now=51.5, store_back_at=50.0)
+    listed.expire(60.0)
+    assert listed.takes_work("e1")
+
+
+def test_a_target_that_is_not_back_in_time_is_gone() -> None:
+    listed = registry("e1")
+    listed.change("e1", None, revision=20, now=50.1, store_back_at=50.0)
+    listed.expire(50.0 + LAPSED_BACK_S + 0.01)
+    assert not listed.takes_work("e1")
+
+
+def test_a_vm_that_was_cut_off_alone_does_not_hold_a_leaving_target_for_long() -> None:
+    """A VM was cut from the store, which went on serving the others; the cut heals at 50 s.
+
+    A runner leaves at 51.3 s. The VM takes its removal for a lapse of an outage. Held for
+    a time of its own, it got a request 2.14 s after it had left, beyond the 2 s allowed.
+    """
+    listed = registry("runner")
+    listed.change("runner", None, revision=20, now=51.3, store_back_at=50.0)
+    listed.expire(52.3)
+    assert not listed.takes_work("runner")
+
+
+def test_a_late_change_does_not_bring_a_removed_target_back() -> None:
+    """A peer told a newer list; the VM's own watch then tells the older changes again."""
+    listed = registry("e1")
+    listed.read([], revision=30, now=1.0, store_back_at=None)
+    listed.change("e1", target("e1"), revision=25, now=1.1, store_back_at=None)
+    assert not listed.takes_work("e1")
