Copy runs anew when their copy's holder is lost, keep to an engine that only lost an answer

Late callers of a power loss came back with 2 s left and had prompts read in vain (69,000 tokens). Two VMs that resumed at the same moment took one engine (0.96 s expected, 2.2 s seen). Change: a run without a usable copy is copied by a call and refreshed; a broken engine is asked whether it lives, and once kept to; a stream that could not end on an idle engine is refused before its prompt is read; choices after a loss are spread by up to 0.3 s. Three tests, red before.

--- a/lagoonlever/decisions/configuration.py
+++ b/lagoonlever/decisions/configuration.py
@@ -78,6 +78,10 @@
     """An engine copies the memory of a run to another engine while it runs."""
     copy_kept_s: float = 0.0
     """How long a copy outlives its source."""
+    moves: bool = False
+    """An engine copies the memory of a run when it is called."""
+    event_tokens: int = 1
+    """Tokens in one event of a stream."""
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engine_book.py
@@ -17,6 +17,7 @@
 
 from lagoonlever.decisions.configuration import EngineLimits
 from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.http.messages import Address
 
 PREFILL_TOKENS_PER_S = 5000.0
 """How fast an engine reads a prompt: the operators' figure for their engines."""
@@ -28,15 +29,33 @@
 """What each copy adds: its run comes here if its engine is lost."""
 OTHER_DATA_CENTER_S = 0.02
 """Below any real difference in load; it decides between engines that are alike."""
+CROWD_S = 0.3
+"""How far choices are spread by chance after a loss.
+
+Two VMs that resume at the same moment would both take the idlest engine, and each
+prompt then waits for the other.
+"""
 FULL_S = 5.0
 """What an engine without room costs: beyond any wait that another one may have."""
 FIRST_AVOID_S = 1.0
 MOST_AVOID_S = 8.0
 """How long an engine is passed over after it failed; doubled each time, up to this."""
+BROKE_AGAIN_S = 2.0
+"""Two broken answers within this time are no accident."""
 LEAST_LEFT = 0.1
 """The part of a prompt that counts as unread until its run gives an event."""
 
 
+@attrs.frozen(kw_only=True)
+class RunCopy:
+    """A copy of a run's memory: the engine that holds it, and what it is called by."""
+
+    holder: str
+    address: Address
+    """Of the engine that the name belongs to: the holder, or the engine that made the copy."""
+    name: str
+
+
 @attrs.frozen(kw_only=True)
 class BookedRun:
     """One run at an engine; sizes in tokens."""
@@ -51,10 +70,16 @@
     """What the run needs at its longest."""
     part: str | None = None
     """The id of the prompt's own part, by which a caller that returns is known."""
-    copy_at: str | None = None
+    copy: RunCopy | None = None
+    """Of use once the run has given its first event."""
     flowing: bool = False
     """It has given its first event."""
 
+    @property
+    def copy_at(self) -> str | None:
+        """The engine that holds the copy."""
+        return self.copy.holder if self.copy else None
+
 
 @attrs.define(kw_only=True)
 class _Record:
@@ -100,6 +125,7 @@
     _records: dict[str, _Record] = attrs.field(factory=dict)
     _by_part: dict[str, str] = attrs.field(factory=dict)
     _avoided: dict[str, _Avoided] = attrs.field(factory=dict)
+    _broke_at: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def open_runs(self) -> tuple[BookedRun, ...]:
@@ -123,10 +149,12 @@
         now: float,
         avoid: frozenset[str] = frozenset(),
         prefer: str | None = None,
+        crowd: bool = False,
     ) -> Placement | None:
         """Choose an engine for a run, or None where there is none at all.
 
-        One that has read the prompt (``prefer``) is spared that part of the wait.
+        One that has read the prompt (``prefer``) is spared that part of the wait. In a
+        crowd, as after a loss, many VMs choose before they hear of each other.
         """
         usable = [engine for engine in engines if engine.id not in avoid]
         calm = [engine for engine in usable if not self.is_avoided(engine.id, now)]
@@ -139,6 +167,7 @@
         own_s = prompt_tokens / PREFILL_TOKENS_PER_S
         for engine in candidates:
             costs[engine.id] += 0.0 if engine.id == prefer else own_s
+            costs[engine.id] += self._rng.uniform(0.0, CROWD_S) if crowd else 0.0
         best = min(candidates, key=lambda engine: costs[engine.id])
         return Placement(engine=best, expected_s=costs[best.id])
 
@@ -183,6 +212,12 @@
         if run.part is not None:
             self._by_part[run.part] = run.request
 
+    def copied(self, request: str, copy: RunCopy) -> None:
+        """Note a new copy of a run."""
+        record = self._records.get(request)
+        if record is not None:
+            record.run = attrs.evolve(record.run, copy=copy)
+
     def flows(self, request: str) -> None:
         """Note that a run has given its first event: its prompt is read."""
         record = self._records.get(request)
@@ -210,6 +245,13 @@
         for_s = min(MOST_AVOID_S, known.for_s * 2) if known else FIRST_AVOID_S
         self._avoided[engine] = _Avoided(until=now + for_s, for_s=for_s)
 
+    def broke(self, engine: str, now: float) -> None:
+        """Note a broken answer of an engine that lives; one that goes on so is passed over."""
+        last = self._broke_at.get(engine)
+        self._broke_at[engine] = now
+        if last is not None and now - last < BROKE_AGAIN_S:
+            self.failed(engine, now)
+
     def served(self, engine: str) -> None:
         """Note that an engine works: it is passed over no longer."""
         self._avoided.pop(engine, None)
--- a/lagoonlever/decisions/stream_life.py
+++ b/lagoonlever/decisions/stream_life.py
@@ -12,27 +12,22 @@
 
 import attrs
 
+from lagoonlever.decisions.engine_book import RunCopy
+
 NO_ENGINE_RETRY_S = 0.1
 """While no engine is known, a stream that has begun looks again this often."""
 MOST_REFUSALS = 12
 """Engines that refuse are passed over; beyond this many, all of them are full."""
 
 
-@attrs.frozen(kw_only=True)
-class RunCopy:
-    """A copy of a run's memory: the engine that holds it, and the request it ran under."""
-
-    engine: str
-    request: str
-
-
 @dataclass(frozen=True, kw_only=True)
 class Place:
     """Choose an engine other than ``avoid`` and send the request there."""
 
     avoid: frozenset[str]
     prefer: str | None = None
-    """An engine that has read the prompt, or a part of it."""
+    """An engine that has read the prompt."""
+    after_loss: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -91,7 +86,6 @@
 class StreamLife:
     """One request for a stream; ``position`` is the last event that the caller has whole."""
 
-    _request: str
     _repeatable: bool
     _max_attempts: int
     position: int | None = None
@@ -110,6 +104,8 @@
     _growing: RunCopy | None = None
     """The copy of the open attempt; there is none before its first event."""
     _prefer: str | None = None
+    _stayed: set[str] = attrs.field(factory=set)
+    """Engines that were kept to once after they lost an answer."""
     _detail: str = ""
     _no_engine: bool = False
 
@@ -117,7 +113,6 @@
     def returning(
         cls,
         *,
-        request: str,
         repeatable: bool,
         max_attempts: int,
         position: int | None,
@@ -129,7 +124,6 @@
         Its former run may have left a copy, and an engine that has read its prompt.
         """
         return cls(
-            request=request,
             repeatable=repeatable,
             max_attempts=max_attempts,
             position=position,
@@ -155,7 +149,7 @@
             return WaitForEngine(seconds=NO_ENGINE_RETRY_S)
         if self._copy is not None:
             return ResumeFrom(copy=self._copy)
-        return Place(avoid=frozenset(self._avoid), prefer=self._prefer)
+        return Place(avoid=frozenset(self._avoid), prefer=self._prefer, after_loss=self.sent > 0)
 
     def copy_unusable(self) -> None:
         """Note that the engine with the copy takes no work."""
@@ -173,18 +167,22 @@
         self._refusals += 1
         self._detail = detail
 
-    def was_sent(self, *, copy_at: str | None) -> None:
+    def was_sent(self, *, copy: RunCopy | None) -> None:
         """Note that a request is being written: from now on it may have run."""
         self.sent += 1
         self.runs += 1
         self._copy = None
         self._prefer = None
-        self._growing = RunCopy(engine=copy_at, request=self._request) if copy_at else None
+        self._growing = copy
 
     def flows(self) -> None:
         """Note the first event of the open attempt: from now on its copy can be used."""
         self._copy = self._growing
 
+    def copied(self, copy: RunCopy) -> None:
+        """Note a copy of the open attempt that was made by a call."""
+        self._copy = copy
+
     def refused(self, engine: str, detail: str) -> None:
         """Note that an engine says that it has not run the request."""
         self.runs -= 1
@@ -193,10 +191,18 @@
         self._copy = None
         self._detail = detail
 
-    def lost(self, engine: str, detail: str) -> None:
-        """Note that an attempt broke off; its run may be gone on from a copy."""
-        self._avoid.add(engine)
+    def lost(self, engine: str, detail: str, *, alive: bool = False, read: bool = False) -> None:
+        """Note that an attempt broke off; its run may be gone on from a copy.
+
+        An engine that lives and has read the prompt (``read``) is the next best place:
+        it only lost an answer. Once, as one that loses answers may lose the next too.
+        """
         self._detail = detail
+        if alive and read and engine not in self._stayed:
+            self._stayed.add(engine)
+            self._prefer = engine
+            return
+        self._avoid.add(engine)
 
     def event(self, event_id: int | None) -> EventVerdict:
         """Judge an event; one without a number goes along with the others."""
--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -32,6 +32,7 @@
 )
 
 OK = 200
+NOT_THERE = 404
 BUSY = 503
 EVENT_TOKENS = 8
 
@@ -106,6 +107,8 @@
             await self._report(exchange)
         elif path == engine_calls.KEPT_PATH:
             await self._list_kept(exchange)
+        elif path == engine_calls.COPY_PATH:
+            await self._copy(exchange)
         else:
             await self._serve(exchange)
 
@@ -125,6 +128,18 @@
         body = msgspec.json.encode(engine_calls.Kept(held=held))
         await exchange.respond(status=OK, headers=Headers(), body=body)
 
+    async def _copy(self, exchange: Exchange) -> None:
+        self.questions["copy"] += 1
+        ask = msgspec.json.decode(exchange.request.body, type=engine_calls.CopyAsk)
+        run, holder = self.runs.get(ask.id), self._fleet.get(ask.to)
+        if run is None or holder is None:
+            await exchange.respond(status=NOT_THERE, headers=Headers(), body=b"")
+            return
+        name = f"handle-{ask.id}"
+        holder.copies[name] = attrs.evolve(run)
+        made = engine_calls.CopyMade(handle=name, created=run.events)
+        await exchange.respond(status=OK, headers=Headers(), body=msgspec.json.encode(made))
+
     async def _serve(self, exchange: Exchange) -> None:
         headers = exchange.request.headers
         self.seen.append(headers)
--- a/lagoonlever/gateway/calls.py
+++ b/lagoonlever/gateway/calls.py
@@ -23,7 +23,8 @@
     Refused,
     TargetClient,
 )
-from lagoonlever.http.server import CallerGone, Exchange
+from lagoonlever.http.server import Exchange
+from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.outcomes import NotRun, Reason, Unknown
 from lagoonlever.platform.headers import to_caller
 from lagoonlever.timers import TimerService
@@ -69,10 +70,9 @@
     async def serve(self, accepted: Accepted) -> None:
         """Give the caller the answer of a target, or tell why there is none."""
         call = _Call(accepted=accepted)
-        async with trio.open_nursery() as nursery:
+        async with open_work_nursery() as nursery:
             nursery.start_soon(_cancel_when_gone, accepted.exchange, nursery.cancel_scope)
             await self._serve(call)
-            nursery.cancel_scope.cancel()
 
     async def _serve(self, call: _Call) -> None:
         accepted = call.accepted
@@ -207,6 +207,3 @@
     if isinstance(result, Refused):
         return f"refused with {result.head.status}"
     return result.detail
-
-
-__all__ = ("CallerGone", "Calls")
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -162,3 +162,10 @@
     " {pause_s:.3f} s: {detail}",
     "One line for each stream. The pause counts over all attempts of this VM.",
 )
+RUN_COPIED = event(
+    1047,
+    "run-copied",
+    "info",
+    "{request} at {target}: its copy at {holder} was {outcome}",
+    "The engine that held the copy of a run's memory is lost or leaves; another one gets it.",
+)
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lagoonlever.decisions.engine_book import RunCopy
 from lagoonlever.http.messages import Address
 
 
@@ -23,6 +24,8 @@
     prompt_tokens: int
     output_tokens: int
     """At most; the answer may be shorter."""
+    length_hint: int | None = None
+    """How long the answer may become by the caller's guess."""
     parts: tuple[PromptPart, ...] = ()
 
     @property
@@ -44,14 +47,6 @@
     ask: GenerationAsk | None
 
 
-@attrs.frozen(kw_only=True)
-class CopyOfRun:
-    """A copy of a run's memory: the engine that holds it, and the request of the run."""
-
-    holder: Address
-    request_id: str
-
-
 @attrs.frozen(kw_only=True)
 class Hop:
     """What this system tells a target beside the caller's request."""
@@ -64,7 +59,7 @@
     last_event_id: int | None = None
     copy_to: Address | None = None
     """The engine that is to hold a copy of the run's memory."""
-    copy_from: CopyOfRun | None = None
+    copy_from: RunCopy | None = None
     """The copy that the run goes on from."""
 
 
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -10,7 +10,7 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.engine_book import BookedRun
+from lagoonlever.decisions.engine_book import BookedRun, RunCopy
 from lagoonlever.decisions.fellows import SAY_EVERY_S, FellowState
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
@@ -23,6 +23,7 @@
     EngineLost,
     Knowledge,
     KnowledgeAsk,
+    RunCopied,
     RunEnded,
     RunFlows,
 )
@@ -58,6 +59,7 @@
             FellowState: self._take_state,
             BookedRun: self._take_run,
             RunFlows: self._take_flows,
+            RunCopied: self._take_copied,
             RunEnded: self._take_ended,
             EngineLost: self._take_engine_lost,
             KnowledgeAsk: self._take_ask,
@@ -78,6 +80,11 @@
         self._beliefs.book.begin(run, self._timers.now)
         self._broadcast(run)
 
+    def copied(self, request: str, copy: RunCopy) -> None:
+        """Note a new copy of a run of this VM, and tell the others."""
+        self._beliefs.book.copied(request, copy)
+        self._broadcast(RunCopied(request=request, copy=copy))
+
     def flows(self, request: str) -> None:
         """Note the first event of a run of this VM, and tell the others."""
         self._beliefs.book.flows(request)
@@ -208,6 +215,9 @@
     def _take_flows(self, received: Received[RunFlows]) -> None:
         self._beliefs.book.flows(received.message.request)
 
+    def _take_copied(self, received: Received[RunCopied]) -> None:
+        self._beliefs.book.copied(received.message.request, received.message.copy)
+
     def _take_ended(self, received: Received[RunEnded]) -> None:
         ended = received.message
         self._beliefs.book.end(ended.request, self._timers.now, whole=ended.whole)
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -6,8 +6,10 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.engine_book import BookedRun
-from lagoonlever.decisions.stream_life import EventVerdict, RunCopy, StreamLife
+from lagoonlever.decisions.configuration import EngineLimits
+from lagoonlever.decisions.copy_keeping import CHECK_S, CopyKeeping
+from lagoonlever.decisions.engine_book import BookedRun, RunCopy
+from lagoonlever.decisions.stream_life import EventVerdict, StreamLife
 from lagoonlever.decisions.stream_silence import (
     Answer,
     AskEngine,
@@ -20,12 +22,14 @@
 from lagoonlever.gateway import events
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.beliefs import Beliefs
-from lagoonlever.gateway.messages import AnswerHead, CopyOfRun, EngineReport, Hop, RunReport
+from lagoonlever.gateway.messages import AnswerHead, EngineReport, Hop, RunReport
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.prober import EngineProber
+from lagoonlever.gateway.run_copier import copy_run
 from lagoonlever.gateway.target_client import NotSent, TargetClient
 from lagoonlever.http.client import ClientConnection, Response
 from lagoonlever.http.sse import RawEvent, RawEventSplitter
+from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.platform.headers import read_answer, to_caller, to_target
 from lagoonlever.timers import TimerService
 
@@ -45,6 +49,7 @@
     run: BookedRun
     copy_to: ListedTarget | None
     copy_from: RunCopy | None
+    limits: EngineLimits
     reason: str
 
 
@@ -100,8 +105,7 @@
                 return
             head = await self._exchange(connection)
         except _Ended as ended:
-            self._life.lost(engine.id, str(ended))
-            self._log_end(str(ended))
+            await self._lost(ended)
         finally:
             await self._tools.client.release(connection, head)
 
@@ -117,14 +121,17 @@
     async def _exchange(self, connection: ClientConnection) -> AnswerHead | None:
         """Write and relay; gives the head if the connection may be kept."""
         plan = self._plan
-        self._life.was_sent(copy_at=plan.copy_to.id if plan.copy_to else None)
+        self._life.was_sent(copy=plan.run.copy)
         self._peers.begin(plan.run)
         self._log_sent()
         silence = StreamSilence(sent_at=self._now)
         watched = self._tools.watched.setdefault(plan.engine.id, set())
         watched.add(silence)
         try:
-            return await self._relay(connection, silence)
+            async with open_work_nursery() as nursery:
+                if plan.limits.moves and self._accepted.route.repeatable:
+                    nursery.start_soon(self._keep_copy)
+                return await self._relay(connection, silence)
         finally:
             watched.discard(silence)
             if not watched:
@@ -151,7 +158,6 @@
                 assert isinstance(piece, bytes)
                 await self._pass_on(self._splitter.feed(piece), silence)
         except (ConnectionBroken, BadResponse) as error:
-            self._peers.engine_lost(self._plan.engine.id, replaced=False)
             raise _Ended(error.message) from error
         except ValueError as error:
             raise _Ended(str(error)) from error
@@ -169,7 +175,6 @@
         while True:
             step = silence.decide(self._now)
             if isinstance(step, SilenceLost):
-                self._peers.engine_lost(self._plan.engine.id, replaced=False)
                 raise _Ended(step.reason)
             if isinstance(step, AskEngine):
                 await self._ask(connection, silence)
@@ -252,6 +257,70 @@
             )
         silence.event(now)
 
+    async def _lost(self, ended: _Ended) -> None:
+        """Ask the engine whether it lives: one that only lost an answer is not left by all."""
+        engine = self._plan.engine
+        alive = await self._tools.prober.ask(engine) is not None
+        self._life.lost(engine.id, str(ended), alive=alive, read=self._has_read)
+        if alive:
+            self._tools.beliefs.book.broke(engine.id, self._now)
+        else:
+            self._peers.engine_lost(engine.id, replaced=False)
+        self._log_end(f"{ended}; the engine {'lives' if alive else 'does not answer'}")
+
+    @property
+    def _has_read(self) -> bool:
+        """Whether the engine has read the prompt, or need not."""
+        return self._flowing or self._plan.copy_from is not None
+
+    async def _keep_copy(self) -> None:
+        """Copy the run anew when the engine that holds its copy is lost or leaves."""
+        plan = self._plan
+        keeping = CopyKeeping(kept_s=plan.limits.copy_kept_s)
+        keeping.growing(plan.copy_to.id if plan.copy_to else None)
+        while True:
+            await trio.sleep(CHECK_S)
+            now = self._now
+            usable = keeping.holder is not None and self._is_usable(keeping.holder)
+            if not self._flowing or not keeping.due(now, holder_usable=usable):
+                continue
+            to = self._new_holder(keeping.holder if usable else None)
+            copied = (
+                await copy_run(self._accepted.request_id, source=plan.engine, to=to)
+                if to
+                else "no engine has room"
+            )
+            if isinstance(copied, str):
+                keeping.failed(self._now)
+            else:
+                keeping.called(copied.holder, self._now)
+                self._life.copied(copied)
+                self._peers.copied(self._accepted.request_id, copied)
+            events.RUN_COPIED.log(
+                log,
+                request=self._accepted.request_id,
+                target=plan.engine.id,
+                holder=to.id if to else None,
+                outcome=copied if isinstance(copied, str) else "made",
+            )
+
+    def _is_usable(self, engine: str) -> bool:
+        beliefs = self._tools.beliefs
+        return beliefs.targets.takes_work(engine) and not beliefs.book.is_avoided(engine, self._now)
+
+    def _new_holder(self, present: str | None) -> ListedTarget | None:
+        """Give the engine for a called copy: the present holder, which then gets what is new."""
+        targets = self._tools.beliefs.targets
+        if present is not None:
+            return targets.find(present)
+        return self._tools.beliefs.book.place_copy(
+            targets.serving(self._accepted.service),
+            limits=self._plan.limits,
+            beside=self._plan.engine,
+            memory_tokens=self._plan.run.memory_tokens,
+            now=self._now,
+        )
+
     def _hop(self) -> Hop:
         accepted, plan = self._accepted, self._plan
         return Hop(
@@ -260,11 +329,7 @@
             organisation=accepted.organisation,
             last_event_id=self._life.position,
             copy_to=plan.copy_to.address if plan.copy_to else None,
-            copy_from=(
-                CopyOfRun(holder=plan.engine.address, request_id=plan.copy_from.request)
-                if plan.copy_from
-                else None
-            ),
+            copy_from=plan.copy_from,
         )
 
     def _log_sent(self) -> None:
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -7,15 +7,15 @@
 import trio
 
 from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.engine_book import BookedRun
+from lagoonlever.decisions.engine_book import BookedRun, RunCopy
 from lagoonlever.decisions.stream_life import (
     GiveUp,
     Place,
     ResumeFrom,
-    RunCopy,
     StreamLife,
     WaitForEngine,
 )
+from lagoonlever.decisions.stream_time import least_time_s
 from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.gateway import events
 from lagoonlever.gateway.accepted import Accepted
@@ -25,6 +25,8 @@
 from lagoonlever.gateway.messages import GenerationAsk
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.stream_attempt import AttemptPlan, AttemptTools, StreamAttempt
+from lagoonlever.http.server import CallerGone
+from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.outcomes import NotRun, Reason, Unknown
 
 log = logbook.Logger(__name__)
@@ -52,15 +54,17 @@
         """Give the caller the events of an engine until the last, or tell why there are none."""
         life = await self._new_life(accepted)
         whole = False
-        async with trio.open_nursery() as nursery:
+        async with open_work_nursery() as nursery:
             nursery.start_soon(self._cancel_when_gone, accepted, life, nursery.cancel_scope)
             try:
                 await self._serve(accepted, life)
                 whole = life.whole
+            except CallerGone:
+                self._log(accepted, life, 0, "caller-gone", life.detail)
+                raise
             finally:
                 if life.sent:
                     self._peers.end(accepted.request_id, whole=whole)
-            nursery.cancel_scope.cancel()
 
     async def _new_life(self, accepted: Accepted) -> StreamLife:
         """Begin a stream; a caller that returns goes on where its last run left a copy."""
@@ -69,13 +73,10 @@
         copy: RunCopy | None = None
         prefer: str | None = None
         if former is not None and former.flowing:
-            prefer = former.engine
-            if former.copy_at is not None:
-                copy = RunCopy(engine=former.copy_at, request=former.request)
+            prefer, copy = former.engine, former.copy
         elif part is not None and accepted.caller.last_event_id is not None:
             prefer = await self._locator.find(part, self._serving(accepted.service))
         return StreamLife.returning(
-            request=accepted.request_id,
             repeatable=accepted.route.repeatable,
             max_attempts=accepted.route.max_attempts,
             position=accepted.caller.last_event_id,
@@ -109,6 +110,8 @@
             step = life.next_step()
             if isinstance(step, GiveUp):
                 return step
+            if not self._can_end(accepted, life, step):
+                return GiveUp(may_have_run=life.runs > 0, detail="it can't end in time")
             if isinstance(step, WaitForEngine):
                 await trio.sleep(step.seconds)
                 continue
@@ -120,6 +123,21 @@
             ).run()
         return None
 
+    def _can_end(
+        self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom | WaitForEngine
+    ) -> bool:
+        """Tell whether a stream could end in its time on an idle engine."""
+        ask = _ask(accepted)
+        cached = isinstance(step, ResumeFrom) or (isinstance(step, Place) and bool(step.prefer))
+        least_s = least_time_s(
+            prompt_tokens=ask.prompt_tokens,
+            output_tokens=min(ask.output_tokens, ask.length_hint or ask.output_tokens),
+            position=life.position or 0,
+            event_tokens=self._limits(accepted.service).event_tokens,
+            cached=cached,
+        )
+        return least_s <= accepted.left_s(self._now)
+
     def _plan(
         self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom
     ) -> AttemptPlan | None:
@@ -131,7 +149,7 @@
             if engine is None:
                 life.copy_unusable()
                 return None
-            reason, prompt_tokens = "its copy is there", RESUMED_PROMPT_TOKENS
+            reason, prompt_tokens = f"copy {step.copy.name} is there", RESUMED_PROMPT_TOKENS
         else:
             placement = self._beliefs.book.place(
                 self._serving(accepted.service),
@@ -141,11 +159,14 @@
                 now=self._now,
                 avoid=step.avoid,
                 prefer=step.prefer,
+                crowd=step.after_loss or accepted.caller.last_event_id is not None,
             )
             if placement is None:
                 life.no_engine()
                 return None
             engine, prompt_tokens = placement.engine, ask.prompt_tokens
+            if engine.id == step.prefer:
+                prompt_tokens = RESUMED_PROMPT_TOKENS
             reason = f"a first event is expected in {placement.expected_s:.2f} s"
         copy_to = self._copy_to(accepted, engine, limits, ask)
         run = BookedRun(
@@ -155,23 +176,24 @@
             prompt_tokens=prompt_tokens,
             memory_tokens=ask.prompt_tokens + ask.output_tokens,
             part=ask.own_part,
-            copy_at=copy_to.id if copy_to else None,
+            copy=_growing_copy(accepted, copy_to) if copy_to else None,
         )
         return AttemptPlan(
             engine=engine,
             run=run,
             copy_to=copy_to,
             copy_from=step.copy if isinstance(step, ResumeFrom) else None,
+            limits=limits,
             reason=reason,
         )
 
     def _copy_holder(self, copy: RunCopy) -> ListedTarget | None:
         targets = self._beliefs.targets
-        if not targets.takes_work(copy.engine):
+        if not targets.takes_work(copy.holder):
             return None
-        if self._beliefs.book.is_avoided(copy.engine, self._now):
+        if self._beliefs.book.is_avoided(copy.holder, self._now):
             return None
-        return targets.find(copy.engine)
+        return targets.find(copy.holder)
 
     def _copy_to(
         self, accepted: Accepted, engine: ListedTarget, limits: EngineLimits, ask: GenerationAsk
@@ -226,5 +248,9 @@
         )
 
 
+def _growing_copy(accepted: Accepted, holder: ListedTarget) -> RunCopy:
+    return RunCopy(holder=holder.id, address=holder.address, name=accepted.request_id)
+
+
 def _ask(accepted: Accepted) -> GenerationAsk:
     return accepted.caller.ask or NO_ASK
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lagoonlever.decisions.engine_book import BookedRun
+from lagoonlever.decisions.engine_book import BookedRun, RunCopy
 from lagoonlever.decisions.fellows import FellowState
 from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.http.messages import Address
@@ -25,6 +25,15 @@
     request: str
 
 
+@PEER.message("gc")
+@attrs.frozen(kw_only=True)
+class RunCopied:
+    """A run's memory was copied by a call."""
+
+    request: str
+    copy: RunCopy
+
+
 @PEER.message("ge")
 @attrs.frozen(kw_only=True)
 class RunEnded:
@@ -68,4 +77,4 @@
     runs: tuple[BookedRun, ...] = ()
 
 
-__all__ = ("EngineLost", "Knowledge", "KnowledgeAsk", "RunEnded", "RunFlows")
+__all__ = ("EngineLost", "Knowledge", "KnowledgeAsk", "RunCopied", "RunEnded", "RunFlows")
--- a/lagoonlever/platform/configuration.py
+++ b/lagoonlever/platform/configuration.py
@@ -98,6 +98,8 @@
         token_bytes=int(raw.get("KvTokenBytes") or 0),
         copies=bool(raw.get("Backups", False)),
         copy_kept_s=float(raw.get("HandleS") or 0.0),
+        moves=bool(raw.get("Moves", False)),
+        event_tokens=int(raw.get("Stride") or 1),
     )
 
 
--- a/lagoonlever/platform/engine_calls.py
+++ b/lagoonlever/platform/engine_calls.py
@@ -8,6 +8,7 @@
 
 REPORT_PATH = "/-/report"
 KEPT_PATH = "/-/kv-list"
+COPY_PATH = "/-/kv-move"
 
 
 class Report(msgspec.Struct, rename="pascal", kw_only=True):
@@ -21,6 +22,23 @@
     """Each run: its request, tokens in memory, events made, priority."""
 
 
+class CopyAsk(msgspec.Struct, rename="pascal", kw_only=True):
+    """Asks an engine to copy a run to another one; without ``last`` the run goes on."""
+
+    id: str
+    """Of the request that the run serves."""
+    to: str
+    last: bool = False
+
+
+class CopyMade(msgspec.Struct, rename="pascal", kw_only=True):
+    """``handle`` names the copy at the engine that made it, not at the one that holds it."""
+
+    handle: str
+    created: int = 0
+    """Events that the copy covers; no time."""
+
+
 class Kept(msgspec.Struct, kw_only=True):
     """The parts of prompts in an engine's memory; an entry begins with a text that is empty."""
 
--- a/lagoonlever/platform/headers.py
+++ b/lagoonlever/platform/headers.py
@@ -19,6 +19,7 @@
 MODEL = "Model"
 TOKEN_COUNT = "Token-Count"
 """Of the prompt, and at most of the answer."""
+LENGTH_HINT = "Length-Hint"
 PROMPT_PARTS = "Prompt-Prefix"
 """All parts of the prompt, not only those that it shares."""
 SEAL = "Response-Seal"
@@ -107,7 +108,7 @@
     if hop.copy_to is not None:
         pairs.append((COPY_TO, str(hop.copy_to)))
     if hop.copy_from is not None:
-        pairs.append((COPY_FROM, f"{hop.copy_from.holder}/{hop.copy_from.request_id}"))
+        pairs.append((COPY_FROM, f"{hop.copy_from.address}/{hop.copy_from.name}"))
     return Headers(tuple(pairs))
 
 
@@ -165,6 +166,7 @@
             model=headers.get(MODEL) or "",
             prompt_tokens=int(prompt),
             output_tokens=int(output or 0),
+            length_hint=_hint(headers.get(LENGTH_HINT)),
             parts=_parts(headers.get(PROMPT_PARTS) or ""),
         )
     except ValueError as error:
@@ -173,6 +175,10 @@
         ) from error
 
 
+def _hint(text: str | None) -> int | None:
+    return int(text) if text is not None and text.isdecimal() else None
+
+
 def _parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for entry in filter(None, text.split(",")):
--- a/lagoonlever/tests/gateway_streams_tests.py
+++ b/lagoonlever/tests/gateway_streams_tests.py
@@ -222,3 +222,59 @@
         assert not got.whole and got.is_events("p1", 1, had) and had < 30
 
     run_site(story)
+
+
+def test_a_run_whose_copy_s_holder_leaves_is_copied_anew() -> None:
+    """The engine that holds a run's copy drains, and then the run's own engine crashes.
+
+    Before, the copy was gone with its holder, and the caller waited a second while the
+    prompt was read again. The run is copied to a third engine as soon as the holder leaves.
+    """
+
+    async def story(site: GatewaySite) -> None:
+        for engine in site.engines.values():
+            engine.event_s = 0.02
+
+        def holder() -> str:
+            return next(name for name, engine in site.engines.items() if engine.copies)
+
+        def disturb(count: int) -> None:
+            if count == 5:
+                site.list_target(holder(), service="engines", state="draining")
+            if count == 40:
+                site.crash(running_engine(site))
+
+        got = await site.stream("p1", events=60, prompt_tokens=1000, on_event=disturb)
+        assert got.whole and got.is_events("p1", 1, 60)
+        assert sum(engine.read_tokens["p1"] for engine in site.engines.values()) == 1000
+
+    run_site(story, engines=4)
+
+
+def test_an_engine_that_only_lost_an_answer_is_kept_to_once() -> None:
+    """An engine reads a prompt and its answer is lost on the way; the engine lives.
+
+    It keeps the prompt, so that the second attempt there reads nothing.
+    """
+
+    async def story(site: GatewaySite) -> None:
+        for engine in site.engines.values():
+            engine.prefill_tokens_per_s = 5_000.0
+            engine.conducts.append(EngineConduct.HALF_EVENT)
+
+        got = await site.stream("p1", events=12, prompt_tokens=500)
+        assert got.whole and got.is_events("p1", 1, 12)
+        assert sum(engine.read_tokens["p1"] for engine in site.engines.values()) == 500
+
+    run_site(story)
+
+
+def test_a_stream_that_can_t_end_in_time_is_refused_before_its_prompt_is_read() -> None:
+    """A caller returns with a second left, for an answer that takes four on an idle engine."""
+
+    async def story(site: GatewaySite) -> None:
+        got = await site.stream("p1", events=190, prompt_tokens=5000, Deadline_Ms="1000")
+        assert got.status == 503
+        assert not any(engine.seen for engine in site.engines.values())
+
+    run_site(story)
