Hedge repeatable calls, keep the rest to one write, watch the store in two gathered calls

Change: a call counts as maybe run from its write until its target denies it; repeatable calls are hedged by the product's own HedgedCall with the route's attempts, calls that run once avoid runners that fail; near runners first. The register is read once after an own entry; two watches wait 0.2 s after a change. Two engines of a data centre lost within 0.5 s have its open attempts ask at once. Copies go by kept connections.

--- a/lagoonlever/decisions/fellows.py
+++ b/lagoonlever/decisions/fellows.py
@@ -1,11 +1,10 @@
 """The fellow VMs: who they are, and which of them callers may be sent to.
 
 Two sources, neither of them a promise. The store's register tells which VMs exist and
-where their bus listens; it lags a death by the life of a lease. What VMs say of
-themselves several times a second tells who is alive and takes callers now. A VM that
-was heard and then falls silent is dead or cut off: a caller sent there would lose its
-one retry, so it is left out within a second. A VM that is registered and was never
-heard is told, as the bus may be what is broken.
+where their bus listens; it is read once, and lags a death by the life of a lease. What
+VMs say of themselves several times a second tells who is alive and takes callers now.
+A VM that has fallen silent, or was never heard though it is registered, is dead or cut
+off: a caller sent there would lose its one retry, so it is left out within a second.
 """
 
 from __future__ import annotations
@@ -42,9 +41,9 @@
 @attrs.define(kw_only=True)
 class _Fellow:
     state: FellowState
-    heard_at: float | None = None
-    registered: bool = False
-    first_known: float = 0.0
+    known_at: float
+    """When it was last heard, or first read of."""
+    heard: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -59,51 +58,28 @@
         """What is known of every fellow, heard or registered."""
         return tuple(fellow.state for fellow in self._fellows.values())
 
-    def known(self, life: Incarnation) -> bool:
-        """Tell whether this very life was heard."""
-        fellow = self._fellows.get(life.name)
-        return fellow is not None and fellow.state.life == life and fellow.heard_at is not None
-
     def heard(self, state: FellowState, now: float) -> bool:
         """Take what a VM says of itself; gives True for a life that was not heard before."""
         if state.life.name == self._own.name:
             return False
-        fellow = self._fellows.get(state.life.name)
-        if fellow is not None and state.life < fellow.state.life:
+        known = self._fellows.get(state.life.name)
+        if known is not None and state.life < known.state.life:
             return False
-        is_new = fellow is None or fellow.state.life != state.life or fellow.heard_at is None
-        registered = fellow.registered if fellow and fellow.state.life == state.life else False
-        first_known = fellow.first_known if fellow and not is_new else now
-        self._fellows[state.life.name] = _Fellow(
-            state=state, heard_at=now, registered=registered, first_known=first_known
-        )
-        return is_new
+        self._fellows[state.life.name] = _Fellow(state=state, known_at=now, heard=True)
+        return known is None or known.state.life != state.life or not known.heard
 
     def registered(self, state: FellowState, now: float) -> None:
         """Take an entry of the register; what the VM itself said goes before it."""
         if state.life.name == self._own.name:
             return
-        fellow = self._fellows.get(state.life.name)
-        if fellow is None or fellow.state.life < state.life:
-            self._fellows[state.life.name] = _Fellow(state=state, registered=True, first_known=now)
-        elif fellow.state.life == state.life:
-            fellow.registered = True
-
-    def unregistered(self, life: Incarnation) -> None:
-        """Note that a life's entry is gone; alone that ends nothing, as leases lapse in outages."""
-        fellow = self._fellows.get(life.name)
-        if fellow is None or fellow.state.life != life:
-            return
-        fellow.registered = False
-        if fellow.heard_at is None:
-            del self._fellows[life.name]
+        known = self._fellows.get(state.life.name)
+        if known is None or known.state.life < state.life:
+            self._fellows[state.life.name] = _Fellow(state=state, known_at=now)
 
     def is_silent(self, name: str, now: float) -> bool:
-        """Tell whether a VM that was heard has fallen silent."""
+        """Tell whether a VM has said nothing for too long."""
         fellow = self._fellows.get(name)
-        if fellow is None or fellow.heard_at is None:
-            return False
-        return now - fellow.heard_at > SILENT_S
+        return fellow is not None and now - fellow.known_at > SILENT_S
 
     def offered(self, now: float) -> tuple[FellowState, ...]:
         """Give the VMs that callers may be sent to."""
@@ -118,6 +94,5 @@
     def expire(self, now: float) -> None:
         """Forget VMs that have been silent for long."""
         for name, fellow in list(self._fellows.items()):
-            last = fellow.heard_at if fellow.heard_at is not None else fellow.first_known
-            if not fellow.registered and now - last > FORGET_S:
+            if now - fellow.known_at > FORGET_S:
                 del self._fellows[name]
--- a/lagoonlever/decisions/hedging.py
+++ b/lagoonlever/decisions/hedging.py
@@ -36,6 +36,15 @@
 RECHECK_S = 0.05
 """A call that waits while the budget is empty looks again after this time."""
 
+FAILURE_WEIGHT = 0.15
+"""Of the newest answer in a runner's failure rate: five failures of ten show within ten."""
+UNSOUND_EXCESS = 0.2
+"""A runner that fails this much more often than the best one is passed over."""
+SAMPLE_UNSOUND = 0.1
+"""The part of repeatable calls that go to an unsound runner all the same, to see it mend."""
+NEAR_SLACK = 2
+"""Calls that a runner of the same data centre may have more than the least busy one."""
+
 
 @attrs.define(kw_only=True)
 class HedgeDelay:
@@ -75,6 +84,8 @@
     outstanding: int = 0
     limit_cut_at: float = float("-inf")
     losses: int = 0
+    failure_rate: float = 0.0
+    """Of late: lost answers, and failures of the runner's own."""
     avoid_s: float = FIRST_AVOID_S
     avoid_until: float = 0.0
 
@@ -83,6 +94,10 @@
         """Whether the runner has let several attempts wait and answered none since."""
         return self.losses >= STALLED_AFTER_LOSSES
 
+    def note(self, *, failed: bool) -> None:
+        """Take an answer, or the lack of one, into the failure rate."""
+        self.failure_rate += FAILURE_WEIGHT * (float(failed) - self.failure_rate)
+
 
 @attrs.define(kw_only=True)
 class Runners:
@@ -104,10 +119,19 @@
             self._states[name] = RunnerState(limit=self._max_outstanding, budget=self._new_budget())
         return self._states[name]
 
-    def choose(self, names: Iterable[str], *, now: float, probe: bool = True) -> str | None:
+    def choose(
+        self,
+        names: Iterable[str],
+        *,
+        now: float,
+        probe: bool = True,
+        near: frozenset[str] = frozenset(),
+    ) -> str | None:
         """Choose a runner for an attempt, or None when each is stalled or full.
 
-        Only a first attempt may ``probe``; a hedge goes where an answer is likely.
+        Only a first attempt may ``probe``; a hedge goes where an answer is likely, and
+        so does a call that runs at most once. Runners that are ``near`` go first while
+        they are hardly busier.
         """
         free = [name for name in names if self._has_room(name)]
         stalled = [name for name in free if self.state(name).stalled]
@@ -116,7 +140,8 @@
             self._postpone_probe(due[0], now)
             return due[0]
         healthy = [name for name in free if name not in stalled]
-        return self._less_busy(healthy or (stalled if probe else []))
+        sound = self._sound(healthy, sample=probe)
+        return self._nearest(sound, near) or self._less_busy(sound or (stalled if probe else []))
 
     def retain(self, names: Iterable[str]) -> None:
         """Forget runners that are gone."""
@@ -143,8 +168,16 @@
         state.losses = 0
         state.avoid_s = FIRST_AVOID_S
         state.avoid_until = 0.0
+        state.note(failed=False)
         state.budget.on_success()
 
+    def on_error(self, name: str) -> None:
+        """Note an answer that tells of the runner's own failure: it is there, and not well."""
+        state = self.state(name)
+        state.outstanding = max(0, state.outstanding - 1)
+        state.losses = 0
+        state.note(failed=True)
+
     def on_failure(self, name: str, *, now: float) -> None:
         """Note an attempt that was broken, refused, or not answered in its time."""
         state = self.state(name)
@@ -157,6 +190,7 @@
         state = self.state(name)
         state.outstanding = max(0, state.outstanding - 1)
         state.losses += 1
+        state.note(failed=True)
         if state.losses == STALLED_AFTER_LOSSES:
             state.avoid_until = now + state.avoid_s
 
@@ -180,6 +214,22 @@
         state.avoid_s = min(MOST_AVOID_S, state.avoid_s * 2)
         state.avoid_until = now + state.avoid_s
 
+    def _sound(self, names: list[str], *, sample: bool) -> list[str]:
+        """Leave out runners that fail far more often than the best one."""
+        if not names or (sample and self._rng.random() < SAMPLE_UNSOUND):
+            return names
+        least = min(self.state(name).failure_rate for name in names)
+        return [n for n in names if self.state(n).failure_rate <= least + UNSOUND_EXCESS]
+
+    def _nearest(self, names: list[str], near: frozenset[str]) -> str | None:
+        """Give the least busy near runner, unless it is much busier than another."""
+        close = [name for name in names if name in near]
+        if not close:
+            return None
+        best = min(close, key=lambda name: self.state(name).outstanding)
+        least = min(self.state(name).outstanding for name in names)
+        return best if self.state(best).outstanding <= least + NEAR_SLACK else None
+
     def _less_busy(self, names: list[str]) -> str | None:
         """Take the less busy of two: the least busy of all would draw every VM at once."""
         if not names:
@@ -229,6 +279,8 @@
     _budget: RetryBudget
     _deadline: float
     _hedge: bool = True
+    _max_attempts: int = MAX_ATTEMPTS
+    _near: frozenset[str] = frozenset()
     _sent_at: dict[str, float] = attrs.field(factory=dict)
     _open: set[str] = attrs.field(factory=set)
     _hedge_at: float = 0.0
@@ -271,6 +323,11 @@
         if overloaded:
             self._budget.on_overload()
 
+    def on_error(self, runner: str) -> None:
+        """Take an answer that tells of a failure of the runner: another one may do better."""
+        self._open.discard(runner)
+        self._runners.on_error(runner)
+
     def give_up(self, now: float) -> None:
         """End the attempts that are still open; those older than the delay count as losses."""
         for runner in self._open:
@@ -302,16 +359,16 @@
         return now >= self._hedge_at
 
     def _first(self, now: float) -> CallDecision:
-        runner = self._runners.choose(self._live_names(), now=now)
+        runner = self._runners.choose(self._live_names(), now=now, near=self._near)
         if runner is None:
             return Stop(sent=False, timed_out=False)
         return self._send(runner, now)
 
     def _extra(self, now: float) -> Send | None:
-        if self.attempts >= MAX_ATTEMPTS or (self._open and not self._hedge):
+        if self.attempts >= self._max_attempts or (self._open and not self._hedge):
             return None
         others = [name for name in self._live_names() if name not in self._sent_at]
-        runner = self._runners.choose(others, now=now, probe=False)
+        runner = self._runners.choose(others, now=now, probe=False, near=self._near)
         if runner is None:
             return None
         if not take_extra(self._budget, self._runners.state(runner).budget):
--- a/lagoonlever/fakes/metadata_store.py
+++ b/lagoonlever/fakes/metadata_store.py
@@ -122,7 +122,7 @@
     async def _read_range(self, exchange: Exchange) -> None:
         query = exchange.request.query
         after = query.get("After", "").encode()
-        stored = [each for each in self._range(query["Prefix"]) if each.key > after]
+        stored = [each for each in self._range(query.get("Prefix", "")) if each.key > after]
         page = wire.RangePage(
             items=[_item(each) for each in stored[: self.page]],
             more_pages=len(stored) > self.page,
@@ -132,7 +132,7 @@
 
     async def _watch(self, exchange: Exchange) -> None:
         query = exchange.request.query
-        prefix, after = query["Prefix"].encode(), int(query["After"])
+        prefix, after = query.get("Prefix", "").encode(), int(query["After"])
         with trio.move_on_after(int(query["WaitMs"]) / MS):
             while True:
                 if self.fault is StoreFault.SILENT:
--- /dev/null
+++ b/lagoonlever/gateway/call_exchange.py
@@ -0,0 +1,166 @@
+"""One attempt of a call at one target, and what became of it."""
+
+from __future__ import annotations
+
+import attrs
+import logbook
+
+from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.gateway import events
+from lagoonlever.gateway.accepted import Accepted
+from lagoonlever.gateway.answers import tell
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.messages import AnswerHead, Hop
+from lagoonlever.gateway.peers import PeerExchange
+from lagoonlever.gateway.target_client import (
+    Answered,
+    AttemptResult,
+    Lost,
+    NotSent,
+    Refused,
+    TargetClient,
+)
+from lagoonlever.outcomes import NotRun, Reason, Unknown
+from lagoonlever.platform.headers import to_caller
+from lagoonlever.timers import TimerService
+
+log = logbook.Logger(__name__)
+
+SERVER_ERROR = 500
+COME_BACK_S = 0.1
+GATEWAY_TIMEOUT = 504
+BAD_GATEWAY = 502
+
+
+@attrs.define(kw_only=True)
+class CallRecord:
+    """What was tried for one call; a target counts as maybe having run it until it denies it."""
+
+    accepted: Accepted
+    sent: int = 0
+    """Targets that the request was written to; a refusal of a target counts too."""
+    target: str | None = None
+    detail: str = ""
+    failure: Answered | None = None
+    """A target's own failure, to be passed on if nothing better comes."""
+    _may_have_run: set[str] = attrs.field(factory=set)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any target may have run it: then nothing says "not run"."""
+        return bool(self._may_have_run)
+
+    def written(self, target: str) -> None:
+        """Note that the request is being written to a target."""
+        self.sent += 1
+        self.target = target
+        self._may_have_run.add(target)
+
+    def denied(self, target: str) -> None:
+        """Note that a target says that it has not run the request."""
+        self._may_have_run.discard(target)
+
+
+@attrs.define(kw_only=True, eq=False)
+class CallExchange:
+    """Sends attempts, and gives callers their final answers."""
+
+    beliefs: Beliefs
+    peers: PeerExchange
+    timers: TimerService
+    client: TargetClient
+
+    async def attempt(
+        self, call: CallRecord, target: ListedTarget, *, rested_at_most_s: float
+    ) -> AttemptResult:
+        """Send a call to one target; nothing awaits between the last check and the write."""
+        accepted = call.accepted
+        connection = await self.client.connect(target, rested_at_most_s=rested_at_most_s)
+        if isinstance(connection, NotSent):
+            return connection
+        head: AnswerHead | None = None
+        try:
+            left_s = accepted.left_s(self.timers.now)
+            if left_s <= 0 or not self.beliefs.targets.takes_work(target.id):
+                return NotSent(detail="the target leaves, or the time is over")
+            hop = Hop(target_id=target.id, deadline_s=left_s, organisation=accepted.organisation)
+            call.written(target.id)
+            opened = await self.client.open(
+                connection, accepted.request, hop, request_id=accepted.request_id
+            )
+            if isinstance(opened, Lost):
+                return opened
+            if isinstance(opened, Refused):
+                head = opened.head
+                call.denied(target.id)
+                self._note_replaced(target, opened)
+                return opened
+            result = await self.client.read_whole(opened)
+            if isinstance(result, Answered):
+                head = result.head
+            return result
+        finally:
+            await self.client.release(connection, head)
+
+    async def finish(self, call: CallRecord, answered: Answered | None) -> None:
+        """Give the caller a target's answer, or tell why there is none."""
+        if answered is None:
+            outcome = self._outcome(call)
+            self._log(call, int(outcome.status), outcome.tag.value, outcome.message)
+            await tell(call.accepted.exchange, outcome)
+            return
+        response = answered.response
+        self._log(call, response.status, "done", call.detail)
+        await call.accepted.exchange.respond(
+            status=response.status, headers=to_caller(response.headers), body=response.body
+        )
+
+    def log_caller_gone(self, call: CallRecord) -> None:
+        """Log that a caller left before its answer."""
+        self._log(call, 0, "caller-gone", call.detail)
+
+    def near(self, targets: tuple[ListedTarget, ...], data_center: str) -> frozenset[str]:
+        """Give the targets of a data centre."""
+        return frozenset(target.id for target in targets if target.data_center == data_center)
+
+    def _note_replaced(self, target: ListedTarget, refused: Refused) -> None:
+        if refused.head.target_id not in (None, target.id):
+            self.peers.engine_lost(target.id, replaced=True)
+
+    def _outcome(self, call: CallRecord) -> NotRun | Unknown:
+        late = call.accepted.left_s(self.timers.now) <= 0
+        if call.may_have_run:
+            return Unknown(
+                reason=Reason.DEADLINE if late else Reason.CONNECTION_LOST,
+                message=call.detail or "no whole answer came",
+                status=GATEWAY_TIMEOUT if late else BAD_GATEWAY,
+            )
+        return NotRun(
+            reason=Reason.DEADLINE if late else Reason.NO_TARGET,
+            message=call.detail or "no target can take it now",
+            retry_after_s=COME_BACK_S,
+        )
+
+    def _log(self, call: CallRecord, status: int, outcome: str, detail: str) -> None:
+        accepted = call.accepted
+        events.REQUEST_ENDED.log(
+            log,
+            request=accepted.request_id,
+            route=accepted.route.name,
+            organisation=accepted.organisation,
+            status=status,
+            outcome=outcome,
+            seconds=self.timers.now - accepted.arrived,
+            attempts=call.sent,
+            target=call.target,
+            detail=detail,
+        )
+
+
+def describe(result: AttemptResult) -> str:
+    """Give a few words on what became of an attempt."""
+    if isinstance(result, Answered):
+        return f"answered {result.response.status}"
+    if isinstance(result, Refused):
+        return f"refused with {result.head.status}"
+    return result.detail
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -12,14 +12,17 @@
 from lagoonlever.decisions.fellows import FellowState, FellowTable
 from lagoonlever.decisions.hedging import Runners
 from lagoonlever.gateway.beliefs import Beliefs
-from lagoonlever.gateway.calls import Calls
+from lagoonlever.gateway.call_exchange import CallExchange
 from lagoonlever.gateway.directory import Directory
 from lagoonlever.gateway.front import Front
 from lagoonlever.gateway.learner import Learner
+from lagoonlever.gateway.once_calls import OnceCalls
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.gateway.register import Register
 from lagoonlever.gateway.registration import Registration
+from lagoonlever.gateway.repeatable_calls import RepeatableCalls
+from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.gateway.store_follower import StoreFollower
 from lagoonlever.gateway.stream_attempt import AttemptTools
@@ -33,6 +36,8 @@
 
 MOST_OUTSTANDING = 64
 """Calls that one VM has open at one runner."""
+OVERLOADED_ANSWER_S = 1.0
+"""Runners refuse by themselves what they have no room for; only beyond this they are spared."""
 
 Run = Callable[[], Awaitable[None]]
 
@@ -54,6 +59,7 @@
     bus: PeerBus = attrs.field(init=False)
     peers: PeerExchange = attrs.field(init=False)
     client: TargetClient = attrs.field(factory=TargetClient, init=False)
+    budgets: RetryBudgets = attrs.field(init=False)
     prober: EngineProber = attrs.field(factory=EngineProber, init=False)
     front: Front = attrs.field(init=False)
     directory: Directory = attrs.field(init=False)
@@ -83,14 +89,18 @@
             store=self.store,
             beliefs=self.beliefs,
             learner=self.learner,
-            register=Register(fellows=self.beliefs.fellows, timers=self.timers),
             timers=self.timers,
             rng=self.rng,
         )
 
     @registration.default
     def _make_registration(self) -> Registration:
-        return Registration(store=self.store, own=self.own_state(), rng=self.rng)
+        return Registration(
+            store=self.store,
+            register=Register(fellows=self.beliefs.fellows, timers=self.timers),
+            own=self.own_state(),
+            rng=self.rng,
+        )
 
     @bus.default
     def _make_bus(self) -> PeerBus:
@@ -108,20 +118,29 @@
             seeds=self.settings.seeds,
         )
 
+    @budgets.default
+    def _make_budgets(self) -> RetryBudgets:
+        return RetryBudgets(bounds=self.settings.retry_budget)
+
     @front.default
     def _make_front(self) -> Front:
-        runners = Runners(rng=self.rng, max_outstanding=MOST_OUTSTANDING)
-        calls = Calls(
-            beliefs=self.beliefs,
-            peers=self.peers,
-            timers=self.timers,
-            client=self.client,
+        runners = Runners(
+            rng=self.rng, max_outstanding=MOST_OUTSTANDING, target_s=OVERLOADED_ANSWER_S
+        )
+        exchange = CallExchange(
+            beliefs=self.beliefs, peers=self.peers, timers=self.timers, client=self.client
+        )
+        once = OnceCalls(data_center=self.settings.data_center, exchange=exchange, runners=runners)
+        repeatable = RepeatableCalls(
+            data_center=self.settings.data_center,
+            exchange=exchange,
             runners=runners,
+            budgets=self.budgets,
         )
         tools = AttemptTools(
             beliefs=self.beliefs, timers=self.timers, client=self.client, prober=self.prober
         )
-        self.peers.on_engine_lost(tools.suspect)
+        self.peers.on_engine_lost(tools.engine_lost)
         streams = Streams(
             vm=self.settings.name, beliefs=self.beliefs, peers=self.peers, tools=tools
         )
@@ -130,8 +149,8 @@
             timers=self.timers,
             rng=self.rng,
             serve={
-                RouteKind.IDEMPOTENT: calls.serve,
-                RouteKind.NON_IDEMPOTENT: calls.serve,
+                RouteKind.IDEMPOTENT: repeatable.serve,
+                RouteKind.NON_IDEMPOTENT: once.serve,
                 RouteKind.STREAM: streams.serve,
             },
         )
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -72,7 +72,7 @@
                 await trio.sleep_forever()
 
     def on_engine_lost(self, notify: Callable[[str], None]) -> None:
-        """Have ``notify`` called with each engine that another VM has lost."""
+        """Have ``notify`` called with each engine that this or another VM has lost."""
         self._on_engine_lost.append(notify)
 
     def begin(self, run: BookedRun) -> None:
@@ -104,6 +104,8 @@
             self._learner.take_replaced(engine, source="answer")
         if replaced or not known:
             self._broadcast(EngineLost(engine=engine, replaced=replaced))
+        if not replaced:
+            self._tell_engine_lost(engine)
 
     def say_now(self) -> None:
         """Tell the others of this VM at once, as when it begins to leave."""
@@ -150,9 +152,11 @@
         events.FELLOW_LISTED.log(log, vm=state.life.name, life=str(state.life), state="heard")
         self._beliefs.book.vm_lost(state.life.name, self._timers.now)
         self._bus.send(state.bus, self._own_state())
-        runs = self._beliefs.book.open_runs[:MOST_RUNS_TOLD]
-        if runs:
-            self._bus.send(state.bus, Knowledge(runs=runs))
+        known = Knowledge(
+            fellows=tuple(fellow.bus for fellow in self._beliefs.fellows.states),
+            runs=self._beliefs.book.open_runs[:MOST_RUNS_TOLD],
+        )
+        self._bus.send(state.bus, known)
 
     def _compare(self, state: FellowState) -> None:
         """Ask a VM that knows more, once the store had time to tell this one."""
@@ -205,9 +209,10 @@
             self._learner.take_list(known.targets, revision=known.list_revision, source=source)
         for run in known.runs:
             self._beliefs.book.begin(run, self._timers.now)
-        for address in known.fellows:
-            if address != self._own_state().bus:
-                self._bus.send(address, self._own_state())
+        heard = {state.bus for state in self._beliefs.fellows.states}
+        own = self._own_state()
+        for address in set(known.fellows) - heard - {own.bus}:
+            self._bus.send(address, own)
 
     def _take_run(self, received: Received[BookedRun]) -> None:
         self._beliefs.book.begin(received.message, self._timers.now)
@@ -227,8 +232,12 @@
         self._beliefs.book.failed(lost.engine, self._timers.now)
         if lost.replaced:
             self._learner.take_replaced(lost.engine, source=received.sender.name)
+        else:
+            self._tell_engine_lost(lost.engine)
+
+    def _tell_engine_lost(self, engine: str) -> None:
         for notify in self._on_engine_lost:
-            notify(lost.engine)
+            notify(engine)
 
     def _address_of(self, life: Incarnation) -> Address | None:
         for state in self._beliefs.fellows.states:
--- a/lagoonlever/gateway/register.py
+++ b/lagoonlever/gateway/register.py
@@ -12,7 +12,7 @@
 from lagoonlever.gateway import events
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
-from lagoonlever.store.port import KeyChange, KeyValue
+from lagoonlever.store.port import KeyValue
 from lagoonlever.timers import TimerService
 
 log = logbook.Logger(__name__)
@@ -53,16 +53,6 @@
         for entry in entries:
             self._take(entry)
 
-    def change(self, change: KeyChange) -> None:
-        """Take one change of the register."""
-        if change.entry is not None:
-            self._take(change.entry)
-            return
-        life = _life(change.key)
-        if life is not None:
-            self._fellows.unregistered(life)
-            events.FELLOW_LISTED.log(log, vm=life.name, life=str(life), state="gone")
-
     def _take(self, entry: KeyValue) -> None:
         life = _life(entry.key)
         if life is None:
--- a/lagoonlever/gateway/registration.py
+++ b/lagoonlever/gateway/registration.py
@@ -11,7 +11,7 @@
 from lagoonlever.decisions.fellows import FellowState
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
-from lagoonlever.gateway.register import encode_entry, register_key
+from lagoonlever.gateway.register import REGISTER_PREFIX, Register, encode_entry, register_key
 from lagoonlever.store.port import ABSENT, KeyValueStore, Lapsed, Lease
 
 log = logbook.Logger(__name__)
@@ -28,6 +28,7 @@
     """Owns this VM's entry in the register."""
 
     _store: KeyValueStore
+    _register: Register
     _own: FellowState
     _rng: random.Random
     _lease: Lease | None = None
@@ -38,7 +39,7 @@
         while not self._leaving:
             try:
                 if self._lease is None:
-                    await self._register()
+                    await self._enter()
                 elif isinstance(await self._store.keep_alive(self._lease), Lapsed):
                     self._lease = None
                     continue
@@ -59,7 +60,13 @@
             # The store's client has logged it; the lease lapses by itself.
             return
 
-    async def _register(self) -> None:
+    async def _enter(self) -> None:
+        """Write this VM's entry, and read the others' after it.
+
+        In this order two VMs that start at once can't miss each other: the one that
+        writes later reads the other. The register is not watched, as VMs tell each
+        other of themselves, and each change of it would be a call of every VM.
+        """
         lease = await self._store.grant_lease(LEASE_S)
         await self._store.compare_and_swap(
             register_key(self._own.life),
@@ -69,3 +76,4 @@
         )
         self._lease = lease
         events.REGISTERED.log(log, lease=lease.id, ttl_s=lease.ttl_s)
+        self._register.read((await self._store.get_prefix(REGISTER_PREFIX)).entries)
--- /dev/null
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -0,0 +1,134 @@
+"""Serves calls that may be repeated: hedged and retried, as far as route and budgets allow."""
+
+from __future__ import annotations
+
+import attrs
+import trio
+
+from lagoonlever.decisions.budgets import RetryBudget
+from lagoonlever.decisions.hedging import HedgedCall, HedgeDelay, Runners, Send, Stop, Wait
+from lagoonlever.decisions.retry_window import RetryWindow
+from lagoonlever.gateway.accepted import Accepted
+from lagoonlever.gateway.call_exchange import SERVER_ERROR, CallExchange, CallRecord, describe
+from lagoonlever.gateway.callers_leaving import cancel_when_gone
+from lagoonlever.gateway.retry_budgets import RetryBudgets
+from lagoonlever.gateway.target_client import Answered, AttemptResult, Lost, NotSent, Refused
+from lagoonlever.nurseries import open_work_nursery
+
+REST_S = 4.0
+"""A repeatable call whose kept connection turns out closed is sent again."""
+EXTRA_RATIO = 0.6
+"""Of the answers that a runner or a service gave: extra attempts allowed for each."""
+
+
+@attrs.frozen(kw_only=True)
+class _Ended:
+    runner: str
+    result: AttemptResult
+
+
+@attrs.define(kw_only=True, eq=False)
+class RepeatableCalls:
+    """Gives each caller the first good answer of any runner."""
+
+    _data_center: str
+    _exchange: CallExchange
+    _runners: Runners
+    _budgets: RetryBudgets
+    _delays: dict[str, HedgeDelay] = attrs.field(factory=dict)
+    _extra: dict[str, RetryBudget] = attrs.field(factory=dict)
+
+    async def serve(self, accepted: Accepted) -> None:
+        """Give the caller the answer of a target, or tell why there is none."""
+        call = CallRecord(accepted=accepted)
+        window = self._budgets.of_service(accepted.service)
+        window.request(self._exchange.timers.now)
+        async with open_work_nursery() as nursery:
+            nursery.start_soon(
+                cancel_when_gone,
+                accepted.exchange,
+                nursery.cancel_scope,
+                lambda: self._exchange.log_caller_gone(call),
+            )
+            answered: Answered | None = None
+            with trio.move_on_at(accepted.deadline):
+                answered = await self._drive(call, window)
+            await self._exchange.finish(call, answered)
+
+    async def _drive(self, call: CallRecord, window: RetryWindow) -> Answered | None:
+        hedged = self._hedged(call, window)
+        send, receive = trio.open_memory_channel[_Ended](0)
+        async with open_work_nursery() as nursery:
+            while True:
+                decision = hedged.decide(self._exchange.timers.now)
+                if isinstance(decision, Stop):
+                    if decision.timed_out:
+                        hedged.on_timeout(self._exchange.timers.now)
+                    return call.failure
+                if isinstance(decision, Send):
+                    nursery.start_soon(self._attempt, call, decision.runner, send)
+                    continue
+                answered = await self._wait(call, hedged, decision, receive)
+                if answered is not None:
+                    return answered
+
+    def _hedged(self, call: CallRecord, window: RetryWindow) -> HedgedCall:
+        accepted = call.accepted
+        targets = self._exchange.beliefs.targets
+        service = accepted.service
+        allowed: list[bool] = []
+
+        def live_names() -> tuple[str, ...]:
+            """Give the runners; none for an extra attempt that the shared budget forbids."""
+            if allowed:
+                vms = len(self._exchange.beliefs.fellows.states) + 1
+                if not window.take(self._exchange.timers.now, vms=vms):
+                    return ()
+            allowed.append(True)
+            return tuple(target.id for target in targets.serving(service))
+
+        return HedgedCall(
+            live_names=live_names,
+            runners=self._runners,
+            delay=self._delays.setdefault(service, HedgeDelay()),
+            budget=self._extra.setdefault(service, RetryBudget.of_ratio(EXTRA_RATIO)),
+            deadline=accepted.deadline,
+            max_attempts=accepted.route.max_attempts,
+            near=self._exchange.near(targets.serving(service), self._data_center),
+        )
+
+    async def _wait(
+        self,
+        call: CallRecord,
+        hedged: HedgedCall,
+        wait: Wait,
+        receive: trio.MemoryReceiveChannel[_Ended],
+    ) -> Answered | None:
+        ended: _Ended | None = None
+        with trio.move_on_at(wait.until):
+            ended = await receive.receive()
+        if ended is None:
+            return None
+        now = self._exchange.timers.now
+        call.detail = describe(ended.result)
+        if isinstance(ended.result, Refused | NotSent):
+            hedged.on_failure(ended.runner, now, overloaded=isinstance(ended.result, Refused))
+            return None
+        if isinstance(ended.result, Lost):
+            hedged.on_failure(ended.runner, now, overloaded=False)
+            return None
+        if ended.result.response.status >= SERVER_ERROR:
+            call.failure = ended.result
+            hedged.on_error(ended.runner)
+            return None
+        hedged.on_answer(ended.runner, now)
+        return ended.result
+
+    async def _attempt(
+        self, call: CallRecord, runner: str, send: trio.MemorySendChannel[_Ended]
+    ) -> None:
+        target = self._exchange.beliefs.targets.find(runner)
+        result: AttemptResult = NotSent(detail="the target is gone")
+        if target is not None:
+            result = await self._exchange.attempt(call, target, rested_at_most_s=REST_S)
+        await send.send(_Ended(runner=runner, result=result))
--- a/lagoonlever/gateway/run_copier.py
+++ b/lagoonlever/gateway/run_copier.py
@@ -4,12 +4,13 @@
 
 from http import HTTPStatus
 
+import attrs
 import msgspec
 
 from lagoonlever.decisions.engine_book import RunCopy
 from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.exceptions import PeerError
-from lagoonlever.http.client import fetch
+from lagoonlever.http.client import Pool, fetch
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE
 from lagoonlever.platform.engine_calls import COPY_PATH, CopyAsk, CopyMade
@@ -18,21 +19,28 @@
 """A run of 6,000 tokens takes 3 ms on the engines' links; more means that they are busy."""
 
 
-async def copy_run(request: str, *, source: ListedTarget, to: ListedTarget) -> RunCopy | str:
-    """Copy a run while it goes on; gives the copy, or why there is none."""
-    try:
-        response = await fetch(
-            source.address,
-            method="POST",
-            path=COPY_PATH,
-            headers=Headers((("Content-Type", JSON_TYPE),)),
-            body=msgspec.json.encode(CopyAsk(id=request, to=str(to.address))),
-            step="copy run",
-            timeout_s=COPY_TIMEOUT_S,
-        )
-        if response.status != HTTPStatus.OK:
-            return f"status {response.status}"
-        made = msgspec.json.decode(response.body, type=CopyMade)
-    except (PeerError, msgspec.MsgspecError) as error:
-        return str(error)
-    return RunCopy(holder=to.id, address=source.address, name=made.handle)
+@attrs.define(kw_only=True, eq=False)
+class RunCopier:
+    """Owns the connections for the calls."""
+
+    _pool: Pool = attrs.field(factory=lambda: Pool(per_address=1))
+
+    async def copy(self, request: str, *, source: ListedTarget, to: ListedTarget) -> RunCopy | str:
+        """Copy a run while it goes on; gives the copy, or why there is none."""
+        try:
+            response = await fetch(
+                source.address,
+                method="POST",
+                path=COPY_PATH,
+                headers=Headers((("Content-Type", JSON_TYPE),)),
+                body=msgspec.json.encode(CopyAsk(id=request, to=str(to.address))),
+                step="copy run",
+                timeout_s=COPY_TIMEOUT_S,
+                pool=self._pool,
+            )
+            if response.status != HTTPStatus.OK:
+                return f"status {response.status}"
+            made = msgspec.json.decode(response.body, type=CopyMade)
+        except (PeerError, msgspec.MsgspecError) as error:
+            return str(error)
+        return RunCopy(holder=to.id, address=source.address, name=made.handle)
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -1,4 +1,4 @@
-"""Follows the platform's store: the configuration, the list of targets, the fellow VMs."""
+"""Follows the platform's store: the configuration and the list of targets."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
-from lagoonlever.gateway.register import REGISTER_PREFIX, Register
+from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.platform.configuration import CONFIGURATION_KEY
 from lagoonlever.platform.store import MetadataStore
 from lagoonlever.platform.targets import TARGETS_PREFIX, UnreadableTarget, read_target
@@ -22,8 +22,12 @@
 
 log = logbook.Logger(__name__)
 
-EVERYTHING = ""
-"""One watch over every key is one waiting call, where a watch for each part would be three."""
+GATHER_S = 0.2
+"""Between a change and the next call that waits: what changes meanwhile comes in one call.
+
+Engines of a data centre come back together, each by an entry of its own; without the
+pause each entry is a call of every VM. A change must be in force within 2 s.
+"""
 FIRST_RETRY_S = 0.1
 MOST_RETRY_S = 0.8
 """Refused calls are paid for too, and a change must be in force within 2 s."""
@@ -37,7 +41,6 @@
     _store: MetadataStore
     _beliefs: Beliefs
     _learner: Learner
-    _register: Register
     _timers: TimerService
     _rng: random.Random
     _retry_s: float = FIRST_RETRY_S
@@ -60,11 +63,11 @@
         self._beliefs.fellows.expire(tick.now)
 
     async def _read(self) -> int:
-        """Read the three parts together; gives the revision from which a watch misses nothing."""
+        """Read both parts together; gives the revision from which a watch misses nothing."""
         revisions: list[int] = []
         try:
             async with trio.open_nursery() as nursery:
-                for read in (self._read_configuration, self._read_targets, self._read_register):
+                for read in (self._read_configuration, self._read_targets):
                     nursery.start_soon(read, revisions)
         except* PlatformError as errors:
             raise _first_of(errors) from errors
@@ -85,13 +88,14 @@
         )
         revisions.append(read.revision)
 
-    async def _read_register(self, revisions: list[int]) -> None:
-        read = await self._store.get_prefix(REGISTER_PREFIX)
-        self._register.read(read.entries)
-        revisions.append(read.revision)
-
     async def _follow(self, after: int) -> None:
-        watch = self._store.watch(EVERYTHING, after_revision=after)
+        """Follow the configuration and the targets until changes of either were lost."""
+        async with open_work_nursery() as nursery:
+            nursery.start_soon(self._watch, CONFIGURATION_KEY, after)
+            await self._watch(TARGETS_PREFIX, after)
+
+    async def _watch(self, prefix: str, after: int) -> None:
+        watch = self._store.watch(prefix, after_revision=after)
         while True:
             try:
                 batch = await watch.next()
@@ -101,7 +105,10 @@
             self._retry_s = FIRST_RETRY_S
             for change in batch.changes:
                 self._take(change)
-            self._beliefs.targets.seen_up_to(batch.revision)
+            if prefix == TARGETS_PREFIX:
+                self._beliefs.targets.seen_up_to(batch.revision)
+            if batch.changes:
+                await trio.sleep(GATHER_S)
 
     async def _wait_retry(self) -> None:
         await trio.sleep(self._retry_s * self._rng.uniform(0.7, 1.3))
@@ -111,8 +118,6 @@
         if change.key == CONFIGURATION_KEY:
             if change.entry is not None:
                 self._learner.take_configuration(change.entry.value, source="watch")
-        elif change.key.startswith(REGISTER_PREFIX):
-            self._register.change(change)
         elif change.key.startswith(TARGETS_PREFIX):
             target = _target(change.entry) if change.entry else None
             self._learner.take_target(
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -8,6 +8,7 @@
 
 from lagoonlever.decisions.configuration import EngineLimits
 from lagoonlever.decisions.copy_keeping import CHECK_S, CopyKeeping
+from lagoonlever.decisions.correlated_loss import CorrelatedLoss
 from lagoonlever.decisions.engine_book import BookedRun, RunCopy
 from lagoonlever.decisions.stream_life import EventVerdict, StreamLife
 from lagoonlever.decisions.stream_silence import (
@@ -25,7 +26,7 @@
 from lagoonlever.gateway.messages import AnswerHead, EngineReport, Hop, RunReport
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.prober import EngineProber
-from lagoonlever.gateway.run_copier import copy_run
+from lagoonlever.gateway.run_copier import RunCopier
 from lagoonlever.gateway.target_client import NotSent, TargetClient
 from lagoonlever.http.client import ClientConnection, Response
 from lagoonlever.http.sse import RawEvent, RawEventSplitter
@@ -36,7 +37,8 @@
 log = logbook.Logger(__name__)
 
 OK = 200
-KEPT_REST_S = 1.0
+KEPT_REST_S = 4.0
+"""A stream whose kept connection turns out closed is sent again, as nothing was answered."""
 PAUSE_TOLD_S = 0.3
 """Pauses between events that are worth a word in the log."""
 
@@ -61,12 +63,25 @@
     timers: TimerService
     client: TargetClient
     prober: EngineProber
+    copier: RunCopier = attrs.field(factory=RunCopier)
     watched: dict[str, set[StreamSilence]] = attrs.field(factory=dict)
-    """The open attempts by engine, to be looked at when another VM loses the engine."""
-
-    def suspect(self, engine: str) -> None:
-        """Have the open attempts on an engine ask it at once."""
-        for silence in self.watched.get(engine, ()):
+    """The open attempts by engine, to be looked at when the engine seems lost."""
+    losses: CorrelatedLoss = attrs.field(factory=CorrelatedLoss)
+
+    def engine_lost(self, engine: str) -> None:
+        """Have the open attempts on a lost engine ask it at once, or those of its whole place."""
+        target = self.beliefs.targets.find(engine)
+        together = target is not None and self.losses.lost(
+            engine, target.data_center, self.timers.now
+        )
+        for other in list(self.watched):
+            found = self.beliefs.targets.find(other) if together else None
+            beside = found is not None and target and found.data_center == target.data_center
+            if other == engine or beside:
+                self._suspect(other)
+
+    def _suspect(self, engine: str) -> None:
+        for silence in self.watched[engine]:
             silence.suspect(self.timers.now)
 
 
@@ -285,11 +300,7 @@
             if not self._flowing or not keeping.due(now, holder_usable=usable):
                 continue
             to = self._new_holder(keeping.holder if usable else None)
-            copied = (
-                await copy_run(self._accepted.request_id, source=plan.engine, to=to)
-                if to
-                else "no engine has room"
-            )
+            copied = await self._copy_to(to)
             if isinstance(copied, str):
                 keeping.failed(self._now)
             else:
@@ -304,6 +315,12 @@
                 outcome=copied if isinstance(copied, str) else "made",
             )
 
+    async def _copy_to(self, to: ListedTarget | None) -> RunCopy | str:
+        if to is None:
+            return "no engine has room"
+        copier = self._tools.copier
+        return await copier.copy(self._accepted.request_id, source=self._plan.engine, to=to)
+
     def _is_usable(self, engine: str) -> bool:
         beliefs = self._tools.beliefs
         return beliefs.targets.takes_work(engine) and not beliefs.book.is_avoided(engine, self._now)
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -22,6 +22,7 @@
 from lagoonlever.gateway.answers import tell
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.cache_locator import CacheLocator
+from lagoonlever.gateway.callers_leaving import cancel_when_gone
 from lagoonlever.gateway.messages import GenerationAsk
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.stream_attempt import AttemptPlan, AttemptTools, StreamAttempt
@@ -37,6 +38,8 @@
 """For a service that has not said what its engines hold."""
 RESUMED_PROMPT_TOKENS = 200
 """What an engine reads of a run that goes on from a copy: what had not arrived yet."""
+LEAST_LEFT_S = 0.6
+"""A return with less has no time for a connection, a slot, and the events that it lacks."""
 NO_ASK = GenerationAsk(model="", prompt_tokens=0, output_tokens=0)
 
 
@@ -55,7 +58,12 @@
         life = await self._new_life(accepted)
         whole = False
         async with open_work_nursery() as nursery:
-            nursery.start_soon(self._cancel_when_gone, accepted, life, nursery.cancel_scope)
+            nursery.start_soon(
+                cancel_when_gone,
+                accepted.exchange,
+                nursery.cancel_scope,
+                lambda: self._log(accepted, life, 0, "caller-gone", life.detail),
+            )
             try:
                 await self._serve(accepted, life)
                 whole = life.whole
@@ -84,13 +92,6 @@
             prefer=prefer,
         )
 
-    async def _cancel_when_gone(
-        self, accepted: Accepted, life: StreamLife, scope: trio.CancelScope
-    ) -> None:
-        await accepted.exchange.wait_gone()
-        self._log(accepted, life, 0, "caller-gone", life.detail)
-        scope.cancel()
-
     async def _serve(self, accepted: Accepted, life: StreamLife) -> None:
         gave_up: GiveUp | None = None
         with trio.move_on_at(accepted.deadline):
@@ -129,6 +130,9 @@
         """Tell whether a stream could end in its time on an idle engine."""
         ask = _ask(accepted)
         cached = isinstance(step, ResumeFrom) or (isinstance(step, Place) and bool(step.prefer))
+        left_s = accepted.left_s(self._now)
+        if life.position and left_s < LEAST_LEFT_S:
+            return False
         least_s = least_time_s(
             prompt_tokens=ask.prompt_tokens,
             output_tokens=min(ask.output_tokens, ask.length_hint or ask.output_tokens),
@@ -136,7 +140,7 @@
             event_tokens=self._limits(accepted.service).event_tokens,
             cached=cached,
         )
-        return least_s <= accepted.left_s(self._now)
+        return least_s <= left_s
 
     def _plan(
         self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom
