--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -109,6 +109,8 @@
             await self._list_kept(exchange)
         elif path == engine_calls.COPY_PATH:
             await self._copy(exchange)
+        elif path.startswith(engine_calls.FREE_PATH):
+            await self._free(exchange, path.removeprefix(engine_calls.FREE_PATH))
         else:
             await self._serve(exchange)
 
@@ -140,6 +142,11 @@
         made = engine_calls.CopyMade(handle=name, created=run.events)
         await exchange.respond(status=OK, headers=Headers(), body=msgspec.json.encode(made))
 
+    async def _free(self, exchange: Exchange, name: str) -> None:
+        for engine in self._fleet.values():
+            engine.copies.pop(name, None)
+        await exchange.respond(status=OK, headers=Headers(), body=b"")
+
     async def _serve(self, exchange: Exchange) -> None:
         headers = exchange.request.headers
         self.seen.append(headers)
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -169,3 +169,10 @@
     "{request} at {target}: its copy at {holder} was {outcome}",
     "The engine that held the copy of a run's memory is lost or leaves; another one gets it.",
 )
+COPY_NOT_FREED = event(
+    1048,
+    "copy-not-freed",
+    "info",
+    "{request}: its copy at {holder} could not be given back: {outcome}",
+    "The engine gives the memory back by itself some seconds later.",
+)
--- a/lagoonlever/gateway/run_copier.py
+++ b/lagoonlever/gateway/run_copier.py
@@ -13,7 +13,7 @@
 from lagoonlever.http.client import Pool, fetch
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE
-from lagoonlever.platform.engine_calls import COPY_PATH, CopyAsk, CopyMade
+from lagoonlever.platform.engine_calls import COPY_PATH, FREE_PATH, CopyAsk, CopyMade
 
 COPY_TIMEOUT_S = 0.5
 """A run of 6,000 tokens takes 3 ms on the engines' links; more means that they are busy."""
@@ -44,3 +44,21 @@
         except (PeerError, msgspec.MsgspecError) as error:
             return str(error)
         return RunCopy(holder=to.id, address=source.address, name=made.handle)
+
+    async def free(self, copy: RunCopy) -> str | None:
+        """Give the memory of a copy back at both engines; gives what went wrong, or None.
+
+        An engine keeps an unused copy for seconds, in which it serves nobody.
+        """
+        try:
+            response = await fetch(
+                copy.address,
+                method="DELETE",
+                path=f"{FREE_PATH}{copy.name}",
+                step="free copy",
+                timeout_s=COPY_TIMEOUT_S,
+                pool=self._pool,
+            )
+        except PeerError as error:
+            return str(error)
+        return None if response.status == HTTPStatus.OK else f"status {response.status}"
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -101,7 +101,7 @@
     _splitter: RawEventSplitter = attrs.field(factory=RawEventSplitter)
     _started: float = 0.0
     _flowing: bool = False
-    _longest_pause_s: float = 0.0
+    _called_copy: RunCopy | None = None
 
     async def run(self) -> None:
         """Send the request and relay the answer, until its end or its loss."""
@@ -181,6 +181,7 @@
         await self._accepted.exchange.finish()
         self._life.whole = True
         self._tools.beliefs.book.served(self._plan.engine.id)
+        await self._free_copy()
         return head
 
     async def _next(
@@ -305,6 +306,7 @@
                 keeping.failed(self._now)
             else:
                 keeping.called(copied.holder, self._now)
+                self._called_copy = copied
                 self._life.copied(copied)
                 self._peers.copied(self._accepted.request_id, copied)
             events.RUN_COPIED.log(
@@ -321,6 +323,17 @@
         copier = self._tools.copier
         return await copier.copy(self._accepted.request_id, source=self._plan.engine, to=to)
 
+    async def _free_copy(self) -> None:
+        """Give back a copy that was made by a call; an engine ends a growing one by itself."""
+        copy, self._called_copy = self._called_copy, None
+        if copy is None:
+            return
+        fault = await self._tools.copier.free(copy)
+        if fault is not None:
+            events.COPY_NOT_FREED.log(
+                log, request=self._accepted.request_id, holder=copy.holder, outcome=fault
+            )
+
     def _is_usable(self, engine: str) -> bool:
         beliefs = self._tools.beliefs
         return beliefs.targets.takes_work(engine) and not beliefs.book.is_avoided(engine, self._now)
--- a/lagoonlever/platform/engine_calls.py
+++ b/lagoonlever/platform/engine_calls.py
@@ -9,6 +9,7 @@
 REPORT_PATH = "/-/report"
 KEPT_PATH = "/-/kv-list"
 COPY_PATH = "/-/kv-move"
+FREE_PATH = "/-/kv-handle/"
 
 
 class Report(msgspec.Struct, rename="pascal", kw_only=True):
--- a/lagoonlever/tests/gateway_streams_tests.py
+++ b/lagoonlever/tests/gateway_streams_tests.py
@@ -278,3 +278,27 @@
         assert not any(engine.seen for engine in site.engines.values())
 
     run_site(story)
+
+
+def test_a_copy_that_was_called_for_is_given_back_at_the_end() -> None:
+    """A run is copied anew after its holder left, and then ends well.
+
+    The new copy would keep its holder's memory for seconds, in which it serves nobody.
+    """
+
+    async def story(site: GatewaySite) -> None:
+        for engine in site.engines.values():
+            engine.event_s = 0.02
+
+        def leave(count: int) -> None:
+            if count == 5:
+                holder = next(name for name, engine in site.engines.items() if engine.copies)
+                site.list_target(holder, service="engines", state="draining")
+
+        got = await site.stream("p1", events=40, on_event=leave)
+        assert got.whole
+        copied = sum(engine.questions["copy"] for engine in site.engines.values())
+        assert copied > 0
+        await until(lambda: not any(engine.copies for engine in site.engines.values()))
+
+    run_site(story, engines=4)
