--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engine_book.py
@@ -2,10 +2,12 @@
 
 The load that is answered: prompts of several thousand tokens arrive at many VMs at
 once, each VM sees a few of them, and engines' own reports are old when they arrive.
-An engine reads a prompt in a second, and until then the runs beside it make tokens at
-an eighth of their pace; two prompts at once, and pauses grow beyond what callers
-allow. So VMs tell each other each placement, and a run goes where the fewest prompt
-tokens are still to be read, and where there is memory for its longest answer.
+An engine reads one prompt after the other, a second each, and until then the runs
+beside it make tokens at an eighth of their pace. So VMs tell each other each placement,
+and a run goes where the fewest prompt tokens are still to be read, the fewest runs are
+slowed down, and where there is memory for its longest answer. After a loss several VMs
+choose within the same milliseconds and take the same engine: each looks once more when
+it has heard of the others, and all but one leave.
 """
 
 from __future__ import annotations
@@ -23,7 +25,7 @@
 """How fast an engine reads a prompt: the operators' figure for their engines."""
 BEHIND_PROMPT_S = 0.3
 """What each prompt that is being read costs beside its tokens: the pauses it makes."""
-FLOWING_COST_S = 0.05
+FLOWING_COST_S = 0.3
 """What each run that makes tokens adds to the wait of another."""
 COPY_COST_S = 0.03
 """What each copy adds: its run comes here if its engine is lost."""
@@ -42,6 +44,12 @@
 """How long an engine is passed over after it failed; doubled each time, up to this."""
 BROKE_AGAIN_S = 2.0
 """Two broken answers within this time are no accident."""
+SECOND_LOOK_S = 0.025
+"""After this the other VMs' placements of the same moment have arrived: some 2 ms each."""
+CLOSE_S = 0.02
+"""Placements that are closer are ordered by request, alike on every VM."""
+MOVE_GAIN_S = 0.4
+"""What a better place must save: leaving one costs a connection, and what it has read."""
 LEAST_LEFT = 0.1
 """The part of a prompt that counts as unread until its run gives an event."""
 
@@ -201,6 +209,29 @@
         self._rng.shuffle(roomy)
         return min(roomy, key=lambda engine: costs[engine.id])
 
+    def has_better(
+        self, request: str, engines: Iterable[ListedTarget], *, limits: EngineLimits, now: float
+    ) -> bool:
+        """Tell whether a run should leave its engine, as others were placed there with it.
+
+        Of the prompts that came together the first by request stays: each VM works out
+        the same order, so that one of them stays and the others go.
+        """
+        record = self._records.get(request)
+        if record is None or record.run.flowing:
+            return False
+        others = [
+            e for e in engines if e.id != record.run.engine and not self.is_avoided(e.id, now)
+        ]
+        if not others:
+            return False
+        loads = self._loads(now)
+        need = record.run.memory_tokens
+        best_s = min(self._cost_s(engine, loads, limits, need) for engine in others)
+        load = loads.get(record.run.engine, _Load())
+        here_s = self._ahead_s(record, now) + FLOWING_COST_S * load.flowing
+        return best_s + MOVE_GAIN_S < here_s
+
     def is_avoided(self, engine: str, now: float) -> bool:
         """Tell whether an engine is passed over now."""
         avoided = self._avoided.get(engine)
@@ -288,6 +319,17 @@
                 holder.memory += run.memory_tokens
         return loads
 
+    def _ahead_s(self, record: _Record, now: float) -> float:
+        """Give what the prompts take that an engine reads before a run's own."""
+        ahead_s = 0.0
+        for other in self._records.values():
+            run = other.run
+            if other is record or other.ended_at is not None or run.flowing:
+                continue
+            if run.engine == record.run.engine and _is_before(other, record):
+                ahead_s += BEHIND_PROMPT_S + _left_to_read_s(run, now - other.since)
+        return ahead_s
+
     def _cost_s(
         self, engine: ListedTarget, loads: dict[str, _Load], limits: EngineLimits, need: int
     ) -> float:
@@ -302,6 +344,12 @@
         return cost_s
 
 
+def _is_before(one: _Record, other: _Record) -> bool:
+    if abs(one.since - other.since) > CLOSE_S:
+        return one.since < other.since
+    return one.run.request < other.run.request
+
+
 def _left_to_read_s(run: BookedRun, elapsed_s: float) -> float:
     whole_s = run.prompt_tokens / PREFILL_TOKENS_PER_S
     return max(whole_s * LEAST_LEFT, whole_s - elapsed_s)
--- a/lagoonlever/decisions/stream_life.py
+++ b/lagoonlever/decisions/stream_life.py
@@ -65,6 +65,10 @@
     """An event before it is missing: this attempt can't be used."""
 
 
+MOST_MOVES = 2
+"""A run that finds each place taken by others stays at the third."""
+
+
 @attrs.define(kw_only=True)
 class StreamPace:
     """What the caller sees of a stream's time, over all attempts; in monotonic seconds."""
@@ -104,6 +108,7 @@
     _growing: RunCopy | None = None
     """The copy of the open attempt; there is none before its first event."""
     _prefer: str | None = None
+    _moves: int = 0
     _stayed: set[str] = attrs.field(factory=set)
     """Engines that were kept to once after they lost an answer."""
     _detail: str = ""
@@ -204,6 +209,15 @@
             return
         self._avoid.add(engine)
 
+    @property
+    def may_move(self) -> bool:
+        """Whether the open attempt may be left for a better place."""
+        return self._repeatable and self._moves < MOST_MOVES and self.runs < self._max_attempts
+
+    def moved(self) -> None:
+        """Note that the open attempt was left, before its first event, for a better place."""
+        self._moves += 1
+
     def event(self, event_id: int | None) -> EventVerdict:
         """Judge an event; one without a number goes along with the others."""
         if event_id is None:
--- a/lagoonlever/decisions/stream_silence.py
+++ b/lagoonlever/decisions/stream_silence.py
@@ -53,6 +53,8 @@
     """The attempt is lost, and why."""
 
     reason: str
+    unanswered: bool = False
+    """The engine did not answer when it was asked."""
 
 
 SilenceStep = WaitUntil | AskEngine | Lost
@@ -81,6 +83,7 @@
     _flowing: bool = False
     _spacing_s: float = 0.05
     _unanswered: int = 0
+    _suspected: bool = False
     _verdict: str | None = None
 
     def silence_s(self, now: float) -> float:
@@ -97,13 +100,14 @@
         self._ask_at = now + self._suspect_s
 
     def suspect(self, now: float) -> None:
-        """Take another VM's word that the engine is lost as a reason to ask at once."""
+        """Take another's loss of the engine, or of those beside it, as a reason to ask at once."""
         self._ask_at = min(self._ask_at, now)
+        self._suspected = True
 
     def decide(self, now: float) -> SilenceStep:
         """Give the next step."""
         if self._verdict is not None:
-            return Lost(reason=self._verdict)
+            return Lost(reason=self._verdict, unanswered=self._unanswered > 0)
         if now < self._ask_at:
             return WaitUntil(at=self._ask_at)
         return AskEngine()
@@ -113,11 +117,12 @@
         silent_s = now - self._last_at
         if answer is Answer.NONE:
             self._unanswered += 1
-            if self._flowing or self._unanswered > 1:
+            if self._flowing or self._suspected or self._unanswered > 1:
                 self._verdict = f"silent for {silent_s:.2f} s and does not answer"
             self._ask_at = now
             return
         self._unanswered = 0
+        self._suspected = False
         if answer is Answer.NOT_THERE and silent_s >= UNLISTED_S:
             self._verdict = f"silent for {silent_s:.2f} s and does not run it"
         elif events_ahead >= HELD_BACK_EVENTS and silent_s >= HELD_BACK_S:
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -9,7 +9,7 @@
 from lagoonlever.decisions.configuration import EngineLimits
 from lagoonlever.decisions.copy_keeping import CHECK_S, CopyKeeping
 from lagoonlever.decisions.correlated_loss import CorrelatedLoss
-from lagoonlever.decisions.engine_book import BookedRun, RunCopy
+from lagoonlever.decisions.engine_book import SECOND_LOOK_S, BookedRun, RunCopy
 from lagoonlever.decisions.stream_life import EventVerdict, StreamLife
 from lagoonlever.decisions.stream_silence import (
     Answer,
@@ -88,6 +88,15 @@
 class _Ended(Exception):
     """The attempt ended before its answer was whole; the message says why."""
 
+    def __init__(self, message: str, *, unanswered: bool = False) -> None:
+        super().__init__(message)
+        self.unanswered = unanswered
+        """The engine was asked and did not answer."""
+
+
+class _Moved(Exception):
+    """The attempt is left before its first event: another engine is sooner ready for it."""
+
 
 @attrs.define(kw_only=True, eq=False)
 class StreamAttempt:
@@ -121,6 +130,9 @@
             head = await self._exchange(connection)
         except _Ended as ended:
             await self._lost(ended)
+        except _Moved:
+            self._life.moved()
+            self._log_end("left for a better place")
         finally:
             await self._tools.client.release(connection, head)
 
@@ -146,6 +158,8 @@
             async with open_work_nursery() as nursery:
                 if plan.limits.moves and self._accepted.route.repeatable:
                     nursery.start_soon(self._keep_copy)
+                if self._life.may_move and plan.copy_from is None:
+                    nursery.start_soon(self._look_again)
                 return await self._relay(connection, silence)
         finally:
             watched.discard(silence)
@@ -191,7 +205,7 @@
         while True:
             step = silence.decide(self._now)
             if isinstance(step, SilenceLost):
-                raise _Ended(step.reason)
+                raise _Ended(step.reason, unanswered=step.unanswered)
             if isinstance(step, AskEngine):
                 await self._ask(connection, silence)
                 continue
@@ -276,7 +290,7 @@
     async def _lost(self, ended: _Ended) -> None:
         """Ask the engine whether it lives: one that only lost an answer is not left by all."""
         engine = self._plan.engine
-        alive = await self._tools.prober.ask(engine) is not None
+        alive = not ended.unanswered and await self._tools.prober.ask(engine) is not None
         self._life.lost(engine.id, str(ended), alive=alive, read=self._has_read)
         if alive:
             self._tools.beliefs.book.broke(engine.id, self._now)
@@ -289,6 +303,15 @@
         """Whether the engine has read the prompt, or need not."""
         return self._flowing or self._plan.copy_from is not None
 
+    async def _look_again(self) -> None:
+        """Leave an engine that other VMs chose at the same moment, if another is better."""
+        await trio.sleep(SECOND_LOOK_S)
+        serving = self._tools.beliefs.targets.serving(self._accepted.service)
+        request, limits = self._accepted.request_id, self._plan.limits
+        book = self._tools.beliefs.book
+        if book.has_better(request, serving, limits=limits, now=self._now):
+            raise _Moved
+
     async def _keep_copy(self) -> None:
         """Copy the run anew when the engine that holds its copy is lost or leaves."""
         plan = self._plan
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -18,8 +18,12 @@
 from lagoonlever.http.messages import Request
 from lagoonlever.platform.headers import read_answer, to_target
 
-CONNECT_TIMEOUT_S = 0.3
-"""A target accepts within a few milliseconds; one that does not is passed over."""
+CONNECT_TIMEOUT_S = 0.15
+"""A target accepts within a few milliseconds; one that does not is passed over.
+
+A lost packet of the handshake is sent again only after a second: another target is
+sooner reached.
+"""
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
--- /dev/null
+++ b/lagoonlever/tests/engine_book_tests.py
@@ -0,0 +1,183 @@
+"""Placement of runs: by what engines still have to read, with what all VMs tell each other."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from lagoonlever.decisions.configuration import EngineLimits
+from lagoonlever.decisions.engine_book import (
+    FIRST_AVOID_S,
+    PREFILL_TOKENS_PER_S,
+    BookedRun,
+    EngineBook,
+    RunCopy,
+)
+from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.http.messages import Address
+
+LIMITS = EngineLimits(slots=12, memory_tokens=55_000)
+PROMPT = 5_000
+MEMORY = 6_000
+
+
+def engine(name: str, data_center: str = "a") -> ListedTarget:
+    address = Address(host="10.0.0.1", port=80)
+    return ListedTarget(id=name, service="engines", address=address, data_center=data_center)
+
+
+ENGINES = [engine("e1", "a"), engine("e2", "b"), engine("e3", "c")]
+
+
+def book(seed: int = 1, data_center: str = "a") -> EngineBook:
+    return EngineBook(rng=random.Random(seed), data_center=data_center)
+
+
+def run(request: str, at: str, **more: object) -> BookedRun:
+    made = BookedRun(
+        request=request, vm="vm-1", engine=at, prompt_tokens=PROMPT, memory_tokens=MEMORY
+    )
+    return attrs.evolve(made, **more)
+
+
+def placed(on: EngineBook, now: float = 0.0, **more: object) -> str:
+    placement = on.place(
+        ENGINES, limits=LIMITS, prompt_tokens=PROMPT, memory_tokens=MEMORY, now=now, **more
+    )
+    assert placement is not None
+    return placement.engine.id
+
+
+def test_a_run_goes_where_no_prompt_is_being_read() -> None:
+    on = book()
+    on.begin(run("r1", "e1"), 0.0)
+    on.begin(run("r2", "e2"), 0.0)
+    assert placed(on) == "e3"
+
+
+def test_a_prompt_counts_until_its_run_flows() -> None:
+    on = book()
+    on.begin(run("r1", "e1"), 0.0)
+    on.begin(run("r2", "e2"), 0.0)
+    on.begin(run("r3", "e3"), 0.0)
+    on.flows("r2")
+    assert placed(on) == "e2"
+
+
+def test_a_run_expects_to_wait_for_the_prompts_before_it() -> None:
+    on = book()
+    for name in ("e1", "e2", "e3"):
+        on.begin(run(f"r-{name}", name), 0.0)
+    placement = on.place(
+        ENGINES, limits=LIMITS, prompt_tokens=PROMPT, memory_tokens=MEMORY, now=0.0
+    )
+    assert placement is not None and placement.expected_s > 2 * PROMPT / PREFILL_TOKENS_PER_S
+
+
+def test_an_engine_without_room_comes_last() -> None:
+    """Copies of other runs fill an engine's memory: a run there would be preempted."""
+    on = book()
+    for number in range(9):
+        copy = RunCopy(holder="e1", address=ENGINES[0].address, name=f"c{number}")
+        on.begin(run(f"r{number}", "e2", copy=copy, flowing=True), 0.0)
+    on.begin(run("s1", "e3"), 0.0)
+    assert placed(on) == "e3"
+
+
+def test_the_engine_that_has_read_a_prompt_is_preferred_until_it_is_busier() -> None:
+    on = book()
+    assert placed(on, prefer="e2") == "e2"
+    on.begin(run("r1", "e2"), 0.0)
+    on.begin(run("r2", "e2"), 0.0)
+    assert placed(on, prefer="e2") != "e2"
+
+
+def test_a_copy_is_held_in_another_data_centre() -> None:
+    """All engines of a data centre die together; a copy beside its run dies with it."""
+    on = book()
+    beside = [engine("e1", "a"), engine("e1b", "a"), engine("e2", "b")]
+    on.begin(run("r1", "e2"), 0.0)
+    holder = on.place_copy(beside, limits=LIMITS, beside=beside[0], memory_tokens=MEMORY, now=0.0)
+    assert holder is not None and holder.id == "e2"
+
+
+def test_a_failed_engine_is_passed_over_for_longer_each_time() -> None:
+    on = book()
+    on.failed("e1", 0.0)
+    assert on.is_avoided("e1", FIRST_AVOID_S * 0.9)
+    on.failed("e1", FIRST_AVOID_S * 1.1)
+    assert on.is_avoided("e1", FIRST_AVOID_S * 2.9)
+
+
+def test_all_engines_failed_is_no_reason_to_give_up() -> None:
+    on = book()
+    for each in ENGINES:
+        on.failed(each.id, 0.0)
+    assert placed(on) in {"e1", "e2", "e3"}
+
+
+def test_of_runs_that_met_at_one_engine_all_but_the_first_leave() -> None:
+    """Three VMs resume streams in the same milliseconds and choose the same idle engine.
+
+    Each hears of the others a moment later. Had all stayed, the last would have waited
+    4.35 s for its first event instead of 2.10 s; had all left, they would meet again.
+    """
+    stays = []
+    for own in ("ra", "rb", "rc"):
+        on = book()
+        for offset, request in enumerate(("ra", "rb", "rc")):
+            on.begin(run(request, "e1", vm=f"vm-{request}"), 0.002 * offset)
+        if not on.has_better(own, ENGINES, limits=LIMITS, now=0.03):
+            stays.append(own)
+    assert stays == ["ra"]
+
+
+def test_a_run_stays_where_nothing_else_is_better() -> None:
+    on = book()
+    for name in ("e1", "e2", "e3"):
+        on.begin(run(f"a-{name}", name), 0.0)
+        on.begin(run(f"b-{name}", name), 0.0)
+    assert not on.has_better("b-e1", ENGINES, limits=LIMITS, now=0.03)
+
+
+def test_a_caller_that_returns_is_known_by_its_prompt_s_own_part() -> None:
+    on = book()
+    copy = RunCopy(holder="e2", address=ENGINES[1].address, name="r1")
+    on.begin(run("r1", "e1", part="p1", copy=copy), 0.0)
+    on.flows("r1")
+    on.vm_lost("vm-1", 1.0)
+    former = on.last_run_of("p1")
+    assert former is not None and former.copy == copy and former.flowing
+
+
+def test_a_run_that_ended_whole_is_no_reason_to_go_anywhere() -> None:
+    on = book()
+    on.begin(run("r1", "e1", part="p1"), 0.0)
+    on.end("r1", 1.0, whole=True)
+    assert on.last_run_of("p1") is None
+
+
+def test_the_runs_of_a_lost_vm_no_longer_count_as_load() -> None:
+    on = book()
+    on.begin(run("r1", "e1", vm="vm-2"), 0.0)
+    on.begin(run("r2", "e2", vm="vm-3"), 0.0)
+    on.begin(run("r3", "e3", vm="vm-3"), 0.0)
+    on.vm_lost("vm-2", 0.1)
+    assert placed(on, now=0.1) == "e1"
+
+
+def test_what_ended_long_ago_is_forgotten() -> None:
+    on = book()
+    on.begin(run("r1", "e1", part="p1"), 0.0)
+    on.end("r1", 1.0, whole=False)
+    on.expire(100.0)
+    assert on.last_run_of("p1") is None
+
+
+def test_one_broken_answer_of_a_living_engine_is_no_reason_to_leave_it() -> None:
+    on = book()
+    on.broke("e1", 0.0)
+    assert not on.is_avoided("e1", 0.1)
+    on.broke("e1", 0.5)
+    assert on.is_avoided("e1", 0.6)
--- /dev/null
+++ b/lagoonlever/tests/fellows_tests.py
@@ -0,0 +1,72 @@
+"""Which gateways callers are sent to."""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonlever.decisions.fellows import FORGET_S, SILENT_S, FellowState, FellowTable
+from lagoonlever.http.messages import Address
+from lagoonlever.identity import Incarnation
+
+OWN = Incarnation(name="vm-0", started_ms=1, nonce=0)
+
+
+def state(name: str = "vm-1", *, started_ms: int = 1, **more: object) -> FellowState:
+    made = FellowState(
+        life=Incarnation(name=name, started_ms=started_ms, nonce=7),
+        data_center="a",
+        callers=Address(host="10.0.0.1", port=80),
+        bus=Address(host="10.0.0.1", port=81),
+    )
+    return attrs.evolve(made, **more)
+
+
+def names(table: FellowTable, now: float) -> list[str]:
+    return [each.life.name for each in table.offered(now)]
+
+
+def test_a_vm_that_falls_silent_is_left_out_and_comes_back() -> None:
+    table = FellowTable(own=OWN)
+    table.heard(state(), 0.0)
+    assert names(table, 0.5) == ["vm-1"]
+    assert names(table, SILENT_S + 0.1) == []
+    table.heard(state(), 5.0)
+    assert names(table, 5.1) == ["vm-1"]
+
+
+def test_a_registered_vm_that_says_nothing_is_left_out() -> None:
+    """A VM lost power; its entry in the register outlives it by the life of a lease."""
+    table = FellowTable(own=OWN)
+    table.registered(state(), 0.0)
+    assert names(table, 0.1) == ["vm-1"]
+    assert names(table, SILENT_S + 0.1) == []
+
+
+def test_a_leaving_vm_is_left_out_at_its_word() -> None:
+    table = FellowTable(own=OWN)
+    table.heard(state(), 0.0)
+    table.heard(state(leaving=True), 0.1)
+    assert names(table, 0.2) == []
+
+
+def test_a_new_life_replaces_the_former_one_and_not_the_other_way() -> None:
+    table = FellowTable(own=OWN)
+    table.heard(state(started_ms=1), 0.0)
+    assert table.heard(state(started_ms=2), 0.1)
+    assert not table.heard(state(started_ms=1, leaving=True), 0.2)
+    table.registered(state(started_ms=1), 0.3)
+    assert [each.life.started_ms for each in table.offered(0.3)] == [2]
+
+
+def test_a_vm_does_not_list_itself() -> None:
+    table = FellowTable(own=OWN)
+    table.heard(state("vm-0"), 0.0)
+    table.registered(state("vm-0"), 0.0)
+    assert table.states == ()
+
+
+def test_a_vm_that_was_silent_for_long_is_forgotten() -> None:
+    table = FellowTable(own=OWN)
+    table.heard(state(), 0.0)
+    table.expire(FORGET_S + 1.0)
+    assert table.states == ()
--- /dev/null
+++ b/lagoonlever/tests/retry_window_tests.py
@@ -0,0 +1,47 @@
+"""Repeats are bounded by the requests of the same window, over all VMs together."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lagoonlever.decisions.retry_window import RetryWindow
+
+RATIO, WINDOW_S, SLACK, VMS = 0.8, 10.0, 150.0, 9
+
+
+def window() -> RetryWindow:
+    return RetryWindow(ratio=RATIO, window_s=WINDOW_S, slack=SLACK)
+
+
+def test_a_quiet_vm_may_repeat_its_share_of_the_slack() -> None:
+    quiet = window()
+    taken = sum(quiet.take(0.0, vms=VMS) for _ in range(100))
+    assert 5 <= taken <= SLACK / VMS
+
+
+@given(
+    st.lists(st.tuples(st.floats(0.0, 0.5), st.integers(0, VMS - 1), st.booleans()), max_size=400)
+)
+def test_all_vms_together_keep_to_the_bound(steps: list[tuple[float, int, bool]]) -> None:
+    windows = [window() for _ in range(VMS)]
+    requests: list[float] = []
+    repeats: list[float] = []
+    now = 0.0
+    for after_s, vm, fails in steps:
+        now += after_s
+        windows[vm].request(now)
+        requests.append(now)
+        while fails and windows[vm].take(now, vms=VMS):
+            repeats.append(now)
+        recent = [at for at in repeats if now - at <= WINDOW_S]
+        asked = [at for at in requests if now - at <= WINDOW_S]
+        assert len(recent) <= RATIO * len(asked) + SLACK
+
+
+def test_the_window_slides() -> None:
+    sliding = window()
+    while sliding.take(0.0, vms=VMS):
+        pass
+    assert not sliding.take(WINDOW_S * 0.9, vms=VMS)
+    assert sliding.take(WINDOW_S * 1.1, vms=VMS)
--- /dev/null
+++ b/lagoonlever/tests/stream_silence_tests.py
@@ -0,0 +1,87 @@
+"""When the silence of an attempt is asked about, and when it counts as a loss."""
+
+from __future__ import annotations
+
+from lagoonlever.decisions.stream_silence import (
+    FIRST_ASK_S,
+    LEAST_SUSPECT_S,
+    MOST_SUSPECT_S,
+    Answer,
+    AskEngine,
+    Lost,
+    StreamSilence,
+    WaitUntil,
+)
+
+
+def flowing(*, spacing_s: float = 0.03, events: int = 30) -> tuple[StreamSilence, float]:
+    silence, now = StreamSilence(sent_at=0.0), 1.0
+    for _ in range(events):
+        silence.event(now)
+        now += spacing_s
+    return silence, now - spacing_s
+
+
+def test_a_flowing_stream_is_asked_about_after_a_few_spacings() -> None:
+    silence, last = flowing()
+    assert silence.decide(last + LEAST_SUSPECT_S * 0.9) == WaitUntil(at=last + LEAST_SUSPECT_S)
+    assert isinstance(silence.decide(last + LEAST_SUSPECT_S * 1.1), AskEngine)
+
+
+def test_a_slow_engine_is_given_more_time_up_to_half_of_the_allowed_pause() -> None:
+    silence, last = flowing(spacing_s=0.23)
+    step = silence.decide(last)
+    assert isinstance(step, WaitUntil)
+    assert LEAST_SUSPECT_S < step.at - last <= MOST_SUSPECT_S + 1e-9
+
+
+def test_an_engine_that_does_not_answer_is_lost() -> None:
+    silence, last = flowing()
+    silence.answered(Answer.NONE, last + 0.25)
+    step = silence.decide(last + 0.25)
+    assert isinstance(step, Lost) and step.unanswered
+
+
+def test_an_engine_that_runs_it_is_waited_for() -> None:
+    silence, last = flowing()
+    silence.answered(Answer.RUNNING, last + 0.15)
+    assert isinstance(silence.decide(last + 0.16), WaitUntil)
+
+
+def test_before_the_first_event_one_unanswered_question_is_not_enough() -> None:
+    """A prompt takes a second to read; a lost packet of the question must not cost it."""
+    silence = StreamSilence(sent_at=0.0)
+    assert isinstance(silence.decide(FIRST_ASK_S), AskEngine)
+    silence.answered(Answer.NONE, 0.5)
+    assert isinstance(silence.decide(0.5), AskEngine)
+    silence.answered(Answer.NONE, 0.6)
+    assert isinstance(silence.decide(0.6), Lost)
+
+
+def test_a_loss_that_others_have_seen_needs_one_question_only() -> None:
+    silence = StreamSilence(sent_at=0.0)
+    silence.suspect(0.2)
+    assert isinstance(silence.decide(0.2), AskEngine)
+    silence.answered(Answer.NONE, 0.3)
+    assert isinstance(silence.decide(0.3), Lost)
+
+
+def test_an_engine_that_does_not_know_the_run_has_lost_it() -> None:
+    silence = StreamSilence(sent_at=0.0)
+    silence.answered(Answer.NOT_THERE, 0.4)
+    assert not isinstance(silence.decide(0.4), Lost)
+    silence.answered(Answer.NOT_THERE, 1.0)
+    assert isinstance(silence.decide(1.0), Lost)
+
+
+def test_a_run_that_may_wait_in_the_engine_s_queue_is_waited_for() -> None:
+    silence = StreamSilence(sent_at=0.0)
+    for now in (0.4, 1.0, 1.6, 2.2):
+        silence.answered(Answer.QUEUED, now)
+        assert not isinstance(silence.decide(now), Lost)
+
+
+def test_events_that_were_made_and_never_came_are_a_loss() -> None:
+    silence = StreamSilence(sent_at=0.0)
+    silence.answered(Answer.RUNNING, 1.0, events_ahead=10)
+    assert isinstance(silence.decide(1.0), Lost)
