Read the store anew when both watches lost history, reload settings, restart failed parts

Cause: the store forgetting its history reached both watches at once, as a group of two exceptions that nothing caught, and ended the process (found by the test of it). Change: a watch ends both quietly; a part that meets a fault of ours is logged and started again; SIGHUP or a changed settings file puts the new settings in force.

--- a/lagoonlever/gateway/daemon.py
+++ b/lagoonlever/gateway/daemon.py
@@ -13,6 +13,7 @@
 from lagoonlever.gateway import events
 from lagoonlever.gateway.parts import GatewayParts
 from lagoonlever.gateway.settings import GatewaySettings
+from lagoonlever.gateway.supervision import run_part
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import ServerLimits, ServerState, open_listeners, serve_http
 from lagoonlever.identity import new_incarnation
@@ -38,11 +39,31 @@
     _sockets: Mapping[str, socket.socket] = attrs.field(factory=dict)
     """Sockets that listen already, by their addresses."""
     _stop: trio.Event = attrs.field(factory=trio.Event)
+    _parts: GatewayParts | None = None
+
+    @property
+    def parts(self) -> GatewayParts:
+        """The parts, for tests to look into; known once ``run`` has started."""
+        if self._parts is None:
+            raise RuntimeError("the daemon was not started")
+        return self._parts
 
     def stop(self) -> None:
         """Begin the planned stop; a repeated call has no effect."""
         self._stop.set()
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Put changed settings in force, without a pause in service."""
+        if settings == self._settings:
+            events.SETTINGS_SAME.log(log)
+            return
+        former, self._settings = self._settings, settings
+        kept = (former.listen, former.readiness, former.directory, former.bus)
+        moved = kept != (settings.listen, settings.readiness, settings.directory, settings.bus)
+        events.SETTINGS_RELOADED.log(log, addresses="wait for a restart" if moved else "stay")
+        if self._parts is not None:
+            self._parts.reload(settings)
+
     async def run(self) -> None:
         """Serve until a planned stop is over, or cancelled."""
         settings = self._settings
@@ -54,9 +75,10 @@
             timers=self._timers,
             stopping=self._stop.is_set,
         )
+        self._parts = parts
         async with trio.open_nursery() as nursery:
-            for part in parts.runnable():
-                nursery.start_soon(part)
+            for name, part in parts.runnable().items():
+                nursery.start_soon(run_part, name, part)
             for address in {settings.readiness, settings.directory}:
                 if address is not None:
                     nursery.start_soon(self._serve_directory, parts, address)
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -25,6 +25,34 @@
     "The process ends after {seconds:.2f} s of stopping with {open} requests open.",
     "The end of a planned stop.",
 )
+PART_FAILED = event(
+    1003,
+    "part-failed",
+    "error",
+    "The part '{part}' met a fault within this process and is started again.",
+    "A fault of the system itself; requests go on. Report it with the lines around.",
+)
+SETTINGS_RELOADED = event(
+    1004,
+    "settings-reloaded",
+    "notice",
+    "The settings file has changed and is in force; the addresses listened on {addresses}.",
+    "After SIGHUP, or when the file was found changed. Requests go on meanwhile.",
+)
+SETTINGS_SAME = event(
+    1005,
+    "settings-same",
+    "info",
+    "The settings file was read again and says the same.",
+    "A SIGHUP without a change. Nothing to do.",
+)
+SETTINGS_FAULTY = event(
+    1006,
+    "settings-faulty",
+    "error",
+    "The settings file can't be used, and the former settings stay: {faults}",
+    "Mend the file; it is read again when it changes.",
+)
 CONFIGURATION = event(
     1010,
     "configuration-in-force",
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -165,15 +165,22 @@
             ready=self.ready,
         )
 
-    def runnable(self) -> tuple[Run, ...]:
-        """Give what runs for the life of the daemon."""
-        return (
-            self.timers.run,
-            self.bus.run,
-            self.peers.run,
-            self.follower.run,
-            self.registration.run,
-        )
+    def runnable(self) -> dict[str, Run]:
+        """Give what runs for the life of the daemon, by name."""
+        return {
+            "timers": self.timers.run,
+            "bus": self.bus.run,
+            "peers": self.peers.run,
+            "store follower": self.follower.run,
+            "registration": self.registration.run,
+        }
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Put changed settings in force; what this VM listens on stays until its next start."""
+        self.settings = settings
+        self.store.move_to(settings.store.address)
+        self.peers.reseed(settings.seeds)
+        self.budgets.rebound(settings.retry_budget)
 
     def ready(self) -> bool:
         """Tell whether this VM takes callers."""
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -71,6 +71,10 @@
             with self._timers.subscribed(self._say, period_s=SAY_EVERY_S):
                 await trio.sleep_forever()
 
+    def reseed(self, seeds: tuple[Address, ...]) -> None:
+        """Take other addresses to ask while no fellow is known."""
+        self._seeds = seeds
+
     def on_engine_lost(self, notify: Callable[[str], None]) -> None:
         """Have ``notify`` called with each engine that this or another VM has lost."""
         self._on_engine_lost.append(notify)
--- a/lagoonlever/gateway/program.py
+++ b/lagoonlever/gateway/program.py
@@ -9,16 +9,22 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+import logbook
 import trio
 
 from lagoonlever.exceptions import FaultsError
+from lagoonlever.gateway import events
 from lagoonlever.gateway.daemon import GatewayDaemon
 from lagoonlever.logs import LogFormat, LogLevel, set_up_logs
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
 from lagoonlever.platform.settings_file import load_settings
 
+log = logbook.Logger(__name__)
+
 FAULTS = 1
 """The exit code of a process whose settings are wrong."""
+LOOK_S = 1.0
+"""How often the settings file is looked at for a change."""
 
 
 def run_gateway(
@@ -30,25 +36,56 @@
 ) -> int:
     """Run the daemon until it is told to stop; gives the exit code."""
     set_up_logs(format=log_format, level=log_level, stream=sys.stdout)
+    file = settings or Path(os.environ.get(PATH_VARIABLE, ""))
     try:
-        loaded = load_settings(settings or Path(os.environ.get(PATH_VARIABLE, "")))
+        loaded = load_settings(file)
     except FaultsError as error:
         for fault in error.faults:
             print(f"fault: {fault}", file=sys.stderr)
         return FAULTS
-    trio.run(_run, GatewayDaemon(settings=loaded, sockets=sockets or {}))
+    trio.run(_run, GatewayDaemon(settings=loaded, sockets=sockets or {}), file)
     return 0
 
 
-async def _run(daemon: GatewayDaemon) -> None:
+async def _run(daemon: GatewayDaemon, file: Path) -> None:
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_stop_on_signal, daemon)
+        nursery.start_soon(_obey_signals, daemon, file)
+        nursery.start_soon(_watch_file, daemon, file)
         await daemon.run()
         nursery.cancel_scope.cancel()
 
 
-async def _stop_on_signal(daemon: GatewayDaemon) -> None:
+async def _obey_signals(daemon: GatewayDaemon, file: Path) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for number in signals:
-            if number != signal.SIGHUP:
+            if number == signal.SIGHUP:
+                _reload(daemon, file)
+            else:
                 daemon.stop()
+
+
+async def _watch_file(daemon: GatewayDaemon, file: Path) -> None:
+    """Reload settings that were changed without a signal."""
+    seen = _stamp(file)
+    while True:
+        await trio.sleep(LOOK_S)
+        stamp = _stamp(file)
+        if stamp != seen:
+            seen = stamp
+            _reload(daemon, file)
+
+
+def _reload(daemon: GatewayDaemon, file: Path) -> None:
+    try:
+        daemon.reload(load_settings(file))
+    except FaultsError as error:
+        events.SETTINGS_FAULTY.log(log, faults=str(error))
+
+
+def _stamp(file: Path) -> tuple[int, int] | None:
+    """Give what changes with a file; None while it is not there, as when it is replaced."""
+    try:
+        found = file.stat()
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_size
--- a/lagoonlever/gateway/retry_budgets.py
+++ b/lagoonlever/gateway/retry_budgets.py
@@ -15,6 +15,12 @@
     _bounds: RetryBudgetBounds
     _windows: dict[str, RetryWindow] = attrs.field(factory=dict)
 
+    def rebound(self, bounds: RetryBudgetBounds) -> None:
+        """Take other bounds; what was counted by the former ones is forgotten."""
+        if bounds != self._bounds:
+            self._bounds = bounds
+            self._windows.clear()
+
     def of_service(self, service: str) -> RetryWindow:
         """Give the window of a service."""
         if service not in self._windows:
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -9,11 +9,10 @@
 import trio
 
 from lagoonlever.decisions.target_registry import ListedTarget
-from lagoonlever.exceptions import PlatformError, PlatformUnavailable
+from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
-from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.platform.configuration import CONFIGURATION_KEY
 from lagoonlever.platform.store import MetadataStore
 from lagoonlever.platform.targets import TARGETS_PREFIX, UnreadableTarget, read_target
@@ -51,11 +50,11 @@
             while True:
                 try:
                     after = await self._read()
-                    await self._follow(after)
-                except WatchCompacted:
-                    events.WATCH_COMPACTED.log(log, revision=self._beliefs.targets.as_of)
                 except PlatformError:
                     await self._wait_retry()
+                    continue
+                await self._follow(after)
+                events.WATCH_COMPACTED.log(log, revision=self._beliefs.targets.as_of)
 
     def _expire(self, tick: Tick) -> None:
         self._beliefs.targets.expire(tick.now)
@@ -90,16 +89,23 @@
 
     async def _follow(self, after: int) -> None:
         """Follow the configuration and the targets until changes of either were lost."""
-        async with open_work_nursery() as nursery:
-            nursery.start_soon(self._watch, CONFIGURATION_KEY, after)
-            await self._watch(TARGETS_PREFIX, after)
+        async with trio.open_nursery() as nursery:
+            for prefix in (CONFIGURATION_KEY, TARGETS_PREFIX):
+                nursery.start_soon(self._watch, prefix, after, nursery.cancel_scope)
 
-    async def _watch(self, prefix: str, after: int) -> None:
+    async def _watch(self, prefix: str, after: int, both: trio.CancelScope) -> None:
+        """Follow one prefix; ends both watches once the store has forgotten changes.
+
+        Both may meet that at the same moment, so it is no exception here.
+        """
         watch = self._store.watch(prefix, after_revision=after)
         while True:
             try:
                 batch = await watch.next()
-            except PlatformUnavailable:
+            except WatchCompacted:
+                both.cancel()
+                return
+            except PlatformError:
                 await self._wait_retry()
                 continue
             self._retry_s = FIRST_RETRY_S
--- a/lagoonlever/peers/bus.py
+++ b/lagoonlever/peers/bus.py
@@ -64,6 +64,8 @@
 
     def bind(self) -> Address:
         """Open the receiving socket; raises ``zmq.ZMQError`` if the port is taken."""
+        if self._context.closed:
+            self._context = zmq.Context()
         router = self._context.socket(zmq.ROUTER)
         router.setsockopt(zmq.LINGER, 0)
         router.setsockopt(zmq.RCVHWM, RECEIVE_HWM)
@@ -125,6 +127,7 @@
     def _close(self) -> None:
         if self._router is not None:
             self._router.close(linger=0)
+        self._router = None
         self._context.destroy(linger=0)
 
     def _connection_to(self, address: Address) -> PeerConnection | None:
--- a/lagoonlever/platform/store.py
+++ b/lagoonlever/platform/store.py
@@ -97,6 +97,10 @@
         """When the store was last reached again after it was not; None if it always was."""
         return self._back_at
 
+    def move_to(self, address: Address) -> None:
+        """Send the next calls to another address of the store."""
+        self._address = address
+
     async def get(self, key: str) -> KeyRead:
         """Read one key."""
         call = _Call(step="get", method="GET", path=_path(wire.READ_KEY, Key=key))
