Metrics at an address of their own, logs that never wait, one line and count a request

Cause: no metrics were served; a full pipe of the log would have stopped a VM; a caller that closes its connection right after a whole stream was counted as one that left (found by the test of the metrics, which waited in vain for its 'done').

--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import attrs
-import logbook
 
 from lagoonlever.decisions.target_registry import ListedTarget
-from lagoonlever.gateway import events
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.messages import AnswerHead, Hop
 from lagoonlever.gateway.peers import PeerExchange
+from lagoonlever.gateway.reporter import Ending, Reporter
 from lagoonlever.gateway.target_client import (
     Answered,
     AttemptResult,
@@ -24,8 +23,12 @@
 from lagoonlever.platform.headers import to_caller
 from lagoonlever.timers import TimerService
 
-log = logbook.Logger(__name__)
-
+_RESULT_NAMES = {
+    Answered: "answered",
+    Lost: "lost",
+    NotSent: "not-sent",
+    Refused: "refused",
+}
 SERVER_ERROR = 500
 COME_BACK_S = 0.1
 GATEWAY_TIMEOUT = 504
@@ -69,6 +72,7 @@
     peers: PeerExchange
     timers: TimerService
     client: TargetClient
+    reporter: Reporter
 
     async def attempt(
         self, call: CallRecord, target: ListedTarget, *, rested_at_most_s: float
@@ -79,45 +83,53 @@
         if isinstance(connection, NotSent):
             return connection
         head: AnswerHead | None = None
+        result: AttemptResult | None = None
         try:
             left_s = accepted.left_s(self.timers.now)
             if left_s <= 0 or not self.beliefs.targets.takes_work(target.id):
-                return NotSent(detail="the target leaves, or the time is over")
+                result = NotSent(detail="the target leaves, or the time is over")
+                return result
             hop = Hop(target_id=target.id, deadline_s=left_s, organisation=accepted.organisation)
             call.written(target.id)
             opened = await self.client.open(
                 connection, accepted.request, hop, request_id=accepted.request_id
             )
             if isinstance(opened, Lost):
-                return opened
+                result = opened
+                return result
             if isinstance(opened, Refused):
                 head = opened.head
                 call.denied(target.id)
                 self._note_replaced(target, opened)
-                return opened
+                result = opened
+                return result
             result = await self.client.read_whole(opened)
             if isinstance(result, Answered):
                 head = result.head
             return result
         finally:
+            self.reporter.attempt_ended(accepted, result_name(result))
             await self.client.release(connection, head)
 
     async def finish(self, call: CallRecord, answered: Answered | None) -> None:
         """Give the caller a target's answer, or tell why there is none."""
         if answered is None:
             outcome = self._outcome(call)
-            self._log(call, int(outcome.status), outcome.tag.value, outcome.message)
+            self._ended(call, int(outcome.status), outcome.tag.value, outcome.message)
             await tell(call.accepted.exchange, outcome)
             return
         response = answered.response
-        self._log(call, response.status, "done", call.detail)
+        self._ended(call, response.status, "done", call.detail)
         await call.accepted.exchange.respond(
             status=response.status, headers=to_caller(response.headers), body=response.body
         )
 
-    def log_caller_gone(self, call: CallRecord) -> None:
-        """Log that a caller left before its answer."""
-        self._log(call, 0, "caller-gone", call.detail)
+    def is_gone(self, call: CallRecord) -> bool:
+        """Note that a caller left; gives False where its answer was on its way already."""
+        if call.accepted.exchange.responded:
+            return False
+        self._ended(call, 0, "caller-gone", call.detail)
+        return True
 
     def near(self, targets: tuple[ListedTarget, ...], data_center: str) -> frozenset[str]:
         """Give the targets of a data centre."""
@@ -141,20 +153,14 @@
             retry_after_s=COME_BACK_S,
         )
 
-    def _log(self, call: CallRecord, status: int, outcome: str, detail: str) -> None:
-        accepted = call.accepted
-        events.REQUEST_ENDED.log(
-            log,
-            request=accepted.request_id,
-            route=accepted.route.name,
-            organisation=accepted.organisation,
-            status=status,
-            outcome=outcome,
-            seconds=self.timers.now - accepted.arrived,
-            attempts=call.sent,
-            target=call.target,
-            detail=detail,
-        )
+    def _ended(self, call: CallRecord, status: int, outcome: str, detail: str) -> None:
+        ending = Ending(status=status, outcome=outcome, detail=detail)
+        self.reporter.call_ended(call.accepted, ending, attempts=call.sent, target=call.target)
+
+
+def result_name(result: AttemptResult | None) -> str:
+    """Give the label of a result; None is an attempt that was cut short."""
+    return "cut-short" if result is None else _RESULT_NAMES[type(result)]
 
 
 def describe(result: AttemptResult) -> str:
--- a/lagoonlever/gateway/callers_leaving.py
+++ b/lagoonlever/gateway/callers_leaving.py
@@ -10,9 +10,13 @@
 
 
 async def cancel_when_gone(
-    exchange: Exchange, scope: trio.CancelScope, note: Callable[[], None]
+    exchange: Exchange, scope: trio.CancelScope, is_gone: Callable[[], bool]
 ) -> None:
-    """Cancel the work once its caller has closed its side, so that targets stop too."""
+    """Cancel the work once its caller has closed its side, so that targets stop too.
+
+    ``is_gone`` notes that the caller has left; it gives False where the caller has its
+    whole answer already, as one that closes its connection after it.
+    """
     await exchange.wait_gone()
-    note()
-    scope.cancel()
+    if is_gone():
+        scope.cancel()
--- a/lagoonlever/gateway/daemon.py
+++ b/lagoonlever/gateway/daemon.py
@@ -10,12 +10,12 @@
 import logbook
 import trio
 
-from lagoonlever.gateway import events
+from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.parts import GatewayParts
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.gateway.supervision import run_part
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import Handler, ServerLimits, ServerState, open_listeners, serve_http
 from lagoonlever.identity import new_incarnation
 from lagoonlever.timers import TimerService
 
@@ -52,6 +52,11 @@
         """Begin the planned stop; a repeated call has no effect."""
         self._stop.set()
 
+    def log_lines_lost(self, total: int) -> None:
+        """Take the number of lost log lines into the metrics."""
+        if self._parts is not None:
+            self._parts.reporter.tally.set(metrics.LOG_LINES_LOST, float(total))
+
     def reload(self, settings: GatewaySettings) -> None:
         """Put changed settings in force, without a pause in service."""
         if settings == self._settings:
@@ -74,6 +79,7 @@
             rng=self._rng,
             timers=self._timers,
             stopping=self._stop.is_set,
+            open_requests=lambda: self._http.open_exchanges,
         )
         self._parts = parts
         async with trio.open_nursery() as nursery:
@@ -81,7 +87,9 @@
                 nursery.start_soon(run_part, name, part)
             for address in {settings.readiness, settings.directory}:
                 if address is not None:
-                    nursery.start_soon(self._serve_directory, parts, address)
+                    nursery.start_soon(self._serve_beside, parts.directory.handle, address)
+            if settings.metrics is not None:
+                nursery.start_soon(self._serve_beside, parts.metrics_page.handle, settings.metrics)
             nursery.start_soon(self._serve_front, parts, listeners)
             events.STARTED.log(
                 log,
@@ -122,9 +130,9 @@
             state=self._http,
         )
 
-    async def _serve_directory(self, parts: GatewayParts, address: Address) -> None:
+    async def _serve_beside(self, handler: Handler, address: Address) -> None:
         await serve_http(
-            handler=parts.directory.handle,
+            handler=handler,
             listeners=await self._open(address),
             limits=ServerLimits(),
             state=ServerState(),
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -53,6 +53,14 @@
     "The settings file can't be used, and the former settings stay: {faults}",
     "Mend the file; it is read again when it changes.",
 )
+LOG_LINES_LOST = event(
+    1007,
+    "log-lines-lost",
+    "warning",
+    "{lines} log lines were dropped, {total} since the start.",
+    "The reader of the log was too slow, or there was more detail than the bound allows. "
+    "Warnings and errors go before detail.",
+)
 CONFIGURATION = event(
     1010,
     "configuration-in-force",
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -7,23 +7,20 @@
 from urllib.parse import urlsplit
 
 import attrs
-import logbook
 import trio
 
 from lagoonlever.decisions.configuration import Configuration, RouteKind, ServiceRoute
 from lagoonlever.exceptions import RequestRefused
-from lagoonlever.gateway import events
 from lagoonlever.gateway.accepted import Accepted, deadline_of
 from lagoonlever.gateway.answers import NO_ROUTE, UNKNOWN_KEY, tell
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.messages import CallerHead
+from lagoonlever.gateway.reporter import Reporter
 from lagoonlever.http.server import CallerGone, Exchange
 from lagoonlever.outcomes import NotRun, Reason
-from lagoonlever.platform.headers import read_caller
+from lagoonlever.platform.headers import read_caller, request_id_of
 from lagoonlever.timers import TimerService
 
-log = logbook.Logger(__name__)
-
 STARTING_S = 0.6
 """A VM that starts knows its configuration within a few store calls, some 15 ms.
 
@@ -41,6 +38,7 @@
 
     _beliefs: Beliefs
     _timers: TimerService
+    _reporter: Reporter
     _rng: random.Random
     _serve: dict[RouteKind, Serve]
     _started: float = attrs.field(factory=trio.current_time)
@@ -98,18 +96,7 @@
 
     async def _refuse(self, exchange: Exchange, outcome: NotRun) -> None:
         request = exchange.request
-        events.REQUEST_ENDED.log(
-            log,
-            request=request.headers.get("Request-Id"),
-            route=request.target,
-            organisation=None,
-            status=int(outcome.status),
-            outcome=outcome.tag.value,
-            seconds=0.0,
-            attempts=0,
-            target=None,
-            detail=outcome.message,
-        )
+        self._reporter.refused(request, request_id_of(request.headers), outcome)
         if exchange.responded:
             raise CallerGone
         await tell(exchange, outcome)
--- /dev/null
+++ b/lagoonlever/gateway/metrics.py
@@ -0,0 +1,67 @@
+"""The metrics of the gateway."""
+
+from __future__ import annotations
+
+from lagoonlever.metrics import counter, gauge, latency
+
+REQUESTS = counter(
+    "lagoonlever.gateway.requests",
+    unit="{request}",
+    labels=("kind", "outcome"),
+    doc="Requests that ended, by kind of route (`stream`, `idempotent`, `non-idempotent`, `none`)"
+    " and outcome (`done`, `not-run`, `unknown`, `failed`, `caller-gone`).",
+)
+ATTEMPTS = counter(
+    "lagoonlever.gateway.attempts",
+    unit="{attempt}",
+    labels=("kind", "result"),
+    doc="Requests that were written to targets, by what became of them.",
+)
+CALL_LATENCY = latency(
+    "lagoonlever.gateway.call.latency",
+    labels=("kind",),
+    doc="From the arrival of a call to its answer.",
+)
+FIRST_EVENT_LATENCY = latency(
+    "lagoonlever.gateway.first_event.latency",
+    labels=(),
+    doc="From the arrival of a stream's request to its first event.",
+)
+LONGEST_PAUSE = latency(
+    "lagoonlever.gateway.stream.pause",
+    labels=(),
+    doc="The longest pause between two events of each stream, over all its attempts here.",
+)
+ENGINE_QUESTIONS = counter(
+    "lagoonlever.gateway.engine.questions",
+    unit="{question}",
+    labels=("answer",),
+    doc="Engines that were asked about a silent stream, by what they said.",
+)
+COPIES = counter(
+    "lagoonlever.gateway.copies",
+    unit="{copy}",
+    labels=("result",),
+    doc="Runs that were copied to another engine by a call, `made` or `failed`.",
+)
+OPEN_REQUESTS = gauge(
+    "lagoonlever.gateway.requests.open",
+    unit="{request}",
+    doc="Requests that this VM serves now.",
+)
+CONFIGURATION_VERSION = gauge(
+    "lagoonlever.gateway.configuration.version",
+    unit="1",
+    doc="The version of the operators' configuration in force; 0 for none.",
+)
+FELLOWS = gauge(
+    "lagoonlever.gateway.fellows",
+    unit="{vm}",
+    labels=("state",),
+    doc="Other gateways as this one sees them, `offered` to callers or `silent`.",
+)
+LOG_LINES_LOST = gauge(
+    "lagoonlever.log.lines.lost",
+    unit="{line}",
+    doc="Log lines that were dropped because the reader was slow or there were too many.",
+)
--- /dev/null
+++ b/lagoonlever/gateway/metrics_page.py
@@ -0,0 +1,47 @@
+"""Serves the metrics of this process, and keeps the gauges that are read elsewhere."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from lagoonlever.gateway import metrics
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.tally import Tally
+from lagoonlever.http.messages import Headers
+from lagoonlever.http.server import Exchange
+from lagoonlever.timers import TimerService
+
+METRICS_PATH = "/metrics"
+EXPOSITION_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+OK = 200
+NOT_FOUND = 404
+
+
+@attrs.define(kw_only=True, eq=False)
+class MetricsPage:
+    """The handler of the metrics address."""
+
+    _tally: Tally
+    _beliefs: Beliefs
+    _timers: TimerService
+    _open_requests: Callable[[], int]
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer a scrape."""
+        if exchange.request.path != METRICS_PATH:
+            await exchange.respond(status=NOT_FOUND, headers=Headers(), body=b"")
+            return
+        self._sample()
+        body = await self._tally.exposition()
+        headers = Headers((("Content-Type", EXPOSITION_TYPE),))
+        await exchange.respond(status=OK, headers=headers, body=body)
+
+    def _sample(self) -> None:
+        fellows = self._beliefs.fellows
+        offered = len(fellows.offered(self._timers.now))
+        self._tally.set(metrics.OPEN_REQUESTS, float(self._open_requests()))
+        self._tally.set(metrics.CONFIGURATION_VERSION, float(self._beliefs.version))
+        self._tally.set(metrics.FELLOWS, float(offered), "offered")
+        self._tally.set(metrics.FELLOWS, float(len(fellows.states) - offered), "silent")
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -16,12 +16,14 @@
 from lagoonlever.gateway.directory import Directory
 from lagoonlever.gateway.front import Front
 from lagoonlever.gateway.learner import Learner
+from lagoonlever.gateway.metrics_page import MetricsPage
 from lagoonlever.gateway.once_calls import OnceCalls
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.gateway.register import Register
 from lagoonlever.gateway.registration import Registration
 from lagoonlever.gateway.repeatable_calls import RepeatableCalls
+from lagoonlever.gateway.reporter import Reporter
 from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.gateway.store_follower import StoreFollower
@@ -30,6 +32,7 @@
 from lagoonlever.gateway.target_client import TargetClient
 from lagoonlever.http.server import ServerLimits
 from lagoonlever.identity import Incarnation
+from lagoonlever.metrics import PLATFORM_CALLS
 from lagoonlever.peers.bus import PeerBus
 from lagoonlever.platform.store import MetadataStore
 from lagoonlever.timers import TimerService
@@ -51,6 +54,8 @@
     rng: random.Random
     timers: TimerService
     stopping: Callable[[], bool]
+    open_requests: Callable[[], int]
+    reporter: Reporter = attrs.field(init=False)
     store: MetadataStore = attrs.field(init=False)
     beliefs: Beliefs = attrs.field(init=False)
     learner: Learner = attrs.field(init=False)
@@ -63,10 +68,18 @@
     prober: EngineProber = attrs.field(factory=EngineProber, init=False)
     front: Front = attrs.field(init=False)
     directory: Directory = attrs.field(init=False)
+    metrics_page: MetricsPage = attrs.field(init=False)
+
+    @reporter.default
+    def _make_reporter(self) -> Reporter:
+        return Reporter(timers=self.timers)
 
     @store.default
     def _make_store(self) -> MetadataStore:
-        return MetadataStore(address=self.settings.store.address)
+        return MetadataStore(
+            address=self.settings.store.address,
+            on_call=lambda step: self.reporter.tally.add(PLATFORM_CALLS, step, "sent"),
+        )
 
     @beliefs.default
     def _make_beliefs(self) -> Beliefs:
@@ -128,7 +141,11 @@
             rng=self.rng, max_outstanding=MOST_OUTSTANDING, target_s=OVERLOADED_ANSWER_S
         )
         exchange = CallExchange(
-            beliefs=self.beliefs, peers=self.peers, timers=self.timers, client=self.client
+            beliefs=self.beliefs,
+            peers=self.peers,
+            timers=self.timers,
+            client=self.client,
+            reporter=self.reporter,
         )
         once = OnceCalls(data_center=self.settings.data_center, exchange=exchange, runners=runners)
         repeatable = RepeatableCalls(
@@ -138,7 +155,11 @@
             budgets=self.budgets,
         )
         tools = AttemptTools(
-            beliefs=self.beliefs, timers=self.timers, client=self.client, prober=self.prober
+            beliefs=self.beliefs,
+            timers=self.timers,
+            client=self.client,
+            prober=self.prober,
+            reporter=self.reporter,
         )
         self.peers.on_engine_lost(tools.engine_lost)
         streams = Streams(
@@ -147,6 +168,7 @@
         return Front(
             beliefs=self.beliefs,
             timers=self.timers,
+            reporter=self.reporter,
             rng=self.rng,
             serve={
                 RouteKind.IDEMPOTENT: repeatable.serve,
@@ -165,6 +187,15 @@
             ready=self.ready,
         )
 
+    @metrics_page.default
+    def _make_metrics_page(self) -> MetricsPage:
+        return MetricsPage(
+            tally=self.reporter.tally,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            open_requests=self.open_requests,
+        )
+
     def runnable(self) -> dict[str, Run]:
         """Give what runs for the life of the daemon, by name."""
         return {
--- a/lagoonlever/gateway/program.py
+++ b/lagoonlever/gateway/program.py
@@ -15,7 +15,8 @@
 from lagoonlever.exceptions import FaultsError
 from lagoonlever.gateway import events
 from lagoonlever.gateway.daemon import GatewayDaemon
-from lagoonlever.logs import LogFormat, LogLevel, set_up_logs
+from lagoonlever.log_writer import BoundedHandler
+from lagoonlever.logs import LogFormat, LogLevel, set_up_bounded_logs
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
 from lagoonlever.platform.settings_file import load_settings
 
@@ -23,6 +24,8 @@
 
 FAULTS = 1
 """The exit code of a process whose settings are wrong."""
+FLUSH_S = 0.25
+"""How often lines that wait for a slow reader are offered again."""
 LOOK_S = 1.0
 """How often the settings file is looked at for a change."""
 
@@ -35,7 +38,7 @@
     log_level: LogLevel = LogLevel.INFO,
 ) -> int:
     """Run the daemon until it is told to stop; gives the exit code."""
-    set_up_logs(format=log_format, level=log_level, stream=sys.stdout)
+    handler = set_up_bounded_logs(format=log_format, level=log_level)
     file = settings or Path(os.environ.get(PATH_VARIABLE, ""))
     try:
         loaded = load_settings(file)
@@ -43,12 +46,13 @@
         for fault in error.faults:
             print(f"fault: {fault}", file=sys.stderr)
         return FAULTS
-    trio.run(_run, GatewayDaemon(settings=loaded, sockets=sockets or {}), file)
+    trio.run(_run, GatewayDaemon(settings=loaded, sockets=sockets or {}), file, handler)
     return 0
 
 
-async def _run(daemon: GatewayDaemon, file: Path) -> None:
+async def _run(daemon: GatewayDaemon, file: Path, handler: BoundedHandler) -> None:
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(_tend_log, daemon, handler)
         nursery.start_soon(_obey_signals, daemon, file)
         nursery.start_soon(_watch_file, daemon, file)
         await daemon.run()
@@ -64,6 +68,18 @@
                 daemon.stop()
 
 
+async def _tend_log(daemon: GatewayDaemon, handler: BoundedHandler) -> None:
+    """Write what waits for a slow reader, and tell how much was lost."""
+    told = 0
+    while True:
+        await trio.sleep(FLUSH_S)
+        handler.writer.flush()
+        if handler.lost > told and not handler.writer.waiting_bytes:
+            events.LOG_LINES_LOST.log(log, lines=handler.lost - told, total=handler.lost)
+            told = handler.lost
+            daemon.log_lines_lost(told)
+
+
 async def _watch_file(daemon: GatewayDaemon, file: Path) -> None:
     """Reload settings that were changed without a signal."""
     seen = _stamp(file)
--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -48,7 +48,7 @@
                 cancel_when_gone,
                 accepted.exchange,
                 nursery.cancel_scope,
-                lambda: self._exchange.log_caller_gone(call),
+                lambda: self._exchange.is_gone(call),
             )
             answered: Answered | None = None
             with trio.move_on_at(accepted.deadline):
--- /dev/null
+++ b/lagoonlever/gateway/reporter.py
@@ -0,0 +1,107 @@
+"""Tells the log and the metrics how requests ended."""
+
+from __future__ import annotations
+
+import attrs
+import logbook
+
+from lagoonlever.decisions.stream_life import StreamLife
+from lagoonlever.gateway import events, metrics
+from lagoonlever.gateway.accepted import Accepted
+from lagoonlever.gateway.tally import Tally
+from lagoonlever.http.messages import Request
+from lagoonlever.outcomes import NotRun
+from lagoonlever.timers import TimerService
+
+log = logbook.Logger(__name__)
+
+NO_KIND = "none"
+"""The kind of a request that no route was found for."""
+
+
+@attrs.frozen(kw_only=True)
+class Ending:
+    """How a request ended, as the log and the metrics tell it."""
+
+    status: int
+    """0 where the caller got no answer."""
+    outcome: str
+    detail: str
+
+
+@attrs.define(kw_only=True, eq=False)
+class Reporter:
+    """One line and one count for each request; shared by all that serve them."""
+
+    timers: TimerService
+    tally: Tally = attrs.field(factory=Tally)
+
+    def refused(self, request: Request, request_id: str | None, outcome: NotRun) -> None:
+        """Tell of a request that no route or organisation was found for."""
+        ending = Ending(
+            status=int(outcome.status), outcome=outcome.tag.value, detail=outcome.message
+        )
+        self.tally.add(metrics.REQUESTS, NO_KIND, ending.outcome)
+        events.REQUEST_ENDED.log(
+            log,
+            request=request_id,
+            route=request.target,
+            organisation=None,
+            status=ending.status,
+            outcome=ending.outcome,
+            seconds=0.0,
+            attempts=0,
+            target=None,
+            detail=ending.detail,
+        )
+
+    def call_ended(
+        self, accepted: Accepted, ending: Ending, *, attempts: int, target: str | None
+    ) -> None:
+        """Tell of a call with one whole answer."""
+        seconds = self._count(accepted, ending)
+        self.tally.record(metrics.CALL_LATENCY, seconds, accepted.route.kind.value)
+        events.REQUEST_ENDED.log(
+            log,
+            request=accepted.request_id,
+            route=accepted.route.name,
+            organisation=accepted.organisation,
+            status=ending.status,
+            outcome=ending.outcome,
+            seconds=seconds,
+            attempts=attempts,
+            target=target,
+            detail=ending.detail,
+        )
+
+    def stream_ended(self, accepted: Accepted, ending: Ending, life: StreamLife) -> None:
+        """Tell of a stream, with what its caller saw of its pace."""
+        seconds = self._count(accepted, ending)
+        first_at = life.pace.first_at
+        first_s = None if first_at is None else first_at - accepted.arrived
+        if first_s is not None:
+            self.tally.record(metrics.FIRST_EVENT_LATENCY, first_s)
+            self.tally.record(metrics.LONGEST_PAUSE, life.pace.longest_pause_s)
+        events.STREAM_ENDED.log(
+            log,
+            request=accepted.request_id,
+            route=accepted.route.name,
+            organisation=accepted.organisation,
+            status=ending.status,
+            outcome=ending.outcome,
+            seconds=seconds,
+            attempts=life.sent,
+            position=life.position,
+            first_s=first_s,
+            pause_s=life.pace.longest_pause_s,
+            detail=ending.detail,
+        )
+
+    def attempt_ended(self, accepted: Accepted, result: str) -> None:
+        """Count an attempt by what became of it."""
+        self.tally.add(metrics.ATTEMPTS, accepted.route.kind.value, result)
+
+    def _count(self, accepted: Accepted, ending: Ending) -> float:
+        """Count the end of a request, and give the seconds since its arrival."""
+        self.tally.add(metrics.REQUESTS, accepted.route.kind.value, ending.outcome)
+        return self.timers.now - accepted.arrived
--- a/lagoonlever/gateway/settings.py
+++ b/lagoonlever/gateway/settings.py
@@ -67,6 +67,8 @@
     bus: Address
     """For the other VMs."""
     store: StoreLimits
+    metrics: Address | None = None
+    """Where scrapers ask for metrics."""
     seeds: tuple[Address, ...] = ()
     """Where the bus of some VMs listens; they may be down or gone."""
     bounds: Bounds = Bounds()
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -20,12 +20,13 @@
 from lagoonlever.decisions.stream_silence import Lost as SilenceLost
 from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.exceptions import BadResponse, ConnectionBroken
-from lagoonlever.gateway import events
+from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.messages import AnswerHead, EngineReport, Hop, RunReport
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.prober import EngineProber
+from lagoonlever.gateway.reporter import Reporter
 from lagoonlever.gateway.run_copier import RunCopier
 from lagoonlever.gateway.target_client import NotSent, TargetClient
 from lagoonlever.http.client import ClientConnection, Response
@@ -63,6 +64,7 @@
     timers: TimerService
     client: TargetClient
     prober: EngineProber
+    reporter: Reporter
     copier: RunCopier = attrs.field(factory=RunCopier)
     watched: dict[str, set[StreamSilence]] = attrs.field(factory=dict)
     """The open attempts by engine, to be looked at when the engine seems lost."""
@@ -118,6 +120,7 @@
         self._started = self._now
         connection = await self._tools.client.connect(engine, rested_at_most_s=KEPT_REST_S)
         if isinstance(connection, NotSent):
+            self._count("not-sent")
             self._life.unreachable(engine.id, connection.detail)
             self._peers.engine_lost(engine.id, replaced=False)
             self._log_end(connection.detail)
@@ -131,6 +134,7 @@
         except _Ended as ended:
             await self._lost(ended)
         except _Moved:
+            self._count("moved")
             self._life.moved()
             self._log_end("left for a better place")
         finally:
@@ -140,6 +144,9 @@
     def _now(self) -> float:
         return self._tools.timers.now
 
+    def _count(self, result: str) -> None:
+        self._tools.reporter.attempt_ended(self._accepted, result)
+
     def _may_write(self) -> bool:
         """Look once more at what may have changed while the connection was made."""
         in_time = self._accepted.left_s(self._now) > 0
@@ -193,6 +200,7 @@
         if self._splitter.partial:
             raise _Ended("ended within an event")
         await self._accepted.exchange.finish()
+        self._count("answered")
         self._life.whole = True
         self._tools.beliefs.book.served(self._plan.engine.id)
         await self._free_copy()
@@ -230,12 +238,14 @@
             answer=answer.value,
             report=str(report),
         )
+        self._tools.reporter.tally.add(metrics.ENGINE_QUESTIONS, answer.value)
         silence.answered(answer, self._now, events_ahead=ahead)
 
     async def _accept_head(self, response: Response, head: AnswerHead) -> bool:
         """Judge the head of an answer; begins the caller's answer with a first good one."""
         engine = self._plan.engine
         if head.refused:
+            self._count("refused")
             detail = f"refused with {head.status}"
             replaced = head.target_id not in (None, engine.id)
             self._life.refused(engine.id, detail)
@@ -289,6 +299,7 @@
 
     async def _lost(self, ended: _Ended) -> None:
         """Ask the engine whether it lives: one that only lost an answer is not left by all."""
+        self._count("lost")
         engine = self._plan.engine
         alive = not ended.unanswered and await self._tools.prober.ask(engine) is not None
         self._life.lost(engine.id, str(ended), alive=alive, read=self._has_read)
@@ -332,6 +343,8 @@
                 self._called_copy = copied
                 self._life.copied(copied)
                 self._peers.copied(self._accepted.request_id, copied)
+            result = "failed" if isinstance(copied, str) else "made"
+            self._tools.reporter.tally.add(metrics.COPIES, result)
             events.RUN_COPIED.log(
                 log,
                 request=self._accepted.request_id,
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import attrs
-import logbook
 import trio
 
 from lagoonlever.decisions.configuration import EngineLimits
@@ -17,7 +16,6 @@
 )
 from lagoonlever.decisions.stream_time import least_time_s
 from lagoonlever.decisions.target_registry import ListedTarget
-from lagoonlever.gateway import events
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
 from lagoonlever.gateway.beliefs import Beliefs
@@ -25,13 +23,12 @@
 from lagoonlever.gateway.callers_leaving import cancel_when_gone
 from lagoonlever.gateway.messages import GenerationAsk
 from lagoonlever.gateway.peers import PeerExchange
+from lagoonlever.gateway.reporter import Ending
 from lagoonlever.gateway.stream_attempt import AttemptPlan, AttemptTools, StreamAttempt
 from lagoonlever.http.server import CallerGone
 from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.outcomes import NotRun, Reason, Unknown
 
-log = logbook.Logger(__name__)
-
 OK = 200
 COME_BACK_S = 0.3
 NO_LIMITS = EngineLimits(slots=1_000, memory_tokens=1_000_000_000)
@@ -62,18 +59,24 @@
                 cancel_when_gone,
                 accepted.exchange,
                 nursery.cancel_scope,
-                lambda: self._log(accepted, life, 0, "caller-gone", life.detail),
+                lambda: self._is_gone(accepted, life),
             )
             try:
                 await self._serve(accepted, life)
                 whole = life.whole
             except CallerGone:
-                self._log(accepted, life, 0, "caller-gone", life.detail)
+                self._ended(accepted, life, 0, "caller-gone", life.detail)
                 raise
             finally:
                 if life.sent:
                     self._peers.end(accepted.request_id, whole=whole)
 
+    def _is_gone(self, accepted: Accepted, life: StreamLife) -> bool:
+        if life.whole:
+            return False
+        self._ended(accepted, life, 0, "caller-gone", life.detail)
+        return True
+
     async def _new_life(self, accepted: Accepted) -> StreamLife:
         """Begin a stream; a caller that returns goes on where its last run left a copy."""
         part = _ask(accepted).own_part
@@ -97,13 +100,13 @@
         with trio.move_on_at(accepted.deadline):
             gave_up = await self._steps(accepted, life)
         if life.whole:
-            self._log(accepted, life, OK, "done", life.detail)
+            self._ended(accepted, life, OK, "done", life.detail)
             return
         if life.begun:
-            self._log(accepted, life, OK, "failed", gave_up.detail if gave_up else "time is over")
+            self._ended(accepted, life, OK, "failed", gave_up.detail if gave_up else "time is over")
             return
         outcome = self._outcome(life, gave_up)
-        self._log(accepted, life, int(outcome.status), outcome.tag.value, outcome.message)
+        self._ended(accepted, life, int(outcome.status), outcome.tag.value, outcome.message)
         await tell(accepted.exchange, outcome)
 
     async def _steps(self, accepted: Accepted, life: StreamLife) -> GiveUp | None:
@@ -232,24 +235,11 @@
         detail = gave_up.detail if gave_up else "its time was over before it was sent"
         return NotRun(reason=Reason.NO_TARGET, message=detail, retry_after_s=COME_BACK_S)
 
-    def _log(
+    def _ended(
         self, accepted: Accepted, life: StreamLife, status: int, outcome: str, detail: str
     ) -> None:
-        first_at = life.pace.first_at
-        events.STREAM_ENDED.log(
-            log,
-            request=accepted.request_id,
-            route=accepted.route.name,
-            organisation=accepted.organisation,
-            status=status,
-            outcome=outcome,
-            seconds=self._now - accepted.arrived,
-            attempts=life.sent,
-            position=life.position,
-            first_s=None if first_at is None else first_at - accepted.arrived,
-            pause_s=life.pace.longest_pause_s,
-            detail=detail,
-        )
+        ending = Ending(status=status, outcome=outcome, detail=detail)
+        self._tools.reporter.stream_ended(accepted, ending, life)
 
 
 def _growing_copy(accepted: Accepted, holder: ListedTarget) -> RunCopy:
--- a/lagoonlever/logs.py
+++ b/lagoonlever/logs.py
@@ -15,7 +15,9 @@
 import msgspec
 
 from lagoonlever.events import LogEvent
+from lagoonlever.log_writer import BoundedHandler, LineWriter
 
+STDOUT_FD = 1
 HUMAN_TIME_FORMAT = "%Y-%m-%d %H:%M:%S.%f"
 
 
@@ -90,6 +92,23 @@
     log_handler(format=format, level=level, stream=stream).push_application()
 
 
+def set_up_bounded_logs(
+    *,
+    format: LogFormat = LogFormat.JSON,
+    level: LogLevel = LogLevel.INFO,
+    fd: int = STDOUT_FD,
+) -> BoundedHandler:
+    """Send the process's log to a descriptor without ever waiting for its reader.
+
+    Gives the handler, which its owner flushes now and then, and asks what was lost.
+    """
+    handler = BoundedHandler(
+        writer=LineWriter(fd=fd), formatter=_FORMATTERS[format], level=level.name
+    )
+    handler.push_application()
+    return handler
+
+
 def _time_of(record: logbook.LogRecord) -> datetime:
     time: datetime = record.time
     return time.replace(tzinfo=UTC) if time.tzinfo is None else time.astimezone(UTC)
--- a/lagoonlever/platform/headers.py
+++ b/lagoonlever/platform/headers.py
@@ -76,9 +76,14 @@
 """
 
 
+def request_id_of(headers: Headers) -> str | None:
+    """Give the id of a caller's attempt, or None where it sent none."""
+    return headers.get(REQUEST_ID)
+
+
 def read_caller(headers: Headers) -> CallerHead:
     """Decode the head of a caller's request; raises ``RequestRefused`` for a malformed field."""
-    request_id = headers.get(REQUEST_ID)
+    request_id = request_id_of(headers)
     if not request_id:
         raise RequestRefused(status=BAD_REQUEST, field=REQUEST_ID, message="is required")
     deadline_ms = _number(headers, DEADLINE)
--- a/lagoonlever/platform/settings_file.py
+++ b/lagoonlever/platform/settings_file.py
@@ -17,6 +17,8 @@
 
 MS = 1000.0
 ZONES_PREFIX = "Zones."
+METRICS_PORT = 9464
+"""The usual port of OpenTelemetry's exporter; the deploy file names the same."""
 
 
 def load_settings(file: Path) -> GatewaySettings:
@@ -124,6 +126,7 @@
         directory=fields.address("Listen.Directory"),
         bus=bus,
         store=_store(fields, store),
+        metrics=_metrics_address(fields),
         seeds=fields.addresses("Seeds"),
         bounds=_bounds(fields),
         retry_budget=_retry_budget(fields),
@@ -145,6 +148,11 @@
     )
 
 
+def _metrics_address(fields: _Fields) -> Address | None:
+    host = fields.values.get("Ip")
+    return Address(host=host, port=METRICS_PORT) if host else None
+
+
 def _bounds(fields: _Fields) -> Bounds:
     default = Bounds()
     return Bounds(
