Follow a request through the logs of all VMs: lagoonlever explain

Cause: an operator who has a request's id had to search every VM's log, and could not see what a VM believed when it decided. Change: each line names its process; explain gives the steps of a request in order, also of its caller's returns under other ids, with the configuration in force, whether the store was reached, the last news of the target, and what the VMs noticed meanwhile.

--- a/lagoonlever/__main__.py
+++ b/lagoonlever/__main__.py
@@ -11,6 +11,7 @@
     check,
     demo,
     entry,
+    explain,
     fake,
     gateway,
     orders,
@@ -32,6 +33,7 @@
 app.command()(demo.demo)
 app.command()(check.check)
 app.command()(status.status)
+app.command("explain")(explain.explain_request)
 app.command()(bench.bench)
 app.add_typer(report.app, name="report")
 app.add_typer(settings.app, name="settings")
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -157,8 +157,8 @@
     1041,
     "attempt-sent",
     "info",
-    "{request} goes to {target} as attempt {attempt} after event {position}, copy at {copy}:"
-    " {reason}",
+    "{request} with prompt {part} goes to {target} as attempt {attempt} after event {position},"
+    " copy at {copy}: {reason}",
     "Where a request was placed, and by which inputs.",
 )
 ATTEMPT_ENDED = event(
--- a/lagoonlever/gateway/program.py
+++ b/lagoonlever/gateway/program.py
@@ -38,7 +38,6 @@
     log_level: LogLevel = LogLevel.INFO,
 ) -> int:
     """Run the daemon until it is told to stop; gives the exit code."""
-    handler = set_up_bounded_logs(format=log_format, level=log_level)
     file = settings or Path(os.environ.get(PATH_VARIABLE, ""))
     try:
         loaded = load_settings(file)
@@ -46,6 +45,7 @@
         for fault in error.faults:
             print(f"fault: {fault}", file=sys.stderr)
         return FAULTS
+    handler = set_up_bounded_logs(format=log_format, level=log_level, process=loaded.name)
     trio.run(_run, GatewayDaemon(settings=loaded, sockets=sockets or {}), file, handler)
     return 0
 
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -403,6 +403,7 @@
         events.ATTEMPT_SENT.log(
             log,
             request=self._accepted.request_id,
+            part=plan.run.part,
             target=plan.engine.id,
             attempt=self._life.sent,
             position=self._life.position,
--- a/lagoonlever/log_writer.py
+++ b/lagoonlever/log_writer.py
@@ -110,8 +110,10 @@
         formatter: Callable[[logbook.LogRecord, logbook.Handler], str],
         level: str,
         clock: Callable[[], float] = time.monotonic,
+        process: str | None = None,
     ) -> None:
         super().__init__(level=level)
+        self.process = process
         self.formatter = formatter
         self._writer = writer
         self._budget = LineBudget()
--- a/lagoonlever/logs.py
+++ b/lagoonlever/logs.py
@@ -58,6 +58,9 @@
         "channel": record.channel,
         "message": record.message,
     }
+    process = getattr(handler, "process", None)
+    if process is not None:
+        payload["process"] = process
     if event is not None:
         payload["event"] = event.number
         payload["name"] = event.name
@@ -97,13 +100,18 @@
     format: LogFormat = LogFormat.JSON,
     level: LogLevel = LogLevel.INFO,
     fd: int = STDOUT_FD,
+    process: str | None = None,
 ) -> BoundedHandler:
     """Send the process's log to a descriptor without ever waiting for its reader.
 
-    Gives the handler, which its owner flushes now and then, and asks what was lost.
+    ``process`` is told in each JSON line. Gives the handler, which its owner flushes
+    now and then, and asks what was lost.
     """
     handler = BoundedHandler(
-        writer=LineWriter(fd=fd), formatter=_FORMATTERS[format], level=level.name
+        writer=LineWriter(fd=fd),
+        formatter=_FORMATTERS[format],
+        level=level.name,
+        process=process,
     )
     handler.push_application()
     return handler
--- /dev/null
+++ b/lagoonlever/report/explain.py
@@ -0,0 +1,140 @@
+"""Gathers what the logs of all VMs say of one request, with the beliefs behind each step.
+
+A caller that comes back brings another id for the same prompt; the lines that name the
+prompt's own part tie the two together where a VM has logged it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import attrs
+import msgspec
+
+CONFIGURATION = "configuration-in-force"
+TARGET_NEWS = frozenset({"target-listed", "target-replaced", "targets-read"})
+FELLOW_NEWS = frozenset({"fellow-silent", "fellow-heard", "fellow-listed"})
+LIFE_NEWS = frozenset({"gateway-started", "gateway-stopping", "gateway-stopped"})
+STORE_NEWS = frozenset({"platform-unreachable", "platform-reached"})
+
+
+@attrs.frozen(kw_only=True)
+class LogLine:
+    """One line of a VM's log; ``time`` orders lines of all VMs as far as their clocks agree."""
+
+    time: str
+    process: str
+    name: str
+    message: str
+    fields: dict[str, Any]
+
+    @property
+    def request(self) -> str | None:
+        """The request that the line is about."""
+        request = self.fields.get("request")
+        return request if isinstance(request, str) else None
+
+    @property
+    def part(self) -> str | None:
+        """The own part of the prompt of the line's request."""
+        part = self.fields.get("part")
+        return part if isinstance(part, str) else None
+
+
+@attrs.frozen(kw_only=True)
+class Step:
+    """One line of the request, with what its VM believed then."""
+
+    line: LogLine
+    configuration: int | None
+    """The version in force on that VM."""
+    store_reached: bool
+    target_news: str | None
+    """The last word on the target that the line names."""
+
+
+def read_lines(texts: Iterable[str], *, process: str) -> Iterator[LogLine]:
+    """Read a log; what stands before the JSON of a line, and lines without any, are skipped."""
+    for text in texts:
+        begin = text.find("{")
+        if begin < 0:
+            continue
+        try:
+            raw = msgspec.json.decode(text[begin:])
+        except msgspec.DecodeError:
+            continue
+        if not isinstance(raw, dict) or "event" not in raw:
+            continue
+        yield LogLine(
+            time=str(raw.get("time", "")),
+            process=str(raw.get("process") or process),
+            name=str(raw.get("name", "")),
+            message=str(raw.get("message", "")),
+            fields=raw.get("fields") or {},
+        )
+
+
+def explain(lines: Iterable[LogLine], request: str) -> list[Step]:
+    """Give the steps of a request over all VMs, in the order of their times.
+
+    Requests for the same prompt belong to it: its caller came back under another id.
+    """
+    lines = sorted(lines, key=lambda line: line.time)
+    parts = {line.part for line in lines if line.request == request} - {None}
+    wanted = {line.request for line in lines if line.part in parts} | {request}
+    configuration: dict[str, int] = {}
+    unreachable: set[str] = set()
+    targets: dict[str, str] = {}
+    steps: list[Step] = []
+    for line in lines:
+        if line.name == CONFIGURATION:
+            configuration[line.process] = int(line.fields.get("version") or 0)
+        elif line.name == "platform-unreachable":
+            unreachable.add(line.process)
+        elif line.name == "platform-reached":
+            unreachable.discard(line.process)
+        elif line.name in TARGET_NEWS:
+            targets[str(line.fields.get("target"))] = f"{line.time} {line.message}"
+        if line.request is None or line.request not in wanted:
+            continue
+        steps.append(
+            Step(
+                line=line,
+                configuration=configuration.get(line.process),
+                store_reached=line.process not in unreachable,
+                target_news=targets.get(str(line.fields.get("target"))),
+            )
+        )
+    return steps
+
+
+def surroundings(lines: Iterable[LogLine], steps: list[Step]) -> list[LogLine]:
+    """Give what the VMs of a request noticed of themselves and others while it lasted."""
+    if not steps:
+        return []
+    first, last = steps[0].line.time, steps[-1].line.time
+    processes = {step.line.process for step in steps}
+    news = FELLOW_NEWS | LIFE_NEWS | STORE_NEWS | {CONFIGURATION}
+    found = [
+        line
+        for line in lines
+        if first <= line.time <= last and line.process in processes and line.name in news
+    ]
+    return sorted(found, key=lambda line: line.time)
+
+
+def format_steps(steps: list[Step], around: list[LogLine]) -> list[str]:
+    """Give the text for people: each step, what was believed, and what went on meanwhile."""
+    rows: list[tuple[str, str]] = []
+    for step in steps:
+        line = step.line
+        beliefs = f"configuration {step.configuration}"
+        if not step.store_reached:
+            beliefs += ", store not reached"
+        text = f"{line.time} {line.process} {line.name}: {line.message}\n    believed: {beliefs}"
+        if step.target_news is not None:
+            text += f"\n    of the target: {step.target_news}"
+        rows.append((line.time, text))
+    rows += [(line.time, f"{line.time} {line.process} | {line.message}") for line in around]
+    return [text for _, text in sorted(rows)]
--- /dev/null
+++ b/lagoonlever/tests/explain_tests.py
@@ -0,0 +1,72 @@
+"""A request is followed through the logs of several VMs."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+from typer.testing import CliRunner
+
+from lagoonlever.__main__ import app
+from lagoonlever.report.explain import explain, read_lines
+
+
+def line(second: int, process: str, name: str, **fields: object) -> str:
+    return msgspec.json.encode(
+        {
+            "time": f"2026-01-01T00:00:{second:02d}.000000+00:00",
+            "process": process,
+            "event": 1,
+            "name": name,
+            "message": f"{name} {fields}",
+            "fields": fields,
+        }
+    ).decode()
+
+
+LOG_A = [
+    line(1, "vm-a", "configuration-in-force", version=7),
+    line(2, "vm-a", "target-listed", target="e1", state="ready"),
+    line(3, "vm-a", "attempt-sent", request="r1", target="e1"),
+    "no JSON at all",
+    line(4, "vm-a", "platform-unreachable", step="watch"),
+    line(5, "vm-a", "attempt-ended", request="r1", target="e1"),
+]
+LOG_B = [
+    line(4, "vm-b", "attempt-sent", request="r2", target="e1"),
+    line(6, "vm-b", "target-listed", target="e1", state="removed"),
+]
+
+
+def test_each_step_says_what_its_vm_believed() -> None:
+    lines = [*read_lines(LOG_A, process="a"), *read_lines(LOG_B, process="b")]
+    steps = explain(lines, "r1")
+    assert [step.line.name for step in steps] == ["attempt-sent", "attempt-ended"]
+    assert [step.configuration for step in steps] == [7, 7]
+    assert [step.store_reached for step in steps] == [True, False]
+    assert "ready" in (steps[0].target_news or "")
+
+
+def test_a_caller_that_came_back_under_another_id_is_followed() -> None:
+    first = line(1, "vm-a", "attempt-sent", request="r1", target="e1", part="p1")
+    second = line(2, "vm-b", "attempt-sent", request="r2", target="e2", part="p1")
+    other = line(3, "vm-b", "attempt-sent", request="r3", target="e2", part="p2")
+    lines = list(read_lines([first, second, other], process="a"))
+    assert [step.line.request for step in explain(lines, "r1")] == ["r1", "r2"]
+
+
+def test_the_command_reads_files_and_tells_what_went_on_meanwhile(tmp_path: Path) -> None:
+    (tmp_path / "a.log").write_text("\n".join(LOG_A))
+    (tmp_path / "b.log").write_text("\n".join(LOG_B))
+    files = [str(tmp_path / "a.log"), str(tmp_path / "b.log")]
+    told = CliRunner().invoke(app, ["explain", "r1", *files])
+    assert told.exit_code == 0
+    assert "configuration 7, store not reached" in told.output
+    assert "| platform-unreachable" in told.output
+    assert "r2" not in told.output
+
+
+def test_an_unknown_request_is_told(tmp_path: Path) -> None:
+    (tmp_path / "a.log").write_text("\n".join(LOG_A))
+    told = CliRunner().invoke(app, ["explain", "nobody", str(tmp_path / "a.log")])
+    assert told.exit_code == 1
