--- a/lagoonlever/decisions/fellows.py
+++ b/lagoonlever/decisions/fellows.py
@@ -2,13 +2,16 @@
 
 Two sources, neither of them a promise. The store's register tells which VMs exist and
 where their bus listens; it is read once, and lags a death by the life of a lease. What
-VMs say of themselves several times a second tells who is alive and takes callers now.
-A VM that has fallen silent, or was never heard though it is registered, is dead or cut
-off: a caller sent there would lose its one retry, so it is left out within a second.
+VMs say of themselves several times a second, to each other or through hubs, tells who
+is alive and takes callers now. A VM that has fallen silent, or was never heard though
+it is registered, is dead or cut off: a caller sent there would lose its one retry, so
+it is left out within a second or two.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import attrs
 
 from lagoonlever.http.messages import Address
@@ -17,6 +20,8 @@
 SAY_EVERY_S = 0.3
 SILENT_S = 1.0
 """Three words missed: one lost, or late by a slow turn, doesn't take a VM out."""
+HUB_SILENT_S = 1.7
+"""Where hubs pass words on, each of two hops adds up to one interval."""
 FORGET_S = 30.0
 """Beyond any lease, so that a dead VM's entry is not taken for a new VM."""
 
@@ -36,6 +41,8 @@
     """The version it has in force; 0 for none."""
     list_revision: int = 0
     """The store's revision of its list of targets."""
+    store_away: bool = False
+    """It has tried to reach the store of late, and could not."""
 
 
 @attrs.define(kw_only=True)
@@ -51,13 +58,25 @@
     """The newest life of each VM but this one; times are seconds of the monotonic clock."""
 
     _own: Incarnation
+    silent_s: float = SILENT_S
     _fellows: dict[str, _Fellow] = attrs.field(factory=dict)
+    _names: dict[int, str] = attrs.field(factory=dict)
+    """By the random number of each life, which is how digests name it."""
 
     @property
     def states(self) -> tuple[FellowState, ...]:
         """What is known of every fellow, heard or registered."""
         return tuple(fellow.state for fellow in self._fellows.values())
 
+    def present(self, now: float) -> tuple[FellowState, ...]:
+        """Give the fellows that are not silent."""
+        return tuple(f.state for f in self._fellows.values() if not self._is_silent(f, now))
+
+    def find(self, name: str) -> FellowState | None:
+        """Give what is known of a VM, or None."""
+        fellow = self._fellows.get(name)
+        return fellow.state if fellow else None
+
     def heard(self, state: FellowState, now: float) -> bool:
         """Take what a VM says of itself; gives True for a life that was not heard before."""
         if state.life.name == self._own.name:
@@ -65,30 +84,42 @@
         known = self._fellows.get(state.life.name)
         if known is not None and state.life < known.state.life:
             return False
-        self._fellows[state.life.name] = _Fellow(state=state, known_at=now, heard=True)
+        self._put(_Fellow(state=state, known_at=now, heard=True))
         return known is None or known.state.life != state.life or not known.heard
 
+    def told(self, state: FellowState, now: float) -> None:
+        """Take what a hub tells of a VM, which is as old as the hub's last word of it."""
+        self.heard(state, now)
+
+    def seen(self, numbers: Iterable[int], now: float) -> bool:
+        """Take the lives that a hub has heard; gives False where one is not known here."""
+        all_known = True
+        for number in numbers:
+            fellow = self._fellows.get(self._names.get(number, ""))
+            if fellow is not None and fellow.state.life.nonce == number:
+                fellow.known_at = now
+                fellow.heard = True
+            elif number != self._own.nonce:
+                all_known = False
+        return all_known
+
     def registered(self, state: FellowState, now: float) -> None:
         """Take an entry of the register; what the VM itself said goes before it."""
         if state.life.name == self._own.name:
             return
         known = self._fellows.get(state.life.name)
         if known is None or known.state.life < state.life:
-            self._fellows[state.life.name] = _Fellow(state=state, known_at=now)
+            self._put(_Fellow(state=state, known_at=now))
 
     def is_silent(self, name: str, now: float) -> bool:
         """Tell whether a VM has said nothing for too long."""
         fellow = self._fellows.get(name)
-        return fellow is not None and now - fellow.known_at > SILENT_S
+        return fellow is not None and self._is_silent(fellow, now)
 
     def offered(self, now: float) -> tuple[FellowState, ...]:
         """Give the VMs that callers may be sent to."""
         return tuple(
-            fellow.state
-            for fellow in self._fellows.values()
-            if fellow.state.takes_callers
-            and not fellow.state.leaving
-            and not self.is_silent(fellow.state.life.name, now)
+            state for state in self.present(now) if state.takes_callers and not state.leaving
         )
 
     def expire(self, now: float) -> None:
@@ -96,3 +127,15 @@
         for name, fellow in list(self._fellows.items()):
             if now - fellow.known_at > FORGET_S:
                 del self._fellows[name]
+                self._names.pop(fellow.state.life.nonce, None)
+
+    def _put(self, fellow: _Fellow) -> None:
+        life = fellow.state.life
+        former = self._fellows.get(life.name)
+        if former is not None:
+            self._names.pop(former.state.life.nonce, None)
+        self._fellows[life.name] = fellow
+        self._names[life.nonce] = life.name
+
+    def _is_silent(self, fellow: _Fellow, now: float) -> bool:
+        return now - fellow.known_at > self.silent_s
--- /dev/null
+++ b/lagoonlever/decisions/roles.py
@@ -0,0 +1,82 @@
+"""Which VMs read the store for the others, and which gather their words.
+
+The load that is answered: every change of the store is a call of each VM that watches
+it, and a word of each VM to each other one, three times a second, grows with the square
+of the fleet. At 69 VMs that was 5,000 calls and 7 of the machine's cores.
+
+So a few VMs of each data centre read the store and push what changes to the others.
+Up to a dozen VMs speak to each other directly; in larger fleets each speaks to the hubs
+of its data centre, and hubs pass on who was heard. Roles are worked out by each VM from
+its own view, alike while views agree. They are no promise: where views differ, a VM more
+or less reads, and a VM that hears of no reader reads for itself.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import attrs
+
+from lagoonlever.decisions.fellows import FellowState
+from lagoonlever.decisions.rendezvous import ranked
+
+MESH_MOST = 12
+"""Up to this many VMs every one speaks to every other."""
+HUBS = 2
+"""In each data centre: one may die, and the other's word is there meanwhile."""
+LEAST_READERS = 3
+"""In the whole fleet: one may be cut from the store and one from its fellows."""
+OUTAGE_AWAY = 3
+"""So many VMs that can't reach the store mean that nobody can: others need not try."""
+
+
+@attrs.frozen(kw_only=True)
+class Roles:
+    """What one VM does, and to whom it speaks."""
+
+    reads_store: bool
+    is_hub: bool
+    mesh: bool
+    """Every VM speaks to every other; nobody gathers."""
+    hubs: tuple[str, ...]
+    """The hubs of this VM's data centre, itself perhaps among them."""
+    other_hubs: tuple[str, ...]
+    """The hubs of the other data centres."""
+
+
+def roles_of(own: FellowState, fellows: Iterable[FellowState]) -> Roles:
+    """Work out the roles; ``fellows`` are the VMs that are not silent."""
+    present = [own, *(fellow for fellow in fellows if not fellow.leaving)]
+    by_place: dict[str, list[FellowState]] = {}
+    for state in present:
+        by_place.setdefault(state.data_center, []).append(state)
+    hubs = {place: _first(states, "hub", HUBS) for place, states in by_place.items()}
+    own_hubs = hubs[own.data_center]
+    readers = _readers(by_place)
+    return Roles(
+        reads_store=own.life.name in readers,
+        is_hub=own.life.name in own_hubs,
+        mesh=len(present) <= MESH_MOST,
+        hubs=own_hubs,
+        other_hubs=tuple(
+            name for place, names in hubs.items() if place != own.data_center for name in names
+        ),
+    )
+
+
+def _readers(by_place: dict[str, list[FellowState]]) -> set[str]:
+    """Give the readers: in each data centre the first of those that reach the store."""
+    away = sum(state.store_away for states in by_place.values() for state in states)
+    outage = away >= OUTAGE_AWAY
+    count = math.ceil(LEAST_READERS / len(by_place))
+    readers: set[str] = set()
+    for states in by_place.values():
+        reaching = [state for state in states if outage or not state.store_away]
+        readers.update(_first(reaching or states, "reader", count))
+    return readers
+
+
+def _first(states: list[FellowState], purpose: str, count: int) -> tuple[str, ...]:
+    names = {state.life.name for state in states}
+    return tuple(ranked(names, purpose=purpose)[:count])
--- a/lagoonlever/decisions/settings_watchers.py
+++ b/lagoonlever/decisions/settings_watchers.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import attrs
-import xxhash
 
 from lagoonlever.decisions.membership import MemberView
+from lagoonlever.decisions.rendezvous import ranked
 from lagoonlever.identity import Incarnation
 
 
@@ -19,12 +19,8 @@
     if own is None:
         return True
     near = [member.name for member in view.alive if member.data_center == own.data_center]
-    ranked = sorted({*near, own.name}, key=_rank)
-    return own.name in ranked[:per_data_center]
-
-
-def _rank(name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"settings-watcher|{name}".encode())
+    first = ranked({*near, own.name}, purpose="settings-watcher")[:per_data_center]
+    return own.name in first
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/decisions/target_registry.py
+++ b/lagoonlever/decisions/target_registry.py
@@ -6,6 +6,9 @@
 from the return and not from the removal: a VM that was cut off alone can't tell its
 cut from an outage, and must not hold a target that really left beyond the time in
 which it may still get work. A removal at any other time counts at once.
+
+What is learnt comes in any order, from the store and from other VMs: of each target the
+word of the highest revision counts, also that it was removed.
 """
 
 from __future__ import annotations
@@ -18,8 +21,8 @@
 
 LAPSED_BACK_S = 2.2
 """Entries that lapsed in an outage are back within about 2 s of the store's return."""
-FORGET_REPLACED_S = 60.0
-"""A process that was replaced at its address never returns; the list lags by seconds."""
+FORGET_S = 60.0
+"""No word of a target is still on its way after so long."""
 
 
 @attrs.frozen(kw_only=True)
@@ -32,6 +35,23 @@
     data_center: str
     slots: int = 1
     draining: bool = False
+    revision: int = 0
+    """The store's revision of this entry."""
+
+
+@attrs.frozen(kw_only=True)
+class TargetChange:
+    """A target as it is now, or None where it was removed, by a revision of the store."""
+
+    id: str
+    target: ListedTarget | None
+    revision: int
+
+
+@attrs.define(kw_only=True)
+class _Gone:
+    revision: int
+    at: float
 
 
 @attrs.define(kw_only=True)
@@ -39,8 +59,9 @@
     """Holds the list; times are seconds of the monotonic clock."""
 
     _targets: dict[str, ListedTarget] = attrs.field(factory=dict)
-    _held: dict[str, float] = attrs.field(factory=dict)
-    """Removals that count from the given time, unless the entry is back before."""
+    _held: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+    """Removals by their revision, and when they count unless the entry is back before."""
+    _gone: dict[str, _Gone] = attrs.field(factory=dict)
     _replaced: dict[str, float] = attrs.field(factory=dict)
     _as_of: int = 0
     _changed_at: int = 0
@@ -84,33 +105,44 @@
         revision: int,
         now: float,
         store_back_at: float | None,
-    ) -> None:
-        """Take the whole list; ``store_back_at`` is when the store was reached again."""
-        listed = {target.id: target for target in targets}
-        for missing in self._targets.keys() - listed.keys():
-            self._remove(missing, now, store_back_at)
-        for target in listed.values():
-            self._put(target)
-        self._as_of = revision
+    ) -> tuple[TargetChange, ...]:
+        """Take the whole list as of a revision; gives what counts of it now.
 
-    def change(
-        self,
-        target_id: str,
-        target: ListedTarget | None,
-        *,
-        revision: int,
-        now: float,
-        store_back_at: float | None,
-    ) -> None:
-        """Take one change of the list, None for a removal; an old one changes nothing."""
-        if revision <= self._as_of:
-            return
-        if target is None:
-            self._remove(target_id, now, store_back_at)
-        else:
-            self._put(target)
-        self._as_of = revision
-        self._changed_at = revision
+        ``store_back_at`` is when the store was reached again, where it was not of late.
+        """
+        listed = {target.id: target for target in targets}
+        changes = [
+            TargetChange(id=target.id, target=target, revision=target.revision)
+            for target in listed.values()
+        ]
+        changes += [
+            TargetChange(id=missing, target=None, revision=revision)
+            for missing in self._targets.keys() - listed.keys()
+        ]
+        counted = [
+            change
+            for change in changes
+            if self.change(change, now=now, store_back_at=store_back_at)
+        ]
+        self._as_of = max(self._as_of, revision)
+        return tuple(counted)
+
+    def change(self, change: TargetChange, *, now: float, store_back_at: float | None) -> bool:
+        """Take one change; gives whether it counts now, and is no old one."""
+        if change.revision <= self._known_revision(change.id):
+            return False
+        self._changed_at = max(self._changed_at, change.revision)
+        if change.target is not None:
+            self._held.pop(change.id, None)
+            self._gone.pop(change.id, None)
+            self._targets[change.id] = attrs.evolve(change.target, revision=change.revision)
+            return True
+        counts_at = now if store_back_at is None else store_back_at + LAPSED_BACK_S
+        if change.id in self._targets and counts_at > now:
+            self._held.setdefault(change.id, (change.revision, counts_at))
+            return False
+        self._drop(change.id, change.revision, now)
+        return True
 
     def seen_up_to(self, revision: int) -> None:
         """Note that there was no further change up to a revision of the store."""
@@ -121,27 +153,25 @@
         if target_id in self._targets:
             self._replaced[target_id] = now
 
-    def expire(self, now: float) -> None:
-        """Let held removals count whose time has come."""
-        for target_id in [each for each, until in self._held.items() if now >= until]:
-            self._drop(target_id)
-        for target_id in [t for t, at in self._replaced.items() if now - at > FORGET_REPLACED_S]:
+    def expire(self, now: float) -> tuple[TargetChange, ...]:
+        """Let held removals count whose time has come; gives them."""
+        due = [(t, revision) for t, (revision, at) in self._held.items() if now >= at]
+        for target_id, revision in due:
+            self._drop(target_id, revision, now)
+        for target_id in [t for t, gone in self._gone.items() if now - gone.at > FORGET_S]:
+            del self._gone[target_id]
+        for target_id in [t for t, at in self._replaced.items() if now - at > FORGET_S]:
             del self._replaced[target_id]
+        return tuple(TargetChange(id=t, target=None, revision=revision) for t, revision in due)
 
-    def _put(self, target: ListedTarget) -> None:
-        self._held.pop(target.id, None)
-        self._targets[target.id] = target
-
-    def _remove(self, target_id: str, now: float, store_back_at: float | None) -> None:
-        if target_id not in self._targets:
-            return
-        counts_at = now if store_back_at is None else store_back_at + LAPSED_BACK_S
-        if counts_at <= now:
-            self._drop(target_id)
-        else:
-            self._held.setdefault(target_id, counts_at)
+    def _known_revision(self, target_id: str) -> int:
+        target, gone = self._targets.get(target_id), self._gone.get(target_id)
+        if target is not None:
+            return target.revision
+        return gone.revision if gone is not None else -1
 
-    def _drop(self, target_id: str) -> None:
+    def _drop(self, target_id: str, revision: int, now: float) -> None:
         self._held.pop(target_id, None)
         self._targets.pop(target_id, None)
         self._replaced.pop(target_id, None)
+        self._gone[target_id] = _Gone(revision=revision, at=now)
--- a/lagoonlever/gateway/daemon.py
+++ b/lagoonlever/gateway/daemon.py
@@ -106,7 +106,7 @@
         grace_s = self._settings.bounds.grace_s
         self._http.closing = True
         events.STOPPING.log(log, open=self._http.open_exchanges, grace_s=grace_s)
-        parts.peers.say_now()
+        parts.presence.say_now()
         await parts.registration.leave()
         while self._timers.now - began < grace_s - END_MARGIN_S:
             quiet = self._timers.now - began > QUIET_S
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -100,7 +100,8 @@
     1023,
     "targets-read",
     "info",
-    "The list of {targets} targets was read at revision {revision}, from {source}.",
+    "A list of {targets} targets, {changed} of them changed, as of revision {revision}, from"
+    " {source}.",
     "Told at the start, after changes were lost, and where a peer knew a newer list.",
 )
 WATCH_COMPACTED = event(
@@ -131,6 +132,13 @@
     "Gateway {vm} has fallen silent; callers are not sent there.",
     "It is dead, paused or cut off from this VM.",
 )
+ROLES = event(
+    1035,
+    "roles",
+    "info",
+    "This VM reads the store for others: {reads}; is a hub: {hub}; speaks to every VM: {mesh}.",
+    "Roles follow from who is there. A reader pushes what changes; a hub gathers who lives.",
+)
 FELLOW_HEARD = event(
     1034,
     "fellow-heard",
--- /dev/null
+++ b/lagoonlever/gateway/knowledge.py
@@ -0,0 +1,157 @@
+"""Passes on the configuration and the list of targets between gateways.
+
+Those that read the store push what changes to the others. A VM that sees another say
+that it knows more asks it, after the time in which a push or the store would have told.
+"""
+
+from __future__ import annotations
+
+import attrs
+import logbook
+import trio
+
+from lagoonlever.decisions.fellows import FellowState
+from lagoonlever.decisions.target_registry import TargetChange
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.learner import Learner
+from lagoonlever.http.messages import Address
+from lagoonlever.identity import Incarnation
+from lagoonlever.peers.interface import Bus
+from lagoonlever.peers.messages import Received
+from lagoonlever.peers.messages_gateway import (
+    ConfigurationNews,
+    FellowDigest,
+    Knowledge,
+    KnowledgeAsk,
+    TargetNews,
+)
+from lagoonlever.timers import TimerService
+
+log = logbook.Logger(__name__)
+
+BEHIND_S = 0.25
+"""A push or the store tells a change this soon; only then a VM asks another."""
+ASK_EVERY_S = 0.3
+
+
+@attrs.define(kw_only=True, eq=False)
+class KnowledgeExchange:
+    """Pushes, asks and answers."""
+
+    _bus: Bus
+    _beliefs: Beliefs
+    _learner: Learner
+    _timers: TimerService
+    _own_bus: Address
+    _behind_since: float | None = None
+    _asked_at: float = float("-inf")
+
+    async def run(self) -> None:
+        """Exchange what is known until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive_states)
+            nursery.start_soon(self._receive_digests)
+            nursery.start_soon(self._receive_configurations)
+            nursery.start_soon(self._receive_targets)
+            nursery.start_soon(self._receive_asks)
+            nursery.start_soon(self._receive_knowledge)
+
+    def push_configuration(self) -> None:
+        """Tell the others of the configuration that was just read."""
+        value = self._beliefs.configuration_value
+        if value is not None:
+            self._push(ConfigurationNews(version=self._beliefs.version, value=value))
+
+    def push_targets(self, changes: tuple[TargetChange, ...], *, after: int) -> None:
+        """Tell the others what changed in the list since a revision."""
+        as_of = self._beliefs.targets.as_of
+        self._push(TargetNews(changes=changes, after=after, as_of=as_of))
+
+    def ask(self, address: Address) -> None:
+        """Ask a VM for what it knows better."""
+        ask = KnowledgeAsk(
+            reply_to=self._own_bus,
+            configuration=self._beliefs.version,
+            list_revision=self._beliefs.targets.as_of,
+        )
+        self._bus.send(address, ask)
+
+    def _push(self, news: object) -> None:
+        for fellow in self._beliefs.fellows.present(self._timers.now):
+            self._bus.send(fellow.bus, news)
+
+    async def _receive_states(self) -> None:
+        async for received in self._bus.subscribe(FellowState):
+            self._compare(received.message)
+
+    async def _receive_digests(self) -> None:
+        async for received in self._bus.subscribe(FellowDigest):
+            for state in received.message.news:
+                self._compare(state)
+
+    def _compare(self, state: FellowState) -> None:
+        """Ask a VM that knows more, once a push had time to tell."""
+        now = self._timers.now
+        targets = self._beliefs.targets
+        if state.configuration <= self._beliefs.version and state.list_revision <= targets.as_of:
+            if self._behind_since is not None and now - self._behind_since > 2 * BEHIND_S:
+                self._behind_since = None
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        if self._beliefs.version and now - self._behind_since < BEHIND_S:
+            return
+        if now - self._asked_at < ASK_EVERY_S:
+            return
+        self._asked_at = now
+        self.ask(state.bus)
+
+    async def _receive_configurations(self) -> None:
+        async for received in self._bus.subscribe(ConfigurationNews):
+            source = received.sender.name
+            self._learner.take_configuration(received.message.value, source=source)
+
+    async def _receive_targets(self) -> None:
+        async for received in self._bus.subscribe(TargetNews):
+            self._take_targets(received)
+
+    def _take_targets(self, received: Received[TargetNews]) -> None:
+        """Apply changes that follow what is known; ask for the whole list after a gap."""
+        news, targets = received.message, self._beliefs.targets
+        if news.after > targets.as_of:
+            address = self._address_of(received.sender)
+            if address is not None:
+                self.ask(address)
+            return
+        for change in news.changes:
+            self._learner.take_change(change)
+        targets.seen_up_to(news.as_of)
+
+    async def _receive_asks(self) -> None:
+        async for received in self._bus.subscribe(KnowledgeAsk):
+            self._answer(received.message)
+
+    def _answer(self, ask: KnowledgeAsk) -> None:
+        beliefs = self._beliefs
+        newer = beliefs.version > ask.configuration
+        newer_list = beliefs.targets.as_of > ask.list_revision
+        if not newer and not newer_list:
+            return
+        answer = Knowledge(
+            configuration=beliefs.configuration_value if newer else None,
+            targets=beliefs.targets.targets if newer_list else None,
+            list_revision=beliefs.targets.as_of,
+        )
+        self._bus.send(ask.reply_to, answer)
+
+    async def _receive_knowledge(self) -> None:
+        async for received in self._bus.subscribe(Knowledge):
+            known, source = received.message, received.sender.name
+            if known.configuration is not None:
+                self._learner.take_configuration(known.configuration, source=source)
+            if known.targets is not None:
+                self._learner.take_list(known.targets, revision=known.list_revision, source=source)
+
+    def _address_of(self, life: Incarnation) -> Address | None:
+        state = self._beliefs.fellows.find(life.name)
+        return state.bus if state is not None and state.life == life else None
--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -8,7 +8,7 @@
 import logbook
 
 from lagoonlever.decisions.configuration import newer
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.target_registry import ListedTarget, TargetChange
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.platform.configuration import UnreadableConfiguration, read_configuration
@@ -24,21 +24,22 @@
     _beliefs: Beliefs
     _timers: TimerService
 
-    def take_configuration(self, value: bytes, *, source: str) -> None:
-        """Put a stored configuration in force unless a newer one is."""
+    def take_configuration(self, value: bytes, *, source: str) -> bool:
+        """Put a stored configuration in force unless a newer one is; gives whether it did."""
         try:
             offered = read_configuration(value)
         except UnreadableConfiguration as error:
             events.CONFIGURATION_UNREADABLE.log(log, error=str(error))
-            return
+            return False
         known = self._beliefs.configuration.value
         if newer(known, offered) is known:
-            return
+            return False
         former = known.version if known else None
         events.CONFIGURATION.log(log, version=offered.version, source=source, former=former)
         self._beliefs.configuration_value = value
         self._beliefs.configuration.publish(offered)
         self._note_known()
+        return True
 
     def take_list(
         self,
@@ -47,45 +48,42 @@
         revision: int,
         source: str,
         store_back_at: float | None = None,
-    ) -> None:
-        """Take the whole list of targets unless what is known is newer."""
+    ) -> tuple[TargetChange, ...]:
+        """Take the whole list of targets unless what is known is newer; gives what changed."""
         registry = self._beliefs.targets
-        if revision <= registry.as_of:
-            return
-        registry.read(targets, revision=revision, now=self._timers.now, store_back_at=store_back_at)
-        known = len(registry.targets)
-        events.TARGETS_READ.log(log, targets=known, revision=revision, source=source)
+        if revision < registry.as_of:
+            return ()
+        changes = registry.read(
+            targets, revision=revision, now=self._timers.now, store_back_at=store_back_at
+        )
+        if changes:
+            events.TARGETS_READ.log(
+                log,
+                targets=len(registry.targets),
+                changed=len(changes),
+                revision=revision,
+                source=source,
+            )
         self._note_known()
+        return changes
 
-    def take_target(
-        self,
-        target_id: str,
-        target: ListedTarget | None,
-        *,
-        revision: int,
-        store_back_at: float | None,
-    ) -> None:
-        """Take one change of the list of targets; None for a removal."""
+    def take_change(self, change: TargetChange, *, store_back_at: float | None = None) -> bool:
+        """Take one change of the list of targets; gives whether it counts now."""
         registry = self._beliefs.targets
-        known = target or registry.find(target_id)
-        registry.change(
-            target_id,
-            target,
-            revision=revision,
-            now=self._timers.now,
-            store_back_at=store_back_at,
-        )
-        if known is None:
-            return
-        state = "removed" if target is None else "draining" if target.draining else "ready"
-        events.TARGET_LISTED.log(
-            log,
-            target=target_id,
-            service=known.service,
-            address=str(known.address),
-            state=state,
-            revision=revision,
-        )
+        known = change.target or registry.find(change.id)
+        counts = registry.change(change, now=self._timers.now, store_back_at=store_back_at)
+        if counts and known is not None:
+            self._log_change(change, known)
+        return counts
+
+    def expire(self) -> tuple[TargetChange, ...]:
+        """Let removals count that were held; gives them."""
+        registry = self._beliefs.targets
+        known = {target.id: target for target in registry.targets}
+        changes = registry.expire(self._timers.now)
+        for change in changes:
+            self._log_change(change, known[change.id])
+        return changes
 
     def take_replaced(self, target_id: str, *, source: str) -> None:
         """Note that another process answers at a target's address."""
@@ -95,6 +93,18 @@
         events.TARGET_REPLACED.log(log, target=target_id, source=source)
         registry.replaced(target_id, self._timers.now)
 
+    def _log_change(self, change: TargetChange, known: ListedTarget) -> None:
+        target = change.target
+        state = "removed" if target is None else "draining" if target.draining else "ready"
+        events.TARGET_LISTED.log(
+            log,
+            target=change.id,
+            service=known.service,
+            address=str(known.address),
+            state=state,
+            revision=change.revision,
+        )
+
     def _note_known(self) -> None:
         if self._beliefs.version and self._beliefs.targets.as_of:
             self._beliefs.known.set()
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -15,10 +15,12 @@
 from lagoonlever.gateway.call_exchange import CallExchange
 from lagoonlever.gateway.directory import Directory
 from lagoonlever.gateway.front import Front
+from lagoonlever.gateway.knowledge import KnowledgeExchange
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.metrics_page import MetricsPage
 from lagoonlever.gateway.once_calls import OnceCalls
 from lagoonlever.gateway.peers import PeerExchange
+from lagoonlever.gateway.presence import Presence
 from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.gateway.register import Register
 from lagoonlever.gateway.registration import Registration
@@ -59,10 +61,12 @@
     store: MetadataStore = attrs.field(init=False)
     beliefs: Beliefs = attrs.field(init=False)
     learner: Learner = attrs.field(init=False)
-    follower: StoreFollower = attrs.field(init=False)
-    registration: Registration = attrs.field(init=False)
     bus: PeerBus = attrs.field(init=False)
+    presence: Presence = attrs.field(init=False)
+    knowledge: KnowledgeExchange = attrs.field(init=False)
     peers: PeerExchange = attrs.field(init=False)
+    follower: StoreFollower = attrs.field(init=False)
+    registration: Registration = attrs.field(init=False)
     client: TargetClient = attrs.field(factory=TargetClient, init=False)
     budgets: RetryBudgets = attrs.field(init=False)
     prober: EngineProber = attrs.field(factory=EngineProber, init=False)
@@ -96,12 +100,51 @@
     def _make_learner(self) -> Learner:
         return Learner(beliefs=self.beliefs, timers=self.timers)
 
+    @bus.default
+    def _make_bus(self) -> PeerBus:
+        return PeerBus(own=self.life, listen=self.settings.bus)
+
+    @presence.default
+    def _make_presence(self) -> Presence:
+        return Presence(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            own_state=self.own_state,
+            seeds=self.settings.seeds,
+        )
+
+    @knowledge.default
+    def _make_knowledge(self) -> KnowledgeExchange:
+        return KnowledgeExchange(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            learner=self.learner,
+            timers=self.timers,
+            own_bus=self.settings.bus,
+        )
+
+    @peers.default
+    def _make_peers(self) -> PeerExchange:
+        peers = PeerExchange(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            learner=self.learner,
+            timers=self.timers,
+            vm=self.settings.name,
+        )
+        self.presence.on_greeting(peers.greet)
+        self.presence.on_loss(peers.vm_lost)
+        return peers
+
     @follower.default
     def _make_follower(self) -> StoreFollower:
         return StoreFollower(
             store=self.store,
             beliefs=self.beliefs,
             learner=self.learner,
+            knowledge=self.knowledge,
+            roles=self.presence.roles,
             timers=self.timers,
             rng=self.rng,
         )
@@ -111,24 +154,11 @@
         return Registration(
             store=self.store,
             register=Register(fellows=self.beliefs.fellows, timers=self.timers),
-            own=self.own_state(),
-            rng=self.rng,
-        )
-
-    @bus.default
-    def _make_bus(self) -> PeerBus:
-        return PeerBus(own=self.life, listen=self.settings.bus)
-
-    @peers.default
-    def _make_peers(self) -> PeerExchange:
-        return PeerExchange(
-            bus=self.bus,
             beliefs=self.beliefs,
-            learner=self.learner,
+            roles=self.presence.roles,
             timers=self.timers,
+            own=self.own_state(),
             rng=self.rng,
-            own_state=self.own_state,
-            seeds=self.settings.seeds,
         )
 
     @budgets.default
@@ -201,6 +231,8 @@
         return {
             "timers": self.timers.run,
             "bus": self.bus.run,
+            "presence": self.presence.run,
+            "knowledge": self.knowledge.run,
             "peers": self.peers.run,
             "store follower": self.follower.run,
             "registration": self.registration.run,
@@ -210,7 +242,7 @@
         """Put changed settings in force; what this VM listens on stays until its next start."""
         self.settings = settings
         self.store.move_to(settings.store.address)
-        self.peers.reseed(settings.seeds)
+        self.presence.reseed(settings.seeds)
         self.budgets.rebound(settings.retry_budget)
 
     def ready(self) -> bool:
@@ -228,6 +260,7 @@
             leaving=self.stopping(),
             configuration=self.beliefs.version,
             list_revision=self.beliefs.targets.changed_at,
+            store_away=self.store.is_away,
         )
 
     def server_limits(self) -> ServerLimits:
--- a/lagoonlever/gateway/registration.py
+++ b/lagoonlever/gateway/registration.py
@@ -1,7 +1,12 @@
-"""Registers this VM in the store under a lease, and keeps the lease alive."""
+"""Registers this VM in the store under a lease, where it has a role that others look for.
+
+A VM that starts and can't reach its seeds looks into the register. It finds the hubs
+and the readers there, and through them everyone; so only they are registered.
+"""
 
 from __future__ import annotations
 
+import contextlib
 import random
 
 import attrs
@@ -9,10 +14,14 @@
 import trio
 
 from lagoonlever.decisions.fellows import FellowState
+from lagoonlever.decisions.roles import Roles
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
+from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.register import REGISTER_PREFIX, Register, encode_entry, register_key
+from lagoonlever.published import Published
 from lagoonlever.store.port import ABSENT, KeyValueStore, Lapsed, Lease
+from lagoonlever.timers import TimerService
 
 log = logbook.Logger(__name__)
 
@@ -21,6 +30,9 @@
 RENEW_S = 3.0
 """Two renewals may fail before the lease lapses."""
 RETRY_S = 0.7
+LOOK_AFTER_S = 0.4
+"""Seeds answer within a few milliseconds; a VM that knows nobody by then looks here."""
+LOOK_AGAIN_S = 5.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -29,24 +41,19 @@
 
     _store: KeyValueStore
     _register: Register
+    _beliefs: Beliefs
+    _roles: Published[Roles | None]
+    _timers: TimerService
     _own: FellowState
     _rng: random.Random
     _lease: Lease | None = None
     _leaving: bool = False
 
     async def run(self) -> None:
-        """Register and renew until cancelled, or until this VM leaves."""
-        while not self._leaving:
-            try:
-                if self._lease is None:
-                    await self._enter()
-                elif isinstance(await self._store.keep_alive(self._lease), Lapsed):
-                    self._lease = None
-                    continue
-                await trio.sleep(RENEW_S * self._rng.uniform(0.9, 1.1))
-            except PlatformError:
-                # The store's client has logged it; the entry may have lapsed meanwhile.
-                await trio.sleep(RETRY_S * self._rng.uniform(0.7, 1.3))
+        """Look for others at the start; register while this VM is looked for."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._look_for_others)
+            await self._keep_registered()
 
     async def leave(self) -> None:
         """Take this VM out of the register."""
@@ -60,13 +67,33 @@
             # The store's client has logged it; the lease lapses by itself.
             return
 
-    async def _enter(self) -> None:
-        """Write this VM's entry, and read the others' after it.
+    async def _look_for_others(self) -> None:
+        await trio.sleep(LOOK_AFTER_S)
+        while True:
+            if not self._beliefs.fellows.present(self._timers.now):
+                # A failure is logged by the store's client; the register is looked at again.
+                with contextlib.suppress(PlatformError):
+                    self._register.read((await self._store.get_prefix(REGISTER_PREFIX)).entries)
+            await trio.sleep(LOOK_AGAIN_S * self._rng.uniform(0.8, 1.2))
 
-        In this order two VMs that start at once can't miss each other: the one that
-        writes later reads the other. The register is not watched, as VMs tell each
-        other of themselves, and each change of it would be a call of every VM.
-        """
+    async def _keep_registered(self) -> None:
+        while not self._leaving:
+            roles = self._roles.value
+            if roles is None or not (roles.is_hub or roles.reads_store or self._lease):
+                await self._roles.wait_change()
+                continue
+            try:
+                if self._lease is None:
+                    await self._enter()
+                elif isinstance(await self._store.keep_alive(self._lease), Lapsed):
+                    self._lease = None
+                    continue
+                await trio.sleep(RENEW_S * self._rng.uniform(0.9, 1.1))
+            except PlatformError:
+                # The store's client has logged it; the entry may have lapsed meanwhile.
+                await trio.sleep(RETRY_S * self._rng.uniform(0.7, 1.3))
+
+    async def _enter(self) -> None:
         lease = await self._store.grant_lease(LEASE_S)
         await self._store.compare_and_swap(
             register_key(self._own.life),
@@ -76,4 +103,3 @@
         )
         self._lease = lease
         events.REGISTERED.log(log, lease=lease.id, ttl_s=lease.ttl_s)
-        self._register.read((await self._store.get_prefix(REGISTER_PREFIX)).entries)
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -1,4 +1,9 @@
-"""Follows the platform's store: the configuration and the list of targets."""
+"""Reads the configuration and the list of targets from the store, and follows their changes.
+
+Every VM reads both once, at its start. Then only those whose role it is follow the
+changes, and push them to the others; a VM that hears no other one reads for itself, as
+it has the role in its own view.
+"""
 
 from __future__ import annotations
 
@@ -8,15 +13,18 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.roles import Roles
+from lagoonlever.decisions.target_registry import ListedTarget, TargetChange
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.knowledge import KnowledgeExchange
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.platform.configuration import CONFIGURATION_KEY
 from lagoonlever.platform.store import MetadataStore
 from lagoonlever.platform.targets import TARGETS_PREFIX, UnreadableTarget, read_target
-from lagoonlever.store.port import KeyChange, KeyValue, WatchCompacted
+from lagoonlever.published import Published
+from lagoonlever.store.port import KeyChange, KeyValue, WatchBatch, WatchCompacted
 from lagoonlever.timers import Tick, TimerService
 
 log = logbook.Logger(__name__)
@@ -35,63 +43,69 @@
 
 @attrs.define(kw_only=True, eq=False)
 class StoreFollower:
-    """Reads everything once, and then what changes."""
+    """Reads, watches, and pushes what has changed."""
 
     _store: MetadataStore
     _beliefs: Beliefs
     _learner: Learner
+    _knowledge: KnowledgeExchange
+    _roles: Published[Roles | None]
     _timers: TimerService
     _rng: random.Random
     _retry_s: float = FIRST_RETRY_S
 
     async def run(self) -> None:
-        """Read everything, and follow the changes; again from the start when some were lost."""
+        """Read both parts, and follow the changes while that is this VM's role."""
         with self._timers.subscribed(self._expire, period_s=EXPIRE_PERIOD_S):
+            await self._read_first()
             while True:
-                try:
-                    after = await self._read()
-                except PlatformError:
-                    await self._wait_retry()
-                    continue
-                await self._follow(after)
-                events.WATCH_COMPACTED.log(log, revision=self._beliefs.targets.as_of)
+                await self._wait_role()
+                await self._follow_while_reader()
 
-    def _expire(self, tick: Tick) -> None:
-        self._beliefs.targets.expire(tick.now)
-        self._beliefs.book.expire(tick.now)
-        self._beliefs.fellows.expire(tick.now)
+    async def _read_first(self) -> None:
+        """Read at the start, unless another VM has told everything before the store did.
 
-    async def _read(self) -> int:
-        """Read both parts together; gives the revision from which a watch misses nothing."""
-        revisions: list[int] = []
-        try:
-            async with trio.open_nursery() as nursery:
-                for read in (self._read_configuration, self._read_targets):
-                    nursery.start_soon(read, revisions)
-        except* PlatformError as errors:
-            raise _first_of(errors) from errors
-        self._retry_s = FIRST_RETRY_S
-        return min(revisions)
+        Once is enough also where the operators have written nothing yet: what they
+        write is a change, and comes as one.
+        """
+        while not self._beliefs.known.is_set():
+            try:
+                await self._read()
+            except PlatformError:
+                await self._wait_retry()
+                continue
+            return
 
-    async def _read_configuration(self, revisions: list[int]) -> None:
-        read = await self._store.get(CONFIGURATION_KEY)
-        if read.entry is not None:
-            self._learner.take_configuration(read.entry.value, source="store")
-        revisions.append(read.revision)
+    async def _wait_role(self) -> None:
+        while not self._is_reader:
+            await self._roles.wait_change()
 
-    async def _read_targets(self, revisions: list[int]) -> None:
-        read = await self._store.get_prefix(TARGETS_PREFIX)
-        targets = [target for entry in read.entries if (target := _target(entry)) is not None]
-        self._learner.take_list(
-            targets, revision=read.revision, store_back_at=self._store.back_at, source="store"
-        )
-        revisions.append(read.revision)
+    @property
+    def _is_reader(self) -> bool:
+        roles = self._roles.value
+        return roles is not None and roles.reads_store
 
-    async def _follow(self, after: int) -> None:
-        """Follow the configuration and the targets until changes of either were lost."""
+    async def _follow_while_reader(self) -> None:
+        """Watch both parts until the role is another VM's, or changes were lost."""
+        compacted = False
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_without_role, nursery.cancel_scope)
+            after = self._beliefs.targets.as_of
             for prefix in (CONFIGURATION_KEY, TARGETS_PREFIX):
                 nursery.start_soon(self._watch, prefix, after, nursery.cancel_scope)
+        compacted = self._is_reader
+        if not compacted:
+            return
+        events.WATCH_COMPACTED.log(log, revision=self._beliefs.targets.as_of)
+        try:
+            await self._read()
+        except PlatformError:
+            await self._wait_retry()
+
+    async def _cancel_without_role(self, scope: trio.CancelScope) -> None:
+        while self._is_reader:
+            await self._roles.wait_change()
+        scope.cancel()
 
     async def _watch(self, prefix: str, after: int, both: trio.CancelScope) -> None:
         """Follow one prefix; ends both watches once the store has forgotten changes.
@@ -109,34 +123,77 @@
                 await self._wait_retry()
                 continue
             self._retry_s = FIRST_RETRY_S
-            for change in batch.changes:
-                self._take(change)
-            if prefix == TARGETS_PREFIX:
-                self._beliefs.targets.seen_up_to(batch.revision)
+            self._take(prefix, batch)
             if batch.changes:
                 await trio.sleep(GATHER_S)
 
+    async def _read(self) -> None:
+        """Read both parts together, and push what is new."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._read_configuration)
+                nursery.start_soon(self._read_targets)
+        except* PlatformError as errors:
+            raise _first_of(errors) from errors
+        self._retry_s = FIRST_RETRY_S
+
+    async def _read_configuration(self) -> None:
+        read = await self._store.get(CONFIGURATION_KEY)
+        if read.entry is not None:
+            self._take_configuration(read.entry.value)
+
+    async def _read_targets(self) -> None:
+        after = self._beliefs.targets.as_of
+        read = await self._store.get_prefix(TARGETS_PREFIX)
+        targets = [target for entry in read.entries if (target := _target(entry)) is not None]
+        changes = self._learner.take_list(
+            targets, revision=read.revision, source="store", store_back_at=self._store.back_at
+        )
+        if changes and after:
+            self._knowledge.push_targets(changes, after=after)
+
     async def _wait_retry(self) -> None:
         await trio.sleep(self._retry_s * self._rng.uniform(0.7, 1.3))
         self._retry_s = min(MOST_RETRY_S, self._retry_s * 2)
 
-    def _take(self, change: KeyChange) -> None:
-        if change.key == CONFIGURATION_KEY:
-            if change.entry is not None:
-                self._learner.take_configuration(change.entry.value, source="watch")
-        elif change.key.startswith(TARGETS_PREFIX):
-            target = _target(change.entry) if change.entry else None
-            self._learner.take_target(
-                change.key.removeprefix(TARGETS_PREFIX),
-                target,
-                revision=change.revision,
-                store_back_at=self._store.back_at,
-            )
+    def _expire(self, tick: Tick) -> None:
+        self._beliefs.book.expire(tick.now)
+        self._beliefs.fellows.expire(tick.now)
+        changes = self._learner.expire()
+        if changes:
+            self._knowledge.push_targets(changes, after=self._beliefs.targets.as_of)
+
+    def _take(self, prefix: str, batch: WatchBatch) -> None:
+        if prefix == CONFIGURATION_KEY:
+            for change in batch.changes:
+                if change.key == CONFIGURATION_KEY and change.entry is not None:
+                    self._take_configuration(change.entry.value)
+            return
+        after = self._beliefs.targets.as_of
+        changes = [taken for each in batch.changes if (taken := self._take_target(each))]
+        self._beliefs.targets.seen_up_to(batch.revision)
+        if changes:
+            self._knowledge.push_targets(tuple(changes), after=after)
+
+    def _take_configuration(self, value: bytes) -> None:
+        if self._learner.take_configuration(value, source="store"):
+            self._knowledge.push_configuration()
+
+    def _take_target(self, change: KeyChange) -> TargetChange | None:
+        """Take one change of the list; gives it if it counts now."""
+        target = _target(change.entry) if change.entry else None
+        if change.entry is not None and target is None:
+            return None
+        read = TargetChange(
+            id=change.key.removeprefix(TARGETS_PREFIX), target=target, revision=change.revision
+        )
+        counts = self._learner.take_change(read, store_back_at=self._store.back_at)
+        return read if counts else None
 
 
 def _target(entry: KeyValue) -> ListedTarget | None:
     try:
-        return read_target(entry.key, entry.value)
+        return attrs.evolve(read_target(entry.key, entry.value), revision=entry.revision)
     except UnreadableTarget as error:
         events.TARGET_UNREADABLE.log(log, error=str(error))
         return None
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -9,7 +9,7 @@
 
 from lagoonlever.decisions.engine_book import BookedRun, RunCopy
 from lagoonlever.decisions.fellows import FellowState
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.target_registry import ListedTarget, TargetChange
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.messages import PEER
 
@@ -17,6 +17,43 @@
 PEER.message("gr")(BookedRun)
 
 
+@PEER.message("gd")
+@attrs.frozen(kw_only=True)
+class FellowDigest:
+    """The VMs of a data centre that one of its hubs has heard itself."""
+
+    hub: str
+    data_center: str
+    heard: tuple[int, ...]
+    """The random numbers of their lives."""
+    news: tuple[FellowState, ...] = ()
+    """States that changed since the last digest, or now and then all of them."""
+
+
+@PEER.message("gq")
+@attrs.frozen(kw_only=True)
+class FellowAsk:
+    """Asks for every VM that the receiver knows."""
+
+    reply_to: Address
+
+
+@PEER.message("gl")
+@attrs.frozen(kw_only=True)
+class FellowList:
+    """VMs that the sender knows; they may be silent or gone."""
+
+    fellows: tuple[FellowState, ...]
+
+
+@PEER.message("gw")
+@attrs.frozen(kw_only=True)
+class RunList:
+    """The open runs of the sender."""
+
+    runs: tuple[BookedRun, ...]
+
+
 @PEER.message("gf")
 @attrs.frozen(kw_only=True)
 class RunFlows:
@@ -53,14 +90,33 @@
     """Another process answers at its address."""
 
 
+@PEER.message("gn")
+@attrs.frozen(kw_only=True)
+class ConfigurationNews:
+    """A configuration as it is stored."""
+
+    version: int
+    value: bytes
+
+
+@PEER.message("gt")
+@attrs.frozen(kw_only=True)
+class TargetNews:
+    """Changes of the list of targets between two revisions of the store."""
+
+    changes: tuple[TargetChange, ...]
+    after: int
+    as_of: int
+
+
 @PEER.message("ga")
 @attrs.frozen(kw_only=True)
 class KnowledgeAsk:
     """Asks for what the receiver knows better; the sender has these."""
 
+    reply_to: Address
     configuration: int
     list_revision: int
-    fellows: bool = False
 
 
 @PEER.message("gk")
@@ -72,9 +128,19 @@
     """As it is stored."""
     targets: tuple[ListedTarget, ...] | None = None
     list_revision: int = 0
-    fellows: tuple[Address, ...] = ()
-    """Where the bus of other VMs listens."""
-    runs: tuple[BookedRun, ...] = ()
 
 
-__all__ = ("EngineLost", "Knowledge", "KnowledgeAsk", "RunCopied", "RunEnded", "RunFlows")
+__all__ = (
+    "ConfigurationNews",
+    "EngineLost",
+    "FellowAsk",
+    "FellowDigest",
+    "FellowList",
+    "Knowledge",
+    "KnowledgeAsk",
+    "RunCopied",
+    "RunEnded",
+    "RunFlows",
+    "RunList",
+    "TargetNews",
+)
--- a/lagoonlever/platform/store.py
+++ b/lagoonlever/platform/store.py
@@ -97,6 +97,11 @@
         """When the store was last reached again after it was not; None if it always was."""
         return self._back_at
 
+    @property
+    def is_away(self) -> bool:
+        """Whether the last call found the store away."""
+        return not self._reached
+
     def move_to(self, address: Address) -> None:
         """Send the next calls to another address of the store."""
         self._address = address
--- a/lagoonlever/tests/target_registry_tests.py
+++ b/lagoonlever/tests/target_registry_tests.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from lagoonlever.decisions.target_registry import LAPSED_BACK_S, ListedTarget, TargetRegistry
+from lagoonlever.decisions.target_registry import (
+    LAPSED_BACK_S,
+    ListedTarget,
+    TargetChange,
+    TargetRegistry,
+)
 from lagoonlever.http.messages import Address
 
 
@@ -22,16 +27,29 @@
     return made
 
 
+def change(
+    listed: TargetRegistry,
+    name: str,
+    to: ListedTarget | None,
+    *,
+    revision: int,
+    now: float,
+    store_back_at: float | None,
+) -> bool:
+    made = TargetChange(id=name, target=to, revision=revision)
+    return listed.change(made, now=now, store_back_at=store_back_at)
+
+
 def test_a_target_that_drains_or_was_replaced_takes_no_work() -> None:
     listed = registry("e1", "e2", "e3")
-    listed.change("e1", target("e1", draining=True), revision=11, now=1.0, store_back_at=None)
+    change(listed, "e1", target("e1", draining=True), revision=11, now=1.0, store_back_at=None)
     listed.replaced("e2", 1.0)
     assert [t.id for t in listed.serving("engines")] == ["e3"]
 
 
 def test_a_removal_counts_at_once_while_the_store_was_always_there() -> None:
     listed = registry("e1")
-    listed.change("e1", None, revision=11, now=1.0, store_back_at=None)
+    change(listed, "e1", None, revision=11, now=1.0, store_back_at=None)
     assert not listed.takes_work("e1")
 
 
@@ -43,14 +61,14 @@
     listed = registry("e1", "e2")
     listed.read([target("e2")], revision=20, now=50.0, store_back_at=50.0)
     assert listed.takes_work("e1")
-    listed.change("e1", target("e1"), revision=21, now=51.5, store_back_at=50.0)
+    change(listed, "e1", target("e1"), revision=21, now=51.5, store_back_at=50.0)
     listed.expire(60.0)
     assert listed.takes_work("e1")
 
 
 def test_a_target_that_is_not_back_in_time_is_gone() -> None:
     listed = registry("e1")
-    listed.change("e1", None, revision=20, now=50.1, store_back_at=50.0)
+    change(listed, "e1", None, revision=20, now=50.1, store_back_at=50.0)
     listed.expire(50.0 + LAPSED_BACK_S + 0.01)
     assert not listed.takes_work("e1")
 
@@ -62,7 +80,7 @@
     a time of its own, it got a request 2.14 s after it had left, beyond the 2 s allowed.
     """
     listed = registry("runner")
-    listed.change("runner", None, revision=20, now=51.3, store_back_at=50.0)
+    change(listed, "runner", None, revision=20, now=51.3, store_back_at=50.0)
     listed.expire(52.3)
     assert not listed.takes_work("runner")
 
@@ -71,5 +89,33 @@
     """A peer told a newer list; the VM's own watch then tells the older changes again."""
     listed = registry("e1")
     listed.read([], revision=30, now=1.0, store_back_at=None)
-    listed.change("e1", target("e1"), revision=25, now=1.1, store_back_at=None)
+    change(listed, "e1", target("e1"), revision=25, now=1.1, store_back_at=None)
     assert not listed.takes_work("e1")
+
+
+def test_a_held_removal_is_told_once_it_counts() -> None:
+    """Another VM follows this one's word: it must hear of the removal, and only then."""
+    listed = registry("e1")
+    assert not change(listed, "e1", None, revision=20, now=50.1, store_back_at=50.0)
+    assert listed.expire(51.0) == ()
+    told = listed.expire(50.0 + LAPSED_BACK_S + 0.01)
+    assert [(each.id, each.target) for each in told] == [("e1", None)]
+    other = registry("e1")
+    assert other.change(told[0], now=60.0, store_back_at=None)
+    assert not other.takes_work("e1")
+
+
+def test_words_in_any_order_end_alike() -> None:
+    """Two VMs push the same changes, and they cross on their way."""
+    changes = [
+        TargetChange(id="e1", target=target("e1", draining=True), revision=21),
+        TargetChange(id="e1", target=None, revision=22),
+        TargetChange(id="e2", target=target("e2"), revision=23),
+    ]
+    views = []
+    for order in ((0, 1, 2), (2, 1, 0), (1, 0, 2)):
+        listed = registry("e1")
+        for place in order:
+            listed.change(changes[place], now=1.0, store_back_at=None)
+        views.append([t.id for t in listed.targets])
+    assert views == [["e2"]] * 3
