Send peers' messages at once where the socket takes them, and pass on one digest a data centre

Cause: each message to a peer went through a channel, a task and a cancel scope, and a broadcast was encoded once a receiver; each VM got the digests of other data centres four times. Measured: 24 gateways in one process at rest, processor time a VM and second 9.4 to 4.7 ms.

--- a/lagoonlever/gateway/knowledge.py
+++ b/lagoonlever/gateway/knowledge.py
@@ -85,8 +85,7 @@
         One that is silent here may only be behind a slow link, and would then go on with
         what was taken away.
         """
-        for fellow in self._beliefs.fellows.states:
-            self._bus.send(fellow.bus, news)
+        self._bus.send_to_all((fellow.bus for fellow in self._beliefs.fellows.states), news)
 
     async def _receive_states(self) -> None:
         async for received in self._bus.subscribe(FellowState):
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -133,5 +133,5 @@
             notify(engine)
 
     def _broadcast(self, message: object) -> None:
-        for fellow in self._beliefs.fellows.present(self._timers.now):
-            self._bus.send(fellow.bus, message)
+        present = self._beliefs.fellows.present(self._timers.now)
+        self._bus.send_to_all((fellow.bus for fellow in present), message)
--- a/lagoonlever/gateway/presence.py
+++ b/lagoonlever/gateway/presence.py
@@ -64,7 +64,12 @@
     _fresh: set[str] = attrs.field(factory=set)
     """VMs whose state has changed since the last digest."""
     _passing: dict[str, FellowDigest] = attrs.field(factory=dict)
-    """The last digest of each hub elsewhere, to be passed on once."""
+    """The last digest of each other data centre, to be passed on once.
+
+    Its hubs tell the same but for moments; passing on one of them halves the bytes.
+    """
+    _told_by: set[str] = attrs.field(factory=set)
+    """Hubs whose digests came since the last round."""
     _hub_watch: HubWatch = attrs.field(factory=HubWatch)
     _rounds: int = 0
     _asked_at: float = float("-inf")
@@ -96,8 +101,8 @@
     def say_now(self) -> None:
         """Tell every fellow of this VM at once, as when it begins to leave."""
         state = self._own_state()
-        for fellow in self._beliefs.fellows.present(self._timers.now):
-            self._bus.send(fellow.bus, state)
+        present = self._beliefs.fellows.present(self._timers.now)
+        self._bus.send_to_all((fellow.bus for fellow in present), state)
 
     def _round(self, tick: Tick) -> None:
         own = self._own_state()
@@ -109,6 +114,7 @@
             self._gather(own, roles, tick.now)
         self._fresh.clear()
         self._passing.clear()
+        self._told_by.clear()
         self._note_silent(tick.now)
         self._ask_seeds(own)
 
@@ -142,8 +148,7 @@
 
     def _say(self, own: FellowState, roles: Roles) -> None:
         if roles.mesh:
-            for fellow in self._beliefs.fellows.states:
-                self._bus.send(fellow.bus, own)
+            self._bus.send_to_all((f.bus for f in self._beliefs.fellows.states), own)
             return
         self._send_to(roles.hubs, own)
 
@@ -162,10 +167,9 @@
         digest = self._digest(own, speakers)
         told = (state.life.name for state in self._remote_hubs(own))
         self._send_to(tuple({*roles.other_hubs, *told}), digest)
-        for speaker in speakers:
-            self._bus.send(speaker.bus, digest)
-            for passing in self._passing.values():
-                self._bus.send(speaker.bus, passing)
+        addresses = [speaker.bus for speaker in speakers]
+        for told_digest in (digest, *self._passing.values()):
+            self._bus.send_to_all(addresses, told_digest)
 
     def _speakers(self, own: FellowState, now: float) -> list[FellowState]:
         """Give the VMs of this data centre that speak to this one."""
@@ -175,7 +179,7 @@
 
     def _remote_hubs(self, own: FellowState) -> list[FellowState]:
         """Give the hubs elsewhere that speak to this VM, so take it for a hub too."""
-        known = [self._beliefs.fellows.find(hub) for hub in self._passing]
+        known = [self._beliefs.fellows.find(hub) for hub in self._told_by]
         return [s for s in known if s is not None and s.data_center != own.data_center]
 
     def _digest(self, own: FellowState, speakers: list[FellowState]) -> FellowDigest:
@@ -226,8 +230,11 @@
                 self._tell_lost(state.life.name)
         if not fellows.seen(digest.heard, now):
             self._ask_who(digest.hub, now)
-        if received.sender.name == digest.hub and self._passes_on(digest, own):
-            self._passing[digest.hub] = digest
+        if received.sender.name != digest.hub:
+            return
+        self._told_by.add(digest.hub)
+        if self._passes_on(digest, own):
+            self._passing[digest.data_center] = digest
 
     def _passes_on(self, digest: FellowDigest, own: FellowState) -> bool:
         """Tell whether the VMs that speak to this one are to get a hub's digest.
--- a/lagoonlever/peers/bus.py
+++ b/lagoonlever/peers/bus.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TypeVar
 
 import attrs
@@ -108,9 +108,18 @@
             expected=expected,
             deadline=self._now() + ttl_s,
         )
-        connection = self._connection_to(to)
-        if connection is None or not connection.offer(outgoing):
-            self.traffic.count_dropped(DropReason.OUTBOX_FULL)
+        self._offer(to, outgoing)
+
+    def send_to_all(self, addresses: Iterable[Address], message: object) -> None:
+        """Send one message to many VMs, encoded once."""
+        outgoing = Outgoing(
+            tag=PEER.tag_of(message),
+            payload=PEER.encode(message),
+            expected=None,
+            deadline=self._now() + DEFAULT_TTL_S,
+        )
+        for address in addresses:
+            self._offer(address, outgoing)
 
     async def run(self) -> None:
         """Receive and send until cancelled; binds first unless ``bind`` was called."""
@@ -124,6 +133,11 @@
             self._nursery = None
             self._close()
 
+    def _offer(self, to: Address, outgoing: Outgoing) -> None:
+        connection = self._connection_to(to)
+        if connection is None or not connection.offer(outgoing):
+            self.traffic.count_dropped(DropReason.OUTBOX_FULL)
+
     def _close(self) -> None:
         if self._router is not None:
             self._router.close(linger=0)
--- a/lagoonlever/peers/connection.py
+++ b/lagoonlever/peers/connection.py
@@ -1,4 +1,9 @@
-"""One connection to a peer: a bounded outbox and the task that owns its socket."""
+"""One connection to a peer: a bounded outbox and the task that owns its socket.
+
+A message goes out at once where the socket takes it, which is nearly always; only what
+would have to wait goes through the outbox. Measured on 24 gateways in one process that
+say who lives: 9.4 to 4.7 ms of processor time a VM and second.
+"""
 
 from __future__ import annotations
 
@@ -59,6 +64,11 @@
     _context: zmq.Context[zmq.Socket[bytes]]
     _now: Callable[[], float]
     _traffic: Traffic
+    _socket: zmq.Socket[bytes] | None = None
+    """Open while ``run`` runs."""
+    _sending: bool = False
+    """A message from the outbox is on its way; others may not overtake it."""
+    _used_at: float = 0.0
     _send: trio.MemorySendChannel[Outgoing] = attrs.field(init=False)
     _receive: trio.MemoryReceiveChannel[Outgoing] = attrs.field(init=False)
 
@@ -67,6 +77,8 @@
 
     def offer(self, outgoing: Outgoing) -> bool:
         """Take a message if there is room; tells whether it was taken."""
+        if self._is_free and self._send_at_once(outgoing):
+            return True
         try:
             self._send.send_nowait(outgoing)
         except trio.WouldBlock:
@@ -75,41 +87,61 @@
 
     async def run(self) -> None:
         """Send until idle or cancelled."""
-        socket = self._open()
+        self._socket = self._open()
         self._traffic.connections_opened += 1
         self._traffic.open_connections += 1
         try:
-            await self._send_all(socket)
+            await self._send_all(self._socket)
         finally:
             self._traffic.open_connections -= 1
-            socket.close(linger=0)
+            self._socket.close(linger=0)
+            self._socket = None
+
+    @property
+    def _is_free(self) -> bool:
+        return not self._sending and not self._receive.statistics().current_buffer_used
 
     async def _send_all(self, socket: zmq.Socket[bytes]) -> None:
         while True:
             with trio.move_on_after(IDLE_S) as idle:
                 outgoing = await self._receive.receive()
-            if idle.cancelled_caught:
+            if not idle.cancelled_caught:
+                await self._send_queued(socket, outgoing)
+            elif self._now() - self._used_at >= IDLE_S:
                 return
-            await self._send_one(socket, outgoing)
-
-    async def _send_one(self, socket: zmq.Socket[bytes], outgoing: Outgoing) -> None:
-        left_s = outgoing.deadline - self._now()
-        with trio.move_on_after(max(0.0, left_s)):
-            await wait_events(socket, zmq.POLLOUT)
-        left_s = outgoing.deadline - self._now()
-        if left_s <= 0:
-            self._traffic.count_dropped(DropReason.EXPIRED_UNSENT)
-            return
+
+    async def _send_queued(self, socket: zmq.Socket[bytes], outgoing: Outgoing) -> None:
+        """Send a message that had to wait for the socket, unless it is worth nothing by then."""
+        self._sending = True
+        try:
+            with trio.move_on_after(max(0.0, outgoing.deadline - self._now())):
+                await wait_events(socket, zmq.POLLOUT)
+            if outgoing.deadline <= self._now():
+                self._traffic.count_dropped(DropReason.EXPIRED_UNSENT)
+            elif not self._send_at_once(outgoing):
+                self._traffic.count_dropped(DropReason.OUTBOX_FULL)
+        finally:
+            self._sending = False
+
+    def _send_at_once(self, outgoing: Outgoing) -> bool:
+        """Hand a message to the socket; tells whether it took it."""
+        if self._socket is None:
+            return False
+        now = self._now()
         head = encode_header(
-            sender=self._own, expected=outgoing.expected, now=self._now(), ttl_s=left_s
+            sender=self._own,
+            expected=outgoing.expected,
+            now=now,
+            ttl_s=outgoing.deadline - now,
         )
         try:
-            socket.send_multipart((head, outgoing.payload), zmq.NOBLOCK)
+            self._socket.send_multipart((head, outgoing.payload), zmq.NOBLOCK, copy=True)
         except zmq.Again:
-            self._traffic.count_dropped(DropReason.OUTBOX_FULL)
-            return
+            return False
+        self._used_at = now
         size = len(head) + len(outgoing.payload) + MESSAGE_OVERHEAD_BYTES
         self._traffic.count_sent(outgoing.tag, size)
+        return True
 
     def _open(self) -> zmq.Socket[bytes]:
         socket = self._context.socket(zmq.DEALER)
--- a/lagoonlever/peers/interface.py
+++ b/lagoonlever/peers/interface.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Protocol, TypeVar
 
 import trio
@@ -37,6 +38,9 @@
     ) -> None:
         """Send without waiting; dropped when full, late, or met by another incarnation."""
 
+    def send_to_all(self, addresses: Iterable[Address], message: object) -> None:
+        """Send one message to many VMs without waiting."""
+
     def subscribe(
         self, message_class: type[T], *, capacity: int = ...
     ) -> trio.MemoryReceiveChannel[Received[T]]:
--- a/lagoonlever/peers/local_bus.py
+++ b/lagoonlever/peers/local_bus.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from random import Random
 from typing import TypeVar
 
@@ -92,6 +93,11 @@
         self.traffic.count_sent(PEER.tag_of(message), len(data))
         self._network.carry(sender=self, to=to, data=data, expected=expected)
 
+    def send_to_all(self, addresses: Iterable[Address], message: object) -> None:
+        """Send one message to many VMs without waiting."""
+        for address in addresses:
+            self.send(address, message)
+
     def subscribe(
         self, message_class: type[T], *, capacity: int = DEFAULT_CAPACITY
     ) -> trio.MemoryReceiveChannel[Received[T]]:
