Hold the runs of all VMs to the shared budget of repeats

Change: every VM counts the runs that all VMs tell of; an attempt beyond the first waits while the window is spent, moves leave half of it to streams that broke; for 3 s after its start a VM assumes 100 VMs. Tests: windows of what others send, fleets at their start; a port that the kernel picked for a test could be taken before its use, now each worker has a range (seen once).

--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engine_book.py
@@ -237,6 +237,10 @@
         avoided = self._avoided.get(engine)
         return avoided is not None and now < avoided.until
 
+    def knows(self, request: str) -> bool:
+        """Tell whether a request has been sent to any engine, as far as heard."""
+        return request in self._records
+
     def begin(self, run: BookedRun, now: float) -> None:
         """Book a run; one that goes on elsewhere replaces what was booked before."""
         self._records[run.request] = _Record(run=run, since=now)
--- a/lagoonlever/decisions/fellows.py
+++ b/lagoonlever/decisions/fellows.py
@@ -27,6 +27,10 @@
 
 Other hubs are found and answer within 2.2 s of a loss; what was known lasts 2.7 s.
 """
+KNOWN_AFTER_S = 3.0
+"""After a start every VM that lives has been heard."""
+FLEET_AT_START = 100
+"""What is assumed until then: more than the fleets served, and a share that allows one repeat."""
 FORGET_S = 30.0
 """Beyond any lease, so that a dead VM's entry is not taken for a new VM."""
 
@@ -66,6 +70,8 @@
 
     _own: Incarnation
     silent_s: float = SILENT_S
+    started_at: float = float("-inf")
+    """When this VM began to listen."""
     blind_since: Mapping[str, float] = attrs.field(factory=dict)
     """Data centres that nothing is heard of, and since when: silence there tells nothing."""
     _fellows: dict[str, _Fellow] = attrs.field(factory=dict)
@@ -77,6 +83,16 @@
         """What is known of every fellow, heard or registered."""
         return tuple(fellow.state for fellow in self._fellows.values())
 
+    def at_most(self, now: float) -> int:
+        """Give how many VMs there may be, this one among them.
+
+        A VM that has just started knows of few. Taken for the whole fleet, they would let
+        each of 69 VMs that restart together spend what is meant for all of them.
+        """
+        known = len(self._fellows) + 1
+        settled = now - self.started_at >= KNOWN_AFTER_S
+        return known if settled else max(known, FLEET_AT_START)
+
     def present(self, now: float) -> tuple[FellowState, ...]:
         """Give the fellows that are not silent."""
         return tuple(f.state for f in self._fellows.values() if not self._is_silent(f, now))
--- a/lagoonlever/decisions/retry_window.py
+++ b/lagoonlever/decisions/retry_window.py
@@ -2,9 +2,11 @@
 
 The load that is answered: a service fails many requests at once, every VM sends each
 of them again, and the repeats bury the targets that are left. All VMs together may
-send a part of the requests of a window again, and a little more. A VM does not know
-what the others send, so it keeps to that part of its own requests, and to its share
-of the rest.
+send a part of the requests of a window again, and a little more.
+
+Of calls a VM does not know what the others send, so it keeps to that part of its own
+requests, and to its share of the rest. Runs at engines are told to all VMs, so there each
+VM counts those of the whole fleet.
 """
 
 from __future__ import annotations
@@ -32,13 +34,26 @@
         self._requests.append(now)
         self._forget(now)
 
-    def take(self, now: float, *, vms: int) -> bool:
-        """Take one repeat if the window allows it; ``vms`` share the slack."""
+    def repeat(self, now: float) -> None:
+        """Count a repeat, of this VM or of another one."""
+        self._repeats.append(now)
+        self._forget(now)
+
+    def allows(self, now: float, *, vms: int, part: float = 1.0) -> bool:
+        """Tell whether there may be one more repeat.
+
+        ``vms`` share the slack. A repeat that is only of advantage asks for a ``part`` of
+        what is allowed, so that it leaves the rest to those that are needed.
+        """
         self._forget(now)
         allowed = SAFETY * (self._ratio * len(self._requests) + self._slack / max(1, vms))
-        if len(self._repeats) + 1 > allowed:
+        return len(self._repeats) + 1 <= part * allowed
+
+    def take(self, now: float, *, vms: int) -> bool:
+        """Count one repeat if the window allows it."""
+        if not self.allows(now, vms=vms):
             return False
-        self._repeats.append(now)
+        self.repeat(now)
         return True
 
     def _forget(self, now: float) -> None:
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -220,3 +220,10 @@
     "{request}: its copy at {holder} could not be given back: {outcome}",
     "The engine gives the memory back by itself some seconds later.",
 )
+REPEAT_WAITS = event(
+    1049,
+    "repeat-waits",
+    "info",
+    "{request} has to wait for its next attempt: the repeats allowed at {service} are spent.",
+    "All VMs share a bound on attempts beyond the first; many engines were lost of late.",
+)
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -61,6 +61,7 @@
     store: MetadataStore = attrs.field(init=False)
     beliefs: Beliefs = attrs.field(init=False)
     learner: Learner = attrs.field(init=False)
+    budgets: RetryBudgets = attrs.field(init=False)
     bus: PeerBus = attrs.field(init=False)
     presence: Presence = attrs.field(init=False)
     knowledge: KnowledgeExchange = attrs.field(init=False)
@@ -68,7 +69,6 @@
     follower: StoreFollower = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
     client: TargetClient = attrs.field(factory=TargetClient, init=False)
-    budgets: RetryBudgets = attrs.field(init=False)
     prober: EngineProber = attrs.field(factory=EngineProber, init=False)
     front: Front = attrs.field(init=False)
     directory: Directory = attrs.field(init=False)
@@ -100,6 +100,10 @@
     def _make_learner(self) -> Learner:
         return Learner(beliefs=self.beliefs, timers=self.timers)
 
+    @budgets.default
+    def _make_budgets(self) -> RetryBudgets:
+        return RetryBudgets(bounds=self.settings.retry_budget)
+
     @bus.default
     def _make_bus(self) -> PeerBus:
         return PeerBus(own=self.life, listen=self.settings.bus)
@@ -131,6 +135,7 @@
             beliefs=self.beliefs,
             learner=self.learner,
             timers=self.timers,
+            budgets=self.budgets,
         )
         self.presence.on_greeting(peers.greet)
         self.presence.on_loss(peers.vm_lost)
@@ -160,10 +165,6 @@
             rng=self.rng,
         )
 
-    @budgets.default
-    def _make_budgets(self) -> RetryBudgets:
-        return RetryBudgets(bounds=self.settings.retry_budget)
-
     @front.default
     def _make_front(self) -> Front:
         runners = Runners(
@@ -189,6 +190,7 @@
             client=self.client,
             prober=self.prober,
             reporter=self.reporter,
+            budgets=self.budgets,
         )
         self.peers.on_engine_lost(tools.engine_lost)
         streams = Streams(
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -11,6 +11,7 @@
 from lagoonlever.decisions.engine_book import BookedRun, RunCopy
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
+from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages import Received
@@ -35,6 +36,7 @@
     _beliefs: Beliefs
     _learner: Learner
     _timers: TimerService
+    _budgets: RetryBudgets
     _on_engine_lost: list[Callable[[str], None]] = attrs.field(factory=list)
 
     async def run(self) -> None:
@@ -67,7 +69,7 @@
 
     def begin(self, run: BookedRun) -> None:
         """Book a run of this VM, and tell the others."""
-        self._beliefs.book.begin(run, self._timers.now)
+        self._book(run)
         self._broadcast(run)
 
     def copied(self, request: str, copy: RunCopy) -> None:
@@ -104,7 +106,17 @@
             take(received)
 
     def _take_run(self, received: Received[BookedRun]) -> None:
-        self._beliefs.book.begin(received.message, self._timers.now)
+        self._book(received.message)
+
+    def _book(self, run: BookedRun) -> None:
+        """Book a run, and count it as a request or as a repeat at the service it goes to."""
+        now, book = self._timers.now, self._beliefs.book
+        engine = self._beliefs.targets.find(run.engine)
+        if engine is not None:
+            window = self._budgets.of_runs(engine.service)
+            count = window.repeat if book.knows(run.request) else window.request
+            count(now)
+        book.begin(run, now)
 
     def _take_runs(self, received: Received[RunList]) -> None:
         for run in received.message.runs:
--- a/lagoonlever/gateway/presence.py
+++ b/lagoonlever/gateway/presence.py
@@ -89,7 +89,7 @@
 
     async def run(self) -> None:
         """Say and listen until cancelled."""
-        self._started = self._timers.now
+        self._started = self._beliefs.fellows.started_at = self._timers.now
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive_states)
             nursery.start_soon(self._receive_digests)
--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -41,7 +41,7 @@
     async def serve(self, accepted: Accepted) -> None:
         """Give the caller the answer of a target, or tell why there is none."""
         call = CallRecord(accepted=accepted)
-        window = self._budgets.of_service(accepted.service)
+        window = self._budgets.of_calls(accepted.service)
         window.request(self._exchange.timers.now)
         async with open_work_nursery() as nursery:
             nursery.start_soon(
@@ -81,8 +81,8 @@
         def live_names() -> tuple[str, ...]:
             """Give the runners; none for an extra attempt that the shared budget forbids."""
             if allowed:
-                vms = len(self._exchange.beliefs.fellows.states) + 1
-                if not window.take(self._exchange.timers.now, vms=vms):
+                now = self._exchange.timers.now
+                if not window.take(now, vms=self._exchange.beliefs.fellows.at_most(now)):
                     return ()
             allowed.append(True)
             return tuple(target.id for target in targets.serving(service))
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -27,6 +27,7 @@
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.gateway.reporter import Reporter
+from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.gateway.run_copier import RunCopier
 from lagoonlever.gateway.target_client import NotSent, TargetClient
 from lagoonlever.http.client import ClientConnection, Response
@@ -40,6 +41,8 @@
 OK = 200
 KEPT_REST_S = 4.0
 """A stream whose kept connection turns out closed is sent again, as nothing was answered."""
+MOVES_PART = 0.5
+"""Of the allowed repeats: moves only save time, and leave the rest to streams that broke."""
 PAUSE_TOLD_S = 0.3
 """Pauses between events that are worth a word in the log."""
 
@@ -65,6 +68,7 @@
     client: TargetClient
     prober: EngineProber
     reporter: Reporter
+    budgets: RetryBudgets
     copier: RunCopier = attrs.field(factory=RunCopier)
     watched: dict[str, set[StreamSilence]] = attrs.field(factory=dict)
     """The open attempts by engine, to be looked at when the engine seems lost."""
@@ -317,6 +321,9 @@
     async def _look_again(self) -> None:
         """Leave an engine that other VMs chose at the same moment, if another is better."""
         await trio.sleep(SECOND_LOOK_S)
+        window = self._tools.budgets.of_runs(self._accepted.service)
+        if not window.allows(self._now, vms=1, part=MOVES_PART):
+            return
         serving = self._tools.beliefs.targets.serving(self._accepted.service)
         request, limits = self._accepted.request_id, self._plan.limits
         book = self._tools.beliefs.book
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import logbook
 import trio
 
 from lagoonlever.decisions.configuration import EngineLimits
@@ -16,6 +17,7 @@
 )
 from lagoonlever.decisions.stream_time import least_time_s
 from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.gateway import events
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
 from lagoonlever.gateway.beliefs import Beliefs
@@ -29,8 +31,12 @@
 from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.outcomes import NotRun, Reason, Unknown
 
+log = logbook.Logger(__name__)
+
 OK = 200
 COME_BACK_S = 0.3
+BUDGET_RETRY_S = 0.1
+"""While the budget of repeats is spent: the window slides, and each request adds to it."""
 NO_LIMITS = EngineLimits(slots=1_000, memory_tokens=1_000_000_000)
 """For a service that has not said what its engines hold."""
 RESUMED_PROMPT_TOKENS = 200
@@ -119,6 +125,9 @@
             if isinstance(step, WaitForEngine):
                 await trio.sleep(step.seconds)
                 continue
+            if not self._may_send(accepted, life):
+                await trio.sleep(BUDGET_RETRY_S)
+                continue
             plan = self._plan(accepted, life, step)
             if plan is None:
                 continue
@@ -127,6 +136,16 @@
             ).run()
         return None
 
+    def _may_send(self, accepted: Accepted, life: StreamLife) -> bool:
+        """Tell whether an attempt is within the budget of repeats that all VMs share."""
+        if not life.sent:
+            return True
+        window = self._tools.budgets.of_runs(accepted.service)
+        if window.allows(self._now, vms=1):
+            return True
+        events.REPEAT_WAITS.log(log, request=accepted.request_id, service=accepted.service)
+        return False
+
     def _can_end(
         self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom | WaitForEngine
     ) -> bool:
--- a/lagoonlever/tests/fellows_tests.py
+++ b/lagoonlever/tests/fellows_tests.py
@@ -4,7 +4,14 @@
 
 import attrs
 
-from lagoonlever.decisions.fellows import FORGET_S, SILENT_S, FellowState, FellowTable
+from lagoonlever.decisions.fellows import (
+    FLEET_AT_START,
+    FORGET_S,
+    KNOWN_AFTER_S,
+    SILENT_S,
+    FellowState,
+    FellowTable,
+)
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 
@@ -83,3 +90,16 @@
     assert not table.heard(state(started_ms=4_000), 0.5)
     assert table.heard(state(started_ms=4_000), SILENT_S + 0.1)
     assert [each.life.started_ms for each in table.offered(SILENT_S + 0.1)] == [4_000]
+
+
+def test_a_vm_that_has_just_started_does_not_take_those_it_knows_for_all() -> None:
+    """69 VMs lose power and start together; each knows of nobody for some moments.
+
+    Each would take the whole fleet's slack of repeats for its own, and the application
+    runners would get 69 times what they may.
+    """
+    table = FellowTable(own=OWN)
+    table.started_at = 10.0
+    assert table.at_most(10.5) == FLEET_AT_START
+    table.heard(state(), 10.6)
+    assert table.at_most(10.0 + KNOWN_AFTER_S) == 2
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import itertools
 import json
+import os
 import random
 import socket
 from collections.abc import Awaitable, Callable, Iterator
@@ -30,11 +33,25 @@
 POLL_S = 0.01
 
 
+FIRST_PORT = 12_000
+"""Below the ports that the kernel gives to outgoing connections, from 32,768 on."""
+PORTS_OF_WORKER = 2_000
+_ports = itertools.count()
+
+
 def free_address() -> Address:
-    """Give a loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address(host="127.0.0.1", port=probe.getsockname()[1])
+    """Give a loopback address that nothing listens on, nor will before it is used.
+
+    A port that the kernel picks may be given to another connection between this and the
+    use of it; so each test worker takes ports of a range of its own, in turn.
+    """
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    first = FIRST_PORT + worker % 10 * PORTS_OF_WORKER
+    while True:
+        address = Address(host="127.0.0.1", port=first + next(_ports) % PORTS_OF_WORKER)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((address.host, address.port))
+            return address
 
 
 async def until(condition: Callable[[], object]) -> None:
--- a/lagoonlever/tests/retry_window_tests.py
+++ b/lagoonlever/tests/retry_window_tests.py
@@ -45,3 +45,26 @@
         pass
     assert not sliding.take(WINDOW_S * 0.9, vms=VMS)
     assert sliding.take(WINDOW_S * 1.1, vms=VMS)
+
+
+def test_repeats_of_other_vms_count_too() -> None:
+    """Half of the engines crash, and every VM sends its streams again at once.
+
+    Each VM hears of the attempts of all others. Together they must keep to the bound of
+    the service, though none of them sends more than a few.
+    """
+    heard = window()
+    for _ in range(200):
+        heard.request(0.0)
+    sent = 0
+    while heard.allows(0.1, vms=1):
+        heard.repeat(0.1)
+        sent += 1
+    assert 200 <= sent <= RATIO * 200 + SLACK
+
+
+def test_what_is_only_of_advantage_leaves_room() -> None:
+    heard = window()
+    while heard.allows(0.0, vms=1, part=0.5):
+        heard.repeat(0.0)
+    assert heard.allows(0.0, vms=1)
