Give no stream up over engines that could not be reached

Change: only engines that say that they are full count as refusals; a stream for which every engine was tried in vain pauses 0.1 s and tries again, three times, before it is given up.

--- a/lagoonlever/decisions/stream_life.py
+++ b/lagoonlever/decisions/stream_life.py
@@ -16,8 +16,10 @@
 
 NO_ENGINE_RETRY_S = 0.1
 """While no engine is known, a stream that has begun looks again this often."""
+MOST_ROUNDS = 3
+"""How often all engines are tried for a stream that has not begun, with a pause between."""
 MOST_REFUSALS = 12
-"""Engines that refuse are passed over; beyond this many, all of them are full."""
+"""Engines that answer that they are full; beyond this many, all of them are."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -113,6 +115,8 @@
     """Engines that were kept to once after they lost an answer."""
     _detail: str = ""
     _no_engine: bool = False
+    _none_known: bool = False
+    _rounds: int = 0
 
     @classmethod
     def returning(
@@ -148,7 +152,7 @@
         if self.runs >= self._max_attempts or self._refusals >= MOST_REFUSALS:
             return self._give_up()
         if self._no_engine:
-            if not self.begun:
+            if not self.begun and (self._none_known or self._rounds > MOST_ROUNDS):
                 return self._give_up()
             self._no_engine = False
             return WaitForEngine(seconds=NO_ENGINE_RETRY_S)
@@ -162,14 +166,20 @@
 
     def no_engine(self) -> None:
         """Note that there is no engine to choose: those that failed may be tried again."""
-        self._no_engine = not self._avoid
+        self._no_engine = True
+        self._none_known = not self._avoid
+        self._rounds += 1
         self._avoid.clear()
 
     def unreachable(self, engine: str, detail: str) -> None:
-        """Note that nothing could be sent to an engine."""
+        """Note that nothing could be sent to an engine.
+
+        Counts as no refusal: when a data centre fails, its engines look idle and are
+        tried one after the other, each for some milliseconds, and a stream that was given
+        up after a dozen of them was told that no engine takes it while most were free.
+        """
         self._avoid.add(engine)
         self._copy = None
-        self._refusals += 1
         self._detail = detail
 
     def was_sent(self, *, copy: RunCopy | None) -> None:
