--- a/lagoonlever/gateway/presence.py
+++ b/lagoonlever/gateway/presence.py
@@ -166,7 +166,7 @@
         self._rounds += 1
         digest = self._digest(own, speakers)
         told = (state.life.name for state in self._remote_hubs(own))
-        self._send_to(tuple({*roles.other_hubs, *told}), digest)
+        self._send_to(tuple(dict.fromkeys((*roles.other_hubs, *told))), digest)
         addresses = [speaker.bus for speaker in speakers]
         for told_digest in (digest, *self._passing.values()):
             self._bus.send_to_all(addresses, told_digest)
