A fault soak: real gateways as processes, faults from outside, promises checked meanwhile

Seeded tracks of faults overlap: signals, a loopback proxy that holds up, cuts one way, slows and resets, a store that is silent, refuses, loses answers, is slow or forgets, bad runners, engines that crash, runners that leave, new configurations. Checked from what callers and targets see. With the guard against a second runner switched off the soak turns red.

--- a/lagoonlever/__main__.py
+++ b/lagoonlever/__main__.py
@@ -17,6 +17,7 @@
     orders,
     report,
     settings,
+    soak,
     status,
 )
 
@@ -33,6 +34,7 @@
 app.command()(demo.demo)
 app.command()(check.check)
 app.command()(status.status)
+app.command()(soak.soak)
 app.command("explain")(explain.explain_request)
 app.command()(bench.bench)
 app.add_typer(report.app, name="report")
--- a/lagoonlever/commands/gateway.py
+++ b/lagoonlever/commands/gateway.py
@@ -7,6 +7,7 @@
 
 import typer
 
+from lagoonlever.gateway.early_signals import ignore_reloads
 from lagoonlever.gateway.program import run_gateway
 from lagoonlever.logs import LogFormat, LogLevel
 from lagoonlever.platform.early_sockets import PATH_VARIABLE, open_early
@@ -26,6 +27,7 @@
     SIGTERM or SIGINT begins a planned stop: callers are sent elsewhere, open requests
     are finished, and the process ends by itself.
     """
+    ignore_reloads()
     listening = open_early(str(settings) if settings else None)
     code = run_gateway(
         settings=settings, sockets=listening, log_format=log_format, log_level=log_level
--- a/lagoonlever/fakes/metadata_store.py
+++ b/lagoonlever/fakes/metadata_store.py
@@ -50,6 +50,11 @@
         """The revision of the last change."""
         return self._store.revision
 
+    @property
+    def harmed(self) -> bool:
+        """Whether calls suffer from a fault or are slow."""
+        return self.fault is not StoreFault.NONE or self.slow_s > 0.0
+
     def keys(self, prefix: str) -> list[str]:
         """Give the names of the keys under a prefix."""
         return [stored.key.decode() for stored in self._range(prefix)]
--- /dev/null
+++ b/lagoonlever/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomised soak: the real gateways as processes, faults from outside, promises checked."""
--- /dev/null
+++ b/lagoonlever/soak/callers.py
@@ -0,0 +1,196 @@
+"""The callers of a run: each keeps its connection while it can, and comes back by the rules."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+
+import attrs
+import msgspec
+import trio
+
+from lagoonlever.exceptions import BadResponse, PeerError
+from lagoonlever.http.client import ClientConnection, Response, fetch
+from lagoonlever.http.messages import Address, Headers
+from lagoonlever.http.sse import RawEventSplitter
+from lagoonlever.platform.documents import (
+    caller_headers,
+    prompt_fields,
+    read_addresses,
+    resolve_path,
+)
+from lagoonlever.soak.judge import NOT_RUN_STATUSES, OK, Judge
+from lagoonlever.soak.site import HOST, SoakSite, SoakVm
+
+CALL_DEADLINE_S = 2.0
+STREAM_DEADLINE_S = 12.0
+EVENT_TOKENS = 8
+PROMPT_TOKENS = 1_000
+EVENTS = (5, 60)
+"""Of a stream: the shortest ends at once, the longest takes 1.2 s on an engine."""
+RETRIES = 3
+PAUSE_S = 0.05
+LEAVES = 0.08
+
+
+@attrs.define(kw_only=True, eq=False)
+class SoakCaller:
+    """One caller; sends requests one after the other until cancelled."""
+
+    number: int
+    site: SoakSite
+    judge: Judge
+    rng: random.Random
+    leaves: float = LEAVES
+    """The part of its streams that it leaves midway."""
+    _connection: ClientConnection | None = None
+    _addresses: tuple[Address, ...] = ()
+    _ids: Iterator[int] = attrs.field(factory=lambda: iter(range(1_000_000)))
+
+    async def run(self) -> None:
+        """Send bids, lookups and streams."""
+        while True:
+            kind = self.rng.choice(("bid", "look", "stream", "stream"))
+            if kind == "stream":
+                await self.stream()
+            else:
+                await self.call(kind)
+            await trio.sleep(self.rng.uniform(0.0, PAUSE_S))
+
+    async def call(self, kind: str) -> int:
+        """Send a bid or a lookup, again as the rules allow; gives the last status."""
+        status = 0
+        for _ in range(RETRIES):
+            request = self._new_id(kind)
+            if kind == "bid":
+                self.judge.runs_once(request)
+            status = await self._call_once(kind, request)
+            self.judge.answered(kind, request, status)
+            again = status in NOT_RUN_STATUSES or (kind == "look" and status != OK)
+            if not again or status in (401, 404):
+                return status
+            await trio.sleep(PAUSE_S)
+        return status
+
+    async def stream(self) -> bool:
+        """Read a stream to its end, coming back after breaks; gives whether it was whole."""
+        part = f"{self.rng.getrandbits(64):016x}"
+        events = self.rng.randint(*EVENTS)
+        leave_at = self.rng.randint(1, events) if self.rng.random() < self.leaves else None
+        told = 0
+        with trio.move_on_after(STREAM_DEADLINE_S):
+            for _ in range(RETRIES):
+                told, whole = await self._stream_once(part, events, told, leave_at)
+                if whole:
+                    return True
+                if leave_at is not None and told >= leave_at:
+                    return False
+                await trio.sleep(PAUSE_S)
+        return False
+
+    async def _call_once(self, kind: str, request: str) -> int:
+        headers = self._headers(request, CALL_DEADLINE_S)
+        try:
+            with trio.fail_after(CALL_DEADLINE_S + 1.0):
+                response = await self._exchange(f"/{kind}/{request}", headers)
+        except (PeerError, trio.TooSlowError):
+            # The connection ended, or nothing came: the caller knows nothing of its call.
+            await self._drop()
+            return 0
+        self.judge.called(request, response.status, response.headers, response.body)
+        return response.status
+
+    async def _stream_once(
+        self, part: str, events: int, told: int, leave_at: int | None
+    ) -> tuple[int, bool]:
+        request = self._new_id("stream")
+        more = prompt_fields(
+            part,
+            prompt_tokens=PROMPT_TOKENS,
+            output_tokens=events * EVENT_TOKENS,
+            last_event_id=told or None,
+        )
+        headers = self._headers(request, STREAM_DEADLINE_S, more)
+        splitter = RawEventSplitter()
+        try:
+            connection = await self._connect()
+            await connection.start(
+                method="POST", path="/stream/1", headers=headers, body=b"{}", step="soak"
+            )
+            head = await connection.read_head()
+            while (piece := await connection.next_piece()) is not None:
+                if head.status != OK:
+                    continue
+                for event in splitter.feed(piece):
+                    told += 1
+                    self.judge.event(part, told, event.data)
+                if leave_at is not None and told >= leave_at:
+                    await self._drop()
+                    return told, False
+        except PeerError:
+            # The stream broke off; the caller comes back with what it has.
+            await self._drop()
+            self.judge.answered("stream", request, 0)
+            return told, False
+        self.judge.answered("stream", request, head.status)
+        if head.status == OK:
+            self.judge.stream_ended(part, told, events)
+        return told, head.status == OK
+
+    async def _exchange(self, path: str, headers: Headers) -> Response:
+        connection = await self._connect()
+        await connection.start(method="POST", path=path, headers=headers, step="soak")
+        head = await connection.read_head()
+        body = b"".join([piece async for piece in connection.iter_body()])
+        if "close" in (head.headers.get("Connection") or ""):
+            await self._drop()
+        return attrs.evolve(head, body=body)
+
+    async def _connect(self) -> ClientConnection:
+        """Give the kept connection, or a new one to an address that the directory names."""
+        if self._connection is not None and self._connection.reusable and self._connection.quiet:
+            return self._connection
+        await self._drop()
+        address = await self._ask_address()
+        self._connection = await ClientConnection.open(address, timeout_s=1.0)
+        return self._connection
+
+    async def _ask_address(self) -> Address:
+        for vm in self.rng.sample(self.site.vms, len(self.site.vms)):
+            found = await self._ask_directory(vm)
+            if found:
+                self._addresses = found
+                break
+        if not self._addresses:
+            raise BadResponse("no VM tells an address", step="soak", peer="directory")
+        return self.rng.choice(self._addresses)
+
+    async def _ask_directory(self, vm: SoakVm) -> tuple[Address, ...]:
+        directory = vm.settings.directory
+        assert directory is not None
+        path = resolve_path(HOST, data_center=vm.settings.data_center)
+        try:
+            answer = await fetch(directory, path=path, step="resolve", timeout_s=0.5)
+            return read_addresses(answer.body) if answer.status == OK else ()
+        except (PeerError, msgspec.MsgspecError, ValueError):
+            # This VM is away or does not take callers yet; the next one is asked.
+            return ()
+
+    async def _drop(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.aclose()
+
+    def _headers(
+        self, request: str, deadline_s: float, more: list[tuple[str, str]] | None = None
+    ) -> Headers:
+        return caller_headers(
+            request_id=request,
+            host=HOST,
+            key=self.site.keys[1],
+            deadline_s=deadline_s,
+            more=more or (),
+        )
+
+    def _new_id(self, kind: str) -> str:
+        return f"{kind}-{self.number}-{next(self._ids)}"
--- /dev/null
+++ b/lagoonlever/soak/faults.py
@@ -0,0 +1,204 @@
+"""Carries out the faults of a plan, from outside of the processes."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+
+from lagoonlever.fakes.metadata_store import StoreFault
+from lagoonlever.fakes.platform_runner import Conduct, FakeRunner
+from lagoonlever.soak.plan import Fault, FaultKind
+from lagoonlever.soak.proxy import Link
+from lagoonlever.soak.site import GRACE_S, SoakSite, SoakTarget, SoakVm
+
+SLOW_STORE_S = 0.25
+STOP_MARGIN_S = 3.0
+"""Beyond the time that a planned stop may take, before it counts as hanging."""
+INTERPRETER_S = 0.5
+"""After a start: before the interpreter runs the program, a SIGHUP ends any process."""
+BAD_ANSWERS = (
+    Conduct.FAIL,
+    Conduct.LOSE_ANSWER,
+    Conduct.CUT_ANSWER,
+    Conduct.FOREIGN_ANSWER,
+    Conduct.GARBAGE,
+    Conduct.STAY_SILENT,
+    Conduct.REFUSE,
+)
+
+Action = Callable[["FaultActions", Fault], Awaitable[None]]
+_ACTIONS: dict[FaultKind, Action] = {}
+
+
+def _action(*kinds: FaultKind) -> Callable[[Action], Action]:
+    """Register what the decorated method does as the action of some kinds."""
+
+    def register(action: Action) -> Action:
+        for kind in kinds:
+            _ACTIONS[kind] = action
+        return action
+
+    return register
+
+
+@attrs.define(kw_only=True, eq=False)
+class FaultActions:
+    """Does to the site what a fault says, and undoes it when its time is over."""
+
+    site: SoakSite
+    _busy: set[str] = attrs.field(factory=set)
+    """Parts that a fault holds; another fault of the same part is passed over."""
+
+    async def carry_out(self, fault: Fault) -> None:
+        """Do a fault; returns once it is over."""
+        await _ACTIONS[fault.kind](self, fault)
+
+    def _vm(self, fault: Fault) -> SoakVm:
+        return self.site.vms[fault.number % len(self.site.vms)]
+
+    @_action(FaultKind.VM_KILL)
+    async def _kill(self, fault: Fault) -> None:
+        await self._end_and_start([self._vm(fault)], signal.SIGKILL, fault.for_s)
+
+    @_action(FaultKind.ALL_KILL)
+    async def _kill_all(self, fault: Fault) -> None:
+        await self._end_and_start(self.site.vms, signal.SIGKILL, fault.for_s)
+
+    @_action(FaultKind.VM_STOP)
+    async def _stop(self, fault: Fault) -> None:
+        await self._end_and_start([self._vm(fault)], signal.SIGTERM, 0.1)
+
+    async def _end_and_start(self, vms: list[SoakVm], number: signal.Signals, for_s: float) -> None:
+        """Signal VMs that no other fault holds, wait for their ends, and start them again."""
+        free = [vm for vm in vms if vm.name not in self._busy]
+        self._busy |= {vm.name for vm in free}
+        for vm in free:
+            self.site.signal(vm, number, ends=True)
+        for vm in free:
+            with trio.move_on_after(GRACE_S + STOP_MARGIN_S) as limit:
+                await self.site.wait_end(vm)
+            if limit.cancelled_caught:
+                self.site.judge.break_promise("planned stop", f"{vm.name} did not end")
+                self.site.signal(vm, signal.SIGKILL, ends=True)
+                await self.site.wait_end(vm)
+        await trio.sleep(for_s)
+        for vm in free:
+            self.site.start_vm(vm)
+        self._busy -= {vm.name for vm in free}
+
+    @_action(FaultKind.VM_PAUSE)
+    async def _pause(self, fault: Fault) -> None:
+        vm = self._vm(fault)
+        if vm.name in self._busy:
+            return
+        self._busy.add(vm.name)
+        self.site.signal(vm, signal.SIGSTOP)
+        await trio.sleep(fault.for_s)
+        self.site.signal(vm, signal.SIGCONT)
+        self._busy.discard(vm.name)
+
+    @_action(FaultKind.VM_RELOAD)
+    async def _reload(self, fault: Fault) -> None:
+        vm = self._vm(fault)
+        if trio.current_time() - vm.started_at > INTERPRETER_S:
+            self.site.signal(vm, signal.SIGHUP)
+
+    @_action(FaultKind.STORE_SILENT, FaultKind.STORE_REFUSES, FaultKind.STORE_LOSES)
+    async def _harm_store(self, fault: Fault) -> None:
+        conduct = {
+            FaultKind.STORE_SILENT: StoreFault.SILENT,
+            FaultKind.STORE_REFUSES: StoreFault.REFUSING,
+            FaultKind.STORE_LOSES: StoreFault.LOSING,
+        }[fault.kind]
+        self.site.store.fault = conduct
+        await trio.sleep(fault.for_s)
+        self.site.store.fault = StoreFault.NONE
+        self.site.store_disturbed_at = trio.current_time()
+
+    @_action(FaultKind.STORE_SLOW)
+    async def _slow_store(self, fault: Fault) -> None:
+        self.site.store.slow_s = SLOW_STORE_S
+        await trio.sleep(fault.for_s)
+        self.site.store.slow_s = 0.0
+        self.site.store_disturbed_at = trio.current_time()
+
+    @_action(FaultKind.STORE_FORGETS)
+    async def _forget(self, fault: Fault) -> None:
+        self.site.store.forget_history()
+        self.site.store_disturbed_at = trio.current_time()
+
+    @_action(FaultKind.STORE_CUT)
+    async def _cut_store(self, fault: Fault) -> None:
+        vm = self._vm(fault)
+        vm.store_link.link = Link.HELD
+        await trio.sleep(fault.for_s)
+        vm.store_link.link = Link.WELL
+        vm.disturbed_at = trio.current_time()
+
+    @_action(FaultKind.ENGINE_CRASH)
+    async def _crash(self, fault: Fault) -> None:
+        place = fault.number % len(self.site.engines)
+        await self._alone(f"engine {place}", self.site.engines, place, self.site.restart_target)
+
+    @_action(FaultKind.RUNNER_LEAVES)
+    async def _leave(self, fault: Fault) -> None:
+        place = fault.number % len(self.site.runners)
+
+        async def replace(_: list[SoakTarget], number: int) -> None:
+            await self.site.replace_runner(number)
+
+        await self._alone(f"runner {place}", self.site.runners, place, replace)
+
+    async def _alone(
+        self,
+        name: str,
+        kept: list[SoakTarget],
+        place: int,
+        act: Callable[[list[SoakTarget], int], Awaitable[None]],
+    ) -> None:
+        if name in self._busy:
+            return
+        self._busy.add(name)
+        await act(kept, place)
+        self._busy.discard(name)
+        self.site.targets_disturbed_at = trio.current_time()
+
+    @_action(FaultKind.ENGINE_SILENT, FaultKind.ENGINE_ONE_WAY, FaultKind.ENGINE_SLOW_LINK)
+    async def _harm_engine_link(self, fault: Fault) -> None:
+        link = {
+            FaultKind.ENGINE_SILENT: Link.HELD,
+            FaultKind.ENGINE_ONE_WAY: Link.ONE_WAY,
+            FaultKind.ENGINE_SLOW_LINK: Link.SLOW,
+        }[fault.kind]
+        await self._harm_link(self.site.engines, fault, link)
+
+    @_action(FaultKind.RUNNER_SILENT)
+    async def _harm_runner_link(self, fault: Fault) -> None:
+        await self._harm_link(self.site.runners, fault, Link.HELD)
+
+    async def _harm_link(self, kept: list[SoakTarget], fault: Fault, link: Link) -> None:
+        proxy = kept[fault.number % len(kept)].proxy
+        proxy.link = link
+        await trio.sleep(fault.for_s)
+        proxy.link = Link.WELL
+        self.site.targets_disturbed_at = trio.current_time()
+
+    @_action(FaultKind.ENGINE_RESET, FaultKind.RUNNER_RESET)
+    async def _reset(self, fault: Fault) -> None:
+        kept = self.site.engines if fault.kind is FaultKind.ENGINE_RESET else self.site.runners
+        kept[fault.number % len(kept)].proxy.reset_all()
+        self.site.targets_disturbed_at = trio.current_time()
+
+    @_action(FaultKind.RUNNER_BAD)
+    async def _answer_badly(self, fault: Fault) -> None:
+        server = self.site.runners[fault.number % len(self.site.runners)].server
+        assert isinstance(server, FakeRunner)
+        server.conducts.extend(self.site.rng.choices(BAD_ANSWERS, k=4))
+        self.site.targets_disturbed_at = trio.current_time()
+
+    @_action(FaultKind.NEW_CONFIGURATION)
+    async def _configure(self, fault: Fault) -> None:
+        self.site.configure()
--- /dev/null
+++ b/lagoonlever/soak/judge.py
@@ -0,0 +1,87 @@
+"""Holds what callers and targets saw against the promises, while the run goes on."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import attrs
+
+from lagoonlever.fakes.platform_engine import event_bytes
+from lagoonlever.http.messages import Headers
+from lagoonlever.platform.headers import ORGANISATION, SEAL
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""They promise that the request has not run and never will."""
+OK = 200
+
+
+@attrs.frozen(kw_only=True)
+class Violation:
+    """A promise that was broken, and how it showed."""
+
+    promise: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.promise}: {self.detail}"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Judge:
+    """Collects violations; ``organisation`` is whose key all callers use."""
+
+    _organisation: str
+    violations: list[Violation] = attrs.field(factory=list)
+    counts: Counter[str] = attrs.field(factory=Counter)
+    """Answers by kind of request and status; for the report of a run."""
+    _ran: Counter[str] = attrs.field(factory=Counter)
+    _once: set[str] = attrs.field(factory=set)
+    """Ids of requests that may run once at most."""
+    _told_not_run: set[str] = attrs.field(factory=set)
+
+    def break_promise(self, promise: str, detail: str) -> None:
+        """Note a violation."""
+        self.violations.append(Violation(promise=promise, detail=detail))
+
+    def runs_once(self, request: str) -> None:
+        """Note that a request may run once at most."""
+        self._once.add(request)
+
+    def ran(self, request: str, target: str, headers: Headers) -> None:
+        """Note that a target began to work on a request."""
+        self._ran[request] += 1
+        if request in self._once and self._ran[request] > 1:
+            self.break_promise("at most once", f"{request} ran again, at {target}")
+        if request in self._told_not_run:
+            self.break_promise("not run is true", f"{request} ran at {target} after it was told")
+        if headers.get("Authorization") is not None:
+            self.break_promise("keys stay here", f"{request} reached {target} with its key")
+        if headers.get(ORGANISATION) != self._organisation:
+            found = headers.get(ORGANISATION)
+            self.break_promise("organisations", f"{request} reached {target} for {found}")
+
+    def answered(self, kind: str, request: str, status: int) -> None:
+        """Note a caller's final status; 0 where its connection ended without one."""
+        self.counts[f"{kind} {status}"] += 1
+        if status not in NOT_RUN_STATUSES:
+            return
+        self._told_not_run.add(request)
+        if self._ran[request]:
+            self.break_promise("not run is true", f"{request} was told {status} and had run")
+
+    def called(self, request: str, status: int, headers: Headers, body: bytes) -> None:
+        """Check the whole answer to a call."""
+        if not OK <= status < 300:
+            return
+        if headers.get(SEAL) != f"seal-{request}" or body != b"answer to " + request.encode():
+            self.break_promise("whole answers", f"{request} got {body[:60]!r}")
+
+    def event(self, part: str, expected: int, data: bytes) -> None:
+        """Check that an event is the next one of its own stream."""
+        if data != event_bytes(part, expected):
+            self.break_promise("streams in order", f"{part}: {data!r} in place of {expected}")
+
+    def stream_ended(self, part: str, last: int, expected: int) -> None:
+        """Check that a stream which ended as whole has all its events."""
+        if last != expected:
+            self.break_promise("streams are whole", f"{part} ended after {last} of {expected}")
--- /dev/null
+++ b/lagoonlever/soak/plan.py
@@ -0,0 +1,154 @@
+"""What happens in one run of the soak, drawn from its seed.
+
+Faults come in series and overlap: each track draws its own times, so that a VM may be
+killed while another one stops and the store is away.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Iterator
+
+import attrs
+
+QUIET_S = 2.0
+"""At the start of a run, before the first fault: callers have begun by then."""
+
+
+class FaultKind(enum.Enum):
+    """What is done, from outside, to one of the parts."""
+
+    VM_KILL = "vm-kill"
+    """SIGKILL; started again after a while."""
+    VM_PAUSE = "vm-pause"
+    """SIGSTOP and later SIGCONT."""
+    VM_STOP = "vm-stop"
+    """SIGTERM, a planned stop; started again once it has ended."""
+    VM_RELOAD = "vm-reload"
+    """SIGHUP, with nothing changed."""
+    ALL_KILL = "all-kill"
+    """SIGKILL of every VM at once."""
+    STORE_SILENT = "store-silent"
+    """The store answers nobody."""
+    STORE_REFUSES = "store-refuses"
+    STORE_LOSES = "store-loses"
+    """The store makes changes and loses its answers."""
+    STORE_SLOW = "store-slow"
+    STORE_FORGETS = "store-forgets"
+    """The store drops its history."""
+    STORE_CUT = "store-cut"
+    """One VM does not reach the store, and the others do."""
+    ENGINE_CRASH = "engine-crash"
+    """An engine ends with its connections; another one starts at its address."""
+    ENGINE_SILENT = "engine-silent"
+    """Everything to and from an engine is held up."""
+    ENGINE_RESET = "engine-reset"
+    """The open connections of an engine are reset."""
+    ENGINE_ONE_WAY = "engine-one-way"
+    """An engine gets requests, and its answers are held up."""
+    ENGINE_SLOW_LINK = "engine-slow-link"
+    RUNNER_RESET = "runner-reset"
+    RUNNER_SILENT = "runner-silent"
+    RUNNER_BAD = "runner-bad"
+    """A runner fails, loses, cuts, crosses or spoils some answers."""
+    RUNNER_LEAVES = "runner-leaves"
+    """A runner drains and goes; a new one comes."""
+    NEW_CONFIGURATION = "new-configuration"
+    """Operators take a key away and add another one."""
+
+
+@attrs.frozen(kw_only=True)
+class Fault:
+    """One fault; times in seconds from the start of the run."""
+
+    kind: FaultKind
+    at_s: float
+    for_s: float
+    number: int
+    """Chooses which VM, engine or runner; taken modulo their count."""
+
+    @property
+    def until_s(self) -> float:
+        """When it is over."""
+        return self.at_s + self.for_s
+
+
+@attrs.frozen(kw_only=True)
+class _Track:
+    """Faults of a few kinds, one after the other; pauses and durations as ranges."""
+
+    kinds: tuple[FaultKind, ...]
+    every_s: tuple[float, float]
+    for_s: tuple[float, float]
+
+
+_TRACKS = (
+    _Track(
+        kinds=(
+            FaultKind.VM_KILL,
+            FaultKind.VM_PAUSE,
+            FaultKind.VM_STOP,
+            FaultKind.VM_STOP,
+            FaultKind.VM_RELOAD,
+        ),
+        every_s=(0.5, 3.0),
+        for_s=(0.3, 2.5),
+    ),
+    _Track(kinds=(FaultKind.ALL_KILL,), every_s=(6.0, 20.0), for_s=(0.2, 1.0)),
+    _Track(
+        kinds=(
+            FaultKind.STORE_SILENT,
+            FaultKind.STORE_REFUSES,
+            FaultKind.STORE_LOSES,
+            FaultKind.STORE_SLOW,
+            FaultKind.STORE_FORGETS,
+            FaultKind.STORE_CUT,
+        ),
+        every_s=(1.0, 4.0),
+        for_s=(0.5, 4.0),
+    ),
+    _Track(
+        kinds=(
+            FaultKind.ENGINE_CRASH,
+            FaultKind.ENGINE_SILENT,
+            FaultKind.ENGINE_RESET,
+            FaultKind.ENGINE_ONE_WAY,
+            FaultKind.ENGINE_SLOW_LINK,
+        ),
+        every_s=(0.3, 1.5),
+        for_s=(0.5, 2.0),
+    ),
+    _Track(
+        kinds=(
+            FaultKind.RUNNER_RESET,
+            FaultKind.RUNNER_SILENT,
+            FaultKind.RUNNER_BAD,
+            FaultKind.RUNNER_LEAVES,
+        ),
+        every_s=(0.5, 2.0),
+        for_s=(0.3, 1.5),
+    ),
+    _Track(kinds=(FaultKind.NEW_CONFIGURATION,), every_s=(1.0, 4.0), for_s=(0.0, 0.0)),
+)
+
+
+def draw_plan(seed: int, *, length_s: float) -> tuple[Fault, ...]:
+    """Draw the faults of a run, in the order of their times."""
+    faults: list[Fault] = []
+    for number, track in enumerate(_TRACKS):
+        rng = random.Random(f"{seed}-{number}")
+        if rng.random() < 0.8:
+            faults.extend(_draw_track(track, rng, length_s))
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def _draw_track(track: _Track, rng: random.Random, length_s: float) -> Iterator[Fault]:
+    at_s = QUIET_S
+    while (at_s := at_s + rng.uniform(*track.every_s)) < length_s:
+        yield Fault(
+            kind=rng.choice(track.kinds),
+            at_s=at_s,
+            for_s=rng.uniform(*track.for_s),
+            number=rng.randrange(1_000),
+        )
--- /dev/null
+++ b/lagoonlever/soak/site.py
@@ -0,0 +1,331 @@
+"""The deployment of one run: gateways as processes, everything that they talk to in this one."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import attrs
+import trio
+
+from lagoonlever.decisions.configuration import (
+    Configuration,
+    EngineLimits,
+    Organisation,
+    RouteKind,
+    ServiceRoute,
+    TargetService,
+    WeightedService,
+)
+from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.fakes.metadata_store import FakeMetadataStore
+from lagoonlever.fakes.platform_engine import FakeEngine
+from lagoonlever.fakes.platform_runner import FakeRunner
+from lagoonlever.gateway.settings import Bounds, GatewaySettings, StoreLimits
+from lagoonlever.http.messages import Address, Headers
+from lagoonlever.http.server import Exchange, open_listeners
+from lagoonlever.platform.configuration import CONFIGURATION_KEY
+from lagoonlever.platform.documents import configuration_document, settings_text, target_entry
+from lagoonlever.platform.early_sockets import PATH_VARIABLE
+from lagoonlever.platform.headers import EXPECTED_TARGET, REQUEST_ID
+from lagoonlever.platform.targets import TARGETS_PREFIX
+from lagoonlever.soak.judge import Judge
+from lagoonlever.soak.proxy import FaultyProxy
+
+PLACES = ("dc-0", "dc-1", "dc-2")
+HOST = "shop.example"
+ORGANISATION = "org-1"
+GATEWAY = (sys.executable, "-m", "lagoonlever.gateway")
+FRONT_PORT, READY_PORT, DIRECTORY_PORT, BUS_PORT = 8740, 8749, 8746, 8748
+TARGET_PORT = 9000
+GRACE_S = 8.0
+BACK_AFTER_S = 0.3
+"""Between the end of a target and the start of another one at its address."""
+LAPSE_S = 1.2
+"""How long the entry of a target that crashed stays."""
+
+
+class WatchedRunner(FakeRunner):
+    """A runner that tells the judge what it runs."""
+
+    def __init__(self, *, target_id: str, judge: Judge) -> None:
+        super().__init__(target_id=target_id, work_s=0.01)
+        self._judge = judge
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request, and tell whether it ran."""
+        request = exchange.request.headers.get(REQUEST_ID) or ""
+        before = self.runs[request]
+        try:
+            await super().handle(exchange)
+        finally:
+            if self.runs[request] > before:
+                self._judge.ran(request, self.target_id, exchange.request.headers)
+
+
+class WatchedEngine(FakeEngine):
+    """An engine that tells the judge what it runs."""
+
+    def __init__(self, *, target_id: str, fleet: dict[str, FakeEngine], judge: Judge) -> None:
+        super().__init__(
+            target_id=target_id, fleet=fleet, prefill_tokens_per_s=20_000.0, event_s=0.02
+        )
+        self._judge = judge
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request or question."""
+        headers: Headers = exchange.request.headers
+        request = headers.get(REQUEST_ID)
+        if request is not None and headers.get(EXPECTED_TARGET) == self.target_id:
+            self._judge.ran(request, self.target_id, headers)
+        await super().handle(exchange)
+
+
+@attrs.define(kw_only=True, eq=False)
+class SoakTarget:
+    """An engine or a runner behind its proxy; another life of it has another id."""
+
+    target: ListedTarget
+    proxy: FaultyProxy
+    server: FakeEngine | FakeRunner
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+
+@attrs.define(kw_only=True, eq=False)
+class SoakVm:
+    """One gateway process and its link to the store."""
+
+    settings: GatewaySettings
+    store_link: FaultyProxy
+    log: Path
+    process: subprocess.Popen[bytes] | None = None
+    asked_to_end: bool = False
+    """A signal of this run ends the process, so its end is no finding."""
+    started_at: float = 0.0
+    disturbed_at: float = 0.0
+    """When this VM was last harmed, or had just come back."""
+
+    @property
+    def name(self) -> str:
+        """The VM's name."""
+        return self.settings.name
+
+
+@attrs.define(kw_only=True, eq=False)
+class SoakSite:
+    """Starts and ends the parts; ends only processes that it started, by their ids."""
+
+    nursery: trio.Nursery
+    judge: Judge
+    folder: Path
+    rng: random.Random
+    program: tuple[str, ...] = GATEWAY
+    store: FakeMetadataStore = attrs.field(factory=FakeMetadataStore)
+    vms: list[SoakVm] = attrs.field(factory=list)
+    engines: list[SoakTarget] = attrs.field(factory=list)
+    runners: list[SoakTarget] = attrs.field(factory=list)
+    keys: tuple[str, ...] = ("key-a", "key-b", "key-c")
+    """The keys of the newest version, oldest first.
+
+    Callers use the middle one: it is in the version before and in the one to come, so
+    that they are served while VMs have different versions in force.
+    """
+    revoked: str = ""
+    """The key that the newest version took away."""
+    version: int = 0
+    targets_disturbed_at: float = 0.0
+    store_disturbed_at: float = 0.0
+    _fleet: dict[str, FakeEngine] = attrs.field(factory=dict)
+    _lives: int = 0
+
+    async def start(self, *, vms: int, engines: int, runners: int) -> None:
+        """Start everything; returns once the processes are running."""
+        store = self._address(250, TARGET_PORT)
+        self.nursery.start_soon(self.store.run, await open_listeners(host=store.host, port=9000))
+        self.configure()
+        for number in range(engines):
+            self.engines.append(await self._start_target("engines", 100 + number))
+        for number in range(runners):
+            self.runners.append(await self._start_target("apps", 150 + number))
+        for number in range(vms):
+            self.vms.append(self._vm(number, store))
+        seeds = tuple(vm.settings.bus for vm in self.vms[:3])
+        for vm in self.vms:
+            vm.settings = attrs.evolve(vm.settings, seeds=seeds)
+            self.nursery.start_soon(vm.store_link.run)
+            self.start_vm(vm)
+
+    def configure(self) -> None:
+        """Write the next version: a new key comes, the oldest goes."""
+        self.version += self.rng.randint(1, 4)
+        self.revoked = self.keys[0]
+        self.keys = (*self.keys[1:], f"key-{self.version}")
+        self.store.put(CONFIGURATION_KEY, configuration_document(self._configuration()))
+
+    def start_vm(self, vm: SoakVm) -> None:
+        """Start a VM's process; it has none."""
+        file = vm.log.with_suffix(".conf")
+        file.write_text(settings_text(vm.settings), encoding="utf-8")
+        environment = {**os.environ, PATH_VARIABLE: str(file)}
+        with vm.log.open("ab") as log:
+            vm.process = subprocess.Popen(self.program, env=environment, stdout=log, stderr=log)
+        vm.asked_to_end = False
+        vm.disturbed_at = vm.started_at = trio.current_time()
+
+    def signal(self, vm: SoakVm, number: signal.Signals, *, ends: bool = False) -> None:
+        """Send a signal to a VM's process, if it has one."""
+        vm.disturbed_at = trio.current_time()
+        vm.asked_to_end = vm.asked_to_end or ends
+        if vm.process is not None and vm.process.poll() is None:
+            vm.process.send_signal(number)
+
+    async def wait_end(self, vm: SoakVm) -> None:
+        """Wait until a VM's process has ended."""
+        while vm.process is not None and vm.process.poll() is None:  # noqa: ASYNC110
+            await trio.sleep(0.02)
+
+    async def restart_target(self, kept: list[SoakTarget], place: int) -> None:
+        """End a target with its connections; another one comes at its address."""
+        former = kept[place]
+        former.scope.cancel()
+        former.proxy.reset_all()
+        await trio.sleep(BACK_AFTER_S)
+        number = 100 + place if former in self.engines else 150 + place
+        kept[place] = await self._start_target(former.target.service, number, former.proxy)
+        await trio.sleep(LAPSE_S)
+        self.store.delete(f"{TARGETS_PREFIX}{former.target.id}")
+
+    async def replace_runner(self, place: int) -> None:
+        """Have a runner drain and go, and another one come beside it."""
+        former = self.runners[place]
+        self.list_target(attrs.evolve(former.target, draining=True))
+        await trio.sleep(2.5)
+        self.store.delete(f"{TARGETS_PREFIX}{former.target.id}")
+        former.scope.cancel()
+        await trio.sleep(0.1)
+        self.runners[place] = await self._start_target("apps", 150 + place, former.proxy)
+
+    def list_target(self, target: ListedTarget) -> None:
+        """Write a target's entry."""
+        self.store.put(f"{TARGETS_PREFIX}{target.id}", target_entry(target))
+
+    def kill_all(self) -> None:
+        """End every process that was started here and still runs."""
+        for vm in self.vms:
+            self.signal(vm, signal.SIGKILL, ends=True)
+            if vm.process is not None:
+                vm.process.wait()
+
+    async def _start_target(
+        self, service: str, number: int, proxy: FaultyProxy | None = None
+    ) -> SoakTarget:
+        self._lives += 1
+        target_id = f"{service}-{number}-{self._lives}"
+        own = self._address(number, TARGET_PORT)
+        if proxy is None:
+            proxy = FaultyProxy(listen=self._address(number, TARGET_PORT + 1), target=own)
+            self.nursery.start_soon(proxy.run)
+        server: FakeEngine | FakeRunner
+        if service == "engines":
+            server = WatchedEngine(target_id=target_id, fleet=self._fleet, judge=self.judge)
+            self._fleet[str(proxy.listen)] = server
+        else:
+            server = WatchedRunner(target_id=target_id, judge=self.judge)
+        listed = ListedTarget(
+            id=target_id,
+            service=service,
+            address=proxy.listen,
+            data_center=PLACES[number % len(PLACES)],
+            slots=12,
+        )
+        started = SoakTarget(target=listed, proxy=proxy, server=server)
+        listeners = await open_listeners(host=own.host, port=own.port)
+        self.nursery.start_soon(_serve_in, started.scope, server.run, listeners)
+        self.list_target(listed)
+        return started
+
+    def _vm(self, number: int, store: Address) -> SoakVm:
+        link = FaultyProxy(listen=self._address(1 + number, TARGET_PORT + 2), target=store)
+        name = f"vm-{number}"
+        settings = GatewaySettings(
+            name=name,
+            data_center=PLACES[number % len(PLACES)],
+            region="r",
+            listen=self._address(1 + number, FRONT_PORT),
+            readiness=self._address(1 + number, READY_PORT),
+            directory=self._address(1 + number, DIRECTORY_PORT),
+            bus=self._address(1 + number, BUS_PORT),
+            store=StoreLimits(address=link.listen),
+            bounds=Bounds(grace_s=GRACE_S),
+            data_centers=PLACES,
+        )
+        return SoakVm(settings=settings, store_link=link, log=self.folder / f"{name}.log")
+
+    def _address(self, number: int, port: int) -> Address:
+        """Give an address of a machine; each machine and each run has its own loopback IP."""
+        run = os.getpid()
+        return Address(host=f"127.{20 + run % 200}.{run // 200 % 250}.{number}", port=port)
+
+    def _configuration(self) -> Configuration:
+        return Configuration(
+            version=self.version,
+            routes=_ROUTES,
+            services={service.name: service for service in _SERVICES},
+            organisations={key: Organisation(name=ORGANISATION) for key in self.keys},
+            requires_key=True,
+        )
+
+
+async def _serve_in(
+    scope: trio.CancelScope,
+    run: Callable[[list[trio.SocketListener]], Awaitable[None]],
+    listeners: list[trio.SocketListener],
+) -> None:
+    with scope:
+        await run(listeners)
+    for listener in listeners:
+        await listener.aclose()
+
+
+def _route(name: str, kind: RouteKind, service: str, attempts: int) -> ServiceRoute:
+    return ServiceRoute(
+        name=name,
+        host=HOST,
+        prefix=f"/{name}/",
+        kind=kind,
+        services=(WeightedService(name=service),),
+        timeout_s=12.0 if kind is RouteKind.STREAM else 2.0,
+        objective_s=2.0,
+        priority=1,
+        max_attempts=attempts,
+        resumable=kind is RouteKind.STREAM,
+    )
+
+
+_ROUTES = (
+    _route("stream", RouteKind.STREAM, "engines", 5),
+    _route("bid", RouteKind.NON_IDEMPOTENT, "apps", 1),
+    _route("look", RouteKind.IDEMPOTENT, "apps", 2),
+)
+_SERVICES = (
+    TargetService(
+        name="engines",
+        health_path="/healthz",
+        max_connections=200,
+        engine=EngineLimits(
+            slots=12,
+            memory_tokens=55_000,
+            token_bytes=18_432,
+            copies=True,
+            copy_kept_s=4.0,
+            moves=True,
+            event_tokens=8,
+        ),
+    ),
+    TargetService(name="apps", health_path="/healthz", max_connections=200),
+)
--- /dev/null
+++ b/lagoonlever/tests/soak_tests.py
@@ -0,0 +1,78 @@
+"""The soak itself: its plans, its judge, a short run, and a guard that it misses when off."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from lagoonlever.http.messages import Headers
+from lagoonlever.platform.headers import ORGANISATION
+from lagoonlever.soak.judge import Judge
+from lagoonlever.soak.plan import Fault, FaultKind, draw_plan
+from lagoonlever.soak.run import SoakResult, SoakSize, run_soak
+
+SHORT = SoakSize(vms=3, engines=4, runners=3, callers=6, length_s=8.0)
+UNGUARDED = (sys.executable, "-m", "lagoonlever.tests.unguarded_gateway")
+SEEDS_THAT_FAILED: tuple[int, ...] = ()
+"""Each with a line on its cause."""
+
+
+def play(seed: int, folder: Path, **more: Any) -> SoakResult:
+    async def main() -> SoakResult:
+        return await run_soak(seed, size=SHORT, folder=folder, **more)
+
+    return trio.run(main)
+
+
+def test_a_short_run_keeps_every_promise(tmp_path: Path) -> None:
+    result = play(1, tmp_path)
+    assert result.violations == ()
+    assert result.counts.get("stream 200", 0) > 10
+
+
+def test_a_bid_that_is_sent_twice_is_found(tmp_path: Path) -> None:
+    """A gateway that sends a bid to a second runner after a lost answer runs it twice.
+
+    The gateways of this run do so; a soak that doesn't notice proves nothing.
+    """
+    bad = tuple(
+        Fault(kind=FaultKind.RUNNER_BAD, at_s=0.3 * number, for_s=0.0, number=number)
+        for number in range(1, 20)
+    )
+    result = play(1, tmp_path, program=UNGUARDED, plan=bad)
+    assert "at most once" in {violation.promise for violation in result.violations}
+
+
+def test_a_plan_follows_from_its_seed_and_knows_every_fault() -> None:
+    assert draw_plan(7, length_s=30.0) == draw_plan(7, length_s=30.0)
+    kinds = {fault.kind for seed in range(40) for fault in draw_plan(seed, length_s=30.0)}
+    assert kinds == set(FaultKind)
+
+
+def test_the_judge_sees_each_broken_promise() -> None:
+    judge = Judge(organisation="org-1")
+    headers = Headers(((ORGANISATION, "org-1"),))
+    judge.runs_once("b1")
+    judge.ran("b1", "r1", headers)
+    assert judge.violations == []
+    judge.ran("b1", "r2", headers)
+    judge.answered("bid", "b1", 503)
+    judge.answered("bid", "b2", 429)
+    judge.ran("b2", "r1", headers)
+    judge.ran("b3", "r1", Headers(((ORGANISATION, "other"), ("Authorization", "Bearer k"))))
+    judge.called("b1", 200, Headers(), b"answer to b1")
+    judge.event("p", 2, b"id: 3\ndata: p 3\n\n")
+    judge.stream_ended("p", 4, 5)
+    assert [violation.promise for violation in judge.violations] == [
+        "at most once",
+        "not run is true",
+        "not run is true",
+        "keys stay here",
+        "organisations",
+        "whole answers",
+        "streams in order",
+        "streams are whole",
+    ]
