Begin watches anew when the store is back, and let them wait no longer than 4 s

Their watch calls had reached the silent store, which never answered them; the connections lived, so the calls waited for their timeout of 11 s. Ruled out: readers without the role (three had it), lost pushes (none was sent). Change: waiting watches are given up when the store is reached again, and a watch waits 4 s.

--- a/lagoonlever/platform/store.py
+++ b/lagoonlever/platform/store.py
@@ -50,9 +50,13 @@
 
 CALL_TIMEOUT_S = 1.0
 """The store answers in 4 ms; under a slowdown of 60 times it still does within this."""
-WATCH_WAIT_S = 10.0
-"""How long one watch call waits for changes."""
-WATCH_MARGIN_S = 1.0
+WATCH_WAIT_S = 4.0
+"""How long one watch call waits for changes.
+
+A store that was silent for a moment may have lost the call and never answer it, though
+its connection lives. Longer waits cost fewer calls, and hide changes for longer then.
+"""
+WATCH_MARGIN_S = 0.5
 """Beyond the wait that was asked for, before the connection is taken for lost."""
 WATCH_KEEPALIVE_S = 1
 """Between TCP keep-alive probes: a watch that went silent shows within about 3 s.
@@ -91,6 +95,8 @@
         self._pool = Pool()
         self._reached = True
         self._back_at: float | None = None
+        self._waiting: set[trio.CancelScope] = set()
+        """The watch calls that wait now."""
 
     @property
     def back_at(self) -> float | None:
@@ -186,7 +192,22 @@
         return StoreWatch(store=self, prefix=prefix, after_revision=after_revision)
 
     async def wait_changes(self, prefix: str, *, after_revision: int) -> WatchBatch:
-        """Wait for changes of a prefix once; raises ``WatchCompacted``."""
+        """Wait for changes of a prefix once; raises ``WatchCompacted``.
+
+        Given up when the store is back after it was away. Guards against a call that the
+        store lost meanwhile: its connection lives, so it would wait for seconds and hide
+        every change, among them keys that were taken away.
+        """
+        scope = trio.CancelScope()
+        self._waiting.add(scope)
+        try:
+            with scope:
+                return await self._wait_once(prefix, after_revision)
+        finally:
+            self._waiting.discard(scope)
+        raise PlatformUnavailable("it was away meanwhile", step="watch", peer=str(self._address))
+
+    async def _wait_once(self, prefix: str, after_revision: int) -> WatchBatch:
         wait_ms = round(WATCH_WAIT_S * MS)
         path = _path(wire.WATCH, Prefix=prefix, After=after_revision, WaitMs=wait_ms)
         call = _Call(step="watch", method="GET", path=path)
@@ -248,11 +269,16 @@
         if response.status in (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS):
             raise self._unavailable(call, f"status {response.status}")
         if not self._reached:
-            PLATFORM_REACHED.log(log, peer=str(self._address))
-            self._back_at = trio.current_time()
-        self._reached = True
+            self._note_back()
         return response
 
+    def _note_back(self) -> None:
+        PLATFORM_REACHED.log(log, peer=str(self._address))
+        self._reached = True
+        self._back_at = trio.current_time()
+        for scope in self._waiting:
+            scope.cancel()
+
     def _unavailable(self, call: _Call, message: str) -> PlatformUnavailable:
         error = PlatformUnavailable(message, step=call.step, peer=str(self._address))
         if self._reached:
--- a/lagoonlever/tests/gateway_store_tests.py
+++ b/lagoonlever/tests/gateway_store_tests.py
@@ -187,3 +187,24 @@
         assert len(registry.serving("others")) == 10
 
     run_site(story, engines=0, vms=1)
+
+
+def test_a_change_after_a_silence_of_the_store_is_seen_in_time() -> None:
+    """The store is silent for some seconds and loses the watches that wait.
+
+    Their connections live, so nothing breaks. Operators then take a key away. Every VM
+    went on with the old configuration until its watch timed out, 11 s after it began.
+    Found by the soak.
+    """
+
+    async def story(site: GatewaySite) -> None:
+        site.store.fault = StoreFault.SILENT
+        site.configure(configuration(2))
+        await trio.sleep(4.5)
+        site.store.fault = StoreFault.NONE
+        await until(lambda: not any(v.daemon.parts.store.is_away for v in site.vms.values()))
+        site.configure(with_keys(5, NEW_KEY))
+        with trio.fail_after(2.0):
+            await until(lambda: all(version_of(site, vm) == 5 for vm in site.vms))
+
+    run_site(story, engines=0, runners=0, vms=3)
