--- /dev/null
+++ b/lagoonlever/tests/roles_tests.py
@@ -0,0 +1,65 @@
+"""Who reads the store and who gathers, worked out by each VM alone."""
+
+from __future__ import annotations
+
+from lagoonlever.decisions.fellows import FellowState
+from lagoonlever.decisions.roles import HUBS, LEAST_READERS, MESH_MOST, roles_of
+from lagoonlever.http.messages import Address
+from lagoonlever.identity import Incarnation
+
+PLACES = ("a", "b", "c")
+
+
+def fleet(count: int, *, wide: int = 0, away: frozenset[int] = frozenset()) -> list[FellowState]:
+    return [
+        FellowState(
+            life=Incarnation(name=f"vm-{number}", started_ms=1, nonce=number),
+            data_center=PLACES[number % 3],
+            callers=Address(host=f"10.0.0.{number}", port=1),
+            bus=Address(host=f"10.0.0.{number}", port=2),
+            link_mbps=200.0 if number < wide else 10.0,
+            store_away=number in away,
+        )
+        for number in range(count)
+    ]
+
+
+def readers(states: list[FellowState]) -> set[str]:
+    return {s.life.name for s in states if roles_of(s, [o for o in states if o != s]).reads_store}
+
+
+def test_views_that_agree_give_the_same_roles() -> None:
+    states = fleet(69)
+    assert len(readers(states)) == LEAST_READERS
+    hubs = {roles_of(s, [o for o in states if o != s]).hubs for s in states}
+    assert len(hubs) == len(PLACES) and all(len(each) == HUBS for each in hubs)
+
+
+def test_wide_links_go_first() -> None:
+    states = fleet(69, wide=6)
+    assert readers(states) <= {f"vm-{number}" for number in range(6)}
+
+
+def test_a_reader_that_loses_the_store_is_replaced_unless_all_have() -> None:
+    """A cut of one VM is answered by another reader; an outage by nobody else's calls."""
+    states = fleet(30, wide=6)
+    lost = sorted(readers(states))[0]
+    number = int(lost.removeprefix("vm-"))
+    assert lost not in readers(fleet(30, wide=6, away=frozenset({number})))
+    everyone = frozenset(range(30))
+    assert readers(fleet(30, wide=6, away=everyone)) == readers(states)
+
+
+def test_an_isolated_vm_reads_and_a_failed_hub_is_not_chosen() -> None:
+    states = fleet(30)
+    own, others = states[20], [s for s in states if s is not states[20]]
+    usual = roles_of(own, others)
+    assert not usual.reads_store
+    assert roles_of(own, others, isolated=True).reads_store
+    assert usual.hubs[0] not in roles_of(own, others, failed=frozenset(usual.hubs[:1])).hubs
+
+
+def test_a_small_fleet_is_a_mesh() -> None:
+    states = fleet(MESH_MOST + 1)
+    assert not roles_of(states[0], states[1:]).mesh
+    assert roles_of(states[0], states[1:MESH_MOST]).mesh
