--- a/lagoonlever/decisions/hub_watch.py
+++ b/lagoonlever/decisions/hub_watch.py
@@ -30,14 +30,14 @@
     _since: float | None = None
     """When this VM first spoke to a hub."""
 
-    def chosen(self, hubs: tuple[str, ...], now: float) -> None:
-        """Note whom this VM speaks to; one that does not answer in time has failed."""
+    def chosen(self, hubs: tuple[str, ...], now: float) -> tuple[str, ...]:
+        """Note whom this VM speaks to; gives those that have failed to answer in time."""
         if hubs and self._since is None:
             self._since = now
         self._chosen_at = {hub: self._chosen_at.get(hub, now) for hub in hubs}
-        for hub, since in self._chosen_at.items():
-            if now - max(since, self._heard_at.get(hub, since)) > ANSWER_S:
-                self._failed_until[hub] = now + FAILED_S
+        failed = tuple(hub for hub in hubs if now - self._last_sign(hub) > ANSWER_S)
+        self._failed_until.update((hub, now + FAILED_S) for hub in failed)
+        return failed
 
     def heard(self, hub: str, now: float, *, data_center: str) -> None:
         """Note a word of a hub on the VMs of a data centre."""
@@ -57,6 +57,10 @@
         self._failed_until = {h: at for h, at in self._failed_until.items() if at > now}
         return frozenset(self._failed_until)
 
+    def _last_sign(self, hub: str) -> float:
+        since = self._chosen_at[hub]
+        return max(since, self._heard_at.get(hub, since))
+
     def blind_since(self, now: float) -> dict[str, float]:
         """Give the data centres that nothing was told of lately, and since when."""
         return {place: at for place, at in self._told_at.items() if now - at > BLIND_S}
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -139,6 +139,13 @@
     "This VM reads the store for others: {reads}; is a hub: {hub}; speaks to every VM: {mesh}.",
     "Roles follow from who is there. A reader pushes what changes; a hub gathers who lives.",
 )
+HUB_PASSED_OVER = event(
+    1036,
+    "hub-passed-over",
+    "info",
+    "Hub {vm} does not answer this VM, which speaks to another one for some seconds.",
+    "The hub is dead, paused or cut off. Where all hubs fail, the VM reads the store itself.",
+)
 FELLOW_HEARD = event(
     1034,
     "fellow-heard",
--- a/lagoonlever/gateway/presence.py
+++ b/lagoonlever/gateway/presence.py
@@ -134,7 +134,8 @@
             fellows.silent_s, fellows.blind_since = SILENT_S, {}
             return
         others = tuple(hub for hub in roles.hubs if hub != own.life.name)
-        self._hub_watch.chosen(others, now)
+        for hub in self._hub_watch.chosen(others, now):
+            events.HUB_PASSED_OVER.log(log, vm=hub)
         fellows.silent_s, fellows.blind_since = HUB_SILENT_S, self._hub_watch.blind_since(now)
 
     def _take_roles(self, roles: Roles, now: float) -> None:
