Tell runs by hubs only beyond 120 VMs

Cause: news gathered by hubs comes up to 0.1 s later, and placements meanwhile are made without it. So fleets up to 120 VMs tell directly; beyond, messages that grow with the square of the fleet would be most of what a VM does.

--- a/lagoonlever/gateway/run_relay.py
+++ b/lagoonlever/gateway/run_relay.py
@@ -1,9 +1,13 @@
-"""Tells the other gateways what becomes of runs: directly in a small fleet, else by hubs.
+"""Tells the other gateways what becomes of runs: directly, or in a very large fleet by hubs.
 
 The load that is answered: each run is told three times to every other VM, so messages
-grow with runs times VMs. At 300 VMs with 75 runs a second that is 67,000 a second. A VM
-of a large fleet tells its hub; a hub gathers for 50 ms what its VMs and the other hubs
-tell, and sends that as one message to each VM of its data centre: 6,000 a second.
+grow with runs times VMs. At 300 VMs with 75 runs a second that is 67,000 a second. There
+a VM tells its hub; a hub gathers for 50 ms what its VMs and the other hubs tell, and
+sends that as one message to each VM of its data centre: 6,000 a second (worked out).
+
+Late news costs worse placements, so smaller fleets tell directly. Measured once on 69
+VMs: by hubs two fifths less processor time for messages and a third fewer bytes between
+data centres, but 24,000 prompt tokens read in vain in place of 3,000.
 
 What is told is soft state. A hub that dies takes the last 50 ms with it, which may cost
 a worse placement or a second reading of a prompt, never an answer.
@@ -36,6 +40,8 @@
 
 GATHER_S = 0.05
 """How long a hub gathers; lost engines are told at once, as streams wait for that."""
+DIRECT_MOST = 120
+"""Up to this many VMs each tells all others itself: at 17 runs a second 51 messages a VM."""
 DIRECT_NEWS_S = 0.02
 """What other VMs place is known after this where they tell it themselves."""
 RELAYED_NEWS_S = 0.08
@@ -69,14 +75,13 @@
 
     def tell(self, change: RunChange) -> None:
         """Tell all other VMs of a change of this one."""
-        roles = self._roles.value
-        hub = self._hub(roles)
-        if roles is None or roles.mesh or hub is None:
-            self._set_delay(DIRECT_NEWS_S)
-            present = self._beliefs.fellows.present(self._timers.now)
+        present = self._beliefs.fellows.present(self._timers.now)
+        hub = self._hub() if len(present) > DIRECT_MOST else None
+        if hub is None:
+            self._beliefs.book.news_s = DIRECT_NEWS_S
             self._bus.send_to_all((fellow.bus for fellow in present), change)
             return
-        self._set_delay(RELAYED_NEWS_S)
+        self._beliefs.book.news_s = RELAYED_NEWS_S
         if hub == self._own:
             self._gather([change], far=True)
             return
@@ -84,12 +89,11 @@
         if state is not None:
             self._bus.send(state.bus, _news(NewsStage.GATHER, [change]))
 
-    def _hub(self, roles: Roles | None) -> str | None:
+    def _hub(self) -> str | None:
+        """Give the hub that this VM tells; None until it has one."""
+        roles = self._roles.value
         return roles.hubs[0] if roles is not None and roles.hubs else None
 
-    def _set_delay(self, seconds: float) -> None:
-        self._beliefs.book.news_s = seconds
-
     async def _receive(self) -> None:
         async for received in self._bus.subscribe(RunNews):
             self._take_news(received)
