--- /dev/null
+++ b/lagoonlever/gateway/copy_keeper.py
@@ -0,0 +1,101 @@
+"""Keeps a copy of a run's memory at another engine while one attempt of a stream goes on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+import logbook
+import trio
+
+from lagoonlever.decisions.configuration import EngineLimits
+from lagoonlever.decisions.copy_keeping import CHECK_S, CopyKeeping
+from lagoonlever.decisions.engine_book import BookedRun, RunCopy
+from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.gateway import events, metrics
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.reporter import Reporter
+from lagoonlever.gateway.run_copier import RunCopier
+from lagoonlever.timers import TimerService
+
+log = logbook.Logger(__name__)
+
+
+@attrs.define(kw_only=True, eq=False)
+class CopyKeeper:
+    """Copies a run anew when the engine that holds its copy is lost or leaves."""
+
+    _request: str
+    _run: BookedRun
+    _engine: ListedTarget
+    _limits: EngineLimits
+    _beliefs: Beliefs
+    _timers: TimerService
+    _reporter: Reporter
+    _copier: RunCopier
+    _on_copied: Callable[[RunCopy], None]
+    """Told of each copy that was made by a call."""
+    flowing: bool = False
+    """The run has given its first event; before that there is nothing to copy."""
+    _called_copy: RunCopy | None = None
+
+    async def run(self) -> None:
+        """Look at the copy now and then, until cancelled."""
+        keeping = CopyKeeping(kept_s=self._limits.copy_kept_s)
+        keeping.growing(self._run.copy_at)
+        while True:
+            await trio.sleep(CHECK_S)
+            usable = keeping.holder is not None and self._is_usable(keeping.holder)
+            if not self.flowing or not keeping.due(self._timers.now, holder_usable=usable):
+                continue
+            to = self._new_holder(keeping.holder if usable else None)
+            copied = await self._copy_to(to)
+            if isinstance(copied, str):
+                keeping.failed(self._timers.now)
+            else:
+                keeping.called(copied.holder, self._timers.now)
+                self._called_copy = copied
+                self._on_copied(copied)
+            self._tell(to, copied)
+
+    async def free(self) -> None:
+        """Give back a copy that was made by a call; an engine ends a growing one by itself."""
+        copy, self._called_copy = self._called_copy, None
+        if copy is None:
+            return
+        fault = await self._copier.free(copy)
+        if fault is not None:
+            events.COPY_NOT_FREED.log(log, request=self._request, holder=copy.holder, outcome=fault)
+
+    async def _copy_to(self, to: ListedTarget | None) -> RunCopy | str:
+        if to is None:
+            return "no engine has room"
+        return await self._copier.copy(self._request, source=self._engine, to=to)
+
+    def _tell(self, to: ListedTarget | None, copied: RunCopy | str) -> None:
+        result = "failed" if isinstance(copied, str) else "made"
+        self._reporter.tally.add(metrics.COPIES, result)
+        events.RUN_COPIED.log(
+            log,
+            request=self._request,
+            target=self._engine.id,
+            holder=to.id if to else None,
+            outcome=copied if isinstance(copied, str) else "made",
+        )
+
+    def _is_usable(self, engine: str) -> bool:
+        takes_work = self._beliefs.targets.takes_work(engine)
+        return takes_work and not self._beliefs.book.is_avoided(engine, self._timers.now)
+
+    def _new_holder(self, present: str | None) -> ListedTarget | None:
+        """Give the engine for a called copy: the present holder, which then gets what is new."""
+        targets = self._beliefs.targets
+        if present is not None:
+            return targets.find(present)
+        return self._beliefs.book.place_copy(
+            targets.serving(self._engine.service),
+            limits=self._limits,
+            beside=self._engine,
+            memory_tokens=self._run.memory_tokens,
+            now=self._timers.now,
+        )
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -7,7 +7,6 @@
 import trio
 
 from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.copy_keeping import CHECK_S, CopyKeeping
 from lagoonlever.decisions.correlated_loss import CorrelatedLoss
 from lagoonlever.decisions.engine_book import BookedRun, RunCopy
 from lagoonlever.decisions.stream_life import EventVerdict, StreamLife
@@ -23,6 +22,7 @@
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.copy_keeper import CopyKeeper
 from lagoonlever.gateway.messages import AnswerHead, EngineReport, Hop, RunReport
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.prober import EngineProber
@@ -118,7 +118,22 @@
     _splitter: RawEventSplitter = attrs.field(factory=RawEventSplitter)
     _started: float = 0.0
     _flowing: bool = False
-    _called_copy: RunCopy | None = None
+    _copies: CopyKeeper = attrs.field(init=False)
+
+    @_copies.default
+    def _make_copies(self) -> CopyKeeper:
+        tools, plan = self._tools, self._plan
+        return CopyKeeper(
+            request=self._accepted.request_id,
+            run=plan.run,
+            engine=plan.engine,
+            limits=plan.limits,
+            beliefs=tools.beliefs,
+            timers=tools.timers,
+            reporter=tools.reporter,
+            copier=tools.copier,
+            on_copied=self._copied,
+        )
 
     async def run(self) -> None:
         """Send the request and relay the answer, until its end or its loss."""
@@ -170,7 +185,7 @@
         try:
             async with open_work_nursery() as nursery:
                 if plan.limits.moves and self._accepted.route.repeatable:
-                    nursery.start_soon(self._keep_copy)
+                    nursery.start_soon(self._copies.run)
                 if self._life.may_move and plan.copy_from is None:
                     nursery.start_soon(self._look_again)
                 return await self._relay(connection, silence)
@@ -209,7 +224,7 @@
         self._count("answered")
         self._life.whole = True
         self._tools.beliefs.book.served(self._plan.engine.id)
-        await self._free_copy()
+        await self._copies.free()
         return head
 
     async def _next(
@@ -283,7 +298,7 @@
     def _note_event(self, silence: StreamSilence) -> None:
         now = self._now
         if not self._flowing:
-            self._flowing = True
+            self._flowing = self._copies.flowing = True
             self._life.flows()
             self._peers.flows(self._accepted.request_id)
             events.FIRST_EVENT.log(
@@ -332,69 +347,9 @@
         if book.has_better(request, serving, limits=limits, now=self._now):
             raise _Moved
 
-    async def _keep_copy(self) -> None:
-        """Copy the run anew when the engine that holds its copy is lost or leaves."""
-        plan = self._plan
-        keeping = CopyKeeping(kept_s=plan.limits.copy_kept_s)
-        keeping.growing(plan.copy_to.id if plan.copy_to else None)
-        while True:
-            await trio.sleep(CHECK_S)
-            now = self._now
-            usable = keeping.holder is not None and self._is_usable(keeping.holder)
-            if not self._flowing or not keeping.due(now, holder_usable=usable):
-                continue
-            to = self._new_holder(keeping.holder if usable else None)
-            copied = await self._copy_to(to)
-            if isinstance(copied, str):
-                keeping.failed(self._now)
-            else:
-                keeping.called(copied.holder, self._now)
-                self._called_copy = copied
-                self._life.copied(copied)
-                self._peers.copied(self._accepted.request_id, copied)
-            result = "failed" if isinstance(copied, str) else "made"
-            self._tools.reporter.tally.add(metrics.COPIES, result)
-            events.RUN_COPIED.log(
-                log,
-                request=self._accepted.request_id,
-                target=plan.engine.id,
-                holder=to.id if to else None,
-                outcome=copied if isinstance(copied, str) else "made",
-            )
-
-    async def _copy_to(self, to: ListedTarget | None) -> RunCopy | str:
-        if to is None:
-            return "no engine has room"
-        copier = self._tools.copier
-        return await copier.copy(self._accepted.request_id, source=self._plan.engine, to=to)
-
-    async def _free_copy(self) -> None:
-        """Give back a copy that was made by a call; an engine ends a growing one by itself."""
-        copy, self._called_copy = self._called_copy, None
-        if copy is None:
-            return
-        fault = await self._tools.copier.free(copy)
-        if fault is not None:
-            events.COPY_NOT_FREED.log(
-                log, request=self._accepted.request_id, holder=copy.holder, outcome=fault
-            )
-
-    def _is_usable(self, engine: str) -> bool:
-        beliefs = self._tools.beliefs
-        return beliefs.targets.takes_work(engine) and not beliefs.book.is_avoided(engine, self._now)
-
-    def _new_holder(self, present: str | None) -> ListedTarget | None:
-        """Give the engine for a called copy: the present holder, which then gets what is new."""
-        targets = self._tools.beliefs.targets
-        if present is not None:
-            return targets.find(present)
-        return self._tools.beliefs.book.place_copy(
-            targets.serving(self._accepted.service),
-            limits=self._plan.limits,
-            beside=self._plan.engine,
-            memory_tokens=self._plan.run.memory_tokens,
-            now=self._now,
-        )
+    def _copied(self, copy: RunCopy) -> None:
+        self._life.copied(copy)
+        self._peers.copied(self._accepted.request_id, copy)
 
     def _hop(self) -> Hop:
         accepted, plan = self._accepted, self._plan
--- a/lagoonlever/tests/check_tests.py
+++ b/lagoonlever/tests/check_tests.py
@@ -44,3 +44,26 @@
     assert code == ExitCode.FAULTS
     paths = [line.split(": ")[1] for line in output.splitlines()]
     assert sorted(paths) == ["data_center", "data_centre", "peer_listen"]
+
+
+PLATFORM_FILE = """# written by the platform
+Node=front-1
+Zone=dc-a
+Listen.Front=10.0.0.1:8740
+Listen.Control=10.0.0.1:8748
+Platform.Address=10.0.0.9:8742
+"""
+
+
+def test_a_file_of_the_platform_is_known_by_its_format(tmp_path: Path) -> None:
+    code, output = _check(tmp_path, PLATFORM_FILE)
+    assert code == ExitCode.OK, output
+    assert "for a gateway" in output
+
+
+def test_all_faults_of_a_file_of_the_platform_are_told_together(tmp_path: Path) -> None:
+    text = PLATFORM_FILE.replace("Zone=dc-a\n", "").replace("10.0.0.9:8742", "somewhere")
+    code, output = _check(tmp_path, text)
+    assert code == ExitCode.FAULTS
+    assert "Zone: is required" in output
+    assert "Platform.Address: is 'somewhere'" in output
