--- a/lagoonlever/decisions/target_registry.py
+++ b/lagoonlever/decisions/target_registry.py
@@ -22,6 +22,7 @@
 
 import attrs
 
+from lagoonlever.decisions.replacements import UNLISTED_S
 from lagoonlever.http.messages import Address
 
 LAPSED_BACK_S = 2.2
@@ -68,6 +69,8 @@
     """Removals by their revision, and when they count unless the entry is back before."""
     _gone: dict[str, _Gone] = attrs.field(factory=dict)
     _replaced: dict[str, float] = attrs.field(factory=dict)
+    _unlisted_until: dict[str, float] = attrs.field(factory=dict)
+    """Targets that were found without an entry, and how long they are used so."""
     _as_of: int = 0
     _changed_at: int = 0
 
@@ -140,6 +143,7 @@
         if change.target is not None:
             self._held.pop(change.id, None)
             self._gone.pop(change.id, None)
+            self._unlisted_until.pop(change.id, None)
             self._targets[change.id] = attrs.evolve(change.target, revision=change.revision)
             self._replace_others_at(change.id, now)
             return True
@@ -159,8 +163,35 @@
         if target_id in self._targets:
             self._replaced[target_id] = now
 
-    def expire(self, now: float) -> tuple[TargetChange, ...]:
-        """Let held removals count whose time has come; gives them."""
+    def found(self, former_id: str, new_id: str, now: float) -> bool:
+        """Take a process that has a lost target's place, though it is not listed.
+
+        Gives whether it counts: not where the address has a newer entry by now.
+        """
+        former = self._targets.get(former_id)
+        if former is None or new_id in self._targets or new_id in self._gone:
+            return False
+        there = [t for t in self._targets.values() if t.address == former.address]
+        is_listed = former_id not in self._unlisted_until
+        found_before = is_listed and any(t.id in self._unlisted_until for t in there)
+        if found_before or any(target.revision > former.revision for target in there):
+            return False
+        for target in there:
+            self._replaced[target.id] = now
+        self._targets[new_id] = attrs.evolve(former, id=new_id, draining=False)
+        self._unlisted_until[new_id] = now + UNLISTED_S
+        return True
+
+    def expire(self, now: float, *, store_away: bool = False) -> tuple[TargetChange, ...]:
+        """Let held removals count whose time has come; gives them.
+
+        A target without an entry is used on while the store is away, as it can't register.
+        """
+        if store_away:
+            self._unlisted_until = dict.fromkeys(self._unlisted_until, now + UNLISTED_S)
+        for target_id in [t for t, until in self._unlisted_until.items() if now >= until]:
+            del self._unlisted_until[target_id]
+            self._drop(target_id, self._known_revision(target_id), now)
         due = [(t, revision) for t, (revision, at) in self._held.items() if now >= at]
         for target_id, revision in due:
             self._drop(target_id, revision, now)
@@ -188,5 +219,6 @@
     def _drop(self, target_id: str, revision: int, now: float) -> None:
         self._held.pop(target_id, None)
         self._targets.pop(target_id, None)
+        self._unlisted_until.pop(target_id, None)
         self._replaced.pop(target_id, None)
         self._gone[target_id] = _Gone(revision=revision, at=now)
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -111,6 +111,20 @@
     "The store has forgotten the changes after revision {revision}; all is read anew.",
     "Usual after an outage or a long pause.",
 )
+REPLACEMENT_FOUND = event(
+    1025,
+    "replacement-found",
+    "info",
+    "{target} has the place of {former}, which is lost, and has no entry yet; by {source}.",
+    "Usual while the store is away: a target that was started again can't register.",
+)
+NO_REPLACEMENT = event(
+    1026,
+    "no-replacement",
+    "info",
+    "Nobody answers yet at the address of {target}, which is lost: {error}",
+    "Asked twice, while an address can't have been given to another service.",
+)
 FELLOW_LISTED = event(
     1030,
     "fellow-listed",
--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -76,11 +76,18 @@
             self._log_change(change, known)
         return counts
 
-    def expire(self) -> tuple[TargetChange, ...]:
+    def take_found(self, former: str, found: str, *, source: str) -> bool:
+        """Take a process that has a lost target's place; gives whether it counts."""
+        counts = self._beliefs.targets.found(former, found, self._timers.now)
+        if counts:
+            events.REPLACEMENT_FOUND.log(log, target=found, former=former, source=source)
+        return counts
+
+    def expire(self, *, store_away: bool) -> tuple[TargetChange, ...]:
         """Let removals count that were held; gives them."""
         registry = self._beliefs.targets
         known = {target.id: target for target in registry.targets}
-        changes = registry.expire(self._timers.now)
+        changes = registry.expire(self._timers.now, store_away=store_away)
         for change in changes:
             self._log_change(change, known[change.id])
         return changes
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -25,6 +25,7 @@
 from lagoonlever.gateway.register import Register
 from lagoonlever.gateway.registration import Registration
 from lagoonlever.gateway.repeatable_calls import RepeatableCalls
+from lagoonlever.gateway.replacement_finder import ReplacementFinder
 from lagoonlever.gateway.reporter import Reporter
 from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.gateway.settings import GatewaySettings
@@ -66,6 +67,7 @@
     presence: Presence = attrs.field(init=False)
     knowledge: KnowledgeExchange = attrs.field(init=False)
     peers: PeerExchange = attrs.field(init=False)
+    replacements: ReplacementFinder = attrs.field(init=False)
     follower: StoreFollower = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
     client: TargetClient = attrs.field(factory=TargetClient, init=False)
@@ -143,6 +145,16 @@
         self.presence.on_loss(peers.vm_lost)
         return peers
 
+    @replacements.default
+    def _make_replacements(self) -> ReplacementFinder:
+        return ReplacementFinder(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            learner=self.learner,
+            timers=self.timers,
+            reuse_s=lambda: self.settings.bounds.address_reuse_s,
+        )
+
     @follower.default
     def _make_follower(self) -> StoreFollower:
         return StoreFollower(
@@ -193,6 +205,7 @@
             prober=self.prober,
             reporter=self.reporter,
             budgets=self.budgets,
+            replacements=self.replacements,
         )
         self.peers.on_engine_lost(tools.engine_lost)
         streams = Streams(
@@ -237,6 +250,7 @@
             "presence": self.presence.run,
             "knowledge": self.knowledge.run,
             "peers": self.peers.run,
+            "replacements": self.replacements.run,
             "store follower": self.follower.run,
             "registration": self.registration.run,
         }
--- a/lagoonlever/gateway/settings.py
+++ b/lagoonlever/gateway/settings.py
@@ -22,6 +22,8 @@
     cache_s: float = 10.0
     """How long an engine may be expected to keep a prompt that nobody uses."""
     recover_s: float = 12.0
+    address_reuse_s: float = 2.0
+    """After a target has ended its address stays unused for so long at least."""
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -159,7 +159,9 @@
     def _expire(self, tick: Tick) -> None:
         self._beliefs.book.expire(tick.now)
         self._beliefs.fellows.expire(tick.now)
-        changes = self._learner.expire()
+        fellows = self._beliefs.fellows.present(tick.now)
+        away = self._store.is_away or any(fellow.store_away for fellow in fellows)
+        changes = self._learner.expire(store_away=away)
         if changes:
             self._knowledge.push_targets(changes, after=self._beliefs.targets.as_of)
 
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -9,6 +9,7 @@
 from lagoonlever.decisions.configuration import EngineLimits
 from lagoonlever.decisions.correlated_loss import CorrelatedLoss
 from lagoonlever.decisions.engine_book import BookedRun, RunCopy
+from lagoonlever.decisions.replacements import LifeSigns
 from lagoonlever.decisions.stream_life import EventVerdict, StreamLife
 from lagoonlever.decisions.stream_silence import (
     Answer,
@@ -26,6 +27,7 @@
 from lagoonlever.gateway.messages import AnswerHead, EngineReport, Hop, RunReport
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.prober import EngineProber
+from lagoonlever.gateway.replacement_finder import ReplacementFinder
 from lagoonlever.gateway.reporter import Reporter
 from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.gateway.run_copier import RunCopier
@@ -71,6 +73,7 @@
     prober: EngineProber
     reporter: Reporter
     budgets: RetryBudgets
+    replacements: ReplacementFinder
     copier: RunCopier = attrs.field(factory=RunCopier)
     watched: dict[str, set[StreamSilence]] = attrs.field(factory=dict)
     """The open attempts by engine, to be looked at when the engine seems lost."""
@@ -118,6 +121,7 @@
     _splitter: RawEventSplitter = attrs.field(factory=RawEventSplitter)
     _started: float = 0.0
     _flowing: bool = False
+    _signs: LifeSigns = attrs.field(factory=LifeSigns)
     _copies: CopyKeeper = attrs.field(init=False)
 
     @_copies.default
@@ -239,8 +243,13 @@
                 await self._ask(connection, silence)
                 continue
             assert isinstance(step, WaitUntil)
+            began = self._tools.timers.elapsed
+            if self._signs.wants_look(began):
+                self._signs.waits(began, nothing_there=connection.quiet)
             with trio.move_on_at(step.at):
-                return await (connection.read_head() if head else connection.next_piece())
+                read = await (connection.read_head() if head else connection.next_piece())
+                self._signs.arrived(self._tools.timers.elapsed)
+                return read
 
     async def _ask(self, connection: ClientConnection, silence: StreamSilence) -> None:
         report = await self._tools.prober.ask(self._plan.engine)
@@ -328,6 +337,8 @@
             self._tools.beliefs.book.broke(engine.id, self._now)
         else:
             self._peers.engine_lost(engine.id, replaced=False)
+            if self._signs.alive_at is not None:
+                self._tools.replacements.lost(engine.id, alive_at=self._signs.alive_at)
         self._log_end(f"{ended}; the engine {'lives' if alive else 'does not answer'}")
 
     @property
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -92,6 +92,15 @@
     """Another process answers at its address."""
 
 
+@PEER.message("gz")
+@attrs.frozen(kw_only=True)
+class TargetFound:
+    """A process of the same service has the place of a target that is lost, and no entry."""
+
+    former: str
+    found: str
+
+
 RunChange = BookedRun | RunFlows | RunCopied | RunEnded | EngineLost
 
 
@@ -180,5 +189,6 @@
     "RunFlows",
     "RunList",
     "RunNews",
+    "TargetFound",
     "TargetNews",
 )
--- a/lagoonlever/platform/settings_file.py
+++ b/lagoonlever/platform/settings_file.py
@@ -163,6 +163,7 @@
         address_ttl_s=fields.number("Bounds.ttl_max_s", default.address_ttl_s),
         cache_s=fields.number("Bounds.RetryAfterS", default.cache_s),
         recover_s=fields.number("Bounds.RecoverS", default.recover_s),
+        address_reuse_s=fields.number("Bounds.AddrReuseS", default.address_reuse_s),
     )
 
 
--- /dev/null
+++ b/lagoonlever/tests/replacements_tests.py
@@ -0,0 +1,99 @@
+"""Processes in the place of lost targets, taken without an entry and only with a proof."""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonlever.decisions.replacements import (
+    DELAY_MARGIN_S,
+    UNLISTED_S,
+    WAITED_S,
+    LifeSigns,
+    same_service,
+)
+from lagoonlever.decisions.target_registry import ListedTarget, TargetChange, TargetRegistry
+from lagoonlever.http.messages import Address
+
+REUSE_S = 2.0
+
+
+def registry() -> TargetRegistry:
+    made = TargetRegistry()
+    old = ListedTarget(
+        id="old",
+        service="engines",
+        address=Address(host="10.0.0.1", port=80),
+        data_center="a",
+    )
+    made.read([attrs.evolve(old, revision=5)], revision=10, now=0.0, store_back_at=None)
+    return made
+
+
+def serving(listed: TargetRegistry) -> list[str]:
+    return [target.id for target in listed.serving("engines")]
+
+
+def test_an_address_may_belong_to_another_service_after_a_while() -> None:
+    limit_s = REUSE_S - DELAY_MARGIN_S
+    assert same_service(alive_at=10.0, answered_at=10.0 + limit_s - 0.01, reuse_s=REUSE_S)
+    assert not same_service(alive_at=10.0, answered_at=10.01 + limit_s, reuse_s=REUSE_S)
+
+
+def test_a_sign_is_dated_by_the_last_moment_without_anything_to_read() -> None:
+    signs = LifeSigns()
+    signs.waits(1.0, nothing_there=True)
+    signs.arrived(1.3)
+    assert signs.alive_at == 1.0
+
+
+def test_what_a_paused_vm_finds_to_read_is_no_sign() -> None:
+    """A VM is paused for three seconds; its engine crashes meanwhile.
+
+    It wakes, and reads events of before its pause. Taken for new, they would prove that
+    the address can't have been given to another service, which it may have been.
+    """
+    signs = LifeSigns()
+    signs.waits(4.0, nothing_there=False)
+    signs.arrived(4.0 + 10 * WAITED_S)
+    assert signs.alive_at is None
+    signs.waits(4.1, nothing_there=True)
+    signs.arrived(4.1 + WAITED_S / 2)
+    assert signs.alive_at is None
+
+
+def test_engines_that_come_back_during_an_outage_of_the_store_are_used() -> None:
+    """The store is away, and engines crash and come back under ids that nobody lists."""
+    listed = registry()
+    assert listed.found("old", "new", 1.0)
+    assert serving(listed) == ["new"]
+    assert not listed.found("old", "other", 1.1)
+    assert listed.found("new", "newest", 5.0)
+    assert serving(listed) == ["newest"]
+
+
+def test_a_found_engine_stays_while_the_store_is_away_and_goes_unless_it_is_listed() -> None:
+    listed = registry()
+    listed.found("old", "new", 1.0)
+    listed.expire(20.0, store_away=True)
+    assert serving(listed) == ["new"]
+    listed.expire(20.0 + UNLISTED_S + 0.1)
+    assert serving(listed) == []
+
+
+def test_a_found_engine_that_registers_is_listed_as_usual() -> None:
+    listed = registry()
+    listed.found("old", "new", 1.0)
+    entry = attrs.evolve(listed.find("new"), revision=12)
+    listed.change(TargetChange(id="new", target=entry, revision=12), now=2.0, store_back_at=None)
+    listed.expire(60.0)
+    assert serving(listed) == ["new"]
+    listed.change(TargetChange(id="new", target=None, revision=13), now=61.0, store_back_at=None)
+    assert serving(listed) == []
+
+
+def test_a_newer_entry_at_the_address_goes_before_a_found_process() -> None:
+    listed = registry()
+    newer = attrs.evolve(listed.find("old"), id="newer", revision=11)
+    listed.change(TargetChange(id="newer", target=newer, revision=11), now=1.0, store_back_at=None)
+    assert not listed.found("old", "found", 1.1)
+    assert serving(listed) == ["newer"]
--- a/lagoonlever/timers.py
+++ b/lagoonlever/timers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import time
 from collections.abc import Callable, Iterator
 
 import attrs
@@ -50,6 +51,11 @@
         """The monotonic time in seconds."""
         return self._clock()
 
+    @property
+    def elapsed(self) -> float:
+        """Seconds of a clock that goes on while the VM is suspended; for proofs by time."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     @contextlib.contextmanager
     def subscribed(self, notify: Subscriber, *, period_s: float = TICK_S) -> Iterator[None]:
         """Call ``notify`` every ``period_s`` seconds, and at once after a pause."""
