--- a/lagoonlever/decisions/target_registry.py
+++ b/lagoonlever/decisions/target_registry.py
@@ -163,6 +163,14 @@
         if target_id in self._targets:
             self._replaced[target_id] = now
 
+    def place_is_taken(self, target_id: str) -> bool:
+        """Tell whether another target that takes work has a target's address, or it is gone."""
+        target = self._targets.get(target_id)
+        if target is None:
+            return True
+        others = [t for t in self._targets.values() if t.address == target.address]
+        return any(t is not target and self.takes_work(t.id) for t in others)
+
     def found(self, former_id: str, new_id: str, now: float) -> bool:
         """Take a process that has a lost target's place, though it is not listed.
 
--- a/lagoonlever/gateway/replacement_finder.py
+++ b/lagoonlever/gateway/replacement_finder.py
@@ -59,32 +59,36 @@
         self._lost[target_id] = alive_at
         self._nursery.start_soon(self._look, target, alive_at)
 
+    def answered(self, target_id: str, answering: str) -> None:
+        """Take the id that a request to a lost target was refused with."""
+        alive_at = self._lost.get(target_id)
+        if alive_at is not None:
+            self._take(target_id, answering, alive_at)
+
     async def _look(self, target: ListedTarget, alive_at: float) -> None:
         try:
             for after_s in ASK_AFTER_S:
                 await trio.sleep(max(0.0, alive_at + after_s - self._timers.elapsed))
-                if not self._beliefs.targets.takes_work(target.id):
+                if self._beliefs.targets.place_is_taken(target.id):
                     return
-                if await self._asked(target, alive_at):
+                answering = await self._ask_id(target)
+                if answering is not None:
+                    self._take(target.id, answering, alive_at)
                     return
         finally:
             del self._lost[target.id]
 
-    async def _asked(self, target: ListedTarget, alive_at: float) -> bool:
-        """Ask once; gives whether there is nothing more to ask."""
-        answering = await self._ask_id(target)
-        if answering is None:
-            return False
+    def _take(self, target_id: str, answering: str, alive_at: float) -> None:
+        """Put another process in a lost target's place, if it can only be of its service."""
         proved = same_service(
             alive_at=alive_at, answered_at=self._timers.elapsed, reuse_s=self._reuse_s()
         )
-        if answering == target.id or not proved:
-            return True
-        if self._learner.take_found(target.id, answering, source="its own answer"):
-            message = TargetFound(former=target.id, found=answering)
+        if answering == target_id or not proved:
+            return
+        if self._learner.take_found(target_id, answering, source="its own answer"):
+            message = TargetFound(former=target_id, found=answering)
             present = self._beliefs.fellows.present(self._timers.now)
             self._bus.send_to_all((fellow.bus for fellow in present), message)
-        return True
 
     async def _ask_id(self, target: ListedTarget) -> str | None:
         """Give the id that answers at a target's address, or None."""
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -277,10 +277,10 @@
         if head.refused:
             self._count("refused")
             detail = f"refused with {head.status}"
-            replaced = head.target_id not in (None, engine.id)
             self._life.refused(engine.id, detail)
-            if replaced:
+            if head.target_id is not None and head.target_id != engine.id:
                 self._peers.engine_lost(engine.id, replaced=True)
+                self._tools.replacements.answered(engine.id, head.target_id)
             self._log_end(detail)
             return False
         if head.request_id != self._accepted.request_id:
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -226,6 +226,15 @@
         """End a target with its sockets; its entry stays."""
         self.scopes[name].cancel()
 
+    async def start_in_place_of(self, name: str, new_id: str) -> FakeEngine:
+        """Start another engine at the address of one that has crashed; it is not listed."""
+        address = self.addresses[name]
+        engine = FakeEngine(target_id=new_id, fleet=self._fleet)
+        self._fleet[str(address)] = engine
+        self.engines[new_id] = engine
+        await self._start_target(new_id, address, engine.run)
+        return engine
+
     async def start_vm(self, name: str, *, data_center: str = "dc-0") -> Vm:
         """Start a gateway; one of the same name comes back at the same addresses."""
         former = self.vms.get(name)
--- a/lagoonlever/tests/gateway_streams_tests.py
+++ b/lagoonlever/tests/gateway_streams_tests.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from lagoonlever.fakes.metadata_store import StoreFault
 from lagoonlever.fakes.platform_engine import EngineConduct
 from lagoonlever.platform.headers import COPY_FROM, COPY_TO, EXPECTED_TARGET, ORGANISATION
 from lagoonlever.tests.gateway_site import GatewaySite, run_site, until
@@ -302,3 +303,30 @@
         await until(lambda: not any(engine.copies for engine in site.engines.values()))
 
     run_site(story, engines=4)
+
+
+def test_an_engine_that_comes_back_while_the_store_is_away_is_used() -> None:
+    """The store is silent. The only engine crashes in the middle of a stream and restarts.
+
+    Its new process can't register, so no list names it. Streams failed until the store
+    was back. The process at the address tells its id, and as the former one gave a sign
+    of life less than two seconds ago it can only be of the same service.
+    """
+
+    async def story(site: GatewaySite) -> None:
+        async def come_back() -> None:
+            await trio.sleep(1.0)
+            await site.start_in_place_of("engine-0", "engine-reborn")
+
+        def crash(count: int) -> None:
+            if count == 5:
+                site.store.fault = StoreFault.SILENT
+                site.crash("engine-0")
+                site.nursery.start_soon(come_back)
+
+        site.engines["engine-0"].event_s = 0.03
+        got = await site.stream("p1", events=30, on_event=crash)
+        assert got.whole and got.is_events("p1", 1, 30)
+        assert site.engines["engine-reborn"].seen
+
+    run_site(story, engines=1, vms=2)
