--- a/lagoonlever/decisions/roles.py
+++ b/lagoonlever/decisions/roles.py
@@ -32,7 +32,11 @@
 LEAST_READERS = 3
 """In the whole fleet: one may be cut from the store and one from its fellows."""
 OUTAGE_AWAY = 3
-"""So many VMs that can't reach the store mean that nobody can: others need not try."""
+"""So many VMs of each data centre that can't reach the store mean that nobody can.
+
+The store may turn a third of all VMs away and serve the others. Three in the whole fleet
+happened to be all its readers: nobody else tried, and changes were missed for 8 s.
+"""
 
 
 @attrs.frozen(kw_only=True)
@@ -83,14 +87,20 @@
 
 
 def _readers(by_place: dict[str, list[FellowState]]) -> set[str]:
-    """Give the readers: in each data centre the first of those that reach the store."""
-    away = sum(state.store_away for states in by_place.values() for state in states)
-    outage = away >= OUTAGE_AWAY
+    """Give the readers: in each data centre the first of those that reach the store.
+
+    For each one that does not reach it one more tries, so that a few steps find some that
+    do, until it is clear that there are none.
+    """
     count = math.ceil(LEAST_READERS / len(by_place))
     readers: set[str] = set()
     for states in by_place.values():
-        reaching = [state for state in states if outage or not state.store_away]
-        readers.update(_first(reaching or states, "reader", count))
+        reaching = [state for state in states if not state.store_away]
+        away = len(states) - len(reaching)
+        if away >= OUTAGE_AWAY or not reaching:
+            readers.update(_first(states, "reader", count))
+        else:
+            readers.update(_first(reaching, "reader", count + away))
     return readers
 
 
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -133,8 +133,16 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read_configuration)
                 nursery.start_soon(self._read_targets)
-        except* PlatformError as errors:
-            raise _first_of(errors) from errors
+        except BaseExceptionGroup as group:
+            # Not by ``except*``: what is raised there comes out in a group again, which
+            # nobody expects, and this part would end and start anew at each failed read.
+            # A failure beside a cancellation, as at a stop, is dropped: it would leave the
+            # daemon as its error. The store's client has logged it.
+            failures, others = group.split(PlatformError)
+            if others is not None:
+                raise others from None
+            if failures is not None:
+                raise _first_of(failures) from group
         self._retry_s = FIRST_RETRY_S
 
     async def _read_configuration(self) -> None:
--- a/lagoonlever/soak/proxy.py
+++ b/lagoonlever/soak/proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
 import socket
 import struct
@@ -48,8 +49,8 @@
     def reset_all(self) -> None:
         """Reset every open connection, on both sides."""
         for stream in list(self._open):
-            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            stream.socket.close()
+            _reset(stream)
+        self._open.clear()
 
     async def run(self) -> None:
         """Forward until cancelled."""
@@ -62,8 +63,7 @@
             target = await trio.open_tcp_stream(self.target.host, self.target.port)
         except OSError:
             # The target is down; the caller sees its connection reset.
-            caller.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            caller.socket.close()
+            _reset(caller)
             return
         pair = {caller, target}
         self._open |= pair
@@ -91,3 +91,10 @@
             # One side broke or was reset; the other side is to see that too.
             for stream in (source, sink):
                 await trio.aclose_forcefully(stream)
+
+
+def _reset(stream: trio.SocketStream) -> None:
+    """Reset a connection; one that has ended by itself is left as it is."""
+    with contextlib.suppress(OSError):
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    stream.socket.close()
--- a/lagoonlever/tests/gateway_store_tests.py
+++ b/lagoonlever/tests/gateway_store_tests.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import attrs
+import pytest
 import trio
 
+from lagoonlever.exceptions import PlatformError
 from lagoonlever.fakes.metadata_store import StoreFault
 from lagoonlever.gateway.settings import StoreLimits
 from lagoonlever.platform.store_wire import WATCH
@@ -208,3 +212,27 @@
             await until(lambda: all(version_of(site, vm) == 5 for vm in site.vms))
 
     run_site(story, engines=0, runners=0, vms=3)
+
+
+def test_a_failed_first_read_does_not_end_the_part_that_reads() -> None:
+    """A VM starts while the store refuses it.
+
+    Both reads fail. Their errors came out as a group that nothing expected, so the part
+    ended with an error at each try, and a stop in that moment ended the daemon with it.
+    """
+
+    async def story(site: GatewaySite) -> None:
+        site.store.fault = StoreFault.REFUSING
+        vm = await site.start_vm("vm-9")
+        while vm.daemon._parts is None:  # noqa: ASYNC110 - the daemon tells no event of it
+            await trio.sleep(0.01)
+        follower = vm.daemon.parts.follower
+        with pytest.raises(PlatformError):
+            await follower._read()
+        for number in range(20):
+            with trio.CancelScope() as scope:
+                scope.cancel() if number % 2 else None
+                with contextlib.suppress(PlatformError):
+                    await follower._read()
+
+    run_site(story, engines=0, runners=0, vms=1)
--- a/lagoonlever/tests/roles_tests.py
+++ b/lagoonlever/tests/roles_tests.py
@@ -63,3 +63,18 @@
     states = fleet(MESH_MOST + 1)
     assert not roles_of(states[0], states[1:]).mesh
     assert roles_of(states[0], states[1:MESH_MOST]).mesh
+
+
+def test_readers_that_are_turned_away_together_are_no_outage() -> None:
+    """The store refuses a third of the VMs, among them every reader, and serves the others.
+
+    Keys are taken away meanwhile. No other VM tried, so the whole fleet went on with the
+    old configuration for eight seconds.
+    """
+    turned_away: frozenset[int] = frozenset()
+    for _ in range(2):
+        tried = readers(fleet(69, wide=6, away=turned_away))
+        assert tried
+        assert not {int(name.removeprefix("vm-")) for name in tried} & turned_away
+        turned_away |= {int(name.removeprefix("vm-")) for name in tried}
+    assert len(turned_away) > 2 * LEAST_READERS
