--- a/lagoonlever/tests/at_most_once_tests.py
+++ b/lagoonlever/tests/at_most_once_tests.py
@@ -179,8 +179,11 @@
 
 
 def test_a_killed_home_leaves_its_bids_unknown(tmp_path: Path) -> None:
-    """A VM is killed while the service works on a bid; the dealer asks the other VM, twice."""
-    with deployment(tmp_path, service_s=1.0) as site:
+    """A VM is killed while the service works on a bid; the dealer asks the other VM, twice.
+
+    The two bids are left after half a second each, so the service works for much longer.
+    """
+    with deployment(tmp_path, service_s=6.0) as site:
         keys = ["bid-1", site.mint(0, "random-12345678")]
         for key in keys:
             site.bid_unheard(0, key)
