--- a/lagoonlever/tests/gateway_calls_tests.py
+++ b/lagoonlever/tests/gateway_calls_tests.py
@@ -10,7 +10,7 @@
 from lagoonlever.fakes.platform_runner import Conduct
 from lagoonlever.http.messages import Headers
 from lagoonlever.platform.headers import ORGANISATION
-from lagoonlever.tests.gateway_site import KEY, GatewaySite, run_site
+from lagoonlever.tests.gateway_site import KEY, GatewaySite, run_site, until_within
 
 UNPROVEN = (502, 504)
 """Statuses that say nothing of whether the request has run."""
