Send a hub's digests as one message, and tell no copy that was only refreshed

Ruled out: imports (0.43 s a start, of 483 s for two starts of 69 VMs about a seventh); the time between rounds (a dead VM must be left out within 2 s). Change: a hub sends its own digest and those that it passes on in one message. A copy of a run that goes by the same name as before, 57 of 95 in 25 s at nine VMs, is not told again.

--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engine_book.py
@@ -261,11 +261,16 @@
         if run.request not in self._records:
             self.begin(run, now)
 
-    def copied(self, request: str, copy: RunCopy) -> None:
-        """Note a new copy of a run."""
+    def copied(self, request: str, copy: RunCopy) -> bool:
+        """Note a copy of a run; gives whether it is another one than was known.
+
+        A copy that was only refreshed goes by the same name, and is no news to anybody.
+        """
         record = self._records.get(request)
-        if record is not None:
-            record.run = attrs.evolve(record.run, copy=copy)
+        if record is None or record.run.copy == copy:
+            return False
+        record.run = attrs.evolve(record.run, copy=copy)
+        return True
 
     def flows(self, request: str) -> None:
         """Note that a run has given its first event: its prompt is read."""
--- a/lagoonlever/gateway/knowledge.py
+++ b/lagoonlever/gateway/knowledge.py
@@ -26,7 +26,7 @@
 from lagoonlever.peers.messages import Received
 from lagoonlever.peers.messages_gateway import (
     ConfigurationNews,
-    FellowDigest,
+    FellowDigests,
     Knowledge,
     KnowledgeAsk,
     TargetNews,
@@ -116,9 +116,10 @@
             self._compare(received.message)
 
     async def _receive_digests(self) -> None:
-        async for received in self._bus.subscribe(FellowDigest):
-            for state in received.message.news:
-                self._compare(state)
+        async for received in self._bus.subscribe(FellowDigests):
+            for digest in received.message.digests:
+                for state in digest.news:
+                    self._compare(state)
 
     def _compare(self, state: FellowState) -> None:
         """Ask a VM that knows more, once a push had time to tell."""
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -83,9 +83,13 @@
         self._relay.tell(run)
 
     def copied(self, request: str, copy: RunCopy) -> None:
-        """Note a new copy of a run of this VM, and tell the others."""
-        self._beliefs.book.copied(request, copy)
-        self._relay.tell(RunCopied(request=request, copy=copy))
+        """Note a copy of a run of this VM, and tell the others of one that is new.
+
+        Three in five copies are refreshed ones (57 of 95 in 25 s of calm traffic at nine
+        VMs); telling them was a quarter of all messages between 69 VMs.
+        """
+        if self._beliefs.book.copied(request, copy):
+            self._relay.tell(RunCopied(request=request, copy=copy))
 
     def flows(self, request: str) -> None:
         """Note the first event of a run of this VM, and tell the others."""
--- a/lagoonlever/gateway/presence.py
+++ b/lagoonlever/gateway/presence.py
@@ -28,8 +28,7 @@
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
-from lagoonlever.peers.messages import Received
-from lagoonlever.peers.messages_gateway import FellowAsk, FellowDigest, FellowList
+from lagoonlever.peers.messages_gateway import FellowAsk, FellowDigest, FellowDigests, FellowList
 from lagoonlever.published import Published
 from lagoonlever.timers import Tick, TimerService
 
@@ -172,10 +171,10 @@
         self._rounds += 1
         digest = self._digest(own, speakers)
         told = (state.life.name for state in self._remote_hubs(own))
-        self._send_to(tuple(dict.fromkeys((*roles.other_hubs, *told))), digest)
-        addresses = [speaker.bus for speaker in speakers]
-        for told_digest in (digest, *self._passing.values()):
-            self._bus.send_to_all(addresses, told_digest)
+        remote = tuple(dict.fromkeys((*roles.other_hubs, *told)))
+        self._send_to(remote, FellowDigests(digests=(digest,)))
+        together = FellowDigests(digests=(digest, *self._passing.values()))
+        self._bus.send_to_all((speaker.bus for speaker in speakers), together)
 
     def _speakers(self, own: FellowState, now: float) -> list[FellowState]:
         """Give the VMs of this data centre that speak to this one."""
@@ -223,21 +222,22 @@
         self._bus.send(state.bus, self._own_state())
 
     async def _receive_digests(self) -> None:
-        async for received in self._bus.subscribe(FellowDigest):
-            self._take_digest(received)
+        async for received in self._bus.subscribe(FellowDigests):
+            for digest in received.message.digests:
+                self._take_digest(digest, received.sender.name)
 
-    def _take_digest(self, received: Received[FellowDigest]) -> None:
-        digest, now = received.message, self._timers.now
+    def _take_digest(self, digest: FellowDigest, sender: str) -> None:
+        now = self._timers.now
         fellows = self._beliefs.fellows
         own = self._own_state()
-        self._hub_watch.heard(received.sender.name, now, data_center=digest.data_center)
+        self._hub_watch.heard(sender, now, data_center=digest.data_center)
         for state in digest.news:
             former = fellows.find(state.life.name)
             if fellows.heard(state, now) and former and former.life != state.life:
                 self._tell_lost(state.life.name)
         if not fellows.seen(digest.heard, now):
             self._ask_who(digest.hub, now)
-        if received.sender.name != digest.hub:
+        if sender != digest.hub:
             return
         self._told_by.add(digest.hub)
         if self._passes_on(digest, own):
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -19,7 +19,6 @@
 PEER.message("gr")(BookedRun)
 
 
-@PEER.message("gd")
 @attrs.frozen(kw_only=True)
 class FellowDigest:
     """The VMs of a data centre that speak to one of its hubs, and the hub."""
@@ -32,6 +31,18 @@
     """States that changed since the last digest, and some of the others in turn."""
 
 
+@PEER.message("gm")
+@attrs.frozen(kw_only=True)
+class FellowDigests:
+    """A hub's own digest, and those of other hubs that it passes on.
+
+    In one message, as each message costs its receiver a turn of its threads: at rest
+    digests were nearly all that a VM of a large fleet got, 18 messages a second.
+    """
+
+    digests: tuple[FellowDigest, ...]
+
+
 @PEER.message("gq")
 @attrs.frozen(kw_only=True)
 class FellowAsk:
@@ -179,6 +190,7 @@
     "EngineLost",
     "FellowAsk",
     "FellowDigest",
+    "FellowDigests",
     "FellowList",
     "Knowledge",
     "KnowledgeAsk",
--- a/lagoonlever/tests/gateway_presence_tests.py
+++ b/lagoonlever/tests/gateway_presence_tests.py
@@ -8,7 +8,7 @@
 from lagoonlever.decisions.news_paths import DIRECT_MOST
 from lagoonlever.gateway.run_relay import RunRelay
 from lagoonlever.peers.messages import PEER
-from lagoonlever.peers.messages_gateway import EngineLost, FellowDigest, RunChange, RunEnded
+from lagoonlever.peers.messages_gateway import EngineLost, FellowDigests, RunChange, RunEnded
 from lagoonlever.tests.local_fleet import (
     WIDE_MBPS,
     Fleet,
@@ -18,7 +18,7 @@
 )
 from lagoonlever.timers import TimerService
 
-DIGEST_TAG = PEER.tag_of(FellowDigest(hub="", data_center="", heard=()))
+DIGEST_TAG = PEER.tag_of(FellowDigests(digests=()))
 
 
 def test_a_large_fleet_that_starts_at_once_finds_itself_and_stays_found() -> None:
@@ -279,3 +279,21 @@
         assert fleet.all_see_all()
 
     run_fleet(story)
+
+
+def test_a_vm_at_rest_gets_few_messages() -> None:
+    """Each message costs its receiver some ten calls of the kernel, in two threads.
+
+    At 69 VMs each got 18 digests a second at rest: those of two hubs, each with the
+    digests of the other data centres in messages of their own.
+    """
+
+    async def story(fleet: Fleet) -> None:
+        start_many(fleet, 69)
+        await trio.sleep(9.0)
+        received = fleet.vms["vm-50"].bus.traffic.received
+        before = sum(count.messages for count in received.values())
+        await trio.sleep(3.0)
+        assert sum(count.messages for count in received.values()) - before <= 3 * 8
+
+    run_fleet(story)
