--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engine_book.py
@@ -39,6 +39,15 @@
 """
 FULL_S = 5.0
 """What an engine without room costs: beyond any wait that another one may have."""
+COPIES_MOST = 0.8
+"""How full an engine may get by taking a copy.
+
+An engine that is full of runs and copies preempts its newest run, whose prompt is then
+read again, and has no room for the runs of the next crash. By `lagoonlever bench
+stream-day` at twelve engines 91.7% of streams are on time, against 89.9% with copies
+wherever there is room and 90.1% at 0.6; prompt tokens read again a stream 327, against 417
+and 459. At seven engines there is no difference.
+"""
 FIRST_AVOID_S = 1.0
 MOST_AVOID_S = 8.0
 """How long an engine is passed over after it failed; doubled each time, up to this."""
@@ -206,7 +215,8 @@
         ]
         apart = [engine for engine in others if engine.data_center != beside.data_center]
         loads = self._loads(now)
-        costs = {e.id: self._cost_s(e, loads, limits, memory_tokens) for e in apart or others}
+        need = memory_tokens + round(limits.memory_tokens * (1.0 - COPIES_MOST))
+        costs = {e.id: self._cost_s(e, loads, limits, need) for e in apart or others}
         roomy = [engine for engine in apart or others if costs[engine.id] < FULL_S]
         if not roomy:
             return None
