--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -248,3 +248,10 @@
     "{request} has to wait for its next attempt: the repeats allowed at {service} are spent.",
     "All VMs share a bound on attempts beyond the first; many engines were lost of late.",
 )
+NEWS_UNREADABLE = event(
+    1051,
+    "news-unreadable",
+    "warning",
+    "News of runs from {vm} can't be read: {error}",
+    "A VM of another release, or a fault. Placement knows less until that VM says more.",
+)
--- a/lagoonlever/gateway/run_relay.py
+++ b/lagoonlever/gateway/run_relay.py
@@ -18,18 +18,23 @@
 from collections.abc import Callable
 
 import attrs
+import logbook
 import trio
 
+from lagoonlever.codec import UnknownMessage
 from lagoonlever.decisions.engine_book import BookedRun
 from lagoonlever.decisions.fellows import FellowState
 from lagoonlever.decisions.news_paths import tells_directly
 from lagoonlever.decisions.roles import Roles
+from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.peers.compression import UnreadablePack, pack, unpack
 from lagoonlever.peers.interface import Bus
-from lagoonlever.peers.messages import Received
+from lagoonlever.peers.messages import PEER
 from lagoonlever.peers.messages_gateway import (
     EngineLost,
     NewsStage,
+    PackedNews,
     RunChange,
     RunCopied,
     RunEnded,
@@ -39,6 +44,8 @@
 from lagoonlever.published import Published
 from lagoonlever.timers import TimerService
 
+log = logbook.Logger(__name__)
+
 GATHER_S = 0.05
 """How long a hub gathers; lost engines are told at once, as streams wait for that."""
 DIRECT_NEWS_S = 0.02
@@ -86,7 +93,7 @@
             return
         state = self._beliefs.fellows.find(hub)
         if state is not None:
-            self._bus.send(state.bus, _news(NewsStage.GATHER, [change]))
+            self._bus.send(state.bus, _packed(NewsStage.GATHER, [change]))
 
     def _hub(self) -> str | None:
         """Give the hub that this VM tells; None until it has one."""
@@ -94,13 +101,18 @@
         return roles.hubs[0] if roles is not None and roles.hubs else None
 
     async def _receive(self) -> None:
-        async for received in self._bus.subscribe(RunNews):
-            self._take_news(received)
-
-    def _take_news(self, received: Received[RunNews]) -> None:
-        news = received.message
+        async for received in self._bus.subscribe(PackedNews):
+            try:
+                news = PEER.decode(unpack(received.message.value))
+            except (UnreadablePack, UnknownMessage) as error:
+                events.NEWS_UNREADABLE.log(log, vm=received.sender.name, error=str(error))
+                continue
+            if isinstance(news, RunNews):
+                self._take_news(news, received.sender.name)
+
+    def _take_news(self, news: RunNews, source: str) -> None:
         for change in news.changes:
-            self._take(change, received.sender.name)
+            self._take(change, source)
         if news.stage is NewsStage.TELL:
             return
         self._gather(list(news.changes), far=news.stage is NewsStage.GATHER)
@@ -127,7 +139,7 @@
 
     def _send(self, stage: NewsStage, changes: list[RunChange], to: list[FellowState]) -> None:
         if changes and to:
-            self._bus.send_to_all([state.bus for state in to], _news(stage, changes))
+            self._bus.send_to_all([state.bus for state in to], _packed(stage, changes))
 
     def _near_vms(self, present: tuple[FellowState, ...]) -> list[FellowState]:
         return [state for state in present if state.data_center == self._data_center]
@@ -148,8 +160,8 @@
         return self._beliefs.book.data_center
 
 
-def _news(stage: NewsStage, changes: list[RunChange]) -> RunNews:
-    return RunNews(
+def _packed(stage: NewsStage, changes: list[RunChange]) -> PackedNews:
+    news = RunNews(
         stage=stage,
         runs=tuple(change for change in changes if isinstance(change, BookedRun)),
         flowing=tuple(change for change in changes if isinstance(change, RunFlows)),
@@ -157,3 +169,4 @@
         ended=tuple(change for change in changes if isinstance(change, RunEnded)),
         lost=tuple(change for change in changes if isinstance(change, EngineLost)),
     )
+    return PackedNews(value=pack(PEER.encode(news)))
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -144,6 +144,15 @@
         return (*self.runs, *self.flowing, *self.copied, *self.ended, *self.lost)
 
 
+@PEER.message("gp")
+@attrs.frozen(kw_only=True)
+class PackedNews:
+    """Gathered news of runs, packed: field names and ids of VMs repeat in each run."""
+
+    value: bytes
+    """A ``RunNews`` as a message of this registry, packed."""
+
+
 @PEER.message("gn")
 @attrs.frozen(kw_only=True)
 class ConfigurationNews:
@@ -195,6 +204,7 @@
     "Knowledge",
     "KnowledgeAsk",
     "NewsStage",
+    "PackedNews",
     "RunChange",
     "RunCopied",
     "RunEnded",
--- a/lagoonlever/tests/gateway_presence_tests.py
+++ b/lagoonlever/tests/gateway_presence_tests.py
@@ -5,10 +5,20 @@
 import attrs
 import trio
 
+from lagoonlever.decisions.engine_book import BookedRun, RunCopy
 from lagoonlever.decisions.news_paths import DIRECT_MOST
 from lagoonlever.gateway.run_relay import RunRelay
+from lagoonlever.http.messages import Address
+from lagoonlever.peers.local_bus import LocalBus
 from lagoonlever.peers.messages import PEER
-from lagoonlever.peers.messages_gateway import EngineLost, FellowDigests, RunChange, RunEnded
+from lagoonlever.peers.messages_gateway import (
+    EngineLost,
+    FellowDigests,
+    PackedNews,
+    RunChange,
+    RunEnded,
+)
+from lagoonlever.peers.traffic import Count
 from lagoonlever.tests.local_fleet import (
     WIDE_MBPS,
     Fleet,
@@ -297,3 +307,46 @@
         assert sum(count.messages for count in received.values()) - before <= 3 * 8
 
     run_fleet(story)
+
+
+def test_a_hub_s_news_of_runs_are_packed() -> None:
+    """At 300 VMs each hub sent all runs to a hundred VMs, some 300 bytes a run.
+
+    The busiest sent 9.5 MB a second. A run's record is mostly names, which repeat.
+    """
+
+    async def story(fleet: Fleet) -> None:
+        start_many(fleet, DIRECT_MOST + 10)
+        await trio.sleep(6.0)
+        relays = tellers(fleet)
+        await trio.sleep(0.1)
+        runs = [booked(number) for number in range(8)]
+        for run in runs:
+            relays["vm-50"].relay.tell(run)
+        await trio.sleep(0.15)
+        assert all(teller.told == runs for teller in relays.values())
+        hub = max(fleet.vms.values(), key=lambda vm: packed_news(vm.bus).messages)
+        sent = packed_news(hub.bus)
+        plain = sum(len(PEER.encode(run)) for run in runs)
+        assert sent.bytes / sent.messages < 0.5 * plain
+
+    run_fleet(story)
+
+
+def booked(number: int) -> BookedRun:
+    address = Address(host="10.2.64.8", port=8147)
+    name = f"{number * 0x9E3779B97F4A7C15 % 2**64:016x}"
+    return BookedRun(
+        request=name,
+        vm="vm-50",
+        engine=f"i-{name[:10]}",
+        prompt_tokens=5_000 + number,
+        memory_tokens=6_500 + number,
+        part=name[4:16],
+        copy=RunCopy(holder=f"i-{name[3:13]}", address=address, name=name),
+    )
+
+
+def packed_news(bus: LocalBus) -> Count:
+    """Give what a VM has sent of packed news."""
+    return bus.traffic.sent.get(PEER.tag_of(PackedNews(value=b"")), Count())
