--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -178,9 +178,10 @@
     1040,
     "request-ended",
     "info",
-    "{request} on {route} of {organisation}: {status} {outcome} after {seconds:.3f} s,"
-    " {attempts} attempts, last at {target}: {detail}",
-    "One line for each request. `attempts` counts what was sent to targets.",
+    "{request} on {route} of {organisation}: {status} {outcome} after {seconds:.3f} of"
+    " {allowed_s} s, {attempts} attempts, last at {target}: {detail}",
+    "One line for each request. `attempts` counts what was sent to targets; `allowed_s` is"
+    " the shorter of the caller's deadline and the route's timeout.",
 )
 ATTEMPT_SENT = event(
     1041,
@@ -222,9 +223,9 @@
     1046,
     "stream-ended",
     "info",
-    "{request} on {route} of {organisation}: {status} {outcome} after {seconds:.3f} s and event"
-    " {position}, {attempts} attempts, first event after {first_s} s, longest pause"
-    " {pause_s:.3f} s: {detail}",
+    "{request} on {route} of {organisation}: {status} {outcome} after {seconds:.3f} of"
+    " {allowed_s} s and event {position}, {attempts} attempts, first event after {first_s} s,"
+    " longest pause {pause_s:.3f} s: {detail}",
     "One line for each stream. The pause counts over all attempts of this VM.",
 )
 RUN_COPIED = event(
