--- a/lagoonlever/decisions/fellows.py
+++ b/lagoonlever/decisions/fellows.py
@@ -69,9 +69,9 @@
         """Tell whether hubs pass this on at once to those who know ``former``.
 
         What a VM knows of the configuration and of the list is no news: it changes on
-        every VM with each change, and states of all VMs told to all VMs were some 36 MB at
-        300 VMs for one engine that came back. A hub's own knowledge is in each digest, and
-        who lacks something asks the hub.
+        every VM with each change, and hubs told the states of all VMs to all VMs (7.4 MB
+        in 3 s after five changes at 69 VMs, 3.1 MB without). A hub's own knowledge is in
+        each digest, and who lacks something asks the hub.
         """
         if former is None:
             return True
@@ -81,9 +81,9 @@
         return self != alike
 
 
-def is_repeated(number: int, *, of: int, in_round: int) -> bool:
-    """Tell whether a hub repeats the state of the VM with this number, of so many, in a round."""
-    rounds = max(NEWS_ROUNDS, math.ceil(of / REPEATED_MOST))
+def is_repeated(number: int, *, speakers: int, in_round: int) -> bool:
+    """Tell whether a hub repeats the state of one of the VMs that speak to it in this round."""
+    rounds = max(NEWS_ROUNDS, math.ceil(speakers / REPEATED_MOST))
     return (number + in_round) % rounds == 0
 
 
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -85,8 +85,7 @@
     def copied(self, request: str, copy: RunCopy) -> None:
         """Note a copy of a run of this VM, and tell the others of one that is new.
 
-        Three in five copies are refreshed ones (57 of 95 in 25 s of calm traffic at nine
-        VMs); telling them was a quarter of all messages between 69 VMs.
+        Three in five copies are refreshed ones: 57 of 95 in 25 s of calm traffic at nine VMs.
         """
         if self._beliefs.book.copied(request, copy):
             self._relay.tell(RunCopied(request=request, copy=copy))
--- a/lagoonlever/gateway/presence.py
+++ b/lagoonlever/gateway/presence.py
@@ -190,7 +190,7 @@
     def _digest(self, own: FellowState, speakers: list[FellowState]) -> FellowDigest:
         told = [own]
         for number, state in enumerate(speakers):
-            repeated = is_repeated(number, of=len(speakers), in_round=self._rounds)
+            repeated = is_repeated(number, speakers=len(speakers), in_round=self._rounds)
             if repeated or state.life.name in self._fresh:
                 told.append(state)
         return FellowDigest(
--- a/lagoonlever/tests/engine_book_tests.py
+++ b/lagoonlever/tests/engine_book_tests.py
@@ -184,10 +184,7 @@
 
 
 def test_a_copy_that_was_only_refreshed_is_no_news() -> None:
-    """A run's copy is refreshed every 1.6 s, and every VM was told each time.
-
-    At 69 VMs that was a quarter of all messages between them, and told nothing new.
-    """
+    """A run's copy is refreshed every 1.6 s, and every VM was told each time, nothing new."""
     on = book()
     on.begin(run("r1", "e1"), 0.0)
     copy = RunCopy(holder="e2", address=ENGINES[0].address, name="h1")
--- a/lagoonlever/tests/gateway_presence_tests.py
+++ b/lagoonlever/tests/gateway_presence_tests.py
@@ -282,8 +282,8 @@
 def test_a_change_of_the_list_makes_no_digest_longer() -> None:
     """Each change of the list of targets changed what every VM says of itself.
 
-    Hubs then told every VM every other one's state, 200 bytes each: at 300 VMs some
-    36 MB for one engine that came back, while callers wait for its work.
+    Hubs then told every VM every other one's state, 200 bytes each, while callers wait
+    for the engines that have come back.
     """
 
     async def story(fleet: Fleet) -> None:
