--- a/lagoonlever/bench/stream_day.py
+++ b/lagoonlever/bench/stream_day.py
@@ -13,7 +13,8 @@
 
 from lagoonlever.bench.report import Aim, BenchOptions, BenchResult, Rows, benchmark, column
 from lagoonlever.bench.statistics import quantile
-from lagoonlever.bench.stream_day_model import DayFigures, DayPlan, DayPolicy, StreamDay
+from lagoonlever.bench.stream_day_model import StreamDay
+from lagoonlever.bench.stream_day_types import DayFigures, DayPlan, DayPolicy
 from lagoonlever.decisions.engine_book import COPIES_MOST
 
 DAYS = 24
--- a/lagoonlever/bench/stream_day_model.py
+++ b/lagoonlever/bench/stream_day_model.py
@@ -17,16 +17,20 @@
 import attrs
 
 from lagoonlever.bench.engine_model import ModelEngine, ModelRun
+from lagoonlever.bench.stream_day_types import (
+    EVENT_TOKENS,
+    DayFigures,
+    DayPlan,
+    DayPolicy,
+    ModelStream,
+)
 from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.engine_book import COPIES_MOST, BookedRun, EngineBook, RunCopy
+from lagoonlever.decisions.engine_book import BookedRun, EngineBook, RunCopy
 from lagoonlever.decisions.stream_life import GiveUp, Place, ResumeFrom, StreamLife, WaitForEngine
 from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.http.messages import Address
 
 DATA_CENTERS = ("dc-a", "dc-b", "dc-c")
-EVENT_TOKENS = 8
-MOST_EVENTS = 190
-"""What callers announce as the longest answer."""
 SERVICE = "engines"
 SILENT_LOSS_S = 0.45
 """Until a silent engine is taken for lost, as measured between the daemon and its stand-ins."""
@@ -39,70 +43,6 @@
 NOBODY = Address(host="0.0.0.0", port=1)
 
 
-@attrs.frozen(kw_only=True)
-class DayPlan:
-    """What happens on a day; times in seconds, sizes in tokens."""
-
-    engines: int = 12
-    arrivals_per_s: float = 3.1
-    seconds: float = 50.0
-    prompt_tokens: float = 5200.0
-    events: float = 140.0
-    crash_every_s: float = 6.5
-    """The engines of one data centre crash, every second time silently."""
-    crash_share: float = 0.92
-    back_after_s: float = 2.2
-    """Until engines started anew are listed."""
-    all_vms_end_at: float | None = None
-    vms_back_after_s: float = 0.58
-    deadline_s: float = 25.0
-    first_objective_s: float = 4.5
-    pause_objective_s: float = 0.7
-
-
-@attrs.frozen(kw_only=True)
-class DayPolicy:
-    """What is compared: whether runs are copied, and how full an engine may be that takes one."""
-
-    name: str
-    copies: bool = True
-    copies_most: float = COPIES_MOST
-
-
-@attrs.frozen(kw_only=True)
-class DayFigures:
-    """What callers saw, and what it cost."""
-
-    streams: int
-    on_time: int
-    late: int
-    failed: int
-    read_again: int
-    """Prompt tokens beyond one reading of each prompt."""
-    preempted: int
-    pauses_s: tuple[float, ...]
-    """The longest pause of each stream that met a loss."""
-
-
-@attrs.define(kw_only=True, eq=False)
-class _Stream:
-    request: str
-    asked_at: float
-    prompt: int
-    events: int
-    life: StreamLife
-    attempt: int = 0
-    run: ModelRun | None = None
-    engine: ModelEngine | None = None
-    copy: RunCopy | None = None
-    last_at: float | None = None
-    first_at: float | None = None
-    longest_pause_s: float = 0.0
-    met_loss: bool = False
-    returned: bool = False
-    ended_at: float | None = None
-
-
 @attrs.define(kw_only=True, eq=False)
 class StreamDay:
     """Plays one day under one policy."""
@@ -116,7 +56,7 @@
     _engines: dict[str, ModelEngine] = attrs.field(factory=dict)
     _listed: dict[str, ListedTarget] = attrs.field(factory=dict)
     _gone: list[ModelEngine] = attrs.field(factory=list)
-    _streams: list[_Stream] = attrs.field(factory=list)
+    _streams: list[ModelStream] = attrs.field(factory=list)
     _heap: list[tuple[float, int, Callable[[float], None]]] = attrs.field(factory=list)
     _order: Iterator[int] = attrs.field(factory=itertools.count)
     _stepping: set[str] = attrs.field(factory=set)
@@ -161,7 +101,7 @@
         while (now := now + rng.expovariate(plan.arrivals_per_s)) < plan.seconds:
             prompt = round(plan.prompt_tokens * max(0.3, rng.gauss(1.0, 0.3)))
             events = max(10, round(plan.events * max(0.3, rng.gauss(1.0, 0.2))))
-            stream = _Stream(
+            stream = ModelStream(
                 request=f"r-{next(numbers)}",
                 asked_at=now,
                 prompt=prompt,
@@ -205,7 +145,7 @@
                 elif stream.copy is not None and stream.copy.holder == engine.id:
                     self._at(seen_at + COPIED_ANEW_S, partial(self._copy_anew, stream, attempt))
 
-    def _copy_anew(self, stream: _Stream, attempt: int, now: float) -> None:
+    def _copy_anew(self, stream: ModelStream, attempt: int, now: float) -> None:
         """Copy a run to another engine after its copy's holder was lost."""
         if stream.attempt != attempt or stream.ended_at is not None or stream.engine is None:
             return
@@ -221,14 +161,14 @@
         self._book.failed(name, now)
         self._listed.pop(name, None)
 
-    def _lose(self, stream: _Stream, attempt: int, now: float) -> None:
+    def _lose(self, stream: ModelStream, attempt: int, now: float) -> None:
         if stream.attempt != attempt or stream.engine is None or stream.ended_at is not None:
             return
         stream.met_loss = True
         stream.life.lost(stream.engine.id, "lost", read=stream.last_at is not None)
         self._ask(stream, now)
 
-    def _ask(self, stream: _Stream, now: float) -> None:
+    def _ask(self, stream: ModelStream, now: float) -> None:
         """Take the next steps of a stream until an attempt is open, or it has to wait."""
         if stream.ended_at is not None or now < self._vms_away_until:
             return
@@ -250,12 +190,12 @@
             return
         self._place(stream, step, now)
 
-    def _place(self, stream: _Stream, step: Place, now: float) -> None:
+    def _place(self, stream: ModelStream, step: Place, now: float) -> None:
         placement = self._book.place(
             self._listed.values(),
             limits=self._limits,
             prompt_tokens=stream.prompt,
-            memory_tokens=_most_memory(stream),
+            memory_tokens=stream.most_memory,
             now=now,
             avoid=step.avoid,
             prefer=step.prefer,
@@ -273,7 +213,7 @@
             to_read = RESUMED_TOKENS if engine.id == step.prefer else stream.prompt
             self._begin(stream, engine, to_read, now)
 
-    def _begin(self, stream: _Stream, engine: ModelEngine, to_read: int, now: float) -> None:
+    def _begin(self, stream: ModelStream, engine: ModelEngine, to_read: int, now: float) -> None:
         self._leave(stream, now)
         copy = self._copy_of(stream, engine, now)
         made = (stream.life.position or 0) * EVENT_TOKENS
@@ -292,7 +232,7 @@
             vm="vm",
             engine=engine.id,
             prompt_tokens=to_read,
-            memory_tokens=_most_memory(stream),
+            memory_tokens=stream.most_memory,
             part=stream.request,
             copy=copy,
         )
@@ -300,21 +240,21 @@
         engine.take(run)
         self._wake(engine, now)
 
-    def _copy_of(self, stream: _Stream, engine: ModelEngine, now: float) -> RunCopy | None:
+    def _copy_of(self, stream: ModelStream, engine: ModelEngine, now: float) -> RunCopy | None:
         if not self._policy.copies:
             return None
         holder = self._book.place_copy(
             self._listed.values(),
             limits=self._limits,
             beside=self._listed.get(engine.id) or _unlisted(engine),
-            memory_tokens=_most_memory(stream),
+            memory_tokens=stream.most_memory,
             now=now,
         )
         if holder is None:
             return None
         return RunCopy(holder=holder.id, address=NOBODY, name=stream.request)
 
-    def _made(self, stream: _Stream, left: int, at: float) -> None:
+    def _made(self, stream: ModelStream, left: int, at: float) -> None:
         made = stream.events * EVENT_TOKENS - left
         if made % EVENT_TOKENS and left:
             return
@@ -332,17 +272,17 @@
             self._leave(stream, at)
             self._book.end(stream.request, at, whole=True)
 
-    def _first_event(self, stream: _Stream, run: ModelRun) -> None:
+    def _first_event(self, stream: ModelStream, run: ModelRun) -> None:
         stream.life.flows()
         self._book.flows(stream.request)
         self._hold_copy(stream, run)
 
-    def _hold_copy(self, stream: _Stream, run: ModelRun) -> None:
+    def _hold_copy(self, stream: ModelStream, run: ModelRun) -> None:
         holder = self._engines.get(stream.copy.holder) if stream.copy else None
         if holder is not None:
             holder.copies[stream.request] = lambda: run.memory
 
-    def _leave(self, stream: _Stream, now: float) -> None:
+    def _leave(self, stream: ModelStream, now: float) -> None:
         """Give back what an attempt holds."""
         if stream.engine is not None and stream.run is not None:
             stream.engine.drop(stream.run)
@@ -380,8 +320,8 @@
 
     def _figures(self) -> DayFigures:
         plan = self._plan
-        done = [s for s in self._streams if _is_done(s, plan)]
-        on_time = [s for s in done if _is_on_time(s, plan)]
+        done = [stream for stream in self._streams if stream.is_done(plan)]
+        on_time = [stream for stream in done if stream.is_on_time(plan)]
         engines = [*self._gone, *self._engines.values()]
         return DayFigures(
             streams=len(self._streams),
@@ -404,23 +344,7 @@
     )
 
 
-def _most_memory(stream: _Stream) -> int:
-    return stream.prompt + MOST_EVENTS * EVENT_TOKENS
-
-
 def _unlisted(engine: ModelEngine) -> ListedTarget:
     return ListedTarget(
         id=engine.id, service=SERVICE, address=NOBODY, data_center=engine.data_center
     )
-
-
-def _is_done(stream: _Stream, plan: DayPlan) -> bool:
-    return stream.ended_at is not None and stream.ended_at - stream.asked_at <= plan.deadline_s
-
-
-def _is_on_time(stream: _Stream, plan: DayPlan) -> bool:
-    return (
-        stream.first_at is not None
-        and stream.first_at - stream.asked_at <= plan.first_objective_s
-        and stream.longest_pause_s <= plan.pause_objective_s
-    )
--- a/lagoonlever/tests/stream_day_tests.py
+++ b/lagoonlever/tests/stream_day_tests.py
@@ -6,7 +6,8 @@
 import pytest
 
 from lagoonlever.bench.engine_model import STEP_S, ModelEngine, ModelRun
-from lagoonlever.bench.stream_day_model import DayFigures, DayPlan, DayPolicy, StreamDay
+from lagoonlever.bench.stream_day_model import StreamDay
+from lagoonlever.bench.stream_day_types import DayFigures, DayPlan, DayPolicy
 from lagoonlever.decisions.engine_book import PREFILL_TOKENS_PER_S
 
 COPIES = DayPolicy(name="copies")
