--- a/lagoonlever/tests/gateway_knowledge_tests.py
+++ b/lagoonlever/tests/gateway_knowledge_tests.py
@@ -73,9 +73,9 @@
 def test_readers_of_a_very_large_fleet_tell_the_other_data_centers_once() -> None:
     """Engines of a data centre come back together, and three readers see each entry.
 
-    Each reader told every VM of each: at 300 VMs the busiest sent 9 MB a second, two
-    thirds of it to other data centres. A reader tells its own, and the hubs elsewhere;
-    a hub passes on what its own reader has not told yet.
+    Each reader told every VM of each, two thirds of them in other data centres. A reader
+    tells its own, and the hubs elsewhere; a hub passes on what its own reader has not
+    told yet.
     """
 
     async def story(fleet: Fleet) -> None:
--- a/lagoonlever/tests/gateway_presence_tests.py
+++ b/lagoonlever/tests/gateway_presence_tests.py
@@ -321,7 +321,7 @@
 def test_a_hub_s_news_of_runs_are_packed() -> None:
     """At 300 VMs each hub sent all runs to a hundred VMs, some 300 bytes a run.
 
-    The busiest sent 9.5 MB a second. A run's record is mostly names, which repeat.
+    A run's record is mostly names, which repeat.
     """
 
     async def story(fleet: Fleet) -> None:
