A target that starts again under its id holds nothing; entries by others name no target

Cause: ids were taken for processes. A target back under its id stayed passed over as replaced for a minute, and copies of its former process were asked for; an entry with missing or odd fields was used or kept the former one, and an entry of another service ended the target at its address. Change: ListedTarget.started_ms from entries and reports; runs and copies carry the start they were made with; another start ends them, and what was learnt of failures. Entries are read strictly. The soak knows targets that return under their ids.

--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engine_book.py
@@ -18,6 +18,7 @@
 import attrs
 
 from lagoonlever.decisions.configuration import EngineLimits
+from lagoonlever.decisions.engine_avoidance import EngineAvoidance
 from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.http.messages import Address
 
@@ -48,11 +49,6 @@
 wherever there is room and 90.1% at 0.6; prompt tokens read again a stream 327, against 417
 and 459. At seven engines there is no difference.
 """
-FIRST_AVOID_S = 1.0
-MOST_AVOID_S = 8.0
-"""How long an engine is passed over after it failed; doubled each time, up to this."""
-BROKE_AGAIN_S = 2.0
-"""Two broken answers within this time are no accident."""
 NEWS_S = 0.02
 """Other VMs' placements of the same moment have arrived after this: some 2 ms each."""
 MOVE_GAIN_S = 0.4
@@ -69,6 +65,13 @@
     address: Address
     """Of the engine that the name belongs to: the holder, or the engine that made the copy."""
     name: str
+    holder_started_ms: int | None = None
+    """The start of the holder's process that has the copy; None where it wasn't known."""
+
+    def is_void(self, engine: str, started_ms: int | None) -> bool:
+        """Tell whether the copy is gone, if its holder is an engine that started then."""
+        known = self.holder_started_ms
+        return engine == self.holder and None not in (known, started_ms) and known != started_ms
 
 
 @attrs.frozen(kw_only=True)
@@ -89,6 +92,8 @@
     """Of use once the run has given its first event."""
     flowing: bool = False
     """It has given its first event."""
+    engine_started_ms: int | None = None
+    """The start of the engine's process, as known when the run was sent."""
 
     @property
     def copy_at(self) -> str | None:
@@ -115,12 +120,6 @@
     memory: int = 0
 
 
-@attrs.define(kw_only=True)
-class _Avoided:
-    until: float
-    for_s: float
-
-
 @attrs.frozen(kw_only=True)
 class Placement:
     """Where a run goes, the wait expected there until its first event, and why."""
@@ -146,8 +145,7 @@
     """How long an ended run is remembered: as long as its prompt may still be cached."""
     _records: dict[str, _Record] = attrs.field(factory=dict)
     _by_part: dict[str, str] = attrs.field(factory=dict)
-    _avoided: dict[str, _Avoided] = attrs.field(factory=dict)
-    _broke_at: dict[str, float] = attrs.field(factory=dict)
+    avoidance: EngineAvoidance = attrs.field(factory=EngineAvoidance)
 
     @property
     def open_runs(self) -> tuple[BookedRun, ...]:
@@ -179,7 +177,7 @@
         crowd, as after a loss, many VMs choose before they hear of each other.
         """
         usable = [engine for engine in engines if engine.id not in avoid]
-        calm = [engine for engine in usable if not self.is_avoided(engine.id, now)]
+        calm = [engine for engine in usable if not self.avoidance.is_avoided(engine.id, now)]
         candidates = calm or usable
         if not candidates:
             return None
@@ -212,7 +210,7 @@
             for engine in engines
             if engine.id != beside.id
             and engine.id not in avoid
-            and not self.is_avoided(engine.id, now)
+            and not self.avoidance.is_avoided(engine.id, now)
         ]
         apart = [engine for engine in others if engine.data_center != beside.data_center]
         loads = self._loads(now)
@@ -236,7 +234,9 @@
         if record is None or record.run.flowing:
             return False
         others = [
-            e for e in engines if e.id != record.run.engine and not self.is_avoided(e.id, now)
+            e
+            for e in engines
+            if e.id != record.run.engine and not self.avoidance.is_avoided(e.id, now)
         ]
         if not others:
             return False
@@ -247,11 +247,6 @@
         here_s = self._ahead_s(record, now) + FLOWING_COST_S * load.flowing
         return best_s + MOVE_GAIN_S < here_s
 
-    def is_avoided(self, engine: str, now: float) -> bool:
-        """Tell whether an engine is passed over now."""
-        avoided = self._avoided.get(engine)
-        return avoided is not None and now < avoided.until
-
     def knows(self, request: str) -> bool:
         """Tell whether a request has been sent to any engine, as far as heard."""
         return request in self._records
@@ -302,24 +297,19 @@
             if record.run.vm == vm and record.ended_at is None:
                 record.ended_at = now
 
-    def failed(self, engine: str, now: float) -> None:
-        """Pass an engine over for a while, longer each time it fails again."""
-        known = self._avoided.get(engine)
-        if known is not None and now < known.until:
-            return
-        for_s = min(MOST_AVOID_S, known.for_s * 2) if known else FIRST_AVOID_S
-        self._avoided[engine] = _Avoided(until=now + for_s, for_s=for_s)
-
-    def broke(self, engine: str, now: float) -> None:
-        """Note a broken answer of an engine that lives; one that goes on so is passed over."""
-        last = self._broke_at.get(engine)
-        self._broke_at[engine] = now
-        if last is not None and now - last < BROKE_AGAIN_S:
-            self.failed(engine, now)
-
-    def served(self, engine: str) -> None:
-        """Note that an engine works: it is passed over no longer."""
-        self._avoided.pop(engine, None)
+    def started_again(self, engine: str, started_ms: int, now: float) -> None:
+        """Note that another process has an engine's id: it holds nothing of before.
+
+        Its runs of before have ended, and copies that it held are gone. A run that was sent
+        to the new process is kept, as its VM knew the start.
+        """
+        self.avoidance.started_again(engine)
+        for record in self._records.values():
+            run = record.run
+            if run.engine == engine and run.engine_started_ms != started_ms:
+                record.ended_at = now if record.ended_at is None else record.ended_at
+            if run.copy is not None and run.copy.is_void(engine, started_ms):
+                record.run = attrs.evolve(run, copy=None)
 
     def expire(self, now: float) -> None:
         """Forget what ended so long ago that nothing of it can be cached any more."""
@@ -330,9 +320,7 @@
             part = record.run.part
             if part is not None and self._by_part.get(part) == request:
                 del self._by_part[part]
-        for engine, avoided in list(self._avoided.items()):
-            if now - avoided.until > MOST_AVOID_S:
-                del self._avoided[engine]
+        self.avoidance.expire(now)
 
     def _loads(self, now: float) -> dict[str, _Load]:
         loads: dict[str, _Load] = {}
--- a/lagoonlever/decisions/hedging.py
+++ b/lagoonlever/decisions/hedging.py
@@ -149,6 +149,12 @@
         for name in [name for name in self._states if name not in known]:
             del self._states[name]
 
+    def started_again(self, name: str) -> None:
+        """Note that another process has a runner's id: what was learnt of it is void."""
+        former = self._states.pop(name, None)
+        if former is not None:
+            self.state(name).outstanding = former.outstanding
+
     def on_sent(self, name: str) -> None:
         """Note an attempt on its way."""
         self.state(name).outstanding += 1
--- a/lagoonlever/decisions/stream_silence.py
+++ b/lagoonlever/decisions/stream_silence.py
@@ -67,6 +67,8 @@
     """No report came."""
     RUNNING = "running"
     NOT_THERE = "not-there"
+    STARTED_AGAIN = "started-again"
+    """The engine is another process by now, which has nothing of before."""
     QUEUED = "queued"
     """The engine has requests that wait; the run may be one of them."""
 
@@ -123,7 +125,9 @@
             return
         self._unanswered = 0
         self._suspected = False
-        if answer is Answer.NOT_THERE and silent_s >= UNLISTED_S:
+        if answer is Answer.STARTED_AGAIN:
+            self._verdict = f"silent for {silent_s:.2f} s, and its engine has started again"
+        elif answer is Answer.NOT_THERE and silent_s >= UNLISTED_S:
             self._verdict = f"silent for {silent_s:.2f} s and does not run it"
         elif events_ahead >= HELD_BACK_EVENTS and silent_s >= HELD_BACK_S:
             self._verdict = f"silent for {silent_s:.2f} s with {events_ahead} events made"
--- a/lagoonlever/decisions/target_registry.py
+++ b/lagoonlever/decisions/target_registry.py
@@ -12,6 +12,10 @@
 address ends what is listed there by an older one: else runs go on to be sent to the
 old id, and each is refused by the new process.
 
+A target may also start again under the id that it had. It says when its process started
+(``started_ms``), and another start makes it another target: nothing that was learnt of it
+before holds.
+
 What is learnt comes in any order, from the store and from other VMs: of each target the
 word of the highest revision counts, also that it was removed.
 """
@@ -43,6 +47,12 @@
     draining: bool = False
     revision: int = 0
     """The store's revision of this entry."""
+    started_ms: int | None = None
+    """When its process started, by its own clock in Unix milliseconds; None if it doesn't say."""
+
+    def has_started_again(self, since: int | None) -> bool:
+        """Tell whether it is known to be another process than one that started then."""
+        return None not in (since, self.started_ms) and since != self.started_ms
 
 
 @attrs.frozen(kw_only=True)
@@ -58,6 +68,7 @@
 class _Gone:
     revision: int
     at: float
+    started_ms: int | None = None
 
 
 @attrs.define(kw_only=True)
@@ -71,6 +82,8 @@
     _replaced: dict[str, float] = attrs.field(factory=dict)
     _unlisted_until: dict[str, float] = attrs.field(factory=dict)
     """Targets that were found without an entry, and how long they are used so."""
+    _former_starts: dict[str, int] = attrs.field(factory=dict)
+    """The starts before the last one, of targets that told of it themselves."""
     _as_of: int = 0
     _changed_at: int = 0
 
@@ -141,11 +154,7 @@
             return False
         self._changed_at = max(self._changed_at, change.revision)
         if change.target is not None:
-            self._held.pop(change.id, None)
-            self._gone.pop(change.id, None)
-            self._unlisted_until.pop(change.id, None)
-            self._targets[change.id] = attrs.evolve(change.target, revision=change.revision)
-            self._replace_others_at(change.id, now)
+            self._list(attrs.evolve(change.target, revision=change.revision), now)
             return True
         counts_at = now if store_back_at is None else store_back_at + LAPSED_BACK_S
         if change.id in self._targets and counts_at > now:
@@ -158,6 +167,26 @@
         """Note that there was no further change up to a revision of the store."""
         self._as_of = max(self._as_of, revision)
 
+    def start_of(self, target_id: str) -> int | None:
+        """Give the last known start of a target's process, also of one that is gone."""
+        known = self._targets.get(target_id) or self._gone.get(target_id)
+        return known.started_ms if known is not None else None
+
+    def started_again(self, target_id: str, started_ms: int) -> bool:
+        """Take the start that a target tells itself; gives whether it is another process now.
+
+        Its own word comes before its entry, which may be read later and be older.
+        """
+        known = self._targets.get(target_id)
+        if known is None or known.started_ms == started_ms:
+            return False
+        self._targets[target_id] = attrs.evolve(known, started_ms=started_ms)
+        if known.started_ms is None:
+            return False
+        self._former_starts[target_id] = known.started_ms
+        self._replaced.pop(target_id, None)
+        return True
+
     def replaced(self, target_id: str, now: float) -> None:
         """Note that another process answers at a target's address: this one is gone."""
         if target_id in self._targets:
@@ -209,10 +238,34 @@
             del self._replaced[target_id]
         return tuple(TargetChange(id=t, target=None, revision=revision) for t, revision in due)
 
-    def _replace_others_at(self, target_id: str, now: float) -> None:
-        """Let the newest entry at an address end the others; an old one ends itself."""
-        address = self._targets[target_id].address
-        there = [target for target in self._targets.values() if target.address == address]
+    def _list(self, target: ListedTarget, now: float) -> None:
+        """Take an entry; one of an earlier start than the target tells itself is late news."""
+        known, start = self._targets.get(target.id), self.start_of(target.id)
+        former = self._former_starts.get(target.id)
+        if known is not None and former is not None and former == target.started_ms:
+            self._targets[target.id] = attrs.evolve(known, revision=target.revision)
+            return
+        if target.has_started_again(start):
+            self._replaced.pop(target.id, None)
+            self._former_starts.pop(target.id, None)
+        self._held.pop(target.id, None)
+        self._gone.pop(target.id, None)
+        self._unlisted_until.pop(target.id, None)
+        self._targets[target.id] = target
+        self._replace_others_at(target, now)
+
+    def _replace_others_at(self, listed: ListedTarget, now: float) -> None:
+        """Let the newest entry at an address end the others; an old one ends itself.
+
+        Only within a service: an entry that somebody else wrote may name any address, and
+        must not end the target that is there. A target whose address was given to another
+        service refuses what is sent to it by its id.
+        """
+        there = [
+            target
+            for target in self._targets.values()
+            if target.address == listed.address and target.service == listed.service
+        ]
         newest = max(there, key=lambda target: target.revision)
         for target in there:
             if target is not newest:
@@ -225,8 +278,10 @@
         return gone.revision if gone is not None else -1
 
     def _drop(self, target_id: str, revision: int, now: float) -> None:
+        started_ms = self.start_of(target_id)
         self._held.pop(target_id, None)
         self._targets.pop(target_id, None)
         self._unlisted_until.pop(target_id, None)
         self._replaced.pop(target_id, None)
-        self._gone[target_id] = _Gone(revision=revision, at=now)
+        self._former_starts.pop(target_id, None)
+        self._gone[target_id] = _Gone(revision=revision, at=now, started_ms=started_ms)
--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -72,13 +72,21 @@
         fleet: dict[str, FakeEngine],
         prefill_tokens_per_s: float = 100_000.0,
         event_s: float = 0.005,
+        started_ms: int | None = None,
     ) -> None:
         self.target_id = target_id
+        self.started_ms = started_ms
         self.prefill_tokens_per_s = prefill_tokens_per_s
         self.event_s = event_s
         self.conducts: deque[EngineConduct] = deque()
         self.frozen = trio.Event()
         """Set once the engine stands still for good: it accepts and answers nothing."""
+        self.frozen_runs = trio.Event()
+        """Set once its runs stand still; it answers questions."""
+        self.waiting = 0
+        """Requests that it reports to wait, beside those that it has."""
+        self.refused = 0
+        """Requests that named a copy which is not here."""
         self.runs: dict[str, EngineRun] = {}
         self.copies: dict[str, EngineRun] = {}
         self.kept: dict[str, int] = {}
@@ -118,6 +126,8 @@
         self.questions["report"] += 1
         flowing = [run for run in self.runs.values() if run.flowing]
         report = engine_calls.Report(
+            born=self.started_ms,
+            queued=self.waiting,
             running=len(self.runs),
             kv_total=55_000,
             runs=[(r.request_id, r.prompt_tokens, r.events, 5) for r in flowing],
@@ -156,6 +166,7 @@
             return
         run = self._begin(headers)
         if run is None:
+            self.refused += 1
             await exchange.respond(status=BUSY, headers=Headers(((REFUSED, "1"),)), body=b"")
             return
         self.runs[run.request_id] = run
@@ -229,7 +240,7 @@
         made = 0
         while run.events < last:
             await trio.sleep(self.event_s)
-            if self.frozen.is_set():
+            if self.frozen.is_set() or self.frozen_runs.is_set():
                 await trio.sleep_forever()
             made += 1
             run.events += 1
--- a/lagoonlever/gateway/copy_keeper.py
+++ b/lagoonlever/gateway/copy_keeper.py
@@ -45,7 +45,7 @@
         keeping.growing(self._run.copy_at)
         while True:
             await trio.sleep(CHECK_S)
-            usable = keeping.holder is not None and self._is_usable(keeping.holder)
+            usable = self._is_usable(keeping.holder)
             if not self.flowing or not keeping.due(self._timers.now, holder_usable=usable):
                 continue
             to = self._new_holder(keeping.holder if usable else None)
@@ -83,9 +83,15 @@
             outcome=copied if isinstance(copied, str) else "made",
         )
 
-    def _is_usable(self, engine: str) -> bool:
-        takes_work = self._beliefs.targets.takes_work(engine)
-        return takes_work and not self._beliefs.book.is_avoided(engine, self._timers.now)
+    def _is_usable(self, holder: str | None) -> bool:
+        """Tell whether a holder takes work, and is the process that was given the copy."""
+        target = self._beliefs.targets.find(holder) if holder is not None else None
+        if target is None or not self._beliefs.targets.takes_work(target.id):
+            return False
+        copy = self._called_copy or self._run.copy
+        if copy is not None and copy.is_void(target.id, target.started_ms):
+            return False
+        return not self._beliefs.book.avoidance.is_avoided(target.id, self._timers.now)
 
     def _new_holder(self, present: str | None) -> ListedTarget | None:
         """Give the engine for a called copy: the present holder, which then gets what is new."""
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -125,6 +125,14 @@
     "Nobody answers yet at the address of {target}, which is lost: {error}",
     "Asked twice, while an address can't have been given to another service.",
 )
+TARGET_STARTED_AGAIN = event(
+    1027,
+    "target-started-again",
+    "notice",
+    "{target} has started again under its id, at {started_ms} after {former_ms}; by {source}.",
+    "Copies of runs that it held, prompts that it kept and what was learnt of it are void. Its "
+    "runs go on from copies elsewhere.",
+)
 FELLOW_LISTED = event(
     1030,
     "fellow-listed",
--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 import logbook
@@ -23,6 +23,11 @@
 
     _beliefs: Beliefs
     _timers: TimerService
+    _on_started_again: list[Callable[[str], None]] = attrs.field(factory=list)
+
+    def on_started_again(self, notify: Callable[[str], None]) -> None:
+        """Have ``notify`` called with each target that has started again under its id."""
+        self._on_started_again.append(notify)
 
     def take_configuration(self, value: bytes, *, source: str) -> bool:
         """Put a stored configuration in force unless a newer one is; gives whether it did."""
@@ -53,9 +58,13 @@
         registry = self._beliefs.targets
         if revision < registry.as_of:
             return ()
+        listed = tuple(targets)
+        former = {target.id: registry.start_of(target.id) for target in listed}
         changes = registry.read(
-            targets, revision=revision, now=self._timers.now, store_back_at=store_back_at
+            listed, revision=revision, now=self._timers.now, store_back_at=store_back_at
         )
+        for target in listed:
+            self._note_start(target.id, former[target.id], source=source)
         if changes:
             events.TARGETS_READ.log(
                 log,
@@ -71,11 +80,19 @@
         """Take one change of the list of targets; gives whether it counts now."""
         registry = self._beliefs.targets
         known = change.target or registry.find(change.id)
+        former = registry.start_of(change.id)
         counts = registry.change(change, now=self._timers.now, store_back_at=store_back_at)
         if counts and known is not None:
             self._log_change(change, known)
+            self._note_start(change.id, former, source="list")
         return counts
 
+    def take_start(self, target_id: str, started_ms: int) -> None:
+        """Take the start of its process that a target tells in an answer."""
+        former = self._beliefs.targets.start_of(target_id)
+        if self._beliefs.targets.started_again(target_id, started_ms):
+            self._note_start(target_id, former, source="its own answer")
+
     def take_found(self, former: str, found: str, *, source: str) -> bool:
         """Take a process that has a lost target's place; gives whether it counts."""
         counts = self._beliefs.targets.found(former, found, self._timers.now)
@@ -100,6 +117,20 @@
         events.TARGET_REPLACED.log(log, target=target_id, source=source)
         registry.replaced(target_id, self._timers.now)
 
+    def _note_start(self, target_id: str, former: int | None, *, source: str) -> None:
+        """Let go of what was learnt of a target's process, if another one has its id now."""
+        target = self._beliefs.targets.find(target_id)
+        if target is None or not target.has_started_again(former):
+            return
+        started_ms = target.started_ms
+        assert started_ms is not None
+        events.TARGET_STARTED_AGAIN.log(
+            log, target=target_id, started_ms=started_ms, former_ms=former, source=source
+        )
+        self._beliefs.book.started_again(target_id, started_ms, self._timers.now)
+        for notify in self._on_started_again:
+            notify(target_id)
+
     def _log_change(self, change: TargetChange, known: ListedTarget) -> None:
         target = change.target
         state = "removed" if target is None else "draining" if target.draining else "ready"
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -109,6 +109,8 @@
     memory_used: int
     """Tokens that cannot yield."""
     memory_total: int
+    started_ms: int | None = None
+    """When its process started, by its own clock in Unix milliseconds."""
     runs: tuple[RunReport, ...] = ()
 
     def run(self, request_id: str) -> RunReport | None:
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -201,6 +201,7 @@
         )
         tools = AttemptTools(
             beliefs=self.beliefs,
+            learner=self.learner,
             timers=self.timers,
             client=self.client,
             prober=self.prober,
@@ -209,6 +210,8 @@
             replacements=self.replacements,
         )
         self.peers.on_engine_lost(tools.engine_lost)
+        self.learner.on_started_again(tools.engine_started_again)
+        self.learner.on_started_again(runners.started_again)
         streams = Streams(
             vm=self.settings.name, beliefs=self.beliefs, peers=self.peers, tools=tools
         )
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -103,8 +103,8 @@
     def engine_lost(self, engine: str, *, replaced: bool) -> None:
         """Note that an engine failed, and tell the others unless they know."""
         now = self._timers.now
-        known = self._beliefs.book.is_avoided(engine, now)
-        self._beliefs.book.failed(engine, now)
+        known = self._beliefs.book.avoidance.is_avoided(engine, now)
+        self._beliefs.book.avoidance.failed(engine, now)
         if replaced:
             self._learner.take_replaced(engine, source="answer")
         if replaced or not known:
@@ -149,7 +149,7 @@
         book.begin(run, now)
 
     def _take_engine_lost(self, lost: EngineLost, source: str) -> None:
-        self._beliefs.book.failed(lost.engine, self._timers.now)
+        self._beliefs.book.avoidance.failed(lost.engine, self._timers.now)
         if lost.replaced:
             self._learner.take_replaced(lost.engine, source=source)
         else:
--- a/lagoonlever/gateway/replacement_finder.py
+++ b/lagoonlever/gateway/replacement_finder.py
@@ -80,10 +80,14 @@
 
     def _take(self, target_id: str, answering: str, alive_at: float) -> None:
         """Put another process in a lost target's place, if it can only be of its service."""
+        if answering == target_id:
+            # It is back under its id: nothing of before counts against it.
+            self._beliefs.book.avoidance.served(target_id)
+            return
         proved = same_service(
             alive_at=alive_at, answered_at=self._timers.elapsed, reuse_s=self._reuse_s()
         )
-        if answering == target_id or not proved:
+        if not proved:
             return
         if self._learner.take_found(target_id, answering, source="its own answer"):
             message = TargetFound(former=target_id, found=answering)
--- a/lagoonlever/gateway/run_copier.py
+++ b/lagoonlever/gateway/run_copier.py
@@ -43,7 +43,12 @@
             made = msgspec.json.decode(response.body, type=CopyMade)
         except (PeerError, msgspec.MsgspecError) as error:
             return str(error)
-        return RunCopy(holder=to.id, address=source.address, name=made.handle)
+        return RunCopy(
+            holder=to.id,
+            address=source.address,
+            name=made.handle,
+            holder_started_ms=to.started_ms,
+        )
 
     async def free(self, copy: RunCopy) -> str | None:
         """Give the memory of a copy back at both engines; gives what went wrong, or None.
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -190,14 +190,18 @@
             self._knowledge.push_configuration()
 
     def _take_target(self, change: KeyChange) -> TargetChange | None:
-        """Take one change of the list; gives it if it counts now."""
+        """Take one change of the list; gives it if it counts now.
+
+        An entry that can't be read names no target, and ends what it named before. That is
+        no lapse, so it is not held as one after an outage.
+        """
         target = _target(change.entry) if change.entry else None
-        if change.entry is not None and target is None:
-            return None
         read = TargetChange(
             id=change.key.removeprefix(TARGETS_PREFIX), target=target, revision=change.revision
         )
-        counts = self._learner.take_change(read, store_back_at=self._store.back_at)
+        lapsed = change.entry is None
+        back_at = self._store.back_at if lapsed else None
+        counts = self._learner.take_change(read, store_back_at=back_at)
         return read if counts else None
 
 
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -24,6 +24,7 @@
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.copy_keeper import CopyKeeper
+from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.messages import AnswerHead, EngineReport, Hop, RunReport
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.prober import EngineProber
@@ -68,6 +69,7 @@
     """What every attempt works with."""
 
     beliefs: Beliefs
+    learner: Learner
     timers: TimerService
     client: TargetClient
     prober: EngineProber
@@ -91,8 +93,12 @@
             if other == engine or beside:
                 self._suspect(other)
 
+    def engine_started_again(self, engine: str) -> None:
+        """Have the open attempts at an engine ask it at once: its process is another one."""
+        self._suspect(engine)
+
     def _suspect(self, engine: str) -> None:
-        for silence in self.watched[engine]:
+        for silence in self.watched.get(engine, ()):
             silence.suspect(self.timers.now)
 
 
@@ -227,7 +233,7 @@
         await self._accepted.exchange.finish()
         self._count("answered")
         self._life.whole = True
-        self._tools.beliefs.book.served(self._plan.engine.id)
+        self._tools.beliefs.book.avoidance.served(self._plan.engine.id)
         await self._copies.free()
         return head
 
@@ -257,8 +263,12 @@
             # Something has arrived meanwhile: that says more than any report.
             silence.answered(Answer.RUNNING, self._now)
             return
+        if report is not None and report.started_ms is not None:
+            self._tools.learner.take_start(self._plan.engine.id, report.started_ms)
         run = report.run(self._accepted.request_id) if report else None
         answer = _answer_of(report, run, flowing=self._flowing)
+        if run is None and self._flowing and self._has_started_again():
+            answer = Answer.STARTED_AGAIN
         ahead = run.events - (self._life.position or 0) if run else 0
         events.ENGINE_ASKED.log(
             log,
@@ -271,6 +281,11 @@
         self._tools.reporter.tally.add(metrics.ENGINE_QUESTIONS, answer.value)
         silence.answered(answer, self._now, events_ahead=ahead)
 
+    def _has_started_again(self) -> bool:
+        """Tell whether the engine is another process than the one that the run was sent to."""
+        engine = self._tools.beliefs.targets.find(self._plan.engine.id)
+        return engine is not None and engine.has_started_again(self._plan.run.engine_started_ms)
+
     async def _accept_head(self, response: Response, head: AnswerHead) -> bool:
         """Judge the head of an answer; begins the caller's answer with a first good one."""
         engine = self._plan.engine
@@ -334,7 +349,7 @@
         alive = not ended.unanswered and await self._tools.prober.ask(engine) is not None
         self._life.lost(engine.id, str(ended), alive=alive, read=self._has_read)
         if alive:
-            self._tools.beliefs.book.broke(engine.id, self._now)
+            self._tools.beliefs.book.avoidance.broke(engine.id, self._now)
         else:
             self._peers.engine_lost(engine.id, replaced=False)
             if self._signs.alive_at is not None:
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -90,7 +90,8 @@
         copy: RunCopy | None = None
         prefer: str | None = None
         if former is not None and former.flowing:
-            prefer, copy = former.engine, former.copy
+            copy = former.copy
+            prefer = former.engine if self._is_same_process(former) else None
         elif part is not None and accepted.caller.last_event_id is not None:
             prefer = await self._locator.find(part, self._serving(accepted.service))
         return StreamLife.returning(
@@ -101,6 +102,11 @@
             prefer=prefer,
         )
 
+    def _is_same_process(self, run: BookedRun) -> bool:
+        """Tell whether the engine of a run is still the process that read its prompt."""
+        engine = self._beliefs.targets.find(run.engine)
+        return engine is not None and not engine.has_started_again(run.engine_started_ms)
+
     async def _serve(self, accepted: Accepted, life: StreamLife) -> None:
         gave_up: GiveUp | None = None
         with trio.move_on_at(accepted.deadline):
@@ -199,6 +205,7 @@
             request=accepted.request_id,
             vm=self._vm,
             engine=engine.id,
+            engine_started_ms=engine.started_ms,
             prompt_tokens=prompt_tokens,
             memory_tokens=ask.prompt_tokens + ask.output_tokens,
             part=ask.own_part,
@@ -215,11 +222,14 @@
 
     def _copy_holder(self, copy: RunCopy) -> ListedTarget | None:
         targets = self._beliefs.targets
-        if not targets.takes_work(copy.holder):
+        holder = targets.find(copy.holder)
+        if holder is None or not targets.takes_work(copy.holder):
+            return None
+        if copy.is_void(holder.id, holder.started_ms):
             return None
-        if self._beliefs.book.is_avoided(copy.holder, self._now):
+        if self._beliefs.book.avoidance.is_avoided(copy.holder, self._now):
             return None
-        return targets.find(copy.holder)
+        return holder
 
     def _copy_to(
         self, accepted: Accepted, engine: ListedTarget, limits: EngineLimits, ask: GenerationAsk
@@ -262,7 +272,12 @@
 
 
 def _growing_copy(accepted: Accepted, holder: ListedTarget) -> RunCopy:
-    return RunCopy(holder=holder.id, address=holder.address, name=accepted.request_id)
+    return RunCopy(
+        holder=holder.id,
+        address=holder.address,
+        name=accepted.request_id,
+        holder_started_ms=holder.started_ms,
+    )
 
 
 def _ask(accepted: Accepted) -> GenerationAsk:
--- a/lagoonlever/platform/documents.py
+++ b/lagoonlever/platform/documents.py
@@ -51,13 +51,18 @@
 
 def target_entry(target: ListedTarget) -> bytes:
     """Give the entry that a target writes of itself."""
-    entry = {
+    entry: dict[str, object] = {
         "Service": target.service,
         "Address": str(target.address),
         "Zone": target.data_center,
+        "Version": "v1",
         "Slots": target.slots,
         "State": DRAINING if target.draining else "ready",
+        "ColdRemainingMs": 0,
+        "Sequence": 1,
     }
+    if target.started_ms is not None:
+        entry["born"] = target.started_ms
     return msgspec.json.encode(entry)
 
 
--- a/lagoonlever/platform/engine_calls.py
+++ b/lagoonlever/platform/engine_calls.py
@@ -15,6 +15,8 @@
 class Report(msgspec.Struct, rename="pascal", kw_only=True):
     """``kv_used`` is the memory that cannot yield to other requests, in tokens."""
 
+    born: int | None = msgspec.field(name="born", default=None)
+    """The start of the process, in Unix milliseconds; some engines don't tell it."""
     queued: int = 0
     running: int = 0
     kv_used: int = 0
@@ -59,5 +61,6 @@
         waiting=raw.queued,
         memory_used=raw.kv_used,
         memory_total=raw.kv_total,
+        started_ms=raw.born,
         runs=tuple(RunReport(request_id=r[0], tokens=r[1], events=r[2]) for r in raw.runs),
     )
--- a/lagoonlever/platform/store_wire.py
+++ b/lagoonlever/platform/store_wire.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import base64
+import binascii
 
+import logbook
 import msgspec
 
+from lagoonlever.store.events import PLATFORM_VALUE_UNREADABLE
 from lagoonlever.store.port import NO_LEASE, KeyChange, KeyValue
 
+log = logbook.Logger(__name__)
+
 CALLS = "/-/"
 READ_KEY = "kv-key"
 READ_RANGE = "kv-range"
@@ -30,15 +35,27 @@
     removed: bool = False
 
     def entry(self) -> KeyValue:
-        """Give the product's form."""
+        """Give the product's form; a value that can't be read is an empty one."""
         return KeyValue(
             key=self.key,
-            value=base64.b64decode(self.value),
+            value=self._value(),
             revision=self.revision,
             created_revision=self.created,
             lease=self.lease,
         )
 
+    def _value(self) -> bytes:
+        """Decode the value.
+
+        Guards against one odd item that fails the reading of all keys beside it. Nothing
+        is kept as an empty value, so every reader refuses it.
+        """
+        try:
+            return base64.b64decode(self.value, validate=True)
+        except (binascii.Error, ValueError) as error:
+            PLATFORM_VALUE_UNREADABLE.log(log, key=self.key, error=str(error))
+            return b""
+
     def change(self) -> KeyChange:
         """Give the product's form of an event of a watch."""
         entry = None if self.removed else self.entry()
--- a/lagoonlever/platform/targets.py
+++ b/lagoonlever/platform/targets.py
@@ -1,7 +1,15 @@
-"""Reads the entries that targets write of themselves, ``servers/ID`` in the store."""
+"""Reads the entries that targets write of themselves, ``servers/ID`` in the store.
+
+Anybody may write there. What is not an entry as targets write it, with every field and
+each of its kind, names no target; guards against requests that are sent where no target
+ever was, and against one odd entry that hides all others.
+"""
 
 from __future__ import annotations
 
+import ipaddress
+from typing import Annotated, Literal
+
 import msgspec
 
 from lagoonlever.decisions.target_registry import ListedTarget
@@ -10,29 +18,36 @@
 
 TARGETS_PREFIX = "servers/"
 DRAINING = "draining"
+MOST_PORT = 65_535
 
 
 class UnreadableTarget(LagoonleverException):
-    """An entry is not of the platform's format; the target is not used."""
+    """An entry is not of the platform's format; it names no target."""
 
 
 class _Entry(msgspec.Struct, rename="pascal", kw_only=True):
     """``Slots`` is how many requests the target runs at once; others wait in its queue."""
 
-    service: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    cold_remaining_ms: float = 0.0
+    zone: str
+    version: str
+    """Of the target's software; nothing depends on it."""
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: float
+    sequence: int
+    """Counts the target's own writes, from its start on; nothing depends on it."""
+    born: int | msgspec.UnsetType = msgspec.field(name="born", default=msgspec.UNSET)
+    """The start of the process, in Unix milliseconds; some targets don't tell it."""
 
 
 def read_target(key: str, value: bytes) -> ListedTarget:
     """Decode an entry; raises ``UnreadableTarget``."""
     try:
         entry = msgspec.json.decode(value, type=_Entry)
-        address = Address.parse(entry.address)
-    except (msgspec.MsgspecError, ValueError) as error:
+        address = _address(entry.address)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise UnreadableTarget(f"{key}: {error}") from error
     return ListedTarget(
         id=key.removeprefix(TARGETS_PREFIX),
@@ -41,4 +56,14 @@
         data_center=entry.zone,
         slots=entry.slots,
         draining=entry.state == DRAINING,
+        started_ms=None if isinstance(entry.born, msgspec.UnsetType) else entry.born,
     )
+
+
+def _address(text: str) -> Address:
+    """Read ``IP:PORT``; raises ``ValueError``."""
+    address = Address.parse(text)
+    ipaddress.ip_address(address.host)
+    if not 0 < address.port <= MOST_PORT:
+        raise ValueError(f"{text!r} has no port that can be reached")
+    return address
--- a/lagoonlever/soak/faults.py
+++ b/lagoonlever/soak/faults.py
@@ -143,6 +143,19 @@
         place = fault.number % len(self.site.engines)
         await self._alone(f"engine {place}", self.site.engines, place, self.site.restart_target)
 
+    @_action(FaultKind.ENGINE_RETURNS, FaultKind.RUNNER_RETURNS)
+    async def _return(self, fault: Fault) -> None:
+        is_engine = fault.kind is FaultKind.ENGINE_RETURNS
+        kept = self.site.engines if is_engine else self.site.runners
+        place = fault.number % len(kept)
+
+        async def start_again(targets: list[SoakTarget], number: int) -> None:
+            await self.site.start_target_again(targets, number, after_s=fault.for_s)
+
+        await self._alone(
+            f"{'engine' if is_engine else 'runner'} {place}", kept, place, start_again
+        )
+
     @_action(FaultKind.RUNNER_LEAVES)
     async def _leave(self, fault: Fault) -> None:
         place = fault.number % len(self.site.runners)
--- a/lagoonlever/soak/plan.py
+++ b/lagoonlever/soak/plan.py
@@ -41,6 +41,9 @@
     """One VM does not reach the store, and the others do."""
     ENGINE_CRASH = "engine-crash"
     """An engine ends with its connections; another one starts at its address."""
+    ENGINE_RETURNS = "engine-returns"
+    """An engine ends with its connections, and starts again under its id before it is missed."""
+    RUNNER_RETURNS = "runner-returns"
     ENGINE_SILENT = "engine-silent"
     """Everything to and from an engine is held up."""
     ENGINE_RESET = "engine-reset"
@@ -130,16 +133,27 @@
         for_s=(0.3, 1.5),
     ),
     _Track(kinds=(FaultKind.NEW_CONFIGURATION,), every_s=(1.0, 4.0), for_s=(0.0, 0.0)),
+    _Track(
+        kinds=(FaultKind.ENGINE_RETURNS, FaultKind.ENGINE_RETURNS, FaultKind.RUNNER_RETURNS),
+        every_s=(0.8, 3.0),
+        for_s=(0.1, 0.8),
+    ),
 )
 
 
-def draw_plan(seed: int, *, length_s: float) -> tuple[Fault, ...]:
-    """Draw the faults of a run, in the order of their times."""
+def draw_plan(
+    seed: int, *, length_s: float, without: frozenset[FaultKind] = frozenset()
+) -> tuple[Fault, ...]:
+    """Draw the faults of a run, in the order of their times.
+
+    A seed that was drawn before some kinds were known is the same run ``without`` them.
+    """
     faults: list[Fault] = []
     for number, track in enumerate(_TRACKS):
         rng = random.Random(f"{seed}-{number}")
         if rng.random() < 0.8:
             faults.extend(_draw_track(track, rng, length_s))
+    faults = [fault for fault in faults if fault.kind not in without]
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -46,6 +46,8 @@
 GRACE_S = 8.0
 BACK_AFTER_S = 0.3
 """Between the end of a target and the start of another one at its address."""
+FIRST_START_MS = 1_700_000_000_000
+"""The starts of targets are counted from here, one a life."""
 LAPSE_S = 1.2
 """How long the entry of a target that crashed stays."""
 
@@ -71,9 +73,15 @@
 class WatchedEngine(FakeEngine):
     """An engine that tells the judge what it runs."""
 
-    def __init__(self, *, target_id: str, fleet: dict[str, FakeEngine], judge: Judge) -> None:
+    def __init__(
+        self, *, target_id: str, fleet: dict[str, FakeEngine], judge: Judge, started_ms: int
+    ) -> None:
         super().__init__(
-            target_id=target_id, fleet=fleet, prefill_tokens_per_s=20_000.0, event_s=0.02
+            target_id=target_id,
+            fleet=fleet,
+            prefill_tokens_per_s=20_000.0,
+            event_s=0.02,
+            started_ms=started_ms,
         )
         self._judge = judge
 
@@ -200,6 +208,19 @@
         await trio.sleep(LAPSE_S)
         self.store.delete(f"{TARGETS_PREFIX}{former.target.id}")
 
+    async def start_target_again(
+        self, kept: list[SoakTarget], place: int, *, after_s: float
+    ) -> None:
+        """End a target with its connections; it starts again under its id, and holds nothing."""
+        former = kept[place]
+        former.scope.cancel()
+        former.proxy.reset_all()
+        await trio.sleep(after_s)
+        number = 100 + place if former in self.engines else 150 + place
+        kept[place] = await self._start_target(
+            former.target.service, number, former.proxy, target_id=former.target.id
+        )
+
     async def replace_runner(self, place: int) -> None:
         """Have a runner drain and go, and another one come beside it."""
         former = self.runners[place]
@@ -222,17 +243,24 @@
                 vm.process.wait()
 
     async def _start_target(
-        self, service: str, number: int, proxy: FaultyProxy | None = None
+        self,
+        service: str,
+        number: int,
+        proxy: FaultyProxy | None = None,
+        target_id: str | None = None,
     ) -> SoakTarget:
         self._lives += 1
-        target_id = f"{service}-{number}-{self._lives}"
+        target_id = target_id or f"{service}-{number}-{self._lives}"
+        started_ms = FIRST_START_MS + self._lives
         own = self._address(number, TARGET_PORT)
         if proxy is None:
             proxy = FaultyProxy(listen=self._address(number, TARGET_PORT + 1), target=own)
             self.nursery.start_soon(proxy.run)
         server: FakeEngine | FakeRunner
         if service == "engines":
-            server = WatchedEngine(target_id=target_id, fleet=self._fleet, judge=self.judge)
+            server = WatchedEngine(
+                target_id=target_id, fleet=self._fleet, judge=self.judge, started_ms=started_ms
+            )
             self._fleet[str(proxy.listen)] = server
         else:
             server = WatchedRunner(target_id=target_id, judge=self.judge)
@@ -242,6 +270,7 @@
             address=proxy.listen,
             data_center=PLACES[number % len(PLACES)],
             slots=12,
+            started_ms=started_ms,
         )
         started = SoakTarget(target=listed, proxy=proxy, server=server)
         listeners = await open_listeners(host=own.host, port=own.port)
--- a/lagoonlever/store/events.py
+++ b/lagoonlever/store/events.py
@@ -27,6 +27,14 @@
     "The answer to {step} from {peer} was lost: {error}",
     "The change may have been applied. The part that made it finds out by reading back.",
 )
+PLATFORM_VALUE_UNREADABLE = event(
+    804,
+    "platform-value-unreadable",
+    "warning",
+    "The value of {key} in the platform's store can't be read and counts as empty: {error}",
+    "Another program wrote there, or the store's answer was damaged. What the key told before is "
+    "gone for this VM; the other keys hold.",
+)
 WATCH_SILENT = event(
     803,
     "watch-silent",
--- a/lagoonlever/tests/engine_book_tests.py
+++ b/lagoonlever/tests/engine_book_tests.py
@@ -7,8 +7,8 @@
 import attrs
 
 from lagoonlever.decisions.configuration import EngineLimits
+from lagoonlever.decisions.engine_avoidance import FIRST_AVOID_S
 from lagoonlever.decisions.engine_book import (
-    FIRST_AVOID_S,
     PREFILL_TOKENS_PER_S,
     BookedRun,
     EngineBook,
@@ -104,16 +104,16 @@
 
 def test_a_failed_engine_is_passed_over_for_longer_each_time() -> None:
     on = book()
-    on.failed("e1", 0.0)
-    assert on.is_avoided("e1", FIRST_AVOID_S * 0.9)
-    on.failed("e1", FIRST_AVOID_S * 1.1)
-    assert on.is_avoided("e1", FIRST_AVOID_S * 2.9)
+    on.avoidance.failed("e1", 0.0)
+    assert on.avoidance.is_avoided("e1", FIRST_AVOID_S * 0.9)
+    on.avoidance.failed("e1", FIRST_AVOID_S * 1.1)
+    assert on.avoidance.is_avoided("e1", FIRST_AVOID_S * 2.9)
 
 
 def test_all_engines_failed_is_no_reason_to_give_up() -> None:
     on = book()
     for each in ENGINES:
-        on.failed(each.id, 0.0)
+        on.avoidance.failed(each.id, 0.0)
     assert placed(on) in {"e1", "e2", "e3"}
 
 
@@ -177,10 +177,10 @@
 
 def test_one_broken_answer_of_a_living_engine_is_no_reason_to_leave_it() -> None:
     on = book()
-    on.broke("e1", 0.0)
-    assert not on.is_avoided("e1", 0.1)
-    on.broke("e1", 0.5)
-    assert on.is_avoided("e1", 0.6)
+    on.avoidance.broke("e1", 0.0)
+    assert not on.avoidance.is_avoided("e1", 0.1)
+    on.avoidance.broke("e1", 0.5)
+    assert on.avoidance.is_avoided("e1", 0.6)
 
 
 def test_a_copy_that_was_only_refreshed_is_no_news() -> None:
@@ -192,3 +192,30 @@
     assert not on.copied("r1", copy)
     assert on.copied("r1", attrs.evolve(copy, name="h2"))
     assert not on.copied("r9", copy)
+
+
+def test_an_engine_that_has_started_again_holds_nothing_of_before() -> None:
+    """An engine crashes and is back under its id within a second.
+
+    Streams were sent to it for copies that it no longer had, each an attempt in vain, and
+    it was passed over for the failure of its former process.
+    """
+    on = book()
+    copy = RunCopy(holder="e1", address=ENGINES[0].address, name="r2", holder_started_ms=100)
+    on.begin(run("r1", "e1", engine_started_ms=100, part="p1"), 0.0)
+    on.begin(run("r2", "e2", copy=copy), 0.0)
+    on.begin(run("r3", "e1", engine_started_ms=200), 0.5)
+    on.avoidance.failed("e1", 0.4)
+    on.started_again("e1", 200, 0.6)
+    assert not on.avoidance.is_avoided("e1", 0.6)
+    known = {each.request: each for each in on.open_runs}
+    assert known.keys() == {"r2", "r3"}
+    assert known["r2"].copy is None
+
+
+def test_a_copy_is_void_once_its_holder_has_started_again() -> None:
+    copy = RunCopy(holder="e1", address=ENGINES[0].address, name="c", holder_started_ms=100)
+    assert copy.is_void("e1", 200)
+    assert not copy.is_void("e1", 100)
+    assert not copy.is_void("e1", None)
+    assert not copy.is_void("e2", 200)
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -14,6 +14,7 @@
 import attrs
 import trio
 
+from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
 from lagoonlever.fakes.platform_engine import FakeEngine, event_bytes
 from lagoonlever.fakes.platform_runner import FakeRunner
@@ -23,7 +24,8 @@
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.server import open_listeners
 from lagoonlever.platform.configuration import CONFIGURATION_KEY
-from lagoonlever.platform.targets import TARGETS_PREFIX
+from lagoonlever.platform.documents import target_entry
+from lagoonlever.platform.targets import DRAINING, TARGETS_PREFIX
 
 HOST = "shop.example"
 KEY = "key-1"
@@ -186,6 +188,8 @@
     scopes: dict[str, trio.CancelScope] = attrs.field(factory=dict)
     vms: dict[str, Vm] = attrs.field(factory=dict)
     _fleet: dict[str, FakeEngine] = attrs.field(factory=dict)
+    _starts: Iterator[int] = attrs.field(factory=lambda: itertools.count(1_700_000_000_000))
+    """The starts of engines, one after the other."""
     _ids: Iterator[int] = attrs.field(factory=lambda: iter(range(1, 1_000_000)))
 
     async def start(self, *, engines: int = 3, runners: int = 2, vms: int = 2) -> None:
@@ -207,13 +211,15 @@
         self.store.put(CONFIGURATION_KEY, json.dumps(document).encode())
 
     async def start_engine(self, name: str, *, data_center: str = "dc-0") -> FakeEngine:
-        """Start an engine and list it."""
-        address = free_address()
-        engine = FakeEngine(target_id=name, fleet=self._fleet)
+        """Start an engine and list it; one that was there before starts again under its id."""
+        address = self.addresses.get(name) or free_address()
+        engine = FakeEngine(target_id=name, fleet=self._fleet, started_ms=next(self._starts))
         self._fleet[str(address)] = engine
         self.engines[name] = engine
         await self._start_target(name, address, engine.run)
-        self.list_target(name, service="engines", data_center=data_center)
+        self.list_target(
+            name, service="engines", data_center=data_center, started_ms=engine.started_ms
+        )
         return engine
 
     async def start_runner(self, name: str, *, data_center: str = "dc-0") -> FakeRunner:
@@ -225,17 +231,25 @@
         return runner
 
     def list_target(
-        self, name: str, *, service: str, data_center: str = "dc-0", state: str = "ready"
+        self,
+        name: str,
+        *,
+        service: str,
+        data_center: str = "dc-0",
+        state: str = "ready",
+        started_ms: int | None = None,
     ) -> None:
         """Write a target's entry."""
-        entry = {
-            "Service": service,
-            "Address": str(self.addresses[name]),
-            "Zone": data_center,
-            "Slots": 12,
-            "State": state,
-        }
-        self.store.put(f"{TARGETS_PREFIX}{name}", json.dumps(entry).encode())
+        target = ListedTarget(
+            id=name,
+            service=service,
+            address=self.addresses[name],
+            data_center=data_center,
+            slots=12,
+            draining=state == DRAINING,
+            started_ms=started_ms,
+        )
+        self.store.put(f"{TARGETS_PREFIX}{name}", target_entry(target))
 
     def unlist_target(self, name: str) -> None:
         """Remove a target's entry."""
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -22,6 +22,8 @@
     2,  # SIGHUP while a VM was being loaded ended it
     7,  # watches that a silent store had swallowed hid a new configuration for 10 s
 )
+LATER_KINDS = frozenset({FaultKind.ENGINE_RETURNS, FaultKind.RUNNER_RETURNS})
+"""Kinds of faults that these seeds were drawn without."""
 
 
 def play(seed: int, folder: Path, *, length_s: float = SHORT.length_s, **more: Any) -> SoakResult:
@@ -41,10 +43,33 @@
 
 @pytest.mark.parametrize("seed", SEEDS_THAT_FAILED)
 def test_a_seed_that_failed_keeps_every_promise_now(seed: int, tmp_path: Path) -> None:
-    result = play(seed, tmp_path, length_s=15.0)
+    plan = draw_plan(seed, length_s=15.0, without=LATER_KINDS)
+    result = play(seed, tmp_path, length_s=15.0, plan=plan)
     assert result.violations == ()
 
 
+def test_targets_that_return_under_their_ids_break_no_promise(tmp_path: Path) -> None:
+    """Engines and runners die and are back under their ids within a second, again and again.
+
+    Each holds copies of others' runs, which its new process does not have; the store is away
+    for a part of the time, so that their entries tell the former start.
+    """
+    returns = [
+        Fault(
+            kind=FaultKind.ENGINE_RETURNS if number % 4 else FaultKind.RUNNER_RETURNS,
+            at_s=1.0 + 0.4 * number,
+            for_s=0.05 + 0.1 * (number % 5),
+            number=number,
+        )
+        for number in range(20)
+    ]
+    away = Fault(kind=FaultKind.STORE_SILENT, at_s=3.0, for_s=3.0, number=0)
+    plan = tuple(sorted([*returns, away], key=lambda fault: fault.at_s))
+    result = play(1, tmp_path, length_s=10.0, plan=plan)
+    assert result.violations == ()
+    assert result.counts.get("stream 200", 0) > 10
+
+
 def test_a_bid_that_is_sent_twice_is_found(tmp_path: Path) -> None:
     """A gateway that sends a bid to a second runner after a lost answer runs it twice.
 
--- a/lagoonlever/tests/target_registry_tests.py
+++ b/lagoonlever/tests/target_registry_tests.py
@@ -142,3 +142,64 @@
     change(listed, "new", new, revision=12, now=1.0, store_back_at=None)
     change(listed, "old", target("old"), revision=11, now=1.1, store_back_at=None)
     assert [t.id for t in listed.serving("engines")] == ["new"]
+
+
+def started(name: str, started_ms: int | None, **more: object) -> ListedTarget:
+    return attrs.evolve(target(name), started_ms=started_ms, **more)
+
+
+def test_a_target_that_starts_again_under_its_id_is_given_work() -> None:
+    """A target crashes, and another process answers at its address for a while.
+
+    Then it starts again under its id and says so. It was passed over as replaced for a
+    minute, though nothing but its id is what it was.
+    """
+    listed = TargetRegistry()
+    listed.read([started("e1", 100)], revision=10, now=0.0, store_back_at=None)
+    listed.replaced("e1", 1.0)
+    change(listed, "e1", started("e1", 100), revision=11, now=1.1, store_back_at=None)
+    assert not listed.takes_work("e1")
+    change(listed, "e1", started("e1", 200), revision=12, now=2.0, store_back_at=None)
+    assert listed.takes_work("e1")
+
+
+def test_the_start_of_a_target_is_known_while_it_is_away() -> None:
+    listed = TargetRegistry()
+    listed.read([started("e1", 100)], revision=10, now=0.0, store_back_at=None)
+    change(listed, "e1", None, revision=11, now=1.0, store_back_at=None)
+    assert listed.start_of("e1") == 100
+    change(listed, "e1", started("e1", 200), revision=12, now=2.0, store_back_at=None)
+    found = listed.find("e1")
+    assert found is not None and found.has_started_again(100)
+
+
+def test_an_entry_of_before_does_not_bring_a_former_process_back() -> None:
+    """A target tells in an answer that it has started again; its old entry is read later."""
+    listed = TargetRegistry()
+    listed.read([started("e1", 100)], revision=10, now=0.0, store_back_at=None)
+    assert listed.started_again("e1", 200)
+    change(listed, "e1", started("e1", 100), revision=11, now=1.0, store_back_at=None)
+    assert listed.start_of("e1") == 200
+    change(listed, "e1", started("e1", 200), revision=12, now=1.1, store_back_at=None)
+    assert listed.start_of("e1") == 200
+    change(listed, "e1", started("e1", 150), revision=13, now=1.2, store_back_at=None)
+    assert listed.start_of("e1") == 150
+
+
+def test_a_target_that_tells_no_start_is_never_another_process() -> None:
+    listed = registry("e1")
+    change(listed, "e1", started("e1", 100), revision=11, now=1.0, store_back_at=None)
+    found = listed.find("e1")
+    assert found is not None and not found.has_started_again(None)
+    assert not listed.started_again("e1", 100)
+
+
+def test_an_entry_of_another_service_ends_nobody_at_its_address() -> None:
+    """Another program writes an entry with a service of its own and an engine's address.
+
+    The engine was taken for replaced, and got no work any more.
+    """
+    listed = registry("e1")
+    odd = attrs.evolve(target("odd", service="elsewhere"), address=target("e1").address)
+    change(listed, "odd", odd, revision=11, now=1.0, store_back_at=None)
+    assert listed.takes_work("e1")
