--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engine_book.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from collections.abc import Iterable
 
 import attrs
@@ -30,7 +29,8 @@
 )
 from lagoonlever.decisions.engine_paces import EnginePaces
 from lagoonlever.decisions.mechanisms import MECHANISMS, gives
-from lagoonlever.decisions.prompt_admission import WINDOW_S, ReadingLoad
+from lagoonlever.decisions.prompt_admission import ReadingLoad
+from lagoonlever.decisions.reading_window import ReadingWindow
 from lagoonlever.decisions.target_registry import ListedTarget
 
 CROWD = 0.3
@@ -92,8 +92,7 @@
     """How long an ended run is remembered: as long as its prompt may still be cached."""
     _records: dict[str, _Record] = attrs.field(factory=dict)
     _by_part: dict[str, str] = attrs.field(factory=dict)
-    _engines_seen: dict[str, deque[tuple[float, int]]] = attrs.field(factory=dict)
-    """How many engines each service had, over the window in which reading is counted."""
+    _reading: ReadingWindow = attrs.field(factory=ReadingWindow)
     avoidance: EngineAvoidance = attrs.field(factory=EngineAvoidance)
     paces: EnginePaces = attrs.field(factory=EnginePaces)
 
@@ -214,24 +213,9 @@
         return best_s + MOVE_GAIN * usual_s < here_s
 
     def reading_load(self, service: str, *, engines: int, now: float) -> ReadingLoad:
-        """Give what a service's engines were given to read of late, by all VMs.
-
-        ``engines`` are there now. The most within the window count: those of a data centre
-        that crashes are back in a quarter of it, and were read for most of it by all.
-        """
-        seen = self._engines_seen.setdefault(service, deque())
-        seen.append((now, engines))
-        while now - seen[0][0] > WINDOW_S:
-            seen.popleft()
-        most_engines = max(1, *(count for _, count in seen))
-        since = now - WINDOW_S
-        given = [
-            record.run
-            for record in self._records.values()
-            if record.since >= since and record.run.service == service
-        ]
-        reading_s = sum(self.paces.reading_s(service, "", run.prompt_tokens, now) for run in given)
-        return ReadingLoad(prompts=len(given), share=reading_s / (WINDOW_S * most_engines))
+        """Give what a service's engines, so many now, were given to read of late by all VMs."""
+        token_s = self.paces.reading_s(service, "", 1, now)
+        return self._reading.load(service, engines=engines, token_s=token_s, now=now)
 
     def knows(self, request: str) -> bool:
         """Tell whether a request has been sent to any engine, as far as heard."""
@@ -244,6 +228,7 @@
 
     def begin(self, run: BookedRun, now: float) -> None:
         """Book a run; one that goes on elsewhere replaces what was booked before."""
+        self._reading.given(run.service, tokens=run.prompt_tokens, now=now)
         record = _Record(run=run, since=now)
         for other in self._unread_at(run.engine):
             record.beside_prompts = other.beside_prompts = True
--- a/lagoonlever/gateway/beliefs.py
+++ b/lagoonlever/gateway/beliefs.py
@@ -5,12 +5,15 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.configuration import Configuration
+from lagoonlever.decisions.configuration import Configuration, EngineLimits
 from lagoonlever.decisions.engine_book import EngineBook
 from lagoonlever.decisions.fellows import FellowTable
 from lagoonlever.decisions.target_registry import TargetRegistry
 from lagoonlever.published import Published
 
+NO_LIMITS = EngineLimits(slots=1_000, memory_tokens=1_000_000_000)
+"""For a service that has not said what its engines hold."""
+
 
 @attrs.define(kw_only=True, eq=False)
 class Beliefs:
@@ -27,6 +30,12 @@
     known: trio.Event = attrs.field(factory=trio.Event)
     """Set once both a configuration and a list of targets are known."""
 
+    def engine_limits(self, service: str) -> EngineLimits:
+        """Give what the engines of a service hold, by the operators' configuration."""
+        configuration = self.configuration.value
+        known = configuration.services.get(service) if configuration else None
+        return known.engine if known and known.engine else NO_LIMITS
+
     @property
     def version(self) -> int:
         """The version of the configuration in force; 0 for none."""
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -39,6 +39,10 @@
         return self.parts[-1].id if self.parts else None
 
 
+NO_ASK = GenerationAsk(model="", prompt_tokens=0, output_tokens=0)
+"""Of a request that says nothing of what it asks for."""
+
+
 @attrs.frozen(kw_only=True)
 class CallerHead:
     """What the head of a caller's request says; ``deadline_s`` counts from its arrival."""
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -12,6 +12,7 @@
 from lagoonlever.decisions.engine_book import EngineBook
 from lagoonlever.decisions.fellows import FellowState, FellowTable
 from lagoonlever.decisions.hedging import Runners
+from lagoonlever.gateway.attempt_tools import AttemptTools
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.call_exchange import CallExchange
 from lagoonlever.gateway.directory import Directory
@@ -31,7 +32,7 @@
 from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.gateway.store_follower import StoreFollower
-from lagoonlever.gateway.stream_attempt import AttemptTools
+from lagoonlever.gateway.stream_admission import StreamAdmission
 from lagoonlever.gateway.streams import Streams
 from lagoonlever.gateway.target_client import TargetClient
 from lagoonlever.http.server import ServerLimits
@@ -221,7 +222,7 @@
             beliefs=self.beliefs,
             peers=self.peers,
             tools=tools,
-            rng=self.rng,
+            admission=StreamAdmission(beliefs=self.beliefs, timers=self.timers, rng=self.rng),
         )
         return Front(
             beliefs=self.beliefs,
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -6,9 +6,7 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.correlated_loss import CorrelatedLoss
+from lagoonlever.decisions.booked_runs import RunCopy
 from lagoonlever.decisions.replacements import LifeSigns
 from lagoonlever.decisions.stream_life import EventVerdict, StreamLife
 from lagoonlever.decisions.stream_silence import (
@@ -20,26 +18,18 @@
     first_ask_s,
 )
 from lagoonlever.decisions.stream_silence import Lost as SilenceLost
-from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.exceptions import BadResponse, ConnectionBroken
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.accepted import Accepted
-from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.attempt_tools import AttemptPlan, AttemptTools
 from lagoonlever.gateway.copy_keeper import CopyKeeper
-from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.messages import AnswerHead, EngineReport, Hop, RunReport
 from lagoonlever.gateway.peers import PeerExchange
-from lagoonlever.gateway.prober import EngineProber
-from lagoonlever.gateway.replacement_finder import ReplacementFinder
-from lagoonlever.gateway.reporter import Reporter
-from lagoonlever.gateway.retry_budgets import RetryBudgets
-from lagoonlever.gateway.run_copier import RunCopier
-from lagoonlever.gateway.target_client import NotSent, TargetClient
+from lagoonlever.gateway.target_client import NotSent
 from lagoonlever.http.client import ClientConnection, Response
 from lagoonlever.http.sse import RawEvent, RawEventSplitter
 from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.platform.headers import read_answer, to_caller, to_target
-from lagoonlever.timers import TimerService
 
 log = logbook.Logger(__name__)
 
@@ -54,56 +44,6 @@
 """Pauses between events that are worth a word in the log."""
 
 
-@attrs.frozen(kw_only=True)
-class AttemptPlan:
-    """Where an attempt goes; ``copy_from`` is what it goes on from."""
-
-    engine: ListedTarget
-    run: BookedRun
-    copy_to: ListedTarget | None
-    copy_from: RunCopy | None
-    limits: EngineLimits
-    reason: str
-
-
-@attrs.define(kw_only=True, eq=False)
-class AttemptTools:
-    """What every attempt works with."""
-
-    beliefs: Beliefs
-    learner: Learner
-    timers: TimerService
-    client: TargetClient
-    prober: EngineProber
-    reporter: Reporter
-    budgets: RetryBudgets
-    replacements: ReplacementFinder
-    copier: RunCopier = attrs.field(factory=RunCopier)
-    watched: dict[str, set[StreamSilence]] = attrs.field(factory=dict)
-    """The open attempts by engine, to be looked at when the engine seems lost."""
-    losses: CorrelatedLoss = attrs.field(factory=CorrelatedLoss)
-
-    def engine_lost(self, engine: str) -> None:
-        """Have the open attempts on a lost engine ask it at once, or those of its whole place."""
-        target = self.beliefs.targets.find(engine)
-        together = target is not None and self.losses.lost(
-            engine, target.data_center, self.timers.now
-        )
-        for other in list(self.watched):
-            found = self.beliefs.targets.find(other) if together else None
-            beside = found is not None and target and found.data_center == target.data_center
-            if other == engine or beside:
-                self._suspect(other)
-
-    def engine_started_again(self, engine: str) -> None:
-        """Have the open attempts at an engine ask it at once: its process is another one."""
-        self._suspect(engine)
-
-    def _suspect(self, engine: str) -> None:
-        for silence in self.watched.get(engine, ()):
-            silence.suspect(self.timers.now)
-
-
 class _Ended(Exception):
     """The attempt ended before its answer was whole; the message says why."""
 
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import random
-
 import attrs
 import logbook
 import trio
 
 from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
 from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.mechanisms import MECHANISMS, gives
-from lagoonlever.decisions.prompt_admission import admits, come_back_s, most_share
 from lagoonlever.decisions.stream_life import (
     GiveUp,
     Place,
@@ -19,18 +15,19 @@
     StreamLife,
     WaitForEngine,
 )
-from lagoonlever.decisions.stream_time import least_time_s
 from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.gateway import events
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
+from lagoonlever.gateway.attempt_tools import AttemptPlan, AttemptTools
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.cache_locator import CacheLocator
 from lagoonlever.gateway.callers_leaving import cancel_when_gone
-from lagoonlever.gateway.messages import GenerationAsk
+from lagoonlever.gateway.messages import NO_ASK, GenerationAsk
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.reporter import Ending
-from lagoonlever.gateway.stream_attempt import AttemptPlan, AttemptTools, StreamAttempt
+from lagoonlever.gateway.stream_admission import StreamAdmission
+from lagoonlever.gateway.stream_attempt import StreamAttempt
 from lagoonlever.http.server import CallerGone
 from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.outcomes import NotRun, Reason, Unknown
@@ -42,13 +39,8 @@
 COME_BACK_S = 0.3
 BUDGET_RETRY_S = 0.1
 """While the budget of repeats is spent: the window slides, and each request adds to it."""
-NO_LIMITS = EngineLimits(slots=1_000, memory_tokens=1_000_000_000)
-"""For a service that has not said what its engines hold."""
 RESUMED_PROMPT_TOKENS = 200
 """What an engine reads of a run that goes on from a copy: what had not arrived yet."""
-LEAST_LEFT_S = 0.6
-"""A return with less has no time for a connection, a slot, and the events that it lacks."""
-NO_ASK = GenerationAsk(model="", prompt_tokens=0, output_tokens=0)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -59,7 +51,7 @@
     _beliefs: Beliefs
     _peers: PeerExchange
     _tools: AttemptTools
-    _rng: random.Random
+    _admission: StreamAdmission
     _locator: CacheLocator = attrs.field(factory=CacheLocator)
 
     async def serve(self, accepted: Accepted) -> None:
@@ -86,7 +78,7 @@
     def _ended_run(self, accepted: Accepted, life: StreamLife, *, whole: bool) -> RunEnded:
         """Give the end of a run, with the pace that its last engine has shown."""
         event_s = life.pace.event_s()
-        event_tokens = self._limits(accepted.service).event_tokens
+        event_tokens = self._beliefs.engine_limits(accepted.service).event_tokens
         return RunEnded(
             request=accepted.request_id,
             whole=whole,
@@ -144,14 +136,12 @@
             step = life.next_step()
             if isinstance(step, GiveUp):
                 return step
-            if not self._can_end(accepted, life, step):
-                return GiveUp(may_have_run=life.runs > 0, detail="it can't end in time")
+            refusal = self._admission.refusal(accepted, life, step)
+            if refusal is not None:
+                return refusal
             if isinstance(step, WaitForEngine):
                 await trio.sleep(step.seconds)
                 continue
-            refusal = self._refusal(accepted, life)
-            if refusal is not None:
-                return refusal
             if not self._may_send(accepted, life):
                 await trio.sleep(BUDGET_RETRY_S)
                 continue
@@ -163,41 +153,6 @@
             ).run()
         return None
 
-    def _refusal(self, accepted: Accepted, life: StreamLife) -> GiveUp | None:
-        """Refuse a new prompt while engines read so much that answers can't end in time."""
-        if life.sent or life.position:
-            return None
-        book, service = self._beliefs.book, accepted.service
-        load = book.reading_load(service, engines=len(self._serving(service)), now=self._now)
-        most = self._most_share(accepted)
-        if most is None or admits(load, most=most):
-            return None
-        events.PROMPT_REFUSED.log(
-            log,
-            request=accepted.request_id,
-            service=service,
-            share=round(load.share, 3),
-            most=round(most, 3),
-        )
-        return GiveUp(
-            may_have_run=False,
-            detail=f"engines read for {load.share:.0%} of their time already",
-            retry_after_s=come_back_s(self._rng),
-        )
-
-    def _most_share(self, accepted: Accepted) -> float | None:
-        """Give the part of the engines' time that may go into reading; None if not known."""
-        paces = self._beliefs.book.paces
-        making_s = paces.usual_making_s(accepted.service)
-        if making_s is None:
-            return None
-        return most_share(
-            making_s=making_s,
-            reading_s=paces.usual_reading_s(accepted.service),
-            allowed_s=accepted.deadline - accepted.arrived,
-            slowdown=paces.slowdown(accepted.service),
-        )
-
     def _may_send(self, accepted: Accepted, life: StreamLife) -> bool:
         """Tell whether an attempt is within the budget of repeats that all VMs share."""
         if not life.sent:
@@ -208,36 +163,11 @@
         events.REPEAT_WAITS.log(log, request=accepted.request_id, service=accepted.service)
         return False
 
-    @MECHANISMS.register(
-        "hopeless-refusal",
-        does="a stream that no engine could end in its caller's time is refused at once",
-        without="it is tried, and broken off when its time is over",
-        plain=gives(True),
-    )
-    def _can_end(
-        self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom | WaitForEngine
-    ) -> bool:
-        """Tell whether a stream could end in its time on an idle engine."""
-        ask = _ask(accepted)
-        cached = isinstance(step, ResumeFrom) or (isinstance(step, Place) and bool(step.prefer))
-        left_s = accepted.left_s(self._now)
-        if life.position and left_s < LEAST_LEFT_S:
-            return False
-        least_s = least_time_s(
-            pace=self._beliefs.book.paces.fastest(accepted.service),
-            prompt_tokens=ask.prompt_tokens,
-            output_tokens=ask.expected_tokens,
-            position=life.position or 0,
-            event_tokens=self._limits(accepted.service).event_tokens,
-            cached=cached,
-        )
-        return least_s <= left_s
-
     def _plan(
         self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom
     ) -> AttemptPlan | None:
         """Choose the engine of an attempt, and the engine that is to hold its copy."""
-        limits = self._limits(accepted.service)
+        limits = self._beliefs.engine_limits(accepted.service)
         ask = _ask(accepted)
         if isinstance(step, ResumeFrom):
             engine = self._copy_holder(step.copy)
@@ -312,11 +242,6 @@
     def _serving(self, service: str) -> list[ListedTarget]:
         return list(self._beliefs.targets.serving(service))
 
-    def _limits(self, service: str) -> EngineLimits:
-        configuration = self._beliefs.configuration.value
-        known = configuration.services.get(service) if configuration else None
-        return known.engine if known and known.engine else NO_LIMITS
-
     @property
     def _now(self) -> float:
         return self._tools.timers.now
