--- a/lagoonlever/decisions/engine_paces.py
+++ b/lagoonlever/decisions/engine_paces.py
@@ -13,7 +13,10 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import attrs
+import msgspec
 
 from lagoonlever.decisions.learnt_figure import LearntFigure
 from lagoonlever.decisions.mechanisms import MECHANISMS, gives
@@ -36,6 +39,9 @@
 crowded, and prompt tokens read in vain rose from 0.7% to 1.7% of the worth of a day of streams
 (three days each way, seven VMs, a crash of a data centre's engines every 6.5 s).
 """
+KEPT_APART = 1.3
+"""Figures that differ by less are not written anew: engines of a service differ as much."""
+Positive = Annotated[float, msgspec.Meta(gt=0.0)]
 SURELY = 0.7
 """Of what the fastest engine of a service takes: what no engine of it falls below.
 
@@ -53,6 +59,21 @@
     token_s: float
 
 
+@attrs.frozen(kw_only=True)
+class KeptPace:
+    """What is kept of a service's engines for VMs that start anew."""
+
+    prompt_token_s: Positive
+    token_s: Positive
+    reading_s: Positive
+    """Of a usual prompt."""
+
+    def differs(self, other: KeptPace) -> bool:
+        """Tell whether another one tells something else, beyond what always varies."""
+        pairs = zip(attrs.astuple(self), attrs.astuple(other), strict=True)
+        return any(max(mine, its) > KEPT_APART * min(mine, its) for mine, its in pairs)
+
+
 @attrs.define(kw_only=True)
 class _Learnt:
     """Of one engine, or of a service."""
@@ -127,6 +148,32 @@
         own = known.prompt_token_s.value
         return tokens * (own if own > APART * general else general)
 
+    def kept(self) -> dict[str, KeptPace]:
+        """Give what was seen of each service, to be kept."""
+        return {
+            service: KeptPace(
+                prompt_token_s=known.prompt_token_s.value,
+                token_s=known.token_s.value,
+                reading_s=self.usual_reading_s(service),
+            )
+            for service, known in self._services.items()
+            if not known.prompt_token_s.is_prior and not known.token_s.is_prior
+        }
+
+    def recall(self, service: str, kept: KeptPace, now: float) -> None:
+        """Take what was kept of a service, where nothing was seen yet.
+
+        Counts as a first observation: held within a bound around the prior, as anybody may
+        have written it.
+        """
+        known = self._service(service)
+        if not known.prompt_token_s.is_prior or not known.token_s.is_prior:
+            return
+        known.prompt_token_s.observe(kept.prompt_token_s, now)
+        known.token_s.observe(kept.token_s, now)
+        usual = self._readings.setdefault(service, LearntFigure(value=PRIOR_READING_S))
+        usual.observe(kept.reading_s, now)
+
     def inherit(self, service: str, former: str, successor: str) -> None:
         """Take what an engine has shown for another one at its address: the same machine."""
         known = self._engines.get((service, former))
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -142,6 +142,20 @@
     "Overload: with more prompts nobody's answer would end in time. The caller is told when to "
     "come back. Add engines, or look why those that there are read slowly.",
 )
+PACES_RECALLED = event(
+    1054,
+    "paces-recalled",
+    "info",
+    "What was learnt of engines before this start: {paces}, by revision {revision}.",
+    "Used until streams show the same or another thing.",
+)
+PACES_UNREADABLE = event(
+    1055,
+    "paces-unreadable",
+    "warning",
+    "What was kept of engines' speeds can't be read and is not used: {error}",
+    "Another program wrote there. It is written over once streams were seen.",
+)
 FELLOW_LISTED = event(
     1030,
     "fellow-listed",
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -21,6 +21,7 @@
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.metrics_page import MetricsPage
 from lagoonlever.gateway.once_calls import OnceCalls
+from lagoonlever.gateway.pace_keeper import PaceKeeper
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.presence import Presence
 from lagoonlever.gateway.prober import EngineProber
@@ -72,6 +73,7 @@
     replacements: ReplacementFinder = attrs.field(init=False)
     follower: StoreFollower = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
+    pace_keeper: PaceKeeper = attrs.field(init=False)
     client: TargetClient = attrs.field(factory=TargetClient, init=False)
     prober: EngineProber = attrs.field(factory=EngineProber, init=False)
     front: Front = attrs.field(init=False)
@@ -182,6 +184,16 @@
             rng=self.rng,
         )
 
+    @pace_keeper.default
+    def _make_pace_keeper(self) -> PaceKeeper:
+        return PaceKeeper(
+            store=self.store,
+            beliefs=self.beliefs,
+            roles=self.presence.roles,
+            timers=self.timers,
+            rng=self.rng,
+        )
+
     @front.default
     def _make_front(self) -> Front:
         runners = Runners(
@@ -266,6 +278,7 @@
             "replacements": self.replacements.run,
             "store follower": self.follower.run,
             "registration": self.registration.run,
+            "pace keeper": self.pace_keeper.run,
         }
 
     def reload(self, settings: GatewaySettings) -> None:
