--- a/lagoonlever/bench/stream_day_model.py
+++ b/lagoonlever/bench/stream_day_model.py
@@ -269,7 +269,6 @@
             service=SERVICE,
             prompt_tokens=to_read,
             memory_tokens=stream.most_memory,
-            output_tokens=stream.events * stream.event_tokens,
             part=stream.request,
             copy=copy,
         )
--- a/lagoonlever/decisions/booked_runs.py
+++ b/lagoonlever/decisions/booked_runs.py
@@ -36,8 +36,6 @@
     """What the engine has to read: little for a run that goes on from a copy."""
     memory_tokens: int
     """What the run needs at its longest."""
-    output_tokens: int = 0
-    """How long its answer is likely to become."""
     service: str = ""
     part: str | None = None
     """The id of the prompt's own part, by which a caller that returns is known."""
--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engine_book.py
@@ -2,8 +2,8 @@
 
 The load that is answered: prompts of several thousand tokens arrive at many VMs at
 once, each VM sees a few of them, and engines' own reports are old when they arrive.
-An engine reads one prompt after the other, a second each, and until then the runs
-beside it make tokens at an eighth of their pace. So VMs tell each other each placement,
+An engine reads one prompt after the other, and until then the runs beside it make tokens
+at a fraction of their pace. So VMs tell each other each placement,
 and a run goes where the fewest prompt tokens are still to be read, the fewest runs are
 slowed down, and where there is memory for its longest answer. After a loss several VMs
 choose within the same milliseconds and take the same engine: each looks once more when
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -202,7 +202,6 @@
             engine_started_ms=engine.started_ms,
             prompt_tokens=prompt_tokens,
             memory_tokens=ask.prompt_tokens + ask.output_tokens,
-            output_tokens=ask.expected_tokens,
             part=ask.own_part,
             copy=_growing_copy(accepted, copy_to) if copy_to else None,
         )
