--- a/lagoonlever/bench/stream_day_model.py
+++ b/lagoonlever/bench/stream_day_model.py
@@ -213,7 +213,7 @@
         most = most_share(
             making_s=making_s,
             reading_s=self._book.paces.usual_reading_s(SERVICE),
-            allowed_s=self._plan.deadline_s - (now - stream.asked_at),
+            allowed_s=self._plan.deadline_s,
             slowdown=self._book.paces.slowdown(SERVICE),
         )
         load = self._book.reading_load(SERVICE, engines=len(self._listed), now=now)
--- a/lagoonlever/gateway/stream_admission.py
+++ b/lagoonlever/gateway/stream_admission.py
@@ -95,7 +95,12 @@
         )
 
     def _most_share(self, accepted: Accepted) -> float | None:
-        """Give the part of the engines' time that may go into reading; None if not known."""
+        """Give the part of the engines' time that may go into reading; None if not known.
+
+        By the time that usual callers have. By what is left to this one, callers that came
+        back after a loss with five seconds were refused while engines read for a quarter of
+        their time.
+        """
         paces, service = self._beliefs.book.paces, accepted.service
         making_s = paces.usual_making_s(service)
         if making_s is None:
@@ -103,6 +108,6 @@
         return most_share(
             making_s=making_s,
             reading_s=paces.usual_reading_s(service),
-            allowed_s=accepted.deadline - accepted.arrived,
+            allowed_s=accepted.route.timeout_s,
             slowdown=paces.slowdown(service),
         )
--- a/lagoonlever/tests/prompt_admission_tests.py
+++ b/lagoonlever/tests/prompt_admission_tests.py
@@ -114,3 +114,29 @@
         assert returned.whole and returned.is_events("p2", 5, 10)
 
     run_site(story, vms=1)
+
+
+def test_a_caller_with_little_time_is_not_refused_for_a_usual_load() -> None:
+    """All VMs were lost, and callers come back with five seconds, before any event.
+
+    Engines read for a quarter of their time. The callers were refused as if that were too
+    much, and their answers would have come in time.
+    """
+
+    async def story(site: GatewaySite) -> None:
+        book = site.vms["vm-0"].daemon.parts.beliefs.book
+        now = site.vms["vm-0"].daemon.parts.timers.now
+        for _ in range(10):
+            for name in site.engines:
+                book.paces.read("engines", name, tokens=PROMPT, seconds=0.25, now=now)
+                book.paces.made("engines", name, token_s=0.004, now=now)
+            book.paces.answered("engines", tokens=1_000, now=now)
+        for number in range(LEAST_PROMPTS + 4):
+            book.begin(run(f"f{number}", "engine-0"), now)
+            book.end(f"f{number}", now, whole=False)
+        load = book.reading_load("engines", engines=len(site.engines), now=now)
+        assert load.prompts >= LEAST_PROMPTS and 0.2 < load.share < 0.3
+        got = await site.stream("p1", events=10, Deadline_Ms="4500")
+        assert got.status == 200 and got.whole and got.is_events("p1", 1, 10)
+
+    run_site(story, vms=1)
