--- a/lagoonlever/tests/pace_keeper_tests.py
+++ b/lagoonlever/tests/pace_keeper_tests.py
@@ -59,7 +59,7 @@
         for engine in site.engines.values():
             engine.prefill_tokens_per_s, engine.event_s = 2_500.0, 0.05
         first = await site.stream("p1", events=40, prompt_tokens=5000)
-        assert first.whole
+        assert first.status == 200 and first.whole
         await until(lambda: PACES_KEY in site.store.keys("lagoonlever/"))
         for vm in site.vms.values():
             vm.kill()
@@ -83,7 +83,7 @@
             vm.kill()
             await trio.sleep(0.05)
         got = await site.stream("p1", events=20, prompt_tokens=2000)
-        assert got.whole
+        assert got.status == 200 and got.whole
 
         def stored() -> object:
             for item in site.store._range(PACES_KEY):
@@ -103,7 +103,8 @@
 
     async def story(site: GatewaySite) -> None:
         for number in range(3):
-            assert (await site.stream(f"p{number}", events=20, prompt_tokens=2000)).whole
+            got = await site.stream(f"p{number}", events=20, prompt_tokens=2000)
+            assert got.status == 200 and got.whole
         await until(lambda: PACES_KEY in site.store.keys("lagoonlever/"))
         await trio.sleep(0.3)
         before = site.store.calls[TRANSACTION]
@@ -117,6 +118,7 @@
     async def story(site: GatewaySite) -> None:
         site.store.fault = StoreFault.REFUSING
         await site.wait_ready(await site.start_vm("vm-2"))
-        assert (await site.stream("p1", vm="vm-2", events=10)).whole
+        got = await site.stream("p1", vm="vm-2", events=10)
+        assert got.status == 200 and got.whole
 
     run_site(story)
