--- a/lagoonlever/gateway/daemon.py
+++ b/lagoonlever/gateway/daemon.py
@@ -21,6 +21,8 @@
 
 log = logbook.Logger(__name__)
 
+LONGEST_WAIT_S = 1.0
+"""Between two ticks of the timer service: nothing here asks it for pauses of the process."""
 STOP_CHECK_S = 0.1
 END_MARGIN_S = 0.7
 """Before the process would be killed: what is still open is closed by us, visibly broken."""
@@ -34,7 +36,7 @@
 
     _settings: GatewaySettings
     _rng: random.Random = attrs.field(factory=random.SystemRandom)
-    _timers: TimerService = attrs.field(factory=TimerService)
+    timers: TimerService = attrs.field(factory=lambda: TimerService(tick_s=LONGEST_WAIT_S))
     _http: ServerState = attrs.field(factory=ServerState)
     _sockets: Mapping[str, socket.socket] = attrs.field(factory=dict)
     """Sockets that listen already, by their addresses."""
@@ -77,7 +79,7 @@
             settings=settings,
             life=new_incarnation(settings.name, self._rng),
             rng=self._rng,
-            timers=self._timers,
+            timers=self.timers,
             stopping=self._stop.is_set,
             open_requests=lambda: self._http.open_exchanges,
         )
@@ -102,18 +104,18 @@
             nursery.cancel_scope.cancel()
 
     async def _leave(self, parts: GatewayParts) -> None:
-        began = self._timers.now
+        began = self.timers.now
         grace_s = self._settings.bounds.grace_s
         self._http.closing = True
         events.STOPPING.log(log, open=self._http.open_exchanges, grace_s=grace_s)
         parts.presence.say_now()
         await parts.registration.leave()
-        while self._timers.now - began < grace_s - END_MARGIN_S:
-            quiet = self._timers.now - began > QUIET_S
+        while self.timers.now - began < grace_s - END_MARGIN_S:
+            quiet = self.timers.now - began > QUIET_S
             if quiet and not self._http.open_exchanges:
                 break
             await trio.sleep(STOP_CHECK_S)
-        seconds = self._timers.now - began
+        seconds = self.timers.now - began
         events.STOPPED.log(log, seconds=seconds, open=self._http.open_exchanges)
 
     async def _open(self, address: Address) -> list[trio.SocketListener]:
--- a/lagoonlever/gateway/program.py
+++ b/lagoonlever/gateway/program.py
@@ -9,9 +9,11 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+import attrs
 import logbook
 import trio
 
+from lagoonlever.decisions.fellows import SAY_EVERY_S
 from lagoonlever.exceptions import FaultsError
 from lagoonlever.gateway import events
 from lagoonlever.gateway.daemon import GatewayDaemon
@@ -20,14 +22,18 @@
 from lagoonlever.logs import LogFormat, LogLevel, set_up_bounded_logs
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
 from lagoonlever.platform.settings_file import load_settings
+from lagoonlever.timers import Tick
 
 log = logbook.Logger(__name__)
 
 FAULTS = 1
 """The exit code of a process whose settings are wrong."""
-FLUSH_S = 0.25
-"""How often lines that wait for a slow reader are offered again."""
-LOOK_S = 1.0
+FLUSH_S = SAY_EVERY_S
+"""How often lines that wait for a slow reader are offered again.
+
+In step with what a VM says of itself, so that a VM at rest wakes up once for all of it.
+"""
+LOOK_S = 3 * SAY_EVERY_S
 """How often the settings file is looked at for a change."""
 
 
@@ -53,11 +59,15 @@
 
 
 async def _run(daemon: GatewayDaemon, file: Path, handler: BoundedHandler) -> None:
+    log_tender = LogTender(daemon=daemon, handler=handler)
+    file_watch = FileWatch(daemon=daemon, file=file)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_tend_log, daemon, handler)
         nursery.start_soon(_obey_signals, daemon, file)
-        nursery.start_soon(_watch_file, daemon, file)
-        await daemon.run()
+        with (
+            daemon.timers.subscribed(log_tender.on_tick, period_s=FLUSH_S),
+            daemon.timers.subscribed(file_watch.on_tick, period_s=LOOK_S),
+        ):
+            await daemon.run()
         nursery.cancel_scope.cancel()
 
 
@@ -70,27 +80,42 @@
                 daemon.stop()
 
 
-async def _tend_log(daemon: GatewayDaemon, handler: BoundedHandler) -> None:
-    """Write what waits for a slow reader, and tell how much was lost."""
-    told = 0
-    while True:
-        await trio.sleep(FLUSH_S)
-        handler.writer.flush()
-        if handler.lost > told and not handler.writer.waiting_bytes:
-            events.LOG_LINES_LOST.log(log, lines=handler.lost - told, total=handler.lost)
-            told = handler.lost
-            daemon.log_lines_lost(told)
-
-
-async def _watch_file(daemon: GatewayDaemon, file: Path) -> None:
-    """Reload settings that were changed without a signal."""
-    seen = _stamp(file)
-    while True:
-        await trio.sleep(LOOK_S)
-        stamp = _stamp(file)
-        if stamp != seen:
-            seen = stamp
-            _reload(daemon, file)
+@attrs.define(kw_only=True)
+class LogTender:
+    """Writes what waits for a slow reader of the log, and tells how much was lost."""
+
+    _daemon: GatewayDaemon
+    _handler: BoundedHandler
+    _told: int = 0
+
+    def on_tick(self, _: Tick) -> None:
+        """Offer waiting lines again."""
+        writer, lost = self._handler.writer, self._handler.lost
+        writer.flush()
+        if lost > self._told and not writer.waiting_bytes:
+            events.LOG_LINES_LOST.log(log, lines=lost - self._told, total=lost)
+            self._told = lost
+            self._daemon.log_lines_lost(lost)
+
+
+@attrs.define(kw_only=True)
+class FileWatch:
+    """Reloads settings that were changed without a signal."""
+
+    _daemon: GatewayDaemon
+    _file: Path
+    _seen: tuple[int, int] | None = attrs.field(init=False)
+
+    @_seen.default
+    def _now(self) -> tuple[int, int] | None:
+        return _stamp(self._file)
+
+    def on_tick(self, _: Tick) -> None:
+        """Look whether the file is another one now."""
+        stamp = _stamp(self._file)
+        if stamp != self._seen:
+            self._seen = stamp
+            _reload(self._daemon, self._file)
 
 
 def _reload(daemon: GatewayDaemon, file: Path) -> None:
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -38,7 +38,8 @@
 FIRST_RETRY_S = 0.1
 MOST_RETRY_S = 0.8
 """Refused calls are paid for too, and a change must be in force within 2 s."""
-EXPIRE_PERIOD_S = 0.2
+EXPIRE_PERIOD_S = 0.3
+"""As often as this VM says that it lives, so that it wakes up once for both."""
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/lagoonlever/timers.py
+++ b/lagoonlever/timers.py
@@ -14,6 +14,12 @@
 import trio
 
 TICK_S = 0.05
+"""The longest wait between two ticks by default: a pause is noticed this soon."""
+TOGETHER_S = 0.01
+"""Subscribers that are due within this time are told together.
+
+Each wake-up of a process costs it a turn of its event loop, some 0.1 ms.
+"""
 PAUSE_THRESHOLD_S = 1.0
 """A tick later than this by the monotonic clock was a pause, not a busy loop."""
 
@@ -38,13 +44,21 @@
 
 @attrs.define(kw_only=True)
 class TimerService:
-    """Tells subscribers the time, each at its own period; subscribers must not block."""
+    """Tells subscribers the time, each at its own period; subscribers must not block.
+
+    It wakes up when a subscriber is due, and after ``tick_s`` at the latest. A process that
+    asks for pauses keeps that short; one that doesn't sets it to its longest period.
+    """
 
     _clock: Callable[[], float] = attrs.field(default=trio.current_time)
     _tick_s: float = TICK_S
     _pause_threshold_s: float = PAUSE_THRESHOLD_S
     _last: float | None = None
+    _wait_s: float = 0.0
+    """From the last tick to the next one, as planned."""
     _subscriptions: list[_Subscription] = attrs.field(factory=list)
+    _joined: trio.Event = attrs.field(factory=trio.Event)
+    """Set when a subscriber comes, who may be due before the planned tick."""
 
     @property
     def now(self) -> float:
@@ -61,6 +75,7 @@
         """Call ``notify`` every ``period_s`` seconds, and at once after a pause."""
         subscription = _Subscription(period_s=period_s, due=self.now, notify=notify)
         self._subscriptions.append(subscription)
+        self._joined.set()
         try:
             yield
         finally:
@@ -74,7 +89,7 @@
         """
         if self._last is None:
             return 0.0
-        late = self.now - self._last - self._tick_s
+        late = self.now - self._last - self._wait_s
         return late if late > self._pause_threshold_s else 0.0
 
     def tick(self) -> None:
@@ -83,13 +98,21 @@
         now = self.now
         self._last = now
         for subscription in list(self._subscriptions):
-            if now < subscription.due and not paused_s:
+            if now + TOGETHER_S < subscription.due and not paused_s:
                 continue
             subscription.due = now + subscription.period_s
             subscription.notify(Tick(now=now, paused_s=paused_s))
+        self._wait_s = self._until_next(now)
 
     async def run(self) -> None:
         """Tick until cancelled."""
         while True:
+            self._joined = trio.Event()
             self.tick()
-            await trio.sleep(self._tick_s)
+            with trio.move_on_after(self._wait_s):
+                await self._joined.wait()
+
+    def _until_next(self, now: float) -> float:
+        """Give how long nobody is due, within the bounds of a tick."""
+        due = min((each.due for each in self._subscriptions), default=now + self._tick_s)
+        return min(self._tick_s, max(due - now, TOGETHER_S))
