--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engine_book.py
@@ -53,6 +53,9 @@
 MOVE_GAIN = 0.4
 """What a better place must save, in usual readings: leaving one costs a connection, and what
 it has read."""
+RESERVED_S = 1.0
+"""How long a place is kept for a run that another VM asked it for: it is sent within the time
+of a connection, or asks again."""
 LEAST_LEFT = 0.1
 """The part of a prompt that counts as unread until its run gives an event."""
 
@@ -65,6 +68,8 @@
     whole: bool = False
     beside_prompts: bool = False
     """Its engine had another prompt to read meanwhile."""
+    sent: bool = True
+    """False while it has only a place that was kept for it, and never reached an engine."""
 
 
 @attrs.frozen(kw_only=True)
@@ -99,7 +104,7 @@
     @property
     def open_runs(self) -> tuple[BookedRun, ...]:
         """Every run that is not known to have ended."""
-        return tuple(r.run for r in self._records.values() if r.ended_at is None)
+        return tuple(r.run for r in self._records.values() if r.ended_at is None and r.sent)
 
     def last_run_of(self, part: str) -> BookedRun | None:
         """Give the last run of a prompt's own part that did not end whole, or None."""
@@ -219,17 +224,29 @@
 
     def knows(self, request: str) -> bool:
         """Tell whether a request has been sent to any engine, as far as heard."""
-        return request in self._records
+        record = self._records.get(request)
+        return record is not None and record.sent
 
     def vm_of(self, request: str) -> str | None:
         """Give the VM that relays a run, or None for one that is not known."""
         record = self._records.get(request)
         return record.run.vm if record is not None else None
 
+    def reserve(self, run: BookedRun, now: float) -> None:
+        """Keep a place for a run that another VM is about to send.
+
+        Those who ask until its VM tells of it are not given the same place. It counts as no
+        request and as no repeat, and is forgotten if it is never sent.
+        """
+        sent = self.knows(run.request)
+        self._enter(run, now).sent = sent
+
     def begin(self, run: BookedRun, now: float) -> None:
         """Book a run; one that goes on elsewhere replaces what was booked before."""
         self._reading.given(run.service, tokens=run.prompt_tokens, now=now)
         self._enter(run, now)
+        if run.part is not None:
+            self._by_part[run.part] = run.request
 
     def learn(self, run: BookedRun, now: float) -> None:
         """Book a run that another VM tells of, unless its own VM has told more since.
@@ -238,6 +255,8 @@
         """
         if run.request not in self._records:
             self._enter(run, now)
+            if run.part is not None:
+                self._by_part[run.part] = run.request
 
     def copied(self, request: str, copy: RunCopy) -> bool:
         """Note a copy of a run; gives whether it is another one than was known.
@@ -308,7 +327,7 @@
     def expire(self, now: float) -> None:
         """Forget what ended so long ago that nothing of it can be cached any more."""
         for request, record in list(self._records.items()):
-            if record.ended_at is None or now - record.ended_at <= self._keep_s:
+            if not self._is_over(record, now):
                 continue
             del self._records[request]
             part = record.run.part
@@ -317,13 +336,19 @@
         self.avoidance.expire(now)
         self.paces.expire(now)
 
-    def _enter(self, run: BookedRun, now: float) -> None:
+    def _enter(self, run: BookedRun, now: float) -> _Record:
         record = _Record(run=run, since=now)
         for other in self._unread_at(run.engine):
-            record.beside_prompts = other.beside_prompts = True
+            if other.run.request != run.request:
+                record.beside_prompts = other.beside_prompts = True
         self._records[run.request] = record
-        if run.part is not None:
-            self._by_part[run.part] = run.request
+        return record
+
+    def _is_over(self, record: _Record, now: float) -> bool:
+        """Tell whether nothing of a run can be cached any more, or it was never sent."""
+        if not record.sent:
+            return now - record.since > RESERVED_S
+        return record.ended_at is not None and now - record.ended_at > self._keep_s
 
     def _unread_at(self, engine: str) -> list[_Record]:
         """Give the open runs at an engine whose prompts are not read yet."""
--- a/lagoonlever/decisions/news_paths.py
+++ b/lagoonlever/decisions/news_paths.py
@@ -9,9 +9,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
+from lagoonlever.decisions.booked_runs import BookedRun
 from lagoonlever.decisions.fellows import FellowState
+from lagoonlever.decisions.roles import Roles
 
 DIRECT_MOST = 120
 """Up to this many VMs each tells all others itself.
@@ -55,3 +57,36 @@
     if told_by is None or told_by.data_center == data_center:
         return ()
     return tuple(s for s in known if s.data_center == data_center and s.life.name != source)
+
+
+def book_holders(roles: Roles | None, *, own: str, present: int) -> tuple[str, ...]:
+    """Give the VMs to ask for a place, nearest first; none where this VM holds the book itself.
+
+    Up to ``DIRECT_MOST`` VMs every one hears of all runs. Beyond, the hubs do: each run told
+    to everyone took more of a VM's time than its own callers.
+    """
+    if roles is None or tells_directly(present) or roles.is_hub:
+        return ()
+    return tuple(hub for hub in roles.hubs if hub != own)
+
+
+def concerned_by_losses(
+    lost: Collection[str],
+    runs: Iterable[BookedRun],
+    *,
+    data_center_of: Callable[[str], str | None],
+) -> frozenset[str]:
+    """Give the VMs that are to hear of lost engines at once.
+
+    Those with a run in the data centre of a lost one, as its engines fail together, and
+    those whose run has its copy there, as it is to be copied anew.
+    """
+    places = {data_center_of(engine) for engine in lost} - {None}
+    return frozenset(
+        run.vm
+        for run in runs
+        if run.engine in lost
+        or run.copy_at in lost
+        or data_center_of(run.engine) in places
+        or (run.copy_at is not None and data_center_of(run.copy_at) in places)
+    )
--- /dev/null
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -0,0 +1,141 @@
+"""Turns the next step of a stream into an attempt: asks for a place and names what it needs."""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.run_placement import (
+    BudgetSpent,
+    NoEngine,
+    Overloaded,
+    Placed,
+    RunAsk,
+    RunOutcome,
+)
+from lagoonlever.decisions.stream_life import Place, ResumeFrom, StreamLife
+from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.gateway.accepted import Accepted
+from lagoonlever.gateway.attempt_tools import AttemptPlan
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.messages import NO_ASK, GenerationAsk
+from lagoonlever.gateway.placer import Placer
+from lagoonlever.timers import TimerService
+
+RESUMED_PROMPT_TOKENS = 200
+"""What an engine reads of a run that goes on from a copy: what had not arrived yet."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class AttemptPlanner:
+    """Plans attempts of the streams of one VM."""
+
+    _vm: str
+    _beliefs: Beliefs
+    _timers: TimerService
+    _placer: Placer
+
+    async def plan(
+        self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom
+    ) -> AttemptPlan | BudgetSpent | Overloaded | None:
+        """Give the attempt, or why there is none; None where the life has another step to try."""
+        outcome: RunOutcome = NoEngine()
+        if not isinstance(step, ResumeFrom) or self._holder_of(step.copy) is not None:
+            outcome = await self._placer.place(_run_ask(accepted, life, step))
+        if isinstance(outcome, BudgetSpent | Overloaded):
+            return outcome
+        found = self._beliefs.targets.find(outcome.engine) if isinstance(outcome, Placed) else None
+        if found is None or not isinstance(outcome, Placed):
+            _tell_no_place(life, step, outcome)
+            return None
+        return self._attempt(accepted, step, found, outcome)
+
+    def _attempt(
+        self,
+        accepted: Accepted,
+        step: Place | ResumeFrom,
+        engine: ListedTarget,
+        placed: Placed,
+    ) -> AttemptPlan:
+        ask = generation_ask(accepted)
+        copy_from = step.copy if isinstance(step, ResumeFrom) else None
+        is_read = copy_from is not None or (isinstance(step, Place) and engine.id == step.prefer)
+        copy_to = self._beliefs.targets.find(placed.copy_to) if placed.copy_to else None
+        run = BookedRun(
+            request=accepted.request_id,
+            vm=self._vm,
+            engine=engine.id,
+            service=accepted.service,
+            engine_started_ms=engine.started_ms,
+            prompt_tokens=RESUMED_PROMPT_TOKENS if is_read else ask.prompt_tokens,
+            memory_tokens=ask.prompt_tokens + ask.output_tokens,
+            part=ask.own_part,
+            copy=_growing_copy(accepted, copy_to) if copy_to else None,
+        )
+        expected = f"a first event is expected in {placed.expected_s:.2f} s"
+        return AttemptPlan(
+            engine=engine,
+            run=run,
+            copy_to=copy_to,
+            copy_from=copy_from,
+            limits=self._beliefs.engine_limits(accepted.service),
+            reason=f"copy {copy_from.name} is there" if copy_from else expected,
+        )
+
+    def _holder_of(self, copy: RunCopy) -> ListedTarget | None:
+        """Give the engine that holds a copy, if it takes work and still has it."""
+        targets = self._beliefs.targets
+        holder = targets.find(copy.holder)
+        if holder is None or not targets.takes_work(copy.holder):
+            return None
+        if copy.is_void(holder.id, holder.started_ms):
+            return None
+        if self._beliefs.book.avoidance.is_avoided(copy.holder, self._timers.now):
+            return None
+        return holder
+
+
+def generation_ask(accepted: Accepted) -> GenerationAsk:
+    """Give what a request asks of an engine; of one that says nothing, nothing."""
+    return accepted.caller.ask or NO_ASK
+
+
+def _run_ask(accepted: Accepted, life: StreamLife, step: Place | ResumeFrom) -> RunAsk:
+    ask = generation_ask(accepted)
+    is_new = not life.sent and not life.position
+    asked = RunAsk(
+        request=accepted.request_id,
+        service=accepted.service,
+        prompt_tokens=ask.prompt_tokens,
+        memory_tokens=ask.prompt_tokens + ask.output_tokens,
+        part=ask.own_part,
+        repeat=life.sent > 0,
+        copies=accepted.route.repeatable,
+        allowed_s=accepted.route.timeout_s if is_new else None,
+    )
+    if isinstance(step, ResumeFrom):
+        return attrs.evolve(asked, settled=step.copy.holder)
+    return attrs.evolve(
+        asked,
+        avoid=tuple(sorted(step.avoid)),
+        prefer=step.prefer,
+        crowd=step.after_loss or accepted.caller.last_event_id is not None,
+    )
+
+
+def _tell_no_place(life: StreamLife, step: Place | ResumeFrom, outcome: Placed | NoEngine) -> None:
+    if isinstance(step, ResumeFrom):
+        life.copy_unusable()
+    elif isinstance(outcome, Placed):
+        life.unreachable(outcome.engine, "it is not listed here")
+    else:
+        life.no_engine()
+
+
+def _growing_copy(accepted: Accepted, holder: ListedTarget) -> RunCopy:
+    return RunCopy(
+        holder=holder.id,
+        address=holder.address,
+        name=accepted.request_id,
+        holder_started_ms=holder.started_ms,
+    )
--- a/lagoonlever/gateway/copy_keeper.py
+++ b/lagoonlever/gateway/copy_keeper.py
@@ -12,9 +12,11 @@
 from lagoonlever.decisions.configuration import EngineLimits
 from lagoonlever.decisions.copy_keeping import CHECK_S, CopyKeeping
 from lagoonlever.decisions.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.run_placement import Placed, RunAsk
 from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.placer import Placer
 from lagoonlever.gateway.reporter import Reporter
 from lagoonlever.gateway.run_copier import RunCopier
 from lagoonlever.timers import TimerService
@@ -34,6 +36,7 @@
     _timers: TimerService
     _reporter: Reporter
     _copier: RunCopier
+    _placer: Placer
     _on_copied: Callable[[RunCopy], None]
     """Told of each copy that was made by a call."""
     flowing: bool = False
@@ -55,7 +58,7 @@
             usable = self._is_usable(keeping.holder)
             if not self.flowing or not keeping.due(self._timers.now, holder_usable=usable):
                 continue
-            to = self._new_holder(keeping.holder if usable else None)
+            to = await self._new_holder(keeping.holder if usable else None)
             copied = await self._copy_to(to)
             if isinstance(copied, str):
                 keeping.failed(self._timers.now)
@@ -100,15 +103,19 @@
             return False
         return not self._beliefs.book.avoidance.is_avoided(target.id, self._timers.now)
 
-    def _new_holder(self, present: str | None) -> ListedTarget | None:
+    async def _new_holder(self, present: str | None) -> ListedTarget | None:
         """Give the engine for a called copy: the present holder, which then gets what is new."""
         targets = self._beliefs.targets
         if present is not None:
             return targets.find(present)
-        return self._beliefs.book.place_copy(
-            targets.serving(self._engine.service),
-            limits=self._limits,
-            beside=self._engine,
+        ask = RunAsk(
+            request=self._request,
+            service=self._engine.service,
+            prompt_tokens=0,
             memory_tokens=self._run.memory_tokens,
-            now=self._timers.now,
+            settled=self._engine.id,
+            attempt=False,
         )
+        outcome = await self._placer.place(ask)
+        holder = outcome.copy_to if isinstance(outcome, Placed) else None
+        return targets.find(holder) if holder is not None else None
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -12,8 +12,10 @@
 from lagoonlever.decisions.engine_book import EngineBook
 from lagoonlever.decisions.fellows import FellowState, FellowTable
 from lagoonlever.decisions.hedging import Runners
+from lagoonlever.gateway.attempt_planner import AttemptPlanner
 from lagoonlever.gateway.attempt_tools import AttemptTools
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.cache_locator import CacheLocator
 from lagoonlever.gateway.call_exchange import CallExchange
 from lagoonlever.gateway.directory import Directory
 from lagoonlever.gateway.front import Front
@@ -23,6 +25,8 @@
 from lagoonlever.gateway.once_calls import OnceCalls
 from lagoonlever.gateway.pace_keeper import PaceKeeper
 from lagoonlever.gateway.peers import PeerExchange
+from lagoonlever.gateway.placement_desk import PlacementDesk
+from lagoonlever.gateway.placer import Placer
 from lagoonlever.gateway.presence import Presence
 from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.gateway.register import Register
@@ -70,6 +74,8 @@
     presence: Presence = attrs.field(init=False)
     knowledge: KnowledgeExchange = attrs.field(init=False)
     peers: PeerExchange = attrs.field(init=False)
+    placer: Placer = attrs.field(init=False)
+    placement_desk: PlacementDesk = attrs.field(init=False)
     replacements: ReplacementFinder = attrs.field(init=False)
     follower: StoreFollower = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
@@ -150,6 +156,24 @@
         self.presence.on_loss(peers.vm_lost)
         return peers
 
+    @placer.default
+    def _make_placer(self) -> Placer:
+        return Placer(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            budgets=self.budgets,
+            roles=self.presence.roles,
+            vm=self.settings.name,
+            locator=CacheLocator(),
+        )
+
+    @placement_desk.default
+    def _make_placement_desk(self) -> PlacementDesk:
+        return PlacementDesk(
+            bus=self.bus, beliefs=self.beliefs, timers=self.timers, placer=self.placer
+        )
+
     @replacements.default
     def _make_replacements(self) -> ReplacementFinder:
         return ReplacementFinder(
@@ -230,11 +254,17 @@
         self.learner.on_started_again(tools.engine_started_again)
         self.learner.on_started_again(runners.started_again)
         streams = Streams(
-            vm=self.settings.name,
             beliefs=self.beliefs,
             peers=self.peers,
             tools=tools,
             admission=StreamAdmission(beliefs=self.beliefs, timers=self.timers, rng=self.rng),
+            placer=self.placer,
+            planner=AttemptPlanner(
+                vm=self.settings.name,
+                beliefs=self.beliefs,
+                timers=self.timers,
+                placer=self.placer,
+            ),
         )
         return Front(
             beliefs=self.beliefs,
@@ -275,6 +305,8 @@
             "presence": self.presence.run,
             "knowledge": self.knowledge.run,
             "peers": self.peers.run,
+            "placer": self.placer.run,
+            "placement desk": self.placement_desk.run,
             "replacements": self.replacements.run,
             "store follower": self.follower.run,
             "registration": self.registration.run,
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -23,6 +23,7 @@
     RunFlows,
     RunList,
 )
+from lagoonlever.peers.messages_placement import BookAsk
 from lagoonlever.published import Published
 from lagoonlever.timers import TimerService
 
@@ -60,6 +61,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._relay.run)
             nursery.start_soon(self._receive_lists)
+            nursery.start_soon(self._receive_book_asks)
+            nursery.start_soon(self._ask_for_book)
             for message_class in (BookedRun, RunFlows, RunCopied, RunEnded, EngineLost):
                 nursery.start_soon(self._receive, message_class)
 
@@ -121,6 +124,31 @@
             for run in received.message.runs:
                 self._beliefs.book.learn(run, self._timers.now)
 
+    async def _receive_book_asks(self) -> None:
+        async for received in self._bus.subscribe(BookAsk):
+            self.greet(received.message.reply_to)
+
+    async def _ask_for_book(self) -> None:
+        """Ask the hubs for the open runs whenever this VM becomes one of them.
+
+        A hub's successor has heard of no run: callers whose VM died would find none to go
+        on from, and engines that are full would look idle.
+        """
+        was_hub = False
+        while True:
+            roles = self._roles.value
+            is_hub = roles is not None and roles.is_hub
+            if roles is not None and is_hub and not was_hub and not roles.mesh:
+                self._ask_hubs(roles)
+            was_hub = is_hub
+            await self._roles.wait_change()
+
+    def _ask_hubs(self, roles: Roles) -> None:
+        for hub in (*roles.hubs, *roles.other_hubs[:1]):
+            state = self._beliefs.fellows.find(hub)
+            if state is not None:
+                self._bus.send(state.bus, BookAsk(reply_to=self._bus.address))
+
     def _take(self, change: RunChange, source: str) -> None:
         """Take a change that another VM tells; this one's own come back from its hub."""
         book = self._beliefs.book
--- /dev/null
+++ b/lagoonlever/gateway/placer.py
@@ -0,0 +1,179 @@
+"""Finds a place for each attempt of a stream: by this VM's own book, or by a VM that holds it.
+
+A VM that holds the book (`lagoonlever/decisions/news_paths.py`) decides by itself. Another
+one asks a hub, then the next, and decides by what it knows itself when none answers in time:
+its own runs, and the engines that it found lost.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable, Iterator
+from typing import TypeVar
+
+import attrs
+import trio
+
+from lagoonlever.decisions.engine_paces import KeptPace
+from lagoonlever.decisions.news_paths import book_holders
+from lagoonlever.decisions.roles import Roles
+from lagoonlever.decisions.run_placement import PlacementView, RunAsk, RunOutcome, place_run
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.cache_locator import CacheLocator
+from lagoonlever.gateway.retry_budgets import RetryBudgets
+from lagoonlever.http.messages import Address
+from lagoonlever.peers.interface import Bus
+from lagoonlever.peers.messages_placement import (
+    FormerRunAsk,
+    FormerRunTold,
+    PlacementAsk,
+    PlacementTold,
+)
+from lagoonlever.published import Published
+from lagoonlever.timers import TimerService
+
+T = TypeVar("T")
+
+ANSWER_S = 0.05
+"""A hub answers within some milliseconds; one that takes longer is starting, busy or gone."""
+LOCATED_S = 0.25
+"""The same where it has to ask engines who keeps a prompt, which takes it up to 0.15 s."""
+PASSED_OVER_S = 1.0
+"""How long a hub that did not answer is not asked: by then VMs speak to another one."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Placer:
+    """Asks and decides; the answers of other VMs come by the bus."""
+
+    _bus: Bus
+    _beliefs: Beliefs
+    _timers: TimerService
+    _budgets: RetryBudgets
+    _roles: Published[Roles | None]
+    _vm: str
+    """This VM's name."""
+    _locator: CacheLocator
+    _numbers: Iterator[int] = attrs.field(factory=itertools.count)
+    _waiting: dict[int, trio.MemorySendChannel[object]] = attrs.field(factory=dict)
+    """Where the answer to each open question goes."""
+    _silent_until: dict[str, float] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Take the answers of other VMs until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive, PlacementTold)
+            nursery.start_soon(self._receive, FormerRunTold)
+
+    def holds_book(self) -> bool:
+        """Tell whether this VM hears of all runs, and so decides by itself."""
+        return not book_holders(self._roles.value, own=self._vm, present=self._present)
+
+    async def place(self, ask: RunAsk) -> RunOutcome:
+        """Decide where an attempt goes, or why it can't go now."""
+
+        def question(number: int) -> PlacementAsk:
+            return PlacementAsk(number=number, reply_to=self._bus.address, ask=ask)
+
+        told = await self._ask_holders(question, PlacementTold, timeout_s=ANSWER_S)
+        if told is None:
+            return place_run(ask, self.view(ask.service), self._timers.now)
+        self._recall(ask.service, told.pace)
+        return told.outcome
+
+    async def former_run(self, part: str, service: str, *, returning: bool) -> FormerRunTold:
+        """Find the last run of a prompt, or the engine that keeps it for a ``returning`` caller."""
+
+        def question(number: int) -> FormerRunAsk:
+            return FormerRunAsk(
+                number=number,
+                reply_to=self._bus.address,
+                service=service,
+                part=part,
+                returning=returning,
+            )
+
+        timeout_s = LOCATED_S if returning else ANSWER_S
+        told = await self._ask_holders(question, FormerRunTold, timeout_s=timeout_s)
+        return told or await self.former_run_here(0, part, service, returning=returning)
+
+    async def former_run_here(
+        self, number: int, part: str, service: str, *, returning: bool
+    ) -> FormerRunTold:
+        """Answer by this VM's own book, and by the engines themselves where it knows nothing.
+
+        A run that has given no event is none to go on from.
+        """
+        run = self._beliefs.book.last_run_of(part)
+        if run is not None and run.flowing:
+            return FormerRunTold(number=number, run=run)
+        if not returning:
+            return FormerRunTold(number=number)
+        engines = list(self._beliefs.targets.serving(service))
+        return FormerRunTold(number=number, kept_at=await self._locator.find(part, engines))
+
+    def view(self, service: str) -> PlacementView:
+        """Give what this VM's own decisions rest on.
+
+        The window counts the runs of all VMs where this one hears of them all. A VM that
+        does not, and finds no hub, keeps to its share.
+        """
+        alone = not self.holds_book()
+        return PlacementView(
+            book=self._beliefs.book,
+            window=self._budgets.of_runs(service),
+            targets=self._beliefs.targets,
+            limits=self._beliefs.engine_limits(service),
+            vms=self._beliefs.fellows.at_most(self._timers.now) if alone else 1,
+        )
+
+    @property
+    def _present(self) -> int:
+        return len(self._beliefs.fellows.present(self._timers.now))
+
+    async def _ask_holders(
+        self, question: Callable[[int], object], answer: type[T], *, timeout_s: float
+    ) -> T | None:
+        """Ask one holder of the book after the other; gives the first answer, or None."""
+        for hub in book_holders(self._roles.value, own=self._vm, present=self._present):
+            address = self._address_of(hub)
+            if address is None:
+                continue
+            told = await self._ask(address, question, answer, timeout_s=timeout_s)
+            if told is not None:
+                return told
+            self._silent_until[hub] = self._timers.now + PASSED_OVER_S
+        return None
+
+    async def _ask(
+        self, hub: Address, question: Callable[[int], object], answer: type[T], *, timeout_s: float
+    ) -> T | None:
+        number = next(self._numbers)
+        send, receive = trio.open_memory_channel[object](1)
+        self._waiting[number] = send
+        try:
+            self._bus.send(hub, question(number), ttl_s=timeout_s)
+            with trio.move_on_after(timeout_s):
+                told = await receive.receive()
+                return told if isinstance(told, answer) else None
+        finally:
+            self._waiting.pop(number, None)
+        return None
+
+    async def _receive(self, message_class: type[PlacementTold] | type[FormerRunTold]) -> None:
+        async for received in self._bus.subscribe(message_class):
+            waiting = self._waiting.pop(received.message.number, None)
+            if waiting is not None:
+                waiting.send_nowait(received.message)
+
+    def _address_of(self, hub: str) -> Address | None:
+        """Give where a hub listens, unless it was silent of late."""
+        if self._silent_until.get(hub, 0.0) > self._timers.now:
+            return None
+        state = self._beliefs.fellows.find(hub)
+        return state.bus if state is not None else None
+
+    def _recall(self, service: str, pace: KeptPace | None) -> None:
+        """Take what the hub knows of the engines, where this VM has seen no stream yet."""
+        if pace is not None:
+            self._beliefs.book.paces.recall(service, pace, self._timers.now)
--- a/lagoonlever/gateway/presence.py
+++ b/lagoonlever/gateway/presence.py
@@ -18,6 +18,7 @@
 from lagoonlever.decisions.digests import not_covered
 from lagoonlever.decisions.fellows import (
     HUB_SILENT_S,
+    KNOWN_AFTER_S,
     SAY_EVERY_S,
     SILENT_S,
     FellowState,
@@ -39,6 +40,8 @@
 """After a start, before this VM takes a role: until then it hardly knows the others."""
 ASK_EVERY_S = 1.0
 """Between two questions for VMs that a hub has heard: its news tells most of them anyway."""
+ASK_FELLOW_EVERY_S = 3.0
+"""Between two questions to fellows once a VM has had time to hear of all that live."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -67,6 +70,9 @@
     _rounds: int = 0
     _asked_at: float = float("-inf")
     _silent: set[str] = attrs.field(factory=set)
+    _asked_fellows: int = 0
+    """How many questions were put to fellows in turn."""
+    _asked_fellow_at: float = float("-inf")
 
     def on_greeting(self, notify: Callable[[Address], None]) -> None:
         """Have ``notify`` called with the bus of each VM that asks who is there."""
@@ -109,7 +115,11 @@
         self._passing.clear()
         self._told_by.clear()
         self._note_silent(tick.now)
-        self._ask_seeds(own)
+        present = self._beliefs.fellows.present(tick.now)
+        if not present:
+            self._ask_seeds(own)
+        elif roles.mesh:
+            self._ask_fellow(present, tick.now)
 
     def _roles_now(self, own: FellowState, now: float) -> Roles:
         watch = self._hub_watch
@@ -309,13 +319,28 @@
 
     def _ask_seeds(self, own: FellowState) -> None:
         """Make this VM known to the seeds until it knows somebody who lives."""
-        if self._beliefs.fellows.present(self._timers.now):
-            return
         for seed in self._seeds:
             if seed != own.bus:
                 self._bus.send(seed, own)
                 self._bus.send(seed, FellowAsk(reply_to=own.bus))
 
+    def _ask_fellow(self, present: tuple[FellowState, ...], now: float) -> None:
+        """Ask one VM after the other who is there, where nobody passes on who lives.
+
+        Two VMs that started together may each have asked a seed before it took in the word of
+        the other. No list that they got named the other one, and so neither spoke to it, for
+        as long as both lived: no caller was sent there, no run or loss told. A VM that heard a
+        few others of a large fleet first took them for all, and no hub heard of it for 1.8 s.
+        """
+        started = self._started if self._started is not None else now
+        every_s = 0.0 if now - started <= KNOWN_AFTER_S else ASK_FELLOW_EVERY_S
+        if now - self._asked_fellow_at < every_s:
+            return
+        fellow = present[self._asked_fellows % len(present)]
+        self._asked_fellows += 1
+        self._asked_fellow_at = now
+        self._bus.send(fellow.bus, FellowAsk(reply_to=self._bus.address))
+
     def _tell_lost(self, name: str) -> None:
         for notify in self._lost:
             notify(name)
--- a/lagoonlever/gateway/run_relay.py
+++ b/lagoonlever/gateway/run_relay.py
@@ -1,15 +1,15 @@
-"""Tells the other gateways what becomes of runs: directly, or in a very large fleet by hubs.
+"""Tells the other gateways what becomes of runs: all of them, or those that hold the book.
 
-The load that is answered: each run is told three times to every other VM, so messages
-grow with runs times VMs. At 300 VMs with 75 runs a second that is 67,000 a second. There
-a VM tells its hub; a hub gathers for 50 ms what its VMs and the other hubs tell, and
-sends that as one message to each VM of its data centre: 6,000 a second (worked out).
+The load that is answered: each run is told some five times, and told to every VM its cost
+grows with runs times VMs. So in a very large fleet only the hubs hear of runs
+(`lagoonlever/decisions/news_paths.py`): a VM tells its hub, which gathers for 10 ms what its
+VMs tell and passes it on to the other hubs, and VMs that place a run ask a hub
+(`lagoonlever/gateway/placer.py`). Of a lost engine a hub tells at once those of its data
+centre's VMs that it concerns.
 
-Late news costs worse placements, so smaller fleets tell directly
-(`lagoonlever/decisions/news_paths.py`). Measured once on 69 VMs: by hubs two fifths less
-processor time for messages and a third fewer bytes between data centres.
+Late news costs worse placements, so smaller fleets tell directly.
 
-What is told is soft state. A hub that dies takes the last 50 ms with it, which may cost
+What is told is soft state. A hub that dies takes the last 10 ms with it, which may cost
 a worse placement or a second reading of a prompt, never an answer.
 """
 
@@ -24,7 +24,7 @@
 from lagoonlever.codec import UnknownMessage
 from lagoonlever.decisions.booked_runs import BookedRun
 from lagoonlever.decisions.fellows import FellowState
-from lagoonlever.decisions.news_paths import tells_directly
+from lagoonlever.decisions.news_paths import concerned_by_losses, tells_directly
 from lagoonlever.decisions.roles import Roles
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
@@ -46,12 +46,16 @@
 
 log = logbook.Logger(__name__)
 
-GATHER_S = 0.05
-"""How long a hub gathers; lost engines are told at once, as streams wait for that."""
+GATHER_S = 0.01
+"""How long a hub gathers; lost engines are told at once, as streams wait for that.
+
+Each hub sends to one VM of each data centre, so this bounds its messages; longer, and two
+hubs more often give the same place.
+"""
 DIRECT_NEWS_S = 0.02
 """What other VMs place is known after this where they tell it themselves."""
-RELAYED_NEWS_S = 0.08
-"""The same by hubs: gathered once or twice for half of ``GATHER_S`` in the mean."""
+RELAYED_NEWS_S = 0.03
+"""The same among hubs: gathered twice, and carried to another data centre."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -67,7 +71,7 @@
     _take: Callable[[RunChange, str], None]
     """Takes a change that another VM tells, and that VM's name."""
     _near: list[RunChange] = attrs.field(factory=list)
-    """Gathered for the VMs of this data centre."""
+    """Gathered for the other hubs of this data centre."""
     _far: list[RunChange] = attrs.field(factory=list)
     """Gathered for hubs of the other data centres."""
     _gathered: trio.Event = attrs.field(factory=trio.Event)
@@ -80,7 +84,7 @@
             nursery.start_soon(self._tell_gathered)
 
     def tell(self, change: RunChange) -> None:
-        """Tell all other VMs of a change of this one."""
+        """Tell those that are to know of a change of this VM."""
         present = self._beliefs.fellows.present(self._timers.now)
         hub = None if tells_directly(len(present)) else self._hub()
         if hub is None:
@@ -111,11 +115,23 @@
                 self._take_news(news, received.sender.name)
 
     def _take_news(self, news: RunNews, source: str) -> None:
+        known = {lost.engine for lost in news.lost if self._is_known_lost(lost)}
         for change in news.changes:
             self._take(change, source)
         if news.stage is NewsStage.TELL:
             return
-        self._gather(list(news.changes), far=news.stage is NewsStage.GATHER)
+        told = [c for c in news.changes if not (isinstance(c, EngineLost) and c.engine in known)]
+        if told:
+            self._gather(told, far=news.stage is NewsStage.GATHER)
+
+    def _is_known_lost(self, lost: EngineLost) -> bool:
+        """Tell whether a hub has told of a loss already.
+
+        Each VM with a stream on an engine that crashes tells of it: told on each time, one
+        crash was some hundred messages to every VM.
+        """
+        avoidance = self._beliefs.book.avoidance
+        return not lost.replaced and avoidance.is_avoided(lost.engine, self._timers.now)
 
     def _gather(self, changes: list[RunChange], *, far: bool) -> None:
         self._near += changes
@@ -134,23 +150,46 @@
             near, self._near = self._near, []
             far, self._far = self._far, []
             present = self._beliefs.fellows.present(self._timers.now)
-            self._send(NewsStage.TELL, near, self._near_vms(present))
-            self._send(NewsStage.PASS_ON, far, self._far_hubs(present))
+            by_name = {state.life.name: state for state in present}
+            hubs = self._near_hubs(by_name)
+            self._send(NewsStage.TELL, near, hubs)
+            self._send(NewsStage.PASS_ON, far, self._far_hubs(by_name))
+            lost: list[RunChange] = [c for c in near if isinstance(c, EngineLost)]
+            self._send(NewsStage.TELL, lost, self._concerned(lost, by_name, hubs))
 
     def _send(self, stage: NewsStage, changes: list[RunChange], to: list[FellowState]) -> None:
         if changes and to:
             self._bus.send_to_all([state.bus for state in to], _packed(stage, changes))
 
-    def _near_vms(self, present: tuple[FellowState, ...]) -> list[FellowState]:
-        return [state for state in present if state.data_center == self._data_center]
-
-    def _far_hubs(self, present: tuple[FellowState, ...]) -> list[FellowState]:
+    def _near_hubs(self, present: dict[str, FellowState]) -> list[FellowState]:
+        """Give the other hubs of this data centre."""
+        roles = self._roles.value
+        names = roles.hubs if roles is not None else ()
+        return [present[name] for name in names if name in present]
+
+    def _concerned(
+        self, lost: list[RunChange], present: dict[str, FellowState], told: list[FellowState]
+    ) -> list[FellowState]:
+        """Give the VMs of this data centre that are to hear of lost engines, but for ``told``."""
+        engines = {change.engine for change in lost if isinstance(change, EngineLost)}
+        if not engines:
+            return []
+        names = concerned_by_losses(
+            engines, self._beliefs.book.open_runs, data_center_of=self._data_center_of
+        )
+        found = [present[name] for name in names if name in present]
+        return [s for s in found if s.data_center == self._data_center and s not in told]
+
+    def _data_center_of(self, engine: str) -> str | None:
+        target = self._beliefs.targets.find(engine)
+        return target.data_center if target is not None else None
+
+    def _far_hubs(self, present: dict[str, FellowState]) -> list[FellowState]:
         """Give one hub of each other data centre, the first that is not silent."""
         roles = self._roles.value
-        by_name = {state.life.name: state for state in present}
         chosen: dict[str, FellowState] = {}
         for name in roles.other_hubs if roles is not None else ():
-            state = by_name.get(name)
+            state = present.get(name)
             if state is not None:
                 chosen.setdefault(state.data_center, state)
         return list(chosen.values())
--- a/lagoonlever/gateway/stream_admission.py
+++ b/lagoonlever/gateway/stream_admission.py
@@ -8,7 +8,8 @@
 import logbook
 
 from lagoonlever.decisions.mechanisms import MECHANISMS, gives
-from lagoonlever.decisions.prompt_admission import admits, come_back_s, most_share
+from lagoonlever.decisions.prompt_admission import come_back_s
+from lagoonlever.decisions.run_placement import Overloaded
 from lagoonlever.decisions.stream_life import (
     GiveUp,
     Place,
@@ -43,9 +44,7 @@
         """Give why a step is not taken, or None where it is."""
         if not self._can_end(accepted, life, step):
             return GiveUp(may_have_run=life.runs > 0, detail="it can't end in time")
-        if isinstance(step, WaitForEngine) or life.sent or life.position:
-            return None
-        return self._overload(accepted)
+        return None
 
     @MECHANISMS.register(
         "hopeless-refusal",
@@ -72,42 +71,17 @@
         )
         return least_s <= left_s
 
-    def _overload(self, accepted: Accepted) -> GiveUp | None:
-        """Refuse a new prompt while engines read so much that answers can't end in time."""
-        service = accepted.service
-        load = self._beliefs.book.reading_load(
-            service, engines=len(self._beliefs.targets.serving(service)), now=self._timers.now
-        )
-        most = self._most_share(accepted)
-        if most is None or admits(load, most=most):
-            return None
+    def overloaded(self, accepted: Accepted, load: Overloaded) -> GiveUp:
+        """Give why a new prompt is refused while engines read for too much of their time."""
         events.PROMPT_REFUSED.log(
             log,
             request=accepted.request_id,
-            service=service,
+            service=accepted.service,
             share=round(load.share, 3),
-            most=round(most, 3),
+            most=round(load.most, 3),
         )
         return GiveUp(
             may_have_run=False,
             detail=f"engines read for {load.share:.0%} of their time already",
             retry_after_s=come_back_s(self._rng),
         )
-
-    def _most_share(self, accepted: Accepted) -> float | None:
-        """Give the part of the engines' time that may go into reading; None if not known.
-
-        By the time that usual callers have. By what is left to this one, callers that came
-        back after a loss with five seconds were refused while engines read for a quarter of
-        their time.
-        """
-        paces, service = self._beliefs.book.paces, accepted.service
-        making_s = paces.usual_making_s(service)
-        if making_s is None:
-            return None
-        return most_share(
-            making_s=making_s,
-            reading_s=paces.usual_reading_s(service),
-            allowed_s=accepted.route.timeout_s,
-            slowdown=paces.slowdown(service),
-        )
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -25,6 +25,7 @@
 from lagoonlever.gateway.copy_keeper import CopyKeeper
 from lagoonlever.gateway.messages import AnswerHead, EngineReport, Hop, RunReport
 from lagoonlever.gateway.peers import PeerExchange
+from lagoonlever.gateway.placer import Placer
 from lagoonlever.gateway.target_client import NotSent
 from lagoonlever.http.client import ClientConnection, Response
 from lagoonlever.http.sse import RawEvent, RawEventSplitter
@@ -66,6 +67,7 @@
     _plan: AttemptPlan
     _tools: AttemptTools
     _peers: PeerExchange
+    _placer: Placer
     _splitter: RawEventSplitter = attrs.field(factory=RawEventSplitter)
     _started: float = 0.0
     _flowing: bool = False
@@ -84,6 +86,7 @@
             timers=tools.timers,
             reporter=tools.reporter,
             copier=tools.copier,
+            placer=self._placer,
             on_copied=self._copied,
         )
 
--- /dev/null
+++ b/lagoonlever/tests/placement_fleet.py
@@ -0,0 +1,144 @@
+"""A fleet in memory whose VMs place runs: by their own books, or by asking those that hold one."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.configuration import Configuration, EngineLimits, TargetService
+from lagoonlever.decisions.run_placement import Placed, RunAsk
+from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.gateway.cache_locator import CacheLocator
+from lagoonlever.gateway.peers import PeerExchange
+from lagoonlever.gateway.placement_desk import PlacementDesk
+from lagoonlever.gateway.placer import Placer
+from lagoonlever.gateway.retry_budgets import RetryBudgets
+from lagoonlever.gateway.settings import RetryBudgetBounds
+from lagoonlever.http.messages import Address
+from lagoonlever.tests.local_fleet import PLACES, Fleet, FleetVm
+from lagoonlever.timers import TimerService
+
+SERVICE = "engines"
+LIMITS = EngineLimits(slots=6, memory_tokens=55_000, copies=True)
+PROMPT = 5_000
+MEMORY = 6_000
+
+
+@attrs.define(kw_only=True, eq=False)
+class PlacingVm:
+    """One VM's parts that place runs and tell of them."""
+
+    vm: FleetVm
+    placer: Placer
+    peers: PeerExchange
+    lost: list[str]
+    """Engines that it has heard to be lost."""
+
+    @property
+    def name(self) -> str:
+        return self.vm.state.life.name
+
+    @property
+    def is_hub(self) -> bool:
+        roles = self.vm.presence.roles.value
+        return roles is not None and roles.is_hub
+
+    def messages_received(self) -> int:
+        """Count what it was told and asked of runs, not of who lives."""
+        about_vms = {"gs", "gm", "gq", "gl"}
+        received = self.vm.bus.traffic.received
+        return sum(c.messages for tag, c in received.items() if tag not in about_vms)
+
+    async def place(self, request: str, **more: object) -> Placed:
+        """Place a run and tell of it, as a stream does once it is written."""
+        ask = RunAsk(request=request, service=SERVICE, prompt_tokens=PROMPT, memory_tokens=MEMORY)
+        outcome = await self.placer.place(attrs.evolve(ask, **more))
+        assert isinstance(outcome, Placed), outcome
+        self.peers.begin(self.booked(request, outcome))
+        return outcome
+
+    def booked(self, request: str, placed: Placed) -> BookedRun:
+        copy = None
+        if placed.copy_to is not None:
+            address = Address(host="10.2.0.1", port=1)
+            copy = RunCopy(holder=placed.copy_to, address=address, name=request)
+        return BookedRun(
+            request=request,
+            vm=self.name,
+            engine=placed.engine,
+            service=SERVICE,
+            prompt_tokens=PROMPT,
+            memory_tokens=MEMORY,
+            part=f"part-{request}",
+            copy=copy,
+        )
+
+
+def engines(count: int) -> list[ListedTarget]:
+    """Give so many engines, spread over the data centres of the fleet."""
+    return [
+        ListedTarget(
+            id=f"e-{number}",
+            service=SERVICE,
+            address=Address(host=f"10.1.0.{number}", port=80),
+            data_center=PLACES[number % len(PLACES)],
+            slots=LIMITS.slots,
+        )
+        for number in range(count)
+    ]
+
+
+def placing_fleet(fleet: Fleet, *, engine_count: int) -> dict[str, PlacingVm]:
+    """Start what places runs on each VM of a fleet that is settled."""
+    listed = engines(engine_count)
+    configuration = Configuration(
+        version=1,
+        services={
+            SERVICE: TargetService(
+                name=SERVICE, health_path="/health", max_connections=100, engine=LIMITS
+            )
+        },
+    )
+    made = {}
+    for name, vm in fleet.vms.items():
+        vm.beliefs.configuration.publish(configuration)
+        vm.beliefs.targets.read(listed, revision=1, now=0.0, store_back_at=None)
+        vm.beliefs.known.set()
+        made[name] = _placing_vm(fleet, vm)
+    return made
+
+
+def _placing_vm(fleet: Fleet, vm: FleetVm) -> PlacingVm:
+    name, timers = vm.state.life.name, TimerService()
+    budgets = RetryBudgets(bounds=RetryBudgetBounds())
+    peers = PeerExchange(
+        bus=vm.bus,
+        beliefs=vm.beliefs,
+        learner=vm.learner,
+        timers=timers,
+        budgets=budgets,
+        roles=vm.presence.roles,
+        vm=name,
+    )
+    lost: list[str] = []
+    peers.on_engine_lost(lost.append)
+    placer = Placer(
+        bus=vm.bus,
+        beliefs=vm.beliefs,
+        timers=timers,
+        budgets=budgets,
+        roles=vm.presence.roles,
+        vm=name,
+        locator=CacheLocator(),
+    )
+    desk = PlacementDesk(bus=vm.bus, beliefs=vm.beliefs, timers=timers, placer=placer)
+    for part in (peers.run, placer.run, desk.run):
+        fleet.nursery.start_soon(vm.run, part)
+    return PlacingVm(vm=vm, placer=placer, peers=peers, lost=lost)
+
+
+def chosen_at_random(seed: int, names: list[str], count: int) -> list[str]:
+    """Give some names, the same for each seed."""
+    return random.Random(seed).sample(sorted(names), count)
