Benchmark of what a fleet costs its VMs; roles from one look at who is present, hashes kept

Cause: by a profile of the new benchmark (lagoonlever bench fleet-cost) a round of presence at 195 VMs looked up who is present four times and hashed every name twice.

--- a/lagoonlever/tests/local_fleet.py
+++ b/lagoonlever/bench/local_fleet.py
@@ -12,6 +12,7 @@
 from lagoonlever.decisions.engine_book import EngineBook
 from lagoonlever.decisions.fellows import FellowState, FellowTable
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.daemon import LONGEST_WAIT_S
 from lagoonlever.gateway.knowledge import KnowledgeExchange
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.presence import Presence
@@ -35,6 +36,7 @@
     bus: LocalBus
     learner: Learner
     knowledge: KnowledgeExchange
+    timers: TimerService
     scopes: list[trio.CancelScope] = attrs.field(factory=list)
     """Of all that runs on it, also what a test has added."""
 
@@ -46,10 +48,12 @@
             await part()
 
     def sees(self, now: float) -> set[str]:
+        """Give the VMs that it would send callers to."""
         return {state.life.name for state in self.beliefs.fellows.offered(now)}
 
     @property
     def reads(self) -> bool:
+        """Whether it reads the store for others in its own view."""
         roles = self.presence.roles.value
         return roles is not None and roles.reads_store
 
@@ -65,6 +69,7 @@
 
     @property
     def seeds(self) -> tuple[Address, ...]:
+        """Where the first VMs listen, which others ask at their start."""
         return tuple(Address(host=f"10.0.0.{number}", port=1) for number in range(3))
 
     def start(self, name: str, *, wide: bool = False) -> FleetVm:
@@ -84,7 +89,7 @@
         book = EngineBook(rng=rng, data_center=state.data_center)
         beliefs = Beliefs(fellows=FellowTable(own=life), book=book)
         bus = LocalBus(own=life, address=address, network=self.network)
-        timers = TimerService()
+        timers = TimerService(tick_s=LONGEST_WAIT_S)
         presence = Presence(
             bus=bus,
             beliefs=beliefs,
@@ -110,6 +115,7 @@
             bus=bus,
             learner=learner,
             knowledge=knowledge,
+            timers=timers,
         )
         self.vms[name] = vm
         for part in (timers.run, presence.run, knowledge.run):
@@ -131,10 +137,12 @@
                 self.network.cut(self.vms[name].state.bus, other.state.bus)
 
     def all_see_all(self) -> bool:
+        """Tell whether every VM sees every other."""
         now = trio.current_time()
         return all(vm.sees(now) == set(self.vms) - {name} for name, vm in self.vms.items())
 
     def unseen(self) -> dict[str, set[str]]:
+        """Give whom each VM does not see, for those that miss somebody."""
         now = trio.current_time()
         return {
             name: missing
@@ -143,10 +151,13 @@
         }
 
     def readers(self) -> set[str]:
+        """Give the VMs that read the store."""
         return {name for name, vm in self.vms.items() if vm.reads}
 
 
 def run_fleet(story: Callable[[Fleet], Awaitable[None]]) -> None:
+    """Run a story on a fleet in virtual time."""
+
     async def main() -> None:
         async with trio.open_nursery() as nursery:
             await story(Fleet(nursery=nursery))
@@ -156,13 +167,6 @@
 
 
 def start_many(fleet: Fleet, count: int, *, wide: int = 6) -> None:
+    """Start so many VMs at once, the first ``wide`` of them on wide links."""
     for number in range(count):
         fleet.start(f"vm-{number}", wide=number < wide)
-
-
-async def settled(fleet: Fleet, *, within_s: float) -> None:
-    """Wait until every VM sees every other, which must be so in time."""
-    begun = trio.current_time()
-    while not fleet.all_see_all():
-        assert trio.current_time() - begun < within_s, fleet.unseen()
-        await trio.sleep(0.1)
--- a/lagoonlever/tests/placement_fleet.py
+++ b/lagoonlever/bench/placing_fleet.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from lagoonlever.bench.local_fleet import PLACES, Fleet, FleetVm
 from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
 from lagoonlever.decisions.configuration import Configuration, EngineLimits, TargetService
 from lagoonlever.decisions.run_placement import Placed, RunAsk
@@ -17,8 +18,6 @@
 from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.gateway.settings import RetryBudgetBounds
 from lagoonlever.http.messages import Address
-from lagoonlever.tests.local_fleet import PLACES, Fleet, FleetVm
-from lagoonlever.timers import TimerService
 
 SERVICE = "engines"
 LIMITS = EngineLimits(slots=6, memory_tokens=55_000, copies=True)
@@ -38,10 +37,12 @@
 
     @property
     def name(self) -> str:
+        """Its VM's name."""
         return self.vm.state.life.name
 
     @property
     def is_hub(self) -> bool:
+        """Whether it has the role in its own view."""
         roles = self.vm.presence.roles.value
         return roles is not None and roles.is_hub
 
@@ -51,15 +52,24 @@
         received = self.vm.bus.traffic.received
         return sum(c.messages for tag, c in received.items() if tag not in about_vms)
 
-    async def place(self, request: str, **more: object) -> Placed:
+    async def place(self, request: str, *, after_loss: bool = False) -> Placed:
         """Place a run and tell of it, as a stream does once it is written."""
-        ask = RunAsk(request=request, service=SERVICE, prompt_tokens=PROMPT, memory_tokens=MEMORY)
-        outcome = await self.placer.place(attrs.evolve(ask, **more))
-        assert isinstance(outcome, Placed), outcome
+        ask = RunAsk(
+            request=request,
+            service=SERVICE,
+            prompt_tokens=PROMPT,
+            memory_tokens=MEMORY,
+            crowd=after_loss,
+            repeat=after_loss,
+        )
+        outcome = await self.placer.place(ask)
+        if not isinstance(outcome, Placed):
+            raise RuntimeError(f"{request} got no place: {outcome}")
         self.peers.begin(self.booked(request, outcome))
         return outcome
 
     def booked(self, request: str, placed: Placed) -> BookedRun:
+        """Give a run as its VM tells of it."""
         copy = None
         if placed.copy_to is not None:
             address = Address(host="10.2.0.1", port=1)
@@ -111,7 +121,7 @@
 
 
 def _placing_vm(fleet: Fleet, vm: FleetVm) -> PlacingVm:
-    name, timers = vm.state.life.name, TimerService()
+    name, timers = vm.state.life.name, vm.timers
     budgets = RetryBudgets(bounds=RetryBudgetBounds())
     peers = PeerExchange(
         bus=vm.bus,
@@ -134,7 +144,7 @@
         locator=CacheLocator(),
     )
     desk = PlacementDesk(bus=vm.bus, beliefs=vm.beliefs, timers=timers, placer=placer)
-    for part in (timers.run, peers.run, placer.run, desk.run):
+    for part in (peers.run, placer.run, desk.run):
         fleet.nursery.start_soon(vm.run, part)
     return PlacingVm(vm=vm, placer=placer, peers=peers, lost=lost)
 
--- a/lagoonlever/decisions/fellows.py
+++ b/lagoonlever/decisions/fellows.py
@@ -163,11 +163,6 @@
         if known is None or known.state.life < state.life:
             self._put(_Fellow(state=state, known_at=now))
 
-    def is_silent(self, name: str, now: float) -> bool:
-        """Tell whether a VM has said nothing for too long."""
-        fellow = self._fellows.get(name)
-        return fellow is not None and self._is_silent(fellow, now)
-
     def offered(self, now: float) -> tuple[FellowState, ...]:
         """Give the VMs that callers may be sent to."""
         return tuple(
--- a/lagoonlever/gateway/presence.py
+++ b/lagoonlever/gateway/presence.py
@@ -107,7 +107,7 @@
     def say_now(self) -> None:
         """Tell of this VM at once, as when it begins to leave: every fellow, or the hubs."""
         state, now = self._own_state(), self._timers.now
-        roles = self._roles_now(state, now)
+        roles = self._roles_now(state, now, self._present(now))
         if not roles.mesh:
             self._send_to(roles.hubs, state)
             return
@@ -115,8 +115,8 @@
         self._bus.send_to_all((fellow.bus for fellow in present), state)
 
     def _round(self, tick: Tick) -> None:
-        own = self._own_state()
-        roles = self._roles_now(own, tick.now)
+        own, present = self._own_state(), self._present(tick.now)
+        roles = self._roles_now(own, tick.now, present)
         self._watch_hubs(roles, tick.now)
         self._take_roles(roles, tick.now)
         self._say(own, roles, tick.now)
@@ -126,21 +126,25 @@
         self._passing.clear()
         self._told_by.clear()
         self._spoke.clear()
-        self._note_silent(tick.now)
-        present = self._present(tick.now)
+        self._note_silent(present)
         if not present:
             self._ask_seeds(own)
         elif roles.mesh:
             self._ask_fellow(present, tick.now)
 
     def _roles_now(
-        self, own: FellowState, now: float, *, without: frozenset[str] = frozenset()
+        self,
+        own: FellowState,
+        now: float,
+        present: tuple[FellowState, ...],
+        *,
+        without: frozenset[str] = frozenset(),
     ) -> Roles:
         """Work out the roles; ``without`` names hubs that are left out for a moment."""
         watch = self._hub_watch
         return roles_of(
             own,
-            self._present(now),
+            present,
             failed=watch.failed(now) | without,
             isolated=watch.is_isolated(now),
         )
@@ -183,7 +187,7 @@
         if doubtful:
             # Both hubs may have died together: whoever would follow them is spoken to before
             # they are given up, else the VMs here hear of nobody for too long.
-            others = self._roles_now(own, now, without=doubtful).hubs
+            others = self._roles_now(own, now, self._present(now), without=doubtful).hubs
             hubs = tuple(dict.fromkeys((*roles.hubs, *others)))
         if self._hub_watch.is_isolated(now):
             # This VM may have been cut off, and passes over hubs that were there all along.
@@ -324,7 +328,7 @@
         """
         own, now = self._own_state(), self._timers.now
         fellows = self._beliefs.fellows
-        roles = self._roles_now(own, now)
+        roles = self._roles_now(own, now, self._present(now))
         told: tuple[FellowState, ...] = fellows.states
         if not roles.mesh and not self._speakers(own, now):
             names = (*roles.hubs, *roles.other_hubs)
@@ -345,12 +349,12 @@
         for state in known.fellows:
             fellows.registered(state, now)
         if new:
-            self._say(own, self._roles_now(own, now), now)
+            self._say(own, self._roles_now(own, now, self._present(now)), now)
 
-    def _note_silent(self, now: float) -> None:
+    def _note_silent(self, present: tuple[FellowState, ...]) -> None:
         """Log who fell silent or came back, and tell those who counted on the silent ones."""
-        fellows = self._beliefs.fellows
-        silent = {s.life.name for s in fellows.states if fellows.is_silent(s.life.name, now)}
+        known = {state.life.name for state in self._beliefs.fellows.states}
+        silent = known - {state.life.name for state in present}
         for name in silent - self._silent:
             events.FELLOW_SILENT.log(log, vm=name)
             self._tell_lost(name)
--- a/lagoonlever/peers/local_bus.py
+++ b/lagoonlever/peers/local_bus.py
@@ -89,14 +89,19 @@
         ttl_s: float = DEFAULT_TTL_S,
     ) -> None:
         """Send without waiting; the message is encoded as on the real bus."""
-        data = PEER.encode(message)
-        self.traffic.count_sent(PEER.tag_of(message), len(data))
-        self._network.carry(sender=self, to=to, data=data, expected=expected)
+        self._carry((to,), message, expected=expected)
 
     def send_to_all(self, addresses: Iterable[Address], message: object) -> None:
-        """Send one message to many VMs without waiting."""
-        for address in addresses:
-            self.send(address, message)
+        """Send one message to many VMs without waiting, encoded once."""
+        self._carry(addresses, message)
+
+    def _carry(
+        self, addresses: Iterable[Address], message: object, *, expected: Incarnation | None = None
+    ) -> None:
+        tag, data = PEER.tag_of(message), PEER.encode(message)
+        for to in addresses:
+            self.traffic.count_sent(tag, len(data))
+            self._network.carry(sender=self, to=to, data=data, expected=expected)
 
     def subscribe(
         self, message_class: type[T], *, capacity: int = DEFAULT_CAPACITY
--- a/lagoonlever/tests/gateway_knowledge_tests.py
+++ b/lagoonlever/tests/gateway_knowledge_tests.py
@@ -7,13 +7,13 @@
 import pytest
 import trio
 
+from lagoonlever.bench.local_fleet import Fleet, run_fleet, start_many
 from lagoonlever.decisions.news_paths import DIRECT_MOST
 from lagoonlever.decisions.target_registry import ListedTarget, TargetChange
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.messages import PEER
 from lagoonlever.peers.messages_gateway import ConfigurationNews, TargetNews
 from lagoonlever.tests.gateway_site import configuration
-from lagoonlever.tests.local_fleet import Fleet, run_fleet, start_many
 
 VERY_LARGE = DIRECT_MOST + 12
 FIRST_REVISION = 10
--- a/lagoonlever/tests/gateway_presence_tests.py
+++ b/lagoonlever/tests/gateway_presence_tests.py
@@ -8,6 +8,14 @@
 import pytest
 import trio
 
+from lagoonlever.bench.local_fleet import (
+    PLACES,
+    WIDE_MBPS,
+    Fleet,
+    FleetVm,
+    run_fleet,
+    start_many,
+)
 from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
 from lagoonlever.decisions.news_paths import DIRECT_MOST
 from lagoonlever.decisions.target_registry import ListedTarget
@@ -25,20 +33,19 @@
     RunEnded,
 )
 from lagoonlever.peers.traffic import Count
-from lagoonlever.tests.local_fleet import (
-    PLACES,
-    WIDE_MBPS,
-    Fleet,
-    FleetVm,
-    run_fleet,
-    settled,
-    start_many,
-)
 from lagoonlever.timers import TimerService
 
 DIGEST_TAG = PEER.tag_of(FellowDigests(digests=()))
 
 
+async def settled(fleet: Fleet, *, within_s: float) -> None:
+    """Wait until every VM sees every other, which must be so in time."""
+    begun = trio.current_time()
+    while not fleet.all_see_all():
+        assert trio.current_time() - begun < within_s, fleet.unseen()
+        await trio.sleep(0.1)
+
+
 def test_a_large_fleet_that_starts_at_once_finds_itself_and_stays_found() -> None:
     """69 VMs start together, as after a loss of all of them; only three are seeds.
 
--- a/lagoonlever/tests/placer_tests.py
+++ b/lagoonlever/tests/placer_tests.py
@@ -8,12 +8,8 @@
 import pytest
 import trio
 
-from lagoonlever.decisions.run_placement import BudgetSpent, Placed, RunAsk
-from lagoonlever.gateway.placer import ANSWER_S
-from lagoonlever.peers.messages import PEER
-from lagoonlever.peers.messages_gateway import RunEnded, RunList
-from lagoonlever.tests.local_fleet import PLACES, Fleet, run_fleet, start_many
-from lagoonlever.tests.placement_fleet import (
+from lagoonlever.bench.local_fleet import PLACES, Fleet, run_fleet, start_many
+from lagoonlever.bench.placing_fleet import (
     MEMORY,
     PROMPT,
     SERVICE,
@@ -21,6 +17,10 @@
     chosen_at_random,
     placing_fleet,
 )
+from lagoonlever.decisions.run_placement import BudgetSpent, Placed, RunAsk
+from lagoonlever.gateway.placer import ANSWER_S
+from lagoonlever.peers.messages import PEER
+from lagoonlever.peers.messages_gateway import RunEnded, RunList
 
 SMALL, LARGE = 9, 195
 ENGINES = 60
@@ -64,7 +64,7 @@
         async def place(number: int) -> None:
             await trio.sleep(number * 0.00025)
             vm = placing[names[(number * 7 + seed) % len(names)]]
-            chosen.append((await vm.place(f"r-{number}", repeat=True, crowd=True)).engine)
+            chosen.append((await vm.place(f"r-{number}", after_loss=True)).engine)
 
         async with trio.open_nursery() as nursery:
             for number in range(40):
