--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engine_book.py
@@ -31,6 +31,7 @@
 from lagoonlever.decisions.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.prompt_admission import ReadingLoad
 from lagoonlever.decisions.reading_window import ReadingWindow
+from lagoonlever.decisions.run_records import RunRecord, RunRecords
 from lagoonlever.decisions.target_registry import ListedTarget
 
 CROWD = 0.3
@@ -53,25 +54,10 @@
 MOVE_GAIN = 0.4
 """What a better place must save, in usual readings: leaving one costs a connection, and what
 it has read."""
-RESERVED_S = 1.0
-"""How long a place is kept for a run that another VM asked it for: it is sent within the time
-of a connection, or asks again."""
 LEAST_LEFT = 0.1
 """The part of a prompt that counts as unread until its run gives an event."""
 
 
-@attrs.define(kw_only=True)
-class _Record:
-    run: BookedRun
-    since: float
-    ended_at: float | None = None
-    whole: bool = False
-    beside_prompts: bool = False
-    """Its engine had another prompt to read meanwhile."""
-    sent: bool = True
-    """False while it has only a place that was kept for it, and never reached an engine."""
-
-
 @attrs.frozen(kw_only=True)
 class Placement:
     """Where a run goes, the wait expected there until its first event, and why."""
@@ -95,20 +81,23 @@
     _copies_most: float = COPIES_MOST
     _keep_s: float = 10.0
     """How long an ended run is remembered: as long as its prompt may still be cached."""
-    _records: dict[str, _Record] = attrs.field(factory=dict)
-    _by_part: dict[str, str] = attrs.field(factory=dict)
+    _records: RunRecords = attrs.field(init=False)
     _reading: ReadingWindow = attrs.field(factory=ReadingWindow)
     avoidance: EngineAvoidance = attrs.field(factory=EngineAvoidance)
     paces: EnginePaces = attrs.field(factory=EnginePaces)
 
+    @_records.default
+    def _make_records(self) -> RunRecords:
+        return RunRecords(keep_s=self._keep_s)
+
     @property
     def open_runs(self) -> tuple[BookedRun, ...]:
         """Every run that is not known to have ended."""
-        return tuple(r.run for r in self._records.values() if r.ended_at is None and r.sent)
+        return tuple(r.run for r in self._records if r.ended_at is None and r.sent)
 
     def last_run_of(self, part: str) -> BookedRun | None:
         """Give the last run of a prompt's own part that did not end whole, or None."""
-        record = self._records.get(self._by_part.get(part, ""))
+        record = self._records.last_of(part)
         if record is None or record.whole:
             return None
         return record.run
@@ -199,7 +188,7 @@
         Of the prompts that came together the first by request stays: each VM works out
         the same order, so that one of them stays and the others go.
         """
-        record = self._records.get(request)
+        record = self._records.find(request)
         if record is None or record.run.flowing:
             return False
         others = [
@@ -224,12 +213,12 @@
 
     def knows(self, request: str) -> bool:
         """Tell whether a request has been sent to any engine, as far as heard."""
-        record = self._records.get(request)
+        record = self._records.find(request)
         return record is not None and record.sent
 
     def vm_of(self, request: str) -> str | None:
         """Give the VM that relays a run, or None for one that is not known."""
-        record = self._records.get(request)
+        record = self._records.find(request)
         return record.run.vm if record is not None else None
 
     def reserve(self, run: BookedRun, now: float) -> None:
@@ -238,32 +227,27 @@
         Those who ask until its VM tells of it are not given the same place. It counts as no
         request and as no repeat, and is forgotten if it is never sent.
         """
-        sent = self.knows(run.request)
-        self._enter(run, now).sent = sent
+        self._records.reserve(run, now)
 
     def begin(self, run: BookedRun, now: float) -> None:
         """Book a run; one that goes on elsewhere replaces what was booked before."""
         self._reading.given(run.service, tokens=run.prompt_tokens, now=now)
-        self._enter(run, now)
-        if run.part is not None:
-            self._by_part[run.part] = run.request
+        self._records.enter(run, now)
 
     def learn(self, run: BookedRun, now: float) -> None:
         """Book a run that another VM tells of, unless its own VM has told more since.
 
         It began before, so it is no prompt that engines are given now.
         """
-        if run.request not in self._records:
-            self._enter(run, now)
-            if run.part is not None:
-                self._by_part[run.part] = run.request
+        if self._records.find(run.request) is None:
+            self._records.enter(run, now)
 
     def copied(self, request: str, copy: RunCopy) -> bool:
         """Note a copy of a run; gives whether it is another one than was known.
 
         A copy that was only refreshed goes by the same name, and is no news to anybody.
         """
-        record = self._records.get(request)
+        record = self._records.find(request)
         if record is None or record.run.copy == copy:
             return False
         record.run = attrs.evolve(record.run, copy=copy)
@@ -271,7 +255,7 @@
 
     def flows(self, request: str, now: float) -> None:
         """Note that a run has given its first event: its prompt is read."""
-        record = self._records.get(request)
+        record = self._records.find(request)
         if record is None or record.run.flowing:
             return
         run = record.run
@@ -293,7 +277,7 @@
         tokens: int = 0,
     ) -> None:
         """Note the end of a run, and the pace that its engine showed."""
-        record = self._records.get(request)
+        record = self._records.find(request)
         if record is None or record.ended_at is not None:
             return
         record.ended_at = now
@@ -306,7 +290,7 @@
 
     def vm_lost(self, vm: str, now: float) -> None:
         """Note that a VM is gone: engines drop its runs as its connections close."""
-        for record in self._records.values():
+        for record in self._records:
             if record.run.vm == vm and record.ended_at is None:
                 record.ended_at = now
 
@@ -315,9 +299,7 @@
 
         Their ends would never be heard: engines that were busy once would look busy for good.
         """
-        for request, record in list(self._records.items()):
-            if record.run.vm != vm:
-                self._forget(request, record)
+        self._records.forget_others(vm)
 
     def started_again(self, engine: str, started_ms: int, now: float) -> None:
         """Note that another process has an engine's id: it holds nothing of before.
@@ -326,7 +308,7 @@
         to the new process is kept, as its VM knew the start.
         """
         self.avoidance.started_again(engine)
-        for record in self._records.values():
+        for record in self._records:
             run = record.run
             if run.engine == engine and run.engine_started_ms != started_ms:
                 record.ended_at = now if record.ended_at is None else record.ended_at
@@ -335,43 +317,13 @@
 
     def expire(self, now: float) -> None:
         """Forget what ended so long ago that nothing of it can be cached any more."""
-        for request, record in list(self._records.items()):
-            if self._is_over(record, now):
-                self._forget(request, record)
+        self._records.expire(now)
         self.avoidance.expire(now)
         self.paces.expire(now)
 
-    def _enter(self, run: BookedRun, now: float) -> _Record:
-        record = _Record(run=run, since=now)
-        for other in self._unread_at(run.engine):
-            if other.run.request != run.request:
-                record.beside_prompts = other.beside_prompts = True
-        self._records[run.request] = record
-        return record
-
-    def _forget(self, request: str, record: _Record) -> None:
-        del self._records[request]
-        part = record.run.part
-        if part is not None and self._by_part.get(part) == request:
-            del self._by_part[part]
-
-    def _is_over(self, record: _Record, now: float) -> bool:
-        """Tell whether nothing of a run can be cached any more, or it was never sent."""
-        if not record.sent:
-            return now - record.since > RESERVED_S
-        return record.ended_at is not None and now - record.ended_at > self._keep_s
-
-    def _unread_at(self, engine: str) -> list[_Record]:
-        """Give the open runs at an engine whose prompts are not read yet."""
-        return [
-            record
-            for record in self._records.values()
-            if record.run.engine == engine and record.ended_at is None and not record.run.flowing
-        ]
-
     def _loads(self, now: float) -> dict[str, EngineLoad]:
         loads: dict[str, EngineLoad] = {}
-        for record in self._records.values():
+        for record in self._records:
             if record.ended_at is not None:
                 continue
             run = record.run
@@ -391,21 +343,21 @@
     def _load(self, loads: dict[str, EngineLoad], engine: ListedTarget) -> EngineLoad:
         return loads.get(engine.id, EngineLoad())
 
-    def _ahead_s(self, record: _Record, now: float) -> float:
+    def _ahead_s(self, record: RunRecord, now: float) -> float:
         """Give what the prompts take that an engine reads before a run's own."""
         behind_s = BEHIND_PROMPT * self.paces.usual_reading_s(record.run.service)
         return sum(
             behind_s + self._left_to_read_s(other, now)
-            for other in self._unread_at(record.run.engine)
+            for other in self._records.unread_at(record.run.engine)
             if other is not record and self._is_before(other, record)
         )
 
-    def _is_before(self, one: _Record, other: _Record) -> bool:
+    def _is_before(self, one: RunRecord, other: RunRecord) -> bool:
         if abs(one.since - other.since) > self.news_s:
             return one.since < other.since
         return one.run.request < other.run.request
 
-    def _left_to_read_s(self, record: _Record, now: float) -> float:
+    def _left_to_read_s(self, record: RunRecord, now: float) -> float:
         run = record.run
         whole_s = self.paces.reading_s(run.service, run.engine, run.prompt_tokens, now)
         return max(whole_s * LEAST_LEFT, whole_s - (now - record.since))
--- a/lagoonlever/tests/run_placement_tests.py
+++ b/lagoonlever/tests/run_placement_tests.py
@@ -8,7 +8,7 @@
 
 from lagoonlever.decisions.booked_runs import BookedRun
 from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.engine_book import RESERVED_S, EngineBook
+from lagoonlever.decisions.engine_book import EngineBook
 from lagoonlever.decisions.prompt_admission import LEAST_PROMPTS
 from lagoonlever.decisions.retry_window import RetryWindow
 from lagoonlever.decisions.run_placement import (
@@ -21,6 +21,7 @@
     place_run,
     reserved_run,
 )
+from lagoonlever.decisions.run_records import RESERVED_S
 from lagoonlever.decisions.target_registry import ListedTarget, TargetRegistry
 from lagoonlever.http.messages import Address
 
