Copy runs by a call also where engines copy none as they grow; a line for a silent hub

The test fails on the former code. A hub that does not answer is told in the log, so that a worse place can be explained.

--- a/lagoonlever/decisions/run_placement.py
+++ b/lagoonlever/decisions/run_placement.py
@@ -49,7 +49,7 @@
     repeat: bool = False
     """The request was sent before, so the budget of repeats must bear one more."""
     copies: bool = True
-    """Its memory is to be copied to another engine."""
+    """Its memory is to be copied to another engine, as it grows or by a call."""
     allowed_s: float | None = None
     """Of a new prompt: the time that its callers usually have; None for one that goes on."""
 
@@ -145,7 +145,7 @@
 
 
 def _copy_to(ask: RunAsk, engine: ListedTarget, view: PlacementView, now: float) -> str | None:
-    if not ask.copies or not view.limits.copies:
+    if not ask.copies:
         return None
     holder = view.book.place_copy(
         view.targets.serving(ask.service),
--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -41,7 +41,8 @@
         """Give the attempt, or why there is none; None where the life has another step to try."""
         outcome: RunOutcome = NoEngine()
         if not isinstance(step, ResumeFrom) or self._holder_of(step.copy) is not None:
-            outcome = await self._placer.place(_run_ask(accepted, life, step))
+            copies = self._beliefs.engine_limits(accepted.service).copies
+            outcome = await self._placer.place(_run_ask(accepted, life, step, copies=copies))
         if isinstance(outcome, BudgetSpent | Overloaded):
             return outcome
         found = self._beliefs.targets.find(outcome.engine) if isinstance(outcome, Placed) else None
@@ -100,7 +101,10 @@
     return accepted.caller.ask or NO_ASK
 
 
-def _run_ask(accepted: Accepted, life: StreamLife, step: Place | ResumeFrom) -> RunAsk:
+def _run_ask(
+    accepted: Accepted, life: StreamLife, step: Place | ResumeFrom, *, copies: bool
+) -> RunAsk:
+    """Give what an attempt needs; ``copies`` tells whether engines copy runs as they grow."""
     ask = generation_ask(accepted)
     is_new = not life.sent and not life.position
     asked = RunAsk(
@@ -110,7 +114,7 @@
         memory_tokens=ask.prompt_tokens + ask.output_tokens,
         part=ask.own_part,
         repeat=life.sent > 0,
-        copies=accepted.route.repeatable,
+        copies=copies and accepted.route.repeatable,
         allowed_s=accepted.route.timeout_s if is_new else None,
     )
     if isinstance(step, ResumeFrom):
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -280,6 +280,13 @@
     "{request} has to wait for its next attempt: the repeats allowed at {service} are spent.",
     "All VMs share a bound on attempts beyond the first; many engines were lost of late.",
 )
+HUB_SILENT = event(
+    1052,
+    "hub-silent",
+    "info",
+    "Hub {vm} did not answer a question about a run within {seconds:g} s.",
+    "Another hub is asked, or this VM decides by what it knows itself: a worse place at most.",
+)
 NEWS_UNREADABLE = event(
     1051,
     "news-unreadable",
--- a/lagoonlever/gateway/placer.py
+++ b/lagoonlever/gateway/placer.py
@@ -12,12 +12,14 @@
 from typing import TypeVar
 
 import attrs
+import logbook
 import trio
 
 from lagoonlever.decisions.engine_paces import KeptPace
 from lagoonlever.decisions.news_paths import book_holders
 from lagoonlever.decisions.roles import Roles
 from lagoonlever.decisions.run_placement import PlacementView, RunAsk, RunOutcome, place_run
+from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.cache_locator import CacheLocator
 from lagoonlever.gateway.retry_budgets import RetryBudgets
@@ -34,6 +36,8 @@
 
 T = TypeVar("T")
 
+log = logbook.Logger(__name__)
+
 ANSWER_S = 0.05
 """A hub answers within some milliseconds; one that takes longer is starting, busy or gone."""
 LOCATED_S = 0.25
@@ -138,6 +142,7 @@
             told = await self._ask(address, question, answer, timeout_s=timeout_s)
             if told is not None:
                 return told
+            events.HUB_SILENT.log(log, vm=hub, seconds=timeout_s)
             self._silent_until[hub] = self._timers.now + PASSED_OVER_S
         return None
 
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -7,15 +7,8 @@
 import trio
 
 from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.run_placement import (
-    BudgetSpent,
-    Overloaded,
-)
-from lagoonlever.decisions.stream_life import (
-    GiveUp,
-    StreamLife,
-    WaitForEngine,
-)
+from lagoonlever.decisions.run_placement import BudgetSpent, Overloaded
+from lagoonlever.decisions.stream_life import GiveUp, StreamLife, WaitForEngine
 from lagoonlever.gateway import events
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
--- a/lagoonlever/tests/run_placement_tests.py
+++ b/lagoonlever/tests/run_placement_tests.py
@@ -129,6 +129,14 @@
     assert outcome == Placed(engine="e1", copy_to="e2")
 
 
+def test_a_run_is_copied_by_a_call_also_where_engines_copy_none_as_they_grow() -> None:
+    """Engines of this service copy a run only when they are called; its holder has left."""
+    seen = view()
+    only_called = attrs.evolve(seen, limits=attrs.evolve(LIMITS, copies=False, moves=True))
+    outcome = place_run(attrs.evolve(ASK, settled="e1", attempt=False), only_called, 0.0)
+    assert isinstance(outcome, Placed) and outcome.copy_to is not None
+
+
 def test_a_copy_whose_holder_was_lost_is_not_gone_on_from() -> None:
     seen = view()
     seen.book.avoidance.failed("e2", 0.0)
