Tell no newcomer of all runs where it has no use for them

Cause: in a very large fleet each VM that asks who is there, as all do after a loss of power, was also sent every open run, up to 64 KB, by hubs; it lets go of them at once. A hub asks for the book by a message of its own. The test fails on the former code at 195 VMs.

--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -8,7 +8,7 @@
 import trio
 
 from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.news_paths import book_holders
+from lagoonlever.decisions.news_paths import book_holders, tells_directly
 from lagoonlever.decisions.roles import Roles
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
@@ -76,10 +76,13 @@
         self._on_engine_lost.append(notify)
 
     def greet(self, newcomer: Address) -> None:
-        """Tell a VM that has just come of the open runs that are known here, of all VMs."""
-        runs = self._beliefs.book.open_runs
-        if runs:
-            self._bus.send(newcomer, RunList(runs=runs[:MOST_RUNS_TOLD]))
+        """Tell a VM that has just come of the open runs, where every VM hears of all.
+
+        In a very large fleet it would let go of them at once: some 64 KB for each VM that
+        starts, from hubs that all of them ask together after a loss of power.
+        """
+        if tells_directly(len(self._beliefs.fellows.present(self._timers.now))):
+            self._tell_book(newcomer)
 
     def vm_lost(self, name: str) -> None:
         """Let go of the runs of a VM that is gone."""
@@ -141,7 +144,12 @@
 
     async def _receive_book_asks(self) -> None:
         async for received in self._bus.subscribe(BookAsk):
-            self.greet(received.message.reply_to)
+            self._tell_book(received.message.reply_to)
+
+    def _tell_book(self, to: Address) -> None:
+        runs = self._beliefs.book.open_runs
+        if runs:
+            self._bus.send(to, RunList(runs=runs[:MOST_RUNS_TOLD]))
 
     async def _ask_for_book(self) -> None:
         """Ask the hubs for the open runs whenever this VM becomes one of them.
--- a/lagoonlever/tests/placer_tests.py
+++ b/lagoonlever/tests/placer_tests.py
@@ -21,10 +21,12 @@
 from lagoonlever.gateway.placer import ANSWER_S
 from lagoonlever.peers.messages import PEER
 from lagoonlever.peers.messages_gateway import RunEnded, RunList
+from lagoonlever.peers.traffic import Count
 
 SMALL, LARGE = 9, 195
 ENGINES = 60
 SETTLED_S = 6.0
+RUN_LIST_TAG = PEER.tag_of(RunList(runs=()))
 
 
 async def started(fleet: Fleet, vms: int) -> dict[str, PlacingVm]:
@@ -231,6 +233,25 @@
     run_fleet(story)
 
 
+@pytest.mark.parametrize(("vms", "told"), [(SMALL, 1), (LARGE, 0)])
+def test_only_a_newcomer_that_hears_of_all_runs_is_told_of_them(vms: int, told: int) -> None:
+    """After a loss of power hundreds of VMs ask the same few who is there, all at once.
+
+    Each was also told of every open run, some 64 KB, which it has no use for.
+    """
+
+    async def story(fleet: Fleet) -> None:
+        placing = await started(fleet, vms)
+        one, other = list(placing.values())[:2]
+        await one.place("r1")
+        await trio.sleep(0.1)
+        before = one.vm.bus.traffic.sent.get(RUN_LIST_TAG, Count()).messages
+        one.peers.greet(other.vm.bus.address)
+        assert one.vm.bus.traffic.sent.get(RUN_LIST_TAG, Count()).messages - before == told
+
+    run_fleet(story)
+
+
 def test_a_hub_that_knows_no_engines_yet_is_not_waited_for() -> None:
     """A hub has just started again: it is asked before it has read the list of engines."""
 
