Log what an attempt had come to when its engine went, and a name for the same work

Lines of ended attempts now have a fingerprint (organisation, host, path, body), alike on every VM, and say whether a head or events had come; attempts whose engine does not answer any more are counted as target-gone and no longer as lost. `explain` follows a caller's returns by the fingerprint too.

So the prompt's own part is left out of the fingerprint, and callers in tests and the soak send the prompt's name as the body.

--- a/lagoonlever/gateway/accepted.py
+++ b/lagoonlever/gateway/accepted.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import functools
+
 import attrs
 
 from lagoonlever.decisions.configuration import ServiceRoute
+from lagoonlever.decisions.fingerprints import RequestWork
 from lagoonlever.gateway.messages import CallerHead
 from lagoonlever.http.messages import Request
 from lagoonlever.http.server import Exchange
@@ -37,6 +40,18 @@
         """The id of this attempt of the caller."""
         return self.caller.request_id
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """What the request has in common with those of its caller's returns, on every VM."""
+        work = RequestWork(
+            host=self.caller.host,
+            method=self.request.method,
+            target=self.request.target,
+            organisation=self.organisation,
+            body=self.request.body,
+        )
+        return work.fingerprint()
+
     def left_s(self, now: float) -> float:
         """Give the time that is left; 0 or less when it is over."""
         return self.deadline - now
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -227,7 +227,9 @@
     "attempt-ended",
     "info",
     "{request} at {target} ended after {seconds:.3f} s and event {position}: {outcome}",
-    "What became of an attempt that did not give the whole answer.",
+    "What became of an attempt that did not give the whole answer. `fingerprint` is alike for "
+    "requests with the same organisation, path and body; `progress` is `none` before the head "
+    "of an answer, `head` before the first event of this attempt, and else `events`.",
 )
 FIRST_EVENT = event(
     1043,
--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -15,7 +15,9 @@
     "lagoonlever.gateway.attempts",
     unit="{attempt}",
     labels=("kind", "result"),
-    doc="Requests that were written to targets, by what became of them.",
+    doc="Requests that were written to targets, by what became of them. Of streams, `lost` is an"
+    " answer that broke off at an engine that lives, `target-gone` one whose engine does not"
+    " answer any more.",
 )
 CALL_LATENCY = latency(
     "lagoonlever.gateway.call.latency",
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -70,6 +70,8 @@
     _placer: Placer
     _splitter: RawEventSplitter = attrs.field(factory=RawEventSplitter)
     _started: float = 0.0
+    _answered: bool = False
+    """The head of the engine's answer has come, so the engine has begun to run it."""
     _flowing: bool = False
     _signs: LifeSigns = attrs.field(factory=LifeSigns)
     _copies: CopyKeeper = attrs.field(init=False)
@@ -256,6 +258,7 @@
             raise _Ended(f"the answer is for request {head.request_id}")
         if head.status != OK or not head.sealed:
             raise _Ended(f"answered {head.status}")
+        self._answered = True
         if not self._life.begun:
             self._life.begun = True
             await self._accepted.exchange.start_stream(
@@ -298,9 +301,9 @@
 
     async def _lost(self, ended: _Ended) -> None:
         """Ask the engine whether it lives: one that only lost an answer is not left by all."""
-        self._count("lost")
         engine = self._plan.engine
         alive = not ended.unanswered and await self._tools.prober.ask(engine) is not None
+        self._count("lost" if alive else "target-gone")
         self._life.lost(engine.id, str(ended), alive=alive, read=self._has_read)
         if alive:
             self._tools.beliefs.book.avoidance.broke(engine.id, self._now)
@@ -363,8 +366,16 @@
             seconds=self._now - self._started,
             position=self._life.position,
             outcome=detail,
+            fingerprint=self._accepted.fingerprint,
+            progress=self._progress,
         )
 
+    @property
+    def _progress(self) -> str:
+        if self._flowing:
+            return "events"
+        return "head" if self._answered else "none"
+
 
 def _answer_of(report: EngineReport | None, run: RunReport | None, *, flowing: bool) -> Answer:
     """Read a report; an engine lists a run by name only once it has made a token."""
--- a/lagoonlever/report/explain.py
+++ b/lagoonlever/report/explain.py
@@ -1,7 +1,7 @@
 """Gathers what the logs of all VMs say of one request, with the beliefs behind each step.
 
 A caller that comes back brings another id for the same prompt; the lines that name the
-prompt's own part tie the two together where a VM has logged it.
+prompt's own part, or the request's fingerprint, tie the two together where a VM has logged it.
 """
 
 from __future__ import annotations
@@ -41,6 +41,12 @@
         part = self.fields.get("part")
         return part if isinstance(part, str) else None
 
+    @property
+    def fingerprint(self) -> str | None:
+        """What the line's request has in common with its caller's returns."""
+        fingerprint = self.fields.get("fingerprint")
+        return fingerprint if isinstance(fingerprint, str) else None
+
 
 @attrs.frozen(kw_only=True)
 class Step:
@@ -78,11 +84,15 @@
 def explain(lines: Iterable[LogLine], request: str) -> list[Step]:
     """Give the steps of a request over all VMs, in the order of their times.
 
-    Requests for the same prompt belong to it: its caller came back under another id.
+    Requests for the same prompt, or with the same fingerprint, belong to it: its caller
+    came back under another id.
     """
     lines = sorted(lines, key=lambda line: line.time)
-    parts = {line.part for line in lines if line.request == request} - {None}
-    wanted = {line.request for line in lines if line.part in parts} | {request}
+    own = [line for line in lines if line.request == request]
+    parts = {line.part for line in own} - {None}
+    prints = {line.fingerprint for line in own} - {None}
+    same = (line for line in lines if line.part in parts or line.fingerprint in prints)
+    wanted = {line.request for line in same} | {request}
     configuration: dict[str, int] = {}
     unreachable: set[str] = set()
     targets: dict[str, str] = {}
--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -115,7 +115,7 @@
         try:
             connection = await self._connect()
             await connection.start(
-                method="POST", path="/stream/1", headers=headers, body=b"{}", step="soak"
+                method="POST", path="/stream/1", headers=headers, body=part.encode(), step="soak"
             )
             head = await connection.read_head()
             while (piece := await connection.next_piece()) is not None:
--- a/lagoonlever/tests/explain_tests.py
+++ b/lagoonlever/tests/explain_tests.py
@@ -55,6 +55,14 @@
     assert [step.line.request for step in explain(lines, "r1")] == ["r1", "r2"]
 
 
+def test_requests_with_the_same_fingerprint_are_one_caller_s_work() -> None:
+    first = line(1, "vm-a", "attempt-ended", request="r1", target="e1", fingerprint="f1")
+    second = line(2, "vm-b", "attempt-ended", request="r2", target="e2", fingerprint="f1")
+    other = line(3, "vm-b", "attempt-ended", request="r3", target="e2", fingerprint="f2")
+    lines = list(read_lines([first, second, other], process="a"))
+    assert [step.line.request for step in explain(lines, "r1")] == ["r1", "r2"]
+
+
 def test_the_command_reads_files_and_tells_what_went_on_meanwhile(tmp_path: Path) -> None:
     (tmp_path / "a.log").write_text("\n".join(LOG_A))
     (tmp_path / "b.log").write_text("\n".join(LOG_B))
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -341,7 +341,7 @@
         address = self.vms[vm].settings.listen
         async with await ClientConnection.open(address, timeout_s=CONNECT_S) as connection:
             await connection.start(
-                method="POST", path="/stream/1", headers=headers, body=b"{}", step="test"
+                method="POST", path="/stream/1", headers=headers, body=part.encode(), step="test"
             )
             head = await connection.read_head()
             got = Stream(status=head.status, headers=head.headers)
