--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -8,6 +8,7 @@
 
 import enum
 from collections import Counter, deque
+from collections.abc import Callable, Collection
 
 import attrs
 import msgspec
@@ -35,6 +36,8 @@
 NOT_THERE = 404
 BUSY = 503
 EVENT_TOKENS = 8
+DIES_AFTER_S = 0.01
+"""From the head of an answer until the engine that a request ends is gone."""
 
 
 class EngineConduct(enum.Enum):
@@ -73,6 +76,8 @@
         prefill_tokens_per_s: float = 100_000.0,
         event_s: float = 0.005,
         started_ms: int | None = None,
+        deadly: Collection[str] = (),
+        die: Callable[[], None] = lambda: None,
     ) -> None:
         self.target_id = target_id
         self.started_ms = started_ms
@@ -96,6 +101,9 @@
         self.cancelled: list[str] = []
         self.questions: Counter[str] = Counter()
         self._fleet = fleet
+        self._deadly = deadly
+        """Own parts of prompts under which the engine ends as it begins to run them."""
+        self._die = die
 
     async def run(self, listeners: list[trio.SocketListener]) -> None:
         """Serve until cancelled."""
@@ -221,6 +229,10 @@
             (SEAL, f"seal-{self.target_id}"),
         )
         await exchange.start_stream(status=OK, headers=Headers(fields))
+        if run.part in self._deadly:
+            await trio.sleep(DIES_AFTER_S)
+            self._die()
+            await trio.sleep_forever()
         holder = self._fleet.get(headers.get(COPY_TO) or "")
         output = int((headers.get(TOKEN_COUNT) or "100,80").partition(",")[2] or 80)
         await self._emit(exchange, run, holder, conduct, last=max(1, output // EVENT_TOKENS))
--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -4,6 +4,7 @@
 
 import enum
 from collections import Counter, deque
+from collections.abc import Callable, Collection
 
 import trio
 
@@ -47,7 +48,14 @@
 class FakeRunner:
     """One runner; ``conducts`` are taken in turn, and it serves when there is none."""
 
-    def __init__(self, *, target_id: str, work_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        *,
+        target_id: str,
+        work_s: float = 0.0,
+        deadly: Collection[str] = (),
+        die: Callable[[], None] = lambda: None,
+    ) -> None:
         self.target_id = target_id
         self.work_s = work_s
         self.conducts: deque[Conduct] = deque()
@@ -55,6 +63,9 @@
         self.seen: list[Headers] = []
         self.arrivals: list[str] = []
         self._state = ServerState()
+        self._deadly = deadly
+        """Bodies of requests under which the runner ends as it runs them."""
+        self._die = die
 
     @property
     def connections(self) -> int:
@@ -83,6 +94,9 @@
             return
         self.runs[request_id] += 1
         await trio.sleep(self.work_s)
+        if exchange.request.body.decode() in self._deadly:
+            self._die()
+            await trio.sleep_forever()
         await self._answer(exchange, request_id, conduct)
 
     async def _answer(self, exchange: Exchange, request_id: str, conduct: Conduct) -> None:
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -187,6 +187,10 @@
     addresses: dict[str, Address] = attrs.field(factory=dict)
     scopes: dict[str, trio.CancelScope] = attrs.field(factory=dict)
     vms: dict[str, Vm] = attrs.field(factory=dict)
+    deadly: set[str] = attrs.field(factory=set)
+    """Prompts and bodies of requests that end each target that runs them."""
+    deaths: list[str] = attrs.field(factory=list)
+    """The targets that ended so."""
     _fleet: dict[str, FakeEngine] = attrs.field(factory=dict)
     _starts: Iterator[int] = attrs.field(factory=lambda: itertools.count(1_700_000_000_000))
     """The starts of engines, one after the other."""
@@ -213,7 +217,13 @@
     async def start_engine(self, name: str, *, data_center: str = "dc-0") -> FakeEngine:
         """Start an engine and list it; one that was there before starts again under its id."""
         address = self.addresses.get(name) or free_address()
-        engine = FakeEngine(target_id=name, fleet=self._fleet, started_ms=next(self._starts))
+        engine = FakeEngine(
+            target_id=name,
+            fleet=self._fleet,
+            started_ms=next(self._starts),
+            deadly=self.deadly,
+            die=lambda: self._die(name),
+        )
         self._fleet[str(address)] = engine
         self.engines[name] = engine
         await self._start_target(name, address, engine.run)
@@ -224,7 +234,7 @@
 
     async def start_runner(self, name: str, *, data_center: str = "dc-0") -> FakeRunner:
         """Start an application runner and list it."""
-        runner = FakeRunner(target_id=name)
+        runner = FakeRunner(target_id=name, deadly=self.deadly, die=lambda: self._die(name))
         self.runners[name] = runner
         await self._start_target(name, free_address(), runner.run)
         self.list_target(name, service="apps", data_center=data_center)
@@ -259,6 +269,10 @@
         """End a target with its sockets; its entry stays."""
         self.scopes[name].cancel()
 
+    def _die(self, name: str) -> None:
+        self.deaths.append(name)
+        self.crash(name)
+
     async def start_in_place_of(self, name: str, new_id: str) -> FakeEngine:
         """Start another engine at the address of one that has crashed; it is not listed."""
         address = self.addresses[name]
