Stop a request that ends the targets that run it, over all VMs and losses of power

Its caller returned under another id to any VM, and each allowed it the route's five attempts anew: failures were counted against engines only, and attempts only within one id.

Ruled out: engines that end by themselves (each that ended had this question, with an answer begun and no event), and the budget of repeats (never spent: no repeat-waits in any log).

Now ends are counted by what is asked, by whom (fingerprint), whoever sent it. An end counts where the answer had begun and come to nothing, half where the request may only have waited, and not where events had come; a whole answer anywhere forgets them. After the third the request is refused with a time to come back, and open attempts are called back from engines' queues. Each end is told to all VMs and, from the second on, kept in one key of the store: read at a start and by a VM that hears no other one, so a loss of power or a cut forgets nothing. The same for calls of services, whose runners are asked for a connection when an answer is lost.

VMs that meet tell each other now.

--- a/lagoonlever/gateway/attempt_tools.py
+++ b/lagoonlever/gateway/attempt_tools.py
@@ -10,6 +10,7 @@
 from lagoonlever.decisions.stream_silence import StreamSilence
 from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.gateway.replacement_finder import ReplacementFinder
@@ -44,6 +45,7 @@
     reporter: Reporter
     budgets: RetryBudgets
     replacements: ReplacementFinder
+    crashes: CrashWatch
     copier: RunCopier = attrs.field(factory=RunCopier)
     watched: dict[str, set[StreamSilence]] = attrs.field(factory=dict)
     """The open attempts by engine, to be looked at when the engine seems lost."""
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -9,6 +9,7 @@
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.messages import AnswerHead, Hop
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.reporter import Ending, Reporter
@@ -74,9 +75,21 @@
     timers: TimerService
     client: TargetClient
     reporter: Reporter
+    crashes: CrashWatch
 
     async def attempt(
         self, call: CallRecord, target: ListedTarget, *, rested_at_most_s: float
+    ) -> AttemptResult:
+        """Send a call to one target, and note whether it has served it or ended under it."""
+        result = await self._attempt(call, target, rested_at_most_s=rested_at_most_s)
+        if isinstance(result, Answered):
+            self.crashes.served(call.accepted)
+        elif isinstance(result, Lost):
+            await self.crashes.lost_call(call.accepted, target)
+        return result
+
+    async def _attempt(
+        self, call: CallRecord, target: ListedTarget, *, rested_at_most_s: float
     ) -> AttemptResult:
         """Send a call to one target; nothing awaits between the last check and the write."""
         accepted = call.accepted
--- /dev/null
+++ b/lagoonlever/gateway/crash_records.py
@@ -0,0 +1,170 @@
+"""Keeps the ends of targets under requests in the platform's store, for VMs that start anew.
+
+The load that is answered: all VMs lose power while a request ends one engine after the other,
+and its caller is back in the first second. Each VM reads the record at its start, and writes
+what it saw itself; by the writing it also learns what VMs saw that it does not hear.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+
+import attrs
+import logbook
+import msgspec
+import trio
+
+from lagoonlever.decisions.crash_suspects import CrashSuspects, End, Ends
+from lagoonlever.exceptions import PlatformError
+from lagoonlever.gateway import events
+from lagoonlever.store.port import ABSENT, Conflict, KeyValue, KeyValueStore
+
+log = logbook.Logger(__name__)
+
+RECORD_KEY = "lagoonlever/crashes"
+RETRY_S = (0.2, 1.6)
+"""Between two tries while the store is away: the first pause, and the longest."""
+SAVED_WITHIN_S = 0.1
+"""How long a request waits for the record of its own end, which takes two calls at most."""
+
+Clock = Callable[[], float]
+
+
+@attrs.define(kw_only=True, eq=False)
+class CrashRecords:
+    """Reads and writes one key; times there are Unix seconds, as VMs share no other clock."""
+
+    _store: KeyValueStore
+    _suspects: CrashSuspects
+    _now: Clock
+    """Gives monotonic seconds."""
+    _unix_now: Clock
+    _rng: random.Random
+    _learnt: Callable[[], None]
+    """Called after ends were read that other VMs had written."""
+    _served: set[str] = attrs.field(factory=set)
+    """Requests that are to be taken out of the record."""
+    _revision: int = ABSENT
+    _recorded: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    """The processes that ended under each request, by the record as last seen."""
+    _is_old: bool = False
+    """The record is to be read again."""
+    _wanted: trio.Event = attrs.field(factory=trio.Event)
+    _saved: trio.Event = attrs.field(factory=trio.Event)
+
+    async def run(self) -> None:
+        """Read the record, then write whenever something was noted, until cancelled."""
+        await self._until_done(self._read)
+        while True:
+            await self._wanted.wait()
+            self._wanted = trio.Event()
+            saved, self._saved = self._saved, trio.Event()
+            if self._is_old:
+                self._is_old = not await self._read()
+            await self._until_done(self._write)
+            saved.set()
+
+    async def save(self) -> None:
+        """Have what is known written, and wait a moment for it."""
+        saved = self._saved
+        self._wanted.set()
+        with trio.move_on_after(SAVED_WITHIN_S):
+            await saved.wait()
+
+    def take_out(self, fingerprint: str) -> None:
+        """Have a request that was served taken out of the record, if it is there."""
+        if fingerprint in self._recorded:
+            self._served.add(fingerprint)
+            self._wanted.set()
+
+    def read_again(self) -> None:
+        """Have the record read anew, for a VM that hears nothing of others."""
+        self._is_old = True
+        self._wanted.set()
+
+    async def _until_done(self, step: Callable[[], Awaitable[bool]]) -> None:
+        pause_s, longest_s = RETRY_S
+        while not await step():
+            await trio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+            pause_s = min(longest_s, pause_s * 2)
+
+    async def _read(self) -> bool:
+        try:
+            read = await self._store.get(RECORD_KEY)
+        except PlatformError:
+            # The store's client has logged it; the read is tried again.
+            return False
+        self._take(read.entry)
+        if self._recorded:
+            events.CRASHES_RECALLED.log(log, requests=len(self._recorded), revision=self._revision)
+        return True
+
+    async def _write(self) -> bool:
+        """Write what the record lacks, with what others have written meanwhile."""
+        while self._has_news():
+            served, known = frozenset(self._served), self._known()
+            value = msgspec.json.encode(self._document(without=served))
+            try:
+                result = await self._store.compare_and_swap(
+                    RECORD_KEY, expected_revision=self._revision, value=value
+                )
+            except PlatformError:
+                # The store's client has logged it; a write whose answer was lost shows as a
+                # conflict next time.
+                return False
+            if isinstance(result, Conflict):
+                self._take(result.current)
+                continue
+            self._revision, self._recorded = result.revision, known
+            self._served -= served
+        return True
+
+    def _has_news(self) -> bool:
+        """Tell whether the record lacks an end, or has a request that was served."""
+        if self._served & self._recorded.keys():
+            return True
+        nothing: frozenset[str] = frozenset()
+        return any(
+            not processes <= self._recorded.get(fingerprint, nothing)
+            for fingerprint, processes in self._known().items()
+        )
+
+    def _known(self) -> dict[str, frozenset[str]]:
+        return {
+            fingerprint: frozenset(processes)
+            for fingerprint, processes in self._suspects.kept().items()
+            if fingerprint not in self._served
+        }
+
+    def _document(self, *, without: frozenset[str]) -> Ends:
+        to_unix = self._unix_now() - self._now()
+        return {
+            fingerprint: {
+                process: End(at=round(end.at + to_unix, 3), weight=end.weight)
+                for process, end in processes.items()
+            }
+            for fingerprint, processes in self._suspects.kept().items()
+            if fingerprint not in without
+        }
+
+    def _take(self, entry: KeyValue | None) -> None:
+        """Take what is stored; what can't be read is written over."""
+        self._revision = entry.revision if entry is not None else ABSENT
+        self._recorded = {}
+        if entry is None:
+            return
+        try:
+            stored = msgspec.json.decode(entry.value, type=dict[str, dict[str, End]])
+        except (msgspec.MsgspecError, RecursionError) as error:
+            events.CRASHES_UNREADABLE.log(log, error=str(error))
+            return
+        self._recorded = {f: frozenset(processes) for f, processes in stored.items()}
+        now, to_monotonic = self._now(), self._now() - self._unix_now()
+        for fingerprint, processes in stored.items():
+            if fingerprint in self._served:
+                continue
+            for process, end in processes.items():
+                known = End(at=min(now, end.at + to_monotonic), weight=end.weight)
+                self._suspects.ended_under(fingerprint, process, known)
+        self._learnt()
--- /dev/null
+++ b/lagoonlever/gateway/crash_watch.py
@@ -0,0 +1,210 @@
+"""Counts the targets that end under a request, over all VMs, and bars it after the third.
+
+Each end is told to every VM at once and written to the store: by the one a caller that returns
+to another VM is refused there, by the other a VM that was cut off, or starts anew, knows too.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import time
+from collections.abc import Iterator
+
+import attrs
+import logbook
+import trio
+
+from lagoonlever.decisions.crash_suspects import BEGAN, CrashSuspects, End, process_name
+from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.gateway import events, metrics
+from lagoonlever.gateway.accepted import Accepted
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.crash_records import CrashRecords
+from lagoonlever.gateway.tally import Tally
+from lagoonlever.gateway.target_client import TargetClient
+from lagoonlever.http.messages import Address
+from lagoonlever.outcomes import NotRun, Reason
+from lagoonlever.peers.interface import Bus
+from lagoonlever.peers.messages_crashes import EndTold, RequestServed, TargetsEnded
+from lagoonlever.store.port import KeyValueStore
+from lagoonlever.timers import Tick, TimerService
+
+log = logbook.Logger(__name__)
+
+LOOK_PERIOD_S = 0.9
+"""How often a VM that hears no other one reads the record: well within the time in which
+others are told by messages. A multiple of the time between its own words, for one wake-up."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class CrashWatch:
+    """What those who serve requests tell, and ask, of requests that end targets."""
+
+    _store: KeyValueStore
+    _bus: Bus
+    _beliefs: Beliefs
+    _timers: TimerService
+    _client: TargetClient
+    _tally: Tally
+    _rng: random.Random
+    _suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    _records: CrashRecords = attrs.field(init=False)
+    _open: dict[str, set[trio.CancelScope]] = attrs.field(factory=dict)
+    """The work on each request that ends once the request is barred."""
+
+    @_records.default
+    def _make_records(self) -> CrashRecords:
+        return CrashRecords(
+            store=self._store,
+            suspects=self._suspects,
+            now=lambda: self._timers.now,
+            unix_now=time.time,
+            rng=self._rng,
+            learnt=self._end_barred,
+        )
+
+    async def run(self) -> None:
+        """Keep the record and take what other VMs tell, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._records.run)
+            nursery.start_soon(self._receive_ends)
+            nursery.start_soon(self._receive_served)
+            with self._timers.subscribed(self._look, period_s=LOOK_PERIOD_S):
+                await trio.sleep_forever()
+
+    def refusal(self, accepted: Accepted) -> NotRun | None:
+        """Give what the caller of a barred request is told, or None where it may run."""
+        if not self._suspects.ends:
+            return None
+        bar = self._suspects.bar(accepted.fingerprint, self._timers.now)
+        if bar is None:
+            return None
+        self._tally.add(metrics.BARRED, accepted.route.kind.value)
+        return NotRun(
+            reason=Reason.ENDS_TARGETS,
+            message=f"{bar.ended} targets ended under this request ({accepted.fingerprint})",
+            retry_after_s=bar.for_s,
+        )
+
+    def is_suspect(self, accepted: Accepted) -> bool:
+        """Tell whether a target has ended under a request."""
+        return bool(self._suspects.ends) and self._suspects.count(accepted.fingerprint) > 0
+
+    @contextlib.contextmanager
+    def until_barred(self, accepted: Accepted) -> Iterator[None]:
+        """Cancel the block once its request is barred, before a queue lets it end one more."""
+        scopes = self._open.setdefault(accepted.fingerprint, set())
+        with trio.CancelScope() as scope:
+            scopes.add(scope)
+            try:
+                yield
+            finally:
+                scopes.discard(scope)
+                if not scopes:
+                    self._open.pop(accepted.fingerprint, None)
+
+    async def ended_under(self, accepted: Accepted, target: ListedTarget, *, weight: float) -> None:
+        """Note that a target ended under a request, and let the others know.
+
+        Waits a moment for the record: a VM that hears no other one learns by writing what they
+        saw, before it sends the request to the next target.
+        """
+        if self._note(accepted, target, weight) and accepted.fingerprint in self._suspects.kept():
+            await self._records.save()
+
+    async def lost_call(self, accepted: Accepted, target: ListedTarget) -> None:
+        """Look whether a target has ended under a call: one that has takes no connection."""
+        if not await self._client.reaches(target):
+            await self.ended_under(accepted, target, weight=BEGAN)
+
+    def served(self, accepted: Accepted) -> None:
+        """Note that a target has answered a request whole: it ends no target."""
+        if not self._suspects.ends or not self._suspects.served(accepted.fingerprint):
+            return
+        fingerprint = accepted.fingerprint
+        events.REQUEST_CLEARED.log(log, fingerprint=fingerprint, request=accepted.request_id)
+        self._tell(RequestServed(fingerprint=fingerprint))
+        self._records.take_out(fingerprint)
+
+    def greet(self, newcomer: Address) -> None:
+        """Tell a VM that has just come, or was not heard, of the ends that are known.
+
+        It was not there to hear of them when they were told.
+        """
+        told = self._told()
+        if told.ends:
+            self._bus.send(newcomer, told)
+
+    def _note(self, accepted: Accepted, target: ListedTarget, weight: float) -> bool:
+        """Count an end that this VM saw; gives whether it is news."""
+        fingerprint = accepted.fingerprint
+        process = process_name(target.id, target.started_ms)
+        end = End(at=self._timers.now, weight=weight)
+        if not self._suspects.ended_under(fingerprint, process, end):
+            return False
+        events.TARGET_ENDED_UNDER.log(
+            log,
+            request=accepted.request_id,
+            fingerprint=fingerprint,
+            target=target.id,
+            organisation=accepted.organisation,
+            route=accepted.route.name,
+            ended=self._suspects.count(fingerprint),
+            weight=weight,
+        )
+        self._tally.add(metrics.TARGETS_ENDED, accepted.route.kind.value)
+        told = EndTold(fingerprint=fingerprint, process=process, age_s=0.0, weight=weight)
+        self._tell(TargetsEnded(ends=(told,)))
+        self._end_barred()
+        return True
+
+    def _end_barred(self) -> None:
+        """End the work on requests that are barred by now."""
+        for fingerprint in [*self._open]:
+            bar = self._suspects.bar(fingerprint, self._timers.now)
+            if bar is None:
+                continue
+            events.REQUEST_BARRED.log(
+                log, fingerprint=fingerprint, ended=bar.ended, for_s=bar.for_s
+            )
+            for scope in self._open[fingerprint]:
+                scope.cancel()
+
+    async def _receive_ends(self) -> None:
+        async for received in self._bus.subscribe(TargetsEnded):
+            now = self._timers.now
+            for told in received.message.ends:
+                end = End(at=now - max(0.0, told.age_s), weight=told.weight)
+                self._suspects.ended_under(told.fingerprint, told.process, end)
+            self._end_barred()
+
+    async def _receive_served(self) -> None:
+        async for received in self._bus.subscribe(RequestServed):
+            self._suspects.served(received.message.fingerprint)
+
+    def _told(self) -> TargetsEnded:
+        now = self._timers.now
+        return TargetsEnded(
+            ends=tuple(
+                EndTold(
+                    fingerprint=fingerprint,
+                    process=process,
+                    age_s=now - end.at,
+                    weight=end.weight,
+                )
+                for fingerprint, processes in self._suspects.ends.items()
+                for process, end in processes.items()
+            )
+        )
+
+    def _tell(self, message: TargetsEnded | RequestServed) -> None:
+        """Tell every VM, also those that seem silent: ends are few, and one may be cut off."""
+        self._bus.send_to_all((fellow.bus for fellow in self._beliefs.fellows.states), message)
+
+    def _look(self, tick: Tick) -> None:
+        """Forget what is old, and read the record where no other VM is heard."""
+        self._suspects.expire(tick.now)
+        fellows = self._beliefs.fellows
+        if fellows.states and not fellows.present(tick.now):
+            self._records.read_again()
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -156,6 +156,46 @@
     "What was kept of engines' speeds can't be read and is not used: {error}",
     "Another program wrote there. It is written over once streams were seen.",
 )
+TARGET_ENDED_UNDER = event(
+    1056,
+    "target-ended-under",
+    "warning",
+    "{target} ended under {request} on {route} of {organisation}: the {ended}. end under "
+    "fingerprint {fingerprint}, of weight {weight}.",
+    "One end may be an accident; the weight is a half where the request may only have waited "
+    "there. Where several targets end under one fingerprint, the request is "
+    "the cause: look at its body at its organisation, and at the targets' own logs.",
+)
+REQUEST_BARRED = event(
+    1057,
+    "request-barred",
+    "error",
+    "{ended} targets ended under fingerprint {fingerprint}: its requests are stopped, and refused "
+    "for {for_s:.0f} s.",
+    "A request ends the targets that run it. Tell its organisation, and mend the targets. It may "
+    "be tried once more after that time, and is barred again by one more end.",
+)
+REQUEST_CLEARED = event(
+    1058,
+    "request-cleared",
+    "info",
+    "{request} was answered: the ends under fingerprint {fingerprint} were no fault of it.",
+    "Usual after a crash of targets: requests that were there are served elsewhere.",
+)
+CRASHES_RECALLED = event(
+    1059,
+    "crashes-recalled",
+    "info",
+    "Targets ended under {requests} requests before this start, by revision {revision}.",
+    "Requests under which too many ended stay refused.",
+)
+CRASHES_UNREADABLE = event(
+    1060,
+    "crashes-unreadable",
+    "warning",
+    "The record of requests that end targets can't be read and is not used: {error}",
+    "Another program wrote there. It is written over at the next end.",
+)
 FELLOW_LISTED = event(
     1030,
     "fellow-listed",
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -14,6 +14,7 @@
 from lagoonlever.gateway.accepted import Accepted, deadline_of
 from lagoonlever.gateway.answers import NO_ROUTE, UNKNOWN_KEY, tell
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.messages import CallerHead
 from lagoonlever.gateway.reporter import Reporter
 from lagoonlever.http.server import CallerGone, Exchange
@@ -40,6 +41,7 @@
     _timers: TimerService
     _reporter: Reporter
     _rng: random.Random
+    _crashes: CrashWatch
     _serve: dict[RouteKind, Serve]
     _started: float = attrs.field(factory=trio.current_time)
 
@@ -59,6 +61,10 @@
         if isinstance(accepted, NotRun):
             await self._refuse(exchange, accepted)
             return
+        barred = self._crashes.refusal(accepted)
+        if barred is not None:
+            await self._refuse(exchange, barred)
+            return
         await self._serve[accepted.route.kind](accepted)
 
     async def _configuration(self) -> Configuration | None:
--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -19,6 +19,18 @@
     " answer that broke off at an engine that lives, `target-gone` one whose engine does not"
     " answer any more.",
 )
+TARGETS_ENDED = counter(
+    "lagoonlever.gateway.targets.ended",
+    unit="{target}",
+    labels=("kind",),
+    doc="Targets that ended as they ran a request of this VM, by the kind of its route.",
+)
+BARRED = counter(
+    "lagoonlever.gateway.requests.barred",
+    unit="{request}",
+    labels=("kind",),
+    doc="Requests that were refused or stopped as too many targets had ended under them.",
+)
 CALL_LATENCY = latency(
     "lagoonlever.gateway.call.latency",
     labels=("kind",),
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -17,6 +17,7 @@
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.cache_locator import CacheLocator
 from lagoonlever.gateway.call_exchange import CallExchange
+from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.directory import Directory
 from lagoonlever.gateway.front import Front
 from lagoonlever.gateway.knowledge import KnowledgeExchange
@@ -77,10 +78,11 @@
     placer: Placer = attrs.field(init=False)
     placement_desk: PlacementDesk = attrs.field(init=False)
     replacements: ReplacementFinder = attrs.field(init=False)
+    client: TargetClient = attrs.field(factory=TargetClient, init=False)
+    crashes: CrashWatch = attrs.field(init=False)
     follower: StoreFollower = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
     pace_keeper: PaceKeeper = attrs.field(init=False)
-    client: TargetClient = attrs.field(factory=TargetClient, init=False)
     prober: EngineProber = attrs.field(factory=EngineProber, init=False)
     front: Front = attrs.field(init=False)
     directory: Directory = attrs.field(init=False)
@@ -184,6 +186,21 @@
             reuse_s=lambda: self.settings.bounds.address_reuse_s,
         )
 
+    @crashes.default
+    def _make_crashes(self) -> CrashWatch:
+        crashes = CrashWatch(
+            store=self.store,
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            client=self.client,
+            tally=self.reporter.tally,
+            rng=self.rng,
+        )
+        self.presence.on_greeting(crashes.greet)
+        self.presence.on_meeting(crashes.greet)
+        return crashes
+
     @follower.default
     def _make_follower(self) -> StoreFollower:
         return StoreFollower(
@@ -232,6 +249,7 @@
             timers=self.timers,
             client=self.client,
             reporter=self.reporter,
+            crashes=self.crashes,
         )
         once = OnceCalls(data_center=self.settings.data_center, exchange=exchange, runners=runners)
         repeatable = RepeatableCalls(
@@ -249,6 +267,7 @@
             reporter=self.reporter,
             budgets=self.budgets,
             replacements=self.replacements,
+            crashes=self.crashes,
         )
         self.peers.on_engine_lost(tools.engine_lost)
         self.learner.on_started_again(tools.engine_started_again)
@@ -271,6 +290,7 @@
             timers=self.timers,
             reporter=self.reporter,
             rng=self.rng,
+            crashes=self.crashes,
             serve={
                 RouteKind.IDEMPOTENT: repeatable.serve,
                 RouteKind.NON_IDEMPOTENT: once.serve,
@@ -308,6 +328,7 @@
             "placer": self.placer.run,
             "placement desk": self.placement_desk.run,
             "replacements": self.replacements.run,
+            "crashes": self.crashes.run,
             "store follower": self.follower.run,
             "registration": self.registration.run,
             "pace keeper": self.pace_keeper.run,
--- a/lagoonlever/gateway/presence.py
+++ b/lagoonlever/gateway/presence.py
@@ -56,6 +56,7 @@
     _own_state: Callable[[], FellowState]
     _seeds: tuple[Address, ...] = ()
     _greet: list[Callable[[Address], None]] = attrs.field(factory=list)
+    _met: list[Callable[[Address], None]] = attrs.field(factory=list)
     _lost: list[Callable[[str], None]] = attrs.field(factory=list)
     roles: Published[Roles | None] = attrs.field(factory=lambda: Published[Roles | None](None))
     """None until this VM had time to hear of the others."""
@@ -85,6 +86,10 @@
         """Have ``notify`` called with the bus of each VM that asks who is there."""
         self._greet.append(notify)
 
+    def on_meeting(self, notify: Callable[[Address], None]) -> None:
+        """Have ``notify`` called with the bus of each VM that is heard first, or again."""
+        self._met.append(notify)
+
     def on_loss(self, notify: Callable[[str], None]) -> None:
         """Have ``notify`` called with the name of each VM that falls silent or is replaced."""
         self._lost.append(notify)
@@ -274,6 +279,8 @@
         if former is not None and former.life != state.life:
             self._tell_lost(state.life.name)
         self._bus.send(state.bus, self._own_state())
+        for notify in self._met:
+            notify(state.bus)
 
     async def _receive_digests(self) -> None:
         async for received in self._bus.subscribe(FellowDigests):
@@ -360,6 +367,7 @@
             self._tell_lost(name)
         for name in self._silent - silent:
             events.FELLOW_HEARD.log(log, vm=name)
+            self._tell_met(name)
         self._silent = silent
 
     def _ask_seeds(self, own: FellowState) -> None:
@@ -386,6 +394,13 @@
         self._asked_fellow_at = now
         self._bus.send(fellow.bus, FellowAsk(reply_to=self._bus.address))
 
+    def _tell_met(self, name: str) -> None:
+        state = self._beliefs.fellows.find(name)
+        if state is None:
+            return
+        for notify in self._met:
+            notify(state.bus)
+
     def _tell_lost(self, name: str) -> None:
         for notify in self._lost:
             notify(name)
--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -72,7 +72,10 @@
                 lambda: self._exchange.is_gone(call),
             )
             answered: Answered | None = None
-            with trio.move_on_at(accepted.deadline):
+            with (
+                trio.move_on_at(accepted.deadline),
+                self._exchange.crashes.until_barred(accepted),
+            ):
                 answered = await self._drive(call, window)
             await self._exchange.finish(call, answered)
 
@@ -116,7 +119,8 @@
             deadline=accepted.deadline,
             max_attempts=accepted.route.max_attempts,
             near=self._exchange.near(targets.serving(service), self._data_center),
-            hedge=_hedges(),
+            # A call that may end its runners is tried at one of them at a time.
+            hedge=_hedges() and not self._exchange.crashes.is_suspect(accepted),
         )
 
     async def _wait(
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -7,6 +7,7 @@
 import trio
 
 from lagoonlever.decisions.booked_runs import RunCopy
+from lagoonlever.decisions.crash_suspects import BEGAN, WAITED
 from lagoonlever.decisions.replacements import LifeSigns
 from lagoonlever.decisions.stream_life import EventVerdict, StreamLife
 from lagoonlever.decisions.stream_silence import (
@@ -190,6 +191,7 @@
         self._count("answered")
         self._life.whole = True
         self._tools.beliefs.book.avoidance.served(self._plan.engine.id)
+        self._tools.crashes.served(self._accepted)
         await self._copies.free()
         return head
 
@@ -312,6 +314,22 @@
             if self._signs.alive_at is not None:
                 self._tools.replacements.lost(engine.id, alive_at=self._signs.alive_at)
         self._log_end(f"{ended}; the engine {'lives' if alive else 'does not answer'}")
+        weight = 0.0 if alive else self._end_weight(ended)
+        if weight:
+            await self._tools.crashes.ended_under(self._accepted, engine, weight=weight)
+
+    def _end_weight(self, ended: _Ended) -> float:
+        """Give how much an engine's end counts against the request.
+
+        Others that were at the engine had given events, or were waiting there: a run that had
+        begun and come to nothing may be what ended it. An engine that does not answer though
+        its connection is open may be cut off from this VM, with all that wait there.
+        """
+        if self._flowing:
+            return 0.0
+        if self._answered:
+            return BEGAN
+        return 0.0 if ended.unanswered or self._life.position else WAITED
 
     @property
     def _has_read(self) -> bool:
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -143,14 +143,23 @@
                 continue
             if plan is None:
                 continue
-            await StreamAttempt(
+            attempt = StreamAttempt(
                 accepted=accepted,
                 life=life,
                 plan=plan,
                 tools=self._tools,
                 peers=self._peers,
                 placer=self._placer,
-            ).run()
+            )
+            with self._tools.crashes.until_barred(accepted):
+                await attempt.run()
+            barred = self._tools.crashes.refusal(accepted)
+            if barred is not None and not life.whole:
+                return GiveUp(
+                    may_have_run=life.runs > 0,
+                    detail=barred.message,
+                    retry_after_s=barred.retry_after_s,
+                )
         return None
 
     def _outcome(self, life: StreamLife, gave_up: GiveUp | None) -> NotRun | Unknown:
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -135,6 +135,16 @@
                 return
             await self._pool.put_back(connection, idle_s=_safe_idle_s(head))
 
+    async def reaches(self, target: ListedTarget) -> bool:
+        """Tell whether a target accepts a connection, which is kept for the next request."""
+        try:
+            connection = await ClientConnection.open(target.address, timeout_s=CONNECT_TIMEOUT_S)
+        except ConnectFailed:
+            # No connection is the answer; the one who asked tells of it.
+            return False
+        await self._pool.put_back(connection)
+        return True
+
     async def forget(self, target: ListedTarget) -> None:
         """Close the kept connections to a target that does not answer any more."""
         await self._pool.drop(target.address)
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -68,6 +68,11 @@
         done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         return done and not self._h11.trailing_data[0]
 
+    @property
+    def unused(self) -> bool:
+        """Whether nothing was ever written on this connection."""
+        return self._h11.our_state is h11.IDLE and self._h11.their_state is h11.IDLE
+
     @property
     def quiet(self) -> bool:
         """Whether the peer has sent nothing, nor closed, since the last response.
@@ -260,9 +265,12 @@
         return None
 
     async def put_back(self, connection: ClientConnection, *, idle_s: float | None = None) -> None:
-        """Keep a connection whose response was read whole, for ``idle_s``; close any other."""
+        """Keep a connection that is unused, or whose response was read whole, for ``idle_s``.
+
+        Any other is closed.
+        """
         idle = self._idle.setdefault(connection.address, deque())
-        if not connection.reusable or len(idle) >= self._per_address:
+        if not (connection.reusable or connection.unused) or len(idle) >= self._per_address:
             await connection.aclose()
             return
         connection.idle_since = trio.current_time()
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -1,72 +1,122 @@
-"""Requests that end the targets that run them: they stop after the third, wherever they return."""
+"""Which requests are taken for the cause of ends: the decision by itself."""
 
 from __future__ import annotations
 
-from lagoonlever.tests.gateway_site import GatewaySite, run_site
-
-DEADLY = "ends-each"
-MOST_ENDED = 3
-ALLOWED_AFTER = 3
-"""Retries that may still reach a target once three have ended."""
-
-
-def arrivals(site: GatewaySite) -> int:
-    """Give how often the deadly request has reached an engine."""
-    parts = (h.get("Prompt-Prefix") or "" for e in site.engines.values() for h in e.seen)
-    return sum(DEADLY in part for part in parts)
-
-
-def test_a_stream_that_ends_engines_is_stopped_wherever_its_caller_returns() -> None:
-    """Summaries fail for a minute, as most engines are starting.
-
-    One question ends each engine as it begins to run: its answer's head comes, then nothing.
-    The VM tries as many engines as the route allows. The caller returns to another VM, which
-    knows of lost engines and nothing of what they were running, and allows as many again.
-    """
-
-    async def story(site: GatewaySite) -> None:
-        site.deadly.add(DEADLY)
-        for number in range(4):
-            await site.stream(DEADLY, vm=f"vm-{number % 3}")
-        assert len(site.deaths) <= MOST_ENDED
-        assert arrivals(site) <= MOST_ENDED + ALLOWED_AFTER
-
-    run_site(story, engines=15, vms=3)
-
-
-def test_a_stream_that_ended_engines_stays_stopped_after_a_loss_of_all_vms() -> None:
-    """Three engines have ended under a question, and then all VMs lose power.
-
-    Its caller returns once they are back. No VM remembers anything of before, and the next
-    engines end.
-    """
-
-    async def story(site: GatewaySite) -> None:
-        site.deadly.add(DEADLY)
-        await site.stream(DEADLY)
-        for vm in site.vms.values():
-            vm.kill()
-        for name in tuple(site.vms):
-            await site.wait_ready(await site.start_vm(name))
-        ended = len(site.deaths)
-        for name in site.vms:
-            await site.stream(DEADLY, vm=name)
-        assert len(site.deaths) == ended
-
-    run_site(story, engines=15)
-
-
-def test_a_call_that_ends_runners_is_stopped_wherever_its_caller_returns() -> None:
-    """A lookup ends each application runner that works on it.
-
-    Its caller returns to one VM after the other, and each sends it to two runners more, until
-    bids and lookups of everybody find none.
-    """
-
-    async def story(site: GatewaySite) -> None:
-        site.deadly.add(DEADLY)
-        for number in range(6):
-            await site.call("/look/1", vm=f"vm-{number % 3}", body=DEADLY.encode())
-        assert len(site.deaths) <= MOST_ENDED
-
-    run_site(story, engines=0, runners=12, vms=3)
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lagoonlever.decisions.crash_suspects import (
+    BARRED_S,
+    BEGAN,
+    KEPT_S,
+    MOST_KNOWN,
+    WAITED,
+    CrashSuspects,
+    End,
+    process_name,
+)
+
+ENDS = st.lists(
+    st.tuples(
+        st.sampled_from(("f1", "f2")),
+        st.sampled_from(("a", "b", "c", "d")),
+        st.builds(End, at=st.floats(0.0, 50.0), weight=st.sampled_from((BEGAN, WAITED))),
+    ),
+    max_size=12,
+)
+
+
+def suspects_of(*ends: tuple[str, float]) -> CrashSuspects:
+    """Give what is known after ends under one request, each of a process and its weight."""
+    suspects = CrashSuspects()
+    for at, (process, weight) in enumerate(ends):
+        suspects.ended_under("f1", process, End(at=float(at), weight=weight))
+    return suspects
+
+
+def test_the_third_end_bars_a_request_for_a_while() -> None:
+    suspects = suspects_of(("a", BEGAN), ("b", BEGAN))
+    assert suspects.bar("f1", 2.0) is None
+    suspects.ended_under("f1", "c", End(at=2.0))
+    bar = suspects.bar("f1", 2.0)
+    assert bar is not None and (bar.ended, bar.for_s) == (3, BARRED_S)
+    assert suspects.bar("f2", 2.0) is None
+
+
+def test_after_its_time_one_more_end_bars_it_again() -> None:
+    suspects = suspects_of(("a", BEGAN), ("b", BEGAN), ("c", BEGAN))
+    later = 3.0 + BARRED_S
+    suspects.expire(later)
+    assert suspects.bar("f1", later) is None
+    suspects.ended_under("f1", "d", End(at=later))
+    assert suspects.bar("f1", later) is not None
+    suspects.expire(later + KEPT_S + 1.0)
+    assert not suspects.ends
+
+
+def test_one_end_told_by_many_counts_once() -> None:
+    """Two returns of one caller are at an engine as it ends, and both VMs tell of it."""
+    suspects = suspects_of(("a", BEGAN))
+    assert not suspects.ended_under("f1", "a", End(at=1.0))
+    assert not suspects.ended_under("f1", "a", End(at=1.0, weight=WAITED))
+    assert suspects.count("f1") == 1
+
+
+def test_a_target_that_ends_again_under_its_id_counts_again() -> None:
+    names = [process_name("engine-1", started_ms) for started_ms in (None, 1, 2)]
+    assert len(set(names)) == 3
+
+
+def test_a_request_that_may_only_have_waited_counts_half() -> None:
+    suspects = suspects_of(*((name, WAITED) for name in "abcde"))
+    assert suspects.bar("f1", 5.0) is None
+    suspects.ended_under("f1", "f", End(at=5.0, weight=WAITED))
+    assert suspects.bar("f1", 5.0) is not None
+
+
+def test_where_it_had_begun_goes_before_where_it_may_have_waited() -> None:
+    suspects = suspects_of(("a", WAITED), ("b", BEGAN), ("c", BEGAN))
+    assert suspects.bar("f1", 3.0) is None
+    assert suspects.ended_under("f1", "a", End(at=3.0, weight=BEGAN))
+    assert suspects.bar("f1", 3.0) is not None
+
+
+def test_a_whole_answer_forgets_what_was_counted() -> None:
+    suspects = suspects_of(("a", BEGAN), ("b", BEGAN))
+    assert suspects.served("f1")
+    assert not suspects.served("f1")
+    suspects.ended_under("f1", "c", End(at=2.0))
+    assert suspects.bar("f1", 2.0) is None
+
+
+def test_a_crash_of_many_targets_does_not_push_out_what_is_barred() -> None:
+    """A service's targets crash with hundreds of calls, each of them counted once."""
+    suspects = suspects_of(("a", BEGAN), ("b", BEGAN), ("c", BEGAN))
+    for number in range(2 * MOST_KNOWN):
+        suspects.ended_under(f"call-{number}", "d", End(at=10.0))
+    assert suspects.bar("f1", 10.0) is not None
+    assert len(suspects.ends) == MOST_KNOWN
+
+
+@given(ends=ENDS, seed=st.integers(0, 100))
+def test_news_in_any_order_and_twice_bar_the_same_requests(
+    ends: list[tuple[str, str, End]], seed: int
+) -> None:
+    shuffled = [*ends, *ends]
+    random.Random(seed).shuffle(shuffled)
+    here, there = CrashSuspects(), CrashSuspects()
+    for fingerprint, process, end in ends:
+        here.ended_under(fingerprint, process, end)
+    for fingerprint, process, end in shuffled:
+        there.ended_under(fingerprint, process, end)
+    for fingerprint in ("f1", "f2"):
+        assert bool(here.bar(fingerprint, 50.0)) == bool(there.bar(fingerprint, 50.0))
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_one_end_is_not_worth_a_call_to_the_store(count: int) -> None:
+    suspects = suspects_of(*((name, BEGAN) for name in "ab"[:count]))
+    assert bool(suspects.kept()) == (count == 2)
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -304,6 +304,16 @@
                 pass
             await trio.sleep(POLL_S)
 
+    async def wait_met(self) -> None:
+        """Wait until every gateway hears every other one."""
+
+        def all_met() -> bool:
+            now, others = trio.current_time(), len(self.vms) - 1
+            tables = [vm.daemon.parts.beliefs.fellows for vm in self.vms.values()]
+            return all(len(table.present(now)) == others for table in tables)
+
+        await until(all_met)
+
     def headers(self, request_id: str | None = None, **more: str) -> Headers:
         """Give the head fields of a proper request; ``_`` in names stands for ``-``."""
         fields = {
