Take no report from before an answer broke for a sign that its engine lives

A report of an engine answers others for 50 ms. An engine that was asked because one stream was late, and ended within that time under another one, counted as alive: the stream went back there first, and the end was not counted against the request that caused it. A report counts only if it was asked for after the break.

--- a/lagoonlever/gateway/prober.py
+++ b/lagoonlever/gateway/prober.py
@@ -33,9 +33,16 @@
     _asked: dict[str, _Asked] = attrs.field(factory=dict)
     questions: int = 0
 
-    async def ask(self, engine: ListedTarget) -> EngineReport | None:
-        """Give an engine's report, or None where it does not answer in time."""
+    async def ask(
+        self, engine: ListedTarget, *, since: float = float("-inf")
+    ) -> EngineReport | None:
+        """Give an engine's report, or None where it does not answer in time.
+
+        An answer to a question from before ``since`` is not taken.
+        """
         known = self._asked.get(engine.id)
+        if known is not None and known.at < since:
+            known = None
         if known is not None and not known.done.is_set():
             await known.done.wait()
             return known.report
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -303,8 +303,11 @@
 
     async def _lost(self, ended: _Ended) -> None:
         """Ask the engine whether it lives: one that only lost an answer is not left by all."""
-        engine = self._plan.engine
-        alive = not ended.unanswered and await self._tools.prober.ask(engine) is not None
+        engine, broke_at = self._plan.engine, self._now
+        alive = False
+        if not ended.unanswered:
+            # A report from just before the break would say that an engine lives which has ended.
+            alive = await self._tools.prober.ask(engine, since=broke_at) is not None
         self._count("lost" if alive else "target-gone")
         self._life.lost(engine.id, str(ended), alive=alive, read=self._has_read)
         if alive:
--- a/lagoonlever/tests/crash_watch_tests.py
+++ b/lagoonlever/tests/crash_watch_tests.py
@@ -10,6 +10,7 @@
 import trio
 
 from lagoonlever.fakes.metadata_store import StoreFault
+from lagoonlever.gateway import prober
 from lagoonlever.gateway.crash_records import RECORD_KEY
 from lagoonlever.http.client import Response
 from lagoonlever.http.messages import Address
@@ -327,3 +328,26 @@
         assert site.store.calls[TRANSACTION] == before
 
     run_site(story, engines=0, runners=3)
+
+
+def test_a_report_from_before_an_engine_ended_is_no_sign_of_life(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Two streams are at an engine; one is late, and the engine is asked whether it runs it.
+
+    Within the time in which its report answers others, too, the engine ends under the other
+    stream. That report said that it lives: the end was not counted, and a fourth engine ended.
+    """
+    monkeypatch.setattr(prober, "FRESH_S", 60.0)
+
+    async def story(site: GatewaySite) -> None:
+        await deadly(site)
+        for vm in site.vms.values():
+            parts = vm.daemon.parts
+            for engine in parts.beliefs.targets.serving("engines"):
+                assert await parts.prober.ask(engine) is not None
+        for number in range(3):
+            await site.stream(DEADLY, vm=f"vm-{number % 2}")
+        assert len(site.deaths) <= MOST_ENDED
+
+    run_site(story, engines=15)
