Count off the lookups that a caller left behind at their runner

A VM counts what it has open at each runner, and gives no more than 64 there. A repeatable call that was cancelled, as its caller left, its time was over or its request was barred, was never counted off. The new test (three in place of 64) has the fourth lookup told that no runner has room, with none at work; 200 after. Found while looking at what stopping a call half-way leaves behind. Its open attempts are given up like those of an answered call: older than the usual answer, they count as losses.

--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -81,6 +81,14 @@
 
     async def _drive(self, call: CallRecord, window: RetryWindow) -> Answered | None:
         hedged = self._hedged(call, window)
+        try:
+            return await self._attempts(call, hedged)
+        finally:
+            # Also where the caller left or its time is over: what is open then would take room at
+            # its runner for good, until this VM sends it nothing more.
+            hedged.give_up(self._exchange.timers.now)
+
+    async def _attempts(self, call: CallRecord, hedged: HedgedCall) -> Answered | None:
         send, receive = trio.open_memory_channel[_Ended](0)
         async with open_work_nursery() as nursery:
             while True:
--- a/lagoonlever/tests/gateway_calls_tests.py
+++ b/lagoonlever/tests/gateway_calls_tests.py
@@ -8,6 +8,7 @@
 import trio
 
 from lagoonlever.fakes.platform_runner import Conduct
+from lagoonlever.gateway import parts
 from lagoonlever.http.messages import Headers
 from lagoonlever.platform.headers import ORGANISATION
 from lagoonlever.tests.gateway_site import KEY, GatewaySite, run_site, until_within
@@ -243,3 +244,27 @@
         assert (await site.call("/bid/1", headers=headers)).status == 400
 
     run_site(story, engines=0)
+
+
+def test_lookups_whose_callers_left_take_no_room_at_their_runner(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Clerks look up prices at a slow runner and leave before it answers, all day.
+
+    A VM counts what it has open at a runner. What was broken off was never counted off again,
+    so after as many callers as it may have open it told everybody that no runner has room.
+    """
+    monkeypatch.setattr(parts, "MOST_OUTSTANDING", 3)
+
+    async def story(site: GatewaySite) -> None:
+        order(site, Conduct.STAY_SILENT)
+        for number in range(5):
+            with trio.move_on_after(0.2):
+                await site.call(f"/look/{number}")
+        site.runners["runner-0"].conducts.clear()
+        gateway = site.vms["vm-0"].daemon.parts
+        await until_within(5.0, lambda: gateway.open_requests() == 0)
+        answer = await site.call("/look/last")
+        assert answer.status == 200, answer.body
+
+    run_site(story, engines=0, runners=1, vms=1)
