Count ends less that a barred request explains, and none of a process that had ended before

The soak learnt prompts that end each engine that runs them (two, each sent by two callers, beside ordinary load and kills of VMs), and found it at once: an ordinary stream was refused for ten minutes.

Two rules more: an end counts only if the process was not known to have ended when the request was sent there; and once a request is barred, ends at which it was present count half against others, or not at all where they may only have waited. Causes are found in the order of their third ends, from the same set of ends alike on every VM. Ruled out: by the most ends first; a barred request ends nothing more, and was taken for a follower of a later one (test of two causes).

The judge of the soak now holds: no ordinary request is refused as ending targets; a deadly prompt reaches engines three times at most, later than 3 s after the third end in calm.

--- a/lagoonlever/decisions/crash_suspects.py
+++ b/lagoonlever/decisions/crash_suspects.py
@@ -6,15 +6,16 @@
 the streams of everybody else. So ends are counted by the request that was at the target,
 over all VMs, and after the third the request is refused.
 
-Other requests are at a target when it ends, too. One that had begun to tell its answer is no
-cause of it, and is not counted. One that may only have waited there counts half: it follows the
-cause from target to target, but no longer than until the cause is barred. And one that gets a
-whole answer anywhere ends no target: what was counted against it is forgotten.
+Other requests are at a target when it ends, too, and follow the cause from target to target. One
+that had begun to tell its answer is no cause of it, and is not counted; one that may only have
+waited there counts half. The cause is at all ends, so it reaches the bound first: what it
+explains then counts less against the others. And one that gets a whole answer anywhere ends no
+target: what was counted against it is forgotten.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 
 import attrs
 
@@ -24,6 +25,9 @@
 """The weight of an end where the target had begun to run the request, or may be assumed to."""
 WAITED = 0.5
 """The same where the request may only have waited at the target."""
+EXPLAINED = {BEGAN: 0.5, WAITED: 0.0}
+"""The weights where a barred request was at the target, too. Two causes may have met there: the
+second one is still found, by an end or two more."""
 KEPT_FROM = 2
 """Ends under a request that are worth a call to the store. A target that crashes takes all
 requests that it has with it, and nearly all of them are served elsewhere."""
@@ -65,6 +69,7 @@
     """What is known of all VMs' requests; times are seconds of the monotonic clock."""
 
     _ends: dict[str, dict[str, End]] = attrs.field(factory=dict)
+    _barred: frozenset[str] = frozenset()
 
     @property
     def ends(self) -> Ends:
@@ -83,11 +88,20 @@
             return False
         processes[process] = end
         self._forget_beyond(MOST_KNOWN)
+        self._barred = _causes(self._ends)
         return True
 
+    def has_ended(self, process: str, before: float) -> bool:
+        """Tell whether a process was known to have ended before a moment."""
+        known = (processes.get(process) for processes in self._ends.values())
+        return any(end is not None and end.at < before for end in known)
+
     def served(self, fingerprint: str) -> bool:
         """Note that a target has answered a request; gives whether ends are forgotten by it."""
-        return self._ends.pop(fingerprint, None) is not None
+        if self._ends.pop(fingerprint, None) is None:
+            return False
+        self._barred = _causes(self._ends)
+        return True
 
     def count(self, fingerprint: str) -> int:
         """Give how many processes ended under a request."""
@@ -103,9 +117,9 @@
 
     def bar(self, fingerprint: str, now: float) -> Bar | None:
         """Give why a request is refused, or None where it may run."""
-        processes = self._ends.get(fingerprint)
-        if processes is None or _weight(processes) < MOST_ENDED:
+        if fingerprint not in self._barred:
             return None
+        processes = self._ends[fingerprint]
         for_s = _last_at(processes) + BARRED_S - now
         return Bar(ended=len(processes), for_s=for_s) if for_s > 0 else None
 
@@ -114,6 +128,7 @@
         for fingerprint, processes in list(self._ends.items()):
             if now - _last_at(processes) > KEPT_S:
                 del self._ends[fingerprint]
+        self._barred &= self._ends.keys()
 
     def _forget_beyond(self, most: int) -> None:
         while len(self._ends) > most:
@@ -125,8 +140,31 @@
         return min(MOST_ENDED, _weight(processes)), _last_at(processes)
 
 
-def _weight(processes: Mapping[str, End]) -> float:
-    return sum(end.weight for end in processes.values())
+def _causes(ends: Ends) -> frozenset[str]:
+    """Give the requests with enough ends, found in the order of these ends.
+
+    One that is found explains its ends to those that come to the bound after it. By the
+    most ends instead, a request that is barred, and so ends nothing any more, would be
+    taken for one that followed another.
+    """
+    enough = [fingerprint for fingerprint in ends if _weight(ends[fingerprint]) >= MOST_ENDED]
+    seen: dict[str, dict[str, End]] = {fingerprint: {} for fingerprint in enough}
+    causes: set[str] = set()
+    explained: set[str] = set()
+    in_order = sorted((end.at, f, process) for f in enough for process, end in ends[f].items())
+    for _, fingerprint, process in in_order:
+        seen[fingerprint][process] = ends[fingerprint][process]
+        if fingerprint not in causes and _weight(seen[fingerprint], explained) >= MOST_ENDED:
+            causes.add(fingerprint)
+            explained.update(ends[fingerprint])
+    return frozenset(causes)
+
+
+def _weight(processes: Mapping[str, End], explained: Container[str] = ()) -> float:
+    return sum(
+        EXPLAINED[end.weight] if process in explained else end.weight
+        for process, end in processes.items()
+    )
 
 
 def _last_at(processes: Mapping[str, End]) -> float:
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -81,11 +81,12 @@
         self, call: CallRecord, target: ListedTarget, *, rested_at_most_s: float
     ) -> AttemptResult:
         """Send a call to one target, and note whether it has served it or ended under it."""
+        sent_at = self.timers.now
         result = await self._attempt(call, target, rested_at_most_s=rested_at_most_s)
         if isinstance(result, Answered):
             self.crashes.served(call.accepted)
         elif isinstance(result, Lost):
-            await self.crashes.lost_call(call.accepted, target)
+            await self.crashes.lost_call(call.accepted, target, sent_at=sent_at)
         return result
 
     async def _attempt(
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -104,19 +104,25 @@
                 if not scopes:
                     self._open.pop(accepted.fingerprint, None)
 
-    async def ended_under(self, accepted: Accepted, target: ListedTarget, *, weight: float) -> None:
+    async def ended_under(
+        self, accepted: Accepted, target: ListedTarget, *, weight: float, sent_at: float
+    ) -> None:
         """Note that a target ended under a request, and let the others know.
 
+        One that had ended before the request was sent there is no work of it.
+
         Waits a moment for the record: a VM that hears no other one learns by writing what they
         saw, before it sends the request to the next target.
         """
+        if self._suspects.has_ended(process_name(target.id, target.started_ms), sent_at):
+            return
         if self._note(accepted, target, weight) and accepted.fingerprint in self._suspects.kept():
             await self._records.save()
 
-    async def lost_call(self, accepted: Accepted, target: ListedTarget) -> None:
+    async def lost_call(self, accepted: Accepted, target: ListedTarget, *, sent_at: float) -> None:
         """Look whether a target has ended under a call: one that has takes no connection."""
         if not await self._client.reaches(target):
-            await self.ended_under(accepted, target, weight=BEGAN)
+            await self.ended_under(accepted, target, weight=BEGAN, sent_at=sent_at)
 
     def served(self, accepted: Accepted) -> None:
         """Note that a target has answered a request whole: it ends no target."""
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -319,7 +319,9 @@
         self._log_end(f"{ended}; the engine {'lives' if alive else 'does not answer'}")
         weight = 0.0 if alive else self._end_weight(ended)
         if weight:
-            await self._tools.crashes.ended_under(self._accepted, engine, weight=weight)
+            await self._tools.crashes.ended_under(
+                self._accepted, engine, weight=weight, sent_at=self._started
+            )
 
     def _end_weight(self, ended: _Ended) -> float:
         """Give how much an engine's end counts against the request.
--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -13,6 +13,7 @@
 from lagoonlever.http.client import ClientConnection, Response, fetch
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.sse import RawEventSplitter
+from lagoonlever.outcomes import REASON_HEADER
 from lagoonlever.platform.documents import (
     caller_headers,
     prompt_fields,
@@ -31,6 +32,8 @@
 RETRIES = 3
 PAUSE_S = 0.05
 LEAVES = 0.08
+DEADLY_PAUSE_S = (0.05, 0.5)
+"""Between two returns of a caller whose prompt ends engines."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -57,6 +60,13 @@
                 await self.call(kind)
             await trio.sleep(self.rng.uniform(0.0, PAUSE_S))
 
+    async def run_deadly(self, part: str) -> None:
+        """Send the prompt that ends each engine, again and again, until cancelled."""
+        while True:
+            await self._stream_once(part, EVENTS[1], 0, None)
+            await self._drop()
+            await trio.sleep(self.rng.uniform(*DEADLY_PAUSE_S))
+
     async def call(self, kind: str) -> int:
         """Send a bid or a lookup, again as the rules allow; gives the last status."""
         status = 0
@@ -98,6 +108,7 @@
             await self._drop()
             return 0
         self.judge.called(request, response.status, response.headers, response.body)
+        self.judge.refused(request, response.headers.get(REASON_HEADER))
         return response.status
 
     async def _stream_once(
@@ -133,6 +144,8 @@
             self.judge.answered("stream", request, 0)
             return told, False
         self.judge.answered("stream", request, head.status)
+        if part not in self.site.deadly:
+            self.judge.refused(request, head.headers.get(REASON_HEADER))
         if head.status == OK:
             self.judge.stream_ended(part, told, events)
         return told, head.status == OK
--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -8,11 +8,18 @@
 
 from lagoonlever.fakes.platform_engine import event_bytes
 from lagoonlever.http.messages import Headers
+from lagoonlever.outcomes import Reason
 from lagoonlever.platform.headers import ORGANISATION, SEAL
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """They promise that the request has not run and never will."""
 OK = 200
+MOST_ENDED = 3
+"""Engines that may end under one prompt before it is stopped."""
+STOPPED_AFTER_S = 3.0
+"""From the last of these until every VM that was not harmed knows."""
+ALLOWED_AFTER = 3
+"""Retries that may reach an engine all the same."""
 
 
 @attrs.frozen(kw_only=True)
@@ -38,6 +45,10 @@
     _once: set[str] = attrs.field(factory=set)
     """Ids of requests that may run once at most."""
     _told_not_run: set[str] = attrs.field(factory=set)
+    _ended_at: dict[str, list[float]] = attrs.field(factory=dict)
+    """When engines ended under each deadly prompt."""
+    _reached: Counter[str] = attrs.field(factory=Counter)
+    """How often each deadly prompt reached an engine after enough had ended, in calm."""
 
     def break_promise(self, promise: str, detail: str) -> None:
         """Note a violation."""
@@ -60,6 +71,25 @@
             found = headers.get(ORGANISATION)
             self.break_promise("organisations", f"{request} reached {target} for {found}")
 
+    def ended(self, part: str, now: float) -> None:
+        """Note that an engine has ended under a deadly prompt."""
+        self.counts["engines ended by a prompt"] += 1
+        self._ended_at.setdefault(part, []).append(now)
+
+    def reached(self, part: str, now: float, *, calm: bool) -> None:
+        """Note that a deadly prompt has reached an engine; ``calm`` if nothing was harmed."""
+        ends = self._ended_at.get(part, [])
+        if not calm or len(ends) < MOST_ENDED or now - ends[MOST_ENDED - 1] < STOPPED_AFTER_S:
+            return
+        self._reached[part] += 1
+        if self._reached[part] > ALLOWED_AFTER:
+            self.break_promise("deadly requests stop", f"{part} has ended {len(ends)} engines")
+
+    def refused(self, request: str, reason: str | None) -> None:
+        """Check the reason for which an ordinary request was refused."""
+        if reason == Reason.ENDS_TARGETS.value:
+            self.break_promise("only deadly requests are barred", request)
+
     def answered(self, kind: str, request: str, status: int) -> None:
         """Note a caller's final status; 0 where its connection ended without one."""
         self.counts[f"{kind} {status}"] += 1
--- a/lagoonlever/soak/run.py
+++ b/lagoonlever/soak/run.py
@@ -16,14 +16,12 @@
 from lagoonlever.soak.faults import FaultActions
 from lagoonlever.soak.judge import OK, Judge, Violation
 from lagoonlever.soak.plan import Fault, draw_plan
-from lagoonlever.soak.site import GATEWAY, HOST, ORGANISATION, SoakSite, SoakVm
+from lagoonlever.soak.site import CALM_S, GATEWAY, HOST, ORGANISATION, SoakSite, SoakVm
 
 APPLY_S = 2.0
 """A stored configuration is in force everywhere within this."""
 APPLY_MARGIN_S = 0.5
 """For the machine of the soak, which runs everything on a few cores."""
-CALM_S = 3.0
-"""A part that was harmed within this is held to no bound of time."""
 START_S = 20.0
 """Generous: starting takes a second, on a loaded machine a few."""
 RECOVER_S = 10.0
@@ -41,6 +39,8 @@
     runners: int = 3
     callers: int = 8
     length_s: float = 15.0
+    deadly: int = 0
+    """Prompts that end each engine that runs them; each is sent by two callers."""
 
 
 @attrs.frozen(kw_only=True)
@@ -94,6 +94,7 @@
             rng = random.Random(f"{seed}-caller-{number}")
             caller = SoakCaller(number=number, site=site, judge=site.judge, rng=rng)
             nursery.start_soon(caller.run)
+        _start_deadly(nursery, site, size, seed)
         nursery.start_soon(_watch_processes, site)
         nursery.start_soon(_watch_configuration, site)
         actions = FaultActions(site=site)
@@ -108,6 +109,16 @@
     await _serve_again(site, seed)
 
 
+def _start_deadly(nursery: trio.Nursery, site: SoakSite, size: SoakSize, seed: int) -> None:
+    """Start the callers whose prompts end engines; both of a prompt may meet at one engine."""
+    for number in range(2 * size.deadly):
+        part = f"deadly-{number // 2}"
+        site.deadly.add(part)
+        rng = random.Random(f"{seed}-deadly-{number}")
+        caller = SoakCaller(number=500 + number, site=site, judge=site.judge, rng=rng)
+        nursery.start_soon(caller.run_deadly, part)
+
+
 async def _wait_ready(site: SoakSite, limit_s: float, promise: str) -> None:
     """Wait until every VM takes callers; a violation if one does not in time."""
     waiting = list(site.vms)
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -24,7 +24,7 @@
 )
 from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
-from lagoonlever.fakes.platform_engine import FakeEngine
+from lagoonlever.fakes.platform_engine import EngineRun, FakeEngine
 from lagoonlever.fakes.platform_runner import FakeRunner
 from lagoonlever.gateway.settings import Bounds, GatewaySettings, StoreLimits
 from lagoonlever.http.messages import Address, Headers
@@ -48,6 +48,8 @@
 """Between the end of a target and the start of another one at its address."""
 FIRST_START_MS = 1_700_000_000_000
 """The starts of targets are counted from here, one a life."""
+CALM_S = 3.0
+"""A part that was harmed within this is held to no bound of time."""
 LAPSE_S = 1.2
 """How long the entry of a target that crashed stays."""
 
@@ -74,7 +76,13 @@
     """An engine that tells the judge what it runs."""
 
     def __init__(
-        self, *, target_id: str, fleet: dict[str, FakeEngine], judge: Judge, started_ms: int
+        self,
+        *,
+        target_id: str,
+        fleet: dict[str, FakeEngine],
+        judge: Judge,
+        started_ms: int,
+        site: SoakSite,
     ) -> None:
         super().__init__(
             target_id=target_id,
@@ -82,8 +90,11 @@
             prefill_tokens_per_s=20_000.0,
             event_s=0.02,
             started_ms=started_ms,
+            deadly=site.deadly,
+            die=lambda: site.engine_dies(target_id),
         )
         self._judge = judge
+        self._site = site
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request or question."""
@@ -91,8 +102,14 @@
         request = headers.get(REQUEST_ID)
         if request is not None and headers.get(EXPECTED_TARGET) == self.target_id:
             self._judge.ran(request, self.target_id, headers)
+            self._tell_deadly(exchange.request.body.decode())
         await super().handle(exchange)
 
+    def _tell_deadly(self, part: str) -> None:
+        if part in self._site.deadly:
+            now = trio.current_time()
+            self._judge.reached(part, now, calm=self._site.is_calm(now))
+
 
 @attrs.define(kw_only=True, eq=False)
 class SoakTarget:
@@ -143,6 +160,8 @@
     Callers use the middle one: it is in the version before and in the one to come, so
     that they are served while VMs have different versions in force.
     """
+    deadly: set[str] = attrs.field(factory=set)
+    """Prompts that end each engine that begins to run them."""
     revoked: str = ""
     """The key that the newest version took away."""
     version: int = 0
@@ -221,6 +240,26 @@
             former.target.service, number, former.proxy, target_id=former.target.id
         )
 
+    def engine_dies(self, target_id: str) -> None:
+        """End an engine by the prompt that it runs; another one comes at its address."""
+        places = [n for n, kept in enumerate(self.engines) if kept.target.id == target_id]
+        for part in self.deadly & {run.part for run in self._runs_of(places)}:
+            self.judge.ended(part, trio.current_time())
+        for place in places:
+            self.nursery.start_soon(self.restart_target, self.engines, place)
+
+    def is_calm(self, now: float) -> bool:
+        """Tell whether no VM, and not the store, was harmed of late."""
+        harmed = [vm.disturbed_at for vm in self.vms if not vm.store_link.harmed]
+        if len(harmed) < len(self.vms) or self.store.harmed:
+            return False
+        return now - max(*harmed, self.store_disturbed_at) > CALM_S
+
+    def _runs_of(self, places: list[int]) -> list[EngineRun]:
+        servers = [self.engines[place].server for place in places]
+        engines = [server for server in servers if isinstance(server, FakeEngine)]
+        return [run for engine in engines for run in engine.runs.values() if run.flowing]
+
     async def replace_runner(self, place: int) -> None:
         """Have a runner drain and go, and another one come beside it."""
         former = self.runners[place]
@@ -259,7 +298,11 @@
         server: FakeEngine | FakeRunner
         if service == "engines":
             server = WatchedEngine(
-                target_id=target_id, fleet=self._fleet, judge=self.judge, started_ms=started_ms
+                target_id=target_id,
+                fleet=self._fleet,
+                judge=self.judge,
+                started_ms=started_ms,
+                site=self,
             )
             self._fleet[str(proxy.listen)] = server
         else:
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -92,6 +92,37 @@
     assert suspects.bar("f1", 2.0) is None
 
 
+def test_what_the_cause_explains_counts_less_against_those_that_followed_it() -> None:
+    """A stream is at four engines that a question ends, twice with an answer just begun.
+
+    Its own ends would do to bar it, if nobody looked who else was there.
+    """
+    suspects = suspects_of(("a", BEGAN), ("b", BEGAN), ("c", BEGAN), ("d", BEGAN))
+    for process, weight in (("a", BEGAN), ("b", BEGAN), ("c", WAITED), ("d", WAITED)):
+        suspects.ended_under("f2", process, End(at=4.0, weight=weight))
+    assert suspects.bar("f1", 5.0) is not None
+    assert suspects.bar("f2", 5.0) is None
+
+
+def test_two_causes_that_met_are_both_found() -> None:
+    """Two questions end engines, three of them together; then the first one is barred."""
+    suspects = suspects_of(*((process, BEGAN) for process in "abcd"))
+    for process in "abc":
+        suspects.ended_under("f2", process, End(at=4.0))
+    assert suspects.bar("f2", 5.0) is None
+    for process in "ef":
+        suspects.ended_under("f2", process, End(at=5.0))
+    assert suspects.bar("f1", 5.0) is not None
+    assert suspects.bar("f2", 5.0) is not None
+
+
+def test_a_process_that_had_ended_before_is_known() -> None:
+    suspects = suspects_of(("a", BEGAN), ("b", BEGAN))
+    assert suspects.has_ended("b", 1.5)
+    assert not suspects.has_ended("b", 0.5)
+    assert not suspects.has_ended("c", 1.5)
+
+
 def test_a_crash_of_many_targets_does_not_push_out_what_is_barred() -> None:
     """A service's targets crash with hundreds of calls, each of them counted once."""
     suspects = suspects_of(("a", BEGAN), ("b", BEGAN), ("c", BEGAN))
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -26,8 +26,15 @@
 """Kinds of faults that these seeds were drawn without."""
 
 
-def play(seed: int, folder: Path, *, length_s: float = SHORT.length_s, **more: Any) -> SoakResult:
-    size = attrs.evolve(SHORT, length_s=length_s)
+def play(
+    seed: int,
+    folder: Path,
+    *,
+    length_s: float = SHORT.length_s,
+    size: SoakSize = SHORT,
+    **more: Any,
+) -> SoakResult:
+    size = attrs.evolve(size, length_s=length_s)
 
     async def main() -> SoakResult:
         return await run_soak(seed, size=size, folder=folder, **more)
@@ -70,6 +77,26 @@
     assert result.counts.get("stream 200", 0) > 10
 
 
+def test_prompts_that_end_engines_stop_and_no_other_request_is_barred(tmp_path: Path) -> None:
+    """Two prompts end each engine that runs them; their callers return at once, to any VM.
+
+    VMs are killed meanwhile, once all of them, and the store is away for a while. Later it is
+    calm, and the prompts must reach no engine any more.
+    """
+    kills = [
+        Fault(kind=FaultKind.VM_KILL, at_s=1.5 + number, for_s=0.3, number=number)
+        for number in range(3)
+    ]
+    all_lost = Fault(kind=FaultKind.ALL_KILL, at_s=5.0, for_s=0.3, number=0)
+    away = Fault(kind=FaultKind.STORE_SILENT, at_s=2.0, for_s=1.5, number=0)
+    plan = tuple(sorted([*kills, all_lost, away], key=lambda fault: fault.at_s))
+    size = attrs.evolve(SHORT, engines=6, deadly=2)
+    result = play(1, tmp_path, length_s=16.0, plan=plan, size=size)
+    assert result.violations == ()
+    assert result.counts["engines ended by a prompt"] >= 3
+    assert result.counts.get("stream 200", 0) > 10
+
+
 def test_a_bid_that_is_sent_twice_is_found(tmp_path: Path) -> None:
     """A gateway that sends a bid to a second runner after a lost answer runs it twice.
 
@@ -103,6 +130,15 @@
     judge.called("b1", 200, Headers(), b"answer to b1")
     judge.event("p", 2, b"id: 3\ndata: p 3\n\n")
     judge.stream_ended("p", 4, 5)
+    judge.refused("b4", "ends-targets")
+    for at in range(3):
+        judge.ended("d", float(at))
+    for _ in range(4):
+        judge.reached("d", 4.0, calm=True)
+        judge.reached("d", 6.0, calm=False)
+    assert len(judge.violations) == 9
+    for _ in range(4):
+        judge.reached("d", 6.0, calm=True)
     assert [violation.promise for violation in judge.violations] == [
         "at most once",
         "not run is true",
@@ -112,4 +148,6 @@
         "whole answers",
         "streams in order",
         "streams are whole",
+        "only deadly requests are barred",
+        "deadly requests stop",
     ]
