Call a barred stream back only before its engine begins, so that its caller gets an answer

A stream was cancelled at any moment of its attempt once its request was barred. Cancelled as the head of its answer was about to be written, it ended with a closed connection and no answer at all: seen once in test_returns_that_wait_at_engines_are_called_back_before_they_begin (closed before it answered). What has begun ends its engine anyway or is no cause; so only the wait for the head is given up, and the caller is told 502 or, where its answer had begun before, sees it end.

--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -59,6 +59,10 @@
     """The attempt is left before its first event: another engine is sooner ready for it."""
 
 
+class _CalledBack(Exception):
+    """The attempt is left before its engine has begun: the request ends engines."""
+
+
 @attrs.define(kw_only=True, eq=False)
 class StreamAttempt:
     """Runs once; what became of it is told to the life of the stream."""
@@ -116,6 +120,9 @@
             self._count("moved")
             self._life.moved()
             self._log_end("left for a better place")
+        except _CalledBack:
+            self._count("called-back")
+            self._log_end("called back: the request ends engines")
         finally:
             await self._tools.client.release(connection, head)
 
@@ -173,8 +180,7 @@
                 body=request.body,
                 step="forward",
             )
-            response = await self._next(connection, silence, head=True)
-            assert isinstance(response, Response)
+            response = await self._wait_head(connection, silence)
             head = read_answer(response.status, response.headers)
             if not await self._accept_head(response, head):
                 return None
@@ -195,6 +201,18 @@
         await self._copies.free()
         return head
 
+    async def _wait_head(self, connection: ClientConnection, silence: StreamSilence) -> Response:
+        """Wait until the engine begins, unless the request is barred first.
+
+        Only that long: a cancellation later could cut the answer to the caller in a write.
+        """
+        response: Response | bytes | None = None
+        with self._tools.crashes.until_barred(self._accepted):
+            response = await self._next(connection, silence, head=True)
+        if not isinstance(response, Response):
+            raise _CalledBack
+        return response
+
     async def _next(
         self, connection: ClientConnection, silence: StreamSilence, *, head: bool
     ) -> Response | bytes | None:
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -143,16 +143,14 @@
                 continue
             if plan is None:
                 continue
-            attempt = StreamAttempt(
+            await StreamAttempt(
                 accepted=accepted,
                 life=life,
                 plan=plan,
                 tools=self._tools,
                 peers=self._peers,
                 placer=self._placer,
-            )
-            with self._tools.crashes.until_barred(accepted):
-                await attempt.run()
+            ).run()
             barred = self._tools.crashes.refusal(accepted)
             if barred is not None and not life.whole:
                 return GiveUp(
