Entry daemon: stop a prompt that ends engines, over returns of its caller and over VMs

It counts as the gateway does (decisions/crash_suspects.py): an engine that broke off before any token and takes no connection any more, by organisation, model and prompt, told to all VMs. What is known is not kept in the platform's service: it is gone with the last VM (open). The callers' library gives up at once on this reason in place of waiting for ten minutes.

--- a/lagoonlever/bench/entry_vm.py
+++ b/lagoonlever/bench/entry_vm.py
@@ -17,6 +17,7 @@
 from lagoonlever.entry.addresses import EntryAnswer
 from lagoonlever.entry.admission import AdmissionPart
 from lagoonlever.entry.callers import CallerDirectory
+from lagoonlever.entry.engine_crashes import EngineCrashes
 from lagoonlever.entry.generations import GenerationSettings
 from lagoonlever.entry.routes import Routes
 from lagoonlever.entry.serving import GenerationServing, RoutingSettings
@@ -146,8 +147,15 @@
     organisation = Node(path=ORGANISATION, overrides=(keys,))
     tree = Published(TreeView(version=0, nodes=(Node(path=ROOT), organisation)))
     members = _lone_member(address)
-    admission = _admission(
-        tree=tree, view=view, members=members, address=address, timers=timers, rng=rng
+    bus = LocalBus(network=LocalNetwork(random=rng), address=address, own=members.value.own)
+    admission = AdmissionPart(
+        tree=tree,
+        targets=view,
+        members=members,
+        bus=bus,
+        timers=timers,
+        metrics=Metrics(),
+        random=rng,
     )
     serving = GenerationServing(
         vm=VM_NAME,
@@ -158,6 +166,7 @@
         rng=rng,
         background=nursery,
         peers=NoPeers(),
+        crashes=EngineCrashes(bus=bus, members=members, timers=timers),
         members=members,
         generation=GenerationSettings(),
         detection=detection,
@@ -201,25 +210,3 @@
         state=MemberState.ALIVE,
     )
     return Published(MemberView(members=(member,), own=member.incarnation))
-
-
-def _admission(
-    *,
-    tree: Published[TreeView],
-    view: Published[TargetView],
-    members: Published[MemberView],
-    address: Address,
-    timers: TimerService,
-    rng: random.Random,
-) -> AdmissionPart:
-    own = members.value.own
-    bus = LocalBus(network=LocalNetwork(random=rng), address=address, own=own)
-    return AdmissionPart(
-        tree=tree,
-        targets=view,
-        members=members,
-        bus=bus,
-        timers=timers,
-        metrics=Metrics(),
-        random=rng,
-    )
--- a/lagoonlever/client/caller.py
+++ b/lagoonlever/client/caller.py
@@ -22,7 +22,13 @@
 from lagoonlever.http.event_reader import EventReader
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.sse import ServerEvent
-from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER, RETRY_AFTER_HEADER, OutcomeTag
+from lagoonlever.outcomes import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    RETRY_AFTER_HEADER,
+    OutcomeTag,
+    Reason,
+)
 
 RETRY_STATUSES = frozenset({HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE})
 READ_STEP = "read the answer"
@@ -280,10 +286,13 @@
     async def _handle_refusal(
         self, connection: ClientConnection, status: int, headers: Headers
     ) -> None:
-        """Wait where the VM said when to come back; raise ``NoAnswer`` at any other refusal."""
+        """Wait where the VM said when to come back; raise ``NoAnswer`` at any other refusal.
+
+        One that is refused as it ends targets would be refused again: waiting is no help.
+        """
         outcome = headers.get(OUTCOME_HEADER, "unknown") or "unknown"
         reason = headers.get(REASON_HEADER, "") or ""
-        if status in RETRY_STATUSES:
+        if status in RETRY_STATUSES and reason != Reason.ENDS_TARGETS.value:
             self._entries.forget(connection.address)
             await trio.sleep(float(headers.get(RETRY_AFTER_HEADER, "1") or 1))
             return
--- /dev/null
+++ b/lagoonlever/entry/engine_crashes.py
@@ -0,0 +1,133 @@
+"""Counts the engines that end under a prompt, over all VMs, and bars it after the third.
+
+A request may be tried at several engines, and its caller may send it anew to any VM. Without
+a count by what is asked, one prompt that ends each engine ends them all.
+"""
+
+from __future__ import annotations
+
+import attrs
+import logbook
+
+from lagoonlever.decisions.crash_suspects import BEGAN, CrashSuspects, End, process_name
+from lagoonlever.decisions.fingerprints import RequestWork
+from lagoonlever.decisions.generation_messages import GenerationSpec
+from lagoonlever.decisions.membership import MemberView
+from lagoonlever.decisions.targets import Target
+from lagoonlever.events import event
+from lagoonlever.exceptions import ConnectFailed
+from lagoonlever.http.client import ClientConnection
+from lagoonlever.outcomes import NotRun, Reason
+from lagoonlever.peers.interface import Bus
+from lagoonlever.peers.messages_crashes import EndTold, RequestServed, TargetsEnded
+from lagoonlever.published import Published
+from lagoonlever.timers import Tick, TimerService
+
+log = logbook.Logger(__name__)
+
+CONNECT_S = 0.5
+"""An engine that lives accepts within milliseconds, also while it is busy."""
+EXPIRE_PERIOD_S = 60.0
+
+ENGINE_ENDED_UNDER = event(
+    212,
+    "engine-ended-under",
+    "warning",
+    "{target} ended under request {request} of {organisation}: the {ended}. end under fingerprint "
+    "{fingerprint}.",
+    "One end may be an accident. After the third the prompt is refused for a while: tell its "
+    "organisation, and mend the engines.",
+)
+
+
+@attrs.define(kw_only=True, eq=False)
+class EngineCrashes:
+    """What is known of prompts that end engines; told among the VMs, and forgotten with them."""
+
+    _bus: Bus
+    _members: Published[MemberView]
+    _timers: TimerService
+    _suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+
+    async def run(self) -> None:
+        """Take what other VMs tell, until cancelled."""
+        with self._timers.subscribed(self._expire, period_s=EXPIRE_PERIOD_S):
+            async for received in self._bus.subscribe(TargetsEnded):
+                now = self._timers.now
+                for told in received.message.ends:
+                    end = End(at=now - max(0.0, told.age_s), weight=told.weight)
+                    self._suspects.ended_under(told.fingerprint, told.process, end)
+
+    async def run_served(self) -> None:
+        """Take which requests were served after all, until cancelled."""
+        async for received in self._bus.subscribe(RequestServed):
+            self._suspects.served(received.message.fingerprint)
+
+    def refusal(self, spec: GenerationSpec) -> NotRun | None:
+        """Give what the caller of a barred prompt is told, or None where it may run."""
+        if not self._suspects.ends:
+            return None
+        bar = self._suspects.bar(_fingerprint(spec), self._timers.now)
+        if bar is None:
+            return None
+        return NotRun(
+            reason=Reason.ENDS_TARGETS,
+            message=f"{bar.ended} engines ended under this prompt",
+            retry_after_s=bar.for_s,
+        )
+
+    async def look(self, spec: GenerationSpec, target: Target, *, sent_at: float) -> None:
+        """Note that an engine ended under a request that got no token of it, if it has ended."""
+        process = process_name(target.name, None)
+        if await _accepts(target) or self._suspects.has_ended(process, sent_at):
+            return
+        fingerprint, now = _fingerprint(spec), self._timers.now
+        if not self._suspects.ended_under(fingerprint, process, End(at=now, weight=BEGAN)):
+            return
+        ENGINE_ENDED_UNDER.log(
+            log,
+            target=target.name,
+            request=spec.request_id,
+            organisation=spec.organisation,
+            ended=self._suspects.count(fingerprint),
+            fingerprint=fingerprint,
+        )
+        told = EndTold(fingerprint=fingerprint, process=process, age_s=0.0, weight=BEGAN)
+        self._tell(TargetsEnded(ends=(told,)))
+
+    def served(self, spec: GenerationSpec) -> None:
+        """Note that an engine gave a whole answer: the prompt ends none."""
+        if self._suspects.ends and self._suspects.served(_fingerprint(spec)):
+            self._tell(RequestServed(fingerprint=_fingerprint(spec)))
+
+    def _tell(self, message: TargetsEnded | RequestServed) -> None:
+        view = self._members.value
+        for member in view.reachable:
+            if member.incarnation != view.own:
+                self._bus.send(member.peers, message)
+
+    def _expire(self, tick: Tick) -> None:
+        self._suspects.expire(tick.now)
+
+
+def _fingerprint(spec: GenerationSpec) -> str:
+    prompt = spec.prompt if isinstance(spec.prompt, str) else repr(spec.prompt)
+    work = RequestWork(
+        host="",
+        method="POST",
+        target=spec.model,
+        organisation=spec.organisation,
+        body=prompt.encode(),
+    )
+    return work.fingerprint()
+
+
+async def _accepts(target: Target) -> bool:
+    """Tell whether an engine takes a connection."""
+    try:
+        connection = await ClientConnection.open(target.address, timeout_s=CONNECT_S)
+    except ConnectFailed:
+        # No connection is the answer; the one who asked logs it.
+        return False
+    await connection.aclose()
+    return True
--- a/lagoonlever/entry/engines.py
+++ b/lagoonlever/entry/engines.py
@@ -15,6 +15,7 @@
 from lagoonlever.decisions.targets import ModelKey, Target, TargetState, TargetView
 from lagoonlever.entry.admission import Admitted
 from lagoonlever.entry.attempt import cancel_stream
+from lagoonlever.entry.engine_crashes import EngineCrashes
 from lagoonlever.entry.engine_watch import EngineWatch, SuspicionListener
 from lagoonlever.http.messages import Address
 from lagoonlever.outcomes import NotRun
@@ -90,6 +91,7 @@
     _timers: TimerService
     _watch: EngineWatch
     _background: trio.Nursery
+    _crashes: EngineCrashes
     _observe: Callable[[GenerationSpec, Dispatch, Target], None] = lambda *_: None
     """Told of each dispatch right before it is written, for histories."""
     _open: dict[str, OpenStream] = attrs.field(factory=dict)
@@ -202,9 +204,27 @@
         self._admission.release(placement.grant)
         took_s = now - placement.started_at if cause is None else None
         self._router.ended(target.name, now=now, took_s=took_s)
+        if cause is None:
+            self._crashes.served(spec)
         if cause in (BreakCause.CONNECT_FAILED, BreakCause.SILENT):
             self._guard.connect_failed(target)
 
+    def refusal(self, spec: GenerationSpec) -> NotRun | None:
+        """Give why a prompt may not run as it ends engines, or None."""
+        return self._crashes.refusal(spec)
+
+    async def look_at_end(
+        self, spec: GenerationSpec, placement: Placement, cause: BreakCause
+    ) -> NotRun | None:
+        """Look whether an engine ended under an attempt; gives why there is to be no other.
+
+        Not where tokens had come: what was running beside a prompt that ends its engine is
+        no cause of it.
+        """
+        if cause is BreakCause.BROKEN and not placement.tokens:
+            await self._crashes.look(spec, placement.target, sent_at=placement.started_at)
+        return self._crashes.refusal(spec)
+
     def cancel(self, spec: GenerationSpec, dispatch: Dispatch, target: Target) -> None:
         """Have an attempt cancelled at its engine, in the background."""
         name = stream_id(spec, dispatch.attempt)
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -200,9 +200,18 @@
                     cause = BreakCause.SILENT
                 self._engines.ended(self.spec, dispatch, placement, cause)
         if cause is not None:
+            await self._look_at_end(running, cause)
             self._carry_out(self._life.broken(attempt=dispatch.attempt, cause=cause))
         self._running.pop(dispatch.attempt, None)
 
+    async def _look_at_end(self, running: _RunningAttempt, cause: BreakCause) -> None:
+        """Give the request up where too many engines have ended under it."""
+        if running.placement is None:
+            return
+        barred = await self._engines.look_at_end(self.spec, running.placement, cause)
+        if barred is not None:
+            self.abandon(reason=barred.reason, message=barred.message)
+
     def _not_placed(self, dispatch: Dispatch, answer: NotRun | None) -> None:
         del self._running[dispatch.attempt]
         attempt = dispatch.attempt
--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -182,6 +182,10 @@
             settings=self._callers.settings_of(call.spec.organisation),
             served_models=self._engines.models(),
         )
+        barred = self._engines.refusal(call.spec)
+        if barred is not None:
+            await self._refuse(exchange, call, barred)
+            return None
         if self.running >= self._settings.running:
             await self._refuse(exchange, call, AT_CAPACITY)
             return None
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -16,6 +16,7 @@
 from lagoonlever.entry.admission import AdmissionPart
 from lagoonlever.entry.cache_events import CacheEventSink
 from lagoonlever.entry.callers import CallerDirectory
+from lagoonlever.entry.engine_crashes import EngineCrashes
 from lagoonlever.entry.foundation import Foundation
 from lagoonlever.entry.histories import dispatch_recorder, record_stop_began, record_stop_ended
 from lagoonlever.entry.membership import MembershipPart
@@ -145,6 +146,9 @@
             rng=self.base.rng,
             background=self.base.background,
             peers=self.peer_streams,
+            crashes=EngineCrashes(
+                bus=self.base.bus, members=self.membership.members, timers=self.base.timers
+            ),
             members=self.membership.members,
             generation=settings.generation,
             detection=settings.detection,
--- a/lagoonlever/entry/serving.py
+++ b/lagoonlever/entry/serving.py
@@ -15,6 +15,7 @@
 from lagoonlever.decisions.suspicion_settings import DetectionSettings
 from lagoonlever.decisions.targets import Target, TargetView
 from lagoonlever.entry.callers import CallerDirectory
+from lagoonlever.entry.engine_crashes import EngineCrashes
 from lagoonlever.entry.engine_watch import EngineWatch
 from lagoonlever.entry.engines import AdmissionControl, Engines, TargetGuard
 from lagoonlever.entry.generations import GenerationService, GenerationSettings, Peers
@@ -52,6 +53,7 @@
     rng: random.Random
     background: trio.Nursery
     peers: Peers
+    crashes: EngineCrashes
     members: Published[MemberView]
     generation: GenerationSettings
     detection: DetectionSettings
@@ -79,6 +81,7 @@
             timers=self.timers,
             watch=EngineWatch(settings=self.detection, now=lambda: self.timers.now),
             background=self.background,
+            crashes=self.crashes,
             observe=self.observe,
         )
         self.service = GenerationService(
@@ -105,6 +108,8 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._follow, self.guard.view)
                 nursery.start_soon(self._follow, self.members)
+                nursery.start_soon(self.crashes.run)
+                nursery.start_soon(self.crashes.run_served)
 
     async def _follow(self, published: Published[TargetView] | Published[MemberView]) -> None:
         """Let routing choose this VM's subset anew whenever targets or members change."""
--- /dev/null
+++ b/lagoonlever/tests/engine_crashes_tests.py
@@ -0,0 +1,67 @@
+"""Prompts that end the engines of entry VMs: they stop, and other answers go on."""
+
+from __future__ import annotations
+
+import contextlib
+from pathlib import Path
+
+import pytest
+import trio
+
+from lagoonlever.client.exceptions import NoAnswer
+from lagoonlever.fakes.engine import FakeEngine
+from lagoonlever.fakes.faults import FaultKind, FaultOrder
+from lagoonlever.tests.base import Scene, expected_text, run_scene
+
+DEADLY = "ends-each"
+MOST_ENDED = 3
+SHORT = 7
+
+
+def arm_all(scene: Scene) -> None:
+    """Have each engine die as it begins a request whose id names it deadly."""
+    for engine in scene.cluster.engines.values():
+
+        def sent(stream: str, tokens: int, engine: FakeEngine = engine) -> None:
+            if stream.startswith(DEADLY) and tokens == 0:
+                engine.inject(FaultOrder(kind=FaultKind.DIE))
+
+        engine._faults.sent = sent  # type: ignore[method-assign]
+
+
+def ended(scene: Scene) -> int:
+    return sum(engine._faults.dead for engine in scene.cluster.engines.values())
+
+
+async def ask_deadly(scene: Scene, number: int) -> None:
+    """Ask once, at one VM, under a key of its own."""
+    with contextlib.suppress(NoAnswer), trio.move_on_after(5.0):
+        await scene.ask(
+            name=f"caller-{number}",
+            length=SHORT,
+            seed=1,
+            prompt="a prompt that ends engines",
+            vm=f"vm-{number % 3 + 1}",
+            request_id=f"{DEADLY}-{number}",
+        )
+
+
+@pytest.mark.parametrize("returns", [1, 4])
+def test_a_prompt_that_ends_engines_is_stopped_after_the_third(
+    tmp_path: Path, returns: int
+) -> None:
+    """A summary ends each engine that begins it, and its writer asks again at other VMs.
+
+    Every request is allowed eight attempts, and each return has eight of its own: a dozen
+    engines ended, with the summaries of everybody else, and then there was none.
+    """
+
+    async def story(scene: Scene) -> None:
+        arm_all(scene)
+        for number in range(returns):
+            await ask_deadly(scene, number)
+        assert ended(scene) <= MOST_ENDED
+        held = await scene.ask(name="other", length=SHORT, seed=2)
+        assert held.text == expected_text(length=SHORT, seed=2)
+
+    run_scene(story, tmp_path, engines=12, vms=3)
