--- a/lagoonlever/commands/soak.py
+++ b/lagoonlever/commands/soak.py
@@ -24,6 +24,9 @@
     length_s: Annotated[float, typer.Option(min=5.0, help="Seconds of faults in a run.")] = 15.0,
     vms: Annotated[int, typer.Option(min=1, max=60, help="Gateways, each a process.")] = 4,
     callers: Annotated[int, typer.Option(min=1, max=100, help="Callers at once.")] = 8,
+    deadly: Annotated[
+        int, typer.Option(min=0, max=4, help="Prompts that end each engine that runs them.")
+    ] = 1,
     logs: Annotated[Path | None, typer.Option(help="Where the processes' logs are kept.")] = None,
 ) -> None:
     """Play faults against gateways on this machine, and check what callers and targets see.
@@ -31,7 +34,7 @@
     Prints a line for each run, and for each promise that was broken. The processes that it
     starts end with it. Exits with 1 if a promise was broken.
     """
-    size = SoakSize(vms=vms, callers=callers, length_s=length_s)
+    size = SoakSize(vms=vms, callers=callers, length_s=length_s, deadly=deadly)
     chosen = seeds or [random.SystemRandom().getrandbits(SEED_BITS) for _ in range(runs)]
     broken = False
     for seed in chosen:
