--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -120,6 +120,11 @@
     server: FakeEngine | FakeRunner
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether it was ended before, by a fault or a prompt, and another one is on its way."""
+        return self.scope.cancel_called
+
 
 @attrs.define(kw_only=True, eq=False)
 class SoakVm:
@@ -219,6 +224,8 @@
     async def restart_target(self, kept: list[SoakTarget], place: int) -> None:
         """End a target with its connections; another one comes at its address."""
         former = kept[place]
+        if former.is_ending:
+            return
         former.scope.cancel()
         former.proxy.reset_all()
         await trio.sleep(BACK_AFTER_S)
@@ -232,6 +239,8 @@
     ) -> None:
         """End a target with its connections; it starts again under its id, and holds nothing."""
         former = kept[place]
+        if former.is_ending:
+            return
         former.scope.cancel()
         former.proxy.reset_all()
         await trio.sleep(after_s)
