Note a barred request on every VM, and take any record without harm

Read again as a newcomer: since only the wait for the head is called back, no VM logged that a request was barred, as nothing of it was open by then; the line is now written where a VM learns it, by its own end, a message or the record (the test of returns checks each VM). A weight that is none of the two would have raised KeyError in all that asks for bars, and thousands of requests in the record would have been sorted one by one at a start: weights from outside are made one of the two, and lists are taken at once. A VM that is met is told only what is kept (two ends or more), and a record that was read again unchanged is not logged again.

--- a/lagoonlever/decisions/crash_suspects.py
+++ b/lagoonlever/decisions/crash_suspects.py
@@ -25,9 +25,9 @@
 """The weight of an end where the target had begun to run the request, or may be assumed to."""
 WAITED = 0.5
 """The same where the request may only have waited at the target."""
-EXPLAINED = {BEGAN: 0.5, WAITED: 0.0}
-"""The weights where a barred request was at the target, too. Two causes may have met there: the
-second one is still found, by an end or two more."""
+EXPLAINED = 0.5
+"""What an end weighs less where a barred request was at the target, too. Two causes may have met
+there: the second one is still found, by an end or two more."""
 KEPT_FROM = 2
 """Ends under a request that are worth a call to the store. A target that crashes takes all
 requests that it has with it, and nearly all of them are served elsewhere."""
@@ -46,6 +46,11 @@
     at: float
     weight: float = BEGAN
 
+    @classmethod
+    def told(cls, *, at: float, weight: float) -> End:
+        """Give an end that came from outside, its weight one of those that there are."""
+        return cls(at=at, weight=BEGAN if weight >= BEGAN else WAITED)
+
 
 Ends = Mapping[str, Mapping[str, End]]
 """By a request's fingerprint: the ends of processes under it, by the process."""
@@ -76,20 +81,33 @@
         """Every end that is remembered."""
         return self._ends
 
+    @property
+    def barred(self) -> frozenset[str]:
+        """The requests that are taken for the cause, also those whose time is over."""
+        return self._barred
+
     def ended_under(self, fingerprint: str, process: str, end: End) -> bool:
         """Note that a process ended under a request; gives whether that is news.
 
         The same end is told by each VM that had the request there; the one where it had begun
         counts.
         """
-        processes = self._ends.setdefault(fingerprint, {})
-        known = processes.get(process)
-        if known is not None and known.weight >= end.weight:
-            return False
-        processes[process] = end
-        self._forget_beyond(MOST_KNOWN)
-        self._barred = _causes(self._ends)
-        return True
+        return self.learn({fingerprint: {process: end}})
+
+    def learn(self, ends: Ends) -> bool:
+        """Take ends that this or other VMs saw; gives whether any is news."""
+        is_news = False
+        for fingerprint, processes in ends.items():
+            known = self._ends.setdefault(fingerprint, {})
+            for process, end in processes.items():
+                former = known.get(process)
+                if former is None or former.weight < end.weight:
+                    known[process] = end
+                    is_news = True
+        if is_news:
+            self._forget_beyond(MOST_KNOWN)
+            self._barred = _causes(self._ends)
+        return is_news
 
     def has_ended(self, process: str, before: float) -> bool:
         """Tell whether a process was known to have ended before a moment."""
@@ -131,9 +149,9 @@
         self._barred &= self._ends.keys()
 
     def _forget_beyond(self, most: int) -> None:
-        while len(self._ends) > most:
-            least = min(self._ends, key=self._importance)
-            del self._ends[least]
+        beyond = len(self._ends) - most
+        for fingerprint in sorted(self._ends, key=self._importance)[: max(0, beyond)]:
+            del self._ends[fingerprint]
 
     def _importance(self, fingerprint: str) -> tuple[float, float]:
         processes = self._ends[fingerprint]
@@ -162,7 +180,7 @@
 
 def _weight(processes: Mapping[str, End], explained: Container[str] = ()) -> float:
     return sum(
-        EXPLAINED[end.weight] if process in explained else end.weight
+        end.weight - EXPLAINED if process in explained else end.weight
         for process, end in processes.items()
     )
 
--- a/lagoonlever/entry/engine_crashes.py
+++ b/lagoonlever/entry/engine_crashes.py
@@ -19,7 +19,12 @@
 from lagoonlever.http.client import ClientConnection
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.interface import Bus
-from lagoonlever.peers.messages_crashes import EndTold, RequestServed, TargetsEnded
+from lagoonlever.peers.messages_crashes import (
+    EndTold,
+    RequestServed,
+    TargetsEnded,
+    read_ends,
+)
 from lagoonlever.published import Published
 from lagoonlever.timers import Tick, TimerService
 
@@ -53,10 +58,7 @@
         """Take what other VMs tell, until cancelled."""
         with self._timers.subscribed(self._expire, period_s=EXPIRE_PERIOD_S):
             async for received in self._bus.subscribe(TargetsEnded):
-                now = self._timers.now
-                for told in received.message.ends:
-                    end = End(at=now - max(0.0, told.age_s), weight=told.weight)
-                    self._suspects.ended_under(told.fingerprint, told.process, end)
+                self._suspects.learn(read_ends(received.message, self._timers.now))
 
     async def run_served(self) -> None:
         """Take which requests were served after all, until cancelled."""
--- a/lagoonlever/gateway/crash_records.py
+++ b/lagoonlever/gateway/crash_records.py
@@ -95,8 +95,9 @@
         except PlatformError:
             # The store's client has logged it; the read is tried again.
             return False
+        former = self._revision
         self._take(read.entry)
-        if self._recorded:
+        if self._recorded and self._revision != former:
             events.CRASHES_RECALLED.log(log, requests=len(self._recorded), revision=self._revision)
         return True
 
@@ -161,10 +162,14 @@
             return
         self._recorded = {f: frozenset(processes) for f, processes in stored.items()}
         now, to_monotonic = self._now(), self._now() - self._unix_now()
-        for fingerprint, processes in stored.items():
-            if fingerprint in self._served:
-                continue
-            for process, end in processes.items():
-                known = End(at=min(now, end.at + to_monotonic), weight=end.weight)
-                self._suspects.ended_under(fingerprint, process, known)
+        self._suspects.learn(
+            {
+                fingerprint: {
+                    process: End.told(at=min(now, end.at + to_monotonic), weight=end.weight)
+                    for process, end in processes.items()
+                }
+                for fingerprint, processes in stored.items()
+                if processes and fingerprint not in self._served
+            }
+        )
         self._learnt()
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -26,7 +26,12 @@
 from lagoonlever.http.messages import Address
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.interface import Bus
-from lagoonlever.peers.messages_crashes import EndTold, RequestServed, TargetsEnded
+from lagoonlever.peers.messages_crashes import (
+    EndTold,
+    RequestServed,
+    TargetsEnded,
+    read_ends,
+)
 from lagoonlever.store.port import KeyValueStore
 from lagoonlever.timers import Tick, TimerService
 
@@ -52,6 +57,8 @@
     _records: CrashRecords = attrs.field(init=False)
     _open: dict[str, set[trio.CancelScope]] = attrs.field(factory=dict)
     """The work on each request that ends once the request is barred."""
+    _barred: frozenset[str] = frozenset()
+    """The requests of which it was noted that they are barred."""
 
     @_records.default
     def _make_records(self) -> CrashRecords:
@@ -61,7 +68,7 @@
             now=lambda: self._timers.now,
             unix_now=time.time,
             rng=self._rng,
-            learnt=self._end_barred,
+            learnt=self._note_barred,
         )
 
     async def run(self) -> None:
@@ -134,13 +141,18 @@
         self._records.take_out(fingerprint)
 
     def greet(self, newcomer: Address) -> None:
-        """Tell a VM that has just come, or was not heard, of the ends that are known.
+        """Tell a VM that has just come, or was not heard, of the requests that matter.
 
-        It was not there to hear of them when they were told.
+        It was not there to hear of the ends when they were told.
         """
-        told = self._told()
-        if told.ends:
-            self._bus.send(newcomer, told)
+        now = self._timers.now
+        ends = tuple(
+            EndTold(fingerprint=fingerprint, process=process, age_s=now - end.at, weight=end.weight)
+            for fingerprint, processes in self._suspects.kept().items()
+            for process, end in processes.items()
+        )
+        if ends:
+            self._bus.send(newcomer, TargetsEnded(ends=ends))
 
     def _note(self, accepted: Accepted, target: ListedTarget, weight: float) -> bool:
         """Count an end that this VM saw; gives whether it is news."""
@@ -162,48 +174,31 @@
         self._tally.add(metrics.TARGETS_ENDED, accepted.route.kind.value)
         told = EndTold(fingerprint=fingerprint, process=process, age_s=0.0, weight=weight)
         self._tell(TargetsEnded(ends=(told,)))
-        self._end_barred()
+        self._note_barred()
         return True
 
-    def _end_barred(self) -> None:
-        """End the work on requests that are barred by now."""
-        for fingerprint in [*self._open]:
+    def _note_barred(self) -> None:
+        """Tell of requests that are barred from now on, and end the work on them."""
+        new, self._barred = self._suspects.barred - self._barred, self._suspects.barred
+        for fingerprint in new:
             bar = self._suspects.bar(fingerprint, self._timers.now)
             if bar is None:
                 continue
             events.REQUEST_BARRED.log(
                 log, fingerprint=fingerprint, ended=bar.ended, for_s=bar.for_s
             )
-            for scope in self._open[fingerprint]:
+            for scope in self._open.get(fingerprint, ()):
                 scope.cancel()
 
     async def _receive_ends(self) -> None:
         async for received in self._bus.subscribe(TargetsEnded):
-            now = self._timers.now
-            for told in received.message.ends:
-                end = End(at=now - max(0.0, told.age_s), weight=told.weight)
-                self._suspects.ended_under(told.fingerprint, told.process, end)
-            self._end_barred()
+            self._suspects.learn(read_ends(received.message, self._timers.now))
+            self._note_barred()
 
     async def _receive_served(self) -> None:
         async for received in self._bus.subscribe(RequestServed):
             self._suspects.served(received.message.fingerprint)
 
-    def _told(self) -> TargetsEnded:
-        now = self._timers.now
-        return TargetsEnded(
-            ends=tuple(
-                EndTold(
-                    fingerprint=fingerprint,
-                    process=process,
-                    age_s=now - end.at,
-                    weight=end.weight,
-                )
-                for fingerprint, processes in self._suspects.ends.items()
-                for process, end in processes.items()
-            )
-        )
-
     def _tell(self, message: TargetsEnded | RequestServed) -> None:
         """Tell every VM, also those that seem silent: ends are few, and one may be cut off."""
         self._bus.send_to_all((fellow.bus for fellow in self._beliefs.fellows.states), message)
--- a/lagoonlever/peers/messages_crashes.py
+++ b/lagoonlever/peers/messages_crashes.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lagoonlever.decisions.crash_suspects import End, Ends
 from lagoonlever.peers.messages import PEER
 
 
@@ -32,3 +33,12 @@
     """A target has answered a request under which others had ended: it is no cause of ends."""
 
     fingerprint: str
+
+
+def read_ends(message: TargetsEnded, now: float) -> Ends:
+    """Give what a message tells, in seconds of the receiver's clock."""
+    ends: dict[str, dict[str, End]] = {}
+    for told in message.ends:
+        end = End.told(at=now - max(0.0, told.age_s), weight=told.weight)
+        ends.setdefault(told.fingerprint, {})[told.process] = end
+    return ends
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -151,3 +151,16 @@
 def test_one_end_is_not_worth_a_call_to_the_store(count: int) -> None:
     suspects = suspects_of(*((name, BEGAN) for name in "ab"[:count]))
     assert bool(suspects.kept()) == (count == 2)
+
+
+def test_more_than_can_be_remembered_is_taken_at_once() -> None:
+    """Somebody writes thousands of requests into the record; a VM reads them at its start."""
+    suspects = suspects_of(("a", BEGAN), ("b", BEGAN), ("c", BEGAN))
+    suspects.learn({f"r{n}": {"x": End(at=5.0), "y": End(at=5.0)} for n in range(10_000)})
+    assert len(suspects.ends) == MOST_KNOWN
+    assert suspects.barred == {"f1"}
+
+
+@given(weight=st.floats(), at=st.floats(allow_nan=False))
+def test_an_odd_weight_from_outside_counts_as_one_that_there_is(weight: float, at: float) -> None:
+    assert End.told(at=at, weight=weight).weight in (BEGAN, WAITED)
--- a/lagoonlever/tests/crash_watch_tests.py
+++ b/lagoonlever/tests/crash_watch_tests.py
@@ -76,6 +76,8 @@
             await site.stream(DEADLY, vm=f"vm-{number % 3}")
         assert len(site.deaths) <= MOST_ENDED
         assert arrivals(site) <= MOST_ENDED + ALLOWED_AFTER
+        for vm in site.vms.values():
+            assert len(vm.daemon.parts.crashes._barred) == 1
 
     run_site(story, engines=15, vms=3)
 
@@ -297,7 +299,8 @@
 
 def test_what_others_wrote_there_harms_nothing_and_is_written_over() -> None:
     async def story(site: GatewaySite) -> None:
-        for value in (b"\xff", b"[1]", b'{"f": {"e": {"at": "x"}}}', b"{" * 3_000):
+        odd = [b'{"f": {"e": {"at": 1e308, "weight": -7}}}', b'{"f": {}}', b'{"f": {"e": {}}}']
+        for value in (b"\xff", b"[1]", b'{"f": {"e": {"at": "x"}}}', b"{" * 3_000, *odd):
             site.store.put(RECORD_KEY, value)
             vm = await site.start_vm("vm-2")
             await site.wait_ready(vm)
