--- a/lagoonlever/decisions/crash_suspects.py
+++ b/lagoonlever/decisions/crash_suspects.py
@@ -36,7 +36,7 @@
 KEPT_S = 3600.0
 """From the last end under a request until it is forgotten: it is barred again by one more."""
 MOST_KNOWN = 256
-"""Requests that are remembered, those with the most ends; some 30 KB."""
+"""Requests that are remembered, those with the most ends; 55 KB with three ends each."""
 
 
 @attrs.frozen(kw_only=True)
