List requests that end targets, and tell what was decided of them with their ids

`lagoonlever barred` reads the record in the store; `explain` shows the line that bars a fingerprint among the steps of its requests, which names no request id.

--- a/lagoonlever/__main__.py
+++ b/lagoonlever/__main__.py
@@ -6,6 +6,7 @@
 
 from lagoonlever.commands import (
     ask,
+    barred,
     bench,
     call,
     check,
@@ -35,6 +36,7 @@
 app.command()(check.check)
 app.command()(status.status)
 app.command()(soak.soak)
+app.command()(barred.barred)
 app.command("explain")(explain.explain_request)
 app.command()(bench.bench)
 app.add_typer(report.app, name="report")
--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -94,7 +94,7 @@
             return
         self.runs[request_id] += 1
         await trio.sleep(self.work_s)
-        if exchange.request.body.decode() in self._deadly:
+        if exchange.request.body.decode(errors="replace") in self._deadly:
             self._die()
             await trio.sleep_forever()
         await self._answer(exchange, request_id, conduct)
--- a/lagoonlever/report/explain.py
+++ b/lagoonlever/report/explain.py
@@ -92,7 +92,8 @@
     parts = {line.part for line in own} - {None}
     prints = {line.fingerprint for line in own} - {None}
     same = (line for line in lines if line.part in parts or line.fingerprint in prints)
-    wanted = {line.request for line in same} | {request}
+    wanted = ({line.request for line in same} | {request}) - {None}
+    prints |= {line.fingerprint for line in lines if line.request in wanted} - {None}
     configuration: dict[str, int] = {}
     unreachable: set[str] = set()
     targets: dict[str, str] = {}
@@ -106,7 +107,8 @@
             unreachable.discard(line.process)
         elif line.name in TARGET_NEWS:
             targets[str(line.fields.get("target"))] = f"{line.time} {line.message}"
-        if line.request is None or line.request not in wanted:
+        is_about_all = line.request is None and line.fingerprint in prints
+        if line.request not in wanted and not is_about_all:
             continue
         steps.append(
             Step(
--- a/lagoonlever/tests/explain_tests.py
+++ b/lagoonlever/tests/explain_tests.py
@@ -63,6 +63,19 @@
     assert [step.line.request for step in explain(lines, "r1")] == ["r1", "r2"]
 
 
+def test_what_is_decided_of_a_fingerprint_is_told_of_its_requests() -> None:
+    """A request is barred by its fingerprint: that line names no request."""
+    ended = line(1, "vm-a", "target-ended-under", request="r1", target="e1", fingerprint="f1")
+    barred = line(2, "vm-b", "request-barred", ended=3, fingerprint="f1")
+    other = line(3, "vm-b", "request-barred", ended=3, fingerprint="f2")
+    lines = list(read_lines([ended, barred, other], process="a"))
+    assert [step.line.name for step in explain(lines, "r1")] == [
+        "target-ended-under",
+        "request-barred",
+    ]
+    assert explain(lines, "nobody") == []
+
+
 def test_the_command_reads_files_and_tells_what_went_on_meanwhile(tmp_path: Path) -> None:
     (tmp_path / "a.log").write_text("\n".join(LOG_A))
     (tmp_path / "b.log").write_text("\n".join(LOG_B))
