Tell ends by hubs in a very large fleet

Each end was told to every VM by the one that saw it. In a fleet of 195 a crash of a data centre's engines, with requests of fifty VMs, would have been 9,700 messages (worked out: 50 times 194), on connections that these VMs have open to nobody else. Beyond 120 VMs an end goes to the VM's own hubs and by them to the others, at most 600 messages for the fifty (test, 195 VMs in memory); hubs tell their data centre's VMs of requests with two ends or more. Three VMs of three data centres with one end each bar a request at all 195 (test). Up to 120 VMs nothing changes.

--- a/lagoonlever/decisions/news_paths.py
+++ b/lagoonlever/decisions/news_paths.py
@@ -90,3 +90,16 @@
         or data_center_of(run.engine) in places
         or (run.copy_at is not None and data_center_of(run.copy_at) in places)
     )
+
+
+def hubs_told(roles: Roles, *, own: str, source: str) -> tuple[str, ...]:
+    """Give the hubs that this VM tells what ``source``, itself perhaps, has told it.
+
+    For news that each VM may have and few need: a VM tells its own hubs, and these the others.
+    """
+    if not roles.is_hub:
+        return roles.hubs if source == own else ()
+    hubs = (*roles.hubs, *roles.other_hubs)
+    if source != own and source in hubs:
+        return ()
+    return tuple(hub for hub in hubs if hub not in (own, source))
--- /dev/null
+++ b/lagoonlever/gateway/crash_news.py
@@ -0,0 +1,128 @@
+"""Tells the other VMs of targets that ended under requests, and takes what they tell.
+
+The load that is answered: a data centre's engines crash together, each with requests of a dozen
+VMs, and every end told to each of hundreds of VMs would open as many connections. In a very
+large fleet hubs hear of all ends; they tell the VMs of their data centre of requests under
+which two or more targets ended, which are few.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterable
+
+import attrs
+
+from lagoonlever.decisions.crash_suspects import CrashSuspects
+from lagoonlever.decisions.fellows import FellowState
+from lagoonlever.decisions.news_paths import hubs_told, tells_directly
+from lagoonlever.decisions.roles import Roles
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.http.messages import Address
+from lagoonlever.peers.interface import Bus
+from lagoonlever.peers.messages_crashes import EndTold, RequestServed, TargetsEnded, read_ends
+from lagoonlever.published import Published
+from lagoonlever.timers import TimerService
+
+CrashMessage = TargetsEnded | RequestServed
+
+
+@attrs.define(kw_only=True, eq=False)
+class CrashNews:
+    """Soft state: a message that is lost costs one more target."""
+
+    _bus: Bus
+    _beliefs: Beliefs
+    _timers: TimerService
+    _roles: Published[Roles | None]
+    _own: str
+    """This VM's name."""
+    _suspects: CrashSuspects
+    _learnt: Callable[[], None]
+    """Called after another VM has told something."""
+
+    async def receive_ends(self) -> None:
+        """Take ends that other VMs tell, until cancelled."""
+        async for received in self._bus.subscribe(TargetsEnded):
+            message = received.message
+            is_news = self._suspects.learn(read_ends(message, self._timers.now))
+            self._learnt()
+            if is_news:
+                self._pass_on(message, source=received.sender.name)
+
+    async def receive_served(self) -> None:
+        """Take which requests were served after all, until cancelled."""
+        async for received in self._bus.subscribe(RequestServed):
+            message = received.message
+            if self._suspects.served(message.fingerprint):
+                self._pass_on(message, source=received.sender.name)
+
+    def tell(self, message: CrashMessage) -> None:
+        """Tell of what this VM saw, also those that seem silent: one may only be cut off."""
+        if self._is_small:
+            self._bus.send_to_all((fellow.bus for fellow in self._fellows), message)
+            return
+        self._pass_on(message, source=self._own)
+
+    def greet(self, newcomer: Address) -> None:
+        """Tell a VM that has just come, or was not heard, of the requests that matter.
+
+        It was not there to hear of the ends when they were told.
+        """
+        told = self._kept_ends(self._suspects.ends)
+        if told.ends:
+            self._bus.send(newcomer, told)
+
+    def tell_kept(self, fingerprint: str) -> None:
+        """Tell all that is known of a request."""
+        told = self._kept_ends((fingerprint,))
+        if told.ends:
+            self.tell(told)
+
+    @property
+    def _fellows(self) -> tuple[FellowState, ...]:
+        return self._beliefs.fellows.states
+
+    @property
+    def _is_small(self) -> bool:
+        return tells_directly(len(self._fellows))
+
+    def _pass_on(self, message: CrashMessage, *, source: str) -> None:
+        """Tell the hubs, and as a hub the VMs of this data centre what they need."""
+        roles = self._roles.value
+        if self._is_small or roles is None:
+            return
+        self._send(hubs_told(roles, own=self._own, source=source), message)
+        if not roles.is_hub:
+            return
+        told: CrashMessage = message
+        if isinstance(message, TargetsEnded):
+            told = self._kept_ends([end.fingerprint for end in message.ends])
+            if not told.ends:
+                return
+        hubs = frozenset(roles.hubs)
+        near = (f for f in self._fellows if f.data_center == self._beliefs.book.data_center)
+        plain = (f.bus for f in near if f.life.name not in hubs and f.life.name != source)
+        self._bus.send_to_all(plain, told)
+
+    def _send(self, names: Iterable[str], message: CrashMessage) -> None:
+        for name in names:
+            fellow = self._beliefs.fellows.find(name)
+            if fellow is not None:
+                self._bus.send(fellow.bus, message)
+
+    def _kept_ends(self, fingerprints: Collection[str]) -> TargetsEnded:
+        """Give the ends under some requests, of those that are worth keeping."""
+        now = self._timers.now
+        return TargetsEnded(
+            ends=tuple(
+                EndTold(
+                    fingerprint=fingerprint,
+                    process=process,
+                    age_s=now - end.at,
+                    weight=end.weight,
+                )
+                for fingerprint, processes in self._suspects.kept().items()
+                for process, end in processes.items()
+                if fingerprint in fingerprints
+            )
+        )
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -16,22 +16,20 @@
 import trio
 
 from lagoonlever.decisions.crash_suspects import BEGAN, CrashSuspects, End, process_name
+from lagoonlever.decisions.roles import Roles
 from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.crash_news import CrashNews
 from lagoonlever.gateway.crash_records import CrashRecords
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_client import TargetClient
 from lagoonlever.http.messages import Address
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.interface import Bus
-from lagoonlever.peers.messages_crashes import (
-    EndTold,
-    RequestServed,
-    TargetsEnded,
-    read_ends,
-)
+from lagoonlever.peers.messages_crashes import EndTold, RequestServed, TargetsEnded
+from lagoonlever.published import Published
 from lagoonlever.store.port import KeyValueStore
 from lagoonlever.timers import Tick, TimerService
 
@@ -50,11 +48,15 @@
     _bus: Bus
     _beliefs: Beliefs
     _timers: TimerService
+    _roles: Published[Roles | None]
+    _vm: str
+    """This VM's name."""
     _client: TargetClient
     _tally: Tally
     _rng: random.Random
     _suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
     _records: CrashRecords = attrs.field(init=False)
+    _news: CrashNews = attrs.field(init=False)
     _open: dict[str, set[trio.CancelScope]] = attrs.field(factory=dict)
     """The work on each request that ends once the request is barred."""
     _barred: frozenset[str] = frozenset()
@@ -71,12 +73,24 @@
             learnt=self._note_barred,
         )
 
+    @_news.default
+    def _make_news(self) -> CrashNews:
+        return CrashNews(
+            bus=self._bus,
+            beliefs=self._beliefs,
+            timers=self._timers,
+            roles=self._roles,
+            own=self._vm,
+            suspects=self._suspects,
+            learnt=self._note_barred,
+        )
+
     async def run(self) -> None:
         """Keep the record and take what other VMs tell, until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._records.run)
-            nursery.start_soon(self._receive_ends)
-            nursery.start_soon(self._receive_served)
+            nursery.start_soon(self._news.receive_ends)
+            nursery.start_soon(self._news.receive_served)
             with self._timers.subscribed(self._look, period_s=LOOK_PERIOD_S):
                 await trio.sleep_forever()
 
@@ -138,7 +152,7 @@
         await self._records.exchange()
         if accepted.fingerprint in self._barred - barred:
             # Nobody told this VM, so those that it hears may not have been told either.
-            self._tell(self._kept_ends(only=accepted.fingerprint))
+            self._news.tell_kept(accepted.fingerprint)
 
     async def lost_call(self, accepted: Accepted, target: ListedTarget, *, sent_at: float) -> None:
         """Look whether a target has ended under a call: one that has takes no connection."""
@@ -151,17 +165,12 @@
             return
         fingerprint = accepted.fingerprint
         events.REQUEST_CLEARED.log(log, fingerprint=fingerprint, request=accepted.request_id)
-        self._tell(RequestServed(fingerprint=fingerprint))
+        self._news.tell(RequestServed(fingerprint=fingerprint))
         self._records.take_out(fingerprint)
 
     def greet(self, newcomer: Address) -> None:
-        """Tell a VM that has just come, or was not heard, of the requests that matter.
-
-        It was not there to hear of the ends when they were told.
-        """
-        told = self._kept_ends()
-        if told.ends:
-            self._bus.send(newcomer, told)
+        """Tell a VM that is met of the requests that matter."""
+        self._news.greet(newcomer)
 
     def _note(self, accepted: Accepted, target: ListedTarget, weight: float) -> bool:
         """Count an end that this VM saw; gives whether it is news."""
@@ -182,7 +191,7 @@
         )
         self._tally.add(metrics.TARGETS_ENDED, accepted.route.kind.value)
         told = EndTold(fingerprint=fingerprint, process=process, age_s=0.0, weight=weight)
-        self._tell(TargetsEnded(ends=(told,)))
+        self._news.tell(TargetsEnded(ends=(told,)))
         self._note_barred()
         return True
 
@@ -199,36 +208,6 @@
             for scope in self._open.get(fingerprint, ()):
                 scope.cancel()
 
-    async def _receive_ends(self) -> None:
-        async for received in self._bus.subscribe(TargetsEnded):
-            self._suspects.learn(read_ends(received.message, self._timers.now))
-            self._note_barred()
-
-    async def _receive_served(self) -> None:
-        async for received in self._bus.subscribe(RequestServed):
-            self._suspects.served(received.message.fingerprint)
-
-    def _kept_ends(self, *, only: str | None = None) -> TargetsEnded:
-        """Give the ends that are worth keeping, of all requests or of one."""
-        now = self._timers.now
-        return TargetsEnded(
-            ends=tuple(
-                EndTold(
-                    fingerprint=fingerprint,
-                    process=process,
-                    age_s=now - end.at,
-                    weight=end.weight,
-                )
-                for fingerprint, processes in self._suspects.kept().items()
-                for process, end in processes.items()
-                if only in (None, fingerprint)
-            )
-        )
-
-    def _tell(self, message: TargetsEnded | RequestServed) -> None:
-        """Tell every VM, also those that seem silent: ends are few, and one may be cut off."""
-        self._bus.send_to_all((fellow.bus for fellow in self._beliefs.fellows.states), message)
-
     def _look(self, tick: Tick) -> None:
         """Forget what is old, and read the record where no other VM is heard."""
         self._suspects.expire(tick.now)
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -193,6 +193,8 @@
             bus=self.bus,
             beliefs=self.beliefs,
             timers=self.timers,
+            roles=self.presence.roles,
+            vm=self.settings.name,
             client=self.client,
             tally=self.reporter.tally,
             rng=self.rng,
