--- a/lagoonlever/decisions/crash_suspects.py
+++ b/lagoonlever/decisions/crash_suspects.py
@@ -1,4 +1,4 @@
-"""Which requests end the targets that run them, and are run no more.
+"""Which requests end the targets that run them (poison requests), and are run no more.
 
 The load that is answered: one request ends each target that begins to run it, and is back after
 each failure, at any VM and under another id. A VM that only knows which targets were lost
