Sight: limits that targets name are decoded, logged and counted; nothing decides by them

Now each VM logs the limit as it hears it (1080), what it sends there each second, first attempts apart from later ones (1081), and fields that can't be read (1082), and counts lagoonlever.gateway.limited.sends. Stand-ins of runners and engines can name a limit in every answer.

--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -14,6 +14,7 @@
 import msgspec
 import trio
 
+from lagoonlever.fakes.target_words import TargetWords
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
 from lagoonlever.http.sse import EVENT_STREAM_TYPE
@@ -98,6 +99,8 @@
         self.read_tokens: Counter[str] = Counter()
         """Prompt tokens read, by the prompt's own part."""
         self.seen: list[Headers] = []
+        self.arrived_at: list[float] = []
+        self.says = TargetWords()
         self.cancelled: list[str] = []
         self.questions: Counter[str] = Counter()
         self._fleet = fleet
@@ -168,6 +171,7 @@
     async def _serve(self, exchange: Exchange) -> None:
         headers = exchange.request.headers
         self.seen.append(headers)
+        self.arrived_at.append(trio.current_time())
         if headers.get(EXPECTED_TARGET) != self.target_id:
             other = Headers(((TARGET_ID, self.target_id),))
             await exchange.respond(status=MISDIRECTED, headers=other, body=b"")
@@ -175,7 +179,8 @@
         run = self._begin(headers)
         if run is None:
             self.refused += 1
-            await exchange.respond(status=BUSY, headers=Headers(((REFUSED, "1"),)), body=b"")
+            refusal = Headers(((REFUSED, "1"), *self.says.fields()))
+            await exchange.respond(status=BUSY, headers=refusal, body=b"")
             return
         self.runs[run.request_id] = run
         try:
@@ -227,6 +232,7 @@
             ("Content-Type", EVENT_STREAM_TYPE),
             (REQUEST_ID, run.request_id),
             (SEAL, f"seal-{self.target_id}"),
+            *self.says.fields(),
         )
         await exchange.start_stream(status=OK, headers=Headers(fields))
         if run.part in self._deadly:
--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from lagoonlever.fakes.target_words import TargetWords
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
 from lagoonlever.platform.headers import (
@@ -62,6 +63,8 @@
         self.runs: Counter[str] = Counter()
         self.seen: list[Headers] = []
         self.arrivals: list[str] = []
+        self.arrived_at: list[float] = []
+        self.says = TargetWords()
         self._state = ServerState()
         self._deadly = deadly
         """Bodies of requests under which the runner ends as it runs them."""
@@ -84,13 +87,15 @@
         request_id = headers.get(REQUEST_ID) or ""
         self.seen.append(headers)
         self.arrivals.append(request_id)
+        self.arrived_at.append(trio.current_time())
         if headers.get(EXPECTED_TARGET) not in (None, self.target_id):
             other = Headers(((TARGET_ID, self.target_id),))
             await exchange.respond(status=MISDIRECTED, headers=other, body=b"")
             return
         conduct = self.conducts.popleft() if self.conducts else Conduct.SERVE
         if conduct is Conduct.REFUSE:
-            await exchange.respond(status=BUSY, headers=Headers(((REFUSED, "1"),)), body=b"")
+            refusal = Headers(((REFUSED, "1"), *self.says.fields()))
+            await exchange.respond(status=BUSY, headers=refusal, body=b"")
             return
         self.runs[request_id] += 1
         await trio.sleep(self.work_s)
@@ -102,6 +107,7 @@
     async def _answer(self, exchange: Exchange, request_id: str, conduct: Conduct) -> None:
         body = b"answer to " + request_id.encode()
         fields = [(REQUEST_ID, request_id), (SEAL, f"seal-{request_id}"), (LOAD, "1,0,6")]
+        fields += self.says.fields()
         if conduct is Conduct.LOSE_ANSWER:
             raise CallerGone
         if conduct is Conduct.STAY_SILENT:
--- a/lagoonlever/gateway/attempt_tools.py
+++ b/lagoonlever/gateway/attempt_tools.py
@@ -19,6 +19,7 @@
 from lagoonlever.gateway.rollouts import Rollouts
 from lagoonlever.gateway.run_copier import RunCopier
 from lagoonlever.gateway.target_client import TargetClient
+from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.timers import TimerService
 
 
@@ -48,6 +49,7 @@
     replacements: ReplacementFinder
     crashes: CrashWatch
     rollouts: Rollouts
+    limits: TargetLimits
     copier: RunCopier = attrs.field(factory=RunCopier)
     watched: dict[str, set[StreamSilence]] = attrs.field(factory=dict)
     """The open attempts by engine, to be looked at when the engine seems lost."""
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -23,6 +23,7 @@
     Refused,
     TargetClient,
 )
+from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.outcomes import NotRun, Reason, Unknown
 from lagoonlever.platform.headers import to_caller
 from lagoonlever.timers import TimerService
@@ -79,6 +80,7 @@
     reporter: Reporter
     crashes: CrashWatch
     rollouts: Rollouts
+    limits: TargetLimits
 
     async def attempt(
         self, call: CallRecord, target: ListedTarget, *, rested_at_most_s: float
@@ -111,6 +113,7 @@
                 return result
             hop = Hop(target_id=target.id, deadline_s=left_s, organisation=accepted.organisation)
             call.written(target.id)
+            self.limits.sent(target.id, first=call.sent == 1)
             lane = self.rollouts.sent(target, accepted.route.name)
             opened = await self.client.open(
                 connection, accepted.request, hop, request_id=accepted.request_id
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -383,3 +383,26 @@
     "An order or a status of a roll-out can't be read: {error}",
     "It changes nothing. Look at what was written there.",
 )
+TARGET_LIMIT = event(
+    1080,
+    "target-limit",
+    "notice",
+    "Target {target} takes {limit} from all VMs together, by {source}; before it {former}.",
+    "A target in need names how many requests a second it takes. None: it names no limit any more.",
+)
+LIMITED_SENDS = event(
+    1081,
+    "limited-sends",
+    "info",
+    "{first} first attempts and {later} later ones were sent to target {target} in {seconds:.1f} s;"
+    " it takes {limit} from all VMs together, as was heard {age_s:.1f} s ago.",
+    "At most once a second for each target that names a limit. Add up the lines of all VMs to see"
+    " what the target got.",
+)
+TARGET_FIELD_UNREADABLE = event(
+    1082,
+    "target-field-unreadable",
+    "warning",
+    "Target {target} says of itself what can't be read: {fields}",
+    "The field counts as not said, and what was known before stays. Look at the target.",
+)
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -98,6 +98,10 @@
     """How long the target keeps the connection open, where it says so."""
     closes: bool
     """The connection ends with this answer."""
+    limit_per_s: float | None = None
+    """The requests a second that the target takes from all VMs together, where it names them."""
+    unreadable: tuple[str, ...] = ()
+    """What the target says of itself in fields that can't be read; such a field says nothing."""
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -31,6 +31,13 @@
     labels=("kind",),
     doc="Requests that were refused or stopped as too many targets had ended under them.",
 )
+LIMITED_SENDS = counter(
+    "lagoonlever.gateway.limited.sends",
+    unit="{request}",
+    labels=("attempt",),
+    doc="Requests that were written to targets that name a limit, `first` attempts of a request or"
+    " `later` ones.",
+)
 CALL_LATENCY = latency(
     "lagoonlever.gateway.call.latency",
     labels=("kind",),
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -44,6 +44,7 @@
 from lagoonlever.gateway.stream_admission import StreamAdmission
 from lagoonlever.gateway.streams import Streams
 from lagoonlever.gateway.target_client import TargetClient
+from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.http.server import ServerLimits
 from lagoonlever.identity import Incarnation
 from lagoonlever.metrics import PLATFORM_CALLS, PLATFORM_RESTORES
@@ -85,7 +86,8 @@
     placer: Placer = attrs.field(init=False)
     placement_desk: PlacementDesk = attrs.field(init=False)
     replacements: ReplacementFinder = attrs.field(init=False)
-    client: TargetClient = attrs.field(factory=TargetClient, init=False)
+    limits: TargetLimits = attrs.field(init=False)
+    client: TargetClient = attrs.field(init=False)
     crashes: CrashWatch = attrs.field(init=False)
     follower: StoreFollower = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
@@ -222,6 +224,14 @@
             reuse_s=lambda: self.settings.bounds.address_reuse_s,
         )
 
+    @limits.default
+    def _make_limits(self) -> TargetLimits:
+        return TargetLimits(timers=self.timers, tally=self.reporter.tally)
+
+    @client.default
+    def _make_client(self) -> TargetClient:
+        return TargetClient(limits=self.limits)
+
     @crashes.default
     def _make_crashes(self) -> CrashWatch:
         crashes = CrashWatch(
@@ -290,6 +300,7 @@
             reporter=self.reporter,
             crashes=self.crashes,
             rollouts=self.rollouts,
+            limits=self.limits,
         )
         once = OnceCalls(data_center=self.settings.data_center, exchange=exchange, runners=runners)
         repeatable = RepeatableCalls(
@@ -309,6 +320,7 @@
             replacements=self.replacements,
             crashes=self.crashes,
             rollouts=self.rollouts,
+            limits=self.limits,
         )
         self.peers.on_engine_lost(tools.engine_lost)
         self.learner.on_started_again(tools.engine_started_again)
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -14,6 +14,7 @@
 from lagoonlever.decisions.target_registry import ListedTarget
 from lagoonlever.exceptions import BadResponse, ConnectFailed, ConnectionBroken
 from lagoonlever.gateway.messages import AnswerHead, Hop
+from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.http.client import ClientConnection, Pool, Response
 from lagoonlever.http.messages import Request
 from lagoonlever.platform.headers import read_answer, to_target
@@ -72,6 +73,8 @@
 class TargetClient:
     """Owns the connections to targets."""
 
+    _limits: TargetLimits
+    """Hears what each answer says of its target."""
     _pool: Pool = attrs.field(factory=Pool)
 
     async def connect(
@@ -93,6 +96,7 @@
         Guards against crossed answers on a kept connection: an answer with another
         request's id came late or is one too many, and the connection is given up.
         """
+        sent_at = trio.current_time()
         try:
             await connection.start(
                 method=request.method,
@@ -105,6 +109,7 @@
         except (ConnectionBroken, BadResponse) as error:
             return Lost(detail=error.message)
         head = read_answer(response.status, response.headers)
+        self._limits.heard(hop.target_id, head, sent_at=sent_at)
         if head.refused:
             await self._drain(connection, head)
             return Refused(head=head)
--- a/lagoonlever/platform/headers.py
+++ b/lagoonlever/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.gateway.messages import (
     AnswerHead,
@@ -25,6 +27,8 @@
 SEAL = "Response-Seal"
 REFUSED = "Not-Executed"
 LOAD = "Server-Load"
+LIMIT = "Server-Limit"
+"""Requests a second of all VMs together."""
 TARGET_ID = "Instance-Id"
 EXPECTED_TARGET = "Expect-Instance"
 ORGANISATION = "Tenant"
@@ -33,6 +37,8 @@
 COPY_FROM = "Kv-From"
 MISDIRECTED = 421
 MS = 1000.0
+MOST_SHOWN = 40
+"""Characters of an unreadable field that a log line shows."""
 BAD_REQUEST = 400
 
 HOP_BY_HOP = frozenset(
@@ -120,6 +126,7 @@
 def read_answer(status: int, headers: Headers) -> AnswerHead:
     """Decode the head of a target's answer; odd values count as absent."""
     connection = (headers.get("Connection") or "").lower()
+    unreadable: list[str] = []
     return AnswerHead(
         status=status,
         request_id=headers.get(REQUEST_ID),
@@ -129,6 +136,8 @@
         load=_load(headers.get(LOAD)),
         idle_s=_idle_s(headers.get("Keep-Alive")),
         closes="close" in connection,
+        limit_per_s=_amount(headers, LIMIT, unreadable),
+        unreadable=tuple(unreadable),
     )
 
 
@@ -202,6 +211,21 @@
     return TargetLoad(running=running, waiting=waiting, slots=slots)
 
 
+def _amount(headers: Headers, name: str, unreadable: list[str]) -> float | None:
+    """Give a finite number of 0 or more, or None; notes a field that is there and is none."""
+    text = headers.get(name)
+    if text is None:
+        return None
+    try:
+        amount = float(text)
+    except ValueError:
+        amount = math.nan
+    if math.isfinite(amount) and amount >= 0:
+        return amount
+    unreadable.append(f"{name}: {text[:MOST_SHOWN]!r}")
+    return None
+
+
 def _idle_s(text: str | None) -> float | None:
     for part in (text or "").split(","):
         name, _, value = part.strip().partition("=")
