Nothing goes to a target beyond the limit that it names; one VM counts for all

What callers saw: a runner in need that named 4.8 requests a second got 68 in 4 s and answered late.

The limit is a sum over all VMs. So one VM counts, a different one for each target, found by rendezvous hash over the VMs that are heard; whoever sends asks it first, in one message each way. It grants nothing that it takes another VM to count, and who gets no answer sends nothing, so that where views differ or messages are lost less is sent and not more. Permits go first to answers that callers have a part of, then by rank, then to attempts after the first. All that is sent to targets takes a permit right before its connection: calls, hedges, repeats, streams, resumes; word that comes while the connection is made counts too. Second looks don't move streams to a target in need. Callers that no target takes are refused at once, with a Retry-After by what is named and what all VMs refuse.

Word is of a process, not of its id; it is told to all VMs as it begins and ends, to newcomers, and with each question. An answer without a limit counts as of when its request was sent, as it may have been overtaken.

The questions of Placer and the spreading of CrashNews are shared now.

--- a/lagoonlever/decisions/hedging.py
+++ b/lagoonlever/decisions/hedging.py
@@ -159,6 +159,11 @@
         """Note an attempt on its way."""
         self.state(name).outstanding += 1
 
+    def on_unsent(self, name: str) -> None:
+        """Note that an attempt was not sent, through no fault of the runner."""
+        state = self.state(name)
+        state.outstanding = max(0, state.outstanding - 1)
+
     def on_answer(self, name: str, *, now: float, latency_s: float) -> None:
         """Note a whole answer: the runner is well, if it was in time.
 
@@ -329,6 +334,12 @@
         if overloaded:
             self._budget.on_overload()
 
+    def on_unsent(self, runner: str) -> None:
+        """Take back an attempt that was not sent, as its runner takes no more for now."""
+        self._open.discard(runner)
+        del self._sent_at[runner]
+        self._runners.on_unsent(runner)
+
     def on_error(self, runner: str) -> None:
         """Take an answer that tells of a failure of the runner: another one may do better."""
         self._open.discard(runner)
@@ -340,8 +351,7 @@
             if now - self._sent_at[runner] >= self._delay.delay_s:
                 self._runners.on_loss(runner, now=now)
             else:
-                state = self._runners.state(runner)
-                state.outstanding = max(0, state.outstanding - 1)
+                self._runners.on_unsent(runner)
         self._open.clear()
 
     def on_timeout(self, now: float) -> None:
--- a/lagoonlever/decisions/named_limits.py
+++ b/lagoonlever/decisions/named_limits.py
@@ -46,6 +46,10 @@
         word = self._words.get(target)
         return word if word is not None and word.per_s is not None else None
 
+    def last(self, target: str) -> LimitWord | None:
+        """Give the last word of a target, also that it names no limit any more."""
+        return self._words.get(target)
+
     def learn(self, target: str, word: LimitWord) -> bool:
         """Take a word; gives whether it changes the limit."""
         known = self._words.get(target)
--- a/lagoonlever/decisions/stream_life.py
+++ b/lagoonlever/decisions/stream_life.py
@@ -73,6 +73,10 @@
 """A run that finds each place taken by others stays at the third."""
 
 
+HELD_RETRY_S = 0.1
+MOST_HELD_ROUNDS = 10
+"""Then the prompt is read again elsewhere, which takes about as long."""
+
 GAPS_NEEDED = 16
 """Between events of one engine, before its pace is told."""
 DISTURBED = 0.9
@@ -154,6 +158,8 @@
     _detail: str = ""
     _no_engine: bool = False
     _none_known: bool = False
+    _waits_held: bool = False
+    _held_rounds: int = 0
     _rounds: int = 0
 
     @classmethod
@@ -194,6 +200,9 @@
                 return self._give_up()
             self._no_engine = False
             return WaitForEngine(seconds=NO_ENGINE_RETRY_S)
+        if self._waits_held:
+            self._waits_held = False
+            return WaitForEngine(seconds=HELD_RETRY_S)
         if self._copy is not None:
             return ResumeFrom(copy=self._copy)
         return Place(avoid=frozenset(self._avoid), prefer=self._prefer, after_loss=self.sent > 0)
@@ -220,6 +229,19 @@
         self._copy = None
         self._detail = detail
 
+    def held_back(self, engine: str) -> None:
+        """Note that an engine takes no more for now.
+
+        Where it holds the copy to go on from, a moment's wait costs less than to read again.
+        """
+        self._detail = f"{engine} takes no more for now"
+        if self._copy is None:
+            return
+        self._waits_held = self._held_rounds < MOST_HELD_ROUNDS
+        self._held_rounds += 1
+        if not self._waits_held:
+            self._copy = None
+
     def was_sent(self, *, copy: RunCopy | None) -> None:
         """Note that a request is being written: from now on it may have run."""
         self.sent += 1
--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -5,6 +5,7 @@
 import attrs
 
 from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.limit_permits import need_of
 from lagoonlever.decisions.run_placement import (
     BudgetSpent,
     NoEngine,
@@ -20,6 +21,7 @@
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.messages import NO_ASK, GenerationAsk
 from lagoonlever.gateway.placer import Placer
+from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.timers import TimerService
 
 RESUMED_PROMPT_TOKENS = 200
@@ -34,6 +36,7 @@
     _beliefs: Beliefs
     _timers: TimerService
     _placer: Placer
+    _limits: TargetLimits
 
     async def plan(
         self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom
@@ -42,7 +45,10 @@
         outcome: RunOutcome = NoEngine()
         if not isinstance(step, ResumeFrom) or self._holder_of(step.copy) is not None:
             copies = self._beliefs.engine_limits(accepted.service).copies
-            outcome = await self._placer.place(_run_ask(accepted, life, step, copies=copies))
+            ask = _run_ask(accepted, life, step, copies=copies)
+            held = self._held(accepted, life)
+            ask = attrs.evolve(ask, avoid=tuple(sorted({*ask.avoid, *held})))
+            outcome = await self._placer.place(ask)
         if isinstance(outcome, BudgetSpent | Overloaded):
             return outcome
         found = self._beliefs.targets.find(outcome.engine) if isinstance(outcome, Placed) else None
@@ -51,6 +57,11 @@
             return None
         return self._attempt(accepted, step, found, outcome)
 
+    def _held(self, accepted: Accepted, life: StreamLife) -> frozenset[str]:
+        """Give the engines that take no more for now."""
+        serving = self._beliefs.targets.serving(accepted.service)
+        return self._limits.held(serving, need=stream_need(accepted, life))
+
     def _attempt(
         self,
         accepted: Accepted,
@@ -101,6 +112,13 @@
     return accepted.caller.ask or NO_ASK
 
 
+def stream_need(accepted: Accepted, life: StreamLife) -> float:
+    """Give the permits that must be saved at an engine in need before it gets a stream."""
+    return need_of(
+        priority=accepted.priority, begun=life.position is not None, first=life.sent == 0
+    )
+
+
 def _run_ask(
     accepted: Accepted, life: StreamLife, step: Place | ResumeFrom, *, copies: bool
 ) -> RunAsk:
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lagoonlever.decisions.limit_permits import Denied, need_of
 from lagoonlever.decisions.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.rollout_book import Lane
 from lagoonlever.decisions.target_registry import ListedTarget
@@ -18,6 +19,7 @@
 from lagoonlever.gateway.target_client import (
     Answered,
     AttemptResult,
+    Held,
     Lost,
     NotSent,
     Refused,
@@ -30,6 +32,7 @@
 
 _RESULT_NAMES = {
     Answered: "answered",
+    Held: "held",
     Lost: "lost",
     NotSent: "not-sent",
     Refused: "refused",
@@ -99,9 +102,15 @@
     ) -> AttemptResult:
         """Send a call to one target; nothing awaits between the last check and the write."""
         accepted = call.accepted
+        permit = await self.limits.permit(target.id, need=self.need(call))
+        if isinstance(permit, Denied):
+            return Held()
         connection = await self.client.connect(target, rested_at_most_s=rested_at_most_s)
         if isinstance(connection, NotSent):
             return connection
+        if not self.limits.covers(target.id, permit):
+            await self.client.keep(connection)
+            return Held()
         head: AnswerHead | None = None
         result: AttemptResult | None = None
         lane: Lane | None = None
@@ -158,6 +167,17 @@
             status=response.status, headers=to_caller(response.headers), body=response.body
         )
 
+    def open_to(
+        self, call: CallRecord, targets: tuple[ListedTarget, ...]
+    ) -> tuple[ListedTarget, ...]:
+        """Give the targets that a call was not held back from just now."""
+        return self.limits.open(targets, need=self.need(call))
+
+    def need(self, call: CallRecord) -> float:
+        """Give the permits that must be saved at a target in need before it gets a call."""
+        first = call.sent == 0
+        return need_of(priority=call.accepted.priority, begun=False, first=first)
+
     def is_gone(self, call: CallRecord) -> bool:
         """Note that a caller left; gives False where its answer was on its way already."""
         if call.accepted.exchange.responded:
@@ -190,7 +210,7 @@
         return NotRun(
             reason=Reason.DEADLINE if late else Reason.NO_TARGET,
             message=call.detail or "no target can take it now",
-            retry_after_s=COME_BACK_S,
+            retry_after_s=self.limits.come_back_s(call.accepted.service) or COME_BACK_S,
         )
 
     def _ended(self, call: CallRecord, status: int, outcome: str, detail: str) -> None:
@@ -209,4 +229,6 @@
         return f"answered {result.response.status}"
     if isinstance(result, Refused):
         return f"refused with {result.head.status}"
+    if isinstance(result, Held):
+        return "the target takes no more for now"
     return result.detail
--- a/lagoonlever/gateway/crash_news.py
+++ b/lagoonlever/gateway/crash_news.py
@@ -8,19 +8,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection
 
 import attrs
 
 from lagoonlever.decisions.crash_suspects import CrashSuspects
-from lagoonlever.decisions.fellows import FellowState
-from lagoonlever.decisions.news_paths import hubs_told, tells_directly
-from lagoonlever.decisions.roles import Roles
-from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_crashes import EndTold, RequestServed, TargetsEnded, read_ends
-from lagoonlever.published import Published
 from lagoonlever.timers import TimerService
 
 CrashMessage = TargetsEnded | RequestServed
@@ -31,11 +27,8 @@
     """Soft state: a message that is lost costs one more target."""
 
     _bus: Bus
-    _beliefs: Beliefs
     _timers: TimerService
-    _roles: Published[Roles | None]
-    _own: str
-    """This VM's name."""
+    _spread: HubSpread
     _suspects: CrashSuspects
     _learnt: Callable[[], None]
     """Called after another VM has told something."""
@@ -63,10 +56,7 @@
 
     def tell(self, message: CrashMessage) -> None:
         """Tell of what this VM saw, also those that seem silent: one may only be cut off."""
-        if self._is_small:
-            self._bus.send_to_all((fellow.bus for fellow in self._fellows), message)
-            return
-        self._pass_on(message, source=self._own)
+        self._spread.tell(message, for_plain=self._for_plain(message))
 
     def greet(self, newcomer: Address) -> None:
         """Tell a VM that has just come, or was not heard, of the requests that matter.
@@ -83,37 +73,15 @@
         if told.ends:
             self.tell(told)
 
-    @property
-    def _fellows(self) -> tuple[FellowState, ...]:
-        return self._beliefs.fellows.states
-
-    @property
-    def _is_small(self) -> bool:
-        return tells_directly(len(self._fellows))
-
     def _pass_on(self, message: CrashMessage, *, source: str) -> None:
-        """Tell the hubs, and as a hub the VMs of this data centre what they need."""
-        roles = self._roles.value
-        if self._is_small or roles is None:
-            return
-        self._send(hubs_told(roles, own=self._own, source=source), message)
-        if not roles.is_hub:
-            return
-        told: CrashMessage = message
-        if isinstance(message, TargetsEnded):
-            told = self._kept_ends([end.fingerprint for end in message.ends])
-            if not told.ends:
-                return
-        hubs = frozenset(roles.hubs)
-        near = (f for f in self._fellows if f.data_center == self._beliefs.book.data_center)
-        plain = (f.bus for f in near if f.life.name not in hubs and f.life.name != source)
-        self._bus.send_to_all(plain, told)
-
-    def _send(self, names: Iterable[str], message: CrashMessage) -> None:
-        for name in names:
-            fellow = self._beliefs.fellows.find(name)
-            if fellow is not None:
-                self._bus.send(fellow.bus, message)
+        self._spread.pass_on(message, source=source, for_plain=self._for_plain(message))
+
+    def _for_plain(self, message: CrashMessage) -> CrashMessage | None:
+        """Give what VMs need that are no hubs; None for nothing."""
+        if not isinstance(message, TargetsEnded):
+            return message
+        kept = self._kept_ends([end.fingerprint for end in message.ends])
+        return kept if kept.ends else None
 
     def _kept_ends(self, fingerprints: Collection[str]) -> TargetsEnded:
         """Give the ends under some requests, of those that are worth keeping."""
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -23,6 +23,7 @@
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.crash_news import CrashNews
 from lagoonlever.gateway.crash_records import CrashRecords
+from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_client import TargetClient
 from lagoonlever.http.messages import Address
@@ -49,8 +50,7 @@
     _beliefs: Beliefs
     _timers: TimerService
     _roles: Published[Roles | None]
-    _vm: str
-    """This VM's name."""
+    _spread: HubSpread
     _client: TargetClient
     _tally: Tally
     _rng: random.Random
@@ -77,10 +77,8 @@
     def _make_news(self) -> CrashNews:
         return CrashNews(
             bus=self._bus,
-            beliefs=self._beliefs,
             timers=self._timers,
-            roles=self._roles,
-            own=self._vm,
+            spread=self._spread,
             suspects=self._suspects,
             learnt=self._note_barred,
             served=lambda fingerprint: self._records.take_out(fingerprint),
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -406,3 +406,11 @@
     "Target {target} says of itself what can't be read: {fields}",
     "The field counts as not said, and what was known before stays. Look at the target.",
 )
+COUNTER_SILENT = event(
+    1083,
+    "permit-not-answered",
+    "info",
+    "VM {vm}, which counts the requests to target {target}, did not answer within {seconds:g} s.",
+    "Nothing is sent to that target meanwhile. If it lasts beyond some seconds, look at that VM and"
+    " at the links to it.",
+)
--- /dev/null
+++ b/lagoonlever/gateway/hub_spread.py
@@ -0,0 +1,62 @@
+"""Spreads what a VM has learnt to all others: itself, or in a very large fleet by hubs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from lagoonlever.decisions.fellows import FellowState
+from lagoonlever.decisions.news_paths import hubs_told, tells_directly
+from lagoonlever.decisions.roles import Roles
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.peers.interface import Bus
+from lagoonlever.published import Published
+
+
+@attrs.define(kw_only=True, eq=False)
+class HubSpread:
+    """Sends news on the way that fits the size of the fleet."""
+
+    _bus: Bus
+    _beliefs: Beliefs
+    _roles: Published[Roles | None]
+    _own: str
+    """This VM's name."""
+
+    def tell(self, message: object, *, for_plain: object | None) -> None:
+        """Tell of what this VM saw, also those that seem silent: one may only be cut off.
+
+        ``for_plain`` is what VMs get that are no hubs, where this VM is one; None for nothing.
+        """
+        if self._is_small:
+            self._bus.send_to_all((fellow.bus for fellow in self._fellows), message)
+            return
+        self.pass_on(message, source=self._own, for_plain=for_plain)
+
+    def pass_on(self, message: object, *, source: str, for_plain: object | None) -> None:
+        """Tell the hubs, and as a hub the VMs of this data centre, what ``source`` has told."""
+        roles = self._roles.value
+        if self._is_small or roles is None:
+            return
+        self._send(hubs_told(roles, own=self._own, source=source), message)
+        if not roles.is_hub or for_plain is None:
+            return
+        hubs = frozenset(roles.hubs)
+        near = (f for f in self._fellows if f.data_center == self._beliefs.book.data_center)
+        plain = (f.bus for f in near if f.life.name not in hubs and f.life.name != source)
+        self._bus.send_to_all(plain, for_plain)
+
+    @property
+    def _fellows(self) -> tuple[FellowState, ...]:
+        return self._beliefs.fellows.states
+
+    @property
+    def _is_small(self) -> bool:
+        return tells_directly(len(self._fellows))
+
+    def _send(self, names: Iterable[str], message: object) -> None:
+        for name in names:
+            fellow = self._beliefs.fellows.find(name)
+            if fellow is not None:
+                self._bus.send(fellow.bus, message)
--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -35,8 +35,8 @@
     "lagoonlever.gateway.limited.sends",
     unit="{request}",
     labels=("attempt",),
-    doc="Requests that were written to targets that name a limit, `first` attempts of a request or"
-    " `later` ones.",
+    doc="Requests to targets that name a limit: written as `first` attempts or as `later` ones, or"
+    " `held` as the limit left no room.",
 )
 CALL_LATENCY = latency(
     "lagoonlever.gateway.call.latency",
--- a/lagoonlever/gateway/once_calls.py
+++ b/lagoonlever/gateway/once_calls.py
@@ -10,7 +10,7 @@
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.call_exchange import SERVER_ERROR, CallExchange, CallRecord, describe
 from lagoonlever.gateway.callers_leaving import cancel_when_gone
-from lagoonlever.gateway.target_client import Answered, AttemptResult, NotSent, Refused
+from lagoonlever.gateway.target_client import Answered, AttemptResult, Held, NotSent, Refused
 from lagoonlever.nurseries import open_work_nursery
 
 REST_S = 1.0
@@ -55,6 +55,9 @@
             tried.add(target.id)
             result = await self._attempt(call, target)
             call.detail = describe(result)
+            if isinstance(result, Held):
+                tried.discard(target.id)
+                continue
             if isinstance(result, Answered):
                 return result
             if call.may_have_run:
@@ -65,6 +68,7 @@
         targets = self._exchange.beliefs.targets
         on_trial = call.accepted.on_trial and not tried
         serving = targets.serving(call.accepted.service, on_trial=on_trial)
+        serving = self._exchange.open_to(call, serving)
         names = [target.id for target in serving if target.id not in tried]
         near = self._exchange.near(serving, self._data_center)
         now = self._exchange.timers.now
@@ -91,6 +95,8 @@
             self._runners.on_answer(target, now=now, latency_s=now - started)
         elif isinstance(result, Answered):
             self._runners.on_error(target)
+        elif isinstance(result, Held):
+            self._runners.on_unsent(target)
         elif isinstance(result, Refused | NotSent):
             self._runners.on_failure(target, now=now)
         else:
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -12,6 +12,7 @@
 from lagoonlever.decisions.engine_book import EngineBook
 from lagoonlever.decisions.fellows import FellowState, FellowTable
 from lagoonlever.decisions.hedging import Runners
+from lagoonlever.decisions.named_limits import NamedLimits
 from lagoonlever.decisions.target_registry import TargetRegistry
 from lagoonlever.gateway.attempt_planner import AttemptPlanner
 from lagoonlever.gateway.attempt_tools import AttemptTools
@@ -21,12 +22,14 @@
 from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.directory import Directory
 from lagoonlever.gateway.front import Front
+from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.gateway.knowledge import KnowledgeExchange
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.metrics_page import MetricsPage
 from lagoonlever.gateway.once_calls import OnceCalls
 from lagoonlever.gateway.pace_keeper import PaceKeeper
 from lagoonlever.gateway.peers import PeerExchange
+from lagoonlever.gateway.permit_exchange import PermitExchange
 from lagoonlever.gateway.placement_desk import PlacementDesk
 from lagoonlever.gateway.placer import Placer
 from lagoonlever.gateway.presence import Presence
@@ -86,6 +89,7 @@
     placer: Placer = attrs.field(init=False)
     placement_desk: PlacementDesk = attrs.field(init=False)
     replacements: ReplacementFinder = attrs.field(init=False)
+    spread: HubSpread = attrs.field(init=False)
     limits: TargetLimits = attrs.field(init=False)
     client: TargetClient = attrs.field(init=False)
     crashes: CrashWatch = attrs.field(init=False)
@@ -224,9 +228,41 @@
             reuse_s=lambda: self.settings.bounds.address_reuse_s,
         )
 
+    @spread.default
+    def _make_spread(self) -> HubSpread:
+        return HubSpread(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            roles=self.presence.roles,
+            own=self.settings.name,
+        )
+
     @limits.default
     def _make_limits(self) -> TargetLimits:
-        return TargetLimits(timers=self.timers, tally=self.reporter.tally)
+        named = NamedLimits()
+        permits = PermitExchange(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            roles=self.presence.roles,
+            vm=self.settings.name,
+            leaving=self.stopping,
+            named=named,
+        )
+        limits = TargetLimits(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            tally=self.reporter.tally,
+            rng=self.rng,
+            named=named,
+            permits=permits,
+            spread=self.spread,
+        )
+        self.presence.on_greeting(limits.greet)
+        self.presence.on_meeting(limits.greet)
+        self.learner.on_started_again(limits.started_again)
+        return limits
 
     @client.default
     def _make_client(self) -> TargetClient:
@@ -240,7 +276,7 @@
             beliefs=self.beliefs,
             timers=self.timers,
             roles=self.presence.roles,
-            vm=self.settings.name,
+            spread=self.spread,
             client=self.client,
             tally=self.reporter.tally,
             rng=self.rng,
@@ -336,6 +372,7 @@
                 beliefs=self.beliefs,
                 timers=self.timers,
                 placer=self.placer,
+                limits=self.limits,
             ),
         )
         return Front(
@@ -384,6 +421,7 @@
             "placement desk": self.placement_desk.run,
             "replacements": self.replacements.run,
             "crashes": self.crashes.run,
+            "target limits": self.limits.run,
             "store follower": self.follower.run,
             "registration": self.registration.run,
             "pace keeper": self.pace_keeper.run,
--- /dev/null
+++ b/lagoonlever/gateway/permit_exchange.py
@@ -0,0 +1,137 @@
+"""Asks the VM that counts the requests to a target, and answers for targets counted here."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+import logbook
+import trio
+
+from lagoonlever.decisions.limit_permits import (
+    Denied,
+    Granted,
+    PermitBook,
+    PermitOutcome,
+    counter_of,
+)
+from lagoonlever.decisions.named_limits import LimitWord, NamedLimits
+from lagoonlever.decisions.roles import Roles
+from lagoonlever.gateway import events
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.questions import Questions
+from lagoonlever.peers.interface import Bus
+from lagoonlever.peers.messages_limits import PermitAsk, PermitTold, WordTold
+from lagoonlever.published import Published
+from lagoonlever.timers import TimerService
+
+log = logbook.Logger(__name__)
+
+ANSWER_S = 0.05
+"""Another VM answers within some milliseconds; one that takes longer is starting, busy or gone."""
+UNSURE_S = 0.1
+"""Until a VM that got no permit, as views differ or an answer is missing, asks again."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class PermitExchange:
+    """Permits are soft: one that is lost on its way is a request that is not sent."""
+
+    _bus: Bus
+    _beliefs: Beliefs
+    _timers: TimerService
+    _roles: Published[Roles | None]
+    _vm: str
+    """This VM's name."""
+    _leaving: Callable[[], bool]
+    _named: NamedLimits
+    _book: PermitBook = attrs.field(factory=PermitBook)
+    _questions: Questions = attrs.field(init=False)
+
+    @_questions.default
+    def _make_questions(self) -> Questions:
+        return Questions(bus=self._bus)
+
+    async def run(self) -> None:
+        """Answer other VMs, and take their answers, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive_asks)
+            nursery.start_soon(self._questions.receive, PermitTold)
+
+    async def ask(self, target: str, word: LimitWord, *, need: float) -> PermitOutcome:
+        """Give whether one request may be sent to a target that names a limit."""
+        counter = self.counter(target)
+        if counter is None:
+            return Denied(wait_s=UNSURE_S)
+        if counter == self._vm:
+            return self._decide(target, need)
+        state = self._beliefs.fellows.find(counter)
+        if state is None:
+            return Denied(wait_s=UNSURE_S)
+
+        def question(number: int) -> PermitAsk:
+            told = self.told(target, word)
+            return PermitAsk(number=number, reply_to=self._bus.address, word=told, need=need)
+
+        answer = await self._questions.ask(state.bus, question, PermitTold, timeout_s=ANSWER_S)
+        if answer is None:
+            events.COUNTER_SILENT.log(log, vm=counter, target=target, seconds=ANSWER_S)
+            return Denied(wait_s=UNSURE_S)
+        if answer.word is not None:
+            self.learn(answer.word)
+        return answer.outcome
+
+    def counter(self, target: str) -> str | None:
+        """Give the VM that counts for a target; None while this one hardly knows the others."""
+        if self._roles.value is None:
+            return None
+        present = self._beliefs.fellows.present(self._timers.now)
+        names = [fellow.life.name for fellow in present if not fellow.leaving]
+        if not names or not self._leaving():
+            names.append(self._vm)
+        return counter_of(target, names)
+
+    def learn(self, told: WordTold) -> bool:
+        """Take what another VM tells of a target; gives whether the limit changes."""
+        target = self._beliefs.targets.find(told.target)
+        if target is None or target.has_started_again(told.started_ms):
+            return False
+        return self._named.learn(told.target, told.word(self._timers.now))
+
+    def told(self, target: str, word: LimitWord) -> WordTold:
+        """Give the message of a word that this VM has."""
+        started_ms = self._beliefs.targets.start_of(target)
+        return WordTold.of(target, word, started_ms=started_ms, now=self._timers.now)
+
+    def begin(self, target: str) -> None:
+        """Begin to save permits for a target."""
+        self._book.begin(target, self._timers.now)
+
+    def forget(self, target: str) -> None:
+        """Drop the count of a target whose limit has ended, or whose process is another one."""
+        self._book.forget(target)
+
+    def retain(self) -> None:
+        """Drop the counts of targets that name no limit."""
+        self._book.retain(self._named.in_force)
+
+    def _decide(self, target: str, need: float) -> PermitOutcome:
+        word = self._named.of(target)
+        if word is None or word.per_s is None:
+            return Granted(counted=False)
+        return self._book.ask(target, per_s=word.per_s, need=need, now=self._timers.now)
+
+    async def _receive_asks(self) -> None:
+        async for received in self._bus.subscribe(PermitAsk):
+            self._answer(received.message)
+
+    def _answer(self, asked: PermitAsk) -> None:
+        """Decide for another VM, unless this one takes a third to count."""
+        target = asked.word.target
+        self.learn(asked.word)
+        outcome: PermitOutcome = Denied(wait_s=UNSURE_S)
+        if self.counter(target) == self._vm:
+            outcome = self._decide(target, asked.need)
+        word = self._named.last(target)
+        told = self.told(target, word) if word is not None else None
+        self._bus.send(asked.reply_to, PermitTold.of(asked.number, outcome, told))
--- a/lagoonlever/gateway/placer.py
+++ b/lagoonlever/gateway/placer.py
@@ -7,8 +7,7 @@
 
 from __future__ import annotations
 
-import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import TypeVar
 
 import attrs
@@ -22,6 +21,7 @@
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.cache_locator import CacheLocator
+from lagoonlever.gateway.questions import Questions
 from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
@@ -58,16 +58,18 @@
     _vm: str
     """This VM's name."""
     _locator: CacheLocator
-    _numbers: Iterator[int] = attrs.field(factory=itertools.count)
-    _waiting: dict[int, trio.MemorySendChannel[object]] = attrs.field(factory=dict)
-    """Where the answer to each open question goes."""
+    _questions: Questions = attrs.field(init=False)
     _silent_until: dict[str, float] = attrs.field(factory=dict)
 
+    @_questions.default
+    def _make_questions(self) -> Questions:
+        return Questions(bus=self._bus)
+
     async def run(self) -> None:
         """Take the answers of other VMs until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._receive, PlacementTold)
-            nursery.start_soon(self._receive, FormerRunTold)
+            nursery.start_soon(self._questions.receive, PlacementTold)
+            nursery.start_soon(self._questions.receive, FormerRunTold)
 
     async def place(self, ask: RunAsk) -> RunOutcome:
         """Decide where an attempt goes, or why it can't go now."""
@@ -139,34 +141,13 @@
             address = self._address_of(hub)
             if address is None:
                 continue
-            told = await self._ask(address, question, answer, timeout_s=timeout_s)
+            told = await self._questions.ask(address, question, answer, timeout_s=timeout_s)
             if told is not None:
                 return told
             events.HUB_SILENT.log(log, vm=hub, seconds=timeout_s)
             self._silent_until[hub] = self._timers.now + PASSED_OVER_S
         return None
 
-    async def _ask(
-        self, hub: Address, question: Callable[[int], object], answer: type[T], *, timeout_s: float
-    ) -> T | None:
-        number = next(self._numbers)
-        send, receive = trio.open_memory_channel[object](1)
-        self._waiting[number] = send
-        try:
-            self._bus.send(hub, question(number), ttl_s=timeout_s)
-            with trio.move_on_after(timeout_s):
-                told = await receive.receive()
-                return told if isinstance(told, answer) else None
-        finally:
-            self._waiting.pop(number, None)
-        return None
-
-    async def _receive(self, message_class: type[PlacementTold] | type[FormerRunTold]) -> None:
-        async for received in self._bus.subscribe(message_class):
-            waiting = self._waiting.pop(received.message.number, None)
-            if waiting is not None:
-                waiting.send_nowait(received.message)
-
     def _address_of(self, hub: str) -> Address | None:
         """Give where a hub listens, unless it was silent of late."""
         if self._silent_until.get(hub, 0.0) > self._timers.now:
--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -13,7 +13,14 @@
 from lagoonlever.gateway.call_exchange import SERVER_ERROR, CallExchange, CallRecord, describe
 from lagoonlever.gateway.callers_leaving import cancel_when_gone
 from lagoonlever.gateway.retry_budgets import RetryBudgets
-from lagoonlever.gateway.target_client import Answered, AttemptResult, Lost, NotSent, Refused
+from lagoonlever.gateway.target_client import (
+    Answered,
+    AttemptResult,
+    Held,
+    Lost,
+    NotSent,
+    Refused,
+)
 from lagoonlever.nurseries import open_work_nursery
 
 REST_S = 4.0
@@ -108,20 +115,19 @@
         accepted = call.accepted
         targets = self._exchange.beliefs.targets
         service = accepted.service
-        allowed: list[bool] = []
 
         def live_names() -> tuple[str, ...]:
             """Give the runners; none for an extra attempt that the shared budget forbids."""
-            on_trial = accepted.on_trial and not allowed
-            if allowed:
+            is_first = hedged.attempts == 0
+            serving = targets.serving(service, on_trial=accepted.on_trial and is_first)
+            open_to = self._exchange.open_to(call, serving)
+            if not is_first and open_to:
                 now = self._exchange.timers.now
                 if not window.take(now, vms=self._exchange.beliefs.fellows.at_most(now)):
                     return ()
-            allowed.append(True)
-            serving = targets.serving(service, on_trial=on_trial)
-            return tuple(target.id for target in serving)
+            return tuple(target.id for target in open_to)
 
-        return HedgedCall(
+        hedged = HedgedCall(
             live_names=live_names,
             runners=self._runners,
             delay=self._delays.setdefault(service, HedgeDelay()),
@@ -132,6 +138,7 @@
             # A call that may end its runners is tried at one of them at a time.
             hedge=_hedges() and not self._exchange.crashes.is_suspect(accepted),
         )
+        return hedged
 
     async def _wait(
         self,
@@ -147,6 +154,9 @@
             return None
         now = self._exchange.timers.now
         call.detail = describe(ended.result)
+        if isinstance(ended.result, Held):
+            hedged.on_unsent(ended.runner)
+            return None
         if isinstance(ended.result, Refused | NotSent):
             hedged.on_failure(ended.runner, now, overloaded=isinstance(ended.result, Refused))
             return None
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -8,6 +8,7 @@
 
 from lagoonlever.decisions.booked_runs import RunCopy
 from lagoonlever.decisions.crash_suspects import BEGAN, WAITED
+from lagoonlever.decisions.limit_permits import Denied
 from lagoonlever.decisions.replacements import LifeSigns
 from lagoonlever.decisions.stream_life import EventVerdict, StreamLife
 from lagoonlever.decisions.stream_silence import (
@@ -22,6 +23,7 @@
 from lagoonlever.exceptions import BadResponse, ConnectionBroken
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.accepted import Accepted
+from lagoonlever.gateway.attempt_planner import stream_need
 from lagoonlever.gateway.attempt_tools import AttemptPlan, AttemptTools
 from lagoonlever.gateway.copy_keeper import CopyKeeper
 from lagoonlever.gateway.messages import AnswerHead, EngineReport, Hop, RunReport
@@ -111,6 +113,10 @@
         """Send the request and relay the answer, until its end or its loss."""
         engine = self._plan.engine
         self._started = self._now
+        permit = await self._tools.limits.permit(engine.id, need=self._need)
+        if isinstance(permit, Denied):
+            self._life.held_back(engine.id)
+            return
         connection = await self._tools.client.connect(engine, rested_at_most_s=KEPT_REST_S)
         if isinstance(connection, NotSent):
             self._count("not-sent")
@@ -118,6 +124,10 @@
             self._peers.engine_lost(engine.id, replaced=False)
             self._log_end(connection.detail)
             return
+        if not self._tools.limits.covers(engine.id, permit):
+            await self._tools.client.keep(connection)
+            self._life.held_back(engine.id)
+            return
         head: AnswerHead | None = None
         try:
             if not self._may_write():
@@ -140,6 +150,11 @@
     def _now(self) -> float:
         return self._tools.timers.now
 
+    @property
+    def _need(self) -> float:
+        """The permits that must be saved at an engine in need before it gets the request."""
+        return stream_need(self._accepted, self._life)
+
     def _count(self, result: str) -> None:
         self._tools.reporter.attempt_ended(self._accepted, result)
 
@@ -396,6 +411,7 @@
         if not window.allows(self._now, vms=1, part=MOVES_PART):
             return
         serving = self._tools.beliefs.targets.serving(self._accepted.service)
+        serving = self._tools.limits.unlimited(serving)
         request, limits = self._accepted.request_id, self._plan.limits
         book = self._tools.beliefs.book
         if book.has_better(request, serving, limits=limits, now=self._now):
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -119,7 +119,7 @@
         if life.begun:
             self._ended(accepted, life, OK, "failed", gave_up.detail if gave_up else "time is over")
             return
-        outcome = self._outcome(life, gave_up)
+        outcome = self._outcome(accepted, life, gave_up)
         self._ended(accepted, life, int(outcome.status), outcome.tag.value, outcome.message)
         await tell(accepted.exchange, outcome)
 
@@ -160,13 +160,16 @@
                 )
         return None
 
-    def _outcome(self, life: StreamLife, gave_up: GiveUp | None) -> NotRun | Unknown:
+    def _outcome(
+        self, accepted: Accepted, life: StreamLife, gave_up: GiveUp | None
+    ) -> NotRun | Unknown:
         if gave_up is None and life.runs:
             return Unknown(reason=Reason.DEADLINE, message=life.detail or "time is over")
         if gave_up is not None and gave_up.may_have_run:
             return Unknown(reason=Reason.CONNECTION_LOST, message=gave_up.detail, status=502)
         detail = gave_up.detail if gave_up else "its time was over before it was sent"
         told_s = gave_up.retry_after_s if gave_up else None
+        told_s = told_s or self._tools.limits.come_back_s(accepted.service)
         return NotRun(reason=Reason.NO_TARGET, message=detail, retry_after_s=told_s or COME_BACK_S)
 
     def _ended(
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -44,6 +44,11 @@
     detail: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class Held:
+    """Nothing was sent, as the target takes no more than it gets."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Refused:
     """The target says that it has not run the request."""
@@ -66,7 +71,7 @@
     response: Response
 
 
-AttemptResult = NotSent | Refused | Lost | Answered
+AttemptResult = NotSent | Held | Refused | Lost | Answered
 
 
 @attrs.define(kw_only=True)
@@ -132,6 +137,10 @@
         response = attrs.evolve(answer.response, body=b"".join(pieces))
         return Answered(head=answer.head, response=response)
 
+    async def keep(self, connection: ClientConnection) -> None:
+        """Keep a connection on which nothing was sent."""
+        await self._pool.put_back(connection)
+
     async def release(self, connection: ClientConnection, head: AnswerHead | None) -> None:
         """Keep a connection whose answer was read whole; close any other."""
         with trio.CancelScope(shield=True):
--- a/lagoonlever/tests/crash_news_tests.py
+++ b/lagoonlever/tests/crash_news_tests.py
@@ -9,6 +9,7 @@
 from lagoonlever.bench.local_fleet import Fleet, FleetVm, run_fleet, start_many
 from lagoonlever.decisions.crash_suspects import BEGAN, CrashSuspects, End
 from lagoonlever.gateway.crash_news import CrashNews
+from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.peers.messages import PEER
 from lagoonlever.peers.messages_crashes import EndTold, RequestServed, TargetsEnded
 
@@ -39,12 +40,16 @@
     made = []
     for vm in fleet.vms.values():
         suspects = CrashSuspects()
-        news = CrashNews(
+        spread = HubSpread(
             bus=vm.bus,
             beliefs=vm.beliefs,
-            timers=vm.timers,
             roles=vm.presence.roles,
             own=vm.state.life.name,
+        )
+        news = CrashNews(
+            bus=vm.bus,
+            timers=vm.timers,
+            spread=spread,
             suspects=suspects,
             learnt=lambda: None,
             served=lambda _: None,
--- /dev/null
+++ b/lagoonlever/tests/limit_permits_tests.py
@@ -0,0 +1,146 @@
+"""Limits that targets name: which word counts, and who may send when."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lagoonlever.bench.target_limits_model import LimitCase, LimitModel, Way
+from lagoonlever.decisions.limit_permits import (
+    FIRST_NEED,
+    Denied,
+    Granted,
+    HeldTargets,
+    PermitBook,
+    counter_of,
+    need_of,
+)
+from lagoonlever.decisions.named_limits import LimitWord, NamedLimits
+
+LEAST_USED = {9: 0.9, 75: 0.8, 195: 0.8, 300: 0.8}
+
+
+def granted(book: PermitBook, *, per_s: float, need: float, seconds: float) -> int:
+    """Ask a thousand times a second; gives how many were granted."""
+    count = 0
+    for turn in range(int(seconds * 1000)):
+        outcome = book.ask("t", per_s=per_s, need=need, now=turn / 1000)
+        count += isinstance(outcome, Granted)
+    return count
+
+
+@pytest.mark.parametrize("vms", LEAST_USED)
+@pytest.mark.parametrize("per_s", [2.8, 5.0])
+@pytest.mark.parametrize("targets", [1, 10])
+def test_all_vms_together_keep_to_a_limit_and_use_it(vms: int, per_s: float, targets: int) -> None:
+    """Guards against sums beyond a limit in large fleets, and against limits left unused."""
+    case = LimitCase(vms=vms, targets=targets, per_s=per_s)
+    played = LimitModel(case=case, way=Way.COUNTED, rng=random.Random(7)).run()
+    assert played.worst <= 1.0
+    assert played.used >= LEAST_USED[vms]
+
+
+def test_a_limit_of_nothing_lets_one_through_now_and_then() -> None:
+    """Guards against a limit whose end is never heard, as nothing is sent any more."""
+    assert 1 <= granted(PermitBook(), per_s=0.0, need=FIRST_NEED, seconds=8.0) <= 2
+
+
+def test_the_most_valuable_work_takes_a_limit_that_is_too_small_for_all() -> None:
+    book = PermitBook()
+    first, again = 0, 0
+    for turn in range(20_000):
+        now = turn / 1000
+        least = need_of(priority=2, begun=False, first=False)
+        again += isinstance(book.ask("t", per_s=5.0, need=least, now=now), Granted)
+        first += isinstance(book.ask("t", per_s=5.0, need=FIRST_NEED, now=now), Granted)
+    assert first >= 95
+    assert again <= 5
+
+
+def test_work_of_less_value_gets_a_limit_that_nobody_else_uses() -> None:
+    need = need_of(priority=3, begun=False, first=False)
+    assert granted(PermitBook(), per_s=5.0, need=need, seconds=20.0) >= 95
+
+
+def test_a_target_that_has_named_a_limit_a_while_ago_takes_the_next_request() -> None:
+    book = PermitBook()
+    book.begin("t", 0.0)
+    assert isinstance(book.ask("t", per_s=4.0, need=FIRST_NEED, now=0.3), Granted)
+
+
+def test_a_count_that_is_dropped_begins_with_none() -> None:
+    book = PermitBook()
+    book.begin("t", 0.0)
+    book.retain(("other",))
+    assert isinstance(book.ask("t", per_s=1.0, need=FIRST_NEED, now=60.0), Denied)
+
+
+def test_work_is_held_back_where_work_as_valuable_was_denied() -> None:
+    held = HeldTargets()
+    held.hold("t", need=1.5, until=5.0)
+    assert held.is_held("t", need=2.0, now=4.0)
+    assert not held.is_held("t", need=1.0, now=4.0)
+    assert not held.is_held("t", need=1.5, now=5.0)
+    held.expire(5.0)
+    assert not held.is_held("t", need=2.0, now=4.0)
+
+
+def test_all_vms_find_the_same_vm_that_counts_and_keep_it_as_others_leave() -> None:
+    vms = [f"vm-{number}" for number in range(300)]
+    counter = counter_of("t", vms)
+    assert counter_of("t", reversed(vms)) == counter
+    assert counter_of("t", [vm for vm in vms if vm in (counter, "vm-1", "vm-2")]) == counter
+
+
+def test_an_overtaken_answer_without_a_limit_does_not_end_one() -> None:
+    """Guards against a flood as an answer from before a limit arrives after it."""
+    named = NamedLimits()
+    assert named.learn("t", LimitWord.of_answer(5.0, sent_at=0.9, now=1.0))
+    assert not named.learn("t", LimitWord.of_answer(None, sent_at=0.8, now=1.1))
+    assert named.of("t") is not None
+    assert named.learn("t", LimitWord.of_answer(None, sent_at=1.05, now=1.2))
+    assert named.of("t") is None
+
+
+class Words(RuleBasedStateMachine):
+    """One target's words reach a VM late, doubled and in any order; some are lost."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.said: list[LimitWord] = []
+        self.named = NamedLimits()
+        self.newest: LimitWord | None = None
+
+    @rule(per_s=st.one_of(st.none(), st.floats(0.0, 1e9)), later=st.floats(0.001, 5.0))
+    def say(self, per_s: float | None, later: float) -> None:
+        self.now += later
+        self.said.append(LimitWord(per_s=per_s, at=self.now))
+
+    @rule(data=st.data())
+    def hear(self, data: st.DataObject) -> None:
+        if not self.said:
+            return
+        word = data.draw(st.sampled_from(self.said))
+        self.named.learn("t", word)
+        if self.newest is None and word.per_s is None:
+            return
+        if self.newest is None or word.at > self.newest.at:
+            self.newest = word
+
+    @rule()
+    def start_again(self) -> None:
+        self.named.forget("t")
+        self.newest = None
+        self.said.clear()
+
+    @invariant()
+    def the_newest_word_counts(self) -> None:
+        expected = self.newest if self.newest and self.newest.per_s is not None else None
+        assert self.named.of("t") == expected
+
+
+TestWords = Words.TestCase
