Soak: a VM is told to reload once the kernel says that it heeds SIGHUP

The soak waited 0.5 s after a start, as before the interpreter runs the program a SIGHUP ends any process. So the soak asks the kernel what the process ignores and handles, which allows an earlier SIGHUP on an idle machine and none that the program can't heed. The promise that no VM ends by itself stays as it was.

--- a/lagoonlever/soak/faults.py
+++ b/lagoonlever/soak/faults.py
@@ -13,6 +13,7 @@
 from lagoonlever.soak.plan import Fault, FaultKind
 from lagoonlever.soak.proxy import Link
 from lagoonlever.soak.rollouts import SoakRollout
+from lagoonlever.soak.signals import heeds
 from lagoonlever.soak.site import GRACE_S, SoakSite, SoakTarget, SoakVm
 
 SLOW_STORE_S = 0.25
@@ -24,8 +25,6 @@
 _ROLLOUT = "roll-out"
 STOP_MARGIN_S = 3.0
 """Beyond the time that a planned stop may take, before it counts as hanging."""
-INTERPRETER_S = 0.5
-"""After a start: before the interpreter runs the program, a SIGHUP ends any process."""
 BAD_ANSWERS = (
     Conduct.FAIL,
     Conduct.LOSE_ANSWER,
@@ -110,7 +109,8 @@
     @_action(FaultKind.VM_RELOAD)
     async def _reload(self, fault: Fault) -> None:
         vm = self._vm(fault)
-        if trio.current_time() - vm.started_at > INTERPRETER_S:
+        # Until the interpreter runs the program, a SIGHUP ends any process.
+        if vm.process is not None and heeds(vm.process.pid, signal.SIGHUP):
             self.site.signal(vm, signal.SIGHUP)
 
     @_action(FaultKind.STORE_SILENT, FaultKind.STORE_REFUSES, FaultKind.STORE_LOSES)
