A target's own word that it leaves counts at once, at every VM

What callers saw: lookups were sent to a runner 2.3 s after one of its answers had said that it leaves; the store took its report 13 s later. Cause: who leaves was learnt from the store alone. Evidence: the log of the red test, with one first attempt every 0.1 s from the word on (event 1086, which this commit takes out as it can't happen any more), which rules out that the word was undone by the list or met by choices made before it.

The list of targets holds the word beside the store's entry: such a target takes no work, at the choice and at the last look before each write, for calls, hedges, streams, resumes and copies. It holds until another process has the id, whatever the store says: an entry that says ready, a removal and a new listing of the same process change nothing. It is told to all VMs, and to newcomers. What runs at the target goes on, as at a leave that the store tells.

New tests: other VMs and newcomers, the store that lists it again, an engine that is back under its id, a stream that flows, fields that can't be read.

--- a/lagoonlever/decisions/target_registry.py
+++ b/lagoonlever/decisions/target_registry.py
@@ -19,6 +19,9 @@
 What is learnt comes in any order, from the store and from other VMs: of each target the
 word of the highest revision counts, also that it was removed.
 
+A target that leaves says so in its answers too, often sooner than the store can tell. Its own
+word counts at once, for as long as its process lives, whatever the store tells later.
+
 The store may come back from an older copy, and begins a new era then. What it lists is
 newer than any word of the era before; but an entry there may be older than what was known of
 its target. One that drained, or was gone, is no more ready for that; and one that is missing
@@ -85,6 +88,12 @@
     started_ms: int | None = None
 
 
+@attrs.define(kw_only=True)
+class _SaidLeaving:
+    started_ms: int | None
+    at: float
+
+
 @attrs.define(kw_only=True)
 class TargetRegistry:
     """Holds the list; times are seconds of the monotonic clock."""
@@ -98,6 +107,8 @@
     """Targets that were found without an entry, and how long they are used so."""
     _former_starts: dict[str, int] = attrs.field(factory=dict)
     """The starts before the last one, of targets that told of it themselves."""
+    _said_leaving: dict[str, _SaidLeaving] = attrs.field(factory=dict)
+    """Targets that have said in an answer that they leave."""
     _doubted_until: dict[str, float] = attrs.field(factory=dict)
     """Targets that were gone, and are listed by an older entry that may lapse yet."""
     _as_of: Revision = NOWHERE
@@ -170,7 +181,7 @@
 
     def _is_able(self, target: ListedTarget) -> bool:
         """Tell whether a target takes work as far as it goes by itself, not by its version."""
-        if target.draining or target.id in self._replaced:
+        if target.draining or target.id in self._replaced or target.id in self._said_leaving:
             return False
         return target.id not in self._doubted_until
 
@@ -249,6 +260,22 @@
             return False
         self._former_starts[target_id] = known.started_ms
         self._replaced.pop(target_id, None)
+        self._said_leaving.pop(target_id, None)
+        return True
+
+    @property
+    def said_leaving(self) -> dict[str, int | None]:
+        """The targets that have said that they leave, with the starts of their processes."""
+        return {target: said.started_ms for target, said in self._said_leaving.items()}
+
+    def says_leaving(self, target_id: str, *, started_ms: int | None, now: float) -> bool:
+        """Take a target's word that it leaves; gives whether it is news of its process now."""
+        known = self._targets.get(target_id)
+        if known is not None and known.has_started_again(started_ms):
+            return False
+        if target_id in self._said_leaving:
+            return False
+        self._said_leaving[target_id] = _SaidLeaving(started_ms=started_ms, at=now)
         return True
 
     def replaced(self, target_id: str, now: float) -> None:
@@ -300,6 +327,9 @@
             del self._gone[target_id]
         for target_id in [t for t, at in self._replaced.items() if now - at > FORGET_S]:
             del self._replaced[target_id]
+        for target_id in [t for t, said in self._said_leaving.items() if now - said.at > FORGET_S]:
+            if target_id not in self._targets:
+                del self._said_leaving[target_id]
         for target_id in [t for t, until in self._doubted_until.items() if now >= until]:
             del self._doubted_until[target_id]
         return tuple(TargetChange(id=t, target=None, revision=revision) for t, revision in due)
@@ -328,6 +358,7 @@
             target = attrs.evolve(target, draining=True)
         self._doubt(target, now)
         if target.has_started_again(start):
+            self._said_leaving.pop(target.id, None)
             self._replaced.pop(target.id, None)
             self._former_starts.pop(target.id, None)
         self._held.pop(target.id, None)
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -418,8 +418,8 @@
     1084,
     "target-says-leaving",
     "notice",
-    "Target {target} says in an answer that it leaves.",
-    "The first answer of its process that says so at this VM. The store may tell it later.",
+    "Target {target} says in an answer that it leaves, by {source}.",
+    "It gets no new work from now on; what runs there goes on. The store may tell it later.",
 )
 TARGET_RESTS = event(
     1085,
@@ -428,14 +428,6 @@
     "Target {target} has turned a request away and wants nothing from this VM for {seconds:g} s.",
     "One line for each such answer.",
 )
-SENT_TO_LEAVING = event(
-    1086,
-    "sent-to-leaving",
-    "warning",
-    "A request is sent to target {target}, which has said that it leaves {age_s:.3f} s ago"
-    " (first attempt: {first}; {reason}).",
-    "A target that leaves is to get no new work.",
-)
 SENT_TO_RESTING = event(
     1087,
     "sent-to-resting",
--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -96,6 +96,14 @@
         if self._beliefs.targets.started_again(target_id, started_ms):
             self._note_start(target_id, former, source="its own answer")
 
+    def take_leaving(self, target_id: str, started_ms: int | None, *, source: str) -> bool:
+        """Take a target's word that it leaves; gives whether it is news."""
+        registry = self._beliefs.targets
+        if not registry.says_leaving(target_id, started_ms=started_ms, now=self._timers.now):
+            return False
+        events.TARGET_SAYS_LEAVING.log(log, target=target_id, source=source)
+        return True
+
     def take_found(self, former: str, found: str, *, source: str) -> bool:
         """Take a process that has a lost target's place; gives whether it counts."""
         counts = self._beliefs.targets.found(former, found, self._timers.now)
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -268,7 +268,17 @@
 
     @words.default
     def _make_words(self) -> TargetWords:
-        return TargetWords(beliefs=self.beliefs, timers=self.timers, limits=self.limits)
+        words = TargetWords(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            learner=self.learner,
+            timers=self.timers,
+            spread=self.spread,
+            limits=self.limits,
+        )
+        self.presence.on_greeting(words.greet)
+        self.presence.on_meeting(words.greet)
+        return words
 
     @client.default
     def _make_client(self) -> TargetClient:
@@ -430,6 +440,7 @@
             "replacements": self.replacements.run,
             "crashes": self.crashes.run,
             "target limits": self.limits.run,
+            "target words": self.words.run,
             "store follower": self.follower.run,
             "registration": self.registration.run,
             "pace keeper": self.pace_keeper.run,
--- a/lagoonlever/tests/target_words_tests.py
+++ b/lagoonlever/tests/target_words_tests.py
@@ -4,10 +4,11 @@
 
 import itertools
 
+import pytest
 import trio
 
 from lagoonlever.fakes.platform_runner import Conduct
-from lagoonlever.tests.gateway_site import GatewaySite, run_site
+from lagoonlever.tests.gateway_site import GatewaySite, run_site, until_within
 
 REST_GRACE_S = 0.5
 """From a target's asking for rest until it has to be kept to."""
@@ -50,6 +51,77 @@
     run_site(story, engines=0, runners=2, vms=2)
 
 
+def test_one_answer_tells_every_vm_that_a_runner_leaves() -> None:
+    """Guards against each VM learning it by a request of its own."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        site.runners["runner-0"].says.leaving = "1"
+        while not site.vms["vm-0"].daemon.parts.beliefs.targets.said_leaving:
+            await site.call("/bid/1")
+        newcomer = await site.start_vm("vm-2")
+        await site.wait_ready(newcomer)
+
+        def all_know() -> bool:
+            tables = [vm.daemon.parts.beliefs.targets for vm in site.vms.values()]
+            return not any(table.takes_work("runner-0") for table in tables)
+
+        await until_within(2.0, all_know)
+
+    run_site(story, engines=0, runners=2, vms=2)
+
+
+def test_the_store_does_not_undo_that_a_runner_leaves() -> None:
+    """Guards against an entry that says ready, read after the runner has said that it leaves."""
+
+    async def story(site: GatewaySite) -> None:
+        site.runners["runner-0"].says.leaving = "1"
+        assert (await site.call("/bid/1")).status == 200
+        site.unlist_target("runner-0")
+        await trio.sleep(0.3)
+        site.list_target("runner-0", service="apps")
+        await trio.sleep(0.3)
+        assert (await site.call("/bid/2")).status == 503
+        assert len(site.runners["runner-0"].arrived_at) == 1
+
+    run_site(story, engines=0, runners=1, vms=1)
+
+
+def test_an_engine_that_starts_again_under_its_id_has_not_said_that_it_leaves() -> None:
+    async def story(site: GatewaySite) -> None:
+        site.engines["engine-0"].says.leaving = "1"
+        assert (await site.stream("p")).whole
+        assert (await site.stream("q")).status == 503
+        site.crash("engine-0")
+        await site.start_engine("engine-0")
+        table = site.vms["vm-0"].daemon.parts.beliefs.targets
+        await until_within(2.0, lambda: table.takes_work("engine-0"))
+        assert (await site.stream("r")).whole
+
+    run_site(story, engines=1, runners=0, vms=1)
+
+
+def test_a_stream_at_an_engine_that_says_that_it_leaves_goes_on_to_its_end() -> None:
+    async def story(site: GatewaySite) -> None:
+        for engine in site.engines.values():
+            engine.says.leaving = "1"
+        got = await site.stream("p", events=40)
+        assert got.whole
+        assert got.is_events("p", 1, 40)
+
+    run_site(story, engines=2, runners=0, vms=1)
+
+
+@pytest.mark.parametrize("field", ["", "yes", "1, 1", "1.0", "-1"])
+def test_a_leave_that_cannot_be_read_changes_nothing(field: str) -> None:
+    async def story(site: GatewaySite) -> None:
+        site.runners["runner-0"].says.leaving = field
+        for _ in range(3):
+            assert (await site.call("/bid/1")).status == 200
+
+    run_site(story, engines=0, runners=1, vms=1)
+
+
 def test_a_runner_that_asks_for_rest_gets_next_to_nothing_in_its_rest() -> None:
     """Guards against tries at a runner that has just said how long it wants none."""
 
