A target that asked for rest gets nothing from the VM that it told until it is over

What callers saw: calls and streams were tried at targets that had turned this VM away and asked for 3 s of rest, one request at four engines in 16 ms, all of which had said no. Cause: the Retry-After of a target was read by nobody. A refusal counted as any failure, so that the target was tried again after 0.5 s, 1 s and 2 s, and once a try was served it got calls as before. Evidence: events 1085 and 1087 of the red test, which shows first attempts 0.6 to 1.5 s after the word at one VM alone (1087 can't happen any more, and goes).

Now each VM keeps until when a target wants nothing from it: at the choice, and at the last look before each write, of calls, hedges, repeats, streams, resumes and second looks. A longer rest stays where a shorter one follows; another process with the id has asked for none. Where all targets of a service rest, callers are refused at once and told to come back after the first rest ends, apart from each other. After its rest a target that was passed over for failures is tried by one call at a time, as before, so that no burst comes.

--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -21,7 +21,7 @@
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.messages import NO_ASK, GenerationAsk
 from lagoonlever.gateway.placer import Placer
-from lagoonlever.gateway.target_limits import TargetLimits
+from lagoonlever.gateway.target_words import TargetWords
 from lagoonlever.timers import TimerService
 
 RESUMED_PROMPT_TOKENS = 200
@@ -36,7 +36,7 @@
     _beliefs: Beliefs
     _timers: TimerService
     _placer: Placer
-    _limits: TargetLimits
+    _words: TargetWords
 
     async def plan(
         self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom
@@ -60,7 +60,7 @@
     def _held(self, accepted: Accepted, life: StreamLife) -> frozenset[str]:
         """Give the engines that take no more for now."""
         serving = self._beliefs.targets.serving(accepted.service)
-        return self._limits.held(serving, need=stream_need(accepted, life))
+        return self._words.held(serving, need=stream_need(accepted, life))
 
     def _attempt(
         self,
@@ -104,6 +104,8 @@
             return None
         if self._beliefs.book.avoidance.is_avoided(copy.holder, self._timers.now):
             return None
+        if self._words.rests(copy.holder):
+            return None
         return holder
 
 
--- a/lagoonlever/gateway/attempt_tools.py
+++ b/lagoonlever/gateway/attempt_tools.py
@@ -19,7 +19,6 @@
 from lagoonlever.gateway.rollouts import Rollouts
 from lagoonlever.gateway.run_copier import RunCopier
 from lagoonlever.gateway.target_client import TargetClient
-from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.gateway.target_words import TargetWords
 from lagoonlever.timers import TimerService
 
@@ -50,7 +49,6 @@
     replacements: ReplacementFinder
     crashes: CrashWatch
     rollouts: Rollouts
-    limits: TargetLimits
     words: TargetWords
     copier: RunCopier = attrs.field(factory=RunCopier)
     watched: dict[str, set[StreamSilence]] = attrs.field(factory=dict)
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -25,7 +25,6 @@
     Refused,
     TargetClient,
 )
-from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.gateway.target_words import TargetWords
 from lagoonlever.outcomes import NotRun, Reason, Unknown
 from lagoonlever.platform.headers import to_caller
@@ -84,7 +83,6 @@
     reporter: Reporter
     crashes: CrashWatch
     rollouts: Rollouts
-    limits: TargetLimits
     words: TargetWords
 
     async def attempt(
@@ -104,13 +102,13 @@
     ) -> AttemptResult:
         """Send a call to one target; nothing awaits between the last check and the write."""
         accepted = call.accepted
-        permit = await self.limits.permit(target.id, need=self.need(call))
+        permit = await self.words.permit(target.id, need=self.need(call))
         if isinstance(permit, Denied):
             return Held()
         connection = await self.client.connect(target, rested_at_most_s=rested_at_most_s)
         if isinstance(connection, NotSent):
             return connection
-        if not self.limits.covers(target.id, permit):
+        if not self.words.covers(target.id, permit):
             await self.client.keep(connection)
             return Held()
         head: AnswerHead | None = None
@@ -124,7 +122,7 @@
                 return result
             hop = Hop(target_id=target.id, deadline_s=left_s, organisation=accepted.organisation)
             call.written(target.id)
-            self.words.sent(target.id, first=call.sent == 1, reason=call.detail)
+            self.words.sent(target.id, first=call.sent == 1)
             lane = self.rollouts.sent(target, accepted.route.name)
             opened = await self.client.open(
                 connection, accepted.request, hop, request_id=accepted.request_id
@@ -173,7 +171,7 @@
         self, call: CallRecord, targets: tuple[ListedTarget, ...]
     ) -> tuple[ListedTarget, ...]:
         """Give the targets that a call was not held back from just now."""
-        return self.limits.open(targets, need=self.need(call))
+        return self.words.open(targets, need=self.need(call))
 
     def need(self, call: CallRecord) -> float:
         """Give the permits that must be saved at a target in need before it gets a call."""
@@ -212,7 +210,7 @@
         return NotRun(
             reason=Reason.DEADLINE if late else Reason.NO_TARGET,
             message=call.detail or "no target can take it now",
-            retry_after_s=self.limits.come_back_s(call.accepted.service) or COME_BACK_S,
+            retry_after_s=self.words.come_back_s(call.accepted.service) or COME_BACK_S,
         )
 
     def _ended(self, call: CallRecord, status: int, outcome: str, detail: str) -> None:
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -426,13 +426,5 @@
     "target-rests",
     "info",
     "Target {target} has turned a request away and wants nothing from this VM for {seconds:g} s.",
-    "One line for each such answer.",
-)
-SENT_TO_RESTING = event(
-    1087,
-    "sent-to-resting",
-    "warning",
-    "A request is sent to target {target}, which has asked for rest {age_s:.3f} s ago"
-    " (first attempt: {first}; {reason}).",
-    "A target that rests is to get nothing.",
+    "One line for each such answer. Nothing is sent to it meanwhile.",
 )
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -275,7 +275,9 @@
             timers=self.timers,
             spread=self.spread,
             limits=self.limits,
+            rng=self.rng,
         )
+        self.learner.on_started_again(words.started_again)
         self.presence.on_greeting(words.greet)
         self.presence.on_meeting(words.greet)
         return words
@@ -352,7 +354,6 @@
             reporter=self.reporter,
             crashes=self.crashes,
             rollouts=self.rollouts,
-            limits=self.limits,
             words=self.words,
         )
         once = OnceCalls(data_center=self.settings.data_center, exchange=exchange, runners=runners)
@@ -373,7 +374,6 @@
             replacements=self.replacements,
             crashes=self.crashes,
             rollouts=self.rollouts,
-            limits=self.limits,
             words=self.words,
         )
         self.peers.on_engine_lost(tools.engine_lost)
@@ -390,7 +390,7 @@
                 beliefs=self.beliefs,
                 timers=self.timers,
                 placer=self.placer,
-                limits=self.limits,
+                words=self.words,
             ),
         )
         return Front(
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -113,7 +113,7 @@
         """Send the request and relay the answer, until its end or its loss."""
         engine = self._plan.engine
         self._started = self._now
-        permit = await self._tools.limits.permit(engine.id, need=self._need)
+        permit = await self._tools.words.permit(engine.id, need=self._need)
         if isinstance(permit, Denied):
             self._life.held_back(engine.id)
             return
@@ -124,7 +124,7 @@
             self._peers.engine_lost(engine.id, replaced=False)
             self._log_end(connection.detail)
             return
-        if not self._tools.limits.covers(engine.id, permit):
+        if not self._tools.words.covers(engine.id, permit):
             await self._tools.client.keep(connection)
             self._life.held_back(engine.id)
             return
@@ -169,7 +169,7 @@
         """Write and relay; gives the head if the connection may be kept."""
         plan = self._plan
         self._life.was_sent(copy=plan.run.copy)
-        self._tools.words.sent(plan.engine.id, first=self._life.sent == 1, reason=plan.reason)
+        self._tools.words.sent(plan.engine.id, first=self._life.sent == 1)
         self._peers.begin(plan.run)
         self._log_sent()
         self._counts.sent(whole_answer=plan.copy_from is None and not self._life.position)
@@ -411,7 +411,7 @@
         if not window.allows(self._now, vms=1, part=MOVES_PART):
             return
         serving = self._tools.beliefs.targets.serving(self._accepted.service)
-        serving = self._tools.limits.unlimited(serving)
+        serving = self._tools.words.unlimited(serving)
         request, limits = self._accepted.request_id, self._plan.limits
         book = self._tools.beliefs.book
         if book.has_better(request, serving, limits=limits, now=self._now):
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -131,6 +131,8 @@
             refusal = self._admission.refusal(accepted, life, step)
             if refusal is not None:
                 return refusal
+            if not life.runs and self._tools.words.all_rest(accepted.service):
+                return GiveUp(may_have_run=False, detail="all engines have asked for rest")
             if isinstance(step, WaitForEngine):
                 await trio.sleep(step.seconds)
                 continue
@@ -169,7 +171,7 @@
             return Unknown(reason=Reason.CONNECTION_LOST, message=gave_up.detail, status=502)
         detail = gave_up.detail if gave_up else "its time was over before it was sent"
         told_s = gave_up.retry_after_s if gave_up else None
-        told_s = told_s or self._tools.limits.come_back_s(accepted.service)
+        told_s = told_s or self._tools.words.come_back_s(accepted.service)
         return NotRun(reason=Reason.NO_TARGET, message=detail, retry_after_s=told_s or COME_BACK_S)
 
     def _ended(
--- a/lagoonlever/gateway/target_words.py
+++ b/lagoonlever/gateway/target_words.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import random
+from collections.abc import Iterable
+
 import attrs
 import logbook
 
+from lagoonlever.decisions.limit_permits import Denied, Granted, PermitOutcome
+from lagoonlever.decisions.limits import after_rest_s
+from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.target_rests import RestingTargets
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.hub_spread import HubSpread
@@ -14,26 +21,19 @@
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_words import LeavingTarget, TargetsLeave
-from lagoonlever.timers import TimerService
+from lagoonlever.timers import Tick, TimerService
 
 log = logbook.Logger(__name__)
 
 MISDIRECTED = 421
 """Another process answers at the target's address."""
-MOST_KEPT = 1024
-"""Targets of which is kept what was logged; then all is forgotten, and may be logged again."""
-
-
-@attrs.define(kw_only=True)
-class _Said:
-    unreadable: tuple[str, ...] = ()
-    rests_at: float | None = None
-    rests_until: float = 0.0
+LOOK_PERIOD_S = 3.0
+"""A multiple of the time between a VM's own words, for one wake-up."""
 
 
 @attrs.define(kw_only=True, eq=False)
 class TargetWords:
-    """Hears every head of an answer, and of every request that is sent to a target."""
+    """Hears every head of an answer, and is asked before every request to a target."""
 
     _bus: Bus
     _beliefs: Beliefs
@@ -41,40 +41,90 @@
     _timers: TimerService
     _spread: HubSpread
     _limits: TargetLimits
-    _said: dict[str, _Said] = attrs.field(factory=dict)
+    _rng: random.Random
+    _rests: RestingTargets = attrs.field(factory=RestingTargets)
+    _unreadable: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    """The fields of each target that were logged last."""
 
     async def run(self) -> None:
         """Take what other VMs tell until cancelled."""
-        await self._receive_leaving()
+        with self._timers.subscribed(self._look, period_s=LOOK_PERIOD_S):
+            await self._receive_leaving()
 
     def heard(self, target: str, head: AnswerHead, *, sent_at: float) -> None:
         """Take what the head of a target's answer says of it."""
         if head.status == MISDIRECTED or head.target_id not in (None, target):
             return
         self._limits.heard(target, head, sent_at=sent_at)
-        if not (head.unreadable or head.leaves or head.rest_s):
-            return
-        said, now = self._of(target), self._timers.now
-        if head.unreadable and head.unreadable != said.unreadable:
-            said.unreadable = head.unreadable
+        if head.unreadable and self._unreadable.get(target) != head.unreadable:
+            self._unreadable[target] = head.unreadable
             events.TARGET_FIELD_UNREADABLE.log(log, target=target, fields=head.unreadable)
         if head.leaves:
             self._says_leaving(target)
         if head.rest_s:
-            said.rests_at = now
-            said.rests_until = max(said.rests_until, now + head.rest_s)
+            self._rests.asked(target, head.rest_s, self._timers.now)
             events.TARGET_RESTS.log(log, target=target, seconds=head.rest_s)
 
-    def sent(self, target: str, *, first: bool, reason: str) -> None:
+    def open(self, targets: Iterable[ListedTarget], *, need: float) -> tuple[ListedTarget, ...]:
+        """Give the targets that take work of a need now, as far as they have said."""
+        now = self._timers.now
+        awake = (target for target in targets if not self._rests.left_s(target.id, now))
+        return self._limits.open(awake, need=need)
+
+    def held(self, targets: Iterable[ListedTarget], *, need: float) -> frozenset[str]:
+        """Give the targets that work of a need is to go past for now."""
+        listed = tuple(targets)
+        able = {target.id for target in self.open(listed, need=need)}
+        return frozenset(target.id for target in listed) - able
+
+    def unlimited(self, targets: Iterable[ListedTarget]) -> tuple[ListedTarget, ...]:
+        """Give the targets that work may be moved to without need: none in need themselves."""
+        now = self._timers.now
+        awake = (target for target in targets if not self._rests.left_s(target.id, now))
+        return self._limits.unlimited(awake)
+
+    def rests(self, target: str) -> bool:
+        """Tell whether a target wants nothing from this VM now."""
+        return self._rests.left_s(target, self._timers.now) > 0
+
+    async def permit(self, target: str, *, need: float) -> PermitOutcome:
+        """Take a permit to send one request to a target, as far as it takes any."""
+        left_s = self._rests.left_s(target, self._timers.now)
+        if left_s:
+            return Denied(wait_s=left_s)
+        return await self._limits.permit(target, need=need)
+
+    def covers(self, target: str, permit: Granted) -> bool:
+        """Tell whether a permit still does, by what the target has said since."""
+        return not self.rests(target) and self._limits.covers(target, permit)
+
+    def sent(self, target: str, *, first: bool) -> None:
         """Count a request that is written to a target."""
         self._limits.sent(target, first=first)
-        said, now = self._said.get(target), self._timers.now
-        if said is None:
-            return
-        if said.rests_at is not None and now < said.rests_until:
-            events.SENT_TO_RESTING.log(
-                log, target=target, age_s=now - said.rests_at, first=first, reason=reason
-            )
+
+    def come_back_s(self, service: str) -> float | None:
+        """Give when a refused caller is to come back; None where no target has said anything.
+
+        Where some targets rest and others name limits, by the limits: they take some meanwhile.
+        """
+        rest_s = self._all_rest_s(service)
+        if rest_s:
+            return round(after_rest_s(rest_s, self._rng), 2)
+        return self._limits.come_back_s(service)
+
+    def all_rest(self, service: str) -> bool:
+        """Tell whether no target of a service wants anything from this VM now."""
+        return self._all_rest_s(service) > 0
+
+    def _all_rest_s(self, service: str) -> float:
+        """Give how long all targets of a service are to rest yet; 0 where one does not."""
+        now = self._timers.now
+        able = self._beliefs.targets.serving(service)
+        return min((self._rests.left_s(target.id, now) for target in able), default=0.0)
+
+    def started_again(self, target: str) -> None:
+        """Note that another process has a target's id: it has asked for no rest yet."""
+        self._rests.forget(target)
 
     def greet(self, newcomer: Address) -> None:
         """Tell a VM that has just come, or was not heard, which targets leave."""
@@ -101,7 +151,9 @@
             if any(news):
                 self._spread.pass_on(message, source=source, for_plain=message)
 
-    def _of(self, target: str) -> _Said:
-        if len(self._said) >= MOST_KEPT:
-            self._said.clear()
-        return self._said.setdefault(target, _Said())
+    def _look(self, tick: Tick) -> None:
+        """Forget what is over, and targets that are gone."""
+        self._rests.expire(tick.now)
+        listed = frozenset(target.id for target in self._beliefs.targets.targets)
+        for target in self._unreadable.keys() - listed:
+            del self._unreadable[target]
--- a/lagoonlever/tests/target_words_tests.py
+++ b/lagoonlever/tests/target_words_tests.py
@@ -7,7 +7,11 @@
 import pytest
 import trio
 
+from lagoonlever.decisions.target_rests import RestingTargets
+from lagoonlever.fakes.platform_engine import EngineConduct
 from lagoonlever.fakes.platform_runner import Conduct
+from lagoonlever.http.messages import Headers
+from lagoonlever.platform.headers import read_answer
 from lagoonlever.tests.gateway_site import GatewaySite, run_site, until_within
 
 REST_GRACE_S = 0.5
@@ -136,3 +140,97 @@
         assert len(in_rest) <= MOST_RESTING
 
     run_site(story, engines=0, runners=2, vms=1)
+
+
+def refuse_all(site: GatewaySite, rest: str) -> None:
+    """Have every target turn everything away and ask for rest."""
+    for runner in site.runners.values():
+        runner.says.rest = rest
+        runner.conducts.extend([Conduct.REFUSE] * 500)
+    for engine in site.engines.values():
+        engine.says.rest = rest
+        engine.conducts.extend([EngineConduct.REFUSE] * 500)
+
+
+def test_callers_are_refused_at_once_while_all_runners_rest() -> None:
+    """Guards against calls that go from one runner to the next though each has said no."""
+
+    async def story(site: GatewaySite) -> None:
+        refuse_all(site, "2.5")
+        while not site.vms["vm-0"].daemon.parts.words.all_rest("apps"):
+            await site.call("/look/1", method="GET")
+        before = sum(len(runner.arrived_at) for runner in site.runners.values())
+        began = trio.current_time()
+        answers = [await site.call("/bid/1") for _ in range(5)]
+        answers += [await site.call("/look/1", method="GET") for _ in range(5)]
+        assert trio.current_time() - began < 1.5
+        assert {answer.status for answer in answers} == {503}
+        told = [float(answer.headers.get("Retry-After") or 0) for answer in answers]
+        assert min(told) > 0.5
+        assert max(told) < 4.0
+        assert len(set(told)) > 5
+        assert sum(len(runner.arrived_at) for runner in site.runners.values()) == before
+
+    run_site(story, engines=0, runners=3, vms=1)
+
+
+def test_a_stream_is_refused_at_once_while_all_engines_rest() -> None:
+    async def story(site: GatewaySite) -> None:
+        refuse_all(site, "2.5")
+        began = trio.current_time()
+        answer = await site.stream("p")
+        assert answer.status == 503
+        assert float(answer.headers.get("Retry-After") or 0) > 1.0
+        assert trio.current_time() - began < 2.0
+        before = [len(engine.arrived_at) for engine in site.engines.values()]
+        assert (await site.stream("q")).status == 503
+        assert [len(engine.arrived_at) for engine in site.engines.values()] == before
+
+    run_site(story, engines=3, runners=0, vms=1)
+
+
+def test_a_rest_is_over_in_time_and_the_runner_is_used_again() -> None:
+    async def story(site: GatewaySite) -> None:
+        site.runners["runner-0"].says.rest = "0.5"
+        site.runners["runner-0"].conducts.append(Conduct.REFUSE)
+        assert (await site.call("/bid/1")).status == 503
+        await trio.sleep(0.6)
+        assert (await site.call("/bid/2")).status == 200
+
+    run_site(story, engines=0, runners=1, vms=1)
+
+
+@pytest.mark.parametrize("field", ["", "-3", "soon", "1e9", "Thu, 03 Dec 2026 09:00:00 GMT"])
+def test_a_rest_that_cannot_be_read_changes_nothing(field: str) -> None:
+    async def story(site: GatewaySite) -> None:
+        site.runners["runner-0"].says.rest = field
+        site.runners["runner-0"].conducts.append(Conduct.REFUSE)
+        assert (await site.call("/bid/1")).status == 503
+        assert (await site.call("/bid/2")).status == 200
+
+    run_site(story, engines=0, runners=1, vms=1)
+
+
+def test_a_shorter_rest_does_not_end_a_longer_one() -> None:
+    rests = RestingTargets()
+    rests.asked("t", 3.0, 10.0)
+    rests.asked("t", 1.0, 10.5)
+    assert rests.left_s("t", 12.0) == 1.0
+    rests.asked("t", 4.0, 12.0)
+    assert rests.left_s("t", 13.0) == 3.0
+    rests.expire(17.0)
+    assert rests.left_s("t", 12.0) == 0.0
+
+
+def test_a_process_that_has_the_id_of_a_resting_target_has_asked_for_none() -> None:
+    rests = RestingTargets()
+    rests.asked("t", 3.0, 10.0)
+    rests.forget("t")
+    assert rests.left_s("t", 10.0) == 0.0
+
+
+def test_retry_after_counts_only_on_a_503() -> None:
+    """Guards against rests taken from answers that were served or failed."""
+    said = Headers((("Retry-After", "3"), ("Request-Id", "r")))
+    assert read_answer(503, said).rest_s == 3.0
+    assert [read_answer(status, said).rest_s for status in (200, 429, 500, 504)] == [None] * 4
