--- a/lagoonlever/gateway/target_limits.py
+++ b/lagoonlever/gateway/target_limits.py
@@ -96,6 +96,10 @@
         word = self._named.of(target)
         return word.per_s if word is not None else None
 
+    def counter(self, target: str) -> str | None:
+        """Give the VM that counts the requests to a target; None while few VMs are known here."""
+        return self._permits.counter(target)
+
     def open(self, targets: Iterable[ListedTarget], *, need: float) -> tuple[ListedTarget, ...]:
         """Give the targets that work of a need was not denied at just now."""
         now = self._timers.now
