Soak: runners name limits, ask for rest, and say that they leave while the store is silent

Three kinds of faults on a track of their own, so that they overlap with all others, and what a runner sees is held against what it has told: sums of all processes in 4 s, nothing after a leave, few requests in a rest. Only where no VM was harmed since the word.

--- a/lagoonlever/soak/faults.py
+++ b/lagoonlever/soak/faults.py
@@ -10,6 +10,7 @@
 
 from lagoonlever.fakes.metadata_store import StoreFault
 from lagoonlever.fakes.platform_runner import Conduct, FakeRunner
+from lagoonlever.platform.headers import LEAVES
 from lagoonlever.soak.plan import Fault, FaultKind
 from lagoonlever.soak.proxy import Link
 from lagoonlever.soak.rollouts import SoakRollout
@@ -23,6 +24,11 @@
 """At most, until operators and targets have written again what it lost."""
 _STORE = "store"
 _ROLLOUT = "roll-out"
+LEAST_LIMIT_PER_S = 1.5
+LIMITS = 6
+"""That are drawn, each one request a second more."""
+MOST_REFUSED = 50
+"""Calls that a runner in need turns away at most."""
 STOP_MARGIN_S = 3.0
 """Beyond the time that a planned stop may take, before it counts as hanging."""
 BAD_ANSWERS = (
@@ -191,6 +197,37 @@
 
         await self._alone(f"runner {place}", self.site.runners, place, replace)
 
+    @_action(FaultKind.RUNNERS_LIMITED)
+    async def _limit(self, fault: Fault) -> None:
+        runners = [runner.server for runner in self.site.runners]
+        limit = f"{LEAST_LIMIT_PER_S + fault.number % LIMITS:g}"
+        for runner in runners:
+            runner.says.limit = limit
+        await trio.sleep(fault.for_s)
+        for runner in runners:
+            runner.says.limit = None
+
+    @_action(FaultKind.RUNNER_RESTS)
+    async def _rest(self, fault: Fault) -> None:
+        runner = self.site.runners[fault.number % len(self.site.runners)].server
+        assert isinstance(runner, FakeRunner)
+        runner.says.rest = f"{fault.for_s:.1f}"
+        runner.conducts.extend([Conduct.REFUSE, Conduct.SERVE] * MOST_REFUSED)
+        await trio.sleep(fault.for_s)
+        runner.says.rest = None
+        runner.conducts.clear()
+
+    @_action(FaultKind.RUNNER_SAYS_LEAVING)
+    async def _say_leaving(self, fault: Fault) -> None:
+        place = fault.number % len(self.site.runners)
+
+        async def replace(kept: list[SoakTarget], number: int) -> None:
+            kept[number].server.says.leaving = LEAVES
+            await trio.sleep(fault.for_s)
+            await self.site.replace_runner(number)
+
+        await self._alone(f"runner {place}", self.site.runners, place, replace)
+
     @_action(FaultKind.NEW_VERSION)
     async def _roll_out(self, fault: Fault) -> None:
         """Order a version, if none is under way; runners are left alone by other faults then."""
--- a/lagoonlever/soak/plan.py
+++ b/lagoonlever/soak/plan.py
@@ -59,6 +59,12 @@
     """A runner fails, loses, cuts, crosses or spoils some answers."""
     RUNNER_LEAVES = "runner-leaves"
     """A runner drains and goes; a new one comes."""
+    RUNNERS_LIMITED = "runners-limited"
+    """All runners name a limit for a while."""
+    RUNNER_RESTS = "runner-rests"
+    """A runner turns every other call away for a while, and asks for rest."""
+    RUNNER_SAYS_LEAVING = "runner-says-leaving"
+    """A runner says in its answers that it leaves; the store tells it seconds later."""
     NEW_VERSION = "new-version"
     """Operators order a version of the runners; every other one fails a part of its calls."""
     NEW_CONFIGURATION = "new-configuration"
@@ -144,6 +150,15 @@
     ),
     _Track(kinds=(FaultKind.STORE_RESTORED,), every_s=(1.0, 6.0), for_s=(0.2, 4.0)),
     _Track(kinds=(FaultKind.NEW_VERSION,), every_s=(0.5, 4.0), for_s=(3.0, 7.0)),
+    _Track(
+        kinds=(
+            FaultKind.RUNNERS_LIMITED,
+            FaultKind.RUNNER_RESTS,
+            FaultKind.RUNNER_SAYS_LEAVING,
+        ),
+        every_s=(0.5, 4.0),
+        for_s=(3.0, 9.0),
+    ),
 )
 
 
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -35,6 +35,7 @@
 from lagoonlever.platform.headers import EXPECTED_TARGET, REQUEST_ID
 from lagoonlever.platform.targets import TARGETS_PREFIX
 from lagoonlever.soak.judge import Judge
+from lagoonlever.soak.needs import NeedWatch
 from lagoonlever.soak.proxy import FaultyProxy
 
 PLACES = ("dc-0", "dc-1", "dc-2")
@@ -67,15 +68,25 @@
         self._site = site
         self.known_to_leave_at: float | None = None
         """When every VM had had the time to learn that it drains, and nothing was harmed."""
+        self._needs = NeedWatch(
+            target=target_id,
+            judge=judge,
+            says=self.says,
+            vms=len(site.vms),
+            calm_since=site.vms_calm_since,
+        )
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request, and tell whether it ran."""
         request = exchange.request.headers.get(REQUEST_ID) or ""
         before = self.runs[request]
+        self._needs.arrived(trio.current_time())
         try:
             await super().handle(exchange)
         finally:
-            if self.runs[request] > before:
+            has_run = self.runs[request] > before
+            self._needs.says_now(trio.current_time(), refused=not has_run)
+            if has_run:
                 self._judge.ran(request, self.target_id, exchange.request.headers)
                 self._tell_late(request)
 
@@ -294,6 +305,11 @@
         harmed = [vm.disturbed_at for vm in self.vms]
         return max(*harmed, self.store_disturbed_at) < since
 
+    def vms_calm_since(self, since: float) -> bool:
+        """Tell whether no VM, and no target's link, was harmed since a moment."""
+        harmed = [vm.disturbed_at for vm in self.vms]
+        return max(*harmed, self.targets_disturbed_at) < since
+
     def _runs_of(self, places: list[int]) -> list[EngineRun]:
         servers = [self.engines[place].server for place in places]
         engines = [server for server in servers if isinstance(server, FakeEngine)]
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -28,6 +28,9 @@
         FaultKind.RUNNER_RETURNS,
         FaultKind.STORE_RESTORED,
         FaultKind.NEW_VERSION,
+        FaultKind.RUNNERS_LIMITED,
+        FaultKind.RUNNER_RESTS,
+        FaultKind.RUNNER_SAYS_LEAVING,
     }
 )
 """Kinds of faults that these seeds were drawn without."""
@@ -109,6 +112,23 @@
     assert result.counts.get("stream 200", 0) > 10
 
 
+def test_runners_that_tell_of_their_needs_are_heeded(tmp_path: Path) -> None:
+    """Guards against limits, rests and leaves in answers that real processes don't keep to."""
+    times = (
+        (FaultKind.RUNNERS_LIMITED, 1.0, 11.0),
+        (FaultKind.RUNNER_RESTS, 13.0, 4.0),
+        (FaultKind.STORE_SILENT, 17.5, 5.0),
+        (FaultKind.RUNNER_SAYS_LEAVING, 17.7, 4.0),
+    )
+    plan = tuple(
+        Fault(kind=kind, at_s=at_s, for_s=for_s, number=number)
+        for number, (kind, at_s, for_s) in enumerate(times)
+    )
+    result = play(1, tmp_path, length_s=23.0, plan=plan)
+    assert result.violations == ()
+    assert result.counts.get("requests at runners with a limit", 0) > 10
+
+
 def test_versions_are_rolled_out_without_breaking_a_promise(tmp_path: Path) -> None:
     """A sound version and then a bad one, while a VM is killed and the store loses seconds."""
     orders = [
