--- a/lagoonlever/report/explain.py
+++ b/lagoonlever/report/explain.py
@@ -14,6 +14,8 @@
 
 CONFIGURATION = "configuration-in-force"
 TARGET_NEWS = frozenset({"target-listed", "target-replaced", "targets-read"})
+TARGET_WORDS = frozenset({"target-limit", "target-says-leaving", "target-rests"})
+"""What targets say of themselves; the last word of each kind counts."""
 FELLOW_NEWS = frozenset({"fellow-silent", "fellow-heard", "fellow-listed"})
 LIFE_NEWS = frozenset({"gateway-started", "gateway-stopping", "gateway-stopped"})
 STORE_NEWS = frozenset({"platform-unreachable", "platform-reached"})
@@ -56,8 +58,8 @@
     configuration: int | None
     """The version in force on that VM."""
     store_reached: bool
-    target_news: str | None
-    """The last word on the target that the line names."""
+    target_news: tuple[str, ...]
+    """The last news of the target that the line names: of the list, and of its own words."""
 
 
 def read_lines(texts: Iterable[str], *, process: str) -> Iterator[LogLine]:
@@ -96,7 +98,7 @@
     prints |= {line.fingerprint for line in lines if line.request in wanted} - {None}
     configuration: dict[str, int] = {}
     unreachable: set[str] = set()
-    targets: dict[str, str] = {}
+    targets: dict[str, dict[str, str]] = {}
     steps: list[Step] = []
     for line in lines:
         if line.name == CONFIGURATION:
@@ -106,7 +108,9 @@
         elif line.name == "platform-reached":
             unreachable.discard(line.process)
         elif line.name in TARGET_NEWS:
-            targets[str(line.fields.get("target"))] = f"{line.time} {line.message}"
+            _note(targets, line, kind="listed")
+        elif line.name in TARGET_WORDS:
+            _note(targets, line, kind=line.name)
         is_about_all = line.request is None and line.fingerprint in prints
         if line.request not in wanted and not is_about_all:
             continue
@@ -115,12 +119,17 @@
                 line=line,
                 configuration=configuration.get(line.process),
                 store_reached=line.process not in unreachable,
-                target_news=targets.get(str(line.fields.get("target"))),
+                target_news=tuple(targets.get(str(line.fields.get("target")), {}).values()),
             )
         )
     return steps
 
 
+def _note(targets: dict[str, dict[str, str]], line: LogLine, *, kind: str) -> None:
+    known = targets.setdefault(str(line.fields.get("target")), {})
+    known[kind] = f"{line.time} {line.message}"
+
+
 def surroundings(lines: Iterable[LogLine], steps: list[Step]) -> list[LogLine]:
     """Give what the VMs of a request noticed of themselves and others while it lasted."""
     if not steps:
@@ -145,8 +154,8 @@
         if not step.store_reached:
             beliefs += ", store not reached"
         text = f"{line.time} {line.process} {line.name}: {line.message}\n    believed: {beliefs}"
-        if step.target_news is not None:
-            text += f"\n    of the target: {step.target_news}"
+        for news in step.target_news:
+            text += f"\n    of the target: {news}"
         rows.append((line.time, text))
     rows += [(line.time, f"{line.time} {line.process} | {line.message}") for line in around]
     return [text for _, text in sorted(rows)]
--- a/lagoonlever/tests/explain_tests.py
+++ b/lagoonlever/tests/explain_tests.py
@@ -44,7 +44,21 @@
     assert [step.line.name for step in steps] == ["attempt-sent", "attempt-ended"]
     assert [step.configuration for step in steps] == [7, 7]
     assert [step.store_reached for step in steps] == [True, False]
-    assert "ready" in (steps[0].target_news or "")
+    assert len(steps[0].target_news) == 1
+    assert "ready" in steps[0].target_news[0]
+
+
+def test_a_step_shows_the_last_word_of_each_kind_of_its_target() -> None:
+    said = [
+        line(1, "vm-a", "target-listed", target="e1", state="ready"),
+        line(2, "vm-b", "target-limit", target="e1", limit="9/s"),
+        line(3, "vm-b", "target-limit", target="e1", limit="5/s"),
+        line(3, "vm-b", "target-rests", target="e2", seconds=3.0),
+        line(4, "vm-a", "attempt-sent", request="r1", target="e1"),
+    ]
+    step = explain(read_lines(said, process="a"), "r1")[0]
+    assert len(step.target_news) == 2
+    assert "5/s" in step.target_news[1]
 
 
 def test_a_caller_that_came_back_under_another_id_is_followed() -> None:
