An engine whose report says that it leaves gets no new work

Reports are asked for when a stream is silent or broke off. Such a report counts as an answer does now; a state of another type or word tells nothing and spoils no report. The new test failed before ("not within 1 s").

--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -103,6 +103,8 @@
         self.seen: list[Headers] = []
         self.arrived_at: list[float] = []
         self.says = TargetWords()
+        self.reported_state: object = "ready"
+        """The state that its reports tell."""
         self.cancelled: list[str] = []
         self.questions: Counter[str] = Counter()
         self._fleet = fleet
@@ -143,6 +145,7 @@
             queued=self.waiting,
             running=len(self.runs),
             kv_total=55_000,
+            state=self.reported_state,
             runs=[(r.request_id, r.prompt_tokens, r.events, 5) for r in flowing],
         )
         await exchange.respond(status=OK, headers=Headers(), body=msgspec.json.encode(report))
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -130,6 +130,7 @@
     memory_total: int
     started_ms: int | None = None
     """When its process started, by its own clock in Unix milliseconds."""
+    leaves: bool = False
     runs: tuple[RunReport, ...] = ()
 
     def run(self, request_id: str) -> RunReport | None:
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -280,8 +280,7 @@
             # Something has arrived meanwhile: that says more than any report.
             silence.answered(Answer.RUNNING, self._now)
             return
-        if report is not None and report.started_ms is not None:
-            self._tools.learner.take_start(self._plan.engine.id, report.started_ms)
+        self._take_report(report)
         run = report.run(self._accepted.request_id) if report else None
         answer = _answer_of(report, run, flowing=self._flowing)
         if run is None and self._flowing and self._has_started_again():
@@ -298,6 +297,15 @@
         self._tools.reporter.tally.add(metrics.ENGINE_QUESTIONS, answer.value)
         silence.answered(answer, self._now, events_ahead=ahead)
 
+    def _take_report(self, report: EngineReport | None) -> None:
+        """Take what a report tells of its engine, whatever becomes of the run."""
+        if report is None:
+            return
+        if report.started_ms is not None:
+            self._tools.learner.take_start(self._plan.engine.id, report.started_ms)
+        if report.leaves:
+            self._tools.words.reports_leaving(self._plan.engine.id, report.started_ms)
+
     def _has_started_again(self) -> bool:
         """Tell whether the engine is another process than the one that the run was sent to."""
         engine = self._tools.beliefs.targets.find(self._plan.engine.id)
@@ -368,7 +376,9 @@
         alive = False
         if not ended.unanswered:
             # A report from just before the break would say that an engine lives which has ended.
-            alive = await self._tools.prober.ask(engine, since=broke_at) is not None
+            report = await self._tools.prober.ask(engine, since=broke_at)
+            self._take_report(report)
+            alive = report is not None
         self._count("lost" if alive else "target-gone")
         if alive:
             self._counts.failed()
--- a/lagoonlever/gateway/target_words.py
+++ b/lagoonlever/gateway/target_words.py
@@ -60,7 +60,7 @@
             self._unreadable[target] = head.unreadable
             events.TARGET_FIELD_UNREADABLE.log(log, target=target, fields=head.unreadable)
         if head.leaves:
-            self._says_leaving(target)
+            self._says_leaving(target, self._beliefs.targets.start_of(target), "its own answer")
         if head.rest_s:
             self._rests.asked(target, head.rest_s, self._timers.now)
             events.TARGET_RESTS.log(log, target=target, seconds=head.rest_s)
@@ -133,10 +133,13 @@
         if leaving:
             self._bus.send(newcomer, TargetsLeave(targets=leaving))
 
-    def _says_leaving(self, target: str) -> None:
-        """Take the word of an answer, and tell all VMs if it is news."""
-        started_ms = self._beliefs.targets.start_of(target)
-        if self._learner.take_leaving(target, started_ms, source="its own answer"):
+    def reports_leaving(self, target: str, started_ms: int | None) -> None:
+        """Take that an engine's report says that it leaves."""
+        self._says_leaving(target, started_ms, "its own report")
+
+    def _says_leaving(self, target: str, started_ms: int | None, source: str) -> None:
+        """Take a target's own word, and tell all VMs if it is news."""
+        if self._learner.take_leaving(target, started_ms, source=source):
             leaving = LeavingTarget(target=target, started_ms=started_ms)
             message = TargetsLeave(targets=(leaving,))
             self._spread.tell(message, for_plain=message)
--- a/lagoonlever/platform/engine_calls.py
+++ b/lagoonlever/platform/engine_calls.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from lagoonlever.gateway.messages import EngineReport, RunReport
+from lagoonlever.platform.targets import DRAINING
 
 REPORT_PATH = "/-/report"
 KEPT_PATH = "/-/kv-list"
@@ -21,6 +24,8 @@
     running: int = 0
     kv_used: int = 0
     kv_total: int = 0
+    state: Any = None
+    """``ready`` or ``draining``; anything else tells nothing, and spoils no report."""
     runs: list[tuple[str, int, int, int]] = []
     """Each run: its request, tokens in memory, events made, priority."""
 
@@ -62,5 +67,6 @@
         memory_used=raw.kv_used,
         memory_total=raw.kv_total,
         started_ms=raw.born,
+        leaves=raw.state == DRAINING,
         runs=tuple(RunReport(request_id=r[0], tokens=r[1], events=r[2]) for r in raw.runs),
     )
--- a/lagoonlever/tests/target_words_tests.py
+++ b/lagoonlever/tests/target_words_tests.py
@@ -10,6 +10,7 @@
 from lagoonlever.decisions.target_rests import RestingTargets
 from lagoonlever.fakes.platform_engine import EngineConduct
 from lagoonlever.fakes.platform_runner import Conduct
+from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.http.messages import Headers
 from lagoonlever.platform.headers import read_answer
 from lagoonlever.tests.gateway_site import GatewaySite, run_site, until_within
@@ -105,6 +106,35 @@
     run_site(story, engines=1, runners=0, vms=1)
 
 
+def test_an_engine_whose_report_says_that_it_leaves_gets_nothing_new() -> None:
+    """Guards against a leave that is told in reports and heard in answers only."""
+
+    async def story(site: GatewaySite) -> None:
+        engine = site.engines["engine-0"]
+        engine.reported_state = "draining"
+        engine.conducts.append(EngineConduct.STAY_SILENT)
+        table = site.vms["vm-0"].daemon.parts.beliefs.targets
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.stream, "p")
+            await until_within(5.0, lambda: engine.questions["report"])
+            await until_within(1.0, lambda: not table.takes_work("engine-0"))
+            nursery.cancel_scope.cancel()
+
+    run_site(story, engines=1, runners=0, vms=1)
+
+
+@pytest.mark.parametrize("state", ["ready", "", 7, None, ["draining"]])
+def test_a_report_of_any_other_state_changes_nothing(state: object) -> None:
+    async def story(site: GatewaySite) -> None:
+        engine = site.engines["engine-0"]
+        engine.reported_state = state
+        asked = await EngineProber().ask(site.vms["vm-0"].daemon.parts.beliefs.targets.targets[0])
+        assert asked is not None
+        assert not asked.leaves
+
+    run_site(story, engines=1, runners=0, vms=1)
+
+
 def test_a_stream_at_an_engine_that_says_that_it_leaves_goes_on_to_its_end() -> None:
     async def story(site: GatewaySite) -> None:
         for engine in site.engines.values():
