Entry daemon: a service's runner that asked for rest gets nothing until it is over

The cause of the resting targets, found in the entry daemon as well: the Retry-After of a runner's 429 or 503 was read by nobody. Where all runners rest, a bid is told "not run" at once; before, it was written again and told "unknown".

--- a/lagoonlever/bench/lookups.py
+++ b/lagoonlever/bench/lookups.py
@@ -20,6 +20,7 @@
 from lagoonlever.entry.services_answers import ComeBack
 from lagoonlever.entry.services_call import ServiceCall
 from lagoonlever.entry.services_lookups import Lookups
+from lagoonlever.entry.services_rests import ServiceRests
 from lagoonlever.entry.services_settings import ServiceSettings
 from lagoonlever.fakes.application import ApplicationOptions, FakeApplication
 from lagoonlever.fakes.entry_parts import FixedTargets
@@ -117,6 +118,7 @@
             new_budget=new_budget,
         ),
         timers=TimerService(),
+        rests=ServiceRests(timers=TimerService()),
         settings=settings,
         come_back=ComeBack(base_s=settings.retry_after_s, rng=rng),
         retry_ratio_of=lambda organisation: ratio,
--- a/lagoonlever/entry/services.py
+++ b/lagoonlever/entry/services.py
@@ -39,6 +39,7 @@
 from lagoonlever.entry.services_keys import KeyRouter
 from lagoonlever.entry.services_lookups import LookupCounts, Lookups
 from lagoonlever.entry.services_pauses import PauseWatch
+from lagoonlever.entry.services_rests import ServiceRests
 from lagoonlever.entry.services_settings import ServiceSettings
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.history.events_services import DispatchWritten
@@ -116,6 +117,7 @@
             lifetime_s=settings.key_lifetime_s,
         )
         come_back = ComeBack(base_s=settings.retry_after_s, rng=rng)
+        rests = ServiceRests(timers=timers)
         self._claims = Claims(platform=platform, table=table, timers=timers, settings=settings)
         self._dispatcher = Dispatcher(
             guard=guard,
@@ -124,6 +126,7 @@
             pauses=self._pauses,
             settings=settings,
             come_back=come_back,
+            rests=rests,
         )
         self._copier = AnswerCopier(members=members, bus=bus)
         self._keyed = KeyedCalls(
@@ -141,6 +144,7 @@
             timers=timers,
             settings=settings,
             come_back=come_back,
+            rests=rests,
             retry_ratio_of=retry_ratio_of,
         )
         self._keys = KeyRouter(
--- a/lagoonlever/entry/services_dispatch.py
+++ b/lagoonlever/entry/services_dispatch.py
@@ -24,6 +24,7 @@
 from lagoonlever.entry.services_call import ServiceCall, service_answer
 from lagoonlever.entry.services_exchange import exchange_on
 from lagoonlever.entry.services_pauses import PauseWatch
+from lagoonlever.entry.services_rests import ServiceRests
 from lagoonlever.entry.services_settings import Service, ServiceSettings
 from lagoonlever.exceptions import BadResponse, ConnectFailed, ConnectionBroken
 from lagoonlever.http.client import ClientConnection
@@ -59,6 +60,7 @@
     _pauses: PauseWatch
     _settings: ServiceSettings
     _come_back: ComeBack
+    _rests: ServiceRests
 
     async def dispatch(
         self, call: ServiceCall, *, key_expires_at: float | None, on_write: OnWrite
@@ -81,7 +83,7 @@
 
     def _choose(self, service: Service, tried: set[str]) -> Target | None:
         live = {t.name: t for t in runners_of(service, self._guard.view.value)}
-        names = [name for name in live if name not in tried]
+        names = self._rests.awake(name for name in live if name not in tried)
         name = self._runners.choose(names, now=self._timers.now, probe=False)
         if name is None:
             name = self._runners.choose(names, now=self._timers.now)
@@ -132,11 +134,14 @@
                 now=self._timers.now,
                 deadline=call.deadline,
                 key_expires_at=key_expires_at,
-                target_live=self._guard.check_before_dispatch(target),
+                target_live=self._takes_work(target),
                 paused_s=self._pauses.recent_pause_s,
             )
         )
 
+    def _takes_work(self, target: Target) -> bool:
+        return self._rests.is_awake(target.name) and self._guard.check_before_dispatch(target)
+
     async def _write(
         self, call: ServiceCall, target: Target, connection: ClientConnection
     ) -> StoredAnswer:
@@ -164,6 +169,7 @@
                 " Look up its effect before sending it under a new key",
             )
         now = self._timers.now
+        self._rests.note(name, response)
         self._runners.on_answer(name, now=now, latency_s=now - sent_at)
         return service_answer(response, service=call.service, idempotent=False)
 
--- a/lagoonlever/entry/services_lookups.py
+++ b/lagoonlever/entry/services_lookups.py
@@ -24,13 +24,13 @@
 from lagoonlever.entry.services_call import ServiceCall, service_answer
 from lagoonlever.entry.services_dispatch import absence_reason, runners_of
 from lagoonlever.entry.services_exchange import exchange_on
+from lagoonlever.entry.services_rests import REFUSED_FOR_LOAD, ServiceRests
 from lagoonlever.entry.services_settings import Service, ServiceSettings
 from lagoonlever.exceptions import ConnectFailed, PeerError
 from lagoonlever.http.client import Pool, Response
 from lagoonlever.outcomes import Reason
 from lagoonlever.timers import TimerService
 
-REFUSED_FOR_LOAD = frozenset({429, 503})
 MAX_ORGANISATIONS = 1024
 
 
@@ -69,6 +69,7 @@
     _timers: TimerService
     _settings: ServiceSettings
     _come_back: ComeBack
+    _rests: ServiceRests
     _retry_ratio_of: Callable[[str], float] = lambda organisation: FULL_RATIO
     """Gives an organisation's extra attempts for each success, as settings allow now."""
     _pool: Pool = attrs.field(factory=Pool)
@@ -99,7 +100,8 @@
             deadline = min(deadline, call.deadline)
 
         def live_names() -> tuple[str, ...]:
-            return tuple(t.name for t in runners_of(call.service, self._guard.view.value))
+            live = runners_of(call.service, self._guard.view.value)
+            return self._rests.awake(target.name for target in live)
 
         return HedgedCall(
             live_names=live_names,
@@ -154,6 +156,7 @@
         if ended.response is None:
             hedged.on_failure(ended.runner, now, overloaded=False)
             return None
+        self._rests.note(ended.runner, ended.response)
         if ended.response.status in REFUSED_FOR_LOAD:
             hedged.on_failure(ended.runner, now, overloaded=True)
             return None
@@ -181,7 +184,8 @@
             self._guard.connect_failed(target)
             raise
         try:
-            if not self._guard.check_before_dispatch(target):
+            is_awake = self._rests.is_awake(target.name)
+            if not is_awake or not self._guard.check_before_dispatch(target):
                 return None
             return await exchange_on(
                 connection,
