Leaves: a word that comes before a target's entry is of its process only

A VM that is told of a leave before it lists the target took the next process with that id for the one that leaves, and gave it no work: the word was compared with the start that the VM knew before, and it knew none. The start that came with the word counts now, and the word of a later process replaces that of an earlier one. Calls that are held back name the target in the detail of their last line.

--- a/lagoonlever/decisions/target_registry.py
+++ b/lagoonlever/decisions/target_registry.py
@@ -93,6 +93,12 @@
     started_ms: int | None
     at: float
 
+    def is_before(self, started_ms: int | None) -> bool:
+        """Tell whether it is the word of an earlier process than one that started then."""
+        if self.started_ms is None or started_ms is None:
+            return False
+        return self.started_ms < started_ms
+
 
 @attrs.define(kw_only=True)
 class TargetRegistry:
@@ -273,7 +279,8 @@
         known = self._targets.get(target_id)
         if known is not None and known.has_started_again(started_ms):
             return False
-        if target_id in self._said_leaving:
+        said = self._said_leaving.get(target_id)
+        if said is not None and not said.is_before(started_ms):
             return False
         self._said_leaving[target_id] = _SaidLeaving(started_ms=started_ms, at=now)
         return True
@@ -357,8 +364,8 @@
         if known is not None and self._still_drains(known, target):
             target = attrs.evolve(target, draining=True)
         self._doubt(target, now)
+        self._forget_leave_before(target, start)
         if target.has_started_again(start):
-            self._said_leaving.pop(target.id, None)
             self._replaced.pop(target.id, None)
             self._former_starts.pop(target.id, None)
         self._held.pop(target.id, None)
@@ -372,6 +379,15 @@
             return True
         return attrs.evolve(known, revision=target.revision) != target
 
+    def _forget_leave_before(self, target: ListedTarget, former_start: int | None) -> None:
+        """Forget that a former process of a target has said that it leaves."""
+        said = self._said_leaving.get(target.id)
+        if said is None:
+            return
+        start = former_start if said.started_ms is None else said.started_ms
+        if target.has_started_again(start):
+            del self._said_leaving[target.id]
+
     def _still_drains(self, known: ListedTarget, entry: ListedTarget) -> bool:
         """Tell whether a target that drained is listed by an entry of before."""
         restarted = entry.has_started_again(known.started_ms)
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -104,13 +104,13 @@
         accepted = call.accepted
         permit = await self.words.permit(target.id, need=self.need(call))
         if isinstance(permit, Denied):
-            return Held()
+            return Held(target=target.id)
         connection = await self.client.connect(target, rested_at_most_s=rested_at_most_s)
         if isinstance(connection, NotSent):
             return connection
         if not self.words.covers(target.id, permit):
             await self.client.keep(connection)
-            return Held()
+            return Held(target=target.id)
         head: AnswerHead | None = None
         result: AttemptResult | None = None
         lane: Lane | None = None
@@ -230,5 +230,5 @@
     if isinstance(result, Refused):
         return f"refused with {result.head.status}"
     if isinstance(result, Held):
-        return "the target takes no more for now"
+        return f"{result.target} takes no more for now"
     return result.detail
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -48,6 +48,8 @@
 class Held:
     """Nothing was sent, as the target takes no more than it gets."""
 
+    target: str
+
 
 @dataclass(frozen=True, kw_only=True)
 class Refused:
--- /dev/null
+++ b/lagoonlever/tests/said_leaving_tests.py
@@ -0,0 +1,86 @@
+"""Targets that say themselves that they leave, beside a list that says otherwise."""
+
+from __future__ import annotations
+
+import attrs
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lagoonlever.decisions.target_registry import (
+    FORGET_S,
+    ListedTarget,
+    TargetChange,
+    TargetRegistry,
+)
+from lagoonlever.http.messages import Address
+from lagoonlever.revisions import Revision
+
+TARGET = ListedTarget(
+    id="t", service="apps", address=Address(host="t.example", port=80), data_center="a"
+)
+
+
+def test_a_word_that_comes_before_the_first_entry_is_of_its_process_only() -> None:
+    """Guards against a new process that gets no work for what its former life has said."""
+    listed = TargetRegistry()
+    assert listed.says_leaving("t", started_ms=1, now=0.0)
+    entry = attrs.evolve(TARGET, started_ms=2)
+    change = TargetChange(id="t", target=entry, revision=Revision(number=5))
+    listed.change(change, now=1.0, store_back_at=None)
+    assert listed.takes_work("t")
+
+
+class Leaves(RuleBasedStateMachine):
+    """A target starts again under its id, says that it leaves, and is listed and unlisted."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.listed = TargetRegistry()
+        self.now = 0.0
+        self.number = 1
+        self.start = 1
+        self.entry: ListedTarget | None = None
+        self.told_at: dict[int, float] = {}
+
+    def _write(self, entry: ListedTarget | None) -> None:
+        self.now += 0.5
+        self.number += 1
+        self.entry = entry
+        change = TargetChange(id="t", target=entry, revision=Revision(number=self.number))
+        self.listed.change(change, now=self.now, store_back_at=None)
+
+    @rule()
+    def list_it(self) -> None:
+        self._write(attrs.evolve(TARGET, started_ms=self.start))
+
+    @rule()
+    def unlist_it(self) -> None:
+        self._write(None)
+
+    @rule()
+    def start_again(self) -> None:
+        self.start += 1
+        self._write(attrs.evolve(TARGET, started_ms=self.start))
+
+    @rule(late=st.integers(0, 2))
+    def say_leaving(self, late: int) -> None:
+        """Tell of a leave, perhaps late and of a former process."""
+        process = max(1, self.start - late)
+        self.listed.says_leaving("t", started_ms=process, now=self.now)
+        if process == self.start:
+            self.told_at.setdefault(process, self.now)
+
+    @rule()
+    def time_passes(self) -> None:
+        self.now += 20.0
+        self.listed.expire(self.now)
+        if self.entry is None and self.now - self.told_at.get(self.start, self.now) > FORGET_S:
+            del self.told_at[self.start]
+
+    @invariant()
+    def only_a_process_that_has_not_said_so_takes_work(self) -> None:
+        expected = self.entry is not None and self.start not in self.told_at
+        assert self.listed.takes_work("t") == expected
+
+
+TestLeaves = Leaves.TestCase
