--- a/lagoonlever/soak/needs.py
+++ b/lagoonlever/soak/needs.py
@@ -32,7 +32,7 @@
     _target: str
     _judge: Judge
     _says: TargetWords
-    _vms: int
+    _vms: Callable[[], int]
     _calm_since: Callable[[float], bool]
     _limit_at: float | None = None
     """When an answer first named the limit."""
@@ -85,7 +85,7 @@
         if self._rest_at is None or not self._rests(now) or now - self._rest_at < REST_KNOWN_S:
             return
         self._in_rest += 1
-        if self._in_rest > MOST_IN_REST * self._vms and self._calm_since(self._rest_at):
+        if self._in_rest > MOST_IN_REST * self._vms() and self._calm_since(self._rest_at):
             detail = f"{self._target} got {self._in_rest} requests in its rest"
             self._judge.break_promise("rests are kept", detail)
 
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -72,7 +72,7 @@
             target=target_id,
             judge=judge,
             says=self.says,
-            vms=len(site.vms),
+            vms=lambda: len(site.vms),
             calm_since=site.vms_calm_since,
         )
 
