--- a/lagoonlever/tests/target_limits_tests.py
+++ b/lagoonlever/tests/target_limits_tests.py
@@ -10,7 +10,7 @@
 
 from lagoonlever.fakes.platform_engine import FakeEngine
 from lagoonlever.fakes.platform_runner import FakeRunner
-from lagoonlever.http.client import Response
+from lagoonlever.tests.call_load import call_for
 from lagoonlever.tests.gateway_site import LIMIT_S, GatewaySite, Stream, run_site, until_within
 
 WINDOW_S = 4.0
@@ -34,24 +34,6 @@
     )
 
 
-async def call_for(site: GatewaySite, seconds: float, *, per_s: float) -> list[Response]:
-    """Send bids and lookups in turn, at one VM after the other; gives the answers."""
-    answers: list[Response] = []
-
-    async def one(vm: str, path: str) -> None:
-        method = "GET" if path.startswith("/look") else "POST"
-        answers.append(await site.call(path, vm=vm, method=method))
-
-    vms = itertools.cycle(site.vms)
-    paths = itertools.cycle(("/bid/1", "/look/1"))
-    ends = trio.current_time() + seconds
-    async with trio.open_nursery() as nursery:
-        while trio.current_time() < ends:
-            nursery.start_soon(one, next(vms), next(paths))
-            await trio.sleep(1.0 / per_s)
-    return answers
-
-
 def arrived(target: FakeRunner | FakeEngine, *, since: float) -> int:
     """Give how many requests a target has got since a moment."""
     return sum(1 for at in target.arrived_at if at >= since)
--- a/lagoonlever/tests/target_words_tests.py
+++ b/lagoonlever/tests/target_words_tests.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
-
 import pytest
 import trio
 
@@ -13,6 +11,7 @@
 from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.http.messages import Headers
 from lagoonlever.platform.headers import read_answer
+from lagoonlever.tests.call_load import call_for
 from lagoonlever.tests.gateway_site import GatewaySite, run_site, until_within
 
 REST_GRACE_S = 0.5
@@ -23,24 +22,6 @@
 """From a target's word that it leaves until nothing may come any more."""
 
 
-async def call_for(site: GatewaySite, seconds: float, *, per_s: float) -> list[int]:
-    """Send bids and lookups in turn, at one VM after the other; gives the statuses."""
-    statuses: list[int] = []
-
-    async def one(vm: str, path: str) -> None:
-        method = "GET" if path.startswith("/look") else "POST"
-        statuses.append((await site.call(path, vm=vm, method=method)).status)
-
-    vms = itertools.cycle(site.vms)
-    paths = itertools.cycle(("/bid/1", "/look/1"))
-    ends = trio.current_time() + seconds
-    async with trio.open_nursery() as nursery:
-        while trio.current_time() < ends:
-            nursery.start_soon(one, next(vms), next(paths))
-            await trio.sleep(1.0 / per_s)
-    return statuses
-
-
 def test_a_runner_that_says_that_it_leaves_gets_nothing_though_the_store_is_silent() -> None:
     """Guards against leaves that are heard only as the store tells them, many seconds late."""
 
@@ -48,10 +29,10 @@
         await site.wait_met()
         site.runners["runner-0"].says.leaving = "1"
         said_at = trio.current_time()
-        statuses = await call_for(site, LEAVE_GRACE_S + 1.5, per_s=20.0)
+        answers = await call_for(site, LEAVE_GRACE_S + 1.5, per_s=20.0)
         late = [at for at in site.runners["runner-0"].arrived_at if at > said_at + LEAVE_GRACE_S]
         assert late == []
-        assert set(statuses) == {200}
+        assert {answer.status for answer in answers} == {200}
 
     run_site(story, engines=0, runners=2, vms=2)
 
