--- a/lagoonlever/tests/soak_signals_tests.py
+++ b/lagoonlever/tests/soak_signals_tests.py
@@ -11,7 +11,8 @@
 IGNORES = (
     "import signal; signal.signal(signal.SIGHUP, signal.SIG_IGN); print(1, flush=True); input()"
 )
-PLAIN = "print(1, flush=True); input()"
+PLAIN = "import signal; signal.signal(signal.SIGHUP, signal.SIG_DFL); print(1, flush=True); input()"
+"""Whatever it inherits, as from a shell that ignores the signal."""
 
 
 def _heeds(program: str) -> bool:
