--- a/lagoonlever/tests/limits_fleet_tests.py
+++ b/lagoonlever/tests/limits_fleet_tests.py
@@ -11,6 +11,7 @@
 from lagoonlever.bench.local_fleet import Fleet, FleetVm, run_fleet, start_many
 from lagoonlever.decisions.limit_permits import FIRST_NEED, Granted
 from lagoonlever.decisions.named_limits import NamedLimits
+from lagoonlever.decisions.roles import roles_of
 from lagoonlever.decisions.target_registry import ListedTarget, TargetChange
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.gateway.messages import AnswerHead
@@ -23,6 +24,8 @@
 
 FLEETS = {9: 0.9, 75: 0.8, 195: 0.8, 300: 0.8}
 """The part of a limit that is to be used, by the number of VMs."""
+MOST_SPEAKING = 195
+"""In a larger fleet their words of presence take minutes of this process."""
 SETTLED_S = 6.0
 KNOWN_S = 3.0
 LONG_S = 8.0
@@ -108,9 +111,25 @@
     return LimitVm(vm=vm, limits=limits)
 
 
+def meet(vms: list[FleetVm]) -> None:
+    """Have all VMs know each other for good, without a word between them."""
+    states = [vm.state for vm in vms]
+    for vm in vms:
+        for scope in vm.scopes:
+            scope.cancel()
+        vm.beliefs.fellows.silent_s = float("inf")
+        for state in states:
+            vm.beliefs.fellows.heard(state, trio.current_time())
+        others = [state for state in states if state != vm.state]
+        vm.presence.roles.publish(roles_of(vm.state, others))
+
+
 async def started(fleet: Fleet, count: int) -> list[LimitVm]:
     start_many(fleet, count)
-    await trio.sleep(SETTLED_S)
+    if count > MOST_SPEAKING:
+        meet(list(fleet.vms.values()))
+    else:
+        await trio.sleep(SETTLED_S)
     vms = [limit_vm(vm) for vm in fleet.vms.values()]
     for vm in vms:
         fleet.nursery.start_soon(vm.vm.run, vm.limits.run)
