--- a/lagoonlever/bench/claims.py
+++ b/lagoonlever/bench/claims.py
@@ -13,8 +13,8 @@
 import trio
 
 from lagoonlever.bench.report import BenchOptions, BenchResult, Rows, benchmark, column
-from lagoonlever.decisions.claims import HomeTable, Run
-from lagoonlever.decisions.claims_group import Bound
+from lagoonlever.decisions.claims.claims import HomeTable, Run
+from lagoonlever.decisions.claims.group import Bound
 from lagoonlever.entry.claims import BUCKET_S, Claims
 from lagoonlever.entry.services_settings import ServiceSettings
 from lagoonlever.fakes.platform import FakePlatform, PlatformFault, PlatformFaultKind
--- a/lagoonlever/bench/entry_vm.py
+++ b/lagoonlever/bench/entry_vm.py
@@ -11,9 +11,15 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.suspicion_settings import DetectionSettings
-from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad, TargetView
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.suspicion.settings import DetectionSettings
+from lagoonlever.decisions.targets.targets import (
+    ModelKey,
+    Target,
+    TargetKind,
+    TargetLoad,
+    TargetView,
+)
 from lagoonlever.entry.addresses import EntryAnswer
 from lagoonlever.entry.admission import AdmissionPart
 from lagoonlever.entry.callers import CallerDirectory
--- a/lagoonlever/bench/local_fleet.py
+++ b/lagoonlever/bench/local_fleet.py
@@ -9,8 +9,8 @@
 import trio
 import trio.testing
 
-from lagoonlever.decisions.engine_book import EngineBook
-from lagoonlever.decisions.fellows import FellowState, FellowTable
+from lagoonlever.decisions.engines.engine_book import EngineBook
+from lagoonlever.decisions.fleet.fellows import FellowState, FellowTable
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.daemon import LONGEST_WAIT_S
 from lagoonlever.gateway.knowledge import KnowledgeExchange
--- a/lagoonlever/bench/lookups.py
+++ b/lagoonlever/bench/lookups.py
@@ -14,9 +14,9 @@
 import trio
 
 from lagoonlever.bench.report import Aim, BenchOptions, BenchResult, Rows, benchmark, column
-from lagoonlever.decisions.budgets import FULL_RATIO, RetryBudget
-from lagoonlever.decisions.hedging import TARGET_S, Runners
-from lagoonlever.decisions.targets import Target, TargetKind
+from lagoonlever.decisions.admission.hedging import TARGET_S, Runners
+from lagoonlever.decisions.shares.budgets import FULL_RATIO, RetryBudget
+from lagoonlever.decisions.targets.targets import Target, TargetKind
 from lagoonlever.entry.services_answers import ComeBack
 from lagoonlever.entry.services_call import ServiceCall
 from lagoonlever.entry.services_lookups import Lookups
--- a/lagoonlever/bench/membership_network.py
+++ b/lagoonlever/bench/membership_network.py
@@ -14,10 +14,10 @@
 
 import attrs
 
-from lagoonlever.decisions.membership import Member, MemberState
-from lagoonlever.decisions.membership_outbox import Send
-from lagoonlever.decisions.membership_protocol import MembershipProtocol
-from lagoonlever.decisions.membership_settings import MembershipSettings
+from lagoonlever.decisions.membership.membership import Member, MemberState
+from lagoonlever.decisions.membership.outbox import Send
+from lagoonlever.decisions.membership.protocol import MembershipProtocol
+from lagoonlever.decisions.membership.settings import MembershipSettings
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.frames import encode_header
--- a/lagoonlever/bench/membership_real.py
+++ b/lagoonlever/bench/membership_real.py
@@ -10,7 +10,7 @@
 import trio
 
 from lagoonlever.bench.report import column
-from lagoonlever.decisions.membership import Member, MemberState
+from lagoonlever.decisions.membership.membership import Member, MemberState
 from lagoonlever.entry.membership import MembershipPart
 from lagoonlever.exceptions import PlatformUnavailable
 from lagoonlever.http.messages import Address
--- a/lagoonlever/bench/membership_runs.py
+++ b/lagoonlever/bench/membership_runs.py
@@ -11,8 +11,8 @@
 
 from lagoonlever.bench.membership_network import Network, Node, node_address, node_name
 from lagoonlever.bench.report import column
-from lagoonlever.decisions.membership import MemberState
-from lagoonlever.decisions.membership_table import MemberTable, record_of
+from lagoonlever.decisions.membership.membership import MemberState
+from lagoonlever.decisions.membership.table import MemberTable, record_of
 from lagoonlever.peers.frames import encode_header
 from lagoonlever.peers.messages import PEER
 from lagoonlever.peers.messages_membership import Gossip, MemberNews, Status
--- a/lagoonlever/bench/relay_process.py
+++ b/lagoonlever/bench/relay_process.py
@@ -24,7 +24,7 @@
     start_engine,
     start_vm,
 )
-from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.decisions.suspicion.settings import DetectionSettings
 from lagoonlever.fakes.engine import EngineOptions
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import (
--- a/lagoonlever/bench/resume.py
+++ b/lagoonlever/bench/resume.py
@@ -18,8 +18,8 @@
 from lagoonlever.bench.resume_live import LiveOptions, LivePoint, LiveRun
 from lagoonlever.bench.resume_model import EngineModel, EngineRun, FaultKind, Tally
 from lagoonlever.bench.statistics import quantile
-from lagoonlever.decisions.suspicion_budget import HedgeBudget
-from lagoonlever.decisions.suspicion_settings import (
+from lagoonlever.decisions.suspicion.budget import HedgeBudget
+from lagoonlever.decisions.suspicion.settings import (
     HEDGE_OFF,
     HEDGE_RACE,
     LEAST_EXTRA_USE,
--- a/lagoonlever/bench/resume_live.py
+++ b/lagoonlever/bench/resume_live.py
@@ -26,7 +26,7 @@
 from lagoonlever.bench.resume_model import EngineModel, FaultKind
 from lagoonlever.bench.statistics import quantile
 from lagoonlever.client.caller import Caller, CompletionRequest, NoAnswer
-from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.decisions.suspicion.settings import DetectionSettings
 from lagoonlever.fakes.engine import EngineOptions
 from lagoonlever.fakes.faults import FaultKind as EngineFault
 from lagoonlever.fakes.faults import FaultOrder
--- a/lagoonlever/bench/resume_model.py
+++ b/lagoonlever/bench/resume_model.py
@@ -14,9 +14,9 @@
 
 import attrs
 
-from lagoonlever.decisions.suspicion import EngineSuspicion, SuspicionLevel
-from lagoonlever.decisions.suspicion_budget import HedgeBudget
-from lagoonlever.decisions.suspicion_settings import HEDGE_OFF, DetectionSettings
+from lagoonlever.decisions.suspicion.budget import HedgeBudget
+from lagoonlever.decisions.suspicion.settings import HEDGE_OFF, DetectionSettings
+from lagoonlever.decisions.suspicion.suspicion import EngineSuspicion, SuspicionLevel
 from lagoonlever.timers import TICK_S
 
 ENGINE = "engine"
--- a/lagoonlever/bench/returns.py
+++ b/lagoonlever/bench/returns.py
@@ -15,7 +15,7 @@
 from lagoonlever.bench.report import BenchOptions, BenchResult, Rows, benchmark, column
 from lagoonlever.bench.statistics import quantile
 from lagoonlever.client.caller import Arrival, Caller, CompletionRequest
-from lagoonlever.decisions.shares import work_of
+from lagoonlever.decisions.shares.shares import work_of
 from lagoonlever.fakes.batch import ServedModel
 from lagoonlever.fakes.cluster import MODEL, VERSION, EmbeddedCluster
 from lagoonlever.fakes.engine import EngineOptions
--- a/lagoonlever/bench/rollout_model.py
+++ b/lagoonlever/bench/rollout_model.py
@@ -9,10 +9,10 @@
 
 import attrs
 
-from lagoonlever.decisions.rollout_book import Lane, RolloutBook, VmCounts
-from lagoonlever.decisions.rollout_evidence import AnswerCounts
-from lagoonlever.decisions.rollout_plan import ExposureBounds, Plan, TrialProgress, plan_of
-from lagoonlever.decisions.versions import RolloutOrder, RolloutPhase, RolloutState
+from lagoonlever.decisions.rollouts.book import Lane, RolloutBook, VmCounts
+from lagoonlever.decisions.rollouts.evidence import AnswerCounts
+from lagoonlever.decisions.rollouts.plan import ExposureBounds, Plan, TrialProgress, plan_of
+from lagoonlever.decisions.rollouts.versions import RolloutOrder, RolloutPhase, RolloutState
 
 TICK_S = 0.1
 WORD_S = 0.2
--- a/lagoonlever/bench/rollouts.py
+++ b/lagoonlever/bench/rollouts.py
@@ -20,7 +20,7 @@
     RolloutRun,
 )
 from lagoonlever.bench.statistics import quantile
-from lagoonlever.decisions.versions import RolloutState
+from lagoonlever.decisions.rollouts.versions import RolloutState
 
 RUNS = 20
 QUICK_RUNS = 4
--- a/lagoonlever/bench/routing.py
+++ b/lagoonlever/bench/routing.py
@@ -16,7 +16,7 @@
 from lagoonlever.bench.report import Aim, BenchOptions, BenchResult, Rows, benchmark, column
 from lagoonlever.bench.routing_model import BLOCK_TOKENS, ENGINES, ROUTERS, RoutingRun, Work
 from lagoonlever.bench.statistics import quantile
-from lagoonlever.decisions.routing_subsets import grouped_subset, rendezvous_subset
+from lagoonlever.decisions.routing.subsets import grouped_subset, rendezvous_subset
 
 POLICIES = ("random", "round_robin", "least_loaded", "least_in_flight", "affinity")
 LAGS_S = (0.0, 1.0, 5.0)
--- a/lagoonlever/bench/routing_model.py
+++ b/lagoonlever/bench/routing_model.py
@@ -12,8 +12,20 @@
 
 import attrs
 
-from lagoonlever.decisions.routing import Choice, ModelQuery, RequestFeatures, Router, make_policy
-from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad, TargetView
+from lagoonlever.decisions.routing.routing import (
+    Choice,
+    ModelQuery,
+    RequestFeatures,
+    Router,
+    make_policy,
+)
+from lagoonlever.decisions.targets.targets import (
+    ModelKey,
+    Target,
+    TargetKind,
+    TargetLoad,
+    TargetView,
+)
 from lagoonlever.http.messages import Address
 
 ROUTERS = 9
--- a/lagoonlever/bench/settings_vms.py
+++ b/lagoonlever/bench/settings_vms.py
@@ -8,8 +8,8 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.settings_version import SettingsVersionOptions
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.settings.settings_version import SettingsVersionOptions
 from lagoonlever.entry.settings import SettingsPart
 from lagoonlever.exceptions import PlatformUnavailable
 from lagoonlever.fakes.platform import FakePlatform
--- a/lagoonlever/bench/shares_costs.py
+++ b/lagoonlever/bench/shares_costs.py
@@ -10,10 +10,10 @@
 import attrs
 
 from lagoonlever.bench.report import column
-from lagoonlever.decisions.admission import Admission, AdmissionRequest
-from lagoonlever.decisions.shares import ShareNode, ShareTree, leaf_key
-from lagoonlever.decisions.shares_exchange import LeafSum, SumsNews
-from lagoonlever.decisions.shares_slots import PoolReport
+from lagoonlever.decisions.admission.admission import Admission, AdmissionRequest
+from lagoonlever.decisions.shares.exchange import LeafSum, SumsNews
+from lagoonlever.decisions.shares.shares import ShareNode, ShareTree, leaf_key
+from lagoonlever.decisions.shares.slots import PoolReport
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.messages import PEER
 from lagoonlever.peers.messages_shares import message_of
--- a/lagoonlever/bench/shares_model.py
+++ b/lagoonlever/bench/shares_model.py
@@ -14,9 +14,9 @@
 
 import attrs
 
-from lagoonlever.decisions.admission import Admission, AdmissionRequest, Granted
-from lagoonlever.decisions.limits import NodeLimits
-from lagoonlever.decisions.shares import ShareNode, ShareTree, work_of
+from lagoonlever.decisions.admission.admission import Admission, AdmissionRequest, Granted
+from lagoonlever.decisions.admission.limits import NodeLimits
+from lagoonlever.decisions.shares.shares import ShareNode, ShareTree, work_of
 
 STEP_S = 0.1
 ROUTERS = 9
--- a/lagoonlever/bench/shares_run.py
+++ b/lagoonlever/bench/shares_run.py
@@ -21,8 +21,8 @@
     SlotPool,
     share_tree,
 )
-from lagoonlever.decisions.shares_exchange import SumsNews
-from lagoonlever.decisions.shares_slots import PoolReport
+from lagoonlever.decisions.shares.exchange import SumsNews
+from lagoonlever.decisions.shares.slots import PoolReport
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.messages import PEER
 from lagoonlever.peers.messages_shares import message_of
--- a/lagoonlever/bench/stream_day_model.py
+++ b/lagoonlever/bench/stream_day_model.py
@@ -24,12 +24,12 @@
     DayPolicy,
     ModelStream,
 )
-from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.engine_book import EngineBook
-from lagoonlever.decisions.prompt_admission import admits, come_back_s, most_share
-from lagoonlever.decisions.stream_life import GiveUp, Place, ResumeFrom, StreamLife, WaitForEngine
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.admission.prompt_admission import admits, come_back_s, most_share
+from lagoonlever.decisions.engines.engine_book import EngineBook
+from lagoonlever.decisions.settings.configuration import EngineLimits
+from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.streams.life import GiveUp, Place, ResumeFrom, StreamLife, WaitForEngine
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.http.messages import Address
 
 DATA_CENTERS = ("dc-a", "dc-b", "dc-c")
--- a/lagoonlever/bench/stream_day_types.py
+++ b/lagoonlever/bench/stream_day_types.py
@@ -6,9 +6,9 @@
 
 from lagoonlever.bench.engine_model import EngineFigures, ModelEngine, ModelRun
 from lagoonlever.config.options import option
-from lagoonlever.decisions.booked_runs import RunCopy
-from lagoonlever.decisions.engine_book import COPIES_MOST
-from lagoonlever.decisions.stream_life import StreamLife
+from lagoonlever.decisions.engines.engine_book import COPIES_MOST
+from lagoonlever.decisions.streams.booked_runs import RunCopy
+from lagoonlever.decisions.streams.life import StreamLife
 
 MOST_EVENTS = 190
 """What callers announce as the longest answer."""
--- a/lagoonlever/bench/target_limits_model.py
+++ b/lagoonlever/bench/target_limits_model.py
@@ -12,13 +12,13 @@
 
 import attrs
 
-from lagoonlever.decisions.limit_permits import (
+from lagoonlever.decisions.fleet.rendezvous import ranked
+from lagoonlever.decisions.targets.limit_permits import (
     FIRST_NEED,
     Granted,
     HeldTargets,
     PermitBook,
 )
-from lagoonlever.decisions.rendezvous import ranked
 
 WINDOW_S = 4.0
 SHARE = 1.5
--- a/lagoonlever/bench/target_list.py
+++ b/lagoonlever/bench/target_list.py
@@ -11,17 +11,17 @@
 
 from lagoonlever.bench.report import Aim, BenchOptions, BenchResult, Rows, benchmark, column
 from lagoonlever.bench.statistics import quantile
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.membership_listing import reading_period_s
-from lagoonlever.decisions.target_listing import ListedTarget, TargetListReading
-from lagoonlever.decisions.target_watch import (
+from lagoonlever.decisions.membership.listing import reading_period_s
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.targets.listing import ListedTarget, TargetListReading
+from lagoonlever.decisions.targets.targets import TargetKind
+from lagoonlever.decisions.targets.watch import (
     Send,
     TargetKnowledge,
     TargetLeavingNews,
     TargetListAnswer,
     TargetListAsk,
 )
-from lagoonlever.decisions.targets import TargetKind
 from lagoonlever.entry.targets import ASK_PERIOD_S
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
--- a/lagoonlever/client/answers.py
+++ b/lagoonlever/client/answers.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from lagoonlever.client.history import CallerHistory
-from lagoonlever.decisions.resume import HeldAnswer
+from lagoonlever.decisions.streams.resume import HeldAnswer
 from lagoonlever.entry.completion_chunks import (
     MOVED_EVENT,
     RESTART_EVENT,
--- a/lagoonlever/client/service_calls.py
+++ b/lagoonlever/client/service_calls.py
@@ -10,7 +10,7 @@
 import trio
 
 from lagoonlever.client.caller import Caller, NoAnswer
-from lagoonlever.decisions.claims_keys import KEY_HEADER, KeyHome
+from lagoonlever.decisions.claims.keys import KEY_HEADER, KeyHome
 from lagoonlever.entry.addresses import EntryAnswer
 from lagoonlever.entry.completions_api import DEADLINE_HEADER
 from lagoonlever.exceptions import ConnectFailed, PeerError
--- a/lagoonlever/commands/orders_edits.py
+++ b/lagoonlever/commands/orders_edits.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-from lagoonlever.decisions.orders import WantedState
-from lagoonlever.decisions.orders_wanted import WantedEdit
-from lagoonlever.decisions.targets import ModelKey
+from lagoonlever.decisions.orders.orders import WantedState
+from lagoonlever.decisions.orders.wanted import WantedEdit
+from lagoonlever.decisions.targets.targets import ModelKey
 from lagoonlever.entry.admin_orders_messages import OrdersShown
 from lagoonlever.exceptions import Fault, FaultsError
 
--- a/lagoonlever/commands/orders_print.py
+++ b/lagoonlever/commands/orders_print.py
@@ -6,7 +6,7 @@
 
 from rich.table import Table
 
-from lagoonlever.decisions.orders import OrderReport, WantedState
+from lagoonlever.decisions.orders.orders import OrderReport, WantedState
 from lagoonlever.entry.admin_orders_messages import EngineShown, OrdersChangeTold, OrdersShown
 
 
--- a/lagoonlever/commands/settings_calls.py
+++ b/lagoonlever/commands/settings_calls.py
@@ -12,7 +12,7 @@
 from lagoonlever.commands.admin_calls import ask
 from lagoonlever.commands.exit_codes import ExitCode
 from lagoonlever.commands.settings_client import SettingsClient
-from lagoonlever.decisions.settings_watchers import InForce
+from lagoonlever.decisions.settings.settings_watchers import InForce
 from lagoonlever.exceptions import FaultsError
 from lagoonlever.tree.document import parse_text
 from lagoonlever.tree.nodes import TreeView
--- a/lagoonlever/commands/settings_client.py
+++ b/lagoonlever/commands/settings_client.py
@@ -7,7 +7,7 @@
 import attrs
 
 from lagoonlever.commands.admin_client import CHANGE_TIMEOUT_S, AdminClient
-from lagoonlever.decisions.settings_watchers import InForce
+from lagoonlever.decisions.settings.settings_watchers import InForce
 from lagoonlever.entry.admin_messages import (
     CHANGE_PATH,
     CHECK_PATH,
--- a/lagoonlever/config/vm.py
+++ b/lagoonlever/config/vm.py
@@ -17,10 +17,10 @@
 )
 from lagoonlever.config.files import load_file
 from lagoonlever.config.options import option
-from lagoonlever.decisions.addresses import AddressesSettings
-from lagoonlever.decisions.membership_settings import MembershipSettings
-from lagoonlever.decisions.settings_version import SettingsVersionOptions
-from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.decisions.fleet.addresses import AddressesSettings
+from lagoonlever.decisions.membership.settings import MembershipSettings
+from lagoonlever.decisions.settings.settings_version import SettingsVersionOptions
+from lagoonlever.decisions.suspicion.settings import DetectionSettings
 from lagoonlever.entry.generations import GenerationSettings
 from lagoonlever.entry.operators import AdminSettings
 from lagoonlever.entry.orders import OrderSettings
--- a/lagoonlever/decisions/admission.py
+++ b/lagoonlever/decisions/admission/admission.py
@@ -12,12 +12,12 @@
 
 import attrs
 
-from lagoonlever.decisions.limits import NodeLimits, overloaded
-from lagoonlever.decisions.queues import LeafQueue, Waiting
-from lagoonlever.decisions.shares import ShareTree, work_of
-from lagoonlever.decisions.shares_book import ShareBook
-from lagoonlever.decisions.shares_exchange import SumsNews
-from lagoonlever.decisions.shares_slots import PoolReport
+from lagoonlever.decisions.admission.limits import NodeLimits, overloaded
+from lagoonlever.decisions.admission.queues import LeafQueue, Waiting
+from lagoonlever.decisions.shares.book import ShareBook
+from lagoonlever.decisions.shares.exchange import SumsNews
+from lagoonlever.decisions.shares.shares import ShareTree, work_of
+from lagoonlever.decisions.shares.slots import PoolReport
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import NotRun
 
--- a/lagoonlever/decisions/hedging.py
+++ b/lagoonlever/decisions/admission/hedging.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from lagoonlever.decisions.budgets import RetryBudget, take_extra
+from lagoonlever.decisions.shares.budgets import RetryBudget, take_extra
 
 HEDGE_QUANTILE = 0.95
 LEAST_DELAY_S = 0.005
--- a/lagoonlever/decisions/prompt_admission.py
+++ b/lagoonlever/decisions/admission/prompt_admission.py
@@ -22,7 +22,7 @@
 import random
 from dataclasses import dataclass
 
-from lagoonlever.decisions.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 
 WINDOW_S = 8.0
 """Over which reading is counted: some prompts of each engine, and less than an answer's life."""
--- /dev/null
+++ b/lagoonlever/decisions/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Who alone may run a call that must not run twice."""
--- a/lagoonlever/decisions/claims.py
+++ b/lagoonlever/decisions/claims/claims.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from lagoonlever.decisions.claims_keys import KEY_LIFETIME_S, HomedKey, KeyHome
+from lagoonlever.decisions.claims.keys import KEY_LIFETIME_S, HomedKey, KeyHome
 from lagoonlever.http.messages import Headers
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import Outcome
--- a/lagoonlever/decisions/claims_copies.py
+++ b/lagoonlever/decisions/claims/copies.py
@@ -13,9 +13,9 @@
 import attrs
 import xxhash
 
-from lagoonlever.decisions.claims import RECORD_BYTES, StoredAnswer
-from lagoonlever.decisions.claims_keys import HomedKey
-from lagoonlever.decisions.membership import Member, MemberView
+from lagoonlever.decisions.claims.claims import RECORD_BYTES, StoredAnswer
+from lagoonlever.decisions.claims.keys import HomedKey
+from lagoonlever.decisions.membership.membership import Member, MemberView
 from lagoonlever.identity import Incarnation
 
 COPIES = 2
--- a/lagoonlever/decisions/claims_group.py
+++ b/lagoonlever/decisions/claims/group.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from lagoonlever.decisions.claims_keys import HomedKey
+from lagoonlever.decisions.claims.keys import HomedKey
 
 GROUP_KEYS = 64
 """Keys in one transaction; usual stores allow 128 operations."""
--- /dev/null
+++ b/lagoonlever/decisions/engines/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of engines: runs, paces, readings, losses, requests that end them."""
--- a/lagoonlever/decisions/correlated_loss.py
+++ b/lagoonlever/decisions/engines/correlated_loss.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from lagoonlever.decisions.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 
 TOGETHER_S = 0.5
 """Engines that are lost within this time are lost together."""
--- a/lagoonlever/decisions/engine_book.py
+++ b/lagoonlever/decisions/engines/engine_book.py
@@ -17,22 +17,22 @@
 
 import attrs
 
-from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.engine_avoidance import EngineAvoidance
-from lagoonlever.decisions.engine_loads import (
+from lagoonlever.decisions.admission.prompt_admission import ReadingLoad
+from lagoonlever.decisions.engines.engine_avoidance import EngineAvoidance
+from lagoonlever.decisions.engines.engine_loads import (
     BEHIND_PROMPT,
     FLOWING_COST,
     FULL,
     OTHER_DATA_CENTER_S,
     EngineLoad,
 )
-from lagoonlever.decisions.engine_paces import EnginePaces
-from lagoonlever.decisions.mechanisms import MECHANISMS, gives
-from lagoonlever.decisions.prompt_admission import ReadingLoad
-from lagoonlever.decisions.reading_window import ReadingWindow
-from lagoonlever.decisions.run_records import RunRecord, RunRecords
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.engines.engine_paces import EnginePaces
+from lagoonlever.decisions.engines.reading_window import ReadingWindow
+from lagoonlever.decisions.settings.configuration import EngineLimits
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.streams.run_records import RunRecord, RunRecords
+from lagoonlever.decisions.targets.registry import ListedTarget
 
 CROWD = 0.3
 """How far choices are spread by chance after a loss, in usual readings.
--- a/lagoonlever/decisions/engine_loads.py
+++ b/lagoonlever/decisions/engines/engine_loads.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from lagoonlever.decisions.configuration import EngineLimits
+from lagoonlever.decisions.settings.configuration import EngineLimits
 
 BEHIND_PROMPT = 0.3
 """What each prompt that is being read costs beside its tokens: the pauses it makes."""
--- a/lagoonlever/decisions/engine_paces.py
+++ b/lagoonlever/decisions/engines/engine_paces.py
@@ -18,8 +18,8 @@
 import attrs
 import msgspec
 
-from lagoonlever.decisions.learnt_figure import LearntFigure
-from lagoonlever.decisions.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.engines.learnt_figure import LearntFigure
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 
 PRIOR_PROMPT_TOKEN_S = 0.00016
 """Until a first reading: some 6,000 tokens a second, about what large models do."""
--- a/lagoonlever/decisions/reading_window.py
+++ b/lagoonlever/decisions/engines/reading_window.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from lagoonlever.decisions.prompt_admission import WINDOW_S, ReadingLoad
+from lagoonlever.decisions.admission.prompt_admission import WINDOW_S, ReadingLoad
 
 
 @attrs.define(kw_only=True)
--- a/lagoonlever/decisions/addresses.py
+++ b/lagoonlever/decisions/fleet/addresses.py
@@ -7,8 +7,8 @@
 import attrs
 
 from lagoonlever.config.options import option
-from lagoonlever.decisions.data_centers import spread_over_data_centers
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.fleet.data_centers import spread_over_data_centers
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
 from lagoonlever.http.messages import Address
 
 LEAST_SPARE = 0.05
--- a/lagoonlever/decisions/news_paths.py
+++ b/lagoonlever/decisions/fleet/news_paths.py
@@ -11,9 +11,9 @@
 
 from collections.abc import Callable, Collection, Iterable
 
-from lagoonlever.decisions.booked_runs import BookedRun
-from lagoonlever.decisions.fellows import FellowState
-from lagoonlever.decisions.roles import Roles
+from lagoonlever.decisions.fleet.fellows import FellowState
+from lagoonlever.decisions.fleet.roles import Roles
+from lagoonlever.decisions.streams.booked_runs import BookedRun
 
 DIRECT_MOST = 120
 """Up to this many VMs each tells all others itself.
--- a/lagoonlever/decisions/roles.py
+++ b/lagoonlever/decisions/fleet/roles.py
@@ -22,8 +22,8 @@
 
 import attrs
 
-from lagoonlever.decisions.fellows import FellowState
-from lagoonlever.decisions.rendezvous import ranked
+from lagoonlever.decisions.fleet.fellows import FellowState
+from lagoonlever.decisions.fleet.rendezvous import ranked
 
 MESH_MOST = 12
 """Up to this many VMs every one speaks to every other."""
--- /dev/null
+++ b/lagoonlever/decisions/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Gossip of the entry VMs: probes, suspicions, listings."""
--- a/lagoonlever/decisions/membership_changes.py
+++ b/lagoonlever/decisions/membership/changes.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
 
 
 class ChangeKind(enum.Enum):
--- a/lagoonlever/decisions/membership_listing.py
+++ b/lagoonlever/decisions/membership/listing.py
@@ -8,9 +8,9 @@
 
 import attrs
 
-from lagoonlever.decisions.membership_protocol import ListedVm
-from lagoonlever.decisions.target_listing import ListedTarget, TargetListReading
-from lagoonlever.decisions.targets import TargetKind
+from lagoonlever.decisions.membership.protocol import ListedVm
+from lagoonlever.decisions.targets.listing import ListedTarget, TargetListReading
+from lagoonlever.decisions.targets.targets import TargetKind
 from lagoonlever.store.port import VmEntry, VmRole, VmState
 
 PERIOD_S = 1.0
--- a/lagoonlever/decisions/membership_prober.py
+++ b/lagoonlever/decisions/membership/prober.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from lagoonlever.decisions.data_centers import spread_over_data_centers
-from lagoonlever.decisions.membership_outbox import Outbox
-from lagoonlever.decisions.membership_probe import Probe, ProbeBook, Relay
-from lagoonlever.decisions.membership_roster import Roster
-from lagoonlever.decisions.membership_settings import MembershipSettings
-from lagoonlever.decisions.membership_table import Record
+from lagoonlever.decisions.fleet.data_centers import spread_over_data_centers
+from lagoonlever.decisions.membership.outbox import Outbox
+from lagoonlever.decisions.membership.probe import Probe, ProbeBook, Relay
+from lagoonlever.decisions.membership.roster import Roster
+from lagoonlever.decisions.membership.settings import MembershipSettings
+from lagoonlever.decisions.membership.table import Record
 from lagoonlever.peers.messages_membership import (
     Ack,
     Gossip,
--- a/lagoonlever/decisions/membership_protocol.py
+++ b/lagoonlever/decisions/membership/protocol.py
@@ -12,11 +12,11 @@
 
 import attrs
 
-from lagoonlever.decisions.membership import Member, MemberView
-from lagoonlever.decisions.membership_outbox import Outbox, Send
-from lagoonlever.decisions.membership_prober import Prober
-from lagoonlever.decisions.membership_roster import Roster
-from lagoonlever.decisions.membership_settings import MembershipSettings
+from lagoonlever.decisions.membership.membership import Member, MemberView
+from lagoonlever.decisions.membership.outbox import Outbox, Send
+from lagoonlever.decisions.membership.prober import Prober
+from lagoonlever.decisions.membership.roster import Roster
+from lagoonlever.decisions.membership.settings import MembershipSettings
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.messages_membership import (
     Ack,
--- a/lagoonlever/decisions/membership_roster.py
+++ b/lagoonlever/decisions/membership/roster.py
@@ -10,12 +10,12 @@
 
 import attrs
 
-from lagoonlever.decisions.membership import Member, MemberView
-from lagoonlever.decisions.membership_news import NewsQueue
-from lagoonlever.decisions.membership_probe import LocalHealth
-from lagoonlever.decisions.membership_rings import Neighbours, neighbours
-from lagoonlever.decisions.membership_settings import MembershipSettings
-from lagoonlever.decisions.membership_table import MemberTable, Record, record_of
+from lagoonlever.decisions.membership.membership import Member, MemberView
+from lagoonlever.decisions.membership.news import NewsQueue
+from lagoonlever.decisions.membership.probe import LocalHealth
+from lagoonlever.decisions.membership.rings import Neighbours, neighbours
+from lagoonlever.decisions.membership.settings import MembershipSettings
+from lagoonlever.decisions.membership.table import MemberTable, Record, record_of
 from lagoonlever.peers.messages_membership import Gossip, MemberNews, Status, Verdict
 
 
--- a/lagoonlever/decisions/membership_table.py
+++ b/lagoonlever/decisions/membership/table.py
@@ -12,7 +12,7 @@
 import attrs
 import xxhash
 
-from lagoonlever.decisions.membership import Member, MemberState
+from lagoonlever.decisions.membership.membership import Member, MemberState
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.messages_membership import MemberNews, Status, Verdict
--- /dev/null
+++ b/lagoonlever/decisions/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines under a lease, and the state that is wanted."""
--- a/lagoonlever/decisions/orders.py
+++ b/lagoonlever/decisions/orders/orders.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from lagoonlever.decisions.targets import ModelKey
+from lagoonlever.decisions.targets.targets import ModelKey
 
 ORDER_TIMEOUT_S = 1.0
 LEASE_MARGIN_S = 1.0
--- a/lagoonlever/decisions/orders_wanted.py
+++ b/lagoonlever/decisions/orders/wanted.py
@@ -13,8 +13,8 @@
 
 import attrs
 
-from lagoonlever.decisions.orders import WantedState
-from lagoonlever.decisions.targets import ModelKey
+from lagoonlever.decisions.orders.orders import WantedState
+from lagoonlever.decisions.targets.targets import ModelKey
 from lagoonlever.exceptions import Fault
 
 MODEL_PART = re.compile(r"[^@:\s]{1,200}\Z")
--- /dev/null
+++ b/lagoonlever/decisions/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""A service's new version: its share, the evidence, the verdict."""
--- a/lagoonlever/decisions/rollout_book.py
+++ b/lagoonlever/decisions/rollouts/book.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from lagoonlever.decisions.rollout_evidence import AnswerCounts, Judgement, Seconds, judge
-from lagoonlever.decisions.rollout_plan import TrialProgress
-from lagoonlever.decisions.versions import RolloutPhase
+from lagoonlever.decisions.rollouts.evidence import AnswerCounts, Judgement, Seconds, judge
+from lagoonlever.decisions.rollouts.plan import TrialProgress
+from lagoonlever.decisions.rollouts.versions import RolloutPhase
 
 Lane = tuple[str, RolloutPhase | None]
 """A kind of request, and the phase in which it went to the new version, if it did."""
--- a/lagoonlever/decisions/rollout_plan.py
+++ b/lagoonlever/decisions/rollouts/plan.py
@@ -11,8 +11,8 @@
 
 import attrs
 
-from lagoonlever.decisions.rollout_evidence import NO_EVIDENCE, Judgement
-from lagoonlever.decisions.versions import RolloutOrder, RolloutPhase, RolloutState
+from lagoonlever.decisions.rollouts.evidence import NO_EVIDENCE, Judgement
+from lagoonlever.decisions.rollouts.versions import RolloutOrder, RolloutPhase, RolloutState
 
 ALLOWANCE_USED = 0.88
 """Of the operators' allowance, when all work begins to move: the rest is for what is uncounted."""
--- /dev/null
+++ b/lagoonlever/decisions/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which target a generation goes to, by prefix and load."""
--- a/lagoonlever/decisions/routing_affinity.py
+++ b/lagoonlever/decisions/routing/affinity.py
@@ -14,8 +14,8 @@
 import attrs
 import xxhash
 
-from lagoonlever.decisions.routing_state import LoadEstimate, RoutingState
-from lagoonlever.decisions.routing_types import (
+from lagoonlever.decisions.routing.state import LoadEstimate, RoutingState
+from lagoonlever.decisions.routing.types import (
     Choice,
     NoTarget,
     RequestFeatures,
@@ -24,7 +24,7 @@
     no_target,
     policy,
 )
-from lagoonlever.decisions.targets import Target, TargetView
+from lagoonlever.decisions.targets.targets import Target, TargetView
 
 DRAWN = 2
 BEST_MATCHES = 2
--- a/lagoonlever/decisions/routing_policies.py
+++ b/lagoonlever/decisions/routing/policies.py
@@ -4,8 +4,8 @@
 
 import random
 
-from lagoonlever.decisions.routing_state import RoutingState
-from lagoonlever.decisions.routing_types import (
+from lagoonlever.decisions.routing.state import RoutingState
+from lagoonlever.decisions.routing.types import (
     Choice,
     NoTarget,
     RequestFeatures,
@@ -14,7 +14,7 @@
     no_target,
     policy,
 )
-from lagoonlever.decisions.targets import Target, TargetView
+from lagoonlever.decisions.targets.targets import Target, TargetView
 
 
 @policy("random")
--- a/lagoonlever/decisions/routing.py
+++ b/lagoonlever/decisions/routing/routing.py
@@ -7,11 +7,12 @@
 
 import attrs
 
-from lagoonlever.decisions import routing_affinity, routing_policies
-from lagoonlever.decisions.prefixes import TextTokenMap, text_blocks, token_blocks
-from lagoonlever.decisions.routing_state import RoutingState
-from lagoonlever.decisions.routing_subsets import grouped_subset
-from lagoonlever.decisions.routing_types import (
+from lagoonlever.decisions.routing import affinity as routing_affinity
+from lagoonlever.decisions.routing import policies as routing_policies
+from lagoonlever.decisions.routing.prefixes import TextTokenMap, text_blocks, token_blocks
+from lagoonlever.decisions.routing.state import RoutingState
+from lagoonlever.decisions.routing.subsets import grouped_subset
+from lagoonlever.decisions.routing.types import (
     EXPECTED_OUTPUT_TOKENS,
     POLICIES,
     Choice,
@@ -21,7 +22,7 @@
     RequestFeatures,
     policy,
 )
-from lagoonlever.decisions.targets import ModelKey, Target, TargetView
+from lagoonlever.decisions.targets.targets import ModelKey, Target, TargetView
 from lagoonlever.http.messages import Address
 
 __all__ = (
--- a/lagoonlever/decisions/routing_state.py
+++ b/lagoonlever/decisions/routing/state.py
@@ -8,8 +8,8 @@
 
 import attrs
 
-from lagoonlever.decisions.prefixes import PrefixIndex
-from lagoonlever.decisions.targets import Target
+from lagoonlever.decisions.routing.prefixes import PrefixIndex
+from lagoonlever.decisions.targets.targets import Target
 
 DEFAULT_SLOTS = 16
 HISTORY_S = 20.0
--- a/lagoonlever/decisions/routing_types.py
+++ b/lagoonlever/decisions/routing/types.py
@@ -8,8 +8,8 @@
 
 import attrs
 
-from lagoonlever.decisions.routing_state import RoutingState
-from lagoonlever.decisions.targets import ModelKey, Target, TargetView
+from lagoonlever.decisions.routing.state import RoutingState
+from lagoonlever.decisions.targets.targets import ModelKey, Target, TargetView
 
 EXPECTED_OUTPUT_TOKENS = 256
 
--- /dev/null
+++ b/lagoonlever/decisions/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Versions of settings and of the operators' configuration, and switches of mechanisms."""
--- a/lagoonlever/decisions/settings_watchers.py
+++ b/lagoonlever/decisions/settings/settings_watchers.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.rendezvous import ranked
+from lagoonlever.decisions.fleet.rendezvous import ranked
+from lagoonlever.decisions.membership.membership import MemberView
 from lagoonlever.identity import Incarnation
 
 
--- /dev/null
+++ b/lagoonlever/decisions/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Fair shares of organisations and the budgets of their retries."""
--- a/lagoonlever/decisions/shares_book.py
+++ b/lagoonlever/decisions/shares/book.py
@@ -7,17 +7,17 @@
 
 import attrs
 
-from lagoonlever.decisions.shares import ShareTree, leaf_key, node_of
-from lagoonlever.decisions.shares_exchange import (
+from lagoonlever.decisions.shares.exchange import (
     LeafChange,
     LeafSum,
     OwnSums,
     PeerSums,
     SumsNews,
 )
-from lagoonlever.decisions.shares_ledger import ShareLedger
-from lagoonlever.decisions.shares_meter import OrganisationStanding, ShareMeter
-from lagoonlever.decisions.shares_slots import (
+from lagoonlever.decisions.shares.ledger import ShareLedger
+from lagoonlever.decisions.shares.meter import OrganisationStanding, ShareMeter
+from lagoonlever.decisions.shares.shares import ShareTree, leaf_key, node_of
+from lagoonlever.decisions.shares.slots import (
     LeafDemand,
     PoolReport,
     divide_slots,
--- a/lagoonlever/decisions/shares_ledger.py
+++ b/lagoonlever/decisions/shares/ledger.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from lagoonlever.decisions.shares import ShareTree
+from lagoonlever.decisions.shares.shares import ShareTree
 
 MAX_LAG_S = 20.0
 """A node that waits without being served is owed at most this much of its share."""
--- a/lagoonlever/decisions/shares_settings.py
+++ b/lagoonlever/decisions/shares/settings.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from lagoonlever.decisions.limits import NodeLimits
-from lagoonlever.decisions.shares import OWN_CHILD, ShareNode, ShareTree
-from lagoonlever.decisions.shares_slots import PoolReport
-from lagoonlever.decisions.targets import Target, TargetKind, TargetView
+from lagoonlever.decisions.admission.limits import NodeLimits
+from lagoonlever.decisions.shares.shares import OWN_CHILD, ShareNode, ShareTree
+from lagoonlever.decisions.shares.slots import PoolReport
+from lagoonlever.decisions.targets.targets import Target, TargetKind, TargetView
 from lagoonlever.tree.nodes import ROOT, TreeView, parent_of
 
 DEFAULT_SLOTS = 8
--- a/lagoonlever/decisions/shares_slots.py
+++ b/lagoonlever/decisions/shares/slots.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from lagoonlever.decisions.shares import ShareTree
+from lagoonlever.decisions.shares.shares import ShareTree
 
 CORRECTION_S = 30.0
 """A node this many seconds behind its share gets e times the slots of its weight alone.
--- a/lagoonlever/decisions/answer.py
+++ b/lagoonlever/decisions/streams/answer.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.release import Piece
+from lagoonlever.decisions.targets.release import Piece
 from lagoonlever.identity import EventId, extend_digest, initial_digest
 
 
--- a/lagoonlever/decisions/generation.py
+++ b/lagoonlever/decisions/streams/generation.py
@@ -11,8 +11,8 @@
 
 import attrs
 
-from lagoonlever.decisions.answer import Answer
-from lagoonlever.decisions.generation_messages import (
+from lagoonlever.decisions.streams.answer import Answer
+from lagoonlever.decisions.streams.generation_messages import (
     NOTHING_TO_CANCEL,
     TARGET_NOT_TO_BLAME,
     BreakCause,
@@ -27,7 +27,7 @@
     ResumePoint,
     seed_of,
 )
-from lagoonlever.decisions.release import ReleaseBuffer
+from lagoonlever.decisions.targets.release import ReleaseBuffer
 from lagoonlever.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
 
 WHOLE_ANSWER = frozenset({"stop", "length"})
--- a/lagoonlever/decisions/generation_messages.py
+++ b/lagoonlever/decisions/streams/generation_messages.py
@@ -7,7 +7,7 @@
 import attrs
 import xxhash
 
-from lagoonlever.decisions.answer import ReleasedPiece
+from lagoonlever.decisions.streams.answer import ReleasedPiece
 from lagoonlever.outcomes import Outcome
 
 SEED_BITS = 31
--- a/lagoonlever/decisions/stream_life.py
+++ b/lagoonlever/decisions/streams/life.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from lagoonlever.decisions.booked_runs import RunCopy
+from lagoonlever.decisions.streams.booked_runs import RunCopy
 
 NO_ENGINE_RETRY_S = 0.1
 """While no engine is known, a stream that has begun looks again this often."""
--- a/lagoonlever/decisions/orphans.py
+++ b/lagoonlever/decisions/streams/orphans.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from lagoonlever.decisions.membership import MemberState, MemberView
+from lagoonlever.decisions.membership.membership import MemberState, MemberView
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 
--- a/lagoonlever/decisions/placement.py
+++ b/lagoonlever/decisions/streams/placement.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from lagoonlever.decisions.membership import Member, MemberView
+from lagoonlever.decisions.membership.membership import Member, MemberView
 
 
 def _score(request_id: str, name: str) -> int:
--- a/lagoonlever/decisions/resume.py
+++ b/lagoonlever/decisions/streams/resume.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from lagoonlever.decisions.answer import ReleasedPiece
-from lagoonlever.decisions.generation_messages import GenerationSpec, ResumePoint
+from lagoonlever.decisions.streams.answer import ReleasedPiece
+from lagoonlever.decisions.streams.generation_messages import GenerationSpec, ResumePoint
 from lagoonlever.identity import EventId, extend_digest, initial_digest
 
 
--- a/lagoonlever/decisions/run_placement.py
+++ b/lagoonlever/decisions/streams/run_placement.py
@@ -17,12 +17,12 @@
 
 import attrs
 
-from lagoonlever.decisions.booked_runs import BookedRun
-from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.engine_book import EngineBook
-from lagoonlever.decisions.prompt_admission import admits, most_share
-from lagoonlever.decisions.retry_window import RetryWindow
-from lagoonlever.decisions.target_registry import ListedTarget, TargetRegistry
+from lagoonlever.decisions.admission.prompt_admission import admits, most_share
+from lagoonlever.decisions.admission.retry_window import RetryWindow
+from lagoonlever.decisions.engines.engine_book import EngineBook
+from lagoonlever.decisions.settings.configuration import EngineLimits
+from lagoonlever.decisions.streams.booked_runs import BookedRun
+from lagoonlever.decisions.targets.registry import ListedTarget, TargetRegistry
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/decisions/run_records.py
+++ b/lagoonlever/decisions/streams/run_records.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from lagoonlever.decisions.booked_runs import BookedRun
+from lagoonlever.decisions.streams.booked_runs import BookedRun
 
 RESERVED_S = 1.0
 """How long a place is kept for a run that another VM asked it for: it is sent within the time
--- /dev/null
+++ b/lagoonlever/decisions/suspicion/__init__.py
@@ -0,0 +1,1 @@
+"""Detectors of silence, and what suspecting may cost."""
--- a/lagoonlever/decisions/suspicion_budget.py
+++ b/lagoonlever/decisions/suspicion/budget.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.decisions.suspicion.settings import DetectionSettings
 
 SETTLED_AFTER = 2.0
 """An engine silent for so many times ``dead_at_most_s`` after a hedge has proved dead."""
--- a/lagoonlever/decisions/suspicion_detectors.py
+++ b/lagoonlever/decisions/suspicion/detectors.py
@@ -12,8 +12,8 @@
 
 import attrs
 
-from lagoonlever.decisions.suspicion_settings import DetectionSettings
-from lagoonlever.decisions.suspicion_spacing import Prefill, Spacing
+from lagoonlever.decisions.suspicion.settings import DetectionSettings
+from lagoonlever.decisions.suspicion.spacing import Prefill, Spacing
 
 NEIGHBOUR_DEVIATIONS = 4.0
 NEIGHBOUR_AT_LEAST_S = 0.1
--- a/lagoonlever/decisions/suspicion.py
+++ b/lagoonlever/decisions/suspicion/suspicion.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from lagoonlever.decisions.suspicion_detectors import (
+from lagoonlever.decisions.suspicion.detectors import (
     DETECTORS,
     Allowance,
     Detector,
@@ -22,7 +22,7 @@
     SuspicionReason,
     expected_first_token_s,
 )
-from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.decisions.suspicion.settings import DetectionSettings
 
 LATE_CHECK_S = 0.1
 """A check later than this was held up by this process; call ``assess`` sooner than that."""
--- /dev/null
+++ b/lagoonlever/decisions/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The list of targets, and what each says of itself."""
--- a/lagoonlever/decisions/target_freshness.py
+++ b/lagoonlever/decisions/targets/freshness.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from lagoonlever.decisions.membership import MemberState, MemberView
+from lagoonlever.decisions.membership.membership import MemberState, MemberView
 from lagoonlever.http.messages import Address
 
 FRESH_S = 2.5
--- a/lagoonlever/decisions/limit_permits.py
+++ b/lagoonlever/decisions/targets/limit_permits.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from lagoonlever.decisions.rendezvous import ranked
+from lagoonlever.decisions.fleet.rendezvous import ranked
 
 LEAST_PER_S = 0.25
 """Of a target that takes less, or nothing: an answer now and then shows when that is over."""
--- a/lagoonlever/decisions/target_load.py
+++ b/lagoonlever/decisions/targets/load.py
@@ -6,7 +6,13 @@
 
 import attrs
 
-from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLife, TargetLoad
+from lagoonlever.decisions.targets.targets import (
+    ModelKey,
+    Target,
+    TargetKind,
+    TargetLife,
+    TargetLoad,
+)
 
 LOAD_STALE_S = 15.0
 """An older report says less than the mean of the others, so it is dropped."""
--- a/lagoonlever/decisions/target_registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -34,9 +34,9 @@
 
 import attrs
 
-from lagoonlever.decisions.replacements import UNLISTED_S
-from lagoonlever.decisions.restored_entries import may_be_restored
-from lagoonlever.decisions.versions import RolloutOrder, ServiceVersions
+from lagoonlever.decisions.rollouts.versions import RolloutOrder, ServiceVersions
+from lagoonlever.decisions.targets.replacements import UNLISTED_S
+from lagoonlever.decisions.targets.restored_entries import may_be_restored
 from lagoonlever.http.messages import Address
 from lagoonlever.revisions import NOWHERE, Revision
 
--- a/lagoonlever/decisions/target_watch.py
+++ b/lagoonlever/decisions/targets/watch.py
@@ -12,14 +12,14 @@
 
 import attrs
 
-from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.target_freshness import Belief, ListFreshness
-from lagoonlever.decisions.target_listing import (
+from lagoonlever.decisions.membership.membership import MemberView
+from lagoonlever.decisions.targets.freshness import Belief, ListFreshness
+from lagoonlever.decisions.targets.listing import (
     LeavingEvidence,
     TargetListing,
     TargetListReading,
 )
-from lagoonlever.decisions.targets import Target, TargetState
+from lagoonlever.decisions.targets.targets import Target, TargetState
 from lagoonlever.http.messages import Address
 
 NEWS_FANOUT = 8
--- a/lagoonlever/entry/addresses.py
+++ b/lagoonlever/entry/addresses.py
@@ -8,9 +8,9 @@
 
 import attrs
 
-from lagoonlever.decisions.addresses import AddressesSettings, entry_addresses
-from lagoonlever.decisions.claims_keys import KeyHome
-from lagoonlever.decisions.membership import MemberState, MemberView
+from lagoonlever.decisions.claims.keys import KeyHome
+from lagoonlever.decisions.fleet.addresses import AddressesSettings, entry_addresses
+from lagoonlever.decisions.membership.membership import MemberState, MemberView
 from lagoonlever.http.server import Exchange
 from lagoonlever.published import Published
 
--- a/lagoonlever/entry/admin_messages.py
+++ b/lagoonlever/entry/admin_messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.settings_watchers import InForce
+from lagoonlever.decisions.settings.settings_watchers import InForce
 from lagoonlever.exceptions import Fault
 from lagoonlever.tree.change_plan import (
     ChangeOutcome,
--- a/lagoonlever/entry/admin_orders.py
+++ b/lagoonlever/entry/admin_orders.py
@@ -6,9 +6,9 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.orders import ORDER_TIMEOUT_S
-from lagoonlever.decisions.orders_wanted import faults_of
-from lagoonlever.decisions.targets import Target, TargetKind, TargetState, TargetView
+from lagoonlever.decisions.orders.orders import ORDER_TIMEOUT_S
+from lagoonlever.decisions.orders.wanted import faults_of
+from lagoonlever.decisions.targets.targets import Target, TargetKind, TargetState, TargetView
 from lagoonlever.entry import admin_http as http
 from lagoonlever.entry.admin_orders_messages import (
     ORDERS_CHANGE_PATH,
--- a/lagoonlever/entry/admin_orders_messages.py
+++ b/lagoonlever/entry/admin_orders_messages.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from lagoonlever.decisions.orders import OrderReport, WantedState
-from lagoonlever.decisions.orders_wanted import (
+from lagoonlever.decisions.orders.orders import OrderReport, WantedState
+from lagoonlever.decisions.orders.wanted import (
     EngineConflict,
     WantedConflict,
     WantedEdit,
--- a/lagoonlever/entry/admission.py
+++ b/lagoonlever/entry/admission.py
@@ -14,13 +14,13 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.admission import Admission, AdmissionRequest, Decision, Granted
-from lagoonlever.decisions.limits import retry_after_s
-from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.shares_meter import OrganisationStanding
-from lagoonlever.decisions.shares_settings import pool_reports, share_settings
-from lagoonlever.decisions.shares_slots import PoolReport
-from lagoonlever.decisions.targets import TargetView
+from lagoonlever.decisions.admission.admission import Admission, AdmissionRequest, Decision, Granted
+from lagoonlever.decisions.admission.limits import retry_after_s
+from lagoonlever.decisions.membership.membership import MemberView
+from lagoonlever.decisions.shares.meter import OrganisationStanding
+from lagoonlever.decisions.shares.settings import pool_reports, share_settings
+from lagoonlever.decisions.shares.slots import PoolReport
+from lagoonlever.decisions.targets.targets import TargetView
 from lagoonlever.events import event
 from lagoonlever.instruments import Metrics
 from lagoonlever.metrics import QUEUE_DEPTH, QUEUE_WAIT, SHARE_ENTITLED, SHARE_USED
--- a/lagoonlever/entry/attempt.py
+++ b/lagoonlever/entry/attempt.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.generation_messages import Dispatch, GenerationSpec
+from lagoonlever.decisions.streams.generation_messages import Dispatch, GenerationSpec
 from lagoonlever.entry.chunk_reader import ChunkReader
 from lagoonlever.exceptions import ConnectFailed, PeerError
 from lagoonlever.http.client import ClientConnection, fetch
--- a/lagoonlever/entry/cache_events.py
+++ b/lagoonlever/entry/cache_events.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from lagoonlever.decisions.routing import Router
-from lagoonlever.decisions.targets import Target
+from lagoonlever.decisions.routing.routing import Router
+from lagoonlever.decisions.targets.targets import Target
 from lagoonlever.targets.probes import CacheEvent
 
 
--- a/lagoonlever/entry/caller_stream.py
+++ b/lagoonlever/entry/caller_stream.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from lagoonlever.decisions.answer import Answer, ReleasedPiece
+from lagoonlever.decisions.streams.answer import Answer, ReleasedPiece
 from lagoonlever.entry.completion_chunks import (
     MOVED_EVENT,
     RESTART_EVENT,
--- a/lagoonlever/entry/claims.py
+++ b/lagoonlever/entry/claims.py
@@ -11,8 +11,8 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.claims import HomeTable
-from lagoonlever.decisions.claims_group import (
+from lagoonlever.decisions.claims.claims import HomeTable
+from lagoonlever.decisions.claims.group import (
     Bindings,
     Bound,
     Claim,
@@ -20,7 +20,7 @@
     ClaimResult,
     Unbound,
 )
-from lagoonlever.decisions.claims_keys import HomedKey, KeyHome, parse_homed
+from lagoonlever.decisions.claims.keys import HomedKey, KeyHome, parse_homed
 from lagoonlever.entry.services_events import CLAIMS_FAIL
 from lagoonlever.entry.services_settings import ServiceSettings
 from lagoonlever.exceptions import PlatformAnswerLost, PlatformError
--- a/lagoonlever/entry/completion_checks.py
+++ b/lagoonlever/entry/completion_checks.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from lagoonlever.decisions.generation_messages import GenerationSpec
-from lagoonlever.decisions.routing import prompt_size
+from lagoonlever.decisions.routing.routing import prompt_size
+from lagoonlever.decisions.streams.generation_messages import GenerationSpec
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.identity import EventId
 from lagoonlever.tree.options import EffectiveSettings
--- a/lagoonlever/entry/completion_chunks.py
+++ b/lagoonlever/entry/completion_chunks.py
@@ -5,8 +5,8 @@
 import attrs
 import msgspec
 
-from lagoonlever.decisions.answer import ReleasedPiece
-from lagoonlever.decisions.generation_messages import GenerationSpec
+from lagoonlever.decisions.streams.answer import ReleasedPiece
+from lagoonlever.decisions.streams.generation_messages import GenerationSpec
 from lagoonlever.http.sse import DONE_DATA, ServerEvent, encode_event
 
 RESTART_EVENT = "restart"
--- a/lagoonlever/entry/completions_api.py
+++ b/lagoonlever/entry/completions_api.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from lagoonlever.config.options import load, option
-from lagoonlever.decisions.generation_messages import GenerationSpec
-from lagoonlever.decisions.resume import HeldAnswer
+from lagoonlever.decisions.streams.generation_messages import GenerationSpec
+from lagoonlever.decisions.streams.resume import HeldAnswer
 from lagoonlever.exceptions import FaultsError, RequestRefused
 from lagoonlever.http.messages import Headers, Request
 from lagoonlever.identity import REQUEST_ID
--- a/lagoonlever/entry/daemon.py
+++ b/lagoonlever/entry/daemon.py
@@ -10,7 +10,7 @@
 import zmq
 
 from lagoonlever.config.vm import VmSettings
-from lagoonlever.decisions.membership import Member, MemberState
+from lagoonlever.decisions.membership.membership import Member, MemberState
 from lagoonlever.entry.foundation import Foundation
 from lagoonlever.entry.parts import HTTP_LIMITS, Parts
 from lagoonlever.events import event
--- a/lagoonlever/entry/engine_crashes.py
+++ b/lagoonlever/entry/engine_crashes.py
@@ -9,11 +9,11 @@
 import attrs
 import logbook
 
-from lagoonlever.decisions.crash_suspects import BEGAN, CrashSuspects, End, process_name
-from lagoonlever.decisions.fingerprints import RequestWork
-from lagoonlever.decisions.generation_messages import GenerationSpec
-from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.targets import Target
+from lagoonlever.decisions.engines.crash_suspects import BEGAN, CrashSuspects, End, process_name
+from lagoonlever.decisions.engines.fingerprints import RequestWork
+from lagoonlever.decisions.membership.membership import MemberView
+from lagoonlever.decisions.streams.generation_messages import GenerationSpec
+from lagoonlever.decisions.targets.targets import Target
 from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed
 from lagoonlever.http.client import ClientConnection
--- a/lagoonlever/entry/engine_watch.py
+++ b/lagoonlever/entry/engine_watch.py
@@ -8,9 +8,9 @@
 
 import attrs
 
-from lagoonlever.decisions.suspicion import EngineSuspicion, StreamVerdict, SuspicionLevel
-from lagoonlever.decisions.suspicion_budget import HedgeBudget
-from lagoonlever.decisions.suspicion_settings import HEDGE_OFF, DetectionSettings
+from lagoonlever.decisions.suspicion.budget import HedgeBudget
+from lagoonlever.decisions.suspicion.settings import HEDGE_OFF, DetectionSettings
+from lagoonlever.decisions.suspicion.suspicion import EngineSuspicion, StreamVerdict, SuspicionLevel
 from lagoonlever.timers import Tick
 
 COMPARE_PERIOD_S = 1.0
--- a/lagoonlever/entry/engines.py
+++ b/lagoonlever/entry/engines.py
@@ -8,11 +8,11 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.admission import AdmissionRequest
-from lagoonlever.decisions.generation_messages import BreakCause, Dispatch, GenerationSpec
-from lagoonlever.decisions.routing import Choice, ModelQuery, RequestFeatures, Router
-from lagoonlever.decisions.shares import work_of
-from lagoonlever.decisions.targets import ModelKey, Target, TargetState, TargetView
+from lagoonlever.decisions.admission.admission import AdmissionRequest
+from lagoonlever.decisions.routing.routing import Choice, ModelQuery, RequestFeatures, Router
+from lagoonlever.decisions.shares.shares import work_of
+from lagoonlever.decisions.streams.generation_messages import BreakCause, Dispatch, GenerationSpec
+from lagoonlever.decisions.targets.targets import ModelKey, Target, TargetState, TargetView
 from lagoonlever.entry.admission import Admitted
 from lagoonlever.entry.attempt import cancel_stream
 from lagoonlever.entry.engine_crashes import EngineCrashes
--- a/lagoonlever/entry/foundation.py
+++ b/lagoonlever/entry/foundation.py
@@ -9,7 +9,7 @@
 import trio
 
 from lagoonlever.config.vm import VmSettings
-from lagoonlever.decisions.membership import Member
+from lagoonlever.decisions.membership.membership import Member
 from lagoonlever.entry.request_metrics import RequestMetrics
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.http.messages import Address
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generation_task.py
@@ -8,8 +8,8 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.generation import GenerationLife
-from lagoonlever.decisions.generation_messages import (
+from lagoonlever.decisions.streams.generation import GenerationLife
+from lagoonlever.decisions.streams.generation_messages import (
     BreakCause,
     CancelAttempt,
     Decision,
--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations.py
@@ -11,9 +11,13 @@
 import trio
 
 from lagoonlever.config.options import option
-from lagoonlever.decisions.generation import GenerationLife
-from lagoonlever.decisions.generation_messages import GenerationLimits, GenerationSpec, ResumePoint
-from lagoonlever.decisions.resume import point_of_held
+from lagoonlever.decisions.streams.generation import GenerationLife
+from lagoonlever.decisions.streams.generation_messages import (
+    GenerationLimits,
+    GenerationSpec,
+    ResumePoint,
+)
+from lagoonlever.decisions.streams.resume import point_of_held
 from lagoonlever.entry.caller_stream import (
     HELD_IS_VOID,
     CallerStream,
--- a/lagoonlever/entry/histories.py
+++ b/lagoonlever/entry/histories.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 
-from lagoonlever.decisions.generation_messages import Dispatch, GenerationSpec
-from lagoonlever.decisions.targets import Target
+from lagoonlever.decisions.streams.generation_messages import Dispatch, GenerationSpec
+from lagoonlever.decisions.targets.targets import Target
 from lagoonlever.history.events_settings import SettingsWorkTaken
 from lagoonlever.history.events_vms import AttemptDispatched, VmStopBegan, VmStopEnded
 from lagoonlever.history.recorder import Recorder
--- a/lagoonlever/entry/membership.py
+++ b/lagoonlever/entry/membership.py
@@ -14,12 +14,12 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.membership import Member, MemberView
-from lagoonlever.decisions.membership_changes import ChangeKind, changes_between
-from lagoonlever.decisions.membership_listing import VmListReading, reading_period_s
-from lagoonlever.decisions.membership_protocol import MembershipProtocol
-from lagoonlever.decisions.membership_settings import MembershipSettings
-from lagoonlever.decisions.target_listing import TargetListReading
+from lagoonlever.decisions.membership.changes import ChangeKind, changes_between
+from lagoonlever.decisions.membership.listing import VmListReading, reading_period_s
+from lagoonlever.decisions.membership.membership import Member, MemberView
+from lagoonlever.decisions.membership.protocol import MembershipProtocol
+from lagoonlever.decisions.membership.settings import MembershipSettings
+from lagoonlever.decisions.targets.listing import TargetListReading
 from lagoonlever.events import event
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.http.messages import Address
--- a/lagoonlever/entry/orders.py
+++ b/lagoonlever/entry/orders.py
@@ -9,8 +9,8 @@
 import trio
 
 from lagoonlever.config.options import option
-from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.orders import (
+from lagoonlever.decisions.membership.membership import MemberView
+from lagoonlever.decisions.orders.orders import (
     ORDER_TIMEOUT_S,
     READS_PER_S,
     GiveOrder,
@@ -18,7 +18,7 @@
     OrderHolder,
     ReadEngine,
 )
-from lagoonlever.decisions.targets import TargetKind, TargetView
+from lagoonlever.decisions.targets.targets import TargetKind, TargetView
 from lagoonlever.entry.orders_store import WantedStore, WantedUnreadable
 from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed, PeerError, PlatformError
--- a/lagoonlever/entry/orders_store.py
+++ b/lagoonlever/entry/orders_store.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from lagoonlever.decisions.orders_wanted import (
+from lagoonlever.decisions.orders.wanted import (
     WantedConflict,
     WantedEdit,
     WantedEngines,
--- a/lagoonlever/entry/orphans.py
+++ b/lagoonlever/entry/orphans.py
@@ -8,9 +8,9 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.membership import Member, MemberView
-from lagoonlever.decisions.orphans import OrphanHolder, StreamRecord, StreamReporter
-from lagoonlever.decisions.placement import holders
+from lagoonlever.decisions.membership.membership import Member, MemberView
+from lagoonlever.decisions.streams.orphans import OrphanHolder, StreamRecord, StreamReporter
+from lagoonlever.decisions.streams.placement import holders
 from lagoonlever.entry.attempt import cancel_stream
 from lagoonlever.entry.engines import Engines
 from lagoonlever.events import event
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from lagoonlever.decisions.membership import MemberState
-from lagoonlever.decisions.planned_stop import OpenWork
+from lagoonlever.decisions.fleet.planned_stop import OpenWork
+from lagoonlever.decisions.membership.membership import MemberState
 from lagoonlever.entry.addresses import EntryAddressesPart
 from lagoonlever.entry.admin import SettingsAdmin
 from lagoonlever.entry.admin_messages import SETTINGS_PATH
--- a/lagoonlever/entry/recovery.py
+++ b/lagoonlever/entry/recovery.py
@@ -11,9 +11,9 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.generation_messages import GenerationSpec, ResumePoint
-from lagoonlever.decisions.resume import HeldAnswer, point_of_held
-from lagoonlever.decisions.targets import TargetView
+from lagoonlever.decisions.streams.generation_messages import GenerationSpec, ResumePoint
+from lagoonlever.decisions.streams.resume import HeldAnswer, point_of_held
+from lagoonlever.decisions.targets.targets import TargetView
 from lagoonlever.entry.chunk_reader import ChunkReader
 from lagoonlever.events import event
 from lagoonlever.exceptions import PeerError
--- a/lagoonlever/entry/reporting.py
+++ b/lagoonlever/entry/reporting.py
@@ -9,8 +9,8 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.membership import Member, MemberView
-from lagoonlever.decisions.targets import Target, TargetView
+from lagoonlever.decisions.membership.membership import Member, MemberView
+from lagoonlever.decisions.targets.targets import Target, TargetView
 from lagoonlever.entry.admission import AdmissionState, PoolState
 from lagoonlever.entry.operators import Operators
 from lagoonlever.entry.request_metrics import organisation_of
--- a/lagoonlever/entry/request_metrics.py
+++ b/lagoonlever/entry/request_metrics.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.generation_messages import (
+from lagoonlever.decisions.streams.generation_messages import (
     Decision,
     Dispatch,
     Finish,
--- a/lagoonlever/entry/services.py
+++ b/lagoonlever/entry/services.py
@@ -12,15 +12,15 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.budgets import FULL_RATIO
-from lagoonlever.decisions.claims import HomeTable, StoredAnswer
-from lagoonlever.decisions.claims_keys import (
+from lagoonlever.decisions.admission.hedging import Runners
+from lagoonlever.decisions.claims.claims import HomeTable, StoredAnswer
+from lagoonlever.decisions.claims.keys import (
     KEY_HEADER,
     KeyHome,
 )
-from lagoonlever.decisions.hedging import Runners
-from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.targets import Target
+from lagoonlever.decisions.membership.membership import MemberView
+from lagoonlever.decisions.shares.budgets import FULL_RATIO
+from lagoonlever.decisions.targets.targets import Target
 from lagoonlever.entry.claims import Claims
 from lagoonlever.entry.engines import TargetGuard
 from lagoonlever.entry.request_metrics import RequestMetrics, unscraped_metrics
--- a/lagoonlever/entry/services_call.py
+++ b/lagoonlever/entry/services_call.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from lagoonlever.decisions.claims import StoredAnswer
-from lagoonlever.decisions.claims_keys import KEY_HEADER
+from lagoonlever.decisions.claims.claims import StoredAnswer
+from lagoonlever.decisions.claims.keys import KEY_HEADER
 from lagoonlever.entry.services_settings import Service
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.client import Response
--- a/lagoonlever/entry/services_copies.py
+++ b/lagoonlever/entry/services_copies.py
@@ -4,15 +4,15 @@
 
 import attrs
 
-from lagoonlever.decisions.claims import KeyRecord, StoredAnswer
-from lagoonlever.decisions.claims_copies import (
+from lagoonlever.decisions.claims.claims import KeyRecord, StoredAnswer
+from lagoonlever.decisions.claims.copies import (
     MAX_COPIED_BYTES,
     AnswerCopies,
     CopyFound,
     successors,
 )
-from lagoonlever.decisions.claims_keys import HomedKey, parse_homed
-from lagoonlever.decisions.membership import Member, MemberView
+from lagoonlever.decisions.claims.keys import HomedKey, parse_homed
+from lagoonlever.decisions.membership.membership import Member, MemberView
 from lagoonlever.entry.services_call import outcome_of_tag
 from lagoonlever.http.messages import Headers
 from lagoonlever.outcomes import Done, Outcome, OutcomeTag, Reason
--- a/lagoonlever/entry/services_dispatch.py
+++ b/lagoonlever/entry/services_dispatch.py
@@ -7,8 +7,9 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.claims import StoredAnswer
-from lagoonlever.decisions.claims_dispatch import (
+from lagoonlever.decisions.admission.hedging import Runners
+from lagoonlever.decisions.claims.claims import StoredAnswer
+from lagoonlever.decisions.claims.dispatch import (
     CheckAgain,
     ChooseAgain,
     Refuse,
@@ -17,8 +18,7 @@
     WriteFacts,
     decide_write,
 )
-from lagoonlever.decisions.hedging import Runners
-from lagoonlever.decisions.targets import Target, TargetState, TargetView
+from lagoonlever.decisions.targets.targets import Target, TargetState, TargetView
 from lagoonlever.entry.engines import TargetGuard
 from lagoonlever.entry.services_answers import RETRY_NEW_KEY, ComeBack, not_run, unknown
 from lagoonlever.entry.services_call import ServiceCall, service_answer
--- a/lagoonlever/entry/services_forward.py
+++ b/lagoonlever/entry/services_forward.py
@@ -5,9 +5,9 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.claims import StoredAnswer
-from lagoonlever.decisions.claims_keys import HomedKey
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.claims.claims import StoredAnswer
+from lagoonlever.decisions.claims.keys import HomedKey
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
 from lagoonlever.entry.services_answers import ComeBack, unknown
 from lagoonlever.entry.services_call import (
     DEADLINE_HEADER,
--- a/lagoonlever/entry/services_keyed.py
+++ b/lagoonlever/entry/services_keyed.py
@@ -8,7 +8,7 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.claims import (
+from lagoonlever.decisions.claims.claims import (
     Expired,
     Full,
     HomeTable,
@@ -22,8 +22,8 @@
     StoredAnswer,
     TooFar,
 )
-from lagoonlever.decisions.claims_keys import KEY_HEADER, HomedKey, fingerprint_of
-from lagoonlever.decisions.targets import Target
+from lagoonlever.decisions.claims.keys import KEY_HEADER, HomedKey, fingerprint_of
+from lagoonlever.decisions.targets.targets import Target
 from lagoonlever.entry.services_answers import (
     RETRY_NEW_KEY,
     RETRY_SAME_KEY,
--- a/lagoonlever/entry/services_keys.py
+++ b/lagoonlever/entry/services_keys.py
@@ -5,10 +5,10 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.claims import StoredAnswer
-from lagoonlever.decisions.claims_copies import Copied, OtherRequest
-from lagoonlever.decisions.claims_group import ClaimResult, Unbound
-from lagoonlever.decisions.claims_keys import (
+from lagoonlever.decisions.claims.claims import StoredAnswer
+from lagoonlever.decisions.claims.copies import Copied, OtherRequest
+from lagoonlever.decisions.claims.group import ClaimResult, Unbound
+from lagoonlever.decisions.claims.keys import (
     KEY_HEADER,
     HomedKey,
     PlainKey,
@@ -17,7 +17,7 @@
     parse_key,
     scope_of,
 )
-from lagoonlever.decisions.membership import MemberView
+from lagoonlever.decisions.membership.membership import MemberView
 from lagoonlever.entry.claims import Claims
 from lagoonlever.entry.services_answers import ComeBack, unknown
 from lagoonlever.entry.services_call import HOMED_KEY_HEADER, ServiceCall
--- a/lagoonlever/entry/services_lookups.py
+++ b/lagoonlever/entry/services_lookups.py
@@ -8,9 +8,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.budgets import FULL_RATIO, RetryBudget
-from lagoonlever.decisions.claims import StoredAnswer
-from lagoonlever.decisions.hedging import (
+from lagoonlever.decisions.admission.hedging import (
     HedgedCall,
     HedgeDelay,
     Runners,
@@ -18,7 +16,9 @@
     Stop,
     Wait,
 )
-from lagoonlever.decisions.targets import Target
+from lagoonlever.decisions.claims.claims import StoredAnswer
+from lagoonlever.decisions.shares.budgets import FULL_RATIO, RetryBudget
+from lagoonlever.decisions.targets.targets import Target
 from lagoonlever.entry.engines import TargetGuard
 from lagoonlever.entry.services_answers import ComeBack, not_run, unknown
 from lagoonlever.entry.services_call import ServiceCall, service_answer
--- a/lagoonlever/entry/services_settings.py
+++ b/lagoonlever/entry/services_settings.py
@@ -7,7 +7,7 @@
 import attrs
 
 from lagoonlever.config.options import option
-from lagoonlever.decisions.claims_keys import KEY_LIFETIME_S
+from lagoonlever.decisions.claims.keys import KEY_LIFETIME_S
 
 READ_ONLY = ("GET *", "HEAD *")
 
--- a/lagoonlever/entry/serving.py
+++ b/lagoonlever/entry/serving.py
@@ -9,11 +9,11 @@
 import trio
 
 from lagoonlever.config.options import option
-from lagoonlever.decisions.generation_messages import Dispatch, GenerationSpec
-from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.routing import POLICIES, Router, make_policy
-from lagoonlever.decisions.suspicion_settings import DetectionSettings
-from lagoonlever.decisions.targets import Target, TargetView
+from lagoonlever.decisions.membership.membership import MemberView
+from lagoonlever.decisions.routing.routing import POLICIES, Router, make_policy
+from lagoonlever.decisions.streams.generation_messages import Dispatch, GenerationSpec
+from lagoonlever.decisions.suspicion.settings import DetectionSettings
+from lagoonlever.decisions.targets.targets import Target, TargetView
 from lagoonlever.entry.callers import CallerDirectory
 from lagoonlever.entry.engine_crashes import EngineCrashes
 from lagoonlever.entry.engine_watch import EngineWatch
--- a/lagoonlever/entry/settings.py
+++ b/lagoonlever/entry/settings.py
@@ -13,9 +13,9 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.settings_version import SettingsStanding, SettingsVersionOptions
-from lagoonlever.decisions.settings_watchers import InForce
+from lagoonlever.decisions.membership.membership import MemberView
+from lagoonlever.decisions.settings.settings_version import SettingsStanding, SettingsVersionOptions
+from lagoonlever.decisions.settings.settings_watchers import InForce
 from lagoonlever.entry.settings_peers import SettingsPeers
 from lagoonlever.entry.settings_state import SettingsState
 from lagoonlever.entry.settings_store import SettingsStore
--- a/lagoonlever/entry/settings_state.py
+++ b/lagoonlever/entry/settings_state.py
@@ -8,12 +8,12 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.settings_version import (
+from lagoonlever.decisions.settings.settings_version import (
     SettingsStanding,
     SettingsVersion,
     SettingsVersionOptions,
 )
-from lagoonlever.decisions.settings_watchers import InForceTable
+from lagoonlever.decisions.settings.settings_watchers import InForceTable
 from lagoonlever.entry import settings_events as events
 from lagoonlever.exceptions import FaultsError
 from lagoonlever.history.events_settings import SettingsInForce
--- a/lagoonlever/entry/settings_watch.py
+++ b/lagoonlever/entry/settings_watch.py
@@ -8,9 +8,9 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.settings_version import SettingsVersionOptions
-from lagoonlever.decisions.settings_watchers import is_watcher
+from lagoonlever.decisions.membership.membership import MemberView
+from lagoonlever.decisions.settings.settings_version import SettingsVersionOptions
+from lagoonlever.decisions.settings.settings_watchers import is_watcher
 from lagoonlever.entry import settings_events as events
 from lagoonlever.entry.settings_state import SettingsState
 from lagoonlever.entry.settings_store import (
--- a/lagoonlever/entry/stopping.py
+++ b/lagoonlever/entry/stopping.py
@@ -8,7 +8,7 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.planned_stop import OpenWork, PlannedStop, StopPhase
+from lagoonlever.decisions.fleet.planned_stop import OpenWork, PlannedStop, StopPhase
 from lagoonlever.events import event
 from lagoonlever.timers import Tick, TimerService
 
--- a/lagoonlever/entry/targets.py
+++ b/lagoonlever/entry/targets.py
@@ -14,18 +14,18 @@
 import trio
 
 from lagoonlever.config.options import option
-from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.target_freshness import Belief
-from lagoonlever.decisions.target_listing import TargetListReading
-from lagoonlever.decisions.target_load import LOAD_STALE_S, TargetReports
-from lagoonlever.decisions.target_watch import Send, TargetKnowledge
-from lagoonlever.decisions.targets import (
+from lagoonlever.decisions.membership.membership import MemberView
+from lagoonlever.decisions.targets.freshness import Belief
+from lagoonlever.decisions.targets.listing import TargetListReading
+from lagoonlever.decisions.targets.load import LOAD_STALE_S, TargetReports
+from lagoonlever.decisions.targets.targets import (
     ModelKey,
     Target,
     TargetLoad,
     TargetState,
     TargetView,
 )
+from lagoonlever.decisions.targets.watch import Send, TargetKnowledge
 from lagoonlever.events import event
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_targets import (
--- a/lagoonlever/fakes/demonstration.py
+++ b/lagoonlever/fakes/demonstration.py
@@ -10,7 +10,7 @@
 import trio
 
 from lagoonlever.client.caller import Arrival, Caller, CompletionRequest, NoAnswer
-from lagoonlever.decisions.shares import work_of
+from lagoonlever.decisions.shares.shares import work_of
 from lagoonlever.fakes.batch import ServedModel
 from lagoonlever.fakes.cluster import MODEL, VERSION, EmbeddedCluster
 from lagoonlever.fakes.engine import EngineOptions
--- a/lagoonlever/fakes/entry_parts.py
+++ b/lagoonlever/fakes/entry_parts.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from lagoonlever.decisions.admission import AdmissionRequest
-from lagoonlever.decisions.targets import Target, TargetView
+from lagoonlever.decisions.admission.admission import AdmissionRequest
+from lagoonlever.decisions.targets.targets import Target, TargetView
 from lagoonlever.entry.admission import Admitted
 from lagoonlever.outcomes import NotRun
 from lagoonlever.published import Published
--- a/lagoonlever/gateway/accepted.py
+++ b/lagoonlever/gateway/accepted.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from lagoonlever.decisions.configuration import ServiceRoute
-from lagoonlever.decisions.fingerprints import RequestWork
+from lagoonlever.decisions.engines.fingerprints import RequestWork
+from lagoonlever.decisions.settings.configuration import ServiceRoute
 from lagoonlever.gateway.messages import CallerHead
 from lagoonlever.http.messages import Request
 from lagoonlever.http.server import Exchange
--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.limit_permits import need_of
-from lagoonlever.decisions.run_placement import (
+from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.streams.life import Place, ResumeFrom, StreamLife
+from lagoonlever.decisions.streams.run_placement import (
     BudgetSpent,
     NoEngine,
     Overloaded,
@@ -14,8 +14,8 @@
     RunAsk,
     RunOutcome,
 )
-from lagoonlever.decisions.stream_life import Place, ResumeFrom, StreamLife
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.targets.limit_permits import need_of
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.attempt_tools import AttemptPlan
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/attempt_tools.py
+++ b/lagoonlever/gateway/attempt_tools.py
@@ -4,11 +4,11 @@
 
 import attrs
 
-from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.correlated_loss import CorrelatedLoss
-from lagoonlever.decisions.stream_silence import StreamSilence
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.engines.correlated_loss import CorrelatedLoss
+from lagoonlever.decisions.settings.configuration import EngineLimits
+from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.streams.silence import StreamSilence
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.learner import Learner
--- a/lagoonlever/gateway/beliefs.py
+++ b/lagoonlever/gateway/beliefs.py
@@ -5,10 +5,10 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.configuration import Configuration, EngineLimits
-from lagoonlever.decisions.engine_book import EngineBook
-from lagoonlever.decisions.fellows import FellowTable
-from lagoonlever.decisions.target_registry import TargetRegistry
+from lagoonlever.decisions.engines.engine_book import EngineBook
+from lagoonlever.decisions.fleet.fellows import FellowTable
+from lagoonlever.decisions.settings.configuration import Configuration, EngineLimits
+from lagoonlever.decisions.targets.registry import TargetRegistry
 from lagoonlever.published import Published
 
 NO_LIMITS = EngineLimits(slots=1_000, memory_tokens=1_000_000_000)
--- a/lagoonlever/gateway/cache_locator.py
+++ b/lagoonlever/gateway/cache_locator.py
@@ -12,8 +12,8 @@
 import msgspec
 import trio
 
-from lagoonlever.decisions.mechanisms import MECHANISMS, gives
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.exceptions import PeerError
 from lagoonlever.http.client import fetch
 from lagoonlever.platform.engine_calls import KEPT_PATH, Kept, read_kept
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from lagoonlever.decisions.limit_permits import Denied, need_of
-from lagoonlever.decisions.mechanisms import MECHANISMS, gives
-from lagoonlever.decisions.rollout_book import Lane
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.rollouts.book import Lane
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.targets.limit_permits import Denied, need_of
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/copy_keeper.py
+++ b/lagoonlever/gateway/copy_keeper.py
@@ -8,12 +8,12 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.copy_keeping import CHECK_S, CopyKeeping
-from lagoonlever.decisions.mechanisms import MECHANISMS, gives
-from lagoonlever.decisions.run_placement import Placed, RunAsk
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.settings.configuration import EngineLimits
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.streams.copy_keeping import CHECK_S, CopyKeeping
+from lagoonlever.decisions.streams.run_placement import Placed, RunAsk
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.placer import Placer
--- a/lagoonlever/gateway/crash_news.py
+++ b/lagoonlever/gateway/crash_news.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from lagoonlever.decisions.crash_suspects import CrashSuspects
+from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
--- a/lagoonlever/gateway/crash_records.py
+++ b/lagoonlever/gateway/crash_records.py
@@ -15,7 +15,7 @@
 import msgspec
 import trio
 
-from lagoonlever.decisions.crash_suspects import CrashSuspects, End, Ends
+from lagoonlever.decisions.engines.crash_suspects import CrashSuspects, End, Ends
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
 from lagoonlever.revisions import Revision
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -15,9 +15,9 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.crash_suspects import BEGAN, CrashSuspects, End, process_name
-from lagoonlever.decisions.roles import Roles
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.engines.crash_suspects import BEGAN, CrashSuspects, End, process_name
+from lagoonlever.decisions.fleet.roles import Roles
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.configuration import Configuration, RouteKind, ServiceRoute
+from lagoonlever.decisions.settings.configuration import Configuration, RouteKind, ServiceRoute
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.gateway.accepted import Accepted, deadline_of
 from lagoonlever.gateway.answers import NO_ROUTE, UNKNOWN_KEY, tell
--- a/lagoonlever/gateway/hub_spread.py
+++ b/lagoonlever/gateway/hub_spread.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from lagoonlever.decisions.fellows import FellowState
-from lagoonlever.decisions.news_paths import hubs_told, tells_directly
-from lagoonlever.decisions.roles import Roles
+from lagoonlever.decisions.fleet.fellows import FellowState
+from lagoonlever.decisions.fleet.news_paths import hubs_told, tells_directly
+from lagoonlever.decisions.fleet.roles import Roles
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.peers.interface import Bus
 from lagoonlever.published import Published
--- a/lagoonlever/gateway/knowledge.py
+++ b/lagoonlever/gateway/knowledge.py
@@ -13,10 +13,10 @@
 import msgspec
 import trio
 
-from lagoonlever.decisions.fellows import FellowState
-from lagoonlever.decisions.news_paths import passed_on_to, pushed_to
-from lagoonlever.decisions.roles import Roles
-from lagoonlever.decisions.target_registry import ListedTarget, TargetChange
+from lagoonlever.decisions.fleet.fellows import FellowState
+from lagoonlever.decisions.fleet.news_paths import passed_on_to, pushed_to
+from lagoonlever.decisions.fleet.roles import Roles
+from lagoonlever.decisions.targets.registry import ListedTarget, TargetChange
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.booked_runs import RunCopy
+from lagoonlever.decisions.streams.booked_runs import RunCopy
 from lagoonlever.http.messages import Address
 
 
--- a/lagoonlever/gateway/once_calls.py
+++ b/lagoonlever/gateway/once_calls.py
@@ -5,8 +5,8 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.hedging import Runners
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.admission.hedging import Runners
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.call_exchange import SERVER_ERROR, CallExchange, CallRecord, describe
 from lagoonlever.gateway.callers_leaving import cancel_when_gone
--- a/lagoonlever/gateway/options.py
+++ b/lagoonlever/gateway/options.py
@@ -8,7 +8,7 @@
 import attrs
 
 from lagoonlever.config.options import option
-from lagoonlever.decisions.mechanisms import MECHANISMS
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS
 from lagoonlever.exceptions import Fault, FaultsError
 
 OPTIONS_VARIABLE = "LAGOONLEVER_GATEWAY_OPTIONS"
--- a/lagoonlever/gateway/pace_keeper.py
+++ b/lagoonlever/gateway/pace_keeper.py
@@ -17,8 +17,8 @@
 import msgspec
 import trio
 
-from lagoonlever.decisions.engine_paces import KeptPace
-from lagoonlever.decisions.roles import Roles
+from lagoonlever.decisions.engines.engine_paces import KeptPace
+from lagoonlever.decisions.fleet.roles import Roles
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -7,13 +7,13 @@
 
 import attrs
 
-from lagoonlever.decisions.budgets import RetryBudget
-from lagoonlever.decisions.configuration import ClientLimits, RouteKind
-from lagoonlever.decisions.engine_book import EngineBook
-from lagoonlever.decisions.fellows import FellowState, FellowTable
-from lagoonlever.decisions.hedging import Runners
-from lagoonlever.decisions.named_limits import NamedLimits
-from lagoonlever.decisions.target_registry import TargetRegistry
+from lagoonlever.decisions.admission.hedging import Runners
+from lagoonlever.decisions.engines.engine_book import EngineBook
+from lagoonlever.decisions.fleet.fellows import FellowState, FellowTable
+from lagoonlever.decisions.settings.configuration import ClientLimits, RouteKind
+from lagoonlever.decisions.shares.budgets import RetryBudget
+from lagoonlever.decisions.targets.named_limits import NamedLimits
+from lagoonlever.decisions.targets.registry import TargetRegistry
 from lagoonlever.gateway.attempt_planner import AttemptPlanner
 from lagoonlever.gateway.attempt_tools import AttemptTools
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -7,9 +7,9 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.news_paths import book_holders, tells_directly
-from lagoonlever.decisions.roles import Roles
+from lagoonlever.decisions.fleet.news_paths import book_holders, tells_directly
+from lagoonlever.decisions.fleet.roles import Roles
+from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.retry_budgets import RetryBudgets
--- a/lagoonlever/gateway/permit_exchange.py
+++ b/lagoonlever/gateway/permit_exchange.py
@@ -8,15 +8,15 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.limit_permits import (
+from lagoonlever.decisions.fleet.roles import Roles
+from lagoonlever.decisions.targets.limit_permits import (
     Denied,
     Granted,
     PermitBook,
     PermitOutcome,
     counter_of,
 )
-from lagoonlever.decisions.named_limits import LimitWord, NamedLimits
-from lagoonlever.decisions.roles import Roles
+from lagoonlever.decisions.targets.named_limits import LimitWord, NamedLimits
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.questions import Questions
--- a/lagoonlever/gateway/placement_desk.py
+++ b/lagoonlever/gateway/placement_desk.py
@@ -5,7 +5,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.run_placement import Placed, place_run, reserved_run
+from lagoonlever.decisions.streams.run_placement import Placed, place_run, reserved_run
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.placer import Placer
 from lagoonlever.peers.interface import Bus
--- a/lagoonlever/gateway/placer.py
+++ b/lagoonlever/gateway/placer.py
@@ -1,6 +1,6 @@
 """Finds a place for each attempt of a stream: by this VM's own book, or by a VM that holds it.
 
-A VM that holds the book (`lagoonlever/decisions/news_paths.py`) decides by itself. Another
+A VM that holds the book (`lagoonlever/decisions/fleet/news_paths.py`) decides by itself. Another
 one asks a hub, then the next, and decides by what it knows itself when none answers in time:
 its own runs, and the engines that it found lost.
 """
@@ -14,10 +14,10 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.engine_paces import KeptPace
-from lagoonlever.decisions.news_paths import book_holders
-from lagoonlever.decisions.roles import Roles
-from lagoonlever.decisions.run_placement import PlacementView, RunAsk, RunOutcome, place_run
+from lagoonlever.decisions.engines.engine_paces import KeptPace
+from lagoonlever.decisions.fleet.news_paths import book_holders
+from lagoonlever.decisions.fleet.roles import Roles
+from lagoonlever.decisions.streams.run_placement import PlacementView, RunAsk, RunOutcome, place_run
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.cache_locator import CacheLocator
--- a/lagoonlever/gateway/presence.py
+++ b/lagoonlever/gateway/presence.py
@@ -15,8 +15,8 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.digests import not_covered
-from lagoonlever.decisions.fellows import (
+from lagoonlever.decisions.fleet.digests import not_covered
+from lagoonlever.decisions.fleet.fellows import (
     HUB_SILENT_S,
     KNOWN_AFTER_S,
     SAY_EVERY_S,
@@ -24,8 +24,8 @@
     FellowState,
     is_repeated,
 )
-from lagoonlever.decisions.hub_watch import HubWatch
-from lagoonlever.decisions.roles import HUBS, Roles, roles_of
+from lagoonlever.decisions.fleet.hub_watch import HubWatch
+from lagoonlever.decisions.fleet.roles import HUBS, Roles, roles_of
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.http.messages import Address
--- a/lagoonlever/gateway/register.py
+++ b/lagoonlever/gateway/register.py
@@ -8,7 +8,7 @@
 import logbook
 import msgspec
 
-from lagoonlever.decisions.fellows import FellowState, FellowTable
+from lagoonlever.decisions.fleet.fellows import FellowState, FellowTable
 from lagoonlever.gateway import events
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
--- a/lagoonlever/gateway/registration.py
+++ b/lagoonlever/gateway/registration.py
@@ -13,8 +13,8 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.fellows import FellowState
-from lagoonlever.decisions.roles import Roles
+from lagoonlever.decisions.fleet.fellows import FellowState
+from lagoonlever.decisions.fleet.roles import Roles
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -5,10 +5,17 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.budgets import RetryBudget
-from lagoonlever.decisions.hedging import HedgedCall, HedgeDelay, Runners, Send, Stop, Wait
-from lagoonlever.decisions.mechanisms import MECHANISMS, gives
-from lagoonlever.decisions.retry_window import RetryWindow
+from lagoonlever.decisions.admission.hedging import (
+    HedgedCall,
+    HedgeDelay,
+    Runners,
+    Send,
+    Stop,
+    Wait,
+)
+from lagoonlever.decisions.admission.retry_window import RetryWindow
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.shares.budgets import RetryBudget
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.call_exchange import SERVER_ERROR, CallExchange, CallRecord, describe
 from lagoonlever.gateway.callers_leaving import cancel_when_gone
--- a/lagoonlever/gateway/replacement_finder.py
+++ b/lagoonlever/gateway/replacement_finder.py
@@ -8,9 +8,9 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.mechanisms import MECHANISMS, gives
-from lagoonlever.decisions.replacements import ASK_AFTER_S, same_service
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.replacements import ASK_AFTER_S, same_service
 from lagoonlever.exceptions import PeerError
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/reporter.py
+++ b/lagoonlever/gateway/reporter.py
@@ -5,7 +5,7 @@
 import attrs
 import logbook
 
-from lagoonlever.decisions.stream_life import StreamLife
+from lagoonlever.decisions.streams.life import StreamLife
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.tally import Tally
--- a/lagoonlever/gateway/retry_budgets.py
+++ b/lagoonlever/gateway/retry_budgets.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.retry_window import RetryWindow
+from lagoonlever.decisions.admission.retry_window import RetryWindow
 from lagoonlever.gateway.settings import RetryBudgetBounds
 
 
--- a/lagoonlever/gateway/rollout_lead.py
+++ b/lagoonlever/gateway/rollout_lead.py
@@ -10,16 +10,16 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.roles import Roles
-from lagoonlever.decisions.rollout_book import RolloutBook, VmCounts
-from lagoonlever.decisions.rollout_plan import (
+from lagoonlever.decisions.fleet.roles import Roles
+from lagoonlever.decisions.rollouts.book import RolloutBook, VmCounts
+from lagoonlever.decisions.rollouts.plan import (
     DECIDED_BEFORE_S,
     ExposureBounds,
     Plan,
     TrialProgress,
     plan_of,
 )
-from lagoonlever.decisions.versions import RolloutPhase, RolloutState
+from lagoonlever.decisions.rollouts.versions import RolloutPhase, RolloutState
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/rollout_tally.py
+++ b/lagoonlever/gateway/rollout_tally.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from lagoonlever.decisions.rollout_book import Lane
-from lagoonlever.decisions.rollout_evidence import AnswerCounts
-from lagoonlever.decisions.versions import RolloutOrder
+from lagoonlever.decisions.rollouts.book import Lane
+from lagoonlever.decisions.rollouts.evidence import AnswerCounts
+from lagoonlever.decisions.rollouts.versions import RolloutOrder
 from lagoonlever.peers.messages_rollouts import AnswerRow, RolloutCounts
 from lagoonlever.revisions import Revision
 
--- a/lagoonlever/gateway/rollouts.py
+++ b/lagoonlever/gateway/rollouts.py
@@ -12,9 +12,9 @@
 import attrs
 import logbook
 
-from lagoonlever.decisions.rollout_book import Lane
-from lagoonlever.decisions.target_registry import ListedTarget
-from lagoonlever.decisions.versions import RolloutOrder, RolloutPhase, RolloutState
+from lagoonlever.decisions.rollouts.book import Lane
+from lagoonlever.decisions.rollouts.versions import RolloutOrder, RolloutPhase, RolloutState
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.knowledge import KnowledgeExchange
--- a/lagoonlever/gateway/run_copier.py
+++ b/lagoonlever/gateway/run_copier.py
@@ -7,8 +7,8 @@
 import attrs
 import msgspec
 
-from lagoonlever.decisions.booked_runs import RunCopy
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.streams.booked_runs import RunCopy
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.exceptions import PeerError
 from lagoonlever.http.client import Pool, fetch
 from lagoonlever.http.messages import Headers
--- a/lagoonlever/gateway/run_relay.py
+++ b/lagoonlever/gateway/run_relay.py
@@ -2,7 +2,7 @@
 
 The load that is answered: each run is told some five times, and told to every VM its cost
 grows with runs times VMs. So in a very large fleet only the hubs hear of runs
-(`lagoonlever/decisions/news_paths.py`): a VM tells its hub, which gathers for 10 ms what its
+(`lagoonlever/decisions/fleet/news_paths.py`): a VM tells its hub, which gathers for 10 ms what its
 VMs tell and passes it on to the other hubs, and VMs that place a run ask a hub
 (`lagoonlever/gateway/placer.py`). Of a lost engine a hub tells at once those of its data
 centre's VMs that it concerns.
@@ -22,10 +22,10 @@
 import trio
 
 from lagoonlever.codec import UnknownMessage
-from lagoonlever.decisions.booked_runs import BookedRun
-from lagoonlever.decisions.fellows import FellowState
-from lagoonlever.decisions.news_paths import concerned_by_losses, tells_directly
-from lagoonlever.decisions.roles import Roles
+from lagoonlever.decisions.fleet.fellows import FellowState
+from lagoonlever.decisions.fleet.news_paths import concerned_by_losses, tells_directly
+from lagoonlever.decisions.fleet.roles import Roles
+from lagoonlever.decisions.streams.booked_runs import BookedRun
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.peers.compression import UnreadablePack, pack, unpack
--- a/lagoonlever/gateway/settings.py
+++ b/lagoonlever/gateway/settings.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.rollout_plan import ExposureBounds
+from lagoonlever.decisions.rollouts.plan import ExposureBounds
 from lagoonlever.http.messages import Address
 
 
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -13,8 +13,8 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.roles import Roles
-from lagoonlever.decisions.target_registry import ListedTarget, TargetChange
+from lagoonlever.decisions.fleet.roles import Roles
+from lagoonlever.decisions.targets.registry import ListedTarget, TargetChange
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/stream_admission.py
+++ b/lagoonlever/gateway/stream_admission.py
@@ -7,17 +7,17 @@
 import attrs
 import logbook
 
-from lagoonlever.decisions.mechanisms import MECHANISMS, gives
-from lagoonlever.decisions.prompt_admission import come_back_s
-from lagoonlever.decisions.run_placement import Overloaded
-from lagoonlever.decisions.stream_life import (
+from lagoonlever.decisions.admission.prompt_admission import come_back_s
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.streams.life import (
     GiveUp,
     Place,
     ResumeFrom,
     StreamLife,
     WaitForEngine,
 )
-from lagoonlever.decisions.stream_time import least_time_s
+from lagoonlever.decisions.streams.run_placement import Overloaded
+from lagoonlever.decisions.streams.time import least_time_s
 from lagoonlever.gateway import events
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -6,12 +6,10 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.booked_runs import RunCopy
-from lagoonlever.decisions.crash_suspects import BEGAN, WAITED
-from lagoonlever.decisions.limit_permits import Denied
-from lagoonlever.decisions.replacements import LifeSigns
-from lagoonlever.decisions.stream_life import EventVerdict, StreamLife
-from lagoonlever.decisions.stream_silence import (
+from lagoonlever.decisions.engines.crash_suspects import BEGAN, WAITED
+from lagoonlever.decisions.streams.booked_runs import RunCopy
+from lagoonlever.decisions.streams.life import EventVerdict, StreamLife
+from lagoonlever.decisions.streams.silence import (
     PAUSE_ALLOWED_S,
     Answer,
     AskEngine,
@@ -19,7 +17,9 @@
     WaitUntil,
     first_ask_s,
 )
-from lagoonlever.decisions.stream_silence import Lost as SilenceLost
+from lagoonlever.decisions.streams.silence import Lost as SilenceLost
+from lagoonlever.decisions.targets.limit_permits import Denied
+from lagoonlever.decisions.targets.replacements import LifeSigns
 from lagoonlever.exceptions import BadResponse, ConnectionBroken
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.accepted import Accepted
--- a/lagoonlever/gateway/stream_counts.py
+++ b/lagoonlever/gateway/stream_counts.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from lagoonlever.decisions.rollout_book import Lane
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.rollouts.book import Lane
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway.rollouts import Rollouts
 
 
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -6,9 +6,9 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.run_placement import BudgetSpent, Overloaded
-from lagoonlever.decisions.stream_life import GiveUp, StreamLife, WaitForEngine
+from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.streams.life import GiveUp, StreamLife, WaitForEngine
+from lagoonlever.decisions.streams.run_placement import BudgetSpent, Overloaded
 from lagoonlever.gateway import events
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
--- a/lagoonlever/gateway/target_limits.py
+++ b/lagoonlever/gateway/target_limits.py
@@ -1,7 +1,7 @@
 """Hears what targets name as their limits, and holds back what is beyond them.
 
 Nothing is written to a target that names a limit without a permit; the permits of one target
-are counted by one VM (`lagoonlever/decisions/limit_permits.py`).
+are counted by one VM (`lagoonlever/decisions/targets/limit_permits.py`).
 """
 
 from __future__ import annotations
@@ -14,15 +14,15 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.limit_permits import (
+from lagoonlever.decisions.admission.limits import retry_after_s
+from lagoonlever.decisions.targets.limit_permits import (
     Denied,
     Granted,
     HeldTargets,
     PermitOutcome,
 )
-from lagoonlever.decisions.limits import retry_after_s
-from lagoonlever.decisions.named_limits import LimitWord, NamedLimits
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.targets.named_limits import LimitWord, NamedLimits
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.hub_spread import HubSpread
--- a/lagoonlever/gateway/target_words.py
+++ b/lagoonlever/gateway/target_words.py
@@ -8,10 +8,10 @@
 import attrs
 import logbook
 
-from lagoonlever.decisions.limit_permits import Denied, Granted, PermitOutcome
-from lagoonlever.decisions.limits import after_rest_s
-from lagoonlever.decisions.target_registry import ListedTarget
-from lagoonlever.decisions.target_rests import RestingTargets
+from lagoonlever.decisions.admission.limits import after_rest_s
+from lagoonlever.decisions.targets.limit_permits import Denied, Granted, PermitOutcome
+from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.rests import RestingTargets
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.hub_spread import HubSpread
--- a/lagoonlever/peers/messages_crashes.py
+++ b/lagoonlever/peers/messages_crashes.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.crash_suspects import End, Ends
+from lagoonlever.decisions.engines.crash_suspects import End, Ends
 from lagoonlever.peers.messages import PEER
 
 
@@ -16,7 +16,7 @@
     process: str
     age_s: float
     weight: float
-    """How much it counts, as in `lagoonlever/decisions/crash_suspects.py`."""
+    """How much it counts, as in `lagoonlever/decisions/engines/crash_suspects.py`."""
 
 
 @PEER.message("gd")
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -9,9 +9,9 @@
 
 import attrs
 
-from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.fellows import FellowState
-from lagoonlever.decisions.target_registry import ListedTarget, TargetChange
+from lagoonlever.decisions.fleet.fellows import FellowState
+from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.targets.registry import ListedTarget, TargetChange
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.messages import PEER
 from lagoonlever.revisions import NOWHERE, Revision
--- a/lagoonlever/peers/messages_generations.py
+++ b/lagoonlever/peers/messages_generations.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.orphans import StreamRecord
+from lagoonlever.decisions.streams.orphans import StreamRecord
 from lagoonlever.peers.messages import PEER
 
 
--- a/lagoonlever/peers/messages_limits.py
+++ b/lagoonlever/peers/messages_limits.py
@@ -8,8 +8,8 @@
 
 import attrs
 
-from lagoonlever.decisions.limit_permits import Denied, Granted, PermitOutcome
-from lagoonlever.decisions.named_limits import LimitWord
+from lagoonlever.decisions.targets.limit_permits import Denied, Granted, PermitOutcome
+from lagoonlever.decisions.targets.named_limits import LimitWord
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.messages import PEER
 
--- a/lagoonlever/peers/messages_placement.py
+++ b/lagoonlever/peers/messages_placement.py
@@ -8,9 +8,9 @@
 
 import attrs
 
-from lagoonlever.decisions.booked_runs import BookedRun
-from lagoonlever.decisions.engine_paces import KeptPace
-from lagoonlever.decisions.run_placement import (
+from lagoonlever.decisions.engines.engine_paces import KeptPace
+from lagoonlever.decisions.streams.booked_runs import BookedRun
+from lagoonlever.decisions.streams.run_placement import (
     BudgetSpent,
     NoEngine,
     Overloaded,
--- a/lagoonlever/peers/messages_rollouts.py
+++ b/lagoonlever/peers/messages_rollouts.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from lagoonlever.decisions.rollout_evidence import AnswerCounts
-from lagoonlever.decisions.versions import RolloutPhase, RolloutState
+from lagoonlever.decisions.rollouts.evidence import AnswerCounts
+from lagoonlever.decisions.rollouts.versions import RolloutPhase, RolloutState
 from lagoonlever.peers.messages import PEER
 from lagoonlever.revisions import Revision
 
--- a/lagoonlever/peers/messages_shares.py
+++ b/lagoonlever/peers/messages_shares.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.shares_exchange import LeafSum, SumsNews
+from lagoonlever.decisions.shares.exchange import LeafSum, SumsNews
 from lagoonlever.peers.messages import PEER
 
 
--- a/lagoonlever/peers/messages_targets.py
+++ b/lagoonlever/peers/messages_targets.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lagoonlever.decisions.target_watch import (
+from lagoonlever.decisions.targets.watch import (
     TargetLeavingNews,
     TargetListAnswer,
     TargetListAsk,
--- a/lagoonlever/platform/configuration.py
+++ b/lagoonlever/platform/configuration.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lagoonlever.decisions.configuration import (
+from lagoonlever.decisions.settings.configuration import (
     ClientLimits,
     Configuration,
     EngineLimits,
--- a/lagoonlever/platform/documents.py
+++ b/lagoonlever/platform/documents.py
@@ -6,15 +6,15 @@
 
 import msgspec
 
-from lagoonlever.decisions.configuration import (
+from lagoonlever.decisions.rollouts.versions import RolloutOrder
+from lagoonlever.decisions.settings.configuration import (
     Configuration,
     EngineLimits,
     RouteKind,
     ServiceRoute,
     TargetService,
 )
-from lagoonlever.decisions.target_registry import ListedTarget
-from lagoonlever.decisions.versions import RolloutOrder
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.platform import headers as fields
--- a/lagoonlever/platform/rollouts.py
+++ b/lagoonlever/platform/rollouts.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from lagoonlever.decisions.versions import RolloutOrder, RolloutState
+from lagoonlever.decisions.rollouts.versions import RolloutOrder, RolloutState
 from lagoonlever.exceptions import LagoonleverException
 
 ORDERS_PREFIX = "op/rollout/"
--- a/lagoonlever/platform/settings_file.py
+++ b/lagoonlever/platform/settings_file.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 
-from lagoonlever.decisions.rollout_plan import ExposureBounds
+from lagoonlever.decisions.rollouts.plan import ExposureBounds
 from lagoonlever.exceptions import Fault, FaultsError
 from lagoonlever.gateway.settings import (
     Bounds,
--- a/lagoonlever/soak/rollouts.py
+++ b/lagoonlever/soak/rollouts.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.versions import RolloutOrder, RolloutState
+from lagoonlever.decisions.rollouts.versions import RolloutOrder, RolloutState
 from lagoonlever.fakes.platform_runner import Conduct
 from lagoonlever.platform.documents import order_document
 from lagoonlever.platform.rollouts import ORDERS_PREFIX, read_status, status_key
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -13,7 +13,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.configuration import (
+from lagoonlever.decisions.settings.configuration import (
     Configuration,
     EngineLimits,
     Organisation,
@@ -22,7 +22,7 @@
     TargetService,
     WeightedService,
 )
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
 from lagoonlever.fakes.platform_engine import EngineRun, FakeEngine
 from lagoonlever.fakes.platform_runner import FakeRunner
--- a/lagoonlever/targets/completions.py
+++ b/lagoonlever/targets/completions.py
@@ -8,7 +8,7 @@
 import msgspec
 import xxhash
 
-from lagoonlever.decisions.generation_messages import Dispatch, GenerationSpec
+from lagoonlever.decisions.streams.generation_messages import Dispatch, GenerationSpec
 from lagoonlever.http.messages import Headers
 
 COMPLETIONS_PATH = "/v1/completions"
--- a/lagoonlever/targets/probes.py
+++ b/lagoonlever/targets/probes.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from lagoonlever.decisions.targets import ModelKey, TargetLoad
+from lagoonlever.decisions.targets.targets import ModelKey, TargetLoad
 from lagoonlever.http.client import Pool
 from lagoonlever.http.json_client import fetch_json
 from lagoonlever.http.messages import Address
--- a/lagoonlever/tests/admission_tests.py
+++ b/lagoonlever/tests/admission_tests.py
@@ -11,16 +11,16 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
-from lagoonlever.decisions.admission import (
+from lagoonlever.decisions.admission.admission import (
     Admission,
     AdmissionRequest,
     Granted,
     Refused,
 )
-from lagoonlever.decisions.limits import NodeLimits
-from lagoonlever.decisions.queues import LeafQueue, Waiting
-from lagoonlever.decisions.shares import ShareNode, ShareTree
-from lagoonlever.decisions.shares_slots import PoolReport
+from lagoonlever.decisions.admission.limits import NodeLimits
+from lagoonlever.decisions.admission.queues import LeafQueue, Waiting
+from lagoonlever.decisions.shares.shares import ShareNode, ShareTree
+from lagoonlever.decisions.shares.slots import PoolReport
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import NotRun, Reason
 
--- a/lagoonlever/tests/at_most_once_tests.py
+++ b/lagoonlever/tests/at_most_once_tests.py
@@ -12,7 +12,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.claims_keys import KEY_HEADER
+from lagoonlever.decisions.claims.keys import KEY_HEADER
 from lagoonlever.exceptions import PeerTimeout
 from lagoonlever.http.client import Response, fetch
 from lagoonlever.http.messages import Address, Headers
--- a/lagoonlever/tests/bench_tests.py
+++ b/lagoonlever/tests/bench_tests.py
@@ -28,8 +28,8 @@
 from lagoonlever.bench.resume_model import EngineModel, EngineRun, FaultKind, Tally
 from lagoonlever.bench.statistics import quantile
 from lagoonlever.commands.bench import bench
-from lagoonlever.decisions.suspicion_budget import HedgeBudget
-from lagoonlever.decisions.suspicion_settings import HEDGE_OFF, LOW_LATENCY, DetectionSettings
+from lagoonlever.decisions.suspicion.budget import HedgeBudget
+from lagoonlever.decisions.suspicion.settings import HEDGE_OFF, LOW_LATENCY, DetectionSettings
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/tests/caller_stream_tests.py
+++ b/lagoonlever/tests/caller_stream_tests.py
@@ -7,10 +7,14 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.answer import Answer
-from lagoonlever.decisions.generation import GenerationLife
-from lagoonlever.decisions.generation_messages import Dispatch, GenerationLimits, GenerationSpec
-from lagoonlever.decisions.release import Piece
+from lagoonlever.decisions.streams.answer import Answer
+from lagoonlever.decisions.streams.generation import GenerationLife
+from lagoonlever.decisions.streams.generation_messages import (
+    Dispatch,
+    GenerationLimits,
+    GenerationSpec,
+)
+from lagoonlever.decisions.targets.release import Piece
 from lagoonlever.entry.caller_stream import CallerStream
 from lagoonlever.entry.completions_api import CompletionCall
 from lagoonlever.http.messages import Headers
--- a/lagoonlever/tests/chunk_reader_tests.py
+++ b/lagoonlever/tests/chunk_reader_tests.py
@@ -7,8 +7,12 @@
 import pytest
 import trio
 
-from lagoonlever.decisions.generation import GenerationLife
-from lagoonlever.decisions.generation_messages import Dispatch, GenerationLimits, GenerationSpec
+from lagoonlever.decisions.streams.generation import GenerationLife
+from lagoonlever.decisions.streams.generation_messages import (
+    Dispatch,
+    GenerationLimits,
+    GenerationSpec,
+)
 from lagoonlever.entry.attempt import EngineAttempt
 from lagoonlever.exceptions import BadResponse
 from lagoonlever.http.messages import Address
--- a/lagoonlever/tests/chunk_writer_tests.py
+++ b/lagoonlever/tests/chunk_writer_tests.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonlever.decisions.answer import ReleasedPiece, Source
-from lagoonlever.decisions.generation import GenerationSpec
+from lagoonlever.decisions.streams.answer import ReleasedPiece, Source
+from lagoonlever.decisions.streams.generation import GenerationSpec
 from lagoonlever.entry.completion_chunks import CallerChoice, CallerChunk, ChunkWriter
 from lagoonlever.http.sse import EventParser
 
--- a/lagoonlever/tests/claims_keys_tests.py
+++ b/lagoonlever/tests/claims_keys_tests.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from lagoonlever.decisions.claims import Full, Mismatch, Run
-from lagoonlever.decisions.claims_dispatch import (
+from lagoonlever.decisions.claims.claims import Full, Mismatch, Run
+from lagoonlever.decisions.claims.dispatch import (
     CheckAgain,
     ChooseAgain,
     Refuse,
@@ -13,8 +13,8 @@
     WriteFacts,
     decide_write,
 )
-from lagoonlever.decisions.claims_group import GROUP_KEYS, Bindings, Claim, ClaimQueue
-from lagoonlever.decisions.claims_keys import KeyHome, PlainKey, parse_key
+from lagoonlever.decisions.claims.group import GROUP_KEYS, Bindings, Claim, ClaimQueue
+from lagoonlever.decisions.claims.keys import KeyHome, PlainKey, parse_key
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import Done
--- a/lagoonlever/tests/claims_machine.py
+++ b/lagoonlever/tests/claims_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from lagoonlever.decisions.claims import (
+from lagoonlever.decisions.claims.claims import (
     RECORD_BYTES,
     Full,
     HomeTable,
@@ -19,8 +19,8 @@
     Run,
     StoredAnswer,
 )
-from lagoonlever.decisions.claims_dispatch import Refuse, Write, WriteFacts, decide_write
-from lagoonlever.decisions.claims_keys import HomedKey
+from lagoonlever.decisions.claims.dispatch import Refuse, Write, WriteFacts, decide_write
+from lagoonlever.decisions.claims.keys import HomedKey
 from lagoonlever.history.checkers import at_most_once, not_run
 from lagoonlever.history.events import HistoryEvent
 from lagoonlever.history.events_services import CallerToldOfCall
--- a/lagoonlever/tests/claims_tests.py
+++ b/lagoonlever/tests/claims_tests.py
@@ -8,8 +8,8 @@
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test as run_machine
 
-from lagoonlever.decisions.claims import RECORD_BYTES, HomeTable, KeyRecord, StoredAnswer
-from lagoonlever.decisions.claims_keys import HomedKey
+from lagoonlever.decisions.claims.claims import RECORD_BYTES, HomeTable, KeyRecord, StoredAnswer
+from lagoonlever.decisions.claims.keys import HomedKey
 from lagoonlever.outcomes import NotRun
 from lagoonlever.tests.claims_machine import ROOM_KEYS, ClaimsMachine
 
--- a/lagoonlever/tests/cluster_orphans_tests.py
+++ b/lagoonlever/tests/cluster_orphans_tests.py
@@ -6,7 +6,7 @@
 import trio
 
 from lagoonlever.client.answers import HeldStream
-from lagoonlever.decisions import orphans
+from lagoonlever.decisions.streams import orphans
 from lagoonlever.tests.base import (
     Scene,
     decoded,
--- a/lagoonlever/tests/commands_orders_tests.py
+++ b/lagoonlever/tests/commands_orders_tests.py
@@ -16,15 +16,15 @@
 from lagoonlever.commands.orders_client import OrdersClient
 from lagoonlever.commands.orders_edits import WantedOptions, edits_of_options
 from lagoonlever.commands.orders_print import change_lines
-from lagoonlever.decisions.orders import WantedState
-from lagoonlever.decisions.orders_wanted import (
+from lagoonlever.decisions.orders.orders import WantedState
+from lagoonlever.decisions.orders.wanted import (
     WantedConflict,
     WantedEdit,
     WantedNotStored,
     WantedStored,
     WantedUndetermined,
 )
-from lagoonlever.decisions.targets import ModelKey
+from lagoonlever.decisions.targets.targets import ModelKey
 from lagoonlever.entry import orders_store
 from lagoonlever.entry.admin_orders_messages import OrdersChangeAsked
 from lagoonlever.entry.orders import OrderSettings
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonlever.decisions.crash_suspects import (
+from lagoonlever.decisions.engines.crash_suspects import (
     BARRED_S,
     BEGAN,
     KEPT_S,
--- a/lagoonlever/tests/digests_tests.py
+++ b/lagoonlever/tests/digests_tests.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonlever.decisions.digests import not_covered
+from lagoonlever.decisions.fleet.digests import not_covered
 
 LIVES = st.frozensets(st.integers(min_value=0, max_value=8))
 
--- a/lagoonlever/tests/engine_book_tests.py
+++ b/lagoonlever/tests/engine_book_tests.py
@@ -6,15 +6,15 @@
 
 import attrs
 
-from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.engine_avoidance import FIRST_AVOID_S
-from lagoonlever.decisions.engine_book import (
+from lagoonlever.decisions.engines.engine_avoidance import FIRST_AVOID_S
+from lagoonlever.decisions.engines.engine_book import (
     BookedRun,
     EngineBook,
     RunCopy,
 )
-from lagoonlever.decisions.engine_paces import PRIOR_PROMPT_TOKEN_S
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.engines.engine_paces import PRIOR_PROMPT_TOKEN_S
+from lagoonlever.decisions.settings.configuration import EngineLimits
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.http.messages import Address
 
 LIMITS = EngineLimits(slots=12, memory_tokens=55_000)
--- a/lagoonlever/tests/engine_paces_tests.py
+++ b/lagoonlever/tests/engine_paces_tests.py
@@ -7,10 +7,10 @@
 import attrs
 import pytest
 
-from lagoonlever.decisions.booked_runs import BookedRun
-from lagoonlever.decisions.engine_book import EngineBook
-from lagoonlever.decisions.engine_paces import PRIOR_PROMPT_TOKEN_S, EnginePaces
-from lagoonlever.decisions.stream_time import least_time_s
+from lagoonlever.decisions.engines.engine_book import EngineBook
+from lagoonlever.decisions.engines.engine_paces import PRIOR_PROMPT_TOKEN_S, EnginePaces
+from lagoonlever.decisions.streams.booked_runs import BookedRun
+from lagoonlever.decisions.streams.time import least_time_s
 from lagoonlever.tests.engine_book_tests import ENGINES, LIMITS
 
 SERVICE = "engines"
--- a/lagoonlever/tests/entry_admission_tests.py
+++ b/lagoonlever/tests/entry_admission_tests.py
@@ -9,9 +9,15 @@
 import trio
 import trio.testing
 
-from lagoonlever.decisions.admission import AdmissionRequest
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad, TargetView
+from lagoonlever.decisions.admission.admission import AdmissionRequest
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.targets.targets import (
+    ModelKey,
+    Target,
+    TargetKind,
+    TargetLoad,
+    TargetView,
+)
 from lagoonlever.entry.admission import AdmissionPart, Admitted
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
--- a/lagoonlever/tests/entry_membership_tests.py
+++ b/lagoonlever/tests/entry_membership_tests.py
@@ -8,8 +8,8 @@
 import trio
 import trio.testing
 
-from lagoonlever.decisions.membership import Member, MemberState
-from lagoonlever.decisions.membership_listing import reading_period_s
+from lagoonlever.decisions.membership.listing import reading_period_s
+from lagoonlever.decisions.membership.membership import Member, MemberState
 from lagoonlever.entry.membership import MembershipPart
 from lagoonlever.exceptions import PlatformUnavailable
 from lagoonlever.http.messages import Address
--- a/lagoonlever/tests/faulty_requests_tests.py
+++ b/lagoonlever/tests/faulty_requests_tests.py
@@ -7,8 +7,12 @@
 import pytest
 import trio
 
-from lagoonlever.decisions.generation import GenerationLife
-from lagoonlever.decisions.generation_messages import Dispatch, GenerationLimits, GenerationSpec
+from lagoonlever.decisions.streams.generation import GenerationLife
+from lagoonlever.decisions.streams.generation_messages import (
+    Dispatch,
+    GenerationLimits,
+    GenerationSpec,
+)
 from lagoonlever.entry.generation_task import GenerationTask
 from lagoonlever.entry.generations import GenerationService, GenerationSettings
 from lagoonlever.http.client import fetch
--- a/lagoonlever/tests/fellows_tests.py
+++ b/lagoonlever/tests/fellows_tests.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from lagoonlever.decisions.fellows import (
+from lagoonlever.decisions.fleet.fellows import (
     FLEET_AT_START,
     FORGET_S,
     KNOWN_AFTER_S,
--- a/lagoonlever/tests/fingerprints_tests.py
+++ b/lagoonlever/tests/fingerprints_tests.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 
-from lagoonlever.decisions.fingerprints import RequestWork
+from lagoonlever.decisions.engines.fingerprints import RequestWork
 
 WORK = RequestWork(
     host="shop.example",
--- a/lagoonlever/tests/gateway_presence_tests.py
+++ b/lagoonlever/tests/gateway_presence_tests.py
@@ -16,9 +16,9 @@
     run_fleet,
     start_many,
 )
-from lagoonlever.decisions.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.news_paths import DIRECT_MOST
-from lagoonlever.decisions.target_registry import ListedTarget
+from lagoonlever.decisions.fleet.news_paths import DIRECT_MOST
+from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway.run_relay import RunRelay
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.local_bus import LocalBus
--- a/lagoonlever/tests/generation_harness.py
+++ b/lagoonlever/tests/generation_harness.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from lagoonlever.decisions.generation import GenerationLife
-from lagoonlever.decisions.generation_messages import (
+from lagoonlever.decisions.streams.generation import GenerationLife
+from lagoonlever.decisions.streams.generation_messages import (
     CancelAttempt,
     Decision,
     Dispatch,
--- a/lagoonlever/tests/generation_tests.py
+++ b/lagoonlever/tests/generation_tests.py
@@ -8,15 +8,15 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from lagoonlever.decisions.generation import GenerationLife
-from lagoonlever.decisions.generation_messages import (
+from lagoonlever.decisions.streams.generation import GenerationLife
+from lagoonlever.decisions.streams.generation_messages import (
     BreakCause,
     Decision,
     Dispatch,
     Finish,
     ResumePoint,
 )
-from lagoonlever.decisions.resume import HeldAnswer, point_of_held
+from lagoonlever.decisions.streams.resume import HeldAnswer, point_of_held
 from lagoonlever.fakes.tokens import (
     expected_output,
 )
--- a/lagoonlever/tests/hedging_tests.py
+++ b/lagoonlever/tests/hedging_tests.py
@@ -11,13 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from hypothesis.stateful import run_state_machine_as_test as run_machine
 
-from lagoonlever.decisions.budgets import (
-    FULL_RATIO,
-    RESERVE_TOKENS,
-    RetryBudget,
-    take_extra,
-)
-from lagoonlever.decisions.hedging import (
+from lagoonlever.decisions.admission.hedging import (
     MAX_ATTEMPTS,
     SAMPLES_NEEDED,
     HedgedCall,
@@ -27,6 +21,12 @@
     Stop,
     Wait,
 )
+from lagoonlever.decisions.shares.budgets import (
+    FULL_RATIO,
+    RESERVE_TOKENS,
+    RetryBudget,
+    take_extra,
+)
 from lagoonlever.entry.services_answers import ComeBack
 
 NAMES = ("a", "b", "c")
--- a/lagoonlever/tests/hub_watch_tests.py
+++ b/lagoonlever/tests/hub_watch_tests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lagoonlever.decisions.hub_watch import (
+from lagoonlever.decisions.fleet.hub_watch import (
     ANSWER_S,
     BLIND_S,
     DOUBTFUL_S,
--- a/lagoonlever/tests/learnt_figure_tests.py
+++ b/lagoonlever/tests/learnt_figure_tests.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonlever.decisions.learnt_figure import FRESH_S, MOST_TIMES, WEIGHT, LearntFigure
+from lagoonlever.decisions.engines.learnt_figure import FRESH_S, MOST_TIMES, WEIGHT, LearntFigure
 
 
 def learnt(*values: float, prior: float = 1.0) -> LearntFigure:
--- a/lagoonlever/tests/leaving_target_tests.py
+++ b/lagoonlever/tests/leaving_target_tests.py
@@ -4,9 +4,9 @@
 
 import trio
 
-from lagoonlever.decisions.target_listing import TargetListing
-from lagoonlever.decisions.target_watch import TargetKnowledge
-from lagoonlever.decisions.targets import TargetState
+from lagoonlever.decisions.targets.listing import TargetListing
+from lagoonlever.decisions.targets.targets import TargetState
+from lagoonlever.decisions.targets.watch import TargetKnowledge
 from lagoonlever.exceptions import PlatformUnavailable
 from lagoonlever.fakes.engine import FakeEngine
 from lagoonlever.history.checkers.leaving_target import GRACE_S, check
--- a/lagoonlever/tests/limit_permits_tests.py
+++ b/lagoonlever/tests/limit_permits_tests.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from lagoonlever.bench.target_limits_model import LimitCase, LimitModel, Way
-from lagoonlever.decisions.limit_permits import (
+from lagoonlever.decisions.targets.limit_permits import (
     FIRST_NEED,
     Denied,
     Granted,
@@ -18,7 +18,7 @@
     counter_of,
     need_of,
 )
-from lagoonlever.decisions.named_limits import LimitWord, NamedLimits
+from lagoonlever.decisions.targets.named_limits import LimitWord, NamedLimits
 
 LEAST_USED = {9: 0.9, 75: 0.8, 195: 0.8, 300: 0.8}
 
--- a/lagoonlever/tests/listed_leaving_tests.py
+++ b/lagoonlever/tests/listed_leaving_tests.py
@@ -6,7 +6,7 @@
 import trio
 
 from lagoonlever.config.vm import VmSettings
-from lagoonlever.decisions.addresses import AddressesSettings
+from lagoonlever.decisions.fleet.addresses import AddressesSettings
 from lagoonlever.fakes.cluster import EmbeddedCluster
 
 TIMEOUT_S = 40
--- a/lagoonlever/tests/mechanisms_tests.py
+++ b/lagoonlever/tests/mechanisms_tests.py
@@ -9,7 +9,7 @@
 import trio
 
 from lagoonlever.config.options import load
-from lagoonlever.decisions.mechanisms import MECHANISMS, Mechanisms, gives
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS, Mechanisms, gives
 from lagoonlever.exceptions import FaultsError
 from lagoonlever.gateway import parts  # noqa: F401  registers the gateway's mechanisms
 from lagoonlever.gateway.options import (
--- a/lagoonlever/tests/membership_changes_tests.py
+++ b/lagoonlever/tests/membership_changes_tests.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.membership_changes import ChangeKind, changes_between
+from lagoonlever.decisions.membership.changes import ChangeKind, changes_between
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 
--- a/lagoonlever/tests/membership_tests.py
+++ b/lagoonlever/tests/membership_tests.py
@@ -10,9 +10,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from lagoonlever.bench.membership_network import Network, Node, node_address, node_name
-from lagoonlever.decisions.membership import MemberState
-from lagoonlever.decisions.membership_protocol import ListedVm, MembershipProtocol
-from lagoonlever.decisions.membership_table import Record
+from lagoonlever.decisions.membership.membership import MemberState
+from lagoonlever.decisions.membership.protocol import ListedVm, MembershipProtocol
+from lagoonlever.decisions.membership.table import Record
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.messages_membership import Gossip, Status
 
--- a/lagoonlever/tests/orders_part_tests.py
+++ b/lagoonlever/tests/orders_part_tests.py
@@ -9,10 +9,10 @@
 import pytest
 import trio
 
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.orders import GiveOrder, WantedState
-from lagoonlever.decisions.orders_wanted import WantedEngines
-from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetView
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.orders.orders import GiveOrder, WantedState
+from lagoonlever.decisions.orders.wanted import WantedEngines
+from lagoonlever.decisions.targets.targets import ModelKey, Target, TargetKind, TargetView
 from lagoonlever.entry.orders import OrderSettings, OrdersPart
 from lagoonlever.entry.orders_store import WANTED_KEY
 from lagoonlever.fakes.batch import ServedModel
--- a/lagoonlever/tests/orders_store_tests.py
+++ b/lagoonlever/tests/orders_store_tests.py
@@ -10,8 +10,8 @@
 import trio
 from hypothesis import given, settings
 
-from lagoonlever.decisions.orders import WantedState
-from lagoonlever.decisions.orders_wanted import (
+from lagoonlever.decisions.orders.orders import WantedState
+from lagoonlever.decisions.orders.wanted import (
     WantedConflict,
     WantedEdit,
     WantedEngines,
--- a/lagoonlever/tests/orders_tests.py
+++ b/lagoonlever/tests/orders_tests.py
@@ -10,8 +10,8 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from lagoonlever.decisions import orders
-from lagoonlever.decisions.orders import (
+from lagoonlever.decisions.orders import orders
+from lagoonlever.decisions.orders.orders import (
     GiveOrder,
     LoadBudget,
     OrderHolder,
@@ -19,7 +19,7 @@
     ReadEngine,
     WantedState,
 )
-from lagoonlever.decisions.targets import ModelKey
+from lagoonlever.decisions.targets.targets import ModelKey
 
 ENGINES = ("checking", "ignoring")
 TTL_S = 10.0
--- a/lagoonlever/tests/orphans_tests.py
+++ b/lagoonlever/tests/orphans_tests.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
-from lagoonlever.decisions import orphans
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.orphans import (
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.streams import orphans
+from lagoonlever.decisions.streams.orphans import (
     GRACE_S,
     RECORD_AFTER_S,
     OrphanHolder,
--- a/lagoonlever/tests/pace_keeper_tests.py
+++ b/lagoonlever/tests/pace_keeper_tests.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonlever.decisions.engine_paces import EnginePaces, KeptPace
+from lagoonlever.decisions.engines.engine_paces import EnginePaces, KeptPace
 from lagoonlever.fakes.metadata_store import StoreFault
 from lagoonlever.gateway import pace_keeper
 from lagoonlever.gateway.pace_keeper import PACES_KEY
--- a/lagoonlever/tests/placement_tests.py
+++ b/lagoonlever/tests/placement_tests.py
@@ -9,9 +9,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonlever.decisions.addresses import AddressesSettings, entry_addresses
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.placement import holders
+from lagoonlever.decisions.fleet.addresses import AddressesSettings, entry_addresses
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.streams.placement import holders
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 
--- a/lagoonlever/tests/placer_tests.py
+++ b/lagoonlever/tests/placer_tests.py
@@ -17,7 +17,7 @@
     chosen_at_random,
     placing_fleet,
 )
-from lagoonlever.decisions.run_placement import BudgetSpent, Placed, RunAsk
+from lagoonlever.decisions.streams.run_placement import BudgetSpent, Placed, RunAsk
 from lagoonlever.gateway.placer import ANSWER_S
 from lagoonlever.peers.messages import PEER
 from lagoonlever.peers.messages_gateway import RunEnded, RunList
--- a/lagoonlever/tests/planned_stop_tests.py
+++ b/lagoonlever/tests/planned_stop_tests.py
@@ -15,9 +15,9 @@
     run_state_machine_as_test,
 )
 
-from lagoonlever.decisions.addresses import AddressesSettings, entry_addresses
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.planned_stop import OpenWork, PlannedStop, StopPhase
+from lagoonlever.decisions.fleet.addresses import AddressesSettings, entry_addresses
+from lagoonlever.decisions.fleet.planned_stop import OpenWork, PlannedStop, StopPhase
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
 from lagoonlever.entry.stopping import QUIET_S
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
--- a/lagoonlever/tests/prompt_admission_tests.py
+++ b/lagoonlever/tests/prompt_admission_tests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lagoonlever.decisions.prompt_admission import (
+from lagoonlever.decisions.admission.prompt_admission import (
     COME_BACK_S,
     LEAST_PROMPTS,
     WINDOW_S,
--- a/lagoonlever/tests/release_tests.py
+++ b/lagoonlever/tests/release_tests.py
@@ -7,7 +7,7 @@
 from hypothesis import assume, given
 from hypothesis import strategies as st
 
-from lagoonlever.decisions.release import Piece, ReleaseBuffer
+from lagoonlever.decisions.targets.release import Piece, ReleaseBuffer
 
 ALPHABET = "ab €č"
 TEXTS = st.text(ALPHABET, max_size=30)
--- a/lagoonlever/tests/replacements_tests.py
+++ b/lagoonlever/tests/replacements_tests.py
@@ -4,14 +4,14 @@
 
 import attrs
 
-from lagoonlever.decisions.replacements import (
+from lagoonlever.decisions.targets.registry import ListedTarget, TargetChange, TargetRegistry
+from lagoonlever.decisions.targets.replacements import (
     DELAY_MARGIN_S,
     UNLISTED_S,
     WAITED_S,
     LifeSigns,
     same_service,
 )
-from lagoonlever.decisions.target_registry import ListedTarget, TargetChange, TargetRegistry
 from lagoonlever.http.messages import Address
 from lagoonlever.tests.base import at
 
--- a/lagoonlever/tests/reporting_tests.py
+++ b/lagoonlever/tests/reporting_tests.py
@@ -4,17 +4,23 @@
 
 import attrs
 
-from lagoonlever.decisions.answer import ReleasedPiece
-from lagoonlever.decisions.generation_messages import (
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.shares.meter import OrganisationStanding
+from lagoonlever.decisions.streams.answer import ReleasedPiece
+from lagoonlever.decisions.streams.generation_messages import (
     Decision,
     Dispatch,
     Finish,
     GenerationSpec,
     Release,
 )
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.shares_meter import OrganisationStanding
-from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad, TargetView
+from lagoonlever.decisions.targets.targets import (
+    ModelKey,
+    Target,
+    TargetKind,
+    TargetLoad,
+    TargetView,
+)
 from lagoonlever.entry.admission import AdmissionState, PoolState
 from lagoonlever.entry.reporting import Reporting
 from lagoonlever.entry.request_metrics import DecisionObserver, RequestMetrics
--- a/lagoonlever/tests/retry_window_tests.py
+++ b/lagoonlever/tests/retry_window_tests.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonlever.decisions.retry_window import RetryWindow
+from lagoonlever.decisions.admission.retry_window import RetryWindow
 
 RATIO, WINDOW_S, SLACK, VMS = 0.8, 10.0, 150.0, 9
 
--- a/lagoonlever/tests/roles_tests.py
+++ b/lagoonlever/tests/roles_tests.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from lagoonlever.decisions.fellows import FellowState
-from lagoonlever.decisions.roles import HUBS, LEAST_READERS, MESH_MOST, roles_of
+from lagoonlever.decisions.fleet.fellows import FellowState
+from lagoonlever.decisions.fleet.roles import HUBS, LEAST_READERS, MESH_MOST, roles_of
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 
--- a/lagoonlever/tests/rollout_plan_tests.py
+++ b/lagoonlever/tests/rollout_plan_tests.py
@@ -9,17 +9,18 @@
 from hypothesis import strategies as st
 
 from lagoonlever.bench.rollout_model import STOPS_AFTER_S, Conduct, RolloutCase, RolloutModel
-from lagoonlever.decisions import rollout_book, rollout_plan
-from lagoonlever.decisions.rollout_book import RolloutBook, VmCounts
-from lagoonlever.decisions.rollout_evidence import (
+from lagoonlever.decisions.rollouts import book as rollout_book
+from lagoonlever.decisions.rollouts import plan as rollout_plan
+from lagoonlever.decisions.rollouts.book import RolloutBook, VmCounts
+from lagoonlever.decisions.rollouts.evidence import (
     NO_EVIDENCE,
     AnswerCounts,
     Judgement,
     Seconds,
     judge,
 )
-from lagoonlever.decisions.rollout_plan import ExposureBounds, TrialProgress, plan_of
-from lagoonlever.decisions.versions import (
+from lagoonlever.decisions.rollouts.plan import ExposureBounds, TrialProgress, plan_of
+from lagoonlever.decisions.rollouts.versions import (
     RolloutOrder,
     RolloutPhase,
     RolloutState,
--- a/lagoonlever/tests/routing_tests.py
+++ b/lagoonlever/tests/routing_tests.py
@@ -10,8 +10,13 @@
 from hypothesis import given, settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lagoonlever.decisions.prefixes import PrefixIndex, TextTokenMap, text_blocks, token_blocks
-from lagoonlever.decisions.routing import (
+from lagoonlever.decisions.routing.prefixes import (
+    PrefixIndex,
+    TextTokenMap,
+    text_blocks,
+    token_blocks,
+)
+from lagoonlever.decisions.routing.routing import (
     POLICIES,
     Choice,
     ModelQuery,
@@ -22,8 +27,8 @@
     make_policy,
     spread,
 )
-from lagoonlever.decisions.routing_subsets import grouped_subset
-from lagoonlever.decisions.targets import (
+from lagoonlever.decisions.routing.subsets import grouped_subset
+from lagoonlever.decisions.targets.targets import (
     ModelKey,
     Target,
     TargetKind,
--- a/lagoonlever/tests/run_placement_tests.py
+++ b/lagoonlever/tests/run_placement_tests.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from lagoonlever.decisions.booked_runs import BookedRun
-from lagoonlever.decisions.configuration import EngineLimits
-from lagoonlever.decisions.engine_book import EngineBook
-from lagoonlever.decisions.prompt_admission import LEAST_PROMPTS
-from lagoonlever.decisions.retry_window import RetryWindow
-from lagoonlever.decisions.run_placement import (
+from lagoonlever.decisions.admission.prompt_admission import LEAST_PROMPTS
+from lagoonlever.decisions.admission.retry_window import RetryWindow
+from lagoonlever.decisions.engines.engine_book import EngineBook
+from lagoonlever.decisions.settings.configuration import EngineLimits
+from lagoonlever.decisions.streams.booked_runs import BookedRun
+from lagoonlever.decisions.streams.run_placement import (
     BudgetSpent,
     NoEngine,
     Overloaded,
@@ -21,8 +21,8 @@
     place_run,
     reserved_run,
 )
-from lagoonlever.decisions.run_records import RESERVED_S
-from lagoonlever.decisions.target_registry import ListedTarget, TargetRegistry
+from lagoonlever.decisions.streams.run_records import RESERVED_S
+from lagoonlever.decisions.targets.registry import ListedTarget, TargetRegistry
 from lagoonlever.http.messages import Address
 from lagoonlever.tests.base import at
 
--- a/lagoonlever/tests/said_leaving_tests.py
+++ b/lagoonlever/tests/said_leaving_tests.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lagoonlever.decisions.target_registry import (
+from lagoonlever.decisions.targets.registry import (
     FORGET_S,
     ListedTarget,
     TargetChange,
--- a/lagoonlever/tests/services_keys_tests.py
+++ b/lagoonlever/tests/services_keys_tests.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from lagoonlever.decisions.claims_keys import KEY_HEADER
+from lagoonlever.decisions.claims.keys import KEY_HEADER
 from lagoonlever.fakes.platform import PlatformFault, PlatformFaultKind
 from lagoonlever.http.client import Response
 from lagoonlever.outcomes import RETRY_AFTER_HEADER
--- a/lagoonlever/tests/services_site.py
+++ b/lagoonlever/tests/services_site.py
@@ -8,9 +8,9 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.claims_keys import KEY_HEADER
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.targets import Target, TargetKind
+from lagoonlever.decisions.claims.keys import KEY_HEADER
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.targets.targets import Target, TargetKind
 from lagoonlever.entry.services import ServiceRouter
 from lagoonlever.entry.services_settings import ServiceSettings
 from lagoonlever.fakes.application import ApplicationOptions, FakeApplication
--- a/lagoonlever/tests/services_targets_tests.py
+++ b/lagoonlever/tests/services_targets_tests.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from lagoonlever.decisions.targets import Target
+from lagoonlever.decisions.targets.targets import Target
 from lagoonlever.entry.services_settings import ServiceSettings
 from lagoonlever.fakes.entry_parts import FixedTargets
 from lagoonlever.fakes.faults import FaultKind, FaultOrder
--- a/lagoonlever/tests/settings_version_tests.py
+++ b/lagoonlever/tests/settings_version_tests.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from lagoonlever.decisions.settings_version import (
+from lagoonlever.decisions.settings.settings_version import (
     SettingsStanding,
     SettingsVersion,
     SettingsVersionOptions,
--- a/lagoonlever/tests/shares_slots_tests.py
+++ b/lagoonlever/tests/shares_slots_tests.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from lagoonlever.decisions.shares import ShareNode, ShareTree
-from lagoonlever.decisions.shares_slots import LeafDemand, divide_slots
+from lagoonlever.decisions.shares.shares import ShareNode, ShareTree
+from lagoonlever.decisions.shares.slots import LeafDemand, divide_slots
 
 
 @pytest.mark.parametrize(
--- a/lagoonlever/tests/shares_tests.py
+++ b/lagoonlever/tests/shares_tests.py
@@ -9,10 +9,10 @@
 
 from lagoonlever.bench.shares_model import SHARES, Organisation
 from lagoonlever.bench.shares_run import SharesRun, entitlements, worst_error
-from lagoonlever.decisions import shares_book
-from lagoonlever.decisions.shares import ShareNode, ShareTree, node_of
-from lagoonlever.decisions.shares_exchange import LeafSum, OwnSums, PeerSums, SumsNews
-from lagoonlever.decisions.shares_ledger import ShareLedger
+from lagoonlever.decisions.shares import book as shares_book
+from lagoonlever.decisions.shares.exchange import LeafSum, OwnSums, PeerSums, SumsNews
+from lagoonlever.decisions.shares.ledger import ShareLedger
+from lagoonlever.decisions.shares.shares import ShareNode, ShareTree, node_of
 from lagoonlever.identity import Incarnation
 
 LARGE = Organisation(path="/large", weight=3, long_part=0.0, prompt_tokens=50)
--- a/lagoonlever/tests/stop_tests.py
+++ b/lagoonlever/tests/stop_tests.py
@@ -11,8 +11,8 @@
 
 from lagoonlever.client.answers import HeldStream
 from lagoonlever.client.caller import Arrival, Caller, CompletionRequest
-from lagoonlever.decisions.addresses import AddressesSettings
-from lagoonlever.decisions.planned_stop import OpenWork, PlannedStop
+from lagoonlever.decisions.fleet.addresses import AddressesSettings
+from lagoonlever.decisions.fleet.planned_stop import OpenWork, PlannedStop
 from lagoonlever.entry import stopping
 from lagoonlever.entry.daemon import EntryDaemon
 from lagoonlever.exceptions import ConnectFailed, ConnectionBroken
--- a/lagoonlever/tests/store_documents_tests.py
+++ b/lagoonlever/tests/store_documents_tests.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonlever.decisions.fellows import FellowTable
+from lagoonlever.decisions.fleet.fellows import FellowTable
 from lagoonlever.gateway.register import REGISTER_PREFIX, Register
 from lagoonlever.identity import Incarnation
 from lagoonlever.platform.configuration import UnreadableConfiguration, read_configuration
--- a/lagoonlever/tests/stream_silence_tests.py
+++ b/lagoonlever/tests/stream_silence_tests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lagoonlever.decisions.stream_silence import (
+from lagoonlever.decisions.streams.silence import (
     FIRST_ASK_S,
     LEAST_SUSPECT_S,
     PART_OF_PAUSE,
--- a/lagoonlever/tests/suspicion_tests.py
+++ b/lagoonlever/tests/suspicion_tests.py
@@ -9,10 +9,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lagoonlever.decisions.suspicion import EngineSuspicion, StreamVerdict, SuspicionLevel
-from lagoonlever.decisions.suspicion_budget import SETTLED_AFTER, HedgeBudget
-from lagoonlever.decisions.suspicion_detectors import DETECTORS, SuspicionReason
-from lagoonlever.decisions.suspicion_settings import DetectionSettings
+from lagoonlever.decisions.suspicion.budget import SETTLED_AFTER, HedgeBudget
+from lagoonlever.decisions.suspicion.detectors import DETECTORS, SuspicionReason
+from lagoonlever.decisions.suspicion.settings import DetectionSettings
+from lagoonlever.decisions.suspicion.suspicion import EngineSuspicion, StreamVerdict, SuspicionLevel
 
 GAP_S = 0.025
 
--- a/lagoonlever/tests/target_fleet.py
+++ b/lagoonlever/tests/target_fleet.py
@@ -6,18 +6,18 @@
 
 import attrs
 
-from lagoonlever.decisions.membership import Member, MemberState, MemberView
-from lagoonlever.decisions.target_freshness import ListFreshness
-from lagoonlever.decisions.target_listing import HOLD_S, ListedTarget, TargetListing
-from lagoonlever.decisions.target_listing import TargetListReading as Reading
-from lagoonlever.decisions.target_watch import (
+from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
+from lagoonlever.decisions.targets.freshness import ListFreshness
+from lagoonlever.decisions.targets.listing import HOLD_S, ListedTarget, TargetListing
+from lagoonlever.decisions.targets.listing import TargetListReading as Reading
+from lagoonlever.decisions.targets.targets import TargetKind
+from lagoonlever.decisions.targets.watch import (
     Send,
     TargetKnowledge,
     TargetLeavingNews,
     TargetListAnswer,
     TargetListAsk,
 )
-from lagoonlever.decisions.targets import TargetKind
 from lagoonlever.history.checkers.leaving_target import GRACE_S
 from lagoonlever.history.events import HistoryEvent
 from lagoonlever.history.events_targets import EngineTook, TargetListed
--- a/lagoonlever/tests/target_load_tests.py
+++ b/lagoonlever/tests/target_load_tests.py
@@ -6,8 +6,8 @@
 import hypothesis.strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lagoonlever.decisions.target_load import IMPAIRED_LONGEST_S, LOAD_STALE_S, TargetReports
-from lagoonlever.decisions.targets import ModelKey, Target, TargetKind, TargetLoad
+from lagoonlever.decisions.targets.load import IMPAIRED_LONGEST_S, LOAD_STALE_S, TargetReports
+from lagoonlever.decisions.targets.targets import ModelKey, Target, TargetKind, TargetLoad
 from lagoonlever.http.messages import Address
 
 MODELS = (ModelKey(name="base", version="1"),)
--- a/lagoonlever/tests/target_registry_tests.py
+++ b/lagoonlever/tests/target_registry_tests.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.target_registry import (
+from lagoonlever.decisions.targets.registry import (
     LAPSED_BACK_S,
     ListedTarget,
     TargetChange,
--- a/lagoonlever/tests/target_watch_tests.py
+++ b/lagoonlever/tests/target_watch_tests.py
@@ -9,9 +9,9 @@
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from lagoonlever.decisions.membership import MemberView
-from lagoonlever.decisions.target_freshness import Belief, ListFreshness
-from lagoonlever.decisions.target_listing import HOLD_S
+from lagoonlever.decisions.membership.membership import MemberView
+from lagoonlever.decisions.targets.freshness import Belief, ListFreshness
+from lagoonlever.decisions.targets.listing import HOLD_S
 from lagoonlever.history.checkers import Violation
 from lagoonlever.history.checkers.leaving_target import check
 from lagoonlever.tests.target_fleet import NAMES, STEP_S, VMS, Fleet, target_address
--- a/lagoonlever/tests/target_words_tests.py
+++ b/lagoonlever/tests/target_words_tests.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from lagoonlever.decisions.target_rests import RestingTargets
+from lagoonlever.decisions.targets.rests import RestingTargets
 from lagoonlever.fakes.platform_engine import EngineConduct
 from lagoonlever.fakes.platform_runner import Conduct
 from lagoonlever.gateway.prober import EngineProber
