--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -5,6 +5,7 @@
 import attrs
 
 from lagoonlever.decisions.streams.booked_runs import RunCopy
+from lagoonlever.decisions.targets.told_load import ToldLoad
 from lagoonlever.http.messages import Address
 
 
@@ -72,15 +73,6 @@
     """The copy that the run goes on from."""
 
 
-@attrs.frozen(kw_only=True)
-class TargetLoad:
-    """How busy a target is by its own word."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @attrs.frozen(kw_only=True)
 class AnswerHead:
     """What the head of a target's answer says."""
@@ -93,7 +85,7 @@
     """The target says that it has not run the request, and never will."""
     target_id: str | None
     """The process that answers, where it says so."""
-    load: TargetLoad | None
+    load: ToldLoad | None
     idle_s: float | None
     """How long the target keeps the connection open, where it says so."""
     closes: bool
--- a/lagoonlever/platform/headers.py
+++ b/lagoonlever/platform/headers.py
@@ -5,6 +5,7 @@
 import math
 import sys
 
+from lagoonlever.decisions.targets.told_load import ToldLoad
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.gateway.messages import (
     AnswerHead,
@@ -12,7 +13,6 @@
     GenerationAsk,
     Hop,
     PromptPart,
-    TargetLoad,
 )
 from lagoonlever.http.messages import Headers
 
@@ -28,6 +28,10 @@
 SEAL = "Response-Seal"
 REFUSED = "Not-Executed"
 LOAD = "Server-Load"
+LEAST_FIGURES = 3
+KNOWN_FIGURES = 4
+USUAL_PACE = 100.0
+"""The fourth figure of a target on whose machine work takes as long as usual."""
 LIMIT = "Server-Limit"
 """Requests a second of all VMs together."""
 TARGET_ID = "Instance-Id"
@@ -145,7 +149,7 @@
         sealed=headers.get(SEAL) is not None,
         refused=headers.get(REFUSED) is not None or status == MISDIRECTED,
         target_id=headers.get(TARGET_ID),
-        load=_load(headers.get(LOAD)),
+        load=_load(headers.get(LOAD), unreadable),
         idle_s=_idle_s(headers.get("Keep-Alive")),
         closes="close" in connection,
         limit_per_s=limit_per_s,
@@ -216,14 +220,30 @@
     return tuple(parts)
 
 
-def _load(text: str | None) -> TargetLoad | None:
+def _load(text: str | None, unreadable: list[str]) -> ToldLoad | None:
+    """Read three figures or more: running, waiting, slots, and the pace of the machine.
+
+    Figures beyond the known ones say nothing; an odd one makes the whole field say nothing.
+    """
     if text is None:
         return None
+    figures = [_figure(part) for part in text.split(",")]
+    known = [figure for figure in figures[:KNOWN_FIGURES] if figure is not None]
+    pace = known[LEAST_FIGURES] if len(known) > LEAST_FIGURES else None
+    if len(known) < min(len(figures), KNOWN_FIGURES) or len(known) < LEAST_FIGURES or pace == 0:
+        unreadable.append(f"{LOAD}: {text[:MOST_SHOWN]!r}")
+        return None
+    running, waiting, slots = known[:LEAST_FIGURES]
+    slowness = None if pace is None else pace / USUAL_PACE
+    return ToldLoad(running=running, waiting=waiting, slots=slots, slowness=slowness)
+
+
+def _figure(text: str) -> float | None:
     try:
-        running, waiting, slots = (int(part) for part in text.split(","))
+        figure = float(text)
     except ValueError:
         return None
-    return TargetLoad(running=running, waiting=waiting, slots=slots)
+    return figure if 0 <= figure < math.inf else None
 
 
 def _leaves(headers: Headers, unreadable: list[str]) -> bool:
--- /dev/null
+++ b/lagoonlever/tests/platform_headers_tests.py
@@ -0,0 +1,48 @@
+"""The fields of a target's answer that say how busy it is."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonlever.decisions.targets.told_load import ToldLoad
+from lagoonlever.http.messages import Headers
+from lagoonlever.platform.headers import LOAD, read_answer
+
+OK = 200
+
+
+def _read(text: str):
+    return read_answer(OK, Headers(((LOAD, text),)))
+
+
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("3,0,8", ToldLoad(running=3, waiting=0, slots=8)),
+        ("3,0,8,100", ToldLoad(running=3, waiting=0, slots=8, slowness=1.0)),
+        ("3, 2, 8, 250", ToldLoad(running=3, waiting=2, slots=8, slowness=2.5)),
+        ("1.5,0.25,6,87.5", ToldLoad(running=1.5, waiting=0.25, slots=6, slowness=0.875)),
+        ("3,0,8,100,7,new", ToldLoad(running=3, waiting=0, slots=8, slowness=1.0)),
+    ],
+)
+def test_a_load_of_three_figures_or_more_is_read(text: str, load: ToldLoad):
+    head = _read(text)
+    assert head.load == load
+    assert head.unreadable == ()
+
+
+@pytest.mark.parametrize(
+    "text", ["", "3", "3,0", "3,0,x", "3,0,8,fast", "-1,0,8", "3,0,8,nan", "3,0,8,inf", "3,0,8,0"]
+)
+def test_an_odd_load_is_told_and_harms_nothing_else(text: str):
+    head = _read(text)
+    assert head.load is None
+    assert len(head.unreadable) == 1
+    assert head.tells_limit
+    assert not head.refused
+
+
+def test_an_answer_without_a_load_says_nothing_odd():
+    head = read_answer(OK, Headers(()))
+    assert head.load is None
+    assert head.unreadable == ()
