One view of targets' loads: own words, news and open requests, each by its age

Cause: targets say with every answer how busy and how slow they are, and it was thrown away; each part counted for itself what it had sent.

`TargetLoads` keeps the newest word of each target's present process, adds what this VM has sent since and takes off what has ended since, and never falls below what this VM has open there: a figure that is stuck at idle hides nothing. Heard in answers and refusals of calls and streams; sends are counted by tickets, so that none ends twice, and an answer to a request of before a new start says nothing of the new process.

--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -13,7 +13,6 @@
 from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
 from lagoonlever.platform.headers import (
     EXPECTED_TARGET,
-    LOAD,
     MISDIRECTED,
     REFUSED,
     REQUEST_ID,
@@ -64,7 +63,7 @@
         self.seen: list[Headers] = []
         self.arrivals: list[str] = []
         self.arrived_at: list[float] = []
-        self.says = TargetWords()
+        self.says = TargetWords(load="1,0,6")
         self._state = ServerState()
         self._deadly = deadly
         """Bodies of requests under which the runner ends as it runs them."""
@@ -106,7 +105,7 @@
 
     async def _answer(self, exchange: Exchange, request_id: str, conduct: Conduct) -> None:
         body = b"answer to " + request_id.encode()
-        fields = [(REQUEST_ID, request_id), (SEAL, f"seal-{request_id}"), (LOAD, "1,0,6")]
+        fields = [(REQUEST_ID, request_id), (SEAL, f"seal-{request_id}")]
         fields += self.says.fields()
         if conduct is Conduct.LOSE_ANSWER:
             raise CallerGone
--- a/lagoonlever/fakes/target_words.py
+++ b/lagoonlever/fakes/target_words.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.platform.headers import LEAVING, LIMIT, REST
+from lagoonlever.platform.headers import LEAVING, LIMIT, LOAD, REST
 
 
 @attrs.define(kw_only=True)
@@ -15,6 +15,7 @@
     """The requests a second that it takes."""
 
     leaving: str | None = None
+    load: str | None = None
     rest: str | None = None
     """The seconds of rest that it asks for as it turns requests away."""
 
@@ -23,6 +24,7 @@
         said = (
             (LIMIT, self.limit),
             (LEAVING, self.leaving),
+            (LOAD, self.load),
             (REST, self.rest if refusal else None),
         )
         return tuple((name, text) for name, text in said if text is not None)
--- a/lagoonlever/gateway/beliefs.py
+++ b/lagoonlever/gateway/beliefs.py
@@ -8,6 +8,7 @@
 from lagoonlever.decisions.engines.engine_book import EngineBook
 from lagoonlever.decisions.fleet.fellows import FellowTable
 from lagoonlever.decisions.settings.configuration import Configuration, EngineLimits
+from lagoonlever.decisions.targets.load_view import TargetLoads
 from lagoonlever.decisions.targets.registry import TargetRegistry
 from lagoonlever.published import Published
 
@@ -27,6 +28,7 @@
     configuration_value: bytes | None = None
     """The configuration as it is stored, to pass on to a VM that can't read the store."""
     targets: TargetRegistry = attrs.field(factory=TargetRegistry)
+    loads: TargetLoads = attrs.field(factory=TargetLoads)
     known: trio.Event = attrs.field(factory=trio.Event)
     """Set once both a configuration and a list of targets are known."""
 
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -7,6 +7,7 @@
 from lagoonlever.decisions.rollouts.book import Lane
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.targets.limit_permits import Denied, need_of
+from lagoonlever.decisions.targets.load_view import SentTicket
 from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
@@ -114,6 +115,7 @@
         head: AnswerHead | None = None
         result: AttemptResult | None = None
         lane: Lane | None = None
+        ticket: SentTicket | None = None
         sent_at = self.timers.now
         try:
             left_s = accepted.left_s(self.timers.now)
@@ -122,7 +124,7 @@
                 return result
             hop = Hop(target_id=target.id, deadline_s=left_s, organisation=accepted.organisation)
             call.written(target.id)
-            self.words.sent(target.id, first=call.sent == 1)
+            ticket = self.words.sent(target.id, first=call.sent == 1)
             lane = self.rollouts.sent(target, accepted.route.name)
             opened = await self.client.open(
                 connection, accepted.request, hop, request_id=accepted.request_id
@@ -141,6 +143,8 @@
                 head = result.head
             return result
         finally:
+            if ticket is not None:
+                self.words.ended(ticket)
             self.reporter.attempt_ended(accepted, result_name(result))
             self._count(target, lane, result, self.timers.now - sent_at)
             await self.client.release(connection, head)
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -169,7 +169,7 @@
         """Write and relay; gives the head if the connection may be kept."""
         plan = self._plan
         self._life.was_sent(copy=plan.run.copy)
-        self._tools.words.sent(plan.engine.id, first=self._life.sent == 1)
+        ticket = self._tools.words.sent(plan.engine.id, first=self._life.sent == 1)
         self._peers.begin(plan.run)
         self._log_sent()
         self._counts.sent(whole_answer=plan.copy_from is None and not self._life.position)
@@ -184,6 +184,7 @@
                     nursery.start_soon(self._look_again)
                 return await self._relay(connection, silence)
         finally:
+            self._tools.words.ended(ticket)
             watched.discard(silence)
             if not watched:
                 self._tools.watched.pop(plan.engine.id, None)
--- a/lagoonlever/gateway/target_words.py
+++ b/lagoonlever/gateway/target_words.py
@@ -10,8 +10,10 @@
 
 from lagoonlever.decisions.admission.limits import after_rest_s
 from lagoonlever.decisions.targets.limit_permits import Denied, Granted, PermitOutcome
+from lagoonlever.decisions.targets.load_view import SentTicket
 from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.decisions.targets.rests import RestingTargets
+from lagoonlever.decisions.targets.told_load import LoadWord
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.hub_spread import HubSpread
@@ -56,6 +58,14 @@
         if head.status == MISDIRECTED or head.target_id not in (None, target):
             return
         self._limits.heard(target, head, sent_at=sent_at)
+        if head.load is not None:
+            word = LoadWord(
+                target=target,
+                load=head.load,
+                at=self._timers.now,
+                started_ms=self._beliefs.targets.start_of(target),
+            )
+            self._beliefs.loads.told(word, asked_at=sent_at)
         if head.unreadable and self._unreadable.get(target) != head.unreadable:
             self._unreadable[target] = head.unreadable
             events.TARGET_FIELD_UNREADABLE.log(log, target=target, fields=head.unreadable)
@@ -98,9 +108,14 @@
         """Tell whether a permit still does, by what the target has said since."""
         return not self.rests(target) and self._limits.covers(target, permit)
 
-    def sent(self, target: str, *, first: bool) -> None:
-        """Count a request that is written to a target."""
+    def sent(self, target: str, *, first: bool) -> SentTicket:
+        """Count a request that is written to a target; gives what ends it."""
         self._limits.sent(target, first=first)
+        return self._beliefs.loads.sent(target, self._timers.now)
+
+    def ended(self, ticket: SentTicket) -> None:
+        """Note that a request is over, whatever became of it."""
+        self._beliefs.loads.ended(ticket, self._timers.now)
 
     def come_back_s(self, service: str) -> float | None:
         """Give when a refused caller is to come back; None where no target has said anything.
@@ -125,6 +140,7 @@
     def started_again(self, target: str) -> None:
         """Note that another process has a target's id: it has asked for no rest yet."""
         self._rests.forget(target)
+        self._beliefs.loads.started_again(target, self._timers.now)
 
     def greet(self, newcomer: Address) -> None:
         """Tell a VM that has just come, or was not heard, which targets leave."""
@@ -160,3 +176,4 @@
         listed = frozenset(target.id for target in self._beliefs.targets.targets)
         for target in self._unreadable.keys() - listed:
             del self._unreadable[target]
+        self._beliefs.loads.retain(listed)
--- /dev/null
+++ b/lagoonlever/tests/load_view_tests.py
@@ -0,0 +1,193 @@
+"""What is thought of targets' loads: by their words, by news, and by this VM's own requests."""
+
+from __future__ import annotations
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lagoonlever.decisions.targets.load_estimate import LoadSource
+from lagoonlever.decisions.targets.load_view import KEPT_S, MOMENT_S, SentTicket, TargetLoads
+from lagoonlever.decisions.targets.told_load import USUAL, LoadWord, ToldLoad
+
+SLOTS = 6.0
+
+
+def word(
+    *, running: float = 0.0, waiting: float = 0.0, at: float = 0.0, slowness: float | None = None
+) -> LoadWord:
+    load = ToldLoad(running=running, waiting=waiting, slots=SLOTS, slowness=slowness)
+    return LoadWord(target="t", load=load, at=at)
+
+
+def test_a_target_of_which_nobody_has_heard_has_what_this_vm_sent() -> None:
+    loads = TargetLoads()
+    loads.sent("t", 0.0)
+    estimate = loads.estimate("t", 1.0)
+    assert estimate.source is LoadSource.NONE
+    assert (estimate.running, estimate.waiting) == (1, 0)
+
+
+def test_requests_since_the_word_are_added_and_those_that_ended_are_taken_off() -> None:
+    loads = TargetLoads()
+    before = loads.sent("t", 0.0)
+    loads.told(word(running=5, at=0.1))
+    loads.sent("t", 0.2)
+    loads.sent("t", 0.2)
+    assert loads.estimate("t", 0.2).waiting == 1
+    loads.ended(before, 0.3)
+    assert (loads.estimate("t", 0.3).running, loads.estimate("t", 0.3).waiting) == (6, 0)
+    loads.ended(before, 0.4)
+    assert loads.estimate("t", 60.0).running == 6
+
+
+def test_an_end_is_not_forgotten_while_the_word_counts_its_request() -> None:
+    """Guards against an idle target that looks busy again, as the end was long ago."""
+    loads = TargetLoads()
+    ticket = loads.sent("t", 0.0)
+    loads.told(word(running=1, at=0.1))
+    loads.ended(ticket, 0.2)
+    for number in range(20):
+        loads.ended(loads.sent("t", 1.0 + number), 1.5 + number)
+    assert loads.estimate("t", 30.0).running == 0
+
+
+def test_news_of_before_an_end_is_not_taken_for_a_request_more() -> None:
+    loads = TargetLoads()
+    ticket = loads.sent("t", 0.0)
+    loads.ended(ticket, 0.2)
+    loads.passed_on(word(running=3, at=0.19))
+    assert loads.estimate("t", 0.21).running == 2
+
+
+@pytest.mark.parametrize("told", [0.0, 1.0])
+def test_a_figure_that_is_stuck_does_not_hide_what_this_vm_has_there(told: float) -> None:
+    """Guards against a target that always says that it is idle, and is then given everything."""
+    loads = TargetLoads()
+    for number in range(9):
+        loads.sent("t", 0.1 * number)
+        loads.told(word(running=told, at=0.1 * number + 0.05))
+    estimate = loads.estimate("t", 1.0)
+    assert (estimate.running, estimate.waiting) == (6, 3)
+
+
+def test_slowness_fades_to_the_usual_as_the_moment_ends() -> None:
+    loads = TargetLoads()
+    loads.told(word(at=0.0, slowness=2.5))
+    seen = [loads.estimate("t", MOMENT_S * part).slowness for part in (0.0, 0.5, 1.0, 9.0)]
+    assert seen == [2.5, 1.75, USUAL, USUAL]
+
+
+def test_old_news_does_not_replace_a_newer_word() -> None:
+    """Guards against news that a slow link brings after the target's own answer."""
+    loads = TargetLoads()
+    loads.told(word(running=4, at=1.0, slowness=1.0))
+    assert not loads.passed_on(word(running=0, at=0.5, slowness=2.5))
+    assert loads.estimate("t", 1.0).running == 4
+    assert loads.passed_on(word(running=2, at=1.5))
+    assert loads.estimate("t", 1.6).source is LoadSource.NEWS
+    assert not loads.tells_slowness("t")
+
+
+def test_an_answer_of_the_former_process_says_nothing_of_the_new_one() -> None:
+    loads = TargetLoads()
+    ticket = loads.sent("t", 0.0)
+    loads.told(word(running=6, at=0.5, slowness=2.5))
+    loads.started_again("t", 1.0)
+    assert not loads.told(word(running=6, at=1.1, slowness=2.5), asked_at=0.9)
+    loads.ended(ticket, 1.2)
+    assert loads.estimate("t", 1.3).running == 0
+    assert not loads.tells_slowness("t")
+
+
+def test_the_count_is_the_less_certain_the_older_its_word() -> None:
+    loads = TargetLoads()
+    loads.told(word(running=3, at=0.0))
+    errors = [loads.estimate("t", at).error for at in (0.0, 0.1, 1.0, 100.0)]
+    assert errors[0] == 0.0 and errors == sorted(errors) and errors[-1] == SLOTS
+
+
+class ViewMachine(RuleBasedStateMachine):
+    """One target in several lives; requests and words of before arrive at any time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loads = TargetLoads()
+        self.now = 0.0
+        self.born_at = float("-inf")
+        self.open: dict[SentTicket, float] = {}
+        self.over: list[SentTicket] = []
+        self.ended: list[tuple[float, float]] = []
+        """When each request of this life was sent and ended."""
+        self.told: LoadWord | None = None
+
+    @rule(seconds=st.floats(0.001, 5.0))
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule()
+    def send(self) -> None:
+        self.open[self.loads.sent("t", self.now)] = self.now
+
+    @precondition(lambda self: self.open)
+    @rule(data=st.data())
+    def end(self, data: st.DataObject) -> None:
+        ticket = data.draw(st.sampled_from(list(self.open)))
+        self.loads.ended(ticket, self.now)
+        self.ended.append((self.open.pop(ticket), self.now))
+        self.over.append(ticket)
+
+    @precondition(lambda self: self.over)
+    @rule(data=st.data())
+    def end_once_more(self, data: st.DataObject) -> None:
+        self.loads.ended(data.draw(st.sampled_from(self.over)), self.now)
+
+    @rule(extra=st.integers(0, 9), waiting=st.integers(0, 9))
+    def answer(self, extra: int, waiting: int) -> None:
+        running = float(extra + len(self.open))
+        given = word(running=running, waiting=waiting, at=self.now, slowness=2.5)
+        if self.loads.told(given):
+            self.told = given
+
+    @rule(age_s=st.floats(0.0, 0.9 * KEPT_S), running=st.integers(0, 9))
+    def news(self, age_s: float, running: int) -> None:
+        given = word(running=running, at=self.now - age_s)
+        if self.loads.passed_on(given):
+            assert given.at >= self.born_at
+            self.told = given
+
+    @rule()
+    def start_again(self) -> None:
+        self.loads.started_again("t", self.now)
+        self.over += self.open
+        self.open.clear()
+        self.ended.clear()
+        self.told, self.born_at = None, self.now
+
+    @invariant()
+    def own_requests_are_counted_once(self) -> None:
+        estimate = self.loads.estimate("t", self.now)
+        count = estimate.running + estimate.waiting
+        assert self.loads.open_requests("t") == len(self.open)
+        if self.told is None:
+            assert count == len(self.open)
+            return
+        load, at = self.told.load, self.told.at
+        sent = sum(sent_at > at for sent_at in self.open.values())
+        gone = sum(sent_at <= at < ended_at for sent_at, ended_at in self.ended)
+        assert count == max(len(self.open), load.running + load.waiting + sent - gone)
+
+    @invariant()
+    def figures_stay_within_bounds(self) -> None:
+        estimate = self.loads.estimate("t", self.now)
+        assert min(estimate.running, estimate.waiting, estimate.error, estimate.age_s) >= 0.0
+        assert USUAL <= estimate.slowness <= 2.5
+
+    @invariant()
+    def a_new_life_begins_at_nothing(self) -> None:
+        if self.told is None:
+            assert self.loads.word("t") is None
+            assert self.loads.estimate("t", self.now).running == len(self.open)
+
+
+TestView = ViewMachine.TestCase
