The first event of a stream tells all VMs its engine's load

Cause: a VM hears of each engine only by its own streams there, one in several minutes at 60 VMs and 45 engines; a machine is slow for 0.6 s.

`RunFlows`, which every VM gets (or every hub, beyond 120 VMs), carries the word that the engine has just told, five small whole figures. Only words that tell slowness and are younger than a moment are passed on, so that for other targets nothing is added but an empty field. A word of a former process is left out.

No message more; at most 16 bytes more in each (a test counts them).

--- a/lagoonlever/decisions/engines/engine_book.py
+++ b/lagoonlever/decisions/engines/engine_book.py
@@ -221,6 +221,11 @@
         record = self._records.find(request)
         return record.run.vm if record is not None else None
 
+    def run_of(self, request: str) -> BookedRun | None:
+        """Give the run of a request as last heard of, or None."""
+        record = self._records.find(request)
+        return record.run if record is not None else None
+
     def reserve(self, run: BookedRun, now: float) -> None:
         """Keep a place for a run that another VM is about to send.
 
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -18,6 +18,7 @@
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_gateway import (
     EngineLost,
+    EngineWord,
     RunChange,
     RunCopied,
     RunEnded,
@@ -102,9 +103,16 @@
             self._relay.tell(RunCopied(request=request, copy=copy))
 
     def flows(self, request: str) -> None:
-        """Note the first event of a run of this VM, and tell the others."""
-        self._beliefs.book.flows(request, self._timers.now)
-        self._relay.tell(RunFlows(request=request))
+        """Note the first event of a run of this VM, and tell the others.
+
+        With what the engine has just said of itself: so everyone hears of each engine as often
+        as a stream begins there, by messages that pass anyway.
+        """
+        now = self._timers.now
+        self._beliefs.book.flows(request, now)
+        run = self._beliefs.book.run_of(request)
+        word = self._beliefs.loads.word(run.engine) if run is not None else None
+        self._relay.tell(RunFlows(request=request, load=EngineWord.of(word, now)))
 
     def end(self, ended: RunEnded) -> None:
         """Note the end of a run of this VM, and tell the others."""
@@ -184,11 +192,22 @@
             return
         elif isinstance(change, RunFlows):
             book.flows(change.request, self._timers.now)
+            self._take_load(change)
         elif isinstance(change, RunCopied):
             book.copied(change.request, change.copy)
         else:
             self._end(change)
 
+    def _take_load(self, change: RunFlows) -> None:
+        """Take an engine's word that another VM passes on, unless it is of a former process."""
+        run = self._beliefs.book.run_of(change.request)
+        if run is None or change.load is None:
+            return
+        engine = self._beliefs.targets.find(run.engine)
+        if engine is None or engine.has_started_again(run.engine_started_ms):
+            return
+        self._beliefs.loads.passed_on(change.load.word(run, self._timers.now))
+
     def _end(self, ended: RunEnded) -> None:
         self._beliefs.book.end(
             ended.request,
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -6,12 +6,15 @@
 from __future__ import annotations
 
 import enum
+from typing import NamedTuple
 
 import attrs
 
 from lagoonlever.decisions.fleet.fellows import FellowState
 from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.targets.load_view import MOMENT_S
 from lagoonlever.decisions.targets.registry import ListedTarget, TargetChange
+from lagoonlever.decisions.targets.told_load import LoadWord, ToldLoad
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.messages import PEER
 from lagoonlever.revisions import NOWHERE, Revision
@@ -68,12 +71,53 @@
     runs: tuple[BookedRun, ...]
 
 
+class EngineWord(NamedTuple):
+    """An engine's load in whole figures: an array on the wire, without the names of its fields."""
+
+    running: int
+    waiting: int
+    slots: int
+    slowness_pct: int
+    """100 as usual."""
+    age_ms: int
+
+    @classmethod
+    def of(cls, word: LoadWord | None, now: float) -> EngineWord | None:
+        """Give what is passed on of a word: one that tells slowness, while it is fresh."""
+        if word is None or word.load.slowness is None or now - word.at > MOMENT_S:
+            return None
+        return cls(
+            running=round(word.load.running),
+            waiting=round(word.load.waiting),
+            slots=round(word.load.slots),
+            slowness_pct=round(100 * word.load.slowness),
+            age_ms=round(1000 * max(0.0, now - word.at)),
+        )
+
+    def word(self, run: BookedRun, now: float) -> LoadWord:
+        """Give the word of a run's engine, by the clock of the VM that hears of it."""
+        load = ToldLoad(
+            running=float(self.running),
+            waiting=float(self.waiting),
+            slots=float(self.slots),
+            slowness=self.slowness_pct / 100,
+        )
+        return LoadWord(
+            target=run.engine,
+            load=load,
+            at=now - max(0, self.age_ms) / 1000,
+            started_ms=run.engine_started_ms,
+        )
+
+
 @PEER.message("gf")
 @attrs.frozen(kw_only=True)
 class RunFlows:
     """A run has given its first event."""
 
     request: str
+    load: EngineWord | None = None
+    """What its engine has just said, where it tells how slow its machine is."""
 
 
 @PEER.message("gc")
@@ -214,6 +258,7 @@
 __all__ = (
     "ConfigurationNews",
     "EngineLost",
+    "EngineWord",
     "FellowAsk",
     "FellowDigest",
     "FellowDigests",
--- a/lagoonlever/tests/load_words_tests.py
+++ b/lagoonlever/tests/load_words_tests.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import attrs
 import trio
 
 from lagoonlever.decisions.targets.load_estimate import LoadEstimate, LoadSource
+from lagoonlever.decisions.targets.load_view import MOMENT_S
+from lagoonlever.decisions.targets.told_load import LoadWord, ToldLoad
 from lagoonlever.fakes.platform_runner import Conduct
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.peers.messages import PEER
+from lagoonlever.peers.messages_gateway import EngineWord, RunFlows
 from lagoonlever.tests.gateway_site import GatewaySite, run_site, until_within
 
 
@@ -80,3 +85,35 @@
         await until_within(3.0, lambda: loads.word("engine-0") is None)
 
     run_site(story, engines=1, runners=0, vms=1)
+
+
+def test_the_first_event_of_a_stream_tells_every_vm_its_engine_s_load() -> None:
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        site.engines["engine-0"].says.load = "4,1,16,250"
+        assert (await site.stream("p")).whole
+        views = [beliefs_of(site, vm).loads for vm in site.vms]
+        await until_within(2.0, lambda: all(view.word("engine-0") for view in views))
+        sources = {estimate(site, "engine-0", vm).source for vm in site.vms}
+        assert sources == {LoadSource.ANSWER, LoadSource.NEWS}
+        assert all(view.tells_slowness("engine-0") for view in views)
+
+    run_site(story, engines=1, runners=0, vms=2)
+
+
+def test_news_of_a_load_costs_no_message_and_few_bytes() -> None:
+    """Guards against news that eat up what VMs may tell each other: 3 kB a second."""
+    load = ToldLoad(running=4.0, waiting=1.0, slots=16.0, slowness=2.5)
+    word = LoadWord(target="e", load=load, at=1.0)
+    plain = RunFlows(request="r")
+    full = RunFlows(request="r", load=EngineWord.of(word, 1.2))
+    assert len(PEER.encode(full)) - len(PEER.encode(plain)) <= 16
+    assert PEER.decode(PEER.encode(full)) == full
+
+
+def test_only_fresh_words_that_tell_slowness_are_passed_on() -> None:
+    silent = ToldLoad(running=4.0, waiting=1.0, slots=16.0)
+    told = attrs.evolve(silent, slowness=2.5)
+    assert EngineWord.of(LoadWord(target="e", load=silent, at=1.0), 1.0) is None
+    assert EngineWord.of(LoadWord(target="e", load=told, at=1.0), 1.0 + 2 * MOMENT_S) is None
+    assert EngineWord.of(None, 1.0) is None
