Streams go by each engine's own pace where engines tell how slow they are

Cause: engines of one service take 0.7 or 1.7 times the usual time, but a choice knew only one that is 1.5 times slower than its service's mean, and that mean follows the fast ones. Callers whose stream went to a slow engine waited a second more for its first event, or behind another prompt there.

`ShownPace` keeps the last five runs of each engine for a minute and takes their median, by the pace of tokens first: making an answer spans many slow moments, so that no single one of them makes a fast engine look slow. `UnevenEngines` applies it, and what a moment told just now costs at most, to engines that have told a slowness; all others are judged as before. Choices are spread by chance, as all VMs see the same engine as the fastest. The second look compares when the prompt would be read here and there.

--- a/lagoonlever/decisions/engines/engine_book.py
+++ b/lagoonlever/decisions/engines/engine_book.py
@@ -28,10 +28,12 @@
 )
 from lagoonlever.decisions.engines.engine_paces import EnginePaces
 from lagoonlever.decisions.engines.reading_window import ReadingWindow
+from lagoonlever.decisions.engines.uneven_engines import UnevenEngines
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
 from lagoonlever.decisions.streams.run_records import RunRecord, RunRecords
+from lagoonlever.decisions.targets.load_view import TargetLoads
 from lagoonlever.decisions.targets.registry import ListedTarget
 
 CROWD = 0.3
@@ -54,6 +56,11 @@
 MOVE_GAIN = 0.4
 """What a better place must save, in usual readings: leaving one costs a connection, and what
 it has read."""
+CLOSE = 0.4
+"""How far choices between uneven engines are spread by chance, in usual readings.
+
+All VMs see the same engine as the fastest, and are told of each other's choice too late.
+"""
 LEAST_LEFT = 0.1
 """The part of a prompt that counts as unread until its run gives an event."""
 
@@ -85,11 +92,17 @@
     _reading: ReadingWindow = attrs.field(factory=ReadingWindow)
     avoidance: EngineAvoidance = attrs.field(factory=EngineAvoidance)
     paces: EnginePaces = attrs.field(factory=EnginePaces)
+    loads: TargetLoads = attrs.field(factory=TargetLoads)
+    """What targets have told of themselves."""
 
     @_records.default
     def _make_records(self) -> RunRecords:
         return RunRecords(keep_s=self._keep_s)
 
+    @property
+    def _uneven(self) -> UnevenEngines:
+        return UnevenEngines(paces=self.paces, loads=self.loads)
+
     @property
     def open_runs(self) -> tuple[BookedRun, ...]:
         """Every run that is not known to have ended."""
@@ -126,12 +139,14 @@
             return None
         loads = self._loads(now)
         self._rng.shuffle(candidates)
-        costs = {e.id: self._cost_s(e, loads, limits, memory_tokens) for e in candidates}
+        costs: dict[str, float] = {}
         for engine in candidates:
-            own_s = self.paces.reading_s(engine.service, engine.id, prompt_tokens, now)
+            own_s = self._uneven.reading_s(engine.service, engine.id, prompt_tokens, now)
             spread_s = CROWD * self.paces.usual_reading_s(engine.service)
+            costs[engine.id] = self._paced_cost_s(engine, loads, limits, memory_tokens, now)
             costs[engine.id] += 0.0 if engine.id == prefer else own_s
             costs[engine.id] += self._rng.uniform(0.0, spread_s) if crowd else 0.0
+            costs[engine.id] += self._apart_s(engine, self._load(loads, engine), own_s, now)
         best = min(candidates, key=lambda engine: costs[engine.id])
         return Placement(engine=best, expected_s=costs[best.id])
 
@@ -200,9 +215,13 @@
             return False
         loads, run = self._loads(now), record.run
         need = run.memory_tokens
-        best_s = min(self._cost_s(engine, loads, limits, need) for engine in others)
         load = loads.get(run.engine, EngineLoad())
         usual_s = self.paces.usual_reading_s(run.service)
+        if any(self._uneven.counts(engine.id) for engine in others):
+            best_s = min(self._ready_s(e, run, loads, limits, now) for e in others)
+            here_s = self._ready_here_s(record, load, now)
+            return best_s + MOVE_GAIN * usual_s < here_s
+        best_s = min(self._cost_s(engine, loads, limits, need) for engine in others)
         here_s = self._ahead_s(record, now) + usual_s * FLOWING_COST * load.flowing
         return best_s + MOVE_GAIN * usual_s < here_s
 
@@ -364,15 +383,63 @@
 
     def _left_to_read_s(self, record: RunRecord, now: float) -> float:
         run = record.run
-        whole_s = self.paces.reading_s(run.service, run.engine, run.prompt_tokens, now)
+        whole_s = self._uneven.reading_s(run.service, run.engine, run.prompt_tokens, now)
         return max(whole_s * LEAST_LEFT, whole_s - (now - record.since))
 
+    def _paced_cost_s(
+        self,
+        engine: ListedTarget,
+        loads: dict[str, EngineLoad],
+        limits: EngineLimits,
+        need: int,
+        now: float,
+    ) -> float:
+        pace = self._uneven.relative(engine.service, engine.id, now)
+        return self._cost_s(engine, loads, limits, need, pace=pace)
+
+    def _apart_s(self, engine: ListedTarget, load: EngineLoad, own_s: float, now: float) -> float:
+        """Give what keeps VMs apart that see the same engine as the fastest, and a slow moment."""
+        if not self._uneven.counts(engine.id):
+            return 0.0
+        spread_s = CLOSE * self.paces.usual_reading_s(engine.service)
+        moment_s = self._uneven.moment_s(engine.id, load.to_read_s + own_s, now)
+        return moment_s + self._rng.uniform(0.0, spread_s)
+
+    def _ready_s(
+        self,
+        engine: ListedTarget,
+        run: BookedRun,
+        loads: dict[str, EngineLoad],
+        limits: EngineLimits,
+        now: float,
+    ) -> float:
+        """Give what a run's prompt takes at another engine until it is read."""
+        own_s = self._uneven.reading_s(run.service, engine.id, run.prompt_tokens, now)
+        work_s = self._load(loads, engine).to_read_s + own_s
+        cost_s = self._paced_cost_s(engine, loads, limits, run.memory_tokens, now)
+        return cost_s + own_s + self._uneven.moment_s(engine.id, work_s, now)
+
+    def _ready_here_s(self, record: RunRecord, load: EngineLoad, now: float) -> float:
+        """Give what a run's prompt takes yet at the engine that it is at."""
+        run = record.run
+        work_s = self._ahead_s(record, now) + self._left_to_read_s(record, now)
+        usual_s = self.paces.usual_reading_s(run.service)
+        usual_s *= self._uneven.relative(run.service, run.engine, now)
+        moment_s = self._uneven.moment_s(run.engine, work_s, now)
+        return work_s + usual_s * FLOWING_COST * load.flowing + moment_s
+
     def _cost_s(
-        self, engine: ListedTarget, loads: dict[str, EngineLoad], limits: EngineLimits, need: int
+        self,
+        engine: ListedTarget,
+        loads: dict[str, EngineLoad],
+        limits: EngineLimits,
+        need: int,
+        *,
+        pace: float = 1.0,
     ) -> float:
         load = self._load(loads, engine)
         usual_s = self.paces.usual_reading_s(engine.service)
-        cost_s = load.prefill_cost_s(usual_s)
+        cost_s = load.prefill_cost_s(pace * usual_s)
         if engine.data_center != self.data_center:
             cost_s += OTHER_DATA_CENTER_S
         if not load.has_room(limits, need):
--- a/lagoonlever/decisions/engines/engine_paces.py
+++ b/lagoonlever/decisions/engines/engine_paces.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from lagoonlever.decisions.engines.learnt_figure import LearntFigure
+from lagoonlever.decisions.engines.shown_pace import ShownPace
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 
 PRIOR_PROMPT_TOKEN_S = 0.00016
@@ -99,6 +100,7 @@
     _answers: dict[str, LearntFigure] = attrs.field(factory=dict)
     """The tokens of a usual answer, by service."""
     _engines: dict[tuple[str, str], _Learnt] = attrs.field(factory=dict)
+    _shown: dict[tuple[str, str], ShownPace] = attrs.field(factory=dict)
 
     @MECHANISMS.register(
         "learnt-reading",
@@ -113,6 +115,7 @@
         token_s = seconds / tokens
         self._service(service).prompt_token_s.observe(token_s, now)
         self._engine(service, engine).prompt_token_s.observe(token_s, now)
+        self._shown.setdefault((service, engine), ShownPace()).read(token_s, now)
         usual = self._readings.setdefault(service, LearntFigure(value=PRIOR_READING_S))
         usual.observe(seconds, now)
 
@@ -134,6 +137,7 @@
         """Learn from the tokens that an engine made, undisturbed and beside prompts."""
         self._service(service).token_s.observe(token_s, now)
         self._engine(service, engine).token_s.observe(token_s, now)
+        self._shown.setdefault((service, engine), ShownPace()).made(token_s, now)
         if slowdown is not None:
             self._service(service).slowdown.observe(slowdown, now)
 
@@ -146,6 +150,24 @@
         own = known.prompt_token_s.value
         return tokens * (own if own > APART * general else general)
 
+    def prompt_token_s(self, service: str) -> float:
+        """Give the seconds that the engines of a service take for a token of a prompt."""
+        return self._service(service).prompt_token_s.value
+
+    def relative(self, service: str, engine: str, now: float) -> float:
+        """Give how many times as long as its service an engine takes, by what it showed itself.
+
+        For engines that are known to be uneven; 1 for one that has shown nothing of late.
+        """
+        shown = self._shown.get((service, engine))
+        if shown is None:
+            return 1.0
+        usual = self._service(service)
+        relative = shown.relative(
+            reading_s=usual.prompt_token_s.value, making_s=usual.token_s.value, now=now
+        )
+        return relative or 1.0
+
     def kept(self) -> dict[str, KeptPace]:
         """Give what was seen of each service, to be kept."""
         return {
@@ -177,6 +199,9 @@
         known = self._engines.get((service, former))
         if known is not None:
             self._engines.setdefault((service, successor), attrs.evolve(known))
+        shown = self._shown.get((service, former))
+        if shown is not None:
+            self._shown.setdefault((service, successor), shown)
 
     def answered(self, service: str, *, tokens: int, now: float) -> None:
         """Learn how long a whole answer of a service is."""
@@ -218,6 +243,9 @@
         for key, known in list(self._engines.items()):
             if not known.prompt_token_s.is_fresh(now) and not known.token_s.is_fresh(now):
                 del self._engines[key]
+        for key, shown in list(self._shown.items()):
+            if not shown.is_fresh(now):
+                del self._shown[key]
 
     def _service(self, service: str) -> _Learnt:
         if service not in self._services:
--- /dev/null
+++ b/lagoonlever/decisions/engines/uneven_engines.py
@@ -0,0 +1,64 @@
+"""Which engines of a service are fast or slow, and which are slow just now.
+
+The load that is answered: engines of one service take 0.7 or 1.7 times the usual time, and
+each machine is several times slower for moments of some 0.6 s. A stream that goes to the
+least busy engine goes to a slow one a third of the time, and waits there for a second more.
+Only engines that tell how slow their machines are count as uneven; all others are judged as
+alike but for those that are far slower than their service.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from lagoonlever.decisions.engines.engine_paces import EnginePaces
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.targets.load_view import MOMENT_S, TargetLoads
+
+LEFT_OF_MOMENT_S = MOMENT_S / 2
+"""A word is told at any time of a moment."""
+
+
+@attrs.define(kw_only=True)
+class UnevenEngines:
+    """What engines have shown and told; times are seconds of the monotonic clock."""
+
+    _paces: EnginePaces
+    _loads: TargetLoads
+
+    @MECHANISMS.register(
+        "engine-own-pace",
+        does="streams go by the own pace of engines that tell how slow their machines are",
+        without="by the pace of the service, but for engines that are far slower",
+        plain=gives(False),
+    )
+    def counts(self, engine: str) -> bool:
+        """Tell whether an engine is judged by its own pace."""
+        return self._loads.tells_slowness(engine)
+
+    def relative(self, service: str, engine: str, now: float) -> float:
+        """Give how many times as long as its service an engine takes."""
+        if not self.counts(engine):
+            return 1.0
+        return self._paces.relative(service, engine, now)
+
+    def reading_s(self, service: str, engine: str, tokens: int, now: float) -> float:
+        """Give the seconds that an engine takes to read so many tokens of a prompt."""
+        if not self.counts(engine):
+            return self._paces.reading_s(service, engine, tokens, now)
+        usual_s = tokens * self._paces.prompt_token_s(service)
+        return usual_s * self._paces.relative(service, engine, now)
+
+    @MECHANISMS.register(
+        "slow-moments",
+        does="a stream goes past an engine whose machine has just told that it is slow",
+        without="only what engines have shown counts",
+        plain=gives(0.0),
+    )
+    def moment_s(self, engine: str, work_s: float, now: float) -> float:
+        """Give what a slow moment adds to some work: no more than is left of the moment."""
+        if not self.counts(engine):
+            return 0.0
+        slowness = self._loads.slowness(engine, now)
+        lost_s = LEFT_OF_MOMENT_S * (1.0 - 1.0 / max(1.0, slowness))
+        return min(lost_s, work_s * max(0.0, slowness - 1.0))
--- a/lagoonlever/gateway/beliefs.py
+++ b/lagoonlever/gateway/beliefs.py
@@ -28,10 +28,15 @@
     configuration_value: bytes | None = None
     """The configuration as it is stored, to pass on to a VM that can't read the store."""
     targets: TargetRegistry = attrs.field(factory=TargetRegistry)
-    loads: TargetLoads = attrs.field(factory=TargetLoads)
+    loads: TargetLoads = attrs.field(init=False)
+    """One view for all that choose targets; the book chooses engines by it."""
     known: trio.Event = attrs.field(factory=trio.Event)
     """Set once both a configuration and a list of targets are known."""
 
+    @loads.default
+    def _share_loads(self) -> TargetLoads:
+        return self.book.loads
+
     def engine_limits(self, service: str) -> EngineLimits:
         """Give what the engines of a service hold, by the operators' configuration."""
         configuration = self.configuration.value
