Engines are told the rank of each run where routes of their service differ in rank

Cause: `Hop.priority` was never set, so engines served urgent and patient runs alike.

A run gets 2 x rank, and 1 more while its caller has nothing of its answer. So a run that goes on from a copy, the newest at its engine, is not preempted first by equals, and an urgent prompt still precedes every patient run.

Where all stream routes of a service have one rank the field stays absent, as before.

--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -7,6 +7,7 @@
 import trio
 
 from lagoonlever.decisions.engines.crash_suspects import BEGAN, WAITED
+from lagoonlever.decisions.engines.engine_rank import rank_at_engine
 from lagoonlever.decisions.streams.booked_runs import RunCopy
 from lagoonlever.decisions.streams.life import EventVerdict, StreamLife
 from lagoonlever.decisions.streams.silence import (
@@ -437,6 +438,12 @@
             target_id=plan.engine.id,
             deadline_s=accepted.left_s(self._now),
             organisation=accepted.organisation,
+            priority=rank_at_engine(
+                self._tools.beliefs.configuration.value,
+                accepted.service,
+                priority=accepted.priority,
+                begun=self._life.position is not None,
+            ),
             last_event_id=self._life.position,
             copy_to=plan.copy_to.address if plan.copy_to else None,
             copy_from=plan.copy_from,
--- a/lagoonlever/tests/gateway_streams_tests.py
+++ b/lagoonlever/tests/gateway_streams_tests.py
@@ -9,8 +9,14 @@
 from lagoonlever.fakes.metadata_store import StoreFault
 from lagoonlever.fakes.platform_engine import EngineConduct
 from lagoonlever.gateway.settings import Bounds
-from lagoonlever.platform.headers import COPY_FROM, COPY_TO, EXPECTED_TARGET, ORGANISATION
-from lagoonlever.tests.gateway_site import GatewaySite, run_site, until
+from lagoonlever.platform.headers import (
+    COPY_FROM,
+    COPY_TO,
+    EXPECTED_TARGET,
+    ORGANISATION,
+    PRIORITY,
+)
+from lagoonlever.tests.gateway_site import GatewaySite, configuration, run_site, until
 
 
 def running_engine(site: GatewaySite) -> str:
@@ -29,6 +35,25 @@
         assert sent.get("Authorization") is None
         assert sent.get(COPY_TO) is not None
 
+        assert sent.get(PRIORITY) is None
+
+    run_site(story)
+
+
+def test_engines_are_told_ranks_where_routes_of_their_service_differ() -> None:
+    """Guards against an urgent stream that its engine takes for one like all others."""
+
+    async def story(site: GatewaySite) -> None:
+        document = configuration(version=2)
+        stream = document["Routes"][0]
+        document["Routes"].append({**stream, "Name": "other", "Prefix": "/other/", "Priority": 3})
+        site.configure(document)
+        await until(lambda: site.vms["vm-0"].daemon.parts.beliefs.version == 2)
+        got = await site.stream("p1", events=10)
+        assert got.whole
+        sent = next(e for e in site.engines.values() if e.seen).seen[0]
+        assert sent.get(PRIORITY) == "3"
+
     run_site(story)
 
 
