--- a/lagoonlever/bench/claims.py
+++ b/lagoonlever/bench/claims.py
@@ -15,8 +15,8 @@
 from lagoonlever.bench.report import BenchOptions, BenchResult, Rows, benchmark, column
 from lagoonlever.decisions.claims.claims import HomeTable, Run
 from lagoonlever.decisions.claims.group import Bound
-from lagoonlever.entry.claims import BUCKET_S, Claims
-from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.entry.fleet.claims import BUCKET_S, Claims
+from lagoonlever.entry.services.settings import ServiceSettings
 from lagoonlever.fakes.platform import FakePlatform, PlatformFault, PlatformFaultKind
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import open_listeners
--- a/lagoonlever/bench/entry_vm.py
+++ b/lagoonlever/bench/entry_vm.py
@@ -20,13 +20,13 @@
     TargetLoad,
     TargetView,
 )
-from lagoonlever.entry.addresses import EntryAnswer
-from lagoonlever.entry.admission import AdmissionPart
-from lagoonlever.entry.callers import CallerDirectory
-from lagoonlever.entry.engine_crashes import EngineCrashes
-from lagoonlever.entry.generations import GenerationSettings
-from lagoonlever.entry.routes import Routes
-from lagoonlever.entry.serving import GenerationServing, RoutingSettings
+from lagoonlever.entry.callers.callers import CallerDirectory
+from lagoonlever.entry.callers.routes import Routes
+from lagoonlever.entry.callers.serving import GenerationServing, RoutingSettings
+from lagoonlever.entry.engines.crashes import EngineCrashes
+from lagoonlever.entry.fleet.addresses import EntryAnswer
+from lagoonlever.entry.generations.admission import AdmissionPart
+from lagoonlever.entry.generations.generations import GenerationSettings
 from lagoonlever.fakes.batch import ServedModel
 from lagoonlever.fakes.engine import EngineOptions, FakeEngine
 from lagoonlever.http.messages import Address
--- a/lagoonlever/bench/lookups.py
+++ b/lagoonlever/bench/lookups.py
@@ -17,11 +17,11 @@
 from lagoonlever.decisions.admission.hedging import TARGET_S, Runners
 from lagoonlever.decisions.shares.budgets import FULL_RATIO, RetryBudget
 from lagoonlever.decisions.targets.targets import Target, TargetKind
-from lagoonlever.entry.services_answers import ComeBack
-from lagoonlever.entry.services_call import ServiceCall
-from lagoonlever.entry.services_lookups import Lookups
-from lagoonlever.entry.services_rests import ServiceRests
-from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.entry.services.answers import ComeBack
+from lagoonlever.entry.services.call import ServiceCall
+from lagoonlever.entry.services.lookups import Lookups
+from lagoonlever.entry.services.rests import ServiceRests
+from lagoonlever.entry.services.settings import ServiceSettings
 from lagoonlever.fakes.application import ApplicationOptions, FakeApplication
 from lagoonlever.fakes.entry_parts import FixedTargets
 from lagoonlever.fakes.faults import FaultKind, FaultOrder
--- a/lagoonlever/bench/membership_real.py
+++ b/lagoonlever/bench/membership_real.py
@@ -11,7 +11,7 @@
 
 from lagoonlever.bench.report import column
 from lagoonlever.decisions.membership.membership import Member, MemberState
-from lagoonlever.entry.membership import MembershipPart
+from lagoonlever.entry.fleet.membership import MembershipPart
 from lagoonlever.exceptions import PlatformUnavailable
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
--- a/lagoonlever/bench/settings_vms.py
+++ b/lagoonlever/bench/settings_vms.py
@@ -10,7 +10,7 @@
 
 from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
 from lagoonlever.decisions.settings.settings_version import SettingsVersionOptions
-from lagoonlever.entry.settings import SettingsPart
+from lagoonlever.entry.settings.settings import SettingsPart
 from lagoonlever.exceptions import PlatformUnavailable
 from lagoonlever.fakes.platform import FakePlatform
 from lagoonlever.history.events import HistoryEvent
--- a/lagoonlever/bench/target_list.py
+++ b/lagoonlever/bench/target_list.py
@@ -22,7 +22,7 @@
     TargetListAnswer,
     TargetListAsk,
 )
-from lagoonlever.entry.targets import ASK_PERIOD_S
+from lagoonlever.entry.targets.targets import ASK_PERIOD_S
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers import messages_targets  # noqa: F401 - registers the messages
--- a/lagoonlever/client/answers.py
+++ b/lagoonlever/client/answers.py
@@ -7,7 +7,7 @@
 
 from lagoonlever.client.history import CallerHistory
 from lagoonlever.decisions.streams.resume import HeldAnswer
-from lagoonlever.entry.completion_chunks import (
+from lagoonlever.entry.callers.completion_chunks import (
     MOVED_EVENT,
     RESTART_EVENT,
     CallerChunk,
--- a/lagoonlever/client/caller.py
+++ b/lagoonlever/client/caller.py
@@ -15,7 +15,7 @@
 from lagoonlever.client.entry_directory import EntryDirectory, check_alive
 from lagoonlever.client.exceptions import NoAnswer
 from lagoonlever.client.history import CallerHistory
-from lagoonlever.entry.addresses import EntryAnswer
+from lagoonlever.entry.fleet.addresses import EntryAnswer
 from lagoonlever.exceptions import PeerError, PeerTimeout
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.http.client import ClientConnection
--- a/lagoonlever/client/entry_directory.py
+++ b/lagoonlever/client/entry_directory.py
@@ -10,7 +10,7 @@
 
 from lagoonlever.client.exceptions import NoAnswer
 from lagoonlever.client.history import record_told_addresses
-from lagoonlever.entry.addresses import EntryAnswer
+from lagoonlever.entry.fleet.addresses import EntryAnswer
 from lagoonlever.exceptions import PeerError
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.http.client import fetch
--- a/lagoonlever/client/history.py
+++ b/lagoonlever/client/history.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from lagoonlever.entry.addresses import EntryAnswer
-from lagoonlever.entry.completion_chunks import GenerationNote
+from lagoonlever.entry.callers.completion_chunks import GenerationNote
+from lagoonlever.entry.fleet.addresses import EntryAnswer
 from lagoonlever.history.events_callers import (
     CallerAsked,
     CallerGotOutcome,
--- a/lagoonlever/client/service_calls.py
+++ b/lagoonlever/client/service_calls.py
@@ -11,8 +11,8 @@
 
 from lagoonlever.client.caller import Caller, NoAnswer
 from lagoonlever.decisions.claims.keys import KEY_HEADER, KeyHome
-from lagoonlever.entry.addresses import EntryAnswer
-from lagoonlever.entry.completions_api import DEADLINE_HEADER
+from lagoonlever.entry.callers.completions_api import DEADLINE_HEADER
+from lagoonlever.entry.fleet.addresses import EntryAnswer
 from lagoonlever.exceptions import ConnectFailed, PeerError
 from lagoonlever.http.client import Response, fetch
 from lagoonlever.http.messages import Address, Headers
--- a/lagoonlever/commands/orders.py
+++ b/lagoonlever/commands/orders.py
@@ -21,7 +21,7 @@
 from lagoonlever.commands.orders_edits import WantedOptions, edits_of_options, parse_models
 from lagoonlever.commands.settings_calls import fail_with_faults
 from lagoonlever.commands.settings_print import EXIT_CODES
-from lagoonlever.entry.admin_orders_messages import OrdersChangeAsked, OrdersShown
+from lagoonlever.entry.admin.orders_messages import OrdersChangeAsked, OrdersShown
 from lagoonlever.exceptions import FaultsError
 
 app = typer.Typer(
--- a/lagoonlever/commands/orders_client.py
+++ b/lagoonlever/commands/orders_client.py
@@ -5,7 +5,7 @@
 import attrs
 
 from lagoonlever.commands.admin_client import AdminClient
-from lagoonlever.entry.admin_orders_messages import (
+from lagoonlever.entry.admin.orders_messages import (
     ORDERS_CHANGE_PATH,
     ORDERS_PATH,
     OrdersChangeAsked,
--- a/lagoonlever/commands/orders_edits.py
+++ b/lagoonlever/commands/orders_edits.py
@@ -10,7 +10,7 @@
 from lagoonlever.decisions.orders.orders import WantedState
 from lagoonlever.decisions.orders.wanted import WantedEdit
 from lagoonlever.decisions.targets.targets import ModelKey
-from lagoonlever.entry.admin_orders_messages import OrdersShown
+from lagoonlever.entry.admin.orders_messages import OrdersShown
 from lagoonlever.exceptions import Fault, FaultsError
 
 MODEL = re.compile(r"(?P<name>[^@:\s]+)@(?P<version>[^@:\s]+)(?::(?P<adapter>[^@:\s]+))?\Z")
--- a/lagoonlever/commands/orders_print.py
+++ b/lagoonlever/commands/orders_print.py
@@ -7,7 +7,7 @@
 from rich.table import Table
 
 from lagoonlever.decisions.orders.orders import OrderReport, WantedState
-from lagoonlever.entry.admin_orders_messages import EngineShown, OrdersChangeTold, OrdersShown
+from lagoonlever.entry.admin.orders_messages import EngineShown, OrdersChangeTold, OrdersShown
 
 
 def state_text(state: WantedState | None) -> str:
--- a/lagoonlever/commands/settings.py
+++ b/lagoonlever/commands/settings.py
@@ -23,7 +23,7 @@
     tell_in_force,
 )
 from lagoonlever.commands.settings_edits import with_header, without_header
-from lagoonlever.entry.admin_messages import FROM_VM
+from lagoonlever.entry.admin.messages import FROM_VM
 from lagoonlever.exceptions import Fault, FaultsError
 from lagoonlever.tree.changes import diff
 from lagoonlever.tree.document import parse_text
--- a/lagoonlever/commands/settings_changes.py
+++ b/lagoonlever/commands/settings_changes.py
@@ -27,7 +27,7 @@
     edits_of_assignments,
     without_header,
 )
-from lagoonlever.entry.admin_messages import FROM_VM, ChangeTold, SettingsShown
+from lagoonlever.entry.admin.messages import FROM_VM, ChangeTold, SettingsShown
 from lagoonlever.exceptions import FaultsError
 from lagoonlever.tree.change_plan import ChangeRequest
 from lagoonlever.tree.changes import apply, diff
--- a/lagoonlever/commands/settings_client.py
+++ b/lagoonlever/commands/settings_client.py
@@ -8,7 +8,7 @@
 
 from lagoonlever.commands.admin_client import CHANGE_TIMEOUT_S, AdminClient
 from lagoonlever.decisions.settings.settings_watchers import InForce
-from lagoonlever.entry.admin_messages import (
+from lagoonlever.entry.admin.messages import (
     CHANGE_PATH,
     CHECK_PATH,
     HISTORY_PATH,
--- a/lagoonlever/commands/settings_print.py
+++ b/lagoonlever/commands/settings_print.py
@@ -9,7 +9,7 @@
 
 from lagoonlever.commands.exit_codes import ExitCode
 from lagoonlever.decisions.settings.settings_watchers import InForce
-from lagoonlever.entry.admin_messages import ChangeTold, NodeShown, RecordShown
+from lagoonlever.entry.admin.messages import ChangeTold, NodeShown, RecordShown
 from lagoonlever.tree.changes import NODE, Edit
 from lagoonlever.tree.options import OptionValue
 
--- a/lagoonlever/config/vm.py
+++ b/lagoonlever/config/vm.py
@@ -21,12 +21,12 @@
 from lagoonlever.decisions.membership.settings import MembershipSettings
 from lagoonlever.decisions.settings.settings_version import SettingsVersionOptions
 from lagoonlever.decisions.suspicion.settings import DetectionSettings
-from lagoonlever.entry.generations import GenerationSettings
-from lagoonlever.entry.operators import AdminSettings
-from lagoonlever.entry.orders import OrderSettings
-from lagoonlever.entry.services_settings import ServiceSettings
-from lagoonlever.entry.serving import RoutingSettings
-from lagoonlever.entry.targets import TargetSettings
+from lagoonlever.entry.admin.operators import AdminSettings
+from lagoonlever.entry.callers.serving import RoutingSettings
+from lagoonlever.entry.generations.generations import GenerationSettings
+from lagoonlever.entry.orders.orders import OrderSettings
+from lagoonlever.entry.services.settings import ServiceSettings
+from lagoonlever.entry.targets.targets import TargetSettings
 from lagoonlever.exceptions import Fault, FaultsError
 from lagoonlever.http.messages import Address
 from lagoonlever.report.objectives import ObjectiveSettings
--- /dev/null
+++ b/lagoonlever/entry/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration interface: its routes, messages and reports."""
--- a/lagoonlever/entry/admin.py
+++ b/lagoonlever/entry/admin/admin.py
@@ -8,9 +8,8 @@
 import logbook
 import trio
 
-from lagoonlever.entry import admin_http as http
-from lagoonlever.entry import settings_events as events
-from lagoonlever.entry.admin_messages import (
+from lagoonlever.entry.admin import http
+from lagoonlever.entry.admin.messages import (
     CHANGE_PATH,
     CHECK_PATH,
     FROM_PLATFORM,
@@ -27,8 +26,9 @@
     history_shown,
     node_shown,
 )
-from lagoonlever.entry.operators import Operators
-from lagoonlever.entry.settings import SettingsPart
+from lagoonlever.entry.admin.operators import Operators
+from lagoonlever.entry.settings import events
+from lagoonlever.entry.settings.settings import SettingsPart
 from lagoonlever.exceptions import Fault, FaultsError, PlatformError, RequestRefused
 from lagoonlever.http.messages import Request
 from lagoonlever.http.server import Exchange
--- a/lagoonlever/entry/admin_orders.py
+++ b/lagoonlever/entry/admin/orders.py
@@ -9,8 +9,9 @@
 from lagoonlever.decisions.orders.orders import ORDER_TIMEOUT_S
 from lagoonlever.decisions.orders.wanted import faults_of
 from lagoonlever.decisions.targets.targets import Target, TargetKind, TargetState, TargetView
-from lagoonlever.entry import admin_http as http
-from lagoonlever.entry.admin_orders_messages import (
+from lagoonlever.entry.admin import http
+from lagoonlever.entry.admin.operators import Operators
+from lagoonlever.entry.admin.orders_messages import (
     ORDERS_CHANGE_PATH,
     ORDERS_PATH,
     EngineShown,
@@ -20,9 +21,8 @@
     OrdersShown,
     orders_change_told,
 )
-from lagoonlever.entry.operators import Operators
-from lagoonlever.entry.orders import HOLDER_KEY
-from lagoonlever.entry.orders_store import WantedStore
+from lagoonlever.entry.orders.orders import HOLDER_KEY
+from lagoonlever.entry.orders.store import WantedStore
 from lagoonlever.events import event
 from lagoonlever.exceptions import PeerError, PlatformError, RequestRefused
 from lagoonlever.http.server import Exchange
--- a/lagoonlever/entry/reporting.py
+++ b/lagoonlever/entry/admin/reporting.py
@@ -11,9 +11,9 @@
 
 from lagoonlever.decisions.membership.membership import Member, MemberView
 from lagoonlever.decisions.targets.targets import Target, TargetView
-from lagoonlever.entry.admission import AdmissionState, PoolState
-from lagoonlever.entry.operators import Operators
-from lagoonlever.entry.request_metrics import organisation_of
+from lagoonlever.entry.admin.operators import Operators
+from lagoonlever.entry.callers.request_metrics import organisation_of
+from lagoonlever.entry.generations.admission import AdmissionState, PoolState
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE
 from lagoonlever.http.server import Exchange
--- /dev/null
+++ b/lagoonlever/entry/callers/__init__.py
@@ -0,0 +1,1 @@
+"""What callers reach: completions, their streams, checks and outcomes."""
--- a/lagoonlever/entry/serving.py
+++ b/lagoonlever/entry/callers/serving.py
@@ -14,13 +14,13 @@
 from lagoonlever.decisions.streams.generation_messages import Dispatch, GenerationSpec
 from lagoonlever.decisions.suspicion.settings import DetectionSettings
 from lagoonlever.decisions.targets.targets import Target, TargetView
-from lagoonlever.entry.callers import CallerDirectory
-from lagoonlever.entry.engine_crashes import EngineCrashes
-from lagoonlever.entry.engine_watch import EngineWatch
-from lagoonlever.entry.engines import AdmissionControl, Engines, TargetGuard
-from lagoonlever.entry.generations import GenerationService, GenerationSettings, Peers
-from lagoonlever.entry.recovery import EngineRecovery
-from lagoonlever.entry.request_metrics import RequestMetrics, unscraped_metrics
+from lagoonlever.entry.callers.callers import CallerDirectory
+from lagoonlever.entry.callers.request_metrics import RequestMetrics, unscraped_metrics
+from lagoonlever.entry.engines.crashes import EngineCrashes
+from lagoonlever.entry.engines.engines import AdmissionControl, Engines, TargetGuard
+from lagoonlever.entry.engines.watch import EngineWatch
+from lagoonlever.entry.generations.generations import GenerationService, GenerationSettings, Peers
+from lagoonlever.entry.generations.recovery import EngineRecovery
 from lagoonlever.outcomes import Outcome
 from lagoonlever.published import Published
 from lagoonlever.timers import TimerService
--- a/lagoonlever/entry/caller_stream.py
+++ b/lagoonlever/entry/callers/stream.py
@@ -12,7 +12,7 @@
 import trio
 
 from lagoonlever.decisions.streams.answer import Answer, ReleasedPiece
-from lagoonlever.entry.completion_chunks import (
+from lagoonlever.entry.callers.completion_chunks import (
     MOVED_EVENT,
     RESTART_EVENT,
     CallerUsage,
@@ -21,13 +21,13 @@
     MovedNote,
     RestartNote,
 )
-from lagoonlever.entry.completion_outcomes import (
+from lagoonlever.entry.callers.completion_outcomes import (
     outcome_error,
     outcome_headers,
     respond_outcome,
 )
-from lagoonlever.entry.completions_api import CompletionCall
-from lagoonlever.entry.generation_task import GenerationTask
+from lagoonlever.entry.callers.completions_api import CompletionCall
+from lagoonlever.entry.generations.task import GenerationTask
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import CallerGone, Exchange
 from lagoonlever.http.sse import EVENT_STREAM_TYPE, ServerEvent, encode_event
--- /dev/null
+++ b/lagoonlever/entry/engines/__init__.py
@@ -0,0 +1,1 @@
+"""What this VM knows of engines, and watches of them."""
--- a/lagoonlever/entry/engines.py
+++ b/lagoonlever/entry/engines/engines.py
@@ -13,10 +13,10 @@
 from lagoonlever.decisions.shares.shares import work_of
 from lagoonlever.decisions.streams.generation_messages import BreakCause, Dispatch, GenerationSpec
 from lagoonlever.decisions.targets.targets import ModelKey, Target, TargetState, TargetView
-from lagoonlever.entry.admission import Admitted
-from lagoonlever.entry.attempt import cancel_stream
-from lagoonlever.entry.engine_crashes import EngineCrashes
-from lagoonlever.entry.engine_watch import EngineWatch, SuspicionListener
+from lagoonlever.entry.engines.crashes import EngineCrashes
+from lagoonlever.entry.engines.watch import EngineWatch, SuspicionListener
+from lagoonlever.entry.generations.admission import Admitted
+from lagoonlever.entry.generations.attempt import cancel_stream
 from lagoonlever.http.messages import Address
 from lagoonlever.outcomes import NotRun
 from lagoonlever.published import Published
--- /dev/null
+++ b/lagoonlever/entry/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The VM among the others: membership, addresses, claims."""
--- a/lagoonlever/entry/claims.py
+++ b/lagoonlever/entry/fleet/claims.py
@@ -21,8 +21,8 @@
     Unbound,
 )
 from lagoonlever.decisions.claims.keys import HomedKey, KeyHome, parse_homed
-from lagoonlever.entry.services_events import CLAIMS_FAIL
-from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.entry.services.events import CLAIMS_FAIL
+from lagoonlever.entry.services.settings import ServiceSettings
 from lagoonlever.exceptions import PlatformAnswerLost, PlatformError
 from lagoonlever.store.port import Lease, LeaseLapsed, NewKey, Platform
 from lagoonlever.timers import TimerService
--- a/lagoonlever/entry/foundation.py
+++ b/lagoonlever/entry/foundation.py
@@ -10,7 +10,7 @@
 
 from lagoonlever.config.vm import VmSettings
 from lagoonlever.decisions.membership.membership import Member
-from lagoonlever.entry.request_metrics import RequestMetrics
+from lagoonlever.entry.callers.request_metrics import RequestMetrics
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import ServerState
--- /dev/null
+++ b/lagoonlever/entry/generations/__init__.py
@@ -0,0 +1,1 @@
+"""The generations of this VM: admission, attempts, recovery, orphans."""
--- a/lagoonlever/entry/attempt.py
+++ b/lagoonlever/entry/generations/attempt.py
@@ -8,7 +8,7 @@
 import trio
 
 from lagoonlever.decisions.streams.generation_messages import Dispatch, GenerationSpec
-from lagoonlever.entry.chunk_reader import ChunkReader
+from lagoonlever.entry.callers.chunk_reader import ChunkReader
 from lagoonlever.exceptions import ConnectFailed, PeerError
 from lagoonlever.http.client import ClientConnection, fetch
 from lagoonlever.http.messages import Address
--- a/lagoonlever/entry/generations.py
+++ b/lagoonlever/entry/generations/generations.py
@@ -18,22 +18,22 @@
     ResumePoint,
 )
 from lagoonlever.decisions.streams.resume import point_of_held
-from lagoonlever.entry.caller_stream import (
-    HELD_IS_VOID,
-    CallerStream,
-    stream_while_present,
-)
-from lagoonlever.entry.callers import CallerDirectory
-from lagoonlever.entry.completion_checks import (
+from lagoonlever.entry.callers.callers import CallerDirectory
+from lagoonlever.entry.callers.completion_checks import (
     check_allowed,
     check_event_of,
     check_same_request,
 )
-from lagoonlever.entry.completion_outcomes import respond_outcome
-from lagoonlever.entry.completions_api import CompletionCall, read_call
-from lagoonlever.entry.engines import Engines
-from lagoonlever.entry.generation_task import GenerationTask
-from lagoonlever.entry.request_metrics import RequestMetrics
+from lagoonlever.entry.callers.completion_outcomes import respond_outcome
+from lagoonlever.entry.callers.completions_api import CompletionCall, read_call
+from lagoonlever.entry.callers.request_metrics import RequestMetrics
+from lagoonlever.entry.callers.stream import (
+    HELD_IS_VOID,
+    CallerStream,
+    stream_while_present,
+)
+from lagoonlever.entry.engines.engines import Engines
+from lagoonlever.entry.generations.task import GenerationTask
 from lagoonlever.http.server import Exchange
 from lagoonlever.identity import EventId
 from lagoonlever.outcomes import NotRun, Outcome, Reason, Unknown
--- a/lagoonlever/entry/orphans.py
+++ b/lagoonlever/entry/generations/orphans.py
@@ -11,8 +11,8 @@
 from lagoonlever.decisions.membership.membership import Member, MemberView
 from lagoonlever.decisions.streams.orphans import OrphanHolder, StreamRecord, StreamReporter
 from lagoonlever.decisions.streams.placement import holders
-from lagoonlever.entry.attempt import cancel_stream
-from lagoonlever.entry.engines import Engines
+from lagoonlever.entry.engines.engines import Engines
+from lagoonlever.entry.generations.attempt import cancel_stream
 from lagoonlever.events import event
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_generations import StreamsClosed, StreamsOpened
--- a/lagoonlever/entry/peer_streams.py
+++ b/lagoonlever/entry/generations/peer_streams.py
@@ -5,7 +5,7 @@
 import attrs
 
 from lagoonlever.decisions.membership.membership import MemberView
-from lagoonlever.entry.generations import GenerationService
+from lagoonlever.entry.generations.generations import GenerationService
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_generations import TakenOver
 from lagoonlever.published import Published
--- a/lagoonlever/entry/recovery.py
+++ b/lagoonlever/entry/generations/recovery.py
@@ -14,7 +14,7 @@
 from lagoonlever.decisions.streams.generation_messages import GenerationSpec, ResumePoint
 from lagoonlever.decisions.streams.resume import HeldAnswer, point_of_held
 from lagoonlever.decisions.targets.targets import TargetView
-from lagoonlever.entry.chunk_reader import ChunkReader
+from lagoonlever.entry.callers.chunk_reader import ChunkReader
 from lagoonlever.events import event
 from lagoonlever.exceptions import PeerError
 from lagoonlever.http.client import ClientConnection
--- a/lagoonlever/entry/generation_task.py
+++ b/lagoonlever/entry/generations/task.py
@@ -19,9 +19,9 @@
     Release,
     Restart,
 )
-from lagoonlever.entry.attempt import EngineAttempt
-from lagoonlever.entry.chunk_reader import EngineRefused
-from lagoonlever.entry.engines import Engines, Placement
+from lagoonlever.entry.callers.chunk_reader import EngineRefused
+from lagoonlever.entry.engines.engines import Engines, Placement
+from lagoonlever.entry.generations.attempt import EngineAttempt
 from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed, PeerError
 from lagoonlever.http.server import Exchange
--- /dev/null
+++ b/lagoonlever/entry/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines, and their place in the store."""
--- a/lagoonlever/entry/orders.py
+++ b/lagoonlever/entry/orders/orders.py
@@ -19,7 +19,7 @@
     ReadEngine,
 )
 from lagoonlever.decisions.targets.targets import TargetKind, TargetView
-from lagoonlever.entry.orders_store import WantedStore, WantedUnreadable
+from lagoonlever.entry.orders.store import WantedStore, WantedUnreadable
 from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed, PeerError, PlatformError
 from lagoonlever.published import Published
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -8,30 +8,34 @@
 
 from lagoonlever.decisions.fleet.planned_stop import OpenWork
 from lagoonlever.decisions.membership.membership import MemberState
-from lagoonlever.entry.addresses import EntryAddressesPart
-from lagoonlever.entry.admin import SettingsAdmin
-from lagoonlever.entry.admin_messages import SETTINGS_PATH
-from lagoonlever.entry.admin_orders import OrdersAdmin
-from lagoonlever.entry.admin_orders_messages import ORDERS_PATH
-from lagoonlever.entry.admission import AdmissionPart
-from lagoonlever.entry.cache_events import CacheEventSink
-from lagoonlever.entry.callers import CallerDirectory
-from lagoonlever.entry.engine_crashes import EngineCrashes
+from lagoonlever.entry.admin.admin import SettingsAdmin
+from lagoonlever.entry.admin.messages import SETTINGS_PATH
+from lagoonlever.entry.admin.operators import Operators
+from lagoonlever.entry.admin.orders import OrdersAdmin
+from lagoonlever.entry.admin.orders_messages import ORDERS_PATH
+from lagoonlever.entry.admin.reporting import Reporting
+from lagoonlever.entry.callers.callers import CallerDirectory
+from lagoonlever.entry.callers.histories import (
+    dispatch_recorder,
+    record_stop_began,
+    record_stop_ended,
+)
+from lagoonlever.entry.callers.routes import Routes
+from lagoonlever.entry.callers.serving import GenerationServing
+from lagoonlever.entry.engines.crashes import EngineCrashes
+from lagoonlever.entry.fleet.addresses import EntryAddressesPart
+from lagoonlever.entry.fleet.membership import MembershipPart
 from lagoonlever.entry.foundation import Foundation
-from lagoonlever.entry.histories import dispatch_recorder, record_stop_began, record_stop_ended
-from lagoonlever.entry.membership import MembershipPart
-from lagoonlever.entry.operators import Operators
-from lagoonlever.entry.orders import OrdersPart
-from lagoonlever.entry.orphans import OrphanPart
-from lagoonlever.entry.peer_streams import PeerStreams
-from lagoonlever.entry.reporting import Reporting
-from lagoonlever.entry.routes import Routes
-from lagoonlever.entry.services import SERVICES_PATH, ServiceRouter
-from lagoonlever.entry.serving import GenerationServing
-from lagoonlever.entry.settings import SettingsPart
+from lagoonlever.entry.generations.admission import AdmissionPart
+from lagoonlever.entry.generations.cache_events import CacheEventSink
+from lagoonlever.entry.generations.orphans import OrphanPart
+from lagoonlever.entry.generations.peer_streams import PeerStreams
+from lagoonlever.entry.orders.orders import OrdersPart
+from lagoonlever.entry.services.services import SERVICES_PATH, ServiceRouter
+from lagoonlever.entry.settings.settings import SettingsPart
 from lagoonlever.entry.stopping import Stopping
-from lagoonlever.entry.target_probes import TargetProber
-from lagoonlever.entry.targets import TargetWatch
+from lagoonlever.entry.targets.probes import TargetProber
+from lagoonlever.entry.targets.targets import TargetWatch
 from lagoonlever.http.messages import Address, Request
 from lagoonlever.http.server import ServerLimits
 from lagoonlever.outcomes import NotRun, Outcome, Reason
--- /dev/null
+++ b/lagoonlever/entry/services/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of application services: dispatch, keys, lookups, rests."""
--- a/lagoonlever/entry/services_call.py
+++ b/lagoonlever/entry/services/call.py
@@ -8,7 +8,7 @@
 
 from lagoonlever.decisions.claims.claims import StoredAnswer
 from lagoonlever.decisions.claims.keys import KEY_HEADER
-from lagoonlever.entry.services_settings import Service
+from lagoonlever.entry.services.settings import Service
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.client import Response
 from lagoonlever.http.messages import Headers, Request
--- a/lagoonlever/entry/services_copies.py
+++ b/lagoonlever/entry/services/copies.py
@@ -13,7 +13,7 @@
 )
 from lagoonlever.decisions.claims.keys import HomedKey, parse_homed
 from lagoonlever.decisions.membership.membership import Member, MemberView
-from lagoonlever.entry.services_call import outcome_of_tag
+from lagoonlever.entry.services.call import outcome_of_tag
 from lagoonlever.http.messages import Headers
 from lagoonlever.outcomes import Done, Outcome, OutcomeTag, Reason
 from lagoonlever.peers.interface import Bus
--- a/lagoonlever/entry/services_dispatch.py
+++ b/lagoonlever/entry/services/dispatch.py
@@ -19,13 +19,13 @@
     decide_write,
 )
 from lagoonlever.decisions.targets.targets import Target, TargetState, TargetView
-from lagoonlever.entry.engines import TargetGuard
-from lagoonlever.entry.services_answers import RETRY_NEW_KEY, ComeBack, not_run, unknown
-from lagoonlever.entry.services_call import ServiceCall, service_answer
-from lagoonlever.entry.services_exchange import exchange_on
-from lagoonlever.entry.services_pauses import PauseWatch
-from lagoonlever.entry.services_rests import ServiceRests
-from lagoonlever.entry.services_settings import Service, ServiceSettings
+from lagoonlever.entry.engines.engines import TargetGuard
+from lagoonlever.entry.services.answers import RETRY_NEW_KEY, ComeBack, not_run, unknown
+from lagoonlever.entry.services.call import ServiceCall, service_answer
+from lagoonlever.entry.services.exchange import exchange_on
+from lagoonlever.entry.services.pauses import PauseWatch
+from lagoonlever.entry.services.rests import ServiceRests
+from lagoonlever.entry.services.settings import Service, ServiceSettings
 from lagoonlever.exceptions import BadResponse, ConnectFailed, ConnectionBroken
 from lagoonlever.http.client import ClientConnection
 from lagoonlever.outcomes import Reason
--- a/lagoonlever/entry/services_forward.py
+++ b/lagoonlever/entry/services/forward.py
@@ -8,15 +8,15 @@
 from lagoonlever.decisions.claims.claims import StoredAnswer
 from lagoonlever.decisions.claims.keys import HomedKey
 from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
-from lagoonlever.entry.services_answers import ComeBack, unknown
-from lagoonlever.entry.services_call import (
+from lagoonlever.entry.services.answers import ComeBack, unknown
+from lagoonlever.entry.services.call import (
     DEADLINE_HEADER,
     HOMED_KEY_HEADER,
     ServiceCall,
     forwarded_answer,
 )
-from lagoonlever.entry.services_exchange import exchange_on
-from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.entry.services.exchange import exchange_on
+from lagoonlever.entry.services.settings import ServiceSettings
 from lagoonlever.exceptions import BadResponse, ConnectFailed, ConnectionBroken
 from lagoonlever.http.client import ClientConnection
 from lagoonlever.http.messages import Headers
--- a/lagoonlever/entry/services_keyed.py
+++ b/lagoonlever/entry/services/keyed.py
@@ -24,17 +24,17 @@
 )
 from lagoonlever.decisions.claims.keys import KEY_HEADER, HomedKey, fingerprint_of
 from lagoonlever.decisions.targets.targets import Target
-from lagoonlever.entry.services_answers import (
+from lagoonlever.entry.services.answers import (
     RETRY_NEW_KEY,
     RETRY_SAME_KEY,
     ComeBack,
     not_run,
     unknown,
 )
-from lagoonlever.entry.services_call import ServiceCall
-from lagoonlever.entry.services_dispatch import Dispatcher
-from lagoonlever.entry.services_events import CALL_FAILED
-from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.entry.services.call import ServiceCall
+from lagoonlever.entry.services.dispatch import Dispatcher
+from lagoonlever.entry.services.events import CALL_FAILED
+from lagoonlever.entry.services.settings import ServiceSettings
 from lagoonlever.history.events_services import DispatchWritten
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.outcomes import Reason
--- a/lagoonlever/entry/services_keys.py
+++ b/lagoonlever/entry/services/keys.py
@@ -18,13 +18,13 @@
     scope_of,
 )
 from lagoonlever.decisions.membership.membership import MemberView
-from lagoonlever.entry.claims import Claims
-from lagoonlever.entry.services_answers import ComeBack, unknown
-from lagoonlever.entry.services_call import HOMED_KEY_HEADER, ServiceCall
-from lagoonlever.entry.services_copies import AnswerCopier
-from lagoonlever.entry.services_forward import WELL, Forwarder
-from lagoonlever.entry.services_keyed import KeyedCalls, used_for_another
-from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.entry.fleet.claims import Claims
+from lagoonlever.entry.services.answers import ComeBack, unknown
+from lagoonlever.entry.services.call import HOMED_KEY_HEADER, ServiceCall
+from lagoonlever.entry.services.copies import AnswerCopier
+from lagoonlever.entry.services.forward import WELL, Forwarder
+from lagoonlever.entry.services.keyed import KeyedCalls, used_for_another
+from lagoonlever.entry.services.settings import ServiceSettings
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import Reason, Unknown
--- a/lagoonlever/entry/services_lookups.py
+++ b/lagoonlever/entry/services/lookups.py
@@ -19,13 +19,13 @@
 from lagoonlever.decisions.claims.claims import StoredAnswer
 from lagoonlever.decisions.shares.budgets import FULL_RATIO, RetryBudget
 from lagoonlever.decisions.targets.targets import Target
-from lagoonlever.entry.engines import TargetGuard
-from lagoonlever.entry.services_answers import ComeBack, not_run, unknown
-from lagoonlever.entry.services_call import ServiceCall, service_answer
-from lagoonlever.entry.services_dispatch import absence_reason, runners_of
-from lagoonlever.entry.services_exchange import exchange_on
-from lagoonlever.entry.services_rests import REFUSED_FOR_LOAD, ServiceRests
-from lagoonlever.entry.services_settings import Service, ServiceSettings
+from lagoonlever.entry.engines.engines import TargetGuard
+from lagoonlever.entry.services.answers import ComeBack, not_run, unknown
+from lagoonlever.entry.services.call import ServiceCall, service_answer
+from lagoonlever.entry.services.dispatch import absence_reason, runners_of
+from lagoonlever.entry.services.exchange import exchange_on
+from lagoonlever.entry.services.rests import REFUSED_FOR_LOAD, ServiceRests
+from lagoonlever.entry.services.settings import Service, ServiceSettings
 from lagoonlever.exceptions import ConnectFailed, PeerError
 from lagoonlever.http.client import Pool, Response
 from lagoonlever.outcomes import Reason
--- a/lagoonlever/entry/services.py
+++ b/lagoonlever/entry/services/services.py
@@ -21,26 +21,26 @@
 from lagoonlever.decisions.membership.membership import MemberView
 from lagoonlever.decisions.shares.budgets import FULL_RATIO
 from lagoonlever.decisions.targets.targets import Target
-from lagoonlever.entry.claims import Claims
-from lagoonlever.entry.engines import TargetGuard
-from lagoonlever.entry.request_metrics import RequestMetrics, unscraped_metrics
-from lagoonlever.entry.services_answers import ComeBack, answer_of, not_run, tell
-from lagoonlever.entry.services_call import (
+from lagoonlever.entry.callers.request_metrics import RequestMetrics, unscraped_metrics
+from lagoonlever.entry.engines.engines import TargetGuard
+from lagoonlever.entry.fleet.claims import Claims
+from lagoonlever.entry.services.answers import ComeBack, answer_of, not_run, tell
+from lagoonlever.entry.services.call import (
     DEADLINE_HEADER,
     HOMED_KEY_HEADER,
     ServiceCall,
     remaining_s,
 )
-from lagoonlever.entry.services_copies import AnswerCopier
-from lagoonlever.entry.services_dispatch import Dispatcher
-from lagoonlever.entry.services_events import ANSWER_UNKNOWN
-from lagoonlever.entry.services_forward import Forwarder
-from lagoonlever.entry.services_keyed import KeyedCalls
-from lagoonlever.entry.services_keys import KeyRouter
-from lagoonlever.entry.services_lookups import LookupCounts, Lookups
-from lagoonlever.entry.services_pauses import PauseWatch
-from lagoonlever.entry.services_rests import ServiceRests
-from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.entry.services.copies import AnswerCopier
+from lagoonlever.entry.services.dispatch import Dispatcher
+from lagoonlever.entry.services.events import ANSWER_UNKNOWN
+from lagoonlever.entry.services.forward import Forwarder
+from lagoonlever.entry.services.keyed import KeyedCalls
+from lagoonlever.entry.services.keys import KeyRouter
+from lagoonlever.entry.services.lookups import LookupCounts, Lookups
+from lagoonlever.entry.services.pauses import PauseWatch
+from lagoonlever.entry.services.rests import ServiceRests
+from lagoonlever.entry.services.settings import ServiceSettings
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.history.events_services import DispatchWritten
 from lagoonlever.history.recorder import Recorder
--- /dev/null
+++ b/lagoonlever/entry/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings tree in force: watched, told by peers, stored."""
--- a/lagoonlever/entry/settings_peers.py
+++ b/lagoonlever/entry/settings/peers.py
@@ -14,7 +14,7 @@
 from lagoonlever.codec import UnknownMessage
 from lagoonlever.decisions.membership.membership import Member, MemberView
 from lagoonlever.decisions.settings.settings_version import SettingsVersionOptions
-from lagoonlever.entry.settings_state import SettingsState
+from lagoonlever.entry.settings.state import SettingsState
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages import Received
--- a/lagoonlever/entry/settings.py
+++ b/lagoonlever/entry/settings/settings.py
@@ -16,10 +16,10 @@
 from lagoonlever.decisions.membership.membership import MemberView
 from lagoonlever.decisions.settings.settings_version import SettingsStanding, SettingsVersionOptions
 from lagoonlever.decisions.settings.settings_watchers import InForce
-from lagoonlever.entry.settings_peers import SettingsPeers
-from lagoonlever.entry.settings_state import SettingsState
-from lagoonlever.entry.settings_store import SettingsStore
-from lagoonlever.entry.settings_watch import SettingsWatch
+from lagoonlever.entry.settings.peers import SettingsPeers
+from lagoonlever.entry.settings.state import SettingsState
+from lagoonlever.entry.settings.store import SettingsStore
+from lagoonlever.entry.settings.watch import SettingsWatch
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.interface import Bus
--- a/lagoonlever/entry/settings_state.py
+++ b/lagoonlever/entry/settings/state.py
@@ -14,7 +14,7 @@
     SettingsVersionOptions,
 )
 from lagoonlever.decisions.settings.settings_watchers import InForceTable
-from lagoonlever.entry import settings_events as events
+from lagoonlever.entry.settings import events
 from lagoonlever.exceptions import FaultsError
 from lagoonlever.history.events_settings import SettingsInForce
 from lagoonlever.history.recorder import Recorder
--- a/lagoonlever/entry/settings_watch.py
+++ b/lagoonlever/entry/settings/watch.py
@@ -11,9 +11,9 @@
 from lagoonlever.decisions.membership.membership import MemberView
 from lagoonlever.decisions.settings.settings_version import SettingsVersionOptions
 from lagoonlever.decisions.settings.settings_watchers import is_watcher
-from lagoonlever.entry import settings_events as events
-from lagoonlever.entry.settings_state import SettingsState
-from lagoonlever.entry.settings_store import (
+from lagoonlever.entry.settings import events
+from lagoonlever.entry.settings.state import SettingsState
+from lagoonlever.entry.settings.store import (
     ReadHead,
     SettingsStore,
     SettingsUnreadable,
--- /dev/null
+++ b/lagoonlever/entry/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The list of targets and the probes of each."""
--- a/lagoonlever/entry/target_probes.py
+++ b/lagoonlever/entry/targets/probes.py
@@ -9,7 +9,7 @@
 import trio
 
 from lagoonlever.decisions.targets.targets import Target, TargetKind, TargetLife, TargetView
-from lagoonlever.entry.targets import TargetSettings, TargetWatch
+from lagoonlever.entry.targets.targets import TargetSettings, TargetWatch
 from lagoonlever.exceptions import PeerError
 from lagoonlever.http.client import Pool
 from lagoonlever.published import Published
--- a/lagoonlever/fakes/entry_parts.py
+++ b/lagoonlever/fakes/entry_parts.py
@@ -8,7 +8,7 @@
 
 from lagoonlever.decisions.admission.admission import AdmissionRequest
 from lagoonlever.decisions.targets.targets import Target, TargetView
-from lagoonlever.entry.admission import Admitted
+from lagoonlever.entry.generations.admission import Admitted
 from lagoonlever.outcomes import NotRun
 from lagoonlever.published import Published
 
--- a/lagoonlever/tests/caller_stream_tests.py
+++ b/lagoonlever/tests/caller_stream_tests.py
@@ -15,8 +15,8 @@
     GenerationSpec,
 )
 from lagoonlever.decisions.targets.release import Piece
-from lagoonlever.entry.caller_stream import CallerStream
-from lagoonlever.entry.completions_api import CompletionCall
+from lagoonlever.entry.callers.completions_api import CompletionCall
+from lagoonlever.entry.callers.stream import CallerStream
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.sse import EventParser
 from lagoonlever.targets.completions import decode_chunk
--- a/lagoonlever/tests/chunk_reader_tests.py
+++ b/lagoonlever/tests/chunk_reader_tests.py
@@ -13,7 +13,7 @@
     GenerationLimits,
     GenerationSpec,
 )
-from lagoonlever.entry.attempt import EngineAttempt
+from lagoonlever.entry.generations.attempt import EngineAttempt
 from lagoonlever.exceptions import BadResponse
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import open_listeners
--- a/lagoonlever/tests/chunk_writer_tests.py
+++ b/lagoonlever/tests/chunk_writer_tests.py
@@ -8,7 +8,7 @@
 
 from lagoonlever.decisions.streams.answer import ReleasedPiece, Source
 from lagoonlever.decisions.streams.generation import GenerationSpec
-from lagoonlever.entry.completion_chunks import CallerChoice, CallerChunk, ChunkWriter
+from lagoonlever.entry.callers.completion_chunks import CallerChoice, CallerChunk, ChunkWriter
 from lagoonlever.http.sse import EventParser
 
 TEXT = st.text(st.characters(exclude_categories=("Cs",)), max_size=30)
--- a/lagoonlever/tests/cluster_requests_tests.py
+++ b/lagoonlever/tests/cluster_requests_tests.py
@@ -9,7 +9,7 @@
 import trio
 
 from lagoonlever.client.answers import HeldStream
-from lagoonlever.entry.generations import GenerationSettings
+from lagoonlever.entry.generations.generations import GenerationSettings
 from lagoonlever.fakes.cluster import DATA_CENTERS, MODEL
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.tests.base import (
--- a/lagoonlever/tests/cluster_tests.py
+++ b/lagoonlever/tests/cluster_tests.py
@@ -7,7 +7,7 @@
 
 from lagoonlever.client.answers import HeldStream
 from lagoonlever.decisions.targets.freshness import Belief, ListFreshness
-from lagoonlever.entry.generations import GenerationSettings
+from lagoonlever.entry.generations.generations import GenerationSettings
 from lagoonlever.fakes.batch import ServedModel
 from lagoonlever.fakes.cluster import DATA_CENTERS, MODEL
 from lagoonlever.fakes.engine import EngineOptions, FakeEngine
--- a/lagoonlever/tests/commands_orders_tests.py
+++ b/lagoonlever/tests/commands_orders_tests.py
@@ -25,10 +25,10 @@
     WantedUndetermined,
 )
 from lagoonlever.decisions.targets.targets import ModelKey
-from lagoonlever.entry import orders_store
-from lagoonlever.entry.admin_orders_messages import OrdersChangeAsked
-from lagoonlever.entry.orders import OrderSettings
-from lagoonlever.entry.orders_store import WantedStore
+from lagoonlever.entry.admin.orders_messages import OrdersChangeAsked
+from lagoonlever.entry.orders import store as orders_store
+from lagoonlever.entry.orders.orders import OrderSettings
+from lagoonlever.entry.orders.store import WantedStore
 from lagoonlever.exceptions import ConnectionBroken
 from lagoonlever.fakes.cluster import EmbeddedCluster
 from lagoonlever.fakes.platform import FakePlatform, PlatformFault, PlatformFaultKind
--- a/lagoonlever/tests/commands_settings_tests.py
+++ b/lagoonlever/tests/commands_settings_tests.py
@@ -13,8 +13,8 @@
 from lagoonlever.bench.settings_vms import SettingsVms
 from lagoonlever.commands.exit_codes import ExitCode
 from lagoonlever.commands.settings import app
-from lagoonlever.entry.admin import SettingsAdmin
-from lagoonlever.entry.operators import AdminSettings, Operators
+from lagoonlever.entry.admin.admin import SettingsAdmin
+from lagoonlever.entry.admin.operators import AdminSettings, Operators
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.fakes.platform import PlatformFault, PlatformFaultKind
 from lagoonlever.http.messages import Address
--- a/lagoonlever/tests/decisions_rooms_tests.py
+++ b/lagoonlever/tests/decisions_rooms_tests.py
@@ -22,12 +22,18 @@
     return found - {room.name}
 
 
+def _rows(folder: str) -> list[list[str]]:
+    """Read the table of a folder's rooms on the page."""
+    _, _, rest = PAGE.read_text(encoding="utf-8").partition(f"### The rooms of `{folder}/`")
+    section = rest.partition("###")[0]
+    return [line.split("|") for line in section.splitlines() if line.startswith("| `")]
+
+
 def _on_page() -> dict[str, set[str]]:
-    """Read the table of rooms: what each may import from."""
-    _, _, rest = PAGE.read_text(encoding="utf-8").partition("### The rooms of `decisions/`")
-    rows = [line.split("|") for line in rest.splitlines() if line.startswith("| `")]
+    """Give what each room of the decisions may import from."""
     return {
-        row[1].strip(" `/"): {name.strip() for name in row[3].split(",")} - {"none"} for row in rows
+        row[1].strip(" `/"): {name.strip() for name in row[3].split(",")} - {"none"}
+        for row in _rows("decisions")
     }
 
 
@@ -39,3 +45,8 @@
 
 def test_no_decision_stands_outside_a_room():
     assert [module.name for module in FOLDER.glob("*.py")] == ["__init__.py"]
+
+
+def test_the_rooms_of_the_entry_daemon_are_on_the_page():
+    rooms = {room.parent.name for room in (FOLDER.parent / "entry").glob("*/__init__.py")}
+    assert rooms == {row[1].strip(" `/") for row in _rows("entry")}
--- a/lagoonlever/tests/entry_admission_tests.py
+++ b/lagoonlever/tests/entry_admission_tests.py
@@ -18,7 +18,7 @@
     TargetLoad,
     TargetView,
 )
-from lagoonlever.entry.admission import AdmissionPart, Admitted
+from lagoonlever.entry.generations.admission import AdmissionPart, Admitted
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 from lagoonlever.instruments import Metrics
--- a/lagoonlever/tests/entry_membership_tests.py
+++ b/lagoonlever/tests/entry_membership_tests.py
@@ -10,7 +10,7 @@
 
 from lagoonlever.decisions.membership.listing import reading_period_s
 from lagoonlever.decisions.membership.membership import Member, MemberState
-from lagoonlever.entry.membership import MembershipPart
+from lagoonlever.entry.fleet.membership import MembershipPart
 from lagoonlever.exceptions import PlatformUnavailable
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
--- a/lagoonlever/tests/entry_settings_tests.py
+++ b/lagoonlever/tests/entry_settings_tests.py
@@ -11,7 +11,7 @@
 
 from lagoonlever.bench.settings_vms import CutPlatform, SettingsVm, SettingsVms
 from lagoonlever.decisions.settings.settings_version import SettingsStanding, SettingsVersionOptions
-from lagoonlever.entry.settings_store import SettingsStore
+from lagoonlever.entry.settings.store import SettingsStore
 from lagoonlever.fakes.platform import PlatformFault, PlatformFaultKind
 from lagoonlever.history.checkers.settings_in_force import LIMIT_S, check
 from lagoonlever.history.events import RunEnded
--- a/lagoonlever/tests/faulty_requests_tests.py
+++ b/lagoonlever/tests/faulty_requests_tests.py
@@ -13,8 +13,8 @@
     GenerationLimits,
     GenerationSpec,
 )
-from lagoonlever.entry.generation_task import GenerationTask
-from lagoonlever.entry.generations import GenerationService, GenerationSettings
+from lagoonlever.entry.generations.generations import GenerationService, GenerationSettings
+from lagoonlever.entry.generations.task import GenerationTask
 from lagoonlever.http.client import fetch
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import Exchange, ServerLimits, ServerState, open_listeners, serve_http
--- a/lagoonlever/tests/hedging_tests.py
+++ b/lagoonlever/tests/hedging_tests.py
@@ -27,7 +27,7 @@
     RetryBudget,
     take_extra,
 )
-from lagoonlever.entry.services_answers import ComeBack
+from lagoonlever.entry.services.answers import ComeBack
 
 NAMES = ("a", "b", "c")
 TIMEOUT_S = 2.0
--- a/lagoonlever/tests/operators_tests.py
+++ b/lagoonlever/tests/operators_tests.py
@@ -9,7 +9,7 @@
 
 from lagoonlever.__main__ import app
 from lagoonlever.commands.exit_codes import ExitCode
-from lagoonlever.entry.operators import AdminSettings, Operators
+from lagoonlever.entry.admin.operators import AdminSettings, Operators
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.fakes.cluster import EmbeddedCluster
 from lagoonlever.http.messages import Headers, Request
--- a/lagoonlever/tests/orders_part_tests.py
+++ b/lagoonlever/tests/orders_part_tests.py
@@ -13,8 +13,8 @@
 from lagoonlever.decisions.orders.orders import GiveOrder, WantedState
 from lagoonlever.decisions.orders.wanted import WantedEngines
 from lagoonlever.decisions.targets.targets import ModelKey, Target, TargetKind, TargetView
-from lagoonlever.entry.orders import OrderSettings, OrdersPart
-from lagoonlever.entry.orders_store import WANTED_KEY
+from lagoonlever.entry.orders.orders import OrderSettings, OrdersPart
+from lagoonlever.entry.orders.store import WANTED_KEY
 from lagoonlever.fakes.batch import ServedModel
 from lagoonlever.fakes.engine import EngineOptions, FakeEngine
 from lagoonlever.fakes.platform import FakePlatform
--- a/lagoonlever/tests/orders_store_tests.py
+++ b/lagoonlever/tests/orders_store_tests.py
@@ -21,8 +21,8 @@
     WantedUndetermined,
     apply_edits,
 )
-from lagoonlever.entry import orders_store
-from lagoonlever.entry.orders_store import WANTED_KEY, WantedStore
+from lagoonlever.entry.orders import store as orders_store
+from lagoonlever.entry.orders.store import WANTED_KEY, WantedStore
 from lagoonlever.exceptions import PlatformAnswerLost, PlatformError, PlatformUnavailable
 from lagoonlever.store.port import Conflict, KeyRead, KeyValue, Swapped, SwapResult
 from lagoonlever.tests.base import at
--- a/lagoonlever/tests/reporting_tests.py
+++ b/lagoonlever/tests/reporting_tests.py
@@ -21,9 +21,9 @@
     TargetLoad,
     TargetView,
 )
-from lagoonlever.entry.admission import AdmissionState, PoolState
-from lagoonlever.entry.reporting import Reporting
-from lagoonlever.entry.request_metrics import DecisionObserver, RequestMetrics
+from lagoonlever.entry.admin.reporting import Reporting
+from lagoonlever.entry.callers.request_metrics import DecisionObserver, RequestMetrics
+from lagoonlever.entry.generations.admission import AdmissionState, PoolState
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import EventId, Incarnation
 from lagoonlever.instruments import Metrics
--- a/lagoonlever/tests/routes_tests.py
+++ b/lagoonlever/tests/routes_tests.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from lagoonlever.entry.routes import Routes
+from lagoonlever.entry.callers.routes import Routes
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.client import Response, fetch
 from lagoonlever.http.messages import Address
--- a/lagoonlever/tests/services_call_tests.py
+++ b/lagoonlever/tests/services_call_tests.py
@@ -4,8 +4,8 @@
 
 import trio
 
-from lagoonlever.entry.services_call import ServiceCall
-from lagoonlever.entry.services_settings import Service
+from lagoonlever.entry.services.call import ServiceCall
+from lagoonlever.entry.services.settings import Service
 from lagoonlever.fakes.cluster import EmbeddedCluster
 from lagoonlever.http.client import fetch
 from lagoonlever.http.messages import Headers, Request
--- a/lagoonlever/tests/services_deadline_tests.py
+++ b/lagoonlever/tests/services_deadline_tests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lagoonlever.entry.services_pauses import DOUBT_S, PauseWatch
+from lagoonlever.entry.services.pauses import DOUBT_S, PauseWatch
 from lagoonlever.tests.services_site import Site, outcome, reason, run_site
 from lagoonlever.timers import TimerService
 
--- a/lagoonlever/tests/services_rests_tests.py
+++ b/lagoonlever/tests/services_rests_tests.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.entry.services.settings import ServiceSettings
 from lagoonlever.fakes.entry_parts import FixedTargets
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import Exchange, ServerLimits, ServerState, serve_http
--- a/lagoonlever/tests/services_site.py
+++ b/lagoonlever/tests/services_site.py
@@ -11,8 +11,8 @@
 from lagoonlever.decisions.claims.keys import KEY_HEADER
 from lagoonlever.decisions.membership.membership import Member, MemberState, MemberView
 from lagoonlever.decisions.targets.targets import Target, TargetKind
-from lagoonlever.entry.services import ServiceRouter
-from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.entry.services.services import ServiceRouter
+from lagoonlever.entry.services.settings import ServiceSettings
 from lagoonlever.fakes.application import ApplicationOptions, FakeApplication
 from lagoonlever.fakes.entry_parts import FixedTargets
 from lagoonlever.fakes.platform import FakePlatform
--- a/lagoonlever/tests/services_targets_tests.py
+++ b/lagoonlever/tests/services_targets_tests.py
@@ -8,7 +8,7 @@
 import trio
 
 from lagoonlever.decisions.targets.targets import Target
-from lagoonlever.entry.services_settings import ServiceSettings
+from lagoonlever.entry.services.settings import ServiceSettings
 from lagoonlever.fakes.entry_parts import FixedTargets
 from lagoonlever.fakes.faults import FaultKind, FaultOrder
 from lagoonlever.http.messages import Address
