A line for room at engines, kept by one VM a service, where stream routes differ in rank

Cause: every stream was placed at once by each VM for itself. Prompts queued inside engines first come first served, or were refused within 0.2 s by the share of reading; nothing told urgent from patient.

A prompt that no engine can begin well waits at the VM that keeps the line, and its place is pushed to it when one can. Order by latest useful start, rank where the line can't reach all, one place in four to those behind.

--- a/lagoonlever/bench/placing_fleet.py
+++ b/lagoonlever/bench/placing_fleet.py
@@ -16,7 +16,10 @@
 from lagoonlever.gateway.placement_desk import PlacementDesk
 from lagoonlever.gateway.placer import Placer
 from lagoonlever.gateway.retry_budgets import RetryBudgets
+from lagoonlever.gateway.room_asker import RoomAsker
+from lagoonlever.gateway.room_desk import RoomDesk
 from lagoonlever.gateway.settings import RetryBudgetBounds
+from lagoonlever.gateway.tally import Tally
 from lagoonlever.http.messages import Address
 from lagoonlever.revisions import Revision
 
@@ -33,6 +36,8 @@
     vm: FleetVm
     placer: Placer
     peers: PeerExchange
+    desk: RoomDesk
+    asker: RoomAsker
     lost: list[str]
     """Engines that it has heard to be lost."""
 
@@ -145,9 +150,21 @@
         locator=CacheLocator(),
     )
     desk = PlacementDesk(bus=vm.bus, beliefs=vm.beliefs, timers=timers, placer=placer)
-    for part in (peers.run, placer.run, desk.run):
+    room_desk = RoomDesk(
+        bus=vm.bus, beliefs=vm.beliefs, timers=timers, placer=placer, tally=Tally()
+    )
+    asker = RoomAsker(
+        bus=vm.bus,
+        beliefs=vm.beliefs,
+        timers=timers,
+        roles=vm.presence.roles,
+        vm=name,
+        leaving=lambda: vm.state.leaving,
+        desk=room_desk,
+    )
+    for part in (peers.run, placer.run, desk.run, room_desk.run, asker.run):
         fleet.nursery.start_soon(vm.run, part)
-    return PlacingVm(vm=vm, placer=placer, peers=peers, lost=lost)
+    return PlacingVm(vm=vm, placer=placer, peers=peers, desk=room_desk, asker=asker, lost=lost)
 
 
 def chosen_at_random(seed: int, names: list[str], count: int) -> list[str]:
--- a/lagoonlever/decisions/engines/engine_book.py
+++ b/lagoonlever/decisions/engines/engine_book.py
@@ -113,11 +113,13 @@
         avoid: frozenset[str] = frozenset(),
         prefer: str | None = None,
         crowd: bool = False,
+        begins_within_s: float | None = None,
     ) -> Placement | None:
         """Choose an engine for a run, or None where there is none at all.
 
         One that has read the prompt (``prefer``) is spared that part of the wait. In a
-        crowd, as after a loss, many VMs choose before they hear of each other.
+        crowd, as after a loss, many VMs choose before they hear of each other. With
+        ``begins_within_s`` only engines count that have room, and read for no longer.
         """
         usable = [engine for engine in engines if engine.id not in avoid]
         calm = [engine for engine in usable if not self.avoidance.is_avoided(engine.id, now)]
@@ -125,6 +127,15 @@
         if not candidates:
             return None
         loads = self._loads(now)
+        if begins_within_s is not None:
+            need = min(memory_tokens, limits.memory_tokens)
+            candidates = [
+                engine
+                for engine in calm
+                if self._load(loads, engine).begins_within(begins_within_s, limits, need)
+            ]
+        if not candidates:
+            return None
         self._rng.shuffle(candidates)
         costs = {e.id: self._cost_s(e, loads, limits, memory_tokens) for e in candidates}
         for engine in candidates:
@@ -216,6 +227,11 @@
         record = self._records.find(request)
         return record is not None and record.sent
 
+    def begun_after(self, request: str, at: float) -> bool:
+        """Tell whether a request has been sent to an engine since a time."""
+        record = self._records.find(request)
+        return record is not None and record.sent and record.since > at
+
     def vm_of(self, request: str) -> str | None:
         """Give the VM that relays a run, or None for one that is not known."""
         record = self._records.find(request)
--- a/lagoonlever/decisions/streams/run_placement.py
+++ b/lagoonlever/decisions/streams/run_placement.py
@@ -19,11 +19,15 @@
 
 from lagoonlever.decisions.admission.prompt_admission import admits, most_share
 from lagoonlever.decisions.admission.retry_window import RetryWindow
+from lagoonlever.decisions.admission.room_line import reading_rate
 from lagoonlever.decisions.engines.engine_book import EngineBook
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.streams.booked_runs import BookedRun
 from lagoonlever.decisions.targets.registry import ListedTarget, TargetRegistry
 
+BEGINS_WITHIN_S = 0.3
+"""An engine that reads on for so long is ready: the next prompt is there when it ends."""
+
 
 @attrs.frozen(kw_only=True)
 class RunAsk:
@@ -83,6 +87,11 @@
     most: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class NoRoom:
+    """There are engines, and none of them can begin the run well now."""
+
+
 RunOutcome = Placed | NoEngine | BudgetSpent | Overloaded
 
 
@@ -107,6 +116,42 @@
         return overloaded
     if ask.settled is not None:
         return _settled(ask, ask.settled, view, now)
+    return _place(ask, view, now) or NoEngine()
+
+
+def place_where_ready(ask: RunAsk, view: PlacementView, now: float) -> RunOutcome | NoRoom:
+    """Decide on an attempt that can wait in line for an engine that begins it well."""
+    if ask.repeat and not view.window.allows(now, vms=view.vms):
+        return BudgetSpent()
+    serving = view.targets.serving(ask.service, on_trial=ask.on_trial)
+    if all(engine.id in ask.avoid for engine in serving):
+        return NoEngine()
+    return _place(ask, view, now, begins_within_s=BEGINS_WITHIN_S) or NoRoom()
+
+
+def ready_rate(service: str, view: PlacementView, now: float) -> float:
+    """Give the prompts a second that the engines of a service can read that aren't avoided."""
+    avoidance = view.book.avoidance
+    calm = [e for e in view.targets.serving(service) if not avoidance.is_avoided(e.id, now)]
+    return reading_rate(len(calm), view.book.paces.usual_reading_s(service))
+
+
+def reserved_run(ask: RunAsk, placed: Placed, *, vm: str) -> BookedRun:
+    """Give the run that a place is kept for until its VM has sent it."""
+    return BookedRun(
+        request=ask.request,
+        vm=vm,
+        engine=placed.engine,
+        service=ask.service,
+        prompt_tokens=0 if ask.settled else ask.prompt_tokens,
+        memory_tokens=ask.memory_tokens,
+        part=ask.part,
+    )
+
+
+def _place(
+    ask: RunAsk, view: PlacementView, now: float, *, begins_within_s: float | None = None
+) -> Placed | None:
     placement = view.book.place(
         view.targets.serving(ask.service, on_trial=ask.on_trial),
         limits=view.limits,
@@ -116,9 +161,10 @@
         avoid=frozenset(ask.avoid),
         prefer=ask.prefer,
         crowd=ask.crowd,
+        begins_within_s=begins_within_s,
     )
     if placement is None:
-        return NoEngine()
+        return None
     return Placed(
         engine=placement.engine.id,
         copy_to=_copy_to(ask, placement.engine, view, now),
@@ -126,19 +172,6 @@
     )
 
 
-def reserved_run(ask: RunAsk, placed: Placed, *, vm: str) -> BookedRun:
-    """Give the run that a place is kept for until its VM has sent it."""
-    return BookedRun(
-        request=ask.request,
-        vm=vm,
-        engine=placed.engine,
-        service=ask.service,
-        prompt_tokens=0 if ask.settled else ask.prompt_tokens,
-        memory_tokens=ask.memory_tokens,
-        part=ask.part,
-    )
-
-
 def _settled(ask: RunAsk, engine_id: str, view: PlacementView, now: float) -> RunOutcome:
     engine = view.targets.find(engine_id)
     if engine is None or (ask.attempt and view.book.avoidance.is_avoided(engine_id, now)):
--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lagoonlever.decisions.admission.room import RefusedWithReturn
 from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
 from lagoonlever.decisions.streams.life import Place, ResumeFrom, StreamLife
 from lagoonlever.decisions.streams.run_placement import (
@@ -21,7 +22,9 @@
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.messages import NO_ASK, GenerationAsk
 from lagoonlever.gateway.placer import Placer
+from lagoonlever.gateway.room_asker import RoomAsker
 from lagoonlever.gateway.target_words import TargetWords
+from lagoonlever.peers.messages_line import LineNeed
 from lagoonlever.timers import TimerService
 
 RESUMED_PROMPT_TOKENS = 200
@@ -36,20 +39,21 @@
     _beliefs: Beliefs
     _timers: TimerService
     _placer: Placer
+    _asker: RoomAsker
     _words: TargetWords
 
     async def plan(
         self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom
-    ) -> AttemptPlan | BudgetSpent | Overloaded | None:
+    ) -> AttemptPlan | BudgetSpent | Overloaded | RefusedWithReturn | None:
         """Give the attempt, or why there is none; None where the life has another step to try."""
-        outcome: RunOutcome = NoEngine()
+        outcome: RunOutcome | RefusedWithReturn = NoEngine()
         if not isinstance(step, ResumeFrom) or self._holder_of(step.copy) is not None:
             copies = self._beliefs.engine_limits(accepted.service).copies
             ask = _run_ask(accepted, life, step, copies=copies)
             held = self._held(accepted, life)
             ask = attrs.evolve(ask, avoid=tuple(sorted({*ask.avoid, *held})))
-            outcome = await self._placer.place(ask)
-        if isinstance(outcome, BudgetSpent | Overloaded):
+            outcome = await self._place(accepted, life, step, ask)
+        if isinstance(outcome, BudgetSpent | Overloaded | RefusedWithReturn):
             return outcome
         found = self._beliefs.targets.find(outcome.engine) if isinstance(outcome, Placed) else None
         if found is None or not isinstance(outcome, Placed):
@@ -57,6 +61,21 @@
             return None
         return self._attempt(accepted, step, found, outcome)
 
+    async def _place(
+        self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom, ask: RunAsk
+    ) -> RunOutcome | RefusedWithReturn:
+        """Find a place, by the line if the service has one and the prompt is to be read.
+
+        What goes on where its prompt was read goes at once: its pause is what counts.
+        """
+        reads = isinstance(step, Place) and step.prefer is None
+        if reads and self._asker.has_line(accepted.service):
+            need = _line_need(accepted, life, self._timers.now)
+            outcome = await self._asker.place(ask, need)
+            if outcome is not None:
+                return outcome
+        return await self._placer.place(ask)
+
     def _held(self, accepted: Accepted, life: StreamLife) -> frozenset[str]:
         """Give the engines that take no more for now."""
         serving = self._beliefs.targets.serving(accepted.service)
@@ -148,6 +167,17 @@
     )
 
 
+def _line_need(accepted: Accepted, life: StreamLife, now: float) -> LineNeed:
+    return LineNeed(
+        rank=accepted.priority,
+        waited_s=now - accepted.arrived,
+        first_event_in_s=accepted.arrived + accepted.route.objective_s - now,
+        end_in_s=accepted.left_s(now),
+        broken_off=life.begun or bool(life.position),
+        refusable=not life.runs and not life.position,
+    )
+
+
 def _tell_no_place(life: StreamLife, step: Place | ResumeFrom, outcome: Placed | NoEngine) -> None:
     if isinstance(step, ResumeFrom):
         life.copy_unusable()
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -428,3 +428,52 @@
     "Target {target} has turned a request away and wants nothing from this VM for {seconds:g} s.",
     "One line for each such answer. Nothing is sent to it meanwhile.",
 )
+LINE_QUEUED = event(
+    1090,
+    "prompt-queued",
+    "info",
+    "Request {request} of rank {rank} waits in line for an engine of service {service}: {ahead} go"
+    " first, its first event is on time for {in_time_s:g} s yet, and engines can read {per_s:g}"
+    " prompts a second.",
+    "No engine could begin it well at once. It goes out as soon as one can.",
+)
+LINE_BEGUN = event(
+    1091,
+    "prompt-begun",
+    "info",
+    "Request {request} of rank {rank} has left the line of service {service} for engine {engine}"
+    " after {seconds:g} s; {waiting} still wait, and it could have waited for {left_s:g} s more.",
+    "Its wait is over. Below 0 s its first event is late.",
+)
+LINE_REFUSED = event(
+    1092,
+    "prompt-turned-away",
+    "info",
+    "Request {request} of rank {rank} can't get an engine of service {service} in its time:"
+    " {detail}. {waiting} wait, its first event is on time for {in_time_s:g} s yet, and its caller"
+    " is to come back after {seconds:g} s.",
+    "It has not run. If there are many, the service has too few engines for its load.",
+)
+LINE_LEFT = event(
+    1093,
+    "prompt-not-asked-for",
+    "info",
+    "Request {request} was dropped from the line, as VM {vm} did not ask for it again.",
+    "Its VM is gone or asks elsewhere; nothing of the request has run by this line.",
+)
+LINE_KEEPER_SILENT = event(
+    1094,
+    "line-keeper-silent",
+    "info",
+    "VM {vm}, which keeps a line for engines, has not answered; it was asked for {seconds:.2f} s.",
+    "The next VM is asked for a moment. If it lasts, look at that VM and at the links to it.",
+)
+LINE_PASSED_BY = event(
+    1095,
+    "prompt-passed-by",
+    "info",
+    "Request {request} of rank {rank} waits in the line of service {service} since {seconds:g} s"
+    " and can't be on time any more; {waiting} wait.",
+    "Others were more urgent, or engines were lost since it came. It goes out once no prompt"
+    " waits that can still be on time.",
+)
--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -38,6 +38,26 @@
     doc="Requests to targets that name a limit: written as `first` attempts or as `later` ones, or"
     " `held` as the limit left no room.",
 )
+LINE_LENGTH = gauge(
+    "lagoonlever.gateway.line.length",
+    unit="{request}",
+    labels=("service", "rank"),
+    doc="Prompts that wait for engines in the line that this VM keeps, by rank; 0 is the most"
+    " urgent.",
+)
+LINE_AGE = gauge(
+    "lagoonlever.gateway.line.age",
+    unit="s",
+    labels=("service", "rank"),
+    doc="How long the oldest of them has waited.",
+)
+LINE_OUTCOMES = counter(
+    "lagoonlever.gateway.line.outcomes",
+    unit="{request}",
+    labels=("service", "rank", "outcome"),
+    doc="Prompts that this VM placed for others or itself by the line that it keeps: `at-once`,"
+    " `begun` after a wait, or `refused`.",
+)
 CALL_LATENCY = latency(
     "lagoonlever.gateway.call.latency",
     labels=("kind",),
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -42,6 +42,8 @@
 from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.gateway.rollout_lead import RolloutLead
 from lagoonlever.gateway.rollouts import Rollouts
+from lagoonlever.gateway.room_asker import RoomAsker
+from lagoonlever.gateway.room_desk import RoomDesk
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.gateway.store_follower import StoreFollower
 from lagoonlever.gateway.stream_admission import StreamAdmission
@@ -89,6 +91,8 @@
     peers: PeerExchange = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
     placement_desk: PlacementDesk = attrs.field(init=False)
+    room_desk: RoomDesk = attrs.field(init=False)
+    room_asker: RoomAsker = attrs.field(init=False)
     replacements: ReplacementFinder = attrs.field(init=False)
     spread: HubSpread = attrs.field(init=False)
     limits: TargetLimits = attrs.field(init=False)
@@ -220,6 +224,28 @@
             bus=self.bus, beliefs=self.beliefs, timers=self.timers, placer=self.placer
         )
 
+    @room_desk.default
+    def _make_room_desk(self) -> RoomDesk:
+        return RoomDesk(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            placer=self.placer,
+            tally=self.reporter.tally,
+        )
+
+    @room_asker.default
+    def _make_room_asker(self) -> RoomAsker:
+        return RoomAsker(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            roles=self.presence.roles,
+            vm=self.settings.name,
+            leaving=self.stopping,
+            desk=self.room_desk,
+        )
+
     @replacements.default
     def _make_replacements(self) -> ReplacementFinder:
         return ReplacementFinder(
@@ -390,6 +416,7 @@
                 beliefs=self.beliefs,
                 timers=self.timers,
                 placer=self.placer,
+                asker=self.room_asker,
                 words=self.words,
             ),
         )
@@ -437,6 +464,8 @@
             **(self._rollout_parts() if self.settings.rolls_out else {}),
             "placer": self.placer.run,
             "placement desk": self.placement_desk.run,
+            "room desk": self.room_desk.run,
+            "room asker": self.room_asker.run,
             "replacements": self.replacements.run,
             "crashes": self.crashes.run,
             "target limits": self.limits.run,
--- /dev/null
+++ b/lagoonlever/gateway/room_desk.py
@@ -0,0 +1,309 @@
+"""Keeps the lines for room at engines, for whoever asks, by the book of runs of this VM.
+
+Any VM answers that hears of all runs, as views need not agree on who keeps a line. A place
+goes out as soon as an engine is ready; whoever does not ask again is dropped.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+import logbook
+import trio
+
+from lagoonlever.decisions.admission.room import RoomAsk, WaitInLine
+from lagoonlever.decisions.admission.room_line import (
+    RENEWED_WITHIN_S,
+    PlaceInLine,
+    RoomLine,
+    Turn,
+    Waiting,
+)
+from lagoonlever.decisions.streams.run_placement import (
+    NoRoom,
+    Placed,
+    RunAsk,
+    RunOutcome,
+    place_run,
+    place_where_ready,
+    ready_rate,
+    reserved_run,
+)
+from lagoonlever.gateway import events, metrics
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.placer import Placer
+from lagoonlever.gateway.tally import Tally
+from lagoonlever.peers.interface import Bus
+from lagoonlever.peers.messages_line import LineAsk, LineLeft, LineTold
+from lagoonlever.peers.messages_placement import PlacementTold
+from lagoonlever.timers import TimerService
+
+log = logbook.Logger(__name__)
+
+LOOK_S = 0.04
+"""How often it is looked for ready engines while somebody waits."""
+CONNECTION_S = 0.05
+"""From a place to the prompt at its engine, and from its first event to the caller."""
+RENEW_S = 0.15
+"""How often an asker is to ask again."""
+MOST_PASSED_BY = 4
+"""Prompts that avoid engines, for which others are looked at in one go."""
+
+Reply = Callable[[LineTold], None]
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Open:
+    """A question that waits: what it asks for, and where its answer goes."""
+
+    asked: LineAsk
+    reply: Reply
+    told_late: bool = False
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class _Given:
+    """What a question was told; said again if it is asked again, as the answer was lost."""
+
+    told: LineTold
+    at: float
+
+
+@attrs.define(kw_only=True, eq=False)
+class RoomDesk:
+    """Serves each service's line whenever it is asked, and while anybody waits."""
+
+    _bus: Bus
+    _beliefs: Beliefs
+    _timers: TimerService
+    _placer: Placer
+    _tally: Tally
+    _lines: dict[str, RoomLine] = attrs.field(factory=dict)
+    _open: dict[PlaceInLine, _Open] = attrs.field(factory=dict)
+    _given: dict[PlaceInLine, _Given] = attrs.field(factory=dict)
+    _filled: trio.Event = attrs.field(factory=trio.Event)
+    _ranks_told: set[int] = attrs.field(factory=set)
+
+    async def run(self) -> None:
+        """Answer other VMs and look for ready engines until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive_asks)
+            nursery.start_soon(self._receive_left)
+            nursery.start_soon(self._look)
+
+    def ask(self, asked: LineAsk, *, vm: str, reply: Reply) -> None:
+        """Take a question: it is answered at once, and again when it gets a place."""
+        if not self._beliefs.known.is_set():
+            return
+        now, service = self._timers.now, asked.ask.service
+        given = self._given.get(PlaceInLine(vm=vm, number=asked.number))
+        if given is not None:
+            reply(given.told)
+            return
+        line = self._lines.setdefault(service, RoomLine())
+        place = PlaceInLine(vm=vm, number=asked.number)
+        is_new = line.ask(self._waiting(place, asked, now))
+        if is_new:
+            self._open[place] = _Open(asked=asked, reply=reply)
+        self._serve(service, line)
+        if place not in line:
+            return
+        if is_new and self._refuse(place, line):
+            return
+        self._tell_waiting(place, line, is_new=is_new)
+
+    def left(self, place: PlaceInLine, service: str) -> None:
+        """Drop a question that is open no more."""
+        self._open.pop(place, None)
+        line = self._lines.get(service)
+        if line is not None:
+            line.leave(place)
+
+    async def _receive_asks(self) -> None:
+        async for received in self._bus.subscribe(LineAsk):
+            asked = received.message
+            self.ask(asked, vm=received.sender.name, reply=self._answering(asked))
+
+    def _answering(self, asked: LineAsk) -> Reply:
+        return lambda told: self._bus.send(asked.reply_to, told)
+
+    async def _receive_left(self) -> None:
+        async for received in self._bus.subscribe(LineLeft):
+            place = PlaceInLine(vm=received.sender.name, number=received.message.number)
+            self.left(place, received.message.service)
+
+    async def _look(self) -> None:
+        while True:
+            for service, line in self._lines.items():
+                self._serve(service, line)
+                self._tell_late(service, line)
+                self._measure(service, line)
+            if not self._open:
+                self._filled = trio.Event()
+                await self._filled.wait()
+            await trio.sleep(LOOK_S)
+
+    def _waiting(self, place: PlaceInLine, asked: LineAsk, now: float) -> Waiting:
+        """Translate a question's durations into times of this VM's clock."""
+        need, ask = asked.need, asked.ask
+        reading_s = self._beliefs.book.paces.reading_s(ask.service, "", ask.prompt_tokens, now)
+        room = RoomAsk(
+            request=ask.request,
+            service=ask.service,
+            rank=need.rank,
+            arrived=now - need.waited_s,
+            start_by=now + need.first_event_in_s - reading_s - CONNECTION_S,
+            end_by=now + need.end_in_s - reading_s,
+        )
+        return Waiting(place=place, ask=room, asked=now, heard=now, broken_off=need.broken_off)
+
+    def _serve(self, service: str, line: RoomLine) -> None:
+        """Give places to the first in line while engines are ready for them."""
+        now = self._timers.now
+        for silent in line.expire(now):
+            self._open.pop(silent.place, None)
+            events.LINE_LEFT.log(log, request=silent.ask.request, vm=silent.place.vm)
+        view = self._placer.view(service)
+        passed_by = 0
+        for waiting in line.order(now, most_per_s=ready_rate(service, view, now)):
+            asked = self._open[waiting.place].asked
+            if self._beliefs.book.begun_after(waiting.ask.request, waiting.asked):
+                self.left(waiting.place, service)
+                continue
+            outcome = self._decide(asked.ask, line)
+            if not isinstance(outcome, NoRoom):
+                self._give(waiting, line, outcome)
+                continue
+            passed_by += 1
+            if not asked.ask.avoid or passed_by >= MOST_PASSED_BY:
+                break
+        if self._open:
+            self._filled.set()
+
+    def _decide(self, ask: RunAsk, line: RoomLine) -> RunOutcome | NoRoom:
+        # Chance would only part those who do not know of each other: this VM places them all.
+        ask, now = attrs.evolve(ask, crowd=False, allowed_s=None), self._timers.now
+        view = self._placer.view(ask.service)
+        if line.is_stalled(now, most_per_s=ready_rate(ask.service, view, now)):
+            return place_run(ask, view, now)
+        return place_where_ready(ask, view, now)
+
+    def _give(self, waiting: Waiting, line: RoomLine, outcome: RunOutcome) -> None:
+        """Tell a VM what was decided, and keep its place until it tells of the run."""
+        now, place = self._timers.now, waiting.place
+        question = self._open.pop(place)
+        ask = question.asked.ask
+        if isinstance(outcome, Placed):
+            self._beliefs.book.reserve(reserved_run(ask, outcome, vm=place.vm), now)
+            line.given(place, now)
+            self._log_begun(waiting, line, outcome)
+        else:
+            line.leave(place)
+        pace = self._beliefs.book.paces.kept().get(ask.service)
+        decided = PlacementTold.of(place.number, outcome, pace)
+        self._answer(place, question, LineTold(number=place.number, decided=decided))
+
+    def _refuse(self, place: PlaceInLine, line: RoomLine) -> bool:
+        """Turn away a prompt that the line can't reach in its time."""
+        question, now = self._open[place], self._timers.now
+        ask = question.asked.ask
+        if not question.asked.need.refusable:
+            return False
+        most_per_s = ready_rate(ask.service, self._placer.view(ask.service), now)
+        refused = line.refusal(place, now, most_per_s=most_per_s)
+        if refused is None:
+            return False
+        waiting = len(line)
+        self._count(ask.service, question.asked.need.rank, "refused")
+        self.left(place, ask.service)
+        self._answer(place, question, LineTold(number=place.number, refused=refused))
+        events.LINE_REFUSED.log(
+            log,
+            request=ask.request,
+            service=ask.service,
+            rank=question.asked.need.rank,
+            detail=refused.detail,
+            waiting=waiting,
+            in_time_s=round(question.asked.need.first_event_in_s, 2),
+            seconds=round(refused.retry_after_s, 2),
+        )
+        return True
+
+    def _answer(self, place: PlaceInLine, question: _Open, told: LineTold) -> None:
+        """Tell the last of a question, and keep it for as long as it may be asked again."""
+        now = self._timers.now
+        for former, given in list(self._given.items()):
+            if now - given.at <= RENEWED_WITHIN_S:
+                break
+            del self._given[former]
+        self._given[place] = _Given(told=told, at=now)
+        question.reply(told)
+
+    def _tell_waiting(self, place: PlaceInLine, line: RoomLine, *, is_new: bool) -> None:
+        question, now = self._open[place], self._timers.now
+        ask = question.asked.ask
+        most_per_s = ready_rate(ask.service, self._placer.view(ask.service), now)
+        ahead = line.ahead_of(place, now, most_per_s=most_per_s)
+        question.reply(
+            LineTold(number=place.number, waits=WaitInLine(seconds=RENEW_S, ahead=ahead))
+        )
+        if is_new:
+            events.LINE_QUEUED.log(
+                log,
+                request=ask.request,
+                service=ask.service,
+                rank=question.asked.need.rank,
+                ahead=ahead,
+                in_time_s=round(question.asked.need.first_event_in_s, 2),
+                per_s=round(most_per_s, 1),
+            )
+
+    def _tell_late(self, service: str, line: RoomLine) -> None:
+        """Tell once of each prompt that the line could not reach in its time."""
+        now = self._timers.now
+        for waiting in line.waiting:
+            question = self._open[waiting.place]
+            if question.told_late or waiting.turn(now) is not Turn.LATE:
+                continue
+            question.told_late = True
+            events.LINE_PASSED_BY.log(
+                log,
+                request=waiting.ask.request,
+                service=service,
+                rank=waiting.ask.rank,
+                seconds=round(now - waiting.asked, 2),
+                waiting=len(line),
+            )
+
+    def _log_begun(self, waiting: Waiting, line: RoomLine, placed: Placed) -> None:
+        now = self._timers.now
+        at_once = now <= waiting.asked
+        self._count(waiting.ask.service, waiting.ask.rank, "at-once" if at_once else "begun")
+        if at_once:
+            return
+        events.LINE_BEGUN.log(
+            log,
+            request=waiting.ask.request,
+            service=waiting.ask.service,
+            rank=waiting.ask.rank,
+            engine=placed.engine,
+            seconds=round(now - waiting.asked, 3),
+            waiting=len(line),
+            left_s=round(waiting.ask.start_by - now, 2),
+        )
+
+    def _count(self, service: str, rank: int, outcome: str) -> None:
+        self._tally.add(metrics.LINE_OUTCOMES, service, str(rank), outcome)
+
+    def _measure(self, service: str, line: RoomLine) -> None:
+        """Tell the length and age of a line by rank; ranks that have gone are told as 0."""
+        now = self._timers.now
+        by_rank: dict[int, list[float]] = {}
+        for waiting in line.waiting:
+            by_rank.setdefault(waiting.ask.rank, []).append(now - waiting.asked)
+        for rank in {*by_rank, *self._ranks_told}:
+            ages = by_rank.get(rank, [])
+            self._tally.set(metrics.LINE_LENGTH, len(ages), service, str(rank))
+            self._tally.set(metrics.LINE_AGE, max(ages, default=0.0), service, str(rank))
+        self._ranks_told.update(by_rank)
--- a/lagoonlever/gateway/stream_admission.py
+++ b/lagoonlever/gateway/stream_admission.py
@@ -8,6 +8,7 @@
 import logbook
 
 from lagoonlever.decisions.admission.prompt_admission import come_back_s
+from lagoonlever.decisions.admission.room import RefusedWithReturn
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.streams.life import (
     GiveUp,
@@ -26,6 +27,8 @@
 
 log = logbook.Logger(__name__)
 
+RETURN_SPREAD = 0.2
+"""Of a time to come back, over which callers are spread that were refused together."""
 LEAST_LEFT_S = 0.6
 """A return with less has no time for a connection, a slot, and the events that it lacks."""
 
@@ -71,6 +74,15 @@
         )
         return least_s <= left_s
 
+    def turned_away(self, refused: RefusedWithReturn) -> GiveUp:
+        """Give why a prompt is refused that the line for engines can't reach in its time."""
+        spread = self._rng.uniform(1.0, 1.0 + RETURN_SPREAD)
+        return GiveUp(
+            may_have_run=False,
+            detail=refused.detail,
+            retry_after_s=refused.retry_after_s * spread,
+        )
+
     def overloaded(self, accepted: Accepted, load: Overloaded) -> GiveUp:
         """Give why a new prompt is refused while engines read for too much of their time."""
         events.PROMPT_REFUSED.log(
