Reports of engines: when they leave, and queues that wait for memory

Cause: `leaves_ms` and `Next` of a report were read by nobody.

A report that names a leave within a usual run (reading and making, as learnt) counts as one that says that the engine leaves: all VMs hear of it and send nothing new. A copy that was made by a call is made anew shortly before, so that the run goes on from where it was. A run whose engine reports that its first waiting request does not fit into the memory leaves for an engine that would begin it within two usual readings; it counts as a move, within the half of the repeats that moves may use, and only where routes of the service differ in rank. Odd values of both fields tell nothing and spoil no report.

`leaves_ms` is taken for a time from now; were it a date, nothing would follow from it.

--- a/lagoonlever/decisions/streams/copy_keeping.py
+++ b/lagoonlever/decisions/streams/copy_keeping.py
@@ -32,6 +32,10 @@
     """Made by a call; as old as that."""
 
 
+LAST_COPY_S = 0.6
+"""Before the run's engine leaves: one call may fail and be tried again."""
+
+
 @attrs.define(kw_only=True)
 class CopyKeeping:
     """The copy of one run; times are seconds of the monotonic clock."""
@@ -42,6 +46,7 @@
     holder: str | None = None
     _made_at: float = float("-inf")
     _retry_at: float = float("-inf")
+    _leaves_at: float = float("inf")
 
     def growing(self, holder: str | None) -> None:
         """Note that a new attempt has its engine copy the run to a holder."""
@@ -54,8 +59,15 @@
             return False
         if self.kind is CopyKind.NONE or not holder_usable:
             return True
+        if self.kind is not CopyKind.CALLED:
+            return False
+        last_at = self._leaves_at - LAST_COPY_S
         stale = now - self._made_at >= REFRESH_SHARE * self._kept_s
-        return self.kind is CopyKind.CALLED and stale
+        return stale or self._made_at < last_at <= now
+
+    def engine_leaves(self, at: float) -> None:
+        """Note when the run's own engine leaves: the copy has to be fresh by then."""
+        self._leaves_at = at
 
     def called(self, holder: str, now: float) -> None:
         """Note that a call has copied the run."""
--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -93,6 +93,10 @@
         """Set once its runs stand still; it answers questions."""
         self.waiting = 0
         """Requests that it reports to wait, beside those that it has."""
+        self.first_waiting: int | None = None
+        """The tokens that it reports of the first of them."""
+        self.memory_used = 0
+        """What it reports, in tokens."""
         self.refused = 0
         """Requests that named a copy which is not here."""
         self.runs: dict[str, EngineRun] = {}
@@ -144,7 +148,9 @@
             born=self.started_ms,
             queued=self.waiting,
             running=len(self.runs),
+            kv_used=self.memory_used,
             kv_total=55_000,
+            next=self.first_waiting,
             state=self.reported_state,
             runs=[(r.request_id, r.prompt_tokens, r.events, 5) for r in flowing],
         )
--- a/lagoonlever/gateway/copy_keeper.py
+++ b/lagoonlever/gateway/copy_keeper.py
@@ -42,6 +42,15 @@
     flowing: bool = False
     """The run has given its first event; before that there is nothing to copy."""
     _called_copy: RunCopy | None = None
+    _keeping: CopyKeeping = attrs.field(init=False)
+
+    @_keeping.default
+    def _make_keeping(self) -> CopyKeeping:
+        return CopyKeeping(kept_s=self._limits.copy_kept_s)
+
+    def engine_leaves(self, at: float) -> None:
+        """Have the copy made anew before the run's own engine leaves."""
+        self._keeping.engine_leaves(at)
 
     @MECHANISMS.register(
         "copy-keeping",
@@ -51,7 +60,7 @@
     )
     async def run(self) -> None:
         """Look at the copy now and then, until cancelled."""
-        keeping = CopyKeeping(kept_s=self._limits.copy_kept_s)
+        keeping = self._keeping
         keeping.growing(self._run.copy_at)
         while True:
             await trio.sleep(CHECK_S)
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -123,6 +123,10 @@
     started_ms: int | None = None
     """When its process started, by its own clock in Unix milliseconds."""
     leaves: bool = False
+    leaves_in_s: float | None = None
+    """Until it leaves, where it knows."""
+    first_waiting: int | None = None
+    """The tokens of the first request that waits."""
     runs: tuple[RunReport, ...] = ()
 
     def run(self, request_id: str) -> RunReport | None:
--- /dev/null
+++ b/lagoonlever/gateway/report_uses.py
@@ -0,0 +1,50 @@
+"""What one attempt of a stream makes of its engine's report, beside the silence of its run."""
+
+from __future__ import annotations
+
+from lagoonlever.decisions.engines.engine_reports import leaves_queue, leaves_too_soon
+from lagoonlever.decisions.settings.configuration import RouteKind
+from lagoonlever.decisions.settings.load_parts import has_ranks
+from lagoonlever.gateway.attempt_tools import AttemptPlan, AttemptTools
+from lagoonlever.gateway.messages import EngineReport
+
+
+def take_report(report: EngineReport, plan: AttemptPlan, tools: AttemptTools) -> None:
+    """Take what a report tells of its engine's process and of its leaving."""
+    engine = plan.engine
+    if report.started_ms is not None:
+        tools.learner.take_start(engine.id, report.started_ms)
+    paces = tools.beliefs.book.paces
+    too_soon = leaves_too_soon(
+        report.leaves_in_s,
+        reading_s=paces.usual_reading_s(engine.service),
+        making_s=paces.usual_making_s(engine.service) or 0.0,
+    )
+    if report.leaves or too_soon:
+        tools.words.reports_leaving(engine.id, report.started_ms)
+
+
+def is_stuck(report: EngineReport, plan: AttemptPlan, tools: AttemptTools) -> bool:
+    """Tell whether a run waits for memory at its engine while another engine has room.
+
+    Only where routes of the service differ in rank, as there an engine's queue does not
+    move on in the order of its arrivals.
+    """
+    beliefs, service = tools.beliefs, plan.engine.service
+    if not has_ranks(beliefs.configuration.value, service, RouteKind.STREAM):
+        return False
+    place = beliefs.book.place(
+        tools.words.unlimited(beliefs.targets.serving(service)),
+        limits=plan.limits,
+        prompt_tokens=plan.run.prompt_tokens,
+        memory_tokens=plan.run.memory_tokens,
+        now=tools.timers.now,
+        avoid=frozenset({plan.engine.id}),
+    )
+    return leaves_queue(
+        first_waiting=report.first_waiting,
+        memory_used=report.memory_used,
+        memory_total=report.memory_total,
+        elsewhere_s=place.expected_s if place is not None else None,
+        usual_s=beliefs.book.paces.usual_reading_s(service),
+    )
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -30,6 +30,7 @@
 from lagoonlever.gateway.messages import AnswerHead, EngineReport, Hop, RunReport
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.placer import Placer
+from lagoonlever.gateway.report_uses import is_stuck, take_report
 from lagoonlever.gateway.stream_counts import StreamCounts
 from lagoonlever.gateway.target_client import NotSent
 from lagoonlever.http.client import ClientConnection, Response
@@ -297,15 +298,24 @@
         )
         self._tools.reporter.tally.add(metrics.ENGINE_QUESTIONS, answer.value)
         silence.answered(answer, self._now, events_ahead=ahead)
+        if answer is Answer.QUEUED and report is not None and not self._answered:
+            self._leave_stuck_queue(report)
 
     def _take_report(self, report: EngineReport | None) -> None:
         """Take what a report tells of its engine, whatever becomes of the run."""
         if report is None:
             return
-        if report.started_ms is not None:
-            self._tools.learner.take_start(self._plan.engine.id, report.started_ms)
-        if report.leaves:
-            self._tools.words.reports_leaving(self._plan.engine.id, report.started_ms)
+        if report.leaves_in_s is not None:
+            self._copies.engine_leaves(self._now + report.leaves_in_s)
+        take_report(report, self._plan, self._tools)
+
+    def _leave_stuck_queue(self, report: EngineReport) -> None:
+        """Leave an engine whose queue waits for memory, if another one has room."""
+        window = self._tools.budgets.of_runs(self._accepted.service)
+        if not self._may_look_again() or not window.allows(self._now, vms=1, part=MOVES_PART):
+            return
+        if is_stuck(report, self._plan, self._tools):
+            raise _Moved
 
     def _has_started_again(self) -> bool:
         """Tell whether the engine is another process than the one that the run was sent to."""
--- a/lagoonlever/platform/engine_calls.py
+++ b/lagoonlever/platform/engine_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import msgspec
@@ -13,6 +14,7 @@
 KEPT_PATH = "/-/kv-list"
 COPY_PATH = "/-/kv-move"
 FREE_PATH = "/-/kv-handle/"
+MS = 1000.0
 
 
 class Report(msgspec.Struct, rename="pascal", kw_only=True):
@@ -26,6 +28,10 @@
     kv_total: int = 0
     state: Any = None
     """``ready`` or ``draining``; anything else tells nothing, and spoils no report."""
+    leaves_ms: Any = msgspec.field(name="leaves_ms", default=None)
+    """Milliseconds until the engine leaves, where it knows."""
+    next: Any = None
+    """The tokens of the first request that waits."""
     runs: list[tuple[str, int, int, int]] = []
     """Each run: its request, tokens in memory, events made, priority."""
 
@@ -61,6 +67,8 @@
 
 def read_report(raw: Report) -> EngineReport:
     """Give the product's form of a report."""
+    leaves_ms = _amount(raw.leaves_ms)
+    first_waiting = _amount(raw.next)
     return EngineReport(
         running=raw.running,
         waiting=raw.queued,
@@ -68,5 +76,14 @@
         memory_total=raw.kv_total,
         started_ms=raw.born,
         leaves=raw.state == DRAINING,
+        leaves_in_s=None if leaves_ms is None else leaves_ms / MS,
+        first_waiting=round(first_waiting) if first_waiting else None,
         runs=tuple(RunReport(request_id=r[0], tokens=r[1], events=r[2]) for r in raw.runs),
     )
+
+
+def _amount(raw: Any) -> float | None:
+    """Give a number of a report; an odd value tells nothing, and spoils no report."""
+    if isinstance(raw, bool) or not isinstance(raw, int | float):
+        return None
+    return float(raw) if 0 <= raw < math.inf else None
--- a/lagoonlever/tests/gateway_streams_tests.py
+++ b/lagoonlever/tests/gateway_streams_tests.py
@@ -23,6 +23,15 @@
     return next(name for name, engine in site.engines.items() if engine.runs)
 
 
+async def configure_ranks(site: GatewaySite) -> None:
+    """Add a second route to the engines, of another rank."""
+    document = configuration(version=2)
+    stream = document["Routes"][0]
+    document["Routes"].append({**stream, "Name": "other", "Prefix": "/other/", "Priority": 3})
+    site.configure(document)
+    await until(lambda: all(vm.daemon.parts.beliefs.version == 2 for vm in site.vms.values()))
+
+
 def test_a_stream_arrives_whole_with_the_engine_s_seal() -> None:
     async def story(site: GatewaySite) -> None:
         got = await site.stream("p1", events=10)
@@ -44,11 +53,7 @@
     """Guards against an urgent stream that its engine takes for one like all others."""
 
     async def story(site: GatewaySite) -> None:
-        document = configuration(version=2)
-        stream = document["Routes"][0]
-        document["Routes"].append({**stream, "Name": "other", "Prefix": "/other/", "Priority": 3})
-        site.configure(document)
-        await until(lambda: site.vms["vm-0"].daemon.parts.beliefs.version == 2)
+        await configure_ranks(site)
         got = await site.stream("p1", events=10)
         assert got.whole
         sent = next(e for e in site.engines.values() if e.seen).seen[0]
@@ -57,6 +62,42 @@
     run_site(story)
 
 
+async def wait_at_a_full_engine(site: GatewaySite) -> None:
+    """Ask for a stream whose engine reports, once it has it, that its queue waits for memory."""
+    for engine in site.engines.values():
+        engine.prefill_tokens_per_s = 250.0
+
+    async def fill() -> None:
+        await until(lambda: any(engine.runs for engine in site.engines.values()))
+        engine = site.engines[running_engine(site)]
+        engine.waiting, engine.first_waiting, engine.memory_used = 1, 5_200, 54_000
+
+    site.nursery.start_soon(fill)
+    got = await site.stream("p1", events=5, prompt_tokens=500)
+    assert got.whole and got.is_events("p1", 1, 5)
+
+
+def test_a_prompt_leaves_an_engine_without_memory_for_its_queue() -> None:
+    """Guards against a prompt that waits for the end of a run while other engines have room."""
+
+    async def story(site: GatewaySite) -> None:
+        await configure_ranks(site)
+        await wait_at_a_full_engine(site)
+        assert sum(len(engine.seen) for engine in site.engines.values()) == 2
+
+    run_site(story)
+
+
+def test_a_prompt_stays_in_the_queue_where_routes_have_one_rank() -> None:
+    """Guards against a change for services whose work is all alike."""
+
+    async def story(site: GatewaySite) -> None:
+        await wait_at_a_full_engine(site)
+        assert sum(len(engine.seen) for engine in site.engines.values()) == 1
+
+    run_site(story)
+
+
 def test_a_crashed_engine_s_stream_goes_on_from_the_copy() -> None:
     """A dealer's summary is half told when its engine dies with its sockets.
 
