Lookups: an end that is told after the answer that clears it does not count

A request that got a whole answer ends no target, and what was counted against it is forgotten. Two orders of messages left ends counted all the same: (1) the VM that answered had not heard of the end yet, so it cleared nothing, told nobody, and counted the end when it was told; (2) the VM that had seen two ends was writing them to the store as it heard of the answer: it took out only what it knew to be in the record, so the ends stayed there and were read again.

What callers saw: a lookup that everybody sends while runners crash was refused with 503 for ten minutes after the third crash.

Why it holds: each VM remembers whole answers for half a second, the time of a detection and a message; ends that are told within it are not counted, and the one VM that gave the answer tells the others so. What a write under way puts into the record is taken out, too, also when the answer of the store to that write is lost. Ends that a VM sees itself count as before.

--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -10,7 +10,8 @@
 that had begun to tell its answer is no cause of it, and is not counted; one that may only have
 waited there counts half. The cause is at all ends, so it reaches the bound first: what it
 explains then counts less against the others. And one that gets a whole answer anywhere ends no
-target: what was counted against it is forgotten.
+target: what was counted against it is forgotten. News of an end may arrive just after the answer
+that clears it, so answers are remembered for a moment and ends from before them are not counted.
 """
 
 from __future__ import annotations
@@ -35,6 +36,10 @@
 """From the last end under it until a request may be tried again, as a repair may be out."""
 KEPT_S = 3600.0
 """From the last end under a request until it is forgotten: it is barred again by one more."""
+LATE_NEWS_S = 0.5
+"""News of an end from before an answer arrives within this: the detection, and a message."""
+MOST_ANSWERED = 2048
+"""Answers that are remembered; beyond it the oldest are forgotten."""
 MOST_KNOWN = 256
 """Requests that are remembered, those with the most ends; 55 KB with three ends each."""
 
@@ -56,6 +61,15 @@
 """By a request's fingerprint: the ends of processes under it, by the process."""
 
 
+@attrs.frozen(kw_only=True)
+class _Answer:
+    """A request got a whole answer at some VM; ``at`` in seconds."""
+
+    at: float
+    is_own: bool
+    """It was this VM that gave it."""
+
+
 @attrs.frozen(kw_only=True)
 class Bar:
     """Why a request is refused: so many targets ended under it, and for how long from now on."""
@@ -75,6 +89,8 @@
 
     _ends: dict[str, dict[str, End]] = attrs.field(factory=dict)
     _barred: frozenset[str] = frozenset()
+    _answers: dict[str, _Answer] = attrs.field(factory=dict)
+    """The last whole answer to each request, the oldest first."""
 
     @property
     def ends(self) -> Ends:
@@ -92,30 +108,40 @@
         The same end is told by each VM that had the request there; the one where it had begun
         counts.
         """
-        return self.learn({fingerprint: {process: end}})
+        return self._add({fingerprint: {process: end}})
 
     def learn(self, ends: Ends) -> bool:
-        """Take ends that this or other VMs saw; gives whether any is news."""
-        is_news = False
-        for fingerprint, processes in ends.items():
-            known = self._ends.setdefault(fingerprint, {})
-            for process, end in processes.items():
-                former = known.get(process)
-                if former is None or former.weight < end.weight:
-                    known[process] = end
-                    is_news = True
-        if is_news:
-            self._forget_beyond(MOST_KNOWN)
-            self._barred = _causes(self._ends)
-        return is_news
+        """Take ends that other VMs saw, but what an answer cleared; gives whether any is news."""
+        counted = {
+            fingerprint: {
+                process: end
+                for process, end in processes.items()
+                if not self._is_cleared(fingerprint, end)
+            }
+            for fingerprint, processes in ends.items()
+        }
+        return self._add({f: processes for f, processes in counted.items() if processes})
 
     def has_ended(self, process: str, before: float) -> bool:
         """Tell whether a process was known to have ended before a moment."""
         known = (processes.get(process) for processes in self._ends.values())
         return any(end is not None and end.at < before for end in known)
 
-    def served(self, fingerprint: str) -> bool:
-        """Note that a target has answered a request; gives whether ends are forgotten by it."""
+    def cleared_here(self, ends: Ends) -> frozenset[str]:
+        """Give the requests that this VM answered after ends, or just before these were told."""
+        return frozenset(
+            fingerprint
+            for fingerprint, processes in ends.items()
+            for end in processes.values()
+            if self._is_cleared(fingerprint, end) and self._answers[fingerprint].is_own
+        )
+
+    def served(self, fingerprint: str, now: float, *, is_own: bool) -> bool:
+        """Note that a target has answered a request; gives whether ends are forgotten by it.
+
+        ``is_own`` tells that this VM gave the answer.
+        """
+        self._note_answer(fingerprint, _Answer(at=now, is_own=is_own))
         if self._ends.pop(fingerprint, None) is None:
             return False
         self._barred = _causes(self._ends)
@@ -147,6 +173,34 @@
             if now - _last_at(processes) > KEPT_S:
                 del self._ends[fingerprint]
         self._barred &= self._ends.keys()
+        for fingerprint, answer in list(self._answers.items()):
+            if now - answer.at <= LATE_NEWS_S:
+                break
+            del self._answers[fingerprint]
+
+    def _add(self, ends: Ends) -> bool:
+        is_news = False
+        for fingerprint, processes in ends.items():
+            known = self._ends.setdefault(fingerprint, {})
+            for process, end in processes.items():
+                former = known.get(process)
+                if former is None or former.weight < end.weight:
+                    known[process] = end
+                    is_news = True
+        if is_news:
+            self._forget_beyond(MOST_KNOWN)
+            self._barred = _causes(self._ends)
+        return is_news
+
+    def _note_answer(self, fingerprint: str, answer: _Answer) -> None:
+        self._answers.pop(fingerprint, None)
+        self._answers[fingerprint] = answer
+        if len(self._answers) > MOST_ANSWERED:
+            del self._answers[next(iter(self._answers))]
+
+    def _is_cleared(self, fingerprint: str, end: End) -> bool:
+        answer = self._answers.get(fingerprint)
+        return answer is not None and end.at <= answer.at + LATE_NEWS_S
 
     def _forget_beyond(self, most: int) -> None:
         beyond = len(self._ends) - most
--- a/lagoonlever/entry/engine_crashes.py
+++ b/lagoonlever/entry/engine_crashes.py
@@ -58,12 +58,16 @@
         """Take what other VMs tell, until cancelled."""
         with self._timers.subscribed(self._expire, period_s=EXPIRE_PERIOD_S):
             async for received in self._bus.subscribe(TargetsEnded):
-                self._suspects.learn(read_ends(received.message, self._timers.now))
+                ends = read_ends(received.message, self._timers.now)
+                self._suspects.learn(ends)
+                for fingerprint in self._suspects.cleared_here(ends):
+                    self._tell(RequestServed(fingerprint=fingerprint))
 
     async def run_served(self) -> None:
         """Take which requests were served after all, until cancelled."""
         async for received in self._bus.subscribe(RequestServed):
-            self._suspects.served(received.message.fingerprint)
+            fingerprint = received.message.fingerprint
+            self._suspects.served(fingerprint, self._timers.now, is_own=False)
 
     def refusal(self, spec: GenerationSpec) -> NotRun | None:
         """Give what the caller of a barred prompt is told, or None where it may run."""
@@ -99,8 +103,9 @@
 
     def served(self, spec: GenerationSpec) -> None:
         """Note that an engine gave a whole answer: the prompt ends none."""
-        if self._suspects.ends and self._suspects.served(_fingerprint(spec)):
-            self._tell(RequestServed(fingerprint=_fingerprint(spec)))
+        fingerprint = _fingerprint(spec)
+        if self._suspects.served(fingerprint, self._timers.now, is_own=True):
+            self._tell(RequestServed(fingerprint=fingerprint))
 
     def _tell(self, message: TargetsEnded | RequestServed) -> None:
         view = self._members.value
--- a/lagoonlever/gateway/crash_news.py
+++ b/lagoonlever/gateway/crash_news.py
@@ -39,8 +39,12 @@
         """Take ends that other VMs tell, until cancelled."""
         async for received in self._bus.subscribe(TargetsEnded):
             message = received.message
-            is_news = self._suspects.learn(read_ends(message, self._timers.now))
+            ends = read_ends(message, self._timers.now)
+            is_news = self._suspects.learn(ends)
             self._learnt()
+            # Others count what this VM knows to be cleared: the news was late here only.
+            for fingerprint in self._suspects.cleared_here(ends):
+                self.tell(RequestServed(fingerprint=fingerprint))
             if is_news:
                 self._pass_on(message, source=received.sender.name)
 
@@ -51,7 +55,7 @@
             # Whoever has written the record takes it out there: the VM that served it may never
             # have seen the record.
             self._served(message.fingerprint)
-            if self._suspects.served(message.fingerprint):
+            if self._suspects.served(message.fingerprint, self._timers.now, is_own=False):
                 self._pass_on(message, source=received.sender.name)
 
     def tell(self, message: CrashMessage) -> None:
--- a/lagoonlever/gateway/crash_records.py
+++ b/lagoonlever/gateway/crash_records.py
@@ -49,6 +49,8 @@
     """Requests that are to be taken out of the record."""
     _recorded: dict[str, frozenset[str]] = attrs.field(factory=dict)
     """The processes that ended under each request, by the record as last seen."""
+    _writing: frozenset[str] = frozenset()
+    """The requests that the record may hold by a write whose outcome is not known yet."""
     _is_old: bool = False
     """The record is to be read again."""
     _wanted: trio.Event = attrs.field(factory=trio.Event)
@@ -85,7 +87,7 @@
 
     def take_out(self, fingerprint: str) -> None:
         """Have a request that was served taken out of the record, if it is there."""
-        if fingerprint in self._recorded:
+        if fingerprint in self._recorded or fingerprint in self._writing:
             self._served.add(fingerprint)
             self._wanted.set()
 
@@ -119,12 +121,14 @@
         while self._has_news():
             served, known = frozenset(self._served), self._known()
             value = msgspec.json.encode(self._document(without=served))
+            self._writing = frozenset(known)
             try:
                 written = await self._record.write(value)
             except PlatformError:
                 # The store's client has logged it; a write whose answer was lost shows as a
                 # conflict next time.
                 return False
+            self._writing = frozenset()
             if not written:
                 self._take()
                 continue
@@ -134,7 +138,7 @@
 
     def _has_news(self) -> bool:
         """Tell whether the record lacks an end, or has a request that was served."""
-        if self._served & self._recorded.keys():
+        if self._served & (self._recorded.keys() | self._writing):
             return True
         nothing: frozenset[str] = frozenset()
         return any(
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -160,9 +160,9 @@
 
     def served(self, accepted: Accepted) -> None:
         """Note that a target has answered a request whole: it ends no target."""
-        if not self._suspects.ends or not self._suspects.served(accepted.fingerprint):
-            return
         fingerprint = accepted.fingerprint
+        if not self._suspects.served(fingerprint, self._timers.now, is_own=True):
+            return
         events.REQUEST_CLEARED.log(log, fingerprint=fingerprint, request=accepted.request_id)
         self._news.tell(RequestServed(fingerprint=fingerprint))
         self._records.take_out(fingerprint)
--- a/lagoonlever/tests/crash_news_tests.py
+++ b/lagoonlever/tests/crash_news_tests.py
@@ -90,7 +90,7 @@
         vms[5].sees_end("b")
         await trio.sleep(TOLD_S)
         assert all(vm.suspects.ends for vm in vms)
-        vms[-1].suspects.served("f1")
+        vms[-1].suspects.served("f1", trio.current_time(), is_own=True)
         vms[-1].news.tell(RequestServed(fingerprint="f1"))
         await trio.sleep(TOLD_S)
         assert not any(vm.suspects.ends for vm in vms)
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -12,6 +12,8 @@
     BARRED_S,
     BEGAN,
     KEPT_S,
+    LATE_NEWS_S,
+    MOST_ANSWERED,
     MOST_KNOWN,
     WAITED,
     CrashSuspects,
@@ -86,12 +88,50 @@
 
 def test_a_whole_answer_forgets_what_was_counted() -> None:
     suspects = suspects_of(("a", BEGAN), ("b", BEGAN))
-    assert suspects.served("f1")
-    assert not suspects.served("f1")
+    assert suspects.served("f1", 2.0, is_own=True)
+    assert not suspects.served("f1", 2.0, is_own=True)
     suspects.ended_under("f1", "c", End(at=2.0))
     assert suspects.bar("f1", 2.0) is None
 
 
+def test_news_of_an_end_just_after_an_answer_is_late_and_does_not_count() -> None:
+    """Guards against ends that are told a moment after the answer that clears them."""
+    suspects = CrashSuspects()
+    suspects.served("f1", 10.0, is_own=True)
+    late = {"f1": {"a": End(at=10.0 + LATE_NEWS_S)}, "f2": {"a": End(at=10.1)}}
+    assert suspects.cleared_here(late) == {"f1"}
+    assert suspects.learn(late)
+    assert set(suspects.ends) == {"f2"}
+    later = {"f1": {"a": End(at=10.1 + LATE_NEWS_S)}}
+    assert not suspects.cleared_here(later)
+    assert suspects.learn(later)
+
+
+def test_only_the_vm_that_gave_an_answer_tells_again_of_it() -> None:
+    """Guards against every VM of a fleet answering one late message."""
+    suspects = CrashSuspects()
+    suspects.served("f1", 10.0, is_own=False)
+    late = {"f1": {"a": End(at=10.0)}}
+    assert not suspects.learn(late)
+    assert not suspects.cleared_here(late)
+
+
+def test_an_end_that_this_vm_saw_after_an_answer_counts() -> None:
+    suspects = CrashSuspects()
+    suspects.served("f1", 10.0, is_own=True)
+    assert suspects.ended_under("f1", "a", End(at=10.1))
+
+
+def test_answers_are_remembered_for_a_moment_and_up_to_a_bound() -> None:
+    suspects = CrashSuspects()
+    for number in range(MOST_ANSWERED + 1):
+        suspects.served(f"f{number}", 10.0, is_own=True)
+    assert suspects.learn({"f0": {"a": End(at=10.0)}})
+    assert not suspects.learn({"f1": {"a": End(at=10.0)}})
+    suspects.expire(10.1 + LATE_NEWS_S)
+    assert suspects.learn({"f1": {"a": End(at=10.0)}})
+
+
 def test_what_the_cause_explains_counts_less_against_those_that_followed_it() -> None:
     """A stream is at four engines that a question ends, twice with an answer just begun.
 
--- a/lagoonlever/tests/crash_watch_tests.py
+++ b/lagoonlever/tests/crash_watch_tests.py
@@ -15,6 +15,7 @@
 from lagoonlever.http.client import Response
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.peers.bus import PeerBus
+from lagoonlever.peers.messages_crashes import TargetsEnded
 from lagoonlever.platform.store_wire import READ_KEY, TRANSACTION
 from lagoonlever.tests.gateway_site import GatewaySite, run_site, until, until_within
 
@@ -255,6 +256,61 @@
     run_site(story, engines=0, runners=8)
 
 
+def test_news_of_an_end_that_comes_after_an_answer_does_not_count(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against ends that are told a moment too late to be cleared by the answer."""
+    held: list[tuple[PeerBus, list[Address], object]] = []
+    send_to_all = PeerBus.send_to_all
+
+    def hold_ends(bus: PeerBus, to: Iterable[Address], message: object) -> None:
+        if isinstance(message, TargetsEnded):
+            held.append((bus, list(to), message))
+            return
+        send_to_all(bus, to, message)
+
+    monkeypatch.setattr(PeerBus, "send_to_all", hold_ends)
+
+    async def story(site: GatewaySite) -> None:
+        suspects = [vm.daemon.parts.crashes._suspects for vm in site.vms.values()]
+        for number in range(MOST_ENDED + 1):
+            await deadly(site)
+            await call(site, "bid")
+            site.deadly.clear()
+            answer = await call(site, "bid", vm="vm-1")
+            assert answer.status == 200, number
+            for bus, to, message in held:
+                send_to_all(bus, to, message)
+            held.clear()
+            await until_within(TOLD_S, lambda: not any(known.ends for known in suspects))
+        assert len(site.deaths) == MOST_ENDED + 1
+
+    run_site(story, engines=0, runners=8)
+
+
+def test_a_request_that_is_served_while_its_ends_are_written_is_out_of_the_record() -> None:
+    """Guards against an answer that is told between the write of ends and the store's answer."""
+
+    async def story(site: GatewaySite) -> None:
+        await deadly(site)
+        await call(site, "bid")
+        await told(site)
+        site.store.slow_s = 0.5
+        reads = site.store.calls[READ_KEY]
+        await call(site, "bid")
+        await until(lambda: site.store.calls[READ_KEY] > reads)
+        writes = site.store.calls[TRANSACTION]
+        await until(lambda: site.store.calls[TRANSACTION] > writes)
+        site.deadly.clear()
+        assert (await call(site, "bid", vm="vm-1")).status == 200
+        await trio.sleep(1.0)
+        site.store.slow_s = 0.0
+        await until_within(TOLD_S, lambda: site.store.value(RECORD_KEY) in (None, b"{}"))
+        assert not any(vm.daemon.parts.crashes._suspects.ends for vm in site.vms.values())
+
+    run_site(story, engines=0, runners=8)
+
+
 def test_a_request_that_was_served_elsewhere_is_out_of_the_record() -> None:
     """Two runners crash under a lookup, it is served by another VM, and a third one crashes.
 
