Stand-ins of targets: room by rank, and loads of four figures

An engine or runner may be given slots, memory and a queue: the most urgent request that waits is admitted first, the newest of the least urgent leaves when memory runs out and reads its prompt again, a full target refuses and says that it has not run the request. A slowness that can be set makes its work longer and stands in the fourth figure of its load. Without these a stand-in behaves as before.

--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -14,6 +14,7 @@
 import msgspec
 import trio
 
+from lagoonlever.fakes.target_room import USUAL_PRIORITY, Place, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
@@ -25,6 +26,7 @@
     EXPECTED_TARGET,
     LAST_EVENT_ID,
     MISDIRECTED,
+    PRIORITY,
     PROMPT_PARTS,
     REFUSED,
     REQUEST_ID,
@@ -66,6 +68,7 @@
     prompt_tokens: int
     events: int = 0
     flowing: bool = False
+    place: Place | None = None
 
 
 class FakeEngine:
@@ -103,6 +106,7 @@
         self.seen: list[Headers] = []
         self.arrived_at: list[float] = []
         self.says = TargetWords()
+        self.room = TargetRoom()
         self.reported_state: object = "ready"
         """The state that its reports tell."""
         self.cancelled: list[str] = []
@@ -142,8 +146,9 @@
         flowing = [run for run in self.runs.values() if run.flowing]
         report = engine_calls.Report(
             born=self.started_ms,
-            queued=self.waiting,
-            running=len(self.runs),
+            queued=self.waiting + self.room.waiting,
+            running=len(self.runs) - self.room.waiting,
+            kv_used=min(55_000, self.room.used_tokens),
             kv_total=55_000,
             state=self.reported_state,
             runs=[(r.request_id, r.prompt_tokens, r.events, 5) for r in flowing],
@@ -187,8 +192,12 @@
             run = None
         if run is None:
             self.refused += 1
-            refusal = Headers(((REFUSED, "1"), *self.says.fields(refusal=True)))
-            await exchange.respond(status=BUSY, headers=refusal, body=b"")
+            await self._refuse(exchange)
+            return
+        priority = int(headers.get(PRIORITY) or USUAL_PRIORITY)
+        run.place = self.room.enter(priority=priority, tokens=run.prompt_tokens)
+        if run.place is None:
+            await self._refuse(exchange)
             return
         self.runs[run.request_id] = run
         try:
@@ -198,6 +207,12 @@
                 nursery.cancel_scope.cancel()
         finally:
             self.runs.pop(run.request_id, None)
+            self.room.leave(run.place)
+
+    async def _refuse(self, exchange: Exchange) -> None:
+        load = self.says.load_field(self.room)
+        refusal = Headers(((REFUSED, "1"), *load, *self.says.fields(refusal=True)))
+        await exchange.respond(status=BUSY, headers=refusal, body=b"")
 
     def _begin(self, headers: Headers) -> EngineRun | None:
         """Give the run of a request, or None where it names a copy that is not here."""
@@ -226,9 +241,9 @@
     async def _generate(self, exchange: Exchange, run: EngineRun) -> None:
         headers = exchange.request.headers
         conduct = self.conducts.popleft() if self.conducts else EngineConduct.SERVE
+        await self._wait_admitted(run)
         if run.part not in self.kept:
-            self.read_tokens[run.part] += run.prompt_tokens
-            await trio.sleep(run.prompt_tokens / self.prefill_tokens_per_s)
+            await self._read(run)
         run.flowing = True
         self.kept[run.part] = run.prompt_tokens
         if conduct is EngineConduct.LOSE_ANSWER:
@@ -240,6 +255,7 @@
             ("Content-Type", EVENT_STREAM_TYPE),
             (REQUEST_ID, run.request_id),
             (SEAL, f"seal-{self.target_id}"),
+            *self.says.load_field(self.room),
             *self.says.fields(),
         )
         await exchange.start_stream(status=OK, headers=Headers(fields))
@@ -254,6 +270,17 @@
         if holder is not None:
             holder.copies.pop(run.request_id, None)
 
+    async def _read(self, run: EngineRun) -> None:
+        self.read_tokens[run.part] += run.prompt_tokens
+        await trio.sleep(run.prompt_tokens / self.prefill_tokens_per_s * self.says.pace)
+
+    async def _wait_admitted(self, run: EngineRun) -> bool:
+        """Wait until a run has a slot; gives whether it had to."""
+        assert run.place is not None
+        had_to = not run.place.admitted.is_set()
+        await run.place.admitted.wait()
+        return had_to
+
     async def _emit(
         self,
         exchange: Exchange,
@@ -265,11 +292,15 @@
     ) -> None:
         made = 0
         while run.events < last:
-            await trio.sleep(self.event_s)
+            await trio.sleep(self.event_s * self.says.pace)
+            if await self._wait_admitted(run):
+                await self._read(run)
             if self.frozen.is_set() or self.frozen_runs.is_set():
                 await trio.sleep_forever()
             made += 1
             run.events += 1
+            assert run.place is not None
+            self.room.grow(run.place, EVENT_TOKENS)
             event = event_bytes(run.part, run.events)
             if made == 3 and conduct is EngineConduct.SKIP_EVENT:
                 continue
--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from lagoonlever.fakes.target_room import USUAL_PRIORITY, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
@@ -15,6 +16,7 @@
     EXPECTED_TARGET,
     LOAD,
     MISDIRECTED,
+    PRIORITY,
     REFUSED,
     REQUEST_ID,
     SEAL,
@@ -65,6 +67,7 @@
         self.arrivals: list[str] = []
         self.arrived_at: list[float] = []
         self.says = TargetWords()
+        self.room = TargetRoom()
         self._state = ServerState()
         self._deadly = deadly
         """Bodies of requests under which the runner ends as it runs them."""
@@ -93,12 +96,21 @@
             await exchange.respond(status=MISDIRECTED, headers=other, body=b"")
             return
         conduct = self.conducts.popleft() if self.conducts else Conduct.SERVE
-        if conduct is Conduct.REFUSE:
-            refusal = Headers(((REFUSED, "1"), *self.says.fields(refusal=True)))
+        priority = int(headers.get(PRIORITY) or USUAL_PRIORITY)
+        place = None
+        if conduct is not Conduct.REFUSE:
+            place = self.room.enter(priority=priority, tokens=0)
+        if place is None:
+            load = self.says.load_field(self.room)
+            refusal = Headers(((REFUSED, "1"), *load, *self.says.fields(refusal=True)))
             await exchange.respond(status=BUSY, headers=refusal, body=b"")
             return
-        self.runs[request_id] += 1
-        await trio.sleep(self.work_s)
+        try:
+            await place.admitted.wait()
+            self.runs[request_id] += 1
+            await trio.sleep(self.work_s * self.says.pace)
+        finally:
+            self.room.leave(place)
         if exchange.request.body.decode(errors="replace") in self._deadly:
             self._die()
             await trio.sleep_forever()
@@ -106,7 +118,8 @@
 
     async def _answer(self, exchange: Exchange, request_id: str, conduct: Conduct) -> None:
         body = b"answer to " + request_id.encode()
-        fields = [(REQUEST_ID, request_id), (SEAL, f"seal-{request_id}"), (LOAD, "1,0,6")]
+        load = self.says.load_field(self.room) or ((LOAD, "1,0,6"),)
+        fields = [(REQUEST_ID, request_id), (SEAL, f"seal-{request_id}"), *load]
         fields += self.says.fields()
         if conduct is Conduct.LOSE_ANSWER:
             raise CallerGone
--- a/lagoonlever/fakes/target_words.py
+++ b/lagoonlever/fakes/target_words.py
@@ -4,7 +4,10 @@
 
 import attrs
 
-from lagoonlever.platform.headers import LEAVING, LIMIT, REST
+from lagoonlever.fakes.target_room import PLENTY, TargetRoom
+from lagoonlever.platform.headers import LEAVING, LIMIT, LOAD, REST, USUAL_PACE
+
+USUAL_SLOTS = 6
 
 
 @attrs.define(kw_only=True)
@@ -18,6 +21,22 @@
     rest: str | None = None
     """The seconds of rest that it asks for as it turns requests away."""
 
+    slowness: float | None = None
+    """How many times as long as usual its work takes now; None where it tells no load."""
+
+    @property
+    def pace(self) -> float:
+        """How many times as long as usual its work takes now."""
+        return 1.0 if self.slowness is None else self.slowness
+
+    def load_field(self, room: TargetRoom) -> tuple[tuple[str, str], ...]:
+        """Give the field that tells the load of four figures, if it tells any."""
+        if self.slowness is None:
+            return ()
+        slots = room.slots if room.slots != PLENTY else USUAL_SLOTS
+        pace = f"{self.slowness * USUAL_PACE:.0f}"
+        return ((LOAD, f"{room.running},{room.waiting},{slots},{pace}"),)
+
     def fields(self, *, refusal: bool = False) -> tuple[tuple[str, str], ...]:
         """Give the fields of its answers."""
         said = (
