Calls: places at runners that tell their slowness are given out by one VM

Cause: a VM hears of each of four runners once in two seconds and chooses by its own few calls and chance; callers wait behind a queue while a slot is free elsewhere, and at a crest everybody is late.

A lookup gets a second attempt only where the runner of its first is slow now, silent or overfull, and a slot is free with nobody waiting for it.

--- a/lagoonlever/decisions/admission/call_line.py
+++ b/lagoonlever/decisions/admission/call_line.py
@@ -46,6 +46,7 @@
 MOST_RETURN_S = 5.0
 RETURNS_SHARE = 0.2
 """The part of what runners can do that is given to callers that return."""
+MOST_AGE_TOLD_S = 99.0
 END_SLACK = 1.5
 """Times the usual work that must be left to a call that is to end in its caller's time."""
 
@@ -133,6 +134,14 @@
         able = (each for each in self._runners.values() if self._is_able(each, now))
         return sum(each.slots / (self._work_s * each.slowness(now)) for each in able)
 
+    def describe(self, now: float) -> str:
+        """Give each runner's calls, slots, slowness and the age of its word, for a log line."""
+        return ", ".join(
+            f"{each.name} {each.busy(now):.0f}/{each.slots:g} x{each.slowness(now):.2f}"
+            f" {min(each.age_s(now), MOST_AGE_TOLD_S):.2f} s"
+            for each in self._runners.values()
+        )
+
     def retain(self, data_centers: Mapping[str, str]) -> None:
         """Give out places at these runners from now on, by name, and at no others."""
         for name in self._runners.keys() - data_centers.keys():
@@ -158,6 +167,7 @@
             waiter.renewed = now
             return self._in_line(waiter)
         self._count_ask(now)
+        self._expire(now)
         self._asked += 1
         return self._join(_Waiter(ask=ask, number=self._asked, since=now, renewed=now), now)
 
@@ -175,8 +185,10 @@
         return self._give(ask, best, now)
 
     def leave(self, request: str) -> None:
-        """Note that an attempt waits no longer."""
+        """Note that an attempt neither waits nor has a use for a place any longer."""
         self._waiting.pop(request, None)
+        for runner in self._runners.values():
+            runner.release(request)
 
     def ended(
         self,
@@ -206,8 +218,7 @@
 
     def tick(self, now: float) -> tuple[LineNews, ...]:
         """Give out what is free; gives what was decided of those that wait."""
-        for runner in self._runners.values():
-            runner.expire(now)
+        self._expire(now)
         for waiter in list(self._waiting.values()):
             if now - waiter.renewed > SILENT_S:
                 self.leave(waiter.ask.room.request)
@@ -217,6 +228,10 @@
         news, self._news = tuple(self._news), []
         return news
 
+    def _expire(self, now: float) -> None:
+        for runner in self._runners.values():
+            runner.expire(now)
+
     def _join(self, waiter: _Waiter, now: float) -> RoomOutcome:
         request = waiter.ask.room.request
         self._waiting[request] = waiter
@@ -270,7 +285,7 @@
 
     def _put(self, waiter: _Waiter, outcome: RoomGiven | RefusedWithReturn, now: float) -> None:
         request = waiter.ask.room.request
-        self.leave(request)
+        del self._waiting[request]
         self._news.append(LineNews(request=request, outcome=outcome, waited_s=now - waiter.since))
 
     def _best(self, ask: LineAsk, now: float) -> LineRunner | None:
--- a/lagoonlever/decisions/admission/hedging.py
+++ b/lagoonlever/decisions/admission/hedging.py
@@ -302,6 +302,22 @@
         """The number of attempts sent."""
         return len(self._sent_at)
 
+    @property
+    def has_open(self) -> bool:
+        """Whether an attempt is on its way."""
+        return bool(self._open)
+
+    @property
+    def tried(self) -> tuple[str, ...]:
+        """The runners that an attempt was sent to."""
+        return tuple(self._sent_at)
+
+    def wants_extra(self, now: float) -> bool:
+        """Tell whether an attempt after the first is due, if there is a runner for it."""
+        if not self._sent_at or self.attempts >= self._max_attempts or now >= self._deadline:
+            return False
+        return not self._open or (self._hedge and now >= self._hedge_at)
+
     def decide(self, now: float) -> CallDecision:
         """Give the next step; a ``Send`` counts as sent."""
         if now >= self._deadline:
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import attrs
 
+from lagoonlever.decisions.admission.room import RefusedWithReturn
 from lagoonlever.decisions.rollouts.book import Lane
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.targets.limit_permits import Denied, need_of
@@ -12,6 +15,7 @@
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.call_places import CallPlace, CallPlaces, PlaceOutcome
 from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.messages import AnswerHead, Hop
 from lagoonlever.gateway.peers import PeerExchange
@@ -55,6 +59,8 @@
     detail: str = ""
     failure: Answered | None = None
     """A target's own failure, to be passed on if nothing better comes."""
+    no_room: RefusedWithReturn | None = None
+    """Set where no runner could begin it in time."""
     _may_have_run: set[str] = attrs.field(factory=set)
 
     @property
@@ -85,13 +91,24 @@
     crashes: CrashWatch
     rollouts: Rollouts
     words: TargetWords
+    places: CallPlaces
 
     async def attempt(
-        self, call: CallRecord, target: ListedTarget, *, rested_at_most_s: float
+        self,
+        call: CallRecord,
+        target: ListedTarget,
+        *,
+        rested_at_most_s: float,
+        place: CallPlace | None = None,
     ) -> AttemptResult:
         """Send a call to one target, and note whether it has served it or ended under it."""
         sent_at = self.timers.now
-        result = await self._attempt(call, target, rested_at_most_s=rested_at_most_s)
+        result: AttemptResult | None = None
+        try:
+            result = await self._attempt(call, target, rested_at_most_s=rested_at_most_s)
+        finally:
+            if place is not None:
+                self.places.ended(place, result, seconds=self.timers.now - sent_at)
         if isinstance(result, Answered):
             self.crashes.served(call.accepted)
         elif isinstance(result, Lost):
@@ -177,6 +194,20 @@
         """Give the targets that a call was not held back from just now."""
         return self.words.open(targets, need=self.need(call))
 
+    def closed_to(self, call: CallRecord) -> frozenset[str]:
+        """Give the targets of its service that a call was held back from just now."""
+        serving = self.beliefs.targets.serving(call.accepted.service)
+        able = {target.id for target in self.open_to(call, serving)}
+        return frozenset(target.id for target in serving if target.id not in able)
+
+    async def place(self, call: CallRecord, *, tried: Collection[str] = ()) -> PlaceOutcome:
+        """Get a place for an attempt; None where this VM is to choose by itself."""
+        accepted = call.accepted
+        on_trial = accepted.on_trial and not tried
+        if on_trial or not self.places.serves(accepted.service):
+            return None
+        return await self.places.take(accepted, avoid={*tried, *self.closed_to(call)})
+
     def need(self, call: CallRecord) -> float:
         """Give the permits that must be saved at a target in need before it gets a call."""
         first = call.sent == 0
@@ -211,6 +242,12 @@
                 message=call.detail or "no whole answer came",
                 status=GATEWAY_TIMEOUT if late else BAD_GATEWAY,
             )
+        if call.no_room is not None and not late:
+            return NotRun(
+                reason=Reason.OVERLOADED,
+                message=call.no_room.detail,
+                retry_after_s=call.no_room.retry_after_s,
+            )
         return NotRun(
             reason=Reason.DEADLINE if late else Reason.NO_TARGET,
             message=call.detail or "no target can take it now",
--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -43,6 +43,23 @@
     labels=("kind",),
     doc="From the arrival of a call to its answer.",
 )
+CALL_PLACE_WAIT = latency(
+    "lagoonlever.gateway.call.place.wait",
+    labels=(),
+    doc="How long calls of any VM waited for a place at a runner that this VM gave out; those that"
+    " got one at once are not counted.",
+)
+CALLS_REFUSED_FOR_ROOM = counter(
+    "lagoonlever.gateway.calls.refused_for_room",
+    unit="{call}",
+    labels=("rank",),
+    doc="Calls of any VM that this VM refused as no runner could begin them in time.",
+)
+CALL_DESKS_SILENT = counter(
+    "lagoonlever.gateway.call.desks.silent",
+    unit="{question}",
+    doc="Questions for a place that another VM did not answer in time.",
+)
 FIRST_EVENT_LATENCY = latency(
     "lagoonlever.gateway.first_event.latency",
     labels=(),
--- a/lagoonlever/gateway/once_calls.py
+++ b/lagoonlever/gateway/once_calls.py
@@ -6,9 +6,11 @@
 import trio
 
 from lagoonlever.decisions.admission.hedging import Runners
+from lagoonlever.decisions.admission.room import RefusedWithReturn
 from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.call_exchange import SERVER_ERROR, CallExchange, CallRecord, describe
+from lagoonlever.gateway.call_places import CallPlace
 from lagoonlever.gateway.callers_leaving import cancel_when_gone
 from lagoonlever.gateway.target_client import Answered, AttemptResult, Held, NotSent, Refused
 from lagoonlever.nurseries import open_work_nursery
@@ -49,11 +51,15 @@
     async def _attempts(self, call: CallRecord) -> Answered | None:
         tried: set[str] = set()
         while call.sent < call.accepted.route.max_attempts and len(tried) < MOST_UNREACHABLE:
-            target = self._choose(call, tried)
+            place = await self._exchange.place(call, tried=tried)
+            if isinstance(place, RefusedWithReturn):
+                call.no_room = place
+                return None
+            target = self._target(place) or self._choose(call, tried)
             if target is None:
                 return None
             tried.add(target.id)
-            result = await self._attempt(call, target)
+            result = await self._attempt(call, target, place)
             call.detail = describe(result)
             if isinstance(result, Held):
                 tried.discard(target.id)
@@ -64,6 +70,9 @@
                 return None
         return None
 
+    def _target(self, place: CallPlace | None) -> ListedTarget | None:
+        return self._exchange.beliefs.targets.find(place.target) if place else None
+
     def _choose(self, call: CallRecord, tried: set[str]) -> ListedTarget | None:
         targets = self._exchange.beliefs.targets
         on_trial = call.accepted.on_trial and not tried
@@ -78,12 +87,16 @@
             chosen = self._runners.choose(names, now=now, near=near)
         return targets.find(chosen) if chosen else None
 
-    async def _attempt(self, call: CallRecord, target: ListedTarget) -> AttemptResult:
+    async def _attempt(
+        self, call: CallRecord, target: ListedTarget, place: CallPlace | None
+    ) -> AttemptResult:
         started = self._exchange.timers.now
         self._runners.on_sent(target.id)
         result: AttemptResult | None = None
         try:
-            result = await self._exchange.attempt(call, target, rested_at_most_s=REST_S)
+            result = await self._exchange.attempt(
+                call, target, rested_at_most_s=REST_S, place=place
+            )
         finally:
             self._ended(target.id, result, started)
         return result
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -18,7 +18,9 @@
 from lagoonlever.gateway.attempt_tools import AttemptTools
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.cache_locator import CacheLocator
+from lagoonlever.gateway.call_desk import CallDesk
 from lagoonlever.gateway.call_exchange import CallExchange
+from lagoonlever.gateway.call_places import CallPlaces
 from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.directory import Directory
 from lagoonlever.gateway.front import Front
@@ -93,6 +95,8 @@
     spread: HubSpread = attrs.field(init=False)
     limits: TargetLimits = attrs.field(init=False)
     words: TargetWords = attrs.field(init=False)
+    call_desk: CallDesk = attrs.field(init=False)
+    call_places: CallPlaces = attrs.field(init=False)
     client: TargetClient = attrs.field(init=False)
     crashes: CrashWatch = attrs.field(init=False)
     follower: StoreFollower = attrs.field(init=False)
@@ -282,6 +286,30 @@
         self.presence.on_meeting(words.greet)
         return words
 
+    @call_desk.default
+    def _make_call_desk(self) -> CallDesk:
+        desk = CallDesk(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            tally=self.reporter.tally,
+            rests=self.words.rests,
+        )
+        self.learner.on_started_again(desk.started_again)
+        return desk
+
+    @call_places.default
+    def _make_call_places(self) -> CallPlaces:
+        return CallPlaces(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            tally=self.reporter.tally,
+            desk=self.call_desk,
+            data_center=self.settings.data_center,
+            leaving=self.stopping,
+        )
+
     @client.default
     def _make_client(self) -> TargetClient:
         return TargetClient(words=self.words)
@@ -355,6 +383,7 @@
             crashes=self.crashes,
             rollouts=self.rollouts,
             words=self.words,
+            places=self.call_places,
         )
         once = OnceCalls(data_center=self.settings.data_center, exchange=exchange, runners=runners)
         repeatable = RepeatableCalls(
@@ -441,6 +470,8 @@
             "crashes": self.crashes.run,
             "target limits": self.limits.run,
             "target words": self.words.run,
+            "call desk": self.call_desk.run,
+            "call places": self.call_places.run,
             "store follower": self.follower.run,
             "registration": self.registration.run,
             "pace keeper": self.pace_keeper.run,
--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -14,10 +14,12 @@
     Wait,
 )
 from lagoonlever.decisions.admission.retry_window import RetryWindow
+from lagoonlever.decisions.admission.room import RefusedWithReturn
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.shares.budgets import RetryBudget
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.call_exchange import SERVER_ERROR, CallExchange, CallRecord, describe
+from lagoonlever.gateway.call_places import CallPlace, PlaceOutcome
 from lagoonlever.gateway.callers_leaving import cancel_when_gone
 from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.gateway.target_client import (
@@ -62,6 +64,56 @@
     result: AttemptResult
 
 
+@attrs.define(kw_only=True, eq=False)
+class _Places:
+    """The place that the next attempt of a call has, where places are given out."""
+
+    _exchange: CallExchange
+    _call: CallRecord
+    is_on: bool
+    _next: CallPlace | None = None
+    _first: str | None = None
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """The runner of the place."""
+        return (self._next.target,) if self._next else ()
+
+    async def first(self) -> RefusedWithReturn | None:
+        """Get a place for the first attempt, or be refused."""
+        return self._got(await self._exchange.place(self._call)) if self.is_on else None
+
+    async def extra(self, *, beside: bool, tried: tuple[str, ...]) -> None:
+        """Get a place for a further attempt: ``beside`` an open one only if that is in trouble."""
+        if not self.is_on:
+            return
+        if beside and self._first is not None:
+            places, accepted = self._exchange.places, self._call.accepted
+            self._got(await places.second(accepted, first=self._first))
+        else:
+            self._got(await self._exchange.place(self._call, tried=tried))
+
+    def use(self, runner: str) -> CallPlace | None:
+        """Hand the place over to the attempt at its runner."""
+        place, self._next = self._next, None
+        self._first = runner
+        return place
+
+    def give_back(self) -> None:
+        """Give a place back that no attempt has used."""
+        place, self._next = self._next, None
+        if place is not None:
+            self._exchange.places.unused(place)
+
+    def _got(self, outcome: PlaceOutcome) -> RefusedWithReturn | None:
+        if isinstance(outcome, RefusedWithReturn):
+            return outcome
+        self._next = outcome
+        # Nobody gives out places now: the VM chooses by itself.
+        self.is_on = outcome is not None
+        return None
+
+
 @attrs.define(kw_only=True, eq=False)
 class RepeatableCalls:
     """Gives each caller the first good answer of any runner."""
@@ -94,31 +146,43 @@
             await self._exchange.finish(call, answered)
 
     async def _drive(self, call: CallRecord, window: RetryWindow) -> Answered | None:
-        hedged = self._hedged(call, window)
+        accepted = call.accepted
+        is_on = not accepted.on_trial and self._exchange.places.serves(accepted.service)
+        place = _Places(exchange=self._exchange, call=call, is_on=is_on)
+        hedged = self._hedged(call, window, place)
         try:
-            return await self._attempts(call, hedged)
+            call.no_room = await place.first()
+            return None if call.no_room else await self._attempts(call, hedged, place)
         finally:
+            place.give_back()
             # Also where the caller left or its time is over: what is open then would take room at
             # its runner for good, until this VM sends it nothing more.
             hedged.give_up(self._exchange.timers.now)
 
-    async def _attempts(self, call: CallRecord, hedged: HedgedCall) -> Answered | None:
+    async def _attempts(
+        self, call: CallRecord, hedged: HedgedCall, place: _Places
+    ) -> Answered | None:
         send, receive = trio.open_memory_channel[_Ended](0)
         async with open_work_nursery() as nursery:
             while True:
+                if hedged.wants_extra(self._exchange.timers.now):
+                    await place.extra(beside=hedged.has_open, tried=hedged.tried)
                 decision = hedged.decide(self._exchange.timers.now)
+                if not isinstance(decision, Send):
+                    place.give_back()
                 if isinstance(decision, Stop):
                     if decision.timed_out:
                         hedged.on_timeout(self._exchange.timers.now)
                     return call.failure
                 if isinstance(decision, Send):
-                    nursery.start_soon(self._attempt, call, decision.runner, send)
+                    used = place.use(decision.runner)
+                    nursery.start_soon(self._attempt, call, decision.runner, used, send)
                     continue
                 answered = await self._wait(call, hedged, decision, receive)
                 if answered is not None:
                     return answered
 
-    def _hedged(self, call: CallRecord, window: RetryWindow) -> HedgedCall:
+    def _hedged(self, call: CallRecord, window: RetryWindow, place: _Places) -> HedgedCall:
         accepted = call.accepted
         targets = self._exchange.beliefs.targets
         service = accepted.service
@@ -126,12 +190,16 @@
         def live_names() -> tuple[str, ...]:
             """Give the runners; none for an extra attempt that the shared budget forbids."""
             is_first = hedged.attempts == 0
+            if place.is_on and not place.names:
+                return ()
             serving = targets.serving(service, on_trial=accepted.on_trial and is_first)
             open_to = self._exchange.open_to(call, serving)
             if not is_first and open_to:
                 now = self._exchange.timers.now
                 if not window.take(now, vms=self._exchange.beliefs.fellows.at_most(now)):
                     return ()
+            if place.is_on:
+                return place.names
             return tuple(target.id for target in open_to)
 
         hedged = HedgedCall(
@@ -178,10 +246,16 @@
         return ended.result
 
     async def _attempt(
-        self, call: CallRecord, runner: str, send: trio.MemorySendChannel[_Ended]
+        self,
+        call: CallRecord,
+        runner: str,
+        place: CallPlace | None,
+        send: trio.MemorySendChannel[_Ended],
     ) -> None:
         target = self._exchange.beliefs.targets.find(runner)
         result: AttemptResult = NotSent(detail="the target is gone")
         if target is not None:
-            result = await self._exchange.attempt(call, target, rested_at_most_s=REST_S)
+            result = await self._exchange.attempt(
+                call, target, rested_at_most_s=REST_S, place=place
+            )
         await send.send(_Ended(runner=runner, result=result))
