Line for room: an engine's reading is counted one prompt after the other; replays, machine

Cause: what an engine still had to read was counted as if all its prompts were read at once, so prompts at the edge of their time queued behind one more than was thought.

--- a/lagoonlever/decisions/admission/room_line.py
+++ b/lagoonlever/decisions/admission/room_line.py
@@ -34,6 +34,8 @@
 """Without a start, work is placed as if there were no line: what is known of room is wrong."""
 STALLED_READINGS = 3.0
 """The same in prompts that the engines could have read, where they are few or slow."""
+SURELY = 0.8
+"""Of an expected wait: engines that were lost come back, and some callers go away."""
 LEAST_RETURN_S = 0.5
 MOST_RETURN_PART = 1 / 3
 """Of the caller's time that is left; by then an answer still has time to be made."""
@@ -201,7 +203,7 @@
         ahead = ordered.index(waiting)
         in_time = waiting.turn(now) is Turn.IN_TIME
         start_by = waiting.ask.start_by if in_time else waiting.ask.end_by
-        if now + ahead / per_s <= start_by:
+        if now + SURELY * ahead / per_s <= start_by:
             return None
         longest_s = max(LEAST_RETURN_S, MOST_RETURN_PART * (waiting.ask.end_by - now))
         return RefusedWithReturn(
--- a/lagoonlever/decisions/engines/engine_book.py
+++ b/lagoonlever/decisions/engines/engine_book.py
@@ -83,6 +83,8 @@
     """How long an ended run is remembered: as long as its prompt may still be cached."""
     _records: RunRecords = attrs.field(init=False)
     _reading: ReadingWindow = attrs.field(factory=ReadingWindow)
+    _read_at: dict[str, float] = attrs.field(factory=dict)
+    """By engine: when it had last read a prompt."""
     avoidance: EngineAvoidance = attrs.field(factory=EngineAvoidance)
     paces: EnginePaces = attrs.field(factory=EnginePaces)
 
@@ -129,10 +131,12 @@
         loads = self._loads(now)
         if begins_within_s is not None:
             need = min(memory_tokens, limits.memory_tokens)
+            unread = self._records.unread()
             candidates = [
                 engine
                 for engine in calm
-                if self._load(loads, engine).begins_within(begins_within_s, limits, need)
+                if self._load(loads, engine).has_room(limits, need)
+                and self._reads_on_s(engine.id, unread.get(engine.id, []), now) <= begins_within_s
             ]
         if not candidates:
             return None
@@ -276,6 +280,7 @@
             return
         run = record.run
         record.run = attrs.evolve(run, flowing=True)
+        self._read_at[run.engine] = now
         if not record.beside_prompts:
             seconds = now - record.since
             self.paces.read(
@@ -334,6 +339,8 @@
     def expire(self, now: float) -> None:
         """Forget what ended so long ago that nothing of it can be cached any more."""
         self._records.expire(now)
+        for engine in [e for e, at in self._read_at.items() if now - at > self._keep_s]:
+            del self._read_at[engine]
         self.avoidance.expire(now)
         self.paces.expire(now)
 
@@ -368,6 +375,18 @@
             if other is not record and self._is_before(other, record)
         )
 
+    def _reads_on_s(self, engine: str, unread: list[RunRecord], now: float) -> float:
+        """Give how long an engine reads on, one prompt after the other."""
+        if not unread:
+            return 0.0
+        whole_s = [
+            self.paces.reading_s(record.run.service, engine, record.run.prompt_tokens, now)
+            for record in unread
+        ]
+        first = min(record.since for record in unread)
+        began = max(first, self._read_at.get(engine, first))
+        return max(sum(whole_s) - (now - began), sum(whole_s[1:]) + LEAST_LEFT * whole_s[0])
+
     def _is_before(self, one: RunRecord, other: RunRecord) -> bool:
         if abs(one.since - other.since) > self.news_s:
             return one.since < other.since
--- a/lagoonlever/decisions/engines/engine_loads.py
+++ b/lagoonlever/decisions/engines/engine_loads.py
@@ -22,9 +22,6 @@
 OTHER_DATA_CENTER_S = 0.02
 """Below any real difference in load; it decides between engines that are alike."""
 
-MOST_UNREAD = 2
-"""Prompts at an engine that begins each of them soon: the one that it reads, and the next."""
-
 
 @attrs.define(kw_only=True)
 class EngineLoad:
@@ -42,14 +39,6 @@
         slots_taken = self.prompts + self.flowing
         return slots_taken < limits.slots and self.memory + need <= limits.memory_tokens
 
-    def begins_within(self, seconds: float, limits: EngineLimits, need: int) -> bool:
-        """Tell whether a run of so many tokens has room, and is read after so long at most.
-
-        Not behind two prompts: what is left of each is a guess.
-        """
-        soon = self.prompts < MOST_UNREAD and self.to_read_s <= seconds
-        return soon and self.has_room(limits, need)
-
     def prefill_cost_s(self, usual_s: float) -> float:
         """Give what a prompt waits here before it is read, and slows down by its reading."""
         others = BEHIND_PROMPT * self.prompts + FLOWING_COST * self.flowing
--- a/lagoonlever/decisions/streams/run_records.py
+++ b/lagoonlever/decisions/streams/run_records.py
@@ -63,6 +63,14 @@
             if record.run.engine == engine and record.ended_at is None and not record.run.flowing
         ]
 
+    def unread(self) -> dict[str, list[RunRecord]]:
+        """Give the open runs whose prompts are not read yet, by engine."""
+        by_engine: dict[str, list[RunRecord]] = {}
+        for record in self._records.values():
+            if record.ended_at is None and not record.run.flowing:
+                by_engine.setdefault(record.run.engine, []).append(record)
+        return by_engine
+
     def enter(self, run: BookedRun, now: float) -> None:
         """Begin the record of a run that was sent to an engine."""
         self._enter(run, now)
--- a/lagoonlever/gateway/room_desk.py
+++ b/lagoonlever/gateway/room_desk.py
@@ -21,6 +21,7 @@
     Waiting,
 )
 from lagoonlever.decisions.streams.run_placement import (
+    BEGINS_WITHIN_S,
     NoRoom,
     Placed,
     RunAsk,
@@ -43,8 +44,10 @@
 
 LOOK_S = 0.04
 """How often it is looked for ready engines while somebody waits."""
-CONNECTION_S = 0.05
-"""From a place to the prompt at its engine, and from its first event to the caller."""
+LEAD_S = BEGINS_WITHIN_S + 0.05
+"""From a place to the begin of reading, with the way to the engine and back to the caller."""
+MOST_WAITING = 1024
+"""Questions that are read in one turn, as after a loss of many VMs."""
 RENEW_S = 0.15
 """How often an asker is to ask again."""
 MOST_PASSED_BY = 4
@@ -121,7 +124,7 @@
             line.leave(place)
 
     async def _receive_asks(self) -> None:
-        async for received in self._bus.subscribe(LineAsk):
+        async for received in self._bus.subscribe(LineAsk, capacity=MOST_WAITING):
             asked = received.message
             self.ask(asked, vm=received.sender.name, reply=self._answering(asked))
 
@@ -153,7 +156,7 @@
             service=ask.service,
             rank=need.rank,
             arrived=now - need.waited_s,
-            start_by=now + need.first_event_in_s - reading_s - CONNECTION_S,
+            start_by=now + need.first_event_in_s - reading_s - LEAD_S,
             end_by=now + need.end_in_s - reading_s,
         )
         return Waiting(place=place, ask=room, asked=now, heard=now, broken_off=need.broken_off)
--- /dev/null
+++ b/lagoonlever/tests/room_line_load_tests.py
@@ -0,0 +1,181 @@
+"""Loads on the line for room, replayed at fleets of each size, in virtual time."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import attrs
+import pytest
+import trio
+
+from lagoonlever.bench.local_fleet import Fleet, run_fleet, start_many
+from lagoonlever.bench.placing_fleet import MEMORY, PROMPT, SERVICE, PlacingVm, placing_fleet
+from lagoonlever.decisions.admission.room import RefusedWithReturn
+from lagoonlever.decisions.streams.run_placement import Placed, RunAsk
+from lagoonlever.peers.messages_gateway import RunEnded
+from lagoonlever.peers.messages_line import LineNeed
+
+SIZES = (9, 60, 88, 300)
+SETTLED_S = 4.0
+ENGINES = 45
+CRASHED = tuple(f"e-{number}" for number in range(0, 33, 3))
+"""A quarter of them, all in one data centre."""
+READING_S, MAKING_S = 1.2, 4.0
+URGENT_S, PATIENT_S, CALLER_S = 4.0, 10.0, 25.0
+CONNECTION_S = 0.01
+LOAD_S = 8.0
+"""Half of it in large fleets, whose replay takes long."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Engines:
+    """Each reads one prompt after the other; a crash ends what it has."""
+
+    slow: float = 1.0
+    free_at: Counter[str] = attrs.field(factory=Counter)
+    down: dict[str, trio.Event] = attrs.field(factory=dict)
+
+    def crash(self, names: tuple[str, ...]) -> None:
+        for name in names:
+            self.down.pop(name, trio.Event()).set()
+            self.free_at.pop(name, None)
+
+    async def lives(self, name: str, until: float) -> bool:
+        """Wait for what an engine does until then; false if it crashes before."""
+        with trio.move_on_at(until):
+            await self.down.setdefault(name, trio.Event()).wait()
+            return False
+        return True
+
+    async def read(self, name: str) -> bool:
+        begins = max(self.free_at[name], trio.current_time())
+        self.free_at[name] = begins + READING_S * self.slow
+        return await self.lives(name, self.free_at[name])
+
+
+@attrs.define(kw_only=True, eq=False)
+class Replay:
+    """Streams of two ranks, and what became of them."""
+
+    fleet: Fleet
+    vms: list[PlacingVm]
+    engines: Engines
+    with_line: bool = True
+    sent: Counter[int] = attrs.field(factory=Counter)
+    in_time: Counter[int] = attrs.field(factory=Counter)
+    refused: Counter[int] = attrs.field(factory=Counter)
+    ended: Counter[str] = attrs.field(factory=Counter)
+    is_sent: bool = False
+    all_ended: trio.Event = attrs.field(factory=trio.Event)
+
+    def begin(self, rank: int, vm: PlacingVm) -> None:
+        self.sent[rank] += 1
+        request = f"r{sum(self.sent.values()):04}"
+        self.fleet.nursery.start_soon(self._stream, vm, request, rank)
+
+    async def _stream(self, vm: PlacingVm, request: str, rank: int) -> None:
+        arrived, avoid = trio.current_time(), set[str]()
+        aim_s = URGENT_S if rank == 0 else PATIENT_S
+        while True:
+            ask = RunAsk(
+                request=request,
+                service=SERVICE,
+                prompt_tokens=PROMPT,
+                memory_tokens=MEMORY,
+                avoid=tuple(avoid),
+            )
+            waited_s = trio.current_time() - arrived
+            need = LineNeed(
+                rank=rank,
+                waited_s=waited_s,
+                first_event_in_s=aim_s - waited_s,
+                end_in_s=CALLER_S - waited_s,
+            )
+            outcome = await (vm.asker.place(ask, need) if self.with_line else vm.placer.place(ask))
+            if isinstance(outcome, RefusedWithReturn):
+                assert trio.current_time() - arrived <= aim_s / 8
+                self.refused[rank] += 1
+                break
+            assert isinstance(outcome, Placed), outcome
+            vm.peers.begin(vm.booked(request, outcome))
+            await trio.sleep(CONNECTION_S)
+            if not await self.engines.read(outcome.engine):
+                avoid.add(outcome.engine)
+                continue
+            vm.peers.flows(request)
+            self.in_time[rank] += trio.current_time() - arrived <= aim_s
+            await trio.sleep(MAKING_S)
+            vm.peers.end(RunEnded(request=request, whole=True))
+            break
+        self.ended[request] += 1
+        if self.is_sent and len(self.ended) == sum(self.sent.values()):
+            self.all_ended.set()
+
+    async def load(self, seconds: float, *, urgent: float, patient: float) -> None:
+        """Begin so many streams of each rank a second, at VMs that are drawn."""
+        rng = random.Random(1)
+        for _ in range(round(seconds * (urgent + patient))):
+            is_urgent = rng.random() < urgent / (urgent + patient)
+            self.begin(0 if is_urgent else 2, self.vms[rng.randrange(len(self.vms))])
+            await trio.sleep(1 / (urgent + patient))
+        self.is_sent = True
+
+    async def crash(self, names: tuple[str, ...], *, for_s: float) -> None:
+        self.engines.crash(names)
+        for name in names:
+            self.vms[0].peers.engine_lost(name, replaced=False)
+        await trio.sleep(for_s)
+        for vm in self.vms:
+            for name in names:
+                vm.vm.beliefs.book.started_again(name, 1, trio.current_time())
+
+    def share(self, rank: int) -> float:
+        return self.in_time[rank] / self.sent[rank]
+
+
+def replay(
+    vms: int,
+    *,
+    urgent: float,
+    patient: float,
+    slow: float = 1.0,
+    crash: bool = True,
+    at_once: int = 0,
+    with_line: bool = True,
+) -> Replay:
+    """Play eight seconds, a crash of a quarter of the engines after two, and all that follows."""
+    made: list[Replay] = []
+    seconds = LOAD_S if vms <= 60 else LOAD_S / 2
+
+    async def story(fleet: Fleet) -> None:
+        start_many(fleet, vms)
+        await trio.sleep(SETTLED_S)
+        placing = list(placing_fleet(fleet, engine_count=ENGINES).values())
+        await trio.sleep(0.1)
+        engines = Engines(slow=slow)
+        played = Replay(fleet=fleet, vms=placing, engines=engines, with_line=with_line)
+        made.append(played)
+        for number in range(at_once):
+            played.begin(0 if number % 10 == 0 else 2, placing[number % len(placing)])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lambda: played.load(seconds, urgent=urgent, patient=patient))
+            if crash:
+                await trio.sleep(seconds / 4)
+                nursery.start_soon(lambda: played.crash(CRASHED, for_s=4.5))
+        await played.all_ended.wait()
+
+    run_fleet(story)
+    (played,) = made
+    assert sum(played.ended.values()) == sum(played.sent.values())
+    assert set(played.ended.values()) == {1}
+    return played
+
+
+@pytest.mark.parametrize("vms", SIZES)
+def test_a_burst_into_a_crash_of_a_quarter_keeps_the_urgent_in_time(vms: int) -> None:
+    """Guards against urgent prompts behind patient ones, and refusals of who could wait."""
+    played = replay(vms, urgent=2.0, patient=30.0)
+    print(vms, played.sent, played.in_time, played.refused)
+    assert played.share(0) >= 0.95
+    assert played.refused[0] == 0
--- /dev/null
+++ b/lagoonlever/tests/room_line_machine_tests.py
@@ -0,0 +1,187 @@
+"""State machine over two lines, the VMs that ask them, lost messages, delays and pauses."""
+
+from __future__ import annotations
+
+import attrs
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lagoonlever.decisions.admission.room import RoomAsk
+from lagoonlever.decisions.admission.room_line import (
+    OTHERS_FIRST,
+    RENEWED_WITHIN_S,
+    PlaceInLine,
+    RoomLine,
+    Waiting,
+)
+
+PER_S = 2.0
+AIMS_S = {0: 4.0, 2: 10.0}
+CALLER_S = 25.0
+
+
+@attrs.define(kw_only=True)
+class Asker:
+    """A prompt at its VM: the question that is open, and where it is asked."""
+
+    request: str
+    rank: int
+    arrived: float
+    keeper: int
+    question: int = 0
+    placed: int = 0
+    heard_at: float | None = None
+    """When its keeper last heard of the question that is open."""
+
+
+class RoomLineMachine(RuleBasedStateMachine):
+    """Keepers are 0 and 1; a message is lost or delivered as the rule says."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.lines = [RoomLine(), RoomLine()]
+        self.askers: list[Asker] = []
+        self.passed: dict[str, int] = {}
+
+    def place_of(self, asker: Asker) -> PlaceInLine:
+        return PlaceInLine(vm=asker.request, number=asker.question)
+
+    @property
+    def waiting(self) -> list[Asker]:
+        return [each for each in self.askers if not each.placed]
+
+    @rule(rank=st.sampled_from([0, 2]), keeper=st.integers(0, 1), is_lost=st.booleans())
+    def arrive(self, rank: int, keeper: int, is_lost: bool) -> None:
+        request = f"r{len(self.askers)}"
+        asker = Asker(request=request, rank=rank, arrived=self.now, keeper=keeper)
+        self.askers.append(asker)
+        self._ask(asker, is_lost=is_lost)
+
+    @precondition(lambda self: self.waiting)
+    @rule(data=st.data(), is_lost=st.booleans())
+    def ask_again(self, data: st.DataObject, is_lost: bool) -> None:
+        self._ask(data.draw(st.sampled_from(self.waiting)), is_lost=is_lost)
+
+    @precondition(lambda self: self.waiting)
+    @rule(data=st.data(), is_lost=st.booleans())
+    def turn_to_the_other_keeper(self, data: st.DataObject, is_lost: bool) -> None:
+        """Its question at the first one is closed, whether that one hears of it or not."""
+        asker = data.draw(st.sampled_from(self.waiting))
+        if not is_lost:
+            self.lines[asker.keeper].leave(self.place_of(asker))
+        asker.keeper, asker.question, asker.heard_at = 1 - asker.keeper, asker.question + 1, None
+        self._ask(asker, is_lost=False)
+
+    @rule(seconds=st.floats(0.01, 2.0))
+    def time_passes(self, seconds: float) -> None:
+        """Also the pause of a keeper: whatever it believes is as old."""
+        self.now += seconds
+
+    @rule(keeper=st.integers(0, 1))
+    def keeper_dies(self, keeper: int) -> None:
+        self.lines[keeper] = RoomLine()
+        for asker in self.waiting:
+            if asker.keeper == keeper:
+                asker.heard_at = None
+
+    @rule(keeper=st.integers(0, 1), is_lost=st.booleans())
+    def engine_is_ready(self, keeper: int, is_lost: bool) -> None:
+        line = self.lines[keeper]
+        line.expire(self.now)
+        ordered = line.order(self.now, most_per_s=PER_S)
+        if not ordered:
+            return
+        first = ordered[0]
+        self._check_order(ordered)
+        line.given(first.place, self.now)
+        asker = next(each for each in self.askers if each.request == first.place.vm)
+        is_open = asker.question == first.place.number and not asker.placed
+        if is_lost or not is_open:
+            asker.heard_at = None if is_open else asker.heard_at
+            return
+        asker.placed += 1
+
+    @invariant()
+    def nobody_is_placed_twice(self) -> None:
+        assert all(asker.placed <= 1 for asker in self.askers)
+
+    @invariant()
+    def nobody_who_asks_is_forgotten(self) -> None:
+        for asker in self.waiting:
+            if asker.heard_at is not None and self.now - asker.heard_at <= RENEWED_WITHIN_S:
+                assert self.place_of(asker) in self.lines[asker.keeper]
+
+    @invariant()
+    def who_is_silent_is_dropped(self) -> None:
+        for line in self.lines:
+            line.expire(self.now)
+            assert all(self.now - w.heard <= RENEWED_WITHIN_S for w in line.waiting)
+
+    def _check_order(self, ordered: list[Waiting]) -> None:
+        """Within a rank, of those that can be on time, who must start sooner goes first."""
+        first = ordered[0]
+        kind = (first.turn(self.now), first.ask.rank)
+        peers = [w for w in ordered if (w.turn(self.now), w.ask.rank) == kind]
+        assert first.ask.arrived == min(w.ask.arrived for w in peers)
+        behind = [w for w in ordered if w.ask.rank > first.ask.rank and w.turn(self.now) == 0]
+        for w in behind:
+            self.passed[w.ask.request] = self.passed.get(w.ask.request, 0) + 1
+
+    def _ask(self, asker: Asker, *, is_lost: bool) -> None:
+        if is_lost:
+            return
+        room = RoomAsk(
+            request=asker.request,
+            service="engines",
+            rank=asker.rank,
+            arrived=asker.arrived,
+            start_by=asker.arrived + AIMS_S[asker.rank],
+            end_by=asker.arrived + CALLER_S,
+        )
+        place = self.place_of(asker)
+        line = self.lines[asker.keeper]
+        line.ask(Waiting(place=place, ask=room, asked=self.now, heard=self.now))
+        asker.heard_at = self.now
+
+
+class WaitMachine(RuleBasedStateMachine):
+    """One line, where urgent prompts never end: the patient wait for a bounded number of places."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.line = RoomLine()
+        self.numbers = 0
+        self.since_patient = 0
+
+    @rule(rank=st.sampled_from([0, 0, 0, 2]))
+    def arrive(self, rank: int) -> None:
+        self.numbers += 1
+        place = PlaceInLine(vm="vm", number=self.numbers)
+        aim_s = AIMS_S[rank]
+        ask = RoomAsk(
+            request=f"r{self.numbers:05}",
+            service="engines",
+            rank=rank,
+            arrived=float(self.numbers) / 1_000,
+            start_by=aim_s,
+            end_by=CALLER_S,
+        )
+        self.line.ask(Waiting(place=place, ask=ask, asked=0.0, heard=0.0))
+
+    @rule()
+    def engine_is_ready(self) -> None:
+        ordered = self.line.order(0.0, most_per_s=PER_S)
+        if not ordered:
+            return
+        ranks = {w.ask.rank for w in ordered}
+        first = ordered[0]
+        self.line.given(first.place, 0.0)
+        self.since_patient = self.since_patient + 1 if ranks == {0, 2} else 0
+        if first.ask.rank == 2:
+            self.since_patient = 0
+        assert self.since_patient <= OTHERS_FIRST
+
+
+TestRoomLine = RoomLineMachine.TestCase
+TestBoundedWait = WaitMachine.TestCase
