Copies fill engines while many engines are lost, where streams differ in rank

Cause: copies leave a fifth of an engine's memory free, whatever is lost. In a burst into crashes of data centres that fifth is not there, so most runs go on without a copy, and the next crash has their prompts read again, beside which everything else flows at a seventh of its pace.

Each VM counts the engines that failed in the last 15 s (they are told to all), and so knows the chance of a run to lose its engine. Only where the stream routes of the service differ in rank; else as before.

Memory of an engine's load is split in that of runs and that of copies.

--- a/lagoonlever/decisions/engines/engine_avoidance.py
+++ b/lagoonlever/decisions/engines/engine_avoidance.py
@@ -8,11 +8,15 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 import attrs
 
 FIRST_AVOID_S = 1.0
 MOST_AVOID_S = 8.0
 """How long an engine is passed over after it failed; doubled each time, up to this."""
+LOSSES_WINDOW_S = 15.0
+"""In which losses are counted: two crashes of data centres, where those come often."""
 BROKE_AGAIN_S = 2.0
 """Two broken answers within this time are no accident."""
 
@@ -29,6 +33,13 @@
 
     _avoided: dict[str, _Avoided] = attrs.field(factory=dict)
     _broke_at: dict[str, float] = attrs.field(factory=dict)
+    _failed_at: deque[float] = attrs.field(factory=deque)
+
+    def losses(self, now: float) -> int:
+        """Give how many engines failed within ``LOSSES_WINDOW_S``."""
+        while self._failed_at and now - self._failed_at[0] > LOSSES_WINDOW_S:
+            self._failed_at.popleft()
+        return len(self._failed_at)
 
     def is_avoided(self, engine: str, now: float) -> bool:
         """Tell whether an engine is passed over now."""
@@ -40,6 +51,7 @@
         known = self._avoided.get(engine)
         if known is not None and now < known.until:
             return
+        self._failed_at.append(now)
         for_s = min(MOST_AVOID_S, known.for_s * 2) if known else FIRST_AVOID_S
         self._avoided[engine] = _Avoided(until=now + for_s, for_s=for_s)
 
@@ -61,6 +73,7 @@
 
     def expire(self, now: float) -> None:
         """Forget failures that say nothing any more."""
+        self.losses(now)
         for engine, avoided in list(self._avoided.items()):
             if now - avoided.until > MOST_AVOID_S:
                 del self._avoided[engine]
--- a/lagoonlever/decisions/engines/engine_book.py
+++ b/lagoonlever/decisions/engines/engine_book.py
@@ -18,7 +18,8 @@
 import attrs
 
 from lagoonlever.decisions.admission.prompt_admission import ReadingLoad
-from lagoonlever.decisions.engines.engine_avoidance import EngineAvoidance
+from lagoonlever.decisions.engines.copy_room import copies_most, risk_of_loss
+from lagoonlever.decisions.engines.engine_avoidance import LOSSES_WINDOW_S, EngineAvoidance
 from lagoonlever.decisions.engines.engine_loads import (
     BEHIND_PROMPT,
     FLOWING_COST,
@@ -49,6 +50,8 @@
 copies wherever there is room and 93.5% at 0.6; prompt tokens read again a stream 342, against
 376 and 388. At seven engines, and on slow ones, there is no difference to the first.
 """
+FIRST_MAKING_S = 5.0
+"""Of an answer, until the first ones have ended."""
 NEWS_S = 0.02
 """Other VMs' placements of the same moment have arrived after this: some 2 ms each."""
 MOVE_GAIN = 0.4
@@ -150,10 +153,12 @@
         memory_tokens: int,
         now: float,
         avoid: frozenset[str] = frozenset(),
+        by_losses: bool = False,
     ) -> ListedTarget | None:
         """Choose the engine that holds the copy of a run, in another data centre if there is one.
 
         Engines of a data centre fail together, so a copy beside its run would go with it.
+        With ``by_losses`` an engine gets as full of copies as the losses of late call for.
         """
         others = [
             engine
@@ -164,7 +169,10 @@
         ]
         apart = [engine for engine in others if engine.data_center != beside.data_center]
         loads = self._loads(now)
-        need = memory_tokens + round(limits.memory_tokens * (1.0 - self._copies_most))
+        most = self._copies_most
+        if by_losses:
+            most = self._most_by_losses(beside.service, engines=len(others) + 1, now=now)
+        need = memory_tokens + round(limits.memory_tokens * (1.0 - most))
         costs = {e.id: self._cost_s(e, loads, limits, need) for e in apart or others}
         roomy = [
             engine for engine in apart or others if self._load(loads, engine).has_room(limits, need)
@@ -321,6 +329,14 @@
         self.avoidance.expire(now)
         self.paces.expire(now)
 
+    def _most_by_losses(self, service: str, *, engines: int, now: float) -> float:
+        making_s = self.paces.usual_making_s(service) or FIRST_MAKING_S
+        run_s = self.paces.usual_reading_s(service) + making_s
+        risk = risk_of_loss(
+            self.avoidance.losses(now), engines=engines, window_s=LOSSES_WINDOW_S, run_s=run_s
+        )
+        return copies_most(risk, usual=self._copies_most)
+
     def _loads(self, now: float) -> dict[str, EngineLoad]:
         loads: dict[str, EngineLoad] = {}
         for record in self._records:
@@ -328,7 +344,7 @@
                 continue
             run = record.run
             load = loads.setdefault(run.engine, EngineLoad())
-            load.memory += run.memory_tokens
+            load.runs_memory += run.memory_tokens
             if run.flowing:
                 load.flowing += 1
             else:
@@ -337,7 +353,7 @@
             if run.copy_at is not None:
                 holder = loads.setdefault(run.copy_at, EngineLoad())
                 holder.copies += 1
-                holder.memory += run.memory_tokens
+                holder.copies_memory += run.memory_tokens
         return loads
 
     def _load(self, loads: dict[str, EngineLoad], engine: ListedTarget) -> EngineLoad:
--- a/lagoonlever/decisions/engines/engine_loads.py
+++ b/lagoonlever/decisions/engines/engine_loads.py
@@ -31,8 +31,15 @@
     prompts: int = 0
     flowing: int = 0
     copies: int = 0
-    memory: int = 0
-    """In tokens: what its runs and the copies need at their longest."""
+    runs_memory: int = 0
+    """In tokens: what its runs need at their longest."""
+    copies_memory: int = 0
+    """The same of the copies that it holds of runs elsewhere."""
+
+    @property
+    def memory(self) -> int:
+        """In tokens: what its runs and the copies need at their longest."""
+        return self.runs_memory + self.copies_memory
 
     def has_room(self, limits: EngineLimits, need: int) -> bool:
         """Tell whether there is a slot, and memory for so many tokens."""
--- a/lagoonlever/decisions/streams/run_placement.py
+++ b/lagoonlever/decisions/streams/run_placement.py
@@ -96,6 +96,8 @@
     limits: EngineLimits
     vms: int = 1
     """Those that share the window's slack; 1 where the window counts the runs of all."""
+    ranked: bool = False
+    """Streams of the service differ in rank."""
 
 
 def place_run(ask: RunAsk, view: PlacementView, now: float) -> RunOutcome:
@@ -155,6 +157,7 @@
         beside=engine,
         memory_tokens=ask.memory_tokens,
         now=now,
+        by_losses=view.ranked,
     )
     return holder.id if holder is not None else None
 
--- a/lagoonlever/gateway/placer.py
+++ b/lagoonlever/gateway/placer.py
@@ -17,6 +17,8 @@
 from lagoonlever.decisions.engines.engine_paces import KeptPace
 from lagoonlever.decisions.fleet.news_paths import book_holders
 from lagoonlever.decisions.fleet.roles import Roles
+from lagoonlever.decisions.settings.configuration import RouteKind
+from lagoonlever.decisions.settings.load_parts import has_ranks
 from lagoonlever.decisions.streams.run_placement import PlacementView, RunAsk, RunOutcome, place_run
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
@@ -127,6 +129,7 @@
             targets=self._beliefs.targets,
             limits=self._beliefs.engine_limits(service),
             vms=self._beliefs.fellows.at_most(self._timers.now) if alone else 1,
+            ranked=has_ranks(self._beliefs.configuration.value, service, RouteKind.STREAM),
         )
 
     @property
--- a/lagoonlever/tests/run_placement_tests.py
+++ b/lagoonlever/tests/run_placement_tests.py
@@ -130,6 +130,19 @@
     assert outcome == Placed(engine="e1", copy_to="e2")
 
 
+def test_copies_follow_losses_only_where_streams_differ_in_rank() -> None:
+    """Guards against a change for services whose work is all alike."""
+    few = attrs.evolve(LIMITS, memory_tokens=6_500)
+    alike = attrs.evolve(view(), limits=few)
+    for gone in ("e8", "e9"):
+        alike.book.avoidance.failed(gone, 0.0)
+    ask = attrs.evolve(ASK, settled="e1", attempt=False)
+    outcome = place_run(ask, alike, 0.0)
+    assert isinstance(outcome, Placed) and outcome.copy_to is None
+    outcome = place_run(ask, attrs.evolve(alike, ranked=True), 0.0)
+    assert isinstance(outcome, Placed) and outcome.copy_to is not None
+
+
 def test_a_run_is_copied_by_a_call_also_where_engines_copy_none_as_they_grow() -> None:
     """Engines of this service copy a run only when they are called; its holder has left."""
     seen = view()
