--- a/lagoonlever/decisions/engines/engine_book.py
+++ b/lagoonlever/decisions/engines/engine_book.py
@@ -18,7 +18,8 @@
 import attrs
 
 from lagoonlever.decisions.admission.prompt_admission import ReadingLoad
-from lagoonlever.decisions.engines.engine_avoidance import EngineAvoidance
+from lagoonlever.decisions.engines.copy_room import copies_most, risk_of_loss
+from lagoonlever.decisions.engines.engine_avoidance import LOSSES_WINDOW_S, EngineAvoidance
 from lagoonlever.decisions.engines.engine_loads import (
     BEHIND_PROMPT,
     FLOWING_COST,
@@ -51,6 +52,8 @@
 copies wherever there is room and 93.5% at 0.6; prompt tokens read again a stream 342, against
 376 and 388. At seven engines, and on slow ones, there is no difference to the first.
 """
+FIRST_MAKING_S = 5.0
+"""Of an answer, until the first ones have ended."""
 NEWS_S = 0.02
 """Other VMs' placements of the same moment have arrived after this: some 2 ms each."""
 MOVE_GAIN = 0.4
@@ -90,6 +93,8 @@
     """How long an ended run is remembered: as long as its prompt may still be cached."""
     _records: RunRecords = attrs.field(init=False)
     _reading: ReadingWindow = attrs.field(factory=ReadingWindow)
+    _read_at: dict[str, float] = attrs.field(factory=dict)
+    """By engine: when it had last read a prompt."""
     avoidance: EngineAvoidance = attrs.field(factory=EngineAvoidance)
     paces: EnginePaces = attrs.field(factory=EnginePaces)
     loads: TargetLoads = attrs.field(factory=TargetLoads)
@@ -126,11 +131,13 @@
         avoid: frozenset[str] = frozenset(),
         prefer: str | None = None,
         crowd: bool = False,
+        begins_within_s: float | None = None,
     ) -> Placement | None:
         """Choose an engine for a run, or None where there is none at all.
 
         One that has read the prompt (``prefer``) is spared that part of the wait. In a
-        crowd, as after a loss, many VMs choose before they hear of each other.
+        crowd, as after a loss, many VMs choose before they hear of each other. With
+        ``begins_within_s`` only engines count that have room, and read for no longer.
         """
         usable = [engine for engine in engines if engine.id not in avoid]
         calm = [engine for engine in usable if not self.avoidance.is_avoided(engine.id, now)]
@@ -138,6 +145,17 @@
         if not candidates:
             return None
         loads = self._loads(now)
+        if begins_within_s is not None:
+            need = min(memory_tokens, limits.memory_tokens)
+            unread = self._records.unread()
+            candidates = [
+                engine
+                for engine in calm
+                if self._load(loads, engine).has_room(limits, need)
+                and self._reads_on_s(engine.id, unread.get(engine.id, []), now) <= begins_within_s
+            ]
+        if not candidates:
+            return None
         self._rng.shuffle(candidates)
         costs: dict[str, float] = {}
         for engine in candidates:
@@ -165,10 +183,12 @@
         memory_tokens: int,
         now: float,
         avoid: frozenset[str] = frozenset(),
+        by_losses: bool = False,
     ) -> ListedTarget | None:
         """Choose the engine that holds the copy of a run, in another data centre if there is one.
 
         Engines of a data centre fail together, so a copy beside its run would go with it.
+        With ``by_losses`` an engine gets as full of copies as the losses of late call for.
         """
         others = [
             engine
@@ -179,7 +199,10 @@
         ]
         apart = [engine for engine in others if engine.data_center != beside.data_center]
         loads = self._loads(now)
-        need = memory_tokens + round(limits.memory_tokens * (1.0 - self._copies_most))
+        most = self._copies_most
+        if by_losses:
+            most = self._most_by_losses(beside.service, engines=len(others) + 1, now=now)
+        need = memory_tokens + round(limits.memory_tokens * (1.0 - most))
         costs = {e.id: self._cost_s(e, loads, limits, need) for e in apart or others}
         roomy = [
             engine for engine in apart or others if self._load(loads, engine).has_room(limits, need)
@@ -235,6 +258,11 @@
         record = self._records.find(request)
         return record is not None and record.sent
 
+    def begun_after(self, request: str, at: float) -> bool:
+        """Tell whether a request has been sent to an engine since a time."""
+        record = self._records.find(request)
+        return record is not None and record.sent and record.since > at
+
     def vm_of(self, request: str) -> str | None:
         """Give the VM that relays a run, or None for one that is not known."""
         record = self._records.find(request)
@@ -284,6 +312,7 @@
             return
         run = record.run
         record.run = attrs.evolve(run, flowing=True)
+        self._read_at[run.engine] = now
         if not record.beside_prompts:
             seconds = now - record.since
             self.paces.read(
@@ -342,9 +371,19 @@
     def expire(self, now: float) -> None:
         """Forget what ended so long ago that nothing of it can be cached any more."""
         self._records.expire(now)
+        for engine in [e for e, at in self._read_at.items() if now - at > self._keep_s]:
+            del self._read_at[engine]
         self.avoidance.expire(now)
         self.paces.expire(now)
 
+    def _most_by_losses(self, service: str, *, engines: int, now: float) -> float:
+        making_s = self.paces.usual_making_s(service) or FIRST_MAKING_S
+        run_s = self.paces.usual_reading_s(service) + making_s
+        risk = risk_of_loss(
+            self.avoidance.losses(now), engines=engines, window_s=LOSSES_WINDOW_S, run_s=run_s
+        )
+        return copies_most(risk, usual=self._copies_most)
+
     def _loads(self, now: float) -> dict[str, EngineLoad]:
         loads: dict[str, EngineLoad] = {}
         for record in self._records:
@@ -352,7 +391,7 @@
                 continue
             run = record.run
             load = loads.setdefault(run.engine, EngineLoad())
-            load.memory += run.memory_tokens
+            load.runs_memory += run.memory_tokens
             if run.flowing:
                 load.flowing += 1
             else:
@@ -361,7 +400,7 @@
             if run.copy_at is not None:
                 holder = loads.setdefault(run.copy_at, EngineLoad())
                 holder.copies += 1
-                holder.memory += run.memory_tokens
+                holder.copies_memory += run.memory_tokens
         return loads
 
     def _load(self, loads: dict[str, EngineLoad], engine: ListedTarget) -> EngineLoad:
@@ -376,6 +415,18 @@
             if other is not record and self._is_before(other, record)
         )
 
+    def _reads_on_s(self, engine: str, unread: list[RunRecord], now: float) -> float:
+        """Give how long an engine reads on, one prompt after the other."""
+        if not unread:
+            return 0.0
+        whole_s = [
+            self.paces.reading_s(record.run.service, engine, record.run.prompt_tokens, now)
+            for record in unread
+        ]
+        first = min(record.since for record in unread)
+        began = max(first, self._read_at.get(engine, first))
+        return max(sum(whole_s) - (now - began), sum(whole_s[1:]) + LEAST_LEFT * whole_s[0])
+
     def _is_before(self, one: RunRecord, other: RunRecord) -> bool:
         if abs(one.since - other.since) > self.news_s:
             return one.since < other.since
--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -38,11 +38,48 @@
     doc="Requests to targets that name a limit: written as `first` attempts or as `later` ones, or"
     " `held` as the limit left no room.",
 )
+LINE_LENGTH = gauge(
+    "lagoonlever.gateway.line.length",
+    unit="{request}",
+    labels=("service", "rank"),
+    doc="Prompts that wait for engines in the line that this VM keeps, by rank; 0 is the most"
+    " urgent.",
+)
+LINE_AGE = gauge(
+    "lagoonlever.gateway.line.age",
+    unit="s",
+    labels=("service", "rank"),
+    doc="How long the oldest of them has waited.",
+)
+LINE_OUTCOMES = counter(
+    "lagoonlever.gateway.line.outcomes",
+    unit="{request}",
+    labels=("service", "rank", "outcome"),
+    doc="Prompts that this VM placed for others or itself by the line that it keeps: `at-once`,"
+    " `begun` after a wait, or `refused`.",
+)
 CALL_LATENCY = latency(
     "lagoonlever.gateway.call.latency",
     labels=("kind",),
     doc="From the arrival of a call to its answer.",
 )
+CALL_PLACE_WAIT = latency(
+    "lagoonlever.gateway.call.place.wait",
+    labels=(),
+    doc="How long calls of any VM waited for a place at a runner that this VM gave out; those that"
+    " got one at once are not counted.",
+)
+CALLS_REFUSED_FOR_ROOM = counter(
+    "lagoonlever.gateway.calls.refused_for_room",
+    unit="{call}",
+    labels=("rank",),
+    doc="Calls of any VM that this VM refused as no runner could begin them in time.",
+)
+CALL_DESKS_SILENT = counter(
+    "lagoonlever.gateway.call.desks.silent",
+    unit="{question}",
+    doc="Questions for a place that another VM did not answer in time.",
+)
 FIRST_EVENT_LATENCY = latency(
     "lagoonlever.gateway.first_event.latency",
     labels=(),
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -18,7 +18,9 @@
 from lagoonlever.gateway.attempt_tools import AttemptTools
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.cache_locator import CacheLocator
+from lagoonlever.gateway.call_desk import CallDesk
 from lagoonlever.gateway.call_exchange import CallExchange
+from lagoonlever.gateway.call_places import CallPlaces
 from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.directory import Directory
 from lagoonlever.gateway.front import Front
@@ -42,6 +44,8 @@
 from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.gateway.rollout_lead import RolloutLead
 from lagoonlever.gateway.rollouts import Rollouts
+from lagoonlever.gateway.room_asker import RoomAsker
+from lagoonlever.gateway.room_desk import RoomDesk
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.gateway.store_follower import StoreFollower
 from lagoonlever.gateway.stream_admission import StreamAdmission
@@ -89,10 +93,14 @@
     peers: PeerExchange = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
     placement_desk: PlacementDesk = attrs.field(init=False)
+    room_desk: RoomDesk = attrs.field(init=False)
+    room_asker: RoomAsker = attrs.field(init=False)
     replacements: ReplacementFinder = attrs.field(init=False)
     spread: HubSpread = attrs.field(init=False)
     limits: TargetLimits = attrs.field(init=False)
     words: TargetWords = attrs.field(init=False)
+    call_desk: CallDesk = attrs.field(init=False)
+    call_places: CallPlaces = attrs.field(init=False)
     client: TargetClient = attrs.field(init=False)
     crashes: CrashWatch = attrs.field(init=False)
     follower: StoreFollower = attrs.field(init=False)
@@ -220,6 +228,28 @@
             bus=self.bus, beliefs=self.beliefs, timers=self.timers, placer=self.placer
         )
 
+    @room_desk.default
+    def _make_room_desk(self) -> RoomDesk:
+        return RoomDesk(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            placer=self.placer,
+            tally=self.reporter.tally,
+        )
+
+    @room_asker.default
+    def _make_room_asker(self) -> RoomAsker:
+        return RoomAsker(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            roles=self.presence.roles,
+            vm=self.settings.name,
+            leaving=self.stopping,
+            desk=self.room_desk,
+        )
+
     @replacements.default
     def _make_replacements(self) -> ReplacementFinder:
         return ReplacementFinder(
@@ -282,6 +312,30 @@
         self.presence.on_meeting(words.greet)
         return words
 
+    @call_desk.default
+    def _make_call_desk(self) -> CallDesk:
+        desk = CallDesk(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            tally=self.reporter.tally,
+            rests=self.words.rests,
+        )
+        self.learner.on_started_again(desk.started_again)
+        return desk
+
+    @call_places.default
+    def _make_call_places(self) -> CallPlaces:
+        return CallPlaces(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            tally=self.reporter.tally,
+            desk=self.call_desk,
+            data_center=self.settings.data_center,
+            leaving=self.stopping,
+        )
+
     @client.default
     def _make_client(self) -> TargetClient:
         return TargetClient(words=self.words)
@@ -355,6 +409,7 @@
             crashes=self.crashes,
             rollouts=self.rollouts,
             words=self.words,
+            places=self.call_places,
         )
         once = OnceCalls(data_center=self.settings.data_center, exchange=exchange, runners=runners)
         repeatable = RepeatableCalls(
@@ -390,6 +445,7 @@
                 beliefs=self.beliefs,
                 timers=self.timers,
                 placer=self.placer,
+                asker=self.room_asker,
                 words=self.words,
             ),
         )
@@ -437,10 +493,14 @@
             **(self._rollout_parts() if self.settings.rolls_out else {}),
             "placer": self.placer.run,
             "placement desk": self.placement_desk.run,
+            "room desk": self.room_desk.run,
+            "room asker": self.room_asker.run,
             "replacements": self.replacements.run,
             "crashes": self.crashes.run,
             "target limits": self.limits.run,
             "target words": self.words.run,
+            "call desk": self.call_desk.run,
+            "call places": self.call_places.run,
             "store follower": self.follower.run,
             "registration": self.registration.run,
             "pace keeper": self.pace_keeper.run,
