Operators see what is known of targets' loads, and why a busier engine was taken

Cause: which engine got a stream could not be told from logs once engines count by their own pace.

Event 1096 names the engine that was taken, the less busy one that was passed over, and the pace, slowness, age and source that counted; it is logged by the VM of the request, also where a hub has chosen. Two gauges tell how many targets are known by which source, and how old the words are. The line for room reckons how long an engine reads by its own pace, too.

--- a/lagoonlever/decisions/engines/engine_book.py
+++ b/lagoonlever/decisions/engines/engine_book.py
@@ -29,7 +29,7 @@
 )
 from lagoonlever.decisions.engines.engine_paces import EnginePaces
 from lagoonlever.decisions.engines.reading_window import ReadingWindow
-from lagoonlever.decisions.engines.uneven_engines import UnevenEngines
+from lagoonlever.decisions.engines.uneven_engines import UnevenChoice, UnevenEngines
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
@@ -74,6 +74,8 @@
 
     engine: ListedTarget
     expected_s: float
+    choice: UnevenChoice | None = None
+    """Set where another engine would have been taken, were all alike."""
 
 
 @attrs.define(kw_only=True)
@@ -158,6 +160,7 @@
             return None
         self._rng.shuffle(candidates)
         costs: dict[str, float] = {}
+        plain_costs: dict[str, float] = {}
         for engine in candidates:
             own_s = self._uneven.reading_s(engine.service, engine.id, prompt_tokens, now)
             spread_s = CROWD * self.paces.usual_reading_s(engine.service)
@@ -165,8 +168,10 @@
             costs[engine.id] += 0.0 if engine.id == prefer else own_s
             costs[engine.id] += self._rng.uniform(0.0, spread_s) if crowd else 0.0
             costs[engine.id] += self._apart_s(engine, self._load(loads, engine), own_s, now)
+            plain_costs[engine.id] = self._cost_s(engine, loads, limits, memory_tokens)
         best = min(candidates, key=lambda engine: costs[engine.id])
-        return Placement(engine=best, expected_s=costs[best.id])
+        choice = self._uneven_choice(best, candidates, plain_costs, now)
+        return Placement(engine=best, expected_s=costs[best.id], choice=choice)
 
     @MECHANISMS.register(
         "copies",
@@ -420,7 +425,7 @@
         if not unread:
             return 0.0
         whole_s = [
-            self.paces.reading_s(record.run.service, engine, record.run.prompt_tokens, now)
+            self._uneven.reading_s(record.run.service, engine, record.run.prompt_tokens, now)
             for record in unread
         ]
         first = min(record.since for record in unread)
@@ -437,6 +442,23 @@
         whole_s = self._uneven.reading_s(run.service, run.engine, run.prompt_tokens, now)
         return max(whole_s * LEAST_LEFT, whole_s - (now - record.since))
 
+    def _uneven_choice(
+        self,
+        best: ListedTarget,
+        candidates: list[ListedTarget],
+        plain_costs: dict[str, float],
+        now: float,
+    ) -> UnevenChoice | None:
+        plain = min(candidates, key=lambda engine: plain_costs[engine.id])
+        if plain_costs[best.id] <= plain_costs[plain.id]:
+            return None
+        if not any(self._uneven.counts(engine.id) for engine in (best, plain)):
+            return None
+        return UnevenChoice(
+            taken=self._uneven.seen(best.service, best.id, now),
+            passed_over=self._uneven.seen(plain.service, plain.id, now),
+        )
+
     def _paced_cost_s(
         self,
         engine: ListedTarget,
--- a/lagoonlever/decisions/engines/uneven_engines.py
+++ b/lagoonlever/decisions/engines/uneven_engines.py
@@ -13,12 +13,35 @@
 
 from lagoonlever.decisions.engines.engine_paces import EnginePaces
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
+from lagoonlever.decisions.targets.load_estimate import LoadSource
 from lagoonlever.decisions.targets.load_view import MOMENT_S, TargetLoads
 
 LEFT_OF_MOMENT_S = MOMENT_S / 2
 """A word is told at any time of a moment."""
 
 
+@attrs.frozen(kw_only=True)
+class EngineSeen:
+    """What a choice knew of an engine."""
+
+    engine: str
+    pace: float
+    """How many times as long as its service it takes."""
+    slowness: float
+    """Of its machine, as it counts now."""
+    age_s: float | None
+    """Of its word; None where it has told nothing."""
+    source: LoadSource
+
+
+@attrs.frozen(kw_only=True)
+class UnevenChoice:
+    """A choice that would be another one among engines that are alike."""
+
+    taken: EngineSeen
+    passed_over: EngineSeen
+
+
 @attrs.define(kw_only=True)
 class UnevenEngines:
     """What engines have shown and told; times are seconds of the monotonic clock."""
@@ -62,3 +85,14 @@
         slowness = self._loads.slowness(engine, now)
         lost_s = LEFT_OF_MOMENT_S * (1.0 - 1.0 / max(1.0, slowness))
         return min(lost_s, work_s * max(0.0, slowness - 1.0))
+
+    def seen(self, service: str, engine: str, now: float) -> EngineSeen:
+        """Give what is known of an engine, to tell of a choice."""
+        known = self._loads.estimate(engine, now)
+        return EngineSeen(
+            engine=engine,
+            pace=self.relative(service, engine, now),
+            slowness=known.slowness,
+            age_s=None if known.source is LoadSource.NONE else known.age_s,
+            source=known.source,
+        )
--- a/lagoonlever/decisions/streams/run_placement.py
+++ b/lagoonlever/decisions/streams/run_placement.py
@@ -21,6 +21,7 @@
 from lagoonlever.decisions.admission.retry_window import RetryWindow
 from lagoonlever.decisions.admission.room_line import reading_rate
 from lagoonlever.decisions.engines.engine_book import EngineBook
+from lagoonlever.decisions.engines.uneven_engines import UnevenChoice
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.streams.booked_runs import BookedRun
 from lagoonlever.decisions.targets.registry import ListedTarget, TargetRegistry
@@ -67,6 +68,8 @@
     engine: str
     copy_to: str | None = None
     expected_s: float = 0.0
+    choice: UnevenChoice | None = None
+    """Set where another engine would have been taken, were all alike."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -171,6 +174,7 @@
         engine=placement.engine.id,
         copy_to=_copy_to(ask, placement.engine, view, now),
         expected_s=placement.expected_s,
+        choice=placement.choice,
     )
 
 
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -477,3 +477,12 @@
     "Others were more urgent, or engines were lost since it came. It goes out once no prompt"
     " waits that can still be on time.",
 )
+ENGINE_BY_PACE = event(
+    1096,
+    "engine-chosen-by-pace",
+    "debug",
+    "Request {request} goes to {target} (pace {pace}, slowness {slowness}), and not to {other}"
+    " (pace {other_pace}, slowness {other_slowness}, told {age_s} s ago, by {source}).",
+    "The other engine was less busy. A pace is how many times as long as its service an engine"
+    " takes by its last runs; slowness is what its machine told, as far as it still counts.",
+)
--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -123,3 +123,15 @@
     unit="{line}",
     doc="Log lines that were dropped because the reader was slow or there were too many.",
 )
+TOLD_LOADS = gauge(
+    "lagoonlever.gateway.targets.told_load",
+    unit="{target}",
+    labels=("source",),
+    doc="Targets by the newest word on their load: by their own `answer`, by `news` of another VM,"
+    " or `none`.",
+)
+TOLD_LOAD_AGE = gauge(
+    "lagoonlever.gateway.targets.told_load.age",
+    unit="s",
+    doc="The age of the median of these words; 0 where there is none.",
+)
--- a/lagoonlever/gateway/metrics_page.py
+++ b/lagoonlever/gateway/metrics_page.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import statistics
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
 
+from lagoonlever.decisions.targets.load_estimate import LoadSource
 from lagoonlever.gateway import metrics
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.tally import Tally
@@ -45,3 +48,14 @@
         self._tally.set(metrics.CONFIGURATION_VERSION, float(self._beliefs.version))
         self._tally.set(metrics.FELLOWS, float(offered), "offered")
         self._tally.set(metrics.FELLOWS, float(len(fellows.states) - offered), "silent")
+        self._sample_loads()
+
+    def _sample_loads(self) -> None:
+        now, loads = self._timers.now, self._beliefs.loads
+        known = [loads.estimate(target.id, now) for target in self._beliefs.targets.targets]
+        counts = Counter(each.source for each in known)
+        for source in LoadSource:
+            self._tally.set(metrics.TOLD_LOADS, float(counts[source]), source.value)
+        ages_s = [each.age_s for each in known if each.source is not LoadSource.NONE]
+        age_s = statistics.median(ages_s) if ages_s else 0.0
+        self._tally.set(metrics.TOLD_LOAD_AGE, age_s)
--- a/lagoonlever/gateway/placer.py
+++ b/lagoonlever/gateway/placer.py
@@ -15,11 +15,18 @@
 import trio
 
 from lagoonlever.decisions.engines.engine_paces import KeptPace
+from lagoonlever.decisions.engines.uneven_engines import UnevenChoice
 from lagoonlever.decisions.fleet.news_paths import book_holders
 from lagoonlever.decisions.fleet.roles import Roles
 from lagoonlever.decisions.settings.configuration import RouteKind
 from lagoonlever.decisions.settings.load_parts import has_ranks
-from lagoonlever.decisions.streams.run_placement import PlacementView, RunAsk, RunOutcome, place_run
+from lagoonlever.decisions.streams.run_placement import (
+    Placed,
+    PlacementView,
+    RunAsk,
+    RunOutcome,
+    place_run,
+)
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.cache_locator import CacheLocator
@@ -75,7 +82,13 @@
 
     async def place(self, ask: RunAsk) -> RunOutcome:
         """Decide where an attempt goes, or why it can't go now."""
+        outcome = await self._place(ask)
+        choice = outcome.choice if isinstance(outcome, Placed) else None
+        if choice is not None:
+            _log_choice(ask.request, choice)
+        return outcome
 
+    async def _place(self, ask: RunAsk) -> RunOutcome:
         def question(number: int) -> PlacementAsk:
             return PlacementAsk(number=number, reply_to=self._bus.address, ask=ask)
 
@@ -162,3 +175,19 @@
         """Take what the hub knows of the engines, where this VM has seen no stream yet."""
         if pace is not None:
             self._beliefs.book.paces.recall(service, pace, self._timers.now)
+
+
+def _log_choice(request: str, choice: UnevenChoice) -> None:
+    taken, other = choice.taken, choice.passed_over
+    events.ENGINE_BY_PACE.log(
+        log,
+        request=request,
+        target=taken.engine,
+        pace=round(taken.pace, 2),
+        slowness=round(taken.slowness, 2),
+        other=other.engine,
+        other_pace=round(other.pace, 2),
+        other_slowness=round(other.slowness, 2),
+        age_s=None if other.age_s is None else round(other.age_s, 2),
+        source=other.source.value,
+    )
--- a/lagoonlever/tests/gateway_metrics_tests.py
+++ b/lagoonlever/tests/gateway_metrics_tests.py
@@ -31,5 +31,6 @@
             )
             assert "lagoonlever_gateway_first_event_latency_seconds_count 1.0" in text
             assert "lagoonlever_gateway_configuration_version 1.0" in text
+            assert 'lagoonlever_gateway_targets_told_load{source="answer"}' in text
 
     run_site(story, vms=1)
--- a/lagoonlever/tests/uneven_engines_tests.py
+++ b/lagoonlever/tests/uneven_engines_tests.py
@@ -18,6 +18,7 @@
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS
 from lagoonlever.decisions.streams.booked_runs import BookedRun
+from lagoonlever.decisions.targets.load_estimate import LoadSource
 from lagoonlever.decisions.targets.load_view import TargetLoads
 from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.decisions.targets.told_load import LoadWord, ToldLoad
@@ -275,3 +276,27 @@
     book.loads.started_again("e1", 0.1)
     assert uneven.relative("engines", "e1", 0.1) == 1.0
     assert uneven.moment_s("e1", 1.0, 0.1) == 0.0
+
+
+def test_a_choice_tells_what_it_knew_of_the_engine_that_it_passed_over() -> None:
+    book = told_book(e1=1.0, e2=2.5)
+    shows(book, "e1", SLOW)
+    shows(book, "e2", FAST)
+    book.begin(attrs.evolve(run_at("e2"), request="flowing"), 0.0)
+    book.flows("flowing", 0.0)
+    placement = book.place(
+        THREE[:2], limits=LIMITS, prompt_tokens=PROMPT, memory_tokens=MEMORY, now=0.3
+    )
+    assert placement is not None and placement.choice is not None
+    taken, other = placement.choice.taken, placement.choice.passed_over
+    assert (taken.engine, other.engine) == ("e2", "e1")
+    assert taken.pace < other.pace and taken.slowness > other.slowness == 1.0
+    assert (other.age_s, other.source) == (pytest.approx(0.3), LoadSource.NEWS)
+
+
+def test_a_choice_that_counting_would_make_too_tells_nothing() -> None:
+    book = told_book(e1=1.0, e2=1.0, e3=1.0)
+    placement = book.place(
+        THREE, limits=LIMITS, prompt_tokens=PROMPT, memory_tokens=MEMORY, now=0.1
+    )
+    assert placement is not None and placement.choice is None
