Choices of uneven engines are spread once after a loss, and cost little where off

Cause: after a loss both spreads by chance added up, 0.3 and 0.4 usual readings, beyond the 0.4 at which the second look leaves an engine: a run could be moved for chance alone. Each choice also asked the registry of mechanisms for every run of the book.

One spread holds at a time; the switches are asked only for engines that tell how slow they are, and the plain choice is reckoned only beside such engines.

--- a/lagoonlever/decisions/engines/engine_book.py
+++ b/lagoonlever/decisions/engines/engine_book.py
@@ -160,17 +160,21 @@
             return None
         self._rng.shuffle(candidates)
         costs: dict[str, float] = {}
-        plain_costs: dict[str, float] = {}
         for engine in candidates:
             own_s = self._uneven.reading_s(engine.service, engine.id, prompt_tokens, now)
-            spread_s = CROWD * self.paces.usual_reading_s(engine.service)
+            spread_s = self._spread(engine, crowd=crowd) * self.paces.usual_reading_s(
+                engine.service
+            )
             costs[engine.id] = self._paced_cost_s(engine, loads, limits, memory_tokens, now)
             costs[engine.id] += 0.0 if engine.id == prefer else own_s
-            costs[engine.id] += self._rng.uniform(0.0, spread_s) if crowd else 0.0
-            costs[engine.id] += self._apart_s(engine, self._load(loads, engine), own_s, now)
-            plain_costs[engine.id] = self._cost_s(engine, loads, limits, memory_tokens)
+            costs[engine.id] += self._rng.uniform(0.0, spread_s) if spread_s else 0.0
+            work_s = self._load(loads, engine).to_read_s + own_s
+            costs[engine.id] += self._uneven.moment_s(engine.id, work_s, now)
         best = min(candidates, key=lambda engine: costs[engine.id])
-        choice = self._uneven_choice(best, candidates, plain_costs, now)
+        choice: UnevenChoice | None = None
+        if any(self._uneven.counts(engine.id) for engine in candidates):
+            plain_costs = {e.id: self._cost_s(e, loads, limits, memory_tokens) for e in candidates}
+            choice = self._uneven_choice(best, candidates, plain_costs, now)
         return Placement(engine=best, expected_s=costs[best.id], choice=choice)
 
     @MECHANISMS.register(
@@ -452,8 +456,6 @@
         plain = min(candidates, key=lambda engine: plain_costs[engine.id])
         if plain_costs[best.id] <= plain_costs[plain.id]:
             return None
-        if not any(self._uneven.counts(engine.id) for engine in (best, plain)):
-            return None
         return UnevenChoice(
             taken=self._uneven.seen(best.service, best.id, now),
             passed_over=self._uneven.seen(plain.service, plain.id, now),
@@ -470,13 +472,11 @@
         pace = self._uneven.relative(engine.service, engine.id, now)
         return self._cost_s(engine, loads, limits, need, pace=pace)
 
-    def _apart_s(self, engine: ListedTarget, load: EngineLoad, own_s: float, now: float) -> float:
-        """Give what keeps VMs apart that see the same engine as the fastest, and a slow moment."""
-        if not self._uneven.counts(engine.id):
-            return 0.0
-        spread_s = CLOSE * self.paces.usual_reading_s(engine.service)
-        moment_s = self._uneven.moment_s(engine.id, load.to_read_s + own_s, now)
-        return moment_s + self._rng.uniform(0.0, spread_s)
+    def _spread(self, engine: ListedTarget, *, crowd: bool) -> float:
+        """Give how far chance keeps VMs apart that see the same engine as the best."""
+        if crowd:
+            return CROWD
+        return CLOSE if self._uneven.counts(engine.id) else 0.0
 
     def _ready_s(
         self,
--- a/lagoonlever/decisions/engines/uneven_engines.py
+++ b/lagoonlever/decisions/engines/uneven_engines.py
@@ -49,15 +49,9 @@
     _paces: EnginePaces
     _loads: TargetLoads
 
-    @MECHANISMS.register(
-        "engine-own-pace",
-        does="streams go by the own pace of engines that tell how slow their machines are",
-        without="by the pace of the service, but for engines that are far slower",
-        plain=gives(False),
-    )
     def counts(self, engine: str) -> bool:
         """Tell whether an engine is judged by its own pace."""
-        return self._loads.tells_slowness(engine)
+        return self._loads.tells_slowness(engine) and _by_own_pace()
 
     def relative(self, service: str, engine: str, now: float) -> float:
         """Give how many times as long as its service an engine takes."""
@@ -72,19 +66,11 @@
         usual_s = tokens * self._paces.prompt_token_s(service)
         return usual_s * self._paces.relative(service, engine, now)
 
-    @MECHANISMS.register(
-        "slow-moments",
-        does="a stream goes past an engine whose machine has just told that it is slow",
-        without="only what engines have shown counts",
-        plain=gives(0.0),
-    )
     def moment_s(self, engine: str, work_s: float, now: float) -> float:
         """Give what a slow moment adds to some work: no more than is left of the moment."""
         if not self.counts(engine):
             return 0.0
-        slowness = self._loads.slowness(engine, now)
-        lost_s = LEFT_OF_MOMENT_S * (1.0 - 1.0 / max(1.0, slowness))
-        return min(lost_s, work_s * max(0.0, slowness - 1.0))
+        return _lost_s(work_s, self._loads.slowness(engine, now))
 
     def seen(self, service: str, engine: str, now: float) -> EngineSeen:
         """Give what is known of an engine, to tell of a choice."""
@@ -96,3 +82,24 @@
             age_s=None if known.source is LoadSource.NONE else known.age_s,
             source=known.source,
         )
+
+
+@MECHANISMS.register(
+    "engine-own-pace",
+    does="streams go by the own pace of engines that tell how slow their machines are",
+    without="by the pace of the service, but for engines that are far slower",
+    plain=gives(False),
+)
+def _by_own_pace() -> bool:
+    return True
+
+
+@MECHANISMS.register(
+    "slow-moments",
+    does="a stream goes past an engine whose machine has just told that it is slow",
+    without="only what engines have shown counts",
+    plain=gives(0.0),
+)
+def _lost_s(work_s: float, slowness: float) -> float:
+    lost_s = LEFT_OF_MOMENT_S * (1.0 - 1.0 / max(1.0, slowness))
+    return min(lost_s, work_s * max(0.0, slowness - 1.0))
