A call that only waits uses up no repeats

Cause: the shared budget of attempts beyond the first was asked, and one repeat counted, each time that a waiting call was looked at (every 50 ms once its hedge was due), also when no other runner could be chosen or the runner's own budget allowed none. So slow calls could spend what failed ones need. Now a repeat is counted when it is sent.

The test fails on the code of before (119 repeats left of 120 after one slow call to the only runner).

--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -96,13 +96,15 @@
     async def _drive(self, call: CallRecord, window: RetryWindow) -> Answered | None:
         hedged = self._hedged(call, window)
         try:
-            return await self._attempts(call, hedged)
+            return await self._attempts(call, hedged, window)
         finally:
             # Also where the caller left or its time is over: what is open then would take room at
             # its runner for good, until this VM sends it nothing more.
             hedged.give_up(self._exchange.timers.now)
 
-    async def _attempts(self, call: CallRecord, hedged: HedgedCall) -> Answered | None:
+    async def _attempts(
+        self, call: CallRecord, hedged: HedgedCall, window: RetryWindow
+    ) -> Answered | None:
         send, receive = trio.open_memory_channel[_Ended](0)
         async with open_work_nursery() as nursery:
             while True:
@@ -112,6 +114,8 @@
                         hedged.on_timeout(self._exchange.timers.now)
                     return call.failure
                 if isinstance(decision, Send):
+                    if decision.number > 1:
+                        window.repeat(self._exchange.timers.now)
                     nursery.start_soon(self._attempt, call, decision.runner, send)
                     continue
                 answered = await self._wait(call, hedged, decision, receive)
@@ -130,7 +134,7 @@
             open_to = self._exchange.open_to(call, serving)
             if not is_first and open_to:
                 now = self._exchange.timers.now
-                if not window.take(now, vms=self._exchange.beliefs.fellows.at_most(now)):
+                if not window.allows(now, vms=self._exchange.beliefs.fellows.at_most(now)):
                     return ()
             return tuple(target.id for target in open_to)
 
--- a/lagoonlever/tests/gateway_calls_tests.py
+++ b/lagoonlever/tests/gateway_calls_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections import Counter
 
 import pytest
@@ -268,3 +269,26 @@
         assert answer.status == 200, answer.body
 
     run_site(story, engines=0, runners=1, vms=1)
+
+
+def test_a_call_that_waits_for_its_only_runner_uses_up_no_repeats() -> None:
+    """Guards against failed calls that are not sent again as slow ones have spent the budget."""
+
+    async def story(site: GatewaySite) -> None:
+        next(iter(site.runners.values())).work_s = 0.6
+        vm = site.vms["vm-0"].daemon.parts
+        before = spare_repeats(vm)
+        answer = await site.call("/look/1", method="GET")
+        assert answer.status == 200
+        assert spare_repeats(vm) >= before
+
+    run_site(story, engines=0, runners=1, vms=1)
+
+
+def spare_repeats(of: parts.GatewayParts) -> int:
+    """Give how many repeats the budget of calls still allows, without taking one."""
+    spare = copy.deepcopy(of.budgets.of_calls("apps"))
+    count = 0
+    while spare.take(of.timers.now, vms=1):
+        count += 1
+    return count
