--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -266,8 +266,9 @@
     "attempt-sent",
     "info",
     "{request} with prompt {part} goes to {target} as attempt {attempt} after event {position},"
-    " copy at {copy}: {reason}",
-    "Where a request was placed, and by which inputs.",
+    " copy at {copy}, rank {rank}: {reason}",
+    "Where a request was placed, and by which inputs. `rank` is what its engine was told, or None"
+    " where the routes of the service don't differ.",
 )
 ATTEMPT_ENDED = event(
     1042,
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -448,17 +448,21 @@
             target_id=plan.engine.id,
             deadline_s=accepted.left_s(self._now),
             organisation=accepted.organisation,
-            priority=rank_at_engine(
-                self._tools.beliefs.configuration.value,
-                accepted.service,
-                priority=accepted.priority,
-                begun=self._life.position is not None,
-            ),
+            priority=self._rank,
             last_event_id=self._life.position,
             copy_to=plan.copy_to.address if plan.copy_to else None,
             copy_from=plan.copy_from,
         )
 
+    @property
+    def _rank(self) -> int | None:
+        return rank_at_engine(
+            self._tools.beliefs.configuration.value,
+            self._accepted.service,
+            priority=self._accepted.priority,
+            begun=self._life.position is not None,
+        )
+
     def _log_sent(self) -> None:
         plan = self._plan
         events.ATTEMPT_SENT.log(
@@ -469,6 +473,7 @@
             attempt=self._life.sent,
             position=self._life.position,
             copy=plan.run.copy_at,
+            rank=self._rank,
             reason=plan.reason,
         )
 
