Line for room: a VM's questions are numbered on from its start

Cause: a VM that starts again counted its questions from 0, and a keeper says a former answer again for 0.75 s to whoever asks by the same number: another request's engine. Found by reading; the keeper's answers also run out by time now (test).

--- a/lagoonlever/gateway/room_asker.py
+++ b/lagoonlever/gateway/room_asker.py
@@ -70,10 +70,15 @@
     _leaving: Callable[[], bool]
     _desk: RoomDesk
     """This VM's own, which keeps some of the lines."""
-    _numbers: Iterator[int] = attrs.field(factory=itertools.count)
+    _numbers: Iterator[int] = attrs.field(init=False)
+    """Begun by the start of this process, so that none is that of a former one."""
     _open: dict[int, trio.MemorySendChannel[LineTold]] = attrs.field(factory=dict)
     _silent_until: dict[str, float] = attrs.field(factory=dict)
 
+    @_numbers.default
+    def _make_numbers(self) -> Iterator[int]:
+        return itertools.count(self._bus.own.started_ms)
+
     async def run(self) -> None:
         """Take the answers of keepers until cancelled."""
         async for received in self._bus.subscribe(LineTold):
--- a/lagoonlever/gateway/room_desk.py
+++ b/lagoonlever/gateway/room_desk.py
@@ -101,12 +101,12 @@
         if not self._beliefs.known.is_set():
             return
         now, service = self._timers.now, asked.ask.service
-        given = self._given.get(PlaceInLine(vm=vm, number=asked.number))
-        if given is not None:
+        place = PlaceInLine(vm=vm, number=asked.number)
+        given = self._given.get(place)
+        if given is not None and now - given.at <= RENEWED_WITHIN_S:
             reply(given.told)
             return
         line = self._lines.setdefault(service, RoomLine())
-        place = PlaceInLine(vm=vm, number=asked.number)
         is_new = line.ask(self._waiting(place, asked, now))
         if not is_new:
             self._tell_waiting(place, line)
--- a/lagoonlever/tests/room_asker_tests.py
+++ b/lagoonlever/tests/room_asker_tests.py
@@ -231,6 +231,26 @@
     run_room(story)
 
 
+def test_a_vm_that_starts_again_is_not_told_the_answers_of_its_former_life() -> None:
+    """Guards against a prompt that goes to the engine of another request."""
+
+    async def story(room: Room) -> None:
+        vm = room.others()[0]
+        told: list[LineTold] = []
+        keeper = room.vms[room.keeper]
+        desk = keeper.desk
+        asked = LineAsk(number=7, reply_to=vm.vm.bus.address, ask=ask_of("r1"), need=need())
+        desk.ask(asked, vm=vm.name, reply=told.append)
+        await trio.sleep(RENEWED_WITHIN_S + 0.1)
+        desk.ask(attrs.evolve(asked, ask=ask_of("r2")), vm=vm.name, reply=told.append)
+        assert len(told) == 2
+        assert told[0] is not told[1]
+        run = keeper.vm.beliefs.book._records.find("r2")
+        assert run is not None
+
+    run_room(story)
+
+
 def test_a_caller_who_goes_away_leaves_the_line() -> None:
     """Guards against places for prompts that nobody wants any more."""
 
