A run that its engine has preempted goes on from its copy, where streams differ in rank

Cause: a flowing run that an engine out of memory preempts waits in that engine's queue until it is read again, though another engine holds its copy; the report that says so counted as "queued" and the run waited.

After 0.35 s of silence, when a report names runs that wait but not this one, the run is given up there and goes on from its copy, if it has one and may be sent once more. Reports are some hundred milliseconds old, and the run flowed before them. Only where the stream routes of the service differ in rank; else as before.

--- a/lagoonlever/decisions/engines/engine_reports.py
+++ b/lagoonlever/decisions/engines/engine_reports.py
@@ -3,13 +3,16 @@
 The load that is answered: engines are replaced in turn during a burst, and one that leaves
 within seconds still takes prompts which it can't end. And a prompt waits in the queue of
 an engine whose memory is full of runs, while others have room: its caller waits for the end
-of a run that has only begun.
+of a run that has only begun. A run that such an engine preempts waits in the same queue,
+within its answer, though another engine holds its copy.
 """
 
 from __future__ import annotations
 
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 
+LISTED_S = 0.35
+"""Of silence: reports are some hundred milliseconds old, and name runs that flowed then."""
 MOST_READINGS = 2.0
 """Of the wait at another engine, the run's own reading among them."""
 
@@ -44,3 +47,21 @@
     if memory_used + first_waiting <= memory_total:
         return False
     return elsewhere_s < MOST_READINGS * usual_s
+
+
+@MECHANISMS.register(
+    "leave-preempted",
+    does="a run that its engine has preempted goes on from its copy",
+    without="it waits until it is read again",
+    plain=gives(False),
+)
+def is_preempted(
+    *, flowing: bool, listed: bool, waiting: int, silent_s: float, has_copy: bool
+) -> bool:
+    """Tell whether a run should go on from its copy, as its engine waits to read it again.
+
+    ``listed`` says that the engine's report names the run, ``waiting`` how many wait there.
+    """
+    if not flowing or not has_copy or listed:
+        return False
+    return waiting > 0 and silent_s >= LISTED_S
--- a/lagoonlever/decisions/streams/life.py
+++ b/lagoonlever/decisions/streams/life.py
@@ -280,6 +280,12 @@
             return
         self._avoid.add(engine)
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether another attempt could go on from a copy."""
+        may_repeat = self._repeatable and self.runs < self._max_attempts
+        return may_repeat and self._copy is not None
+
     @property
     def may_move(self) -> bool:
         """Whether the open attempt may be left for a better place."""
--- a/lagoonlever/decisions/streams/silence.py
+++ b/lagoonlever/decisions/streams/silence.py
@@ -84,6 +84,8 @@
     """The engine is another process by now, which has nothing of before."""
     QUEUED = "queued"
     """The engine has requests that wait; the run may be one of them."""
+    PREEMPTED = "preempted"
+    """It waits to be read again, and another engine holds its copy."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -142,6 +144,8 @@
         self._suspected = False
         if answer is Answer.STARTED_AGAIN:
             self._verdict = f"silent for {silent_s:.2f} s, and its engine has started again"
+        elif answer is Answer.PREEMPTED:
+            self._verdict = f"silent for {silent_s:.2f} s, and its engine has preempted it"
         elif answer is Answer.NOT_THERE and silent_s >= UNLISTED_S:
             self._verdict = f"silent for {silent_s:.2f} s and does not run it"
         elif events_ahead >= HELD_BACK_EVENTS and silent_s >= HELD_BACK_S:
--- a/lagoonlever/gateway/report_uses.py
+++ b/lagoonlever/gateway/report_uses.py
@@ -24,6 +24,12 @@
         tools.words.reports_leaving(engine.id, report.started_ms)
 
 
+def ranks_differ(plan: AttemptPlan, tools: AttemptTools) -> bool:
+    """Tell whether routes to the engine's service differ in rank, so that it preempts by them."""
+    configuration = tools.beliefs.configuration.value
+    return has_ranks(configuration, plan.engine.service, RouteKind.STREAM)
+
+
 def is_stuck(report: EngineReport, plan: AttemptPlan, tools: AttemptTools) -> bool:
     """Tell whether a run waits for memory at its engine while another engine has room.
 
@@ -31,7 +37,7 @@
     move on in the order of its arrivals.
     """
     beliefs, service = tools.beliefs, plan.engine.service
-    if not has_ranks(beliefs.configuration.value, service, RouteKind.STREAM):
+    if not ranks_differ(plan, tools):
         return False
     place = beliefs.book.place(
         tools.words.unlimited(beliefs.targets.serving(service)),
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -8,6 +8,7 @@
 
 from lagoonlever.decisions.engines.crash_suspects import BEGAN, WAITED
 from lagoonlever.decisions.engines.engine_rank import rank_at_engine
+from lagoonlever.decisions.engines.engine_reports import is_preempted
 from lagoonlever.decisions.streams.booked_runs import RunCopy
 from lagoonlever.decisions.streams.life import EventVerdict, StreamLife
 from lagoonlever.decisions.streams.silence import (
@@ -30,7 +31,7 @@
 from lagoonlever.gateway.messages import AnswerHead, EngineReport, Hop, RunReport
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.placer import Placer
-from lagoonlever.gateway.report_uses import is_stuck, take_report
+from lagoonlever.gateway.report_uses import is_stuck, ranks_differ, take_report
 from lagoonlever.gateway.stream_counts import StreamCounts
 from lagoonlever.gateway.target_client import NotSent
 from lagoonlever.http.client import ClientConnection, Response
@@ -287,6 +288,8 @@
         answer = _answer_of(report, run, flowing=self._flowing)
         if run is None and self._flowing and self._has_started_again():
             answer = Answer.STARTED_AGAIN
+        elif report is not None and self._is_preempted(report, silence):
+            answer = Answer.PREEMPTED
         ahead = run.events - (self._life.position or 0) if run else 0
         events.ENGINE_ASKED.log(
             log,
@@ -309,6 +312,15 @@
             self._copies.engine_leaves(self._now + report.leaves_in_s)
         take_report(report, self._plan, self._tools)
 
+    def _is_preempted(self, report: EngineReport, silence: StreamSilence) -> bool:
+        return ranks_differ(self._plan, self._tools) and is_preempted(
+            flowing=self._flowing,
+            listed=report.run(self._accepted.request_id) is not None,
+            waiting=report.waiting,
+            silent_s=silence.silence_s(self._now),
+            has_copy=self._life.may_resume,
+        )
+
     def _leave_stuck_queue(self, report: EngineReport) -> None:
         """Leave an engine whose queue waits for memory, if another one has room."""
         window = self._tools.budgets.of_runs(self._accepted.service)
--- a/lagoonlever/tests/engine_reports_tests.py
+++ b/lagoonlever/tests/engine_reports_tests.py
@@ -5,7 +5,12 @@
 import msgspec
 import pytest
 
-from lagoonlever.decisions.engines.engine_reports import leaves_queue, leaves_too_soon
+from lagoonlever.decisions.engines.engine_reports import (
+    LISTED_S,
+    is_preempted,
+    leaves_queue,
+    leaves_too_soon,
+)
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS
 from lagoonlever.decisions.streams.copy_keeping import LAST_COPY_S, CopyKeeping
 from lagoonlever.gateway.messages import EngineReport
@@ -82,3 +87,26 @@
     assert keeping.due(11.2, holder_usable=True)
     keeping.called("e2", 11.2)
     assert not keeping.due(11.4, holder_usable=True)
+
+
+def preempted(**more: object) -> bool:
+    seen = {"flowing": True, "listed": False, "waiting": 1, "silent_s": 0.37, "has_copy": True}
+    return is_preempted(**{**seen, **more})
+
+
+def test_a_preempted_run_goes_on_from_its_copy() -> None:
+    """Guards against a stream that pauses for seconds in a queue while its copy is elsewhere."""
+    assert preempted()
+
+
+def test_a_run_that_may_go_on_where_it_is_stays() -> None:
+    """Guards against runs that leave an engine on the word of a report from before they flowed."""
+    assert not preempted(listed=True)
+    assert not preempted(silent_s=LISTED_S / 2)
+    assert not preempted(waiting=0)
+    assert not preempted(flowing=False)
+
+
+def test_a_preempted_run_without_a_copy_waits() -> None:
+    """Guards against a prompt that is read again elsewhere, which takes as long and more."""
+    assert not preempted(has_copy=False)
--- a/lagoonlever/tests/gateway_streams_tests.py
+++ b/lagoonlever/tests/gateway_streams_tests.py
@@ -98,6 +98,42 @@
     run_site(story)
 
 
+async def preempt_in_the_middle(site: GatewaySite) -> float:
+    """Ask for a stream whose engine puts it back into its queue after five events."""
+
+    def preempt(count: int) -> None:
+        if count == 5:
+            engine = site.engines[running_engine(site)]
+            engine.frozen_runs.set()
+            engine.waiting = 1
+            for run in engine.runs.values():
+                run.flowing = False
+
+    started = trio.current_time()
+    got = await site.stream("p1", events=30, on_event=preempt, Deadline_Ms="2500")
+    assert got.is_events("p1", 1, 30) == got.whole
+    return trio.current_time() - started if got.whole else float("inf")
+
+
+def test_a_preempted_stream_goes_on_from_its_copy() -> None:
+    """Guards against a stream that pauses for seconds in a queue while its copy is elsewhere."""
+
+    async def story(site: GatewaySite) -> None:
+        await configure_ranks(site)
+        assert await preempt_in_the_middle(site) < 1.5
+
+    run_site(story)
+
+
+def test_a_preempted_stream_waits_where_routes_have_one_rank() -> None:
+    """Guards against a change for services whose work is all alike."""
+
+    async def story(site: GatewaySite) -> None:
+        assert await preempt_in_the_middle(site) == float("inf")
+
+    run_site(story)
+
+
 def test_a_crashed_engine_s_stream_goes_on_from_the_copy() -> None:
     """A dealer's summary is half told when its engine dies with its sockets.
 
