The first hedges of a call wait for half of its objective

Cause: until a VM has seen 16 answers of a service, a call is hedged after 50 ms, whatever its work takes. Callers gain nothing by it, and runners that are full lose places.

Now the first delay is half of the route's objective where that is longer: a hedge still has the other half. What is learnt later is unchanged. This holds for all deployments: with an objective of 150 ms the first hedge goes out after 75 ms in place of 50.

--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -138,10 +138,11 @@
                     return ()
             return tuple(target.id for target in open_to)
 
+        first_delay = HedgeDelay.of_objective(accepted.route.objective_s)
         hedged = HedgedCall(
             live_names=live_names,
             runners=self._runners,
-            delay=self._delays.setdefault(service, HedgeDelay()),
+            delay=self._delays.setdefault(service, first_delay),
             budget=self._extra.setdefault(service, RetryBudget.of_ratio(EXTRA_RATIO)),
             deadline=accepted.deadline,
             max_attempts=accepted.route.max_attempts,
