Soak: deployments with ranks, short room and uneven targets; a rank that starves is seen

At its end a rank that was asked for 20 times or more must have been served at least a quarter as often as all. Seeds that failed before are played on the plain deployment, as the same runs.

A check was wrong: a call was held against the VMs when it ended, not when it came. It is judged by when it came now, as strictly for all that come later; the new test of both cases fails without the change (once).

--- a/lagoonlever/commands/soak.py
+++ b/lagoonlever/commands/soak.py
@@ -55,6 +55,7 @@
     counts = ", ".join(f"{name}: {count}" for name, count in result.counts.items())
     verdict = "broken" if result.violations else "kept"
     typer.echo(f"seed {result.seed}: {verdict}; {len(result.faults)} faults; {counts}")
+    typer.echo(f"  {result.deployment}")
     for violation in result.violations:
         typer.echo(f"  {violation}")
     if result.violations:
--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -20,8 +20,9 @@
     read_addresses,
     resolve_path,
 )
+from lagoonlever.soak.deployments import HOST, ORGANISATION, PATIENT_KEY, PATIENT_ORGANISATION
 from lagoonlever.soak.judge import NOT_RUN_STATUSES, OK, Judge
-from lagoonlever.soak.site import HOST, SoakSite, SoakVm
+from lagoonlever.soak.site import SoakSite, SoakVm
 
 CALL_DEADLINE_S = 2.0
 STREAM_DEADLINE_S = 12.0
@@ -50,6 +51,11 @@
     _addresses: tuple[Address, ...] = ()
     _ids: Iterator[int] = attrs.field(factory=lambda: iter(range(1_000_000)))
 
+    @property
+    def is_patient(self) -> bool:
+        """Whether this caller belongs to the organisation with a rank of its own."""
+        return self.site.deployment.has_patient and self.number % 2 == 1
+
     async def run(self) -> None:
         """Send bids, lookups and streams."""
         while True:
@@ -63,7 +69,8 @@
     async def run_deadly(self, part: str) -> None:
         """Send the prompt that ends each engine, again and again, until cancelled."""
         while True:
-            await self._stream_once(part, EVENTS[1], 0, None)
+            route = self.site.deployment.stream_routes[0]
+            await self._stream_once(route, part, EVENTS[1], 0, None)
             await self._drop()
             await trio.sleep(self.rng.uniform(*DEADLY_PAUSE_S))
 
@@ -85,18 +92,21 @@
     async def stream(self) -> bool:
         """Read a stream to its end, coming back after breaks; gives whether it was whole."""
         part = f"{self.rng.getrandbits(64):016x}"
+        route = self.rng.choice(self.site.deployment.stream_routes)
         events = self.rng.randint(*EVENTS)
         leave_at = self.rng.randint(1, events) if self.rng.random() < self.leaves else None
         told = 0
+        whole = False
         with trio.move_on_after(STREAM_DEADLINE_S):
             for _ in range(RETRIES):
-                told, whole = await self._stream_once(part, events, told, leave_at)
+                told, whole = await self._stream_once(route, part, events, told, leave_at)
                 if whole:
-                    return True
+                    break
                 if leave_at is not None and told >= leave_at:
                     return False
                 await trio.sleep(PAUSE_S)
-        return False
+        self.judge.streamed("patient" if self.is_patient else route, whole=whole)
+        return whole
 
     async def _call_once(self, kind: str, request: str) -> int:
         headers = self._headers(request, CALL_DEADLINE_S)
@@ -112,7 +122,7 @@
         return response.status
 
     async def _stream_once(
-        self, part: str, events: int, told: int, leave_at: int | None
+        self, route: str, part: str, events: int, told: int, leave_at: int | None
     ) -> tuple[int, bool]:
         request = self._new_id("stream")
         more = prompt_fields(
@@ -126,7 +136,7 @@
         try:
             connection = await self._connect()
             await connection.start(
-                method="POST", path="/stream/1", headers=headers, body=part.encode(), step="soak"
+                method="POST", path=f"/{route}/1", headers=headers, body=part.encode(), step="soak"
             )
             head = await connection.read_head()
             while (piece := await connection.next_piece()) is not None:
@@ -197,10 +207,12 @@
     def _headers(
         self, request: str, deadline_s: float, more: list[tuple[str, str]] | None = None
     ) -> Headers:
+        organisation = PATIENT_ORGANISATION if self.is_patient else ORGANISATION
+        self.judge.sends_for(request, organisation)
         return caller_headers(
             request_id=request,
             host=HOST,
-            key=self.site.keys[1],
+            key=PATIENT_KEY if self.is_patient else self.site.keys[1],
             deadline_s=deadline_s,
             more=more or (),
         )
--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -20,6 +20,10 @@
 """From the last of these until every VM that was not harmed knows."""
 ALLOWED_AFTER = 3
 """Retries that may reach an engine all the same."""
+LEAST_ASKED = 20
+"""Streams of a rank that tell how often it is served."""
+LEAST_SHARE = 0.25
+"""Of how often all are served: a rank below it is starved."""
 
 
 @attrs.frozen(kw_only=True)
@@ -35,12 +39,17 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Judge:
-    """Collects violations; ``organisation`` is whose key all callers use."""
+    """Collects violations; ``organisation`` is whose key callers use, unless they say so."""
 
     _organisation: str
     violations: list[Violation] = attrs.field(factory=list)
     counts: Counter[str] = attrs.field(factory=Counter)
     """Answers by kind of request and status; for the report of a run."""
+    _asked: Counter[str] = attrs.field(factory=Counter)
+    """Streams that were asked for, by rank."""
+    _served: Counter[str] = attrs.field(factory=Counter)
+    _owners: dict[str, str] = attrs.field(factory=dict)
+    """The organisation of requests that are not of the usual one."""
     _ran: Counter[str] = attrs.field(factory=Counter)
     _once: set[str] = attrs.field(factory=set)
     """Ids of requests that may run once at most."""
@@ -67,10 +76,30 @@
             self.break_promise("not run is true", f"{request} ran at {target} after it was told")
         if headers.get("Authorization") is not None:
             self.break_promise("keys stay here", f"{request} reached {target} with its key")
-        if headers.get(ORGANISATION) != self._organisation:
+        if headers.get(ORGANISATION) != self._owners.get(request, self._organisation):
             found = headers.get(ORGANISATION)
             self.break_promise("organisations", f"{request} reached {target} for {found}")
 
+    def sends_for(self, request: str, organisation: str) -> None:
+        """Note whose key a request carries."""
+        if organisation != self._organisation:
+            self._owners[request] = organisation
+
+    def streamed(self, rank: str, *, whole: bool) -> None:
+        """Note that a caller who stayed got its stream of a rank whole, or gave up."""
+        self._asked[rank] += 1
+        self._served[rank] += whole
+
+    def judge_ranks(self) -> None:
+        """Check that no rank was starved while others were served."""
+        all_served = self._served.total() / max(1, self._asked.total())
+        for rank, asked in sorted(self._asked.items()):
+            share = self._served[rank] / asked
+            self.counts[f"{rank} whole"] = self._served[rank]
+            if asked >= LEAST_ASKED and share < LEAST_SHARE * all_served:
+                detail = f"{rank}: {share:.0%} of {asked} were served, {all_served:.0%} of all"
+                self.break_promise("every rank is served", detail)
+
     def ended(self, part: str, now: float) -> None:
         """Note that an engine has ended under a deadly prompt."""
         self.counts["engines ended by a prompt"] += 1
--- a/lagoonlever/soak/rollouts.py
+++ b/lagoonlever/soak/rollouts.py
@@ -12,7 +12,8 @@
 from lagoonlever.platform.documents import order_document
 from lagoonlever.platform.rollouts import ORDERS_PREFIX, read_status, status_key
 from lagoonlever.platform.targets import TARGETS_PREFIX
-from lagoonlever.soak.site import CALM_S, DRAIN_S, SoakSite, SoakTarget, WatchedRunner
+from lagoonlever.soak.site import CALM_S, DRAIN_S, SoakSite, SoakTarget
+from lagoonlever.soak.watched import WatchedRunner
 
 APART = 10
 """Between the machines of the old runners and those of the new ones."""
--- a/lagoonlever/soak/run.py
+++ b/lagoonlever/soak/run.py
@@ -13,10 +13,17 @@
 from lagoonlever.platform.documents import caller_headers
 from lagoonlever.platform.entry_calls import READY_PATH
 from lagoonlever.soak.callers import SoakCaller
+from lagoonlever.soak.deployments import (
+    HOST,
+    ORGANISATION,
+    PLAIN,
+    Deployment,
+    draw_deployment,
+)
 from lagoonlever.soak.faults import FaultActions
 from lagoonlever.soak.judge import OK, Judge, Violation
 from lagoonlever.soak.plan import Fault, draw_plan
-from lagoonlever.soak.site import CALM_S, GATEWAY, HOST, ORGANISATION, SoakSite, SoakVm
+from lagoonlever.soak.site import CALM_S, GATEWAY, SoakSite, SoakVm
 
 APPLY_S = 2.0
 """A stored configuration is in force everywhere within this."""
@@ -49,6 +56,7 @@
 
     seed: int
     faults: tuple[Fault, ...]
+    deployment: Deployment
     violations: tuple[Violation, ...]
     counts: dict[str, int]
 
@@ -60,8 +68,14 @@
     folder: Path,
     program: tuple[str, ...] = GATEWAY,
     plan: tuple[Fault, ...] | None = None,
+    deployment: Deployment | None = None,
 ) -> SoakResult:
-    """Play one seed, or a given plan; logs of the processes go to ``folder``."""
+    """Play one seed, or a given plan; logs of the processes go to ``folder``.
+
+    A plan is played on the plain deployment, unless another one is given.
+    """
+    if deployment is None:
+        deployment = draw_deployment(seed) if plan is None else PLAIN
     plan = draw_plan(seed, length_s=size.length_s) if plan is None else plan
     judge = Judge(organisation=ORGANISATION)
     async with trio.open_nursery() as nursery:
@@ -71,6 +85,7 @@
             folder=folder,
             rng=random.Random(f"{seed}-site"),
             program=program,
+            deployment=deployment,
         )
         try:
             await site.start(vms=size.vms, engines=size.engines, runners=size.runners)
@@ -83,6 +98,7 @@
     return SoakResult(
         seed=seed,
         faults=plan,
+        deployment=deployment,
         violations=tuple(judge.violations),
         counts=dict(sorted(judge.counts.items())),
     )
@@ -106,6 +122,7 @@
         await trio.sleep_until(begun + size.length_s)
         await _wait_ready(site, RECOVER_S, "recovery")
         nursery.cancel_scope.cancel()
+    site.judge.judge_ranks()
     await _serve_again(site, seed)
 
 
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -13,34 +13,23 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.settings.configuration import (
-    Configuration,
-    EngineLimits,
-    Organisation,
-    RouteKind,
-    ServiceRoute,
-    TargetService,
-    WeightedService,
-)
 from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
 from lagoonlever.fakes.platform_engine import EngineRun, FakeEngine
 from lagoonlever.fakes.platform_runner import FakeRunner
 from lagoonlever.gateway.settings import Bounds, GatewaySettings, StoreLimits
-from lagoonlever.http.messages import Address, Headers
-from lagoonlever.http.server import Exchange, open_listeners
+from lagoonlever.http.messages import Address
+from lagoonlever.http.server import open_listeners
 from lagoonlever.platform.configuration import CONFIGURATION_KEY
 from lagoonlever.platform.documents import configuration_document, settings_text, target_entry
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
-from lagoonlever.platform.headers import EXPECTED_TARGET, REQUEST_ID
 from lagoonlever.platform.targets import TARGETS_PREFIX
+from lagoonlever.soak.deployments import MOMENT_S, PLAIN, SLOTS, Deployment
 from lagoonlever.soak.judge import Judge
-from lagoonlever.soak.needs import NeedWatch
 from lagoonlever.soak.proxy import FaultyProxy
+from lagoonlever.soak.watched import WatchedEngine, WatchedRunner
 
 PLACES = ("dc-0", "dc-1", "dc-2")
-HOST = "shop.example"
-ORGANISATION = "org-1"
 GATEWAY = (sys.executable, "-m", "lagoonlever.gateway")
 FRONT_PORT, READY_PORT, DIRECTORY_PORT, BUS_PORT = 8740, 8749, 8746, 8748
 TARGET_PORT = 9000
@@ -59,84 +48,6 @@
 """How long the entry of a target that crashed stays."""
 
 
-class WatchedRunner(FakeRunner):
-    """A runner that tells the judge what it runs."""
-
-    def __init__(self, *, target_id: str, judge: Judge, site: SoakSite) -> None:
-        super().__init__(target_id=target_id, work_s=0.01)
-        self._judge = judge
-        self._site = site
-        self.known_to_leave_at: float | None = None
-        """When every VM had had the time to learn that it drains, and nothing was harmed."""
-        self._needs = NeedWatch(
-            target=target_id,
-            judge=judge,
-            says=self.says,
-            vms=lambda: len(site.vms),
-            calm_since=site.vms_calm_since,
-        )
-
-    async def handle(self, exchange: Exchange) -> None:
-        """Answer one request, and tell whether it ran."""
-        request = exchange.request.headers.get(REQUEST_ID) or ""
-        before = self.runs[request]
-        self._needs.arrived(trio.current_time())
-        try:
-            await super().handle(exchange)
-        finally:
-            has_run = self.runs[request] > before
-            self._needs.says_now(trio.current_time(), refused=not has_run)
-            if has_run:
-                self._judge.ran(request, self.target_id, exchange.request.headers)
-                self._tell_late(request)
-
-    def _tell_late(self, request: str) -> None:
-        """Tell of a request that came though every VM knew that this runner drains."""
-        since = self.known_to_leave_at
-        if since is not None and all(vm.disturbed_at < since for vm in self._site.vms):
-            detail = f"{request} reached {self.target_id}, which drains"
-            self._judge.break_promise("leaving targets get no work", detail)
-
-
-class WatchedEngine(FakeEngine):
-    """An engine that tells the judge what it runs."""
-
-    def __init__(
-        self,
-        *,
-        target_id: str,
-        fleet: dict[str, FakeEngine],
-        judge: Judge,
-        started_ms: int,
-        site: SoakSite,
-    ) -> None:
-        super().__init__(
-            target_id=target_id,
-            fleet=fleet,
-            prefill_tokens_per_s=20_000.0,
-            event_s=0.02,
-            started_ms=started_ms,
-            deadly=site.deadly,
-            die=lambda: site.engine_dies(target_id),
-        )
-        self._judge = judge
-        self._site = site
-
-    async def handle(self, exchange: Exchange) -> None:
-        """Answer one request or question."""
-        headers: Headers = exchange.request.headers
-        request = headers.get(REQUEST_ID)
-        if request is not None and headers.get(EXPECTED_TARGET) == self.target_id:
-            self._judge.ran(request, self.target_id, headers)
-            self._tell_deadly(exchange.request.body.decode())
-        await super().handle(exchange)
-
-    def _tell_deadly(self, part: str) -> None:
-        if part in self._site.deadly:
-            now = trio.current_time()
-            self._judge.reached(part, now, calm=self._site.is_calm(now))
-
-
 @attrs.define(kw_only=True, eq=False)
 class SoakTarget:
     """An engine or a runner behind its proxy; another life of it has another id."""
@@ -181,6 +92,7 @@
     folder: Path
     rng: random.Random
     program: tuple[str, ...] = GATEWAY
+    deployment: Deployment = PLAIN
     store: FakeMetadataStore = attrs.field(factory=FakeMetadataStore)
     vms: list[SoakVm] = attrs.field(factory=list)
     engines: list[SoakTarget] = attrs.field(factory=list)
@@ -222,13 +134,22 @@
             vm.settings = attrs.evolve(vm.settings, seeds=seeds)
             self.nursery.start_soon(vm.store_link.run)
             self.start_vm(vm)
+        self.nursery.start_soon(self._vary_runners)
+
+    async def _vary_runners(self) -> None:
+        """Have the runners' machines be slow for moments, where the deployment says so."""
+        while True:
+            for runner in self.runners:
+                runner.server.says.slowness = self.deployment.draw_slowness(self.rng)
+            await trio.sleep(MOMENT_S)
 
     def configure(self) -> None:
         """Write the next version: a new key comes, the oldest goes."""
         self.version += self.rng.randint(1, 4)
         self.revoked = self.keys[0]
         self.keys = (*self.keys[1:], f"key-{self.version}")
-        self.store.put(CONFIGURATION_KEY, configuration_document(self._configuration()))
+        configuration = self.deployment.configuration(self.version, self.keys)
+        self.store.put(CONFIGURATION_KEY, configuration_document(configuration))
 
     def start_vm(self, vm: SoakVm) -> None:
         """Start a VM's process; it has none."""
@@ -360,6 +281,8 @@
                 fleet=self._fleet,
                 judge=self.judge,
                 started_ms=started_ms,
+                pace=self.deployment.pace(number),
+                room=self.deployment.engine_room(),
                 site=self,
             )
             self._fleet[str(proxy.listen)] = server
@@ -370,7 +293,7 @@
             service=service,
             address=proxy.listen,
             data_center=PLACES[number % len(PLACES)],
-            slots=12,
+            slots=SLOTS,
             started_ms=started_ms,
             version=version,
         )
@@ -402,15 +325,6 @@
         run = os.getpid()
         return Address(host=f"127.{20 + run % 200}.{run // 200 % 250}.{number}", port=port)
 
-    def _configuration(self) -> Configuration:
-        return Configuration(
-            version=self.version,
-            routes=_ROUTES,
-            services={service.name: service for service in _SERVICES},
-            organisations={key: Organisation(name=ORGANISATION) for key in self.keys},
-            requires_key=True,
-        )
-
 
 async def _serve_in(
     scope: trio.CancelScope,
@@ -421,42 +335,3 @@
         await run(listeners)
     for listener in listeners:
         await listener.aclose()
-
-
-def _route(name: str, kind: RouteKind, service: str, attempts: int) -> ServiceRoute:
-    return ServiceRoute(
-        name=name,
-        host=HOST,
-        prefix=f"/{name}/",
-        kind=kind,
-        services=(WeightedService(name=service),),
-        timeout_s=12.0 if kind is RouteKind.STREAM else 2.0,
-        objective_s=2.0,
-        priority=1,
-        max_attempts=attempts,
-        resumable=kind is RouteKind.STREAM,
-    )
-
-
-_ROUTES = (
-    _route("stream", RouteKind.STREAM, "engines", 5),
-    _route("bid", RouteKind.NON_IDEMPOTENT, "apps", 1),
-    _route("look", RouteKind.IDEMPOTENT, "apps", 2),
-)
-_SERVICES = (
-    TargetService(
-        name="engines",
-        health_path="/healthz",
-        max_connections=200,
-        engine=EngineLimits(
-            slots=12,
-            memory_tokens=55_000,
-            token_bytes=18_432,
-            copies=True,
-            copy_kept_s=4.0,
-            moves=True,
-            event_tokens=8,
-        ),
-    ),
-    TargetService(name="apps", health_path="/healthz", max_connections=200),
-)
--- /dev/null
+++ b/lagoonlever/soak/watched.py
@@ -0,0 +1,99 @@
+"""The targets of a run, which tell the judge what they run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from lagoonlever.fakes.platform_engine import FakeEngine
+from lagoonlever.fakes.platform_runner import FakeRunner
+from lagoonlever.fakes.target_room import TargetRoom
+from lagoonlever.http.messages import Headers
+from lagoonlever.http.server import Exchange
+from lagoonlever.platform.headers import EXPECTED_TARGET, REQUEST_ID
+from lagoonlever.soak.judge import Judge
+from lagoonlever.soak.needs import NeedWatch
+
+if TYPE_CHECKING:
+    from lagoonlever.soak.site import SoakSite
+
+
+class WatchedRunner(FakeRunner):
+    """A runner that tells the judge what it runs."""
+
+    def __init__(self, *, target_id: str, judge: Judge, site: SoakSite) -> None:
+        super().__init__(target_id=target_id, work_s=0.01)
+        self._judge = judge
+        self._site = site
+        self.known_to_leave_at: float | None = None
+        """When every VM had had the time to learn that it drains, and nothing was harmed."""
+        self._needs = NeedWatch(
+            target=target_id,
+            judge=judge,
+            says=self.says,
+            vms=lambda: len(site.vms),
+            calm_since=site.vms_calm_since,
+        )
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request, and tell whether it ran."""
+        request = exchange.request.headers.get(REQUEST_ID) or ""
+        before, known_at = self.runs[request], self.known_to_leave_at
+        self._needs.arrived(trio.current_time())
+        try:
+            await super().handle(exchange)
+        finally:
+            has_run = self.runs[request] > before
+            self._needs.says_now(trio.current_time(), refused=not has_run)
+            if has_run:
+                self._judge.ran(request, self.target_id, exchange.request.headers)
+                self._tell_late(request, since=known_at)
+
+    def _tell_late(self, request: str, *, since: float | None) -> None:
+        """Tell of a request that came though every VM knew ``since`` then that this one drains."""
+        if since is not None and all(vm.disturbed_at < since for vm in self._site.vms):
+            detail = f"{request} reached {self.target_id}, which drains"
+            self._judge.break_promise("leaving targets get no work", detail)
+
+
+class WatchedEngine(FakeEngine):
+    """An engine that tells the judge what it runs."""
+
+    def __init__(
+        self,
+        *,
+        target_id: str,
+        fleet: dict[str, FakeEngine],
+        judge: Judge,
+        started_ms: int,
+        pace: float,
+        room: TargetRoom,
+        site: SoakSite,
+    ) -> None:
+        super().__init__(
+            target_id=target_id,
+            fleet=fleet,
+            prefill_tokens_per_s=20_000.0 / pace,
+            event_s=0.02 * pace,
+            started_ms=started_ms,
+            deadly=site.deadly,
+            die=lambda: site.engine_dies(target_id),
+        )
+        self.room = room
+        self._judge = judge
+        self._site = site
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request or question."""
+        headers: Headers = exchange.request.headers
+        request = headers.get(REQUEST_ID)
+        if request is not None and headers.get(EXPECTED_TARGET) == self.target_id:
+            self._judge.ran(request, self.target_id, headers)
+            self._tell_deadly(exchange.request.body.decode())
+        await super().handle(exchange)
+
+    def _tell_deadly(self, part: str) -> None:
+        if part in self._site.deadly:
+            now = trio.current_time()
+            self._judge.reached(part, now, calm=self._site.is_calm(now))
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -4,17 +4,29 @@
 
 import sys
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import attrs
 import pytest
 import trio
 
-from lagoonlever.http.messages import Headers
-from lagoonlever.platform.headers import ORGANISATION
+from lagoonlever.exceptions import PeerError
+from lagoonlever.fakes.platform_runner import Conduct
+from lagoonlever.http.client import fetch
+from lagoonlever.http.messages import Address, Headers
+from lagoonlever.http.server import open_listeners
+from lagoonlever.platform.headers import ORGANISATION, REQUEST_ID
+from lagoonlever.soak.deployments import (
+    SHORT_TOKENS,
+    UNEVEN_PACES,
+    Deployment,
+    draw_deployment,
+)
 from lagoonlever.soak.judge import Judge
 from lagoonlever.soak.plan import Fault, FaultKind, draw_plan
 from lagoonlever.soak.run import SoakResult, SoakSize, run_soak
+from lagoonlever.soak.watched import WatchedRunner
 
 SHORT = SoakSize(vms=3, engines=4, runners=3, callers=6, length_s=8.0)
 UNGUARDED = (sys.executable, "-m", "lagoonlever.tests.unguarded_gateway")
@@ -65,6 +77,13 @@
     assert result.violations == ()
 
 
+def test_a_call_held_by_a_runner_that_drains_later_is_no_fault_of_the_vms(tmp_path: Path) -> None:
+    """Seed 3417611824: a silent runner's call was held against the VMs as the runner went."""
+    seed = 3417611824
+    result = play(seed, tmp_path, length_s=15.0, plan=draw_plan(seed, length_s=15.0))
+    assert result.violations == ()
+
+
 def test_targets_that_return_under_their_ids_break_no_promise(tmp_path: Path) -> None:
     """Engines and runners die and are back under their ids within a second, again and again.
 
@@ -182,6 +201,75 @@
     assert kinds == set(FaultKind)
 
 
+@pytest.mark.parametrize(("arrives_late", "broken"), [(False, 0), (True, 1)])
+def test_work_at_a_runner_that_drains_is_judged_by_when_it_came(
+    arrives_late: bool, broken: int
+) -> None:
+    """Guards against blame for a call that came before, and ends with its silent runner."""
+    judge = Judge(organisation="org-1")
+    site: Any = SimpleNamespace(
+        vms=[SimpleNamespace(disturbed_at=0.0)], vms_calm_since=lambda since: False
+    )
+    runner = WatchedRunner(target_id="r1", judge=judge, site=site)
+    runner.conducts.append(Conduct.STAY_SILENT)
+    headers = Headers(((ORGANISATION, "org-1"), (REQUEST_ID, "look-1")))
+
+    async def main() -> None:
+        listeners = await open_listeners(host="127.0.0.1", port=0)
+        host, port = listeners[0].socket.getsockname()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(runner.run, listeners)
+            if arrives_late:
+                runner.known_to_leave_at = trio.current_time()
+            with pytest.raises(PeerError):
+                await fetch(
+                    Address(host=host, port=port),
+                    path="/look/1",
+                    headers=headers,
+                    step="look",
+                    timeout_s=0.2,
+                )
+            runner.known_to_leave_at = trio.current_time()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert runner.runs["look-1"] == 1
+    assert len(judge.violations) == broken
+
+
+def test_a_rank_that_is_starved_while_others_are_served_is_seen() -> None:
+    judge = Judge(organisation="org-1")
+    for number in range(100):
+        judge.streamed("stream-0", whole=True)
+        judge.streamed("stream-2", whole=number < 10)
+        if number < 10:
+            judge.streamed("stream-3", whole=False)
+    judge.judge_ranks()
+    assert [v.promise for v in judge.violations] == ["every rank is served"]
+    assert judge.violations[0].detail.startswith("stream-2: 10% of 100")
+
+
+def test_a_deployment_follows_from_its_seed_and_each_part_is_drawn() -> None:
+    assert draw_deployment(7) == draw_deployment(7)
+    drawn = [draw_deployment(seed) for seed in range(40)]
+    for part in attrs.fields(Deployment):
+        assert len({getattr(deployment, part.name) for deployment in drawn}) == 2
+
+
+def test_ranks_in_short_room_at_uneven_targets_break_no_promise(tmp_path: Path) -> None:
+    """Guards against a rank that starves, and against refusals that are not true, in short room."""
+    hard = Deployment(
+        stream_ranks=(0, 2),
+        has_patient=True,
+        memory_tokens=SHORT_TOKENS,
+        paces=UNEVEN_PACES,
+        tells_slowness=True,
+    )
+    result = play(3, tmp_path, plan=(), deployment=hard, size=attrs.evolve(SHORT, callers=16))
+    assert result.violations == ()
+    assert min(result.counts[f"{rank} whole"] for rank in (*hard.stream_routes, "patient")) > 5
+
+
 def test_the_judge_sees_each_broken_promise() -> None:
     judge = Judge(organisation="org-1")
     headers = Headers(((ORGANISATION, "org-1"),))
