Limits: another VM stands in for the one that counts while that one is silent

One VM counts the requests to a target that names a limit. When it dies, others ask it in vain until they leave it out: 1 s, in a large fleet up to 2.7 s. Callers saw nothing go to that target meanwhile, also at a crest.

Now a VM that gets no answer asks the next one by rank of the hash. That one asks the silent VM twice itself, and if it gets no answer either, grants 0.4 of the limit from its own saved permits. It grants no more, as the silent VM may only be slow and count on for itself: 1.4 of a limit and what both have saved, 5, is within the one and a half and 5 that a target bears.

A slow VM that counts on, at 3, 9 and 195 VMs, stays within the bound.

--- a/lagoonlever/decisions/targets/limit_permits.py
+++ b/lagoonlever/decisions/targets/limit_permits.py
@@ -6,6 +6,9 @@
 different one for each target: whoever wants to send asks it first. VMs work out alike who
 that is, while their views agree; it grants nothing that it takes another VM to count, and a VM
 that gets no answer sends nothing.
+
+When that VM dies at a crest, others take a second or two to leave it out. Until then the next one
+by rank stands in, for a part of the limit: the first may only be slow, and count on.
 """
 
 from __future__ import annotations
@@ -29,6 +32,15 @@
 """Beyond it for an attempt after the first, which is only of advantage."""
 MOST_SAVED = 2.5
 """Permits, so that each kind of work can be reached."""
+STAND_IN_SHARE = 0.4
+"""Of a limit: with all of it at the silent VM the sum stays below one and a half of the limit."""
+SILENT_MISSES = 2
+"""Questions in turn without an answer: one may be lost."""
+MISS_APART_S = 0.05
+"""Questions closer together that go without an answer are one miss: one pause takes them all."""
+MISS_KEPT_S = 1.5
+"""From the last of these until the VM is taken for one that answers: longer than others need to
+leave out one that is dead."""
 MOST_SAVED_S = 0.25
 """The same of a high limit, as the time in which it lets them through."""
 
@@ -63,7 +75,12 @@
 
 def counter_of(target: str, vms: Iterable[str]) -> str:
     """Give the VM that counts the requests to a target."""
-    return ranked(vms, purpose=f"limit {target}")[0]
+    return counters_of(target, vms)[0]
+
+
+def counters_of(target: str, vms: Iterable[str]) -> list[str]:
+    """Give the VM that counts the requests to a target, and then the one that stands in for it."""
+    return ranked(vms, purpose=f"limit {target}")[:2]
 
 
 @attrs.define(kw_only=True)
@@ -108,6 +125,43 @@
             del self._permits[target]
 
 
+@attrs.frozen(kw_only=True)
+class _Misses:
+    count: int
+    at: float
+
+
+@attrs.define(kw_only=True)
+class SilentVms:
+    """VMs that did not answer this one's questions of late; times in monotonic seconds."""
+
+    _misses: dict[str, _Misses] = attrs.field(factory=dict)
+
+    def answered(self, vm: str) -> None:
+        """Note an answer."""
+        self._misses.pop(vm, None)
+
+    def missed(self, vm: str, now: float) -> None:
+        """Note a question without an answer."""
+        known = self._misses.get(vm)
+        if known is None or now - known.at > MISS_KEPT_S:
+            known = _Misses(count=0, at=float("-inf"))
+        if now - known.at >= MISS_APART_S:
+            self._misses[vm] = _Misses(count=known.count + 1, at=now)
+
+    def is_silent(self, vm: str, now: float) -> bool:
+        """Tell whether a VM has left several questions in turn without an answer."""
+        known = self._misses.get(vm)
+        if known is None or now - known.at > MISS_KEPT_S:
+            return False
+        return known.count >= SILENT_MISSES
+
+    def retain(self, vms: Collection[str]) -> None:
+        """Forget all other VMs."""
+        for vm in self._misses.keys() - set(vms):
+            del self._misses[vm]
+
+
 @attrs.define(kw_only=True)
 class HeldTargets:
     """Targets that work has been denied at of late, so that it goes elsewhere meanwhile."""
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -411,8 +411,8 @@
     "permit-not-answered",
     "info",
     "VM {vm}, which counts the requests to target {target}, did not answer within {seconds:g} s.",
-    "Nothing is sent to that target meanwhile. If it lasts beyond some seconds, look at that VM and"
-    " at the links to it.",
+    "Another VM stands in with a part of the limit, once it finds the same. If it lasts beyond some"
+    " seconds, look at that VM and at the links to it.",
 )
 TARGET_SAYS_LEAVING = event(
     1084,
--- a/lagoonlever/tests/limit_permits_tests.py
+++ b/lagoonlever/tests/limit_permits_tests.py
@@ -11,11 +11,15 @@
 from lagoonlever.bench.target_limits_model import LimitCase, LimitModel, Way
 from lagoonlever.decisions.targets.limit_permits import (
     FIRST_NEED,
+    MISS_KEPT_S,
+    STAND_IN_SHARE,
     Denied,
     Granted,
     HeldTargets,
     PermitBook,
+    SilentVms,
     counter_of,
+    counters_of,
     need_of,
 )
 from lagoonlever.decisions.targets.named_limits import LimitWord, NamedLimits
@@ -95,6 +99,43 @@
     assert counter_of("t", [vm for vm in vms if vm in (counter, "vm-1", "vm-2")]) == counter
 
 
+def test_another_vm_stands_in_and_comes_next_once_the_first_is_gone() -> None:
+    vms = [f"vm-{number}" for number in range(300)]
+    counter, stand_in = counters_of("t", vms)
+    assert counter_of("t", [vm for vm in vms if vm != counter]) == stand_in
+    assert counters_of("t", ["vm-1"]) == ["vm-1"]
+
+
+def test_a_vm_is_silent_after_two_questions_in_turn_and_until_it_answers() -> None:
+    """Guards against a stand-in for a VM that paused once, with many questions at it."""
+    silent = SilentVms()
+    for now in (1.0, 1.01, 1.02):
+        silent.missed("vm-1", now)
+    assert not silent.is_silent("vm-1", 1.02)
+    silent.missed("vm-1", 1.2)
+    assert silent.is_silent("vm-1", 1.2)
+    assert not silent.is_silent("vm-1", 1.3 + MISS_KEPT_S)
+    silent.answered("vm-1")
+    assert not silent.is_silent("vm-1", 1.2)
+    silent.missed("vm-1", 1.4)
+    assert not silent.is_silent("vm-1", 1.4)
+
+
+@pytest.mark.parametrize("per_s", [0.7, 2.8, 5.1, 60.0])
+def test_two_that_count_at_once_stay_within_what_a_target_bears(per_s: float) -> None:
+    """Guards against a stand-in beside a VM that counts on: a half more and 5 is what it bears."""
+    books = ((PermitBook(), per_s), (PermitBook(), STAND_IN_SHARE * per_s))
+    for book, _ in books:
+        book.begin("t", 0.0)
+    granted = 0
+    for step in range(401):
+        now = 100.0 + step / 100
+        for book, own_per_s in books:
+            while isinstance(book.ask("t", per_s=own_per_s, need=1.0, now=now), Granted):
+                granted += 1
+    assert granted <= 1.5 * per_s * 4.0 + 5
+
+
 def test_an_overtaken_answer_without_a_limit_does_not_end_one() -> None:
     """Guards against a flood as an answer from before a limit arrives after it."""
     named = NamedLimits()
--- a/lagoonlever/tests/limits_fleet_tests.py
+++ b/lagoonlever/tests/limits_fleet_tests.py
@@ -19,6 +19,7 @@
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.http.messages import Address
+from lagoonlever.peers.messages_limits import PermitAsk
 from lagoonlever.revisions import Revision
 from lagoonlever.tests.target_limits_tests import most_allowed, most_arrived
 
@@ -29,6 +30,9 @@
 SETTLED_S = 6.0
 KNOWN_S = 3.0
 LONG_S = 8.0
+ANSWERS_S = 0.1
+"""In which what was granted before the end of a VM arrives."""
+STANDS_IN_S = 0.9
 LOSS = 0.02
 DUPLICATION = 0.05
 """Of the messages between VMs."""
@@ -185,6 +189,58 @@
     run_fleet(story)
 
 
+@pytest.mark.parametrize("count", SOME_FLEETS)
+def test_a_part_of_a_limit_is_used_at_once_after_the_vm_that_counts_has_died(count: int) -> None:
+    """Guards against a target that gets nothing until the others leave a dead VM out."""
+
+    async def story(fleet: Fleet) -> None:
+        vms, target = await started(fleet, count), Target()
+        began = trio.current_time()
+        await load(vms, target, KNOWN_S)
+        counter = vms[0].limits.counter("t")
+        assert counter is not None
+        fleet.kill(counter)
+        killed = trio.current_time()
+        vms = [vm for vm in vms if vm.vm.state.life.name != counter]
+        await load(vms, target, LONG_S / 2)
+        assert any(killed + ANSWERS_S < at < killed + STANDS_IN_S for at in target.arrived)
+        assert most_arrived(target.arrived, since=began + KNOWN_S) <= most_allowed(PER_S)
+
+    run_fleet(story)
+
+
+@pytest.mark.parametrize("count", (3, 9, 195))
+def test_a_limit_is_kept_while_the_vm_that_counts_is_slow_to_answer(
+    count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against two VMs that count for one target: the slow one still counts for itself."""
+    slow: list[str] = []
+    answer = PermitExchange._answer
+
+    def answer_unless_slow(
+        permits: PermitExchange, asked: PermitAsk, nursery: trio.Nursery
+    ) -> None:
+        if permits._vm not in slow:
+            answer(permits, asked, nursery)
+
+    monkeypatch.setattr(PermitExchange, "_answer", answer_unless_slow)
+
+    async def story(fleet: Fleet) -> None:
+        vms, target = await started(fleet, count), Target()
+        began = trio.current_time()
+        await load(vms, target, KNOWN_S)
+        counter = vms[0].limits.counter("t")
+        assert counter is not None
+        slow.append(counter)
+        own = [vm for vm in vms if vm.vm.state.life.name == counter]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(load, own, target, LONG_S)
+            await load(vms, target, LONG_S)
+        assert most_arrived(target.arrived, since=began + KNOWN_S) <= most_allowed(PER_S)
+
+    run_fleet(story)
+
+
 @pytest.mark.parametrize("count", SOME_FLEETS)
 def test_the_end_of_a_limit_reaches_every_vm(count: int) -> None:
     async def story(fleet: Fleet) -> None:
