--- a/lagoonlever/decisions/engines/engine_book.py
+++ b/lagoonlever/decisions/engines/engine_book.py
@@ -18,7 +18,8 @@
 import attrs
 
 from lagoonlever.decisions.admission.prompt_admission import ReadingLoad
-from lagoonlever.decisions.engines.engine_avoidance import EngineAvoidance
+from lagoonlever.decisions.engines.copy_room import copies_most, risk_of_loss
+from lagoonlever.decisions.engines.engine_avoidance import LOSSES_WINDOW_S, EngineAvoidance
 from lagoonlever.decisions.engines.engine_loads import (
     BEHIND_PROMPT,
     FLOWING_COST,
@@ -28,10 +29,12 @@
 )
 from lagoonlever.decisions.engines.engine_paces import EnginePaces
 from lagoonlever.decisions.engines.reading_window import ReadingWindow
+from lagoonlever.decisions.engines.uneven_engines import UnevenEngines
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
 from lagoonlever.decisions.streams.run_records import RunRecord, RunRecords
+from lagoonlever.decisions.targets.load_view import TargetLoads
 from lagoonlever.decisions.targets.registry import ListedTarget
 
 CROWD = 0.3
@@ -49,11 +52,18 @@
 copies wherever there is room and 93.5% at 0.6; prompt tokens read again a stream 342, against
 376 and 388. At seven engines, and on slow ones, there is no difference to the first.
 """
+FIRST_MAKING_S = 5.0
+"""Of an answer, until the first ones have ended."""
 NEWS_S = 0.02
 """Other VMs' placements of the same moment have arrived after this: some 2 ms each."""
 MOVE_GAIN = 0.4
 """What a better place must save, in usual readings: leaving one costs a connection, and what
 it has read."""
+CLOSE = 0.4
+"""How far choices between uneven engines are spread by chance, in usual readings.
+
+All VMs see the same engine as the fastest, and are told of each other's choice too late.
+"""
 LEAST_LEFT = 0.1
 """The part of a prompt that counts as unread until its run gives an event."""
 
@@ -83,13 +93,21 @@
     """How long an ended run is remembered: as long as its prompt may still be cached."""
     _records: RunRecords = attrs.field(init=False)
     _reading: ReadingWindow = attrs.field(factory=ReadingWindow)
+    _read_at: dict[str, float] = attrs.field(factory=dict)
+    """By engine: when it had last read a prompt."""
     avoidance: EngineAvoidance = attrs.field(factory=EngineAvoidance)
     paces: EnginePaces = attrs.field(factory=EnginePaces)
+    loads: TargetLoads = attrs.field(factory=TargetLoads)
+    """What targets have told of themselves."""
 
     @_records.default
     def _make_records(self) -> RunRecords:
         return RunRecords(keep_s=self._keep_s)
 
+    @property
+    def _uneven(self) -> UnevenEngines:
+        return UnevenEngines(paces=self.paces, loads=self.loads)
+
     @property
     def open_runs(self) -> tuple[BookedRun, ...]:
         """Every run that is not known to have ended."""
@@ -113,11 +131,13 @@
         avoid: frozenset[str] = frozenset(),
         prefer: str | None = None,
         crowd: bool = False,
+        begins_within_s: float | None = None,
     ) -> Placement | None:
         """Choose an engine for a run, or None where there is none at all.
 
         One that has read the prompt (``prefer``) is spared that part of the wait. In a
-        crowd, as after a loss, many VMs choose before they hear of each other.
+        crowd, as after a loss, many VMs choose before they hear of each other. With
+        ``begins_within_s`` only engines count that have room, and read for no longer.
         """
         usable = [engine for engine in engines if engine.id not in avoid]
         calm = [engine for engine in usable if not self.avoidance.is_avoided(engine.id, now)]
@@ -125,13 +145,26 @@
         if not candidates:
             return None
         loads = self._loads(now)
+        if begins_within_s is not None:
+            need = min(memory_tokens, limits.memory_tokens)
+            unread = self._records.unread()
+            candidates = [
+                engine
+                for engine in calm
+                if self._load(loads, engine).has_room(limits, need)
+                and self._reads_on_s(engine.id, unread.get(engine.id, []), now) <= begins_within_s
+            ]
+        if not candidates:
+            return None
         self._rng.shuffle(candidates)
-        costs = {e.id: self._cost_s(e, loads, limits, memory_tokens) for e in candidates}
+        costs: dict[str, float] = {}
         for engine in candidates:
-            own_s = self.paces.reading_s(engine.service, engine.id, prompt_tokens, now)
+            own_s = self._uneven.reading_s(engine.service, engine.id, prompt_tokens, now)
             spread_s = CROWD * self.paces.usual_reading_s(engine.service)
+            costs[engine.id] = self._paced_cost_s(engine, loads, limits, memory_tokens, now)
             costs[engine.id] += 0.0 if engine.id == prefer else own_s
             costs[engine.id] += self._rng.uniform(0.0, spread_s) if crowd else 0.0
+            costs[engine.id] += self._apart_s(engine, self._load(loads, engine), own_s, now)
         best = min(candidates, key=lambda engine: costs[engine.id])
         return Placement(engine=best, expected_s=costs[best.id])
 
@@ -150,10 +183,12 @@
         memory_tokens: int,
         now: float,
         avoid: frozenset[str] = frozenset(),
+        by_losses: bool = False,
     ) -> ListedTarget | None:
         """Choose the engine that holds the copy of a run, in another data centre if there is one.
 
         Engines of a data centre fail together, so a copy beside its run would go with it.
+        With ``by_losses`` an engine gets as full of copies as the losses of late call for.
         """
         others = [
             engine
@@ -164,7 +199,10 @@
         ]
         apart = [engine for engine in others if engine.data_center != beside.data_center]
         loads = self._loads(now)
-        need = memory_tokens + round(limits.memory_tokens * (1.0 - self._copies_most))
+        most = self._copies_most
+        if by_losses:
+            most = self._most_by_losses(beside.service, engines=len(others) + 1, now=now)
+        need = memory_tokens + round(limits.memory_tokens * (1.0 - most))
         costs = {e.id: self._cost_s(e, loads, limits, need) for e in apart or others}
         roomy = [
             engine for engine in apart or others if self._load(loads, engine).has_room(limits, need)
@@ -200,9 +238,13 @@
             return False
         loads, run = self._loads(now), record.run
         need = run.memory_tokens
-        best_s = min(self._cost_s(engine, loads, limits, need) for engine in others)
         load = loads.get(run.engine, EngineLoad())
         usual_s = self.paces.usual_reading_s(run.service)
+        if any(self._uneven.counts(engine.id) for engine in others):
+            best_s = min(self._ready_s(e, run, loads, limits, now) for e in others)
+            here_s = self._ready_here_s(record, load, now)
+            return best_s + MOVE_GAIN * usual_s < here_s
+        best_s = min(self._cost_s(engine, loads, limits, need) for engine in others)
         here_s = self._ahead_s(record, now) + usual_s * FLOWING_COST * load.flowing
         return best_s + MOVE_GAIN * usual_s < here_s
 
@@ -216,11 +258,21 @@
         record = self._records.find(request)
         return record is not None and record.sent
 
+    def begun_after(self, request: str, at: float) -> bool:
+        """Tell whether a request has been sent to an engine since a time."""
+        record = self._records.find(request)
+        return record is not None and record.sent and record.since > at
+
     def vm_of(self, request: str) -> str | None:
         """Give the VM that relays a run, or None for one that is not known."""
         record = self._records.find(request)
         return record.run.vm if record is not None else None
 
+    def run_of(self, request: str) -> BookedRun | None:
+        """Give the run of a request as last heard of, or None."""
+        record = self._records.find(request)
+        return record.run if record is not None else None
+
     def reserve(self, run: BookedRun, now: float) -> None:
         """Keep a place for a run that another VM is about to send.
 
@@ -260,6 +312,7 @@
             return
         run = record.run
         record.run = attrs.evolve(run, flowing=True)
+        self._read_at[run.engine] = now
         if not record.beside_prompts:
             seconds = now - record.since
             self.paces.read(
@@ -318,9 +371,19 @@
     def expire(self, now: float) -> None:
         """Forget what ended so long ago that nothing of it can be cached any more."""
         self._records.expire(now)
+        for engine in [e for e, at in self._read_at.items() if now - at > self._keep_s]:
+            del self._read_at[engine]
         self.avoidance.expire(now)
         self.paces.expire(now)
 
+    def _most_by_losses(self, service: str, *, engines: int, now: float) -> float:
+        making_s = self.paces.usual_making_s(service) or FIRST_MAKING_S
+        run_s = self.paces.usual_reading_s(service) + making_s
+        risk = risk_of_loss(
+            self.avoidance.losses(now), engines=engines, window_s=LOSSES_WINDOW_S, run_s=run_s
+        )
+        return copies_most(risk, usual=self._copies_most)
+
     def _loads(self, now: float) -> dict[str, EngineLoad]:
         loads: dict[str, EngineLoad] = {}
         for record in self._records:
@@ -328,7 +391,7 @@
                 continue
             run = record.run
             load = loads.setdefault(run.engine, EngineLoad())
-            load.memory += run.memory_tokens
+            load.runs_memory += run.memory_tokens
             if run.flowing:
                 load.flowing += 1
             else:
@@ -337,7 +400,7 @@
             if run.copy_at is not None:
                 holder = loads.setdefault(run.copy_at, EngineLoad())
                 holder.copies += 1
-                holder.memory += run.memory_tokens
+                holder.copies_memory += run.memory_tokens
         return loads
 
     def _load(self, loads: dict[str, EngineLoad], engine: ListedTarget) -> EngineLoad:
@@ -352,6 +415,18 @@
             if other is not record and self._is_before(other, record)
         )
 
+    def _reads_on_s(self, engine: str, unread: list[RunRecord], now: float) -> float:
+        """Give how long an engine reads on, one prompt after the other."""
+        if not unread:
+            return 0.0
+        whole_s = [
+            self.paces.reading_s(record.run.service, engine, record.run.prompt_tokens, now)
+            for record in unread
+        ]
+        first = min(record.since for record in unread)
+        began = max(first, self._read_at.get(engine, first))
+        return max(sum(whole_s) - (now - began), sum(whole_s[1:]) + LEAST_LEFT * whole_s[0])
+
     def _is_before(self, one: RunRecord, other: RunRecord) -> bool:
         if abs(one.since - other.since) > self.news_s:
             return one.since < other.since
@@ -359,15 +434,63 @@
 
     def _left_to_read_s(self, record: RunRecord, now: float) -> float:
         run = record.run
-        whole_s = self.paces.reading_s(run.service, run.engine, run.prompt_tokens, now)
+        whole_s = self._uneven.reading_s(run.service, run.engine, run.prompt_tokens, now)
         return max(whole_s * LEAST_LEFT, whole_s - (now - record.since))
 
+    def _paced_cost_s(
+        self,
+        engine: ListedTarget,
+        loads: dict[str, EngineLoad],
+        limits: EngineLimits,
+        need: int,
+        now: float,
+    ) -> float:
+        pace = self._uneven.relative(engine.service, engine.id, now)
+        return self._cost_s(engine, loads, limits, need, pace=pace)
+
+    def _apart_s(self, engine: ListedTarget, load: EngineLoad, own_s: float, now: float) -> float:
+        """Give what keeps VMs apart that see the same engine as the fastest, and a slow moment."""
+        if not self._uneven.counts(engine.id):
+            return 0.0
+        spread_s = CLOSE * self.paces.usual_reading_s(engine.service)
+        moment_s = self._uneven.moment_s(engine.id, load.to_read_s + own_s, now)
+        return moment_s + self._rng.uniform(0.0, spread_s)
+
+    def _ready_s(
+        self,
+        engine: ListedTarget,
+        run: BookedRun,
+        loads: dict[str, EngineLoad],
+        limits: EngineLimits,
+        now: float,
+    ) -> float:
+        """Give what a run's prompt takes at another engine until it is read."""
+        own_s = self._uneven.reading_s(run.service, engine.id, run.prompt_tokens, now)
+        work_s = self._load(loads, engine).to_read_s + own_s
+        cost_s = self._paced_cost_s(engine, loads, limits, run.memory_tokens, now)
+        return cost_s + own_s + self._uneven.moment_s(engine.id, work_s, now)
+
+    def _ready_here_s(self, record: RunRecord, load: EngineLoad, now: float) -> float:
+        """Give what a run's prompt takes yet at the engine that it is at."""
+        run = record.run
+        work_s = self._ahead_s(record, now) + self._left_to_read_s(record, now)
+        usual_s = self.paces.usual_reading_s(run.service)
+        usual_s *= self._uneven.relative(run.service, run.engine, now)
+        moment_s = self._uneven.moment_s(run.engine, work_s, now)
+        return work_s + usual_s * FLOWING_COST * load.flowing + moment_s
+
     def _cost_s(
-        self, engine: ListedTarget, loads: dict[str, EngineLoad], limits: EngineLimits, need: int
+        self,
+        engine: ListedTarget,
+        loads: dict[str, EngineLoad],
+        limits: EngineLimits,
+        need: int,
+        *,
+        pace: float = 1.0,
     ) -> float:
         load = self._load(loads, engine)
         usual_s = self.paces.usual_reading_s(engine.service)
-        cost_s = load.prefill_cost_s(usual_s)
+        cost_s = load.prefill_cost_s(pace * usual_s)
         if engine.data_center != self.data_center:
             cost_s += OTHER_DATA_CENTER_S
         if not load.has_room(limits, need):
--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -14,7 +14,6 @@
 from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
 from lagoonlever.platform.headers import (
     EXPECTED_TARGET,
-    LOAD,
     MISDIRECTED,
     PRIORITY,
     REFUSED,
@@ -66,7 +65,7 @@
         self.seen: list[Headers] = []
         self.arrivals: list[str] = []
         self.arrived_at: list[float] = []
-        self.says = TargetWords()
+        self.says = TargetWords(load="1,0,6")
         self.room = TargetRoom()
         self._state = ServerState()
         self._deadly = deadly
@@ -118,7 +117,7 @@
 
     async def _answer(self, exchange: Exchange, request_id: str, conduct: Conduct) -> None:
         body = b"answer to " + request_id.encode()
-        load = self.says.load_field(self.room) or ((LOAD, "1,0,6"),)
+        load = self.says.load_field(self.room)
         fields = [(REQUEST_ID, request_id), (SEAL, f"seal-{request_id}"), *load]
         fields += self.says.fields()
         if conduct is Conduct.LOSE_ANSWER:
--- a/lagoonlever/fakes/target_words.py
+++ b/lagoonlever/fakes/target_words.py
@@ -18,6 +18,9 @@
     """The requests a second that it takes."""
 
     leaving: str | None = None
+    load: str | None = None
+    """Of any figures; the stand-in's own load is told in its place where it tells slowness."""
+
     rest: str | None = None
     """The seconds of rest that it asks for as it turns requests away."""
 
@@ -42,6 +45,7 @@
         said = (
             (LIMIT, self.limit),
             (LEAVING, self.leaving),
+            (LOAD, self.load if self.slowness is None else None),
             (REST, self.rest if refusal else None),
         )
         return tuple((name, text) for name, text in said if text is not None)
