Calls: a queued call at each runner while others wait; late ones go after those on time

What had become late in the line went first and made all behind it late.

A runner gets one call beyond its slots while others wait. A slot's time is counted from the gift of a place to the news of its end. What has lost its prospect goes after those on time, or is refused if it would not end in its caller's time. A second attempt also where an end is due by the told pace and nothing was heard.

--- a/lagoonlever/decisions/admission/call_line.py
+++ b/lagoonlever/decisions/admission/call_line.py
@@ -27,6 +27,11 @@
 
 FIRST_WORK_S = 0.1
 """Of one call, until answers have come."""
+QUEUED = 1
+"""Calls beyond its slots that a runner gets while others wait in the line.
+
+The way from an end to the next begin takes some milliseconds, in which the slot is idle.
+"""
 WORK_WEIGHT = 0.05
 RATE_OVER_S = 0.5
 """The time over which asks are counted."""
@@ -47,6 +52,8 @@
 RETURNS_SHARE = 0.2
 """The part of what runners can do that is given to callers that return."""
 MOST_AGE_TOLD_S = 99.0
+SURE_PART = 0.85
+"""Of what runners do, on which calls that are late may count."""
 END_SLACK = 1.5
 """Times the usual work that must be left to a call that is to end in its caller's time."""
 
@@ -106,6 +113,8 @@
     _waiting: dict[str, _Waiter] = attrs.field(factory=dict)
     _news: list[LineNews] = attrs.field(factory=list)
     _work_s: float = FIRST_WORK_S
+    _held_s: float = FIRST_WORK_S
+    """What a call takes of a slot, with its way there and back, on a machine of the usual pace."""
     _rate: float = 0.0
     """Asks a second, as of ``_rate_at``."""
     _rate_at: float = 0.0
@@ -132,7 +141,7 @@
     def per_s(self, now: float) -> float:
         """Give the calls that the runners can do in a second, at their pace now."""
         able = (each for each in self._runners.values() if self._is_able(each, now))
-        return sum(each.slots / (self._work_s * each.slowness(now)) for each in able)
+        return sum(self._per_s_of(each, now) for each in able)
 
     def describe(self, now: float) -> str:
         """Give each runner's calls, slots, slowness and the age of its word, for a log line."""
@@ -205,10 +214,13 @@
         known = self._runners.get(runner)
         if known is None:
             return
-        known.release(request)
+        place = known.release(request)
         if end is CallEnd.ANSWERED:
             known.answered(now)
-            self._learn_work(seconds / known.slowness(now))
+            held_s = now - place.given_at if place else seconds
+            # With more calls than slots some of the time was spent in the runner's own queue.
+            held_s /= max(1.0, (len(known.places) + 1) / known.slots)
+            self._learn(seconds / known.slowness(now), held_s / known.slowness(now))
         elif end is CallEnd.FAILED:
             known.failed(now)
         elif end is CallEnd.LOST:
@@ -222,7 +234,7 @@
         for waiter in list(self._waiting.values()):
             if now - waiter.renewed > SILENT_S:
                 self.leave(waiter.ask.room.request)
-            elif now + self._work_s > waiter.ask.room.end_by:
+            elif self._is_lost(waiter, now):
                 self._put(waiter, self._refusal(waiter.ask, now), now)
         self._serve(now)
         news, self._news = tuple(self._news), []
@@ -265,17 +277,30 @@
 
         It gets only what those on time leave over: nothing while demand exceeds the runners.
         """
-        left_per_s = self.per_s(now) - self._rate_now(now)
+        left_per_s = SURE_PART * self.per_s(now) - self._rate_now(now)
         if left_per_s <= 0:
             return False
         late = sum(1 for other in self._waiting.values() if other.late)
         ahead_s = len(self._waiting) / self.per_s(now) + late / left_per_s
         return now + ahead_s + END_SLACK * self._work_s <= waiter.ask.room.end_by
 
+    def _is_lost(self, waiter: _Waiter, now: float) -> bool:
+        """Tell whether one has no prospect any more; one that turned late goes after the others.
+
+        Served in turn, those that are late already would make all behind them late.
+        """
+        room = waiter.ask.room
+        if now + self._work_s > room.end_by:
+            return True
+        if waiter.late or now <= room.start_by + self._work_s:
+            return False
+        waiter.late = True
+        return not self._ends_in_time(waiter, now)
+
     def _serve(self, now: float) -> None:
         """Give places to those in front, until the next has to wait."""
         for waiter in sorted(self._waiting.values(), key=lambda each: each.order):
-            best = self._best(waiter.ask, now)
+            best = self._best(waiter.ask, now) or self._best(waiter.ask, now, queued=QUEUED)
             if best is None and not waiter.ask.avoid:
                 return
             if best is not None and not self._better_waits(waiter, best, now):
@@ -288,20 +313,21 @@
         del self._waiting[request]
         self._news.append(LineNews(request=request, outcome=outcome, waited_s=now - waiter.since))
 
-    def _best(self, ask: LineAsk, now: float) -> LineRunner | None:
+    def _best(self, ask: LineAsk, now: float, *, queued: int = 0) -> LineRunner | None:
         """Give the runner at which the call ends first; near and idle ones on ties."""
         open_to = [each for each in self._runners.values() if each.name not in ask.avoid]
-        free = [each for each in open_to if each.takes(now, work_s=self._work_s)]
+        free = [each for each in open_to if each.takes(now, work_s=self._work_s, queued=queued)]
         if not any(self._is_able(each, now) for each in self._runners.values()):
             # Every runner looks stalled: one of them is still better than a refusal.
             free = [each for each in open_to if each.free(now) >= 1.0]
         free = self._sound(free, repeatable=ask.room.repeatable)
         return min(free, key=lambda each: self._cost(each, ask, now), default=None)
 
-    def _cost(self, runner: LineRunner, ask: LineAsk, now: float) -> tuple[int, float]:
+    def _cost(self, runner: LineRunner, ask: LineAsk, now: float) -> tuple[bool, int, float]:
+        late = runner.is_late(now, work_s=self._work_s)
         pace = round(runner.slowness(now) / PACE_STEP)
         near = NEAR_SLACK if ask.data_center == runner.data_center else 0.0
-        return (pace, (runner.busy(now) - near) / runner.slots)
+        return (late, pace, (runner.busy(now) - near) / runner.slots)
 
     def _sound(self, runners: list[LineRunner], *, repeatable: bool) -> list[LineRunner]:
         """Leave out runners that fail far more often than the best one."""
@@ -326,7 +352,7 @@
             and each.name not in waiter.ask.avoid
             and each.slowness(now) * SLOWER < pace
         ]
-        per_s = sum(each.slots / (self._work_s * each.slowness(now)) for each in faster)
+        per_s = sum(self._per_s_of(each, now) for each in faster)
         if not per_s:
             return False
         wait_s = (self._ahead(waiter) + 1) / per_s
@@ -349,7 +375,7 @@
     def _in_trouble(self, name: str, now: float) -> bool:
         """Tell whether a call there is likely to be answered late or never."""
         runner = self._runners.get(name)
-        if runner is None or not self._is_able(runner, now):
+        if runner is None or runner.stalled or runner.is_late(now, work_s=self._work_s):
             return True
         paces = [each.slowness(now) for each in self._runners.values()]
         return runner.slowness(now) > SLOWER * min(paces) or runner.free(now) < 0
@@ -367,8 +393,12 @@
         detail = f"{len(self._waiting)} calls wait for runners that do {per_s:.0f} a second"
         return RefusedWithReturn(detail=detail, retry_after_s=round(retry_after_s, 2))
 
-    def _learn_work(self, seconds: float) -> None:
-        self._work_s += WORK_WEIGHT * (seconds - self._work_s)
+    def _learn(self, work_s: float, held_s: float) -> None:
+        self._work_s += WORK_WEIGHT * (work_s - self._work_s)
+        self._held_s += WORK_WEIGHT * (held_s - self._held_s)
+
+    def _per_s_of(self, runner: LineRunner, now: float) -> float:
+        return runner.slots / (self._held_s * runner.slowness(now))
 
     def _count_ask(self, now: float) -> None:
         self._rate = self._rate_now(now) + 1 / RATE_OVER_S
--- a/lagoonlever/decisions/admission/line_runner.py
+++ b/lagoonlever/decisions/admission/line_runner.py
@@ -26,6 +26,8 @@
 LEAST_OVERDUE_S = 0.25
 OVERDUE_WORKS = 4.0
 """Times the usual work after which a place without an end is overdue."""
+LATE_WORKS = 2.0
+"""The same, after which it is likely that the machine has turned slow."""
 SAME_WORDS = 5
 """Equal counts in a row, while the places changed, that show a count that is stuck."""
 
@@ -92,17 +94,21 @@
 
     def is_silent(self, now: float, *, work_s: float) -> bool:
         """Tell whether places are overdue and nothing was heard since they were."""
-        if not self.places:
-            return False
         overdue_s = max(LEAST_OVERDUE_S, OVERDUE_WORKS * work_s * self.slowness(now))
-        oldest = min(place.given_at for place in self.places.values())
-        return now - max(oldest, self._heard_at) > overdue_s
+        return self._silence_s(now) > overdue_s
+
+    def is_late(self, now: float, *, work_s: float) -> bool:
+        """Tell whether an end is due by the pace that was told, and nothing was heard."""
+        return self._silence_s(now) > LATE_WORKS * work_s * self.slowness(now)
+
+    def takes(self, now: float, *, work_s: float, queued: int = 0) -> bool:
+        """Tell whether a place may be given out, with so many beyond the slots.
 
-    def takes(self, now: float, *, work_s: float) -> bool:
-        """Tell whether a place may be given out; a runner that stalled is probed by one call."""
+        A runner that stalled is probed by one call.
+        """
         if self.stalled:
             return now >= self._avoid_until and not self.places
-        return self.free(now) >= 1.0 and not self.is_silent(now, work_s=work_s)
+        return self.free(now) + queued >= 1.0 and not self.is_silent(now, work_s=work_s)
 
     def give(self, place: Place) -> None:
         """Note a place."""
@@ -150,6 +156,13 @@
         for request in [r for r, place in self.places.items() if now >= place.until]:
             del self.places[request]
 
+    def _silence_s(self, now: float) -> float:
+        """Give for how long it has had a call and nothing was heard of it."""
+        if not self.places:
+            return 0.0
+        oldest = min(place.given_at for place in self.places.values())
+        return now - max(oldest, self._heard_at)
+
     def _note(self, *, failed: bool) -> None:
         self.failure_rate += FAILURE_WEIGHT * (float(failed) - self.failure_rate)
 
