--- a/lagoonlever/decisions/admission/hedging.py
+++ b/lagoonlever/decisions/admission/hedging.py
@@ -20,8 +20,6 @@
 MOST_DELAY_S = 1.0
 FIRST_DELAY_S = 0.05
 """Until enough answers have been seen."""
-PART_OF_OBJECTIVE = 0.5
-"""Of a route's objective, the first delay where that is longer: the rest is for the hedge."""
 SAMPLES = 256
 SAMPLES_NEEDED = 16
 SORT_EVERY = 16
@@ -56,11 +54,6 @@
     _delay_s: float = FIRST_DELAY_S
     _unsorted: int = 0
 
-    @classmethod
-    def of_objective(cls, objective_s: float) -> HedgeDelay:
-        """Give the delay of a service whose routes aim at answers within a time, in seconds."""
-        return cls(delay_s=max(FIRST_DELAY_S, PART_OF_OBJECTIVE * objective_s))
-
     @property
     def delay_s(self) -> float:
         """The seconds after which a hedge is worth its cost."""
--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -206,11 +206,10 @@
                 return place.names
             return tuple(target.id for target in open_to)
 
-        first_delay = HedgeDelay.of_objective(accepted.route.objective_s)
         hedged = HedgedCall(
             live_names=live_names,
             runners=self._runners,
-            delay=self._delays.setdefault(service, first_delay),
+            delay=self._delays.setdefault(service, HedgeDelay()),
             budget=self._extra.setdefault(service, RetryBudget.of_ratio(EXTRA_RATIO)),
             deadline=accepted.deadline,
             max_attempts=accepted.route.max_attempts,
--- a/lagoonlever/tests/hedging_tests.py
+++ b/lagoonlever/tests/hedging_tests.py
@@ -12,7 +12,6 @@
 from hypothesis.stateful import run_state_machine_as_test as run_machine
 
 from lagoonlever.decisions.admission.hedging import (
-    FIRST_DELAY_S,
     MAX_ATTEMPTS,
     SAMPLES_NEEDED,
     HedgedCall,
@@ -228,14 +227,6 @@
     assert 0.010 <= delay.delay_s <= 0.011
 
 
-def test_a_vm_that_has_seen_few_answers_hedges_by_the_objective() -> None:
-    """Guards against usual calls sent twice by VMs that each see a call in two seconds."""
-    work_s, objective_s = 0.07, 0.3
-    delay = HedgeDelay.of_objective(objective_s)
-    assert work_s < delay.delay_s < objective_s - work_s
-    assert HedgeDelay.of_objective(0.02).delay_s == FIRST_DELAY_S
-
-
 def test_overload_shrinks_a_budget_and_success_mends_it() -> None:
     budget = RetryBudget()
     for _ in range(5):
