--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -266,8 +266,9 @@
     "attempt-sent",
     "info",
     "{request} with prompt {part} goes to {target} as attempt {attempt} after event {position},"
-    " copy at {copy}: {reason}",
-    "Where a request was placed, and by which inputs.",
+    " copy at {copy}, rank {rank}: {reason}",
+    "Where a request was placed, and by which inputs. `rank` is what its engine was told, or None"
+    " where the routes of the service don't differ.",
 )
 ATTEMPT_ENDED = event(
     1042,
@@ -411,8 +412,8 @@
     "permit-not-answered",
     "info",
     "VM {vm}, which counts the requests to target {target}, did not answer within {seconds:g} s.",
-    "Nothing is sent to that target meanwhile. If it lasts beyond some seconds, look at that VM and"
-    " at the links to it.",
+    "Another VM stands in with a part of the limit, once it finds the same. If it lasts beyond some"
+    " seconds, look at that VM and at the links to it.",
 )
 TARGET_SAYS_LEAVING = event(
     1084,
--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -152,7 +152,9 @@
         hedged = self._hedged(call, window, place)
         try:
             call.no_room = await place.first()
-            return None if call.no_room else await self._attempts(call, hedged, place)
+            if call.no_room is not None:
+                return None
+            return await self._attempts(call, hedged, window, place)
         finally:
             place.give_back()
             # Also where the caller left or its time is over: what is open then would take room at
@@ -160,7 +162,7 @@
             hedged.give_up(self._exchange.timers.now)
 
     async def _attempts(
-        self, call: CallRecord, hedged: HedgedCall, place: _Places
+        self, call: CallRecord, hedged: HedgedCall, window: RetryWindow, place: _Places
     ) -> Answered | None:
         send, receive = trio.open_memory_channel[_Ended](0)
         async with open_work_nursery() as nursery:
@@ -175,6 +177,8 @@
                         hedged.on_timeout(self._exchange.timers.now)
                     return call.failure
                 if isinstance(decision, Send):
+                    if decision.number > 1:
+                        window.repeat(self._exchange.timers.now)
                     used = place.use(decision.runner)
                     nursery.start_soon(self._attempt, call, decision.runner, used, send)
                     continue
@@ -196,7 +200,7 @@
             open_to = self._exchange.open_to(call, serving)
             if not is_first and open_to:
                 now = self._exchange.timers.now
-                if not window.take(now, vms=self._exchange.beliefs.fellows.at_most(now)):
+                if not window.allows(now, vms=self._exchange.beliefs.fellows.at_most(now)):
                     return ()
             if place.is_on:
                 return place.names
