--- a/lagoonlever/tests/call_places_tests.py
+++ b/lagoonlever/tests/call_places_tests.py
@@ -13,6 +13,7 @@
 from lagoonlever.decisions.admission.call_line import QUEUED
 from lagoonlever.decisions.admission.room import RefusedWithReturn
 from lagoonlever.decisions.settings.configuration import RouteKind, ServiceRoute
+from lagoonlever.decisions.settings.mechanisms import MECHANISMS
 from lagoonlever.decisions.targets.call_desks import RUNNERS_A_DESK, desks_of, groups_of
 from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.decisions.targets.told_load import LoadWord, ToldLoad
@@ -346,6 +347,22 @@
     run_fleet(story)
 
 
+def test_places_are_not_given_out_with_the_mechanism_switched_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(MECHANISMS, "_off", frozenset(("call-places",)))
+
+    async def story(fleet: Fleet) -> None:
+        start_many(fleet, 1)
+        (vm,) = fleet.vms.values()
+        made = calling(fleet, vm)
+        load = ToldLoad(running=0, waiting=0, slots=2, slowness=1.0)
+        vm.beliefs.loads.told(LoadWord(target="r-0", load=load, at=trio.current_time()))
+        assert not made.places.serves(SERVICE)
+
+    run_fleet(story)
+
+
 def test_a_large_service_is_split_among_desks_evenly() -> None:
     runners = [f"r-{number}" for number in range(40)]
     groups = groups_of(SERVICE, runners)
