--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -33,6 +33,9 @@
 RETRIES = 3
 PAUSE_S = 0.05
 LEAVES = 0.08
+FIRST_OTHER = 500
+"""The number of the first caller that sends no mixed work: those of one deadly prompt must be of
+one organisation, as the prompt is another request for each."""
 DEADLY_PAUSE_S = (0.05, 0.5)
 """Between two returns of a caller whose prompt ends engines."""
 
@@ -54,7 +57,8 @@
     @property
     def is_patient(self) -> bool:
         """Whether this caller belongs to the organisation with a rank of its own."""
-        return self.site.deployment.has_patient and self.number % 2 == 1
+        is_usual = self.number < FIRST_OTHER
+        return is_usual and self.site.deployment.has_patient and self.number % 2 == 1
 
     async def run(self) -> None:
         """Send bids, lookups and streams."""
--- a/lagoonlever/soak/run.py
+++ b/lagoonlever/soak/run.py
@@ -12,7 +12,7 @@
 from lagoonlever.http.client import fetch
 from lagoonlever.platform.documents import caller_headers
 from lagoonlever.platform.entry_calls import READY_PATH
-from lagoonlever.soak.callers import SoakCaller
+from lagoonlever.soak.callers import FIRST_OTHER, SoakCaller
 from lagoonlever.soak.deployments import (
     HOST,
     ORGANISATION,
@@ -132,7 +132,7 @@
         part = f"deadly-{number // 2}"
         site.deadly.add(part)
         rng = random.Random(f"{seed}-deadly-{number}")
-        caller = SoakCaller(number=500 + number, site=site, judge=site.judge, rng=rng)
+        caller = SoakCaller(number=FIRST_OTHER + number, site=site, judge=site.judge, rng=rng)
         nursery.start_soon(caller.run_deadly, part)
 
 
