--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -77,6 +77,17 @@
     assert result.violations == ()
 
 
+def test_an_order_that_is_written_again_is_not_rolled_back_onto_nothing(tmp_path: Path) -> None:
+    """Seed 4220794686: the store lost a final status, all VMs were killed, the order came again.
+
+    Its version was rolled back while its runners were the only ones left.
+    """
+    seed = 4220794686
+    size = SoakSize(callers=16, length_s=15.0, deadly=1)
+    result = play(seed, tmp_path, length_s=15.0, size=size, deployment=draw_deployment(seed))
+    assert result.violations == ()
+
+
 def test_a_call_held_by_a_runner_that_drains_later_is_no_fault_of_the_vms(tmp_path: Path) -> None:
     """Seed 3417611824: a silent runner's call was held against the VMs as the runner went."""
     seed = 3417611824
