A place that the line gave is not left for a better one

Cause: the second look is for VMs that choose the same engine at the same moment. The line gives each place to one prompt, so an attempt that left it wasted the place and what its engine had read. The test fails without the change (one look at a place of the line) and passes with it; without ranks the second look is as before (same test).

--- a/lagoonlever/decisions/streams/run_placement.py
+++ b/lagoonlever/decisions/streams/run_placement.py
@@ -70,6 +70,8 @@
     expected_s: float = 0.0
     choice: UnevenChoice | None = None
     """Set where another engine would have been taken, were all alike."""
+    by_line: bool = False
+    """It waited its turn among all VMs, so nobody else was given the same room."""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import attrs
 
 from lagoonlever.decisions.admission.room import RefusedWithReturn
@@ -72,6 +74,8 @@
         if reads and self._asker.has_line(accepted.service):
             need = _line_need(accepted, life, self._timers.now)
             outcome = await self._asker.place(ask, need)
+            if isinstance(outcome, Placed):
+                return replace(outcome, by_line=True)
             if outcome is not None:
                 return outcome
         return await self._placer.place(ask)
@@ -110,6 +114,7 @@
             copy_to=copy_to,
             copy_from=copy_from,
             limits=self._beliefs.engine_limits(accepted.service),
+            by_line=placed.by_line,
             reason=f"copy {copy_from.name} is there" if copy_from else expected,
         )
 
--- a/lagoonlever/gateway/attempt_tools.py
+++ b/lagoonlever/gateway/attempt_tools.py
@@ -33,6 +33,8 @@
     copy_from: RunCopy | None
     limits: EngineLimits
     reason: str
+    by_line: bool = False
+    """Its place was given by the line, to nobody else."""
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -183,7 +183,7 @@
             async with open_work_nursery() as nursery:
                 if plan.limits.moves and self._accepted.route.repeatable:
                     nursery.start_soon(self._copies.run)
-                if self._may_look_again():
+                if not plan.by_line and self._may_look_again():
                     nursery.start_soon(self._look_again)
                 return await self._relay(connection, silence)
         finally:
--- a/lagoonlever/tests/gateway_line_tests.py
+++ b/lagoonlever/tests/gateway_line_tests.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from lagoonlever.gateway import metrics
+from lagoonlever.gateway.stream_attempt import StreamAttempt
 from lagoonlever.tests.gateway_site import (
     GatewaySite,
     configuration,
@@ -54,3 +57,24 @@
         assert placed_by_line(site) == 0
 
     run_site(story)
+
+
+@pytest.mark.parametrize("ranks", [True, False])
+def test_a_place_given_by_the_line_is_not_left_for_a_better_one(
+    ranks: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against prompts that leave an engine which the line kept free for them."""
+    looks: list[str] = []
+
+    async def note(attempt: StreamAttempt) -> None:
+        looks.append(attempt._plan.engine.id)
+
+    monkeypatch.setattr(StreamAttempt, "_look_again", note)
+
+    async def story(site: GatewaySite) -> None:
+        if ranks:
+            await rank_routes(site)
+        assert (await site.stream("p1", events=10)).whole
+        assert len(looks) == (0 if ranks else 1)
+
+    run_site(story)
