--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -7,28 +7,23 @@
 
 import attrs
 
-from lagoonlever.decisions.admission.hedging import Runners
 from lagoonlever.decisions.engines.engine_book import EngineBook
 from lagoonlever.decisions.fleet.fellows import FellowState, FellowTable
-from lagoonlever.decisions.settings.configuration import ClientLimits, RouteKind
-from lagoonlever.decisions.shares.budgets import RetryBudget
+from lagoonlever.decisions.settings.configuration import ClientLimits
 from lagoonlever.decisions.targets.named_limits import NamedLimits
 from lagoonlever.decisions.targets.registry import TargetRegistry
-from lagoonlever.gateway.attempt_planner import AttemptPlanner
-from lagoonlever.gateway.attempt_tools import AttemptTools
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.cache_locator import CacheLocator
 from lagoonlever.gateway.call_desk import CallDesk
-from lagoonlever.gateway.call_exchange import CallExchange
 from lagoonlever.gateway.call_places import CallPlaces
 from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.directory import Directory
 from lagoonlever.gateway.front import Front
+from lagoonlever.gateway.front_parts import make_front
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.gateway.knowledge import KnowledgeExchange
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.metrics_page import MetricsPage
-from lagoonlever.gateway.once_calls import OnceCalls
 from lagoonlever.gateway.pace_keeper import PaceKeeper
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.permit_exchange import PermitExchange
@@ -38,7 +33,6 @@
 from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.gateway.register import Register
 from lagoonlever.gateway.registration import Registration
-from lagoonlever.gateway.repeatable_calls import EXTRA_RATIO, RepeatableCalls
 from lagoonlever.gateway.replacement_finder import ReplacementFinder
 from lagoonlever.gateway.reporter import Reporter
 from lagoonlever.gateway.retry_budgets import RetryBudgets
@@ -48,8 +42,6 @@
 from lagoonlever.gateway.room_desk import RoomDesk
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.gateway.store_follower import StoreFollower
-from lagoonlever.gateway.stream_admission import StreamAdmission
-from lagoonlever.gateway.streams import Streams
 from lagoonlever.gateway.target_client import TargetClient
 from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.gateway.target_words import TargetWords
@@ -60,12 +52,8 @@
 from lagoonlever.platform.store import MetadataStore
 from lagoonlever.timers import TimerService
 
-MOST_OUTSTANDING = 64
-"""Calls that one VM has open at one runner."""
 HEARTBEATS_TO_LAPSE = 3.5
 """The entry of a target that is gone lapses after three, and one may begin late."""
-OVERLOADED_ANSWER_S = 1.0
-"""Runners refuse by themselves what they have no room for; only beyond this they are spared."""
 
 Run = Callable[[], Awaitable[None]]
 
@@ -394,74 +382,7 @@
 
     @front.default
     def _make_front(self) -> Front:
-        runners = Runners(
-            rng=self.rng,
-            max_outstanding=MOST_OUTSTANDING,
-            target_s=OVERLOADED_ANSWER_S,
-            new_budget=lambda: RetryBudget.of_ratio(EXTRA_RATIO),
-        )
-        exchange = CallExchange(
-            beliefs=self.beliefs,
-            peers=self.peers,
-            timers=self.timers,
-            client=self.client,
-            reporter=self.reporter,
-            crashes=self.crashes,
-            rollouts=self.rollouts,
-            words=self.words,
-            places=self.call_places,
-        )
-        once = OnceCalls(data_center=self.settings.data_center, exchange=exchange, runners=runners)
-        repeatable = RepeatableCalls(
-            data_center=self.settings.data_center,
-            exchange=exchange,
-            runners=runners,
-            budgets=self.budgets,
-        )
-        tools = AttemptTools(
-            beliefs=self.beliefs,
-            learner=self.learner,
-            timers=self.timers,
-            client=self.client,
-            prober=self.prober,
-            reporter=self.reporter,
-            budgets=self.budgets,
-            replacements=self.replacements,
-            crashes=self.crashes,
-            rollouts=self.rollouts,
-            words=self.words,
-        )
-        self.peers.on_engine_lost(tools.engine_lost)
-        self.learner.on_started_again(tools.engine_started_again)
-        self.learner.on_started_again(runners.started_again)
-        streams = Streams(
-            beliefs=self.beliefs,
-            peers=self.peers,
-            tools=tools,
-            admission=StreamAdmission(beliefs=self.beliefs, timers=self.timers, rng=self.rng),
-            placer=self.placer,
-            planner=AttemptPlanner(
-                vm=self.settings.name,
-                beliefs=self.beliefs,
-                timers=self.timers,
-                placer=self.placer,
-                asker=self.room_asker,
-                words=self.words,
-            ),
-        )
-        return Front(
-            beliefs=self.beliefs,
-            timers=self.timers,
-            reporter=self.reporter,
-            rng=self.rng,
-            crashes=self.crashes,
-            rollouts=self.rollouts,
-            serve={
-                RouteKind.IDEMPOTENT: repeatable.serve,
-                RouteKind.NON_IDEMPOTENT: once.serve,
-                RouteKind.STREAM: streams.serve,
-            },
-        )
+        return make_front(self)
 
     @directory.default
     def _make_directory(self) -> Directory:
--- a/lagoonlever/tests/gateway_calls_tests.py
+++ b/lagoonlever/tests/gateway_calls_tests.py
@@ -9,7 +9,7 @@
 import trio
 
 from lagoonlever.fakes.platform_runner import Conduct
-from lagoonlever.gateway import parts
+from lagoonlever.gateway import front_parts, parts
 from lagoonlever.http.messages import Headers
 from lagoonlever.platform.headers import ORGANISATION
 from lagoonlever.tests.gateway_site import KEY, GatewaySite, run_site, until_within
@@ -255,7 +255,7 @@
     A VM counts what it has open at a runner. What was broken off was never counted off again,
     so after as many callers as it may have open it told everybody that no runner has room.
     """
-    monkeypatch.setattr(parts, "MOST_OUTSTANDING", 3)
+    monkeypatch.setattr(front_parts, "MOST_OUTSTANDING", 3)
 
     async def story(site: GatewaySite) -> None:
         order(site, Conduct.STAY_SILENT)
