--- a/lagoonlever/decisions/rollouts/book.py
+++ b/lagoonlever/decisions/rollouts/book.py
@@ -58,6 +58,19 @@
             is_moving=is_moving,
         )
 
+    @property
+    def other_answers(self) -> int:
+        """How many good answers of targets of other versions have become known.
+
+        A failure may be that of a connection, and tells of no target that it is there.
+        """
+        return sum(
+            counts.total - counts.failed
+            for (_, phase), by_second in self._seconds.items()
+            if phase is None
+            for counts in by_second.values()
+        )
+
     def _judge(self, *phases: RolloutPhase) -> Judgement:
         kinds = {kind for kind, phase in self._seconds if phase in phases}
         return judge(
--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -30,6 +30,8 @@
 
 from __future__ import annotations
 
+import math
+from collections import Counter
 from collections.abc import Iterable
 
 import attrs
@@ -121,6 +123,8 @@
     _changed_at: Revision = NOWHERE
     lapse_s: float = LAPSE_S
     """In which the entry of a target that is gone lapses."""
+    _list_began_at: float | None = None
+    """When the list was read first, read after an outage, or first read in the store's era."""
     rolls_out: bool = False
     """Whether versions are rolled out: without, targets of any version get work."""
     _versions: dict[str, ServiceVersions] = attrs.field(factory=dict)
@@ -140,6 +144,29 @@
         """Every target that is listed, or whose removal is held."""
         return tuple(self._targets.values())
 
+    @property
+    def settled_at(self) -> float:
+        """When the list can be believed; never before it was read.
+
+        Before that it may name targets that are gone, whose entries are of an older copy or have
+        yet to lapse, and lack some that live, whose entries lapsed while the store was away.
+        """
+        if self._list_began_at is None:
+            return math.inf
+        return self._list_began_at + max(self.lapse_s, LAPSED_BACK_S)
+
+    def listed_versions(self, service: str) -> Counter[str]:
+        """Give how many targets of each version of a service may be there.
+
+        Those that have said that they leave, or have been replaced, are not; those that are
+        listed by an entry of an older copy may be.
+        """
+        return Counter(
+            target.version
+            for target in self._targets.values()
+            if target.service == service and not self._is_leaving(target)
+        )
+
     def find(self, target_id: str) -> ListedTarget | None:
         """Give a target that is listed, or None."""
         return self._targets.get(target_id)
@@ -187,9 +214,13 @@
 
     def _is_able(self, target: ListedTarget) -> bool:
         """Tell whether a target takes work as far as it goes by itself, not by its version."""
-        if target.draining or target.id in self._replaced or target.id in self._said_leaving:
-            return False
-        return target.id not in self._doubted_until
+        return not self._is_leaving(target) and target.id not in self._doubted_until
+
+    def _is_leaving(self, target: ListedTarget) -> bool:
+        """Tell whether a target is known to leave, or to be gone."""
+        if target.draining or target.id in self._replaced:
+            return True
+        return target.id in self._said_leaving
 
     def read(
         self,
@@ -206,6 +237,7 @@
         entry in that era, and is held here for a time of its own.
         """
         is_restored = self._as_of > NOWHERE and self._as_of.era < revision.era
+        self._note_list_began(now, store_back_at, is_restored=is_restored)
         if is_restored and store_back_at is None:
             store_back_at = now
         listed = {t.id: t for t in targets if t.revision.era == revision.era}
@@ -341,6 +373,15 @@
             del self._doubted_until[target_id]
         return tuple(TargetChange(id=t, target=None, revision=revision) for t, revision in due)
 
+    def _note_list_began(
+        self, now: float, store_back_at: float | None, *, is_restored: bool
+    ) -> None:
+        """Note from when on the list tells what has lapsed and what is back."""
+        if self._list_began_at is None or is_restored:
+            self._list_began_at = now
+        elif store_back_at is not None:
+            self._list_began_at = max(self._list_began_at, store_back_at)
+
     def _note_versions(self) -> None:
         """Take the versions of each service as those that were there first."""
         if not self.rolls_out:
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -366,9 +366,12 @@
     "notice",
     "Version {version} of {service} is to be {state}: {reason}. It got {exposed} of {arrivals}"
     " requests; logarithms of how much likelier its answers are of a bad version: {ratio} by all,"
-    " {worst} by the worst kind of request, {moved} of those sent when all work went there.",
+    " {worst} by the worst kind of request, {moved} of those sent when all work went there. Targets"
+    " listed by version: {listed}; answers of other versions: {answers}; the list settles in"
+    " {settles_s} s.",
     "Told by the VM that leads, before it writes the status. Below -4.6 a version is sound, beyond"
-    " 6.2 it is bad.",
+    " 6.2 it is bad. Until the list has settled it may name targets that are gone, or lack some"
+    " that live.",
 )
 ROLLOUT_DECIDED = event(
     1073,
--- a/lagoonlever/gateway/rollout_lead.py
+++ b/lagoonlever/gateway/rollout_lead.py
@@ -238,10 +238,11 @@
             self._rollouts.take_word(word, self._own.name)
 
     def _log_decision(self, lead: _Lead, plan: Plan) -> None:
-        progress = self._progress(lead)
+        progress, targets = self._progress(lead), self._beliefs.targets
+        service = lead.rollout.order.service
         events.ROLLOUT_JUDGED.log(
             log,
-            service=lead.rollout.order.service,
+            service=service,
             version=lead.rollout.order.version,
             state=plan.state.value,
             reason=plan.reason or "its answers are as good as the old version's",
@@ -250,4 +251,7 @@
             ratio=round(progress.judgement.together, 2),
             worst=round(progress.judgement.worst, 2),
             moved=round(progress.moved.together, 2),
+            listed=dict(targets.listed_versions(service)),
+            answers=lead.book.other_answers,
+            settles_s=round(max(0.0, targets.settled_at - self._timers.now), 2),
         )
