--- a/lagoonlever/decisions/rollouts/plan.py
+++ b/lagoonlever/decisions/rollouts/plan.py
@@ -5,6 +5,11 @@
 new work moves there only when what is still to come until the deadline fits into the rest of
 the allowance, also if it turned bad in that moment. What runs on the old targets comes to its
 end meanwhile, as they stop at once with the completion.
+
+Where all VMs are lost nobody knows what a version has got, and where the store has come back from
+an older copy it may list targets that are gone. A verdict that takes targets out is not drawn
+from that alone: it waits until the list has settled, and a version whose targets are the only ones
+left is not rolled back for want of knowledge, as nobody would be served then.
 """
 
 from __future__ import annotations
@@ -37,6 +42,28 @@
     slack: int = 50
 
 
+@attrs.frozen(kw_only=True)
+class OtherVersions:
+    """What is known of a service's targets of other versions than the ordered one."""
+
+    listed: bool = True
+    """Some are listed, and not known to leave."""
+    answered: bool = False
+    """One has answered since the VM that judges knows the order."""
+    is_settled: bool = True
+    """The list can be believed: what it names is there, and what is there it names."""
+
+    @property
+    def are_gone(self) -> bool:
+        """Whether none is left."""
+        return self.is_settled and not self.listed
+
+    @property
+    def are_there(self) -> bool:
+        """Whether one is known to be left."""
+        return self.listed and (self.is_settled or self.answered)
+
+
 @attrs.frozen(kw_only=True)
 class TrialProgress:
     """What is known of a roll-out at a moment; ``arrivals`` by kind of request, of all versions."""
@@ -51,6 +78,7 @@
     """By the answers to requests that were sent when all new work went there."""
     is_moving: bool = False
     """All new work goes there already."""
+    others: OtherVersions = OtherVersions()
 
 
 @attrs.frozen(kw_only=True)
@@ -69,6 +97,8 @@
     left_s = order.duration_s - DECIDED_BEFORE_S - progress.elapsed_s
     if progress.judgement.is_bad or progress.moved.is_bad:
         return _rolled_back("its answers are worse than the old version's")
+    if not progress.others.listed:
+        return _plan_alone(progress.others, left_s)
     if left_s > 0 and _may_move(order, progress, bounds, left_s):
         return Plan(phase=RolloutPhase.MOVING)
     if left_s > 0:
@@ -78,6 +108,33 @@
     return _rolled_back("too few answers to be sure of it")
 
 
+def plan_untried(order: RolloutOrder, elapsed_s: float, others: OtherVersions) -> Plan:
+    """Decide of a version beside which none was listed since the order: nothing is to be moved."""
+    if elapsed_s < order.duration_s - DECIDED_BEFORE_S or not others.are_gone:
+        return Plan(phase=RolloutPhase.HELD)
+    return _completed("no other version was there since the order")
+
+
+def plan_unwitnessed(others: OtherVersions) -> Plan:
+    """Decide of an order that no VM saw which is left, nor what its version has got since."""
+    if others.are_there:
+        return _rolled_back("no VM is left that saw the order, nor what the version has got since")
+    if others.are_gone:
+        return _completed("no target of another version is left")
+    return Plan(phase=RolloutPhase.HELD)
+
+
+def _plan_alone(others: OtherVersions, left_s: float) -> Plan:
+    """Decide of a version whose answers are not bad, and beside which no target is listed."""
+    if left_s > 0 or not others.are_gone:
+        return Plan(phase=RolloutPhase.TRIAL)
+    return _completed("no target of another version is left")
+
+
+def _completed(reason: str) -> Plan:
+    return Plan(phase=RolloutPhase.HELD, state=RolloutState.COMPLETED, reason=reason)
+
+
 def _rolled_back(reason: str) -> Plan:
     return Plan(phase=RolloutPhase.HELD, state=RolloutState.ROLLED_BACK, reason=reason)
 
--- a/lagoonlever/gateway/rollout_lead.py
+++ b/lagoonlever/gateway/rollout_lead.py
@@ -13,11 +13,13 @@
 from lagoonlever.decisions.fleet.roles import Roles
 from lagoonlever.decisions.rollouts.book import RolloutBook, VmCounts
 from lagoonlever.decisions.rollouts.plan import (
-    DECIDED_BEFORE_S,
     ExposureBounds,
+    OtherVersions,
     Plan,
     TrialProgress,
     plan_of,
+    plan_untried,
+    plan_unwitnessed,
 )
 from lagoonlever.decisions.rollouts.versions import RolloutPhase, RolloutState
 from lagoonlever.exceptions import PlatformError
@@ -27,7 +29,7 @@
 from lagoonlever.gateway.rollouts import WORD_S, Rollout, Rollouts
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.interface import Bus
-from lagoonlever.peers.messages_rollouts import RolloutCounts, RolloutWord
+from lagoonlever.peers.messages_rollouts import RolloutAsked, RolloutCounts, RolloutWord
 from lagoonlever.platform.rollouts import (
     RolloutStatus,
     UnreadableRollout,
@@ -81,6 +83,7 @@
         """Lead whatever is undecided, while that is this VM's part, until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive_counts)
+            nursery.start_soon(self._receive_questions)
             while True:
                 for rollout in self._rollouts.known:
                     await self._step(rollout)
@@ -123,6 +126,7 @@
             await self._keep_final(lead)
             return
         if rollout.began_at is None and now - lead.since < WITNESS_S:
+            self._ask(rollout)
             return
         try:
             if not await self._agree(lead, RolloutState.RUNNING):
@@ -130,7 +134,7 @@
             self._take(rollout, rollout.tally.message(), str(self._own))
             plan = self._plan(lead)
             if not plan.state.is_final:
-                self._tell(lead, plan)
+                self._tell_running(lead, plan)
                 return
             self._log_decision(lead, plan)
             if await self._agree(lead, plan.state):
@@ -142,25 +146,23 @@
 
     def _plan(self, lead: _Lead) -> Plan:
         rollout = lead.rollout
-        if self._beliefs.targets.versions_of(rollout.order.service).is_alone:
-            if not self._is_due(rollout):
-                return Plan(phase=RolloutPhase.HELD)
-            return Plan(
-                phase=RolloutPhase.HELD,
-                state=RolloutState.COMPLETED,
-                reason="no other version was there since the order",
-            )
         if rollout.began_at is None:
-            return Plan(
-                phase=RolloutPhase.HELD,
-                state=RolloutState.ROLLED_BACK,
-                reason="no VM is left that saw the order, nor what the version has got since",
-            )
-        return plan_of(rollout.order, self._progress(lead), self._bounds)
+            return plan_unwitnessed(self._others(lead))
+        if self._beliefs.targets.versions_of(rollout.order.service).is_alone:
+            elapsed_s = self._timers.now - rollout.began_at
+            return plan_untried(rollout.order, elapsed_s, self._others(lead))
+        progress = attrs.evolve(self._progress(lead), others=self._others(lead))
+        return plan_of(rollout.order, progress, self._bounds)
 
-    def _is_due(self, rollout: Rollout) -> bool:
-        elapsed_s = self._timers.now - (rollout.began_at or 0.0)
-        return elapsed_s >= rollout.order.duration_s - DECIDED_BEFORE_S
+    def _others(self, lead: _Lead) -> OtherVersions:
+        """Give what is known of the targets that would serve in place of the new ones."""
+        order, targets = lead.rollout.order, self._beliefs.targets
+        listed = targets.listed_versions(order.service)
+        return OtherVersions(
+            listed=any(version != order.version for version in listed),
+            answered=lead.book.other_answers > 0,
+            is_settled=self._timers.now >= targets.settled_at,
+        )
 
     def _progress(self, lead: _Lead) -> TrialProgress:
         elapsed_s = self._timers.now - (lead.rollout.began_at or self._timers.now)
@@ -221,9 +223,47 @@
             # The store's client has logged it; the next turn tries again.
             return
 
+    def _ask(self, rollout: Rollout) -> None:
+        """Ask all VMs for what one may know that saw the order, and doesn't lead."""
+        order = rollout.order
+        self._knowledge.push(
+            RolloutAsked(
+                service=order.service,
+                version=order.version,
+                duration_s=order.duration_s,
+                ordered_at=rollout.tally.ordered_at,
+            )
+        )
+
+    async def _receive_questions(self) -> None:
+        async for received in self._bus.subscribe(RolloutAsked):
+            asked, asker = received.message, received.sender.name
+            self._knowledge.pass_on(asked, asker)
+            self._rollouts.take_order(asked.order, asked.ordered_at, witnessed=False)
+            known = self._rollouts.find(asked.service)
+            fellow = self._beliefs.fellows.find(asker)
+            if known is None or fellow is None or known.order != asked.order:
+                continue
+            state = self._rollouts.state_of(known)
+            if known.began_at is not None or state.is_final:
+                self._bus.send(
+                    fellow.bus, self._word(known, Plan(phase=RolloutPhase.HELD, state=state))
+                )
+
+    def _tell_running(self, lead: _Lead, plan: Plan) -> None:
+        """Tell what is done until the next word; a VM that didn't see the order allows nothing."""
+        if lead.rollout.began_at is not None:
+            self._tell(lead, plan)
+
     def _tell(self, lead: _Lead, plan: Plan) -> None:
-        rollout, now = lead.rollout, self._timers.now
-        word = RolloutWord(
+        word = self._word(lead.rollout, plan)
+        self._knowledge.push(word)
+        if not plan.state.is_final:
+            self._rollouts.take_word(word, self._own.name)
+
+    def _word(self, rollout: Rollout, plan: Plan) -> RolloutWord:
+        now = self._timers.now
+        return RolloutWord(
             service=rollout.order.service,
             version=rollout.order.version,
             duration_s=rollout.order.duration_s,
@@ -233,9 +273,6 @@
             state=plan.state,
             shares=plan.shares,
         )
-        self._knowledge.push(word)
-        if not plan.state.is_final:
-            self._rollouts.take_word(word, self._own.name)
 
     def _log_decision(self, lead: _Lead, plan: Plan) -> None:
         progress, targets = self._progress(lead), self._beliefs.targets
--- a/lagoonlever/peers/messages_rollouts.py
+++ b/lagoonlever/peers/messages_rollouts.py
@@ -5,7 +5,7 @@
 import attrs
 
 from lagoonlever.decisions.rollouts.evidence import AnswerCounts
-from lagoonlever.decisions.rollouts.versions import RolloutPhase, RolloutState
+from lagoonlever.decisions.rollouts.versions import RolloutOrder, RolloutPhase, RolloutState
 from lagoonlever.peers.messages import PEER
 from lagoonlever.revisions import Revision
 
@@ -27,6 +27,22 @@
     """Of each route, how many requests go to the version on trial."""
 
 
+@PEER.message("rq")
+@attrs.frozen(kw_only=True)
+class RolloutAsked:
+    """Asks for what was seen of an order; a VM that saw it, or its end, answers by a word."""
+
+    service: str
+    version: str
+    duration_s: float
+    ordered_at: Revision
+
+    @property
+    def order(self) -> RolloutOrder:
+        """The order as this VM has read it."""
+        return RolloutOrder(service=self.service, version=self.version, duration_s=self.duration_s)
+
+
 @attrs.frozen(kw_only=True)
 class AnswerRow:
     """Answers of one kind of request."""
--- a/lagoonlever/tests/restored_fleet_tests.py
+++ b/lagoonlever/tests/restored_fleet_tests.py
@@ -9,7 +9,7 @@
 import itertools
 import json
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 
 import attrs
 import pytest
@@ -123,6 +123,13 @@
         name = f"vm-{number}"
         vm = self.fleet.start(name, wide=True)
         client = self.clients[name] = MetadataStore(address=STORE)
+        for part in self._parts(vm, client, random.Random(number)):
+            self.fleet.nursery.start_soon(vm.run, part)
+
+    def _parts(
+        self, vm: FleetVm, client: MetadataStore, rng: random.Random
+    ) -> Iterable[Callable[[], Awaitable[None]]]:
+        """Give what runs on a VM beside the fleet's own parts."""
         follower = StoreFollower(
             store=client,
             beliefs=vm.beliefs,
@@ -130,16 +137,16 @@
             knowledge=vm.knowledge,
             roles=vm.presence.roles,
             timers=vm.timers,
-            rng=random.Random(number),
+            rng=rng,
         )
-        self.fleet.nursery.start_soon(vm.run, follower.run)
+        return (follower.run,)
 
     def kill_vm(self, number: int) -> None:
         """End a VM; it starts again at once."""
         self.fleet.kill(f"vm-{number}")
         self.start_vm(number)
 
-    def start_target(self, number: int) -> None:
+    def start_target(self, number: int, *, version: str = "v1") -> None:
         """Start a process of a target, in place of one that has left; it registers."""
         name = f"t-{number}"
         former = self.processes.get(name)
@@ -150,6 +157,7 @@
             service="apps",
             address=Address(host="10.9.0.1", port=number + 1),
             data_center="dc-0",
+            version=version,
             started_ms=next(self._starts),
         )
         self.processes[name] = Process(listed=listed)
@@ -250,7 +258,11 @@
 
 
 def run_world(
-    story: Callable[[World], Awaitable[None]], monkeypatch: pytest.MonkeyPatch, *, vms: int = VMS
+    story: Callable[[World], Awaitable[None]],
+    monkeypatch: pytest.MonkeyPatch,
+    *,
+    vms: int = VMS,
+    world_type: type[World] = World,
 ) -> None:
     """Run a story on a fleet that has started, in simulated time."""
 
@@ -258,7 +270,7 @@
         async with trio.open_nursery() as nursery:
             network = LateNetwork(random=random.Random(1))
             fleet = Fleet(nursery=nursery, network=network)
-            world = World(fleet=fleet, network=network, nursery=nursery)
+            world = world_type(fleet=fleet, network=network, nursery=nursery)
 
             async def fetch_in_memory(_: Address, **call: object) -> Response:
                 wanted = ("method", "path", "body", "step", "timeout_s")
--- a/lagoonlever/tests/rollout_plan_tests.py
+++ b/lagoonlever/tests/rollout_plan_tests.py
@@ -86,6 +86,16 @@
     assert sum(c.total for c in book._seconds[lane].values()) == 4
 
 
+def test_only_good_answers_tell_that_targets_of_other_versions_are_there() -> None:
+    """Guards against resets of dead targets' connections that are taken for a sign of life."""
+    book = RolloutBook()
+    for good in (0, 1):
+        lanes = {("bid", None): counts(good, failed=3), ("bid", RolloutPhase.TRIAL): counts(4)}
+        told = VmCounts(lanes=lanes, arrivals={"bid": 7 + good})
+        book.take("vm-0", told, elapsed_s=1.0)
+        assert book.other_answers == good
+
+
 def test_a_vm_that_begins_to_lead_is_told_what_was_counted_before() -> None:
     """The VM that led is killed, and nothing new is counted: the next one knew of nothing."""
     tally = RolloutTally(order=ORDER, ordered_at=at(5))
