--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -175,6 +175,11 @@
         """Give what is known of the versions of a service."""
         return self._versions.setdefault(service, ServiceVersions())
 
+    @property
+    def rolled_out(self) -> tuple[str, ...]:
+        """The services of which versions are known."""
+        return tuple(self._versions)
+
     def ordered(self, order: RolloutOrder) -> None:
         """Take an operator's order of a version."""
         listed = {t.version for t in self._targets.values() if t.service == order.service}
@@ -194,6 +199,10 @@
         wanted = wanted or versions.settled(listed)
         return tuple(target for target in able if target.version in wanted)
 
+    def shut_out(self, service: str) -> int:
+        """Give how many targets would take work where none may, because of their version."""
+        return 0 if self.serving(service) else len(self._able(service))
+
     def takes_work(self, target_id: str) -> bool:
         """Tell whether a target may be given work now; asked again right before each write."""
         target = self._targets.get(target_id)
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -387,6 +387,22 @@
     "An order or a status of a roll-out can't be read: {error}",
     "It changes nothing. Look at what was written there.",
 )
+SERVICE_SHUT_OUT = event(
+    1075,
+    "service-shut-out",
+    "error",
+    "No target of {service} may be used: version {version} was rolled back, and its {targets}"
+    " targets are the only ones left.",
+    "Every request to the service is refused until an operator orders a version anew or starts"
+    " targets of another one. Event 1072 tells why the version was rolled back.",
+)
+SERVICE_SERVED_AGAIN = event(
+    1076,
+    "service-served-again",
+    "notice",
+    "Targets of {service} may be used again.",
+    "It was shut out before.",
+)
 TARGET_LIMIT = event(
     1080,
     "target-limit",
--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -31,6 +31,13 @@
     labels=("kind",),
     doc="Requests that were refused or stopped as too many targets had ended under them.",
 )
+SHUT_OUT = gauge(
+    "lagoonlever.gateway.targets.shut_out",
+    unit="{target}",
+    labels=("service",),
+    doc="Targets that would take work and may not, as their version was rolled back, while no other"
+    " one is left: above 0 every request to the service is refused.",
+)
 LIMITED_SENDS = counter(
     "lagoonlever.gateway.limited.sends",
     unit="{request}",
--- a/lagoonlever/gateway/rollouts.py
+++ b/lagoonlever/gateway/rollouts.py
@@ -78,6 +78,8 @@
     _rng: random.Random
     _known: dict[str, Rollout] = attrs.field(factory=dict)
     """By service."""
+    _shut_out: set[str] = attrs.field(factory=set)
+    """Services none of whose targets may be used, though some would take work."""
 
     @property
     def known(self) -> tuple[Rollout, ...]:
@@ -209,6 +211,22 @@
         for rollout in self._undecided():
             self._apply(rollout, tick.now)
             self._tell_counts(rollout, tick.now)
+        for rollout in self.known:
+            self._note_shut_out(rollout.order)
+
+    def _note_shut_out(self, order: RolloutOrder) -> None:
+        """Log that a service has come to be served by nobody because of a verdict, or is again."""
+        targets = self._beliefs.targets.shut_out(order.service)
+        if bool(targets) == (order.service in self._shut_out):
+            return
+        if targets:
+            self._shut_out.add(order.service)
+            events.SERVICE_SHUT_OUT.log(
+                log, service=order.service, version=order.version, targets=targets
+            )
+            return
+        self._shut_out.discard(order.service)
+        events.SERVICE_SERVED_AGAIN.log(log, service=order.service)
 
     def _undecided(self) -> Iterable[Rollout]:
         return [rollout for rollout in self.known if not self.state_of(rollout).is_final]
--- a/lagoonlever/tests/rollouts_tests.py
+++ b/lagoonlever/tests/rollouts_tests.py
@@ -4,9 +4,12 @@
 
 import json
 
+import logbook
 import trio
 
+from lagoonlever.events import LogEvent
 from lagoonlever.fakes.platform_runner import Conduct, FakeRunner
+from lagoonlever.gateway.events import SERVICE_SERVED_AGAIN, SERVICE_SHUT_OUT
 from lagoonlever.tests.gateway_site import GatewaySite, run_site, until_within
 
 ORDER_KEY = "op/rollout/apps"
@@ -295,3 +298,30 @@
         assert load.statuses.keys() == {200}
 
     run_site(story, engines=0, runners=2, vms=2)
+
+
+def test_a_service_that_a_verdict_shuts_out_is_seen_at_once_until_it_is_ordered_anew() -> None:
+    """Guards against calls that are all refused, with targets there, and no sign of why."""
+    logs = logbook.TestHandler()
+
+    def told(event: LogEvent) -> bool:
+        return any(record.extra.get("event") is event for record in logs.records)
+
+    async def story(site: GatewaySite) -> None:
+        _, scope = await with_load(site)
+        await new_runners(site, Conduct.FAIL)
+        order(site)
+        await until_within(DECIDED_S, lambda: status(site).get("State") == "rolled_back")
+        scope.cancel()
+        targets = site.vms["vm-0"].daemon.parts.beliefs.targets
+        for name in ("runner-0", "runner-1"):
+            site.crash(name)
+            site.unlist_target(name)
+        await until_within(3.0, lambda: told(SERVICE_SHUT_OUT))
+        assert targets.shut_out("apps") == 2
+        order(site, duration_s=13.0)
+        await until_within(3.0, lambda: told(SERVICE_SERVED_AGAIN))
+        assert targets.shut_out("apps") == 0
+
+    with logs.applicationbound():
+        run_site(story, engines=0, runners=2, vms=2)
