--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -24,8 +24,10 @@
 
 The store may come back from an older copy, and begins a new era then. What it lists is
 newer than any word of the era before; but an entry there may be older than what was known of
-its target. One that drained, or was gone, is no more ready for that; and one that is missing
-has time to write its entry again.
+its target. One that drained, or was gone, is no more ready for that; one of an earlier start than
+is known is of a former process, and undoes nothing that the later one has said; and one that is
+missing has time to write its entry again. Within an era a start that goes backwards is that
+of a new process, whose clock was set back.
 """
 
 from __future__ import annotations
@@ -73,6 +75,12 @@
         """Tell whether it is known to be another process than one that started then."""
         return None not in (since, self.started_ms) and since != self.started_ms
 
+    def is_later_than(self, started_ms: int | None) -> bool:
+        """Tell whether it is known to be a later process than one that started then."""
+        if self.started_ms is None or started_ms is None:
+            return False
+        return self.started_ms > started_ms
+
 
 @attrs.frozen(kw_only=True)
 class TargetChange:
@@ -318,7 +326,7 @@
     def says_leaving(self, target_id: str, *, started_ms: int | None, now: float) -> bool:
         """Take a target's word that it leaves; gives whether it is news of its process now."""
         known = self._targets.get(target_id)
-        if known is not None and known.has_started_again(started_ms):
+        if known is not None and known.is_later_than(started_ms):
             return False
         said = self._said_leaving.get(target_id)
         if said is not None and not said.is_before(started_ms):
@@ -411,6 +419,8 @@
         if known is not None and former is not None and former == target.started_ms:
             self._targets[target.id] = attrs.evolve(known, revision=target.revision)
             return True
+        if self._is_of_former_process(target):
+            target = attrs.evolve(known or target, started_ms=start, revision=target.revision)
         if known is not None and self._still_drains(known, target):
             target = attrs.evolve(target, draining=True)
         self._doubt(target, now)
@@ -435,9 +445,17 @@
         if said is None:
             return
         start = former_start if said.started_ms is None else said.started_ms
-        if target.has_started_again(start):
+        is_new = target.has_started_again(former_start) and target.has_started_again(start)
+        if is_new or target.is_later_than(start):
             del self._said_leaving[target.id]
 
+    def _is_of_former_process(self, entry: ListedTarget) -> bool:
+        """Tell whether an entry may be of a copy from before a target started again."""
+        start = self.start_of(entry.id)
+        if start is None or entry.started_ms is None or entry.started_ms >= start:
+            return False
+        return may_be_restored(entry.revision, known=self._known_revision(entry.id))
+
     def _still_drains(self, known: ListedTarget, entry: ListedTarget) -> bool:
         """Tell whether a target that drained is listed by an entry of before."""
         restarted = entry.has_started_again(known.started_ms)
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -204,7 +204,7 @@
         if run is None or change.load is None:
             return
         engine = self._beliefs.targets.find(run.engine)
-        if engine is None or engine.has_started_again(run.engine_started_ms):
+        if engine is None or engine.is_later_than(run.engine_started_ms):
             return
         self._beliefs.loads.passed_on(change.load.word(run, self._timers.now))
 
--- a/lagoonlever/gateway/permit_exchange.py
+++ b/lagoonlever/gateway/permit_exchange.py
@@ -125,7 +125,7 @@
     def learn(self, told: WordTold) -> bool:
         """Take what another VM tells of a target; gives whether the limit changes."""
         target = self._beliefs.targets.find(told.target)
-        if target is None or target.has_started_again(told.started_ms):
+        if target is None or target.is_later_than(told.started_ms):
             return False
         return self._named.learn(told.target, told.word(self._timers.now))
 
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -108,7 +108,7 @@
     def _is_same_process(self, run: BookedRun) -> bool:
         """Tell whether the engine of a run is still the process that read its prompt."""
         engine = self._beliefs.targets.find(run.engine)
-        return engine is not None and not engine.has_started_again(run.engine_started_ms)
+        return engine is not None and not engine.is_later_than(run.engine_started_ms)
 
     async def _serve(self, accepted: Accepted, life: StreamLife) -> None:
         gave_up: GiveUp | None = None
--- a/lagoonlever/tests/limits_fleet_tests.py
+++ b/lagoonlever/tests/limits_fleet_tests.py
@@ -19,7 +19,7 @@
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.http.messages import Address
-from lagoonlever.peers.messages_limits import PermitAsk
+from lagoonlever.peers.messages_limits import PermitAsk, WordTold
 from lagoonlever.revisions import Revision
 from lagoonlever.tests.target_limits_tests import most_allowed, most_arrived
 
@@ -115,6 +115,24 @@
     return LimitVm(vm=vm, limits=limits)
 
 
+@pytest.mark.parametrize(("told_ms", "counts"), [(200, True), (50, False), (None, True)])
+def test_a_limit_of_a_later_process_than_is_listed_counts(
+    told_ms: int | None, counts: bool
+) -> None:
+    """Guards against a VM that lists a former process, and sends more than the new one takes."""
+
+    async def story(fleet: Fleet) -> None:
+        vm = fleet.start("vm-0")
+        limits = limit_vm(vm).limits
+        entry = attrs.evolve(TARGET, started_ms=100)
+        change = TargetChange(id="t", target=entry, revision=Revision(number=2))
+        vm.beliefs.targets.change(change, now=0.0, store_back_at=None)
+        told = WordTold(target="t", per_s=PER_S, age_s=0.0, started_ms=told_ms)
+        assert limits._permits.learn(told) == counts
+
+    run_fleet(story)
+
+
 def meet(vms: list[FleetVm]) -> None:
     """Have all VMs know each other for good, without a word between them."""
     states = [vm.state for vm in vms]
--- a/lagoonlever/tests/restored_fleet_tests.py
+++ b/lagoonlever/tests/restored_fleet_tests.py
@@ -220,7 +220,7 @@
             known = vm.beliefs.targets.find(name)
             takes = vm.beliefs.targets.takes_work(name)
             is_same = known is not None and known.started_ms == start
-            if takes and is_same:
+            if takes:
                 assert start not in left, f"{life} gives work to {name}, which it knew to leave"
             elif process.state != "ready" and is_same:
                 left.add(start)
@@ -352,6 +352,22 @@
     kept()
 
 
+RETURNED = [
+    ("copy", 0, 0.3),
+    ("end", 0, 0.3),
+    ("target", 0, 0.3),
+    ("drain", 0, 1.0),
+    ("restore", 7, 1.0),
+]
+
+
+def test_a_copy_that_lists_a_former_process_gives_no_work_to_the_one_that_leaves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an entry of the past that is taken for a new start under the same id."""
+    run_world(lambda world: play(world, RETURNED), monkeypatch)
+
+
 LEAVING = [("copy", 0, 0.3), ("drain", 0, 0.3), ("end", 1, 1.0), ("restore", 7, 1.0)]
 
 
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -88,6 +88,14 @@
     assert result.violations == ()
 
 
+def test_a_runner_that_leaves_is_not_taken_for_a_new_one(tmp_path: Path) -> None:
+    """Seed 880101: the store came back from before a restart of a runner that had since said so."""
+    seed = 880101
+    size = SoakSize(callers=16, length_s=15.0, deadly=1)
+    result = play(seed, tmp_path, length_s=15.0, size=size, deployment=draw_deployment(seed))
+    assert result.violations == ()
+
+
 def test_a_call_held_by_a_runner_that_drains_later_is_no_fault_of_the_vms(tmp_path: Path) -> None:
     """Seed 3417611824: a silent runner's call was held against the VMs as the runner went."""
     seed = 3417611824
--- a/lagoonlever/tests/target_registry_tests.py
+++ b/lagoonlever/tests/target_registry_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
 from lagoonlever.decisions.targets.registry import (
     LAPSED_BACK_S,
@@ -188,6 +189,94 @@
     assert listed.start_of("e1") == 150
 
 
+def of_era(era: int, number: int) -> Revision:
+    return Revision(era=era, number=number)
+
+
+def restarted_before_a_return() -> TargetRegistry:
+    """Give a list with a target that started again, at 200, just before the store went back."""
+    listed = TargetRegistry()
+    listed.read([started("e1", 100)], revision=of_era(1, 10), now=0.0, store_back_at=None)
+    change(listed, "e1", started("e1", 200), revision=of_era(1, 30), now=1.0, store_back_at=None)
+    return listed
+
+
+def come_back(listed: TargetRegistry, started_ms: int, *, number: int = 10) -> None:
+    """Have the store come back, with an entry of a revision."""
+    entry = attrs.evolve(started("e1", started_ms), revision=of_era(2, number))
+    listed.read([entry], revision=of_era(2, 40), now=5.0, store_back_at=5.0)
+
+
+@pytest.mark.parametrize("leaves_by", ["its own word", "its entry"])
+def test_an_entry_of_an_older_copy_is_no_new_process_of_a_target_that_leaves(
+    leaves_by: str,
+) -> None:
+    """Guards against work for a target that leaves, as the store tells of its former process."""
+    listed = restarted_before_a_return()
+    if leaves_by == "its own word":
+        assert listed.says_leaving("e1", started_ms=200, now=2.0)
+    else:
+        leaving = started("e1", 200, draining=True)
+        change(listed, "e1", leaving, revision=of_era(1, 31), now=2.0, store_back_at=None)
+    come_back(listed, 100)
+    assert listed.start_of("e1") == 200
+    assert not listed.takes_work("e1")
+    back = started("e1", 200, draining=True)
+    change(listed, "e1", back, revision=of_era(2, 41), now=6.0, store_back_at=None)
+    assert not listed.takes_work("e1")
+
+
+def test_an_entry_of_an_older_copy_does_not_bring_a_removed_target_back() -> None:
+    """Guards against work for a target that is gone, as a copy lists its former process."""
+    listed = restarted_before_a_return()
+    change(listed, "e1", None, revision=of_era(1, 32), now=2.0, store_back_at=None)
+    come_back(listed, 100)
+    assert listed.start_of("e1") == 200
+    assert not listed.takes_work("e1")
+
+
+@pytest.mark.parametrize(
+    ("revision", "is_new"),
+    [
+        (of_era(1, 31), True),
+        (of_era(2, 31), True),
+        (of_era(2, 30), False),
+    ],
+    ids=["in its era", "written since the return", "maybe of the copy"],
+)
+def test_a_start_that_goes_backwards_is_a_new_process_unless_it_may_be_of_a_copy(
+    revision: Revision, is_new: bool
+) -> None:
+    """Guards against a target whose clock was set back, and is taken for its former process."""
+    listed = restarted_before_a_return()
+    listed.says_leaving("e1", started_ms=200, now=2.0)
+    change(listed, "e1", started("e1", 150), revision=revision, now=5.0, store_back_at=None)
+    assert listed.start_of("e1") == (150 if is_new else 200)
+    assert listed.takes_work("e1") == is_new
+    assert listed.started_again("e1", 150) != is_new
+    assert listed.takes_work("e1")
+
+
+def test_word_of_a_later_process_counts_before_its_entry() -> None:
+    """Guards against a VM that starts beside a return, and lists only the former process."""
+    listed = TargetRegistry()
+    come_back(listed, 100)
+    assert listed.says_leaving("e1", started_ms=200, now=6.0)
+    assert not listed.takes_work("e1")
+    change(listed, "e1", started("e1", 200), revision=of_era(2, 41), now=6.5, store_back_at=None)
+    assert not listed.takes_work("e1")
+    change(listed, "e1", started("e1", 300), revision=of_era(2, 42), now=7.0, store_back_at=None)
+    assert listed.takes_work("e1")
+
+
+def test_word_of_a_later_process_stays_where_the_former_one_is_listed_after_it() -> None:
+    """Guards against a first list of an older copy that undoes what another VM has told."""
+    listed = TargetRegistry()
+    assert listed.says_leaving("e1", started_ms=200, now=4.0)
+    come_back(listed, 100)
+    assert not listed.takes_work("e1")
+
+
 def test_a_target_that_tells_no_start_is_never_another_process() -> None:
     listed = registry("e1")
     change(listed, "e1", started("e1", 100), revision=at(11), now=1.0, store_back_at=None)
