--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -8,7 +8,9 @@
 
 Other requests are at a target when it ends, too, and follow the cause from target to target. One
 that had begun to tell its answer is no cause of it, and is not counted; one that may only have
-waited there counts half. The cause is at all ends, so it reaches the bound first: what it
+waited there counts half. Two that were at two ends or more together explain these of each other, so
+they count half for both: which of them is told first says nothing. One more target tells them
+apart, or an answer. The cause is at all ends, so it reaches the bound first: what it
 explains then counts less against the others. And one that gets a whole answer anywhere ends no
 target: what was counted against it is forgotten. News of an end may arrive just after the answer
 that clears it, so answers are remembered for a moment and ends from before them are not counted.
@@ -16,7 +18,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Mapping
+import itertools
+from collections.abc import Container, Iterable, Mapping
 
 import attrs
 
@@ -29,6 +32,10 @@
 EXPLAINED = 0.5
 """What an end weighs less where a barred request was at the target, too. Two causes may have met
 there: the second one is still found, by an end or two more."""
+EXPLAINED_BY_RIVAL = 0.5
+"""Part of its weight that an end keeps where another suspect may be the cause as well."""
+RIVAL_FROM = 2
+"""Ends at which two suspects were together, from where on either may be the cause of them."""
 KEPT_FROM = 2
 """Ends under a request that are worth a call to the store. A target that crashes takes all
 requests that it has with it, and nearly all of them are served elsewhere."""
@@ -56,6 +63,14 @@
         """Give an end that came from outside, its weight one of those that there are."""
         return cls(at=at, weight=BEGAN if weight >= BEGAN else WAITED)
 
+    def joined(self, other: End) -> End:
+        """Give what two words of the same end tell together."""
+        return End(at=min(self.at, other.at), weight=max(self.weight, other.weight))
+
+    def may_explain(self, other: End) -> bool:
+        """Tell whether the request at this end is as likely its cause as that of ``other``."""
+        return self.weight >= other.weight and self.at <= other.at + LATE_NEWS_S
+
 
 Ends = Mapping[str, Mapping[str, End]]
 """By a request's fingerprint: the ends of processes under it, by the process."""
@@ -179,15 +194,15 @@
             del self._answers[fingerprint]
 
     def _add(self, ends: Ends) -> bool:
-        is_news = False
+        is_news = is_changed = False
         for fingerprint, processes in ends.items():
             known = self._ends.setdefault(fingerprint, {})
             for process, end in processes.items():
                 former = known.get(process)
-                if former is None or former.weight < end.weight:
-                    known[process] = end
-                    is_news = True
-        if is_news:
+                known[process] = end if former is None else former.joined(end)
+                is_news |= former is None or former.weight < end.weight
+                is_changed |= former != known[process]
+        if is_changed:
             self._forget_beyond(MOST_KNOWN)
             self._barred = _causes(self._ends)
         return is_news
@@ -220,24 +235,63 @@
     taken for one that followed another.
     """
     enough = [fingerprint for fingerprint in ends if _weight(ends[fingerprint]) >= MOST_ENDED]
+    shared = _shared(enough, ends)
     seen: dict[str, dict[str, End]] = {fingerprint: {} for fingerprint in enough}
     causes: set[str] = set()
     explained: set[str] = set()
     in_order = sorted((end.at, f, process) for f in enough for process, end in ends[f].items())
     for _, fingerprint, process in in_order:
         seen[fingerprint][process] = ends[fingerprint][process]
-        if fingerprint not in causes and _weight(seen[fingerprint], explained) >= MOST_ENDED:
+        weight = _weight(seen[fingerprint], explained, shared[fingerprint])
+        if fingerprint not in causes and weight >= MOST_ENDED:
             causes.add(fingerprint)
             explained.update(ends[fingerprint])
     return frozenset(causes)
 
 
-def _weight(processes: Mapping[str, End], explained: Container[str] = ()) -> float:
+def _shared(enough: Iterable[str], ends: Ends) -> dict[str, set[str]]:
+    """Give for each of some requests the ends that another suspect may explain as well."""
+    together: dict[str, list[str]] = {}
+    for fingerprint, processes in ends.items():
+        for process in processes:
+            together.setdefault(process, []).append(fingerprint)
+    return {fingerprint: _shared_of(fingerprint, ends, together) for fingerprint in enough}
+
+
+def _shared_of(fingerprint: str, ends: Ends, together: Mapping[str, list[str]]) -> set[str]:
+    own = ends[fingerprint]
+    shared: set[str] = set()
+    looked_at = {fingerprint}
+    for other in itertools.chain.from_iterable(together[process] for process in own):
+        if other in looked_at:
+            continue
+        looked_at.add(other)
+        rival = ends[other]
+        met = own.keys() & rival.keys()
+        if len(met) < RIVAL_FROM:
+            continue
+        both = {process for process in met if rival[process].may_explain(own[process])}
+        if len(both) >= RIVAL_FROM:
+            shared |= both
+        if len(shared) == len(own):
+            break
+    return shared
+
+
+def _weight(
+    processes: Mapping[str, End], explained: Container[str] = (), shared: Container[str] = ()
+) -> float:
     return sum(
-        end.weight - EXPLAINED if process in explained else end.weight
+        _counted(end, is_explained=process in explained, is_shared=process in shared)
         for process, end in processes.items()
     )
 
 
+def _counted(end: End, *, is_explained: bool, is_shared: bool) -> float:
+    if is_explained:
+        return end.weight - EXPLAINED
+    return end.weight * EXPLAINED_BY_RIVAL if is_shared else end.weight
+
+
 def _last_at(processes: Mapping[str, End]) -> float:
     return max(end.at for end in processes.values())
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -156,6 +156,67 @@
     assert suspects.bar("f2", 5.0) is not None
 
 
+def ended_together(*processes: str, last_told_s: float = 0.0) -> CrashSuspects:
+    """Give what is known after ends of processes under a deadly request and a bystander, f2."""
+    suspects = CrashSuspects()
+    for at, process in enumerate(processes):
+        suspects.ended_under("f2", process, End(at=float(at)))
+        late_s = last_told_s if process == processes[-1] else 0.0
+        suspects.ended_under("f1", process, End(at=at + late_s))
+    return suspects
+
+
+def test_a_bystander_at_three_ends_is_not_barred_though_its_third_is_told_first() -> None:
+    """Guards against a stream refused for minutes, as it was beside a deadly one each time."""
+    suspects = ended_together("a", "b")
+    suspects.ended_under("f2", "c", End(at=2.0))
+    assert suspects.bar("f2", 2.0) is None
+    suspects.ended_under("f1", "c", End(at=2.025))
+    assert suspects.bar("f2", 2.1) is None
+    suspects.ended_under("f1", "d", End(at=3.0))
+    assert suspects.bar("f2", 3.0) is None
+    assert suspects.served("f2", 4.0, is_own=True)
+    assert suspects.bar("f1", 4.0) is not None
+
+
+def test_one_more_end_each_tells_the_cause_from_a_bystander_that_is_never_served() -> None:
+    suspects = ended_together("a", "b", "c", last_told_s=0.025)
+    suspects.ended_under("f1", "d", End(at=3.0))
+    assert suspects.bar("f1", 3.0) is None
+    suspects.ended_under("f1", "e", End(at=4.0))
+    assert suspects.bar("f1", 4.0) is not None
+    assert suspects.bar("f2", 4.0) is None
+
+
+def test_two_that_are_always_together_are_barred_after_twice_as_many_ends() -> None:
+    """Guards against a request that ends targets for good, in the company of another one."""
+    assert not ended_together(*"abcde").barred
+    assert ended_together(*"abcdef").barred == {"f1", "f2"}
+
+
+def test_a_bystander_at_one_end_delays_nothing() -> None:
+    suspects = suspects_of(("a", BEGAN), ("b", BEGAN), ("c", BEGAN))
+    for number in range(12):
+        suspects.ended_under(f"stream-{number}", "abc"[number % 3], End(at=float(number % 3)))
+    assert suspects.barred == {"f1"}
+
+
+def test_one_that_may_only_have_waited_explains_no_end_of_one_that_had_begun() -> None:
+    suspects = suspects_of(("a", BEGAN), ("b", BEGAN), ("c", BEGAN))
+    for at, process in enumerate("abc"):
+        suspects.ended_under("f2", process, End(at=float(at), weight=WAITED))
+    assert suspects.barred == {"f1"}
+
+
+def test_what_is_told_long_after_a_bar_does_not_lift_it() -> None:
+    suspects = ended_together("a", "b", "c", last_told_s=0.0)
+    late = ended_together("a", "b", "c", last_told_s=0.0)
+    assert not suspects.barred and not late.barred
+    alone = suspects_of(("a", BEGAN), ("b", BEGAN), ("c", BEGAN))
+    alone.learn({"f2": {p: End(at=at + 2 * LATE_NEWS_S) for at, p in enumerate("abc")}})
+    assert alone.barred == {"f1"}
+
+
 def test_a_process_that_had_ended_before_is_known() -> None:
     suspects = suspects_of(("a", BEGAN), ("b", BEGAN))
     assert suspects.has_ended("b", 1.5)
