--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -14,15 +14,20 @@
 explains then counts less against the others. And one that gets a whole answer anywhere ends no
 target: what was counted against it is forgotten. News of an end may arrive just after the answer
 that clears it, so answers are remembered for a moment and ends from before them are not counted.
+A store that comes back from an older copy tells ends again that an answer has cleared, so these
+answers are remembered for as long as a copy may be old.
 """
 
 from __future__ import annotations
 
 import itertools
 from collections.abc import Container, Iterable, Mapping
+from typing import TypeVar
 
 import attrs
 
+T = TypeVar("T")
+
 MOST_ENDED = 3.0
 """Targets that may end under a request: one is an accident, two may be one."""
 BEGAN = 1.0
@@ -45,6 +50,8 @@
 """From the last end under a request until it is forgotten: it is barred again by one more."""
 LATE_NEWS_S = 0.5
 """News of an end from before an answer arrives within this: the detection, and a message."""
+RECALLED_S = 60.0
+"""Beyond the age of any copy that the store comes back from: some seconds."""
 MOST_ANSWERED = 2048
 """Answers that are remembered; beyond it the oldest are forgotten."""
 MOST_KNOWN = 256
@@ -85,6 +92,14 @@
     """It was this VM that gave it."""
 
 
+@attrs.frozen(kw_only=True)
+class _Clearing:
+    """An answer that cleared ends, and the processes that had ended."""
+
+    answer: _Answer
+    processes: frozenset[str]
+
+
 @attrs.frozen(kw_only=True)
 class Bar:
     """Why a request is refused: so many targets ended under it, and for how long from now on."""
@@ -106,6 +121,8 @@
     _barred: frozenset[str] = frozenset()
     _answers: dict[str, _Answer] = attrs.field(factory=dict)
     """The last whole answer to each request, the oldest first."""
+    _clearings: dict[str, _Clearing] = attrs.field(factory=dict)
+    """The last whole answer to each request that had ends, the oldest first."""
 
     @property
     def ends(self) -> Ends:
@@ -131,7 +148,7 @@
             fingerprint: {
                 process: end
                 for process, end in processes.items()
-                if not self._is_cleared(fingerprint, end)
+                if self._clearing_answer(fingerprint, process, end) is None
             }
             for fingerprint, processes in ends.items()
         }
@@ -142,13 +159,22 @@
         known = (processes.get(process) for processes in self._ends.values())
         return any(end is not None and end.at < before for end in known)
 
+    def cleared(self, ends: Ends) -> frozenset[str]:
+        """Give the requests that were answered after ends, or just before these were told."""
+        return frozenset(
+            fingerprint
+            for fingerprint, processes in ends.items()
+            for process, end in processes.items()
+            if self._clearing_answer(fingerprint, process, end) is not None
+        )
+
     def cleared_here(self, ends: Ends) -> frozenset[str]:
-        """Give the requests that this VM answered after ends, or just before these were told."""
+        """Give those of them that this VM has answered."""
         return frozenset(
             fingerprint
             for fingerprint, processes in ends.items()
-            for end in processes.values()
-            if self._is_cleared(fingerprint, end) and self._answers[fingerprint].is_own
+            for process, end in processes.items()
+            if (answer := self._clearing_answer(fingerprint, process, end)) and answer.is_own
         )
 
     def served(self, fingerprint: str, now: float, *, is_own: bool) -> bool:
@@ -156,9 +182,13 @@
 
         ``is_own`` tells that this VM gave the answer.
         """
-        self._note_answer(fingerprint, _Answer(at=now, is_own=is_own))
-        if self._ends.pop(fingerprint, None) is None:
+        answer = _Answer(at=now, is_own=is_own)
+        _remember(self._answers, fingerprint, answer, most=MOST_ANSWERED)
+        processes = self._ends.pop(fingerprint, None)
+        if processes is None:
             return False
+        clearing = _Clearing(answer=answer, processes=frozenset(processes))
+        _remember(self._clearings, fingerprint, clearing, most=MOST_KNOWN)
         self._barred = _causes(self._ends)
         return True
 
@@ -192,6 +222,10 @@
             if now - answer.at <= LATE_NEWS_S:
                 break
             del self._answers[fingerprint]
+        for fingerprint, clearing in list(self._clearings.items()):
+            if now - clearing.answer.at <= RECALLED_S:
+                break
+            del self._clearings[fingerprint]
 
     def _add(self, ends: Ends) -> bool:
         is_news = is_changed = False
@@ -207,15 +241,15 @@
             self._barred = _causes(self._ends)
         return is_news
 
-    def _note_answer(self, fingerprint: str, answer: _Answer) -> None:
-        self._answers.pop(fingerprint, None)
-        self._answers[fingerprint] = answer
-        if len(self._answers) > MOST_ANSWERED:
-            del self._answers[next(iter(self._answers))]
-
-    def _is_cleared(self, fingerprint: str, end: End) -> bool:
+    def _clearing_answer(self, fingerprint: str, process: str, end: End) -> _Answer | None:
+        """Give the answer that has cleared an end, or None if it counts."""
         answer = self._answers.get(fingerprint)
-        return answer is not None and end.at <= answer.at + LATE_NEWS_S
+        if answer is not None and end.at <= answer.at + LATE_NEWS_S:
+            return answer
+        clearing = self._clearings.get(fingerprint)
+        if clearing is None or process not in clearing.processes:
+            return None
+        return clearing.answer
 
     def _forget_beyond(self, most: int) -> None:
         beyond = len(self._ends) - most
@@ -227,6 +261,14 @@
         return min(MOST_ENDED, _weight(processes)), _last_at(processes)
 
 
+def _remember(known: dict[str, T], fingerprint: str, value: T, *, most: int) -> None:
+    """Keep what is last known of a request, and of too many the newest."""
+    known.pop(fingerprint, None)
+    known[fingerprint] = value
+    if len(known) > most:
+        del known[next(iter(known))]
+
+
 def _causes(ends: Ends) -> frozenset[str]:
     """Give the requests with enough ends, found in the order of these ends.
 
--- a/lagoonlever/gateway/crash_records.py
+++ b/lagoonlever/gateway/crash_records.py
@@ -176,14 +176,14 @@
             return
         self._recorded = {f: frozenset(processes) for f, processes in stored.items()}
         now, to_monotonic = self._now(), self._now() - self._unix_now()
-        self._suspects.learn(
-            {
-                fingerprint: {
-                    process: End.told(at=min(now, end.at + to_monotonic), weight=end.weight)
-                    for process, end in processes.items()
-                }
-                for fingerprint, processes in stored.items()
-                if processes and fingerprint not in self._served
+        ends = {
+            fingerprint: {
+                process: End.told(at=min(now, end.at + to_monotonic), weight=end.weight)
+                for process, end in processes.items()
             }
-        )
+            for fingerprint, processes in stored.items()
+            if processes and fingerprint not in self._served
+        }
+        self._served |= self._suspects.cleared(ends)
+        self._suspects.learn(ends)
         self._learnt()
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -15,6 +15,7 @@
     LATE_NEWS_S,
     MOST_ANSWERED,
     MOST_KNOWN,
+    RECALLED_S,
     WAITED,
     CrashSuspects,
     End,
@@ -107,6 +108,20 @@
     assert suspects.learn(later)
 
 
+def test_ends_that_an_answer_cleared_do_not_come_back_with_an_older_record() -> None:
+    """Guards against a store that comes back from before the answer, and tells its ends again."""
+    suspects = suspects_of(("a", BEGAN), ("b", BEGAN))
+    recalled = {"f1": dict(suspects.ends["f1"])}
+    assert suspects.served("f1", 5.0, is_own=False)
+    suspects.expire(5.0 + RECALLED_S)
+    assert suspects.cleared(recalled) == {"f1"}
+    assert not suspects.cleared_here(recalled)
+    assert not suspects.learn(recalled)
+    assert suspects.learn({"f1": {"c": End(at=1.0)}})
+    suspects.expire(5.1 + RECALLED_S)
+    assert suspects.learn(recalled)
+
+
 def test_only_the_vm_that_gave_an_answer_tells_again_of_it() -> None:
     """Guards against every VM of a fleet answering one late message."""
     suspects = CrashSuspects()
--- a/lagoonlever/tests/crash_watch_tests.py
+++ b/lagoonlever/tests/crash_watch_tests.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from lagoonlever.decisions.engines.crash_suspects import LATE_NEWS_S
 from lagoonlever.fakes.metadata_store import StoreFault
 from lagoonlever.gateway import prober
 from lagoonlever.gateway.crash_records import RECORD_KEY
@@ -23,6 +24,8 @@
 MOST_ENDED = 3
 TOLD_S = 3.0
 """Within this every VM refuses what has ended three targets."""
+WATCH_S = 8.0
+"""Within this a VM meets a store that has come back, also where nothing changes there."""
 ALLOWED_AFTER = 3
 """Retries that may still reach a target once three have ended."""
 
@@ -336,6 +339,31 @@
     run_site(story, engines=0, runners=8)
 
 
+def test_a_record_of_an_older_copy_does_not_bring_back_what_an_answer_cleared() -> None:
+    """Guards against a lookup barred by a third crash, as two are told again that it survived."""
+
+    async def story(site: GatewaySite) -> None:
+        await deadly(site)
+        for _ in range(2):
+            await call(site, "bid")
+            await told(site)
+        await until(lambda: site.store.keys(RECORD_KEY))
+        before = site.store.copy()
+        site.deadly.clear()
+        assert (await call(site, "bid", vm="vm-1")).status == 200
+        await until_within(TOLD_S, lambda: site.store.value(RECORD_KEY) == b"{}")
+        await trio.sleep(2 * LATE_NEWS_S)
+        site.store.restore(before)
+        await until_within(WATCH_S, lambda: site.store.value(RECORD_KEY) == b"{}")
+        assert not any(vm.daemon.parts.crashes._suspects.ends for vm in site.vms.values())
+        site.deadly.add(DEADLY)
+        await call(site, "bid")
+        site.deadly.clear()
+        assert (await call(site, "bid", vm="vm-1")).status == 200
+
+    run_site(story, engines=0, runners=8)
+
+
 def test_a_vm_that_hears_no_other_one_learns_from_the_record(lost: set[Address]) -> None:
     """A VM is cut off from the others, and both reach the store.
 
