--- a/lagoonlever/bench/placing_fleet.py
+++ b/lagoonlever/bench/placing_fleet.py
@@ -10,7 +10,7 @@
 from lagoonlever.decisions.settings.configuration import Configuration, EngineLimits, TargetService
 from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
 from lagoonlever.decisions.streams.run_placement import Placed, RunAsk
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway.cache_locator import CacheLocator
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.placement_desk import PlacementDesk
--- a/lagoonlever/bench/stream_day_model.py
+++ b/lagoonlever/bench/stream_day_model.py
@@ -29,7 +29,7 @@
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
 from lagoonlever.decisions.streams.life import GiveUp, Place, ResumeFrom, StreamLife, WaitForEngine
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.http.messages import Address
 
 DATA_CENTERS = ("dc-a", "dc-b", "dc-c")
--- a/lagoonlever/commands/rollouts.py
+++ b/lagoonlever/commands/rollouts.py
@@ -10,7 +10,7 @@
 
 from lagoonlever.commands.store_reads import read_store
 from lagoonlever.decisions.rollouts.versions import RolloutOrder, RolloutState
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.platform.rollouts import (
     ORDERS_PREFIX,
     STATUS_PREFIX,
--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -20,27 +20,16 @@
 
 from __future__ import annotations
 
-import itertools
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Mapping
 from typing import TypeVar
 
 import attrs
 
+from lagoonlever.decisions.engines.crash_causes import MOST_ENDED, causes_of, weight_of
+from lagoonlever.decisions.engines.crash_ends import LATE_NEWS_S, End, Ends
+
 T = TypeVar("T")
 
-MOST_ENDED = 3.0
-"""Targets that may end under a request: one is an accident, two may be one."""
-BEGAN = 1.0
-"""The weight of an end where the target had begun to run the request, or may be assumed to."""
-WAITED = 0.5
-"""The same where the request may only have waited at the target."""
-EXPLAINED = 0.5
-"""What an end weighs less where a barred request was at the target, too. Two causes may have met
-there: the second one is still found, by an end or two more."""
-EXPLAINED_BY_RIVAL = 0.5
-"""Part of its weight that an end keeps where another suspect may be the cause as well."""
-RIVAL_FROM = 2
-"""Ends at which two suspects were together, from where on either may be the cause of them."""
 KEPT_FROM = 2
 """Ends under a request that are worth a call to the store. A target that crashes takes all
 requests that it has with it, and nearly all of them are served elsewhere."""
@@ -48,8 +37,6 @@
 """From the last end under it until a request may be tried again, as a repair may be out."""
 KEPT_S = 3600.0
 """From the last end under a request until it is forgotten: it is barred again by one more."""
-LATE_NEWS_S = 0.5
-"""News of an end from before an answer arrives within this: the detection, and a message."""
 RECALLED_S = 60.0
 """Beyond the age of any copy that the store comes back from: some seconds."""
 MOST_ANSWERED = 2048
@@ -58,31 +45,6 @@
 """Requests that are remembered, those with the most ends; 55 KB with three ends each."""
 
 
-@attrs.frozen(kw_only=True)
-class End:
-    """A target's process ended under a request; ``at`` in seconds."""
-
-    at: float
-    weight: float = BEGAN
-
-    @classmethod
-    def told(cls, *, at: float, weight: float) -> End:
-        """Give an end that came from outside, its weight one of those that there are."""
-        return cls(at=at, weight=BEGAN if weight >= BEGAN else WAITED)
-
-    def joined(self, other: End) -> End:
-        """Give what two words of the same end tell together."""
-        return End(at=min(self.at, other.at), weight=max(self.weight, other.weight))
-
-    def may_explain(self, other: End) -> bool:
-        """Tell whether the request at this end is as likely its cause as that of ``other``."""
-        return self.weight >= other.weight and self.at <= other.at + LATE_NEWS_S
-
-
-Ends = Mapping[str, Mapping[str, End]]
-"""By a request's fingerprint: the ends of processes under it, by the process."""
-
-
 @attrs.frozen(kw_only=True)
 class _Answer:
     """A request got a whole answer at some VM; ``at`` in seconds."""
@@ -108,11 +70,6 @@
     for_s: float
 
 
-def process_name(target: str, started_ms: int | None) -> str:
-    """Give the name of a target's process; one that starts again under its id has another."""
-    return target if started_ms is None else f"{target}@{started_ms}"
-
-
 @attrs.define(kw_only=True)
 class CrashSuspects:
     """What is known of all VMs' requests; times are seconds of the monotonic clock."""
@@ -189,7 +146,7 @@
             return False
         clearing = _Clearing(answer=answer, processes=frozenset(processes))
         _remember(self._clearings, fingerprint, clearing, most=MOST_KNOWN)
-        self._barred = _causes(self._ends)
+        self._barred = causes_of(self._ends)
         return True
 
     def count(self, fingerprint: str) -> int:
@@ -238,7 +195,7 @@
                 is_changed |= former != known[process]
         if is_changed:
             self._forget_beyond(MOST_KNOWN)
-            self._barred = _causes(self._ends)
+            self._barred = causes_of(self._ends)
         return is_news
 
     def _clearing_answer(self, fingerprint: str, process: str, end: End) -> _Answer | None:
@@ -258,7 +215,7 @@
 
     def _importance(self, fingerprint: str) -> tuple[float, float]:
         processes = self._ends[fingerprint]
-        return min(MOST_ENDED, _weight(processes)), _last_at(processes)
+        return min(MOST_ENDED, weight_of(processes)), _last_at(processes)
 
 
 def _remember(known: dict[str, T], fingerprint: str, value: T, *, most: int) -> None:
@@ -269,71 +226,5 @@
         del known[next(iter(known))]
 
 
-def _causes(ends: Ends) -> frozenset[str]:
-    """Give the requests with enough ends, found in the order of these ends.
-
-    One that is found explains its ends to those that come to the bound after it. By the
-    most ends instead, a request that is barred, and so ends nothing any more, would be
-    taken for one that followed another.
-    """
-    enough = [fingerprint for fingerprint in ends if _weight(ends[fingerprint]) >= MOST_ENDED]
-    shared = _shared(enough, ends)
-    seen: dict[str, dict[str, End]] = {fingerprint: {} for fingerprint in enough}
-    causes: set[str] = set()
-    explained: set[str] = set()
-    in_order = sorted((end.at, f, process) for f in enough for process, end in ends[f].items())
-    for _, fingerprint, process in in_order:
-        seen[fingerprint][process] = ends[fingerprint][process]
-        weight = _weight(seen[fingerprint], explained, shared[fingerprint])
-        if fingerprint not in causes and weight >= MOST_ENDED:
-            causes.add(fingerprint)
-            explained.update(ends[fingerprint])
-    return frozenset(causes)
-
-
-def _shared(enough: Iterable[str], ends: Ends) -> dict[str, set[str]]:
-    """Give for each of some requests the ends that another suspect may explain as well."""
-    together: dict[str, list[str]] = {}
-    for fingerprint, processes in ends.items():
-        for process in processes:
-            together.setdefault(process, []).append(fingerprint)
-    return {fingerprint: _shared_of(fingerprint, ends, together) for fingerprint in enough}
-
-
-def _shared_of(fingerprint: str, ends: Ends, together: Mapping[str, list[str]]) -> set[str]:
-    own = ends[fingerprint]
-    shared: set[str] = set()
-    looked_at = {fingerprint}
-    for other in itertools.chain.from_iterable(together[process] for process in own):
-        if other in looked_at:
-            continue
-        looked_at.add(other)
-        rival = ends[other]
-        met = own.keys() & rival.keys()
-        if len(met) < RIVAL_FROM:
-            continue
-        both = {process for process in met if rival[process].may_explain(own[process])}
-        if len(both) >= RIVAL_FROM:
-            shared |= both
-        if len(shared) == len(own):
-            break
-    return shared
-
-
-def _weight(
-    processes: Mapping[str, End], explained: Container[str] = (), shared: Container[str] = ()
-) -> float:
-    return sum(
-        _counted(end, is_explained=process in explained, is_shared=process in shared)
-        for process, end in processes.items()
-    )
-
-
-def _counted(end: End, *, is_explained: bool, is_shared: bool) -> float:
-    if is_explained:
-        return end.weight - EXPLAINED
-    return end.weight * EXPLAINED_BY_RIVAL if is_shared else end.weight
-
-
 def _last_at(processes: Mapping[str, End]) -> float:
     return max(end.at for end in processes.values())
--- a/lagoonlever/decisions/engines/engine_book.py
+++ b/lagoonlever/decisions/engines/engine_book.py
@@ -34,8 +34,8 @@
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
 from lagoonlever.decisions.streams.run_records import RunRecord, RunRecords
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.decisions.targets.load_view import TargetLoads
-from lagoonlever.decisions.targets.registry import ListedTarget
 
 CROWD = 0.3
 """How far choices are spread by chance after a loss, in usual readings.
--- a/lagoonlever/decisions/streams/run_placement.py
+++ b/lagoonlever/decisions/streams/run_placement.py
@@ -24,7 +24,8 @@
 from lagoonlever.decisions.engines.uneven_engines import UnevenChoice
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.streams.booked_runs import BookedRun
-from lagoonlever.decisions.targets.registry import ListedTarget, TargetRegistry
+from lagoonlever.decisions.targets.listed_target import ListedTarget
+from lagoonlever.decisions.targets.registry import TargetRegistry
 
 BEGINS_WITHIN_S = 0.3
 """An engine that reads on for so long is ready: the next prompt is there when it ends."""
--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -39,58 +39,20 @@
 import attrs
 
 from lagoonlever.decisions.rollouts.versions import RolloutOrder, ServiceVersions
+from lagoonlever.decisions.targets.leave_words import FORGET_S, LeaveWords
+from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.decisions.targets.replacements import UNLISTED_S
 from lagoonlever.decisions.targets.restored_entries import may_be_restored
-from lagoonlever.http.messages import Address
 from lagoonlever.revisions import NOWHERE, Revision
 
 LAPSED_BACK_S = 2.2
 """Entries that lapsed in an outage are back within about 2 s of the store's return."""
-FORGET_S = 60.0
-"""No word of a target is still on its way after so long."""
 LAPSE_S = 4.0
 """In which the entry of a target that is gone lapses, where the settings don't tell."""
 NEVER_TOLD = Revision(number=-1)
 """Of a target that was never heard of."""
 
 
-@attrs.frozen(kw_only=True)
-class ListedTarget:
-    """One process of a service, by the id that it drew at its start."""
-
-    id: str
-    service: str
-    address: Address
-    data_center: str
-    slots: int = 1
-    version: str = ""
-    """Of its software."""
-    draining: bool = False
-    revision: Revision = NOWHERE
-    """The store's revision of this entry."""
-    started_ms: int | None = None
-    """When its process started, by its own clock in Unix milliseconds; None if it doesn't say."""
-
-    def has_started_again(self, since: int | None) -> bool:
-        """Tell whether it is known to be another process than one that started then."""
-        return None not in (since, self.started_ms) and since != self.started_ms
-
-    def is_later_than(self, started_ms: int | None) -> bool:
-        """Tell whether it is known to be a later process than one that started then."""
-        if self.started_ms is None or started_ms is None:
-            return False
-        return self.started_ms > started_ms
-
-
-@attrs.frozen(kw_only=True)
-class TargetChange:
-    """A target as it is now, or None where it was removed, by a revision of the store."""
-
-    id: str
-    target: ListedTarget | None
-    revision: Revision
-
-
 @attrs.define(kw_only=True)
 class _Gone:
     revision: Revision
@@ -98,18 +60,6 @@
     started_ms: int | None = None
 
 
-@attrs.define(kw_only=True)
-class _SaidLeaving:
-    started_ms: int | None
-    at: float
-
-    def is_before(self, started_ms: int | None) -> bool:
-        """Tell whether it is the word of an earlier process than one that started then."""
-        if self.started_ms is None or started_ms is None:
-            return False
-        return self.started_ms < started_ms
-
-
 @attrs.define(kw_only=True)
 class TargetRegistry:
     """Holds the list; times are seconds of the monotonic clock."""
@@ -123,8 +73,8 @@
     """Targets that were found without an entry, and how long they are used so."""
     _former_starts: dict[str, int] = attrs.field(factory=dict)
     """The starts before the last one, of targets that told of it themselves."""
-    _said_leaving: dict[str, _SaidLeaving] = attrs.field(factory=dict)
-    """Targets that have said in an answer that they leave."""
+    _leaves: LeaveWords = attrs.field(factory=LeaveWords)
+    """What targets have said in answers."""
     _doubted_until: dict[str, float] = attrs.field(factory=dict)
     """Targets that were gone, and are listed by an older entry that may lapse yet."""
     _as_of: Revision = NOWHERE
@@ -237,7 +187,7 @@
         """Tell whether a target is known to leave, or to be gone."""
         if target.draining or target.id in self._replaced:
             return True
-        return target.id in self._said_leaving
+        return self._leaves.holds(target.id)
 
     def read(
         self,
@@ -315,24 +265,20 @@
             return False
         self._former_starts[target_id] = known.started_ms
         self._replaced.pop(target_id, None)
-        self._said_leaving.pop(target_id, None)
+        self._leaves.forget(target_id)
         return True
 
     @property
     def said_leaving(self) -> dict[str, int | None]:
         """The targets that have said that they leave, with the starts of their processes."""
-        return {target: said.started_ms for target, said in self._said_leaving.items()}
+        return self._leaves.starts
 
     def says_leaving(self, target_id: str, *, started_ms: int | None, now: float) -> bool:
         """Take a target's word that it leaves; gives whether it is news of its process now."""
         known = self._targets.get(target_id)
         if known is not None and known.is_later_than(started_ms):
             return False
-        said = self._said_leaving.get(target_id)
-        if said is not None and not said.is_before(started_ms):
-            return False
-        self._said_leaving[target_id] = _SaidLeaving(started_ms=started_ms, at=now)
-        return True
+        return self._leaves.say(target_id, started_ms=started_ms, now=now)
 
     def replaced(self, target_id: str, now: float) -> None:
         """Note that another process answers at a target's address: this one is gone."""
@@ -383,9 +329,7 @@
             del self._gone[target_id]
         for target_id in [t for t, at in self._replaced.items() if now - at > FORGET_S]:
             del self._replaced[target_id]
-        for target_id in [t for t, said in self._said_leaving.items() if now - said.at > FORGET_S]:
-            if target_id not in self._targets:
-                del self._said_leaving[target_id]
+        self._leaves.expire(now, kept=self._targets.keys())
         for target_id in [t for t, until in self._doubted_until.items() if now >= until]:
             del self._doubted_until[target_id]
         return tuple(TargetChange(id=t, target=None, revision=revision) for t, revision in due)
@@ -424,7 +368,7 @@
         if known is not None and self._still_drains(known, target):
             target = attrs.evolve(target, draining=True)
         self._doubt(target, now)
-        self._forget_leave_before(target, start)
+        self._leaves.listed(target, former_start=start)
         if target.has_started_again(start):
             self._replaced.pop(target.id, None)
             self._former_starts.pop(target.id, None)
@@ -439,16 +383,6 @@
             return True
         return attrs.evolve(known, revision=target.revision) != target
 
-    def _forget_leave_before(self, target: ListedTarget, former_start: int | None) -> None:
-        """Forget that a former process of a target has said that it leaves."""
-        said = self._said_leaving.get(target.id)
-        if said is None:
-            return
-        start = former_start if said.started_ms is None else said.started_ms
-        is_new = target.has_started_again(former_start) and target.has_started_again(start)
-        if is_new or target.is_later_than(start):
-            del self._said_leaving[target.id]
-
     def _is_of_former_process(self, entry: ListedTarget) -> bool:
         """Tell whether an entry may be of a copy from before a target started again."""
         start = self.start_of(entry.id)
--- a/lagoonlever/entry/engines/crashes.py
+++ b/lagoonlever/entry/engines/crashes.py
@@ -9,7 +9,8 @@
 import attrs
 import logbook
 
-from lagoonlever.decisions.engines.crash_suspects import BEGAN, CrashSuspects, End, process_name
+from lagoonlever.decisions.engines.crash_ends import BEGAN, End, process_name
+from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
 from lagoonlever.decisions.engines.fingerprints import RequestWork
 from lagoonlever.decisions.membership.membership import MemberView
 from lagoonlever.decisions.streams.generation_messages import GenerationSpec
--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -18,7 +18,7 @@
     RunOutcome,
 )
 from lagoonlever.decisions.targets.limit_permits import need_of
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.attempt_tools import AttemptPlan
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/attempt_tools.py
+++ b/lagoonlever/gateway/attempt_tools.py
@@ -8,7 +8,7 @@
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
 from lagoonlever.decisions.streams.silence import StreamSilence
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.learner import Learner
--- a/lagoonlever/gateway/cache_locator.py
+++ b/lagoonlever/gateway/cache_locator.py
@@ -13,7 +13,7 @@
 import trio
 
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import PeerError
 from lagoonlever.http.client import fetch
 from lagoonlever.platform.engine_calls import KEPT_PATH, Kept, read_kept
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -10,8 +10,8 @@
 from lagoonlever.decisions.rollouts.book import Lane
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.targets.limit_permits import Denied, need_of
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.decisions.targets.load_view import SentTicket
-from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/call_places.py
+++ b/lagoonlever/gateway/call_places.py
@@ -17,7 +17,7 @@
 from lagoonlever.decisions.admission.room import RefusedWithReturn, RoomGiven, WaitInLine
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.targets.call_desks import desks_of, groups_of
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway import events_calls as events
 from lagoonlever.gateway import metrics
 from lagoonlever.gateway.accepted import Accepted
--- a/lagoonlever/gateway/copy_keeper.py
+++ b/lagoonlever/gateway/copy_keeper.py
@@ -13,7 +13,7 @@
 from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
 from lagoonlever.decisions.streams.copy_keeping import CHECK_S, CopyKeeping
 from lagoonlever.decisions.streams.run_placement import Placed, RunAsk
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.placer import Placer
--- a/lagoonlever/gateway/crash_records.py
+++ b/lagoonlever/gateway/crash_records.py
@@ -15,7 +15,8 @@
 import msgspec
 import trio
 
-from lagoonlever.decisions.engines.crash_suspects import CrashSuspects, End, Ends
+from lagoonlever.decisions.engines.crash_ends import End, Ends
+from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
 from lagoonlever.revisions import Revision
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -15,9 +15,10 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.engines.crash_suspects import BEGAN, CrashSuspects, End, process_name
+from lagoonlever.decisions.engines.crash_ends import BEGAN, End, process_name
+from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
 from lagoonlever.decisions.fleet.roles import Roles
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/knowledge.py
+++ b/lagoonlever/gateway/knowledge.py
@@ -16,7 +16,7 @@
 from lagoonlever.decisions.fleet.fellows import FellowState
 from lagoonlever.decisions.fleet.news_paths import passed_on_to, pushed_to
 from lagoonlever.decisions.fleet.roles import Roles
-from lagoonlever.decisions.targets.registry import ListedTarget, TargetChange
+from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -8,7 +8,7 @@
 import logbook
 
 from lagoonlever.decisions.settings.configuration import newer
-from lagoonlever.decisions.targets.registry import ListedTarget, TargetChange
+from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.platform.configuration import UnreadableConfiguration, read_configuration
--- a/lagoonlever/gateway/once_calls.py
+++ b/lagoonlever/gateway/once_calls.py
@@ -7,7 +7,7 @@
 
 from lagoonlever.decisions.admission.hedging import Runners
 from lagoonlever.decisions.admission.room import RefusedWithReturn
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.call_exchange import SERVER_ERROR, CallExchange, CallRecord, describe
 from lagoonlever.gateway.call_places import CallPlace
--- a/lagoonlever/gateway/prober.py
+++ b/lagoonlever/gateway/prober.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import PeerError
 from lagoonlever.gateway.messages import EngineReport
 from lagoonlever.http.client import Pool, fetch
--- a/lagoonlever/gateway/replacement_finder.py
+++ b/lagoonlever/gateway/replacement_finder.py
@@ -9,7 +9,7 @@
 import trio
 
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.decisions.targets.replacements import ASK_AFTER_S, same_service
 from lagoonlever.exceptions import PeerError
 from lagoonlever.gateway import events
--- a/lagoonlever/gateway/rollouts.py
+++ b/lagoonlever/gateway/rollouts.py
@@ -14,7 +14,7 @@
 
 from lagoonlever.decisions.rollouts.book import Lane
 from lagoonlever.decisions.rollouts.versions import RolloutOrder, RolloutPhase, RolloutState
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.knowledge import KnowledgeExchange
--- a/lagoonlever/gateway/run_copier.py
+++ b/lagoonlever/gateway/run_copier.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from lagoonlever.decisions.streams.booked_runs import RunCopy
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import PeerError
 from lagoonlever.http.client import Pool, fetch
 from lagoonlever.http.messages import Headers
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -14,7 +14,7 @@
 import trio
 
 from lagoonlever.decisions.fleet.roles import Roles
-from lagoonlever.decisions.targets.registry import ListedTarget, TargetChange
+from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -6,7 +6,7 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.engines.crash_suspects import BEGAN, WAITED
+from lagoonlever.decisions.engines.crash_ends import BEGAN, WAITED
 from lagoonlever.decisions.engines.engine_rank import rank_at_engine
 from lagoonlever.decisions.engines.engine_reports import is_preempted
 from lagoonlever.decisions.streams.booked_runs import RunCopy
--- a/lagoonlever/gateway/stream_counts.py
+++ b/lagoonlever/gateway/stream_counts.py
@@ -5,7 +5,7 @@
 import attrs
 
 from lagoonlever.decisions.rollouts.book import Lane
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway.rollouts import Rollouts
 
 
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -11,7 +11,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import BadResponse, ConnectFailed, ConnectionBroken
 from lagoonlever.gateway.messages import AnswerHead, Hop
 from lagoonlever.gateway.target_words import TargetWords
--- a/lagoonlever/gateway/target_limits.py
+++ b/lagoonlever/gateway/target_limits.py
@@ -21,8 +21,8 @@
     HeldTargets,
     PermitOutcome,
 )
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.decisions.targets.named_limits import LimitWord, NamedLimits
-from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.hub_spread import HubSpread
--- a/lagoonlever/gateway/target_words.py
+++ b/lagoonlever/gateway/target_words.py
@@ -10,8 +10,8 @@
 
 from lagoonlever.decisions.admission.limits import after_rest_s
 from lagoonlever.decisions.targets.limit_permits import Denied, Granted, PermitOutcome
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.decisions.targets.load_view import SentTicket
-from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.decisions.targets.rests import RestingTargets
 from lagoonlever.decisions.targets.told_load import LoadWord
 from lagoonlever.gateway import events
--- a/lagoonlever/peers/messages_crashes.py
+++ b/lagoonlever/peers/messages_crashes.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.engines.crash_suspects import End, Ends
+from lagoonlever.decisions.engines.crash_ends import End, Ends
 from lagoonlever.peers.messages import PEER
 
 
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -12,8 +12,8 @@
 
 from lagoonlever.decisions.fleet.fellows import FellowState
 from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
+from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.decisions.targets.load_view import MOMENT_S
-from lagoonlever.decisions.targets.registry import ListedTarget, TargetChange
 from lagoonlever.decisions.targets.told_load import LoadWord, ToldLoad
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.messages import PEER
--- a/lagoonlever/platform/documents.py
+++ b/lagoonlever/platform/documents.py
@@ -14,7 +14,7 @@
     ServiceRoute,
     TargetService,
 )
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.platform import headers as fields
--- a/lagoonlever/platform/targets.py
+++ b/lagoonlever/platform/targets.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import LagoonleverException
 from lagoonlever.http.messages import Address
 
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -13,7 +13,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
 from lagoonlever.fakes.platform_engine import EngineRun, FakeEngine
 from lagoonlever.fakes.platform_runner import FakeRunner
--- a/lagoonlever/tests/call_places_tests.py
+++ b/lagoonlever/tests/call_places_tests.py
@@ -15,7 +15,7 @@
 from lagoonlever.decisions.settings.configuration import RouteKind, ServiceRoute
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS
 from lagoonlever.decisions.targets.call_desks import RUNNERS_A_DESK, desks_of, groups_of
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.decisions.targets.told_load import LoadWord, ToldLoad
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.call_desk import CallDesk, Reply
--- a/lagoonlever/tests/commands_rollouts_tests.py
+++ b/lagoonlever/tests/commands_rollouts_tests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.http.messages import Address
 from lagoonlever.platform.documents import target_entry
 from lagoonlever.tests.beside_store import run_alone, run_beside_store
--- a/lagoonlever/tests/copy_room_tests.py
+++ b/lagoonlever/tests/copy_room_tests.py
@@ -13,7 +13,7 @@
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS
 from lagoonlever.decisions.streams.booked_runs import BookedRun
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.http.messages import Address
 
 LIMITS = EngineLimits(slots=16, memory_tokens=55_000)
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -8,18 +8,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lagoonlever.decisions.engines.crash_ends import BEGAN, LATE_NEWS_S, WAITED, End, process_name
 from lagoonlever.decisions.engines.crash_suspects import (
     BARRED_S,
-    BEGAN,
     KEPT_S,
-    LATE_NEWS_S,
     MOST_ANSWERED,
     MOST_KNOWN,
     RECALLED_S,
-    WAITED,
     CrashSuspects,
-    End,
-    process_name,
 )
 
 ENDS = st.lists(
--- a/lagoonlever/tests/engine_book_tests.py
+++ b/lagoonlever/tests/engine_book_tests.py
@@ -14,7 +14,7 @@
 )
 from lagoonlever.decisions.engines.engine_paces import PRIOR_PROMPT_TOKEN_S
 from lagoonlever.decisions.settings.configuration import EngineLimits
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.http.messages import Address
 
 LIMITS = EngineLimits(slots=12, memory_tokens=55_000)
--- a/lagoonlever/tests/gateway_knowledge_tests.py
+++ b/lagoonlever/tests/gateway_knowledge_tests.py
@@ -9,7 +9,7 @@
 
 from lagoonlever.bench.local_fleet import Fleet, run_fleet, start_many
 from lagoonlever.decisions.fleet.news_paths import DIRECT_MOST
-from lagoonlever.decisions.targets.registry import ListedTarget, TargetChange
+from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.messages import PEER
 from lagoonlever.peers.messages_gateway import ConfigurationNews, TargetNews
--- a/lagoonlever/tests/gateway_presence_tests.py
+++ b/lagoonlever/tests/gateway_presence_tests.py
@@ -18,7 +18,7 @@
 )
 from lagoonlever.decisions.fleet.news_paths import DIRECT_MOST
 from lagoonlever.decisions.streams.booked_runs import BookedRun, RunCopy
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway.run_relay import RunRelay
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.local_bus import LocalBus
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -14,7 +14,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
 from lagoonlever.fakes.platform_engine import FakeEngine, event_bytes
 from lagoonlever.fakes.platform_runner import FakeRunner
--- a/lagoonlever/tests/limits_fleet_tests.py
+++ b/lagoonlever/tests/limits_fleet_tests.py
@@ -11,8 +11,8 @@
 from lagoonlever.bench.local_fleet import Fleet, FleetVm, run_fleet, start_many
 from lagoonlever.decisions.fleet.roles import roles_of
 from lagoonlever.decisions.targets.limit_permits import FIRST_NEED, Granted
+from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.decisions.targets.named_limits import NamedLimits
-from lagoonlever.decisions.targets.registry import ListedTarget, TargetChange
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.gateway.messages import AnswerHead
 from lagoonlever.gateway.permit_exchange import PermitExchange
--- a/lagoonlever/tests/replacements_tests.py
+++ b/lagoonlever/tests/replacements_tests.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from lagoonlever.decisions.targets.registry import ListedTarget, TargetChange, TargetRegistry
+from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
+from lagoonlever.decisions.targets.registry import TargetRegistry
 from lagoonlever.decisions.targets.replacements import (
     DELAY_MARGIN_S,
     UNLISTED_S,
--- a/lagoonlever/tests/restored_fleet_tests.py
+++ b/lagoonlever/tests/restored_fleet_tests.py
@@ -20,7 +20,7 @@
 
 from lagoonlever.bench.local_fleet import Fleet, FleetVm
 from lagoonlever.decisions.targets import registry as target_registry
-from lagoonlever.decisions.targets.registry import ListedTarget
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import ConnectionBroken, PeerTimeout
 from lagoonlever.fakes.metadata_store import FakeMetadataStore, OutsideChange, StoreCopy, StoreFault
 from lagoonlever.gateway.store_follower import StoreFollower
--- a/lagoonlever/tests/run_placement_tests.py
+++ b/lagoonlever/tests/run_placement_tests.py
@@ -22,7 +22,8 @@
     reserved_run,
 )
 from lagoonlever.decisions.streams.run_records import RESERVED_S
-from lagoonlever.decisions.targets.registry import ListedTarget, TargetRegistry
+from lagoonlever.decisions.targets.listed_target import ListedTarget
+from lagoonlever.decisions.targets.registry import TargetRegistry
 from lagoonlever.http.messages import Address
 from lagoonlever.tests.base import at
 
--- a/lagoonlever/tests/said_leaving_tests.py
+++ b/lagoonlever/tests/said_leaving_tests.py
@@ -6,12 +6,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lagoonlever.decisions.targets.registry import (
-    FORGET_S,
-    ListedTarget,
-    TargetChange,
-    TargetRegistry,
-)
+from lagoonlever.decisions.targets.leave_words import FORGET_S
+from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
+from lagoonlever.decisions.targets.registry import TargetRegistry
 from lagoonlever.http.messages import Address
 from lagoonlever.revisions import Revision
 
--- a/lagoonlever/tests/target_registry_tests.py
+++ b/lagoonlever/tests/target_registry_tests.py
@@ -5,12 +5,8 @@
 import attrs
 import pytest
 
-from lagoonlever.decisions.targets.registry import (
-    LAPSED_BACK_S,
-    ListedTarget,
-    TargetChange,
-    TargetRegistry,
-)
+from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
+from lagoonlever.decisions.targets.registry import LAPSED_BACK_S, TargetRegistry
 from lagoonlever.http.messages import Address
 from lagoonlever.revisions import Revision
 from lagoonlever.tests.base import at
--- a/lagoonlever/tests/uneven_engines_tests.py
+++ b/lagoonlever/tests/uneven_engines_tests.py
@@ -18,9 +18,9 @@
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS
 from lagoonlever.decisions.streams.booked_runs import BookedRun
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.decisions.targets.load_estimate import LoadSource
 from lagoonlever.decisions.targets.load_view import TargetLoads
-from lagoonlever.decisions.targets.registry import ListedTarget
 from lagoonlever.decisions.targets.told_load import LoadWord, ToldLoad
 from lagoonlever.http.messages import Address
 
