--- a/lagoonlever/tests/restored_fleet_tests.py
+++ b/lagoonlever/tests/restored_fleet_tests.py
@@ -23,6 +23,7 @@
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import ConnectionBroken, PeerTimeout
 from lagoonlever.fakes.metadata_store import FakeMetadataStore, OutsideChange, StoreCopy, StoreFault
+from lagoonlever.gateway.rollouts import Rollouts
 from lagoonlever.gateway.store_follower import StoreFollower
 from lagoonlever.http.client import Response
 from lagoonlever.http.messages import Address, Headers
@@ -130,7 +131,16 @@
         self, vm: FleetVm, client: MetadataStore, rng: random.Random
     ) -> Iterable[Callable[[], Awaitable[None]]]:
         """Give what runs on a VM beside the fleet's own parts."""
-        follower = StoreFollower(
+        return (self._follower(vm, client, rng).run,)
+
+    def _follower(
+        self,
+        vm: FleetVm,
+        client: MetadataStore,
+        rng: random.Random,
+        rollouts: Rollouts | None = None,
+    ) -> StoreFollower:
+        return StoreFollower(
             store=client,
             beliefs=vm.beliefs,
             learner=vm.learner,
@@ -138,8 +148,8 @@
             roles=vm.presence.roles,
             timers=vm.timers,
             rng=rng,
+            rollouts=rollouts,
         )
-        return (follower.run,)
 
     def kill_vm(self, number: int) -> None:
         """End a VM; it starts again at once."""
--- a/lagoonlever/tests/rollout_losses_tests.py
+++ b/lagoonlever/tests/rollout_losses_tests.py
@@ -18,7 +18,6 @@
 from lagoonlever.gateway import rollout_lead
 from lagoonlever.gateway.rollout_lead import RolloutLead
 from lagoonlever.gateway.rollouts import Rollouts
-from lagoonlever.gateway.store_follower import StoreFollower
 from lagoonlever.platform.documents import order_document
 from lagoonlever.platform.rollouts import ORDERS_PREFIX, read_status, status_key
 from lagoonlever.platform.store import MetadataStore
@@ -113,16 +112,7 @@
             own=own,
             bounds=ExposureBounds(),
         )
-        follower = StoreFollower(
-            store=client,
-            beliefs=vm.beliefs,
-            learner=vm.learner,
-            knowledge=vm.knowledge,
-            roles=vm.presence.roles,
-            timers=vm.timers,
-            rng=rng,
-            rollouts=rollouts,
-        )
+        follower = self._follower(vm, client, rng, rollouts)
         return (follower.run, rollouts.run, lead.run)
 
     def status(self) -> RolloutState | None:
