--- a/lagoonlever/soak/rollouts.py
+++ b/lagoonlever/soak/rollouts.py
@@ -62,6 +62,7 @@
             if self.is_bad and isinstance(started.server, WatchedRunner):
                 conducts = itertools.cycle([Conduct.FAIL] + [Conduct.SERVE] * (FAILS_EACH - 1))
                 started.server.conducts.extend(itertools.islice(conducts, MOST_CALLS))
+                started.server.is_bad = True
             fresh.append(started)
         return fresh
 
--- a/lagoonlever/soak/run.py
+++ b/lagoonlever/soak/run.py
@@ -219,6 +219,7 @@
 
 async def _serve_again(site: SoakSite, seed: int) -> None:
     """After all faults: bids, lookups and streams are served again."""
+    site.end_bad_answers()
     caller = SoakCaller(number=999, site=site, judge=site.judge, rng=random.Random(f"{seed}-last"))
     await trio.sleep(CALM_S)
     for kind in ("bid", "look"):
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -168,6 +168,12 @@
         if vm.process is not None and vm.process.poll() is None:
             vm.process.send_signal(number)
 
+    def end_bad_answers(self) -> None:
+        """Have runners answer well that a fault made answer badly, but those of a bad version."""
+        for runner in self.runners:
+            if isinstance(runner.server, WatchedRunner) and not runner.server.is_bad:
+                runner.server.conducts.clear()
+
     async def wait_end(self, vm: SoakVm) -> None:
         """Wait until a VM's process has ended."""
         while vm.process is not None and vm.process.poll() is None:  # noqa: ASYNC110
--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -28,6 +28,8 @@
         self._site = site
         self.known_to_leave_at: float | None = None
         """When every VM had had the time to learn that it drains, and nothing was harmed."""
+        self.is_bad = False
+        """Whether it is of a bad version, whose answers never get better."""
         self._needs = NeedWatch(
             target=target_id,
             judge=judge,
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -26,6 +26,7 @@
 from lagoonlever.soak.judge import Judge
 from lagoonlever.soak.plan import Fault, FaultKind, draw_plan
 from lagoonlever.soak.run import SoakResult, SoakSize, run_soak
+from lagoonlever.soak.site import SoakSite
 from lagoonlever.soak.watched import WatchedRunner
 
 SHORT = SoakSize(vms=3, engines=4, runners=3, callers=6, length_s=8.0)
@@ -256,6 +257,18 @@
     assert len(judge.violations) == broken
 
 
+def test_spoilt_answers_end_with_the_faults_but_those_of_a_bad_version() -> None:
+    """Guards against a last bid that is held against the VMs, as its runner was to fail it."""
+    site: Any = SimpleNamespace(vms=[], vms_calm_since=lambda since: False, runners=[])
+    for is_bad in (False, True):
+        runner = WatchedRunner(target_id="r1", judge=Judge(organisation="org-1"), site=site)
+        runner.is_bad = is_bad
+        runner.conducts.append(Conduct.FAIL)
+        site.runners.append(SimpleNamespace(server=runner))
+    SoakSite.end_bad_answers(site)
+    assert [len(runner.server.conducts) for runner in site.runners] == [0, 1]
+
+
 def test_a_rank_that_is_starved_while_others_are_served_is_seen() -> None:
     judge = Judge(organisation="org-1")
     for number in range(100):
