--- a/lagoonlever/gateway/rollout_lead.py
+++ b/lagoonlever/gateway/rollout_lead.py
@@ -29,7 +29,7 @@
 from lagoonlever.gateway.rollouts import WORD_S, Rollout, Rollouts
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.interface import Bus
-from lagoonlever.peers.messages_rollouts import RolloutAsked, RolloutCounts, RolloutWord
+from lagoonlever.peers.messages_rollouts import RolloutAsked, RolloutCounts
 from lagoonlever.platform.rollouts import (
     RolloutStatus,
     UnreadableRollout,
@@ -207,13 +207,14 @@
         self._tell(lead, Plan(phase=RolloutPhase.HELD, state=state))
 
     async def _keep_final(self, lead: _Lead) -> None:
-        """Tell a final state for a while, and write it again where the store has lost it."""
+        """Tell a final state for a while, and write it where the store lacks it or has lost it."""
         now, state = self._timers.now, self._rollouts.state_of(lead.rollout)
         if lead.decided_at is None:
             lead.decided_at = now
         if now - lead.decided_at < TOLD_S:
             self._tell(lead, Plan(phase=RolloutPhase.HELD, state=state))
-        if lead.record.revision.era >= self._beliefs.targets.as_of.era:
+        is_written = lead.written is not None and lead.written.is_final
+        if is_written and lead.record.revision.era >= self._beliefs.targets.as_of.era:
             return
         try:
             await lead.record.read()
@@ -241,14 +242,8 @@
             self._knowledge.pass_on(asked, asker)
             self._rollouts.take_order(asked.order, asked.ordered_at, witnessed=False)
             known = self._rollouts.find(asked.service)
-            fellow = self._beliefs.fellows.find(asker)
-            if known is None or fellow is None or known.order != asked.order:
-                continue
-            state = self._rollouts.state_of(known)
-            if known.began_at is not None or state.is_final:
-                self._bus.send(
-                    fellow.bus, self._word(known, Plan(phase=RolloutPhase.HELD, state=state))
-                )
+            if known is not None and known.order == asked.order:
+                self._rollouts.tell_known(known, asker)
 
     def _tell_running(self, lead: _Lead, plan: Plan) -> None:
         """Tell what is done until the next word; a VM that didn't see the order allows nothing."""
@@ -256,24 +251,13 @@
             self._tell(lead, plan)
 
     def _tell(self, lead: _Lead, plan: Plan) -> None:
-        word = self._word(lead.rollout, plan)
+        word = self._rollouts.word(
+            lead.rollout, state=plan.state, phase=plan.phase, shares=plan.shares
+        )
         self._knowledge.push(word)
         if not plan.state.is_final:
             self._rollouts.take_word(word, self._own.name)
 
-    def _word(self, rollout: Rollout, plan: Plan) -> RolloutWord:
-        now = self._timers.now
-        return RolloutWord(
-            service=rollout.order.service,
-            version=rollout.order.version,
-            duration_s=rollout.order.duration_s,
-            ordered_at=rollout.tally.ordered_at,
-            elapsed_s=now - (rollout.began_at or now),
-            phase=plan.phase,
-            state=plan.state,
-            shares=plan.shares,
-        )
-
     def _log_decision(self, lead: _Lead, plan: Plan) -> None:
         progress, targets = self._progress(lead), self._beliefs.targets
         service = lead.rollout.order.service
--- a/lagoonlever/gateway/rollouts.py
+++ b/lagoonlever/gateway/rollouts.py
@@ -56,8 +56,8 @@
     def hear(self, word: RolloutWord, source: str, now: float) -> None:
         """Take the word of a VM that leads."""
         self._heard[source] = _Heard(word=word, at=now)
-        if self.began_at is None:
-            self.began_at = now - word.elapsed_s
+        began_at = now - word.elapsed_s
+        self.began_at = began_at if self.began_at is None else min(self.began_at, began_at)
 
     def leader(self, now: float) -> tuple[str, RolloutWord] | None:
         """Give whose word holds: of those that were heard of late, the first by name."""
@@ -102,8 +102,10 @@
         """Take words until cancelled."""
         with self._timers.subscribed(self._on_tick, period_s=WORD_S):
             async for received in self._bus.subscribe(RolloutWord):
-                self.take_word(received.message, received.sender.name)
-                self._knowledge.pass_on(received.message, received.sender.name)
+                word, source = received.message, received.sender.name
+                self.take_word(word, source)
+                self._correct(word, source)
+                self._knowledge.pass_on(word, source)
 
     def take_order(self, order: RolloutOrder, ordered_at: Revision, *, witnessed: bool) -> None:
         """Take an order from the store; ``witnessed`` tells that it was given just now.
@@ -138,6 +140,43 @@
         known.hear(word, source, now)
         self._apply(known, now)
 
+    def tell_known(self, rollout: Rollout, to: str) -> None:
+        """Tell a VM what this one knows of an order: when it was given, or how it has ended."""
+        fellow, state = self._beliefs.fellows.find(to), self.state_of(rollout)
+        if fellow is not None and (state.is_final or rollout.began_at is not None):
+            self._bus.send(fellow.bus, self.word(rollout, state=state))
+
+    def word(
+        self,
+        rollout: Rollout,
+        *,
+        state: RolloutState,
+        phase: RolloutPhase = RolloutPhase.HELD,
+        shares: dict[str, float] | None = None,
+    ) -> RolloutWord:
+        """Give a word on an order."""
+        now = self._timers.now
+        return RolloutWord(
+            service=rollout.order.service,
+            version=rollout.order.version,
+            duration_s=rollout.order.duration_s,
+            ordered_at=rollout.tally.ordered_at,
+            elapsed_s=now - (rollout.began_at or now),
+            phase=phase,
+            state=state,
+            shares=shares or {},
+        )
+
+    def _correct(self, word: RolloutWord, source: str) -> None:
+        """Tell a VM that leads what it lacks, as it has just started and read the order again."""
+        rollout = self._known.get(word.service)
+        if rollout is None or word.state.is_final or rollout.order.version != word.version:
+            return
+        led_from = self._timers.now - word.elapsed_s
+        knows_earlier = rollout.began_at is not None and rollout.began_at + FRESH_S < led_from
+        if knows_earlier or self.state_of(rollout).is_final:
+            self.tell_known(rollout, source)
+
     def decided(self, rollout: Rollout, state: RolloutState, *, source: str) -> None:
         """Act on a final status."""
         versions = self._beliefs.targets.versions_of(rollout.order.service)
--- a/lagoonlever/tests/rollout_losses_tests.py
+++ b/lagoonlever/tests/rollout_losses_tests.py
@@ -46,11 +46,12 @@
     """The targets of the old version: ``alive``, ``dead``, or ``listed``, dead but in the copy."""
     status_kept: bool
     order_kept: bool
-    survivors: int
+    survivor: int | None
+    """The number of the VM that is left: the first leads, the last does not."""
 
     def __str__(self) -> str:
         kept = [name for name in ("status", "order") if getattr(self, f"{name}_kept")]
-        left = f"{self.survivors} left"
+        left = "none left" if self.survivor is None else f"vm-{self.survivor} left"
         return "-".join([self.state.value, self.old, "+".join(kept) or "nothing", left])
 
     @property
@@ -58,7 +59,7 @@
         """The one right end: what callers can be served by, and no more of what isn't known."""
         if self.old != "alive":
             return RolloutState.COMPLETED
-        is_known = self.survivors or self.status_kept
+        is_known = self.survivor is not None or self.status_kept
         if self.state is RolloutState.COMPLETED and is_known:
             return RolloutState.COMPLETED
         return RolloutState.ROLLED_BACK
@@ -66,12 +67,12 @@
 
 def losses() -> Iterable[Loss]:
     """Give every case; a copy that has the status has the order too."""
-    for state, old, status_kept, order_kept, survivors in itertools.product(
+    for state, old, status_kept, order_kept, survivor in itertools.product(
         (RolloutState.COMPLETED, RolloutState.RUNNING),
         ("alive", "dead", "listed"),
         (True, False),
         (True, False),
-        (0, 1),
+        (None, 0, VMS - 1),
     ):
         if order_kept or not status_kept:
             yield Loss(
@@ -79,7 +80,7 @@
                 old=old,
                 status_kept=status_kept,
                 order_kept=order_kept,
-                survivors=survivors,
+                survivor=survivor,
             )
 
 
@@ -184,8 +185,9 @@
     world.store.fault = StoreFault.REFUSING
     await trio.sleep(AWAY_S)
     lost = world.store.restore(copy)
-    for number in range(loss.survivors, VMS):
-        world.kill_vm(number)
+    for number in range(VMS):
+        if number != loss.survivor:
+            world.kill_vm(number)
     world.store.fault = StoreFault.NONE
     world.nursery.start_soon(write_again, world, loss, lost)
 
