--- a/lagoonlever/gateway/rollouts.py
+++ b/lagoonlever/gateway/rollouts.py
@@ -167,16 +167,6 @@
             shares=shares or {},
         )
 
-    def _correct(self, word: RolloutWord, source: str) -> None:
-        """Tell a VM that leads what it lacks, as it has just started and read the order again."""
-        rollout = self._known.get(word.service)
-        if rollout is None or word.state.is_final or rollout.order.version != word.version:
-            return
-        led_from = self._timers.now - word.elapsed_s
-        knows_earlier = rollout.began_at is not None and rollout.began_at + FRESH_S < led_from
-        if knows_earlier or self.state_of(rollout).is_final:
-            self.tell_known(rollout, source)
-
     def decided(self, rollout: Rollout, state: RolloutState, *, source: str) -> None:
         """Act on a final status."""
         versions = self._beliefs.targets.versions_of(rollout.order.service)
@@ -223,6 +213,16 @@
         if rollout is not None and lane is not None:
             rollout.tally.failed(lane)
 
+    def _correct(self, word: RolloutWord, source: str) -> None:
+        """Tell a VM that leads what it lacks, as it has just started and read the order again."""
+        rollout = self._known.get(word.service)
+        if rollout is None or word.state.is_final or rollout.order.version != word.version:
+            return
+        led_from = self._timers.now - word.elapsed_s
+        knows_earlier = rollout.began_at is not None and rollout.began_at + FRESH_S < led_from
+        if knows_earlier or self.state_of(rollout).is_final:
+            self.tell_known(rollout, source)
+
     def _begin(self, order: RolloutOrder, ordered_at: Revision, began_at: float | None) -> Rollout:
         rollout = Rollout(tally=RolloutTally(order=order, ordered_at=ordered_at), began_at=began_at)
         self._known[order.service] = rollout
