--- a/lagoonlever/decisions/admission/hedging.py
+++ b/lagoonlever/decisions/admission/hedging.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -32,6 +32,10 @@
 FIRST_AVOID_S = 0.5
 MOST_AVOID_S = 8.0
 MAX_ATTEMPTS = 3
+MOST_UNREACHED = 4
+"""Attempts of one call that reach no runner, before its caller is told."""
+TRIES_TO_REACH = 2
+"""Of one runner by one call: a connection may be late because this process was."""
 LATE_TURN_S = 0.005
 RECHECK_S = 0.05
 """A call that waits while the budget is empty looks again after this time."""
@@ -282,6 +286,9 @@
 
     ``live_names`` is asked at each decision, so that a hedge that was pending
     when its runner began to leave goes elsewhere.
+
+    An attempt that reached no runner is none of the call's attempts. It goes to another
+    runner, and to the same one again only where no other is left.
     """
 
     _live_names: LiveNames
@@ -294,12 +301,14 @@
     _near: frozenset[str] = frozenset()
     _sent_at: dict[str, float] = attrs.field(factory=dict)
     _open: set[str] = attrs.field(factory=set)
+    _unreached: Counter[str] = attrs.field(factory=Counter)
+    """Runners that an attempt did not reach, with how many did not."""
     _hedge_at: float = 0.0
     _postponed: bool = False
 
     @property
     def attempts(self) -> int:
-        """The number of attempts sent."""
+        """The number of attempts that reached a runner or are on their way."""
         return len(self._sent_at)
 
     @property
@@ -309,12 +318,17 @@
 
     @property
     def tried(self) -> tuple[str, ...]:
-        """The runners that an attempt was sent to."""
-        return tuple(self._sent_at)
+        """The runners that an attempt was sent to, whether it reached them or not."""
+        return (*self._sent_at, *(name for name in self._unreached if name not in self._sent_at))
+
+    @property
+    def _may_send(self) -> bool:
+        """Whether the call may have one more attempt."""
+        return self.attempts < self._max_attempts and self._unreached.total() < MOST_UNREACHED
 
     def wants_extra(self, now: float) -> bool:
         """Tell whether an attempt after the first is due, if there is a runner for it."""
-        if not self._sent_at or self.attempts >= self._max_attempts or now >= self._deadline:
+        if not self.tried or not self._may_send or now >= self._deadline:
             return False
         return not self._open or (self._hedge and now >= self._hedge_at)
 
@@ -356,6 +370,13 @@
         del self._sent_at[runner]
         self._runners.on_unsent(runner)
 
+    def on_unreached(self, runner: str, now: float) -> None:
+        """Take back an attempt that did not reach its runner."""
+        self._open.discard(runner)
+        del self._sent_at[runner]
+        self._unreached[runner] += 1
+        self._runners.on_failure(runner, now=now)
+
     def on_error(self, runner: str) -> None:
         """Take an answer that tells of a failure of the runner: another one may do better."""
         self._open.discard(runner)
@@ -391,22 +412,32 @@
         return now >= self._hedge_at
 
     def _first(self, now: float) -> CallDecision:
-        runner = self._runners.choose(self._live_names(), now=now, near=self._near)
+        runner = self._choose(now, probe=True) if self._may_send else None
         if runner is None:
             return Stop(sent=False, timed_out=False)
         return self._send(runner, now)
 
     def _extra(self, now: float) -> Send | None:
-        if self.attempts >= self._max_attempts or (self._open and not self._hedge):
+        if not self._may_send or (self._open and not self._hedge):
             return None
-        others = [name for name in self._live_names() if name not in self._sent_at]
-        runner = self._runners.choose(others, now=now, probe=False, near=self._near)
+        runner = self._choose(now, probe=False)
         if runner is None:
             return None
         if not take_extra(self._budget, self._runners.state(runner).budget):
             return None
         return self._send(runner, now)
 
+    def _choose(self, now: float, *, probe: bool) -> str | None:
+        """Choose a runner that was not tried; one that was not reached only if nothing is open."""
+        live = self._live_names()
+        others = [name for name in live if name not in self.tried]
+        chosen = self._runners.choose(others, now=now, probe=probe, near=self._near)
+        if chosen is not None or self._open:
+            return chosen
+        again = [name for name in live if 0 < self._unreached[name] < TRIES_TO_REACH]
+        again = [name for name in again if name not in self._sent_at]
+        return self._runners.choose(again, now=now, probe=probe, near=self._near)
+
     def _send(self, runner: str, now: float) -> Send:
         self._sent_at[runner] = now
         self._open.add(runner)
--- a/lagoonlever/decisions/admission/retry_window.py
+++ b/lagoonlever/decisions/admission/retry_window.py
@@ -39,6 +39,11 @@
         self._repeats.append(now)
         self._forget(now)
 
+    def take_back(self, at: float) -> None:
+        """Count a repeat no more that was counted at a time, and reached nobody."""
+        if at in self._repeats:
+            self._repeats.remove(at)
+
     def allows(self, now: float, *, vms: int, part: float = 1.0) -> bool:
         """Tell whether there may be one more repeat.
 
--- a/lagoonlever/entry/services/lookups.py
+++ b/lagoonlever/entry/services/lookups.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 from collections.abc import Callable
 
 import attrs
@@ -40,6 +39,8 @@
 
     runner: str
     response: Response | None
+    reached: bool = True
+    """Whether its runner may have got the request."""
 
 
 @attrs.define(kw_only=True)
@@ -153,6 +154,9 @@
         if ended is None:
             return None
         now = self._timers.now
+        if not ended.reached:
+            hedged.on_unreached(ended.runner, now)
+            return None
         if ended.response is None:
             hedged.on_failure(ended.runner, now, overloaded=False)
             return None
@@ -169,25 +173,25 @@
         runner: str,
         send: trio.MemorySendChannel[AttemptEnded],
     ) -> None:
-        response: Response | None = None
+        ended = AttemptEnded(runner=runner, response=None, reached=False)
         target = self._guard.view.value.find(runner)
         if target is not None:
-            with contextlib.suppress(PeerError):
-                response = await self._exchange(call, target)
-        await send.send(AttemptEnded(runner=runner, response=response))
+            ended = await self._exchange(call, target)
+        await send.send(ended)
 
-    async def _exchange(self, call: ServiceCall, target: Target) -> Response | None:
+    async def _exchange(self, call: ServiceCall, target: Target) -> AttemptEnded:
         """Send one attempt, unless its runner began to leave since it was chosen."""
+        runner = target.name
         try:
             connection = await self._pool.take(target.address)
         except ConnectFailed:
             self._guard.connect_failed(target)
-            raise
+            return AttemptEnded(runner=runner, response=None, reached=False)
         try:
-            is_awake = self._rests.is_awake(target.name)
+            is_awake = self._rests.is_awake(runner)
             if not is_awake or not self._guard.check_before_dispatch(target):
-                return None
-            return await exchange_on(
+                return AttemptEnded(runner=runner, response=None, reached=False)
+            response = await exchange_on(
                 connection,
                 method=call.request.method,
                 target=call.target,
@@ -196,9 +200,13 @@
                 step="look up",
                 max_bytes=self._settings.max_answer_bytes,
             )
+        except PeerError:
+            # The answer is lost, which is what the result says.
+            return AttemptEnded(runner=runner, response=None)
         finally:
             with trio.CancelScope(shield=True):
                 await self._pool.put_back(connection)
+        return AttemptEnded(runner=runner, response=response)
 
     def _stopped(self, service: Service, hedged: HedgedCall, stop: Stop) -> StoredAnswer:
         self.counts.unanswered += 1
@@ -213,5 +221,7 @@
             )
         if stop.timed_out:
             return not_run(Reason.DEADLINE, "its deadline passed before it was sent")
+        if hedged.tried:
+            return not_run(Reason.NO_TARGET, "no runner accepted it", retry_after_s=after_s)
         reason = absence_reason(service, self._guard.view.value)
         return not_run(reason, "no runner can take it now", retry_after_s=after_s)
--- a/lagoonlever/gateway/once_calls.py
+++ b/lagoonlever/gateway/once_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import attrs
 import trio
 
@@ -21,8 +23,8 @@
 A target closes a connection that rests too long. If the close crosses such a call, the
 call may have run and can't be sent again, so it takes a connection used just before.
 """
-MOST_UNREACHABLE = 4
-"""Targets that nothing could be sent to, before the caller is told."""
+MOST_ATTEMPTS = 4
+"""Also of those that reach no target, before the caller is told."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -49,21 +51,26 @@
             await self._exchange.finish(call, answered)
 
     async def _attempts(self, call: CallRecord) -> Answered | None:
-        tried: set[str] = set()
-        while call.sent < call.accepted.route.max_attempts and len(tried) < MOST_UNREACHABLE:
+        tried: list[str] = []
+        unreached: set[str] = set()
+        while call.sent < call.accepted.route.max_attempts and len(tried) < MOST_ATTEMPTS:
             place = await self._exchange.place(call, tried=tried)
             if isinstance(place, RefusedWithReturn):
                 call.no_room = place
                 return None
-            target = self._target(place) or self._choose(call, tried)
+            target = self._target(place) or self._choose(call, tried, unreached)
             if target is None:
                 return None
-            tried.add(target.id)
+            tried.append(target.id)
             result = await self._attempt(call, target, place)
             call.detail = describe(result)
             if isinstance(result, Held):
-                tried.discard(target.id)
+                tried.remove(target.id)
                 continue
+            if isinstance(result, NotSent) and tried.count(target.id) == 1:
+                unreached.add(target.id)
+            else:
+                unreached.discard(target.id)
             if isinstance(result, Answered):
                 return result
             if call.may_have_run:
@@ -73,12 +80,17 @@
     def _target(self, place: CallPlace | None) -> ListedTarget | None:
         return self._exchange.beliefs.targets.find(place.target) if place else None
 
-    def _choose(self, call: CallRecord, tried: set[str]) -> ListedTarget | None:
+    def _choose(
+        self, call: CallRecord, tried: Collection[str], unreached: Collection[str]
+    ) -> ListedTarget | None:
+        """Choose a target that was not tried, or else one that was not reached."""
         targets = self._exchange.beliefs.targets
         on_trial = call.accepted.on_trial and not tried
         serving = targets.serving(call.accepted.service, on_trial=on_trial)
         serving = self._exchange.open_to(call, serving)
         names = [target.id for target in serving if target.id not in tried]
+        if not names:
+            names = [target.id for target in serving if target.id in unreached]
         near = self._exchange.near(serving, self._data_center)
         now = self._exchange.timers.now
         chosen = self._runners.choose(names, now=now, probe=False, near=near)
--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -62,6 +62,8 @@
 class _Ended:
     runner: str
     result: AttemptResult
+    counted_at: float | None
+    """When it was counted as a repeat; None for a first attempt."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -83,15 +85,14 @@
         """Get a place for the first attempt, or be refused."""
         return self._got(await self._exchange.place(self._call)) if self.is_on else None
 
-    async def extra(self, *, beside: bool, tried: tuple[str, ...]) -> None:
+    async def extra(self, *, beside: bool, tried: tuple[str, ...]) -> RefusedWithReturn | None:
         """Get a place for a further attempt: ``beside`` an open one only if that is in trouble."""
         if not self.is_on:
-            return
+            return None
         if beside and self._first is not None:
             places, accepted = self._exchange.places, self._call.accepted
-            self._got(await places.second(accepted, first=self._first))
-        else:
-            self._got(await self._exchange.place(self._call, tried=tried))
+            return self._got(await places.second(accepted, first=self._first))
+        return self._got(await self._exchange.place(self._call, tried=tried))
 
     def use(self, runner: str) -> CallPlace | None:
         """Hand the place over to the attempt at its runner."""
@@ -168,7 +169,8 @@
         async with open_work_nursery() as nursery:
             while True:
                 if hedged.wants_extra(self._exchange.timers.now):
-                    await place.extra(beside=hedged.has_open, tried=hedged.tried)
+                    refused = await place.extra(beside=hedged.has_open, tried=hedged.tried)
+                    call.no_room = None if hedged.attempts else refused
                 decision = hedged.decide(self._exchange.timers.now)
                 if not isinstance(decision, Send):
                     place.give_back()
@@ -177,15 +179,22 @@
                         hedged.on_timeout(self._exchange.timers.now)
                     return call.failure
                 if isinstance(decision, Send):
-                    if decision.number > 1:
-                        window.repeat(self._exchange.timers.now)
+                    counted_at = self._count(decision, window)
                     used = place.use(decision.runner)
-                    nursery.start_soon(self._attempt, call, decision.runner, used, send)
+                    nursery.start_soon(self._attempt, call, decision.runner, used, counted_at, send)
                     continue
-                answered = await self._wait(call, hedged, decision, receive)
+                answered = await self._wait(call, hedged, decision, window, receive)
                 if answered is not None:
                     return answered
 
+    def _count(self, send: Send, window: RetryWindow) -> float | None:
+        """Count a repeat; gives when, or None for a first attempt."""
+        if send.number == 1:
+            return None
+        now = self._exchange.timers.now
+        window.repeat(now)
+        return now
+
     def _hedged(self, call: CallRecord, window: RetryWindow, place: _Places) -> HedgedCall:
         accepted = call.accepted
         targets = self._exchange.beliefs.targets
@@ -224,6 +233,7 @@
         call: CallRecord,
         hedged: HedgedCall,
         wait: Wait,
+        window: RetryWindow,
         receive: trio.MemoryReceiveChannel[_Ended],
     ) -> Answered | None:
         ended: _Ended | None = None
@@ -233,14 +243,16 @@
             return None
         now = self._exchange.timers.now
         call.detail = describe(ended.result)
+        if isinstance(ended.result, Held | NotSent) and ended.counted_at is not None:
+            window.take_back(ended.counted_at)
         if isinstance(ended.result, Held):
             hedged.on_unsent(ended.runner)
             return None
-        if isinstance(ended.result, Refused | NotSent):
-            hedged.on_failure(ended.runner, now, overloaded=isinstance(ended.result, Refused))
+        if isinstance(ended.result, NotSent):
+            hedged.on_unreached(ended.runner, now)
             return None
-        if isinstance(ended.result, Lost):
-            hedged.on_failure(ended.runner, now, overloaded=False)
+        if isinstance(ended.result, Refused | Lost):
+            hedged.on_failure(ended.runner, now, overloaded=isinstance(ended.result, Refused))
             return None
         if ended.result.response.status >= SERVER_ERROR:
             call.failure = ended.result
@@ -254,6 +266,7 @@
         call: CallRecord,
         runner: str,
         place: CallPlace | None,
+        counted_at: float | None,
         send: trio.MemorySendChannel[_Ended],
     ) -> None:
         target = self._exchange.beliefs.targets.find(runner)
@@ -262,4 +275,4 @@
             result = await self._exchange.attempt(
                 call, target, rested_at_most_s=REST_S, place=place
             )
-        await send.send(_Ended(runner=runner, result=result))
+        await send.send(_Ended(runner=runner, result=result, counted_at=counted_at))
--- a/lagoonlever/tests/gateway_calls_tests.py
+++ b/lagoonlever/tests/gateway_calls_tests.py
@@ -8,8 +8,11 @@
 import pytest
 import trio
 
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.fakes.platform_runner import Conduct
 from lagoonlever.gateway import front_parts, parts
+from lagoonlever.gateway.target_client import NotSent, TargetClient
+from lagoonlever.http.client import ClientConnection
 from lagoonlever.http.messages import Headers
 from lagoonlever.platform.headers import ORGANISATION
 from lagoonlever.tests.gateway_site import KEY, GatewaySite, run_site, until_within
@@ -139,6 +142,49 @@
     run_site(story, engines=0)
 
 
+def connect_late(monkeypatch: pytest.MonkeyPatch, *late: str) -> None:
+    """Have the next connection to each of these targets take too long."""
+    connect, left = TargetClient.connect, list(late)
+
+    async def connect_or_not(
+        client: TargetClient, target: ListedTarget, *, rested_at_most_s: float
+    ) -> ClientConnection | NotSent:
+        if target.id in left:
+            left.remove(target.id)
+            return NotSent(detail="timed out")
+        return await connect(client, target, rested_at_most_s=rested_at_most_s)
+
+    monkeypatch.setattr(TargetClient, "connect", connect_or_not)
+
+
+@pytest.mark.parametrize("late", [("runner-0",), ("runner-1",), ("runner-0", "runner-1")])
+def test_a_lookup_goes_on_after_connections_that_were_late(
+    late: tuple[str, ...], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a runner's failure that is passed on as the other was not reached at once."""
+    connect_late(monkeypatch, *late)
+
+    async def story(site: GatewaySite) -> None:
+        site.runners["runner-0"].conducts.extend([Conduct.FAIL] * 20)
+        for number in range(4):
+            answer = await site.call(f"/look/{number}", method="GET")
+            assert answer.status == 200
+
+    run_site(story, engines=0)
+
+
+def test_a_bid_goes_on_after_connections_that_were_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a bid that is refused though a runner of its service has room."""
+    connect_late(monkeypatch, "runner-0", "runner-1")
+
+    async def story(site: GatewaySite) -> None:
+        answer = await site.call("/bid/1", headers=site.headers("r-5"))
+        assert answer.status == 200
+        assert runs(site) == {"r-5": 1}
+
+    run_site(story, engines=0)
+
+
 def test_a_lookup_that_every_runner_fails_gets_the_runner_s_own_answer() -> None:
     async def story(site: GatewaySite) -> None:
         order(site, Conduct.FAIL)
--- a/lagoonlever/tests/hedging_tests.py
+++ b/lagoonlever/tests/hedging_tests.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+import attrs
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
@@ -101,6 +102,15 @@
         del open_[runner]
         call.on_failure(runner, self.now, overloaded=overloaded)
 
+    @precondition(lambda self: any(open_ for _, open_ in self.calls))
+    @rule(index=st.integers(0, 4))
+    def attempt_reaches_nobody(self, index: int) -> None:
+        busy = [pair for pair in self.calls if pair[1]]
+        call, open_ = busy[index % len(busy)]
+        runner = next(iter(open_))
+        del open_[runner]
+        call.on_unreached(runner, self.now)
+
     @rule(name=st.sampled_from(NAMES))
     def leave_or_join(self, name: str) -> None:
         if name in self.live:
@@ -261,3 +271,67 @@
         budget.on_success()
     budget.on_overload()
     assert not budget.allows
+
+
+@attrs.define(kw_only=True, eq=False)
+class CallOfTwo:
+    """A lookup of a service of two runners, of which two may be tried."""
+
+    now: float = 0.0
+    runners: Runners = attrs.field(
+        factory=lambda: Runners(rng=random.Random(1), max_outstanding=MAX_OUTSTANDING)
+    )
+    call: HedgedCall = attrs.field(init=False)
+
+    @call.default
+    def _make_call(self) -> HedgedCall:
+        return HedgedCall(
+            live_names=lambda: ("a", "b"),
+            runners=self.runners,
+            delay=HedgeDelay(),
+            budget=RetryBudget(),
+            deadline=TIMEOUT_S,
+            max_attempts=2,
+        )
+
+    def sent(self) -> str:
+        """Give the runner that an attempt goes to now."""
+        decision = self.call.decide(self.now)
+        assert isinstance(decision, Send)
+        return decision.runner
+
+
+def test_a_runner_that_was_not_reached_is_tried_again_after_another_s_failure() -> None:
+    """Guards against a caller that gets one runner's failure as no connection came in time."""
+    story = CallOfTwo()
+    failing = story.sent()
+    story.call.on_error(failing)
+    other = story.sent()
+    story.call.on_unreached(other, story.now)
+    assert other != failing
+    assert story.sent() == other
+
+
+def test_a_hedge_that_reached_nobody_is_tried_again_once_the_first_has_failed() -> None:
+    story = CallOfTwo()
+    first = story.sent()
+    story.now += 0.06
+    story.call.decide(story.now)
+    story.now += 0.06
+    other = story.sent()
+    story.call.on_unreached(other, story.now)
+    assert isinstance(story.call.decide(story.now), Wait)
+    story.call.on_error(first)
+    assert story.sent() == other
+
+
+def test_a_call_that_reached_nobody_is_still_at_its_first_attempt() -> None:
+    """Guards against a lookup that is refused as the first two of its runners were not reached."""
+    story = CallOfTwo()
+    tried = []
+    for _ in range(4):
+        tried.append(story.sent())
+        story.call.on_unreached(tried[-1], story.now)
+        assert story.call.attempts == 0
+    assert sorted(tried) == ["a", "a", "b", "b"]
+    assert story.call.decide(story.now) == Stop(sent=False, timed_out=False)
--- a/lagoonlever/tests/retry_window_tests.py
+++ b/lagoonlever/tests/retry_window_tests.py
@@ -68,3 +68,12 @@
     while heard.allows(0.0, vms=1, part=0.5):
         heard.repeat(0.0)
     assert heard.allows(0.0, vms=1)
+
+
+def test_a_repeat_that_reached_nobody_is_counted_no_more() -> None:
+    sliding = window()
+    while sliding.take(0.0, vms=VMS):
+        pass
+    sliding.take_back(0.0)
+    assert sliding.take(0.0, vms=VMS)
+    assert not sliding.take(0.0, vms=VMS)
--- a/lagoonlever/tests/services_targets_tests.py
+++ b/lagoonlever/tests/services_targets_tests.py
@@ -111,6 +111,25 @@
     run_site(scenario, apps=0, extra_targets=(Address(host=HOST, port=1),))
 
 
+def test_lookups_pass_over_runners_that_are_gone() -> None:
+    """Guards against a lookup that has no attempt left for the one runner that is there."""
+    gone = tuple(Address(host=HOST, port=port) for port in (1, 2, 3))
+
+    async def scenario(site: Site) -> None:
+        answers = [outcome(await site.look_up(0, f"/prices/{item}")) for item in range(20)]
+        assert answers == ["done"] * 20
+
+    run_site(scenario, apps=1, extra_targets=gone)
+
+
+def test_a_lookup_that_reached_no_runner_is_told_so() -> None:
+    async def scenario(site: Site) -> None:
+        response = await site.look_up(0)
+        assert (outcome(response), reason(response)) == ("not-run", "no-target")
+
+    run_site(scenario, apps=0, extra_targets=(Address(host=HOST, port=1),))
+
+
 def test_targets_that_began_to_leave_get_nothing() -> None:
     """The runner is listed as leaving between the choice and the write."""
 
