--- a/lagoonlever/bench/call_places_model.py
+++ b/lagoonlever/bench/call_places_model.py
@@ -15,8 +15,8 @@
 import attrs
 
 from lagoonlever.decisions.admission.call_line import CallEnd, CallLine, LineAsk
-from lagoonlever.decisions.admission.hedging import Runners
 from lagoonlever.decisions.admission.room import RefusedWithReturn, RoomAsk, RoomGiven
+from lagoonlever.decisions.admission.runners import Runners
 from lagoonlever.decisions.targets.told_load import ToldLoad
 
 AIM_S = 0.34
--- a/lagoonlever/bench/lookups.py
+++ b/lagoonlever/bench/lookups.py
@@ -14,7 +14,7 @@
 import trio
 
 from lagoonlever.bench.report import Aim, BenchOptions, BenchResult, Rows, benchmark, column
-from lagoonlever.decisions.admission.hedging import TARGET_S, Runners
+from lagoonlever.decisions.admission.runners import TARGET_S, Runners
 from lagoonlever.decisions.shares.budgets import FULL_RATIO, RetryBudget
 from lagoonlever.decisions.targets.targets import Target, TargetKind
 from lagoonlever.entry.services.answers import ComeBack
--- a/lagoonlever/decisions/admission/call_line.py
+++ b/lagoonlever/decisions/admission/call_line.py
@@ -14,7 +14,6 @@
 
 import attrs
 
-from lagoonlever.decisions.admission.hedging import UNSOUND_EXCESS
 from lagoonlever.decisions.admission.line_runner import PLACE_KEPT_S, LineRunner, Place
 from lagoonlever.decisions.admission.room import (
     RefusedWithReturn,
@@ -23,6 +22,7 @@
     RoomOutcome,
     WaitInLine,
 )
+from lagoonlever.decisions.admission.runners import UNSOUND_EXCESS
 from lagoonlever.decisions.targets.told_load import ToldLoad
 
 FIRST_WORK_S = 0.1
--- a/lagoonlever/decisions/admission/line_runner.py
+++ b/lagoonlever/decisions/admission/line_runner.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lagoonlever.decisions.admission.hedging import (
+from lagoonlever.decisions.admission.runners import (
     FAILURE_WEIGHT,
     FIRST_AVOID_S,
     MOST_AVOID_S,
--- a/lagoonlever/entry/services/dispatch.py
+++ b/lagoonlever/entry/services/dispatch.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.admission.hedging import Runners
+from lagoonlever.decisions.admission.runners import Runners
 from lagoonlever.decisions.claims.claims import StoredAnswer
 from lagoonlever.decisions.claims.dispatch import (
     CheckAgain,
--- a/lagoonlever/entry/services/lookups.py
+++ b/lagoonlever/entry/services/lookups.py
@@ -7,14 +7,8 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.admission.hedging import (
-    HedgedCall,
-    HedgeDelay,
-    Runners,
-    Send,
-    Stop,
-    Wait,
-)
+from lagoonlever.decisions.admission.hedging import HedgedCall, HedgeDelay, Send, Stop, Wait
+from lagoonlever.decisions.admission.runners import Runners
 from lagoonlever.decisions.claims.claims import StoredAnswer
 from lagoonlever.decisions.shares.budgets import FULL_RATIO, RetryBudget
 from lagoonlever.decisions.targets.targets import Target
--- a/lagoonlever/entry/services/services.py
+++ b/lagoonlever/entry/services/services.py
@@ -12,7 +12,7 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.admission.hedging import Runners
+from lagoonlever.decisions.admission.runners import Runners
 from lagoonlever.decisions.claims.claims import HomeTable, StoredAnswer
 from lagoonlever.decisions.claims.keys import (
     KEY_HEADER,
--- a/lagoonlever/gateway/front_parts.py
+++ b/lagoonlever/gateway/front_parts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from lagoonlever.decisions.admission.hedging import Runners
+from lagoonlever.decisions.admission.runners import Runners
 from lagoonlever.decisions.settings.configuration import RouteKind
 from lagoonlever.decisions.shares.budgets import RetryBudget
 from lagoonlever.gateway.attempt_planner import AttemptPlanner
--- a/lagoonlever/gateway/once_calls.py
+++ b/lagoonlever/gateway/once_calls.py
@@ -7,8 +7,8 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.admission.hedging import Runners
 from lagoonlever.decisions.admission.room import RefusedWithReturn
+from lagoonlever.decisions.admission.runners import Runners
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.call_exchange import SERVER_ERROR, CallExchange, CallRecord, describe
--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -5,16 +5,10 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.admission.hedging import (
-    HedgedCall,
-    HedgeDelay,
-    Runners,
-    Send,
-    Stop,
-    Wait,
-)
+from lagoonlever.decisions.admission.hedging import HedgedCall, HedgeDelay, Send, Stop, Wait
 from lagoonlever.decisions.admission.retry_window import RetryWindow
 from lagoonlever.decisions.admission.room import RefusedWithReturn
+from lagoonlever.decisions.admission.runners import Runners
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.shares.budgets import RetryBudget
 from lagoonlever.gateway.accepted import Accepted
--- a/lagoonlever/tests/hedging_tests.py
+++ b/lagoonlever/tests/hedging_tests.py
@@ -17,11 +17,11 @@
     SAMPLES_NEEDED,
     HedgedCall,
     HedgeDelay,
-    Runners,
     Send,
     Stop,
     Wait,
 )
+from lagoonlever.decisions.admission.runners import Runners
 from lagoonlever.decisions.shares.budgets import (
     FULL_RATIO,
     RESERVE_TOKENS,
