--- a/lagoonlever/decisions/rollouts/plan.py
+++ b/lagoonlever/decisions/rollouts/plan.py
@@ -101,10 +101,12 @@
         return _plan_alone(progress.others, left_s)
     if left_s > 0 and _may_move(order, progress, bounds, left_s):
         return Plan(phase=RolloutPhase.MOVING)
+    if _may_complete(order, progress, bounds, left_s):
+        return Plan(phase=RolloutPhase.MOVING, state=RolloutState.COMPLETED)
     if left_s > 0:
         return Plan(phase=RolloutPhase.TRIAL, shares=_shares(order, progress, bounds))
-    if progress.is_moving and progress.judgement.is_sound and progress.moved.leans_sound:
-        return Plan(phase=RolloutPhase.MOVING, state=RolloutState.COMPLETED)
+    if progress.judgement.is_sound and not progress.is_moving:
+        return _rolled_back("more requests than were expected have used its allowance")
     return _rolled_back("too few answers to be sure of it")
 
 
@@ -156,9 +158,37 @@
     """Tell whether all new work may move there, as far as answers and the allowance go."""
     if not progress.judgement.leans_sound:
         return False
+    part = ALLOWANCE_KEPT if progress.is_moving else ALLOWANCE_USED
+    return _fits(order, progress, bounds, left_s, part=part)
+
+
+def _may_complete(
+    order: RolloutOrder, progress: TrialProgress, bounds: ExposureBounds, left_s: float
+) -> bool:
+    """Tell whether a version that has all work is to stay.
+
+    Before the deadline it is asked only of one that would lose the work again, as more requests
+    came than were expected. It may turn bad yet, so its answers since the move must be sure to be
+    sound, and what is to come must fit into the allowance.
+    """
+    if not (progress.is_moving and progress.judgement.is_sound and progress.moved.leans_sound):
+        return False
+    if left_s <= 0:
+        return True
+    return progress.moved.is_sound and _fits(order, progress, bounds, left_s, part=1.0)
+
+
+def _fits(
+    order: RolloutOrder,
+    progress: TrialProgress,
+    bounds: ExposureBounds,
+    left_s: float,
+    *,
+    part: float,
+) -> bool:
+    """Tell whether all that is to come until the deadline fits into a part of the allowance."""
     to_come = _rate(progress) * (left_s + DECIDED_BEFORE_S)
-    used = ALLOWANCE_KEPT if progress.is_moving else ALLOWANCE_USED
-    return progress.exposed + to_come <= used * _allowance(order, progress, bounds)
+    return progress.exposed + to_come <= part * _allowance(order, progress, bounds)
 
 
 def _shares(
--- a/lagoonlever/tests/rollout_plan_tests.py
+++ b/lagoonlever/tests/rollout_plan_tests.py
@@ -117,6 +117,27 @@
     assert (early.phase, late.phase) == (RolloutPhase.TRIAL, RolloutPhase.MOVING)
 
 
+@pytest.mark.parametrize(
+    ("exposed", "moved", "state"),
+    [
+        (70, SOUND, RolloutState.RUNNING),
+        (76, SOUND, RolloutState.COMPLETED),
+        (76, NO_EVIDENCE, RolloutState.RUNNING),
+        (76, Judgement(together=-3.0, worst=-1.0), RolloutState.RUNNING),
+        (84, SOUND, RolloutState.RUNNING),
+    ],
+)
+def test_a_sound_version_stays_where_more_requests_came_than_were_expected(
+    exposed: int, moved: Judgement, state: RolloutState
+) -> None:
+    """Guards against one that loses all work again right before its deadline, and is rolled back.
+
+    What it may get until the deadline is 122 requests here, of which 42 are to come.
+    """
+    seen = progress(11.3, judgement=SOUND, moved=moved, exposed=exposed, is_moving=True)
+    assert plan_of(ORDER, seen, BOUNDS).state is state
+
+
 def test_a_version_that_nothing_is_known_of_is_not_completed() -> None:
     for judgement in (NO_EVIDENCE, Judgement(together=-2.0, worst=-2.0)):
         plan = plan_of(ORDER, progress(12.0, judgement=judgement), BOUNDS)
@@ -164,6 +185,24 @@
         assert run.after_stop_s <= STOPS_AFTER_S
 
 
+@pytest.mark.parametrize("answer_s", [0.05, 0.2])
+@pytest.mark.parametrize("seed", range(10))
+def test_a_sound_version_is_completed_where_time_and_requests_suffice(
+    seed: int, answer_s: float
+) -> None:
+    case = RolloutCase(
+        rates={"bid": 20.0, "look": 20.0},
+        answer_s=answer_s,
+        duration_s=ORDER.duration_s,
+        conduct=Conduct.SOUND,
+        old_fails=0.0,
+    )
+    run = RolloutModel(case=case, rng=random.Random(seed)).run()
+    assert run.state is RolloutState.COMPLETED
+    assert run.decided_s <= ORDER.duration_s
+    assert run.exposed <= run.allowed
+
+
 def late_version(seed: int) -> RolloutModel:
     case = RolloutCase(
         rates={"bid": 74.0, "look": 51.0},
