--- a/lagoonlever/tests/limits_fleet_tests.py
+++ b/lagoonlever/tests/limits_fleet_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterator
 
 import attrs
 import pytest
@@ -22,6 +23,9 @@
 from lagoonlever.peers.messages_limits import PermitAsk, WordTold
 from lagoonlever.revisions import Revision
 from lagoonlever.tests.target_limits_tests import most_allowed, most_arrived
+from lagoonlever.tests.working_time import WAITS_AT_MOST_S, works_at_most
+
+pytestmark = pytest.mark.timeout(WAITS_AT_MOST_S)
 
 FLEETS = {9: 0.9, 75: 0.8, 195: 0.8, 300: 0.8}
 """The part of a limit that is to be used, by the number of VMs."""
@@ -41,11 +45,20 @@
 DEMAND = 4.0
 """Requests a second, as a multiple of the limit."""
 ANSWER_S = 0.05
+WORK_S = 120.0
+"""Of the processor's time, for one story of a fleet."""
 TARGET = ListedTarget(
     id="t", service="apps", address=Address(host="10.0.9.1", port=1), data_center="dc-0"
 )
 
 
+@pytest.fixture(autouse=True)
+def in_working_time() -> Iterator[None]:
+    """Bound each story by what it works."""
+    with works_at_most(WORK_S):
+        yield
+
+
 @attrs.define(kw_only=True, eq=False)
 class Target:
     """A target in need: what it has got, and what it names."""
