--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -356,7 +356,8 @@
     def _list(self, target: ListedTarget, now: float) -> bool:
         """Take an entry; gives whether it tells more than that it is listed in a new era.
 
-        One of an earlier start than the target tells itself is late news.
+        One of an earlier start than the target tells itself is late news. One that lifts a held
+        removal is news: other VMs hold it too.
         """
         known, start = self._targets.get(target.id), self.start_of(target.id)
         former = self._former_starts.get(target.id)
@@ -372,14 +373,14 @@
         if target.has_started_again(start):
             self._replaced.pop(target.id, None)
             self._former_starts.pop(target.id, None)
-        self._held.pop(target.id, None)
+        was_held = self._held.pop(target.id, None) is not None
         self._gone.pop(target.id, None)
         self._unlisted_until.pop(target.id, None)
         self._targets[target.id] = target
         if target.service in self._versions:
             self._versions[target.service].saw(target.version)
         self._replace_others_at(target, now)
-        if known is None or known.revision.era == target.revision.era:
+        if known is None or was_held or known.revision.era == target.revision.era:
             return True
         return attrs.evolve(known, revision=target.revision) != target
 
--- a/lagoonlever/tests/restored_fleet_tests.py
+++ b/lagoonlever/tests/restored_fleet_tests.py
@@ -378,6 +378,14 @@
     run_world(lambda world: play(world, RETURNED), monkeypatch)
 
 
+def test_a_target_that_is_back_beside_other_news_is_back_at_every_vm(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a VM that drops a living target, as its entry's return was no news to tell."""
+    steps = [("end", 0, 1.0), ("copy", 0, 0.3), ("target", 0, 1.0), ("restore", 3, 0.6)]
+    run_world(lambda world: play(world, [*steps, ("drain", 1, 0.0)]), monkeypatch)
+
+
 LEAVING = [("copy", 0, 0.3), ("drain", 0, 0.3), ("end", 1, 1.0), ("restore", 7, 1.0)]
 
 
--- a/lagoonlever/tests/target_registry_tests.py
+++ b/lagoonlever/tests/target_registry_tests.py
@@ -290,3 +290,16 @@
     odd = attrs.evolve(target("odd", service="elsewhere"), address=target("e1").address)
     change(listed, "odd", odd, revision=at(11), now=1.0, store_back_at=None)
     assert listed.takes_work("e1")
+
+
+@pytest.mark.parametrize("was_missing", [True, False])
+def test_an_entry_that_lifts_a_held_removal_is_news(was_missing: bool) -> None:
+    """Guards against VMs that are not told of it, hold the removal too, and let it count."""
+    listed = registry("e1", "e2")
+    copied = [target("e2")] if was_missing else [target("e1"), target("e2")]
+    copied = [attrs.evolve(each, revision=of_era(2, 5)) for each in copied]
+    listed.read(copied, revision=of_era(2, 8), now=5.0, store_back_at=5.0)
+    is_news = change(listed, "e1", target("e1"), revision=of_era(2, 9), now=5.5, store_back_at=5.0)
+    assert is_news or not was_missing
+    assert not listed.expire(5.0 + LAPSED_BACK_S)
+    assert listed.takes_work("e1")
