--- a/lagoonlever/gateway/rollout_lead.py
+++ b/lagoonlever/gateway/rollout_lead.py
@@ -58,6 +58,8 @@
     record: StoreRecord
     since: float
     book: RolloutBook = attrs.field(factory=RolloutBook)
+    verdict: Plan | None = None
+    """What was to be written. It holds: operators may have seen it, though its answer was lost."""
     written: RolloutState | None = None
     """The status that stands in the store, of this order."""
     decided_at: float | None = None
@@ -132,11 +134,13 @@
             if not await self._agree(lead, RolloutState.RUNNING):
                 return
             self._take(rollout, rollout.tally.message(), str(self._own))
-            plan = self._plan(lead)
+            plan = lead.verdict or self._plan(lead)
             if not plan.state.is_final:
                 self._tell_running(lead, plan)
                 return
-            self._log_decision(lead, plan)
+            if lead.verdict is None:
+                lead.verdict = plan
+                self._log_decision(lead, plan)
             if await self._agree(lead, plan.state):
                 self._decide(lead, plan.state)
         except PlatformError:
--- a/lagoonlever/tests/rollout_losses_tests.py
+++ b/lagoonlever/tests/rollout_losses_tests.py
@@ -143,12 +143,7 @@
 
 async def play(world: RolloutWorld, loss: Loss, monkeypatch: pytest.MonkeyPatch) -> None:
     """Order a version, lose what the case loses, and hold the fleet to the one right end."""
-    for name in NEW:
-        world.start_target(int(name.removeprefix("t-")), version="v2")
-    await trio.sleep(0.3)
-    before_order = world.store.copy()
-    world.store.put(f"{ORDERS_PREFIX}apps", order_document(ORDER))
-    await until(3.0, lambda: world.states() == {RolloutState.RUNNING} == {world.status()})
+    before_order = await order(world)
     await trio.sleep(1.0)
     before_end = world.store.copy()
     if loss.state is RolloutState.COMPLETED:
@@ -169,6 +164,17 @@
     assert world.served() == {frozenset(serving)}
 
 
+async def order(world: RolloutWorld) -> StoreCopy:
+    """Start targets of the next version, and have it ordered; gives the store of before."""
+    for name in NEW:
+        world.start_target(int(name.removeprefix("t-")), version="v2")
+    await trio.sleep(0.3)
+    before = world.store.copy()
+    world.store.put(f"{ORDERS_PREFIX}apps", order_document(ORDER))
+    await until(3.0, lambda: world.states() == {RolloutState.RUNNING} == {world.status()})
+    return before
+
+
 async def complete(world: RolloutWorld, monkeypatch: pytest.MonkeyPatch) -> None:
     """Have the version judged sound."""
     sound = Plan(phase=RolloutPhase.HELD, state=RolloutState.COMPLETED)
@@ -216,6 +222,29 @@
     run_world(story, monkeypatch, vms=VMS, world_type=RolloutWorld)
 
 
+def test_a_verdict_whose_answer_was_lost_holds(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a version that is rolled back once operators have seen it completed."""
+
+    async def story(world: World) -> None:
+        assert isinstance(world, RolloutWorld)
+        await order(world)
+        copy = world.store.copy()
+        world.store.fault = StoreFault.LOSING
+        with monkeypatch.context() as patched:
+            sound = Plan(phase=RolloutPhase.MOVING, state=RolloutState.COMPLETED)
+            patched.setattr(rollout_lead, "plan_of", lambda *_: sound)
+            await until(3.0, lambda: world.status() is RolloutState.COMPLETED)
+        assert world.states() == {RolloutState.RUNNING}
+        world.store.fault = StoreFault.REFUSING
+        await trio.sleep(AWAY_S)
+        world.store.restore(copy)
+        world.store.fault = StoreFault.NONE
+        await until(DECIDED_S, lambda: RolloutState.RUNNING not in world.states())
+        assert world.states() == {RolloutState.COMPLETED} == {world.status()}
+
+    run_world(story, monkeypatch, vms=VMS, world_type=RolloutWorld)
+
+
 @pytest.mark.parametrize(
     ("others", "state"),
     [
