--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -26,7 +26,7 @@
 import attrs
 
 from lagoonlever.decisions.engines.crash_causes import MOST_ENDED, causes_of, weight_of
-from lagoonlever.decisions.engines.crash_ends import LATE_NEWS_S, End, Ends
+from lagoonlever.decisions.engines.crash_ends import BEGAN, LATE_NEWS_S, End, Ends
 
 T = TypeVar("T")
 
@@ -153,6 +153,12 @@
         """Give how many processes ended under a request."""
         return len(self._ends.get(fingerprint, ()))
 
+    def is_next_to_last(self, fingerprint: str) -> bool:
+        """Tell whether one more end bars a request, at the most that an end counts."""
+        if fingerprint in self._barred:
+            return False
+        return weight_of(self._ends.get(fingerprint, {})) >= MOST_ENDED - BEGAN
+
     def kept(self) -> Ends:
         """Give the requests that are to outlive this VM."""
         return {
--- a/lagoonlever/decisions/streams/life.py
+++ b/lagoonlever/decisions/streams/life.py
@@ -280,16 +280,20 @@
             return
         self._avoid.add(engine)
 
+    @property
+    def may_repeat(self) -> bool:
+        """Whether another attempt may follow the open one."""
+        return self._repeatable and self.runs < self._max_attempts
+
     @property
     def may_resume(self) -> bool:
         """Whether another attempt could go on from a copy."""
-        may_repeat = self._repeatable and self.runs < self._max_attempts
-        return may_repeat and self._copy is not None
+        return self.may_repeat and self._copy is not None
 
     @property
     def may_move(self) -> bool:
         """Whether the open attempt may be left for a better place."""
-        return self._repeatable and self._moves < MOST_MOVES and self.runs < self._max_attempts
+        return self.may_repeat and self._moves < MOST_MOVES
 
     def moved(self) -> None:
         """Note that the open attempt was left, before its first event, for a better place."""
--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -22,6 +22,7 @@
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.attempt_tools import AttemptPlan
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.messages import NO_ASK, GenerationAsk
 from lagoonlever.gateway.placer import Placer
 from lagoonlever.gateway.room_asker import RoomAsker
@@ -43,33 +44,46 @@
     _placer: Placer
     _asker: RoomAsker
     _words: TargetWords
+    _crashes: CrashWatch
 
     async def plan(
         self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom
     ) -> AttemptPlan | BudgetSpent | Overloaded | RefusedWithReturn | None:
         """Give the attempt, or why there is none; None where the life has another step to try."""
         outcome: RunOutcome | RefusedWithReturn = NoEngine()
+        gathering: str | None = None
         if not isinstance(step, ResumeFrom) or self._holder_of(step.copy) is not None:
             copies = self._beliefs.engine_limits(accepted.service).copies
             ask = _run_ask(accepted, life, step, copies=copies)
             held = self._held(accepted, life)
             ask = attrs.evolve(ask, avoid=tuple(sorted({*ask.avoid, *held})))
-            outcome = await self._place(accepted, life, step, ask)
+            gathering = self._gathering(accepted, step, ask)
+            outcome = await self._place(accepted, life, step, ask, gathering)
         if isinstance(outcome, BudgetSpent | Overloaded | RefusedWithReturn):
             return outcome
         found = self._beliefs.targets.find(outcome.engine) if isinstance(outcome, Placed) else None
         if found is None or not isinstance(outcome, Placed):
             _tell_no_place(life, step, outcome)
             return None
-        return self._attempt(accepted, step, found, outcome)
+        plan = self._attempt(accepted, step, found, outcome)
+        return attrs.evolve(plan, gathered=found.id == gathering)
 
     async def _place(
-        self, accepted: Accepted, life: StreamLife, step: Place | ResumeFrom, ask: RunAsk
+        self,
+        accepted: Accepted,
+        life: StreamLife,
+        step: Place | ResumeFrom,
+        ask: RunAsk,
+        gathering: str | None,
     ) -> RunOutcome | RefusedWithReturn:
         """Find a place, by the line if the service has one and the prompt is to be read.
 
         What goes on where its prompt was read goes at once: its pause is what counts.
         """
+        if gathering is not None:
+            together = await self._placer.place(attrs.evolve(ask, settled=gathering))
+            if not isinstance(together, NoEngine):
+                return together
         reads = isinstance(step, Place) and step.prefer is None
         if reads and self._asker.has_line(accepted.service):
             need = _line_need(accepted, life, self._timers.now)
@@ -80,6 +94,12 @@
                 return outcome
         return await self._placer.place(ask)
 
+    def _gathering(self, accepted: Accepted, step: Place | ResumeFrom, ask: RunAsk) -> str | None:
+        """Give the engine where the returns of a request are together, if it ends engines."""
+        if isinstance(step, ResumeFrom):
+            return None
+        return self._crashes.gathering_place(accepted, avoid=ask.avoid)
+
     def _held(self, accepted: Accepted, life: StreamLife) -> frozenset[str]:
         """Give the engines that take no more for now."""
         serving = self._beliefs.targets.serving(accepted.service)
--- a/lagoonlever/gateway/attempt_tools.py
+++ b/lagoonlever/gateway/attempt_tools.py
@@ -35,6 +35,8 @@
     reason: str
     by_line: bool = False
     """Its place was given by the line, to nobody else."""
+    gathered: bool = False
+    """It goes where all returns of a request go that one more end would bar."""
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -9,7 +9,7 @@
 import contextlib
 import random
 import time
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 
 import attrs
 import logbook
@@ -17,6 +17,7 @@
 
 from lagoonlever.decisions.engines.crash_ends import BEGAN, End, process_name
 from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
+from lagoonlever.decisions.engines.suspect_gathering import gathering_engine
 from lagoonlever.decisions.fleet.roles import Roles
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway import events, metrics
@@ -42,6 +43,16 @@
 others are told by messages. A multiple of the time between its own words, for one wake-up."""
 
 
+@attrs.frozen(kw_only=True, eq=False)
+class _OpenWork:
+    """Work on a request that ends once news of it come."""
+
+    accepted: Accepted
+    scope: trio.CancelScope
+    leaves: str | None
+    """The engine where it waits, if it may wait at another one instead."""
+
+
 @attrs.define(kw_only=True, eq=False)
 class CrashWatch:
     """What those who serve requests tell, and ask, of requests that end targets."""
@@ -58,8 +69,8 @@
     _suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
     _records: CrashRecords = attrs.field(init=False)
     _news: CrashNews = attrs.field(init=False)
-    _open: dict[str, set[trio.CancelScope]] = attrs.field(factory=dict)
-    """The work on each request that ends once the request is barred."""
+    _open: dict[str, set[_OpenWork]] = attrs.field(factory=dict)
+    """By the request's fingerprint."""
     _barred: frozenset[str] = frozenset()
     """The requests of which it was noted that they are barred."""
 
@@ -71,7 +82,7 @@
             now=lambda: self._timers.now,
             unix_now=time.time,
             rng=self._rng,
-            learnt=self._note_barred,
+            learnt=self._take_news,
         )
 
     @_news.default
@@ -81,7 +92,7 @@
             timers=self._timers,
             spread=self._spread,
             suspects=self._suspects,
-            learnt=self._note_barred,
+            learnt=self._take_news,
             served=lambda fingerprint: self._records.take_out(fingerprint),
         )
 
@@ -118,20 +129,37 @@
         """Tell whether a target has ended under a request."""
         return bool(self._suspects.ends) and self._suspects.count(accepted.fingerprint) > 0
 
+    def gathering_place(self, accepted: Accepted, *, avoid: Container[str] = ()) -> str | None:
+        """Give the engine where all returns of a request go, or None where each may go anywhere."""
+        fingerprint = accepted.fingerprint
+        if not self._suspects.is_next_to_last(fingerprint):
+            return None
+        avoidance, now = self._beliefs.book.avoidance, self._timers.now
+        able = {
+            engine.id: process_name(engine.id, engine.started_ms)
+            for engine in self._beliefs.targets.serving(accepted.service)
+            if engine.id not in avoid and not avoidance.is_avoided(engine.id, now)
+        }
+        return gathering_engine(fingerprint, able, ended=self._suspects.ends[fingerprint])
+
     @contextlib.contextmanager
-    def until_barred(self, accepted: Accepted) -> Iterator[None]:
-        """Cancel the block once its request is barred, before a queue lets it end one more."""
-        scopes = self._open.setdefault(accepted.fingerprint, set())
+    def until_barred(self, accepted: Accepted, *, leaves: str | None = None) -> Iterator[None]:
+        """Cancel the block once its request is barred, before a queue lets it end one more.
+
+        Also once all its returns go to another engine than the one that it ``leaves`` for that.
+        """
+        opened = self._open.setdefault(accepted.fingerprint, set())
         with trio.CancelScope() as scope:
-            scopes.add(scope)
-            if self.is_barred(accepted):
-                # It was barred between the last look and this block.
+            work = _OpenWork(accepted=accepted, scope=scope, leaves=leaves)
+            opened.add(work)
+            if self.is_barred(accepted) or self._is_misplaced(work):
+                # The news came between the last look and this block.
                 scope.cancel()
             try:
                 yield
             finally:
-                scopes.discard(scope)
-                if not scopes:
+                opened.discard(work)
+                if not opened:
                     self._open.pop(accepted.fingerprint, None)
 
     async def ended_under(
@@ -192,9 +220,22 @@
         self._tally.add(metrics.TARGETS_ENDED, accepted.route.kind.value)
         told = EndTold(fingerprint=fingerprint, process=process, age_s=0.0, weight=weight)
         self._news.tell(TargetsEnded(ends=(told,)))
-        self._note_barred()
+        self._take_news()
         return True
 
+    def _take_news(self) -> None:
+        """End what may not go on after ends were noted or told."""
+        self._note_barred()
+        for fingerprint in self._open.keys() & self._suspects.ends.keys():
+            for work in self._open[fingerprint]:
+                if self._is_misplaced(work):
+                    work.scope.cancel()
+
+    def _is_misplaced(self, work: _OpenWork) -> bool:
+        if work.leaves is None:
+            return False
+        return self.gathering_place(work.accepted) not in (None, work.leaves)
+
     def _note_barred(self) -> None:
         """Tell of requests that are barred from now on, and end the work on them."""
         new, self._barred = self._suspects.barred - self._barred, self._suspects.barred
@@ -205,8 +246,8 @@
             events.REQUEST_BARRED.log(
                 log, fingerprint=fingerprint, ended=bar.ended, for_s=bar.for_s
             )
-            for scope in self._open.get(fingerprint, ()):
-                scope.cancel()
+            for work in self._open.get(fingerprint, ()):
+                work.scope.cancel()
 
     def _look(self, tick: Tick) -> None:
         """Forget what is old, and read the record where no other VM is heard.
--- a/lagoonlever/gateway/front_parts.py
+++ b/lagoonlever/gateway/front_parts.py
@@ -109,5 +109,6 @@
             placer=parts.placer,
             asker=parts.room_asker,
             words=parts.words,
+            crashes=parts.crashes,
         ),
     )
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -247,12 +247,15 @@
         return head
 
     async def _wait_head(self, connection: ClientConnection, silence: StreamSilence) -> Response:
-        """Wait until the engine begins, unless the request is barred first.
+        """Wait until the engine begins, unless the request is barred first, or goes elsewhere.
 
         Only that long: a cancellation later could cut the answer to the caller in a write.
         """
         response: Response | bytes | None = None
-        with self._tools.crashes.until_barred(self._accepted):
+        plan = self._plan
+        may_leave = not plan.gathered and plan.copy_from is None and self._life.may_repeat
+        leaves = plan.engine.id if may_leave else None
+        with self._tools.crashes.until_barred(self._accepted, leaves=leaves):
             response = await self._next(connection, silence, head=True)
         if not isinstance(response, Response):
             raise _CalledBack
--- a/lagoonlever/tests/crash_watch_tests.py
+++ b/lagoonlever/tests/crash_watch_tests.py
@@ -11,6 +11,7 @@
 
 from lagoonlever.decisions.engines.crash_ends import LATE_NEWS_S
 from lagoonlever.fakes.metadata_store import StoreFault
+from lagoonlever.fakes.platform_engine import EngineConduct
 from lagoonlever.gateway import prober
 from lagoonlever.gateway.crash_records import RECORD_KEY
 from lagoonlever.http.client import Response
@@ -18,7 +19,7 @@
 from lagoonlever.peers.bus import PeerBus
 from lagoonlever.peers.messages_crashes import TargetsEnded
 from lagoonlever.platform.store_wire import READ_KEY, TRANSACTION
-from lagoonlever.tests.gateway_site import GatewaySite, run_site, until, until_within
+from lagoonlever.tests.gateway_site import GatewaySite, configuration, run_site, until, until_within
 
 DEADLY = "ends-each"
 MOST_ENDED = 3
@@ -28,6 +29,13 @@
 """Within this a VM meets a store that has come back, also where nothing changes there."""
 ALLOWED_AFTER = 3
 """Retries that may still reach a target once three have ended."""
+FAST = 100_000.0
+"""Tokens that an engine reads a second, where reading takes no time worth a word."""
+SLOW = 1_000.0
+SLOWLY_READ = 5_000
+"""Tokens of a prompt that slow engines read for seconds."""
+SETTLED_S = 0.5
+"""Within this no run is left any more for a better place."""
 
 
 def arrivals(site: GatewaySite) -> int:
@@ -53,6 +61,31 @@
     await until_within(TOLD_S, all_know)
 
 
+async def allow_two_attempts(site: GatewaySite) -> None:
+    """Have a stream end two engines at most, and every VM know that."""
+    document = configuration(2)
+    document["Routes"][0]["MaxAttempts"] = 2
+    site.configure(document)
+    beliefs = [vm.daemon.parts.beliefs for vm in site.vms.values()]
+
+    def all_know() -> bool:
+        known = [b.configuration.value for b in beliefs]
+        return all(value is not None and value.version == 2 for value in known)
+
+    await until(all_know)
+
+
+def slow_down(site: GatewaySite) -> None:
+    """Have all engines take seconds to read from now on."""
+    for engine in site.engines.values():
+        engine.prefill_tokens_per_s = SLOW
+
+
+async def ask_slowly(site: GatewaySite, vm: str) -> None:
+    """Ask the deadly question with a prompt that slow engines read for seconds."""
+    await site.stream(DEADLY, vm=vm, prompt_tokens=SLOWLY_READ)
+
+
 async def call(site: GatewaySite, kind: str, *, vm: str = "vm-0") -> Response:
     """Send the deadly call."""
     return await site.call(f"/{kind}/1", vm=vm, body=DEADLY.encode())
@@ -184,6 +217,64 @@
     run_site(story, engines=9, vms=3)
 
 
+def test_returns_after_the_second_end_go_to_one_engine_together() -> None:
+    """Guards against returns at several engines that all begin, and end, at the same moment."""
+
+    async def story(site: GatewaySite) -> None:
+        await allow_two_attempts(site)
+        await deadly(site)
+        await site.stream(DEADLY)
+        await told(site)
+        assert len(site.deaths) == MOST_ENDED - 1
+        slow_down(site)
+        async with trio.open_nursery() as nursery:
+            for number in range(8):
+                nursery.start_soon(ask_slowly, site, f"vm-{number % 3}")
+        assert len(site.deaths) == MOST_ENDED
+
+    run_site(story, engines=9, vms=3)
+
+
+def test_returns_that_wait_at_several_engines_are_brought_to_one_after_the_second_end() -> None:
+    """Guards against a third end that is that of each engine where the request had waited."""
+
+    async def story(site: GatewaySite) -> None:
+        await allow_two_attempts(site)
+        await deadly(site)
+        slow_down(site)
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                nursery.start_soon(ask_slowly, site, f"vm-{number % 3}")
+            await until(lambda: arrivals(site) >= 6)
+            await trio.sleep(SETTLED_S)
+            for engine in site.engines.values():
+                if not engine.runs:
+                    engine.prefill_tokens_per_s = FAST
+            await ask_slowly(site, "vm-1")
+            assert len(site.deaths) == MOST_ENDED - 1
+            slow_down(site)
+        assert len(site.deaths) == MOST_ENDED
+
+    run_site(story, engines=9, vms=3)
+
+
+def test_an_engine_where_returns_gather_and_that_refuses_is_no_dead_end() -> None:
+    """Guards against a stream that is sent to the same full engine again and again."""
+
+    async def story(site: GatewaySite) -> None:
+        await allow_two_attempts(site)
+        await deadly(site)
+        await site.stream(DEADLY)
+        await told(site)
+        site.deadly.clear()
+        for engine in site.engines.values():
+            engine.conducts.append(EngineConduct.REFUSE)
+        got = await site.stream(DEADLY, vm="vm-1")
+        assert got.whole
+
+    run_site(story, engines=6, vms=2)
+
+
 def test_streams_beside_a_deadly_one_are_served() -> None:
     """Other summaries are at each engine that a question ends, running or waiting.
 
