--- a/lagoonlever/decisions/streams/generation_messages.py
+++ b/lagoonlever/decisions/streams/generation_messages.py
@@ -54,12 +54,16 @@
     """The engine ended the stream without the answer's end, as after a cancel."""
     NOT_THERE = "not-there"
     """The engine no longer has the stream that should be taken up; it may take new work."""
+    CALLED_BACK = "called-back"
+    """This VM left the engine before it began, as the request ends engines."""
 
 
 NOTHING_SENT = frozenset({BreakCause.CONNECT_FAILED, BreakCause.NO_TARGET})
 """Causes that prove that the engine received nothing."""
 
-TARGET_NOT_TO_BLAME = frozenset({BreakCause.NO_TARGET, BreakCause.NOT_THERE})
+TARGET_NOT_TO_BLAME = frozenset(
+    {BreakCause.NO_TARGET, BreakCause.NOT_THERE, BreakCause.CALLED_BACK}
+)
 
 NOTHING_TO_CANCEL = NOTHING_SENT | {BreakCause.REFUSED, BreakCause.NOT_THERE}
 
--- a/lagoonlever/entry/callers/serving.py
+++ b/lagoonlever/entry/callers/serving.py
@@ -98,6 +98,7 @@
             pause_since_last_tick=self.timers.pause_since_last_tick,
             vm=self.vm,
         )
+        self.crashes.on_ends(self.service.ends_known)
 
     async def run(self) -> None:
         """Watch the streams and the callers until cancelled."""
--- a/lagoonlever/entry/engines/crashes.py
+++ b/lagoonlever/entry/engines/crashes.py
@@ -6,12 +6,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
+
 import attrs
 import logbook
 
 from lagoonlever.decisions.engines.crash_ends import BEGAN, End, process_name
 from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
 from lagoonlever.decisions.engines.fingerprints import RequestWork
+from lagoonlever.decisions.engines.suspect_gathering import gathering_engine
 from lagoonlever.decisions.membership.membership import MemberView
 from lagoonlever.decisions.streams.generation_messages import GenerationSpec
 from lagoonlever.decisions.targets.targets import Target
@@ -54,6 +57,11 @@
     _members: Published[MemberView]
     _timers: TimerService
     _suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    _listeners: list[Callable[[], None]] = attrs.field(factory=list)
+
+    def on_ends(self, listener: Callable[[], None]) -> None:
+        """Have a listener called after ends became known."""
+        self._listeners.append(listener)
 
     async def run(self) -> None:
         """Take what other VMs tell, until cancelled."""
@@ -63,6 +71,7 @@
                 self._suspects.learn(ends)
                 for fingerprint in self._suspects.cleared_here(ends):
                     self._tell(RequestServed(fingerprint=fingerprint))
+                self._ends_known()
 
     async def run_served(self) -> None:
         """Take which requests were served after all, until cancelled."""
@@ -83,6 +92,16 @@
             retry_after_s=bar.for_s,
         )
 
+    def gathering_place(self, spec: GenerationSpec, engines: Iterable[Target]) -> str | None:
+        """Give which of the engines all returns of a request go to, or None for any of them."""
+        if not self._suspects.ends:
+            return None
+        fingerprint = _fingerprint(spec)
+        if not self._suspects.is_next_to_last(fingerprint):
+            return None
+        processes = {engine.name: process_name(engine.name, None) for engine in engines}
+        return gathering_engine(fingerprint, processes, ended=self._suspects.ends[fingerprint])
+
     async def look(self, spec: GenerationSpec, target: Target, *, sent_at: float) -> None:
         """Note that an engine ended under a request that got no token of it, if it has ended."""
         process = process_name(target.name, None)
@@ -101,6 +120,7 @@
         )
         told = EndTold(fingerprint=fingerprint, process=process, age_s=0.0, weight=BEGAN)
         self._tell(TargetsEnded(ends=(told,)))
+        self._ends_known()
 
     def served(self, spec: GenerationSpec) -> None:
         """Note that an engine gave a whole answer: the prompt ends none."""
@@ -114,6 +134,10 @@
             if member.incarnation != view.own:
                 self._bus.send(member.peers, message)
 
+    def _ends_known(self) -> None:
+        for listener in self._listeners:
+            listener()
+
     def _expire(self, tick: Tick) -> None:
         self._suspects.expire(tick.now)
 
--- a/lagoonlever/entry/engines/engines.py
+++ b/lagoonlever/entry/engines/engines.py
@@ -218,6 +218,14 @@
         """Give why a prompt may not run as it ends engines, or None."""
         return self._crashes.refusal(spec)
 
+    def is_misplaced(self, spec: GenerationSpec, dispatch: Dispatch, placement: Placement) -> bool:
+        """Tell whether an attempt waits at an engine while its request's returns go to another."""
+        if placement.tokens or dispatch.reattach:
+            return False
+        query = ModelQuery.parse(spec.model, version=dispatch.model_version)
+        place = self._gathering_place(spec, dispatch, query)
+        return place is not None and place.name != placement.target.name
+
     async def look_at_end(
         self, spec: GenerationSpec, placement: Placement, cause: BreakCause
     ) -> NotRun | None:
@@ -273,6 +281,8 @@
         view = self._guard.view.value
         features = self._features(spec, dispatch, query)
         target = view.find(dispatch.reattach_target) if dispatch.reattach_target else None
+        if target is None:
+            target = self._gathering_place(spec, dispatch, query)
         if target is None:
             choice = self._router.choose(features, view)
             if not isinstance(choice, Choice):
@@ -280,6 +290,24 @@
             target = choice.target
         return Placement(target=target, grant=grant, features=features, started_at=self._timers.now)
 
+    def _gathering_place(
+        self, spec: GenerationSpec, dispatch: Dispatch, query: ModelQuery
+    ) -> Target | None:
+        """Give where all returns of a request go that ends engines; None for any engine.
+
+        One that has told tokens went on at other engines: it ends none.
+        """
+        if dispatch.prefix:
+            return None
+        view = self._guard.view.value
+        able = [
+            target
+            for target in view.targets
+            if target.takes_work and query.key_at(target) and target.name not in dispatch.avoid
+        ]
+        place = self._crashes.gathering_place(spec, able)
+        return view.find(place) if place is not None else None
+
     def _features(
         self, spec: GenerationSpec, dispatch: Dispatch, query: ModelQuery
     ) -> RequestFeatures:
--- a/lagoonlever/entry/generations/generations.py
+++ b/lagoonlever/entry/generations/generations.py
@@ -144,6 +144,11 @@
         for task in self._tasks.values():
             task.wake()
 
+    def ends_known(self) -> None:
+        """Have each request look whether it is one that ends engines."""
+        for task in list(self._tasks.values()):
+            task.ends_known()
+
     def find(self, organisation: str, request_id: str) -> GenerationTask | None:
         """Give the task of a request, running or kept."""
         return self._tasks.get((organisation, request_id))
--- a/lagoonlever/entry/generations/task.py
+++ b/lagoonlever/entry/generations/task.py
@@ -132,6 +132,18 @@
         self._stop_attempt(attempt)
         self._carry_out(self._life.declared_dead(attempt=attempt))
 
+    def ends_known(self) -> None:
+        """Leave engines that have not begun, where the request is known to end them."""
+        if self._life.finished is not None or self._life.released:
+            return
+        barred = self._engines.refusal(self.spec)
+        if barred is not None:
+            self.abandon(reason=barred.reason, message=barred.message)
+            return
+        for number, running in list(self._running.items()):
+            if self._is_misplaced(running):
+                self._carry_out(self._life.broken(attempt=number, cause=BreakCause.CALLED_BACK))
+
     def hand_over(self) -> None:
         """Stop and cancel nothing at the engines: another VM takes up their streams."""
         self._done.set()
@@ -168,6 +180,12 @@
         self._running[dispatch.attempt] = running
         self._nursery.start_soon(self._run_attempt, running)
 
+    def _is_misplaced(self, running: _RunningAttempt) -> bool:
+        placement = running.placement
+        if placement is None or running.opened or running.cancelled:
+            return False
+        return self._engines.is_misplaced(self.spec, running.dispatch, placement)
+
     def _stop_attempt(self, attempt: int) -> None:
         running = self._running.get(attempt)
         if running is not None:
--- a/lagoonlever/tests/engine_crashes_tests.py
+++ b/lagoonlever/tests/engine_crashes_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -18,6 +19,10 @@
 TOLD_S = 3.0
 """Within this every VM refuses what has ended three engines."""
 SHORT = 7
+RETURNS = 6
+READS_S = 1.5
+SLOW_FACTOR = 1_000.0
+"""By it an engine takes longer for a token than any test waits."""
 
 
 def arm_all(scene: Scene) -> None:
@@ -80,3 +85,69 @@
         assert held.text == expected_text(length=SHORT, seed=2)
 
     run_scene(story, tmp_path, engines=12, vms=3)
+
+
+def arm_after_reading(scene: Scene, *, is_quick: Callable[[str], bool]) -> None:
+    """Have each engine die once it has read a deadly prompt; that takes no time where quick."""
+
+    async def die_later(engine: FakeEngine, stream: str) -> None:
+        await trio.sleep(READS_S)
+        if stream in engine.live_streams:
+            engine.inject(FaultOrder(kind=FaultKind.DIE))
+
+    for engine in scene.cluster.engines.values():
+
+        def sent(stream: str, tokens: int, engine: FakeEngine = engine) -> None:
+            if not stream.startswith(DEADLY):
+                return
+            if not is_quick(stream):
+                trio.lowlevel.spawn_system_task(die_later, engine, stream)
+            elif tokens == 0:
+                engine.inject(FaultOrder(kind=FaultKind.DIE))
+
+        engine._faults.sent = sent  # type: ignore[method-assign]
+
+
+def test_returns_after_the_second_end_go_to_one_engine_together(tmp_path: Path) -> None:
+    """Guards against returns at several engines that all begin, and end, at the same moment."""
+
+    async def story(scene: Scene) -> None:
+        slow_down(scene)
+        arm_after_reading(scene, is_quick=lambda _: ended(scene) < MOST_ENDED - 1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_deadly, scene, 0)
+            await until(lambda: ended(scene) == MOST_ENDED - 1)
+            await told(scene)
+            for number in range(1, RETURNS):
+                nursery.start_soon(ask_deadly, scene, number)
+        assert ended(scene) == MOST_ENDED
+
+    run_scene(story, tmp_path, engines=12, vms=3)
+
+
+def test_returns_that_wait_at_engines_are_called_back_before_they_begin(tmp_path: Path) -> None:
+    """Guards against engines that begin a prompt of which everybody knows that it ends them."""
+
+    async def story(scene: Scene) -> None:
+        slow_down(scene)
+        last = f"{DEADLY}-{RETURNS}"
+        arm_after_reading(scene, is_quick=lambda stream: stream.startswith(last))
+        async with trio.open_nursery() as nursery:
+            for number in range(RETURNS):
+                nursery.start_soon(ask_deadly, scene, number)
+            await until(lambda: len(reading(scene)) == RETURNS)
+            await ask_deadly(scene, RETURNS)
+        assert ended(scene) == MOST_ENDED
+
+    run_scene(story, tmp_path, engines=12, vms=3)
+
+
+def slow_down(scene: Scene) -> None:
+    """Have no engine make a token while a prompt is read."""
+    for engine in scene.cluster.engines.values():
+        engine.inject(FaultOrder(kind=FaultKind.SLOW, factor=SLOW_FACTOR))
+
+
+def reading(scene: Scene) -> list[str]:
+    """Give the streams that are at engines and have no token."""
+    return [name for engine in scene.cluster.engines.values() for name in engine.live_streams]
