--- a/lagoonlever/decisions/streams/generation_messages.py
+++ b/lagoonlever/decisions/streams/generation_messages.py
@@ -55,7 +55,7 @@
     NOT_THERE = "not-there"
     """The engine no longer has the stream that should be taken up; it may take new work."""
     CALLED_BACK = "called-back"
-    """This VM left the engine before it began, as the request ends engines."""
+    """This VM left the engine, which is not to blame: the stream is not wanted there any more."""
 
 
 NOTHING_SENT = frozenset({BreakCause.CONNECT_FAILED, BreakCause.NO_TARGET})
--- a/lagoonlever/entry/generations/task.py
+++ b/lagoonlever/entry/generations/task.py
@@ -46,6 +46,8 @@
     placement: Placement | None = None
     opened: bool = False
     cancelled: bool = False
+    left: bool = False
+    """Its engine is not to blame for its end."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -142,6 +144,7 @@
             return
         for number, running in list(self._running.items()):
             if self._is_misplaced(running):
+                running.left = True
                 self._carry_out(self._life.broken(attempt=number, cause=BreakCause.CALLED_BACK))
 
     def hand_over(self) -> None:
@@ -157,6 +160,8 @@
 
     def abandon(self, *, reason: Reason, message: str) -> None:
         """Give the request up."""
+        for running in self._running.values():
+            running.left = True
         self._carry_out(self._life.abandon(reason=reason, message=message))
 
     def _carry_out(self, decisions: list[Decision]) -> None:
@@ -215,7 +220,7 @@
                 cause = await self._attempt(running, placement)
             finally:
                 if running.scope.cancel_called:
-                    cause = BreakCause.SILENT
+                    cause = BreakCause.CALLED_BACK if running.left else BreakCause.SILENT
                 self._engines.ended(self.spec, dispatch, placement, cause)
         if cause is not None:
             await self._look_at_end(running, cause)
--- a/lagoonlever/tests/cluster_orphans_tests.py
+++ b/lagoonlever/tests/cluster_orphans_tests.py
@@ -7,6 +7,7 @@
 
 from lagoonlever.client.answers import HeldStream
 from lagoonlever.decisions.streams import orphans
+from lagoonlever.entry.targets.targets import TargetWatch
 from lagoonlever.tests.base import (
     Scene,
     decoded,
@@ -48,6 +49,25 @@
     run_scene(story, tmp_path, engines=1, vms=3, adjust=quick_membership)
 
 
+def test_an_engine_is_not_passed_over_because_a_caller_left(tmp_path, monkeypatch):
+    """Guards against an engine that others leave out as a VM cancelled a stream there."""
+    blamed: list[str] = []
+    monkeypatch.setattr(TargetWatch, "connect_failed", lambda _, target: blamed.append(target.name))
+
+    async def story(scene: Scene) -> None:
+        with trio.CancelScope() as scope:
+            await post(
+                scene.address("vm-1"),
+                document(length=2000, seed=5),
+                on_piece=lambda _: scope.cancel(),
+            )
+        await until(lambda: not live_streams(scene))
+        assert not blamed
+        scene.recorder.events.clear()
+
+    run_scene(story, tmp_path, engines=1, vms=3)
+
+
 def quick_membership(settings):
     membership = attrs.evolve(settings.membership, period_s=0.2, ack_timeout_s=0.1)
     return attrs.evolve(settings, membership=membership)
