--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -419,6 +419,11 @@
         return await open_listeners(host=address.host, port=address.port)
 
 
+def running_engine(site: GatewaySite) -> str:
+    """Give the name of an engine that has a run."""
+    return next(name for name, engine in site.engines.items() if engine.runs)
+
+
 def run_site(
     story: Callable[[GatewaySite], Awaitable[None]],
     *,
--- a/lagoonlever/tests/gateway_streams_tests.py
+++ b/lagoonlever/tests/gateway_streams_tests.py
@@ -2,13 +2,9 @@
 
 from __future__ import annotations
 
-import json
-
 import trio
 
-from lagoonlever.fakes.metadata_store import StoreFault
 from lagoonlever.fakes.platform_engine import EngineConduct
-from lagoonlever.gateway.settings import Bounds
 from lagoonlever.platform.headers import (
     COPY_FROM,
     COPY_TO,
@@ -16,20 +12,12 @@
     ORGANISATION,
     PRIORITY,
 )
-from lagoonlever.tests.gateway_site import GatewaySite, configuration, run_site, until
-
-
-def running_engine(site: GatewaySite) -> str:
-    return next(name for name, engine in site.engines.items() if engine.runs)
-
-
-async def configure_ranks(site: GatewaySite) -> None:
-    """Add a second route to the engines, of another rank."""
-    document = configuration(version=2)
-    stream = document["Routes"][0]
-    document["Routes"].append({**stream, "Name": "other", "Prefix": "/other/", "Priority": 3})
-    site.configure(document)
-    await until(lambda: all(vm.daemon.parts.beliefs.version == 2 for vm in site.vms.values()))
+from lagoonlever.tests.gateway_site import (
+    GatewaySite,
+    run_site,
+    running_engine,
+    until,
+)
 
 
 def test_a_stream_arrives_whole_with_the_engine_s_seal() -> None:
@@ -49,91 +37,6 @@
     run_site(story)
 
 
-def test_engines_are_told_ranks_where_routes_of_their_service_differ() -> None:
-    """Guards against an urgent stream that its engine takes for one like all others."""
-
-    async def story(site: GatewaySite) -> None:
-        await configure_ranks(site)
-        got = await site.stream("p1", events=10)
-        assert got.whole
-        sent = next(e for e in site.engines.values() if e.seen).seen[0]
-        assert sent.get(PRIORITY) == "5"
-
-    run_site(story)
-
-
-async def wait_at_a_full_engine(site: GatewaySite) -> None:
-    """Ask for a stream whose engine reports, once it has it, that its queue waits for memory."""
-    for engine in site.engines.values():
-        engine.prefill_tokens_per_s = 250.0
-
-    async def fill() -> None:
-        await until(lambda: any(engine.runs for engine in site.engines.values()))
-        engine = site.engines[running_engine(site)]
-        engine.waiting, engine.first_waiting, engine.memory_used = 1, 5_200, 54_000
-
-    site.nursery.start_soon(fill)
-    got = await site.stream("p1", events=5, prompt_tokens=500)
-    assert got.whole and got.is_events("p1", 1, 5)
-
-
-def test_a_prompt_leaves_an_engine_without_memory_for_its_queue() -> None:
-    """Guards against a prompt that waits for the end of a run while other engines have room."""
-
-    async def story(site: GatewaySite) -> None:
-        await configure_ranks(site)
-        await wait_at_a_full_engine(site)
-        assert sum(len(engine.seen) for engine in site.engines.values()) == 2
-
-    run_site(story)
-
-
-def test_a_prompt_stays_in_the_queue_where_routes_have_one_rank() -> None:
-    """Guards against a change for services whose work is all alike."""
-
-    async def story(site: GatewaySite) -> None:
-        await wait_at_a_full_engine(site)
-        assert sum(len(engine.seen) for engine in site.engines.values()) == 1
-
-    run_site(story)
-
-
-async def preempt_in_the_middle(site: GatewaySite) -> float:
-    """Ask for a stream whose engine puts it back into its queue after five events."""
-
-    def preempt(count: int) -> None:
-        if count == 5:
-            engine = site.engines[running_engine(site)]
-            engine.frozen_runs.set()
-            engine.waiting = 1
-            for run in engine.runs.values():
-                run.flowing = False
-
-    started = trio.current_time()
-    got = await site.stream("p1", events=30, on_event=preempt, Deadline_Ms="2500")
-    assert got.is_events("p1", 1, 30) == got.whole
-    return trio.current_time() - started if got.whole else float("inf")
-
-
-def test_a_preempted_stream_goes_on_from_its_copy() -> None:
-    """Guards against a stream that pauses for seconds in a queue while its copy is elsewhere."""
-
-    async def story(site: GatewaySite) -> None:
-        await configure_ranks(site)
-        assert await preempt_in_the_middle(site) < 1.5
-
-    run_site(story)
-
-
-def test_a_preempted_stream_waits_where_routes_have_one_rank() -> None:
-    """Guards against a change for services whose work is all alike."""
-
-    async def story(site: GatewaySite) -> None:
-        assert await preempt_in_the_middle(site) == float("inf")
-
-    run_site(story)
-
-
 def test_a_crashed_engine_s_stream_goes_on_from_the_copy() -> None:
     """A dealer's summary is half told when its engine dies with its sockets.
 
@@ -291,19 +194,6 @@
     run_site(story)
 
 
-def test_an_engine_that_was_replaced_at_its_address_is_passed_over() -> None:
-    """An engine has crashed and another process answers at its address with another id."""
-
-    async def story(site: GatewaySite) -> None:
-        site.engines["engine-0"].target_id = "engine-0-next"
-        site.engines["engine-1"].target_id = "engine-1-next"
-        got = await site.stream("p1", events=5)
-        assert got.whole and got.is_events("p1", 1, 5)
-        assert site.engines["engine-2"].read_tokens["p1"]
-
-    run_site(story)
-
-
 def test_a_stream_with_no_engine_is_refused_at_once() -> None:
     async def story(site: GatewaySite) -> None:
         got = await site.stream("p1", events=5)
@@ -417,125 +307,3 @@
         await until(lambda: not any(engine.copies for engine in site.engines.values()))
 
     run_site(story, engines=4)
-
-
-def test_an_engine_that_comes_back_while_the_store_is_away_is_used() -> None:
-    """The store is silent. The only engine crashes in the middle of a stream and restarts.
-
-    Its new process can't register, so no list names it. Streams failed until the store
-    was back. The process at the address tells its id, and as the former one gave a sign
-    of life less than two seconds ago it can only be of the same service.
-    """
-
-    async def story(site: GatewaySite) -> None:
-        async def come_back() -> None:
-            await trio.sleep(1.0)
-            await site.start_in_place_of("engine-0", "engine-reborn")
-
-        def crash(count: int) -> None:
-            if count == 5:
-                site.store.fault = StoreFault.SILENT
-                site.crash("engine-0")
-                site.nursery.start_soon(come_back)
-
-        site.engines["engine-0"].event_s = 0.03
-        got = await site.stream("p1", events=30, on_event=crash)
-        assert got.whole and got.is_events("p1", 1, 30)
-        assert site.engines["engine-reborn"].seen
-
-    # Two seconds, as on the platform, leave 0.1 s between the question and the end of the
-    # proof, which a busy machine may take; the bound itself has tests without a clock.
-    bounds = Bounds(grace_s=3.0, address_reuse_s=30.0)
-    run_site(story, engines=1, vms=2, bounds=bounds)
-
-
-async def start_again(site: GatewaySite, name: str) -> None:
-    """Crash an engine, and start another process under its id at its address."""
-    site.crash(name)
-    await trio.sleep(0.05)
-    place = int(name.rpartition("-")[2])
-    await site.start_engine(name, data_center=f"dc-{place % 3}")
-
-
-def test_a_copy_at_an_engine_that_started_again_is_not_asked_for() -> None:
-    """The engine with the copy of a run crashes and is back under its id at once.
-
-    Later the run's own engine crashes. The copy is gone, so the stream goes on from one
-    that was made since, and no engine refuses it for a copy that it doesn't have.
-    """
-
-    async def story(site: GatewaySite) -> None:
-        for engine in site.engines.values():
-            engine.event_s = 0.03
-
-        async def harm() -> None:
-            await until(lambda: any(engine.copies for engine in site.engines.values()))
-            at = running_engine(site)
-            holder = next(n for n, engine in site.engines.items() if engine.copies)
-            former = site.engines[holder]
-            await start_again(site, holder)
-            site.engines[holder].event_s = 0.03
-            await until(lambda: any(e.copies for e in site.engines.values() if e is not former))
-            await trio.sleep(0.1)
-            site.crash(at)
-
-        site.nursery.start_soon(harm)
-        got = await site.stream("p1", events=60, prompt_tokens=1000)
-        assert got.whole and got.is_events("p1", 1, 60)
-        refused = [e.refused for e in site.engines.values()]
-        assert sum(refused) == 0
-
-    run_site(story, engines=4)
-
-
-def test_a_silent_engine_that_has_started_again_is_left_at_once() -> None:
-    """An engine goes dark in the middle of a stream; its connections stay open and silent.
-
-    Another process has its id and answers questions, with requests of its own that wait. The
-    run could be one of those, by the report alone; the start tells that it is not.
-    """
-
-    async def story(site: GatewaySite) -> None:
-        def go_dark(count: int) -> None:
-            if count != 5:
-                return
-            name = running_engine(site)
-            dark = site.engines[name]
-            dark.frozen_runs.set()
-            dark.waiting = 3
-            dark.runs.clear()
-            dark.started_ms = 1_800_000_000_000
-
-        started = trio.current_time()
-        got = await site.stream("p1", events=30, on_event=go_dark)
-        assert got.whole and got.is_events("p1", 1, 30)
-        assert trio.current_time() - started < 5.0
-
-    run_site(story)
-
-
-def test_entries_that_others_wrote_harm_no_target() -> None:
-    """Somebody writes odd entries into the list, one of them over a good engine's.
-
-    They name no target; the streams go to the engines that are left.
-    """
-
-    async def story(site: GatewaySite) -> None:
-        address = str(site.addresses["engine-0"])
-        for number, value in enumerate(
-            (
-                b"\xff\x00",
-                b"{}",
-                b'{"Service": 7}',
-                json.dumps({"Service": "nobody's", "Address": address}).encode(),
-            )
-        ):
-            site.store.put(f"servers/odd-{number}", value)
-        site.store.put("servers/engine-2", b'{"Service": "engines", "State": "resting"}')
-        targets = site.vms["vm-0"].daemon.parts.beliefs.targets
-        await until(lambda: targets.find("engine-2") is None)
-        assert sorted(t.id for t in targets.serving("engines")) == ["engine-0", "engine-1"]
-        got = await site.stream("p1", events=5)
-        assert got.whole and not site.engines["engine-2"].seen
-
-    run_site(story)
