Log lost paths to targets, whose word counts, and whom callers are sent to

The three hypotheses of the incident could not be told apart by logs: no line told when a target was last reached by a new connection, by whose word an engine is avoided, or whether the directory sends callers to a VM. Events 1061 to 1064 and the counter of connections (kept, new, failed) do. No decision depends on them.

--- a/lagoonlever/gateway/directory.py
+++ b/lagoonlever/gateway/directory.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 
 import attrs
+import logbook
 
+from lagoonlever.gateway import events_paths as events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.refusals import JSON_TYPE
@@ -14,6 +16,8 @@
 from lagoonlever.platform.entry_calls import READY_PATH, RESOLVE_PATH, addresses_answer
 from lagoonlever.timers import TimerService
 
+log = logbook.Logger(__name__)
+
 MOST_ADDRESSES = 64
 TTL_S = 1.0
 """Short, as some callers keep an answer three times as long, and a VM stops within seconds."""
@@ -31,6 +35,8 @@
     _rng: random.Random
     _own: Address
     _ready: Callable[[], bool]
+    _offered: tuple[int, bool] = (0, False)
+    """How many VMs the last answer named, and whether this one was among them."""
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer a question about readiness or addresses."""
@@ -43,6 +49,7 @@
             await exchange.respond(status=NOT_FOUND, headers=Headers(), body=b"")
             return
         addresses = self._addresses()
+        self._note_offer(addresses)
         if not addresses:
             await exchange.respond(status=NOT_READY, headers=Headers(), body=b"")
             return
@@ -52,6 +59,14 @@
             body=addresses_answer(addresses, ttl_s=TTL_S),
         )
 
+    def _note_offer(self, addresses: tuple[Address, ...]) -> None:
+        """Log whom callers are sent to, where it differs from the last answer."""
+        offer = (len(addresses), self._own in addresses)
+        if offer == self._offered:
+            return
+        self._offered = offer
+        events.ADDRESSES_OFFERED.log(log, count=offer[0], own=offer[1])
+
     def _addresses(self) -> tuple[Address, ...]:
         offered = self._beliefs.fellows.accepting_callers(self._timers.now)
         others = self._rng.sample(offered, len(offered))
--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -19,6 +19,13 @@
     " answer that broke off at an engine that lives, `target-gone` one whose engine does not"
     " answer any more.",
 )
+CONNECTIONS = counter(
+    "lagoonlever.gateway.connections",
+    unit="{connection}",
+    labels=("result",),
+    doc="Connections to targets that a request was about to be sent on: `kept` from before, `new`,"
+    " or `failed` to open.",
+)
 TARGETS_ENDED = counter(
     "lagoonlever.gateway.targets.ended",
     unit="{target}",
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -326,7 +326,7 @@
 
     @client.default
     def _make_client(self) -> TargetClient:
-        return TargetClient(words=self.words)
+        return TargetClient(words=self.words, timers=self.timers, tally=self.reporter.tally)
 
     @crashes.default
     def _make_crashes(self) -> CrashWatch:
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 
 import attrs
+import logbook
 import trio
 
 from lagoonlever.decisions.fleet.roles import Roles
 from lagoonlever.decisions.fleet.update_routing import placement_hubs, sends_directly
 from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
+from lagoonlever.gateway import events_paths as events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.retry_budgets import RetryBudgets
@@ -29,6 +31,10 @@
 from lagoonlever.published import Published
 from lagoonlever.timers import Tick, TimerService
 
+log = logbook.Logger(__name__)
+
+OWN = "own"
+"""The source of what this VM has seen itself."""
 KEEP_PERIOD_S = 0.3
 """How often it is looked at whether this VM still hears of all runs."""
 MOST_RUNS_TOLD = 256
@@ -123,7 +129,7 @@
         """Note that an engine failed, and tell the others unless they know."""
         now = self._timers.now
         known = self._beliefs.book.avoidance.is_avoided(engine, now)
-        self._beliefs.book.avoidance.record_failure(engine, now)
+        self._avoid(engine, source=OWN)
         if replaced:
             self._learner.take_replaced(engine, source="answer")
         if replaced or not known:
@@ -231,12 +237,18 @@
         book.record_dispatch(run, now)
 
     def _take_engine_lost(self, lost: EngineLost, source: str) -> None:
-        self._beliefs.book.avoidance.record_failure(lost.engine, self._timers.now)
+        self._avoid(lost.engine, source=source)
         if lost.replaced:
             self._learner.take_replaced(lost.engine, source=source)
         else:
             self._tell_engine_lost(lost.engine)
 
+    def _avoid(self, engine: str, *, source: str) -> None:
+        avoidance, now = self._beliefs.book.avoidance, self._timers.now
+        if not avoidance.is_avoided(engine, now):
+            events.ENGINE_AVOIDED.log(log, target=engine, source=source)
+        avoidance.record_failure(engine, now)
+
     def _tell_engine_lost(self, engine: str) -> None:
         for notify in self._on_engine_lost:
             notify(engine)
