--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -43,6 +43,7 @@
 from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.decisions.targets.replacements import UNLISTED_LIFETIME_S
 from lagoonlever.decisions.targets.restored_entries import may_be_restored
+from lagoonlever.http.messages import Address
 from lagoonlever.revisions import NOWHERE, Revision
 
 REREGISTRATION_S = 2.2
@@ -140,6 +141,11 @@
         """Return a target by its id, or None if it is not known."""
         return self._targets.get(target_id)
 
+    def name_at(self, address: Address) -> str:
+        """Return the id of the target at an address, or the address if none is listed there."""
+        named = (target.id for target in self.targets if target.address == address)
+        return next(named, str(address))
+
     def versions_of(self, service: str) -> ServiceVersions:
         """Return the state of a service's versions, which is created where there is none."""
         return self._versions.setdefault(service, ServiceVersions())
--- a/lagoonlever/decisions/targets/target_paths.py
+++ b/lagoonlever/decisions/targets/target_paths.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from lagoonlever.http.messages import Address
+
 
 @attrs.define(kw_only=True)
 class _Path:
@@ -21,23 +23,23 @@
 
 @attrs.define(kw_only=True)
 class TargetPaths:
-    """The state of the path to each target; times in seconds of the monotonic clock."""
+    """The path to each target, by its address; times in seconds of the monotonic clock."""
 
-    _paths: dict[str, _Path] = attrs.field(factory=dict)
+    _paths: dict[Address, _Path] = attrs.field(factory=dict)
 
-    def since_reached_s(self, target: str, now: float) -> float | None:
+    def since_reached_s(self, target: Address, now: float) -> float | None:
         """Return how long ago a new connection to a target was opened; None for never."""
         path = self._paths.get(target)
         return now - path.reached_at if path and path.reached_at is not None else None
 
-    def record_reached(self, target: str, now: float) -> float | None:
+    def record_reached(self, target: Address, now: float) -> float | None:
         """Record a new connection; return for how many seconds the path was lost, or None."""
         path = self._paths.setdefault(target, _Path())
         lost_at, path.lost_at = path.lost_at, None
         path.reached_at = now
         return now - lost_at if lost_at is not None else None
 
-    def record_unreached(self, target: str, now: float) -> bool:
+    def record_unreached(self, target: Address, now: float) -> bool:
         """Record that a target took no connection; return whether the path is lost from now on."""
         path = self._paths.setdefault(target, _Path())
         if path.lost_at is not None:
@@ -45,7 +47,7 @@
         path.lost_at = now
         return True
 
-    def retain(self, targets: Collection[str]) -> None:
+    def retain(self, targets: Collection[Address]) -> None:
         """Remove the paths to all other targets."""
         for target in self._paths.keys() - set(targets):
             del self._paths[target]
--- a/lagoonlever/gateway/attempt_tools.py
+++ b/lagoonlever/gateway/attempt_tools.py
@@ -54,7 +54,7 @@
     crashes: CrashWatch
     rollouts: Rollouts
     words: TargetWords
-    copier: RunCopier = attrs.field(factory=RunCopier)
+    copier: RunCopier
     watched: dict[str, set[SilenceDetector]] = attrs.field(factory=dict)
     """The open attempts by engine, to be looked at when the engine seems lost."""
     losses: CorrelatedLoss = attrs.field(factory=CorrelatedLoss)
--- a/lagoonlever/gateway/cache_locator.py
+++ b/lagoonlever/gateway/cache_locator.py
@@ -15,7 +15,7 @@
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import PeerError
-from lagoonlever.http.client import fetch
+from lagoonlever.http.client import ClientConnection, Opener, Pool, fetch
 from lagoonlever.platform.engine_calls import KEPT_PATH, Kept, read_kept
 
 ASK_TIMEOUT_S = 0.15
@@ -28,10 +28,16 @@
 class CacheLocator:
     """Asks every engine what it keeps, at most once in ``FRESH_S``."""
 
+    _opener: Opener = ClientConnection.open
+    _pool: Pool = attrs.field(init=False)
     _kept: dict[str, dict[str, int]] = attrs.field(factory=dict)
     _asked_at: float = float("-inf")
     _asking: trio.Event | None = None
 
+    @_pool.default
+    def _make_pool(self) -> Pool:
+        return Pool(per_address=0, opener=self._opener)
+
     @MECHANISMS.register(
         "cache-locator",
         does="engines are asked which prompts they keep, after a loss of all VMs",
@@ -66,7 +72,11 @@
     async def _ask(self, engine: ListedTarget) -> None:
         try:
             response = await fetch(
-                engine.address, path=KEPT_PATH, step="list kept prompts", timeout_s=ASK_TIMEOUT_S
+                engine.address,
+                path=KEPT_PATH,
+                step="list kept prompts",
+                timeout_s=ASK_TIMEOUT_S,
+                pool=self._pool,
             )
             kept = read_kept(msgspec.json.decode(response.body, type=Kept))
         except (PeerError, msgspec.MsgspecError):
--- a/lagoonlever/gateway/daemon.py
+++ b/lagoonlever/gateway/daemon.py
@@ -14,6 +14,7 @@
 from lagoonlever.gateway.parts import GatewayParts
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.gateway.supervision import run_part
+from lagoonlever.http.client import ClientConnection, Opener
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import Handler, ServerLimits, ServerState, open_listeners, serve_http
 from lagoonlever.identity import new_incarnation
@@ -40,6 +41,8 @@
     _http: ServerState = attrs.field(factory=ServerState)
     _sockets: Mapping[str, socket.socket] = attrs.field(factory=dict)
     """Sockets that listen already, by their addresses."""
+    _open_target: Opener = ClientConnection.open
+    """Opens a connection to a target from this VM itself."""
     _stop: trio.Event = attrs.field(factory=trio.Event)
     _parts: GatewayParts | None = None
 
@@ -82,6 +85,7 @@
             timers=self.timers,
             stopping=self._stop.is_set,
             open_requests=lambda: self._http.open_exchanges,
+            open_target=self._open_target,
         )
         self._parts = parts
         async with trio.open_nursery() as nursery:
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -17,6 +17,7 @@
 from lagoonlever.gateway.call_desk import CallDesk
 from lagoonlever.gateway.call_places import CallPlaces
 from lagoonlever.gateway.crash_watch import CrashWatch
+from lagoonlever.gateway.dialer import TargetDialer
 from lagoonlever.gateway.directory import Directory
 from lagoonlever.gateway.front import Front
 from lagoonlever.gateway.front_parts import make_front
@@ -45,6 +46,7 @@
 from lagoonlever.gateway.target_client import TargetClient
 from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.gateway.target_words import TargetWords
+from lagoonlever.http.client import ClientConnection, Opener
 from lagoonlever.http.server import ServerLimits
 from lagoonlever.identity import Incarnation
 from lagoonlever.metrics import PLATFORM_CALLS, PLATFORM_RESTORES
@@ -68,6 +70,8 @@
     timers: TimerService
     stopping: Callable[[], bool]
     open_requests: Callable[[], int]
+    open_target: Opener = ClientConnection.open
+    """Opens a connection to a target from this VM itself."""
     reporter: Reporter = attrs.field(init=False)
     store: MetadataStore = attrs.field(init=False)
     beliefs: Beliefs = attrs.field(init=False)
@@ -79,6 +83,7 @@
     rollouts: Rollouts = attrs.field(init=False)
     rollout_lead: RolloutLead = attrs.field(init=False)
     peers: PeerExchange = attrs.field(init=False)
+    dialer: TargetDialer = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
     placement_desk: PlacementDesk = attrs.field(init=False)
     room_desk: RoomDesk = attrs.field(init=False)
@@ -94,7 +99,7 @@
     follower: StoreFollower = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
     pace_keeper: PaceKeeper = attrs.field(init=False)
-    prober: EngineProber = attrs.field(factory=EngineProber, init=False)
+    prober: EngineProber = attrs.field(init=False)
     front: Front = attrs.field(init=False)
     directory: Directory = attrs.field(init=False)
     metrics_page: MetricsPage = attrs.field(init=False)
@@ -198,6 +203,14 @@
         self.presence.on_loss(peers.vm_lost)
         return peers
 
+    @dialer.default
+    def _make_dialer(self) -> TargetDialer:
+        return TargetDialer(
+            timers=self.timers,
+            name_of=self.beliefs.targets.name_at,
+            open_direct=self.open_target,
+        )
+
     @placer.default
     def _make_placer(self) -> Placer:
         return Placer(
@@ -207,7 +220,7 @@
             budgets=self.budgets,
             roles=self.presence.roles,
             vm=self.settings.name,
-            locator=CacheLocator(),
+            locator=CacheLocator(opener=self.dialer.open),
         )
 
     @placement_desk.default
@@ -246,6 +259,7 @@
             learner=self.learner,
             timers=self.timers,
             reuse_s=lambda: self.settings.bounds.address_reuse_s,
+            opener=self.dialer.open,
         )
 
     @spread.default
@@ -326,7 +340,7 @@
 
     @client.default
     def _make_client(self) -> TargetClient:
-        return TargetClient(words=self.words, timers=self.timers, tally=self.reporter.tally)
+        return TargetClient(words=self.words, dialer=self.dialer, tally=self.reporter.tally)
 
     @crashes.default
     def _make_crashes(self) -> CrashWatch:
@@ -380,6 +394,10 @@
             rng=self.rng,
         )
 
+    @prober.default
+    def _make_prober(self) -> EngineProber:
+        return EngineProber(opener=self.dialer.open)
+
     @front.default
     def _make_front(self) -> Front:
         return make_front(self)
--- a/lagoonlever/gateway/prober.py
+++ b/lagoonlever/gateway/prober.py
@@ -9,7 +9,7 @@
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import PeerError
 from lagoonlever.gateway.messages import EngineReport
-from lagoonlever.http.client import Pool, fetch
+from lagoonlever.http.client import ClientConnection, Opener, Pool, fetch
 from lagoonlever.platform.engine_calls import REPORT_PATH, Report, read_report
 
 PROBE_TIMEOUT_S = 0.1
@@ -29,10 +29,15 @@
 class EngineProber:
     """Owns the connections for questions."""
 
-    _pool: Pool = attrs.field(factory=lambda: Pool(per_address=1))
+    _opener: Opener = ClientConnection.open
+    _pool: Pool = attrs.field(init=False)
     _asked: dict[str, _Asked] = attrs.field(factory=dict)
     questions: int = 0
 
+    @_pool.default
+    def _make_pool(self) -> Pool:
+        return Pool(per_address=1, opener=self._opener)
+
     async def ask(
         self, engine: ListedTarget, *, since: float = float("-inf")
     ) -> EngineReport | None:
--- a/lagoonlever/gateway/replacement_finder.py
+++ b/lagoonlever/gateway/replacement_finder.py
@@ -15,7 +15,7 @@
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
-from lagoonlever.http.client import fetch
+from lagoonlever.http.client import ClientConnection, Opener, Pool, fetch
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_gateway import TargetFound
 from lagoonlever.platform.headers import read_answer
@@ -37,10 +37,16 @@
     _timers: TimerService
     _reuse_s: Callable[[], float]
     """Gives how long an address stays unused after its target has ended."""
+    _opener: Opener = ClientConnection.open
+    _pool: Pool = attrs.field(init=False)
     _lost: dict[str, float] = attrs.field(factory=dict)
     """Targets that are looked after, and when each was last known to live."""
     _nursery: trio.Nursery | None = None
 
+    @_pool.default
+    def _make_pool(self) -> Pool:
+        return Pool(per_address=0, opener=self._opener)
+
     async def run(self) -> None:
         """Look for replacements, and take those that others have found, until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -114,6 +120,7 @@
                     path=service.health_path,
                     step="ask who answers",
                     timeout_s=ASK_TIMEOUT_S,
+                    pool=self._pool,
                 )
                 return read_answer(answer.status, answer.headers).target_id
         except PeerError as error:
--- a/lagoonlever/gateway/run_copier.py
+++ b/lagoonlever/gateway/run_copier.py
@@ -10,7 +10,7 @@
 from lagoonlever.decisions.streams.engine_runs import RunCopy
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import PeerError
-from lagoonlever.http.client import Pool, fetch
+from lagoonlever.http.client import ClientConnection, Opener, Pool, fetch
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE
 from lagoonlever.platform.engine_calls import COPY_PATH, FREE_PATH, CopyAsk, CopyMade
@@ -23,7 +23,12 @@
 class RunCopier:
     """Owns the connections for the calls."""
 
-    _pool: Pool = attrs.field(factory=lambda: Pool(per_address=1))
+    _opener: Opener = ClientConnection.open
+    _pool: Pool = attrs.field(init=False)
+
+    @_pool.default
+    def _make_pool(self) -> Pool:
+        return Pool(per_address=1, opener=self._opener)
 
     async def copy(self, request: str, *, source: ListedTarget, to: ListedTarget) -> RunCopy | str:
         """Copy a run while it goes on; gives the copy, or why there is none."""
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -9,23 +9,18 @@
 from dataclasses import dataclass
 
 import attrs
-import logbook
 import trio
 
 from lagoonlever.decisions.targets.listed_target import ListedTarget
-from lagoonlever.decisions.targets.target_paths import TargetPaths
 from lagoonlever.exceptions import BadResponse, ConnectFailed, ConnectionBroken
-from lagoonlever.gateway import events_paths as events
 from lagoonlever.gateway import metrics
+from lagoonlever.gateway.dialer import TargetDialer
 from lagoonlever.gateway.messages import AnswerHead, Hop
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_words import TargetWords
 from lagoonlever.http.client import ClientConnection, Pool, Response
 from lagoonlever.http.messages import Request
 from lagoonlever.platform.headers import read_answer, to_target
-from lagoonlever.timers import TimerService
-
-log = logbook.Logger(__name__)
 
 CONNECT_TIMEOUT_S = 0.15
 """A target accepts within a few milliseconds; one that does not is passed over.
@@ -90,10 +85,9 @@
 
     _words: TargetWords
     """Hears what each answer says of its target."""
-    _timers: TimerService
+    _dialer: TargetDialer
     _tally: Tally
     _pool: Pool = attrs.field(factory=Pool)
-    _paths: TargetPaths = attrs.field(factory=TargetPaths)
 
     async def connect(
         self, target: ListedTarget, *, rested_at_most_s: float
@@ -104,7 +98,7 @@
             self._tally.add(metrics.CONNECTIONS, "kept")
             return kept
         try:
-            connection = await self._open(target)
+            connection = await self._dialer.open(target.address, timeout_s=CONNECT_TIMEOUT_S)
         except ConnectFailed as error:
             self._tally.add(metrics.CONNECTIONS, "failed")
             return NotSent(detail=error.message)
@@ -170,38 +164,13 @@
     async def reaches(self, target: ListedTarget) -> bool:
         """Tell whether a target accepts a connection, which is kept for the next request."""
         try:
-            connection = await self._open(target)
+            connection = await self._dialer.open(target.address, timeout_s=CONNECT_TIMEOUT_S)
         except ConnectFailed:
             # No connection is the answer; the one who asked tells of it.
             return False
         await self._pool.put_back(connection)
         return True
 
-    async def _open(self, target: ListedTarget) -> ClientConnection:
-        """Open a connection and record whether the path is there; raise ``ConnectFailed``."""
-        try:
-            connection = await ClientConnection.open(target.address, timeout_s=CONNECT_TIMEOUT_S)
-        except ConnectFailed as error:
-            self._record_unreached(target, error)
-            raise
-        lost_s = self._paths.record_reached(target.id, self._timers.now)
-        if lost_s is not None:
-            events.TARGET_REACHED.log(log, target=target.id, seconds=lost_s)
-        return connection
-
-    def _record_unreached(self, target: ListedTarget, error: ConnectFailed) -> None:
-        now = self._timers.now
-        if not self._paths.record_unreached(target.id, now):
-            return
-        ago_s = self._paths.since_reached_s(target.id, now)
-        events.TARGET_UNREACHED.log(
-            log,
-            target=target.id,
-            address=str(target.address),
-            error=error.message,
-            ago_s="unknown" if ago_s is None else f"{ago_s:.2f}",
-        )
-
     async def forget(self, target: ListedTarget) -> None:
         """Close the kept connections to a target that does not answer any more."""
         await self._pool.drop(target.address)
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import AsyncIterator
 from types import TracebackType
+from typing import Protocol
 
 import attrs
 import h11
@@ -39,6 +40,13 @@
     body: bytes
 
 
+class Opener(Protocol):
+    """Opens a connection to an address; raises ``ConnectFailed``."""
+
+    async def __call__(self, address: Address, *, timeout_s: float) -> ClientConnection:
+        """Connect to an address within ``timeout_s`` seconds."""
+
+
 class ClientConnection:
     """One connection to a peer; carries one request at a time, and closes with its block."""
 
@@ -98,13 +106,7 @@
         With ``keepalive_s`` a connection that carries nothing is probed by TCP at that
         pace, so that a peer that vanished without a word breaks it.
         """
-        try:
-            with trio.fail_after(timeout_s):
-                stream = await trio.open_tcp_stream(address.host, address.port)
-        except (OSError, trio.TooSlowError) as error:
-            raise ConnectFailed(
-                str(error) or "timed out", step="connect", peer=str(address)
-            ) from error
+        stream = await open_stream(address, timeout_s=timeout_s)
         if keepalive_s is not None:
             _probe_idle(stream, keepalive_s)
         return cls(stream=stream, address=address)
@@ -225,6 +227,15 @@
         )
 
 
+async def open_stream(address: Address, *, timeout_s: float) -> trio.SocketStream:
+    """Open a TCP connection; raise ``ConnectFailed``, which proves that nothing was received."""
+    try:
+        with trio.fail_after(timeout_s):
+            return await trio.open_tcp_stream(address.host, address.port)
+    except (OSError, trio.TooSlowError) as error:
+        raise ConnectFailed(str(error) or "timed out", step="connect", peer=str(address)) from error
+
+
 def _probe_idle(stream: trio.SocketStream, keepalive_s: int) -> None:
     stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, keepalive_s)
@@ -235,10 +246,17 @@
 class Pool:
     """Idle connections by address, for requests that may safely be sent twice."""
 
-    def __init__(self, *, idle_s: float = POOL_IDLE_S, per_address: int = 8) -> None:
+    def __init__(
+        self,
+        *,
+        idle_s: float = POOL_IDLE_S,
+        per_address: int = 8,
+        opener: Opener = ClientConnection.open,
+    ) -> None:
         self._idle: dict[Address, deque[ClientConnection]] = {}
         self._idle_s = idle_s
         self._per_address = per_address
+        self._opener = opener
 
     async def take(
         self,
@@ -249,7 +267,7 @@
     ) -> ClientConnection:
         """Give an idle connection, or a new one; raises ``ConnectFailed``."""
         kept = await self.take_kept(address, rested_at_most_s=rested_at_most_s)
-        return kept or await ClientConnection.open(address, timeout_s=timeout_s)
+        return kept or await self._opener(address, timeout_s=timeout_s)
 
     async def take_kept(
         self, address: Address, *, rested_at_most_s: float = math.inf
--- a/lagoonlever/tests/barred_tests.py
+++ b/lagoonlever/tests/barred_tests.py
@@ -9,7 +9,7 @@
 
 from lagoonlever.gateway.crash_records import RECORD_KEY
 from lagoonlever.tests.beside_store import run_alone, run_beside_store
-from lagoonlever.tests.gateway_site import free_address
+from lagoonlever.tests.free_ports import free_address
 
 
 def listed(value: bytes | None) -> Result:
--- a/lagoonlever/tests/beside_store.py
+++ b/lagoonlever/tests/beside_store.py
@@ -8,7 +8,7 @@
 from lagoonlever.__main__ import app
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
 from lagoonlever.http.server import open_listeners
-from lagoonlever.tests.gateway_site import free_address
+from lagoonlever.tests.free_ports import free_address
 
 
 def run_beside_store(command: str, *entries: tuple[str, bytes]) -> Result:
--- a/lagoonlever/tests/commands_rollouts_tests.py
+++ b/lagoonlever/tests/commands_rollouts_tests.py
@@ -6,7 +6,7 @@
 from lagoonlever.http.messages import Address
 from lagoonlever.platform.documents import target_entry
 from lagoonlever.tests.beside_store import run_alone, run_beside_store
-from lagoonlever.tests.gateway_site import free_address
+from lagoonlever.tests.free_ports import free_address
 
 ORDER = b'{"Service": "apps", "To": "v2", "DurationS": 12}'
 
--- /dev/null
+++ b/lagoonlever/tests/cuttable_paths.py
@@ -0,0 +1,44 @@
+"""The paths from the gateways of a site to its targets, each of which can be cut."""
+
+from __future__ import annotations
+
+import functools
+
+import attrs
+import trio
+
+from lagoonlever.fakes.path_proxy import PathProxy, PathState
+from lagoonlever.http.client import ClientConnection, Opener
+from lagoonlever.http.messages import Address
+from lagoonlever.tests.free_ports import free_address
+
+
+@attrs.define(kw_only=True, eq=False)
+class CuttablePaths:
+    """A proxy for each gateway and target, started when it is first used."""
+
+    nursery: trio.Nursery
+    _proxies: dict[tuple[str, Address], PathProxy] = attrs.field(factory=dict)
+    _states: dict[str, PathState] = attrs.field(factory=dict)
+    """The state of all paths of a gateway."""
+
+    def opener(self, vm: str) -> Opener:
+        """Return what opens the connections of a gateway to targets."""
+        return functools.partial(self._open, vm)
+
+    def set(self, vm: str, state: PathState, *, targets: frozenset[Address] | None = None) -> None:
+        """Put the paths of a gateway into a state: all of them, or those to some targets."""
+        if targets is None:
+            self._states[vm] = state
+        for (name, address), proxy in self._proxies.items():
+            if name == vm and (targets is None or address in targets):
+                proxy.set(state)
+
+    async def _open(self, vm: str, address: Address, *, timeout_s: float) -> ClientConnection:
+        proxy = self._proxies.get((vm, address))
+        if proxy is None:
+            proxy = PathProxy(listen=free_address(), target=address)
+            self._proxies[(vm, address)] = proxy
+            await self.nursery.start(proxy.run)
+            proxy.set(self._states.get(vm, PathState.OPEN))
+        return await proxy.open(address, timeout_s=timeout_s)
--- a/lagoonlever/tests/gateway_metrics_tests.py
+++ b/lagoonlever/tests/gateway_metrics_tests.py
@@ -6,7 +6,8 @@
 
 from lagoonlever.gateway.metrics import REQUESTS
 from lagoonlever.http.client import fetch
-from lagoonlever.tests.gateway_site import GatewaySite, free_address, run_site, until
+from lagoonlever.tests.free_ports import free_address
+from lagoonlever.tests.gateway_site import GatewaySite, run_site, until
 
 
 def test_a_scrape_tells_what_was_counted_before_it() -> None:
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import contextlib
 import itertools
 import json
-import os
 import random
-import socket
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -26,6 +23,8 @@
 from lagoonlever.platform.configuration import CONFIGURATION_KEY
 from lagoonlever.platform.documents import target_entry
 from lagoonlever.platform.targets import DRAINING, TARGETS_PREFIX
+from lagoonlever.tests.cuttable_paths import CuttablePaths
+from lagoonlever.tests.free_ports import free_address
 
 HOST = "shop.example"
 KEY = "key-1"
@@ -39,26 +38,6 @@
 
 DEFAULT_BOUNDS = Bounds(grace_s=3.0)
 
-FIRST_PORT = 12_000
-"""Below the ports that the kernel gives to outgoing connections, from 32,768 on."""
-PORTS_OF_WORKER = 2_000
-_ports = itertools.count()
-
-
-def free_address() -> Address:
-    """Give a loopback address that nothing listens on, nor will before it is used.
-
-    A port that the kernel picks may be given to another connection between this and the
-    use of it; so each test worker takes ports of a range of its own, in turn.
-    """
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-    first = FIRST_PORT + worker % 10 * PORTS_OF_WORKER
-    while True:
-        address = Address(host="127.0.0.1", port=first + next(_ports) % PORTS_OF_WORKER)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((address.host, address.port))
-            return address
-
 
 async def until(condition: Callable[[], object]) -> None:
     """Wait until a condition of another part holds; bounded by the run's limit."""
@@ -189,6 +168,8 @@
     vms: dict[str, Vm] = attrs.field(factory=dict)
     deadly: set[str] = attrs.field(factory=set)
     """Prompts and bodies of requests that end each target that runs them."""
+    paths: CuttablePaths | None = None
+    """The paths of each gateway to each target, where a story cuts some."""
     deaths: list[str] = attrs.field(factory=list)
     """The targets that ended so."""
     _fleet: dict[str, FakeEngine] = attrs.field(factory=dict)
@@ -290,7 +271,8 @@
         """Start a gateway; one of the same name comes back at the same addresses."""
         former = self.vms.get(name)
         settings = former.settings if former else self._settings(name, data_center)
-        daemon = GatewayDaemon(settings=settings, rng=random.Random(name))
+        open_target = self.paths.opener(name) if self.paths else ClientConnection.open
+        daemon = GatewayDaemon(settings=settings, rng=random.Random(name), open_target=open_target)
         vm = self.vms[name] = Vm(settings=settings, daemon=daemon)
         self.nursery.start_soon(self._run_vm, vm)
         return vm
@@ -428,14 +410,16 @@
     story: Callable[[GatewaySite], Awaitable[None]],
     *,
     bounds: Bounds = DEFAULT_BOUNDS,
+    cuttable: bool = False,
     **sizes: int,
 ) -> None:
-    """Run a story on a fresh deployment."""
+    """Run a story on a fresh deployment; ``cuttable`` puts a proxy on each path to a target."""
 
     async def main() -> None:
         with trio.fail_after(LIMIT_S):
             async with trio.open_nursery() as nursery:
-                site = GatewaySite(nursery=nursery, bounds=bounds)
+                paths = CuttablePaths(nursery=nursery) if cuttable else None
+                site = GatewaySite(nursery=nursery, bounds=bounds, paths=paths)
                 await site.start(**sizes)
                 await story(site)
                 nursery.cancel_scope.cancel()
--- /dev/null
+++ b/lagoonlever/tests/path_proxy_tests.py
@@ -0,0 +1,79 @@
+"""The stand-in for a path to a target: what a VM sees in each of its states."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from lagoonlever.exceptions import ConnectFailed
+from lagoonlever.fakes.path_proxy import PathProxy, PathState
+from lagoonlever.fakes.platform_runner import FakeRunner
+from lagoonlever.http.client import ClientConnection
+from lagoonlever.http.messages import Headers
+from lagoonlever.http.server import open_listeners
+from lagoonlever.platform.headers import REQUEST_ID
+from lagoonlever.tests.free_ports import free_address
+
+CONNECT_S = 0.3
+ANSWER_S = 0.3
+LIMIT_S = 30.0
+
+
+async def _start(nursery: trio.Nursery) -> PathProxy:
+    target = free_address()
+    listeners = await open_listeners(host=target.host, port=target.port)
+    nursery.start_soon(FakeRunner(target_id="runner-0").run, listeners)
+    proxy = PathProxy(listen=free_address(), target=target)
+    await nursery.start(proxy.run)
+    return proxy
+
+
+async def _open(proxy: PathProxy, *, timeout_s: float = CONNECT_S) -> ClientConnection:
+    return await proxy.open(proxy.target, timeout_s=timeout_s)
+
+
+async def _is_answered(connection: ClientConnection) -> bool:
+    """Send a request and check whether its whole answer comes."""
+    with trio.move_on_after(ANSWER_S):
+        headers = Headers(((REQUEST_ID, "r-1"),))
+        await connection.start(method="GET", path="/", headers=headers, step="test")
+        await connection.read_head()
+        while await connection.next_piece() is not None:
+            pass
+        return True
+    return False
+
+
+@pytest.mark.parametrize("state", [s for s in PathState if s is not PathState.OPEN])
+def test_new_connections_fail_until_the_path_is_open_again(state: PathState) -> None:
+    async def main() -> None:
+        with trio.fail_after(LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                proxy = await _start(nursery)
+                proxy.set(state)
+                for _ in range(3):
+                    with pytest.raises(ConnectFailed):
+                        await _open(proxy)
+                proxy.set(PathState.OPEN)
+                async with await _open(proxy, timeout_s=LIMIT_S) as connection:
+                    assert await _is_answered(connection)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("state", [PathState.REFUSED, PathState.SILENT, PathState.ONE_WAY])
+def test_only_where_new_connections_alone_are_refused_does_an_open_one_carry(
+    state: PathState,
+) -> None:
+    async def main() -> None:
+        with trio.fail_after(LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                proxy = await _start(nursery)
+                async with await _open(proxy, timeout_s=LIMIT_S) as connection:
+                    assert await _is_answered(connection)
+                    proxy.set(state)
+                    assert await _is_answered(connection) == (state is PathState.REFUSED)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
