A stream goes on at once when its VM's path to the engine is cut

Cause: events that an engine has made and a VM has not got count as lost after 0.6 s only, as they may be late. Where the report came by way of another VM they can't be. Change: there one event is enough, and the engine is asked each 0.1 s in place of 0.25 s.

--- a/lagoonlever/decisions/streams/silence.py
+++ b/lagoonlever/decisions/streams/silence.py
@@ -54,6 +54,11 @@
 """
 FLOWING_QUERY_INTERVAL_S = 0.25
 """Interval between queries after the first event, in seconds."""
+CUT_QUERY_INTERVAL_S = 0.1
+"""Interval between queries in seconds where only they show whether the engine produces events.
+
+Reports are about as old.
+"""
 UNLISTED_TIMEOUT_S = 0.5
 """Silence in seconds after which a run that the engine's report does not list is lost.
 
@@ -156,11 +161,14 @@
             return WaitUntil(at=self._query_at)
         return QueryEngine()
 
-    def record_status(self, status: RunStatus, now: float, *, events_ahead: int = 0) -> None:
+    def record_status(
+        self, status: RunStatus, now: float, *, events_ahead: int = 0, path_cut: bool = False
+    ) -> None:
         """Record the run's status as the engine reported it at ``now``.
 
         ``events_ahead`` is the number of events that the engine produced and this VM has not
-        received.
+        received. With ``path_cut`` the report came by way of another VM, as this one has lost its
+        path to the engine: an event that was not received is then not merely late.
         """
         silent_s = now - self._last_event_at
         if status is RunStatus.NO_REPORT:
@@ -177,10 +185,22 @@
             self._loss_reason = f"silent for {silent_s:.2f} s, and its engine has preempted it"
         elif status is RunStatus.NOT_LISTED and silent_s >= UNLISTED_TIMEOUT_S:
             self._loss_reason = f"silent for {silent_s:.2f} s and does not run it"
-        elif events_ahead >= UNDELIVERED_EVENTS and silent_s >= UNDELIVERED_TIMEOUT_S:
+        elif self._is_undelivered(events_ahead, silent_s, path_cut=path_cut):
             self._loss_reason = f"silent for {silent_s:.2f} s with {events_ahead} events made"
-        first_interval_s = FIRST_QUERY_INTERVAL_FACTOR * self._first_query_s
-        self._query_at = now + (FLOWING_QUERY_INTERVAL_S if self._flowing else first_interval_s)
+        self._query_at = now + self._query_interval_s(path_cut=path_cut)
+
+    def _is_undelivered(self, events_ahead: int, silent_s: float, *, path_cut: bool) -> bool:
+        """Check whether the engine has produced events that will not arrive any more."""
+        if path_cut:
+            return events_ahead > 0
+        return events_ahead >= UNDELIVERED_EVENTS and silent_s >= UNDELIVERED_TIMEOUT_S
+
+    def _query_interval_s(self, *, path_cut: bool) -> float:
+        if path_cut:
+            return CUT_QUERY_INTERVAL_S
+        if self._flowing:
+            return FLOWING_QUERY_INTERVAL_S
+        return FIRST_QUERY_INTERVAL_FACTOR * self._first_query_s
 
     @property
     def _query_delay_s(self) -> float:
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -318,7 +318,10 @@
             report=str(report),
         )
         self._tools.reporter.tally.add(metrics.ENGINE_QUESTIONS, answer.value)
-        silence.record_status(answer, self._now, events_ahead=ahead)
+        is_own = connection.via is None
+        silence.record_status(
+            answer, self._now, events_ahead=ahead, path_cut=is_own and self._is_cut
+        )
         if answer is RunStatus.QUEUED and report is not None and not self._answered:
             self._leave_stuck_queue(report)
 
--- a/lagoonlever/tests/stream_silence_tests.py
+++ b/lagoonlever/tests/stream_silence_tests.py
@@ -89,6 +89,13 @@
     assert isinstance(silence.next_step(1.0), AttemptLost)
 
 
+def test_undelivered_events_are_a_loss_at_once_where_the_path_to_the_engine_is_cut() -> None:
+    """A VM lost its path under a stream, and its caller's pause was longer than is accepted."""
+    silence, last = flowing()
+    silence.record_status(RunStatus.RUNNING, last + 0.15, events_ahead=1, path_cut=True)
+    assert isinstance(silence.next_step(last + 0.15), AttemptLost)
+
+
 def test_a_gap_as_long_as_the_recent_ones_causes_no_query() -> None:
     """All engines are slow and prefill prompts beside each stream: an event every 0.46 s.
 
