Brittle targets get no request that they would have to turn away

A target that says `Server-Brittle: N` falls over, with what it runs, once it has to turn away more than N requests in a second, and may let fewer wait than usual without a further word. Cause: the field was read by nobody, and each VM chose for itself: bursts of all VMs met at a target. Change: each VM hears the word and tells all. While a target of a service says so, one VM gives out the room at its targets (call places, line for prompts), nothing waits at a brittle runner, and one that has turned away half of what it bears within a second is spared for that long.

--- a/lagoonlever/bench/placing_fleet.py
+++ b/lagoonlever/bench/placing_fleet.py
@@ -11,7 +11,9 @@
 from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
 from lagoonlever.decisions.streams.run_placement import Placed, PlacementRequest
 from lagoonlever.decisions.targets.listed_target import ListedTarget
+from lagoonlever.gateway.brittle_watch import BrittleWatch
 from lagoonlever.gateway.cache_locator import CacheLocator
+from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.placement_desk import PlacementDesk
 from lagoonlever.gateway.placer import Placer
@@ -152,8 +154,15 @@
         locator=CacheLocator(),
     )
     desk = PlacementDesk(bus=vm.bus, beliefs=vm.beliefs, timers=timers, placer=placer)
+    spread = HubSpread(bus=vm.bus, beliefs=vm.beliefs, roles=vm.presence.roles, own=name)
+    brittle = BrittleWatch(bus=vm.bus, beliefs=vm.beliefs, timers=timers, spread=spread)
     room_desk = RoomDesk(
-        bus=vm.bus, beliefs=vm.beliefs, timers=timers, placer=placer, tally=Tally()
+        bus=vm.bus,
+        beliefs=vm.beliefs,
+        timers=timers,
+        placer=placer,
+        tally=Tally(),
+        brittle=brittle,
     )
     asker = RoomAsker(
         bus=vm.bus,
@@ -163,6 +172,7 @@
         vm=name,
         leaving=lambda: vm.state.leaving,
         desk=room_desk,
+        brittle=brittle,
     )
     for part in (peers.run, placer.run, desk.run, room_desk.run, asker.run):
         fleet.nursery.start_soon(vm.run, part)
--- a/lagoonlever/decisions/admission/call_queue.py
+++ b/lagoonlever/decisions/admission/call_queue.py
@@ -70,6 +70,8 @@
     """The runner reported its own failure."""
     LOST = "lost"
     """The runner could not be reached, refused the call, or did not answer."""
+    REFUSED = "refused"
+    """The runner, which is brittle, had no room for the call."""
     UNUSED = "unused"
     """The attempt was not sent, through no fault of the runner, or its caller left."""
 
@@ -171,6 +173,12 @@
             if name not in self._runners:
                 self._runners[name] = RunnerSlots(name=name, data_center=data_center)
 
+    def set_brittle(self, borne: Mapping[str, int | None]) -> None:
+        """Set how many refusals a second each runner bears; None for one that isn't brittle."""
+        for name, refusals_per_s in borne.items():
+            if name in self._runners:
+                self._runners[name].borne_refusals_per_s = refusals_per_s
+
     def record_restart(self, name: str) -> None:
         """Discard a runner's state, as a new process has taken over its id.
 
@@ -256,6 +264,8 @@
             known.record_failure(now)
         elif end is CallEnd.LOST:
             known.record_loss(now)
+        elif end is CallEnd.REFUSED:
+            known.record_refusal(now)
         if load is not None:
             known.record_load(load, now, work_s=self._work_s)
 
@@ -368,7 +378,9 @@
         free = [each for each in allowed if each.can_grant(now, work_s=self._work_s, queued=queued)]
         if not any(self._is_usable(each, now) for each in self._runners.values()):
             # If every runner looks stalled, trying one of them is still better than a rejection.
-            free = [each for each in allowed if each.free_slots(now) >= 1.0]
+            free = [
+                each for each in allowed if each.free_slots(now) >= 1.0 and not each.is_spared(now)
+            ]
         free = self._healthy(free, repeatable=request.capacity.repeatable)
         return min(free, key=lambda each: self._cost(each, request, now), default=None)
 
--- a/lagoonlever/decisions/admission/runner_slots.py
+++ b/lagoonlever/decisions/admission/runner_slots.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 import attrs
 
 from lagoonlever.decisions.admission.runners import (
@@ -23,6 +25,8 @@
 """The slowdown in a load report fades to the usual speed within this time."""
 OTHER_CALLS_FADE_S = 0.3
 """The count of calls for which this queue granted no slot fades to zero within this time."""
+REFUSALS_WINDOW_S = 1.0
+"""Window in which the refusals of a brittle runner are counted, as it counts them itself."""
 MAX_SLOT_HELD_S = 3.0
 """A slot is released after this time at the latest, even if no end of its call was reported."""
 MIN_OVERDUE_S = 0.25
@@ -51,6 +55,9 @@
     data_center: str = ""
     granted: dict[str, GrantedSlot] = attrs.field(factory=dict)
     """Slots in use, by the id of the attempt."""
+    borne_refusals_per_s: int | None = None
+    """Calls a second that the runner may turn away before it falls over; None if it isn't
+    brittle."""
     failure_rate: float = 0.0
     """Moving average of lost answers and of failures of the runner itself, from 0 to 1."""
     _load: ReportedLoad | None = None
@@ -65,6 +72,8 @@
     _losses: int = 0
     _avoid_s: float = INITIAL_AVOID_S
     _avoid_until: float = float("-inf")
+    _refused_at: deque[float] = attrs.field(factory=deque)
+    """Times of the refusals within the last ``REFUSALS_WINDOW_S``."""
 
     @property
     def slots(self) -> float:
@@ -113,10 +122,25 @@
 
         A stalled runner is probed by one call at a time.
         """
+        if self.is_spared(now):
+            return False
         if self.stalled:
             return now >= self._avoid_until and not self.granted
+        if self.borne_refusals_per_s is not None:
+            queued = 0
         return self.free_slots(now) + queued >= 1.0 and not self.is_silent(now, work_s=work_s)
 
+    def is_spared(self, now: float) -> bool:
+        """Check whether the runner is brittle and has turned away half of what it bears.
+
+        The other half is for calls that are on their way to it.
+        """
+        if self.borne_refusals_per_s is None:
+            return False
+        while self._refused_at and now - self._refused_at[0] >= REFUSALS_WINDOW_S:
+            self._refused_at.popleft()
+        return len(self._refused_at) >= max(1, self.borne_refusals_per_s // 2)
+
     def grant(self, slot: GrantedSlot) -> None:
         """Record a granted slot."""
         self.granted[slot.request_id] = slot
@@ -169,6 +193,10 @@
         self._avoid_until = now + self._avoid_s
         self._avoid_s = min(MAX_AVOID_S, 2 * self._avoid_s)
 
+    def record_refusal(self, now: float) -> None:
+        """Record that the runner, which is brittle, had no room for a call; it is not stalled."""
+        self._refused_at.append(now)
+
     def release_expired(self, now: float) -> None:
         """Release slots whose end was not reported in time; that message must have been lost."""
         for request_id in [r for r, slot in self.granted.items() if now >= slot.expires_at]:
--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -109,6 +109,8 @@
         """Prompt tokens read, by the prompt's own part."""
         self.seen: list[Headers] = []
         self.arrived_at: list[float] = []
+        self.turned_away_at: list[float] = []
+        """When it had no room for a request."""
         self.says = TargetWords()
         self.room = TargetRoom()
         self.reported_state: object = "ready"
@@ -202,6 +204,7 @@
         priority = int(headers.get(PRIORITY) or USUAL_PRIORITY)
         run.place = self.room.enter(priority=priority, tokens=run.prompt_tokens)
         if run.place is None:
+            self.turned_away_at.append(trio.current_time())
             await self._refuse(exchange)
             return
         self.runs[run.request_id] = run
--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -65,6 +65,8 @@
         self.seen: list[Headers] = []
         self.arrivals: list[str] = []
         self.arrived_at: list[float] = []
+        self.turned_away_at: list[float] = []
+        """When it had no room for a request."""
         self.says = TargetWords(load="1,0,6")
         self.room = TargetRoom()
         self._state = ServerState()
@@ -99,6 +101,8 @@
         place = None
         if conduct is not Conduct.REFUSE:
             place = self.room.enter(priority=priority, tokens=0)
+            if place is None:
+                self.turned_away_at.append(trio.current_time())
         if place is None:
             load = self.says.load_field(self.room)
             refusal = Headers(((REFUSED, "1"), *load, *self.says.fields(refusal=True)))
--- a/lagoonlever/fakes/target_words.py
+++ b/lagoonlever/fakes/target_words.py
@@ -5,7 +5,7 @@
 import attrs
 
 from lagoonlever.fakes.target_room import PLENTY, TargetRoom
-from lagoonlever.platform.headers import LEAVING, LIMIT, LOAD, REST, USUAL_PACE
+from lagoonlever.platform.headers import BRITTLE, LEAVING, LIMIT, LOAD, REST, USUAL_PACE
 
 USUAL_SLOTS = 6
 
@@ -17,6 +17,8 @@
     limit: str | None = None
     """The requests a second that it takes."""
 
+    brittle: str | None = None
+    """The requests a second that it may turn away."""
     leaving: str | None = None
     load: str | None = None
     """Of any figures; the stand-in's own load is told in its place where it tells slowness."""
@@ -24,6 +26,8 @@
     rest: str | None = None
     """The seconds of rest that it asks for as it turns requests away."""
 
+    tells_load: bool = False
+    """Whether it tells its own load, in three figures where it tells no slowness."""
     slowness: float | None = None
     """How many times as long as usual its work takes now; None where it tells no load."""
 
@@ -33,19 +37,22 @@
         return 1.0 if self.slowness is None else self.slowness
 
     def load_field(self, room: TargetRoom) -> tuple[tuple[str, str], ...]:
-        """Give the field that tells the load of four figures, if it tells any."""
-        if self.slowness is None:
+        """Return the field that tells the target's own load, if it tells any."""
+        if self.slowness is None and not self.tells_load:
             return ()
         slots = room.slots if room.slots != PLENTY else USUAL_SLOTS
-        pace = f"{self.slowness * USUAL_PACE:.0f}"
-        return ((LOAD, f"{room.running},{room.waiting},{slots},{pace}"),)
+        figures = f"{room.running},{room.waiting},{slots}"
+        if self.slowness is not None:
+            figures += f",{self.slowness * USUAL_PACE:.0f}"
+        return ((LOAD, figures),)
 
     def fields(self, *, refusal: bool = False) -> tuple[tuple[str, str], ...]:
         """Give the fields of its answers."""
         said = (
             (LIMIT, self.limit),
+            (BRITTLE, self.brittle),
             (LEAVING, self.leaving),
-            (LOAD, self.load if self.slowness is None else None),
+            (LOAD, None if self.tells_load or self.slowness is not None else self.load),
             (REST, self.rest if refusal else None),
         )
         return tuple((name, text) for name, text in said if text is not None)
--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -88,7 +88,8 @@
             together = await self._placer.place(attrs.evolve(ask, settled=gathering))
             if not isinstance(together, NoEngine):
                 return together
-        reads = isinstance(step, PlaceAttempt) and step.prefer is None
+        only_by_line = self._asker.only_by_line(accepted.service)
+        reads = isinstance(step, PlaceAttempt) and (step.prefer is None or only_by_line)
         if reads and self._asker.has_line(accepted.service):
             need = _line_need(accepted, life, self._timers.now)
             outcome = await self._asker.place(ask, need)
@@ -96,6 +97,8 @@
                 return replace(outcome, by_line=True)
             if outcome is not None:
                 return outcome
+            if only_by_line:
+                return NoEngine()
         return await self._placer.place(ask)
 
     def _gathering(
--- a/lagoonlever/gateway/call_desk.py
+++ b/lagoonlever/gateway/call_desk.py
@@ -18,6 +18,7 @@
 from lagoonlever.gateway import events_calls as events
 from lagoonlever.gateway import metrics
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.brittle_watch import BrittleWatch
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.interface import Bus
@@ -54,6 +55,7 @@
     _beliefs: Beliefs
     _timers: TimerService
     _tally: Tally
+    _brittle: BrittleWatch
     _rests: Callable[[str], bool]
     """Whether a runner wants nothing now."""
     _lines: dict[tuple[str, int], _Line] = attrs.field(factory=dict)
@@ -66,6 +68,11 @@
             nursery.start_soon(self._receive_ends)
             nursery.start_soon(self._look)
 
+    @property
+    def is_asked(self) -> bool:
+        """Whether this VM gives out any room."""
+        return bool(self._lines)
+
     def ask(self, vm: Incarnation, asked: PlaceAsk, reply: Reply) -> None:
         """Decide for a VM; of an attempt that waits, ``reply`` is called once more."""
         now = self._timers.now
@@ -149,6 +156,7 @@
             kept = self._lines[(service, group)] = _Line(service=service, group=group)
             events.DESK_BEGINS.log(log, service=service, runners=len(names))
         kept.line.retain({name: able[name] for name in names if name in able})
+        kept.line.set_brittle({name: self._brittle.borne_by(name) for name in names})
         return kept
 
     def _tell_news(self, kept: _Line, now: float) -> None:
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -228,7 +228,12 @@
         on_trial = accepted.on_trial and not tried
         if on_trial or not self.places.serves(accepted.service):
             return None
-        return await self.places.take(accepted, avoid={*tried, *self.closed_to(call)})
+        outcome = await self.places.take(accepted, avoid={*tried, *self.closed_to(call)})
+        if outcome is None and self.places.only_by_places(accepted.service):
+            return RejectedWithRetryAfter(
+                detail="no room is given out at runners that are brittle", retry_after_s=COME_BACK_S
+            )
+        return outcome
 
     def need(self, call: CallRecord) -> float:
         """Give the permits that must be saved at a target in need before it gets a call."""
--- a/lagoonlever/gateway/call_places.py
+++ b/lagoonlever/gateway/call_places.py
@@ -1,7 +1,7 @@
 """Gets a place at a runner for each attempt of a call, from the VM that gives them out.
 
-On only for services whose runners say how slow their machines are. Where nobody answers,
-the VM chooses by itself as it does for all others.
+On only for services whose runners say how slow their machines are, or that they are brittle.
+Where nobody answers, the VM chooses by itself as it does for all others, but of brittle runners.
 """
 
 from __future__ import annotations
@@ -26,6 +26,7 @@
 from lagoonlever.gateway import metrics
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.brittle_watch import BrittleWatch
 from lagoonlever.gateway.call_desk import CallDesk
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_client import (
@@ -92,6 +93,7 @@
     _tally: Tally
     _desk: CallDesk
     """Of this VM."""
+    _brittle: BrittleWatch
     _data_center: str
     _leaving: Callable[[], bool]
     _numbers: Iterator[int] = attrs.field(factory=itertools.count)
@@ -116,8 +118,14 @@
     def serves(self, service: str) -> bool:
         """Tell whether places at the runners of a service are given out."""
         loads = self._beliefs.loads
+        if self._brittle.any_of(service):
+            return True
         return any(loads.reports_slowness(each.id) for each in self._serving(service))
 
+    def only_by_places(self, service: str) -> bool:
+        """Check whether calls may not go to the runners of a service without a place."""
+        return self._brittle.any_of(service)
+
     async def take(self, accepted: Accepted, *, avoid: Collection[str] = ()) -> PlaceOutcome:
         """Get a place, once there is one."""
         return await self._get(accepted, avoid=avoid, first=None)
@@ -133,12 +141,15 @@
         """Tell that the attempt is over; no result is one that was broken off."""
         self._held.discard(place.number)
         load = result.head.load if isinstance(result, Answered | Refused) else None
+        end = _end_of(result)
+        if isinstance(result, Refused) and self._brittle.borne_by(place.target) is not None:
+            end = CallEnd.REFUSED
         message = PlaceEnded(
             number=place.number,
             service=place.service,
             group=place.group,
             target=place.target,
-            end=_end_of(result),
+            end=end,
             seconds=seconds,
             load=load,
         )
--- a/lagoonlever/gateway/events_calls.py
+++ b/lagoonlever/gateway/events_calls.py
@@ -37,3 +37,12 @@
     "This VM gives out places at {runners} runners of {service} from now on.",
     "It was asked first for the group of runners, mostly as another VM left or is not heard.",
 )
+TARGET_BRITTLE = event(
+    1097,
+    "target-brittle",
+    "notice",
+    "Target {target} bears {borne} requests a second that it has to turn away, by {source}.",
+    "A target that has to turn more away falls over. While it says so, one VM gives out the room"
+    " at its service's targets, and nothing is sent that would have to wait there. `any` is the"
+    " end of it.",
+)
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -94,6 +94,11 @@
     """The requests a second that the target takes from all VMs together, where it names them."""
     tells_limit: bool = True
     """False where the field of the limit can't be read: whether there is one is unknown then."""
+    brittle: int | None = None
+    """The requests a second that the target may turn away before it falls over, where it is
+    brittle and says so."""
+    tells_brittle: bool = True
+    """False where that field can't be read: whether the target is brittle is unknown then."""
     leaves: bool = False
     """The target says that it leaves."""
     rest_s: float | None = None
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -14,6 +14,7 @@
 from lagoonlever.decisions.targets.registry import TargetRegistry
 from lagoonlever.decisions.targets.reported_limits import ReportedLimits
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.brittle_watch import BrittleWatch
 from lagoonlever.gateway.cache_locator import CacheLocator
 from lagoonlever.gateway.call_desk import CallDesk
 from lagoonlever.gateway.call_places import CallPlaces
@@ -89,10 +90,11 @@
     tunnel_desk: TunnelDesk = attrs.field(init=False)
     placer: Placer = attrs.field(init=False)
     placement_desk: PlacementDesk = attrs.field(init=False)
+    spread: HubSpread = attrs.field(init=False)
+    brittle: BrittleWatch = attrs.field(init=False)
     room_desk: RoomDesk = attrs.field(init=False)
     room_asker: RoomAsker = attrs.field(init=False)
     replacements: ReplacementFinder = attrs.field(init=False)
-    spread: HubSpread = attrs.field(init=False)
     limits: TargetLimits = attrs.field(init=False)
     words: TargetWords = attrs.field(init=False)
     call_desk: CallDesk = attrs.field(init=False)
@@ -254,6 +256,7 @@
             timers=self.timers,
             placer=self.placer,
             tally=self.reporter.tally,
+            brittle=self.brittle,
         )
 
     @room_asker.default
@@ -266,6 +269,7 @@
             vm=self.settings.name,
             leaving=self.stopping,
             desk=self.room_desk,
+            brittle=self.brittle,
         )
 
     @replacements.default
@@ -315,6 +319,16 @@
         self.learner.on_started_again(limits.started_again)
         return limits
 
+    @brittle.default
+    def _make_brittle(self) -> BrittleWatch:
+        brittle = BrittleWatch(
+            bus=self.bus, beliefs=self.beliefs, timers=self.timers, spread=self.spread
+        )
+        self.presence.on_greeting(brittle.greet)
+        self.presence.on_meeting(brittle.greet)
+        self.learner.on_started_again(brittle.started_again)
+        return brittle
+
     @words.default
     def _make_words(self) -> TargetWords:
         words = TargetWords(
@@ -324,6 +338,7 @@
             timers=self.timers,
             spread=self.spread,
             limits=self.limits,
+            brittle=self.brittle,
             rng=self.rng,
         )
         self.learner.on_started_again(words.started_again)
@@ -339,6 +354,7 @@
             timers=self.timers,
             tally=self.reporter.tally,
             rests=self.words.rests,
+            brittle=self.brittle,
         )
         self.learner.on_started_again(desk.started_again)
         return desk
@@ -351,6 +367,7 @@
             timers=self.timers,
             tally=self.reporter.tally,
             desk=self.call_desk,
+            brittle=self.brittle,
             data_center=self.settings.data_center,
             leaving=self.stopping,
         )
@@ -461,6 +478,7 @@
             "crashes": self.crashes.run,
             "target limits": self.limits.run,
             "target words": self.words.run,
+            "brittle targets": self.brittle.run,
             "call desk": self.call_desk.run,
             "call places": self.call_places.run,
             "store follower": self.follower.run,
--- a/lagoonlever/gateway/room_asker.py
+++ b/lagoonlever/gateway/room_asker.py
@@ -28,6 +28,7 @@
 from lagoonlever.decisions.streams.run_placement import PlacementRequest, RunOutcome
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.brittle_watch import BrittleWatch
 from lagoonlever.gateway.room_desk import RENEW_S, RoomDesk
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_line import LineAsk, LineLeft, LineNeed, LineTold
@@ -73,6 +74,7 @@
     _leaving: Callable[[], bool]
     _desk: RoomDesk
     """This VM's own, which keeps some of the lines."""
+    _brittle: BrittleWatch
     _numbers: Iterator[int] = attrs.field(init=False)
     """Begun by the start of this process, so that none is that of a former one."""
     _open: dict[int, trio.MemorySendChannel[LineTold]] = attrs.field(factory=dict)
@@ -88,9 +90,15 @@
             self._take(received.message)
 
     def has_line(self, service: str) -> bool:
-        """Tell whether new prompts of a service wait in line."""
+        """Check whether new prompts of a service wait in line."""
+        if self._brittle.any_of(service):
+            return True
         return has_line(self._beliefs.configuration.value, service)
 
+    def only_by_line(self, service: str) -> bool:
+        """Check whether no prompt may go to the engines of a service but by the line."""
+        return self._brittle.any_of(service)
+
     async def place(self, ask: PlacementRequest, need: LineNeed) -> LineOutcome | None:
         """Wait for a place, or a refusal; None where nobody keeps the line."""
         began = self._timers.now
--- a/lagoonlever/gateway/room_desk.py
+++ b/lagoonlever/gateway/room_desk.py
@@ -38,6 +38,7 @@
 )
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.brittle_watch import BrittleWatch
 from lagoonlever.gateway.placer import Placer
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.peers.interface import Bus
@@ -87,6 +88,7 @@
     _timers: TimerService
     _placer: Placer
     _tally: Tally
+    _brittle: BrittleWatch
     _lines: dict[str, PromptQueue] = attrs.field(factory=dict)
     _open: dict[QueuedPromptId, _Open] = attrs.field(factory=dict)
     _given: dict[QueuedPromptId, _Given] = attrs.field(factory=dict)
@@ -205,7 +207,8 @@
         # Chance would only part those who do not know of each other: this VM places them all.
         ask, now = attrs.evolve(ask, crowd=False, allowed_s=None), self._timers.now
         view = self._placer.view(ask.service)
-        if line.is_stalled(now, max_per_s=prefills_per_s(ask.service, view, now)):
+        is_stalled = line.is_stalled(now, max_per_s=prefills_per_s(ask.service, view, now))
+        if is_stalled and not self._brittle.any_of(ask.service):
             return place_run(ask, view, now)
         return place_on_ready_engine(ask, view, now)
 
--- a/lagoonlever/gateway/target_words.py
+++ b/lagoonlever/gateway/target_words.py
@@ -16,6 +16,7 @@
 from lagoonlever.decisions.targets.reported_load import LoadReport
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.brittle_watch import BrittleWatch
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.messages import AnswerHead
@@ -43,6 +44,7 @@
     _timers: TimerService
     _spread: HubSpread
     _limits: TargetLimits
+    _brittle: BrittleWatch
     _rng: random.Random
     _rests: BackoffTargets = attrs.field(factory=BackoffTargets)
     _unreadable: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
@@ -58,6 +60,7 @@
         if head.status == MISDIRECTED or head.target_id not in (None, target):
             return
         self._limits.heard(target, head, sent_at=sent_at)
+        self._brittle.heard(target, head, sent_at=sent_at)
         if head.load is not None:
             word = LoadReport(
                 target=target,
--- a/lagoonlever/platform/headers.py
+++ b/lagoonlever/platform/headers.py
@@ -34,6 +34,10 @@
 """The fourth figure of a target on whose machine work takes as long as usual."""
 LIMIT = "Server-Limit"
 """Requests a second of all VMs together."""
+BRITTLE = "Server-Brittle"
+"""Requests a second, of all VMs together, that the target may turn away for want of room."""
+MOST_BRITTLE = 1_000_000
+"""A greater number can't be meant."""
 TARGET_ID = "Instance-Id"
 EXPECTED_TARGET = "Expect-Instance"
 ORGANISATION = "Tenant"
@@ -142,6 +146,7 @@
     unreadable: list[str] = []
     limit_per_s = _amount(headers, LIMIT, unreadable)
     tells_limit = not unreadable
+    brittle, tells_brittle = _count(headers, BRITTLE, unreadable, most=MOST_BRITTLE)
     rest_s = _amount(headers, REST, unreadable, most=MOST_REST_S) if status == BUSY else None
     return AnswerHead(
         status=status,
@@ -154,6 +159,8 @@
         closes="close" in connection,
         limit_per_s=limit_per_s,
         tells_limit=tells_limit,
+        brittle=brittle,
+        tells_brittle=tells_brittle,
         leaves=_leaves(headers, unreadable),
         rest_s=rest_s,
         unreadable=tuple(unreadable),
@@ -270,6 +277,19 @@
     return None
 
 
+def _count(
+    headers: Headers, name: str, unreadable: list[str], *, most: int
+) -> tuple[int | None, bool]:
+    """Return a whole number from 0 to ``most``, or None; and whether the field can be read."""
+    text = headers.get(name)
+    if text is None:
+        return None, True
+    if text.isascii() and text.isdecimal() and int(text) <= most:
+        return int(text), True
+    unreadable.append(f"{name}: {text[:MOST_SHOWN]!r}")
+    return None, False
+
+
 def _idle_s(text: str | None) -> float | None:
     for part in (text or "").split(","):
         name, _, value = part.strip().partition("=")
--- a/lagoonlever/tests/call_places_tests.py
+++ b/lagoonlever/tests/call_places_tests.py
@@ -22,8 +22,10 @@
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.decisions.targets.reported_load import LoadReport, ReportedLoad
 from lagoonlever.gateway.accepted import Accepted
+from lagoonlever.gateway.brittle_watch import BrittleWatch
 from lagoonlever.gateway.call_desk import CallDesk, Reply
 from lagoonlever.gateway.call_places import ANSWER_S, CallPlace, CallPlaces, PlaceOutcome
+from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.gateway.messages import AnswerHead
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_client import Answered
@@ -108,8 +110,17 @@
     ]
     vm.beliefs.targets.apply_list(listed, revision=Revision(number=1), now=0.0, store_back_at=None)
     tally = Tally()
+    spread = HubSpread(
+        bus=vm.bus, beliefs=vm.beliefs, roles=vm.presence.roles, own=vm.state.life.name
+    )
+    brittle = BrittleWatch(bus=vm.bus, beliefs=vm.beliefs, timers=vm.timers, spread=spread)
     desk = CallDesk(
-        bus=vm.bus, beliefs=vm.beliefs, timers=vm.timers, tally=tally, rests=lambda _name: False
+        bus=vm.bus,
+        beliefs=vm.beliefs,
+        timers=vm.timers,
+        tally=tally,
+        brittle=brittle,
+        rests=lambda _name: False,
     )
     places = CallPlaces(
         bus=vm.bus,
@@ -117,6 +128,7 @@
         timers=vm.timers,
         tally=tally,
         desk=desk,
+        brittle=brittle,
         data_center=vm.state.data_center,
         leaving=lambda: False,
     )
--- a/lagoonlever/tests/call_queue_tests.py
+++ b/lagoonlever/tests/call_queue_tests.py
@@ -288,3 +288,37 @@
     runner = queue.runner("a")
     assert runner is not None
     assert (runner.slowdown(0.0), len(runner.granted)) == (1.0, 0)
+
+
+def test_nothing_waits_at_a_runner_that_is_brittle() -> None:
+    """It may let fewer wait than usual, and each that it turns away brings its fall nearer."""
+    queue = queue_of(a=1.0, b=1.0)
+    queue.set_brittle({"a": 3, "b": None})
+    granted = fill(queue, FULL + 2)
+    assert granted.count("a") == 2
+    assert granted.count("b") == 2 + MAX_QUEUED_PER_RUNNER
+
+
+def test_a_brittle_runner_that_turned_away_half_of_what_it_bears_is_spared_for_a_second() -> None:
+    queue = queue_of(a=1.0)
+    queue.set_brittle({"a": 4})
+    for number in range(2):
+        now = 0.1 * number
+        name = f"call-{number}"
+        assert isinstance(queue.request_slot(slot_request(name, now=now), now), CapacityGranted)
+        queue.record_end(name, "a", CallEnd.REFUSED, now)
+    waits = queue.request_slot(slot_request("next", now=0.2), 0.2)
+    assert not isinstance(waits, CapacityGranted)
+    later = queue.request_slot(slot_request("later", now=1.05), 1.05)
+    assert isinstance(later, CapacityGranted)
+
+
+def test_a_refusal_of_a_brittle_runner_does_not_make_it_look_stalled() -> None:
+    queue = queue_of(a=1.0)
+    queue.set_brittle({"a": 100})
+    for number in range(3):
+        name = f"call-{number}"
+        queue.request_slot(slot_request(name), 0.0)
+        queue.record_end(name, "a", CallEnd.REFUSED, 0.0)
+    runner = queue.runner("a")
+    assert runner is not None and not runner.stalled
--- a/lagoonlever/tests/platform_headers_tests.py
+++ b/lagoonlever/tests/platform_headers_tests.py
@@ -1,4 +1,4 @@
-"""The fields of a target's answer that say how busy it is."""
+"""The fields of a target's answer that say how busy or how brittle it is."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from lagoonlever.decisions.targets.reported_load import ReportedLoad
 from lagoonlever.http.messages import Headers
-from lagoonlever.platform.headers import LOAD, read_answer
+from lagoonlever.platform.headers import BRITTLE, LOAD, read_answer
 
 OK = 200
 
@@ -46,3 +46,17 @@
     head = read_answer(OK, Headers(()))
     assert head.load is None
     assert head.unreadable == ()
+
+
+@pytest.mark.parametrize(("text", "borne"), [("0", 0), ("7", 7), ("1000000", 1_000_000)])
+def test_a_target_says_how_many_refusals_it_bears(text: str, borne: int):
+    head = read_answer(OK, Headers(((BRITTLE, text),)))
+    assert (head.brittle, head.tells_brittle, head.unreadable) == (borne, True, ())
+
+
+@pytest.mark.parametrize("text", ["", " ", "-1", "2.5", "1e3", "9" * 40, "seven", "\xb2", "+3"])
+def test_an_odd_word_on_refusals_is_told_and_harms_nothing_else(text: str):
+    head = read_answer(OK, Headers(((BRITTLE, text), (LOAD, "3,0,8"))))
+    assert (head.brittle, head.tells_brittle) == (None, False)
+    assert len(head.unreadable) == 1
+    assert head.load == ReportedLoad(running=3, waiting=0, slots=8)
