The soak cuts VMs from all targets, and has brittle runners

VMs lose their paths in four kinds (hang, hang in one direction, reset, refused), one VM, a data centre's or all but one; each VM of a soak connects to targets over proxies of its own. Checked where everything else was calm: their callers are served; a brittle runner turns away no more than it bears.

--- a/lagoonlever/fakes/path_proxy.py
+++ b/lagoonlever/fakes/path_proxy.py
@@ -51,6 +51,7 @@
     listen: Address
     target: Address
     _state: PathState = PathState.OPEN
+    _started: bool = False
     _listener: trio.socket.SocketType | None = None
     _fillers: list[socket.socket] = attrs.field(factory=list)
     _open: set[trio.SocketStream] = attrs.field(factory=set)
@@ -63,7 +64,8 @@
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Forward until cancelled."""
-        self._listener = self._new_listener()
+        self._started = True
+        self._listen()
         task_status.started()
         try:
             async with trio.open_nursery() as nursery:
@@ -73,17 +75,14 @@
             self._close_listener()
 
     def set(self, state: PathState) -> None:
-        """Put the path into a state."""
-        if self._listener is None and self._state not in _REFUSES:
-            raise RuntimeError("the proxy was not started")
+        """Put the path into a state; one that does not run yet begins in it."""
         self._state = state
+        if not self._started:
+            return
         self._close_listener()
         if state is PathState.RESET:
             self._reset_open()
-        if state not in _REFUSES:
-            self._listener = self._new_listener()
-        if state in _HANGS:
-            self._fill()
+        self._listen()
         self._changed.set()
         self._changed = trio.Event()
 
@@ -92,6 +91,13 @@
         stream = await open_stream(self.listen, timeout_s=timeout_s)
         return ClientConnection(stream=stream, address=address)
 
+    def _listen(self) -> None:
+        """Listen as the state says: with room for new connections, without it, or not at all."""
+        if self._state not in _REFUSES:
+            self._listener = self._new_listener()
+        if self._state in _HANGS:
+            self._fill()
+
     def _new_listener(self) -> trio.socket.SocketType:
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/lagoonlever/gateway/program.py
+++ b/lagoonlever/gateway/program.py
@@ -18,6 +18,7 @@
 from lagoonlever.gateway import events
 from lagoonlever.gateway.daemon import GatewayDaemon
 from lagoonlever.gateway.options import apply_options, load_options
+from lagoonlever.http.client import ClientConnection, Opener
 from lagoonlever.log_writer import BoundedHandler
 from lagoonlever.logs import LogFormat, LogLevel, set_up_bounded_logs
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
@@ -43,8 +44,12 @@
     sockets: Mapping[str, socket.socket] | None = None,
     log_format: LogFormat = LogFormat.JSON,
     log_level: LogLevel = LogLevel.INFO,
+    open_target: Opener = ClientConnection.open,
 ) -> int:
-    """Run the daemon until it is told to stop; gives the exit code."""
+    """Run the daemon until it is told to stop; return the exit code.
+
+    ``open_target`` opens connections to targets from this VM itself.
+    """
     file = settings or Path(os.environ.get(PATH_VARIABLE, ""))
     try:
         loaded = load_settings(file)
@@ -54,7 +59,8 @@
             print(f"fault: {fault}", file=sys.stderr)
         return FAULTS
     handler = set_up_bounded_logs(format=log_format, level=log_level, process=loaded.name)
-    trio.run(_run, GatewayDaemon(settings=loaded, sockets=sockets or {}), file, handler)
+    daemon = GatewayDaemon(settings=loaded, sockets=sockets or {}, open_target=open_target)
+    trio.run(_run, daemon, file, handler)
     return 0
 
 
--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -30,6 +30,7 @@
 PROMPT_TOKENS = 1_000
 EVENTS = (5, 60)
 """Of a stream: the shortest ends at once, the longest takes 1.2 s on an engine."""
+UNSERVED = (502, 503, 504)
 RETRIES = 3
 PAUSE_S = 0.05
 LEAVES = 0.08
@@ -114,6 +115,7 @@
 
     async def _call_once(self, kind: str, request: str) -> int:
         headers = self._headers(request, CALL_DEADLINE_S)
+        sent_at = trio.current_time()
         try:
             with trio.fail_after(CALL_DEADLINE_S + 1.0):
                 response = await self._exchange(f"/{kind}/{request}", headers)
@@ -123,6 +125,11 @@
             return 0
         self.judge.called(request, response.status, response.headers, response.body)
         self.judge.refused(request, response.headers.get(REASON_HEADER))
+        if response.status in UNSERVED and self._connection is not None:
+            vm = self._connection.address
+            if self.site.must_be_served(vm, sent_at):
+                detail = f"{request} got {response.status} of {vm}, which has no paths"
+                self.judge.break_promise("VMs without paths serve", detail)
         return response.status
 
     async def _stream_once(
--- a/lagoonlever/soak/faults.py
+++ b/lagoonlever/soak/faults.py
@@ -9,8 +9,11 @@
 import trio
 
 from lagoonlever.fakes.metadata_store import StoreFault
+from lagoonlever.fakes.path_proxy import PathState
 from lagoonlever.fakes.platform_runner import Conduct, FakeRunner
+from lagoonlever.fakes.target_room import PLENTY
 from lagoonlever.platform.headers import LEAVES
+from lagoonlever.soak.needs import BRITTLE_KNOWN_S
 from lagoonlever.soak.plan import Fault, FaultKind
 from lagoonlever.soak.proxy import Link
 from lagoonlever.soak.rollouts import SoakRollout
@@ -25,6 +28,9 @@
 _STORE = "store"
 _ROLLOUT = "roll-out"
 LEAST_LIMIT_PER_S = 1.5
+LEAST_BORNE = 2
+"""Refusals a second."""
+BRITTLE_SLOTS = 4
 LIMITS = 6
 """That are drawn, each one request a second more."""
 MOST_REFUSED = 50
@@ -207,6 +213,48 @@
         for runner in runners:
             runner.says.limit = None
 
+    @_action(FaultKind.RUNNERS_BRITTLE)
+    async def _make_brittle(self, fault: Fault) -> None:
+        """Have runners say that they bear few refusals, and let few wait once all VMs know."""
+        runners = [runner.server for runner in self.site.runners]
+        for runner in runners:
+            runner.says.tells_load = True
+            runner.says.brittle = str(LEAST_BORNE + fault.number % LIMITS)
+            runner.room.slots = BRITTLE_SLOTS
+        await trio.sleep(BRITTLE_KNOWN_S)
+        for runner in runners:
+            runner.room.most_waiting = 0
+        await trio.sleep(fault.for_s - BRITTLE_KNOWN_S)
+        for runner in runners:
+            runner.says.brittle = None
+            runner.room.slots = runner.room.most_waiting = PLENTY
+
+    @_action(
+        FaultKind.PATHS_SILENT,
+        FaultKind.PATHS_ONE_WAY,
+        FaultKind.PATHS_RESET,
+        FaultKind.PATHS_REFUSED,
+    )
+    async def _lose_paths(self, fault: Fault) -> None:
+        state = {
+            FaultKind.PATHS_SILENT: PathState.SILENT,
+            FaultKind.PATHS_ONE_WAY: PathState.ONE_WAY,
+            FaultKind.PATHS_RESET: PathState.RESET,
+            FaultKind.PATHS_REFUSED: PathState.REFUSED,
+        }[fault.kind]
+        cut = [vm for vm in self._vms_of_cut(fault) if vm.paths_lost_at is None]
+        for vm in cut:
+            self.site.set_paths(vm, state)
+        await trio.sleep(fault.for_s)
+        for vm in cut:
+            self.site.set_paths(vm, PathState.OPEN)
+
+    def _vms_of_cut(self, fault: Fault) -> list[SoakVm]:
+        """Return one VM, those of a data centre, or all but one."""
+        one, vms = self._vm(fault), self.site.vms
+        near = [vm for vm in vms if vm.settings.data_center == one.settings.data_center]
+        return ([one], near, [vm for vm in vms if vm is not one])[fault.number // len(vms) % 3]
+
     @_action(FaultKind.RUNNER_RESTS)
     async def _rest(self, fault: Fault) -> None:
         runner = self.site.runners[fault.number % len(self.site.runners)].server
--- a/lagoonlever/soak/needs.py
+++ b/lagoonlever/soak/needs.py
@@ -17,6 +17,9 @@
 LIMIT_SLACK = 5
 LEAVE_KNOWN_S = 2.0
 REST_KNOWN_S = 0.5
+BRITTLE_KNOWN_S = 3.0
+"""From the first answer that says so until a runner may let fewer wait."""
+BRITTLE_WINDOW_S = 1.0
 MOST_IN_REST = 3
 """Requests of one VM in a rest: the one that is turned away, and two more."""
 
@@ -37,6 +40,9 @@
     _limit_at: float | None = None
     """When an answer first named the limit."""
     _leaves_at: float | None = None
+    _brittle_at: float | None = None
+    """When an answer first said that the runner is brittle."""
+    _turned_away: deque[float] = attrs.field(factory=deque)
     _rest_at: float | None = None
     """When an answer first asked for the rest that is open."""
     _in_rest: int = 0
@@ -48,6 +54,10 @@
             self._limit_at = None
         elif self._limit_at is None:
             self._limit_at = now
+        if self._says.brittle is None:
+            self._brittle_at = None
+        elif self._brittle_at is None:
+            self._brittle_at = now
         if self._says.leaving is not None and self._leaves_at is None:
             self._leaves_at = now
         if refused and self._says.rest is not None and not self._rests(now):
@@ -62,6 +72,18 @@
         self._judge_leave(now)
         self._judge_rest(now)
 
+    def turned_away(self, now: float) -> None:
+        """Hold a request that there was no room for against what the runner bears."""
+        said_at, borne = self._brittle_at, self._says.brittle
+        if said_at is None or borne is None or now - said_at < BRITTLE_KNOWN_S:
+            return
+        self._turned_away.append(now)
+        while now - self._turned_away[0] >= BRITTLE_WINDOW_S:
+            self._turned_away.popleft()
+        if len(self._turned_away) > int(borne) and self._calm_since(said_at):
+            detail = f"{self._target} turned {len(self._turned_away)} away, and bears {borne}"
+            self._judge.break_promise("brittle targets stand", detail)
+
     def _judge_limit(self, now: float) -> None:
         known_at, limit = self._limit_at, self._says.limit
         if known_at is None or limit is None or now - known_at < LIMIT_KNOWN_S + LIMIT_WINDOW_S:
--- a/lagoonlever/soak/plan.py
+++ b/lagoonlever/soak/plan.py
@@ -65,6 +65,16 @@
     """A runner turns every other call away for a while, and asks for rest."""
     RUNNER_SAYS_LEAVING = "runner-says-leaving"
     """A runner says in its answers that it leaves; the store tells it seconds later."""
+    PATHS_SILENT = "paths-silent"
+    """Some VMs lose their paths to all targets: what they send, and new connections, hang."""
+    PATHS_ONE_WAY = "paths-one-way"
+    """The same, but what they send on open connections arrives."""
+    PATHS_RESET = "paths-reset"
+    """Their connections are reset, and new ones are refused."""
+    PATHS_REFUSED = "paths-refused"
+    """Their connections live on, and new ones are refused."""
+    RUNNERS_BRITTLE = "runners-brittle"
+    """All runners say that they bear few refusals, and later let nobody wait."""
     NEW_VERSION = "new-version"
     """Operators order a version of the runners; every other one fails a part of its calls."""
     NEW_CONFIGURATION = "new-configuration"
@@ -159,6 +169,17 @@
         every_s=(0.5, 4.0),
         for_s=(3.0, 9.0),
     ),
+    _Track(
+        kinds=(
+            FaultKind.PATHS_SILENT,
+            FaultKind.PATHS_ONE_WAY,
+            FaultKind.PATHS_RESET,
+            FaultKind.PATHS_REFUSED,
+        ),
+        every_s=(1.0, 5.0),
+        for_s=(1.0, 7.0),
+    ),
+    _Track(kinds=(FaultKind.RUNNERS_BRITTLE,), every_s=(1.0, 6.0), for_s=(5.0, 9.0)),
 )
 
 
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -15,6 +15,7 @@
 
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
+from lagoonlever.fakes.path_proxy import PathProxy, PathState
 from lagoonlever.fakes.platform_engine import EngineRun, FakeEngine
 from lagoonlever.fakes.platform_runner import FakeRunner
 from lagoonlever.gateway.settings import Bounds, GatewaySettings, StoreLimits
@@ -25,14 +26,17 @@
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
 from lagoonlever.platform.targets import TARGETS_PREFIX
 from lagoonlever.soak.deployments import MOMENT_S, PLAIN, SLOTS, Deployment
+from lagoonlever.soak.gateway import PATH_PORT_VARIABLE
 from lagoonlever.soak.judge import Judge
 from lagoonlever.soak.proxy import FaultyProxy
 from lagoonlever.soak.watched import WatchedEngine, WatchedRunner
 
 PLACES = ("dc-0", "dc-1", "dc-2")
-GATEWAY = (sys.executable, "-m", "lagoonlever.gateway")
-FRONT_PORT, READY_PORT, DIRECTORY_PORT, BUS_PORT = 8740, 8749, 8746, 8748
+GATEWAY = (sys.executable, "-m", "lagoonlever.soak.gateway")
+FRONT_PORT, READY_PORT, DIRECTORY_PORT, BUS_PORT, TUNNEL_PORT = 8740, 8749, 8746, 8748, 7200
 TARGET_PORT = 9000
+FIRST_PATH_PORT = 9010
+"""Of the first VM at each target's machine; the next VMs have the next ports."""
 GRACE_S = 8.0
 BACK_AFTER_S = 0.3
 """Between the end of a target and the start of another one at its address."""
@@ -76,6 +80,9 @@
     started_at: float = 0.0
     disturbed_at: float = 0.0
     """When this VM was last harmed, or had just come back."""
+    paths_lost_at: float | None = None
+    """When it lost its paths to all targets; None while it has them."""
+    paths_back_at: float = 0.0
 
     @property
     def name(self) -> str:
@@ -117,9 +124,13 @@
     _lives: int = 0
     _proxies: dict[int, FaultyProxy] = attrs.field(factory=dict)
     """By the number of the machine."""
+    _paths: dict[tuple[int, int], PathProxy] = attrs.field(factory=dict)
+    """By the numbers of the VM and of the machine."""
+    _vm_count: int = 0
 
     async def start(self, *, vms: int, engines: int, runners: int) -> None:
         """Start everything; returns once the processes are running."""
+        self._vm_count = vms
         store = self._address(250, TARGET_PORT)
         self.nursery.start_soon(self.store.run, await open_listeners(host=store.host, port=9000))
         self.configure()
@@ -155,7 +166,8 @@
         """Start a VM's process; it has none."""
         file = vm.log.with_suffix(".conf")
         file.write_text(settings_text(vm.settings), encoding="utf-8")
-        environment = {**os.environ, PATH_VARIABLE: str(file)}
+        path_port = str(FIRST_PATH_PORT + self.vms.index(vm))
+        environment = {**os.environ, PATH_VARIABLE: str(file), PATH_PORT_VARIABLE: path_port}
         with vm.log.open("ab") as log:
             vm.process = subprocess.Popen(self.program, env=environment, stdout=log, stderr=log)
         vm.asked_to_end = False
@@ -280,6 +292,7 @@
             proxy = FaultyProxy(listen=self._address(number, TARGET_PORT + 1), target=own)
             self._proxies[number] = proxy
             self.nursery.start_soon(proxy.run)
+            await self._start_paths(number, proxy.listen)
         server: FakeEngine | FakeRunner
         if service == "engines":
             server = WatchedEngine(
@@ -309,6 +322,36 @@
         self.list_target(listed)
         return started
 
+    async def _start_paths(self, machine: int, target: Address) -> None:
+        """Start the path of each VM to a machine of targets."""
+        for vm in range(self._vm_count):
+            path = PathProxy(listen=self._address(machine, FIRST_PATH_PORT + vm), target=target)
+            self._paths[(vm, machine)] = path
+            await self.nursery.start(path.run)
+
+    def set_paths(self, vm: SoakVm, state: PathState) -> None:
+        """Put all paths of a VM into a state."""
+        number, now = self.vms.index(vm), trio.current_time()
+        for (owner, _), path in self._paths.items():
+            if owner == number:
+                path.set(state)
+        vm.paths_lost_at = None if state is PathState.OPEN else now
+        vm.paths_back_at = now if state is PathState.OPEN else vm.paths_back_at
+
+    def must_be_served(self, address: Address, since: float) -> bool:
+        """Check whether the callers of a VM are served though it has no paths: a VM has some.
+
+        ``since`` is when a call was sent; all that could have failed it was calm for a while then.
+        """
+        calm_since = since - CALM_S
+        vm = next((vm for vm in self.vms if vm.settings.listen == address), None)
+        if vm is None or vm.paths_lost_at is None or vm.paths_lost_at > calm_since:
+            return False
+        helpers = [o for o in self.vms if o.paths_lost_at is None and o.paths_back_at < calm_since]
+        if vm.disturbed_at > calm_since or all(o.disturbed_at > calm_since for o in helpers):
+            return False
+        return self.targets_disturbed_at < calm_since and all(map(_is_plain, self.runners))
+
     def _vm(self, number: int, store: Address) -> SoakVm:
         link = FaultyProxy(listen=self._address(1 + number, TARGET_PORT + 2), target=store)
         name = f"vm-{number}"
@@ -320,6 +363,7 @@
             readiness=self._address(1 + number, READY_PORT),
             directory=self._address(1 + number, DIRECTORY_PORT),
             bus=self._address(1 + number, BUS_PORT),
+            tunnel=self._address(1 + number, TUNNEL_PORT),
             store=StoreLimits(address=link.listen),
             bounds=Bounds(grace_s=GRACE_S),
             data_centers=PLACES,
@@ -332,6 +376,15 @@
         return Address(host=f"127.{20 + run % 200}.{run // 200 % 250}.{number}", port=port)
 
 
+def _is_plain(runner: SoakTarget) -> bool:
+    """Check whether a runner answers all that it gets, and says nothing of itself."""
+    server, says = runner.server, runner.server.says
+    if runner.is_ending or runner.proxy.harmed or not isinstance(server, FakeRunner):
+        return False
+    words = (says.limit, says.leaving, says.rest, says.brittle)
+    return not server.conducts and all(word is None for word in words)
+
+
 async def _serve_in(
     scope: trio.CancelScope,
     run: Callable[[list[trio.SocketListener]], Awaitable[None]],
--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -42,10 +42,13 @@
         """Answer one request, and tell whether it ran."""
         request = exchange.request.headers.get(REQUEST_ID) or ""
         before, known_at = self.runs[request], self.known_to_leave_at
+        turned_away = len(self.turned_away_at)
         self._needs.arrived(trio.current_time())
         try:
             await super().handle(exchange)
         finally:
+            if len(self.turned_away_at) > turned_away:
+                self._needs.turned_away(trio.current_time())
             has_run = self.runs[request] > before
             self._needs.says_now(trio.current_time(), refused=not has_run)
             if has_run:
--- a/lagoonlever/tests/cuttable_paths.py
+++ b/lagoonlever/tests/cuttable_paths.py
@@ -38,7 +38,7 @@
         proxy = self._proxies.get((vm, address))
         if proxy is None:
             proxy = PathProxy(listen=free_address(), target=address)
+            proxy.set(self._states.get(vm, PathState.OPEN))
             self._proxies[(vm, address)] = proxy
             await self.nursery.start(proxy.run)
-            proxy.set(self._states.get(vm, PathState.OPEN))
         return await proxy.open(address, timeout_s=timeout_s)
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -35,7 +35,16 @@
     2,  # SIGHUP while a VM was being loaded ended it
     7,  # watches that a silent store had swallowed hid a new configuration for 10 s
 )
-LATER_KINDS = frozenset(
+NEWEST_KINDS = frozenset(
+    {
+        FaultKind.PATHS_SILENT,
+        FaultKind.PATHS_ONE_WAY,
+        FaultKind.PATHS_RESET,
+        FaultKind.PATHS_REFUSED,
+        FaultKind.RUNNERS_BRITTLE,
+    }
+)
+LATER_KINDS = NEWEST_KINDS | frozenset(
     {
         FaultKind.ENGINE_RETURNS,
         FaultKind.RUNNER_RETURNS,
@@ -85,7 +94,9 @@
     """
     seed = 4220794686
     size = SoakSize(callers=16, length_s=15.0, deadly=1)
-    result = play(seed, tmp_path, length_s=15.0, size=size, deployment=draw_deployment(seed))
+    plan = draw_plan(seed, length_s=15.0, without=NEWEST_KINDS)
+    deployment = draw_deployment(seed)
+    result = play(seed, tmp_path, length_s=15.0, size=size, plan=plan, deployment=deployment)
     assert result.violations == ()
 
 
@@ -93,14 +104,51 @@
     """Seed 880101: the store came back from before a restart of a runner that had since said so."""
     seed = 880101
     size = SoakSize(callers=16, length_s=15.0, deadly=1)
-    result = play(seed, tmp_path, length_s=15.0, size=size, deployment=draw_deployment(seed))
+    plan = draw_plan(seed, length_s=15.0, without=NEWEST_KINDS)
+    deployment = draw_deployment(seed)
+    result = play(seed, tmp_path, length_s=15.0, size=size, plan=plan, deployment=deployment)
     assert result.violations == ()
 
 
 def test_a_call_held_by_a_runner_that_drains_later_is_no_fault_of_the_vms(tmp_path: Path) -> None:
     """Seed 3417611824: a silent runner's call was held against the VMs as the runner went."""
     seed = 3417611824
-    result = play(seed, tmp_path, length_s=15.0, plan=draw_plan(seed, length_s=15.0))
+    plan = draw_plan(seed, length_s=15.0, without=NEWEST_KINDS)
+    result = play(seed, tmp_path, length_s=15.0, plan=plan)
+    assert result.violations == ()
+
+
+@pytest.mark.parametrize(
+    "kind",
+    [
+        FaultKind.PATHS_SILENT,
+        FaultKind.PATHS_ONE_WAY,
+        FaultKind.PATHS_RESET,
+        FaultKind.PATHS_REFUSED,
+    ],
+)
+def test_callers_of_vms_without_paths_are_served(kind: FaultKind, tmp_path: Path) -> None:
+    """One VM, a data centre's, and all but one lose their paths in turn, as one is killed."""
+    size = attrs.evolve(SHORT, vms=4)
+    plan = (
+        Fault(kind=kind, at_s=1.0, for_s=6.0, number=1),
+        Fault(kind=kind, at_s=8.0, for_s=6.0, number=8),
+        Fault(kind=kind, at_s=15.0, for_s=4.0, number=5),
+        Fault(kind=FaultKind.VM_KILL, at_s=16.0, for_s=0.5, number=2),
+    )
+    result = play(3, tmp_path, length_s=20.0, size=size, plan=plan)
+    assert result.violations == ()
+    assert result.counts.get("stream 200", 0) > 20
+
+
+def test_brittle_runners_stand_while_vms_die(tmp_path: Path) -> None:
+    """Runners let nobody wait, and the VMs that give out their room are killed one by one."""
+    plan = (
+        Fault(kind=FaultKind.RUNNERS_BRITTLE, at_s=1.0, for_s=9.0, number=2),
+        Fault(kind=FaultKind.VM_KILL, at_s=6.0, for_s=0.5, number=0),
+        Fault(kind=FaultKind.VM_KILL, at_s=7.5, for_s=0.5, number=1),
+    )
+    result = play(4, tmp_path, length_s=11.0, plan=plan)
     assert result.violations == ()
 
 
