--- a/lagoonlever/decisions/fleet/peer_table.py
+++ b/lagoonlever/decisions/fleet/peer_table.py
@@ -76,16 +76,9 @@
     """Whether it recently tried to reach the store and could not."""
     link_mbps: float = 0.0
     """The capacity of its network link in Mbit/s; 0 if unknown."""
-    tunnel_port: int = 0
-    """The port beside its bus at which it opens connections to targets for others; 0 for none."""
     cut_off: bool = False
     """Whether it reaches no target by its own paths while other VMs do."""
 
-    @property
-    def tunnel(self) -> Address:
-        """Where it opens connections to targets for other VMs."""
-        return Address(host=self.bus.host, port=self.tunnel_port)
-
     def is_update_of(self, former: PeerState | None) -> bool:
         """Check whether hubs forward this state at once to VMs that know ``former``.
 
--- a/lagoonlever/decisions/fleet/tunnel_peers.py
+++ b/lagoonlever/decisions/fleet/tunnel_peers.py
@@ -21,11 +21,9 @@
 
 
 def usable_peers(present: Iterable[PeerState]) -> tuple[PeerState, ...]:
-    """Return the VMs that offer tunnels and say that they reach targets."""
+    """Return the VMs that may help: they stay, know the targets and say that they reach some."""
     return tuple(
-        peer
-        for peer in present
-        if peer.tunnel_port and not peer.leaving and not peer.cut_off and peer.takes_callers
+        peer for peer in present if peer.takes_callers and not peer.leaving and not peer.cut_off
     )
 
 
--- a/lagoonlever/gateway/dialer.py
+++ b/lagoonlever/gateway/dialer.py
@@ -63,6 +63,8 @@
     """The one place where connections to targets are opened."""
 
     _own: Incarnation
+    _tunnel_port: int | None
+    """Where each VM opens connections for others, beside its bus; None for nowhere."""
     _timers: TimerService
     _fellows: PeerTable
     _targets: TargetRegistry
@@ -94,7 +96,7 @@
         """Connect to a target; raise ``ConnectFailed``, which proves that it received nothing."""
         own: Way = partial(self.open_own, address, timeout_s=timeout_s)
         plan = self.paths.plan(address, self._timers.now)
-        if plan is DialPlan.OWN:
+        if plan is DialPlan.OWN or self._tunnel_port is None:
             return await own()
         drawn = _DrawnPeers(draw=self._draw_peers)
         ways: list[Way] = [own] if plan is DialPlan.BOTH else []
@@ -150,13 +152,13 @@
         peer = drawn.take(turn)
         if peer is None:
             raise ConnectFailed("no other VM to ask", step="tunnel", peer=str(address))
+        assert self._tunnel_port is not None
         name = peer.life.name
+        via = Address(host=peer.bus.host, port=self._tunnel_port)
         tunnel = f"{self._own.name}/{next(self._numbers)}"
         fields = Headers(((PEER_FIELD, str(self._own)), (TUNNEL_FIELD, tunnel)))
         try:
-            stream = await open_tunnel(
-                peer.tunnel, to=address, headers=fields, timeout_s=TUNNEL_TIMEOUT_S
-            )
+            stream = await open_tunnel(via, to=address, headers=fields, timeout_s=TUNNEL_TIMEOUT_S)
         except TunnelRefused as refused:
             if refused.status == BAD_GATEWAY:
                 self._tally.add(metrics.TUNNELS, "target-down")
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -212,6 +212,7 @@
     def _make_dialer(self) -> TargetDialer:
         return TargetDialer(
             own=self.life,
+            tunnel_port=self.settings.tunnel.port if self.settings.tunnel else None,
             timers=self.timers,
             fellows=self.beliefs.fellows,
             targets=self.beliefs.targets,
@@ -513,7 +514,6 @@
             list_revision=self.beliefs.targets.changed_at,
             store_away=self.store.is_away,
             link_mbps=self.settings.machine.link_mbps,
-            tunnel_port=self.settings.tunnel.port if self.settings.tunnel else 0,
             cut_off=self.dialer.paths.is_cut_off,
         )
 
--- a/lagoonlever/gateway/settings.py
+++ b/lagoonlever/gateway/settings.py
@@ -73,7 +73,10 @@
     """For the other VMs."""
     store: StoreLimits
     tunnel: Address | None = None
-    """Where other VMs ask for connections to targets; None for nowhere."""
+    """Where other VMs ask for connections to targets; None for nowhere.
+
+    Beside the bus, and at the same port on all VMs.
+    """
     metrics: Address | None = None
     """Where scrapers ask for metrics."""
     seeds: tuple[Address, ...] = ()
