--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -57,6 +57,8 @@
     sent: int = 0
     """Targets that the request was written to; a refusal of a target counts too."""
     target: str | None = None
+    via: str | None = None
+    """The VM by way of which the last attempt went, if this one has lost its path."""
     detail: str = ""
     failure: Answered | None = None
     """A target's own failure, to be passed on if nothing better comes."""
@@ -164,6 +166,7 @@
                 return result
             hop = Hop(target_id=target.id, deadline_s=left_s, organisation=accepted.organisation)
             call.written(target.id)
+            call.via = connection.via
             ticket = self.words.sent(target.id, first=call.sent == 1)
             attempt.lane = self.rollouts.sent(target, accepted.route.name)
             opened = await self.client.open(
@@ -282,6 +285,8 @@
         )
 
     def _ended(self, call: CallRecord, status: int, outcome: str, detail: str) -> None:
+        if call.via is not None:
+            detail = f"{detail}, by way of {call.via}"
         ending = Ending(status=status, outcome=outcome, detail=detail)
         self.reporter.call_ended(call.accepted, ending, attempts=call.sent, target=call.target)
 
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -186,7 +186,7 @@
         self._life.record_sent(copy=plan.run.copy)
         ticket = self._tools.words.sent(plan.engine.id, first=self._life.sent_attempts == 1)
         self._peers.begin(plan.run)
-        self._log_sent()
+        self._log_sent(connection.via)
         self._counts.sent(whole_answer=plan.copy_from is None and not self._life.position)
         silence = self._new_silence()
         watched = self._tools.watched.setdefault(plan.engine.id, set())
@@ -497,8 +497,9 @@
             begun=self._life.position is not None,
         )
 
-    def _log_sent(self) -> None:
+    def _log_sent(self, via: str | None) -> None:
         plan = self._plan
+        reason = plan.reason if via is None else f"{plan.reason}; by way of {via}"
         events.ATTEMPT_SENT.log(
             log,
             request=self._accepted.request_id,
@@ -508,7 +509,7 @@
             position=self._life.position,
             copy=plan.run.copy_holder,
             rank=self._rank,
-            reason=plan.reason,
+            reason=reason,
         )
 
     def _log_end(self, detail: str) -> None:
--- a/lagoonlever/report/explain.py
+++ b/lagoonlever/report/explain.py
@@ -14,8 +14,12 @@
 
 CONFIGURATION = "configuration-in-force"
 TARGET_NEWS = frozenset({"target-listed", "target-replaced", "targets-read"})
-TARGET_WORDS = frozenset({"target-limit", "target-says-leaving", "target-rests"})
+TARGET_WORDS = frozenset({"target-limit", "target-says-leaving", "target-rests", "target-brittle"})
 """What targets say of themselves; the last word of each kind counts."""
+PATH_NEWS = frozenset({"target-unreached", "target-reached", "path-cut"})
+"""What a VM has found of its own path to a target; the last counts, for that VM alone."""
+CUT_OFF = "cut-off-from-targets"
+NOT_CUT_OFF = "reaches-targets-again"
 FELLOW_NEWS = frozenset({"fellow-silent", "fellow-heard", "fellow-listed"})
 LIFE_NEWS = frozenset({"gateway-started", "gateway-stopping", "gateway-stopped"})
 STORE_NEWS = frozenset({"platform-unreachable", "platform-reached"})
@@ -58,6 +62,8 @@
     configuration: int | None
     """The version in force on that VM."""
     store_reached: bool
+    cut_off_since: str | None
+    """Since when that VM has reached no target by its own paths; None while it reached some."""
     target_news: tuple[str, ...]
     """The last news of the target that the line names: of the list, and of its own words."""
 
@@ -99,6 +105,8 @@
     configuration: dict[str, int] = {}
     unreachable: set[str] = set()
     targets: dict[str, dict[str, str]] = {}
+    paths: dict[tuple[str, str], str] = {}
+    cut_off: dict[str, str] = {}
     steps: list[Step] = []
     for line in lines:
         if line.name == CONFIGURATION:
@@ -107,6 +115,13 @@
             unreachable.add(line.process)
         elif line.name == "platform-reached":
             unreachable.discard(line.process)
+        elif line.name == CUT_OFF:
+            cut_off[line.process] = line.time
+        elif line.name == NOT_CUT_OFF:
+            cut_off.pop(line.process, None)
+        elif line.name in PATH_NEWS:
+            known_path = (line.process, str(line.fields.get("target")))
+            paths[known_path] = f"{line.time} {line.message}"
         elif line.name in TARGET_NEWS:
             _note(targets, line, kind="listed")
         elif line.name in TARGET_WORDS:
@@ -114,12 +129,15 @@
         is_about_all = line.request is None and line.fingerprint in prints
         if line.request not in wanted and not is_about_all:
             continue
+        target = str(line.fields.get("target"))
+        own_path = paths.get((line.process, target))
         steps.append(
             Step(
                 line=line,
                 configuration=configuration.get(line.process),
                 store_reached=line.process not in unreachable,
-                target_news=tuple(targets.get(str(line.fields.get("target")), {}).values()),
+                cut_off_since=cut_off.get(line.process),
+                target_news=(*targets.get(target, {}).values(), *([own_path] if own_path else [])),
             )
         )
     return steps
@@ -136,7 +154,7 @@
         return []
     first, last = steps[0].line.time, steps[-1].line.time
     processes = {step.line.process for step in steps}
-    news = FELLOW_NEWS | LIFE_NEWS | STORE_NEWS | {CONFIGURATION}
+    news = FELLOW_NEWS | LIFE_NEWS | STORE_NEWS | PATH_NEWS | {CONFIGURATION, CUT_OFF, NOT_CUT_OFF}
     found = [
         line
         for line in lines
@@ -153,6 +171,8 @@
         beliefs = f"configuration {step.configuration}"
         if not step.store_reached:
             beliefs += ", store not reached"
+        if step.cut_off_since is not None:
+            beliefs += f", no target reached by its own paths since {step.cut_off_since}"
         text = f"{line.time} {line.process} {line.name}: {line.message}\n    believed: {beliefs}"
         for news in step.target_news:
             text += f"\n    of the target: {news}"
--- a/lagoonlever/tests/explain_tests.py
+++ b/lagoonlever/tests/explain_tests.py
@@ -48,6 +48,23 @@
     assert "ready" in steps[0].target_news[0]
 
 
+def test_a_step_shows_whether_its_vm_reached_the_target_and_any_other_one() -> None:
+    said = [
+        line(1, "vm-a", "target-unreached", target="e1", error="refused"),
+        line(2, "vm-a", "path-cut", target="e1", vm="vm-b"),
+        line(2, "vm-b", "target-reached", target="e1", seconds=1.0),
+        line(3, "vm-a", "cut-off-from-targets", paths=2),
+        line(4, "vm-a", "attempt-sent", request="r1", target="e1"),
+        line(5, "vm-a", "reaches-targets-again"),
+        line(6, "vm-a", "attempt-ended", request="r1", target="e1"),
+    ]
+    first, last = explain(read_lines(said, process="a"), "r1")
+    assert len(first.target_news) == 1
+    assert "path-cut" in first.target_news[0]
+    assert first.cut_off_since is not None
+    assert last.cut_off_since is None
+
+
 def test_a_step_shows_the_last_word_of_each_kind_of_its_target() -> None:
     said = [
         line(1, "vm-a", "target-listed", target="e1", state="ready"),
