Tunnels end once a path is back, and no connection is lost with a caller that leaves

Found in reading: where one path was back the others were tried again, but idle tunnels to those targets stayed in the pools and were used for as long as calls came. Whoever keeps connections is told of each path now. A caller that left as its connection was won left the connection open. The gauges of cut paths and of tunnels are taken at a scrape: they told the last change, and not the end.

--- a/lagoonlever/decisions/targets/target_paths.py
+++ b/lagoonlever/decisions/targets/target_paths.py
@@ -59,9 +59,9 @@
     """How many probes were made, which take turns among the paths."""
 
     @property
-    def cut_count(self) -> int:
-        """The number of paths that are cut."""
-        return sum(path.cut for path in self._paths.values())
+    def cut_targets(self) -> tuple[Address, ...]:
+        """The targets whose paths are cut."""
+        return tuple(target for target, path in self._paths.items() if path.cut)
 
     @property
     def is_cut_off(self) -> bool:
@@ -70,7 +70,7 @@
         So it is if several paths are cut, and none was open since the first of them was lost.
         """
         needed = min(CUT_PATHS_NEEDED, len(self._paths))
-        return self.cut_count >= max(1, needed) and self._reached_at < self._cut_since
+        return len(self.cut_targets) >= max(1, needed) and self._reached_at < self._cut_since
 
     def plan(self, target: Address, now: float) -> DialPlan:
         """Return how to open the next connection to a target."""
@@ -155,10 +155,10 @@
         While this VM counts as cut off it is one that was not tried yet, if there is any: one
         open path is enough to show that it is not.
         """
-        cut = [target for target, path in self._paths.items() if path.cut]
+        cut = self.cut_targets
         if not cut:
             return None
-        untried = [target for target, path in self._paths.items() if path.lost_at is None]
+        untried = tuple(target for target, path in self._paths.items() if path.lost_at is None)
         among = untried if untried and self.is_cut_off else cut
         self._probed += 1
         return among[self._probed % len(among)]
--- a/lagoonlever/gateway/connect_race.py
+++ b/lagoonlever/gateway/connect_race.py
@@ -32,17 +32,26 @@
 
         A way is tried once those before it have failed, or had the head start without success.
         """
-        with self._scope:
-            async with trio.open_nursery() as nursery:
-                for way in self._ways:
-                    failed = trio.Event()
-                    nursery.start_soon(self._try, way, failed)
-                    with trio.move_on_after(self._head_start_s):
-                        await failed.wait()
-                    # A process that was late itself gives the way its turn before it is judged.
-                    await trio.lowlevel.checkpoint()
+        try:
+            with self._scope:
+                await self._try_all()
+        except BaseException:
+            if self._won is not None:
+                with trio.CancelScope(shield=True):
+                    await self._won.aclose()
+            raise
         return self._won
 
+    async def _try_all(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for way in self._ways:
+                failed = trio.Event()
+                nursery.start_soon(self._try, way, failed)
+                with trio.move_on_after(self._head_start_s):
+                    await failed.wait()
+                # A process that was late itself gives the way its turn before it is judged.
+                await trio.lowlevel.checkpoint()
+
     async def _try(self, way: Way, failed: trio.Event) -> None:
         try:
             connection = await way()
--- a/lagoonlever/gateway/dialer.py
+++ b/lagoonlever/gateway/dialer.py
@@ -178,13 +178,13 @@
         return connection
 
     async def _record_reached(self, address: Address) -> None:
-        was_cut = self.paths.is_cut(address)
+        cut = self.paths.cut_targets if self.paths.is_cut(address) else ()
         lost_s = self.paths.record_reached(address, self._timers.now)
         if lost_s is not None:
             name = self._targets.name_at(address)
             events.TARGET_REACHED.log(log, target=name, seconds=lost_s)
-        if was_cut:
-            await self._path_changed(address)
+        for other in cut:
+            await self._path_changed(other)
 
     def _record_unreached(self, address: Address, error: ConnectFailed) -> None:
         now = self._timers.now
@@ -206,10 +206,11 @@
         await self._path_changed(address)
 
     async def _path_changed(self, address: Address) -> None:
-        self._tally.set(metrics.PATHS_CUT, float(self.paths.cut_count))
+        """Tell of a path, in any case: whoever connects just now is given its connection."""
         self._note_cut_off()
-        for notify in self._on_change:
-            await notify(address)
+        with trio.CancelScope(shield=True):
+            for notify in self._on_change:
+                await notify(address)
 
     def _note_cut_off(self) -> None:
         """Log once that this VM has lost its paths, or has one again."""
@@ -218,7 +219,7 @@
             return
         self._was_cut_off = is_cut_off
         if is_cut_off:
-            events.CUT_OFF.log(log, paths=self.paths.cut_count)
+            events.CUT_OFF.log(log, paths=len(self.paths.cut_targets))
         else:
             events.NOT_CUT_OFF.log(log)
 
--- a/lagoonlever/gateway/metrics_page.py
+++ b/lagoonlever/gateway/metrics_page.py
@@ -11,7 +11,9 @@
 from lagoonlever.decisions.targets.load_estimate import LoadSource
 from lagoonlever.gateway import metrics
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.dialer import TargetDialer
 from lagoonlever.gateway.tally import Tally
+from lagoonlever.gateway.tunnel_desk import TunnelDesk
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import Exchange
 from lagoonlever.timers import TimerService
@@ -30,6 +32,8 @@
     _beliefs: Beliefs
     _timers: TimerService
     _open_requests: Callable[[], int]
+    _dialer: TargetDialer
+    _tunnel_desk: TunnelDesk
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer a scrape."""
@@ -48,6 +52,8 @@
         self._tally.set(metrics.CONFIGURATION_VERSION, float(self._beliefs.version))
         self._tally.set(metrics.FELLOWS, float(offered), "offered")
         self._tally.set(metrics.FELLOWS, float(len(fellows.states) - offered), "silent")
+        self._tally.set(metrics.PATHS_CUT, float(len(self._dialer.paths.cut_targets)))
+        self._tally.set(metrics.TUNNELS_SERVED, float(self._tunnel_desk.tunnels))
         for service in self._beliefs.targets.versioned_services:
             shut_out = self._beliefs.targets.count_blocked_by_version(service)
             self._tally.set(metrics.SHUT_OUT, float(shut_out), service)
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -227,7 +227,6 @@
             beliefs=self.beliefs,
             timers=self.timers,
             dialer=self.dialer,
-            tally=self.reporter.tally,
             descriptors=self.settings.machine.descriptors,
         )
 
@@ -459,6 +458,8 @@
             beliefs=self.beliefs,
             timers=self.timers,
             open_requests=self.open_requests,
+            dialer=self.dialer,
+            tunnel_desk=self.tunnel_desk,
         )
 
     def runnable(self) -> dict[str, Run]:
--- a/lagoonlever/gateway/tunnel_desk.py
+++ b/lagoonlever/gateway/tunnel_desk.py
@@ -14,10 +14,8 @@
 
 from lagoonlever.exceptions import ConnectFailed
 from lagoonlever.gateway import events_paths as events
-from lagoonlever.gateway import metrics
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.dialer import PEER_FIELD, TUNNEL_FIELD, TargetDialer
-from lagoonlever.gateway.tally import Tally
 from lagoonlever.http.client import ClientConnection
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.tunnel import (
@@ -50,7 +48,6 @@
     _beliefs: Beliefs
     _timers: TimerService
     _dialer: TargetDialer
-    _tally: Tally
     _descriptors: int
     _server: TunnelServer = attrs.field(init=False)
 
@@ -58,6 +55,11 @@
     def _make_server(self) -> TunnelServer:
         return TunnelServer(dial=self._dial)
 
+    @property
+    def tunnels(self) -> int:
+        """The number of tunnels that are open."""
+        return self._server.tunnels
+
     @property
     def busy(self) -> int:
         """The number of tunnels that a request may be using."""
@@ -74,7 +76,6 @@
         if self._server.tunnels >= self._descriptors // DESCRIPTORS_PART:
             return NoTunnel(status=UNAVAILABLE)
         outcome = await self._open(request.to)
-        self._tally.set(metrics.TUNNELS_SERVED, float(self._server.tunnels))
         events.TUNNEL_SERVED.log(
             log,
             target=self._beliefs.targets.name_at(request.to),
--- a/lagoonlever/tests/handed_over_tests.py
+++ b/lagoonlever/tests/handed_over_tests.py
@@ -21,6 +21,8 @@
 )
 
 LEAVES_AFTER_S = 1.0
+RETURN_S = 2.0
+"""From the return of a path until it is used: it is tried each 0.6 s."""
 UNPROVEN = (502, 504)
 """Statuses that say nothing of whether a request has run."""
 
@@ -196,7 +198,7 @@
         for number in range(6):
             assert (await site.stream(f"p-{number}", events=2)).whole
         parts = [vm.daemon.parts for vm in site.vms.values()]
-        assert not any(part.dialer.paths.cut_count for part in parts)
+        assert not any(part.dialer.paths.cut_targets for part in parts)
         await until_within(
             1.0,
             lambda: all(
@@ -217,7 +219,7 @@
             assert (await site.call("/bid/1", vm=vm, body=b"bid")).status == 503
             assert (await site.call("/look/1", vm=vm, method="GET")).status == 503
         parts = [vm.daemon.parts for vm in site.vms.values()]
-        assert not any(part.dialer.paths.cut_count for part in parts)
+        assert not any(part.dialer.paths.cut_targets for part in parts)
 
     run_site(story, engines=2)
 
@@ -257,6 +259,27 @@
     run_site(story, cuttable=True)
 
 
+def test_requests_go_by_the_own_path_again_soon_after_it_is_back() -> None:
+    """A tunnel in use is never idle for long, and was kept for as long as calls came."""
+
+    async def story(site: GatewaySite) -> None:
+        await cut(site)
+        for _ in range(10):
+            assert (await site.call("/bid/1", body=b"bid")).status == 200
+            assert (await site.call("/look/1", method="GET")).status == 200
+        other = site.vms["vm-1"].daemon.parts.tunnel_desk
+        assert other.tunnels > 0
+        assert site.paths is not None
+        site.paths.set("vm-0", PathState.OPEN)
+        ends = trio.current_time() + RETURN_S
+        while trio.current_time() < ends:
+            assert (await site.call("/bid/1", body=b"bid")).status == 200
+            await trio.sleep(0.05)
+        await until_within(1.0, lambda: other.tunnels == 0)
+
+    run_site(story, engines=0, cuttable=True)
+
+
 def test_callers_are_sent_elsewhere_while_their_vm_is_cut_off() -> None:
     async def story(site: GatewaySite) -> None:
         await cut(site)
--- a/lagoonlever/tests/tunnel_tests.py
+++ b/lagoonlever/tests/tunnel_tests.py
@@ -158,7 +158,7 @@
         await connection.start(method="GET", path="/", step="test")
         await connection.aclose()
         await ended.wait()
-        assert site.server.count_busy(trio.current_time(), idle_s=0.0) == 0
+        await until(lambda: site.server.tunnels == 0)
 
     run(serve, story)
 
