--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -79,7 +79,8 @@
     1020,
     "target-listed",
     "info",
-    "Target {target} of {service} at {address} is {state}, by revision {revision}.",
+    "Target {target} of {service} at {address}, software {version}, is {state}, by revision"
+    " {revision}.",
     "The platform's list has changed. A target that drains or is removed gets no new work.",
 )
 TARGET_UNREADABLE = event(
@@ -265,8 +266,8 @@
     1041,
     "attempt-sent",
     "info",
-    "{request} with prompt {part} goes to {target} as attempt {attempt} after event {position},"
-    " copy at {copy}, rank {rank}: {reason}",
+    "{request} with prompt {part} goes to {target} of software {version} as attempt {attempt} after"
+    " event {position}, copy at {copy}, rank {rank}: {reason}",
     "Where a request was placed, and by which inputs. `rank` is what its engine was told, or None"
     " where the routes of the service don't differ.",
 )
@@ -283,8 +284,10 @@
     1043,
     "first-event",
     "info",
-    "{request} at {target} gave its first event, {position}, after {seconds:.3f} s",
-    "How long an attempt took to begin: prompt, queue and connection.",
+    "{request} at {target} of software {version} gave its first event, {position}, after"
+    " {seconds:.3f} s",
+    "How long an attempt took to begin: prompt, queue and connection. The events of one stream must"
+    " all come from one version of the software.",
 )
 PAUSE = event(
     1044,
--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -158,6 +158,7 @@
             target=change.id,
             service=known.service,
             address=str(known.address),
+            version=known.version,
             state=state,
             revision=change.revision,
         )
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -55,6 +55,9 @@
     last_event_id: int | None
     """The last event that the caller has got whole, if it goes on after a loss."""
     ask: GenerationAsk | None
+    resumes: str | None = None
+    """The id of the caller's attempt that brought the first event of the stream, where it names
+    one."""
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -401,6 +401,7 @@
                 log,
                 request=self._accepted.request_id,
                 target=self._plan.engine.id,
+                version=self._plan.engine.version,
                 seconds=now - self._started,
                 position=self._life.position,
             )
@@ -505,6 +506,7 @@
             request=self._accepted.request_id,
             part=plan.run.part,
             target=plan.engine.id,
+            version=plan.engine.version,
             attempt=self._life.sent_attempts,
             position=self._life.position,
             copy=plan.run.copy_holder,
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -10,7 +10,7 @@
 from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
 from lagoonlever.decisions.streams.run_placement import Overloaded, RetryBudgetExhausted
 from lagoonlever.decisions.streams.stream_lifecycle import GiveUp, StreamLifecycle, WaitForEngine
-from lagoonlever.gateway import events
+from lagoonlever.gateway import events, events_streams
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
 from lagoonlever.gateway.attempt_planner import AttemptPlanner, generation_ask
@@ -97,6 +97,8 @@
             if former.run is not None:
                 copy = former.run.copy
                 prefer = former.run.engine if self._is_same_process(former.run) else None
+        if accepted.caller.last_event_id:
+            self._log_taken_up(accepted)
         return StreamLifecycle.for_reconnect(
             repeatable=accepted.route.repeatable,
             max_attempts=accepted.route.max_attempts,
@@ -105,6 +107,18 @@
             prefer=prefer,
         )
 
+    def _log_taken_up(self, accepted: Accepted) -> None:
+        began = self._beliefs.book.find_run(accepted.caller.resumes or "")
+        engine = self._beliefs.targets.find(began.engine) if began is not None else None
+        events_streams.STREAM_TAKEN_UP.log(
+            log,
+            request=accepted.request_id,
+            resumes=accepted.caller.resumes,
+            position=accepted.caller.last_event_id,
+            version=engine.version if engine is not None else None,
+            source="the book of runs" if engine is not None else "nobody",
+        )
+
     def _is_same_process(self, run: EngineRun) -> bool:
         """Tell whether the engine of a run is still the process that read its prompt."""
         engine = self._beliefs.targets.find(run.engine)
--- a/lagoonlever/platform/headers.py
+++ b/lagoonlever/platform/headers.py
@@ -19,6 +19,8 @@
 REQUEST_ID = "Request-Id"
 DEADLINE = "Deadline-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"
+"""The id of the caller's attempt that brought the first event of the stream it goes on with."""
 MODEL = "Model"
 TOKEN_COUNT = "Token-Count"
 """Of the prompt, and at most of the answer."""
@@ -117,6 +119,7 @@
         api_key=_api_key(headers),
         deadline_s=None if deadline_ms is None else deadline_ms / MS,
         last_event_id=None if last_event_id is None else int(last_event_id),
+        resumes=headers.get(RESUMES) or None,
         ask=_ask(headers),
     )
 
--- a/lagoonlever/report/explain.py
+++ b/lagoonlever/report/explain.py
@@ -53,6 +53,12 @@
         fingerprint = self.fields.get("fingerprint")
         return fingerprint if isinstance(fingerprint, str) else None
 
+    @property
+    def resumes(self) -> str | None:
+        """The request that began the stream which the line's request goes on with."""
+        resumes = self.fields.get("resumes")
+        return resumes if isinstance(resumes, str) else None
+
 
 @attrs.frozen(kw_only=True)
 class Step:
@@ -100,7 +106,9 @@
     parts = {line.part for line in own} - {None}
     prints = {line.fingerprint for line in own} - {None}
     same = (line for line in lines if line.part in parts or line.fingerprint in prints)
-    wanted = ({line.request for line in same} | {request}) - {None}
+    began = {request} | ({line.resumes for line in own} - {None})
+    resumed = {line.request for line in lines if line.resumes in began}
+    wanted = ({line.request for line in same} | resumed | began) - {None}
     prints |= {line.fingerprint for line in lines if line.request in wanted} - {None}
     configuration: dict[str, int] = {}
     unreachable: set[str] = set()
--- a/lagoonlever/tests/explain_tests.py
+++ b/lagoonlever/tests/explain_tests.py
@@ -86,6 +86,17 @@
     assert [step.line.request for step in explain(lines, "r1")] == ["r1", "r2"]
 
 
+def test_a_caller_that_names_what_it_goes_on_with_is_followed() -> None:
+    """Another request of the same session may have the prompt's own part, or none has one."""
+    first = line(1, "vm-a", "first-event", request="r1", target="e1")
+    second = line(2, "vm-b", "stream-taken-up", request="r2", resumes="r1")
+    third = line(3, "vm-c", "stream-taken-up", request="r3", resumes="r1")
+    other = line(4, "vm-c", "stream-taken-up", request="r4", resumes="r9")
+    lines = list(read_lines([first, second, third, other], process="a"))
+    for request in ("r1", "r2", "r3"):
+        assert [step.line.request for step in explain(lines, request)] == ["r1", "r2", "r3"]
+
+
 def test_requests_with_the_same_fingerprint_are_one_caller_s_work() -> None:
     first = line(1, "vm-a", "attempt-ended", request="r1", target="e1", fingerprint="f1")
     second = line(2, "vm-b", "attempt-ended", request="r2", target="e2", fingerprint="f1")
--- a/lagoonlever/tests/platform_headers_tests.py
+++ b/lagoonlever/tests/platform_headers_tests.py
@@ -1,4 +1,4 @@
-"""The fields of a target's answer that say how busy or how brittle it is."""
+"""The fields of a target's answer that say how busy or brittle it is, and of a caller's request."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from lagoonlever.decisions.targets.reported_load import ReportedLoad
 from lagoonlever.http.messages import Headers
-from lagoonlever.platform.headers import BRITTLE, LOAD, read_answer
+from lagoonlever.platform.headers import BRITTLE, LOAD, read_answer, read_caller
 
 OK = 200
 
@@ -60,3 +60,10 @@
     assert (head.brittle, head.tells_brittle) == (None, False)
     assert len(head.unreadable) == 1
     assert head.load == ReportedLoad(running=3, waiting=0, slots=8)
+
+
+def test_a_caller_that_goes_on_names_the_attempt_that_brought_its_first_event() -> None:
+    fields = (("Host", "h"), ("Request-Id", "r-2"), ("Last-Event-Id", "7"), ("Resumes", "r-1"))
+    caller = read_caller(Headers(fields))
+    assert (caller.last_event_id, caller.resumes) == (7, "r-1")
+    assert read_caller(Headers(fields[:3])).resumes is None
