--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -39,6 +39,8 @@
 NOT_THERE = 404
 BUSY = 503
 EVENT_TOKENS = 8
+USUAL_VERSION = "v1"
+"""The version of an engine's software; events of any other one name it."""
 DIES_AFTER_S = 0.01
 """From the head of an answer until the engine that a request ends is gone."""
 
@@ -82,11 +84,14 @@
         prefill_tokens_per_s: float = 100_000.0,
         event_s: float = 0.005,
         started_ms: int | None = None,
+        version: str = USUAL_VERSION,
         deadly: Collection[str] = (),
         die: Callable[[], None] = lambda: None,
     ) -> None:
         self.target_id = target_id
         self.started_ms = started_ms
+        self.version = version
+        """Of its software; what it writes shows it."""
         self.prefill_tokens_per_s = prefill_tokens_per_s
         self.event_s = event_s
         self.conducts: deque[EngineConduct] = deque()
@@ -309,7 +314,7 @@
             run.events += 1
             assert run.place is not None
             self.room.grow(run.place, EVENT_TOKENS)
-            event = event_bytes(run.part, run.events)
+            event = event_bytes(run.part, run.events, version=self.version)
             if made == 3 and conduct is EngineConduct.SKIP_EVENT:
                 continue
             if made == 3 and conduct is EngineConduct.HALF_EVENT:
@@ -320,6 +325,7 @@
                 holder.copies[run.request_id] = attrs.evolve(run)
 
 
-def event_bytes(part: str, number: int) -> bytes:
-    """Give the event of a prompt with this number, alike on every engine."""
-    return f"id: {number}\ndata: {part} {number}\n\n".encode()
+def event_bytes(part: str, number: int, *, version: str = USUAL_VERSION) -> bytes:
+    """Return the event of a prompt with this number, alike on every engine of a version."""
+    written_by = "" if version == USUAL_VERSION else f" by {version}"
+    return f"id: {number}\ndata: {part} {number}{written_by}\n\n".encode()
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -13,7 +13,7 @@
 
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
-from lagoonlever.fakes.platform_engine import FakeEngine, event_bytes
+from lagoonlever.fakes.platform_engine import USUAL_VERSION, FakeEngine, event_bytes
 from lagoonlever.fakes.platform_runner import FakeRunner
 from lagoonlever.gateway.daemon import GatewayDaemon
 from lagoonlever.gateway.settings import Bounds, GatewaySettings, StoreLimits
@@ -136,10 +136,27 @@
     headers: Headers
     body: bytes = b""
     whole: bool = False
-
-    def is_events(self, part: str, first: int, last: int) -> bool:
-        """Tell whether the body is exactly these events of a prompt."""
-        return self.body == b"".join(event_bytes(part, n) for n in range(first, last + 1))
+    request_id: str = ""
+    after: int = 0
+    """The last event that the caller had before."""
+
+    def is_events(self, part: str, first: int, last: int, *, version: str = USUAL_VERSION) -> bool:
+        """Check whether the body is exactly these events of a prompt, all by one version."""
+        numbers = range(first, last + 1)
+        return self.body == b"".join(event_bytes(part, n, version=version) for n in numbers)
+
+    @property
+    def last_event(self) -> int:
+        """The number of the last event that came whole; 0 for none."""
+        return self.body.count(b"\n\n") + self.after
+
+    @property
+    def versions(self) -> frozenset[str]:
+        """The versions of the engines' software that wrote the events."""
+        events = self.body.decode().split("\n\n")[:-1]
+        return frozenset(
+            event.partition(" by ")[2] or USUAL_VERSION for event in events if "data: " in event
+        )
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -198,13 +215,16 @@
         """Have the operator write a configuration."""
         self.store.put(CONFIGURATION_KEY, json.dumps(document).encode())
 
-    async def start_engine(self, name: str, *, data_center: str = "dc-0") -> FakeEngine:
+    async def start_engine(
+        self, name: str, *, data_center: str = "dc-0", version: str = USUAL_VERSION
+    ) -> FakeEngine:
         """Start an engine and list it; one that was there before starts again under its id."""
         address = self.addresses.get(name) or free_address()
         engine = FakeEngine(
             target_id=name,
             fleet=self._fleet,
             started_ms=next(self._starts),
+            version=version,
             deadly=self.deadly,
             die=lambda: self._die(name),
         )
@@ -212,7 +232,11 @@
         self.engines[name] = engine
         await self._start_target(name, address, engine.run)
         self.list_target(
-            name, service="engines", data_center=data_center, started_ms=engine.started_ms
+            name,
+            service="engines",
+            data_center=data_center,
+            started_ms=engine.started_ms,
+            version=version,
         )
         return engine
 
@@ -261,10 +285,12 @@
         self.deaths.append(name)
         self.crash(name)
 
-    async def start_in_place_of(self, name: str, new_id: str) -> FakeEngine:
+    async def start_in_place_of(
+        self, name: str, new_id: str, *, version: str = USUAL_VERSION
+    ) -> FakeEngine:
         """Start another engine at the address of one that has crashed; it is not listed."""
         address = self.addresses[name]
-        engine = FakeEngine(target_id=new_id, fleet=self._fleet)
+        engine = FakeEngine(target_id=new_id, fleet=self._fleet, version=version)
         self._fleet[str(address)] = engine
         self.engines[new_id] = engine
         await self._start_target(new_id, address, engine.run)
@@ -357,7 +383,12 @@
                 method="POST", path="/stream/1", headers=headers, body=part.encode(), step="test"
             )
             head = await connection.read_head()
-            got = Stream(status=head.status, headers=head.headers)
+            got = Stream(
+                status=head.status,
+                headers=head.headers,
+                request_id=headers.get("Request-Id") or "",
+                after=int(headers.get("Last-Event-Id") or 0),
+            )
             try:
                 while (piece := await connection.next_piece()) is not None:
                     got.body += piece
@@ -367,6 +398,15 @@
                 got.whole = False
             return got
 
+    async def take_up(self, former: Stream, part: str, *, began: str = "", **more: Any) -> Stream:
+        """Come back with what a caller has of a stream; ``began`` if not by ``former`` itself."""
+        return await self.stream(
+            part,
+            Last_Event_Id=str(former.last_event),
+            Resumes=began or former.request_id,
+            **more,
+        )
+
     def _settings(self, name: str, data_center: str) -> GatewaySettings:
         # VMs tell each other the host of their bus; the port of tunnels is the same on all.
         host = f"127.0.0.{FIRST_HOST + len(self.vms)}"
