--- a/lagoonlever/bench/placing_fleet.py
+++ b/lagoonlever/bench/placing_fleet.py
@@ -27,6 +27,7 @@
 
 SERVICE = "engines"
 LIMITS = EngineLimits(slots=6, memory_tokens=55_000, copies=True)
+OLD_VERSION, NEW_VERSION = "v1", "v2"
 PROMPT = 5_000
 MEMORY = 6_000
 
@@ -60,8 +61,13 @@
         received = self.vm.bus.traffic.received
         return sum(c.messages for tag, c in received.items() if tag not in about_vms)
 
-    async def place(self, request: str, *, after_loss: bool = False) -> Placed:
-        """Place a run and tell of it, as a stream does once it is written."""
+    async def place(
+        self, request: str, *, after_loss: bool = False, version: str | None = None
+    ) -> Placed:
+        """Place a run and tell of it, as a stream does once it is written.
+
+        One that goes on can do so only at the ``version`` that began it.
+        """
         ask = PlacementRequest(
             request=request,
             service=SERVICE,
@@ -69,6 +75,7 @@
             memory_tokens=MEMORY,
             crowd=after_loss,
             repeat=after_loss,
+            version=version,
         )
         outcome = await self.placer.place(ask)
         if not isinstance(outcome, Placed):
@@ -91,11 +98,16 @@
             memory_tokens=MEMORY,
             part=f"part-{request}",
             copy=copy,
+            version=self._version_of(placed.engine),
         )
 
+    def _version_of(self, engine: str) -> str | None:
+        target = self.vm.beliefs.targets.find(engine)
+        return target.version if target is not None else None
+
 
-def engines(count: int) -> list[ListedTarget]:
-    """Give so many engines, spread over the data centres of the fleet."""
+def engines(count: int, *, old_versions: int = 0) -> list[ListedTarget]:
+    """Return so many engines over the data centres of the fleet, the first of an old version."""
     return [
         ListedTarget(
             id=f"e-{number}",
@@ -103,14 +115,17 @@
             address=Address(host=f"10.1.0.{number}", port=80),
             data_center=PLACES[number % len(PLACES)],
             slots=LIMITS.slots,
+            version=OLD_VERSION if number < old_versions else NEW_VERSION,
         )
         for number in range(count)
     ]
 
 
-def placing_fleet(fleet: Fleet, *, engine_count: int) -> dict[str, PlacingVm]:
+def placing_fleet(
+    fleet: Fleet, *, engine_count: int, old_versions: int = 0
+) -> dict[str, PlacingVm]:
     """Start what places runs on each VM of a fleet that is settled."""
-    listed = engines(engine_count)
+    listed = engines(engine_count, old_versions=old_versions)
     configuration = Configuration(
         version=1,
         services={
--- a/lagoonlever/decisions/engines/engine_scheduler.py
+++ b/lagoonlever/decisions/engines/engine_scheduler.py
@@ -30,6 +30,7 @@
 from lagoonlever.decisions.engines.engine_timings import EngineTimings
 from lagoonlever.decisions.engines.prefill_window import PrefillWindow
 from lagoonlever.decisions.engines.uneven_engines import UnevenChoice, UnevenEngines
+from lagoonlever.decisions.engines.version_load import VersionLoad
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS, gives
 from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
@@ -133,6 +134,27 @@
             return None
         return record.run
 
+    def find_unfinished_run_of(self, begun_by: str) -> EngineRun | None:
+        """Return the last run of a stream unless its answer was whole, or None.
+
+        ``begun_by`` is the request that began the stream.
+        """
+        record = self._records.find_by_stream(begun_by)
+        if record is None or record.complete:
+            return None
+        return record.run
+
+    def load_by_version(self, service: str) -> dict[str | None, VersionLoad]:
+        """Return what the open runs of a service hold at the engines of each version."""
+        loads: dict[str | None, VersionLoad] = {}
+        for record in self._records:
+            run = record.run
+            if run.service != service or record.ended_at is not None:
+                continue
+            load = loads.get(run.version, VersionLoad())
+            loads[run.version] = load.plus(run.memory_tokens)
+        return loads
+
     def choose_engine(
         self,
         engines: Iterable[ListedTarget],
@@ -145,10 +167,12 @@
         prefer: str | None = None,
         add_jitter: bool = False,
         begins_within_s: float | None = None,
+        spare: frozenset[str] = frozenset(),
     ) -> Placement | None:
         """Choose the engine with the lowest cost for a run, or None if there is none.
 
         ``prefer`` is an engine that has the prompt cached, so its prefill costs nothing there.
+        ``spare`` are engines that are chosen only if the others have no capacity left.
         ``add_jitter`` spreads the costs at random, as after a loss many VMs choose before they
         receive each other's placements. With ``begins_within_s`` only engines count that have
         capacity, and whose prefill backlog takes no longer.
@@ -181,6 +205,8 @@
             costs[engine.id] = self._scaled_cost_s(engine, loads, limits, memory_tokens, now)
             costs[engine.id] += 0.0 if engine.id == prefer else own_s
             costs[engine.id] += self._rng.uniform(0.0, jitter_s) if jitter_s else 0.0
+            if engine.id in spare:
+                costs[engine.id] += FULL_COST * self.timings.usual_prefill_s(engine.service)
             work_s = self._load_of(loads, engine).prefill_left_s + own_s
             costs[engine.id] += self._uneven.slow_period_delay_s(engine.id, work_s, now)
         best = min(candidates, key=lambda engine: costs[engine.id])
--- a/lagoonlever/decisions/rollouts/versions.py
+++ b/lagoonlever/decisions/rollouts/versions.py
@@ -101,6 +101,23 @@
         """Check whether a version is an established one of a service without an order."""
         return self.order is None and version in self._established
 
+    def may_continue(self, version: str) -> bool:
+        """Check whether work that a version has begun may go on at its targets.
+
+        That holds for versions on trial and for former ones, but not for one that was rolled back
+        or is in doubt.
+        """
+        if self.order is None or version != self.order.version:
+            return True
+        if self.state is RolloutState.RUNNING:
+            return self.phase is not RolloutPhase.HELD
+        return self.state is RolloutState.COMPLETED
+
+    @property
+    def takes_unnamed(self) -> bool:
+        """Whether a target may get work whose version is unknown: no version is in question."""
+        return self.order is None or self.state is RolloutState.COMPLETED
+
     def ordinary_versions(self, listed: set[str]) -> frozenset[str]:
         """Return the versions that ordinary new work goes to, out of those with available targets.
 
--- a/lagoonlever/decisions/settings/configuration.py
+++ b/lagoonlever/decisions/settings/configuration.py
@@ -129,6 +129,25 @@
         init=False, repr=False, eq=False, default=attrs.Factory(lambda c: _index(c.routes), True)
     )
 
+    @property
+    def longest_stream_s(self) -> float:
+        """The longest timeout of the routes that answer with streams; 0 without any."""
+        timeouts = (r.timeout_s for r in self.routes if r.kind is RouteKind.STREAM)
+        return max(timeouts, default=0.0)
+
+    @property
+    def stream_services(self) -> frozenset[str]:
+        """The services that routes with streams lead to."""
+        streams = (route for route in self.routes if route.kind is RouteKind.STREAM)
+        return frozenset(service.name for route in streams for service in route.services)
+
+    @property
+    def split_services(self) -> frozenset[str]:
+        """The services of streams that share a route with another service."""
+        streams = (route for route in self.routes if route.kind is RouteKind.STREAM)
+        split = (route for route in streams if len(route.services) > 1)
+        return frozenset(service.name for route in split for service in route.services)
+
     def route_of(self, host: str, path: str) -> ServiceRoute | None:
         """Give the route with the longest prefix of a path, or None."""
         for route in self._by_host.get(host, ()):
--- a/lagoonlever/decisions/streams/engine_runs.py
+++ b/lagoonlever/decisions/streams/engine_runs.py
@@ -50,6 +50,16 @@
     """Whether the run has produced its first event."""
     engine_started_ms: int | None = None
     """Start time of the engine's process, as known when the run was sent."""
+    version: str | None = None
+    """The version of the engine's software, as known when the run was sent."""
+    begun_by: str | None = None
+    """The request that began the stream, if the run goes on with one that an earlier request
+    of the caller began."""
+
+    @property
+    def stream(self) -> str:
+        """The request that began the run's stream, or is about to."""
+        return self.begun_by or self.request
 
     @property
     def copy_holder(self) -> str | None:
--- a/lagoonlever/decisions/streams/run_placement.py
+++ b/lagoonlever/decisions/streams/run_placement.py
@@ -22,8 +22,10 @@
 from lagoonlever.decisions.admission.retry_window import RetryWindow
 from lagoonlever.decisions.engines.engine_scheduler import EngineScheduler
 from lagoonlever.decisions.engines.uneven_engines import UnevenChoice
+from lagoonlever.decisions.engines.version_load import engines_to_spare
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.streams.engine_runs import EngineRun
+from lagoonlever.decisions.streams.versions_in_use import VersionsInUse
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.decisions.targets.registry import TargetRegistry
 
@@ -64,6 +66,9 @@
     """Whether its KV cache is copied to another engine, incrementally or on demand."""
     on_trial: bool = False
     """Whether it goes to the version that is on trial, if there is one."""
+    version: str | None = None
+    """The version of the software that has begun the stream; only its engines may go on with it.
+    None for a stream of which the caller has nothing yet."""
     allowed_s: float | None = None
     """For a new prompt the time in seconds that its callers usually allow; None for a retry."""
 
@@ -121,6 +126,7 @@
     """The retry budget."""
     targets: TargetRegistry
     limits: EngineLimits
+    versions: VersionsInUse = attrs.field(factory=VersionsInUse)
     vm_count: int = 1
     """Number of VMs that share the slack of `retry_window`; 1 if it counts the runs of all VMs."""
     ranks_differ: bool = False
@@ -151,7 +157,7 @@
     """
     if request.repeat and not context.retry_window.allows(now, vms=context.vm_count):
         return RetryBudgetExhausted()
-    serving = context.targets.serving(request.service, on_trial=request.on_trial)
+    serving = _engines_for(request, context)
     if all(engine.id in request.avoid for engine in serving):
         return NoEngine()
     return _place(request, context, now, begins_within_s=BEGINS_WITHIN_S) or NoCapacity()
@@ -188,8 +194,9 @@
     begins_within_s: float | None = None,
 ) -> Placed | None:
     """Choose an engine and the holder of the copy, or return None if no engine qualifies."""
+    engines = _engines_for(request, context)
     placement = context.book.choose_engine(
-        context.targets.serving(request.service, on_trial=request.on_trial),
+        engines,
         limits=context.limits,
         prompt_tokens=request.prompt_tokens,
         memory_tokens=request.memory_tokens,
@@ -198,6 +205,7 @@
         prefer=request.prefer,
         add_jitter=request.crowd,
         begins_within_s=begins_within_s,
+        spare=_engines_to_spare(request, engines, context),
     )
     if placement is None:
         return None
@@ -209,12 +217,36 @@
     )
 
 
+def _engines_for(request: PlacementRequest, context: PlacementContext) -> tuple[ListedTarget, ...]:
+    """Return the engines that may be given an attempt, whatever their load."""
+    if request.version is not None:
+        return context.targets.serving(request.service, version=request.version)
+    serving = context.targets.serving(request.service, on_trial=request.on_trial)
+    return context.versions.prefer_recorded(serving)
+
+
+def _engines_to_spare(
+    request: PlacementRequest, engines: tuple[ListedTarget, ...], context: PlacementContext
+) -> frozenset[str]:
+    """Return the engines that a new stream should leave to streams of their version."""
+    if request.version is not None or len({engine.version for engine in engines}) < 2:
+        return frozenset()
+    return engines_to_spare(
+        engines,
+        context.book.load_by_version(request.service),
+        limits=context.limits,
+        memory_tokens=request.memory_tokens,
+    )
+
+
 def _place_at_settled_engine(
     request: PlacementRequest, engine_id: str, context: PlacementContext, now: float
 ) -> RunOutcome:
     """Place a run at the engine that is already decided on, unless that engine is unusable."""
     engine = context.targets.find(engine_id)
-    if engine is None or (request.attempt and context.book.avoidance.is_avoided(engine_id, now)):
+    if engine is None or request.version not in (None, engine.version):
+        return NoEngine()
+    if request.attempt and context.book.avoidance.is_avoided(engine_id, now):
         return NoEngine()
     return Placed(engine=engine_id, copy_to=_choose_copy_holder(request, engine, context, now))
 
@@ -222,11 +254,14 @@
 def _choose_copy_holder(
     request: PlacementRequest, engine: ListedTarget, context: PlacementContext, now: float
 ) -> str | None:
-    """Return the id of an engine to hold the copy of a run at ``engine``, or None."""
-    if not request.copies:
+    """Return the id of an engine to hold the copy of a run at ``engine``, or None.
+
+    It is of the same version: the run could not go on at another one.
+    """
+    if not request.copies or engine.version is None:
         return None
     holder = context.book.choose_copy_holder(
-        context.targets.serving(request.service),
+        context.targets.serving(request.service, version=engine.version),
         limits=context.limits,
         run_engine=engine,
         memory_tokens=request.memory_tokens,
--- a/lagoonlever/decisions/streams/run_records.py
+++ b/lagoonlever/decisions/streams/run_records.py
@@ -55,6 +55,8 @@
     _records: dict[str, RunRecord] = attrs.field(factory=dict)
     _request_by_segment: dict[str, str] = attrs.field(factory=dict)
     """The id of the last request of each prompt segment."""
+    _request_by_stream: dict[str, str] = attrs.field(factory=dict)
+    """The id of the last request of each stream, by the request that began it."""
 
     def __iter__(self) -> Iterator[RunRecord]:
         """Return an iterator over all records."""
@@ -71,6 +73,13 @@
         """
         return self._records.get(self._request_by_segment.get(part, ""))
 
+    def find_by_stream(self, begun_by: str) -> RunRecord | None:
+        """Return the record of the last request of a stream, or None.
+
+        ``begun_by`` is the request that began the stream.
+        """
+        return self._records.get(self._request_by_stream.get(begun_by, ""))
+
     def prefilling_at(self, engine: str) -> list[RunRecord]:
         """Return the open runs at an engine whose prompts are not prefilled yet."""
         return [
@@ -90,6 +99,7 @@
     def record_sent(self, run: EngineRun, now: float) -> None:
         """Record a run that was sent to an engine, in place of an earlier one of its request."""
         self._add(run, now)
+        self._request_by_stream[run.stream] = run.request
         if run.part is not None:
             self._request_by_segment[run.part] = run.request
 
@@ -122,5 +132,7 @@
     def _remove(self, record: RunRecord) -> None:
         run = record.run
         del self._records[run.request]
+        if self._request_by_stream.get(run.stream) == run.request:
+            del self._request_by_stream[run.stream]
         if run.part is not None and self._request_by_segment.get(run.part) == run.request:
             del self._request_by_segment[run.part]
--- a/lagoonlever/decisions/streams/stream_lifecycle.py
+++ b/lagoonlever/decisions/streams/stream_lifecycle.py
@@ -13,6 +13,7 @@
 import attrs
 
 from lagoonlever.decisions.streams.engine_runs import RunCopy
+from lagoonlever.decisions.streams.stream_origins import StreamOrigin
 
 NO_ENGINE_RETRY_S = 0.1
 """Interval in seconds at which a stream looks for an engine again while none can be chosen."""
@@ -60,6 +61,9 @@
     detail: str
     retry_after_s: float | None = None
     """Seconds after which the caller may retry; None if it may retry at once."""
+    begin_anew: bool = False
+    """Whether no engine can ever go on with the stream, so that a retry only helps without the
+    events that the caller has."""
 
 
 Step = PlaceAttempt | ResumeFromCopy | WaitForEngine | GiveUp
@@ -167,6 +171,8 @@
     _repeatable: bool
     _max_attempts: int
     position: int | None = None
+    origin: StreamOrigin | None = None
+    """Where the stream began; None while its caller has no event of it."""
     response_started: bool = False
     """Whether the head of the response was sent to the caller."""
     complete: bool = False
@@ -207,11 +213,13 @@
         position: int | None,
         copy: RunCopy | None,
         prefer: str | None,
+        origin: StreamOrigin | None = None,
     ) -> StreamLifecycle:
         """Create the state of a stream whose caller may have a part of it already.
 
-        ``copy`` is a KV-cache copy left by its previous run, and ``prefer`` an engine that
-        has its prompt in its cache.
+        ``origin`` is where the stream began, if the caller has a part of it. ``copy`` is a
+        KV-cache copy left by its previous run, and ``prefer`` an engine that has its prompt in
+        its cache.
         """
         return cls(
             repeatable=repeatable,
@@ -219,6 +227,7 @@
             position=position,
             copy=copy,
             prefer=prefer,
+            origin=origin,
         )
 
     @property
--- /dev/null
+++ b/lagoonlever/decisions/streams/versions_in_use.py
@@ -0,0 +1,151 @@
+"""Which versions of a service's software may have begun a stream that can still be resumed.
+
+If all VMs lose power, nobody is left who knows where a returning caller's stream began. While one
+version alone is in use there is nothing to know: any stream began there. So the versions of each
+service are recorded in the platform's store, and a new stream begins only at a recorded version
+if there is one to choose. A version is taken out of the record once it has been gone from the list
+for longer than any stream lives. While several versions are recorded, the origin of each stream
+is recorded, too; without its record a stream of unknown origin goes on nowhere.
+
+A store that is restored from an older copy may lack a version. Its record then names an era before
+the store's own, and proves nothing until every stream of that time is over.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from lagoonlever.decisions.targets.listed_target import ListedTarget
+from lagoonlever.revisions import NOWHERE, Revision
+
+VersionsByService = Mapping[str, frozenset[str]]
+EMPTY: frozenset[str] = frozenset()
+
+
+@attrs.frozen(kw_only=True)
+class RecordedVersions:
+    """The record as it stands in the store."""
+
+    versions: VersionsByService
+    revision: Revision
+    proven: bool
+    """Whether no version can be missing from it."""
+
+
+@attrs.define(kw_only=True)
+class VersionsInUse:
+    """The record, and what this VM has seen of the list since; times are monotonic seconds."""
+
+    _recorded: RecordedVersions = RecordedVersions(versions={}, revision=NOWHERE, proven=False)
+    _last_listed: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    """When each version of a service was last on the list."""
+    _unproven_since: float | None = None
+    _unnamed: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    """When a stream last began at a process of no recorded version, by service and engine."""
+
+    @property
+    def recorded(self) -> RecordedVersions:
+        """The newest record that is known."""
+        return self._recorded
+
+    def of(self, service: str) -> frozenset[str]:
+        """Return the recorded versions of a service."""
+        return self._recorded.versions.get(service, EMPTY)
+
+    def only_version(self, service: str, targets: Iterable[ListedTarget]) -> str | None:
+        """Return the version at which any stream of a service began, or None if that is open.
+
+        It is open while one of the ``targets`` that are listed has a version that is not recorded.
+        """
+        versions = self.of(service)
+        if not self._recorded.proven or len(versions) != 1:
+            return None
+        listed = {t.version for t in targets if t.service == service and t.version is not None}
+        if not listed <= versions:
+            return None
+        if any(unnamed == service for unnamed, _ in self._unnamed):
+            return None
+        return next(iter(versions))
+
+    def has_several(self, service: str) -> bool:
+        """Check whether streams of a service may have begun at more than one version."""
+        return len(self.of(service)) > 1
+
+    def prefer_recorded(self, engines: Iterable[ListedTarget]) -> tuple[ListedTarget, ...]:
+        """Return the engines at which new streams begin: of recorded versions, if there are any.
+
+        A process whose version is unknown is not held back. In an outage of the store nearly all
+        engines may be such processes.
+        """
+        able = tuple(engines)
+        preferred = tuple(e for e in able if e.version is None or e.version in self.of(e.service))
+        return preferred or able
+
+    def apply_record(self, record: RecordedVersions, now: float) -> bool:
+        """Apply a record unless a newer one is known; return whether it was applied."""
+        if record.revision < self._recorded.revision:
+            return False
+        if record.revision == self._recorded.revision and not record.proven:
+            return False
+        self._recorded = record
+        self._unproven_since = None if record.proven else now
+        return True
+
+    def name_processes(self, targets: Iterable[ListedTarget]) -> None:
+        """Take note of processes that the list has named since streams began there."""
+        named = {(t.service, t.id) for t in targets if t.version in self.of(t.service)}
+        for key in self._unnamed.keys() & named:
+            del self._unnamed[key]
+
+    def record_begin(self, service: str, version: str | None, engine: str, now: float) -> None:
+        """Record that a stream begins at a process."""
+        if version is None or version not in self.of(service):
+            self._unnamed[service, engine] = now
+
+    def record_restore(self, era: int) -> None:
+        """Record that the store was restored: what this VM knows is newer than its record."""
+        revision = Revision(era=era, number=0)
+        if self._recorded.revision < revision:
+            self._recorded = attrs.evolve(self._recorded, revision=revision)
+
+    def expire(self, now: float, *, keep_s: float) -> None:
+        """Forget begins so old that none of their streams can be resumed any more."""
+        for key in [k for k, at in self._unnamed.items() if now - at > keep_s]:
+            del self._unnamed[key]
+
+    def is_proven(self, now: float, *, keep_s: float) -> bool:
+        """Check whether a record written now would name every version of a living stream."""
+        if self._recorded.proven:
+            return True
+        since = self._unproven_since
+        return since is not None and now - since > keep_s
+
+    def wanted(
+        self,
+        services: Iterable[str],
+        targets: Iterable[ListedTarget],
+        now: float,
+        *,
+        keep_s: float,
+    ) -> VersionsByService:
+        """Return what the record should say, by the list as it is now.
+
+        ``services`` are those that answer with streams. A version that is not on the list stays
+        in the record until this VM has not seen it there for ``keep_s``.
+        """
+        listed = {(t.service, t.version) for t in targets if t.version is not None}
+        for key in listed:
+            self._last_listed[key] = now
+        wanted: dict[str, frozenset[str]] = {}
+        for service in services:
+            known = self.of(service) | {version for of, version in listed if of == service}
+            kept = {v for v in known if self._is_in_use(service, v, now, keep_s=keep_s)}
+            if kept:
+                wanted[service] = frozenset(kept)
+        return wanted
+
+    def _is_in_use(self, service: str, version: str, now: float, *, keep_s: float) -> bool:
+        seen_at = self._last_listed.setdefault((service, version), now)
+        return now - seen_at <= keep_s
--- a/lagoonlever/decisions/targets/listed_target.py
+++ b/lagoonlever/decisions/targets/listed_target.py
@@ -18,8 +18,8 @@
     data_center: str
     slots: int = 1
     """How many requests it serves at once."""
-    version: str = ""
-    """The version of the target's software."""
+    version: str | None = ""
+    """The version of the process's software; None until an entry names that of this process."""
     draining: bool = False
     """Whether it finishes the work it has and takes no new work."""
     revision: Revision = NOWHERE
--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -85,6 +85,8 @@
     """Targets that were found without an entry, and until when they are used without one."""
     _former_starts: dict[str, int] = attrs.field(factory=dict)
     """The starts before the last one, of targets that reported their last start themselves."""
+    _in_doubt: set[str] = attrs.field(factory=set)
+    """Targets that were lost and may have restarted under their ids since."""
     _announcements: LeaveAnnouncements = attrs.field(factory=LeaveAnnouncements)
     """The leave announcements that targets made in answers."""
     _unconfirmed_until: dict[str, float] = attrs.field(factory=dict)
@@ -134,7 +136,9 @@
         return Counter(
             target.version
             for target in self._targets.values()
-            if target.service == service and not self._is_leaving(target)
+            if target.service == service
+            and target.version is not None
+            and not self._is_leaving(target)
         )
 
     def find(self, target_id: str) -> ListedTarget | None:
@@ -157,22 +161,32 @@
 
     def apply_order(self, order: RolloutOrder) -> None:
         """Apply an operator's order to roll out a version of a service."""
-        listed = {t.version for t in self._targets.values() if t.service == order.service}
+        listed = _versions_of(t for t in self._targets.values() if t.service == order.service)
         self.versions_of(order.service).apply_order(order, listed)
 
-    def serving(self, service: str, *, on_trial: bool = False) -> tuple[ListedTarget, ...]:
+    def serving(
+        self, service: str, *, on_trial: bool = False, version: str | None = None
+    ) -> tuple[ListedTarget, ...]:
         """Return the targets of a service that may be given work.
 
-        With ``on_trial`` only those of a version on trial, or the usual ones if there is none.
+        With ``on_trial`` only those of a version on trial, or the usual ones if there is none. With
+        ``version`` those that may go on with work which that version has begun.
         """
         able = self._available(service)
         versions = self._versions.get(service)
+        if version is not None:
+            may_continue = versions is None or versions.may_continue(version)
+            return tuple(t for t in able if may_continue and t.version == version)
         if versions is None:
             return able
-        listed = {target.version for target in able}
+        listed = _versions_of(able)
         wanted = versions.trial_versions(listed) if on_trial else frozenset[str]()
         wanted = wanted or versions.ordinary_versions(listed)
-        return tuple(target for target in able if target.version in wanted)
+        return tuple(
+            target
+            for target in able
+            if target.version in wanted or (target.version is None and versions.takes_unnamed)
+        )
 
     def count_blocked_by_version(self, service: str) -> int:
         """Return the number of available targets of a service if their versions block them all.
@@ -181,15 +195,38 @@
         """
         return 0 if self.serving(service) else len(self._available(service))
 
-    def takes_work(self, target_id: str) -> bool:
-        """Check whether a target may be given work now; called again right before each write."""
+    def has_version(self, service: str, version: str) -> bool:
+        """Check whether a target of a version is there that may take work, now or once it is back.
+
+        A target that has crashed counts until its entry lapses or another one has its address.
+        """
+        versions = self._versions.get(service)
+        if versions is not None and not versions.may_continue(version):
+            return False
+        return any(
+            target.service == service and target.version == version and not self._is_leaving(target)
+            for target in self._targets.values()
+        )
+
+    def takes_work(self, target_id: str, *, version: str | None = None) -> bool:
+        """Check whether a target may be given work now; called again right before each write.
+
+        ``version`` is the version that has begun the work, if any has.
+        """
         target = self._targets.get(target_id)
         if target is None or not self._is_available(target):
             return False
         versions = self._versions.get(target.service)
-        if versions is None or versions.is_ordinary(target.version):
+        if version is not None:
+            may_continue = versions is None or versions.may_continue(version)
+            return may_continue and target.version == version
+        if versions is None:
             return True
-        listed = {other.version for other in self._available(target.service)}
+        if target.version is None:
+            return versions.takes_unnamed
+        if versions.is_ordinary(target.version):
+            return True
+        listed = _versions_of(self._available(target.service))
         return target.version in versions.ordinary_versions(listed) | versions.trial_versions(
             listed
         )
@@ -280,17 +317,36 @@
         known = self._targets.get(target_id) or self._removed.get(target_id)
         return known.started_ms if known is not None else None
 
-    def record_restart(self, target_id: str, started_ms: int) -> bool:
+    def is_in_doubt(self, target_id: str) -> bool:
+        """Check whether a target may be another process than the list names.
+
+        That is so after it was lost, until it reports its start. A target that reports none gets
+        another id with each process, and rejects what is sent to the former one.
+        """
+        return target_id in self._in_doubt
+
+    def record_loss(self, target_id: str) -> None:
+        """Record that a target was lost; if it answers again it may have restarted."""
+        known = self._targets.get(target_id)
+        if known is not None and known.started_ms is not None:
+            self._in_doubt.add(target_id)
+
+    def record_restart(
+        self, target_id: str, started_ms: int, *, version: str | None = None
+    ) -> bool:
         """Record the start that a target itself reports; return whether it has restarted.
 
         The report takes precedence over the target's entry, which may be read later and be older.
+        ``version`` is that of the new process, if it is known before an entry names it.
         """
         known = self._targets.get(target_id)
+        self._in_doubt.discard(target_id)
         if known is None or known.started_ms == started_ms:
             return False
-        self._targets[target_id] = attrs.evolve(known, started_ms=started_ms)
         if known.started_ms is None:
+            self._targets[target_id] = attrs.evolve(known, started_ms=started_ms)
             return False
+        self._targets[target_id] = attrs.evolve(known, started_ms=started_ms, version=version)
         self._former_starts[target_id] = known.started_ms
         self._replaced_at.pop(target_id, None)
         self._announcements.forget(target_id)
@@ -326,11 +382,14 @@
         others = [t for t in self._targets.values() if t.address == target.address]
         return any(t is not target and self._is_available(t) for t in others)
 
-    def adopt_unlisted(self, former_id: str, new_id: str, now: float) -> bool:
+    def adopt_unlisted(
+        self, former_id: str, new_id: str, now: float, *, version: str | None = None
+    ) -> bool:
         """Use an unlisted process that was found at a lost target's address in its place.
 
-        Return whether it is used. It is not if its id is already known, or if the address has a
-        newer entry or another process that was found there.
+        Its ``version`` is unknown unless its service has only one: a version belongs to a process
+        and not to its address. Return whether it is used. It is not if its id is already known, or
+        if the address has a newer entry or another process that was found there.
         """
         former = self._targets.get(former_id)
         if former is None or new_id in self._targets or new_id in self._removed:
@@ -342,7 +401,7 @@
             return False
         for target in there:
             self._replaced_at[target.id] = now
-        self._targets[new_id] = attrs.evolve(former, id=new_id, draining=False)
+        self._targets[new_id] = attrs.evolve(former, id=new_id, draining=False, version=version)
         self._unlisted_until[new_id] = now + UNLISTED_LIFETIME_S
         return True
 
@@ -381,11 +440,9 @@
         """Record the listed versions of each service; the first ones count as its initial ones."""
         if not self.rolls_out:
             return
-        listed: dict[str, set[str]] = {}
-        for target in self._targets.values():
-            listed.setdefault(target.service, set()).add(target.version)
-        for service, versions in listed.items():
-            self.versions_of(service).update_known_versions(versions)
+        for service in {target.service for target in self._targets.values()}:
+            listed = _versions_of(t for t in self._targets.values() if t.service == service)
+            self.versions_of(service).update_known_versions(listed)
 
     def _apply_entry(self, target: ListedTarget, now: float) -> bool:
         """Apply an entry; return whether it needs to be sent to other VMs.
@@ -403,16 +460,19 @@
             target = attrs.evolve(known or target, started_ms=start, revision=target.revision)
         if known is not None and self._is_still_draining(known, target):
             target = attrs.evolve(target, draining=True)
+        if known is not None and _names_no_process(target, known):
+            target = attrs.evolve(target, version=None)
         self._mark_unconfirmed(target, now)
         self._announcements.apply_entry(target, former_start=start)
         if target.has_restarted_since(start):
+            self._in_doubt.discard(target.id)
             self._replaced_at.pop(target.id, None)
             self._former_starts.pop(target.id, None)
         was_held = self._held_removals.pop(target.id, None) is not None
         self._removed.pop(target.id, None)
         self._unlisted_until.pop(target.id, None)
         self._targets[target.id] = target
-        if target.service in self._versions:
+        if target.service in self._versions and target.version is not None:
             self._versions[target.service].record_listed(target.version)
         self._mark_replaced_by(target, now)
         if known is None or was_held or known.revision.era == target.revision.era:
@@ -482,4 +542,15 @@
         self._replaced_at.pop(target_id, None)
         self._former_starts.pop(target_id, None)
         self._unconfirmed_until.pop(target_id, None)
+        self._in_doubt.discard(target_id)
         self._removed[target_id] = _RemovedTarget(revision=revision, at=now, started_ms=started_ms)
+
+
+def _versions_of(targets: Iterable[ListedTarget]) -> set[str]:
+    """Return the versions of the targets whose version is known."""
+    return {target.version for target in targets if target.version is not None}
+
+
+def _names_no_process(entry: ListedTarget, known: ListedTarget) -> bool:
+    """Check whether an entry may be of either process of a target that has restarted."""
+    return known.version is None and known.started_ms is not None and entry.started_ms is None
--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -56,7 +56,8 @@
         """Give the attempt, or why there is none; None where the life has another step to try."""
         outcome: RunOutcome | RejectedWithRetryAfter = NoEngine()
         gathering: str | None = None
-        if not isinstance(step, ResumeFromCopy) or self._holder_of(step.copy) is not None:
+        version = _version_of(life)
+        if not isinstance(step, ResumeFromCopy) or self._holder_of(step.copy, version) is not None:
             copies = self._beliefs.engine_limits(accepted.service).copies
             ask = _run_ask(accepted, life, step, copies=copies)
             held = self._held(accepted, life)
@@ -69,7 +70,7 @@
         if found is None or not isinstance(outcome, Placed):
             _tell_no_place(life, step, outcome)
             return None
-        plan = self._attempt(accepted, step, found, outcome)
+        plan = self._attempt(accepted, life, step, found, outcome)
         return attrs.evolve(plan, gathered=found.id == gathering)
 
     async def _place(
@@ -107,16 +108,17 @@
         """Give the engine where the returns of a request are together, if it ends engines."""
         if isinstance(step, ResumeFromCopy):
             return None
-        return self._crashes.gathering_place(accepted, avoid=ask.avoid)
+        return self._crashes.gathering_place(accepted, avoid=ask.avoid, version=ask.version)
 
     def _held(self, accepted: Accepted, life: StreamLifecycle) -> frozenset[str]:
         """Give the engines that take no more for now."""
-        serving = self._beliefs.targets.serving(accepted.service)
+        serving = self._beliefs.targets.serving(accepted.service, version=_version_of(life))
         return self._words.held(serving, need=stream_need(accepted, life))
 
     def _attempt(
         self,
         accepted: Accepted,
+        life: StreamLifecycle,
         step: PlaceAttempt | ResumeFromCopy,
         engine: ListedTarget,
         placed: Placed,
@@ -137,6 +139,8 @@
             memory_tokens=ask.prompt_tokens + ask.output_tokens,
             part=ask.own_part,
             copy=_growing_copy(accepted, copy_to) if copy_to else None,
+            version=engine.version,
+            begun_by=life.origin.request if life.origin is not None else None,
         )
         expected = f"a first event is expected in {placed.expected_s:.2f} s"
         return AttemptPlan(
@@ -149,11 +153,11 @@
             reason=f"copy {copy_from.name} is there" if copy_from else expected,
         )
 
-    def _holder_of(self, copy: RunCopy) -> ListedTarget | None:
+    def _holder_of(self, copy: RunCopy, version: str | None) -> ListedTarget | None:
         """Give the engine that holds a copy, if it takes work and still has it."""
         targets = self._beliefs.targets
         holder = targets.find(copy.holder)
-        if holder is None or not targets.takes_work(copy.holder):
+        if holder is None or not targets.takes_work(copy.holder, version=version):
             return None
         if copy.is_lost(holder.id, holder.started_ms):
             return None
@@ -191,6 +195,7 @@
         repeat=life.sent_attempts > 0,
         copies=copies and accepted.route.repeatable,
         on_trial=accepted.on_trial and is_new,
+        version=_version_of(life),
         allowed_s=accepted.route.timeout_s if is_new else None,
     )
     if isinstance(step, ResumeFromCopy):
@@ -203,6 +208,11 @@
     )
 
 
+def _version_of(life: StreamLifecycle) -> str | None:
+    """Return the version at which a stream must go on, or None if it may begin anywhere."""
+    return life.origin.version if life.origin is not None else None
+
+
 def _line_need(accepted: Accepted, life: StreamLifecycle, now: float) -> LineNeed:
     return LineNeed(
         rank=accepted.priority,
--- a/lagoonlever/gateway/copy_keeper.py
+++ b/lagoonlever/gateway/copy_keeper.py
@@ -103,9 +103,12 @@
         )
 
     def _is_usable(self, holder: str | None) -> bool:
-        """Tell whether a holder takes work, and is the process that was given the copy."""
+        """Check whether a holder takes work, and is the process that was given the copy."""
         target = self._beliefs.targets.find(holder) if holder is not None else None
-        if target is None or not self._beliefs.targets.takes_work(target.id):
+        version = self._run.version
+        if target is None or version is None:
+            return False
+        if not self._beliefs.targets.takes_work(target.id, version=version):
             return False
         copy = self._called_copy or self._run.copy
         if copy is not None and copy.is_lost(target.id, target.started_ms):
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -131,7 +131,9 @@
             bool(self._suspects.crashes) and self._suspects.count_crashes(accepted.fingerprint) > 0
         )
 
-    def gathering_place(self, accepted: Accepted, *, avoid: Container[str] = ()) -> str | None:
+    def gathering_place(
+        self, accepted: Accepted, *, avoid: Container[str] = (), version: str | None = None
+    ) -> str | None:
         """Give the engine where all returns of a request go, or None where each may go anywhere."""
         fingerprint = accepted.fingerprint
         if not self._suspects.is_one_crash_from_block(fingerprint):
@@ -139,7 +141,7 @@
         avoidance, now = self._beliefs.book.avoidance, self._timers.now
         able = {
             engine.id: process_name(engine.id, engine.started_ms)
-            for engine in self._beliefs.targets.serving(accepted.service)
+            for engine in self._beliefs.targets.serving(accepted.service, version=version)
             if engine.id not in avoid and not avoidance.is_avoided(engine.id, now)
         }
         return choose_suspect_engine(fingerprint, able, crashed=self._suspects.crashes[fingerprint])
--- a/lagoonlever/gateway/events_streams.py
+++ b/lagoonlever/gateway/events_streams.py
@@ -13,3 +13,40 @@
     "A caller is back with a part of its answer. `version` is that of the software that wrote the"
     " first event, `source` who knew it; without a version nothing is known of the beginning.",
 )
+VERSIONS_RECORDED = event(
+    1013,
+    "versions-recorded",
+    "notice",
+    "The versions in use are recorded as {versions}, at revision {revision}.",
+    "A version of a service's software has come, or its last stream is over. While a service has"
+    " several, the beginnings of its streams are recorded as well.",
+)
+VERSIONS_UNREADABLE = event(
+    1014,
+    "versions-unreadable",
+    "error",
+    "The record of versions in use can't be read, and is written anew: {error}",
+    "Somebody else wrote `lagoonlever/versions`.",
+)
+ORIGINS_READ = event(
+    1015,
+    "origins-read",
+    "info",
+    "Read where streams began from the records of {vms} VMs; {known} are known now.",
+    "A caller has taken up a stream of which no VM knew the beginning, as after a loss of all VMs.",
+)
+ORIGINS_UNREADABLE = event(
+    1016,
+    "origins-unreadable",
+    "error",
+    "A record of where streams began can't be read: {error}",
+    "Somebody else wrote below `lagoonlever/origins/`. Its streams can't be taken up.",
+)
+STREAM_NOT_TAKEN_UP = event(
+    1017,
+    "stream-not-taken-up",
+    "notice",
+    "{request} can't go on with its stream: {detail}",
+    "No engine is left of the version that began it, or nobody knows which version that was."
+    " What two versions write doesn't fit together, so the caller has to begin anew.",
+)
--- a/lagoonlever/gateway/front_parts.py
+++ b/lagoonlever/gateway/front_parts.py
@@ -108,6 +108,7 @@
         tools=tools,
         admission=StreamAdmission(beliefs=parts.beliefs, timers=parts.timers, rng=parts.rng),
         placer=parts.placer,
+        origins=parts.origin_finder,
         planner=AttemptPlanner(
             vm=parts.settings.name,
             beliefs=parts.beliefs,
--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -93,7 +93,8 @@
     def take_start(self, target_id: str, started_ms: int) -> None:
         """Take the start of its process that a target tells in an answer."""
         former = self._beliefs.targets.process_start(target_id)
-        if self._beliefs.targets.record_restart(target_id, started_ms):
+        version = self._only_version(target_id)
+        if self._beliefs.targets.record_restart(target_id, started_ms, version=version):
             self._note_start(target_id, former, source="its own answer")
 
     def take_leaving(self, target_id: str, started_ms: int | None, *, source: str) -> bool:
@@ -108,7 +109,9 @@
 
     def take_found(self, former: str, found: str, *, source: str) -> bool:
         """Take a process that has a lost target's place; gives whether it counts."""
-        counts = self._beliefs.targets.adopt_unlisted(former, found, self._timers.now)
+        counts = self._beliefs.targets.adopt_unlisted(
+            former, found, self._timers.now, version=self._only_version(former)
+        )
         if counts:
             events.REPLACEMENT_FOUND.log(log, target=found, former=former, source=source)
         return counts
@@ -130,6 +133,11 @@
         events.TARGET_REPLACED.log(log, target=target_id, source=source)
         registry.mark_replaced(target_id, self._timers.now)
 
+    def _only_version(self, target_id: str) -> str | None:
+        """Return the version of every process of a target's service, or None if they differ."""
+        target = self._beliefs.targets.find(target_id)
+        return self._beliefs.only_version(target.service) if target is not None else None
+
     def _note_machine(self, target: ListedTarget) -> None:
         """Take the pace of the engine that had a target's address before it."""
         for former in self._beliefs.targets.targets:
--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -127,6 +127,13 @@
     labels=("answer",),
     doc="Engines that were asked about a silent stream, by what they said.",
 )
+STREAMS_TAKEN_UP = counter(
+    "lagoonlever.gateway.streams.taken_up",
+    unit="{stream}",
+    labels=("source",),
+    doc="Streams that callers took up with a part of their events, by who knew the software version"
+    " that began them; of `nobody` none can go on.",
+)
 COPIES = counter(
     "lagoonlever.gateway.copies",
     unit="{copy}",
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -27,6 +27,8 @@
 from lagoonlever.gateway.knowledge import KnowledgeExchange
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.metrics_page import MetricsPage
+from lagoonlever.gateway.origin_finder import OriginFinder
+from lagoonlever.gateway.origin_records import OriginRecords
 from lagoonlever.gateway.pace_keeper import PaceKeeper
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.permit_exchange import PermitExchange
@@ -49,6 +51,7 @@
 from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.gateway.target_words import TargetWords
 from lagoonlever.gateway.tunnel_desk import TunnelDesk
+from lagoonlever.gateway.version_record import VersionRecord
 from lagoonlever.http.client import ClientConnection, Opener
 from lagoonlever.http.server import ServerLimits
 from lagoonlever.identity import Incarnation
@@ -101,6 +104,9 @@
     call_places: CallPlaces = attrs.field(init=False)
     client: TargetClient = attrs.field(init=False)
     crashes: CrashWatch = attrs.field(init=False)
+    version_record: VersionRecord = attrs.field(init=False)
+    origin_records: OriginRecords = attrs.field(init=False)
+    origin_finder: OriginFinder = attrs.field(init=False)
     follower: StoreFollower = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
     pace_keeper: PaceKeeper = attrs.field(init=False)
@@ -395,6 +401,47 @@
         self.presence.on_meeting(crashes.greet)
         return crashes
 
+    @version_record.default
+    def _make_version_record(self) -> VersionRecord:
+        record = VersionRecord(
+            store=self.store,
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            roles=self.presence.roles,
+            spread=self.spread,
+            rng=self.rng,
+        )
+        self.presence.on_greeting(record.greet)
+        self.presence.on_meeting(record.greet)
+        return record
+
+    @origin_records.default
+    def _make_origin_records(self) -> OriginRecords:
+        records = OriginRecords(
+            store=self.store,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            rng=self.rng,
+            vm=str(self.life),
+            writes_per_s=self.settings.store.writes_per_s,
+        )
+        self.peers.on_stream(begun=records.begin, completed=records.end)
+        self.version_record.on_change(records.versions_changed)
+        return records
+
+    @origin_finder.default
+    def _make_origin_finder(self) -> OriginFinder:
+        return OriginFinder(
+            bus=self.bus,
+            beliefs=self.beliefs,
+            timers=self.timers,
+            roles=self.presence.roles,
+            vm=self.settings.name,
+            versions=self.version_record,
+            records=self.origin_records,
+        )
+
     @follower.default
     def _make_follower(self) -> StoreFollower:
         return StoreFollower(
@@ -478,6 +525,9 @@
             "room asker": self.room_asker.run,
             "replacements": self.replacements.run,
             "crashes": self.crashes.run,
+            "version record": self.version_record.run,
+            "origin records": self.origin_records.run,
+            "origin finder": self.origin_finder.run,
             "target limits": self.limits.run,
             "target words": self.words.run,
             "brittle targets": self.brittle.run,
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -11,6 +11,7 @@
 from lagoonlever.decisions.fleet.roles import Roles
 from lagoonlever.decisions.fleet.update_routing import placement_hubs, sends_directly
 from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
+from lagoonlever.decisions.streams.stream_origins import StreamOrigin
 from lagoonlever.gateway import events_paths as events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
@@ -39,6 +40,8 @@
 """How often it is looked at whether this VM still hears of all runs."""
 MOST_RUNS_TOLD = 256
 """Some 64 KB, the open runs of 70 VMs."""
+MOST_ORIGINS_TOLD = 512
+"""Some 50 KB: streams that broke off within the last seconds, beside the open ones."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -54,6 +57,8 @@
     _vm: str
     _relay: RunRelay = attrs.field(init=False)
     _on_engine_lost: list[Callable[[str], None]] = attrs.field(factory=list)
+    _on_stream_begun: list[Callable[[StreamOrigin], None]] = attrs.field(factory=list)
+    _on_stream_completed: list[Callable[[str], None]] = attrs.field(factory=list)
 
     @_relay.default
     def _make_relay(self) -> RunRelay:
@@ -82,6 +87,16 @@
         """Have ``notify`` called with each engine that this or another VM has lost."""
         self._on_engine_lost.append(notify)
 
+    def on_stream(
+        self, *, begun: Callable[[StreamOrigin], None], completed: Callable[[str], None]
+    ) -> None:
+        """Have ``begun`` called as this VM passes on the first event of an answer.
+
+        ``completed`` is called with the request that began a stream which this VM has completed.
+        """
+        self._on_stream_begun.append(begun)
+        self._on_stream_completed.append(completed)
+
     def greet(self, newcomer: Address) -> None:
         """Tell a VM that has just come of the open runs, where every VM hears of all.
 
@@ -117,11 +132,19 @@
         now = self._timers.now
         self._beliefs.book.record_first_event(request, now)
         run = self._beliefs.book.find_run(request)
+        origin = self._record_origin(run)
+        if origin is not None:
+            for notify in self._on_stream_begun:
+                notify(origin)
         word = self._beliefs.loads.latest_report(run.engine) if run is not None else None
         self._relay.tell(RunFlows(request=request, load=EngineWord.of(word, now)))
 
     def end(self, ended: RunEnded) -> None:
         """Note the end of a run of this VM, and tell the others."""
+        run = self._beliefs.book.find_run(ended.request)
+        if ended.whole and run is not None:
+            for notify in self._on_stream_completed:
+                notify(run.stream)
         self._end(ended)
         self._relay.tell(ended)
 
@@ -156,17 +179,24 @@
 
     async def _receive_lists(self) -> None:
         async for received in self._bus.subscribe(RunList):
-            for run in received.message.runs:
-                self._beliefs.book.record_reported_run(run, self._timers.now)
+            told, now = received.message, self._timers.now
+            for run in told.runs:
+                self._beliefs.book.record_reported_run(run, now)
+                if run.flowing:
+                    self._record_origin(run)
+            self._beliefs.origins.record_all(told.origins, now)
 
     async def _receive_book_asks(self) -> None:
         async for received in self._bus.subscribe(BookAsk):
             self._tell_book(received.message.reply_to)
 
     def _tell_book(self, to: Address) -> None:
-        runs = self._beliefs.book.open_runs
-        if runs:
-            self._bus.send(to, RunList(runs=runs[:MOST_RUNS_TOLD]))
+        runs = self._beliefs.book.open_runs[:MOST_RUNS_TOLD]
+        of_runs = {run.stream for run in runs if run.flowing}
+        newest = self._beliefs.origins.newest(MOST_ORIGINS_TOLD)
+        origins = tuple(origin for origin in newest if origin.request not in of_runs)
+        if runs or origins:
+            self._bus.send(to, RunList(runs=runs, origins=origins))
 
     async def _ask_for_book(self) -> None:
         """Ask the hubs for the open runs whenever this VM becomes one of them.
@@ -201,12 +231,28 @@
             return
         elif isinstance(change, RunFlows):
             book.record_first_event(change.request, self._timers.now)
+            self._record_origin(book.find_run(change.request))
             self._take_load(change)
         elif isinstance(change, RunCopied):
             book.record_copy(change.request, change.copy)
         else:
             self._end(change)
 
+    def _record_origin(self, run: EngineRun | None) -> StreamOrigin | None:
+        """Record where the stream of a run began, now that its caller gets events of it."""
+        if run is None:
+            return None
+        origin = StreamOrigin(
+            request=run.stream,
+            service=run.service,
+            version=run.version,
+            engine=run.engine,
+            engine_started_ms=run.engine_started_ms,
+        )
+        self._beliefs.origins.record(origin, self._timers.now)
+        self._beliefs.versions.record_begin(run.service, run.version, run.engine, self._timers.now)
+        return origin
+
     def _take_load(self, change: RunFlows) -> None:
         """Take an engine's word that another VM passes on, unless it is of a former process."""
         run = self._beliefs.book.find_run(change.request)
@@ -218,6 +264,9 @@
         self._beliefs.loads.record_relayed_report(change.load.word(run, self._timers.now))
 
     def _end(self, ended: RunEnded) -> None:
+        run = self._beliefs.book.find_run(ended.request)
+        if ended.whole and run is not None:
+            self._beliefs.origins.discard(run.stream)
         self._beliefs.book.record_end(
             ended.request,
             self._timers.now,
@@ -248,6 +297,7 @@
 
     def _avoid(self, engine: str, *, source: str) -> None:
         avoidance, now = self._beliefs.book.avoidance, self._timers.now
+        self._beliefs.targets.record_loss(engine)
         if not avoidance.is_avoided(engine, now):
             events.ENGINE_AVOIDED.log(log, target=engine, source=source)
         avoidance.record_failure(engine, now)
--- a/lagoonlever/gateway/placement_desk.py
+++ b/lagoonlever/gateway/placement_desk.py
@@ -55,7 +55,5 @@
             nursery.start_soon(self._tell_former_run, received.message)
 
     async def _tell_former_run(self, asked: FormerRunAsk) -> None:
-        told = await self._placer.former_run_here(
-            asked.number, asked.part, asked.service, returning=asked.returning
-        )
+        told = await self._placer.former_run_here(asked.number, asked.wanted)
         self._bus.send(asked.reply_to, told)
--- a/lagoonlever/gateway/placer.py
+++ b/lagoonlever/gateway/placer.py
@@ -20,6 +20,7 @@
 from lagoonlever.decisions.fleet.update_routing import placement_hubs
 from lagoonlever.decisions.settings.configuration import RouteKind
 from lagoonlever.decisions.settings.load_parts import has_ranks
+from lagoonlever.decisions.streams.engine_runs import EngineRun
 from lagoonlever.decisions.streams.run_placement import (
     Placed,
     PlacementContext,
@@ -35,6 +36,7 @@
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_placement import (
+    FormerRun,
     FormerRunAsk,
     FormerRunTold,
     PlacementAsk,
@@ -98,36 +100,40 @@
         self._recall(ask.service, told.pace)
         return told.outcome
 
-    async def former_run(self, part: str, service: str, *, returning: bool) -> FormerRunTold:
-        """Find the last run of a prompt, or the engine that keeps it for a ``returning`` caller."""
+    async def former_run(self, wanted: FormerRun) -> FormerRunTold:
+        """Find the last run of a stream, or the engine that keeps its prompt."""
 
         def question(number: int) -> FormerRunAsk:
-            return FormerRunAsk(
-                number=number,
-                reply_to=self._bus.address,
-                service=service,
-                part=part,
-                returning=returning,
-            )
-
-        timeout_s = LOCATED_S if returning else ANSWER_S
+            return FormerRunAsk(number=number, reply_to=self._bus.address, wanted=wanted)
+
+        timeout_s = LOCATED_S if wanted.returning else ANSWER_S
         told = await self._ask_holders(question, FormerRunTold, timeout_s=timeout_s)
-        return told or await self.former_run_here(0, part, service, returning=returning)
+        return told or await self.former_run_here(0, wanted)
 
-    async def former_run_here(
-        self, number: int, part: str, service: str, *, returning: bool
-    ) -> FormerRunTold:
+    async def former_run_here(self, number: int, wanted: FormerRun) -> FormerRunTold:
         """Answer by this VM's own book, and by the engines themselves where it knows nothing.
 
         A run that has given no event is none to go on from.
         """
-        run = self._beliefs.book.find_unfinished_run(part)
+        run = self._find_run(wanted)
         if run is not None and run.flowing:
             return FormerRunTold(number=number, run=run)
-        if not returning:
+        if not wanted.returning or wanted.part is None:
             return FormerRunTold(number=number)
-        engines = list(self._beliefs.targets.serving(service))
-        return FormerRunTold(number=number, kept_at=await self._locator.find(part, engines))
+        engines = self._beliefs.targets.serving(wanted.service, version=wanted.version)
+        kept_at = await self._locator.find(wanted.part, list(engines))
+        return FormerRunTold(number=number, kept_at=kept_at)
+
+    def _find_run(self, wanted: FormerRun) -> EngineRun | None:
+        """Return the last run of a stream; by the prompt's own part where no stream is named.
+
+        Another request of the same session may have that part, and another answer.
+        """
+        if wanted.begun_by is not None:
+            return self._beliefs.book.find_unfinished_run_of(wanted.begun_by)
+        if wanted.part is None:
+            return None
+        return self._beliefs.book.find_unfinished_run(wanted.part)
 
     def view(self, service: str) -> PlacementContext:
         """Give what this VM's own decisions rest on.
@@ -141,6 +147,7 @@
             retry_window=self._budgets.of_runs(service),
             targets=self._beliefs.targets,
             limits=self._beliefs.engine_limits(service),
+            versions=self._beliefs.versions,
             vm_count=self._beliefs.fellows.max_fleet_size(self._timers.now) if alone else 1,
             ranks_differ=has_ranks(self._beliefs.configuration.value, service, RouteKind.STREAM),
         )
--- a/lagoonlever/gateway/report_uses.py
+++ b/lagoonlever/gateway/report_uses.py
@@ -30,17 +30,20 @@
     return has_ranks(configuration, plan.engine.service, RouteKind.STREAM)
 
 
-def is_stuck(report: EngineReport, plan: AttemptPlan, tools: AttemptTools) -> bool:
-    """Tell whether a run waits for memory at its engine while another engine has room.
-
-    Only where routes of the service differ in rank, as there an engine's queue does not
-    move on in the order of its arrivals.
+def is_stuck(
+    report: EngineReport, plan: AttemptPlan, tools: AttemptTools, *, version: str | None
+) -> bool:
+    """Check whether a run waits for memory at its engine while another engine has room.
+
+    ``version`` is that of the software at which the run has to go on, if it has begun. Only where
+    routes of the service differ in rank, as there an engine's queue does not move on in the order
+    of its arrivals.
     """
     beliefs, service = tools.beliefs, plan.engine.service
     if not ranks_differ(plan, tools):
         return False
     place = beliefs.book.choose_engine(
-        tools.words.unlimited(beliefs.targets.serving(service)),
+        tools.words.unlimited(beliefs.targets.serving(service, version=version)),
         limits=plan.limits,
         prompt_tokens=plan.run.prompt_tokens,
         memory_tokens=plan.run.memory_tokens,
--- a/lagoonlever/gateway/room_desk.py
+++ b/lagoonlever/gateway/room_desk.py
@@ -57,7 +57,7 @@
 RENEW_S = 0.15
 """How often an asker is to ask again."""
 MOST_PASSED_BY = 4
-"""Prompts that avoid engines, for which others are looked at in one go."""
+"""Prompts that can't go to every engine, for which others are looked at in one go."""
 
 Reply = Callable[[LineTold], None]
 
@@ -198,7 +198,8 @@
                 self._give(waiting, line, outcome)
                 continue
             passed_by += 1
-            if not asked.ask.avoid or passed_by >= MOST_PASSED_BY:
+            is_limited = bool(asked.ask.avoid) or asked.ask.version is not None
+            if not is_limited or passed_by >= MOST_PASSED_BY:
                 break
         if self._open:
             self._filled.set()
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -20,6 +20,7 @@
 )
 from lagoonlever.decisions.streams.silence import AttemptLost as SilenceLost
 from lagoonlever.decisions.streams.stream_lifecycle import EventVerdict, StreamLifecycle
+from lagoonlever.decisions.streams.stream_origins import StreamOrigin
 from lagoonlever.decisions.targets.limit_permits import Denied
 from lagoonlever.decisions.targets.replacements import LivenessSigns
 from lagoonlever.exceptions import BadResponse, ConnectionBroken
@@ -133,6 +134,7 @@
             return
         head: AnswerHead | None = None
         try:
+            await self._confirm_process()
             if not self._may_write():
                 self._life.record_unreachable(
                     engine.id, "it leaves, the time is over, or it is barred"
@@ -170,15 +172,33 @@
         """Whether the engine is lost by the evidence of more than this VM."""
         return self._tools.dialer.is_down(self._plan.engine.address)
 
+    @property
+    def _version(self) -> str | None:
+        """The version at which the stream must go on, or None while it may begin anywhere."""
+        return self._life.origin.version if self._life.origin is not None else None
+
     def _count(self, result: str) -> None:
         self._tools.reporter.attempt_ended(self._accepted, result)
 
+    async def _confirm_process(self) -> None:
+        """Ask an engine that was lost which process it is, if the stream has begun elsewhere."""
+        engine = self._plan.engine
+        if self._version is None or not self._tools.beliefs.targets.is_in_doubt(engine.id):
+            return
+        self._take_report(await self._tools.prober.ask(engine, since=self._now))
+
     def _may_write(self) -> bool:
         """Look once more at what may have changed while the connection was made."""
         in_time = self._accepted.left_s(self._now) > 0
         if not in_time or self._tools.crashes.is_barred(self._accepted):
             return False
-        return self._tools.beliefs.targets.takes_work(self._plan.engine.id)
+        targets, engine = self._tools.beliefs.targets, self._plan.engine
+        if not targets.takes_work(engine.id, version=self._version):
+            return False
+        if self._version is not None and targets.is_in_doubt(engine.id):
+            return False
+        found = targets.find(engine.id)
+        return found is not None and not found.has_restarted_since(engine.started_ms)
 
     async def _exchange(self, connection: ClientConnection) -> AnswerHead | None:
         """Write and relay; gives the head if the connection may be kept."""
@@ -347,7 +367,7 @@
         window = self._tools.budgets.of_runs(self._accepted.service)
         if not self._may_look_again() or not window.allows(self._now, vms=1, share=MOVES_PART):
             return
-        if is_stuck(report, self._plan, self._tools):
+        if is_stuck(report, self._plan, self._tools, version=self._version):
             raise _Moved
 
     def _has_started_again(self) -> bool:
@@ -384,19 +404,34 @@
             verdict = self._life.check_event(event.id)
             if verdict is EventVerdict.OUT_OF_ORDER:
                 raise _Ended(f"event {event.id} came after {self._life.position}")
+            if not self._flowing:
+                # Others know before the caller does: this VM may die right after.
+                self._tell_begun()
             if verdict is EventVerdict.FORWARD:
                 self._life.timing.record_event(self._now)
                 self._counts.event()
                 await self._accepted.exchange.write(event.data)
             self._note_event(silence)
 
+    def _tell_begun(self) -> None:
+        """Bind the stream to the version that writes its first event, and tell the other VMs."""
+        if self._life.origin is None:
+            run = self._plan.run
+            self._life.origin = StreamOrigin(
+                request=run.stream,
+                service=run.service,
+                version=run.version,
+                engine=run.engine,
+                engine_started_ms=run.engine_started_ms,
+            )
+        self._peers.flows(self._accepted.request_id)
+
     def _note_event(self, silence: SilenceDetector) -> None:
         now = self._now
         if not self._flowing:
             self._flowing = self._copies.flowing = True
             self._counts.first_event(now, sent_at=self._started)
             self._life.record_first_event()
-            self._peers.flows(self._accepted.request_id)
             events.FIRST_EVENT.log(
                 log,
                 request=self._accepted.request_id,
@@ -465,7 +500,8 @@
         window = self._tools.budgets.of_runs(self._accepted.service)
         if not window.allows(self._now, vms=1, share=MOVES_PART):
             return
-        serving = self._tools.beliefs.targets.serving(self._accepted.service)
+        targets = self._tools.beliefs.targets
+        serving = targets.serving(self._accepted.service, version=self._version)
         serving = self._tools.words.unlimited(serving)
         request, limits = self._accepted.request_id, self._plan.limits
         book = self._tools.beliefs.book
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -10,13 +10,15 @@
 from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
 from lagoonlever.decisions.streams.run_placement import Overloaded, RetryBudgetExhausted
 from lagoonlever.decisions.streams.stream_lifecycle import GiveUp, StreamLifecycle, WaitForEngine
-from lagoonlever.gateway import events, events_streams
+from lagoonlever.decisions.streams.stream_origins import StreamOrigin
+from lagoonlever.gateway import events, events_streams, metrics
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
 from lagoonlever.gateway.attempt_planner import AttemptPlanner, generation_ask
 from lagoonlever.gateway.attempt_tools import AttemptTools
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.callers_leaving import cancel_when_gone
+from lagoonlever.gateway.origin_finder import FoundOrigin, OriginFinder
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.placer import Placer
 from lagoonlever.gateway.reporter import Ending
@@ -26,6 +28,7 @@
 from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.outcomes import NotRun, Reason, Unknown
 from lagoonlever.peers.messages_gateway import RunEnded
+from lagoonlever.peers.messages_placement import FormerRun
 
 log = logbook.Logger(__name__)
 
@@ -45,10 +48,17 @@
     _admission: StreamAdmission
     _placer: Placer
     _planner: AttemptPlanner
+    _origins: OriginFinder
 
     async def serve(self, accepted: Accepted) -> None:
         """Give the caller the events of an engine until the last, or tell why there are none."""
-        life = await self._new_life(accepted)
+        found: FoundOrigin | None = None
+        if accepted.caller.last_event_id:
+            found = await self._origins.find(accepted)
+            self._tell_taken_up(accepted, found)
+        if found is not None and found.origin.service != accepted.service:
+            accepted = _at_service(accepted, found.origin.service)
+        life = await self._new_life(accepted, found.origin if found is not None else None)
         whole = False
         async with open_work_nursery() as nursery:
             nursery.start_soon(
@@ -85,38 +95,45 @@
         self._ended(accepted, life, 0, "caller-gone", life.detail)
         return True
 
-    async def _new_life(self, accepted: Accepted) -> StreamLifecycle:
+    async def _new_life(self, accepted: Accepted, origin: StreamOrigin | None) -> StreamLifecycle:
         """Begin a stream; a caller that returns goes on where its last run left a copy."""
         part = generation_ask(accepted).own_part
+        returning = accepted.caller.last_event_id is not None
+        begun_by = accepted.caller.resumes if returning else None
         copy: RunCopy | None = None
         prefer: str | None = None
-        if part is not None:
-            returning = accepted.caller.last_event_id is not None
-            former = await self._placer.former_run(part, accepted.service, returning=returning)
+        if part is not None or begun_by is not None:
+            wanted = FormerRun(
+                service=accepted.service,
+                part=part,
+                returning=returning,
+                begun_by=begun_by,
+                version=origin.version if origin is not None else None,
+            )
+            former = await self._placer.former_run(wanted)
             prefer = former.kept_at
             if former.run is not None:
                 copy = former.run.copy
                 prefer = former.run.engine if self._is_same_process(former.run) else None
-        if accepted.caller.last_event_id:
-            self._log_taken_up(accepted)
         return StreamLifecycle.for_reconnect(
             repeatable=accepted.route.repeatable,
             max_attempts=accepted.route.max_attempts,
             position=accepted.caller.last_event_id,
             copy=copy,
             prefer=prefer,
+            origin=origin,
         )
 
-    def _log_taken_up(self, accepted: Accepted) -> None:
-        began = self._beliefs.book.find_run(accepted.caller.resumes or "")
-        engine = self._beliefs.targets.find(began.engine) if began is not None else None
+    def _tell_taken_up(self, accepted: Accepted, found: FoundOrigin | None) -> None:
+        source = found.source.value if found is not None else "nobody"
+        self._tools.reporter.tally.add(metrics.STREAMS_TAKEN_UP, source)
         events_streams.STREAM_TAKEN_UP.log(
             log,
             request=accepted.request_id,
             resumes=accepted.caller.resumes,
             position=accepted.caller.last_event_id,
-            version=engine.version if engine is not None else None,
-            source="the book of runs" if engine is not None else "nobody",
+            version=found.origin.version if found is not None else None,
+            source=source,
         )
 
     def _is_same_process(self, run: EngineRun) -> bool:
@@ -143,10 +160,14 @@
             step = life.next_step()
             if isinstance(step, GiveUp):
                 return step
-            refusal = self._admission.refusal(accepted, life, step)
+            refusal = self._cannot_resume(accepted, life)
+            if refusal is None:
+                refusal = self._admission.refusal(accepted, life, step)
             if refusal is not None:
                 return refusal
-            if not life.possible_runs and self._tools.words.all_rest(accepted.service):
+            version = life.origin.version if life.origin is not None else None
+            all_rest = self._tools.words.all_rest(accepted.service, version=version)
+            if not life.possible_runs and all_rest:
                 return GiveUp(may_have_run=False, detail="all engines have asked for rest")
             if isinstance(step, WaitForEngine):
                 await trio.sleep(step.seconds)
@@ -179,6 +200,33 @@
                 )
         return None
 
+    def _cannot_resume(self, accepted: Accepted, life: StreamLifecycle) -> GiveUp | None:
+        """Return why no engine can go on with a stream, or None if one can or the stream is new."""
+        if not life.position and life.origin is None:
+            return None
+        if life.origin is not None:
+            life.origin = life.origin.resolve(self._beliefs.targets)
+        detail = self._why_gone(accepted, life.origin)
+        if detail is None:
+            return None
+        events_streams.STREAM_NOT_TAKEN_UP.log(log, request=accepted.request_id, detail=detail)
+        may_know_soon = life.origin is None and self._origins.is_starting
+        return GiveUp(
+            may_have_run=life.possible_runs > 0,
+            detail=detail,
+            retry_after_s=COME_BACK_S if may_know_soon else None,
+            begin_anew=not may_know_soon,
+        )
+
+    def _why_gone(self, accepted: Accepted, origin: StreamOrigin | None) -> str | None:
+        if origin is None or origin.version is None:
+            return "nobody knows which software version began the stream"
+        if origin.service not in {service.name for service in accepted.route.services}:
+            return f"its route does not lead to the service {origin.service} that began it"
+        if not self._beliefs.targets.has_version(origin.service, origin.version):
+            return f"no engine is left of the software version {origin.version} that began it"
+        return None
+
     def _outcome(
         self, accepted: Accepted, life: StreamLifecycle, gave_up: GiveUp | None
     ) -> NotRun | Unknown:
@@ -187,6 +235,8 @@
         if gave_up is not None and gave_up.may_have_run:
             return Unknown(reason=Reason.CONNECTION_LOST, message=gave_up.detail, status=502)
         detail = gave_up.detail if gave_up else "its time was over before it was sent"
+        if gave_up is not None and gave_up.begin_anew:
+            return NotRun(reason=Reason.CANNOT_RESUME, message=f"{detail}; begin it anew")
         told_s = gave_up.retry_after_s if gave_up else None
         told_s = told_s or self._tools.words.come_back_s(accepted.service)
         return NotRun(reason=Reason.NO_TARGET, message=detail, retry_after_s=told_s or COME_BACK_S)
@@ -196,3 +246,9 @@
     ) -> None:
         ending = Ending(status=status, outcome=outcome, detail=detail)
         self._tools.reporter.stream_ended(accepted, ending, life)
+
+
+def _at_service(accepted: Accepted, service: str) -> Accepted:
+    """Return a request that goes on at the service that began its stream, if its route allows."""
+    allowed = any(each.name == service for each in accepted.route.services)
+    return attrs.evolve(accepted, service=service) if allowed else accepted
--- a/lagoonlever/gateway/target_words.py
+++ b/lagoonlever/gateway/target_words.py
@@ -132,14 +132,14 @@
             return round(retry_after_pause_s(rest_s, self._rng), 2)
         return self._limits.come_back_s(service)
 
-    def all_rest(self, service: str) -> bool:
-        """Tell whether no target of a service wants anything from this VM now."""
-        return self._all_rest_s(service) > 0
+    def all_rest(self, service: str, *, version: str | None = None) -> bool:
+        """Check whether no target of a service, or of its ``version``, wants anything now."""
+        return self._all_rest_s(service, version) > 0
 
-    def _all_rest_s(self, service: str) -> float:
-        """Give how long all targets of a service are to rest yet; 0 where one does not."""
+    def _all_rest_s(self, service: str, version: str | None = None) -> float:
+        """Return how long all targets of a service are to rest yet; 0 where one does not."""
         now = self._timers.now
-        able = self._beliefs.targets.serving(service)
+        able = self._beliefs.targets.serving(service, version=version)
         return min((self._rests.remaining_s(target.id, now) for target in able), default=0.0)
 
     def started_again(self, target: str) -> None:
--- a/lagoonlever/outcomes.py
+++ b/lagoonlever/outcomes.py
@@ -43,6 +43,7 @@
     TARGET_FAILED = "target-failed"
     ATTEMPTS_EXHAUSTED = "attempts-exhausted"
     CANCELLED = "cancelled"
+    CANNOT_RESUME = "cannot-resume"
     ENDS_TARGETS = "ends-targets"
     INTERNAL = "internal"
 
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -12,6 +12,7 @@
 
 from lagoonlever.decisions.fleet.peer_table import PeerState
 from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
+from lagoonlever.decisions.streams.stream_origins import StreamOrigin
 from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.decisions.targets.load_view import SLOWDOWN_DURATION_S
 from lagoonlever.decisions.targets.reported_load import LoadReport, ReportedLoad
@@ -66,9 +67,11 @@
 @PEER.message("gw")
 @attrs.frozen(kw_only=True)
 class RunList:
-    """Open runs that the sender knows, of all VMs."""
+    """Open runs that the sender knows, of all VMs, and where streams began."""
 
     runs: tuple[EngineRun, ...]
+    origins: tuple[StreamOrigin, ...] = ()
+    """Of streams that broke off and may be taken up."""
 
 
 class EngineWord(NamedTuple):
--- a/lagoonlever/peers/messages_placement.py
+++ b/lagoonlever/peers/messages_placement.py
@@ -66,17 +66,29 @@
         return RetryBudgetExhausted() if self.budget_spent else NoEngine()
 
 
+@attrs.frozen(kw_only=True)
+class FormerRun:
+    """What is known of the last run of a stream that did not end whole."""
+
+    service: str
+    part: str | None
+    """The id of the prompt's own segment."""
+    returning: bool
+    """Its caller has a part of the answer, so engines may be asked who keeps the prompt."""
+    begun_by: str | None = None
+    """The request that began the stream, where the caller names it."""
+    version: str | None = None
+    """The version of the software that began it."""
+
+
 @PEER.message("pf")
 @attrs.frozen(kw_only=True)
 class FormerRunAsk:
-    """Asks for the last run of a prompt that did not end whole."""
+    """Asks for the last run of a stream that did not end whole."""
 
     number: int
     reply_to: Address
-    service: str
-    part: str
-    returning: bool
-    """Its caller has a part of the answer, so engines may be asked who keeps the prompt."""
+    wanted: FormerRun
 
 
 @PEER.message("pg")
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -280,7 +280,7 @@
                 vm.process.wait()
 
     async def start_target(
-        self, service: str, number: int, *, target_id: str | None = None, version: str = "v1"
+        self, service: str, number: int, *, target_id: str | None = None, version: str | None = "v1"
     ) -> SoakTarget:
         """Start a target on a machine, behind the machine's proxy, and list it."""
         self._lives += 1
--- a/lagoonlever/store/records.py
+++ b/lagoonlever/store/records.py
@@ -5,7 +5,7 @@
 import attrs
 
 from lagoonlever.revisions import NOWHERE, Revision
-from lagoonlever.store.port import Conflict, FormerEra, KeyValue, RecordStore
+from lagoonlever.store.port import NO_LEASE, Conflict, FormerEra, KeyValue, RecordStore
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -41,10 +41,12 @@
         read = await self._store.get(self._key, stale_ok=stale_ok)
         self._entry, self._revision = read.entry, read.revision
 
-    async def write(self, value: bytes) -> bool:
+    async def write(self, value: bytes, *, lease: int = NO_LEASE) -> bool:
         """Write in place of what was read; False where something else stands there, read now."""
         try:
-            result = await self._store.replace(self._key, former=self._entry, value=value)
+            result = await self._store.replace(
+                self._key, former=self._entry, value=value, lease=lease
+            )
         except FormerEra:
             await self.read()
             return False
--- a/lagoonlever/tests/placer_tests.py
+++ b/lagoonlever/tests/placer_tests.py
@@ -25,11 +25,13 @@
 from lagoonlever.gateway.placer import ANSWER_S
 from lagoonlever.peers.messages import PEER
 from lagoonlever.peers.messages_gateway import RunEnded, RunList
+from lagoonlever.peers.messages_placement import FormerRun
 from lagoonlever.peers.traffic import Count
 
 SMALL, LARGE = 9, 195
 ENGINES = 60
 SETTLED_S = 6.0
+_RETURNING = FormerRun(service=SERVICE, part="part-r1", returning=True)
 RUN_LIST_TAG = PEER.tag_of(RunList(runs=()))
 
 
@@ -184,7 +186,7 @@
         first.peers.flows("r1")
         await trio.sleep(0.1)
         fleet.kill(first.name)
-        former = await other.placer.former_run("part-r1", SERVICE, returning=True)
+        former = await other.placer.former_run(_RETURNING)
         assert former.run is not None
         assert former.run.engine == placed.engine
         assert former.run.copy is not None and former.run.copy.holder == placed.copy_to
@@ -209,7 +211,7 @@
             if fleet.vms[hub].state.data_center == PLACES[0]:
                 fleet.kill(hub)
         await trio.sleep(5.0)
-        former = await other.placer.former_run("part-r1", SERVICE, returning=True)
+        former = await other.placer.former_run(_RETURNING)
         assert former.run is not None and former.run.request == "r1"
 
     run_fleet(story)
--- a/lagoonlever/tests/stream_versions_tests.py
+++ b/lagoonlever/tests/stream_versions_tests.py
@@ -135,13 +135,13 @@
         for name in ("v1-0", "v1-1"):
             started_ms = site.engines[name].started_ms
             site.list_target(name, service="engines", state="draining", started_ms=started_ms)
-        await until(lambda: not _serving(site, "vm-1", "v1"))
+        await until(lambda: not serving(site, "vm-1", "v1"))
         other = await site.stream("p-1", vm="vm-1", events=4)
         assert other.versions == {"v2"}
         for name in ("v1-0", "v1-1"):
             started_ms = site.engines[name].started_ms
             site.list_target(name, service="engines", started_ms=started_ms)
-        await until(lambda: len(_serving(site, "vm-1", "v1")) == 2)
+        await until(lambda: len(serving(site, "vm-1", "v1")) == 2)
         second = await site.take_up(first, "p-1", vm="vm-1", events=EVENTS)
         assert second.whole
         assert versions_of(first, second) == {"v1"}
@@ -149,7 +149,7 @@
     run_site(story, engines=0)
 
 
-def _serving(site: GatewaySite, vm: str, version: str) -> list[str]:
+def serving(site: GatewaySite, vm: str, version: str) -> list[str]:
     targets = site.vms[vm].daemon.parts.beliefs.targets
     return [t.id for t in targets.serving("engines") if t.version == version]
 
@@ -194,7 +194,7 @@
         first = await begin(site, "p-1")
         await start_versions(site, v2=3)
         site.unlist_target("v1-0")
-        await until(lambda: not _serving(site, "vm-1", "v1"))
+        await until(lambda: not serving(site, "vm-1", "v1"))
         began = trio.current_time()
         second = await site.take_up(first, "p-1", vm="vm-1", events=EVENTS)
         assert trio.current_time() - began < 2.0
