The soak changes engines' versions, and callers name what they take up

Two kinds of faults: an engine is replaced by one of another version at its address, or is back under its id as one. The judge reads from what callers get that no stream has events of two versions. A plan of its own kills VMs one by one and all at once beside versions that change, with the store away: no promise broken, all streams taken up but few.

--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -329,3 +329,9 @@
     """Return the event of a prompt with this number, alike on every engine of a version."""
     written_by = "" if version == USUAL_VERSION else f" by {version}"
     return f"id: {number}\ndata: {part} {number}{written_by}\n\n".encode()
+
+
+def version_of_event(event: bytes) -> str:
+    """Return the version of the software that wrote an event."""
+    _, _, written_by = event.decode().strip().partition(" by ")
+    return written_by or USUAL_VERSION
--- a/lagoonlever/platform/documents.py
+++ b/lagoonlever/platform/documents.py
@@ -115,9 +115,17 @@
 
 
 def prompt_fields(
-    part: str, *, prompt_tokens: int, output_tokens: int, last_event_id: int | None
+    part: str,
+    *,
+    prompt_tokens: int,
+    output_tokens: int,
+    last_event_id: int | None,
+    resumes: str | None = None,
 ) -> list[tuple[str, str]]:
-    """Give the fields of a request for a stream; ``part`` is the prompt's own."""
+    """Return the fields of a request for a stream; ``part`` is the prompt's own.
+
+    ``resumes`` is the request that brought the first event of a stream that goes on.
+    """
     sent = [
         (fields.MODEL, "m"),
         (fields.TOKEN_COUNT, f"{prompt_tokens},{output_tokens}"),
@@ -125,6 +133,8 @@
     ]
     if last_event_id is not None:
         sent.append((fields.LAST_EVENT_ID, str(last_event_id)))
+    if resumes is not None:
+        sent.append((fields.RESUMES, resumes))
     return sent
 
 
--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -13,7 +13,7 @@
 from lagoonlever.http.client import ClientConnection, Response, fetch
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.sse import RawEventSplitter
-from lagoonlever.outcomes import REASON_HEADER
+from lagoonlever.outcomes import REASON_HEADER, Reason
 from lagoonlever.platform.documents import (
     caller_headers,
     prompt_fields,
@@ -53,6 +53,8 @@
     """The part of its streams that it leaves midway."""
     _connection: ClientConnection | None = None
     _addresses: tuple[Address, ...] = ()
+    _began: str | None = None
+    """The request that brought the first event of the stream that is being read."""
     _ids: Iterator[int] = attrs.field(factory=lambda: iter(range(1_000_000)))
 
     @property
@@ -75,6 +77,7 @@
         """Send the prompt that ends each engine, again and again, until cancelled."""
         while True:
             route = self.site.deployment.stream_routes[0]
+            self._began = None
             await self._stream_once(route, part, EVENTS[1], 0, None)
             await self._drop()
             await trio.sleep(self.rng.uniform(*DEADLY_PAUSE_S))
@@ -102,6 +105,7 @@
         leave_at = self.rng.randint(1, events) if self.rng.random() < self.leaves else None
         told = 0
         whole = False
+        self._began = None
         with trio.move_on_after(STREAM_DEADLINE_S):
             for _ in range(RETRIES):
                 told, whole = await self._stream_once(route, part, events, told, leave_at)
@@ -136,11 +140,16 @@
         self, route: str, part: str, events: int, told: int, leave_at: int | None
     ) -> tuple[int, bool]:
         request = self._new_id("stream")
+        if not told:
+            self.judge.begins(part)
+        else:
+            self.judge.counts["streams taken up"] += 1
         more = prompt_fields(
             part,
             prompt_tokens=PROMPT_TOKENS,
             output_tokens=events * EVENT_TOKENS,
             last_event_id=told or None,
+            resumes=self._began,
         )
         headers = self._headers(request, STREAM_DEADLINE_S, more)
         splitter = RawEventSplitter()
@@ -155,6 +164,7 @@
                     continue
                 for event in splitter.feed(piece):
                     told += 1
+                    self._began = self._began or request
                     self.judge.event(part, told, event.data)
                 if leave_at is not None and told >= leave_at:
                     await self._drop()
@@ -165,6 +175,8 @@
             self.judge.answered("stream", request, 0)
             return told, False
         self.judge.answered("stream", request, head.status)
+        if head.headers.get(REASON_HEADER) == Reason.CANNOT_RESUME.value:
+            self.judge.counts["streams not taken up"] += 1
         if part not in self.site.deadly:
             self.judge.refused(request, head.headers.get(REASON_HEADER))
         if head.status == OK:
--- a/lagoonlever/soak/faults.py
+++ b/lagoonlever/soak/faults.py
@@ -37,6 +37,7 @@
 """Calls that a runner in need turns away at most."""
 STOP_MARGIN_S = 3.0
 """Beyond the time that a planned stop may take, before it counts as hanging."""
+ENGINE_VERSIONS = ("v1", "v2", "v 3")
 BAD_ANSWERS = (
     Conduct.FAIL,
     Conduct.LOSE_ANSWER,
@@ -194,6 +195,21 @@
             f"{'engine' if is_engine else 'runner'} {place}", kept, place, start_again
         )
 
+    @_action(FaultKind.ENGINE_OTHER_VERSION, FaultKind.ENGINE_RETURNS_OTHER)
+    async def _change_version(self, fault: Fault) -> None:
+        place = fault.number % len(self.site.engines)
+        version = ENGINE_VERSIONS[fault.number // 10 % len(ENGINE_VERSIONS)]
+
+        async def change(targets: list[SoakTarget], number: int) -> None:
+            if fault.kind is FaultKind.ENGINE_OTHER_VERSION:
+                await self.site.restart_target(targets, number, version=version)
+                return
+            await self.site.start_target_again(
+                targets, number, after_s=fault.for_s, version=version
+            )
+
+        await self._alone(f"engine {place}", self.site.engines, place, change)
+
     @_action(FaultKind.RUNNER_LEAVES)
     async def _leave(self, fault: Fault) -> None:
         place = fault.number % len(self.site.runners)
--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from lagoonlever.fakes.platform_engine import event_bytes
+from lagoonlever.fakes.platform_engine import event_bytes, version_of_event
 from lagoonlever.http.messages import Headers
 from lagoonlever.outcomes import Reason
 from lagoonlever.platform.headers import ORGANISATION, SEAL
@@ -56,6 +56,8 @@
     _told_not_run: set[str] = attrs.field(factory=set)
     _ended_at: dict[str, list[float]] = attrs.field(factory=dict)
     """When engines ended under each deadly prompt."""
+    _versions: dict[str, str] = attrs.field(factory=dict)
+    """The version that wrote the first event of each stream that a caller has."""
     _reached: Counter[str] = attrs.field(factory=Counter)
     """How often each deadly prompt reached an engine after enough had ended, in calm."""
 
@@ -136,9 +138,18 @@
             self.break_promise("whole answers", f"{request} got {body[:60]!r}")
 
     def event(self, part: str, expected: int, data: bytes) -> None:
-        """Check that an event is the next one of its own stream."""
-        if data != event_bytes(part, expected):
+        """Check that an event is the next one of its own stream, and of the same version."""
+        version = version_of_event(data)
+        if data != event_bytes(part, expected, version=version):
             self.break_promise("streams in order", f"{part}: {data!r} in place of {expected}")
+        began = self._versions.setdefault(part, version)
+        if version != began:
+            detail = f"{part}: event {expected} is by {version}, the first one by {began}"
+            self.break_promise("streams are of one version", detail)
+
+    def begins(self, part: str) -> None:
+        """Note that a caller has no event of a stream, so that any version may begin it."""
+        self._versions.pop(part, None)
 
     def stream_ended(self, part: str, last: int, expected: int) -> None:
         """Check that a stream which ended as whole has all its events."""
--- a/lagoonlever/soak/plan.py
+++ b/lagoonlever/soak/plan.py
@@ -75,6 +75,10 @@
     """Their connections live on, and new ones are refused."""
     RUNNERS_BRITTLE = "runners-brittle"
     """All runners say that they bear few refusals, and later let nobody wait."""
+    ENGINE_OTHER_VERSION = "engine-other-version"
+    """An engine ends with its connections; one of another version starts at its address."""
+    ENGINE_RETURNS_OTHER = "engine-returns-other"
+    """An engine ends with its connections, and starts again under its id as another version."""
     NEW_VERSION = "new-version"
     """Operators order a version of the runners; every other one fails a part of its calls."""
     NEW_CONFIGURATION = "new-configuration"
@@ -180,6 +184,11 @@
         for_s=(1.0, 7.0),
     ),
     _Track(kinds=(FaultKind.RUNNERS_BRITTLE,), every_s=(1.0, 6.0), for_s=(5.0, 9.0)),
+    _Track(
+        kinds=(FaultKind.ENGINE_OTHER_VERSION, FaultKind.ENGINE_RETURNS_OTHER),
+        every_s=(0.5, 2.5),
+        for_s=(0.1, 0.8),
+    ),
 )
 
 
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -16,7 +16,7 @@
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
 from lagoonlever.fakes.path_proxy import PathProxy, PathState
-from lagoonlever.fakes.platform_engine import EngineRun, FakeEngine
+from lagoonlever.fakes.platform_engine import USUAL_VERSION, EngineRun, FakeEngine
 from lagoonlever.fakes.platform_runner import FakeRunner
 from lagoonlever.gateway.settings import Bounds, GatewaySettings, StoreLimits
 from lagoonlever.http.messages import Address
@@ -191,8 +191,13 @@
         while vm.process is not None and vm.process.poll() is None:  # noqa: ASYNC110
             await trio.sleep(0.02)
 
-    async def restart_target(self, kept: list[SoakTarget], place: int) -> None:
-        """End a target with its connections; another one comes at its address."""
+    async def restart_target(
+        self, kept: list[SoakTarget], place: int, *, version: str | None = None
+    ) -> None:
+        """End a target with its connections; another one comes at its address.
+
+        It is of the same version, or of the given one.
+        """
         former = kept[place]
         if former.is_ending:
             return
@@ -201,15 +206,18 @@
         await trio.sleep(BACK_AFTER_S)
         number = (100 if former in self.engines else self.runners_at) + place
         kept[place] = await self.start_target(
-            former.target.service, number, version=former.target.version
+            former.target.service, number, version=version or former.target.version
         )
         await trio.sleep(LAPSE_S)
         self.store.delete(f"{TARGETS_PREFIX}{former.target.id}")
 
     async def start_target_again(
-        self, kept: list[SoakTarget], place: int, *, after_s: float
+        self, kept: list[SoakTarget], place: int, *, after_s: float, version: str | None = None
     ) -> None:
-        """End a target with its connections; it starts again under its id, and holds nothing."""
+        """End a target with its connections; it starts again under its id, and holds nothing.
+
+        It is of the same version, or of the given one.
+        """
         former = kept[place]
         if former.is_ending:
             return
@@ -221,7 +229,7 @@
             former.target.service,
             number,
             target_id=former.target.id,
-            version=former.target.version,
+            version=version or former.target.version,
         )
 
     def engine_dies(self, target_id: str) -> None:
@@ -302,6 +310,7 @@
                 started_ms=started_ms,
                 pace=self.deployment.pace(number),
                 room=self.deployment.engine_room(),
+                version=version or USUAL_VERSION,
                 site=self,
             )
             self._fleet[str(proxy.listen)] = server
--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -74,10 +74,12 @@
         started_ms: int,
         pace: float,
         room: TargetRoom,
+        version: str,
         site: SoakSite,
     ) -> None:
         super().__init__(
             target_id=target_id,
+            version=version,
             fleet=fleet,
             prefill_tokens_per_s=20_000.0 / pace,
             event_s=0.02 * pace,
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -13,7 +13,12 @@
 
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
-from lagoonlever.fakes.platform_engine import USUAL_VERSION, FakeEngine, event_bytes
+from lagoonlever.fakes.platform_engine import (
+    USUAL_VERSION,
+    FakeEngine,
+    event_bytes,
+    version_of_event,
+)
 from lagoonlever.fakes.platform_runner import FakeRunner
 from lagoonlever.gateway.daemon import GatewayDaemon
 from lagoonlever.gateway.settings import Bounds, GatewaySettings, StoreLimits
@@ -153,10 +158,8 @@
     @property
     def versions(self) -> frozenset[str]:
         """The versions of the engines' software that wrote the events."""
-        events = self.body.decode().split("\n\n")[:-1]
-        return frozenset(
-            event.partition(" by ")[2] or USUAL_VERSION for event in events if "data: " in event
-        )
+        events = self.body.split(b"\n\n")[:-1]
+        return frozenset(version_of_event(event) for event in events if b"data: " in event)
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -42,6 +42,8 @@
         FaultKind.PATHS_RESET,
         FaultKind.PATHS_REFUSED,
         FaultKind.RUNNERS_BRITTLE,
+        FaultKind.ENGINE_OTHER_VERSION,
+        FaultKind.ENGINE_RETURNS_OTHER,
     }
 )
 LATER_KINDS = NEWEST_KINDS | frozenset(
@@ -118,6 +120,32 @@
     assert result.violations == ()
 
 
+def test_streams_stay_at_their_versions_while_vms_and_engines_end(tmp_path: Path) -> None:
+    """Engines of three versions, VMs killed one by one and all at once, the store away."""
+    size = SoakSize(vms=4, engines=6, runners=3, callers=12, length_s=14.0)
+    plan = [
+        Fault(kind=FaultKind.ENGINE_OTHER_VERSION, at_s=1.0 + 0.4 * n, for_s=0.1, number=10 + n)
+        for n in range(3)
+    ]
+    plan += [
+        Fault(kind=FaultKind.VM_KILL, at_s=3.0 + 0.9 * n, for_s=0.4, number=n) for n in range(8)
+    ]
+    plan += [
+        Fault(kind=FaultKind.ENGINE_RETURNS_OTHER, at_s=4.0, for_s=0.2, number=23),
+        Fault(kind=FaultKind.ENGINE_OTHER_VERSION, at_s=5.5, for_s=0.1, number=14),
+        Fault(kind=FaultKind.ALL_KILL, at_s=7.0, for_s=0.3, number=0),
+        Fault(kind=FaultKind.STORE_SILENT, at_s=9.0, for_s=1.5, number=0),
+        Fault(kind=FaultKind.ENGINE_CRASH, at_s=9.2, for_s=0.1, number=1),
+        Fault(kind=FaultKind.ENGINE_RETURNS_OTHER, at_s=9.5, for_s=0.2, number=15),
+        Fault(kind=FaultKind.ALL_KILL, at_s=12.0, for_s=0.3, number=0),
+    ]
+    ordered = tuple(sorted(plan, key=lambda fault: fault.at_s))
+    result = play(4, tmp_path, size=size, length_s=14.0, plan=ordered)
+    assert result.violations == ()
+    assert result.counts["streams taken up"] > 10
+    assert result.counts.get("streams not taken up", 0) < result.counts["streams taken up"] / 2
+
+
 @pytest.mark.parametrize(
     "kind",
     [
