--- a/lagoonlever/decisions/streams/stream_origins.py
+++ b/lagoonlever/decisions/streams/stream_origins.py
@@ -17,7 +17,7 @@
 from lagoonlever.decisions.targets.registry import TargetRegistry
 
 MAX_ORIGINS = 50_000
-"""Upper bound of the streams that are remembered, some 15 MB; beyond it the oldest are removed."""
+"""Upper bound of the streams that are remembered, some 16 MB; beyond it the oldest are removed."""
 
 
 @attrs.frozen(kw_only=True)
