--- a/lagoonlever/gateway/accepted.py
+++ b/lagoonlever/gateway/accepted.py
@@ -54,6 +54,11 @@
         )
         return work.fingerprint()
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The ids of the prompt's parts that other requests may have as well."""
+        return self.caller.ask.shared_parts if self.caller.ask is not None else ()
+
     def left_s(self, now: float) -> float:
         """Give the time that is left; 0 or less when it is over."""
         return self.deadline - now
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -221,6 +221,7 @@
             target=target.id,
             organisation=accepted.organisation,
             route=accepted.route.name,
+            shared=",".join(accepted.shared_parts),
             ended=self._suspects.count_crashes(fingerprint),
             weight=weight,
         )
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -39,6 +39,11 @@
         """The id of the part that only this request, or its session, has."""
         return self.parts[-1].id if self.parts else None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The ids of the parts that other requests may have as well, in the order of the prompt."""
+        return tuple(part.id for part in self.parts[:-1])
+
 
 NO_ASK = GenerationAsk(model="", prompt_tokens=0, output_tokens=0)
 """Of a request that says nothing of what it asks for."""
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -541,6 +541,7 @@
             log,
             request=self._accepted.request_id,
             part=plan.run.part,
+            shared=",".join(self._accepted.shared_parts),
             target=plan.engine.id,
             version=plan.engine.version,
             attempt=self._life.sent_attempts,
