--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -68,6 +68,8 @@
     request_id: str
     part: str
     prompt_tokens: int
+    shared: frozenset[str] = frozenset()
+    """The parts of its prompt that others may have as well."""
     events: int = 0
     flowing: bool = False
     place: Place | None = None
@@ -124,7 +126,7 @@
         self.questions: Counter[str] = Counter()
         self._fleet = fleet
         self._deadly = deadly
-        """Own parts of prompts under which the engine ends as it begins to run them."""
+        """Parts of prompts under which the engine ends as it begins to run them."""
         self._die = die
 
     async def run(self, listeners: list[trio.SocketListener]) -> None:
@@ -230,10 +232,15 @@
     def _begin(self, headers: Headers) -> EngineRun | None:
         """Give the run of a request, or None where it names a copy that is not here."""
         request_id = headers.get(REQUEST_ID) or ""
-        last_part = (headers.get(PROMPT_PARTS) or "p:100").split(",")[-1]
-        part, _, _ = last_part.partition(":")
+        named = (headers.get(PROMPT_PARTS) or "p:100").split(",")
+        *shared, part = (entry.partition(":")[0] for entry in named)
         prompt_tokens = int((headers.get(TOKEN_COUNT) or "100,80").partition(",")[0])
-        run = EngineRun(request_id=request_id, part=part, prompt_tokens=prompt_tokens)
+        run = EngineRun(
+            request_id=request_id,
+            part=part,
+            prompt_tokens=prompt_tokens,
+            shared=frozenset(shared),
+        )
         run.events = int(headers.get(LAST_EVENT_ID) or 0)
         copy_from = headers.get(COPY_FROM)
         if copy_from is None:
@@ -272,7 +279,7 @@
             *self.says.fields(),
         )
         await exchange.start_stream(status=OK, headers=Headers(fields))
-        if run.part in self._deadly:
+        if run.part in self._deadly or not run.shared.isdisjoint(self._deadly):
             await trio.sleep(DIES_AFTER_S)
             self._die()
             await trio.sleep_forever()
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -168,8 +168,8 @@
     1056,
     "target-ended-under",
     "warning",
-    "{target} ended under {request} on {route} of {organisation}, sharing {shared}: the {ended}. end "
-    "under fingerprint {fingerprint}, of weight {weight}.",
+    "{target} ended under {request} on {route} of {organisation}, sharing {shared}: the {ended}. "
+    "end under fingerprint {fingerprint}, of weight {weight}.",
     "One end may be an accident; the weight is a half where the request may only have waited "
     "there. Where several targets end under one fingerprint, the request is "
     "the cause: look at its body at its organisation, and at the targets' own logs.",
@@ -268,8 +268,8 @@
     "info",
     "{request} with prompt {part}, sharing {shared}, goes to {target} of software {version} as"
     " attempt {attempt} after event {position}, copy at {copy}, rank {rank}: {reason}",
-    "Where a request was placed, and by which inputs. `shared` are the parts of its prompt that others"
-    " may have as well. `rank` is what its engine was told, or None"
+    "Where a request was placed, and by which inputs. `shared` are the parts of its prompt that"
+    " others may have as well. `rank` is what its engine was told, or None"
     " where the routes of the service don't differ.",
 )
 ATTEMPT_ENDED = event(
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -5,7 +5,7 @@
 import itertools
 import json
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Any
 
 import attrs
@@ -369,13 +369,16 @@
         vm: str = "vm-0",
         events: int = 10,
         prompt_tokens: int = 100,
+        shared: Sequence[str] = ("shared",),
         on_event: Callable[[int], Any] = lambda count: None,
         **more: str,
     ) -> Stream:
         """Ask for a stream and read it until its end or its break."""
         headers = self.headers(
             Token_Count=f"{prompt_tokens},{events * 8}",
-            Prompt_Prefix=f"shared:10,{part}:{prompt_tokens - 10}",
+            Prompt_Prefix=",".join(
+                (*(f"{each}:10" for each in shared), f"{part}:{prompt_tokens - 10 * len(shared)}")
+            ),
             Model="m",
             Deadline_Ms=more.pop("Deadline_Ms", "25000"),
             **more,
