A part of prompts that ends engines is stopped, whoever shares it

Cause: ends were counted by the whole request (organisation, host, path, body), and no two of these requests are alike: each ended up to three engines of its own. What a request is made of was not counted.

Change: a suspect is a request or a part that prompts share, in one registry. A part is counted once for each process that ended as an answer began on it, unless an answer has begun on it within a minute; two different requests are needed. The part that is at all the ends is the cause; parts at exactly the same ends bar only requests that have them all. After two ends its requests go to one engine and those that are read elsewhere are taken back; after three they are refused at once with the part named. An answer that begins clears. A bar that is over, also a request's own, lets its attempts try at one engine. Kept in the store as before.

--- a/lagoonlever/decisions/engines/crash_causes.py
+++ b/lagoonlever/decisions/engines/crash_causes.py
@@ -28,9 +28,13 @@
 """If two requests share at least this many crashes, either may be the cause of them."""
 
 
-def find_causes(crashes: CrashesByRequest) -> frozenset[str]:
+def find_causes(
+    crashes: CrashesByRequest, *, explained_by_parts: frozenset[str] = frozenset()
+) -> frozenset[str]:
     """Return the requests whose crashes reach ``BLOCKING_WEIGHT``, checked in order of time.
 
+    ``explained_by_parts`` are the processes that crashed under a part which was found as a cause.
+
     A cause that is found explains its crashes, which then weigh less for requests that reach the
     bound later. Ordering by the number of crashes instead would be wrong: a blocked request
     causes no more crashes, and would be taken for one that only accompanied another.
@@ -43,7 +47,7 @@
     shared = _shared_crashes(candidates, crashes)
     seen: dict[str, dict[str, Crash]] = {fingerprint: {} for fingerprint in candidates}
     causes: set[str] = set()
-    explained: set[str] = set()
+    explained: set[str] = set(explained_by_parts)
     in_order = sorted(
         (crash.at, f, process) for f in candidates for process, crash in crashes[f].items()
     )
--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -1,4 +1,7 @@
-"""Registry of the crashes under each request, to block requests that crash their targets.
+"""Registry of the crashes under each suspect, to block what crashes its targets.
+
+A suspect is a request, or a part that different prompts share (`suspects.py`). Which parts are
+causes is decided in `part_causes.py`; the rest of this page is on requests.
 
 A poison request crashes each target that starts to run it, and its caller sends it again after
 each failure, to any VM and under another request id. A VM that only knows which targets were lost
@@ -24,12 +27,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import TypeVar
 
 import attrs
 
 from lagoonlever.decisions.engines.crash_causes import BLOCKING_WEIGHT, find_causes, total_weight
+from lagoonlever.decisions.engines.part_causes import (
+    BLOCKING_CRASHES,
+    GATHERING_CRASHES,
+    PartSet,
+    find_part_causes,
+    started_crashes,
+)
+from lagoonlever.decisions.engines.suspects import SuspectKind, Suspects, kind_of
 from lagoonlever.decisions.engines.target_crashes import (
     MAX_REPORT_DELAY_S,
     WEIGHT_STARTED,
@@ -67,6 +78,10 @@
 
 They take 55 KB with three crashes each.
 """
+MAX_PART_SUSPECTS = 1024
+"""The same for parts: several prompts of ``MAX_PARTS`` each."""
+MAX_CLEARINGS = MAX_SUSPECTS + MAX_PART_SUSPECTS
+_MAX_OF_KIND = {SuspectKind.REQUEST: MAX_SUSPECTS, SuspectKind.PART: MAX_PART_SUSPECTS}
 
 
 @attrs.frozen(kw_only=True)
@@ -88,10 +103,22 @@
 
 @attrs.frozen(kw_only=True)
 class Block:
-    """Why a request is refused: the number of crashes under it, and the remaining time."""
+    """Why a request is refused: the number of crashes, and the remaining time."""
 
     crash_count: int
     remaining_s: float
+    parts: PartSet = frozenset()
+    """The parts that its prompt shares with those of the crashes; none for the request itself."""
+
+
+@attrs.frozen(kw_only=True)
+class Gathering:
+    """Attempts that are kept together, as one more crash would block them."""
+
+    key: str
+    """The same for all that go together."""
+    crashed: frozenset[str]
+    """The processes that have crashed already."""
 
 
 @attrs.define(kw_only=True)
@@ -101,6 +128,10 @@
     _crashes: dict[str, dict[str, Crash]] = attrs.field(factory=dict)
     """By the request's fingerprint, then by the name of the crashed process."""
     _blocked: frozenset[str] = frozenset()
+    _part_causes: tuple[PartSet, ...] = ()
+    """Parts that are causes; those that can't be told apart as one set."""
+    _suspect_parts: tuple[PartSet, ...] = ()
+    """The same for parts that one more crash may show to be causes."""
     _answers: dict[str, _Answer] = attrs.field(factory=dict)
     """The last whole answer to each request, the oldest first."""
     _clearings: dict[str, _Clearing] = attrs.field(factory=dict)
@@ -116,6 +147,11 @@
         """The requests that are taken for causes, also those whose block is over."""
         return self._blocked
 
+    @property
+    def part_causes(self) -> tuple[PartSet, ...]:
+        """The parts that are taken for causes; those that can't be told apart as one set."""
+        return self._part_causes
+
     def record_crash(self, fingerprint: str, process: str, crash: Crash) -> bool:
         """Record a crash of a process under a request; return whether it adds information.
 
@@ -173,8 +209,8 @@
         if processes is None:
             return False
         clearing = _Clearing(answer=answer, processes=frozenset(processes))
-        _store_newest(self._clearings, fingerprint, clearing, max_size=MAX_SUSPECTS)
-        self._blocked = find_causes(self._crashes)
+        _store_newest(self._clearings, fingerprint, clearing, max_size=MAX_CLEARINGS)
+        self._find_causes()
         return True
 
     def count_crashes(self, fingerprint: str) -> int:
@@ -196,7 +232,7 @@
         }
 
     def find_block(self, fingerprint: str, now: float) -> Block | None:
-        """Return why a request is refused, or None if it may run."""
+        """Return why a request is refused by its own crashes, or None if it may run."""
         if fingerprint not in self._blocked:
             return None
         processes = self._crashes[fingerprint]
@@ -205,12 +241,62 @@
             Block(crash_count=len(processes), remaining_s=remaining_s) if remaining_s > 0 else None
         )
 
+    def find_part_block(self, parts: Collection[str], now: float) -> Block | None:
+        """Return why a prompt with these parts is refused, or None if it may run."""
+        for cause in self._part_causes:
+            if not cause.issubset(parts):
+                continue
+            processes = started_crashes(self._crashes[next(iter(cause))])
+            remaining_s = _last_crash_at(processes) + BLOCK_S - now
+            if remaining_s > 0:
+                return Block(crash_count=len(processes), remaining_s=remaining_s, parts=cause)
+        return None
+
+    def find_any_block(self, suspects: Suspects, now: float) -> Block | None:
+        """Return why a request is refused, by its own crashes or by a part of its prompt."""
+        if not self._crashes:
+            return None
+        own = self.find_block(suspects.request, now)
+        return own if own is not None else self.find_part_block(suspects.parts, now)
+
+    def find_gathering(self, suspects: Suspects, now: float) -> Gathering | None:
+        """Return with which others a request is kept together, or None if it may go anywhere.
+
+        A block that is over counts as a suspicion: one attempt at a time tries again.
+        """
+        if not self._crashes:
+            return None
+        for parts in self._suspect_parts:
+            if parts.issubset(suspects.parts):
+                crashed = started_crashes(self._crashes[next(iter(parts))])
+                return Gathering(key="|".join(sorted(parts)), crashed=frozenset(crashed))
+        is_over = (
+            suspects.request in self._blocked and self.find_block(suspects.request, now) is None
+        )
+        if is_over or self.is_one_crash_from_block(suspects.request):
+            crashed_under = self._crashes.get(suspects.request, {})
+            return Gathering(key=suspects.request, crashed=frozenset(crashed_under))
+        return None
+
+    def is_suspect(self, suspects: Suspects) -> bool:
+        """Check whether a target has crashed under a request, or several under its parts."""
+        if not self._crashes:
+            return False
+        if self.count_crashes(suspects.request):
+            return True
+        return any(parts.issubset(suspects.parts) for parts in self._suspect_parts)
+
+    def suspected(self, parts: Iterable[str]) -> tuple[str, ...]:
+        """Return those of the parts under which a target has crashed."""
+        return tuple(part for part in parts if part in self._crashes)
+
     def expire(self, now: float) -> None:
-        """Remove requests without a crash for ``RETENTION_S``, and answers that are too old."""
+        """Remove suspects without a crash for ``RETENTION_S``, and answers that are too old."""
         for fingerprint, processes in list(self._crashes.items()):
             if now - _last_crash_at(processes) > RETENTION_S:
                 del self._crashes[fingerprint]
         self._blocked &= self._crashes.keys()
+        self._find_part_causes()
         for fingerprint, answer in list(self._answers.items()):
             if now - answer.at <= MAX_REPORT_DELAY_S:
                 break
@@ -230,10 +316,26 @@
                 is_new |= former is None or former.weight < crash.weight
                 is_changed |= former != known[process]
         if is_changed:
-            self._trim(MAX_SUSPECTS)
-            self._blocked = find_causes(self._crashes)
+            self._trim()
+            self._find_causes()
         return is_new
 
+    def _find_part_causes(self) -> None:
+        parts = self._of_kind(SuspectKind.PART)
+        self._part_causes = find_part_causes(parts, min_crashes=BLOCKING_CRASHES)
+        self._suspect_parts = find_part_causes(parts, min_crashes=GATHERING_CRASHES)
+
+    def _find_causes(self) -> None:
+        self._find_part_causes()
+        causes = frozenset[str]().union(*self._part_causes)
+        explained = frozenset(p for part in causes for p in started_crashes(self._crashes[part]))
+        self._blocked = find_causes(
+            self._of_kind(SuspectKind.REQUEST), explained_by_parts=explained
+        )
+
+    def _of_kind(self, kind: SuspectKind) -> CrashesByRequest:
+        return {s: processes for s, processes in self._crashes.items() if kind_of(s) is kind}
+
     def _clearing_answer(self, fingerprint: str, process: str, crash: Crash) -> _Answer | None:
         """Return the answer that has cleared a crash, or None if the crash counts."""
         answer = self._answers.get(fingerprint)
@@ -244,11 +346,13 @@
             return None
         return clearing.answer
 
-    def _trim(self, max_size: int) -> None:
-        """Remove the least important requests beyond the given number."""
-        excess = len(self._crashes) - max_size
-        for fingerprint in sorted(self._crashes, key=self._importance)[: max(0, excess)]:
-            del self._crashes[fingerprint]
+    def _trim(self) -> None:
+        """Remove the least important suspects of each kind beyond its upper bound."""
+        for kind, max_size in _MAX_OF_KIND.items():
+            known = [suspect for suspect in self._crashes if kind_of(suspect) is kind]
+            excess = max(0, len(known) - max_size)
+            for suspect in sorted(known, key=self._importance)[:excess]:
+                del self._crashes[suspect]
 
     def _importance(self, fingerprint: str) -> tuple[float, float]:
         """Return a sort key: the weight of the crashes up to the bound, then the last crash."""
--- a/lagoonlever/decisions/engines/target_crashes.py
+++ b/lagoonlever/decisions/engines/target_crashes.py
@@ -10,6 +10,8 @@
 """Weight of a crash where the target had started to run the request, or is assumed to have."""
 WEIGHT_QUEUED = 0.5
 """Weight of a crash where the request may only have been queued at the target."""
+MAX_REQUESTS = 4
+"""Requests that are named at one crash; two different ones are enough for any decision."""
 MAX_REPORT_DELAY_S = 0.5
 """A report of a crash from before an answer arrives within this time after the answer.
 
@@ -23,15 +25,27 @@
 
     at: float
     weight: float = WEIGHT_STARTED
+    requests: tuple[str, ...] = ()
+    """Of a part: fingerprints of requests with the part that were there, ``MAX_REQUESTS`` at
+    most."""
 
     @classmethod
-    def from_report(cls, *, at: float, weight: float) -> Crash:
+    def from_report(cls, *, at: float, weight: float, requests: tuple[str, ...] = ()) -> Crash:
         """Create a crash from received data, its weight set to one of the two valid ones."""
-        return cls(at=at, weight=WEIGHT_STARTED if weight >= WEIGHT_STARTED else WEIGHT_QUEUED)
+        valid = WEIGHT_STARTED if weight >= WEIGHT_STARTED else WEIGHT_QUEUED
+        return cls(at=at, weight=valid, requests=requests[:MAX_REQUESTS])
 
     def merge(self, other: Crash) -> Crash:
-        """Combine two reports of the same crash: the earlier time and the greater weight."""
-        return Crash(at=min(self.at, other.at), weight=max(self.weight, other.weight))
+        """Combine two reports of the same crash: the earlier time and the greater weight.
+
+        The requests are those of the reports with that weight.
+        """
+        weight = max(self.weight, other.weight)
+        reports = (report for report in (self, other) if report.weight == weight)
+        requests = sorted({request for report in reports for request in report.requests})
+        return Crash(
+            at=min(self.at, other.at), weight=weight, requests=tuple(requests[:MAX_REQUESTS])
+        )
 
     def may_explain(self, other: Crash) -> bool:
         """Check whether the request of this crash is as likely the cause as that of ``other``.
--- a/lagoonlever/decisions/streams/engine_runs.py
+++ b/lagoonlever/decisions/streams/engine_runs.py
@@ -6,6 +6,9 @@
 
 from lagoonlever.http.messages import Address
 
+MAX_SHARED = 16
+"""Parts that are told of a run: a popular part is at the beginning of its prompts."""
+
 
 @attrs.frozen(kw_only=True)
 class RunCopy:
@@ -52,6 +55,11 @@
     """Start time of the engine's process, as known when the run was sent."""
     version: str | None = None
     """The version of the engine's software, as known when the run was sent."""
+    model: str = ""
+    """The model that the request names."""
+    shared: tuple[str, ...] = ()
+    """The ids of the prompt's parts that other requests may have as well, ``MAX_SHARED`` at
+    most."""
     begun_by: str | None = None
     """The request that began the stream, if the run goes on with one that an earlier request
     of the caller began."""
--- a/lagoonlever/gateway/accepted.py
+++ b/lagoonlever/gateway/accepted.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lagoonlever.decisions.engines.fingerprints import RequestIdentity
+from lagoonlever.decisions.engines.suspects import Suspects, part_suspects
 from lagoonlever.decisions.settings.configuration import ServiceRoute
 from lagoonlever.gateway.messages import CallerHead
 from lagoonlever.http.messages import Request
@@ -59,6 +60,15 @@
         """The ids of the prompt's parts that other requests may have as well."""
         return self.caller.ask.shared_parts if self.caller.ask is not None else ()
 
+    @functools.cached_property
+    def suspects(self) -> Suspects:
+        """What may end the targets that run the request: it as a whole, or a part it shares."""
+        model = self.caller.ask.model if self.caller.ask is not None else ""
+        return Suspects(
+            request=self.fingerprint,
+            parts=part_suspects(service=self.service, model=model, shared=self.shared_parts),
+        )
+
     def left_s(self, now: float) -> float:
         """Give the time that is left; 0 or less when it is over."""
         return self.deadline - now
--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -7,7 +7,7 @@
 import attrs
 
 from lagoonlever.decisions.admission.capacity import RejectedWithRetryAfter
-from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
+from lagoonlever.decisions.streams.engine_runs import MAX_SHARED, EngineRun, RunCopy
 from lagoonlever.decisions.streams.run_placement import (
     NoEngine,
     Overloaded,
@@ -140,6 +140,8 @@
             part=ask.own_part,
             copy=_growing_copy(accepted, copy_to) if copy_to else None,
             version=engine.version,
+            model=ask.model,
+            shared=ask.shared_parts[:MAX_SHARED],
             begun_by=life.origin.request if life.origin is not None else None,
         )
         expected = f"a first event is expected in {placed.expected_s:.2f} s"
--- a/lagoonlever/gateway/crash_news.py
+++ b/lagoonlever/gateway/crash_news.py
@@ -13,6 +13,8 @@
 import attrs
 
 from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
+from lagoonlever.decisions.engines.part_causes import SoundParts
+from lagoonlever.decisions.engines.target_crashes import CrashesByRequest
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
@@ -30,6 +32,7 @@
     _timers: TimerService
     _spread: HubSpread
     _suspects: CrashSuspects
+    _sound: SoundParts
     _learnt: Callable[[], None]
     """Called after another VM has told something."""
     _served: Callable[[str], None]
@@ -39,7 +42,7 @@
         """Take ends that other VMs tell, until cancelled."""
         async for received in self._bus.subscribe(TargetsEnded):
             message = received.message
-            ends = read_ends(message, self._timers.now)
+            ends = self._unproven(read_ends(message, self._timers.now))
             is_news = self._suspects.record_reported_crashes(ends)
             self._learnt()
             # Others count what this VM knows to be cleared: the news was late here only.
@@ -77,6 +80,11 @@
         if told.ends:
             self.tell(told)
 
+    def _unproven(self, ends: CrashesByRequest) -> CrashesByRequest:
+        """Leave out parts on which answers begin, by what this VM has heard of all runs."""
+        kept = self._sound.unproven(ends, self._timers.now)
+        return {suspect: ends[suspect] for suspect in kept}
+
     def _pass_on(self, message: CrashMessage, *, source: str) -> None:
         self._spread.pass_on(message, source=source, for_plain=self._for_plain(message))
 
@@ -97,6 +105,7 @@
                     process=process,
                     age_s=now - end.at,
                     weight=end.weight,
+                    requests=end.requests,
                 )
                 for fingerprint, processes in self._suspects.crashes_to_store().items()
                 for process, end in processes.items()
--- a/lagoonlever/gateway/crash_records.py
+++ b/lagoonlever/gateway/crash_records.py
@@ -158,7 +158,7 @@
         to_unix = self._unix_now() - self._now()
         return {
             fingerprint: {
-                process: Crash(at=round(end.at + to_unix, 3), weight=end.weight)
+                process: attrs.evolve(end, at=round(end.at + to_unix, 3))
                 for process, end in processes.items()
             }
             for fingerprint, processes in self._suspects.crashes_to_store().items()
@@ -179,7 +179,9 @@
         now, to_monotonic = self._now(), self._now() - self._unix_now()
         ends = {
             fingerprint: {
-                process: Crash.from_report(at=min(now, end.at + to_monotonic), weight=end.weight)
+                process: Crash.from_report(
+                    at=min(now, end.at + to_monotonic), weight=end.weight, requests=end.requests
+                )
                 for process, end in processes.items()
             }
             for fingerprint, processes in stored.items()
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -15,10 +15,13 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
+from lagoonlever.decisions.engines.crash_suspects import Block, CrashSuspects
+from lagoonlever.decisions.engines.part_causes import PartSet, SoundParts
 from lagoonlever.decisions.engines.suspect_placement import choose_suspect_engine
+from lagoonlever.decisions.engines.suspects import part_name, part_suspects
 from lagoonlever.decisions.engines.target_crashes import WEIGHT_STARTED, Crash, process_name
 from lagoonlever.decisions.fleet.roles import Roles
+from lagoonlever.decisions.streams.engine_runs import EngineRun
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway import events, metrics
 from lagoonlever.gateway.accepted import Accepted
@@ -67,12 +70,15 @@
     _tally: Tally
     _rng: random.Random
     _suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    _sound: SoundParts = attrs.field(factory=SoundParts)
     _records: CrashRecords = attrs.field(init=False)
     _news: CrashNews = attrs.field(init=False)
     _open: dict[str, set[_OpenWork]] = attrs.field(factory=dict)
     """By the request's fingerprint."""
     _barred: frozenset[str] = frozenset()
-    """The requests of which it was noted that they are barred."""
+    """The requests that were logged as barred."""
+    _barred_parts: frozenset[PartSet] = frozenset()
+    """The same for parts; those that can't be told apart as one set."""
 
     @_records.default
     def _make_records(self) -> CrashRecords:
@@ -92,6 +98,7 @@
             timers=self._timers,
             spread=self._spread,
             suspects=self._suspects,
+            sound=self._sound,
             learnt=self._take_news,
             served=lambda fingerprint: self._records.take_out(fingerprint),
         )
@@ -106,45 +113,49 @@
                 await trio.sleep_forever()
 
     def is_barred(self, accepted: Accepted) -> bool:
-        """Tell whether a request may not run now."""
-        ends = self._suspects.crashes
-        now = self._timers.now
-        return bool(ends) and self._suspects.find_block(accepted.fingerprint, now) is not None
+        """Check whether a request may not run now."""
+        return self._find_block(accepted) is not None
 
     def refusal(self, accepted: Accepted) -> NotRun | None:
-        """Give what the caller of a barred request is told, or None where it may run."""
-        if not self._suspects.crashes:
-            return None
-        bar = self._suspects.find_block(accepted.fingerprint, self._timers.now)
+        """Return what the caller of a barred request is told, or None where it may run."""
+        bar = self._find_block(accepted)
         if bar is None:
             return None
         self._tally.add(metrics.BARRED, accepted.route.kind.value)
+        cause = f"this request ({accepted.fingerprint})"
+        if bar.parts:
+            names = ", ".join(sorted(part_name(part) for part in bar.parts))
+            cause = f"prompts with the part {names}"
+            events.PART_REFUSED.log(log, request=accepted.request_id, barred_part=names)
         return NotRun(
             reason=Reason.ENDS_TARGETS,
-            message=f"{bar.crash_count} targets ended under this request ({accepted.fingerprint})",
+            message=f"{bar.crash_count} targets ended under {cause}",
             retry_after_s=bar.remaining_s,
         )
 
     def is_suspect(self, accepted: Accepted) -> bool:
-        """Tell whether a target has ended under a request."""
-        return (
-            bool(self._suspects.crashes) and self._suspects.count_crashes(accepted.fingerprint) > 0
-        )
+        """Check whether a target has ended under a request, or several under parts of it."""
+        return bool(self._suspects.crashes) and self._suspects.is_suspect(accepted.suspects)
 
     def gathering_place(
         self, accepted: Accepted, *, avoid: Container[str] = (), version: str | None = None
     ) -> str | None:
-        """Give the engine where all returns of a request go, or None where each may go anywhere."""
-        fingerprint = accepted.fingerprint
-        if not self._suspects.is_one_crash_from_block(fingerprint):
+        """Return the engine for all that a request is kept together with, or None for any.
+
+        These are its own returns, or all requests that share a part under which targets ended.
+        """
+        if not self._suspects.crashes:
             return None
         avoidance, now = self._beliefs.book.avoidance, self._timers.now
+        gathering = self._suspects.find_gathering(accepted.suspects, now)
+        if gathering is None:
+            return None
         able = {
             engine.id: process_name(engine.id, engine.started_ms)
             for engine in self._beliefs.targets.serving(accepted.service, version=version)
             if engine.id not in avoid and not avoidance.is_avoided(engine.id, now)
         }
-        return choose_suspect_engine(fingerprint, able, crashed=self._suspects.crashes[fingerprint])
+        return choose_suspect_engine(gathering.key, able, crashed=gathering.crashed)
 
     @contextlib.contextmanager
     def until_barred(self, accepted: Accepted, *, leaves: str | None = None) -> Iterator[None]:
@@ -180,11 +191,14 @@
             return
         if not self._note(accepted, target, weight):
             return
-        barred = self._barred
+        barred, barred_parts = self._barred, self._barred_parts
         await self._records.exchange()
+        # Nobody told this VM, so those that it hears may not have been told either.
         if accepted.fingerprint in self._barred - barred:
-            # Nobody told this VM, so those that it hears may not have been told either.
             self._news.tell_kept(accepted.fingerprint)
+        for parts in self._barred_parts - barred_parts:
+            for part in parts.intersection(accepted.suspects.parts):
+                self._news.tell_kept(part)
 
     async def lost_call(self, accepted: Accepted, target: ListedTarget, *, sent_at: float) -> None:
         """Look whether a target has ended under a call: one that has takes no connection.
@@ -195,24 +209,51 @@
             await self.ended_under(accepted, target, weight=WEIGHT_STARTED, sent_at=sent_at)
 
     def served(self, accepted: Accepted) -> None:
-        """Note that a target has answered a request whole: it ends no target."""
-        fingerprint = accepted.fingerprint
-        if not self._suspects.record_answer(fingerprint, self._timers.now, is_own=True):
+        """Record that a target has answered a request whole: it ends no target."""
+        self.begun(accepted)
+        self._clear(accepted.fingerprint, accepted)
+
+    def begun(self, accepted: Accepted) -> None:
+        """Record that an answer has begun on a request: the parts that it shares end no target."""
+        parts = accepted.suspects.parts
+        self._sound.record_begin(parts, self._timers.now)
+        for part in self._suspects.suspected(parts):
+            self._clear(part, accepted)
+
+    def learn_sound(self, run: EngineRun) -> None:
+        """Record that a run of any VM was answered whole, and so the parts that it shares."""
+        parts = part_suspects(service=run.service, model=run.model, shared=run.shared)
+        self._sound.record_begin(parts, self._timers.now)
+
+    def _clear(self, suspect: str, accepted: Accepted) -> None:
+        if not self._suspects.record_answer(suspect, self._timers.now, is_own=True):
             return
-        events.REQUEST_CLEARED.log(log, fingerprint=fingerprint, request=accepted.request_id)
-        self._news.tell(RequestServed(fingerprint=fingerprint))
-        self._records.take_out(fingerprint)
+        events.REQUEST_CLEARED.log(log, fingerprint=suspect, request=accepted.request_id)
+        self._news.tell(RequestServed(fingerprint=suspect))
+        self._records.take_out(suspect)
 
     def greet(self, newcomer: Address) -> None:
         """Tell a VM that is met of the requests that matter."""
         self._news.greet(newcomer)
 
+    def _find_block(self, accepted: Accepted) -> Block | None:
+        if not self._suspects.crashes:
+            return None
+        return self._suspects.find_any_block(accepted.suspects, self._timers.now)
+
     def _note(self, accepted: Accepted, target: ListedTarget, weight: float) -> bool:
-        """Count an end that this VM saw; gives whether it is news."""
-        fingerprint = accepted.fingerprint
+        """Count an end that this VM saw; return whether it is news."""
+        fingerprint, now = accepted.fingerprint, self._timers.now
         process = process_name(target.id, target.started_ms)
-        end = Crash(at=self._timers.now, weight=weight)
-        if not self._suspects.record_crash(fingerprint, process, end):
+        ends = {fingerprint: Crash(at=now, weight=weight)}
+        for part in self._sound.unproven(accepted.suspects.parts, now):
+            ends[part] = Crash(at=now, weight=weight, requests=(fingerprint,))
+        news = [
+            suspect
+            for suspect, end in ends.items()
+            if self._suspects.record_crash(suspect, process, end)
+        ]
+        if not news:
             return False
         events.TARGET_ENDED_UNDER.log(
             log,
@@ -222,22 +263,31 @@
             organisation=accepted.organisation,
             route=accepted.route.name,
             shared=",".join(accepted.shared_parts),
+            unproven=",".join(part_name(part) for part in ends if part != fingerprint),
             ended=self._suspects.count_crashes(fingerprint),
             weight=weight,
         )
         self._tally.add(metrics.TARGETS_ENDED, accepted.route.kind.value)
-        told = EndTold(fingerprint=fingerprint, process=process, age_s=0.0, weight=weight)
-        self._news.tell(TargetsEnded(ends=(told,)))
+        told = tuple(
+            EndTold(
+                fingerprint=suspect,
+                process=process,
+                age_s=0.0,
+                weight=weight,
+                requests=ends[suspect].requests,
+            )
+            for suspect in news
+        )
+        self._news.tell(TargetsEnded(ends=told))
         self._take_news()
         return True
 
     def _take_news(self) -> None:
-        """End what may not go on after ends were noted or told."""
+        """End what may not go on after ends were recorded or told."""
         self._note_barred()
-        for fingerprint in self._open.keys() & self._suspects.crashes.keys():
-            for work in self._open[fingerprint]:
-                if self._is_misplaced(work):
-                    work.scope.cancel()
+        for work in [work for opened in self._open.values() for work in opened]:
+            if self.is_barred(work.accepted) or self._is_misplaced(work):
+                work.scope.cancel()
 
     def _is_misplaced(self, work: _OpenWork) -> bool:
         if work.leaves is None:
@@ -245,17 +295,25 @@
         return self.gathering_place(work.accepted) not in (None, work.leaves)
 
     def _note_barred(self) -> None:
-        """Tell of requests that are barred from now on, and end the work on them."""
+        """Log which requests and parts are barred from now on."""
         new, self._barred = self._suspects.blocked - self._barred, self._suspects.blocked
         for fingerprint in new:
             bar = self._suspects.find_block(fingerprint, self._timers.now)
-            if bar is None:
-                continue
-            events.REQUEST_BARRED.log(
-                log, fingerprint=fingerprint, ended=bar.crash_count, for_s=bar.remaining_s
-            )
-            for work in self._open.get(fingerprint, ()):
-                work.scope.cancel()
+            if bar is not None:
+                events.REQUEST_BARRED.log(
+                    log, fingerprint=fingerprint, ended=bar.crash_count, for_s=bar.remaining_s
+                )
+        causes = frozenset(self._suspects.part_causes)
+        new_parts, self._barred_parts = causes - self._barred_parts, causes
+        for parts in new_parts:
+            bar = self._suspects.find_part_block(parts, self._timers.now)
+            if bar is not None:
+                events.PART_BARRED.log(
+                    log,
+                    barred_part=", ".join(sorted(part_name(part) for part in parts)),
+                    ended=bar.crash_count,
+                    for_s=bar.remaining_s,
+                )
 
     def _look(self, tick: Tick) -> None:
         """Forget what is old, and read the record where no other VM is heard.
@@ -264,6 +322,7 @@
         older copy: what that lacks of the record is written again.
         """
         self._suspects.expire(tick.now)
+        self._sound.expire(tick.now)
         fellows, roles = self._beliefs.fellows, self._roles.value
         is_alone = bool(fellows.states) and not fellows.present(tick.now)
         is_reader = roles is not None and roles.reads_store
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -169,7 +169,7 @@
     "target-ended-under",
     "warning",
     "{target} ended under {request} on {route} of {organisation}, sharing {shared}: the {ended}. "
-    "end under fingerprint {fingerprint}, of weight {weight}.",
+    "end under fingerprint {fingerprint}, of weight {weight}. No answer has begun on {unproven}.",
     "One end may be an accident; the weight is a half where the request may only have waited "
     "there. Where several targets end under one fingerprint, the request is "
     "the cause: look at its body at its organisation, and at the targets' own logs.",
@@ -183,6 +183,22 @@
     "A request ends the targets that run it. Tell its organisation, and mend the targets. It may "
     "be tried once more after that time, and is barred again by one more end.",
 )
+PART_BARRED = event(
+    1037,
+    "part-barred",
+    "error",
+    "{ended} targets ended as answers began on prompts with the part {barred_part}: requests with"
+    " it are stopped, and refused for {for_s:.0f} s.",
+    "A part that different requests share ends the targets that run it. Where several parts are"
+    " named they can't be told apart, and only requests with all of them are refused.",
+)
+PART_REFUSED = event(
+    1038,
+    "part-refused",
+    "notice",
+    "{request} is refused, as its prompt has the part {barred_part}.",
+    "`lagoonlever explain` leads from the request to the targets that ended under the part.",
+)
 REQUEST_CLEARED = event(
     1058,
     "request-cleared",
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -397,6 +397,7 @@
             tally=self.reporter.tally,
             rng=self.rng,
         )
+        self.peers.on_whole_run(crashes.learn_sound)
         self.presence.on_greeting(crashes.greet)
         self.presence.on_meeting(crashes.greet)
         return crashes
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -49,6 +49,8 @@
 """Beyond the time in which other VMs' placements are heard, before the second look."""
 MOVES_PART = 0.5
 """Of the allowed repeats: moves only save time, and leave the rest to streams that broke."""
+BEGUN_S = 0.3
+"""An engine that a part of the prompt ends does so within this time from its first event."""
 PAUSE_TOLD_S = 0.3
 """Pauses between events that are worth a word in the log."""
 
@@ -85,6 +87,8 @@
     _answered: bool = False
     """The head of the engine's answer has come, so the engine has begun to run it."""
     _flowing: bool = False
+    _flowing_since: float | None = None
+    """When the engine gave its first event; None before, and once that was found to be sound."""
     _signs: LivenessSigns = attrs.field(factory=LivenessSigns)
     _copies: CopyKeeper = attrs.field(init=False)
     _counts: StreamCounts = attrs.field(init=False)
@@ -430,6 +434,7 @@
         now = self._now
         if not self._flowing:
             self._flowing = self._copies.flowing = True
+            self._flowing_since = now
             self._counts.first_event(now, sent_at=self._started)
             self._life.record_first_event()
             events.FIRST_EVENT.log(
@@ -449,6 +454,9 @@
                 position=self._life.position,
             )
         silence.record_event(now)
+        if self._flowing_since is not None and now - self._flowing_since >= BEGUN_S:
+            self._flowing_since = None
+            self._tools.crashes.begun(self._accepted)
 
     async def _lost(self, ended: _Ended) -> None:
         """Ask the engine whether it lives: one that only lost an answer is not left by all."""
--- a/lagoonlever/peers/messages_crashes.py
+++ b/lagoonlever/peers/messages_crashes.py
@@ -10,13 +10,16 @@
 
 @attrs.frozen(kw_only=True)
 class EndTold:
-    """A process of a target ended under a request, ``age_s`` seconds before it was told."""
+    """A process of a target ended under a suspect, ``age_s`` seconds before it was told."""
 
     fingerprint: str
+    """The suspect: a request's fingerprint, or a part as in `suspects.py`."""
     process: str
     age_s: float
     weight: float
     """How much it counts, as in `lagoonlever/decisions/engines/crash_suspects.py`."""
+    requests: tuple[str, ...] = ()
+    """Of a part: the fingerprints of requests with it that were there."""
 
 
 @PEER.message("gd")
@@ -30,7 +33,10 @@
 @PEER.message("gv")
 @attrs.frozen(kw_only=True)
 class RequestServed:
-    """A target has answered a request under which others had ended: it is no cause of ends."""
+    """A target has answered where others had ended: the suspect is no cause of ends.
+
+    A request was answered whole; on a part an answer has begun.
+    """
 
     fingerprint: str
 
@@ -39,6 +45,8 @@
     """Give what a message tells, in seconds of the receiver's clock."""
     ends: dict[str, dict[str, Crash]] = {}
     for told in message.ends:
-        end = Crash.from_report(at=now - max(0.0, told.age_s), weight=told.weight)
+        end = Crash.from_report(
+            at=now - max(0.0, told.age_s), weight=told.weight, requests=told.requests
+        )
         ends.setdefault(told.fingerprint, {})[told.process] = end
     return ends
--- a/lagoonlever/tests/crash_news_tests.py
+++ b/lagoonlever/tests/crash_news_tests.py
@@ -8,6 +8,7 @@
 
 from lagoonlever.bench.local_fleet import Fleet, FleetVm, run_fleet, start_many
 from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
+from lagoonlever.decisions.engines.part_causes import SoundParts
 from lagoonlever.decisions.engines.target_crashes import WEIGHT_STARTED, Crash
 from lagoonlever.gateway.crash_news import CrashNews
 from lagoonlever.gateway.hub_spread import HubSpread
@@ -52,6 +53,7 @@
             timers=vm.timers,
             spread=spread,
             suspects=suspects,
+            sound=SoundParts(),
             learnt=lambda: None,
             served=lambda _: None,
         )
