No record of versions is written while no service streams

Found by test_a_crash_that_took_many_requests_costs_the_store_nothing, which counts the store's transactions: a start without any engine wrote an empty record (assert 2 == 1).

--- a/lagoonlever/gateway/version_record.py
+++ b/lagoonlever/gateway/version_record.py
@@ -151,6 +151,8 @@
         if self._record.revision.era < self._beliefs.targets.as_of.era:
             await self._record.read()
             self._beliefs.versions.record_restore(self._record.revision.era)
+        if self._record.value is None and not self._wanted_versions():
+            return
         while (document := self._document()) != self._record.value:
             if not await self._record.write(document):
                 self._merge()
