--- a/lagoonlever/report/explain.py
+++ b/lagoonlever/report/explain.py
@@ -59,6 +59,21 @@
         resumes = self.fields.get("resumes")
         return resumes if isinstance(resumes, str) else None
 
+    @property
+    def barred_parts(self) -> frozenset[str]:
+        """The parts of prompts that the line says are barred."""
+        return _names(self.fields.get("barred_part"))
+
+    @property
+    def unproven_parts(self) -> frozenset[str]:
+        """The parts that a target's end counts against."""
+        return _names(self.fields.get("unproven"))
+
+
+def _names(text: Any) -> frozenset[str]:
+    names = text.split(",") if isinstance(text, str) else ()
+    return frozenset(name.strip() for name in names if name.strip())
+
 
 @attrs.frozen(kw_only=True)
 class Step:
@@ -99,7 +114,8 @@
     """Give the steps of a request over all VMs, in the order of their times.
 
     Requests for the same prompt, or with the same fingerprint, belong to it: its caller
-    came back under another id.
+    came back under another id. If it was refused for a part of its prompt, the ends of targets
+    that count against the part belong to it, too.
     """
     lines = sorted(lines, key=lambda line: line.time)
     own = [line for line in lines if line.request == request]
@@ -110,6 +126,7 @@
     resumed = {line.request for line in lines if line.resumes in began}
     wanted = ({line.request for line in same} | resumed | began) - {None}
     prints |= {line.fingerprint for line in lines if line.request in wanted} - {None}
+    barred = frozenset[str]().union(*(line.barred_parts for line in own))
     configuration: dict[str, int] = {}
     unreachable: set[str] = set()
     targets: dict[str, dict[str, str]] = {}
@@ -135,6 +152,7 @@
         elif line.name in TARGET_WORDS:
             _note(targets, line, kind=line.name)
         is_about_all = line.request is None and line.fingerprint in prints
+        is_about_all |= not barred.isdisjoint(line.barred_parts | line.unproven_parts)
         if line.request not in wanted and not is_about_all:
             continue
         target = str(line.fields.get("target"))
--- a/lagoonlever/tests/explain_tests.py
+++ b/lagoonlever/tests/explain_tests.py
@@ -105,6 +105,22 @@
     assert [step.line.request for step in explain(lines, "r1")] == ["r1", "r2"]
 
 
+def test_a_request_refused_for_a_part_leads_to_the_ends_that_count_against_it() -> None:
+    one = line(1, "vm-a", "target-ended-under", request="r1", target="e1", unproven="x1,bad")
+    two = line(2, "vm-b", "target-ended-under", request="r2", target="e2", unproven="bad")
+    beside = line(3, "vm-b", "target-ended-under", request="r3", target="e3", unproven="other")
+    barred = line(4, "vm-a", "part-barred", barred_part="bad", ended=2)
+    refused = line(5, "vm-c", "part-refused", request="r9", barred_part="bad")
+    lines = list(read_lines([one, two, beside, barred, refused], process="a"))
+    names = [(step.line.name, step.line.request) for step in explain(lines, "r9")]
+    assert names == [
+        ("target-ended-under", "r1"),
+        ("target-ended-under", "r2"),
+        ("part-barred", None),
+        ("part-refused", "r9"),
+    ]
+
+
 def test_what_is_decided_of_a_fingerprint_is_told_of_its_requests() -> None:
     """A request is barred by its fingerprint: that line names no request."""
     ended = line(1, "vm-a", "target-ended-under", request="r1", target="e1", fingerprint="f1")
