An engine that was lost and reports no start gets streams again

Found in reading: such an engine stayed in doubt for good where its entry names a start and its reports don't, and got no stream that goes on. Ids are processes there.

--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -333,6 +333,13 @@
         if known is not None and known.started_ms is not None:
             self._in_doubt.add(target_id)
 
+    def record_no_start(self, target_id: str) -> None:
+        """Record that a target that was lost reports, and tells no start of its process.
+
+        It gets another id with each process, so it is the one that the list names.
+        """
+        self._in_doubt.discard(target_id)
+
     def record_restart(
         self, target_id: str, started_ms: int, *, version: str | None = None
     ) -> bool:
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -189,7 +189,10 @@
         engine = self._plan.engine
         if self._version is None or not self._tools.beliefs.targets.is_in_doubt(engine.id):
             return
-        self._take_report(await self._tools.prober.ask(engine, since=self._now))
+        report = await self._tools.prober.ask(engine, since=self._now)
+        self._take_report(report)
+        if report is not None and report.started_ms is None:
+            self._tools.beliefs.targets.record_no_start(engine.id)
 
     def _may_write(self) -> bool:
         """Look once more at what may have changed while the connection was made."""
--- a/lagoonlever/tests/stream_origins_tests.py
+++ b/lagoonlever/tests/stream_origins_tests.py
@@ -119,6 +119,20 @@
     assert not registry.takes_work("e", version="v1")
 
 
+def test_an_engine_that_was_lost_is_asked_which_process_it_is_before_a_stream_goes_on() -> None:
+    """Guards against both a guess, and an engine that gets no stream for good."""
+    registry = listing(target("tells", "v1", started_ms=5), target("silent", "v1"))
+    registry.record_loss("tells")
+    registry.record_loss("silent")
+    assert registry.is_in_doubt("tells")
+    assert not registry.is_in_doubt("silent"), "its id is that of one process"
+    assert not registry.record_restart("tells", 5)
+    assert not registry.is_in_doubt("tells") and registry.takes_work("tells", version="v1")
+    registry.record_loss("tells")
+    registry.record_no_start("tells")
+    assert not registry.is_in_doubt("tells")
+
+
 def test_one_recorded_version_answers_for_every_stream() -> None:
     versions = VersionsInUse()
     assert versions.only_version(SERVICE, []) is None
