A stream is bound to a version only where its engine's process is the listed one

Cause: an engine was back under its id as another version, and a stream began there before the list named the new process. It was bound to the version of the former one, and went on at an engine of that: events of two versions. The new test fails before: versions {'v1', 'v2'}. Change: while a service has several versions, an engine that tells its process's start is asked for it as its first event comes, on an open connection that ends with the process. If it is another start, or nobody answers, the version stays unknown: the stream goes on at no other engine, and one that goes on there is left before its event is passed on. One question a stream, then only.

--- a/lagoonlever/decisions/streams/stream_origins.py
+++ b/lagoonlever/decisions/streams/stream_origins.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from lagoonlever.decisions.streams.engine_runs import EngineRun
 from lagoonlever.decisions.targets.registry import TargetRegistry
 
 MAX_ORIGINS = 50_000
@@ -32,6 +33,22 @@
     engine_started_ms: int | None = None
     """Start time of the engine's process, as known when the request was sent."""
 
+    @classmethod
+    def of_run(cls, run: EngineRun, *, proven: bool) -> StreamOrigin:
+        """Create the origin of the stream of a run that has given its first event.
+
+        Unless it is ``proven`` that the run's process wrote it, the version stays unknown.
+        """
+        if not proven:
+            return cls(request=run.stream, service=run.service, version=None)
+        return cls(
+            request=run.stream,
+            service=run.service,
+            version=run.version,
+            engine=run.engine,
+            engine_started_ms=run.engine_started_ms,
+        )
+
     def resolve(self, targets: TargetRegistry) -> StreamOrigin:
         """Return the origin with its version, if the list has named the process since."""
         if self.version is not None:
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -413,25 +413,34 @@
                 raise _Ended(f"event {event.id} came after {self._life.position}")
             if not self._flowing:
                 # Others know before the caller does: this VM may die right after.
-                self._tell_begun()
+                self._tell_begun(proven=await self._is_writer_proven())
             if verdict is EventVerdict.FORWARD:
                 self._life.timing.record_event(self._now)
                 self._counts.event()
                 await self._accepted.exchange.write(event.data)
             self._note_event(silence)
 
-    def _tell_begun(self) -> None:
+    async def _is_writer_proven(self) -> bool:
+        """Check whether the process that answers is the one that the list names.
+
+        An engine may have started again under its id, as another version, before the request was
+        sent. Its open connection and a report of now are of one process.
+        """
+        run = self._plan.run
+        several = self._tools.beliefs.versions.has_several(run.service)
+        if not several or run.engine_started_ms is None:
+            return True
+        report = await self._tools.prober.ask(self._plan.engine, since=self._started)
+        self._take_report(report)
+        return report is not None and report.started_ms in (None, run.engine_started_ms)
+
+    def _tell_begun(self, *, proven: bool) -> None:
         """Bind the stream to the version that writes its first event, and tell the other VMs."""
+        if self._life.origin is not None and not proven:
+            raise _Ended("another process may have answered than the one of the stream's version")
         if self._life.origin is None:
-            run = self._plan.run
-            self._life.origin = StreamOrigin(
-                request=run.stream,
-                service=run.service,
-                version=run.version,
-                engine=run.engine,
-                engine_started_ms=run.engine_started_ms,
-            )
-        self._peers.flows(self._accepted.request_id)
+            self._life.origin = StreamOrigin.of_run(self._plan.run, proven=proven)
+        self._peers.flows(self._accepted.request_id, proven=proven)
 
     def _note_event(self, silence: SilenceDetector) -> None:
         now = self._now
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -121,6 +121,8 @@
     request: str
     load: EngineWord | None = None
     """What its engine has just said, where it tells how slow its machine is."""
+    proven: bool = True
+    """Whether the process that wrote the event is the one that the run was sent to."""
 
 
 @PEER.message("gc")
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -219,9 +219,14 @@
         self.store.put(CONFIGURATION_KEY, json.dumps(document).encode())
 
     async def start_engine(
-        self, name: str, *, data_center: str = "dc-0", version: str = USUAL_VERSION
+        self,
+        name: str,
+        *,
+        data_center: str = "dc-0",
+        version: str = USUAL_VERSION,
+        listed: bool = True,
     ) -> FakeEngine:
-        """Start an engine and list it; one that was there before starts again under its id."""
+        """Start an engine, and list it; one that was there before starts again under its id."""
         address = self.addresses.get(name) or free_address()
         engine = FakeEngine(
             target_id=name,
@@ -234,6 +239,8 @@
         self._fleet[str(address)] = engine
         self.engines[name] = engine
         await self._start_target(name, address, engine.run)
+        if not listed:
+            return engine
         self.list_target(
             name,
             service="engines",
--- a/lagoonlever/tests/version_records_tests.py
+++ b/lagoonlever/tests/version_records_tests.py
@@ -226,6 +226,46 @@
     run_site(story, engines=0)
 
 
+def test_a_stream_that_began_at_an_unlisted_process_goes_on_nowhere_else() -> None:
+    """Soak seed 23: an engine was back under its id as another version, and the list not yet."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v1=2, v2=1)
+        versions = site.vms["vm-0"].daemon.parts.beliefs.versions
+        await until(lambda: versions.has_several("engines"))
+        for name in ("v1-1", "v2-0"):
+            list_again(site, name, state="draining")
+        await until(lambda: serving(site, "vm-0", "v2") == [])
+        site.crash("v1-0")
+        await trio.sleep(0.05)
+        await site.start_engine("v1-0", version="v2", listed=False)
+
+        def on_event(count: int) -> None:
+            if count == LOST_AT // 2:
+                list_again(site, "v1-1", state="ready")
+            if count == LOST_AT * 4:
+                site.crash("v1-0")
+
+        stream = await site.stream("p-1", events=EVENTS, on_event=on_event, Deadline_Ms="3000")
+        assert stream.last_event >= LOST_AT
+        assert stream.versions == {"v2"}
+
+    run_site(story, engines=0)
+
+
+def list_again(site: GatewaySite, name: str, *, state: str) -> None:
+    """Write an engine's entry again, of the process that was listed first."""
+    engine = site.engines[name]
+    site.list_target(
+        name,
+        service="engines",
+        state=state,
+        started_ms=engine.started_ms,
+        version=engine.version,
+    )
+
+
 def test_the_version_is_looked_at_once_more_right_before_the_send() -> None:
     """Between choice and write another version takes over the engine's id."""
 
