No event is lost where another process answers than one of the stream's version

Cause: asked which process answers after the first event had been counted as passed on; an attempt that was left then had lost that event. What callers saw: a gap in the stream. Change: the question comes before the event is looked at.

--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -408,12 +408,15 @@
 
     async def _pass_on(self, arrived: list[RawEvent], silence: SilenceDetector) -> None:
         for event in arrived:
+            proven = self._flowing or await self._is_writer_proven()
+            if not proven and self._life.origin is not None:
+                raise _Ended("another process may have answered than one of the stream's version")
             verdict = self._life.check_event(event.id)
             if verdict is EventVerdict.OUT_OF_ORDER:
                 raise _Ended(f"event {event.id} came after {self._life.position}")
             if not self._flowing:
                 # Others know before the caller does: this VM may die right after.
-                self._tell_begun(proven=await self._is_writer_proven())
+                self._tell_begun(proven=proven)
             if verdict is EventVerdict.FORWARD:
                 self._life.timing.record_event(self._now)
                 self._counts.event()
@@ -436,8 +439,6 @@
 
     def _tell_begun(self, *, proven: bool) -> None:
         """Bind the stream to the version that writes its first event, and tell the other VMs."""
-        if self._life.origin is not None and not proven:
-            raise _Ended("another process may have answered than the one of the stream's version")
         if self._life.origin is None:
             self._life.origin = StreamOrigin.of_run(self._plan.run, proven=proven)
         self._peers.flows(self._accepted.request_id, proven=proven)
--- a/lagoonlever/tests/version_records_tests.py
+++ b/lagoonlever/tests/version_records_tests.py
@@ -380,3 +380,37 @@
         assert second.status == 503
 
     run_site(story, engines=0)
+
+
+def test_no_event_is_lost_where_another_process_answers_than_one_of_the_version() -> None:
+    """Soak seed 21: the event at which that was found had counted as passed on already."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v1=3, v2=1)
+        versions = site.vms["vm-0"].daemon.parts.beliefs.versions
+        await until(lambda: versions.has_several("engines"))
+        for name in ("v1-1", "v1-2", "v2-0"):
+            list_again(site, name, state="draining")
+        await until(lambda: serving(site, "vm-0", "v1") == ["v1-0"])
+
+        async def be_back() -> None:
+            await trio.sleep(0.5)
+            list_again(site, "v1-2", state="ready")
+
+        def on_event(count: int) -> None:
+            if count == LOST_AT:
+                list_again(site, "v1-1", state="ready")
+            if count == LOST_AT * 4:
+                # Its reports tell another start than the list.
+                site.engines["v1-1"].started_ms = 2_000_000_000_000
+                site.engines["v1-1"].copies.clear()
+                site.crash("v1-0")
+                site.nursery.start_soon(be_back)
+
+        stream = await site.stream("p-1", events=EVENTS, on_event=on_event)
+        assert site.engines["v1-1"].seen
+        assert stream.whole
+        assert stream.is_events("p-1", 1, EVENTS)
+
+    run_site(story, engines=0)
