The first process of a new version under an engine's id binds no stream to the former version

Cause: an engine was back under its id as the first process of another version, and the list not yet. With one version known nobody asked for the start of the process, and a report of another start was taken to be of the service's only version. So a stream that began there was bound to the former version, and went on at an engine of that.

Change: every engine that tells its start is asked as the first event comes. A process that tells another start has no version until its own entry names that start, and the stream's origin is resolved by it then. A lost question leaves the listed version, while a service has only one.

Why it holds: a version is taken from the entry of the process that wrote the event, or from no other one's.

--- a/lagoonlever/decisions/streams/stream_origins.py
+++ b/lagoonlever/decisions/streams/stream_origins.py
@@ -21,6 +21,19 @@
 """Upper bound of the streams that are remembered, some 16 MB; beyond it the oldest are removed."""
 
 
+@attrs.frozen(kw_only=True)
+class Writer:
+    """The process that wrote the first event of an answer, by its engine's own report."""
+
+    proven: bool
+    """Whether it is the process that the run was sent to, as the list names it."""
+    started_ms: int | None = None
+    """Its start, if the engine tells it."""
+
+
+PROVEN = Writer(proven=True)
+
+
 @attrs.frozen(kw_only=True)
 class StreamOrigin:
     """The beginning of a stream: the request that brought the first event, and who wrote it."""
@@ -34,13 +47,20 @@
     """Start time of the engine's process, as known when the request was sent."""
 
     @classmethod
-    def of_run(cls, run: EngineRun, *, proven: bool) -> StreamOrigin:
+    def of_run(cls, run: EngineRun, writer: Writer) -> StreamOrigin:
         """Create the origin of the stream of a run that has given its first event.
 
-        Unless it is ``proven`` that the run's process wrote it, the version stays unknown.
+        If another process wrote it than the one that the run was sent to, the version stays
+        unknown until the list names that process.
         """
-        if not proven:
-            return cls(request=run.stream, service=run.service, version=None)
+        if not writer.proven:
+            return cls(
+                request=run.stream,
+                service=run.service,
+                version=None,
+                engine=run.engine if writer.started_ms is not None else "",
+                engine_started_ms=writer.started_ms,
+            )
         return cls(
             request=run.stream,
             service=run.service,
@@ -54,7 +74,7 @@
         if self.version is not None:
             return self
         engine = targets.find(self.engine)
-        if engine is None or engine.has_restarted_since(self.engine_started_ms):
+        if engine is None or engine.started_ms != self.engine_started_ms:
             return self
         return attrs.evolve(self, version=engine.version)
 
--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -340,13 +340,11 @@
         """
         self._in_doubt.discard(target_id)
 
-    def record_restart(
-        self, target_id: str, started_ms: int, *, version: str | None = None
-    ) -> bool:
+    def record_restart(self, target_id: str, started_ms: int) -> bool:
         """Record the start that a target itself reports; return whether it has restarted.
 
         The report takes precedence over the target's entry, which may be read later and be older.
-        ``version`` is that of the new process, if it is known before an entry names it.
+        The version of the new process is unknown until its own entry names it.
         """
         known = self._targets.get(target_id)
         self._in_doubt.discard(target_id)
@@ -355,7 +353,7 @@
         if known.started_ms is None:
             self._targets[target_id] = attrs.evolve(known, started_ms=started_ms)
             return False
-        self._targets[target_id] = attrs.evolve(known, started_ms=started_ms, version=version)
+        self._targets[target_id] = attrs.evolve(known, started_ms=started_ms, version=None)
         self._former_starts[target_id] = known.started_ms
         self._replaced_at.pop(target_id, None)
         self._announcements.forget(target_id)
--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -93,8 +93,7 @@
     def take_start(self, target_id: str, started_ms: int) -> None:
         """Take the start of its process that a target tells in an answer."""
         former = self._beliefs.targets.process_start(target_id)
-        version = self._only_version(target_id)
-        if self._beliefs.targets.record_restart(target_id, started_ms, version=version):
+        if self._beliefs.targets.record_restart(target_id, started_ms):
             self._note_start(target_id, former, source="its own answer")
 
     def take_leaving(self, target_id: str, started_ms: int | None, *, source: str) -> bool:
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -11,7 +11,7 @@
 from lagoonlever.decisions.fleet.roles import Roles
 from lagoonlever.decisions.fleet.update_routing import placement_hubs, sends_directly
 from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
-from lagoonlever.decisions.streams.stream_origins import StreamOrigin
+from lagoonlever.decisions.streams.stream_origins import PROVEN, StreamOrigin, Writer
 from lagoonlever.gateway import events_paths as events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
@@ -128,7 +128,7 @@
         if self._beliefs.book.record_copy(request, copy):
             self._relay.tell(RunCopied(request=request, copy=copy))
 
-    def flows(self, request: str, *, proven: bool = True) -> None:
+    def flows(self, request: str, writer: Writer = PROVEN) -> None:
         """Note the first event of a run of this VM, and tell the others.
 
         With what the engine has just said of itself: so everyone hears of each engine as often
@@ -137,12 +137,12 @@
         now = self._timers.now
         self._beliefs.book.record_first_event(request, now)
         run = self._beliefs.book.find_run(request)
-        origin = self._record_origin(run, proven=proven)
+        origin = self._record_origin(run, writer)
         if origin is not None:
             for notify in self._on_stream_begun:
                 notify(origin)
         word = self._beliefs.loads.latest_report(run.engine) if run is not None else None
-        self._relay.tell(RunFlows(request=request, load=EngineWord.of(word, now), proven=proven))
+        self._relay.tell(RunFlows(request=request, load=EngineWord.of(word, now), writer=writer))
 
     def end(self, ended: RunEnded) -> None:
         """Note the end of a run of this VM, and tell the others."""
@@ -188,7 +188,7 @@
             for run in told.runs:
                 self._beliefs.book.record_reported_run(run, now)
                 if run.flowing:
-                    self._beliefs.origins.record_all((StreamOrigin.of_run(run, proven=True),), now)
+                    self._beliefs.origins.record_all((StreamOrigin.of_run(run, PROVEN),), now)
             self._beliefs.origins.record_all(told.origins, now)
 
     async def _receive_book_asks(self) -> None:
@@ -236,19 +236,19 @@
             return
         elif isinstance(change, RunFlows):
             book.record_first_event(change.request, self._timers.now)
-            self._record_origin(book.find_run(change.request), proven=change.proven)
+            self._record_origin(book.find_run(change.request), change.writer)
             self._take_load(change)
         elif isinstance(change, RunCopied):
             book.record_copy(change.request, change.copy)
         else:
             self._end(change)
 
-    def _record_origin(self, run: EngineRun | None, *, proven: bool) -> StreamOrigin | None:
+    def _record_origin(self, run: EngineRun | None, writer: Writer) -> StreamOrigin | None:
         """Record where the stream of a run began, now that its caller gets events of it."""
         if run is None:
             return None
         now = self._timers.now
-        origin = StreamOrigin.of_run(run, proven=proven)
+        origin = StreamOrigin.of_run(run, writer)
         self._beliefs.origins.record(origin, now)
         self._beliefs.versions.record_begin(run.service, origin.version, run.engine, now)
         return origin
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -20,7 +20,7 @@
 )
 from lagoonlever.decisions.streams.silence import AttemptLost as SilenceLost
 from lagoonlever.decisions.streams.stream_lifecycle import EventVerdict, StreamLifecycle
-from lagoonlever.decisions.streams.stream_origins import StreamOrigin
+from lagoonlever.decisions.streams.stream_origins import PROVEN, StreamOrigin, Writer
 from lagoonlever.decisions.targets.limit_permits import Denied
 from lagoonlever.decisions.targets.replacements import LivenessSigns
 from lagoonlever.exceptions import BadResponse, ConnectionBroken
@@ -408,40 +408,42 @@
 
     async def _pass_on(self, arrived: list[RawEvent], silence: SilenceDetector) -> None:
         for event in arrived:
-            proven = self._flowing or await self._is_writer_proven()
-            if not proven and self._life.origin is not None:
+            writer = None if self._flowing else await self._find_writer()
+            if writer is not None and not writer.proven and self._life.origin is not None:
                 raise _Ended("another process may have answered than one of the stream's version")
             verdict = self._life.check_event(event.id)
             if verdict is EventVerdict.OUT_OF_ORDER:
                 raise _Ended(f"event {event.id} came after {self._life.position}")
-            if not self._flowing:
+            if writer is not None:
                 # Others know before the caller does: this VM may die right after.
-                self._tell_begun(proven=proven)
+                self._tell_begun(writer)
             if verdict is EventVerdict.FORWARD:
                 self._life.timing.record_event(self._now)
                 self._counts.event()
                 await self._accepted.exchange.write(event.data)
             self._note_event(silence)
 
-    async def _is_writer_proven(self) -> bool:
-        """Check whether the process that answers is the one that the list names.
+    async def _find_writer(self) -> Writer:
+        """Return the process that answers, which may be another one than the list names.
 
         An engine may have started again under its id, as another version, before the request was
         sent. Its open connection and a report of now are of one process.
         """
         run = self._plan.run
-        several = self._tools.beliefs.versions.has_several(run.service)
-        if not several or run.engine_started_ms is None:
-            return True
+        if run.engine_started_ms is None:
+            return PROVEN
         report = await self._tools.prober.ask(self._plan.engine, since=self._started)
         self._take_report(report)
-        return report is not None and report.started_ms in (None, run.engine_started_ms)
+        if report is None:
+            return Writer(proven=not self._tools.beliefs.versions.has_several(run.service))
+        proven = report.started_ms in (None, run.engine_started_ms)
+        return Writer(proven=proven, started_ms=report.started_ms)
 
-    def _tell_begun(self, *, proven: bool) -> None:
+    def _tell_begun(self, writer: Writer) -> None:
         """Bind the stream to the version that writes its first event, and tell the other VMs."""
         if self._life.origin is None:
-            self._life.origin = StreamOrigin.of_run(self._plan.run, proven=proven)
-        self._peers.flows(self._accepted.request_id, proven=proven)
+            self._life.origin = StreamOrigin.of_run(self._plan.run, writer)
+        self._peers.flows(self._accepted.request_id, writer)
 
     def _note_event(self, silence: SilenceDetector) -> None:
         now = self._now
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -12,7 +12,7 @@
 
 from lagoonlever.decisions.fleet.peer_table import PeerState
 from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
-from lagoonlever.decisions.streams.stream_origins import StreamOrigin
+from lagoonlever.decisions.streams.stream_origins import PROVEN, StreamOrigin, Writer
 from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.decisions.targets.load_view import SLOWDOWN_DURATION_S
 from lagoonlever.decisions.targets.reported_load import LoadReport, ReportedLoad
@@ -121,8 +121,8 @@
     request: str
     load: EngineWord | None = None
     """What its engine has just said, where it tells how slow its machine is."""
-    proven: bool = True
-    """Whether the process that wrote the event is the one that the run was sent to."""
+    writer: Writer = PROVEN
+    """The process that wrote the event."""
 
 
 @PEER.message("gc")
--- a/lagoonlever/tests/version_records_tests.py
+++ b/lagoonlever/tests/version_records_tests.py
@@ -254,6 +254,58 @@
     run_site(story, engines=0)
 
 
+def test_a_stream_at_the_first_process_of_a_new_version_goes_on_nowhere_else() -> None:
+    """Only one version is listed as an engine is back under its id as another one."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v1=2)
+        list_again(site, "v1-1", state="draining")
+        await until(lambda: len(serving(site, "vm-0", "v1")) == 1)
+        site.crash("v1-0")
+        await trio.sleep(0.05)
+        await site.start_engine("v1-0", version="v2", listed=False)
+
+        def on_event(count: int) -> None:
+            if count == LOST_AT // 2:
+                list_again(site, "v1-1", state="ready")
+            if count == LOST_AT * 4:
+                site.crash("v1-0")
+
+        stream = await site.stream("p-1", events=EVENTS, on_event=on_event, Deadline_Ms="3000")
+        assert stream.last_event >= LOST_AT
+        assert stream.versions == {"v2"}
+
+    run_site(story, engines=0)
+
+
+def test_a_stream_goes_on_at_its_version_once_the_list_names_the_process_that_began_it() -> None:
+    """Its engine was back under its id, and the list named the new process only then."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v1=2)
+        list_again(site, "v1-1", state="draining")
+        await until(lambda: len(serving(site, "vm-0", "v1")) == 1)
+        site.crash("v1-0")
+        await trio.sleep(0.05)
+        await site.start_engine("v1-0", version="v2", listed=False)
+
+        def on_event(count: int) -> None:
+            if count == LOST_AT // 2:
+                list_again(site, "v1-0", state="ready")
+            if count == LOST_AT * 4:
+                site.crash("v1-0")
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lambda: start_versions(site, v2=1))
+            stream = await site.stream("p-1", events=EVENTS, on_event=on_event)
+        assert stream.whole
+        assert stream.versions == {"v2"}
+
+    run_site(story, engines=0)
+
+
 def list_again(site: GatewaySite, name: str, *, state: str) -> None:
     """Write an engine's entry again, of the process that was listed first."""
     engine = site.engines[name]
