Two prompts that end engines, as the first work of a fleet, shut out nobody else

Cause: a VM that has just started knows no sound part, and what all requests share is at every end. Two prompts that end engines brought it to three ends under two requests, and it was barred for ten minutes, in which no answer could clear it. What other VMs were answering was heard of only with the end of a stream.

What callers saw: all requests of a route refused, 'only deadly requests are barred' in the soak.

Change: a part is sound at each VM that hears of all runs from the first event of an answer on, and is cleared there then. Of the ends from before a VM knew of answers, two requests that may explain all of them convict no part below four ends. While no answer is known a part is barred for 5 s, a minute from the fifth end on.

Why it holds: what tells a popular part from a cause are answers, so without them nobody is shut out for longer than it takes to try again, and requests with the part still go to one engine from the second end on.

--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -38,7 +38,10 @@
     GATHERING_CRASHES,
     PartSet,
     find_part_causes,
+    is_cause,
+    is_explained_by_few,
     started_crashes,
+    unanswered_block_s,
 )
 from lagoonlever.decisions.engines.suspects import SuspectKind, Suspects, kind_of
 from lagoonlever.decisions.engines.target_crashes import (
@@ -132,6 +135,8 @@
     """Parts that are causes; those that can't be told apart as one set."""
     _suspect_parts: tuple[PartSet, ...] = ()
     """The same for parts that one more crash may show to be causes."""
+    _answers_since: float | None = float("-inf")
+    """Since when this VM knows on which parts answers begin; None if it has heard of none."""
     _answers: dict[str, _Answer] = attrs.field(factory=dict)
     """The last whole answer to each request, the oldest first."""
     _clearings: dict[str, _Clearing] = attrs.field(factory=dict)
@@ -152,6 +157,12 @@
         """The parts that are taken for causes; those that can't be told apart as one set."""
         return self._part_causes
 
+    def set_answers_since(self, since: float | None) -> None:
+        """Set since when this VM knows on which parts answers begin, None if it does not."""
+        if since != self._answers_since:
+            self._answers_since = since
+            self._find_causes()
+
     def record_crash(self, fingerprint: str, process: str, crash: Crash) -> bool:
         """Record a crash of a process under a request; return whether it adds information.
 
@@ -247,7 +258,8 @@
             if not cause.issubset(parts):
                 continue
             processes = started_crashes(self._crashes[next(iter(cause))])
-            remaining_s = _last_crash_at(processes) + BLOCK_S - now
+            block_s = unanswered_block_s(processes) if self._answers_since is None else BLOCK_S
+            remaining_s = _last_crash_at(processes) + block_s - now
             if remaining_s > 0:
                 return Block(crash_count=len(processes), remaining_s=remaining_s, parts=cause)
         return None
@@ -322,9 +334,21 @@
 
     def _find_part_causes(self) -> None:
         parts = self._of_kind(SuspectKind.PART)
-        self._part_causes = find_part_causes(parts, min_crashes=BLOCKING_CRASHES)
+        causes = find_part_causes(parts, min_crashes=BLOCKING_CRASHES)
+        self._part_causes = tuple(cause for cause in causes if self._is_certain(cause))
         self._suspect_parts = find_part_causes(parts, min_crashes=GATHERING_CRASHES)
 
+    def _is_certain(self, cause: PartSet) -> bool:
+        """Check whether crashes from before answers were known are enough, or those since."""
+        processes = self._crashes[next(iter(cause))]
+        if not is_explained_by_few(processes):
+            return True
+        since = self._answers_since
+        return since is not None and is_cause(
+            {name: crash for name, crash in processes.items() if crash.at >= since},
+            min_crashes=BLOCKING_CRASHES,
+        )
+
     def _find_causes(self) -> None:
         self._find_part_causes()
         causes = frozenset[str]().union(*self._part_causes)
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -9,7 +9,7 @@
 import contextlib
 import random
 import time
-from collections.abc import Container, Iterator
+from collections.abc import Callable, Container, Iterator
 
 import attrs
 import logbook
@@ -41,6 +41,7 @@
 
 log = logbook.Logger(__name__)
 
+ALWAYS = float("-inf")
 LOOK_PERIOD_S = 0.9
 """How often a VM that hears no other one reads the record: well within the time in which
 others are told by messages. A multiple of the time between its own words, for one wake-up."""
@@ -69,6 +70,8 @@
     _client: TargetClient
     _tally: Tally
     _rng: random.Random
+    _hears_runs: Callable[[], bool]
+    """Whether this VM hears of all runs, and not only of crashes, from its hubs."""
     _suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
     _sound: SoundParts = attrs.field(factory=SoundParts)
     _records: CrashRecords = attrs.field(init=False)
@@ -146,6 +149,7 @@
         """
         if not self._suspects.crashes:
             return None
+        self._note_answers()
         avoidance, now = self._beliefs.book.avoidance, self._timers.now
         gathering = self._suspects.find_gathering(accepted.suspects, now)
         if gathering is None:
@@ -220,10 +224,16 @@
         for part in self._suspects.suspected(parts):
             self._clear(part, accepted)
 
-    def learn_sound(self, run: EngineRun) -> None:
-        """Record that a run of any VM was answered whole, and so the parts that it shares."""
-        parts = part_suspects(service=run.service, model=run.model, shared=run.shared)
-        self._sound.record_begin(parts, self._timers.now)
+    def learn_begun(self, run: EngineRun) -> None:
+        """Record that the answer to a run of any VM has begun, and so that its parts are sound."""
+        parts, now = self._parts_of(run), self._timers.now
+        self._sound.record_begin(parts, now)
+        for part in self._suspects.suspected(parts):
+            # Every VM that hears of runs finds this by itself.
+            self._suspects.record_answer(part, now, is_own=False)
+
+    def _parts_of(self, run: EngineRun) -> tuple[str, ...]:
+        return part_suspects(service=run.service, model=run.model, shared=run.shared)
 
     def _clear(self, suspect: str, accepted: Accepted) -> None:
         if not self._suspects.record_answer(suspect, self._timers.now, is_own=True):
@@ -239,8 +249,17 @@
     def _find_block(self, accepted: Accepted) -> Block | None:
         if not self._suspects.crashes:
             return None
+        self._note_answers()
         return self._suspects.find_any_block(accepted.suspects, self._timers.now)
 
+    def _note_answers(self) -> None:
+        """Tell the registry since when this VM knows sound parts.
+
+        One that does not hear of all runs is told of crashes by hubs, which leave sound parts out.
+        """
+        since = self._sound.known_since(self._timers.now) if self._hears_runs() else ALWAYS
+        self._suspects.set_answers_since(since)
+
     def _note(self, accepted: Accepted, target: ListedTarget, weight: float) -> bool:
         """Count an end that this VM saw; return whether it is news."""
         fingerprint, now = accepted.fingerprint, self._timers.now
@@ -284,6 +303,7 @@
 
     def _take_news(self) -> None:
         """End what may not go on after ends were recorded or told."""
+        self._note_answers()
         self._note_barred()
         for work in [work for opened in self._open.values() for work in opened]:
             if self.is_barred(work.accepted) or self._is_misplaced(work):
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -396,8 +396,9 @@
             client=self.client,
             tally=self.reporter.tally,
             rng=self.rng,
+            hears_runs=self.peers.holds_book,
         )
-        self.peers.on_whole_run(crashes.learn_sound)
+        self.peers.on_run_begun(crashes.learn_begun)
         self.presence.on_greeting(crashes.greet)
         self.presence.on_meeting(crashes.greet)
         return crashes
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -57,7 +57,7 @@
     _vm: str
     _relay: RunRelay = attrs.field(init=False)
     _on_engine_lost: list[Callable[[str], None]] = attrs.field(factory=list)
-    _on_whole_run: list[Callable[[EngineRun], None]] = attrs.field(factory=list)
+    _on_run_begun: list[Callable[[EngineRun], None]] = attrs.field(factory=list)
     _on_stream_begun: list[Callable[[StreamOrigin], None]] = attrs.field(factory=list)
     _on_stream_completed: list[Callable[[str], None]] = attrs.field(factory=list)
 
@@ -98,9 +98,9 @@
         self._on_stream_begun.append(begun)
         self._on_stream_completed.append(completed)
 
-    def on_whole_run(self, notify: Callable[[EngineRun], None]) -> None:
-        """Have ``notify`` called with each run of any VM whose answer was given whole."""
-        self._on_whole_run.append(notify)
+    def on_run_begun(self, notify: Callable[[EngineRun], None]) -> None:
+        """Have ``notify`` called with each run of another VM whose answer has begun."""
+        self._on_run_begun.append(notify)
 
     def greet(self, newcomer: Address) -> None:
         """Tell a VM that has just come of the open runs, where every VM hears of all.
@@ -188,6 +188,7 @@
             for run in told.runs:
                 self._beliefs.book.record_reported_run(run, now)
                 if run.flowing:
+                    self._tell_run_begun(run)
                     self._beliefs.origins.record_all((StreamOrigin.of_run(run, PROVEN),), now)
             self._beliefs.origins.record_all(told.origins, now)
 
@@ -236,13 +237,20 @@
             return
         elif isinstance(change, RunFlows):
             book.record_first_event(change.request, self._timers.now)
-            self._record_origin(book.find_run(change.request), change.writer)
+            run = book.find_run(change.request)
+            self._record_origin(run, change.writer)
+            if run is not None:
+                self._tell_run_begun(run)
             self._take_load(change)
         elif isinstance(change, RunCopied):
             book.record_copy(change.request, change.copy)
         else:
             self._end(change)
 
+    def _tell_run_begun(self, run: EngineRun) -> None:
+        for notify in self._on_run_begun:
+            notify(run)
+
     def _record_origin(self, run: EngineRun | None, writer: Writer) -> StreamOrigin | None:
         """Record where the stream of a run began, now that its caller gets events of it."""
         if run is None:
@@ -267,8 +275,6 @@
         run = self._beliefs.book.find_run(ended.request)
         if ended.whole and run is not None:
             self._beliefs.origins.discard(run.stream)
-            for notify in self._on_whole_run:
-                notify(run)
         self._beliefs.book.record_end(
             ended.request,
             self._timers.now,
--- a/lagoonlever/tests/deadly_parts_tests.py
+++ b/lagoonlever/tests/deadly_parts_tests.py
@@ -14,6 +14,8 @@
 LATER = 3
 """Requests that may still reach an engine after the fifth has ended."""
 STABLE_S = 1.0
+LONG = 1_500
+"""Events of a stream that a story ends."""
 SLOW = 1_000.0
 """Tokens that an engine reads a second."""
 
@@ -145,6 +147,31 @@
     run_site(story, engines=40, vms=3)
 
 
+def test_what_begins_at_one_vm_is_sound_for_all() -> None:
+    """Prompts that end engines come to a VM that has answered nothing itself."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        site.deadly |= {"deadly-1", "deadly-2"}
+        begun = trio.Event()
+
+        async def stream_long() -> None:
+            await site.stream(
+                "long", shared=("system",), events=LONG, on_event=lambda _: begun.set()
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stream_long)
+            await begun.wait()
+            for part in ("deadly-1", "deadly-2"):
+                await site.stream(part, shared=("system",), vm="vm-1")
+            answer = await site.stream("sound", shared=("system",), vm="vm-1")
+            nursery.cancel_scope.cancel()
+        assert answer.whole and answer.status == 200
+
+    run_site(story, engines=40, vms=2)
+
+
 def test_the_last_part_of_a_prompt_is_the_request_s_own() -> None:
     """Guards against counting it twice: by the request, and as a part."""
 
