The soak sends requests that share a part which ends engines

No two of them are alike; they come beside a deadly prompt and sound requests. The judge holds them to the users' rule: from 3 s after the fifth end in calm at most three reach an engine. `soak` draws one such part (`--deadly-parts`); tests that name a size draw none unless they ask. The stand-in's judge reads parts off the prompt's field, and no longer off the body: a shared part is in no body.

--- a/lagoonlever/commands/soak.py
+++ b/lagoonlever/commands/soak.py
@@ -27,6 +27,9 @@
     deadly: Annotated[
         int, typer.Option(min=0, max=4, help="Prompts that end each engine that runs them.")
     ] = 1,
+    deadly_parts: Annotated[
+        int, typer.Option(min=0, max=4, help="Parts of prompts that end each engine.")
+    ] = 1,
     logs: Annotated[Path | None, typer.Option(help="Where the processes' logs are kept.")] = None,
 ) -> None:
     """Play faults against gateways on this machine, and check what callers and targets see.
@@ -34,7 +37,9 @@
     Prints a line for each run, and for each promise that was broken. The processes that it
     starts end with it. Exits with 1 if a promise was broken.
     """
-    size = SoakSize(vms=vms, callers=callers, length_s=length_s, deadly=deadly)
+    size = SoakSize(
+        vms=vms, callers=callers, length_s=length_s, deadly=deadly, deadly_parts=deadly_parts
+    )
     chosen = seeds or [random.SystemRandom().getrandbits(SEED_BITS) for _ in range(runs)]
     broken = False
     for seed in chosen:
--- a/lagoonlever/platform/documents.py
+++ b/lagoonlever/platform/documents.py
@@ -22,6 +22,8 @@
 from lagoonlever.platform.entry_calls import RESOLVE_PATH, Addresses
 from lagoonlever.platform.targets import DRAINING
 
+SHARED_TOKENS = 10
+"""Tokens of each part that a prompt shares."""
 _KIND_NAMES = {
     RouteKind.IDEMPOTENT: "idempotent",
     RouteKind.NON_IDEMPOTENT: "non_idempotent",
@@ -121,15 +123,19 @@
     output_tokens: int,
     last_event_id: int | None,
     resumes: str | None = None,
+    shared: tuple[str, ...] = ("shared",),
 ) -> list[tuple[str, str]]:
     """Return the fields of a request for a stream; ``part`` is the prompt's own.
 
-    ``resumes`` is the request that brought the first event of a stream that goes on.
+    ``shared`` are the parts before it. ``resumes`` is the request that brought the first event of
+    a stream that goes on.
     """
+    parts = [f"{each}:{SHARED_TOKENS}" for each in shared]
+    parts.append(f"{part}:{prompt_tokens - SHARED_TOKENS * len(shared)}")
     sent = [
         (fields.MODEL, "m"),
         (fields.TOKEN_COUNT, f"{prompt_tokens},{output_tokens}"),
-        (fields.PROMPT_PARTS, f"shared:10,{part}:{prompt_tokens - 10}"),
+        (fields.PROMPT_PARTS, ",".join(parts)),
     ]
     if last_event_id is not None:
         sent.append((fields.LAST_EVENT_ID, str(last_event_id)))
--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -37,6 +37,8 @@
 FIRST_OTHER = 500
 """The number of the first caller that sends no mixed work: those of one deadly prompt must be of
 one organisation, as the prompt is another request for each."""
+FIRST_SHARING = 600
+"""The number of the first caller whose requests share a deadly part."""
 DEADLY_PAUSE_S = (0.05, 0.5)
 """Between two returns of a caller whose prompt ends engines."""
 
@@ -82,6 +84,16 @@
             await self._drop()
             await trio.sleep(self.rng.uniform(*DEADLY_PAUSE_S))
 
+    async def run_deadly_part(self, part: str) -> None:
+        """Send requests that share a part which ends each engine, no two alike, until cancelled."""
+        while True:
+            route = self.site.deployment.stream_routes[0]
+            own = f"{self.rng.getrandbits(64):016x}"
+            self._began = None
+            await self._stream_once(route, own, EVENTS[1], 0, None, shared=("shared", part))
+            await self._drop()
+            await trio.sleep(self.rng.uniform(*DEADLY_PAUSE_S))
+
     async def call(self, kind: str) -> int:
         """Send a bid or a lookup, again as the rules allow; gives the last status."""
         status = 0
@@ -137,7 +149,14 @@
         return response.status
 
     async def _stream_once(
-        self, route: str, part: str, events: int, told: int, leave_at: int | None
+        self,
+        route: str,
+        part: str,
+        events: int,
+        told: int,
+        leave_at: int | None,
+        *,
+        shared: tuple[str, ...] = ("shared",),
     ) -> tuple[int, bool]:
         request = self._new_id("stream")
         if not told:
@@ -150,6 +169,7 @@
             output_tokens=events * EVENT_TOKENS,
             last_event_id=told or None,
             resumes=self._began,
+            shared=shared,
         )
         headers = self._headers(request, STREAM_DEADLINE_S, more)
         splitter = RawEventSplitter()
@@ -177,7 +197,7 @@
         self.judge.answered("stream", request, head.status)
         if head.headers.get(REASON_HEADER) == Reason.CANNOT_RESUME.value:
             self.judge.counts["streams not taken up"] += 1
-        if part not in self.site.deadly:
+        if self.site.deadly.isdisjoint((*shared, part)):
             self.judge.refused(request, head.headers.get(REASON_HEADER))
         if head.status == OK:
             self.judge.stream_ended(part, told, events)
--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -16,6 +16,8 @@
 OK = 200
 MOST_ENDED = 3
 """Engines that may end under one prompt before it is stopped."""
+MOST_ENDED_BY_PART = 5
+"""Engines that may end under different prompts that share a part, before it is stopped."""
 STOPPED_AFTER_S = 3.0
 """From the last of these until every VM that was not harmed knows."""
 ALLOWED_AFTER = 3
@@ -54,6 +56,8 @@
     _once: set[str] = attrs.field(factory=set)
     """Ids of requests that may run once at most."""
     _told_not_run: set[str] = attrs.field(factory=set)
+    _shared_parts: set[str] = attrs.field(factory=set)
+    """Deadly parts that different prompts share."""
     _ended_at: dict[str, list[float]] = attrs.field(factory=dict)
     """When engines ended under each deadly prompt."""
     _versions: dict[str, str] = attrs.field(factory=dict)
@@ -102,6 +106,10 @@
                 detail = f"{rank}: {share:.0%} of {asked} were served, {all_served:.0%} of all"
                 self.break_promise("every rank is served", detail)
 
+    def record_shared(self, part: str) -> None:
+        """Record that different prompts share a deadly part."""
+        self._shared_parts.add(part)
+
     def ended(self, part: str, now: float) -> None:
         """Note that an engine has ended under a deadly prompt."""
         self.counts["engines ended by a prompt"] += 1
@@ -110,7 +118,8 @@
     def reached(self, part: str, now: float, *, calm: bool) -> None:
         """Note that a deadly prompt has reached an engine; ``calm`` if nothing was harmed."""
         ends = self._ended_at.get(part, [])
-        if not calm or len(ends) < MOST_ENDED or now - ends[MOST_ENDED - 1] < STOPPED_AFTER_S:
+        most = MOST_ENDED_BY_PART if part in self._shared_parts else MOST_ENDED
+        if not calm or len(ends) < most or now - ends[most - 1] < STOPPED_AFTER_S:
             return
         self._reached[part] += 1
         if self._reached[part] > ALLOWED_AFTER:
--- a/lagoonlever/soak/run.py
+++ b/lagoonlever/soak/run.py
@@ -12,7 +12,7 @@
 from lagoonlever.http.client import fetch
 from lagoonlever.platform.documents import caller_headers
 from lagoonlever.platform.entry_calls import READY_PATH
-from lagoonlever.soak.callers import FIRST_OTHER, SoakCaller
+from lagoonlever.soak.callers import FIRST_OTHER, FIRST_SHARING, SoakCaller
 from lagoonlever.soak.deployments import (
     HOST,
     ORGANISATION,
@@ -48,6 +48,8 @@
     length_s: float = 15.0
     deadly: int = 0
     """Prompts that end each engine that runs them; each is sent by two callers."""
+    deadly_parts: int = 0
+    """Parts of different prompts that end each engine; prompts with each are sent by two."""
 
 
 @attrs.frozen(kw_only=True)
@@ -134,6 +136,13 @@
         rng = random.Random(f"{seed}-deadly-{number}")
         caller = SoakCaller(number=FIRST_OTHER + number, site=site, judge=site.judge, rng=rng)
         nursery.start_soon(caller.run_deadly, part)
+    for number in range(2 * size.deadly_parts):
+        part = f"deadly-part-{number // 2}"
+        site.deadly.add(part)
+        site.judge.record_shared(part)
+        rng = random.Random(f"{seed}-deadly-part-{number}")
+        caller = SoakCaller(number=FIRST_SHARING + number, site=site, judge=site.judge, rng=rng)
+        nursery.start_soon(caller.run_deadly_part, part)
 
 
 async def _wait_ready(site: SoakSite, limit_s: float, promise: str) -> None:
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -235,7 +235,8 @@
     def engine_dies(self, target_id: str) -> None:
         """End an engine by the prompt that it runs; another one comes at its address."""
         places = [n for n, kept in enumerate(self.engines) if kept.target.id == target_id]
-        for part in self.deadly & {run.part for run in self._runs_of(places)}:
+        runs = self._runs_of(places)
+        for part in self.deadly & {part for run in runs for part in (run.part, *run.shared)}:
             self.judge.ended(part, trio.current_time())
         for place in places:
             self.nursery.start_soon(self.restart_target, self.engines, place)
--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -11,7 +11,7 @@
 from lagoonlever.fakes.target_room import TargetRoom
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import Exchange
-from lagoonlever.platform.headers import EXPECTED_TARGET, REQUEST_ID
+from lagoonlever.platform.headers import EXPECTED_TARGET, PROMPT_PARTS, REQUEST_ID
 from lagoonlever.soak.judge import Judge
 from lagoonlever.soak.needs import NeedWatch
 
@@ -97,10 +97,11 @@
         request = headers.get(REQUEST_ID)
         if request is not None and headers.get(EXPECTED_TARGET) == self.target_id:
             self._judge.ran(request, self.target_id, headers)
-            self._tell_deadly(exchange.request.body.decode())
+            self._tell_deadly(headers)
         await super().handle(exchange)
 
-    def _tell_deadly(self, part: str) -> None:
-        if part in self._site.deadly:
-            now = trio.current_time()
+    def _tell_deadly(self, headers: Headers) -> None:
+        entries = (headers.get(PROMPT_PARTS) or "").split(",")
+        now = trio.current_time()
+        for part in self._site.deadly.intersection(entry.partition(":")[0] for entry in entries):
             self._judge.reached(part, now, calm=self._site.is_calm(now))
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -23,7 +23,7 @@
     Deployment,
     draw_deployment,
 )
-from lagoonlever.soak.judge import Judge
+from lagoonlever.soak.judge import ALLOWED_AFTER, MOST_ENDED, MOST_ENDED_BY_PART, Judge
 from lagoonlever.soak.plan import Fault, FaultKind, draw_plan
 from lagoonlever.soak.run import SoakResult, SoakSize, run_soak
 from lagoonlever.soak.site import SoakSite
@@ -120,6 +120,19 @@
     assert result.violations == ()
 
 
+def test_a_deadly_part_of_prompts_is_stopped_beside_sound_requests(tmp_path: Path) -> None:
+    """A VM is killed, and all of them, while requests that share the part come to each."""
+    size = SoakSize(engines=8, callers=10, length_s=14.0, deadly=1, deadly_parts=1)
+    plan = (
+        Fault(kind=FaultKind.VM_KILL, at_s=2.5, for_s=0.4, number=1),
+        Fault(kind=FaultKind.ALL_KILL, at_s=6.0, for_s=0.3, number=0),
+    )
+    result = play(5, tmp_path, size=size, length_s=14.0, plan=plan)
+    assert result.violations == ()
+    most = MOST_ENDED + MOST_ENDED_BY_PART + ALLOWED_AFTER
+    assert result.counts["engines ended by a prompt"] <= most
+
+
 def test_streams_stay_at_their_versions_while_vms_and_engines_end(tmp_path: Path) -> None:
     """Engines of three versions, VMs killed one by one and all at once, the store away."""
     size = SoakSize(vms=4, engines=6, runners=3, callers=12, length_s=14.0)
