--- a/lagoonlever/tests/version_room_tests.py
+++ b/lagoonlever/tests/version_room_tests.py
@@ -86,5 +86,5 @@
 def test_without_the_rule_new_streams_take_the_room(monkeypatch: pytest.MonkeyPatch) -> None:
     """The measure tells the two apart, so it can fail."""
     monkeypatch.setattr(run_placement, "engines_to_spare", lambda *_, **__: frozenset())
-    goes_on, begins = _run(75)
+    goes_on, begins = _run(195)
     assert goes_on < 0.5 * begins
