The soak takes a stream that its engine rejects for one that has not run

Its log: the one attempt that reached an engine named a copy that was gone, and was 'refused with 503'; no later attempt found a path. The engine had said that it did not run it, which is what the caller was told. The judge counted arrivals at engines as runs. It counts those that the engine accepts now; what it checks of a request's head it checks at each arrival, as before. A new test has the engine accept and reject: before, both were runs.

--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -215,6 +215,7 @@
             await self._refuse(exchange)
             return
         self.runs[run.request_id] = run
+        self.record_accepted(headers)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._cancel_when_gone, exchange, run, nursery.cancel_scope)
@@ -224,6 +225,9 @@
             self.runs.pop(run.request_id, None)
             self.room.leave(run.place)
 
+    def record_accepted(self, headers: Headers) -> None:
+        """Record a request that was not rejected, and runs."""
+
     async def _refuse(self, exchange: Exchange) -> None:
         load = self.says.load_field(self.room)
         refusal = Headers(((REFUSED, "1"), *load, *self.says.fields(refusal=True)))
--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -75,11 +75,15 @@
 
     def ran(self, request: str, target: str, headers: Headers) -> None:
         """Note that a target began to work on a request."""
+        self.arrived(request, target, headers)
         self._ran[request] += 1
         if request in self._once and self._ran[request] > 1:
             self.break_promise("at most once", f"{request} ran again, at {target}")
         if request in self._told_not_run:
             self.break_promise("not run is true", f"{request} ran at {target} after it was told")
+
+    def arrived(self, request: str, target: str, headers: Headers) -> None:
+        """Check what a target gets with a request."""
         if headers.get("Authorization") is not None:
             self.break_promise("keys stay here", f"{request} reached {target} with its key")
         if headers.get(ORGANISATION) != self._owners.get(request, self._organisation):
--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -96,10 +96,16 @@
         headers: Headers = exchange.request.headers
         request = headers.get(REQUEST_ID)
         if request is not None and headers.get(EXPECTED_TARGET) == self.target_id:
-            self._judge.ran(request, self.target_id, headers)
+            self._judge.arrived(request, self.target_id, headers)
             self._tell_deadly(headers)
         await super().handle(exchange)
 
+    def record_accepted(self, headers: Headers) -> None:
+        """Record a request that runs here; one that the engine rejects has not run."""
+        request = headers.get(REQUEST_ID)
+        if request is not None:
+            self._judge.ran(request, self.target_id, headers)
+
     def _tell_deadly(self, headers: Headers) -> None:
         entries = (headers.get(PROMPT_PARTS) or "").split(",")
         now = trio.current_time()
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -12,11 +12,13 @@
 import trio
 
 from lagoonlever.exceptions import PeerError
+from lagoonlever.fakes.platform_engine import EngineConduct
 from lagoonlever.fakes.platform_runner import Conduct
+from lagoonlever.fakes.target_room import TargetRoom
 from lagoonlever.http.client import fetch
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.server import open_listeners
-from lagoonlever.platform.headers import ORGANISATION, REQUEST_ID
+from lagoonlever.platform.headers import EXPECTED_TARGET, ORGANISATION, REQUEST_ID
 from lagoonlever.soak.deployments import (
     SHORT_TOKENS,
     UNEVEN_PACES,
@@ -27,7 +29,7 @@
 from lagoonlever.soak.plan import Fault, FaultKind, draw_plan
 from lagoonlever.soak.run import SoakResult, SoakSize, run_soak
 from lagoonlever.soak.site import SoakSite
-from lagoonlever.soak.watched import WatchedRunner
+from lagoonlever.soak.watched import WatchedEngine, WatchedRunner
 
 SHORT = SoakSize(vms=3, engines=4, runners=3, callers=6, length_s=8.0)
 UNGUARDED = (sys.executable, "-m", "lagoonlever.tests.unguarded_gateway")
@@ -346,6 +348,39 @@
     assert len(judge.violations) == broken
 
 
+@pytest.mark.parametrize("is_refused", [False, True])
+def test_a_stream_that_its_engine_rejects_has_not_run(is_refused: bool) -> None:
+    """Soak seed 2005: it was sent with a copy that was gone, and its caller told so truthfully."""
+    judge = Judge(organisation="org-1")
+    site: Any = SimpleNamespace(deadly=set())
+    engine = WatchedEngine(
+        target_id="e1",
+        fleet={},
+        judge=judge,
+        started_ms=1,
+        pace=1.0,
+        room=TargetRoom(),
+        version="v1",
+        site=site,
+    )
+    if is_refused:
+        engine.conducts.append(EngineConduct.REFUSE)
+    headers = Headers(((ORGANISATION, "org-1"), (REQUEST_ID, "stream-1"), (EXPECTED_TARGET, "e1")))
+
+    async def main() -> None:
+        listeners = await open_listeners(host="127.0.0.1", port=0)
+        host, port = listeners[0].socket.getsockname()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(engine.run, listeners)
+            address = Address(host=host, port=port)
+            await fetch(address, path="/stream/1", headers=headers, step="stream", timeout_s=5.0)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    judge.answered("stream", "stream-1", 503)
+    assert [v.promise for v in judge.violations] == ([] if is_refused else ["not run is true"])
+
+
 def test_spoilt_answers_end_with_the_faults_but_those_of_a_bad_version() -> None:
     """Guards against a last bid that is held against the VMs, as its runner was to fail it."""
     site: Any = SimpleNamespace(vms=[], vms_calm_since=lambda since: False, runners=[])
