Before any answer is known, sound requests are kept apart from those that end engines

Cause: as a fleet starts, all requests share a part under which two engines ended, so all went to one engine, the deadly ones among them. It ended before a sound one began, again and again, and nothing cleared what they share.

What callers saw: all requests barred for 5 s at a time.

Change: until an answer is known, requests are kept together by all their suspects, the request itself included. An end counts against a part if answers were known as it was recorded, or once another part of it is cleared, or if there are five.

Why it holds: a sound request shares no engine with a known suspect, so it begins as soon as engines begin anything.

--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -36,12 +36,13 @@
 from lagoonlever.decisions.engines.part_causes import (
     BLOCKING_CRASHES,
     GATHERING_CRASHES,
+    MAX_TESTED_CRASHES,
+    UNANSWERED_BLOCK_S,
+    UNTESTED_BLOCKING_CRASHES,
     PartSet,
     find_part_causes,
     is_cause,
-    is_explained_by_few,
     started_crashes,
-    unanswered_block_s,
 )
 from lagoonlever.decisions.engines.suspects import SuspectKind, Suspects, kind_of
 from lagoonlever.decisions.engines.target_crashes import (
@@ -135,8 +136,10 @@
     """Parts that are causes; those that can't be told apart as one set."""
     _suspect_parts: tuple[PartSet, ...] = ()
     """The same for parts that one more crash may show to be causes."""
-    _answers_since: float | None = float("-inf")
-    """Since when this VM knows on which parts answers begin; None if it has heard of none."""
+    _answers_known: bool = True
+    """Whether this VM knows on which parts answers begin."""
+    _tested: dict[str, None] = attrs.field(factory=dict)
+    """Processes of which the sound parts at their crash are known, the oldest first."""
     _answers: dict[str, _Answer] = attrs.field(factory=dict)
     """The last whole answer to each request, the oldest first."""
     _clearings: dict[str, _Clearing] = attrs.field(factory=dict)
@@ -157,11 +160,9 @@
         """The parts that are taken for causes; those that can't be told apart as one set."""
         return self._part_causes
 
-    def set_answers_since(self, since: float | None) -> None:
-        """Set since when this VM knows on which parts answers begin, None if it does not."""
-        if since != self._answers_since:
-            self._answers_since = since
-            self._find_causes()
+    def set_answers_known(self, known: bool) -> None:
+        """Set whether this VM knows on which parts answers begin."""
+        self._answers_known = known
 
     def record_crash(self, fingerprint: str, process: str, crash: Crash) -> bool:
         """Record a crash of a process under a request; return whether it adds information.
@@ -219,6 +220,8 @@
         processes = self._crashes.pop(fingerprint, None)
         if processes is None:
             return False
+        if kind_of(fingerprint) is SuspectKind.PART:
+            self._mark_tested(processes)
         clearing = _Clearing(answer=answer, processes=frozenset(processes))
         _store_newest(self._clearings, fingerprint, clearing, max_size=MAX_CLEARINGS)
         self._find_causes()
@@ -258,7 +261,7 @@
             if not cause.issubset(parts):
                 continue
             processes = started_crashes(self._crashes[next(iter(cause))])
-            block_s = unanswered_block_s(processes) if self._answers_since is None else BLOCK_S
+            block_s = BLOCK_S if self._answers_known else UNANSWERED_BLOCK_S
             remaining_s = _last_crash_at(processes) + block_s - now
             if remaining_s > 0:
                 return Block(crash_count=len(processes), remaining_s=remaining_s, parts=cause)
@@ -281,7 +284,8 @@
         for parts in self._suspect_parts:
             if parts.issubset(suspects.parts):
                 crashed = started_crashes(self._crashes[next(iter(parts))])
-                return Gathering(key="|".join(sorted(parts)), crashed=frozenset(crashed))
+                together = parts if self._answers_known else self._all_suspected(suspects)
+                return Gathering(key="|".join(sorted(together)), crashed=frozenset(crashed))
         is_over = (
             suspects.request in self._blocked and self.find_block(suspects.request, now) is None
         )
@@ -321,6 +325,8 @@
     def _add(self, crashes: CrashesByRequest) -> bool:
         is_new = is_changed = False
         for fingerprint, processes in crashes.items():
+            if self._answers_known:
+                self._mark_tested(processes)
             known = self._crashes.setdefault(fingerprint, {})
             for process, crash in processes.items():
                 former = known.get(process)
@@ -332,6 +338,13 @@
             self._find_causes()
         return is_new
 
+    def _all_suspected(self, suspects: Suspects) -> tuple[str, ...]:
+        """Return which suspects of a request crashed targets.
+
+        Those without the cause go to another engine than those with it, so that they begin.
+        """
+        return self.suspected((suspects.request, *suspects.parts))
+
     def _find_part_causes(self) -> None:
         parts = self._of_kind(SuspectKind.PART)
         causes = find_part_causes(parts, min_crashes=BLOCKING_CRASHES)
@@ -339,16 +352,19 @@
         self._suspect_parts = find_part_causes(parts, min_crashes=GATHERING_CRASHES)
 
     def _is_certain(self, cause: PartSet) -> bool:
-        """Check whether crashes from before answers were known are enough, or those since."""
+        """Check whether enough of the crashes are tested, or there are many."""
         processes = self._crashes[next(iter(cause))]
-        if not is_explained_by_few(processes):
-            return True
-        since = self._answers_since
-        return since is not None and is_cause(
-            {name: crash for name, crash in processes.items() if crash.at >= since},
-            min_crashes=BLOCKING_CRASHES,
+        tested = {name: crash for name, crash in processes.items() if name in self._tested}
+        return len(started_crashes(processes)) >= UNTESTED_BLOCKING_CRASHES or is_cause(
+            tested, min_crashes=BLOCKING_CRASHES
         )
 
+    def _mark_tested(self, processes: Iterable[str]) -> None:
+        """Record that the sound parts at crashes are known, as far as any are."""
+        self._tested.update(dict.fromkeys(processes))
+        while len(self._tested) > MAX_TESTED_CRASHES:
+            del self._tested[next(iter(self._tested))]
+
     def _find_causes(self) -> None:
         self._find_part_causes()
         causes = frozenset[str]().union(*self._part_causes)
--- a/lagoonlever/decisions/engines/part_causes.py
+++ b/lagoonlever/decisions/engines/part_causes.py
@@ -10,8 +10,8 @@
   events, or only waited, was there by chance.
 - Crashes under one request alone may be due to its own part, so a second request is needed.
 - A VM that has heard of no answer of late knows no sound part, and what all requests share is at
-  every crash. So two requests that may explain the first crashes of that time convict no part, and
-  a block is short: while everything is refused no answer can clear it.
+  every crash. So crashes of that time convict only once another part of them was cleared, or once
+  there are many. Until then a block is short: while everything is refused no answer can clear it.
 - The cause is at all crashes. A part that is at fewer of them than another one is explained by it.
 - Parts at exactly the same crashes can't be told apart. Only requests with all of them are
   stopped. A request with some of them goes on: its answer, or one more crash, tells them apart.
@@ -19,7 +19,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -31,14 +31,12 @@
 """Crashes after which the requests with a part go to one engine."""
 MIN_REQUESTS = 2
 """Different requests that must have been at the crashes."""
-UNANSWERED_MIN_REQUESTS = 3
-"""The same where no answer is known: the least number of requests that explain all crashes."""
-UNANSWERED_CRASHES = 4
-"""Crashes that are enough there whoever asked."""
+UNTESTED_BLOCKING_CRASHES = 5
+"""Crashes after which a part is blocked though nothing is known of the parts beside it."""
 UNANSWERED_BLOCK_S = 5.0
-"""How long a part is blocked where no answer is known."""
-LONG_BLOCK_CRASHES = 5
-"""Crashes from which on such a block takes ``SOUND_S``."""
+"""How long a part is blocked while no answer is known."""
+MAX_TESTED_CRASHES = 1024
+"""Upper bound of the crashes that are known to be tested."""
 SOUND_S = 60.0
 """A part is sound for this long after an answer began on it."""
 MAX_SOUND_PARTS = 8192
@@ -70,32 +68,6 @@
     return len(started) >= min_crashes and len(requests) >= MIN_REQUESTS
 
 
-def is_explained_by_few(processes: Mapping[str, Crash]) -> bool:
-    """Check whether a few requests that end engines by themselves may explain the crashes."""
-    requests = [crash.requests for crash in started_crashes(processes).values()]
-    if len(requests) >= UNANSWERED_CRASHES:
-        return False
-    return _can_explain(UNANSWERED_MIN_REQUESTS - 1, requests)
-
-
-def _can_explain(count: int, crashes: Sequence[Collection[str]]) -> bool:
-    """Check whether one of some ``count`` requests was at each crash."""
-    if not crashes:
-        return True
-    if count == 0:
-        return False
-    return any(
-        _can_explain(count - 1, [others for others in crashes if request not in others])
-        for request in crashes[0]
-    )
-
-
-def unanswered_block_s(processes: Mapping[str, Crash]) -> float:
-    """Return how long a part is blocked where no answer is known."""
-    is_long = len(started_crashes(processes)) >= LONG_BLOCK_CRASHES
-    return SOUND_S if is_long else UNANSWERED_BLOCK_S
-
-
 def started_crashes(processes: Mapping[str, Crash]) -> dict[str, Crash]:
     """Return the crashes that happened as an answer began."""
     return {name: crash for name, crash in processes.items() if crash.weight >= WEIGHT_STARTED}
@@ -107,24 +79,19 @@
 
     _begun_at: dict[str, float] = attrs.field(factory=dict)
     """When an answer last began on each part, the oldest first."""
-    _known_since: float | None = None
 
     def record_begin(self, parts: Iterable[str], now: float) -> None:
         """Record that an answer has begun on a prompt with these parts."""
-        if self.known_since(now) is None:
-            self._known_since = now
         for part in parts:
             self._begun_at.pop(part, None)
             self._begun_at[part] = now
         while len(self._begun_at) > MAX_SOUND_PARTS:
             del self._begun_at[next(iter(self._begun_at))]
 
-    def known_since(self, now: float) -> float | None:
-        """Return since when answers have begun without a pause of ``SOUND_S``, None if none has."""
+    def knows_any(self, now: float) -> bool:
+        """Check whether an answer has begun of late on any prompt that shares parts."""
         newest = next(reversed(self._begun_at.values()), None)
-        if newest is None or now - newest > SOUND_S:
-            return None
-        return self._known_since
+        return newest is not None and now - newest <= SOUND_S
 
     def unproven(self, parts: Iterable[str], now: float) -> tuple[str, ...]:
         """Return those of the parts on which no answer has begun of late."""
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -41,7 +41,6 @@
 
 log = logbook.Logger(__name__)
 
-ALWAYS = float("-inf")
 LOOK_PERIOD_S = 0.9
 """How often a VM that hears no other one reads the record: well within the time in which
 others are told by messages. A multiple of the time between its own words, for one wake-up."""
@@ -72,7 +71,7 @@
     _rng: random.Random
     _hears_runs: Callable[[], bool]
     """Whether this VM hears of all runs, and not only of crashes, from its hubs."""
-    _suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    _suspects: CrashSuspects = attrs.field(factory=lambda: CrashSuspects(answers_known=False))
     _sound: SoundParts = attrs.field(factory=SoundParts)
     _records: CrashRecords = attrs.field(init=False)
     _news: CrashNews = attrs.field(init=False)
@@ -221,6 +220,7 @@
         """Record that an answer has begun on a request: the parts that it shares end no target."""
         parts = accepted.suspects.parts
         self._sound.record_begin(parts, self._timers.now)
+        self._note_answers()
         for part in self._suspects.suspected(parts):
             self._clear(part, accepted)
 
@@ -228,6 +228,7 @@
         """Record that the answer to a run of any VM has begun, and so that its parts are sound."""
         parts, now = self._parts_of(run), self._timers.now
         self._sound.record_begin(parts, now)
+        self._note_answers()
         for part in self._suspects.suspected(parts):
             # Every VM that hears of runs finds this by itself.
             self._suspects.record_answer(part, now, is_own=False)
@@ -253,12 +254,12 @@
         return self._suspects.find_any_block(accepted.suspects, self._timers.now)
 
     def _note_answers(self) -> None:
-        """Tell the registry since when this VM knows sound parts.
+        """Tell the registry whether this VM knows sound parts.
 
         One that does not hear of all runs is told of crashes by hubs, which leave sound parts out.
         """
-        since = self._sound.known_since(self._timers.now) if self._hears_runs() else ALWAYS
-        self._suspects.set_answers_since(since)
+        known = self._sound.knows_any(self._timers.now) or not self._hears_runs()
+        self._suspects.set_answers_known(known)
 
     def _note(self, accepted: Accepted, target: ListedTarget, weight: float) -> bool:
         """Count an end that this VM saw; return whether it is news."""
@@ -343,6 +344,7 @@
         """
         self._suspects.expire(tick.now)
         self._sound.expire(tick.now)
+        self._note_answers()
         fellows, roles = self._beliefs.fellows, self._roles.value
         is_alone = bool(fellows.states) and not fellows.present(tick.now)
         is_reader = roles is not None and roles.reads_store
--- a/lagoonlever/tests/part_causes_tests.py
+++ b/lagoonlever/tests/part_causes_tests.py
@@ -4,7 +4,6 @@
 
 import random
 
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -174,51 +173,70 @@
     assert watch.is_refused(asking("e", "bad"), later + 1.0)
 
 
-def test_two_requests_that_end_engines_stop_no_part_before_any_answer_is_known() -> None:
-    """Two deadly prompts as all VMs have just started: what all requests share is at each crash."""
+def cold_watch() -> Watch:
+    """Return a fleet that has just started: no answer is known."""
     watch = Watch()
-    watch.suspects.set_answers_since(None)
-    for request in ("one", "two", "two"):
-        watch.crashes_under(asking(request, "system"))
+    watch.suspects.set_answers_known(False)
+    return watch
+
+
+def test_prompts_that_end_engines_stop_no_part_before_any_answer_is_known() -> None:
+    """Two deadly prompts as all VMs have just started: what all requests share is at each crash."""
+    watch = cold_watch()
+    for request in ("one", "two", "two", "one"):
+        watch.crashes_under(asking(request, "system"), asking(f"beside-{request}", "system"))
     assert not watch.is_refused(asking("sound", "system"))
-    assert watch.gathers(asking("sound", "system"))
-    watch.suspects.set_answers_since(0.5)
+    watch.suspects.set_answers_known(True)
     assert not watch.is_refused(asking("sound", "system"), 1.0), "an answer elsewhere tells nothing"
     watch.begins(asking("sound", "system"), 2.0)
     assert not watch.gathers(asking("next", "system"), 2.0)
 
 
-def test_a_sound_request_beside_a_deadly_one_is_no_second_witness_before_any_answer() -> None:
-    watch = Watch()
-    watch.suspects.set_answers_since(None)
-    for beside in ("s-1", "s-2", "s-3"):
-        watch.crashes_under(asking("deadly", "system"), asking(beside, "system"))
-    assert not watch.is_refused(asking("sound", "system"))
+def test_crashes_before_any_answer_count_for_a_part_once_those_beside_it_are_cleared() -> None:
+    watch = cold_watch()
+    for request in ("a", "a", "b"):
+        watch.crashes_under(asking(request, "system", "bad"))
+    assert not watch.is_refused(asking("c", "system", "bad"))
+    watch.begins(asking("sound", "system"), 1.0)
+    assert watch.is_refused(asking("c", "system", "bad"), 1.0)
 
 
-@pytest.mark.parametrize("requests", ["abc", "aabb"])
-def test_more_crashes_stop_a_part_before_any_answer_is_known(requests: str) -> None:
-    watch = Watch()
-    watch.suspects.set_answers_since(None)
-    for request in requests:
+def test_many_crashes_stop_a_part_before_any_answer_is_known() -> None:
+    watch = cold_watch()
+    for request in "aabba":
+        assert not watch.is_refused(asking("d", "bad"))
         watch.crashes_under(asking(request, "bad"))
     assert watch.is_refused(asking("d", "bad"))
 
 
 def test_a_part_is_stopped_for_moments_while_no_answer_is_known() -> None:
     """Nothing could clear it while every request is refused."""
-    watch, now = Watch(), 0.0
-    watch.suspects.set_answers_since(None)
-    for request in ("a", "b"):
+    watch = cold_watch()
+    for request in "aabba":
         watch.crashes_under(asking(request, "bad"))
-    for crashes, block_s in ((3, 5.0), (4, 5.0), (5, SOUND_S), (6, SOUND_S)):
-        watch.crashes_under(asking(f"r-{crashes}", "bad"), now=now)
-        assert watch.is_refused(asking("d", "bad"), now + block_s - 0.1), crashes
-        now += block_s + 0.1
-        assert not watch.is_refused(asking("d", "bad"), now), crashes
-        assert watch.gathers(asking("d", "bad"), now)
-    watch.suspects.set_answers_since(now)
-    assert watch.is_refused(asking("d", "bad"), now)
+    assert watch.is_refused(asking("d", "bad"), 4.9)
+    assert not watch.is_refused(asking("d", "bad"), 5.1)
+    assert watch.gathers(asking("d", "bad"), 5.1)
+    watch.suspects.set_answers_known(True)
+    assert watch.is_refused(asking("d", "bad"), 5.1)
+
+
+def test_sound_requests_are_kept_apart_from_others_before_any_answer_is_known() -> None:
+    """At an engine with those that end it they would never begin, and clear nothing."""
+    watch = cold_watch()
+    watch.crashes_under(asking("own", "system"))
+    watch.crashes_under(asking("a", "system", "bad"))
+    places = [
+        watch.suspects.find_gathering(asked, 0.0)
+        for asked in (
+            asking("sound", "system"),
+            asking("other", "system"),
+            asking("own", "system"),
+            asking("b", "system", "bad"),
+        )
+    ]
+    keys = [place.key for place in places if place is not None]
+    assert keys[0] == keys[1] and len(set(keys)) == 3
 
 
 def test_a_request_s_own_bar_that_is_over_lets_one_try_at_one_engine() -> None:
@@ -238,15 +256,13 @@
     assert sound.unproven(["p"], 0.0) == ("p",)
 
 
-def test_answers_are_known_since_the_first_one_after_a_pause() -> None:
+def test_answers_are_known_for_a_while_after_the_last_one() -> None:
     sound = SoundParts()
-    assert sound.known_since(0.0) is None
-    for at in (1.0, SOUND_S, 1.5 * SOUND_S):
-        sound.record_begin(["p"], at)
-    assert sound.known_since(2.4 * SOUND_S) == 1.0
-    assert sound.known_since(2.6 * SOUND_S) is None
-    sound.record_begin(["q"], 3.0 * SOUND_S)
-    assert sound.known_since(3.0 * SOUND_S) == 3.0 * SOUND_S
+    assert not sound.knows_any(0.0)
+    sound.record_begin(["p"], 1.0)
+    sound.record_begin(["q"], 2.0)
+    assert sound.knows_any(2.0 + SOUND_S)
+    assert not sound.knows_any(2.1 + SOUND_S)
 
 
 def test_floods_of_parts_do_not_push_the_cause_out() -> None:
