A VM that counts ends under a part which others know to be sound is told so

Cause: a VM that had just started had heard of no answer yet and counted ends under the part that all requests share. The others knew that it is sound, left it out of what they counted, and said nothing. Change: whoever is told of ends under a part on which answers begin tells the VM that said so; it clears the part. One message to one VM for each sound part that it told.

--- a/lagoonlever/gateway/crash_news.py
+++ b/lagoonlever/gateway/crash_news.py
@@ -42,7 +42,10 @@
         """Take ends that other VMs tell, until cancelled."""
         async for received in self._bus.subscribe(TargetsEnded):
             message = received.message
-            ends = self._unproven(read_ends(message, self._timers.now))
+            told = read_ends(message, self._timers.now)
+            ends = self._unproven(told)
+            for part in told.keys() - ends.keys():
+                self._spread.answer(RequestServed(fingerprint=part), to=received.sender.name)
             is_news = self._suspects.record_reported_crashes(ends)
             self._learnt()
             # Others count what this VM knows to be cleared: the news was late here only.
--- a/lagoonlever/gateway/hub_spread.py
+++ b/lagoonlever/gateway/hub_spread.py
@@ -47,6 +47,10 @@
         plain = (f.bus for f in near if f.life.name not in hubs and f.life.name != source)
         self._bus.send_to_all(plain, for_plain)
 
+    def answer(self, message: object, *, to: str) -> None:
+        """Tell one VM, by its name."""
+        self._send((to,), message)
+
     @property
     def _fellows(self) -> tuple[PeerState, ...]:
         return self._beliefs.fellows.states
--- a/lagoonlever/tests/crash_news_tests.py
+++ b/lagoonlever/tests/crash_news_tests.py
@@ -28,6 +28,7 @@
     vm: FleetVm
     news: CrashNews
     suspects: CrashSuspects
+    sound: SoundParts
 
     def sees_end(self, process: str) -> None:
         """Note and tell an end under the one request of these tests."""
@@ -41,7 +42,7 @@
     await trio.sleep(SETTLED_S)
     made = []
     for vm in fleet.vms.values():
-        suspects = CrashSuspects()
+        suspects, sound = CrashSuspects(), SoundParts()
         spread = HubSpread(
             bus=vm.bus,
             beliefs=vm.beliefs,
@@ -53,13 +54,13 @@
             timers=vm.timers,
             spread=spread,
             suspects=suspects,
-            sound=SoundParts(),
+            sound=sound,
             learnt=lambda: None,
             served=lambda _: None,
         )
         for part in (news.receive_ends, news.receive_served):
             fleet.nursery.start_soon(vm.run, part)
-        made.append(NewsVm(vm=vm, news=news, suspects=suspects))
+        made.append(NewsVm(vm=vm, news=news, suspects=suspects, sound=sound))
     await trio.sleep(TOLD_S)
     return made
 
@@ -101,6 +102,34 @@
     run_fleet(story)
 
 
+@pytest.mark.parametrize("count", [SMALL, LARGE])
+def test_a_vm_that_tells_ends_under_a_part_which_others_know_to_be_sound_is_told(
+    count: int,
+) -> None:
+    """Soak seed 6005: it has just started, and refuses sound requests for the part they share."""
+
+    async def story(fleet: Fleet) -> None:
+        vms = await started(fleet, count)
+        now = trio.current_time()
+        for vm in vms[1:]:
+            vm.sound.record_begin(["part:e/m/popular"], now)
+        for process in ("a", "b", "c"):
+            crash = Crash(at=now, requests=(process,))
+            vms[0].suspects.record_crash("part:e/m/popular", process, crash)
+            told = EndTold(
+                fingerprint="part:e/m/popular",
+                process=process,
+                age_s=0.0,
+                weight=WEIGHT_STARTED,
+                requests=(process,),
+            )
+            vms[0].news.tell(TargetsEnded(ends=(told,)))
+        await trio.sleep(TOLD_S)
+        assert not vms[0].suspects.crashes
+
+    run_fleet(story)
+
+
 def test_one_end_is_told_to_few_in_a_large_fleet() -> None:
     """A data centre's engines crash with requests of fifty VMs, one each.
 
