A process found unlisted keeps its place when it tells its start

Cause: a process found at a lost target's address was noted with the start of its predecessor. An origin without a start was resolved by no entry. What callers saw: nothing yet; found in reading the diff. Change: its start is unknown until it tells it; an origin is resolved unless the entry is of another process. Two tests fail before.

--- a/lagoonlever/decisions/streams/stream_origins.py
+++ b/lagoonlever/decisions/streams/stream_origins.py
@@ -74,7 +74,7 @@
         if self.version is not None:
             return self
         engine = targets.find(self.engine)
-        if engine is None or engine.started_ms != self.engine_started_ms:
+        if engine is None or engine.has_restarted_since(self.engine_started_ms):
             return self
         return attrs.evolve(self, version=engine.version)
 
--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -408,7 +408,9 @@
             return False
         for target in there:
             self._replaced_at[target.id] = now
-        self._targets[new_id] = attrs.evolve(former, id=new_id, draining=False, version=version)
+        self._targets[new_id] = attrs.evolve(
+            former, id=new_id, draining=False, version=version, started_ms=None
+        )
         self._unlisted_until[new_id] = now + UNLISTED_LIFETIME_S
         return True
 
--- a/lagoonlever/tests/stream_origins_tests.py
+++ b/lagoonlever/tests/stream_origins_tests.py
@@ -83,6 +83,8 @@
     assert began.resolve(listing()).version is None
     assert began.resolve(listing(target("e", "v2", started_ms=5))).version == "v2"
     assert began.resolve(listing(target("e", "v2", started_ms=6))).version is None
+    untold = attrs.evolve(began, engine_started_ms=None)
+    assert untold.resolve(listing(target("e", "v2", started_ms=5))).version == "v2"
 
 
 def test_a_process_found_unlisted_has_no_version_of_its_predecessor() -> None:
@@ -100,6 +102,16 @@
     assert [t.id for t in registry.serving(SERVICE, version="v2")] == ["e-next"]
 
 
+def test_a_process_found_unlisted_tells_its_start_without_being_taken_for_restarted() -> None:
+    """While the store is away, engines that came back under new ids would get no streams again."""
+    registry = listing(target("e", "v1", started_ms=5))
+    assert registry.adopt_unlisted("e", "e-next", 1.0, version="v1")
+    assert not registry.record_restart("e-next", 9)
+    assert registry.takes_work("e-next", version="v1")
+    assert registry.record_restart("e-next", 12)
+    assert not registry.takes_work("e-next", version="v1")
+
+
 def test_a_process_that_started_again_under_its_id_has_no_version_until_its_entry_names_it() -> (
     None
 ):
