A bar of a part is short while it may be wrong

Cause: a bar hides the answers that would clear its part. Two prompts that end engines, by themselves, and share a part on which no answer has begun had it barred for ten minutes; and after a bar of a fleet that has just started a deadly prompt came back first. Change: where two requests explain all ends a bar lasts 5 s, a minute from the fifth end on; a request waits as much longer for each other suspect that it has, itself included if it has been at an end.

--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -27,7 +27,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import TypeVar
 
 import attrs
@@ -37,11 +37,13 @@
     BLOCKING_CRASHES,
     GATHERING_CRASHES,
     MAX_TESTED_CRASHES,
-    UNANSWERED_BLOCK_S,
+    SOUND_S,
+    UNCERTAIN_BLOCK_S,
     UNTESTED_BLOCKING_CRASHES,
     PartSet,
     find_part_causes,
     is_cause,
+    is_explained_by_few,
     started_crashes,
 )
 from lagoonlever.decisions.engines.suspects import SuspectKind, Suspects, kind_of
@@ -255,25 +257,31 @@
             Block(crash_count=len(processes), remaining_s=remaining_s) if remaining_s > 0 else None
         )
 
-    def find_part_block(self, parts: Collection[str], now: float) -> Block | None:
+    def find_part_block(self, suspects: Suspects, now: float) -> Block | None:
         """Return why a prompt with these parts is refused, or None if it may run."""
         for cause in self._part_causes:
-            if not cause.issubset(parts):
+            if not cause.issubset(suspects.parts):
                 continue
             processes = started_crashes(self._crashes[next(iter(cause))])
-            block_s = BLOCK_S if self._answers_known else self._unanswered_block_s(parts)
-            remaining_s = _last_crash_at(processes) + block_s - now
+            remaining_s = _last_crash_at(processes) + self._part_block_s(cause, suspects) - now
             if remaining_s > 0:
                 return Block(crash_count=len(processes), remaining_s=remaining_s, parts=cause)
         return None
 
-    def _unanswered_block_s(self, parts: Collection[str]) -> float:
-        """Return how long a prompt waits while no answer is known.
+    def _part_block_s(self, cause: PartSet, suspects: Suspects) -> float:
+        """Return how long a request is blocked for the parts that are taken for a cause.
 
-        The more of its parts may be causes the longer, so that the sound requests try first.
+        It is short while the block may be wrong, as it hides the answers that would clear it, and
+        longer for requests of which more may be causes, so that the sound ones try first.
         """
-        likely = [part for part in parts if self._has_many_crashes(part)]
-        return UNANSWERED_BLOCK_S * max(1, len(likely))
+        crashes = started_crashes(self._crashes[next(iter(cause))])
+        if self._answers_known and not is_explained_by_few(crashes):
+            return BLOCK_S
+        if self._answers_known and len(crashes) >= UNTESTED_BLOCKING_CRASHES:
+            return SOUND_S
+        others = sum(self._has_many_crashes(part) for part in suspects.parts if part not in cause)
+        own = suspects.request in self._crashes
+        return UNCERTAIN_BLOCK_S * (1 + others + own)
 
     def _has_many_crashes(self, part: str) -> bool:
         return len(started_crashes(self._crashes.get(part, {}))) >= UNTESTED_BLOCKING_CRASHES
@@ -283,7 +291,7 @@
         if not self._crashes:
             return None
         own = self.find_block(suspects.request, now)
-        return own if own is not None else self.find_part_block(suspects.parts, now)
+        return own if own is not None else self.find_part_block(suspects, now)
 
     def find_gathering(self, suspects: Suspects, now: float) -> Gathering | None:
         """Return with which others a request is kept together, or None if it may go anywhere.
--- a/lagoonlever/decisions/engines/part_causes.py
+++ b/lagoonlever/decisions/engines/part_causes.py
@@ -11,7 +11,9 @@
 - Crashes under one request alone may be due to its own part, so a second request is needed.
 - A VM that has heard of no answer of late knows no sound part, and what all requests share is at
   every crash. So crashes of that time convict only once another part of them was cleared, or once
-  there are many. Until then a block is short: while everything is refused no answer can clear it.
+  there are many.
+- A block hides the answers that would clear a part. So it is short where no answer is known, or
+  where two requests that end engines by themselves would explain all crashes.
 - The cause is at all crashes. A part that is at fewer of them than another one is explained by it.
 - Parts at exactly the same crashes can't be told apart. Only requests with all of them are
   stopped. A request with some of them goes on: its answer, or one more crash, tells them apart.
@@ -19,7 +21,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -33,8 +35,10 @@
 """Different requests that must have been at the crashes."""
 UNTESTED_BLOCKING_CRASHES = 5
 """Crashes after which a part is blocked though nothing is known of the parts beside it."""
-UNANSWERED_BLOCK_S = 5.0
-"""How long a part is blocked while no answer is known, for each that its prompt has."""
+FEW_REQUESTS = 2
+"""So many requests may end engines by themselves, and share a part by chance."""
+UNCERTAIN_BLOCK_S = 5.0
+"""How long a part is blocked that may be sound; as much again for each other suspect."""
 MAX_TESTED_CRASHES = 1024
 """Upper bound of the crashes that are known to be tested."""
 SOUND_S = 60.0
@@ -68,6 +72,23 @@
     return len(started) >= min_crashes and len(requests) >= MIN_REQUESTS
 
 
+def is_explained_by_few(crashes: Mapping[str, Crash]) -> bool:
+    """Check whether ``FEW_REQUESTS`` were at all the crashes between them."""
+    return _can_explain(FEW_REQUESTS, [crash.requests for crash in crashes.values()])
+
+
+def _can_explain(count: int, crashes: Sequence[Collection[str]]) -> bool:
+    """Check whether one of some ``count`` requests was at each crash."""
+    if not crashes:
+        return True
+    if count == 0:
+        return False
+    return any(
+        _can_explain(count - 1, [others for others in crashes if request not in others])
+        for request in crashes[0]
+    )
+
+
 def started_crashes(processes: Mapping[str, Crash]) -> dict[str, Crash]:
     """Return the crashes that happened as an answer began."""
     return {name: crash for name, crash in processes.items() if crash.weight >= WEIGHT_STARTED}
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -18,7 +18,7 @@
 from lagoonlever.decisions.engines.crash_suspects import Block, CrashSuspects
 from lagoonlever.decisions.engines.part_causes import PartSet, SoundParts
 from lagoonlever.decisions.engines.suspect_placement import choose_suspect_engine
-from lagoonlever.decisions.engines.suspects import part_name, part_suspects
+from lagoonlever.decisions.engines.suspects import Suspects, part_name, part_suspects
 from lagoonlever.decisions.engines.target_crashes import WEIGHT_STARTED, Crash, process_name
 from lagoonlever.decisions.fleet.roles import Roles
 from lagoonlever.decisions.streams.engine_runs import EngineRun
@@ -327,7 +327,8 @@
         causes = frozenset(self._suspects.part_causes)
         new_parts, self._barred_parts = causes - self._barred_parts, causes
         for parts in new_parts:
-            bar = self._suspects.find_part_block(parts, self._timers.now)
+            asked = Suspects(request="", parts=tuple(parts))
+            bar = self._suspects.find_part_block(asked, self._timers.now)
             if bar is not None:
                 events.PART_BARRED.log(
                     log,
--- a/lagoonlever/tests/part_causes_tests.py
+++ b/lagoonlever/tests/part_causes_tests.py
@@ -202,6 +202,21 @@
     assert watch.is_refused(asking("c", "system", "bad"), 1.0)
 
 
+def test_a_part_that_two_requests_explain_is_stopped_for_moments() -> None:
+    """Two deadly prompts share a part that few others have: nothing could clear it for long."""
+    watch = Watch()
+    for request in ("one", "one", "one", "two"):
+        watch.crashes_under(asking(request, "rare"))
+    assert watch.is_refused(asking("sound", "rare"), 4.9)
+    assert not watch.is_refused(asking("sound", "rare"), 5.1)
+    assert watch.is_refused(asking("one", "rare"), 5.1)
+    watch.crashes_under(asking("two", "rare"), now=6.0)
+    assert watch.is_refused(asking("sound", "rare"), 6.0 + SOUND_S - 0.1)
+    assert not watch.is_refused(asking("sound", "rare"), 6.1 + SOUND_S)
+    watch.crashes_under(asking("three", "rare"), now=70.0)
+    assert watch.is_refused(asking("sound", "rare"), 69.0 + BLOCK_S)
+
+
 def test_many_crashes_stop_a_part_before_any_answer_is_known() -> None:
     watch = cold_watch()
     for request in "aabba":
