--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -14,6 +14,7 @@
 import msgspec
 import trio
 
+from lagoonlever.fakes.raw_answers import raw_head
 from lagoonlever.fakes.target_room import USUAL_PRIORITY, Place, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
 from lagoonlever.http.messages import Headers
@@ -59,6 +60,13 @@
     """Closes in the middle of its third event."""
     SKIP_EVENT = "skip-event"
     """Leaves its third event out."""
+    NO_LENGTH = "no-length"
+    """Answers with neither a length nor chunks; the answer ends with its connection."""
+    NO_LENGTH_HALF = "no-length-half"
+    """The same, and closes in the middle of its third event."""
+
+
+NO_LENGTH = frozenset({EngineConduct.NO_LENGTH, EngineConduct.NO_LENGTH_HALF})
 
 
 @attrs.define(kw_only=True)
@@ -282,7 +290,10 @@
             *self.says.load_field(self.room),
             *self.says.fields(),
         )
-        await exchange.start_stream(status=OK, headers=Headers(fields))
+        if conduct in NO_LENGTH:
+            await exchange.write_raw(raw_head(fields))
+        else:
+            await exchange.start_stream(status=OK, headers=Headers(fields))
         if run.part in self._deadly or not run.shared.isdisjoint(self._deadly):
             await trio.sleep(DIES_AFTER_S)
             self._die()
@@ -290,6 +301,8 @@
         holder = self._fleet.get(headers.get(COPY_TO) or "")
         output = int((headers.get(TOKEN_COUNT) or "100,80").partition(",")[2] or 80)
         await self._emit(exchange, run, holder, conduct, last=max(1, output // EVENT_TOKENS))
+        if conduct in NO_LENGTH:
+            raise CallerGone
         await exchange.finish()
         if holder is not None:
             holder.copies.pop(run.request_id, None)
@@ -315,6 +328,8 @@
         last: int,
     ) -> None:
         made = 0
+        write = exchange.write_raw if conduct in NO_LENGTH else exchange.write
+        halves = conduct in (EngineConduct.HALF_EVENT, EngineConduct.NO_LENGTH_HALF)
         while run.events < last:
             await trio.sleep(self.event_s * self.says.pace)
             if await self._wait_admitted(run):
@@ -328,10 +343,10 @@
             event = event_bytes(run.part, run.events, version=self.version)
             if made == 3 and conduct is EngineConduct.SKIP_EVENT:
                 continue
-            if made == 3 and conduct is EngineConduct.HALF_EVENT:
-                await exchange.write(event[: len(event) // 2])
+            if made == 3 and halves:
+                await write(event[: len(event) // 2])
                 raise CallerGone
-            await exchange.write(event)
+            await write(event)
             if holder is not None:
                 holder.copies[run.request_id] = attrs.evolve(run)
 
--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from lagoonlever.fakes.raw_answers import raw_head
 from lagoonlever.fakes.target_room import USUAL_PRIORITY, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
 from lagoonlever.http.messages import Headers
@@ -43,6 +44,8 @@
     """Runs it and closes within its answer."""
     FOREIGN_ANSWER = "foreign-answer"
     """Runs it and answers with another request's id."""
+    NO_LENGTH = "no-length"
+    """Runs it and answers with neither a length nor chunks; the answer ends with its connection."""
     GARBAGE = "garbage"
     """Runs it and sends bytes that are no answer."""
 
@@ -136,6 +139,9 @@
             await exchange.start_stream(status=OK, headers=sized)
             await exchange.write(body)
             raise CallerGone
+        if conduct is Conduct.NO_LENGTH:
+            await exchange.write_raw(raw_head(fields) + body)
+            raise CallerGone
         if conduct is Conduct.FOREIGN_ANSWER:
             fields[0] = (REQUEST_ID, "somebody-else")
         status = FAILED if conduct is Conduct.FAIL else OK
--- a/lagoonlever/tests/gateway_calls_tests.py
+++ b/lagoonlever/tests/gateway_calls_tests.py
@@ -71,6 +71,18 @@
     run_site(story, engines=0)
 
 
+def test_an_answer_without_a_length_is_whole_as_its_connection_ends() -> None:
+    """Guards against a bid that has run and is told to be lost."""
+
+    async def story(site: GatewaySite) -> None:
+        order(site, Conduct.NO_LENGTH)
+        answer = await site.call("/bid/7", body=b"bid", headers=site.headers("r-9"))
+        assert (answer.status, answer.body) == (200, b"answer to r-9")
+        assert list(runs(site).values()) == [1]
+
+    run_site(story, engines=0)
+
+
 def test_a_bid_that_is_never_answered_is_told_at_its_deadline() -> None:
     async def story(site: GatewaySite) -> None:
         order(site, Conduct.STAY_SILENT)
--- a/lagoonlever/tests/gateway_streams_tests.py
+++ b/lagoonlever/tests/gateway_streams_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 import trio
 
 from lagoonlever.fakes.platform_engine import EngineConduct
@@ -121,6 +122,23 @@
     run_site(story)
 
 
+@pytest.mark.parametrize("conduct", [EngineConduct.NO_LENGTH, EngineConduct.NO_LENGTH_HALF])
+def test_a_stream_without_a_length_ends_with_its_connection_unless_within_an_event(
+    conduct: EngineConduct,
+) -> None:
+    """Guards against a stream that is told to be whole as its engine breaks off."""
+
+    async def story(site: GatewaySite) -> None:
+        for engine in site.engines.values():
+            engine.conducts.append(conduct)
+        got = await site.stream("p1", events=12)
+        assert got.whole and got.is_events("p1", 1, 12)
+        arrived = sum(len(engine.arrived_at) for engine in site.engines.values())
+        assert (arrived > 1) == (conduct is EngineConduct.NO_LENGTH_HALF)
+
+    run_site(story)
+
+
 def test_an_event_is_never_skipped() -> None:
     """A faulty engine leaves an event out: its attempt is given up before the gap is told."""
 
