--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -242,7 +242,7 @@
         await exchange.respond(status=BUSY, headers=refusal, body=b"")
 
     def _begin(self, headers: Headers) -> EngineRun | None:
-        """Give the run of a request, or None where it names a copy that is not here."""
+        """Return the run of a request, or None if it names a copy that is not here."""
         request_id = headers.get(REQUEST_ID) or ""
         named = (headers.get(PROMPT_PARTS) or "p:100").split(",")
         *shared, part = (entry.partition(":")[0] for entry in named)
--- a/lagoonlever/gateway/crash_news.py
+++ b/lagoonlever/gateway/crash_news.py
@@ -39,7 +39,7 @@
     """Called with the fingerprint of a request that another VM has served after all."""
 
     async def receive_ends(self) -> None:
-        """Take ends that other VMs tell, until cancelled."""
+        """Receive the crashes that other VMs report, until cancelled."""
         async for received in self._bus.subscribe(TargetsEnded):
             message = received.message
             told = read_ends(message, self._timers.now)
@@ -55,7 +55,7 @@
                 self._pass_on(message, source=received.sender.name)
 
     async def receive_served(self) -> None:
-        """Take which requests were served after all, until cancelled."""
+        """Receive which suspects were answered after all, until cancelled."""
         async for received in self._bus.subscribe(RequestServed):
             message = received.message
             # Whoever has written the record takes it out there: the VM that served it may never
@@ -65,11 +65,11 @@
                 self._pass_on(message, source=received.sender.name)
 
     def tell(self, message: CrashMessage) -> None:
-        """Tell of what this VM saw, also those that seem silent: one may only be cut off."""
+        """Report what this VM saw to all VMs, also to silent ones, which may only be cut off."""
         self._spread.tell(message, for_plain=self._for_plain(message))
 
     def greet(self, newcomer: Address) -> None:
-        """Tell a VM that has just come, or was not heard, of the requests that matter.
+        """Report the suspects that matter to a VM that has just started, or was not heard.
 
         It was not there to hear of the ends when they were told.
         """
@@ -78,7 +78,7 @@
             self._bus.send(newcomer, told)
 
     def tell_kept(self, fingerprint: str) -> None:
-        """Tell all that is known of a request."""
+        """Report all that is known of a suspect."""
         told = self._kept_ends((fingerprint,))
         if told.ends:
             self.tell(told)
@@ -92,14 +92,14 @@
         self._spread.pass_on(message, source=source, for_plain=self._for_plain(message))
 
     def _for_plain(self, message: CrashMessage) -> CrashMessage | None:
-        """Give what VMs need that are no hubs; None for nothing."""
+        """Return what VMs that are no hubs need; None for nothing."""
         if not isinstance(message, TargetsEnded):
             return message
         kept = self._kept_ends([end.fingerprint for end in message.ends])
         return kept if kept.ends else None
 
     def _kept_ends(self, fingerprints: Collection[str]) -> TargetsEnded:
-        """Give the ends under some requests, of those that are worth keeping."""
+        """Return the crashes under some suspects, of those that are worth keeping."""
         now = self._timers.now
         return TargetsEnded(
             ends=tuple(
--- a/lagoonlever/gateway/crash_records.py
+++ b/lagoonlever/gateway/crash_records.py
@@ -80,20 +80,20 @@
             saved.set()
 
     async def exchange(self) -> None:
-        """Have the record read, what it lacks written, and wait a moment for both."""
+        """Request that the record is read and completed, and wait a moment for both."""
         saved = self._saved
         self.read_again()
         with trio.move_on_after(SAVED_WITHIN_S):
             await saved.wait()
 
     def take_out(self, fingerprint: str) -> None:
-        """Have a request that was served taken out of the record, if it is there."""
+        """Request that an answered suspect is removed from the record, if it is there."""
         if fingerprint in self._recorded or fingerprint in self._writing:
             self._served.add(fingerprint)
             self._wanted.set()
 
     def read_again(self) -> None:
-        """Have the record read anew, for a VM that may not hear others."""
+        """Request that the record is read again, for a VM that may not hear others."""
         self._is_old = True
         self._wanted.set()
 
@@ -138,7 +138,7 @@
         return True
 
     def _has_news(self) -> bool:
-        """Tell whether the record lacks an end, or has a request that was served."""
+        """Check whether the record lacks a crash, or has a suspect that was answered."""
         if self._served & (self._recorded.keys() | self._writing):
             return True
         nothing: frozenset[str] = frozenset()
@@ -166,7 +166,7 @@
         }
 
     def _take(self) -> None:
-        """Take what is stored; what can't be read is written over."""
+        """Apply what is stored; what can't be read is written over."""
         self._recorded = {}
         if self._record.value is None:
             return
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -183,7 +183,7 @@
     async def ended_under(
         self, accepted: Accepted, target: ListedTarget, *, weight: float, sent_at: float
     ) -> None:
-        """Note that a target ended under a request, and let the others know.
+        """Record that a target crashed under a request, and report it to the other VMs.
 
         One that had ended before the request was sent there is no work of it.
 
@@ -244,7 +244,7 @@
         self._records.take_out(suspect)
 
     def greet(self, newcomer: Address) -> None:
-        """Tell a VM that is met of the requests that matter."""
+        """Report the suspects that matter to a VM that was met."""
         self._news.greet(newcomer)
 
     def _find_block(self, accepted: Accepted) -> Block | None:
@@ -254,7 +254,7 @@
         return self._suspects.find_any_block(accepted.suspects, self._timers.now)
 
     def _note_answers(self) -> None:
-        """Tell the registry whether this VM knows sound parts.
+        """Update the registry with whether this VM knows sound parts.
 
         One that does not hear of all runs is told of crashes by hubs, which leave sound parts out.
         """
--- a/lagoonlever/gateway/hub_spread.py
+++ b/lagoonlever/gateway/hub_spread.py
@@ -25,7 +25,7 @@
     """This VM's name."""
 
     def tell(self, message: object, *, for_plain: object | None) -> None:
-        """Tell of what this VM saw, also those that seem silent: one may only be cut off.
+        """Send what this VM saw to all, also to silent VMs, which may only be cut off.
 
         ``for_plain`` is what VMs get that are no hubs, where this VM is one; None for nothing.
         """
@@ -35,7 +35,7 @@
         self.pass_on(message, source=self._own, for_plain=for_plain)
 
     def pass_on(self, message: object, *, source: str, for_plain: object | None) -> None:
-        """Tell the hubs, and as a hub the VMs of this data centre, what ``source`` has told."""
+        """Pass on what ``source`` sent: to the hubs, and as a hub to VMs of this data centre."""
         roles = self._roles.value
         if self._is_small or roles is None:
             return
@@ -48,7 +48,7 @@
         self._bus.send_to_all(plain, for_plain)
 
     def answer(self, message: object, *, to: str) -> None:
-        """Tell one VM, by its name."""
+        """Send a message to one VM, by its name."""
         self._send((to,), message)
 
     @property
--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -213,7 +213,7 @@
         return attrs.evolve(head, body=body)
 
     async def _connect(self) -> ClientConnection:
-        """Give the kept connection, or a new one to an address that the directory names."""
+        """Return the kept connection, or a new one to an address from the directory."""
         if self._connection is not None and self._connection.reusable and self._connection.quiet:
             return self._connection
         await self._drop()
--- a/lagoonlever/soak/deployments.py
+++ b/lagoonlever/soak/deployments.py
@@ -57,7 +57,7 @@
         return tuple(f"stream-{rank}" for rank in self.stream_ranks)
 
     def configuration(self, version: int, keys: tuple[str, ...]) -> Configuration:
-        """Give a version of the configuration, with these keys of the first organisation."""
+        """Return a version of the configuration, with these keys of the first organisation."""
         organisations = {key: Organisation(name=ORGANISATION) for key in keys}
         if self.has_patient:
             rank = max(self.stream_ranks) + 1
@@ -72,15 +72,15 @@
         )
 
     def engine_room(self) -> TargetRoom:
-        """Give the room of an engine."""
+        """Return the capacity of an engine."""
         return TargetRoom(slots=SLOTS, memory_tokens=self.memory_tokens, most_waiting=MOST_WAITING)
 
     def pace(self, number: int) -> float:
-        """Give how many times as long work takes on the engine of a machine."""
+        """Return the factor by which work takes longer on the engine of a machine."""
         return self.paces[number % len(self.paces)]
 
     def draw_slowness(self, rng: random.Random) -> float | None:
-        """Give what a runner's machine says of itself for a moment."""
+        """Return what a runner's machine reports of itself for a moment."""
         if not self.tells_slowness:
             return None
         return SLOW_MOMENT if rng.random() < SLOW_MOMENTS else 1.0
--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -66,15 +66,15 @@
     """How often each deadly prompt reached an engine after enough had ended, in calm."""
 
     def break_promise(self, promise: str, detail: str) -> None:
-        """Note a violation."""
+        """Record a violation."""
         self.violations.append(Violation(promise=promise, detail=detail))
 
     def runs_once(self, request: str) -> None:
-        """Note that a request may run once at most."""
+        """Record that a request may run once at most."""
         self._once.add(request)
 
     def ran(self, request: str, target: str, headers: Headers) -> None:
-        """Note that a target began to work on a request."""
+        """Record that a target began to work on a request."""
         self.arrived(request, target, headers)
         self._ran[request] += 1
         if request in self._once and self._ran[request] > 1:
@@ -91,12 +91,12 @@
             self.break_promise("organisations", f"{request} reached {target} for {found}")
 
     def sends_for(self, request: str, organisation: str) -> None:
-        """Note whose key a request carries."""
+        """Record whose key a request carries."""
         if organisation != self._organisation:
             self._owners[request] = organisation
 
     def streamed(self, rank: str, *, whole: bool) -> None:
-        """Note that a caller who stayed got its stream of a rank whole, or gave up."""
+        """Record whether a caller that stayed received its stream of a rank completely."""
         self._asked[rank] += 1
         self._served[rank] += whole
 
@@ -115,12 +115,12 @@
         self._shared_parts.add(part)
 
     def ended(self, part: str, now: float) -> None:
-        """Note that an engine has ended under a deadly prompt."""
+        """Record that an engine crashed under a deadly prompt."""
         self.counts["engines ended by a prompt"] += 1
         self._ended_at.setdefault(part, []).append(now)
 
     def reached(self, part: str, now: float, *, calm: bool) -> None:
-        """Note that a deadly prompt has reached an engine; ``calm`` if nothing was harmed."""
+        """Record that a deadly prompt reached an engine; ``calm`` if no fault was active."""
         ends = self._ended_at.get(part, [])
         most = MOST_ENDED_BY_PART if part in self._shared_parts else MOST_ENDED
         if not calm or len(ends) < most or now - ends[most - 1] < STOPPED_AFTER_S:
@@ -135,7 +135,7 @@
             self.break_promise("only deadly requests are barred", request)
 
     def answered(self, kind: str, request: str, status: int) -> None:
-        """Note a caller's final status; 0 where its connection ended without one."""
+        """Record the final status that a caller received; 0 if its connection ended without one."""
         self.counts[f"{kind} {status}"] += 1
         if status not in NOT_RUN_STATUSES:
             return
@@ -161,7 +161,7 @@
             self.break_promise("streams are of one version", detail)
 
     def begins(self, part: str) -> None:
-        """Note that a caller has no event of a stream, so that any version may begin it."""
+        """Record that a caller has no event of a stream, so any version may begin it."""
         self._versions.pop(part, None)
 
     def stream_ended(self, part: str, last: int, expected: int) -> None:
--- a/lagoonlever/soak/run.py
+++ b/lagoonlever/soak/run.py
@@ -168,7 +168,7 @@
 
 
 async def _watch_processes(site: SoakSite) -> None:
-    """Note a process that ended by itself."""
+    """Record a process that exited by itself."""
     while True:
         for vm in site.vms:
             code = vm.process.poll() if vm.process is not None else None
--- a/lagoonlever/soak/signals.py
+++ b/lagoonlever/soak/signals.py
@@ -10,7 +10,7 @@
 
 
 def heeds(pid: int, number: signal.Signals) -> bool:
-    """Tell whether a process ignores or handles a signal; False once it is gone."""
+    """Check whether a process ignores or handles a signal; False once it is gone."""
     try:
         status = Path(f"/proc/{pid}/status").read_text(encoding="ascii", errors="replace")
     except OSError:
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -242,19 +242,19 @@
             self.nursery.start_soon(self.restart_target, self.engines, place)
 
     def is_calm(self, now: float) -> bool:
-        """Tell whether no VM, and not the store, was harmed of late."""
+        """Check whether neither a VM nor the store was disturbed recently."""
         harmed = [vm.disturbed_at for vm in self.vms if not vm.store_link.harmed]
         if len(harmed) < len(self.vms) or self.store.harmed:
             return False
         return now - max(*harmed, self.store_disturbed_at) > CALM_S
 
     def calm_since(self, since: float) -> bool:
-        """Tell whether no VM, and not the store, was harmed since a moment."""
+        """Check whether neither a VM nor the store was disturbed since a moment."""
         harmed = [vm.disturbed_at for vm in self.vms]
         return max(*harmed, self.store_disturbed_at) < since
 
     def vms_calm_since(self, since: float) -> bool:
-        """Tell whether no VM, and no target's link, was harmed since a moment."""
+        """Check whether neither a VM nor a target's link was disturbed since a moment."""
         harmed = [vm.disturbed_at for vm in self.vms]
         return max(*harmed, self.targets_disturbed_at) < since
 
@@ -381,7 +381,7 @@
         return SoakVm(settings=settings, store_link=link, log=self.folder / f"{name}.log")
 
     def _address(self, number: int, port: int) -> Address:
-        """Give an address of a machine; each machine and each run has its own loopback IP."""
+        """Return an address of a machine; each machine and each run has its own loopback IP."""
         run = os.getpid()
         return Address(host=f"127.{20 + run % 200}.{run // 200 % 250}.{number}", port=port)
 
--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -56,7 +56,7 @@
                 self._tell_late(request, since=known_at)
 
     def _tell_late(self, request: str, *, since: float | None) -> None:
-        """Tell of a request that came though every VM knew ``since`` then that this one drains."""
+        """Record a request that arrived though all VMs knew that this runner drains."""
         if since is not None and all(vm.disturbed_at < since for vm in self._site.vms):
             detail = f"{request} reached {self.target_id}, which drains"
             self._judge.break_promise("leaving targets get no work", detail)
