The first event of an answer clears parts only at a VM that knows of no answer yet

An engine that a part ends may give one before it ends, which is why the VM of the stream itself waits for 0.3 s. Then the others would leave the part out and tell so, and engines would end one after the other again. Change: first events of other VMs count only while a VM knows of no answer; later whole answers do, as before, and what a VM tells to have cleared.

--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -152,6 +152,11 @@
         """All crashes that are remembered."""
         return self._crashes
 
+    @property
+    def answers_known(self) -> bool:
+        """Whether this VM knows on which parts answers begin."""
+        return self._answers_known
+
     @property
     def blocked(self) -> frozenset[str]:
         """The requests that are taken for causes, also those whose block is over."""
--- a/lagoonlever/gateway/crash_news.py
+++ b/lagoonlever/gateway/crash_news.py
@@ -14,6 +14,7 @@
 
 from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
 from lagoonlever.decisions.engines.part_causes import SoundParts
+from lagoonlever.decisions.engines.suspects import SuspectKind, kind_of
 from lagoonlever.decisions.engines.target_crashes import CrashesByRequest
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.http.messages import Address
@@ -61,6 +62,8 @@
             # Whoever has written the record takes it out there: the VM that served it may never
             # have seen the record.
             self._served(message.fingerprint)
+            if kind_of(message.fingerprint) is SuspectKind.PART:
+                self._sound.record_begin((message.fingerprint,), self._timers.now)
             if self._suspects.record_answer(message.fingerprint, self._timers.now, is_own=False):
                 self._pass_on(message, source=received.sender.name)
 
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -225,7 +225,15 @@
             self._clear(part, accepted)
 
     def learn_begun(self, run: EngineRun) -> None:
-        """Record that the answer to a run of any VM has begun, and so that its parts are sound."""
+        """Record that an answer at another VM has begun, if this VM knows of none yet.
+
+        Later on only whole answers count: an engine may end right after its first event.
+        """
+        if not self._suspects.answers_known:
+            self.learn_sound(run)
+
+    def learn_sound(self, run: EngineRun) -> None:
+        """Record that a run of any VM was answered whole, and so the parts that it shares."""
         parts, now = self._parts_of(run), self._timers.now
         self._sound.record_begin(parts, now)
         self._note_answers()
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -399,6 +399,7 @@
             hears_runs=self.peers.holds_book,
         )
         self.peers.on_run_begun(crashes.learn_begun)
+        self.peers.on_whole_run(crashes.learn_sound)
         self.presence.on_greeting(crashes.greet)
         self.presence.on_meeting(crashes.greet)
         return crashes
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -58,6 +58,7 @@
     _relay: RunRelay = attrs.field(init=False)
     _on_engine_lost: list[Callable[[str], None]] = attrs.field(factory=list)
     _on_run_begun: list[Callable[[EngineRun], None]] = attrs.field(factory=list)
+    _on_whole_run: list[Callable[[EngineRun], None]] = attrs.field(factory=list)
     _on_stream_begun: list[Callable[[StreamOrigin], None]] = attrs.field(factory=list)
     _on_stream_completed: list[Callable[[str], None]] = attrs.field(factory=list)
 
@@ -102,6 +103,10 @@
         """Have ``notify`` called with each run of another VM whose answer has begun."""
         self._on_run_begun.append(notify)
 
+    def on_whole_run(self, notify: Callable[[EngineRun], None]) -> None:
+        """Have ``notify`` called with each run of any VM whose answer was given whole."""
+        self._on_whole_run.append(notify)
+
     def greet(self, newcomer: Address) -> None:
         """Tell a VM that has just come of the open runs, where every VM hears of all.
 
@@ -275,6 +280,8 @@
         run = self._beliefs.book.find_run(ended.request)
         if ended.whole and run is not None:
             self._beliefs.origins.discard(run.stream)
+            for notify in self._on_whole_run:
+                notify(run)
         self._beliefs.book.record_end(
             ended.request,
             self._timers.now,
