--- a/lagoonlever/decisions/streams/versions_in_use.py
+++ b/lagoonlever/decisions/streams/versions_in_use.py
@@ -94,7 +94,7 @@
         return True
 
     def name_processes(self, targets: Iterable[ListedTarget]) -> None:
-        """Take note of processes that the list has named since streams began there."""
+        """Record which processes the list has named since streams began there."""
         named = {(t.service, t.id) for t in targets if t.version in self.of(t.service)}
         for key in self._unnamed.keys() & named:
             del self._unnamed[key]
--- a/lagoonlever/gateway/version_record.py
+++ b/lagoonlever/gateway/version_record.py
@@ -89,7 +89,7 @@
                     await self._until_done(self._write)
 
     def greet(self, newcomer: Address) -> None:
-        """Tell a VM that is met of the record."""
+        """Send the record to a VM that was met."""
         if self._beliefs.versions.recorded.proven:
             self._bus.send(newcomer, self._message())
 
@@ -182,7 +182,7 @@
             return None
 
     def _take(self) -> None:
-        """Take what is stored; a store that never had a record has begun no stream either."""
+        """Apply what is stored; a store that never had a record has begun no stream either."""
         revision, document = self._record.revision, self._stored()
         is_fresh = self._record.value is None and revision.era == FIRST_ERA
         proven = is_fresh or (document is not None and document.era == revision.era)
@@ -190,7 +190,7 @@
         self._apply(services, revision=revision, proven=proven)
 
     def _merge(self) -> None:
-        """Take what another VM has written, without losing what this one knows."""
+        """Apply what another VM has written, without losing what this one knows."""
         document, known = self._stored(), self._beliefs.versions.recorded
         services = {name: set(versions) for name, versions in known.versions.items()}
         for name, versions in (document.services if document is not None else {}).items():
