--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,7 +26,7 @@
 
 HERE = Path(__file__).parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-LENGTH_S = 95.0
+LENGTH_S = 80.0
 CLOSING_S = 4.0
 """After the last request was sent, for what is still to be run or answered."""
 GATEWAYS, RUNNERS = 3, 5
