Tests: an assertion that fails on a site of gateways no longer writes out all its parts

The test had run for ten minutes and held 4 GB when it was ended, and pytest's own limit of 120 s didn't stop it (a stack at 6 s stood in the repr of GatewaySite).

No assertion changes.

--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -175,9 +175,13 @@
         self.scope.cancel()
 
 
-@attrs.define(kw_only=True, eq=False)
+@attrs.define(kw_only=True, eq=False, repr=False)
 class GatewaySite:
-    """Starts what a story needs; everything ends with its nursery."""
+    """Starts what a story needs; everything ends with its nursery.
+
+    Without a ``repr`` of its fields: pytest writes that out for an assertion that fails, and all
+    gateways with all their parts take minutes and gigabytes.
+    """
 
     nursery: trio.Nursery
     bounds: Bounds
