--- a/lagoonlever/bench/placing_fleet.py
+++ b/lagoonlever/bench/placing_fleet.py
@@ -97,6 +97,7 @@
             prompt_tokens=PROMPT,
             memory_tokens=MEMORY,
             part=f"part-{request}",
+            fingerprint=f"question-{request}",
             copy=copy,
             version=self._version_of(placed.engine),
         )
--- a/lagoonlever/decisions/engines/engine_scheduler.py
+++ b/lagoonlever/decisions/engines/engine_scheduler.py
@@ -126,23 +126,24 @@
     def find_unfinished_run(self, part: str) -> EngineRun | None:
         """Return the last run of a prompt segment unless its answer was whole, or None.
 
-        ``part`` is the id of the segment that only this prompt has, which identifies a caller
-        that returns.
+        ``part`` is the id of the segment. The run may be of another request of the same session.
         """
-        record = self._records.find_by_segment(part)
-        if record is None or record.complete:
-            return None
-        return record.run
+        return _unfinished_run(self._records.find_by_segment(part))
+
+    def find_unfinished_run_for(self, fingerprint: str) -> EngineRun | None:
+        """Return the last run of the requests that ask the same unless its answer was whole.
+
+        ``fingerprint`` identifies what a caller that returns has asked. Return None if there is
+        no such run.
+        """
+        return _unfinished_run(self._records.find_by_fingerprint(fingerprint))
 
     def find_unfinished_run_of(self, begun_by: str) -> EngineRun | None:
         """Return the last run of a stream unless its answer was whole, or None.
 
         ``begun_by`` is the request that began the stream.
         """
-        record = self._records.find_by_stream(begun_by)
-        if record is None or record.complete:
-            return None
-        return record.run
+        return _unfinished_run(self._records.find_by_stream(begun_by))
 
     def load_by_version(self, service: str) -> dict[str | None, VersionLoad]:
         """Return what the open runs of a service hold at the engines of each version."""
@@ -596,3 +597,8 @@
         if not load.has_capacity(limits, need_tokens):
             cost_s += FULL_COST * usual_s
         return cost_s
+
+
+def _unfinished_run(record: RunRecord | None) -> EngineRun | None:
+    """Return the run of a record unless its answer was whole, or None."""
+    return None if record is None or record.complete else record.run
--- a/lagoonlever/decisions/streams/engine_runs.py
+++ b/lagoonlever/decisions/streams/engine_runs.py
@@ -46,7 +46,10 @@
     """KV-cache size of the run at its longest."""
     service: str = ""
     part: str | None = None
-    """The id of the prompt's own segment, by which a reconnecting caller is recognised."""
+    """The id of the prompt's own segment; other requests of the same session may have it too."""
+    fingerprint: str | None = None
+    """Digest of what the request asks, the same in each of its retries. Only they may resume from
+    the run's copy."""
     copy: RunCopy | None = None
     """The run's KV-cache copy, which is usable once the run has produced its first event."""
     flowing: bool = False
@@ -69,6 +72,13 @@
         """The request that began the run's stream, or is about to."""
         return self.begun_by or self.request
 
+    def copy_for(self, fingerprint: str, *, model: str) -> RunCopy | None:
+        """Return the copy if a request that asks the same of the same model may resume from it.
+
+        Return None for any other request: the engine would go on with its answer to this one.
+        """
+        return self.copy if (self.fingerprint, self.model) == (fingerprint, model) else None
+
     @property
     def copy_holder(self) -> str | None:
         """The id of the engine that holds the copy, or None."""
--- a/lagoonlever/decisions/streams/run_records.py
+++ b/lagoonlever/decisions/streams/run_records.py
@@ -55,6 +55,8 @@
     _records: dict[str, RunRecord] = attrs.field(factory=dict)
     _request_by_segment: dict[str, str] = attrs.field(factory=dict)
     """The id of the last request of each prompt segment."""
+    _request_by_fingerprint: dict[str, str] = attrs.field(factory=dict)
+    """The id of the last request that asked the same, by the fingerprint of the request."""
     _request_by_stream: dict[str, str] = attrs.field(factory=dict)
     """The id of the last request of each stream, by the request that began it."""
 
@@ -73,6 +75,10 @@
         """
         return self._records.get(self._request_by_segment.get(part, ""))
 
+    def find_by_fingerprint(self, fingerprint: str) -> RunRecord | None:
+        """Return the record of the last request with a fingerprint, or None."""
+        return self._records.get(self._request_by_fingerprint.get(fingerprint, ""))
+
     def find_by_stream(self, begun_by: str) -> RunRecord | None:
         """Return the record of the last request of a stream, or None.
 
@@ -102,6 +108,8 @@
         self._request_by_stream[run.stream] = run.request
         if run.part is not None:
             self._request_by_segment[run.part] = run.request
+        if run.fingerprint is not None:
+            self._request_by_fingerprint[run.fingerprint] = run.request
 
     def reserve(self, run: EngineRun, now: float) -> None:
         """Record a reserved placement for a run that another VM is about to send."""
@@ -136,3 +144,6 @@
             del self._request_by_stream[run.stream]
         if run.part is not None and self._request_by_segment.get(run.part) == run.request:
             del self._request_by_segment[run.part]
+        fingerprint = run.fingerprint
+        if fingerprint and self._request_by_fingerprint.get(fingerprint) == run.request:
+            del self._request_by_fingerprint[fingerprint]
--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -17,7 +17,7 @@
 from lagoonlever.fakes.raw_answers import raw_head
 from lagoonlever.fakes.target_room import USUAL_PRIORITY, Place, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
-from lagoonlever.http.messages import Headers
+from lagoonlever.http.messages import Headers, Request
 from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
 from lagoonlever.http.sse import EVENT_STREAM_TYPE
 from lagoonlever.platform import engine_calls
@@ -76,6 +76,8 @@
     request_id: str
     part: str
     prompt_tokens: int
+    question: bytes = b""
+    """The path and body of its request, which are the same in each of its retries."""
     shared: frozenset[str] = frozenset()
     """The parts of its prompt that others may have as well."""
     events: int = 0
@@ -124,6 +126,8 @@
         """Prompt tokens read, by the prompt's own part."""
         self.seen: list[Headers] = []
         self.arrived_at: list[float] = []
+        self.resumed_foreign: list[tuple[str, str]] = []
+        """Requests that went on from the memory of another one, which is named second."""
         self.turned_away_at: list[float] = []
         """When it had no room for a request."""
         self.says = TargetWords()
@@ -208,7 +212,7 @@
             other = Headers(((TARGET_ID, self.target_id),))
             await exchange.respond(status=MISDIRECTED, headers=other, body=b"")
             return
-        run = self._begin(headers)
+        run = self._begin(exchange.request)
         if self.conducts and self.conducts[0] is EngineConduct.REFUSE:
             self.conducts.popleft()
             run = None
@@ -236,13 +240,18 @@
     def record_accepted(self, headers: Headers) -> None:
         """Record a request that was not rejected, and runs."""
 
+    def record_resumed_foreign(self, request: str, former: str) -> None:
+        """Record a request that goes on from the memory of another one, ``former``."""
+        self.resumed_foreign.append((request, former))
+
     async def _refuse(self, exchange: Exchange) -> None:
         load = self.says.load_field(self.room)
         refusal = Headers(((REFUSED, "1"), *load, *self.says.fields(refusal=True)))
         await exchange.respond(status=BUSY, headers=refusal, body=b"")
 
-    def _begin(self, headers: Headers) -> EngineRun | None:
+    def _begin(self, request: Request) -> EngineRun | None:
         """Return the run of a request, or None if it names a copy that is not here."""
+        headers = request.headers
         request_id = headers.get(REQUEST_ID) or ""
         named = (headers.get(PROMPT_PARTS) or "p:100").split(",")
         *shared, part = (entry.partition(":")[0] for entry in named)
@@ -252,6 +261,7 @@
             part=part,
             prompt_tokens=prompt_tokens,
             shared=frozenset(shared),
+            question=f"{request.target} ".encode() + request.body,
         )
         run.events = int(headers.get(LAST_EVENT_ID) or 0)
         copy_from = headers.get(COPY_FROM)
@@ -260,6 +270,8 @@
         copy = self.copies.pop(copy_from.partition("/")[2], None)
         if copy is None or copy.part != part:
             return None
+        if copy.question != run.question:
+            self.record_resumed_foreign(request_id, copy.request_id)
         self.kept[part] = prompt_tokens
         return run
 
--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -138,6 +138,7 @@
             prompt_tokens=RESUMED_PROMPT_TOKENS if is_read else ask.prompt_tokens,
             memory_tokens=ask.prompt_tokens + ask.output_tokens,
             part=ask.own_part,
+            fingerprint=accepted.fingerprint,
             copy=_growing_copy(accepted, copy_to) if copy_to else None,
             version=engine.version,
             model=ask.model,
--- a/lagoonlever/gateway/events_streams.py
+++ b/lagoonlever/gateway/events_streams.py
@@ -13,6 +13,15 @@
     "A caller is back with a part of its answer. `version` is that of the software that wrote the"
     " first event, `source` who knew it; without a version nothing is known of the beginning.",
 )
+FORMER_RUN = event(
+    1018,
+    "former-run",
+    "info",
+    "{request}, back after event {position}, follows {former} at {target}: the same question"
+    " {same}, goes on from copy {copy}.",
+    "The last run of a stream, or else of its session. `same` tells whether both ask the same. Only"
+    " a caller that is back with a part of the answer to the same question goes on from a copy.",
+)
 VERSIONS_RECORDED = event(
     1013,
     "versions-recorded",
--- a/lagoonlever/gateway/origin_finder.py
+++ b/lagoonlever/gateway/origin_finder.py
@@ -11,7 +11,6 @@
 from lagoonlever.decisions.fleet.update_routing import placement_hubs
 from lagoonlever.decisions.streams.stream_origins import StreamOrigin
 from lagoonlever.gateway.accepted import Accepted
-from lagoonlever.gateway.attempt_planner import generation_ask
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.origin_records import OriginRecords
 from lagoonlever.gateway.questions import Questions
@@ -115,14 +114,13 @@
         """Return the service of a route, or None if it has several.
 
         A caller that does not name the beginning of its stream goes on where the last run of its
-        prompt was, or else anywhere on its route.
+        question was, or else anywhere on its route.
         """
         if len(accepted.route.services) == 1:
             return accepted.service
         if accepted.caller.resumes is not None:
             return None
-        part = generation_ask(accepted).own_part
-        run = self._beliefs.book.find_unfinished_run(part) if part is not None else None
+        run = self._beliefs.book.find_unfinished_run_for(accepted.fingerprint)
         return run.service if run is not None else accepted.service
 
     async def _ask_others(self, request: str) -> FoundOrigin | None:
--- a/lagoonlever/gateway/placer.py
+++ b/lagoonlever/gateway/placer.py
@@ -125,15 +125,19 @@
         return FormerRunTold(number=number, kept_at=kept_at)
 
     def _find_run(self, wanted: FormerRun) -> EngineRun | None:
-        """Return the last run of a stream; by the prompt's own part where no stream is named.
+        """Return the last run of a stream, or else of its session, which may ask something else.
 
-        Another request of the same session may have that part, and another answer.
+        The engine of any run of the session has a part of the prompt cached.
         """
+        book = self._beliefs.book
         if wanted.begun_by is not None:
-            return self._beliefs.book.find_unfinished_run_of(wanted.begun_by)
-        if wanted.part is None:
-            return None
-        return self._beliefs.book.find_unfinished_run(wanted.part)
+            return book.find_unfinished_run_of(wanted.begun_by)
+        same: EngineRun | None = None
+        if wanted.returning and wanted.fingerprint is not None:
+            same = book.find_unfinished_run_for(wanted.fingerprint)
+        if same is not None or wanted.part is None:
+            return same
+        return book.find_unfinished_run(wanted.part)
 
     def view(self, service: str) -> PlacementContext:
         """Give what this VM's own decisions rest on.
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -96,8 +96,13 @@
         return True
 
     async def _new_life(self, accepted: Accepted, origin: StreamOrigin | None) -> StreamLifecycle:
-        """Begin a stream; a caller that returns goes on where its last run left a copy."""
-        part = generation_ask(accepted).own_part
+        """Create the state of a stream; a caller that returns may resume from its own copy.
+
+        A new request never does, whatever its session left: only what the same request has
+        read and written is its own.
+        """
+        ask = generation_ask(accepted)
+        part = ask.own_part
         returning = accepted.caller.last_event_id is not None
         begun_by = accepted.caller.resumes if returning else None
         copy: RunCopy | None = None
@@ -109,11 +114,14 @@
                 returning=returning,
                 begun_by=begun_by,
                 version=origin.version if origin is not None else None,
+                fingerprint=accepted.fingerprint if returning else None,
             )
             former = await self._placer.former_run(wanted)
             prefer = former.kept_at
             if former.run is not None:
-                copy = former.run.copy
+                if returning:
+                    copy = former.run.copy_for(accepted.fingerprint, model=ask.model)
+                self._log_former(accepted, former.run, copy)
                 prefer = former.run.engine if self._is_same_process(former.run) else None
         return StreamLifecycle.for_reconnect(
             repeatable=accepted.route.repeatable,
@@ -136,6 +144,17 @@
             source=source,
         )
 
+    def _log_former(self, accepted: Accepted, run: EngineRun, copy: RunCopy | None) -> None:
+        events_streams.FORMER_RUN.log(
+            log,
+            request=accepted.request_id,
+            former=run.request,
+            target=run.engine,
+            same=run.fingerprint == accepted.fingerprint,
+            position=accepted.caller.last_event_id,
+            copy=copy.name if copy is not None else None,
+        )
+
     def _is_same_process(self, run: EngineRun) -> bool:
         """Tell whether the engine of a run is still the process that read its prompt."""
         engine = self._beliefs.targets.find(run.engine)
--- a/lagoonlever/peers/messages_placement.py
+++ b/lagoonlever/peers/messages_placement.py
@@ -79,6 +79,8 @@
     """The request that began the stream, where the caller names it."""
     version: str | None = None
     """The version of the software that began it."""
+    fingerprint: str | None = None
+    """Digest of what the request asks, the same in each of its retries."""
 
 
 @PEER.message("pf")
--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -124,11 +124,17 @@
                 if whole:
                     break
                 if leave_at is not None and told >= leave_at:
+                    await self._ask_on(route, part, events)
                     return False
                 await trio.sleep(PAUSE_S)
         self.judge.streamed("patient" if self.is_patient else route, whole=whole)
         return whole
 
+    async def _ask_on(self, route: str, part: str, events: int) -> None:
+        """Ask the next question of a session whose former answer was left midway."""
+        self._began = None
+        await self._stream_once(route, part, events, 0, None, turn=2)
+
     async def _call_once(self, kind: str, request: str) -> int:
         headers = self._headers(request, CALL_DEADLINE_S)
         sent_at = trio.current_time()
@@ -157,6 +163,7 @@
         leave_at: int | None,
         *,
         shared: tuple[str, ...] = ("shared",),
+        turn: int = 1,
     ) -> tuple[int, bool]:
         request = self._new_id("stream")
         if not told:
@@ -175,8 +182,9 @@
         splitter = RawEventSplitter()
         try:
             connection = await self._connect()
+            path = f"/{route}/{turn}"
             await connection.start(
-                method="POST", path=f"/{route}/1", headers=headers, body=part.encode(), step="soak"
+                method="POST", path=path, headers=headers, body=part.encode(), step="soak"
             )
             head = await connection.read_head()
             while (piece := await connection.next_piece()) is not None:
--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -106,6 +106,11 @@
         if request is not None:
             self._judge.ran(request, self.target_id, headers)
 
+    def record_resumed_foreign(self, request: str, former: str) -> None:
+        """Record a request that goes on from the memory of another one."""
+        detail = f"{request} goes on at {self.target_id} from the memory of {former}"
+        self._judge.break_promise("memory is its request's own", detail)
+
     def _tell_deadly(self, headers: Headers) -> None:
         entries = (headers.get(PROMPT_PARTS) or "").split(",")
         now = trio.current_time()
--- a/lagoonlever/tests/cluster_requests_tests.py
+++ b/lagoonlever/tests/cluster_requests_tests.py
@@ -122,6 +122,15 @@
         400,
         "Last-Event-ID",
     ),
+    (
+        {"model": MODEL, "prompt": "p"},
+        (
+            ("Idempotency-Key", "x"),
+            ("Last-Event-ID", "other/1/1/0/3/00000000000000ff/engine-1/vm-1"),
+        ),
+        400,
+        "Last-Event-ID",
+    ),
     (b"x" * (5 * 1024 * 1024), (), 413, "body"),
     (b"{}", (("X-Large", "x" * 100_000),), 431, "request"),
 ]
--- a/lagoonlever/tests/engine_book_tests.py
+++ b/lagoonlever/tests/engine_book_tests.py
@@ -154,6 +154,23 @@
     assert former is not None and former.copy == copy and former.flowing
 
 
+def test_a_run_is_found_by_what_its_request_asks_beside_a_later_one_of_its_session() -> None:
+    """Guards against a return that goes on with the answer to its session's next question."""
+    scheduler = new_scheduler()
+    copy = RunCopy(holder="e2", address=ENGINES[1].address, name="r1")
+    scheduler.record_dispatch(run("r1", "e1", part="p1", fingerprint="q1", copy=copy), 0.0)
+    scheduler.record_dispatch(run("r2", "e2", part="p1", fingerprint="q2"), 0.1)
+    last, own = scheduler.find_unfinished_run("p1"), scheduler.find_unfinished_run_for("q1")
+    assert last is not None and last.request == "r2"
+    assert own is not None and own.request == "r1"
+    assert own.copy_for("q1", model="") == copy
+    assert own.copy_for("q2", model="") is None
+    assert own.copy_for("q1", model="m-2") is None
+    scheduler.record_end("r1", 1.0, whole=False)
+    scheduler.expire(100.0)
+    assert scheduler.find_unfinished_run_for("q1") is None
+
+
 def test_a_completed_run_is_not_resumed() -> None:
     scheduler = new_scheduler()
     scheduler.record_dispatch(run("r1", "e1", part="p1"), 0.0)
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -381,23 +381,28 @@
         events: int = 10,
         prompt_tokens: int = 100,
         shared: Sequence[str] = ("shared",),
+        question: bytes | None = None,
         on_event: Callable[[int], Any] = lambda count: None,
         **more: str,
     ) -> Stream:
-        """Ask for a stream and read it until its end or its break."""
+        """Ask for a stream and read it until its end or its break.
+
+        ``question`` is the body, by default the id of the prompt's own part.
+        """
         headers = self.headers(
             Token_Count=f"{prompt_tokens},{events * 8}",
             Prompt_Prefix=",".join(
                 (*(f"{each}:10" for each in shared), f"{part}:{prompt_tokens - 10 * len(shared)}")
             ),
-            Model="m",
+            Model=more.pop("Model", "m"),
             Deadline_Ms=more.pop("Deadline_Ms", "25000"),
             **more,
         )
         address = self.vms[vm].settings.listen
+        body = part.encode() if question is None else question
         async with await ClientConnection.open(address, timeout_s=CONNECT_S) as connection:
             await connection.start(
-                method="POST", path="/stream/1", headers=headers, body=part.encode(), step="test"
+                method="POST", path="/stream/1", headers=headers, body=body, step="test"
             )
             head = await connection.read_head()
             got = Stream(
--- a/lagoonlever/tests/placer_tests.py
+++ b/lagoonlever/tests/placer_tests.py
@@ -31,7 +31,7 @@
 SMALL, LARGE = 9, 195
 ENGINES = 60
 SETTLED_S = 6.0
-_RETURNING = FormerRun(service=SERVICE, part="part-r1", returning=True)
+_RETURNING = FormerRun(service=SERVICE, part="part-r1", returning=True, fingerprint="question-r1")
 RUN_LIST_TAG = PEER.tag_of(RunList(runs=()))
 
 
@@ -194,6 +194,28 @@
     run_fleet(story)
 
 
+def test_a_hub_names_the_run_of_a_question_and_not_the_last_one_of_its_session() -> None:
+    """A return that is answered with its session's last run would go on with another answer."""
+
+    async def story(fleet: Fleet) -> None:
+        placing = await started(fleet, LARGE)
+        first, other = plain_vms(placing, 0)[0], plain_vms(placing, 1)[0]
+        await first.place("r1")
+        first.peers.flows("r1")
+        later = first.booked("r2", Placed(engine="e-1"))
+        first.peers.begin(attrs.evolve(later, part="part-r1"))
+        first.peers.flows("r2")
+        await trio.sleep(0.1)
+        former = await other.placer.former_run(_RETURNING)
+        assert former.run is not None and former.run.request == "r1"
+        assert former.run.copy_for("question-r1", model="") is not None
+        fallback = await other.placer.former_run(attrs.evolve(_RETURNING, fingerprint="unknown"))
+        assert fallback.run is not None and fallback.run.request == "r2"
+        assert fallback.run.copy_for("unknown", model="") is None
+
+    run_fleet(story)
+
+
 def test_the_hubs_that_follow_lost_ones_know_the_runs_of_before() -> None:
     """Both hubs of a data centre die. Two narrow VMs take their place, and know no run.
 
