--- a/lagoonlever/decisions/engines/engine_timings.py
+++ b/lagoonlever/decisions/engines/engine_timings.py
@@ -250,6 +250,11 @@
         known = self._usual_prefills.get(service)
         return known.value if known is not None else PRIOR_PREFILL_S
 
+    def usual(self, service: str) -> TokenTimes:
+        """Return the usual times per token of a service, on engines that nothing disturbs."""
+        known = self._service(service)
+        return TokenTimes(prompt_token_s=known.prompt_token_s.value, token_s=known.token_s.value)
+
     def lower_bound(self, service: str) -> TokenTimes:
         """Return times per token that no engine of a service is expected to fall below."""
         known = [each for (key_service, _), each in self._engines.items() if key_service == service]
--- a/lagoonlever/decisions/fleet/peer_table.py
+++ b/lagoonlever/decisions/fleet/peer_table.py
@@ -114,6 +114,8 @@
     """When its last announcement arrived, or when it was first read from the register."""
     heard: bool = False
     """Whether an announcement of it arrived, directly or through a hub; else only registered."""
+    leaving_since: float | None = None
+    """When its first announcement arrived that it leaves."""
 
 
 @attrs.define(kw_only=True)
@@ -165,7 +167,10 @@
         known = self._peers.get(state.life.name)
         if known is not None and self._is_former(state, known, now):
             return False
-        self._put(_Peer(state=state, known_at=now, heard=True))
+        leaving_since = now if state.leaving else None
+        if state.leaving and known is not None and known.state.life == state.life:
+            leaving_since = known.leaving_since or now
+        self._put(_Peer(state=state, known_at=now, heard=True, leaving_since=leaving_since))
         return known is None or known.state.life != state.life or not known.heard
 
     def record_digest(self, nonces: Iterable[int], now: float) -> bool:
@@ -191,6 +196,11 @@
         if known is None or known.state.life < state.life:
             self._put(_Peer(state=state, known_at=now))
 
+    def leaving_since(self, now: float) -> tuple[float, ...]:
+        """Return when each of the peers that leave, and are not silent yet, began to."""
+        present = (peer for peer in self._peers.values() if not self._is_silent(peer, now))
+        return tuple(peer.leaving_since for peer in present if peer.leaving_since is not None)
+
     def accepting_callers(self, now: float) -> tuple[PeerState, ...]:
         """Return the states of the peers that callers may be sent to."""
         return tuple(
--- a/lagoonlever/decisions/streams/stream_lifecycle.py
+++ b/lagoonlever/decisions/streams/stream_lifecycle.py
@@ -61,6 +61,8 @@
     detail: str
     retry_after_s: float | None = None
     """Seconds after which the caller may retry; None if it may retry at once."""
+    leaving: bool = False
+    """Whether it is this VM that stops, while engines could go on."""
     begin_anew: bool = False
     """Whether no engine can ever go on with the stream, so that a retry only helps without the
     events that the caller has."""
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -18,6 +18,7 @@
 from lagoonlever.gateway.call_places import CallPlace, CallPlaces, PlaceOutcome
 from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.dialer import TargetDialer
+from lagoonlever.gateway.last_requests import MESSAGE, LastRequests
 from lagoonlever.gateway.messages import AnswerHead, Hop
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.reporter import Ending, Reporter
@@ -105,6 +106,7 @@
     words: TargetWords
     places: CallPlaces
     dialer: TargetDialer
+    last: LastRequests
 
     async def attempt(
         self,
@@ -164,6 +166,9 @@
             if left_s <= 0 or not self.beliefs.targets.takes_work(target.id):
                 result = NotSent(detail="the target leaves, or the time is over")
                 return result
+            if not self.last.can_answer(accepted):
+                result = NotSent(detail=MESSAGE)
+                return result
             hop = Hop(target_id=target.id, deadline_s=left_s, organisation=accepted.organisation)
             call.written(target.id)
             call.via = connection.via
--- a/lagoonlever/gateway/daemon.py
+++ b/lagoonlever/gateway/daemon.py
@@ -112,11 +112,13 @@
     async def _leave(self, parts: GatewayParts) -> None:
         began = self.timers.now
         grace_s = self._settings.bounds.grace_s
+        lasts_s = grace_s - END_MARGIN_S
+        parts.last_requests.departure.begin(began, lasts_s=lasts_s)
         self._http.closing = True
         events.STOPPING.log(log, open=self._http.open_exchanges, grace_s=grace_s)
         parts.presence.say_now()
         await parts.registration.leave()
-        while self.timers.now - began < grace_s - END_MARGIN_S:
+        while self.timers.now - began < lasts_s:
             quiet = self.timers.now - began > QUIET_S
             if quiet and not self._http.open_exchanges and not parts.tunnel_desk.busy:
                 break
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -15,6 +15,7 @@
 from lagoonlever.gateway.answers import NO_ROUTE, UNKNOWN_KEY, tell
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.crash_watch import CrashWatch
+from lagoonlever.gateway.last_requests import LastRequests
 from lagoonlever.gateway.messages import CallerHead
 from lagoonlever.gateway.reporter import Reporter
 from lagoonlever.gateway.rollouts import Rollouts
@@ -43,6 +44,7 @@
     _reporter: Reporter
     _rng: random.Random
     _crashes: CrashWatch
+    _last: LastRequests
     _rollouts: Rollouts
     _serve: dict[RouteKind, Serve]
     _started: float = attrs.field(factory=trio.current_time)
@@ -63,9 +65,9 @@
         if isinstance(accepted, NotRun):
             await self._refuse(exchange, accepted)
             return
-        barred = self._crashes.refusal(accepted)
-        if barred is not None:
-            await self._refuse(exchange, barred)
+        rejected = self._crashes.refusal(accepted) or self._last.refusal(accepted)
+        if rejected is not None:
+            await self._refuse(exchange, rejected)
             return
         await self._serve[accepted.route.kind](accepted)
 
--- a/lagoonlever/gateway/front_parts.py
+++ b/lagoonlever/gateway/front_parts.py
@@ -44,6 +44,7 @@
         reporter=parts.reporter,
         rng=parts.rng,
         crashes=parts.crashes,
+        last=parts.last_requests,
         rollouts=parts.rollouts,
         serve={
             RouteKind.IDEMPOTENT: repeatable.serve,
@@ -74,6 +75,7 @@
         words=parts.words,
         places=parts.call_places,
         dialer=parts.dialer,
+        last=parts.last_requests,
     )
 
 
@@ -106,7 +108,12 @@
         beliefs=parts.beliefs,
         peers=parts.peers,
         tools=tools,
-        admission=StreamAdmission(beliefs=parts.beliefs, timers=parts.timers, rng=parts.rng),
+        admission=StreamAdmission(
+            beliefs=parts.beliefs,
+            timers=parts.timers,
+            rng=parts.rng,
+            last=parts.last_requests,
+        ),
         placer=parts.placer,
         origins=parts.origin_finder,
         planner=AttemptPlanner(
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -25,6 +25,7 @@
 from lagoonlever.gateway.front_parts import make_front
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.gateway.knowledge import KnowledgeExchange
+from lagoonlever.gateway.last_requests import LastRequests
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.metrics_page import MetricsPage
 from lagoonlever.gateway.origin_finder import OriginFinder
@@ -82,6 +83,7 @@
     store: MetadataStore = attrs.field(init=False)
     beliefs: Beliefs = attrs.field(init=False)
     learner: Learner = attrs.field(init=False)
+    last_requests: LastRequests = attrs.field(init=False)
     budgets: RetryBudgets = attrs.field(init=False)
     bus: PeerBus = attrs.field(init=False)
     presence: Presence = attrs.field(init=False)
@@ -146,6 +148,10 @@
     def _make_learner(self) -> Learner:
         return Learner(beliefs=self.beliefs, timers=self.timers)
 
+    @last_requests.default
+    def _make_last_requests(self) -> LastRequests:
+        return LastRequests(beliefs=self.beliefs, timers=self.timers, rng=self.rng)
+
     @budgets.default
     def _make_budgets(self) -> RetryBudgets:
         return RetryBudgets(bounds=self.settings.retry_budget)
--- a/lagoonlever/gateway/stream_admission.py
+++ b/lagoonlever/gateway/stream_admission.py
@@ -18,10 +18,11 @@
     StreamLifecycle,
     WaitForEngine,
 )
-from lagoonlever.decisions.streams.stream_time import min_time_s
+from lagoonlever.decisions.streams.stream_time import RemainingStream
 from lagoonlever.gateway import events
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.last_requests import MESSAGE, LastRequests
 from lagoonlever.gateway.messages import NO_ASK
 from lagoonlever.timers import TimerService
 
@@ -40,6 +41,7 @@
     _beliefs: Beliefs
     _timers: TimerService
     _rng: random.Random
+    _last: LastRequests
 
     def refusal(
         self,
@@ -47,40 +49,73 @@
         life: StreamLifecycle,
         step: PlaceAttempt | ResumeFromCopy | WaitForEngine,
     ) -> GiveUp | None:
-        """Give why a step is not taken, or None where it is."""
-        if not self._can_end(accepted, life, step):
+        """Return why a step is not taken, or None if it is."""
+        remaining = self._remaining(accepted, life, step)
+        if not self._can_end(accepted, life, remaining):
             return GiveUp(may_have_run=life.possible_runs > 0, detail="it can't end in time")
-        return None
+        return self.refusal_as_vm_leaves(accepted, life, step)
 
-    @MECHANISMS.register(
-        "hopeless-refusal",
-        does="a stream that no engine could end in its caller's time is refused at once",
-        without="it is tried, and broken off when its time is over",
-        plain=gives(True),
-    )
-    def _can_end(
+    def refusal_as_vm_leaves(
         self,
         accepted: Accepted,
         life: StreamLifecycle,
         step: PlaceAttempt | ResumeFromCopy | WaitForEngine,
-    ) -> bool:
-        """Tell whether a stream could end in its time on an idle engine."""
+    ) -> GiveUp | None:
+        """Return why a step is not taken by a VM that stops, or None if it is.
+
+        A stream of which the caller has the beginning goes on here until the end of this VM.
+        """
+        remaining = self._remaining(accepted, life, step)
+        if life.response_started or self._can_begin(accepted, remaining):
+            return None
+        return GiveUp(
+            may_have_run=life.possible_runs > 0,
+            detail=MESSAGE,
+            retry_after_s=self._last.choose_retry_after_s(),
+            leaving=True,
+        )
+
+    def _remaining(
+        self,
+        accepted: Accepted,
+        life: StreamLifecycle,
+        step: PlaceAttempt | ResumeFromCopy | WaitForEngine,
+    ) -> RemainingStream:
         ask = accepted.caller.ask or NO_ASK
         cached = isinstance(step, ResumeFromCopy) or (
             isinstance(step, PlaceAttempt) and bool(step.prefer)
         )
-        left_s = accepted.left_s(self._timers.now)
-        if life.position and left_s < LEAST_LEFT_S:
-            return False
-        least_s = min_time_s(
-            pace=self._beliefs.book.timings.lower_bound(accepted.service),
+        return RemainingStream(
             prompt_tokens=ask.prompt_tokens,
             output_tokens=ask.expected_tokens,
             position=life.position or 0,
             event_tokens=self._beliefs.engine_limits(accepted.service).event_tokens,
             cached=cached,
         )
-        return least_s <= left_s
+
+    def _can_begin(self, accepted: Accepted, remaining: RemainingStream) -> bool:
+        """Check whether this VM may begin a stream, by the longest that it may take."""
+        longest = attrs.evolve(
+            remaining, output_tokens=(accepted.caller.ask or NO_ASK).output_tokens
+        )
+        usual = self._beliefs.book.timings.usual(accepted.service)
+        return self._last.can_begin_stream(accepted, seconds=longest.max_time_s(usual))
+
+    @MECHANISMS.register(
+        "hopeless-refusal",
+        does="a stream that no engine could end in its caller's time is refused at once",
+        without="it is tried, and broken off when its time is over",
+        plain=gives(True),
+    )
+    def _can_end(
+        self, accepted: Accepted, life: StreamLifecycle, remaining: RemainingStream
+    ) -> bool:
+        """Check whether a stream could end in its time on an idle engine."""
+        left_s = accepted.left_s(self._timers.now)
+        if life.position and left_s < LEAST_LEFT_S:
+            return False
+        fastest = self._beliefs.book.timings.lower_bound(accepted.service)
+        return remaining.min_time_s(fastest) <= left_s
 
     def turned_away(self, refused: RejectedWithRetryAfter) -> GiveUp:
         """Give why a prompt is refused that the line for engines can't reach in its time."""
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -202,6 +202,10 @@
                 continue
             if plan is None:
                 continue
+            refusal = self._admission.refusal_as_vm_leaves(accepted, life, step)
+            if refusal is not None:
+                # The wait for a place took the time that this VM had left.
+                return refusal
             await StreamAttempt(
                 accepted=accepted,
                 life=life,
@@ -257,6 +261,8 @@
         if gave_up is not None and gave_up.begin_anew:
             return NotRun(reason=Reason.CANNOT_RESUME, message=f"{detail}; begin it anew")
         told_s = gave_up.retry_after_s if gave_up else None
+        if gave_up is not None and gave_up.leaving:
+            return NotRun(reason=Reason.LEAVING, message=detail, retry_after_s=told_s)
         told_s = told_s or self._tools.words.come_back_s(accepted.service)
         return NotRun(reason=Reason.NO_TARGET, message=detail, retry_after_s=told_s or COME_BACK_S)
 
--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -39,6 +39,8 @@
 one organisation, as the prompt is another request for each."""
 FIRST_SHARING = 600
 """The number of the first caller whose requests share a deadly part."""
+ENDS_WITH_S = 0.3
+"""From the cut of a connection until its VM's process is seen to have ended, if that cut it."""
 DEADLY_PAUSE_S = (0.05, 0.5)
 """Between two returns of a caller whose prompt ends engines."""
 
@@ -143,6 +145,7 @@
                 response = await self._exchange(f"/{kind}/{request}", headers)
         except (PeerError, trio.TooSlowError):
             # The connection ended, or nothing came: the caller knows nothing of its call.
+            await self._check_cut(request, sent_at)
             await self._drop()
             return 0
         self.judge.called(request, response.status, response.headers, response.body)
@@ -180,6 +183,7 @@
         )
         headers = self._headers(request, STREAM_DEADLINE_S, more)
         splitter = RawEventSplitter()
+        sent_at = trio.current_time()
         try:
             connection = await self._connect()
             path = f"/{route}/{turn}"
@@ -199,6 +203,7 @@
                     return told, False
         except PeerError:
             # The stream broke off; the caller comes back with what it has.
+            await self._check_cut(request, sent_at)
             await self._drop()
             self.judge.answered("stream", request, 0)
             return told, False
@@ -211,6 +216,17 @@
             self.judge.stream_ended(part, told, events)
         return told, head.status == OK
 
+    async def _check_cut(self, request: str, sent_at: float) -> None:
+        """Check that no planned stop broke off a request that ran and came late."""
+        if self._connection is None or not self.judge.has_run(request):
+            return
+        vm, cut_at = self._connection.address, trio.current_time()
+        if not self.site.must_not_cut(vm, sent_at):
+            return
+        await trio.sleep(ENDS_WITH_S)
+        if self.site.has_ended(vm, cut_at, within_s=ENDS_WITH_S):
+            self.judge.break_promise("a stop cuts nothing late", f"{request} was cut by {vm}")
+
     async def _exchange(self, path: str, headers: Headers) -> Response:
         connection = await self._connect()
         await connection.start(method="POST", path=path, headers=headers, step="soak")
--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -82,6 +82,10 @@
         if request in self._told_not_run:
             self.break_promise("not run is true", f"{request} ran at {target} after it was told")
 
+    def has_run(self, request: str) -> bool:
+        """Check whether a target began to work on a request."""
+        return self._ran[request] > 0
+
     def arrived(self, request: str, target: str, headers: Headers) -> None:
         """Check what a target gets with a request."""
         if headers.get("Authorization") is not None:
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -38,6 +38,8 @@
 FIRST_PATH_PORT = 9010
 """Of the first VM at each target's machine; the next VMs have the next ports."""
 GRACE_S = 8.0
+CALLERS_LEARN_S = 3.0
+"""From a VM's order to stop until every caller could know of it."""
 BACK_AFTER_S = 0.3
 """Between the end of a target and the start of another one at its address."""
 FIRST_START_MS = 1_700_000_000_000
@@ -80,6 +82,10 @@
     started_at: float = 0.0
     disturbed_at: float = 0.0
     """When this VM was last harmed, or had just come back."""
+    told_to_stop_at: float | None = None
+    """When its process got its order to stop; None if it got none."""
+    ended_at: float | None = None
+    """When a process of this VM was last seen to have ended."""
     paths_lost_at: float | None = None
     """When it lost its paths to all targets; None while it has them."""
     paths_back_at: float = 0.0
@@ -171,11 +177,14 @@
         with vm.log.open("ab") as log:
             vm.process = subprocess.Popen(self.program, env=environment, stdout=log, stderr=log)
         vm.asked_to_end = False
+        vm.told_to_stop_at = None
         vm.disturbed_at = vm.started_at = trio.current_time()
 
     def signal(self, vm: SoakVm, number: signal.Signals, *, ends: bool = False) -> None:
         """Send a signal to a VM's process, if it has one."""
         vm.disturbed_at = trio.current_time()
+        if number == signal.SIGTERM:
+            vm.told_to_stop_at = vm.disturbed_at
         vm.asked_to_end = vm.asked_to_end or ends
         if vm.process is not None and vm.process.poll() is None:
             vm.process.send_signal(number)
@@ -190,6 +199,7 @@
         """Wait until a VM's process has ended."""
         while vm.process is not None and vm.process.poll() is None:  # noqa: ASYNC110
             await trio.sleep(0.02)
+        vm.ended_at = trio.current_time()
 
     async def restart_target(
         self, kept: list[SoakTarget], place: int, *, version: str | None = None
@@ -354,7 +364,7 @@
         ``since`` is when a call was sent; all that could have failed it was calm for a while then.
         """
         calm_since = since - CALM_S
-        vm = next((vm for vm in self.vms if vm.settings.listen == address), None)
+        vm = self._vm_at(address)
         if vm is None or vm.paths_lost_at is None or vm.paths_lost_at > calm_since:
             return False
         helpers = [o for o in self.vms if o.paths_lost_at is None and o.paths_back_at < calm_since]
@@ -362,6 +372,28 @@
             return False
         return self.targets_disturbed_at < calm_since and all(map(_is_plain, self.runners))
 
+    def must_not_cut(self, address: Address, since: float) -> bool:
+        """Check whether a VM that stops has to end what was sent to it at a moment.
+
+        It came late, so that the VM could tell whether there is time for it, and since the order
+        to stop neither the VM nor a target was harmed.
+        """
+        vm = self._vm_at(address)
+        if vm is None or vm.told_to_stop_at is None or vm.disturbed_at > vm.told_to_stop_at:
+            return False
+        if since < vm.told_to_stop_at + CALLERS_LEARN_S:
+            return False
+        calm = self.targets_disturbed_at < vm.told_to_stop_at and vm.paths_lost_at is None
+        return calm and all(map(_is_plain, self.runners))
+
+    def has_ended(self, address: Address, at: float, *, within_s: float) -> bool:
+        """Check whether a VM's process has ended at about a moment."""
+        vm = self._vm_at(address)
+        return vm is not None and vm.ended_at is not None and abs(vm.ended_at - at) <= within_s
+
+    def _vm_at(self, address: Address) -> SoakVm | None:
+        return next((vm for vm in self.vms if vm.settings.listen == address), None)
+
     def _vm(self, number: int, store: Address) -> SoakVm:
         link = FaultyProxy(listen=self._address(1 + number, TARGET_PORT + 2), target=store)
         name = f"vm-{number}"
--- a/lagoonlever/tests/engine_paces_tests.py
+++ b/lagoonlever/tests/engine_paces_tests.py
@@ -10,7 +10,7 @@
 from lagoonlever.decisions.engines.engine_scheduler import EngineScheduler
 from lagoonlever.decisions.engines.engine_timings import PRIOR_PROMPT_TOKEN_S, EngineTimings
 from lagoonlever.decisions.streams.engine_runs import EngineRun
-from lagoonlever.decisions.streams.stream_time import min_time_s
+from lagoonlever.decisions.streams.stream_time import RemainingStream
 from lagoonlever.tests.engine_book_tests import ENGINES, LIMITS
 
 SERVICE = "engines"
@@ -28,14 +28,14 @@
 
 
 def needed_s(timings: EngineTimings, *, position: int = 0, cached: bool = False) -> float:
-    return min_time_s(
-        pace=timings.lower_bound(SERVICE),
+    remaining = RemainingStream(
         prompt_tokens=PROMPT,
         output_tokens=OUTPUT,
         position=position,
         event_tokens=8,
         cached=cached,
     )
+    return remaining.min_time_s(timings.lower_bound(SERVICE))
 
 
 @pytest.mark.parametrize("times", [0.25, 0.5, 1.0, 2.0, 4.0])
--- a/lagoonlever/tests/peer_table_tests.py
+++ b/lagoonlever/tests/peer_table_tests.py
@@ -62,6 +62,20 @@
     assert names(table, 0.2) == []
 
 
+def test_a_vm_is_known_to_leave_since_its_first_word_of_it() -> None:
+    """Guards against callers who are told to wait for a VM from its last word on."""
+    table = PeerTable(own=OWN)
+    table.record_state(state(), 1.0)
+    assert table.leaving_since(1.1) == ()
+    table.record_state(state(leaving=True), 2.0)
+    table.record_state(state(leaving=True), 2.5)
+    assert table.leaving_since(2.6) == (2.0,)
+    table.record_state(state(started_ms=2), 3.0)
+    assert table.leaving_since(3.1) == ()
+    table.record_state(state(started_ms=2, leaving=True), 4.0)
+    assert table.leaving_since(10.0) == ()
+
+
 def test_a_new_incarnation_replaces_the_former_one_and_not_the_other_way() -> None:
     table = PeerTable(own=OWN)
     table.record_state(state(started_ms=1), 0.0)
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -195,6 +195,17 @@
     assert result.violations == ()
 
 
+def test_a_fleet_whose_vms_are_all_told_to_stop_cuts_nothing_late(tmp_path: Path) -> None:
+    """All VMs stop within two seconds, so that callers have no other address than theirs."""
+    plan = tuple(
+        Fault(kind=FaultKind.VM_STOP, at_s=1.0 + number, for_s=0.0, number=number)
+        for number in range(SHORT.vms)
+    )
+    result = play(6, tmp_path, length_s=14.0, size=attrs.evolve(SHORT, callers=24), plan=plan)
+    assert result.violations == ()
+    assert result.counts.get("stream 200", 0) > 20
+
+
 def test_targets_that_return_under_their_ids_break_no_promise(tmp_path: Path) -> None:
     """Engines and runners die and are back under their ids within a second, again and again.
 
