--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -14,7 +14,7 @@
 import msgspec
 import trio
 
-from lagoonlever.fakes.raw_answers import raw_head
+from lagoonlever.fakes.raw_answers import raw_answer, raw_head
 from lagoonlever.fakes.target_room import USUAL_PRIORITY, Place, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
 from lagoonlever.http.messages import Headers, Request
@@ -52,6 +52,8 @@
     SERVE = "serve"
     REFUSE = "refuse"
     """Says that it has not run it."""
+    REFUSE_TWICE = "refuse-twice"
+    """Says so, and once more where the next answer on the connection is due."""
     LOSE_ANSWER = "lose-answer"
     """Begins the run and closes the connection."""
     STAY_SILENT = "stay-silent"
@@ -66,6 +68,7 @@
     """The same, and closes in the middle of its third event."""
 
 
+REFUSALS = frozenset({EngineConduct.REFUSE, EngineConduct.REFUSE_TWICE})
 NO_LENGTH = frozenset({EngineConduct.NO_LENGTH, EngineConduct.NO_LENGTH_HALF})
 
 
@@ -136,6 +139,8 @@
         """The state that its reports tell."""
         self.cancelled: list[str] = []
         self.questions: Counter[str] = Counter()
+        self._late_copies: dict[str, bytes] = {}
+        """Second copies of refusals that are still to come, by the peer of the connection."""
         self._fleet = fleet
         self._deadly = deadly
         """Parts of prompts under which the engine ends as it begins to run them."""
@@ -208,17 +213,22 @@
         headers = exchange.request.headers
         self.seen.append(headers)
         self.arrived_at.append(trio.current_time())
+        late_copy = self._late_copies.pop(exchange.request.peer, None)
+        if late_copy is not None:
+            await exchange.write_raw(late_copy)
         if headers.get(EXPECTED_TARGET) != self.target_id:
-            other = Headers(((TARGET_ID, self.target_id),))
+            echoed = (REQUEST_ID, headers.get(REQUEST_ID) or "")
+            other = Headers((echoed, (TARGET_ID, self.target_id)))
             await exchange.respond(status=MISDIRECTED, headers=other, body=b"")
             return
         run = self._begin(exchange.request)
-        if self.conducts and self.conducts[0] is EngineConduct.REFUSE:
-            self.conducts.popleft()
+        twice = False
+        if self.conducts and self.conducts[0] in REFUSALS:
+            twice = self.conducts.popleft() is EngineConduct.REFUSE_TWICE
             run = None
         if run is None:
             self.refused += 1
-            await self._refuse(exchange)
+            await self._refuse(exchange, twice=twice)
             return
         priority = int(headers.get(PRIORITY) or USUAL_PRIORITY)
         run.place = self.room.enter(priority=priority, tokens=run.prompt_tokens)
@@ -244,10 +254,14 @@
         """Record a request that goes on from the memory of another one, ``former``."""
         self.resumed_foreign.append((request, former))
 
-    async def _refuse(self, exchange: Exchange) -> None:
-        load = self.says.load_field(self.room)
-        refusal = Headers(((REFUSED, "1"), *load, *self.says.fields(refusal=True)))
-        await exchange.respond(status=BUSY, headers=refusal, body=b"")
+    async def _refuse(self, exchange: Exchange, *, twice: bool = False) -> None:
+        request_id = exchange.request.headers.get(REQUEST_ID) or ""
+        load, said = self.says.load_field(self.room), self.says.fields(refusal=True)
+        refusal = ((REQUEST_ID, request_id), (REFUSED, "1"), *load, *said)
+        if twice:
+            copy = raw_answer(refusal, status=f"{BUSY} Busy")
+            self._late_copies[exchange.request.peer] = copy
+        await exchange.respond(status=BUSY, headers=Headers(refusal), body=b"")
 
     def _begin(self, request: Request) -> EngineRun | None:
         """Return the run of a request, or None if it names a copy that is not here."""
--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from lagoonlever.fakes.raw_answers import raw_head
+from lagoonlever.fakes.raw_answers import raw_answer, raw_head
 from lagoonlever.fakes.target_room import USUAL_PRIORITY, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
 from lagoonlever.http.messages import Headers
@@ -36,6 +36,10 @@
     """Runs it and answers 500."""
     REFUSE = "refuse"
     """Says that it has not run it."""
+    REFUSE_TWICE = "refuse-twice"
+    """Says so, and once more where the next answer on the connection is due."""
+    ANSWER_TWICE = "answer-twice"
+    """Serves it, and answers once more where the next answer on the connection is due."""
     LOSE_ANSWER = "lose-answer"
     """Runs it and closes the connection."""
     STAY_SILENT = "stay-silent"
@@ -50,6 +54,9 @@
     """Runs it and sends bytes that are no answer."""
 
 
+REFUSALS = frozenset({Conduct.REFUSE, Conduct.REFUSE_TWICE})
+
+
 class FakeRunner:
     """One runner; ``conducts`` are taken in turn, and it serves when there is none."""
 
@@ -72,7 +79,11 @@
         """When it had no room for a request."""
         self.says = TargetWords(load="1,0,6")
         self.room = TargetRoom()
+        self.names_refused = True
+        """Whether its refusals name the request that they belong to."""
         self._state = ServerState()
+        self._late_copies: dict[str, bytes] = {}
+        """Second copies of answers that are still to come, by the peer of the connection."""
         self._deadly = deadly
         """Bodies of requests under which the runner ends as it runs them."""
         self._die = die
@@ -95,21 +106,29 @@
         self.seen.append(headers)
         self.arrivals.append(request_id)
         self.arrived_at.append(trio.current_time())
+        late_copy = self._late_copies.pop(exchange.request.peer, None)
+        if late_copy is not None:
+            await exchange.write_raw(late_copy)
         if headers.get(EXPECTED_TARGET) not in (None, self.target_id):
-            other = Headers(((TARGET_ID, self.target_id),))
+            other = Headers(((REQUEST_ID, request_id), (TARGET_ID, self.target_id)))
             await exchange.respond(status=MISDIRECTED, headers=other, body=b"")
             return
         conduct = self.conducts.popleft() if self.conducts else Conduct.SERVE
         priority = int(headers.get(PRIORITY) or USUAL_PRIORITY)
         place = None
-        if conduct is not Conduct.REFUSE:
+        if conduct not in REFUSALS:
             place = self.room.enter(priority=priority, tokens=0)
             if place is None:
                 self.turned_away_at.append(trio.current_time())
         if place is None:
             load = self.says.load_field(self.room)
-            refusal = Headers(((REFUSED, "1"), *load, *self.says.fields(refusal=True)))
-            await exchange.respond(status=BUSY, headers=refusal, body=b"")
+            said = self.says.fields(refusal=True)
+            name = ((REQUEST_ID, request_id),) if self.names_refused else ()
+            refusal = (*name, (REFUSED, "1"), *load, *said)
+            if conduct is Conduct.REFUSE_TWICE:
+                copy = raw_answer(refusal, status=f"{BUSY} Busy")
+                self._late_copies[exchange.request.peer] = copy
+            await exchange.respond(status=BUSY, headers=Headers(refusal), body=b"")
             return
         try:
             await place.admitted.wait()
@@ -144,5 +163,9 @@
             raise CallerGone
         if conduct is Conduct.FOREIGN_ANSWER:
             fields[0] = (REQUEST_ID, "somebody-else")
+        if conduct is Conduct.ANSWER_TWICE:
+            self._late_copies[exchange.request.peer] = raw_answer(
+                fields, status="200 OK", body=body
+            )
         status = FAILED if conduct is Conduct.FAIL else OK
         await exchange.respond(status=status, headers=Headers(tuple(fields)), body=body)
--- a/lagoonlever/gateway/events_calls.py
+++ b/lagoonlever/gateway/events_calls.py
@@ -4,6 +4,15 @@
 
 from lagoonlever.events import event
 
+FOREIGN_ANSWER = event(
+    1098,
+    "foreign-answer",
+    "notice",
+    "{target} sent an answer for {other} where that for {request} was due: status {status}, a"
+    " refusal {refusal}.",
+    "A second copy of an answer came late, or the target mixes up its answers. It is taken for"
+    " nothing that it says. If there are many, look at the target.",
+)
 PLACE_WAITED = event(
     1086,
     "call-waited",
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -114,6 +114,14 @@
     unreadable: tuple[str, ...] = ()
     """What the target says of itself in fields that can't be read; such a field says nothing."""
 
+    def is_for(self, request_id: str) -> bool:
+        """Check whether the answer may belong to a request.
+
+        A target names the request in its answers. A refusal may come without, as from a server
+        that turns a request away before it reads its head.
+        """
+        return self.request_id == request_id or (self.refused and self.request_id is None)
+
 
 @attrs.frozen(kw_only=True)
 class RunReport:
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -34,7 +34,7 @@
 from lagoonlever.gateway.placer import Placer
 from lagoonlever.gateway.report_uses import is_stuck, ranks_differ, take_report
 from lagoonlever.gateway.stream_counts import StreamCounts
-from lagoonlever.gateway.target_client import NotSent
+from lagoonlever.gateway.target_client import NotSent, log_foreign
 from lagoonlever.http.client import ClientConnection, Response
 from lagoonlever.http.sse import RawEvent, RawEventSplitter
 from lagoonlever.nurseries import open_work_nursery
@@ -266,7 +266,6 @@
             )
             response = await self._wait_head(connection, silence)
             head = read_answer(response.status, response.headers)
-            self._tools.words.heard(self._plan.engine.id, head, sent_at=self._started)
             if not await self._accept_head(response, head):
                 return None
             while (piece := await self._next(connection, silence, head=False)) is not None:
@@ -385,6 +384,10 @@
     async def _accept_head(self, response: Response, head: AnswerHead) -> bool:
         """Judge the head of an answer; begins the caller's answer with a first good one."""
         engine = self._plan.engine
+        if not head.is_for(self._accepted.request_id):
+            log_foreign(head, request_id=self._accepted.request_id, target=engine.id)
+            raise _Ended(f"the answer is for request {head.request_id}")
+        self._tools.words.heard(engine.id, head, sent_at=self._started)
         if head.refused:
             self._count("refused")
             detail = f"refused with {head.status}"
@@ -394,8 +397,6 @@
                 self._tools.replacements.answered(engine.id, head.target_id)
             self._log_end(detail)
             return False
-        if head.request_id != self._accepted.request_id:
-            raise _Ended(f"the answer is for request {head.request_id}")
         if head.status != OK or not head.sealed:
             raise _Ended(f"answered {head.status}")
         self._answered = True
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -9,11 +9,12 @@
 from dataclasses import dataclass
 
 import attrs
+import logbook
 import trio
 
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import BadResponse, ConnectFailed, ConnectionBroken
-from lagoonlever.gateway import metrics
+from lagoonlever.gateway import events_calls, metrics
 from lagoonlever.gateway.dialer import TargetDialer
 from lagoonlever.gateway.messages import AnswerHead, Hop
 from lagoonlever.gateway.tally import Tally
@@ -22,6 +23,8 @@
 from lagoonlever.http.messages import Address, Request
 from lagoonlever.platform.headers import read_answer, to_target
 
+log = logbook.Logger(__name__)
+
 CONNECT_TIMEOUT_S = 0.15
 """A target accepts within a few milliseconds; one that does not is passed over.
 
@@ -110,8 +113,8 @@
     ) -> OpenAnswer | Refused | Lost:
         """Write a request and read the head of its answer.
 
-        Guards against crossed answers on a kept connection: an answer with another
-        request's id came late or is one too many, and the connection is given up.
+        An answer with another request's id came late or is one too many. Whatever it says, a
+        refusal too, says nothing of this request, and the connection is given up.
         """
         sent_at = trio.current_time()
         try:
@@ -126,12 +129,13 @@
         except (ConnectionBroken, BadResponse) as error:
             return Lost(detail=error.message)
         head = read_answer(response.status, response.headers)
+        if not head.is_for(request_id):
+            log_foreign(head, request_id=request_id, target=hop.target_id)
+            return Lost(detail=f"the answer is for request {head.request_id}")
         self._words.heard(hop.target_id, head, sent_at=sent_at)
         if head.refused:
             await self._drain(connection, head)
             return Refused(head=head)
-        if head.request_id != request_id:
-            return Lost(detail=f"the answer is for request {head.request_id}")
         return OpenAnswer(connection=connection, response=response, head=head)
 
     async def read_whole(self, answer: OpenAnswer) -> Answered | Lost:
@@ -189,6 +193,18 @@
             return
 
 
+def log_foreign(head: AnswerHead, *, request_id: str, target: str) -> None:
+    """Log an answer that belongs to another request than the one that waits for it."""
+    events_calls.FOREIGN_ANSWER.log(
+        log,
+        target=target,
+        request=request_id,
+        other=head.request_id,
+        status=head.status,
+        refusal=head.refused,
+    )
+
+
 def _safe_idle_s(head: AnswerHead) -> float | None:
     """Give how long a connection may rest: well below what the target says it keeps it."""
     return None if head.idle_s is None else head.idle_s / 2
