Calls: an answer that follows a late copy of another one is read, not given up

What callers saw: a bid had run, and its caller was told 502, unknown. The runner had sent a late second copy of an earlier answer first, and the bid's own answer right after it.

Cause: on an answer with another request's id the connection was given up, with the answer that was still to come on it.

Change: on a connection that was used before, an answer that names another request is passed over whole, twice at most, and the next one is read. ClientConnection.skip_response begins h11's state anew for the response that is still due, with the bytes that came after the copy. On a fresh connection nothing can be late, and an answer without an id, or that closes the connection, is given up as before.

Why it holds: an answer is given to a caller only if it names the caller's request, as before; how long it is waited for is bounded by the call's own deadline.

--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -48,6 +48,8 @@
     """Runs it and closes within its answer."""
     FOREIGN_ANSWER = "foreign-answer"
     """Runs it and answers with another request's id."""
+    MANY_FOREIGN = "many-foreign"
+    """Runs it and answers ten other requests."""
     NO_LENGTH = "no-length"
     """Runs it and answers with neither a length nor chunks; the answer ends with its connection."""
     GARBAGE = "garbage"
@@ -158,6 +160,11 @@
             await exchange.start_stream(status=OK, headers=sized)
             await exchange.write(body)
             raise CallerGone
+        if conduct is Conduct.MANY_FOREIGN:
+            others = [((REQUEST_ID, f"other-{number}"),) for number in range(10)]
+            answers = (raw_answer(other, status="200 OK", body=body) for other in others)
+            await exchange.write_raw(b"".join(answers))
+            await trio.sleep_forever()
         if conduct is Conduct.NO_LENGTH:
             await exchange.write_raw(raw_head(fields) + body)
             raise CallerGone
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -32,6 +32,8 @@
 sooner reached.
 """
 MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_SKIPPED = 2
+"""Answers to earlier requests that are passed over: a target that sends more mixes them up."""
 
 
 @attrs.frozen(kw_only=True)
@@ -114,7 +116,8 @@
         """Write a request and read the head of its answer.
 
         An answer with another request's id came late or is one too many. Whatever it says, a
-        refusal too, says nothing of this request, and the connection is given up.
+        refusal too, says nothing of this request. On a connection that was used before, the
+        answer to this one may follow; any other is given up.
         """
         sent_at = trio.current_time()
         try:
@@ -125,12 +128,10 @@
                 body=request.body,
                 step="forward",
             )
-            response = await connection.read_head()
+            response, head = await self._read_own_head(connection, hop, request_id)
         except (ConnectionBroken, BadResponse) as error:
             return Lost(detail=error.message)
-        head = read_answer(response.status, response.headers)
         if not head.is_for(request_id):
-            log_foreign(head, request_id=request_id, target=hop.target_id)
             return Lost(detail=f"the answer is for request {head.request_id}")
         self._words.heard(hop.target_id, head, sent_at=sent_at)
         if head.refused:
@@ -138,6 +139,22 @@
             return Refused(head=head)
         return OpenAnswer(connection=connection, response=response, head=head)
 
+    async def _read_own_head(
+        self, connection: ClientConnection, hop: Hop, request_id: str
+    ) -> tuple[Response, AnswerHead]:
+        """Read heads until the one with a request's id, or one that nothing can follow."""
+        for skipped in range(MAX_SKIPPED + 1):
+            response = await connection.read_head()
+            head = read_answer(response.status, response.headers)
+            if head.is_for(request_id):
+                break
+            log_foreign(head, request_id=request_id, target=hop.target_id)
+            may_follow = connection.served_before and head.request_id is not None
+            if skipped == MAX_SKIPPED or not may_follow or head.closes:
+                break
+            await connection.skip_response()
+        return response, head
+
     async def read_whole(self, answer: OpenAnswer) -> Answered | Lost:
         """Read the rest of an answer and keep its connection where that is safe."""
         pieces: list[bytes] = []
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -66,6 +66,8 @@
         self._ended = False
         self._head_read = False
         self._tells_length = True
+        self._requests = 0
+        self._method = "GET"
         self.idle_since = 0.0
         self.idle_s = POOL_IDLE_S
 
@@ -85,6 +87,14 @@
         done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         return done and not self._h11.trailing_data[0]
 
+    @property
+    def served_before(self) -> bool:
+        """Whether a request was written before the last one, so that an answer to it may be late.
+
+        A server may send an answer a second time, where the next one is due.
+        """
+        return self._requests > 1
+
     @property
     def unused(self) -> bool:
         """Whether nothing was ever written on this connection."""
@@ -146,6 +156,8 @@
         """Write a whole request; raises ``ConnectionBroken``."""
         self._step = step
         self._head_read = False
+        self._requests += 1
+        self._method = method
         if self.reusable:
             self._h11.start_next_cycle()
         all_headers = headers or Headers()
@@ -194,6 +206,25 @@
             return None
         raise self._broken("closed within its answer")
 
+    async def skip_response(self) -> None:
+        """Read the rest of a response that belongs to an earlier request, and drop it.
+
+        The response to the last request is still to come then. Raises ``ConnectionBroken`` if
+        nothing can come after this one.
+        """
+        while await self.next_piece() is not None:
+            pass
+        if self._h11.their_state is not h11.DONE:
+            raise self._broken("closed after an answer to an earlier request")
+        received, _ = self._h11.trailing_data
+        self._h11 = h11.Connection(h11.CLIENT)
+        # What was written stays as it was: the library only has to know that a response is due.
+        fields = [("Host", str(self._address))]
+        self._h11.send(h11.Request(method=self._method, target="/", headers=fields))
+        self._h11.send(h11.EndOfMessage())
+        if received:
+            self._h11.receive_data(received)
+
     def detach(self) -> trio.SocketStream:
         """Return the socket of a connection on which nothing was sent; this object is done."""
         return self._stream
--- a/lagoonlever/tests/late_copies_tests.py
+++ b/lagoonlever/tests/late_copies_tests.py
@@ -89,6 +89,40 @@
     run_site(story, engines=0, runners=1, vms=1)
 
 
+@pytest.mark.parametrize("kind", ["bid", "look"])
+@pytest.mark.parametrize("conduct", [Conduct.ANSWER_TWICE, Conduct.REFUSE_TWICE])
+def test_a_call_gets_its_own_answer_after_the_copy_of_another_one(
+    kind: str, conduct: Conduct
+) -> None:
+    """A bid has run, its answer follows the copy, and the caller is told that nobody knows."""
+
+    async def story(site: GatewaySite) -> None:
+        site.runners["runner-0"].conducts.append(conduct)
+        first = await site.call("/bid/1", headers=site.headers("first"))
+        assert first.status == (503 if conduct is Conduct.REFUSE_TWICE else 200)
+        second = await site.call(f"/{kind}/2", headers=site.headers("second"))
+        assert (second.status, second.body) == (200, b"answer to second")
+        assert runs(site)["second"] == 1
+        third = await site.call(f"/{kind}/3", headers=site.headers("third"))
+        assert (third.status, third.body) == (200, b"answer to third")
+
+    run_site(story, engines=0, runners=1, vms=1)
+
+
+def test_a_target_that_names_other_requests_all_the_time_is_given_up() -> None:
+    """Guards against a caller that waits for its whole time behind answers to others."""
+
+    async def story(site: GatewaySite) -> None:
+        runner = site.runners["runner-0"]
+        assert (await site.call("/bid/0")).status == 200
+        runner.conducts.append(Conduct.MANY_FOREIGN)
+        answer = await site.call("/bid/1", headers=site.headers("first"))
+        assert answer.status == 502
+        assert runs(site)["first"] == 1
+
+    run_site(story, engines=0, runners=1, vms=1)
+
+
 @pytest.mark.parametrize("resumable", [True, False])
 def test_a_stream_that_runs_is_not_called_unrun_by_the_copy_of_an_old_refusal(
     resumable: bool,
