Copies: orders to copy a run have connections of their own

Cause: the answer to an order for a copy names the copy and no run, and came on a kept connection. A late second copy of the answer on run A was taken for that on run B, and B, if its engine was lost, went on from A's copy.

Evidence, before: test_a_run_s_copy_never_bears_the_name_of_another_run_s: assert ['handle-first', 'handle-first'] == ['handle-first', 'handle-second']

After: passed, with the tests of streams and copies. Why it holds: on a connection with one request there is nothing that could be late.

--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -139,8 +139,10 @@
         """The state that its reports tell."""
         self.cancelled: list[str] = []
         self.questions: Counter[str] = Counter()
+        self.answers_copies_twice = False
+        """Whether it answers an order for a copy once more, where the next answer is due."""
         self._late_copies: dict[str, bytes] = {}
-        """Second copies of refusals that are still to come, by the peer of the connection."""
+        """Second copies of answers that are still to come, by the peer of the connection."""
         self._fleet = fleet
         self._deadly = deadly
         """Parts of prompts under which the engine ends as it begins to run them."""
@@ -159,6 +161,9 @@
         """Answer a request or a question."""
         if self.frozen.is_set():
             await trio.sleep_forever()
+        late_copy = self._late_copies.pop(exchange.request.peer, None)
+        if late_copy is not None:
+            await exchange.write_raw(late_copy)
         path = exchange.request.path
         if path == engine_calls.REPORT_PATH:
             await self._report(exchange)
@@ -201,8 +206,10 @@
             return
         name = f"handle-{ask.id}"
         holder.copies[name] = attrs.evolve(run)
-        made = engine_calls.CopyMade(handle=name, created=run.events)
-        await exchange.respond(status=OK, headers=Headers(), body=msgspec.json.encode(made))
+        body = msgspec.json.encode(engine_calls.CopyMade(handle=name, created=run.events))
+        if self.answers_copies_twice:
+            self._late_copies[exchange.request.peer] = raw_answer((), status="200 OK", body=body)
+        await exchange.respond(status=OK, headers=Headers(), body=body)
 
     async def _free(self, exchange: Exchange, name: str) -> None:
         for engine in self._fleet.values():
@@ -213,9 +220,6 @@
         headers = exchange.request.headers
         self.seen.append(headers)
         self.arrived_at.append(trio.current_time())
-        late_copy = self._late_copies.pop(exchange.request.peer, None)
-        if late_copy is not None:
-            await exchange.write_raw(late_copy)
         if headers.get(EXPECTED_TARGET) != self.target_id:
             echoed = (REQUEST_ID, headers.get(REQUEST_ID) or "")
             other = Headers((echoed, (TARGET_ID, self.target_id)))
--- a/lagoonlever/gateway/run_copier.py
+++ b/lagoonlever/gateway/run_copier.py
@@ -1,4 +1,4 @@
-"""Has engines copy the memory of their runs to other engines."""
+"""Orders engines to copy the memory of their runs to other engines."""
 
 from __future__ import annotations
 
@@ -21,21 +21,25 @@
 
 @attrs.define(kw_only=True, eq=False)
 class RunCopier:
-    """Owns the connections for the calls."""
+    """Owns the connections for the calls, each of which has one of its own.
+
+    Answers name no run: on a kept connection a late second copy of an answer would be taken for
+    the answer on another run, which would then go on from the memory of the first one.
+    """
 
     _opener: Opener = ClientConnection.open
     _pool: Pool = attrs.field(init=False)
 
     @_pool.default
     def _make_pool(self) -> Pool:
-        return Pool(per_address=1, opener=self._opener)
+        return Pool(per_address=0, opener=self._opener)
 
     async def forget(self, address: Address) -> None:
         """Close the kept connection to an engine."""
         await self._pool.drop(address)
 
     async def copy(self, request: str, *, source: ListedTarget, to: ListedTarget) -> RunCopy | str:
-        """Copy a run while it goes on; gives the copy, or why there is none."""
+        """Copy a run while it goes on; return the copy, or why there is none."""
         try:
             response = await fetch(
                 source.address,
@@ -60,7 +64,7 @@
         )
 
     async def free(self, copy: RunCopy) -> str | None:
-        """Give the memory of a copy back at both engines; gives what went wrong, or None.
+        """Free the memory of a copy at both engines; return what went wrong, or None.
 
         An engine keeps an unused copy for seconds, in which it serves nobody.
         """
--- a/lagoonlever/tests/late_copies_tests.py
+++ b/lagoonlever/tests/late_copies_tests.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from lagoonlever.decisions.streams.engine_runs import RunCopy
 from lagoonlever.fakes.path_proxy import PathState
-from lagoonlever.fakes.platform_engine import EngineConduct
+from lagoonlever.fakes.platform_engine import EngineConduct, EngineRun
 from lagoonlever.fakes.platform_runner import Conduct
+from lagoonlever.gateway.run_copier import RunCopier
 from lagoonlever.tests.gateway_calls_tests import runs
 from lagoonlever.tests.gateway_site import GatewaySite, configuration, run_site, until
 from lagoonlever.tests.handed_over_tests import wait_helpers
@@ -172,3 +174,26 @@
         assert not words.rests("runner-0")
 
     run_site(story, engines=0, runners=1, vms=1)
+
+
+def test_a_run_s_copy_never_bears_the_name_of_another_run_s() -> None:
+    """A run that is lost would go on from the memory of another one."""
+
+    async def story(site: GatewaySite) -> None:
+        source, to = (site.engines[name] for name in ("engine-0", "engine-1"))
+        source.answers_copies_twice = True
+        for request in ("first", "second"):
+            source.runs[request] = EngineRun(request_id=request, part=request, prompt_tokens=100)
+        targets = site.vms["vm-0"].daemon.parts.beliefs.targets
+        engine, holder = (targets.find(each.target_id) for each in (source, to))
+        assert engine is not None and holder is not None
+        copier = RunCopier()
+        copies = [
+            await copier.copy(request, source=engine, to=holder) for request in ("first", "second")
+        ]
+        assert [copy.name for copy in copies if isinstance(copy, RunCopy)] == [
+            "handle-first",
+            "handle-second",
+        ]
+
+    run_site(story, engines=2, runners=0, vms=1)
