Calls: a bid that ran is not answered with a status that promises the opposite

What callers could see: a bid got 503 (or 429, 408, 421), "not run, and never will be", with its runner's seal, and had run.

Cause: a runner's answer was passed on as it is, whatever its status.

Evidence, before: test_a_bid_that_ran_is_not_called_unrun_by_the_status_of_its_runner: assert 503 in (502, 504)

Change: what may not be repeated and was answered so ends as failed, 502, without the runner's seal, as another status than the runner's must not bear it. Lookups get their runner's own answer as before (a test). The statuses stand in outcomes.py now, where the soak takes them from.

Why it holds: a bid's answer with one of the four statuses comes only from NotRun now, which needs that nothing was sent, or that each target has refused it.

--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -34,6 +34,8 @@
     SERVE = "serve"
     FAIL = "fail"
     """Runs it and answers 500."""
+    FAIL_BUSY = "fail-busy"
+    """Runs it and answers 503, and does not say that it has not run it."""
     REFUSE = "refuse"
     """Says that it has not run it."""
     REFUSE_TWICE = "refuse-twice"
@@ -174,5 +176,5 @@
             self._late_copies[exchange.request.peer] = raw_answer(
                 fields, status="200 OK", body=body
             )
-        status = FAILED if conduct is Conduct.FAIL else OK
+        status = {Conduct.FAIL: FAILED, Conduct.FAIL_BUSY: BUSY}.get(conduct, OK)
         await exchange.respond(status=status, headers=Headers(tuple(fields)), body=body)
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -33,7 +33,7 @@
     TargetClient,
 )
 from lagoonlever.gateway.target_words import TargetWords
-from lagoonlever.outcomes import NotRun, Reason, Unknown
+from lagoonlever.outcomes import NOT_RUN_STATUSES, Failed, NotRun, Reason, Unknown
 from lagoonlever.platform.headers import to_caller
 from lagoonlever.timers import TimerService
 
@@ -206,12 +206,22 @@
             self.rollouts.failed(target.service, lane)
 
     async def finish(self, call: CallRecord, answered: Answered | None) -> None:
-        """Give the caller a target's answer, or tell why there is none."""
+        """Pass a target's answer on to the caller, or tell why there is none.
+
+        A target may run a request and answer it with a status that promises the opposite. A
+        caller would send a bid again then, so it is told that the bid has failed.
+        """
+        outcome: NotRun | Unknown | Failed | None = None
         if answered is None:
             outcome = self._outcome(call)
+        elif not call.accepted.route.repeatable and answered.response.status in NOT_RUN_STATUSES:
+            message = f"the target ran it and answered {answered.response.status}"
+            outcome = Failed(reason=Reason.TARGET_FAILED, message=message)
+        if outcome is not None:
             self._ended(call, int(outcome.status), outcome.tag.value, outcome.message)
             await tell(call.accepted.exchange, outcome)
             return
+        assert answered is not None
         response = answered.response
         self._ended(call, response.status, "done", call.detail)
         await call.accepted.exchange.respond(
--- a/lagoonlever/outcomes.py
+++ b/lagoonlever/outcomes.py
@@ -13,6 +13,8 @@
 OUTCOME_HEADER = "Lagoonlever-Outcome"
 REASON_HEADER = "Lagoonlever-Reason"
 RETRY_AFTER_HEADER = "Retry-After"
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise that a request has not run and never will, on the users' platform."""
 
 
 class OutcomeTag(enum.Enum):
--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -13,7 +13,7 @@
 from lagoonlever.http.client import ClientConnection, Response, fetch
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.sse import RawEventSplitter
-from lagoonlever.outcomes import REASON_HEADER, Reason
+from lagoonlever.outcomes import NOT_RUN_STATUSES, REASON_HEADER, Reason
 from lagoonlever.platform.documents import (
     caller_headers,
     prompt_fields,
@@ -21,7 +21,7 @@
     resolve_path,
 )
 from lagoonlever.soak.deployments import HOST, ORGANISATION, PATIENT_KEY, PATIENT_ORGANISATION
-from lagoonlever.soak.judge import NOT_RUN_STATUSES, OK, Judge
+from lagoonlever.soak.judge import OK, Judge
 from lagoonlever.soak.site import SoakSite, SoakVm
 
 CALL_DEADLINE_S = 2.0
--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -8,11 +8,9 @@
 
 from lagoonlever.fakes.platform_engine import event_bytes, version_of_event
 from lagoonlever.http.messages import Headers
-from lagoonlever.outcomes import Reason
+from lagoonlever.outcomes import NOT_RUN_STATUSES, Reason
 from lagoonlever.platform.headers import ORGANISATION, SEAL
 
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""They promise that the request has not run and never will."""
 OK = 200
 MOST_ENDED = 3
 """Engines that may end under one prompt before it is stopped."""
--- a/lagoonlever/tests/gateway_calls_tests.py
+++ b/lagoonlever/tests/gateway_calls_tests.py
@@ -71,6 +71,29 @@
     run_site(story, engines=0)
 
 
+def test_a_bid_that_ran_is_not_called_unrun_by_the_status_of_its_runner() -> None:
+    """A runner has run a bid and failed with 503, which promises callers that it has not run."""
+
+    async def story(site: GatewaySite) -> None:
+        order(site, Conduct.FAIL_BUSY)
+        answer = await site.call("/bid/1", body=b"bid")
+        assert answer.status in UNPROVEN
+        assert answer.headers.get("Response-Seal") is None
+        assert list(runs(site).values()) == [1]
+
+    run_site(story, engines=0)
+
+
+def test_a_lookup_that_failed_gets_its_runner_s_own_answer() -> None:
+    async def story(site: GatewaySite) -> None:
+        order(site, Conduct.FAIL_BUSY)
+        answer = await site.call("/look/1", headers=site.headers("r-9"))
+        assert (answer.status, answer.body) == (503, b"answer to r-9")
+        assert answer.headers.get("Response-Seal") == "seal-r-9"
+
+    run_site(story, engines=0)
+
+
 def test_an_answer_without_a_length_is_whole_as_its_connection_ends() -> None:
     """Guards against a bid that has run and is told to be lost."""
 
