Peers: news of many runs at one moment is not dropped

What callers could see: streams that are sent to engines which only look idle, and retries beyond the budget of a service.

Cause: 256 changes of runs could wait at a VM; what came beyond them in one turn was dropped without a word, so each VM counted fewer runs, requests and retries than there were.

Evidence, before: 600 runs begun in one moment at 9 VMs: test_news_of_many_runs_at_one_moment_is_heard[9]: {'vm-0': 324, 'vm-1': 324, ...} At 195 VMs hubs hear packed news, which passed.

Change: 4,096 of a kind may wait, also of packed news. That many are some megabytes at most, and only while a VM is late by so much.

After: passed at 9 and 195 VMs, with the tests of placing. Why it holds: 600 engines run a few thousand streams; more than 4,096 changes of one kind don't come in one turn.

--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -16,7 +16,7 @@
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
 from lagoonlever.gateway.retry_budgets import RetryBudgets
-from lagoonlever.gateway.run_relay import RunRelay
+from lagoonlever.gateway.run_relay import MOST_CHANGES_WAITING, RunRelay
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_gateway import (
@@ -174,7 +174,7 @@
             self._tell_engine_lost(engine)
 
     async def _receive(self, message_class: type[RunChange]) -> None:
-        async for received in self._bus.subscribe(message_class):
+        async for received in self._bus.subscribe(message_class, capacity=MOST_CHANGES_WAITING):
             self._take(received.message, received.sender.name)
 
     def holds_book(self) -> bool:
--- a/lagoonlever/gateway/run_relay.py
+++ b/lagoonlever/gateway/run_relay.py
@@ -52,6 +52,8 @@
 Each hub sends to one VM of each data centre, so this bounds its messages; longer, and two
 hubs more often give the same place.
 """
+MOST_CHANGES_WAITING = 4096
+"""Changes of one kind that wait here: of all streams of a large fleet, if all change at once."""
 DIRECT_NEWS_S = 0.02
 """What other VMs place is known after this where they tell it themselves."""
 RELAYED_NEWS_S = 0.03
@@ -105,7 +107,7 @@
         return roles.hubs[0] if roles is not None and roles.hubs else None
 
     async def _receive(self) -> None:
-        async for received in self._bus.subscribe(PackedNews):
+        async for received in self._bus.subscribe(PackedNews, capacity=MOST_CHANGES_WAITING):
             try:
                 news = PEER.decode(unpack(received.message.value))
             except (UnreadablePack, UnknownMessage) as error:
