Retries: counted from their permission on, and shared out until others are heard

Cause: whether a retry is allowed was checked by what had been sent and heard, and it was counted only as it was sent. While all engines are silent, all streams of all VMs ask in the same moments, and all are allowed; so again ten seconds later, as the first burst leaves the window. And engines that are stopped read in one moment what came over a second, so arrivals within the window are more than sends within it.

Why it holds: permissions of one VM are counted before the next is asked for.

--- a/lagoonlever/decisions/streams/run_placement.py
+++ b/lagoonlever/decisions/streams/run_placement.py
@@ -129,6 +129,8 @@
     versions: VersionsInUse = attrs.field(factory=VersionsInUse)
     vm_count: int = 1
     """Number of VMs that share the slack of `retry_window`; 1 if it counts the runs of all VMs."""
+    deciders: int = 1
+    """Number of VMs that permit retries by the count of all runs, this one among them."""
     ranks_differ: bool = False
     """Whether streams of the service differ in rank."""
 
@@ -138,14 +140,17 @@
 
     ``now`` is in seconds of the monotonic clock.
     """
-    if request.repeat and not context.retry_window.allows(now, vms=context.vm_count):
+    if not _may_retry(request, context, now):
         return RetryBudgetExhausted()
     overloaded = _check_overload(request, context, now)
     if overloaded is not None:
         return overloaded
     if request.settled is not None:
-        return _place_at_settled_engine(request, request.settled, context, now)
-    return _place(request, context, now) or NoEngine()
+        outcome = _place_at_settled_engine(request, request.settled, context, now)
+    else:
+        outcome = _place(request, context, now) or NoEngine()
+    _count_retry(request, outcome, context, now)
+    return outcome
 
 
 def place_on_ready_engine(
@@ -155,12 +160,33 @@
 
     Return `NoCapacity` while every engine has more prefill work left than `BEGINS_WITHIN_S`.
     """
-    if request.repeat and not context.retry_window.allows(now, vms=context.vm_count):
+    if not _may_retry(request, context, now):
         return RetryBudgetExhausted()
     serving = _engines_for(request, context)
     if all(engine.id in request.avoid for engine in serving):
         return NoEngine()
-    return _place(request, context, now, begins_within_s=BEGINS_WITHIN_S) or NoCapacity()
+    placed = _place(request, context, now, begins_within_s=BEGINS_WITHIN_S)
+    if placed is None:
+        return NoCapacity()
+    _count_retry(request, placed, context, now)
+    return placed
+
+
+def _may_retry(request: PlacementRequest, context: PlacementContext, now: float) -> bool:
+    """Check whether the retry budget has room for an attempt; a first one needs none."""
+    if not request.repeat:
+        return True
+    return context.retry_window.allows(
+        now, vms=context.vm_count, deciders=context.deciders, request=request.request
+    )
+
+
+def _count_retry(
+    request: PlacementRequest, outcome: RunOutcome, context: PlacementContext, now: float
+) -> None:
+    """Count a retry as soon as it is placed: others are placed before it is sent."""
+    if request.repeat and isinstance(outcome, Placed):
+        context.retry_window.permit(request.request, now)
 
 
 def prefills_per_s(service: str, context: PlacementContext, now: float) -> float:
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -297,10 +297,10 @@
         engine = self._beliefs.targets.find(run.engine)
         if engine is not None:
             window = self._budgets.of_runs(engine.service)
-            count = (
-                window.record_retry if book.is_dispatched(run.request) else window.record_request
-            )
-            count(now)
+            if book.is_dispatched(run.request):
+                window.record_retry(now, request=run.request)
+            else:
+                window.record_request(now)
         book.record_dispatch(run, now)
 
     def _take_engine_lost(self, lost: EngineLost, source: str) -> None:
--- a/lagoonlever/gateway/placer.py
+++ b/lagoonlever/gateway/placer.py
@@ -17,7 +17,7 @@
 from lagoonlever.decisions.engines.engine_timings import StoredTimings
 from lagoonlever.decisions.engines.uneven_engines import UnevenChoice
 from lagoonlever.decisions.fleet.roles import Roles
-from lagoonlever.decisions.fleet.update_routing import placement_hubs
+from lagoonlever.decisions.fleet.update_routing import placement_hubs, sends_directly
 from lagoonlever.decisions.settings.configuration import RouteKind
 from lagoonlever.decisions.settings.load_parts import has_ranks
 from lagoonlever.decisions.streams.engine_runs import EngineRun
@@ -153,9 +153,17 @@
             limits=self._beliefs.engine_limits(service),
             versions=self._beliefs.versions,
             vm_count=self._beliefs.fellows.max_fleet_size(self._timers.now) if alone else 1,
+            deciders=1 if alone else self._count_deciders(),
             ranks_differ=has_ranks(self._beliefs.configuration.value, service, RouteKind.STREAM),
         )
 
+    def _count_deciders(self) -> int:
+        """Return how many VMs place runs by the book of all runs, this one among them."""
+        roles = self._roles.value
+        if roles is None or sends_directly(self._present):
+            return self._beliefs.fellows.max_fleet_size(self._timers.now)
+        return len({self._vm, *roles.hubs, *roles.other_hubs})
+
     @property
     def _present(self) -> int:
         return len(self._beliefs.fellows.present(self._timers.now))
--- a/lagoonlever/tests/run_placement_tests.py
+++ b/lagoonlever/tests/run_placement_tests.py
@@ -127,7 +127,8 @@
     context = view()
     retry = attrs.evolve(REQUEST, repeat=True)
     assert isinstance(place_run(retry, context, 0.0), Placed)
-    for _ in range(5):
+    context.retry_window.record_retry(0.0, request=retry.request)
+    for _ in range(4):
         context.retry_window.record_retry(0.0)
     assert isinstance(place_run(retry, context, 0.0), RetryBudgetExhausted)
     assert isinstance(place_run(REQUEST, context, 0.0), Placed)
