Answers without end: heads, bodies and lists of a target are read up to a stated size

Cause: the client read whatever a target sent for as long as it sent: interim heads (1xx) without number, the body of a refusal or of an answer to one of our own calls (probe, order to copy, list of caches) without size. A small body is held whole, so that a call can be repeated.

Change: sizes stated where they are read: 16 interim heads, 1 MB of a report, 64 KB of an answer to an order, 4 MB of a list of caches, 16 MB of anything else that is fetched; a body that is held by a target client up to 256 KB each and an eighth of the VM's memory in all, 32 MB at most; what is left of an abandoned answer is drained for 0.05 s, then its connection is closed.

Why it holds: each read of a target's bytes has a limit of size beside that of time, and both end in the error that the caller of the read already handles as an answer that is no answer.

--- a/lagoonlever/entry/services/exchange.py
+++ b/lagoonlever/entry/services/exchange.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from lagoonlever.exceptions import BadResponse
 from lagoonlever.http.client import ClientConnection, Response
 from lagoonlever.http.messages import Headers
 
@@ -26,13 +25,4 @@
     """
     await connection.start(method=method, path=target, headers=headers, body=body, step=step)
     head = await connection.read_head()
-    pieces: list[bytes] = []
-    size = 0
-    while (piece := await connection.next_piece()) is not None:
-        size += len(piece)
-        if size > max_bytes:
-            raise BadResponse(
-                f"answered more than {max_bytes} bytes", step=step, peer=str(connection.address)
-            )
-        pieces.append(piece)
-    return attrs.evolve(head, body=b"".join(pieces))
+    return attrs.evolve(head, body=await connection.read_body(max_bytes=max_bytes))
--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -14,7 +14,7 @@
 import msgspec
 import trio
 
-from lagoonlever.fakes.raw_answers import raw_answer, raw_head
+from lagoonlever.fakes.raw_answers import Endless, raw_answer, raw_head, write_endless
 from lagoonlever.fakes.target_room import USUAL_PRIORITY, Place, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
 from lagoonlever.http.messages import Headers, Request
@@ -139,6 +139,10 @@
         """The state that its reports tell."""
         self.cancelled: list[str] = []
         self.questions: Counter[str] = Counter()
+        self.endless: Endless | None = None
+        """What it answers to everything without end, in place of its answers."""
+        self.endless_bytes: list[int] = []
+        """The bytes of each such answer that were taken."""
         self.answers_copies_twice = False
         """Whether it answers an order for a copy once more, where the next answer is due."""
         self._late_copies: dict[str, bytes] = {}
@@ -164,6 +168,8 @@
         late_copy = self._late_copies.pop(exchange.request.peer, None)
         if late_copy is not None:
             await exchange.write_raw(late_copy)
+        if self.endless is not None:
+            await self._answer_endless(exchange, self.endless)
         path = exchange.request.path
         if path == engine_calls.REPORT_PATH:
             await self._report(exchange)
@@ -176,6 +182,13 @@
         else:
             await self._serve(exchange)
 
+    async def _answer_endless(self, exchange: Exchange, kind: Endless) -> None:
+        request_id = exchange.request.headers.get(REQUEST_ID) or ""
+        fields = ((REQUEST_ID, request_id), (SEAL, f"seal-{self.target_id}"))
+        taken = await write_endless(exchange.write_raw, kind, fields, refused=(REFUSED, "1"))
+        self.endless_bytes.append(taken)
+        raise CallerGone
+
     async def _report(self, exchange: Exchange) -> None:
         self.questions["report"] += 1
         flowing = [run for run in self.runs.values() if run.flowing]
--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from lagoonlever.fakes.raw_answers import raw_answer, raw_head
+from lagoonlever.fakes.raw_answers import Endless, raw_answer, raw_head, write_endless
 from lagoonlever.fakes.target_room import USUAL_PRIORITY, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
 from lagoonlever.http.messages import Headers
@@ -86,6 +86,10 @@
         self.names_refused = True
         """Whether its refusals name the request that they belong to."""
         self._state = ServerState()
+        self.endless: Endless | None = None
+        """What it answers without end, in place of its answers."""
+        self.endless_bytes: list[int] = []
+        """The bytes of each such answer that were taken."""
         self._late_copies: dict[str, bytes] = {}
         """Second copies of answers that are still to come, by the peer of the connection."""
         self._deadly = deadly
@@ -117,6 +121,13 @@
             other = Headers(((REQUEST_ID, request_id), (TARGET_ID, self.target_id)))
             await exchange.respond(status=MISDIRECTED, headers=other, body=b"")
             return
+        if self.endless is not None:
+            fields = ((REQUEST_ID, request_id), (SEAL, f"seal-{request_id}"))
+            taken = await write_endless(
+                exchange.write_raw, self.endless, fields, refused=(REFUSED, "1")
+            )
+            self.endless_bytes.append(taken)
+            raise CallerGone
         conduct = self.conducts.popleft() if self.conducts else Conduct.SERVE
         priority = int(headers.get(PRIORITY) or USUAL_PRIORITY)
         place = None
--- a/lagoonlever/gateway/cache_locator.py
+++ b/lagoonlever/gateway/cache_locator.py
@@ -20,6 +20,8 @@
 
 ASK_TIMEOUT_S = 0.15
 """For all engines together: one that does not answer is not waited for."""
+MAX_LIST_BYTES = 4 * 1024 * 1024
+"""A list names the parts of the prompts of some hundreds of requests."""
 FRESH_S = 1.0
 """Callers of one crash come back together; one round of questions serves them all."""
 
@@ -76,6 +78,7 @@
                 path=KEPT_PATH,
                 step="list kept prompts",
                 timeout_s=ASK_TIMEOUT_S,
+                max_bytes=MAX_LIST_BYTES,
                 pool=self._pool,
             )
             kept = read_kept(msgspec.json.decode(response.body, type=Kept))
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -48,7 +48,7 @@
 from lagoonlever.gateway.room_desk import RoomDesk
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.gateway.store_follower import StoreFollower
-from lagoonlever.gateway.target_client import TargetClient
+from lagoonlever.gateway.target_client import HELD_MEMORY_PART, TargetClient
 from lagoonlever.gateway.target_limits import TargetLimits
 from lagoonlever.gateway.target_words import TargetWords
 from lagoonlever.gateway.tunnel_desk import TunnelDesk
@@ -386,7 +386,13 @@
 
     @client.default
     def _make_client(self) -> TargetClient:
-        client = TargetClient(words=self.words, dialer=self.dialer, tally=self.reporter.tally)
+        memory_bytes = round(self.settings.machine.memory_mb * 1024 * 1024)
+        client = TargetClient(
+            words=self.words,
+            dialer=self.dialer,
+            tally=self.reporter.tally,
+            max_held_bytes=memory_bytes // HELD_MEMORY_PART,
+        )
         self.dialer.on_change(client.forget)
         return client
 
--- a/lagoonlever/gateway/prober.py
+++ b/lagoonlever/gateway/prober.py
@@ -20,6 +20,8 @@
 """Before a new connection is tried beside a kept one."""
 LAST_WAIT_S = 0.03
 """For an answer on the kept connection once a new one has failed."""
+MAX_REPORT_BYTES = 1024 * 1024
+"""A report lists some dozens of runs."""
 FRESH_S = 0.05
 """A report this young answers a second question too."""
 
@@ -119,7 +121,7 @@
         try:
             await connection.start(method="GET", path=REPORT_PATH, step="report")
             await connection.read_head()
-            body = b"".join([piece async for piece in connection.iter_body()])
+            body = await connection.read_body(max_bytes=MAX_REPORT_BYTES)
             report = read_report(msgspec.json.decode(body, type=Report))
         except (PeerError, msgspec.MsgspecError):
             question.failed.set()
--- a/lagoonlever/gateway/run_copier.py
+++ b/lagoonlever/gateway/run_copier.py
@@ -18,6 +18,9 @@
 COPY_TIMEOUT_S = 0.5
 """A run of 6,000 tokens takes 3 ms on the engines' links; more means that they are busy."""
 
+MAX_ANSWER_BYTES = 64 * 1024
+"""An answer names one copy."""
+
 
 @attrs.define(kw_only=True, eq=False)
 class RunCopier:
@@ -49,6 +52,7 @@
                 body=msgspec.json.encode(CopyAsk(id=request, to=str(to.address))),
                 step="copy run",
                 timeout_s=COPY_TIMEOUT_S,
+                max_bytes=MAX_ANSWER_BYTES,
                 pool=self._pool,
             )
             if response.status != HTTPStatus.OK:
@@ -75,6 +79,7 @@
                 path=f"{FREE_PATH}{copy.name}",
                 step="free copy",
                 timeout_s=COPY_TIMEOUT_S,
+                max_bytes=MAX_ANSWER_BYTES,
                 pool=self._pool,
             )
         except PeerError as error:
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import dataclass
 
 import attrs
@@ -32,6 +33,13 @@
 sooner reached.
 """
 MAX_BODY_BYTES = 16 * 1024 * 1024
+SMALL_BODY_BYTES = 256 * 1024
+"""An answer up to this size is read however many there are."""
+MAX_HELD_BYTES = 32 * 1024 * 1024
+HELD_MEMORY_PART = 8
+"""Of the memory of the process one part in so many may be held by answers that are being read."""
+DRAIN_S = 0.05
+"""The body of a refusal comes with its head."""
 MAX_SKIPPED = 2
 """Answers to earlier requests that are passed over: a target that sends more mixes them up."""
 
@@ -92,7 +100,15 @@
     """Hears what each answer says of its target."""
     _dialer: TargetDialer
     _tally: Tally
+    _max_held_bytes: int = MAX_HELD_BYTES
+    """Of the bodies of all answers that are being read."""
     _pool: Pool = attrs.field(factory=Pool)
+    _held_bytes: int = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of answers that are being read."""
+        return self._held_bytes
 
     async def connect(
         self, target: ListedTarget, *, rested_at_most_s: float
@@ -156,17 +172,26 @@
         return response, head
 
     async def read_whole(self, answer: OpenAnswer) -> Answered | Lost:
-        """Read the rest of an answer and keep its connection where that is safe."""
+        """Read the rest of an answer.
+
+        Targets in trouble may send bodies without end to many calls at once. A large one is given
+        up once all of them together hold more than this VM has memory for.
+        """
         pieces: list[bytes] = []
         size = 0
         try:
             while (piece := await answer.connection.next_piece()) is not None:
                 pieces.append(piece)
                 size += len(piece)
+                self._held_bytes += len(piece)
                 if size > MAX_BODY_BYTES:
                     return Lost(detail=f"answered more than {MAX_BODY_BYTES} bytes")
+                if size > SMALL_BODY_BYTES and self._held_bytes > self._max_held_bytes:
+                    return Lost(detail=f"answered {size} bytes as answers fill the memory")
         except (ConnectionBroken, BadResponse) as error:
             return Lost(detail=error.message)
+        finally:
+            self._held_bytes -= size
         response = attrs.evolve(answer.response, body=b"".join(pieces))
         return Answered(head=answer.head, response=response)
 
@@ -201,13 +226,12 @@
         await self._pool.aclose()
 
     async def _drain(self, connection: ClientConnection, head: AnswerHead) -> None:
-        """Read the body of a refusal, so that its connection may be kept."""
-        try:
-            while await connection.next_piece() is not None:
-                pass
-        except (ConnectionBroken, BadResponse):
-            # Nothing hangs on the body; the connection is not reusable and gets closed.
-            return
+        """Read the body of a refusal, so that its connection may be kept.
+
+        Nothing hangs on the body: one that breaks, or is long or late, costs the connection.
+        """
+        with trio.move_on_after(DRAIN_S), contextlib.suppress(ConnectionBroken, BadResponse):
+            await connection.read_body(max_bytes=SMALL_BODY_BYTES)
 
 
 def log_foreign(head: AnswerHead, *, request_id: str, target: str) -> None:
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -27,6 +27,12 @@
 BODILESS = (204, 304)
 """Statuses of answers without a body."""
 BEFORE_ANSWER = "closed before it answered"
+MAX_FETCHED_BYTES = 16 * 1024 * 1024
+"""Size of a body that is read whole, unless the caller of ``fetch`` names a smaller one."""
+MAX_SKIPPED_BYTES = 1024 * 1024
+"""Size of the body of an answer to an earlier request that is passed over."""
+MAX_INTERIM = 16
+"""Interim responses before a final one."""
 POOL_IDLE_S = 4.0
 """Far below the idle timeout of usual servers, so that reuse seldom meets a closing socket."""
 KEEPALIVE_PROBES = 2
@@ -174,7 +180,7 @@
 
     async def read_head(self) -> Response:
         """Read the head of the response; its body is empty and read by ``iter_body``."""
-        while True:
+        for _ in range(MAX_INTERIM + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -184,6 +190,21 @@
                 self._tells_length = _tells_length(event.status_code, headers)
                 return Response(status=event.status_code, headers=headers, body=b"")
             raise self._broken(BEFORE_ANSWER)
+        raise self._bad(f"sent more than {MAX_INTERIM} interim answers")
+
+    async def read_body(self, *, max_bytes: int) -> bytes:
+        """Read the whole body; raise ``BadResponse`` if it is larger than ``max_bytes``.
+
+        A peer in trouble may send without end.
+        """
+        pieces: list[bytes] = []
+        size = 0
+        while (piece := await self.next_piece()) is not None:
+            size += len(piece)
+            if size > max_bytes:
+                raise self._bad(f"answered more than {max_bytes} bytes")
+            pieces.append(piece)
+        return b"".join(pieces)
 
     async def iter_body(self) -> AsyncIterator[bytes]:
         """Give the pieces of the body as they arrive; raises ``ConnectionBroken`` if cut."""
@@ -212,8 +233,11 @@
         The response to the last request is still to come then. Raises ``ConnectionBroken`` if
         nothing can come after this one.
         """
-        while await self.next_piece() is not None:
-            pass
+        skipped = 0
+        while (piece := await self.next_piece()) is not None:
+            skipped += len(piece)
+            if skipped > MAX_SKIPPED_BYTES:
+                raise self._bad(f"sent more than {MAX_SKIPPED_BYTES} bytes to an earlier request")
         if self._h11.their_state is not h11.DONE:
             raise self._broken("closed after an answer to an earlier request")
         received, _ = self._h11.trailing_data
@@ -257,7 +281,7 @@
         except h11.RemoteProtocolError as error:
             if self._ended:
                 raise self._broken(self._early_end(error)) from error
-            raise BadResponse(str(error), step=self._step, peer=str(self._address)) from error
+            raise self._bad(str(error)) from error
 
     async def _receive(self) -> bytes:
         """Wait for bytes and read them; empty at the end of the peer's side.
@@ -276,6 +300,9 @@
         """Tell where the peer closed; h11 tells it only of an end within a body."""
         return str(error) if self._head_read else BEFORE_ANSWER
 
+    def _bad(self, message: str) -> BadResponse:
+        return BadResponse(message, step=self._step, peer=str(self._address))
+
     def _broken(self, message: str) -> ConnectionBroken:
         return ConnectionBroken(
             message or "connection broke", step=self._step, peer=str(self._address)
@@ -382,8 +409,9 @@
     timeout_s: float,
     pool: Pool | None = None,
     keepalive_s: int | None = None,
+    max_bytes: int = MAX_FETCHED_BYTES,
 ) -> Response:
-    """Send one request and read its whole response.
+    """Send one request and read its whole response, of ``max_bytes`` at most.
 
     Raises ``ConnectFailed``, ``ConnectionBroken``, ``PeerTimeout`` or
     ``BadResponse``. Without a pool the connection is fresh and closed after.
@@ -397,7 +425,7 @@
         with trio.fail_after(timeout_s):
             await connection.start(method=method, path=path, headers=headers, body=body, step=step)
             head = await connection.read_head()
-            pieces = [piece async for piece in connection.iter_body()]
+            whole = await connection.read_body(max_bytes=max_bytes)
     except trio.TooSlowError as error:
         raise PeerTimeout(
             f"no whole answer within {timeout_s:g} s", step=step, peer=str(address)
@@ -408,4 +436,4 @@
                 await connection.aclose()
             else:
                 await pool.put_back(connection)
-    return attrs.evolve(head, body=b"".join(pieces))
+    return attrs.evolve(head, body=whole)
