Fields: digits that make no number are no number, and neither are thousands of them

Cause: `str.isdigit` holds for superscript digits, which `float` does not read, and `int` raises for more than 4,300 digits. What callers saw: an answer of a target with `Keep-Alive: timeout=²` or a `Server-Brittle` of 5,000 digits was lost to a ValueError, though the request had run.

--- a/lagoonlever/client/service_calls.py
+++ b/lagoonlever/client/service_calls.py
@@ -15,7 +15,7 @@
 from lagoonlever.entry.fleet.addresses import EntryAnswer
 from lagoonlever.exceptions import ConnectFailed, PeerError
 from lagoonlever.http.client import Response, fetch
-from lagoonlever.http.messages import Address, Headers
+from lagoonlever.http.messages import Address, Headers, whole_number
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import (
     OUTCOME_HEADER,
@@ -181,8 +181,7 @@
 
 
 def _retry_after_s(headers: Headers) -> float:
-    text = headers.get(RETRY_AFTER_HEADER) or ""
-    return float(text) if text.isdigit() else 0.0
+    return float(whole_number(headers.get(RETRY_AFTER_HEADER)) or 0)
 
 
 def _pause_after(answer: ServiceAnswer) -> float | None:
--- a/lagoonlever/entry/services/call.py
+++ b/lagoonlever/entry/services/call.py
@@ -11,7 +11,7 @@
 from lagoonlever.entry.services.settings import Service
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.client import Response
-from lagoonlever.http.messages import Headers, Request
+from lagoonlever.http.messages import Headers, Request, whole_number
 from lagoonlever.outcomes import (
     OUTCOME_HEADER,
     REASON_HEADER,
@@ -192,5 +192,5 @@
 
 
 def _retry_after_s(response: Response) -> float | None:
-    text = response.headers.get(RETRY_AFTER_HEADER)
-    return float(text) if text and text.isdigit() else None
+    seconds = whole_number(response.headers.get(RETRY_AFTER_HEADER))
+    return None if seconds is None else float(seconds)
--- a/lagoonlever/http/messages.py
+++ b/lagoonlever/http/messages.py
@@ -6,6 +6,9 @@
 
 import attrs
 
+MAX_DIGITS = 18
+"""Of a whole number in a field: what fits into 64 bits."""
+
 
 @attrs.frozen
 class Headers:
@@ -40,6 +43,17 @@
         return cls(tuple((key.decode("ascii"), value.decode("latin-1")) for key, value in raw))
 
 
+def whole_number(text: str | None) -> int | None:
+    """Return the number that a field holds as ASCII digits alone, or None if it holds none.
+
+    A superscript digit is a digit to ``str.isdigit`` and no number to ``int``, which also raises
+    for a number of thousands of digits.
+    """
+    if text is None or len(text) > MAX_DIGITS:
+        return None
+    return int(text) if text.isascii() and text.isdecimal() else None
+
+
 @attrs.frozen(kw_only=True)
 class Address:
     """An IP number and a TCP port."""
--- a/lagoonlever/platform/headers.py
+++ b/lagoonlever/platform/headers.py
@@ -14,7 +14,7 @@
     Hop,
     PromptPart,
 )
-from lagoonlever.http.messages import Headers
+from lagoonlever.http.messages import Headers, whole_number
 
 REQUEST_ID = "Request-Id"
 DEADLINE = "Deadline-Ms"
@@ -209,7 +209,7 @@
             model=headers.get(MODEL) or "",
             prompt_tokens=int(prompt),
             output_tokens=int(output or 0),
-            length_hint=_hint(headers.get(LENGTH_HINT)),
+            length_hint=whole_number(headers.get(LENGTH_HINT)),
             parts=_parts(headers.get(PROMPT_PARTS) or ""),
         )
     except ValueError as error:
@@ -218,10 +218,6 @@
         ) from error
 
 
-def _hint(text: str | None) -> int | None:
-    return int(text) if text is not None and text.isdecimal() else None
-
-
 def _parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for entry in filter(None, text.split(",")):
@@ -287,8 +283,9 @@
     text = headers.get(name)
     if text is None:
         return None, True
-    if text.isascii() and text.isdecimal() and int(text) <= most:
-        return int(text), True
+    number = whole_number(text)
+    if number is not None and number <= most:
+        return number, True
     unreadable.append(f"{name}: {text[:MOST_SHOWN]!r}")
     return None, False
 
@@ -296,6 +293,7 @@
 def _idle_s(text: str | None) -> float | None:
     for part in (text or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return float(value)
+        seconds = whole_number(value) if name.lower() == "timeout" else None
+        if seconds is not None:
+            return float(seconds)
     return None
--- a/lagoonlever/platform/store_eras.py
+++ b/lagoonlever/platform/store_eras.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from lagoonlever.http.messages import Headers
+from lagoonlever.http.messages import Headers, whole_number
 from lagoonlever.store.events import PLATFORM_ERA_UNKNOWN, PLATFORM_RESTORED
 
 log = logbook.Logger(__name__)
@@ -43,12 +43,12 @@
 
     def _read(self, text: str | None) -> int | None:
         """Read the field; what it tells no era by is logged once until it changes."""
-        problem = None
+        problem, number = None, whole_number(text)
         if text is None:
             problem = "it is missing"
-        elif not (text.isascii() and text.isdigit()):
+        elif number is None:
             problem = f"{text[:40]!r} is no number"
         if problem is not None and problem != self._problem:
             PLATFORM_ERA_UNKNOWN.log(log, problem=problem, era=self.newest)
         self._problem = problem
-        return None if problem is not None or text is None else int(text)
+        return number
--- a/lagoonlever/tests/platform_headers_tests.py
+++ b/lagoonlever/tests/platform_headers_tests.py
@@ -54,7 +54,9 @@
     assert (head.brittle, head.tells_brittle, head.unreadable) == (borne, True, ())
 
 
-@pytest.mark.parametrize("text", ["", " ", "-1", "2.5", "1e3", "9" * 40, "seven", "\xb2", "+3"])
+@pytest.mark.parametrize(
+    "text", ["", " ", "-1", "2.5", "1e3", "9" * 40, "9" * 5_000, "seven", "\xb2", "+3"]
+)
 def test_an_odd_word_on_refusals_is_told_and_harms_nothing_else(text: str):
     head = read_answer(OK, Headers(((BRITTLE, text), (LOAD, "3,0,8"))))
     assert (head.brittle, head.tells_brittle) == (None, False)
@@ -67,3 +69,22 @@
     caller = read_caller(Headers(fields))
     assert (caller.last_event_id, caller.resumes) == (7, "r-1")
     assert read_caller(Headers(fields[:3])).resumes is None
+
+
+@pytest.mark.parametrize(
+    ("text", "idle_s"),
+    [
+        ("timeout=5", 5.0),
+        ("max=9, Timeout=0", 0.0),
+        ("timeout=\xb2", None),
+        ("timeout=\xb2, timeout=3", 3.0),
+        ("timeout=" + "9" * 5_000, None),
+        ("timeout=-1", None),
+        ("timeout=", None),
+        ("timeout", None),
+        ("\xb2=\xb2", None),
+    ],
+)
+def test_an_odd_keep_alive_says_nothing(text: str, idle_s: float | None):
+    """A superscript two counts as a digit but makes no number; the answer it came with was lost."""
+    assert read_answer(OK, Headers((("Keep-Alive", text),))).idle_s == idle_s
--- a/lagoonlever/tests/services_call_tests.py
+++ b/lagoonlever/tests/services_call_tests.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import pytest
 import trio
 
-from lagoonlever.entry.services.call import ServiceCall
+from lagoonlever.entry.services.call import ServiceCall, forwarded_answer
 from lagoonlever.entry.services.settings import Service
 from lagoonlever.fakes.cluster import EmbeddedCluster
-from lagoonlever.http.client import fetch
+from lagoonlever.http.client import Response, fetch
 from lagoonlever.http.messages import Headers, Request
+from lagoonlever.outcomes import OUTCOME_HEADER, RETRY_AFTER_HEADER, NotRun, OutcomeTag
 from lagoonlever.tree.nodes import ROOT, Node, Override, TreeView
 from lagoonlever.tree.options import api_key_digest
 
@@ -16,6 +18,18 @@
 KEYED = Node(path="/motus", overrides=(Override(option="api_keys", value=(api_key_digest("k1"),)),))
 
 
+@pytest.mark.parametrize(
+    ("text", "retry_after_s"), [("3", 3.0), ("\xb2", None), ("9" * 5_000, None), ("-1", None)]
+)
+def test_an_odd_pause_of_another_vm_says_nothing(text: str, retry_after_s: float | None) -> None:
+    """A superscript two counts as a digit but makes no number; the answer it came with was lost."""
+    fields = ((OUTCOME_HEADER, OutcomeTag.NOT_RUN.value), (RETRY_AFTER_HEADER, text))
+    answer = forwarded_answer(Response(status=503, headers=Headers(fields), body=b""))
+    assert answer is not None
+    assert isinstance(answer.outcome, NotRun)
+    assert answer.outcome.retry_after_s == retry_after_s
+
+
 def test_a_service_gets_the_organisation_and_not_the_key() -> None:
     """An organisation's key stands in the log of a service that it calls."""
     request = Request(
