Tunnels: one in use when the own path is back is not kept

Cause: a path that is back has the connections closed that wait for use; a tunnel that a request was using just then was put back after its answer, and used again for as long as requests came.

What callers saw: a longer way by a VM that was no longer needed; that VM could not stop or was a second one that might die under them.

Two new tests hold a call and a stream over the return of the path: both red before, green after.

Change: the dialer marks the tunnels to targets whose paths are back, and the pool closes marked ones after their answer. Why it holds: all tunnels are kept by the dialer from their opening on, and all pools that take its connections close marked ones.

--- a/lagoonlever/gateway/dialer.py
+++ b/lagoonlever/gateway/dialer.py
@@ -183,6 +183,7 @@
         if lost_s is not None:
             name = self._targets.name_at(address)
             events.TARGET_REACHED.log(log, target=name, seconds=lost_s)
+        self._retire_tunnels(frozenset(cut))
         for other in cut:
             await self._path_changed(other)
 
@@ -212,6 +213,11 @@
             for notify in self._on_change:
                 await notify(address)
 
+    def _retire_tunnels(self, targets: frozenset[Address]) -> None:
+        """Have tunnels to targets closed after the requests that use them now."""
+        for connection in itertools.chain.from_iterable(self._tunnels.values()):
+            connection.retired |= connection.address in targets
+
     def _note_cut_off(self) -> None:
         """Log once that this VM has lost its paths, or has one again."""
         is_cut_off = self.paths.is_cut_off
--- a/lagoonlever/tests/handed_over_tests.py
+++ b/lagoonlever/tests/handed_over_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 import trio
 
 from lagoonlever.decisions.fleet.tunnel_peers import usable_peers
@@ -280,6 +281,35 @@
     run_site(story, engines=0, cuttable=True)
 
 
+@pytest.mark.parametrize("kind", ["call", "stream"])
+def test_a_tunnel_in_use_when_the_own_path_is_back_is_not_kept(kind: str) -> None:
+    """It was put back after its answer, and used again for as long as requests came."""
+
+    async def story(site: GatewaySite) -> None:
+        await cut(site)
+        for runner in site.runners.values():
+            runner.work_s = 1.5 * RETURN_S
+
+        async def ask() -> None:
+            if kind == "call":
+                assert (await site.call("/bid/1", body=b"bid")).status == 200
+            else:
+                assert (await site.stream("p-1", events=150)).whole
+
+        parts = site.vms["vm-0"].daemon.parts
+        other = site.vms["vm-1"].daemon.parts.tunnel_desk
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await until(lambda: other.tunnels > 0 and bool(parts.dialer.paths.cut_targets))
+            assert site.paths is not None
+            site.paths.set("vm-0", PathState.OPEN)
+            await until_within(RETURN_S, lambda: not parts.dialer.paths.cut_targets)
+            assert other.tunnels > 0
+        await until_within(0.5, lambda: other.tunnels == 0)
+
+    run_site(story, engines=1, cuttable=True)
+
+
 def test_callers_are_sent_elsewhere_while_their_vm_is_cut_off() -> None:
     async def story(site: GatewaySite) -> None:
         await cut(site)
