--- a/lagoonlever/tests/handed_over_tests.py
+++ b/lagoonlever/tests/handed_over_tests.py
@@ -7,9 +7,10 @@
 
 from lagoonlever.decisions.fleet.tunnel_peers import usable_peers
 from lagoonlever.fakes.path_proxy import PathState
-from lagoonlever.gateway.dialer import PEER_FIELD
+from lagoonlever.gateway.dialer import PEER_FIELD, TUNNEL_TIMEOUT_S
+from lagoonlever.gateway.tunnel_desk import TunnelDesk
 from lagoonlever.http.messages import Address, Headers
-from lagoonlever.http.tunnel import FORBIDDEN, TunnelRefused, open_tunnel
+from lagoonlever.http.tunnel import FORBIDDEN, NoTunnel, TunnelRefused, TunnelRequest, open_tunnel
 from lagoonlever.tests.free_ports import free_address
 from lagoonlever.tests.gateway_calls_tests import runs
 from lagoonlever.tests.gateway_site import (
@@ -245,6 +246,32 @@
     run_site(story, cuttable=True)
 
 
+@pytest.mark.parametrize("kind", ["bid", "look", "stream"])
+def test_a_vm_between_that_is_late_once_is_asked_again_where_it_is_the_only_one(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was passed over for a second, and callers were refused with most of their time left."""
+    late_s = [2 * TUNNEL_TIMEOUT_S]
+    dial = TunnelDesk._dial
+
+    async def dial_late(desk: TunnelDesk, request: TunnelRequest) -> trio.SocketStream | NoTunnel:
+        await trio.sleep(late_s.pop() if late_s else 0.0)
+        return await dial(desk, request)
+
+    async def story(site: GatewaySite) -> None:
+        await cut(site)
+        if kind == "stream":
+            assert (await site.stream("p-1", events=4)).whole
+        elif kind == "bid":
+            assert (await site.call("/bid/1", body=b"bid")).status == 200
+        else:
+            assert (await site.call("/look/1", method="GET")).status == 200
+        assert not late_s
+
+    monkeypatch.setattr(TunnelDesk, "_dial", dial_late)
+    run_site(story, engines=2, cuttable=True)
+
+
 def test_paths_that_come_and_go_each_second_harm_nobody() -> None:
     async def story(site: GatewaySite) -> None:
         await wait_helpers(site)
--- a/lagoonlever/tests/tunnel_peers_tests.py
+++ b/lagoonlever/tests/tunnel_peers_tests.py
@@ -43,6 +43,18 @@
     assert len(peers.draw(states, AVOIDED_S, count=2)) == 2
 
 
+def test_vms_that_gave_no_tunnel_are_asked_again_where_no_other_is_left() -> None:
+    """The only VM that could help was late once, and callers were refused for a second."""
+    peers = TunnelPeers(rng=random.Random(1))
+    states = [peer(1), peer(2)]
+    peers.record_failure("vm-1", 0.0)
+    peers.record_failure("vm-2", 0.1)
+    assert [s.life.name for s in peers.draw(states, 0.2, count=2)] == ["vm-1", "vm-2"]
+    assert [s.life.name for s in peers.draw(states, 0.2, count=1)] == ["vm-1"]
+    assert [s.life.name for s in peers.draw(states[1:], 0.2, count=2)] == ["vm-2"]
+    assert [s.life.name for s in peers.draw(states, AVOIDED_S, count=2)] == ["vm-1"]
+
+
 @pytest.mark.parametrize(("vms", "reaching"), [(9, 3), (75, 25), (195, 60), (300, 100)])
 def test_the_vms_that_are_left_share_what_the_others_send(vms: int, reaching: int) -> None:
     """Two thirds of a fleet lose their paths; no VM that is left may carry far more than its part.
