Tunnels: the attempts of a lookup lead by different VMs

Cause: which VM a connection leads by was drawn for each attempt alone, and kept tunnels were taken as they came. With two VMs that can help both attempts led by the same one every other time; as it died both were lost, and a third is not allowed.

What callers saw: 502 after 0.27 of 5 s, though a third VM had paths and the runners were well.

Change: a further attempt of a call takes no kept connection that leads by the VM of the one before, and asks that VM for a tunnel after all others.

Why it holds: a call's attempts all go through CallExchange.attempt, which knows the last way.

--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -151,7 +151,9 @@
         permit = await self.words.permit(target.id, need=self.need(call))
         if isinstance(permit, Denied):
             return Held(target=target.id)
-        connection = await self.client.connect(target, rested_at_most_s=rested_at_most_s)
+        connection = await self.client.connect(
+            target, rested_at_most_s=rested_at_most_s, apart_from=call.via
+        )
         if isinstance(connection, NotSent):
             return connection
         if not self.words.covers(target.id, permit):
--- a/lagoonlever/gateway/dialer.py
+++ b/lagoonlever/gateway/dialer.py
@@ -92,13 +92,18 @@
             with self._timers.subscribed(partial(self._look, nursery), period_s=LOOK_PERIOD_S):
                 await trio.sleep_forever()
 
-    async def open(self, address: Address, *, timeout_s: float) -> ClientConnection:
-        """Connect to a target; raise ``ConnectFailed``, which proves that it received nothing."""
+    async def open(
+        self, address: Address, *, timeout_s: float, apart_from: str | None = None
+    ) -> ClientConnection:
+        """Connect to a target; raise ``ConnectFailed``, which proves that it received nothing.
+
+        The VM ``apart_from`` is asked after all others.
+        """
         own: Way = partial(self.open_own, address, timeout_s=timeout_s)
         plan = self.paths.plan(address, self._timers.now)
         if plan is DialPlan.OWN or self._tunnel_port is None:
             return await own()
-        drawn = _DrawnPeers(draw=self._draw_peers)
+        drawn = _DrawnPeers(draw=partial(self._draw_peers, apart_from))
         ways: list[Way] = [own] if plan is DialPlan.BOTH else []
         ways += [partial(self._open_by_peer, drawn, turn, address) for turn in range(PEERS_TRIED)]
         connection = await ConnectRace(ways=ways, head_start_s=HEAD_START_S).run()
@@ -126,9 +131,10 @@
         """Check whether other VMs reach a target by paths that this one does not have."""
         return self.paths.is_cut(address)
 
-    def _draw_peers(self) -> tuple[PeerState, ...]:
+    def _draw_peers(self, apart_from: str | None) -> tuple[PeerState, ...]:
         now = self._timers.now
-        return self._peers.draw(usable_peers(self._fellows.present(now)), now, count=PEERS_TRIED)
+        drawn = self._peers.draw(usable_peers(self._fellows.present(now)), now, count=PEERS_TRIED)
+        return tuple(sorted(drawn, key=lambda peer: peer.life.name == apart_from))
 
     def _unreached(self, address: Address) -> ConnectFailed:
         """Return the error for a target that no way leads to.
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -111,15 +111,22 @@
         return self._held_bytes
 
     async def connect(
-        self, target: ListedTarget, *, rested_at_most_s: float
+        self, target: ListedTarget, *, rested_at_most_s: float, apart_from: str | None = None
     ) -> ClientConnection | NotSent:
-        """Return a kept connection that rested no longer, or a new one."""
-        kept = await self._pool.take_kept(target.address, rested_at_most_s=rested_at_most_s)
+        """Return a kept connection that rested no longer, or a new one.
+
+        If it leads by another VM, then not by ``apart_from`` as long as there is any other one.
+        """
+        kept = await self._pool.take_kept(
+            target.address, rested_at_most_s=rested_at_most_s, apart_from=apart_from
+        )
         if kept is not None:
             self._tally.add(metrics.CONNECTIONS, "kept")
             return kept
         try:
-            connection = await self._dialer.open(target.address, timeout_s=CONNECT_TIMEOUT_S)
+            connection = await self._dialer.open(
+                target.address, timeout_s=CONNECT_TIMEOUT_S, apart_from=apart_from
+            )
         except ConnectFailed as error:
             self._tally.add(metrics.CONNECTIONS, "failed")
             return NotSent(detail=error.message)
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -359,12 +359,21 @@
         return kept or await self._opener(address, timeout_s=timeout_s)
 
     async def take_kept(
-        self, address: Address, *, rested_at_most_s: float = math.inf
+        self,
+        address: Address,
+        *,
+        rested_at_most_s: float = math.inf,
+        apart_from: str | None = None,
     ) -> ClientConnection | None:
-        """Give the connection that was used last, if it may still be used, or None."""
-        idle = self._idle.get(address, deque())
+        """Return the connection that was used last, if it may still be used, or None.
+
+        None that leads by the VM ``apart_from``.
+        """
+        kept = self._idle.get(address, deque())
+        idle = [one for one in kept if apart_from is None or one.via != apart_from]
         while idle:
             connection = idle.pop()
+            kept.remove(connection)
             rested_s = trio.current_time() - connection.idle_since
             is_fresh = rested_s < min(connection.idle_s, rested_at_most_s)
             if is_fresh and not connection.retired and connection.quiet:
--- a/lagoonlever/tests/handed_over_tests.py
+++ b/lagoonlever/tests/handed_over_tests.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 import trio
 
 from lagoonlever.decisions.fleet.tunnel_peers import usable_peers
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.fakes.path_proxy import PathState
 from lagoonlever.gateway.dialer import PEER_FIELD, TUNNEL_TIMEOUT_S
+from lagoonlever.gateway.target_client import NotSent, TargetClient
 from lagoonlever.gateway.tunnel_desk import TunnelDesk
+from lagoonlever.http.client import ClientConnection
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.tunnel import FORBIDDEN, NoTunnel, TunnelRefused, TunnelRequest, open_tunnel
 from lagoonlever.tests.free_ports import free_address
@@ -111,6 +116,36 @@
     run_site(story, engines=0, vms=3, cuttable=True)
 
 
+def test_the_attempts_of_a_lookup_lead_by_different_vms(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Both led by the same VM now and then, and were lost together when it died."""
+    ways: list[str | None] = []
+    connect = TargetClient.connect
+
+    async def connect_seen(
+        client: TargetClient, target: ListedTarget, **more: Any
+    ) -> ClientConnection | NotSent:
+        connection = await connect(client, target, **more)
+        assert isinstance(connection, ClientConnection)
+        ways.append(connection.via)
+        return connection
+
+    async def story(site: GatewaySite) -> None:
+        await cut(site)
+        for runner in site.runners.values():
+            runner.work_s = 0.3
+        monkeypatch.setattr(TargetClient, "connect", connect_seen)
+        doubled = 0
+        for _ in range(12):
+            ways.clear()
+            assert (await site.call("/look/1", method="GET")).status == 200
+            assert None not in ways
+            assert len(set(ways)) == len(ways)
+            doubled += len(ways) == 2
+        assert doubled >= 4
+
+    run_site(story, engines=0, vms=3, cuttable=True)
+
+
 def test_a_stream_whose_vm_between_dies_goes_on_whole() -> None:
     async def story(site: GatewaySite) -> None:
         await cut(site)
