Connections: a kept one is given to one request only

Cause: looked through a copy of the list of kept connections; while one request closed an old one, another took the next, and the first then failed with ValueError. No caller saw it; found by reading the diff.

Change: each look goes to the list itself, and nothing awaits between the look and the removal. The VM that is to be passed over has a test of its own.

--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -370,9 +370,7 @@
         None that leads by the VM ``apart_from``.
         """
         kept = self._idle.get(address, deque())
-        idle = [one for one in kept if apart_from is None or one.via != apart_from]
-        while idle:
-            connection = idle.pop()
+        while (connection := _newest_apart_from(apart_from, kept)) is not None:
             kept.remove(connection)
             rested_s = trio.current_time() - connection.idle_since
             is_fresh = rested_s < min(connection.idle_s, rested_at_most_s)
@@ -407,6 +405,13 @@
                 await idle.pop().aclose()
 
 
+def _newest_apart_from(via: str | None, kept: deque[ClientConnection]) -> ClientConnection | None:
+    for connection in reversed(kept):
+        if via is None or connection.via != via:
+            return connection
+    return None
+
+
 async def fetch(
     address: Address,
     *,
--- a/lagoonlever/tests/http_server_tests.py
+++ b/lagoonlever/tests/http_server_tests.py
@@ -127,6 +127,45 @@
     serving(handler, story)
 
 
+def test_a_kept_connection_is_given_to_one_request_only():
+    """A request that closes an old connection must not then take one that another has got."""
+
+    async def story(address: Address, state: ServerState) -> None:
+        pool = Pool()
+        kept, old = [await ClientConnection.open(address) for _ in range(2)]
+        await pool.put_back(kept)
+        await pool.put_back(old)
+        old.retired = True
+        taken: list[ClientConnection | None] = []
+
+        async def take() -> None:
+            taken.append(await pool.take_kept(address))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(take)
+            nursery.start_soon(take)
+        assert {id(connection) for connection in taken} == {id(kept), id(None)}
+        await kept.aclose()
+
+    serving(echo, story)
+
+
+def test_a_kept_connection_that_leads_by_a_certain_vm_is_passed_over():
+    async def story(address: Address, state: ServerState) -> None:
+        pool = Pool()
+        own, by_peer = [await ClientConnection.open(address) for _ in range(2)]
+        by_peer.via = "vm-1"
+        await pool.put_back(own)
+        await pool.put_back(by_peer)
+        assert await pool.take_kept(address, apart_from="vm-1") is own
+        assert await pool.take_kept(address, apart_from="vm-1") is None
+        assert await pool.take_kept(address, apart_from="vm-2") is by_peer
+        await own.aclose()
+        await by_peer.aclose()
+
+    serving(echo, story)
+
+
 async def get(address: Address, path: str, pool: Pool | None = None):
     return await fetch(address, path=path, step="t", timeout_s=LIMIT_S, pool=pool)
 
