Connections: a path that is lost while a request looks for a kept connection harms neither

Cause: closing all kept connections to a target walked through the list that a request may be looking through; each closing lets others run. What callers would have seen: an error in place of an answer (RuntimeError: deque mutated during iteration).

Change: what is dropped is taken off the list before it is closed. Why it holds: whoever takes a connection off a list is the only one that has it.

--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -395,14 +395,14 @@
 
     async def drop(self, address: Address) -> None:
         """Close every idle connection to one address."""
-        for connection in self._idle.pop(address, ()):
-            await connection.aclose()
+        dropped = self._idle.pop(address, deque())
+        while dropped:
+            await dropped.pop().aclose()
 
     async def aclose(self) -> None:
         """Close every idle connection."""
-        for idle in self._idle.values():
-            while idle:
-                await idle.pop().aclose()
+        for address in list(self._idle):
+            await self.drop(address)
 
 
 def _newest_apart_from(via: str | None, kept: deque[ClientConnection]) -> ClientConnection | None:
--- a/lagoonlever/tests/http_server_tests.py
+++ b/lagoonlever/tests/http_server_tests.py
@@ -150,6 +150,37 @@
     serving(echo, story)
 
 
+@pytest.mark.parametrize("turn", range(6))
+def test_a_path_that_is_lost_while_a_request_looks_for_a_connection_harms_neither(turn: int):
+    """Both walked through one list, and the one that came second ended with an error.
+
+    Tasks take their turns by chance, so it is tried several times.
+    """
+
+    async def story(address: Address, state: ServerState) -> None:
+        pool = Pool()
+        connections = [await ClientConnection.open(address) for _ in range(5)]
+        for connection in connections:
+            await pool.put_back(connection)
+        for connection in connections[1:]:
+            connection.retired = True
+        taken: list[ClientConnection | None] = []
+
+        async def take() -> None:
+            taken.append(await pool.take_kept(address))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(take)
+            nursery.start_soon(pool.drop, address)
+        assert taken in ([None], [connections[0]])
+        if taken[0] is not None:
+            assert taken[0].quiet
+            await taken[0].aclose()
+        await until(lambda: state.open_connections == 0)
+
+    serving(echo, story)
+
+
 def test_a_kept_connection_that_leads_by_a_certain_vm_is_passed_over():
     async def story(address: Address, state: ServerState) -> None:
         pool = Pool()
