--- a/lagoonlever/tests/gateway_calls_tests.py
+++ b/lagoonlever/tests/gateway_calls_tests.py
@@ -4,6 +4,7 @@
 
 import copy
 from collections import Counter
+from typing import Any
 
 import pytest
 import trio
@@ -182,12 +183,12 @@
     connect, left = TargetClient.connect, list(late)
 
     async def connect_or_not(
-        client: TargetClient, target: ListedTarget, *, rested_at_most_s: float
+        client: TargetClient, target: ListedTarget, **more: Any
     ) -> ClientConnection | NotSent:
         if target.id in left:
             left.remove(target.id)
             return NotSent(detail="timed out")
-        return await connect(client, target, rested_at_most_s=rested_at_most_s)
+        return await connect(client, target, **more)
 
     monkeypatch.setattr(TargetClient, "connect", connect_or_not)
 
--- a/lagoonlever/tests/leaving_vm_tests.py
+++ b/lagoonlever/tests/leaving_vm_tests.py
@@ -39,7 +39,7 @@
 
 
 async def tell_to_stop(site: GatewaySite, vm: str = "vm-0") -> float:
-    """Tell a VM to stop, and return when its process ends.
+    """Have a VM stop, and return when its process ends.
 
     It stays until then, as a stream that began before goes on for longer.
     """
