Soak: runners that refuse, run and fail calls by turns, with late copies of their answers

The soak's runners refused now and then and sent no copies, so its check 'not run is true' never met a refusal that belongs to another bid. The new kind of fault, runners-shed, has them answer for seconds with refusals, second copies of refusals and of answers, and runs that end in 503 without the word that nothing ran.

Kept: the plan with three such spells, 24 callers.

--- a/lagoonlever/soak/faults.py
+++ b/lagoonlever/soak/faults.py
@@ -48,6 +48,18 @@
     Conduct.REFUSE,
 )
 
+SHED_ANSWERS = (
+    Conduct.REFUSE,
+    Conduct.REFUSE_TWICE,
+    Conduct.REFUSE_TWICE,
+    Conduct.ANSWER_TWICE,
+    Conduct.FAIL_BUSY,
+    Conduct.SERVE,
+)
+"""Of a runner that has no room; bids that it runs stand between its refusals."""
+MOST_SHED = 400
+"""Calls that are answered so at most, by each runner."""
+
 Action = Callable[["FaultActions", Fault], Awaitable[None]]
 _ACTIONS: dict[FaultKind, Action] = {}
 
@@ -350,6 +362,21 @@
         server.conducts.extend(self.site.rng.choices(BAD_ANSWERS, k=4))
         self.site.targets_disturbed_at = trio.current_time()
 
+    @_action(FaultKind.RUNNERS_SHED)
+    async def _shed(self, fault: Fault) -> None:
+        """Have every runner, or all but one, turn calls away; no other fault ends it sooner."""
+        spared = fault.number % (2 * len(self.site.runners))
+        shedding = [r.server for n, r in enumerate(self.site.runners) if n != spared]
+        for server in shedding:
+            assert isinstance(server, FakeRunner)
+            server.conducts.extend(self.site.rng.choices(SHED_ANSWERS, k=MOST_SHED))
+        self.site.targets_disturbed_at = trio.current_time()
+        await trio.sleep(fault.for_s)
+        for server in shedding:
+            assert isinstance(server, FakeRunner)
+            server.conducts.clear()
+        self.site.targets_disturbed_at = trio.current_time()
+
     @_action(FaultKind.NEW_CONFIGURATION)
     async def _configure(self, fault: Fault) -> None:
         self.site.configure()
--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -54,6 +54,8 @@
     _once: set[str] = attrs.field(factory=set)
     """Ids of requests that may run once at most."""
     _told_not_run: set[str] = attrs.field(factory=set)
+    _sealed: set[str] = attrs.field(factory=set)
+    """Ids of calls whose answer is their target's own, under its seal."""
     _shared_parts: set[str] = attrs.field(factory=set)
     """Deadly parts that different prompts share."""
     _ended_at: dict[str, list[float]] = attrs.field(factory=dict)
@@ -137,16 +139,23 @@
             self.break_promise("only deadly requests are barred", request)
 
     def answered(self, kind: str, request: str, status: int) -> None:
-        """Record the final status that a caller received; 0 if its connection ended without one."""
+        """Record the final status that a caller received; 0 if its connection ended without one.
+
+        A target's own answer to a call that may be repeated is passed on whatever its status.
+        """
         self.counts[f"{kind} {status}"] += 1
         if status not in NOT_RUN_STATUSES:
             return
+        if request in self._sealed and request not in self._once:
+            return
         self._told_not_run.add(request)
         if self._ran[request]:
             self.break_promise("not run is true", f"{request} was told {status} and had run")
 
     def called(self, request: str, status: int, headers: Headers, body: bytes) -> None:
         """Check the whole answer to a call."""
+        if headers.get(SEAL) is not None:
+            self._sealed.add(request)
         if not OK <= status < 300:
             return
         if headers.get(SEAL) != f"seal-{request}" or body != b"answer to " + request.encode():
--- a/lagoonlever/soak/plan.py
+++ b/lagoonlever/soak/plan.py
@@ -79,6 +79,8 @@
     """An engine ends with its connections; one of another version starts at its address."""
     ENGINE_RETURNS_OTHER = "engine-returns-other"
     """An engine ends with its connections, and starts again under its id as another version."""
+    RUNNERS_SHED = "runners-shed"
+    """Some runners turn most calls away, and send some of their answers twice."""
     NEW_VERSION = "new-version"
     """Operators order a version of the runners; every other one fails a part of its calls."""
     NEW_CONFIGURATION = "new-configuration"
@@ -189,6 +191,7 @@
         every_s=(0.5, 2.5),
         for_s=(0.1, 0.8),
     ),
+    _Track(kinds=(FaultKind.RUNNERS_SHED,), every_s=(0.5, 3.0), for_s=(1.0, 4.0)),
 )
 
 
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -18,7 +18,7 @@
 from lagoonlever.http.client import fetch
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.server import open_listeners
-from lagoonlever.platform.headers import EXPECTED_TARGET, ORGANISATION, REQUEST_ID
+from lagoonlever.platform.headers import EXPECTED_TARGET, ORGANISATION, REQUEST_ID, SEAL
 from lagoonlever.soak.deployments import (
     SHORT_TOKENS,
     UNEVEN_PACES,
@@ -46,6 +46,7 @@
         FaultKind.RUNNERS_BRITTLE,
         FaultKind.ENGINE_OTHER_VERSION,
         FaultKind.ENGINE_RETURNS_OTHER,
+        FaultKind.RUNNERS_SHED,
     }
 )
 LATER_KINDS = NEWEST_KINDS | frozenset(
@@ -135,6 +136,33 @@
     assert result.counts["engines ended by a prompt"] <= most
 
 
+def test_bids_between_refusals_that_come_twice_are_not_called_unrun(tmp_path: Path) -> None:
+    """Full runners refuse, run and fail calls by turns, and copies of their answers come late."""
+    size = SoakSize(vms=4, runners=3, callers=24, length_s=14.0)
+    plan = tuple(
+        Fault(kind=FaultKind.RUNNERS_SHED, at_s=1.0 + 4.0 * n, for_s=3.5, number=5)
+        for n in range(3)
+    )
+    result = play(11, tmp_path, size=size, length_s=14.0, plan=plan)
+    assert result.violations == ()
+    assert result.counts.get("bid 503", 0) > 50
+
+
+def test_a_target_that_fails_a_bid_with_a_promise_is_told_apart_from_its_answer_to_a_lookup() -> (
+    None
+):
+    judge = Judge(organisation="org-1")
+    sealed = Headers(((SEAL, "seal-x"),))
+    for request in ("bid-1", "look-1", "look-2"):
+        judge.ran(request, "r1", Headers(((ORGANISATION, "org-1"),)))
+    judge.runs_once("bid-1")
+    for request in ("bid-1", "look-1"):
+        judge.called(request, 503, sealed, b"")
+        judge.answered(request.partition("-")[0], request, 503)
+    judge.answered("look", "look-2", 503)
+    assert [v.detail.partition(" ")[0] for v in judge.violations] == ["bid-1", "look-2"]
+
+
 def test_streams_stay_at_their_versions_while_vms_and_engines_end(tmp_path: Path) -> None:
     """Engines of three versions, VMs killed one by one and all at once, the store away."""
     size = SoakSize(vms=4, engines=6, runners=3, callers=12, length_s=14.0)
