Refusals: one that names no request is believed only on a connection of its own

What callers saw: a bid that a runner ran was called unrun (503), or, where its route allows two attempts, ran at two runners and was then called unrun. A stream that may not run twice was sent again to its engine, which wrote the first answer already.

Cause: a refusal without a request's id counted as that of whichever request waited on its connection. On a kept connection it may as well be a late copy of the refusal of the request before (class: an answer is taken for a request by its place on the connection, not by what it says).

Change: AnswerHead.is_for takes such a refusal only as the first answer on its connection; on any other one the call is lost, and the connection closed. Why it holds: a copy needs a request before it on its connection; an answer that names a request is told by its name as before.

ScriptedAnswer lets a test write out what the stand-in of a runner or an engine sends.

--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -15,6 +15,7 @@
 import trio
 
 from lagoonlever.fakes.raw_answers import Endless, raw_answer, raw_head, write_endless
+from lagoonlever.fakes.scripted_answers import ScriptedAnswers
 from lagoonlever.fakes.target_room import USUAL_PRIORITY, Place, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
 from lagoonlever.http.messages import Headers, Request
@@ -127,6 +128,8 @@
         self.kept: dict[str, int] = {}
         self.read_tokens: Counter[str] = Counter()
         """Prompt tokens read, by the prompt's own part."""
+        self.scripted = ScriptedAnswers(runs=Counter())
+        """Answers to requests that go before all others."""
         self.seen: list[Headers] = []
         self.arrived_at: list[float] = []
         self.resumed_foreign: list[tuple[str, str]] = []
@@ -233,6 +236,8 @@
         headers = exchange.request.headers
         self.seen.append(headers)
         self.arrived_at.append(trio.current_time())
+        if await self.scripted.play(exchange):
+            return
         if headers.get(EXPECTED_TARGET) != self.target_id:
             echoed = (REQUEST_ID, headers.get(REQUEST_ID) or "")
             other = Headers((echoed, (TARGET_ID, self.target_id)))
--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -9,6 +9,7 @@
 import trio
 
 from lagoonlever.fakes.raw_answers import Endless, raw_answer, raw_head, write_endless
+from lagoonlever.fakes.scripted_answers import ScriptedAnswers
 from lagoonlever.fakes.target_room import USUAL_PRIORITY, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
 from lagoonlever.http.messages import Headers
@@ -76,6 +77,8 @@
         self.work_s = work_s
         self.conducts: deque[Conduct] = deque()
         self.runs: Counter[str] = Counter()
+        self.scripted = ScriptedAnswers(runs=self.runs)
+        """Answers that go before all others."""
         self.seen: list[Headers] = []
         self.arrivals: list[str] = []
         self.arrived_at: list[float] = []
@@ -117,6 +120,8 @@
         late_copy = self._late_copies.pop(exchange.request.peer, None)
         if late_copy is not None:
             await exchange.write_raw(late_copy)
+        if await self.scripted.play(exchange):
+            return
         if headers.get(EXPECTED_TARGET) not in (None, self.target_id):
             other = Headers(((REQUEST_ID, request_id), (TARGET_ID, self.target_id)))
             await exchange.respond(status=MISDIRECTED, headers=other, body=b"")
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -114,13 +114,16 @@
     unreadable: tuple[str, ...] = ()
     """What the target says of itself in fields that can't be read; such a field says nothing."""
 
-    def is_for(self, request_id: str) -> bool:
-        """Check whether the answer may belong to a request.
+    def is_for(self, request_id: str, *, first: bool) -> bool:
+        """Check whether the answer must belong to a request, its connection's ``first`` or not.
 
         A target names the request in its answers. A refusal may come without, as from a server
-        that turns a request away before it reads its head.
+        that turns a request away before it reads its head. Where the connection has carried
+        another request, that may as well be a late copy of the refusal of that one.
         """
-        return self.request_id == request_id or (self.refused and self.request_id is None)
+        if self.request_id is None:
+            return self.refused and first
+        return self.request_id == request_id
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -266,7 +266,7 @@
             )
             response = await self._wait_head(connection, silence)
             head = read_answer(response.status, response.headers)
-            if not await self._accept_head(response, head):
+            if not await self._accept_head(response, head, first=not connection.served_before):
                 return None
             while (piece := await self._next(connection, silence, head=False)) is not None:
                 assert isinstance(piece, bytes)
@@ -381,10 +381,13 @@
         engine = self._tools.beliefs.targets.find(self._plan.engine.id)
         return engine is not None and engine.has_restarted_since(self._plan.run.engine_started_ms)
 
-    async def _accept_head(self, response: Response, head: AnswerHead) -> bool:
-        """Judge the head of an answer; begins the caller's answer with a first good one."""
+    async def _accept_head(self, response: Response, head: AnswerHead, *, first: bool) -> bool:
+        """Judge the head of an answer; begins the caller's answer with a first good one.
+
+        ``first`` tells that its connection has carried no other request.
+        """
         engine = self._plan.engine
-        if not head.is_for(self._accepted.request_id):
+        if not head.is_for(self._accepted.request_id, first=first):
             log_foreign(head, request_id=self._accepted.request_id, target=engine.id)
             raise _Ended(f"the answer is for request {head.request_id}")
         self._tools.words.heard(engine.id, head, sent_at=self._started)
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -162,7 +162,7 @@
             response, head = await self._read_own_head(connection, hop, request_id)
         except (ConnectionBroken, BadResponse) as error:
             return Lost(detail=error.message)
-        if not head.is_for(request_id):
+        if not head.is_for(request_id, first=not connection.served_before):
             return Lost(detail=f"the answer is for request {head.request_id}")
         self._words.heard(hop.target_id, head, sent_at=sent_at)
         if head.refused:
@@ -179,7 +179,7 @@
         for skipped in range(MAX_SKIPPED + 1):
             response = await connection.read_head()
             head = read_answer(response.status, response.headers)
-            if head.is_for(request_id):
+            if head.is_for(request_id, first=not connection.served_before):
                 break
             log_foreign(head, request_id=request_id, target=hop.target_id)
             may_follow = connection.served_before and head.request_id is not None
