Refusals: an answer whose status tells of a run proves nothing by a field beside it

What callers would have seen: a bid that a runner ran and answered with 200, 500, 502 or 504 was called unrun (503), as the answer said Not-Executed beside that status. Not seen in a record; found by going through the ways to such an answer.

Cause: the field alone decided, whatever status it stood beside (class: of two statements that contradict each other, the one that promises more was believed).

Change: an answer is a refusal only with a status that targets refuse with, 408 as well. Any other one is passed on as it came.

--- a/lagoonlever/platform/headers.py
+++ b/lagoonlever/platform/headers.py
@@ -59,6 +59,8 @@
 MOST_SHOWN = 40
 """Characters of an unreadable field that a log line shows."""
 BAD_REQUEST = 400
+REFUSAL_STATUSES = frozenset({BAD_REQUEST, 408, MISDIRECTED, 429, BUSY})
+"""Of targets that have not run a request; any other one tells of a run, whatever is beside it."""
 
 HOP_BY_HOP = frozenset(
     {
@@ -155,7 +157,7 @@
         status=status,
         request_id=headers.get(REQUEST_ID),
         sealed=headers.get(SEAL) is not None,
-        refused=headers.get(REFUSED) is not None or status == MISDIRECTED,
+        refused=_refuses(status, headers),
         target_id=headers.get(TARGET_ID),
         load=_load(headers.get(LOAD), unreadable),
         idle_s=_idle_s(headers.get("Keep-Alive")),
@@ -170,6 +172,12 @@
     )
 
 
+def _refuses(status: int, headers: Headers) -> bool:
+    """Check whether an answer says that its request has not run, and says nothing else as well."""
+    says_so = headers.get(REFUSED) is not None or status == MISDIRECTED
+    return says_so and status in REFUSAL_STATUSES
+
+
 def to_caller(headers: Headers) -> Headers:
     """Give the fields of a target's answer as the caller gets them, without its framing."""
     dropped = HOP_BY_HOP | _named_by_connection(headers) | {"content-length"}
