--- a/lagoonlever/tests/refusal_heads_tests.py
+++ b/lagoonlever/tests/refusal_heads_tests.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import itertools
+from collections.abc import Callable
+
 import attrs
 import logbook
 import pytest
 import trio
 
 from lagoonlever.fakes.path_proxy import PathState
+from lagoonlever.fakes.platform_engine import FakeEngine, event_bytes
 from lagoonlever.fakes.raw_answers import raw_answer, raw_head
 from lagoonlever.fakes.scripted_answers import ScriptedAnswer
 from lagoonlever.gateway.target_client import DRAIN_S, MAX_SKIPPED
@@ -17,6 +21,7 @@
 from lagoonlever.tests.late_copies_tests import NOT_RUN, configured, with_attempts
 from lagoonlever.tests.refusals_tests import WAYS, bid, play, script
 
+WORK_S = 0.2
 BUSY = "503 Busy"
 OWN = (REQUEST_ID, "{id}")
 OTHER = (REQUEST_ID, "somebody-else")
@@ -333,3 +338,81 @@
         assert await judge(site, "last") == 200
 
     play(story, way="peer")
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_a_connection_on_which_an_answer_is_due_is_not_used_again(way: str) -> None:
+    """A copy passed for the answer to a bid that its runner worked on, and shifted all others."""
+
+    async def story(site: GatewaySite) -> None:
+        script(site, attrs.evolve(REFUSE, late=REFUSAL))
+        assert await judge(site, "first") == 503
+        site.runners["runner-0"].work_s = WORK_S
+        async with trio.open_nursery() as nursery:
+            for number in range(4):
+                nursery.start_soon(judge_served, site, f"beside-{number}")
+                await trio.sleep(WORK_S / 4)
+        for number in range(2):
+            await judge_served(site, f"behind-{number}")
+
+    play(story, way=way)
+
+
+async def judge_served(site: GatewaySite, request_id: str) -> None:
+    """Place a bid that is served, and see that it runs once."""
+    assert await judge(site, request_id) == 200
+    assert runs(site)[request_id] == 1
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_a_bid_that_goes_on_after_a_refusal_runs_once(way: str) -> None:
+    """A copy of its first runner's refusal came to a later bid, which then ran at both runners."""
+
+    async def story(site: GatewaySite) -> None:
+        await configured(site, with_attempts("bid", 2))
+        script(site, *[attrs.evolve(REFUSE, late=REFUSAL)] * 2)
+        numbers = itertools.count()
+        while any(runner.scripted.next_ones for runner in site.runners.values()):
+            assert await judge(site, f"some-{next(numbers)}") in (200, 503)
+        for number in range(4):
+            await judge_served(site, f"later-{number}")
+
+    play(story, way=way, runners=2)
+
+
+def play_stream(answer: ScriptedAnswer, story: Callable[[FakeEngine, int], None]) -> None:
+    """Ask for a stream that may not run twice, and judge by the engine and the status."""
+
+    async def ask(site: GatewaySite) -> None:
+        await configured(site, with_attempts("stream", 2, ResumeStreams=False))
+        engine = site.engines["engine-0"]
+        engine.scripted.next_ones.append(answer)
+        stream = await site.stream("first", events=1)
+        story(engine, stream.status)
+
+    run_site(ask, engines=1, runners=0, vms=1)
+
+
+@pytest.mark.parametrize("status", [421, 503])
+def test_a_stream_that_ran_is_not_called_unrun_by_the_refusal_of_another_one(status: int) -> None:
+    """The first answer on a new connection names a request that never came on it."""
+
+    def judge_it(engine: FakeEngine, told: int) -> None:
+        assert told in UNPROVEN
+        assert len(engine.arrived_at) == 1
+
+    fields = (OTHER, SAYS_UNRUN)
+    play_stream(ScriptedAnswer(status=status, named=False, fields=fields), judge_it)
+
+
+@pytest.mark.parametrize("status", [200, 500, 504])
+def test_a_stream_that_ran_is_not_sent_again_after_an_answer_that_says_both(status: int) -> None:
+    """An engine's status says that it ran a stream, and a field beside it that it did not."""
+
+    def judge_it(engine: FakeEngine, told: int) -> None:
+        assert told == 200 if status == 200 else told in UNPROVEN
+        assert len(engine.arrived_at) == 1
+
+    fields = (SAYS_UNRUN, (SEAL, "seal"))
+    body = event_bytes("first", 1)
+    play_stream(ScriptedAnswer(status=status, fields=fields, body=body), judge_it)
--- a/lagoonlever/tests/refusals_tests.py
+++ b/lagoonlever/tests/refusals_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -62,8 +63,9 @@
         for runner in site.runners.values():
             runner.names_refused = False
             runner.conducts.append(Conduct.REFUSE_TWICE)
+        numbers = itertools.count()
         while any(runner.conducts for runner in site.runners.values()):
-            assert await bid(site, "first") in (200, 503)
+            assert await bid(site, f"first-{next(numbers)}") in (200, 503)
         for number in range(len(site.runners) + 1):
             status = await bid(site, f"later-{number}")
             assert runs(site)[f"later-{number}"] == 1
--- a/lagoonlever/tests/services_targets_tests.py
+++ b/lagoonlever/tests/services_targets_tests.py
@@ -7,11 +7,14 @@
 import pytest
 import trio
 
+from lagoonlever.decisions.claims.keys import KEY_HEADER
 from lagoonlever.decisions.targets.targets import Target
 from lagoonlever.entry.services.settings import ServiceSettings
+from lagoonlever.fakes.application import FakeApplication
 from lagoonlever.fakes.entry_parts import FixedTargets
 from lagoonlever.fakes.faults import FaultKind, FaultOrder
-from lagoonlever.http.messages import Address
+from lagoonlever.http.messages import Address, Headers
+from lagoonlever.http.server import Exchange
 from lagoonlever.outcomes import RETRY_AFTER_HEADER
 from lagoonlever.tests.services_site import (
     HOST,
@@ -88,6 +91,28 @@
     run_site(scenario, apps=1)
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@pytest.mark.parametrize("keyed", [True, False])
+def test_a_bid_that_ran_is_not_told_as_not_run_by_its_runner_s_status(
+    keyed: bool, status: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A service runs a bid and fails with a status by which others refuse."""
+
+    async def run_and_fail(app: FakeApplication, exchange: Exchange, kind: str) -> None:
+        app._executed[exchange.request.headers.get(KEY_HEADER)] += 1
+        await exchange.respond(status=status, headers=Headers(), body=b"")
+
+    async def scenario(site: Site) -> None:
+        key = site.mint(0) if keyed else None
+        for _ in range(2 if keyed else 1):
+            answer = await site.bid(0, key=key)
+            assert outcome(answer) in ("done", "unknown")
+        assert site.executed == 1
+
+    monkeypatch.setattr(FakeApplication, "_execute", run_and_fail)
+    run_site(scenario)
+
+
 def test_a_runner_that_refuses_connections_costs_nothing_but_another_try() -> None:
     """A runner is gone and not yet off the list: its port refuses, another runner takes the bid."""
 
