HTTP server: what a handler raises is not told as a refusal

Cause: the server turned any RequestRefused or h11.RemoteProtocolError that left a connection's task into an answer with its status and "not-run", also one that came out of the handler, which may have handed the request on by then. Class: an error's class taken for the place where it arose.

What callers saw: nothing that we know of. No handler of the gateway or the entry daemon lets either class out today (by reading: Front.handle and Routes.handle catch RequestRefused, the client turns each RemoteProtocolError into BadResponse or ConnectionBroken).

Change: only the reading of a request is refused, where it is read.

--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -172,7 +172,7 @@
     async def serve(self, handler: Handler) -> None:
         """Serve requests one after the other until either side closes."""
         while True:
-            exchange = await self._next_exchange()
+            exchange = await self._next_or_refuse()
             if exchange is None:
                 return
             self._state.open_exchanges += 1
@@ -184,6 +184,21 @@
                 return
             self._h11.start_next_cycle()
 
+    async def _next_or_refuse(self) -> Exchange | None:
+        """Read the next request, or refuse one that can't be read whole; None at the end.
+
+        Nothing else is refused by this server: what a handler raises does not say whether its
+        request has run.
+        """
+        try:
+            return await self._next_exchange()
+        except RequestRefused as refused:
+            await self.refuse(refused)
+        except h11.RemoteProtocolError as error:
+            hint = error.error_status_hint
+            await self.refuse(RequestRefused(status=hint, field="request", message=str(error)))
+        return None
+
     async def _next_exchange(self) -> Exchange | None:
         request = await self._read_head()
         if request is None:
@@ -373,14 +388,7 @@
 ) -> None:
     host, port = stream.socket.getpeername()[:2]
     connection = _Connection(stream=stream, peer=f"{host}:{port}", limits=limits, state=state)
-    try:
-        await connection.serve(handler)
-    except RequestRefused as refused:
-        await connection.refuse(refused)
-    except h11.RemoteProtocolError as error:
-        await connection.refuse(
-            RequestRefused(status=error.error_status_hint, field="request", message=str(error))
-        )
+    await connection.serve(handler)
 
 
 async def _turn_away(
