Calls: a refusal takes back the attempt that it answers, and no other one

Cause: CallRecord kept the targets that may have run a call as a set of ids. A refusal discarded its target's id, so with two attempts written to one id (a runner that has started again under its id and turns the second one away) the refusal of the second would have wiped out the first. Class: bookkeeping by the name of a target where attempts are meant.

What callers saw: nothing that we know of.

Evidence, before (the test with that state's denied(target)): test_a_refusal_does_not_hide_an_earlier_attempt_at_the_same_target AssertionError: assert False, where False = CallRecord(... sent=2, _may_have_run=set()).may_have_run

Change: written attempts that were not refused are counted, as streams do (possible_runs).

--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -52,7 +52,7 @@
 
 @attrs.define(kw_only=True)
 class CallRecord:
-    """What was tried for one call; a target counts as maybe having run it until it denies it."""
+    """What was tried for one call; an attempt may have run until its target denies it."""
 
     accepted: Accepted
     sent: int = 0
@@ -65,22 +65,23 @@
     """A target's own failure, to be passed on if nothing better comes."""
     no_room: RejectedWithRetryAfter | None = None
     """Set where no runner could begin it in time."""
-    _may_have_run: set[str] = attrs.field(factory=set)
+    _possible_runs: int = 0
+    """Attempts that were written and not refused; two of them may be at one target."""
 
     @property
     def may_have_run(self) -> bool:
         """Whether any target may have run it: then nothing says "not run"."""
-        return bool(self._may_have_run)
+        return self._possible_runs > 0
 
     def written(self, target: str) -> None:
         """Note that the request is being written to a target."""
         self.sent += 1
         self.target = target
-        self._may_have_run.add(target)
+        self._possible_runs += 1
 
-    def denied(self, target: str) -> None:
-        """Note that a target says that it has not run the request."""
-        self._may_have_run.discard(target)
+    def denied(self) -> None:
+        """Note that the target of one attempt says that it has not run the request."""
+        self._possible_runs -= 1
 
 
 @attrs.define(kw_only=True)
@@ -184,7 +185,7 @@
                 return result
             if isinstance(opened, Refused):
                 head = opened.head
-                call.denied(target.id)
+                call.denied()
                 self._note_replaced(target, opened)
                 result = opened
                 return result
