--- a/lagoonlever/tests/handed_over_tests.py
+++ b/lagoonlever/tests/handed_over_tests.py
@@ -261,8 +261,18 @@
     run_site(story, engines=2)
 
 
-def test_one_service_alone_may_be_cut() -> None:
-    """The engines are out of reach, and calls go to their runners by the VM's own paths."""
+@pytest.mark.parametrize("late", [False, True])
+def test_one_service_alone_may_be_cut(late: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The engines are out of reach, and calls go to their runners by the VM's own paths.
+
+    The other VM is ``late`` once, so that a stream goes on to an engine that was not used yet.
+    """
+    late_s = [2 * TUNNEL_TIMEOUT_S] if late else []
+    dial = TunnelDesk._dial
+
+    async def dial_late(desk: TunnelDesk, request: TunnelRequest) -> trio.SocketStream | NoTunnel:
+        await trio.sleep(late_s.pop() if late_s else 0.0)
+        return await dial(desk, request)
 
     async def story(site: GatewaySite) -> None:
         await wait_helpers(site)
@@ -276,8 +286,10 @@
             assert (await site.call("/bid/1", body=b"bid")).status == 200
         paths = site.vms["vm-0"].daemon.parts.dialer.paths
         assert any(paths.is_cut(address) for address in engines)
+        assert not late_s
         await until_within(2.0, lambda: not paths.is_cut_off)
 
+    monkeypatch.setattr(TunnelDesk, "_dial", dial_late)
     run_site(story, cuttable=True)
 
 
