A VM that was paused itself doesn't take the VM that gives out room for silent

Cause of the lines of KNOWN-RED.txt on brittle_targets_tests.py (four refusals in a second where three may be): a VM asks the VM that gives out the room of engines (or of runners) and passes it over for a second if no answer has come after 0.05 s by the wall clock. After a pause of its own process that time is over while the answer waits in its socket, or the question has expired there. It then asks the next VM, and for a second two VMs give out the same room: each place that becomes free goes to two requests, of which the engine turns one away. It is neither a count by window nor a request sent late: every refusal of the trace goes to an engine whose two slots were taken by two runs begun by places of two different VMs within the same few milliseconds.

What callers saw: requests that are turned away and sent again; a brittle target falls over.

Evidence, before:

room_asker_tests.py::test_a_vm_that_was_paused_itself_does_not_pass_its_keeper_over AssertionError: assert not {'vm-2': 7.3} call_places_tests.py::test_a_vm_that_was_paused_itself_does_not_pass_its_desk_over AssertionError: assert 'vm-2' == 'vm-3'

Change: the answer is waited for in five turns of the process, of which a pause takes up one, and after a pause the question is asked again, which both kinds of desk take as the same question.

Why it holds: the turns are counted in the asker's own event loop, so a VM is only passed over after 0.04 s in which the asker ran. A VM that is gone is passed over as soon as before.

--- a/lagoonlever/gateway/call_places.py
+++ b/lagoonlever/gateway/call_places.py
@@ -8,6 +8,7 @@
 
 import itertools
 from collections.abc import Callable, Collection, Iterator
+from functools import partial
 
 import attrs
 import logbook
@@ -28,6 +29,7 @@
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.brittle_watch import BrittleWatch
 from lagoonlever.gateway.call_desk import CallDesk
+from lagoonlever.gateway.own_turns import receive_within
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_client import (
     Answered,
@@ -217,9 +219,9 @@
         try:
             while True:
                 self._send(desk, question)
-                told = None
-                with trio.move_on_after(ANSWER_S):
-                    told = await receive.receive()
+                told = await receive_within(
+                    receive, ANSWER_S, ask_again=partial(self._send, desk, question)
+                )
                 if told is None or not self._waits(told, question):
                     return told
                 with trio.move_on_after(RENEW_INTERVAL_S):
--- a/lagoonlever/gateway/room_asker.py
+++ b/lagoonlever/gateway/room_asker.py
@@ -10,6 +10,7 @@
 import contextlib
 import itertools
 from collections.abc import Callable, Iterator
+from functools import partial
 
 import attrs
 import logbook
@@ -29,6 +30,7 @@
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.brittle_watch import BrittleWatch
+from lagoonlever.gateway.own_turns import receive_within
 from lagoonlever.gateway.room_desk import RENEW_S, RoomDesk
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_line import LineAsk, LineLeft, LineNeed, LineTold
@@ -135,9 +137,11 @@
         answer_s, unanswered = ANSWER_S, 0
         self._send(question, number, waited_s=0.0)
         while True:
-            told = None
-            with trio.move_on_after(answer_s):
-                told = await receive.receive()
+            told = await receive_within(
+                receive,
+                answer_s,
+                ask_again=partial(self._send_again, question, number, began=began),
+            )
             now = self._timers.now
             is_old = now - asked > PLACE_HOLDS_S
             if told is not None and told.waits is None and not is_old:
@@ -185,6 +189,9 @@
         events.LINE_KEEPER_SILENT.log(log, vm=vm, seconds=seconds)
         self._silent_until[vm] = self._timers.now + PASSED_OVER_S
 
+    def _send_again(self, question: _Question, number: int, *, began: float) -> None:
+        self._send(question, number, waited_s=self._timers.now - began)
+
     def _send(self, question: _Question, number: int, *, waited_s: float) -> None:
         asked = LineAsk(
             number=number,
--- a/lagoonlever/tests/call_places_tests.py
+++ b/lagoonlever/tests/call_places_tests.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 import trio
+import trio.testing
 
 from lagoonlever.bench.local_fleet import Fleet, FleetVm, run_fleet, start_many
 from lagoonlever.decisions.admission.call_queue import MAX_QUEUED_PER_RUNNER
@@ -43,6 +44,8 @@
 VMS = 9
 SETTLED_S = 6.0
 WORK_S = 0.07
+PAUSE_S = 0.2
+"""Of a whole process: longer than a desk takes to answer."""
 TOLD = PEER.tag_of(PlaceTold(number=0, service="", work_s=0.0))
 
 
@@ -251,6 +254,29 @@
     run_fleet(story)
 
 
+def test_a_vm_that_was_paused_itself_does_not_pass_its_desk_over(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two desks, which give the same room to different calls."""
+    reply_to, pauses_s = CallDesk._reply_to, [PAUSE_S]
+
+    def reply_late(desk: CallDesk, asked: PlaceAsk) -> Reply:
+        clock = trio.lowlevel.current_clock()
+        assert isinstance(clock, trio.testing.MockClock)
+        clock.jump(pauses_s.pop() if pauses_s else 0.0)
+        return reply_to(desk, asked)
+
+    async def story(fleet: Fleet) -> None:
+        vms = await started(fleet)
+        monkeypatch.setattr(CallDesk, "_reply_to", reply_late)
+        place = await vms[others(vms)[0]].take()
+        assert not pauses_s
+        assert isinstance(place, CallPlace)
+        assert place.desk == order(vms)[0]
+
+    run_fleet(story)
+
+
 def test_a_vm_that_is_cut_off_gives_out_places_by_itself() -> None:
     async def story(fleet: Fleet) -> None:
         vms = await started(fleet)
--- a/lagoonlever/tests/room_asker_tests.py
+++ b/lagoonlever/tests/room_asker_tests.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 import trio
+import trio.testing
 
 from lagoonlever.bench.local_fleet import Fleet, run_fleet, start_many
 from lagoonlever.bench.placing_fleet import MEMORY, PROMPT, SERVICE, PlacingVm, placing_fleet
@@ -23,7 +24,7 @@
 from lagoonlever.decisions.settings.mechanisms import MECHANISMS
 from lagoonlever.decisions.streams.run_placement import Placed, PlacementRequest
 from lagoonlever.gateway.room_asker import has_line
-from lagoonlever.gateway.room_desk import LOOK_S
+from lagoonlever.gateway.room_desk import LOOK_S, Reply, RoomDesk
 from lagoonlever.peers.messages_gateway import RunEnded
 from lagoonlever.peers.messages_line import LineAsk, LineNeed, LineTold
 
@@ -33,6 +34,8 @@
 TAKEN_OVER_S = 0.5
 """What a waiting prompt may lose by a keeper that dies."""
 LONG_S = 1_000.0
+PAUSE_S = 0.2
+"""Of a whole process: longer than a keeper takes to answer."""
 
 Story = Callable[["Room"], Awaitable[None]]
 
@@ -195,6 +198,29 @@
     run_room(story)
 
 
+def test_a_vm_that_was_paused_itself_does_not_pass_its_keeper_over(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two keepers, which give the same room to different prompts."""
+    answer, pauses_s = RoomDesk._answering, [PAUSE_S]
+
+    def answer_late(desk: RoomDesk, asked: LineAsk) -> Reply:
+        clock = trio.lowlevel.current_clock()
+        assert isinstance(clock, trio.testing.MockClock)
+        clock.jump(pauses_s.pop() if pauses_s else 0.0)
+        return answer(desk, asked)
+
+    async def story(room: Room) -> None:
+        vm = room.others()[0]
+        monkeypatch.setattr(RoomDesk, "_answering", answer_late)
+        await room.wait(vm, "r1", need())
+        assert not pauses_s
+        assert "r1" in room.placed
+        assert not vm.asker._silent_until
+
+    run_room(story)
+
+
 def test_a_prompt_that_was_sent_meanwhile_gets_no_second_place() -> None:
     """Guards against two keepers that both have a prompt in line, and both place it."""
 
