Refusals: requests at targets that name none go on connections of their own

Cause: what can't be proved on a kept connection was tried there all the same.

Change: for a minute after a refusal that names no request, or until one that does, requests for that target go on new connections; there it can only be about them. Why it holds: the promise is told only where it is proved, and at most one request of each VM and target is lost before the next ones get connections of their own. A target that names what it refuses costs no more connections than before.

--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -40,6 +40,8 @@
 """Of the memory of the process one part in so many may be held by answers that are being read."""
 DRAIN_S = 0.05
 """The body of a refusal comes with its head."""
+NAMELESS_S = 60.0
+"""For which a target whose refusal named no request is taken not to name those to come."""
 MAX_SKIPPED = 2
 """Answers to earlier requests that are passed over: a target that sends more mixes them up."""
 
@@ -112,6 +114,8 @@
     """Of the bodies of all answers that are being read."""
     _pool: Pool = attrs.field(factory=Pool)
     _held_bytes: int = 0
+    _nameless_until: dict[Address, float] = attrs.field(factory=dict)
+    """Targets whose last refusal named no request, which proves nothing on a kept connection."""
 
     @property
     def held_bytes(self) -> int:
@@ -123,8 +127,11 @@
     ) -> ClientConnection | NotSent:
         """Return a kept connection that rested no longer, or a new one.
 
-        If it leads by another VM, then not by ``apart_from`` as long as there is any other one.
+        Always a new one to a target whose refusals named no request of late. If it leads by
+        another VM, then not by ``apart_from`` as long as there is any other one.
         """
+        if trio.current_time() < self._nameless_until.get(target.address, 0.0):
+            rested_at_most_s = 0.0
         kept = await self._pool.take_kept(
             target.address, rested_at_most_s=rested_at_most_s, apart_from=apart_from
         )
@@ -162,6 +169,7 @@
             response, head = await self._read_own_head(connection, hop, request_id)
         except (ConnectionBroken, BadResponse) as error:
             return Lost(detail=error.message)
+        self.note_refusal(connection.address, head)
         if not head.is_for(request_id, first=not connection.served_before):
             return Lost(detail=f"the answer is for request {head.request_id}")
         self._words.heard(hop.target_id, head, sent_at=sent_at)
@@ -172,6 +180,13 @@
             return refused
         return OpenAnswer(connection=connection, response=response, head=head)
 
+    def note_refusal(self, address: Address, head: AnswerHead) -> None:
+        """Note whether a target names the request that it refuses, if an answer is a refusal."""
+        if head.refused and head.request_id is None:
+            self._nameless_until[address] = trio.current_time() + NAMELESS_S
+        elif head.refused:
+            self._nameless_until.pop(address, None)
+
     async def _read_own_head(
         self, connection: ClientConnection, hop: Hop, request_id: str
     ) -> tuple[Response, AnswerHead]:
@@ -236,6 +251,7 @@
 
     async def forget(self, address: Address) -> None:
         """Close the kept connections to a target."""
+        self._nameless_until.pop(address, None)
         await self._pool.drop(address)
 
     async def aclose(self) -> None:
--- a/lagoonlever/tests/refusals_tests.py
+++ b/lagoonlever/tests/refusals_tests.py
@@ -11,14 +11,17 @@
 from lagoonlever.fakes.platform_runner import Conduct
 from lagoonlever.fakes.raw_answers import raw_answer
 from lagoonlever.fakes.scripted_answers import ScriptedAnswer
+from lagoonlever.gateway.metrics import CONNECTIONS
 from lagoonlever.platform.headers import REFUSED
-from lagoonlever.tests.gateway_calls_tests import runs
+from lagoonlever.tests.gateway_calls_tests import UNPROVEN, runs
 from lagoonlever.tests.gateway_site import GatewaySite, run_site
 from lagoonlever.tests.handed_over_tests import cut
 from lagoonlever.tests.late_copies_tests import NOT_RUN, configured, with_attempts
 
 WAYS = ("own", "peer")
 """By the VM's own path, and by way of another VM."""
+MANY = 20
+"""Refusals; a stream that was refused is tried again."""
 NAMELESS = ((REFUSED, "1"),)
 BUSY = "503 Busy"
 
@@ -107,6 +110,55 @@
     play(story, way=way)
 
 
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("kind", ["bid", "stream"])
+def test_requests_that_a_target_refuses_without_their_names_are_called_unrun(
+    kind: str, way: str
+) -> None:
+    """Each was lost on a kept connection, where only a named refusal proves anything."""
+
+    async def story(site: GatewaySite) -> None:
+        target = site.runners["runner-0"] if kind == "bid" else site.engines["engine-0"]
+        await configured(site, with_attempts("stream", 1, ResumeStreams=False))
+
+        async def ask(part: str, *, refused: int) -> int:
+            named = ScriptedAnswer(runs=False, status=503, named=False, fields=NAMELESS)
+            target.scripted.next_ones.extend([named] * refused)
+            if kind == "bid":
+                return await bid(site, part)
+            return (await site.stream(part, events=1)).status
+
+        assert await ask("served", refused=0) == 200
+        assert await ask("first", refused=1) in UNPROVEN
+        for number in range(3):
+            assert await ask(f"later-{number}", refused=MANY) == 503
+            target.scripted.next_ones.clear()
+            assert await ask(f"between-{number}", refused=0) == 200
+
+    if kind == "bid":
+        play(story, way=way)
+    else:
+        run_site(story, engines=1, runners=0, vms=1)
+
+
+def test_connections_are_kept_again_once_a_target_names_what_it_refuses() -> None:
+    """Guards against a new connection for each request, for good, after one odd refusal."""
+
+    async def story(site: GatewaySite) -> None:
+        runner = site.runners["runner-0"]
+        tally = site.vms["vm-0"].daemon.parts.reporter.tally
+        for names in (False, True):
+            runner.names_refused = names
+            runner.conducts.append(Conduct.REFUSE)
+            assert await bid(site, f"refused-{names}") == 503
+            kept = tally.count(CONNECTIONS, "kept")
+            for number in range(3):
+                assert await bid(site, f"served-{names}-{number}") == 200
+            assert tally.count(CONNECTIONS, "kept") - kept == (3 if names else 0)
+
+    play(story)
+
+
 @pytest.mark.parametrize("way", WAYS)
 def test_a_refusal_of_its_own_is_believed_on_a_connection_that_was_used_before(way: str) -> None:
     """Guards against bids that were turned away in a burst and whose callers may not come back."""
