Entry daemon: a request whose head was not read is not told as "not run"

Cause: the HTTP server took a request that it refused before its head was whole for one without an idempotency key (or with the key of the request before it on the connection). It says "not-run" then: 503 beyond the bound on connections, 408 for a late head, 431. With a key, a former copy of the request may have run. Class: "nothing of this copy ran" told as "this request has not run".

What callers of the entry daemon saw: a bid runs and its answer is lost; the repeat under the same key meets a VM with no connection left, or ends within its head, and gets 503 or 408 "not-run". The callers' library then mints a new key (ServiceCaller._for_repeat), and the bid is placed twice. The gateway is not concerned: each attempt of its callers has an id of its own.

Change: serve_http has keyed_callers, which the entry daemon sets: until the head of a request is read it counts as one that may have a key, and is told as "unknown", with the same status and Retry-After. The library then repeats it under its own key, which never runs twice.

--- a/lagoonlever/entry/daemon.py
+++ b/lagoonlever/entry/daemon.py
@@ -116,7 +116,11 @@
 
     async def _serve(self, parts: Parts, listeners: list[trio.SocketListener]) -> None:
         await serve_http(
-            handler=parts.routes.handle, listeners=listeners, limits=HTTP_LIMITS, state=self._http
+            handler=parts.routes.handle,
+            listeners=listeners,
+            limits=HTTP_LIMITS,
+            state=self._http,
+            keyed_callers=True,
         )
         self._served.set()
 
--- a/lagoonlever/http/refusals.py
+++ b/lagoonlever/http/refusals.py
@@ -35,8 +35,8 @@
     """Give the header fields of a refusal that closes its connection.
 
     ``peer_port`` spreads the times to come back: kernels draw it at random. A
-    request under a key (``keyed``) that could not be read whole is "unknown": a
-    former copy of it may have run, and here nothing is known of that.
+    request that has a key or may have one (``keyed``), and could not be read whole, is
+    "unknown": a former copy of it may have run, and here nothing is known of that.
     """
     outcome = OutcomeTag.UNKNOWN if keyed else OutcomeTag.NOT_RUN
     pairs = [
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -143,14 +143,22 @@
     """One caller's connection: h11's state machine and the socket under it."""
 
     def __init__(
-        self, *, stream: trio.SocketStream, peer: str, limits: ServerLimits, state: ServerState
+        self,
+        *,
+        stream: trio.SocketStream,
+        peer: str,
+        limits: ServerLimits,
+        state: ServerState,
+        keyed_callers: bool,
     ) -> None:
         self._stream = stream
         self._peer = peer
         self._limits = limits
         self._state = state
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
-        self._reading_keyed = False
+        self._keyed_callers = keyed_callers
+        self._may_be_keyed = keyed_callers
+        """Whether the request that is due has a key, or may have one as its head was not read."""
 
     @property
     def takes_trailers(self) -> bool:
@@ -200,10 +208,11 @@
         return None
 
     async def _next_exchange(self) -> Exchange | None:
+        self._may_be_keyed = self._keyed_callers
         request = await self._read_head()
         if request is None:
             return None
-        self._reading_keyed = any(name == KEY_FIELD for name, _ in request.headers)
+        self._may_be_keyed = any(name == KEY_FIELD for name, _ in request.headers)
         with trio.move_on_after(self._limits.request_timeout_s) as scope:
             body = await self._read_body()
         if scope.cancelled_caught:
@@ -327,7 +336,7 @@
         body = json.dumps(error_payload(refused)).encode()
         port = int(self._peer.rpartition(":")[2])
         headers = refusal_headers(
-            refused, length=len(body), peer_port=port, keyed=self._reading_keyed
+            refused, length=len(body), peer_port=port, keyed=self._may_be_keyed
         )
         head = h11.Response(status_code=refused.status, headers=headers.raw())
         await self.send(head, h11.Data(data=body), h11.EndOfMessage())
@@ -383,20 +392,8 @@
         raise RequestRefused(status=400, field="path", message=str(error)) from error
 
 
-async def _serve_connection(
-    stream: trio.SocketStream, *, handler: Handler, limits: ServerLimits, state: ServerState
-) -> None:
-    host, port = stream.socket.getpeername()[:2]
-    connection = _Connection(stream=stream, peer=f"{host}:{port}", limits=limits, state=state)
-    await connection.serve(handler)
-
-
-async def _turn_away(
-    stream: trio.SocketStream, *, limits: ServerLimits, state: ServerState
-) -> None:
+async def _turn_away(connection: _Connection) -> None:
     """Tell a caller beyond the bound that nothing of its request was run."""
-    host, port = stream.socket.getpeername()[:2]
-    connection = _Connection(stream=stream, peer=f"{host}:{port}", limits=limits, state=state)
     await connection.refuse(
         RequestRefused(status=OVERLOADED, message="this VM has as many connections as it may")
     )
@@ -408,10 +405,12 @@
     listeners: list[trio.SocketListener],
     limits: ServerLimits | LimitsSource,
     state: ServerState,
+    keyed_callers: bool = False,
 ) -> None:
     """Serve until cancelled; one caller's error ends only its own connection.
 
-    Once the listeners are closed, connections are served to their ends.
+    Once the listeners are closed, connections are served to their ends. With ``keyed_callers`` a
+    request whose head was not read counts as one under a key.
     """
 
     async def serve_one(stream: trio.SocketStream) -> None:
@@ -419,10 +418,18 @@
         full = state.open_connections >= in_force.connections
         state.open_connections += not full
         try:
+            host, port = stream.socket.getpeername()[:2]
+            connection = _Connection(
+                stream=stream,
+                peer=f"{host}:{port}",
+                limits=in_force,
+                state=state,
+                keyed_callers=keyed_callers,
+            )
             if full:
-                await _turn_away(stream, limits=in_force, state=state)
+                await _turn_away(connection)
             else:
-                await _serve_connection(stream, handler=handler, limits=in_force, state=state)
+                await connection.serve(handler)
         except (CallerGone, OSError):
             return
         except Exception:
