Tests: a VM that stands still is also tried with places and permits that other VMs give out

The seeds of test_what_a_frozen_vm_calls_unrun_has_not_run take turns: targets that say nothing, their slowness (places at runners are given out) or a limit (permits are). Two VMs; the test checks that the VM has heard what targets say.

--- a/lagoonlever/tests/frozen_vm_tests.py
+++ b/lagoonlever/tests/frozen_vm_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import enum
 import random
 from collections import Counter
 from collections.abc import Iterable, Iterator
@@ -104,6 +105,9 @@
         )
 
 
+FIRST = Case(kind="bid", at=0, deadline_ms=5_000, is_warm=False)
+
+
 def set_conducts(rng: random.Random, targets: OutsideTargets) -> None:
     """Have the targets treat the next request by chance; the second one mostly serves."""
     for runner in targets.runners:
@@ -123,6 +127,32 @@
             engine.conducts.append(rng.choice(choices))
 
 
+class Says(enum.Enum):
+    """What targets say of themselves, by which a VM asks others before it sends to them."""
+
+    NOTHING = "nothing"
+    SLOWNESS = "slowness"
+    """How slow their machines are: their places are given out."""
+    LIMIT = "limit"
+    """The requests a second that they take: permits are given out."""
+
+
+def say(says: Says, targets: OutsideTargets) -> None:
+    """Have the targets say something in each answer."""
+    for target in (*targets.runners, *targets.engines):
+        target.says.slowness = 1.0 if says is Says.SLOWNESS else None
+        target.says.limit = "200" if says is Says.LIMIT else None
+
+
+def has_heard(site: GatewaySite, says: Says) -> bool:
+    """Check whether the VM knows of a runner what the runners say."""
+    parts = site.vms["vm-0"].daemon.parts
+    runners = [each.id for each in parts.beliefs.targets.serving("apps")]
+    slow = any(parts.beliefs.loads.reports_slowness(runner) for runner in runners)
+    limited = any(parts.limits.limit_of(runner) is not None for runner in runners)
+    return slow is (says is Says.SLOWNESS) and limited is (says is Says.LIMIT)
+
+
 def at_most_once() -> dict[str, object]:
     """Return a configuration whose routes allow no request to run twice."""
     document = configuration(VERSION)
@@ -166,7 +196,9 @@
         return self.runs <= (self.status not in NOT_RUN_STATUSES)
 
 
-def play(cases: Iterable[Case], rng: random.Random, monkeypatch: pytest.MonkeyPatch) -> list[Ended]:
+def play(
+    cases: Iterable[Case], says: Says, rng: random.Random, monkeypatch: pytest.MonkeyPatch
+) -> list[Ended]:
     """Send the requests of the cases, one after the other, by a VM that stands still in each."""
     freezer = Freezer(at=0, seconds=FROZEN_S)
     handle = Front.handle
@@ -183,6 +215,10 @@
             beliefs = site.vms["vm-0"].daemon.parts.beliefs
             await until_within(5.0, lambda: len(beliefs.targets.targets) == TARGETS)
             await until_within(5.0, lambda: version_of(beliefs) == VERSION)
+            say(says, targets)
+            for _ in range(WARMING):
+                await send(site, FIRST, "warming")
+            assert has_heard(site, says)
             answers: list[tuple[Case, str, int, bool]] = []
             for number, case in enumerate(cases):
                 request = f"frozen-{number}"
@@ -199,7 +235,7 @@
                 ended.append(Ended(case=case, status=status, runs=runs, has_frozen=has_frozen))
 
     monkeypatch.setattr(Front, "handle", handle_watched)
-    run_site(story, engines=0, runners=0, vms=1)
+    run_site(story, engines=0, runners=0, vms=2)
     return ended
 
 
@@ -213,6 +249,7 @@
     they run after the answer.
     """
     rng = random.Random(seed)
-    ended = play([Case.draw(rng) for _ in range(CASES)], rng, monkeypatch)
+    says = list(Says)[seed % len(Says)]
+    ended = play([Case.draw(rng) for _ in range(CASES)], says, rng, monkeypatch)
     assert sum(each.has_frozen for each in ended) >= CASES // 2
     assert not [each for each in ended if not each.is_true]
