Entry services: a VM that does not know a service says nothing of an earlier copy under the key

Cause: a request for a service that the VM's settings do not name was told 404 "not-run" whatever key it had; only a wrong deadline was taken for a fault of this copy alone. VMs have settings of their own while they are changed one after the other, so an earlier copy under the same key may have run by way of a VM that knows the service.

What callers of the entry daemon saw: a bid runs by way of a VM with the new settings and its answer is lost; the repeat under the same key comes to a VM with the old ones and is told "not-run", so the caller bids again under a new key.

Evidence, before: test_a_vm_that_does_not_know_a_service_says_nothing_of_an_earlier_copy AssertionError: assert (404, 'not-run') == (404, 'unknown')

Change: with a key, a copy that is wrong as it stands is "unknown", but where the key itself is wrong, or this very VM is the key's home: it alone could have run it, and its settings are those that it started with. The status stays; without a key it is "not-run" as before.

--- a/lagoonlever/entry/services/services.py
+++ b/lagoonlever/entry/services/services.py
@@ -17,6 +17,7 @@
 from lagoonlever.decisions.claims.keys import (
     KEY_HEADER,
     KeyHome,
+    parse_homed_key,
 )
 from lagoonlever.decisions.membership.membership import MemberView
 from lagoonlever.decisions.shares.budgets import FULL_RATIO
@@ -26,7 +27,6 @@
 from lagoonlever.entry.fleet.claims import Claims
 from lagoonlever.entry.services.answers import ComeBack, answer_of, not_run, tell
 from lagoonlever.entry.services.call import (
-    DEADLINE_HEADER,
     HOMED_KEY_HEADER,
     ServiceCall,
     remaining_s,
@@ -54,6 +54,7 @@
 from lagoonlever.timers import TimerService
 
 SERVICES_PATH = "/services/"
+PATH_FIELD = "path"
 NOBODY = "-"
 """The organisation of callers without a known API key."""
 
@@ -66,18 +67,6 @@
     return None
 
 
-def _refused(request: Request, refused: RequestRefused) -> StoredAnswer:
-    """Give the answer to a copy of a request that is wrong as it stands.
-
-    A wrong deadline says nothing about the request under the copy's key: an
-    earlier copy with a right one may have run, so the outcome is "unknown".
-    """
-    message = f"{refused.field}: {refused}" if refused.field else str(refused)
-    if refused.field == DEADLINE_HEADER and request.headers.get(KEY_HEADER):
-        return answer_of(Unknown(reason=Reason.BAD_REQUEST, message=message, status=refused.status))
-    return not_run(Reason.BAD_REQUEST, message, status=refused.status)
-
-
 class ServiceRouter:
     """The part of the daemon that serves application services."""
 
@@ -197,7 +186,7 @@
             answer = await self._answer(call)
             self._count(call, answer, latency_s=self._timers.now - began_at)
         except RequestRefused as refused:
-            answer = _refused(exchange.request, refused)
+            answer = self._refused(exchange.request, refused)
         if isinstance(answer.outcome, Unknown):
             ANSWER_UNKNOWN.log(
                 log, service=exchange.request.path, reason=answer.outcome.reason.value
@@ -219,7 +208,9 @@
         name, _, rest = request.path.removeprefix(SERVICES_PATH).partition("/")
         service = self._settings.service(name)
         if service is None:
-            raise RequestRefused(status=404, field="path", message=f"no service is named {name!r}")
+            raise RequestRefused(
+                status=404, field=PATH_FIELD, message=f"no service is named {name!r}"
+            )
         left_s = remaining_s(request.headers)
         arrived_at = self._pauses.arrival_of(self._timers.now)
         return ServiceCall(
@@ -230,6 +221,28 @@
             deadline=None if left_s is None else arrived_at + left_s,
         )
 
+    def _refused(self, request: Request, refused: RequestRefused) -> StoredAnswer:
+        """Return the answer to a copy of a request that is wrong as it stands."""
+        message = f"{refused.field}: {refused}" if refused.field else str(refused)
+        if self._may_have_run_before(request, refused):
+            return answer_of(
+                Unknown(reason=Reason.BAD_REQUEST, message=message, status=refused.status)
+            )
+        return not_run(Reason.BAD_REQUEST, message, status=refused.status)
+
+    def _may_have_run_before(self, request: Request, refused: RequestRefused) -> bool:
+        """Check whether an earlier copy under the same key may have run.
+
+        It may have had a right deadline, or come to a VM that knows the service. Not so where
+        the key itself is wrong, or this VM is its home and knows no such service.
+        """
+        key_text = request.headers.get(KEY_HEADER)
+        if not key_text or refused.field == KEY_HEADER:
+            return False
+        key = parse_homed_key(key_text)
+        is_home = key is not None and key.home == self._own
+        return refused.field != PATH_FIELD or not is_home
+
     async def _answer(self, call: ServiceCall) -> StoredAnswer:
         if call.idempotent:
             return await self._lookups.call(call)
--- a/lagoonlever/tests/services_keys_tests.py
+++ b/lagoonlever/tests/services_keys_tests.py
@@ -8,6 +8,7 @@
 import trio
 
 from lagoonlever.decisions.claims.keys import KEY_HEADER
+from lagoonlever.entry.services.settings import ServiceSettings
 from lagoonlever.fakes.platform import PlatformFault, PlatformFaultKind
 from lagoonlever.http.client import Response
 from lagoonlever.outcomes import RETRY_AFTER_HEADER
@@ -42,6 +43,21 @@
     run_site(scenario)
 
 
+def test_a_vm_that_does_not_know_a_service_says_nothing_of_an_earlier_copy() -> None:
+    """Guards against "not run" for a bid that ran at a VM whose settings name its service."""
+
+    async def scenario(site: Site) -> None:
+        key = site.mint(0)
+        assert outcome(await site.bid(0, key=key)) == "done"
+        response = await site.bid(1, key=key)
+        assert (response.status, outcome(response)) == (404, "unknown")
+        without_key = await site.bid(1, key=None)
+        assert (without_key.status, outcome(without_key)) == (404, "not-run")
+        assert site.violations() == []
+
+    run_site(scenario, second_settings=ServiceSettings(services=()))
+
+
 def test_a_home_that_is_gone_makes_the_answer_unknown() -> None:
     """The VM that ran a bid dies before the dealer hears of it; the dealer asks another VM.
 
--- a/lagoonlever/tests/services_site.py
+++ b/lagoonlever/tests/services_site.py
@@ -135,10 +135,11 @@
     apps: int = 3,
     options: ApplicationOptions | None = None,
     settings: ServiceSettings | None = None,
+    second_settings: ServiceSettings | None = None,
     fixed: type[FixedTargets] = FixedTargets,
     extra_targets: tuple[Address, ...] = (),
 ) -> None:
-    """Run a scenario against a fresh site."""
+    """Run a scenario against a fresh site; the second VM may have settings of its own."""
     platform = FakePlatform()
     runners = [FakeApplication(options=options or ApplicationOptions()) for _ in range(apps)]
     settings = settings or ServiceSettings()
@@ -150,7 +151,14 @@
                 app_addresses = [await start(nursery, app.run) for app in runners]
                 targets = fixed(targets=targets_at((*app_addresses, *extra_targets)))
                 network = LocalNetwork(random=random.Random(1))
-                vms = await start_vms(nursery, targets, platform_address, settings, network)
+                vms = await start_vms(
+                    nursery,
+                    targets,
+                    platform_address,
+                    settings,
+                    network,
+                    second_settings=second_settings,
+                )
                 await scenario(Site(platform=platform, apps=runners, vms=vms, network=network))
                 nursery.cancel_scope.cancel()
 
@@ -178,6 +186,8 @@
     platform: Address,
     settings: ServiceSettings,
     network: LocalNetwork,
+    *,
+    second_settings: ServiceSettings | None = None,
 ) -> list[Vm]:
     listeners = [await open_listeners(host=HOST, port=0) for _ in range(2)]
     addresses = [Address(host=HOST, port=ls[0].socket.getsockname()[1]) for ls in listeners]
@@ -193,14 +203,16 @@
         for own, address in zip(owns, addresses, strict=True)
     )
     vms: list[Vm] = []
-    for own, address, listening in zip(owns, addresses, listeners, strict=True):
+    for own, address, listening, settings_of_vm in zip(
+        owns, addresses, listeners, (settings, second_settings or settings), strict=True
+    ):
         router = ServiceRouter(
             own=own,
             guard=targets,
             members=Published(MemberView(members=members, own=own)),
             platform=EtcdPlatform(addresses=[platform]),
             timers=TimerService(),
-            settings=settings,
+            settings=settings_of_vm,
             rng=random.Random(1),
             bus=LocalBus(own=own, address=address, network=network),
         )
