Streams: whether an engine may have run a request is told by the stream's own state alone

Cause: each reason to give a stream up carried its own word on whether an engine may have run it. Where a prompt is turned away by whoever gives out room, or as engines read too much, that word was always "no", also after an attempt that was written. It held only because other code, and other VMs, refuse new prompts only (LineNeed.refusable, PlacementRequest.allowed_s).

What callers saw: nothing that we know of; by reading, no VM of this state turns a second attempt away, and a stream that may not be resumed never asks for one.

Evidence, before: test_a_stream_is_not_told_unrun_as_its_second_attempt_is_turned_away[line], [load]: AssertionError: assert 503 not in frozenset({408, 421, 429, 503})

Change: GiveUp says why; Streams tells "unknown" whenever StreamLifecycle.possible_runs is not 0. Two lines of stream_life_tests read that count in place of the field that is gone; what they check is the same.

--- a/lagoonlever/decisions/streams/stream_lifecycle.py
+++ b/lagoonlever/decisions/streams/stream_lifecycle.py
@@ -53,11 +53,9 @@
 class GiveUp:
     """Step: end the stream as failed.
 
-    ``may_have_run`` is true if an engine may have run the request. Only if it is false may the
-    caller be told that the request was not run.
+    Whether an engine may have run the request is told by the state of its stream alone.
     """
 
-    may_have_run: bool
     detail: str
     retry_after_s: float | None = None
     """Seconds after which the caller may retry; None if it may retry at once."""
@@ -375,6 +373,4 @@
         return EventVerdict.FORWARD
 
     def _give_up(self) -> GiveUp:
-        return GiveUp(
-            may_have_run=self.possible_runs > 0, detail=self._detail or "no engine takes it now"
-        )
+        return GiveUp(detail=self._detail or "no engine takes it now")
--- a/lagoonlever/gateway/stream_admission.py
+++ b/lagoonlever/gateway/stream_admission.py
@@ -52,7 +52,7 @@
         """Return why a step is not taken, or None if it is."""
         remaining = self._remaining(accepted, life, step)
         if not self._can_end(accepted, life, remaining):
-            return GiveUp(may_have_run=life.possible_runs > 0, detail="it can't end in time")
+            return GiveUp(detail="it can't end in time")
         return self.refusal_as_vm_leaves(accepted, life, step)
 
     def refusal_as_vm_leaves(
@@ -69,7 +69,6 @@
         if life.response_started or self._can_begin(accepted, remaining):
             return None
         return GiveUp(
-            may_have_run=life.possible_runs > 0,
             detail=MESSAGE,
             retry_after_s=self._last.choose_retry_after_s(),
             leaving=True,
@@ -121,7 +120,6 @@
         """Give why a prompt is refused that the line for engines can't reach in its time."""
         spread = self._rng.uniform(1.0, 1.0 + RETURN_SPREAD)
         return GiveUp(
-            may_have_run=False,
             detail=refused.detail,
             retry_after_s=refused.retry_after_s * spread,
         )
@@ -136,7 +134,6 @@
             most=round(load.most, 3),
         )
         return GiveUp(
-            may_have_run=False,
             detail=f"engines read for {load.share:.0%} of their time already",
             retry_after_s=random_retry_after_s(self._rng),
         )
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -187,7 +187,7 @@
             version = life.origin.version if life.origin is not None else None
             all_rest = self._tools.words.all_rest(accepted.service, version=version)
             if not life.possible_runs and all_rest:
-                return GiveUp(may_have_run=False, detail="all engines have asked for rest")
+                return GiveUp(detail="all engines have asked for rest")
             if isinstance(step, WaitForEngine):
                 await trio.sleep(step.seconds)
                 continue
@@ -217,7 +217,6 @@
             barred = self._tools.crashes.refusal(accepted)
             if barred is not None and not life.complete:
                 return GiveUp(
-                    may_have_run=life.possible_runs > 0,
                     detail=barred.message,
                     retry_after_s=barred.retry_after_s,
                 )
@@ -235,7 +234,6 @@
         events_streams.STREAM_NOT_TAKEN_UP.log(log, request=accepted.request_id, detail=detail)
         may_know_soon = life.origin is None and self._origins.is_starting
         return GiveUp(
-            may_have_run=life.possible_runs > 0,
             detail=detail,
             retry_after_s=COME_BACK_S if may_know_soon else None,
             begin_anew=not may_know_soon,
@@ -253,9 +251,9 @@
     def _outcome(
         self, accepted: Accepted, life: StreamLifecycle, gave_up: GiveUp | None
     ) -> NotRun | Unknown:
-        if gave_up is None and life.possible_runs:
+        if life.possible_runs and gave_up is None:
             return Unknown(reason=Reason.DEADLINE, message=life.detail or "time is over")
-        if gave_up is not None and gave_up.may_have_run:
+        if life.possible_runs and gave_up is not None:
             return Unknown(reason=Reason.CONNECTION_LOST, message=gave_up.detail, status=502)
         detail = gave_up.detail if gave_up else "its time was over before it was sent"
         if gave_up is not None and gave_up.begin_anew:
--- a/lagoonlever/tests/own_refusals_tests.py
+++ b/lagoonlever/tests/own_refusals_tests.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import errno
+import itertools
 import os
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -14,9 +15,13 @@
 import pytest
 import trio
 
+from lagoonlever.decisions.admission.capacity import RejectedWithRetryAfter
+from lagoonlever.decisions.streams.run_placement import Overloaded
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.fakes.metadata_store import StoreFault
+from lagoonlever.fakes.platform_engine import EngineConduct
 from lagoonlever.fakes.platform_runner import Conduct
+from lagoonlever.gateway.attempt_planner import AttemptPlanner
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.parts import GatewayParts
 from lagoonlever.gateway.target_client import CONNECT_TIMEOUT_S
@@ -317,3 +322,32 @@
     """Check whether a VM knows a version of the configuration."""
     known = beliefs.configuration.value
     return known is not None and known.version == version
+
+
+@pytest.mark.parametrize(
+    "refusal",
+    [
+        RejectedWithRetryAfter(detail="no slot is free", retry_after_s=0.5),
+        Overloaded(share=2.0, most=1.0),
+    ],
+    ids=["line", "load"],
+)
+def test_a_stream_is_not_told_unrun_as_its_second_attempt_is_turned_away(
+    refusal: RejectedWithRetryAfter | Overloaded, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against "not run" by the word of whoever gives out room, after an answer was lost."""
+    plan, plans = AttemptPlanner.plan, itertools.count()
+
+    async def plan_once(planner: AttemptPlanner, *args: Any) -> object:
+        return await plan(planner, *args) if next(plans) == 0 else refusal
+
+    monkeypatch.setattr(AttemptPlanner, "plan", plan_once)
+
+    async def story(site: GatewaySite) -> None:
+        for engine in site.engines.values():
+            engine.conducts.append(EngineConduct.LOSE_ANSWER)
+        stream = await site.stream("lost")
+        assert sum(engine.read_tokens["lost"] for engine in site.engines.values())
+        assert stream.status not in NOT_RUN_STATUSES
+
+    run_site(story, runners=0, vms=1)
--- a/lagoonlever/tests/stream_life_tests.py
+++ b/lagoonlever/tests/stream_life_tests.py
@@ -120,7 +120,7 @@
 
     @invariant()
     def not_run_is_reported_only_if_nothing_ran(self) -> None:
-        if self.given_up is not None and not self.given_up.may_have_run:
+        if self.given_up is not None and not self.stream.possible_runs:
             assert self.ran == 0 and not self.delivered
 
 
@@ -183,4 +183,4 @@
             stream.record_no_engine()
             continue
         stream.record_unreachable(next(e for e in ENGINES if e not in step.avoid), "refused")
-    assert pauses == MAX_ENGINE_ROUNDS and not step.may_have_run
+    assert pauses == MAX_ENGINE_ROUNDS and not stream.possible_runs
