A brittle engine that turned prompts away gets none for a while, from any VM

While two VMs give out the same room (views differ, or one was paused) each place that becomes free at an engine goes to two prompts, and nothing ends that but the second after which the VM that was passed over is asked again.

What callers saw: an engine that turns away more than it bears, and falls over with its streams.

Change: the VM that is turned away tells all others, and each VM that gives out room spares the engine once half of what it bears was turned away in the last second: the rule that runners had already, which now stands once (RecentRefusals). A prompt waits in line meanwhile. A refusal that comes by several hubs counts once.

Why it holds: who gives out room needs no view of who else does; it stops as it hears of the refusals, some milliseconds after the first. What is on its way then is the other half.

--- a/lagoonlever/decisions/admission/call_queue.py
+++ b/lagoonlever/decisions/admission/call_queue.py
@@ -265,7 +265,7 @@
         elif end is CallEnd.LOST:
             known.record_loss(now)
         elif end is CallEnd.REFUSED:
-            known.record_refusal(now)
+            known.record_refusal(request_id, now)
         if load is not None:
             known.record_load(load, now, work_s=self._work_s)
 
--- a/lagoonlever/decisions/admission/runner_slots.py
+++ b/lagoonlever/decisions/admission/runner_slots.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 import attrs
 
 from lagoonlever.decisions.admission.runners import (
@@ -17,6 +15,7 @@
     MAX_AVOID_S,
     STALLED_AFTER_LOSSES,
 )
+from lagoonlever.decisions.targets.brittle_targets import RecentRefusals
 from lagoonlever.decisions.targets.reported_load import USUAL_SLOWNESS, ReportedLoad
 
 DEFAULT_SLOTS = 2.0
@@ -25,8 +24,6 @@
 """The slowdown in a load report fades to the usual speed within this time."""
 OTHER_CALLS_FADE_S = 0.3
 """The count of calls for which this queue granted no slot fades to zero within this time."""
-REFUSALS_WINDOW_S = 1.0
-"""Window in which the refusals of a brittle runner are counted, as it counts them itself."""
 MAX_SLOT_HELD_S = 3.0
 """A slot is released after this time at the latest, even if no end of its call was reported."""
 MIN_OVERDUE_S = 0.25
@@ -72,8 +69,7 @@
     _losses: int = 0
     _avoid_s: float = INITIAL_AVOID_S
     _avoid_until: float = float("-inf")
-    _refused_at: deque[float] = attrs.field(factory=deque)
-    """Times of the refusals within the last ``REFUSALS_WINDOW_S``."""
+    _refusals: RecentRefusals = attrs.field(factory=RecentRefusals)
 
     @property
     def slots(self) -> float:
@@ -131,15 +127,9 @@
         return self.free_slots(now) + queued >= 1.0 and not self.is_silent(now, work_s=work_s)
 
     def is_spared(self, now: float) -> bool:
-        """Check whether the runner is brittle and has turned away half of what it bears.
-
-        The other half is for calls that are on their way to it.
-        """
-        if self.borne_refusals_per_s is None:
-            return False
-        while self._refused_at and now - self._refused_at[0] >= REFUSALS_WINDOW_S:
-            self._refused_at.popleft()
-        return len(self._refused_at) >= max(1, self.borne_refusals_per_s // 2)
+        """Check whether the runner is brittle and has turned away half of what it bears."""
+        borne_per_s = self.borne_refusals_per_s
+        return borne_per_s is not None and self._refusals.spares(now, borne_per_s=borne_per_s)
 
     def grant(self, slot: GrantedSlot) -> None:
         """Record a granted slot."""
@@ -193,9 +183,9 @@
         self._avoid_until = now + self._avoid_s
         self._avoid_s = min(MAX_AVOID_S, 2 * self._avoid_s)
 
-    def record_refusal(self, now: float) -> None:
+    def record_refusal(self, request_id: str, now: float) -> None:
         """Record that the runner, which is brittle, had no room for a call; it is not stalled."""
-        self._refused_at.append(now)
+        self._refusals.record(request_id, now)
 
     def release_expired(self, now: float) -> None:
         """Release slots whose end was not reported in time; that message must have been lost."""
--- a/lagoonlever/decisions/streams/run_placement.py
+++ b/lagoonlever/decisions/streams/run_placement.py
@@ -131,6 +131,8 @@
     """Number of VMs that share the slack of `retry_window`; 1 if it counts the runs of all VMs."""
     deciders: int = 1
     """Number of VMs that permit retries by the count of all runs, this one among them."""
+    spared: frozenset[str] = frozenset()
+    """Brittle engines that get nothing for now; a prompt waits for them in line."""
     ranks_differ: bool = False
     """Whether streams of the service differ in rank."""
 
@@ -227,7 +229,7 @@
         prompt_tokens=request.prompt_tokens,
         memory_tokens=request.memory_tokens,
         now=now,
-        avoid=frozenset(request.avoid),
+        avoid=context.spared.union(request.avoid),
         prefer=request.prefer,
         add_jitter=request.crowd,
         begins_within_s=begins_within_s,
--- a/lagoonlever/decisions/targets/brittle_targets.py
+++ b/lagoonlever/decisions/targets/brittle_targets.py
@@ -16,6 +16,30 @@
 
 import attrs
 
+REFUSALS_WINDOW_S = 1.0
+"""Window in which the refusals of a brittle target are counted, as it counts them itself."""
+
+
+@attrs.define(kw_only=True)
+class RecentRefusals:
+    """Refusals of one target within the last ``REFUSALS_WINDOW_S``."""
+
+    _times: dict[str, float] = attrs.field(factory=dict)
+    """When each was recorded, by the id of the attempt, the oldest first."""
+
+    def record(self, attempt: str, now: float) -> None:
+        """Record once that the target, which is brittle, had no room for an attempt."""
+        self._times.setdefault(attempt, now)
+
+    def spares(self, now: float, *, borne_per_s: int) -> bool:
+        """Check whether the target has turned away half of what it bears.
+
+        The other half is for requests that are on their way to it.
+        """
+        for attempt in [a for a, at in self._times.items() if now - at >= REFUSALS_WINDOW_S]:
+            del self._times[attempt]
+        return len(self._times) >= max(1, borne_per_s // 2)
+
 
 @attrs.frozen(kw_only=True)
 class BrittleReport:
@@ -40,9 +64,10 @@
 
 @attrs.define(kw_only=True)
 class BrittleTargets:
-    """The newest report of each target that has ever been brittle."""
+    """The newest report of each target that has ever been brittle, and its refusals."""
 
     _reports: dict[str, BrittleReport] = attrs.field(factory=dict)
+    _refusals: dict[str, RecentRefusals] = attrs.field(factory=dict)
 
     @property
     def in_force(self) -> dict[str, BrittleReport]:
@@ -55,6 +80,20 @@
         report = self._reports.get(target)
         return report.refusals_per_s if report is not None else None
 
+    def record_refusal(self, target: str, attempt: str, now: float) -> None:
+        """Record that a target turned an attempt away; one that isn't brittle may do so."""
+        if self.borne_by(target) is not None:
+            self._refusals.setdefault(target, RecentRefusals()).record(attempt, now)
+
+    def spared(self, now: float) -> frozenset[str]:
+        """Return the brittle targets that get no more requests for now."""
+        return frozenset(
+            target
+            for target, refusals in self._refusals.items()
+            if (borne := self.borne_by(target)) is not None
+            and refusals.spares(now, borne_per_s=borne)
+        )
+
     def update(self, target: str, report: BrittleReport) -> bool:
         """Record a report; return whether it changes what the target bears."""
         known = self._reports.get(target)
@@ -68,8 +107,9 @@
     def forget(self, target: str) -> None:
         """Remove the report of a target that has restarted as another process."""
         self._reports.pop(target, None)
+        self._refusals.pop(target, None)
 
     def retain(self, targets: Collection[str]) -> None:
         """Remove the reports of all other targets."""
         for target in self._reports.keys() - set(targets):
-            del self._reports[target]
+            self.forget(target)
--- a/lagoonlever/gateway/brittle_watch.py
+++ b/lagoonlever/gateway/brittle_watch.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
+from collections.abc import Iterator
+
 import attrs
 import logbook
+import trio
 
 from lagoonlever.decisions.targets.brittle_targets import BrittleReport, BrittleTargets
 from lagoonlever.gateway import events_calls as events
@@ -12,7 +16,11 @@
 from lagoonlever.gateway.messages import AnswerHead
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
-from lagoonlever.peers.messages_words import BrittleTarget, TargetsBrittle
+from lagoonlever.peers.messages_words import (
+    BrittleTarget,
+    TargetRefused,
+    TargetsBrittle,
+)
 from lagoonlever.timers import Tick, TimerService
 
 log = logbook.Logger(__name__)
@@ -30,20 +38,24 @@
     _timers: TimerService
     _spread: HubSpread
     _reports: BrittleTargets = attrs.field(factory=BrittleTargets)
+    _numbers: Iterator[int] = attrs.field(factory=itertools.count)
+    """Of refusals of this VM's own requests."""
 
     async def run(self) -> None:
         """Take what other VMs tell until cancelled."""
         with self._timers.subscribed(self._look, period_s=LOOK_PERIOD_S):
-            async for received in self._bus.subscribe(TargetsBrittle):
-                message, source = received.message, received.sender.name
-                news = [self._take(told, source) for told in message.targets]
-                if any(news):
-                    self._spread.pass_on(message, source=source, for_plain=message)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive_reports)
+                nursery.start_soon(self._receive_refusals)
 
     def borne_by(self, target: str) -> int | None:
         """Return how many refusals a second a target bears, or None if it isn't brittle."""
         return self._reports.borne_by(target)
 
+    def spared(self) -> frozenset[str]:
+        """Return the brittle targets that have turned so much away that they get no more."""
+        return self._reports.spared(self._timers.now)
+
     def any_of(self, service: str) -> bool:
         """Check whether a target of a service is brittle."""
         in_force = self._reports.in_force
@@ -53,11 +65,11 @@
 
     def heard(self, target: str, head: AnswerHead, *, sent_at: float) -> None:
         """Take what the head of a target's answer says."""
-        if not head.tells_brittle:
-            return
-        report = BrittleReport.from_answer(head.brittle, sent_at=sent_at, now=self._timers.now)
-        if self._update(target, report, source="its own answer"):
-            message = TargetsBrittle(targets=(self._told(target, report),))
+        if head.tells_brittle:
+            self._take_report(target, head, sent_at=sent_at)
+        if head.refused and self.borne_by(target) is not None:
+            message = TargetRefused(target=target, attempt=f"{self._bus.own}/{next(self._numbers)}")
+            self._reports.record_refusal(target, message.attempt, self._timers.now)
             self._spread.tell(message, for_plain=message)
 
     def started_again(self, target: str) -> None:
@@ -70,6 +82,25 @@
         if told:
             self._bus.send(newcomer, TargetsBrittle(targets=told))
 
+    async def _receive_reports(self) -> None:
+        async for received in self._bus.subscribe(TargetsBrittle):
+            message, source = received.message, received.sender.name
+            news = [self._take(told, source) for told in message.targets]
+            if any(news):
+                self._spread.pass_on(message, source=source, for_plain=message)
+
+    async def _receive_refusals(self) -> None:
+        async for received in self._bus.subscribe(TargetRefused):
+            message, source = received.message, received.sender.name
+            self._reports.record_refusal(message.target, message.attempt, self._timers.now)
+            self._spread.pass_on(message, source=source, for_plain=message)
+
+    def _take_report(self, target: str, head: AnswerHead, *, sent_at: float) -> None:
+        report = BrittleReport.from_answer(head.brittle, sent_at=sent_at, now=self._timers.now)
+        if self._update(target, report, source="its own answer"):
+            message = TargetsBrittle(targets=(self._told(target, report),))
+            self._spread.tell(message, for_plain=message)
+
     def _take(self, told: BrittleTarget, source: str) -> bool:
         """Take the word of another VM; return whether it is news."""
         target = self._beliefs.targets.find(told.target)
--- a/lagoonlever/gateway/room_desk.py
+++ b/lagoonlever/gateway/room_desk.py
@@ -207,7 +207,7 @@
     def _decide(self, ask: PlacementRequest, line: PromptQueue) -> RunOutcome | NoCapacity:
         # Chance would only part those who do not know of each other: this VM places them all.
         ask, now = attrs.evolve(ask, crowd=False, allowed_s=None), self._timers.now
-        view = self._placer.view(ask.service)
+        view = attrs.evolve(self._placer.view(ask.service), spared=self._brittle.spared())
         is_stalled = line.is_stalled(now, max_per_s=prefills_per_s(ask.service, view, now))
         if is_stalled and not self._brittle.any_of(ask.service):
             return place_run(ask, view, now)
--- a/lagoonlever/peers/messages_words.py
+++ b/lagoonlever/peers/messages_words.py
@@ -53,6 +53,16 @@
         return BrittleReport(refusals_per_s=self.refusals_per_s, at=now - max(0.0, self.age_s))
 
 
+@PEER.message("lf")
+@attrs.frozen(kw_only=True)
+class TargetRefused:
+    """A brittle target had no room for a request; lost, a VM that gives out its room may go on."""
+
+    target: str
+    attempt: str
+    """Unique among all VMs, as a VM may be told by several others."""
+
+
 @PEER.message("lb")
 @attrs.frozen(kw_only=True)
 class TargetsBrittle:
