A VM that begins to give out runners' room knows what was turned away before

Cause: the refusals of a brittle runner were counted by the VM that gives out its room, alone.

Evidence, before:

Change: the desk spares the runners that any VM has heard to refuse enough, beside its own count.

--- a/lagoonlever/decisions/admission/call_queue.py
+++ b/lagoonlever/decisions/admission/call_queue.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 import attrs
 
@@ -179,6 +179,11 @@
             if name in self._runners:
                 self._runners[name].borne_refusals_per_s = refusals_per_s
 
+    def set_spared(self, names: Collection[str]) -> None:
+        """Set which brittle runners are spared by the refusals that any VM has heard."""
+        for runner in self._runners.values():
+            runner.spared_by_all = runner.name in names
+
     def record_restart(self, name: str) -> None:
         """Discard a runner's state, as a new process has taken over its id.
 
--- a/lagoonlever/decisions/admission/runner_slots.py
+++ b/lagoonlever/decisions/admission/runner_slots.py
@@ -55,6 +55,8 @@
     borne_refusals_per_s: int | None = None
     """Calls a second that the runner may turn away before it falls over; None if it isn't
     brittle."""
+    spared_by_all: bool = False
+    """Whether all VMs together have heard so many refusals of the runner that it is spared."""
     failure_rate: float = 0.0
     """Moving average of lost answers and of failures of the runner itself, from 0 to 1."""
     _load: ReportedLoad | None = None
@@ -129,7 +131,9 @@
     def is_spared(self, now: float) -> bool:
         """Check whether the runner is brittle and has turned away half of what it bears."""
         borne_per_s = self.borne_refusals_per_s
-        return borne_per_s is not None and self._refusals.spares(now, borne_per_s=borne_per_s)
+        if borne_per_s is None:
+            return False
+        return self.spared_by_all or self._refusals.spares(now, borne_per_s=borne_per_s)
 
     def grant(self, slot: GrantedSlot) -> None:
         """Record a granted slot."""
--- a/lagoonlever/gateway/call_desk.py
+++ b/lagoonlever/gateway/call_desk.py
@@ -139,6 +139,7 @@
             await trio.sleep(LOOK_S)
             now = self._timers.now
             for key, kept in list(self._lines.items()):
+                kept.line.set_spared(self._brittle.spared())
                 self._tell_news(kept, now)
                 if now - kept.asked_at > IDLE_S:
                     del self._lines[key]
@@ -157,6 +158,7 @@
             events.DESK_BEGINS.log(log, service=service, runners=len(names))
         kept.line.retain({name: able[name] for name in names if name in able})
         kept.line.set_brittle({name: self._brittle.borne_by(name) for name in names})
+        kept.line.set_spared(self._brittle.spared())
         return kept
 
     def _tell_news(self, kept: _Line, now: float) -> None:
--- a/lagoonlever/tests/brittle_refusals_tests.py
+++ b/lagoonlever/tests/brittle_refusals_tests.py
@@ -11,6 +11,7 @@
     BrittleTargets,
 )
 from lagoonlever.fakes.platform_engine import EngineConduct, FakeEngine
+from lagoonlever.fakes.platform_runner import Conduct
 from lagoonlever.tests.brittle_targets_tests import make_brittle, until_known
 from lagoonlever.tests.gateway_site import GatewaySite, run_site, until, until_within
 
@@ -98,3 +99,25 @@
             assert (await site.stream("q", events=2)).whole
 
     run_site(story, engines=1, runners=0, vms=3)
+
+
+def test_a_vm_that_begins_to_give_out_room_knows_what_was_turned_away_before() -> None:
+    """The VM that gave it out dies, and the next one sends on to a runner that is about to fall."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        runner = site.runners["runner-0"]
+        make_brittle(runner, borne=1)
+        assert (await site.call("/bid/1")).status == 200
+        await until_known(site, "runner-0", 1)
+        assert (await site.call("/bid/1")).status == 200
+        runner.conducts.append(Conduct.REFUSE)
+        desk = next(n for n, vm in site.vms.items() if vm.daemon.parts.call_desk.is_asked)
+        caller = next(name for name in site.vms if name != desk)
+        refused_at = trio.current_time()
+        await site.call("/bid/1", vm=caller)
+        site.vms[desk].kill()
+        assert (await site.call("/bid/1", vm=caller)).status == 200
+        assert trio.current_time() - refused_at >= REFUSALS_WINDOW_S
+
+    run_site(story, engines=0, runners=1, vms=3)
