A lookup at a silent runner goes on after a connection that was late

What callers saw: 504 after all of their time, for a lookup that a sound runner could have served.

Evidence, before:

test_a_lookup_at_a_silent_runner_goes_on_after_a_connection_that_was_late AssertionError: assert 504 == 200 body=b'{"error": {"message": "timed out", "type": "unknown", "code": "deadline"}}'

Change: a runner that was not reached is tried a second time also beside an open attempt, once the delay of hedges has passed.

--- a/lagoonlever/decisions/admission/hedging.py
+++ b/lagoonlever/decisions/admission/hedging.py
@@ -249,11 +249,11 @@
         return self._send(runner, now)
 
     def _choose(self, now: float, *, probe: bool) -> str | None:
-        """Choose an untried runner; an unreached one again only if no attempt is open."""
+        """Choose an untried runner; an unreached one again only if no other one is left."""
         live = self._live_names()
         others = [name for name in live if name not in self.tried]
         chosen = self._runners.choose(others, now=now, probe=probe, near=self._near)
-        if chosen is not None or self._open:
+        if chosen is not None:
             return chosen
         again = [name for name in live if 0 < self._unreached[name] < MAX_CONNECTION_TRIES]
         again = [name for name in again if name not in self._sent_at]
--- a/lagoonlever/tests/gateway_calls_tests.py
+++ b/lagoonlever/tests/gateway_calls_tests.py
@@ -209,6 +209,21 @@
     run_site(story, engines=0)
 
 
+def test_a_lookup_at_a_silent_runner_goes_on_after_a_connection_that_was_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a lookup that waits for a silent runner alone until its time is over."""
+    connect_late(monkeypatch, "runner-1")
+
+    async def story(site: GatewaySite) -> None:
+        site.runners["runner-0"].conducts.extend([Conduct.STAY_SILENT] * 20)
+        for number in range(4):
+            answer = await site.call(f"/look/{number}", method="GET")
+            assert answer.status == 200
+
+    run_site(story, engines=0)
+
+
 def test_a_bid_goes_on_after_connections_that_were_late(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a bid that is refused though a runner of its service has room."""
     connect_late(monkeypatch, "runner-0", "runner-1")
