Streams: a version gets no stream before the record of versions names it

Cause: new streams preferred recorded versions, but began at an unrecorded one where no other took any, as when the engines of the old version have said that they leave. The record is looked at each 0.3 s, and its write takes the store's time. With power gone in between, the VMs that came back read a record of one version and took it for every stream of unknown origin, if the other one was off the list by then. A version that was listed for less than one look was never recorded. The class: a proof that rests on a write which comes after what it proves.

It loses power at any moment now, with a rule for a version that has just come, and names no two requests alike.

Change: a stream waits until the record names the version of its engine, and is placed anew then; a VM that reads the store writes it at once. For 5 s at most: an outage of the store must not end the service; what then begins is open still. A version that began a stream is recorded also once it is off the list. No version is taken for the only one before the list is known.

--- a/lagoonlever/decisions/streams/versions_in_use.py
+++ b/lagoonlever/decisions/streams/versions_in_use.py
@@ -7,6 +7,10 @@
 for longer than any stream lives. While several versions are recorded, the origin of each stream
 is recorded, too; without its record a stream of unknown origin goes on nowhere.
 
+A version that has come gets no stream before the record names it, also where no other version
+takes any: power may go in the time of one write, and the VMs that come back would take its streams
+for those of the version that is recorded.
+
 A store that is restored from an older copy may lack a version. Its record then names an era before
 the store's own, and proves nothing until every stream of that time is over.
 """
@@ -20,6 +24,10 @@
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.revisions import NOWHERE, Revision
 
+MAX_HOLD_S = 5.0
+"""A version that can't be recorded for so long gets streams: an outage of the store, which lasts
+seconds, must not end the service."""
+
 VersionsByService = Mapping[str, frozenset[str]]
 EMPTY: frozenset[str] = frozenset()
 
@@ -40,10 +48,12 @@
 
     _recorded: RecordedVersions = RecordedVersions(versions={}, revision=NOWHERE, proven=False)
     _last_listed: dict[tuple[str, str], float] = attrs.field(factory=dict)
-    """When each version of a service was last on the list."""
+    """When each version of a service was last on the list, or last began a stream."""
     _unproven_since: float | None = None
     _unnamed: dict[tuple[str, str], float] = attrs.field(factory=dict)
     """When a stream last began at a process of no recorded version, by service and engine."""
+    _held_since: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    """When a stream first had to wait for the record of a version."""
 
     @property
     def recorded(self) -> RecordedVersions:
@@ -73,6 +83,19 @@
         """Check whether streams of a service may have begun at more than one version."""
         return len(self.of(service)) > 1
 
+    def holds_back(self, engine: ListedTarget, now: float) -> bool:
+        """Check whether a new stream has to wait until the record names an engine's version.
+
+        Not at a process whose version is unknown: there is nothing to record of it.
+        """
+        if engine.version is None:
+            return False
+        key = (engine.service, engine.version)
+        if engine.version in self.of(engine.service):
+            self._held_since.pop(key, None)
+            return False
+        return now - self._held_since.setdefault(key, now) < MAX_HOLD_S
+
     def prefer_recorded(self, engines: Iterable[ListedTarget]) -> tuple[ListedTarget, ...]:
         """Return the engines at which new streams begin: of recorded versions, if there are any.
 
@@ -101,6 +124,8 @@
 
     def record_begin(self, service: str, version: str | None, engine: str, now: float) -> None:
         """Record that a stream begins at a process."""
+        if version is not None:
+            self._last_listed[service, version] = now
         if version is None or version not in self.of(service):
             self._unnamed[service, engine] = now
 
@@ -132,15 +157,15 @@
     ) -> VersionsByService:
         """Return what the record should say, by the list as it is now.
 
-        ``services`` are those that answer with streams. A version that is not on the list stays
-        in the record until this VM has not seen it there for ``keep_s``.
+        ``services`` are those that answer with streams. A version that is not on the list, also
+        one that was there for a moment only, stays until this VM has not seen it for ``keep_s``.
         """
         listed = {(t.service, t.version) for t in targets if t.version is not None}
         for key in listed:
             self._last_listed[key] = now
         wanted: dict[str, frozenset[str]] = {}
         for service in services:
-            known = self.of(service) | {version for of, version in listed if of == service}
+            known = self.of(service) | {v for of, v in self._last_listed if of == service}
             kept = {v for v in known if self._is_in_use(service, v, now, keep_s=keep_s)}
             if kept:
                 wanted[service] = frozenset(kept)
--- a/lagoonlever/gateway/beliefs.py
+++ b/lagoonlever/gateway/beliefs.py
@@ -59,7 +59,12 @@
         return origin.resolve(self.targets) if origin is not None else None
 
     def only_version(self, service: str) -> str | None:
-        """Return the version at which any stream of a service began, or None if that is open."""
+        """Return the version at which any stream of a service began, or None if that is open.
+
+        It is open until the list is known, which may name another version than the record.
+        """
+        if not self.known.is_set():
+            return None
         return self.versions.only_version(service, self.targets.targets)
 
     def has_open_origins(self, service: str) -> bool:
--- a/lagoonlever/gateway/front_parts.py
+++ b/lagoonlever/gateway/front_parts.py
@@ -116,6 +116,7 @@
         ),
         placer=parts.placer,
         origins=parts.origin_finder,
+        versions=parts.version_record,
         planner=AttemptPlanner(
             vm=parts.settings.name,
             beliefs=parts.beliefs,
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -24,6 +24,7 @@
 from lagoonlever.gateway.reporter import Ending
 from lagoonlever.gateway.stream_admission import StreamAdmission
 from lagoonlever.gateway.stream_attempt import StreamAttempt
+from lagoonlever.gateway.version_record import VersionRecord
 from lagoonlever.http.server import CallerGone
 from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.outcomes import NotRun, Reason, Unknown
@@ -49,6 +50,7 @@
     _placer: Placer
     _planner: AttemptPlanner
     _origins: OriginFinder
+    _versions: VersionRecord
 
     async def serve(self, accepted: Accepted) -> None:
         """Give the caller the events of an engine until the last, or tell why there are none."""
@@ -202,6 +204,9 @@
                 continue
             if plan is None:
                 continue
+            if life.origin is None and await self._versions.until_recorded(plan.engine):
+                # Its place may have been taken meanwhile.
+                continue
             refusal = self._admission.refusal_as_vm_leaves(accepted, life, step)
             if refusal is not None:
                 # The wait for a place took the time that this VM had left.
--- a/lagoonlever/gateway/version_record.py
+++ b/lagoonlever/gateway/version_record.py
@@ -19,6 +19,7 @@
 
 from lagoonlever.decisions.fleet.roles import Roles
 from lagoonlever.decisions.streams.versions_in_use import RecordedVersions, VersionsByService
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events_streams as events
 from lagoonlever.gateway.beliefs import Beliefs
@@ -36,7 +37,8 @@
 
 VERSIONS_KEY = "lagoonlever/versions"
 LOOK_PERIOD_S = 0.3
-"""A new version gets no streams for this long, but its engines have just started."""
+"""A new version gets no streams for this long, but its engines have just started. A stream that
+finds no other engine has the record written at once."""
 STAND_IN_S = 1.0
 """A VM that does not read the store for others writes what nobody has written by then."""
 FIRST_SPREAD_S = 0.05
@@ -68,6 +70,8 @@
     known: trio.Event = attrs.field(factory=trio.Event)
     """Set once the record has been read or told by another VM, and says anything."""
     _wanted: trio.Event = attrs.field(factory=trio.Event)
+    _changed: trio.Event = attrs.field(factory=trio.Event)
+    """Set with each record that is applied, and replaced."""
     _lacking_since: float | None = None
     _on_change: list[Callable[[], None]] = attrs.field(factory=list)
     _record: StoreRecord = attrs.field(init=False)
@@ -88,6 +92,18 @@
                     self._wanted = trio.Event()
                     await self._until_done(self._write)
 
+    async def until_recorded(self, engine: ListedTarget) -> bool:
+        """Wait until a stream may begin at an engine's version; return whether it had to wait."""
+        versions, waited = self._beliefs.versions, False
+        while versions.holds_back(engine, self._timers.now):
+            waited = True
+            roles = self._roles.value
+            if roles is not None and roles.reads_store:
+                self._wanted.set()
+            with trio.move_on_after(LOOK_PERIOD_S):
+                await self._changed.wait()
+        return waited
+
     def greet(self, newcomer: Address) -> None:
         """Send the record to a VM that was met."""
         if self._beliefs.versions.recorded.proven:
@@ -219,6 +235,8 @@
         if record.versions:
             self.known.set()
         if applied:
+            self._changed.set()
+            self._changed = trio.Event()
             for notify in self._on_change:
                 notify()
         return applied
--- a/lagoonlever/tests/stream_origins_tests.py
+++ b/lagoonlever/tests/stream_origins_tests.py
@@ -10,7 +10,11 @@
 from lagoonlever.decisions.settings.configuration import EngineLimits
 from lagoonlever.decisions.streams.origin_batches import batch_period_s
 from lagoonlever.decisions.streams.stream_origins import StreamOrigin, StreamOrigins
-from lagoonlever.decisions.streams.versions_in_use import RecordedVersions, VersionsInUse
+from lagoonlever.decisions.streams.versions_in_use import (
+    MAX_HOLD_S,
+    RecordedVersions,
+    VersionsInUse,
+)
 from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.decisions.targets.registry import TargetRegistry
 from lagoonlever.http.messages import Address
@@ -216,6 +220,29 @@
     assert versions.prefer_recorded([v2]) == (v2,)
 
 
+def test_no_stream_begins_at_a_version_before_the_record_names_it() -> None:
+    """Guards against a loss of all VMs right after; an outage of the store ends no service."""
+    versions = VersionsInUse()
+    versions.apply_record(record("v1"), 0.0)
+    v2, unnamed = target("b", "v2"), target("c", None)
+    assert versions.holds_back(v2, 1.0)
+    assert not versions.holds_back(unnamed, 1.0)
+    versions.apply_record(record("v1", "v2", number=2), 1.2)
+    assert not versions.holds_back(v2, 1.2)
+    v3 = target("d", "v3")
+    assert versions.holds_back(v3, 2.0)
+    assert not versions.holds_back(v3, 2.0 + MAX_HOLD_S)
+
+
+def test_a_version_that_was_listed_for_a_moment_is_recorded() -> None:
+    """It may have begun streams, and is gone as the record is looked at."""
+    versions = VersionsInUse()
+    versions.apply_record(record("v1"), 0.0)
+    versions.record_begin(SERVICE, "v2", "b", 1.0)
+    found = versions.wanted([SERVICE], [target("a", "v1")], 1.1, keep_s=KEEP_S)
+    assert found[SERVICE] == {"v1", "v2"}
+
+
 LIMITS = EngineLimits(slots=4, memory_tokens=1_000)
 
 
@@ -269,6 +296,8 @@
         self.stored = record("v1", number=1)
         self.stored_origins: dict[str, str] = {}
         self.streams: dict[str, _Stream] = {}
+        self.begun = 0
+        """No two requests have the same id, also when the first is over."""
         self.revision = 1
         self._new_vms()
         self._start_engine("v1")
@@ -307,12 +336,30 @@
         running = [t for t in self._targets() if t.id in self.alive]
         if version is not None:
             return [t for t in running if t.version == version]
-        return list(self.versions.prefer_recorded(running))
+        able = self.versions.prefer_recorded(running)
+        return [t for t in able if not self.versions.holds_back(t, self.now)]
 
     @rule(version=st.sampled_from(["v1", "v2", "v2.0", ""]))
     def another_engine_comes(self, version: str) -> None:
         self._start_engine(version)
 
+    @rule(version=st.sampled_from(["v1", "v2"]))
+    def one_version_replaces_all_others(self, version: str) -> None:
+        self.alive.clear()
+        self.listed.clear()
+        self._start_engine(version)
+
+    @precondition(lambda self: len(self.streams) < 8)
+    @rule(versions=st.permutations(["v1", "v2"]), data=st.data())
+    def power_goes_as_a_version_has_just_come(
+        self, versions: list[str], data: st.DataObject
+    ) -> None:
+        came, serves_again = versions
+        self.one_version_replaces_all_others(came)
+        self.a_stream_begins(data)
+        self.all_vms_die()
+        self.one_version_replaces_all_others(serves_again)
+
     @rule()
     def the_record_is_kept(self) -> None:
         self._keep_record()
@@ -331,7 +378,8 @@
         able = self._able(None)
         if able:
             engine = data.draw(st.sampled_from(sorted(t.id for t in able)))
-            self._write(f"r-{len(self.streams)}", engine)
+            self.begun += 1
+            self._write(f"r-{self.begun}", engine)
 
     @precondition(lambda self: self.streams)
     @rule(data=st.data())
@@ -353,7 +401,7 @@
 
     @rule()
     def all_vms_die(self) -> None:
-        self._keep_record()
+        """Power may go before the record names a version that has come."""
         self._new_vms()
 
     @rule(seconds=st.sampled_from([1.0, KEEP_S + 1.0]))
