Streams: a lost question for the process that writes a stream is asked again, and is never a guess

What callers saw: an engine is back under its id as the first process of another version, the question which process answers is lost, and the stream goes on at the listed version (rule ORDER; written, told to the others and kept in the store as such).

Cause: without an answer the listed version was taken while the record has only one, and nobody asked again. The class: no answer is taken for an answer.

A line says so (writer-unknown). Asking moved to a module of its own. Why it holds: the open connection and a report since the send are of one process, whenever it is asked.

--- a/lagoonlever/decisions/streams/stream_origins.py
+++ b/lagoonlever/decisions/streams/stream_origins.py
@@ -32,6 +32,8 @@
 
 
 PROVEN = Writer(proven=True)
+UNKNOWN = Writer(proven=False)
+"""The question for it was lost."""
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/gateway/events_streams.py
+++ b/lagoonlever/gateway/events_streams.py
@@ -59,3 +59,11 @@
     "No engine is left of the version that began it, or nobody knows which version that was."
     " What two versions write doesn't fit together, so the caller has to begin anew.",
 )
+WRITER_UNKNOWN = event(
+    1099,
+    "writer-unknown",
+    "notice",
+    "{target} did not tell which process writes {request}; it is asked again.",
+    "Until it has answered, the software version of the stream is unknown, and the stream can't go"
+    " on at another engine. Often, it says that questions to engines are lost.",
+)
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -20,11 +20,11 @@
 )
 from lagoonlever.decisions.streams.silence import AttemptLost as SilenceLost
 from lagoonlever.decisions.streams.stream_lifecycle import EventVerdict, StreamLifecycle
-from lagoonlever.decisions.streams.stream_origins import PROVEN, StreamOrigin, Writer
+from lagoonlever.decisions.streams.stream_origins import UNKNOWN, StreamOrigin, Writer
 from lagoonlever.decisions.targets.limit_permits import Denied
 from lagoonlever.decisions.targets.replacements import LivenessSigns
 from lagoonlever.exceptions import BadResponse, ConnectionBroken
-from lagoonlever.gateway import events, metrics
+from lagoonlever.gateway import events, events_streams, metrics
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.attempt_planner import stream_need
 from lagoonlever.gateway.attempt_tools import AttemptPlan, AttemptTools
@@ -35,6 +35,7 @@
 from lagoonlever.gateway.report_uses import is_stuck, ranks_differ, take_report
 from lagoonlever.gateway.stream_counts import StreamCounts
 from lagoonlever.gateway.target_client import NotSent, log_foreign
+from lagoonlever.gateway.writer_finder import WriterFinder
 from lagoonlever.http.client import ClientConnection, Response
 from lagoonlever.http.sse import RawEvent, RawEventSplitter
 from lagoonlever.nurseries import open_work_nursery
@@ -92,6 +93,12 @@
     _signs: LivenessSigns = attrs.field(factory=LivenessSigns)
     _copies: CopyKeeper = attrs.field(init=False)
     _counts: StreamCounts = attrs.field(init=False)
+    _writers: WriterFinder = attrs.field(init=False)
+
+    @_writers.default
+    def _make_writers(self) -> WriterFinder:
+        prober, take = self._tools.prober, self._take_report
+        return WriterFinder(plan=self._plan, prober=prober, take_report=take)
 
     @_counts.default
     def _make_counts(self) -> StreamCounts:
@@ -224,7 +231,7 @@
                     nursery.start_soon(self._copies.run)
                 if not plan.by_line and self._may_look_again():
                     nursery.start_soon(self._look_again)
-                return await self._relay(connection, silence)
+                return await self._relay(connection, silence, nursery)
         finally:
             self._tools.words.ended(ticket)
             watched.discard(silence)
@@ -253,7 +260,7 @@
         )
 
     async def _relay(
-        self, connection: ClientConnection, silence: SilenceDetector
+        self, connection: ClientConnection, silence: SilenceDetector, nursery: trio.Nursery
     ) -> AnswerHead | None:
         request = self._accepted.request
         try:
@@ -270,7 +277,7 @@
                 return None
             while (piece := await self._next(connection, silence, head=False)) is not None:
                 assert isinstance(piece, bytes)
-                await self._pass_on(self._splitter.feed(piece), silence)
+                await self._pass_on(self._splitter.feed(piece), silence, nursery)
         except (ConnectionBroken, BadResponse) as error:
             raise _Ended(error.message) from error
         except ValueError as error:
@@ -411,9 +418,13 @@
             )
         return True
 
-    async def _pass_on(self, arrived: list[RawEvent], silence: SilenceDetector) -> None:
+    async def _pass_on(
+        self, arrived: list[RawEvent], silence: SilenceDetector, nursery: trio.Nursery
+    ) -> None:
         for event in arrived:
-            writer = None if self._flowing else await self._find_writer()
+            writer: Writer | None = None
+            if not self._flowing:
+                writer = await self._writers.find(since=self._started) or UNKNOWN
             if writer is not None and not writer.proven and self._life.origin is not None:
                 raise _Ended("another process may have answered than one of the stream's version")
             verdict = self._life.check_event(event.id)
@@ -422,27 +433,21 @@
             if writer is not None:
                 # Others know before the caller does: this VM may die right after.
                 self._tell_begun(writer)
+            if writer is UNKNOWN:
+                nursery.start_soon(self._bind_later)
             if verdict is EventVerdict.FORWARD:
                 self._life.timing.record_event(self._now)
                 self._counts.event()
                 await self._accepted.exchange.write(event.data)
             self._note_event(silence)
 
-    async def _find_writer(self) -> Writer:
-        """Return the process that answers, which may be another one than the list names.
-
-        An engine may have started again under its id, as another version, before the request was
-        sent. Its open connection and a report of now are of one process.
-        """
-        run = self._plan.run
-        if run.engine_started_ms is None:
-            return PROVEN
-        report = await self._tools.prober.ask(self._plan.engine, since=self._started)
-        self._take_report(report)
-        if report is None:
-            return Writer(proven=not self._tools.beliefs.versions.has_several(run.service))
-        proven = report.started_ms in (None, run.engine_started_ms)
-        return Writer(proven=proven, started_ms=report.started_ms)
+    async def _bind_later(self) -> None:
+        """Bind the stream once its engine has told which process writes it."""
+        request, run = self._accepted.request_id, self._plan.run
+        events_streams.WRITER_UNKNOWN.log(log, request=request, target=run.engine)
+        writer = await self._writers.find_later(since=self._started)
+        self._life.origin = StreamOrigin.of_run(run, writer)
+        self._peers.flows(request, writer)
 
     def _tell_begun(self, writer: Writer) -> None:
         """Bind the stream to the version that writes its first event, and tell the other VMs."""
--- a/lagoonlever/tests/losses_of_all_vms_tests.py
+++ b/lagoonlever/tests/losses_of_all_vms_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 import trio
 
 from lagoonlever.exceptions import PeerError
@@ -94,6 +95,90 @@
     run_site(story, engines=0)
 
 
+class LosingProber:
+    """Asks engines as the gateway's own does, and loses the first answers."""
+
+    def __init__(self, prober: object, *, lost: int) -> None:
+        self._prober = prober
+        self.left = lost
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._prober, name)
+
+    async def ask(self, *args: object, **more: object) -> object:
+        if self.left:
+            self.left -= 1
+            return None
+        return await self._prober.ask(*args, **more)
+
+
+def lose_questions(site: GatewaySite, vm: str, *, lost: int) -> None:
+    for handler in site.vms[vm].daemon.parts.front._serve.values():
+        tools = getattr(handler.__self__, "_tools", None)
+        if tools is not None and hasattr(tools, "prober"):
+            tools.prober = LosingProber(tools.prober, lost=lost)
+
+
+async def _begin_at_an_unlisted_process(site: GatewaySite, **others: int) -> None:
+    """Have ``v1-0`` be back as v2 under its id, unlisted; it alone takes streams."""
+    await site.wait_met()
+    await start_versions(site, v1=2, **others)
+    if others:
+        versions = [vm.daemon.parts.beliefs.versions for vm in site.vms.values()]
+        await until(lambda: all(v.has_several("engines") for v in versions))
+    for version in others:
+        await retire(site, f"{version}-0")
+    list_again(site, "v1-1", state="draining")
+    await until(lambda: all(len(serving(site, vm, "v1")) == 1 for vm in site.vms))
+    site.crash("v1-0")
+    await trio.sleep(0.05)
+    await site.start_engine("v1-0", version="v2", listed=False)
+
+
+def test_a_stream_whose_writer_could_not_be_asked_is_not_bound_to_the_listed_version() -> None:
+    """The first process of another version answers under an id, and each question is lost."""
+
+    async def story(site: GatewaySite) -> None:
+        await _begin_at_an_unlisted_process(site)
+        lose_questions(site, "vm-0", lost=1_000)
+
+        def on_event(count: int) -> None:
+            if count == LOST_AT // 2:
+                list_again(site, "v1-1", state="ready")
+            if count == LOST_AT * 4:
+                site.crash("v1-0")
+
+        stream = await site.stream("p-1", events=EVENTS, on_event=on_event, Deadline_Ms="3000")
+        assert stream.last_event >= LOST_AT
+        assert stream.versions == {"v2"}
+
+    run_site(story, engines=0)
+
+
+@pytest.mark.parametrize("lost", [1, 4])
+def test_a_stream_goes_on_after_lost_questions_for_the_process_that_wrote_it(lost: int) -> None:
+    """A lost question would leave the version unknown, and end the stream with its engine."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v1=2, v2=2)
+        versions = site.vms["vm-0"].daemon.parts.beliefs.versions
+        await until(lambda: versions.has_several("engines"))
+        lose_questions(site, "vm-0", lost=lost)
+
+        def on_event(count: int) -> None:
+            if count == LOST_AT * 6:
+                site.crash(next(name for name, engine in site.engines.items() if engine.runs))
+
+        for engine in site.engines.values():
+            engine.event_s = 0.02
+        stream = await site.stream("p-1", events=EVENTS, on_event=on_event)
+        assert stream.whole
+        assert len(stream.versions) == 1
+
+    run_site(story, engines=0)
+
+
 def test_a_take_up_that_names_a_take_up_goes_on_at_no_other_version() -> None:
     """The pages have it name the first attempt; after a loss of all VMs nobody can tell."""
 
