Peers: a VM that comes is told where a stream's writer is not the process that the run was sent to

What callers saw: the VM that relays a stream holds its version for unknown, as the engine did not tell which process writes it. A VM that comes is told of the open run and binds the stream to the run's version. The first VM dies, the caller comes back to the second one, and the stream goes on at another version (rule ORDER).

Cause: the list of open runs took a flowing run for proof of its version, and left its origin out. The class: a fact about a run that is looked up by a name, here its engine's id.

Change: the list names the origin of each flowing run whose version is not that of the run; these are taken before the runs, and the run says nothing of them. A VM of the former state tells no such origins: while VMs are replaced, what it tells of open runs is taken as before.

--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -190,12 +190,15 @@
     async def _receive_lists(self) -> None:
         async for received in self._bus.subscribe(RunList):
             told, now = received.message, self._timers.now
+            self._beliefs.origins.record_all(told.origins, now)
+            # The writer of these may be another process than the one that the run was sent to.
+            apart = {origin.request for origin in told.origins}
             for run in told.runs:
                 self._beliefs.book.record_reported_run(run, now)
                 if run.flowing:
                     self._tell_run_begun(run)
+                if run.flowing and run.stream not in apart:
                     self._beliefs.origins.record_all((StreamOrigin.of_run(run, PROVEN),), now)
-            self._beliefs.origins.record_all(told.origins, now)
 
     async def _receive_book_asks(self) -> None:
         async for received in self._bus.subscribe(BookAsk):
@@ -203,9 +206,12 @@
 
     def _tell_book(self, to: Address) -> None:
         runs = self._beliefs.book.open_runs[:MOST_RUNS_TOLD]
-        of_runs = {run.stream for run in runs if run.flowing}
+        flowing = {run.stream: run for run in runs if run.flowing}
         newest = self._beliefs.origins.newest(MOST_ORIGINS_TOLD)
-        origins = tuple(origin for origin in newest if origin.request not in of_runs)
+        origins = (
+            *(origin for run in flowing.values() if (origin := self._apart(run)) is not None),
+            *(origin for origin in newest if origin.request not in flowing),
+        )
         if runs or origins:
             self._bus.send(to, RunList(runs=runs, origins=origins))
 
@@ -224,6 +230,13 @@
             was_hub = is_hub
             await self._roles.wait_change()
 
+    def _apart(self, run: EngineRun) -> StreamOrigin | None:
+        """Return the origin of a flowing run's stream, unless its version is that of the run."""
+        origin = self._beliefs.origins.find(run.stream)
+        if origin is None:
+            return StreamOrigin(request=run.stream, service=run.service, version=None)
+        return origin if origin.version != run.version else None
+
     def _ask_hubs(self, roles: Roles) -> None:
         for hub in (*roles.hubs, *roles.other_hubs[:1]):
             state = self._beliefs.fellows.find(hub)
--- a/lagoonlever/tests/losses_of_all_vms_tests.py
+++ b/lagoonlever/tests/losses_of_all_vms_tests.py
@@ -179,6 +179,38 @@
     run_site(story, engines=0)
 
 
+def test_a_newcomer_does_not_take_an_open_run_s_version_for_that_of_its_writer() -> None:
+    """The VM that relays the run holds it for unknown, and dies after the newcomer was told."""
+
+    async def story(site: GatewaySite) -> None:
+        await _begin_at_an_unlisted_process(site, v3=1)
+        lose_questions(site, "vm-0", lost=1_000)
+        for engine in site.engines.values():
+            engine.event_s = 0.02
+        got: list[Stream] = []
+
+        async def read() -> None:
+            got.append(await site.stream("p-1", events=LONG))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read)
+            await until(lambda: site.engines["v1-0"].runs)
+            await trio.sleep(0.3)
+            site.vms["vm-1"].kill()
+            await restart(site, "vm-1")
+            await site.wait_met()
+            book = site.vms["vm-1"].daemon.parts.beliefs.book
+            await until(lambda: book.open_runs)
+            list_again(site, "v1-1", state="ready")
+            await until(lambda: "v1-1" in serving(site, "vm-1", "v1"))
+            site.vms["vm-0"].kill()
+        site.crash("v1-0")
+        second = await site.take_up(got[0], "p-1", vm="vm-1", events=EVENTS, Deadline_Ms="3000")
+        assert versions_of(got[0], second) == {"v2"}
+
+    run_site(story, engines=0)
+
+
 def test_a_take_up_that_names_a_take_up_goes_on_at_no_other_version() -> None:
     """The pages have it name the first attempt; after a loss of all VMs nobody can tell."""
 
