Streams: origins are written at once as a version comes, and soon after a start

A VM that has just started takes its fleet for one of 100 VMs for 3 s, and so gathered for 2.0 to 3.0 s before it wrote where its streams began: VMs that lived for 2.6 s wrote in part or not at all. And what is open as a second version comes was written only after that version was recorded, up to 0.3 s later, and gathered 0.2 s on top.

Change: a second after its start, as VMs have met, the fleet is as large as is known, and what gathers by then goes as soon as that is so. The list is looked at as it changes, within 0.1 s; a listed version that is not recorded yet has all VMs write their open streams once, at the store's full rate. Nothing is written while one version serves, as before. A line tells each batch (origins-written).

--- a/lagoonlever/decisions/fleet/peer_table.py
+++ b/lagoonlever/decisions/fleet/peer_table.py
@@ -148,6 +148,11 @@
         discovered = now - self.started_at >= DISCOVERY_S
         return known if discovered else max(known, INITIAL_FLEET_SIZE)
 
+    @property
+    def known_fleet_size(self) -> int:
+        """The number of VMs that this one has heard of, itself among them."""
+        return len(self._peers) + 1
+
     def present(self, now: float) -> tuple[PeerState, ...]:
         """Return the states of the peers that are not silent."""
         return tuple(p.state for p in self._peers.values() if not self._is_silent(p, now))
--- a/lagoonlever/decisions/streams/origin_batches.py
+++ b/lagoonlever/decisions/streams/origin_batches.py
@@ -9,6 +9,11 @@
 """Share of the store's writes that all VMs together use for this."""
 
 
+def burst_spread_s(*, vms: int, writes_per_s: float) -> float:
+    """Return the time over which each of ``vms`` writes once, as for a version that has come."""
+    return vms / writes_per_s
+
+
 def batch_period_s(*, vms: int, writes_per_s: float) -> float:
     """Return the time for which a VM gathers, if each of ``vms`` writes once in that time."""
     return max(MIN_PERIOD_S, vms / (WRITES_SHARE * writes_per_s))
--- a/lagoonlever/decisions/streams/versions_in_use.py
+++ b/lagoonlever/decisions/streams/versions_in_use.py
@@ -83,6 +83,12 @@
         """Check whether streams of a service may have begun at more than one version."""
         return len(self.of(service)) > 1
 
+    def has_newcomer(self, service: str, targets: Iterable[ListedTarget]) -> bool:
+        """Check whether a version is listed that the service's record does not name yet."""
+        recorded = self.of(service)
+        listed = {t.version for t in targets if t.service == service and t.version is not None}
+        return bool(recorded) and not listed <= recorded
+
     def holds_back(self, engine: ListedTarget, now: float) -> bool:
         """Check whether a new stream has to wait until the record names an engine's version.
 
--- a/lagoonlever/gateway/beliefs.py
+++ b/lagoonlever/gateway/beliefs.py
@@ -68,10 +68,15 @@
         return self.versions.only_version(service, self.targets.targets)
 
     def has_open_origins(self, service: str) -> bool:
-        """Check whether streams of a service may have begun at several versions or services."""
+        """Check whether streams of a service may have begun at several versions or services.
+
+        Or may soon: a version that is listed and not recorded yet has begun none.
+        """
         configuration = self.configuration.value
         split = configuration.split_services if configuration is not None else frozenset()
-        return service in split or self.versions.has_several(service)
+        if service in split or self.versions.has_several(service):
+            return True
+        return self.versions.has_newcomer(service, self.targets.targets)
 
     @property
     def resumable_s(self) -> float:
--- a/lagoonlever/gateway/events_streams.py
+++ b/lagoonlever/gateway/events_streams.py
@@ -37,6 +37,14 @@
     "The record of versions in use can't be read, and is written anew: {error}",
     "Somebody else wrote `lagoonlever/versions`.",
 )
+ORIGINS_WRITTEN = event(
+    1019,
+    "origins-written",
+    "info",
+    "Wrote where {streams} streams began; of {unnamed} more no entry names the process.",
+    "Several versions of a service's software are in use, or one has just come. A stream whose"
+    " first event is later than the last such line of its VM is unknown after a loss of all VMs.",
+)
 ORIGINS_READ = event(
     1015,
     "origins-read",
--- a/lagoonlever/gateway/origin_records.py
+++ b/lagoonlever/gateway/origin_records.py
@@ -15,7 +15,7 @@
 import msgspec
 import trio
 
-from lagoonlever.decisions.streams.origin_batches import batch_period_s
+from lagoonlever.decisions.streams.origin_batches import batch_period_s, burst_spread_s
 from lagoonlever.decisions.streams.stream_origins import StreamOrigin
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events_streams as events
@@ -30,6 +30,10 @@
 RENEWALS = 4.0
 """A lease is renewed this many times in the time for which a stream may be resumed."""
 RETRY_S = 0.5
+MET_S = 1.0
+"""After its start a VM has met the others. Until then it takes the fleet for a large one, and would
+gather for longer than power may stay."""
+GATHER_STEP_S = 0.05
 READ_AGAIN_S = 1.0
 """Callers of one loss come back together; one reading serves them all."""
 
@@ -55,6 +59,9 @@
     _lease: Lease | None = None
     _renewed_at: float = 0.0
     _changed: trio.Event = attrs.field(factory=trio.Event)
+    _hurries: bool = False
+    """Another version has come: power may go in the time of a batch."""
+    _started_at: float = attrs.field(factory=trio.current_time)
     _reading: trio.Event | None = None
     _read_at: float = float("-inf")
     _record: StoreRecord = attrs.field(init=False)
@@ -68,8 +75,8 @@
         while True:
             with trio.move_on_after(self._renewal_s):
                 await self._changed.wait()
-                await trio.sleep(self._period_s * self._rng.uniform(0.8, 1.2))
-            self._changed = trio.Event()
+                await self._gather()
+            self._changed, self._hurries = trio.Event(), False
             self._expire()
             try:
                 await self._renew()
@@ -92,8 +99,9 @@
         self._began_at.pop(request, None)
 
     def versions_changed(self) -> None:
-        """Look again at what is to be written, as another version is in use."""
-        if any(self._beliefs.has_open_origins(o.service) for o in self._own.values()):
+        """Write what is open without gathering, as another version has come or is in use."""
+        if any(self._beliefs.has_open_origins(name) for name in self._services):
+            self._hurries = True
             self._changed.set()
 
     async def read(self) -> None:
@@ -117,9 +125,26 @@
             self._reading = None
             reading.set()
 
+    @property
+    def _services(self) -> frozenset[str]:
+        return frozenset(origin.service for origin in self._own.values())
+
+    async def _gather(self) -> None:
+        """Wait until a batch is due; the fleet may prove smaller meanwhile."""
+        began, part = self._timers.now, self._rng.uniform(0.8, 1.2)
+        while True:
+            left_s = began + part * self._period_s - self._timers.now
+            if left_s <= 0:
+                return
+            await trio.sleep(min(left_s, GATHER_STEP_S))
+
     @property
     def _period_s(self) -> float:
-        vms = self._beliefs.fellows.max_fleet_size(self._timers.now)
+        fellows, now = self._beliefs.fellows, self._timers.now
+        has_met = now - self._started_at >= MET_S
+        vms = fellows.known_fleet_size if has_met else fellows.max_fleet_size(now)
+        if self._hurries:
+            return burst_spread_s(vms=vms, writes_per_s=self._writes_per_s)
         return batch_period_s(vms=vms, writes_per_s=self._writes_per_s)
 
     @property
@@ -152,15 +177,15 @@
             lease = await self._granted()
             if await self._record.write(_encode(batch), lease=lease.id):
                 self._written = requests
+                targets = self._beliefs.targets
+                unnamed = sum(o.resolve(targets).version is None for o in self._own.values())
+                events.ORIGINS_WRITTEN.log(log, streams=len(batch), unnamed=unnamed)
                 return
 
     def _batch(self) -> list[StreamOrigin]:
+        open_services = {s for s in self._services if self._beliefs.has_open_origins(s)}
         resolved = (origin.resolve(self._beliefs.targets) for origin in self._own.values())
-        return [
-            origin
-            for origin in resolved
-            if origin.version is not None and self._beliefs.has_open_origins(origin.service)
-        ]
+        return [o for o in resolved if o.version is not None and o.service in open_services]
 
     async def _granted(self) -> Lease:
         if self._lease is None:
--- a/lagoonlever/gateway/version_record.py
+++ b/lagoonlever/gateway/version_record.py
@@ -28,7 +28,7 @@
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_origins import VersionsOfService, VersionsRecorded
 from lagoonlever.published import Published
-from lagoonlever.revisions import Revision
+from lagoonlever.revisions import NOWHERE, Revision
 from lagoonlever.store.port import RecordStore
 from lagoonlever.store.records import StoreRecord
 from lagoonlever.timers import Tick, TimerService
@@ -39,6 +39,8 @@
 LOOK_PERIOD_S = 0.3
 """A new version gets no streams for this long, but its engines have just started. A stream that
 finds no other engine has the record written at once."""
+NOTICE_PERIOD_S = 0.1
+"""Streams that are open as a version comes are written at once: power may go right after."""
 STAND_IN_S = 1.0
 """A VM that does not read the store for others writes what nobody has written by then."""
 FIRST_SPREAD_S = 0.05
@@ -73,6 +75,7 @@
     _changed: trio.Event = attrs.field(factory=trio.Event)
     """Set with each record that is applied, and replaced."""
     _lacking_since: float | None = None
+    _looked_as_of: Revision = NOWHERE
     _on_change: list[Callable[[], None]] = attrs.field(factory=list)
     _record: StoreRecord = attrs.field(init=False)
 
@@ -86,7 +89,10 @@
             nursery.start_soon(self._receive)
             await self._until_done(self._read)
             await self._write_first()
-            with self._timers.subscribed(self._look, period_s=LOOK_PERIOD_S):
+            with (
+                self._timers.subscribed(self._look, period_s=LOOK_PERIOD_S),
+                self._timers.subscribed(self._notice, period_s=NOTICE_PERIOD_S),
+            ):
                 while True:
                     await self._wanted.wait()
                     self._wanted = trio.Event()
@@ -110,7 +116,7 @@
             self._bus.send(newcomer, self._message())
 
     def on_change(self, notify: Callable[[], None]) -> None:
-        """Have ``notify`` called whenever the record has changed."""
+        """Have ``notify`` called whenever the record has changed, or is seen to lack a version."""
         self._on_change.append(notify)
 
     @property
@@ -128,16 +134,25 @@
             keep_s=self._beliefs.resumable_s,
         )
 
+    def _notice(self, tick: Tick) -> None:
+        """Look at once when the list has changed."""
+        as_of = self._beliefs.targets.as_of
+        if as_of != self._looked_as_of:
+            self._look(tick)
+
     def _look(self, tick: Tick) -> None:
         """Have the record written if it is not as it should be, by one VM if others do it."""
         beliefs, keep_s = self._beliefs, self._beliefs.resumable_s
         beliefs.versions.expire(tick.now, keep_s=keep_s)
         beliefs.origins.expire(tick.now, keep_s=keep_s)
         beliefs.versions.name_processes(beliefs.targets.targets)
+        self._looked_as_of = beliefs.targets.as_of
         if not beliefs.known.is_set() or not self._is_lacking(tick.now):
             self._lacking_since = None
             return
         since = self._lacking_since = self._lacking_since or tick.now
+        for notify in self._on_change:
+            notify()
         roles = self._roles.value
         if (roles is not None and roles.reads_store) or tick.now - since > STAND_IN_S:
             self._wanted.set()
--- a/lagoonlever/tests/losses_of_all_vms_tests.py
+++ b/lagoonlever/tests/losses_of_all_vms_tests.py
@@ -7,7 +7,7 @@
 
 from lagoonlever.exceptions import PeerError
 from lagoonlever.fakes.metadata_store import StoreFault
-from lagoonlever.gateway.version_record import VERSIONS_KEY
+from lagoonlever.gateway.version_record import VERSIONS_KEY, VersionRecord
 from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site, until
 from lagoonlever.tests.stream_versions_tests import (
     EVENTS,
@@ -300,3 +300,65 @@
         assert beliefs.only_version("engines") is None
 
     run_site(story, engines=0)
+
+
+async def _never_write(record: VersionRecord) -> None:
+    await trio.sleep_forever()
+
+
+async def _take_up_after_power_went(site: GatewaySite, *, after_s: float) -> tuple[Stream, Stream]:
+    """Return a stream that broke off as all VMs died, and how its caller took it up."""
+    got: list[Stream] = []
+
+    async def read() -> None:
+        got.append(await site.stream("p-1", events=LONG))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(read)
+        await trio.sleep(after_s)
+        for vm in site.vms.values():
+            vm.kill()
+    await restart(site, "vm-0", "vm-1")
+    return got[0], await site.take_up(got[0], "p-1", events=LONG)
+
+
+def test_streams_of_vms_that_have_just_started_are_known_after_the_next_loss_of_power() -> None:
+    """A VM that starts takes its fleet for a large one, and would gather for seconds."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v1=2, v2=2)
+        versions = site.vms["vm-0"].daemon.parts.beliefs.versions
+        await until(lambda: versions.has_several("engines"))
+        for vm in site.vms.values():
+            vm.kill()
+        await restart(site, "vm-0", "vm-1")
+        first, second = await _take_up_after_power_went(site, after_s=1.6)
+        assert second.whole
+        assert len(versions_of(first, second)) == 1
+
+    run_site(story, engines=0)
+
+
+def test_streams_that_are_open_as_a_version_comes_are_known_before_it_is_recorded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Power goes between both; afterwards several versions are listed, and one began the stream."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v1=2)
+        await until(lambda: b"v1" in (site.store.value(VERSIONS_KEY) or b""))
+        site.nursery.start_soon(come_unrecorded, site)
+        first, second = await _take_up_after_power_went(site, after_s=1.6)
+        assert second.whole
+        assert versions_of(first, second) == {"v1"}
+
+    async def come_unrecorded(site: GatewaySite) -> None:
+        with monkeypatch.context() as patched:
+            patched.setattr(VersionRecord, "_write", _never_write)
+            await trio.sleep(0.3)
+            await start_versions(site, v2=2)
+            await until(lambda: all(vm.scope.cancel_called for vm in site.vms.values()))
+
+    run_site(story, engines=0)
--- a/lagoonlever/tests/stream_origins_tests.py
+++ b/lagoonlever/tests/stream_origins_tests.py
@@ -234,6 +234,16 @@
     assert not versions.holds_back(v3, 2.0 + MAX_HOLD_S)
 
 
+def test_a_version_that_has_come_is_noticed_before_it_is_recorded() -> None:
+    versions = VersionsInUse()
+    both = [target("a", "v1"), target("b", "v2"), target("c", None)]
+    assert not versions.has_newcomer(SERVICE, both), "nothing is recorded yet"
+    versions.apply_record(record("v1"), 0.0)
+    assert versions.has_newcomer(SERVICE, both)
+    versions.apply_record(record("v1", "v2", number=2), 1.0)
+    assert not versions.has_newcomer(SERVICE, both)
+
+
 def test_a_version_that_was_listed_for_a_moment_is_recorded() -> None:
     """It may have begun streams, and is gone as the record is looked at."""
     versions = VersionsInUse()
