Tests: clients of real gateways that leave before their answers, or halt within their bodies

Plays by hand of lagoonlever.tests.refused_bids_plays: lost paths with copies and failures, clients that leave or halt, and more load while gateways stop or stand still.

--- a/lagoonlever/tests/refused_bids_clients.py
+++ b/lagoonlever/tests/refused_bids_clients.py
@@ -20,6 +20,19 @@
 KEPT_CONNECTIONS = 32
 REPEATING_SHARE, MOST_REPEATS = 0.3, 3
 FAILED_FROM = 400
+PATIENCE_S = (0.02, 0.3)
+"""Of a client that leaves before its answer."""
+PAUSE_IN_BODY_S = (0.05, 1.0)
+
+
+@attrs.frozen(kw_only=True)
+class Habits:
+    """What some of the clients do, each as a share of the requests."""
+
+    leaving: float = 0.0
+    """They close the connection before the answer."""
+    halting: float = 0.0
+    """They send the second half of a body some time after the first."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -31,6 +44,7 @@
     rng: random.Random
     per_s: Callable[[], float]
     """How many requests they send a second now."""
+    habits: Habits = attrs.field(factory=Habits)
     sent: list[SentRequest] = attrs.field(factory=list)
     _kept: list[Wire] = attrs.field(factory=list)
 
@@ -52,7 +66,7 @@
                 sent_at=time.monotonic(),
             )
             self.sent.append(request)
-            with trio.move_on_after(DEADLINE_S):
+            with trio.move_on_after(self._draw_patience_s()):
                 answer = await self._exchange(request)
                 if answer is not None:
                     request.status = answer.status
@@ -65,7 +79,7 @@
         answer: Message | None = None
         try:
             wire = self._kept.pop() if self._kept else await self._connect()
-            await wire.write(self._encode(request))
+            await self._send(wire, self._encode(request))
             answer = await wire.read()
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             return None
@@ -74,6 +88,21 @@
                 await self._release(wire, answer)
         return answer
 
+    def _draw_patience_s(self) -> float:
+        if self.rng.random() < self.habits.leaving:
+            return self.rng.uniform(*PATIENCE_S)
+        return DEADLINE_S
+
+    async def _send(self, wire: Wire, message: bytes) -> None:
+        """Write a request, whole or in two parts."""
+        if self.rng.random() >= self.habits.halting:
+            await wire.write(message)
+            return
+        half = len(message) - BODY_BYTES // 2
+        await wire.write(message[:half])
+        await trio.sleep(self.rng.uniform(*PAUSE_IN_BODY_S))
+        await wire.write(message[half:])
+
     async def _connect(self) -> Wire:
         return Wire(stream=await trio.open_tcp_stream(self.address.host, self.address.port))
 
--- a/lagoonlever/tests/refused_bids_judge.py
+++ b/lagoonlever/tests/refused_bids_judge.py
@@ -94,8 +94,13 @@
 
 
 def judge(requests: Iterable[SentRequest], folder: Path) -> Verdict:
-    """Return the verdict on a play by the books and logs of its folder."""
+    """Return the verdict on a play by the books and logs of its folder.
+
+    What the clients saw is kept there beside them.
+    """
     requests = tuple(requests)
+    kept = (json.dumps(attrs.asdict(request)) + "\n" for request in requests)
+    (folder / "clients.requests").write_text("".join(kept))
     book = tuple(_read_books(folder))
     by_request: dict[str, list[BookLine]] = {}
     for line in sorted(book, key=lambda line: line.at):
--- a/lagoonlever/tests/refused_bids_plays.py
+++ b/lagoonlever/tests/refused_bids_plays.py
@@ -17,6 +17,7 @@
 import trio
 
 from lagoonlever.fakes.metadata_store import StoreFault
+from lagoonlever.tests.refused_bids_clients import Habits
 from lagoonlever.tests.refused_bids_judge import Verdict, judge
 from lagoonlever.tests.refused_bids_runner import Trouble, TroubleKind
 from lagoonlever.tests.refused_bids_site import OWN_CODE, REQUESTS_PER_S, RefusedBidsSite
@@ -68,6 +69,7 @@
     load: float = 1.0
     """Times the usual requests a second."""
     over_paths: bool = False
+    habits: Habits = attrs.field(factory=Habits)
 
     def of_runner(self, number: int, seconds: float) -> tuple[Trouble, ...]:
         """Return the troubles of one runner."""
@@ -138,6 +140,7 @@
 K = TroubleKind
 SITE_COPIES = RunnerTrouble(kind=K.COPY_AT_NEXT, share=0.03, of_runners=0.6)
 SITE_SHED = RunnerTrouble(kind=K.SHED, share=0.568, of_runners=0.14, for_s=6.0)
+PATHS_CUT = RunnerTrouble(kind=K.CUT, share=0.4, for_s=3.0)
 MORE_SHED = RunnerTrouble(kind=K.SHED, share=0.5)
 
 
@@ -202,6 +205,24 @@
     "paths-cut-shed": Play(
         troubles=(RunnerTrouble(kind=K.CUT, share=0.4, for_s=3.0), MORE_SHED), over_paths=True
     ),
+    "paths-cut-copies": Play(
+        troubles=(PATHS_CUT, MORE_SHED, _copies(0.3, only="refusals")), over_paths=True
+    ),
+    "paths-cut-copies-soon": Play(
+        troubles=(PATHS_CUT, MORE_SHED, _copies(0.3, K.COPY_SOON)), over_paths=True
+    ),
+    "paths-cut-busy": Play(troubles=(PATHS_CUT, _fails(503, 0.3)), over_paths=True),
+    "clients-leave": Play(troubles=(MORE_SHED,), habits=Habits(leaving=0.4)),
+    "clients-leave-copies": Play(
+        troubles=(MORE_SHED, _copies(0.3, only="refusals")), habits=Habits(leaving=0.4)
+    ),
+    "clients-halt": Play(troubles=(MORE_SHED,), habits=Habits(halting=0.4)),
+    "stopped-load": Play(acts=(_every(2.0, 4.0, _end_vms(signal.SIGTERM)),), load=2.5),
+    "silent-load": Play(
+        troubles=(MORE_SHED,),
+        acts=(_every(2.0, 4.0, _pause_runners), _every(3.0, 3.0, _pause_vms)),
+        load=2.5,
+    ),
     "all-but-copies": Play(
         troubles=(
             MORE_SHED,
@@ -243,6 +264,7 @@
             code=code,
             over_paths=play.over_paths,
             per_s=REQUESTS_PER_S * play.load,
+            habits=play.habits,
         )
 
         async def act() -> None:
--- a/lagoonlever/tests/refused_bids_site.py
+++ b/lagoonlever/tests/refused_bids_site.py
@@ -37,7 +37,7 @@
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
 from lagoonlever.platform.targets import TARGETS_PREFIX
 from lagoonlever.soak.gateway import PATH_PORT_VARIABLE
-from lagoonlever.tests.refused_bids_clients import HOST, KEY, Clients
+from lagoonlever.tests.refused_bids_clients import HOST, KEY, Clients, Habits
 from lagoonlever.tests.refused_bids_judge import SentRequest
 from lagoonlever.tests.refused_bids_runner import (
     CONNECTIONS,
@@ -100,6 +100,8 @@
     runners: list[RunnerProcess] = attrs.field(factory=list)
     began_at: float = 0.0
     per_s: float = REQUESTS_PER_S
+    habits: Habits = attrs.field(factory=Habits)
+    """Of the clients."""
     _ended: bool = False
     _lives: int = 0
     _clients: list[Clients] = attrs.field(factory=list)
@@ -152,6 +154,7 @@
                     address=vm.settings.listen,
                     rng=random.Random(f"{self.seed}-clients-{vm.number}"),
                     per_s=self._per_s,
+                    habits=self.habits,
                 )
                 self._clients.append(clients)
                 nursery.start_soon(clients.run, self.began_at + seconds)
