Tests: requests that end engines come apart in the process's own turns

After a pause of the process, which is that of all parts, those that were due come in one turn, are written to an engine each, and end it, before any VM can know of the first end. A trace of a failed run: two ends known at 0.618 s; a pause; three requests written at 0.725 and 0.726 s, their engines end at 0.746 s, three more written before the first of these ends is heard of at 0.873 s: 8 ends where 5 may be.

Change: the requests come as far apart in turns of this process, as until_within counts them. On an idle machine that is the same, and no bound has changed.

--- a/lagoonlever/tests/deadly_parts_tests.py
+++ b/lagoonlever/tests/deadly_parts_tests.py
@@ -7,7 +7,7 @@
 
 from lagoonlever.outcomes import REASON_HEADER, Reason
 from lagoonlever.tests.deadly_requests import told
-from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site, until
+from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site, sleep_turns, until
 
 PART = "ends-each"
 MOST_ENDED = 5
@@ -38,17 +38,21 @@
 async def ask_all(
     site: GatewaySite, count: int, *, shared: tuple[str, ...], spacing_s: float = 0.1, **more: int
 ) -> list[Stream]:
-    """Send requests with these parts and an own one each, to the VMs in turn."""
+    """Send requests with these parts and an own one each, to the VMs in turn.
+
+    They come as far apart in this process's own turns: after a pause of it those that were due
+    would come all at once, when no VM can know yet what the first of them has ended.
+    """
     answers: list[Stream] = []
 
     async def ask(number: int) -> None:
-        await trio.sleep(number * spacing_s)
         vm = f"vm-{number % len(site.vms)}"
         answers.append(await site.stream(f"own-{number}", vm=vm, shared=shared, **more))
 
     async with trio.open_nursery() as nursery:
         for number in range(count):
             nursery.start_soon(ask, number)
+            await sleep_turns(spacing_s)
     return answers
 
 
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -68,6 +68,12 @@
     raise AssertionError(f"not within {seconds:g} s")
 
 
+async def sleep_turns(seconds: float) -> None:
+    """Sleep for so many seconds of this process's own turns."""
+    for _ in range(round(seconds / POLL_S)):
+        await trio.sleep(POLL_S)
+
+
 def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
     """Give a route as operators write it."""
     return {
