--- a/lagoonlever/tests/refused_bids_plays.py
+++ b/lagoonlever/tests/refused_bids_plays.py
@@ -173,6 +173,7 @@
     "copies-unnamed": Play(troubles=(_copies(0.3, K.COPY_UNNAMED), MORE_SHED)),
     "copies-of-answers": Play(troubles=(_copies(0.3, only="answers"), MORE_SHED)),
     "copies-of-refusals": Play(troubles=(_copies(0.3, only="refusals"), MORE_SHED)),
+    "copies-of-every-refusal": Play(troubles=(_copies(1.0, only="refusals"), MORE_SHED)),
     "copies-late-and-soon": Play(
         troubles=(
             _copies(0.3, only="refusals"),
@@ -186,6 +187,7 @@
     "busy": Play(troubles=(_fails(503, 0.3),)),
     "fails-429": Play(troubles=(_fails(429, 0.3),)),
     "fails-408": Play(troubles=(_fails(408, 0.3),)),
+    # Beyond the pages, by which a 421 always says that the request has not run.
     "fails-421": Play(troubles=(_fails(421, 0.3),)),
     "fails-500": Play(troubles=(_fails(500, 0.3),)),
     "reset": Play(troubles=(RunnerTrouble(kind=K.RESET, share=0.3), MORE_SHED)),
