Questions to other VMs: no number is that of a former life's question

What callers would have seen: a call that is sent to a runner of another service than its route's (ROUTE), a request let through to a target in need by the permit of another target's (LIMIT), a stream placed by what was decided for another one. Not seen in a record; found by going through what is attributed by its number.

Cause: CallPlaces and Questions (permits, placements, origins) numbered their questions from 0 in each life of a VM, and desks answer to an address. A VM that came back within the second in which a message holds took an answer to question n of its former life for that to its own question n. RoomAsker begins its numbers by the start of the process for that reason; these two didn't. Class: an answer is taken for a request by its number, not by proof.

Evidence, before (former_lives_tests.py, 2 failed of 2): assert [PermitTold(number=0, wait_s=None, counted=True, word=None)] == [None] assert 'another-runner' in ('r-0', 'r-1') where 'another-runner' = CallPlace(target='another-runner', number=0, service='apps', ...)

Change: both begin their numbers by the start of the process, as RoomAsker does.

After: 2 passed.

Why it holds: a life's numbers lie above those of a former one unless that one asked more than a thousand questions a second for as long as it lived.

--- a/lagoonlever/gateway/call_places.py
+++ b/lagoonlever/gateway/call_places.py
@@ -98,7 +98,8 @@
     _brittle: BrittleWatch
     _data_center: str
     _leaving: Callable[[], bool]
-    _numbers: Iterator[int] = attrs.field(factory=itertools.count)
+    _numbers: Iterator[int] = attrs.field(init=False)
+    """Begun by the start of this process, so that none is that of a former one."""
     _open: dict[int, trio.MemorySendChannel[PlaceTold]] = attrs.field(factory=dict)
     _held: set[int] = attrs.field(factory=set)
     """Numbers of attempts that have a place."""
@@ -106,6 +107,10 @@
     _work_s: dict[str, float] = attrs.field(factory=dict)
     """What a call usually takes, by service, as the desks have told."""
 
+    @_numbers.default
+    def _make_numbers(self) -> Iterator[int]:
+        return itertools.count(self._bus.own.started_ms)
+
     async def run(self) -> None:
         """Take answers until cancelled."""
         async for received in self._bus.subscribe(PlaceTold):
--- a/lagoonlever/gateway/questions.py
+++ b/lagoonlever/gateway/questions.py
@@ -20,10 +20,15 @@
     """Asks by the bus; answers carry the ``number`` of their question."""
 
     _bus: Bus
-    _numbers: Iterator[int] = attrs.field(factory=itertools.count)
+    _numbers: Iterator[int] = attrs.field(init=False)
+    """Begun by the start of this process, so that none is that of a former one."""
     _waiting: dict[int, trio.MemorySendChannel[object]] = attrs.field(factory=dict)
     """Where the answer to each open question goes."""
 
+    @_numbers.default
+    def _make_numbers(self) -> Iterator[int]:
+        return itertools.count(self._bus.own.started_ms)
+
     async def ask(
         self,
         address: Address,
