--- a/lagoonlever/tests/refused_bids_runner.py
+++ b/lagoonlever/tests/refused_bids_runner.py
@@ -54,7 +54,7 @@
     """Loses the connections of some VMs, and takes no new ones of theirs."""
 
 
-COPIES = frozenset({TroubleKind.COPY_AT_NEXT, TroubleKind.COPY_SOON, TroubleKind.COPY_UNNAMED})
+COPIES = (TroubleKind.COPY_AT_NEXT, TroubleKind.COPY_SOON, TroubleKind.COPY_UNNAMED)
 
 
 class Trouble(msgspec.Struct, frozen=True, kw_only=True):
@@ -266,9 +266,10 @@
             if kind is TroubleKind.COPY_SOON:
                 nursery.start_soon(self._copy_soon, status, name, answer, connection)
                 continue
-            if kind is TroubleKind.COPY_UNNAMED:
-                answer = answer.replace(f"Request-Id: {name}\r\n".encode(), b"")
-            connection.late.append((name, status, answer))
+            named = f"Request-Id: {name}\r\n".encode()
+            is_unnamed = kind is TroubleKind.COPY_UNNAMED
+            copy = answer.replace(named, b"") if is_unnamed else answer
+            connection.late.append((name, status, copy))
 
     async def _copy_soon(
         self, status: int, name: str, answer: bytes, connection: Connection
