--- a/lagoonlever/tests/refused_bids_plays.py
+++ b/lagoonlever/tests/refused_bids_plays.py
@@ -174,10 +174,11 @@
     "copies-of-answers": Play(troubles=(_copies(0.3, only="answers"), MORE_SHED)),
     "copies-of-refusals": Play(troubles=(_copies(0.3, only="refusals"), MORE_SHED)),
     "copies-of-every-refusal": Play(troubles=(_copies(1.0, only="refusals"), MORE_SHED)),
-    "copies-late-and-soon": Play(
+    "copies-named-or-not": Play(
         troubles=(
             _copies(0.3, only="refusals"),
             _copies(0.2, K.COPY_SOON, only="refusals"),
+            _copies(0.2, K.COPY_UNNAMED, only="refusals"),
             MORE_SHED,
         )
     ),
--- a/lagoonlever/tests/refused_bids_tests.py
+++ b/lagoonlever/tests/refused_bids_tests.py
@@ -37,8 +37,8 @@
 
 
 def test_a_late_copy_of_a_refusal_is_not_taken_for_that_of_a_bid_that_runs(tmp_path: Path) -> None:
-    """A VM believed the refusal of an earlier request on a kept connection."""
-    verdict = play("copies-late-and-soon", tmp_path)
+    """A VM believed the refusal of an earlier request on a kept connection, named or not."""
+    verdict = play("copies-named-or-not", tmp_path)
     assert verdict.copies > FEWEST_TROUBLES
     assert_none(verdict)
 
