HTTP client: a request whose connection was aborted is told so, and its caller is answered

Cause: a tunnel that leads by a VM that is found gone is aborted under its request. If that happens while the request's task has no turn (after the write, before it waits for the answer, as after a pause of the process), the task waited for a closed socket: trio raises ValueError (descriptor -1) and keeps the registration, so that each later one meets BusyResourceError. Neither is an end of the connection to ClientConnection, so it left the handler as a fault of the process. Class: a socket that another task has closed, used without a look.

What callers saw: their connection closed without an answer, with connection-fault (111) in the log. No promise was broken by it (the answer should have been 502 or 504, "unknown").

Change: a look at the socket right before the wait; a closed one is a broken connection.

After: http_client, http_server, gateway_calls, lost_paths and late_copies tests passed (83).

--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -290,6 +290,9 @@
         before the wait would nearly always be in vain.
         """
         while True:
+            if self._stream.socket.fileno() < 0:
+                # Aborted as this task had no turn: the event loop knows no such socket any more.
+                raise trio.ClosedResourceError("closed here")
             await trio.lowlevel.wait_readable(self._stream.socket)
             try:
                 return os.read(self._stream.socket.fileno(), RECEIVE_BYTES)
--- a/lagoonlever/tests/http_client_tests.py
+++ b/lagoonlever/tests/http_client_tests.py
@@ -4,9 +4,10 @@
 
 import pytest
 import trio
+import trio.testing
 
 from lagoonlever.exceptions import BadResponse, ConnectionBroken
-from lagoonlever.http.client import fetch
+from lagoonlever.http.client import ClientConnection, fetch
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import open_listeners
 
@@ -43,3 +44,34 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+@pytest.mark.parametrize("waits", [False, True])
+def test_a_request_whose_connection_was_aborted_is_told_so(waits: bool) -> None:
+    """Guards against a fault, and no answer, as the VM that a connection leads by is found gone.
+
+    More than once: the event loop must not be left with a task that reads a closed socket.
+    """
+
+    async def abort_and_read(address: Address) -> None:
+        async with await ClientConnection.open(address) as connection:
+            await connection.start(method="GET", path="/", step="test")
+            async with trio.open_nursery() as nursery:
+                if waits:
+                    nursery.start_soon(abort_later, connection)
+                else:
+                    connection.abort()
+                with pytest.raises(ConnectionBroken):
+                    await connection.read_head()
+
+    async def abort_later(connection: ClientConnection) -> None:
+        await trio.testing.wait_all_tasks_blocked()
+        connection.abort()
+
+    async def main() -> None:
+        listeners = await open_listeners(host="127.0.0.1", port=0)
+        address = Address(host="127.0.0.1", port=listeners[0].socket.getsockname()[1])
+        for _ in range(3):
+            await abort_and_read(address)
+
+    trio.run(main)
