Tests: a prompt that hangs in a replay is named, in simulated time

Simulated time goes on as long as anything ticks, so one prompt that hangs and a replay that is slow look alike: both end at pytest's 120 s within a tick.

So 120 s can be reached by load alone.

Change: all prompts must have ended within 25 simulated seconds, a caller's whole time, of the last one, or the test fails and names them. No other bound has changed.

--- a/lagoonlever/tests/prompt_queue_load_tests.py
+++ b/lagoonlever/tests/prompt_queue_load_tests.py
@@ -24,10 +24,16 @@
 PREFILL_S, DECODE_S = 1.2, 4.0
 URGENT_S, PATIENT_S, CALLER_S = 4.0, 10.0, 25.0
 CONNECTION_S = 0.01
+ENDS_S = CALLER_S
+"""From the last prompt until all have ended: one that hangs would keep simulated time going."""
 LOAD_S = 8.0
 """Duration of the load; large fleets get a half or a quarter of it, as their replay is slow."""
 
 
+def request_name(number: int) -> str:
+    return f"r{number:04}"
+
+
 @attrs.define(kw_only=True, eq=False)
 class Engines:
     """Engines that prefill one prompt at a time; a crash ends their work."""
@@ -71,7 +77,7 @@
 
     def begin(self, rank: int, vm: PlacingVm) -> None:
         self.sent[rank] += 1
-        request = f"r{sum(self.sent.values()):04}"
+        request = request_name(sum(self.sent.values()))
         self.fleet.nursery.start_soon(self._stream, vm, request, rank)
 
     async def _stream(self, vm: PlacingVm, request: str, rank: int) -> None:
@@ -130,6 +136,12 @@
             for name in names:
                 vm.vm.beliefs.book.record_restart(name, 1, trio.current_time())
 
+    @property
+    def unended(self) -> set[str]:
+        return {request_name(number + 1) for number in range(sum(self.sent.values()))} - set(
+            self.ended
+        )
+
     def share(self, rank: int) -> float:
         return self.in_time[rank] / self.sent[rank]
 
@@ -166,7 +178,9 @@
             if crash:
                 await trio.sleep(seconds / 4)
                 nursery.start_soon(lambda: played.crash(CRASHED, for_s=4.5))
-        await played.all_ended.wait()
+        with trio.move_on_after(ENDS_S):
+            await played.all_ended.wait()
+        assert played.all_ended.is_set(), f"{played.unended} have not ended"
 
     run_fleet(story)
     (played,) = made
