Refusals: an answer that is passed on doesn't say "Not-Executed" to its caller

What callers would have seen: 200 or 500 for a bid that ran, with Not-Executed beside it, which says that the runner did not run it.

Cause: since an answer is a refusal only with a status of one, any other one is passed on with all its fields, that one too.

Evidence, before: refusal_proofs_tests.py -k word_of_one, 4 failed of 4 (bid and look, 200 and 500).

Change: to_caller leaves the field out. After: 29 tests of the file passed, and 181 with refusals, refusal_heads, gateway_calls and late_copies tests.

The other tests of the file passed before as well: pipelined bids behind a refusal with a late copy, copies of ten forms (HTTP/1.0, Connection: close, behind 103, in chunks, without an end, two and three, one within another's body, two ids, 421 without an id), copies and answers in pieces of seven bytes, copies of a lookup's refusal; by the VM's own path and by way of another VM.

--- a/lagoonlever/platform/headers.py
+++ b/lagoonlever/platform/headers.py
@@ -179,8 +179,11 @@
 
 
 def to_caller(headers: Headers) -> Headers:
-    """Give the fields of a target's answer as the caller gets them, without its framing."""
-    dropped = HOP_BY_HOP | _named_by_connection(headers) | {"content-length"}
+    """Return the fields of a target's answer as the caller gets them, without its framing.
+
+    An answer that is passed on is no refusal, so it doesn't say that it is one.
+    """
+    dropped = HOP_BY_HOP | _named_by_connection(headers) | {"content-length", REFUSED.lower()}
     return Headers(tuple(pair for pair in headers.pairs if pair[0].lower() not in dropped))
 
 
