Tests: a VM of a play that ends already is not ended a second time

Two acts that ended one VM started it twice: the second process met "Address already in use", the first one was no longer known and outlived the play. `all` has an act each eleven seconds, and a stop may take that long in a VM that is paused as well.

--- a/lagoonlever/tests/refused_bids_site.py
+++ b/lagoonlever/tests/refused_bids_site.py
@@ -185,8 +185,10 @@
             )
 
     async def stop_vm(self, vm: Vm, number: signal.Signals) -> None:
-        """End a VM's process by a signal, and start it again."""
+        """End a VM's process by a signal, and start it again; one that ends already is left."""
         assert vm.process is not None
+        if vm.asked_to_end:
+            return
         vm.asked_to_end = True
         vm.process.send_signal(number)
         await trio.to_thread.run_sync(vm.process.wait)
