Tests: a play of real processes goes on until its troubles have come

A play goes on for up to 40 s more now until it has them; what is asked stays as it was. What runners write is typed.

--- a/lagoonlever/tests/refused_bids_clients.py
+++ b/lagoonlever/tests/refused_bids_clients.py
@@ -51,10 +51,10 @@
     _kept: list[tuple[float, Wire]] = attrs.field(factory=list)
     """With the time since when each rests."""
 
-    async def run(self, until: float) -> None:
-        """Send requests until a time, and wait for their answers."""
+    async def run(self, ended: Callable[[], bool]) -> None:
+        """Send requests until a play has ended, and wait for their answers."""
         async with trio.open_nursery() as nursery:
-            while time.monotonic() < until:
+            while not ended():
                 nursery.start_soon(self._call)
                 await trio.sleep(self.rng.expovariate(self.per_s()))
 
--- a/lagoonlever/tests/refused_bids_judge.py
+++ b/lagoonlever/tests/refused_bids_judge.py
@@ -10,10 +10,12 @@
 import attrs
 import msgspec
 
-from lagoonlever.tests.refused_bids_runner import BookLine
+from lagoonlever.tests.refused_bids_runner import BookEvent, BookLine
 
 PROMISES = frozenset({408, 421, 429, 503})
 """The statuses that say that a request has not run and never will."""
+TROUBLES = (BookEvent.COPIED, BookEvent.FAILED)
+ENDS = (BookEvent.ANSWERED, BookEvent.FAILED, BookEvent.LOST)
 REQUEST_ENDED = "request-ended"
 """The name of the line that a VM writes of each request."""
 
@@ -44,7 +46,7 @@
     @property
     def form(self) -> str:
         """What the VM took the bid for, and what its runner did in truth."""
-        ends = [line for line in self.lines if line.event in ("answered", "failed", "lost")]
+        ends = [line for line in self.lines if line.event in ENDS]
         told = f"{ends[-1].event} {ends[-1].status}" if ends else "did not end"
         if "refused with" in self.vm_line:
             held = "a refusal was believed"
@@ -110,7 +112,7 @@
         for request in requests
         if request.is_bid
         and request.status in PROMISES
-        and any(line.event == "ran" for line in by_request.get(request.id, ()))
+        and any(line.event is BookEvent.RAN for line in by_request.get(request.id, ()))
     ]
     vm_lines = _read_logs(folder, {request.id for request in suspects})
     cases = [
@@ -127,17 +129,23 @@
         requests=len(requests),
         bids=len(bids),
         statuses=dict(Counter(str(bid.status) for bid in bids).most_common()),
-        refusals=events["refused"],
-        copies=events["copied"],
-        failures=events["failed"],
-        losses=events["lost"],
+        refusals=events[BookEvent.REFUSED],
+        copies=events[BookEvent.COPIED],
+        failures=events[BookEvent.FAILED],
+        losses=events[BookEvent.LOST],
         cases=tuple(cases),
     )
 
 
+def count_troubles(folder: Path) -> int:
+    """Return how many copies and failures the runners have written so far."""
+    return sum(line.event in TROUBLES for line in _read_books(folder))
+
+
 def _read_books(folder: Path) -> Iterator[BookLine]:
     for path in sorted(folder.glob("*.book")):
-        for line in path.read_bytes().splitlines():
+        whole, _, _ = path.read_bytes().rpartition(b"\n")
+        for line in whole.splitlines():
             yield msgspec.json.decode(line, type=BookLine)
 
 
--- a/lagoonlever/tests/refused_bids_plays.py
+++ b/lagoonlever/tests/refused_bids_plays.py
@@ -18,13 +18,15 @@
 
 from lagoonlever.fakes.metadata_store import StoreFault
 from lagoonlever.tests.refused_bids_clients import Habits
-from lagoonlever.tests.refused_bids_judge import Verdict, judge
+from lagoonlever.tests.refused_bids_judge import Verdict, count_troubles, judge
 from lagoonlever.tests.refused_bids_runner import Trouble, TroubleKind
 from lagoonlever.tests.refused_bids_site import OWN_CODE, REQUESTS_PER_S, RefusedBidsSite
 
 RUNNERS = 4
 WINDOW_S, WINDOW_EVERY_S = 5.0, 7.0
 """A trouble of the site's list lasts so long, and comes again so often."""
+MOST_MORE_S = 40.0
+"""For so long a play goes on where it has not had its fewest troubles: on a busy machine."""
 
 Act = Callable[[RefusedBidsSite], Awaitable[None]]
 
@@ -250,14 +252,24 @@
 
 
 def run_play(
-    play: Play, folder: Path, *, seed: int, seconds: float, vms: int, code: Path = OWN_CODE
+    play: Play,
+    folder: Path,
+    *,
+    seed: int,
+    seconds: float,
+    vms: int,
+    code: Path = OWN_CODE,
+    fewest: int = 0,
 ) -> Verdict:
-    """Run a play with processes of its own, and return the verdict on it."""
-    return trio.run(_run, play, folder, seed, seconds, vms, code)
+    """Run a play with processes of its own, and return the verdict on it.
+
+    It goes on for a while until there were ``fewest`` copies and failures.
+    """
+    return trio.run(_run, play, folder, seed, seconds, vms, code, fewest)
 
 
 async def _run(
-    play: Play, folder: Path, seed: int, seconds: float, vms: int, code: Path
+    play: Play, folder: Path, seed: int, seconds: float, vms: int, code: Path, fewest: int
 ) -> Verdict:
     async with trio.open_nursery() as nursery:
         site = RefusedBidsSite(
@@ -270,16 +282,21 @@
             habits=play.habits,
         )
 
-        async def act() -> None:
-            with trio.move_on_after(seconds):
-                async with trio.open_nursery() as acting:
-                    for each in play.acts:
-                        acting.start_soon(each, site)
+        over = trio.Event()
+
+        async def watch(site: RefusedBidsSite) -> None:
+            await trio.sleep(seconds)
+            with trio.move_on_after(MOST_MORE_S):
+                while True:
+                    if count_troubles(folder) >= fewest:
+                        break
+                    await trio.sleep(1.0)
+            over.set()
 
         try:
-            troubles = [play.of_runner(number, seconds) for number in range(RUNNERS)]
+            troubles = [play.of_runner(number, seconds + MOST_MORE_S) for number in range(RUNNERS)]
             await site.start(vms=vms, troubles=troubles)
-            await site.play(seconds, act)
+            await site.play(over.is_set, (watch, *play.acts))
         finally:
             site.end()
         nursery.cancel_scope.cancel()
--- a/lagoonlever/tests/refused_bids_runner.py
+++ b/lagoonlever/tests/refused_bids_runner.py
@@ -83,13 +83,28 @@
     troubles: tuple[Trouble, ...]
 
 
+class BookEvent(enum.StrEnum):
+    """What a runner writes of a request."""
+
+    RAN = "ran"
+    """A run begins."""
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    """It has not run and will not."""
+    COPIED = "copied"
+    """An answer was sent a second time."""
+    FAILED = "failed"
+    """It has run, and the answer has a status of the trouble's own."""
+    LOST = "lost"
+    """It has run, and was not answered."""
+
+
 class BookLine(msgspec.Struct, frozen=True, kw_only=True):
     """One line of a runner's book; ``at`` is a time of the machine's monotonic clock."""
 
     at: float
     runner: str
-    event: str
-    """``ran`` as a run begins; ``answered``, ``refused``, ``copied``, ``failed`` or ``lost``."""
+    event: BookEvent
     request: str
     status: int
     served_before: int
@@ -171,7 +186,7 @@
         while True:
             request = await connection.wire.read()
             for name, status, copy in connection.late:
-                self._note("copied", name, status, connection)
+                self._note(BookEvent.COPIED, name, status, connection)
                 await connection.wire.write(copy)
             connection.late.clear()
             if request.words[1] == HEALTH_PATH:
@@ -206,7 +221,7 @@
             await self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, name, connection, nursery)
             return
         try:
-            self._note("ran", name, 0, connection)
+            self._note(BookEvent.RAN, name, 0, connection)
             await trio.sleep(self._draw_work_s())
         finally:
             self._slots.release()
@@ -221,19 +236,19 @@
         """Answer a request that has run, well or not."""
         failing = self._befalls(TroubleKind.FAIL)
         if failing is not None:
-            self._note("failed", name, failing.status, connection)
+            self._note(BookEvent.FAILED, name, failing.status, connection)
             await connection.wire.write(self._encode(failing.status, name))
         elif self._befalls(TroubleKind.LOSE):
-            self._note("lost", name, 0, connection)
+            self._note(BookEvent.LOST, name, 0, connection)
             raise trio.BrokenResourceError("the answer is lost")
         elif self._befalls(TroubleKind.RESET):
-            self._note("lost", name, 0, connection)
+            self._note(BookEvent.LOST, name, 0, connection)
             connection.wire.reset()
             raise trio.BrokenResourceError("the answer is lost")
         elif self._befalls(TroubleKind.MUTE):
-            self._note("lost", name, 0, connection)
+            self._note(BookEvent.LOST, name, 0, connection)
         else:
-            self._note("answered", name, status, connection)
+            self._note(BookEvent.ANSWERED, name, status, connection)
             body = f"answer to {name}".encode()
             answer = self._encode(status, name, body=body)
             await connection.wire.write(answer)
@@ -242,7 +257,7 @@
     async def _refuse(
         self, status: int, name: str, connection: Connection, nursery: trio.Nursery
     ) -> None:
-        self._note("refused", name, status, connection)
+        self._note(BookEvent.REFUSED, name, status, connection)
         answer = self._encode(status, name, refused=True)
         await connection.wire.write(answer)
         self._draw_copy("refusals", status, name, answer, connection, nursery)
@@ -275,7 +290,7 @@
         self, status: int, name: str, answer: bytes, connection: Connection
     ) -> None:
         await trio.sleep(self.rng.uniform(*COPY_DELAYS_S))
-        self._note("copied", name, status, connection)
+        self._note(BookEvent.COPIED, name, status, connection)
         await connection.wire.write(answer)
 
     def _encode(self, status: int, name: str, *, refused: bool = False, body: bytes = b"") -> bytes:
@@ -308,7 +323,7 @@
                 return trouble
         return None
 
-    def _note(self, event: str, name: str, status: int, connection: Connection) -> None:
+    def _note(self, event: BookEvent, name: str, status: int, connection: Connection) -> None:
         line = BookLine(
             at=time.monotonic(),
             runner=self.settings.target_id,
--- a/lagoonlever/tests/refused_bids_site.py
+++ b/lagoonlever/tests/refused_bids_site.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
 
 import attrs
@@ -142,27 +142,37 @@
                 await self._wait_ready(vm)
         await trio.sleep(SETTLE_S)
 
-    async def play(self, seconds: float, act: Callable[[], Awaitable[None]]) -> None:
-        """Have clients send requests for some time, and something act beside them."""
+    async def play(
+        self,
+        ended: Callable[[], bool],
+        acts: Iterable[Callable[[RefusedBidsSite], Awaitable[None]]],
+    ) -> None:
+        """Have clients send requests until the play has ended, and something act beside them."""
         self.began_at = time.monotonic()
         for runner in self.runners:
             self._begin(runner)
-        async with trio.open_nursery() as nursery:
-            for vm in self.vms:
-                clients = Clients(
-                    vm=vm.settings.name,
-                    address=vm.settings.listen,
-                    rng=random.Random(f"{self.seed}-clients-{vm.number}"),
-                    per_s=self._per_s,
-                    habits=self.habits,
-                )
-                self._clients.append(clients)
-                nursery.start_soon(clients.run, self.began_at + seconds)
-            nursery.start_soon(act)
+        async with trio.open_nursery() as acting:
+            for act in acts:
+                acting.start_soon(act, self)
+            async with trio.open_nursery() as nursery:
+                for vm in self.vms:
+                    nursery.start_soon(self._add_clients(vm).run, ended)
+            acting.cancel_scope.cancel()
         await trio.sleep(CLOSING_S)
         unasked = [vm.settings.name for vm in self.vms if vm.ended_unasked]
         assert not unasked, f"ended unasked: {unasked}"
 
+    def _add_clients(self, vm: Vm) -> Clients:
+        clients = Clients(
+            vm=vm.settings.name,
+            address=vm.settings.listen,
+            rng=random.Random(f"{self.seed}-clients-{vm.number}"),
+            per_s=self._per_s,
+            habits=self.habits,
+        )
+        self._clients.append(clients)
+        return clients
+
     def start_vm(self, vm: Vm) -> None:
         """Start a VM's process; it has none."""
         file = self.folder / f"{vm.settings.name}.conf"
--- a/lagoonlever/tests/refused_bids_tests.py
+++ b/lagoonlever/tests/refused_bids_tests.py
@@ -14,7 +14,7 @@
 
 from lagoonlever.tests.refused_bids_judge import SentRequest, Verdict, judge
 from lagoonlever.tests.refused_bids_plays import PLAYS, run_play
-from lagoonlever.tests.refused_bids_runner import BookLine
+from lagoonlever.tests.refused_bids_runner import BookEvent, BookLine
 from lagoonlever.tests.refused_bids_site import OWN_CODE
 
 CODE = Path(os.environ.get("LAGOONLEVER_REFUSED_BIDS_CODE", OWN_CODE))
@@ -26,7 +26,15 @@
 
 
 def play(name: str, folder: Path) -> Verdict:
-    verdict = run_play(PLAYS[name], folder, seed=SEED, seconds=SECONDS, vms=VMS, code=CODE)
+    verdict = run_play(
+        PLAYS[name],
+        folder,
+        seed=SEED,
+        seconds=SECONDS,
+        vms=VMS,
+        code=CODE,
+        fewest=FEWEST_TROUBLES + 1,
+    )
     assert verdict.statuses["200"] > verdict.bids / 10, verdict.statuses
     return verdict
 
@@ -62,7 +70,7 @@
     folder.joinpath("runner-0.book").write_bytes(book)
 
 
-def line(event: str, at: float, status: int = 0) -> BookLine:
+def line(event: BookEvent, at: float, status: int = 0) -> BookLine:
     return BookLine(
         at=at, runner="runner-0", event=event, request="r-1", status=status, served_before=1
     )
@@ -79,15 +87,15 @@
 def test_the_judge_finds_a_run_before_the_answer_or_after(
     status: int, ran_at: float, tmp_path: Path
 ) -> None:
-    write_book(tmp_path, line("ran", ran_at), line("answered", ran_at + 0.1, 200))
+    write_book(tmp_path, line(BookEvent.RAN, ran_at), line(BookEvent.ANSWERED, ran_at + 0.1, 200))
     verdict = judge([sent(status)], tmp_path)
     assert [case.request.id for case in verdict.cases] == ["r-1"]
     assert verdict.forms == {"no line of the VM; the runner answered 200": 1}
 
 
 def test_the_judge_lets_pass_what_did_not_run_or_promised_nothing(tmp_path: Path) -> None:
-    write_book(tmp_path, line("refused", 1.5, 503))
+    write_book(tmp_path, line(BookEvent.REFUSED, 1.5, 503))
     assert not judge([sent(503)], tmp_path).cases
-    write_book(tmp_path, line("ran", 1.5))
+    write_book(tmp_path, line(BookEvent.RAN, 1.5))
     for request in (sent(200), sent(502), sent(None), sent(503, is_bid=False)):
         assert not judge([request], tmp_path).cases
