--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -426,7 +426,7 @@
         return frozenset(self._unlisted_until)
 
     def name_unlisted(self, target_id: str, version: str | None) -> None:
-        """Give an unlisted process its version."""
+        """Set the version of an unlisted process."""
         if target_id in self._unlisted_until and target_id in self._targets:
             self._targets[target_id] = attrs.evolve(self._targets[target_id], version=version)
 
--- a/lagoonlever/gateway/beliefs.py
+++ b/lagoonlever/gateway/beliefs.py
@@ -68,7 +68,7 @@
         return self.versions.only_version(service, self.targets.targets)
 
     def name_unlisted(self) -> None:
-        """Give unlisted processes the one version of their service, as the store names nobody."""
+        """Set the version of unlisted processes to the only one of their service."""
         targets, unlisted = self.targets.targets, self.targets.unlisted
         for target_id in unlisted:
             target = self.targets.find(target_id)
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -74,13 +74,13 @@
         return self._possible_runs > 0
 
     def written(self, target: str) -> None:
-        """Note that the request is being written to a target."""
+        """Record that the request is being written to a target."""
         self.sent += 1
         self.target = target
         self._possible_runs += 1
 
     def denied(self) -> None:
-        """Note that the target of one attempt says that it has not run the request."""
+        """Record that the target of one attempt says that it has not run the request."""
         self._possible_runs -= 1
 
 
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -394,7 +394,7 @@
         ``first`` tells that its connection has carried no other request.
         """
         engine = self._plan.engine
-        self._tools.client.note_refusal(engine.address, head)
+        self._tools.client.record_refusal(engine.address, head)
         if not head.is_for(self._accepted.request_id, first=first):
             log_foreign(head, request_id=self._accepted.request_id, target=engine.id)
             raise _Ended(f"the answer is for request {head.request_id}")
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -169,7 +169,7 @@
             response, head = await self._read_own_head(connection, hop, request_id)
         except (ConnectionBroken, BadResponse) as error:
             return Lost(detail=error.message)
-        self.note_refusal(connection.address, head)
+        self.record_refusal(connection.address, head)
         if not head.is_for(request_id, first=not connection.served_before):
             return Lost(detail=f"the answer is for request {head.request_id}")
         self._words.heard(hop.target_id, head, sent_at=sent_at)
@@ -180,8 +180,8 @@
             return refused
         return OpenAnswer(connection=connection, response=response, head=head)
 
-    def note_refusal(self, address: Address, head: AnswerHead) -> None:
-        """Note whether a target names the request that it refuses, if an answer is a refusal."""
+    def record_refusal(self, address: Address, head: AnswerHead) -> None:
+        """Record whether a target names the request that it refuses, if an answer is a refusal."""
         if head.refused and head.request_id is None:
             self._nameless_until[address] = trio.current_time() + NAMELESS_S
         elif head.refused:
