--- a/lagoonlever/tests/losses_of_all_vms_tests.py
+++ b/lagoonlever/tests/losses_of_all_vms_tests.py
@@ -365,10 +365,9 @@
     run_site(story, engines=0)
 
 
-def test_a_process_at_a_lost_engine_s_address_is_of_no_known_version_while_the_store_is_there() -> (
-    None
-):
-    """Its entry names the version soon; until then it may be the first process of another one."""
+@pytest.mark.parametrize("store_away", [False, True])
+def test_a_process_at_a_lost_engine_s_address_is_of_no_known_version(store_away: bool) -> None:
+    """It may be the first process of another version; only its own entry names that one."""
 
     async def story(site: GatewaySite) -> None:
         await start_versions(site, v1=1)
@@ -380,10 +379,13 @@
 
         def on_event(count: int) -> None:
             if count == LOST_AT:
+                if store_away:
+                    site.store.fault = StoreFault.REFUSING
                 site.crash("v1-0")
                 site.nursery.start_soon(come_back)
 
-        stream = await site.stream("p-1", events=EVENTS, on_event=on_event, Deadline_Ms="4000")
+        deadline_ms = "9000" if store_away else "4000"
+        stream = await site.stream("p-1", events=EVENTS, on_event=on_event, Deadline_Ms=deadline_ms)
         assert stream.versions == {"v1"}
 
     run_site(story, engines=0, bounds=Bounds(grace_s=3.0, address_reuse_s=30.0))
