Tests: a stream whose second attempt is turned away is sent once versions are recorded

Cause: in the first moment of a fleet a stream waits for the record of versions and is planned anew; the test's planner turns the second plan away, so nothing had been sent and 'not run' was true. The test waits for the record first; what it checks is unchanged.

--- a/lagoonlever/tests/own_refusals_tests.py
+++ b/lagoonlever/tests/own_refusals_tests.py
@@ -346,6 +346,9 @@
     async def story(site: GatewaySite) -> None:
         for engine in site.engines.values():
             engine.conducts.append(EngineConduct.LOSE_ANSWER)
+        # A stream that has to wait for the record of versions is planned a second time.
+        versions = site.vms["vm-0"].daemon.parts.beliefs.versions
+        await until(lambda: versions.of("engines"))
         stream = await site.stream("lost")
         assert sum(engine.read_tokens["lost"] for engine in site.engines.values())
         assert stream.status not in NOT_RUN_STATUSES
