--- a/lagoonlever/tests/own_refusals_tests.py
+++ b/lagoonlever/tests/own_refusals_tests.py
@@ -163,7 +163,7 @@
 
 
 async def connect_slowly() -> None:
-    """Take nearly as long for a connection as a VM waits for it."""
+    """Open a connection nearly as late as a VM waits for it."""
     await trio.sleep(CONNECT_TIMEOUT_S * 0.8)
 
 
--- a/lagoonlever/tests/refused_bids_runner.py
+++ b/lagoonlever/tests/refused_bids_runner.py
@@ -49,7 +49,7 @@
     MUTE = "mute"
     """Runs, and never answers."""
     SLOW = "slow"
-    """Takes several times as long."""
+    """Works several times as long."""
     CUT = "cut"
     """Loses the connections of some VMs, and takes no new ones of theirs."""
 
