Streams: a first event is not taken for one of the former engine of its request (ORDER)

What callers saw: a stream was taken up at another VM and went on at an engine of another version, with 200. No VM has to be lost but the one that relayed it.

Cause: the news of a first event named its request alone. A VM that had missed the news of the request's second run, as one that was paused or whose buffers were full, knew the first run only, at the engine that came to nothing, and took that engine's version for the one that began the stream. It told others so, and went on there. The class: a fact about a run that is looked up by a name (the request's) which has come to mean something else; with it, a lost message taken for "nothing happened".

Change: the news names the engine and the start of its process. A VM whose run of that request is another one takes nothing from it: neither the origin, nor the engine's load, nor that the run has begun.

--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -146,8 +146,18 @@
         if origin is not None:
             for notify in self._on_stream_begun:
                 notify(origin)
-        word = self._beliefs.loads.latest_report(run.engine) if run is not None else None
-        self._relay.tell(RunFlows(request=request, load=EngineWord.of(word, now), writer=writer))
+        if run is None:
+            return
+        word = self._beliefs.loads.latest_report(run.engine)
+        self._relay.tell(
+            RunFlows(
+                request=request,
+                engine=run.engine,
+                engine_started_ms=run.engine_started_ms,
+                load=EngineWord.of(word, now),
+                writer=writer,
+            )
+        )
 
     def end(self, ended: RunEnded) -> None:
         """Note the end of a run of this VM, and tell the others."""
@@ -254,12 +264,7 @@
         elif book.find_relay_vm(change.request) == self._vm:
             return
         elif isinstance(change, RunFlows):
-            book.record_first_event(change.request, self._timers.now)
-            run = book.find_run(change.request)
-            self._record_origin(run, change.writer)
-            if run is not None:
-                self._tell_run_begun(run)
-            self._take_load(change)
+            self._take_first_event(change)
         elif isinstance(change, RunCopied):
             book.record_copy(change.request, change.copy)
         else:
@@ -279,10 +284,23 @@
         self._beliefs.versions.record_begin(run.service, origin.version, run.engine, now)
         return origin
 
-    def _take_load(self, change: RunFlows) -> None:
-        """Take an engine's word that another VM passes on, unless it is of a former process."""
+    def _take_first_event(self, change: RunFlows) -> None:
+        """Take the first event of another VM's run, if this VM has heard of that run.
+
+        News may be lost. The run that is known here may be a former one of the request, at an
+        engine of another version.
+        """
         run = self._beliefs.book.find_run(change.request)
-        if run is None or change.load is None:
+        if run is None or not change.is_of(run):
+            return
+        self._beliefs.book.record_first_event(change.request, self._timers.now)
+        self._record_origin(run, change.writer)
+        self._tell_run_begun(run)
+        self._take_load(change, run)
+
+    def _take_load(self, change: RunFlows, run: EngineRun) -> None:
+        """Take an engine's word that another VM passes on, unless it is of a former process."""
+        if change.load is None:
             return
         engine = self._beliefs.targets.find(run.engine)
         if engine is None or engine.is_later_than(run.engine_started_ms):
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -119,11 +119,19 @@
     """A run has given its first event."""
 
     request: str
+    engine: str | None = None
+    """The id of the engine that the run was sent to; None from a VM that does not tell it."""
+    engine_started_ms: int | None = None
+    """Start time of the engine's process, as known when the run was sent."""
     load: EngineWord | None = None
     """What its engine has just said, where it tells how slow its machine is."""
     writer: Writer = PROVEN
     """The process that wrote the event."""
 
+    def is_of(self, run: EngineRun) -> bool:
+        """Check whether it tells of a run, and not of another one of the same request."""
+        return (self.engine, self.engine_started_ms) == (run.engine, run.engine_started_ms)
+
 
 @PEER.message("gc")
 @attrs.frozen(kw_only=True)
