--- a/lagoonlever/decisions/streams/versions_in_use.py
+++ b/lagoonlever/decisions/streams/versions_in_use.py
@@ -17,7 +17,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -64,17 +64,11 @@
         """Return the recorded versions of a service."""
         return self._recorded.versions.get(service, EMPTY)
 
-    def only_version(
-        self,
-        service: str,
-        targets: Iterable[ListedTarget],
-        *,
-        besides: Collection[str] = (),
-    ) -> str | None:
+    def only_version(self, service: str, targets: Iterable[ListedTarget]) -> str | None:
         """Return the version at which any stream of a service began, or None if that is open.
 
         It is open while one of the ``targets`` that are listed has a version that is not recorded,
-        or a stream began at a process of unknown version that is none of ``besides``.
+        or a stream began at a process of unknown version.
         """
         versions = self.of(service)
         if not self._recorded.proven or len(versions) != 1:
@@ -82,7 +76,7 @@
         listed = {t.version for t in targets if t.service == service and t.version is not None}
         if not listed <= versions:
             return None
-        if any(of == service and engine not in besides for of, engine in self._unnamed):
+        if any(of == service for of, _ in self._unnamed):
             return None
         return next(iter(versions))
 
--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -395,14 +395,12 @@
         others = [t for t in self._targets.values() if t.address == target.address]
         return any(t is not target and self._is_available(t) for t in others)
 
-    def adopt_unlisted(
-        self, former_id: str, new_id: str, now: float, *, version: str | None = None
-    ) -> bool:
+    def adopt_unlisted(self, former_id: str, new_id: str, now: float) -> bool:
         """Use an unlisted process that was found at a lost target's address in its place.
 
-        Its ``version`` is unknown unless its service has only one: a version belongs to a process
-        and not to its address. Return whether it is used. It is not if its id is already known, or
-        if the address has a newer entry or another process that was found there.
+        Its version is unknown until its own entry names it: a version belongs to a process and not
+        to its address. Return whether it is used. It is not if its id is already known, or if the
+        address has a newer entry or another process that was found there.
         """
         former = self._targets.get(former_id)
         if former is None or new_id in self._targets or new_id in self._removed:
@@ -415,21 +413,11 @@
         for target in there:
             self._replaced_at[target.id] = now
         self._targets[new_id] = attrs.evolve(
-            former, id=new_id, draining=False, version=version, started_ms=None
+            former, id=new_id, draining=False, version=None, started_ms=None
         )
         self._unlisted_until[new_id] = now + UNLISTED_LIFETIME_S
         return True
 
-    @property
-    def unlisted(self) -> frozenset[str]:
-        """The processes in use that no entry names."""
-        return frozenset(self._unlisted_until)
-
-    def name_unlisted(self, target_id: str, version: str | None) -> None:
-        """Set the version of an unlisted process."""
-        if target_id in self._unlisted_until and target_id in self._targets:
-            self._targets[target_id] = attrs.evolve(self._targets[target_id], version=version)
-
     def expire(self, now: float, *, store_away: bool = False) -> tuple[TargetChange, ...]:
         """Drop records whose time is over; return the held removals that count from now on.
 
--- a/lagoonlever/gateway/beliefs.py
+++ b/lagoonlever/gateway/beliefs.py
@@ -67,15 +67,6 @@
             return None
         return self.versions.only_version(service, self.targets.targets)
 
-    def name_unlisted(self) -> None:
-        """Set the version of unlisted processes to the only one of their service."""
-        targets, unlisted = self.targets.targets, self.targets.unlisted
-        for target_id in unlisted:
-            target = self.targets.find(target_id)
-            if target is not None and target.version is None:
-                version = self.versions.only_version(target.service, targets, besides=unlisted)
-                self.targets.name_unlisted(target_id, version)
-
     def has_open_origins(self, service: str) -> bool:
         """Check whether streams of a service may have begun at several versions or services.
 
--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -25,7 +25,6 @@
     _beliefs: Beliefs
     _timers: TimerService
     _on_started_again: list[Callable[[str], None]] = attrs.field(factory=list)
-    _store_away: bool = False
 
     def on_started_again(self, notify: Callable[[str], None]) -> None:
         """Have ``notify`` called with each target that has started again under its id."""
@@ -109,20 +108,15 @@
 
     def take_found(self, former: str, found: str, *, source: str) -> bool:
         """Take a process that has a lost target's place; gives whether it counts."""
-        counts = self._beliefs.targets.adopt_unlisted(
-            former, found, self._timers.now, version=self._only_version(former)
-        )
+        counts = self._beliefs.targets.adopt_unlisted(former, found, self._timers.now)
         if counts:
             events.REPLACEMENT_FOUND.log(log, target=found, former=former, source=source)
         return counts
 
     def expire(self, *, store_away: bool) -> tuple[TargetChange, ...]:
         """Let removals count that were held; gives them."""
-        self._store_away = store_away
         registry = self._beliefs.targets
         known = {target.id: target for target in registry.targets}
-        if store_away:
-            self._beliefs.name_unlisted()
         changes = registry.expire(self._timers.now, store_away=store_away)
         for change in changes:
             self._log_change(change, known[change.id])
@@ -136,17 +130,6 @@
         events.TARGET_REPLACED.log(log, target=target_id, source=source)
         registry.mark_replaced(target_id, self._timers.now)
 
-    def _only_version(self, target_id: str) -> str | None:
-        """Return the version of every process of a target's service, or None if they may differ.
-
-        While the store is there a process of another version may have come, and its own entry names
-        it soon. In an outage nothing would, and streams would be left no engine.
-        """
-        target = self._beliefs.targets.find(target_id)
-        if target is None or not self._store_away:
-            return None
-        return self._beliefs.only_version(target.service)
-
     def _note_machine(self, target: ListedTarget) -> None:
         """Take the pace of the engine that had a target's address before it."""
         for former in self._beliefs.targets.targets:
