Streams: a report from before the connection proves nothing of who writes (ORDER)

Cause: the question for the process that wrote a first event was shared with any that was asked since the attempt began, also before its connection was made. The engine may tell its start, end, and another version answer on the new connection.

What callers saw: the stream was bound to the former version and went on there: text of two versions.

Found by reading; it takes an engine that is back within 50 ms, so it is rare.

Change: only a report that was asked for once the connection was there is taken.

Why it holds: the process of the connection was there before the question, so one that answers with the listed start after it is the same one.

--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -85,6 +85,8 @@
     _placer: Placer
     _splitter: RawEventSplitter = attrs.field(factory=RawEventSplitter)
     _started: float = 0.0
+    _connected: float = 0.0
+    """When the connection was there. An earlier report may be of another process."""
     _answered: bool = False
     """The head of the engine's answer has come, so the engine has begun to run it."""
     _flowing: bool = False
@@ -143,6 +145,7 @@
             await self._tools.client.keep(connection)
             self._life.record_engine_busy(engine.id)
             return
+        self._connected = self._now
         head: AnswerHead | None = None
         try:
             await self._confirm_process()
@@ -424,7 +427,7 @@
         for event in arrived:
             writer: Writer | None = None
             if not self._flowing:
-                writer = await self._writers.find(since=self._started) or UNKNOWN
+                writer = await self._writers.find(since=self._connected) or UNKNOWN
             if writer is not None and not writer.proven and self._life.origin is not None:
                 raise _Ended("another process may have answered than one of the stream's version")
             verdict = self._life.check_event(event.id)
@@ -445,7 +448,7 @@
         """Bind the stream once its engine has told which process writes it."""
         request, run = self._accepted.request_id, self._plan.run
         events_streams.WRITER_UNKNOWN.log(log, request=request, target=run.engine)
-        writer = await self._writers.find_later(since=self._started)
+        writer = await self._writers.find_later(since=self._connected)
         self._life.origin = StreamOrigin.of_run(run, writer)
         self._peers.flows(request, writer)
 
