Streams: a process that came after the first event is not taken for its writer (ORDER)

Cause: the answer to the question for the writer was taken for the writer also if it told another start than the listed one. But a VM may have been suspended between the event and the question, or the open connection have gone silent for good while each question was lost: then the writer ended, and its successor under the same id answers. The class: a fact about a run that is looked up by a name which has come to mean something else.

What callers saw: one event of v1, then events 2 to 60 of v2, in one answer.

Change: a stream whose engine tells another start than the listed one begins unknown. It is bound to the process that told once the connection has certainly shown life after that, by the signs of life that are kept for replacements: nothing was there to be read, and then data came.

Why it holds: two processes don't have one address at a time, and the connection is older than the answer. So one that lives after the answer is that of the process which told. A report with the listed start is proof as before: that process was there before the request and still is.

Cost: such a stream is unknown for some 0.05 to 0.1 s longer, and is told once more.

--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -52,6 +52,8 @@
 """Of the allowed repeats: moves only save time, and leave the rest to streams that broke."""
 BEGUN_S = 0.3
 """An engine that a part of the prompt ends does so within this time from its first event."""
+ALIVE_CHECK_S = 0.05
+"""Between looks at whether an engine has shown life."""
 PAUSE_TOLD_S = 0.3
 """Pauses between events that are worth a word in the log."""
 
@@ -435,23 +437,40 @@
                 raise _Ended(f"event {event.id} came after {self._life.position}")
             if writer is not None:
                 # Others know before the caller does: this VM may die right after.
-                self._tell_begun(writer)
-            if writer is UNKNOWN:
-                nursery.start_soon(self._bind_later)
+                self._tell_begun(writer if writer.proven else UNKNOWN)
+                if not writer.proven:
+                    nursery.start_soon(self._bind_later, writer)
             if verdict is EventVerdict.FORWARD:
                 self._life.timing.record_event(self._now)
                 self._counts.event()
                 await self._accepted.exchange.write(event.data)
             self._note_event(silence)
 
-    async def _bind_later(self) -> None:
-        """Bind the stream once its engine has told which process writes it."""
+    async def _bind_later(self, told: Writer) -> None:
+        """Bind the stream once it is known which process writes it.
+
+        A process with another start than the listed one may have come after the first event, if
+        this VM was suspended or the connection has gone silent. It is the one that writes if the
+        connection shows life after it has told its start.
+        """
         request, run = self._accepted.request_id, self._plan.run
-        events_streams.WRITER_UNKNOWN.log(log, request=request, target=run.engine)
-        writer = await self._writers.find_later(since=self._connected)
+        writer = told
+        if writer is UNKNOWN:
+            events_streams.WRITER_UNKNOWN.log(log, request=request, target=run.engine)
+            writer = await self._writers.find_later(since=self._connected)
+        if not writer.proven:
+            await self._until_alive_after(self._tools.timers.elapsed)
         self._life.origin = StreamOrigin.of_run(run, writer)
         self._peers.flows(request, writer)
 
+    async def _until_alive_after(self, elapsed: float) -> None:
+        """Wait until the connection has certainly shown life after a time."""
+        while True:
+            await trio.sleep(ALIVE_CHECK_S)
+            alive_at = self._signs.alive_at
+            if alive_at is not None and alive_at > elapsed:
+                return
+
     def _tell_begun(self, writer: Writer) -> None:
         """Bind the stream to the version that writes its first event, and tell the other VMs."""
         if self._life.origin is None:
--- a/lagoonlever/tests/stream_writers_tests.py
+++ b/lagoonlever/tests/stream_writers_tests.py
@@ -2,13 +2,69 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+import attrs
+import pytest
 import trio
 
 from lagoonlever.decisions.targets.listed_target import ListedTarget
-from lagoonlever.tests.gateway_site import GatewaySite, run_site, until
-from lagoonlever.tests.stream_versions_tests import EVENTS, LOST_AT, serving, start_versions
+from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site, until
+from lagoonlever.tests.stream_versions_tests import (
+    EVENTS,
+    LOST_AT,
+    serving,
+    start_versions,
+)
 from lagoonlever.tests.version_records_tests import _Connecting, _use_client, list_again
 
+NEXT_START_MS = 1_800_000_000_000
+"""Later than the start of any engine that a site has begun."""
+
+
+@attrs.define
+class WatchedProber:
+    """Asks engines as the gateway's own does; loses the first questions, then calls a function."""
+
+    prober: object
+    lost: int
+    before_answer: Callable[[], None]
+    called: bool = False
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self.prober, name)
+
+    async def ask(self, *args: object, **more: object) -> object:
+        if self.lost:
+            self.lost -= 1
+            return None
+        if not self.called:
+            self.called = True
+            self.before_answer()
+        return await self.prober.ask(*args, **more)
+
+
+def watch_questions(
+    site: GatewaySite, vm: str, *, lost: int, before_answer: Callable[[], None]
+) -> None:
+    for handler in site.vms[vm].daemon.parts.front._serve.values():
+        tools = getattr(handler.__self__, "_tools", None)
+        if tools is not None and hasattr(tools, "prober"):
+            tools.prober = WatchedProber(tools.prober, lost, before_answer)
+
+
+@attrs.define
+class OneEventOnly(float):
+    """The time before an engine's next event: it gives one, and then none."""
+
+    given: bool = False
+
+    def __mul__(self, pace: float) -> float:
+        if self.given:
+            return 30.0
+        self.given = True
+        return 0.01
+
 
 def test_a_report_from_before_the_connection_does_not_prove_who_writes() -> None:
     """Its engine told its start, ended, and another version answered on the new connection."""
@@ -46,3 +102,36 @@
         assert stream.versions == {"v2"}
 
     run_site(story, engines=0)
+
+
+@pytest.mark.parametrize("lost", [0, 3])
+def test_a_process_that_came_after_the_first_event_is_not_taken_for_its_writer(lost: int) -> None:
+    """The VM was suspended, or the open connection silent, as the writer ended and one came."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v1=1)
+        engine = site.engines["v1-0"]
+        engine.event_s = OneEventOnly()
+
+        def come_back() -> None:
+            engine.started_ms = NEXT_START_MS
+            engine.version = "v2"
+            list_again(site, "v1-0", state="draining")
+
+        watch_questions(site, "vm-0", lost=lost, before_answer=come_back)
+        got: list[Stream] = []
+
+        async def read() -> None:
+            got.append(await site.stream("p-1", events=EVENTS, Deadline_Ms="4000"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read)
+            await until(lambda: engine.runs)
+            await trio.sleep(0.6)
+            await start_versions(site, v2=1)
+            site.crash("v1-0")
+        assert got[0].last_event == 1
+        assert got[0].versions == {"v1"}
+
+    run_site(story, engines=0)
