--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -8,6 +8,7 @@
 
 import math
 import os
+import re
 import select
 import socket
 from collections import deque
@@ -35,6 +36,7 @@
 """Interim responses before a final one."""
 POOL_IDLE_S = 4.0
 """Far below the idle timeout of usual servers, so that reuse seldom meets a closing socket."""
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 KEEPALIVE_PROBES = 2
 """Unanswered TCP keep-alive probes after which a connection counts as broken."""
 
@@ -179,12 +181,18 @@
         await self._send(b"".join(piece or b"" for piece in pieces))
 
     async def read_head(self) -> Response:
-        """Read the head of the response; its body is empty and read by ``iter_body``."""
+        """Read the head of the response; its body is empty and read by ``iter_body``.
+
+        Raise ``BadResponse`` where another head begins within it, as one that breaks off and the
+        next one read together would be an answer that nobody gave.
+        """
         for _ in range(MAX_INTERIM + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                if _holds_status_line(event):
+                    raise self._bad("broke off within a head, and another one followed")
                 self._head_read = True
                 headers = Headers.from_raw(event.headers)
                 self._tells_length = _tells_length(event.status_code, headers)
@@ -321,6 +329,12 @@
         raise ConnectFailed(str(error) or "timed out", step="connect", peer=str(address)) from error
 
 
+def _holds_status_line(response: h11.Response) -> bool:
+    """Check whether a head holds the first line of another one, in its reason or in a field."""
+    values = (value for _, value in response.headers)
+    return STATUS_LINE.search(b"\n".join((response.reason, *values))) is not None
+
+
 def _tells_length(status: int, headers: Headers) -> bool:
     """Check whether an answer has a body whose end is told by its head or in the body itself."""
     if status in BODILESS or headers.get("Content-Length") is not None:
--- a/lagoonlever/tests/answers_out_of_step_tests.py
+++ b/lagoonlever/tests/answers_out_of_step_tests.py
@@ -31,6 +31,17 @@
 WORK_S = 0.2
 REFUSAL_OF_ANOTHER = raw_answer((OTHER, SAYS_UNRUN), status=BUSY)
 SERVED = raw_answer((OWN, (SEAL, "seal-{id}")), status="200 OK", body=b"answer to it")
+CUT_HEADS = {
+    "in-the-word": b"HTTP/1.1 503 Busy\r\nNot-Executed: 1",
+    "behind-the-word": b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n",
+    "in-a-field": b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nServer-Load: 6,2",
+    "in-the-name-of-a-field": b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nServer",
+    "in-the-id": b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: some",
+    "behind-the-id": b"HTTP/1.1 503 Busy\r\nRequest-Id: somebody-else\r\nNot-Executed: 1",
+    "before-a-folded-line": b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n ",
+    "in-the-status": b"HTTP/1.1 421 Misdirected",
+}
+"""Refusals of another request that break off, so that the next answer begins within them."""
 
 
 @pytest.mark.parametrize("way", WAYS)
@@ -77,6 +88,43 @@
     play(story, way=way)
 
 
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("cut_head", CUT_HEADS.values(), ids=CUT_HEADS)
+def test_a_bid_that_runs_is_not_called_unrun_by_a_cut_refusal_that_its_answer_follows(
+    cut_head: bytes, way: str
+) -> None:
+    """Two heads were read as one: the refusal's status with the id of the bid's own answer."""
+
+    async def story(site: GatewaySite) -> None:
+        script(site, ScriptedAnswer(body=b"answer to first", late=cut_head))
+        assert await judge(site, "first") == 200
+        await judge(site, "second")
+        assert runs(site)["second"] == 1
+        await judge(site, "third")
+
+    play(story, way=way)
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_a_bid_that_failed_is_not_called_served_by_a_cut_answer_that_its_own_follows(
+    way: str,
+) -> None:
+    """Two heads were read as one: another answer's status with the seal of the bid's own one."""
+
+    async def story(site: GatewaySite) -> None:
+        cut_answer = b"HTTP/1.1 200 OK\r\nServer-Load: 6,2"
+        script(
+            site,
+            ScriptedAnswer(body=b"answer to first", late=cut_answer),
+            ScriptedAnswer(status=500, body=b"answer to second"),
+        )
+        assert await judge(site, "first") == 200
+        assert await judge(site, "second") in (500, *UNPROVEN)
+        assert runs(site)["second"] == 1
+
+    play(story, way=way)
+
+
 @pytest.mark.parametrize("way", WAYS)
 @pytest.mark.parametrize("copies", range(1, MAX_SKIPPED + 3))
 def test_a_bid_behind_copies_of_refusals_in_series_is_told_its_own_answer_or_that_none_is_known(
--- a/lagoonlever/tests/http_client_tests.py
+++ b/lagoonlever/tests/http_client_tests.py
@@ -21,6 +21,9 @@
         (HEAD[:20], ConnectionBroken, "closed before it answered"),
         (HEAD + b"he", ConnectionBroken, "without sending complete message body"),
         (b"no HTTP at all\r\n\r\n", BadResponse, "illegal"),
+        (HEAD[:15] + HEAD + b"hello", BadResponse, "broke off within a head"),
+        (HEAD[:-4] + HEAD + b"hello", BadResponse, "bad Content-Length"),
+        (HEAD[:-23] + b"X: 1" + HEAD + b"hello", BadResponse, "broke off within a head"),
     ],
 )
 def test_an_early_end_is_a_broken_connection_and_no_bad_response(answer, error, message):
@@ -46,6 +49,24 @@
     trio.run(main)
 
 
+def test_a_field_may_name_a_version_of_http():
+    """Guards against answers that are lost behind a proxy which tells of itself."""
+
+    async def main():
+        async def serve(stream):
+            await stream.receive_some(65536)
+            await stream.send_all(HEAD[:-2] + b"Via: HTTP/1.1 gate, 1.0 HTTP/1.0\r\n\r\nhello")
+
+        listeners = await open_listeners(host="127.0.0.1", port=0)
+        address = Address(host="127.0.0.1", port=listeners[0].socket.getsockname()[1])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            assert (await fetch(address, path="/", step="test", timeout_s=20)).body == b"hello"
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 @pytest.mark.parametrize("waits", [False, True])
 def test_a_request_whose_connection_was_aborted_is_told_so(waits: bool) -> None:
     """Guards against a fault, and no answer, as the VM that a connection leads by is found gone.
