Streams: an unlisted process is asked which it is, as its id may be listed first for the next one (ORDER)

Cause: where no start was known the process was taken for proven without a question. Of a process that no entry has named, as one that was found at a lost engine's address in an outage of the store, nothing but its id was kept; another process that was listed under that id later gave the stream its version.

What callers saw: a stream that v2 began was taken up, with 200, at v1.

Change: an unlisted process is asked too. If it tells its start, only an entry of that start names it. A listed target without a start is believed as before, and so is an unlisted one that tells no start: such targets get another id with each process.

Cost: one question for each stream that begins at an unlisted process; none elsewhere.

--- a/lagoonlever/gateway/writer_finder.py
+++ b/lagoonlever/gateway/writer_finder.py
@@ -31,8 +31,13 @@
     _take_report: Callable[[EngineReport | None], None]
 
     async def find(self, *, since: float) -> Writer | None:
-        """Return the process that answers, or None if each question was lost."""
-        if self._plan.run.engine_started_ms is None:
+        """Return the process that answers, or None if each question was lost.
+
+        A process that is listed without a start is believed: it gets another id with each process.
+        One that is not listed may tell its start, and be gone before its id is listed.
+        """
+        run = self._plan.run
+        if run.engine_started_ms is None and run.version is not None:
             return PROVEN
         writer: Writer | None = None
         for _ in range(QUESTIONS):
--- a/lagoonlever/tests/stream_writers_tests.py
+++ b/lagoonlever/tests/stream_writers_tests.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 import pytest
 import trio
 
 from lagoonlever.decisions.targets.listed_target import ListedTarget
+from lagoonlever.fakes.metadata_store import StoreFault
+from lagoonlever.gateway.settings import Bounds
 from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site, until
 from lagoonlever.tests.stream_versions_tests import (
     EVENTS,
     LOST_AT,
     serving,
     start_versions,
+    versions_of,
 )
 from lagoonlever.tests.version_records_tests import _Connecting, _use_client, list_again
 
@@ -135,3 +139,47 @@
         assert got[0].versions == {"v1"}
 
     run_site(story, engines=0)
+
+
+def test_an_unlisted_process_is_not_named_by_the_entry_of_the_next_one_under_its_id() -> None:
+    """It was found at a lost engine's address, and its id was listed first for its successor."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v1=1)
+
+        async def come_back() -> None:
+            await trio.sleep(0.5)
+            engine = await site.start_in_place_of("v1-0", "next", version="v2")
+            engine.started_ms = NEXT_START_MS
+
+        def crash(count: int) -> None:
+            if count == LOST_AT:
+                site.store.fault = StoreFault.REFUSING
+                site.crash("v1-0")
+                site.nursery.start_soon(come_back)
+
+        async def come_back_as_the_former_version() -> None:
+            site.crash("next")
+            site.store.fault = StoreFault.NONE
+            await trio.sleep(0.05)
+            engine = await site.start_in_place_of("v1-0", "next", version="v1")
+            engine.started_ms = NEXT_START_MS + 1
+            site.addresses["next"] = site.addresses["v1-0"]
+            list_again(site, "next", state="ready")
+
+        def crash_next(count: int) -> None:
+            if count == LOST_AT:
+                site.nursery.start_soon(come_back_as_the_former_version)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(partial(site.stream, "p-1", events=EVENTS, on_event=crash))
+            await until(lambda: "next" in site.engines)
+            got = await site.stream("p-2", events=EVENTS, on_event=crash_next, Deadline_Ms="6000")
+            nursery.cancel_scope.cancel()
+        assert got.last_event >= LOST_AT
+        await until(lambda: serving(site, "vm-0", "v1") == ["next"])
+        second = await site.take_up(got, "p-2", events=EVENTS, Deadline_Ms="3000")
+        assert versions_of(got, second) == {"v2"}
+
+    run_site(story, engines=0, bounds=Bounds(grace_s=3.0, address_reuse_s=30.0))
