Targets: an entry of an older copy does not name a later process that is gone (ORDER)

Cause: an entry of a start before the known one, in a store that is back from an older copy, is taken with the known start. If the target was off the list by then, the entry's version went with it: the version of the former process for the later one.

A stream that the later process began, of unknown version until then, resolved to the former version; and the later process, if it still runs, counted as of it once the entry was confirmed.

Evidence: stream_origins_tests.py::test_an_entry_of_an_older_copy_does_not_name_a_later_process_that_is_gone failed before ('v1' is None).

Change: such an entry names no version, until the process writes its own.

--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -479,7 +479,8 @@
             self._targets[target.id] = attrs.evolve(known, revision=target.revision)
             return True
         if self._is_of_former_process(target):
-            target = attrs.evolve(known or target, started_ms=start, revision=target.revision)
+            later = known or attrs.evolve(target, version=None)
+            target = attrs.evolve(later, started_ms=start, revision=target.revision)
         if known is not None and self._is_still_draining(known, target):
             target = attrs.evolve(target, draining=True)
         if known is not None and _names_no_process(target, known):
--- a/lagoonlever/tests/stream_origins_tests.py
+++ b/lagoonlever/tests/stream_origins_tests.py
@@ -143,6 +143,18 @@
     assert not registry.takes_work("e", version="v1")
 
 
+def test_an_entry_of_an_older_copy_does_not_name_a_later_process_that_is_gone() -> None:
+    """The store is back from a copy of before the engine was back under its id."""
+    registry = listing(target("e", "v1", started_ms=5), target("e", "v2", started_ms=9, number=8))
+    registry.apply_change(
+        TargetChange(id="e", target=None, revision=Revision(number=9)), now=1.0, store_back_at=None
+    )
+    older = attrs.evolve(target("e", "v1", started_ms=5), revision=Revision(era=1, number=1))
+    registry.apply_list([older], revision=Revision(era=1, number=2), now=2.0, store_back_at=None)
+    began = attrs.evolve(origin("r", None, "e"), engine_started_ms=9)
+    assert began.resolve(registry).version is None
+
+
 def test_an_engine_that_was_lost_is_asked_which_process_it_is_before_a_stream_goes_on() -> None:
     """Guards against both a guess, and an engine that gets no stream for good."""
     registry = listing(target("tells", "v1", started_ms=5), target("silent", "v1"))
