Versions: a stream of unknown beginning is named by its own process alone (ORDER)

Cause: what leaves open whether a service has one version, a stream that began at a process of unknown or unrecorded version, was dropped as soon as its engine's id was listed with a recorded version: also by the entry of the former process, which may be listed all the time, and by that of the next one.

A caller that names no beginning would have gone on at the only recorded version.

Evidence: three tests of stream_origins_tests.py failed before (on the former signature; test_a_begin_..., 'v1' is None, 3 of 3).

Change: a beginning is kept with its process's start and, if nobody knows the process, with its request. An entry of that start names it, the record of its version, or the answer to a later question for its writer; else it is over with its streams.

--- a/lagoonlever/decisions/streams/versions_in_use.py
+++ b/lagoonlever/decisions/streams/versions_in_use.py
@@ -42,6 +42,21 @@
     """Whether no version can be missing from it."""
 
 
+_Place = tuple[str, str, int | None]
+"""A service and a process: its engine and start, or the request if nobody knows the engine."""
+
+
+@attrs.frozen(kw_only=True)
+class _Begin:
+    """The beginning of a stream at a process of no recorded version."""
+
+    at: float
+    version: str | None
+    """The version of the process, if it is known and only its record is not there yet."""
+    engine: str
+    started_ms: int | None
+
+
 @attrs.define(kw_only=True)
 class VersionsInUse:
     """The record, and what this VM has seen of the list since; times are monotonic seconds."""
@@ -50,8 +65,8 @@
     _last_listed: dict[tuple[str, str], float] = attrs.field(factory=dict)
     """When each version of a service was last on the list, or last began a stream."""
     _unproven_since: float | None = None
-    _unnamed: dict[tuple[str, str], float] = attrs.field(factory=dict)
-    """When a stream last began at a process of no recorded version, by service and engine."""
+    _unnamed: dict[_Place, _Begin] = attrs.field(factory=dict)
+    """The last beginning at each process of no recorded version."""
     _held_since: dict[tuple[str, str], float] = attrs.field(factory=dict)
     """When a stream first had to wait for the record of a version."""
 
@@ -76,7 +91,7 @@
         listed = {t.version for t in targets if t.service == service and t.version is not None}
         if not listed <= versions:
             return None
-        if any(of == service for of, _ in self._unnamed):
+        if any(place[0] == service for place in self._unnamed):
             return None
         return next(iter(versions))
 
@@ -124,17 +139,45 @@
         return True
 
     def name_processes(self, targets: Iterable[ListedTarget]) -> None:
-        """Record which processes the list has named since streams began there."""
-        named = {(t.service, t.id) for t in targets if t.version in self.of(t.service)}
-        for key in self._unnamed.keys() & named:
-            del self._unnamed[key]
+        """Record which processes have been named since streams began there.
 
-    def record_begin(self, service: str, version: str | None, engine: str, now: float) -> None:
-        """Record that a stream begins at a process."""
+        A process is named by its own entry, and not by that of another one under its id.
+        """
+        listed = {(target.service, target.id): target for target in targets}
+        for key, begin in list(self._unnamed.items()):
+            service = key[0]
+            if self._is_named(service, begin, listed.get((service, begin.engine))):
+                del self._unnamed[key]
+
+    def _is_named(self, service: str, begin: _Begin, entry: ListedTarget | None) -> bool:
+        if begin.version is not None:
+            return begin.version in self.of(service)
+        if entry is None or entry.has_restarted_since(begin.started_ms):
+            return False
+        return entry.version in self.of(service)
+
+    def record_begin(
+        self,
+        service: str,
+        version: str | None,
+        engine: str,
+        now: float,
+        *,
+        started_ms: int | None = None,
+        request: str = "",
+    ) -> None:
+        """Record that a stream begins at a process, or which process began it.
+
+        The ``engine`` of a process that nobody knows is empty.
+        """
+        self._unnamed.pop((service, request, None), None)
+        place = service, engine or request, started_ms
         if version is not None:
             self._last_listed[service, version] = now
-        if version is None or version not in self.of(service):
-            self._unnamed[service, engine] = now
+        if version is not None and version in self.of(service):
+            self._unnamed.pop(place, None)
+            return
+        self._unnamed[place] = _Begin(at=now, version=version, engine=engine, started_ms=started_ms)
 
     def record_restore(self, era: int) -> None:
         """Record that the store was restored: what this VM knows is newer than its record."""
@@ -144,7 +187,7 @@
 
     def expire(self, now: float, *, keep_s: float) -> None:
         """Forget begins so old that none of their streams can be resumed any more."""
-        for key in [k for k, at in self._unnamed.items() if now - at > keep_s]:
+        for key in [k for k, begin in self._unnamed.items() if now - begin.at > keep_s]:
             del self._unnamed[key]
 
     def is_proven(self, now: float, *, keep_s: float) -> bool:
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -281,7 +281,14 @@
         now = self._timers.now
         origin = StreamOrigin.of_run(run, writer)
         self._beliefs.origins.record(origin, now)
-        self._beliefs.versions.record_begin(run.service, origin.version, run.engine, now)
+        self._beliefs.versions.record_begin(
+            run.service,
+            origin.version,
+            origin.engine,
+            now,
+            started_ms=origin.engine_started_ms,
+            request=origin.request,
+        )
         return origin
 
     def _take_first_event(self, change: RunFlows) -> None:
--- a/lagoonlever/tests/stream_origins_tests.py
+++ b/lagoonlever/tests/stream_origins_tests.py
@@ -208,6 +208,37 @@
     assert versions.only_version(SERVICE, []) == "v1"
 
 
+def test_a_begin_at_an_unknown_process_is_not_named_by_the_entry_of_its_engine() -> None:
+    """Each question for the writer was lost: an entry of its id may name any other process."""
+    versions = VersionsInUse()
+    versions.apply_record(record("v1"), 0.0)
+    versions.record_begin(SERVICE, None, "", 0.0, request="r")
+    versions.name_processes([target("e", "v1", started_ms=5)])
+    assert versions.only_version(SERVICE, []) is None
+    versions.record_begin(SERVICE, "v1", "e", 1.0, request="r")
+    assert versions.only_version(SERVICE, []) == "v1"
+
+
+def test_a_begin_is_named_by_the_entry_of_its_own_process_alone() -> None:
+    """The next process under the id of an engine is listed, as one of the recorded version."""
+    versions = VersionsInUse()
+    versions.apply_record(record("v1"), 0.0)
+    versions.record_begin(SERVICE, None, "e", 0.0, started_ms=9)
+    versions.name_processes([target("e", "v1", started_ms=5)])
+    assert versions.only_version(SERVICE, []) is None
+    versions.name_processes([target("e", "v1", started_ms=9)])
+    assert versions.only_version(SERVICE, []) == "v1"
+
+
+def test_a_begin_at_a_version_that_is_not_recorded_is_named_by_its_record_alone() -> None:
+    """The store took no write, and the engine is back under its id as the recorded version."""
+    versions = VersionsInUse()
+    versions.apply_record(record("v1"), 0.0)
+    versions.record_begin(SERVICE, "v2", "e", 0.0, started_ms=5)
+    versions.name_processes([target("e", "v1", started_ms=9)])
+    assert versions.only_version(SERVICE, []) is None
+
+
 def test_a_version_is_recorded_as_it_comes_and_until_its_last_stream_is_over() -> None:
     versions = VersionsInUse()
 
