Presence: parts of a data centre that don't hear each other are told of each other

Cause of the line of KNOWN-RED.txt on gateway_presence_tests.py::test_a_large_fleet_that_starts_at_once_finds_itself_and_stays_found ("vm-36 did not see vm-66", both of one data centre): VMs of a data centre that hear of no others there take each other for its hubs, and speak to these only. The hubs elsewhere answer them, so they don't take themselves for cut off; but a hub tells a hub of another data centre only whom it has heard itself, so neither part ever hears of the other, for as long as both live. It comes about where all VMs start at once, as a seed names whom it knows by then, and after a cut inside a data centre of some seconds.

What callers saw: the other VMs of that data centre sent no caller to the smaller part, and knew nothing of its runs and losses.

Change: a hub tells a hub elsewhere of the hubs of that one's data centre that don't hear it, by a digest that names just the hub. The one that is told speaks to them, and as it takes them for the hubs it passes their digests on to its own speakers, as before.

Why it holds: each hub elsewhere hears both parts and ranks their hubs alike. In calm the hubs of a data centre hear each other, so nothing is sent. A large fleet in one data centre has no hubs elsewhere and stays open (docs/findings.md). That the listed run was this is inferred from its two VMs; its output was not kept.

--- a/lagoonlever/gateway/presence.py
+++ b/lagoonlever/gateway/presence.py
@@ -219,12 +219,42 @@
         self._rounds += 1
         digest = self._digest(own, speakers)
         told = (state.life.name for state in self._remote_hubs(own))
-        remote = tuple(dict.fromkeys((*roles.other_hubs, *told)))
-        self._send_to(remote, FellowDigests(digests=(digest,)))
+        for hub in dict.fromkeys((*roles.other_hubs, *told)):
+            self._send_to((hub,), FellowDigests(digests=(digest, *self._hubs_to_meet(hub, roles))))
         together = FellowDigests(digests=(digest, *self._passed_on()))
         told_now = [speaker for speaker in speakers if speaker.life.name in self._spoke]
         self._bus.send_to_all((speaker.bus for speaker in told_now), together)
 
+    def _hubs_to_meet(self, name: str, roles: Roles) -> list[FellowDigest]:
+        """Return digests that tell a hub elsewhere of its data center's hubs that don't hear it.
+
+        VMs that were cut from the rest of their data center take each other for its hubs, as do
+        VMs that heard of no others there when the fleet started. Both parts hear the hubs
+        elsewhere, so neither takes itself for cut off, and neither would ever hear the other.
+        """
+        fellows = self._beliefs.fellows
+        state = fellows.find(name)
+        if state is None:
+            return []
+        unmet = [
+            fellows.find(hub)
+            for hub in roles.other_hubs
+            if hub != name
+            and (digest := self._passing.get(hub)) is not None
+            and digest.data_center == state.data_center
+            and state.life.nonce not in digest.heard
+        ]
+        return [
+            FellowDigest(
+                hub=hub.life.name,
+                data_center=hub.data_center,
+                heard=(hub.life.nonce,),
+                news=(hub,),
+            )
+            for hub in unmet
+            if hub is not None
+        ]
+
     def _passed_on(self) -> list[FellowDigest]:
         """Give the fewest digests that tell of every VM that hubs elsewhere have heard."""
         by_place: dict[str, list[FellowDigest]] = {}
--- a/lagoonlever/tests/gateway_presence_tests.py
+++ b/lagoonlever/tests/gateway_presence_tests.py
@@ -194,6 +194,60 @@
     run_fleet(story)
 
 
+PART = ("vm-20", "vm-23", "vm-26")
+"""Some VMs of a data centre; its hubs are others."""
+
+
+def cut_within_data_center(fleet: Fleet) -> None:
+    """Cut the part from all other VMs of its data centre; it reaches the other ones."""
+    place = fleet.vms[PART[0]].state.data_center
+    for name, vm in fleet.vms.items():
+        if vm.state.data_center == place and name not in PART:
+            for part in PART:
+                fleet.network.cut(fleet.vms[part].state.bus, vm.state.bus)
+
+
+def test_a_part_of_a_data_center_that_was_cut_from_the_rest_finds_back() -> None:
+    """Guards against VMs that are each other's hubs for good, and unseen in their data centre.
+
+    Hubs elsewhere tell them of all other data centres, so they don't take themselves for cut
+    off; of the hubs of their own one nobody tells them.
+    """
+
+    async def story(fleet: Fleet) -> None:
+        start_many(fleet, 30)
+        await trio.sleep(6.0)
+        cut_within_data_center(fleet)
+        await trio.sleep(10.0)
+        fleet.network.heal()
+        await settled(fleet, within_s=4.0)
+
+    run_fleet(story)
+
+
+def test_vms_that_first_hear_of_no_hub_of_their_data_center_find_it() -> None:
+    """Guards against a start of a large fleet that leaves some VMs apart for good.
+
+    A seed names the VMs that it knows by then. Some hear of each other and of other data
+    centres, and take each other for the hubs of their own one.
+    """
+
+    async def story(fleet: Fleet) -> None:
+        start_many(fleet, 66)
+        await settled(fleet, within_s=3.0)
+        elsewhere = [vm for vm in fleet.vms.values() if vm.state.data_center != PLACES[2]]
+        late = [fleet.start(name) for name in ("vm-68", "vm-71", "vm-74")]
+        known = FellowList(fellows=tuple(vm.state for vm in (*late, *elsewhere)))
+        for vm in late:
+            vm.presence.reseed(())
+        await trio.sleep(0.01)
+        for vm in late:
+            vm.bus.take(sender=elsewhere[0].bus.own, data=PEER.encode(known))
+        await settled(fleet, within_s=1.3)
+
+    run_fleet(story)
+
+
 def test_a_vm_that_restarts_is_seen_by_all_within_a_second() -> None:
     async def story(fleet: Fleet) -> None:
         start_many(fleet, 30)
