--- a/lagoonlever/tests/stream_writers_tests.py
+++ b/lagoonlever/tests/stream_writers_tests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 import attrs
@@ -32,7 +32,7 @@
 
     prober: object
     lost: int
-    before_answer: Callable[[], None]
+    before_answer: Callable[[], Awaitable[None]]
     called: bool = False
 
     def __getattr__(self, name: str) -> object:
@@ -44,12 +44,12 @@
             return None
         if not self.called:
             self.called = True
-            self.before_answer()
+            await self.before_answer()
         return await self.prober.ask(*args, **more)
 
 
 def watch_questions(
-    site: GatewaySite, vm: str, *, lost: int, before_answer: Callable[[], None]
+    site: GatewaySite, vm: str, *, lost: int, before_answer: Callable[[], Awaitable[None]]
 ) -> None:
     for handler in site.vms[vm].daemon.parts.front._serve.values():
         tools = getattr(handler.__self__, "_tools", None)
@@ -118,7 +118,7 @@
         engine = site.engines["v1-0"]
         engine.event_s = OneEventOnly()
 
-        def come_back() -> None:
+        async def come_back() -> None:
             engine.started_ms = NEXT_START_MS
             engine.version = "v2"
             list_again(site, "v1-0", state="draining")
@@ -141,6 +141,34 @@
     run_site(story, engines=0)
 
 
+def test_an_event_that_was_read_before_its_writer_ended_is_not_taken_for_the_next_process_s() -> (
+    None
+):
+    """The writer ends with its connection, and one of another version answers the question."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v2=1)
+        await start_versions(site, v1=1)
+        versions = site.vms["vm-0"].daemon.parts.beliefs.versions
+        await until(lambda: versions.has_several("engines"))
+        list_again(site, "v1-0", state="draining")
+        await until(lambda: serving(site, "vm-0", "v1") == [])
+
+        async def replace_writer() -> None:
+            site.crash("v2-0")
+            await site.start_engine("v2-0", version="v1")
+
+        watch_questions(site, "vm-0", lost=0, before_answer=replace_writer)
+        first = await site.stream("p-1", events=EVENTS, Deadline_Ms="3000")
+        assert first.versions == {"v2"}
+        await until(lambda: serving(site, "vm-0", "v1") == ["v2-0"])
+        second = await site.take_up(first, "p-1", events=EVENTS, Deadline_Ms="3000")
+        assert versions_of(first, second) == {"v2"}
+
+    run_site(story, engines=0)
+
+
 def test_an_unlisted_process_is_not_named_by_the_entry_of_the_next_one_under_its_id() -> None:
     """It was found at a lost engine's address, and its id was listed first for its successor."""
 
