--- /dev/null
+++ b/lagoonlever/tests/version_guesses_tests.py
@@ -0,0 +1,96 @@
+"""Take-ups that nobody can tell the beginning of: the recorded version is no proof of it."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonlever.gateway.version_record import VERSIONS_KEY, VersionRecord
+from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site, until
+from lagoonlever.tests.losses_of_all_vms_tests import (
+    _begin_at_an_unlisted_process,
+    _never_write,
+    retire,
+)
+from lagoonlever.tests.origin_news_tests import lose_runs_at
+from lagoonlever.tests.stream_versions_tests import (
+    EVENTS,
+    LOST_AT,
+    begin,
+    restart,
+    serving,
+    start_versions,
+    versions_of,
+)
+from lagoonlever.tests.version_records_tests import list_again
+
+
+def test_a_vm_that_missed_the_news_of_a_stream_does_not_take_it_for_the_only_version(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An engine is back under its id as another version; the VM that knows of its stream dies."""
+
+    async def story(site: GatewaySite) -> None:
+        await _begin_at_an_unlisted_process(site)
+        lose_runs_at(site, "vm-1", "v1-0", monkeypatch)
+        first = await begin(site, "p-1")
+        assert first.versions == {"v2"}
+        site.crash("v1-0")
+        list_again(site, "v1-1", state="ready")
+        await until(lambda: "v1-1" in serving(site, "vm-1", "v1"))
+        second = await site.take_up(first, "p-1", vm="vm-1", events=EVENTS, Deadline_Ms="3000")
+        assert versions_of(first, second) == {"v2"}
+
+    run_site(story, engines=0)
+
+
+async def _read_until_all_die(site: GatewaySite, part: str) -> Stream:
+    """Return what a caller got of a stream until all VMs died, some events after it began."""
+
+    def on_event(count: int) -> None:
+        if count >= LOST_AT:
+            for vm in site.vms.values():
+                vm.kill()
+
+    return await site.stream(part, events=EVENTS, on_event=on_event)
+
+
+def test_a_version_that_could_not_be_recorded_is_not_taken_for_the_recorded_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store takes no write for longer than new streams wait for one; all VMs are lost."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v1=1)
+        await until(lambda: b"v1" in (site.store.value(VERSIONS_KEY) or b""))
+        await retire(site, "v1-0")
+        monkeypatch.setattr(VersionRecord, "_write", _never_write)
+        await start_versions(site, v2=1)
+        first = await _read_until_all_die(site, "p-1")
+        assert first.versions == {"v2"}
+        assert b"v2" not in (site.store.value(VERSIONS_KEY) or b"")
+        monkeypatch.undo()
+        site.crash("v2-0")
+        site.unlist_target("v2-0")
+        list_again(site, "v1-0", state="ready")
+        await restart(site, "vm-0", "vm-1")
+        second = await site.take_up(first, "p-1", events=EVENTS, Deadline_Ms="3000")
+        assert versions_of(first, second) == {"v2"}
+
+    run_site(story, engines=0)
+
+
+def test_a_process_that_was_never_listed_is_not_taken_for_one_of_the_recorded_version() -> None:
+    """It begins a stream, all VMs are lost before its entry comes, and it is gone by then."""
+
+    async def story(site: GatewaySite) -> None:
+        await _begin_at_an_unlisted_process(site)
+        first = await _read_until_all_die(site, "p-1")
+        assert first.versions == {"v2"}
+        site.crash("v1-0")
+        list_again(site, "v1-1", state="ready")
+        await restart(site, "vm-0", "vm-1")
+        second = await site.take_up(first, "p-1", events=EVENTS, Deadline_Ms="3000")
+        assert versions_of(first, second) == {"v2"}
+
+    run_site(story, engines=0)
