Tests: replays of prompt queues are bounded by what they work, not by the wall clock

Its time is simulated, so it never waits for anything else, but pytest's bound of 120 s is one of the wall clock.

The figure is the same: what works for more than 120 s of the processor is stopped, whatever else the machine runs.

--- a/lagoonlever/tests/prompt_queue_load_tests.py
+++ b/lagoonlever/tests/prompt_queue_load_tests.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Iterator
 
 import attrs
 import pytest
@@ -15,6 +16,9 @@
 from lagoonlever.decisions.streams.run_placement import Placed, PlacementRequest
 from lagoonlever.peers.messages_gateway import RunEnded
 from lagoonlever.peers.messages_line import LineNeed
+from lagoonlever.tests.working_time import WAITS_AT_MOST_S, works_at_most
+
+pytestmark = pytest.mark.timeout(WAITS_AT_MOST_S)
 
 SIZES = (9, 60, 88, 300)
 SETTLED_S = 4.0
@@ -28,6 +32,15 @@
 """From the last prompt until all have ended: one that hangs would keep simulated time going."""
 LOAD_S = 8.0
 """Duration of the load; large fleets get a half or a quarter of it, as their replay is slow."""
+WORK_S = 120.0
+"""Of the processor's time, for one test."""
+
+
+@pytest.fixture(autouse=True)
+def in_working_time() -> Iterator[None]:
+    """Bound each test by what it works."""
+    with works_at_most(WORK_S):
+        yield
 
 
 def request_name(number: int) -> str:
