Tests: a stream that may not run twice, behind a cut refusal on its engine's connection

The way that was shut for bids was open for streams too: an engine began the second stream, its answer followed a refusal that broke off, and the VM sent the stream a second time.

--- a/lagoonlever/tests/answers_out_of_step_tests.py
+++ b/lagoonlever/tests/answers_out_of_step_tests.py
@@ -10,13 +10,14 @@
 import trio
 
 from lagoonlever.fakes.path_proxy import PathState
+from lagoonlever.fakes.platform_engine import event_bytes
 from lagoonlever.fakes.raw_answers import raw_answer
 from lagoonlever.fakes.scripted_answers import ScriptedAnswer
 from lagoonlever.gateway.target_client import MAX_SKIPPED
 from lagoonlever.platform.headers import SEAL
 from lagoonlever.tests.gateway_calls_tests import UNPROVEN, runs
-from lagoonlever.tests.gateway_site import GatewaySite, until
-from lagoonlever.tests.late_copies_tests import configured, with_attempts
+from lagoonlever.tests.gateway_site import GatewaySite, run_site, until
+from lagoonlever.tests.late_copies_tests import NOT_RUN, configured, with_attempts
 from lagoonlever.tests.refusal_heads_tests import (
     BUSY,
     OTHER,
@@ -105,6 +106,27 @@
     play(story, way=way)
 
 
+@pytest.mark.parametrize("cut_head", CUT_HEADS.values(), ids=CUT_HEADS)
+def test_a_stream_that_runs_is_not_called_unrun_by_a_cut_refusal_that_its_answer_follows(
+    cut_head: bytes,
+) -> None:
+    """A stream that may not run twice was sent again while its engine wrote the answer."""
+
+    async def story(site: GatewaySite) -> None:
+        await configured(site, with_attempts("stream", 1, ResumeStreams=False))
+        engine = site.engines["engine-0"]
+        engine.scripted.next_ones.append(
+            ScriptedAnswer(body=event_bytes("first", 1), late=cut_head)
+        )
+        assert (await site.stream("first", events=1)).whole
+        second = await site.stream("second", events=5)
+        assert engine.read_tokens["second"] > 0
+        assert second.status not in NOT_RUN
+        assert len(engine.arrived_at) == 2
+
+    run_site(story, engines=1, runners=0, vms=1)
+
+
 @pytest.mark.parametrize("way", WAYS)
 def test_a_bid_that_failed_is_not_called_served_by_a_cut_answer_that_its_own_follows(
     way: str,
