Plays of bids: a play by hand writes into a new folder only

In a folder with the books of a play that was broken off, the judge took runs of the former one for runs of bids of this one (seen once by hand: 4 of 18 cases of `all` at 88 VMs on were none).

--- a/lagoonlever/tests/refused_bids_plays.py
+++ b/lagoonlever/tests/refused_bids_plays.py
@@ -311,14 +311,14 @@
     parser.add_argument("--seconds", type=float, default=25.0)
     parser.add_argument("--vms", type=int, default=12)
     parser.add_argument("--code", type=Path, default=OWN_CODE, help="root of the gateways' code")
-    parser.add_argument("--logs", type=Path, help="where books and logs are kept")
+    parser.add_argument("--logs", type=Path, help="new folder for books and logs")
     parser.add_argument("--show", type=int, default=3, help="cases that are printed of each play")
     given = parser.parse_args()
     found = 0
     for name in given.plays:
         with tempfile.TemporaryDirectory() as temporary:
             folder = given.logs / name if given.logs else Path(temporary)
-            folder.mkdir(parents=True, exist_ok=True)
+            folder.mkdir(parents=True, exist_ok=not given.logs)
             verdict = run_play(
                 PLAYS[name],
                 folder,
