--- a/lagoonlever/gateway/accepted.py
+++ b/lagoonlever/gateway/accepted.py
@@ -70,12 +70,12 @@
         )
 
     def left_s(self, now: float) -> float:
-        """Give the time that is left; 0 or less when it is over."""
+        """Return the time that is left; 0 or less when it is over."""
         return self.deadline - now
 
 
 def deadline_of(*, arrived: float, caller: CallerHead, route: ServiceRoute) -> float:
-    """Give when the final answer to a request is due."""
+    """Return when the final answer to a request is due."""
     allowed_s = route.timeout_s
     if caller.deadline_s is not None:
         allowed_s = min(allowed_s, caller.deadline_s)
--- a/lagoonlever/gateway/answers.py
+++ b/lagoonlever/gateway/answers.py
@@ -29,7 +29,7 @@
 
 
 async def tell(exchange: Exchange, outcome: NotRun | Unknown | Failed) -> None:
-    """Give the caller its final answer."""
+    """Send the caller its final answer."""
     pairs = [
         ("Content-Type", JSON_TYPE),
         (OUTCOME_HEADER, outcome.tag.value),
--- a/lagoonlever/gateway/attempt_planner.py
+++ b/lagoonlever/gateway/attempt_planner.py
@@ -53,7 +53,7 @@
     async def plan(
         self, accepted: Accepted, life: StreamLifecycle, step: PlaceAttempt | ResumeFromCopy
     ) -> AttemptPlan | RetryBudgetExhausted | Overloaded | RejectedWithRetryAfter | None:
-        """Give the attempt, or why there is none; None where the life has another step to try."""
+        """Return the attempt, or why there is none; None where the life has another step to try."""
         outcome: RunOutcome | RejectedWithRetryAfter = NoEngine()
         gathering: str | None = None
         version = _version_of(life)
@@ -105,13 +105,13 @@
     def _gathering(
         self, accepted: Accepted, step: PlaceAttempt | ResumeFromCopy, ask: PlacementRequest
     ) -> str | None:
-        """Give the engine where the returns of a request are together, if it ends engines."""
+        """Return the engine where the returns of a request are together, if it ends engines."""
         if isinstance(step, ResumeFromCopy):
             return None
         return self._crashes.gathering_place(accepted, avoid=ask.avoid, version=ask.version)
 
     def _held(self, accepted: Accepted, life: StreamLifecycle) -> frozenset[str]:
-        """Give the engines that take no more for now."""
+        """Return the engines that take no more for now."""
         serving = self._beliefs.targets.serving(accepted.service, version=_version_of(life))
         return self._words.held(serving, need=stream_need(accepted, life))
 
@@ -157,7 +157,7 @@
         )
 
     def _holder_of(self, copy: RunCopy, version: str | None) -> ListedTarget | None:
-        """Give the engine that holds a copy, if it takes work and still has it."""
+        """Return the engine that holds a copy, if it takes work and still has it."""
         targets = self._beliefs.targets
         holder = targets.find(copy.holder)
         if holder is None or not targets.takes_work(copy.holder, version=version):
@@ -172,12 +172,12 @@
 
 
 def generation_ask(accepted: Accepted) -> GenerationAsk:
-    """Give what a request asks of an engine; of one that says nothing, nothing."""
+    """Return what a request asks of an engine; of one that says nothing, nothing."""
     return accepted.caller.ask or NO_ASK
 
 
 def stream_need(accepted: Accepted, life: StreamLifecycle) -> float:
-    """Give the permits that must be saved at an engine in need before it gets a stream."""
+    """Return the permits that must be saved at an engine in need before it gets a stream."""
     return required_permits(
         priority=accepted.priority, begun=life.position is not None, first=life.sent_attempts == 0
     )
@@ -186,7 +186,7 @@
 def _run_ask(
     accepted: Accepted, life: StreamLifecycle, step: PlaceAttempt | ResumeFromCopy, *, copies: bool
 ) -> PlacementRequest:
-    """Give what an attempt needs; ``copies`` tells whether engines copy runs as they grow."""
+    """Return what an attempt needs; ``copies`` tells whether engines copy runs as they grow."""
     ask = generation_ask(accepted)
     is_new = not life.sent_attempts and not life.position
     asked = PlacementRequest(
--- a/lagoonlever/gateway/beliefs.py
+++ b/lagoonlever/gateway/beliefs.py
@@ -48,7 +48,7 @@
         return self.book.loads
 
     def engine_limits(self, service: str) -> EngineLimits:
-        """Give what the engines of a service hold, by the operators' configuration."""
+        """Return what the engines of a service hold, by the operators' configuration."""
         configuration = self.configuration.value
         known = configuration.services.get(service) if configuration else None
         return known.engine if known and known.engine else NO_LIMITS
--- a/lagoonlever/gateway/brittle_watch.py
+++ b/lagoonlever/gateway/brittle_watch.py
@@ -73,7 +73,7 @@
             self._spread.tell(message, for_plain=message)
 
     def started_again(self, target: str) -> None:
-        """Note that another process has a target's id: it has said nothing yet."""
+        """Record that another process has a target's id: it has said nothing yet."""
         self._reports.forget(target)
 
     def greet(self, newcomer: Address) -> None:
--- a/lagoonlever/gateway/cache_locator.py
+++ b/lagoonlever/gateway/cache_locator.py
@@ -47,7 +47,7 @@
         plain=gives(None),
     )
     async def find(self, part: str, engines: list[ListedTarget]) -> str | None:
-        """Give the engine that keeps most of a prompt's own part, or None."""
+        """Return the engine that keeps most of a prompt's own part, or None."""
         await self._refresh(engines)
         tokens = {engine.id: self._kept.get(engine.id, {}).get(part, 0) for engine in engines}
         best = max(tokens, key=lambda engine: tokens[engine], default=None)
--- a/lagoonlever/gateway/call_desk.py
+++ b/lagoonlever/gateway/call_desk.py
@@ -1,4 +1,4 @@
-"""Gives out places at runners, for this VM and for all others that ask."""
+"""Assigns places at runners, for this VM and for all others that ask."""
 
 from __future__ import annotations
 
@@ -116,7 +116,7 @@
         self._tell_news(kept, now)
 
     def started_again(self, target: str) -> None:
-        """Note that another process has a runner's id."""
+        """Record that another process has a runner's id."""
         for kept in self._lines.values():
             kept.line.record_restart(target)
 
@@ -147,7 +147,7 @@
                 self._waits = trio.Event()
 
     def _line(self, service: str, group: int, now: float) -> _Line:
-        """Give a line with the runners of its group, as they are listed now."""
+        """Return a line with the runners of its group, as they are listed now."""
         serving = self._beliefs.targets.serving(service)
         able = {each.id: each.data_center for each in serving if not self._rests(each.id)}
         groups = runner_groups(service, (each.id for each in serving))
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -234,11 +234,11 @@
     def open_to(
         self, call: CallRecord, targets: tuple[ListedTarget, ...]
     ) -> tuple[ListedTarget, ...]:
-        """Give the targets that a call was not held back from just now."""
+        """Return the targets that a call was not held back from just now."""
         return self.words.open(targets, need=self.need(call))
 
     def closed_to(self, call: CallRecord) -> frozenset[str]:
-        """Give the targets of its service that a call was held back from just now."""
+        """Return the targets of its service that a call was held back from just now."""
         serving = self.beliefs.targets.serving(call.accepted.service)
         able = {target.id for target in self.open_to(call, serving)}
         return frozenset(target.id for target in serving if target.id not in able)
@@ -257,12 +257,12 @@
         return outcome
 
     def need(self, call: CallRecord) -> float:
-        """Give the permits that must be saved at a target in need before it gets a call."""
+        """Return the permits that must be saved at a target in need before it gets a call."""
         first = call.sent == 0
         return required_permits(priority=call.accepted.priority, begun=False, first=first)
 
     def is_gone(self, call: CallRecord) -> bool:
-        """Note that a caller left; gives False where its answer was on its way already."""
+        """Record that a caller left; return False where its answer was on its way already."""
         if call.accepted.exchange.responded:
             return False
         self._ended(call, 0, "caller-gone", call.detail)
@@ -275,7 +275,7 @@
         plain=gives(frozenset()),
     )
     def near(self, targets: tuple[ListedTarget, ...], data_center: str) -> frozenset[str]:
-        """Give the targets of a data centre."""
+        """Return the targets of a data centre."""
         return frozenset(target.id for target in targets if target.data_center == data_center)
 
     def _note_replaced(self, target: ListedTarget, refused: Refused) -> None:
@@ -310,12 +310,12 @@
 
 
 def result_name(result: AttemptResult | None) -> str:
-    """Give the label of a result; None is an attempt that was cut short."""
+    """Return the label of a result; None is an attempt that was cut short."""
     return "cut-short" if result is None else _RESULT_NAMES[type(result)]
 
 
 def describe(result: AttemptResult) -> str:
-    """Give a few words on what became of an attempt."""
+    """Return a few words on what became of an attempt."""
     if isinstance(result, Answered):
         return f"answered {result.response.status}"
     if isinstance(result, Refused):
--- a/lagoonlever/gateway/call_places.py
+++ b/lagoonlever/gateway/call_places.py
@@ -123,7 +123,7 @@
         plain=gives(False),
     )
     def serves(self, service: str) -> bool:
-        """Tell whether places at the runners of a service are given out."""
+        """Check whether places at the runners of a service are given out."""
         loads = self._beliefs.loads
         if self._brittle.any_of(service):
             return True
@@ -163,7 +163,7 @@
         self._tell_desk(place.desk, message)
 
     def unused(self, place: CallPlace) -> None:
-        """Give a place back."""
+        """Return a place that is not used any more."""
         self._held.discard(place.number)
         self._tell_desk(place.desk, self._left(place.service, place.group, place))
 
@@ -283,7 +283,7 @@
             self._give_back(told, desk)
 
     def _hand_over(self, told: PlaceTold) -> bool:
-        """Give an answer to its question; False where it is closed, or has too many unread."""
+        """Deliver an answer; return False where its question is closed or has too many unread."""
         channel = self._open.get(told.number)
         if channel is None:
             return False
@@ -313,7 +313,7 @@
             self._bus.send(state.bus, message)
 
     def _desks(self, service: str, group: int) -> list[str]:
-        """Give the VMs to ask, in turn: without those that have not answered just now."""
+        """Return the VMs to ask, in turn: without those that have not answered just now."""
         now = self._timers.now
         present = self._beliefs.fellows.present(now)
         names = [fellow.life.name for fellow in present if not fellow.leaving]
@@ -327,7 +327,7 @@
 
 
 def _end_of(result: AttemptResult | None) -> CallEnd:
-    """Give what an attempt tells of its runner."""
+    """Return what an attempt tells of its runner."""
     if isinstance(result, Answered):
         failed = result.response.status >= SERVER_ERROR
         return CallEnd.FAILED if failed else CallEnd.ANSWERED
--- a/lagoonlever/gateway/copy_keeper.py
+++ b/lagoonlever/gateway/copy_keeper.py
@@ -78,7 +78,7 @@
             self._tell(to, copied)
 
     async def free(self) -> None:
-        """Give back a copy that was made by a call; an engine ends a growing one by itself."""
+        """Free a copy that was made by a call; an engine ends a growing one by itself."""
         copy, self._called_copy = self._called_copy, None
         if copy is None:
             return
@@ -116,7 +116,7 @@
         return not self._beliefs.book.avoidance.is_avoided(target.id, self._timers.now)
 
     async def _new_holder(self, present: str | None) -> ListedTarget | None:
-        """Give the engine for a called copy: the present holder, which then gets what is new."""
+        """Return the engine for a called copy: the present holder, which then gets what is new."""
         targets = self._beliefs.targets
         if present is not None:
             return targets.find(present)
--- a/lagoonlever/gateway/crash_records.py
+++ b/lagoonlever/gateway/crash_records.py
@@ -41,7 +41,7 @@
     _store: RecordStore
     _suspects: CrashSuspects
     _now: Clock
-    """Gives monotonic seconds."""
+    """Returns monotonic seconds."""
     _unix_now: Clock
     _rng: random.Random
     _learnt: Callable[[], None]
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -72,7 +72,7 @@
         await self._serve[accepted.route.kind](accepted)
 
     async def _configuration(self) -> Configuration | None:
-        """Give the configuration in force, once the targets are known too."""
+        """Return the configuration in force, once the targets are known too."""
         with trio.move_on_at(self._started + STARTING_S):
             await self._beliefs.known.wait()
         return self._beliefs.configuration.value
--- a/lagoonlever/gateway/front_parts.py
+++ b/lagoonlever/gateway/front_parts.py
@@ -27,7 +27,7 @@
 
 
 def make_front(parts: GatewayParts) -> Front:
-    """Give the handler of callers' requests, with the parts that serve each kind of route."""
+    """Return the handler of callers' requests, with the parts that serve each kind of route."""
     runners = _runners(parts)
     exchange = _call_exchange(parts)
     once = OnceCalls(data_center=parts.settings.data_center, exchange=exchange, runners=runners)
--- a/lagoonlever/gateway/knowledge.py
+++ b/lagoonlever/gateway/knowledge.py
@@ -223,7 +223,7 @@
                 self._learner.take_list(known.targets, revision=known.list_revision, source=source)
 
     def _take_configuration(self, packed: bytes, source: str) -> bool:
-        """Put a configuration that a VM told in force if it is newer; gives whether it did."""
+        """Put a configuration that a VM told in force if it is newer; return whether it did."""
         try:
             value = unpack(packed)
         except UnreadablePack as error:
--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -31,7 +31,7 @@
         self._on_started_again.append(notify)
 
     def take_configuration(self, value: bytes, *, source: str) -> bool:
-        """Put a stored configuration in force unless a newer one is; gives whether it did."""
+        """Put a stored configuration in force unless a newer one is; return whether it did."""
         try:
             offered = read_configuration(value)
         except UnreadableConfiguration as error:
@@ -55,7 +55,7 @@
         source: str,
         store_back_at: float | None = None,
     ) -> tuple[TargetChange, ...]:
-        """Take the whole list of targets unless what is known is newer; gives what changed."""
+        """Take the whole list of targets unless what is known is newer; return what changed."""
         registry = self._beliefs.targets
         if revision < registry.as_of:
             return ()
@@ -78,7 +78,7 @@
         return changes
 
     def take_change(self, change: TargetChange, *, store_back_at: float | None = None) -> bool:
-        """Take one change of the list of targets; gives whether it counts now."""
+        """Take one change of the list of targets; return whether it counts now."""
         registry = self._beliefs.targets
         known = change.target or registry.find(change.id)
         former = registry.process_start(change.id)
@@ -97,7 +97,7 @@
             self._note_start(target_id, former, source="its own answer")
 
     def take_leaving(self, target_id: str, started_ms: int | None, *, source: str) -> bool:
-        """Take a target's word that it leaves; gives whether it is news."""
+        """Take a target's word that it leaves; return whether it is news."""
         registry = self._beliefs.targets
         if not registry.record_leave_announcement(
             target_id, started_ms=started_ms, now=self._timers.now
@@ -107,14 +107,14 @@
         return True
 
     def take_found(self, former: str, found: str, *, source: str) -> bool:
-        """Take a process that has a lost target's place; gives whether it counts."""
+        """Take a process that has a lost target's place; return whether it counts."""
         counts = self._beliefs.targets.adopt_unlisted(former, found, self._timers.now)
         if counts:
             events.REPLACEMENT_FOUND.log(log, target=found, former=former, source=source)
         return counts
 
     def expire(self, *, store_away: bool) -> tuple[TargetChange, ...]:
-        """Let removals count that were held; gives them."""
+        """Let removals count that were held; return them."""
         registry = self._beliefs.targets
         known = {target.id: target for target in registry.targets}
         changes = registry.expire(self._timers.now, store_away=store_away)
@@ -123,7 +123,7 @@
         return changes
 
     def take_replaced(self, target_id: str, *, source: str) -> None:
-        """Note that another process answers at a target's address."""
+        """Record that another process answers at a target's address."""
         registry = self._beliefs.targets
         if not registry.takes_work(target_id):
             return
--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -154,5 +154,5 @@
     runs: tuple[RunReport, ...] = ()
 
     def run(self, request_id: str) -> RunReport | None:
-        """Give the run of a request, or None where the engine has none."""
+        """Return the run of a request, or None where the engine has none."""
         return next((run for run in self.runs if run.request_id == request_id), None)
--- a/lagoonlever/gateway/once_calls.py
+++ b/lagoonlever/gateway/once_calls.py
@@ -36,7 +36,7 @@
     _runners: Runners
 
     async def serve(self, accepted: Accepted) -> None:
-        """Give the caller the answer of a target, or tell why there is none."""
+        """Send the caller the answer of a target, or tell why there is none."""
         call = CallRecord(accepted=accepted)
         async with open_work_nursery() as nursery:
             nursery.start_soon(
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -525,7 +525,7 @@
         )
 
     def runnable(self) -> dict[str, Run]:
-        """Give what runs for the life of the daemon, by name."""
+        """Return what runs for the life of the daemon, by name."""
         return {
             "timers": self.timers.run,
             "bus": self.bus.run,
@@ -564,11 +564,11 @@
         self.budgets.rebound(settings.retry_budget)
 
     def ready(self) -> bool:
-        """Tell whether this VM takes callers."""
+        """Check whether this VM takes callers."""
         return self.beliefs.known.is_set() and not self.stopping()
 
     def own_state(self) -> PeerState:
-        """Give what this VM says of itself."""
+        """Return what this VM says of itself."""
         return PeerState(
             life=self.life,
             data_center=self.settings.data_center,
@@ -584,7 +584,7 @@
         )
 
     def server_limits(self) -> ServerLimits:
-        """Give the limits of callers' connections by the configuration in force."""
+        """Return the limits of callers' connections by the configuration in force."""
         configuration = self.beliefs.configuration.value
         limits = configuration.limits if configuration else ClientLimits()
         return ServerLimits(
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -126,7 +126,7 @@
         self._relay.tell(run)
 
     def copied(self, request: str, copy: RunCopy) -> None:
-        """Note a copy of a run of this VM, and tell the others of one that is new.
+        """Record a copy of a run of this VM, and tell the others of one that is new.
 
         Three in five copies are refreshed ones: 57 of 95 in 25 s of calm traffic at nine VMs.
         """
@@ -134,7 +134,7 @@
             self._relay.tell(RunCopied(request=request, copy=copy))
 
     def flows(self, request: str, writer: Writer = PROVEN) -> None:
-        """Note the first event of a run of this VM, and tell the others.
+        """Record the first event of a run of this VM, and tell the others.
 
         With what the engine has just said of itself: so everyone hears of each engine as often
         as a stream begins there, by messages that pass anyway.
@@ -160,7 +160,7 @@
         )
 
     def end(self, ended: RunEnded) -> None:
-        """Note the end of a run of this VM, and tell the others."""
+        """Record the end of a run of this VM, and tell the others."""
         run = self._beliefs.book.find_run(ended.request)
         if ended.whole and run is not None:
             for notify in self._on_stream_completed:
@@ -188,7 +188,7 @@
             self._take(received.message, received.sender.name)
 
     def holds_book(self) -> bool:
-        """Tell whether this VM hears of the runs of all others."""
+        """Check whether this VM hears of the runs of all others."""
         present = len(self._beliefs.fellows.present(self._timers.now))
         return not placement_hubs(self._roles.value, own=self._vm, present=present)
 
--- a/lagoonlever/gateway/permit_exchange.py
+++ b/lagoonlever/gateway/permit_exchange.py
@@ -70,7 +70,7 @@
             nursery.start_soon(self._questions.receive, PermitTold)
 
     async def ask(self, target: str, word: LimitReport, *, need: float) -> PermitOutcome:
-        """Give whether one request may be sent to a target that names a limit."""
+        """Return whether one request may be sent to a target that names a limit."""
         counter, stand_in = self._counters(target)
         if counter is None:
             return Denied(wait_s=UNSURE_S)
@@ -88,7 +88,7 @@
     async def _ask_vm(
         self, vm: str, target: str, word: LimitReport, need: float
     ) -> PermitOutcome | None:
-        """Give what another VM decides; None where it doesn't answer."""
+        """Return what another VM decides; None where it doesn't answer."""
         state = self._beliefs.fellows.find(vm)
         if state is None:
             return None
@@ -108,11 +108,11 @@
         return answer.outcome
 
     def counter(self, target: str) -> str | None:
-        """Give the VM that counts for a target; None while this one hardly knows the others."""
+        """Return the VM that counts for a target; None while this one hardly knows the others."""
         return self._counters(target)[0]
 
     def _counters(self, target: str) -> tuple[str | None, str | None]:
-        """Give the VM that counts for a target, and the one that stands in if it is silent."""
+        """Return the VM that counts for a target, and the one that stands in if it is silent."""
         if self._roles.value is None:
             return None, None
         present = self._beliefs.fellows.present(self._timers.now)
@@ -123,14 +123,14 @@
         return counter, others[0] if others else None
 
     def learn(self, told: WordTold) -> bool:
-        """Take what another VM tells of a target; gives whether the limit changes."""
+        """Take what another VM tells of a target; return whether the limit changes."""
         target = self._beliefs.targets.find(told.target)
         if target is None or target.is_later_than(told.started_ms):
             return False
         return self._named.update(told.target, told.word(self._timers.now))
 
     def told(self, target: str, word: LimitReport) -> WordTold:
-        """Give the message of a word that this VM has."""
+        """Return the message of a word that this VM has."""
         started_ms = self._beliefs.targets.process_start(target)
         return WordTold.of(target, word, started_ms=started_ms, now=self._timers.now)
 
--- a/lagoonlever/gateway/placer.py
+++ b/lagoonlever/gateway/placer.py
@@ -140,7 +140,7 @@
         return book.find_unfinished_run(wanted.part)
 
     def view(self, service: str) -> PlacementContext:
-        """Give what this VM's own decisions rest on.
+        """Return what this VM's own decisions rest on.
 
         The window counts the runs of all VMs where this one hears of them all. A VM that
         does not, and finds no hub, keeps to its share.
@@ -184,7 +184,7 @@
         return None
 
     def _address_of(self, hub: str) -> Address | None:
-        """Give where a hub listens, unless it was silent of late."""
+        """Return where a hub listens, unless it was silent of late."""
         if self._silent_until.get(hub, 0.0) > self._timers.now:
             return None
         state = self._beliefs.fellows.find(hub)
--- a/lagoonlever/gateway/presence.py
+++ b/lagoonlever/gateway/presence.py
@@ -256,7 +256,7 @@
         ]
 
     def _passed_on(self) -> list[FellowDigest]:
-        """Give the fewest digests that tell of every VM that hubs elsewhere have heard."""
+        """Return the fewest digests that tell of every VM that hubs elsewhere have heard."""
         by_place: dict[str, list[FellowDigest]] = {}
         for digest in self._passing.values():
             by_place.setdefault(digest.data_center, []).append(digest)
@@ -267,7 +267,7 @@
         ]
 
     def _speakers(self, own: PeerState, now: float) -> list[PeerState]:
-        """Give the VMs of this data centre that speak to this one."""
+        """Return the VMs of this data centre that speak to this one."""
         self._direct = {
             name: at for name, at in self._direct.items() if now - at <= SILENCE_TIMEOUT_S
         }
@@ -275,7 +275,7 @@
         return [s for s in known if s is not None and s.data_center == own.data_center]
 
     def _remote_hubs(self, own: PeerState) -> list[PeerState]:
-        """Give the hubs elsewhere that speak to this VM, so take it for a hub too."""
+        """Return the hubs elsewhere that speak to this VM, so take it for a hub too."""
         known = [self._beliefs.fellows.find(hub) for hub in self._told_by]
         return [s for s in known if s is not None and s.data_center != own.data_center]
 
@@ -340,7 +340,7 @@
             self._passing[digest.hub] = digest
 
     def _passes_on(self, digest: FellowDigest, own: PeerState) -> bool:
-        """Tell whether the VMs that speak to this one are to get a hub's digest.
+        """Check whether the VMs that speak to this one are to get a hub's digest.
 
         Those of other data centres, which this VM gets for them. And, where this VM takes
         others for the hubs, those hubs' too: who speaks to it thereby learns of them.
--- a/lagoonlever/gateway/prober.py
+++ b/lagoonlever/gateway/prober.py
@@ -60,7 +60,7 @@
     async def ask(
         self, engine: ListedTarget, *, since: float = float("-inf")
     ) -> EngineReport | None:
-        """Give an engine's report, or None where it does not answer in time.
+        """Return an engine's report, or None where it does not answer in time.
 
         An answer to a question from before ``since`` is not taken.
         """
--- a/lagoonlever/gateway/program.py
+++ b/lagoonlever/gateway/program.py
@@ -132,7 +132,7 @@
 
 
 def _stamp(file: Path) -> tuple[int, int] | None:
-    """Give what changes with a file; None while it is not there, as when it is replaced."""
+    """Return what changes with a file; None while it is not there, as when it is replaced."""
     try:
         found = file.stat()
     except OSError:
--- a/lagoonlever/gateway/register.py
+++ b/lagoonlever/gateway/register.py
@@ -29,12 +29,12 @@
 
 
 def register_key(own: Incarnation) -> str:
-    """Give the key of one life of a VM."""
+    """Return the key of one life of a VM."""
     return f"{REGISTER_PREFIX}{own}"
 
 
 def encode_entry(state: PeerState) -> bytes:
-    """Give the value that a VM writes under its key."""
+    """Return the value that a VM writes under its key."""
     entry = RegisterEntry(
         callers=str(state.callers), bus=str(state.bus), data_center=state.data_center
     )
--- a/lagoonlever/gateway/repeatable_calls.py
+++ b/lagoonlever/gateway/repeatable_calls.py
@@ -95,7 +95,7 @@
         return place
 
     def give_back(self) -> None:
-        """Give a place back that no attempt has used."""
+        """Return a place back that no attempt has used."""
         place, self._next = self._next, None
         if place is not None:
             self._exchange.places.unused(place)
@@ -111,7 +111,7 @@
 
 @attrs.define(kw_only=True, eq=False)
 class RepeatableCalls:
-    """Gives each caller the first good answer of any runner."""
+    """Sends each caller the first good answer of any runner."""
 
     _data_center: str
     _exchange: CallExchange
@@ -121,7 +121,7 @@
     _extra: dict[str, RetryBudget] = attrs.field(factory=dict)
 
     async def serve(self, accepted: Accepted) -> None:
-        """Give the caller the answer of a target, or tell why there is none."""
+        """Send the caller the answer of a target, or tell why there is none."""
         call = CallRecord(accepted=accepted)
         window = self._budgets.of_calls(accepted.service)
         window.record_request(self._exchange.timers.now)
@@ -195,7 +195,7 @@
         service = accepted.service
 
         def live_names() -> tuple[str, ...]:
-            """Give the runners; none for an extra attempt that the shared budget forbids."""
+            """Return the runners; none for an extra attempt that the shared budget forbids."""
             is_first = hedged.attempts == 0
             if place.is_on and not place.names:
                 return ()
--- a/lagoonlever/gateway/replacement_finder.py
+++ b/lagoonlever/gateway/replacement_finder.py
@@ -36,7 +36,7 @@
     _learner: Learner
     _timers: TimerService
     _reuse_s: Callable[[], float]
-    """Gives how long an address stays unused after its target has ended."""
+    """Returns how long an address stays unused after its target has ended."""
     _opener: Opener = ClientConnection.open
     _pool: Pool = attrs.field(init=False)
     _lost: dict[str, float] = attrs.field(factory=dict)
@@ -108,7 +108,7 @@
             self._bus.send_to_all((fellow.bus for fellow in present), message)
 
     async def _ask_id(self, target: ListedTarget) -> str | None:
-        """Give the id that answers at a target's address, or None."""
+        """Return the id that answers at a target's address, or None."""
         configuration = self._beliefs.configuration.value
         service = configuration.services.get(target.service) if configuration else None
         if service is None:
--- a/lagoonlever/gateway/report_uses.py
+++ b/lagoonlever/gateway/report_uses.py
@@ -25,7 +25,7 @@
 
 
 def ranks_differ(plan: AttemptPlan, tools: AttemptTools) -> bool:
-    """Tell whether routes to the engine's service differ in rank, so that it preempts by them."""
+    """Check whether routes to the engine's service differ in rank, so that it preempts by them."""
     configuration = tools.beliefs.configuration.value
     return has_ranks(configuration, plan.engine.service, RouteKind.STREAM)
 
--- a/lagoonlever/gateway/retry_budgets.py
+++ b/lagoonlever/gateway/retry_budgets.py
@@ -10,7 +10,7 @@
 
 @attrs.define(kw_only=True, eq=False)
 class RetryBudgets:
-    """Gives each service its window, by the bounds of the settings."""
+    """Holds the window of each service, by the bounds of the settings."""
 
     _bounds: RetryBudgetBounds
     _calls: dict[str, RetryWindow] = attrs.field(factory=dict)
@@ -24,11 +24,11 @@
             self._runs.clear()
 
     def of_calls(self, service: str) -> RetryWindow:
-        """Give the window of this VM's calls to a service."""
+        """Return the window of this VM's calls to a service."""
         return self._window(self._calls, service)
 
     def of_runs(self, service: str) -> RetryWindow:
-        """Give the window of all VMs' runs at the engines of a service."""
+        """Return the window of all VMs' runs at the engines of a service."""
         return self._window(self._runs, service)
 
     def _window(self, windows: dict[str, RetryWindow], service: str) -> RetryWindow:
--- a/lagoonlever/gateway/rollout_lead.py
+++ b/lagoonlever/gateway/rollout_lead.py
@@ -114,7 +114,7 @@
         return lead
 
     def _is_mine(self, rollout: Rollout) -> bool:
-        """Tell whether this VM leads: it reads for others, and hears nobody before it."""
+        """Check whether this VM leads: it reads for others, and hears nobody before it."""
         roles, leader = self._roles.value, rollout.leader(self._timers.now)
         if roles is None or not roles.reads_store:
             return False
@@ -159,7 +159,7 @@
         return plan_rollout(rollout.order, progress, self._bounds)
 
     def _others(self, lead: _Lead) -> OtherVersions:
-        """Give what is known of the targets that would serve in place of the new ones."""
+        """Return what is known of the targets that would serve in place of the new ones."""
         order, targets = lead.rollout.order, self._beliefs.targets
         listed = targets.listed_versions(order.service)
         return OtherVersions(
@@ -193,7 +193,7 @@
                 return True
 
     def _standing(self, lead: _Lead) -> RolloutState | None:
-        """Give the state that stands in the store of this order, if any."""
+        """Return the state that stands in the store of this order, if any."""
         entry, order = lead.record.entry, lead.rollout.order
         if entry is None or entry.revision < lead.rollout.tally.ordered_at:
             return None
--- a/lagoonlever/gateway/rollout_tally.py
+++ b/lagoonlever/gateway/rollout_tally.py
@@ -44,7 +44,7 @@
         self._counts[lane] = self._counts.get(lane, AnswerCounts()).with_failure()
 
     def message(self) -> RolloutCounts:
-        """Give all that was counted."""
+        """Return all that was counted."""
         rows = (AnswerRow.of(kind, phase, c) for (kind, phase), c in self._counts.items())
         return RolloutCounts(
             service=self.order.service,
@@ -56,7 +56,7 @@
         )
 
     def news(self, leader: str, now: float) -> RolloutCounts | None:
-        """Give all that was counted, if the VM that leads may lack some of it.
+        """Return all that was counted, if the VM that leads may lack some of it.
 
         Another one than before has heard nothing yet, and any message may be lost: a leader
         that knows too little of what a version has got would let it get too much.
--- a/lagoonlever/gateway/rollouts.py
+++ b/lagoonlever/gateway/rollouts.py
@@ -60,7 +60,7 @@
         self.began_at = began_at if self.began_at is None else min(self.began_at, began_at)
 
     def leader(self, now: float) -> tuple[str, RolloutWord] | None:
-        """Give whose word holds: of those that were heard of late, the first by name."""
+        """Return whose word holds: of those that were heard of late, the first by name."""
         fresh = [name for name, heard in self._heard.items() if now - heard.at <= FRESH_S]
         if not fresh:
             return None
@@ -87,15 +87,15 @@
         return tuple(self._known.values())
 
     def find(self, service: str) -> Rollout | None:
-        """Give the last order of a service, or None."""
+        """Return the last order of a service, or None."""
         return self._known.get(service)
 
     def state_of(self, rollout: Rollout) -> RolloutState:
-        """Give what became of a roll-out."""
+        """Return what became of a roll-out."""
         return self._beliefs.targets.versions_of(rollout.order.service).state
 
     def phase_of(self, rollout: Rollout) -> RolloutPhase:
-        """Give what a new version gets at this VM now."""
+        """Return what a new version gets at this VM now."""
         return self._phase(rollout.order.service)
 
     async def run(self) -> None:
@@ -154,7 +154,7 @@
         phase: RolloutPhase = RolloutPhase.HELD,
         shares: dict[str, float] | None = None,
     ) -> RolloutWord:
-        """Give a word on an order."""
+        """Return a word on an order."""
         now = self._timers.now
         return RolloutWord(
             service=rollout.order.service,
@@ -182,7 +182,7 @@
         )
 
     def arrives(self, service: str, route: str) -> bool:
-        """Count a request; gives whether it goes to a version on trial."""
+        """Count a request; return whether it goes to a version on trial."""
         rollout = self._open(service)
         if rollout is None:
             return False
@@ -237,7 +237,7 @@
         return rollout
 
     def _open(self, service: str) -> Rollout | None:
-        """Give the undecided roll-out of a service, if there is one."""
+        """Return the undecided roll-out of a service, if there is one."""
         rollout = self._known.get(service)
         if rollout is None or self.state_of(rollout).is_final:
             return None
--- a/lagoonlever/gateway/room_asker.py
+++ b/lagoonlever/gateway/room_asker.py
@@ -59,7 +59,7 @@
     plain=gives(False),
 )
 def has_line(configuration: Configuration | None, service: str) -> bool:
-    """Tell whether new prompts of a service wait in line."""
+    """Check whether new prompts of a service wait in line."""
     return has_ranks(configuration, service, RouteKind.STREAM)
 
 
@@ -158,7 +158,7 @@
             answer_s = RENEW_S
 
     def _outcome(self, service: str, told: LineTold) -> LineOutcome | None:
-        """Give what was decided, and take what the keeper knows of the engines."""
+        """Return what was decided, and take what the keeper knows of the engines."""
         if told.refused is not None:
             return told.refused
         if told.decided is None:
@@ -169,7 +169,7 @@
         return told.decided.outcome
 
     def _keeper(self, service: str) -> str | None:
-        """Give the VM to ask, or None while this one hardly knows the others."""
+        """Return the VM to ask, or None while this one hardly knows the others."""
         roles = self._roles.value
         if roles is None:
             return None
--- a/lagoonlever/gateway/room_desk.py
+++ b/lagoonlever/gateway/room_desk.py
@@ -176,7 +176,7 @@
         )
 
     def _serve(self, service: str, line: PromptQueue) -> None:
-        """Give places to the first in line while engines are ready for them."""
+        """Assign places to the first in line while engines are ready for them."""
         now = self._timers.now
         for silent in line.expire(now):
             self._open.pop(silent.prompt_id, None)
--- a/lagoonlever/gateway/run_relay.py
+++ b/lagoonlever/gateway/run_relay.py
@@ -102,7 +102,7 @@
             self._bus.send(state.bus, _packed(NewsStage.GATHER, [change]))
 
     def _hub(self) -> str | None:
-        """Give the hub that this VM tells; None until it has one."""
+        """Return the hub that this VM tells; None until it has one."""
         roles = self._roles.value
         return roles.hubs[0] if roles is not None and roles.hubs else None
 
@@ -127,7 +127,7 @@
             self._gather(told, far=news.stage is NewsStage.GATHER)
 
     def _is_known_lost(self, lost: EngineLost) -> bool:
-        """Tell whether a hub has told of a loss already.
+        """Check whether a hub has told of a loss already.
 
         Each VM with a stream on an engine that crashes tells of it: told on each time, one
         crash was some hundred messages to every VM.
@@ -164,7 +164,7 @@
             self._bus.send_to_all([state.bus for state in to], _packed(stage, changes))
 
     def _near_hubs(self, present: dict[str, PeerState]) -> list[PeerState]:
-        """Give the other hubs of this data centre."""
+        """Return the other hubs of this data centre."""
         roles = self._roles.value
         names = roles.hubs if roles is not None else ()
         return [present[name] for name in names if name in present]
@@ -172,7 +172,7 @@
     def _concerned(
         self, lost: list[RunChange], present: dict[str, PeerState], told: list[PeerState]
     ) -> list[PeerState]:
-        """Give the VMs of this data centre that are to hear of lost engines, but for ``told``."""
+        """Return the VMs of this data centre that are to hear of lost engines, but for ``told``."""
         engines = {change.engine for change in lost if isinstance(change, EngineLost)}
         if not engines:
             return []
@@ -187,7 +187,7 @@
         return target.data_center if target is not None else None
 
     def _far_hubs(self, present: dict[str, PeerState]) -> list[PeerState]:
-        """Give one hub of each other data centre, the first that is not silent."""
+        """Return one hub of each other data centre, the first that is not silent."""
         roles = self._roles.value
         chosen: dict[str, PeerState] = {}
         for name in roles.other_hubs if roles is not None else ():
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -247,7 +247,7 @@
             self._knowledge.push_configuration()
 
     def _take_target(self, change: KeyChange) -> TargetChange | None:
-        """Take one change of the list; gives it if it counts now.
+        """Take one change of the list; return it if it counts now.
 
         An entry that can't be read names no target, and ends what it named before. That is
         no lapse, so it is not held as one after an outage.
@@ -271,7 +271,7 @@
 
 
 def _first_of(errors: BaseExceptionGroup[PlatformError]) -> PlatformError:
-    """Give one error of a group; the store's client has logged each."""
+    """Return one error of a group; the store's client has logged each."""
     for error in errors.exceptions:
         if isinstance(error, PlatformError):
             return error
--- a/lagoonlever/gateway/stream_admission.py
+++ b/lagoonlever/gateway/stream_admission.py
@@ -117,7 +117,7 @@
         return remaining.min_time_s(fastest) <= left_s
 
     def turned_away(self, refused: RejectedWithRetryAfter) -> GiveUp:
-        """Give why a prompt is refused that the line for engines can't reach in its time."""
+        """Return why a prompt is refused that the line for engines can't reach in its time."""
         spread = self._rng.uniform(1.0, 1.0 + RETURN_SPREAD)
         return GiveUp(
             detail=refused.detail,
@@ -125,7 +125,7 @@
         )
 
     def overloaded(self, accepted: Accepted, load: Overloaded) -> GiveUp:
-        """Give why a new prompt is refused while engines read for too much of their time."""
+        """Return why a new prompt is refused while engines read for too much of their time."""
         events.PROMPT_REFUSED.log(
             log,
             request=accepted.request_id,
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -244,7 +244,7 @@
                 self._tools.watched.pop(plan.engine.id, None)
 
     def _may_look_again(self) -> bool:
-        """Tell whether the attempt may be left for a better place.
+        """Check whether the attempt may be left for a better place.
 
         Not one of a request that may end its engines: left as the engine begins, it would end
         that one unseen, and the next one too.
@@ -389,7 +389,7 @@
             raise _Moved
 
     def _has_started_again(self) -> bool:
-        """Tell whether the engine is another process than the one that the run was sent to."""
+        """Check whether the engine is another process than the one that the run was sent to."""
         engine = self._tools.beliefs.targets.find(self._plan.engine.id)
         return engine is not None and engine.has_restarted_since(self._plan.run.engine_started_ms)
 
@@ -532,7 +532,7 @@
             )
 
     def _end_weight(self, ended: _Ended) -> float:
-        """Give how much an engine's end counts against the request.
+        """Return how much an engine's end counts against the request.
 
         Others that were at the engine had given events, or were waiting there: a run that had
         begun and come to nothing may be what ended it. An engine that does not answer though
--- a/lagoonlever/gateway/stream_counts.py
+++ b/lagoonlever/gateway/stream_counts.py
@@ -31,7 +31,7 @@
         self._rollouts.answered(self._engine.service, self._lane, now - sent_at)
 
     def event(self) -> None:
-        """Note an event that was passed on."""
+        """Record an event that was passed on."""
         self._events += 1
 
     def whole(self, now: float) -> None:
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -53,7 +53,7 @@
     _versions: VersionRecord
 
     async def serve(self, accepted: Accepted) -> None:
-        """Give the caller the events of an engine until the last, or tell why there are none."""
+        """Send the caller the events of an engine until the last, or tell why there are none."""
         found: FoundOrigin | None = None
         if accepted.caller.last_event_id:
             found = await self._origins.find(accepted)
@@ -80,7 +80,7 @@
                     self._peers.end(self._ended_run(accepted, life, whole=whole))
 
     def _ended_run(self, accepted: Accepted, life: StreamLifecycle, *, whole: bool) -> RunEnded:
-        """Give the end of a run, with the pace that its last engine has shown."""
+        """Return the end of a run, with the pace that its last engine has shown."""
         event_s = life.timing.undisturbed_event_s()
         event_tokens = self._beliefs.engine_limits(accepted.service).event_tokens
         return RunEnded(
@@ -158,7 +158,7 @@
         )
 
     def _is_same_process(self, run: EngineRun) -> bool:
-        """Tell whether the engine of a run is still the process that read its prompt."""
+        """Check whether the engine of a run is still the process that read its prompt."""
         engine = self._beliefs.targets.find(run.engine)
         return engine is not None and not engine.is_later_than(run.engine_started_ms)
 
--- a/lagoonlever/gateway/tally.py
+++ b/lagoonlever/gateway/tally.py
@@ -51,11 +51,11 @@
         self._durations[key].append(duration_s)
 
     def count(self, spec: InstrumentSpec, *labels: str) -> float:
-        """Give what was counted so far."""
+        """Return what was counted so far."""
         return self._counts.get((spec, labels), 0.0)
 
     async def exposition(self) -> bytes:
-        """Give all metrics in the text format that scrapers read."""
+        """Return all metrics in the text format that scrapers read."""
         if self._metrics is None:
             self._metrics = await trio.to_thread.run_sync(_load_metrics)
         self._hand_over(self._metrics)
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -240,7 +240,7 @@
             await self._pool.put_back(connection, idle_s=_safe_idle_s(head))
 
     async def reaches(self, target: ListedTarget) -> bool:
-        """Tell whether a target accepts a connection, which is kept for the next request."""
+        """Check whether a target accepts a connection, which is kept for the next request."""
         try:
             connection = await self._dialer.open(target.address, timeout_s=CONNECT_TIMEOUT_S)
         except ConnectFailed:
@@ -280,5 +280,5 @@
 
 
 def _safe_idle_s(head: AnswerHead) -> float | None:
-    """Give how long a connection may rest: well below what the target says it keeps it."""
+    """Return how long a connection may rest: well below what the target says it keeps it."""
     return None if head.idle_s is None else head.idle_s / 2
--- a/lagoonlever/gateway/target_limits.py
+++ b/lagoonlever/gateway/target_limits.py
@@ -92,26 +92,26 @@
         self._tell(target, word, is_limited_as_before=former is not None and word.per_s is not None)
 
     def limit_of(self, target: str) -> float | None:
-        """Give the requests a second that a target takes now; None where it names no limit."""
+        """Return the requests a second that a target takes now; None where it names no limit."""
         word = self._named.current(target)
         return word.per_s if word is not None else None
 
     def counter(self, target: str) -> str | None:
-        """Give the VM that counts the requests to a target; None while few VMs are known here."""
+        """Return the VM that counts the requests to a target; None while few VMs are known here."""
         return self._permits.counter(target)
 
     def open(self, targets: Iterable[ListedTarget], *, need: float) -> tuple[ListedTarget, ...]:
-        """Give the targets that work of a need was not denied at just now."""
+        """Return the targets that work of a need was not denied at just now."""
         now = self._timers.now
         return tuple(t for t in targets if not self._held.is_denied(t.id, need=need, now=now))
 
     def held(self, targets: Iterable[ListedTarget], *, need: float) -> frozenset[str]:
-        """Give the targets that work of a need is to go past for now."""
+        """Return the targets that work of a need is to go past for now."""
         now = self._timers.now
         return frozenset(t.id for t in targets if self._held.is_denied(t.id, need=need, now=now))
 
     def unlimited(self, targets: Iterable[ListedTarget]) -> tuple[ListedTarget, ...]:
-        """Give the targets that name no limit."""
+        """Return the targets that name no limit."""
         return tuple(t for t in targets if self._named.current(t.id) is None)
 
     async def permit(self, target: str, *, need: float) -> PermitOutcome:
@@ -129,7 +129,7 @@
         return outcome
 
     def covers(self, target: str, permit: Granted) -> bool:
-        """Tell whether a permit still does, as the target may have named its limit since."""
+        """Check whether a permit is still valid, as the target may have named its limit since."""
         return permit.counted or self._named.current(target) is None
 
     def sent(self, target: str, *, first: bool) -> None:
@@ -158,7 +158,7 @@
         del self._sends[target]
 
     def come_back_s(self, service: str) -> float | None:
-        """Give when a refused caller is to come back; None where no target names a limit.
+        """Return when a refused caller is to come back; None where no target names a limit.
 
         By what the targets take, and what all VMs are likely to refuse: callers that all came
         back as the next permit is free would be refused again.
@@ -176,7 +176,7 @@
         return round(retry_after_s(waiting / per_s if per_s else REFUSALS_S, self._rng), 2)
 
     def started_again(self, target: str) -> None:
-        """Note that another process has a target's id: it has said nothing yet."""
+        """Record that another process has a target's id: it has said nothing yet."""
         self._named.forget(target)
         self._held.forget(target)
         self._permits.forget(target)
@@ -218,7 +218,7 @@
                 self._spread.pass_on(received.message, source=source, for_plain=received.message)
 
     def _take(self, message: LimitsTold, source: str) -> bool:
-        """Take words of another VM; gives whether one was news."""
+        """Take words of another VM; return whether one was news."""
         is_news = False
         for told in message.words:
             former = self._named.current(told.target)
--- a/lagoonlever/gateway/target_words.py
+++ b/lagoonlever/gateway/target_words.py
@@ -81,25 +81,25 @@
             events.TARGET_RESTS.log(log, target=target, seconds=head.rest_s)
 
     def open(self, targets: Iterable[ListedTarget], *, need: float) -> tuple[ListedTarget, ...]:
-        """Give the targets that take work of a need now, as far as they have said."""
+        """Return the targets that take work of a need now, as far as they have said."""
         now = self._timers.now
         awake = (target for target in targets if not self._rests.remaining_s(target.id, now))
         return self._limits.open(awake, need=need)
 
     def held(self, targets: Iterable[ListedTarget], *, need: float) -> frozenset[str]:
-        """Give the targets that work of a need is to go past for now."""
+        """Return the targets that work of a need is to go past for now."""
         listed = tuple(targets)
         able = {target.id for target in self.open(listed, need=need)}
         return frozenset(target.id for target in listed) - able
 
     def unlimited(self, targets: Iterable[ListedTarget]) -> tuple[ListedTarget, ...]:
-        """Give the targets that work may be moved to without need: none in need themselves."""
+        """Return the targets that work may be moved to without need: none in need themselves."""
         now = self._timers.now
         awake = (target for target in targets if not self._rests.remaining_s(target.id, now))
         return self._limits.unlimited(awake)
 
     def rests(self, target: str) -> bool:
-        """Tell whether a target wants nothing from this VM now."""
+        """Check whether a target wants nothing from this VM now."""
         return self._rests.remaining_s(target, self._timers.now) > 0
 
     async def permit(self, target: str, *, need: float) -> PermitOutcome:
@@ -110,20 +110,20 @@
         return await self._limits.permit(target, need=need)
 
     def covers(self, target: str, permit: Granted) -> bool:
-        """Tell whether a permit still does, by what the target has said since."""
+        """Check whether a permit is still valid, by what the target has said since."""
         return not self.rests(target) and self._limits.covers(target, permit)
 
     def sent(self, target: str, *, first: bool) -> SentTicket:
-        """Count a request that is written to a target; gives what ends it."""
+        """Count a request that is written to a target; return what ends it."""
         self._limits.sent(target, first=first)
         return self._beliefs.loads.record_sent(target, self._timers.now)
 
     def ended(self, ticket: SentTicket) -> None:
-        """Note that a request is over, whatever became of it."""
+        """Record that a request is over, whatever became of it."""
         self._beliefs.loads.record_ended(ticket, self._timers.now)
 
     def come_back_s(self, service: str) -> float | None:
-        """Give when a refused caller is to come back; None where no target has said anything.
+        """Return when a refused caller is to come back; None where no target has said anything.
 
         Where some targets rest and others name limits, by the limits: they take some meanwhile.
         """
@@ -143,7 +143,7 @@
         return min((self._rests.remaining_s(target.id, now) for target in able), default=0.0)
 
     def started_again(self, target: str) -> None:
-        """Note that another process has a target's id: it has asked for no rest yet."""
+        """Record that another process has a target's id: it has asked for no rest yet."""
         self._rests.forget(target)
         self._beliefs.loads.record_restart(target, self._timers.now)
 
