Crashes: an engine that gave a stream's next event did not end under the stream

Cause: a stream that goes on is left at an engine of which nobody can tell whether it is still the process of the stream's version, right as its next event comes. The engine, which did not answer that question, did not answer the next one either, and counted as one that had ended under the request as the answer began, though it had given an event. Three such engines barred the stream. The class: no answer taken for an answer.

Change: an end after an event of the engine has come does not count against the request, passed on or not, as it was for events that are passed on.

--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -91,6 +91,8 @@
     """When the connection was there. An earlier report may be of another process."""
     _answered: bool = False
     """The head of the engine's answer has come, so the engine has begun to run it."""
+    _given: bool = False
+    """The engine has given an event, which may not have been passed on."""
     _flowing: bool = False
     _flowing_since: float | None = None
     """When the engine gave its first event; None before, and once that was found to be sound."""
@@ -427,6 +429,7 @@
         self, arrived: list[RawEvent], silence: SilenceDetector, nursery: trio.Nursery
     ) -> None:
         for event in arrived:
+            self._given = True
             writer: Writer | None = None
             if not self._flowing:
                 writer = await self._writers.find(since=self._connected) or UNKNOWN
@@ -538,7 +541,7 @@
         begun and come to nothing may be what ended it. An engine that does not answer though
         its connection is open may be cut off from this VM, with all that wait there.
         """
-        if self._flowing:
+        if self._given:
             return 0.0
         if self._answered:
             return WEIGHT_STARTED
--- a/lagoonlever/tests/stream_writers_tests.py
+++ b/lagoonlever/tests/stream_writers_tests.py
@@ -12,10 +12,13 @@
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.fakes.metadata_store import StoreFault
 from lagoonlever.gateway.settings import Bounds
+from lagoonlever.outcomes import REASON_HEADER, Reason
 from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site, until
+from lagoonlever.tests.losses_of_all_vms_tests import lose_questions
 from lagoonlever.tests.stream_versions_tests import (
     EVENTS,
     LOST_AT,
+    begin,
     serving,
     start_versions,
     versions_of,
@@ -211,3 +214,22 @@
         assert versions_of(got, second) == {"v2"}
 
     run_site(story, engines=0, bounds=Bounds(grace_s=3.0, address_reuse_s=30.0))
+
+
+def test_a_stream_whose_writers_could_not_be_asked_is_not_taken_for_one_that_ends_engines() -> None:
+    """Three engines gave an event, and did not answer which process had written it."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v1=5)
+        first = await begin(site, "p-1")
+        await start_versions(site, v2=1)
+        versions = site.vms["vm-1"].daemon.parts.beliefs.versions
+        await until(lambda: versions.has_several("engines"))
+        lose_questions(site, "vm-1", lost=1_000)
+        for _ in range(2):
+            again = await site.take_up(first, "p-1", vm="vm-1", events=EVENTS, Deadline_Ms="5000")
+            assert again.headers.get(REASON_HEADER) != Reason.ENDS_TARGETS.value
+        assert sum(len(engine.seen) for engine in site.engines.values()) > 3
+
+    run_site(story, engines=0)
