Tests: a call's time is counted as stood still also where the process was late by a little again and again

At a load of 15 to 18 a process is late by less, often.

Change: the test counts all that its polls were late by, and has the new case beside that without and that with one stop. The bound, all but twice a call's work, is as before. On an idle machine polls are hardly late, so nothing is excused there.

Equally strict: who ran and was not late gets 200, else 200 or 504, never 503 or nothing.

--- a/lagoonlever/tests/leaving_vm_tests.py
+++ b/lagoonlever/tests/leaving_vm_tests.py
@@ -31,8 +31,8 @@
 WORK_S = 0.1
 """What a runner takes for a call."""
 PAUSE_S = 0.02
-PAUSED_S = 0.05
-"""A poll of this process, which is that of every part, that was later than this."""
+PAUSES_S = {"none": (), "one": (0.98,), "many": (*(0.04,) * 8, 0.72, *(0.04,) * 8)}
+"""Of this process, which is that of every part."""
 BOUNDS = Bounds(grace_s=GRACE_S)
 
 
@@ -136,7 +136,11 @@
 
 @attrs.define(kw_only=True)
 class Pauses:
-    """When this process stood still, and with it every part of the site."""
+    """When this process stood still, and with it every part of the site.
+
+    That is what each poll was late by: a machine that is busy stops a process for long, or for a
+    little again and again.
+    """
 
     _pauses: list[tuple[float, float]] = attrs.field(factory=list)
 
@@ -144,18 +148,17 @@
         while True:
             began = trio.current_time()
             await trio.sleep(POLL_S)
-            if trio.current_time() - began > POLL_S + PAUSED_S:
-                self._pauses.append((began, trio.current_time()))
+            self._pauses.append((began + POLL_S, trio.current_time()))
 
     def total_s(self, since: float, until: float) -> float:
         """Return for how long the process stood still between two times."""
         return sum(max(0.0, min(until, end) - max(since, start)) for start, end in self._pauses)
 
 
-@pytest.mark.parametrize("pause_s", [0.0, 0.98])
+@pytest.mark.parametrize("pauses_s", PAUSES_S.values(), ids=PAUSES_S)
 @pytest.mark.parametrize("kind", ["bid", "look"])
 def test_calls_up_to_the_end_of_a_stopping_vm_are_answered_or_not_run(
-    kind: str, pause_s: float
+    kind: str, pauses_s: tuple[float, ...]
 ) -> None:
     """A call is sent some milliseconds before a process ends: it runs, and nobody is told.
 
@@ -184,7 +187,9 @@
 
         async def pause() -> None:
             await trio.sleep(ENDS_S / 3)
-            time.sleep(pause_s)  # noqa: ASYNC251 - every part is to stand still
+            for pause_s in pauses_s:
+                time.sleep(pause_s)  # noqa: ASYNC251 - every part is to stand still
+                await trio.sleep(0.0)
 
         def stood_still(request: str) -> bool:
             began = begun_at[request]
