Tests: what a crash costs the store is counted once the VMs are registered

Traced: the two VMs register by one write each 0.5 to 0.6 s after their start (0 writes until 0.5 s, 2 from 0.6 s on, without any crash), and the test took longer than that there. It waits for these writes first; what it asks of the crash is unchanged: no write.

--- a/lagoonlever/tests/crash_records_tests.py
+++ b/lagoonlever/tests/crash_records_tests.py
@@ -248,6 +248,8 @@
     async def story(site: GatewaySite) -> None:
         for runner in site.runners.values():
             runner.work_s = 0.2
+        # Each VM registers by one write, half a second after its start.
+        await until(lambda: site.store.calls[TRANSACTION] >= len(site.vms))
         before = site.store.calls[TRANSACTION]
         async with trio.open_nursery() as nursery:
             for number in range(12):
