--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -55,7 +55,7 @@
         source: str,
         store_back_at: float | None = None,
     ) -> tuple[TargetChange, ...]:
-        """Take the whole list of targets unless what is known is newer; return what changed."""
+        """Apply the whole list of targets unless what is known is newer; return what changed."""
         registry = self._beliefs.targets
         if revision < registry.as_of:
             return ()
@@ -78,7 +78,7 @@
         return changes
 
     def take_change(self, change: TargetChange, *, store_back_at: float | None = None) -> bool:
-        """Take one change of the list of targets; return whether it counts now."""
+        """Apply one change of the list of targets; return whether it counts now."""
         registry = self._beliefs.targets
         known = change.target or registry.find(change.id)
         former = registry.process_start(change.id)
@@ -91,13 +91,13 @@
         return counts
 
     def take_start(self, target_id: str, started_ms: int) -> None:
-        """Take the start of its process that a target tells in an answer."""
+        """Record the start of its process that a target tells in an answer."""
         former = self._beliefs.targets.process_start(target_id)
         if self._beliefs.targets.record_restart(target_id, started_ms):
             self._note_start(target_id, former, source="its own answer")
 
     def take_leaving(self, target_id: str, started_ms: int | None, *, source: str) -> bool:
-        """Take a target's word that it leaves; return whether it is news."""
+        """Record that a target says that it leaves; return whether it is news."""
         registry = self._beliefs.targets
         if not registry.record_leave_announcement(
             target_id, started_ms=started_ms, now=self._timers.now
@@ -107,7 +107,7 @@
         return True
 
     def take_found(self, former: str, found: str, *, source: str) -> bool:
-        """Take a process that has a lost target's place; return whether it counts."""
+        """Use a process that has a lost target's place; return whether it counts."""
         counts = self._beliefs.targets.adopt_unlisted(former, found, self._timers.now)
         if counts:
             events.REPLACEMENT_FOUND.log(log, target=found, former=former, source=source)
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -254,7 +254,7 @@
                 self._bus.send(state.bus, BookAsk(reply_to=self._bus.address))
 
     def _take(self, change: RunChange, source: str) -> None:
-        """Take a change that another VM tells; this one's own come back from its hub."""
+        """Apply a change that another VM tells; this one's own come back from its hub."""
         book = self._beliefs.book
         if isinstance(change, EngineLost):
             self._take_engine_lost(change, source)
@@ -292,7 +292,7 @@
         return origin
 
     def _take_first_event(self, change: RunFlows) -> None:
-        """Take the first event of another VM's run, if this VM has heard of that run.
+        """Record the first event of another VM's run, if this VM has heard of that run.
 
         News may be lost. The run that is known here may be a former one of the request, at an
         engine of another version.
@@ -306,7 +306,7 @@
         self._take_load(change, run)
 
     def _take_load(self, change: RunFlows, run: EngineRun) -> None:
-        """Take an engine's word that another VM passes on, unless it is of a former process."""
+        """Record an engine's word that another VM passes on, unless it is of a former process."""
         if change.load is None:
             return
         engine = self._beliefs.targets.find(run.engine)
