--- a/lagoonlever/gateway/permit_exchange.py
+++ b/lagoonlever/gateway/permit_exchange.py
@@ -123,7 +123,7 @@
         return counter, others[0] if others else None
 
     def learn(self, told: WordTold) -> bool:
-        """Take what another VM tells of a target; return whether the limit changes."""
+        """Apply what another VM tells of a target; return whether the limit changes."""
         target = self._beliefs.targets.find(told.target)
         if target is None or target.is_later_than(told.started_ms):
             return False
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -247,7 +247,7 @@
             self._knowledge.push_configuration()
 
     def _take_target(self, change: KeyChange) -> TargetChange | None:
-        """Take one change of the list; return it if it counts now.
+        """Apply one change of the list; return it if it counts now.
 
         An entry that can't be read names no target, and ends what it named before. That is
         no lapse, so it is not held as one after an outage.
--- a/lagoonlever/gateway/target_limits.py
+++ b/lagoonlever/gateway/target_limits.py
@@ -218,7 +218,7 @@
                 self._spread.pass_on(received.message, source=source, for_plain=received.message)
 
     def _take(self, message: LimitsTold, source: str) -> bool:
-        """Take words of another VM; return whether one was news."""
+        """Record words of another VM; return whether one was news."""
         is_news = False
         for told in message.words:
             former = self._named.current(told.target)
