Soak: deadly requests are judged by the VM that sent them; plays of parts that end engines

The rule asks whether the VM that sent it was in touch: its process and the store undisturbed for 3 s. A VM that has lost its paths to engines is in touch.

Now the VM that took a stream is recorded, and a request counts unless that VM, the store or the engine's link was disturbed within 3 s.

--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -86,8 +86,9 @@
             await self._drop()
             await trio.sleep(self.rng.uniform(*DEADLY_PAUSE_S))
 
-    async def run_deadly_part(self, part: str) -> None:
+    async def run_deadly_part(self, part: str, after_s: float = 0.0) -> None:
         """Send requests that share a part which ends each engine, no two alike, until cancelled."""
+        await trio.sleep(after_s)
         while True:
             route = self.site.deployment.stream_routes[0]
             own = f"{self.rng.getrandbits(64):016x}"
@@ -186,6 +187,7 @@
         sent_at = trio.current_time()
         try:
             connection = await self._connect()
+            self.site.record_taker(request, connection.address)
             path = f"/{route}/{turn}"
             await connection.start(
                 method="POST", path=path, headers=headers, body=part.encode(), step="soak"
--- a/lagoonlever/soak/faults.py
+++ b/lagoonlever/soak/faults.py
@@ -347,6 +347,7 @@
         proxy.link = link
         await trio.sleep(fault.for_s)
         proxy.link = Link.WELL
+        proxy.harmed_until = trio.current_time()
         self.site.targets_disturbed_at = trio.current_time()
 
     @_action(FaultKind.ENGINE_RESET, FaultKind.RUNNER_RESET)
--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -63,7 +63,7 @@
     _versions: dict[str, str] = attrs.field(factory=dict)
     """The version that wrote the first event of each stream that a caller has."""
     _reached: Counter[str] = attrs.field(factory=Counter)
-    """How often each deadly prompt reached an engine after enough had ended, in calm."""
+    """How often VMs in touch sent each deadly prompt to an engine after enough had ended."""
 
     def break_promise(self, promise: str, detail: str) -> None:
         """Record a violation."""
@@ -123,13 +123,14 @@
         self.counts["engines ended by a prompt"] += 1
         self._ended_at.setdefault(part, []).append(now)
 
-    def reached(self, part: str, now: float, *, calm: bool) -> None:
-        """Record that a deadly prompt reached an engine; ``calm`` if no fault was active."""
+    def reached(self, part: str, now: float, *, in_touch: bool) -> None:
+        """Record that a deadly prompt reached an engine; ``in_touch`` of the VM that sent it."""
         ends = self._ended_at.get(part, [])
         most = MOST_ENDED_BY_PART if part in self._shared_parts else MOST_ENDED
-        if not calm or len(ends) < most or now - ends[most - 1] < STOPPED_AFTER_S:
+        if not in_touch or len(ends) < most or now - ends[most - 1] < STOPPED_AFTER_S:
             return
         self._reached[part] += 1
+        self.counts["deadly prompts that came late"] += 1
         if self._reached[part] > ALLOWED_AFTER:
             self.break_promise("deadly requests stop", f"{part} has ended {len(ends)} engines")
 
--- a/lagoonlever/soak/proxy.py
+++ b/lagoonlever/soak/proxy.py
@@ -39,6 +39,8 @@
     listen: Address
     target: Address
     link: Link = Link.WELL
+    harmed_until: float = 0.0
+    """When it last forwarded well again."""
     _open: set[trio.SocketStream] = attrs.field(factory=set)
 
     @property
--- a/lagoonlever/soak/run.py
+++ b/lagoonlever/soak/run.py
@@ -50,6 +50,8 @@
     """Prompts that end each engine that runs them; each is sent by two callers."""
     deadly_parts: int = 0
     """Parts of different prompts that end each engine; prompts with each are sent by two."""
+    parts_every_s: float = 0.0
+    """From the first request with a deadly part until the first with the next one."""
 
 
 @attrs.frozen(kw_only=True)
@@ -142,7 +144,8 @@
         site.judge.record_shared(part)
         rng = random.Random(f"{seed}-deadly-part-{number}")
         caller = SoakCaller(number=FIRST_SHARING + number, site=site, judge=site.judge, rng=rng)
-        nursery.start_soon(caller.run_deadly_part, part)
+        begins_after_s = size.parts_every_s * (number // 2)
+        nursery.start_soon(caller.run_deadly_part, part, begins_after_s)
 
 
 async def _wait_ready(site: SoakSite, limit_s: float, promise: str) -> None:
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -126,6 +126,8 @@
     runners_version: int = 1
     targets_disturbed_at: float = 0.0
     store_disturbed_at: float = 0.0
+    _takers: dict[str, SoakVm] = attrs.field(factory=dict)
+    """The VM that took each stream from its caller."""
     _fleet: dict[str, FakeEngine] = attrs.field(factory=dict)
     _lives: int = 0
     _proxies: dict[int, FaultyProxy] = attrs.field(factory=dict)
@@ -258,6 +260,26 @@
             return False
         return now - max(*harmed, self.store_disturbed_at) > CALM_S
 
+    def record_taker(self, request: str, address: Address) -> None:
+        """Record which VM takes a stream from its caller."""
+        vm = self._vm_at(address)
+        if vm is not None:
+            self._takers[request] = vm
+
+    def was_sent_in_touch(self, request: str, engine: str, now: float) -> bool:
+        """Check whether a stream that reaches an engine now was sent there by a VM in touch.
+
+        One that the engine's link may have held up was sent earlier.
+        """
+        vm = self._takers.get(request)
+        kept = next((kept for kept in self.engines if kept.target.id == engine), None)
+        if vm is None or kept is None or vm.store_link.harmed or self.store.harmed:
+            return False
+        if kept.proxy.harmed:
+            return False
+        last = max(vm.disturbed_at, self.store_disturbed_at, kept.proxy.harmed_until)
+        return now - last > CALM_S
+
     def calm_since(self, since: float) -> bool:
         """Check whether neither a VM nor the store was disturbed since a moment."""
         harmed = [vm.disturbed_at for vm in self.vms]
--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -97,7 +97,7 @@
         request = headers.get(REQUEST_ID)
         if request is not None and headers.get(EXPECTED_TARGET) == self.target_id:
             self._judge.arrived(request, self.target_id, headers)
-            self._tell_deadly(headers)
+            self._tell_deadly(request, headers)
         await super().handle(exchange)
 
     def record_accepted(self, headers: Headers) -> None:
@@ -111,8 +111,9 @@
         detail = f"{request} goes on at {self.target_id} from the memory of {former}"
         self._judge.break_promise("memory is its request's own", detail)
 
-    def _tell_deadly(self, headers: Headers) -> None:
+    def _tell_deadly(self, request: str, headers: Headers) -> None:
         entries = (headers.get(PROMPT_PARTS) or "").split(",")
         now = trio.current_time()
+        in_touch = self._site.was_sent_in_touch(request, self.target_id, now)
         for part in self._site.deadly.intersection(entry.partition(":")[0] for entry in entries):
-            self._judge.reached(part, now, calm=self._site.is_calm(now))
+            self._judge.reached(part, now, in_touch=in_touch)
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -483,11 +483,11 @@
     for at in range(3):
         judge.ended("d", float(at))
     for _ in range(4):
-        judge.reached("d", 4.0, calm=True)
-        judge.reached("d", 6.0, calm=False)
+        judge.reached("d", 4.0, in_touch=True)
+        judge.reached("d", 6.0, in_touch=False)
     assert len(judge.violations) == 9
     for _ in range(4):
-        judge.reached("d", 6.0, calm=True)
+        judge.reached("d", 6.0, in_touch=True)
     assert [violation.promise for violation in judge.violations] == [
         "at most once",
         "not run is true",
