Nurseries: the work's own exception is raised where another task fails in the same turn

What callers saw: a connection closed without an answer, and an exception group out of open_work_nursery in the log.

Cause: two tasks of one nursery that fail in the same turn come out as a group of two, which no caller of the nursery expects: an engine that ended as its stream was to move was not counted, told to others, or followed by another attempt. The class: an outcome that is known by its exception's class is lost beside a second one.

Now the block's exception is raised, with the group as its cause; an exception of another task only where the block has none of its own.

Evidence: nurseries_tests, the first test fails on (a group of two), passes now.

--- a/lagoonlever/nurseries.py
+++ b/lagoonlever/nurseries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import trio
 
@@ -13,19 +13,33 @@
     """Open a nursery that ends with its block, and raises the block's exception as it is.
 
     Trio wraps what leaves a nursery in a group, even a single exception; callers that
-    expect that exception by its class would miss it.
+    expect that exception by its class would miss it. Where another task fails in the same moment
+    as the block, the block's exception is raised, with the group as its cause.
     """
+    raised: BaseException | None = None
     try:
         async with trio.open_nursery() as nursery:
-            yield nursery
+            try:
+                yield nursery
+            except BaseException as error:
+                raised = error
+                raise
             nursery.cancel_scope.cancel()
     except BaseExceptionGroup as group:
-        raise _single(group) from group
+        raise _chosen(group, raised) from group
 
 
-def _single(group: BaseExceptionGroup[BaseException]) -> BaseException:
-    """Give the one exception of a group, or the group where it holds several."""
-    only: BaseException = group
-    while isinstance(only, BaseExceptionGroup) and len(only.exceptions) == 1:
-        only = only.exceptions[0]
-    return only
+def _chosen(
+    group: BaseExceptionGroup[BaseException], raised: BaseException | None
+) -> BaseException:
+    """Return the block's exception if it is in a group, or else the first one that is."""
+    leaves = list(_leaves(group))
+    return next((leaf for leaf in leaves if leaf is raised), leaves[0])
+
+
+def _leaves(error: BaseException) -> Iterator[BaseException]:
+    if not isinstance(error, BaseExceptionGroup):
+        yield error
+        return
+    for inner in error.exceptions:
+        yield from _leaves(inner)
