Crashes: the loss of an engine is judged by evidence, also at a VM without paths

What callers saw: requests with a part that ends each engine that begins an answer on it went on to reach engines, long after the fifth had ended (BUDGET); the streams of everybody at these engines broke off.

Cause: a VM that has lost its paths counted no crash at all, as it can't tell a lost engine from a lost path, and went on to the next engine as if nothing had happened. The other way round, where all VMs lost their paths at once each loss was counted as a crash at once, and a sound part was barred. The class: what can't be told apart is decided at once, one way or the other, in place of kept open until somebody can tell.

Change: a loss that no other VM confirms at once is pending. Engines are asked again by way of whichever VMs reach them; it counts, with the time of the loss, once a VM that reaches others finds the engine down, another process answers, its entry goes, another VM reports the crash, or three connections in a row are closed unanswered. It falls once the process answers, or after 5 s. The request waits up to 1 s for that. An answer of another process at the address is no sign of life any more. A line tells each verdict (loss-judged).

Why it holds: nothing counts without evidence, and nothing falls without an answer of the process itself.

--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -15,6 +15,7 @@
 import logbook
 import trio
 
+from lagoonlever.decisions.engines.crash_evidence import Fate
 from lagoonlever.decisions.engines.crash_suspects import Block, CrashSuspects
 from lagoonlever.decisions.engines.part_causes import PartSet, SoundParts
 from lagoonlever.decisions.engines.suspect_placement import choose_suspect_engine
@@ -28,7 +29,10 @@
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.crash_news import CrashNews
 from lagoonlever.gateway.crash_records import CrashRecords
+from lagoonlever.gateway.dialer import TargetDialer
 from lagoonlever.gateway.hub_spread import HubSpread
+from lagoonlever.gateway.lost_engines import LostEngines
+from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_client import TargetClient
 from lagoonlever.http.messages import Address
@@ -46,6 +50,10 @@
 others are told by messages. A multiple of the time between its own words, for one wake-up."""
 
 
+EVIDENCE_WAIT_S = 1.0
+"""How long a request whose engine may have crashed waits before it goes on."""
+
+
 @attrs.frozen(kw_only=True, eq=False)
 class _OpenWork:
     """Work on a request that ends once news of it come."""
@@ -56,6 +64,18 @@
     """The engine where it waits, if it may wait at another one instead."""
 
 
+@attrs.frozen(kw_only=True, eq=False)
+class _Loss:
+    """An engine that was lost under a request, and may have crashed."""
+
+    accepted: Accepted
+    engine: ListedTarget
+    weight: float
+    sent_at: float
+    at: float
+    judged: trio.Event = attrs.field(factory=trio.Event)
+
+
 @attrs.define(kw_only=True, eq=False)
 class CrashWatch:
     """What those who serve requests tell, and ask, of requests that end targets."""
@@ -67,6 +87,8 @@
     _roles: Published[Roles | None]
     _spread: HubSpread
     _client: TargetClient
+    _prober: EngineProber
+    _dialer: TargetDialer
     _tally: Tally
     _rng: random.Random
     _hears_runs: Callable[[], bool]
@@ -81,6 +103,18 @@
     """The requests that were logged as barred."""
     _barred_parts: frozenset[PartSet] = frozenset()
     """The same for parts; those that can't be told apart as one set."""
+    _nursery: trio.Nursery | None = None
+    _lost_engines: LostEngines = attrs.field(init=False)
+
+    @_lost_engines.default
+    def _make_lost_engines(self) -> LostEngines:
+        return LostEngines(
+            prober=self._prober,
+            dialer=self._dialer,
+            beliefs=self._beliefs,
+            suspects=self._suspects,
+            timers=self._timers,
+        )
 
     @_records.default
     def _make_records(self) -> CrashRecords:
@@ -108,6 +142,7 @@
     async def run(self) -> None:
         """Keep the record and take what other VMs tell, until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self._records.run)
             nursery.start_soon(self._news.receive_ends)
             nursery.start_soon(self._news.receive_served)
@@ -181,18 +216,25 @@
                     self._open.pop(accepted.fingerprint, None)
 
     async def ended_under(
-        self, accepted: Accepted, target: ListedTarget, *, weight: float, sent_at: float
+        self,
+        accepted: Accepted,
+        target: ListedTarget,
+        *,
+        weight: float,
+        sent_at: float,
+        at: float | None = None,
     ) -> None:
         """Record that a target crashed under a request, and report it to the other VMs.
 
-        One that had ended before the request was sent there is no work of it.
+        One that had ended before the request was sent there is no work of it. ``at`` is when it
+        was lost, if that was earlier.
 
         Waits a moment for the record: a VM that does not hear others learns what they saw
         before it sends the request to the next target.
         """
         if self._suspects.has_crashed(process_name(target.id, target.started_ms), sent_at):
             return
-        if not self._note(accepted, target, weight):
+        if not self._note(accepted, target, weight, at=self._timers.now if at is None else at):
             return
         barred, barred_parts = self._barred, self._barred_parts
         await self._records.exchange()
@@ -203,6 +245,45 @@
             for part in parts.intersection(accepted.suspects.parts):
                 self._news.tell_kept(part)
 
+    async def lost_unproven(
+        self, accepted: Accepted, engine: ListedTarget, *, weight: float, sent_at: float
+    ) -> None:
+        """Record the loss of an engine that may have crashed, or may only be out of reach.
+
+        Waits a moment for evidence, so that the request does not go on to the next engine as if
+        nothing had happened; the search goes on without it.
+        """
+        loss = _Loss(
+            accepted=accepted, engine=engine, weight=weight, sent_at=sent_at, at=self._timers.now
+        )
+        if self._nursery is None:
+            return
+        self._nursery.start_soon(self._judge_loss, loss)
+        with trio.move_on_after(EVIDENCE_WAIT_S):
+            await loss.judged.wait()
+
+    async def _judge_loss(self, loss: _Loss) -> None:
+        try:
+            fate = await self._lost_engines.find_fate(loss.engine, lost_at=loss.at)
+            events.LOSS_JUDGED.log(
+                log,
+                request=loss.accepted.request_id,
+                target=loss.engine.id,
+                fate=fate.value,
+                seconds=self._timers.now - loss.at,
+                weight=loss.weight,
+            )
+            if fate is Fate.GONE:
+                await self.ended_under(
+                    loss.accepted,
+                    loss.engine,
+                    weight=loss.weight,
+                    sent_at=loss.sent_at,
+                    at=loss.at,
+                )
+        finally:
+            loss.judged.set()
+
     async def lost_call(self, accepted: Accepted, target: ListedTarget, *, sent_at: float) -> None:
         """Look whether a target has ended under a call: one that has takes no connection.
 
@@ -269,13 +350,13 @@
         known = self._sound.knows_any(self._timers.now) or not self._hears_runs()
         self._suspects.set_answers_known(known)
 
-    def _note(self, accepted: Accepted, target: ListedTarget, weight: float) -> bool:
+    def _note(self, accepted: Accepted, target: ListedTarget, weight: float, *, at: float) -> bool:
         """Count an end that this VM saw; return whether it is news."""
         fingerprint, now = accepted.fingerprint, self._timers.now
         process = process_name(target.id, target.started_ms)
-        ends = {fingerprint: Crash(at=now, weight=weight)}
+        ends = {fingerprint: Crash(at=at, weight=weight)}
         for part in self._sound.unproven(accepted.suspects.parts, now):
-            ends[part] = Crash(at=now, weight=weight, requests=(fingerprint,))
+            ends[part] = Crash(at=at, weight=weight, requests=(fingerprint,))
         news = [
             suspect
             for suspect, end in ends.items()
@@ -300,7 +381,7 @@
             EndTold(
                 fingerprint=suspect,
                 process=process,
-                age_s=0.0,
+                age_s=now - at,
                 weight=weight,
                 requests=ends[suspect].requests,
             )
--- a/lagoonlever/gateway/dialer.py
+++ b/lagoonlever/gateway/dialer.py
@@ -79,6 +79,11 @@
     _was_cut_off: bool = False
     _looks: int = 0
 
+    @property
+    def may_ask_others(self) -> bool:
+        """Whether there are other VMs by way of which targets may be reached."""
+        return self._tunnel_port is not None and bool(self._fellows.present(self._timers.now))
+
     def on_change(self, notify: Callable[[Address], Awaitable[None]]) -> None:
         """Have ``notify`` called with each target whose path was cut or is open again.
 
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -174,6 +174,15 @@
     "there. Where several targets end under one fingerprint, the request is "
     "the cause: look at its body at its organisation, and at the targets' own logs.",
 )
+LOSS_JUDGED = event(
+    1039,
+    "loss-judged",
+    "info",
+    "{target} was lost under {request}, and no VM could say at once why: {fate} after"
+    " {seconds:.2f} s, of weight {weight}.",
+    "The target may have ended, or may only be out of reach. `gone` counts as an end under the"
+    " request, `lives` and `unknown` do not.",
+)
 REQUEST_BARRED = event(
     1057,
     "request-barred",
--- /dev/null
+++ b/lagoonlever/gateway/lost_engines.py
@@ -0,0 +1,68 @@
+"""Finds out whether engines that were lost have crashed, or are only out of reach."""
+
+from __future__ import annotations
+
+import attrs
+import trio
+
+from lagoonlever.decisions.engines.crash_evidence import Fate, LossSigns, judge_loss
+from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
+from lagoonlever.decisions.engines.target_crashes import process_name
+from lagoonlever.decisions.targets.listed_target import ListedTarget
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.dialer import TargetDialer
+from lagoonlever.gateway.messages import EngineReport
+from lagoonlever.gateway.prober import EngineProber
+from lagoonlever.timers import TimerService
+
+ASK_AGAIN_S = 0.08
+"""Between two questions; each may lead by other VMs than the one before."""
+SOUGHT_S = 5.0
+"""After which a loss of unknown cause counts against nobody: an engine that crashed is back within
+some seconds, and its entry has lapsed."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class LostEngines:
+    """Asks an engine again and again, by whichever VMs reach it."""
+
+    _prober: EngineProber
+    _dialer: TargetDialer
+    _beliefs: Beliefs
+    _suspects: CrashSuspects
+    _timers: TimerService
+
+    async def find_fate(self, engine: ListedTarget, *, lost_at: float) -> Fate:
+        """Return what became of an engine's process; unknown after ``SOUGHT_S``."""
+        closed = 0
+        while True:
+            report = await self._prober.ask(engine, since=self._timers.now)
+            closed = closed + 1 if self._prober.has_broken(engine.id) else 0
+            fate = judge_loss(self._signs(engine, report, closed=closed))
+            is_over = self._timers.now - lost_at >= SOUGHT_S
+            if fate is not Fate.UNKNOWN or is_over:
+                return fate
+            await trio.sleep(ASK_AGAIN_S)
+
+    def _signs(
+        self, engine: ListedTarget, report: EngineReport | None, *, closed: int
+    ) -> LossSigns:
+        targets, now = self._beliefs.targets, self._timers.now
+        listed = targets.find(engine.id)
+        process = process_name(engine.id, engine.started_ms)
+        return LossSigns(
+            answers=report is not None,
+            is_other_process=is_other_process(engine, report)
+            or (listed is not None and listed.has_restarted_since(engine.started_ms)),
+            takes_no_connection=self._dialer.is_down(engine.address),
+            closed_connections=closed,
+            is_replaced=targets.is_address_taken(engine.id),
+            is_reported=self._suspects.has_crashed(process, now),
+        )
+
+
+def is_other_process(engine: ListedTarget, report: EngineReport | None) -> bool:
+    """Check whether a report is of another process than the one that a request was sent to."""
+    if report is None or report.started_ms is None or engine.started_ms is None:
+        return False
+    return report.started_ms != engine.started_ms
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -105,6 +105,7 @@
     call_desk: CallDesk = attrs.field(init=False)
     call_places: CallPlaces = attrs.field(init=False)
     client: TargetClient = attrs.field(init=False)
+    prober: EngineProber = attrs.field(init=False)
     crashes: CrashWatch = attrs.field(init=False)
     version_record: VersionRecord = attrs.field(init=False)
     origin_records: OriginRecords = attrs.field(init=False)
@@ -112,7 +113,6 @@
     follower: StoreFollower = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
     pace_keeper: PaceKeeper = attrs.field(init=False)
-    prober: EngineProber = attrs.field(init=False)
     front: Front = attrs.field(init=False)
     directory: Directory = attrs.field(init=False)
     metrics_page: MetricsPage = attrs.field(init=False)
@@ -396,6 +396,12 @@
         self.dialer.on_change(client.forget)
         return client
 
+    @prober.default
+    def _make_prober(self) -> EngineProber:
+        prober = EngineProber(opener=self.dialer.open)
+        self.dialer.on_change(prober.forget)
+        return prober
+
     @crashes.default
     def _make_crashes(self) -> CrashWatch:
         crashes = CrashWatch(
@@ -406,6 +412,8 @@
             roles=self.presence.roles,
             spread=self.spread,
             client=self.client,
+            prober=self.prober,
+            dialer=self.dialer,
             tally=self.reporter.tally,
             rng=self.rng,
             hears_runs=self.peers.holds_book,
@@ -492,12 +500,6 @@
             rng=self.rng,
         )
 
-    @prober.default
-    def _make_prober(self) -> EngineProber:
-        prober = EngineProber(opener=self.dialer.open)
-        self.dialer.on_change(prober.forget)
-        return prober
-
     @front.default
     def _make_front(self) -> Front:
         return make_front(self)
--- a/lagoonlever/gateway/prober.py
+++ b/lagoonlever/gateway/prober.py
@@ -31,6 +31,8 @@
     done: trio.Event
     at: float
     report: EngineReport | None = None
+    broke: bool = False
+    """A new connection was opened for the question, and closed before an answer."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -38,6 +40,8 @@
     """One question, asked on up to two connections."""
 
     report: EngineReport | None = None
+    broke: bool = False
+    """The new connection was closed before an answer."""
     failed: trio.Event = attrs.field(factory=trio.Event)
     """Set once the kept connection has failed."""
     answered: trio.CancelScope = attrs.field(factory=trio.CancelScope)
@@ -75,11 +79,17 @@
             return known.report
         asked = self._asked[engine.id] = _Asked(done=trio.Event(), at=now)
         try:
-            asked.report = await self._fetch(engine)
+            question = await self._fetch(engine)
+            asked.report, asked.broke = question.report, question.broke
         finally:
             asked.done.set()
         return asked.report
 
+    def has_broken(self, engine_id: str) -> bool:
+        """Check whether the last question's new connection was opened, and closed unanswered."""
+        asked = self._asked.get(engine_id)
+        return asked is not None and asked.report is None and asked.broke
+
     async def forget(self, address: Address) -> None:
         """Close the kept connection to an engine."""
         await self._pool.drop(address)
@@ -89,7 +99,7 @@
         for engine in self._asked.keys() - engines:
             del self._asked[engine]
 
-    async def _fetch(self, engine: ListedTarget) -> EngineReport | None:
+    async def _fetch(self, engine: ListedTarget) -> _Question:
         """Ask on the kept connection, and on a new one as well if there is no answer at once.
 
         A kept connection may lead over a path that was lost since. No answer is an answer, too:
@@ -108,7 +118,7 @@
                 with trio.move_on_after(LAST_WAIT_S):
                     await question.failed.wait()
                 nursery.cancel_scope.cancel()
-        return question.report
+        return question
 
     async def _ask_anew(self, engine: ListedTarget, question: _Question) -> None:
         try:
@@ -116,6 +126,7 @@
         except ConnectFailed:
             return
         await self._ask_on(fresh, question)
+        question.broke = question.report is None and question.failed.is_set()
 
     async def _ask_on(self, connection: ClientConnection, question: _Question) -> None:
         try:
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -29,6 +29,7 @@
 from lagoonlever.gateway.attempt_planner import stream_need
 from lagoonlever.gateway.attempt_tools import AttemptPlan, AttemptTools
 from lagoonlever.gateway.copy_keeper import CopyKeeper
+from lagoonlever.gateway.lost_engines import is_other_process
 from lagoonlever.gateway.messages import AnswerHead, EngineReport, Hop, RunReport
 from lagoonlever.gateway.peers import PeerExchange
 from lagoonlever.gateway.placer import Placer
@@ -190,6 +191,11 @@
         """Whether the engine is lost by the evidence of more than this VM."""
         return self._tools.dialer.is_down(self._plan.engine.address)
 
+    @property
+    def _others_may_know(self) -> bool:
+        """Whether there are VMs that can show whether the engine or this VM's path is lost."""
+        return self._tools.dialer.may_ask_others
+
     @property
     def _version(self) -> str | None:
         """The version at which the stream must go on, or None while it may begin anywhere."""
@@ -515,8 +521,8 @@
         if not ended.unanswered:
             # A report from just before the break would say that an engine lives which has ended.
             report = await self._tools.prober.ask(engine, since=broke_at)
+            alive = report is not None and not is_other_process(engine, report)
             self._take_report(report)
-            alive = report is not None
         self._count("lost" if alive else "target-gone")
         if alive and not self._is_cut:
             self._counts.failed()
@@ -528,18 +534,18 @@
             if self._signs.alive_at is not None:
                 self._tools.replacements.lost(engine.id, alive_at=self._signs.alive_at)
         self._log_end(f"{ended}; the engine {'lives' if alive else 'does not answer'}")
-        weight = 0.0 if alive or self._is_cut else self._end_weight(ended)
-        if weight:
-            await self._tools.crashes.ended_under(
-                self._accepted, engine, weight=weight, sent_at=self._started
-            )
+        weight = 0.0 if alive else self._end_weight(ended)
+        if not weight:
+            return
+        crashes, is_proven = self._tools.crashes, self._is_down or not self._others_may_know
+        record = crashes.ended_under if is_proven else crashes.lost_unproven
+        await record(self._accepted, engine, weight=weight, sent_at=self._started)
 
     def _end_weight(self, ended: _Ended) -> float:
         """Return how much an engine's end counts against the request.
 
         Others that were at the engine had given events, or were waiting there: a run that had
-        begun and come to nothing may be what ended it. An engine that does not answer though
-        its connection is open may be cut off from this VM, with all that wait there.
+        begun and come to nothing may be what ended it.
         """
         if self._given:
             return 0.0
