Tunnels: a VM whose paths are just back calls no target down

An end of a living engine was counted under a request.

Cause: the desk tries a target, and another one as a control. As all paths came back, the target was tried just before and the control just after, and the control's success was taken for proof that the failure is the target's. The class: two looks at different times, taken for one.

Change: where the control was reached only after the target had failed, the target is tried once more, for 0.03 s.

--- a/lagoonlever/gateway/tunnel_desk.py
+++ b/lagoonlever/gateway/tunnel_desk.py
@@ -33,6 +33,8 @@
 
 CONNECT_TIMEOUT_S = 0.06
 """Below the time for which the other VM waits for an answer."""
+AGAIN_TIMEOUT_S = 0.03
+"""For a target that has failed once; one that is there accepts within a few milliseconds."""
 CONTROL_DELAY_S = 0.02
 """Before another target is tried beside one that does not answer."""
 IDLE_S = 1.0
@@ -91,6 +93,7 @@
             return NoTunnel(status=UNAVAILABLE)
         others, began = self._others(address), self._timers.now
         opened: ClientConnection | None = None
+        failed_at = began
         failed = trio.Event()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._try_control, others, began, failed)
@@ -98,7 +101,12 @@
             with contextlib.suppress(ConnectFailed):
                 opened = await self._dialer.open_own(address, timeout_s=CONNECT_TIMEOUT_S)
                 nursery.cancel_scope.cancel()
+            failed_at = self._timers.now
             failed.set()
+        if opened is None and paths.is_witness(others, since=failed_at):
+            # The path may have come back between the two; only a failure after that tells.
+            with contextlib.suppress(ConnectFailed):
+                opened = await self._dialer.open_own(address, timeout_s=AGAIN_TIMEOUT_S)
         if opened is not None:
             return opened.detach()
         is_witness = paths.is_witness(others, since=began)
--- a/lagoonlever/tests/refused_tunnels_tests.py
+++ b/lagoonlever/tests/refused_tunnels_tests.py
@@ -7,10 +7,13 @@
 import pytest
 import trio
 
+from lagoonlever.exceptions import ConnectFailed
 from lagoonlever.fakes.path_proxy import PathState
 from lagoonlever.fakes.raw_answers import raw_answer
 from lagoonlever.gateway.dialer import TUNNEL_TIMEOUT_S
 from lagoonlever.gateway.tunnel_desk import TunnelDesk
+from lagoonlever.http.client import ClientConnection
+from lagoonlever.http.messages import Address
 from lagoonlever.http.tunnel import (
     BAD_GATEWAY,
     FORBIDDEN,
@@ -129,3 +132,27 @@
         assert set(runs(site).values()) == {1}
 
     run_site(story, engines=0, runners=2, vms=3, cuttable=True)
+
+
+def test_a_target_is_not_called_down_by_a_vm_whose_paths_are_just_back() -> None:
+    """Its path to the target is tried before it is back, and that to another one after."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        parts = site.vms["vm-0"].daemon.parts
+        address, dialer = site.addresses["engine-0"], parts.dialer
+        open_direct, failures = dialer._open_direct, []
+
+        async def open_later(target: Address, *, timeout_s: float) -> ClientConnection:
+            if target == address and not failures:
+                failures.append(target)
+                raise ConnectFailed("refused", step="connect", peer=str(target))
+            return await open_direct(target, timeout_s=timeout_s)
+
+        dialer._open_direct = open_later
+        outcome = await parts.tunnel_desk._open(address)
+        assert failures
+        assert isinstance(outcome, trio.SocketStream)
+        await outcome.aclose()
+
+    run_site(story, engines=3, runners=1, vms=1)
