Crashes: one request of the fleet tries a part whose bar is over, and ever more rarely

Cause: a bar that may be wrong has to end, or nothing could clear it; but its length did not depend on how often it had been right, and its end was open to all. The class: a retry without backoff, and a herd at its end.

Change: each crash that came 3 s after the fifth or later is of a trial. The next bar is four times as long, after three trials ten minutes. As a bar ends the VMs have turns of 0.5 s in an order that each finds by hash; the first one with a request for the part has it try, and tells the others, which wait for a crash, an answer, or 12 s. Sound requests still go before those with more suspects, as their bars are shorter. Lines: part-tried, and part-refused as before.

Evidence: part_trials_tests.

Why it holds: whoever doubts a bar waits for the one that tries it; a lost message costs one more engine, and the next bar is longer all the same.

--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -33,17 +33,15 @@
 import attrs
 
 from lagoonlever.decisions.engines.crash_causes import BLOCKING_WEIGHT, find_causes, total_weight
+from lagoonlever.decisions.engines.part_blocks import BLOCK_S, OpenTrial, block_s
 from lagoonlever.decisions.engines.part_causes import (
     BLOCKING_CRASHES,
     GATHERING_CRASHES,
     MAX_TESTED_CRASHES,
-    SOUND_S,
-    UNCERTAIN_BLOCK_S,
     UNTESTED_BLOCKING_CRASHES,
     PartSet,
     find_part_causes,
     is_cause,
-    is_explained_by_few,
     started_crashes,
 )
 from lagoonlever.decisions.engines.suspects import SuspectKind, Suspects, kind_of
@@ -62,11 +60,6 @@
 A target that crashes loses all its requests, and nearly all of them are served elsewhere,
 so a single crash is not worth a call to the store.
 """
-BLOCK_S = 600.0
-"""A request may be tried again this long after the last crash of a target that had it.
-
-The fault in the target's software may have been fixed by then.
-"""
 RETENTION_S = 3600.0
 """The crashes of a request are removed this long after the last one.
 
@@ -268,25 +261,28 @@
             if not cause.issubset(suspects.parts):
                 continue
             processes = started_crashes(self._crashes[next(iter(cause))])
-            remaining_s = _last_crash_at(processes) + self._part_block_s(cause, suspects) - now
+            remaining_s = self._part_blocked_until(cause, suspects) - now
             if remaining_s > 0:
                 return Block(crash_count=len(processes), remaining_s=remaining_s, parts=cause)
         return None
 
-    def _part_block_s(self, cause: PartSet, suspects: Suspects) -> float:
-        """Return how long a request is blocked for the parts that are taken for a cause.
+    def find_open_trial(self, suspects: Suspects, now: float) -> OpenTrial | None:
+        """Return the part of a prompt whose block is over, if nothing has cleared it."""
+        for cause in self._part_causes:
+            if not cause.issubset(suspects.parts):
+                continue
+            processes = started_crashes(self._crashes[next(iter(cause))])
+            over_s = now - self._part_blocked_until(cause, suspects)
+            return OpenTrial(parts=cause, crash_count=len(processes), over_s=over_s)
+        return None
 
-        It is short while the block may be wrong, as it hides the answers that would clear it, and
-        longer for requests of which more may be causes, so that the sound ones try first.
-        """
+    def _part_blocked_until(self, cause: PartSet, suspects: Suspects) -> float:
         crashes = started_crashes(self._crashes[next(iter(cause))])
-        if self._answers_known and not is_explained_by_few(crashes):
-            return BLOCK_S
-        if self._answers_known and len(crashes) >= UNTESTED_BLOCKING_CRASHES:
-            return SOUND_S
         others = sum(self._has_many_crashes(part) for part in suspects.parts if part not in cause)
         own = suspects.request in self._crashes
-        return UNCERTAIN_BLOCK_S * (1 + others + own)
+        return _last_crash_at(crashes) + block_s(
+            crashes, answers_known=self._answers_known, other_suspects=others + own
+        )
 
     def _has_many_crashes(self, part: str) -> bool:
         return len(started_crashes(self._crashes.get(part, {}))) >= UNTESTED_BLOCKING_CRASHES
--- /dev/null
+++ b/lagoonlever/decisions/engines/part_blocks.py
@@ -0,0 +1,136 @@
+"""Decision how long a part that is taken for a cause is blocked, and who may try it then.
+
+A block hides the answers that would clear a part, so one that may be wrong ends after seconds. A
+block that is right costs an engine each time it ends: so each one is longer than the one before,
+and after a few it is as long as one that is certain. And what comes as it ends must not reach an
+engine all at once, from every VM: one request of the fleet tries, and all others wait for what
+becomes of it.
+
+- The VMs have turns, in an order that each of them finds by itself, and the first one with a
+  request for the part tries. It tells the others, which then wait.
+- A crash blocks the part again, for all; an answer that begins clears it. A trial that is never
+  heard of again ends by itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from lagoonlever.decisions.engines.part_causes import (
+    SOUND_S,
+    UNCERTAIN_BLOCK_S,
+    UNTESTED_BLOCKING_CRASHES,
+    PartSet,
+    is_explained_by_few,
+)
+from lagoonlever.decisions.engines.target_crashes import Crash
+from lagoonlever.decisions.fleet.rendezvous import rank_by_hash
+
+BLOCK_S = 600.0
+"""How long a block lasts that is not doubted.
+
+The fault in the target's software may have been fixed by then.
+"""
+MOST_TRIALS = 3
+"""Crashes of trials after which a block is not doubted any more."""
+TRIAL_FACTOR = 4.0
+"""How many times as long a block is as the one before."""
+KNOWN_WITHIN_S = 3.0
+"""After the crash that blocks a part every VM knows: a crash later than that was of a trial."""
+TURN_S = 0.5
+"""From the turn of one VM to that of the next: well beyond a message."""
+TRIAL_KEPT_S = 12.0
+"""A trial that has shown nothing for so long counts as over."""
+
+
+def block_s(crashes: Mapping[str, Crash], *, answers_known: bool, other_suspects: int) -> float:
+    """Return how long after the last crash a request is blocked for a part.
+
+    ``crashes`` are those of the part; of the request's other suspects more may be causes, so
+    that requests with fewer try first.
+    """
+    if answers_known and not is_explained_by_few(crashes):
+        return BLOCK_S
+    trials = count_trials(crashes)
+    if trials >= MOST_TRIALS:
+        return BLOCK_S
+    factor = TRIAL_FACTOR**trials
+    if answers_known and len(crashes) >= UNTESTED_BLOCKING_CRASHES:
+        return min(BLOCK_S, SOUND_S * factor)
+    return min(BLOCK_S, UNCERTAIN_BLOCK_S * (1 + other_suspects) * factor)
+
+
+def count_trials(crashes: Mapping[str, Crash]) -> int:
+    """Return how many of a part's crashes came when every VM knew that it is blocked."""
+    times = sorted(crash.at for crash in crashes.values())
+    if len(times) < UNTESTED_BLOCKING_CRASHES:
+        return 0
+    known_at = times[UNTESTED_BLOCKING_CRASHES - 1] + KNOWN_WITHIN_S
+    return sum(at > known_at for at in times)
+
+
+@attrs.frozen(kw_only=True)
+class OpenTrial:
+    """A part whose block is over, and that nothing has cleared."""
+
+    parts: PartSet
+    """Those that can't be told apart."""
+    crash_count: int
+    over_s: float
+    """For how long the block has been over, in seconds."""
+
+    @property
+    def key(self) -> str:
+        """The trial's name, the same at every VM; the next one has another."""
+        return f"{'|'.join(sorted(self.parts))}#{self.crash_count}"
+
+
+@attrs.define(kw_only=True)
+class PartTrials:
+    """The trials that this VM makes or has heard of; times in seconds of the monotonic clock."""
+
+    _own: dict[str, str] = attrs.field(factory=dict)
+    """The request that tries, by the trial's key."""
+    _elsewhere: dict[str, float] = attrs.field(factory=dict)
+    """When another VM told that it tries."""
+
+    def wait_s(
+        self, trial: OpenTrial, request: str, now: float, *, own: str, vms: Iterable[str]
+    ) -> float:
+        """Return for how long a request has to wait; 0 if it is the one that tries.
+
+        ``own`` is this VM's name, ``vms`` those of all VMs that are there.
+        """
+        holder = self._own.get(trial.key)
+        if holder == request:
+            return 0.0
+        told_at = self._elsewhere.get(trial.key)
+        if holder is not None:
+            return TURN_S
+        if told_at is not None and now - told_at < TRIAL_KEPT_S:
+            return TRIAL_KEPT_S - (now - told_at)
+        order = rank_by_hash({*vms, own}, purpose=f"trial|{trial.key}")
+        return max(0.0, order.index(own) * TURN_S - trial.over_s)
+
+    def begin(self, key: str, request: str) -> bool:
+        """Record that a request tries; return whether it is news."""
+        if self._own.get(key) == request:
+            return False
+        self._own[key] = request
+        return True
+
+    def record_elsewhere(self, key: str, now: float) -> None:
+        """Record that another VM tries."""
+        self._elsewhere[key] = now
+
+    def record_end(self, request: str) -> None:
+        """Record that a request has ended, whatever became of it."""
+        self._own = {key: holder for key, holder in self._own.items() if holder != request}
+
+    def expire(self, now: float) -> None:
+        """Forget trials of others that have shown nothing."""
+        self._elsewhere = {
+            key: at for key, at in self._elsewhere.items() if now - at < TRIAL_KEPT_S
+        }
--- a/lagoonlever/gateway/crash_news.py
+++ b/lagoonlever/gateway/crash_news.py
@@ -19,7 +19,12 @@
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.interface import Bus
-from lagoonlever.peers.messages_crashes import EndTold, RequestServed, TargetsEnded, read_ends
+from lagoonlever.peers.messages_crashes import (
+    EndTold,
+    RequestServed,
+    TargetsEnded,
+    read_ends,
+)
 from lagoonlever.timers import TimerService
 
 CrashMessage = TargetsEnded | RequestServed
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -15,7 +15,6 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.engines.crash_evidence import Fate
 from lagoonlever.decisions.engines.crash_suspects import Block, CrashSuspects
 from lagoonlever.decisions.engines.part_causes import PartSet, SoundParts
 from lagoonlever.decisions.engines.suspect_placement import choose_suspect_engine
@@ -31,10 +30,11 @@
 from lagoonlever.gateway.crash_records import CrashRecords
 from lagoonlever.gateway.dialer import TargetDialer
 from lagoonlever.gateway.hub_spread import HubSpread
-from lagoonlever.gateway.lost_engines import LostEngines
+from lagoonlever.gateway.lost_engines import Loss, LostEngines
 from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_client import TargetClient
+from lagoonlever.gateway.trial_admission import TrialAdmission
 from lagoonlever.http.messages import Address
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.interface import Bus
@@ -50,10 +50,6 @@
 others are told by messages. A multiple of the time between its own words, for one wake-up."""
 
 
-EVIDENCE_WAIT_S = 1.0
-"""How long a request whose engine may have crashed waits before it goes on."""
-
-
 @attrs.frozen(kw_only=True, eq=False)
 class _OpenWork:
     """Work on a request that ends once news of it come."""
@@ -64,22 +60,12 @@
     """The engine where it waits, if it may wait at another one instead."""
 
 
-@attrs.frozen(kw_only=True, eq=False)
-class _Loss:
-    """An engine that was lost under a request, and may have crashed."""
-
-    accepted: Accepted
-    engine: ListedTarget
-    weight: float
-    sent_at: float
-    at: float
-    judged: trio.Event = attrs.field(factory=trio.Event)
-
-
 @attrs.define(kw_only=True, eq=False)
 class CrashWatch:
     """What those who serve requests tell, and ask, of requests that end targets."""
 
+    _own: str
+    """This VM's name."""
     _store: RecordStore
     _bus: Bus
     _beliefs: Beliefs
@@ -95,6 +81,7 @@
     """Whether this VM hears of all runs, and not only of crashes, from its hubs."""
     _suspects: CrashSuspects = attrs.field(factory=lambda: CrashSuspects(answers_known=False))
     _sound: SoundParts = attrs.field(factory=SoundParts)
+    _trials: TrialAdmission = attrs.field(init=False)
     _records: CrashRecords = attrs.field(init=False)
     _news: CrashNews = attrs.field(init=False)
     _open: dict[str, set[_OpenWork]] = attrs.field(factory=dict)
@@ -103,7 +90,6 @@
     """The requests that were logged as barred."""
     _barred_parts: frozenset[PartSet] = frozenset()
     """The same for parts; those that can't be told apart as one set."""
-    _nursery: trio.Nursery | None = None
     _lost_engines: LostEngines = attrs.field(init=False)
 
     @_lost_engines.default
@@ -114,6 +100,7 @@
             beliefs=self._beliefs,
             suspects=self._suspects,
             timers=self._timers,
+            crashed=self._record_crash,
         )
 
     @_records.default
@@ -127,6 +114,16 @@
             learnt=self._take_news,
         )
 
+    @_trials.default
+    def _make_trials(self) -> TrialAdmission:
+        return TrialAdmission(
+            own=self._own,
+            bus=self._bus,
+            beliefs=self._beliefs,
+            timers=self._timers,
+            spread=self._spread,
+        )
+
     @_news.default
     def _make_news(self) -> CrashNews:
         return CrashNews(
@@ -142,10 +139,11 @@
     async def run(self) -> None:
         """Keep the record and take what other VMs tell, until cancelled."""
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
             nursery.start_soon(self._records.run)
+            nursery.start_soon(self._lost_engines.run)
             nursery.start_soon(self._news.receive_ends)
             nursery.start_soon(self._news.receive_served)
+            nursery.start_soon(self._trials.run)
             with self._timers.subscribed(self._look, period_s=LOOK_PERIOD_S):
                 await trio.sleep_forever()
 
@@ -170,6 +168,10 @@
             retry_after_s=bar.remaining_s,
         )
 
+    def ended(self, accepted: Accepted) -> None:
+        """Record that the work on a request is over, so that another one may try its parts."""
+        self._trials.ended(accepted)
+
     def is_suspect(self, accepted: Accepted) -> bool:
         """Check whether a target has ended under a request, or several under parts of it."""
         return bool(self._suspects.crashes) and self._suspects.is_suspect(accepted.suspects)
@@ -248,41 +250,16 @@
     async def lost_unproven(
         self, accepted: Accepted, engine: ListedTarget, *, weight: float, sent_at: float
     ) -> None:
-        """Record the loss of an engine that may have crashed, or may only be out of reach.
-
-        Waits a moment for evidence, so that the request does not go on to the next engine as if
-        nothing had happened; the search goes on without it.
-        """
-        loss = _Loss(
+        """Record the loss of an engine that may have crashed, or may only be out of reach."""
+        loss = Loss(
             accepted=accepted, engine=engine, weight=weight, sent_at=sent_at, at=self._timers.now
         )
-        if self._nursery is None:
-            return
-        self._nursery.start_soon(self._judge_loss, loss)
-        with trio.move_on_after(EVIDENCE_WAIT_S):
-            await loss.judged.wait()
-
-    async def _judge_loss(self, loss: _Loss) -> None:
-        try:
-            fate = await self._lost_engines.find_fate(loss.engine, lost_at=loss.at)
-            events.LOSS_JUDGED.log(
-                log,
-                request=loss.accepted.request_id,
-                target=loss.engine.id,
-                fate=fate.value,
-                seconds=self._timers.now - loss.at,
-                weight=loss.weight,
-            )
-            if fate is Fate.GONE:
-                await self.ended_under(
-                    loss.accepted,
-                    loss.engine,
-                    weight=loss.weight,
-                    sent_at=loss.sent_at,
-                    at=loss.at,
-                )
-        finally:
-            loss.judged.set()
+        await self._lost_engines.wait_judged(loss)
+
+    async def _record_crash(self, loss: Loss) -> None:
+        await self.ended_under(
+            loss.accepted, loss.engine, weight=loss.weight, sent_at=loss.sent_at, at=loss.at
+        )
 
     async def lost_call(self, accepted: Accepted, target: ListedTarget, *, sent_at: float) -> None:
         """Look whether a target has ended under a call: one that has takes no connection.
@@ -340,7 +317,12 @@
         if not self._suspects.crashes:
             return None
         self._note_answers()
-        return self._suspects.find_any_block(accepted.suspects, self._timers.now)
+        now = self._timers.now
+        block = self._suspects.find_any_block(accepted.suspects, now)
+        if block is not None:
+            return block
+        trial = self._suspects.find_open_trial(accepted.suspects, now)
+        return None if trial is None else self._trials.admit(accepted, trial)
 
     def _note_answers(self) -> None:
         """Update the registry with whether this VM knows sound parts.
@@ -434,6 +416,7 @@
         """
         self._suspects.expire(tick.now)
         self._sound.expire(tick.now)
+        self._trials.expire(tick.now)
         self._note_answers()
         fellows, roles = self._beliefs.fellows, self._roles.value
         is_alone = bool(fellows.states) and not fellows.present(tick.now)
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -201,6 +201,14 @@
     "A part that different requests share ends the targets that run it. Where several parts are"
     " named they can't be told apart, and only requests with all of them are refused.",
 )
+PART_TRIED = event(
+    1029,
+    "part-tried",
+    "notice",
+    "{request} tries the part {barred_part}, whose bar is over, after {ended} ends.",
+    "No answer has cleared the part. This one request of all VMs is sent on; requests with the part"
+    " are refused until it has shown whether the part is sound.",
+)
 PART_REFUSED = event(
     1038,
     "part-refused",
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -69,7 +69,10 @@
         if rejected is not None:
             await self._refuse(exchange, rejected)
             return
-        await self._serve[accepted.route.kind](accepted)
+        try:
+            await self._serve[accepted.route.kind](accepted)
+        finally:
+            self._crashes.ended(accepted)
 
     async def _configuration(self) -> Configuration | None:
         """Return the configuration in force, once the targets are known too."""
--- a/lagoonlever/gateway/lost_engines.py
+++ b/lagoonlever/gateway/lost_engines.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import attrs
+import logbook
 import trio
 
 from lagoonlever.decisions.engines.crash_evidence import Fate, LossSigns, judge_loss
 from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
 from lagoonlever.decisions.engines.target_crashes import process_name
 from lagoonlever.decisions.targets.listed_target import ListedTarget
+from lagoonlever.gateway import events
+from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.dialer import TargetDialer
 from lagoonlever.gateway.messages import EngineReport
 from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.timers import TimerService
 
+log = logbook.Logger(__name__)
+
 ASK_AGAIN_S = 0.08
 """Between two questions; each may lead by other VMs than the one before."""
 SOUGHT_S = 5.0
@@ -22,6 +29,23 @@
 some seconds, and its entry has lapsed."""
 
 
+EVIDENCE_WAIT_S = 1.0
+"""How long a request whose engine may have crashed waits before it goes on."""
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class Loss:
+    """An engine that was lost under a request at a time, and may have crashed."""
+
+    accepted: Accepted
+    engine: ListedTarget
+    weight: float
+    """How much its crash would count, as in `lagoonlever/decisions/engines/target_crashes.py`."""
+    sent_at: float
+    at: float
+    judged: trio.Event = attrs.field(factory=trio.Event)
+
+
 @attrs.define(kw_only=True, eq=False)
 class LostEngines:
     """Asks an engine again and again, by whichever VMs reach it."""
@@ -31,8 +55,45 @@
     _beliefs: Beliefs
     _suspects: CrashSuspects
     _timers: TimerService
+    _crashed: Callable[[Loss], Awaitable[None]]
+    """Called with each loss that was a crash."""
+    _nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Judge losses, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await trio.sleep_forever()
+
+    async def wait_judged(self, loss: Loss) -> None:
+        """Judge a loss, and wait a moment for that.
+
+        So its request does not go on to the next engine as if nothing had happened. The search for
+        evidence goes on without it.
+        """
+        if self._nursery is None:
+            return
+        self._nursery.start_soon(self._judge, loss)
+        with trio.move_on_after(EVIDENCE_WAIT_S):
+            await loss.judged.wait()
+
+    async def _judge(self, loss: Loss) -> None:
+        try:
+            fate = await self._find_fate(loss.engine, lost_at=loss.at)
+            events.LOSS_JUDGED.log(
+                log,
+                request=loss.accepted.request_id,
+                target=loss.engine.id,
+                fate=fate.value,
+                seconds=self._timers.now - loss.at,
+                weight=loss.weight,
+            )
+            if fate is Fate.GONE:
+                await self._crashed(loss)
+        finally:
+            loss.judged.set()
 
-    async def find_fate(self, engine: ListedTarget, *, lost_at: float) -> Fate:
+    async def _find_fate(self, engine: ListedTarget, *, lost_at: float) -> Fate:
         """Return what became of an engine's process; unknown after ``SOUGHT_S``."""
         closed = 0
         while True:
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -405,6 +405,7 @@
     @crashes.default
     def _make_crashes(self) -> CrashWatch:
         crashes = CrashWatch(
+            own=self.life.name,
             store=self.store,
             bus=self.bus,
             beliefs=self.beliefs,
--- a/lagoonlever/peers/messages_crashes.py
+++ b/lagoonlever/peers/messages_crashes.py
@@ -41,6 +41,15 @@
     fingerprint: str
 
 
+@PEER.message("g7")
+@attrs.frozen(kw_only=True)
+class PartTried:
+    """The sender tries a part whose block is over; nobody else does until it ends."""
+
+    key: str
+    """The trial, as in `lagoonlever/decisions/engines/part_blocks.py`."""
+
+
 def read_ends(message: TargetsEnded, now: float) -> CrashesByRequest:
     """Give what a message tells, in seconds of the receiver's clock."""
     ends: dict[str, dict[str, Crash]] = {}
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -9,13 +9,13 @@
 from hypothesis import strategies as st
 
 from lagoonlever.decisions.engines.crash_suspects import (
-    BLOCK_S,
     CLEARING_RETENTION_S,
     MAX_ANSWERS,
     MAX_SUSPECTS,
     RETENTION_S,
     CrashSuspects,
 )
+from lagoonlever.decisions.engines.part_blocks import BLOCK_S
 from lagoonlever.decisions.engines.target_crashes import (
     MAX_REPORT_DELAY_S,
     WEIGHT_QUEUED,
--- a/lagoonlever/tests/part_causes_tests.py
+++ b/lagoonlever/tests/part_causes_tests.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies as st
 
 from lagoonlever.decisions.engines.crash_suspects import (
-    BLOCK_S,
     MAX_PART_SUSPECTS,
     MAX_SUSPECTS,
     CrashSuspects,
 )
+from lagoonlever.decisions.engines.part_blocks import BLOCK_S
 from lagoonlever.decisions.engines.part_causes import MAX_SOUND_PARTS, SOUND_S, SoundParts
 from lagoonlever.decisions.engines.suspects import (
     MAX_ID_CHARACTERS,
--- /dev/null
+++ b/lagoonlever/tests/part_trials_tests.py
@@ -0,0 +1,96 @@
+"""How often a part that ends engines, and may be sound, is tried again."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
+from lagoonlever.decisions.engines.part_blocks import TRIAL_KEPT_S, TURN_S, OpenTrial, PartTrials
+from lagoonlever.decisions.engines.suspects import Suspects
+from lagoonlever.decisions.engines.target_crashes import Crash
+from lagoonlever.tests.deadly_parts_tests import LATER, MOST_ENDED, PART, ask_all
+from lagoonlever.tests.gateway_site import GatewaySite, run_site
+
+VMS = ("vm-0", "vm-1", "vm-2")
+DAY_S = 600
+PART_ID = "part:engines/m/bad"
+TRIAL = OpenTrial(parts=frozenset({PART_ID}), crash_count=5, over_s=0.0)
+STABLE_S = 3.0
+
+
+@pytest.mark.parametrize("answers_known", [False, True])
+@pytest.mark.parametrize("asked_by", [2, 3, 1_000])
+def test_a_part_that_may_be_sound_ends_three_more_engines_at_most(
+    answers_known: bool, asked_by: int
+) -> None:
+    """Each short block ended with one more engine, one each five seconds, without end."""
+    suspects = CrashSuspects(answers_known=answers_known)
+    ends: list[float] = []
+    for second in range(DAY_S):
+        asked = Suspects(request=f"r-{second % asked_by}", parts=(PART_ID,))
+        if suspects.find_any_block(asked, float(second)) is not None:
+            continue
+        ends.append(float(second))
+        process, crash = f"p-{len(ends)}", Crash(at=float(second), requests=(asked.request,))
+        suspects.record_crash(asked.request, process, Crash(at=float(second)))
+        suspects.record_crash(PART_ID, process, crash)
+    assert sum(at > ends[:MOST_ENDED][-1] + STABLE_S for at in ends[MOST_ENDED:]) <= LATER
+
+
+def _waits(trials: dict[str, PartTrials], now: float, *, over_s: float) -> dict[str, float]:
+    trial = OpenTrial(parts=TRIAL.parts, crash_count=TRIAL.crash_count, over_s=over_s)
+    return {vm: trials[vm].wait_s(trial, f"r-{vm}", now, own=vm, vms=VMS) for vm in VMS}
+
+
+def test_vms_have_turns_to_try_a_part() -> None:
+    """All that waited for the end of a block reached an engine at the same moment."""
+    trials = {vm: PartTrials() for vm in VMS}
+    waits = _waits(trials, 10.0, over_s=0.0)
+    assert sorted(waits.values()) == [0.0, TURN_S, 2 * TURN_S]
+    assert set(_waits(trials, 12.0, over_s=2 * TURN_S).values()) == {0.0}
+
+
+def test_nobody_else_tries_while_one_does() -> None:
+    trials = {vm: PartTrials() for vm in VMS}
+    assert trials["vm-0"].begin(TRIAL.key, "r-vm-0")
+    for vm in VMS[1:]:
+        trials[vm].record_elsewhere(TRIAL.key, 10.0)
+    waits = _waits(trials, 10.0, over_s=60.0)
+    assert waits["vm-0"] == 0.0
+    assert waits["vm-1"] == waits["vm-2"] == TRIAL_KEPT_S
+    assert trials["vm-0"].wait_s(TRIAL, "another", 10.0, own="vm-0", vms=VMS) > 0.0
+
+
+def test_a_trial_that_shows_nothing_ends() -> None:
+    trials = {vm: PartTrials() for vm in VMS}
+    trials["vm-0"].begin(TRIAL.key, "r-vm-0")
+    trials["vm-0"].record_end("r-vm-0")
+    trials["vm-1"].record_elsewhere(TRIAL.key, 10.0)
+    trials["vm-1"].expire(10.0 + TRIAL_KEPT_S)
+    waits = _waits(trials, 10.0 + TRIAL_KEPT_S, over_s=60.0)
+    assert waits["vm-0"] == waits["vm-1"] == 0.0
+
+
+def test_one_request_of_all_vms_tries_a_part_as_its_block_ends() -> None:
+    """No answer is known; dozens of requests with the part come in the second that a block ends."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        site.deadly.add(PART)
+        for engine in site.engines.values():
+            engine.prefill_tokens_per_s = 2_000.0
+        await ask_all(site, 8, shared=(PART,), spacing_s=0.3, prompt_tokens=200)
+        ended = len(site.deaths)
+        assert ended <= MOST_ENDED + 1
+        await trio.sleep(2.0)
+        before = _arrivals(site)
+        await ask_all(site, 60, shared=(PART,), spacing_s=0.1, prompt_tokens=1_000)
+        assert _arrivals(site) - before <= 2
+        assert len(site.deaths) - ended <= 2
+
+    run_site(story, engines=30, vms=3)
+
+
+def _arrivals(site: GatewaySite) -> int:
+    return sum(len(engine.seen) for engine in site.engines.values())
