Front: a request that a fault of the process ends is answered, and named in the log

What callers saw: a connection closed without a word.

Cause: an exception that nobody on a request's way expects left the connection's task.

Change: the front logs it with the request's id, route and fingerprint (request-fault), and answers 500 with the reason internal, which promises nothing; an answer that has begun breaks off. Parts that start tasks for streams take none once they have ended, as at the end of a planned stop.

--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -32,6 +32,15 @@
     "The part '{part}' met a fault within this process and is started again.",
     "A fault of the system itself; requests go on. Report it with the lines around.",
 )
+REQUEST_FAULT = event(
+    1008,
+    "request-fault",
+    "error",
+    "{request} on {route}, fingerprint {fingerprint}, met a fault within this process and was"
+    " ended.",
+    "A fault of the system itself; its caller is told that the request may have run, or its answer"
+    " breaks off. Report it with the lines around.",
+)
 SETTINGS_RELOADED = event(
     1004,
     "settings-reloaded",
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -7,10 +7,12 @@
 from urllib.parse import urlsplit
 
 import attrs
+import logbook
 import trio
 
 from lagoonlever.decisions.settings.configuration import Configuration, RouteKind, ServiceRoute
 from lagoonlever.exceptions import RequestRefused
+from lagoonlever.gateway import events
 from lagoonlever.gateway.accepted import Accepted, deadline_of
 from lagoonlever.gateway.answers import NO_ROUTE, UNKNOWN_KEY, tell
 from lagoonlever.gateway.beliefs import Beliefs
@@ -20,10 +22,12 @@
 from lagoonlever.gateway.reporter import Reporter
 from lagoonlever.gateway.rollouts import Rollouts
 from lagoonlever.http.server import CallerGone, Exchange
-from lagoonlever.outcomes import NotRun, Reason
+from lagoonlever.outcomes import NotRun, Reason, Unknown
 from lagoonlever.platform.headers import read_caller, request_id_of
 from lagoonlever.timers import TimerService
 
+log = logbook.Logger(__name__)
+
 STARTING_S = 0.6
 """A VM that starts knows its configuration within a few store calls, some 15 ms.
 
@@ -71,9 +75,27 @@
             return
         try:
             await self._serve[accepted.route.kind](accepted)
+        except (CallerGone, OSError):
+            raise
+        except Exception:
+            await self._end_faulty(accepted)
         finally:
             self._crashes.ended(accepted)
 
+    async def _end_faulty(self, accepted: Accepted) -> None:
+        """Log the fault that has ended a request, and tell its caller, if it has no answer yet."""
+        events.REQUEST_FAULT.log(
+            log,
+            request=accepted.request_id,
+            route=accepted.route.name,
+            fingerprint=accepted.fingerprint,
+            exc_info=True,
+        )
+        if accepted.exchange.responded:
+            raise CallerGone
+        message = "a fault within the system; the request may have run"
+        await tell(accepted.exchange, Unknown(reason=Reason.INTERNAL, message=message, status=500))
+
     async def _configuration(self) -> Configuration | None:
         """Return the configuration in force, once the targets are known too."""
         with trio.move_on_at(self._started + STARTING_S):
--- a/lagoonlever/gateway/lost_engines.py
+++ b/lagoonlever/gateway/lost_engines.py
@@ -63,7 +63,10 @@
         """Judge losses, until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await trio.sleep_forever()
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._nursery = None
 
     async def wait_judged(self, loss: Loss) -> None:
         """Judge a loss, and wait a moment for that.
--- a/lagoonlever/gateway/replacement_finder.py
+++ b/lagoonlever/gateway/replacement_finder.py
@@ -51,9 +51,16 @@
         """Look for replacements, and take those that others have found, until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            async for received in self._bus.subscribe(TargetFound):
-                found = received.message
-                self._learner.take_found(found.former, found.found, source=received.sender.name)
+            try:
+                await self._receive()
+            finally:
+                # Streams that end later look for nothing.
+                self._nursery = None
+
+    async def _receive(self) -> None:
+        async for received in self._bus.subscribe(TargetFound):
+            found = received.message
+            self._learner.take_found(found.former, found.found, source=received.sender.name)
 
     @MECHANISMS.register(
         "replacements",
