Soak: subjects that are never served break a promise; prompts of a play share one of sixty

What was missed: STARVED. The soak saw how often ranks are served, and all prompts shared one part. A subject that is asked for four times or more over 8 s and never served counts, beyond two and four in a hundred.

--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -53,6 +53,8 @@
     site: SoakSite
     judge: Judge
     rng: random.Random
+    subjects: int = 0
+    """How many parts there are of which each prompt has one; none for the one that all share."""
     leaves: float = LEAVES
     """The part of its streams that it leaves midway."""
     _connection: ClientConnection | None = None
@@ -93,7 +95,8 @@
             route = self.site.deployment.stream_routes[0]
             own = f"{self.rng.getrandbits(64):016x}"
             self._began = None
-            await self._stream_once(route, own, EVENTS[1], 0, None, shared=("shared", part))
+            shared = (*self._shared_parts(own), part)
+            await self._stream_once(route, own, EVENTS[1], 0, None, shared=shared)
             await self._drop()
             await trio.sleep(self.rng.uniform(*DEADLY_PAUSE_S))
 
@@ -131,8 +134,16 @@
                     return False
                 await trio.sleep(PAUSE_S)
         self.judge.streamed("patient" if self.is_patient else route, whole=whole)
+        subject = self._shared_parts(part)[-1]
+        self.judge.asked_on(subject, trio.current_time(), whole=whole)
         return whole
 
+    def _shared_parts(self, part: str) -> tuple[str, ...]:
+        """Return what a prompt shares with others: by its own part, so that it comes back alike."""
+        if not self.subjects:
+            return ("shared",)
+        return (f"subject-{random.Random(part).randrange(self.subjects)}",)
+
     async def _ask_on(self, route: str, part: str, events: int) -> None:
         """Ask the next question of a session whose former answer was left midway."""
         self._began = None
@@ -166,10 +177,11 @@
         told: int,
         leave_at: int | None,
         *,
-        shared: tuple[str, ...] = ("shared",),
+        shared: tuple[str, ...] = (),
         turn: int = 1,
     ) -> tuple[int, bool]:
         request = self._new_id("stream")
+        shared = shared or self._shared_parts(part)
         if not told:
             self.judge.begins(part)
         else:
--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -22,6 +22,12 @@
 """Retries that may reach an engine all the same."""
 LEAST_ASKED = 20
 """Streams of a rank that tell how often it is served."""
+LEAST_ASKED_ON = 4
+"""Streams on a subject that tell whether it is served at all."""
+LEAST_ASKED_FOR_S = 8.0
+"""From the first of these to the last."""
+MOST_STARVED, MOST_STARVED_SHARE = 2, 0.04
+"""Subjects of which none is served: so many, and so many of all."""
 LEAST_SHARE = 0.25
 """Of how often all are served: a rank below it is starved."""
 
@@ -48,6 +54,9 @@
     _asked: Counter[str] = attrs.field(factory=Counter)
     """Streams that were asked for, by rank."""
     _served: Counter[str] = attrs.field(factory=Counter)
+    _asked_on: dict[str, list[float]] = attrs.field(factory=dict)
+    """When streams on each subject had ended."""
+    _served_on: set[str] = attrs.field(factory=set)
     _owners: dict[str, str] = attrs.field(factory=dict)
     """The organisation of requests that are not of the usual one."""
     _ran: Counter[str] = attrs.field(factory=Counter)
@@ -114,6 +123,24 @@
                 detail = f"{rank}: {share:.0%} of {asked} were served, {all_served:.0%} of all"
                 self.break_promise("every rank is served", detail)
 
+    def asked_on(self, subject: str, now: float, *, whole: bool) -> None:
+        """Record whether a caller that stayed received its stream on a subject completely."""
+        self._asked_on.setdefault(subject, []).append(now)
+        if whole:
+            self._served_on.add(subject)
+
+    def judge_subjects(self) -> None:
+        """Check that hardly any subject that was asked for again and again was never served."""
+        asked = [
+            subject
+            for subject, times in self._asked_on.items()
+            if len(times) >= LEAST_ASKED_ON and times[-1] - times[0] >= LEAST_ASKED_FOR_S
+        ]
+        starved = [subject for subject in asked if subject not in self._served_on]
+        if len(starved) > MOST_STARVED + MOST_STARVED_SHARE * len(asked):
+            detail = f"{len(starved)} of {len(asked)} were never served: {', '.join(starved[:5])}"
+            self.break_promise("every subject is served", detail)
+
     def record_shared(self, part: str) -> None:
         """Record that different prompts share a deadly part."""
         self._shared_parts.add(part)
--- a/lagoonlever/soak/run.py
+++ b/lagoonlever/soak/run.py
@@ -50,6 +50,8 @@
     """Prompts that end each engine that runs them; each is sent by two callers."""
     deadly_parts: int = 0
     """Parts of different prompts that end each engine; prompts with each are sent by two."""
+    subjects: int = 0
+    """Parts of which each prompt has one, deadly ones too, in place of the one that all share."""
     parts_every_s: float = 0.0
     """From the first request with a deadly part until the first with the next one."""
 
@@ -112,7 +114,9 @@
     async with trio.open_nursery() as nursery:
         for number in range(size.callers):
             rng = random.Random(f"{seed}-caller-{number}")
-            caller = SoakCaller(number=number, site=site, judge=site.judge, rng=rng)
+            caller = SoakCaller(
+                number=number, site=site, judge=site.judge, rng=rng, subjects=size.subjects
+            )
             nursery.start_soon(caller.run)
         _start_deadly(nursery, site, size, seed)
         nursery.start_soon(_watch_processes, site)
@@ -127,6 +131,7 @@
         await _wait_ready(site, RECOVER_S, "recovery")
         nursery.cancel_scope.cancel()
     site.judge.judge_ranks()
+    site.judge.judge_subjects()
     await _serve_again(site, seed)
 
 
@@ -143,7 +148,13 @@
         site.deadly.add(part)
         site.judge.record_shared(part)
         rng = random.Random(f"{seed}-deadly-part-{number}")
-        caller = SoakCaller(number=FIRST_SHARING + number, site=site, judge=site.judge, rng=rng)
+        caller = SoakCaller(
+            number=FIRST_SHARING + number,
+            site=site,
+            judge=site.judge,
+            rng=rng,
+            subjects=size.subjects,
+        )
         begins_after_s = size.parts_every_s * (number // 2)
         nursery.start_soon(caller.run_deadly_part, part, begins_after_s)
 
--- a/lagoonlever/tests/deadly_parts_plays.py
+++ b/lagoonlever/tests/deadly_parts_plays.py
@@ -23,7 +23,14 @@
 GATEWAY = (sys.executable, "-P", "-m", "lagoonlever.soak.gateway")
 """Of the code that ``PYTHONPATH`` names, whatever the folder is that it is started in."""
 SIZE = SoakSize(
-    vms=9, engines=18, runners=3, callers=30, length_s=45.0, deadly_parts=4, parts_every_s=10.5
+    vms=9,
+    engines=18,
+    runners=3,
+    callers=30,
+    length_s=45.0,
+    deadly_parts=4,
+    parts_every_s=10.5,
+    subjects=60,
 )
 """A new part begins to end engines soon after the paths of some VMs were lost."""
 PATHS = (
