Take-ups: one recorded version proves nothing by an old record, nor where a process that no entry names writes

A stream that had begun at a new version was taken up at a VM that had been out of step, and went on at the old one: its text was joined from two versions (ORDER).

Cause: where one version is recorded a take-up that a VM knows nothing of was taken for one of it. That is proof only if the VM's record is of now, and every stream began at a recorded version. A VM that was cut off or stood still holds an old record, and a process that no entry names yet is of no recorded version. The class: the absence of news taken for news, by a record whose age nobody looks at.

Change: other VMs are asked first, which know every stream they hear of; the one version counts only by a read of the record that began after the take-up came; and before a caller gets the first event of a process that no entry names its VM marks the record, waiting for that up to 0.3 s, so that it names more than one version while such streams live. Where the store does not answer the stream begins anew: ORDER goes before LOST.

Evidence: version_guesses_tests.

--- a/lagoonlever/decisions/streams/versions_in_use.py
+++ b/lagoonlever/decisions/streams/versions_in_use.py
@@ -11,6 +11,10 @@
 takes any: power may go in the time of one write, and the VMs that come back would take its streams
 for those of the version that is recorded.
 
+A process that no entry names yet may begin streams, of any version. Before the caller gets the
+first event of one the record tells so, and then it is open for as long as streams live at which
+version a stream began that nobody knows of.
+
 A store that is restored from an older copy may lack a version. Its record then names an era before
 the store's own, and proves nothing until every stream of that time is over.
 """
@@ -28,6 +32,9 @@
 """A version that can't be recorded for so long gets streams: an outage of the store, which lasts
 seconds, must not end the service."""
 
+UNNAMED = ""
+"""Recorded in place of a version while streams live that a process began which no entry names."""
+
 VersionsByService = Mapping[str, frozenset[str]]
 EMPTY: frozenset[str] = frozenset()
 
@@ -172,13 +179,20 @@
         """
         self._unnamed.pop((service, request, None), None)
         place = service, engine or request, started_ms
-        if version is not None:
-            self._last_listed[service, version] = now
+        self._last_listed[service, version or UNNAMED] = now
         if version is not None and version in self.of(service):
             self._unnamed.pop(place, None)
             return
         self._unnamed[place] = _Begin(at=now, version=version, engine=engine, started_ms=started_ms)
 
+    def record_unnamed(self, service: str, now: float) -> None:
+        """Record that a process which no entry names is about to begin a stream of a service."""
+        self._last_listed[service, UNNAMED] = now
+
+    def is_marked(self, service: str) -> bool:
+        """Check whether the record tells that a process which no entry names began streams."""
+        return UNNAMED in self.of(service)
+
     def record_restore(self, era: int) -> None:
         """Record that the store was restored: what this VM knows is newer than its record."""
         revision = Revision(era=era, number=0)
--- a/lagoonlever/gateway/attempt_tools.py
+++ b/lagoonlever/gateway/attempt_tools.py
@@ -21,6 +21,7 @@
 from lagoonlever.gateway.run_copier import RunCopier
 from lagoonlever.gateway.target_client import TargetClient
 from lagoonlever.gateway.target_words import TargetWords
+from lagoonlever.gateway.version_record import VersionRecord
 from lagoonlever.http.messages import Address
 from lagoonlever.timers import TimerService
 
@@ -55,6 +56,7 @@
     replacements: ReplacementFinder
     crashes: CrashWatch
     rollouts: Rollouts
+    versions: VersionRecord
     words: TargetWords
     copier: RunCopier
     dialer: TargetDialer
--- a/lagoonlever/gateway/front_parts.py
+++ b/lagoonlever/gateway/front_parts.py
@@ -89,6 +89,7 @@
         reporter=parts.reporter,
         budgets=parts.budgets,
         replacements=parts.replacements,
+        versions=parts.version_record,
         crashes=parts.crashes,
         rollouts=parts.rollouts,
         words=parts.words,
--- a/lagoonlever/gateway/origin_finder.py
+++ b/lagoonlever/gateway/origin_finder.py
@@ -87,14 +87,21 @@
         found = self._known(request, OriginSource.THIS_VM)
         if found is not None:
             return found
-        only = self._only_version(accepted)
+        if request is not None:
+            found = await self._ask_others(request)
+            if found is not None:
+                return found
+        only = await self._confirmed_only_version(accepted)
         if only is not None or request is None:
             return only
-        found = await self._ask_others(request)
-        if found is None:
-            await self._records.read()
-            found = self._known(request, OriginSource.STORE)
-        return found
+        await self._records.read()
+        return self._known(request, OriginSource.STORE)
+
+    async def _confirmed_only_version(self, accepted: Accepted) -> FoundOrigin | None:
+        """Return the one version of a route's service if the store's record says so now."""
+        if self._only_version(accepted) is None or not await self._versions.confirm():
+            return None
+        return self._only_version(accepted)
 
     def _known(self, request: str | None, source: OriginSource) -> FoundOrigin | None:
         origin = self._beliefs.origin_of(request) if request is not None else None
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -445,6 +445,8 @@
             if verdict is EventVerdict.OUT_OF_ORDER:
                 raise _Ended(f"event {event.id} came after {self._life.position}")
             if writer is not None:
+                if not writer.proven or self._plan.run.version is None:
+                    await self._tools.versions.until_marked(self._accepted.service)
                 # Others know before the caller does: this VM may die right after.
                 self._tell_begun(writer if writer.proven else UNKNOWN)
                 if not writer.proven:
--- a/lagoonlever/gateway/version_record.py
+++ b/lagoonlever/gateway/version_record.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -46,6 +47,10 @@
 FIRST_SPREAD_S = 0.05
 """All VMs start together once; most of them are told by the first that has written."""
 RETRY_S = 0.3
+MARK_S = 0.3
+"""How long the first event of a process that no entry names waits for a write."""
+CONFIRM_S = 0.4
+"""How long a caller waits for the record: a slow store takes a quarter of a second."""
 FIRST_ERA = 0
 
 Step = Callable[[], Awaitable[None]]
@@ -78,11 +83,21 @@
     _looked_as_of: Revision = NOWHERE
     _on_change: list[Callable[[], None]] = attrs.field(factory=list)
     _record: StoreRecord = attrs.field(init=False)
+    _seen: StoreRecord = attrs.field(init=False)
+    """The same record, as it is read beside the writing of it."""
+    _confirming: trio.Event | None = None
+    """Set at the end of the read that is under way."""
+    _confirmed_at: float = -math.inf
+    """When the last read that was answered had begun."""
 
     @_record.default
     def _make_record(self) -> StoreRecord:
         return StoreRecord(store=self._store, key=VERSIONS_KEY)
 
+    @_seen.default
+    def _make_seen(self) -> StoreRecord:
+        return StoreRecord(store=self._store, key=VERSIONS_KEY)
+
     async def run(self) -> None:
         """Read the record, write what it lacks, and take what others tell, until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -110,6 +125,48 @@
                 await self._changed.wait()
         return waited
 
+    async def until_marked(self, service: str) -> None:
+        """Wait until the record tells that a process which no entry names writes for a service.
+
+        For a moment only: in an outage of the store nearly all engines may be such processes.
+        """
+        versions = self._beliefs.versions
+        versions.record_unnamed(service, self._timers.now)
+        with trio.move_on_after(MARK_S):
+            while not versions.is_marked(service):
+                self._wanted.set()
+                await self._changed.wait()
+
+    async def confirm(self) -> bool:
+        """Read the record as it stands now; return whether the store has told it in time.
+
+        A VM may not have heard of a version for seconds, as it was cut off or stood still.
+        """
+        asked_at = self._timers.now
+        with trio.move_on_after(CONFIRM_S):
+            if self._confirming is not None:
+                # That read may have begun before the stream that is asked about.
+                await self._confirming.wait()
+            if self._confirmed_at >= asked_at:
+                return True
+            return await self._confirm_now()
+        return False
+
+    async def _confirm_now(self) -> bool:
+        began_at = self._timers.now
+        done = self._confirming = trio.Event()
+        try:
+            await self._seen.read()
+        except PlatformError:
+            # The store's client has logged it; without an answer nothing is proven.
+            return False
+        finally:
+            self._confirming = None
+            done.set()
+        self._confirmed_at = began_at
+        self._take(self._seen)
+        return True
+
     def greet(self, newcomer: Address) -> None:
         """Send the record to a VM that was met."""
         if self._beliefs.versions.recorded.proven:
@@ -168,7 +225,7 @@
 
     async def _read(self) -> None:
         await self._record.read()
-        self._take()
+        self._take(self._record)
 
     async def _write_first(self) -> None:
         """Write the first record ever without waiting for a role: streams begin at any moment."""
@@ -188,7 +245,7 @@
             if not await self._record.write(document):
                 self._merge()
                 continue
-            self._take()
+            self._take(self._record)
             recorded = self._beliefs.versions.recorded
             events.VERSIONS_RECORDED.log(
                 log, versions=_texts(recorded.versions), revision=recorded.revision
@@ -199,30 +256,21 @@
     def _document(self) -> bytes:
         versions = self._beliefs.versions
         proven = versions.is_proven(self._timers.now, keep_s=self._beliefs.resumable_s)
-        stored = self._stored()
+        stored = _read_document(self._record)
         era = self._record.revision.era if proven or stored is None else stored.era
         return msgspec.json.encode(_Document(era=era, services=_texts(self._wanted_versions())))
 
-    def _stored(self) -> _Document | None:
-        if self._record.value is None:
-            return None
-        try:
-            return msgspec.json.decode(self._record.value, type=_Document)
-        except (msgspec.MsgspecError, RecursionError) as error:
-            events.VERSIONS_UNREADABLE.log(log, error=str(error))
-            return None
-
-    def _take(self) -> None:
+    def _take(self, record: StoreRecord) -> None:
         """Apply what is stored; a store that never had a record has begun no stream either."""
-        revision, document = self._record.revision, self._stored()
-        is_fresh = self._record.value is None and revision.era == FIRST_ERA
+        revision, document = record.revision, _read_document(record)
+        is_fresh = record.value is None and revision.era == FIRST_ERA
         proven = is_fresh or (document is not None and document.era == revision.era)
         services = document.services if document is not None else {}
         self._apply(services, revision=revision, proven=proven)
 
     def _merge(self) -> None:
         """Apply what another VM has written, without losing what this one knows."""
-        document, known = self._stored(), self._beliefs.versions.recorded
+        document, known = _read_document(self._record), self._beliefs.versions.recorded
         services = {name: set(versions) for name, versions in known.versions.items()}
         for name, versions in (document.services if document is not None else {}).items():
             services.setdefault(name, set()).update(versions)
@@ -287,5 +335,15 @@
             await trio.sleep(RETRY_S * self._rng.uniform(0.7, 1.3))
 
 
+def _read_document(record: StoreRecord) -> _Document | None:
+    if record.value is None:
+        return None
+    try:
+        return msgspec.json.decode(record.value, type=_Document)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        events.VERSIONS_UNREADABLE.log(log, error=str(error))
+        return None
+
+
 def _texts(versions: VersionsByService) -> dict[str, list[str]]:
     return {service: sorted(names) for service, names in sorted(versions.items())}
--- a/lagoonlever/tests/version_guesses_tests.py
+++ b/lagoonlever/tests/version_guesses_tests.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import pytest
+import trio
 
+from lagoonlever.fakes.metadata_store import StoreFault
 from lagoonlever.gateway.version_record import VERSIONS_KEY, VersionRecord
 from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site, until
 from lagoonlever.tests.losses_of_all_vms_tests import (
@@ -94,3 +96,62 @@
         assert versions_of(first, second) == {"v2"}
 
     run_site(story, engines=0)
+
+
+async def _start_out_of_step(site: GatewaySite, vm: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Restart a VM, which from then on hears no news of versions and looks at no list for them."""
+    site.vms[vm].kill()
+    with monkeypatch.context() as patched:
+        patched.setattr(VersionRecord, "_receive", _hear_nothing)
+        patched.setattr(VersionRecord, "_look", lambda record, tick: None)
+        patched.setattr(VersionRecord, "_notice", lambda record, tick: None)
+        await site.wait_ready(await site.start_vm(vm))
+        await until(lambda: site.vms[vm].daemon.parts.version_record.known.is_set())
+
+
+async def _hear_nothing(record: VersionRecord) -> None:
+    await trio.sleep_forever()
+
+
+@pytest.mark.parametrize("other_lives", [True, False])
+@pytest.mark.parametrize("store_answers", [True, False])
+def test_a_vm_that_was_out_of_step_does_not_go_on_at_the_version_that_it_knows(
+    other_lives: bool, store_answers: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A version came while the VM was cut off or stood still; it missed the news of its streams."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await start_versions(site, v1=2)
+        await until(lambda: b"v1" in (site.store.value(VERSIONS_KEY) or b""))
+        await _start_out_of_step(site, "vm-1", monkeypatch)
+        list_again(site, "v1-0", state="draining")
+        list_again(site, "v1-1", state="draining")
+        await start_versions(site, v2=1)
+        await until(lambda: b"v2" in (site.store.value(VERSIONS_KEY) or b""))
+        await until(lambda: "v2-0" in serving(site, "vm-0", "v2"))
+        lose_runs_at(site, "vm-1", "v2-0", monkeypatch)
+        first = await _read_until_ended(site, "p-1", kills=() if other_lives else ("vm-0",))
+        assert first.versions == {"v2"}
+        site.unlist_target("v2-0")
+        list_again(site, "v1-0", state="ready")
+        list_again(site, "v1-1", state="ready")
+        await until(lambda: "v1-1" in serving(site, "vm-1", "v1"))
+        if not store_answers:
+            site.store.fault = StoreFault.SILENT
+        second = await site.take_up(first, "p-1", vm="vm-1", events=EVENTS, Deadline_Ms="3000")
+        assert versions_of(first, second) == {"v2"}
+
+    run_site(story, engines=0)
+
+
+async def _read_until_ended(site: GatewaySite, part: str, *, kills: tuple[str, ...]) -> Stream:
+    """Return what a caller got of a stream until its engine ended, and some VMs."""
+
+    def on_event(count: int) -> None:
+        if count == LOST_AT:
+            site.crash("v2-0")
+            for vm in kills:
+                site.vms[vm].kill()
+
+    return await site.stream(part, events=EVENTS, on_event=on_event, Deadline_Ms="2000")
