Values from outside: each has its range where it comes in, and one that can't be sent ends nothing

An odd entry among those of the runners (a start of 25 digits, slots beyond any, nested deeply, a port out of range) made VMs stop following the list, and closed their callers' connections. A caller did the same to itself with a count of tokens of 25 digits, and a runner with a load of 1e308.

Cause: what comes in was checked for its kind and not for its range, and was met later by code that takes any number for one that can be sent: a message to other VMs, a sum. It raised where nobody expects it: in a request, or in the loop that follows the store. Deeply nested JSON raised RecursionError past the readers of reports, configuration, store answers and messages. The class: input that is checked for form at the boundary, and for use deep inside.

Change: numbers of entries, reports, configuration, head fields of callers and targets have their range at the boundary (at most 2^53 - 1, slots a million, names 256 characters, ports to 65535). An odd value of a report tells nothing, and spoils no report. Whoever decodes JSON or messages of others meets RecursionError too. Second guard: a message that can't be packed is dropped and logged (message-unsendable), as messages may be lost anyway.

--- a/lagoonlever/codec.py
+++ b/lagoonlever/codec.py
@@ -21,6 +21,10 @@
     """The bytes are no message of this registry."""
 
 
+class UnsendableMessage(LagoonleverException):
+    """A message holds a value that its form on the wire does not have."""
+
+
 class MessageRegistry:
     """The message classes of one protocol, by tag."""
 
@@ -45,15 +49,18 @@
         return self._tags[type(message)]
 
     def encode(self, message: object) -> bytes:
-        """Give the MessagePack form."""
-        return msgspec.msgpack.encode((self.tag_of(message), message))
+        """Return the MessagePack form; raises ``UnsendableMessage``."""
+        try:
+            return msgspec.msgpack.encode((self.tag_of(message), message))
+        except (OverflowError, RecursionError) as error:
+            raise UnsendableMessage(f"{self.tag_of(message)}: {error}") from error
 
     def decode(self, data: bytes) -> object:
         """Read the MessagePack form; raises ``UnknownMessage``."""
         try:
             tag, raw = msgspec.msgpack.decode(data, type=tuple[str, msgspec.Raw])
             return msgspec.msgpack.decode(raw, type=self._class(tag))
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise UnknownMessage(str(error)) from error
 
     def encode_line(self, message: object) -> bytes:
@@ -65,7 +72,7 @@
         try:
             tag, raw = msgspec.json.decode(line, type=tuple[str, msgspec.Raw])
             return msgspec.json.decode(raw, type=self._class(tag))
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise UnknownMessage(str(error)) from error
 
     def _class(self, tag: str) -> type[Any]:
--- a/lagoonlever/gateway/cache_locator.py
+++ b/lagoonlever/gateway/cache_locator.py
@@ -82,7 +82,7 @@
                 pool=self._pool,
             )
             kept = read_kept(msgspec.json.decode(response.body, type=Kept))
-        except (PeerError, msgspec.MsgspecError):
+        except (PeerError, msgspec.MsgspecError, RecursionError):
             # An engine that can't be asked is one that the stream would not be sent to.
             return
         self._kept[engine.id] = kept
--- a/lagoonlever/gateway/knowledge.py
+++ b/lagoonlever/gateway/knowledge.py
@@ -191,7 +191,7 @@
             return
         try:
             targets = msgspec.msgpack.decode(unpack(news.value), type=tuple[ListedTarget, ...])
-        except (UnreadablePack, msgspec.MsgspecError) as error:
+        except (UnreadablePack, msgspec.MsgspecError, RecursionError) as error:
             events.TARGETS_UNREADABLE.log(log, error=f"from {source}: {error}")
             return
         self._learner.take_list(targets, revision=news.as_of, source=source)
--- a/lagoonlever/gateway/prober.py
+++ b/lagoonlever/gateway/prober.py
@@ -134,7 +134,7 @@
             await connection.read_head()
             body = await connection.read_body(max_bytes=MAX_REPORT_BYTES)
             report = read_report(msgspec.json.decode(body, type=Report))
-        except (PeerError, msgspec.MsgspecError):
+        except (PeerError, msgspec.MsgspecError, RecursionError):
             question.failed.set()
             return
         finally:
--- a/lagoonlever/gateway/register.py
+++ b/lagoonlever/gateway/register.py
@@ -65,7 +65,7 @@
                 callers=Address.parse(read.callers),
                 bus=Address.parse(read.bus),
             )
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             events.FELLOW_UNREADABLE.log(log, error=f"{entry.key}: {error}")
             return
         self._fellows.record_registration(state, self._timers.now)
--- a/lagoonlever/gateway/run_copier.py
+++ b/lagoonlever/gateway/run_copier.py
@@ -58,7 +58,7 @@
             if response.status != HTTPStatus.OK:
                 return f"status {response.status}"
             made = msgspec.json.decode(response.body, type=CopyMade)
-        except (PeerError, msgspec.MsgspecError) as error:
+        except (PeerError, msgspec.MsgspecError, RecursionError) as error:
             return str(error)
         return RunCopy(
             holder=to.id,
--- a/lagoonlever/http/messages.py
+++ b/lagoonlever/http/messages.py
@@ -7,6 +7,9 @@
 import attrs
 
 MAX_DIGITS = 18
+MOST_COUNT = 2**53 - 1
+"""The largest number that every reader of JSON takes for itself; far above any count or time."""
+MOST_PORT = 65_535
 """Of a whole number in a field: what fits into 64 bits."""
 
 
@@ -70,7 +73,10 @@
         host, separator, port = text.rpartition(":")
         if not separator or not host:
             raise ValueError(f"{text!r} is not HOST:PORT")
-        return cls(host=host.strip("[]"), port=int(port))
+        number = whole_number(port)
+        if number is None or number > MOST_PORT:
+            raise ValueError(f"{text!r} has no port that can be reached")
+        return cls(host=host.strip("[]"), port=number)
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/peers/bus.py
+++ b/lagoonlever/peers/bus.py
@@ -10,10 +10,12 @@
 from typing import TypeVar
 
 import attrs
+import logbook
 import trio
 import zmq
 
-from lagoonlever.codec import UnknownMessage
+from lagoonlever.codec import UnknownMessage, UnsendableMessage
+from lagoonlever.events import event
 from lagoonlever.http.messages import Address
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.age import AgeEstimator
@@ -24,8 +26,18 @@
 from lagoonlever.peers.subscriptions import DEFAULT_CAPACITY, Subscriptions
 from lagoonlever.peers.traffic import MESSAGE_OVERHEAD_BYTES, DropReason, Traffic
 
+log = logbook.Logger(__name__)
+
 T = TypeVar("T")
 
+MESSAGE_UNSENDABLE = event(
+    113,
+    "message-unsendable",
+    "error",
+    "A message to other VMs can't be sent and is dropped: {error}",
+    "A value from outside is out of range and was not turned away where it came in. Report it.",
+)
+
 RECEIVE_HWM = 256
 KEEPALIVE_S = 60
 KEEPALIVE_PROBES = 3
@@ -102,25 +114,37 @@
         With ``expected`` a VM that came back at the same address drops what was
         meant for its former life.
         """
-        outgoing = Outgoing(
-            tag=PEER.tag_of(message),
-            payload=PEER.encode(message),
-            expected=expected,
-            deadline=self._now() + ttl_s,
-        )
-        self._offer(to, outgoing)
+        outgoing = self._pack(message, expected=expected, ttl_s=ttl_s)
+        if outgoing is not None:
+            self._offer(to, outgoing)
 
     def send_to_all(self, addresses: Iterable[Address], message: object) -> None:
         """Send one message to many VMs, encoded once."""
-        outgoing = Outgoing(
-            tag=PEER.tag_of(message),
-            payload=PEER.encode(message),
-            expected=None,
-            deadline=self._now() + DEFAULT_TTL_S,
-        )
+        outgoing = self._pack(message, expected=None, ttl_s=DEFAULT_TTL_S)
+        if outgoing is None:
+            return
         for address in addresses:
             self._offer(address, outgoing)
 
+    def _pack(
+        self, message: object, *, expected: Incarnation | None, ttl_s: float
+    ) -> Outgoing | None:
+        """Return a message as it is sent, or None for one that can't be: it is as good as lost.
+
+        A value of it may come from outside. Whoever sends it serves a request, or others wait.
+        """
+        try:
+            payload = PEER.encode(message)
+        except UnsendableMessage as error:
+            MESSAGE_UNSENDABLE.log(log, error=str(error))
+            return None
+        return Outgoing(
+            tag=PEER.tag_of(message),
+            payload=payload,
+            expected=expected,
+            deadline=self._now() + ttl_s,
+        )
+
     async def run(self) -> None:
         """Receive and send until cancelled; binds first unless ``bind`` was called."""
         if self._router is None:
--- a/lagoonlever/peers/frames.py
+++ b/lagoonlever/peers/frames.py
@@ -54,5 +54,5 @@
     """Read a header; raises ``BadFrame``."""
     try:
         return _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise BadFrame(str(error)) from error
--- a/lagoonlever/platform/configuration.py
+++ b/lagoonlever/platform/configuration.py
@@ -17,6 +17,7 @@
     WeightedService,
 )
 from lagoonlever.exceptions import LagoonleverException
+from lagoonlever.http.messages import MOST_COUNT
 
 CONFIGURATION_KEY = "op/config"
 MS = 1000.0
@@ -28,6 +29,17 @@
 }
 
 
+_UNREADABLE = (
+    msgspec.DecodeError,
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+
 class UnreadableConfiguration(LagoonleverException):
     """The stored configuration is not of the platform's format; the one in force stays."""
 
@@ -36,11 +48,24 @@
     """Decode a stored configuration; raises ``UnreadableConfiguration``."""
     try:
         document = msgspec.json.decode(value)
+        _check_numbers(document)
         return _configuration(document)
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
+    except _UNREADABLE as error:
         raise UnreadableConfiguration(f"{CONFIGURATION_KEY}: {error!r}") from error
 
 
+def _check_numbers(value: Any) -> None:
+    """Raise ``ValueError`` for a number that no message between VMs could carry."""
+    if isinstance(value, dict):
+        for inner in value.values():
+            _check_numbers(inner)
+    elif isinstance(value, list):
+        for inner in value:
+            _check_numbers(inner)
+    elif isinstance(value, int | float) and not -MOST_COUNT <= value <= MOST_COUNT:
+        raise ValueError(f"{value!r:.30} is out of range")
+
+
 def _configuration(document: dict[str, Any]) -> Configuration:
     tenants = document.get("Tenants")
     return Configuration(
--- a/lagoonlever/platform/engine_calls.py
+++ b/lagoonlever/platform/engine_calls.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
 import msgspec
 
 from lagoonlever.gateway.messages import EngineReport, RunReport
+from lagoonlever.http.messages import MOST_COUNT
 from lagoonlever.platform.targets import DRAINING
 
 REPORT_PATH = "/-/report"
@@ -18,21 +18,24 @@
 
 
 class Report(msgspec.Struct, rename="pascal", kw_only=True):
-    """``kv_used`` is the memory that cannot yield to other requests, in tokens."""
+    """``kv_used`` is the memory that cannot yield to other requests, in tokens.
 
-    born: int | None = msgspec.field(name="born", default=None)
+    An odd value tells nothing, and spoils no report.
+    """
+
+    born: Any = msgspec.field(name="born", default=None)
     """The start of the process, in Unix milliseconds; some engines don't tell it."""
-    queued: int = 0
-    running: int = 0
-    kv_used: int = 0
-    kv_total: int = 0
+    queued: Any = 0
+    running: Any = 0
+    kv_used: Any = 0
+    kv_total: Any = 0
     state: Any = None
-    """``ready`` or ``draining``; anything else tells nothing, and spoils no report."""
+    """``ready`` or ``draining``; anything else tells nothing."""
     leaves_ms: Any = msgspec.field(name="leaves_ms", default=None)
     """Milliseconds until the engine leaves, where it knows."""
     next: Any = None
     """The tokens of the first request that waits."""
-    runs: list[tuple[str, int, int, int]] = []
+    runs: Any = ()
     """Each run: its request, tokens in memory, events made, priority."""
 
 
@@ -66,24 +69,42 @@
 
 
 def read_report(raw: Report) -> EngineReport:
-    """Give the product's form of a report."""
+    """Return the product's form of a report."""
     leaves_ms = _amount(raw.leaves_ms)
     first_waiting = _amount(raw.next)
+    runs = raw.runs if isinstance(raw.runs, list) else []
     return EngineReport(
-        running=raw.running,
-        waiting=raw.queued,
-        memory_used=raw.kv_used,
-        memory_total=raw.kv_total,
-        started_ms=raw.born,
+        running=_count(raw.running) or 0,
+        waiting=_count(raw.queued) or 0,
+        memory_used=_count(raw.kv_used) or 0,
+        memory_total=_count(raw.kv_total) or 0,
+        started_ms=_count(raw.born),
         leaves=raw.state == DRAINING,
         leaves_in_s=None if leaves_ms is None else leaves_ms / MS,
         first_waiting=round(first_waiting) if first_waiting else None,
-        runs=tuple(RunReport(request_id=r[0], tokens=r[1], events=r[2]) for r in raw.runs),
+        runs=tuple(run for run in map(_run, runs) if run is not None),
     )
 
 
+def _run(raw: Any) -> RunReport | None:
+    match raw:
+        case [str(request_id), tokens, events, *_]:
+            read, made = _count(tokens), _count(events)
+        case _:
+            return None
+    if read is None or made is None:
+        return None
+    return RunReport(request_id=request_id, tokens=read, events=made)
+
+
+def _count(raw: Any) -> int | None:
+    """Return a whole number of a report, or None for an odd value."""
+    amount = _amount(raw)
+    return raw if amount is not None and isinstance(raw, int) else None
+
+
 def _amount(raw: Any) -> float | None:
-    """Give a number of a report; an odd value tells nothing, and spoils no report."""
+    """Return a number of a report, or None for an odd value."""
     if isinstance(raw, bool) or not isinstance(raw, int | float):
         return None
-    return float(raw) if 0 <= raw < math.inf else None
+    return float(raw) if 0 <= raw <= MOST_COUNT else None
--- a/lagoonlever/platform/headers.py
+++ b/lagoonlever/platform/headers.py
@@ -14,7 +14,7 @@
     Hop,
     PromptPart,
 )
-from lagoonlever.http.messages import Headers, whole_number
+from lagoonlever.http.messages import MOST_COUNT, Headers, whole_number
 
 REQUEST_ID = "Request-Id"
 DEADLINE = "Deadline-Ms"
@@ -114,7 +114,7 @@
     if not request_id:
         raise RequestRefused(status=BAD_REQUEST, field=REQUEST_ID, message="is required")
     deadline_ms = _number(headers, DEADLINE)
-    last_event_id = _number(headers, LAST_EVENT_ID)
+    last_event_id = _number(headers, LAST_EVENT_ID, most=MOST_COUNT)
     return CallerHead(
         request_id=request_id,
         host=(headers.get("Host") or "").partition(":")[0].lower(),
@@ -197,7 +197,7 @@
     return key.strip() if scheme.lower() == "bearer" and key.strip() else None
 
 
-def _number(headers: Headers, name: str) -> float | None:
+def _number(headers: Headers, name: str, *, most: float = sys.float_info.max) -> float | None:
     value = headers.get(name)
     if value is None:
         return None
@@ -205,7 +205,7 @@
         number = float(value)
     except ValueError:
         number = -1.0
-    if not 0 <= number < float("inf"):
+    if not 0 <= number <= most:
         raise RequestRefused(status=BAD_REQUEST, field=name, message=f"is {value!r}; give a number")
     return number
 
@@ -218,8 +218,8 @@
     try:
         return GenerationAsk(
             model=headers.get(MODEL) or "",
-            prompt_tokens=int(prompt),
-            output_tokens=int(output or 0),
+            prompt_tokens=_tokens(prompt),
+            output_tokens=_tokens(output or "0"),
             length_hint=whole_number(headers.get(LENGTH_HINT)),
             parts=_parts(headers.get(PROMPT_PARTS) or ""),
         )
@@ -233,10 +233,18 @@
     parts = []
     for entry in filter(None, text.split(",")):
         part_id, _, tokens = entry.strip().partition(":")
-        parts.append(PromptPart(id=part_id, tokens=int(tokens)))
+        parts.append(PromptPart(id=part_id, tokens=_tokens(tokens)))
     return tuple(parts)
 
 
+def _tokens(text: str) -> int:
+    """Read a count of tokens; raises ``ValueError``."""
+    tokens = int(text)
+    if not 0 <= tokens <= MOST_COUNT:
+        raise ValueError(f"{text[:MOST_SHOWN]!r} is no count of tokens")
+    return tokens
+
+
 def _load(text: str | None, unreadable: list[str]) -> ReportedLoad | None:
     """Read three figures or more: running, waiting, slots, and the pace of the machine.
 
@@ -260,7 +268,7 @@
         figure = float(text)
     except ValueError:
         return None
-    return figure if 0 <= figure < math.inf else None
+    return figure if 0 <= figure <= MOST_COUNT else None
 
 
 def _leaves(headers: Headers, unreadable: list[str]) -> bool:
@@ -271,7 +279,7 @@
 
 
 def _amount(
-    headers: Headers, name: str, unreadable: list[str], *, most: float = sys.float_info.max
+    headers: Headers, name: str, unreadable: list[str], *, most: float = MOST_COUNT
 ) -> float | None:
     """Give a number from 0 to ``most``, or None; notes a field that is there and is none."""
     text = headers.get(name)
--- a/lagoonlever/platform/store_calls.py
+++ b/lagoonlever/platform/store_calls.py
@@ -136,7 +136,7 @@
         """Give the body of an answer of any status; raises as for one that was lost."""
         try:
             return msgspec.json.decode(answer.body or b"{}", type=body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise self._unanswered(call, str(error)) from error
 
     def unavailable(self, call: StoreCall, message: str) -> PlatformUnavailable:
--- a/lagoonlever/platform/targets.py
+++ b/lagoonlever/platform/targets.py
@@ -14,11 +14,16 @@
 
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import LagoonleverException
-from lagoonlever.http.messages import Address
+from lagoonlever.http.messages import MOST_COUNT, MOST_PORT, Address
 
 TARGETS_PREFIX = "servers/"
 DRAINING = "draining"
-MOST_PORT = 65_535
+MOST_SLOTS = 1_000_000
+MOST_CHARACTERS = 256
+"""Of a name; each entry is told to every VM."""
+
+Name = Annotated[str, msgspec.Meta(max_length=MOST_CHARACTERS)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=MOST_COUNT)]
 
 
 class UnreadableTarget(LagoonleverException):
@@ -28,17 +33,17 @@
 class _Entry(msgspec.Struct, rename="pascal", kw_only=True):
     """``Slots`` is how many requests the target runs at once; others wait in its queue."""
 
-    service: Annotated[str, msgspec.Meta(min_length=1)]
+    service: Annotated[Name, msgspec.Meta(min_length=1)]
     address: str
-    zone: str
-    version: str
+    zone: Name
+    version: Name
     """Of the target's software, which operators roll out."""
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
     state: Literal["ready", "draining"]
     cold_remaining_ms: float
     sequence: int
     """Counts the target's own writes, from its start on; nothing depends on it."""
-    born: int | msgspec.UnsetType = msgspec.field(name="born", default=msgspec.UNSET)
+    born: Milliseconds | msgspec.UnsetType = msgspec.field(name="born", default=msgspec.UNSET)
     """The start of the process, in Unix milliseconds; some targets don't tell it."""
 
 
@@ -48,9 +53,12 @@
         entry = msgspec.json.decode(value, type=_Entry)
         address = _address(entry.address)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise UnreadableTarget(f"{key}: {error}") from error
+        raise UnreadableTarget(f"{key:.{MOST_CHARACTERS}}: {error}") from error
+    target_id = key.removeprefix(TARGETS_PREFIX)
+    if not 0 < len(target_id) <= MOST_CHARACTERS:
+        raise UnreadableTarget(f"{key:.{MOST_CHARACTERS}}: is no key of a target")
     return ListedTarget(
-        id=key.removeprefix(TARGETS_PREFIX),
+        id=target_id,
         service=entry.service,
         address=address,
         data_center=entry.zone,
