Streams: a head with nothing behind it is no whole answer

What callers saw: a report of another operator (an answer's head broke off; clients got a 200 with an empty body, framed as whole). Here: 200, no event, and the end of the chunks, where an engine had ended its connection right behind a head that tells neither a length nor chunks.

Cause: the end of such an answer is that of its connection, and one that ended before its first event was taken for whole, as any that does not end inside an event. The class: the absence of a sign that something broke, taken for the sign that it is whole.

Change: an answer without a length or chunks that gives no event of a stream from its beginning has been broken off, and the stream goes on at another engine.

Evidence: broken_heads_tests. Two of its 19 cases fail before (own path, neither length nor chunks) and pass now. Seventeen found nothing: heads cut in every line, with a length, chunks or neither, with bare line ends, of bids and of streams, by the VM's own path and by way of another VM, were no answer before either.

--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -297,6 +297,8 @@
             raise _Ended(str(error)) from error
         if self._splitter.partial:
             raise _Ended("ended within an event")
+        if not (self._given or self._life.position or connection.tells_length):
+            raise _Ended("ended before its first event, with neither a length nor chunks")
         await self._accepted.exchange.finish()
         self._count("answered")
         self._counts.whole(self._now)
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -103,6 +103,14 @@
         """
         return self._requests > 1
 
+    @property
+    def tells_length(self) -> bool:
+        """Whether the last answer's end is told by its head or in its body.
+
+        The end of any other one is that of its connection, and shows nothing more.
+        """
+        return self._tells_length
+
     @property
     def unused(self) -> bool:
         """Whether nothing was ever written on this connection."""
