--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -31,6 +31,7 @@
 from lagoonlever.gateway.dialer import TargetDialer
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.gateway.lost_engines import Loss, LostEngines
+from lagoonlever.gateway.open_works import OpenWork, OpenWorks
 from lagoonlever.gateway.prober import EngineProber
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_client import TargetClient
@@ -50,16 +51,6 @@
 others are told by messages. A multiple of the time between its own words, for one wake-up."""
 
 
-@attrs.frozen(kw_only=True, eq=False)
-class _OpenWork:
-    """Work on a request that ends once news of it come."""
-
-    accepted: Accepted
-    scope: trio.CancelScope
-    leaves: str | None
-    """The engine where it waits, if it may wait at another one instead."""
-
-
 @attrs.define(kw_only=True, eq=False)
 class CrashWatch:
     """What those who serve requests tell, and ask, of requests that end targets."""
@@ -84,8 +75,7 @@
     _trials: TrialAdmission = attrs.field(init=False)
     _records: CrashRecords = attrs.field(init=False)
     _news: CrashNews = attrs.field(init=False)
-    _open: dict[str, set[_OpenWork]] = attrs.field(factory=dict)
-    """By the request's fingerprint."""
+    _open: OpenWorks = attrs.field(factory=OpenWorks)
     _barred: frozenset[str] = frozenset()
     """The requests that were logged as barred."""
     _barred_parts: frozenset[PartSet] = frozenset()
@@ -203,19 +193,13 @@
 
         Also once all its returns go to another engine than the one that it ``leaves`` for that.
         """
-        opened = self._open.setdefault(accepted.fingerprint, set())
         with trio.CancelScope() as scope:
-            work = _OpenWork(accepted=accepted, scope=scope, leaves=leaves)
-            opened.add(work)
-            if self.is_barred(accepted) or self._is_misplaced(work):
-                # The news came between the last look and this block.
-                scope.cancel()
-            try:
+            work = OpenWork(accepted=accepted, scope=scope, leaves=leaves)
+            with self._open.holding(work):
+                if self._must_end(work):
+                    # The news came between the last look and this block.
+                    scope.cancel()
                 yield
-            finally:
-                opened.discard(work)
-                if not opened:
-                    self._open.pop(accepted.fingerprint, None)
 
     async def ended_under(
         self,
@@ -377,11 +361,12 @@
         """End what may not go on after ends were recorded or told."""
         self._note_answers()
         self._note_barred()
-        for work in [work for opened in self._open.values() for work in opened]:
-            if self.is_barred(work.accepted) or self._is_misplaced(work):
-                work.scope.cancel()
+        self._open.cancel_where(self._must_end)
 
-    def _is_misplaced(self, work: _OpenWork) -> bool:
+    def _must_end(self, work: OpenWork) -> bool:
+        """Check whether a request is barred, or all its returns are at another engine."""
+        if self.is_barred(work.accepted):
+            return True
         if work.leaves is None:
             return False
         return self.gathering_place(work.accepted) not in (None, work.leaves)
