--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -114,6 +114,6 @@
     def _tell_deadly(self, request: str, headers: Headers) -> None:
         entries = (headers.get(PROMPT_PARTS) or "").split(",")
         now = trio.current_time()
-        in_touch = self._site.was_sent_in_touch(request, self.target_id, now)
         for part in self._site.deadly.intersection(entry.partition(":")[0] for entry in entries):
+            in_touch = self._site.was_sent_in_touch(request, self.target_id, now)
             self._judge.reached(part, now, in_touch=in_touch)
