Paths: the control of a target that may be down is none that has failed since it was reached

Engines that had ended one after the other were called unknown after 5 s, and counted against nobody.

Cause: a VM may say that a target is down once it has reached another one meanwhile, and tried the one that it had reached last. Where engines end one after the other that is the engine that ended just before: the control fails each time, at every VM, and nobody may say anything. Before the losses were judged by evidence only tunnels hung on it (503 in place of 502). The class: a witness that is chosen from among the harmed.

Change: of the targets that may be the control those that failed since they were reached are left out, if there is any other. And a VM looks for itself whether it reaches other engines and not this one, in place of waiting for another VM's word, which is late on a busy machine.

The test of the control fails before.

--- a/lagoonlever/decisions/targets/target_paths.py
+++ b/lagoonlever/decisions/targets/target_paths.py
@@ -100,9 +100,13 @@
         return any(self._last_reached_at(other) >= since for other in others)
 
     def choose_control(self, others: Collection[Address]) -> Address | None:
-        """Return the target to try in order to become a witness: the one that was reached last."""
+        """Return the target to try in order to become a witness: the one that was reached last.
+
+        One that has failed since then may be down as well, and shows nothing of this VM's paths.
+        """
         usable = [other for other in others if not self.is_cut(other)]
-        return max(usable, key=self._last_reached_at, default=None)
+        sound = [other for other in usable if not self._is_lost(other)]
+        return max(sound or usable, key=self._last_reached_at, default=None)
 
     def since_reached_s(self, target: Address, now: float) -> float | None:
         """Return how long ago a connection was opened by the own path; None for never."""
@@ -169,6 +173,10 @@
             del self._paths[target]
         self._update_cut_since()
 
+    def _is_lost(self, target: Address) -> bool:
+        path = self._paths.get(target)
+        return path is not None and path.lost_at is not None
+
     def _last_reached_at(self, target: Address) -> float:
         path = self._paths.get(target)
         return path.reached_at if path is not None else -math.inf
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -36,6 +36,7 @@
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_client import TargetClient
 from lagoonlever.gateway.trial_admission import TrialAdmission
+from lagoonlever.gateway.tunnel_desk import TunnelDesk
 from lagoonlever.http.messages import Address
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.interface import Bus
@@ -66,6 +67,7 @@
     _client: TargetClient
     _prober: EngineProber
     _dialer: TargetDialer
+    _tunnel_desk: TunnelDesk
     _tally: Tally
     _rng: random.Random
     _hears_runs: Callable[[], bool]
@@ -87,6 +89,7 @@
         return LostEngines(
             prober=self._prober,
             dialer=self._dialer,
+            is_down=self._tunnel_desk.is_down,
             beliefs=self._beliefs,
             suspects=self._suspects,
             timers=self._timers,
--- a/lagoonlever/gateway/lost_engines.py
+++ b/lagoonlever/gateway/lost_engines.py
@@ -18,6 +18,7 @@
 from lagoonlever.gateway.dialer import TargetDialer
 from lagoonlever.gateway.messages import EngineReport
 from lagoonlever.gateway.prober import EngineProber
+from lagoonlever.http.messages import Address
 from lagoonlever.timers import TimerService
 
 log = logbook.Logger(__name__)
@@ -52,6 +53,8 @@
 
     _prober: EngineProber
     _dialer: TargetDialer
+    _is_down: Callable[[Address], Awaitable[bool]]
+    """Checks whether this VM reaches other targets, and not the one at an address."""
     _beliefs: Beliefs
     _suspects: CrashSuspects
     _timers: TimerService
@@ -102,14 +105,15 @@
         while True:
             report = await self._prober.ask(engine, since=self._timers.now)
             closed = closed + 1 if self._prober.has_broken(engine.id) else 0
-            fate = judge_loss(self._signs(engine, report, closed=closed))
+            is_down = report is None and await self._is_down(engine.address)
+            fate = judge_loss(self._signs(engine, report, closed=closed, is_down=is_down))
             is_over = self._timers.now - lost_at >= SOUGHT_S
             if fate is not Fate.UNKNOWN or is_over:
                 return fate
             await trio.sleep(ASK_AGAIN_S)
 
     def _signs(
-        self, engine: ListedTarget, report: EngineReport | None, *, closed: int
+        self, engine: ListedTarget, report: EngineReport | None, *, closed: int, is_down: bool
     ) -> LossSigns:
         targets, now = self._beliefs.targets, self._timers.now
         listed = targets.find(engine.id)
@@ -118,7 +122,7 @@
             answers=report is not None,
             is_other_process=is_other_process(engine, report)
             or (listed is not None and listed.has_restarted_since(engine.started_ms)),
-            takes_no_connection=self._dialer.is_down(engine.address),
+            takes_no_connection=is_down or self._dialer.is_down(engine.address),
             closed_connections=closed,
             is_replaced=targets.is_address_taken(engine.id),
             is_reported=self._suspects.has_crashed(process, now),
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -415,6 +415,7 @@
             client=self.client,
             prober=self.prober,
             dialer=self.dialer,
+            tunnel_desk=self.tunnel_desk,
             tally=self.reporter.tally,
             rng=self.rng,
             hears_runs=self.peers.holds_book,
--- a/lagoonlever/gateway/tunnel_desk.py
+++ b/lagoonlever/gateway/tunnel_desk.py
@@ -71,6 +71,14 @@
         """Serve other VMs until cancelled."""
         await self._server.run(listeners)
 
+    async def is_down(self, address: Address) -> bool:
+        """Check whether this VM reaches other targets by its own paths, and not this one."""
+        outcome = await self._open(address)
+        if isinstance(outcome, NoTunnel):
+            return outcome.status == BAD_GATEWAY
+        await trio.aclose_forcefully(outcome)
+        return False
+
     async def _dial(self, request: TunnelRequest) -> trio.SocketStream | NoTunnel:
         peer = self._peer(request.headers)
         if peer is None or not self._is_target(request.to):
--- a/lagoonlever/tests/target_paths_tests.py
+++ b/lagoonlever/tests/target_paths_tests.py
@@ -116,3 +116,15 @@
     paths.retain({C})
     assert not paths.is_cut_off
     assert paths.next_probe() is None
+
+
+def test_the_control_is_none_that_has_failed_since_it_was_reached() -> None:
+    """Engines ended one after the other, and each was taken for the control of the next."""
+    paths = TargetPaths()
+    paths.record_reached(A, 1.0)
+    paths.record_reached(B, 2.0)
+    paths.record_unreached(B, 3.0)
+    assert paths.choose_control((A, B)) == A
+    paths.record_unreached(A, 4.0)
+    assert paths.choose_control((A, B)) == B
+    assert paths.choose_control((A, B, C)) == C
