Crashes: an attempt that broke off tells how far its answer had come, by which VM, and what its engine last said

The line has `stage` (nothing, part-of-head, head, part-of-event, begun, flowing), `via` and `reported` now. What counts is not changed.

`progress` is gone: `stage` tells the same and more.

--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -320,8 +320,10 @@
     "info",
     "{request} at {target} ended after {seconds:.3f} s and event {position}: {outcome}",
     "What became of an attempt that did not give the whole answer. `fingerprint` is alike for "
-    "requests with the same organisation, path and body; `progress` is `none` before the head "
-    "of an answer, `head` before the first event of this attempt, and else `events`.",
+    "requests with the same organisation, path and body; `stage` tells what had come of the "
+    "answer: `nothing`, `part-of-head`, `head`, `part-of-event`, `begun` (events for less than "
+    "0.3 s) or `flowing`. `via` is the VM by way of which the target was reached, `reported` what "
+    "the target last said of the request: `running`, `queued` or nothing.",
 )
 FIRST_EVENT = event(
     1043,
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -6,6 +6,7 @@
 import logbook
 import trio
 
+from lagoonlever.decisions.engines.answer_stages import BEGUN_S, AnswerProgress, AnswerStage
 from lagoonlever.decisions.engines.engine_rank import rank_at_engine
 from lagoonlever.decisions.engines.engine_reports import is_preempted
 from lagoonlever.decisions.engines.target_crashes import WEIGHT_QUEUED, WEIGHT_STARTED
@@ -51,8 +52,6 @@
 """Beyond the time in which other VMs' placements are heard, before the second look."""
 MOVES_PART = 0.5
 """Of the allowed repeats: moves only save time, and leave the rest to streams that broke."""
-BEGUN_S = 0.3
-"""An engine that a part of the prompt ends does so within this time from its first event."""
 ALIVE_CHECK_S = 0.05
 """Between looks at whether an engine has shown life."""
 PAUSE_TOLD_S = 0.3
@@ -95,8 +94,14 @@
     _given: bool = False
     """The engine has given an event, which may not have been passed on."""
     _flowing: bool = False
-    _flowing_since: float | None = None
-    """When the engine gave its first event; None before, and once that was found to be sound."""
+    _first_event_at: float | None = None
+    _last_event_at: float = 0.0
+    _is_sound: bool = False
+    """The answer has flowed for longer than one that ends its engine does."""
+    _connection: ClientConnection | None = None
+    """Over which the request was written."""
+    _reported: RunStatus | None = None
+    """What the engine last said of the run."""
     _signs: LivenessSigns = attrs.field(factory=LivenessSigns)
     _copies: CopyKeeper = attrs.field(init=False)
     _counts: StreamCounts = attrs.field(init=False)
@@ -231,6 +236,7 @@
         """Write and relay; gives the head if the connection may be kept."""
         plan = self._plan
         self._life.record_sent(copy=plan.run.copy)
+        self._connection = connection
         ticket = self._tools.words.sent(plan.engine.id, first=self._life.sent_attempts == 1)
         self._peers.begin(plan.run)
         self._log_sent(connection.via)
@@ -356,6 +362,7 @@
             answer = RunStatus.ENGINE_RESTARTED
         elif report is not None and self._is_preempted(report, silence):
             answer = RunStatus.PREEMPTED
+        self._reported = answer
         ahead = run.events - (self._life.position or 0) if run else 0
         events.ENGINE_ASKED.log(
             log,
@@ -494,7 +501,7 @@
         now = self._now
         if not self._flowing:
             self._flowing = self._copies.flowing = True
-            self._flowing_since = now
+            self._first_event_at = now
             self._counts.first_event(now, sent_at=self._started)
             self._life.record_first_event()
             events.FIRST_EVENT.log(
@@ -514,8 +521,10 @@
                 position=self._life.position,
             )
         silence.record_event(now)
-        if self._flowing_since is not None and now - self._flowing_since >= BEGUN_S:
-            self._flowing_since = None
+        self._last_event_at = now
+        assert self._first_event_at is not None
+        if not self._is_sound and now - self._first_event_at >= BEGUN_S:
+            self._is_sound = True
             self._tools.crashes.begun(self._accepted)
 
     async def _lost(self, ended: _Ended) -> None:
@@ -628,14 +637,22 @@
             position=self._life.position,
             outcome=detail,
             fingerprint=self._accepted.fingerprint,
-            progress=self._progress,
+            stage=self._stage.value,
+            via=self._connection.via if self._connection is not None else None,
+            reported=self._reported.value if self._reported is not None else None,
         )
 
     @property
-    def _progress(self) -> str:
-        if self._flowing:
-            return "events"
-        return "head" if self._answered else "none"
+    def _stage(self) -> AnswerStage:
+        """How far the engine's answer has come."""
+        first_at, last_at = self._first_event_at, self._last_event_at
+        connection = self._connection
+        return AnswerProgress(
+            has_bytes=connection is not None and connection.has_bytes,
+            has_head=self._answered,
+            has_part_of_event=self._splitter.partial,
+            events_for_s=None if first_at is None else last_at - first_at,
+        ).stage
 
 
 def _answer_of(report: EngineReport | None, run: RunReport | None, *, flowing: bool) -> RunStatus:
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -103,6 +103,11 @@
         """
         return self._requests > 1
 
+    @property
+    def has_bytes(self) -> bool:
+        """Whether anything of the awaited answer has come, if it is only a part of its head."""
+        return self._head_read or bool(self._h11.trailing_data[0])
+
     @property
     def tells_length(self) -> bool:
         """Whether the last answer's end is told by its head or in its body.
