--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -69,6 +69,18 @@
     """The same, and closes in the middle of its third event."""
 
 
+class DeathStage(enum.Enum):
+    """How much of its answer an engine has written when a prompt ends it."""
+
+    BEFORE_HEAD = "before-head"
+    IN_HEAD = "in-head"
+    HEAD = "head"
+    IN_EVENT = "in-event"
+    """Its head, and half of its first event."""
+    FIRST_EVENT = "first-event"
+    """Its head and its first event."""
+
+
 REFUSALS = frozenset({EngineConduct.REFUSE, EngineConduct.REFUSE_TWICE})
 NO_LENGTH = frozenset({EngineConduct.NO_LENGTH, EngineConduct.NO_LENGTH_HALF})
 
@@ -108,6 +120,8 @@
         self.started_ms = started_ms
         self.version = version
         """Of its software; what it writes shows it."""
+        self.dies_at = DeathStage.HEAD
+        """How much it has written when a prompt ends it."""
         self.prefill_tokens_per_s = prefill_tokens_per_s
         self.event_s = event_s
         self.conducts: deque[EngineConduct] = deque()
@@ -338,14 +352,21 @@
             *self.says.load_field(self.room),
             *self.says.fields(),
         )
+        is_deadly = run.part in self._deadly or not run.shared.isdisjoint(self._deadly)
+        if is_deadly and self.dies_at is DeathStage.BEFORE_HEAD:
+            await self._end_at_once()
+        if is_deadly and self.dies_at is DeathStage.IN_HEAD:
+            head = raw_head(fields)
+            await exchange.write_raw(head[: len(head) // 2])
+            await self._end_at_once()
         if conduct in NO_LENGTH:
             await exchange.write_raw(raw_head(fields))
         else:
             await exchange.start_stream(status=OK, headers=Headers(fields))
-        if run.part in self._deadly or not run.shared.isdisjoint(self._deadly):
+        if is_deadly:
+            await self._write_before_end(exchange, run)
             await trio.sleep(DIES_AFTER_S)
-            self._die()
-            await trio.sleep_forever()
+            await self._end_at_once()
         holder = self._fleet.get(headers.get(COPY_TO) or "")
         output = int((headers.get(TOKEN_COUNT) or "100,80").partition(",")[2] or 80)
         await self._emit(exchange, run, holder, conduct, last=max(1, output // EVENT_TOKENS))
@@ -355,6 +376,20 @@
         if holder is not None:
             holder.copies.pop(run.request_id, None)
 
+    async def _write_before_end(self, exchange: Exchange, run: EngineRun) -> None:
+        """Write as much behind the head as an engine does that a prompt ends."""
+        event = event_bytes(run.part, run.events + 1, version=self.version)
+        if self.dies_at is DeathStage.IN_EVENT:
+            await exchange.write(event[: len(event) // 2])
+        elif self.dies_at is DeathStage.FIRST_EVENT:
+            run.events += 1
+            await exchange.write(event)
+
+    async def _end_at_once(self) -> None:
+        """End with all connections, as a process that crashes."""
+        self._die()
+        await trio.sleep_forever()
+
     async def _read(self, run: EngineRun) -> None:
         self.read_tokens[run.part] += run.prompt_tokens
         await trio.sleep(run.prompt_tokens / self.prefill_tokens_per_s * self.says.pace)
