--- a/lagoonlever/decisions/engines/answer_stages.py
+++ b/lagoonlever/decisions/engines/answer_stages.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from lagoonlever.decisions.engines.target_crashes import WEIGHT_QUEUED, WEIGHT_STARTED
+
 BEGUN_S = 0.3
 """An engine that a request ends does so within this time from the first event of its answer."""
 
@@ -51,3 +53,38 @@
         if self.has_head:
             return AnswerStage.HEAD
         return AnswerStage.PART_OF_HEAD if self.has_bytes else AnswerStage.NOTHING
+
+
+@attrs.frozen(kw_only=True)
+class CrashWeights:
+    """How much a crash of an engine counts against a request that was there; 0 is nothing."""
+
+    request: float
+    """Against the request itself."""
+    parts: float
+    """Against the parts that its prompt shares with others."""
+
+    @property
+    def is_nothing(self) -> bool:
+        """Whether the crash says nothing of the request."""
+        return not (self.request or self.parts)
+
+
+STARTED = CrashWeights(request=WEIGHT_STARTED, parts=WEIGHT_STARTED)
+NO_WEIGHT = CrashWeights(request=0.0, parts=0.0)
+
+
+def weigh_crash(stage: AnswerStage, *, has_flowed: bool, goes_on: bool) -> CrashWeights:
+    """Return how much a crash counts by how far the answer had come.
+
+    ``has_flowed`` tells that an earlier attempt of the request has, ``goes_on`` that its caller
+    brought events of an earlier request.
+    """
+    if stage is AnswerStage.FLOWING:
+        return NO_WEIGHT
+    if stage is AnswerStage.NOTHING:
+        is_known = has_flowed or goes_on
+        return CrashWeights(request=0.0 if is_known else WEIGHT_QUEUED, parts=WEIGHT_QUEUED)
+    if stage is AnswerStage.BEGUN:
+        return CrashWeights(request=0.0 if has_flowed else WEIGHT_QUEUED, parts=WEIGHT_STARTED)
+    return STARTED
--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -35,14 +35,15 @@
 from lagoonlever.decisions.engines.crash_causes import BLOCKING_WEIGHT, find_causes, total_weight
 from lagoonlever.decisions.engines.part_blocks import BLOCK_S, OpenTrial, block_s
 from lagoonlever.decisions.engines.part_causes import (
-    BLOCKING_CRASHES,
-    GATHERING_CRASHES,
+    BLOCKING,
+    GATHERING,
+    GATHERING_UNTESTED,
     MAX_TESTED_CRASHES,
-    UNTESTED_BLOCKING_CRASHES,
+    UNTESTED_BLOCKING,
     PartSet,
     find_part_causes,
+    has_evidence,
     is_cause,
-    started_crashes,
 )
 from lagoonlever.decisions.engines.suspects import SuspectKind, Suspects, kind_of
 from lagoonlever.decisions.engines.target_crashes import (
@@ -162,7 +163,10 @@
 
     def set_answers_known(self, known: bool) -> None:
         """Set whether this VM knows on which parts answers begin."""
+        if known == self._answers_known:
+            return
         self._answers_known = known
+        self._find_part_causes()
 
     def record_crash(self, fingerprint: str, process: str, crash: Crash) -> bool:
         """Record a crash of a process under a request; return whether it adds information.
@@ -260,7 +264,7 @@
         for cause in self._part_causes:
             if not cause.issubset(suspects.parts):
                 continue
-            processes = started_crashes(self._crashes[next(iter(cause))])
+            processes = self._crashes[next(iter(cause))]
             remaining_s = self._part_blocked_until(cause, suspects) - now
             if remaining_s > 0:
                 return Block(crash_count=len(processes), remaining_s=remaining_s, parts=cause)
@@ -271,13 +275,13 @@
         for cause in self._part_causes:
             if not cause.issubset(suspects.parts):
                 continue
-            processes = started_crashes(self._crashes[next(iter(cause))])
+            processes = self._crashes[next(iter(cause))]
             over_s = now - self._part_blocked_until(cause, suspects)
             return OpenTrial(parts=cause, crash_count=len(processes), over_s=over_s)
         return None
 
     def _part_blocked_until(self, cause: PartSet, suspects: Suspects) -> float:
-        crashes = started_crashes(self._crashes[next(iter(cause))])
+        crashes = self._crashes[next(iter(cause))]
         others = sum(self._has_many_crashes(part) for part in suspects.parts if part not in cause)
         own = suspects.request in self._crashes
         return _last_crash_at(crashes) + block_s(
@@ -285,7 +289,7 @@
         )
 
     def _has_many_crashes(self, part: str) -> bool:
-        return len(started_crashes(self._crashes.get(part, {}))) >= UNTESTED_BLOCKING_CRASHES
+        return has_evidence(self._crashes.get(part, {}), bound=UNTESTED_BLOCKING)
 
     def find_any_block(self, suspects: Suspects, now: float) -> Block | None:
         """Return why a request is refused, by its own crashes or by a part of its prompt."""
@@ -303,7 +307,7 @@
             return None
         for parts in self._suspect_parts:
             if parts.issubset(suspects.parts):
-                crashed = started_crashes(self._crashes[next(iter(parts))])
+                crashed = self._crashes[next(iter(parts))]
                 together = parts if self._answers_known else self._all_suspected(suspects)
                 return Gathering(key="|".join(sorted(together)), crashed=frozenset(crashed))
         is_over = (
@@ -367,15 +371,16 @@
 
     def _find_part_causes(self) -> None:
         parts = self._of_kind(SuspectKind.PART)
-        causes = find_part_causes(parts, min_crashes=BLOCKING_CRASHES)
+        causes = find_part_causes(parts, bound=BLOCKING)
         self._part_causes = tuple(cause for cause in causes if self._is_certain(cause))
-        self._suspect_parts = find_part_causes(parts, min_crashes=GATHERING_CRASHES)
+        gathering = GATHERING if self._answers_known else GATHERING_UNTESTED
+        self._suspect_parts = find_part_causes(parts, bound=gathering)
 
     def _is_certain(self, cause: PartSet) -> bool:
         """Check whether enough of the crashes are tested, or there are many."""
         part = next(iter(cause))
         tested = {n: crash for n, crash in self._crashes[part].items() if n in self._tested}
-        return self._has_many_crashes(part) or is_cause(tested, min_crashes=BLOCKING_CRASHES)
+        return self._has_many_crashes(part) or is_cause(tested, bound=BLOCKING)
 
     def _mark_tested(self, processes: Iterable[str]) -> None:
         """Record that the sound parts at crashes are known, as far as any are."""
@@ -386,7 +391,7 @@
     def _find_causes(self) -> None:
         self._find_part_causes()
         causes = frozenset[str]().union(*self._part_causes)
-        explained = frozenset(p for part in causes for p in started_crashes(self._crashes[part]))
+        explained = frozenset(p for part in causes for p in self._crashes[part])
         self._blocked = find_causes(
             self._of_kind(SuspectKind.REQUEST), explained_by_parts=explained
         )
--- a/lagoonlever/decisions/engines/part_blocks.py
+++ b/lagoonlever/decisions/engines/part_blocks.py
@@ -20,9 +20,11 @@
 
 from lagoonlever.decisions.engines.part_causes import (
     SOUND_S,
+    SURE,
     UNCERTAIN_BLOCK_S,
-    UNTESTED_BLOCKING_CRASHES,
+    UNTESTED_BLOCKING,
     PartSet,
+    has_evidence,
     is_explained_by_few,
 )
 from lagoonlever.decisions.engines.target_crashes import Crash
@@ -51,13 +53,14 @@
     ``crashes`` are those of the part; of the request's other suspects more may be causes, so
     that requests with fewer try first.
     """
-    if answers_known and not is_explained_by_few(crashes):
+    is_sure = answers_known and has_evidence(crashes, bound=SURE)
+    if is_sure and not is_explained_by_few(crashes):
         return BLOCK_S
     trials = count_trials(crashes)
     if trials >= MOST_TRIALS:
         return BLOCK_S
     factor = TRIAL_FACTOR**trials
-    if answers_known and len(crashes) >= UNTESTED_BLOCKING_CRASHES:
+    if is_sure and len(crashes) >= UNTESTED_BLOCKING.crashes:
         return min(BLOCK_S, SOUND_S * factor)
     return min(BLOCK_S, UNCERTAIN_BLOCK_S * (1 + other_suspects) * factor)
 
@@ -65,9 +68,9 @@
 def count_trials(crashes: Mapping[str, Crash]) -> int:
     """Return how many of a part's crashes came when every VM knew that it is blocked."""
     times = sorted(crash.at for crash in crashes.values())
-    if len(times) < UNTESTED_BLOCKING_CRASHES:
+    if len(times) < UNTESTED_BLOCKING.crashes:
         return 0
-    known_at = times[UNTESTED_BLOCKING_CRASHES - 1] + KNOWN_WITHIN_S
+    known_at = times[UNTESTED_BLOCKING.crashes - 1] + KNOWN_WITHIN_S
     return sum(at > known_at for at in times)
 
 
--- a/lagoonlever/decisions/engines/part_causes.py
+++ b/lagoonlever/decisions/engines/part_causes.py
@@ -6,41 +6,73 @@
 
 - A part on which an answer has just begun elsewhere is sound. It is not counted at a crash, and
   an answer that begins later clears it.
-- Only a crash just as an answer began is counted, once for each process. A request that had given
-  events, or only waited, was there by chance.
+- A crash just as an answer began is whole evidence, once for each process. One before anything
+  of the answer came is a half: the request may have begun, or only have waited there. A request
+  that had given events for a while was there by chance.
 - Crashes under one request alone may be due to its own part, so a second request is needed.
+- Engines of one data centre crash together, each with requests that waited. So halves convict
+  only if they come from different moments.
 - A VM that has heard of no answer of late knows no sound part, and what all requests share is at
   every crash. So crashes of that time convict only once another part of them was cleared, or once
   there are many.
-- A block hides the answers that would clear a part. So it is short where no answer is known, or
-  where two requests that end engines by themselves would explain all crashes.
-- The cause is at all crashes. A part that is at fewer of them than another one is explained by it.
+- A block hides the answers that would clear a part. So it is short where no answer is known,
+  where two requests that end engines by themselves would explain all crashes, or where halves
+  come from few moments.
+- The cause is at all crashes. A part that is only at crashes of one with more of them, or of
+  several causes, is explained by these. A half where a cause was is no evidence against others.
 - Parts at exactly the same crashes can't be told apart. Only requests with all of them are
   stopped. A request with some of them goes on: its answer, or one more crash, tells them apart.
 """
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Collection, Container, Iterable, Mapping, Sequence
 
 import attrs
 
-from lagoonlever.decisions.engines.target_crashes import WEIGHT_STARTED, Crash, CrashesByRequest
+from lagoonlever.decisions.engines.answer_stages import BEGUN_S
+from lagoonlever.decisions.engines.correlated_loss import CORRELATION_WINDOW_S
+from lagoonlever.decisions.engines.target_crashes import (
+    MAX_REPORT_DELAY_S,
+    WEIGHT_STARTED,
+    Crash,
+    CrashesByRequest,
+)
 
-BLOCKING_CRASHES = 3
-"""Crashes after which a part is blocked; one or two may be a coincidence."""
-GATHERING_CRASHES = 2
-"""Crashes after which the requests with a part go to one engine."""
+
+@attrs.frozen(kw_only=True)
+class EvidenceBound:
+    """What is needed to take a part for a cause."""
+
+    crashes: int
+    """So many whole ones, or as many in all if ``weight`` is reached, too."""
+    weight: float
+    moments: int
+    """The different moments that halves must come from."""
+
+
+BLOCKING = EvidenceBound(crashes=3, weight=2.5, moments=2)
+"""A part is blocked; one or two crashes may be a coincidence."""
+GATHERING = EvidenceBound(crashes=2, weight=1.0, moments=1)
+"""The requests with a part go to one engine."""
+GATHERING_UNTESTED = EvidenceBound(crashes=2, weight=1.0, moments=2)
+"""The same where nothing is known of the parts beside it."""
+UNTESTED_BLOCKING = EvidenceBound(crashes=5, weight=2.5, moments=3)
+"""A part is blocked though nothing is known of the parts beside it."""
+SURE = EvidenceBound(crashes=3, weight=2.5, moments=3)
+"""Crashes that are no coincidence of one moment or two."""
 MIN_REQUESTS = 2
 """Different requests that must have been at the crashes."""
-UNTESTED_BLOCKING_CRASHES = 5
-"""Crashes after which a part is blocked though nothing is known of the parts beside it."""
+OTHERS_WEIGHT = 1.0
+"""The evidence that there must be without any one request, where some of it is halves."""
 FEW_REQUESTS = 2
 """So many requests may end engines by themselves, and share a part by chance."""
 UNCERTAIN_BLOCK_S = 5.0
 """How long a part is blocked that may be sound; as much again for each other suspect."""
 MAX_TESTED_CRASHES = 1024
 """Upper bound of the crashes that are known to be tested."""
+LIVED_ON_S = BEGUN_S + MAX_REPORT_DELAY_S
+"""A crash under an answer is told within this time from its first event."""
 SOUND_S = 60.0
 """A part is sound for this long after an answer began on it."""
 MAX_SOUND_PARTS = 8192
@@ -49,27 +81,92 @@
 PartSet = frozenset[str]
 
 
-def find_part_causes(crashes: CrashesByRequest, *, min_crashes: int) -> tuple[PartSet, ...]:
-    """Return the causes with ``min_crashes`` or more; parts that can't be told apart as one set.
+def find_part_causes(crashes: CrashesByRequest, *, bound: EvidenceBound) -> tuple[PartSet, ...]:
+    """Return the causes by ``bound``; parts that can't be told apart as one set.
 
     ``crashes`` are those under parts, by the part's id.
     """
-    by_processes: dict[frozenset[str], set[str]] = {}
+    alike: dict[frozenset[tuple[str, float]], set[str]] = {}
     for part, processes in crashes.items():
-        if is_cause(processes, min_crashes=min_crashes):
-            by_processes.setdefault(frozenset(started_crashes(processes)), set()).add(part)
-    return tuple(
-        frozenset(parts)
-        for processes, parts in by_processes.items()
-        if not any(processes < other for other in by_processes)
-    )
+        if is_cause(processes, bound=bound):
+            key = frozenset((process, crash.weight) for process, crash in processes.items())
+            alike.setdefault(key, set()).add(part)
+    causes: list[PartSet] = []
+    explained: set[str] = set()
+    for parts in sorted(alike.values(), key=lambda parts: -_evidence(crashes[min(parts)])):
+        processes = crashes[next(iter(parts))]
+        if not is_cause(_unexplained(processes, explained), bound=bound):
+            continue
+        causes.append(frozenset(parts))
+        explained.update(processes)
+    return _without_explained(causes, crashes)
+
+
+def _without_explained(causes: Sequence[PartSet], crashes: CrashesByRequest) -> tuple[PartSet, ...]:
+    """Leave out causes that others were beside at every crash, those with the least evidence first.
+
+    A part that requests with several causes share is at crashes of each of them.
+    """
+    by_process = {cause: frozenset(crashes[next(iter(cause))]) for cause in causes}
+    for cause in sorted(causes, key=lambda cause: _evidence(crashes[next(iter(cause))])):
+        processes = by_process.pop(cause)
+        if not processes <= frozenset[str]().union(*by_process.values()):
+            by_process[cause] = processes
+    return tuple(by_process)
 
 
-def is_cause(processes: Mapping[str, Crash], *, min_crashes: int) -> bool:
-    """Check whether a part has ``min_crashes``, and different requests were at them."""
+def is_cause(processes: Mapping[str, Crash], *, bound: EvidenceBound) -> bool:
+    """Check whether there is enough evidence, and not of one request alone."""
     started = started_crashes(processes)
-    requests = {request for crash in started.values() for request in crash.requests}
-    return len(started) >= min_crashes and len(requests) >= MIN_REQUESTS
+    if len(started) >= bound.crashes and _has_different_requests(started):
+        return True
+    return has_evidence(processes, bound=bound) and not _is_of_one_request(processes)
+
+
+def has_evidence(processes: Mapping[str, Crash], *, bound: EvidenceBound) -> bool:
+    """Check whether crashes are enough by ``bound``, whichever requests were there."""
+    if len(started_crashes(processes)) >= bound.crashes:
+        return True
+    is_enough = len(processes) >= bound.crashes and _evidence(processes) >= bound.weight
+    return is_enough and count_moments(processes) >= bound.moments
+
+
+def count_moments(processes: Mapping[str, Crash]) -> int:
+    """Return how many moments crashes are from: those of one moment may have one cause."""
+    moments, begun_at = 0, 0.0
+    for at in sorted(crash.at for crash in processes.values()):
+        if not moments or at - begun_at > CORRELATION_WINDOW_S:
+            moments, begun_at = moments + 1, at
+    return moments
+
+
+def _evidence(processes: Mapping[str, Crash]) -> float:
+    return sum(crash.weight for crash in processes.values())
+
+
+def _has_different_requests(processes: Mapping[str, Crash]) -> bool:
+    requests = {request for crash in processes.values() for request in crash.requests}
+    return len(requests) >= MIN_REQUESTS
+
+
+def _is_of_one_request(processes: Mapping[str, Crash]) -> bool:
+    """Check whether one request was at nearly all the evidence."""
+    requests = {request for crash in processes.values() for request in crash.requests}
+    if len(requests) < MIN_REQUESTS:
+        return True
+    return any(
+        _evidence({n: c for n, c in processes.items() if request not in c.requests}) < OTHERS_WEIGHT
+        for request in requests
+    )
+
+
+def _unexplained(processes: Mapping[str, Crash], explained: Container[str]) -> dict[str, Crash]:
+    """Leave out halves at processes that a cause has crashed."""
+    return {
+        process: crash
+        for process, crash in processes.items()
+        if crash.weight >= WEIGHT_STARTED or process not in explained
+    }
 
 
 def is_explained_by_few(crashes: Mapping[str, Crash]) -> bool:
@@ -94,12 +191,22 @@
     return {name: crash for name, crash in processes.items() if crash.weight >= WEIGHT_STARTED}
 
 
+@attrs.frozen(kw_only=True)
+class _FirstEvent:
+    """The first event of an answer on some parts; ``at`` in seconds."""
+
+    parts: tuple[str, ...]
+    at: float
+
+
 @attrs.define(kw_only=True)
 class SoundParts:
     """The parts on which answers have begun; times are seconds of the monotonic clock."""
 
     _begun_at: dict[str, float] = attrs.field(factory=dict)
     """When an answer last began on each part, the oldest first."""
+    _first_events: dict[str, list[_FirstEvent]] = attrs.field(factory=dict)
+    """Those that show nothing yet, by the process that wrote them."""
 
     def record_begin(self, parts: Iterable[str], now: float) -> None:
         """Record that an answer has begun on a prompt with these parts."""
@@ -109,6 +216,26 @@
         while len(self._begun_at) > MAX_SOUND_PARTS:
             del self._begun_at[next(iter(self._begun_at))]
 
+    def record_first_event(self, process: str, parts: tuple[str, ...], now: float) -> None:
+        """Record a first event, which shows something once its process has lived on."""
+        self._first_events.setdefault(process, []).append(_FirstEvent(parts=parts, at=now))
+
+    def withdraw(self, process: str) -> None:
+        """Forget the first events of a process that has crashed."""
+        self._first_events.pop(process, None)
+
+    def take_lived_on(self, now: float) -> tuple[tuple[str, ...], ...]:
+        """Return the parts of each first event whose process has lived on since, only once."""
+        found: list[tuple[str, ...]] = []
+        for process, events in list(self._first_events.items()):
+            found += [event.parts for event in events if now - event.at >= LIVED_ON_S]
+            open_events = [event for event in events if now - event.at < LIVED_ON_S]
+            if open_events:
+                self._first_events[process] = open_events
+            else:
+                del self._first_events[process]
+        return tuple(found)
+
     def knows_any(self, now: float) -> bool:
         """Check whether an answer has begun of late on any prompt that shares parts."""
         newest = next(reversed(self._begun_at.values()), None)
--- a/lagoonlever/decisions/streams/stream_lifecycle.py
+++ b/lagoonlever/decisions/streams/stream_lifecycle.py
@@ -177,6 +177,8 @@
     """Whether the head of the response was sent to the caller."""
     complete: bool = False
     """Whether the stream ended completely."""
+    has_flowed: bool = False
+    """Whether an engine has written events for longer than one that the request crashes."""
     possible_runs: int = 0
     """Number of attempts that an engine may have run: those sent and not refused."""
     sent_attempts: int = 0
--- a/lagoonlever/gateway/crash_news.py
+++ b/lagoonlever/gateway/crash_news.py
@@ -49,6 +49,8 @@
         async for received in self._bus.subscribe(TargetsEnded):
             message = received.message
             told = read_ends(message, self._timers.now)
+            for process in {process for processes in told.values() for process in processes}:
+                self._sound.withdraw(process)
             ends = self._unproven(told)
             for part in told.keys() - ends.keys():
                 self._spread.answer(RequestServed(fingerprint=part), to=received.sender.name)
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -15,11 +15,12 @@
 import logbook
 import trio
 
+from lagoonlever.decisions.engines.answer_stages import STARTED, CrashWeights
 from lagoonlever.decisions.engines.crash_suspects import Block, CrashSuspects
 from lagoonlever.decisions.engines.part_causes import PartSet, SoundParts
 from lagoonlever.decisions.engines.suspect_placement import choose_suspect_engine
 from lagoonlever.decisions.engines.suspects import Suspects, part_name, part_suspects
-from lagoonlever.decisions.engines.target_crashes import WEIGHT_STARTED, Crash, process_name
+from lagoonlever.decisions.engines.target_crashes import Crash, process_name
 from lagoonlever.decisions.fleet.roles import Roles
 from lagoonlever.decisions.streams.engine_runs import EngineRun
 from lagoonlever.decisions.targets.listed_target import ListedTarget
@@ -209,7 +210,7 @@
         accepted: Accepted,
         target: ListedTarget,
         *,
-        weight: float,
+        weights: CrashWeights,
         sent_at: float,
         at: float | None = None,
     ) -> None:
@@ -223,7 +224,7 @@
         """
         if self._suspects.has_crashed(process_name(target.id, target.started_ms), sent_at):
             return
-        if not self._note(accepted, target, weight, at=self._timers.now if at is None else at):
+        if not self._note(accepted, target, weights, at=self._timers.now if at is None else at):
             return
         barred, barred_parts = self._barred, self._barred_parts
         await self._records.exchange()
@@ -235,17 +236,28 @@
                 self._news.tell_kept(part)
 
     async def lost_unproven(
-        self, accepted: Accepted, engine: ListedTarget, *, weight: float, sent_at: float
+        self,
+        accepted: Accepted,
+        engine: ListedTarget,
+        *,
+        weights: CrashWeights,
+        sent_at: float,
+        waits: bool,
     ) -> None:
-        """Record the loss of an engine that may have crashed, or may only be out of reach."""
-        loss = Loss(
-            accepted=accepted, engine=engine, weight=weight, sent_at=sent_at, at=self._timers.now
-        )
-        await self._lost_engines.wait_judged(loss)
+        """Record the loss of an engine that may have crashed, or may only be out of reach.
+
+        ``waits`` for a moment until it is known.
+        """
+        now = self._timers.now
+        loss = Loss(accepted=accepted, engine=engine, weights=weights, sent_at=sent_at, at=now)
+        if waits:
+            await self._lost_engines.wait_judged(loss)
+        else:
+            self._lost_engines.judge(loss)
 
     async def _record_crash(self, loss: Loss) -> None:
         await self.ended_under(
-            loss.accepted, loss.engine, weight=loss.weight, sent_at=loss.sent_at, at=loss.at
+            loss.accepted, loss.engine, weights=loss.weights, sent_at=loss.sent_at, at=loss.at
         )
 
     async def lost_call(self, accepted: Accepted, target: ListedTarget, *, sent_at: float) -> None:
@@ -254,7 +266,7 @@
         Of any VM that was asked: of this one alone it may be the path that is lost.
         """
         if not await self._client.reaches(target):
-            await self.ended_under(accepted, target, weight=WEIGHT_STARTED, sent_at=sent_at)
+            await self.ended_under(accepted, target, weights=STARTED, sent_at=sent_at)
 
     def served(self, accepted: Accepted) -> None:
         """Record that a target has answered a request whole: it ends no target."""
@@ -272,14 +284,18 @@
     def learn_begun(self, run: EngineRun) -> None:
         """Record that an answer at another VM has begun, if this VM knows of none yet.
 
-        Later on only whole answers count: an engine may end right after its first event.
+        It counts once its engine has lived on for a while, and later on only whole answers do.
         """
         if not self._suspects.answers_known:
-            self.learn_sound(run)
+            process = process_name(run.engine, run.engine_started_ms)
+            self._sound.record_first_event(process, self._parts_of(run), self._timers.now)
 
     def learn_sound(self, run: EngineRun) -> None:
         """Record that a run of any VM was answered whole, and so the parts that it shares."""
-        parts, now = self._parts_of(run), self._timers.now
+        self._learn_sound(self._parts_of(run))
+
+    def _learn_sound(self, parts: tuple[str, ...]) -> None:
+        now = self._timers.now
         self._sound.record_begin(parts, now)
         self._note_answers()
         for part in self._suspects.suspected(parts):
@@ -316,16 +332,23 @@
 
         One that does not hear of all runs is told of crashes by hubs, which leave sound parts out.
         """
+        for parts in self._sound.take_lived_on(self._timers.now):
+            self._learn_sound(parts)
         known = self._sound.knows_any(self._timers.now) or not self._hears_runs()
         self._suspects.set_answers_known(known)
 
-    def _note(self, accepted: Accepted, target: ListedTarget, weight: float, *, at: float) -> bool:
+    def _note(
+        self, accepted: Accepted, target: ListedTarget, weights: CrashWeights, *, at: float
+    ) -> bool:
         """Count an end that this VM saw; return whether it is news."""
         fingerprint, now = accepted.fingerprint, self._timers.now
         process = process_name(target.id, target.started_ms)
-        ends = {fingerprint: Crash(at=at, weight=weight)}
+        self._sound.withdraw(process)
+        ends: dict[str, Crash] = {}
+        if weights.request:
+            ends[fingerprint] = Crash(at=at, weight=weights.request)
         for part in self._sound.unproven(accepted.suspects.parts, now):
-            ends[part] = Crash(at=at, weight=weight, requests=(fingerprint,))
+            ends[part] = Crash(at=at, weight=weights.parts, requests=(fingerprint,))
         news = [
             suspect
             for suspect, end in ends.items()
@@ -343,7 +366,8 @@
             shared=",".join(accepted.shared_parts),
             unproven=",".join(part_name(part) for part in ends if part != fingerprint),
             ended=self._suspects.count_crashes(fingerprint),
-            weight=weight,
+            weight=weights.request,
+            parts_weight=weights.parts,
         )
         self._tally.add(metrics.TARGETS_ENDED, accepted.route.kind.value)
         told = tuple(
@@ -351,7 +375,7 @@
                 fingerprint=suspect,
                 process=process,
                 age_s=now - at,
-                weight=weight,
+                weight=ends[suspect].weight,
                 requests=ends[suspect].requests,
             )
             for suspect in news
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -178,7 +178,8 @@
     "target-ended-under",
     "warning",
     "{target} ended under {request} on {route} of {organisation}, sharing {shared}: the {ended}. "
-    "end under fingerprint {fingerprint}, of weight {weight}. No answer has begun on {unproven}.",
+    "end under fingerprint {fingerprint}, of weight {weight}. No answer has begun on {unproven}, "
+    "against which it weighs {parts_weight}.",
     "One end may be an accident; the weight is a half where the request may only have waited "
     "there. Where several targets end under one fingerprint, the request is "
     "the cause: look at its body at its organisation, and at the targets' own logs.",
@@ -188,7 +189,7 @@
     "loss-judged",
     "info",
     "{target} was lost under {request}, and no VM could say at once why: {fate} after"
-    " {seconds:.2f} s, of weight {weight}.",
+    " {seconds:.2f} s, of weight {weight}, and {parts_weight} against the parts that it shares.",
     "The target may have ended, or may only be out of reach. `gone` counts as an end under the"
     " request, `lives` and `unknown` do not.",
 )
--- a/lagoonlever/gateway/lost_engines.py
+++ b/lagoonlever/gateway/lost_engines.py
@@ -8,6 +8,7 @@
 import logbook
 import trio
 
+from lagoonlever.decisions.engines.answer_stages import CrashWeights
 from lagoonlever.decisions.engines.crash_evidence import Fate, LossSigns, judge_loss
 from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
 from lagoonlever.decisions.engines.target_crashes import process_name
@@ -40,8 +41,8 @@
 
     accepted: Accepted
     engine: ListedTarget
-    weight: float
-    """How much its crash would count, as in `lagoonlever/decisions/engines/target_crashes.py`."""
+    weights: CrashWeights
+    """How much its crash would count."""
     sent_at: float
     at: float
     judged: trio.Event = attrs.field(factory=trio.Event)
@@ -71,6 +72,11 @@
             finally:
                 self._nursery = None
 
+    def judge(self, loss: Loss) -> None:
+        """Judge a loss beside other work."""
+        if self._nursery is not None:
+            self._nursery.start_soon(self._judge, loss)
+
     async def wait_judged(self, loss: Loss) -> None:
         """Judge a loss, and wait a moment for that.
 
@@ -79,7 +85,7 @@
         """
         if self._nursery is None:
             return
-        self._nursery.start_soon(self._judge, loss)
+        self.judge(loss)
         with trio.move_on_after(EVIDENCE_WAIT_S):
             await loss.judged.wait()
 
@@ -92,7 +98,8 @@
                 target=loss.engine.id,
                 fate=fate.value,
                 seconds=self._timers.now - loss.at,
-                weight=loss.weight,
+                weight=loss.weights.request,
+                parts_weight=loss.weights.parts,
             )
             if fate is Fate.GONE:
                 await self._crashed(loss)
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -6,10 +6,14 @@
 import logbook
 import trio
 
-from lagoonlever.decisions.engines.answer_stages import BEGUN_S, AnswerProgress, AnswerStage
+from lagoonlever.decisions.engines.answer_stages import (
+    BEGUN_S,
+    AnswerProgress,
+    AnswerStage,
+    weigh_crash,
+)
 from lagoonlever.decisions.engines.engine_rank import rank_at_engine
 from lagoonlever.decisions.engines.engine_reports import is_preempted
-from lagoonlever.decisions.engines.target_crashes import WEIGHT_QUEUED, WEIGHT_STARTED
 from lagoonlever.decisions.streams.engine_runs import RunCopy
 from lagoonlever.decisions.streams.silence import (
     DEFAULT_MAX_PAUSE_S,
@@ -524,7 +528,7 @@
         self._last_event_at = now
         assert self._first_event_at is not None
         if not self._is_sound and now - self._first_event_at >= BEGUN_S:
-            self._is_sound = True
+            self._is_sound = self._life.has_flowed = True
             self._tools.crashes.begun(self._accepted)
 
     async def _lost(self, ended: _Ended) -> None:
@@ -547,24 +551,32 @@
             if self._signs.alive_at is not None:
                 self._tools.replacements.lost(engine.id, alive_at=self._signs.alive_at)
         self._log_end(f"{ended}; the engine {'lives' if alive else 'does not answer'}")
-        weight = 0.0 if alive else self._end_weight(ended)
-        if not weight:
+        if not alive:
+            await self._record_crash(ended)
+
+    async def _record_crash(self, ended: _Ended) -> None:
+        """Have the loss of the engine counted against the request, if it ended under it."""
+        crashes, engine = self._tools.crashes, self._plan.engine
+        weights = weigh_crash(
+            self._stage,
+            has_flowed=self._life.has_flowed,
+            goes_on=bool(self._accepted.caller.last_event_id),
+        )
+        if weights.is_nothing:
             return
-        crashes, is_proven = self._tools.crashes, self._is_down or not self._others_may_know
-        record = crashes.ended_under if is_proven else crashes.lost_unproven
-        await record(self._accepted, engine, weight=weight, sent_at=self._started)
-
-    def _end_weight(self, ended: _Ended) -> float:
-        """Return how much an engine's end counts against the request.
-
-        Others that were at the engine had given events, or were waiting there: a run that had
-        begun and come to nothing may be what ended it.
-        """
-        if self._given:
-            return 0.0
-        if self._answered:
-            return WEIGHT_STARTED
-        return 0.0 if ended.unanswered or self._life.position else WEIGHT_QUEUED
+        if self._is_down or not self._others_may_know:
+            await crashes.ended_under(
+                self._accepted, engine, weights=weights, sent_at=self._started
+            )
+            return
+        # One that fell silent was missed for long enough: its request doesn't wait any longer.
+        await crashes.lost_unproven(
+            self._accepted,
+            engine,
+            weights=weights,
+            sent_at=self._started,
+            waits=not ended.unanswered or self._answered,
+        )
 
     @property
     def _has_read(self) -> bool:
--- a/lagoonlever/tests/deadly_parts_paths_tests.py
+++ b/lagoonlever/tests/deadly_parts_paths_tests.py
@@ -15,7 +15,7 @@
 CUTS = [PathState.SILENT, PathState.ONE_WAY, PathState.RESET, PathState.REFUSED]
 
 
-async def _lose_paths(site: GatewaySite, *vms: str, state: PathState) -> None:
+async def lose_paths(site: GatewaySite, *vms: str, state: PathState) -> None:
     """Cut the paths of VMs, and wait until each has found out."""
     assert site.paths is not None
     for vm in vms:
@@ -32,7 +32,7 @@
 
     async def story(site: GatewaySite) -> None:
         await ready(site)
-        await _lose_paths(site, *(f"vm-{number}" for number in range(cut)), state=state)
+        await lose_paths(site, *(f"vm-{number}" for number in range(cut)), state=state)
         await ask_all(site, 16, shared=("system", PART), spacing_s=0.25)
         assert len(site.deaths) <= MOST_ENDED
         await trio.sleep(STABLE_S)
--- /dev/null
+++ b/lagoonlever/tests/deadly_parts_stages_tests.py
@@ -0,0 +1,47 @@
+"""Parts of prompts that end engines at each stage of an answer, from before its head on."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from lagoonlever.fakes.path_proxy import PathState
+from lagoonlever.fakes.platform_engine import DeathStage
+from lagoonlever.outcomes import REASON_HEADER, Reason
+from lagoonlever.tests.deadly_parts_paths_tests import lose_paths
+from lagoonlever.tests.deadly_parts_tests import LATER, MOST_ENDED, PART, arrivals, ask_all, ready
+from lagoonlever.tests.gateway_site import GatewaySite, run_site
+
+STABLE_S = 3.0
+"""From the fifth end until every VM refuses the part."""
+
+
+def _die_at(site: GatewaySite, stage: DeathStage) -> None:
+    for engine in site.engines.values():
+        engine.dies_at = stage
+
+
+@pytest.mark.parametrize("cut", [0, 2])
+@pytest.mark.parametrize("stage", list(DeathStage))
+def test_a_part_is_stopped_at_whatever_stage_of_the_answer_its_engines_end(
+    stage: DeathStage, cut: int
+) -> None:
+    """An engine that ends before its head is out, or after an event, was held against no part."""
+
+    async def story(site: GatewaySite) -> None:
+        await ready(site)
+        _die_at(site, stage)
+        vms = (f"vm-{number}" for number in range(cut))
+        await lose_paths(site, *vms, state=PathState.REFUSED)
+        await ask_all(site, 16, shared=("system", PART), spacing_s=0.25)
+        assert len(site.deaths) <= MOST_ENDED + LATER
+        await trio.sleep(STABLE_S)
+        before = arrivals(site)
+        answers = await ask_all(site, 8, shared=("system", PART), spacing_s=0.25)
+        assert arrivals(site) - before <= LATER
+        reasons = [answer.headers.get(REASON_HEADER) for answer in answers]
+        assert reasons.count(Reason.ENDS_TARGETS.value) >= len(answers) - LATER
+        sound = await site.stream("sound-after", vm="vm-3", shared=("system", "desk"))
+        assert sound.whole
+
+    run_site(story, engines=60, vms=4, cuttable=True)
--- a/lagoonlever/tests/part_causes_tests.py
+++ b/lagoonlever/tests/part_causes_tests.py
@@ -127,11 +127,68 @@
     assert watch.is_refused(asking("e", "bad"))
 
 
-def test_requests_that_only_waited_at_the_crashes_tell_nothing_of_their_parts() -> None:
+def test_requests_that_waited_beside_a_cause_tell_nothing_of_their_parts() -> None:
     watch = Watch()
-    for request in ("a", "b", "c", "d", "e", "f"):
-        watch.crashes_under(asking(request, "beside"), weight=WEIGHT_QUEUED)
-    assert not watch.gathers(asking("g", "beside"))
+    for number in range(6):
+        cause = asking(f"c-{number}", "bad")
+        beside = asking(f"b-{number}", "beside")
+        process, now = f"e-{number}", float(number)
+        watch.crashes_under(cause, process=process, now=now, weight=WEIGHT_QUEUED)
+        if number:
+            watch.crashes_under(beside, process=process, now=now, weight=WEIGHT_QUEUED)
+    assert watch.is_refused(asking("d", "bad"), 6.0)
+    assert not watch.is_refused(asking("g", "beside"), 6.0)
+    assert not watch.gathers(asking("g", "beside"), 6.0)
+
+
+def test_requests_that_waited_at_engines_which_crashed_together_stop_no_part() -> None:
+    """A data centre fails while a dozen requests with a new part wait at its engines."""
+    watch = Watch()
+    for number in range(12):
+        watch.crashes_under(asking(f"r-{number}", "new"), now=0.03 * number, weight=WEIGHT_QUEUED)
+    assert not watch.is_refused(asking("g", "new"), 1.0)
+
+
+def test_a_part_is_stopped_though_nothing_of_any_answer_was_seen() -> None:
+    """Engines that ended before the heads of their answers were held against no part."""
+    watch = Watch()
+    for number in range(MOST_ENDED):
+        assert not watch.is_refused(asking("d", "bad"), float(number))
+        watch.crashes_under(
+            asking(f"r-{number}", "system", "bad"), now=float(number), weight=WEIGHT_QUEUED
+        )
+        watch.begins(asking("sound", "system"), float(number))
+    assert watch.is_refused(asking("d", "bad"), float(MOST_ENDED))
+    assert not watch.is_refused(asking("d", "system"), float(MOST_ENDED))
+
+
+def test_halves_of_one_request_stop_no_part() -> None:
+    """It may end engines by itself, and another one was beside it once."""
+    watch = Watch()
+    for number in range(9):
+        watch.crashes_under(asking("a", "desk"), now=float(number), weight=WEIGHT_QUEUED)
+    watch.crashes_under(asking("b", "desk"), now=9.0, weight=WEIGHT_QUEUED)
+    assert not watch.is_refused(asking("c", "desk"), 9.0)
+
+
+def test_a_part_that_requests_of_several_causes_share_is_sound() -> None:
+    watch = Watch()
+    for number in range(3):
+        for cause in ("one", "two", "three"):
+            shared = (cause, "subject") if number == 0 else (cause,)
+            watch.crashes_under(asking(f"{cause}-{number}", *shared), now=float(number))
+    assert watch.is_refused(asking("d", "one"), 3.0)
+    assert not watch.is_refused(asking("e", "subject"), 3.0)
+
+
+def test_a_first_event_shows_nothing_of_an_engine_that_ends_with_it() -> None:
+    sound = SoundParts()
+    sound.record_first_event("e-1", ("bad",), 0.0)
+    sound.record_first_event("e-2", ("good",), 0.0)
+    sound.withdraw("e-1")
+    assert sound.take_lived_on(0.1) == ()
+    assert sound.take_lived_on(1.0) == (("good",),)
+    assert sound.take_lived_on(2.0) == ()
 
 
 def test_one_request_alone_convicts_no_part() -> None:
