Streams: an answer that ends with its connection counts only while its engine lives (ORDER)

Cause: the kernel closes the connections of a process that crashes as the process would itself. Where an answer had neither a length nor chunks and ended after a whole event it was taken for whole, also when its engine had crashed there; and one that was resumed and got no event behind the head as well. Class: the absence of a sign that something broke, taken for the sign that nothing did.

Callers got three of ten events, framed as a complete answer; no second attempt was in the log.

Change: the engine is asked for a report after the end. It is whole if that process answers and lists no later event of the run; any other one is an attempt that broke off, and goes on elsewhere. One question for each answer so framed. An engine that finishes an answer and leaves at once costs a second run, which adds no event.

Open: a living process that closes between two events can't be told from one that has finished, and a call's answer (no stream) is as it was.

--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -67,6 +67,10 @@
     """Answers with neither a length nor chunks; the answer ends with its connection."""
     NO_LENGTH_HALF = "no-length-half"
     """The same, and closes in the middle of its third event."""
+    NO_LENGTH_END = "no-length-end"
+    """The same, and its process ends right after its third event."""
+    NO_LENGTH_HEAD_END = "no-length-head-end"
+    """The same, and its process ends right after the head."""
 
 
 class DeathStage(enum.Enum):
@@ -82,7 +86,14 @@
 
 
 REFUSALS = frozenset({EngineConduct.REFUSE, EngineConduct.REFUSE_TWICE})
-NO_LENGTH = frozenset({EngineConduct.NO_LENGTH, EngineConduct.NO_LENGTH_HALF})
+NO_LENGTH = frozenset(
+    {
+        EngineConduct.NO_LENGTH,
+        EngineConduct.NO_LENGTH_HALF,
+        EngineConduct.NO_LENGTH_END,
+        EngineConduct.NO_LENGTH_HEAD_END,
+    }
+)
 
 
 @attrs.define(kw_only=True)
@@ -363,6 +374,8 @@
             await exchange.write_raw(raw_head(fields))
         else:
             await exchange.start_stream(status=OK, headers=Headers(fields))
+        if conduct is EngineConduct.NO_LENGTH_HEAD_END:
+            await self._end_at_once()
         if is_deadly:
             await self._write_before_end(exchange, run)
             await trio.sleep(DIES_AFTER_S)
@@ -432,6 +445,8 @@
             await write(event)
             if holder is not None:
                 holder.copies[run.request_id] = attrs.evolve(run)
+            if made == 3 and conduct is EngineConduct.NO_LENGTH_END:
+                await self._end_at_once()
 
 
 def event_bytes(part: str, number: int, *, version: str = USUAL_VERSION) -> bytes:
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -14,6 +14,7 @@
 )
 from lagoonlever.decisions.engines.engine_rank import rank_at_engine
 from lagoonlever.decisions.engines.engine_reports import is_preempted
+from lagoonlever.decisions.streams.answer_ends import AnswerEnd, judge_end
 from lagoonlever.decisions.streams.engine_runs import RunCopy
 from lagoonlever.decisions.streams.silence import (
     DEFAULT_MAX_PAUSE_S,
@@ -307,8 +308,8 @@
             raise _Ended(str(error)) from error
         if self._splitter.partial:
             raise _Ended("ended within an event")
-        if not (self._given or self._life.position or connection.tells_length):
-            raise _Ended("ended before its first event, with neither a length nor chunks")
+        if not connection.tells_length:
+            await self._confirm_end()
         await self._accepted.exchange.finish()
         self._count("answered")
         self._counts.whole(self._now)
@@ -318,6 +319,25 @@
         await self._copies.free()
         return head
 
+    async def _confirm_end(self) -> None:
+        """Ask the engine about an answer whose end only its connection's end has told."""
+        if not (self._given or self._life.position):
+            raise _Ended("ended before its first event, with neither a length nor chunks")
+        engine = self._plan.engine
+        report = await self._tools.prober.ask(engine, since=self._now)
+        self._take_report(report)
+        run = report.run(self._accepted.request_id) if report is not None else None
+        end = judge_end(
+            answers=report is not None,
+            is_same=not is_other_process(engine, report),
+            events_made=run.events if run is not None else None,
+            position=self._life.position,
+        )
+        if end is not AnswerEnd.WHOLE:
+            raise _Ended(
+                f"ended after a whole event, with neither a length nor chunks: {end.value}"
+            )
+
     async def _wait_head(self, connection: ClientConnection, silence: SilenceDetector) -> Response:
         """Wait until the engine begins, unless the request is barred first, or goes elsewhere.
 
