Versions: no stream begins where the record would tell another version of it (ORDER)

Cause: where the store took no write for 5 s and only engines of a version that the record lacked had room, new streams began there. The record went on to name one version, and after a loss of all VMs that one was taken for theirs. Class: the absence of a record taken for the record of an absence.

Change: such a stream is refused with a time to come back (version-unrecorded) unless the record names several versions or proves nothing; then a stream of unknown beginning goes on nowhere, and service goes on as before. The wait of a version that is back counts anew.

--- a/lagoonlever/decisions/streams/versions_in_use.py
+++ b/lagoonlever/decisions/streams/versions_in_use.py
@@ -9,7 +9,8 @@
 
 A version that has come gets no stream before the record names it, also where no other version
 takes any: power may go in the time of one write, and the VMs that come back would take its streams
-for those of the version that is recorded.
+for those of the version that is recorded. While the store takes no write such a stream is refused,
+unless the record names several versions, or proves nothing: then an unknown one goes on nowhere.
 
 A process that no entry names yet may begin streams, of any version. Before the caller gets the
 first event of one the record tells so, and then it is open for as long as streams live at which
@@ -29,8 +30,8 @@
 from lagoonlever.revisions import NOWHERE, Revision
 
 MAX_HOLD_S = 5.0
-"""A version that can't be recorded for so long gets streams: an outage of the store, which lasts
-seconds, must not end the service."""
+"""A new stream waits for the record of a version so long. Where the record names several versions
+it begins then: an outage of the store, which lasts seconds, must not end the service."""
 
 UNNAMED = ""
 """Recorded in place of a version while streams live that a process began which no entry names."""
@@ -125,6 +126,19 @@
             return False
         return now - self._held_since.setdefault(key, now) < MAX_HOLD_S
 
+    def may_begin_unrecorded(self, service: str) -> bool:
+        """Check whether no stream of a service would be taken for one of the recorded version.
+
+        A record that names none is no better than one that names another: the next one would.
+        """
+        return len(self.of(service)) > 1 or not self._recorded.proven
+
+    def bars(self, engine: ListedTarget) -> bool:
+        """Check whether no new stream may begin at an engine, however long it has waited."""
+        if engine.version is None or engine.version in self.of(engine.service):
+            return False
+        return not self.may_begin_unrecorded(engine.service)
+
     def prefer_recorded(self, engines: Iterable[ListedTarget]) -> tuple[ListedTarget, ...]:
         """Return the engines at which new streams begin: of recorded versions, if there are any.
 
@@ -142,6 +156,9 @@
         if record.revision == self._recorded.revision and not record.proven:
             return False
         self._recorded = record
+        for service, version in list(self._held_since):
+            if version in self.of(service):
+                del self._held_since[service, version]
         self._unproven_since = None if record.proven else now
         return True
 
--- a/lagoonlever/gateway/events_streams.py
+++ b/lagoonlever/gateway/events_streams.py
@@ -67,6 +67,15 @@
     "No engine is left of the version that began it, or nobody knows which version that was."
     " What two versions write doesn't fit together, so the caller has to begin anew.",
 )
+VERSION_UNRECORDED = event(
+    1079,
+    "version-unrecorded",
+    "warning",
+    "{request} begins nowhere: the store takes no record of {target}'s version {version}.",
+    "Only engines of that version have room, and the record names one other or none. After a loss"
+    " of all VMs the stream would be taken for one of the recorded version. New streams begin as"
+    " soon as the store takes a write.",
+)
 WRITER_UNKNOWN = event(
     1099,
     "writer-unknown",
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -11,6 +11,7 @@
 from lagoonlever.decisions.streams.run_placement import Overloaded, RetryBudgetExhausted
 from lagoonlever.decisions.streams.stream_lifecycle import GiveUp, StreamLifecycle, WaitForEngine
 from lagoonlever.decisions.streams.stream_origins import StreamOrigin
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway import events, events_streams, metrics
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.answers import tell
@@ -207,6 +208,8 @@
             if life.origin is None and await self._versions.until_recorded(plan.engine):
                 # Its place may have been taken meanwhile.
                 continue
+            if life.origin is None and self._beliefs.versions.bars(plan.engine):
+                return self._unrecorded(accepted, plan.engine)
             refusal = self._admission.refusal_as_vm_leaves(accepted, life, step)
             if refusal is not None:
                 # The wait for a place took the time that this VM had left.
@@ -227,6 +230,14 @@
                 )
         return None
 
+    def _unrecorded(self, accepted: Accepted, engine: ListedTarget) -> GiveUp:
+        """Return why a new stream begins nowhere while the store takes no record of a version."""
+        events_streams.VERSION_UNRECORDED.log(
+            log, request=accepted.request_id, target=engine.id, version=engine.version
+        )
+        detail = f"the store takes no record of the software version {engine.version}"
+        return GiveUp(detail=detail, retry_after_s=COME_BACK_S)
+
     def _cannot_resume(self, accepted: Accepted, life: StreamLifecycle) -> GiveUp | None:
         """Return why no engine can go on with a stream, or None if one can or the stream is new."""
         if not life.position and life.origin is None:
