Roll-outs: the VM that writes a status logs what stood there, and of which revision

A status of a former order of the same version could not be told from that of the present one in any line: rollout-judged and rollout-decided tell verdicts, and nothing when running came in their place.

--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -452,6 +452,15 @@
     "Targets of {service} may be used again.",
     "It was shut out before.",
 )
+ROLLOUT_STATUS = event(
+    1077,
+    "rollout-status",
+    "info",
+    "The status of {service} is {state} of version {version}, by revision {revision}; before it"
+    " {former}. The order is of revision {ordered_at}.",
+    "Told by the VM that wrote it. A status before the order's revision is of a former order, also"
+    " where that was of the same version.",
+)
 TARGET_LIMIT = event(
     1080,
     "target-limit",
--- a/lagoonlever/gateway/rollout_lead.py
+++ b/lagoonlever/gateway/rollout_lead.py
@@ -38,7 +38,7 @@
     status_key,
 )
 from lagoonlever.published import Published
-from lagoonlever.store.port import RecordStore
+from lagoonlever.store.port import KeyValue, RecordStore
 from lagoonlever.store.records import StoreRecord
 from lagoonlever.timers import TimerService
 
@@ -186,10 +186,11 @@
                 if standing is not state:
                     self._decide(lead, standing)
                 return standing is state
-            version = lead.rollout.order.version
+            former, version = lead.record.entry, lead.rollout.order.version
             document = status_document(RolloutStatus(state=state, version=version))
             if await lead.record.write(document):
                 lead.written = state
+                self._log_status(lead, state, former)
                 return True
 
     def _standing(self, lead: _Lead) -> RolloutState | None:
@@ -262,6 +263,18 @@
         if not plan.state.is_final:
             self._rollouts.take_word(word, self._own.name)
 
+    def _log_status(self, lead: _Lead, state: RolloutState, former: KeyValue | None) -> None:
+        order = lead.rollout.order
+        events.ROLLOUT_STATUS.log(
+            log,
+            service=order.service,
+            version=order.version,
+            state=state.value,
+            revision=lead.record.revision,
+            former=_describe_status(former),
+            ordered_at=lead.rollout.tally.ordered_at,
+        )
+
     def _log_decision(self, lead: _Lead, plan: Plan) -> None:
         progress, targets = self._progress(lead), self._beliefs.targets
         service = lead.rollout.order.service
@@ -280,3 +293,14 @@
             answers=lead.book.other_version_answers,
             settles_s=round(max(0.0, targets.settled_at - self._timers.now), 2),
         )
+
+
+def _describe_status(entry: KeyValue | None) -> str:
+    """Return what stood in the store, for a line of the log."""
+    if entry is None:
+        return "none"
+    try:
+        status = read_status(entry.key, entry.value)
+    except UnreadableRollout:
+        return f"what can't be read, by {entry.revision}"
+    return f"{status.state.value} of {status.version}, by {entry.revision}"
