Soak: its operator acts on a status of its own order, not on one of a former order of the version

The former order's final status stands until a VM has taken the new order up.

Now a status counts that is of the order's revision or later, while the order stands in the store as it was given: as lagoonlever rollouts has always read it. The promise is stricter by it: an order counted as decided by a former one's status, and must now be decided itself.

--- a/lagoonlever/fakes/metadata_store.py
+++ b/lagoonlever/fakes/metadata_store.py
@@ -98,6 +98,11 @@
         found = self._store.range(key.encode(), None)
         return found[0].value if found else None
 
+    def revision_of(self, key: str) -> int:
+        """Return the revision of a key's last change, 0 where the key is absent."""
+        found = self._store.range(key.encode(), None)
+        return found[0].mod_revision if found else 0
+
     def put(self, key: str, value: bytes) -> None:
         """Write a key, as an operator or a target does."""
         self._change(OutsideChange(key=key, value=value))
@@ -226,7 +231,7 @@
 
     async def _transaction(self, exchange: Exchange) -> None:
         change = msgspec.json.decode(exchange.request.body, type=wire.Transaction)
-        if any(self._revision_of(each.key) != each.revision for each in change.expected_revision):
+        if any(self.revision_of(each.key) != each.revision for each in change.expected_revision):
             keys = [each.key for each in change.expected_revision]
             items = [_item(s) for key in keys for s in self._store.range(key.encode(), None)]
             refused = wire.TransactionRefused(items=items)
@@ -280,10 +285,6 @@
             return False
         return True
 
-    def _revision_of(self, key: str) -> int:
-        found = self._store.range(key.encode(), None)
-        return found[0].mod_revision if found else 0
-
     def _range(self, prefix: str) -> list[Stored]:
         return self._store.range(prefix.encode(), prefix.encode() + b"\xff")
 
--- a/lagoonlever/soak/rollouts.py
+++ b/lagoonlever/soak/rollouts.py
@@ -8,6 +8,7 @@
 import trio
 
 from lagoonlever.decisions.rollouts.versions import RolloutOrder, RolloutState
+from lagoonlever.fakes.metadata_store import FakeMetadataStore
 from lagoonlever.fakes.platform_runner import Conduct
 from lagoonlever.platform.documents import order_document
 from lagoonlever.platform.rollouts import ORDERS_PREFIX, read_status, status_key
@@ -15,6 +16,7 @@
 from lagoonlever.soak.site import CALM_S, DRAIN_S, SoakSite, SoakTarget
 from lagoonlever.soak.watched import WatchedRunner
 
+ORDER_KEY = f"{ORDERS_PREFIX}apps"
 APART = 10
 """Between the machines of the old runners and those of the new ones."""
 DECIDED_WITHIN_S = 3.0
@@ -27,6 +29,21 @@
 MOST_CALLS = 5_000
 
 
+def standing_state(store: FakeMetadataStore, order: RolloutOrder) -> RolloutState | None:
+    """Return the state that stands in the store of an order; None if there is none yet.
+
+    A status before the order's revision is of a former order, also of one of the same version.
+    An older copy of the store may hold a former order; the last one is written again then.
+    """
+    key = status_key(order.service)
+    value = store.value(key)
+    if value is None or store.value(ORDER_KEY) != order_document(order):
+        return None
+    status = read_status(key, value)
+    is_former = store.revision_of(key) < store.revision_of(ORDER_KEY)
+    return None if is_former or status.version != order.version else status.state
+
+
 @attrs.define(kw_only=True, eq=False)
 class SoakRollout:
     """One order, from the first of its runners to its end."""
@@ -43,8 +60,8 @@
         fresh = await self._start(version)
         order = RolloutOrder(service="apps", version=version, duration_s=self.duration_s)
         ordered_at = trio.current_time()
-        site.store.put(f"{ORDERS_PREFIX}apps", order_document(order))
-        state = await self._wait_decided(version)
+        site.store.put(ORDER_KEY, order_document(order))
+        state = await self._wait_decided(order)
         if state is RolloutState.COMPLETED:
             await self._complete(fresh, number)
             return
@@ -66,14 +83,13 @@
             fresh.append(started)
         return fresh
 
-    async def _wait_decided(self, version: str) -> RolloutState | None:
-        """Wait for a final status; None if there is none in time."""
+    async def _wait_decided(self, order: RolloutOrder) -> RolloutState | None:
+        """Wait until an order is decided, and return how; None if it isn't in time."""
         with trio.move_on_after(self.duration_s + DECIDED_WITHIN_S):
             while True:
-                value = self.site.store.value(status_key("apps"))
-                status = read_status("status", value) if value is not None else None
-                if status is not None and status.version == version and status.state.is_final:
-                    return status.state
+                state = standing_state(self.site.store, order)
+                if state is not None and state.is_final:
+                    return state
                 await trio.sleep(LOOK_S)
         return None
 
