Roll-outs: a version none of whose targets takes work is neither moved to nor completed

Cause: the plan asked of the other versions whether any of their targets is listed, and of the ordered version only how its answers were.

Now, while other versions have targets, one of the ordered version has to be listed and not leaving: else it stays on trial without a share, and is rolled back at the deadline once the list can be believed or another version has answered. Work goes to the old version meanwhile, as before, since draining targets are never chosen. In memory: targets that drain after a second of an order with sound answers; the version was completed before, and is rolled back now.

--- a/lagoonlever/decisions/rollouts/plan.py
+++ b/lagoonlever/decisions/rollouts/plan.py
@@ -10,7 +10,8 @@
 If all VMs are lost, the requests that the version has received are unknown, and a store restored
 from an older copy may list targets that no longer exist. A decision that removes targets is not
 based on that alone: it waits until the target list has settled. A version whose targets are the
-only ones left is not rolled back for lack of information, as no target would serve callers then.
+only ones left is not rolled back for lack of information, as no target would serve callers then. A
+version none of whose targets takes work is neither moved to nor completed.
 """
 
 from __future__ import annotations
@@ -92,6 +93,8 @@
     """Judgement by the answers to requests sent while all new work went to the new version."""
     is_moving: bool = False
     """All new work already goes to the new version."""
+    is_listed: bool = True
+    """At least one target of the new version is listed and not known to be leaving."""
     others: OtherVersions = OtherVersions()
 
 
@@ -113,6 +116,8 @@
         return _rolled_back("its answers are worse than the old version's")
     if not progress.others.listed:
         return _plan_without_others(progress.others, remaining_s)
+    if not progress.is_listed:
+        return _plan_without_targets(progress.others, remaining_s)
     if remaining_s > 0 and _may_move(order, progress, bounds, remaining_s):
         return Plan(phase=RolloutPhase.MOVING)
     if _may_complete(order, progress, bounds, remaining_s):
@@ -147,6 +152,16 @@
     return _completed("no target of another version is left")
 
 
+def _plan_without_targets(others: OtherVersions, remaining_s: float) -> Plan:
+    """Return the plan while no target of the ordered version takes work, and others are listed.
+
+    Completing it would end the only targets that serve. They are waited for until the deadline.
+    """
+    if remaining_s > 0 or not others.are_present:
+        return Plan(phase=RolloutPhase.TRIAL)
+    return _rolled_back("none of its targets takes work")
+
+
 def _completed(reason: str) -> Plan:
     return Plan(phase=RolloutPhase.HELD, state=RolloutState.COMPLETED, reason=reason)
 
--- a/lagoonlever/gateway/rollout_lead.py
+++ b/lagoonlever/gateway/rollout_lead.py
@@ -21,7 +21,7 @@
     plan_without_counts,
 )
 from lagoonlever.decisions.rollouts.totals import RolloutTotals, VmCounts
-from lagoonlever.decisions.rollouts.versions import RolloutPhase, RolloutState
+from lagoonlever.decisions.rollouts.versions import RolloutOrder, RolloutPhase, RolloutState
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
@@ -155,9 +155,17 @@
         if self._beliefs.targets.versions_of(rollout.order.service).is_alone:
             elapsed_s = self._timers.now - rollout.began_at
             return plan_sole_version(rollout.order, elapsed_s, self._others(lead))
-        progress = attrs.evolve(self._progress(lead), others=self._others(lead))
+        progress = attrs.evolve(
+            self._progress(lead),
+            others=self._others(lead),
+            is_listed=self._is_listed(rollout.order),
+        )
         return plan_rollout(rollout.order, progress, self._bounds)
 
+    def _is_listed(self, order: RolloutOrder) -> bool:
+        """Check whether a target of the ordered version may take work."""
+        return order.version in self._beliefs.targets.listed_versions(order.service)
+
     def _others(self, lead: _Lead) -> OtherVersions:
         """Return what is known of the targets that would serve in place of the new ones."""
         order, targets = lead.rollout.order, self._beliefs.targets
--- a/lagoonlever/tests/rollout_losses_tests.py
+++ b/lagoonlever/tests/rollout_losses_tests.py
@@ -12,6 +12,8 @@
 
 from lagoonlever.bench.local_fleet import FleetVm
 from lagoonlever.decisions.rollouts import plan as rollout_plan
+from lagoonlever.decisions.rollouts import totals as rollout_totals
+from lagoonlever.decisions.rollouts.evidence import Judgement
 from lagoonlever.decisions.rollouts.plan import ExposureBounds, OtherVersions, Plan
 from lagoonlever.decisions.rollouts.versions import RolloutOrder, RolloutPhase, RolloutState
 from lagoonlever.fakes.metadata_store import OutsideChange, StoreCopy, StoreFault
@@ -25,6 +27,7 @@
 
 VMS = 4
 ORDER = RolloutOrder(service="apps", version="v2", duration_s=5.0)
+SOUND = Judgement(total_log_ratio=-9.0, worst_log_ratio=-3.0)
 OLD, NEW = ("t-0", "t-1", "t-2", "t-3"), ("t-8", "t-9")
 REWRITE_S = 0.5
 """Time from the restore of the store until operators and live targets have written again."""
@@ -258,6 +261,25 @@
     run_world(scenario, monkeypatch, vms=VMS, world_type=RolloutWorld)
 
 
+def test_a_version_whose_targets_drain_meanwhile_is_not_completed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a verdict by answers alone, after which no target is left."""
+
+    async def scenario(world: World) -> None:
+        assert isinstance(world, RolloutWorld)
+        monkeypatch.setattr(rollout_totals, "judge", lambda _: SOUND)
+        await order(world)
+        await trio.sleep(1.0)
+        for name in NEW:
+            world.drain(int(name.removeprefix("t-")))
+        await until(DECIDED_S, lambda: RolloutState.RUNNING not in world.states())
+        assert world.states() == {RolloutState.ROLLED_BACK} == {world.status()}
+        assert world.served() == {frozenset(OLD)}
+
+    run_world(scenario, monkeypatch, vms=VMS, world_type=RolloutWorld)
+
+
 @pytest.mark.parametrize(
     ("others", "state"),
     [
--- a/lagoonlever/tests/rollout_plan_tests.py
+++ b/lagoonlever/tests/rollout_plan_tests.py
@@ -18,7 +18,12 @@
     Judgement,
     judge,
 )
-from lagoonlever.decisions.rollouts.plan import ExposureBounds, TrialProgress, plan_rollout
+from lagoonlever.decisions.rollouts.plan import (
+    ExposureBounds,
+    OtherVersions,
+    TrialProgress,
+    plan_rollout,
+)
 from lagoonlever.decisions.rollouts.totals import RolloutTotals, VmCounts
 from lagoonlever.decisions.rollouts.versions import (
     RolloutOrder,
@@ -147,6 +152,31 @@
     assert plan_rollout(ORDER, seen, BOUNDS).state is state
 
 
+def test_a_version_without_targets_is_neither_moved_to_nor_completed() -> None:
+    """Guards against ending the only targets that serve for a version whose targets all leave."""
+    before, after = ORDER.duration_s - 1.0, ORDER.duration_s
+    for is_moving in (False, True):
+        for elapsed_s, state in ((before, RolloutState.RUNNING), (after, RolloutState.ROLLED_BACK)):
+            seen = progress(
+                elapsed_s,
+                judgement=SOUND,
+                judgement_since_move=SOUND,
+                is_moving=is_moving,
+                is_listed=False,
+            )
+            plan = plan_rollout(ORDER, seen, BOUNDS)
+            assert plan.state is state
+            assert plan.phase is not RolloutPhase.MOVING
+            assert plan.shares == {}
+
+
+def test_a_version_without_targets_is_rolled_back_only_while_others_are_there() -> None:
+    """Guards against a verdict by a list that may name targets that are gone."""
+    doubtful = OtherVersions(listed=True, is_settled=False)
+    seen = progress(ORDER.duration_s, judgement=SOUND, is_listed=False, others=doubtful)
+    assert plan_rollout(ORDER, seen, BOUNDS).state is RolloutState.RUNNING
+
+
 def test_a_version_without_evidence_is_not_completed() -> None:
     for judgement in (NO_EVIDENCE, Judgement(total_log_ratio=-2.0, worst_log_ratio=-2.0)):
         plan = plan_rollout(ORDER, progress(12.0, judgement=judgement), BOUNDS)
