Targets: a second return of the store makes no leaving target ready

Cause: after a first return of the store from an older copy, an entry of the second one was compared with what the first one had left (its low revision, a removal that was no longer remembered), and not with what had been known before both.

In memory, a target that is known to drain or to be gone, and a store that returns twice: by the same copy one that was gone got work from the second list on, and by a newer copy one that drained did as well. Now the highest number of a target's revisions is remembered for as long as the target is, and an entry of a further copy confirms no target that an older copy has listed again. An entry that was written since the second return counts at once, as before.

--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -79,6 +79,11 @@
     """Held removals by target: the revision, and when it counts unless the entry is back."""
     _removed: dict[str, _RemovedTarget] = attrs.field(factory=dict)
     """Targets that were removed within ``FORGET_S``, to ignore changes older than the removal."""
+    _highest_numbers: dict[str, int] = attrs.field(factory=dict)
+    """The highest number of any revision of each target that is known or remembered, of any era.
+
+    The store may be restored twice, the second time from a copy that is newer than the first one.
+    """
     _replaced_at: dict[str, float] = attrs.field(factory=dict)
     """Targets that another process has replaced at their address, and when this VM noticed it."""
     _unlisted_until: dict[str, float] = attrs.field(factory=dict)
@@ -433,6 +438,7 @@
             self._remove(target_id, revision, now)
         for target_id in [t for t, gone in self._removed.items() if now - gone.at > FORGET_S]:
             del self._removed[target_id]
+            self._highest_numbers.pop(target_id, None)
         for target_id in [t for t, at in self._replaced_at.items() if now - at > FORGET_S]:
             del self._replaced_at[target_id]
         self._announcements.expire(now, kept=self._targets.keys())
@@ -491,6 +497,7 @@
             self._in_doubt.discard(target.id)
             self._replaced_at.pop(target.id, None)
             self._former_starts.pop(target.id, None)
+        self._record_number(target.id, target.revision)
         was_held = self._held_removals.pop(target.id, None) is not None
         self._removed.pop(target.id, None)
         self._unlisted_until.pop(target.id, None)
@@ -507,25 +514,32 @@
         start = self.process_start(entry.id)
         if start is None or entry.started_ms is None or entry.started_ms >= start:
             return False
-        return may_be_restored(entry.revision, known=self._known_revision(entry.id))
+        return self._may_be_restored(entry)
+
+    def _may_be_restored(self, entry: ListedTarget) -> bool:
+        """Check whether an entry may be older than something that is known of its target."""
+        known = self._known_revision(entry.id)
+        highest = max(known.number, self._highest_numbers.get(entry.id, known.number))
+        return may_be_restored(entry.revision, known=attrs.evolve(known, number=highest))
 
     def _is_still_draining(self, known: ListedTarget, entry: ListedTarget) -> bool:
         """Check whether a draining target is listed by an entry from before it began to drain."""
         restarted = entry.has_restarted_since(known.started_ms)
         if not known.draining or restarted:
             return False
-        return may_be_restored(entry.revision, known=known.revision)
+        return self._may_be_restored(entry)
 
     def _mark_unconfirmed(self, target: ListedTarget, now: float) -> None:
         """Mark a target as unconfirmed if it was gone and an entry of an older copy lists it.
 
         It gets no work for ``lapse_s``, within which the entry lapses unless the target is running.
+        An entry of yet another copy confirms nothing.
         """
-        gone = self._removed.get(target.id)
+        was_gone = target.id in self._removed or target.id in self._unconfirmed_until
         self._unconfirmed_until.pop(target.id, None)
-        if gone is None or target.has_restarted_since(gone.started_ms):
+        if not was_gone or target.has_restarted_since(self.process_start(target.id)):
             return
-        if may_be_restored(target.revision, known=gone.revision):
+        if self._may_be_restored(target):
             self._unconfirmed_until[target.id] = now + self.lapse_s
 
     def _mark_replaced_by(self, listed: ListedTarget, now: float) -> None:
@@ -556,6 +570,10 @@
             return target.revision
         return gone.revision if gone is not None else UNKNOWN_REVISION
 
+    def _record_number(self, target_id: str, revision: Revision) -> None:
+        former = self._highest_numbers.get(target_id, revision.number)
+        self._highest_numbers[target_id] = max(former, revision.number)
+
     def _remove(self, target_id: str, revision: Revision, now: float) -> None:
         """Remove a target and remember the revision of its removal and its process's start."""
         started_ms = self.process_start(target_id)
@@ -566,6 +584,7 @@
         self._former_starts.pop(target_id, None)
         self._unconfirmed_until.pop(target_id, None)
         self._in_doubt.discard(target_id)
+        self._record_number(target_id, revision)
         self._removed[target_id] = _RemovedTarget(revision=revision, at=now, started_ms=started_ms)
 
 
--- a/lagoonlever/tests/target_registry_tests.py
+++ b/lagoonlever/tests/target_registry_tests.py
@@ -326,3 +326,23 @@
         assert listed.takes_work("b"), moment
     listed.expire(1.0 + REREGISTRATION_S)
     assert not listed.takes_work("b")
+
+
+@pytest.mark.parametrize("second", [20, 40], ids=["the same copy", "a newer one"])
+@pytest.mark.parametrize("leaves_by", ["draining", "removal"])
+def test_a_second_older_copy_does_not_bring_a_leaving_target_back(
+    leaves_by: str, second: int
+) -> None:
+    """Guards against a second return of the store, by whose entry a target counts as ready.
+
+    What was known of the target before both returns is newer than either entry.
+    """
+    listed = registry("e1")
+    draining = target("e1", draining=True) if leaves_by == "draining" else None
+    change(listed, "e1", draining, revision=of_era(1, 50), now=1.0, store_back_at=None)
+    for era, number, now in ((2, 20, 2.0), (3, second, 3.0)):
+        entry = attrs.evolve(target("e1"), revision=of_era(era, number))
+        listed.apply_list([entry], revision=of_era(era, 45), now=now, store_back_at=now)
+        assert not listed.takes_work("e1"), era
+    change(listed, "e1", target("e1"), revision=of_era(3, 46), now=3.5, store_back_at=3.0)
+    assert listed.takes_work("e1")
