Roll-outs: after a return of the store, a former order's status is neither kept nor taken for this one's

Cause: the leader took what it had written for what stands in the store, also after the store had come back from an older copy; and a status of a new era counted as later than an order known by a revision of the era before. So where a version was ordered again under its name, and the copy was of a moment before the second order's first status, the former final status stood until the second order was decided (10 s in the test), and who reads it, as operators are told to, takes the new targets back. And a leader that had not yet read the order in that era would have adopted it as its own.

Now the status is what was last read or written in the store's present era. One of another era than the order's is of no known order, unless this VM wrote it: a final one is left as it is until the order has been read in that era, and then the revisions tell.

--- a/lagoonlever/decisions/rollouts/versions.py
+++ b/lagoonlever/decisions/rollouts/versions.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from lagoonlever.revisions import Revision
+
 
 class RolloutState(enum.Enum):
     """State of a roll-out, as stored."""
@@ -47,6 +49,15 @@
     """Time from the order to the deadline of its decision."""
 
 
+def is_of_order(status: Revision, ordered_at: Revision) -> bool:
+    """Check whether a status is known to be of the order that was given at ``ordered_at``.
+
+    A former order may have been of the same version. In another era only the order's own revision
+    there tells.
+    """
+    return status.era == ordered_at.era and status >= ordered_at
+
+
 @attrs.define(kw_only=True)
 class ServiceVersions:
     """Order of one service, its state, and the versions that may get work."""
--- a/lagoonlever/gateway/rollout_lead.py
+++ b/lagoonlever/gateway/rollout_lead.py
@@ -21,7 +21,12 @@
     plan_without_counts,
 )
 from lagoonlever.decisions.rollouts.totals import RolloutTotals, VmCounts
-from lagoonlever.decisions.rollouts.versions import RolloutOrder, RolloutPhase, RolloutState
+from lagoonlever.decisions.rollouts.versions import (
+    RolloutOrder,
+    RolloutPhase,
+    RolloutState,
+    is_of_order,
+)
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
 from lagoonlever.gateway.beliefs import Beliefs
@@ -38,6 +43,7 @@
     status_key,
 )
 from lagoonlever.published import Published
+from lagoonlever.revisions import Revision
 from lagoonlever.store.port import KeyValue, RecordStore
 from lagoonlever.store.records import StoreRecord
 from lagoonlever.timers import TimerService
@@ -60,8 +66,8 @@
     book: RolloutTotals = attrs.field(factory=RolloutTotals)
     verdict: Plan | None = None
     """What was to be written. It holds: operators may have seen it, though its answer was lost."""
-    written: RolloutState | None = None
-    """The status that stands in the store, of this order."""
+    written_at: Revision | None = None
+    """The revision of the last status that this VM has written."""
     decided_at: float | None = None
 
 
@@ -182,36 +188,61 @@
         return lead.book.progress(elapsed_s=elapsed_s, is_moving=is_moving)
 
     async def _agree(self, lead: _Lead, state: RolloutState) -> bool:
-        """Have a status stand in the store; False where another VM's final one does."""
-        if lead.written is state:
-            return True
-        if lead.record.revision.number == 0:
+        """Have a status stand in the store; False where another VM's final one does.
+
+        Also False while a final one stands there that may be of a former order.
+        """
+        if self._is_out_of_date(lead.record):
             await lead.record.read()
         while True:
             standing = self._standing(lead)
             if standing is not None and (standing.is_final or standing is state):
-                lead.written = standing
                 if standing is not state:
                     self._decide(lead, standing)
                 return standing is state
+            if self._is_in_doubt(lead):
+                return False
             former, version = lead.record.entry, lead.rollout.order.version
             document = status_document(RolloutStatus(state=state, version=version))
             if await lead.record.write(document):
-                lead.written = state
+                lead.written_at = lead.record.revision
                 self._log_status(lead, state, former)
-                return True
+
+    def _is_out_of_date(self, record: StoreRecord) -> bool:
+        """Check whether the store has come back from an older copy since the record was read."""
+        is_read = record.revision.number > 0
+        return not is_read or record.revision.era < self._beliefs.targets.as_of.era
 
     def _standing(self, lead: _Lead) -> RolloutState | None:
         """Return the state that stands in the store of this order, if any."""
-        entry, order = lead.record.entry, lead.rollout.order
-        if entry is None or entry.revision < lead.rollout.tally.ordered_at:
+        entry, ordered_at = lead.record.entry, lead.rollout.tally.ordered_at
+        if entry is None or entry.revision < ordered_at:
+            return None
+        is_own = entry.revision == lead.written_at
+        return self._read(lead) if is_own or is_of_order(entry.revision, ordered_at) else None
+
+    def _is_in_doubt(self, lead: _Lead) -> bool:
+        """Check whether a final status stands in the store that may be of this order or not.
+
+        That is so in a new era until the order is read there: then the revisions tell.
+        """
+        entry, ordered_at = lead.record.entry, lead.rollout.tally.ordered_at
+        if entry is None or entry.revision.era <= ordered_at.era:
+            return False
+        found = self._read(lead)
+        return found is not None and found.is_final
+
+    def _read(self, lead: _Lead) -> RolloutState | None:
+        """Return the state that stands in the store, if it is of the ordered version."""
+        entry = lead.record.entry
+        if entry is None:
             return None
         try:
             status = read_status(entry.key, entry.value)
         except UnreadableRollout as error:
             events.ROLLOUT_UNREADABLE.log(log, error=str(error))
             return None
-        return status.state if status.version == order.version else None
+        return status.state if status.version == lead.rollout.order.version else None
 
     def _decide(self, lead: _Lead, state: RolloutState) -> None:
         """Act on a final state that stands in the store, and tell the others."""
@@ -226,12 +257,12 @@
             lead.decided_at = now
         if now - lead.decided_at < TOLD_S:
             self._tell(lead, Plan(phase=RolloutPhase.HELD, state=state))
-        is_written = lead.written is not None and lead.written.is_final
-        if is_written and lead.record.revision.era >= self._beliefs.targets.as_of.era:
-            return
+        if not self._is_out_of_date(lead.record):
+            standing = self._standing(lead)
+            if self._is_in_doubt(lead) or (standing is not None and standing.is_final):
+                return
         try:
             await lead.record.read()
-            lead.written = None
             await self._agree(lead, state)
         except PlatformError:
             # The store's client has logged it; the next turn tries again.
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -14,6 +14,7 @@
 import trio
 
 from lagoonlever.decisions.fleet.roles import Roles
+from lagoonlever.decisions.rollouts.versions import is_of_order
 from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.exceptions import PlatformError
 from lagoonlever.gateway import events
@@ -181,7 +182,7 @@
         """Take what became of orders that were given before this VM read them."""
         for entry in (await self._store.get_prefix(STATUS_PREFIX)).entries:
             rollout = rollouts.find(entry.key.removeprefix(STATUS_PREFIX))
-            if rollout is None or entry.revision < rollout.tally.ordered_at:
+            if rollout is None or not is_of_order(entry.revision, rollout.tally.ordered_at):
                 continue
             try:
                 status = read_status(entry.key, entry.value)
--- a/lagoonlever/tests/rollout_losses_tests.py
+++ b/lagoonlever/tests/rollout_losses_tests.py
@@ -23,9 +23,10 @@
 from lagoonlever.platform.documents import order_document
 from lagoonlever.platform.rollouts import ORDERS_PREFIX, read_status, status_key
 from lagoonlever.platform.store import MetadataStore
-from lagoonlever.tests.restored_fleet_tests import AWAY_S, World, run_world
+from lagoonlever.tests.restored_fleet_tests import AWAY_S, SETTLE_S, World, run_world
 
 VMS = 4
+ORDER_KEY = f"{ORDERS_PREFIX}apps"
 ORDER = RolloutOrder(service="apps", version="v2", duration_s=5.0)
 SOUND = Judgement(total_log_ratio=-9.0, worst_log_ratio=-3.0)
 OLD, NEW = ("t-0", "t-1", "t-2", "t-3"), ("t-8", "t-9")
@@ -179,17 +180,47 @@
         world.start_target(int(name.removeprefix("t-")), version="v2")
     await trio.sleep(0.3)
     before = world.store.copy()
-    world.store.put(f"{ORDERS_PREFIX}apps", order_document(ORDER))
+    world.store.put(ORDER_KEY, order_document(ORDER))
     await until(3.0, lambda: world.states() == {RolloutState.RUNNING} == {world.status()})
     return before
 
 
 async def complete(world: RolloutWorld, monkeypatch: pytest.MonkeyPatch) -> None:
     """Make the leader judge the version sound, and wait until all VMs know."""
-    sound = Plan(phase=RolloutPhase.HELD, state=RolloutState.COMPLETED)
+    await decide(world, RolloutState.COMPLETED, monkeypatch)
+
+
+async def decide(world: RolloutWorld, state: RolloutState, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Make the leader decide so, and wait until all VMs know."""
     with monkeypatch.context() as patched:
-        patched.setattr(rollout_lead, "plan_rollout", lambda *_: sound)
-        await until(3.0, lambda: world.states() == {RolloutState.COMPLETED})
+        plan = Plan(phase=RolloutPhase.HELD, state=state)
+        patched.setattr(rollout_lead, "plan_rollout", lambda *_: plan)
+        await until(3.0, lambda: world.states() == {state} == {world.status()})
+
+
+async def order_again(world: RolloutWorld, monkeypatch: pytest.MonkeyPatch) -> StoreCopy:
+    """Roll the version back and order it again; return the copy from before the second order."""
+    await order(world)
+    await decide(world, RolloutState.ROLLED_BACK, monkeypatch)
+    before = world.store.copy()
+    again = attrs.evolve(ORDER, duration_s=2 * ORDER.duration_s)
+    world.store.put(ORDER_KEY, order_document(again))
+    return before
+
+
+async def restore(world: RolloutWorld, copy: StoreCopy) -> tuple[OutsideChange, ...]:
+    """Have the store come back from a copy; return what operators and targets write again."""
+    world.store.fault = StoreFault.REFUSING
+    await trio.sleep(AWAY_S)
+    lost = world.store.restore(copy)
+    world.store.fault = StoreFault.NONE
+    return lost
+
+
+def is_status_of_order(world: RolloutWorld) -> bool:
+    """Check whether the status in the store is later than the order, as operators read it."""
+    status = world.store.revision_of(status_key(ORDER.service))
+    return status > world.store.revision_of(ORDER_KEY) > 0
 
 
 async def lose(world: RolloutWorld, loss: Loss, copy: StoreCopy) -> None:
@@ -261,6 +292,49 @@
     run_world(scenario, monkeypatch, vms=VMS, world_type=RolloutWorld)
 
 
+def test_a_status_of_a_former_order_does_not_stand_after_a_return_of_the_store(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against new targets that are taken back by the end of an earlier order.
+
+    The copy is of the moment between the second order and the first status of it.
+    """
+
+    async def scenario(world: World) -> None:
+        assert isinstance(world, RolloutWorld)
+        await order_again(world, monkeypatch)
+        copy = world.store.copy()
+        await until(3.0, lambda: world.states() == {RolloutState.RUNNING} == {world.status()})
+        await restore(world, copy)
+        assert world.status() is RolloutState.ROLLED_BACK
+        await until(SETTLE_S, lambda: world.status() is RolloutState.RUNNING)
+        assert is_status_of_order(world)
+        assert world.states() == {RolloutState.RUNNING}
+
+    run_world(scenario, monkeypatch, vms=VMS, world_type=RolloutWorld)
+
+
+def test_a_final_status_follows_an_order_that_is_written_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against operators who wait for the end of an order that has ended.
+
+    The status is written again at once as the store comes back, and the order some time later.
+    """
+
+    async def scenario(world: World) -> None:
+        assert isinstance(world, RolloutWorld)
+        copy = await order(world)
+        await complete(world, monkeypatch)
+        lost = await restore(world, copy)
+        await until(3.0, lambda: world.status() is RolloutState.COMPLETED)
+        world.store.write_again(lost)
+        await until(3.0, lambda: is_status_of_order(world))
+        assert world.states() == {RolloutState.COMPLETED} == {world.status()}
+
+    run_world(scenario, monkeypatch, vms=VMS, world_type=RolloutWorld)
+
+
 def test_a_version_whose_targets_drain_meanwhile_is_not_completed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
