Crashes: the losses of one engine's process are judged together

Class: work for each victim that is the same for all of them.

Now there is one judgement for each process. A loss that joins later is not settled by an answer from before it, and is given up 5 s after it happened, as before; each that was a crash is recorded by itself, so the evidence is the same.

--- a/lagoonlever/gateway/lost_engines.py
+++ b/lagoonlever/gateway/lost_engines.py
@@ -50,7 +50,10 @@
 
 @attrs.define(kw_only=True, eq=False)
 class LostEngines:
-    """Asks an engine again and again, by whichever VMs reach it."""
+    """Asks an engine again and again, by whichever VMs reach it.
+
+    Once for each process, however many requests were lost with it.
+    """
 
     _prober: EngineProber
     _dialer: TargetDialer
@@ -62,6 +65,8 @@
     _crashed: Callable[[Loss], Awaitable[None]]
     """Called with each loss that was a crash."""
     _nursery: trio.Nursery | None = None
+    _pending: dict[str, list[Loss]] = attrs.field(factory=dict)
+    """The losses that are not judged yet, by the process that was lost."""
 
     async def run(self) -> None:
         """Judge losses, until cancelled."""
@@ -74,8 +79,15 @@
 
     def judge(self, loss: Loss) -> None:
         """Judge a loss beside other work."""
-        if self._nursery is not None:
-            self._nursery.start_soon(self._judge, loss)
+        if self._nursery is None:
+            return
+        process = process_name(loss.engine.id, loss.engine.started_ms)
+        pending = self._pending.get(process)
+        if pending is not None:
+            pending.append(loss)
+            return
+        self._pending[process] = [loss]
+        self._nursery.start_soon(self._judge, process, loss.engine)
 
     async def wait_judged(self, loss: Loss) -> None:
         """Judge a loss, and wait a moment for that.
@@ -89,36 +101,50 @@
         with trio.move_on_after(EVIDENCE_WAIT_S):
             await loss.judged.wait()
 
-    async def _judge(self, loss: Loss) -> None:
+    async def _judge(self, process: str, engine: ListedTarget) -> None:
+        """Ask for an engine's process until all its losses are judged."""
+        closed = 0
+        while self._pending[process]:
+            asked_at = self._timers.now
+            report = await self._prober.ask(engine, since=asked_at)
+            closed = closed + 1 if self._prober.has_broken(engine.id) else 0
+            is_down = report is None and await self._is_down(engine.address)
+            fate = judge_loss(self._signs(engine, report, closed=closed, is_down=is_down))
+            self._settle(process, fate, asked_at=asked_at)
+            if self._pending[process]:
+                await trio.sleep(ASK_AGAIN_S)
+        del self._pending[process]
+
+    def _settle(self, process: str, fate: Fate, *, asked_at: float) -> None:
+        """Judge the losses that an answer is of use for, and give up those that wait too long."""
+        assert self._nursery is not None
+        pending, now = self._pending[process], self._timers.now
+        for loss in list(pending):
+            own_fate = fate
+            if fate is Fate.LIVES and loss.at > asked_at:
+                # It may have answered before the loss.
+                own_fate = Fate.UNKNOWN
+            if own_fate is Fate.UNKNOWN and now - loss.at < SOUGHT_S:
+                continue
+            pending.remove(loss)
+            self._nursery.start_soon(self._tell, loss, own_fate)
+
+    async def _tell(self, loss: Loss, fate: Fate) -> None:
+        events.LOSS_JUDGED.log(
+            log,
+            request=loss.accepted.request_id,
+            target=loss.engine.id,
+            fate=fate.value,
+            seconds=self._timers.now - loss.at,
+            weight=loss.weights.request,
+            parts_weight=loss.weights.parts,
+        )
         try:
-            fate = await self._find_fate(loss.engine, lost_at=loss.at)
-            events.LOSS_JUDGED.log(
-                log,
-                request=loss.accepted.request_id,
-                target=loss.engine.id,
-                fate=fate.value,
-                seconds=self._timers.now - loss.at,
-                weight=loss.weights.request,
-                parts_weight=loss.weights.parts,
-            )
             if fate is Fate.GONE:
                 await self._crashed(loss)
         finally:
             loss.judged.set()
 
-    async def _find_fate(self, engine: ListedTarget, *, lost_at: float) -> Fate:
-        """Return what became of an engine's process; unknown after ``SOUGHT_S``."""
-        closed = 0
-        while True:
-            report = await self._prober.ask(engine, since=self._timers.now)
-            closed = closed + 1 if self._prober.has_broken(engine.id) else 0
-            is_down = report is None and await self._is_down(engine.address)
-            fate = judge_loss(self._signs(engine, report, closed=closed, is_down=is_down))
-            is_over = self._timers.now - lost_at >= SOUGHT_S
-            if fate is not Fate.UNKNOWN or is_over:
-                return fate
-            await trio.sleep(ASK_AGAIN_S)
-
     def _signs(
         self, engine: ListedTarget, report: EngineReport | None, *, closed: int, is_down: bool
     ) -> LossSigns:
--- /dev/null
+++ b/lagoonlever/tests/lost_engines_tests.py
@@ -0,0 +1,92 @@
+"""Engines that are lost under many requests at once."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import pytest
+import trio
+
+from lagoonlever.decisions.engines.answer_stages import STARTED
+from lagoonlever.gateway.lost_engines import SOUGHT_S, Loss, LostEngines
+from lagoonlever.tests.gateway_site import GatewaySite, run_site, until
+
+LOSSES = 12
+
+
+@attrs.frozen
+class _Request:
+    """As much of a request as a loss that counts against nobody needs."""
+
+    request_id: str = "r"
+
+
+def _lose(site: GatewaySite) -> Loss:
+    parts = site.vms["vm-0"].daemon.parts
+    engine = parts.beliefs.targets.find("engine-0")
+    assert engine is not None
+    request: Any = _Request()
+    now = trio.current_time()
+    return Loss(accepted=request, engine=engine, weights=STARTED, sent_at=now, at=now)
+
+
+def _judge(site: GatewaySite) -> LostEngines:
+    return site.vms["vm-0"].daemon.parts.crashes._lost_engines
+
+
+async def _count_questions(site: GatewaySite, losses: int) -> int:
+    """Return how often an engine is asked until so many losses of it are judged."""
+    prober = site.vms["vm-0"].daemon.parts.prober
+    before = prober.questions
+    lost = [_lose(site) for _ in range(losses)]
+    for loss in lost:
+        _judge(site).judge(loss)
+    for loss in lost:
+        await loss.judged.wait()
+    return prober.questions - before
+
+
+def test_an_engine_that_is_lost_under_many_requests_is_asked_as_for_one() -> None:
+    """A dozen requests at an engine that went dark had it asked a dozen times each 0.1 s."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        site.engines["engine-0"].frozen.set()
+        alone = await _count_questions(site, 1)
+        together = await _count_questions(site, LOSSES)
+        assert together <= alone + 2, (alone, together)
+
+    run_site(story, engines=2, vms=2)
+
+
+def test_an_answer_from_before_a_loss_does_not_settle_it() -> None:
+    """A loss that joins while an engine is asked is judged by the next question."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        engine = site.engines["engine-0"]
+        first = _lose(site)
+        _judge(site).judge(first)
+        prober = site.vms["vm-0"].daemon.parts.prober
+        asked = prober.questions
+        await until(lambda: prober.questions > asked)
+        second = _lose(site)
+        _judge(site).judge(second)
+        await first.judged.wait()
+        assert not second.judged.is_set()
+        engine.frozen.set()
+        with trio.move_on_after(SOUGHT_S / 2):
+            await second.judged.wait()
+        assert not second.judged.is_set()
+
+    run_site(story, engines=2, vms=2)
+
+
+@pytest.mark.parametrize("count", [1, LOSSES])
+def test_losses_of_an_engine_that_lives_are_settled_at_once(count: int) -> None:
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        assert await _count_questions(site, count) <= 2
+
+    run_site(story, engines=2, vms=2)
