--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -221,7 +221,8 @@
             message = f"the target ran it and answered {answered.response.status}"
             outcome = Failed(reason=Reason.TARGET_FAILED, message=message)
         if outcome is not None:
-            self._ended(call, int(outcome.status), outcome.tag.value, outcome.message)
+            status, tag = int(outcome.status), outcome.tag.value
+            self._ended(call, status, tag, outcome.message, reason=outcome.reason)
             await tell(call.accepted.exchange, outcome)
             return
         assert answered is not None
@@ -302,10 +303,18 @@
             retry_after_s=self.words.come_back_s(call.accepted.service) or COME_BACK_S,
         )
 
-    def _ended(self, call: CallRecord, status: int, outcome: str, detail: str) -> None:
+    def _ended(
+        self,
+        call: CallRecord,
+        status: int,
+        outcome: str,
+        detail: str,
+        *,
+        reason: Reason | None = None,
+    ) -> None:
         if call.via is not None:
             detail = f"{detail}, by way of {call.via}"
-        ending = Ending(status=status, outcome=outcome, detail=detail)
+        ending = Ending(status=status, outcome=outcome, detail=detail, reason=reason)
         self.reporter.call_ended(call.accepted, ending, attempts=call.sent, target=call.target)
 
 
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -71,7 +71,7 @@
             return
         rejected = self._crashes.refusal(accepted) or self._last.refusal(accepted)
         if rejected is not None:
-            await self._refuse(exchange, rejected)
+            await self._refuse(exchange, rejected, accepted=accepted)
             return
         try:
             await self._serve[accepted.route.kind](accepted)
@@ -133,9 +133,12 @@
             retry_after_s=STARTING_RETRY_S,
         )
 
-    async def _refuse(self, exchange: Exchange, outcome: NotRun) -> None:
+    async def _refuse(
+        self, exchange: Exchange, outcome: NotRun, *, accepted: Accepted | None = None
+    ) -> None:
         request = exchange.request
-        self._reporter.refused(request, request_id_of(request.headers), outcome)
+        request_id = request_id_of(request.headers)
+        self._reporter.refused(request, request_id, outcome, accepted=accepted)
         if exchange.responded:
             raise CallerGone
         await tell(exchange, outcome)
--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -11,6 +11,14 @@
     doc="Requests that ended, by kind of route (`stream`, `idempotent`, `non-idempotent`, `none`)"
     " and outcome (`done`, `not-run`, `unknown`, `failed`, `caller-gone`).",
 )
+UNSERVED = counter(
+    "lagoonlever.gateway.requests.unserved",
+    unit="{request}",
+    labels=("kind", "organisation", "reason"),
+    doc="Requests that ended without a whole answer, of callers that stayed: by kind of route, by"
+    " organisation (`none` where none is known) and by the reason that the caller was told."
+    " Compare what each kind and organisation loses with its requests.",
+)
 ATTEMPTS = counter(
     "lagoonlever.gateway.attempts",
     unit="{attempt}",
--- a/lagoonlever/gateway/reporter.py
+++ b/lagoonlever/gateway/reporter.py
@@ -10,13 +10,14 @@
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.http.messages import Request
-from lagoonlever.outcomes import NotRun
+from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.timers import TimerService
 
 log = logbook.Logger(__name__)
 
 NO_KIND = "none"
 """The kind of a request that no route was found for."""
+NO_ORGANISATION = "none"
 
 
 @attrs.frozen(kw_only=True)
@@ -27,6 +28,8 @@
     """0 where the caller got no answer."""
     outcome: str
     detail: str
+    reason: Reason | None = None
+    """Why the caller, which stayed, has no whole answer; None where it has."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -36,17 +39,29 @@
     timers: TimerService
     tally: Tally = attrs.field(factory=Tally)
 
-    def refused(self, request: Request, request_id: str | None, outcome: NotRun) -> None:
-        """Tell of a request that no route or organisation was found for."""
+    def refused(
+        self,
+        request: Request,
+        request_id: str | None,
+        outcome: NotRun,
+        *,
+        accepted: Accepted | None = None,
+    ) -> None:
+        """Tell of a request that was refused at once; without ``accepted`` no route was found."""
         ending = Ending(
-            status=int(outcome.status), outcome=outcome.tag.value, detail=outcome.message
+            status=int(outcome.status),
+            outcome=outcome.tag.value,
+            detail=outcome.message,
+            reason=outcome.reason,
         )
-        self.tally.add(metrics.REQUESTS, NO_KIND, ending.outcome)
+        kind = NO_KIND if accepted is None else accepted.route.kind.value
+        organisation = None if accepted is None else accepted.organisation
+        self._count(kind, organisation, ending)
         events.REQUEST_ENDED.log(
             log,
             request=request_id,
-            route=request.target,
-            organisation=None,
+            route=request.target if accepted is None else accepted.route.name,
+            organisation=organisation,
             status=ending.status,
             outcome=ending.outcome,
             seconds=0.0,
@@ -60,7 +75,7 @@
         self, accepted: Accepted, ending: Ending, *, attempts: int, target: str | None
     ) -> None:
         """Tell of a call with one whole answer."""
-        seconds = self._count(accepted, ending)
+        seconds = self._count_end(accepted, ending)
         self.tally.record(metrics.CALL_LATENCY, seconds, accepted.route.kind.value)
         events.REQUEST_ENDED.log(
             log,
@@ -78,7 +93,7 @@
 
     def stream_ended(self, accepted: Accepted, ending: Ending, life: StreamLifecycle) -> None:
         """Tell of a stream, with what its caller saw of its pace."""
-        seconds = self._count(accepted, ending)
+        seconds = self._count_end(accepted, ending)
         first_at = life.timing.first_at
         first_s = None if first_at is None else first_at - accepted.arrived
         if first_s is not None:
@@ -104,7 +119,13 @@
         """Count an attempt by what became of it."""
         self.tally.add(metrics.ATTEMPTS, accepted.route.kind.value, result)
 
-    def _count(self, accepted: Accepted, ending: Ending) -> float:
+    def _count_end(self, accepted: Accepted, ending: Ending) -> float:
         """Count the end of a request, and give the seconds since its arrival."""
-        self.tally.add(metrics.REQUESTS, accepted.route.kind.value, ending.outcome)
+        self._count(accepted.route.kind.value, accepted.organisation, ending)
         return self.timers.now - accepted.arrived
+
+    def _count(self, kind: str, organisation: str | None, ending: Ending) -> None:
+        self.tally.add(metrics.REQUESTS, kind, ending.outcome)
+        if ending.reason is not None:
+            named = organisation or NO_ORGANISATION
+            self.tally.add(metrics.UNSERVED, kind, named, ending.reason.value)
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -170,10 +170,13 @@
             self._ended(accepted, life, OK, "done", life.detail)
             return
         if life.response_started:
-            self._ended(accepted, life, OK, "failed", gave_up.detail if gave_up else "time is over")
+            reason = Reason.CONNECTION_LOST if gave_up else Reason.DEADLINE
+            detail = gave_up.detail if gave_up else "time is over"
+            self._ended(accepted, life, OK, "failed", detail, reason=reason)
             return
         outcome = self._outcome(accepted, life, gave_up)
-        self._ended(accepted, life, int(outcome.status), outcome.tag.value, outcome.message)
+        tag, status = outcome.tag.value, int(outcome.status)
+        self._ended(accepted, life, status, tag, outcome.message, reason=outcome.reason)
         await tell(accepted.exchange, outcome)
 
     async def _steps(self, accepted: Accepted, life: StreamLifecycle) -> GiveUp | None:
@@ -270,9 +273,16 @@
         return NotRun(reason=Reason.NO_TARGET, message=detail, retry_after_s=told_s or COME_BACK_S)
 
     def _ended(
-        self, accepted: Accepted, life: StreamLifecycle, status: int, outcome: str, detail: str
+        self,
+        accepted: Accepted,
+        life: StreamLifecycle,
+        status: int,
+        outcome: str,
+        detail: str,
+        *,
+        reason: Reason | None = None,
     ) -> None:
-        ending = Ending(status=status, outcome=outcome, detail=detail)
+        ending = Ending(status=status, outcome=outcome, detail=detail, reason=reason)
         self._tools.reporter.stream_ended(accepted, ending, life)
 
 
