Soak: kinds, organisations and subjects are judged, and each refusal is summed up by whom it met (STARVED)

The judge knew ranks and subjects of streams. A play prints it.

Plays have two kinds of streams of ten organisations, a few of them large. `--long` plays prompts of a second and answers of four that come at a rate, from callers that heed `Retry-After`; `--stage` tells how much an engine has written as a part ends it, `--back` when another one is there. A machine whose target is gone refuses connections: its paths took them and closed, which looks like an engine that breaks off.

Runners' own calls aren't judged: callers of the soak have none.

--- a/lagoonlever/fakes/path_proxy.py
+++ b/lagoonlever/fakes/path_proxy.py
@@ -52,6 +52,8 @@
     target: Address
     _state: PathState = PathState.OPEN
     _started: bool = False
+    _target_down: bool = False
+    """Nobody listens at the target's address, so new connections are refused."""
     _listener: trio.socket.SocketType | None = None
     _fillers: list[socket.socket] = attrs.field(factory=list)
     _open: set[trio.SocketStream] = attrs.field(factory=set)
@@ -82,20 +84,31 @@
         self._close_listener()
         if state is PathState.RESET:
             self._reset_open()
-        self._listen()
-        self._changed.set()
-        self._changed = trio.Event()
+        self._listen_again()
+
+    def set_target_down(self, down: bool) -> None:
+        """Record whether the target's process is gone; nothing else of the path changes."""
+        self._target_down = down
+        if self._started:
+            self._close_listener()
+            self._listen_again()
 
     async def open(self, address: Address, *, timeout_s: float) -> ClientConnection:
         """Connect over this path; the connection counts as one to ``address``."""
         stream = await open_stream(self.listen, timeout_s=timeout_s)
         return ClientConnection(stream=stream, address=address)
 
+    def _listen_again(self) -> None:
+        self._listen()
+        self._changed.set()
+        self._changed = trio.Event()
+
     def _listen(self) -> None:
         """Listen as the state says: with room for new connections, without it, or not at all."""
-        if self._state not in _REFUSES:
+        hangs = self._state in _HANGS
+        if self._state not in _REFUSES and (hangs or not self._target_down):
             self._listener = self._new_listener()
-        if self._state in _HANGS:
+        if hangs:
             self._fill()
 
     def _new_listener(self) -> trio.socket.SocketType:
--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 from collections.abc import Iterator
 
@@ -13,23 +14,20 @@
 from lagoonlever.http.client import ClientConnection, Response, fetch
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.sse import RawEventSplitter
-from lagoonlever.outcomes import NOT_RUN_STATUSES, REASON_HEADER, Reason
+from lagoonlever.outcomes import NOT_RUN_STATUSES, REASON_HEADER, RETRY_AFTER_HEADER, Reason
 from lagoonlever.platform.documents import (
     caller_headers,
     prompt_fields,
     read_addresses,
     resolve_path,
 )
-from lagoonlever.soak.deployments import HOST, ORGANISATION, PATIENT_KEY, PATIENT_ORGANISATION
+from lagoonlever.soak.deployments import HOST, ORGANISATION, PATIENT_ORGANISATION, key_of
 from lagoonlever.soak.judge import OK, Judge
+from lagoonlever.soak.served import CLOSED, OUT_OF_TIME, Asked, Refusal, reason_of
 from lagoonlever.soak.site import SoakSite, SoakVm
 
 CALL_DEADLINE_S = 2.0
-STREAM_DEADLINE_S = 12.0
 EVENT_TOKENS = 8
-PROMPT_TOKENS = 1_000
-EVENTS = (5, 60)
-"""Of a stream: the shortest ends at once, the longest takes 1.2 s on an engine."""
 UNSERVED = (502, 503, 504)
 RETRIES = 3
 PAUSE_S = 0.05
@@ -61,6 +59,8 @@
     _addresses: tuple[Address, ...] = ()
     _began: str | None = None
     """The request that brought the first event of the stream that is being read."""
+    _told_pause_s: float = 0.0
+    """When to come back, by the last answer."""
     _ids: Iterator[int] = attrs.field(factory=lambda: iter(range(1_000_000)))
 
     @property
@@ -69,6 +69,16 @@
         is_usual = self.number < FIRST_OTHER
         return is_usual and self.site.deployment.has_patient and self.number % 2 == 1
 
+    @property
+    def _tries(self) -> int:
+        traffic = self.site.deployment.traffic
+        return RETRIES if traffic is None else traffic.tries
+
+    @property
+    def _pause_s(self) -> float:
+        """How long this caller waits before it comes back with the same request."""
+        return PAUSE_S if self.site.deployment.traffic is None else self._told_pause_s or PAUSE_S
+
     async def run(self) -> None:
         """Send bids, lookups and streams."""
         while True:
@@ -84,7 +94,7 @@
         while True:
             route = self.site.deployment.stream_routes[0]
             self._began = None
-            await self._stream_once(route, part, EVENTS[1], 0, None)
+            await self._stream_once(route, part, self.site.deployment.events[1], 0, None)
             await self._drop()
             await trio.sleep(self.rng.uniform(*DEADLY_PAUSE_S))
 
@@ -96,14 +106,38 @@
             own = f"{self.rng.getrandbits(64):016x}"
             self._began = None
             shared = (*self._shared_parts(own), part)
-            await self._stream_once(route, own, EVENTS[1], 0, None, shared=shared)
+            await self._stream_once(
+                route, own, self.site.deployment.events[1], 0, None, shared=shared
+            )
             await self._drop()
             await trio.sleep(self.rng.uniform(*DEADLY_PAUSE_S))
 
+    @property
+    def organisation(self) -> str:
+        """Whose key this caller has."""
+        if self.is_patient:
+            return PATIENT_ORGANISATION
+        if self.number >= FIRST_OTHER:
+            return ORGANISATION
+        return self.site.deployment.organisation_of(self.number)
+
+    async def send_one(self, kind: str) -> None:
+        """Send one request of a kind, and come back as the rules allow."""
+        if kind in self.site.deployment.stream_routes:
+            await self.stream(kind)
+        else:
+            await self.call(kind)
+
     async def call(self, kind: str) -> int:
         """Send a bid or a lookup, again as the rules allow; gives the last status."""
+        status = await self._call(kind)
+        asked = Asked(kind=kind, organisation=self.organisation)
+        self.judge.served.record(asked, trio.current_time(), whole=status == OK)
+        return status
+
+    async def _call(self, kind: str) -> int:
         status = 0
-        for _ in range(RETRIES):
+        for _ in range(self._tries):
             request = self._new_id(kind)
             if kind == "bid":
                 self.judge.runs_once(request)
@@ -112,32 +146,41 @@
             again = status in NOT_RUN_STATUSES or (kind == "look" and status != OK)
             if not again or status in (401, 404):
                 return status
-            await trio.sleep(PAUSE_S)
+            await trio.sleep(self._pause_s)
         return status
 
-    async def stream(self) -> bool:
+    async def stream(self, route: str | None = None) -> bool:
         """Read a stream to its end, coming back after breaks; gives whether it was whole."""
         part = f"{self.rng.getrandbits(64):016x}"
-        route = self.rng.choice(self.site.deployment.stream_routes)
-        events = self.rng.randint(*EVENTS)
+        route = route or self.rng.choice(self.site.deployment.stream_routes)
+        events = self.rng.randint(*self.site.deployment.events)
         leave_at = self.rng.randint(1, events) if self.rng.random() < self.leaves else None
         told = 0
         whole = False
         self._began = None
-        with trio.move_on_after(STREAM_DEADLINE_S):
-            for _ in range(RETRIES):
+        with trio.move_on_after(self.site.deployment.stream_timeout_s) as scope:
+            for _ in range(self._tries):
                 told, whole = await self._stream_once(route, part, events, told, leave_at)
                 if whole:
                     break
                 if leave_at is not None and told >= leave_at:
                     await self._ask_on(route, part, events)
                     return False
-                await trio.sleep(PAUSE_S)
-        self.judge.streamed("patient" if self.is_patient else route, whole=whole)
-        subject = self._shared_parts(part)[-1]
-        self.judge.asked_on(subject, trio.current_time(), whole=whole)
+                await trio.sleep(self._pause_s)
+        asked = self._asked(route, part)
+        if scope.cancelled_caught:
+            self._refused(asked, OUT_OF_TIME)
+        self.judge.served.record(asked, trio.current_time(), whole=whole)
         return whole
 
+    def _asked(self, route: str, part: str) -> Asked:
+        return Asked(
+            kind=route,
+            organisation=self.organisation,
+            rank="patient" if self.is_patient else route,
+            subject=self._shared_parts(part)[-1],
+        )
+
     def _shared_parts(self, part: str) -> tuple[str, ...]:
         """Return what a prompt shares with others: by its own part, so that it comes back alike."""
         if not self.subjects:
@@ -150,6 +193,7 @@
         await self._stream_once(route, part, events, 0, None, turn=2)
 
     async def _call_once(self, kind: str, request: str) -> int:
+        asked = Asked(kind=kind, organisation=self.organisation)
         headers = self._headers(request, CALL_DEADLINE_S)
         sent_at = trio.current_time()
         try:
@@ -157,9 +201,14 @@
                 response = await self._exchange(f"/{kind}/{request}", headers)
         except (PeerError, trio.TooSlowError):
             # The connection ended, or nothing came: the caller knows nothing of its call.
+            self._told_pause_s = 0.0
+            self._refused(asked, CLOSED)
             await self._check_cut(request, sent_at)
             await self._drop()
             return 0
+        self._told_pause_s = _retry_after_s(response.headers)
+        if response.status != OK:
+            self._refused(asked, _told(response))
         self.judge.called(request, response.status, response.headers, response.body)
         self.judge.refused(request, response.headers.get(REASON_HEADER))
         if response.status in UNSERVED and self._connection is not None:
@@ -182,19 +231,22 @@
     ) -> tuple[int, bool]:
         request = self._new_id("stream")
         shared = shared or self._shared_parts(part)
+        is_sound = self.site.deadly.isdisjoint((*shared, part))
         if not told:
             self.judge.begins(part)
         else:
             self.judge.counts["streams taken up"] += 1
         more = prompt_fields(
             part,
-            prompt_tokens=PROMPT_TOKENS,
+            prompt_tokens=random.Random(f"{part}-size").randint(
+                *self.site.deployment.prompt_tokens
+            ),
             output_tokens=events * EVENT_TOKENS,
             last_event_id=told or None,
             resumes=self._began,
             shared=shared,
         )
-        headers = self._headers(request, STREAM_DEADLINE_S, more)
+        headers = self._headers(request, self.site.deployment.stream_timeout_s, more)
         splitter = RawEventSplitter()
         sent_at = trio.current_time()
         try:
@@ -205,8 +257,11 @@
                 method="POST", path=path, headers=headers, body=part.encode(), step="soak"
             )
             head = await connection.read_head()
+            self._told_pause_s = _retry_after_s(head.headers)
+            body = b""
             while (piece := await connection.next_piece()) is not None:
                 if head.status != OK:
+                    body += piece
                     continue
                 for event in splitter.feed(piece):
                     told += 1
@@ -217,6 +272,11 @@
                     return told, False
         except PeerError:
             # The stream broke off; the caller comes back with what it has.
+            self._told_pause_s = 0.0
+            if is_sound:
+                self._refused(
+                    self._asked(route, part), f"{CLOSED} after events" if told else CLOSED
+                )
             await self._check_cut(request, sent_at)
             await self._drop()
             self.judge.answered("stream", request, 0)
@@ -224,12 +284,19 @@
         self.judge.answered("stream", request, head.status)
         if head.headers.get(REASON_HEADER) == Reason.CANNOT_RESUME.value:
             self.judge.counts["streams not taken up"] += 1
-        if self.site.deadly.isdisjoint((*shared, part)):
+        if is_sound:
             self.judge.refused(request, head.headers.get(REASON_HEADER))
+            if head.status != OK:
+                self._refused(self._asked(route, part), _told(attrs.evolve(head, body=body)))
         if head.status == OK:
             self.judge.stream_ended(part, told, events)
         return told, head.status == OK
 
+    def _refused(self, asked: Asked, reason: str) -> None:
+        """Record a try that got no whole answer, and the VM that it was at."""
+        vm = self.site.name_at(self._connection.address) if self._connection else "no VM"
+        self.judge.served.refuse(Refusal(asked=asked, vm=vm, reason=reason))
+
     async def _check_cut(self, request: str, sent_at: float) -> None:
         """Check that no planned stop broke off a request that ran and came late."""
         if self._connection is None or not self.judge.has_run(request):
@@ -288,15 +355,35 @@
     def _headers(
         self, request: str, deadline_s: float, more: list[tuple[str, str]] | None = None
     ) -> Headers:
-        organisation = PATIENT_ORGANISATION if self.is_patient else ORGANISATION
+        organisation = self.organisation
         self.judge.sends_for(request, organisation)
         return caller_headers(
             request_id=request,
             host=HOST,
-            key=PATIENT_KEY if self.is_patient else self.site.keys[1],
+            key=self.site.keys[1] if organisation == ORGANISATION else key_of(organisation),
             deadline_s=deadline_s,
             more=more or (),
         )
 
     def _new_id(self, kind: str) -> str:
         return f"{kind}-{self.number}-{next(self._ids)}"
+
+
+def _retry_after_s(headers: Headers) -> float:
+    return float(headers.get(RETRY_AFTER_HEADER) or 0.0)
+
+
+def _told(answer: Response) -> str:
+    """Return why an answer is not the one that was asked for."""
+    message = ""
+    with contextlib.suppress(msgspec.MsgspecError):
+        message = msgspec.json.decode(answer.body, type=_Refused).error.message
+    return reason_of(answer.status, answer.headers.get(REASON_HEADER), message)
+
+
+class _Error(msgspec.Struct):
+    message: str
+
+
+class _Refused(msgspec.Struct):
+    error: _Error
--- a/lagoonlever/soak/deployments.py
+++ b/lagoonlever/soak/deployments.py
@@ -22,6 +22,9 @@
 PATIENT_ORGANISATION = "org-2"
 PATIENT_KEY = "key-patient"
 """Stays in force in all versions."""
+LARGE = 3
+"""Organisations that have half of the callers between them."""
+CALL_TIMEOUT_S = 2.0
 SLOTS = 12
 MOST_WAITING = 12
 PLENTIFUL_TOKENS = 55_000
@@ -36,6 +39,22 @@
 MOMENT_S = 0.6
 
 
+@attrs.frozen(kw_only=True)
+class Traffic:
+    """Requests that come at a rate, whatever becomes of the former ones."""
+
+    per_s: float
+    mix: tuple[tuple[str, float], ...]
+    """The kinds of requests, streams by their routes, and the weight of each."""
+    tries: int = 2
+    """Of each request; the second one comes when the refusal of the first one says."""
+
+    def draw(self, rng: random.Random) -> str:
+        """Return the kind of a request."""
+        kinds, weights = zip(*self.mix, strict=True)
+        return str(rng.choices(kinds, weights)[0])
+
+
 @attrs.frozen(kw_only=True)
 class Deployment:
     """What differs from run to run."""
@@ -50,15 +69,40 @@
     """How many times as long work takes on the engines, in turn."""
     tells_slowness: bool = False
     """Whether runners' machines are slow for moments, and say so."""
+    organisations: int = 1
+    """Of the usual rank; callers of the first three are half of all."""
+    prompt_tokens: tuple[int, int] = (1_000, 1_000)
+    """Of a stream: the shortest and the longest prompt."""
+    events: tuple[int, int] = (5, 60)
+    """Of a stream: the shortest ends at once, the longest takes 1.2 s on an engine."""
+    stream_timeout_s: float = 12.0
+    prefill_tokens_per_s: float = 20_000.0
+    """Of an engine; at it a prompt of 1,000 tokens takes 50 ms."""
+    event_s: float = 0.02
+    traffic: Traffic | None = None
+    """Without one, each caller sends its next request soon after the former one's end."""
 
     @property
     def stream_routes(self) -> tuple[str, ...]:
         """The names of the routes for streams, in the order of their ranks."""
-        return tuple(f"stream-{rank}" for rank in self.stream_ranks)
+        return tuple(
+            f"stream-{rank}" if rank not in self.stream_ranks[:n] else f"stream-{rank}-{n}"
+            for n, rank in enumerate(self.stream_ranks)
+        )
+
+    def organisation_of(self, number: int) -> str:
+        """Return the organisation of the usual rank that a caller belongs to, by its number."""
+        if self.organisations <= LARGE:
+            return _organisation(number % self.organisations)
+        if number % 2 == 0:
+            return _organisation(number // 2 % LARGE)
+        return _organisation(LARGE + number // 2 % (self.organisations - LARGE))
 
     def configuration(self, version: int, keys: tuple[str, ...]) -> Configuration:
         """Return a version of the configuration, with these keys of the first organisation."""
         organisations = {key: Organisation(name=ORGANISATION) for key in keys}
+        for name in map(_organisation, range(1, self.organisations)):
+            organisations[key_of(name)] = Organisation(name=name)
         if self.has_patient:
             rank = max(self.stream_ranks) + 1
             patient = Organisation(name=PATIENT_ORGANISATION, priority=rank)
@@ -87,7 +131,14 @@
 
     def _streams(self) -> tuple[ServiceRoute, ...]:
         return tuple(
-            _route(name, RouteKind.STREAM, "engines", attempts=5, rank=rank)
+            _route(
+                name,
+                RouteKind.STREAM,
+                "engines",
+                attempts=5,
+                rank=rank,
+                timeout_s=self.stream_timeout_s,
+            )
             for name, rank in zip(self.stream_routes, self.stream_ranks, strict=True)
         )
 
@@ -113,6 +164,34 @@
 """One rank, room enough, and targets that are all alike."""
 
 
+MANY_ORGANISATIONS = Deployment(stream_ranks=(1, 1), organisations=10)
+"""Two kinds of streams of ten organisations, a few of them large."""
+LONG_STREAMS = Deployment(
+    stream_ranks=(1, 1),
+    organisations=10,
+    prompt_tokens=(3_000, 9_000),
+    events=(80, 190),
+    stream_timeout_s=25.0,
+    prefill_tokens_per_s=5_000.0,
+    event_s=0.027,
+    traffic=Traffic(
+        per_s=45.0,
+        mix=(("bid", 57.9), ("look", 23.2), ("stream-1", 7.9), ("stream-1-1", 1.4)),
+    ),
+)
+"""Two kinds of streams of ten organisations; a prompt takes a second to read, an answer four."""
+
+
+def key_of(organisation: str) -> str:
+    """Return the key of an organisation that is not the first; it stays in force."""
+    return PATIENT_KEY if organisation == PATIENT_ORGANISATION else f"key-{organisation}"
+
+
+def _organisation(number: int) -> str:
+    """Return the name of an organisation of the usual rank; the second name is the patient's."""
+    return ORGANISATION if number == 0 else f"org-{number + 2}"
+
+
 def draw_deployment(seed: int) -> Deployment:
     """Draw what a run is deployed with; each part in half of the runs."""
     rng = random.Random(f"{seed}-deployment")
@@ -126,7 +205,13 @@
 
 
 def _route(
-    name: str, kind: RouteKind, service: str, *, attempts: int, rank: int = 1
+    name: str,
+    kind: RouteKind,
+    service: str,
+    *,
+    attempts: int,
+    rank: int = 1,
+    timeout_s: float = CALL_TIMEOUT_S,
 ) -> ServiceRoute:
     return ServiceRoute(
         name=name,
@@ -134,7 +219,7 @@
         prefix=f"/{name}/",
         kind=kind,
         services=(WeightedService(name=service),),
-        timeout_s=12.0 if kind is RouteKind.STREAM else 2.0,
+        timeout_s=timeout_s,
         objective_s=2.0,
         priority=rank,
         max_attempts=attempts,
--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -10,6 +10,7 @@
 from lagoonlever.http.messages import Headers
 from lagoonlever.outcomes import NOT_RUN_STATUSES, Reason
 from lagoonlever.platform.headers import ORGANISATION, SEAL
+from lagoonlever.soak.served import ServedBook
 
 OK = 200
 MOST_ENDED = 3
@@ -20,16 +21,6 @@
 """From the last of these until every VM that was not harmed knows."""
 ALLOWED_AFTER = 3
 """Retries that may reach an engine all the same."""
-LEAST_ASKED = 20
-"""Streams of a rank that tell how often it is served."""
-LEAST_ASKED_ON = 4
-"""Streams on a subject that tell whether it is served at all."""
-LEAST_ASKED_FOR_S = 8.0
-"""From the first of these to the last."""
-MOST_STARVED, MOST_STARVED_SHARE = 2, 0.04
-"""Subjects of which none is served: so many, and so many of all."""
-LEAST_SHARE = 0.25
-"""Of how often all are served: a rank below it is starved."""
 
 
 @attrs.frozen(kw_only=True)
@@ -51,12 +42,7 @@
     violations: list[Violation] = attrs.field(factory=list)
     counts: Counter[str] = attrs.field(factory=Counter)
     """Answers by kind of request and status; for the report of a run."""
-    _asked: Counter[str] = attrs.field(factory=Counter)
-    """Streams that were asked for, by rank."""
-    _served: Counter[str] = attrs.field(factory=Counter)
-    _asked_on: dict[str, list[float]] = attrs.field(factory=dict)
-    """When streams on each subject had ended."""
-    _served_on: set[str] = attrs.field(factory=set)
+    served: ServedBook = attrs.field(factory=ServedBook)
     _owners: dict[str, str] = attrs.field(factory=dict)
     """The organisation of requests that are not of the usual one."""
     _ran: Counter[str] = attrs.field(factory=Counter)
@@ -108,38 +94,10 @@
         if organisation != self._organisation:
             self._owners[request] = organisation
 
-    def streamed(self, rank: str, *, whole: bool) -> None:
-        """Record whether a caller that stayed received its stream of a rank completely."""
-        self._asked[rank] += 1
-        self._served[rank] += whole
-
-    def judge_ranks(self) -> None:
-        """Check that no rank was starved while others were served."""
-        all_served = self._served.total() / max(1, self._asked.total())
-        for rank, asked in sorted(self._asked.items()):
-            share = self._served[rank] / asked
-            self.counts[f"{rank} whole"] = self._served[rank]
-            if asked >= LEAST_ASKED and share < LEAST_SHARE * all_served:
-                detail = f"{rank}: {share:.0%} of {asked} were served, {all_served:.0%} of all"
-                self.break_promise("every rank is served", detail)
-
-    def asked_on(self, subject: str, now: float, *, whole: bool) -> None:
-        """Record whether a caller that stayed received its stream on a subject completely."""
-        self._asked_on.setdefault(subject, []).append(now)
-        if whole:
-            self._served_on.add(subject)
-
-    def judge_subjects(self) -> None:
-        """Check that hardly any subject that was asked for again and again was never served."""
-        asked = [
-            subject
-            for subject, times in self._asked_on.items()
-            if len(times) >= LEAST_ASKED_ON and times[-1] - times[0] >= LEAST_ASKED_FOR_S
-        ]
-        starved = [subject for subject in asked if subject not in self._served_on]
-        if len(starved) > MOST_STARVED + MOST_STARVED_SHARE * len(asked):
-            detail = f"{len(starved)} of {len(asked)} were never served: {', '.join(starved[:5])}"
-            self.break_promise("every subject is served", detail)
+    def judge_served(self) -> None:
+        """Check that nobody was starved while others were served."""
+        for promise, detail in self.served.starved():
+            self.break_promise(promise, detail)
 
     def record_shared(self, part: str) -> None:
         """Record that different prompts share a deadly part."""
--- a/lagoonlever/soak/run.py
+++ b/lagoonlever/soak/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from pathlib import Path
 
@@ -9,6 +10,7 @@
 import trio
 
 from lagoonlever.exceptions import PeerError
+from lagoonlever.fakes.platform_engine import DeathStage
 from lagoonlever.http.client import fetch
 from lagoonlever.platform.documents import caller_headers
 from lagoonlever.platform.entry_calls import READY_PATH
@@ -18,12 +20,13 @@
     ORGANISATION,
     PLAIN,
     Deployment,
+    Traffic,
     draw_deployment,
 )
 from lagoonlever.soak.faults import FaultActions
 from lagoonlever.soak.judge import OK, Judge, Violation
 from lagoonlever.soak.plan import Fault, draw_plan
-from lagoonlever.soak.site import CALM_S, GATEWAY, SoakSite, SoakVm
+from lagoonlever.soak.site import BACK_AFTER_S, CALM_S, GATEWAY, SoakSite, SoakVm
 
 APPLY_S = 2.0
 """A stored configuration is in force everywhere within this."""
@@ -54,6 +57,10 @@
     """Parts of which each prompt has one, deadly ones too, in place of the one that all share."""
     parts_every_s: float = 0.0
     """From the first request with a deadly part until the first with the next one."""
+    dies_at: DeathStage = DeathStage.HEAD
+    """How much of its answer an engine has written when a prompt ends it."""
+    back_after_s: float = BACK_AFTER_S
+    """Between the end of a target and the start of another one at its address."""
 
 
 @attrs.frozen(kw_only=True)
@@ -65,6 +72,8 @@
     deployment: Deployment
     violations: tuple[Violation, ...]
     counts: dict[str, int]
+    served: tuple[str, ...]
+    """How often each kind, organisation and rank was served, and who was refused for what."""
 
 
 async def run_soak(
@@ -92,6 +101,8 @@
             rng=random.Random(f"{seed}-site"),
             program=program,
             deployment=deployment,
+            dies_at=size.dies_at,
+            back_after_s=size.back_after_s,
         )
         try:
             await site.start(vms=size.vms, engines=size.engines, runners=size.runners)
@@ -107,17 +118,17 @@
         deployment=deployment,
         violations=tuple(judge.violations),
         counts=dict(sorted(judge.counts.items())),
+        served=tuple(judge.served.summary()),
     )
 
 
 async def _play(site: SoakSite, plan: tuple[Fault, ...], size: SoakSize, seed: int) -> None:
     async with trio.open_nursery() as nursery:
-        for number in range(size.callers):
-            rng = random.Random(f"{seed}-caller-{number}")
-            caller = SoakCaller(
-                number=number, site=site, judge=site.judge, rng=rng, subjects=size.subjects
-            )
-            nursery.start_soon(caller.run)
+        if site.deployment.traffic is not None:
+            nursery.start_soon(_send_traffic, site, site.deployment.traffic, size, seed)
+        else:
+            for number in range(size.callers):
+                nursery.start_soon(_caller(number, site, size, seed).run)
         _start_deadly(nursery, site, size, seed)
         nursery.start_soon(_watch_processes, site)
         nursery.start_soon(_watch_configuration, site)
@@ -130,11 +141,34 @@
         await trio.sleep_until(begun + size.length_s)
         await _wait_ready(site, RECOVER_S, "recovery")
         nursery.cancel_scope.cancel()
-    site.judge.judge_ranks()
-    site.judge.judge_subjects()
+    site.judge.judge_served()
     await _serve_again(site, seed)
 
 
+def _caller(number: int, site: SoakSite, size: SoakSize, seed: int) -> SoakCaller:
+    rng = random.Random(f"{seed}-caller-{number}")
+    return SoakCaller(number=number, site=site, judge=site.judge, rng=rng, subjects=size.subjects)
+
+
+async def _send_traffic(site: SoakSite, traffic: Traffic, size: SoakSize, seed: int) -> None:
+    """Send requests at their rate, each by a caller that has none open, until cancelled."""
+    rng = random.Random(f"{seed}-traffic")
+    idle = [_caller(number, site, size, seed) for number in range(size.callers)]
+    numbers = itertools.count(size.callers)
+
+    async def send(caller: SoakCaller, kind: str) -> None:
+        await caller.send_one(kind)
+        idle.append(caller)
+
+    async with trio.open_nursery() as nursery:
+        while True:
+            await trio.sleep(rng.expovariate(traffic.per_s))
+            if not idle:
+                idle.append(_caller(next(numbers) % FIRST_OTHER, site, size, seed))
+            caller = idle.pop(rng.randrange(len(idle)))
+            nursery.start_soon(send, caller, traffic.draw(rng))
+
+
 def _start_deadly(nursery: trio.Nursery, site: SoakSite, size: SoakSize, seed: int) -> None:
     """Start the callers whose prompts end engines; both of a prompt may meet at one engine."""
     for number in range(2 * size.deadly):
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -16,7 +16,7 @@
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
 from lagoonlever.fakes.path_proxy import PathProxy, PathState
-from lagoonlever.fakes.platform_engine import USUAL_VERSION, EngineRun, FakeEngine
+from lagoonlever.fakes.platform_engine import USUAL_VERSION, DeathStage, EngineRun, FakeEngine
 from lagoonlever.fakes.platform_runner import FakeRunner
 from lagoonlever.gateway.settings import Bounds, GatewaySettings, StoreLimits
 from lagoonlever.http.messages import Address
@@ -106,6 +106,9 @@
     rng: random.Random
     program: tuple[str, ...] = GATEWAY
     deployment: Deployment = PLAIN
+    dies_at: DeathStage = DeathStage.HEAD
+    """How much of its answer an engine has written when a prompt ends it."""
+    back_after_s: float = BACK_AFTER_S
     store: FakeMetadataStore = attrs.field(factory=FakeMetadataStore)
     vms: list[SoakVm] = attrs.field(factory=list)
     engines: list[SoakTarget] = attrs.field(factory=list)
@@ -215,14 +218,21 @@
             return
         former.scope.cancel()
         former.proxy.reset_all()
-        await trio.sleep(BACK_AFTER_S)
         number = (100 if former in self.engines else self.runners_at) + place
+        self._set_machine_down(number, down=True)
+        await trio.sleep(self.back_after_s)
+        self._set_machine_down(number, down=False)
         kept[place] = await self.start_target(
             former.target.service, number, version=version or former.target.version
         )
         await trio.sleep(LAPSE_S)
         self.store.delete(f"{TARGETS_PREFIX}{former.target.id}")
 
+    def _set_machine_down(self, machine: int, *, down: bool) -> None:
+        for (_, number), path in self._paths.items():
+            if number == machine:
+                path.set_target_down(down)
+
     async def start_target_again(
         self, kept: list[SoakTarget], place: int, *, after_s: float, version: str | None = None
     ) -> None:
@@ -266,6 +276,11 @@
         if vm is not None:
             self._takers[request] = vm
 
+    def name_at(self, address: Address) -> str:
+        """Return the name of the VM that callers reach at an address."""
+        vm = self._vm_at(address)
+        return vm.name if vm is not None else "no VM"
+
     def was_sent_in_touch(self, request: str, engine: str, now: float) -> bool:
         """Check whether a stream that reaches an engine now was sent there by a VM in touch.
 
--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -81,13 +81,14 @@
             target_id=target_id,
             version=version,
             fleet=fleet,
-            prefill_tokens_per_s=20_000.0 / pace,
-            event_s=0.02 * pace,
+            prefill_tokens_per_s=site.deployment.prefill_tokens_per_s / pace,
+            event_s=site.deployment.event_s * pace,
             started_ms=started_ms,
             deadly=site.deadly,
             die=lambda: site.engine_dies(target_id),
         )
         self.room = room
+        self.dies_at = site.dies_at
         self._judge = judge
         self._site = site
 
--- a/lagoonlever/tests/deadly_parts_plays.py
+++ b/lagoonlever/tests/deadly_parts_plays.py
@@ -10,12 +10,14 @@
 import os
 import sys
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import attrs
 import trio
 
+from lagoonlever.fakes.platform_engine import DeathStage
+from lagoonlever.soak.deployments import LONG_STREAMS, MANY_ORGANISATIONS, PLAIN, Deployment
 from lagoonlever.soak.plan import Fault, FaultKind, draw_plan
 from lagoonlever.soak.run import SoakResult, SoakSize, run_soak
 
@@ -57,19 +59,29 @@
         yield Fault(kind=FaultKind.ALL_KILL, at_s=at_s, for_s=0.4, number=0)
 
 
-PLAYS = {
+PLAYS: dict[str, Callable[[], Iterator[Fault]]] = {
     "paths": _paths_lost,
     "losses": _all_lost,
     "plain": lambda: iter(()),
 }
 
 
-async def play(name: str, seed: int, *, code: Path, folder: Path, size: SoakSize) -> SoakResult:
+async def play(
+    name: str,
+    seed: int,
+    *,
+    code: Path,
+    folder: Path,
+    size: SoakSize,
+    deployment: Deployment = PLAIN,
+) -> SoakResult:
     """Play one by its name, or a drawn plan of all kinds of faults by the name ``drawn``."""
     os.environ["PYTHONPATH"] = str(code)
     drawn = name == "drawn"
     plan = draw_plan(seed, length_s=size.length_s) if drawn else tuple(PLAYS[name]())
-    return await run_soak(seed, size=size, folder=folder, program=GATEWAY, plan=plan)
+    return await run_soak(
+        seed, size=size, folder=folder, program=GATEWAY, plan=plan, deployment=deployment
+    )
 
 
 def main() -> int:
@@ -79,15 +91,38 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--code", type=Path, default=OWN_CODE)
     parser.add_argument("--vms", type=int, default=SIZE.vms)
+    parser.add_argument("--length", type=float, default=SIZE.length_s, help="in seconds")
+    parser.add_argument(
+        "--stage", type=DeathStage, default=SIZE.dies_at, help="of an answer at its engine's end"
+    )
+    parser.add_argument(
+        "--back", type=float, default=SIZE.back_after_s, help="seconds until an engine is back"
+    )
+    parser.add_argument("--long", action="store_true", help="long prompts and streams")
     given = parser.parse_args()
     folder = Path(tempfile.mkdtemp(prefix="lagoonlever-deadly-"))
-    size = attrs.evolve(SIZE, vms=given.vms)
+    size = attrs.evolve(
+        SIZE,
+        vms=given.vms,
+        length_s=given.length,
+        dies_at=given.stage,
+        back_after_s=given.back,
+    )
+    deployment = LONG_STREAMS if given.long else MANY_ORGANISATIONS
 
     async def run() -> SoakResult:
-        return await play(given.play, given.seed, code=given.code, folder=folder, size=size)
+        return await play(
+            given.play,
+            given.seed,
+            code=given.code,
+            folder=folder,
+            size=size,
+            deployment=deployment,
+        )
 
     result = trio.run(run)
     print(f"{given.play} {given.seed}: {result.counts}")
+    print("\n".join(f"  {line}" for line in result.served))
     for violation in result.violations:
         print(f"  {violation}")
     print(f"  logs: {folder}")
--- a/lagoonlever/tests/path_proxy_tests.py
+++ b/lagoonlever/tests/path_proxy_tests.py
@@ -77,3 +77,25 @@
                 nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_a_target_that_is_down_refuses_and_the_path_is_the_same_once_it_is_back() -> None:
+    """Guards against an address that takes connections of a process that is gone."""
+
+    async def main() -> None:
+        with trio.fail_after(LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                proxy = await _start(nursery)
+                proxy.set_target_down(True)
+                with pytest.raises(ConnectFailed):
+                    await _open(proxy)
+                proxy.set(PathState.SILENT)
+                proxy.set(PathState.OPEN)
+                with pytest.raises(ConnectFailed):
+                    await _open(proxy)
+                proxy.set_target_down(False)
+                async with await _open(proxy, timeout_s=LIMIT_S) as connection:
+                    assert await _is_answered(connection)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -432,18 +432,6 @@
     assert [len(runner.server.conducts) for runner in site.runners] == [0, 1]
 
 
-def test_a_rank_that_is_starved_while_others_are_served_is_seen() -> None:
-    judge = Judge(organisation="org-1")
-    for number in range(100):
-        judge.streamed("stream-0", whole=True)
-        judge.streamed("stream-2", whole=number < 10)
-        if number < 10:
-            judge.streamed("stream-3", whole=False)
-    judge.judge_ranks()
-    assert [v.promise for v in judge.violations] == ["every rank is served"]
-    assert judge.violations[0].detail.startswith("stream-2: 10% of 100")
-
-
 def test_a_deployment_follows_from_its_seed_and_each_part_is_drawn() -> None:
     assert draw_deployment(7) == draw_deployment(7)
     drawn = [draw_deployment(seed) for seed in range(40)]
