--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 from collections import Counter, deque
 from collections.abc import Callable, Collection
 
@@ -97,6 +98,10 @@
     shared: frozenset[str] = frozenset()
     """The parts of its prompt that others may have as well."""
     events: int = 0
+    begun_after: int = 0
+    """The event that its request names as the last one that its caller has."""
+    number: int = 0
+    """Of its engine's runs, in the order of their begins."""
     flowing: bool = False
     place: Place | None = None
 
@@ -165,6 +170,7 @@
         self._late_copies: dict[str, bytes] = {}
         """Second copies of answers that are still to come, by the peer of the connection."""
         self._fleet = fleet
+        self._numbers = itertools.count()
         self._deadly = deadly
         """Parts of prompts under which the engine ends as it begins to run them."""
         self._die = die
@@ -290,6 +296,10 @@
         """Record a request that goes on from the memory of another one, ``former``."""
         self.resumed_foreign.append((request, former))
 
+    def event_of(self, run: EngineRun, number: int) -> bytes:
+        """Return the event of a run with this number."""
+        return event_bytes(run.part, number, version=self.version)
+
     async def _refuse(self, exchange: Exchange, *, twice: bool = False) -> None:
         request_id = exchange.request.headers.get(REQUEST_ID) or ""
         load, said = self.says.load_field(self.room), self.says.fields(refusal=True)
@@ -313,7 +323,8 @@
             shared=frozenset(shared),
             question=f"{request.target} ".encode() + request.body,
         )
-        run.events = int(headers.get(LAST_EVENT_ID) or 0)
+        run.events = run.begun_after = int(headers.get(LAST_EVENT_ID) or 0)
+        run.number = next(self._numbers)
         copy_from = headers.get(COPY_FROM)
         if copy_from is None:
             return run
@@ -337,7 +348,7 @@
         conduct = self.conducts.popleft() if self.conducts else EngineConduct.SERVE
         await self._wait_admitted(run)
         if run.part not in self.kept:
-            await self._read(run)
+            await self.read_prompt(run)
         run.flowing = True
         self.kept[run.part] = run.prompt_tokens
         if conduct is EngineConduct.LOSE_ANSWER:
@@ -378,7 +389,7 @@
 
     async def _write_before_end(self, exchange: Exchange, run: EngineRun) -> None:
         """Write as much behind the head as an engine does that a prompt ends."""
-        event = event_bytes(run.part, run.events + 1, version=self.version)
+        event = self.event_of(run, run.events + 1)
         if self.dies_at is DeathStage.IN_EVENT:
             await exchange.write(event[: len(event) // 2])
         elif self.dies_at is DeathStage.FIRST_EVENT:
@@ -390,7 +401,8 @@
         self._die()
         await trio.sleep_forever()
 
-    async def _read(self, run: EngineRun) -> None:
+    async def read_prompt(self, run: EngineRun) -> None:
+        """Read a prompt; others may be read at the same time."""
         self.read_tokens[run.part] += run.prompt_tokens
         await trio.sleep(run.prompt_tokens / self.prefill_tokens_per_s * self.says.pace)
 
@@ -416,14 +428,14 @@
         while run.events < last:
             await trio.sleep(self.event_s * self.says.pace)
             if await self._wait_admitted(run):
-                await self._read(run)
+                await self.read_prompt(run)
             if self.frozen.is_set() or self.frozen_runs.is_set():
                 await trio.sleep_forever()
             made += 1
             run.events += 1
             assert run.place is not None
             self.room.grow(run.place, EVENT_TOKENS)
-            event = event_bytes(run.part, run.events, version=self.version)
+            event = self.event_of(run, run.events)
             if made == 3 and conduct is EngineConduct.SKIP_EVENT:
                 continue
             if made == 3 and halves:
--- a/lagoonlever/soak/deployments.py
+++ b/lagoonlever/soak/deployments.py
@@ -75,6 +75,10 @@
         """Return the capacity of an engine."""
         return TargetRoom(slots=SLOTS, memory_tokens=self.memory_tokens, most_waiting=MOST_WAITING)
 
+    def slots_of(self, service: str) -> int:
+        """Return the slots that each target of a service tells."""
+        return SLOTS
+
     def pace(self, number: int) -> float:
         """Return the factor by which work takes longer on the engine of a machine."""
         return self.paces[number % len(self.paces)]
--- a/lagoonlever/soak/plan.py
+++ b/lagoonlever/soak/plan.py
@@ -104,7 +104,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class _Track:
+class Track:
     """Faults of a few kinds, one after the other; pauses and durations as ranges."""
 
     kinds: tuple[FaultKind, ...]
@@ -113,7 +113,7 @@
 
 
 _TRACKS = (
-    _Track(
+    Track(
         kinds=(
             FaultKind.VM_KILL,
             FaultKind.VM_PAUSE,
@@ -124,8 +124,8 @@
         every_s=(0.5, 3.0),
         for_s=(0.3, 2.5),
     ),
-    _Track(kinds=(FaultKind.ALL_KILL,), every_s=(6.0, 20.0), for_s=(0.2, 1.0)),
-    _Track(
+    Track(kinds=(FaultKind.ALL_KILL,), every_s=(6.0, 20.0), for_s=(0.2, 1.0)),
+    Track(
         kinds=(
             FaultKind.STORE_SILENT,
             FaultKind.STORE_REFUSES,
@@ -137,7 +137,7 @@
         every_s=(1.0, 4.0),
         for_s=(0.5, 4.0),
     ),
-    _Track(
+    Track(
         kinds=(
             FaultKind.ENGINE_CRASH,
             FaultKind.ENGINE_SILENT,
@@ -148,7 +148,7 @@
         every_s=(0.3, 1.5),
         for_s=(0.5, 2.0),
     ),
-    _Track(
+    Track(
         kinds=(
             FaultKind.RUNNER_RESET,
             FaultKind.RUNNER_SILENT,
@@ -158,15 +158,15 @@
         every_s=(0.5, 2.0),
         for_s=(0.3, 1.5),
     ),
-    _Track(kinds=(FaultKind.NEW_CONFIGURATION,), every_s=(1.0, 4.0), for_s=(0.0, 0.0)),
-    _Track(
+    Track(kinds=(FaultKind.NEW_CONFIGURATION,), every_s=(1.0, 4.0), for_s=(0.0, 0.0)),
+    Track(
         kinds=(FaultKind.ENGINE_RETURNS, FaultKind.ENGINE_RETURNS, FaultKind.RUNNER_RETURNS),
         every_s=(0.8, 3.0),
         for_s=(0.1, 0.8),
     ),
-    _Track(kinds=(FaultKind.STORE_RESTORED,), every_s=(1.0, 6.0), for_s=(0.2, 4.0)),
-    _Track(kinds=(FaultKind.NEW_VERSION,), every_s=(0.5, 4.0), for_s=(3.0, 7.0)),
-    _Track(
+    Track(kinds=(FaultKind.STORE_RESTORED,), every_s=(1.0, 6.0), for_s=(0.2, 4.0)),
+    Track(kinds=(FaultKind.NEW_VERSION,), every_s=(0.5, 4.0), for_s=(3.0, 7.0)),
+    Track(
         kinds=(
             FaultKind.RUNNERS_LIMITED,
             FaultKind.RUNNER_RESTS,
@@ -175,7 +175,7 @@
         every_s=(0.5, 4.0),
         for_s=(3.0, 9.0),
     ),
-    _Track(
+    Track(
         kinds=(
             FaultKind.PATHS_SILENT,
             FaultKind.PATHS_ONE_WAY,
@@ -185,13 +185,13 @@
         every_s=(1.0, 5.0),
         for_s=(1.0, 7.0),
     ),
-    _Track(kinds=(FaultKind.RUNNERS_BRITTLE,), every_s=(1.0, 6.0), for_s=(5.0, 9.0)),
-    _Track(
+    Track(kinds=(FaultKind.RUNNERS_BRITTLE,), every_s=(1.0, 6.0), for_s=(5.0, 9.0)),
+    Track(
         kinds=(FaultKind.ENGINE_OTHER_VERSION, FaultKind.ENGINE_RETURNS_OTHER),
         every_s=(0.5, 2.5),
         for_s=(0.1, 0.8),
     ),
-    _Track(kinds=(FaultKind.RUNNERS_SHED,), every_s=(0.5, 3.0), for_s=(1.0, 4.0)),
+    Track(kinds=(FaultKind.RUNNERS_SHED,), every_s=(0.5, 3.0), for_s=(1.0, 4.0)),
 )
 
 
@@ -206,12 +206,13 @@
     for number, track in enumerate(_TRACKS):
         rng = random.Random(f"{seed}-{number}")
         if rng.random() < 0.8:
-            faults.extend(_draw_track(track, rng, length_s))
+            faults.extend(draw_track(track, rng, length_s))
     faults = [fault for fault in faults if fault.kind not in without]
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
-def _draw_track(track: _Track, rng: random.Random, length_s: float) -> Iterator[Fault]:
+def draw_track(track: Track, rng: random.Random, length_s: float) -> Iterator[Fault]:
+    """Draw the faults of one track for a run of this length."""
     at_s = QUIET_S
     while (at_s := at_s + rng.uniform(*track.every_s)) < length_s:
         yield Fault(
--- a/lagoonlever/soak/proxy.py
+++ b/lagoonlever/soak/proxy.py
@@ -41,6 +41,8 @@
     link: Link = Link.WELL
     harmed_until: float = 0.0
     """When it last forwarded well again."""
+    reset_at: float = 0.0
+    """When its connections were last reset."""
     _open: set[trio.SocketStream] = attrs.field(factory=set)
 
     @property
@@ -50,6 +52,7 @@
 
     def reset_all(self) -> None:
         """Reset every open connection, on both sides."""
+        self.reset_at = trio.current_time()
         for stream in list(self._open):
             _reset(stream)
         self._open.clear()
--- a/lagoonlever/soak/run.py
+++ b/lagoonlever/soak/run.py
@@ -95,7 +95,7 @@
         )
         try:
             await site.start(vms=size.vms, engines=size.engines, runners=size.runners)
-            await _wait_ready(site, START_S, "start")
+            await wait_ready(site, START_S, "start")
             if not judge.violations:
                 await _play(site, plan, size, seed)
         finally:
@@ -119,7 +119,7 @@
             )
             nursery.start_soon(caller.run)
         _start_deadly(nursery, site, size, seed)
-        nursery.start_soon(_watch_processes, site)
+        nursery.start_soon(watch_processes, site)
         nursery.start_soon(_watch_configuration, site)
         actions = FaultActions(site=site)
         begun = trio.current_time()
@@ -128,7 +128,7 @@
                 await trio.sleep_until(begun + fault.at_s)
                 faults.start_soon(actions.carry_out, fault)
         await trio.sleep_until(begun + size.length_s)
-        await _wait_ready(site, RECOVER_S, "recovery")
+        await wait_ready(site, RECOVER_S, "recovery")
         nursery.cancel_scope.cancel()
     site.judge.judge_ranks()
     site.judge.judge_subjects()
@@ -159,7 +159,7 @@
         nursery.start_soon(caller.run_deadly_part, part, begins_after_s)
 
 
-async def _wait_ready(site: SoakSite, limit_s: float, promise: str) -> None:
+async def wait_ready(site: SoakSite, limit_s: float, promise: str) -> None:
     """Wait until every VM takes callers; a violation if one does not in time."""
     waiting = list(site.vms)
     with trio.move_on_after(limit_s):
@@ -181,7 +181,7 @@
     return answer.status == OK
 
 
-async def _watch_processes(site: SoakSite) -> None:
+async def watch_processes(site: SoakSite) -> None:
     """Record a process that exited by itself."""
     while True:
         for vm in site.vms:
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -25,7 +25,7 @@
 from lagoonlever.platform.documents import configuration_document, settings_text, target_entry
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
 from lagoonlever.platform.targets import TARGETS_PREFIX
-from lagoonlever.soak.deployments import MOMENT_S, PLAIN, SLOTS, Deployment
+from lagoonlever.soak.deployments import MOMENT_S, PLAIN, Deployment
 from lagoonlever.soak.gateway import PATH_PORT_VARIABLE
 from lagoonlever.soak.judge import Judge
 from lagoonlever.soak.proxy import FaultyProxy
@@ -336,25 +336,17 @@
             await self._start_paths(number, proxy.listen)
         server: FakeEngine | FakeRunner
         if service == "engines":
-            server = WatchedEngine(
-                target_id=target_id,
-                fleet=self._fleet,
-                judge=self.judge,
-                started_ms=started_ms,
-                pace=self.deployment.pace(number),
-                room=self.deployment.engine_room(),
-                version=version or USUAL_VERSION,
-                site=self,
-            )
+            pace = self.deployment.pace(number)
+            server = self.new_engine(target_id, started_ms, pace, version or USUAL_VERSION)
             self._fleet[str(proxy.listen)] = server
         else:
-            server = WatchedRunner(target_id=target_id, judge=self.judge, site=self)
+            server = self.new_runner(target_id)
         listed = ListedTarget(
             id=target_id,
             service=service,
             address=proxy.listen,
             data_center=PLACES[number % len(PLACES)],
-            slots=SLOTS,
+            slots=self.deployment.slots_of(service),
             started_ms=started_ms,
             version=version,
         )
@@ -364,6 +356,25 @@
         self.list_target(listed)
         return started
 
+    def new_engine(
+        self, target_id: str, started_ms: int, pace: float, version: str
+    ) -> WatchedEngine:
+        """Return the server of an engine that starts."""
+        return WatchedEngine(
+            target_id=target_id,
+            fleet=self._fleet,
+            judge=self.judge,
+            started_ms=started_ms,
+            pace=pace,
+            room=self.deployment.engine_room(),
+            version=version,
+            site=self,
+        )
+
+    def new_runner(self, target_id: str) -> WatchedRunner:
+        """Return the server of a runner that starts."""
+        return WatchedRunner(target_id=target_id, judge=self.judge, site=self)
+
     async def _start_paths(self, machine: int, target: Address) -> None:
         """Start the path of each VM to a machine of targets."""
         for vm in range(self._vm_count):
