--- a/lagoonlever/tests/incident_run.py
+++ b/lagoonlever/tests/incident_run.py
@@ -211,7 +211,6 @@
         ):
             await trio.sleep_until(begun + fault.at_s)
             watching.start_soon(actions.carry_out, fault)
-        sending.cancel_scope.deadline = begun + order.length_s + ENDS_WITHIN_S
         await trio.sleep_until(begun + order.length_s)
         await _wait_ended(site.history, begun + order.length_s + ENDS_WITHIN_S)
         for nursery in (sending, watching):
