Roll-outs: a former order that an older copy lists is none to a VM that knows a later one

Cause: any order of a new era in other words than the known one was taken for a new one. An older copy of the store lists the order before: VMs that had completed the last order took that one up again, with the final status beside it.

In memory: v2 is rolled back, ordered again, completed, and the old runners have stopped; the store comes back from a copy of before the second order. All VMs took v2 for rolled back, and served nobody although its runners were ready, until the order was written again. Now a VM remembers the entries of the last orders of a service: a copy has the same words under the same number, whatever the era. VMs that start after the return know nothing of it and follow the store, as before.

--- a/lagoonlever/gateway/rollouts.py
+++ b/lagoonlever/gateway/rollouts.py
@@ -30,6 +30,8 @@
 """Between two words of who leads, and two counts of a VM."""
 FRESH_S = 1.0
 """How long a word holds: four may be lost."""
+MAX_ENTRIES = 16
+"""Entries of earlier orders that are remembered of a service; a copy holds one of the last."""
 
 
 @attrs.frozen(kw_only=True)
@@ -38,6 +40,14 @@
     at: float
 
 
+@attrs.frozen(kw_only=True)
+class OrderEntry:
+    """An order as it was written once; a copy of the store has it by the same number."""
+
+    order: RolloutOrder
+    number: int
+
+
 @attrs.define(kw_only=True, eq=False)
 class Rollout:
     """One order, as this VM knows it; times are seconds of the monotonic clock."""
@@ -46,6 +56,10 @@
     began_at: float | None
     """When it was ordered; None where this VM can't know."""
     shares: dict[str, float] = attrs.field(factory=dict)
+    former: tuple[OrderEntry, ...] = ()
+    """The entries of earlier orders of the service, which an older copy of the store may list."""
+    _numbers: set[int] = attrs.field(factory=set)
+    """The numbers of the revisions before the present one, by which the order was known."""
     _heard: dict[str, _Heard] = attrs.field(factory=dict)
 
     @property
@@ -53,6 +67,24 @@
         """The order."""
         return self.tally.order
 
+    @property
+    def entries(self) -> tuple[OrderEntry, ...]:
+        """The entries of earlier orders and of this one, the last ones only."""
+        numbers = sorted({*self._numbers, self.tally.ordered_at.number})
+        own = tuple(OrderEntry(order=self.order, number=number) for number in numbers)
+        return (*self.former, *own)[-MAX_ENTRIES:]
+
+    def follow(self, ordered_at: Revision) -> None:
+        """Record a later revision of the order, which was written again."""
+        self._numbers.add(self.tally.ordered_at.number)
+        self.tally.ordered_at = max(self.tally.ordered_at, ordered_at)
+
+    def is_former(self, order: RolloutOrder, ordered_at: Revision) -> bool:
+        """Check whether an order is an earlier one, which an older copy of the store lists."""
+        if ordered_at.era <= self.tally.ordered_at.era:
+            return False
+        return OrderEntry(order=order, number=ordered_at.number) in self.former
+
     def hear(self, word: RolloutWord, source: str, now: float) -> None:
         """Take the word of a VM that leads."""
         self._heard[source] = _Heard(word=word, at=now)
@@ -111,13 +143,15 @@
         """Take an order from the store; ``witnessed`` tells that it was given just now.
 
         One that is written again after the store has come back from an older copy, in the same
-        words, is none.
+        words, is none. Neither is one that was given before the known one, and that the copy has.
         """
         known = self._known.get(order.service)
+        if known is not None and known.is_former(order, ordered_at):
+            return
         if known is not None:
             same_words = known.order == order and known.tally.ordered_at.era < ordered_at.era
             if same_words or ordered_at <= known.tally.ordered_at:
-                known.tally.ordered_at = max(known.tally.ordered_at, ordered_at)
+                known.follow(ordered_at)
                 return
         self._begin(order, ordered_at, self._timers.now if witnessed else None)
 
@@ -126,12 +160,14 @@
         now = self._timers.now
         known = self._known.get(word.service)
         order = RolloutOrder(service=word.service, version=word.version, duration_s=word.duration_s)
+        if known is not None and known.is_former(order, word.ordered_at):
+            return
         if known is None or (known.order != order and known.tally.ordered_at < word.ordered_at):
             known = self._begin(order, word.ordered_at, now - word.elapsed_s)
         elif known.order != order or word.ordered_at < known.tally.ordered_at:
             return
         elif known.tally.ordered_at.era < word.ordered_at.era:
-            known.tally.ordered_at = word.ordered_at
+            known.follow(word.ordered_at)
         elif known.tally.ordered_at < word.ordered_at:
             known = self._begin(order, word.ordered_at, now - word.elapsed_s)
         if word.state.is_final:
@@ -224,7 +260,12 @@
             self.tell_known(rollout, source)
 
     def _begin(self, order: RolloutOrder, ordered_at: Revision, began_at: float | None) -> Rollout:
-        rollout = Rollout(tally=RolloutTally(order=order, ordered_at=ordered_at), began_at=began_at)
+        known = self._known.get(order.service)
+        rollout = Rollout(
+            tally=RolloutTally(order=order, ordered_at=ordered_at),
+            began_at=began_at,
+            former=known.entries if known is not None else (),
+        )
         self._known[order.service] = rollout
         self._beliefs.targets.apply_order(order)
         events.ROLLOUT_ORDERED.log(
--- a/lagoonlever/tests/rollout_losses_tests.py
+++ b/lagoonlever/tests/rollout_losses_tests.py
@@ -32,6 +32,7 @@
 OLD, NEW = ("t-0", "t-1", "t-2", "t-3"), ("t-8", "t-9")
 REWRITE_S = 0.5
 """Time from the restore of the store until operators and live targets have written again."""
+WRITTEN_AGAIN_TURN = 10
 EXPIRY_S = 3.0
 """Time from the restore of the store until the entries of dead targets have expired."""
 SERVED_AGAIN_S = 1.0
@@ -314,6 +315,34 @@
     run_world(scenario, monkeypatch, vms=VMS, world_type=RolloutWorld)
 
 
+def test_a_former_order_of_an_older_copy_shuts_no_targets_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a copy with a version that was rolled back, and completed at a later order."""
+
+    async def scenario(world: World) -> None:
+        assert isinstance(world, RolloutWorld)
+        copy = await order_again(world, monkeypatch)
+        await until(3.0, lambda: world.states() == {RolloutState.RUNNING} == {world.status()})
+        await complete(world, monkeypatch)
+        for name in OLD:
+            world.end(int(name.removeprefix("t-")))
+        await trio.sleep(1.0)
+        lost = await restore(world, copy)
+        targets = [vm.beliefs.targets for vm in world.fleet.vms.values()]
+        await until(SETTLE_S, lambda: {each.as_of.era for each in targets} == {2})
+        for turn in range(100):
+            await trio.sleep(0.1)
+            assert world.states() == {RolloutState.COMPLETED}, turn
+            assert world.served() == {frozenset(NEW)}, turn
+            if turn == WRITTEN_AGAIN_TURN:
+                world.store.write_again(lost)
+        assert world.status() is RolloutState.COMPLETED
+        assert is_status_of_order(world)
+
+    run_world(scenario, monkeypatch, vms=VMS, world_type=RolloutWorld)
+
+
 def test_a_final_status_follows_an_order_that_is_written_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
