Versions: before a decision, targets of unknown version serve where none of a known one takes work

Cause: while an order runs, a target whose version is unknown (it has restarted under its id, or was found without an entry) got no work at all. Where all targets that take work were such ones, and the others left, the service had nobody although targets were ready. Undecided and unordered versions have always served where nothing else is left, and so do these now. After a rollback they get nothing as before: they may be of the version that was rolled back.

Found by the table of judgements (leaving_judgements_tests): over versions, ways to leave, restarts, phases and states, work goes to a ready target if there is one and to no leaving one.

--- a/lagoonlever/decisions/rollouts/versions.py
+++ b/lagoonlever/decisions/rollouts/versions.py
@@ -124,10 +124,15 @@
             return self.phase is not RolloutPhase.HELD
         return self.state is RolloutState.COMPLETED
 
-    @property
-    def takes_unnamed(self) -> bool:
-        """Whether a target may get work whose version is unknown: no version is in question."""
-        return self.order is None or self.state is RolloutState.COMPLETED
+    def takes_unnamed(self, listed: set[str]) -> bool:
+        """Check whether a target may get work whose version is unknown.
+
+        That is so while no version is in question, and before the decision if no target of a
+        known version is available (``listed``): the service does not lose all its targets then.
+        """
+        if self.order is None or self.state is RolloutState.COMPLETED:
+            return True
+        return self.state is RolloutState.RUNNING and not listed
 
     def ordinary_versions(self, listed: set[str]) -> frozenset[str]:
         """Return the versions that ordinary new work goes to, out of those with available targets.
--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -189,10 +189,11 @@
         listed = _versions_of(able)
         wanted = versions.trial_versions(listed) if on_trial else frozenset[str]()
         wanted = wanted or versions.ordinary_versions(listed)
+        takes_unnamed = versions.takes_unnamed(listed)
         return tuple(
             target
             for target in able
-            if target.version in wanted or (target.version is None and versions.takes_unnamed)
+            if target.version in wanted or (target.version is None and takes_unnamed)
         )
 
     def count_blocked_by_version(self, service: str) -> int:
@@ -235,11 +236,11 @@
             return may_continue and target.version == version
         if versions is None:
             return True
-        if target.version is None:
-            return versions.takes_unnamed
-        if versions.is_ordinary(target.version):
+        if target.version is not None and versions.is_ordinary(target.version):
             return True
         listed = _versions_of(self._available(target.service))
+        if target.version is None:
+            return versions.takes_unnamed(listed)
         return target.version in versions.ordinary_versions(listed) | versions.trial_versions(
             listed
         )
