--- a/lagoonlever/tests/soak_tests.py
+++ b/lagoonlever/tests/soak_tests.py
@@ -312,6 +312,19 @@
     assert result.counts.get("stream 200", 0) > 10
 
 
+def test_a_version_that_is_ordered_again_under_its_name_is_not_taken_back(tmp_path: Path) -> None:
+    """Guards against an operator that acts on the end of the first order, and a judge that does."""
+    first, second = 2, 1
+    plan = (
+        Fault(kind=FaultKind.NEW_VERSION, at_s=1.0, for_s=4.0, number=first),
+        Fault(kind=FaultKind.NEW_VERSION, at_s=16.0, for_s=6.0, number=second),
+    )
+    size = attrs.evolve(SHORT, callers=12)
+    result = play(1, tmp_path, length_s=28.0, size=size, plan=plan)
+    assert result.violations == ()
+    assert result.counts["look 200"] > 0
+
+
 def test_prompts_that_end_engines_stop_and_no_other_request_is_barred(tmp_path: Path) -> None:
     """Two prompts end each engine that runs them; their callers return at once, to any VM.
 
