Tests: a process that was never listed, in an outage of the store, is taken for the recorded version (red)

Callers get events of v1 and v2. Not mended here: to refuse such processes while the store is away ends the service of each engine that is back in an outage.

--- a/lagoonlever/tests/version_guesses_tests.py
+++ b/lagoonlever/tests/version_guesses_tests.py
@@ -154,6 +154,27 @@
     run_site(story, engines=0)
 
 
+def test_a_process_that_was_never_listed_in_an_outage_is_not_taken_for_the_recorded_version() -> (
+    None
+):
+    """The store takes no mark of it, and all VMs are lost before it does."""
+
+    async def story(site: GatewaySite) -> None:
+        await _begin_at_an_unlisted_process(site)
+        site.store.fault = StoreFault.REFUSING
+        first = await _read_until_all_die(site, "p-1")
+        for vm in site.vms.values():
+            vm.kill()
+        site.crash("v1-0")
+        list_again(site, "v1-1", state="ready")
+        site.store.fault = StoreFault.NONE
+        await restart(site, "vm-0", "vm-1")
+        second = await site.take_up(first, "p-1", events=EVENTS, Deadline_Ms="3000")
+        assert len(versions_of(first, second)) == 1
+
+    run_site(story, engines=0)
+
+
 async def _start_out_of_step(site: GatewaySite, vm: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Restart a VM, which from then on hears no news of versions and looks at no list for them."""
     site.vms[vm].kill()
