Stand-ins: a reset behind a proxy is a reset before it, too

Both proxies closed the near side of a connection whose far side was reset, so that callers saw an orderly end. In plays of real processes, where the path of each VM lies before the proxy of each engine, every reset and every crash of an engine (which the soak plays as resets) came to gateways as the end of the connection. path_proxy_tests.py::test_a_reset_behind_a_proxy_is_no_orderly_end_before_it failed for both before.

--- a/lagoonlever/fakes/path_proxy.py
+++ b/lagoonlever/fakes/path_proxy.py
@@ -164,7 +164,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             # One side broke or was reset; the other side is to see that too.
             for stream in (source, sink):
-                await trio.aclose_forcefully(stream)
+                _reset(stream)
 
     async def _hold(self, held_by: tuple[PathState, ...]) -> None:
         while self._state in held_by:  # noqa: ASYNC110 - the state changes from outside
--- a/lagoonlever/soak/proxy.py
+++ b/lagoonlever/soak/proxy.py
@@ -92,7 +92,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             # One side broke or was reset; the other side is to see that too.
             for stream in (source, sink):
-                await trio.aclose_forcefully(stream)
+                _reset(stream)
 
 
 def _reset(stream: trio.SocketStream) -> None:
--- a/lagoonlever/tests/path_proxy_tests.py
+++ b/lagoonlever/tests/path_proxy_tests.py
@@ -2,21 +2,26 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 import trio
 
 from lagoonlever.exceptions import ConnectFailed
-from lagoonlever.fakes.path_proxy import PathProxy, PathState
+from lagoonlever.fakes.path_proxy import RESET_BY_CLOSE, PathProxy, PathState
 from lagoonlever.fakes.platform_runner import FakeRunner
 from lagoonlever.http.client import ClientConnection
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import open_listeners
 from lagoonlever.platform.headers import REQUEST_ID
+from lagoonlever.soak.proxy import FaultyProxy
 from lagoonlever.tests.free_ports import free_address
 
 CONNECT_S = 0.3
 ANSWER_S = 0.3
 LIMIT_S = 30.0
+MOMENT_S = 0.1
+BEGUN = b"HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n"
 
 
 async def _start(nursery: trio.Nursery) -> PathProxy:
@@ -77,3 +82,35 @@
                 nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+async def _begin_and_reset(stream: trio.SocketStream) -> None:
+    await stream.receive_some(1_000)
+    await stream.send_all(BEGUN)
+    await trio.sleep(MOMENT_S)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_BY_CLOSE)
+    stream.socket.close()
+
+
+@pytest.mark.parametrize("kind", [PathProxy, FaultyProxy])
+def test_a_reset_behind_a_proxy_is_no_orderly_end_before_it(
+    kind: type[PathProxy | FaultyProxy],
+) -> None:
+    """Guards against stand-ins that show a broken answer as one that has ended."""
+
+    async def main() -> None:
+        with trio.fail_after(LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                target, listen = free_address(), free_address()
+                listeners = await trio.open_tcp_listeners(target.port, host=target.host)
+                nursery.start_soon(trio.serve_listeners, _begin_and_reset, listeners)
+                nursery.start_soon(kind(listen=listen, target=target).run)
+                await trio.sleep(MOMENT_S)
+                stream = await trio.open_tcp_stream(listen.host, listen.port)
+                await stream.send_all(b"GET / HTTP/1.1\r\n\r\n")
+                with pytest.raises(trio.BrokenResourceError):
+                    while await stream.receive_some(1_000):
+                        pass
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
