--- a/lagoonlever/tests/long_streams_tests.py
+++ b/lagoonlever/tests/long_streams_tests.py
@@ -14,6 +14,8 @@
 from lagoonlever.fakes.metadata_store import StoreFault
 from lagoonlever.fakes.platform_engine import EngineConduct
 from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site
+from lagoonlever.tests.handed_over_tests import cut
+from lagoonlever.tests.refusals_tests import WAYS
 from lagoonlever.tests.stream_versions_tests import start_versions, versions_of
 
 PIECES = 140
@@ -180,10 +182,11 @@
             engine.conducts = deque([EngineConduct.NO_LENGTH] * 1_000)
 
 
+@pytest.mark.parametrize("way", WAYS)
 @pytest.mark.parametrize("without_length", [False, True])
 @pytest.mark.parametrize("seed", range(2))
 def test_callers_hold_each_piece_once_and_of_one_version_over_all_faults(
-    seed: int, without_length: bool
+    seed: int, without_length: bool, way: str
 ) -> None:
     """Guards against pieces lost, repeated or joined, and against ends that were none."""
 
@@ -193,7 +196,9 @@
         play = Play(site=site, rng=random.Random(seed), without_length=without_length)
         for name in site.engines:
             play.set_up(name)
+        if way == "peer":
+            await cut(site)
         await play.run()
         assert play.counts["whole"]
 
-    run_site(story, engines=0, vms=3)
+    run_site(story, engines=0, vms=3, cuttable=way == "peer")
