--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -122,6 +122,8 @@
         """Of its software; what it writes shows it."""
         self.dies_at = DeathStage.HEAD
         """How much it has written when a prompt ends it."""
+        self.notices_gone_s = 0.0
+        """For which it goes on with a request whose caller has left."""
         self.prefill_tokens_per_s = prefill_tokens_per_s
         self.event_s = event_s
         self.conducts: deque[EngineConduct] = deque()
@@ -329,6 +331,7 @@
         self, exchange: Exchange, run: EngineRun, scope: trio.CancelScope
     ) -> None:
         await exchange.wait_gone()
+        await trio.sleep(self.notices_gone_s)
         self.cancelled.append(run.request_id)
         scope.cancel()
 
