Crashes: an engine that ends under a request that was left counts (BUDGET)

Where callers gave up, or their time was over, just before their engine's end was seen, nothing was held against their request or its parts: the attempt was cancelled, also while it was asking for its engine, and each such request ended one more engine without end. Class: what is in doubt is dropped with the work that it came from.

Where the suspects of a request have ends already its engine is asked after 0.5 s. An attempt that had broken off is judged on without its request. Ordinary callers that leave cost no question. An engine that is leaving as planned counts against nobody. A cancelled attempt has its line `attempt-ended` now.

Not mended: an engine that ends as its VM's stop cancels the request; the VM is gone before it could tell.

--- a/lagoonlever/gateway/crash_news.py
+++ b/lagoonlever/gateway/crash_news.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 import attrs
 
@@ -41,6 +41,8 @@
     _sound: SoundParts
     _learnt: Callable[[], None]
     """Called after another VM has told something."""
+    _crashed: Callable[[Mapping[str, float]], None]
+    """Called with when processes have crashed, by what another VM has told."""
     _served: Callable[[str], None]
     """Called with the fingerprint of a request that another VM has served after all."""
 
@@ -49,12 +51,14 @@
         async for received in self._bus.subscribe(TargetsEnded):
             message = received.message
             told = read_ends(message, self._timers.now)
-            for process in {process for processes in told.values() for process in processes}:
+            crashed_at = _earliest(told)
+            for process in crashed_at:
                 self._sound.withdraw(process)
             ends = self._unproven(told)
             for part in told.keys() - ends.keys():
                 self._spread.answer(RequestServed(fingerprint=part), to=received.sender.name)
             is_news = self._suspects.record_reported_crashes(ends)
+            self._crashed(crashed_at)
             self._learnt()
             # Others count what this VM knows to be cleared: the news was late here only.
             for fingerprint in self._suspects.find_cleared_here(ends):
@@ -125,3 +129,12 @@
                 if fingerprint in fingerprints
             )
         )
+
+
+def _earliest(crashes: CrashesByRequest) -> dict[str, float]:
+    """Return when each process has crashed, by the earliest report."""
+    crashed_at: dict[str, float] = {}
+    for processes in crashes.values():
+        for process, crash in processes.items():
+            crashed_at[process] = min(crash.at, crashed_at.get(process, crash.at))
+    return crashed_at
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -31,6 +31,7 @@
 from lagoonlever.gateway.crash_records import CrashRecords
 from lagoonlever.gateway.dialer import TargetDialer
 from lagoonlever.gateway.hub_spread import HubSpread
+from lagoonlever.gateway.left_engines import LeftEngines
 from lagoonlever.gateway.lost_engines import Loss, LostEngines
 from lagoonlever.gateway.open_works import OpenWork, OpenWorks
 from lagoonlever.gateway.prober import EngineProber
@@ -84,6 +85,7 @@
     _barred_parts: frozenset[PartSet] = frozenset()
     """The same for parts; those that can't be told apart as one set."""
     _lost_engines: LostEngines = attrs.field(init=False)
+    _left_engines: LeftEngines = attrs.field(init=False)
 
     @_lost_engines.default
     def _make_lost_engines(self) -> LostEngines:
@@ -97,6 +99,16 @@
             crashed=self._record_crash,
         )
 
+    @_left_engines.default
+    def _make_left_engines(self) -> LeftEngines:
+        return LeftEngines(
+            lost_engines=self._lost_engines,
+            beliefs=self._beliefs,
+            dialer=self._dialer,
+            timers=self._timers,
+            has_ends=self._has_ends,
+        )
+
     @_records.default
     def _make_records(self) -> CrashRecords:
         return CrashRecords(
@@ -127,6 +139,7 @@
             suspects=self._suspects,
             sound=self._sound,
             learnt=self._take_news,
+            crashed=lambda crashes: self._left_engines.take_crashes(crashes),
             served=lambda fingerprint: self._records.take_out(fingerprint),
         )
 
@@ -255,6 +268,32 @@
         else:
             self._lost_engines.judge(loss)
 
+    def left(
+        self,
+        accepted: Accepted,
+        engine: ListedTarget,
+        *,
+        weights: CrashWeights,
+        sent_at: float,
+        broke_at: float | None,
+    ) -> None:
+        """Record that an attempt was left, after it had broken or before.
+
+        Its engine may end, or have ended, under it.
+        """
+        at = self._timers.now if broke_at is None else broke_at
+        loss = Loss(accepted=accepted, engine=engine, weights=weights, sent_at=sent_at, at=at)
+        self._left_engines.left(loss, is_broken=broke_at is not None)
+
+    def _has_ends(self, accepted: Accepted) -> bool:
+        """Check whether a target has ended under a request, or a part that may be the cause."""
+        if not self._suspects.crashes:
+            return False
+        if self._suspects.count_crashes(accepted.fingerprint):
+            return True
+        unproven = self._sound.unproven(accepted.suspects.parts, self._timers.now)
+        return bool(self._suspects.suspected(unproven))
+
     async def _record_crash(self, loss: Loss) -> None:
         await self.ended_under(
             loss.accepted, loss.engine, weights=loss.weights, sent_at=loss.sent_at, at=loss.at
@@ -370,6 +409,7 @@
             parts_weight=weights.parts,
         )
         self._tally.add(metrics.TARGETS_ENDED, accepted.route.kind.value)
+        self._left_engines.take_crashes({process: at})
         told = tuple(
             EndTold(
                 fingerprint=suspect,
@@ -429,6 +469,7 @@
         self._suspects.expire(tick.now)
         self._sound.expire(tick.now)
         self._trials.expire(tick.now)
+        self._left_engines.look()
         self._note_answers()
         fellows, roles = self._beliefs.fellows, self._roles.value
         is_alone = bool(fellows.states) and not fellows.present(tick.now)
--- a/lagoonlever/gateway/lost_engines.py
+++ b/lagoonlever/gateway/lost_engines.py
@@ -77,10 +77,13 @@
             finally:
                 self._nursery = None
 
-    def judge(self, loss: Loss) -> None:
-        """Judge a loss beside other work."""
+    def judge(self, loss: Loss, *, after_s: float = 0.0) -> None:
+        """Judge a loss beside other work, or in a while."""
         if self._nursery is None:
             return
+        if after_s:
+            self._nursery.start_soon(self._judge_later, loss, after_s)
+            return
         process = process_name(loss.engine.id, loss.engine.started_ms)
         pending = self._pending.get(process)
         if pending is not None:
@@ -89,6 +92,11 @@
         self._pending[process] = [loss]
         self._nursery.start_soon(self._judge, process, loss.engine)
 
+    def record_gone(self, loss: Loss) -> None:
+        """Record a loss whose engine is known to have crashed."""
+        if self._nursery is not None:
+            self._nursery.start_soon(self._tell, loss, Fate.GONE)
+
     async def wait_judged(self, loss: Loss) -> None:
         """Judge a loss, and wait a moment for that.
 
@@ -101,6 +109,10 @@
         with trio.move_on_after(EVIDENCE_WAIT_S):
             await loss.judged.wait()
 
+    async def _judge_later(self, loss: Loss, after_s: float) -> None:
+        await trio.sleep(after_s)
+        self.judge(loss)
+
     async def _judge(self, process: str, engine: ListedTarget) -> None:
         """Ask for an engine's process until all its losses are judged."""
         closed = 0
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -10,6 +10,7 @@
     BEGUN_S,
     AnswerProgress,
     AnswerStage,
+    CrashWeights,
     weigh_crash,
 )
 from lagoonlever.decisions.engines.engine_rank import rank_at_engine
@@ -43,6 +44,7 @@
 from lagoonlever.gateway.target_client import NotSent, log_foreign
 from lagoonlever.gateway.writer_finder import WriterFinder
 from lagoonlever.http.client import ClientConnection, Response
+from lagoonlever.http.server import CallerGone
 from lagoonlever.http.sse import RawEvent, RawEventSplitter
 from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.platform.headers import read_answer, to_caller, to_target
@@ -104,6 +106,10 @@
     """The answer has flowed for longer than one that ends its engine does."""
     _connection: ClientConnection | None = None
     """Over which the request was written."""
+    _broke_at: float | None = None
+    """When the answer broke off, or the engine was missed."""
+    _is_judged: bool = False
+    """Whether the answer is whole, the engine lives, or its loss is being judged."""
     _reported: RunStatus | None = None
     """What the engine last said of the run."""
     _signs: LivenessSigns = attrs.field(factory=LivenessSigns)
@@ -160,6 +166,15 @@
             self._life.record_engine_busy(engine.id)
             return
         self._connected = self._now
+        try:
+            await self._run_on(connection)
+        except (trio.Cancelled, CallerGone):
+            self._log_end("its caller has left, its time is over, or this VM stops")
+            self._record_left()
+            raise
+
+    async def _run_on(self, connection: ClientConnection) -> None:
+        engine = self._plan.engine
         head: AnswerHead | None = None
         try:
             await self._confirm_process()
@@ -175,9 +190,11 @@
             self._count("moved")
             self._life.record_move()
             self._log_end("left for a better place")
+            self._record_left()
         except _CalledBack:
             self._count("called-back")
             self._log_end("called back: the request ends engines")
+            self._record_left()
         finally:
             await self._tools.client.release(connection, head)
 
@@ -309,6 +326,7 @@
             raise _Ended("ended within an event")
         if not (self._given or self._life.position or connection.tells_length):
             raise _Ended("ended before its first event, with neither a length nor chunks")
+        self._is_judged = True
         await self._accepted.exchange.finish()
         self._count("answered")
         self._counts.whole(self._now)
@@ -534,12 +552,14 @@
     async def _lost(self, ended: _Ended) -> None:
         """Ask the engine whether it lives: one that only lost an answer is not left by all."""
         engine, broke_at = self._plan.engine, self._now
+        self._broke_at = broke_at
         alive = False
         if not ended.unanswered:
             # A report from just before the break would say that an engine lives which has ended.
             report = await self._tools.prober.ask(engine, since=broke_at)
             alive = report is not None and not is_other_process(engine, report)
             self._take_report(report)
+        self._is_judged = alive
         self._count("lost" if alive else "target-gone")
         if alive and not self._is_cut:
             self._counts.failed()
@@ -556,12 +576,8 @@
 
     async def _record_crash(self, ended: _Ended) -> None:
         """Have the loss of the engine counted against the request, if it ended under it."""
-        crashes, engine = self._tools.crashes, self._plan.engine
-        weights = weigh_crash(
-            self._stage,
-            has_flowed=self._life.has_flowed,
-            goes_on=bool(self._accepted.caller.last_event_id),
-        )
+        crashes, engine, weights = self._tools.crashes, self._plan.engine, self._crash_weights
+        self._is_judged = True
         if weights.is_nothing:
             return
         if self._is_down or not self._others_may_know:
@@ -578,6 +594,28 @@
             waits=not ended.unanswered or self._answered,
         )
 
+    def _record_left(self) -> None:
+        """Have it found out whether the engine ends under a request that was left."""
+        weights = self._crash_weights
+        if self._connection is None or self._is_judged or weights.is_nothing:
+            return
+        self._tools.crashes.left(
+            self._accepted,
+            self._plan.engine,
+            weights=weights,
+            sent_at=self._started,
+            broke_at=self._broke_at,
+        )
+
+    @property
+    def _crash_weights(self) -> CrashWeights:
+        """How much the end of the engine would count against the request."""
+        return weigh_crash(
+            self._stage,
+            has_flowed=self._life.has_flowed,
+            goes_on=bool(self._accepted.caller.last_event_id),
+        )
+
     @property
     def _has_read(self) -> bool:
         """Whether the engine has read the prompt, or need not."""
--- a/lagoonlever/tests/crash_news_tests.py
+++ b/lagoonlever/tests/crash_news_tests.py
@@ -56,6 +56,7 @@
             suspects=suspects,
             sound=sound,
             learnt=lambda: None,
+            crashed=lambda _: None,
             served=lambda _: None,
         )
         for part in (news.receive_ends, news.receive_served):
--- a/lagoonlever/tests/deadly_parts_fleet_tests.py
+++ b/lagoonlever/tests/deadly_parts_fleet_tests.py
@@ -115,6 +115,7 @@
             suspects=suspects,
             sound=sound,
             learnt=lambda: None,
+            crashed=lambda _: None,
             served=lambda _: None,
         )
         for part in (news.receive_ends, news.receive_served):
