Crashes: an attempt that is cancelled while its engine is asked for counts, whatever it is raised in

A caller that left some 10 ms after its engine had ended, while the engine was being asked for, still had the end counted for nothing: the cancellation came out of the prober's nursery as an exception group, which `except (Cancelled, CallerGone)` of the commit before does not meet. Class: exceptions by class, where nurseries raise groups. Now whatever ends an attempt has its engine judged, a fault of ours as well.

`deadly_requests_stages_tests.py`: a request that ends engines at each of five stages, two callers at once that return to any of three VMs, and callers that leave as their engines end. All nine cases pass, and those of `deadly_parts_leaving_tests.py`. The five stages passed before as well, with the weights that requests have.

--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -44,7 +44,6 @@
 from lagoonlever.gateway.target_client import NotSent, log_foreign
 from lagoonlever.gateway.writer_finder import WriterFinder
 from lagoonlever.http.client import ClientConnection, Response
-from lagoonlever.http.server import CallerGone
 from lagoonlever.http.sse import RawEvent, RawEventSplitter
 from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.platform.headers import read_answer, to_caller, to_target
@@ -168,8 +167,9 @@
         self._connected = self._now
         try:
             await self._run_on(connection)
-        except (trio.Cancelled, CallerGone):
-            self._log_end("its caller has left, its time is over, or this VM stops")
+        except BaseException:
+            # A cancellation may come as a group, out of the nursery of a question.
+            self._log_end("given up: its caller has left, its time is over, or this VM stops")
             self._record_left()
             raise
 
