Entry: an engine that ends right after its first token counts against the prompt

Callers of entry VMs saw every answer fail once a prompt ended engines after their first token: an end with any token was held against nothing, so each of eight attempts of each return ended one more. Class: as with the gateways, evidence that is not certain is thrown away in place of weighed.

One of a stream that was running at the engine before, and is only taken up there, counts nothing after a token.

Not done here: ends that are only silent, and callers that leave as their engine ends, count nothing at entry VMs; prompts there name no parts.

--- a/lagoonlever/entry/engines/crashes.py
+++ b/lagoonlever/entry/engines/crashes.py
@@ -14,7 +14,7 @@
 from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
 from lagoonlever.decisions.engines.fingerprints import RequestIdentity
 from lagoonlever.decisions.engines.suspect_placement import choose_suspect_engine
-from lagoonlever.decisions.engines.target_crashes import WEIGHT_STARTED, Crash, process_name
+from lagoonlever.decisions.engines.target_crashes import Crash, process_name
 from lagoonlever.decisions.membership.membership import MemberView
 from lagoonlever.decisions.streams.generation_messages import GenerationSpec
 from lagoonlever.decisions.targets.targets import Target
@@ -104,15 +104,15 @@
             fingerprint, processes, crashed=self._suspects.crashes[fingerprint]
         )
 
-    async def look(self, spec: GenerationSpec, target: Target, *, sent_at: float) -> None:
-        """Note that an engine ended under a request that got no token of it, if it has ended."""
+    async def look(
+        self, spec: GenerationSpec, target: Target, *, sent_at: float, weight: float
+    ) -> None:
+        """Record that an engine ended as it began a request, if it has ended."""
         process = process_name(target.name, None)
         if await _accepts(target) or self._suspects.has_crashed(process, sent_at):
             return
         fingerprint, now = _fingerprint(spec), self._timers.now
-        if not self._suspects.record_crash(
-            fingerprint, process, Crash(at=now, weight=WEIGHT_STARTED)
-        ):
+        if not self._suspects.record_crash(fingerprint, process, Crash(at=now, weight=weight)):
             return
         ENGINE_ENDED_UNDER.log(
             log,
@@ -122,7 +122,7 @@
             ended=self._suspects.count_crashes(fingerprint),
             fingerprint=fingerprint,
         )
-        told = EndTold(fingerprint=fingerprint, process=process, age_s=0.0, weight=WEIGHT_STARTED)
+        told = EndTold(fingerprint=fingerprint, process=process, age_s=0.0, weight=weight)
         self._tell(TargetsEnded(ends=(told,)))
         self._ends_known()
 
--- a/lagoonlever/entry/engines/engines.py
+++ b/lagoonlever/entry/engines/engines.py
@@ -9,6 +9,8 @@
 import trio
 
 from lagoonlever.decisions.admission.admission import AdmissionRequest
+from lagoonlever.decisions.engines.answer_stages import AnswerProgress, AnswerStage
+from lagoonlever.decisions.engines.target_crashes import WEIGHT_QUEUED, WEIGHT_STARTED
 from lagoonlever.decisions.routing.routing import Choice, ModelQuery, RequestFeatures, Router
 from lagoonlever.decisions.shares.shares import work_of
 from lagoonlever.decisions.streams.generation_messages import Dispatch, FailureCause, GenerationSpec
@@ -68,8 +70,28 @@
     grant: Admitted
     features: RequestFeatures
     started_at: float
+    is_taken_up: bool = False
+    """The stream was running there before."""
     uncharged_tokens: int = 0
     tokens: int = 0
+    first_token_at: float | None = None
+    last_token_at: float = 0.0
+
+    def record_tokens(self, count: int, now: float) -> None:
+        """Record that tokens came."""
+        if self.first_token_at is None:
+            self.first_token_at = now
+        self.last_token_at = now
+        self.tokens += count
+        self.uncharged_tokens += count
+
+    @property
+    def progress(self) -> AnswerProgress:
+        """How far the engine's answer has come."""
+        first_at = self.first_token_at
+        return AnswerProgress(
+            events_for_s=None if first_at is None else self.last_token_at - first_at
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -187,8 +209,7 @@
         """Note that tokens came."""
         if not placement.tokens:
             self._guard.connected(placement.target)
-        placement.tokens += count
-        placement.uncharged_tokens += count
+        placement.record_tokens(count, self._timers.now)
         self._watch.token(engine=placement.target.name, attempt=dispatch.attempt)
         if placement.uncharged_tokens >= CHARGE_TOKENS:
             self._charge(placement)
@@ -231,11 +252,18 @@
     ) -> NotRun | None:
         """Look whether an engine ended under an attempt; gives why there is to be no other.
 
-        Not where tokens had come: what was running beside a prompt that ends its engine is
-        no cause of it.
+        Not where tokens had come for a while: what was running beside a prompt that ends its
+        engine is no cause of it.
         """
-        if cause is FailureCause.BROKEN and not placement.tokens:
-            await self._crashes.look(spec, placement.target, sent_at=placement.started_at)
+        stage = placement.progress.stage
+        has_flowed = stage is AnswerStage.FLOWING or (placement.is_taken_up and placement.tokens)
+        if cause is FailureCause.BROKEN and not has_flowed:
+            await self._crashes.look(
+                spec,
+                placement.target,
+                sent_at=placement.started_at,
+                weight=WEIGHT_QUEUED if stage is AnswerStage.BEGUN else WEIGHT_STARTED,
+            )
         return self._crashes.refusal(spec)
 
     def cancel(self, spec: GenerationSpec, dispatch: Dispatch, target: Target) -> None:
@@ -288,7 +316,13 @@
             if not isinstance(choice, Choice):
                 return None
             target = choice.target
-        return Placement(target=target, grant=grant, features=features, started_at=self._timers.now)
+        return Placement(
+            target=target,
+            grant=grant,
+            features=features,
+            started_at=self._timers.now,
+            is_taken_up=dispatch.reattach,
+        )
 
     def _gathering_place(
         self, spec: GenerationSpec, dispatch: Dispatch, query: ModelQuery
--- a/lagoonlever/tests/engine_crashes_tests.py
+++ b/lagoonlever/tests/engine_crashes_tests.py
@@ -16,6 +16,8 @@
 
 DEADLY = "ends-each"
 MOST_ENDED = 3
+LATER = 3
+"""Retries that may still end an engine each, as an end after a token is a half."""
 TOLD_S = 3.0
 """Within this every VM refuses what has ended three engines."""
 SHORT = 7
@@ -25,12 +27,22 @@
 """By it an engine takes longer for a token than any test waits."""
 
 
-def arm_all(scene: Scene) -> None:
-    """Have each engine die as it begins a request whose id names it deadly."""
-    for engine in scene.cluster.engines.values():
+def arm_all(scene: Scene, *, after_tokens: int = 0) -> None:
+    """Have each engine die as it begins a request whose id names it deadly, or right after.
 
-        def sent(stream: str, tokens: int, engine: FakeEngine = engine) -> None:
-            if stream.startswith(DEADLY) and tokens == 0:
+    A stream that goes on at an engine has tokens of others before.
+    """
+    for engine in scene.cluster.engines.values():
+        before: dict[str, int] = {}
+
+        def sent(
+            stream: str,
+            tokens: int,
+            engine: FakeEngine = engine,
+            before: dict[str, int] = before,
+        ) -> None:
+            own = tokens - before.setdefault(stream, tokens)
+            if stream.startswith(DEADLY) and own >= after_tokens:
                 engine.inject(FaultOrder(kind=FaultKind.DIE))
 
         engine._faults.sent = sent  # type: ignore[method-assign]
@@ -87,6 +99,21 @@
     run_scene(story, tmp_path, engines=12, vms=3)
 
 
+def test_a_prompt_that_ends_engines_after_their_first_token_is_stopped(tmp_path: Path) -> None:
+    """An engine that had written a token was held against nothing: each return ended eight."""
+
+    async def story(scene: Scene) -> None:
+        arm_all(scene, after_tokens=1)
+        for number in range(3):
+            await ask_deadly(scene, number)
+            await trio.sleep(TOLD_S / 3)
+        assert MOST_ENDED <= ended(scene) <= MOST_ENDED + LATER
+        held = await scene.ask(name="other", length=SHORT, seed=2)
+        assert held.text == expected_text(length=SHORT, seed=2)
+
+    run_scene(story, tmp_path, engines=16, vms=3)
+
+
 def arm_after_reading(scene: Scene, *, is_quick: Callable[[str], bool]) -> None:
     """Have each engine die once it has read a deadly prompt; that takes no time where quick."""
 
