Entry: an answer that a stop string ends clears its prompt, too

A sound prompt with a stop string was refused after some engines had died under it by chance: the attempt is cancelled at the stop string, before its engine's end mark, so it counted as one that fell silent, and no answer ever cleared the prompt's ends. And an attempt that ended as its request had been given up counted as a whole answer. Class: the end of an attempt is taken for the end of the answer. Now the request's own outcome tells.

An engine that finished by a stop string is still noted as silent to the guard of targets: not changed.

--- a/lagoonlever/entry/engines/engines.py
+++ b/lagoonlever/entry/engines/engines.py
@@ -230,11 +230,13 @@
         self._admission.release(placement.grant)
         took_s = now - placement.started_at if cause is None else None
         self._router.ended(target.name, now=now, took_s=took_s)
-        if cause is None:
-            self._crashes.served(spec)
         if cause in (FailureCause.CONNECT_FAILED, FailureCause.SILENT):
             self._guard.connect_failed(target)
 
+    def served(self, spec: GenerationSpec) -> None:
+        """Record that the answer to a request is whole: its prompt ends no engine."""
+        self._crashes.served(spec)
+
     def refusal(self, spec: GenerationSpec) -> NotRun | None:
         """Give why a prompt may not run as it ends engines, or None."""
         return self._crashes.refusal(spec)
--- a/lagoonlever/entry/generations/task.py
+++ b/lagoonlever/entry/generations/task.py
@@ -25,7 +25,7 @@
 from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed, PeerError
 from lagoonlever.http.server import Exchange
-from lagoonlever.outcomes import NotRun, Reason
+from lagoonlever.outcomes import Done, NotRun, Reason
 from lagoonlever.targets.completions import EngineChunk
 
 log = logbook.Logger(__name__)
@@ -305,3 +305,7 @@
                     finish_reason=choice.finish_reason,
                 )
             )
+        finished = self._life.finished
+        if finished is not None and isinstance(finished.outcome, Done):
+            # Also where a stop string ends the answer, and so the attempt, before its engine does.
+            self._engines.served(self.spec)
