Prompts: one that goes on at the next engine is not read twice (STARVED)

Callers of streams were refused ("engines read for … of their time already") while engines had time, and those of all kinds of streams alike, as calls went on.

Cause: each prompt that was sent counted as a whole reading for eight seconds, at each engine that it went to. An engine that ends reads no more of it, nor does one that it leaves for a better place after some milliseconds. Where engines end by the dozen the share of their time rose above its bound by reading that nobody does. Class: work that was asked for counts as work that is done.

Now a prompt that is sent again counts at its former engine for the time that it was there, at most. What was read whole, or in vain for seconds, still counts.

Open: a prompt whose request ends with its engine, or whose VM is lost, still counts in full.

--- a/lagoonlever/decisions/engines/engine_scheduler.py
+++ b/lagoonlever/decisions/engines/engine_scheduler.py
@@ -341,7 +341,13 @@
 
     def record_dispatch(self, run: EngineRun, now: float) -> None:
         """Record a run that was sent to an engine, in place of the request's former run."""
-        self._prefill_window.record_prompt(run.service, tokens=run.prompt_tokens, now=now)
+        self._prefill_window.record_prompt(
+            run.service,
+            request=run.request,
+            tokens=run.prompt_tokens,
+            token_s=self.timings.prompt_token_s(run.service),
+            now=now,
+        )
         self._records.record_sent(run, now)
 
     def record_reported_run(self, run: EngineRun, now: float) -> None:
@@ -371,6 +377,7 @@
             return
         run = record.run
         record.run = attrs.evolve(run, flowing=True)
+        self._prefill_window.record_read(request)
         self._last_prefill_at[run.engine] = now
         if not record.shared_prefill:
             seconds = now - record.recorded_at
--- a/lagoonlever/tests/prompt_admission_tests.py
+++ b/lagoonlever/tests/prompt_admission_tests.py
@@ -93,6 +93,35 @@
     assert on.prefill_load(SERVICE, engines=4, now=16.1 + WINDOW_S).prompts == 0
 
 
+def test_prompts_that_go_from_one_ended_engine_to_the_next_are_read_once() -> None:
+    """Guards against new prompts that are refused for reading which no engine does.
+
+    A prompt in a line of engines that end counted in full at each, so that idle engines seemed
+    to read for most of their time.
+    """
+    on = book()
+    on.timings = seen(times=1.0)
+    for number in range(24):
+        at = 10.0 + 0.25 * number
+        for turn in range(4):
+            on.record_dispatch(run(f"r{number}", f"e{(number + turn) % 18}"), at + 0.02 * turn)
+    load = on.prefill_load(SERVICE, engines=18, now=16.5)
+    assert load.share == pytest.approx(24 * 1.0 / (WINDOW_S * 18), rel=0.1)
+
+
+def test_what_an_engine_read_in_vain_still_counts() -> None:
+    """A prompt that goes on elsewhere after a whole reading, or after a part of one."""
+    on = book()
+    on.timings = seen(times=1.0)
+    for number in range(24):
+        on.record_dispatch(run(f"r{number}", f"e{number % 6}"), 10.0)
+        if number < 12:
+            on.record_first_event(f"r{number}", 11.0)
+        on.record_dispatch(run(f"r{number}", f"e{(number + 1) % 6}"), 10.5 + (number < 12))
+    load = on.prefill_load(SERVICE, engines=6, now=16.0)
+    assert load.share == pytest.approx((12 * 2.0 + 12 * 1.5) / (WINDOW_S * 6), rel=0.05)
+
+
 def test_overloaded_engines_reject_new_prompts_and_accept_resumed_streams() -> None:
     """Guards against new prompts on slow engines whose time is already full of prefills.
 
