Prompts: a less urgent one is not refused by its place in line alone (STARVED)

While few engines are left and more urgent prompts come without end, each prompt of a less urgent rank was refused as it came, and when it came back: all urgent ones stand before it, and by that it could not begin in time. That one start in four goes to the oldest of the less urgent ones was known to the order of the line and not to its refusals, so hardly one of them stayed in line to take that start. With objectives that differ as far as the ranks do (4 and 10 s, as in all tests) it doesn't show. Class: two rules about one thing, of which one forgets the other.

Now the expected wait is that until the prompt's own share, if that is less.

--- a/lagoonlever/decisions/admission/prompt_queue.py
+++ b/lagoonlever/decisions/admission/prompt_queue.py
@@ -234,7 +234,7 @@
         prompt = self._waiting[prompt_id]
         ordered = self.order(now, max_per_s=max_per_s)
         per_s = self._rate.starts_per_s(now, max_per_s=max_per_s)
-        ahead = ordered.index(prompt)
+        ahead = min(ordered.index(prompt), self._starts_until_share(prompt, now))
         in_time = prompt.priority_class(now) is PriorityClass.IN_TIME
         start_by = prompt.request.start_by if in_time else prompt.request.end_by
         if now + WAIT_DISCOUNT * ahead / per_s <= start_by:
@@ -261,6 +261,18 @@
         per_s = self._rate.starts_per_s(now, max_per_s=max_per_s)
         return all(now + n / per_s <= w.request.start_by for n, w in enumerate(ordered))
 
+    def _starts_until_share(self, prompt: QueuedPrompt, now: float) -> float:
+        """Return the starts until a prompt gets one of those that less urgent ones have.
+
+        Infinity for a prompt that has no share of its own: of the most urgent ones, or late.
+        """
+        behind = self._behind_urgent(now)
+        if prompt not in behind:
+            return math.inf
+        own = (prompt.request.arrived_at, prompt.request.request_id)
+        older = sum((w.request.arrived_at, w.request.request_id) < own for w in behind)
+        return (older + 1) * (MAX_CONSECUTIVE_URGENT_STARTS + 1) - 1
+
     def _behind_urgent(self, now: float) -> list[QueuedPrompt]:
         """Return the prompts of other than the most urgent class and rank; late ones excluded."""
         classes = {
