--- a/lagoonlever/soak/callers.py
+++ b/lagoonlever/soak/callers.py
@@ -71,13 +71,13 @@
 
     @property
     def _tries(self) -> int:
-        traffic = self.site.deployment.traffic
+        traffic = self.site.shape.traffic
         return RETRIES if traffic is None else traffic.tries
 
     @property
     def _pause_s(self) -> float:
         """How long this caller waits before it comes back with the same request."""
-        return PAUSE_S if self.site.deployment.traffic is None else self._told_pause_s or PAUSE_S
+        return PAUSE_S if self.site.shape.traffic is None else self._told_pause_s or PAUSE_S
 
     async def run(self) -> None:
         """Send bids, lookups and streams."""
@@ -94,7 +94,7 @@
         while True:
             route = self.site.deployment.stream_routes[0]
             self._began = None
-            await self._stream_once(route, part, self.site.deployment.events[1], 0, None)
+            await self._stream_once(route, part, self.site.shape.events[1], 0, None)
             await self._drop()
             await trio.sleep(self.rng.uniform(*DEADLY_PAUSE_S))
 
@@ -106,9 +106,7 @@
             own = f"{self.rng.getrandbits(64):016x}"
             self._began = None
             shared = (*self._shared_parts(own), part)
-            await self._stream_once(
-                route, own, self.site.deployment.events[1], 0, None, shared=shared
-            )
+            await self._stream_once(route, own, self.site.shape.events[1], 0, None, shared=shared)
             await self._drop()
             await trio.sleep(self.rng.uniform(*DEADLY_PAUSE_S))
 
@@ -119,7 +117,7 @@
             return PATIENT_ORGANISATION
         if self.number >= FIRST_OTHER:
             return ORGANISATION
-        return self.site.deployment.organisation_of(self.number)
+        return self.site.shape.organisation_of(self.number)
 
     async def send_one(self, kind: str) -> None:
         """Send one request of a kind, and come back as the rules allow."""
@@ -153,12 +151,12 @@
         """Read a stream to its end, coming back after breaks; gives whether it was whole."""
         part = f"{self.rng.getrandbits(64):016x}"
         route = route or self.rng.choice(self.site.deployment.stream_routes)
-        events = self.rng.randint(*self.site.deployment.events)
+        events = self.rng.randint(*self.site.shape.events)
         leave_at = self.rng.randint(1, events) if self.rng.random() < self.leaves else None
         told = 0
         whole = False
         self._began = None
-        with trio.move_on_after(self.site.deployment.stream_timeout_s) as scope:
+        with trio.move_on_after(self.site.shape.stream_timeout_s) as scope:
             for _ in range(self._tries):
                 told, whole = await self._stream_once(route, part, events, told, leave_at)
                 if whole:
@@ -238,15 +236,13 @@
             self.judge.counts["streams taken up"] += 1
         more = prompt_fields(
             part,
-            prompt_tokens=random.Random(f"{part}-size").randint(
-                *self.site.deployment.prompt_tokens
-            ),
+            prompt_tokens=random.Random(f"{part}-size").randint(*self.site.shape.prompt_tokens),
             output_tokens=events * EVENT_TOKENS,
             last_event_id=told or None,
             resumes=self._began,
             shared=shared,
         )
-        headers = self._headers(request, self.site.deployment.stream_timeout_s, more)
+        headers = self._headers(request, self.site.shape.stream_timeout_s, more)
         splitter = RawEventSplitter()
         sent_at = trio.current_time()
         try:
--- a/lagoonlever/soak/deployments.py
+++ b/lagoonlever/soak/deployments.py
@@ -56,19 +56,9 @@
 
 
 @attrs.frozen(kw_only=True)
-class Deployment:
-    """What differs from run to run."""
+class Shape:
+    """Whose requests come, how long they are, and how fast engines are; not drawn."""
 
-    stream_ranks: tuple[int, ...] = (1,)
-    """The ranks of the routes for streams."""
-    has_patient: bool = False
-    """Whether some callers belong to an organisation with a rank of its own."""
-    memory_tokens: int = PLENTIFUL_TOKENS
-    """Of each engine."""
-    paces: tuple[float, ...] = EVEN_PACES
-    """How many times as long work takes on the engines, in turn."""
-    tells_slowness: bool = False
-    """Whether runners' machines are slow for moments, and say so."""
     organisations: int = 1
     """Of the usual rank; callers of the first three are half of all."""
     prompt_tokens: tuple[int, int] = (1_000, 1_000)
@@ -82,14 +72,6 @@
     traffic: Traffic | None = None
     """Without one, each caller sends its next request soon after the former one's end."""
 
-    @property
-    def stream_routes(self) -> tuple[str, ...]:
-        """The names of the routes for streams, in the order of their ranks."""
-        return tuple(
-            f"stream-{rank}" if rank not in self.stream_ranks[:n] else f"stream-{rank}-{n}"
-            for n, rank in enumerate(self.stream_ranks)
-        )
-
     def organisation_of(self, number: int) -> str:
         """Return the organisation of the usual rank that a caller belongs to, by its number."""
         if self.organisations <= LARGE:
@@ -98,10 +80,40 @@
             return _organisation(number // 2 % LARGE)
         return _organisation(LARGE + number // 2 % (self.organisations - LARGE))
 
-    def configuration(self, version: int, keys: tuple[str, ...]) -> Configuration:
+
+SHORT_STREAMS = Shape()
+"""One organisation, and streams of a second at most."""
+
+
+@attrs.frozen(kw_only=True)
+class Deployment:
+    """What differs from run to run."""
+
+    stream_ranks: tuple[int, ...] = (1,)
+    """The ranks of the routes for streams."""
+    has_patient: bool = False
+    """Whether some callers belong to an organisation with a rank of its own."""
+    memory_tokens: int = PLENTIFUL_TOKENS
+    """Of each engine."""
+    paces: tuple[float, ...] = EVEN_PACES
+    """How many times as long work takes on the engines, in turn."""
+    tells_slowness: bool = False
+    """Whether runners' machines are slow for moments, and say so."""
+
+    @property
+    def stream_routes(self) -> tuple[str, ...]:
+        """The names of the routes for streams, in the order of their ranks."""
+        return tuple(
+            f"stream-{rank}" if rank not in self.stream_ranks[:n] else f"stream-{rank}-{n}"
+            for n, rank in enumerate(self.stream_ranks)
+        )
+
+    def configuration(
+        self, version: int, keys: tuple[str, ...], shape: Shape = SHORT_STREAMS
+    ) -> Configuration:
         """Return a version of the configuration, with these keys of the first organisation."""
         organisations = {key: Organisation(name=ORGANISATION) for key in keys}
-        for name in map(_organisation, range(1, self.organisations)):
+        for name in map(_organisation, range(1, shape.organisations)):
             organisations[key_of(name)] = Organisation(name=name)
         if self.has_patient:
             rank = max(self.stream_ranks) + 1
@@ -109,7 +121,7 @@
             organisations[PATIENT_KEY] = patient
         return Configuration(
             version=version,
-            routes=(*self._streams(), *_CALLS),
+            routes=(*self._streams(shape), *_CALLS),
             services={service.name: service for service in self._services()},
             organisations=organisations,
             requires_key=True,
@@ -129,7 +141,7 @@
             return None
         return SLOW_MOMENT if rng.random() < SLOW_MOMENTS else 1.0
 
-    def _streams(self) -> tuple[ServiceRoute, ...]:
+    def _streams(self, shape: Shape) -> tuple[ServiceRoute, ...]:
         return tuple(
             _route(
                 name,
@@ -137,7 +149,7 @@
                 "engines",
                 attempts=5,
                 rank=rank,
-                timeout_s=self.stream_timeout_s,
+                timeout_s=shape.stream_timeout_s,
             )
             for name, rank in zip(self.stream_routes, self.stream_ranks, strict=True)
         )
@@ -164,10 +176,11 @@
 """One rank, room enough, and targets that are all alike."""
 
 
-MANY_ORGANISATIONS = Deployment(stream_ranks=(1, 1), organisations=10)
-"""Two kinds of streams of ten organisations, a few of them large."""
-LONG_STREAMS = Deployment(
-    stream_ranks=(1, 1),
+TWO_KINDS = Deployment(stream_ranks=(1, 1))
+"""Two kinds of streams of one rank."""
+MANY_ORGANISATIONS = Shape(organisations=10)
+"""A few of them are large."""
+LONG_STREAMS = Shape(
     organisations=10,
     prompt_tokens=(3_000, 9_000),
     events=(80, 190),
@@ -179,7 +192,7 @@
         mix=(("bid", 57.9), ("look", 23.2), ("stream-1", 7.9), ("stream-1-1", 1.4)),
     ),
 )
-"""Two kinds of streams of ten organisations; a prompt takes a second to read, an answer four."""
+"""Ten organisations; a prompt takes a second to read, an answer four."""
 
 
 def key_of(organisation: str) -> str:
--- a/lagoonlever/soak/run.py
+++ b/lagoonlever/soak/run.py
@@ -19,7 +19,9 @@
     HOST,
     ORGANISATION,
     PLAIN,
+    SHORT_STREAMS,
     Deployment,
+    Shape,
     Traffic,
     draw_deployment,
 )
@@ -84,6 +86,7 @@
     program: tuple[str, ...] = GATEWAY,
     plan: tuple[Fault, ...] | None = None,
     deployment: Deployment | None = None,
+    shape: Shape = SHORT_STREAMS,
 ) -> SoakResult:
     """Play one seed, or a given plan; logs of the processes go to ``folder``.
 
@@ -101,6 +104,7 @@
             rng=random.Random(f"{seed}-site"),
             program=program,
             deployment=deployment,
+            shape=shape,
             dies_at=size.dies_at,
             back_after_s=size.back_after_s,
         )
@@ -124,8 +128,8 @@
 
 async def _play(site: SoakSite, plan: tuple[Fault, ...], size: SoakSize, seed: int) -> None:
     async with trio.open_nursery() as nursery:
-        if site.deployment.traffic is not None:
-            nursery.start_soon(_send_traffic, site, site.deployment.traffic, size, seed)
+        if site.shape.traffic is not None:
+            nursery.start_soon(_send_traffic, site, site.shape.traffic, size, seed)
         else:
             for number in range(size.callers):
                 nursery.start_soon(_caller(number, site, size, seed).run)
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -25,7 +25,7 @@
 from lagoonlever.platform.documents import configuration_document, settings_text, target_entry
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
 from lagoonlever.platform.targets import TARGETS_PREFIX
-from lagoonlever.soak.deployments import MOMENT_S, PLAIN, SLOTS, Deployment
+from lagoonlever.soak.deployments import MOMENT_S, PLAIN, SHORT_STREAMS, SLOTS, Deployment, Shape
 from lagoonlever.soak.gateway import PATH_PORT_VARIABLE
 from lagoonlever.soak.judge import Judge
 from lagoonlever.soak.proxy import FaultyProxy
@@ -106,6 +106,7 @@
     rng: random.Random
     program: tuple[str, ...] = GATEWAY
     deployment: Deployment = PLAIN
+    shape: Shape = SHORT_STREAMS
     dies_at: DeathStage = DeathStage.HEAD
     """How much of its answer an engine has written when a prompt ends it."""
     back_after_s: float = BACK_AFTER_S
@@ -170,7 +171,7 @@
         self.version += self.rng.randint(1, 4)
         self.revoked = self.keys[0]
         self.keys = (*self.keys[1:], f"key-{self.version}")
-        configuration = self.deployment.configuration(self.version, self.keys)
+        configuration = self.deployment.configuration(self.version, self.keys, self.shape)
         self.store.put(CONFIGURATION_KEY, configuration_document(configuration))
 
     def start_vm(self, vm: SoakVm) -> None:
@@ -360,6 +361,8 @@
                 room=self.deployment.engine_room(),
                 version=version or USUAL_VERSION,
                 site=self,
+                shape=self.shape,
+                dies_at=self.dies_at,
             )
             self._fleet[str(proxy.listen)] = server
         else:
--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -6,12 +6,13 @@
 
 import trio
 
-from lagoonlever.fakes.platform_engine import FakeEngine
+from lagoonlever.fakes.platform_engine import DeathStage, FakeEngine
 from lagoonlever.fakes.platform_runner import FakeRunner
 from lagoonlever.fakes.target_room import TargetRoom
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.server import Exchange
 from lagoonlever.platform.headers import EXPECTED_TARGET, PROMPT_PARTS, REQUEST_ID
+from lagoonlever.soak.deployments import SHORT_STREAMS, Shape
 from lagoonlever.soak.judge import Judge
 from lagoonlever.soak.needs import NeedWatch
 
@@ -76,19 +77,21 @@
         room: TargetRoom,
         version: str,
         site: SoakSite,
+        shape: Shape = SHORT_STREAMS,
+        dies_at: DeathStage = DeathStage.HEAD,
     ) -> None:
         super().__init__(
             target_id=target_id,
             version=version,
             fleet=fleet,
-            prefill_tokens_per_s=site.deployment.prefill_tokens_per_s / pace,
-            event_s=site.deployment.event_s * pace,
+            prefill_tokens_per_s=shape.prefill_tokens_per_s / pace,
+            event_s=shape.event_s * pace,
             started_ms=started_ms,
             deadly=site.deadly,
             die=lambda: site.engine_dies(target_id),
         )
         self.room = room
-        self.dies_at = site.dies_at
+        self.dies_at = dies_at
         self._judge = judge
         self._site = site
 
--- a/lagoonlever/tests/deadly_parts_plays.py
+++ b/lagoonlever/tests/deadly_parts_plays.py
@@ -17,7 +17,7 @@
 import trio
 
 from lagoonlever.fakes.platform_engine import DeathStage
-from lagoonlever.soak.deployments import LONG_STREAMS, MANY_ORGANISATIONS, PLAIN, Deployment
+from lagoonlever.soak.deployments import LONG_STREAMS, MANY_ORGANISATIONS, TWO_KINDS, Shape
 from lagoonlever.soak.plan import Fault, FaultKind, draw_plan
 from lagoonlever.soak.run import SoakResult, SoakSize, run_soak
 
@@ -73,14 +73,20 @@
     code: Path,
     folder: Path,
     size: SoakSize,
-    deployment: Deployment = PLAIN,
+    shape: Shape = MANY_ORGANISATIONS,
 ) -> SoakResult:
     """Play one by its name, or a drawn plan of all kinds of faults by the name ``drawn``."""
     os.environ["PYTHONPATH"] = str(code)
     drawn = name == "drawn"
     plan = draw_plan(seed, length_s=size.length_s) if drawn else tuple(PLAYS[name]())
     return await run_soak(
-        seed, size=size, folder=folder, program=GATEWAY, plan=plan, deployment=deployment
+        seed,
+        size=size,
+        folder=folder,
+        program=GATEWAY,
+        plan=plan,
+        deployment=TWO_KINDS,
+        shape=shape,
     )
 
 
@@ -108,7 +114,7 @@
         dies_at=given.stage,
         back_after_s=given.back,
     )
-    deployment = LONG_STREAMS if given.long else MANY_ORGANISATIONS
+    shape = LONG_STREAMS if given.long else MANY_ORGANISATIONS
 
     async def run() -> SoakResult:
         return await play(
@@ -117,7 +123,7 @@
             code=given.code,
             folder=folder,
             size=size,
-            deployment=deployment,
+            shape=shape,
         )
 
     result = trio.run(run)
--- a/lagoonlever/tests/soak_served_tests.py
+++ b/lagoonlever/tests/soak_served_tests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lagoonlever.soak.deployments import LONG_STREAMS, MANY_ORGANISATIONS, Deployment
+from lagoonlever.soak.deployments import LONG_STREAMS, MANY_ORGANISATIONS, TWO_KINDS, Shape
 from lagoonlever.soak.judge import Judge
 from lagoonlever.soak.served import LEAST_ASKED_FOR_S, Asked, Refusal, ServedBook, reason_of
 
@@ -130,10 +130,10 @@
     ]
 
 
-@pytest.mark.parametrize("deployment", [MANY_ORGANISATIONS, LONG_STREAMS, Deployment()])
-def test_each_organisation_has_callers_and_a_key_of_its_own(deployment: Deployment) -> None:
-    names = [deployment.organisation_of(number) for number in range(60)]
-    configured = deployment.configuration(1, ("key-a",)).organisations
+@pytest.mark.parametrize("shape", [MANY_ORGANISATIONS, LONG_STREAMS, Shape()])
+def test_each_organisation_has_callers_and_a_key_of_its_own(shape: Shape) -> None:
+    names = [shape.organisation_of(number) for number in range(60)]
+    configured = TWO_KINDS.configuration(1, ("key-a",), shape).organisations
     assert set(names) == {each.name for each in configured.values()}
-    assert len(configured) == deployment.organisations
-    assert len(set(deployment.stream_routes)) == len(deployment.stream_ranks)
+    assert len(configured) == shape.organisations
+    assert len(set(TWO_KINDS.stream_routes)) == len(TWO_KINDS.stream_ranks)
