--- a/lagoonlever/tests/incident_run.py
+++ b/lagoonlever/tests/incident_run.py
@@ -107,7 +107,7 @@
         rng = random.Random(f"{self.order.seed}-{kind.name}")
         rate = kind.rate_per_s * self.order.share
         for at_s in arrivals(rate, self.order.length_s, rng):
-            prompt = draw_prompt(self.site.shape, kind, rng) if kind.is_stream else None
+            prompt = draw_prompt(self.site.sheet, kind, rng) if kind.is_stream else None
             organisation = draw_organisation(rng)
             left = prompt is not None and rng.random() < self.order.leaves
             await trio.sleep_until(begun + at_s)
@@ -118,13 +118,13 @@
     async def send_deadly(self, cause: str, begun: float, after_s: float) -> None:
         """Send requests that end engines as they arrive: no two alike, or one all the time."""
         rng = random.Random(f"{self.order.seed}-{cause}")
-        kind = rng.choice(self.site.shape.stream_kinds())
-        whole = draw_prompt(self.site.shape, kind, rng)
+        kind = rng.choice(self.site.sheet.stream_kinds())
+        whole = draw_prompt(self.site.sheet, kind, rng)
         is_part = cause in self.site.history.shared
         organisation = draw_organisation(rng)
         length_s = max(0.0, self.order.length_s - after_s)
         for at_s in arrivals(DEADLY_PER_S, length_s, rng):
-            own = draw_prompt(self.site.shape, kind, rng)
+            own = draw_prompt(self.site.sheet, kind, rng)
             if is_part:
                 prompt = attrs.evolve(own, shared=(*own.shared, (cause, 100)))
                 organisation = draw_organisation(rng)
@@ -172,7 +172,7 @@
             rng=random.Random(f"{order.seed}-site"),
             program=GATEWAY,
             deployment=ShapedDeployment(shape=shape),
-            shape=shape,
+            sheet=shape,
             stage=order.stage,
             history=history,
         )
@@ -202,12 +202,12 @@
         play = Play(order=order, site=site, nursery=sending)
         watching.start_soon(play.watch_clock)
         watching.start_soon(watch_processes, site)
-        for kind in site.shape.kinds:
+        for kind in site.sheet.kinds:
             sending.start_soon(play.send_kind, kind, begun)
         for turn, cause in enumerate((*parts, *prompts)):
             sending.start_soon(play.send_deadly, cause, begun, FIRST_PART_S + PARTS_EVERY_S * turn)
         for fault in draw_faults(
-            order.play, order.seed, length_s=order.length_s, engines=site.shape.engines
+            order.play, order.seed, length_s=order.length_s, engines=site.sheet.engines
         ):
             await trio.sleep_until(begun + fault.at_s)
             watching.start_soon(actions.carry_out, fault)
--- a/lagoonlever/tests/incident_shapes.py
+++ b/lagoonlever/tests/incident_shapes.py
@@ -147,8 +147,13 @@
 
     shape: Shape
 
-    def configuration(self, version: int, keys: tuple[str, ...]) -> Configuration:
-        """Return a version of the configuration, with these keys beside those that stay."""
+    def configuration(
+        self, version: int, keys: tuple[str, ...], shape: object = None
+    ) -> Configuration:
+        """Return a version of the configuration, with these keys beside those that stay.
+
+        It is that of the sheet, whatever ``shape`` the soak has.
+        """
         organisations = {key: Organisation(name=ORGANISATION) for key in keys}
         organisations |= {key_of(name): Organisation(name=name) for name in ORGANISATIONS}
         return Configuration(
--- a/lagoonlever/tests/incident_site.py
+++ b/lagoonlever/tests/incident_site.py
@@ -89,7 +89,7 @@
 
     def __init__(self, *, target_id: str, site: IncidentSite) -> None:
         super().__init__(target_id=target_id, judge=site.judge, site=site)
-        self.work_s = site.shape.work_s
+        self.work_s = site.sheet.work_s
         self.room = TargetRoom(slots=APP_SLOTS, most_waiting=APPS_WAIT)
         self.says.tells_load = True
         self._incident = site
@@ -112,9 +112,9 @@
 
 @attrs.define(kw_only=True, eq=False)
 class IncidentSite(SoakSite):
-    """The soak's site with a history; ``shape`` says what is played."""
+    """The soak's site with a history; ``sheet`` says what is played."""
 
-    shape: Shape
+    sheet: Shape
     stage: DeathStage
     history: History
     _ended: set[FakeEngine] = attrs.field(factory=set)
@@ -136,8 +136,8 @@
             site=self,
         )
         engine.dies_at = self.stage
-        engine.prefill_tokens_per_s = self.shape.tokens_per_s / pace
-        engine.event_s = self.shape.event_s * pace
+        engine.prefill_tokens_per_s = self.sheet.tokens_per_s / pace
+        engine.event_s = self.sheet.event_s * pace
         return engine
 
     def new_runner(self, target_id: str) -> RecordedRunner:
