--- a/lagoonlever/tests/incident_run.py
+++ b/lagoonlever/tests/incident_run.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import attrs
+import msgspec
 import trio
 
 from lagoonlever.fakes.platform_engine import DeathStage
@@ -90,7 +91,9 @@
     order: PlayOrder
     site: IncidentSite
     nursery: trio.Nursery
+    begun: float
     clock_late_s: float = 0.0
+    late_by_second: dict[int, float] = attrs.field(factory=dict)
     _idle: list[IncidentCaller] = attrs.field(factory=list)
     _callers: itertools.count[int] = attrs.field(factory=itertools.count)
     _jobs: itertools.count[int] = attrs.field(factory=itertools.count)
@@ -100,7 +103,11 @@
         while True:
             at = trio.current_time() + LOOK_S
             await trio.sleep_until(at)
-            self.clock_late_s = max(self.clock_late_s, trio.current_time() - at)
+            late_s = trio.current_time() - at
+            self.clock_late_s = max(self.clock_late_s, late_s)
+            self.late_by_second[int(at - self.begun)] = max(
+                self.late_by_second.get(int(at - self.begun), 0.0), late_s
+            )
 
     async def send_kind(self, kind: RequestKind, begun: float) -> None:
         """Send the requests of a kind as they arrive."""
@@ -199,7 +206,7 @@
     actions = FaultActions(site=site)
     begun = trio.current_time()
     async with trio.open_nursery() as watching, trio.open_nursery() as sending:
-        play = Play(order=order, site=site, nursery=sending)
+        play = Play(order=order, site=site, nursery=sending, begun=begun)
         watching.start_soon(play.watch_clock)
         watching.start_soon(watch_processes, site)
         for kind in site.shape.kinds:
@@ -215,6 +222,7 @@
         await _wait_ended(site.history, begun + order.length_s + ENDS_WITHIN_S)
         for nursery in (sending, watching):
             nursery.cancel_scope.cancel()
+    (site.folder / "clock.json").write_bytes(msgspec.json.encode(play.late_by_second))
     return play.clock_late_s
 
 
