Crashes: a bar outlasts a loss of all VMs (BUDGET)

Callers' requests with a barred part were sent to engines again after all VMs had been lost: a VM that has just started knows no answer, so a bar of ten minutes was one of five seconds to it, and as no VM had met the others each took its turn to try at once. Some sent requests before they had read the record. Class: the worth of evidence judged by who reads it in place of by who gathered it.

Now each crash carries whether it was known by then on which parts answers begin, in the news and in the record; a VM tries no part in its first two seconds, one of two VMs that try at once gives way, and a VM that has just started waits for the record, a second at most. `test_a_bar_outlasts_a_vm_that_knew_which_parts_are_sound` is pure.

--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -244,7 +244,10 @@
     def crashes_to_store(self) -> CrashesByRequest:
         """Return the crashes that must outlive this VM, by request."""
         return {
-            fingerprint: processes
+            fingerprint: {
+                process: attrs.evolve(crash, tested=process in self._tested)
+                for process, crash in processes.items()
+            }
             for fingerprint, processes in self._crashes.items()
             if len(processes) >= MIN_STORED_CRASHES
         }
@@ -287,7 +290,7 @@
         return _last_crash_at(crashes) + block_s(
             crashes,
             beside=self._crashed_under_others(cause),
-            answers_known=self._answers_known,
+            answers_known=self._answers_known or self._is_tested(cause),
             other_suspects=others + own,
         )
 
@@ -363,8 +366,11 @@
     def _add(self, crashes: CrashesByRequest) -> bool:
         is_new = is_changed = False
         for fingerprint, processes in crashes.items():
-            if self._answers_known:
-                self._mark_tested(processes)
+            self._mark_tested(
+                process
+                for process, crash in processes.items()
+                if crash.tested or self._answers_known
+            )
             known = self._crashes.setdefault(fingerprint, {})
             for process, crash in processes.items():
                 former = known.get(process)
@@ -392,9 +398,16 @@
 
     def _is_certain(self, cause: PartSet) -> bool:
         """Check whether enough of the crashes are tested, or there are many."""
-        part = next(iter(cause))
-        tested = {n: crash for n, crash in self._crashes[part].items() if n in self._tested}
-        return self._has_many_crashes(part) or is_cause(tested, bound=BLOCKING)
+        return self._has_many_crashes(next(iter(cause))) or self._is_tested(cause)
+
+    def _is_tested(self, cause: PartSet) -> bool:
+        """Check whether enough crashes are from when it was known on which parts answers begin.
+
+        A VM that has just started, and knows of no answer itself, goes by what others knew.
+        """
+        processes = self._crashes[next(iter(cause))]
+        tested = {name: crash for name, crash in processes.items() if name in self._tested}
+        return is_cause(tested, bound=BLOCKING)
 
     def _mark_tested(self, processes: Iterable[str]) -> None:
         """Record that the sound parts at crashes are known, as far as any are."""
--- a/lagoonlever/decisions/engines/part_blocks.py
+++ b/lagoonlever/decisions/engines/part_blocks.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Container, Iterable, Mapping
 
 import attrs
@@ -48,6 +49,10 @@
 """From the turn of one VM to that of the next: well beyond a message."""
 TRIAL_KEPT_S = 12.0
 """A trial that has shown nothing for so long counts as over."""
+REQUEST_TRIAL_KEPT_S = 5.0
+"""The same for a request, whose caller may come back to another VM."""
+MEET_S = 2.0
+"""A VM that has just started tries no part for so long: it has not met the others yet."""
 
 
 def block_s(
@@ -94,6 +99,13 @@
     crash_count: int
     over_s: float
     """For how long the block has been over, in seconds."""
+    is_request: bool = False
+    """Whether it is a whole request, of which one copy at a time goes on, by any VM."""
+
+    @property
+    def kept_s(self) -> float:
+        """After how long a trial that has shown nothing counts as over."""
+        return REQUEST_TRIAL_KEPT_S if self.is_request else TRIAL_KEPT_S
 
     @property
     def key(self) -> str:
@@ -111,11 +123,19 @@
     """When another VM told that it tries."""
 
     def wait_s(
-        self, trial: OpenTrial, request: str, now: float, *, own: str, vms: Iterable[str]
+        self,
+        trial: OpenTrial,
+        request: str,
+        now: float,
+        *,
+        own: str,
+        vms: Iterable[str],
+        up_s: float = math.inf,
     ) -> float:
         """Return for how long a request has to wait; 0 if it is the one that tries.
 
-        ``own`` is this VM's name, ``vms`` those of all VMs that are there.
+        ``own`` is this VM's name, ``vms`` those of all VMs that are there, ``up_s`` for how long
+        this one has been up.
         """
         holder = self._own.get(trial.key)
         if holder == request:
@@ -123,10 +143,12 @@
         told_at = self._elsewhere.get(trial.key)
         if holder is not None:
             return TURN_S
-        if told_at is not None and now - told_at < TRIAL_KEPT_S:
-            return TRIAL_KEPT_S - (now - told_at)
-        order = rank_by_hash({*vms, own}, purpose=f"trial|{trial.key}")
-        return max(0.0, order.index(own) * TURN_S - trial.over_s)
+        if told_at is not None and now - told_at < trial.kept_s:
+            return trial.kept_s - (now - told_at)
+        if trial.is_request:
+            return 0.0
+        order = rank_by_hash({*vms, own}, purpose=_purpose(trial.key))
+        return max(0.0, order.index(own) * TURN_S - min(trial.over_s, up_s - MEET_S))
 
     def begin(self, key: str, request: str) -> bool:
         """Record that a request tries; return whether it is news."""
@@ -135,9 +157,16 @@
         self._own[key] = request
         return True
 
-    def record_elsewhere(self, key: str, now: float) -> None:
-        """Record that another VM tries."""
+    def record_elsewhere(self, key: str, now: float, *, vm: str, own: str) -> bool:
+        """Record that another VM tries; return whether an own trial gives way to it.
+
+        Two that began at the same moment find by themselves which of them goes on.
+        """
+        is_later = key in self._own and rank_by_hash({vm, own}, purpose=_purpose(key))[0] == own
+        if is_later:
+            return False
         self._elsewhere[key] = now
+        return self._own.pop(key, None) is not None
 
     def record_end(self, request: str) -> None:
         """Record that a request has ended, whatever became of it."""
@@ -148,3 +177,7 @@
         self._elsewhere = {
             key: at for key, at in self._elsewhere.items() if now - at < TRIAL_KEPT_S
         }
+
+
+def _purpose(key: str) -> str:
+    return f"trial|{key}"
--- a/lagoonlever/decisions/engines/target_crashes.py
+++ b/lagoonlever/decisions/engines/target_crashes.py
@@ -28,12 +28,16 @@
     requests: tuple[str, ...] = ()
     """Of a part: fingerprints of requests with the part that were there, ``MAX_REQUESTS`` at
     most."""
+    tested: bool = False
+    """Whether it was known by then on which parts answers begin."""
 
     @classmethod
-    def from_report(cls, *, at: float, weight: float, requests: tuple[str, ...] = ()) -> Crash:
+    def from_report(
+        cls, *, at: float, weight: float, requests: tuple[str, ...] = (), tested: bool = False
+    ) -> Crash:
         """Create a crash from received data, its weight set to one of the two valid ones."""
         valid = WEIGHT_STARTED if weight >= WEIGHT_STARTED else WEIGHT_QUEUED
-        return cls(at=at, weight=valid, requests=requests[:MAX_REQUESTS])
+        return cls(at=at, weight=valid, requests=requests[:MAX_REQUESTS], tested=tested)
 
     def merge(self, other: Crash) -> Crash:
         """Combine two reports of the same crash: the earlier time and the greater weight.
@@ -44,7 +48,10 @@
         reports = (report for report in (self, other) if report.weight == weight)
         requests = sorted({request for report in reports for request in report.requests})
         return Crash(
-            at=min(self.at, other.at), weight=weight, requests=tuple(requests[:MAX_REQUESTS])
+            at=min(self.at, other.at),
+            weight=weight,
+            requests=tuple(requests[:MAX_REQUESTS]),
+            tested=self.tested or other.tested,
         )
 
     def may_explain(self, other: Crash) -> bool:
--- a/lagoonlever/gateway/crash_news.py
+++ b/lagoonlever/gateway/crash_news.py
@@ -123,6 +123,7 @@
                     age_s=now - end.at,
                     weight=end.weight,
                     requests=end.requests,
+                    tested=end.tested,
                 )
                 for fingerprint, processes in self._suspects.crashes_to_store().items()
                 for process, end in processes.items()
--- a/lagoonlever/gateway/crash_records.py
+++ b/lagoonlever/gateway/crash_records.py
@@ -54,6 +54,8 @@
     """The requests that the record may hold by a write whose outcome is not known yet."""
     _is_old: bool = False
     """The record is to be read again."""
+    recalled: trio.Event = attrs.field(factory=trio.Event)
+    """Set once the record has been read for the first time."""
     _wanted: trio.Event = attrs.field(factory=trio.Event)
     _saved: trio.Event = attrs.field(factory=trio.Event)
     _record: StoreRecord = attrs.field(init=False)
@@ -70,6 +72,7 @@
     async def run(self) -> None:
         """Read the record, then write whenever something was noted, until cancelled."""
         await self._until_done(self._read)
+        self.recalled.set()
         while True:
             await self._wanted.wait()
             self._wanted = trio.Event()
@@ -180,7 +183,10 @@
         ends = {
             fingerprint: {
                 process: Crash.from_report(
-                    at=min(now, end.at + to_monotonic), weight=end.weight, requests=end.requests
+                    at=min(now, end.at + to_monotonic),
+                    weight=end.weight,
+                    requests=end.requests,
+                    tested=end.tested,
                 )
                 for process, end in processes.items()
             }
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -49,6 +49,8 @@
 
 log = logbook.Logger(__name__)
 
+RECALL_S = 1.0
+"""From the start of a VM until it takes requests at the latest, though the store is away."""
 LOOK_PERIOD_S = 0.9
 """How often a VM that hears no other one reads the record: well within the time in which
 others are told by messages. A multiple of the time between its own words, for one wake-up."""
@@ -85,6 +87,7 @@
     _barred_parts: frozenset[PartSet] = frozenset()
     """The same for parts; those that can't be told apart as one set."""
     _lost_engines: LostEngines = attrs.field(init=False)
+    _started: float = attrs.field(factory=trio.current_time)
     _left_engines: LeftEngines = attrs.field(init=False)
 
     @_lost_engines.default
@@ -128,6 +131,7 @@
             beliefs=self._beliefs,
             timers=self._timers,
             spread=self._spread,
+            given_way=self._take_news,
         )
 
     @_news.default
@@ -154,6 +158,12 @@
             with self._timers.subscribed(self._look, period_s=LOOK_PERIOD_S):
                 await trio.sleep_forever()
 
+    async def until_recalled(self) -> None:
+        """Wait until this VM knows what all VMs knew before it started, if it has just started."""
+        if not self._records.recalled.is_set():
+            with trio.move_on_at(self._started + RECALL_S):
+                await self._records.recalled.wait()
+
     def is_barred(self, accepted: Accepted) -> bool:
         """Check whether a request may not run now."""
         return self._find_block(accepted) is not None
@@ -417,6 +427,7 @@
                 age_s=now - at,
                 weight=ends[suspect].weight,
                 requests=ends[suspect].requests,
+                tested=self._suspects.answers_known,
             )
             for suspect in news
         )
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -219,6 +219,14 @@
     "No answer has cleared the part. This one request of all VMs is sent on; requests with the part"
     " are refused until it has shown whether the part is sound.",
 )
+REQUEST_TRIED = event(
+    1078,
+    "request-tried",
+    "info",
+    "{request} goes on after {ended} ends under fingerprint {fingerprint}.",
+    "Several targets have ended under the request, which may be chance. One copy of it at a time is"
+    " sent on, by any VM; others are refused meanwhile.",
+)
 PART_REFUSED = event(
     1038,
     "part-refused",
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -69,6 +69,7 @@
         if isinstance(accepted, NotRun):
             await self._refuse(exchange, accepted)
             return
+        await self._crashes.until_recalled()
         rejected = self._crashes.refusal(accepted) or self._last.refusal(accepted)
         if rejected is not None:
             await self._refuse(exchange, rejected, accepted=accepted)
--- a/lagoonlever/peers/messages_crashes.py
+++ b/lagoonlever/peers/messages_crashes.py
@@ -20,6 +20,8 @@
     """How much it counts, as in `lagoonlever/decisions/engines/crash_suspects.py`."""
     requests: tuple[str, ...] = ()
     """Of a part: the fingerprints of requests with it that were there."""
+    tested: bool = False
+    """Whether it was known by then on which parts answers begin."""
 
 
 @PEER.message("gd")
@@ -55,7 +57,10 @@
     ends: dict[str, dict[str, Crash]] = {}
     for told in message.ends:
         end = Crash.from_report(
-            at=now - max(0.0, told.age_s), weight=told.weight, requests=told.requests
+            at=now - max(0.0, told.age_s),
+            weight=told.weight,
+            requests=told.requests,
+            tested=told.tested,
         )
         ends.setdefault(told.fingerprint, {})[told.process] = end
     return ends
--- a/lagoonlever/tests/part_causes_tests.py
+++ b/lagoonlever/tests/part_causes_tests.py
@@ -199,6 +199,18 @@
     assert not watch.is_refused(asking("t", "subject"), 20.0)
 
 
+def test_a_bar_outlasts_a_vm_that_knew_which_parts_are_sound() -> None:
+    """A VM that has just started knows no answer, and let the part be tried after seconds."""
+    watch = Watch()
+    watch.begins(asking("sound", "system"))
+    for number in range(5):
+        watch.crashes_under(asking(f"r-{number}", "system", "bad"), now=float(number))
+    fresh = CrashSuspects(answers_known=False)
+    fresh.record_reported_crashes(watch.suspects.crashes_to_store())
+    assert fresh.find_any_block(asking("s", "system", "bad"), 60.0) is not None
+    assert fresh.find_any_block(asking("s", "system"), 60.0) is None
+
+
 def test_a_first_event_shows_nothing_of_an_engine_that_ends_with_it() -> None:
     sound = SoundParts()
     sound.record_first_event("e-1", ("bad",), 0.0)
