--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -55,6 +55,8 @@
 
 T = TypeVar("T")
 
+ALONE_CRASHES = 3
+"""Crashes after which one copy of a request at a time goes on, of those at all VMs."""
 MIN_STORED_CRASHES = 2
 """A request is written to the store from this number of crashes of targets that had it.
 
@@ -274,14 +276,21 @@
         return None
 
     def find_open_trial(self, suspects: Suspects, now: float) -> OpenTrial | None:
-        """Return the part of a prompt whose block is over, if nothing has cleared it."""
+        """Return what a request may only try alone, or None if it goes on as any other.
+
+        It is a part of its prompt whose block is over, or the request itself after some crashes.
+        """
         for cause in self._part_causes:
             if not cause.issubset(suspects.parts):
                 continue
             processes = self._crashes[next(iter(cause))]
             over_s = now - self._part_blocked_until(cause, suspects)
             return OpenTrial(parts=cause, crash_count=len(processes), over_s=over_s)
-        return None
+        count = self.count_crashes(suspects.request)
+        if count < ALONE_CRASHES:
+            return None
+        request = frozenset({suspects.request})
+        return OpenTrial(parts=request, crash_count=count, over_s=0.0, is_request=True)
 
     def _part_blocked_until(self, cause: PartSet, suspects: Suspects) -> float:
         crashes = self._crashes[next(iter(cause))]
--- a/lagoonlever/tests/deadly_requests_stages_tests.py
+++ b/lagoonlever/tests/deadly_requests_stages_tests.py
@@ -33,8 +33,10 @@
         await sleep_turns(SPACING_S)
 
 
-async def play(site: GatewaySite, stage: DeathStage, *, leave_s: float, read_s: float) -> Ends:
-    """Have two callers come back with the same question."""
+async def play(
+    site: GatewaySite, stage: DeathStage, *, leave_s: float, read_s: float, callers: int = 2
+) -> Ends:
+    """Have callers come back with the same question."""
 
     def change(engine: FakeEngine) -> None:
         prepare(engine, stage)
@@ -46,7 +48,7 @@
     for engine in site.engines.values():
         change(engine)
     async with trio.open_nursery() as nursery:
-        for caller in range(2):
+        for caller in range(callers):
             nursery.start_soon(lambda vm=caller: come_back(site, vm, leave_s=leave_s))
     assert len(ends) >= MOST_ENDED
     return ends
@@ -65,6 +67,17 @@
     run_site(story, engines=40, vms=3)
 
 
+@pytest.mark.parametrize("stage", list(DeathStage))
+def test_copies_that_come_to_every_vm_at_once_are_stopped(stage: DeathStage) -> None:
+    """Copies that waited at engines of their own were all there before the request was refused."""
+
+    async def story(site: GatewaySite) -> None:
+        ends = await play(site, stage, leave_s=STABLE_S, read_s=0.6, callers=6)
+        assert ends.late(MOST_ENDED) <= LATER, (len(ends), ends.late(MOST_ENDED))
+
+    run_site(story, engines=40, vms=4)
+
+
 @pytest.mark.parametrize("stage", [DeathStage.BEFORE_HEAD, DeathStage.HEAD])
 @pytest.mark.parametrize("after_s", [-NOTICES_S / 2, 0.02])
 def test_a_request_is_stopped_whose_callers_leave_as_its_engines_end(
--- a/lagoonlever/tests/part_trials_tests.py
+++ b/lagoonlever/tests/part_trials_tests.py
@@ -8,7 +8,7 @@
 from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
 from lagoonlever.decisions.engines.part_blocks import TRIAL_KEPT_S, TURN_S, OpenTrial, PartTrials
 from lagoonlever.decisions.engines.suspects import Suspects
-from lagoonlever.decisions.engines.target_crashes import Crash
+from lagoonlever.decisions.engines.target_crashes import WEIGHT_QUEUED, Crash
 from lagoonlever.tests.deadly_parts_tests import LATER, MOST_ENDED, PART, ask_all
 from lagoonlever.tests.gateway_site import GatewaySite, run_site
 
@@ -96,6 +96,26 @@
     assert PartTrials().wait_s(trial, "r", 10.0, own="vm-0", vms=(), up_s=30.0) == 0.0
 
 
+def test_copies_of_a_request_that_may_end_engines_go_on_one_at_a_time() -> None:
+    """Retries that wait at engines count as soon as they reach one."""
+    suspects = CrashSuspects()
+    asked = Suspects(request="r")
+    for number in range(3):
+        crash = Crash(at=float(number), weight=WEIGHT_QUEUED)
+        suspects.record_crash("r", f"p-{number}", crash)
+    assert suspects.find_any_block(asked, 3.0) is None
+    trial = suspects.find_open_trial(asked, 3.0)
+    assert trial is not None and trial.is_request
+    trials = PartTrials()
+    assert trials.wait_s(trial, "first copy", 3.0, own="vm-0", vms=VMS) == 0.0
+    trials.begin(trial.key, "first copy")
+    assert trials.wait_s(trial, "second copy", 3.0, own="vm-0", vms=VMS) > 0.0
+    trials.record_end("first copy")
+    assert trials.wait_s(trial, "second copy", 4.0, own="vm-0", vms=VMS) == 0.0
+    suspects.record_answer("r", 4.0, is_own=True)
+    assert suspects.find_open_trial(asked, 4.0) is None
+
+
 def test_one_request_of_all_vms_tries_a_part_as_its_block_ends() -> None:
     """No answer is known; dozens of requests with the part come in the second that a block ends."""
 
