--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -8,10 +8,6 @@
 
 from lagoonlever.decisions.engines.answer_stages import (
     BEGUN_S,
-    AnswerProgress,
-    AnswerStage,
-    CrashWeights,
-    weigh_crash,
 )
 from lagoonlever.decisions.engines.engine_rank import rank_at_engine
 from lagoonlever.decisions.engines.engine_reports import is_preempted
@@ -33,6 +29,8 @@
 from lagoonlever.exceptions import BadResponse, ConnectionBroken
 from lagoonlever.gateway import events, events_streams, metrics
 from lagoonlever.gateway.accepted import Accepted
+from lagoonlever.gateway.answer_state import AnswerState
+from lagoonlever.gateway.attempt_crashes import AttemptCrashes
 from lagoonlever.gateway.attempt_planner import stream_need
 from lagoonlever.gateway.attempt_tools import AttemptPlan, AttemptTools
 from lagoonlever.gateway.copy_keeper import CopyKeeper
@@ -45,7 +43,7 @@
 from lagoonlever.gateway.target_client import NotSent, log_foreign
 from lagoonlever.gateway.writer_finder import WriterFinder
 from lagoonlever.http.client import ClientConnection, Response
-from lagoonlever.http.sse import RawEvent, RawEventSplitter
+from lagoonlever.http.sse import RawEvent
 from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.platform.headers import read_answer, to_caller, to_target
 
@@ -91,32 +89,23 @@
     _tools: AttemptTools
     _peers: PeerExchange
     _placer: Placer
-    _splitter: RawEventSplitter = attrs.field(factory=RawEventSplitter)
-    _started: float = 0.0
-    _connected: float = 0.0
-    """When the connection was there. An earlier report may be of another process."""
-    _answered: bool = False
-    """The head of the engine's answer has come, so the engine has begun to run it."""
-    _given: bool = False
-    """The engine has given an event, which may not have been passed on."""
-    _flowing: bool = False
-    _first_event_at: float | None = None
-    _last_event_at: float = 0.0
-    _is_sound: bool = False
-    """The answer has flowed for longer than one that ends its engine does."""
-    _connection: ClientConnection | None = None
-    """Over which the request was written."""
-    _broke_at: float | None = None
-    """When the answer broke off, or the engine was missed."""
-    _is_judged: bool = False
-    """Whether the answer is whole, the engine lives, or its loss is being judged."""
-    _reported: RunStatus | None = None
-    """What the engine last said of the run."""
+    _answer: AnswerState = attrs.field(factory=AnswerState)
     _signs: LivenessSigns = attrs.field(factory=LivenessSigns)
+    _crashes: AttemptCrashes = attrs.field(init=False)
     _copies: CopyKeeper = attrs.field(init=False)
     _counts: StreamCounts = attrs.field(init=False)
     _writers: WriterFinder = attrs.field(init=False)
 
+    @_crashes.default
+    def _make_crashes(self) -> AttemptCrashes:
+        return AttemptCrashes(
+            accepted=self._accepted,
+            life=self._life,
+            engine=self._plan.engine,
+            tools=self._tools,
+            answer=self._answer,
+        )
+
     @_writers.default
     def _make_writers(self) -> WriterFinder:
         prober, take = self._tools.prober, self._take_report
@@ -149,7 +138,7 @@
     async def run(self) -> None:
         """Send the request and relay the answer, until its end or its loss."""
         engine = self._plan.engine
-        self._started = self._now
+        self._answer.started = self._now
         permit = await self._tools.words.permit(engine.id, need=self._need)
         if isinstance(permit, Denied):
             self._life.record_engine_busy(engine.id)
@@ -158,20 +147,20 @@
         if isinstance(connection, NotSent):
             self._count("not-sent")
             self._life.record_unreachable(engine.id, connection.detail)
-            self._peers.engine_lost(engine.id, replaced=False, confirmed=self._is_down)
+            self._peers.engine_lost(engine.id, replaced=False, confirmed=self._crashes.is_down)
             self._log_end(connection.detail)
             return
         if not self._tools.words.covers(engine.id, permit):
             await self._tools.client.keep(connection)
             self._life.record_engine_busy(engine.id)
             return
-        self._connected = self._now
+        self._answer.connected = self._now
         try:
             await self._run_on(connection)
         except BaseException:
             # A cancellation may come as a group, out of the nursery of a question.
             self._log_end("given up: its caller has left, its time is over, or this VM stops")
-            self._record_left()
+            self._crashes.record_left()
             raise
 
     async def _run_on(self, connection: ClientConnection) -> None:
@@ -191,11 +180,11 @@
             self._count("moved")
             self._life.record_move()
             self._log_end("left for a better place")
-            self._record_left()
+            self._crashes.record_left()
         except _CalledBack:
             self._count("called-back")
             self._log_end("called back: the request ends engines")
-            self._record_left()
+            self._crashes.record_left()
         finally:
             await self._tools.client.release(connection, head)
 
@@ -213,16 +202,6 @@
         """Whether other VMs reach the engine by paths that this one does not have."""
         return self._tools.dialer.is_cut(self._plan.engine.address)
 
-    @property
-    def _is_down(self) -> bool:
-        """Whether the engine is lost by the evidence of more than this VM."""
-        return self._tools.dialer.is_down(self._plan.engine.address)
-
-    @property
-    def _others_may_know(self) -> bool:
-        """Whether there are VMs that can show whether the engine or this VM's path is lost."""
-        return self._tools.dialer.may_ask_others
-
     @property
     def _version(self) -> str | None:
         """The version at which the stream must go on, or None while it may begin anywhere."""
@@ -258,7 +237,7 @@
         """Write and relay; gives the head if the connection may be kept."""
         plan = self._plan
         self._life.record_sent(copy=plan.run.copy)
-        self._connection = connection
+        self._answer.connection = connection
         ticket = self._tools.words.sent(plan.engine.id, first=self._life.sent_attempts == 1)
         self._peers.begin(plan.run)
         self._log_sent(connection.via)
@@ -318,16 +297,16 @@
                 return None
             while (piece := await self._next(connection, silence, head=False)) is not None:
                 assert isinstance(piece, bytes)
-                await self._pass_on(self._splitter.feed(piece), silence, nursery)
+                await self._pass_on(self._answer.splitter.feed(piece), silence, nursery)
         except (ConnectionBroken, BadResponse) as error:
             raise _Ended(error.message) from error
         except ValueError as error:
             raise _Ended(str(error)) from error
-        if self._splitter.partial:
+        if self._answer.splitter.partial:
             raise _Ended("ended within an event")
         if not connection.tells_length:
             await self._confirm_end()
-        self._is_judged = True
+        self._answer.is_judged = True
         await self._accepted.exchange.finish()
         self._count("answered")
         self._counts.whole(self._now)
@@ -339,7 +318,7 @@
 
     async def _confirm_end(self) -> None:
         """Ask the engine about an answer whose end only its connection's end has told."""
-        if not (self._given or self._life.position):
+        if not (self._answer.has_event or self._life.position):
             raise _Ended("ended before its first event, with neither a length nor chunks")
         engine = self._plan.engine
         report = await self._tools.prober.ask(engine, since=self._now)
@@ -399,12 +378,12 @@
             return
         self._take_report(report)
         run = report.run(self._accepted.request_id) if report else None
-        answer = _answer_of(report, run, flowing=self._flowing)
-        if run is None and self._flowing and self._has_started_again():
+        answer = _answer_of(report, run, flowing=self._answer.is_flowing)
+        if run is None and self._answer.is_flowing and self._has_started_again():
             answer = RunStatus.ENGINE_RESTARTED
         elif report is not None and self._is_preempted(report, silence):
             answer = RunStatus.PREEMPTED
-        self._reported = answer
+        self._answer.reported = answer
         ahead = run.events - (self._life.position or 0) if run else 0
         events.ENGINE_ASKED.log(
             log,
@@ -419,7 +398,7 @@
         silence.record_status(
             answer, self._now, events_ahead=ahead, path_cut=is_own and self._is_cut
         )
-        if answer is RunStatus.QUEUED and report is not None and not self._answered:
+        if answer is RunStatus.QUEUED and report is not None and not self._answer.has_head:
             self._leave_stuck_queue(report)
 
     def _take_report(self, report: EngineReport | None) -> None:
@@ -432,7 +411,7 @@
 
     def _is_preempted(self, report: EngineReport, silence: SilenceDetector) -> bool:
         return ranks_differ(self._plan, self._tools) and is_preempted(
-            flowing=self._flowing,
+            flowing=self._answer.is_flowing,
             listed=report.run(self._accepted.request_id) is not None,
             waiting=report.waiting,
             silent_s=silence.silence_s(self._now),
@@ -462,7 +441,7 @@
         if not head.is_for(self._accepted.request_id, first=first):
             log_foreign(head, request_id=self._accepted.request_id, target=engine.id)
             raise _Ended(f"the answer is for request {head.request_id}")
-        self._tools.words.heard(engine.id, head, sent_at=self._started)
+        self._tools.words.heard(engine.id, head, sent_at=self._answer.started)
         if head.refused:
             self._count("refused")
             detail = f"refused with {head.status}"
@@ -474,7 +453,7 @@
             return False
         if head.status != OK or not head.sealed:
             raise _Ended(f"answered {head.status}")
-        self._answered = True
+        self._answer.has_head = True
         if not self._life.response_started:
             self._life.response_started = True
             await self._accepted.exchange.start_stream(
@@ -486,10 +465,10 @@
         self, arrived: list[RawEvent], silence: SilenceDetector, nursery: trio.Nursery
     ) -> None:
         for event in arrived:
-            self._given = True
+            self._answer.has_event = True
             writer: Writer | None = None
-            if not self._flowing:
-                writer = await self._writers.find(since=self._connected) or UNKNOWN
+            if not self._answer.is_flowing:
+                writer = await self._writers.find(since=self._answer.connected) or UNKNOWN
             if writer is not None and not writer.proven and self._life.origin is not None:
                 raise _Ended("another process may have answered than one of the stream's version")
             verdict = self._life.check_event(event.id)
@@ -519,7 +498,7 @@
         writer = told
         if writer is UNKNOWN:
             events_streams.WRITER_UNKNOWN.log(log, request=request, target=run.engine)
-            writer = await self._writers.find_later(since=self._connected)
+            writer = await self._writers.find_later(since=self._answer.connected)
         if not writer.proven:
             await self._until_alive_after(self._tools.timers.elapsed)
         self._life.origin = StreamOrigin.of_run(run, writer)
@@ -541,17 +520,17 @@
 
     def _note_event(self, silence: SilenceDetector) -> None:
         now = self._now
-        if not self._flowing:
-            self._flowing = self._copies.flowing = True
-            self._first_event_at = now
-            self._counts.first_event(now, sent_at=self._started)
+        if not self._answer.is_flowing:
+            self._answer.first_event_at = now
+            self._copies.flowing = True
+            self._counts.first_event(now, sent_at=self._answer.started)
             self._life.record_first_event()
             events.FIRST_EVENT.log(
                 log,
                 request=self._accepted.request_id,
                 target=self._plan.engine.id,
                 version=self._plan.engine.version,
-                seconds=now - self._started,
+                seconds=now - self._answer.started,
                 position=self._life.position,
             )
         elif silence.silence_s(now) > PAUSE_TOLD_S:
@@ -563,23 +542,23 @@
                 position=self._life.position,
             )
         silence.record_event(now)
-        self._last_event_at = now
-        assert self._first_event_at is not None
-        if not self._is_sound and now - self._first_event_at >= BEGUN_S:
-            self._is_sound = self._life.has_flowed = True
+        self._answer.last_event_at = now
+        assert self._answer.first_event_at is not None
+        if not self._answer.is_sound and now - self._answer.first_event_at >= BEGUN_S:
+            self._answer.is_sound = self._life.has_flowed = True
             self._tools.crashes.begun(self._accepted)
 
     async def _lost(self, ended: _Ended) -> None:
         """Ask the engine whether it lives: one that only lost an answer is not left by all."""
         engine, broke_at = self._plan.engine, self._now
-        self._broke_at = broke_at
+        self._answer.broke_at = broke_at
         alive = False
         if not ended.unanswered:
             # A report from just before the break would say that an engine lives which has ended.
             report = await self._tools.prober.ask(engine, since=broke_at)
             alive = report is not None and not is_other_process(engine, report)
             self._take_report(report)
-        self._is_judged = alive
+        self._answer.is_judged = alive
         self._count("lost" if alive else "target-gone")
         if alive and not self._is_cut:
             self._counts.failed()
@@ -587,59 +566,17 @@
         if alive:
             self._tools.beliefs.book.avoidance.record_broken_answer(engine.id, self._now)
         else:
-            self._peers.engine_lost(engine.id, replaced=False, confirmed=self._is_down)
+            self._peers.engine_lost(engine.id, replaced=False, confirmed=self._crashes.is_down)
             if self._signs.alive_at is not None:
                 self._tools.replacements.lost(engine.id, alive_at=self._signs.alive_at)
         self._log_end(f"{ended}; the engine {'lives' if alive else 'does not answer'}")
         if not alive:
-            await self._record_crash(ended)
-
-    async def _record_crash(self, ended: _Ended) -> None:
-        """Have the loss of the engine counted against the request, if it ended under it."""
-        crashes, engine, weights = self._tools.crashes, self._plan.engine, self._crash_weights
-        self._is_judged = True
-        if weights.is_nothing:
-            return
-        if self._is_down or not self._others_may_know:
-            await crashes.ended_under(
-                self._accepted, engine, weights=weights, sent_at=self._started
-            )
-            return
-        # One that fell silent was missed for long enough: its request doesn't wait any longer.
-        await crashes.lost_unproven(
-            self._accepted,
-            engine,
-            weights=weights,
-            sent_at=self._started,
-            waits=not ended.unanswered or self._answered,
-        )
-
-    def _record_left(self) -> None:
-        """Have it found out whether the engine ends under a request that was left."""
-        weights = self._crash_weights
-        if self._connection is None or self._is_judged or weights.is_nothing:
-            return
-        self._tools.crashes.left(
-            self._accepted,
-            self._plan.engine,
-            weights=weights,
-            sent_at=self._started,
-            broke_at=self._broke_at,
-        )
-
-    @property
-    def _crash_weights(self) -> CrashWeights:
-        """How much the end of the engine would count against the request."""
-        return weigh_crash(
-            self._stage,
-            has_flowed=self._life.has_flowed,
-            goes_on=bool(self._accepted.caller.last_event_id),
-        )
+            await self._crashes.record_lost(is_silent=ended.unanswered)
 
     @property
     def _has_read(self) -> bool:
         """Whether the engine has read the prompt, or need not."""
-        return self._flowing or self._plan.copy_from is not None
+        return self._answer.is_flowing or self._plan.copy_from is not None
 
     async def _look_again(self) -> None:
         """Leave an engine that other VMs chose at the same moment, if another is better."""
@@ -703,27 +640,15 @@
             log,
             request=self._accepted.request_id,
             target=self._plan.engine.id,
-            seconds=self._now - self._started,
+            seconds=self._now - self._answer.started,
             position=self._life.position,
             outcome=detail,
             fingerprint=self._accepted.fingerprint,
-            stage=self._stage.value,
-            via=self._connection.via if self._connection is not None else None,
-            reported=self._reported.value if self._reported is not None else None,
+            stage=self._answer.stage.value,
+            via=self._answer.via,
+            reported=self._answer.reported.value if self._answer.reported is not None else None,
         )
 
-    @property
-    def _stage(self) -> AnswerStage:
-        """How far the engine's answer has come."""
-        first_at, last_at = self._first_event_at, self._last_event_at
-        connection = self._connection
-        return AnswerProgress(
-            has_bytes=connection is not None and connection.has_bytes,
-            has_head=self._answered,
-            has_part_of_event=self._splitter.partial,
-            events_for_s=None if first_at is None else last_at - first_at,
-        ).stage
-
 
 def _answer_of(report: EngineReport | None, run: RunReport | None, *, flowing: bool) -> RunStatus:
     """Read a report; an engine lists a run by name only once it has made a token."""
