--- a/lagoonlever/gateway/reporter.py
+++ b/lagoonlever/gateway/reporter.py
@@ -47,7 +47,7 @@
         *,
         accepted: Accepted | None = None,
     ) -> None:
-        """Tell of a request that was refused at once; without ``accepted`` no route was found."""
+        """Record a request that was refused at once; without ``accepted`` no route was found."""
         ending = Ending(
             status=int(outcome.status),
             outcome=outcome.tag.value,
--- a/lagoonlever/tests/long_streams_tests.py
+++ b/lagoonlever/tests/long_streams_tests.py
@@ -50,7 +50,7 @@
         return self.tries[-1].last_event if self.tries else 0
 
     def add(self, got: Stream) -> None:
-        """Take what a try has brought, and check it against what was there."""
+        """Record what a try has brought, and check it against what was there."""
         whole_events = got.body[: got.body.rfind(b"\n\n") + 2] if b"\n\n" in got.body else b""
         numbers = [int(number) for number in NUMBER.findall(whole_events)]
         after = self.last_event
--- a/lagoonlever/tests/part_evidence_model.py
+++ b/lagoonlever/tests/part_evidence_model.py
@@ -261,7 +261,7 @@
             self._ask(_deadly_part(asked), attempt.attempts, asked)
 
     def _call_back(self) -> None:
-        """Take back what waits at engines and is blocked now, or goes to another one."""
+        """Call back what waits at engines and is blocked now, or goes to another one."""
         for engine in range(ENGINES):
             for attempt in [a for a in self._at[engine] if a.begins_at > self._now]:
                 gathering = self._suspects.find_gathering(attempt.asked, self._now)
