Crashes: a VM does not give way to its own word of a trial (BUDGET)

In a fleet of more than 120 VMs the word of a trial goes by way of hubs, and a hub that has it from another hub passes it to the VMs of its data centre, the one that tries among them. The receiver took the hub for the VM that tries, so a VM gave way to itself in about one of two trials: its request was called back and refused, for 5 s (a request) or 12 s (a part), no request tried at all, and a sound part stayed refused. Of two VMs that tried at once each compared itself with a hub of its own, not with the other one. Class: a sender taken for the origin.

The word names the VM that tries; without the name, from an older VM, the sender counts as before, and a VM does not give way to its own name. Older VMs leave the field out of account.

--- a/lagoonlever/decisions/engines/part_blocks.py
+++ b/lagoonlever/decisions/engines/part_blocks.py
@@ -160,8 +160,11 @@
     def record_elsewhere(self, key: str, now: float, *, vm: str, own: str) -> bool:
         """Record that another VM tries; return whether an own trial gives way to it.
 
-        Two that began at the same moment find by themselves which of them goes on.
+        Two that began at the same moment find by themselves which of them goes on. A hub may pass
+        this VM's own word back to it.
         """
+        if vm == own:
+            return False
         is_later = key in self._own and rank_by_hash({vm, own}, purpose=_purpose(key))[0] == own
         if is_later:
             return False
--- a/lagoonlever/gateway/trial_admission.py
+++ b/lagoonlever/gateway/trial_admission.py
@@ -46,11 +46,12 @@
     async def run(self) -> None:
         """Receive what other VMs try, until cancelled."""
         async for received in self._bus.subscribe(PartTried):
-            message, vm = received.message, received.sender.name
+            message, source = received.message, received.sender.name
+            vm = message.vm or source
             gives_way = self._trials.record_elsewhere(
                 message.key, self._timers.now, vm=vm, own=self._own
             )
-            self._spread.pass_on(message, source=vm, for_plain=message)
+            self._spread.pass_on(message, source=source, for_plain=message)
             if gives_way:
                 self._given_way()
 
@@ -66,7 +67,7 @@
             return Block(crash_count=trial.crash_count, remaining_s=wait_s, parts=parts)
         if self._trials.begin(trial.key, request):
             self._log_tried(accepted, trial)
-            message = PartTried(key=trial.key)
+            message = PartTried(key=trial.key, vm=self._own)
             self._spread.tell(message, for_plain=message)
         return None
 
--- a/lagoonlever/peers/messages_crashes.py
+++ b/lagoonlever/peers/messages_crashes.py
@@ -46,10 +46,12 @@
 @PEER.message("g7")
 @attrs.frozen(kw_only=True)
 class PartTried:
-    """The sender tries a part whose block is over; nobody else does until it ends."""
+    """A VM tries a part whose block is over; nobody else does until it ends."""
 
     key: str
     """The trial, as in `lagoonlever/decisions/engines/part_blocks.py`."""
+    vm: str = ""
+    """The VM that tries, whichever hub has passed the word on; empty for the sender."""
 
 
 def read_ends(message: TargetsEnded, now: float) -> CrashesByRequest:
