Crashes: an answer that flows ends the trial of its request (LOST)

A sound request that had waited at three engines which ended by chance is a trial from then on, and one copy at a time goes on. It stayed one for as long as its answer flowed, though an engine that a request ends does so as the answer begins. Callers saw: 503 ends-targets as they took the stream up at another VM after theirs had died (Retry-After 3.6 s, 100 events had come), and 503 at the same VM for the whole length of the stream, e.g. where their first connection is lost and nobody has noticed. Class: a suspicion outlasts what refutes it.

Evidence: trials_of_sound_requests_tests.py, three engines crashed under a prompt that is read, in one process; both tests failed before, both pass now.

An answer that has flowed for BEGUN_S clears the request as it clears the parts: the end of an engine after that weighs nothing against it already. Every VM is told by the word for answers. The own trial ends.

--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -323,12 +323,13 @@
         self._clear(accepted.fingerprint, accepted)
 
     def begun(self, accepted: Accepted) -> None:
-        """Record that an answer has begun on a request: the parts that it shares end no target."""
+        """Record that an answer flows: neither the request nor the parts it shares end targets."""
         parts = accepted.suspects.parts
         self._sound.record_begin(parts, self._timers.now)
         self._note_answers()
-        for part in self._suspects.suspected(parts):
-            self._clear(part, accepted)
+        for suspect in self._suspects.suspected((accepted.fingerprint, *parts)):
+            self._clear(suspect, accepted)
+        self._trials.ended(accepted)
 
     def learn_begun(self, run: EngineRun) -> None:
         """Record that an answer at another VM has begun, if this VM knows of none yet.
