--- a/lagoonlever/soak/judge.py
+++ b/lagoonlever/soak/judge.py
@@ -96,6 +96,8 @@
 
     def judge_served(self) -> None:
         """Check that nobody was starved while others were served."""
+        for rank, served in self.served.served_by_rank().items():
+            self.counts[f"{rank} whole"] = served
         for promise, detail in self.served.starved():
             self.break_promise(promise, detail)
 
--- a/lagoonlever/soak/served.py
+++ b/lagoonlever/soak/served.py
@@ -110,6 +110,10 @@
                     yield f"every {label} is served", f"{detail} {compared.share:.0%} of all"
         yield from self._starved_subjects()
 
+    def served_by_rank(self) -> dict[str, int]:
+        """Return how many streams of each rank were served."""
+        return {rank: count.served for rank, count in self._counts.get("rank", {}).items()}
+
     def summary(self) -> list[str]:
         """Return lines that tell how often each was served, and who was refused for what."""
         lines = [
