--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -256,6 +256,13 @@
         """Check whether a target takes work, without regard to its version."""
         return not self._is_leaving(target) and target.id not in self._unconfirmed_until
 
+    def is_leaving(self, target_id: str) -> bool:
+        """Check whether a target that is listed says that it leaves."""
+        target = self._targets.get(target_id)
+        if target is None:
+            return False
+        return target.draining or self._announcements.is_leaving(target_id)
+
     def _is_leaving(self, target: ListedTarget) -> bool:
         """Check whether a target is known to leave, or to have been replaced."""
         if target.draining or target.id in self._replaced_at:
--- a/lagoonlever/gateway/attempt_crashes.py
+++ b/lagoonlever/gateway/attempt_crashes.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.engines.answer_stages import CrashWeights, weigh_crash
+from lagoonlever.decisions.engines.answer_stages import NO_WEIGHT, CrashWeights, weigh_crash
 from lagoonlever.decisions.streams.stream_lifecycle import StreamLifecycle
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway.accepted import Accepted
@@ -29,7 +29,12 @@
 
     @property
     def _weights(self) -> CrashWeights:
-        """How much the end of the engine would count against the request."""
+        """How much the end of the engine would count against the request.
+
+        One that leaves ends in any case.
+        """
+        if self._tools.beliefs.targets.is_leaving(self._engine.id):
+            return NO_WEIGHT
         return weigh_crash(
             self._answer.stage,
             has_flowed=self._life.has_flowed,
--- a/lagoonlever/tests/deadly_parts_stages_tests.py
+++ b/lagoonlever/tests/deadly_parts_stages_tests.py
@@ -11,7 +11,7 @@
 from lagoonlever.tests.deadly_ends import Ends
 from lagoonlever.tests.deadly_parts_paths_tests import lose_paths
 from lagoonlever.tests.deadly_parts_tests import LATER, PART, arrivals, ask_all, ready
-from lagoonlever.tests.gateway_site import GatewaySite, run_site
+from lagoonlever.tests.gateway_site import GatewaySite, run_site, until
 
 STABLE_S = 3.0
 """From the fifth end until every VM refuses the part."""
@@ -69,3 +69,38 @@
         assert late <= LATER
 
     run_site(story, engines=40, vms=3)
+
+
+def test_engines_that_leave_and_end_are_held_against_nothing() -> None:
+    """Three engines ended with their last answers, and a rare part of these was refused."""
+
+    async def story(site: GatewaySite) -> None:
+        await ready(site)
+        site.deadly.clear()
+        for engine in site.engines.values():
+            engine.prefill_tokens_per_s = 400.0
+        async with trio.open_nursery() as nursery:
+            for number in range(4):
+                vm = f"vm-{number % 3}"
+                nursery.start_soon(
+                    lambda vm=vm, n=number: site.stream(
+                        f"rare-{n}", vm=vm, shared=("system", "rare"), events=2
+                    )
+                )
+            await until(lambda: sum(bool(e.runs) for e in site.engines.values()) >= 3)
+            leaving = [name for name, engine in site.engines.items() if engine.runs]
+            for name in leaving:
+                site.list_target(
+                    name,
+                    service="engines",
+                    state="draining",
+                    started_ms=site.engines[name].started_ms,
+                )
+            await trio.sleep(0.1)
+            for name in leaving:
+                site.crash(name)
+        for vm in site.vms.values():
+            suspects = vm.daemon.parts.crashes._suspects
+            assert not suspects.crashes
+
+    run_site(story, engines=12, vms=3)
