--- a/lagoonlever/decisions/engines/part_blocks.py
+++ b/lagoonlever/decisions/engines/part_blocks.py
@@ -113,14 +113,22 @@
         return f"{'|'.join(sorted(self.parts))}#{self.crash_count}"
 
 
+@attrs.frozen(kw_only=True)
+class _Elsewhere:
+    """A trial of another VM, and when it was told."""
+
+    vm: str
+    at: float
+
+
 @attrs.define(kw_only=True)
 class PartTrials:
     """The trials that this VM makes or has heard of; times in seconds of the monotonic clock."""
 
     _own: dict[str, str] = attrs.field(factory=dict)
     """The request that tries, by the trial's key."""
-    _elsewhere: dict[str, float] = attrs.field(factory=dict)
-    """When another VM told that it tries."""
+    _elsewhere: dict[str, _Elsewhere] = attrs.field(factory=dict)
+    """By the trial's key."""
 
     def wait_s(
         self,
@@ -140,14 +148,17 @@
         holder = self._own.get(trial.key)
         if holder == request:
             return 0.0
-        told_at = self._elsewhere.get(trial.key)
         if holder is not None:
             return TURN_S
-        if told_at is not None and now - told_at < trial.kept_s:
-            return trial.kept_s - (now - told_at)
+        present = {*vms, own}
+        elsewhere = self._elsewhere.get(trial.key)
+        # The caller of a request whose VM is gone comes back at once.
+        is_over = elsewhere is None or (trial.is_request and elsewhere.vm not in present)
+        if elsewhere is not None and not is_over and now - elsewhere.at < trial.kept_s:
+            return trial.kept_s - (now - elsewhere.at)
         if trial.is_request:
             return 0.0
-        order = rank_by_hash({*vms, own}, purpose=_purpose(trial.key))
+        order = rank_by_hash(present, purpose=_purpose(trial.key))
         return max(0.0, order.index(own) * TURN_S - min(trial.over_s, up_s - MEET_S))
 
     def begin(self, key: str, request: str) -> bool:
@@ -168,17 +179,26 @@
         is_later = key in self._own and rank_by_hash({vm, own}, purpose=_purpose(key))[0] == own
         if is_later:
             return False
-        self._elsewhere[key] = now
+        self._elsewhere[key] = _Elsewhere(vm=vm, at=now)
         return self._own.pop(key, None) is not None
 
-    def record_end(self, request: str) -> None:
-        """Record that a request has ended, whatever became of it."""
-        self._own = {key: holder for key, holder in self._own.items() if holder != request}
+    def record_over(self, key: str, *, vm: str) -> None:
+        """Record that the trial of another VM has ended."""
+        elsewhere = self._elsewhere.get(key)
+        if elsewhere is not None and elsewhere.vm == vm:
+            del self._elsewhere[key]
+
+    def record_end(self, request: str) -> tuple[str, ...]:
+        """Record that a request has ended, whatever became of it; return its trials."""
+        ended = tuple(key for key, holder in self._own.items() if holder == request)
+        for key in ended:
+            del self._own[key]
+        return ended
 
     def expire(self, now: float) -> None:
         """Forget trials of others that have shown nothing."""
         self._elsewhere = {
-            key: at for key, at in self._elsewhere.items() if now - at < TRIAL_KEPT_S
+            key: trial for key, trial in self._elsewhere.items() if now - trial.at < TRIAL_KEPT_S
         }
 
 
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -185,9 +185,12 @@
             retry_after_s=bar.remaining_s,
         )
 
-    def ended(self, accepted: Accepted) -> None:
-        """Record that the work on a request is over, so that another one may try its parts."""
-        self._trials.ended(accepted)
+    def ended(self, accepted: Accepted, *, answered: bool) -> None:
+        """Record that the work on a request is over, so that another one may try.
+
+        ``answered`` tells that its caller was given an outcome, and has not left.
+        """
+        self._trials.ended(accepted, answered=answered)
 
     def is_suspect(self, accepted: Accepted) -> bool:
         """Check whether a target has ended under a request, or several under parts of it."""
@@ -329,7 +332,7 @@
         self._note_answers()
         for suspect in self._suspects.suspected((accepted.fingerprint, *parts)):
             self._clear(suspect, accepted)
-        self._trials.ended(accepted)
+        self._trials.ended(accepted, answered=True)
 
     def learn_begun(self, run: EngineRun) -> None:
         """Record that an answer at another VM has begun, if this VM knows of none yet.
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -70,18 +70,21 @@
             await self._refuse(exchange, accepted)
             return
         await self._crashes.until_recalled()
-        rejected = self._crashes.refusal(accepted) or self._last.refusal(accepted)
+        # The other way round one that this VM has no time for would hold a trial, and never end it.
+        rejected = self._last.refusal(accepted) or self._crashes.refusal(accepted)
         if rejected is not None:
             await self._refuse(exchange, rejected, accepted=accepted)
             return
+        answered = False
         try:
             await self._serve[accepted.route.kind](accepted)
+            answered = True
         except (CallerGone, OSError):
             raise
         except Exception:
             await self._end_faulty(accepted)
         finally:
-            self._crashes.ended(accepted)
+            self._crashes.ended(accepted, answered=answered)
 
     async def _end_faulty(self, accepted: Accepted) -> None:
         """Log the fault that has ended a request, and tell its caller, if it has no answer yet."""
--- a/lagoonlever/gateway/trial_admission.py
+++ b/lagoonlever/gateway/trial_admission.py
@@ -9,6 +9,7 @@
 
 import attrs
 import logbook
+import trio
 
 from lagoonlever.decisions.engines.crash_suspects import Block
 from lagoonlever.decisions.engines.part_blocks import OpenTrial, PartTrials
@@ -18,7 +19,7 @@
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.peers.interface import Bus
-from lagoonlever.peers.messages_crashes import PartTried
+from lagoonlever.peers.messages_crashes import PartTried, TrialEnded
 from lagoonlever.timers import TimerService
 
 log = logbook.Logger(__name__)
@@ -45,6 +46,17 @@
 
     async def run(self) -> None:
         """Receive what other VMs try, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive_begun)
+            nursery.start_soon(self._receive_ended)
+
+    async def _receive_ended(self) -> None:
+        async for received in self._bus.subscribe(TrialEnded):
+            message = received.message
+            self._trials.record_over(message.key, vm=message.vm)
+            self._spread.pass_on(message, source=received.sender.name, for_plain=message)
+
+    async def _receive_begun(self) -> None:
         async for received in self._bus.subscribe(PartTried):
             message, source = received.message, received.sender.name
             vm = message.vm or source
@@ -80,9 +92,16 @@
         names = ", ".join(sorted(part_name(part) for part in trial.parts))
         events.PART_TRIED.log(log, request=request, barred_part=names, ended=ended)
 
-    def ended(self, accepted: Accepted) -> None:
-        """Record that the work on a request is over, whatever became of it."""
-        self._trials.record_end(accepted.request_id)
+    def ended(self, accepted: Accepted, *, answered: bool) -> None:
+        """Record that the work on a request is over, whatever became of it.
+
+        Where its caller has been ``answered``, the other VMs are told: it may come back to them. An
+        engine of one that was left may still end under it, so these wait.
+        """
+        for key in self._trials.record_end(accepted.request_id):
+            if answered:
+                message = TrialEnded(key=key, vm=self._own)
+                self._spread.tell(message, for_plain=message)
 
     def expire(self, now: float) -> None:
         """Forget trials of other VMs that have shown nothing."""
--- a/lagoonlever/peers/messages_crashes.py
+++ b/lagoonlever/peers/messages_crashes.py
@@ -54,6 +54,17 @@
     """The VM that tries, whichever hub has passed the word on; empty for the sender."""
 
 
+@PEER.message("gX")
+@attrs.frozen(kw_only=True)
+class TrialEnded:
+    """A trial has ended, and its caller has its answer; somebody else may try."""
+
+    key: str
+    """The trial, as in `lagoonlever/decisions/engines/part_blocks.py`."""
+    vm: str
+    """The VM that tried."""
+
+
 def read_ends(message: TargetsEnded, now: float) -> CrashesByRequest:
     """Give what a message tells, in seconds of the receiver's clock."""
     ends: dict[str, dict[str, Crash]] = {}
--- a/lagoonlever/tests/part_trials_tests.py
+++ b/lagoonlever/tests/part_trials_tests.py
@@ -116,6 +116,15 @@
     assert suspects.find_open_trial(asked, 4.0) is None
 
 
+def test_a_request_does_not_wait_for_a_vm_that_is_gone() -> None:
+    """Its caller came back to another VM, which refused it for the trial of the dead one."""
+    trial = OpenTrial(parts=frozenset({"r"}), crash_count=3, over_s=0.0, is_request=True)
+    trials = PartTrials()
+    trials.record_elsewhere(trial.key, 10.0, vm="vm-0", own="vm-1")
+    assert trials.wait_s(trial, "again", 10.5, own="vm-1", vms=("vm-0", "vm-2")) > 0.0
+    assert trials.wait_s(trial, "again", 10.5, own="vm-1", vms=("vm-2",)) == 0.0
+
+
 def test_one_request_of_all_vms_tries_a_part_as_its_block_ends() -> None:
     """No answer is known; dozens of requests with the part come in the second that a block ends."""
 
--- a/lagoonlever/tests/trial_admission_fleet_tests.py
+++ b/lagoonlever/tests/trial_admission_fleet_tests.py
@@ -86,3 +86,21 @@
             assert told == len(others)
 
     run_fleet(story)
+
+
+@pytest.mark.parametrize("vms", [9, 195])
+def test_a_caller_that_returns_after_its_trial_waits_for_nothing(vms: int) -> None:
+    """The request ended without one more end, and each other VM refused its return for seconds."""
+
+    async def story(fleet: Fleet) -> None:
+        trying = await _start(fleet, vms)
+        for number in range(TRYING):
+            first, second = trying[(number * 31) % vms], trying[(number * 31 + 1) % vms]
+            trial = request_trial(f"r-{number}")
+            assert first.trials.admit(asked("first attempt"), trial) is None
+            await trio.sleep(TOLD_S)
+            first.trials.ended(asked("first attempt"), answered=True)
+            await trio.sleep(TOLD_S)
+            assert second.trials.admit(asked("second attempt"), trial) is None
+
+    run_fleet(story)
