Streams: an engine that leaves is not believed at its end (ORDER)

An engine that leaves serves for DrainMs and a little longer and then exits, also under streams that go on, with its entry as draining or with none (PROTOCOL, service discovery). Since an answer without a length that ended with such a process was told as whole: callers saw three of ten events, framed as a whole answer.

Evidence: test_a_stream_whose_engine_leaves_between_two_events_is_not_told_as_whole, by its entry or by having none, with resumes or without; all four cases failed before and pass now.

Change: what an engine that is gone has written without a length goes on elsewhere, or is broken off, as before; that its end is held against nothing stays. The two rows of judge_end for engines that leave asserted the fault, and fall with the parameter; the test of sites asserts the opposite over both ways to leave.

Price, as before: an engine that leaves, finishes such an answer and is gone before it is asked costs a second run that adds no event; a stream that may not run twice is then not told as whole. The count of tokens that callers send is a bound, not a length, so nothing tells the two apart.

Run: answers_without_length_tests, three times, 14 passed each.

--- a/lagoonlever/tests/answers_without_length_tests.py
+++ b/lagoonlever/tests/answers_without_length_tests.py
@@ -5,10 +5,11 @@
 from collections import deque
 
 import pytest
+import trio
 
 from lagoonlever.decisions.streams.answer_ends import AnswerEnd, judge_end
 from lagoonlever.fakes.platform_engine import EngineConduct
-from lagoonlever.tests.gateway_site import GatewaySite, run_site
+from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site, until
 from lagoonlever.tests.handed_over_tests import cut
 from lagoonlever.tests.late_copies_tests import configured, with_attempts
 from lagoonlever.tests.refusals_tests import WAYS
@@ -18,23 +19,19 @@
 
 
 @pytest.mark.parametrize(
-    ("answers", "is_same", "leaves", "events", "end"),
+    ("answers", "is_same", "events", "end"),
     [
-        (True, True, False, None, AnswerEnd.WHOLE),
-        (True, True, False, 7, AnswerEnd.WHOLE),
-        (True, True, False, 8, AnswerEnd.CUT),
-        (True, True, True, 8, AnswerEnd.CUT),
-        (True, False, False, None, AnswerEnd.ENGINE_GONE),
-        (False, True, False, None, AnswerEnd.ENGINE_GONE),
-        (False, True, True, None, AnswerEnd.WHOLE),
+        (True, True, None, AnswerEnd.WHOLE),
+        (True, True, 7, AnswerEnd.WHOLE),
+        (True, True, 8, AnswerEnd.CUT),
+        (True, False, None, AnswerEnd.ENGINE_GONE),
+        (False, True, None, AnswerEnd.ENGINE_GONE),
     ],
 )
 def test_an_end_is_believed_of_a_process_that_lives_and_made_no_more_events(
-    answers: bool, is_same: bool, leaves: bool, events: int | None, end: AnswerEnd
+    answers: bool, is_same: bool, events: int | None, end: AnswerEnd
 ) -> None:
-    judged = judge_end(
-        answers=answers, is_same=is_same, leaves=leaves, events_made=events, position=7
-    )
+    judged = judge_end(answers=answers, is_same=is_same, events_made=events, position=7)
     assert judged is end
 
 
@@ -83,6 +80,51 @@
     run_site(story, engines=4, runners=0, vms=1)
 
 
+async def _leave(site: GatewaySite, name: str, *, listed: bool) -> None:
+    """Have an engine leave by its entry, or by having none any more."""
+    engine, targets = site.engines[name], site.vms["vm-0"].daemon.parts.beliefs.targets
+    if listed:
+        site.list_target(name, service="engines", state="draining", started_ms=engine.started_ms)
+        await until(lambda: targets.is_leaving(name))
+        return
+    site.unlist_target(name)
+    await until(lambda: targets.find(name) is None)
+
+
+@pytest.mark.parametrize("listed", [True, False])
+@pytest.mark.parametrize("resumes", [True, False])
+def test_a_stream_whose_engine_leaves_between_two_events_is_not_told_as_whole(
+    resumes: bool, listed: bool
+) -> None:
+    """An engine that leaves exits some seconds later, also under streams that go on.
+
+    Its caller got three of ten events, framed as a whole answer.
+    """
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        await configured(site, with_attempts("stream", 5, ResumeStreams=resumes))
+        turns = deque((EngineConduct.NO_LENGTH_END,))
+        for engine in site.engines.values():
+            engine.conducts = turns
+            engine.prefill_tokens_per_s = 200.0
+        answers: list[Stream] = []
+
+        async def ask() -> None:
+            answers.append(await site.stream("p-1", events=EVENTS))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await until(lambda: _runs(site))
+            leaving = next(name for name, engine in site.engines.items() if engine.seen)
+            await _leave(site, leaving, listed=listed)
+        (stream,) = answers
+        assert stream.is_events("p-1", 1, EVENTS if resumes else 3)
+        assert stream.whole is resumes
+
+    run_site(story, engines=3, runners=0, vms=1)
+
+
 def test_a_stream_whose_engine_lives_on_is_whole_after_one_run() -> None:
     """Guards against a second reading of a prompt whose answer was whole."""
 
