Crashes: a question that ends as a VM stops is no fault

A VM that stops while an engine is being asked for, and gets the answer in the same moment, ended with an AssertionError of LostEngines beside its cancellation: a group of both passes run_part, and the VM's end was an exception in place of a planned one. Class: a handle that is taken away from work that still runs.

The task that judges keeps the nursery that it runs in, which is open for as long as it runs; new losses are turned away after the cancellation as before.

--- a/lagoonlever/gateway/lost_engines.py
+++ b/lagoonlever/gateway/lost_engines.py
@@ -90,7 +90,7 @@
             pending.append(loss)
             return
         self._pending[process] = [loss]
-        self._nursery.start_soon(self._judge, process, loss.engine)
+        self._nursery.start_soon(self._judge, process, loss.engine, self._nursery)
 
     def record_gone(self, loss: Loss) -> None:
         """Record a loss whose engine is known to have crashed."""
@@ -113,7 +113,7 @@
         await trio.sleep(after_s)
         self.judge(loss)
 
-    async def _judge(self, process: str, engine: ListedTarget) -> None:
+    async def _judge(self, process: str, engine: ListedTarget, nursery: trio.Nursery) -> None:
         """Ask for an engine's process until all its losses are judged."""
         closed = 0
         while self._pending[process]:
@@ -122,14 +122,13 @@
             closed = closed + 1 if self._prober.has_broken(engine.id) else 0
             is_down = report is None and await self._is_down(engine.address)
             fate = judge_loss(self._signs(engine, report, closed=closed, is_down=is_down))
-            self._settle(process, fate, asked_at=asked_at)
+            self._settle(process, fate, asked_at=asked_at, nursery=nursery)
             if self._pending[process]:
                 await trio.sleep(ASK_AGAIN_S)
         del self._pending[process]
 
-    def _settle(self, process: str, fate: Fate, *, asked_at: float) -> None:
+    def _settle(self, process: str, fate: Fate, *, asked_at: float, nursery: trio.Nursery) -> None:
         """Judge the losses that an answer is of use for, and give up those that wait too long."""
-        assert self._nursery is not None
         pending, now = self._pending[process], self._timers.now
         for loss in list(pending):
             own_fate = fate
@@ -139,7 +138,7 @@
             if own_fate is Fate.UNKNOWN and now - loss.at < SOUGHT_S:
                 continue
             pending.remove(loss)
-            self._nursery.start_soon(self._tell, loss, own_fate)
+            nursery.start_soon(self._tell, loss, own_fate)
 
     async def _tell(self, loss: Loss, fate: Fate) -> None:
         events.LOSS_JUDGED.log(
--- a/lagoonlever/tests/lost_engines_tests.py
+++ b/lagoonlever/tests/lost_engines_tests.py
@@ -7,10 +7,16 @@
 import attrs
 import pytest
 import trio
+import trio.testing
 
 from lagoonlever.decisions.engines.answer_stages import STARTED
+from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
+from lagoonlever.decisions.targets.listed_target import ListedTarget
+from lagoonlever.decisions.targets.registry import TargetRegistry
 from lagoonlever.gateway.lost_engines import SOUGHT_S, Loss, LostEngines
+from lagoonlever.http.messages import Address
 from lagoonlever.tests.gateway_site import GatewaySite, run_site, until
+from lagoonlever.timers import TimerService
 
 LOSSES = 12
 
@@ -90,3 +96,88 @@
         assert await _count_questions(site, count) <= 2
 
     run_site(story, engines=2, vms=2)
+
+
+class _Prober:
+    """One whose questions go unanswered, and end once it is let."""
+
+    def __init__(self, *, shield: bool = False) -> None:
+        self._shield = shield
+        self.asked = trio.Event()
+        self.let = trio.Event()
+
+    async def ask(self, engine: ListedTarget, *, since: float) -> None:
+        """Return nothing; with ``shield`` also to one that was cancelled meanwhile."""
+        self.asked.set()
+        with trio.CancelScope(shield=self._shield):
+            await self.let.wait()
+
+    def has_broken(self, engine_id: str) -> bool:
+        """Tell that no connection was closed."""
+        return False
+
+
+class _Dialer:
+    """One to which every target is down."""
+
+    def is_down(self, address: Address) -> bool:
+        """Tell so."""
+        return True
+
+
+class _Beliefs:
+    """As much as the judge of losses asks for."""
+
+    targets = TargetRegistry()
+
+
+async def _is_down(address: Address) -> bool:
+    return True
+
+
+async def _count(loss: Loss) -> None:
+    await trio.lowlevel.checkpoint()
+
+
+def _judge_of(prober: _Prober) -> LostEngines:
+    parts: Any = (prober, _Dialer(), _Beliefs())
+    return LostEngines(
+        prober=parts[0],
+        dialer=parts[1],
+        is_down=_is_down,
+        beliefs=parts[2],
+        suspects=CrashSuspects(),
+        timers=TimerService(),
+        crashed=_count,
+    )
+
+
+def _loss() -> Loss:
+    address = Address(host="127.0.0.1", port=1)
+    engine = ListedTarget(id="e", service="engines", address=address, data_center="dc-0")
+    request: Any = _Request()
+    now = trio.current_time()
+    return Loss(accepted=request, engine=engine, weights=STARTED, sent_at=now, at=now)
+
+
+async def _ask_until_cancelled(judge: LostEngines, prober: _Prober) -> None:
+    """Have a loss judged, and cancel all judging while its engine is being asked."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(judge.run)
+        await trio.testing.wait_all_tasks_blocked()
+        judge.judge(_loss())
+        await prober.asked.wait()
+        nursery.cancel_scope.cancel()
+        with trio.CancelScope(shield=True):
+            await trio.testing.wait_all_tasks_blocked()
+        prober.let.set()
+
+
+def test_a_question_that_ends_as_a_vm_stops_is_no_fault() -> None:
+    """The VM's end was an assertion that had failed, in place of a planned one."""
+
+    async def main() -> None:
+        prober = _Prober(shield=True)
+        await _ask_until_cancelled(_judge_of(prober), prober)
+
+    trio.run(main)
