Crashes: losses are judged after the judge has started again

Where a fault of ours had ended the parts that count crashes while an engine was being asked for, they started again after 0.5 s, and each later loss of that engine's process joined a list that nobody asked for any more: its request waited a second for a verdict that never came, the end was not counted (BUDGET), and the list grew. An engine that tells no start has one name for all its processes, so there it stayed so. Class: a mark that outlives the work that it stands for.

Evidence: test_a_loss_is_judged_after_the_judge_has_started_again, which cancels the judge while it asks and starts it again; it failed before (not judged within 5 s) and passes now.

A judgement takes its mark away whichever way it ends.

--- a/lagoonlever/gateway/lost_engines.py
+++ b/lagoonlever/gateway/lost_engines.py
@@ -116,16 +116,18 @@
     async def _judge(self, process: str, engine: ListedTarget, nursery: trio.Nursery) -> None:
         """Ask for an engine's process until all its losses are judged."""
         closed = 0
-        while self._pending[process]:
-            asked_at = self._timers.now
-            report = await self._prober.ask(engine, since=asked_at)
-            closed = closed + 1 if self._prober.has_broken(engine.id) else 0
-            is_down = report is None and await self._is_down(engine.address)
-            fate = judge_loss(self._signs(engine, report, closed=closed, is_down=is_down))
-            self._settle(process, fate, asked_at=asked_at, nursery=nursery)
-            if self._pending[process]:
-                await trio.sleep(ASK_AGAIN_S)
-        del self._pending[process]
+        try:
+            while self._pending[process]:
+                asked_at = self._timers.now
+                report = await self._prober.ask(engine, since=asked_at)
+                closed = closed + 1 if self._prober.has_broken(engine.id) else 0
+                is_down = report is None and await self._is_down(engine.address)
+                fate = judge_loss(self._signs(engine, report, closed=closed, is_down=is_down))
+                self._settle(process, fate, asked_at=asked_at, nursery=nursery)
+                if self._pending[process]:
+                    await trio.sleep(ASK_AGAIN_S)
+        finally:
+            del self._pending[process]
 
     def _settle(self, process: str, fate: Fate, *, asked_at: float, nursery: trio.Nursery) -> None:
         """Judge the losses that an answer is of use for, and give up those that wait too long."""
--- a/lagoonlever/tests/lost_engines_tests.py
+++ b/lagoonlever/tests/lost_engines_tests.py
@@ -181,3 +181,22 @@
         await _ask_until_cancelled(_judge_of(prober), prober)
 
     trio.run(main)
+
+
+def test_a_loss_is_judged_after_the_judge_has_started_again() -> None:
+    """After a fault of ours a process's later losses joined those of a question that was gone."""
+
+    async def main() -> None:
+        prober = _Prober()
+        judge = _judge_of(prober)
+        await _ask_until_cancelled(judge, prober)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(judge.run)
+            await trio.testing.wait_all_tasks_blocked()
+            loss = _loss()
+            judge.judge(loss)
+            with trio.fail_after(SOUGHT_S):
+                await loss.judged.wait()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
