Streams: a question whose first asker has left says nothing of its engine

Requests share a question to an engine. Where the one that asked first was cancelled (its caller left, its time was over), the others were given its missing answer as "does not answer": a live engine counted as gone, was reported lost to the other VMs, its stream was sent again, and a whole answer without a length was sent again or, where it may not run twice, not told as whole. Class: the absence of an answer taken for an answer.

Found by reading; no run showed it.

A question that was given up is marked so, and whoever waits for it asks anew.

--- a/lagoonlever/gateway/prober.py
+++ b/lagoonlever/gateway/prober.py
@@ -33,6 +33,8 @@
     report: EngineReport | None = None
     broke: bool = False
     """A new connection was opened for the question, and closed before an answer."""
+    is_given_up: bool = False
+    """Whoever asked has left; that says nothing of the engine."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -68,23 +70,31 @@
 
         An answer to a question from before ``since`` is not taken.
         """
-        known = self._asked.get(engine.id)
-        if known is not None and known.at < since:
-            known = None
-        if known is not None and not known.done.is_set():
+        while (known := self._shared(engine, since)) is not None:
             await known.done.wait()
-            return known.report
-        now = trio.current_time()
-        if known is not None and now - known.at < FRESH_S:
-            return known.report
-        asked = self._asked[engine.id] = _Asked(done=trio.Event(), at=now)
+            if not known.is_given_up:
+                return known.report
+        asked = _Asked(done=trio.Event(), at=trio.current_time())
+        self._asked[engine.id] = asked
         try:
             question = await self._fetch(engine)
             asked.report, asked.broke = question.report, question.broke
+        except BaseException:
+            asked.is_given_up = True
+            raise
         finally:
             asked.done.set()
         return asked.report
 
+    def _shared(self, engine: ListedTarget, since: float) -> _Asked | None:
+        """Return a question that is being asked, or was a moment ago, if its answer is of use."""
+        known = self._asked.get(engine.id)
+        if known is None or known.at < since or known.is_given_up:
+            return None
+        if known.done.is_set() and trio.current_time() - known.at >= FRESH_S:
+            return None
+        return known
+
     def has_broken(self, engine_id: str) -> bool:
         """Check whether the last question's new connection was opened, and closed unanswered."""
         asked = self._asked.get(engine_id)
