Streams: an event counts as passed on once nothing is waited for any more (ORDER)

Cause: the position of a stream was moved on before its first event waited for the mark of an unnamed process (0.3 s in an outage of the store). The second look at the engines could leave the attempt in that time. The stream then held a position and no origin, so that it could go on nowhere. Callers saw: a head with 200, no event, and the end of the connection. Change: the position is moved on after the wait; an attempt whose engine has written an event isn't left for a better place. Why it holds: between the step of the position and the write of the event nothing is awaited, and a repeat of a run that has begun saves no time.

--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -473,12 +473,13 @@
                 writer = await self._writers.find(since=self._answer.connected) or UNKNOWN
             if writer is not None and not writer.proven and self._life.origin is not None:
                 raise _Ended("another process may have answered than one of the stream's version")
+            if writer is not None and (not writer.proven or self._plan.run.version is None):
+                await self._tools.versions.until_marked(self._accepted.service)
+            # From here on the event counts as the caller's, so nothing is waited for.
             verdict = self._life.check_event(event.id)
             if verdict is EventVerdict.OUT_OF_ORDER:
                 raise _Ended(f"event {event.id} came after {self._life.position}")
             if writer is not None:
-                if not writer.proven or self._plan.run.version is None:
-                    await self._tools.versions.until_marked(self._accepted.service)
                 # Others know before the caller does: this VM may die right after.
                 self._tell_begun(writer if writer.proven else UNKNOWN)
                 if not writer.proven:
@@ -583,6 +584,8 @@
     async def _look_again(self) -> None:
         """Leave an engine that other VMs chose at the same moment, if another is better."""
         await trio.sleep(self._tools.beliefs.book.news_s + LOOK_MARGIN_S)
+        if self._answer.has_event:
+            return
         window = self._tools.budgets.of_runs(self._accepted.service)
         if not window.allows(self._now, vms=1, share=MOVES_PART):
             return
