Streams: a drawn service is no proof of where a stream began (ORDER)

Cause: a caller that came back to a route with several services, named no beginning, and whose question's last run no VM knew any more (a loss of all VMs) went on at the service that its new request drew by the route's weights. Callers saw: the first events from one service, the rest from another one, in an answer that looked whole. Evidence: split_route_take_ups_tests.py, red before the change at the first of four streams (events of both services); both tests green with it. The second one, that such a caller goes on where its question ran last, was green before. Change: without a run that is known the beginning is unknown, and the caller is told to begin anew. A route with one service is handled as before. Why it holds: nothing that a returning caller sends or a VM knows names the service then; ORDER goes before LOST. By the platform's words callers name their beginning, so that these ones are few. Run: split_route_take_ups, version_records, stream_versions and stream_origins tests, 56 passed.

--- a/lagoonlever/gateway/origin_finder.py
+++ b/lagoonlever/gateway/origin_finder.py
@@ -121,14 +121,14 @@
         """Return the service of a route, or None if it has several.
 
         A caller that does not name the beginning of its stream goes on where the last run of its
-        question was, or else anywhere on its route.
+        question was. A service drawn by the route's weights would be a guess.
         """
         if len(accepted.route.services) == 1:
             return accepted.service
         if accepted.caller.resumes is not None:
             return None
         run = self._beliefs.book.find_unfinished_run_for(accepted.fingerprint)
-        return run.service if run is not None else accepted.service
+        return run.service if run is not None else None
 
     async def _ask_others(self, request: str) -> FoundOrigin | None:
         def question(number: int) -> OriginAsk:
