Crashes: a trial whose caller has left is not told as over (BUDGET)

The others were to be told of a trial's end where its caller has its outcome, and not where it has left, as the engine may still end under what was left. But serving ends in order after a caller has left: cancel_when_gone cancels the work's scope, and no CallerGone is raised but by a write. So each caller that left counted as answered, and the next copy went on at any other VM at once. Class: the absence of an exception taken for an outcome.

Evidence: test_a_copy_waits_where_the_caller_of_another_one_has_left: three engines end under a request, its caller leaves the fourth one as that reads, and a copy at another VM got 200 at once on; now it is refused (ends-targets), for 5 s at most as before.

Change: an exchange knows that its caller was seen to leave, and Front asks it.

--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -78,7 +78,7 @@
         answered = False
         try:
             await self._serve[accepted.route.kind](accepted)
-            answered = True
+            answered = not exchange.is_caller_gone
         except (CallerGone, OSError):
             raise
         except Exception:
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -79,12 +79,18 @@
         self.request = request
         self._connection = connection
         self._responded = False
+        self._is_caller_gone = False
 
     @property
     def responded(self) -> bool:
         """Whether a response was started."""
         return self._responded
 
+    @property
+    def is_caller_gone(self) -> bool:
+        """Whether the caller was seen to close its side, by those who wait for that."""
+        return self._is_caller_gone
+
     async def respond(self, *, status: int, headers: Headers, body: bytes) -> None:
         """Answer with a whole body."""
         self._responded = True
@@ -132,6 +138,7 @@
     async def wait_gone(self) -> None:
         """Return when the caller has closed its side of the connection."""
         await self._connection.wait_gone()
+        self._is_caller_gone = True
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
--- a/lagoonlever/tests/trials_of_sound_requests_tests.py
+++ b/lagoonlever/tests/trials_of_sound_requests_tests.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import functools
+from typing import Any
+
 import trio
 
+from lagoonlever.outcomes import REASON_HEADER, Reason
 from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site, until
 
 QUESTION = "sound"
@@ -87,3 +91,24 @@
         assert copy.status == 200, (copy.status, copy.headers)
 
     run_site(story, engines=8, vms=3)
+
+
+def test_a_copy_waits_where_the_caller_of_another_one_has_left() -> None:
+    """The engine that was left may still end; each VM let the next copy go on at once."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        for engine in site.engines.values():
+            engine.prefill_tokens_per_s = PROMPT_TOKENS / READ_S
+        prompt: dict[str, Any] = {"shared": ("system",), "prompt_tokens": PROMPT_TOKENS}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(functools.partial(site.stream, QUESTION, events=10, **prompt))
+            await lose_engines(site)
+            await until(lambda: sum(bool(e.seen) for e in site.engines.values()) > ENDS)
+            nursery.cancel_scope.cancel()
+        await trio.sleep(0.1)
+        copy = await site.stream(QUESTION, vm="vm-1", events=10, **prompt)
+        assert copy.status == 503
+        assert copy.headers.get(REASON_HEADER) == Reason.ENDS_TARGETS.value
+
+    run_site(story, engines=8, vms=3)
