--- a/lagoonlever/tests/long_streams_tests.py
+++ b/lagoonlever/tests/long_streams_tests.py
@@ -139,7 +139,7 @@
         self.counts["engine"] += 1
         self.site.crash(name)
         await trio.sleep(self.rng.uniform(0.02, 0.2))
-        version = self.rng.choice(("v1", "v2"))
+        version = self._next_version()
         is_listed = self.rng.random() < 0.7
         engine = await self.site.start_engine(name, version=version, listed=is_listed)
         self.set_up(name)
@@ -149,6 +149,10 @@
                 name, service="engines", started_ms=engine.started_ms, version=version
             )
 
+    def _next_version(self) -> str:
+        """Return the version of an engine's next process."""
+        return self.rng.choice(("v1", "v2"))
+
     async def _end_engine_and_its_holder(self) -> None:
         for _ in range(2):
             await self._end_engine()
