Calls: a less urgent rank gets what keeps it from being starved (STARVED)

Cause: the queue of calls granted slots by rank alone, and refused a call as it came if all more urgent ones before it could not start in time. So the less urgent got what the others left over, each time they came back.

What callers saw: with 200 urgent and 20 other calls a second at runners that do 120, 3% of the others were served and 70% of all; the rule asks for a quarter as often as all.

Change: `RankShares` (decisions/admission). Each grant gives each rank a claim to 0.375 of a grant times the rank's part of the requests; a grant takes one claim off. A rank with a whole claim gets the next grant, and a call that its rank's claims will serve in time is queued and not refused. 0.375 is the rule's quarter times 1.5, as all requests count in the rule and those of other services may be served half as often again.

Why it holds: the claims of all ranks add up to 0.375 of the grants, so ranks that ask steadily can always be paid, and the more urgent lose no more than that; a rank that is served at its share by the usual order has no whole claim but for moments.

--- a/lagoonlever/decisions/admission/call_queue.py
+++ b/lagoonlever/decisions/admission/call_queue.py
@@ -22,6 +22,7 @@
     QueuedForCapacity,
     RejectedWithRetryAfter,
 )
+from lagoonlever.decisions.admission.rank_shares import RankShares
 from lagoonlever.decisions.admission.runner_slots import MAX_SLOT_HELD_S, GrantedSlot, RunnerSlots
 from lagoonlever.decisions.admission.runners import UNHEALTHY_FAILURE_EXCESS
 from lagoonlever.decisions.targets.reported_load import ReportedLoad
@@ -95,7 +96,7 @@
     waited_s: float
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class _Waiter:
     """Attempt that waits in the queue."""
 
@@ -109,10 +110,15 @@
 
     @property
     def order(self) -> tuple[bool, int, float, bool, int]:
-        """The sort key; lower values go first."""
+        """The sort key; lower values go first, after those that have a claim."""
         capacity = self.request.capacity
         return (self.late, capacity.rank, capacity.start_by, capacity.repeatable, self.number)
 
+    @property
+    def rank(self) -> int:
+        """The urgency of the call; 0 is the most urgent."""
+        return self.request.capacity.rank
+
 
 @attrs.define(kw_only=True)
 class CallQueue:
@@ -125,6 +131,7 @@
     _waiting: dict[str, _Waiter] = attrs.field(factory=dict)
     _decisions: list[QueueDecision] = attrs.field(factory=list)
     """Decisions that ``tick`` has not returned yet."""
+    _shares: RankShares = attrs.field(factory=RankShares)
     _work_s: float = INITIAL_WORK_S
     _slot_s: float = INITIAL_WORK_S
     """Time for which a call holds a slot, network both ways included, at the usual speed."""
@@ -208,6 +215,7 @@
             waiter.renewed_at = now
             return self._queued(waiter)
         self._count_arrival(now)
+        self._shares.record_request(request.capacity.rank)
         self._release_expired(now)
         self._request_count += 1
         return self._enqueue(
@@ -311,26 +319,46 @@
     def _queued(self, waiter: _Waiter) -> QueuedForCapacity:
         return QueuedForCapacity(seconds=RENEW_INTERVAL_S, ahead=self._count_ahead(waiter))
 
+    def _in_order(self) -> list[_Waiter]:
+        """Return the waiters, the next one first."""
+        ordered = sorted(self._waiting.values(), key=lambda each: each.order)
+        return self._shares.claimants_first(ordered, lambda each: each.rank)
+
     def _count_ahead(self, waiter: _Waiter) -> int:
-        return sum(1 for other in self._waiting.values() if other.order < waiter.order)
+        return self._in_order().index(waiter)
+
+    def _count_peers_ahead(self, waiter: _Waiter) -> int:
+        peers = (each for each in self._waiting.values() if each.rank == waiter.rank)
+        return sum(1 for each in peers if each.order < waiter.order)
 
     def _expected_start(self, waiter: _Waiter, now: float) -> float:
-        """Return the time at which a waiter's turn comes; infinity if no runner is usable."""
+        """Return the time at which a waiter's turn comes; infinity if no runner is usable.
+
+        Its turn comes by its place in the order, or by a claim of its rank if that is sooner.
+        """
+        ahead = min(self._count_ahead(waiter), self._grants_until_claim(waiter))
         per_s = self.calls_per_s(now)
-        return now + (self._count_ahead(waiter) + 1) / per_s if per_s else float("inf")
+        return now + (ahead + 1) / per_s if per_s else float("inf")
+
+    def _grants_until_claim(self, waiter: _Waiter) -> float:
+        before = self._count_peers_ahead(waiter)
+        return self._shares.grants_until_claim(waiter.rank, before=before)
 
     def _ends_in_time(self, waiter: _Waiter, now: float) -> bool:
         """Check whether a late waiter is expected to be answered before its caller's deadline.
 
         Late calls get only the capacity that calls on time leave over: none while demand exceeds
-        the runners' rate.
+        the runners' rate, unless their rank has a claim.
         """
+        least_s = FINISH_MARGIN_FACTOR * self._work_s
+        if self._count_peers_ahead(waiter) < self._shares.claims(waiter.rank):
+            return self._expected_start(waiter, now) + least_s <= waiter.request.capacity.end_by
         left_per_s = USABLE_CAPACITY_SHARE * self.calls_per_s(now) - self._arrivals_per_s(now)
         if left_per_s <= 0:
             return False
         late = sum(1 for other in self._waiting.values() if other.late)
         ahead_s = len(self._waiting) / self.calls_per_s(now) + late / left_per_s
-        return now + ahead_s + FINISH_MARGIN_FACTOR * self._work_s <= waiter.request.capacity.end_by
+        return now + ahead_s + least_s <= waiter.request.capacity.end_by
 
     def _is_unservable(self, waiter: _Waiter, now: float) -> bool:
         """Check whether a waiter can't be answered in time any more; mark it late if due.
@@ -351,13 +379,17 @@
 
         A waiter that avoids some runners does not hold up those behind it.
         """
-        for waiter in sorted(self._waiting.values(), key=lambda each: each.order):
+        waiting = sorted(self._waiting.values(), key=lambda each: each.order)
+        while waiting:
+            waiter = self._shares.next_in_turn(waiting, lambda each: each.rank)
+            waiting.remove(waiter)
             best = self._best_runner(waiter.request, now) or self._best_runner(
                 waiter.request, now, queued=MAX_QUEUED_PER_RUNNER
             )
             if best is None and not waiter.request.avoid:
                 return
             if best is not None and not self._should_wait_for_faster(waiter, best, now):
+                self._shares.record_grant(waiter.rank)
                 self._decide(waiter, self._grant(waiter.request, best, now), now)
         if not self._waiting:
             self._short_since = None
--- a/lagoonlever/tests/call_queue_shares_tests.py
+++ b/lagoonlever/tests/call_queue_shares_tests.py
@@ -7,6 +7,8 @@
 from collections import Counter
 
 import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from lagoonlever.decisions.admission.call_queue import CallEnd, CallQueue
 from lagoonlever.decisions.admission.capacity import (
@@ -14,7 +16,8 @@
     CapacityOutcome,
     RejectedWithRetryAfter,
 )
-from lagoonlever.soak.served import LEAST_SHARE
+from lagoonlever.decisions.admission.rank_shares import KEPT_SHARE, RankShares
+from lagoonlever.soak.served import LEAST_ASKED, LEAST_SHARE
 from lagoonlever.tests.call_queue_tests import load_report, slot_request
 
 RUNNERS, SLOTS = ("a", "b"), 6
@@ -44,6 +47,7 @@
     """Calls of some ranks at one queue, in virtual time."""
 
     per_s: dict[int, float]
+    seconds: float = SECONDS
     queue: CallQueue = attrs.field(factory=CallQueue)
     asked: Counter[int] = attrs.field(factory=Counter)
     served: Counter[int] = attrs.field(factory=Counter)
@@ -57,7 +61,7 @@
         self.queue.retain(dict.fromkeys(RUNNERS, "dc"))
         for name in RUNNERS:
             self._answered("-", name, 0.0)
-        for step in range(round(2 * SECONDS / TICK_S)):
+        for step in range(round((self.seconds + SECONDS) / TICK_S)):
             now = step * TICK_S
             while self._ends and self._ends[0][0] <= now:
                 _, name, runner = heapq.heappop(self._ends)
@@ -76,7 +80,7 @@
         rng = random.Random(1)
         for rank, rate in self.per_s.items():
             at = 0.0
-            while (at := at + rng.expovariate(rate)) < SECONDS:
+            while (at := at + rng.expovariate(rate)) < self.seconds:
                 self._coming.append(Arrival(at=at, number=len(self._coming), rank=rank))
                 self.asked[rank] += 1
         heapq.heapify(self._coming)
@@ -109,3 +113,50 @@
     of_all = replay.served.total() / replay.asked.total()
     assert of_all > 0.5
     assert min(shares.values()) >= LEAST_SHARE * of_all, (shares, of_all)
+
+
+class NoShares(RankShares):
+    """Claims that no rank has: the queue goes by rank alone."""
+
+    def record_grant(self, rank: int) -> None:
+        """Record nothing."""
+
+
+RATES = st.dictionaries(
+    st.integers(0, 4), st.sampled_from([5.0, 20.0, 60.0, 120.0, 250.0]), min_size=2, max_size=4
+)
+
+
+@settings(max_examples=10, deadline=None)
+@given(per_s=RATES)
+def test_a_rank_of_calls_gets_what_it_is_owed_for_any_mix_of_rates(
+    per_s: dict[int, float],
+) -> None:
+    """Guards against ranks that are starved, or get more than they are owed, in some mixes."""
+    fair = Replay(per_s=per_s, seconds=4.0)
+    fair.run()
+    plain = Replay(per_s=per_s, seconds=4.0, queue=CallQueue(shares=NoShares()))
+    plain.run()
+    of_all = fair.served.total() / fair.asked.total()
+    for rank, asked in fair.asked.items():
+        if asked >= LEAST_ASKED:
+            assert fair.served[rank] >= LEAST_SHARE * of_all * asked, (rank, fair.served)
+        less_urgent = [each for each in per_s if each > rank]
+        for each in less_urgent:
+            overtakes_by = fair.served[each] / fair.asked[each] - fair.served[rank] / asked
+            assert overtakes_by <= 0.05 or min(asked, fair.asked[each]) < 2 * LEAST_ASKED
+        gained = sum(max(0, fair.served[each] - plain.served[each]) for each in less_urgent)
+        assert fair.served[rank] >= plain.served[rank] - gained - LEAST_ASKED
+    assert fair.served.total() >= 0.95 * plain.served.total()
+
+
+def test_the_urgent_lose_a_part_of_what_one_grant_in_four_would_cost_them() -> None:
+    """Guards against a share of grants that does not follow how few the less urgent are."""
+    fair = Replay(per_s={0: 200.0, 2: 20.0})
+    fair.run()
+    plain = Replay(per_s={0: 200.0, 2: 20.0}, queue=CallQueue(shares=NoShares()))
+    plain.run()
+    owed = KEPT_SHARE * 20.0 / 220.0 * fair.served.total()
+    lost = plain.served[0] - fair.served[0]
+    assert lost <= 2.0 * owed, "the urgent ones' second tries find the queue fuller, too"
+    assert fair.served[0] / fair.asked[0] > fair.served[2] / fair.asked[2]
