Crashes: what an engine said of its leaving holds for its process, whenever its end is judged (LOST)

Cause: whether an engine leaves was asked once, as its connection broke, by its id. VMs read an entry up to a third of a second after it is written, so an engine that ended before was counted; one that had left the list by then was taken to stay, as was one whose id another process had; ends that other VMs reported, calls and the record weren't asked at all. Callers saw requests with a rare part, or calls, refused after planned ends.

Change: the list remembers each process (id and start) that said or was listed so, for 60 s beyond its entry, and not for the next process under its id. CrashSuspects holds the ends of such processes against nothing, whoever reports them, and takes back ends that were counted up to 2 s before the news; the record in the store is written without them. An entry that is changed later takes nothing back, so listing a crashed engine as leaving afterwards doesn't free what ended it.

Tests, before: leaving_engines_ends_tests.py red at unlisted, said_and_unlisted, back under their ids, learnt later, and both calls; listed and said green. After: all green. test_engines_that_leave_and_end_are_held_against_nothing now waits until every VM knows, judges before any answer, and fails if one was given: its pause was shorter than the way of the news, so it never met the state that it names. It is stricter: no answer can clear what was counted.

Why it holds: all own ends go through CrashWatch._note, all news and the record through CrashSuspects._add.

--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -21,6 +21,8 @@
 - A request that gets a whole answer anywhere does not crash targets: its crashes are cleared. The
   report of a crash may arrive just after the answer that clears it, so answers are remembered for
   a short time, and crashes from before them are not counted.
+- A process that says that it leaves ends in any case, so its end counts for nothing. VMs may learn
+  that a moment after the end, so an end that was counted before is taken back.
 - A store that is restored from an older copy reports crashes again that an answer has cleared, so
   these answers are remembered for as long as a copy may be old.
 """
@@ -73,6 +75,12 @@
 
 It is longer than the age of any copy from which the store is restored, which is some seconds.
 """
+LEAVING_NEWS_S = 2.0
+"""Within so long after the end of a process a VM knows whether it had said that it leaves.
+
+It is the way by the store and its watch, and a VM that stood still for a second. An entry that is
+changed later says nothing of the end.
+"""
 MAX_ANSWERS = 2048
 """Upper bound of the answers that are remembered; beyond it the oldest are removed."""
 MAX_SUSPECTS = 256
@@ -138,6 +146,8 @@
     """Whether this VM knows on which parts answers begin."""
     _tested: dict[str, None] = attrs.field(factory=dict)
     """Processes of which the sound parts at their crash are known, the oldest first."""
+    _leaving: Mapping[str, float] = attrs.field(factory=dict)
+    """Processes that said that they leave, and when that became known here."""
     _answers: dict[str, _Answer] = attrs.field(factory=dict)
     """The last whole answer to each request, the oldest first."""
     _clearings: dict[str, _Clearing] = attrs.field(factory=dict)
@@ -170,6 +180,35 @@
         self._answers_known = known
         self._find_part_causes()
 
+    def set_leaving(self, leaving: Mapping[str, float]) -> bool:
+        """Set which processes leave and since when that is known; return whether ends fall away.
+
+        Their ends are held against nothing, whoever reports them.
+        """
+        self._leaving = leaving
+        kept = {
+            fingerprint: {
+                process: crash
+                for process, crash in processes.items()
+                if not self._is_planned(process, crash)
+            }
+            for fingerprint, processes in self._crashes.items()
+        }
+        if kept == self._crashes:
+            return False
+        self._crashes = {f: processes for f, processes in kept.items() if processes}
+        self._blocked &= self._crashes.keys()
+        self._find_causes()
+        return True
+
+    def is_planned(self, process: str) -> bool:
+        """Check whether a process is known to leave."""
+        return process in self._leaving
+
+    def _is_planned(self, process: str, crash: Crash) -> bool:
+        known_at = self._leaving.get(process)
+        return known_at is not None and known_at <= crash.at + LEAVING_NEWS_S
+
     def record_crash(self, fingerprint: str, process: str, crash: Crash) -> bool:
         """Record a crash of a process under a request; return whether it adds information.
 
@@ -374,7 +413,10 @@
 
     def _add(self, crashes: CrashesByRequest) -> bool:
         is_new = is_changed = False
-        for fingerprint, processes in crashes.items():
+        for fingerprint, reported in crashes.items():
+            processes = {p: end for p, end in reported.items() if not self._is_planned(p, end)}
+            if not processes:
+                continue
             self._mark_tested(
                 process
                 for process, crash in processes.items()
--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -40,6 +40,7 @@
 
 from lagoonlever.decisions.rollouts.versions import RolloutOrder, ServiceVersions
 from lagoonlever.decisions.targets.leave_announcements import FORGET_S, LeaveAnnouncements
+from lagoonlever.decisions.targets.leaving_processes import LeavingProcesses
 from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
 from lagoonlever.decisions.targets.replacements import UNLISTED_LIFETIME_S
 from lagoonlever.decisions.targets.restored_entries import may_be_restored
@@ -94,6 +95,8 @@
     """Targets that were lost and may have restarted under their ids since."""
     _announcements: LeaveAnnouncements = attrs.field(factory=LeaveAnnouncements)
     """The leave announcements that targets made in answers."""
+    _leaving: LeavingProcesses = attrs.field(factory=LeavingProcesses)
+    """The processes that said so by their answers or entries, also those that are gone."""
     _unconfirmed_until: dict[str, float] = attrs.field(factory=dict)
     """Targets that were gone and are listed by a restored entry, until it would have lapsed."""
     _as_of: Revision = NOWHERE
@@ -256,13 +259,6 @@
         """Check whether a target takes work, without regard to its version."""
         return not self._is_leaving(target) and target.id not in self._unconfirmed_until
 
-    def is_leaving(self, target_id: str) -> bool:
-        """Check whether a target that is listed says that it leaves."""
-        target = self._targets.get(target_id)
-        if target is None:
-            return False
-        return target.draining or self._announcements.is_leaving(target_id)
-
     def _is_leaving(self, target: ListedTarget) -> bool:
         """Check whether a target is known to leave, or to have been replaced."""
         if target.draining or target.id in self._replaced_at:
@@ -371,6 +367,7 @@
             return False
         if known.started_ms is None:
             self._targets[target_id] = attrs.evolve(known, started_ms=started_ms)
+            self._leaving.name_start(target_id, started_ms)
             return False
         self._targets[target_id] = attrs.evolve(known, started_ms=started_ms, version=None)
         self._former_starts[target_id] = known.started_ms
@@ -378,6 +375,11 @@
         self._announcements.forget(target_id)
         return True
 
+    @property
+    def leaving(self) -> LeavingProcesses:
+        """The processes that said that they leave, also for a while after they are gone."""
+        return self._leaving
+
     @property
     def leave_announcements(self) -> dict[str, int | None]:
         """The targets that announced that they leave, with the starts of their processes."""
@@ -393,6 +395,8 @@
         known = self._targets.get(target_id)
         if known is not None and known.is_later_than(started_ms):
             return False
+        start = self.process_start(target_id) if started_ms is None else started_ms
+        self._leaving.record(target_id, start, now)
         return self._announcements.record(target_id, started_ms=started_ms, now=now)
 
     def mark_replaced(self, target_id: str, now: float) -> None:
@@ -450,6 +454,7 @@
         for target_id in [t for t, at in self._replaced_at.items() if now - at > FORGET_S]:
             del self._replaced_at[target_id]
         self._announcements.expire(now, kept=self._targets.keys())
+        self._leaving.expire(now, listed=self._targets)
         for target_id in [t for t, until in self._unconfirmed_until.items() if now >= until]:
             del self._unconfirmed_until[target_id]
         return tuple(TargetChange(id=t, target=None, revision=revision) for t, revision in due)
@@ -510,6 +515,7 @@
         self._removed.pop(target.id, None)
         self._unlisted_until.pop(target.id, None)
         self._targets[target.id] = target
+        self._note_leaving(target, now)
         if target.service in self._versions and target.version is not None:
             self._versions[target.service].record_listed(target.version)
         self._mark_replaced_by(target, now)
@@ -517,6 +523,13 @@
             return True
         return attrs.evolve(known, revision=target.revision) != target
 
+    def _note_leaving(self, target: ListedTarget, now: float) -> None:
+        """Update whether the process that an entry names leaves."""
+        if target.draining or self._announcements.is_leaving(target.id):
+            self._leaving.record(target.id, target.started_ms, now)
+        else:
+            self._leaving.withdraw(target.id, target.started_ms)
+
     def _is_of_former_process(self, entry: ListedTarget) -> bool:
         """Check whether an entry may come from a copy made before the target restarted."""
         start = self.process_start(entry.id)
--- a/lagoonlever/gateway/attempt_crashes.py
+++ b/lagoonlever/gateway/attempt_crashes.py
@@ -33,7 +33,7 @@
 
         One that leaves ends in any case.
         """
-        if self._tools.beliefs.targets.is_leaving(self._engine.id):
+        if self._tools.beliefs.targets.leaving.is_leaving(self._engine.id, self._engine.started_ms):
             return NO_WEIGHT
         return weigh_crash(
             self._answer.stage,
--- a/lagoonlever/gateway/crash_records.py
+++ b/lagoonlever/gateway/crash_records.py
@@ -95,6 +95,14 @@
             self._served.add(fingerprint)
             self._wanted.set()
 
+    def take_out_planned(self) -> None:
+        """Request that ends are removed from the record of processes that are known to leave.
+
+        A VM that starts later reads the record, and may never hear that they left.
+        """
+        if self._has_planned():
+            self._wanted.set()
+
     def read_again(self) -> None:
         """Request that the record is read again, for a VM that may not hear others."""
         self._is_old = True
@@ -142,7 +150,7 @@
 
     def _has_news(self) -> bool:
         """Check whether the record lacks a crash, or has a suspect that was answered."""
-        if self._served & (self._recorded.keys() | self._writing):
+        if self._served & (self._recorded.keys() | self._writing) or self._has_planned():
             return True
         nothing: frozenset[str] = frozenset()
         return any(
@@ -150,6 +158,10 @@
             for fingerprint, processes in self._known().items()
         )
 
+    def _has_planned(self) -> bool:
+        recorded = (process for processes in self._recorded.values() for process in processes)
+        return any(self._suspects.is_planned(process) for process in recorded)
+
     def _known(self) -> dict[str, frozenset[str]]:
         return {
             fingerprint: frozenset(processes)
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -89,6 +89,8 @@
     _lost_engines: LostEngines = attrs.field(init=False)
     _started: float = attrs.field(factory=trio.current_time)
     _left_engines: LeftEngines = attrs.field(init=False)
+    _leaving_changes: int = 0
+    """As of which change of the targets that leave their ends are left out."""
 
     @_lost_engines.default
     def _make_lost_engines(self) -> LostEngines:
@@ -380,11 +382,23 @@
         trial = self._suspects.find_open_trial(accepted.suspects, now)
         return None if trial is None else self._trials.admit(accepted, trial)
 
+    def _note_leaving(self) -> None:
+        """Have the ends of processes that said that they leave count for nothing."""
+        leaving = self._beliefs.targets.leaving
+        if leaving.changes == self._leaving_changes:
+            return
+        self._leaving_changes = leaving.changes
+        self._suspects.set_leaving(
+            {process_name(p.target, p.started_ms): since for p, since in leaving.since.items()}
+        )
+        self._records.take_out_planned()
+
     def _note_answers(self) -> None:
         """Update the registry with whether this VM knows sound parts.
 
         One that does not hear of all runs is told of crashes by hubs, which leave sound parts out.
         """
+        self._note_leaving()
         for parts in self._sound.take_lived_on(self._timers.now):
             self._learn_sound(parts)
         known = self._sound.knows_any(self._timers.now) or not self._hears_runs()
@@ -394,6 +408,7 @@
         self, accepted: Accepted, target: ListedTarget, weights: CrashWeights, *, at: float
     ) -> bool:
         """Count an end that this VM saw; return whether it is news."""
+        self._note_leaving()
         fingerprint, now = accepted.fingerprint, self._timers.now
         process = process_name(target.id, target.started_ms)
         self._sound.withdraw(process)
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -328,7 +328,8 @@
         end = judge_end(
             answers=report is not None,
             is_same=not is_other_process(engine, report),
-            leaves=targets.is_leaving(engine.id) or targets.find(engine.id) is None,
+            leaves=targets.leaving.is_leaving(engine.id, engine.started_ms)
+            or targets.find(engine.id) is None,
             events_made=run.events if run is not None else None,
             position=self._life.position,
         )
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -10,12 +10,14 @@
 
 from lagoonlever.decisions.engines.crash_suspects import (
     CLEARING_RETENTION_S,
+    LEAVING_NEWS_S,
     MAX_ANSWERS,
     MAX_SUSPECTS,
     RETENTION_S,
     CrashSuspects,
 )
 from lagoonlever.decisions.engines.part_blocks import BLOCK_S
+from lagoonlever.decisions.engines.suspects import part_suspects
 from lagoonlever.decisions.engines.target_crashes import (
     MAX_REPORT_DELAY_S,
     WEIGHT_QUEUED,
@@ -296,3 +298,49 @@
 @given(weight=st.floats(), at=st.floats(allow_nan=False))
 def test_an_invalid_weight_from_outside_is_mapped_to_a_valid_one(weight: float, at: float) -> None:
     assert Crash.from_report(at=at, weight=weight).weight in (WEIGHT_STARTED, WEIGHT_QUEUED)
+
+
+def test_the_end_of_a_process_that_leaves_counts_for_nothing_whoever_reports_it() -> None:
+    """Guards against a request that is refused as engines ended that were to end in any case."""
+    suspects = CrashSuspects()
+    suspects.set_leaving({"a": 0.0, "b": 0.0})
+    assert not suspects.record_crash("f1", "a", Crash(at=1.0))
+    assert not suspects.record_reported_crashes({"f1": {"b": Crash(at=1.0, tested=True)}})
+    assert not suspects.crashes
+    assert not suspects.has_crashed("a", 2.0)
+    assert suspects.record_crash("f1", "c", Crash(at=1.0))
+
+
+def test_ends_are_taken_back_once_it_is_known_that_their_processes_left() -> None:
+    """Guards against a block by ends whose engines' entries were read a moment after them."""
+    suspects = suspects_of(*((name, WEIGHT_STARTED) for name in ("a", "b", "c")))
+    assert suspects.find_block("f1", 2.0) is not None
+    assert suspects.set_leaving({"c": 2.0 + LEAVING_NEWS_S})
+    assert suspects.find_block("f1", 2.0) is None
+    assert suspects.count_crashes("f1") == 2
+
+
+def test_an_entry_that_is_changed_long_after_the_end_takes_nothing_back() -> None:
+    """Guards against a request that ends engines, and a program that lists these as leaving."""
+    suspects = suspects_of(*((name, WEIGHT_STARTED) for name in ("a", "b", "c")))
+    assert not suspects.set_leaving({"c": 2.1 + LEAVING_NEWS_S})
+    assert suspects.find_block("f1", 2.0) is not None
+
+
+def test_the_end_of_the_next_process_under_an_id_counts() -> None:
+    """Guards against a process that is taken to leave as the one before it did."""
+    suspects = CrashSuspects()
+    suspects.set_leaving({process_name("e", 1): 0.0})
+    assert suspects.record_crash("f1", process_name("e", 2), Crash(at=1.0))
+
+
+def test_a_part_is_free_again_once_it_is_known_that_engines_left() -> None:
+    """Guards against a rare part that is refused, as engines ended with their last answers."""
+    suspects = CrashSuspects()
+    for number, name in enumerate("abc"):
+        crash = Crash(at=float(number), requests=(f"r{number}",))
+        suspects.record_crash(part_suspects(service="s", model="m", shared=("p",))[0], name, crash)
+    assert suspects.part_causes
+    assert suspects.set_leaving(dict.fromkeys("abc", 2.0))
+    assert not suspects.part_causes
+    assert not suspects.crashes
--- a/lagoonlever/tests/deadly_parts_stages_tests.py
+++ b/lagoonlever/tests/deadly_parts_stages_tests.py
@@ -12,6 +12,13 @@
 from lagoonlever.tests.deadly_parts_paths_tests import lose_paths
 from lagoonlever.tests.deadly_parts_tests import LATER, PART, arrivals, ask_all, ready
 from lagoonlever.tests.gateway_site import GatewaySite, run_site, until
+from lagoonlever.tests.leaving_engines_ends_tests import (
+    SLOW,
+    counted,
+    list_draining,
+    rare_at,
+    until_known,
+)
 
 STABLE_S = 3.0
 """From the fifth end until every VM refuses the part."""
@@ -72,35 +79,39 @@
 
 
 def test_engines_that_leave_and_end_are_held_against_nothing() -> None:
-    """Three engines ended with their last answers, and a rare part of these was refused."""
+    """Three engines ended with their last answers, and a rare part of these was refused.
+
+    Nothing is answered before it is judged: a whole answer would clear what was counted.
+    """
 
     async def story(site: GatewaySite) -> None:
         await ready(site)
         site.deadly.clear()
         for engine in site.engines.values():
-            engine.prefill_tokens_per_s = 400.0
+            engine.prefill_tokens_per_s = SLOW
+        answered: list[int] = []
+
+        async def ask(number: int) -> None:
+            vm = f"vm-{number % 3}"
+            await site.stream(f"rare-{number}", vm=vm, shared=("system", "rare"), events=2)
+            answered.append(number)
+
         async with trio.open_nursery() as nursery:
             for number in range(4):
-                vm = f"vm-{number % 3}"
-                nursery.start_soon(
-                    lambda vm=vm, n=number: site.stream(
-                        f"rare-{n}", vm=vm, shared=("system", "rare"), events=2
-                    )
-                )
-            await until(lambda: sum(bool(e.runs) for e in site.engines.values()) >= 3)
+                nursery.start_soon(ask, number)
+            await until(lambda: len(rare_at(site.engines.values())) == 4)
             leaving = [name for name, engine in site.engines.items() if engine.runs]
             for name in leaving:
-                site.list_target(
-                    name,
-                    service="engines",
-                    state="draining",
-                    started_ms=site.engines[name].started_ms,
-                )
-            await trio.sleep(0.1)
+                list_draining(site, name)
+            await until_known(site, leaving)
+            ended = [site.engines[name] for name in leaving]
+            assert sum(bool(engine.runs) for engine in ended) >= 3
             for name in leaving:
                 site.crash(name)
-        for vm in site.vms.values():
-            suspects = vm.daemon.parts.crashes._suspects
-            assert not suspects.crashes
+            others = [engine for engine in site.engines.values() if engine not in ended]
+            await until(lambda: len(rare_at(others)) == 4)
+            assert not counted(site)
+            assert not answered
+            nursery.cancel_scope.cancel()
 
     run_site(story, engines=12, vms=3)
--- a/lagoonlever/tests/target_registry_tests.py
+++ b/lagoonlever/tests/target_registry_tests.py
@@ -346,3 +346,51 @@
         assert not listed.takes_work("e1"), era
     change(listed, "e1", target("e1"), revision=of_era(3, 46), now=3.5, store_back_at=3.0)
     assert listed.takes_work("e1")
+
+
+def test_the_leaving_of_a_process_is_known_after_it_is_gone_and_not_of_the_next_one() -> None:
+    """Guards against an end that is judged after the entry is gone, or names the next process."""
+    listed = TargetRegistry()
+    entry = started("e", 7)
+    change(
+        listed, "e", attrs.evolve(entry, draining=True), revision=at(1), now=0.0, store_back_at=None
+    )
+    change(listed, "e", None, revision=at(2), now=1.0, store_back_at=None)
+    listed.expire(30.0)
+    assert listed.leaving.is_leaving("e", 7)
+    change(listed, "e", started("e", 9), revision=at(3), now=31.0, store_back_at=None)
+    assert listed.leaving.is_leaving("e", 7)
+    assert not listed.leaving.is_leaving("e", 9)
+    listed.expire(100.0)
+    assert not listed.leaving.is_leaving("e", 7)
+
+
+def test_a_process_that_says_that_it_leaves_is_known_by_its_start() -> None:
+    """Guards against an end that is judged once another process has the id."""
+    listed = TargetRegistry()
+    change(listed, "e", started("e", 7), revision=at(1), now=0.0, store_back_at=None)
+    listed.record_leave_announcement("e", started_ms=None, now=1.0)
+    listed.record_restart("e", 9)
+    assert listed.leaving.is_leaving("e", 7)
+    assert not listed.leaving.is_leaving("e", 9)
+
+
+def test_a_process_that_is_listed_as_ready_again_leaves_no_more() -> None:
+    """Guards against ends that count for nothing, long after a leaving was called off."""
+    listed = TargetRegistry()
+    entry = started("e", 7)
+    change(
+        listed, "e", attrs.evolve(entry, draining=True), revision=at(1), now=0.0, store_back_at=None
+    )
+    change(listed, "e", entry, revision=at(2), now=1.0, store_back_at=None)
+    assert not listed.leaving.is_leaving("e", 7)
+
+
+def test_a_process_whose_start_is_learnt_as_it_leaves_is_the_same() -> None:
+    """Guards against an entry without a start, and a report that names it."""
+    listed = TargetRegistry()
+    entry = attrs.evolve(started("e", None), draining=True)
+    change(listed, "e", entry, revision=at(1), now=0.0, store_back_at=None)
+    listed.record_restart("e", 7)
+    assert listed.leaving.is_leaving("e", 7)
+    assert listed.leaving.is_leaving("e", None)
