Streams: an answer without a length isn't whole because its engine was to leave (ORDER)

Cause: took the end of an answer with neither a length nor chunks for whole where the engine no longer answered and had said that it leaves, or was off the list. An engine that leaves may also end within its last answer (its time to leave is over, or it crashes), and one is off the list also as its entry has lapsed. Callers got three of ten events, framed as a whole answer.

Evidence: test_a_stream_whose_leaving_engine_ends_between_two_events_is_not_told_as_whole, before: red in all four cases (may go on elsewhere or not; entry there or gone). After: green.

Change: judge_end doesn't ask whether an engine leaves. A stream that may go on elsewhere does so behind its last event, and is whole also if nothing was missing (test_a_stream_whose_leaving_engine_ends_after_its_last_event_is_whole, green before and after). One that may not is cut, as it was before: nothing tells a whole one from a broken one, and an answer that ends early must not look complete. The end of an engine that leaves still weighs nothing.

The rows of judge_end with `leaves`: (no answer, leaves -> whole) stood for the fault, and its replacements are the four cases above, against real connections; (answers, leaves, 8 events of 7 -> cut) is the row without `leaves`.

--- a/lagoonlever/decisions/streams/answer_ends.py
+++ b/lagoonlever/decisions/streams/answer_ends.py
@@ -24,19 +24,19 @@
     *,
     answers: bool,
     is_same: bool,
-    leaves: bool,
     events_made: int | None,
     position: int | None,
 ) -> AnswerEnd:
     """Return what an answer is by what its engine tells after its end.
 
     ``answers`` and ``is_same`` tell whether the engine does so, as the process that was sent the
-    request; one that ``leaves`` may end with its last answer. ``events_made`` counts the events of
-    the run, if a report lists it, and ``position`` is the last that has come, if events are
-    numbered. A report is some hundred milliseconds old, so that a run which it lists may be over.
+    request. That an engine was to leave is no sign: one that leaves may have finished its last
+    answer, or have ended within it. ``events_made`` counts the events of the run, if a report lists
+    it, and ``position`` is the last that has come, if events are numbered. A report is some hundred
+    milliseconds old, so that a run which it lists may be over.
     """
     if not (answers and is_same):
-        return AnswerEnd.WHOLE if leaves else AnswerEnd.ENGINE_GONE
+        return AnswerEnd.ENGINE_GONE
     if events_made is not None and position is not None and events_made > position:
         return AnswerEnd.CUT
     return AnswerEnd.WHOLE
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -324,12 +324,9 @@
         report = await self._tools.prober.ask(engine, since=self._now)
         self._take_report(report)
         run = report.run(self._accepted.request_id) if report is not None else None
-        targets = self._tools.beliefs.targets
         end = judge_end(
             answers=report is not None,
             is_same=not is_other_process(engine, report),
-            leaves=targets.leaving.is_leaving(engine.id, engine.started_ms)
-            or targets.find(engine.id) is None,
             events_made=run.events if run is not None else None,
             position=self._life.position,
         )
