--- a/lagoonlever/decisions/streams/answer_ends.py
+++ b/lagoonlever/decisions/streams/answer_ends.py
@@ -30,10 +30,10 @@
     """Return what an answer is by what its engine tells after its end.
 
     ``answers`` and ``is_same`` tell whether the engine does so, as the process that was sent the
-    request; one that leaves ends in any case, also under answers that it has not finished.
-    ``events_made`` counts the events of the run, if a report lists it, and ``position`` is the last
-    that has come, if events are numbered. A report is some hundred milliseconds old, so that a run
-    which it lists may be over.
+    request. That an engine was to leave is no sign: one that leaves may have finished its last
+    answer, or have ended within it. ``events_made`` counts the events of the run, if a report lists
+    it, and ``position`` is the last that has come, if events are numbered. A report is some hundred
+    milliseconds old, so that a run which it lists may be over.
     """
     if not (answers and is_same):
         return AnswerEnd.ENGINE_GONE
--- a/lagoonlever/tests/answers_without_length_tests.py
+++ b/lagoonlever/tests/answers_without_length_tests.py
@@ -9,12 +9,15 @@
 
 from lagoonlever.decisions.streams.answer_ends import AnswerEnd, judge_end
 from lagoonlever.fakes.platform_engine import EngineConduct
-from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site, until
+from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site
 from lagoonlever.tests.handed_over_tests import cut
 from lagoonlever.tests.late_copies_tests import configured, with_attempts
+from lagoonlever.tests.leaving_engines_ends_tests import list_draining, unlist, until_known
 from lagoonlever.tests.refusals_tests import WAYS
 
 EVENTS = 10
+SLOW_EVENT_S = 2.0
+"""Between two events of a stream whose engine is listed as leaving meanwhile."""
 ENDS = (EngineConduct.NO_LENGTH_END, EngineConduct.NO_LENGTH_HEAD_END)
 
 
@@ -31,8 +34,7 @@
 def test_an_end_is_believed_of_a_process_that_lives_and_made_no_more_events(
     answers: bool, is_same: bool, events: int | None, end: AnswerEnd
 ) -> None:
-    judged = judge_end(answers=answers, is_same=is_same, events_made=events, position=7)
-    assert judged is end
+    assert judge_end(answers=answers, is_same=is_same, events_made=events, position=7) is end
 
 
 def _conduct_all(site: GatewaySite, *conducts: EngineConduct) -> None:
@@ -80,60 +82,77 @@
     run_site(story, engines=4, runners=0, vms=1)
 
 
-async def _leave(site: GatewaySite, name: str, *, listed: bool) -> None:
-    """Have an engine leave by its entry, or by having none any more."""
-    engine, targets = site.engines[name], site.vms["vm-0"].daemon.parts.beliefs.targets
-    if listed:
-        site.list_target(name, service="engines", state="draining", started_ms=engine.started_ms)
-        await until(lambda: targets.is_leaving(name))
-        return
-    site.unlist_target(name)
-    await until(lambda: targets.find(name) is None)
+def test_a_stream_whose_engine_lives_on_is_whole_after_one_run() -> None:
+    """Guards against a second reading of a prompt whose answer was whole."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        _conduct_all(site, EngineConduct.NO_LENGTH)
+        stream = await site.stream("p-1", events=EVENTS)
+        assert stream.whole
+        assert stream.is_events("p-1", 1, EVENTS)
+        assert _runs(site) == 1
 
+    run_site(story, engines=2, runners=0, vms=2)
 
-@pytest.mark.parametrize("listed", [True, False])
-@pytest.mark.parametrize("resumes", [True, False])
-def test_a_stream_whose_engine_leaves_between_two_events_is_not_told_as_whole(
-    resumes: bool, listed: bool
-) -> None:
-    """An engine that leaves exits some seconds later, also under streams that go on.
 
-    Its caller got three of ten events, framed as a whole answer.
-    """
+@pytest.mark.parametrize("is_unlisted", [False, True])
+@pytest.mark.parametrize("resumes", [False, True])
+def test_a_stream_whose_leaving_engine_ends_between_two_events_is_not_told_as_whole(
+    resumes: bool, is_unlisted: bool
+) -> None:
+    """Its caller got three of ten events, framed as a whole answer, as the engine was to end."""
 
     async def story(site: GatewaySite) -> None:
         await site.wait_met()
         await configured(site, with_attempts("stream", 5, ResumeStreams=resumes))
-        turns = deque((EngineConduct.NO_LENGTH_END,))
-        for engine in site.engines.values():
-            engine.conducts = turns
-            engine.prefill_tokens_per_s = 200.0
-        answers: list[Stream] = []
+        engine = site.engines["engine-0"]
+        engine.conducts.append(EngineConduct.NO_LENGTH_END)
+        engine.event_s = SLOW_EVENT_S
+        begun = trio.Event()
+        got: list[Stream] = []
 
         async def ask() -> None:
-            answers.append(await site.stream("p-1", events=EVENTS))
+            stream = await site.stream("p-1", events=EVENTS, on_event=lambda _: begun.set())
+            got.append(stream)
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ask)
-            await until(lambda: _runs(site))
-            leaving = next(name for name, engine in site.engines.items() if engine.seen)
-            await _leave(site, leaving, listed=listed)
-        (stream,) = answers
-        assert stream.is_events("p-1", 1, EVENTS if resumes else 3)
-        assert stream.whole is resumes
+            await begun.wait()
+            await site.start_engine("engine-1")
+            list_draining(site, "engine-0")
+            await until_known(site, ["engine-0"])
+            if is_unlisted:
+                await unlist(site, ["engine-0"])
+            assert engine.runs
+        assert got[0].whole == resumes
+        assert got[0].is_events("p-1", 1, EVENTS if resumes else 3)
 
-    run_site(story, engines=3, runners=0, vms=1)
+    run_site(story, engines=1, runners=0, vms=1)
 
 
-def test_a_stream_whose_engine_lives_on_is_whole_after_one_run() -> None:
-    """Guards against a second reading of a prompt whose answer was whole."""
+def test_a_stream_whose_leaving_engine_ends_after_its_last_event_is_whole() -> None:
+    """Guards against a break after the last event, where the stream may go on elsewhere."""
 
     async def story(site: GatewaySite) -> None:
         await site.wait_met()
-        _conduct_all(site, EngineConduct.NO_LENGTH)
-        stream = await site.stream("p-1", events=EVENTS)
-        assert stream.whole
-        assert stream.is_events("p-1", 1, EVENTS)
-        assert _runs(site) == 1
+        engine = site.engines["engine-0"]
+        engine.conducts.append(EngineConduct.NO_LENGTH_END)
+        engine.event_s = SLOW_EVENT_S
+        begun = trio.Event()
+        got: list[Stream] = []
 
-    run_site(story, engines=2, runners=0, vms=2)
+        async def ask() -> None:
+            got.append(await site.stream("p-1", events=3, on_event=lambda _: begun.set()))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await begun.wait()
+            await site.start_engine("engine-1")
+            list_draining(site, "engine-0")
+            await until_known(site, ["engine-0"])
+            assert engine.runs
+        assert got[0].whole
+        assert got[0].is_events("p-1", 1, 3)
+
+    run_site(story, engines=1, runners=0, vms=1)
