--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -27,6 +27,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import TypeVar
 
@@ -45,6 +46,7 @@
     has_evidence,
     is_cause,
 )
+from lagoonlever.decisions.engines.part_doubts import blocked_from, doubt_trial
 from lagoonlever.decisions.engines.suspects import SuspectKind, Suspects, kind_of
 from lagoonlever.decisions.engines.target_crashes import (
     MAX_REPORT_DELAY_S,
@@ -132,6 +134,8 @@
     _blocked: frozenset[str] = frozenset()
     _part_causes: tuple[PartSet, ...] = ()
     """Parts that are causes; those that can't be told apart as one set."""
+    _blocked_from: dict[PartSet, float] = attrs.field(factory=dict)
+    """From when each of these is blocked, in seconds."""
     _suspect_parts: tuple[PartSet, ...] = ()
     """The same for parts that one more crash may show to be causes."""
     _answers_known: bool = True
@@ -158,10 +162,9 @@
         """The requests that are taken for causes, also those whose block is over."""
         return self._blocked
 
-    @property
-    def part_causes(self) -> tuple[PartSet, ...]:
-        """The parts that are taken for causes; those that can't be told apart as one set."""
-        return self._part_causes
+    def part_causes(self, now: float) -> frozenset[PartSet]:
+        """Return the parts that are taken for causes by now; those that are alike as one set."""
+        return frozenset(cause for cause in self._part_causes if self._blocked_from[cause] <= now)
 
     def set_answers_known(self, known: bool) -> None:
         """Set whether this VM knows on which parts answers begin."""
@@ -267,7 +270,7 @@
     def find_part_block(self, suspects: Suspects, now: float) -> Block | None:
         """Return why a prompt with these parts is refused, or None if it may run."""
         for cause in self._part_causes:
-            if not cause.issubset(suspects.parts):
+            if not cause.issubset(suspects.parts) or self._blocked_from[cause] > now:
                 continue
             processes = self._crashes[next(iter(cause))]
             remaining_s = self._part_blocked_until(cause, suspects) - now
@@ -281,7 +284,7 @@
         It is a part of its prompt whose block is over, or the request itself after some crashes.
         """
         for cause in self._part_causes:
-            if not cause.issubset(suspects.parts):
+            if not cause.issubset(suspects.parts) or self._blocked_from[cause] > now:
                 continue
             processes = self._crashes[next(iter(cause))]
             over_s = now - self._part_blocked_until(cause, suspects)
@@ -292,6 +295,16 @@
         request = frozenset({suspects.request})
         return OpenTrial(parts=request, crash_count=count, over_s=0.0, is_request=True)
 
+    def find_doubt(self, suspects: Suspects, now: float) -> OpenTrial | None:
+        """Return what a request waits for while a part of its prompt may be cleared, or None.
+
+        It may try itself if no target has crashed under it.
+        """
+        for cause in self._part_causes:
+            if cause.issubset(suspects.parts) and self._blocked_from[cause] > now:
+                return doubt_trial(cause, self._crashes[next(iter(cause))], now)
+        return None
+
     def _part_blocked_until(self, cause: PartSet, suspects: Suspects) -> float:
         crashes = self._crashes[next(iter(cause))]
         others = sum(self._has_many_crashes(part) for part in suspects.parts if part not in cause)
@@ -401,13 +414,18 @@
     def _find_part_causes(self) -> None:
         parts = self._of_kind(SuspectKind.PART)
         causes = find_part_causes(parts, bound=BLOCKING)
-        self._part_causes = tuple(cause for cause in causes if self._is_certain(cause))
+        requests = self._of_kind(SuspectKind.REQUEST)
+        times = {cause: self._find_blocked_from(cause, requests) for cause in causes}
+        self._blocked_from = {cause: at for cause, at in times.items() if at < math.inf}
+        self._part_causes = tuple(self._blocked_from)
         gathering = GATHERING if self._answers_known else GATHERING_UNTESTED
         self._suspect_parts = find_part_causes(parts, bound=gathering)
 
-    def _is_certain(self, cause: PartSet) -> bool:
-        """Check whether enough of the crashes are tested, or there are many."""
-        return self._has_many_crashes(next(iter(cause))) or self._is_tested(cause)
+    def _find_blocked_from(self, cause: PartSet, requests: CrashesByRequest) -> float:
+        """Return from when a part is blocked: at once if enough of the crashes are tested."""
+        if self._is_tested(cause):
+            return -math.inf
+        return blocked_from(self._crashes[next(iter(cause))], requests)
 
     def _is_tested(self, cause: PartSet) -> bool:
         """Check whether enough crashes are from when it was known on which parts answers begin.
@@ -426,7 +444,8 @@
 
     def _find_causes(self) -> None:
         self._find_part_causes()
-        causes = frozenset[str]().union(*self._part_causes)
+        latest = max((_last_crash_at(own) for own in self._crashes.values()), default=0.0)
+        causes = frozenset[str]().union(*self.part_causes(latest))
         explained = frozenset(p for part in causes for p in self._crashes[part])
         self._blocked = find_causes(
             self._of_kind(SuspectKind.REQUEST), explained_by_parts=explained
--- a/lagoonlever/decisions/engines/part_blocks.py
+++ b/lagoonlever/decisions/engines/part_blocks.py
@@ -101,6 +101,8 @@
     """For how long the block has been over, in seconds."""
     is_request: bool = False
     """Whether it is a whole request, of which one copy at a time goes on, by any VM."""
+    is_doubt: bool = False
+    """Whether the parts are not blocked yet, and may be cleared."""
 
     @property
     def kept_s(self) -> float:
@@ -109,8 +111,12 @@
 
     @property
     def key(self) -> str:
-        """The trial's name, the same at every VM; the next one has another."""
-        return f"{'|'.join(sorted(self.parts))}#{self.crash_count}"
+        """The trial's name, the same at every VM; the next one has another.
+
+        While parts are in doubt there is one, however many more crashes are told.
+        """
+        turn = "doubt" if self.is_doubt else self.crash_count
+        return f"{'|'.join(sorted(self.parts))}#{turn}"
 
 
 @attrs.frozen(kw_only=True)
--- a/lagoonlever/decisions/engines/part_causes.py
+++ b/lagoonlever/decisions/engines/part_causes.py
@@ -14,7 +14,7 @@
   only if they come from different moments.
 - A VM that has heard of no answer of late knows no sound part, and what all requests share is at
   every crash. So crashes of that time convict only once another part of them was cleared, or once
-  there are many.
+  there are many (`part_doubts.py`).
 - A block hides the answers that would clear a part. So it is short where no answer is known,
   where two requests that end engines by themselves would explain all crashes, or where halves
   come from few moments.
@@ -187,17 +187,17 @@
 
 def is_explained_by_few(crashes: Mapping[str, Crash]) -> bool:
     """Check whether ``FEW_REQUESTS`` were at all the crashes between them."""
-    return _can_explain(FEW_REQUESTS, [crash.requests for crash in crashes.values()])
+    return can_explain(FEW_REQUESTS, [crash.requests for crash in crashes.values()])
 
 
-def _can_explain(count: int, crashes: Sequence[Collection[str]]) -> bool:
+def can_explain(count: int, crashes: Sequence[Collection[str]]) -> bool:
     """Check whether one of some ``count`` requests was at each crash."""
     if not crashes:
         return True
     if count == 0:
         return False
     return any(
-        _can_explain(count - 1, [others for others in crashes if request not in others])
+        can_explain(count - 1, [others for others in crashes if request not in others])
         for request in crashes[0]
     )
 
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -17,6 +17,7 @@
 
 from lagoonlever.decisions.engines.answer_stages import STARTED, CrashWeights
 from lagoonlever.decisions.engines.crash_suspects import Block, CrashSuspects
+from lagoonlever.decisions.engines.part_blocks import OpenTrial
 from lagoonlever.decisions.engines.part_causes import PartSet, SoundParts
 from lagoonlever.decisions.engines.suspect_placement import choose_suspect_engine
 from lagoonlever.decisions.engines.suspects import Suspects, part_name, part_suspects
@@ -51,6 +52,8 @@
 
 RECALL_S = 1.0
 """From the start of a VM until it takes requests at the latest, though the store is away."""
+DOUBT_LOOK_S = 0.05
+"""Between two looks of a request that waits until a part of its prompt is cleared or barred."""
 LOOK_PERIOD_S = 0.9
 """How often a VM that hears no other one reads the record: well within the time in which
 others are told by messages. A multiple of the time between its own words, for one wake-up."""
@@ -164,6 +167,34 @@
             with trio.move_on_at(self._started + RECALL_S):
                 await self._records.recalled.wait()
 
+    async def until_decided(self, accepted: Accepted) -> None:
+        """Wait while it is in doubt whether a part of a prompt ends engines.
+
+        One request of the fleet goes on meanwhile.
+        """
+        is_told = False
+        while self._suspects.crashes:
+            self._note_answers()
+            doubt = self._suspects.find_doubt(accepted.suspects, self._timers.now)
+            if doubt is None or self.is_barred(accepted):
+                return
+            has_ends = self._suspects.count_crashes(accepted.fingerprint) > 0
+            may_try = doubt.over_s >= 0 and not has_ends
+            if may_try and self._trials.admit(accepted, doubt, at_once=True) is None:
+                return
+            if not is_told:
+                self._log_doubted(accepted, doubt)
+                is_told = True
+            await trio.sleep(DOUBT_LOOK_S)
+
+    def _log_doubted(self, accepted: Accepted, doubt: OpenTrial) -> None:
+        events.PART_DOUBTED.log(
+            log,
+            request=accepted.request_id,
+            doubted_part=", ".join(sorted(part_name(part) for part in doubt.parts)),
+            ended=doubt.crash_count,
+        )
+
     def is_barred(self, accepted: Accepted) -> bool:
         """Check whether a request may not run now."""
         return self._find_block(accepted) is not None
@@ -462,7 +493,7 @@
                 events.REQUEST_BARRED.log(
                     log, fingerprint=fingerprint, ended=bar.crash_count, for_s=bar.remaining_s
                 )
-        causes = frozenset(self._suspects.part_causes)
+        causes = self._suspects.part_causes(self._timers.now)
         new_parts, self._barred_parts = causes - self._barred_parts, causes
         for parts in new_parts:
             asked = Suspects(request="", parts=tuple(parts))
@@ -486,6 +517,9 @@
         self._trials.expire(tick.now)
         self._left_engines.look()
         self._note_answers()
+        if self._suspects.part_causes(tick.now) - self._barred_parts:
+            # Nothing has cleared a part in the time that it was given.
+            self._take_news()
         fellows, roles = self._beliefs.fellows, self._roles.value
         is_alone = bool(fellows.states) and not fellows.present(tick.now)
         is_reader = roles is not None and roles.reads_store
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -211,11 +211,20 @@
     "A part that different requests share ends the targets that run it. Where several parts are"
     " named they can't be told apart, and only requests with all of them are refused.",
 )
+PART_DOUBTED = event(
+    1050,
+    "part-doubted",
+    "warning",
+    "{ended} targets ended under prompts with the part {doubted_part}, and nothing is known of the"
+    " parts beside it: {request} waits until an answer clears the part, or it is barred.",
+    "Two requests that end targets by themselves would explain all these ends. It takes some two"
+    " seconds at most, and one request of all VMs is sent on meanwhile.",
+)
 PART_TRIED = event(
     1029,
     "part-tried",
     "notice",
-    "{request} tries the part {barred_part}, whose bar is over, after {ended} ends.",
+    "{request} tries the part {barred_part}, whose bar is over or in doubt, after {ended} ends.",
     "No answer has cleared the part. This one request of all VMs is sent on; requests with the part"
     " are refused until it has shown whether the part is sound.",
 )
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -71,7 +71,11 @@
             return
         await self._crashes.until_recalled()
         # The other way round one that this VM has no time for would hold a trial, and never end it.
-        rejected = self._last.refusal(accepted) or self._crashes.refusal(accepted)
+        rejected = self._last.refusal(accepted)
+        if rejected is None:
+            with trio.move_on_at(accepted.deadline):
+                await self._crashes.until_decided(accepted)
+            rejected = self._crashes.refusal(accepted)
         if rejected is not None:
             await self._refuse(exchange, rejected, accepted=accepted)
             return
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -185,6 +185,7 @@
             step = life.next_step()
             if isinstance(step, GiveUp):
                 return step
+            await self._tools.crashes.until_decided(accepted)
             refusal = self._cannot_resume(accepted, life)
             if refusal is None:
                 refusal = self._admission.refusal(accepted, life, step)
--- a/lagoonlever/gateway/trial_admission.py
+++ b/lagoonlever/gateway/trial_admission.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import attrs
@@ -67,13 +68,15 @@
             if gives_way:
                 self._given_way()
 
-    def admit(self, accepted: Accepted, trial: OpenTrial) -> Block | None:
-        """Have a request try, or return for how long it waits."""
+    def admit(self, accepted: Accepted, trial: OpenTrial, *, at_once: bool = False) -> Block | None:
+        """Have a request try, or return for how long it waits.
+
+        ``at_once`` also if this VM has just started, and may not have met the others.
+        """
         now, request = self._timers.now, accepted.request_id
         names = [peer.life.name for peer in self._beliefs.fellows.present(now)]
-        wait_s = self._trials.wait_s(
-            trial, request, now, own=self._own, vms=names, up_s=now - self._started
-        )
+        up_s = math.inf if at_once else now - self._started
+        wait_s = self._trials.wait_s(trial, request, now, own=self._own, vms=names, up_s=up_s)
         if wait_s > 0:
             parts = frozenset[str]() if trial.is_request else trial.parts
             return Block(crash_count=trial.crash_count, remaining_s=wait_s, parts=parts)
--- a/lagoonlever/tests/deadly_parts_tests.py
+++ b/lagoonlever/tests/deadly_parts_tests.py
@@ -35,6 +35,12 @@
     return sum(part in prompt for prompt in prompts)
 
 
+def fewest_known(site: GatewaySite) -> int:
+    """Return how many ends under what all prompts share each VM knows at least."""
+    known = [vm.daemon.parts.crashes._suspects.crashes for vm in site.vms.values()]
+    return min(len(crashes.get("part:engines/m/shared", ())) for crashes in known)
+
+
 async def ask_all(
     site: GatewaySite, count: int, *, shared: tuple[str, ...], spacing_s: float = 0.1, **more: int
 ) -> list[Stream]:
@@ -151,6 +157,34 @@
     run_site(story, engines=40, vms=3)
 
 
+def test_two_prompts_that_end_engines_turn_nobody_away_in_a_fleet_s_first_work() -> None:
+    """What all share was at five ends, and no answer was known: all were refused for 5 s."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        site.deadly.update(("deadly-0", "deadly-1"))
+        answers: list[Stream] = []
+
+        async def ask(number: int) -> None:
+            answers.append(await site.stream(f"sound-{number}", vm=f"vm-{number % 3}"))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(4):
+                nursery.start_soon(
+                    lambda number=number: site.stream(f"deadly-{number % 2}", vm=f"vm-{number % 3}")
+                )
+            await until(lambda: fewest_known(site) >= MOST_ENDED)
+            for number in range(6):
+                nursery.start_soon(ask, number)
+        assert all(answer.whole and answer.status == 200 for answer in answers)
+        for number in range(3):
+            for prompt in ("deadly-0", "deadly-1"):
+                assert (await site.stream(prompt, vm=f"vm-{number}")).status != 200
+        assert len(site.deaths) <= 8, "three each, and what the copies of both ended meanwhile"
+
+    run_site(story, engines=40, vms=3)
+
+
 def test_what_begins_at_one_vm_is_sound_for_all() -> None:
     """Prompts that end engines come to a VM that has answered nothing itself."""
 
--- a/lagoonlever/tests/part_causes_tests.py
+++ b/lagoonlever/tests/part_causes_tests.py
@@ -15,6 +15,7 @@
 )
 from lagoonlever.decisions.engines.part_blocks import BLOCK_S
 from lagoonlever.decisions.engines.part_causes import MAX_SOUND_PARTS, SOUND_S, SoundParts
+from lagoonlever.decisions.engines.part_doubts import CLEARING_S
 from lagoonlever.decisions.engines.suspects import (
     MAX_ID_CHARACTERS,
     MAX_PARTS,
@@ -22,9 +23,17 @@
     part_name,
     part_suspects,
 )
-from lagoonlever.decisions.engines.target_crashes import WEIGHT_QUEUED, WEIGHT_STARTED, Crash
+from lagoonlever.decisions.engines.target_crashes import (
+    MAX_REPORT_DELAY_S,
+    WEIGHT_QUEUED,
+    WEIGHT_STARTED,
+    Crash,
+)
+from lagoonlever.gateway.crash_watch import LOOK_PERIOD_S
 
 MOST_ENDED = 5
+STABLE_S = 3.0
+"""So long after the fifth end requests with the part may reach engines."""
 ALLOWED_AFTER = 3
 """Requests that may still reach an engine after the fifth has ended."""
 
@@ -66,6 +75,9 @@
     def is_refused(self, asked: Suspects, now: float = 0.0) -> bool:
         return self.suspects.find_any_block(asked, now) is not None
 
+    def waits(self, asked: Suspects, now: float = 0.0) -> bool:
+        return self.suspects.find_doubt(asked, now) is not None
+
     def gathers(self, asked: Suspects, now: float = 0.0) -> bool:
         return self.suspects.find_gathering(asked, now) is not None
 
@@ -305,11 +317,52 @@
 
 
 def test_many_crashes_stop_a_part_before_any_answer_is_known() -> None:
+    """Three requests were at them, or two, and nothing has cleared the part since."""
+    watch = cold_watch()
+    for number, request in enumerate("aabbc"):
+        assert not watch.is_refused(asking("d", "bad"), number * 0.01)
+        watch.crashes_under(asking(request, "bad"), now=number * 0.01)
+    assert watch.is_refused(asking("d", "bad"), 0.04 + MAX_REPORT_DELAY_S)
     watch = cold_watch()
     for request in "aabba":
         assert not watch.is_refused(asking("d", "bad"))
         watch.crashes_under(asking(request, "bad"))
-    assert watch.is_refused(asking("d", "bad"))
+    assert watch.is_refused(asking("d", "bad"), CLEARING_S)
+    assert CLEARING_S + LOOK_PERIOD_S < STABLE_S
+
+
+def test_two_prompts_that_end_engines_do_not_stop_the_first_work_of_a_fleet() -> None:
+    """Traced: 5 engines ended in 0.2 s under two prompts; streams beside them were refused.
+
+    The end that makes five is told first of a stream that the engine had begun, and 10 ms later
+    of the prompt. An answer that would clear the part that all share has not flowed for long.
+    """
+    watch = cold_watch()
+    one, two = asking("one", "all"), asking("two", "all")
+    for at, asked in ((0.0, one), (0.02, two), (0.07, one)):
+        watch.crashes_under(asked, now=at)
+    watch.crashes_under(one, asking("stream-1", "all"), now=0.16)
+    assert watch.is_refused(one, 0.17), "its own three ends are proof"
+    for request in ("stream-0", "stream-2", "stream-3", "stream-4", "stream-5"):
+        watch.crashes_under(asking(request, "all"), process="last", now=0.19)
+        assert not watch.is_refused(asking("sound", "all"), 0.19), request
+    watch.crashes_under(two, process="last", now=0.2)
+    assert not watch.is_refused(asking("sound", "all"), 0.2)
+    assert not watch.is_refused(asking("sound", "all"), 0.9), "all is told, and two explain it"
+    watch.begins(asking("stream-1", "all"), 1.0)
+    assert not watch.is_refused(asking("sound", "all"), 10.0)
+
+
+def test_two_prompts_that_end_engines_are_stopped_after_three_each_in_a_fleet_s_first_work() -> (
+    None
+):
+    """A part that both share was taken for the cause, so their ends counted half."""
+    watch = cold_watch()
+    for request in ("one", "two", "one", "two", "one", "two"):
+        assert not watch.is_refused(asking(request, "all"))
+        watch.crashes_under(asking(request, "all"))
+    for request in ("one", "two"):
+        assert watch.suspects.find_block(request, 0.0) is not None
 
 
 def test_a_part_is_stopped_for_moments_while_no_answer_is_known() -> None:
@@ -465,7 +518,7 @@
         asked = asking(request, *shared)
         for _ in range(3):
             watch.suspects.set_answers_known(watch.sound.knows_any(now))
-            if watch.is_refused(asked, now):
+            if watch.is_refused(asked, now) or watch.waits(asked, now):
                 break
             if not cause:
                 watch.begins(asked, now)
--- a/lagoonlever/tests/part_evidence_model.py
+++ b/lagoonlever/tests/part_evidence_model.py
@@ -139,6 +139,9 @@
             parts = part_suspects(service="engines", model="m", shared=shared)
             asked = Suspects(request=f"r-{self._rng.getrandbits(60):x}", parts=parts)
         self._suspects.set_answers_known(self._sound.knows_any(self._now))
+        if self._waits(asked):
+            self._later(0.05, lambda: self._ask(deadly, attempts, asked))
+            return
         if self._is_refused(asked):
             self._refuse(asked, deadly)
             return
@@ -148,6 +151,20 @@
             return
         self._begin(asked, deadly, attempts, engine)
 
+    def _waits(self, asked: Suspects) -> bool:
+        """Check whether a request waits until a part of it is cleared or blocked."""
+        if self._suspects.find_any_block(asked, self._now) is not None:
+            return False
+        doubt = self._suspects.find_doubt(asked, self._now)
+        if doubt is None:
+            return False
+        if doubt.over_s < 0 or self._suspects.count_crashes(asked.request):
+            return True
+        if self._tried.get(doubt.key, -100.0) > self._now - 12.0:
+            return True
+        self._tried[doubt.key] = self._now
+        return False
+
     def _is_refused(self, asked: Suspects) -> bool:
         if self._suspects.find_any_block(asked, self._now) is not None:
             return True
