--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -340,7 +340,7 @@
     for number, name in enumerate("abc"):
         crash = Crash(at=float(number), requests=(f"r{number}",))
         suspects.record_crash(part_suspects(service="s", model="m", shared=("p",))[0], name, crash)
-    assert suspects.part_causes
+    assert suspects.part_causes(2.0)
     assert suspects.set_leaving(dict.fromkeys("abc", 2.0))
-    assert not suspects.part_causes
+    assert not suspects.part_causes(2.0)
     assert not suspects.crashes
