--- a/lagoonlever/entry/engines/crashes.py
+++ b/lagoonlever/entry/engines/crashes.py
@@ -64,7 +64,7 @@
         self._listeners.append(listener)
 
     async def run(self) -> None:
-        """Take what other VMs tell, until cancelled."""
+        """Receive what other VMs tell, until cancelled."""
         with self._timers.subscribed(self._expire, period_s=EXPIRE_PERIOD_S):
             async for received in self._bus.subscribe(TargetsEnded):
                 ends = read_ends(received.message, self._timers.now)
@@ -74,13 +74,13 @@
                 self._ends_known()
 
     async def run_served(self) -> None:
-        """Take which requests were served after all, until cancelled."""
+        """Receive which requests were served after all, until cancelled."""
         async for received in self._bus.subscribe(RequestServed):
             fingerprint = received.message.fingerprint
             self._suspects.record_answer(fingerprint, self._timers.now, is_own=False)
 
     def refusal(self, spec: GenerationSpec) -> NotRun | None:
-        """Give what the caller of a barred prompt is told, or None where it may run."""
+        """Return what the caller of a barred prompt is told, or None where it may run."""
         if not self._suspects.crashes:
             return None
         bar = self._suspects.find_block(_fingerprint(spec), self._timers.now)
@@ -93,7 +93,7 @@
         )
 
     def gathering_place(self, spec: GenerationSpec, engines: Iterable[Target]) -> str | None:
-        """Give which of the engines all returns of a request go to, or None for any of them."""
+        """Return which of the engines all returns of a request go to, or None for any of them."""
         if not self._suspects.crashes:
             return None
         fingerprint = _fingerprint(spec)
@@ -159,7 +159,7 @@
 
 
 async def _accepts(target: Target) -> bool:
-    """Tell whether an engine takes a connection."""
+    """Check whether an engine takes a connection."""
     try:
         connection = await ClientConnection.open(target.address, timeout_s=CONNECT_S)
     except ConnectFailed:
--- a/lagoonlever/entry/engines/engines.py
+++ b/lagoonlever/entry/engines/engines.py
@@ -40,7 +40,7 @@
         """The latest view."""
 
     def check_before_dispatch(self, target: Target) -> bool:
-        """Tell whether work may be written to a target now."""
+        """Check whether work may be written to a target now."""
 
     def connected(self, target: Target) -> None:
         """Note that a target answered."""
@@ -59,7 +59,7 @@
         """Charge engine work as it is used, in weighted tokens."""
 
     def release(self, grant: Admitted) -> None:
-        """Give a slot back."""
+        """Return a slot."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -129,7 +129,7 @@
         return self._open
 
     def models(self) -> frozenset[str]:
-        """Give the models that callers can ask for now, as a request names them."""
+        """Return the models that callers can ask for now, as a request names them."""
         return frozenset(key.model_field for key in self._guard.view.value.models())
 
     async def place(self, spec: GenerationSpec, dispatch: Dispatch) -> Placement | NotRun | None:
@@ -155,7 +155,7 @@
         return placement
 
     def may_write(self, dispatch: Dispatch, placement: Placement) -> bool:
-        """Tell whether the request may be written to its engine now.
+        """Check whether the request may be written to its engine now.
 
         Taking up a stream that runs there already is no new work: an engine that
         is leaving ends it.
@@ -194,7 +194,7 @@
         version: str,
         token_ids: tuple[int, ...],
     ) -> None:
-        """Take the tokens of a text prompt, by which routing reads the engines' cache events."""
+        """Record the tokens of a text prompt, by which routing reads the engines' cache events."""
         if not isinstance(spec.prompt, str) or not token_ids:
             return
         query = ModelQuery.parse(spec.model)
@@ -238,11 +238,11 @@
         self._crashes.served(spec)
 
     def refusal(self, spec: GenerationSpec) -> NotRun | None:
-        """Give why a prompt may not run as it ends engines, or None."""
+        """Return why a prompt may not run as it ends engines, or None."""
         return self._crashes.refusal(spec)
 
     def is_misplaced(self, spec: GenerationSpec, dispatch: Dispatch, placement: Placement) -> bool:
-        """Tell whether an attempt waits at an engine while its request's returns go to another."""
+        """Check whether an attempt waits at an engine that its request's returns don't go to."""
         if placement.tokens or dispatch.reattach:
             return False
         query = ModelQuery.parse(spec.model, version=dispatch.model_version)
@@ -274,7 +274,7 @@
         self._background.start_soon(cancel_stream, target.address, name)
 
     async def _wait_serving(self, query: ModelQuery, dispatch: Dispatch) -> bool:
-        """Tell whether an engine serves the request; a resume waits for the list of them.
+        """Check whether an engine serves the request; a resume waits for the list of them.
 
         Guards against an answer that is given up because its engine died while this
         VM could not tell for a moment which targets leave: the engines are there,
@@ -289,7 +289,7 @@
         return state is TargetState.LIVE
 
     def _serving(self, query: ModelQuery) -> TargetState:
-        """Give the best state of an engine that has the model: ``GONE`` where none has it."""
+        """Return the best state of an engine that has the model: ``GONE`` where none has it."""
         view = self._guard.view.value
         states = {target.state for target in view.targets if query.key_at(target)}
         known = (TargetState.LIVE, TargetState.UNSURE)
@@ -329,7 +329,7 @@
     def _gathering_place(
         self, spec: GenerationSpec, dispatch: Dispatch, query: ModelQuery
     ) -> Target | None:
-        """Give where all returns of a request go that ends engines; None for any engine.
+        """Return where all returns of a request go that ends engines; None for any engine.
 
         One that has told tokens went on at other engines: it ends none.
         """
--- a/lagoonlever/entry/generations/task.py
+++ b/lagoonlever/entry/generations/task.py
@@ -161,7 +161,7 @@
         self._done.set()
 
     def abandon(self, *, reason: Reason, message: str) -> None:
-        """Give the request up."""
+        """Abandon the request."""
         for running in self._running.values():
             running.left = True
         self._carry_out(self._life.abandon(reason=reason, message=message))
@@ -230,7 +230,7 @@
         self._running.pop(dispatch.attempt, None)
 
     async def _look_at_end(self, running: _RunningAttempt, cause: FailureCause) -> None:
-        """Give the request up where too many engines have ended under it."""
+        """Abandon the request where too many engines have ended under it."""
         if running.placement is None:
             return
         barred = await self._engines.look_at_end(self.spec, running.placement, cause)
--- a/lagoonlever/fakes/metadata_store.py
+++ b/lagoonlever/fakes/metadata_store.py
@@ -90,11 +90,11 @@
         return self.fault is not StoreFault.NONE or self.slow_s > 0.0
 
     def keys(self, prefix: str) -> list[str]:
-        """Give the names of the keys under a prefix."""
+        """Return the names of the keys under a prefix."""
         return [stored.key.decode() for stored in self._range(prefix)]
 
     def value(self, key: str) -> bytes | None:
-        """Give what stands under a key, as an operator reads it."""
+        """Return what stands under a key, as an operator reads it."""
         found = self._store.range(key.encode(), None)
         return found[0].value if found else None
 
--- a/lagoonlever/fakes/path_proxy.py
+++ b/lagoonlever/fakes/path_proxy.py
@@ -135,7 +135,7 @@
             self._fillers.append(filler)
 
     async def _accept(self, nursery: trio.Nursery) -> None:
-        """Take one connection, unless the state changes first or takes none."""
+        """Accept one connection, unless the state changes first or takes none."""
         changed, listener = self._changed, self._listener
         if listener is None or self._state in _HANGS:
             await changed.wait()
--- a/lagoonlever/gateway/crash_news.py
+++ b/lagoonlever/gateway/crash_news.py
@@ -1,4 +1,4 @@
-"""Tells the other VMs of targets that ended under requests, and takes what they tell.
+"""Reports targets that ended under requests to the other VMs, and receives their reports.
 
 The load that is answered: a data centre's engines crash together, each with requests of a dozen
 VMs, and every end told to each of hundreds of VMs would open as many connections. In a very
--- a/lagoonlever/gateway/reporter.py
+++ b/lagoonlever/gateway/reporter.py
@@ -1,4 +1,4 @@
-"""Tells the log and the metrics how requests ended."""
+"""Records in the log and the metrics how requests ended."""
 
 from __future__ import annotations
 
@@ -74,7 +74,7 @@
     def call_ended(
         self, accepted: Accepted, ending: Ending, *, attempts: int, target: str | None
     ) -> None:
-        """Tell of a call with one whole answer."""
+        """Record a call with one whole answer."""
         seconds = self._count_end(accepted, ending)
         self.tally.record(metrics.CALL_LATENCY, seconds, accepted.route.kind.value)
         events.REQUEST_ENDED.log(
@@ -92,7 +92,7 @@
         )
 
     def stream_ended(self, accepted: Accepted, ending: Ending, life: StreamLifecycle) -> None:
-        """Tell of a stream, with what its caller saw of its pace."""
+        """Record a stream, with what its caller saw of its pace."""
         seconds = self._count_end(accepted, ending)
         first_at = life.timing.first_at
         first_s = None if first_at is None else first_at - accepted.arrived
--- a/lagoonlever/gateway/rollout_lead.py
+++ b/lagoonlever/gateway/rollout_lead.py
@@ -251,7 +251,7 @@
         self._tell(lead, Plan(phase=RolloutPhase.HELD, state=state))
 
     async def _keep_final(self, lead: _Lead) -> None:
-        """Tell a final state for a while, and write it where the store lacks it or has lost it."""
+        """Report a final state for a while; write it where the store lacks it or has lost it."""
         now, state = self._timers.now, self._rollouts.state_of(lead.rollout)
         if lead.decided_at is None:
             lead.decided_at = now
@@ -290,7 +290,7 @@
                 self._rollouts.tell_known(known, asker)
 
     def _tell_running(self, lead: _Lead, plan: Plan) -> None:
-        """Tell what is done until the next word; a VM that didn't see the order allows nothing."""
+        """Report what is done until the next word. A VM that lacks the order allows nothing."""
         if lead.rollout.began_at is not None:
             self._tell(lead, plan)
 
--- a/lagoonlever/gateway/rollouts.py
+++ b/lagoonlever/gateway/rollouts.py
@@ -86,7 +86,7 @@
         return OrderEntry(order=order, number=ordered_at.number) in self.former
 
     def hear(self, word: RolloutWord, source: str, now: float) -> None:
-        """Take the word of a VM that leads."""
+        """Record the word of a VM that leads."""
         self._heard[source] = _Heard(word=word, at=now)
         began_at = now - word.elapsed_s
         self.began_at = began_at if self.began_at is None else min(self.began_at, began_at)
@@ -131,7 +131,7 @@
         return self._phase(rollout.order.service)
 
     async def run(self) -> None:
-        """Take words until cancelled."""
+        """Receive words until cancelled."""
         with self._timers.subscribed(self._on_tick, period_s=WORD_S):
             async for received in self._bus.subscribe(RolloutWord):
                 word, source = received.message, received.sender.name
@@ -140,7 +140,7 @@
                 self._knowledge.pass_on(word, source)
 
     def take_order(self, order: RolloutOrder, ordered_at: Revision, *, witnessed: bool) -> None:
-        """Take an order from the store; ``witnessed`` tells that it was given just now.
+        """Record an order from the store; ``witnessed`` tells that it was given just now.
 
         One that is written again after the store has come back from an older copy, in the same
         words, is none. Neither is one that was given before the known one, and that the copy has.
@@ -156,7 +156,7 @@
         self._begin(order, ordered_at, self._timers.now if witnessed else None)
 
     def take_word(self, word: RolloutWord, source: str) -> None:
-        """Take the word of a VM that leads, also of an order that this VM hasn't read."""
+        """Record the word of a VM that leads, also of an order that this VM hasn't read."""
         now = self._timers.now
         known = self._known.get(word.service)
         order = RolloutOrder(service=word.service, version=word.version, duration_s=word.duration_s)
@@ -177,7 +177,7 @@
         self._apply(known, now)
 
     def tell_known(self, rollout: Rollout, to: str) -> None:
-        """Tell a VM what this one knows of an order: when it was given, or how it has ended."""
+        """Report what is known of an order to a VM: when it was given, or how it has ended."""
         fellow, state = self._beliefs.fellows.find(to), self.state_of(rollout)
         if fellow is not None and (state.is_final or rollout.began_at is not None):
             self._bus.send(fellow.bus, self.word(rollout, state=state))
@@ -250,7 +250,7 @@
             rollout.tally.failed(lane)
 
     def _correct(self, word: RolloutWord, source: str) -> None:
-        """Tell a VM that leads what it lacks, as it has just started and read the order again."""
+        """Report to a VM that leads what it lacks, as it has just started and read the order."""
         rollout = self._known.get(word.service)
         if rollout is None or word.state.is_final or rollout.order.version != word.version:
             return
@@ -328,7 +328,7 @@
             )
 
     def _tell_counts(self, rollout: Rollout, now: float) -> None:
-        """Tell who leads what was counted here."""
+        """Report to who leads what was counted here."""
         leader = rollout.leader(now)
         if leader is None:
             return
--- a/lagoonlever/gateway/store_follower.py
+++ b/lagoonlever/gateway/store_follower.py
@@ -179,7 +179,7 @@
             await self._read_statuses(self._rollouts)
 
     async def _read_statuses(self, rollouts: Rollouts) -> None:
-        """Take what became of orders that were given before this VM read them."""
+        """Record what became of orders that were given before this VM read them."""
         for entry in (await self._store.get_prefix(STATUS_PREFIX)).entries:
             rollout = rollouts.find(entry.key.removeprefix(STATUS_PREFIX))
             if rollout is None or not is_of_order(entry.revision, rollout.tally.ordered_at):
@@ -193,7 +193,7 @@
                 rollouts.decided(rollout, status.state, source="store")
 
     def _take_operators(self, entry: KeyValue, *, witnessed: bool) -> None:
-        """Take what operators have written: the configuration, or an order of a version."""
+        """Record what operators have written: the configuration, or an order of a version."""
         if entry.key == CONFIGURATION_KEY:
             self._take_configuration(entry.value)
             return
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -402,7 +402,7 @@
             self._leave_stuck_queue(report)
 
     def _take_report(self, report: EngineReport | None) -> None:
-        """Take what a report tells of its engine, whatever becomes of the run."""
+        """Record what a report tells of its engine, whatever becomes of the run."""
         if report is None:
             return
         if report.leaves_in_s is not None:
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -228,7 +228,7 @@
         return b"".join(pieces)
 
     async def iter_body(self) -> AsyncIterator[bytes]:
-        """Give the pieces of the body as they arrive; raises ``ConnectionBroken`` if cut."""
+        """Return the pieces of the body as they arrive; raises ``ConnectionBroken`` if cut."""
         while True:
             piece = await self.next_piece()
             if piece is None:
@@ -321,7 +321,7 @@
                 continue
 
     def _early_end(self, error: h11.RemoteProtocolError) -> str:
-        """Tell where the peer closed; h11 tells it only of an end within a body."""
+        """Return where the peer closed; h11 tells it only of an end within a body."""
         return str(error) if self._head_read else BEFORE_ANSWER
 
     def _bad(self, message: str) -> BadResponse:
@@ -384,7 +384,7 @@
         timeout_s: float = CONNECT_TIMEOUT_S,
         rested_at_most_s: float = math.inf,
     ) -> ClientConnection:
-        """Give an idle connection, or a new one; raises ``ConnectFailed``."""
+        """Return an idle connection, or a new one; raises ``ConnectFailed``."""
         kept = await self.take_kept(address, rested_at_most_s=rested_at_most_s)
         return kept or await self._opener(address, timeout_s=timeout_s)
 
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -128,7 +128,7 @@
         await self._connection.send(h11.EndOfMessage(headers=known.raw()))
 
     def caller_present(self) -> bool:
-        """Tell whether the caller's connection is still open, by a look at the socket itself.
+        """Check whether the caller's connection is still open, by a look at the socket itself.
 
         Guards a VM that wakes after a pause: the caller may have left and be
         served elsewhere, and no task here has had its turn to see that yet.
@@ -173,7 +173,7 @@
         return bool(self._h11.their_http_version and self._h11.their_http_version >= b"1.1")
 
     def caller_present(self) -> bool:
-        """Tell whether the peer's end of the socket is open, without taking bytes from it."""
+        """Check whether the peer's end of the socket is open, without taking bytes from it."""
         trio_socket = self._stream.socket
         with socket.fromfd(trio_socket.fileno(), trio_socket.family, trio_socket.type) as peeked:
             peeked.setblocking(False)
@@ -295,7 +295,7 @@
             self._h11.receive_data(await self._receive())
 
     def response(self, *, status: int, headers: Headers) -> h11.Response:
-        """Give the head of a response, closing the connection where the server is stopping."""
+        """Return the head of a response, closing the connection where the server is stopping."""
         if self._state.closing:
             headers = headers.with_field("Connection", "close")
         return h11.Response(status_code=status, headers=headers.raw())
--- a/lagoonlever/peers/messages_crashes.py
+++ b/lagoonlever/peers/messages_crashes.py
@@ -66,7 +66,7 @@
 
 
 def read_ends(message: TargetsEnded, now: float) -> CrashesByRequest:
-    """Give what a message tells, in seconds of the receiver's clock."""
+    """Return what a message tells, in seconds of the receiver's clock."""
     ends: dict[str, dict[str, Crash]] = {}
     for told in message.ends:
         end = Crash.from_report(
