--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -22,7 +22,9 @@
   report of a crash may arrive just after the answer that clears it, so answers are remembered for
   a short time, and crashes from before them are not counted.
 - A process that says that it leaves ends in any case, so its end counts for nothing. VMs may learn
-  that a moment after the end, so an end that was counted before is taken back.
+  that a moment after the end, so an end that was counted before is taken back. Where more of them
+  end under one suspect than chance brings there, all these ends count: an engine that a request
+  ends may still say that it leaves, or be listed so by another program.
 - A store that is restored from an older copy reports crashes again that an answer has cleared, so
   these answers are remembered for as long as a copy may be old.
 """
@@ -81,6 +83,8 @@
 It is the way by the store and its watch, and a VM that stood still for a second. An entry that is
 changed later says nothing of the end.
 """
+MAX_EXCUSED = 4
+"""Ends of processes that leave under one suspect, beyond which they are taken for crashes."""
 MAX_ANSWERS = 2048
 """Upper bound of the answers that are remembered; beyond it the oldest are removed."""
 MAX_SUSPECTS = 256
@@ -148,6 +152,8 @@
     """Processes of which the sound parts at their crash are known, the oldest first."""
     _leaving: Mapping[str, float] = attrs.field(factory=dict)
     """Processes that said that they leave, and when that became known here."""
+    _excused: dict[str, dict[str, Crash]] = attrs.field(factory=dict)
+    """Their ends by suspect, the oldest suspect first; beyond ``MAX_EXCUSED`` they count, too."""
     _answers: dict[str, _Answer] = attrs.field(factory=dict)
     """The last whole answer to each request, the oldest first."""
     _clearings: dict[str, _Clearing] = attrs.field(factory=dict)
@@ -183,31 +189,37 @@
     def set_leaving(self, leaving: Mapping[str, float]) -> bool:
         """Set which processes leave and since when that is known; return whether ends fall away.
 
-        Their ends are held against nothing, whoever reports them.
+        Their ends are held against nothing while they are few, whoever reports them.
         """
         self._leaving = leaving
-        kept = {
-            fingerprint: {
-                process: crash
-                for process, crash in processes.items()
-                if not self._is_planned(process, crash)
-            }
-            for fingerprint, processes in self._crashes.items()
-        }
+        kept = {f: self._set_aside(f, processes) for f, processes in self._crashes.items()}
         if kept == self._crashes:
             return False
-        self._crashes = {f: processes for f, processes in kept.items() if processes}
+        self._crashes = {f: dict(processes) for f, processes in kept.items() if processes}
         self._blocked &= self._crashes.keys()
         self._find_causes()
         return True
 
-    def is_planned(self, process: str) -> bool:
-        """Check whether a process is known to leave."""
-        return process in self._leaving
-
-    def _is_planned(self, process: str, crash: Crash) -> bool:
+    def is_excused(self, fingerprint: str, process: str) -> bool:
+        """Check whether the end of a process is held aside, as it left."""
+        ends = self._excused.get(fingerprint, {})
+        return process in ends and len(ends) <= MAX_EXCUSED
+
+    def _set_aside(self, fingerprint: str, processes: Mapping[str, Crash]) -> Mapping[str, Crash]:
+        """Return the ends that count, and keep those of processes that leave aside."""
+        leaving = {p: end for p, end in processes.items() if self._is_leaving(p, end)}
+        if not leaving:
+            return processes
+        known = self._excused.get(fingerprint, {})
+        ends = known | {p: end.merge(known.get(p, end)) for p, end in leaving.items()}
+        _store_newest(self._excused, fingerprint, ends, max_size=MAX_CLEARINGS)
+        if len(ends) > MAX_EXCUSED:
+            return {**processes, **ends}
+        return {p: end for p, end in processes.items() if p not in leaving}
+
+    def _is_leaving(self, process: str, end: Crash) -> bool:
         known_at = self._leaving.get(process)
-        return known_at is not None and known_at <= crash.at + LEAVING_NEWS_S
+        return known_at is not None and known_at <= end.at + LEAVING_NEWS_S
 
     def record_crash(self, fingerprint: str, process: str, crash: Crash) -> bool:
         """Record a crash of a process under a request; return whether it adds information.
@@ -260,6 +272,7 @@
 
         ``is_own`` is true if this VM gave the answer.
         """
+        self._excused.pop(fingerprint, None)
         answer = _Answer(at=now, is_own=is_own)
         _store_newest(self._answers, fingerprint, answer, max_size=MAX_ANSWERS)
         processes = self._crashes.pop(fingerprint, None)
@@ -400,6 +413,9 @@
         for fingerprint, processes in list(self._crashes.items()):
             if now - _last_crash_at(processes) > RETENTION_S:
                 del self._crashes[fingerprint]
+        for fingerprint, processes in list(self._excused.items()):
+            if now - _last_crash_at(processes) > RETENTION_S:
+                del self._excused[fingerprint]
         self._blocked &= self._crashes.keys()
         self._find_part_causes()
         for fingerprint, answer in list(self._answers.items()):
@@ -414,7 +430,10 @@
     def _add(self, crashes: CrashesByRequest) -> bool:
         is_new = is_changed = False
         for fingerprint, reported in crashes.items():
-            processes = {p: end for p, end in reported.items() if not self._is_planned(p, end)}
+            former_aside = self._excused.get(fingerprint, {})
+            processes = self._set_aside(fingerprint, reported)
+            aside = self._excused.get(fingerprint, {})
+            is_new |= bool(aside.keys() - former_aside.keys())
             if not processes:
                 continue
             self._mark_tested(
--- a/lagoonlever/gateway/attempt_crashes.py
+++ b/lagoonlever/gateway/attempt_crashes.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lagoonlever.decisions.engines.answer_stages import NO_WEIGHT, CrashWeights, weigh_crash
+from lagoonlever.decisions.engines.answer_stages import CrashWeights, weigh_crash
 from lagoonlever.decisions.streams.stream_lifecycle import StreamLifecycle
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway.accepted import Accepted
@@ -28,13 +28,14 @@
         return self._tools.dialer.is_down(self._engine.address)
 
     @property
-    def _weights(self) -> CrashWeights:
-        """How much the end of the engine would count against the request.
+    def _is_leaving(self) -> bool:
+        """Whether the engine's process said that it leaves."""
+        leaving = self._tools.beliefs.targets.leaving
+        return leaving.is_leaving(self._engine.id, self._engine.started_ms)
 
-        One that leaves ends in any case.
-        """
-        if self._tools.beliefs.targets.leaving.is_leaving(self._engine.id, self._engine.started_ms):
-            return NO_WEIGHT
+    @property
+    def _weights(self) -> CrashWeights:
+        """How much the end of the engine would count against the request."""
         return weigh_crash(
             self._answer.stage,
             has_flowed=self._life.has_flowed,
@@ -56,13 +57,14 @@
                 self._accepted, self._engine, weights=weights, sent_at=sent_at
             )
             return
-        # One that fell silent was missed for long enough: its request doesn't wait any longer.
+        # One that fell silent was missed for long enough, and one that leaves ends in any case:
+        # its request doesn't wait any longer.
         await crashes.lost_unproven(
             self._accepted,
             self._engine,
             weights=weights,
             sent_at=sent_at,
-            waits=not is_silent or self._answer.has_head,
+            waits=not self._is_leaving and (not is_silent or self._answer.has_head),
         )
 
     def record_left(self) -> None:
--- a/lagoonlever/gateway/crash_records.py
+++ b/lagoonlever/gateway/crash_records.py
@@ -95,12 +95,12 @@
             self._served.add(fingerprint)
             self._wanted.set()
 
-    def take_out_planned(self) -> None:
+    def take_out_excused(self) -> None:
         """Request that ends are removed from the record of processes that are known to leave.
 
         A VM that starts later reads the record, and may never hear that they left.
         """
-        if self._has_planned():
+        if self._has_excused():
             self._wanted.set()
 
     def read_again(self) -> None:
@@ -150,7 +150,7 @@
 
     def _has_news(self) -> bool:
         """Check whether the record lacks a crash, or has a suspect that was answered."""
-        if self._served & (self._recorded.keys() | self._writing) or self._has_planned():
+        if self._served & (self._recorded.keys() | self._writing) or self._has_excused():
             return True
         nothing: frozenset[str] = frozenset()
         return any(
@@ -158,9 +158,12 @@
             for fingerprint, processes in self._known().items()
         )
 
-    def _has_planned(self) -> bool:
-        recorded = (process for processes in self._recorded.values() for process in processes)
-        return any(self._suspects.is_planned(process) for process in recorded)
+    def _has_excused(self) -> bool:
+        return any(
+            self._suspects.is_excused(fingerprint, process)
+            for fingerprint, processes in self._recorded.items()
+            for process in processes
+        )
 
     def _known(self) -> dict[str, frozenset[str]]:
         return {
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -391,7 +391,7 @@
         self._suspects.set_leaving(
             {process_name(p.target, p.started_ms): since for p, since in leaving.since.items()}
         )
-        self._records.take_out_planned()
+        self._records.take_out_excused()
 
     def _note_answers(self) -> None:
         """Update the registry with whether this VM knows sound parts.
--- a/lagoonlever/tests/leaving_engines_ends_tests.py
+++ b/lagoonlever/tests/leaving_engines_ends_tests.py
@@ -9,15 +9,18 @@
 
 from lagoonlever.decisions.engines import crash_suspects
 from lagoonlever.decisions.engines.target_crashes import Crash
-from lagoonlever.fakes.platform_engine import FakeEngine
+from lagoonlever.fakes.platform_engine import DeathStage, FakeEngine
 from lagoonlever.gateway.crash_records import RECORD_KEY
-from lagoonlever.tests.deadly_parts_tests import ready
-from lagoonlever.tests.gateway_site import LIMIT_S, GatewaySite, run_site, until
+from lagoonlever.tests.deadly_ends import Ends
+from lagoonlever.tests.deadly_parts_tests import LATER, MOST_ENDED, PART, ask_all, ready
+from lagoonlever.tests.gateway_site import LIMIT_S, POLL_S, GatewaySite, run_site, until
 
 FORMER = 4
 """Engines that leave."""
 RARE = 4
 """Requests with a part that no answer is known of."""
+READ_TOKENS_PER_S = 400.0
+"""An engine reads a prompt of these tests for a quarter of a second, and then ends."""
 SLOW = 6.0
 """Tokens that an engine reads a second: no request is answered while a story goes on."""
 
@@ -211,3 +214,36 @@
         assert not counted(site)
 
     run_site(story, engines=0, runners=1, vms=3)
+
+
+@pytest.mark.parametrize("stage", [DeathStage.BEFORE_HEAD, DeathStage.HEAD])
+def test_a_part_that_ends_engines_which_say_that_they_leave_is_stopped(stage: DeathStage) -> None:
+    """Each engine was listed as leaving as the part reached it, and forty of forty ended."""
+
+    async def story(site: GatewaySite) -> None:
+        await ready(site)
+        ends = site.deaths = Ends(site)
+        for engine in site.engines.values():
+            engine.dies_at = stage
+            engine.prefill_tokens_per_s = READ_TOKENS_PER_S
+        named: set[str] = set()
+
+        async def leave() -> None:
+            while True:
+                for name, engine in site.engines.items():
+                    if name not in named and any(
+                        PART in run.shared for run in engine.runs.values()
+                    ):
+                        named.add(name)
+                        list_draining(site, name)
+                await trio.sleep(POLL_S)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leave)
+            await ask_all(site, 24, shared=("system", PART), spacing_s=0.25)
+            nursery.cancel_scope.cancel()
+        assert named.issuperset(ends)
+        assert len(ends) <= 2 * MOST_ENDED
+        assert ends.late() <= LATER
+
+    run_site(story, engines=40, vms=3)
