Crashes: ends that are told again are as old as they were (LOST)

An end before any answer is known counts against a part only once another part of it is cleared, or once there are five. But ends that a VM knew already were taken for ones of its present knowledge whenever they were told again, by another VM or by the record, which a VM that hears no others reads each second. So what all prompts share could be barred for a minute or more, as surely as if answers had been known.

Class: the worth of evidence judged by when it is told in place of by when it arose. The pure test fails without the change.

Now only an end that is new, or that is told as one of a time at which answers were known, is taken for such.

--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -388,12 +388,13 @@
     def _add(self, crashes: CrashesByRequest) -> bool:
         is_new = is_changed = False
         for fingerprint, processes in crashes.items():
+            known = self._crashes.setdefault(fingerprint, {})
+            # Crashes that are told again are from when they were told first.
             self._mark_tested(
                 process
                 for process, crash in processes.items()
-                if crash.tested or self._answers_known
+                if crash.tested or (self._answers_known and process not in known)
             )
-            known = self._crashes.setdefault(fingerprint, {})
             for process, crash in processes.items():
                 former = known.get(process)
                 known[process] = crash if former is None else former.merge(crash)
--- a/lagoonlever/tests/part_causes_tests.py
+++ b/lagoonlever/tests/part_causes_tests.py
@@ -301,6 +301,18 @@
     assert watch.is_refused(asking("c", "system", "bad"), 1.0)
 
 
+def test_crashes_that_are_told_again_were_before_any_answer_all_the_same() -> None:
+    """A VM that hears no others reads the record each second, and knows of answers by then."""
+    watch = cold_watch()
+    for request in ("one", "two", "one", "two"):
+        watch.crashes_under(asking(request, "all"), asking(f"beside-{request}", "all"))
+    told = {suspect: dict(crashes) for suspect, crashes in watch.suspects.crashes.items()}
+    watch.suspects.set_answers_known(True)
+    watch.suspects.record_reported_crashes(told)
+    watch.suspects.expire(1.0)
+    assert not watch.is_refused(asking("sound", "all"), 1.0)
+
+
 def test_a_part_that_two_requests_explain_is_stopped_for_moments() -> None:
     """Two deadly prompts share a part that few others have: nothing could clear it for long."""
     watch = Watch()
