Roll-outs: a sound version is not blamed for a VM that stood still

Callers and operators would see a roll-out of a sound version undone.

Cause: a VM that stands still for some tenths of a second finds all answers late. While both versions serve both are late in the same second; once all work goes to the new one only its answers are, and the test takes each of a dozen as evidence of its own. Class: correlated evidence taken for independent.

Change: an answer that was waited for while this process stood still counts for no version.

--- a/lagoonlever/gateway/rollouts.py
+++ b/lagoonlever/gateway/rollouts.py
@@ -19,6 +19,7 @@
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.knowledge import KnowledgeExchange
 from lagoonlever.gateway.rollout_tally import RolloutTally
+from lagoonlever.gateway.standstills import Standstills
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_rollouts import RolloutWord
 from lagoonlever.revisions import Revision
@@ -112,6 +113,11 @@
     """By service."""
     _shut_out: set[str] = attrs.field(factory=set)
     """Services none of whose targets may be used, though some would take work."""
+    _standstills: Standstills = attrs.field(init=False)
+
+    @_standstills.default
+    def _make_standstills(self) -> Standstills:
+        return Standstills(timers=self._timers)
 
     @property
     def known(self) -> tuple[Rollout, ...]:
@@ -132,7 +138,8 @@
 
     async def run(self) -> None:
         """Receive words until cancelled."""
-        with self._timers.subscribed(self._on_tick, period_s=WORD_S):
+        ticks = self._timers.subscribed(self._on_tick, period_s=WORD_S)
+        with self._standstills.watched(), ticks:
             async for received in self._bus.subscribe(RolloutWord):
                 word, source = received.message, received.sender.name
                 self.take_word(word, source)
@@ -238,9 +245,14 @@
         return (kind, self._phase(target.service))
 
     def answered(self, service: str, lane: Lane | None, seconds: float) -> None:
-        """Count a good answer of a target."""
+        """Count a good answer of a target, unless this process itself may have delayed it.
+
+        While all work goes to a new version, no answers of the former one would show the delay.
+        """
         rollout = self._open(service)
-        if rollout is not None and lane is not None:
+        if rollout is None or lane is None:
+            return
+        if not self._standstills.any_since(self._timers.now - seconds):
             rollout.tally.answered(lane, seconds)
 
     def failed(self, service: str, lane: Lane | None) -> None:
--- /dev/null
+++ b/lagoonlever/gateway/standstills.py
@@ -0,0 +1,47 @@
+"""When this process stood still, so that what it waited for seems to have taken longer than it did.
+
+A process that was suspended, or had no processor, finds each answer late at its next turn. That
+says nothing of the target that gave it.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import math
+from collections.abc import Iterator
+
+import attrs
+
+from lagoonlever.timers import Tick, TimerService
+
+LOOK_PERIOD_S = 0.1
+STANDSTILL_S = 0.15
+"""So much later than planned a turn comes after a standstill; a busy process is late by less."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Standstills:
+    """Remembers the end of the last standstill; times are seconds of the monotonic clock."""
+
+    _timers: TimerService
+    _looked_at: float | None = None
+    _ended_at: float = -math.inf
+
+    @contextlib.contextmanager
+    def watched(self) -> Iterator[None]:
+        """Look at the clock all the while."""
+        with self._timers.subscribed(self._on_tick, period_s=LOOK_PERIOD_S):
+            yield
+
+    def any_since(self, began: float) -> bool:
+        """Check whether the process has stood still since a moment."""
+        self._look(self._timers.now)
+        return self._ended_at > began
+
+    def _on_tick(self, tick: Tick) -> None:
+        self._look(tick.now)
+
+    def _look(self, now: float) -> None:
+        looked_at, self._looked_at = self._looked_at, now
+        if looked_at is not None and now - looked_at > LOOK_PERIOD_S + STANDSTILL_S:
+            self._ended_at = now
--- a/lagoonlever/tests/rollouts_tests.py
+++ b/lagoonlever/tests/rollouts_tests.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import random
+import time
 
 import logbook
 import trio
@@ -160,6 +162,28 @@
     run_site(story, engines=0, runners=2, vms=3)
 
 
+async def stand_still_now_and_then() -> None:
+    """Keep the process, and so all VMs, from any work for some tenths of a second each time."""
+    rng = random.Random(1)
+    while True:
+        await trio.sleep(rng.uniform(0.3, 1.2))
+        time.sleep(rng.uniform(0.16, 0.8))  # noqa: ASYNC251 - what is played
+
+
+def test_a_good_version_is_not_blamed_for_vms_that_stood_still() -> None:
+    """All work went to it, so that only its answers were late, and it was rolled back."""
+
+    async def story(site: GatewaySite) -> None:
+        _, scope = await with_load(site)
+        site.nursery.start_soon(stand_still_now_and_then)
+        await new_runners(site)
+        order(site)
+        await until_decided(site, "completed")
+        scope.cancel()
+
+    run_site(story, engines=0, runners=2, vms=3)
+
+
 def test_a_version_that_answers_slowly_is_rolled_back() -> None:
     async def story(site: GatewaySite) -> None:
         load, scope = await with_load(site)
