Crashes: an end that counts for nothing has no line, no figure and no call to the store

Cause: since ends of engines that leave are kept aside at CrashWatch._note, which logged each as an engine that had ended under its request, counted it in the figures, and had the record read. Operators saw warnings of planned ends.

Change: line, figure and the exchange with the record only where the end counts. The tests now wait until every VM has judged its losses before they look: since a request whose engine leaves goes on before that.

--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import random
 import time
-from collections.abc import Callable, Container, Iterator
+from collections.abc import Callable, Collection, Container, Iterator
 
 import attrs
 import logbook
@@ -281,10 +282,13 @@
         Waits a moment for the record: a VM that does not hear others learns what they saw
         before it sends the request to the next target.
         """
-        if self._suspects.has_crashed(process_name(target.id, target.started_ms), sent_at):
+        process = process_name(target.id, target.started_ms)
+        if self._suspects.has_crashed(process, sent_at):
             return
         if not self._note(accepted, target, weights, at=self._timers.now if at is None else at):
             return
+        if not self._suspects.has_crashed(process, math.inf):
+            return
         barred, barred_parts = self._barred, self._barred_parts
         await self._records.exchange()
         # Nobody told this VM, so those that it hears may not have been told either.
@@ -455,20 +459,8 @@
         ]
         if not news:
             return False
-        events.TARGET_ENDED_UNDER.log(
-            log,
-            request=accepted.request_id,
-            fingerprint=fingerprint,
-            target=target.id,
-            organisation=accepted.organisation,
-            route=accepted.route.name,
-            shared=",".join(accepted.shared_parts),
-            unproven=",".join(part_name(part) for part in ends if part != fingerprint),
-            ended=self._suspects.count_crashes(fingerprint),
-            weight=weights.request,
-            parts_weight=weights.parts,
-        )
-        self._tally.add(metrics.TARGETS_ENDED, accepted.route.kind.value)
+        if not all(self._suspects.is_excused(suspect, process) for suspect in news):
+            self._log_end(accepted, target, weights, unproven=ends.keys() - {fingerprint})
         self._left_engines.take_crashes({process: at})
         told = tuple(
             EndTold(
@@ -485,6 +477,29 @@
         self._take_news()
         return True
 
+    def _log_end(
+        self,
+        accepted: Accepted,
+        target: ListedTarget,
+        weights: CrashWeights,
+        *,
+        unproven: Collection[str],
+    ) -> None:
+        events.TARGET_ENDED_UNDER.log(
+            log,
+            request=accepted.request_id,
+            fingerprint=accepted.fingerprint,
+            target=target.id,
+            organisation=accepted.organisation,
+            route=accepted.route.name,
+            shared=",".join(accepted.shared_parts),
+            unproven=",".join(sorted(part_name(part) for part in unproven)),
+            ended=self._suspects.count_crashes(accepted.fingerprint),
+            weight=weights.request,
+            parts_weight=weights.parts,
+        )
+        self._tally.add(metrics.TARGETS_ENDED, accepted.route.kind.value)
+
     def _take_news(self) -> None:
         """End what may not go on after ends were recorded or told."""
         self._note_answers()
--- a/lagoonlever/tests/deadly_parts_stages_tests.py
+++ b/lagoonlever/tests/deadly_parts_stages_tests.py
@@ -15,6 +15,7 @@
 from lagoonlever.tests.leaving_engines_ends_tests import (
     SLOW,
     counted,
+    judged,
     list_draining,
     rare_at,
     until_known,
@@ -110,6 +111,7 @@
                 site.crash(name)
             others = [engine for engine in site.engines.values() if engine not in ended]
             await until(lambda: len(rare_at(others)) == 4)
+            await judged(site)
             assert not counted(site)
             assert not answered
             nursery.cancel_scope.cancel()
--- a/lagoonlever/tests/leaving_engines_ends_tests.py
+++ b/lagoonlever/tests/leaving_engines_ends_tests.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 
+import logbook
 import pytest
 import trio
 
@@ -13,12 +14,21 @@
 from lagoonlever.gateway.crash_records import RECORD_KEY
 from lagoonlever.tests.deadly_ends import Ends
 from lagoonlever.tests.deadly_parts_tests import LATER, MOST_ENDED, PART, ask_all, ready
-from lagoonlever.tests.gateway_site import LIMIT_S, POLL_S, GatewaySite, run_site, until
+from lagoonlever.tests.gateway_site import (
+    LIMIT_S,
+    POLL_S,
+    GatewaySite,
+    run_site,
+    sleep_turns,
+    until,
+)
 
 FORMER = 4
 """Engines that leave."""
 RARE = 4
 """Requests with a part that no answer is known of."""
+NEWS_S = 0.5
+"""Within so long the other VMs have heard of an end that one has judged."""
 READ_TOKENS_PER_S = 400.0
 """An engine reads a prompt of these tests for a quarter of a second, and then ends."""
 SLOW = 6.0
@@ -84,6 +94,13 @@
     return {name: dict(each.crashes) for name, each in suspects.items() if each.crashes}
 
 
+async def judged(site: GatewaySite) -> None:
+    """Wait until every VM has judged all its losses, and told the others."""
+    crashes = [vm.daemon.parts.crashes for vm in site.vms.values()]
+    await until(lambda: not any(each._lost_engines._pending for each in crashes))
+    await sleep_turns(NEWS_S)
+
+
 def rare_at(engines: Iterable[FakeEngine]) -> set[str]:
     """Return the own parts of the requests with the rare part that have reached some engines."""
     prompts = (h.get("Prompt-Prefix") or "" for engine in engines for h in engine.seen)
@@ -137,6 +154,7 @@
             for name in names:
                 (await site.start_engine(name)).prefill_tokens_per_s = SLOW
         await until(lambda: len(rare_at(set(site.engines.values()) - set(former))) == RARE)
+        await judged(site)
         await judge()
         assert not answered
         nursery.cancel_scope.cancel()
@@ -154,7 +172,9 @@
 
         await play(site, leave, judge)
 
-    run_site(story, engines=FORMER, vms=3)
+    with logbook.TestHandler().applicationbound() as lines:
+        run_site(story, engines=FORMER, vms=3)
+    assert not any("ended under" in line for line in lines.formatted_records)
 
 
 def test_engines_that_are_back_under_their_ids_are_held_against_nothing() -> None:
@@ -211,6 +231,7 @@
                 await unlist(site, ["runner-0"])
             site.crash("runner-0")
         assert answers == [502]
+        await judged(site)
         assert not counted(site)
 
     run_site(story, engines=0, runners=1, vms=3)
