Entry: an engine that is listed as leaving ends in any case (LOST)

Cause: the same as in the gateway. EngineCrashes never asked whether an engine leaves, so planned ends counted against the prompts that were there, and the third barred them for their organisation.

Evidence: test_an_engine_that_leaves_and_ends_is_held_against_no_prompt, before: red with the entry there and gone. After: green, with the others of engine_crashes_tests.py (7 passed).

--- a/lagoonlever/bench/entry_vm.py
+++ b/lagoonlever/bench/entry_vm.py
@@ -172,7 +172,7 @@
         rng=rng,
         background=nursery,
         peers=NoPeers(),
-        crashes=EngineCrashes(bus=bus, members=members, timers=timers),
+        crashes=EngineCrashes(bus=bus, members=members, targets=view, timers=timers),
         members=members,
         generation=GenerationSettings(),
         detection=detection,
--- a/lagoonlever/entry/engines/crashes.py
+++ b/lagoonlever/entry/engines/crashes.py
@@ -10,6 +10,7 @@
 
 import attrs
 import logbook
+import trio
 
 from lagoonlever.decisions.engines.crash_suspects import CrashSuspects
 from lagoonlever.decisions.engines.fingerprints import RequestIdentity
@@ -17,7 +18,8 @@
 from lagoonlever.decisions.engines.target_crashes import Crash, process_name
 from lagoonlever.decisions.membership.membership import MemberView
 from lagoonlever.decisions.streams.generation_messages import GenerationSpec
-from lagoonlever.decisions.targets.targets import Target
+from lagoonlever.decisions.targets.leaving_processes import LeavingProcesses
+from lagoonlever.decisions.targets.targets import Target, TargetState, TargetView
 from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed
 from lagoonlever.http.client import ClientConnection
@@ -55,8 +57,12 @@
 
     _bus: Bus
     _members: Published[MemberView]
+    _targets: Published[TargetView]
     _timers: TimerService
     _suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    _leaving: LeavingProcesses = attrs.field(factory=LeavingProcesses)
+    """The engines that were listed as leaving, also for a while after they are gone."""
+    _leaving_changes: int = 0
     _listeners: list[Callable[[], None]] = attrs.field(factory=list)
 
     def on_ends(self, listener: Callable[[], None]) -> None:
@@ -65,13 +71,39 @@
 
     async def run(self) -> None:
         """Receive what other VMs tell, until cancelled."""
-        with self._timers.subscribed(self._expire, period_s=EXPIRE_PERIOD_S):
-            async for received in self._bus.subscribe(TargetsEnded):
-                ends = read_ends(received.message, self._timers.now)
-                self._suspects.record_reported_crashes(ends)
-                for fingerprint in self._suspects.find_cleared_here(ends):
-                    self._tell(RequestServed(fingerprint=fingerprint))
-                self._ends_known()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_targets)
+            with self._timers.subscribed(self._expire, period_s=EXPIRE_PERIOD_S):
+                await self._receive_ends()
+
+    async def _receive_ends(self) -> None:
+        async for received in self._bus.subscribe(TargetsEnded):
+            ends = read_ends(received.message, self._timers.now)
+            self._suspects.record_reported_crashes(ends)
+            for fingerprint in self._suspects.find_cleared_here(ends):
+                self._tell(RequestServed(fingerprint=fingerprint))
+            self._ends_known()
+
+    async def _follow_targets(self) -> None:
+        """Have the ends of engines that are listed as leaving count for nothing."""
+        while True:
+            self._note_leaving()
+            await self._targets.wait_change()
+
+    def _note_leaving(self) -> None:
+        """Record which engines are listed as leaving, and which are there to stay."""
+        now = self._timers.now
+        for target in self._targets.value.targets:
+            if target.state is TargetState.LEAVING:
+                self._leaving.record(target.name, None, now)
+            elif target.state is TargetState.LIVE:
+                self._leaving.withdraw(target.name, None)
+        self._leaving.expire(now, listed={})
+        if self._leaving.changes == self._leaving_changes:
+            return
+        self._leaving_changes = self._leaving.changes
+        since = self._leaving.since.items()
+        self._suspects.set_leaving({process_name(p.target, None): at for p, at in since})
 
     async def run_served(self) -> None:
         """Receive which requests were served after all, until cancelled."""
@@ -114,14 +146,8 @@
         fingerprint, now = _fingerprint(spec), self._timers.now
         if not self._suspects.record_crash(fingerprint, process, Crash(at=now, weight=weight)):
             return
-        ENGINE_ENDED_UNDER.log(
-            log,
-            target=target.name,
-            request=spec.request_id,
-            organisation=spec.organisation,
-            ended=self._suspects.count_crashes(fingerprint),
-            fingerprint=fingerprint,
-        )
+        if not self._suspects.is_excused(fingerprint, process):
+            self._log_end(spec, target, fingerprint)
         told = EndTold(fingerprint=fingerprint, process=process, age_s=0.0, weight=weight)
         self._tell(TargetsEnded(ends=(told,)))
         self._ends_known()
@@ -132,6 +158,16 @@
         if self._suspects.record_answer(fingerprint, self._timers.now, is_own=True):
             self._tell(RequestServed(fingerprint=fingerprint))
 
+    def _log_end(self, spec: GenerationSpec, target: Target, fingerprint: str) -> None:
+        ENGINE_ENDED_UNDER.log(
+            log,
+            target=target.name,
+            request=spec.request_id,
+            organisation=spec.organisation,
+            ended=self._suspects.count_crashes(fingerprint),
+            fingerprint=fingerprint,
+        )
+
     def _tell(self, message: TargetsEnded | RequestServed) -> None:
         view = self._members.value
         for member in view.reachable:
@@ -144,6 +180,7 @@
 
     def _expire(self, tick: Tick) -> None:
         self._suspects.expire(tick.now)
+        self._note_leaving()
 
 
 def _fingerprint(spec: GenerationSpec) -> str:
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -151,7 +151,10 @@
             background=self.base.background,
             peers=self.peer_streams,
             crashes=EngineCrashes(
-                bus=self.base.bus, members=self.membership.members, timers=self.base.timers
+                bus=self.base.bus,
+                members=self.membership.members,
+                targets=self.targets.view,
+                timers=self.base.timers,
             ),
             members=self.membership.members,
             generation=settings.generation,
--- a/lagoonlever/tests/engine_crashes_tests.py
+++ b/lagoonlever/tests/engine_crashes_tests.py
@@ -10,6 +10,8 @@
 import trio
 
 from lagoonlever.client.exceptions import NoAnswer
+from lagoonlever.decisions.targets.targets import TargetState
+from lagoonlever.entry.daemon import EntryDaemon
 from lagoonlever.fakes.engine import FakeEngine
 from lagoonlever.fakes.faults import FaultKind, FaultOrder
 from lagoonlever.tests.base import Scene, expected_text, run_scene, until
@@ -178,3 +180,40 @@
 def reading(scene: Scene) -> list[str]:
     """Give the streams that are at engines and have no token."""
     return [name for engine in scene.cluster.engines.values() for name in engine.live_streams]
+
+
+@pytest.mark.parametrize("is_unlisted", [False, True])
+def test_an_engine_that_leaves_and_ends_is_held_against_no_prompt(
+    tmp_path: Path, is_unlisted: bool
+) -> None:
+    """A prompt was refused after three engines had ended with it that were to end in any case."""
+
+    async def story(scene: Scene) -> None:
+        slow_down(scene)
+        engines = scene.cluster.engines
+        daemons = [vm.daemon for vm in scene.cluster.vms.values()]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_deadly, scene, 0)
+            await until(lambda: reading(scene))
+            name = next(name for name, engine in engines.items() if engine.live_streams)
+
+            def state_at(daemon: EntryDaemon) -> TargetState | None:
+                target = daemon.parts.targets.view.value.find(name)
+                return target.state if target is not None else None
+
+            scene.cluster.set_leaving(name)
+            await until(lambda: all(state_at(d) is TargetState.LEAVING for d in daemons))
+            if is_unlisted:
+                del scene.cluster.targets[name]
+                scene.cluster.publish_list()
+                await until(lambda: all(state_at(d) is not TargetState.LEAVING for d in daemons))
+            left = engines[name]
+            left.inject(FaultOrder(kind=FaultKind.DIE))
+            others = [engine for engine in engines.values() if engine is not left]
+            await until(lambda: any(engine.live_streams for engine in others))
+            crashes = [d.parts.generations.crashes for d in daemons]
+            assert not any(each._suspects.crashes for each in crashes)
+            for engine in others:
+                engine.inject(FaultOrder(kind=FaultKind.SLOW, factor=1.0))
+
+    run_scene(story, tmp_path, engines=4, vms=3)
