Crashes: while a part is in doubt a request that was beside an end tries, if no other does (LOST)

Where all engines of a fleet had ended in its first second, each request that waited had been at one of them. Only one that was at none could try, so nobody did, nothing cleared the part that all share, and all were refused for 5 s or longer.

Class: a rule on who may go first that nobody may meet.

One of them goes, as before, so it costs no more engines.

--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -296,13 +296,12 @@
         return OpenTrial(parts=request, crash_count=count, over_s=0.0, is_request=True)
 
     def find_doubt(self, suspects: Suspects, now: float) -> OpenTrial | None:
-        """Return what a request waits for while a part of its prompt may be cleared, or None.
-
-        It may try itself if no target has crashed under it.
-        """
+        """Return what a request waits for while a part of its prompt may be cleared, or None."""
+        own_weight = total_weight(self._crashes.get(suspects.request, {}))
         for cause in self._part_causes:
             if cause.issubset(suspects.parts) and self._blocked_from[cause] > now:
-                return doubt_trial(cause, self._crashes[next(iter(cause))], now)
+                crashes = self._crashes[next(iter(cause))]
+                return doubt_trial(cause, crashes, now, own_weight=own_weight)
         return None
 
     def _part_blocked_until(self, cause: PartSet, suspects: Suspects) -> float:
--- a/lagoonlever/decisions/engines/part_doubts.py
+++ b/lagoonlever/decisions/engines/part_doubts.py
@@ -6,7 +6,8 @@
 while, and blocked then:
 
 - Requests with it wait. Those that are at engines go on: their answers clear it. Once all is told
-  of the crashes one request that was at none is sent on as well, as all engines may have crashed.
+  of the crashes one request is sent on as well, as all engines may have crashed: the first one
+  that was at none, or at few.
 - It is blocked at once if a third request was at the crashes. What one VM tells of a crash is not
   all: a report of another request that was there comes a moment later.
 - It is blocked in any case if nothing has cleared it in time.
@@ -63,10 +64,16 @@
     return latest
 
 
-def doubt_trial(parts: PartSet, crashes: Mapping[str, Crash], now: float) -> OpenTrial:
-    """Return what one request may try alone while a part is in doubt: the same at all VMs."""
+def doubt_trial(
+    parts: PartSet, crashes: Mapping[str, Crash], now: float, *, own_weight: float
+) -> OpenTrial:
+    """Return what one request may try alone while a part is in doubt: the same at all VMs.
+
+    It may once ``over_s`` is reached, which is later the more its own crashes weigh.
+    """
     told_at = max(crash.at for crash in crashes.values()) + MAX_REPORT_DELAY_S
-    return OpenTrial(parts=parts, crash_count=len(crashes), over_s=now - told_at, is_doubt=True)
+    over_s = now - told_at - own_weight * TURN_S
+    return OpenTrial(parts=parts, crash_count=len(crashes), over_s=over_s, is_doubt=True)
 
 
 def _doubted_from(crashes: Mapping[str, Crash]) -> float:
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -178,9 +178,7 @@
             doubt = self._suspects.find_doubt(accepted.suspects, self._timers.now)
             if doubt is None or self.is_barred(accepted):
                 return
-            has_ends = self._suspects.count_crashes(accepted.fingerprint) > 0
-            may_try = doubt.over_s >= 0 and not has_ends
-            if may_try and self._trials.admit(accepted, doubt, at_once=True) is None:
+            if doubt.over_s >= 0 and self._trials.admit(accepted, doubt, at_once=True) is None:
                 return
             if not is_told:
                 self._log_doubted(accepted, doubt)
--- a/lagoonlever/tests/part_causes_tests.py
+++ b/lagoonlever/tests/part_causes_tests.py
@@ -365,6 +365,21 @@
     assert not watch.is_refused(asking("sound", "all"), 10.0)
 
 
+def test_of_those_that_wait_a_request_with_fewer_crashes_tries_first() -> None:
+    """Traced: all engines of a fleet had ended, each waiting request had been there, none tried."""
+    watch = cold_watch()
+    for request in ("one", "two", "one", "two", "one"):
+        watch.crashes_under(asking(request, "all"))
+        beside = asking(f"beside-{request}", "all")
+        watch.crashes_under(beside, process=f"p-{watch.crashes}", weight=WEIGHT_QUEUED)
+    watch.crashes_under(asking("near", "all"), process="p-1", weight=WEIGHT_QUEUED)
+    tries = {}
+    for request in ("sound", "near", "two"):
+        doubts = [watch.suspects.find_doubt(asking(request, "all"), n / 100) for n in range(180)]
+        tries[request] = sum(doubt is not None and doubt.over_s < 0 for doubt in doubts) / 100
+    assert MAX_REPORT_DELAY_S <= tries["sound"] < tries["near"] < 1.0 < tries["two"]
+
+
 def test_a_prompt_of_which_nothing_came_explains_an_end_under_an_answer_that_had_begun() -> None:
     """Traced: its head was lost with the engine, and events of a stream beside it were not."""
     watch = cold_watch()
