--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -21,12 +21,17 @@
 - A request that gets a whole answer anywhere does not crash targets: its crashes are cleared. The
   report of a crash may arrive just after the answer that clears it, so answers are remembered for
   a short time, and crashes from before them are not counted.
+- A process that says that it leaves ends in any case, so its end counts for nothing. VMs may learn
+  that a moment after the end, so an end that was counted before is taken back. Where more of them
+  end under one suspect than chance brings there, all these ends count: an engine that a request
+  ends may still say that it leaves, or be listed so by another program.
 - A store that is restored from an older copy reports crashes again that an answer has cleared, so
   these answers are remembered for as long as a copy may be old.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import TypeVar
 
@@ -45,6 +50,7 @@
     has_evidence,
     is_cause,
 )
+from lagoonlever.decisions.engines.part_doubts import blocked_from, doubt_trial
 from lagoonlever.decisions.engines.suspects import SuspectKind, Suspects, kind_of
 from lagoonlever.decisions.engines.target_crashes import (
     MAX_REPORT_DELAY_S,
@@ -73,6 +79,14 @@
 
 It is longer than the age of any copy from which the store is restored, which is some seconds.
 """
+LEAVING_NEWS_S = 2.0
+"""Within so long after the end of a process a VM knows whether it had said that it leaves.
+
+It is the way by the store and its watch, and a VM that stood still for a second. An entry that is
+changed later says nothing of the end.
+"""
+MAX_EXCUSED = 4
+"""Ends of processes that leave under one suspect, beyond which they are taken for crashes."""
 MAX_ANSWERS = 2048
 """Upper bound of the answers that are remembered; beyond it the oldest are removed."""
 MAX_SUSPECTS = 256
@@ -132,12 +146,18 @@
     _blocked: frozenset[str] = frozenset()
     _part_causes: tuple[PartSet, ...] = ()
     """Parts that are causes; those that can't be told apart as one set."""
+    _blocked_from: dict[PartSet, float] = attrs.field(factory=dict)
+    """From when each of these is blocked, in seconds."""
     _suspect_parts: tuple[PartSet, ...] = ()
     """The same for parts that one more crash may show to be causes."""
     _answers_known: bool = True
     """Whether this VM knows on which parts answers begin."""
     _tested: dict[str, None] = attrs.field(factory=dict)
     """Processes of which the sound parts at their crash are known, the oldest first."""
+    _leaving: Mapping[str, float] = attrs.field(factory=dict)
+    """Processes that said that they leave, and when that became known here."""
+    _excused: dict[str, dict[str, Crash]] = attrs.field(factory=dict)
+    """Their ends by suspect, the oldest suspect first; beyond ``MAX_EXCUSED`` they count, too."""
     _answers: dict[str, _Answer] = attrs.field(factory=dict)
     """The last whole answer to each request, the oldest first."""
     _clearings: dict[str, _Clearing] = attrs.field(factory=dict)
@@ -158,10 +178,9 @@
         """The requests that are taken for causes, also those whose block is over."""
         return self._blocked
 
-    @property
-    def part_causes(self) -> tuple[PartSet, ...]:
-        """The parts that are taken for causes; those that can't be told apart as one set."""
-        return self._part_causes
+    def part_causes(self, now: float) -> frozenset[PartSet]:
+        """Return the parts that are taken for causes by now; those that are alike as one set."""
+        return frozenset(cause for cause in self._part_causes if self._blocked_from[cause] <= now)
 
     def set_answers_known(self, known: bool) -> None:
         """Set whether this VM knows on which parts answers begin."""
@@ -170,6 +189,41 @@
         self._answers_known = known
         self._find_part_causes()
 
+    def set_leaving(self, leaving: Mapping[str, float]) -> bool:
+        """Set which processes leave and since when that is known; return whether ends fall away.
+
+        Their ends are held against nothing while they are few, whoever reports them.
+        """
+        self._leaving = leaving
+        kept = {f: self._set_aside(f, processes) for f, processes in self._crashes.items()}
+        if kept == self._crashes:
+            return False
+        self._crashes = {f: dict(processes) for f, processes in kept.items() if processes}
+        self._blocked &= self._crashes.keys()
+        self._find_causes()
+        return True
+
+    def is_excused(self, fingerprint: str, process: str) -> bool:
+        """Check whether the end of a process is held aside, as it left."""
+        ends = self._excused.get(fingerprint, {})
+        return process in ends and len(ends) <= MAX_EXCUSED
+
+    def _set_aside(self, fingerprint: str, processes: Mapping[str, Crash]) -> Mapping[str, Crash]:
+        """Return the ends that count, and keep those of processes that leave aside."""
+        leaving = {p: end for p, end in processes.items() if self._is_leaving(p, end)}
+        if not leaving:
+            return processes
+        known = self._excused.get(fingerprint, {})
+        ends = known | {p: end.merge(known.get(p, end)) for p, end in leaving.items()}
+        _store_newest(self._excused, fingerprint, ends, max_size=MAX_CLEARINGS)
+        if len(ends) > MAX_EXCUSED:
+            return {**processes, **ends}
+        return {p: end for p, end in processes.items() if p not in leaving}
+
+    def _is_leaving(self, process: str, end: Crash) -> bool:
+        known_at = self._leaving.get(process)
+        return known_at is not None and known_at <= end.at + LEAVING_NEWS_S
+
     def record_crash(self, fingerprint: str, process: str, crash: Crash) -> bool:
         """Record a crash of a process under a request; return whether it adds information.
 
@@ -221,6 +275,7 @@
 
         ``is_own`` is true if this VM gave the answer.
         """
+        self._excused.pop(fingerprint, None)
         answer = _Answer(at=now, is_own=is_own)
         _store_newest(self._answers, fingerprint, answer, max_size=MAX_ANSWERS)
         processes = self._crashes.pop(fingerprint, None)
@@ -267,7 +322,7 @@
     def find_part_block(self, suspects: Suspects, now: float) -> Block | None:
         """Return why a prompt with these parts is refused, or None if it may run."""
         for cause in self._part_causes:
-            if not cause.issubset(suspects.parts):
+            if not cause.issubset(suspects.parts) or self._blocked_from[cause] > now:
                 continue
             processes = self._crashes[next(iter(cause))]
             remaining_s = self._part_blocked_until(cause, suspects) - now
@@ -281,7 +336,7 @@
         It is a part of its prompt whose block is over, or the request itself after some crashes.
         """
         for cause in self._part_causes:
-            if not cause.issubset(suspects.parts):
+            if not cause.issubset(suspects.parts) or self._blocked_from[cause] > now:
                 continue
             processes = self._crashes[next(iter(cause))]
             over_s = now - self._part_blocked_until(cause, suspects)
@@ -292,6 +347,15 @@
         request = frozenset({suspects.request})
         return OpenTrial(parts=request, crash_count=count, over_s=0.0, is_request=True)
 
+    def find_doubt(self, suspects: Suspects, now: float) -> OpenTrial | None:
+        """Return what a request waits for while a part of its prompt may be cleared, or None."""
+        own_weight = total_weight(self._crashes.get(suspects.request, {}))
+        for cause in self._part_causes:
+            if cause.issubset(suspects.parts) and self._blocked_from[cause] > now:
+                crashes = self._crashes[next(iter(cause))]
+                return doubt_trial(cause, crashes, now, own_weight=own_weight)
+        return None
+
     def _part_blocked_until(self, cause: PartSet, suspects: Suspects) -> float:
         crashes = self._crashes[next(iter(cause))]
         others = sum(self._has_many_crashes(part) for part in suspects.parts if part not in cause)
@@ -361,6 +425,9 @@
         for fingerprint, processes in list(self._crashes.items()):
             if now - _last_crash_at(processes) > RETENTION_S:
                 del self._crashes[fingerprint]
+        for fingerprint, processes in list(self._excused.items()):
+            if now - _last_crash_at(processes) > RETENTION_S:
+                del self._excused[fingerprint]
         self._blocked &= self._crashes.keys()
         self._find_part_causes()
         for fingerprint, answer in list(self._answers.items()):
@@ -374,13 +441,20 @@
 
     def _add(self, crashes: CrashesByRequest) -> bool:
         is_new = is_changed = False
-        for fingerprint, processes in crashes.items():
+        for fingerprint, reported in crashes.items():
+            former_aside = self._excused.get(fingerprint, {})
+            processes = self._set_aside(fingerprint, reported)
+            aside = self._excused.get(fingerprint, {})
+            is_new |= bool(aside.keys() - former_aside.keys())
+            if not processes:
+                continue
+            known = self._crashes.setdefault(fingerprint, {})
+            # Crashes that are told again are from when they were told first.
             self._mark_tested(
                 process
                 for process, crash in processes.items()
-                if crash.tested or self._answers_known
+                if crash.tested or (self._answers_known and process not in known)
             )
-            known = self._crashes.setdefault(fingerprint, {})
             for process, crash in processes.items():
                 former = known.get(process)
                 known[process] = crash if former is None else former.merge(crash)
@@ -401,13 +475,18 @@
     def _find_part_causes(self) -> None:
         parts = self._of_kind(SuspectKind.PART)
         causes = find_part_causes(parts, bound=BLOCKING)
-        self._part_causes = tuple(cause for cause in causes if self._is_certain(cause))
+        requests = self._of_kind(SuspectKind.REQUEST)
+        times = {cause: self._find_blocked_from(cause, requests) for cause in causes}
+        self._blocked_from = {cause: at for cause, at in times.items() if at < math.inf}
+        self._part_causes = tuple(self._blocked_from)
         gathering = GATHERING if self._answers_known else GATHERING_UNTESTED
         self._suspect_parts = find_part_causes(parts, bound=gathering)
 
-    def _is_certain(self, cause: PartSet) -> bool:
-        """Check whether enough of the crashes are tested, or there are many."""
-        return self._has_many_crashes(next(iter(cause))) or self._is_tested(cause)
+    def _find_blocked_from(self, cause: PartSet, requests: CrashesByRequest) -> float:
+        """Return from when a part is blocked: at once if enough of the crashes are tested."""
+        if self._is_tested(cause):
+            return -math.inf
+        return blocked_from(self._crashes[next(iter(cause))], requests)
 
     def _is_tested(self, cause: PartSet) -> bool:
         """Check whether enough crashes are from when it was known on which parts answers begin.
@@ -426,7 +505,8 @@
 
     def _find_causes(self) -> None:
         self._find_part_causes()
-        causes = frozenset[str]().union(*self._part_causes)
+        latest = max((_last_crash_at(own) for own in self._crashes.values()), default=0.0)
+        causes = frozenset[str]().union(*self.part_causes(latest))
         explained = frozenset(p for part in causes for p in self._crashes[part])
         self._blocked = find_causes(
             self._of_kind(SuspectKind.REQUEST), explained_by_parts=explained
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import random
 import time
-from collections.abc import Callable, Container, Iterator
+from collections.abc import Callable, Collection, Container, Iterator
 
 import attrs
 import logbook
@@ -17,6 +18,7 @@
 
 from lagoonlever.decisions.engines.answer_stages import STARTED, CrashWeights
 from lagoonlever.decisions.engines.crash_suspects import Block, CrashSuspects
+from lagoonlever.decisions.engines.part_blocks import OpenTrial
 from lagoonlever.decisions.engines.part_causes import PartSet, SoundParts
 from lagoonlever.decisions.engines.suspect_placement import choose_suspect_engine
 from lagoonlever.decisions.engines.suspects import Suspects, part_name, part_suspects
@@ -51,6 +53,8 @@
 
 RECALL_S = 1.0
 """From the start of a VM until it takes requests at the latest, though the store is away."""
+DOUBT_LOOK_S = 0.05
+"""Between two looks of a request that waits until a part of its prompt is cleared or barred."""
 LOOK_PERIOD_S = 0.9
 """How often a VM that hears no other one reads the record: well within the time in which
 others are told by messages. A multiple of the time between its own words, for one wake-up."""
@@ -89,6 +93,8 @@
     _lost_engines: LostEngines = attrs.field(init=False)
     _started: float = attrs.field(factory=trio.current_time)
     _left_engines: LeftEngines = attrs.field(init=False)
+    _leaving_changes: int = 0
+    """As of which change of the targets that leave their ends are left out."""
 
     @_lost_engines.default
     def _make_lost_engines(self) -> LostEngines:
@@ -164,6 +170,32 @@
             with trio.move_on_at(self._started + RECALL_S):
                 await self._records.recalled.wait()
 
+    async def until_decided(self, accepted: Accepted) -> None:
+        """Wait while it is in doubt whether a part of a prompt ends engines.
+
+        One request of the fleet goes on meanwhile.
+        """
+        is_told = False
+        while self._suspects.crashes:
+            self._note_answers()
+            doubt = self._suspects.find_doubt(accepted.suspects, self._timers.now)
+            if doubt is None or self.is_barred(accepted):
+                return
+            if doubt.over_s >= 0 and self._trials.admit(accepted, doubt, at_once=True) is None:
+                return
+            if not is_told:
+                self._log_doubted(accepted, doubt)
+                is_told = True
+            await trio.sleep(DOUBT_LOOK_S)
+
+    def _log_doubted(self, accepted: Accepted, doubt: OpenTrial) -> None:
+        events.PART_DOUBTED.log(
+            log,
+            request=accepted.request_id,
+            doubted_part=", ".join(sorted(part_name(part) for part in doubt.parts)),
+            ended=doubt.crash_count,
+        )
+
     def is_barred(self, accepted: Accepted) -> bool:
         """Check whether a request may not run now."""
         return self._find_block(accepted) is not None
@@ -248,10 +280,13 @@
         Waits a moment for the record: a VM that does not hear others learns what they saw
         before it sends the request to the next target.
         """
-        if self._suspects.has_crashed(process_name(target.id, target.started_ms), sent_at):
+        process = process_name(target.id, target.started_ms)
+        if self._suspects.has_crashed(process, sent_at):
             return
         if not self._note(accepted, target, weights, at=self._timers.now if at is None else at):
             return
+        if not self._suspects.has_crashed(process, math.inf):
+            return
         barred, barred_parts = self._barred, self._barred_parts
         await self._records.exchange()
         # Nobody told this VM, so those that it hears may not have been told either.
@@ -380,11 +415,23 @@
         trial = self._suspects.find_open_trial(accepted.suspects, now)
         return None if trial is None else self._trials.admit(accepted, trial)
 
+    def _note_leaving(self) -> None:
+        """Have the ends of processes that said that they leave count for nothing."""
+        leaving = self._beliefs.targets.leaving
+        if leaving.changes == self._leaving_changes:
+            return
+        self._leaving_changes = leaving.changes
+        self._suspects.set_leaving(
+            {process_name(p.target, p.started_ms): since for p, since in leaving.since.items()}
+        )
+        self._records.take_out_excused()
+
     def _note_answers(self) -> None:
         """Update the registry with whether this VM knows sound parts.
 
         One that does not hear of all runs is told of crashes by hubs, which leave sound parts out.
         """
+        self._note_leaving()
         for parts in self._sound.take_lived_on(self._timers.now):
             self._learn_sound(parts)
         known = self._sound.knows_any(self._timers.now) or not self._hears_runs()
@@ -394,6 +441,7 @@
         self, accepted: Accepted, target: ListedTarget, weights: CrashWeights, *, at: float
     ) -> bool:
         """Count an end that this VM saw; return whether it is news."""
+        self._note_leaving()
         fingerprint, now = accepted.fingerprint, self._timers.now
         process = process_name(target.id, target.started_ms)
         self._sound.withdraw(process)
@@ -409,20 +457,8 @@
         ]
         if not news:
             return False
-        events.TARGET_ENDED_UNDER.log(
-            log,
-            request=accepted.request_id,
-            fingerprint=fingerprint,
-            target=target.id,
-            organisation=accepted.organisation,
-            route=accepted.route.name,
-            shared=",".join(accepted.shared_parts),
-            unproven=",".join(part_name(part) for part in ends if part != fingerprint),
-            ended=self._suspects.count_crashes(fingerprint),
-            weight=weights.request,
-            parts_weight=weights.parts,
-        )
-        self._tally.add(metrics.TARGETS_ENDED, accepted.route.kind.value)
+        if not all(self._suspects.is_excused(suspect, process) for suspect in news):
+            self._log_end(accepted, target, weights, unproven=ends.keys() - {fingerprint})
         self._left_engines.take_crashes({process: at})
         told = tuple(
             EndTold(
@@ -439,6 +475,29 @@
         self._take_news()
         return True
 
+    def _log_end(
+        self,
+        accepted: Accepted,
+        target: ListedTarget,
+        weights: CrashWeights,
+        *,
+        unproven: Collection[str],
+    ) -> None:
+        events.TARGET_ENDED_UNDER.log(
+            log,
+            request=accepted.request_id,
+            fingerprint=accepted.fingerprint,
+            target=target.id,
+            organisation=accepted.organisation,
+            route=accepted.route.name,
+            shared=",".join(accepted.shared_parts),
+            unproven=",".join(sorted(part_name(part) for part in unproven)),
+            ended=self._suspects.count_crashes(accepted.fingerprint),
+            weight=weights.request,
+            parts_weight=weights.parts,
+        )
+        self._tally.add(metrics.TARGETS_ENDED, accepted.route.kind.value)
+
     def _take_news(self) -> None:
         """End what may not go on after ends were recorded or told."""
         self._note_answers()
@@ -462,7 +521,7 @@
                 events.REQUEST_BARRED.log(
                     log, fingerprint=fingerprint, ended=bar.crash_count, for_s=bar.remaining_s
                 )
-        causes = frozenset(self._suspects.part_causes)
+        causes = self._suspects.part_causes(self._timers.now)
         new_parts, self._barred_parts = causes - self._barred_parts, causes
         for parts in new_parts:
             asked = Suspects(request="", parts=tuple(parts))
@@ -486,6 +545,9 @@
         self._trials.expire(tick.now)
         self._left_engines.look()
         self._note_answers()
+        if self._suspects.part_causes(tick.now) - self._barred_parts:
+            # Nothing has cleared a part in the time that it was given.
+            self._take_news()
         fellows, roles = self._beliefs.fellows, self._roles.value
         is_alone = bool(fellows.states) and not fellows.present(tick.now)
         is_reader = roles is not None and roles.reads_store
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -79,12 +79,18 @@
         self.request = request
         self._connection = connection
         self._responded = False
+        self._is_caller_gone = False
 
     @property
     def responded(self) -> bool:
         """Whether a response was started."""
         return self._responded
 
+    @property
+    def is_caller_gone(self) -> bool:
+        """Whether the caller was seen to close its side, by those who wait for that."""
+        return self._is_caller_gone
+
     async def respond(self, *, status: int, headers: Headers, body: bytes) -> None:
         """Answer with a whole body."""
         self._responded = True
@@ -122,7 +128,7 @@
         await self._connection.send(h11.EndOfMessage(headers=known.raw()))
 
     def caller_present(self) -> bool:
-        """Tell whether the caller's connection is still open, by a look at the socket itself.
+        """Check whether the caller's connection is still open, by a look at the socket itself.
 
         Guards a VM that wakes after a pause: the caller may have left and be
         served elsewhere, and no task here has had its turn to see that yet.
@@ -132,6 +138,7 @@
     async def wait_gone(self) -> None:
         """Return when the caller has closed its side of the connection."""
         await self._connection.wait_gone()
+        self._is_caller_gone = True
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -166,7 +173,7 @@
         return bool(self._h11.their_http_version and self._h11.their_http_version >= b"1.1")
 
     def caller_present(self) -> bool:
-        """Tell whether the peer's end of the socket is open, without taking bytes from it."""
+        """Check whether the peer's end of the socket is open, without taking bytes from it."""
         trio_socket = self._stream.socket
         with socket.fromfd(trio_socket.fileno(), trio_socket.family, trio_socket.type) as peeked:
             peeked.setblocking(False)
@@ -288,7 +295,7 @@
             self._h11.receive_data(await self._receive())
 
     def response(self, *, status: int, headers: Headers) -> h11.Response:
-        """Give the head of a response, closing the connection where the server is stopping."""
+        """Return the head of a response, closing the connection where the server is stopping."""
         if self._state.closing:
             headers = headers.with_field("Connection", "close")
         return h11.Response(status_code=status, headers=headers.raw())
