Roll-outs: the time of a standstill is taken off an answer's, in place of the answer

The time in which the process stood still is subtracted, of answers and of a stream's events together.

--- a/lagoonlever/gateway/rollouts.py
+++ b/lagoonlever/gateway/rollouts.py
@@ -244,16 +244,17 @@
         rollout.tally.sent_to_new()
         return (kind, self._phase(target.service))
 
-    def answered(self, service: str, lane: Lane | None, seconds: float) -> None:
-        """Count a good answer of a target, unless this process itself may have delayed it.
+    def answered(self, service: str, lane: Lane | None, seconds: float, *, pieces: int = 1) -> None:
+        """Count a good answer of a target, which came just now in so many pieces.
 
-        While all work goes to a new version, no answers of the former one would show the delay.
+        The time in which this process itself stood still says nothing of the target. While all
+        work goes to a new version, no answers of the former one would show that delay.
         """
         rollout = self._open(service)
         if rollout is None or lane is None:
             return
-        if not self._standstills.any_since(self._timers.now - seconds):
-            rollout.tally.answered(lane, seconds)
+        still_s = self._standstills.seconds_since(self._timers.now - seconds)
+        rollout.tally.answered(lane, max(0.0, seconds - still_s) / pieces)
 
     def failed(self, service: str, lane: Lane | None) -> None:
         """Count a failure of a target that lives."""
--- a/lagoonlever/gateway/stream_counts.py
+++ b/lagoonlever/gateway/stream_counts.py
@@ -39,8 +39,8 @@
         if self._lane is None or not self._events:
             return
         kind, phase = self._lane
-        event_s = (now - self._first_at) / self._events
-        self._rollouts.answered(self._engine.service, (f"{kind}, pace", phase), event_s)
+        lane, seconds = (f"{kind}, pace", phase), now - self._first_at
+        self._rollouts.answered(self._engine.service, lane, seconds, pieces=self._events)
 
     def failed(self) -> None:
         """Count an answer that broke off or failed, at an engine that lives."""
