Crashes: a request that is refused after a doubt holds no trial of itself (LOST)

Cause: a look at whether a request is barred began its trial, as `is_barred` admits it, and a request that only waited in a doubt was looked at so. Refused at the doubt's end, it came to no `finally`, so nobody ended that trial, and an own trial has no expiry. What callers would see: each return of that request gets 503 at this VM, and the other VMs were told that it tries.

Change: the wait asks without beginning anything (`TrialAdmission.find_block`, which `admit` is built on). The wait and the refusal are inside Front's `try`, whose `finally` ends whatever was begun.

Why it holds: `admit` is the one place where a trial begins, and each of its callers is inside that `try`. The order in which a VM that leaves and a bar are asked is the same.

Tests, red before: three in the new `part_doubts_tests.py`.

--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -179,7 +179,7 @@
         while self._suspects.crashes:
             self._note_answers()
             doubt = self._suspects.find_doubt(accepted.suspects, self._timers.now)
-            if doubt is None or self.is_barred(accepted):
+            if doubt is None or self._would_bar(accepted):
                 return
             if doubt.over_s >= 0 and self._trials.admit(accepted, doubt, at_once=True) is None:
                 return
@@ -415,6 +415,14 @@
         trial = self._suspects.find_open_trial(accepted.suspects, now)
         return None if trial is None else self._trials.admit(accepted, trial)
 
+    def _would_bar(self, accepted: Accepted) -> bool:
+        """Check whether a request may not run now, without beginning what it may try."""
+        now = self._timers.now
+        if self._suspects.find_any_block(accepted.suspects, now) is not None:
+            return True
+        trial = self._suspects.find_open_trial(accepted.suspects, now)
+        return trial is not None and self._trials.find_block(accepted, trial) is not None
+
     def _note_leaving(self) -> None:
         """Have the ends of processes that said that they leave count for nothing."""
         leaving = self._beliefs.targets.leaving
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -70,18 +70,9 @@
             await self._refuse(exchange, accepted)
             return
         await self._crashes.until_recalled()
-        # The other way round one that this VM has no time for would hold a trial, and never end it.
-        rejected = self._last.refusal(accepted)
-        if rejected is None:
-            with trio.move_on_at(accepted.deadline):
-                await self._crashes.until_decided(accepted)
-            rejected = self._crashes.refusal(accepted)
-        if rejected is not None:
-            await self._refuse(exchange, rejected, accepted=accepted)
-            return
         answered = False
         try:
-            await self._serve[accepted.route.kind](accepted)
+            await self._decide_and_serve(accepted)
             answered = not exchange.is_caller_gone
         except (CallerGone, OSError):
             raise
@@ -90,6 +81,18 @@
         finally:
             self._crashes.ended(accepted, answered=answered)
 
+    async def _decide_and_serve(self, accepted: Accepted) -> None:
+        """Refuse a request, or have it served; it may begin trials, which its end must end."""
+        rejected = self._last.refusal(accepted)
+        if rejected is None:
+            with trio.move_on_at(accepted.deadline):
+                await self._crashes.until_decided(accepted)
+            rejected = self._crashes.refusal(accepted)
+        if rejected is not None:
+            await self._refuse(accepted.exchange, rejected, accepted=accepted)
+            return
+        await self._serve[accepted.route.kind](accepted)
+
     async def _end_faulty(self, accepted: Accepted) -> None:
         """Log the fault that has ended a request, and tell its caller, if it has no answer yet."""
         events.REQUEST_FAULT.log(
--- a/lagoonlever/gateway/trial_admission.py
+++ b/lagoonlever/gateway/trial_admission.py
@@ -69,23 +69,32 @@
                 self._given_way()
 
     def admit(self, accepted: Accepted, trial: OpenTrial, *, at_once: bool = False) -> Block | None:
-        """Have a request try, or return for how long it waits.
+        """Have a request try, or return for how long it waits; its work must end with ``ended``.
 
         ``at_once`` also if this VM has just started, and may not have met the others.
         """
-        now, request = self._timers.now, accepted.request_id
-        names = [peer.life.name for peer in self._beliefs.fellows.present(now)]
-        up_s = math.inf if at_once else now - self._started
-        wait_s = self._trials.wait_s(trial, request, now, own=self._own, vms=names, up_s=up_s)
-        if wait_s > 0:
-            parts = frozenset[str]() if trial.is_request else trial.parts
-            return Block(crash_count=trial.crash_count, remaining_s=wait_s, parts=parts)
-        if self._trials.begin(trial.key, request):
+        block = self.find_block(accepted, trial, at_once=at_once)
+        if block is not None:
+            return block
+        if self._trials.begin(trial.key, accepted.request_id):
             self._log_tried(accepted, trial)
             message = PartTried(key=trial.key, vm=self._own)
             self._spread.tell(message, for_plain=message)
         return None
 
+    def find_block(
+        self, accepted: Accepted, trial: OpenTrial, *, at_once: bool = False
+    ) -> Block | None:
+        """Return for how long a request waits until it may try, or None; nothing is begun."""
+        now, request = self._timers.now, accepted.request_id
+        names = [peer.life.name for peer in self._beliefs.fellows.present(now)]
+        up_s = math.inf if at_once else now - self._started
+        wait_s = self._trials.wait_s(trial, request, now, own=self._own, vms=names, up_s=up_s)
+        if wait_s <= 0:
+            return None
+        parts = frozenset[str]() if trial.is_request else trial.parts
+        return Block(crash_count=trial.crash_count, remaining_s=wait_s, parts=parts)
+
     def _log_tried(self, accepted: Accepted, trial: OpenTrial) -> None:
         request, ended = accepted.request_id, trial.crash_count
         if trial.is_request:
--- /dev/null
+++ b/lagoonlever/tests/part_doubts_tests.py
@@ -0,0 +1,205 @@
+"""Requests that wait at a VM while it is in doubt whether a part of their prompts ends engines."""
+
+from __future__ import annotations
+
+import random
+from types import SimpleNamespace
+from typing import Any, cast
+from unittest.mock import AsyncMock, MagicMock
+
+import attrs
+import pytest
+import trio
+import trio.testing
+
+from lagoonlever.decisions.engines.part_doubts import CLEARING_S
+from lagoonlever.decisions.engines.suspects import Suspects, part_suspects
+from lagoonlever.decisions.engines.target_crashes import (
+    MAX_REPORT_DELAY_S,
+    WEIGHT_QUEUED,
+    WEIGHT_STARTED,
+    Crash,
+)
+from lagoonlever.decisions.settings.configuration import RouteKind
+from lagoonlever.gateway import front as front_module
+from lagoonlever.gateway.accepted import Accepted
+from lagoonlever.gateway.crash_watch import CrashWatch
+from lagoonlever.gateway.front import Front
+from lagoonlever.outcomes import NotRun, Reason
+from lagoonlever.peers.messages_crashes import PartTried, TrialEnded
+
+(PART,) = part_suspects(service="s", model="m", shared=("all",))
+ENDED_UNDER = ("one", "two", "one", "two", "one")
+APART_S = 0.2
+LATER_S = 40.0
+"""Long after any trial counts as over."""
+
+
+@attrs.define(kw_only=True)
+class Timers:
+    """The clock of the test's loop."""
+
+    @property
+    def now(self) -> float:
+        """The time of the loop."""
+        return trio.current_time()
+
+
+@attrs.define(kw_only=True)
+class Site:
+    """One VM's watch and front, and what they told and served; nothing else is there."""
+
+    watch: CrashWatch
+    front: Front
+    spread: MagicMock
+    last: MagicMock
+    served: list[str]
+
+    def told(self, kind: type) -> list[object]:
+        """Return the messages of a kind that went to other VMs."""
+        words = [call.args[0] for call in self.spread.tell.call_args_list]
+        return [word for word in words if isinstance(word, kind)]
+
+    def others_try(self) -> None:
+        """Have another VM try the part, so that all here wait."""
+        self.watch._trials._trials.record_elsewhere(
+            f"{PART}#doubt", trio.current_time(), vm="vm-9", own="vm-0"
+        )
+
+    def clears(self) -> None:
+        """Have an answer at another VM clear the part."""
+        self.watch._suspects.record_answer(PART, trio.current_time() + 0.6, is_own=False)
+
+    async def ask(self, accepted: Accepted) -> NotRun | None:
+        """Have a request arrive; return why it was refused."""
+        refused: list[NotRun] = []
+
+        async def tell(_: object, outcome: NotRun) -> None:
+            refused.append(outcome)
+
+        patch = pytest.MonkeyPatch()
+        with patch.context() as patched:
+            patched.setattr(front_module, "tell", tell)
+            patched.setattr(front_module, "read_caller", lambda _: None)
+            patched.setattr(Front, "_accept", lambda *_: accepted)
+            await self.front.handle(accepted.exchange)
+        return refused[0] if refused else None
+
+
+def asked(request: str, fingerprint: str, *, is_present: bool = True) -> Accepted:
+    """Return a request that shares the part, of a caller that is there or has left."""
+    exchange = MagicMock(is_caller_gone=not is_present, responded=False)
+    exchange.caller_present.return_value = is_present
+    return cast(
+        "Accepted",
+        SimpleNamespace(
+            request_id=request,
+            fingerprint=fingerprint,
+            suspects=Suspects(request=fingerprint, parts=(PART,)),
+            route=SimpleNamespace(name="r", kind=RouteKind.STREAM),
+            organisation="o",
+            shared_parts=("all",),
+            exchange=exchange,
+            arrived=trio.current_time(),
+            deadline=trio.current_time() + 30.0,
+        ),
+    )
+
+
+def doubting_site(*, first_ago_s: float) -> Site:
+    """Return a VM that saw five ends under two prompts, and knows of no answer."""
+    beliefs, spread, last = MagicMock(), MagicMock(), MagicMock()
+    beliefs.fellows.present.return_value = []
+    beliefs.targets.leaving.changes = 0
+    beliefs.known.wait = AsyncMock()
+    last.refusal.return_value = None
+    others: dict[str, Any] = {
+        name: MagicMock()
+        for name in ["store", "bus", "roles", "client", "prober", "dialer", "tunnel_desk", "tally"]
+    }
+    watch = CrashWatch(
+        own="vm-0",
+        beliefs=beliefs,
+        timers=cast("Any", Timers()),
+        spread=spread,
+        rng=random.Random(1),
+        hears_runs=lambda: True,
+        **others,
+    )
+    watch._records.recalled.set()
+    for number, request in enumerate(ENDED_UNDER):
+        at = trio.current_time() - first_ago_s + APART_S * number
+        process = f"p{number}"
+        watch._suspects.record_crash(request, process, Crash(at=at, weight=WEIGHT_QUEUED))
+        crash = Crash(at=at, weight=WEIGHT_STARTED, requests=(request,))
+        watch._suspects.record_crash(PART, process, crash)
+    served: list[str] = []
+
+    async def serve(accepted: Accepted) -> None:
+        served.append(accepted.request_id)
+
+    front = Front(
+        beliefs=beliefs,
+        timers=cast("Any", Timers()),
+        reporter=MagicMock(),
+        rng=random.Random(1),
+        crashes=watch,
+        last=last,
+        rollouts=MagicMock(),
+        serve={RouteKind.STREAM: serve},
+    )
+    return Site(watch=watch, front=front, spread=spread, last=last, served=served)
+
+
+def run(story: Any) -> None:
+    """Run a story on a clock that jumps."""
+    trio.run(story, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_request_that_is_refused_after_a_doubt_holds_no_trial_of_itself() -> None:
+    """Each return of its caller was refused from then on, as the first one never ended."""
+
+    async def story() -> None:
+        site = doubting_site(first_ago_s=0.9)
+        site.others_try()
+        first = await site.ask(asked("id-1", "one"))
+        assert first is not None
+        assert first.reason is Reason.ENDS_TARGETS
+        site.clears()
+        await trio.sleep(LATER_S)
+        site.watch._trials.expire(trio.current_time())
+        assert await site.ask(asked("id-2", "one")) is None
+        assert site.served == ["id-2"]
+
+    run(story)
+
+
+def test_a_request_that_waits_in_a_doubt_tells_nobody_that_it_tries() -> None:
+    """It had three ends of its own, and all other VMs refused its copies while it waited."""
+
+    async def story() -> None:
+        site = doubting_site(first_ago_s=0.9)
+        site.others_try()
+        with trio.move_on_after(CLEARING_S / 2):
+            await site.watch.until_decided(asked("id-1", "one"))
+        assert site.told(PartTried) == []
+
+    run(story)
+
+
+def test_a_trial_ends_with_a_request_that_is_refused_after_it_was_let_through() -> None:
+    """Another VM's trial of the request itself, told meanwhile, is why it may not run."""
+
+    async def story() -> None:
+        site = doubting_site(first_ago_s=0.8 + MAX_REPORT_DELAY_S)
+        accepted = asked("id-1", "x")
+        refusal = NotRun(reason=Reason.ENDS_TARGETS, message="barred meanwhile")
+        with pytest.MonkeyPatch().context() as patched:
+            patched.setattr(CrashWatch, "refusal", lambda *_: refusal)
+            assert await site.ask(accepted) is refusal
+        assert site.told(PartTried)
+        assert site.told(TrialEnded)
+        assert await site.ask(asked("id-2", "y")) is None
+        assert site.served == ["id-2"]
+
+    run(story)
