Crashes: a request whose caller has left takes no trial of a doubt, nor is sent after it (GONE, LOST)

Cause: nobody looked whether the caller was still there while a request waited in a doubt. What callers would see: the request of one that left took the one trial that the doubt allows; the other VMs wait 12 s for a trial, longer than the doubt of 1.8 s lasts, so nobody else tried and all were refused. And what was let through after the wait was sent for nobody. Also a VM that was told to stop meanwhile began a call whose answer is due after its end.

Change: the wait raises `CallerGone`, as a write to a caller that left does, right before a trial is begun and after the wait. Front records the request as `caller-gone`; a stream that waits does so itself already. Front asks again after the wait whether this VM leaves.

Why it holds: the look is at the socket itself, with no checkpoint between it and the beginning of the trial. It is made by those that may try, and by those that waited, so a request outside of a doubt costs no call more.

Tests, red before: three in `part_doubts_tests.py`.

--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -42,6 +42,7 @@
 from lagoonlever.gateway.trial_admission import TrialAdmission
 from lagoonlever.gateway.tunnel_desk import TunnelDesk
 from lagoonlever.http.messages import Address
+from lagoonlever.http.server import CallerGone
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_crashes import EndTold, RequestServed, TargetsEnded
@@ -173,20 +174,32 @@
     async def until_decided(self, accepted: Accepted) -> None:
         """Wait while it is in doubt whether a part of a prompt ends engines.
 
-        One request of the fleet goes on meanwhile.
+        One request of the fleet goes on meanwhile. Raises ``CallerGone`` where the caller of this
+        one has left: it may not take the one trial that there is, nor be sent after the wait.
         """
-        is_told = False
+        has_waited = False
         while self._suspects.crashes:
             self._note_answers()
             doubt = self._suspects.find_doubt(accepted.suspects, self._timers.now)
             if doubt is None or self._would_bar(accepted):
+                break
+            if doubt.over_s >= 0 and self._may_try(accepted, doubt):
+                self._trials.admit(accepted, doubt, at_once=True)
                 return
-            if doubt.over_s >= 0 and self._trials.admit(accepted, doubt, at_once=True) is None:
-                return
-            if not is_told:
+            if not has_waited:
                 self._log_doubted(accepted, doubt)
-                is_told = True
+                has_waited = True
             await trio.sleep(DOUBT_LOOK_S)
+        if has_waited and not accepted.exchange.caller_present():
+            raise CallerGone
+
+    def _may_try(self, accepted: Accepted, doubt: OpenTrial) -> bool:
+        """Check whether a request is the one that may try; raises ``CallerGone``."""
+        if self._trials.find_block(accepted, doubt, at_once=True) is not None:
+            return False
+        if not accepted.exchange.caller_present():
+            raise CallerGone
+        return True
 
     def _log_doubted(self, accepted: Accepted, doubt: OpenTrial) -> None:
         events.PART_DOUBTED.log(
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -85,14 +85,22 @@
         """Refuse a request, or have it served; it may begin trials, which its end must end."""
         rejected = self._last.refusal(accepted)
         if rejected is None:
-            with trio.move_on_at(accepted.deadline):
-                await self._crashes.until_decided(accepted)
-            rejected = self._crashes.refusal(accepted)
+            await self._until_decided(accepted)
+            # This VM may have been told to stop meanwhile.
+            rejected = self._last.refusal(accepted) or self._crashes.refusal(accepted)
         if rejected is not None:
             await self._refuse(accepted.exchange, rejected, accepted=accepted)
             return
         await self._serve[accepted.route.kind](accepted)
 
+    async def _until_decided(self, accepted: Accepted) -> None:
+        try:
+            with trio.move_on_at(accepted.deadline):
+                await self._crashes.until_decided(accepted)
+        except CallerGone:
+            self._reporter.left(accepted)
+            raise
+
     async def _end_faulty(self, accepted: Accepted) -> None:
         """Log the fault that has ended a request, and tell its caller, if it has no answer yet."""
         events.REQUEST_FAULT.log(
--- a/lagoonlever/gateway/reporter.py
+++ b/lagoonlever/gateway/reporter.py
@@ -54,6 +54,29 @@
             detail=outcome.message,
             reason=outcome.reason,
         )
+        self._ended_early(request, request_id, ending, accepted=accepted, seconds=0.0)
+
+    def left(self, accepted: Accepted) -> None:
+        """Record a request whose caller left before it was decided whether it may run."""
+        ending = Ending(status=0, outcome="caller-gone", detail="the caller left while it waited")
+        self._ended_early(
+            accepted.exchange.request,
+            accepted.request_id,
+            ending,
+            accepted=accepted,
+            seconds=self.timers.now - accepted.arrived,
+        )
+
+    def _ended_early(
+        self,
+        request: Request,
+        request_id: str | None,
+        ending: Ending,
+        *,
+        accepted: Accepted | None,
+        seconds: float,
+    ) -> None:
+        """Record a request that was never served."""
         kind = NO_KIND if accepted is None else accepted.route.kind.value
         organisation = None if accepted is None else accepted.organisation
         self._count(kind, organisation, ending)
@@ -64,7 +87,7 @@
             organisation=organisation,
             status=ending.status,
             outcome=ending.outcome,
-            seconds=0.0,
+            seconds=seconds,
             allowed_s=None,
             attempts=0,
             target=None,
--- a/lagoonlever/tests/part_doubts_tests.py
+++ b/lagoonlever/tests/part_doubts_tests.py
@@ -25,6 +25,8 @@
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.crash_watch import CrashWatch
 from lagoonlever.gateway.front import Front
+from lagoonlever.gateway.reporter import Reporter
+from lagoonlever.http.server import CallerGone
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.messages_crashes import PartTried, TrialEnded
 
@@ -53,6 +55,7 @@
     front: Front
     spread: MagicMock
     last: MagicMock
+    reporter: MagicMock
     served: list[str]
 
     def told(self, kind: type) -> list[object]:
@@ -109,6 +112,7 @@
 def doubting_site(*, first_ago_s: float) -> Site:
     """Return a VM that saw five ends under two prompts, and knows of no answer."""
     beliefs, spread, last = MagicMock(), MagicMock(), MagicMock()
+    reporter = MagicMock(wraps=Reporter(timers=cast("Any", Timers())))
     beliefs.fellows.present.return_value = []
     beliefs.targets.leaving.changes = 0
     beliefs.known.wait = AsyncMock()
@@ -141,14 +145,16 @@
     front = Front(
         beliefs=beliefs,
         timers=cast("Any", Timers()),
-        reporter=MagicMock(),
+        reporter=reporter,
         rng=random.Random(1),
         crashes=watch,
         last=last,
         rollouts=MagicMock(),
         serve={RouteKind.STREAM: serve},
     )
-    return Site(watch=watch, front=front, spread=spread, last=last, served=served)
+    return Site(
+        watch=watch, front=front, spread=spread, last=last, reporter=reporter, served=served
+    )
 
 
 def run(story: Any) -> None:
@@ -203,3 +209,63 @@
         assert site.served == ["id-2"]
 
     run(story)
+
+
+def test_a_request_whose_caller_has_left_takes_no_trial_of_a_doubt() -> None:
+    """There is one, and all others wait for longer than the doubt lasts, so nobody else tried."""
+
+    async def story() -> None:
+        site = doubting_site(first_ago_s=0.9)
+        with pytest.raises(CallerGone):
+            await site.ask(asked("id-1", "x", is_present=False))
+        assert site.told(PartTried) == []
+        assert await site.ask(asked("id-2", "y")) is None
+        assert site.told(PartTried)
+
+    run(story)
+
+
+def test_a_request_whose_caller_left_during_a_doubt_is_not_served() -> None:
+    """What is sent after its caller has left runs for nobody."""
+
+    async def story() -> None:
+        site = doubting_site(first_ago_s=0.9)
+        site.others_try()
+        accepted = asked("id-1", "x")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leave_and_clear, site, accepted)
+            with pytest.raises(CallerGone):
+                await site.ask(accepted)
+        assert site.served == []
+        assert site.reporter.left.called
+
+    run(story)
+
+
+async def leave_and_clear(site: Site, accepted: Accepted) -> None:
+    """Have a caller leave while its request waits, and the part be cleared after that."""
+    await trio.sleep(APART_S)
+    cast("MagicMock", accepted.exchange).caller_present.return_value = False
+    await trio.sleep(APART_S)
+    site.clears()
+
+
+def test_a_vm_that_was_told_to_stop_during_a_doubt_begins_no_call() -> None:
+    """It was asked for that before the wait only, and the call's answer is due after its end."""
+
+    async def story() -> None:
+        site = doubting_site(first_ago_s=0.9)
+        site.others_try()
+        refusal = NotRun(reason=Reason.LEAVING, message="this VM stops")
+
+        async def stop() -> None:
+            await trio.sleep(APART_S)
+            site.last.refusal.return_value = refusal
+            site.clears()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            assert await site.ask(asked("id-1", "x")) is refusal
+        assert site.served == []
+
+    run(story)
