--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -148,6 +148,10 @@
     """Parts that are causes; those that can't be told apart as one set."""
     _blocked_from: dict[PartSet, float] = attrs.field(factory=dict)
     """From when each of these is blocked, in seconds."""
+    _judged_at: float = -math.inf
+    """As of when requests were judged last; later than all crashes where a doubt has ended."""
+    _explaining: frozenset[PartSet] = frozenset()
+    """The parts whose crashes then counted less for the requests."""
     _suspect_parts: tuple[PartSet, ...] = ()
     """The same for parts that one more crash may show to be causes."""
     _answers_known: bool = True
@@ -421,7 +425,11 @@
         return tuple(part for part in parts if part in self._crashes)
 
     def expire(self, now: float) -> None:
-        """Remove suspects without a crash for ``RETENTION_S``, and answers that are too old."""
+        """Remove suspects without a crash for ``RETENTION_S``, and answers that are too old.
+
+        Requests are judged again once a part in doubt is blocked, as it explains crashes from then
+        on that were held against them.
+        """
         for fingerprint, processes in list(self._crashes.items()):
             if now - _last_crash_at(processes) > RETENTION_S:
                 del self._crashes[fingerprint]
@@ -430,6 +438,9 @@
                 del self._excused[fingerprint]
         self._blocked &= self._crashes.keys()
         self._find_part_causes()
+        if self.part_causes(now) - self._explaining:
+            self._judged_at = max(self._judged_at, now)
+            self._find_causes()
         for fingerprint, answer in list(self._answers.items()):
             if now - answer.at <= MAX_REPORT_DELAY_S:
                 break
@@ -505,8 +516,10 @@
 
     def _find_causes(self) -> None:
         self._find_part_causes()
-        latest = max((_last_crash_at(own) for own in self._crashes.values()), default=0.0)
-        causes = frozenset[str]().union(*self.part_causes(latest))
+        ends = (_last_crash_at(own) for own in self._crashes.values())
+        self._judged_at = max([self._judged_at, *ends])
+        self._explaining = self.part_causes(self._judged_at)
+        causes = frozenset[str]().union(*self._explaining)
         explained = frozenset(p for part in causes for p in self._crashes[part])
         self._blocked = find_causes(
             self._of_kind(SuspectKind.REQUEST), explained_by_parts=explained
--- a/lagoonlever/tests/part_causes_tests.py
+++ b/lagoonlever/tests/part_causes_tests.py
@@ -609,3 +609,24 @@
     causes = find_part_causes(crashes, bound=BLOCKING)
     assert set(causes) == {frozenset({part}) for part in crashes}
     assert _Counted.uses <= 20 * count
+
+
+def test_a_request_that_a_part_explains_is_freed_as_the_doubt_of_the_part_ends() -> None:
+    """Judged while the part was in doubt, it was refused for ten minutes for crashes of others."""
+    watch = cold_watch()
+    beside = asking("sound", "other")
+    for number, request in enumerate(("a", "b", "c", "d", "e")):
+        at, process = number * 0.3, f"p{number}"
+        watch.crashes_under(asking(request, "bad"), now=at, process=process)
+        if number < 3:
+            watch.suspects.record_crash("sound", process, Crash(at=at, weight=WEIGHT_STARTED))
+    assert watch.waits(asking("next", "bad"), 1.2)
+    after = 1.2 + CLEARING_S
+    watch.suspects.expire(after)
+    assert watch.is_refused(asking("next", "bad"), after)
+    assert not watch.is_refused(beside, after)
+    watch.suspects.record_crash("far", "p-far", Crash(at=1.0, weight=WEIGHT_STARTED))
+    watch.suspects.record_answer("far", after, is_own=True)
+    assert not watch.is_refused(beside, after), "news of others judged it as of the last crash"
+    watch.begins(asking("next", "bad"), after)
+    assert watch.is_refused(beside, after), "nothing else explains its crashes any more"
