--- a/lagoonlever/decisions/engines/part_blocks.py
+++ b/lagoonlever/decisions/engines/part_blocks.py
@@ -103,6 +103,8 @@
     """Whether it is a whole request, of which one copy at a time goes on, by any VM."""
     is_doubt: bool = False
     """Whether the parts are not blocked yet, and may be cleared."""
+    own_weight: float = 0.0
+    """In a doubt, what the request's own crashes weigh: with it ``over_s`` begins later."""
 
     @property
     def kept_s(self) -> float:
@@ -148,23 +150,23 @@
     ) -> float:
         """Return for how long a request has to wait; 0 if it is the one that tries.
 
-        ``own`` is this VM's name, ``vms`` those of all VMs that are there, ``up_s`` for how long
-        this one has been up.
+        ``own`` is this VM's name, ``vms`` those of all VMs that are there, read only if they
+        matter, ``up_s`` for how long this one has been up.
         """
         holder = self._own.get(trial.key)
         if holder == request:
             return 0.0
         if holder is not None:
             return TURN_S
-        present = {*vms, own}
         elsewhere = self._elsewhere.get(trial.key)
-        # The caller of a request whose VM is gone comes back at once.
-        is_over = elsewhere is None or (trial.is_request and elsewhere.vm not in present)
-        if elsewhere is not None and not is_over and now - elsewhere.at < trial.kept_s:
-            return trial.kept_s - (now - elsewhere.at)
+        if elsewhere is not None and now - elsewhere.at < trial.kept_s:
+            # The caller of a request whose VM is gone comes back at once.
+            is_over = trial.is_request and elsewhere.vm not in {*vms, own}
+            if not is_over:
+                return trial.kept_s - (now - elsewhere.at)
         if trial.is_request:
             return 0.0
-        order = rank_by_hash(present, purpose=_purpose(trial.key))
+        order = rank_by_hash({*vms, own}, purpose=_purpose(trial.key))
         return max(0.0, order.index(own) * TURN_S - min(trial.over_s, up_s - MEET_S))
 
     def begin(self, key: str, request: str) -> bool:
--- a/lagoonlever/decisions/engines/part_doubts.py
+++ b/lagoonlever/decisions/engines/part_doubts.py
@@ -73,7 +73,13 @@
     """
     told_at = max(crash.at for crash in crashes.values()) + MAX_REPORT_DELAY_S
     over_s = now - told_at - own_weight * TURN_S
-    return OpenTrial(parts=parts, crash_count=len(crashes), over_s=over_s, is_doubt=True)
+    return OpenTrial(
+        parts=parts,
+        crash_count=len(crashes),
+        over_s=over_s,
+        is_doubt=True,
+        own_weight=own_weight,
+    )
 
 
 def _doubted_from(crashes: Mapping[str, Crash]) -> float:
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -32,6 +32,7 @@
 from lagoonlever.gateway.crash_news import CrashNews
 from lagoonlever.gateway.crash_records import CrashRecords
 from lagoonlever.gateway.dialer import TargetDialer
+from lagoonlever.gateway.doubt_waits import DoubtWaits
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.gateway.left_engines import LeftEngines
 from lagoonlever.gateway.lost_engines import Loss, LostEngines
@@ -54,8 +55,6 @@
 
 RECALL_S = 1.0
 """From the start of a VM until it takes requests at the latest, though the store is away."""
-DOUBT_LOOK_S = 0.05
-"""Between two looks of a request that waits until a part of its prompt is cleared or barred."""
 LOOK_PERIOD_S = 0.9
 """How often a VM that hears no other one reads the record: well within the time in which
 others are told by messages. A multiple of the time between its own words, for one wake-up."""
@@ -87,6 +86,7 @@
     _records: CrashRecords = attrs.field(init=False)
     _news: CrashNews = attrs.field(init=False)
     _open: OpenWorks = attrs.field(factory=OpenWorks)
+    _doubt_waits: DoubtWaits = attrs.field(factory=DoubtWaits)
     _barred: frozenset[str] = frozenset()
     """The requests that were logged as barred."""
     _barred_parts: frozenset[PartSet] = frozenset()
@@ -178,18 +178,19 @@
         one has left: it may not take the one trial that there is, nor be sent after the wait.
         """
         has_waited = False
-        while self._suspects.crashes:
-            self._note_answers()
-            doubt = self._suspects.find_doubt(accepted.suspects, self._timers.now)
-            if doubt is None or self._would_bar(accepted):
-                break
-            if doubt.over_s >= 0 and self._may_try(accepted, doubt):
-                self._trials.admit(accepted, doubt, at_once=True)
-                return
-            if not has_waited:
-                self._log_doubted(accepted, doubt)
+        with self._doubt_waits.waiting() as wait:
+            while self._suspects.crashes:
+                self._note_answers()
+                doubt = self._suspects.find_doubt(accepted.suspects, self._timers.now)
+                if doubt is None or self._would_bar(accepted):
+                    break
+                if doubt.over_s >= 0 and self._may_try(accepted, doubt):
+                    self._trials.admit(accepted, doubt, at_once=True)
+                    return
+                if not has_waited and not self._doubt_waits.has_any(doubt):
+                    self._log_doubted(accepted, doubt)
                 has_waited = True
-            await trio.sleep(DOUBT_LOOK_S)
+                await wait.until_look(doubt)
         if has_waited and not accepted.exchange.caller_present():
             raise CallerGone
 
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -218,7 +218,8 @@
     "{ended} targets ended under prompts with the part {doubted_part}, and nothing is known of the"
     " parts beside it: {request} waits until an answer clears the part, or it is barred.",
     "Two requests that end targets by themselves would explain all these ends. It takes some two"
-    " seconds at most, and one request of all VMs is sent on meanwhile.",
+    " seconds at most, and one request of all VMs is sent on meanwhile. A VM names the first that"
+    " waits.",
 )
 PART_TRIED = event(
     1029,
--- a/lagoonlever/gateway/trial_admission.py
+++ b/lagoonlever/gateway/trial_admission.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 import logbook
@@ -87,14 +87,20 @@
     ) -> Block | None:
         """Return for how long a request waits until it may try, or None; nothing is begun."""
         now, request = self._timers.now, accepted.request_id
-        names = [peer.life.name for peer in self._beliefs.fellows.present(now)]
         up_s = math.inf if at_once else now - self._started
-        wait_s = self._trials.wait_s(trial, request, now, own=self._own, vms=names, up_s=up_s)
+        wait_s = self._trials.wait_s(
+            trial, request, now, own=self._own, vms=self._names(now), up_s=up_s
+        )
         if wait_s <= 0:
             return None
         parts = frozenset[str]() if trial.is_request else trial.parts
         return Block(crash_count=trial.crash_count, remaining_s=wait_s, parts=parts)
 
+    def _names(self, now: float) -> Iterator[str]:
+        """Yield the names of the VMs that are there; they are listed only if one is asked for."""
+        for peer in self._beliefs.fellows.present(now):
+            yield peer.life.name
+
     def _log_tried(self, accepted: Accepted, trial: OpenTrial) -> None:
         request, ended = accepted.request_id, trial.crash_count
         if trial.is_request:
--- a/lagoonlever/tests/part_doubts_tests.py
+++ b/lagoonlever/tests/part_doubts_tests.py
@@ -24,6 +24,7 @@
 from lagoonlever.gateway import front as front_module
 from lagoonlever.gateway.accepted import Accepted
 from lagoonlever.gateway.crash_watch import CrashWatch
+from lagoonlever.gateway.doubt_waits import LOOK_PERIOD_S
 from lagoonlever.gateway.front import Front
 from lagoonlever.gateway.reporter import Reporter
 from lagoonlever.http.server import CallerGone
@@ -35,6 +36,8 @@
 APART_S = 0.2
 LATER_S = 40.0
 """Long after any trial counts as over."""
+MANY, MANY_VMS = 200, 400
+WATCHED_S = 0.5
 
 
 @attrs.define(kw_only=True)
@@ -75,23 +78,15 @@
 
     async def ask(self, accepted: Accepted) -> NotRun | None:
         """Have a request arrive; return why it was refused."""
-        refused: list[NotRun] = []
-
-        async def tell(_: object, outcome: NotRun) -> None:
-            refused.append(outcome)
-
-        patch = pytest.MonkeyPatch()
-        with patch.context() as patched:
-            patched.setattr(front_module, "tell", tell)
-            patched.setattr(front_module, "read_caller", lambda _: None)
-            patched.setattr(Front, "_accept", lambda *_: accepted)
-            await self.front.handle(accepted.exchange)
-        return refused[0] if refused else None
+        exchange = cast("MagicMock", accepted.exchange)
+        exchange.accepted = accepted
+        await self.front.handle(exchange)
+        return cast("NotRun | None", exchange.refusal)
 
 
 def asked(request: str, fingerprint: str, *, is_present: bool = True) -> Accepted:
     """Return a request that shares the part, of a caller that is there or has left."""
-    exchange = MagicMock(is_caller_gone=not is_present, responded=False)
+    exchange = MagicMock(is_caller_gone=not is_present, responded=False, refusal=None)
     exchange.caller_present.return_value = is_present
     return cast(
         "Accepted",
@@ -109,8 +104,11 @@
     )
 
 
-def doubting_site(*, first_ago_s: float) -> Site:
-    """Return a VM that saw five ends under two prompts, and knows of no answer."""
+def doubting_site(*, first_ago_s: float, ends: trio.Event | None = None) -> Site:
+    """Return a VM that saw five ends under two prompts, and knows of no answer.
+
+    What is served ends with the event.
+    """
     beliefs, spread, last = MagicMock(), MagicMock(), MagicMock()
     reporter = MagicMock(wraps=Reporter(timers=cast("Any", Timers())))
     beliefs.fellows.present.return_value = []
@@ -141,6 +139,8 @@
 
     async def serve(accepted: Accepted) -> None:
         served.append(accepted.request_id)
+        if ends is not None:
+            await ends.wait()
 
     front = Front(
         beliefs=beliefs,
@@ -158,8 +158,16 @@
 
 
 def run(story: Any) -> None:
-    """Run a story on a clock that jumps."""
-    trio.run(story, clock=trio.testing.MockClock(autojump_threshold=0))
+    """Run a story on a clock that jumps; exchanges keep the refusal that they were told."""
+
+    async def tell(exchange: Any, outcome: NotRun) -> None:
+        exchange.refusal = outcome
+
+    with pytest.MonkeyPatch().context() as patched:
+        patched.setattr(front_module, "tell", tell)
+        patched.setattr(front_module, "read_caller", lambda _: None)
+        patched.setattr(Front, "_accept", lambda _, exchange, *__: exchange.accepted)
+        trio.run(story, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
 def test_a_request_that_is_refused_after_a_doubt_holds_no_trial_of_itself() -> None:
@@ -269,3 +277,65 @@
         assert site.served == []
 
     run(story)
+
+
+def test_the_looks_of_many_that_wait_cost_no_more_than_those_of_one() -> None:
+    """Each listed all VMs twenty times a second: with hundreds of both the loop stood still."""
+
+    async def story() -> None:
+        site = doubting_site(first_ago_s=1.3)
+        beliefs = cast("MagicMock", site.watch._beliefs)
+        names = [f"vm-{number}" for number in range(MANY_VMS)]
+        beliefs.fellows.present.return_value = [
+            SimpleNamespace(life=SimpleNamespace(name=name)) for name in names
+        ]
+        logged: list[str] = []
+        with pytest.MonkeyPatch().context() as patched:
+            patched.setattr(
+                CrashWatch, "_log_doubted", lambda _, a, __: logged.append(a.request_id)
+            )
+            async with trio.open_nursery() as nursery:
+                for number in range(MANY):
+                    nursery.start_soon(site.ask, asked(f"id-{number}", f"x-{number}"))
+                await trio.sleep(APART_S)
+                beliefs.fellows.present.reset_mock()
+                await trio.sleep(WATCHED_S)
+                looks = beliefs.fellows.present.call_count
+                site.clears()
+                await trio.sleep(APART_S)
+                assert len(site.served) == MANY
+        assert 0 < looks <= WATCHED_S / LOOK_PERIOD_S + 1
+        assert len(logged) == 1
+
+    run(story)
+
+
+def test_one_of_many_that_wait_tries_and_the_others_go_on_once_it_is_cleared() -> None:
+    """Each that waits looks after the one that looked before it, whatever became of that one."""
+
+    async def story() -> None:
+        ends = trio.Event()
+        site = doubting_site(first_ago_s=0.9, ends=ends)
+        gone = asked("gone", "x-gone")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leave, site, gone)
+            await trio.sleep(LOOK_PERIOD_S)
+            for number in range(MANY):
+                nursery.start_soon(site.ask, asked(f"id-{number}", f"x-{number}"))
+            await trio.sleep(LOOK_PERIOD_S)
+            cast("MagicMock", gone.exchange).caller_present.return_value = False
+            await trio.sleep(MAX_REPORT_DELAY_S)
+            assert len(site.told(PartTried)) == len(site.served) == 1
+            site.clears()
+            await trio.sleep(APART_S)
+            assert len(site.served) == MANY
+            ends.set()
+        assert "gone" not in site.served
+
+    run(story)
+
+
+async def leave(site: Site, accepted: Accepted) -> None:
+    """Ask for a caller that leaves meanwhile."""
+    with pytest.raises(CallerGone):
+        await site.ask(accepted)
