Crashes: an end counts or is held aside, never both, so that the record is done

Cause: an end of a process that leaves is held aside. Told again once its leaving was withdrawn or forgotten, or by a VM that had seen it over LEAVING_NEWS_S before the news, it counted, too, and stayed in CrashSuspects._excused. So CrashRecords._write found an end to take out in each record that it had just written with that end, and has no pause between two writes. TargetRegistry withdrew the leaving of a process by an entry of an older copy of the store, also where the process was gone.

Operators would see a VM write one key to the store without a pause until it is started anew, after a drill of the store or an hour's late report; callers a part or request refused by ends that were planned.

Change: an end that is aside stays there when it is told again, whatever is known of its leaving by then, and one that counts stays so; only news of its leaving takes it back. is_excused also asks that it doesn't count. The next process under an id that names no start (entry daemon) ends later than TOLD_AGAIN_S, and counts. An entry that may be of a restored copy withdraws no leaving. As a guard _write ends if the record holds what would be written.

Why it holds: what is to be taken out of the record is in no document, so a write ends it; test_no_end_counts_and_is_excused plays any order of reports and of what is known to leave. The guard holds where that is wrong (its test has each end count as excused). A process that stays writes its entry again in the new era, under a higher number, and is withdrawn by that one.

--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -22,9 +22,10 @@
   report of a crash may arrive just after the answer that clears it, so answers are remembered for
   a short time, and crashes from before them are not counted.
 - A process that says that it leaves ends in any case, so its end counts for nothing. VMs may learn
-  that a moment after the end, so an end that was counted before is taken back. Where more of them
-  end under one suspect than chance brings there, all these ends count: an engine that a request
-  ends may still say that it leaves, or be listed so by another program.
+  that a moment after the end, so an end that was counted before is taken back. An end counts or is
+  held aside, never both. Where more of them end under one suspect than chance brings there, all
+  these ends count: an engine that a request ends may still say that it leaves, or be listed so by
+  another program.
 - A store that is restored from an older copy reports crashes again that an answer has cleared, so
   these answers are remembered for as long as a copy may be old.
 """
@@ -32,7 +33,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import TypeVar
 
 import attrs
@@ -85,6 +86,12 @@
 It is the way by the store and its watch, and a VM that stood still for a second. An entry that is
 changed later says nothing of the end.
 """
+TOLD_AGAIN_S = 10.0
+"""An end of a process is the one known of it unless it is later by more than this.
+
+VMs read one end from the record by their own clocks. A process that names no start may be another
+one under the same id.
+"""
 MAX_EXCUSED = 4
 """Ends of processes that leave under one suspect, beyond which they are taken for crashes."""
 MAX_ANSWERS = 2048
@@ -204,21 +211,34 @@
         return True
 
     def is_excused(self, fingerprint: str, process: str) -> bool:
-        """Check whether the end of a process is held aside, as it left."""
+        """Check whether the end of a process is held aside, as it left, and counts for nothing."""
         ends = self._excused.get(fingerprint, {})
-        return process in ends and len(ends) <= MAX_EXCUSED
+        if process not in ends or process in self._crashes.get(fingerprint, {}):
+            return False
+        return len(ends) <= MAX_EXCUSED
 
-    def _set_aside(self, fingerprint: str, processes: Mapping[str, Crash]) -> Mapping[str, Crash]:
-        """Return the ends that count, and keep those of processes that leave aside."""
-        leaving = {p: end for p, end in processes.items() if self._is_leaving(p, end)}
-        if not leaving:
-            return processes
+    def _set_aside(
+        self, fingerprint: str, processes: Mapping[str, Crash], *, counted: Collection[str] = ()
+    ) -> Mapping[str, Crash]:
+        """Return the ends that count, and keep those of processes that leave aside.
+
+        An end is judged once: one that is aside stays there when it is told again, with another
+        time or after its leaving was forgotten, and so does one that is ``counted`` already.
+        """
         known = self._excused.get(fingerprint, {})
-        ends = known | {p: end.merge(known.get(p, end)) for p, end in leaving.items()}
+        aside = {
+            process: end.merge(known.get(process, end))
+            for process, end in processes.items()
+            if _is_told_again(known.get(process), end)
+            or (process not in counted and self._is_leaving(process, end))
+        }
+        if not aside:
+            return processes
+        ends = known | aside
         _store_newest(self._excused, fingerprint, ends, max_size=MAX_CLEARINGS)
         if len(ends) > MAX_EXCUSED:
             return {**processes, **ends}
-        return {p: end for p, end in processes.items() if p not in leaving}
+        return {process: end for process, end in processes.items() if process not in aside}
 
     def _is_leaving(self, process: str, end: Crash) -> bool:
         known_at = self._leaving.get(process)
@@ -443,7 +463,8 @@
         is_new = is_changed = False
         for fingerprint, reported in crashes.items():
             former_aside = self._excused.get(fingerprint, {})
-            processes = self._set_aside(fingerprint, reported)
+            counted = self._crashes.get(fingerprint, {})
+            processes = self._set_aside(fingerprint, reported, counted=counted)
             aside = self._excused.get(fingerprint, {})
             is_new |= bool(aside.keys() - former_aside.keys())
             if not processes:
@@ -547,5 +568,10 @@
         del known[next(iter(known))]
 
 
+def _is_told_again(known: Crash | None, end: Crash) -> bool:
+    """Check whether an end is one that is known already."""
+    return known is not None and end.at <= known.at + TOLD_AGAIN_S
+
+
 def _last_crash_at(processes: Mapping[str, Crash]) -> float:
     return max(crash.at for crash in processes.values())
--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -504,6 +504,7 @@
             target = attrs.evolve(target, draining=True)
         if known is not None and _names_no_process(target, known):
             target = attrs.evolve(target, version=None)
+        may_be_restored = self._may_be_restored(target)
         self._mark_unconfirmed(target, now)
         self._announcements.apply_entry(target, former_start=start)
         if target.has_restarted_since(start):
@@ -515,7 +516,7 @@
         self._removed.pop(target.id, None)
         self._unlisted_until.pop(target.id, None)
         self._targets[target.id] = target
-        self._note_leaving(target, now)
+        self._note_leaving(target, now, may_be_restored=may_be_restored)
         if target.service in self._versions and target.version is not None:
             self._versions[target.service].record_listed(target.version)
         self._mark_replaced_by(target, now)
@@ -523,11 +524,14 @@
             return True
         return attrs.evolve(known, revision=target.revision) != target
 
-    def _note_leaving(self, target: ListedTarget, now: float) -> None:
-        """Update whether the process that an entry names leaves."""
+    def _note_leaving(self, target: ListedTarget, now: float, *, may_be_restored: bool) -> None:
+        """Update whether the process that an entry names leaves.
+
+        An entry of an older copy of the store may be from before it said so.
+        """
         if target.draining or self._announcements.is_leaving(target.id):
             self._leaving.record(target.id, target.started_ms, now)
-        else:
+        elif not may_be_restored:
             self._leaving.withdraw(target.id, target.started_ms)
 
     def _is_of_former_process(self, entry: ListedTarget) -> bool:
--- a/lagoonlever/gateway/crash_records.py
+++ b/lagoonlever/gateway/crash_records.py
@@ -132,6 +132,9 @@
         """Write what the record lacks, with what others have written meanwhile."""
         while self._has_news():
             served, known = frozenset(self._served), self._known()
+            if known == self._recorded and not self._writing:
+                # It holds all that would be written, so that a write would end nothing.
+                return True
             value = msgspec.json.encode(self._document(without=served))
             self._writing = frozenset(known)
             try:
--- a/lagoonlever/tests/crash_records_tests.py
+++ b/lagoonlever/tests/crash_records_tests.py
@@ -3,23 +3,31 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable
+import random
+from collections.abc import Callable, Iterable
 from typing import Any
 
+import attrs
 import pytest
 import trio
+import trio.testing
 
-from lagoonlever.decisions.engines.target_crashes import MAX_REPORT_DELAY_S
+from lagoonlever.decisions.engines.crash_suspects import LEAVING_NEWS_S, CrashSuspects
+from lagoonlever.decisions.engines.target_crashes import MAX_REPORT_DELAY_S, Crash
 from lagoonlever.fakes.metadata_store import StoreFault
-from lagoonlever.gateway.crash_records import RECORD_KEY
+from lagoonlever.gateway.crash_records import RECORD_KEY, CrashRecords
 from lagoonlever.http.messages import Address
 from lagoonlever.peers.bus import PeerBus
 from lagoonlever.platform.store_wire import READ_KEY, TRANSACTION
+from lagoonlever.revisions import Revision
+from lagoonlever.store.port import NO_LEASE, KeyRead, KeyValue, Replaced
 from lagoonlever.tests.deadly_requests import DEADLY, MOST_ENDED, TOLD_S, call, deadly, told
 from lagoonlever.tests.gateway_site import GatewaySite, run_site, until, until_within
 
 WATCH_S = 8.0
 """Within this a VM meets a store that has come back, also where nothing changes there."""
+MOST_WRITES = 20
+"""Of one VM in a story without others; a record that is written more often is never done."""
 
 
 @pytest.fixture
@@ -260,3 +268,109 @@
         assert site.store.calls[TRANSACTION] == before
 
     run_site(story, engines=0, runners=3)
+
+
+@attrs.define(kw_only=True, eq=False)
+class OneKeyStore:
+    """A store without sockets that holds the record, and takes each write."""
+
+    entry: KeyValue | None = None
+    writes: int = 0
+
+    @property
+    def value(self) -> bytes:
+        """Return what the record holds."""
+        return self.entry.value if self.entry is not None else b""
+
+    @property
+    def _revision(self) -> Revision:
+        return Revision(era=1, number=self.writes)
+
+    async def get(self, key: str, *, stale_ok: bool = False) -> KeyRead:
+        """Read the record."""
+        await trio.lowlevel.checkpoint()
+        return KeyRead(entry=self.entry, revision=self._revision)
+
+    async def replace(
+        self, key: str, *, former: KeyValue | None, value: bytes, lease: int = NO_LEASE
+    ) -> Replaced:
+        """Write the record, whatever it holds."""
+        await trio.lowlevel.checkpoint()
+        self.writes += 1
+        assert self.writes < MOST_WRITES, "the record is written over and over"
+        self.entry = KeyValue(key=key, value=value, revision=self._revision, created_revision=1)
+        return Replaced(entry=self.entry)
+
+
+Retell = Callable[[CrashSuspects], object]
+
+
+def leave_withdrawn(suspects: CrashSuspects) -> None:
+    """Call the leaving off, as the list of an older copy does."""
+    suspects.set_leaving({})
+
+
+def told_after_forgotten(suspects: CrashSuspects) -> None:
+    """Report the end again once the leaving is forgotten."""
+    suspects.set_leaving({})
+    suspects.record_reported_crashes({"f1": {"a@1": Crash(at=100.0)}})
+
+
+def told_from_earlier(suspects: CrashSuspects) -> None:
+    """Report the end as a VM does that saw it earlier."""
+    suspects.record_reported_crashes({"f1": {"a@1": Crash(at=99.9 - LEAVING_NEWS_S)}})
+
+
+def write_after(retell: Retell) -> OneKeyStore:
+    """Return the store after a retelling, the record of an older copy and its completion.
+
+    The copy holds the ends of three engines, and the first of them left.
+    """
+    store, suspects = OneKeyStore(), CrashSuspects()
+
+    async def play() -> None:
+        records = CrashRecords(
+            store=store,  # type: ignore[arg-type]  # nothing else of it is used
+            suspects=suspects,
+            now=lambda: 101.0,
+            unix_now=lambda: 101.0,
+            rng=random.Random(1),
+            learnt=lambda: None,
+        )
+        for process in ("a@1", "b@1", "c@1"):
+            suspects.record_crash("f1", process, Crash(at=100.0))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(records.run)
+            records.read_again()
+            await trio.testing.wait_all_tasks_blocked()
+            copy = store.entry
+            assert b"a@1" in store.value
+            suspects.set_leaving({"a@1": 100.0})
+            records.take_out_excused()
+            await trio.testing.wait_all_tasks_blocked()
+            retell(suspects)
+            store.entry = copy
+            records.read_again()
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+
+    trio.run(play)
+    return store
+
+
+@pytest.mark.parametrize("retell", [leave_withdrawn, told_after_forgotten, told_from_earlier])
+def test_the_record_is_done_though_an_end_that_counts_for_nothing_is_told_again(
+    retell: Retell,
+) -> None:
+    """Guards against a VM that writes the record without a pause until it is started anew."""
+    store = write_after(retell)
+    assert b"a@1" not in store.value
+    assert b"b@1" in store.value
+
+
+def test_a_record_that_holds_what_would_be_written_is_not_written_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against writes without a pause where an end is to be left out and written at once."""
+    monkeypatch.setattr(CrashSuspects, "is_excused", lambda *_: True)
+    write_after(lambda suspects: None)
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -15,6 +15,7 @@
     MAX_EXCUSED,
     MAX_SUSPECTS,
     RETENTION_S,
+    TOLD_AGAIN_S,
     CrashSuspects,
 )
 from lagoonlever.decisions.engines.part_blocks import BLOCK_S
@@ -370,3 +371,67 @@
         suspects.record_crash("f1", name, Crash(at=float(number)))
         suspects.record_answer("f1", number + 0.5, is_own=True)
     assert not suspects.crashes
+
+
+@pytest.mark.parametrize("is_known", [False, True], ids=["forgotten", "known"])
+def test_an_end_that_is_aside_stays_there_when_it_is_told_again(is_known: bool) -> None:
+    """Guards against an end that counts and counts for nothing, so that its record is never done.
+
+    The record of an older copy holds it, whose list calls the leaving off; another VM saw it before
+    the time in which the news of a leaving comes.
+    """
+    suspects = CrashSuspects()
+    suspects.set_leaving({"a": 10.0})
+    suspects.record_crash("f1", "a", Crash(at=10.0))
+    if not is_known:
+        suspects.set_leaving({})
+    told = Crash(at=9.9 - LEAVING_NEWS_S, tested=True)
+    assert not suspects.record_reported_crashes({"f1": {"a": told}})
+    assert not suspects.has_crashed("a", 20.0)
+    assert suspects.is_excused("f1", "a")
+
+
+def test_an_end_that_counts_is_not_aside_when_another_vm_saw_it_later() -> None:
+    """Guards against an end that is held aside and counts, as VMs saw it at different times."""
+    suspects = CrashSuspects()
+    suspects.set_leaving({"a": 10.0})
+    suspects.record_crash("f1", "a", Crash(at=9.9 - LEAVING_NEWS_S))
+    suspects.record_reported_crashes({"f1": {"a": Crash(at=10.0)}})
+    assert suspects.count_crashes("f1") == 1
+    assert not suspects.is_excused("f1", "a")
+
+
+def test_the_next_life_of_a_process_that_names_no_start_counts() -> None:
+    """Guards against a request that ends an engine for ever, as it left once under its id."""
+    suspects = CrashSuspects()
+    suspects.set_leaving({"a": 0.0})
+    suspects.record_crash("f1", "a", Crash(at=1.0))
+    suspects.set_leaving({})
+    assert suspects.record_crash("f1", "a", Crash(at=1.1 + TOLD_AGAIN_S))
+    assert suspects.count_crashes("f1") == 1
+    assert not suspects.is_excused("f1", "a")
+
+
+@given(
+    tellings=st.lists(
+        st.tuples(
+            st.sampled_from(("a", "b", "c", "d", "e", "f")),
+            st.floats(0.0, 30.0),
+            st.dictionaries(st.sampled_from(("a", "b", "c", "d", "e", "f")), st.floats(0.0, 30.0)),
+        ),
+        max_size=12,
+    )
+)
+def test_no_end_counts_and_is_excused(
+    tellings: list[tuple[str, float, dict[str, float]]],
+) -> None:
+    """Guards against a record whose ends are to be taken out and written in at once."""
+    suspects = CrashSuspects()
+    for process, at, leaving in tellings:
+        suspects.record_reported_crashes({"f1": {process: Crash(at=at)}})
+        suspects.set_leaving(leaving)
+        counted = suspects.crashes.get("f1", {})
+        assert not any(suspects.is_excused("f1", name) for name in counted)
+        aside = suspects._excused.get("f1", {})
+        if len(aside) <= MAX_EXCUSED:
+            assert all(counted[p].at > aside[p].at + TOLD_AGAIN_S for p in aside.keys() & counted)
--- a/lagoonlever/tests/target_registry_tests.py
+++ b/lagoonlever/tests/target_registry_tests.py
@@ -394,3 +394,22 @@
     listed.record_restart("e", 7)
     assert listed.leaving.is_leaving("e", 7)
     assert listed.leaving.is_leaving("e", None)
+
+
+@pytest.mark.parametrize("is_gone", [False, True], ids=["listed", "gone"])
+def test_the_leaving_of_a_process_is_known_after_the_store_came_back_from_a_copy(
+    is_gone: bool,
+) -> None:
+    """Guards against an engine that drained and ended, and counts by an entry from before that."""
+    listed = TargetRegistry()
+    entry = started("e", 7)
+    draining = started("e", 7, draining=True)
+    change(listed, "e", entry, revision=of_era(1, 10), now=0.0, store_back_at=None)
+    change(listed, "e", draining, revision=of_era(1, 20), now=1.0, store_back_at=None)
+    if is_gone:
+        change(listed, "e", None, revision=of_era(1, 30), now=2.0, store_back_at=None)
+    change(listed, "e", entry, revision=of_era(2, 11), now=4.0, store_back_at=3.9)
+    assert listed.leaving.is_leaving("e", 7)
+    assert not listed.takes_work("e")
+    change(listed, "e", entry, revision=of_era(2, 40), now=5.0, store_back_at=3.9)
+    assert not listed.leaving.is_leaving("e", 7)
