Crashes: ends of engines that leave leave a suspect no more than the rule's retries (BUDGET)

Cause: up to MAX_EXCUSED (four) ends were held aside beside those that block a request: three, or five where it had only been queued. So a request could end seven engines, four retries after the third crash, and ten by halves; a part nine. The rule allows three more after the third, for parts after the fifth.

Evidence: the new tests, before: nine red, with 7 to 10 ends of 6 and 9 of 8; green after. A trial with MAX_EXCUSED = 3 instead made roll-outs red (leaving_engines_ends_tests.py [listed], deadly_parts_stages_tests.py -k leave): four engines that leave at once are held against a rare part. So four it stays.

Change: all ends of a suspect count once they are six (request: three and three) or eight (part: five and three), those aside included. 224 tests of crash*, leaving_engines_ends, target_registry, part_causes and engine_crashes pass, and that of deadly_parts_stages.

Changed test: test_no_end_counts_and_is_excused expects ends aside to be counted, too, from the sixth on; that none of those is excused it checks as before.

Why it holds: from that number on the ends weigh enough to block, whichever of them came first: six halves are three.

--- a/lagoonlever/decisions/engines/crash_suspects.py
+++ b/lagoonlever/decisions/engines/crash_suspects.py
@@ -23,9 +23,9 @@
   a short time, and crashes from before them are not counted.
 - A process that says that it leaves ends in any case, so its end counts for nothing. VMs may learn
   that a moment after the end, so an end that was counted before is taken back. An end counts or is
-  held aside, never both. Where more of them end under one suspect than chance brings there, all
-  these ends count: an engine that a request ends may still say that it leaves, or be listed so by
-  another program.
+  held aside, never both. Where more of them end under one suspect than chance brings there, or it
+  is at as many ends in all as it may reach, all these ends count: an engine that a request ends
+  may still say that it leaves, or be listed so by another program.
 - A store that is restored from an older copy reports crashes again that an answer has cleared, so
   these answers are remembered for as long as a copy may be old.
 """
@@ -94,6 +94,9 @@
 """
 MAX_EXCUSED = 4
 """Ends of processes that leave under one suspect, beyond which they are taken for crashes."""
+MORE_ENDS = 3
+"""Targets that a suspect may still reach once it should be known: a request after its third crash,
+a part after its fifth."""
 MAX_ANSWERS = 2048
 """Upper bound of the answers that are remembered; beyond it the oldest are removed."""
 MAX_SUSPECTS = 256
@@ -105,6 +108,11 @@
 """The same for parts: several prompts of ``MAX_PARTS`` each."""
 MAX_CLEARINGS = MAX_SUSPECTS + MAX_PART_SUSPECTS
 _MAX_OF_KIND = {SuspectKind.REQUEST: MAX_SUSPECTS, SuspectKind.PART: MAX_PART_SUSPECTS}
+_ALL_COUNT_FROM = {
+    SuspectKind.REQUEST: ALONE_CRASHES + MORE_ENDS,
+    SuspectKind.PART: UNTESTED_BLOCKING.crashes + MORE_ENDS,
+}
+"""Ends under one suspect, excused or not, from which each of them counts."""
 
 
 @attrs.frozen(kw_only=True)
@@ -164,7 +172,7 @@
     _leaving: Mapping[str, float] = attrs.field(factory=dict)
     """Processes that said that they leave, and when that became known here."""
     _excused: dict[str, dict[str, Crash]] = attrs.field(factory=dict)
-    """Their ends by suspect, the oldest suspect first; beyond ``MAX_EXCUSED`` they count, too."""
+    """Their ends by suspect, the oldest suspect first; where there are too many they count, too."""
     _answers: dict[str, _Answer] = attrs.field(factory=dict)
     """The last whole answer to each request, the oldest first."""
     _clearings: dict[str, _Clearing] = attrs.field(factory=dict)
@@ -232,11 +240,13 @@
             if _is_told_again(known.get(process), end)
             or (process not in counted and self._is_leaving(process, end))
         }
-        if not aside:
-            return processes
         ends = known | aside
-        _store_newest(self._excused, fingerprint, ends, max_size=MAX_CLEARINGS)
-        if len(ends) > MAX_EXCUSED:
+        if not ends:
+            return processes
+        if aside:
+            _store_newest(self._excused, fingerprint, ends, max_size=MAX_CLEARINGS)
+        all_ends = {*ends, *processes, *counted}
+        if len(ends) > MAX_EXCUSED or len(all_ends) >= _ALL_COUNT_FROM[kind_of(fingerprint)]:
             return {**processes, **ends}
         return {process: end for process, end in processes.items() if process not in aside}
 
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -19,7 +19,7 @@
     CrashSuspects,
 )
 from lagoonlever.decisions.engines.part_blocks import BLOCK_S
-from lagoonlever.decisions.engines.suspects import part_suspects
+from lagoonlever.decisions.engines.suspects import Suspects, part_suspects
 from lagoonlever.decisions.engines.target_crashes import (
     MAX_REPORT_DELAY_S,
     WEIGHT_QUEUED,
@@ -28,6 +28,11 @@
     process_name,
 )
 
+MOST_ENDS = 6
+"""Targets that one request may end, of whatever kind: three, and three more."""
+MOST_ENDS_OF_PART = 8
+"""The same for a part: five, and three more."""
+
 CRASHES = st.lists(
     st.tuples(
         st.sampled_from(("f1", "f2")),
@@ -433,5 +438,39 @@
         counted = suspects.crashes.get("f1", {})
         assert not any(suspects.is_excused("f1", name) for name in counted)
         aside = suspects._excused.get("f1", {})
-        if len(aside) <= MAX_EXCUSED:
+        if len(aside) <= MAX_EXCUSED and len(aside.keys() | counted) < MOST_ENDS:
             assert all(counted[p].at > aside[p].at + TOLD_AGAIN_S for p in aside.keys() & counted)
+
+
+@pytest.mark.parametrize("weight", [WEIGHT_STARTED, WEIGHT_QUEUED])
+@pytest.mark.parametrize("leaving", range(MOST_ENDS + 1))
+def test_a_request_ends_no_more_targets_as_some_of_these_leave(leaving: int, weight: float) -> None:
+    """Guards against a fourth retry after the third crash, as four engines had left by then."""
+    suspects = CrashSuspects()
+    suspects.set_leaving({f"e{number}": 0.0 for number in range(leaving)})
+    ended = 0
+    while suspects.find_block("f1", float(ended)) is None:
+        suspects.record_crash("f1", f"e{ended}", Crash(at=0.1 * ended, weight=weight))
+        ended += 1
+    assert ended <= MOST_ENDS
+
+
+@pytest.mark.parametrize("leaves_first", [False, True])
+@pytest.mark.parametrize("is_known", [False, True])
+@pytest.mark.parametrize("leaving", range(MOST_ENDS_OF_PART + 1))
+def test_a_part_ends_no_more_targets_as_some_of_these_leave(
+    leaving: int, is_known: bool, leaves_first: bool
+) -> None:
+    """Guards against a fourth request after the fifth crash, as four engines had left by then."""
+    suspects = CrashSuspects(answers_known=is_known)
+    asked = Suspects(request="f", parts=part_suspects(service="s", model="m", shared=("p",)))
+    names = [f"e{number}" for number in range(MOST_ENDS_OF_PART + 2)]
+    suspects.set_leaving(dict.fromkeys(names[:leaving], 0.0))
+    order = names if leaves_first else [*names[leaving:], *names[:leaving]]
+    for ended, name in enumerate(order):
+        if suspects.find_any_block(asked, 2.0 * ended) is not None:
+            break
+        for suspect, requests in ((f"f{ended}", ()), (asked.parts[0], (f"f{ended}",))):
+            crash = Crash(at=2.0 * ended, weight=WEIGHT_QUEUED, requests=requests)
+            suspects.record_crash(suspect, name, crash)
+    assert ended <= MOST_ENDS_OF_PART
