--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -73,7 +73,8 @@
         answered = False
         try:
             await self._decide_and_serve(accepted)
-            answered = not exchange.is_caller_gone
+            # One whose time is over was left at its engine, which may still end under it.
+            answered = not exchange.is_caller_gone and accepted.left_s(self._timers.now) > 0
         except (CallerGone, OSError):
             raise
         except Exception:
--- a/lagoonlever/tests/trials_of_sound_requests_tests.py
+++ b/lagoonlever/tests/trials_of_sound_requests_tests.py
@@ -112,3 +112,29 @@
         assert copy.headers.get(REASON_HEADER) == Reason.ENDS_TARGETS.value
 
     run_site(story, engines=8, vms=3)
+
+
+def test_a_copy_waits_where_the_time_of_another_one_is_over() -> None:
+    """The engine that was left may still end; each VM let the next copy go on at once."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        for engine in site.engines.values():
+            engine.prefill_tokens_per_s = PROMPT_TOKENS / READ_S
+        prompt: dict[str, Any] = {"shared": ("system",), "prompt_tokens": PROMPT_TOKENS}
+        answers: list[Stream] = []
+
+        async def ask() -> None:
+            answers.append(await site.stream(QUESTION, events=10, Deadline_Ms="2000", **prompt))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await lose_engines(site)
+            for engine in site.engines.values():
+                engine.prefill_tokens_per_s = 1.0
+            await until(lambda: answers)
+        assert answers[0].status == 504
+        copy = await site.stream(QUESTION, vm="vm-1", events=10, Deadline_Ms="2000", **prompt)
+        assert copy.headers.get(REASON_HEADER) == Reason.ENDS_TARGETS.value
+
+    run_site(story, engines=8, vms=3)
