--- a/lagoonlever/tests/part_doubts_tests.py
+++ b/lagoonlever/tests/part_doubts_tests.py
@@ -88,6 +88,7 @@
     """Return a request that shares the part, of a caller that is there or has left."""
     exchange = MagicMock(is_caller_gone=not is_present, responded=False, refusal=None)
     exchange.caller_present.return_value = is_present
+    deadline = trio.current_time() + 30.0
     return cast(
         "Accepted",
         SimpleNamespace(
@@ -99,7 +100,8 @@
             shared_parts=("all",),
             exchange=exchange,
             arrived=trio.current_time(),
-            deadline=trio.current_time() + 30.0,
+            deadline=deadline,
+            left_s=lambda now: deadline - now,
         ),
     )
 
