--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -32,6 +32,7 @@
 from lagoonlever.gateway.crash_news import CrashNews
 from lagoonlever.gateway.crash_records import CrashRecords
 from lagoonlever.gateway.dialer import TargetDialer
+from lagoonlever.gateway.doubt_waits import DoubtWaits
 from lagoonlever.gateway.hub_spread import HubSpread
 from lagoonlever.gateway.left_engines import LeftEngines
 from lagoonlever.gateway.lost_engines import Loss, LostEngines
@@ -42,6 +43,7 @@
 from lagoonlever.gateway.trial_admission import TrialAdmission
 from lagoonlever.gateway.tunnel_desk import TunnelDesk
 from lagoonlever.http.messages import Address
+from lagoonlever.http.server import CallerGone
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_crashes import EndTold, RequestServed, TargetsEnded
@@ -53,8 +55,6 @@
 
 RECALL_S = 1.0
 """From the start of a VM until it takes requests at the latest, though the store is away."""
-DOUBT_LOOK_S = 0.05
-"""Between two looks of a request that waits until a part of its prompt is cleared or barred."""
 LOOK_PERIOD_S = 0.9
 """How often a VM that hears no other one reads the record: well within the time in which
 others are told by messages. A multiple of the time between its own words, for one wake-up."""
@@ -86,6 +86,7 @@
     _records: CrashRecords = attrs.field(init=False)
     _news: CrashNews = attrs.field(init=False)
     _open: OpenWorks = attrs.field(factory=OpenWorks)
+    _doubt_waits: DoubtWaits = attrs.field(factory=DoubtWaits)
     _barred: frozenset[str] = frozenset()
     """The requests that were logged as barred."""
     _barred_parts: frozenset[PartSet] = frozenset()
@@ -173,20 +174,33 @@
     async def until_decided(self, accepted: Accepted) -> None:
         """Wait while it is in doubt whether a part of a prompt ends engines.
 
-        One request of the fleet goes on meanwhile.
+        One request of the fleet goes on meanwhile. Raises ``CallerGone`` where the caller of this
+        one has left: it may not take the one trial that there is, nor be sent after the wait.
         """
-        is_told = False
-        while self._suspects.crashes:
-            self._note_answers()
-            doubt = self._suspects.find_doubt(accepted.suspects, self._timers.now)
-            if doubt is None or self.is_barred(accepted):
-                return
-            if doubt.over_s >= 0 and self._trials.admit(accepted, doubt, at_once=True) is None:
-                return
-            if not is_told:
-                self._log_doubted(accepted, doubt)
-                is_told = True
-            await trio.sleep(DOUBT_LOOK_S)
+        has_waited = False
+        with self._doubt_waits.waiting() as wait:
+            while self._suspects.crashes:
+                self._note_answers()
+                doubt = self._suspects.find_doubt(accepted.suspects, self._timers.now)
+                if doubt is None or self._would_bar(accepted):
+                    break
+                if doubt.over_s >= 0 and self._may_try(accepted, doubt):
+                    self._trials.admit(accepted, doubt, at_once=True)
+                    return
+                if not has_waited and not self._doubt_waits.has_any(doubt):
+                    self._log_doubted(accepted, doubt)
+                has_waited = True
+                await wait.until_look(doubt)
+        if has_waited and not accepted.exchange.caller_present():
+            raise CallerGone
+
+    def _may_try(self, accepted: Accepted, doubt: OpenTrial) -> bool:
+        """Check whether a request is the one that may try; raises ``CallerGone``."""
+        if self._trials.find_block(accepted, doubt, at_once=True) is not None:
+            return False
+        if not accepted.exchange.caller_present():
+            raise CallerGone
+        return True
 
     def _log_doubted(self, accepted: Accepted, doubt: OpenTrial) -> None:
         events.PART_DOUBTED.log(
@@ -415,6 +429,14 @@
         trial = self._suspects.find_open_trial(accepted.suspects, now)
         return None if trial is None else self._trials.admit(accepted, trial)
 
+    def _would_bar(self, accepted: Accepted) -> bool:
+        """Check whether a request may not run now, without beginning what it may try."""
+        now = self._timers.now
+        if self._suspects.find_any_block(accepted.suspects, now) is not None:
+            return True
+        trial = self._suspects.find_open_trial(accepted.suspects, now)
+        return trial is not None and self._trials.find_block(accepted, trial) is not None
+
     def _note_leaving(self) -> None:
         """Have the ends of processes that said that they leave count for nothing."""
         leaving = self._beliefs.targets.leaving
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -70,19 +70,11 @@
             await self._refuse(exchange, accepted)
             return
         await self._crashes.until_recalled()
-        # The other way round one that this VM has no time for would hold a trial, and never end it.
-        rejected = self._last.refusal(accepted)
-        if rejected is None:
-            with trio.move_on_at(accepted.deadline):
-                await self._crashes.until_decided(accepted)
-            rejected = self._crashes.refusal(accepted)
-        if rejected is not None:
-            await self._refuse(exchange, rejected, accepted=accepted)
-            return
         answered = False
         try:
-            await self._serve[accepted.route.kind](accepted)
-            answered = not exchange.is_caller_gone
+            await self._decide_and_serve(accepted)
+            # One whose time is over was left at its engine, which may still end under it.
+            answered = not exchange.is_caller_gone and accepted.left_s(self._timers.now) > 0
         except (CallerGone, OSError):
             raise
         except Exception:
@@ -90,6 +82,26 @@
         finally:
             self._crashes.ended(accepted, answered=answered)
 
+    async def _decide_and_serve(self, accepted: Accepted) -> None:
+        """Refuse a request, or have it served; it may begin trials, which its end must end."""
+        rejected = self._last.refusal(accepted)
+        if rejected is None:
+            await self._until_decided(accepted)
+            # This VM may have been told to stop meanwhile.
+            rejected = self._last.refusal(accepted) or self._crashes.refusal(accepted)
+        if rejected is not None:
+            await self._refuse(accepted.exchange, rejected, accepted=accepted)
+            return
+        await self._serve[accepted.route.kind](accepted)
+
+    async def _until_decided(self, accepted: Accepted) -> None:
+        try:
+            with trio.move_on_at(accepted.deadline):
+                await self._crashes.until_decided(accepted)
+        except CallerGone:
+            self._reporter.left(accepted)
+            raise
+
     async def _end_faulty(self, accepted: Accepted) -> None:
         """Log the fault that has ended a request, and tell its caller, if it has no answer yet."""
         events.REQUEST_FAULT.log(
--- a/lagoonlever/tests/crash_suspects_tests.py
+++ b/lagoonlever/tests/crash_suspects_tests.py
@@ -15,10 +15,11 @@
     MAX_EXCUSED,
     MAX_SUSPECTS,
     RETENTION_S,
+    TOLD_AGAIN_S,
     CrashSuspects,
 )
 from lagoonlever.decisions.engines.part_blocks import BLOCK_S
-from lagoonlever.decisions.engines.suspects import part_suspects
+from lagoonlever.decisions.engines.suspects import Suspects, part_suspects
 from lagoonlever.decisions.engines.target_crashes import (
     MAX_REPORT_DELAY_S,
     WEIGHT_QUEUED,
@@ -27,6 +28,11 @@
     process_name,
 )
 
+MOST_ENDS = 6
+"""Targets that one request may end, of whatever kind: three, and three more."""
+MOST_ENDS_OF_PART = 8
+"""The same for a part: five, and three more."""
+
 CRASHES = st.lists(
     st.tuples(
         st.sampled_from(("f1", "f2")),
@@ -370,3 +376,101 @@
         suspects.record_crash("f1", name, Crash(at=float(number)))
         suspects.record_answer("f1", number + 0.5, is_own=True)
     assert not suspects.crashes
+
+
+@pytest.mark.parametrize("is_known", [False, True], ids=["forgotten", "known"])
+def test_an_end_that_is_aside_stays_there_when_it_is_told_again(is_known: bool) -> None:
+    """Guards against an end that counts and counts for nothing, so that its record is never done.
+
+    The record of an older copy holds it, whose list calls the leaving off; another VM saw it before
+    the time in which the news of a leaving comes.
+    """
+    suspects = CrashSuspects()
+    suspects.set_leaving({"a": 10.0})
+    suspects.record_crash("f1", "a", Crash(at=10.0))
+    if not is_known:
+        suspects.set_leaving({})
+    told = Crash(at=9.9 - LEAVING_NEWS_S, tested=True)
+    assert not suspects.record_reported_crashes({"f1": {"a": told}})
+    assert not suspects.has_crashed("a", 20.0)
+    assert suspects.is_excused("f1", "a")
+
+
+def test_an_end_that_counts_is_not_aside_when_another_vm_saw_it_later() -> None:
+    """Guards against an end that is held aside and counts, as VMs saw it at different times."""
+    suspects = CrashSuspects()
+    suspects.set_leaving({"a": 10.0})
+    suspects.record_crash("f1", "a", Crash(at=9.9 - LEAVING_NEWS_S))
+    suspects.record_reported_crashes({"f1": {"a": Crash(at=10.0)}})
+    assert suspects.count_crashes("f1") == 1
+    assert not suspects.is_excused("f1", "a")
+
+
+def test_the_next_life_of_a_process_that_names_no_start_counts() -> None:
+    """Guards against a request that ends an engine for ever, as it left once under its id."""
+    suspects = CrashSuspects()
+    suspects.set_leaving({"a": 0.0})
+    suspects.record_crash("f1", "a", Crash(at=1.0))
+    suspects.set_leaving({})
+    assert suspects.record_crash("f1", "a", Crash(at=1.1 + TOLD_AGAIN_S))
+    assert suspects.count_crashes("f1") == 1
+    assert not suspects.is_excused("f1", "a")
+
+
+@given(
+    tellings=st.lists(
+        st.tuples(
+            st.sampled_from(("a", "b", "c", "d", "e", "f")),
+            st.floats(0.0, 30.0),
+            st.dictionaries(st.sampled_from(("a", "b", "c", "d", "e", "f")), st.floats(0.0, 30.0)),
+        ),
+        max_size=12,
+    )
+)
+def test_no_end_counts_and_is_excused(
+    tellings: list[tuple[str, float, dict[str, float]]],
+) -> None:
+    """Guards against a record whose ends are to be taken out and written in at once."""
+    suspects = CrashSuspects()
+    for process, at, leaving in tellings:
+        suspects.record_reported_crashes({"f1": {process: Crash(at=at)}})
+        suspects.set_leaving(leaving)
+        counted = suspects.crashes.get("f1", {})
+        assert not any(suspects.is_excused("f1", name) for name in counted)
+        aside = suspects._excused.get("f1", {})
+        if len(aside) <= MAX_EXCUSED and len(aside.keys() | counted) < MOST_ENDS:
+            assert all(counted[p].at > aside[p].at + TOLD_AGAIN_S for p in aside.keys() & counted)
+
+
+@pytest.mark.parametrize("weight", [WEIGHT_STARTED, WEIGHT_QUEUED])
+@pytest.mark.parametrize("leaving", range(MOST_ENDS + 1))
+def test_a_request_ends_no_more_targets_as_some_of_these_leave(leaving: int, weight: float) -> None:
+    """Guards against a fourth retry after the third crash, as four engines had left by then."""
+    suspects = CrashSuspects()
+    suspects.set_leaving({f"e{number}": 0.0 for number in range(leaving)})
+    ended = 0
+    while suspects.find_block("f1", float(ended)) is None:
+        suspects.record_crash("f1", f"e{ended}", Crash(at=0.1 * ended, weight=weight))
+        ended += 1
+    assert ended <= MOST_ENDS
+
+
+@pytest.mark.parametrize("leaves_first", [False, True])
+@pytest.mark.parametrize("is_known", [False, True])
+@pytest.mark.parametrize("leaving", range(MOST_ENDS_OF_PART + 1))
+def test_a_part_ends_no_more_targets_as_some_of_these_leave(
+    leaving: int, is_known: bool, leaves_first: bool
+) -> None:
+    """Guards against a fourth request after the fifth crash, as four engines had left by then."""
+    suspects = CrashSuspects(answers_known=is_known)
+    asked = Suspects(request="f", parts=part_suspects(service="s", model="m", shared=("p",)))
+    names = [f"e{number}" for number in range(MOST_ENDS_OF_PART + 2)]
+    suspects.set_leaving(dict.fromkeys(names[:leaving], 0.0))
+    order = names if leaves_first else [*names[leaving:], *names[:leaving]]
+    for ended, name in enumerate(order):
+        if suspects.find_any_block(asked, 2.0 * ended) is not None:
+            break
+        for suspect, requests in ((f"f{ended}", ()), (asked.parts[0], (f"f{ended}",))):
+            crash = Crash(at=2.0 * ended, weight=WEIGHT_QUEUED, requests=requests)
+            suspects.record_crash(suspect, name, crash)
+    assert ended <= MOST_ENDS_OF_PART
