--- a/lagoonlever/tests/lost_engines_tests.py
+++ b/lagoonlever/tests/lost_engines_tests.py
@@ -113,7 +113,7 @@
             await self.let.wait()
 
     def has_broken(self, engine_id: str) -> bool:
-        """Tell that no connection was closed."""
+        """Return that no connection was closed."""
         return False
 
 
@@ -121,7 +121,7 @@
     """One to which every target is down."""
 
     def is_down(self, address: Address) -> bool:
-        """Tell so."""
+        """Return that it is."""
         return True
 
 
