Entry: the settings of a VM may say what memory and descriptors its process has

Nothing bounds what the process of an entry VM holds by what its machine has, and no setting names it. The section `machine` does; without it the machine's own memory and the limit of the process on descriptors hold.

--- a/lagoonlever/config/vm.py
+++ b/lagoonlever/config/vm.py
@@ -16,6 +16,7 @@
     is_wildcard,
 )
 from lagoonlever.config.files import load_file
+from lagoonlever.config.machine import MachineSettings
 from lagoonlever.config.options import option
 from lagoonlever.decisions.fleet.addresses import AddressesSettings
 from lagoonlever.decisions.membership.settings import MembershipSettings
@@ -83,6 +84,9 @@
         default=None,
     )
 
+    machine: MachineSettings = option(
+        doc="What the process may use of its VM.", factory=MachineSettings
+    )
     addresses: AddressesSettings = option(
         doc="The answer that tells callers which VMs to use.", factory=AddressesSettings
     )
