Tests: crowds of clients that don't behave, at real processes on small machines

What callers saw: a process ran out of memory, and with it went every caller's connection.

It checks life, memory with what the kernel holds unread, open descriptors, and one ordinary request beside the crowd and after it.

Settings of a VM as stand-ins write them name its memory and descriptors now.

--- a/lagoonlever/platform/documents.py
+++ b/lagoonlever/platform/documents.py
@@ -84,6 +84,8 @@
         "Listen.Control": settings.bus,
         "PortRange": f"{settings.tunnel.port},{settings.tunnel.port}" if settings.tunnel else "",
         "Seeds": ",".join(str(seed) for seed in settings.seeds),
+        "Limits.MemoryMb": settings.machine.memory_mb,
+        "Limits.MaxFds": settings.machine.descriptors,
         "Limits.LinkMbps": settings.machine.link_mbps,
         "Platform.Address": settings.store.address,
         "Bounds.DrainMs": bounds.drain_s * MS,
--- /dev/null
+++ b/lagoonlever/tests/crowd_entry_tests.py
@@ -0,0 +1,97 @@
+"""Clients that don't behave at an entry VM: its process outlives them within its machine."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+import trio
+
+from lagoonlever.client.caller import CompletionRequest
+from lagoonlever.fakes.cluster import MODEL
+from lagoonlever.tests import crowd_clients as kinds
+from lagoonlever.tests.base import PROMPT, expected_text, until
+from lagoonlever.tests.crowd_clients import Crowd, Kind
+from lagoonlever.tests.crowd_site import MB, SETTLE_S, WAIT_S, ProcessWatch
+from lagoonlever.tests.processes import Fleet, fleet
+
+pytestmark = pytest.mark.timeout(300)
+
+MACHINE_MB = 160
+"""Of the entry VM, whose process has about half of it at rest."""
+MACHINE_DESCRIPTORS = 300
+FEW_DESCRIPTORS = MACHINE_DESCRIPTORS // 4
+BODY_BYTES = 4 * 1024 * 1024
+"""The largest body that an entry VM takes."""
+HEADER_BYTES = 32 * 1024
+BODIES = 40
+TINY = 20
+CONNECTIONS = 400
+LENGTH = 20
+
+KINDS: dict[str, tuple[Kind, int]] = {
+    "unfinished-chunks": (kinds.unfinished_chunks(BODY_BYTES), BODIES),
+    "unfinished-length": (kinds.unfinished_length(BODY_BYTES), BODIES),
+    "far-over": (kinds.far_over(BODY_BYTES), BODIES),
+    "whole": (kinds.whole_bodies(BODY_BYTES), BODIES),
+    "tiny-chunks": (kinds.tiny_chunks(BODY_BYTES), TINY),
+    "silent": (kinds.silence, CONNECTIONS),
+    "unfinished-heads": (kinds.unfinished_heads(HEADER_BYTES), CONNECTIONS),
+}
+
+
+@pytest.mark.parametrize("name", KINDS)
+def test_a_crowd_at_an_entry_vm_stays_within_the_machine(tmp_path: Path, name: str) -> None:
+    """Guards against an entry VM that ends as it holds what many clients send at once."""
+    kind, count = KINDS[name]
+
+    async def main(running: Fleet) -> None:
+        await running.publish_list()
+        with trio.fail_after(WAIT_S):
+            await running.wait_serving()
+        async with trio.open_nursery() as nursery:
+            await _bear(
+                running, nursery, Crowd(address=running.vms[0].address, kind=kind, count=count)
+            )
+            nursery.cancel_scope.cancel()
+
+    with fleet(tmp_path, engines=1, vms=1, machine=_machine()) as running:
+        trio.run(main, running)
+
+
+def _machine() -> dict[str, int]:
+    return {"memory_mb": MACHINE_MB, "descriptors": MACHINE_DESCRIPTORS}
+
+
+async def _bear(running: Fleet, nursery: trio.Nursery, crowd: Crowd) -> None:
+    vm = running.vms[0]
+    watch = ProcessWatch(process=vm.popen, ports=frozenset((vm.address.port,)))
+    nursery.start_soon(watch.run)
+    async with trio.open_nursery() as crowded:
+        crowded.start_soon(crowd.run)
+        with trio.move_on_after(SETTLE_S):
+            await until(lambda: crowd.is_settled)
+        _check(watch)
+        await _ask(running)
+        crowded.cancel_scope.cancel()
+    await _ask(running)
+    with trio.move_on_after(WAIT_S):
+        await until(lambda: not watch.lives or watch.descriptors <= FEW_DESCRIPTORS)
+    _check(watch)
+    assert watch.descriptors <= FEW_DESCRIPTORS
+
+
+def _check(watch: ProcessWatch) -> None:
+    assert watch.lives, "the process has ended"
+    told = f"{watch.most.memory_bytes // MB} MB, {watch.most.descriptors} descriptors"
+    assert watch.most.memory_bytes <= MACHINE_MB * MB, told
+    assert watch.most.descriptors <= MACHINE_DESCRIPTORS, told
+
+
+async def _ask(running: Fleet) -> None:
+    """Ask one ordinary question, and check its answer."""
+    with trio.fail_after(WAIT_S):
+        caller = running.caller(running.recorder())
+        request = CompletionRequest(model=MODEL, prompt=PROMPT, max_tokens=LENGTH, seed=1)
+        held = await caller.complete(request, on_arrival=lambda _: None)
+    assert held.text == expected_text(length=LENGTH, seed=1)
