Clients: one account of what they make a process hold, from its machine's memory

Callers saw a process run out of memory, and lost what it served. Cause: limits bound one connection, and nothing bounds their sum: 4,096 bodies of 4 MiB are 16 GiB. A body was held as pieces below the allocator's threshold, then joined, then copied to be written: two to four times its size, of which much stayed with the process.

Now each connection pays for itself, for its head and body as they come, and for the request while it is served, from one account: half of what the machine's memory has beyond the 64 MiB that a process needs itself. Where it is full the connection that has cost the most bytes times seconds gives way, if its request is unfinished: 503 with Retry-After, as it never runs. So old gives way to new, large to small, slow to fast, and what is served never does; a quarter is kept for requests of 64 KiB and less. A body grows in one buffer and is written from where it is.

A connection closes its holding as its task ends, whichever way.

--- a/lagoonlever/gateway/daemon.py
+++ b/lagoonlever/gateway/daemon.py
@@ -93,9 +93,10 @@
                 nursery.start_soon(run_part, name, part)
             for address in {settings.readiness, settings.directory}:
                 if address is not None:
-                    nursery.start_soon(self._serve_beside, parts.directory.handle, address)
+                    nursery.start_soon(self._serve_beside, parts, parts.directory.handle, address)
             if settings.metrics is not None:
-                nursery.start_soon(self._serve_beside, parts.metrics_page.handle, settings.metrics)
+                page = parts.metrics_page.handle
+                nursery.start_soon(self._serve_beside, parts, page, settings.metrics)
             if settings.tunnel is not None:
                 nursery.start_soon(self._serve_tunnels, parts, settings.tunnel)
             nursery.start_soon(self._serve_front, parts, listeners)
@@ -138,15 +139,17 @@
             listeners=listeners,
             limits=parts.server_limits,
             state=self._http,
+            guard=parts.guard,
         )
 
     async def _serve_tunnels(self, parts: GatewayParts, address: Address) -> None:
         await parts.tunnel_desk.run(await self._open(address))
 
-    async def _serve_beside(self, handler: Handler, address: Address) -> None:
+    async def _serve_beside(self, parts: GatewayParts, handler: Handler, address: Address) -> None:
         await serve_http(
             handler=handler,
             listeners=await self._open(address),
             limits=ServerLimits(),
             state=ServerState(),
+            guard=parts.guard,
         )
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from lagoonlever.decisions.admission.held_memory import MemoryAccount, clients_bytes
 from lagoonlever.decisions.engines.engine_scheduler import EngineScheduler
 from lagoonlever.decisions.fleet.peer_table import PeerState, PeerTable
 from lagoonlever.decisions.fleet.tunnel_peers import TunnelPeers
@@ -54,7 +55,7 @@
 from lagoonlever.gateway.tunnel_desk import TunnelDesk
 from lagoonlever.gateway.version_record import VersionRecord
 from lagoonlever.http.client import ClientConnection, Opener
-from lagoonlever.http.server import ServerLimits
+from lagoonlever.http.server import ServerGuard, ServerLimits
 from lagoonlever.identity import Incarnation
 from lagoonlever.metrics import PLATFORM_CALLS, PLATFORM_RESTORES
 from lagoonlever.peers.bus import PeerBus
@@ -79,6 +80,7 @@
     open_requests: Callable[[], int]
     open_target: Opener = ClientConnection.open
     """Opens a connection to a target from this VM itself."""
+    guard: ServerGuard = attrs.field(init=False)
     reporter: Reporter = attrs.field(init=False)
     store: MetadataStore = attrs.field(init=False)
     beliefs: Beliefs = attrs.field(init=False)
@@ -117,6 +119,11 @@
     directory: Directory = attrs.field(init=False)
     metrics_page: MetricsPage = attrs.field(init=False)
 
+    @guard.default
+    def _make_guard(self) -> ServerGuard:
+        account = MemoryAccount.of_machine(self.settings.machine.memory_bytes)
+        return ServerGuard(memory=account)
+
     @reporter.default
     def _make_reporter(self) -> Reporter:
         return Reporter(timers=self.timers)
@@ -386,12 +393,11 @@
 
     @client.default
     def _make_client(self) -> TargetClient:
-        memory_bytes = round(self.settings.machine.memory_mb * 1024 * 1024)
         client = TargetClient(
             words=self.words,
             dialer=self.dialer,
             tally=self.reporter.tally,
-            max_held_bytes=memory_bytes // HELD_MEMORY_PART,
+            max_held_bytes=self.settings.machine.memory_bytes // HELD_MEMORY_PART,
         )
         self.dialer.on_change(client.forget)
         return client
@@ -563,6 +569,7 @@
     def reload(self, settings: GatewaySettings) -> None:
         """Put changed settings in force; what this VM listens on stays until its next start."""
         self.settings = settings
+        self.guard.memory.capacity_bytes = clients_bytes(settings.machine.memory_bytes)
         self.store.move_to(settings.store.address)
         self.presence.reseed(settings.seeds)
         self.budgets.rebound(settings.retry_budget)
--- a/lagoonlever/gateway/settings.py
+++ b/lagoonlever/gateway/settings.py
@@ -55,6 +55,11 @@
     link_mbps: float = 0.0
     """What its link carries; 0 where it is not told."""
 
+    @property
+    def memory_bytes(self) -> int:
+        """The memory that the process may use, in bytes."""
+        return round(self.memory_mb * 1024 * 1024)
+
 
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -24,6 +24,8 @@
 from lagoonlever.http.messages import Address, Headers
 
 RECEIVE_BYTES = 64 * 1024
+JOINED_BYTES = 64 * 1024
+"""What is written in one go, copied for that; a larger body is written from where it is."""
 CONNECT_TIMEOUT_S = 1.0
 BODILESS = (204, 304)
 """Statuses of answers without a body."""
@@ -187,11 +189,14 @@
         if body or method != "GET":
             all_headers = all_headers.with_field("Content-Length", str(len(body)))
         request = h11.Request(method=method, target=path, headers=all_headers.raw())
-        pieces = [self._h11.send(request)]
+        pieces = [self._h11.send(request) or b""]
         if body:
-            pieces.append(self._h11.send(h11.Data(data=body)))
-        pieces.append(self._h11.send(h11.EndOfMessage()))
-        await self._send(b"".join(piece or b"" for piece in pieces))
+            pieces += self._h11.send_with_data_passthrough(h11.Data(data=body)) or ()
+        pieces.append(self._h11.send(h11.EndOfMessage()) or b"")
+        if len(body) <= JOINED_BYTES:
+            pieces = [b"".join(pieces)]
+        for piece in filter(None, pieces):
+            await self._send(piece)
 
     async def read_head(self) -> Response:
         """Read the head of the response; its body is empty and read by ``iter_body``.
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -13,6 +13,12 @@
 import logbook
 import trio
 
+from lagoonlever.decisions.admission.held_memory import (
+    CONNECTION_BYTES,
+    Holding,
+    MemoryAccount,
+    Stage,
+)
 from lagoonlever.events import event
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.messages import Headers, Request
@@ -39,8 +45,16 @@
 
 KEY_FIELD = b"idempotency-key"
 RECEIVE_BYTES = 64 * 1024
+JOINED_BYTES = 64 * 1024
+"""What is written in one go, copied for that; a larger piece is written from where it is."""
+PIPELINED_BYTES = 4 * 1024
+"""Bytes that came with the end of a body and may be left unpaid, as they are few."""
+SPARE_PART = 8
+"""To one in so many connections beyond the bound it is told that there is no room."""
+LEAST_SPARE = 8
 LINGER_S = 2.0
 """How long a refused caller's remaining bytes are read and dropped."""
+USUAL_ACCOUNT_BYTES = 1024 * 1024 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -57,6 +71,20 @@
     write_timeout_s: float = 30.0
     connections: int = 4096
 
+    @property
+    def spare_connections(self) -> int:
+        """The connections beyond the bound that are told so, or read to their ends."""
+        return max(LEAST_SPARE, self.connections // SPARE_PART)
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class ServerGuard:
+    """What all servers of a process share, so that clients together stay within the machine."""
+
+    memory: MemoryAccount = attrs.field(
+        factory=lambda: MemoryAccount(capacity_bytes=USUAL_ACCOUNT_BYTES)
+    )
+
 
 class CallerGone(Exception):
     """The caller's connection ended while its answer was being written."""
@@ -70,6 +98,20 @@
     """Each response tells the caller to close the connection after it."""
     open_connections: int = 0
     open_exchanges: int = 0
+    leaving_connections: int = 0
+    """Connections that are refused or have given way, and are not closed yet."""
+    _holdings: set[Holding] = attrs.field(factory=set)
+
+    def admit(self, holding: Holding) -> None:
+        """Count a connection that is served."""
+        self._holdings.add(holding)
+        self.open_connections += 1
+
+    def dismiss(self, holding: Holding) -> None:
+        """Count a connection no more; a repeated call has no effect."""
+        if holding in self._holdings:
+            self._holdings.discard(holding)
+            self.open_connections -= 1
 
 
 class Exchange:
@@ -156,17 +198,30 @@
         peer: str,
         limits: ServerLimits,
         state: ServerState,
+        guard: ServerGuard,
         keyed_callers: bool,
     ) -> None:
         self._stream = stream
         self._peer = peer
         self._limits = limits
         self._state = state
+        self._guard = guard
+        self._holding = Holding(give_way=self._give_way, since=trio.current_time())
+        self._body = bytearray()
+        self._received_bytes = 0
+        """What the last read from the socket brought."""
+        self._scope = trio.CancelScope()
+        """Of whatever this connection waits for that it may have to give up."""
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         self._keyed_callers = keyed_callers
         self._may_be_keyed = keyed_callers
         """Whether the request that is due has a key, or may have one as its head was not read."""
 
+    @property
+    def holding(self) -> Holding:
+        """What is held for this connection."""
+        return self._holding
+
     @property
     def takes_trailers(self) -> bool:
         """Whether the response is in chunks, which alone carry trailers."""
@@ -198,6 +253,7 @@
             if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
                 return
             self._h11.start_next_cycle()
+            self._begin_idle()
 
     async def _next_or_refuse(self) -> Exchange | None:
         """Read the next request, or refuse one that can't be read whole; None at the end.
@@ -206,7 +262,11 @@
         request has run.
         """
         try:
-            return await self._next_exchange()
+            with trio.CancelScope() as self._scope:
+                return await self._next_exchange()
+            was_idle = self._h11.their_state is h11.IDLE and not self._h11.trailing_data[0]
+            if not was_idle:
+                await self.refuse(_no_memory())
         except RequestRefused as refused:
             await self.refuse(refused)
         except h11.RemoteProtocolError as error:
@@ -216,33 +276,36 @@
 
     async def _next_exchange(self) -> Exchange | None:
         self._may_be_keyed = self._keyed_callers
-        request = await self._read_head()
-        if request is None:
+        head = await self._read_head()
+        if head is None:
             return None
-        self._may_be_keyed = any(name == KEY_FIELD for name, _ in request.headers)
+        self._may_be_keyed = any(name == KEY_FIELD for name, _ in head.headers)
+        request = self._request_of(head)
         with trio.move_on_after(self._limits.request_timeout_s) as scope:
-            body = await self._read_body()
+            body = await self._read_body(request)
         if scope.cancelled_caught:
             raise RequestRefused(status=408, field="body", message="did not arrive in time")
-        target = _split_target(request.target)
-        return Exchange(
-            request=Request(
-                method=request.method.decode("ascii"),
-                path=target.path,
-                query=dict(parse_qsl(target.query)),
-                raw_query=target.query,
-                target=request.target.decode("latin-1"),
-                headers=Headers.from_raw(request.headers),
-                body=body,
-                peer=self._peer,
-            ),
-            connection=self,
+        return Exchange(request=attrs.evolve(request, body=body), connection=self)
+
+    def _request_of(self, head: h11.Request) -> Request:
+        """Return a request without its body."""
+        target = _split_target(head.target)
+        return Request(
+            method=head.method.decode("ascii"),
+            path=target.path,
+            query=dict(parse_qsl(target.query)),
+            raw_query=target.query,
+            target=head.target.decode("latin-1"),
+            headers=Headers.from_raw(head.headers),
+            body=b"",
+            peer=self._peer,
         )
 
     async def _read_head(self) -> h11.Request | None:
         with trio.move_on_after(self._limits.idle_timeout_s):
             if not await self._wait_begun():
                 return None
+            self._move(Stage.READING)
             with trio.move_on_after(self._limits.header_timeout_s) as scope:
                 event = await self._next_event()
             if scope.cancelled_caught:
@@ -257,9 +320,7 @@
         """Wait for the first bytes of a request; false at the end of the connection."""
         if self._h11.trailing_data[0]:
             return True
-        data = await self._receive()
-        self._h11.receive_data(data)
-        return bool(data)
+        return await self._receive_more()
 
     async def _receive(self) -> bytes:
         try:
@@ -267,23 +328,40 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return b""
 
-    async def _read_body(self) -> bytes:
-        pieces: list[bytes] = []
-        size = 0
+    async def _receive_more(self) -> bool:
+        """Read bytes of a request and pay for them; false at the end of the caller's side."""
+        data = await self._receive()
+        if not self._pay(len(data)):
+            raise _no_memory()
+        self._h11.receive_data(data)
+        return bool(data)
+
+    async def _read_body(self, request: Request) -> bytes:
+        limit = min(self._limits.body_bytes, self._guard.memory.largest_bytes - RECEIVE_BYTES)
         while True:
+            if len(self._body) > limit:
+                raise RequestRefused(
+                    status=413, field="body", message=f"is larger than {limit} bytes"
+                )
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(pieces)
+                return self._whole_body()
             if not isinstance(event, h11.Data):
                 raise CallerGone
-            size += len(event.data)
-            if size > self._limits.body_bytes:
-                raise RequestRefused(
-                    status=413,
-                    field="body",
-                    message=f"is larger than {self._limits.body_bytes} bytes",
-                )
-            pieces.append(bytes(event.data))
+            self._body += event.data
+
+    def _whole_body(self) -> bytes:
+        """Return the body that was read; from here on the request does not give way."""
+        if self._holding.stage is Stage.LEAVING:
+            raise _no_memory()
+        body = bytes(self._body)
+        self._body = bytearray()
+        if self._received_bytes > PIPELINED_BYTES:
+            self._settle(len(body) + len(self._h11.trailing_data[0]))
+        else:
+            self._settle(len(body) + self._received_bytes)
+        self._move(Stage.SERVING)
+        return body
 
     async def _next_event(self) -> object:
         while True:
@@ -292,7 +370,32 @@
                 return event
             if self._h11.they_are_waiting_for_100_continue:
                 await self.send(h11.InformationalResponse(status_code=100, headers=[]))
-            self._h11.receive_data(await self._receive())
+            if self._h11.their_state is h11.SEND_BODY:
+                # All that was received is parsed, but for the beginning of a chunk.
+                self._settle(len(self._body))
+            await self._receive_more()
+
+    def _pay(self, size: int) -> bool:
+        self._received_bytes = size
+        return self._guard.memory.grow(self._holding, size, now=trio.current_time())
+
+    def _settle(self, size: int) -> None:
+        """Pay for ``size`` bytes beside the connection itself, and no more."""
+        self._guard.memory.shrink_to(self._holding, CONNECTION_BYTES + size)
+
+    def _move(self, stage: Stage) -> None:
+        self._guard.memory.move(self._holding, stage, now=trio.current_time())
+
+    def _begin_idle(self) -> None:
+        """Drop what was held for the last exchange."""
+        self._settle(len(self._h11.trailing_data[0]))
+        self._move(Stage.IDLE)
+
+    def _give_way(self) -> None:
+        """Drop what is held, as others need the room; the caller is told in its own task's turn."""
+        self._body.clear()
+        self._state.dismiss(self._holding)
+        self._scope.cancel()
 
     def response(self, *, status: int, headers: Headers) -> h11.Response:
         """Return the head of a response, closing the connection where the server is stopping."""
@@ -302,17 +405,25 @@
 
     async def send(self, *events: h11.Event) -> None:
         """Write events in one go; raises ``CallerGone``, also when the caller reads too slowly."""
+        pieces: list[bytes] = []
         try:
-            data = b"".join(self._h11.send(event) or b"" for event in events)
+            for event in events:
+                pieces += self._h11.send_with_data_passthrough(event) or ()
         except h11.LocalProtocolError as error:
             raise CallerGone from error
-        await self.write_raw(data)
+        if sum(map(len, pieces)) <= JOINED_BYTES:
+            pieces = [b"".join(pieces)]
+        for piece in pieces:
+            await self.write_raw(piece)
 
     async def write_raw(self, data: bytes) -> None:
         """Write bytes as they are; raises ``CallerGone``, also when the caller is too slow."""
         rest = self._write_at_once(data)
-        if not rest:
-            return
+        if rest:
+            await self._write_slowly(rest)
+
+    async def _write_slowly(self, rest: memoryview) -> None:
+        """Write what the socket did not take at once."""
         with trio.move_on_after(self._limits.write_timeout_s) as scope:
             try:
                 await self._stream.send_all(rest)
@@ -321,24 +432,26 @@
         if scope.cancelled_caught:
             raise CallerGone
 
-    def _write_at_once(self, data: bytes) -> bytes:
+    def _write_at_once(self, data: bytes) -> memoryview:
         """Write what the socket takes without waiting, and give the rest.
 
         A token's event nearly always fits: it then costs one system call, without
         a cancel scope and a turn of the scheduler.
         """
+        rest = memoryview(data)
         try:
-            written = os.write(self._stream.socket.fileno(), data)
+            written = os.write(self._stream.socket.fileno(), rest)
         except BlockingIOError:
-            return data
+            return rest
         except OSError as error:
             raise CallerGone from error
-        return data[written:]
+        return rest[written:]
 
     async def refuse(self, refused: RequestRefused) -> None:
         """Answer a request that could not be read whole, and close."""
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        self._drop()
         UNREAD_REQUEST.log(log, peer=self._peer, status=refused.status, detail=str(refused))
         body = json.dumps(error_payload(refused)).encode()
         port = int(self._peer.rpartition(":")[2])
@@ -347,7 +460,26 @@
         )
         head = h11.Response(status_code=refused.status, headers=headers.raw())
         await self.send(head, h11.Data(data=body), h11.EndOfMessage())
-        await self._linger()
+        await self._leave()
+
+    def _drop(self) -> None:
+        """Drop what is held for a request that is refused."""
+        self._move(Stage.LEAVING)
+        self._body.clear()
+        self._settle(0)
+        self._state.dismiss(self._holding)
+
+    async def _leave(self) -> None:
+        """Close so that the caller can read its refusal, if not too many are leaving already."""
+        self._drop()
+        self._h11 = h11.Connection(h11.SERVER)
+        if self._state.leaving_connections >= self._limits.spare_connections:
+            return
+        self._state.leaving_connections += 1
+        try:
+            await self._linger()
+        finally:
+            self._state.leaving_connections -= 1
 
     async def _linger(self) -> None:
         """Read and drop what the caller still sends, for a while.
@@ -373,9 +505,11 @@
         waiting_bytes = 0
         while True:
             data = await self._receive()
-            self._h11.receive_data(data)
             waiting_bytes += len(data)
-            if not data or waiting_bytes > self._limits.header_bytes:
+            if not data or not self._pay(len(data)):
+                return
+            self._h11.receive_data(data)
+            if waiting_bytes > self._limits.header_bytes:
                 return
 
 
@@ -399,6 +533,10 @@
         raise RequestRefused(status=400, field="path", message=str(error)) from error
 
 
+def _no_memory() -> RequestRefused:
+    return RequestRefused(status=OVERLOADED, message="this VM has no memory left for the request")
+
+
 async def _turn_away(connection: _Connection) -> None:
     """Tell a caller beyond the bound that nothing of its request was run."""
     await connection.refuse(
@@ -412,6 +550,7 @@
     listeners: list[trio.SocketListener],
     limits: ServerLimits | LimitsSource,
     state: ServerState,
+    guard: ServerGuard | None = None,
     keyed_callers: bool = False,
 ) -> None:
     """Serve until cancelled; one caller's error ends only its own connection.
@@ -419,11 +558,11 @@
     Once the listeners are closed, connections are served to their ends. With ``keyed_callers`` a
     request whose head was not read counts as one under a key.
     """
+    shared = guard or ServerGuard()
 
     async def serve_one(stream: trio.SocketStream) -> None:
         in_force = limits if isinstance(limits, ServerLimits) else limits()
-        full = state.open_connections >= in_force.connections
-        state.open_connections += not full
+        holding: Holding | None = None
         try:
             host, port = stream.socket.getpeername()[:2]
             connection = _Connection(
@@ -431,12 +570,15 @@
                 peer=f"{host}:{port}",
                 limits=in_force,
                 state=state,
+                guard=shared,
                 keyed_callers=keyed_callers,
             )
-            if full:
-                await _turn_away(connection)
-            else:
+            holding = connection.holding
+            if _has_room(holding, state, shared, in_force):
+                state.admit(holding)
                 await connection.serve(handler)
+            else:
+                await _turn_away(connection)
         except (CallerGone, OSError):
             return
         except Exception:
@@ -444,7 +586,9 @@
             # it every other caller's connection.
             CONNECTION_FAULT.log(log, peer=str(stream.socket), exc_info=True)
         finally:
-            state.open_connections -= not full
+            if holding is not None:
+                state.dismiss(holding)
+                shared.memory.close(holding)
             with trio.move_on_after(1) as scope:
                 scope.shield = True
                 await trio.aclose_forcefully(stream)
@@ -456,6 +600,16 @@
             pass
 
 
+def _has_room(
+    holding: Holding, state: ServerState, guard: ServerGuard, limits: ServerLimits
+) -> bool:
+    """Take a new connection into the account, if there is room for it."""
+    now = trio.current_time()
+    if state.open_connections >= limits.connections:
+        return False
+    return guard.memory.open(holding, now=now)
+
+
 async def open_listeners(*, host: str, port: int) -> list[trio.SocketListener]:
     """Open a listening socket on an IP number; port 0 takes a free one."""
     return await trio.open_tcp_listeners(port, host=host, backlog=512)
