Clients: the kernel holds little of a connection that nobody reads

Callers saw the same as before: a process beyond its machine's memory, which counts what the kernel has received and the process has not read. Cause: the buffer of a socket grows with its sender to some megabytes, so 80 clients that send 1 MiB at once filled 80 MB before the process had its first turn. Listening sockets, those opened before the program is loaded too, give their connections a buffer of 64 KiB.

--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -45,6 +45,8 @@
 
 KEY_FIELD = b"idempotency-key"
 RECEIVE_BYTES = 64 * 1024
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""What the kernel may hold of a connection that nobody reads; it takes this twice."""
 JOINED_BYTES = 64 * 1024
 """What is written in one go, copied for that; a larger piece is written from where it is."""
 PIPELINED_BYTES = 4 * 1024
@@ -612,4 +614,7 @@
 
 async def open_listeners(*, host: str, port: int) -> list[trio.SocketListener]:
     """Open a listening socket on an IP number; port 0 takes a free one."""
-    return await trio.open_tcp_listeners(port, host=host, backlog=512)
+    listeners = await trio.open_tcp_listeners(port, host=host, backlog=512)
+    for listener in listeners:
+        listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return listeners
--- a/lagoonlever/platform/early_sockets.py
+++ b/lagoonlever/platform/early_sockets.py
@@ -14,6 +14,8 @@
 PATH_VARIABLE = "LAGOONLEVER_NODE_FILE"
 """The environment variable that names the settings file."""
 LISTENED = ("Listen.Front", "Listen.Ready", "Listen.Directory")
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""What the kernel may hold of a connection that nobody reads; it takes this twice."""
 BACKLOG = 512
 """Connections that wait while the program is loaded."""
 
@@ -40,6 +42,7 @@
     listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         listening.bind((host, int(port)))
         listening.listen(BACKLOG)
         listening.setblocking(False)
