Clients: no connection holds the event loop with a body of tiny pieces

Callers waited seconds, another VM judged this one silent, and no time-out of a body came: a turn parsed 64 KiB of two-byte chunks, some ten thousand events of 7.4 us each (93,620 events in 0.69 s by a loop over h11 alone), before another task ran, and each such connection had such turns.

A connection parses 64 pieces, then it has to take a turn that only one connection has at a time. So a crowd of them costs the others one slice of half a millisecond each round, however large it is; in calm the one connection goes on at once. Refusing tiny chunks was weighed: a client inside the limits may send them.

--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -51,6 +51,8 @@
 """What is written in one go, copied for that; a larger piece is written from where it is."""
 PIPELINED_BYTES = 4 * 1024
 """Bytes that came with the end of a body and may be left unpaid, as they are few."""
+TURN_EVENTS = 64
+"""Pieces of a body that a connection parses before others have their turn."""
 SPARE_PART = 8
 """To one in so many connections beyond the bound it is told that there is no room."""
 LEAST_SPARE = 8
@@ -86,6 +88,8 @@
     memory: MemoryAccount = attrs.field(
         factory=lambda: MemoryAccount(capacity_bytes=USUAL_ACCOUNT_BYTES)
     )
+    parsing: trio.Lock = attrs.field(factory=trio.Lock)
+    """Held by the one connection that parses a body of many small pieces now."""
 
 
 class CallerGone(Exception):
@@ -340,6 +344,7 @@
 
     async def _read_body(self, request: Request) -> bytes:
         limit = min(self._limits.body_bytes, self._guard.memory.largest_bytes - RECEIVE_BYTES)
+        events = 0
         while True:
             if len(self._body) > limit:
                 raise RequestRefused(
@@ -351,6 +356,9 @@
             if not isinstance(event, h11.Data):
                 raise CallerGone
             self._body += event.data
+            events += 1
+            if events % TURN_EVENTS == 0:
+                await self._take_turns()
 
     def _whole_body(self) -> bytes:
         """Return the body that was read; from here on the request does not give way."""
@@ -365,6 +373,11 @@
         self._move(Stage.SERVING)
         return body
 
+    async def _take_turns(self) -> None:
+        """Let others have their turn, of which one at a time parses many small pieces."""
+        async with self._guard.parsing:
+            await trio.lowlevel.checkpoint()
+
     async def _next_event(self) -> object:
         while True:
             event = self._h11.next_event()
