Clients: what a head shows to be refused is refused before its body is read

Callers with a body over the limit, a route that does not exist or a key that nobody has were told after all of their bytes had come, or with 408 after 30 s where these did not come; the process held them for nothing. Cause: the server read a body whole before anything looked at the head.

A length over the limit is refused with 413 at once, unread. Shorter bodies are read first as before, so that their connections stay.

The count of bytes includes what is announced, so a crowd that announces 1 GB costs one head each.

--- a/lagoonlever/gateway/daemon.py
+++ b/lagoonlever/gateway/daemon.py
@@ -140,6 +140,7 @@
             limits=parts.server_limits,
             state=self._http,
             guard=parts.guard,
+            check_head=parts.front.refuse_by_head,
         )
 
     async def _serve_tunnels(self, parts: GatewayParts, address: Address) -> None:
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -53,6 +53,22 @@
     _serve: dict[RouteKind, Serve]
     _started: float = attrs.field(factory=trio.current_time)
 
+    async def refuse_by_head(self, exchange: Exchange) -> bool:
+        """Refuse an exchange whose head shows that it is not served; False for any other one."""
+        configuration = self._beliefs.configuration.value
+        if configuration is None:
+            return False
+        try:
+            caller = read_caller(exchange.request.headers)
+        except RequestRefused as refused:
+            await self._refuse(exchange, _bad_request(refused))
+            return True
+        route = self._route(exchange, configuration, caller)
+        if isinstance(route, ServiceRoute):
+            return False
+        await self._refuse(exchange, route)
+        return True
+
     async def handle(self, exchange: Exchange) -> None:
         """Answer one exchange; one request's fault harms no other."""
         arrived = self._timers.now
@@ -125,12 +141,10 @@
     def _accept(
         self, exchange: Exchange, configuration: Configuration, caller: CallerHead, arrived: float
     ) -> Accepted | NotRun:
-        route = configuration.route_of(caller.host, _path_of(exchange.request.target))
-        if route is None:
-            return NO_ROUTE
+        route = self._route(exchange, configuration, caller)
+        if isinstance(route, NotRun):
+            return route
         organisation = configuration.organisations.get(caller.api_key or "")
-        if organisation is None and configuration.requires_key and not route.anonymous:
-            return UNKNOWN_KEY
         service = route.choose_service(self._rng)
         chosen = self._rollouts.arrives(service, route.name)
         return Accepted(
@@ -146,6 +160,18 @@
             on_trial=chosen and caller.last_event_id is None,
         )
 
+    def _route(
+        self, exchange: Exchange, configuration: Configuration, caller: CallerHead
+    ) -> ServiceRoute | NotRun:
+        """Return the route of a request that its caller may use, or why there is none."""
+        route = configuration.route_of(caller.host, _path_of(exchange.request.target))
+        if route is None:
+            return NO_ROUTE
+        is_known = (caller.api_key or "") in configuration.organisations
+        if not is_known and configuration.requires_key and not route.anonymous:
+            return UNKNOWN_KEY
+        return route
+
     def _starting(self) -> NotRun:
         return NotRun(
             reason=Reason.STARTING,
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -21,7 +21,7 @@
 )
 from lagoonlever.events import event
 from lagoonlever.exceptions import RequestRefused
-from lagoonlever.http.messages import Headers, Request
+from lagoonlever.http.messages import Headers, Request, whole_number
 from lagoonlever.http.refusals import JSON_TYPE, OVERLOADED, error_payload, refusal_headers
 
 log = logbook.Logger(__name__)
@@ -47,6 +47,8 @@
 RECEIVE_BYTES = 64 * 1024
 RECEIVE_BUFFER_BYTES = 64 * 1024
 """What the kernel may hold of a connection that nobody reads; it takes this twice."""
+LONG_BODY_BYTES = 64 * 1024
+"""Beyond this size the head of a request is judged before the rest of its body is read."""
 JOINED_BYTES = 64 * 1024
 """What is written in one go, copied for that; a larger piece is written from where it is."""
 PIPELINED_BYTES = 4 * 1024
@@ -190,6 +192,8 @@
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
+HeadCheck = Callable[[Exchange], Awaitable[bool]]
+"""Refuses an exchange by its request's head alone, or returns False; its body is empty."""
 LimitsSource = Callable[[], ServerLimits]
 """Gives the limits in force; a connection keeps those that held as it was opened."""
 
@@ -205,6 +209,7 @@
         limits: ServerLimits,
         state: ServerState,
         guard: ServerGuard,
+        check_head: HeadCheck | None,
         keyed_callers: bool,
     ) -> None:
         self._stream = stream
@@ -212,12 +217,15 @@
         self._limits = limits
         self._state = state
         self._guard = guard
+        self._check_head = check_head
         self._holding = Holding(give_way=self._give_way, since=trio.current_time())
         self._body = bytearray()
         self._received_bytes = 0
         """What the last read from the socket brought."""
         self._scope = trio.CancelScope()
         """Of whatever this connection waits for that it may have to give up."""
+        self._closes = False
+        """Whether the connection ends with the response that is written now."""
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         self._keyed_callers = keyed_callers
         self._may_be_keyed = keyed_callers
@@ -291,6 +299,8 @@
             body = await self._read_body(request)
         if scope.cancelled_caught:
             raise RequestRefused(status=408, field="body", message="did not arrive in time")
+        if body is None:
+            return None
         return Exchange(request=attrs.evolve(request, body=body), connection=self)
 
     def _request_of(self, head: h11.Request) -> Request:
@@ -342,14 +352,22 @@
         self._h11.receive_data(data)
         return bool(data)
 
-    async def _read_body(self, request: Request) -> bytes:
+    async def _read_body(self, request: Request) -> bytes | None:
+        """Read the body of a request; None if the request was refused by its head."""
         limit = min(self._limits.body_bytes, self._guard.memory.largest_bytes - RECEIVE_BYTES)
+        announced = _announced_bytes(request)
+        is_judged = False
         events = 0
         while True:
-            if len(self._body) > limit:
+            expected = max(announced, len(self._body))
+            if expected > limit:
                 raise RequestRefused(
                     status=413, field="body", message=f"is larger than {limit} bytes"
                 )
+            if expected > LONG_BODY_BYTES and not is_judged:
+                is_judged = True
+                if await self._is_refused_by_head(request):
+                    return None
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 return self._whole_body()
@@ -373,6 +391,17 @@
         self._move(Stage.SERVING)
         return body
 
+    async def _is_refused_by_head(self, request: Request) -> bool:
+        """Have a request judged by its head, and tell its caller at once if it is refused."""
+        if self._check_head is None:
+            return False
+        self._closes = True
+        if not await self._check_head(Exchange(request=request, connection=self)):
+            self._closes = False
+            return False
+        await self._leave()
+        return True
+
     async def _take_turns(self) -> None:
         """Let others have their turn, of which one at a time parses many small pieces."""
         async with self._guard.parsing:
@@ -414,7 +443,7 @@
 
     def response(self, *, status: int, headers: Headers) -> h11.Response:
         """Return the head of a response, closing the connection where the server is stopping."""
-        if self._state.closing:
+        if self._state.closing or self._closes:
             headers = headers.with_field("Connection", "close")
         return h11.Response(status_code=status, headers=headers.raw())
 
@@ -548,6 +577,11 @@
         raise RequestRefused(status=400, field="path", message=str(error)) from error
 
 
+def _announced_bytes(request: Request) -> int:
+    """Return the size of a request's body that its head tells, or 0."""
+    return whole_number(request.headers.get("Content-Length")) or 0
+
+
 def _no_memory() -> RequestRefused:
     return RequestRefused(status=OVERLOADED, message="this VM has no memory left for the request")
 
@@ -566,12 +600,14 @@
     limits: ServerLimits | LimitsSource,
     state: ServerState,
     guard: ServerGuard | None = None,
+    check_head: HeadCheck | None = None,
     keyed_callers: bool = False,
 ) -> None:
     """Serve until cancelled; one caller's error ends only its own connection.
 
-    Once the listeners are closed, connections are served to their ends. With ``keyed_callers`` a
-    request whose head was not read counts as one under a key.
+    Once the listeners are closed, connections are served to their ends. ``check_head`` refuses
+    requests with long bodies before these are read. With ``keyed_callers`` a request whose head
+    was not read counts as one under a key.
     """
     shared = guard or ServerGuard()
 
@@ -586,6 +622,7 @@
                 limits=in_force,
                 state=state,
                 guard=shared,
+                check_head=check_head,
                 keyed_callers=keyed_callers,
             )
             holding = connection.holding
