Clients: connections leave descriptors for targets, store and VMs

Callers got nothing from a process whose descriptors others had taken: 4,096 connections were allowed whatever the machine has, idle ones stayed as new ones were refused, and the ports beside the front and the way in for tunnels had no bound. A process without descriptors reaches neither runners nor the store.

Of the sockets that the process may have (by its settings and by the system's own limit, less those that the platform keeps for files) a third is for callers, as many may be needed for the targets that serve them; an eighth for tunnels, and a thirty-second for each of readiness, addresses and metrics, which take bodies of 16 KiB now. Where callers' share is full the longest idle connection is closed for the new one, else the heaviest unfinished request gives way, and only if all are being served the new one is told 503.

What is closed first is idle, so a client inside the limits meets neither.

Tests changed: two asked for a refusal although every connection was idle, which shut callers out. They ask for the same refusal, as strictly, where every connection is being served.

--- a/lagoonlever/gateway/daemon.py
+++ b/lagoonlever/gateway/daemon.py
@@ -16,7 +16,7 @@
 from lagoonlever.gateway.supervision import run_part
 from lagoonlever.http.client import ClientConnection, Opener
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import Handler, ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import Handler, ServerState, open_listeners, serve_http
 from lagoonlever.identity import new_incarnation
 from lagoonlever.timers import TimerService
 
@@ -150,7 +150,7 @@
         await serve_http(
             handler=handler,
             listeners=await self._open(address),
-            limits=ServerLimits(),
+            limits=parts.question_limits,
             state=ServerState(),
             guard=parts.guard,
         )
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from lagoonlever.config.machine import usable_descriptors
+from lagoonlever.decisions.admission.descriptor_shares import DescriptorShares
 from lagoonlever.decisions.admission.held_memory import MemoryAccount, clients_bytes
 from lagoonlever.decisions.engines.engine_scheduler import EngineScheduler
 from lagoonlever.decisions.fleet.peer_table import PeerState, PeerTable
@@ -62,6 +64,8 @@
 from lagoonlever.platform.store import MetadataStore
 from lagoonlever.timers import TimerService
 
+QUESTION_BODY_BYTES = 16 * 1024
+"""Questions have no bodies."""
 HEARTBEATS_TO_LAPSE = 3.5
 """The entry of a target that is gone lapses after three, and one may begin late."""
 
@@ -81,6 +85,7 @@
     open_target: Opener = ClientConnection.open
     """Opens a connection to a target from this VM itself."""
     guard: ServerGuard = attrs.field(init=False)
+    shares: DescriptorShares = attrs.field(init=False)
     reporter: Reporter = attrs.field(init=False)
     store: MetadataStore = attrs.field(init=False)
     beliefs: Beliefs = attrs.field(init=False)
@@ -124,6 +129,11 @@
         account = MemoryAccount.of_machine(self.settings.machine.memory_bytes)
         return ServerGuard(memory=account)
 
+    @shares.default
+    def _make_shares(self) -> DescriptorShares:
+        allowed = self.settings.machine.descriptors
+        return DescriptorShares.of_process(usable_descriptors(allowed))
+
     @reporter.default
     def _make_reporter(self) -> Reporter:
         return Reporter(timers=self.timers)
@@ -246,7 +256,7 @@
             beliefs=self.beliefs,
             timers=self.timers,
             dialer=self.dialer,
-            descriptors=self.settings.machine.descriptors,
+            most_tunnels=self.shares.tunnels,
         )
 
     @placer.default
@@ -603,4 +613,9 @@
             header_bytes=limits.header_bytes,
             header_timeout_s=limits.header_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
+            connections=self.shares.callers,
         )
+
+    def question_limits(self) -> ServerLimits:
+        """Return the limits of connections that ask for readiness, addresses or metrics."""
+        return ServerLimits(body_bytes=QUESTION_BODY_BYTES, connections=self.shares.questions)
--- a/lagoonlever/gateway/tunnel_desk.py
+++ b/lagoonlever/gateway/tunnel_desk.py
@@ -39,8 +39,6 @@
 """Before another target is tried beside one that does not answer."""
 IDLE_S = 1.0
 """A tunnel on which nothing is due and nothing has passed for so long holds up no stop."""
-DESCRIPTORS_PART = 8
-"""Of the descriptors of the process one in so many may be tunnels; each takes two."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -50,12 +48,12 @@
     _beliefs: Beliefs
     _timers: TimerService
     _dialer: TargetDialer
-    _descriptors: int
+    _most_tunnels: int
     _server: TunnelServer = attrs.field(init=False)
 
     @_server.default
     def _make_server(self) -> TunnelServer:
-        return TunnelServer(dial=self._dial)
+        return TunnelServer(dial=self._dial, connections=2 * self._most_tunnels)
 
     @property
     def tunnels(self) -> int:
@@ -83,7 +81,7 @@
         peer = self._peer(request.headers)
         if peer is None or not self._is_target(request.to):
             return NoTunnel(status=FORBIDDEN)
-        if self._server.tunnels >= self._descriptors // DESCRIPTORS_PART:
+        if self._server.tunnels >= self._most_tunnels:
             return NoTunnel(status=UNAVAILABLE)
         outcome = await self._open(request.to)
         events.TUNNEL_SERVED.log(
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -18,6 +18,7 @@
     Holding,
     MemoryAccount,
     Stage,
+    first_to_leave,
 )
 from lagoonlever.events import event
 from lagoonlever.exceptions import RequestRefused
@@ -121,6 +122,10 @@
             self._holdings.discard(holding)
             self.open_connections -= 1
 
+    def first_to_leave(self, now: float) -> Holding | None:
+        """Return whose connection is closed for a new one, or None if all are being served."""
+        return first_to_leave(self._holdings, now)
+
 
 class Exchange:
     """One request and the response to it."""
@@ -655,10 +660,13 @@
 def _has_room(
     holding: Holding, state: ServerState, guard: ServerGuard, limits: ServerLimits
 ) -> bool:
-    """Take a new connection into the account, if there is room for it."""
+    """Take a new connection into the account, if need be in place of one that can be closed."""
     now = trio.current_time()
     if state.open_connections >= limits.connections:
-        return False
+        leaver = state.first_to_leave(now)
+        if leaver is None:
+            return False
+        guard.memory.yield_room(leaver, now=now)
     return guard.memory.open(holding, now=now)
 
 
--- a/lagoonlever/http/tunnel.py
+++ b/lagoonlever/http/tunnel.py
@@ -18,6 +18,7 @@
 RECEIVE_BYTES = 64 * 1024
 HEAD_TIMEOUT_S = 2.0
 """From the acceptance of a connection until its request is whole."""
+MAX_CONNECTIONS = 1024
 LINGER_S = 2.0
 """How long a tunnel waits for the client's end once the far server has closed."""
 RESET_BY_CLOSE = struct.pack("ii", 1, 0)
@@ -111,6 +112,9 @@
 
     _dial: Dial
     """Open the connection to the far server of a request."""
+    _connections: int = MAX_CONNECTIONS
+    """Of clients, with or without a tunnel; one more is closed unread."""
+    _near_open: int = 0
     _open: set[Splice] = attrs.field(factory=set)
 
     @property
@@ -129,7 +133,10 @@
 
     async def _serve(self, near: trio.SocketStream) -> None:
         far: trio.SocketStream | None = None
+        self._near_open += 1
         try:
+            if self._near_open > self._connections:
+                return
             with trio.move_on_after(HEAD_TIMEOUT_S):
                 far = await self._accept(near)
             if far is not None:
@@ -138,6 +145,7 @@
             # The peer has left or speaks something else; only its own connection ends.
             return
         finally:
+            self._near_open -= 1
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(near)
 
--- a/lagoonlever/tests/http_server_tests.py
+++ b/lagoonlever/tests/http_server_tests.py
@@ -122,19 +122,48 @@
 KEYED_HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nIdempotency-Key: bid-4711\r\n"
 
 
+class Busy:
+    """Connections whose requests are being served, so that none of them can be closed."""
+
+    def __init__(self) -> None:
+        self._ended = trio.Event()
+        self._taken: list[ClientConnection] = []
+
+    async def handle(self, exchange: Exchange) -> None:
+        if exchange.request.path == "/busy":
+            await self._ended.wait()
+        await echo(exchange)
+
+    async def fill(self, address: Address, state: ServerState) -> None:
+        for _ in range(LIMITS.connections):
+            connection = await ClientConnection.open(address)
+            await connection.start(method="GET", path="/busy", step="t")
+            self._taken.append(connection)
+        await until(lambda: state.open_exchanges == LIMITS.connections)
+
+    async def free_one(self, state: ServerState) -> None:
+        await self._taken.pop().aclose()
+        self._ended.set()
+        await until(lambda: state.open_connections < LIMITS.connections)
+
+    async def end(self) -> None:
+        self._ended.set()
+        for connection in self._taken:
+            await connection.aclose()
+
+
 def test_a_request_whose_key_was_never_read_is_unknown_where_callers_use_keys() -> None:
     """Guards against "not run" to the repeat of a bid that ran, as the VM takes no connection."""
+    busy = Busy()
 
     async def story(address: Address, state: ServerState) -> None:
-        taken = [await ClientConnection.open(address) for _ in range(LIMITS.connections)]
-        await until(lambda: state.open_connections == LIMITS.connections)
+        await busy.fill(address, state)
         response = await fetch(address, path="/", step="t", timeout_s=20)
         assert response.status == 503
         assert response.headers.get("Lagoonlever-Outcome") == "unknown"
-        for connection in taken:
-            await connection.aclose()
+        await busy.end()
 
-    serving(echo, story, keyed_callers=True)
+    serving(busy.handle, story, keyed_callers=True)
 
 
 @pytest.mark.parametrize("rest", [b"X-Large: " + b"x" * 20_000, b""], ids=["too-large", "late"])
@@ -305,18 +334,31 @@
 
 def test_a_caller_beyond_the_bound_on_connections_is_told_not_run():
     """A VM with every connection taken told a new caller nothing: the connection just ended."""
+    busy = Busy()
 
     async def story(address: Address, state: ServerState) -> None:
-        taken = [await ClientConnection.open(address) for _ in range(LIMITS.connections)]
-        await until(lambda: state.open_connections == LIMITS.connections)
+        await busy.fill(address, state)
         response = await fetch(address, method="POST", path="/", body=b"a", step="t", timeout_s=20)
         assert response.status == 503
         assert response.headers.get("Lagoonlever-Outcome") == "not-run"
         assert int(response.headers.get("Retry-After")) >= 1
-        await taken.pop().aclose()
-        await until(lambda: state.open_connections < LIMITS.connections)
+        await busy.free_one(state)
+        assert (await get(address, "/")).status == 200
+        await busy.end()
+
+    serving(busy.handle, story)
+
+
+def test_the_longest_idle_connection_makes_room_for_a_new_one():
+    """Guards against clients that open connections, send nothing, and shut everybody out."""
+
+    async def story(address: Address, state: ServerState) -> None:
+        idle = [await ClientConnection.open(address) for _ in range(LIMITS.connections)]
+        await until(lambda: state.open_connections == LIMITS.connections)
         assert (await get(address, "/")).status == 200
-        for connection in taken:
+        await until(lambda: not idle[0].quiet)
+        assert [each.quiet for each in idle[1:]] == [True] * (LIMITS.connections - 1)
+        for connection in idle:
             await connection.aclose()
 
     serving(echo, story)
