Clients: answers are paid for from the same account until they are written

Callers that ask for large answers and do not read them filled the process: answers had a bound while they were read from their targets, and none as they waited for their callers, copied with their heads.

The exchange that an answer is for pays for it as it is read, until the exchange ends; what is written slowly beyond that is paid for while it waits. The bound on answers that are being read stays beside it.

--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -189,7 +189,7 @@
                 self._note_replaced(target, opened)
                 result = opened
                 return result
-            result = await self.client.read_whole(opened)
+            result = await self.client.read_whole(opened, accepted.exchange)
             if isinstance(result, Answered):
                 head = result.head
             return result
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -22,6 +22,7 @@
 from lagoonlever.gateway.target_words import TargetWords
 from lagoonlever.http.client import ClientConnection, Pool, Response
 from lagoonlever.http.messages import Address, Request
+from lagoonlever.http.server import Exchange
 from lagoonlever.platform.headers import read_answer, to_target
 
 log = logbook.Logger(__name__)
@@ -203,28 +204,34 @@
             await connection.skip_response()
         return response, head
 
-    async def read_whole(self, answer: OpenAnswer) -> Answered | Lost:
-        """Read the rest of an answer.
+    async def read_whole(self, answer: OpenAnswer, exchange: Exchange) -> Answered | Lost:
+        """Read the rest of an answer; the exchange that it is for pays for its memory.
 
         Targets in trouble may send bodies without end to many calls at once. A large one is given
         up once all of them together hold more than this VM has memory for.
         """
-        pieces: list[bytes] = []
+        body = bytearray()
         size = 0
+        is_whole = False
         try:
             while (piece := await answer.connection.next_piece()) is not None:
-                pieces.append(piece)
+                if not exchange.pay_answer(len(piece)):
+                    return Lost(detail=f"answered {size} bytes as clients fill the memory")
+                body += piece
                 size += len(piece)
                 self._held_bytes += len(piece)
                 if size > MAX_BODY_BYTES:
                     return Lost(detail=f"answered more than {MAX_BODY_BYTES} bytes")
                 if size > SMALL_BODY_BYTES and self._held_bytes > self._max_held_bytes:
                     return Lost(detail=f"answered {size} bytes as answers fill the memory")
+            is_whole = True
         except (ConnectionBroken, BadResponse) as error:
             return Lost(detail=error.message)
         finally:
             self._held_bytes -= size
-        response = attrs.evolve(answer.response, body=b"".join(pieces))
+            if not is_whole:
+                exchange.return_answer(size)
+        response = attrs.evolve(answer.response, body=bytes(body))
         return Answered(head=answer.head, response=response)
 
     async def keep(self, connection: ClientConnection) -> None:
--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -190,6 +190,17 @@
         """
         return self._connection.caller_present()
 
+    def pay_answer(self, size: int) -> bool:
+        """Pay for ``size`` bytes of an answer that is held; False if there is no memory for it.
+
+        What was paid is returned as the exchange ends, or by ``return_answer``.
+        """
+        return self._connection.pay_answer(size)
+
+    def return_answer(self, size: int) -> None:
+        """Return what was paid for bytes of an answer that are held no more."""
+        self._connection.return_answer(size)
+
     async def wait_gone(self) -> None:
         """Return when the caller has closed its side of the connection."""
         await self._connection.wait_gone()
@@ -227,6 +238,8 @@
         self._body = bytearray()
         self._received_bytes = 0
         """What the last read from the socket brought."""
+        self._answer_bytes = 0
+        """What was paid for the answer that is being read."""
         self._scope = trio.CancelScope()
         """Of whatever this connection waits for that it may have to give up."""
         self._closes = False
@@ -437,6 +450,7 @@
 
     def _begin_idle(self) -> None:
         """Drop what was held for the last exchange."""
+        self._answer_bytes = 0
         self._settle(len(self._h11.trailing_data[0]))
         self._move(Stage.IDLE)
 
@@ -446,6 +460,18 @@
         self._state.dismiss(self._holding)
         self._scope.cancel()
 
+    def pay_answer(self, size: int) -> bool:
+        """Pay for bytes of an answer; False if there is no memory for them."""
+        if not self._guard.memory.grow(self._holding, size, now=trio.current_time()):
+            return False
+        self._answer_bytes += size
+        return True
+
+    def return_answer(self, size: int) -> None:
+        """Return what was paid for bytes of an answer."""
+        self._answer_bytes -= size
+        self._guard.memory.shrink(self._holding, size)
+
     def response(self, *, status: int, headers: Headers) -> h11.Response:
         """Return the head of a response, closing the connection where the server is stopping."""
         if self._state.closing or self._closes:
@@ -472,14 +498,26 @@
             await self._write_slowly(rest)
 
     async def _write_slowly(self, rest: memoryview) -> None:
-        """Write what the socket did not take at once."""
-        with trio.move_on_after(self._limits.write_timeout_s) as scope:
-            try:
-                await self._stream.send_all(rest)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise CallerGone from error
-        if scope.cancelled_caught:
+        """Write what the socket did not take at once, paid for while it waits."""
+        memory, holding = self._guard.memory, self._holding
+        is_leaving = holding.stage is Stage.LEAVING
+        owed = max(0, len(rest) - self._answer_bytes)
+        if not is_leaving and not memory.grow(holding, owed, now=trio.current_time()):
             raise CallerGone
+        former, former_scope = holding.stage, self._scope
+        self._move(Stage.ANSWERING)
+        try:
+            with trio.move_on_after(self._limits.write_timeout_s) as self._scope:
+                await self._stream.send_all(rest)
+                return
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise CallerGone from error
+        finally:
+            self._scope = former_scope
+            if holding.stage is not Stage.LEAVING:
+                memory.shrink(holding, owed)
+                self._move(former)
+        raise CallerGone
 
     def _write_at_once(self, data: bytes) -> memoryview:
         """Write what the socket takes without waiting, and give the rest.
