Entry: what clients make an entry VM hold is bounded by its machine

Callers of an entry VM lost it to the same crowds: its one port for callers and operators took 4,096 bodies of 4 MiB. Its server has the account and the share of descriptors now, from the section `machine` of its settings or from the machine itself.

--- a/lagoonlever/entry/daemon.py
+++ b/lagoonlever/entry/daemon.py
@@ -12,7 +12,7 @@
 from lagoonlever.config.vm import VmSettings
 from lagoonlever.decisions.membership.membership import Member, MemberState
 from lagoonlever.entry.foundation import Foundation
-from lagoonlever.entry.parts import HTTP_LIMITS, Parts
+from lagoonlever.entry.parts import Parts
 from lagoonlever.events import event
 from lagoonlever.exceptions import Fault, FaultsError
 from lagoonlever.http.messages import Address
@@ -118,8 +118,9 @@
         await serve_http(
             handler=parts.routes.handle,
             listeners=listeners,
-            limits=HTTP_LIMITS,
+            limits=parts.http_limits,
             state=self._http,
+            guard=parts.guard,
             keyed_callers=True,
         )
         self._served.set()
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from lagoonlever.decisions.admission.descriptor_shares import DescriptorShares
+from lagoonlever.decisions.admission.held_memory import MemoryAccount
 from lagoonlever.decisions.fleet.planned_stop import OpenWork
 from lagoonlever.decisions.membership.membership import MemberState
 from lagoonlever.entry.admin.admin import SettingsAdmin
@@ -37,13 +39,12 @@
 from lagoonlever.entry.targets.probes import TargetProber
 from lagoonlever.entry.targets.targets import TargetWatch
 from lagoonlever.http.messages import Address, Request
-from lagoonlever.http.server import ServerLimits
+from lagoonlever.http.server import ServerGuard, ServerLimits
 from lagoonlever.outcomes import NotRun, Outcome, Reason
 from lagoonlever.published import Published
 from lagoonlever.report.status import VmStatus
 from lagoonlever.tree.nodes import TreeView, default_tree
 
-HTTP_LIMITS = ServerLimits()
 COME_BACK_S = 1.0
 
 Run = Callable[[], Awaitable[None]]
@@ -72,6 +73,18 @@
     stopping: Stopping = attrs.field(init=False)
     reporting: Reporting = attrs.field(init=False)
     routes: Routes = attrs.field(init=False)
+    http_limits: ServerLimits = attrs.field(init=False)
+    guard: ServerGuard = attrs.field(init=False)
+
+    @http_limits.default
+    def _make_http_limits(self) -> ServerLimits:
+        descriptors = self.base.settings.machine.usable_descriptors
+        return ServerLimits(connections=DescriptorShares.of_process(descriptors).callers)
+
+    @guard.default
+    def _make_guard(self) -> ServerGuard:
+        memory_bytes = self.base.settings.machine.memory_bytes
+        return ServerGuard(memory=MemoryAccount.of_machine(memory_bytes))
 
     @operators.default
     def _make_operators(self) -> Operators:
@@ -342,7 +355,7 @@
 
     def _load(self) -> float:
         """Give the share of this VM's capacity in use, by its open connections."""
-        return min(1.0, self.base.http.open_connections / HTTP_LIMITS.connections)
+        return min(1.0, self.base.http.open_connections / self.http_limits.connections)
 
     def _moved_to(self) -> tuple[str, ...] | None:
         return self.addresses.others() if self.stopping.leaving else None
