--- a/lagoonlever/bench/entry_vm.py
+++ b/lagoonlever/bench/entry_vm.py
@@ -29,15 +29,10 @@
 from lagoonlever.entry.generations.generations import GenerationSettings
 from lagoonlever.fakes.batch import ServedModel
 from lagoonlever.fakes.engine import EngineOptions, FakeEngine
+from lagoonlever.http.exchange import Exchange, Handler
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import (
-    Exchange,
-    Handler,
-    ServerLimits,
-    ServerState,
-    open_listeners,
-    serve_http,
-)
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.identity import Incarnation
 from lagoonlever.instruments import Metrics
 from lagoonlever.peers.local_bus import LocalBus, LocalNetwork
--- a/lagoonlever/bench/relay_process.py
+++ b/lagoonlever/bench/relay_process.py
@@ -26,14 +26,10 @@
 )
 from lagoonlever.decisions.suspicion.settings import DetectionSettings
 from lagoonlever.fakes.engine import EngineOptions
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import (
-    Exchange,
-    ServerLimits,
-    ServerState,
-    open_listeners,
-    serve_http,
-)
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 
 ENGINE = "engine"
 BARE = "bare"
--- a/lagoonlever/entry/admin/admin.py
+++ b/lagoonlever/entry/admin/admin.py
@@ -30,8 +30,8 @@
 from lagoonlever.entry.settings import events
 from lagoonlever.entry.settings.settings import SettingsPart
 from lagoonlever.exceptions import Fault, FaultsError, PlatformError, RequestRefused
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Request
-from lagoonlever.http.server import Exchange
 from lagoonlever.identity import REQUEST_ID
 from lagoonlever.tree.change_plan import ChangeRequest, Stored
 from lagoonlever.tree.document import parse_text, render
--- a/lagoonlever/entry/admin/http.py
+++ b/lagoonlever/entry/admin/http.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from lagoonlever.exceptions import RequestRefused
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Headers, Request
 from lagoonlever.http.refusals import JSON_TYPE
-from lagoonlever.http.server import Exchange
 
 T = TypeVar("T")
 
--- a/lagoonlever/entry/admin/orders.py
+++ b/lagoonlever/entry/admin/orders.py
@@ -25,7 +25,7 @@
 from lagoonlever.entry.orders.store import WantedStore
 from lagoonlever.events import event
 from lagoonlever.exceptions import PeerError, PlatformError, RequestRefused
-from lagoonlever.http.server import Exchange
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.published import Published
 from lagoonlever.store.port import KeyValue, Platform
 from lagoonlever.targets.orders import read_order
--- a/lagoonlever/entry/admin/reporting.py
+++ b/lagoonlever/entry/admin/reporting.py
@@ -14,9 +14,9 @@
 from lagoonlever.entry.admin.operators import Operators
 from lagoonlever.entry.callers.request_metrics import organisation_of
 from lagoonlever.entry.generations.admission import AdmissionState, PoolState
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE
-from lagoonlever.http.server import Exchange
 from lagoonlever.instruments import EXPOSITION_TYPE, Metrics
 from lagoonlever.metrics import (
     CONTROL_BYTES,
--- a/lagoonlever/entry/callers/completion_outcomes.py
+++ b/lagoonlever/entry/callers/completion_outcomes.py
@@ -5,8 +5,8 @@
 import math
 import random
 
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import Exchange
 from lagoonlever.outcomes import (
     OUTCOME_HEADER,
     REASON_HEADER,
--- a/lagoonlever/entry/callers/routes.py
+++ b/lagoonlever/entry/callers/routes.py
@@ -7,9 +7,9 @@
 
 from lagoonlever.events import event
 from lagoonlever.exceptions import RequestRefused
+from lagoonlever.http.exchange import CallerGone, Exchange, Handler
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import error_payload
-from lagoonlever.http.server import CallerGone, Exchange, Handler
 from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER, OutcomeTag, Reason
 
 log = logbook.Logger(__name__)
--- a/lagoonlever/entry/callers/stream.py
+++ b/lagoonlever/entry/callers/stream.py
@@ -28,8 +28,8 @@
 )
 from lagoonlever.entry.callers.completions_api import CompletionCall
 from lagoonlever.entry.generations.task import GenerationTask
+from lagoonlever.http.exchange import CallerGone, Exchange
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import CallerGone, Exchange
 from lagoonlever.http.sse import EVENT_STREAM_TYPE, ServerEvent, encode_event
 from lagoonlever.identity import EventId
 from lagoonlever.outcomes import (
--- a/lagoonlever/entry/daemon.py
+++ b/lagoonlever/entry/daemon.py
@@ -16,7 +16,8 @@
 from lagoonlever.events import event
 from lagoonlever.exceptions import Fault, FaultsError
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import ServerState, open_listeners, serve_http
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerState
 from lagoonlever.identity import new_incarnation
 from lagoonlever.instruments import Metrics
 from lagoonlever.peers.bus import PeerBus
--- a/lagoonlever/entry/fleet/addresses.py
+++ b/lagoonlever/entry/fleet/addresses.py
@@ -11,7 +11,7 @@
 from lagoonlever.decisions.claims.keys import KeyHome
 from lagoonlever.decisions.fleet.addresses import AddressesSettings, choose_entry_addresses
 from lagoonlever.decisions.membership.membership import MemberState, MemberView
-from lagoonlever.http.server import Exchange
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.published import Published
 
 
--- a/lagoonlever/entry/foundation.py
+++ b/lagoonlever/entry/foundation.py
@@ -13,7 +13,7 @@
 from lagoonlever.entry.callers.request_metrics import RequestMetrics
 from lagoonlever.history.recorder import Recorder
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import ServerState
+from lagoonlever.http.server_limits import ServerState
 from lagoonlever.instruments import Metrics
 from lagoonlever.peers.bus import PeerBus
 from lagoonlever.report.objective_recorder import ObjectiveRecorder
--- a/lagoonlever/entry/generations/generations.py
+++ b/lagoonlever/entry/generations/generations.py
@@ -34,7 +34,7 @@
 )
 from lagoonlever.entry.engines.engines import Engines
 from lagoonlever.entry.generations.task import GenerationTask
-from lagoonlever.http.server import Exchange
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.identity import EventId
 from lagoonlever.outcomes import NotRun, Outcome, Reason, Unknown
 from lagoonlever.timers import Tick
--- a/lagoonlever/entry/generations/task.py
+++ b/lagoonlever/entry/generations/task.py
@@ -24,7 +24,7 @@
 from lagoonlever.entry.generations.attempt import EngineAttempt
 from lagoonlever.events import event
 from lagoonlever.exceptions import ConnectFailed, PeerError
-from lagoonlever.http.server import Exchange
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.outcomes import Done, NotRun, Reason
 from lagoonlever.targets.completions import EngineChunk
 
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -39,7 +39,7 @@
 from lagoonlever.entry.targets.probes import TargetProber
 from lagoonlever.entry.targets.targets import TargetWatch
 from lagoonlever.http.messages import Address, Request
-from lagoonlever.http.server import ServerGuard, ServerLimits
+from lagoonlever.http.server_limits import ServerGuard, ServerLimits
 from lagoonlever.outcomes import NotRun, Outcome, Reason
 from lagoonlever.published import Published
 from lagoonlever.report.status import VmStatus
--- a/lagoonlever/entry/services/answers.py
+++ b/lagoonlever/entry/services/answers.py
@@ -10,9 +10,9 @@
 
 from lagoonlever.decisions.admission.limits import retry_after_s
 from lagoonlever.decisions.claims.key_table import StoredAnswer
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE
-from lagoonlever.http.server import Exchange
 from lagoonlever.outcomes import (
     OUTCOME_HEADER,
     REASON_HEADER,
--- a/lagoonlever/entry/services/services.py
+++ b/lagoonlever/entry/services/services.py
@@ -44,8 +44,8 @@
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.history.events_services import DispatchWritten
 from lagoonlever.history.recorder import Recorder
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Request
-from lagoonlever.http.server import Exchange
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import Reason, Unknown
 from lagoonlever.peers.interface import Bus
--- a/lagoonlever/fakes/application.py
+++ b/lagoonlever/fakes/application.py
@@ -17,9 +17,9 @@
 from lagoonlever.fakes import wire
 from lagoonlever.fakes.faults import FaultKind, FaultOrder, Faults
 from lagoonlever.fakes.serving import LateReports, answer_with_faults, serve_until_death
+from lagoonlever.http.exchange import CallerGone, Exchange
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE
-from lagoonlever.http.server import CallerGone, Exchange
 
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 LOOKUPS = ("lots", "prices")
--- a/lagoonlever/fakes/engine.py
+++ b/lagoonlever/fakes/engine.py
@@ -27,7 +27,7 @@
 from lagoonlever.fakes.faults import FaultOrder, Faults
 from lagoonlever.fakes.prefix_cache import CacheEvent, PrefixCache
 from lagoonlever.fakes.serving import LateReports, answer_with_faults, serve_until_death
-from lagoonlever.http.server import CallerGone, Exchange
+from lagoonlever.http.exchange import CallerGone, Exchange
 
 KEPT_STREAMS = 4096
 RESPONSES = "/v1/responses/"
--- a/lagoonlever/fakes/engine_stream.py
+++ b/lagoonlever/fakes/engine_stream.py
@@ -8,8 +8,8 @@
 from lagoonlever.fakes import wire
 from lagoonlever.fakes.batch import ABORTED, Generation, OutputToken
 from lagoonlever.fakes.faults import Faults
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import Exchange
 from lagoonlever.http.sse import DONE_DATA, EVENT_STREAM_TYPE, ServerEvent, encode_event
 from lagoonlever.published import Published
 
--- a/lagoonlever/fakes/metadata_store.py
+++ b/lagoonlever/fakes/metadata_store.py
@@ -13,9 +13,11 @@
 import trio
 
 from lagoonlever.fakes.kv_store import Compacted, KeyValueStore, LeaseNotFound, Stored
+from lagoonlever.http.exchange import CallerGone, Exchange
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE
-from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
+from lagoonlever.http.server import serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.platform import store_wire as wire
 from lagoonlever.published import Published
 
--- a/lagoonlever/fakes/platform.py
+++ b/lagoonlever/fakes/platform.py
@@ -13,9 +13,11 @@
 from lagoonlever.fakes.kv_gateway import Gateway, GatewayError, wire_of
 from lagoonlever.fakes.kv_store import Compacted, KeyValueStore, Stored
 from lagoonlever.fakes.wire import Acknowledged, read_body, respond
+from lagoonlever.http.exchange import CallerGone, Exchange
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE, error_payload
-from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
+from lagoonlever.http.server import serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.published import Published
 from lagoonlever.store import etcd_wire as wire
 
--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -19,8 +19,10 @@
 from lagoonlever.fakes.scripted_answers import ScriptedAnswers
 from lagoonlever.fakes.target_room import USUAL_PRIORITY, Place, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
+from lagoonlever.http.exchange import CallerGone, Exchange
 from lagoonlever.http.messages import Headers, Request
-from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
+from lagoonlever.http.server import serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.http.sse import EVENT_STREAM_TYPE
 from lagoonlever.platform import engine_calls
 from lagoonlever.platform.headers import (
--- a/lagoonlever/fakes/platform_runner.py
+++ b/lagoonlever/fakes/platform_runner.py
@@ -12,8 +12,10 @@
 from lagoonlever.fakes.scripted_answers import ScriptedAnswers
 from lagoonlever.fakes.target_room import USUAL_PRIORITY, TargetRoom
 from lagoonlever.fakes.target_words import TargetWords
+from lagoonlever.http.exchange import CallerGone, Exchange
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import CallerGone, Exchange, ServerLimits, ServerState, serve_http
+from lagoonlever.http.server import serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.platform.headers import (
     EXPECTED_TARGET,
     MISDIRECTED,
--- a/lagoonlever/fakes/raw_answers.py
+++ b/lagoonlever/fakes/raw_answers.py
@@ -5,7 +5,7 @@
 import enum
 from collections.abc import Awaitable, Callable, Iterable
 
-from lagoonlever.http.server import CallerGone
+from lagoonlever.http.exchange import CallerGone
 
 PIECE = b"x" * 16_384
 
--- a/lagoonlever/fakes/scripted_answers.py
+++ b/lagoonlever/fakes/scripted_answers.py
@@ -7,8 +7,8 @@
 import attrs
 import trio
 
+from lagoonlever.http.exchange import CallerGone, Exchange
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import CallerGone, Exchange
 from lagoonlever.platform.headers import REQUEST_ID, SEAL
 
 OK = 200
--- a/lagoonlever/fakes/serving.py
+++ b/lagoonlever/fakes/serving.py
@@ -10,8 +10,10 @@
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.fakes import wire
 from lagoonlever.fakes.faults import FaultOrder, Faults
+from lagoonlever.http.exchange import Exchange, Handler
 from lagoonlever.http.refusals import error_payload
-from lagoonlever.http.server import Exchange, Handler, ServerLimits, ServerState, serve_http
+from lagoonlever.http.server import serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 
 
 class LateReports:
--- a/lagoonlever/gateway/accepted.py
+++ b/lagoonlever/gateway/accepted.py
@@ -10,8 +10,8 @@
 from lagoonlever.decisions.engines.suspects import Suspects, part_suspects
 from lagoonlever.decisions.settings.configuration import ServiceRoute
 from lagoonlever.gateway.messages import CallerHead
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Request
-from lagoonlever.http.server import Exchange
 
 EARLY_S = 0.02
 """Before the end of a request's time: the answer still has to travel."""
--- a/lagoonlever/gateway/answers.py
+++ b/lagoonlever/gateway/answers.py
@@ -5,9 +5,9 @@
 import json
 from http import HTTPStatus
 
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import JSON_TYPE
-from lagoonlever.http.server import Exchange
 from lagoonlever.outcomes import (
     OUTCOME_HEADER,
     REASON_HEADER,
--- a/lagoonlever/gateway/callers_leaving.py
+++ b/lagoonlever/gateway/callers_leaving.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from lagoonlever.http.server import Exchange
+from lagoonlever.http.exchange import Exchange
 
 
 async def cancel_when_gone(
--- a/lagoonlever/gateway/crash_watch.py
+++ b/lagoonlever/gateway/crash_watch.py
@@ -42,8 +42,8 @@
 from lagoonlever.gateway.target_client import TargetClient
 from lagoonlever.gateway.trial_admission import TrialAdmission
 from lagoonlever.gateway.tunnel_desk import TunnelDesk
+from lagoonlever.http.exchange import CallerGone
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import CallerGone
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.interface import Bus
 from lagoonlever.peers.messages_crashes import EndTold, RequestServed, TargetsEnded
--- a/lagoonlever/gateway/daemon.py
+++ b/lagoonlever/gateway/daemon.py
@@ -15,8 +15,10 @@
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.gateway.supervision import run_part
 from lagoonlever.http.client import ClientConnection, Opener
+from lagoonlever.http.exchange import Handler
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import Handler, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerState
 from lagoonlever.identity import new_incarnation
 from lagoonlever.timers import TimerService
 
--- a/lagoonlever/gateway/directory.py
+++ b/lagoonlever/gateway/directory.py
@@ -11,9 +11,9 @@
 from lagoonlever.decisions.fleet.offered_vms import offered_vms
 from lagoonlever.gateway import events_paths as events
 from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.http.refusals import JSON_TYPE
-from lagoonlever.http.server import Exchange
 from lagoonlever.platform.entry_calls import READY_PATH, RESOLVE_PATH, addresses_answer
 from lagoonlever.timers import TimerService
 
--- a/lagoonlever/gateway/front.py
+++ b/lagoonlever/gateway/front.py
@@ -21,7 +21,7 @@
 from lagoonlever.gateway.messages import CallerHead
 from lagoonlever.gateway.reporter import Reporter
 from lagoonlever.gateway.rollouts import Rollouts
-from lagoonlever.http.server import CallerGone, Exchange
+from lagoonlever.http.exchange import CallerGone, Exchange
 from lagoonlever.outcomes import NotRun, Reason, Unknown
 from lagoonlever.platform.headers import read_caller, request_id_of
 from lagoonlever.timers import TimerService
--- a/lagoonlever/gateway/metrics_page.py
+++ b/lagoonlever/gateway/metrics_page.py
@@ -14,8 +14,8 @@
 from lagoonlever.gateway.dialer import TargetDialer
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.tunnel_desk import TunnelDesk
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import Exchange
 from lagoonlever.timers import TimerService
 
 METRICS_PATH = "/metrics"
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -57,7 +57,7 @@
 from lagoonlever.gateway.tunnel_desk import TunnelDesk
 from lagoonlever.gateway.version_record import VersionRecord
 from lagoonlever.http.client import ClientConnection, Opener
-from lagoonlever.http.server import ServerGuard, ServerLimits
+from lagoonlever.http.server_limits import ServerGuard, ServerLimits
 from lagoonlever.identity import Incarnation
 from lagoonlever.metrics import PLATFORM_CALLS, PLATFORM_RESTORES
 from lagoonlever.peers.bus import PeerBus
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -26,7 +26,7 @@
 from lagoonlever.gateway.stream_admission import StreamAdmission
 from lagoonlever.gateway.stream_attempt import StreamAttempt
 from lagoonlever.gateway.version_record import VersionRecord
-from lagoonlever.http.server import CallerGone
+from lagoonlever.http.exchange import CallerGone
 from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.outcomes import NotRun, Reason, Unknown
 from lagoonlever.peers.messages_gateway import RunEnded
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -21,8 +21,8 @@
 from lagoonlever.gateway.tally import Tally
 from lagoonlever.gateway.target_words import TargetWords
 from lagoonlever.http.client import ClientConnection, Pool, Response
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Address, Request
-from lagoonlever.http.server import Exchange
 from lagoonlever.platform.headers import read_answer, to_target
 
 log = logbook.Logger(__name__)
--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -9,8 +9,8 @@
 from lagoonlever.fakes.platform_engine import DeathStage, FakeEngine
 from lagoonlever.fakes.platform_runner import FakeRunner
 from lagoonlever.fakes.target_room import TargetRoom
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import Exchange
 from lagoonlever.platform.headers import EXPECTED_TARGET, PROMPT_PARTS, REQUEST_ID
 from lagoonlever.soak.deployments import SHORT_STREAMS, Shape
 from lagoonlever.soak.judge import Judge
--- a/lagoonlever/tests/caller_tests.py
+++ b/lagoonlever/tests/caller_tests.py
@@ -9,8 +9,10 @@
 from lagoonlever.client.caller import Caller, CompletionRequest
 from lagoonlever.exceptions import BadResponse
 from lagoonlever.fakes.cluster import MODEL
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import Exchange, ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.http.sse import ServerEvent
 from lagoonlever.tests.base import PROMPT, Scene, expected_text, run_scene
 
--- a/lagoonlever/tests/commands_settings_tests.py
+++ b/lagoonlever/tests/commands_settings_tests.py
@@ -17,9 +17,11 @@
 from lagoonlever.entry.admin.operators import AdminSettings, Operators
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.fakes.platform import PlatformFault, PlatformFaultKind
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Address
 from lagoonlever.http.refusals import error_payload
-from lagoonlever.http.server import Exchange, ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.tree.options import api_key_digest
 
 KEY = "operators-key"
--- a/lagoonlever/tests/crowd_site.py
+++ b/lagoonlever/tests/crowd_site.py
@@ -19,8 +19,10 @@
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
 from lagoonlever.gateway.settings import Bounds, GatewaySettings, MachineLimits, StoreLimits
 from lagoonlever.http.client import Response, fetch
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Address, Headers
-from lagoonlever.http.server import Exchange, ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.platform.configuration import CONFIGURATION_KEY
 from lagoonlever.platform.documents import caller_headers, settings_text, target_entry
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
--- a/lagoonlever/tests/faulty_requests_tests.py
+++ b/lagoonlever/tests/faulty_requests_tests.py
@@ -16,8 +16,10 @@
 from lagoonlever.entry.generations.generations import GenerationService, GenerationSettings
 from lagoonlever.entry.generations.task import GenerationTask
 from lagoonlever.http.client import fetch
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import Exchange, ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.outcomes import NotRun
 from lagoonlever.timers import Tick
 
--- a/lagoonlever/tests/frozen_vm_tests.py
+++ b/lagoonlever/tests/frozen_vm_tests.py
@@ -17,8 +17,8 @@
 from lagoonlever.fakes.platform_runner import Conduct, FakeRunner
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.front import Front
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import Exchange
 from lagoonlever.outcomes import NOT_RUN_STATUSES
 from lagoonlever.platform.headers import REQUEST_ID
 from lagoonlever.tests.free_ports import free_address
--- a/lagoonlever/tests/http_server_tests.py
+++ b/lagoonlever/tests/http_server_tests.py
@@ -10,15 +10,10 @@
 
 from lagoonlever.exceptions import ConnectionBroken, PeerTimeout
 from lagoonlever.http.client import ClientConnection, Pool, fetch
+from lagoonlever.http.exchange import Exchange, Handler
 from lagoonlever.http.messages import Address, Headers
-from lagoonlever.http.server import (
-    Exchange,
-    Handler,
-    ServerLimits,
-    ServerState,
-    open_listeners,
-    serve_http,
-)
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.tests.base import until
 
 LIMITS = ServerLimits(
--- a/lagoonlever/tests/incident_site.py
+++ b/lagoonlever/tests/incident_site.py
@@ -10,8 +10,8 @@
 
 from lagoonlever.fakes.platform_engine import DeathStage, EngineRun, FakeEngine
 from lagoonlever.fakes.target_room import TargetRoom
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Address, Headers
-from lagoonlever.http.server import Exchange
 from lagoonlever.platform.headers import DEADLINE, PROMPT_PARTS, REQUEST_ID
 from lagoonlever.soak.site import SoakSite, SoakTarget, SoakVm
 from lagoonlever.soak.watched import WatchedEngine, WatchedRunner
--- a/lagoonlever/tests/own_refusals_tests.py
+++ b/lagoonlever/tests/own_refusals_tests.py
@@ -25,8 +25,10 @@
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.parts import GatewayParts
 from lagoonlever.gateway.target_client import CONNECT_TIMEOUT_S
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import Exchange, ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.outcomes import NOT_RUN_STATUSES
 from lagoonlever.tests.gateway_site import (
     POLL_S,
--- a/lagoonlever/tests/part_doubts_tests.py
+++ b/lagoonlever/tests/part_doubts_tests.py
@@ -27,7 +27,7 @@
 from lagoonlever.gateway.doubt_waits import LOOK_PERIOD_S
 from lagoonlever.gateway.front import Front
 from lagoonlever.gateway.reporter import Reporter
-from lagoonlever.http.server import CallerGone
+from lagoonlever.http.exchange import CallerGone
 from lagoonlever.outcomes import NotRun, Reason
 from lagoonlever.peers.messages_crashes import PartTried, TrialEnded
 
--- a/lagoonlever/tests/refusal_proofs_tests.py
+++ b/lagoonlever/tests/refusal_proofs_tests.py
@@ -7,7 +7,7 @@
 
 from lagoonlever.fakes.raw_answers import raw_answer, raw_head
 from lagoonlever.fakes.scripted_answers import ScriptedAnswer
-from lagoonlever.http.server import Exchange
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.platform.headers import REFUSED, REQUEST_ID, SEAL
 from lagoonlever.tests.gateway_calls_tests import runs
 from lagoonlever.tests.gateway_site import HOST, KEY, GatewaySite
--- a/lagoonlever/tests/restored_fleet_tests.py
+++ b/lagoonlever/tests/restored_fleet_tests.py
@@ -26,8 +26,8 @@
 from lagoonlever.gateway.rollouts import Rollouts
 from lagoonlever.gateway.store_follower import StoreFollower
 from lagoonlever.http.client import Response
+from lagoonlever.http.exchange import CallerGone
 from lagoonlever.http.messages import Address, Headers
-from lagoonlever.http.server import CallerGone
 from lagoonlever.identity import Incarnation
 from lagoonlever.peers.local_bus import LocalBus, LocalNetwork
 from lagoonlever.platform import store_calls
--- a/lagoonlever/tests/routes_tests.py
+++ b/lagoonlever/tests/routes_tests.py
@@ -8,8 +8,10 @@
 from lagoonlever.entry.callers.routes import Routes
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.client import Response, fetch
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import Exchange, ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER
 
 
--- a/lagoonlever/tests/services_rests_tests.py
+++ b/lagoonlever/tests/services_rests_tests.py
@@ -8,8 +8,10 @@
 
 from lagoonlever.entry.services.settings import ServiceSettings
 from lagoonlever.fakes.entry_parts import FixedTargets
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Headers
-from lagoonlever.http.server import Exchange, ServerLimits, ServerState, serve_http
+from lagoonlever.http.server import serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.outcomes import RETRY_AFTER_HEADER
 from lagoonlever.tests.services_site import Site, outcome, run_site, start, start_vms, targets_at
 
--- a/lagoonlever/tests/services_site.py
+++ b/lagoonlever/tests/services_site.py
@@ -22,7 +22,8 @@
 from lagoonlever.history.events_targets import ServiceExecuted
 from lagoonlever.http.client import Response, fetch
 from lagoonlever.http.messages import Address, Headers
-from lagoonlever.http.server import ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.identity import Incarnation
 from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER
 from lagoonlever.peers.local_bus import LocalBus, LocalNetwork
--- a/lagoonlever/tests/services_targets_tests.py
+++ b/lagoonlever/tests/services_targets_tests.py
@@ -13,8 +13,8 @@
 from lagoonlever.fakes.application import FakeApplication
 from lagoonlever.fakes.entry_parts import FixedTargets
 from lagoonlever.fakes.faults import FaultKind, FaultOrder
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Address, Headers
-from lagoonlever.http.server import Exchange
 from lagoonlever.outcomes import RETRY_AFTER_HEADER
 from lagoonlever.tests.services_site import (
     HOST,
--- a/lagoonlever/tests/status_tests.py
+++ b/lagoonlever/tests/status_tests.py
@@ -13,8 +13,10 @@
 from lagoonlever.commands import status as status_command
 from lagoonlever.commands.exit_codes import ExitCode
 from lagoonlever.exceptions import BadResponse
+from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Address, Headers
-from lagoonlever.http.server import Exchange, ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.report.status import (
     MemberStatus,
     PoolStatus,
--- a/lagoonlever/tests/store_etcd_tests.py
+++ b/lagoonlever/tests/store_etcd_tests.py
@@ -12,7 +12,8 @@
 
 from lagoonlever.exceptions import ConfigurationError, PlatformAnswerLost, PlatformUnavailable
 from lagoonlever.http.messages import Address
-from lagoonlever.http.server import ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.store.etcd_json import EtcdPlatform
 from lagoonlever.store.etcd_wire import (
     TXN_PATH,
--- a/lagoonlever/tests/store_watch_tests.py
+++ b/lagoonlever/tests/store_watch_tests.py
@@ -13,7 +13,8 @@
 
 from lagoonlever.exceptions import PlatformUnavailable
 from lagoonlever.http.messages import Address, Headers
-from lagoonlever.http.server import ServerLimits, ServerState, open_listeners, serve_http
+from lagoonlever.http.server import open_listeners, serve_http
+from lagoonlever.http.server_limits import ServerLimits, ServerState
 from lagoonlever.store.etcd_servers import EtcdServers
 from lagoonlever.store.etcd_watch import EtcdWatch
 from lagoonlever.store.etcd_wire import (
