--- a/lagoonlever/gateway/metrics.py
+++ b/lagoonlever/gateway/metrics.py
@@ -160,6 +160,12 @@
     unit="{request}",
     doc="Requests that this VM serves now.",
 )
+CLIENT_MEMORY = gauge(
+    "lagoonlever.gateway.clients.memory",
+    unit="By",
+    labels=("part",),
+    doc="What clients make this VM hold, `held`, and the most that they may, `capacity`.",
+)
 CONFIGURATION_VERSION = gauge(
     "lagoonlever.gateway.configuration.version",
     unit="1",
--- a/lagoonlever/gateway/metrics_page.py
+++ b/lagoonlever/gateway/metrics_page.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from lagoonlever.decisions.admission.held_memory import MemoryAccount
 from lagoonlever.decisions.targets.load_estimate import LoadSource
 from lagoonlever.gateway import metrics
 from lagoonlever.gateway.beliefs import Beliefs
@@ -34,6 +35,7 @@
     _open_requests: Callable[[], int]
     _dialer: TargetDialer
     _tunnel_desk: TunnelDesk
+    _client_memory: MemoryAccount
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer a scrape."""
@@ -49,6 +51,9 @@
         fellows = self._beliefs.fellows
         offered = len(fellows.accepting_callers(self._timers.now))
         self._tally.set(metrics.OPEN_REQUESTS, float(self._open_requests()))
+        self._tally.set(metrics.CLIENT_MEMORY, float(self._client_memory.held_bytes), "held")
+        capacity = float(self._client_memory.capacity_bytes)
+        self._tally.set(metrics.CLIENT_MEMORY, capacity, "capacity")
         self._tally.set(metrics.CONFIGURATION_VERSION, float(self._beliefs.version))
         self._tally.set(metrics.FELLOWS, float(offered), "offered")
         self._tally.set(metrics.FELLOWS, float(len(fellows.states) - offered), "silent")
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -542,6 +542,7 @@
             open_requests=self.open_requests,
             dialer=self.dialer,
             tunnel_desk=self.tunnel_desk,
+            client_memory=self.guard.memory,
         )
 
     def runnable(self) -> dict[str, Run]:
