--- a/lagoonlever/http/server_connection.py
+++ b/lagoonlever/http/server_connection.py
@@ -30,7 +30,7 @@
     "info",
     "A request of {peer} that was not read whole is refused with {status}: {detail}",
     "No part of the system has seen it. Many `408` mean slow callers or a VM that gets no turn;"
-    " many `503` mean more connections than a VM may have.",
+    " many `503` mean more connections than a VM may have, or more bytes than it has memory for.",
 )
 
 KEY_FIELD = b"idempotency-key"
