Soak: crowds of clients that don't behave, beside all faults

`--crowd N` has crowds of N clients come to the VMs' ports, two at once, on machines of 150 MB and 1,638 descriptors, and judges what each process holds. What the clients of the tests do is in the package now, as the soak uses it; their crowds and bounds are as they were.

--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -17,7 +17,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 LIST_FILE = ROOT / "KNOWN-RED.txt"
 MAX_LINES = 16
-ALONE = ("lagoonlever/tests/crowd_tests.py", "lagoonlever/tests/crowd_entry_tests.py")
+ALONE = tuple(f"lagoonlever/tests/crowd{part}_tests.py" for part in ("", "_entry", "_soak"))
 """Files of tests that judge what a whole process holds."""
 PARTS = 3
 PASSED = 0
--- a/lagoonlever/commands/soak.py
+++ b/lagoonlever/commands/soak.py
@@ -30,6 +30,9 @@
     deadly_parts: Annotated[
         int, typer.Option(min=0, max=4, help="Parts of prompts that end each engine.")
     ] = 1,
+    crowd: Annotated[
+        int, typer.Option(min=0, max=200, help="Clients that don't behave, in each crowd.")
+    ] = 0,
     logs: Annotated[Path | None, typer.Option(help="Where the processes' logs are kept.")] = None,
 ) -> None:
     """Play faults against gateways on this machine, and check what callers and targets see.
@@ -38,7 +41,12 @@
     starts end with it. Exits with 1 if a promise was broken.
     """
     size = SoakSize(
-        vms=vms, callers=callers, length_s=length_s, deadly=deadly, deadly_parts=deadly_parts
+        vms=vms,
+        callers=callers,
+        length_s=length_s,
+        deadly=deadly,
+        deadly_parts=deadly_parts,
+        crowd=crowd,
     )
     chosen = seeds or [random.SystemRandom().getrandbits(SEED_BITS) for _ in range(runs)]
     broken = False
--- a/lagoonlever/tests/crowd_clients.py
+++ b/lagoonlever/soak/crowd_clients.py
@@ -11,7 +11,7 @@
 import trio
 
 from lagoonlever.http.messages import Address
-from lagoonlever.tests.gateway_site import HOST, KEY
+from lagoonlever.soak.deployments import HOST
 
 PIECE_BYTES = 64 * 1024
 """Of what a client hands to its socket at once."""
@@ -32,6 +32,7 @@
     """One connection of a client, and the first bytes that it was answered."""
 
     address: Address
+    key: str
     stream: trio.SocketStream | None = None
     answer: bytes = b""
     settled: bool = False
@@ -43,6 +44,26 @@
         words = self.answer.split(b" ", 2)
         return int(words[1]) if self.answer.startswith(b"HTTP/1.1 ") and len(words) > 1 else None
 
+    def head(
+        self,
+        *fields: str,
+        method: str = "POST",
+        path: str = "/look/1",
+        key: str | None = None,
+    ) -> bytes:
+        """Return the head of a request, with its own API key if no other is named."""
+        lines = (
+            f"{method} {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"Request-Id: crowd-{next(_numbers)}",
+            f"Authorization: Bearer {self.key if key is None else key}",
+            "Deadline-Ms: 60000",
+            *fields,
+            "",
+            "",
+        )
+        return "\r\n".join(lines).encode()
+
     async def send(self, data: bytes) -> None:
         """Send bytes; raises ``trio.BrokenResourceError``."""
         assert self.stream is not None
@@ -60,6 +81,8 @@
     address: Address
     kind: Kind
     count: int
+    key: str
+    """The API key of its clients."""
     reads: bool = True
     """Whether its clients read what they are answered."""
     gap_s: float = 0.0
@@ -75,7 +98,7 @@
         """Connect, do harm, and hold until cancelled."""
         async with trio.open_nursery() as nursery:
             for _ in range(self.count):
-                client = Client(address=self.address)
+                client = Client(address=self.address, key=self.key)
                 self.clients.append(client)
                 nursery.start_soon(self._run_one, client)
                 await trio.sleep(self.gap_s)
@@ -116,21 +139,6 @@
             return
 
 
-def head(*fields: str, method: str = "POST", path: str = "/look/1", key: str = KEY) -> bytes:
-    """Return the head of a request of an organisation."""
-    lines = (
-        f"{method} {path} HTTP/1.1",
-        f"Host: {HOST}",
-        f"Request-Id: crowd-{next(_numbers)}",
-        f"Authorization: Bearer {key}",
-        "Deadline-Ms: 60000",
-        *fields,
-        "",
-        "",
-    )
-    return "\r\n".join(lines).encode()
-
-
 def pieces(size: int) -> Iterator[bytes]:
     """Return a body of a size in pieces."""
     whole, rest = divmod(size, PIECE_BYTES)
@@ -148,7 +156,7 @@
     """Return a kind that sends large chunks, stops just short of the limit, and stays open."""
 
     async def kind(client: Client) -> None:
-        await client.send(head("Transfer-Encoding: chunked"))
+        await client.send(client.head("Transfer-Encoding: chunked"))
         for piece in pieces(body_bytes - SHORT_BYTES):
             await client.send(chunk(piece))
 
@@ -159,7 +167,7 @@
     """Return a kind that announces a body, sends nearly all of it, and stays open."""
 
     async def kind(client: Client) -> None:
-        await client.send(head(f"Content-Length: {body_bytes}"))
+        await client.send(client.head(f"Content-Length: {body_bytes}"))
         for piece in pieces(body_bytes - SHORT_BYTES):
             await client.send(piece)
 
@@ -170,7 +178,7 @@
     """Return a kind that announces far more than the limit, and sends several times the limit."""
 
     async def kind(client: Client) -> None:
-        await client.send(head(f"Content-Length: {FAR_OVER_BYTES}"))
+        await client.send(client.head(f"Content-Length: {FAR_OVER_BYTES}"))
         for piece in pieces(8 * body_bytes):
             await client.send(piece)
 
@@ -181,7 +189,7 @@
     """Return a kind that sends a whole body within the limit."""
 
     async def kind(client: Client) -> None:
-        await client.send(head(f"Content-Length: {body_bytes}", path="/look/slow"))
+        await client.send(client.head(f"Content-Length: {body_bytes}", path="/look/slow"))
         for piece in pieces(body_bytes):
             await client.send(piece)
 
@@ -193,7 +201,7 @@
     per_piece = PIECE_BYTES // len(TINY_CHUNK)
 
     async def kind(client: Client) -> None:
-        await client.send(head("Transfer-Encoding: chunked"))
+        await client.send(client.head("Transfer-Encoding: chunked"))
         for _ in range(body_bytes // 2 // per_piece):
             await client.send(TINY_CHUNK * per_piece)
 
@@ -205,7 +213,7 @@
 
     async def kind(client: Client) -> None:
         filler = "X-Filler: " + "x" * (header_bytes - 1024)
-        await client.send(head(filler).removesuffix(b"\r\n"))
+        await client.send(client.head(filler).removesuffix(b"\r\n"))
 
     return kind
 
@@ -217,4 +225,4 @@
 
 async def ask_for_a_large_answer(client: Client) -> None:
     """Ask for an answer that is never read."""
-    await client.send(head(path="/look/large", method="GET"))
+    await client.send(client.head(path="/look/large", method="GET"))
--- a/lagoonlever/soak/run.py
+++ b/lagoonlever/soak/run.py
@@ -11,10 +11,12 @@
 
 from lagoonlever.exceptions import PeerError
 from lagoonlever.fakes.platform_engine import DeathStage
+from lagoonlever.gateway.settings import MachineLimits
 from lagoonlever.http.client import fetch
 from lagoonlever.platform.documents import caller_headers
 from lagoonlever.platform.entry_calls import READY_PATH
 from lagoonlever.soak.callers import FIRST_OTHER, FIRST_SHARING, SoakCaller
+from lagoonlever.soak.crowd import SoakCrowds
 from lagoonlever.soak.deployments import (
     HOST,
     ORGANISATION,
@@ -30,6 +32,8 @@
 from lagoonlever.soak.plan import Fault, draw_plan
 from lagoonlever.soak.site import BACK_AFTER_S, CALM_S, GATEWAY, SoakSite, SoakVm
 
+SMALL = MachineLimits(memory_mb=150.0, descriptors=1638)
+"""The least memory and the fewest descriptors of a machine."""
 APPLY_S = 2.0
 """A stored configuration is in force everywhere within this."""
 APPLY_MARGIN_S = 0.5
@@ -59,6 +63,8 @@
     """Parts of which each prompt has one, deadly ones too, in place of the one that all share."""
     parts_every_s: float = 0.0
     """From the first request with a deadly part until the first with the next one."""
+    crowd: int = 0
+    """Clients that don't behave in each crowd of them; the machines are small then."""
     dies_at: DeathStage = DeathStage.HEAD
     """How much of its answer an engine has written when a prompt ends it."""
     back_after_s: float = BACK_AFTER_S
@@ -107,6 +113,7 @@
             shape=shape,
             dies_at=size.dies_at,
             back_after_s=size.back_after_s,
+            machine=SMALL if size.crowd else MachineLimits(),
         )
         try:
             await site.start(vms=size.vms, engines=size.engines, runners=size.runners)
@@ -136,6 +143,7 @@
         _start_deadly(nursery, site, size, seed)
         nursery.start_soon(watch_processes, site)
         nursery.start_soon(_watch_configuration, site)
+        crowded = _start_crowds(nursery, site, size, seed)
         actions = FaultActions(site=site)
         begun = trio.current_time()
         async with trio.open_nursery() as faults:
@@ -143,12 +151,29 @@
                 await trio.sleep_until(begun + fault.at_s)
                 faults.start_soon(actions.carry_out, fault)
         await trio.sleep_until(begun + size.length_s)
+        crowded.cancel()
         await wait_ready(site, RECOVER_S, "recovery")
         nursery.cancel_scope.cancel()
     site.judge.judge_served()
     await _serve_again(site, seed)
 
 
+def _start_crowds(
+    nursery: trio.Nursery, site: SoakSite, size: SoakSize, seed: int
+) -> trio.CancelScope:
+    """Start the crowds of clients that don't behave, if any; they leave as the scope ends."""
+    scope = trio.CancelScope()
+    crowds = SoakCrowds(site=site, rng=random.Random(f"{seed}-crowds"), count=size.crowd)
+
+    async def run() -> None:
+        with scope:
+            await crowds.run()
+
+    if size.crowd:
+        nursery.start_soon(run)
+    return scope
+
+
 def _caller(number: int, site: SoakSite, size: SoakSize, seed: int) -> SoakCaller:
     rng = random.Random(f"{seed}-caller-{number}")
     return SoakCaller(number=number, site=site, judge=site.judge, rng=rng, subjects=size.subjects)
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -18,7 +18,7 @@
 from lagoonlever.fakes.path_proxy import PathProxy, PathState
 from lagoonlever.fakes.platform_engine import USUAL_VERSION, DeathStage, EngineRun, FakeEngine
 from lagoonlever.fakes.platform_runner import FakeRunner
-from lagoonlever.gateway.settings import Bounds, GatewaySettings, StoreLimits
+from lagoonlever.gateway.settings import Bounds, GatewaySettings, MachineLimits, StoreLimits
 from lagoonlever.http.messages import Address
 from lagoonlever.http.server import open_listeners
 from lagoonlever.platform.configuration import CONFIGURATION_KEY
@@ -110,6 +110,8 @@
     dies_at: DeathStage = DeathStage.HEAD
     """How much of its answer an engine has written when a prompt ends it."""
     back_after_s: float = BACK_AFTER_S
+    machine: MachineLimits = attrs.field(factory=MachineLimits)
+    """What each VM has."""
     store: FakeMetadataStore = attrs.field(factory=FakeMetadataStore)
     vms: list[SoakVm] = attrs.field(factory=list)
     engines: list[SoakTarget] = attrs.field(factory=list)
@@ -459,6 +461,7 @@
             tunnel=self._address(1 + number, TUNNEL_PORT),
             store=StoreLimits(address=link.listen),
             bounds=Bounds(grace_s=GRACE_S),
+            machine=self.machine,
             data_centers=PLACES,
         )
         return SoakVm(settings=settings, store_link=link, log=self.folder / f"{name}.log")
--- a/lagoonlever/tests/crowd_entry_tests.py
+++ b/lagoonlever/tests/crowd_entry_tests.py
@@ -9,10 +9,11 @@
 
 from lagoonlever.client.caller import CompletionRequest
 from lagoonlever.fakes.cluster import MODEL
-from lagoonlever.tests import crowd_clients as kinds
+from lagoonlever.soak import crowd_clients as kinds
+from lagoonlever.soak.crowd_clients import Crowd, Kind
 from lagoonlever.tests.base import PROMPT, expected_text, until
-from lagoonlever.tests.crowd_clients import Crowd, Kind
 from lagoonlever.tests.crowd_site import MB, SETTLE_S, WAIT_S, ProcessWatch
+from lagoonlever.tests.gateway_site import KEY
 from lagoonlever.tests.processes import Fleet, fleet
 
 pytestmark = pytest.mark.timeout(300)
@@ -49,10 +50,10 @@
         await running.publish_list()
         with trio.fail_after(WAIT_S):
             await running.wait_serving()
+        address = running.vms[0].address
         async with trio.open_nursery() as nursery:
-            await _bear(
-                running, nursery, Crowd(address=running.vms[0].address, kind=kind, count=count)
-            )
+            crowd = Crowd(address=address, key=KEY, kind=kind, count=count)
+            await _bear(running, nursery, crowd)
             nursery.cancel_scope.cancel()
 
     with fleet(tmp_path, engines=1, vms=1, machine=_machine()) as running:
--- a/lagoonlever/tests/crowd_site.py
+++ b/lagoonlever/tests/crowd_site.py
@@ -29,8 +29,8 @@
 from lagoonlever.platform.headers import REQUEST_ID, SEAL
 from lagoonlever.platform.settings_file import METRICS_PORT
 from lagoonlever.platform.targets import TARGETS_PREFIX
+from lagoonlever.soak.crowd_clients import Crowd
 from lagoonlever.tests.base import until
-from lagoonlever.tests.crowd_clients import Crowd
 from lagoonlever.tests.gateway_site import HOST, KEY, configuration
 
 OWN_CODE = Path(__file__).parents[2]
--- a/lagoonlever/tests/crowd_tests.py
+++ b/lagoonlever/tests/crowd_tests.py
@@ -14,9 +14,9 @@
 
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.http.messages import Address
-from lagoonlever.tests import crowd_clients as kinds
+from lagoonlever.soak import crowd_clients as kinds
+from lagoonlever.soak.crowd_clients import Client, Crowd, Kind
 from lagoonlever.tests.base import until
-from lagoonlever.tests.crowd_clients import Client, Crowd, Kind
 from lagoonlever.tests.crowd_site import (
     BODY_BYTES,
     HEADER_BYTES,
@@ -24,6 +24,7 @@
     CrowdSite,
     run_crowd,
 )
+from lagoonlever.tests.gateway_site import KEY
 
 pytestmark = pytest.mark.timeout(300)
 
@@ -68,7 +69,7 @@
     """Guards against a process that ends as it holds the bodies of many clients at once."""
 
     async def story(site: CrowdSite) -> None:
-        await site.bear(Crowd(address=address_of(site, listener), kind=kind, count=BODIES))
+        await site.bear(Crowd(address=address_of(site, listener), key=KEY, kind=kind, count=BODIES))
 
     run_crowd(story, tmp_path)
 
@@ -79,7 +80,7 @@
 
     async def story(site: CrowdSite) -> None:
         kind = kinds.tiny_chunks(BODY_BYTES)
-        await site.bear(Crowd(address=address_of(site, listener), kind=kind, count=TINY))
+        await site.bear(Crowd(address=address_of(site, listener), key=KEY, kind=kind, count=TINY))
 
     run_crowd(story, tmp_path)
 
@@ -99,7 +100,7 @@
         tunnel = site.settings.tunnel
         assert tunnel is not None
         address = tunnel if listener == "tunnel" else address_of(site, listener)
-        await site.bear(Crowd(address=address, kind=kind, count=CONNECTIONS))
+        await site.bear(Crowd(address=address, key=KEY, kind=kind, count=CONNECTIONS))
 
     run_crowd(story, tmp_path)
 
@@ -110,6 +111,7 @@
     async def story(site: CrowdSite) -> None:
         crowd = Crowd(
             address=site.settings.listen,
+            key=KEY,
             kind=kinds.ask_for_a_large_answer,
             count=SLOW_READERS,
             reads=False,
@@ -134,7 +136,7 @@
             kinds.silence,
             kinds.unfinished_heads(HEADER_BYTES),
         )
-        await site.bear(*(Crowd(address=front, kind=kind, count=TINY) for kind in mixed))
+        await site.bear(*(Crowd(address=front, key=KEY, kind=kind, count=TINY) for kind in mixed))
 
     run_crowd(story, tmp_path)
 
@@ -155,10 +157,10 @@
     more = {name: str(value) for name, value in fields.items() if name != "length"}
 
     async def only_head(client: Client) -> None:
-        await client.send(kinds.head(f"Content-Length: {fields['length']}", **more))
+        await client.send(client.head(f"Content-Length: {fields['length']}", **more))
 
     async def story(site: CrowdSite) -> None:
-        crowd = Crowd(address=site.settings.listen, kind=only_head, count=1)
+        crowd = Crowd(address=site.settings.listen, key=KEY, kind=only_head, count=1)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(crowd.run)
             await until(lambda: crowd.clients and crowd.clients[0].status is not None)
@@ -177,11 +179,11 @@
 
     async def send(client: Client) -> None:
         if framing == "length":
-            await client.send(kinds.head(f"Content-Length: {BODY_BYTES}"))
+            await client.send(client.head(f"Content-Length: {BODY_BYTES}"))
             for piece in kinds.pieces(BODY_BYTES):
                 await client.send(piece)
             return
-        await client.send(kinds.head("Transfer-Encoding: chunked"))
+        await client.send(client.head("Transfer-Encoding: chunked"))
         if framing == "chunks":
             for piece in kinds.pieces(BODY_BYTES):
                 await client.send(kinds.chunk(piece))
@@ -191,7 +193,7 @@
         await client.send(b"0\r\n\r\n")
 
     async def story(site: CrowdSite) -> None:
-        crowd = Crowd(address=site.settings.listen, kind=send, count=1)
+        crowd = Crowd(address=site.settings.listen, key=KEY, kind=send, count=1)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(crowd.run)
             await until(lambda: crowd.clients and _is_answered(crowd.clients[0]))
