Clients: a refused caller is let go first come, first gone, not the latest at once

What was seen: a test of limits that change sent one ordinary body over the limit beside 20 clients that gave way, and got a reset in place of its 413. Cause: beyond a spare number of connections that are refused and still read, the next one was closed without its two seconds, so a crowd's refusals took the time of an ordinary caller's. Now the first of them, which has had its time, is closed for the next, and the spare is a quarter of the callers' share, 16 at least.

--- a/lagoonlever/http/server_connection.py
+++ b/lagoonlever/http/server_connection.py
@@ -353,16 +353,11 @@
         self._state.dismiss(self._memory.holding)
 
     async def _leave(self) -> None:
-        """Close so that the caller can read its refusal, if not too many are leaving already."""
+        """Leave the connection open until the caller has read its refusal."""
         self._drop()
         self._h11 = h11.Connection(h11.SERVER)
-        if self._state.leaving_connections >= self._limits.spare_connections:
-            return
-        self._state.leaving_connections += 1
-        try:
+        with self._state.leaving(most=self._limits.spare_connections):
             await self._linger()
-        finally:
-            self._state.leaving_connections -= 1
 
     async def _linger(self) -> None:
         """Read and drop what the caller still sends, for a while.
--- a/lagoonlever/http/server_limits.py
+++ b/lagoonlever/http/server_limits.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import contextlib
+from collections.abc import Iterator
+
 import attrs
+import trio
 
 from lagoonlever.decisions.admission.held_memory import Holding, MemoryAccount, first_to_leave
 from lagoonlever.http.parsing_turns import ParsingTurns
 
-SPARE_PART = 8
+SPARE_PART = 4
 """To one in so many connections beyond the bound it is told that there is no room."""
-LEAST_SPARE = 8
+LEAST_SPARE = 16
 USUAL_ACCOUNT_BYTES = 1024 * 1024 * 1024
 
 
@@ -55,9 +59,14 @@
     """Each response tells the caller to close the connection after it."""
     open_connections: int = 0
     open_exchanges: int = 0
-    leaving_connections: int = 0
-    """Connections that are refused or have given way, and are not closed yet."""
     _holdings: set[Holding] = attrs.field(factory=set)
+    _leaving: list[trio.CancelScope] = attrs.field(factory=list)
+    """Of connections whose clients may still read their refusal, oldest first."""
+
+    @property
+    def leaving_connections(self) -> int:
+        """How many connections are refused or have given way, and are not closed yet."""
+        return len(self._leaving)
 
     def admit(self, holding: Holding) -> None:
         """Count a connection that is served."""
@@ -70,6 +79,18 @@
             self._holdings.discard(holding)
             self.open_connections -= 1
 
+    @contextlib.contextmanager
+    def leaving(self, *, most: int) -> Iterator[None]:
+        """Let a client read its refusal; of more than ``most`` the first has had its time."""
+        with trio.CancelScope() as scope:
+            self._leaving.append(scope)
+            for first in self._leaving[:-most]:
+                first.cancel()
+            try:
+                yield
+            finally:
+                self._leaving.remove(scope)
+
     def first_to_leave(self, now: float) -> Holding | None:
         """Return whose connection is closed for a new one, or None if all are being served."""
         return first_to_leave(self._holdings, now)
--- a/lagoonlever/tests/crowd_site.py
+++ b/lagoonlever/tests/crowd_site.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -30,7 +31,7 @@
 from lagoonlever.platform.settings_file import METRICS_PORT
 from lagoonlever.platform.targets import TARGETS_PREFIX
 from lagoonlever.soak.crowd_clients import Crowd
-from lagoonlever.tests.base import until
+from lagoonlever.tests.base import until, until_answer
 from lagoonlever.tests.gateway_site import HOST, KEY, configuration
 
 OWN_CODE = Path(__file__).parents[2]
@@ -39,6 +40,7 @@
 MACHINE_DESCRIPTORS = 300
 BODY_BYTES = 1024 * 1024
 HEADER_BYTES = 16 * 1024
+SMALL_STEP_BYTES = 64 * 1024
 LARGE_ANSWER_BYTES = 4 * 1024 * 1024
 FRONT_PORT, READY_PORT, DIRECTORY_PORT, BUS_PORT, TUNNEL_PORT = 8740, 8749, 8746, 8748, 7200
 STORE_PORT, RUNNER_PORT = 8742, 9000
@@ -117,6 +119,7 @@
     folder: Path
     settings: GatewaySettings
     watch: ProcessWatch
+    store: FakeMetadataStore
     released: trio.Event = attrs.field(factory=trio.Event)
     """Set once the runner answers what it was asked slowly."""
     runs: int = 0
@@ -168,6 +171,18 @@
         assert self.watch.lives
         assert self.watch.descriptors <= few
 
+    async def change_limits(self, *, version: int, body_bytes: int, header_bytes: int) -> None:
+        """Store other limits, and wait until a body beyond the usual limit is judged by them."""
+        limits = {"MaxBodyBytes": body_bytes, "MaxHeaderBytes": header_bytes}
+        self.store.put(CONFIGURATION_KEY, _stored_configuration(version, **limits))
+        expected = 200 if body_bytes > BODY_BYTES else 413
+        larger = b"x" * (BODY_BYTES + SMALL_STEP_BYTES)
+        with trio.fail_after(WAIT_S):
+            await until_answer(partial(self._is_answered, larger, expected))
+
+    async def _is_answered(self, body: bytes, status: int) -> bool:
+        return (await self.ordinary(body=body)).status == status
+
     def check(self) -> None:
         """Check that the process lives within its machine."""
         assert self.watch.lives, "the process has ended"
@@ -220,14 +235,15 @@
     )
 
 
-def _stored_configuration() -> bytes:
+def _stored_configuration(version: int = 1, **more: int) -> bytes:
     limits = {
         "MaxHeaderBytes": HEADER_BYTES,
         "MaxBodyBytes": BODY_BYTES,
         "HeaderTimeoutMs": 3_000,
         "IdleTimeoutMs": 15_000,
+        **more,
     }
-    stored = configuration(Limits=limits)
+    stored = configuration(version, Limits=limits)
     for route in stored["Routes"]:
         route["TimeoutMs"] = 60_000
     return msgspec.json.encode(stored)
@@ -255,6 +271,7 @@
             folder=folder,
             settings=settings,
             watch=ProcessWatch(process=process, ports=ports),
+            store=store,
         )
         nursery.start_soon(
             site.run_runner, await open_listeners(host=runner.host, port=runner.port)
--- a/lagoonlever/tests/crowd_tests.py
+++ b/lagoonlever/tests/crowd_tests.py
@@ -34,6 +34,7 @@
 """Clients with tiny chunks, which cost a process the most for each byte."""
 CONNECTIONS = 400
 """More than the process may have descriptors."""
+ABSURD_BYTES = 10**12
 SLOW_READERS = 40
 ANSWER_GAP_S = 0.1
 """Answers that are read from their runner at the same time have a bound of their own."""
@@ -141,6 +142,36 @@
     run_crowd(story, tmp_path)
 
 
+@pytest.mark.parametrize(
+    "kind",
+    [
+        kinds.unfinished_chunks(3 * BODY_BYTES),
+        kinds.far_over(BODY_BYTES),
+        kinds.unfinished_heads(64 * HEADER_BYTES),
+    ],
+    ids=["unfinished-chunks", "far-over", "unfinished-heads"],
+)
+def test_absurd_limits_leave_a_process_within_its_machine(tmp_path: Path, kind: Kind) -> None:
+    """Guards against an order of the operators that takes away what bounds a process."""
+
+    async def story(site: CrowdSite) -> None:
+        before = Crowd(
+            address=site.settings.listen,
+            key=KEY,
+            kind=kinds.unfinished_length(BODY_BYTES),
+            count=TINY,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(before.run)
+            await site.change_limits(version=2, body_bytes=ABSURD_BYTES, header_bytes=ABSURD_BYTES)
+            await site.bear(Crowd(address=site.settings.listen, key=KEY, kind=kind, count=BODIES))
+            await site.change_limits(version=3, body_bytes=1000, header_bytes=HEADER_BYTES)
+            assert (await site.ordinary()).status == 200
+            nursery.cancel_scope.cancel()
+
+    run_crowd(story, tmp_path)
+
+
 @pytest.mark.parametrize(
     ("fields", "status"),
     [
