--- a/lagoonlever/tests/crowd_entry_tests.py
+++ b/lagoonlever/tests/crowd_entry_tests.py
@@ -4,11 +4,14 @@
 
 from pathlib import Path
 
+import msgspec
 import pytest
 import trio
 
 from lagoonlever.client.caller import CompletionRequest
 from lagoonlever.fakes.cluster import MODEL
+from lagoonlever.http.client import fetch
+from lagoonlever.http.messages import Address, Headers
 from lagoonlever.soak import crowd_clients as kinds
 from lagoonlever.soak.crowd_clients import Crowd, Kind
 from lagoonlever.tests.base import PROMPT, expected_text, until
@@ -29,6 +32,8 @@
 TINY = 20
 CONNECTIONS = 400
 LENGTH = 20
+ASKING, ASKED_EACH = 8, 30
+LONG_PROMPT_BYTES = 60_000
 
 KINDS: dict[str, tuple[Kind, int]] = {
     "unfinished-chunks": (kinds.unfinished_chunks(BODY_BYTES), BODIES),
@@ -60,6 +65,45 @@
         trio.run(main, running)
 
 
+def test_requests_that_are_over_do_not_fill_an_entry_vm(tmp_path: Path) -> None:
+    """Guards against prompts that stay, with their tokens, for as long as answers are kept."""
+
+    async def main(running: Fleet) -> None:
+        await running.publish_list()
+        vm = running.vms[0]
+        watch = ProcessWatch(process=vm.popen, ports=frozenset((vm.address.port,)))
+        with trio.fail_after(WAIT_S):
+            await running.wait_serving()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch.run)
+            async with trio.open_nursery() as asking:
+                for number in range(ASKING):
+                    asking.start_soon(_ask_long, vm.address, number)
+            nursery.cancel_scope.cancel()
+        await _ask(running)
+        _check(watch)
+
+    with fleet(tmp_path, engines=1, vms=1, machine=_machine()) as running:
+        trio.run(main, running)
+
+
+async def _ask_long(address: Address, number: int) -> None:
+    """Ask long questions one after the other, each another one."""
+    for turn in range(ASKED_EACH):
+        prompt = "w" * LONG_PROMPT_BYTES + f" {number}-{turn}"
+        document = {"model": MODEL, "prompt": prompt, "max_tokens": 1, "stream": True}
+        answer = await fetch(
+            address,
+            method="POST",
+            path="/v1/completions",
+            headers=Headers((("Content-Type", "application/json"),)),
+            body=msgspec.json.encode(document),
+            step="test",
+            timeout_s=WAIT_S,
+        )
+        assert answer.status == 200, answer
+
+
 def _machine() -> dict[str, int]:
     return {"memory_mb": MACHINE_MB, "descriptors": MACHINE_DESCRIPTORS}
 
