--- a/lagoonlever/http/server.py
+++ b/lagoonlever/http/server.py
@@ -102,7 +102,7 @@
 def _has_room(
     holding: Holding, state: ServerState, guard: ServerGuard, limits: ServerLimits
 ) -> bool:
-    """Take a new connection into the account, if need be in place of one that can be closed."""
+    """Admit a new connection to the account, if need be in place of one that can be closed."""
     now = trio.current_time()
     if state.open_connections >= limits.connections:
         leaver = state.first_to_leave(now)
