--- a/lagoonlever/tests/crowd_tests.py
+++ b/lagoonlever/tests/crowd_tests.py
@@ -235,6 +235,27 @@
     run_crowd(story, tmp_path)
 
 
+def test_one_head_of_the_largest_size_is_served_in_calm(tmp_path: Path) -> None:
+    """Guards against bounds that shut out what the limits allow."""
+
+    async def send(client: Client) -> None:
+        fields = ("Content-Length: 0", "X-Filler: ")
+        filler = "x" * (HEADER_BYTES - len(client.head(*fields)))
+        await client.send(client.head("Content-Length: 0", f"X-Filler: {filler}"))
+
+    async def story(site: CrowdSite) -> None:
+        crowd = Crowd(address=site.settings.listen, key=KEY, kind=send, count=1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(crowd.run)
+            await until(lambda: crowd.clients and _is_answered(crowd.clients[0]))
+            nursery.cancel_scope.cancel()
+        assert b"answer to 0 bytes" in crowd.clients[0].answer
+        assert (await site.ordinary()).status == 200
+        site.check()
+
+    run_crowd(story, tmp_path)
+
+
 def _is_answered(client: Client) -> bool:
     return client.status not in (None, 200) or b"answer to" in client.answer
 
