Processes: freed large blocks go back to the system

A machine that is a little smaller ends the process.

Cause: GNU's C library raises the size from which a block is a map of its own with each such block that is freed, up to 32 MiB. After the first large bodies are gone later ones lie in the heap, between small objects that live on, and the holes stay.

Ruled out: the kernel's buffers (2 to 4 MB of it) and the account (16 MB at most, as it should be).

Change: both daemons fix the thresholds as they start (mallopt), at the size that the library begins with; free memory at the heap's end is kept up to 1 MiB, so that it doesn't shrink and grow by turns. Other C libraries lack the call and are left as they are.

Why it holds: a map goes back as its block is freed, whatever lies around it.

--- a/lagoonlever/commands/entry.py
+++ b/lagoonlever/commands/entry.py
@@ -9,6 +9,7 @@
 import trio
 import typer
 
+from lagoonlever.allocator import return_large_blocks
 from lagoonlever.commands.exit_codes import ExitCode
 from lagoonlever.config.vm import VmSettings, load_vm_settings
 from lagoonlever.entry.daemon import EntryDaemon
@@ -28,6 +29,7 @@
     SIGTERM or SIGINT begins a planned stop: callers are sent elsewhere, whoever
     still comes is served, and the process ends by itself once nothing is held.
     """
+    return_large_blocks()
     set_up_logs(format=log_format, level=log_level)
     try:
         loaded = load_vm_settings(settings)
--- a/lagoonlever/gateway/program.py
+++ b/lagoonlever/gateway/program.py
@@ -13,6 +13,7 @@
 import logbook
 import trio
 
+from lagoonlever.allocator import return_large_blocks
 from lagoonlever.decisions.fleet.peer_table import ANNOUNCE_INTERVAL_S
 from lagoonlever.exceptions import FaultsError
 from lagoonlever.gateway import events
@@ -50,6 +51,7 @@
 
     ``open_target`` opens connections to targets from this VM itself.
     """
+    return_large_blocks()
     file = settings or Path(os.environ.get(PATH_VARIABLE, ""))
     try:
         loaded = load_settings(file)
