Entry: reading a document takes no more memory than is paid for

Callers saw: nothing yet; one client with a body of 4 MiB inside its limit could end an entry VM of 160 MB, and with it every stream that it serves.

Cause: the whole body was read into objects, twice, before anything was judged. A list of empty lists takes 27 times its size, and nobody paid for that.

Change: options but for the prompt and `lagoonlever_held` are 64 KiB at most, told by their sizes before any of them is read; prompt and held tokens are read by their types, which builds nothing that they may not hold, and the connection first pays what that takes at worst: 4 bytes a byte of text, 12 a byte of a list. 413 where the VM could never hold it; 503 where others hold the memory now, "unknown" if the request has an id, as a copy may have run. A document that is nested too deeply is 400; it met a fault before.

Limits: a request's options of 64 KiB; the longest stop strings and a large schema take half of that.

Why it holds: what is built is bounded by what was paid, and all that isn't paid is 64 KiB.

--- a/lagoonlever/entry/callers/completions_api.py
+++ b/lagoonlever/entry/callers/completions_api.py
@@ -11,6 +11,11 @@
 from lagoonlever.config.options import load, option
 from lagoonlever.decisions.streams.generation_messages import GenerationSpec
 from lagoonlever.decisions.streams.resume import HeldAnswer
+from lagoonlever.entry.callers.completion_documents import (
+    CompletionDocument,
+    Memory,
+    read_document,
+)
 from lagoonlever.exceptions import FaultsError, RequestRefused
 from lagoonlever.http.messages import Headers, Request
 from lagoonlever.identity import REQUEST_ID
@@ -77,9 +82,12 @@
     held: HeldAnswer | None
 
 
-def read_call(request: Request, *, organisation: str, rng: random.Random) -> CompletionCall:
-    """Check a request; raises ``RequestRefused`` naming the field."""
-    body = _read_body(request.body)
+def read_call(
+    request: Request, *, organisation: str, rng: random.Random, memory: Memory
+) -> CompletionCall:
+    """Check a request; raises ``RequestRefused`` naming the field, or ``NoMemoryLeft``."""
+    document = read_document(request.body, memory=memory)
+    body = _read_body(document)
     accepts = _tokens(request.headers.get(ACCEPT_HEADER, "") or "")
     request_id = _request_id(request.headers)
     stop = (body.stop,) if isinstance(body.stop, str) else (body.stop or ())
@@ -92,7 +100,7 @@
         seed=body.seed,
         temperature=body.temperature,
         stop=stop,
-        sampling_json=_sampling_json(request.body),
+        sampling_json=_sampling_json(document.options),
         deadline_s=read_deadline(request.headers),
         accepts_restart="restart" in accepts or not body.stream,
     )
@@ -106,6 +114,11 @@
     )
 
 
+def may_have_run(headers: Headers) -> bool:
+    """Return whether a request may be a copy of one that has run, by its head alone."""
+    return any(headers.get(name) is not None for name in (*REQUEST_ID_HEADERS, LAST_EVENT_HEADER))
+
+
 def read_deadline(headers: Headers) -> float | None:
     """Give the remaining time that a caller allows, in seconds."""
     text = headers.get(DEADLINE_HEADER)
@@ -122,16 +135,19 @@
     return seconds
 
 
-def _read_body(raw: bytes) -> CompletionBody:
-    document = _read_document(raw)
-    _check_supported(document)
-    known = {name: value for name, value in document.items() if name in KNOWN_FIELDS}
+def _read_body(document: CompletionDocument) -> CompletionBody:
+    _check_supported(document.options)
+    known = {name: value for name, value in document.options.items() if name in KNOWN_FIELDS}
+    if document.prompt is not None:
+        known["prompt"] = ""
     try:
-        return load(CompletionBody, known)
+        body = load(CompletionBody, known)
     except FaultsError as error:
         first, *others = error.faults
         message = "; ".join([first.message, *map(str, others)])
         raise RequestRefused(status=400, field=first.path, message=message) from error
+    assert document.prompt is not None
+    return attrs.evolve(body, prompt=document.prompt, lagoonlever_held=document.held)
 
 
 def _check_supported(document: dict[str, Any]) -> None:
@@ -142,26 +158,16 @@
             raise RequestRefused(status=400, field=name, message="is not supported; leave it out")
 
 
-def _sampling_json(raw: bytes) -> str:
-    """Give the options that only the engine reads, as JSON with a stable order."""
+def _sampling_json(options: dict[str, Any]) -> str:
+    """Return the options that only the engine reads, as JSON with a stable order."""
     rest = {
         name: value
-        for name, value in _read_document(raw).items()
+        for name, value in options.items()
         if name not in KNOWN_FIELDS and name not in NOT_SUPPORTED
     }
     return msgspec.json.encode(rest, order="sorted").decode()
 
 
-def _read_document(raw: bytes) -> dict[str, Any]:
-    try:
-        document = msgspec.json.decode(raw)
-    except msgspec.DecodeError as error:
-        raise RequestRefused(status=400, field="body", message=f"is not JSON: {error}") from error
-    if not isinstance(document, dict):
-        raise RequestRefused(status=400, field="body", message="give a JSON object")
-    return document
-
-
 def _tokens(text: str) -> frozenset[str]:
     return frozenset(part.strip() for part in text.split(",") if part.strip())
 
--- a/lagoonlever/entry/generations/generations.py
+++ b/lagoonlever/entry/generations/generations.py
@@ -24,8 +24,13 @@
     check_event_of,
     check_same_request,
 )
+from lagoonlever.entry.callers.completion_documents import NoMemoryLeft
 from lagoonlever.entry.callers.completion_outcomes import respond_outcome
-from lagoonlever.entry.callers.completions_api import CompletionCall, read_call
+from lagoonlever.entry.callers.completions_api import (
+    CompletionCall,
+    may_have_run,
+    read_call,
+)
 from lagoonlever.entry.callers.request_metrics import RequestMetrics
 from lagoonlever.entry.callers.stream import (
     HELD_IS_VOID,
@@ -120,7 +125,13 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answer ``POST /v1/completions``; raises ``RequestRefused`` for a wrong request."""
         organisation = self._callers.organisation_of(exchange.request.headers)
-        call = read_call(exchange.request, organisation=organisation, rng=self._rng)
+        try:
+            call = read_call(
+                exchange.request, organisation=organisation, rng=self._rng, memory=exchange
+            )
+        except NoMemoryLeft as error:
+            await respond_outcome(exchange, _no_memory(exchange, error), rng=self._rng)
+            return
         refusal = self._refusal()
         task = self._known(organisation, call.spec.request_id)
         if task is None and refusal is not None:
@@ -327,3 +338,17 @@
             if left <= self._settings.answers_kept and tokens <= self._settings.tokens_kept:
                 return
             tokens -= self._tasks.pop(key).life.released_tokens
+
+
+def _no_memory(exchange: Exchange, error: NoMemoryLeft) -> Outcome:
+    """Return the outcome of a request that there is no memory to read.
+
+    One that its caller may have sent before is never told "not run".
+    """
+    kind = Unknown if may_have_run(exchange.request.headers) else NotRun
+    return kind(
+        reason=Reason.OVERLOADED,
+        message=str(error),
+        retry_after_s=1.0,
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+    )
--- a/lagoonlever/http/exchange.py
+++ b/lagoonlever/http/exchange.py
@@ -38,6 +38,22 @@
         """Whether the caller was seen to close its side, by those who wait for that."""
         return self._is_caller_gone
 
+    @property
+    def largest_bytes(self) -> int:
+        """What may be held for one connection at most."""
+        return self._connection.memory.largest_bytes
+
+    def pay(self, size: int) -> bool:
+        """Pay for ``size`` bytes beside the request itself; False if there is no memory for them.
+
+        What is not paid back is returned as the exchange ends.
+        """
+        return self._connection.memory.pay(size)
+
+    def pay_back(self, size: int) -> None:
+        """Pay back ``size`` bytes that are held no more."""
+        self._connection.memory.pay_back(size)
+
     async def respond(self, *, status: int, headers: Headers, body: bytes) -> None:
         """Answer with a whole body."""
         self._responded = True
--- a/lagoonlever/tests/crowd_entry_tests.py
+++ b/lagoonlever/tests/crowd_entry_tests.py
@@ -13,7 +13,7 @@
 from lagoonlever.http.client import fetch
 from lagoonlever.http.messages import Address, Headers
 from lagoonlever.soak import crowd_clients as kinds
-from lagoonlever.soak.crowd_clients import Crowd, Kind
+from lagoonlever.soak.crowd_clients import Client, Crowd, Kind
 from lagoonlever.tests.base import PROMPT, expected_text, until
 from lagoonlever.tests.crowd_site import MB, SETTLE_S, WAIT_S, ProcessWatch
 from lagoonlever.tests.gateway_site import KEY
@@ -32,6 +32,7 @@
 TINY = 20
 CONNECTIONS = 400
 LENGTH = 20
+COMPLETIONS = "/v1/completions"
 ASKING, ASKED_EACH = 8, 30
 LONG_PROMPT_BYTES = 60_000
 
@@ -87,6 +88,40 @@
         trio.run(main, running)
 
 
+@pytest.mark.parametrize("field", ["prompt", "lagoonlever_held", "unknown"])
+@pytest.mark.parametrize("piece", ["[]", "{}", "1", "99999"])
+def test_small_pieces_of_a_document_do_not_fill_an_entry_vm(
+    tmp_path: Path, field: str, piece: str
+) -> None:
+    """Guards against a body within its limit that takes many times its size once it is read."""
+    listed = ",".join([piece] * ((BODY_BYTES - LONG_PROMPT_BYTES) // (len(piece) + 1)))
+    value = f"[{listed}]"
+    if field == "lagoonlever_held":
+        value = f'{{"model_version":"v","prompt_token_ids":{value},"token_ids":[]}}'
+    document = f'{{"model":"{MODEL}","stream":true,"{field}":{value}}}'
+    _bear_documents(tmp_path, document.encode(), count=TINY)
+
+
+def _bear_documents(tmp_path: Path, document: bytes, *, count: int) -> None:
+    """Bear clients that each send a whole document as a question."""
+
+    async def ask(client: Client) -> None:
+        length = f"Content-Length: {len(document)}"
+        await client.send(client.head(length, path=COMPLETIONS) + document)
+
+    async def main(running: Fleet) -> None:
+        await running.publish_list()
+        with trio.fail_after(WAIT_S):
+            await running.wait_serving()
+        async with trio.open_nursery() as nursery:
+            address = running.vms[0].address
+            await _bear(running, nursery, Crowd(address=address, key=KEY, kind=ask, count=count))
+            nursery.cancel_scope.cancel()
+
+    with fleet(tmp_path, engines=1, vms=1, machine=_machine()) as running:
+        trio.run(main, running)
+
+
 async def _ask_long(address: Address, number: int) -> None:
     """Ask long questions one after the other, each another one."""
     for turn in range(ASKED_EACH):
@@ -95,7 +130,7 @@
         answer = await fetch(
             address,
             method="POST",
-            path="/v1/completions",
+            path=COMPLETIONS,
             headers=Headers((("Content-Type", "application/json"),)),
             body=msgspec.json.encode(document),
             step="test",
