Entry: requests pay for what they hold until they are forgotten

Callers saw: nothing yet; ordinary long questions one after the other, or many at once within the limits, took an entry VM beyond its machine, and every stream with it.

Cause: only connections paid. A request holds its prompt, the tokens of it that the engine tells (40 bytes each with their numbers), and its answer; it goes on without a connection, and all of it was kept with the answer for 120 s. `tokens_kept` counts only what was answered.

Change: each request has a holding of its own in the account: for its prompt as it begins (503 where there is no room, "unknown" for one that returns; 413 where there never would be), for its answer as it grows. Once it is over it holds a digest in place of the prompt, and the prompt's tokens packed (a returning caller may need them), and may give way like all that is not being served. A VM that takes a request over tells the former one only once it has room for it.

Why it holds: what a request may hold is paid for before it is held, but for answers, which are paid for twice a second and fail where nobody gives way.

--- a/lagoonlever/decisions/admission/held_memory.py
+++ b/lagoonlever/decisions/admission/held_memory.py
@@ -25,6 +25,7 @@
 SMALL_BYTES = 64 * 1024
 CONNECTION_BYTES = 16 * 1024
 """What an open connection costs before it has sent anything."""
+USUAL_ACCOUNT_BYTES = 1024 * MB
 ANSWER_GRACE_S = 1.0
 """For so long an answer may wait for its reader before it counts as slow."""
 
@@ -40,6 +41,8 @@
     """A whole request is held until it is answered. It never gives way."""
     ANSWERING = "answering"
     """An answer waits for its reader."""
+    KEPT = "kept"
+    """An answer that is over, kept for a caller that may return."""
     LEAVING = "leaving"
     """It has given way, or is refused."""
 
@@ -161,6 +164,11 @@
         return heaviest
 
 
+def usual_account() -> MemoryAccount:
+    """Return an account that is large enough where a machine's memory plays no part."""
+    return MemoryAccount(capacity_bytes=USUAL_ACCOUNT_BYTES)
+
+
 def first_to_leave(holdings: Iterable[Holding], now: float) -> Holding | None:
     """Return whose connection is closed for a new one: the longest idle, or else the heaviest.
 
--- a/lagoonlever/decisions/streams/generation.py
+++ b/lagoonlever/decisions/streams/generation.py
@@ -29,6 +29,7 @@
     ResumePoint,
     generation_seed,
 )
+from lagoonlever.decisions.streams.packed_tokens import PackedTokens
 from lagoonlever.decisions.targets.release import ReleaseBuffer
 from lagoonlever.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
 
@@ -91,7 +92,7 @@
         self._attempt_counter = 0
         self._seed = generation_seed(self._spec, self._generation)
         self._answer: Answer | None = None
-        self._prompt_token_ids: tuple[int, ...] | None = None
+        self._prompt_token_ids: PackedTokens | None = None
         self._open_attempts: dict[int, _Attempt] = {}
         self._avoided_targets: set[str] = set()
         self._retried_avoided = False
@@ -130,7 +131,12 @@
     @property
     def prompt_token_ids(self) -> tuple[int, ...] | None:
         """The token ids of the prompt as reported by the generation's first engine, or None."""
-        return self._prompt_token_ids
+        return None if self._prompt_token_ids is None else self._prompt_token_ids.ids
+
+    @property
+    def prompt_tokens(self) -> int:
+        """The number of the prompt's tokens as reported by that engine; 0 before its report."""
+        return 0 if self._prompt_token_ids is None else len(self._prompt_token_ids)
 
     @property
     def live_attempts(self) -> tuple[int, ...]:
@@ -142,6 +148,10 @@
         """The number of tokens released in the current generation."""
         return self._answer.offset if self._answer else 0
 
+    def drop_prompt(self) -> None:
+        """Hold the digest of the prompt in its place; only once no attempt can follow."""
+        self._spec = self._spec.without_prompt()
+
     def start(self) -> list[Decision]:
         """Start the first attempt, or reattach to the engine's stream at the resume point."""
         if self._has_all_tokens():
@@ -185,7 +195,7 @@
         current.answered = True
         if self._answer is None:
             self._answer = self._start_answer(model_version)
-            self._prompt_token_ids = prompt_token_ids
+            self._prompt_token_ids = PackedTokens.of(prompt_token_ids)
         if self._answer.model_version != model_version:
             return self.on_attempt_failed(attempt=attempt, cause=FailureCause.WRONG_VERSION)
         return []
@@ -306,7 +316,7 @@
         self._generation = point.generation
         self._attempt_counter = point.attempt >> ATTEMPT_RANDOM_BITS
         self._seed = generation_seed(self._spec, point.generation)
-        self._prompt_token_ids = point.prompt_token_ids
+        self._prompt_token_ids = PackedTokens.of(point.prompt_token_ids)
         self._answer = self._start_answer(point.model_version)
         self._any_attempt_sent = True
         for piece in point.pieces:
@@ -357,7 +367,7 @@
             attempt=number,
             generation=self._generation,
             prefix=prefix,
-            prompt_token_ids=self._prompt_token_ids,
+            prompt_token_ids=self.prompt_token_ids,
             max_tokens=self._spec.max_tokens - len(prefix),
             seed=self._seed,
             model_version=self._answer.model_version if prefix and self._answer else None,
--- a/lagoonlever/decisions/streams/generation_messages.py
+++ b/lagoonlever/decisions/streams/generation_messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import hashlib
 
 import attrs
 import xxhash
@@ -16,6 +17,8 @@
 
 SEED_BITS = 31
 """Number of bits of a derived seed."""
+DIGEST_BYTES = 16
+"""Of a prompt that is held no more."""
 
 
 @attrs.frozen(kw_only=True)
@@ -35,6 +38,17 @@
     deadline_s: float | None = None
     accepts_restart: bool = False
     """Whether the caller can discard the tokens it has when a new generation starts."""
+    dropped_prompt: str | None = None
+    """The digest of the prompt, where the prompt itself is held no more."""
+
+    def without_prompt(self) -> GenerationSpec:
+        """Return the request with the digest of its prompt in place of the prompt."""
+        if self.dropped_prompt is not None:
+            return self
+        kind = "text" if isinstance(self.prompt, str) else "tokens"
+        content = self.prompt if isinstance(self.prompt, str) else ",".join(map(str, self.prompt))
+        digest = hashlib.blake2b(content.encode(), digest_size=DIGEST_BYTES, person=kind.encode())
+        return attrs.evolve(self, prompt="", dropped_prompt=digest.hexdigest())
 
 
 def generation_seed(spec: GenerationSpec, generation: int) -> int:
--- a/lagoonlever/entry/callers/completion_checks.py
+++ b/lagoonlever/entry/callers/completion_checks.py
@@ -50,6 +50,8 @@
 
 def check_same_request(known: GenerationSpec, asked: GenerationSpec) -> None:
     """Refuse another request under a known id: its caller would get a foreign answer."""
+    if known.dropped_prompt is not None:
+        asked = asked.without_prompt()
     volatile = {"deadline_s": None, "accepts_restart": False}
     if attrs.evolve(known, **volatile) != attrs.evolve(asked, **volatile):  # type: ignore[arg-type]
         raise RequestRefused(
--- a/lagoonlever/entry/callers/serving.py
+++ b/lagoonlever/entry/callers/serving.py
@@ -9,6 +9,7 @@
 import trio
 
 from lagoonlever.config.options import option
+from lagoonlever.decisions.admission.held_memory import MemoryAccount, usual_account
 from lagoonlever.decisions.membership.membership import MemberView
 from lagoonlever.decisions.routing.routing import POLICIES, Router, make_policy
 from lagoonlever.decisions.streams.generation_messages import Dispatch, GenerationSpec
@@ -61,6 +62,7 @@
     subset_size: int
     refusal: Callable[[], Outcome | None]
     moved_to: Callable[[], tuple[str, ...] | None]
+    memory: MemoryAccount = attrs.field(factory=usual_account)
     metrics: RequestMetrics = attrs.field(factory=unscraped_metrics)
     observe: Callable[[GenerationSpec, Dispatch, Target], None] = lambda *_: None
     router: Router = attrs.field(init=False)
@@ -97,6 +99,7 @@
             metrics=self.metrics,
             pause_since_last_tick=self.timers.pause_since_last_tick,
             vm=self.vm,
+            memory=self.memory,
         )
         self.crashes.on_ends(self.service.ends_known)
 
--- a/lagoonlever/entry/callers/stream.py
+++ b/lagoonlever/entry/callers/stream.py
@@ -60,7 +60,7 @@
 
 
 def _usage(task: GenerationTask) -> CallerUsage:
-    prompt = len(task.life.prompt_token_ids or ())
+    prompt = task.life.prompt_tokens
     completion = task.life.released_tokens
     return CallerUsage(
         prompt_tokens=prompt, completion_tokens=completion, total_tokens=prompt + completion
--- a/lagoonlever/entry/generations/generations.py
+++ b/lagoonlever/entry/generations/generations.py
@@ -11,6 +11,7 @@
 import trio
 
 from lagoonlever.config.options import option
+from lagoonlever.decisions.admission.held_memory import MemoryAccount, usual_account
 from lagoonlever.decisions.streams.generation import GenerationLifecycle
 from lagoonlever.decisions.streams.generation_messages import (
     GenerationLimits,
@@ -38,7 +39,9 @@
     stream_while_present,
 )
 from lagoonlever.entry.engines.engines import Engines
+from lagoonlever.entry.generations.held_requests import HeldRequests, RequestKey
 from lagoonlever.entry.generations.task import GenerationTask
+from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.exchange import Exchange
 from lagoonlever.identity import EventId
 from lagoonlever.outcomes import NotRun, Outcome, Reason, Unknown
@@ -51,8 +54,13 @@
     status=HTTPStatus.TOO_MANY_REQUESTS,
 )
 
-RequestKey = tuple[str, str]
-"""An organisation and one of its request ids."""
+
+NO_MEMORY = NotRun(
+    reason=Reason.OVERLOADED,
+    message="there is no memory left for the request",
+    retry_after_s=1.0,
+    status=HTTPStatus.SERVICE_UNAVAILABLE,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -110,7 +118,13 @@
     _pause_since_last_tick: Callable[[], float]
     _metrics: RequestMetrics
     _vm: str = ""
+    _memory: MemoryAccount = attrs.field(factory=usual_account)
     _tasks: dict[RequestKey, GenerationTask] = attrs.field(factory=dict)
+    _held: HeldRequests = attrs.field(init=False)
+
+    @_held.default
+    def _make_held(self) -> HeldRequests:
+        return HeldRequests(account=self._memory, forget=self._forget)
 
     @property
     def tasks(self) -> tuple[GenerationTask, ...]:
@@ -129,8 +143,8 @@
             call = read_call(
                 exchange.request, organisation=organisation, rng=self._rng, memory=exchange
             )
-        except NoMemoryLeft as error:
-            await respond_outcome(exchange, _no_memory(exchange, error), rng=self._rng)
+        except NoMemoryLeft:
+            await respond_outcome(exchange, _no_memory(exchange), rng=self._rng)
             return
         refusal = self._refusal()
         task = self._known(organisation, call.spec.request_id)
@@ -166,7 +180,7 @@
 
     def taken_over(self, *, organisation: str, request_id: str, attempt: int) -> None:
         """Let go of a request whose caller another VM serves now."""
-        task = self._tasks.pop((organisation, request_id), None)
+        task = self._drop((organisation, request_id))
         if task is not None:
             task.taken_over(attempt)
 
@@ -176,9 +190,11 @@
             self._let_go_of_absent()
         for key, task in list(self._tasks.items()):
             if task.ended_at is not None and self._is_old(task, tick.now):
-                del self._tasks[key]
+                self._drop(key)
             elif self._is_orphan(task, tick.now):
                 task.abandon(reason=Reason.CANCELLED, message="the caller did not come back")
+            else:
+                self._pay(key, task)
         self._drop_beyond_bound()
 
     def _known(self, organisation: str, request_id: str) -> GenerationTask | None:
@@ -192,7 +208,7 @@
             return task
         if not isinstance(task.finished.outcome, NotRun):
             return task
-        del self._tasks[organisation, request_id]
+        self._drop((organisation, request_id))
         return None
 
     async def _begin(self, exchange: Exchange, call: CompletionCall) -> GenerationTask | None:
@@ -209,8 +225,17 @@
         if self.running >= self._settings.running:
             await self._refuse(exchange, call, AT_CAPACITY)
             return None
+        if not self._held.can_ever_hold(call.spec):
+            raise RequestRefused(
+                status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                field="prompt",
+                message="takes more memory than this VM has for a request",
+            )
         if call.last_event_id is None:
-            return self._start(call.spec)
+            task = self._start(call.spec)
+            if task is None:
+                await self._refuse(exchange, call, NO_MEMORY)
+            return task
         last = EventId.parse(call.last_event_id)
         check_event_of(call.spec, last)
         return await self._resume(exchange, call, last)
@@ -233,24 +258,23 @@
         current = self.find(call.spec.organisation, call.spec.request_id)
         if current is not None:
             return current
+        first_generation = last.generation + 1 if last.offset else last.generation
+        task = self._start(call.spec, point=point, first_generation=first_generation)
+        if task is None:
+            await self._refuse(exchange, call, NO_MEMORY)
+            return None
         self._peers.taken_over(
             last.vm,
             organisation=call.spec.organisation,
             request_id=call.spec.request_id,
             attempt=last.attempt,
         )
-        first_generation = last.generation + 1 if last.offset else last.generation
-        return self._start(call.spec, point=point, first_generation=first_generation)
+        return task
 
     async def _refuse(self, exchange: Exchange, call: CompletionCall, outcome: Outcome) -> None:
         """Refuse a request; one that was begun at another VM is never told "not run"."""
         if isinstance(outcome, NotRun) and call.last_event_id is not None:
-            outcome = Unknown(
-                reason=outcome.reason,
-                message=outcome.message,
-                retry_after_s=outcome.retry_after_s,
-                status=outcome.status,
-            )
+            outcome = _unknown(outcome)
         self._metrics.refused(call.spec.organisation, outcome)
         await respond_outcome(exchange, outcome, rng=self._rng)
 
@@ -260,7 +284,11 @@
         *,
         point: ResumePoint | None = None,
         first_generation: int = 1,
-    ) -> GenerationTask:
+    ) -> GenerationTask | None:
+        """Begin a request; None if there is no memory for it."""
+        key = (spec.organisation, spec.request_id)
+        if not self._held.open(key, spec):
+            return None
         options = self._callers.settings_of(spec.organisation)
         allowed_s = options.deadline_s
         spec = attrs.evolve(spec, deadline_s=min(allowed_s, spec.deadline_s or allowed_s))
@@ -280,7 +308,7 @@
             may_begin=lambda: self._may_begin(task),
             observe=self._metrics.observer_of(spec, continues=point is not None),
         )
-        self._tasks[spec.organisation, spec.request_id] = task
+        self._tasks[key] = task
         self._background.start_soon(task.run)
         return task
 
@@ -289,6 +317,7 @@
             exchange=exchange, task=task, call=call, rng=self._rng, moved_to=self._moved_to
         )
         task.reader_left_at = None
+        self._held.resume((task.spec.organisation, task.spec.request_id))
         whole = await stream_while_present(stream, exchange)
         if task.reader is not exchange:
             return
@@ -296,6 +325,25 @@
         task.reader_left_at = trio.current_time()
         if not whole and not call.resumable and task.finished is None:
             task.abandon(reason=Reason.CANCELLED, message="the caller left")
+        self._pay((task.spec.organisation, task.spec.request_id), task)
+
+    def _pay(self, key: RequestKey, task: GenerationTask) -> None:
+        """Have a request pay for what it holds now, or give it up if there is no memory."""
+        if self._tasks.get(key) is not task:
+            return
+        if task.ended_at is not None and task.reader is None:
+            self._held.keep(key, task.life)
+        elif task.finished is None and not self._held.settle(key, task.life):
+            task.abandon(reason=Reason.OVERLOADED, message=NO_MEMORY.message)
+
+    def _drop(self, key: RequestKey) -> GenerationTask | None:
+        """Forget a request, and return its task if it was known."""
+        self._held.close(key)
+        return self._tasks.pop(key, None)
+
+    def _forget(self, key: RequestKey) -> None:
+        """Forget a kept answer for which there is no memory any more."""
+        self._tasks.pop(key, None)
 
     def _may_begin(self, task: GenerationTask) -> bool:
         """Tell whether an attempt may still be written.
@@ -317,7 +365,7 @@
         """
         for key, task in list(self._tasks.items()):
             if task.finished is None and (task.reader is None or not task.reader.caller_present()):
-                del self._tasks[key]
+                self._drop(key)
                 task.hand_over()
 
     def _is_old(self, task: GenerationTask, now: float) -> bool:
@@ -337,18 +385,24 @@
         for left, key in zip(range(len(kept), 0, -1), kept, strict=True):
             if left <= self._settings.answers_kept and tokens <= self._settings.tokens_kept:
                 return
-            tokens -= self._tasks.pop(key).life.released_tokens
+            tokens -= self._tasks[key].life.released_tokens
+            self._drop(key)
 
 
-def _no_memory(exchange: Exchange, error: NoMemoryLeft) -> Outcome:
+def _no_memory(exchange: Exchange) -> Outcome:
     """Return the outcome of a request that there is no memory to read.
 
     One that its caller may have sent before is never told "not run".
     """
-    kind = Unknown if may_have_run(exchange.request.headers) else NotRun
-    return kind(
-        reason=Reason.OVERLOADED,
-        message=str(error),
-        retry_after_s=1.0,
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
+    if not may_have_run(exchange.request.headers):
+        return NO_MEMORY
+    return _unknown(NO_MEMORY)
+
+
+def _unknown(refusal: NotRun) -> Unknown:
+    return Unknown(
+        reason=refusal.reason,
+        message=refusal.message,
+        retry_after_s=refusal.retry_after_s,
+        status=refusal.status,
     )
--- a/lagoonlever/entry/generations/task.py
+++ b/lagoonlever/entry/generations/task.py
@@ -112,6 +112,7 @@
             self.abandon(reason=Reason.INTERNAL, message="a fault within the system")
         finally:
             self.ended_at = trio.current_time()
+            self._life.drop_prompt()
             self.wake()
 
     async def _run(self) -> None:
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -64,6 +64,7 @@
     targets: TargetWatch = attrs.field(init=False)
     admission: AdmissionPart = attrs.field(init=False)
     peer_streams: PeerStreams = attrs.field(init=False)
+    guard: ServerGuard = attrs.field(init=False)
     generations: GenerationServing = attrs.field(init=False)
     services: ServiceRouter = attrs.field(init=False)
     addresses: EntryAddressesPart = attrs.field(init=False)
@@ -74,7 +75,6 @@
     reporting: Reporting = attrs.field(init=False)
     routes: Routes = attrs.field(init=False)
     http_limits: ServerLimits = attrs.field(init=False)
-    guard: ServerGuard = attrs.field(init=False)
 
     @http_limits.default
     def _make_http_limits(self) -> ServerLimits:
@@ -176,6 +176,7 @@
             subset_size=settings.targets.subset_size,
             refusal=self.refusal,
             moved_to=self._moved_to,
+            memory=self.guard.memory,
             metrics=self.base.request_metrics,
             observe=dispatch_recorder(
                 self.base.recorder,
--- a/lagoonlever/http/server_limits.py
+++ b/lagoonlever/http/server_limits.py
@@ -8,13 +8,17 @@
 import attrs
 import trio
 
-from lagoonlever.decisions.admission.held_memory import Holding, MemoryAccount, first_to_leave
+from lagoonlever.decisions.admission.held_memory import (
+    Holding,
+    MemoryAccount,
+    first_to_leave,
+    usual_account,
+)
 from lagoonlever.http.parsing_turns import ParsingTurns
 
 SPARE_PART = 4
 """To one in so many connections beyond the bound it is told that there is no room."""
 LEAST_SPARE = 16
-USUAL_ACCOUNT_BYTES = 1024 * 1024 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -41,9 +45,7 @@
 class ServerGuard:
     """What all servers of a process share, so that clients together stay within the machine."""
 
-    memory: MemoryAccount = attrs.field(
-        factory=lambda: MemoryAccount(capacity_bytes=USUAL_ACCOUNT_BYTES)
-    )
+    memory: MemoryAccount = attrs.field(factory=usual_account)
     parsing: ParsingTurns = attrs.field(init=False)
 
     @parsing.default
--- a/lagoonlever/tests/crowd_entry_tests.py
+++ b/lagoonlever/tests/crowd_entry_tests.py
@@ -35,6 +35,11 @@
 COMPLETIONS = "/v1/completions"
 ASKING, ASKED_EACH = 8, 30
 LONG_PROMPT_BYTES = 60_000
+PROMPTS = 40
+PROMPT_TOKENS = 131_072
+"""The longest prompt that is taken by default."""
+LARGE_TOKEN = 100_000
+"""Of a usual vocabulary; numbers below some hundreds cost a process nothing each."""
 
 KINDS: dict[str, tuple[Kind, int]] = {
     "unfinished-chunks": (kinds.unfinished_chunks(BODY_BYTES), BODIES),
@@ -102,6 +107,16 @@
     _bear_documents(tmp_path, document.encode(), count=TINY)
 
 
+@pytest.mark.parametrize("stream", [True, False], ids=["stream", "whole"])
+def test_prompts_that_are_being_answered_do_not_fill_an_entry_vm(
+    tmp_path: Path, stream: bool
+) -> None:
+    """Guards against many prompts within their limit, each of which costs ten times its size."""
+    prompt = list(range(LARGE_TOKEN, LARGE_TOKEN + PROMPT_TOKENS))
+    document = {"model": MODEL, "prompt": prompt, "max_tokens": 16_000, "stream": stream}
+    _bear_documents(tmp_path, msgspec.json.encode(document), count=PROMPTS)
+
+
 def _bear_documents(tmp_path: Path, document: bytes, *, count: int) -> None:
     """Bear clients that each send a whole document as a question."""
 
--- a/lagoonlever/tests/held_memory_tests.py
+++ b/lagoonlever/tests/held_memory_tests.py
@@ -22,7 +22,7 @@
 )
 
 CAPACITY_BYTES = 40 * CONNECTION_BYTES
-STAGES = (Stage.IDLE, Stage.READING, Stage.SERVING, Stage.ANSWERING)
+STAGES = (Stage.IDLE, Stage.READING, Stage.SERVING, Stage.ANSWERING, Stage.KEPT)
 
 
 class AccountMachine(RuleBasedStateMachine):
