Entry: the daemon never waits for the reader of its log

Callers saw: nothing yet; an entry VM whose log is read slowly, or by nobody, served no one once a crowd had been refused some hundreds of times: each refusal is a line, and a full pipe makes an ordinary write wait for ever.

Ruled out: memory (76 MB) and descriptors (25 at most).

What tends it stands beside the writer now and serves both daemons.

Why it holds: no write waits; what is held for the reader is bounded.

--- a/lagoonlever/entry/daemon.py
+++ b/lagoonlever/entry/daemon.py
@@ -57,6 +57,11 @@
         """The callers' address; known once ``run`` has started."""
         return self._address or self._settings.advertised
 
+    @property
+    def timers(self) -> TimerService:
+        """What tells the time to its parts."""
+        return self._timers
+
     @property
     def peer_address(self) -> Address:
         """The other VMs' address; known once ``run`` has started."""
--- a/lagoonlever/gateway/program.py
+++ b/lagoonlever/gateway/program.py
@@ -20,7 +20,7 @@
 from lagoonlever.gateway.daemon import GatewayDaemon
 from lagoonlever.gateway.options import apply_options, load_options
 from lagoonlever.http.client import ClientConnection, Opener
-from lagoonlever.log_writer import BoundedHandler
+from lagoonlever.log_writer import BoundedHandler, LogTender
 from lagoonlever.logs import LogFormat, LogLevel, set_up_bounded_logs
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
 from lagoonlever.platform.settings_file import load_settings
@@ -67,7 +67,11 @@
 
 
 async def _run(daemon: GatewayDaemon, file: Path, handler: BoundedHandler) -> None:
-    log_tender = LogTender(daemon=daemon, handler=handler)
+    def report_lost(lines: int, total: int) -> None:
+        events.LOG_LINES_LOST.log(log, lines=lines, total=total)
+        daemon.log_lines_lost(total)
+
+    log_tender = LogTender(handler=handler, report=report_lost)
     file_watch = FileWatch(daemon=daemon, file=file)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_obey_signals, daemon, file)
@@ -88,24 +92,6 @@
                 daemon.stop()
 
 
-@attrs.define(kw_only=True)
-class LogTender:
-    """Writes what waits for a slow reader of the log, and tells how much was lost."""
-
-    _daemon: GatewayDaemon
-    _handler: BoundedHandler
-    _told: int = 0
-
-    def on_tick(self, _: Tick) -> None:
-        """Offer waiting lines again."""
-        writer, lost = self._handler.writer, self._handler.lost
-        writer.flush()
-        if lost > self._told and not writer.waiting_bytes:
-            events.LOG_LINES_LOST.log(log, lines=lost - self._told, total=lost)
-            self._told = lost
-            self._daemon.log_lines_lost(lost)
-
-
 @attrs.define(kw_only=True)
 class FileWatch:
     """Reloads settings that were changed without a signal."""
--- a/lagoonlever/log_writer.py
+++ b/lagoonlever/log_writer.py
@@ -15,6 +15,8 @@
 import attrs
 import logbook
 
+from lagoonlever.timers import Tick
+
 BUFFER_BYTES = 256 * 1024
 """What waits for a slow reader: some two seconds of a busy VM."""
 LINES_PER_S = 600
@@ -136,3 +138,21 @@
             self._over_budget += 1
             return
         self._writer.write(self.format(record).encode() + b"\n")
+
+
+@attrs.define(kw_only=True)
+class LogTender:
+    """Writes what waits for a slow reader of the log, and reports how much was lost."""
+
+    _handler: BoundedHandler
+    _report: Callable[[int, int], None]
+    """Told how many lines were lost since the last report, and in all."""
+    _told: int = 0
+
+    def on_tick(self, _: Tick) -> None:
+        """Offer waiting lines again."""
+        writer, lost = self._handler.writer, self._handler.lost
+        writer.flush()
+        if lost > self._told and not writer.waiting_bytes:
+            self._report(lost - self._told, lost)
+            self._told = lost
--- a/lagoonlever/logs.py
+++ b/lagoonlever/logs.py
@@ -18,6 +18,7 @@
 from lagoonlever.log_writer import BoundedHandler, LineWriter
 
 STDOUT_FD = 1
+STDERR_FD = 2
 HUMAN_TIME_FORMAT = "%Y-%m-%d %H:%M:%S.%f"
 
 
--- a/lagoonlever/tests/crowd_entry_tests.py
+++ b/lagoonlever/tests/crowd_entry_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from pathlib import Path
 
 import msgspec
@@ -34,6 +35,8 @@
 LENGTH = 20
 COMPLETIONS = "/v1/completions"
 ASKING, ASKED_EACH = 8, 30
+REFUSED = 1000
+"""Their lines are more than a pipe holds."""
 LONG_PROMPT_BYTES = 60_000
 PROMPTS = 40
 PROMPT_TOKENS = 131_072
@@ -117,6 +120,35 @@
     _bear_documents(tmp_path, msgspec.json.encode(document), count=PROMPTS)
 
 
+def test_refusals_that_nobody_reads_in_the_log_do_not_stop_an_entry_vm(tmp_path: Path) -> None:
+    """Guards against a process that waits for the reader of its log, and serves nobody."""
+
+    async def refused(address: Address) -> None:
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        async with stream:
+            client = Client(address=address, key=KEY, stream=stream)
+            await client.send(client.head(f"Content-Length: {kinds.FAR_OVER_BYTES}"))
+            with contextlib.suppress(trio.BrokenResourceError):
+                await stream.receive_some()
+
+    async def main(running: Fleet) -> None:
+        await running.publish_list()
+        vm = running.vms[0]
+        with trio.fail_after(WAIT_S):
+            await running.wait_serving()
+            watch = ProcessWatch(process=vm.popen, ports=frozenset((vm.address.port,)))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch.run)
+                for _ in range(REFUSED):
+                    await refused(vm.address)
+                await _ask(running)
+                nursery.cancel_scope.cancel()
+        _check(watch)
+
+    with fleet(tmp_path, engines=1, vms=1, machine=_machine(), unread_logs=True) as running:
+        trio.run(main, running)
+
+
 def _bear_documents(tmp_path: Path, document: bytes, *, count: int) -> None:
     """Bear clients that each send a whole document as a question."""
 
--- a/lagoonlever/tests/processes.py
+++ b/lagoonlever/tests/processes.py
@@ -61,6 +61,8 @@
 
     directory: Path
     processes: dict[str, Process] = attrs.field(factory=dict)
+    unread_logs: bool = False
+    """Whether the logs of entry VMs go to pipes that nobody reads."""
 
     @property
     def vms(self) -> list[Process]:
@@ -105,7 +107,9 @@
     def start(self, name: str, role: str, *arguments: str, number: int = 0) -> Process:
         command = [sys.executable, "-m", "lagoonlever", *arguments]
         with (self.directory / f"{name}.log").open("w") as log:
-            popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=log, text=True)
+            unread = self.unread_logs and role == "entry"
+            stderr = subprocess.PIPE if unread else log
+            popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=stderr, text=True)
         process = Process(
             name=name,
             role=role,
@@ -191,9 +195,10 @@
     token_interval_s: float = 0.02,
     address_lifetime_s: float = 30.0,
     machine: dict[str, int] | None = None,
+    unread_logs: bool = False,
 ) -> Iterator[Fleet]:
     """Run a deployment until the block ends."""
-    running = Fleet(directory=directory)
+    running = Fleet(directory=directory, unread_logs=unread_logs)
     try:
         running.start("platform", "platform", "fake", "platform")
         for number in range(engines):
