--- a/lagoonlever/tests/crowd_tests.py
+++ b/lagoonlever/tests/crowd_tests.py
@@ -197,6 +197,8 @@
             await until(lambda: crowd.clients and crowd.clients[0].status is not None)
             nursery.cancel_scope.cancel()
         assert crowd.clients[0].status == status
+        assert (await site.ordinary()).status == 200
+        site.check()
 
     run_crowd(story, tmp_path)
 
@@ -230,6 +232,7 @@
             await until(lambda: crowd.clients and _is_answered(crowd.clients[0]))
             nursery.cancel_scope.cancel()
         assert b"answer to %d bytes" % BODY_BYTES in crowd.clients[0].answer
+        assert (await site.ordinary()).status == 200
         site.check()
 
     run_crowd(story, tmp_path)
