Entry: what a head shows to be refused is refused before its body is read

Callers saw: a request to a path that doesn't exist, with a method that it doesn't take, to a service that nobody runs or with a key that nobody has was refused only after its body, up to 4 MiB of it, or with 408 after 30 s where that didn't come. Gateways judge the head first.

Evidence: three of the four new tests (a body of 4 MiB announced, its head sent) had no answer before the test's time was over; one of a length over the limit passed, as it is refused so already.

--- a/lagoonlever/entry/callers/routes.py
+++ b/lagoonlever/entry/callers/routes.py
@@ -7,7 +7,7 @@
 
 from lagoonlever.events import event
 from lagoonlever.exceptions import RequestRefused
-from lagoonlever.http.exchange import CallerGone, Exchange, Handler
+from lagoonlever.http.exchange import CallerGone, Exchange, Handler, HeadCheck
 from lagoonlever.http.messages import Headers
 from lagoonlever.http.refusals import error_payload
 from lagoonlever.outcomes import OUTCOME_HEADER, REASON_HEADER, OutcomeTag, Reason
@@ -33,6 +33,8 @@
     path: str
     handler: Handler
     prefix: bool = False
+    refuse_by_head: HeadCheck | None = None
+    """Refuses a request before its body is read; raises ``RequestRefused`` where that says it."""
 
     def matches(self, method: str, path: str) -> bool:
         """Tell whether a request is for this route."""
@@ -47,14 +49,38 @@
 
     _routes: list[Route] = attrs.field(factory=list)
 
-    def add(self, method: str, path: str, handler: Handler, *, prefix: bool = False) -> None:
+    def add(
+        self,
+        method: str,
+        path: str,
+        handler: Handler,
+        *,
+        prefix: bool = False,
+        refuse_by_head: HeadCheck | None = None,
+    ) -> None:
         """Add a route."""
-        self._routes.append(Route(method=method, path=path, handler=handler, prefix=prefix))
+        route = Route(
+            method=method,
+            path=path,
+            handler=handler,
+            prefix=prefix,
+            refuse_by_head=refuse_by_head,
+        )
+        self._routes.append(route)
+
+    async def refuse_by_head(self, exchange: Exchange) -> bool:
+        """Refuse an exchange by its request's head alone, or return False."""
+        try:
+            route = self._route(exchange)
+            return route.refuse_by_head is not None and await route.refuse_by_head(exchange)
+        except RequestRefused as refused:
+            await self._refuse(exchange, refused)
+            return True
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one exchange."""
         try:
-            await self._handler(exchange)(exchange)
+            await self._route(exchange).handler(exchange)
         except RequestRefused as refused:
             await self._refuse(exchange, refused)
         except CallerGone:
@@ -66,11 +92,11 @@
             HANDLER_FAILED.log(log, method=request.method, path=request.path, exc_info=True)
             await self._fail(exchange)
 
-    def _handler(self, exchange: Exchange) -> Handler:
+    def _route(self, exchange: Exchange) -> Route:
         request = exchange.request
         for route in self._routes:
             if route.matches(request.method, request.path):
-                return route.handler
+                return route
         known = [route for route in self._routes if route.matches(route.method, request.path)]
         if known:
             methods = ", ".join(sorted({route.method for route in known}))
--- a/lagoonlever/entry/daemon.py
+++ b/lagoonlever/entry/daemon.py
@@ -127,6 +127,7 @@
             limits=parts.http_limits,
             state=self._http,
             guard=parts.guard,
+            check_head=parts.routes.refuse_by_head,
             keyed_callers=True,
         )
         self._served.set()
--- a/lagoonlever/entry/generations/generations.py
+++ b/lagoonlever/entry/generations/generations.py
@@ -136,6 +136,11 @@
         """How many requests are not over."""
         return sum(1 for task in self._tasks.values() if task.finished is None)
 
+    async def refuse_by_head(self, exchange: Exchange) -> bool:
+        """Raise ``RequestRefused`` for a caller that nobody knows, before its body is read."""
+        self._callers.organisation_of(exchange.request.headers)
+        return False
+
     async def handle(self, exchange: Exchange) -> None:
         """Answer ``POST /v1/completions``; raises ``RequestRefused`` for a wrong request."""
         organisation = self._callers.organisation_of(exchange.request.headers)
--- a/lagoonlever/entry/parts.py
+++ b/lagoonlever/entry/parts.py
@@ -275,10 +275,16 @@
     def _make_routes(self) -> Routes:
         routes = Routes()
         service = self.generations.service
-        routes.add("POST", "/v1/completions", service.handle)
+        routes.add("POST", "/v1/completions", service.handle, refuse_by_head=service.refuse_by_head)
         routes.add("GET", "/v1/models", service.handle_models)
         routes.add("GET", "/v1/entry", self.addresses.handle)
-        routes.add("*", SERVICES_PATH, self.services.handle, prefix=True)
+        routes.add(
+            "*",
+            SERVICES_PATH,
+            self.services.handle,
+            prefix=True,
+            refuse_by_head=self.services.refuse_by_head,
+        )
         admin = SettingsAdmin(part=self.settings, operators=self.operators)
         routes.add("*", SETTINGS_PATH, admin.handle, prefix=True)
         orders = OrdersAdmin(
--- a/lagoonlever/entry/services/services.py
+++ b/lagoonlever/entry/services/services.py
@@ -178,6 +178,15 @@
             with trio.CancelScope(shield=True):
                 await self._lookups.aclose()
 
+    async def refuse_by_head(self, exchange: Exchange) -> bool:
+        """Refuse a call by its head alone, or return False."""
+        try:
+            self._call(exchange.request)
+        except RequestRefused as refused:
+            await tell(exchange, self._refused(exchange.request, refused))
+            return True
+        return False
+
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call with exactly one outcome."""
         began_at = self._timers.now
--- a/lagoonlever/tests/crowd_entry_tests.py
+++ b/lagoonlever/tests/crowd_entry_tests.py
@@ -74,6 +74,40 @@
         trio.run(main, running)
 
 
+@pytest.mark.parametrize(
+    ("path", "status"),
+    [(COMPLETIONS, 413), ("/nowhere", 404), ("/v1/models", 405), ("/services/nobody/x", 404)],
+    ids=["too-large", "no-route", "no-method", "no-service"],
+)
+def test_a_body_that_will_be_refused_is_not_waited_for_by_an_entry_vm(
+    tmp_path: Path, path: str, status: int
+) -> None:
+    """Guards against memory and time for bodies whose heads tell already that they are refused."""
+    length = kinds.FAR_OVER_BYTES if status == 413 else BODY_BYTES
+
+    async def only_head(client: Client) -> None:
+        await client.send(client.head(f"Content-Length: {length}", path=path))
+
+    async def main(running: Fleet) -> None:
+        await running.publish_list()
+        vm = running.vms[0]
+        watch = ProcessWatch(process=vm.popen, ports=frozenset((vm.address.port,)))
+        with trio.fail_after(WAIT_S):
+            await running.wait_serving()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch.run)
+            crowd = Crowd(address=vm.address, key=KEY, kind=only_head, count=1)
+            nursery.start_soon(crowd.run)
+            await until(lambda: crowd.clients and crowd.clients[0].status is not None)
+            await _ask(running)
+            nursery.cancel_scope.cancel()
+        assert crowd.clients[0].status == status
+        _check(watch)
+
+    with fleet(tmp_path, engines=1, vms=1, machine=_machine()) as running:
+        trio.run(main, running)
+
+
 def test_requests_that_are_over_do_not_fill_an_entry_vm(tmp_path: Path) -> None:
     """Guards against prompts that stay, with their tokens, for as long as answers are kept."""
 
