--- a/lagoonlever/tests/crowd_entry_tests.py
+++ b/lagoonlever/tests/crowd_entry_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 from pathlib import Path
 
 import msgspec
@@ -35,6 +36,9 @@
 LENGTH = 20
 COMPLETIONS = "/v1/completions"
 ASKING, ASKED_EACH = 8, 30
+CALLS = 80
+ANSWER_BYTES = 1_000_000
+"""Short of the largest answer of a service that is passed on by default."""
 REFUSED = 1000
 """Their lines are more than a pipe holds."""
 LONG_PROMPT_BYTES = 60_000
@@ -154,6 +158,35 @@
     _bear_documents(tmp_path, msgspec.json.encode(document), count=PROMPTS)
 
 
+@pytest.mark.parametrize("keyed", [True, False], ids=["keyed", "plain"])
+@pytest.mark.parametrize("reads", [True, False], ids=["read", "unread"])
+def test_calls_with_large_answers_do_not_fill_an_entry_vm(
+    tmp_path: Path, keyed: bool, reads: bool
+) -> None:
+    """Guards against answers of services that fill the memory as they come, wait and are kept."""
+    numbers = itertools.count()
+    document = b'{"filler":"%s"}' % (b"x" * ANSWER_BYTES)
+
+    async def call(client: Client) -> None:
+        fields = [f"Content-Length: {len(document)}"]
+        if keyed:
+            fields.append(f"Idempotency-Key: crowd-{next(numbers)}")
+        await client.send(client.head(*fields, path="/services/application/bids") + document)
+
+    async def main(running: Fleet) -> None:
+        await running.publish_list()
+        vm = running.vms[0]
+        with trio.fail_after(WAIT_S):
+            await running.wait_serving()
+        crowd = Crowd(address=vm.address, key=KEY, kind=call, count=CALLS, reads=reads)
+        async with trio.open_nursery() as nursery:
+            await _bear(running, nursery, crowd)
+            nursery.cancel_scope.cancel()
+
+    with fleet(tmp_path, engines=1, vms=1, machine=_machine(), applications=3) as running:
+        trio.run(main, running)
+
+
 def test_refusals_that_nobody_reads_in_the_log_do_not_stop_an_entry_vm(tmp_path: Path) -> None:
     """Guards against a process that waits for the reader of its log, and serves nobody."""
 
--- a/lagoonlever/tests/processes.py
+++ b/lagoonlever/tests/processes.py
@@ -196,6 +196,7 @@
     address_lifetime_s: float = 30.0,
     machine: dict[str, int] | None = None,
     unread_logs: bool = False,
+    applications: int = 0,
 ) -> Iterator[Fleet]:
     """Run a deployment until the block ends."""
     running = Fleet(directory=directory, unread_logs=unread_logs)
@@ -205,6 +206,9 @@
             arguments = ("--model", MODEL, "--token-interval-s", str(token_interval_s))
             name = f"engine-{number + 1}"
             running.start(name, "engine", "fake", "engine", *arguments, number=number)
+        for number in range(applications):
+            name = f"app-{number + 1}"
+            running.start(name, "application", "fake", "application", number=number)
         for process in list(running.processes.values()):
             running.read_ready(process)
         for number in range(vms):
