--- a/lagoonlever/tests/crowd_tests.py
+++ b/lagoonlever/tests/crowd_tests.py
@@ -36,6 +36,9 @@
 """More than the process may have descriptors."""
 ABSURD_BYTES = 10**12
 SLOW_READERS = 40
+NAMING, NAMED_EACH = 20, 100
+NAMED_PARTS = 500
+NAMED_WAIT_S = 5.0
 ANSWER_GAP_S = 0.1
 """Answers that are read from their runner at the same time have a bound of their own."""
 
@@ -259,6 +262,32 @@
     run_crowd(story, tmp_path)
 
 
+def test_names_that_clients_choose_do_not_fill_a_process(tmp_path: Path) -> None:
+    """Guards against tables that grow with each path, id and part of a prompt ever named."""
+
+    async def name_much(client: Client) -> None:
+        for number in range(NAMED_EACH):
+            first = f"{id(client):x}{number:04x}"
+            parts = ",".join(f"{first}{part:03x}:10" for part in range(NAMED_PARTS))
+            fields = ("Content-Length: 0", f"Prompt-Prefix: {parts}", f"X-Own: {first}")
+            await client.send(client.head(*fields, path=f"/look/{first}?{first}"))
+            client.answer = b""
+            with trio.move_on_after(NAMED_WAIT_S):
+                await until(lambda: client.answer)
+
+    async def story(site: CrowdSite) -> None:
+        crowd = Crowd(address=site.settings.listen, key=KEY, kind=name_much, count=NAMING)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(crowd.run)
+            await until(lambda: crowd.is_settled)
+            nursery.cancel_scope.cancel()
+        assert (await site.ordinary()).status == 200
+        site.check()
+        assert site.runs >= NAMING * NAMED_EACH // 2, "too few requests were served to tell"
+
+    run_crowd(story, tmp_path)
+
+
 def _is_answered(client: Client) -> bool:
     return client.status not in (None, 200) or b"answer to" in client.answer
 
