Entry: a request under a key that there is no memory for is "unknown", not "not run"

Callers saw: a caller that came back under its key before it had an event, and found no memory for its request, was told "not run", though its former VM may have run it. Only requests with a Last-Event-ID were told "unknown".

Change: the refusal before a document is read, which had it right, is the one refusal for want of memory.

--- a/lagoonlever/entry/generations/generations.py
+++ b/lagoonlever/entry/generations/generations.py
@@ -239,7 +239,7 @@
         if call.last_event_id is None:
             task = self._start(call.spec)
             if task is None:
-                await self._refuse(exchange, call, NO_MEMORY)
+                await self._refuse(exchange, call, _no_memory(exchange))
             return task
         last = EventId.parse(call.last_event_id)
         check_event_of(call.spec, last)
@@ -266,7 +266,7 @@
         first_generation = last.generation + 1 if last.offset else last.generation
         task = self._start(call.spec, point=point, first_generation=first_generation)
         if task is None:
-            await self._refuse(exchange, call, NO_MEMORY)
+            await self._refuse(exchange, call, _no_memory(exchange))
             return None
         self._peers.taken_over(
             last.vm,
