Entry: an answer may give way as soon as it is over

Callers saw: 503 for a new request though a kept answer could have made room: for up to half a second after an answer its task was not over yet, and its holding counted as being served.

Change: the holding counts as kept once the end is decided and nobody reads.

--- a/lagoonlever/entry/generations/generations.py
+++ b/lagoonlever/entry/generations/generations.py
@@ -336,7 +336,7 @@
         """Have a request pay for what it holds now, or give it up if there is no memory."""
         if self._tasks.get(key) is not task:
             return
-        if task.ended_at is not None and task.reader is None:
+        if task.finished is not None and task.reader is None:
             self._held.keep(key, task.life)
         elif task.finished is None and not self._held.settle(key, task.life):
             task.abandon(reason=Reason.OVERLOADED, message=NO_MEMORY.message)
