Clients: a small request that has just begun gives way to no large one

What callers saw: beside clients that ask for large answers and read nothing, a connection that had just been opened was closed without an answer.

Cause: a request that is served gives way to nobody, so an answer that grows beyond the large requests' part of the account asks whoever may give way. Once the slow readers are served, or have had their answer for less than a second, that is only who has just come: a new connection weighs next to nothing, but is the heaviest that may. Closing it frees nothing, so the answer is given up all the same.

Change: for two seconds from the beginning of a stage a small holding gives way to no large one. Small ones still make each other give way, and slow ones large ones.

Why it holds: a small request is whole within two seconds of its connection, or its client is slow; until then no large one can take its place, however the account is filled.

--- a/lagoonlever/decisions/admission/held_memory.py
+++ b/lagoonlever/decisions/admission/held_memory.py
@@ -28,6 +28,8 @@
 USUAL_ACCOUNT_BYTES = 1024 * MB
 ANSWER_GRACE_S = 1.0
 """For so long an answer may wait for its reader before it counts as slow."""
+NEW_S = 2.0
+"""For so long a small request gives way to no large one; then it has come whole, or is slow."""
 
 
 class Stage(enum.Enum):
@@ -58,6 +60,10 @@
     """When the stage began."""
     held_bytes: int = 0
 
+    def is_new(self, now: float) -> bool:
+        """Check whether it is small, and its stage has just begun."""
+        return is_small(self.held_bytes) and now - self.since < NEW_S
+
     def burden(self, now: float) -> float:
         """Return what the holding has cost so far, in bytes times seconds; 0 if it can't yield.
 
@@ -105,16 +111,17 @@
     def grow(self, holding: Holding, size: int, *, now: float) -> bool:
         """Have a holding pay for ``size`` bytes more; return False if it can't.
 
-        Others give way if they have cost more than it has. One that has given way itself
-        pays for nothing more.
+        Others give way if they have cost more than it has; to a large one only those that are
+        large or slow. One that has given way itself pays for nothing more.
         """
         if holding not in self._holdings or holding.stage is Stage.LEAVING:
             return False
         limit = self._limit(holding.held_bytes + size)
         if holding.held_bytes + size > limit:
             return False
+        spares_new = not is_small(holding.held_bytes + size)
         while self._held_bytes + size > limit:
-            heaviest = self._heaviest(now)
+            heaviest = self._heaviest(now, spares_new=spares_new)
             if heaviest is None or heaviest is holding:
                 return False
             self.yield_room(heaviest, now=now)
@@ -153,12 +160,12 @@
 
     def _limit(self, wanted_bytes: int) -> int:
         """Return what all may hold together if one holding wants so much."""
-        is_small = wanted_bytes <= SMALL_BYTES + CONNECTION_BYTES
-        return self.capacity_bytes if is_small else self.largest_bytes
+        return self.capacity_bytes if is_small(wanted_bytes) else self.largest_bytes
 
-    def _heaviest(self, now: float) -> Holding | None:
+    def _heaviest(self, now: float, *, spares_new: bool) -> Holding | None:
         """Return the holding that gives way first, or None if none can."""
-        heaviest = max(self._holdings, key=lambda each: each.burden(now), default=None)
+        asked = (each for each in self._holdings if not (spares_new and each.is_new(now)))
+        heaviest = max(asked, key=lambda each: each.burden(now), default=None)
         if heaviest is None or heaviest.burden(now) <= 0:
             return None
         return heaviest
@@ -182,6 +189,11 @@
     return max(reading, key=lambda each: each.burden(now), default=None)
 
 
+def is_small(held_bytes: int) -> bool:
+    """Check whether a connection holds no more than a small request."""
+    return held_bytes <= SMALL_BYTES + CONNECTION_BYTES
+
+
 def clients_bytes(memory_bytes: int) -> int:
     """Return what clients may make a process hold that may use so much memory."""
     rest = max(0, memory_bytes - OWN_BYTES)
--- a/lagoonlever/tests/crowd_tests.py
+++ b/lagoonlever/tests/crowd_tests.py
@@ -36,6 +36,10 @@
 """More than the process may have descriptors."""
 ABSURD_BYTES = 10**12
 SLOW_READERS = 40
+NEW_CALLERS = 5
+"""Beside the slow readers: fewer than the connections that are left."""
+CALLER_GAP_S = 0.6
+"""Between two of them, so that answers are read from their runner beside each."""
 NAMING, NAMED_EACH = 20, 100
 NAMED_PARTS = 500
 NAMED_WAIT_S = 5.0
@@ -126,6 +130,32 @@
     run_crowd(story, tmp_path)
 
 
+def test_callers_that_have_just_connected_are_answered_beside_large_answers(tmp_path: Path) -> None:
+    """Guards against new connections that are closed for others' answers, before they ask."""
+
+    async def connect_and_ask(client: Client) -> None:
+        await trio.sleep(2 * ANSWER_GAP_S)
+        await client.send(client.head("Content-Length: 0", path="/look/ordinary"))
+
+    async def story(site: CrowdSite) -> None:
+        front = site.settings.listen
+        slow = Crowd(
+            address=front,
+            key=KEY,
+            kind=kinds.ask_for_a_large_answer,
+            count=SLOW_READERS,
+            reads=False,
+            gap_s=ANSWER_GAP_S,
+        )
+        callers = Crowd(
+            address=front, key=KEY, kind=connect_and_ask, count=NEW_CALLERS, gap_s=CALLER_GAP_S
+        )
+        await site.bear(slow, callers)
+        assert [each.status for each in callers.clients] == [200] * NEW_CALLERS
+
+    run_crowd(story, tmp_path)
+
+
 def test_all_kinds_of_clients_at_once_stay_within_the_machine(tmp_path: Path) -> None:
     """Guards against bounds that hold for one kind of client alone."""
 
--- a/lagoonlever/tests/held_memory_tests.py
+++ b/lagoonlever/tests/held_memory_tests.py
@@ -12,6 +12,7 @@
     CONNECTION_BYTES,
     LEAST_PART,
     MB,
+    NEW_S,
     OWN_BYTES,
     SMALL_BYTES,
     Holding,
@@ -154,6 +155,25 @@
     assert gave_way == []
 
 
+@pytest.mark.parametrize("stage", [Stage.IDLE, Stage.READING])
+def test_a_new_small_request_does_not_give_way_to_a_large_answer(stage: Stage) -> None:
+    """Guards against callers cut off right after they connect, as an answer of others grows."""
+    account, holdings, gave_way = filled(
+        (Stage.SERVING, 0.0, 5 * MB), (Stage.SERVING, 0.0, 2 * MB), (stage, 3.0, 1024)
+    )
+    assert not account.grow(holdings[0], MB, now=3.0 + NEW_S / 2)
+    assert gave_way == []
+
+
+def test_slow_small_requests_give_way_to_a_large_answer() -> None:
+    """Guards against a crowd of small bodies that stop midway, and fail large answers."""
+    slow = [(Stage.READING, 1.0, SMALL_BYTES)] * 20
+    account, holdings, gave_way = filled((Stage.SERVING, 0.0, 6 * MB), *slow)
+    assert account.grow(holdings[0], MB, now=1.0 + NEW_S * 2)
+    assert 0 < len(gave_way) < len(slow)
+    assert account.held_bytes <= account.largest_bytes
+
+
 def test_room_is_kept_for_small_requests() -> None:
     """Guards against whole large bodies that shut out small requests as they are served."""
     account, _, _ = filled((Stage.SERVING, 0.0, 7 * MB))
