Clients: an idle connection that gives way makes room at once

What callers saw: where the account was full, a new connection closed all idle ones, and was refused as well. The account of 48 MB of a machine of 160 MB with 10,250 descriptors is filled by 3,072 idle connections, fewer than it takes.

Cause: whoever gives way goes on paying for its connection, as its refusal is still to be told. An idle connection has nothing else to pay for and is told nothing, so nothing was freed, and the next one was asked, to the last.

Change: an idle holding that gives way frees all of it.

Why it holds: each step of the search frees at least a connection's part, so it ends as soon as there is room.

--- a/lagoonlever/decisions/admission/held_memory.py
+++ b/lagoonlever/decisions/admission/held_memory.py
@@ -148,10 +148,11 @@
             holding.since = now
 
     def yield_room(self, holding: Holding, *, now: float) -> None:
-        """Have a holding drop what it holds; its connection still pays for itself."""
+        """Have a holding drop what it holds; a connection that is told so still pays for itself."""
+        left = 0 if holding.stage is Stage.IDLE else CONNECTION_BYTES
         self.move(holding, Stage.LEAVING, now=now)
         holding.give_way()
-        self.shrink_to(holding, CONNECTION_BYTES)
+        self.shrink_to(holding, left)
 
     def close(self, holding: Holding) -> None:
         """Record that nothing is held any more; a repeated call has no effect."""
