Tests: engines that leave have the requests that a test is about

Cause: the test's own premise.

Change: more requests with the rare part are asked until three engines have one, and all of them are followed to the end. The premise is asserted as before, and so is all that is judged.

--- a/lagoonlever/tests/leaving_engines_ends_tests.py
+++ b/lagoonlever/tests/leaving_engines_ends_tests.py
@@ -26,7 +26,10 @@
 FORMER = 4
 """Engines that leave."""
 RARE = 4
-"""Requests with a part that no answer is known of."""
+"""Requests with a part that no answer is known of, at least."""
+MOST_RARE = 12
+BUSY = 3
+"""Engines that have such a request as they end, at least: fewer ends would be held against none."""
 NEWS_S = 0.5
 """Within so long the other VMs have heard of an end that one has judged."""
 READ_TOKENS_PER_S = 400.0
@@ -107,6 +110,11 @@
     return {prompt.split(",")[-1] for prompt in prompts if "rare" in prompt}
 
 
+def busy(engines: Iterable[FakeEngine]) -> int:
+    """Return how many engines have a request."""
+    return sum(bool(engine.runs) for engine in engines)
+
+
 async def start_new(site: GatewaySite) -> None:
     """Start as many engines again, and wait until every VM may use them."""
     for number in range(FORMER):
@@ -141,19 +149,23 @@
         answered.append(f"own-{number}: {got.status}")
 
     async with trio.open_nursery() as nursery:
-        for number in range(RARE):
-            nursery.start_soon(ask, number)
         names, former = list(site.engines), list(site.engines.values())
-        await until(lambda: len(rare_at(former)) == RARE)
+        asked: list[int] = []
+        while len(asked) < RARE or busy(former) < BUSY:
+            assert len(asked) < MOST_RARE, "the requests go to the same engines"
+            for _ in range(max(1, RARE - len(asked))):
+                nursery.start_soon(ask, len(asked))
+                asked.append(len(asked))
+            await until(lambda: len(rare_at(former)) == len(asked))
         await leave(site, names)
         await start_new(site)
-        assert sum(bool(engine.runs) for engine in former) >= 3
+        assert busy(former) >= BUSY
         for name in names:
             site.crash(name)
         if is_back:
             for name in names:
                 (await site.start_engine(name)).prefill_tokens_per_s = SLOW
-        await until(lambda: len(rare_at(set(site.engines.values()) - set(former))) == RARE)
+        await until(lambda: len(rare_at(set(site.engines.values()) - set(former))) == len(asked))
         await judged(site)
         await judge()
         assert not answered
