--- a/lagoonlever/tests/crowd_site.py
+++ b/lagoonlever/tests/crowd_site.py
@@ -17,6 +17,7 @@
 import trio
 
 from lagoonlever.decisions.targets.listed_target import ListedTarget
+from lagoonlever.exceptions import PeerError
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
 from lagoonlever.gateway.settings import Bounds, GatewaySettings, MachineLimits, StoreLimits
 from lagoonlever.http.client import Response, fetch
@@ -27,6 +28,7 @@
 from lagoonlever.platform.configuration import CONFIGURATION_KEY
 from lagoonlever.platform.documents import caller_headers, settings_text, target_entry
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
+from lagoonlever.platform.entry_calls import READY_PATH
 from lagoonlever.platform.headers import REQUEST_ID, SEAL
 from lagoonlever.platform.settings_file import METRICS_PORT
 from lagoonlever.platform.targets import TARGETS_PREFIX
@@ -48,6 +50,8 @@
 SETTLE_S = 20.0
 """Time for a crowd to do what it came for; what is checked then does not depend on it."""
 WAIT_S = 60.0
+READY_TRIES = 2
+"""Questions of the platform, of which it takes a VM out that answers none."""
 KB = 1024
 MB = 1024 * 1024
 
@@ -144,10 +148,22 @@
             await trio.sleep(float(answer.headers.get("Retry-After") or 0))
         raise AssertionError
 
+    async def is_ready(self) -> bool:
+        """Ask as the platform does whether the gateway is ready."""
+        assert self.settings.readiness is not None
+        for _ in range(READY_TRIES):
+            with contextlib.suppress(PeerError):
+                answer = await fetch(
+                    self.settings.readiness, path=READY_PATH, step="test", timeout_s=WAIT_S
+                )
+                if answer.status == 200:
+                    return True
+        return False
+
     async def bear(self, *crowds: Crowd) -> None:
         """Bear crowds until they have done what they came for, and check what must hold.
 
-        An ordinary request is answered beside them and after them.
+        An ordinary request is answered beside them and after them, and the gateway is ready.
         """
         async with trio.open_nursery() as nursery:
             for crowd in crowds:
@@ -156,12 +172,14 @@
                 await until(lambda: all(crowd.is_settled for crowd in crowds))
             self.check()
             beside = await self.ordinary()
+            assert await self.is_ready()
             nursery.cancel_scope.cancel()
         self.released.set()
         after = await self.ordinary()
         await self.until_left()
         self.check()
         assert (beside.status, after.status) == (200, 200)
+        assert await self.is_ready()
 
     async def until_left(self) -> None:
         """Wait until the connections of clients that have left are closed."""
