Tests: a gateway under a crowd and another one hear each other

The new test starts a second gateway beside the one that 80 clients send tiny chunks to, and looks for either's word that the other one has fallen silent.

--- a/lagoonlever/tests/crowd_site.py
+++ b/lagoonlever/tests/crowd_site.py
@@ -19,6 +19,7 @@
 from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.exceptions import PeerError
 from lagoonlever.fakes.metadata_store import FakeMetadataStore
+from lagoonlever.gateway.events import FELLOW_LISTED, FELLOW_SILENT
 from lagoonlever.gateway.settings import Bounds, GatewaySettings, MachineLimits, StoreLimits
 from lagoonlever.http.client import Response, fetch
 from lagoonlever.http.exchange import Exchange
@@ -46,6 +47,7 @@
 LARGE_ANSWER_BYTES = 4 * 1024 * 1024
 FRONT_PORT, READY_PORT, DIRECTORY_PORT, BUS_PORT, TUNNEL_PORT = 8740, 8749, 8746, 8748, 7200
 STORE_PORT, RUNNER_PORT = 8742, 9000
+LOGS = ("vm-0.log", "vm-1.log")
 LOOK_S = 0.02
 SETTLE_S = 20.0
 """Time for a crowd to do what it came for; what is checked then does not depend on it."""
@@ -128,6 +130,10 @@
     """Set once the runner answers what it was asked slowly."""
     runs: int = 0
 
+    def judged_silent(self) -> bool:
+        """Check whether one of two gateways has ever judged the other one silent."""
+        return any(FELLOW_SILENT.name in (self.folder / name).read_text() for name in LOGS)
+
     async def ordinary(self, *, body: bytes = b"a small question") -> Response:
         """Send one ordinary request, again if it is told to, and return its answer."""
         for attempt in itertools.count():
@@ -228,7 +234,9 @@
         )
 
 
-def site_settings() -> GatewaySettings:
+def site_settings(
+    name: str = "vm-0", *, store: StoreLimits | None = None, seeds: tuple[Address, ...] = ()
+) -> GatewaySettings:
     """Return the settings of a gateway on a small machine, at a loopback address of its own."""
     run = os.getpid()
     host = f"127.{20 + run % 200}.{run // 200 % 250}.{1 + next(_runs) % 250}"
@@ -237,7 +245,7 @@
         return Address(host=host, port=port)
 
     return GatewaySettings(
-        name="vm-0",
+        name=name,
         data_center="dc-0",
         region="r",
         listen=at(FRONT_PORT),
@@ -246,10 +254,11 @@
         bus=at(BUS_PORT),
         tunnel=at(TUNNEL_PORT),
         metrics=at(METRICS_PORT),
-        store=StoreLimits(address=at(STORE_PORT)),
+        store=store or StoreLimits(address=at(STORE_PORT)),
         bounds=Bounds(grace_s=3.0),
         machine=MachineLimits(memory_mb=MACHINE_MB, descriptors=MACHINE_DESCRIPTORS),
         data_centers=("dc-0",),
+        seeds=seeds,
     )
 
 
@@ -268,10 +277,8 @@
 
 
 @contextlib.asynccontextmanager
-async def _open(folder: Path) -> AsyncIterator[CrowdSite]:
+async def _open(folder: Path, *, with_neighbor: bool) -> AsyncIterator[CrowdSite]:
     settings = site_settings()
-    file = folder / "vm-0.conf"
-    file.write_text(settings_text(settings), encoding="utf-8")
     runner = Address(host=settings.listen.host, port=RUNNER_PORT)
     target = ListedTarget(
         id="runner-0", service="apps", address=runner, data_center="dc-0", slots=200, version="v1"
@@ -283,7 +290,8 @@
         at_store = settings.store.address
         listeners = await open_listeners(host=at_store.host, port=at_store.port)
         nursery.start_soon(store.run, listeners)
-        process = _start(folder, file)
+        process = _start(folder, settings)
+        started = [process]
         ports = frozenset((FRONT_PORT, READY_PORT, DIRECTORY_PORT, TUNNEL_PORT, METRICS_PORT))
         site = CrowdSite(
             folder=folder,
@@ -296,17 +304,24 @@
         )
         try:
             await _wait_serving(site)
+            if with_neighbor:
+                neighbor = site_settings("vm-1", store=settings.store, seeds=(settings.bus,))
+                started.append(_start(folder, neighbor))
+                await _wait_heard(folder)
             nursery.start_soon(site.watch.run)
             yield site
         finally:
-            process.kill()
-            process.wait()
+            for each in started:
+                each.kill()
+                each.wait()
             nursery.cancel_scope.cancel()
 
 
-def _start(folder: Path, settings_file: Path) -> subprocess.Popen[bytes]:
+def _start(folder: Path, settings: GatewaySettings) -> subprocess.Popen[bytes]:
+    settings_file = folder / f"{settings.name}.conf"
+    settings_file.write_text(settings_text(settings), encoding="utf-8")
     environment = {**os.environ, "PYTHONPATH": str(OWN_CODE), PATH_VARIABLE: str(settings_file)}
-    with (folder / "vm-0.log").open("wb") as log:
+    with (folder / f"{settings.name}.log").open("wb") as log:
         return subprocess.Popen(
             [sys.executable, "-m", "lagoonlever.gateway"],
             env=environment,
@@ -325,11 +340,20 @@
             await trio.sleep(0.1)
 
 
-def run_crowd(story: Callable[[CrowdSite], Awaitable[None]], folder: Path) -> None:
-    """Run a story on a gateway that serves."""
+async def _wait_heard(folder: Path) -> None:
+    """Wait until each of two gateways has heard the other."""
+    logs = [folder / name for name in LOGS]
+    with trio.fail_after(WAIT_S):
+        await until(lambda: all(FELLOW_LISTED.name in log.read_text() for log in logs))
+
+
+def run_crowd(
+    story: Callable[[CrowdSite], Awaitable[None]], folder: Path, *, with_neighbor: bool = False
+) -> None:
+    """Run a story on a gateway that serves, with another gateway beside it if asked to."""
 
     async def main() -> None:
-        async with _open(folder) as site:
+        async with _open(folder, with_neighbor=with_neighbor) as site:
             await story(site)
 
     trio.run(main)
--- a/lagoonlever/tests/crowd_tests.py
+++ b/lagoonlever/tests/crowd_tests.py
@@ -93,6 +93,17 @@
     run_crowd(story, tmp_path)
 
 
+def test_a_gateway_under_a_crowd_is_not_taken_for_dead_by_another(tmp_path: Path) -> None:
+    """Guards against a process that neither speaks nor hears as it parses what a crowd sends."""
+
+    async def story(site: CrowdSite) -> None:
+        kind = kinds.tiny_chunks(BODY_BYTES)
+        await site.bear(Crowd(address=site.settings.listen, key=KEY, kind=kind, count=BODIES))
+        assert not site.judged_silent()
+
+    run_crowd(story, tmp_path, with_neighbor=True)
+
+
 @pytest.mark.parametrize("listener", [*LISTENERS, "tunnel"])
 @pytest.mark.parametrize(
     "kind",
