--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -241,11 +241,12 @@
             await self._roles.wait_change()
 
     def _apart(self, run: EngineRun) -> StreamOrigin | None:
-        """Return the origin of a flowing run's stream, unless its version is that of the run."""
+        """Return the origin of a flowing run's stream, unless its version is known from the run."""
         origin = self._beliefs.origins.find(run.stream)
         if origin is None:
             return StreamOrigin(request=run.stream, service=run.service, version=None)
-        return origin if origin.version != run.version else None
+        is_known = origin.version is not None and origin.version == run.version
+        return None if is_known else origin
 
     def _ask_hubs(self, roles: Roles) -> None:
         for hub in (*roles.hubs, *roles.other_hubs[:1]):
--- a/lagoonlever/tests/placer_tests.py
+++ b/lagoonlever/tests/placer_tests.py
@@ -22,6 +22,7 @@
     PlacementRequest,
     RetryBudgetExhausted,
 )
+from lagoonlever.decisions.streams.stream_origins import UNKNOWN
 from lagoonlever.gateway.placer import ANSWER_S
 from lagoonlever.peers.messages import PEER
 from lagoonlever.peers.messages_gateway import RunEnded, RunList
@@ -261,6 +262,25 @@
     run_fleet(story)
 
 
+def test_a_run_whose_writer_nobody_knows_is_told_as_such_to_a_vm_that_is_met() -> None:
+    """Guards against a stream that goes on at another version, after VMs lost sight of each other.
+
+    Its engine was listed by no entry as it wrote; the next process under its id is.
+    """
+
+    async def story(fleet: Fleet) -> None:
+        one, other = list((await started(fleet, SMALL)).values())[:2]
+        one.peers.begin(attrs.evolve(one.booked("r1", Placed(engine="next")), version=None))
+        one.peers.flows("r1", UNKNOWN)
+        await trio.sleep(0.1)
+        one.peers.greet(other.vm.bus.address)
+        await trio.sleep(0.1)
+        told = other.vm.beliefs.origins.find("r1")
+        assert told is not None and (told.version, told.engine) == (None, "")
+
+    run_fleet(story)
+
+
 @pytest.mark.parametrize(("vms", "told"), [(SMALL, 1), (LARGE, 0)])
 def test_only_a_newcomer_that_hears_of_all_runs_is_told_of_them(vms: int, told: int) -> None:
     """After a loss of power hundreds of VMs ask the same few who is there, all at once.
