--- a/lagoonlever/decisions/targets/registry.py
+++ b/lagoonlever/decisions/targets/registry.py
@@ -11,9 +11,9 @@
   store, which can't distinguish this from an outage, would use a target that really left beyond the
   time in which it may still get work. A removal at any other time counts at once.
 - Crash: a crashed target stays listed until its entry lapses, while the process that replaces it
-  is listed at the same address under another id. A newer entry at an address therefore ends the
-  older ones there. Otherwise requests would still be sent to the old id, and the new process
-  would reject each.
+  is listed at the same address under another id. The later one at an address therefore ends the
+  earlier ones there (``replaced_targets.py``). Otherwise requests would still be sent to the old
+  id, and the new process would reject each.
 - Restart under the same id: a target reports when its process started (``started_ms``). A
   different start means another process, for which nothing that was measured before holds.
 - Order: changes arrive in any order, from the store and from other VMs. Of each target the change
@@ -42,6 +42,7 @@
 from lagoonlever.decisions.targets.leave_announcements import FORGET_S, LeaveAnnouncements
 from lagoonlever.decisions.targets.leaving_processes import LeavingProcesses
 from lagoonlever.decisions.targets.listed_target import ListedTarget, TargetChange
+from lagoonlever.decisions.targets.replaced_targets import ReplacedTargets
 from lagoonlever.decisions.targets.replacements import UNLISTED_LIFETIME_S
 from lagoonlever.decisions.targets.restored_entries import may_be_restored
 from lagoonlever.http.messages import Address
@@ -85,12 +86,15 @@
 
     The store may be restored twice, the second time from a copy that is newer than the first one.
     """
-    _replaced_at: dict[str, float] = attrs.field(factory=dict)
-    """Targets that another process has replaced at their address, and when this VM noticed it."""
+    _replaced: ReplacedTargets = attrs.field(factory=ReplacedTargets)
+    """Targets that another process has replaced at their address."""
     _unlisted_until: dict[str, float] = attrs.field(factory=dict)
     """Targets that were found without an entry, and until when they are used without one."""
-    _former_starts: dict[str, int] = attrs.field(factory=dict)
-    """The starts before the last one, of targets that reported their last start themselves."""
+    _former_starts: dict[str, int | None] = attrs.field(factory=dict)
+    """The starts before the last one, of targets whose last start a report has told.
+
+    A report names no id: it may be of another process at the target's address.
+    """
     _in_doubt: set[str] = attrs.field(factory=set)
     """Targets that were lost and may have restarted under their ids since."""
     _announcements: LeaveAnnouncements = attrs.field(factory=LeaveAnnouncements)
@@ -261,7 +265,7 @@
 
     def _is_leaving(self, target: ListedTarget) -> bool:
         """Check whether a target is known to leave, or to have been replaced."""
-        if target.draining or target.id in self._replaced_at:
+        if target.draining or self._replaced.is_replaced(target.id):
             return True
         return self._announcements.is_leaving(target.id)
 
@@ -363,15 +367,21 @@
         """
         known = self._targets.get(target_id)
         self._in_doubt.discard(target_id)
-        if known is None or known.started_ms == started_ms:
+        if known is None:
+            return False
+        if known.started_ms == started_ms:
+            if target_id not in self._former_starts:
+                self._replaced.forget(target_id)
             return False
         if known.started_ms is None:
             self._targets[target_id] = attrs.evolve(known, started_ms=started_ms)
+            self._former_starts[target_id] = None
             self._leaving.name_start(target_id, started_ms)
             return False
         self._targets[target_id] = attrs.evolve(known, started_ms=started_ms, version=None)
         self._former_starts[target_id] = known.started_ms
-        self._replaced_at.pop(target_id, None)
+        self._replaced.forget(target_id)
+        self._compare_at(self._targets[target_id])
         self._announcements.forget(target_id)
         return True
 
@@ -399,10 +409,25 @@
         self._leaving.record(target_id, start, now)
         return self._announcements.record(target_id, started_ms=started_ms, now=now)
 
-    def mark_replaced(self, target_id: str, now: float) -> None:
-        """Record that another process answers at a target's address, so that the target is gone."""
-        if target_id in self._targets:
-            self._replaced_at[target_id] = now
+    def mark_replaced(
+        self,
+        target_id: str,
+        now: float,
+        *,
+        by: str | None = None,
+        started_ms: int | None = None,
+    ) -> None:
+        """Record that another process answers at a target's address, so that the target is gone.
+
+        ``by`` is the id with which it answers, and ``started_ms`` the start of the process that was
+        replaced; None if they are not known. A later process of the target is not replaced.
+        """
+        if by is not None:
+            self._replaced.forget(by)
+        known = self._targets.get(target_id)
+        if known is not None and not known.has_restarted_since(started_ms):
+            self._replaced.record_answer(target_id, by=by, now=now)
+            self._compare_at(known)
 
     def is_address_taken(self, target_id: str) -> bool:
         """Check whether a target is gone, or an available target has its address."""
@@ -428,7 +453,7 @@
         if found_before or any(target.revision > former.revision for target in there):
             return False
         for target in there:
-            self._replaced_at[target.id] = now
+            self._replaced.record_answer(target.id, by=new_id, now=now)
         self._targets[new_id] = attrs.evolve(
             former, id=new_id, draining=False, version=None, started_ms=None
         )
@@ -451,12 +476,12 @@
         for target_id in [t for t, gone in self._removed.items() if now - gone.at > FORGET_S]:
             del self._removed[target_id]
             self._highest_numbers.pop(target_id, None)
-        for target_id in [t for t, at in self._replaced_at.items() if now - at > FORGET_S]:
-            del self._replaced_at[target_id]
+        self._replaced.expire(now)
         self._announcements.expire(now, kept=self._targets.keys())
         self._leaving.expire(now, listed=self._targets)
         for target_id in [t for t, until in self._unconfirmed_until.items() if now >= until]:
             del self._unconfirmed_until[target_id]
+            self._compare_at(self._targets[target_id])
         return tuple(TargetChange(id=t, target=None, revision=revision) for t, revision in due)
 
     def _removal_counts_at(self, now: float, store_back_at: float | None) -> float:
@@ -509,7 +534,7 @@
         self._announcements.apply_entry(target, former_start=start)
         if target.has_restarted_since(start):
             self._in_doubt.discard(target.id)
-            self._replaced_at.pop(target.id, None)
+            self._replaced.forget(target.id)
             self._former_starts.pop(target.id, None)
         self._record_number(target.id, target.revision)
         was_held = self._held_removals.pop(target.id, None) is not None
@@ -519,7 +544,8 @@
         self._note_leaving(target, now, may_be_restored=may_be_restored)
         if target.service in self._versions and target.version is not None:
             self._versions[target.service].record_listed(target.version)
-        self._mark_replaced_by(target, now)
+        self._replaced.record_entry(target.id, now)
+        self._compare_at(target)
         if known is None or was_held or known.revision.era == target.revision.era:
             return True
         return attrs.evolve(known, revision=target.revision) != target
@@ -567,27 +593,23 @@
         if self._may_be_restored(target):
             self._unconfirmed_until[target.id] = now + self.lapse_s
 
-    def _mark_replaced_by(self, listed: ListedTarget, now: float) -> None:
-        """Mark all targets at an address as replaced, except the one of the newest entry.
+    def _compare_at(self, listed: ListedTarget) -> None:
+        """Judge which of the targets at an address have been replaced by another one there.
 
         Only entries of the same service and era are compared. An entry that another program
         wrote may name any address, and must not end the target there; a target whose address was
         assigned to another service rejects what is sent to it by its id. An older copy of the
         store lists a target again that another one has replaced since.
         """
-        if listed.id in self._unconfirmed_until:
-            return
         there = [
             target
             for target in self._targets.values()
             if target.address == listed.address
             and target.service == listed.service
             and target.revision.era == listed.revision.era
+            and target.id not in self._unconfirmed_until
         ]
-        newest = max(there, key=lambda target: target.revision)
-        for target in there:
-            if target is not newest:
-                self._replaced_at.setdefault(target.id, now)
+        self._replaced.compare(there, self_reported=self._former_starts.keys())
 
     def _known_revision(self, target_id: str) -> Revision:
         target, gone = self._targets.get(target_id), self._removed.get(target_id)
@@ -603,14 +625,16 @@
         """Remove a target and remember the revision of its removal and its process's start."""
         started_ms = self.process_start(target_id)
         self._held_removals.pop(target_id, None)
-        self._targets.pop(target_id, None)
+        removed = self._targets.pop(target_id, None)
         self._unlisted_until.pop(target_id, None)
-        self._replaced_at.pop(target_id, None)
+        self._replaced.remove(target_id)
         self._former_starts.pop(target_id, None)
         self._unconfirmed_until.pop(target_id, None)
         self._in_doubt.discard(target_id)
         self._record_number(target_id, revision)
         self._removed[target_id] = _RemovedTarget(revision=revision, at=now, started_ms=started_ms)
+        if removed is not None:
+            self._compare_at(removed)
 
 
 def _versions_of(targets: Iterable[ListedTarget]) -> set[str]:
--- a/lagoonlever/gateway/call_exchange.py
+++ b/lagoonlever/gateway/call_exchange.py
@@ -280,8 +280,9 @@
         return frozenset(target.id for target in targets if target.data_center == data_center)
 
     def _note_replaced(self, target: ListedTarget, refused: Refused) -> None:
-        if refused.head.target_id not in (None, target.id):
-            self.peers.engine_lost(target.id, replaced=True)
+        answering = refused.head.target_id
+        if answering is not None and answering != target.id:
+            self.peers.engine_replaced(target, by=answering)
 
     def _outcome(self, call: CallRecord) -> NotRun | Unknown:
         late = call.accepted.left_s(self.timers.now) <= 0
--- a/lagoonlever/gateway/events.py
+++ b/lagoonlever/gateway/events.py
@@ -103,7 +103,7 @@
     1022,
     "target-replaced",
     "info",
-    "Another process answers at the address of {target}, by {source}.",
+    "The process {by} answers at the address of {target}, by {source}.",
     "The target has restarted or its address was given away; its entry is ignored.",
 )
 TARGETS_READ = event(
--- a/lagoonlever/gateway/learner.py
+++ b/lagoonlever/gateway/learner.py
@@ -122,13 +122,18 @@
             self._log_change(change, known[change.id])
         return changes
 
-    def take_replaced(self, target_id: str, *, source: str) -> None:
-        """Record that another process answers at a target's address."""
+    def take_replaced(
+        self, target_id: str, *, by: str | None, started_ms: int | None, source: str
+    ) -> None:
+        """Record that the process ``by`` answers at the address of a target's process.
+
+        ``started_ms`` is the start of the process that was replaced, None if it is not known.
+        """
         registry = self._beliefs.targets
-        if not registry.takes_work(target_id):
-            return
-        events.TARGET_REPLACED.log(log, target=target_id, source=source)
-        registry.mark_replaced(target_id, self._timers.now)
+        took_work = registry.takes_work(target_id)
+        registry.mark_replaced(target_id, self._timers.now, by=by, started_ms=started_ms)
+        if took_work and not registry.takes_work(target_id):
+            events.TARGET_REPLACED.log(log, target=target_id, by=by, source=source)
 
     def _note_machine(self, target: ListedTarget) -> None:
         """Take the pace of the engine that had a target's address before it."""
--- a/lagoonlever/gateway/peers.py
+++ b/lagoonlever/gateway/peers.py
@@ -12,6 +12,7 @@
 from lagoonlever.decisions.fleet.update_routing import placement_hubs, sends_directly
 from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
 from lagoonlever.decisions.streams.stream_origins import PROVEN, StreamOrigin, Writer
+from lagoonlever.decisions.targets.listed_target import ListedTarget
 from lagoonlever.gateway import events_paths as events
 from lagoonlever.gateway.beliefs import Beliefs
 from lagoonlever.gateway.learner import Learner
@@ -168,7 +169,7 @@
         self._end(ended)
         self._relay.tell(ended)
 
-    def engine_lost(self, engine: str, *, replaced: bool, confirmed: bool = True) -> None:
+    def engine_lost(self, engine: str, *, confirmed: bool = True) -> None:
         """Record that an engine failed, and tell the others unless they know.
 
         Only what another VM has ``confirmed`` is told: this one may have lost its path to it.
@@ -176,12 +177,17 @@
         now = self._timers.now
         known = self._beliefs.book.avoidance.is_avoided(engine, now)
         self._avoid(engine, source=OWN)
-        if replaced:
-            self._learner.take_replaced(engine, source="answer")
-        if replaced or (confirmed and not known):
-            self._relay.tell(EngineLost(engine=engine, replaced=replaced))
-        if not replaced:
-            self._tell_engine_lost(engine)
+        if confirmed and not known:
+            self._relay.tell(EngineLost(engine=engine))
+        self._tell_engine_lost(engine)
+
+    def engine_replaced(self, engine: ListedTarget, *, by: str) -> None:
+        """Record that a process ``by`` answers at an engine's address, and tell the others."""
+        self._avoid(engine.id, source=OWN)
+        self._learner.take_replaced(engine.id, by=by, started_ms=engine.started_ms, source="answer")
+        self._relay.tell(
+            EngineLost(engine=engine.id, replaced=True, by=by, started_ms=engine.started_ms)
+        )
 
     async def _receive(self, message_class: type[RunChange]) -> None:
         async for received in self._bus.subscribe(message_class, capacity=MOST_CHANGES_WAITING):
@@ -345,7 +351,9 @@
     def _take_engine_lost(self, lost: EngineLost, source: str) -> None:
         self._avoid(lost.engine, source=source)
         if lost.replaced:
-            self._learner.take_replaced(lost.engine, source=source)
+            self._learner.take_replaced(
+                lost.engine, by=lost.by, started_ms=lost.started_ms, source=source
+            )
         else:
             self._tell_engine_lost(lost.engine)
 
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -147,7 +147,7 @@
         if isinstance(connection, NotSent):
             self._count("not-sent")
             self._life.record_unreachable(engine.id, connection.detail)
-            self._peers.engine_lost(engine.id, replaced=False, confirmed=self._crashes.is_down)
+            self._peers.engine_lost(engine.id, confirmed=self._crashes.is_down)
             self._log_end(connection.detail)
             return
         if not self._tools.words.covers(engine.id, permit):
@@ -447,7 +447,7 @@
             detail = f"refused with {head.status}"
             self._life.record_refusal(engine.id, detail)
             if head.target_id is not None and head.target_id != engine.id:
-                self._peers.engine_lost(engine.id, replaced=True)
+                self._peers.engine_replaced(engine, by=head.target_id)
                 self._tools.replacements.answered(engine.id, head.target_id)
             self._log_end(detail)
             return False
@@ -567,7 +567,7 @@
         if alive:
             self._tools.beliefs.book.avoidance.record_broken_answer(engine.id, self._now)
         else:
-            self._peers.engine_lost(engine.id, replaced=False, confirmed=self._crashes.is_down)
+            self._peers.engine_lost(engine.id, confirmed=self._crashes.is_down)
             if self._signs.alive_at is not None:
                 self._tools.replacements.lost(engine.id, alive_at=self._signs.alive_at)
         self._log_end(f"{ended}; the engine {'lives' if alive else 'does not answer'}")
--- a/lagoonlever/peers/messages_gateway.py
+++ b/lagoonlever/peers/messages_gateway.py
@@ -165,6 +165,10 @@
     engine: str
     replaced: bool = False
     """Another process answers at its address."""
+    by: str | None = None
+    """The id with which that other process answers."""
+    started_ms: int | None = None
+    """The start of the process that was replaced, in Unix milliseconds; None if not known."""
 
 
 @PEER.message("gz")
--- a/lagoonlever/tests/placer_tests.py
+++ b/lagoonlever/tests/placer_tests.py
@@ -66,7 +66,7 @@
         names = sorted(placing)
         crashed = chosen_at_random(seed, [f"e-{n}" for n in range(ENGINES)], ENGINES // 5)
         for engine in crashed:
-            placing[names[0]].peers.engine_lost(engine, replaced=False)
+            placing[names[0]].peers.engine_lost(engine)
         await trio.sleep(0.05)
         chosen: list[str] = []
 
--- a/lagoonlever/tests/prompt_queue_load_tests.py
+++ b/lagoonlever/tests/prompt_queue_load_tests.py
@@ -143,7 +143,7 @@
     async def crash(self, names: tuple[str, ...], *, for_s: float) -> None:
         self.engines.crash(names)
         for name in names:
-            self.vms[0].peers.engine_lost(name, replaced=False)
+            self.vms[0].peers.engine_lost(name)
         await trio.sleep(for_s)
         for vm in self.vms:
             for name in names:
--- a/lagoonlever/tests/version_room_tests.py
+++ b/lagoonlever/tests/version_room_tests.py
@@ -55,7 +55,7 @@
     taken = Counter(new_at)
     lost, left = "e-0", "e-1"
     for vm in placing:
-        vm.peers.engine_lost(lost, replaced=False)
+        vm.peers.engine_lost(lost)
     await trio.sleep(0.1)
     broken = [name for name in old if began_at[name] == lost]
     went_to = await _place_over(placing, broken, version=OLD_VERSION)
