Answers: one in tiny pieces does not hold up the process (CONFIG)

Cause: RawEventSplitter.feed and EventParser.feed copied and searched all that had come of an event for each piece, up to 1 MB; and the pieces that one read had brought were taken without a turn of the event loop, at streams, calls and the entry daemon alike. Nothing bounded the work for a byte.

Change: events are searched from where the last search ended; pieces that have come together are joined, 64 at most, and then others have a turn, one answer at a time; an answer in tiny pieces is given up after 1,024 such turns.

Why it holds: a turn is 64 pieces or one read, and the lock lets one answer have one in a round, whatever comes.

--- a/lagoonlever/fakes/raw_answers.py
+++ b/lagoonlever/fakes/raw_answers.py
@@ -21,6 +21,8 @@
     """In the body of an answer that tells neither a length nor chunks."""
     CHUNKS = "chunks"
     """In the chunks of a body."""
+    TINY_CHUNKS = "tiny-chunks"
+    """In chunks of one byte."""
     REFUSAL = "refusal"
     """In the body of a refusal."""
     JUNK = "junk"
@@ -52,6 +54,10 @@
         Endless.INTERIM: (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 256),
         Endless.BODY: (raw_head(fields), PIECE),
         Endless.CHUNKS: (raw_head((*fields, ("Transfer-Encoding", "chunked"))), chunk),
+        Endless.TINY_CHUNKS: (
+            raw_head((*fields, ("Transfer-Encoding", "chunked"))),
+            b"1\r\nx\r\n" * 4_096,
+        ),
         Endless.REFUSAL: (raw_head((*fields, refused), status="503 Busy"), PIECE),
         Endless.JUNK: (b"", PIECE),
     }[kind]
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -43,6 +43,7 @@
 from lagoonlever.gateway.target_client import NotSent, log_foreign
 from lagoonlever.gateway.writer_finder import WriterFinder
 from lagoonlever.http.client import ClientConnection, Response
+from lagoonlever.http.parsing_turns import TURN_PIECES, take_answer_turn
 from lagoonlever.http.sse import RawEvent
 from lagoonlever.nurseries import open_work_nursery
 from lagoonlever.platform.headers import read_answer, to_caller, to_target
@@ -464,7 +465,9 @@
     async def _pass_on(
         self, arrived: list[RawEvent], silence: SilenceDetector, nursery: trio.Nursery
     ) -> None:
-        for event in arrived:
+        for place, event in enumerate(arrived):
+            if place % TURN_PIECES == TURN_PIECES - 1:
+                await take_answer_turn()
             self._answer.has_event = True
             writer: Writer | None = None
             if not self._answer.is_flowing:
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -22,6 +22,12 @@
 
 from lagoonlever.exceptions import BadResponse, ConnectFailed, ConnectionBroken, PeerTimeout
 from lagoonlever.http.messages import Address, Headers
+from lagoonlever.http.parsing_turns import (
+    MOST_TINY_TURNS,
+    TURN_PIECES,
+    is_tiny,
+    take_answer_turn,
+)
 
 RECEIVE_BYTES = 64 * 1024
 JOINED_BYTES = 64 * 1024
@@ -74,6 +80,11 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._step = "connect"
         self._ended = False
+        self._follows: object | None = None
+        """What follows the pieces of a body that were read together: an event, or an exception."""
+        self._is_turn_over = False
+        self._tiny_turns = 0
+        """The turns that the present answer has taken with tiny pieces."""
         self._head_read = False
         self._tells_length = True
         self._requests = 0
@@ -179,6 +190,8 @@
         """Write a whole request; raises ``ConnectionBroken``."""
         self._step = step
         self._head_read = False
+        self._follows = None
+        self._tiny_turns = 0
         self._requests += 1
         self._method = method
         if self.reusable:
@@ -243,12 +256,18 @@
     async def next_piece(self) -> bytes | None:
         """Return the next piece of the body, or None at its end; raise ``ConnectionBroken``.
 
+        Pieces that have come together are joined, of a few at most. Raise ``BadResponse`` for an
+        answer that goes on and on in tiny ones.
+
         An answer that ends with its connection is not believed by way of another VM: the end of
         that VM's process looks the same.
         """
+        if self._is_turn_over:
+            await take_answer_turn()
+            self._is_turn_over = False
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return self._join_received(event.data)
         if isinstance(event, h11.EndOfMessage) and (self._tells_length or self.via is None):
             return None
         raise self._broken("closed within its answer")
@@ -293,8 +312,41 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise self._broken(str(error)) from error
 
+    def _join_received(self, first: bytes) -> bytes:
+        """Join a piece with those that have come together with it, to the end of this turn."""
+        pieces = [first]
+        while self._follows is None and len(pieces) < TURN_PIECES:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                self._follows = error
+                break
+            if event is h11.NEED_DATA:
+                break
+            if isinstance(event, h11.Data):
+                pieces.append(event.data)
+            else:
+                self._follows = event
+        joined = bytes(first) if len(pieces) == 1 else b"".join(pieces)
+        self._is_turn_over = len(pieces) == TURN_PIECES
+        if self._is_turn_over and is_tiny(pieces=len(pieces), size=len(joined)):
+            self._tiny_turns += 1
+            if self._tiny_turns > MOST_TINY_TURNS:
+                raise self._bad("answers in tiny pieces without end")
+        return joined
+
+    def _take_following(self) -> object | None:
+        """Return the event that was read together with pieces of a body; raise an error."""
+        follows, self._follows = self._follows, None
+        if isinstance(follows, Exception):
+            raise follows
+        return follows
+
     async def _next_event(self) -> object:
         try:
+            following = self._take_following()
+            if following is not None:
+                return following
             while True:
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
--- a/lagoonlever/http/event_reader.py
+++ b/lagoonlever/http/event_reader.py
@@ -6,6 +6,7 @@
 
 from lagoonlever.exceptions import BadResponse
 from lagoonlever.http.client import ClientConnection
+from lagoonlever.http.parsing_turns import TURN_PIECES, take_answer_turn
 from lagoonlever.http.sse import EventParser, ServerEvent
 
 
@@ -17,9 +18,11 @@
         self._step = step
         self._parser = EventParser()
         self._events: deque[ServerEvent] = deque()
+        self._returned = 0
+        """The events of the piece that was read last."""
 
     async def next_event(self) -> ServerEvent | None:
-        """Give the next event, or None at the end of the body.
+        """Return the next event, or None at the end of the body.
 
         Raises ``ConnectionBroken`` if the body is cut, ``BadResponse`` for an event
         larger than ``MAX_EVENT_BYTES``.
@@ -29,6 +32,11 @@
             if piece is None:
                 return None
             self._events.extend(self._parse(piece))
+            self._returned = 0
+        if self._returned == TURN_PIECES:
+            await take_answer_turn()
+            self._returned = 0
+        self._returned += 1
         return self._events.popleft()
 
     def _parse(self, piece: bytes) -> list[ServerEvent]:
--- a/lagoonlever/http/parsing_turns.py
+++ b/lagoonlever/http/parsing_turns.py
@@ -1,4 +1,8 @@
-"""Turns at parsing bodies of many pieces, of which a connection takes one after the other."""
+"""Turns at parsing bodies of many pieces, of which a connection takes one after the other.
+
+A read from a socket may bring ten thousand pieces. Parsed in one go they would hold up every other
+task of the process for as long.
+"""
 
 from __future__ import annotations
 
@@ -13,6 +17,29 @@
 """Of a piece in the mean: below, its framing costs the process more than what it brings."""
 MOST_TINY = 16
 """Bodies in tiny pieces that are parsed at once; one has hardly any use for them."""
+MOST_TINY_TURNS = 1_024
+"""Turns at an answer in tiny pieces, after which it is given up as one that has no end."""
+_answer_turn: trio.lowlevel.RunVar[trio.Lock] = trio.lowlevel.RunVar("answer_turn")
+
+
+def is_tiny(*, pieces: int, size: int) -> bool:
+    """Check whether pieces of ``size`` bytes together are tiny in the mean."""
+    return size < pieces * TINY_BYTES
+
+
+async def take_answer_turn() -> None:
+    """Wait for the next turn at the answers that this process reads; one at a time has one.
+
+    Targets in trouble may send answers in tiny pieces without end to many requests at once. In a
+    round of the event loop these cost all others the time of one turn.
+    """
+    try:
+        lock = _answer_turn.get()
+    except LookupError:
+        lock = trio.Lock()
+        _answer_turn.set(lock)
+    async with lock:
+        await trio.lowlevel.checkpoint()
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -29,8 +56,7 @@
 
         Of too many bodies in tiny pieces the one with the most of them gives way.
         """
-        is_tiny = size < pieces * TINY_BYTES
-        if is_tiny:
+        if is_tiny(pieces=pieces, size=size):
             self._tiny[holding] = pieces
             if len(self._tiny) > MOST_TINY:
                 heaviest = max(self._tiny, key=self._tiny.__getitem__)
--- a/lagoonlever/http/sse.py
+++ b/lagoonlever/http/sse.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import re
+
 import attrs
 
 EVENT_STREAM_TYPE = "text/event-stream"
 DONE_DATA = b"[DONE]"
 MAX_EVENT_BYTES = 1024 * 1024
+EVENT_END = re.compile(rb"\n\r?\n")
+LONGEST_END = 3
+"""Bytes of the longest end of an event."""
 
 
 @attrs.frozen(kw_only=True)
@@ -32,16 +37,11 @@
     """Cuts the pieces of a body into events; raises ``ValueError`` for an oversized one."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._splitter = RawEventSplitter()
 
     def feed(self, piece: bytes) -> list[ServerEvent]:
-        """Take a piece of the body and give the events that are whole now."""
-        self._buffer += piece
-        if b"\r" in self._buffer:
-            self._buffer = self._buffer.replace(b"\r\n", b"\n")
-        *blocks, self._buffer = self._buffer.split(b"\n\n")
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError("an event is larger than the allowed size")
+        """Return the events that are whole with a further piece of the body."""
+        blocks = (event.data for event in self._splitter.feed(piece))
         return [event for block in blocks if (event := _parse_block(block)) is not None]
 
 
@@ -49,7 +49,7 @@
     data: list[bytes] = []
     id_: str | None = None
     name: str | None = None
-    for line in block.split(b"\n"):
+    for line in block.replace(b"\r\n", b"\n").split(b"\n"):
         field, _, value = line.partition(b":")
         value = value[1:] if value.startswith(b" ") else value
         if field == b"data":
@@ -78,7 +78,7 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     @property
     def partial(self) -> bool:
@@ -86,22 +86,25 @@
         return bool(self._buffer)
 
     def feed(self, piece: bytes) -> list[RawEvent]:
-        """Take a piece of the body and give the events that are whole now."""
+        """Return the events that are whole with a further piece of the body.
+
+        No byte is searched twice but for those of an end that began in a former piece. Guards
+        against a target that sends one event without end in tiny pieces.
+        """
+        searched = max(0, len(self._buffer) - LONGEST_END + 1)
         self._buffer += piece
         events: list[RawEvent] = []
-        while (end := _event_end(self._buffer)) is not None:
-            data, self._buffer = self._buffer[:end], self._buffer[end:]
+        begin = 0
+        while (found := EVENT_END.search(self._buffer, searched)) is not None:
+            data = bytes(self._buffer[begin : found.end()])
             events.append(RawEvent(data=data, id=_raw_id(data)))
+            begin = searched = found.end()
+        del self._buffer[:begin]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError("an event is larger than the allowed size")
         return events
 
 
-def _event_end(buffer: bytes) -> int | None:
-    ends = [buffer.find(mark) + len(mark) for mark in (b"\n\n", b"\r\n\r\n") if mark in buffer]
-    return min(ends) if ends else None
-
-
 def _raw_id(data: bytes) -> int | None:
     for line in data.splitlines():
         field, _, value = line.partition(b":")
