Streams: line ends without end are not passed on as events (LOST)

Callers of a stream got blank lines until their time was over, and the stream never went on elsewhere, where an engine in trouble sends bytes without end that happen to end events.

Cause: an event without a number is passed on, whatever it holds, and counts as a sign of life.

Evidence: endless_answers_tests.py[EMPTY_EVENTS], red before (the stream held blank lines and was not whole), passes now.

--- a/lagoonlever/fakes/raw_answers.py
+++ b/lagoonlever/fakes/raw_answers.py
@@ -23,6 +23,8 @@
     """In the chunks of a body."""
     TINY_CHUNKS = "tiny-chunks"
     """In chunks of one byte."""
+    EMPTY_EVENTS = "empty-events"
+    """In the blank lines that end events, with no event before them."""
     REFUSAL = "refusal"
     """In the body of a refusal."""
     JUNK = "junk"
@@ -58,6 +60,7 @@
             raw_head((*fields, ("Transfer-Encoding", "chunked"))),
             b"1\r\nx\r\n" * 4_096,
         ),
+        Endless.EMPTY_EVENTS: (raw_head(fields), b"\n" * len(PIECE)),
         Endless.REFUSAL: (raw_head((*fields, refused), status="503 Busy"), PIECE),
         Endless.JUNK: (b"", PIECE),
     }[kind]
--- a/lagoonlever/gateway/answer_state.py
+++ b/lagoonlever/gateway/answer_state.py
@@ -7,7 +7,13 @@
 from lagoonlever.decisions.engines.answer_stages import AnswerProgress, AnswerStage
 from lagoonlever.decisions.streams.silence import RunStatus
 from lagoonlever.http.client import ClientConnection
-from lagoonlever.http.sse import RawEventSplitter
+from lagoonlever.http.sse import RawEvent, RawEventSplitter
+
+MOST_UNNUMBERED = 64
+"""Events without a number, one after the other, that an answer may have.
+
+Guards against an engine in trouble that sends bytes without end which happen to end events.
+"""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -34,12 +40,24 @@
     """Whether the answer is whole, the engine lives, or its loss is being judged."""
     reported: RunStatus | None = None
     """What the engine last said of the run."""
+    _unnumbered: int = 0
+    """The events without a number since the last one that has one."""
 
     @property
     def is_flowing(self) -> bool:
         """Whether an event was passed on."""
         return self.first_event_at is not None
 
+    def is_blank(self, event: RawEvent) -> bool:
+        """Record an event, and check whether it is blank lines only, which belong to no answer.
+
+        Raise ``ValueError`` for one more event without a number than an answer may have.
+        """
+        self._unnumbered = self._unnumbered + 1 if event.id is None else 0
+        if self._unnumbered > MOST_UNNUMBERED:
+            raise ValueError(f"more than {MOST_UNNUMBERED} events in a row have no number")
+        return event.id is None and not event.data.strip()
+
     @property
     def via(self) -> str | None:
         """The VM by way of which the engine was reached, or None."""
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -468,6 +468,8 @@
         for place, event in enumerate(arrived):
             if place % TURN_PIECES == TURN_PIECES - 1:
                 await take_answer_turn()
+            if self._answer.is_blank(event):
+                continue
             self._answer.has_event = True
             writer: Writer | None = None
             if not self._answer.is_flowing:
