Tests: the caller of the stand-in site sees each event, also of joined pieces

GatewaySite.stream called on_event once a piece, with the number of events so far, so that a number was left out where two events came at once: here event 8, at which the test ends an engine. The gateway was not at fault; the test waited for a loss that it had not caused.

Change: on_event is called with the number of each event. No check changes.

--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -36,6 +36,7 @@
 ORGANISATION = "org-1"
 FIRST_HOST = 10
 """The last part of the IP number of the first gateway's bus."""
+EVENT_END = b"\n\n"
 LIMIT_S = 60.0
 """Generous: no test may depend on the machine's speed."""
 POLL_S = 0.01
@@ -162,7 +163,7 @@
     @property
     def last_event(self) -> int:
         """The number of the last event that came whole; 0 for none."""
-        return self.body.count(b"\n\n") + self.after
+        return self.body.count(EVENT_END) + self.after
 
     @property
     def versions(self) -> frozenset[str]:
@@ -396,7 +397,8 @@
     ) -> Stream:
         """Ask for a stream and read it until its end or its break.
 
-        ``question`` is the body, by default the id of the prompt's own part.
+        ``question`` is the body, by default the id of the prompt's own part. ``on_event`` is called
+        with the number of each event, also where several events are read at once.
         """
         headers = self.headers(
             Token_Count=f"{prompt_tokens},{events * 8}",
@@ -422,8 +424,10 @@
             )
             try:
                 while (piece := await connection.next_piece()) is not None:
+                    former = got.body.count(EVENT_END)
                     got.body += piece
-                    on_event(got.body.count(b"\n\n"))
+                    for count in range(former + 1, got.body.count(EVENT_END) + 1):
+                        on_event(count)
                 got.whole = head.status == 200
             except Exception:
                 got.whole = False
