--- a/lagoonlever/fakes/path_proxy.py
+++ b/lagoonlever/fakes/path_proxy.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import enum
+import select
 import socket
 import struct
 
@@ -170,16 +171,25 @@
     ) -> None:
         try:
             while piece := await source.receive_some(PIECE_BYTES):
-                await self._hold(held_by)
+                await self._hold(held_by, source)
                 await sink.send_all(piece)
-            await self._hold(held_by)
+            await self._hold(held_by, source)
             await sink.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
-            # One side broke or was reset; the other side is to see that too.
+            # One side broke or was reset; the other side is to see that too, by the same path.
+            await self._until_open(held_by)
             for stream in (source, sink):
                 _reset(stream)
 
-    async def _hold(self, held_by: tuple[PathState, ...]) -> None:
+    async def _hold(self, held_by: tuple[PathState, ...], source: trio.SocketStream) -> None:
+        """Wait while the path carries nothing; what is held is lost if its sender resets."""
+        if self._state not in held_by:
+            return
+        await self._until_open(held_by)
+        if is_reset(source):
+            raise trio.BrokenResourceError
+
+    async def _until_open(self, held_by: tuple[PathState, ...]) -> None:
         while self._state in held_by:  # noqa: ASYNC110 - the state changes from outside
             await trio.sleep(POLL_S)
 
@@ -188,6 +198,15 @@
             _reset(stream)
 
 
+def is_reset(stream: trio.SocketStream) -> bool:
+    """Check whether a connection is reset, by either side; nothing is taken from it."""
+    if stream.socket.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), 0)
+    return any(event & select.POLLERR for _, event in poll.poll(0))
+
+
 def _reset(stream: trio.SocketStream) -> None:
     """Reset a connection; one that has ended by itself is left as it is."""
     with contextlib.suppress(OSError):
--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import os
 import re
 import select
 import socket
+import struct
 from collections import deque
 from collections.abc import AsyncIterator
 from types import TracebackType
@@ -45,6 +47,8 @@
 POOL_IDLE_S = 4.0
 """Far below the idle timeout of usual servers, so that reuse seldom meets a closing socket."""
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+RESET_BY_CLOSE = struct.pack("ii", 1, 0)
+"""SO_LINGER without time: closing then resets the connection."""
 KEEPALIVE_PROBES = 2
 """Unanswered TCP keep-alive probes after which a connection counts as broken."""
 
@@ -299,13 +303,25 @@
         return self._stream
 
     def abort(self) -> None:
-        """Close at once, also under a request: whoever waits for its answer is told so."""
+        """Reset at once, also under a request: whoever waits for its answer is told so."""
+        self._reset_by_close()
         self._stream.socket.close()
 
     async def aclose(self) -> None:
-        """Close at once, without a word to the peer."""
+        """Close at once; under a request by a reset.
+
+        Guards against a request that was given up and arrives all the same, seconds later, where
+        its path was lost meanwhile: the kernel sends on what it has until a connection is reset.
+        """
+        if not (self.reusable or self.unused):
+            self._reset_by_close()
         await trio.aclose_forcefully(self._stream)
 
+    def _reset_by_close(self) -> None:
+        """Have the close reset the connection; one that has ended is left as it is."""
+        with contextlib.suppress(OSError):
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_BY_CLOSE)
+
     async def _send(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
--- a/lagoonlever/soak/proxy.py
+++ b/lagoonlever/soak/proxy.py
@@ -10,6 +10,7 @@
 import attrs
 import trio
 
+from lagoonlever.fakes.path_proxy import is_reset
 from lagoonlever.http.messages import Address
 
 PIECE_BYTES = 64 * 1024
@@ -81,6 +82,18 @@
             for stream in pair:
                 await trio.aclose_forcefully(stream)
 
+    async def _hold(self, held_by: tuple[Link, ...], source: trio.SocketStream) -> None:
+        """Wait while the link carries nothing; what is held is lost if its sender resets."""
+        if self.link not in held_by:
+            return
+        await self._until_well(held_by)
+        if is_reset(source):
+            raise trio.BrokenResourceError
+
+    async def _until_well(self, held_by: tuple[Link, ...]) -> None:
+        while self.link in held_by:  # noqa: ASYNC110 - the link changes from outside
+            await trio.sleep(HELD_CHECK_S)
+
     async def _pump(
         self, source: trio.SocketStream, sink: trio.SocketStream, held_by: tuple[Link, ...]
     ) -> None:
@@ -88,12 +101,12 @@
             while piece := await source.receive_some(PIECE_BYTES):
                 if self.link is Link.SLOW:
                     await trio.sleep(SLOW_S)
-                while self.link in held_by:  # noqa: ASYNC110 - the link changes from outside
-                    await trio.sleep(HELD_CHECK_S)
+                await self._hold(held_by, source)
                 await sink.send_all(piece)
             await sink.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
-            # One side broke or was reset; the other side is to see that too.
+            # One side broke or was reset; the other side is to see that too, by the same link.
+            await self._until_well(held_by)
             for stream in (source, sink):
                 _reset(stream)
 
--- a/lagoonlever/tests/tunnel_tests.py
+++ b/lagoonlever/tests/tunnel_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -150,8 +151,10 @@
     ended = trio.Event()
 
     async def serve(stream: trio.SocketStream) -> None:
-        while await stream.receive_some(1_000):
-            pass
+        # A request that was given up ends by a reset, and any other one by a close.
+        with contextlib.suppress(trio.BrokenResourceError):
+            while await stream.receive_some(1_000):
+                pass
         ended.set()
 
     async def story(site: Site, connection: ClientConnection) -> None:
