Streams: an engine ends the run that its VM has given up (TWICE)

Cause: a run counted as ended once its connection was closed at the VM. Over a path that is lost, or by way of a VM that is cut off, the close does not reach the engine: it works on beside the engine at which the stream goes on.

What callers saw: nothing. Engines worked on runs that nobody read.

Reproduced: the soak's judge now looks at each former run as a stream goes on (soak/former_runs.py).

Change: gateway/run_ender.py. An engine that lives and reports a run that is given up is told to stop it (kv-move with Last) before the stream goes on, from what that move kept or from the copy as before. Where it can't be asked it is asked beside other work for 8 s, by this VM's path or another VM's, until a report shows that the run is over; also where a caller leaves a silent stream, or is back with a stream of a VM that is gone. What a stopped run kept is freed.

The stand-in's engine moves only runs that flow, so the runs that late_copies_tests.py puts into one flow now; its checks are as before.

Why it holds: a run is forgotten only once a report of the same process does not list it, or that process has ended, or 8 s are over.

--- a/lagoonlever/events.py
+++ b/lagoonlever/events.py
@@ -54,6 +54,7 @@
     EventRange(first=800, part="Platform"),
     EventRange(first=900, part="Stand-ins"),
     EventRange(first=1000, part="Gateway"),
+    EventRange(first=1100, part="Gateway: runs at engines"),
 )
 
 
--- a/lagoonlever/fakes/platform_engine.py
+++ b/lagoonlever/fakes/platform_engine.py
@@ -117,6 +117,8 @@
     """Of its engine's runs, in the order of their begins."""
     flowing: bool = False
     place: Place | None = None
+    stopped: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    """Cancelled where the engine is told to end the run; its connection closes then."""
 
 
 class FakeEngine:
@@ -175,6 +177,8 @@
         self.reported_state: object = "ready"
         """The state that its reports tell."""
         self.cancelled: list[str] = []
+        self.stopped: list[str] = []
+        """The requests whose runs it was told to end."""
         self.questions: Counter[str] = Counter()
         self.endless: Endless | None = None
         """What it answers to everything without end, in place of its answers."""
@@ -252,10 +256,19 @@
         self.questions["copy"] += 1
         ask = msgspec.json.decode(exchange.request.body, type=engine_calls.CopyAsk)
         run, holder = self.runs.get(ask.id), self._fleet.get(ask.to)
-        if run is None or holder is None:
+        if run is None or not run.flowing or (holder is None and not ask.last):
             await exchange.respond(status=NOT_THERE, headers=Headers(), body=b"")
             return
         name = f"handle-{ask.id}"
+        if ask.last:
+            run.stopped.cancel()
+            del self.runs[ask.id]
+            self.stopped.append(ask.id)
+            self.copies[name] = attrs.evolve(run)
+        if holder is None:
+            body = msgspec.json.encode(engine_calls.CopyMade(handle=name, created=run.events))
+            await exchange.respond(status=BUSY, headers=Headers(), body=body)
+            return
         holder.copies[name] = attrs.evolve(run)
         body = msgspec.json.encode(engine_calls.CopyMade(handle=name, created=run.events))
         if self.answers_copies_twice:
@@ -298,11 +311,15 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._cancel_when_gone, exchange, run, nursery.cancel_scope)
-                await self._generate(exchange, run)
+                with run.stopped:
+                    await self._generate(exchange, run)
                 nursery.cancel_scope.cancel()
         finally:
-            self.runs.pop(run.request_id, None)
+            if self.runs.get(run.request_id) is run:
+                del self.runs[run.request_id]
             self.room.leave(run.place)
+        if run.stopped.cancelled_caught:
+            raise CallerGone
 
     def record_accepted(self, headers: Headers) -> None:
         """Record a request that was not rejected, and runs."""
--- a/lagoonlever/gateway/attempt_tools.py
+++ b/lagoonlever/gateway/attempt_tools.py
@@ -19,6 +19,7 @@
 from lagoonlever.gateway.retry_budgets import RetryBudgets
 from lagoonlever.gateway.rollouts import Rollouts
 from lagoonlever.gateway.run_copier import RunCopier
+from lagoonlever.gateway.run_ender import RunEnder
 from lagoonlever.gateway.target_client import TargetClient
 from lagoonlever.gateway.target_words import TargetWords
 from lagoonlever.gateway.version_record import VersionRecord
@@ -59,6 +60,7 @@
     versions: VersionRecord
     words: TargetWords
     copier: RunCopier
+    ender: RunEnder
     dialer: TargetDialer
     watched: dict[str, set[SilenceDetector]] = attrs.field(factory=dict)
     """The open attempts by engine, to be looked at when the engine seems lost."""
--- a/lagoonlever/gateway/events_paths.py
+++ b/lagoonlever/gateway/events_paths.py
@@ -71,3 +71,11 @@
     "That VM has lost its path to the target. 502: this VM does not reach it either, though others;"
     " 503: this VM can't tell, or has too many tunnels; 403: it doesn't know the VM or the target.",
 )
+RUN_ENDED_THERE = event(
+    1100,
+    "run-ended-there",
+    "info",
+    "{target} was told to end its run of {request}, which this VM has given up.",
+    "The connection of the run led over a path that was lost, so that its close did not reach the"
+    " engine. The stream goes on elsewhere, or its caller has left.",
+)
--- a/lagoonlever/gateway/front_parts.py
+++ b/lagoonlever/gateway/front_parts.py
@@ -13,7 +13,6 @@
 from lagoonlever.gateway.front import Front
 from lagoonlever.gateway.once_calls import OnceCalls
 from lagoonlever.gateway.repeatable_calls import EXTRA_RATIO, RepeatableCalls
-from lagoonlever.gateway.run_copier import RunCopier
 from lagoonlever.gateway.stream_admission import StreamAdmission
 from lagoonlever.gateway.streams import Streams
 
@@ -93,10 +92,10 @@
         crashes=parts.crashes,
         rollouts=parts.rollouts,
         words=parts.words,
-        copier=RunCopier(opener=parts.dialer.open),
+        copier=parts.copier,
+        ender=parts.run_ender,
         dialer=parts.dialer,
     )
-    parts.dialer.on_change(tools.copier.forget)
     parts.dialer.on_change(tools.path_changed)
     parts.peers.on_engine_lost(tools.engine_lost)
     parts.learner.on_started_again(tools.engine_started_again)
--- a/lagoonlever/gateway/parts.py
+++ b/lagoonlever/gateway/parts.py
@@ -49,6 +49,8 @@
 from lagoonlever.gateway.rollouts import Rollouts
 from lagoonlever.gateway.room_asker import RoomAsker
 from lagoonlever.gateway.room_desk import RoomDesk
+from lagoonlever.gateway.run_copier import RunCopier
+from lagoonlever.gateway.run_ender import RunEnder
 from lagoonlever.gateway.settings import GatewaySettings
 from lagoonlever.gateway.store_follower import StoreFollower
 from lagoonlever.gateway.target_client import HELD_MEMORY_PART, TargetClient
@@ -113,6 +115,8 @@
     call_places: CallPlaces = attrs.field(init=False)
     client: TargetClient = attrs.field(init=False)
     prober: EngineProber = attrs.field(init=False)
+    copier: RunCopier = attrs.field(init=False)
+    run_ender: RunEnder = attrs.field(init=False)
     crashes: CrashWatch = attrs.field(init=False)
     version_record: VersionRecord = attrs.field(init=False)
     origin_records: OriginRecords = attrs.field(init=False)
@@ -312,6 +316,21 @@
             opener=self.dialer.open,
         )
 
+    @copier.default
+    def _make_copier(self) -> RunCopier:
+        copier = RunCopier(opener=self.dialer.open)
+        self.dialer.on_change(copier.forget)
+        return copier
+
+    @run_ender.default
+    def _make_run_ender(self) -> RunEnder:
+        return RunEnder(
+            copier=self.copier,
+            prober=self.prober,
+            beliefs=self.beliefs,
+            timers=self.timers,
+        )
+
     @spread.default
     def _make_spread(self) -> HubSpread:
         return HubSpread(
@@ -560,6 +579,7 @@
             "room desk": self.room_desk.run,
             "room asker": self.room_asker.run,
             "replacements": self.replacements.run,
+            "run ender": self.run_ender.run,
             "crashes": self.crashes.run,
             "version record": self.version_record.run,
             "origin records": self.origin_records.run,
--- /dev/null
+++ b/lagoonlever/gateway/run_ender.py
@@ -0,0 +1,154 @@
+"""Ends the runs of streams that this VM has given up, at engines that may go on with them.
+
+An engine drops a run whose connection closes, if the close reaches it. It doesn't where the
+connection leads over a path that was lost, or by way of a VM that was cut off: the engine then
+works on, while the stream goes on at another one. So the engine is told by a call of its own, as
+soon as this VM or another one reaches it.
+"""
+
+from __future__ import annotations
+
+import attrs
+import logbook
+import trio
+
+from lagoonlever.decisions.engines.target_crashes import process_name
+from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
+from lagoonlever.decisions.targets.listed_target import ListedTarget
+from lagoonlever.gateway import events_paths as events
+from lagoonlever.gateway.beliefs import Beliefs
+from lagoonlever.gateway.lost_engines import is_other_process
+from lagoonlever.gateway.messages import EngineReport
+from lagoonlever.gateway.prober import EngineProber
+from lagoonlever.gateway.run_copier import NoSuchRun, RunCopier, RunStopped
+from lagoonlever.timers import TimerService
+
+log = logbook.Logger(__name__)
+
+SOON_S = 2.0
+"""For so long after a run was given up its engine is asked often: its path may come back as the
+stream goes on elsewhere."""
+ASK_SOON_S = 0.1
+ASK_LATER_S = 0.4
+SOUGHT_S = 8.0
+"""For so long an engine that can't be reached is asked; it may have gone for good."""
+REPORT_LAG_S = 0.5
+"""Reports are so old at most: a run that a later one does not list has ended."""
+UNNAMED_S = 3.0
+"""For so long a run that had not begun is looked for: engines list it only once it has."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class _GivenUp:
+    """A run that its VM has given up, and that its engine may go on with."""
+
+    run: EngineRun
+    at: float
+
+    def is_over(self, report: EngineReport, asked_at: float) -> bool:
+        """Check whether a report shows that the engine does not work on the run."""
+        if report.run(self.run.request) is not None:
+            return False
+        return asked_at - self.at > (REPORT_LAG_S if self.run.flowing else UNNAMED_S)
+
+
+@attrs.define(kw_only=True, eq=False)
+class RunEnder:
+    """Asks each engine that has such a run until it is over, once for all runs of a process."""
+
+    _copier: RunCopier
+    _prober: EngineProber
+    _beliefs: Beliefs
+    _timers: TimerService
+    _nursery: trio.Nursery | None = None
+    _given_up: dict[str, list[_GivenUp]] = attrs.field(factory=dict)
+    """The runs that may go on, by the process of their engine."""
+
+    async def run(self) -> None:
+        """End runs until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            try:
+                await trio.sleep_forever()
+            finally:
+                # Attempts that end as this VM stops leave nothing to look after.
+                self._nursery = None
+
+    async def end(self, run: EngineRun, engine: ListedTarget) -> RunCopy | None:
+        """End a run at an engine that has just reported it; return its memory if it was kept.
+
+        The memory goes to the engine that has the run's copy, or to any other one, so that the
+        stream can go on there. If the engine does not answer it is asked later.
+        """
+        holder = self._holder(run)
+        if holder is None:
+            return None
+        outcome = await self._copier.stop(run.request, source=engine, to=holder)
+        if isinstance(outcome, str):
+            self.end_later(run, engine)
+            return None
+        if isinstance(outcome, NoSuchRun):
+            return None
+        events.RUN_ENDED_THERE.log(log, request=run.request, target=engine.id)
+        return outcome.copy
+
+    def end_later(self, run: EngineRun, engine: ListedTarget) -> None:
+        """End a run as soon as its engine is reached, beside other work."""
+        if self._nursery is None or not self._beliefs.engine_limits(engine.service).moves:
+            return
+        given_up = _GivenUp(run=run, at=self._timers.now)
+        process = process_name(engine.id, run.engine_started_ms)
+        if process in self._given_up:
+            self._given_up[process].append(given_up)
+            return
+        self._given_up[process] = [given_up]
+        self._nursery.start_soon(self._end_all, process, engine)
+
+    async def _end_all(self, process: str, engine: ListedTarget) -> None:
+        """Ask an engine until none of its runs may go on."""
+        try:
+            while pending := self._given_up[process]:
+                now = self._timers.now
+                await self._ask(pending, engine)
+                newest = max((given_up.at for given_up in pending), default=now)
+                pending[:] = [p for p in pending if now - p.at < SOUGHT_S]
+                await trio.sleep(ASK_SOON_S if now - newest < SOON_S else ASK_LATER_S)
+        finally:
+            del self._given_up[process]
+
+    async def _ask(self, pending: list[_GivenUp], engine: ListedTarget) -> None:
+        """End the runs that an engine reports, and forget those that it shows to be over."""
+        asked_at = self._timers.now
+        report = await self._prober.ask(engine, since=asked_at)
+        if report is None:
+            return
+        if is_other_process(engine, report):
+            pending.clear()
+        for given_up in list(pending):
+            is_over = given_up.is_over(report, asked_at)
+            if report.run(given_up.run.request) is not None:
+                is_over = await self._stop(given_up.run, engine)
+            if is_over:
+                pending.remove(given_up)
+
+    async def _stop(self, run: EngineRun, engine: ListedTarget) -> bool:
+        """Stop a run whose memory is of no use; return whether it is over."""
+        holder = self._holder(run)
+        if holder is None:
+            return False
+        outcome = await self._copier.stop(run.request, source=engine, to=holder)
+        if not isinstance(outcome, RunStopped):
+            return isinstance(outcome, NoSuchRun)
+        events.RUN_ENDED_THERE.log(log, request=run.request, target=engine.id)
+        if outcome.kept is not None:
+            await self._copier.free(outcome.kept)
+        return True
+
+    def _holder(self, run: EngineRun) -> ListedTarget | None:
+        """Return the engine that a run's memory goes to: that of its copy, or any other one."""
+        targets = self._beliefs.targets
+        known = targets.find(run.copy.holder) if run.copy is not None else None
+        if known is not None and targets.takes_work(known.id, version=run.version):
+            return known
+        serving = targets.serving(run.service, version=run.version)
+        return next((target for target in serving if target.id != run.engine), None)
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -12,7 +12,7 @@
 from lagoonlever.decisions.engines.engine_rank import rank_at_engine
 from lagoonlever.decisions.engines.engine_reports import is_preempted
 from lagoonlever.decisions.streams.answer_ends import AnswerEnd, judge_end
-from lagoonlever.decisions.streams.engine_runs import RunCopy
+from lagoonlever.decisions.streams.engine_runs import EngineRun, RunCopy
 from lagoonlever.decisions.streams.silence import (
     DEFAULT_MAX_PAUSE_S,
     QueryEngine,
@@ -59,6 +59,8 @@
 """Of the allowed repeats: moves only save time, and leave the rest to streams that broke."""
 ALIVE_CHECK_S = 0.05
 """Between looks at whether an engine has shown life."""
+DOUBTED_S = 0.2
+"""Silence of an engine that was writing, after which its connection may carry nothing any more."""
 PAUSE_TOLD_S = 0.3
 """Pauses between events that are worth a word in the log."""
 
@@ -162,6 +164,8 @@
             # A cancellation may come as a group, out of the nursery of a question.
             self._log_end("given up: its caller has left, its time is over, or this VM stops")
             self._crashes.record_left()
+            if self._may_work_on:
+                self._tools.ender.end_later(self._own_run, engine)
             raise
 
     async def _run_on(self, connection: ClientConnection) -> None:
@@ -193,6 +197,18 @@
     def _now(self) -> float:
         return self._tools.timers.now
 
+    @property
+    def _may_work_on(self) -> bool:
+        """Whether the close of the connection may not reach the engine."""
+        silent_s = self._now - self._answer.last_event_at
+        is_silent = self._answer.is_flowing and silent_s > DOUBTED_S
+        return self._is_cut or self._answer.via is not None or is_silent
+
+    @property
+    def _own_run(self) -> EngineRun:
+        """The run of this attempt, as its engine has it."""
+        return attrs.evolve(self._plan.run, flowing=self._answer.is_flowing)
+
     @property
     def _need(self) -> float:
         """The permits that must be saved at an engine in need before it gets the request."""
@@ -564,6 +580,8 @@
             report = await self._tools.prober.ask(engine, since=broke_at)
             alive = report is not None and not is_other_process(engine, report)
             self._take_report(report)
+            if alive and report is not None:
+                await self._end_run(report)
         self._answer.is_judged = alive
         self._count("lost" if alive else "target-gone")
         if alive and not self._is_cut:
@@ -572,6 +590,7 @@
         if alive:
             self._tools.beliefs.book.avoidance.record_broken_answer(engine.id, self._now)
         else:
+            self._tools.ender.end_later(self._own_run, engine)
             self._peers.engine_lost(engine.id, confirmed=self._crashes.is_down)
             if self._signs.alive_at is not None:
                 self._tools.replacements.lost(engine.id, alive_at=self._signs.alive_at)
@@ -579,6 +598,22 @@
         if not alive:
             await self._crashes.record_lost(is_silent=ended.unanswered)
 
+    async def _end_run(self, report: EngineReport) -> None:
+        """Have an engine that lives end the run, and go on from what it has made.
+
+        The close of a connection that carries nothing may never reach the engine. It would work on,
+        beside the engine at which the stream goes on.
+        """
+        if not (self._plan.limits.moves and self._accepted.route.repeatable):
+            return
+        run, engine = self._own_run, self._plan.engine
+        if report.run(run.request) is None:
+            self._tools.ender.end_later(run, engine)
+            return
+        copy = await self._tools.ender.end(run, engine)
+        if copy is not None:
+            self._copied(copy)
+
     @property
     def _has_read(self) -> bool:
         """Whether the engine has read the prompt, or need not."""
--- a/lagoonlever/gateway/streams.py
+++ b/lagoonlever/gateway/streams.py
@@ -124,6 +124,7 @@
             if former.run is not None:
                 if returning:
                     copy = former.run.copy_for(accepted.fingerprint, model=ask.model)
+                    self._end_former(former.run, accepted)
                 self._log_former(accepted, former.run, copy)
                 prefer = former.run.engine if self._is_same_process(former.run) else None
         return StreamLifecycle.for_reconnect(
@@ -135,6 +136,17 @@
             origin=origin,
         )
 
+    def _end_former(self, run: EngineRun, accepted: Accepted) -> None:
+        """Have the run of a stream ended whose caller is back here, if its engine goes on with it.
+
+        Guards against two engines that write one stream where the VM before lost its power or
+        stands still, so that its connection to the engine stays open.
+        """
+        engine = self._beliefs.targets.find(run.engine)
+        is_same_question = run.fingerprint == accepted.fingerprint
+        if engine is not None and is_same_question and self._is_same_process(run):
+            self._tools.ender.end_later(run, engine)
+
     def _tell_taken_up(self, accepted: Accepted, found: FoundOrigin | None) -> None:
         source = found.source.value if found is not None else "nobody"
         self._tools.reporter.tally.add(metrics.STREAMS_TAKEN_UP, source)
--- a/lagoonlever/platform/engine_calls.py
+++ b/lagoonlever/platform/engine_calls.py
@@ -40,7 +40,7 @@
 
 
 class CopyAsk(msgspec.Struct, rename="pascal", kw_only=True):
-    """Asks an engine to copy a run to another one; without ``last`` the run goes on."""
+    """Asks an engine to copy a run to another one; with ``last`` it stops the run first."""
 
     id: str
     """Of the request that the run serves."""
@@ -51,7 +51,7 @@
 class CopyMade(msgspec.Struct, rename="pascal", kw_only=True):
     """``handle`` names the copy at the engine that made it, not at the one that holds it."""
 
-    handle: str
+    handle: str = ""
     created: int = 0
     """Events that the copy covers; no time."""
 
--- a/lagoonlever/soak/site.py
+++ b/lagoonlever/soak/site.py
@@ -26,12 +26,15 @@
 from lagoonlever.platform.early_sockets import PATH_VARIABLE
 from lagoonlever.platform.targets import TARGETS_PREFIX
 from lagoonlever.soak.deployments import MOMENT_S, PLAIN, SHORT_STREAMS, Deployment, Shape
+from lagoonlever.soak.former_runs import FormerRuns
 from lagoonlever.soak.gateway import PATH_PORT_VARIABLE
 from lagoonlever.soak.judge import Judge
 from lagoonlever.soak.proxy import FaultyProxy
 from lagoonlever.soak.watched import WatchedEngine, WatchedRunner
 
 PLACES = ("dc-0", "dc-1", "dc-2")
+FIRST_ENGINE = 100
+"""The number of the first engine's machine."""
 GATEWAY = (sys.executable, "-m", "lagoonlever.soak.gateway")
 FRONT_PORT, READY_PORT, DIRECTORY_PORT, BUS_PORT, TUNNEL_PORT = 8740, 8749, 8746, 8748, 7200
 TARGET_PORT = 9000
@@ -141,6 +144,17 @@
     _paths: dict[tuple[int, int], PathProxy] = attrs.field(factory=dict)
     """By the numbers of the VM and of the machine."""
     _vm_count: int = 0
+    former_runs: FormerRuns = attrs.field(init=False)
+
+    @former_runs.default
+    def _make_former_runs(self) -> FormerRuns:
+        return FormerRuns(site=self)
+
+    @property
+    def engine_servers(self) -> tuple[FakeEngine, ...]:
+        """The engines that are there."""
+        servers = (kept.server for kept in self.engines if not kept.is_ending)
+        return tuple(server for server in servers if isinstance(server, FakeEngine))
 
     async def start(self, *, vms: int, engines: int, runners: int) -> None:
         """Start everything; returns once the processes are running."""
@@ -149,7 +163,7 @@
         self.nursery.start_soon(self.store.run, await open_listeners(host=store.host, port=9000))
         self.configure()
         for number in range(engines):
-            self.engines.append(await self.start_target("engines", 100 + number))
+            self.engines.append(await self.start_target("engines", FIRST_ENGINE + number))
         for number in range(runners):
             self.runners.append(await self.start_target("apps", self.runners_at + number))
         for number in range(vms):
@@ -221,7 +235,7 @@
             return
         former.scope.cancel()
         former.proxy.reset_all()
-        number = (100 if former in self.engines else self.runners_at) + place
+        number = (FIRST_ENGINE if former in self.engines else self.runners_at) + place
         self._set_machine_down(number, down=True)
         await trio.sleep(self.back_after_s)
         self._set_machine_down(number, down=False)
@@ -249,7 +263,7 @@
         former.scope.cancel()
         former.proxy.reset_all()
         await trio.sleep(after_s)
-        number = (100 if former in self.engines else self.runners_at) + place
+        number = (FIRST_ENGINE if former in self.engines else self.runners_at) + place
         kept[place] = await self.start_target(
             former.target.service,
             number,
@@ -279,6 +293,29 @@
         if vm is not None:
             self._takers[request] = vm
 
+    def taker(self, request: str) -> SoakVm | None:
+        """Return the VM that took a stream from its caller."""
+        return self._takers.get(request)
+
+    def reaches(self, vm: SoakVm, engine: str) -> bool:
+        """Check whether a VM has a path to an engine now."""
+        number = next((n for n, kept in enumerate(self.engines) if kept.target.id == engine), None)
+        if number is None or self.engines[number].proxy.harmed:
+            return False
+        path = self._paths[(self.vms.index(vm), FIRST_ENGINE + number)]
+        return path.state is PathState.OPEN
+
+    def was_in_touch(self, vm: SoakVm, engine: str, now: float) -> bool:
+        """Check whether nothing but its paths to targets was harmed of a VM for a while.
+
+        The link of the engine counts as the VM's.
+        """
+        if vm.store_link.harmed or self.store.harmed:
+            return False
+        proxies = [kept.proxy for kept in self.engines if kept.target.id == engine]
+        harmed = [at for proxy in proxies for at in (proxy.harmed_until, proxy.reset_at)]
+        return now - max(vm.disturbed_at, self.store_disturbed_at, *harmed) > CALM_S
+
     def name_at(self, address: Address) -> str:
         """Return the name of the VM that callers reach at an address."""
         vm = self._vm_at(address)
--- a/lagoonlever/soak/watched.py
+++ b/lagoonlever/soak/watched.py
@@ -11,7 +11,12 @@
 from lagoonlever.fakes.target_room import TargetRoom
 from lagoonlever.http.exchange import Exchange
 from lagoonlever.http.messages import Headers
-from lagoonlever.platform.headers import EXPECTED_TARGET, PROMPT_PARTS, REQUEST_ID
+from lagoonlever.platform.headers import (
+    EXPECTED_TARGET,
+    LAST_EVENT_ID,
+    PROMPT_PARTS,
+    REQUEST_ID,
+)
 from lagoonlever.soak.deployments import SHORT_STREAMS, Shape
 from lagoonlever.soak.judge import Judge
 from lagoonlever.soak.needs import NeedWatch
@@ -109,6 +114,8 @@
         request = headers.get(REQUEST_ID)
         if request is not None:
             self._judge.ran(request, self.target_id, headers)
+            if headers.get(LAST_EVENT_ID) is not None:
+                self._site.former_runs.goes_on(request, self)
 
     def record_resumed_foreign(self, request: str, former: str) -> None:
         """Record a request that goes on from the memory of another one."""
--- a/lagoonlever/tests/late_copies_tests.py
+++ b/lagoonlever/tests/late_copies_tests.py
@@ -185,7 +185,8 @@
         source, to = (site.engines[name] for name in ("engine-0", "engine-1"))
         source.answers_copies_twice = True
         for request in ("first", "second"):
-            source.runs[request] = EngineRun(request_id=request, part=request, prompt_tokens=100)
+            run = EngineRun(request_id=request, part=request, prompt_tokens=100, flowing=True)
+            source.runs[request] = run
         targets = site.vms["vm-0"].daemon.parts.beliefs.targets
         engine, holder = (targets.find(each.target_id) for each in (source, to))
         assert engine is not None and holder is not None
