--- a/lagoonlever/entry/generations/attempt.py
+++ b/lagoonlever/entry/generations/attempt.py
@@ -25,8 +25,8 @@
 REATTACH_STEP = "take up a stream"
 CANCEL_STEP = "cancel a stream"
 CANCEL_TIMEOUT_S = 2.0
-CANCEL_RETRY_S = 5.0
-CANCEL_TRIES = 6
+CANCEL_PAUSES_S = (0.25, 0.5, 1.0, 2.0, 4.0, 5.0, 5.0, 5.0, 5.0)
+"""Before each further try: short at first, as a path that was lost is often back soon."""
 
 ChunkHandler = Callable[[EngineChunk], None]
 
@@ -86,25 +86,29 @@
 
 
 async def cancel_stream(engine: Address, name: str) -> bool:
-    """Cancel a stream at its engine; gives whether the engine answered.
+    """Cancel a stream at its engine; return whether the engine answered.
 
-    Tried again for a while: a frozen engine that thaws would go on generating
-    an answer that nobody reads, up to its full length.
+    Guards against an engine that goes on with an answer that nobody reads: one that was frozen, or
+    one whose path was lost, which looks like an engine that has ended.
     """
-    for tries in range(CANCEL_TRIES):
-        if tries:
-            await trio.sleep(CANCEL_RETRY_S)
-        try:
-            await fetch(
-                engine,
-                method="POST",
-                path=cancel_path(name),
-                step=CANCEL_STEP,
-                timeout_s=CANCEL_TIMEOUT_S,
-            )
-        except ConnectFailed:
-            return False
-        except PeerError:
-            continue
+    if await _cancel_once(engine, name):
         return True
+    for pause_s in CANCEL_PAUSES_S:
+        await trio.sleep(pause_s)
+        if await _cancel_once(engine, name):
+            return True
     return False
+
+
+async def _cancel_once(engine: Address, name: str) -> bool:
+    try:
+        await fetch(
+            engine,
+            method="POST",
+            path=cancel_path(name),
+            step=CANCEL_STEP,
+            timeout_s=CANCEL_TIMEOUT_S,
+        )
+    except PeerError:
+        return False
+    return True
