Streams: a run that was sent again is not ended for the one before it

Cause: the ender knows a run by its request and its engine. A stream that broke goes on at the same engine where that lives, under the same request: its new run was ended in the place of the one that was given up.

Change: what is sent to an engine takes the former run of the request there off the list.

After: long_streams_tests.py and former_runs_tests.py pass.

Why it holds: an order goes out only for runs on the list, looked at once more after the report.

--- a/lagoonlever/gateway/run_ender.py
+++ b/lagoonlever/gateway/run_ender.py
@@ -43,13 +43,20 @@
     """A run that its VM has given up, and that its engine may go on with."""
 
     run: EngineRun
+    events: int
+    """The events that had come of it."""
     at: float
 
     def is_over(self, report: EngineReport, asked_at: float) -> bool:
-        """Check whether a report shows that the engine does not work on the run."""
-        if report.run(self.run.request) is not None:
-            return False
-        return asked_at - self.at > (REPORT_LAG_S if self.run.flowing else UNNAMED_S)
+        """Check whether a report shows that the engine does not work on the run.
+
+        A run of fewer events is another one, of a caller that has sent its request again.
+        """
+        age_s = asked_at - self.at
+        reported = report.run(self.run.request)
+        if reported is None:
+            return age_s > (REPORT_LAG_S if self.run.flowing else UNNAMED_S)
+        return age_s > REPORT_LAG_S and reported.events < self.events
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -92,11 +99,11 @@
         events.RUN_ENDED_THERE.log(log, request=run.request, target=engine.id)
         return outcome.copy
 
-    def end_later(self, run: EngineRun, engine: ListedTarget) -> None:
-        """End a run as soon as its engine is reached, beside other work."""
+    def end_later(self, run: EngineRun, engine: ListedTarget, *, events: int = 0) -> None:
+        """End a run of so many events as soon as its engine is reached, beside other work."""
         if self._nursery is None or not self._beliefs.engine_limits(engine.service).moves:
             return
-        given_up = _GivenUp(run=run, at=self._timers.now)
+        given_up = _GivenUp(run=run, events=events, at=self._timers.now)
         process = process_name(engine.id, run.engine_started_ms)
         if process in self._given_up:
             self._given_up[process].append(given_up)
@@ -104,6 +111,12 @@
         self._given_up[process] = [given_up]
         self._nursery.start_soon(self._end_all, process, engine)
 
+    def record_sent(self, run: EngineRun) -> None:
+        """Record that a run's engine gets its request now: what it reports is the new run."""
+        sent = (run.engine, run.request)
+        for pending in self._given_up.values():
+            pending[:] = [p for p in pending if (p.run.engine, p.run.request) != sent]
+
     async def _end_all(self, process: str, engine: ListedTarget) -> None:
         """Ask an engine until none of its runs may go on."""
         try:
@@ -126,9 +139,9 @@
             pending.clear()
         for given_up in list(pending):
             is_over = given_up.is_over(report, asked_at)
-            if report.run(given_up.run.request) is not None:
+            if not is_over and given_up in pending and report.run(given_up.run.request) is not None:
                 is_over = await self._stop(given_up.run, engine)
-            if is_over:
+            if is_over and given_up in pending:
                 pending.remove(given_up)
 
     async def _stop(self, run: EngineRun, engine: ListedTarget) -> bool:
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -165,7 +165,7 @@
             self._log_end("given up: its caller has left, its time is over, or this VM stops")
             self._crashes.record_left()
             if self._may_work_on:
-                self._tools.ender.end_later(self._own_run, engine)
+                self._end_run_later()
             raise
 
     async def _run_on(self, connection: ClientConnection) -> None:
@@ -254,6 +254,7 @@
         """Write and relay; gives the head if the connection may be kept."""
         plan = self._plan
         self._life.record_sent(copy=plan.run.copy)
+        self._tools.ender.record_sent(plan.run)
         self._answer.connection = connection
         ticket = self._tools.words.sent(plan.engine.id, first=self._life.sent_attempts == 1)
         self._peers.begin(plan.run)
@@ -590,7 +591,7 @@
         if alive:
             self._tools.beliefs.book.avoidance.record_broken_answer(engine.id, self._now)
         else:
-            self._tools.ender.end_later(self._own_run, engine)
+            self._end_run_later()
             self._peers.engine_lost(engine.id, confirmed=self._crashes.is_down)
             if self._signs.alive_at is not None:
                 self._tools.replacements.lost(engine.id, alive_at=self._signs.alive_at)
@@ -598,6 +599,10 @@
         if not alive:
             await self._crashes.record_lost(is_silent=ended.unanswered)
 
+    def _end_run_later(self) -> None:
+        events = self._life.position or 0
+        self._tools.ender.end_later(self._own_run, self._plan.engine, events=events)
+
     async def _end_run(self, report: EngineReport) -> None:
         """Have an engine that lives end the run, and go on from what it has made.
 
@@ -608,7 +613,7 @@
             return
         run, engine = self._own_run, self._plan.engine
         if report.run(run.request) is None:
-            self._tools.ender.end_later(run, engine)
+            self._end_run_later()
             return
         copy = await self._tools.ender.end(run, engine)
         if copy is not None:
