--- a/lagoonlever/http/client.py
+++ b/lagoonlever/http/client.py
@@ -46,6 +46,7 @@
 """Interim responses before a final one."""
 POOL_IDLE_S = 4.0
 """Far below the idle timeout of usual servers, so that reuse seldom meets a closing socket."""
+HIGHEST_STATUS = 599
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 RESET_BY_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER without time: closing then resets the connection."""
@@ -225,7 +226,7 @@
         """Read the head of the response; its body is empty and read by ``iter_body``.
 
         Raise ``BadResponse`` where another head begins within it, as one that breaks off and the
-        next one read together would be an answer that nobody gave.
+        next one read together would be an answer that nobody gave, and for a status that is none.
         """
         for _ in range(MAX_INTERIM + 1):
             event = await self._next_event()
@@ -234,6 +235,8 @@
             if isinstance(event, h11.Response):
                 if _holds_status_line(event):
                     raise self._bad("broke off within a head, and another one followed")
+                if event.status_code > HIGHEST_STATUS:
+                    raise self._bad(f"answered with {event.status_code}, which is no status")
                 self._head_read = True
                 headers = Headers.from_raw(event.headers)
                 self._tells_length = _tells_length(event.status_code, headers)
--- a/lagoonlever/tests/gateway_site.py
+++ b/lagoonlever/tests/gateway_site.py
@@ -274,6 +274,15 @@
         self.list_target(name, service="apps", data_center=data_center, version=version)
         return runner
 
+    async def start_listed(
+        self, name: str, *, service: str, run: Callable[[list[Any]], Awaitable[None]]
+    ) -> None:
+        """Start a target of a test's own and list it; once all VMs know it, return."""
+        await self._start_target(name, free_address(), run)
+        self.list_target(name, service=service)
+        known = [vm.daemon.parts.beliefs.targets for vm in self.vms.values()]
+        await until(lambda: all(targets.find(name) is not None for targets in known))
+
     def list_target(
         self,
         name: str,
--- a/lagoonlever/tests/http_client_tests.py
+++ b/lagoonlever/tests/http_client_tests.py
@@ -24,6 +24,10 @@
         (HEAD[:15] + HEAD + b"hello", BadResponse, "broke off within a head"),
         (HEAD[:-4] + HEAD + b"hello", BadResponse, "bad Content-Length"),
         (HEAD[:-23] + b"X: 1" + HEAD + b"hello", BadResponse, "broke off within a head"),
+        (HEAD.replace(b"200", b"000") + b"hello", BadResponse, "status"),
+        (HEAD.replace(b"200", b"099") + b"hello", BadResponse, "status"),
+        (HEAD.replace(b"200", b"600") + b"hello", BadResponse, "no status"),
+        (HEAD.replace(b"200", b"999") + b"hello", BadResponse, "no status"),
     ],
 )
 def test_an_early_end_is_a_broken_connection_and_no_bad_response(answer, error, message):
