--- a/lagoonlever/gateway/messages.py
+++ b/lagoonlever/gateway/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
 import attrs
 
 from lagoonlever.decisions.streams.engine_runs import RunCopy
@@ -107,6 +109,8 @@
     brittle and says so."""
     tells_brittle: bool = True
     """False where that field can't be read: whether the target is brittle is unknown then."""
+    encoded: bool = False
+    """Something on the way has encoded the body, so that it is not the target's."""
     leaves: bool = False
     """The target says that it leaves."""
     rest_s: float | None = None
@@ -114,6 +118,15 @@
     unreadable: tuple[str, ...] = ()
     """What the target says of itself in fields that can't be read; such a field says nothing."""
 
+    @property
+    def is_own(self) -> bool:
+        """Whether the answer is as its target gave it, as far as a head tells.
+
+        A success counts only if it is signed, and no target encodes a body.
+        """
+        is_success = HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
+        return not self.encoded and (self.sealed or not is_success)
+
     def is_for(self, request_id: str, *, first: bool) -> bool:
         """Check whether the answer must belong to a request, its connection's ``first`` or not.
 
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -40,7 +40,7 @@
 from lagoonlever.gateway.placer import Placer
 from lagoonlever.gateway.report_uses import is_stuck, ranks_differ, take_report
 from lagoonlever.gateway.stream_counts import StreamCounts
-from lagoonlever.gateway.target_client import NotSent, log_foreign
+from lagoonlever.gateway.target_client import SPOILT, NotSent, log_foreign
 from lagoonlever.gateway.writer_finder import WriterFinder
 from lagoonlever.http.client import ClientConnection, Response
 from lagoonlever.http.parsing_turns import TURN_PIECES, take_answer_turn
@@ -469,7 +469,9 @@
                 self._tools.replacements.answered(engine.id, head.target_id)
             self._log_end(detail)
             return False
-        if head.status != OK or not head.sealed:
+        if not head.is_own:
+            raise _Ended(f"answered {head.status}{SPOILT}")
+        if head.status != OK:
             raise _Ended(f"answered {head.status}")
         self._answer.has_head = True
         if not self._life.response_started:
--- a/lagoonlever/gateway/target_client.py
+++ b/lagoonlever/gateway/target_client.py
@@ -43,6 +43,7 @@
 """The body of a refusal comes with its head."""
 NAMELESS_S = 60.0
 """For which a target whose refusal named no request is taken not to name those to come."""
+SPOILT = " without its seal, or with an encoded body"
 MAX_SKIPPED = 2
 """Answers to earlier requests that are passed over: a target that sends more mixes them up."""
 
@@ -179,6 +180,8 @@
             refused = Refused(head=head, kept=connection.served_before)
             self._tally.add(metrics.REFUSALS, refused.evidence)
             return refused
+        if not head.is_own:
+            return Lost(detail=f"answered {head.status}{SPOILT}")
         return OpenAnswer(connection=connection, response=response, head=head)
 
     def record_refusal(self, address: Address, head: AnswerHead) -> None:
--- a/lagoonlever/platform/headers.py
+++ b/lagoonlever/platform/headers.py
@@ -157,6 +157,7 @@
         status=status,
         request_id=headers.get(REQUEST_ID),
         sealed=headers.get(SEAL) is not None,
+        encoded=headers.get("Content-Encoding") is not None,
         refused=_refuses(status, headers),
         target_id=headers.get(TARGET_ID),
         load=_load(headers.get(LOAD), unreadable),
--- a/lagoonlever/tests/answers_in_trouble_tests.py
+++ b/lagoonlever/tests/answers_in_trouble_tests.py
@@ -29,6 +29,17 @@
 EVENT = b"id: 1\ndata: p-1 1 by v1\n\n"
 
 
+SPOILT = {
+    "unsealed": (NAMED[:1],),
+    "encoded": ((*NAMED, ("Content-Encoding", "gzip")),),
+}
+SUCCESSES = ("200 OK", "201 Created", "299 Odd")
+
+
+def _spoilt(kind: str, status: str) -> ScriptedAnswer:
+    return attrs.evolve(BROKEN, before=raw_answer(*SPOILT[kind], status=status, body=b"spoilt"))
+
+
 def _without_status(status: str) -> ScriptedAnswer:
     answer = raw_answer(NAMED, status=f"{status} Trouble", body=b"trouble")
     return attrs.evolve(BROKEN, before=answer)
@@ -71,6 +82,55 @@
     run_site(story, engines=2, runners=0, vms=2, cuttable=way == "peer")
 
 
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("status", SUCCESSES)
+@pytest.mark.parametrize("kind", SPOILT)
+@pytest.mark.parametrize("call", [("POST", "/bid/1"), ("GET", "/look/1")], ids=["bid", "lookup"])
+def test_a_success_without_its_seal_or_with_an_encoded_body_is_no_answer_to_a_call(
+    call: tuple[str, str], kind: str, status: str, way: str
+) -> None:
+    """Clients got what was left of an answer whose head had lost a line as a success."""
+
+    async def story(site: GatewaySite) -> None:
+        await configured(site, with_attempts("bid", 1))
+        site.runners["runner-0"].scripted.next_ones.extend([_spoilt(kind, status)] * 10)
+        method, path = call
+        answer = await site.call(path, method=method, headers=site.headers(Deadline_Ms="1500"))
+        assert answer.status in UNPROVEN
+
+    play(story, way=way)
+
+
+@pytest.mark.parametrize("kind", SPOILT)
+def test_a_lookup_whose_answer_is_spoilt_is_served_by_another_runner(kind: str) -> None:
+    """Guards against a failure where a request may run again."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        for number in range(4):
+            site.runners["runner-0"].scripted.next_ones.append(_spoilt(kind, "200 OK"))
+            answer = await site.call(f"/look/{number}", method="GET")
+            assert answer.status == 200
+            assert answer.body != b"spoilt"
+
+    run_site(story, engines=0, runners=2, vms=1)
+
+
+@pytest.mark.parametrize("kind", SPOILT)
+def test_a_stream_whose_answer_is_spoilt_goes_on_elsewhere(kind: str) -> None:
+    """Guards against events that no engine has signed, or that nobody can read."""
+
+    async def story(site: GatewaySite) -> None:
+        await site.wait_met()
+        for engine in site.engines.values():
+            engine.scripted.next_ones.append(_spoilt(kind, "200 OK"))
+        stream = await site.stream("p-1", events=5)
+        assert stream.whole
+        assert stream.is_events("p-1", 1, 5)
+
+    run_site(story, engines=2, runners=0, vms=1)
+
+
 @attrs.define(eq=False)
 class EarlyTarget:
     """Answers each request once its head has come, with part of a body, and resets then."""
