Server: a head is paid for as what it becomes, before it is parsed (Fault)

Cause: a head was paid for by its bytes, until it was parsed. Fields of four bytes become over a hundred bytes each, held until the body is whole.

Change: head_scan.py counts lines and items of a query as the bytes come. They are paid for before the parse; a connection with a large head then waits for a turn, in which those that gave way free what they held. A head of 8 KB, parsed, is paid for with its connection. A refusal holds no traceback while its client reads it.

Why it holds: what is parsed has been paid for, and of those that were parsed in one turn none had room made by another one of the same turn.

--- a/lagoonlever/decisions/admission/held_memory.py
+++ b/lagoonlever/decisions/admission/held_memory.py
@@ -25,6 +25,12 @@
 SMALL_BYTES = 64 * 1024
 CONNECTION_BYTES = 16 * 1024
 """What an open connection costs before it has sent anything."""
+FIELD_BYTES = 360
+"""What a field of a head takes once it is parsed, with its names and value in both forms that are
+held of it; a few bytes of the head make one."""
+QUERY_ITEM_BYTES = 250
+USUAL_HEAD_BYTES = 8 * 1024
+"""A head that takes no more is paid for with its connection."""
 USUAL_ACCOUNT_BYTES = 1024 * MB
 ANSWER_GRACE_S = 1.0
 """For so long an answer may wait for its reader before it counts as slow."""
@@ -177,6 +183,11 @@
     return MemoryAccount(capacity_bytes=USUAL_ACCOUNT_BYTES)
 
 
+def head_bytes(*, fields: int, items: int) -> int:
+    """Return what a parsed head of some fields and items of a query costs beside its bytes."""
+    return max(0, fields * FIELD_BYTES + items * QUERY_ITEM_BYTES - USUAL_HEAD_BYTES)
+
+
 def first_to_leave(holdings: Iterable[Holding], now: float) -> Holding | None:
     """Return whose connection is closed for a new one: the longest idle, or else the heaviest.
 
--- a/lagoonlever/http/connection_memory.py
+++ b/lagoonlever/http/connection_memory.py
@@ -12,6 +12,7 @@
     Holding,
     MemoryAccount,
     Stage,
+    head_bytes,
 )
 
 
@@ -22,6 +23,8 @@
     _account: MemoryAccount
     _give_way: Callable[[], None]
     holding: Holding = attrs.field(init=False)
+    _head_bytes: int = 0
+    """What was paid for the head of the request."""
     _answer_bytes: int = 0
     """What was paid for the answer that is being read."""
 
@@ -43,9 +46,27 @@
         """Pay for ``size`` bytes more; False if there is no memory for them."""
         return self._account.grow(self.holding, size, now=trio.current_time())
 
+    @property
+    def head_bytes(self) -> int:
+        """What was paid for the head of the request, beside its bytes."""
+        return self._head_bytes
+
+    def pay_head(self, *, fields: int, items: int) -> bool:
+        """Pay for a head with so many parts in all, until its request is over.
+
+        False if there is no memory for it. What has been paid for the head counts.
+        """
+        due = head_bytes(fields=fields, items=items) - self._head_bytes
+        if due <= 0:
+            return True
+        if not self.pay(due):
+            return False
+        self._head_bytes += due
+        return True
+
     def settle(self, size: int) -> None:
-        """Pay for ``size`` bytes beside the connection itself, and no more."""
-        self._account.shrink_to(self.holding, CONNECTION_BYTES + size)
+        """Pay for ``size`` bytes beside the connection itself and the head, and no more."""
+        self._account.shrink_to(self.holding, CONNECTION_BYTES + self._head_bytes + size)
 
     def move(self, stage: Stage) -> None:
         """Record that the next stage has begun."""
@@ -54,12 +75,14 @@
     def begin_idle(self, received_bytes: int) -> None:
         """Pay back what was held for an exchange, but for what has come of the next request."""
         self._answer_bytes = 0
+        self._head_bytes = 0
         self.settle(received_bytes)
         self.move(Stage.IDLE)
 
     def drop(self) -> None:
         """Pay back what was held for a request that is refused."""
         self.move(Stage.LEAVING)
+        self._head_bytes = 0
         self.settle(0)
 
     def pay_answer(self, size: int) -> bool:
--- a/lagoonlever/http/server_connection.py
+++ b/lagoonlever/http/server_connection.py
@@ -17,6 +17,7 @@
 from lagoonlever.exceptions import RequestRefused
 from lagoonlever.http.connection_memory import ConnectionMemory
 from lagoonlever.http.exchange import CallerGone, Exchange, Handler, HeadCheck
+from lagoonlever.http.head_scan import HeadScan
 from lagoonlever.http.messages import Headers, Request, whole_number
 from lagoonlever.http.parsing_turns import TURN_PIECES
 from lagoonlever.http.refusals import OVERLOADED, error_payload, refusal_headers
@@ -67,6 +68,7 @@
         self._check_head = check_head
         self._memory = ConnectionMemory(account=guard.memory, give_way=self._give_way)
         self._body = bytearray()
+        self._head_scan = HeadScan()
         self._received_bytes = 0
         """What the last read from the socket brought."""
         self._scope = trio.CancelScope()
@@ -122,26 +124,29 @@
         Nothing else is refused by this server: what a handler raises does not say whether its
         request has run.
         """
+        refused = None
         try:
             with trio.CancelScope() as self._scope:
                 return await self._next_exchange()
             was_idle = self._h11.their_state is h11.IDLE and not self._h11.trailing_data[0]
             if not was_idle:
-                await self.refuse(_no_memory())
-        except RequestRefused as refused:
-            await self.refuse(refused)
+                refused = _no_memory()
+        except RequestRefused as error:
+            # Its traceback would hold the request while the client reads the refusal.
+            refused = error.with_traceback(None)
         except h11.RemoteProtocolError as error:
             hint = error.error_status_hint
-            await self.refuse(RequestRefused(status=hint, field="request", message=str(error)))
+            refused = RequestRefused(status=hint, field="request", message=str(error))
+        if refused is not None:
+            await self.refuse(refused)
         return None
 
     async def _next_exchange(self) -> Exchange | None:
         self._may_be_keyed = self._keyed_callers
-        head = await self._read_head()
-        if head is None:
+        self._head_scan = HeadScan()
+        request = await self._read_request()
+        if request is None:
             return None
-        self._may_be_keyed = any(name == KEY_FIELD for name, _ in head.headers)
-        request = self._request_of(head)
         with trio.move_on_after(self._limits.request_timeout_s) as scope:
             body = await self._read_body(request)
         if scope.cancelled_caught:
@@ -150,6 +155,17 @@
             return None
         return Exchange(request=attrs.evolve(request, body=body), connection=self)
 
+    async def _read_request(self) -> Request | None:
+        """Read a request up to its body, and pay for what its head has become."""
+        head = await self._read_head()
+        if head is None:
+            return None
+        self._may_be_keyed = any(name == KEY_FIELD for name, _ in head.headers)
+        request = self._request_of(head)
+        if not self._memory.pay_head(fields=len(request.headers.pairs), items=len(request.query)):
+            raise _no_memory()
+        return request
+
     def _request_of(self, head: h11.Request) -> Request:
         """Return a request without its body."""
         target = _split_target(head.target)
@@ -196,9 +212,23 @@
         data = await self._receive()
         if not self._pay(len(data)):
             raise _no_memory()
+        if self._h11.their_state is h11.IDLE:
+            await self._pay_unread_head(data)
         self._h11.receive_data(data)
         return bool(data)
 
+    async def _pay_unread_head(self, data: bytes) -> None:
+        """Pay for what bytes of a head are about to become, where that is much.
+
+        Others that give way for it drop what they hold in their own turns, and this one may have
+        to give way itself until then, so that all heads together are never more than is paid for.
+        """
+        lines, items = self._head_scan.count(data)
+        if not self._memory.pay_head(fields=lines, items=items):
+            raise _no_memory()
+        if self._memory.head_bytes:
+            await trio.lowlevel.checkpoint()
+
     async def _read_body(self, request: Request) -> bytes | None:
         """Read the body of a request; None if the request was refused by its head."""
         limit = min(self._limits.body_bytes, self._memory.largest_bytes - RECEIVE_BYTES)
--- a/lagoonlever/tests/server_memory_tests.py
+++ b/lagoonlever/tests/server_memory_tests.py
@@ -112,6 +112,20 @@
     return answer
 
 
+SHORT_FIELDS = 1_900
+SHORT_HEAD = b"POST / HTTP/1.1\r\nHost: h\r\n" + SHORT_FIELDS * b"a:\r\n"
+HELD_OF_A_FIELD = 150
+"""Bytes that a field holds at the least once it is parsed."""
+ITEMS = 1_500
+HEADS = {
+    "fields": (SHORT_HEAD + b"Content-Length: 9\r\n\r\nab", SHORT_FIELDS),
+    "chunks": (SHORT_HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n", SHORT_FIELDS),
+    "query": (
+        b"POST /?" + b"&".join(b"%x=1" % n for n in range(ITEMS)) + b" HTTP/1.1\r\nHost: h\r\n"
+        b"Content-Length: 9\r\n\r\nab",
+        ITEMS,
+    ),
+}
 WAYS_OUT = {
     "nothing-sent": (b"", b""),
     "half-a-head": (b"GET / HTTP/1.1\r\nHost", b" 408 "),
@@ -123,6 +137,9 @@
     "no-http": (b"\x00\x01\r\n\r\n", b" 400 "),
     "refused-by-its-head": (HALF.replace(b"Host: h", b"Host: h\r\nX-Refuse: 1"), b" 404 "),
     "handler-fails": (b"GET /fault HTTP/1.1\r\nHost: h\r\n\r\n", b""),
+    "many-fields": (HEADS["fields"][0], b" 408 "),
+    "many-fields-served": (SHORT_HEAD + b"Content-Length: 2\r\n\r\nab", b" 200 "),
+    "many-items": (HEADS["query"][0], b" 408 "),
     "served-twice": (2 * b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab", b" 200 "),
     "pipelined-rest": (
         b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab" + HALF,
@@ -197,3 +214,31 @@
         assert all(b"Retry-After" in answer for answer in told)
 
     serving(story)
+
+
+@pytest.mark.parametrize("head", HEADS)
+def test_what_a_head_has_become_is_paid_for_as_its_body_comes(head: str) -> None:
+    """Guards against heads of many short parts, which hold far more than their own bytes."""
+    sent, parts = HEADS[head]
+
+    async def story(served: Served) -> None:
+        async with await served.connect() as stream:
+            await stream.send_all(sent)
+            paid = CONNECTION_BYTES + parts * HELD_OF_A_FIELD
+            await until(lambda: served.guard.memory.held_bytes >= paid)
+            await read_all(stream)
+
+    serving(story)
+
+
+def test_a_usual_head_is_paid_for_with_its_connection() -> None:
+    """Guards against ordinary callers that are turned away for heads of many fields."""
+
+    async def story(served: Served) -> None:
+        async with await served.connect() as stream:
+            await stream.send_all(b"GET /until-gone HTTP/1.1\r\nHost: h\r\n" + 20 * b"a: b\r\n")
+            await stream.send_all(b"\r\n")
+            await until(lambda: served.state.open_exchanges == 1)
+            assert served.guard.memory.held_bytes < CONNECTION_BYTES + 1_000
+
+    serving(story)
