Streams: a request is not sent while an order to end its former run is under way

Cause: 'a run that was sent again is not ended for the one before it' takes the former run off the list as the request is sent again. An order that was under way at that moment could arrive behind the request, and end its new run.

Change: a request waits for such an order before it is sent to the engine. An answer without a length that ends though this VM has sent an order for the request since, or in the second before, is not believed: the stream goes on.

--- a/lagoonlever/gateway/run_ender.py
+++ b/lagoonlever/gateway/run_ender.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 import logbook
 import trio
@@ -34,6 +36,10 @@
 """For so long an engine that can't be reached is asked; it may have gone for good."""
 REPORT_LAG_S = 0.5
 """Reports are so old at most: a run that a later one does not list has ended."""
+LATE_ORDER_S = 1.0
+"""For so long an order that got no answer may still arrive."""
+ORDER_KEPT_S = 600.0
+"""Longer than a run lasts."""
 UNNAMED_S = 3.0
 """For so long a run that had not begun is looked for: engines list it only once it has."""
 
@@ -70,6 +76,10 @@
     _nursery: trio.Nursery | None = None
     _given_up: dict[str, list[_GivenUp]] = attrs.field(factory=dict)
     """The runs that may go on, by the process of their engine."""
+    _orders: dict[tuple[str, str], trio.Event] = attrs.field(factory=dict)
+    """The orders that wait for their answers, by engine and request."""
+    _ordered_at: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    """When the last orders went out, by engine and request."""
 
     async def run(self) -> None:
         """End runs until cancelled."""
@@ -90,7 +100,7 @@
         holder = self._holder(run)
         if holder is None:
             return None
-        outcome = await self._copier.stop(run.request, source=engine, to=holder)
+        outcome = await self._order(run, engine, holder)
         if isinstance(outcome, str):
             self.end_later(run, engine)
             return None
@@ -111,11 +121,36 @@
         self._given_up[process] = [given_up]
         self._nursery.start_soon(self._end_all, process, engine)
 
-    def record_sent(self, run: EngineRun) -> None:
-        """Record that a run's engine gets its request now: what it reports is the new run."""
-        sent = (run.engine, run.request)
+    async def settle(self, run: EngineRun) -> None:
+        """Leave a run's engine alone, as it gets the request now: what it reports is the new run.
+
+        Returns once no order for the former one is under way.
+        """
         for pending in self._given_up.values():
-            pending[:] = [p for p in pending if (p.run.engine, p.run.request) != sent]
+            pending[:] = [p for p in pending if _key(p.run) != _key(run)]
+        order = self._orders.get(_key(run))
+        if order is not None:
+            await order.wait()
+
+    def has_ordered(self, run: EngineRun, *, since: float) -> bool:
+        """Check whether an order of this VM may have ended a run that was sent at ``since``."""
+        return self._ordered_at.get(_key(run), -math.inf) >= since - LATE_ORDER_S
+
+    async def _order(
+        self, run: EngineRun, engine: ListedTarget, holder: ListedTarget
+    ) -> RunStopped | NoSuchRun | str:
+        """Order an engine to stop a run."""
+        key, now = _key(run), self._timers.now
+        for old in [k for k, at in self._ordered_at.items() if now - at > ORDER_KEPT_S]:
+            del self._ordered_at[old]
+        self._ordered_at[key] = now
+        order = self._orders[key] = trio.Event()
+        try:
+            return await self._copier.stop(run.request, source=engine, to=holder)
+        finally:
+            order.set()
+            if self._orders.get(key) is order:
+                del self._orders[key]
 
     async def _end_all(self, process: str, engine: ListedTarget) -> None:
         """Ask an engine until none of its runs may go on."""
@@ -149,7 +184,7 @@
         holder = self._holder(run)
         if holder is None:
             return False
-        outcome = await self._copier.stop(run.request, source=engine, to=holder)
+        outcome = await self._order(run, engine, holder)
         if not isinstance(outcome, RunStopped):
             return isinstance(outcome, NoSuchRun)
         events.RUN_ENDED_THERE.log(log, request=run.request, target=engine.id)
@@ -165,3 +200,7 @@
             return known
         serving = targets.serving(run.service, version=run.version)
         return next((target for target in serving if target.id != run.engine), None)
+
+
+def _key(run: EngineRun) -> tuple[str, str]:
+    return run.engine, run.request
--- a/lagoonlever/gateway/stream_attempt.py
+++ b/lagoonlever/gateway/stream_attempt.py
@@ -172,6 +172,7 @@
         engine = self._plan.engine
         head: AnswerHead | None = None
         try:
+            await self._tools.ender.settle(self._plan.run)
             await self._confirm_process()
             if not self._may_write():
                 self._life.record_unreachable(
@@ -254,7 +255,6 @@
         """Write and relay; gives the head if the connection may be kept."""
         plan = self._plan
         self._life.record_sent(copy=plan.run.copy)
-        self._tools.ender.record_sent(plan.run)
         self._answer.connection = connection
         ticket = self._tools.words.sent(plan.engine.id, first=self._life.sent_attempts == 1)
         self._peers.begin(plan.run)
@@ -338,6 +338,8 @@
         """Ask the engine about an answer whose end only its connection's end has told."""
         if not (self._answer.has_event or self._life.position):
             raise _Ended("ended before its first event, with neither a length nor chunks")
+        if self._tools.ender.has_ordered(self._plan.run, since=self._answer.started):
+            raise _Ended("ended as its engine was told to end the run before it")
         engine = self._plan.engine
         report = await self._tools.prober.ask(engine, since=self._now)
         self._take_report(report)
--- a/lagoonlever/tests/former_runs_tests.py
+++ b/lagoonlever/tests/former_runs_tests.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from types import SimpleNamespace
 
 import pytest
 import trio
 
+from lagoonlever.decisions.streams.engine_runs import EngineRun
 from lagoonlever.fakes.path_proxy import PathState
 from lagoonlever.fakes.platform_engine import FakeEngine
+from lagoonlever.gateway.run_copier import NoSuchRun
 from lagoonlever.tests.gateway_site import GatewaySite, Stream, run_site, until, until_within
 
 EVENTS = 400
@@ -171,3 +174,45 @@
             nursery.cancel_scope.cancel()
 
     run_site(story, cuttable=True, vms=2)
+
+
+def test_a_request_waits_for_an_order_to_end_its_former_run_at_the_same_engine() -> None:
+    """Guards against an order that arrives behind the request, and ends the new run."""
+
+    async def story(site: GatewaySite) -> None:
+        parts = site.vms["vm-0"].daemon.parts
+        engine = parts.beliefs.targets.find("engine-0")
+        assert engine is not None
+        run = EngineRun(
+            request="r-x",
+            vm="vm-0",
+            engine=engine.id,
+            service="engines",
+            prompt_tokens=1,
+            memory_tokens=1,
+        )
+        ordered, answered, settled = trio.Event(), trio.Event(), trio.Event()
+
+        async def stop(request: str, **_: object) -> NoSuchRun:
+            ordered.set()
+            await answered.wait()
+            return NoSuchRun()
+
+        async def settle() -> None:
+            await parts.run_ender.settle(run)
+            settled.set()
+
+        parts.run_ender._copier = SimpleNamespace(stop=stop)
+        sent_at = parts.timers.now
+        assert not parts.run_ender.has_ordered(run, since=sent_at)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(parts.run_ender.end, run, engine)
+            await ordered.wait()
+            nursery.start_soon(settle)
+            await trio.sleep(0.05)
+            assert not settled.is_set()
+            answered.set()
+            await settled.wait()
+        assert parts.run_ender.has_ordered(run, since=sent_at)
+
+    run_site(story, engines=2, runners=0, vms=1)
