--- a/lagoonlever/http/head_scan.py
+++ b/lagoonlever/http/head_scan.py
@@ -10,7 +10,7 @@
 LONGEST_END = 3
 
 
-@attrs.define
+@attrs.define(kw_only=True)
 class HeadScan:
     """Counts over the pieces in which a head arrives; what follows the head is not counted."""
 
--- a/lagoonlever/tests/answers_in_trouble_tests.py
+++ b/lagoonlever/tests/answers_in_trouble_tests.py
@@ -131,7 +131,7 @@
     run_site(story, engines=2, runners=0, vms=1)
 
 
-@attrs.define(eq=False)
+@attrs.define(kw_only=True, eq=False)
 class EarlyTarget:
     """Answers each request once its head has come, with part of a body, and resets then."""
 
@@ -179,7 +179,7 @@
 
     async def story(site: GatewaySite) -> None:
         await configured(site, _for_uploads("bid"))
-        target = EarlyTarget(b"part of a body", after_s)
+        target = EarlyTarget(body=b"part of a body", reset_after_s=after_s)
         await site.start_listed("early", service="apps", run=target.run)
         if way == "peer":
             await cut(site)
@@ -199,7 +199,7 @@
 
     async def story(site: GatewaySite) -> None:
         await configured(site, _for_uploads("stream", ResumeStreams=False))
-        target = EarlyTarget(EVENT, after_s)
+        target = EarlyTarget(body=EVENT, reset_after_s=after_s)
         await site.start_listed("early", service="engines", run=target.run)
         if way == "peer":
             await cut(site)
